Bound JSON nesting and answer oversized bodies

Cause: a body of brackets overran the 100 kB stack of an HTTP thread inside the JSON parser and ended the router (address sanitizer: stack overflow); an oversized body's sender saw a reset instead of 413. Change: js_parse measures nesting first; a bounded part of what is too much is read and dropped.

--- a/Makefile
+++ b/Makefile
@@ -21,20 +21,24 @@
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(BUILD)
-	$(CC) $(CFLAGS_ALL) -MMD -c $< -o $@
+	@echo CC $@
+	@$(CC) $(CFLAGS_ALL) -MMD -c $< -o $@
 
 $(BUILD)/libbglade.a: $(LIB_OBJ)
 	rm -f $@
 	ar rcs $@ $^
 
 $(BUILD)/bglade: $(BUILD)/main_client.o $(BUILD)/libbglade.a
-	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/bglade-%: $(BUILD)/main_%.o $(BUILD)/libbglade.a
-	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/unit_%: tests/unit_%.c $(BUILD)/libbglade.a
-	$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS) -lcunit
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS) -lcunit
 
 .PRECIOUS: $(BUILD)/%.o
 
--- a/src/bg_base.c
+++ b/src/bg_base.c
@@ -224,7 +224,6 @@
         }
         g_string_append_printf(out, "# TYPE bglade_%s %s\nbglade_%s %llu\n",
                                name, counters[i].gauge ? "gauge" : "counter",
-                               name,
-                               (unsigned long long)counters[i].value);
+                               name, (unsigned long long)counters[i].value);
     }
 }
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -13,12 +13,12 @@
 struct CfgSet {
     atomic_int refs;
     uint64_t version;
-    GHashTable *models;       /* name -> CfgModel */
-    GHashTable *services;     /* name -> CfgService */
-    GHashTable *upstreams;    /* name -> CfgUpstreams */
-    GHashTable *workspaces;   /* name -> CfgWorkspace */
-    GHashTable *keys;         /* digest -> CfgWorkspace, borrowed */
-    GPtrArray *model_list;    /* borrowed */
+    GHashTable *models;        /* name -> CfgModel */
+    GHashTable *services;      /* name -> CfgService */
+    GHashTable *upstreams;     /* name -> CfgUpstreams */
+    GHashTable *workspaces;    /* name -> CfgWorkspace */
+    GHashTable *keys;          /* digest -> CfgWorkspace, borrowed */
+    GPtrArray *model_list;     /* borrowed */
     GPtrArray *workspace_list; /* borrowed */
 };
 
@@ -91,7 +91,7 @@
 } Reader;
 
 static void G_GNUC_PRINTF(3, 4)
-add_fault(Reader *rd, const char *sec, const char *fmt, ...)
+    add_fault(Reader *rd, const char *sec, const char *fmt, ...)
 {
     va_list args;
     va_start(args, fmt);
@@ -121,7 +121,8 @@
             rd->params ? g_hash_table_lookup(rd->params, name) : NULL;
         if (!param) {
             add_fault(rd, sec, "%s: no value for parameter '%s'", key, name);
-        } else {
+        }
+        else {
             g_string_append(out, param);
         }
         at = shut + 1;
@@ -288,7 +289,8 @@
     CfgModel *m = make_model(values, name);
     if (strcmp(kind, "model") == 0) {
         m->upstreams = get_copy(values, "upstreams");
-    } else {
+    }
+    else {
         m->base = get_copy(values, "base");
     }
     m->cold_second_cost = t->cold_second_cost;
@@ -322,8 +324,7 @@
     CfgUpstreams *u = g_new0(CfgUpstreams, 1);
     u->name = g_strdup(name);
     u->engine = strcmp(g_hash_table_lookup(values, "kind"), "engine") == 0;
-    u->fenced =
-        strcmp(g_hash_table_lookup(values, "fencing"), "checked") == 0;
+    u->fenced = strcmp(g_hash_table_lookup(values, "fencing"), "checked") == 0;
     add_item(rd, sec, t->set->upstreams, u->name, u, free_upstreams);
 }
 
@@ -339,13 +340,17 @@
     }
     if (!name || !*name) {
         add_fault(rd, sec, "unknown section");
-    } else if (strcmp(kind, "model") == 0 || strcmp(kind, "adapter") == 0) {
+    }
+    else if (strcmp(kind, "model") == 0 || strcmp(kind, "adapter") == 0) {
         take_model(rd, t, kf, sec, kind, name);
-    } else if (strcmp(kind, "service") == 0) {
+    }
+    else if (strcmp(kind, "service") == 0) {
         take_service(rd, t, kf, sec, name);
-    } else if (strcmp(kind, "upstreams") == 0) {
+    }
+    else if (strcmp(kind, "upstreams") == 0) {
         take_upstreams(rd, t, kf, sec, name);
-    } else {
+    }
+    else {
         add_fault(rd, sec, "unknown section");
     }
 }
@@ -355,8 +360,7 @@
 static bool
 is_hex_digest(const char *text)
 {
-    return strlen(text) == 64 &&
-           strspn(text, "0123456789abcdef") == 64;
+    return strlen(text) == 64 && strspn(text, "0123456789abcdef") == 64;
 }
 
 static void
@@ -366,9 +370,11 @@
         if (!is_hex_digest(*k)) {
             add_fault(rd, "workspace", "keys_sha256: '%s' is not a SHA-256",
                       *k);
-        } else if (g_hash_table_contains(set->keys, *k)) {
+        }
+        else if (g_hash_table_contains(set->keys, *k)) {
             add_fault(rd, "workspace", "keys_sha256: a key is used twice");
-        } else {
+        }
+        else {
             g_hash_table_insert(set->keys, *k, w);
         }
     }
@@ -386,7 +392,8 @@
         /* "required" has no default: the workspace must give a value. */
         if (strcmp(def, "required") == 0) {
             g_free(def);
-        } else {
+        }
+        else {
             g_hash_table_replace(params, g_strdup(*n), def);
         }
     }
@@ -478,8 +485,8 @@
         take_section(&rd, &t, kf, *g);
     }
     for (size_t i = 0; i < src->values_count; i++) {
-        g_autofree char *where = g_strdup_printf("%s/values %zu", src->name,
-                                                 i + 1);
+        g_autofree char *where =
+            g_strdup_printf("%s/values %zu", src->name, i + 1);
         Reader vrd = {where, faults, NULL};
         g_autoptr(GKeyFile) vkf = parse_text(&vrd, src->values_text[i]);
         if (vkf) {
@@ -497,7 +504,8 @@
     const CfgUpstreams *u = cfg_find_upstreams(set, name);
     if (!u) {
         add_fault(rd, sec, "upstreams: no [upstreams %s]", name);
-    } else if (u->engine != engine) {
+    }
+    else if (u->engine != engine) {
         add_fault(rd, sec, "upstreams: '%s' is not %s", name,
                   engine ? "an engine" : "a service");
     }
@@ -579,14 +587,14 @@
 {
     CfgSet *set = g_new0(CfgSet, 1);
     atomic_init(&set->refs, 1);
-    set->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                        free_model);
-    set->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                          free_service);
-    set->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                           free_upstreams);
-    set->workspaces = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                            free_workspace);
+    set->models =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
+    set->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    set->upstreams =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstreams);
+    set->workspaces =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_workspace);
     set->keys = g_hash_table_new(g_str_hash, g_str_equal);
     gsize before = faults->len;
     for (size_t i = 0; i < count; i++) {
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -21,8 +21,8 @@
 
 typedef struct {
     char *name;
-    char *upstreams;  /* CfgUpstreams name */
-    char *base;       /* base model of an adapter, else NULL */
+    char *upstreams; /* CfgUpstreams name */
+    char *base;      /* base model of an adapter, else NULL */
     uint32_t memory_mb;
     uint32_t replicas; /* ceiling in each data centre */
     uint32_t load_ms;  /* expected cold load, until one was seen */
--- a/src/fold.c
+++ b/src/fold.c
@@ -31,15 +31,15 @@
     uint64_t offset;
     FoldObserver observe;
     void *observe_ctx;
-    GHashTable *batches;  /* batch id -> digest of its bytes */
-    GQueue batch_order;   /* ids, oldest first; owned by the table */
-    GHashTable *history;  /* template name -> GPtrArray of FoldConfig */
+    GHashTable *batches; /* batch id -> digest of its bytes */
+    GQueue batch_order;  /* ids, oldest first; owned by the table */
+    GHashTable *history; /* template name -> GPtrArray of FoldConfig */
     CfgSet *config;
-    GHashTable *centres; /* data centre -> Centre */
-    GHashTable *keys;    /* "workspace\nkey" -> FoldKey */
+    GHashTable *centres;       /* data centre -> Centre */
+    GHashTable *keys;          /* "workspace\nkey" -> FoldKey */
     GHashTable *void_attempts; /* attempts released before their claim */
-    GHashTable *deaths;  /* hex digest -> Deaths */
-    GQueue death_order;  /* hex digests, oldest first */
+    GHashTable *deaths;        /* hex digest -> Deaths */
+    GQueue death_order;        /* hex digests, oldest first */
 };
 
 /* ---- life --------------------------------------------------------------- */
@@ -210,8 +210,7 @@
 }
 
 static FoldResult
-apply_config(Fold *f, uint64_t offset, const Bg__ConfigRecord *r,
-             GString *why)
+apply_config(Fold *f, uint64_t offset, const Bg__ConfigRecord *r, GString *why)
 {
     const FoldConfig *current = get_current(f, r->name);
     uint64_t version = current ? current->version : 0;
@@ -302,7 +301,8 @@
     if (n > 0) {
         g_hash_table_replace(table, g_strdup(name),
                              GUINT_TO_POINTER((guint)n));
-    } else {
+    }
+    else {
         g_hash_table_remove(table, name);
     }
 }
@@ -449,8 +449,7 @@
 }
 
 uint32_t
-fold_count_memory(const Fold *f, const char *data_centre,
-                  const char *upstream)
+fold_count_memory(const Fold *f, const char *data_centre, const char *upstream)
 {
     const Centre *c = find_centre(f, data_centre);
     return c ? get_number(c->memory, upstream) : 0;
@@ -696,10 +695,10 @@
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         FoldIntent *in = p;
         json_array_append_new(
-            intents, json_pack("{s:s, s:s, s:i, s:I, s:b}", "upstream",
-                               in->upstream, "model", in->model, "memory_mb",
-                               (int)in->memory_mb, "epoch",
-                               (json_int_t)in->epoch, "loaded", in->loaded));
+            intents,
+            json_pack("{s:s, s:s, s:i, s:I, s:b}", "upstream", in->upstream,
+                      "model", in->model, "memory_mb", (int)in->memory_mb,
+                      "epoch", (json_int_t)in->epoch, "loaded", in->loaded));
     }
     return json_pack("{s:s, s:I, s:o}", "holder",
                      c->claim.holder ? c->claim.holder : "", "epoch",
@@ -714,7 +713,8 @@
     for (guint i = 0; i < names->len; i++) {
         json_object_set_new(
             templates, names->pdata[i],
-            json_integer((json_int_t)get_current(f, names->pdata[i])->version));
+            json_integer(
+                (json_int_t)get_current(f, names->pdata[i])->version));
     }
     json_t *centres = json_object();
     GHashTableIter it;
@@ -724,11 +724,11 @@
     while (g_hash_table_iter_next(&it, &name, &p)) {
         json_object_set_new(centres, name, dump_centre(p));
     }
-    json_t *doc = json_pack(
-        "{s:I, s:o, s:o, s:i, s:i}", "offset", (json_int_t)f->offset,
-        "templates", templates, "data_centres", centres, "keys",
-        (int)g_hash_table_size(f->keys), "deadly_requests",
-        (int)g_hash_table_size(f->deaths));
+    json_t *doc =
+        json_pack("{s:I, s:o, s:o, s:i, s:i}", "offset", (json_int_t)f->offset,
+                  "templates", templates, "data_centres", centres, "keys",
+                  (int)g_hash_table_size(f->keys), "deadly_requests",
+                  (int)g_hash_table_size(f->deaths));
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/fold.h
+++ b/src/fold.h
@@ -18,9 +18,9 @@
 } FoldResult;
 
 /* Told of each record once, in order.  WHY is set for LOST and BAD. */
-typedef void (*FoldObserver)(void *ctx, uint64_t offset,
-                             const char *batch_id, const Bg__Record *r,
-                             FoldResult result, const char *why);
+typedef void (*FoldObserver)(void *ctx, uint64_t offset, const char *batch_id,
+                             const Bg__Record *r, FoldResult result,
+                             const char *why);
 
 typedef struct Fold Fold;
 
@@ -88,8 +88,7 @@
                              const char *model);
 /* Whether the owner of EPOCH has said that none of its orders is still
    under way. */
-bool fold_is_quiesced(const Fold *f, const char *data_centre,
-                      uint64_t epoch);
+bool fold_is_quiesced(const Fold *f, const char *data_centre, uint64_t epoch);
 
 /* ---- non-idempotent calls ----------------------------------------------- */
 typedef struct {
--- a/src/hc.c
+++ b/src/hc.c
@@ -118,8 +118,8 @@
 {
     Call *call = ctx;
     size_t len = size * count;
-    size_t limit = call->req->max_body ? call->req->max_body
-                                       : DEFAULT_MAX_BODY;
+    size_t limit =
+        call->req->max_body ? call->req->max_body : DEFAULT_MAX_BODY;
     call->last_byte_ms = bg_now_ms();
     call->out->got_bytes += len;
     if (!tell_head(call)) {
@@ -238,7 +238,7 @@
         }
         HcEnd end = check_limits(call);
         if (end != HC_DONE) {
-            return was_sent(call) ? end
+            return was_sent(call)        ? end
                    : end == HC_CANCELLED ? HC_CANCELLED
                                          : HC_NOT_SENT;
         }
--- a/src/hc.h
+++ b/src/hc.h
@@ -7,12 +7,12 @@
 #include "bg_base.h"
 
 typedef enum {
-    HC_DONE,         /* the whole answer was received */
-    HC_NOT_SENT,     /* no byte of the request left this process */
-    HC_BROKEN,       /* the connection failed after bytes were sent */
-    HC_TIMEOUT,      /* a phase took longer than its limit */
-    HC_CANCELLED,    /* is_cancelled or a callback said stop */
-    HC_TOO_LARGE     /* the collected body passed max_body */
+    HC_DONE,      /* the whole answer was received */
+    HC_NOT_SENT,  /* no byte of the request left this process */
+    HC_BROKEN,    /* the connection failed after bytes were sent */
+    HC_TIMEOUT,   /* a phase took longer than its limit */
+    HC_CANCELLED, /* is_cancelled or a callback said stop */
+    HC_TOO_LARGE  /* the collected body passed max_body */
 } HcEnd;
 
 typedef struct {
--- a/src/ini.c
+++ b/src/ini.c
@@ -66,8 +66,7 @@
         }
         if (n < rule->min || n > rule->max) {
             return g_strdup_printf("%lld is not in %lld to %lld", n,
-                                   (long long)rule->min,
-                                   (long long)rule->max);
+                                   (long long)rule->min, (long long)rule->max);
         }
         return NULL;
     }
--- /dev/null
+++ b/src/js.h
@@ -0,0 +1,15 @@
+/* js: JSON from outside, with a bound on nesting. */
+#ifndef JS_H
+#define JS_H
+
+#include "bg_base.h"
+
+#include <jansson.h>
+
+#define JS_MAX_DEPTH 64
+
+/* Parse LEN bytes; NULL with BG_ERR_INVALID when they are no JSON text or
+   nest deeper than JS_MAX_DEPTH.  ERR may be NULL. */
+json_t *js_parse(const char *data, size_t len, GError **err);
+
+#endif
--- a/src/lc.c
+++ b/src/lc.c
@@ -1,9 +1,9 @@
 #include "lc.h"
 
 #include "hc.h"
+#include "js.h"
 #include "ring.h"
 
-#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -43,7 +43,7 @@
     bool good = false;
     json_t *doc = NULL;
     if (res.end == HC_DONE && res.status == 200) {
-        doc = json_loadb(res.body->str, res.body->len, 0, NULL);
+        doc = js_parse(res.body->str, res.body->len, NULL);
         *offset = (uint64_t)json_integer_value(json_object_get(doc, "offset"));
         good = *offset > 0;
     }
@@ -91,9 +91,9 @@
           GError **err)
 {
     HttpLog *h = (HttpLog *)a;
-    g_autofree char *url = g_strdup_printf(
-        "%s/v1/records?from=%llu&wait_ms=%u&max=%u", h->base,
-        (unsigned long long)from, wait_ms, PAGE_ENTRIES);
+    g_autofree char *url =
+        g_strdup_printf("%s/v1/records?from=%llu&wait_ms=%u&max=%u", h->base,
+                        (unsigned long long)from, wait_ms, PAGE_ENTRIES);
     HcRequest req = {.method = "GET",
                      .url = url,
                      .connect_ms = CONNECT_MS,
@@ -103,17 +103,19 @@
     hc_call(h->http, &req, &res);
     page->entries = g_array_new(FALSE, TRUE, sizeof(LogEntry));
     json_t *doc = res.end == HC_DONE
-                      ? json_loadb(res.body->str, res.body->len, 0, NULL)
+                      ? js_parse(res.body->str, res.body->len, NULL)
                       : NULL;
     bool good = doc && parse_page(doc, page);
     if (!good) {
         g_set_error(err, BG_ERROR, BG_ERR_AWAY, "read: %s, status %ld",
                     hc_end_name(res.end), res.status);
-    } else if (res.status == 410) {
+    }
+    else if (res.status == 410) {
         g_set_error(err, BG_ERROR, BG_ERR_TRIMMED, "offset %llu is not kept",
                     (unsigned long long)from);
         good = false;
-    } else if (res.status != 200) {
+    }
+    else if (res.status != 200) {
         g_set_error(err, BG_ERROR, BG_ERR_AWAY, "read: status %ld",
                     res.status);
         good = false;
@@ -233,11 +235,13 @@
         deliver_page(c, &page, from);
         set_reachable(c, true, page.next);
         *backoff_ms = BACKOFF_MIN_MS;
-    } else if (err->code == BG_ERR_TRIMMED) {
+    }
+    else if (err->code == BG_ERR_TRIMMED) {
         set_reachable(c, true, page.next);
         c->on.on_trimmed(c->on.ctx, page.first);
         bg_sleep_ms(BACKOFF_MIN_MS);
-    } else {
+    }
+    else {
         set_reachable(c, false, 0);
         bg_sleep_ms(*backoff_ms);
         *backoff_ms = MIN(*backoff_ms * 2, BACKOFF_MAX_MS);
--- a/src/lc.h
+++ b/src/lc.h
@@ -19,8 +19,8 @@
 } LogEntry;
 
 typedef struct {
-    uint64_t first; /* oldest offset kept */
-    uint64_t next;  /* offset the next append gets */
+    uint64_t first;  /* oldest offset kept */
+    uint64_t next;   /* offset the next append gets */
     GArray *entries; /* LogEntry */
 } LogPage;
 
@@ -56,9 +56,9 @@
 } LcHandlers;
 
 typedef struct {
-    uint32_t window_ms;     /* group commit: wait for more records */
-    uint32_t max_queue;     /* records waiting for the appender */
-    uint32_t give_up_ms;    /* age at which a batch is no longer retried */
+    uint32_t window_ms;  /* group commit: wait for more records */
+    uint32_t max_queue;  /* records waiting for the appender */
+    uint32_t give_up_ms; /* age at which a batch is no longer retried */
 } LcLimits;
 
 typedef struct LogClient LogClient;
--- a/src/main_client.c
+++ b/src/main_client.c
@@ -263,10 +263,12 @@
     if (code == EXIT_GOOD) {
         printf("%s: version %llu is accepted\n", f->name,
                (unsigned long long)s.offset);
-    } else if (code == EXIT_UNKNOWN) {
+    }
+    else if (code == EXIT_UNKNOWN) {
         fprintf(stderr, "bglade: %s: not known whether it was accepted\n",
                 f->name);
-    } else {
+    }
+    else {
         fprintf(stderr, "bglade: %s: not accepted: %s\n", f->name,
                 s.why->len ? s.why->str : "the log cannot be written");
     }
@@ -306,8 +308,8 @@
 describe_template(const Fold *fold, const char *name)
 {
     const FoldConfig *c = fold_find_template(fold, name);
-    return json_pack("{s:s, s:I, s:i, s:s, s:s, s:s}", "name", name,
-                     "version", (json_int_t)c->version, "workspaces",
+    return json_pack("{s:s, s:I, s:i, s:s, s:s, s:s}", "name", name, "version",
+                     (json_int_t)c->version, "workspaces",
                      (int)g_strv_length(c->values_text), "author", c->author,
                      "note", c->note, "template", c->template_text);
 }
@@ -350,7 +352,8 @@
         const char *only = a->word_count > 1 ? a->words[1] : NULL;
         if (only && !fold_find_template(s.fold, only)) {
             fprintf(stderr, "bglade: no template '%s'\n", only);
-        } else {
+        }
+        else {
             print_templates(a, s.fold, only);
             code = EXIT_GOOD;
         }
@@ -378,7 +381,8 @@
     if (res.end == HC_DONE && res.status == 200) {
         fputs(res.body->str, stdout);
         code = EXIT_GOOD;
-    } else {
+    }
+    else {
         fprintf(stderr, "bglade: no answer from %s: %s\n", a->words[1],
                 hc_end_name(res.end));
     }
@@ -458,8 +462,8 @@
 main(int argc, char **argv)
 {
     Arguments a = {.note = "", .author = g_get_user_name()};
-    struct argp argp = {options, parse_option, "COMMAND [ARGUMENT...]", doc,
-                        NULL,    NULL,         NULL};
+    struct argp argp = {
+        options, parse_option, "COMMAND [ARGUMENT...]", doc, NULL, NULL, NULL};
     argp_parse(&argp, argc, argv, 0, NULL, &a);
     signal(SIGPIPE, SIG_IGN);
     hc_init_process();
--- a/src/main_placer.c
+++ b/src/main_placer.c
@@ -2,11 +2,11 @@
    placement core: order and report calls run on worker threads, the VM list
    on one of its own. */
 #include "hc.h"
+#include "js.h"
 #include "node.h"
 #include "pl.h"
 #include "ring.h"
 
-#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -168,14 +168,15 @@
     HcResult res;
     hc_call(http, &req, &res);
     json_t *doc = res.end == HC_DONE && res.status == 200
-                      ? json_loadb(res.body->str, res.body->len, 0, NULL)
+                      ? js_parse(res.body->str, res.body->len, NULL)
                       : NULL;
     if (json_is_array(json_object_get(doc, "vms"))) {
         PlacerEvent *e = g_new0(PlacerEvent, 1);
         e->kind = PEV_VMS;
         e->vms = doc;
         node_post_wait(p->node, e);
-    } else {
+    }
+    else {
         bg_count("placer_vm_list_failures_total", 1);
         json_decref(doc);
     }
@@ -187,8 +188,8 @@
 {
     Placer *p = arg;
     HcClient *http = hc_create();
-    uint32_t poll_ms = (uint32_t)ini_get_int(node_get_settings(p->node),
-                                             "vms", "poll_ms");
+    uint32_t poll_ms =
+        (uint32_t)ini_get_int(node_get_settings(p->node), "vms", "poll_ms");
     while (!atomic_load(&p->stopping)) {
         fetch_vms(p, http);
         bg_sleep_ms(poll_ms);
@@ -244,7 +245,8 @@
         const char *word = json_string_value(tier);
         if (g_strcmp0(word, "memory") == 0) {
             g_ptr_array_add(p->memory_tier, (gpointer)name);
-        } else if (g_strcmp0(word, "disk") == 0) {
+        }
+        else if (g_strcmp0(word, "disk") == 0) {
             g_ptr_array_add(p->disk_tier, (gpointer)name);
         }
     }
@@ -322,7 +324,7 @@
 static void
 take_job(Placer *p, uint64_t now_ms, Job *j)
 {
-    json_t *doc = json_loadb(j->res.body->str, j->res.body->len, 0, NULL);
+    json_t *doc = js_parse(j->res.body->str, j->res.body->len, NULL);
     ParsedReport parsed;
     bool has_report = parse_report(&parsed, doc) &&
                       (j->kind == PL_POLL || j->kind == PL_FENCE) &&
@@ -480,8 +482,9 @@
     Placer *p = ctx;
     if (frame->body_case == BG__FRAME__BODY_DEMAND) {
         pl_on_demand(p->core, now_ms, from->node, frame->demand);
-    } else if (frame->body_case == BG__FRAME__BODY_HEARTBEAT &&
-               strcmp(from->role, "placer") == 0) {
+    }
+    else if (frame->body_case == BG__FRAME__BODY_HEARTBEAT &&
+             strcmp(from->role, "placer") == 0) {
         pl_on_beat(p->core, now_ms, from->node, frame->heartbeat->owner);
     }
 }
@@ -511,7 +514,8 @@
     PlacerEvent *e = event;
     if (e->kind == PEV_JOB) {
         take_job(p, now_ms, e->job);
-    } else {
+    }
+    else {
         take_vms(p, now_ms, e->vms);
         json_decref(e->vms);
     }
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -36,8 +36,7 @@
 }
 
 static void
-output_refuse(void *ctx, uint64_t id, RtReason reason,
-              uint64_t retry_after_ms)
+output_refuse(void *ctx, uint64_t id, RtReason reason, uint64_t retry_after_ms)
 {
     req_on_refuse(((Router *)ctx)->desk, id, reason, retry_after_ms);
 }
@@ -59,8 +58,7 @@
         .data_centre = node_get_data_centre(n),
         .max_waiting = (uint32_t)ini_get_int(f, "router", "max_waiting"),
         .per_upstream = (uint32_t)ini_get_int(f, "router", "per_upstream"),
-        .eject_failures =
-            (uint32_t)ini_get_int(f, "router", "eject_failures"),
+        .eject_failures = (uint32_t)ini_get_int(f, "router", "eject_failures"),
         .eject_ms = (uint32_t)ini_get_int(f, "router", "eject_ms"),
         .retry_percent = (uint32_t)ini_get_int(f, "router", "retry_percent"),
         .seed = bg_now_us()};
@@ -94,7 +92,8 @@
     Router *r = ctx;
     if (frame->body_case == BG__FRAME__BODY_RESIDENCY) {
         rt_on_residency(r->core, now_ms, frame->residency);
-    } else if (frame->body_case == BG__FRAME__BODY_WANT_REFUSED) {
+    }
+    else if (frame->body_case == BG__FRAME__BODY_WANT_REFUSED) {
         rt_on_want_refused(r->core, now_ms, frame->want_refused->model,
                            frame->want_refused->retry_after_ms);
     }
@@ -128,8 +127,7 @@
 static void
 send_demand(Router *r, uint64_t now_ms)
 {
-    Bg__Demand *d =
-        rt_make_demand(r->core, now_ms, node_get_name(r->node));
+    Bg__Demand *d = rt_make_demand(r->core, now_ms, node_get_name(r->node));
     Bg__Frame frame = BG__FRAME__INIT;
     frame.body_case = BG__FRAME__BODY_DEMAND;
     frame.demand = d;
--- a/src/node.c
+++ b/src/node.c
@@ -22,8 +22,7 @@
 
 static const IniRule common_rules[] = {
     {"node", "name", INI_TEXT, true, NULL, 0, 0, NULL, "name of this VM"},
-    {"node", "data_centre", INI_TEXT, true, NULL, 0, 0, NULL,
-     "where it runs"},
+    {"node", "data_centre", INI_TEXT, true, NULL, 0, 0, NULL, "where it runs"},
     {"node", "http", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "where it answers HTTP"},
     {"node", "http_threads", INI_INT, false, "64", 4, 4096, NULL,
@@ -191,8 +190,8 @@
 }
 
 void
-node_send(Node *n, const char *node, const char *data_centre,
-          const char *role, const Bg__Frame *frame)
+node_send(Node *n, const char *node, const char *data_centre, const char *role,
+          const Bg__Frame *frame)
 {
     peer_send(n->peers, node, data_centre, role, frame);
 }
@@ -407,13 +406,12 @@
             n->role->on_tick(n->role->ctx, now_ms);
             atomic_store(&n->ready, n->role->is_ready(n->role->ctx));
             atomic_store(&n->drained, n->role->is_drained(n->role->ctx));
-            atomic_store(&n->owner, n->role->is_owner &&
-                                        n->role->is_owner(n->role->ctx));
+            atomic_store(&n->owner,
+                         n->role->is_owner && n->role->is_owner(n->role->ctx));
             now_ms = bg_now_ms();
         }
-        uint32_t wait_ms = next_tick_ms > now_ms
-                               ? (uint32_t)(next_tick_ms - now_ms)
-                               : 0;
+        uint32_t wait_ms =
+            next_tick_ms > now_ms ? (uint32_t)(next_tick_ms - now_ms) : 0;
         Event *e = ring_pop(n->ring, wait_ms);
         if (e) {
             handle_event(n, e);
@@ -503,12 +501,23 @@
 static bool
 start_http(Node *n, GError **err)
 {
-    const char *options[] = {
-        "listening_ports", ini_get_text(n->settings, "node", "http"),
-        "num_threads", ini_get_text(n->settings, "node", "http_threads"),
-        "enable_keep_alive", "yes", "keep_alive_timeout_ms", "20000",
-        "request_timeout_ms", "60000", "tcp_nodelay", "1",
-        "connection_queue", "512", "listen_backlog", "512", NULL};
+    const char *options[] = {"listening_ports",
+                             ini_get_text(n->settings, "node", "http"),
+                             "num_threads",
+                             ini_get_text(n->settings, "node", "http_threads"),
+                             "enable_keep_alive",
+                             "yes",
+                             "keep_alive_timeout_ms",
+                             "20000",
+                             "request_timeout_ms",
+                             "60000",
+                             "tcp_nodelay",
+                             "1",
+                             "connection_queue",
+                             "512",
+                             "listen_backlog",
+                             "512",
+                             NULL};
     struct mg_callbacks callbacks = {.log_message = log_http};
     n->http = mg_start(&callbacks, n, options);
     if (!n->http) {
@@ -537,10 +546,9 @@
 {
     const char *address = ini_get_text(n->settings, "log", "address");
     LcHandlers on = {take_log_entry, take_trimmed, take_reachable, n};
-    LcLimits limits = {
-        (uint32_t)ini_get_int(n->settings, "log", "window_ms"),
-        (uint32_t)ini_get_int(n->settings, "log", "max_queue"),
-        APPEND_GIVE_UP_MS};
+    LcLimits limits = {(uint32_t)ini_get_int(n->settings, "log", "window_ms"),
+                       (uint32_t)ini_get_int(n->settings, "log", "max_queue"),
+                       APPEND_GIVE_UP_MS};
     n->log = lc_create(lc_open_http(address), lc_open_http(address), 1, &on,
                        &limits);
 }
@@ -743,7 +751,8 @@
     int code = EXIT_SUCCESS;
     if (args.check_only) {
         puts("settings are good");
-    } else {
+    }
+    else {
         Node n = {.role = role, .settings = settings};
         n.name = make_name(settings);
         code = serve(&n);
--- a/src/node.h
+++ b/src/node.h
@@ -35,15 +35,12 @@
     bool (*start)(void *ctx, Node *n, GError **err);
     void (*stop)(void *ctx);
     void (*on_record)(void *ctx, uint64_t now_ms, uint64_t offset,
-                      const Bg__Record *r, FoldResult result,
-                      const char *why);
+                      const Bg__Record *r, FoldResult result, const char *why);
     void (*on_config)(void *ctx, uint64_t now_ms, const CfgSet *cfg);
     void (*on_frame)(void *ctx, uint64_t now_ms, const PeerInfo *from,
                      const Bg__Frame *frame);
-    void (*on_link)(void *ctx, uint64_t now_ms, const PeerInfo *peer,
-                    bool up);
-    void (*on_log)(void *ctx, uint64_t now_ms, bool reachable,
-                   bool caught_up);
+    void (*on_link)(void *ctx, uint64_t now_ms, const PeerInfo *peer, bool up);
+    void (*on_log)(void *ctx, uint64_t now_ms, bool reachable, bool caught_up);
     void (*on_event)(void *ctx, uint64_t now_ms, void *event);
     void (*on_tick)(void *ctx, uint64_t now_ms);
     void (*on_drain)(void *ctx, uint64_t now_ms);
--- a/src/peer.c
+++ b/src/peer.c
@@ -341,7 +341,8 @@
         ssize_t put = send(l->fd, l->out->data, l->out->len, MSG_NOSIGNAL);
         if (put > 0) {
             g_byte_array_remove_range(l->out, 0, (guint)put);
-        } else {
+        }
+        else {
             good = put < 0 && (errno == EAGAIN || errno == EINTR);
         }
     }
@@ -379,7 +380,8 @@
             continue;
         }
         t->next_try_ms = now_ms + REDIAL_MS;
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        int fd =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         if (fd < 0) {
             continue;
         }
--- a/src/pl.c
+++ b/src/pl.c
@@ -23,9 +23,8 @@
     LOAD_SETTLING   /* absent; the record is on its way */
 } LoadPhase;
 
-static const char *const phase_names[] = {"recording", "ordering", "loading",
-                                          "loaded",    "unloading",
-                                          "settling"};
+static const char *const phase_names[] = {
+    "recording", "ordering", "loading", "loaded", "unloading", "settling"};
 
 /* One replica, or what may become one, on one upstream. */
 typedef struct {
@@ -49,8 +48,8 @@
     char *address;
     bool fenced;
     bool leaving;
-    bool gone; /* off the list */
-    bool dirty; /* routers do not know its state yet */
+    bool gone;            /* off the list */
+    bool dirty;           /* routers do not know its state yet */
     uint32_t capacity_mb; /* 0: no report yet */
     uint32_t inflight;
     uint64_t seq; /* of the newest report taken */
@@ -149,8 +148,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_load);
     c->models =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
-    c->beats =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->beats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return c;
 }
 
@@ -311,8 +309,8 @@
 is_heard(const PlCore *c, const char *node, uint64_t now_ms)
 {
     const uint64_t *beat = g_hash_table_lookup(c->beats, node);
-    uint64_t since_ms = beat && *beat > c->claim_seen_ms ? *beat
-                                                         : c->claim_seen_ms;
+    uint64_t since_ms =
+        beat && *beat > c->claim_seen_ms ? *beat : c->claim_seen_ms;
     return now_ms - since_ms < c->params.lease_ms;
 }
 
@@ -633,8 +631,7 @@
 }
 
 static void
-finish_load_order(PlCore *c, Load *l, const PlOrderResult *r,
-                  uint64_t now_ms)
+finish_load_order(PlCore *c, Load *l, const PlOrderResult *r, uint64_t now_ms)
 {
     if (r->end == PL_ACKED) {
         l->ack_seq = r->seq;
@@ -655,10 +652,12 @@
 {
     if (r->end == PL_ACKED) {
         settle_absent(c, l, now_ms);
-    } else if (r->end == PL_BUSY) {
+    }
+    else if (r->end == PL_BUSY) {
         set_phase(l, LOAD_LOADED, now_ms);
         l->last_used_ms = now_ms;
-    } else {
+    }
+    else {
         l->next_try_ms = now_ms + ORDER_RETRY_MS;
     }
 }
@@ -692,7 +691,8 @@
     l->order_out = false;
     if (r->kind == PL_LOAD) {
         finish_load_order(c, l, r, now_ms);
-    } else if (l->phase == LOAD_UNLOADING) {
+    }
+    else if (l->phase == LOAD_UNLOADING) {
         finish_unload_order(c, l, r, now_ms);
     }
 }
@@ -862,8 +862,7 @@
 }
 
 void
-pl_on_demand(PlCore *c, uint64_t now_ms, const char *from,
-             const Bg__Demand *d)
+pl_on_demand(PlCore *c, uint64_t now_ms, const char *from, const Bg__Demand *d)
 {
     GHashTableIter it;
     gpointer p;
@@ -1218,7 +1217,8 @@
     }
     if (result == FOLD_WON) {
         set_phase(l, LOAD_ORDERING, now_ms);
-    } else {
+    }
+    else {
         bg_count("placer_intents_lost_total", 1);
         remove_load(c, l);
     }
@@ -1234,14 +1234,15 @@
     }
     if (r->loaded) {
         l->loaded_recorded = true;
-    } else {
+    }
+    else {
         remove_load(c, l);
     }
 }
 
 void
-pl_on_record(PlCore *c, uint64_t now_ms, uint64_t offset,
-             const Bg__Record *r, FoldResult result)
+pl_on_record(PlCore *c, uint64_t now_ms, uint64_t offset, const Bg__Record *r,
+             FoldResult result)
 {
     (void)offset;
     switch (r->body_case) {
@@ -1313,8 +1314,7 @@
     s->gone = u->gone;
     s->known = c->owner && u->boot != NULL;
     s->reported_inflight = u->inflight;
-    s->residents =
-        g_new0(Bg__Resident *, g_hash_table_size(u->residents) + 1);
+    s->residents = g_new0(Bg__Resident *, g_hash_table_size(u->residents) + 1);
     GHashTableIter it;
     gpointer name;
     gpointer state;
@@ -1373,9 +1373,8 @@
         const Load *l = list->pdata[i];
         json_array_append_new(
             loads, json_pack("{s:s, s:s, s:s, s:b}", "upstream", l->upstream,
-                             "model", l->model, "phase",
-                             phase_names[l->phase], "order_out",
-                             l->order_out));
+                             "model", l->model, "phase", phase_names[l->phase],
+                             "order_out", l->order_out));
     }
     json_t *ups = json_array();
     GHashTableIter it;
@@ -1390,10 +1389,9 @@
                            (int)count_memory(c, u), "settled",
                            is_settled(c, u), "fenced", u->fenced));
     }
-    json_t *doc =
-        json_pack("{s:b, s:I, s:o, s:o}", "owner", c->owner, "epoch",
-                  (json_int_t)c->claim_epoch, "loads", loads, "upstreams",
-                  ups);
+    json_t *doc = json_pack("{s:b, s:I, s:o, s:o}", "owner", c->owner, "epoch",
+                            (json_int_t)c->claim_epoch, "loads", loads,
+                            "upstreams", ups);
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/pl.h
+++ b/src/pl.h
@@ -40,11 +40,11 @@
 } PlOrder;
 
 typedef enum {
-    PL_ACKED,      /* taken; seq and, for POLL and FENCE, report are set */
-    PL_STALE,      /* refused: old fencing number */
-    PL_BUSY,       /* refused: in use */
-    PL_NOT_SENT,   /* never reached the upstream */
-    PL_UNKNOWN     /* may have been taken */
+    PL_ACKED,    /* taken; seq and, for POLL and FENCE, report are set */
+    PL_STALE,    /* refused: old fencing number */
+    PL_BUSY,     /* refused: in use */
+    PL_NOT_SENT, /* never reached the upstream */
+    PL_UNKNOWN   /* may have been taken */
 } PlOrderEnd;
 
 typedef struct {
--- a/src/req.c
+++ b/src/req.c
@@ -2,9 +2,9 @@
 
 #include "hc.h"
 #include "ini.h"
+#include "js.h"
 
 #include <civetweb.h>
-#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -12,6 +12,7 @@
 #include <xxhash.h>
 
 #define MAX_BODY (1024 * 1024)
+#define MAX_DISCARD (16u * 1024 * 1024)
 #define AFFINITY_BYTES 512
 #define CONNECT_MS 300
 #define IDLE_MS 10000
@@ -19,8 +20,12 @@
 
 /* ---- ticket: where a request thread waits for the core ------------------ */
 
-typedef enum { DECIDED_NONE, DECIDED_SEND, DECIDED_REFUSE, DECIDED_FINISH }
-    Decision;
+typedef enum {
+    DECIDED_NONE,
+    DECIDED_SEND,
+    DECIDED_REFUSE,
+    DECIDED_FINISH
+} Decision;
 
 typedef struct {
     pthread_mutex_t lock;
@@ -134,8 +139,7 @@
 }
 
 void
-req_on_send(ReqDesk *d, uint64_t id, const char *upstream,
-            const char *address)
+req_on_send(ReqDesk *d, uint64_t id, const char *upstream, const char *address)
 {
     Ticket t = {.decision = DECIDED_SEND};
     g_strlcpy(t.upstream, upstream, sizeof(t.upstream));
@@ -169,7 +173,8 @@
         *id = e->id;
         g_hash_table_insert(d->tickets, id, e->ticket);
         rt_on_arrive(core, now_ms, &e->request);
-    } else {
+    }
+    else {
         if (e->done == RT_DONE_OK || e->done == RT_DONE_CANCELLED) {
             g_hash_table_remove(d->tickets, &e->id);
         }
@@ -264,13 +269,28 @@
     return cfg_authenticate(q->cfg, auth + 7);
 }
 
+/* A client that is still sending would see its connection reset instead of
+   the answer, so a bounded part of what is too much is read and dropped. */
+static int
+refuse_large(Req *q)
+{
+    uint8_t chunk[16384];
+    size_t dropped = 0;
+    int got = 1;
+    while (got > 0 && dropped < MAX_DISCARD) {
+        got = mg_read(q->conn, chunk, sizeof(chunk));
+        dropped += got > 0 ? (size_t)got : 0;
+    }
+    mg_disable_connection_keep_alive(q->conn);
+    return refuse_call(q, 413, "too_large", "the body is too large");
+}
+
 /* 0, or the status it was refused with. */
 static int
 read_body(Req *q)
 {
     if (q->info->content_length > MAX_BODY) {
-        mg_disable_connection_keep_alive(q->conn);
-        return refuse_call(q, 413, "too_large", "the body is too large");
+        return refuse_large(q);
     }
     q->body = g_byte_array_new();
     uint8_t chunk[16384];
@@ -278,8 +298,7 @@
     while ((got = mg_read(q->conn, chunk, sizeof(chunk))) > 0) {
         g_byte_array_append(q->body, chunk, (guint)got);
         if (q->body->len > MAX_BODY) {
-            mg_disable_connection_keep_alive(q->conn);
-            return refuse_call(q, 413, "too_large", "the body is too large");
+            return refuse_large(q);
         }
     }
     if (q->info->content_length >= 0 &&
@@ -293,27 +312,29 @@
 static int
 read_model_call(Req *q)
 {
-    json_error_t why;
-    json_t *doc = json_loadb((const char *)q->body->data, q->body->len,
-                             JSON_REJECT_DUPLICATES, &why);
+    g_autoptr(GError) err = NULL;
+    json_t *doc = js_parse((const char *)q->body->data, q->body->len, &err);
     int status = 0;
-    const char *name =
-        json_string_value(json_object_get(doc, "model"));
+    const char *name = json_string_value(json_object_get(doc, "model"));
     const char *part = q->chat ? "messages" : "prompt";
     if (!doc) {
-        status = refuse_call(q, 400, "bad_json", why.text);
-    } else if (!name) {
+        status = refuse_call(q, 400, "bad_json", err->message);
+    }
+    else if (!name) {
         status = refuse_call(q, 400, "no_model", "\"model\" is missing");
-    } else if (!json_object_get(doc, part)) {
+    }
+    else if (!json_object_get(doc, part)) {
         status = refuse_call(q, 400, "no_prompt",
                              q->chat ? "\"messages\" is missing"
                                      : "\"prompt\" is missing");
-    } else if (!cfg_find_model(q->cfg, name) ||
-               !cfg_may_call_model(q->workspace, name)) {
+    }
+    else if (!cfg_find_model(q->cfg, name) ||
+             !cfg_may_call_model(q->workspace, name)) {
         /* The same words for both, so that names are not given away. */
         status = refuse_call(q, 404, "no_such_model",
                              "the workspace has no such model");
-    } else {
+    }
+    else {
         q->model = cfg_find_model(q->cfg, name);
         q->stream = json_is_true(json_object_get(doc, "stream"));
     }
@@ -382,7 +403,8 @@
         r->class_ = q->model->class_;
         r->load_ms = q->model->load_ms;
         r->affinity = compute_affinity(q);
-    } else {
+    }
+    else {
         r->deployment = q->service->upstreams;
         r->class_ = CFG_LOOKUP;
     }
@@ -437,7 +459,8 @@
     if (len > 5 && strncmp(line, "data:", 5) == 0) {
         if (g_strstr_len(line, (gssize)len, "[DONE]") == line + 6) {
             q->saw_end = true;
-        } else {
+        }
+        else {
             q->tokens_sent++;
         }
         g_autofree char *event = g_strdup_printf("%.*s\n\n", (int)len, line);
@@ -505,14 +528,13 @@
 make_url(const Req *q, const char *address)
 {
     if (q->model) {
-        return g_strconcat("http://", address,
-                           q->chat ? "/v1/chat/completions"
-                                   : "/v1/completions",
-                           NULL);
+        return g_strconcat(
+            "http://", address,
+            q->chat ? "/v1/chat/completions" : "/v1/completions", NULL);
     }
     const char *query = q->info->query_string;
-    return g_strconcat("http://", address, q->service_path,
-                       query ? "?" : "", query ? query : "", NULL);
+    return g_strconcat("http://", address, q->service_path, query ? "?" : "",
+                       query ? query : "", NULL);
 }
 
 static GPtrArray *
@@ -537,7 +559,7 @@
 static bool
 is_whole_json(const HcResult *res)
 {
-    json_t *doc = json_loadb(res->body->str, res->body->len, 0, NULL);
+    json_t *doc = js_parse(res->body->str, res->body->len, NULL);
     bool whole = json_is_object(doc);
     json_decref(doc);
     return whole;
@@ -644,8 +666,7 @@
         return 200;
     }
     return send_error(q, 502, "failed-may-have-run", "failed",
-                      "the upstream did not answer; the call may have run",
-                      0);
+                      "the upstream did not answer; the call may have run", 0);
 }
 
 /* Decision after decision until one is final. */
--- a/src/rt.c
+++ b/src/rt.c
@@ -15,9 +15,9 @@
 typedef struct {
     RtRequest r; /* text members are owned */
     Target *target;
-    Upstream *at;      /* where it runs, or NULL while it waits */
-    GPtrArray *tried;  /* upstream ids, owned */
-    GList *link;       /* in target->waiting */
+    Upstream *at;     /* where it runs, or NULL while it waits */
+    GPtrArray *tried; /* upstream ids, owned */
+    GList *link;      /* in target->waiting */
 } Request;
 
 /* What requests wait for: a model, or a service's upstreams. */
@@ -62,9 +62,9 @@
 const char *
 rt_reason_name(RtReason reason)
 {
-    static const char *const names[] = {
-        "queue full", "deadline",  "no room",   "limit",
-        "stopping",   "upstreams", "quarantine"};
+    static const char *const names[] = {"queue full", "deadline", "no room",
+                                        "limit",      "stopping", "upstreams",
+                                        "quarantine"};
     return names[reason];
 }
 
@@ -112,8 +112,8 @@
     c->params.data_centre = g_strdup(params->data_centre);
     c->out = *out;
     bg_seed_random(&c->rng, params->seed);
-    c->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                        free_request);
+    c->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
     c->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
     c->upstreams =
@@ -227,7 +227,8 @@
     if (at) {
         g_queue_insert_after(w, at, q);
         q->link = at->next;
-    } else {
+    }
+    else {
         g_queue_push_head(w, q);
         q->link = w->head;
     }
@@ -281,7 +282,8 @@
         Upstream *u = choose_upstream(c, q, now_ms);
         if (u) {
             send_to(c, q, u);
-        } else if (q->tried->len == 0) {
+        }
+        else if (q->tried->len == 0) {
             break; /* the ones behind want the same and find none either */
         }
         at = next;
@@ -340,14 +342,14 @@
     Request *q = add_request(c, r);
     Target *t = q->target;
     t->last_used_ms = now_ms;
-    c->retry_credit = MIN(c->retry_credit + c->params.retry_percent,
-                          RETRY_BUCKET_MAX * 100);
+    c->retry_credit =
+        MIN(c->retry_credit + c->params.retry_percent, RETRY_BUCKET_MAX * 100);
     if (c->draining) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
-    Upstream *u = t->waiting.length == 0 ? choose_upstream(c, q, now_ms)
-                                         : NULL;
+    Upstream *u =
+        t->waiting.length == 0 ? choose_upstream(c, q, now_ms) : NULL;
     if (u) {
         send_to(c, q, u);
         return;
@@ -462,8 +464,8 @@
         u->deployment = g_strdup(s->deployment);
         u->data_centre = g_strdup(s->data_centre);
         u->address = g_strdup(s->address);
-        u->loaded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          NULL);
+        u->loaded =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         g_hash_table_insert(c->upstreams, u->id, u);
     }
     if (strcmp(u->address, s->address) != 0) {
@@ -569,8 +571,8 @@
     uint64_t slack_ms = UINT32_MAX;
     for (GList *at = t->waiting.head; at; at = at->next) {
         uint64_t deadline_ms = ((Request *)at->data)->r.deadline_ms;
-        slack_ms = MIN(slack_ms,
-                       deadline_ms > now_ms ? deadline_ms - now_ms : 0);
+        slack_ms =
+            MIN(slack_ms, deadline_ms > now_ms ? deadline_ms - now_ms : 0);
     }
     return slack_ms;
 }
@@ -650,15 +652,14 @@
     g_hash_table_iter_init(&it, c->targets);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const Target *t = p;
-        json_array_append_new(
-            targets,
-            json_pack("{s:s, s:i, s:i}", "name", t->name, "waiting",
-                      (int)t->waiting.length, "inflight", (int)t->inflight));
-    }
-    json_t *doc =
-        json_pack("{s:i, s:o, s:o, s:b}", "requests",
-                  (int)g_hash_table_size(c->requests), "upstreams", ups,
-                  "targets", targets, "draining", c->draining);
+        json_array_append_new(targets,
+                              json_pack("{s:s, s:i, s:i}", "name", t->name,
+                                        "waiting", (int)t->waiting.length,
+                                        "inflight", (int)t->inflight));
+    }
+    json_t *doc = json_pack("{s:i, s:o, s:o, s:b}", "requests",
+                            (int)g_hash_table_size(c->requests), "upstreams",
+                            ups, "targets", targets, "draining", c->draining);
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/rt.h
+++ b/src/rt.h
@@ -15,11 +15,11 @@
 
 typedef struct {
     const char *data_centre;
-    uint32_t max_waiting;       /* requests queued, each class */
-    uint32_t per_upstream;      /* in flight on one upstream */
-    uint32_t eject_failures;    /* consecutive, before an upstream rests */
-    uint32_t eject_ms;          /* how long it rests */
-    uint32_t retry_percent;     /* retries allowed, share of requests */
+    uint32_t max_waiting;    /* requests queued, each class */
+    uint32_t per_upstream;   /* in flight on one upstream */
+    uint32_t eject_failures; /* consecutive, before an upstream rests */
+    uint32_t eject_ms;       /* how long it rests */
+    uint32_t retry_percent;  /* retries allowed, share of requests */
     uint64_t seed;
 } RtParams;
 
@@ -35,7 +35,7 @@
 } RtReason;
 
 typedef struct {
-    uint64_t id; /* unique in this process */
+    uint64_t id;            /* unique in this process */
     const char *model;      /* or NULL for a service */
     const char *deployment; /* upstreams that can serve it */
     const char *base;       /* base model of an adapter, or NULL */
@@ -50,10 +50,10 @@
 
 typedef enum {
     RT_DONE_OK,
-    RT_DONE_NOT_SENT,   /* no byte left: the upstream may be gone */
+    RT_DONE_NOT_SENT,    /* no byte left: the upstream may be gone */
     RT_DONE_TURNED_AWAY, /* the upstream said that it ran nothing */
-    RT_DONE_BROKEN,     /* it may have run */
-    RT_DONE_CANCELLED   /* the caller is gone */
+    RT_DONE_BROKEN,      /* it may have run */
+    RT_DONE_CANCELLED    /* the caller is gone */
 } RtDone;
 
 typedef struct {
@@ -82,8 +82,7 @@
 void rt_on_drain(RtCore *c, uint64_t now_ms);
 
 /* What this router waits for and uses; free with the protobuf call. */
-Bg__Demand *rt_make_demand(const RtCore *c, uint64_t now_ms,
-                           const char *node);
+Bg__Demand *rt_make_demand(const RtCore *c, uint64_t now_ms, const char *node);
 uint32_t rt_count_requests(const RtCore *c);
 const char *rt_reason_name(RtReason reason);
 /* JSON; free with g_free. */
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -68,7 +68,9 @@
     ("drafting", "/v1/services/member-registry/x", {}, 404),
     ("registry", "/v1/services/member-registry/x", {}, 400),
     ("registry", "/v1/unknown", {}, 404),
-])
+], ids=["no-key", "wrong-key", "model-not-allowed", "no-such-model",
+        "bad-json", "no-model", "no-prompt", "deep-json", "oversized",
+        "service-not-allowed", "no-idempotency-key", "no-such-path"])
 def test_bad_calls_are_refused_in_json(cluster, key, path, doc, status):
     keys = {"registry": "samiti-registry-key", "wrong": "nobody",
             "drafting": "samiti-drafting-key"}
