--- a/Makefile
+++ b/Makefile
@@ -11,13 +11,14 @@
 LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/%.o)
 BINS = $(patsubst src/main_%.c,$(BUILD)/bglade-%,$(wildcard src/main_*.c))
 UNITS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/unit_*.c))
+SCRIPTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/script_*.c))
 PROGS = $(subst bglade-client,bglade,$(BINS))
 APT = gcc make pkg-config python3 libcivetweb-dev libcurl4-openssl-dev \
 	liburcu-dev libprotobuf-c-dev libglib2.0-dev libjansson-dev \
 	libxxhash-dev libssl-dev libcunit1-dev python3-hypothesis \
 	python3-pytest clang-format clang-tidy cppcheck
 
-all: $(PROGS) $(UNITS)
+all: $(PROGS) $(UNITS) $(SCRIPTS)
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(BUILD)
@@ -40,6 +41,10 @@
 	@echo LD $@
 	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS) -lcunit
 
+$(BUILD)/script_%: tests/script_%.c $(BUILD)/libbglade.a
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS)
+
 .PRECIOUS: $(BUILD)/%.o
 
 # The generated code is committed; only a change of the schema needs this.
@@ -63,7 +68,7 @@
 
 lint:
 	clang-format --dry-run -Werror $(HAND) $(HAND_H)
-	printf '%s\n' $(HAND) | xargs -P 8 -n 1 -I{} \
+	printf '%s\n' $(HAND) | xargs -P 8 -I{} \
 		clang-tidy --quiet {} -- $(CFLAGS_ALL)
 	cppcheck -q --std=c11 --error-exitcode=1 -j 8 --inline-suppr \
 		--enable=warning,performance,portability \
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -332,16 +332,13 @@
 take_section(Reader *rd, Target *t, GKeyFile *kf, const char *sec)
 {
     g_auto(GStrv) words = g_strsplit(sec, " ", 2);
-    const char *kind = words[0];
     const char *name = words[1];
+    const char *kind = name && *name ? words[0] : "";
     if (strcmp(sec, "template") == 0 || strcmp(sec, "parameters") == 0 ||
         strcmp(sec, "workspace") == 0) {
         return;
     }
-    if (!name || !*name) {
-        add_fault(rd, sec, "unknown section");
-    }
-    else if (strcmp(kind, "model") == 0 || strcmp(kind, "adapter") == 0) {
+    if (strcmp(kind, "model") == 0 || strcmp(kind, "adapter") == 0) {
         take_model(rd, t, kf, sec, kind, name);
     }
     else if (strcmp(kind, "service") == 0) {
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -1,11 +1,13 @@
 """Runs every test and prints one closing line, "N passed, N failed".
 
-Unit binaries (CUnit) first, then pytest with fixed seeds.  A test named in
+Unit binaries (CUnit) first, then scripted runs (scripts/NAME/X.in through
+build/script_NAME must print X.out), then pytest with fixed seeds.  A test named in
 KNOWN-RED.txt (first word of a line) still runs; its failure is printed and
 passed over, anything else fails the run.
 """
 
 import argparse
+import difflib
 import glob
 import os
 import re
@@ -43,6 +45,29 @@
     return len(names) - len(failed), failed
 
 
+def run_scripts(build):
+    passed, failed = 0, []
+    for path in sorted(glob.glob(os.path.join(HERE, "scripts", "*", "*.in"))):
+        kind, name = path[:-3].split(os.sep)[-2:]
+        with open(path, encoding="utf-8") as f:
+            res = subprocess.run([os.path.join(build, "script_" + kind)],
+                                 stdin=f, capture_output=True, text=True,
+                                 timeout=60, check=False)
+        with open(path[:-3] + ".out", encoding="utf-8") as f:
+            expected = f.read()
+        if res.returncode == 0 and res.stdout == expected:
+            passed += 1
+            continue
+        failed.append("%s/%s.in" % (kind, name))
+        print("script %s/%s: exit %d" % (kind, name, res.returncode))
+        print("".join(difflib.unified_diff(
+            expected.splitlines(True), res.stdout.splitlines(True),
+            "expected", "printed")), res.stderr)
+    print("%d scripted runs, %d failed" % (passed + len(failed),
+                                           len(failed)))
+    return passed, failed
+
+
 def run_pytest(build, extra):
     env = dict(os.environ, BGLADE_BUILD=build, PYTHONDONTWRITEBYTECODE="1")
     res = subprocess.run(
@@ -67,9 +92,9 @@
     build = os.path.abspath(args.build)
     known = read_known_red()
     passed, failed = run_units(build)
-    more, more_failed = run_pytest(build, extra)
-    failed += more_failed
-    passed += more
+    for more, more_failed in (run_scripts(build), run_pytest(build, extra)):
+        failed += more_failed
+        passed += more
     for name in failed:
         print("%s: %s" % ("KNOWN RED" if name in known else "FAILED", name))
     new = [f for f in failed if f not in known]
--- /dev/null
+++ b/tests/script_fold.c
@@ -0,0 +1,276 @@
+/* Drives the fold from a script on standard input, one command a line, and
+   prints what became of it.  The same program serves the scripted tests and
+   the fuzzer.
+
+     config NAME BASE PRIORITY
+     claim CENTRE HOLDER BASE
+     intent CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
+     settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|absent
+     quiesce CENTRE EPOCH HOLDER
+     key claim|result|release|unknown WORKSPACE KEY ATTEMPT
+     death DIGIT UPSTREAM
+     again                 the last batch once more, same id
+     bytes TEXT            an entry that is no batch
+     memory CENTRE UPSTREAM / replicas CENTRE MODEL / state */
+#include "bg_base.h"
+#include "fold.h"
+#include "rec.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_WORDS 12
+
+typedef struct {
+    Fold *fold;
+    uint64_t offset; /* of the next entry */
+    uint32_t batches;
+    uint8_t *last;
+    size_t last_len;
+} Script;
+
+static void
+print_outcome(void *ctx, uint64_t offset, const char *batch_id,
+              const Bg__Record *r, FoldResult result, const char *why)
+{
+    static const char *const names[] = {"won", "lost", "bad"};
+    (void)ctx;
+    (void)batch_id;
+    (void)r;
+    printf("%llu %s%s%s\n", (unsigned long long)offset, names[result],
+           *why ? ": " : "", why);
+}
+
+static void
+apply_bytes(Script *s, const uint8_t *data, size_t len)
+{
+    g_autoptr(GError) err = NULL;
+    uint64_t offset = s->offset++;
+    if (!fold_apply(s->fold, offset, data, len, &err)) {
+        printf("%llu refused whole: %s\n", (unsigned long long)offset,
+               err->message);
+    }
+}
+
+static void
+apply_record(Script *s, Bg__Record *r)
+{
+    char id[BG_ID_LEN + 1];
+    snprintf(id, sizeof(id), "%032x", ++s->batches);
+    g_free(s->last);
+    s->last = rec_encode_batch(id, &r, 1, &s->last_len);
+    apply_bytes(s, s->last, s->last_len);
+}
+
+static uint64_t
+get_number(const char *word)
+{
+    return strtoull(word, NULL, 10);
+}
+
+static void
+run_config(Script *s, char **w)
+{
+    g_autofree char *text = g_strdup_printf(
+        "[template]\nname = %s\n[upstreams %s-u]\nkind = engine\n"
+        "[model %s-m]\nupstreams = %s-u\nmemory_mb = 10\n"
+        "[workspace]\npriority = %s\n",
+        w[1], w[1], w[1], w[1], w[3]);
+    g_autofree char *digest = bg_digest_hex(w[1], strlen(w[1]));
+    g_autofree char *values = g_strdup_printf(
+        "[workspace]\nname = %s-w\ntemplate = %s\nkeys_sha256 = %s\n", w[1],
+        w[1], digest);
+    Bg__ConfigRecord c = BG__CONFIG_RECORD__INIT;
+    c.name = w[1];
+    c.base_version = get_number(w[2]);
+    c.template_text = text;
+    c.values_text = &values;
+    c.n_values_text = 1;
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_CONFIG;
+    r.config = &c;
+    apply_record(s, &r);
+}
+
+static void
+run_claim(Script *s, char **w)
+{
+    Bg__ClaimRecord c = BG__CLAIM_RECORD__INIT;
+    c.data_centre = w[1];
+    c.holder = w[2];
+    c.base_epoch = get_number(w[3]);
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_CLAIM;
+    r.claim = &c;
+    apply_record(s, &r);
+}
+
+static void
+run_intent(Script *s, char **w)
+{
+    Bg__IntentRecord i = BG__INTENT_RECORD__INIT;
+    i.data_centre = w[1];
+    i.epoch = get_number(w[2]);
+    i.upstream = w[3];
+    i.model = w[4];
+    i.memory_mb = (uint32_t)get_number(w[5]);
+    i.capacity_mb = (uint32_t)get_number(w[6]);
+    i.ceiling = (uint32_t)get_number(w[7]);
+    i.load_id = w[8];
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_INTENT;
+    r.intent = &i;
+    apply_record(s, &r);
+}
+
+static void
+run_settle(Script *s, char **w)
+{
+    Bg__SettleRecord t = BG__SETTLE_RECORD__INIT;
+    t.data_centre = w[1];
+    t.epoch = get_number(w[2]);
+    t.upstream = w[3];
+    t.model = w[4];
+    t.load_id = w[5];
+    t.loaded = strcmp(w[6], "loaded") == 0;
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_SETTLE;
+    r.settle = &t;
+    apply_record(s, &r);
+}
+
+static void
+run_quiesce(Script *s, char **w)
+{
+    Bg__QuiesceRecord q = BG__QUIESCE_RECORD__INIT;
+    q.data_centre = w[1];
+    q.epoch = get_number(w[2]);
+    q.holder = w[3];
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_QUIESCE;
+    r.quiesce = &q;
+    apply_record(s, &r);
+}
+
+static void
+run_key(Script *s, char **w)
+{
+    static const char *const steps[] = {"claim", "result", "release",
+                                        "unknown"};
+    uint8_t digest[32] = {0};
+    Bg__KeyRecord k = BG__KEY_RECORD__INIT;
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(steps[i], w[1]) == 0) {
+            k.step = (Bg__KeyStep)i;
+        }
+    }
+    k.workspace = w[2];
+    k.key = w[3];
+    k.attempt_id = w[4];
+    k.request_digest.data = digest;
+    k.request_digest.len = sizeof(digest);
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_KEY;
+    r.key = &k;
+    apply_record(s, &r);
+}
+
+static void
+run_death(Script *s, char **w)
+{
+    uint8_t digest[32] = {(uint8_t)get_number(w[1])};
+    Bg__DeathRecord d = BG__DEATH_RECORD__INIT;
+    d.request_digest.data = digest;
+    d.request_digest.len = sizeof(digest);
+    d.upstream = w[2];
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_DEATH;
+    r.death = &d;
+    apply_record(s, &r);
+}
+
+static void
+run_again(Script *s, char **w)
+{
+    (void)w;
+    apply_bytes(s, s->last, s->last_len);
+}
+
+static void
+run_bytes(Script *s, char **w)
+{
+    apply_bytes(s, (const uint8_t *)w[1], strlen(w[1]));
+}
+
+static void
+run_memory(Script *s, char **w)
+{
+    printf("%u\n", fold_count_memory(s->fold, w[1], w[2]));
+}
+
+static void
+run_replicas(Script *s, char **w)
+{
+    printf("%u\n", fold_count_replicas(s->fold, w[1], w[2]));
+}
+
+static void
+run_state(Script *s, char **w)
+{
+    (void)w;
+    g_autofree char *text = fold_dump(s->fold);
+    puts(text);
+}
+
+typedef struct {
+    const char *name;
+    int words; /* with the command itself */
+    void (*run)(Script *s, char **w);
+} Command;
+
+static const Command commands[] = {
+    {"config", 4, run_config},     {"claim", 4, run_claim},
+    {"intent", 9, run_intent},     {"settle", 7, run_settle},
+    {"quiesce", 4, run_quiesce},   {"key", 5, run_key},
+    {"death", 3, run_death},       {"again", 1, run_again},
+    {"bytes", 2, run_bytes},       {"memory", 3, run_memory},
+    {"replicas", 3, run_replicas}, {"state", 1, run_state}};
+
+static void
+run_line(Script *s, char *line)
+{
+    char *words[MAX_WORDS] = {0};
+    int count = 0;
+    char *save;
+    for (char *w = strtok_r(line, " \n", &save); w && count < MAX_WORDS;
+         w = strtok_r(NULL, " \n", &save)) {
+        words[count++] = w;
+    }
+    if (count == 0 || words[0][0] == '#') {
+        return;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(commands[i].name, words[0]) == 0 &&
+            commands[i].words == count) {
+            commands[i].run(s, words);
+            fflush(stdout);
+            return;
+        }
+    }
+    printf("no such command: %s\n", words[0]);
+}
+
+int
+main(void)
+{
+    Script s = {.fold = fold_create(), .offset = 1};
+    fold_set_observer(s.fold, print_outcome, NULL);
+    char line[4096];
+    while (fgets(line, sizeof(line), stdin)) {
+        run_line(&s, line);
+    }
+    fold_destroy(s.fold);
+    g_free(s.last);
+    return 0;
+}
