Sanitizer runs that see the daemons' logs

Cause: tsan and asan runs passed over what the daemons printed, since the harness ends them by SIGKILL. Ruled out: a race of our own; the reports were GLib's slice allocator and uninstrumented libraries (gone with G_SLICE=always-malloc and a list of libraries). Change: the harness fails on any sanitizer report; fold frees the content type of an unknown result (found by asan in scripts/fold/keys); headers are no longer compiled into test programs.

--- a/Makefile
+++ b/Makefile
@@ -39,11 +39,11 @@
 
 $(BUILD)/unit_%: tests/unit_%.c $(BUILD)/libbglade.a
 	@echo LD $@
-	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS) -lcunit
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS) -lcunit
 
 $(BUILD)/script_%: tests/script_%.c $(BUILD)/libbglade.a
 	@echo LD $@
-	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $^ $(LDLIBS)
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
 
 .PRECIOUS: $(BUILD)/%.o
 
@@ -82,6 +82,8 @@
 		SAN="-fsanitize=address,undefined -fno-omit-frame-pointer"
 
 tsan:
+	G_SLICE=always-malloc \
+	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/tsan.supp" \
 	$(MAKE) check BUILD=build/tsan SAN="-fsanitize=thread"
 
 bench: all
--- a/src/fold.c
+++ b/src/fold.c
@@ -518,7 +518,9 @@
     }
     k->step = r->step;
     k->status = r->status;
+    g_free(k->content_type);
     k->content_type = g_strdup(r->content_type);
+    g_free(k->body);
     k->body = g_memdup2(r->body.data, r->body.len);
     k->body_len = r->body.len;
     return FOLD_WON;
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -16,6 +17,8 @@
 ROOT = os.path.dirname(HERE)
 PYTHON = "/usr/bin/python3"
 SHARED_KEY = "test-key"
+SANITIZER = re.compile(r"WARNING: ThreadSanitizer|ERROR: AddressSanitizer|"
+                       r"runtime error:")
 KEYS = {"drafting": "samiti-drafting-key", "registry": "samiti-registry-key",
         "care": "kuura-care-key"}
 
@@ -278,6 +281,8 @@
         for p in self.procs.values():
             if p.is_running():
                 p.kill()
+        crashed += [p.name for p in self.procs.values()
+                    if SANITIZER.search(p.read_log())]
         if not crashed:
             shutil.rmtree(self.dir, ignore_errors=True)
             return
