--- a/src/hc.c
+++ b/src/hc.c
@@ -1,14 +1,20 @@
 #include "hc.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #define POLL_MS 20
 #define DEFAULT_MAX_BODY (16u * 1024 * 1024)
-/* A pooled connection older than this may have been forgotten by a device
-   in between; it is not used again. */
-#define MAX_CONNECTION_AGE_S 30L
+/* A pooled connection idle for longer may have been forgotten by a device in
+   between; it is not used again. */
+#define MAX_IDLE_MS 30000u
+#define MAX_LIFE_S 300L
+/* Bytes that no one acknowledges for so long go nowhere. */
+#define UNACKED_MS 5000
 #define MAX_POOLED 16L
 
 struct HcClient {
@@ -88,12 +94,37 @@
     }
 }
 
+static void
+note_framing(HcResult *out, const char *line, size_t len)
+{
+    static const char *const names[] = {"Content-Length", "Transfer-Encoding"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        g_autofree char *value = copy_header_value(line, len, names[i]);
+        out->framed = out->framed || value;
+    }
+}
+
+/* A device in between or a confused upstream may hand one call the answer of
+   another; the caller would read a stranger's text.  The id tells. */
+static bool
+is_crossed(const Call *call, const char *line, size_t len)
+{
+    g_autofree char *id = copy_header_value(line, len, "X-Attempt-Id");
+    return id && call->req->attempt_id &&
+           strcmp(id, call->req->attempt_id) != 0;
+}
+
 static size_t
 take_header(char *line, size_t size, size_t count, void *ctx)
 {
     Call *call = ctx;
     size_t len = size * count;
     call->last_byte_ms = bg_now_ms();
+    note_framing(call->out, line, len);
+    if (is_crossed(call, line, len)) {
+        call->out->crossed = true;
+        return 0;
+    }
     keep_header(&call->out->content_type, line, len, "Content-Type");
     keep_header(&call->out->retry_after, line, len, "Retry-After");
     keep_header(&call->out->upstream_state, line, len, "X-Upstream-State");
@@ -140,16 +171,39 @@
 
 /* ---- one call ----------------------------------------------------------- */
 
+static int
+set_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)ctx;
+    (void)purpose;
+    unsigned int unacked_ms = UNACKED_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+               sizeof(unacked_ms));
+    return CURL_SOCKOPT_OK;
+}
+
 static struct curl_slist *
-set_options(Call *call)
+make_headers(const HcRequest *req)
 {
-    const HcRequest *req = call->req;
-    CURL *e = call->easy;
-    struct curl_slist *headers = NULL;
+    struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
     for (const char *const *h = req->headers; h && *h; h++) {
         headers = curl_slist_append(headers, *h);
     }
-    headers = curl_slist_append(headers, "Expect:");
+    if (req->attempt_id) {
+        g_autofree char *line =
+            g_strconcat("X-Attempt-Id: ", req->attempt_id, NULL);
+        headers = curl_slist_append(headers, line);
+    }
+    return headers;
+}
+
+static struct curl_slist *
+set_options(Call *call)
+{
+    const HcRequest *req = call->req;
+    CURL *e = call->easy;
+    struct curl_slist *headers = make_headers(req);
+    uint32_t idle_ms = req->max_idle_ms ? req->max_idle_ms : MAX_IDLE_MS;
     curl_easy_setopt(e, CURLOPT_URL, req->url);
     curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(e, CURLOPT_PROXY, "");
@@ -157,7 +211,9 @@
     curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)req->connect_ms);
-    curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, MAX_CONNECTION_AGE_S);
+    curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)(idle_ms + 999) / 1000);
+    curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, MAX_LIFE_S);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, set_socket);
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, req->method);
     if (req->body) {
@@ -171,6 +227,9 @@
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
     }
+    else if (req->renew) {
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+    }
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, take_data);
@@ -222,6 +281,9 @@
     if (call->stopped) {
         return HC_CANCELLED;
     }
+    if (call->out->crossed) {
+        return HC_BROKEN;
+    }
     return was_sent(call) ? HC_BROKEN : HC_NOT_SENT;
 }
 
@@ -258,6 +320,10 @@
     curl_multi_add_handle(c->multi, call.easy);
     out->end = run_call(c, &call);
     curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &out->status);
+    long connects = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
+    out->reused = connects == 0;
+    out->framed = out->framed || out->status == 204 || out->status == 304;
     /* Removing an unfinished transfer closes its connection, so a late
        answer can never be read by the next call. */
     curl_multi_remove_handle(c->multi, call.easy);
--- a/src/hc.h
+++ b/src/hc.h
@@ -25,8 +25,13 @@
     uint32_t first_byte_ms; /* from start to the answer's first byte */
     uint32_t idle_ms;       /* between bytes of the answer */
     uint32_t total_ms;
-    size_t max_body; /* of a collected body; 0: 16 MiB */
-    bool fresh;      /* new connection, closed after use, never retried */
+    size_t max_body;      /* of a collected body; 0: 16 MiB */
+    uint32_t max_idle_ms; /* of a pooled connection; 0: 30 s */
+    bool fresh;           /* new connection, closed after use, never retried */
+    bool renew;           /* new connection, pooled after use */
+    /* Sent as X-Attempt-Id.  An answer that carries another one belongs to
+       another call: it is broken.  NULL: none. */
+    const char *attempt_id;
 
     /* All may be NULL.  Returning false stops the call. */
     bool (*on_head)(void *ctx, long status, const char *content_type);
@@ -43,6 +48,9 @@
     char *upstream_state; /* X-Upstream-State header, or NULL */
     GString *body;        /* collected when on_data is NULL */
     uint64_t got_bytes;   /* of the answer's body */
+    bool framed;  /* its length was told: by header, chunks or status */
+    bool reused;  /* a pooled connection carried it */
+    bool crossed; /* it carried another call's X-Attempt-Id */
 } HcResult;
 
 typedef struct HcClient HcClient;
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -1,34 +1,129 @@
 /* bglade-router: answers callers.  Shell around the routing core. */
+#include "hc.h"
 #include "node.h"
 #include "req.h"
+#include "ring.h"
 #include "rt.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #define DEMAND_MS 100
+#define PROBE_RING 256
+#define PROBE_CONNECT_MS 300
+#define PROBE_TOTAL_MS 1000
 
 static const IniRule rules[] = {
-    {"router", "max_waiting", INI_INT, false, "1000", 1, 1000000, NULL,
-     "requests that may wait, in each class"},
+    {"router", "max_waiting_lookup", INI_INT, false, "1000", 1, 1000000, NULL,
+     "lookups and service calls that may wait"},
+    {"router", "max_waiting_interactive", INI_INT, false, "1000", 1, 1000000,
+     NULL, "interactive requests that may wait"},
+    {"router", "max_waiting_batch", INI_INT, false, "1000", 1, 1000000, NULL,
+     "batch requests that may wait"},
     {"router", "per_upstream", INI_INT, false, "64", 1, 100000, NULL,
      "requests of this router on one upstream at once"},
     {"router", "eject_failures", INI_INT, false, "3", 1, 1000, NULL,
-     "consecutive failures after which an upstream rests"},
-    {"router", "eject_ms", INI_INT, false, "2000", 1, 600000, NULL,
-     "how long it rests"},
+     "consecutive failures after which an upstream is ejected"},
+    {"router", "eject_ms", INI_INT, false, "1000", 1, 600000, NULL,
+     "its rest before a probe, and between probes"},
+    {"router", "return_ms", INI_INT, false, "500", 1, 600000, NULL,
+     "after which a returning upstream's share of traffic doubles"},
     {"router", "retry_percent", INI_INT, false, "20", 0, 100, NULL,
      "retries allowed for each hundred requests"},
+    {"router", "max_sends", INI_INT, false, "4", 1, 100, NULL,
+     "times that one request is sent at most"},
+    {"router", "connect_ms", INI_INT, false, "300", 10, 60000, NULL,
+     "to connect to an upstream"},
+    {"router", "first_byte_ms", INI_INT, false, "5000", 50, 3600000, NULL,
+     "to the first byte of a stream"},
+    {"router", "answer_ms", INI_INT, false, "30000", 50, 3600000, NULL,
+     "to an unstreamed completion's first byte: the whole generation"},
+    {"router", "idle_ms", INI_INT, false, "5000", 50, 3600000, NULL,
+     "between bytes of an answer"},
+    {"router", "pool_idle_ms", INI_INT, false, "10000", 1000, 600000, NULL,
+     "a pooled connection idle for longer is not used again"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
+/* Is an upstream well?  Asked on a fresh connection. */
+typedef struct {
+    char *upstream;
+    char *address;
+    bool well;
+} Probe;
+
 typedef struct {
     Node *node;
     RtCore *core;
     ReqDesk *desk;
+    Ring *probes; /* Probe, to the probe thread */
+    Ring *probed; /* Probe, back from it */
+    pthread_t probe_thread;
+    atomic_bool stopping;
     uint64_t next_demand_ms;
     bool configured; /* a configuration has come in force */
     bool draining;
 } Router;
 
+/* ---- probes ------------------------------------------------------------- */
+
+static void
+free_probe(void *p)
+{
+    Probe *probe = p;
+    g_free(probe->upstream);
+    g_free(probe->address);
+    g_free(probe);
+}
+
+static bool
+is_well(HcClient *http, const char *address)
+{
+    g_autofree char *url =
+        g_strconcat("http://", address, "/control/report", NULL);
+    HcRequest req = {.method = "GET",
+                     .url = url,
+                     .connect_ms = PROBE_CONNECT_MS,
+                     .total_ms = PROBE_TOTAL_MS,
+                     .fresh = true};
+    HcResult res;
+    hc_call(http, &req, &res);
+    bool well = res.end == HC_DONE && res.status == 200;
+    hc_free_result(&res);
+    return well;
+}
+
+static void *
+run_probes(void *arg)
+{
+    Router *r = arg;
+    HcClient *http = hc_create();
+    while (!atomic_load(&r->stopping)) {
+        Probe *p = ring_pop(r->probes, 100);
+        if (!p) {
+            continue;
+        }
+        p->well = is_well(http, p->address);
+        if (!ring_push(r->probed, p)) {
+            free_probe(p); /* the core asks again */
+        }
+    }
+    hc_destroy(http);
+    return NULL;
+}
+
+static void
+take_probes(Router *r, uint64_t now_ms)
+{
+    Probe *p;
+    while ((p = ring_pop(r->probed, 0))) {
+        rt_on_probe(r->core, now_ms, p->upstream, p->address, p->well);
+        free_probe(p);
+    }
+}
+
+/* ---- output of the core ------------------------------------------------- */
+
 static void
 output_send(void *ctx, uint64_t id, const char *upstream, const char *address)
 {
@@ -47,6 +142,24 @@
     req_on_finish(((Router *)ctx)->desk, id);
 }
 
+static void
+output_probe(void *ctx, const char *upstream, const char *address)
+{
+    Router *r = ctx;
+    Probe *p = g_new0(Probe, 1);
+    p->upstream = g_strdup(upstream);
+    p->address = g_strdup(address);
+    if (!ring_push(r->probes, p)) {
+        free_probe(p); /* the core asks again */
+    }
+}
+
+static uint32_t
+get_setting(const IniFile *f, const char *key)
+{
+    return (uint32_t)ini_get_int(f, "router", key);
+}
+
 static bool
 start_router(void *ctx, Node *n, GError **err)
 {
@@ -55,16 +168,25 @@
     r->node = n;
     const IniFile *f = node_get_settings(n);
     RtParams params = {
-        .data_centre = node_get_data_centre(n),
-        .max_waiting = (uint32_t)ini_get_int(f, "router", "max_waiting"),
-        .per_upstream = (uint32_t)ini_get_int(f, "router", "per_upstream"),
-        .eject_failures = (uint32_t)ini_get_int(f, "router", "eject_failures"),
-        .eject_ms = (uint32_t)ini_get_int(f, "router", "eject_ms"),
-        .retry_percent = (uint32_t)ini_get_int(f, "router", "retry_percent"),
+        .up = {.data_centre = node_get_data_centre(n),
+               .per_upstream = get_setting(f, "per_upstream"),
+               .eject_failures = get_setting(f, "eject_failures"),
+               .eject_ms = get_setting(f, "eject_ms"),
+               .return_ms = get_setting(f, "return_ms"),
+               .seed = bg_now_us()},
+        .max_waiting = {get_setting(f, "max_waiting_lookup"),
+                        get_setting(f, "max_waiting_interactive"),
+                        get_setting(f, "max_waiting_batch")},
+        .retry_percent = get_setting(f, "retry_percent"),
+        .max_sends = get_setting(f, "max_sends"),
         .seed = bg_now_us()};
-    RtOutput out = {r, output_send, output_refuse, output_finish};
+    RtOutput out = {r, output_send, output_refuse, output_finish,
+                    output_probe};
     r->desk = req_create_desk(n);
     r->core = rt_create(&params, &out);
+    r->probes = ring_create(PROBE_RING);
+    r->probed = ring_create(PROBE_RING);
+    pthread_create(&r->probe_thread, NULL, run_probes, r);
     return true;
 }
 
@@ -72,6 +194,10 @@
 stop_router(void *ctx)
 {
     Router *r = ctx;
+    atomic_store(&r->stopping, true);
+    pthread_join(r->probe_thread, NULL);
+    ring_destroy(r->probes, free_probe);
+    ring_destroy(r->probed, free_probe);
     rt_destroy(r->core);
     req_destroy_desk(r->desk);
 }
@@ -139,6 +265,7 @@
 on_tick(void *ctx, uint64_t now_ms)
 {
     Router *r = ctx;
+    take_probes(r, now_ms);
     rt_on_tick(r->core, now_ms);
     if (now_ms >= r->next_demand_ms) {
         r->next_demand_ms = now_ms + DEMAND_MS;
--- a/src/node.c
+++ b/src/node.c
@@ -31,6 +31,8 @@
      "debug|info|warn|fault", "least level that is logged"},
     {"node", "drain_ms", INI_INT, false, "60000", 0, 3600000, NULL,
      "longest wait for requests in flight at a stop"},
+    {"node", "drain_notice_ms", INI_INT, false, "500", 0, 3600000, NULL,
+     "least time from the failing health check to the end of listening"},
     {"log", "address", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "the platform's log service"},
     {"log", "window_ms", INI_INT, false, "5", 0, 1000, NULL,
@@ -94,6 +96,8 @@
     pthread_t core;
     atomic_bool stopping;
     atomic_bool draining;
+    atomic_uint connections; /* open at the HTTP server */
+    uint32_t http_threads;
     atomic_bool ready;
     atomic_bool drained;
     atomic_bool owner;
@@ -184,11 +188,17 @@
 }
 
 bool
-node_is_draining(Node *n)
+node_is_draining(const Node *n)
 {
     return atomic_load(&n->draining);
 }
 
+bool
+node_is_crowded(const Node *n)
+{
+    return atomic_load(&n->connections) > n->http_threads / 2;
+}
+
 void
 node_send(Node *n, const char *node, const char *data_centre, const char *role,
           const Bg__Frame *frame)
@@ -422,15 +432,26 @@
 
 /* ---- HTTP for operators ------------------------------------------------- */
 
+static Node *
+get_node(const struct mg_connection *conn)
+{
+    return mg_get_user_data(mg_get_context(conn));
+}
+
 static int
 send_text(struct mg_connection *conn, int status, const char *type,
           const char *text)
 {
+    const Node *n = get_node(conn);
+    bool close = node_is_draining(n) || node_is_crowded(n);
+    if (close) {
+        mg_disable_connection_keep_alive(conn);
+    }
     mg_printf(conn,
-              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n%s"
               "Content-Length: %zu\r\n\r\n",
               status, mg_get_response_code_text(conn, status), type,
-              strlen(text));
+              close ? "Connection: close\r\n" : "", strlen(text));
     mg_write(conn, text, strlen(text));
     return status;
 }
@@ -498,9 +519,25 @@
     return 1;
 }
 
+static int
+count_opened(const struct mg_connection *conn, void **conn_data)
+{
+    (void)conn_data;
+    atomic_fetch_add(&get_node(conn)->connections, 1);
+    return 0;
+}
+
+static void
+count_closed(const struct mg_connection *conn)
+{
+    atomic_fetch_sub(&get_node(conn)->connections, 1);
+}
+
 static bool
 start_http(Node *n, GError **err)
 {
+    n->http_threads =
+        (uint32_t)ini_get_int(n->settings, "node", "http_threads");
     const char *options[] = {"listening_ports",
                              ini_get_text(n->settings, "node", "http"),
                              "num_threads",
@@ -518,7 +555,9 @@
                              "listen_backlog",
                              "512",
                              NULL};
-    struct mg_callbacks callbacks = {.log_message = log_http};
+    struct mg_callbacks callbacks = {.log_message = log_http,
+                                     .init_connection = count_opened,
+                                     .connection_closed = count_closed};
     n->http = mg_start(&callbacks, n, options);
     if (!n->http) {
         g_set_error(err, BG_ERROR, BG_ERR_AWAY, "cannot listen on %s",
@@ -608,6 +647,9 @@
     uint64_t until_ms =
         bg_now_ms() + (uint64_t)ini_get_int(n->settings, "node", "drain_ms");
     bg_sleep_ms(2 * TICK_MS);
+    /* The balancer sends on until it has seen the failing health check:
+       those callers get a refusal, not a reset connection. */
+    bg_sleep_ms((uint32_t)ini_get_int(n->settings, "node", "drain_notice_ms"));
     while (!atomic_load(&n->drained) && bg_now_ms() < until_ms) {
         bg_sleep_ms(TICK_MS);
     }
--- a/src/node.h
+++ b/src/node.h
@@ -73,7 +73,9 @@
 /* Any thread: queue a record for the log; takes R. */
 bool node_append(Node *n, Bg__Record *r);
 bool node_is_log_reachable(Node *n);
-bool node_is_draining(Node *n);
+bool node_is_draining(const Node *n);
+/* More than half of the HTTP threads hold a connection. */
+bool node_is_crowded(const Node *n);
 void node_send(Node *n, const char *node, const char *data_centre,
                const char *role, const Bg__Frame *frame);
 
--- a/src/req.c
+++ b/src/req.c
@@ -3,6 +3,7 @@
 #include "hc.h"
 #include "ini.h"
 #include "js.h"
+#include "watch.h"
 
 #include <civetweb.h>
 #include <pthread.h>
@@ -14,8 +15,10 @@
 #define MAX_BODY (1024 * 1024)
 #define MAX_DISCARD (16u * 1024 * 1024)
 #define AFFINITY_BYTES 512
-#define CONNECT_MS 300
-#define IDLE_MS 10000
+#define AWAIT_MS 100 /* between looks at whether the caller is gone */
+#define DEFAULT_MAX_TOKENS 256
+#define BUSY_RETRY_MS 1000
+#define STATUS_CALLER_GONE 499 /* for the log only; nobody reads it */
 #define MAX_POOLED_CLIENTS 256
 
 /* ---- ticket: where a request thread waits for the core ------------------ */
@@ -24,7 +27,8 @@
     DECIDED_NONE,
     DECIDED_SEND,
     DECIDED_REFUSE,
-    DECIDED_FINISH
+    DECIDED_FINISH,
+    DECIDED_DROP /* its caller was gone while it waited */
 } Decision;
 
 typedef struct {
@@ -37,7 +41,7 @@
     uint64_t retry_after_ms;
 } Ticket;
 
-typedef enum { REV_ARRIVE, REV_DONE } ReqEventKind;
+typedef enum { REV_ARRIVE, REV_DONE, REV_CANCEL } ReqEventKind;
 
 /* A request thread's message to the core thread. */
 typedef struct {
@@ -46,20 +50,43 @@
     Ticket *ticket;    /* ARRIVE; lives on the request thread's stack */
     RtRequest request; /* ARRIVE; text is borrowed from that thread, which
                           waits for the decision and so outlives it */
-    RtDone done;
-    bool leaving;
+    RtEnd end;         /* DONE */
 } ReqEvent;
 
+/* Limits of one call to an upstream. */
+typedef struct {
+    uint32_t connect_ms;
+    uint32_t first_byte_ms; /* of a stream */
+    uint32_t answer_ms;     /* of an unstreamed completion */
+    uint32_t idle_ms;       /* between bytes */
+    uint32_t pool_idle_ms;  /* of a pooled connection */
+} CallLimits;
+
 struct ReqDesk {
     Node *node;
     GHashTable *tickets; /* id -> Ticket; core thread only */
     atomic_uint_fast64_t next_id;
     atomic_uint inside;
-    uint32_t most_inside; /* beyond it a thread only refuses */
+    uint32_t most_inside;            /* beyond it a thread only refuses */
+    atomic_uint models[CFG_CLASSES]; /* model calls inside, by class */
+    CallLimits limits;
+    GHashTable *silent; /* address -> uint64_t ms; under pool_lock */
     pthread_mutex_t pool_lock;
     GQueue pool; /* idle HcClient */
 };
 
+static CallLimits
+read_limits(const IniFile *f)
+{
+    CallLimits l = {
+        .connect_ms = (uint32_t)ini_get_int(f, "router", "connect_ms"),
+        .first_byte_ms = (uint32_t)ini_get_int(f, "router", "first_byte_ms"),
+        .answer_ms = (uint32_t)ini_get_int(f, "router", "answer_ms"),
+        .idle_ms = (uint32_t)ini_get_int(f, "router", "idle_ms"),
+        .pool_idle_ms = (uint32_t)ini_get_int(f, "router", "pool_idle_ms")};
+    return l;
+}
+
 ReqDesk *
 req_create_desk(Node *n)
 {
@@ -71,6 +98,8 @@
         (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
     /* Some threads stay free to refuse and to answer the balancer. */
     d->most_inside = threads - MAX(threads / 8, 2);
+    d->limits = read_limits(node_get_settings(n));
+    d->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pthread_mutex_init(&d->pool_lock, NULL);
     g_queue_init(&d->pool);
     return d;
@@ -82,6 +111,7 @@
     g_queue_clear_full(&d->pool, (GDestroyNotify)hc_destroy);
     pthread_mutex_destroy(&d->pool_lock);
     g_hash_table_destroy(d->tickets);
+    g_hash_table_destroy(d->silent);
     g_free(d);
 }
 
@@ -114,6 +144,32 @@
     }
 }
 
+/* A connection to ADDRESS went silent: others opened before may be as dead,
+   and only new ones are used until the pool has forgotten the old. */
+static void
+note_silence(ReqDesk *d, const char *address)
+{
+    uint64_t *when = g_new(uint64_t, 1);
+    *when = bg_now_ms();
+    pthread_mutex_lock(&d->pool_lock);
+    g_hash_table_replace(d->silent, g_strdup(address), when);
+    pthread_mutex_unlock(&d->pool_lock);
+    bg_count("router_silent_connections_total", 1);
+}
+
+static bool
+was_silent(ReqDesk *d, const char *address)
+{
+    pthread_mutex_lock(&d->pool_lock);
+    const uint64_t *when = g_hash_table_lookup(d->silent, address);
+    bool silent = when && bg_now_ms() < *when + d->limits.pool_idle_ms;
+    if (when && !silent) {
+        g_hash_table_remove(d->silent, address);
+    }
+    pthread_mutex_unlock(&d->pool_lock);
+    return silent;
+}
+
 /* ---- core thread -------------------------------------------------------- */
 
 static void
@@ -174,11 +230,17 @@
         g_hash_table_insert(d->tickets, id, e->ticket);
         rt_on_arrive(core, now_ms, &e->request);
     }
+    else if (e->kind == REV_CANCEL) {
+        Ticket drop = {.decision = DECIDED_DROP};
+        if (rt_on_cancel(core, now_ms, e->id)) {
+            decide(d, e->id, &drop);
+        }
+    }
     else {
-        if (e->done == RT_DONE_OK || e->done == RT_DONE_CANCELLED) {
+        if (e->end.done == RT_DONE_OK || e->end.done == RT_DONE_CANCELLED) {
             g_hash_table_remove(d->tickets, &e->id);
         }
-        rt_on_done(core, now_ms, e->id, e->done, e->leaving);
+        rt_on_done(core, now_ms, e->id, &e->end);
     }
     g_free(e);
 }
@@ -203,24 +265,40 @@
     uint64_t start_ms;
     uint64_t deadline_ms;
     Ticket ticket;
+    Watch watch;
+    bool client_gone;
+    bool close; /* the connection ends with this answer */
+    uint32_t max_tokens;
     /* of the streamed answer */
     bool head_sent;
-    bool client_gone;
     GString *line; /* an SSE line not yet whole */
     bool saw_end;  /* data: [DONE] */
     uint32_t tokens_sent;
     long upstream_status;
 } Req;
 
+/* An idle connection holds an HTTP thread: when they get scarce, and at a
+   stop, the connection ends with the answer. */
+static const char *
+end_connection(Req *q)
+{
+    const Node *n = q->desk->node;
+    if (!q->close && !node_is_draining(n) && !node_is_crowded(n)) {
+        return "";
+    }
+    mg_disable_connection_keep_alive(q->conn);
+    return "Connection: close\r\n";
+}
+
 static int
 send_json(Req *q, int status, const char *outcome, uint64_t retry_after_ms,
           const char *text)
 {
     mg_printf(q->conn,
               "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-              "X-Bglade-Outcome: %s\r\nX-Request-Id: %s\r\n",
+              "X-Bglade-Outcome: %s\r\nX-Request-Id: %s\r\n%s",
               status, mg_get_response_code_text(q->conn, status), outcome,
-              q->caller_id ? q->caller_id : "");
+              q->caller_id ? q->caller_id : "", end_connection(q));
     if (retry_after_ms) {
         mg_printf(q->conn, "Retry-After: %llu\r\n",
                   (unsigned long long)(retry_after_ms + 999) / 1000);
@@ -251,6 +329,14 @@
     return send_error(q, status, "refused-not-run", code, message, 0);
 }
 
+static int
+refuse_busy(Req *q)
+{
+    bg_count("router_busy_total", 1);
+    return send_error(q, 503, "refused-not-run", "busy",
+                      "not run: the router is full", BUSY_RETRY_MS);
+}
+
 /* ---- who and what ------------------------------------------------------- */
 
 static const char *
@@ -281,7 +367,7 @@
         got = mg_read(q->conn, chunk, sizeof(chunk));
         dropped += got > 0 ? (size_t)got : 0;
     }
-    mg_disable_connection_keep_alive(q->conn);
+    q->close = true;
     return refuse_call(q, 413, "too_large", "the body is too large");
 }
 
@@ -303,7 +389,7 @@
     }
     if (q->info->content_length >= 0 &&
         q->body->len != (guint)q->info->content_length) {
-        mg_disable_connection_keep_alive(q->conn);
+        q->close = true;
         return refuse_call(q, 400, "truncated", "the body is not whole");
     }
     return 0;
@@ -337,6 +423,10 @@
     else {
         q->model = cfg_find_model(q->cfg, name);
         q->stream = json_is_true(json_object_get(doc, "stream"));
+        json_int_t tokens =
+            json_integer_value(json_object_get(doc, "max_tokens"));
+        q->max_tokens = tokens > 0 && tokens < UINT32_MAX ? (uint32_t)tokens
+                                                          : DEFAULT_MAX_TOKENS;
     }
     json_decref(doc);
     return status;
@@ -365,13 +455,51 @@
 
 /* ---- decisions ---------------------------------------------------------- */
 
+static void
+post_cancel(Req *q)
+{
+    ReqEvent *e = g_new0(ReqEvent, 1);
+    e->kind = REV_CANCEL;
+    e->id = q->id;
+    node_post_wait(q->desk->node, e);
+}
+
+static void
+wait_a_while(Ticket *t)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_nsec += AWAIT_MS * 1000000L;
+    until.tv_sec += until.tv_nsec / 1000000000L;
+    until.tv_nsec %= 1000000000L;
+    pthread_cond_timedwait(&t->decided, &t->lock, &until);
+}
+
+static bool
+is_caller_gone(void *ctx)
+{
+    Req *q = ctx;
+    q->client_gone =
+        q->client_gone || watch_is_gone(&q->watch, bg_now_ms(), q->info);
+    return q->client_gone;
+}
+
+/* Even when the caller is gone the core's word is waited for: it holds a
+   pointer to this thread's ticket until then. */
 static void
 await_decision(Req *q, Ticket *out)
 {
     Ticket *t = &q->ticket;
+    bool cancelled = q->client_gone;
     pthread_mutex_lock(&t->lock);
     while (t->decision == DECIDED_NONE) {
-        pthread_cond_wait(&t->decided, &t->lock);
+        wait_a_while(t);
+        if (t->decision == DECIDED_NONE && !cancelled && is_caller_gone(q)) {
+            cancelled = true;
+            pthread_mutex_unlock(&t->lock);
+            post_cancel(q);
+            pthread_mutex_lock(&t->lock);
+        }
     }
     *out = *t;
     t->decision = DECIDED_NONE;
@@ -396,7 +524,11 @@
     r->workspace = q->workspace->name;
     r->priority = q->workspace->priority;
     r->deadline_ms = q->deadline_ms;
+    r->cost = 1;
+    /* A service's call that may have run is never run again by us. */
+    r->once = q->service != NULL;
     if (q->model) {
+        r->cost = q->max_tokens;
         r->model = q->model->name;
         r->deployment = q->model->upstreams;
         r->base = q->model->base;
@@ -416,13 +548,12 @@
 }
 
 static void
-post_done(Req *q, RtDone done, bool leaving)
+post_done(Req *q, const RtEnd *end)
 {
     ReqEvent *e = g_new0(ReqEvent, 1);
     e->kind = REV_DONE;
     e->id = q->id;
-    e->done = done;
-    e->leaving = leaving;
+    e->end = *end;
     node_post_wait(q->desk->node, e);
 }
 
@@ -434,7 +565,7 @@
     q->head_sent = true;
     mg_printf(q->conn,
               "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-              "Cache-Control: no-cache\r\nX-Bglade-Outcome: answered\r\n"
+              "Cache-Control: no-cache\r\nX-Bglade-Outcome: streaming\r\n"
               "X-Request-Id: %s\r\nConnection: close\r\n"
               "Transfer-Encoding: chunked\r\n\r\n",
               q->caller_id);
@@ -457,12 +588,12 @@
 pass_line(Req *q, const char *line, size_t len)
 {
     if (len > 5 && strncmp(line, "data:", 5) == 0) {
+        /* [DONE] tells the caller that it has all: it goes out last. */
         if (g_strstr_len(line, (gssize)len, "[DONE]") == line + 6) {
             q->saw_end = true;
+            return true;
         }
-        else {
-            q->tokens_sent++;
-        }
+        q->tokens_sent++;
         g_autofree char *event = g_strdup_printf("%.*s\n\n", (int)len, line);
         return send_stream_text(q, event, strlen(event));
     }
@@ -473,6 +604,9 @@
 take_stream_data(void *ctx, const char *data, size_t len)
 {
     Req *q = ctx;
+    if (q->saw_end) {
+        return true;
+    }
     if (q->upstream_status != 200) {
         /* Not a stream: an error, kept whole and passed on as it is. */
         g_string_append_len(q->line, data, (gssize)len);
@@ -513,8 +647,7 @@
 
 typedef struct {
     HcResult res;
-    RtDone done;
-    bool leaving;
+    RtEnd end;
 } Attempt;
 
 static uint32_t
@@ -565,6 +698,26 @@
     return whole;
 }
 
+static bool
+is_turned_away(const HcResult *res)
+{
+    return res->upstream_state && (res->status == 404 || res->status == 503);
+}
+
+/* Whether all of the answer is here: a stream by its own last word, anything
+   else by its told length, and a completion by being JSON besides. */
+static bool
+is_whole(const Req *q, const HcResult *res)
+{
+    if (q->stream && res->status == 200) {
+        return q->saw_end;
+    }
+    if (q->head_sent || !res->framed) {
+        return false;
+    }
+    return !q->model || res->status != 200 || is_whole_json(res);
+}
+
 static RtDone
 classify(const Req *q, const HcResult *res)
 {
@@ -574,19 +727,13 @@
     if (res->end == HC_NOT_SENT) {
         return RT_DONE_NOT_SENT;
     }
-    if (res->end != HC_DONE) {
+    if (res->end != HC_DONE && !(q->stream && q->saw_end)) {
         return RT_DONE_BROKEN;
     }
-    if (res->upstream_state && (res->status == 404 || res->status == 503)) {
+    if (is_turned_away(res)) {
         return RT_DONE_TURNED_AWAY;
     }
-    if (q->stream && res->status == 200) {
-        return q->saw_end ? RT_DONE_OK : RT_DONE_BROKEN;
-    }
-    if (q->model && res->status == 200 && !is_whole_json(res)) {
-        return RT_DONE_BROKEN;
-    }
-    return RT_DONE_OK;
+    return is_whole(q, res) ? RT_DONE_OK : RT_DONE_BROKEN;
 }
 
 static bool
@@ -598,25 +745,82 @@
     return true;
 }
 
+/* The body of this attempt; a stream that broke goes on after the last
+   token that the caller has.  Free with free(); NULL: the caller's own. */
+static char *
+make_resuming_body(const Req *q)
+{
+    if (q->tokens_sent == 0) {
+        return NULL;
+    }
+    json_t *doc = js_parse((const char *)q->body->data, q->body->len, NULL);
+    json_object_set_new(doc, "resume_from_token",
+                        json_integer(q->tokens_sent));
+    char *text = json_dumps(doc, JSON_COMPACT);
+    json_decref(doc);
+    bg_count("router_resumed_streams_total", 1);
+    return text;
+}
+
+static uint32_t
+get_first_byte_ms(const Req *q, uint32_t left_ms)
+{
+    const CallLimits *l = &q->desk->limits;
+    if (!q->model) {
+        return left_ms;
+    }
+    return MIN(left_ms, q->stream ? l->first_byte_ms : l->answer_ms);
+}
+
+static void
+judge_attempt(Req *q, const Ticket *t, Attempt *a)
+{
+    a->end.done = classify(q, &a->res);
+    a->end.leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
+    a->end.late = a->res.end == HC_TIMEOUT && get_left(q) <= 1;
+    a->end.old_connection = a->res.reused;
+    if (a->res.end == HC_TIMEOUT && !a->end.late) {
+        note_silence(q->desk, t->address);
+    }
+    if (a->end.done == RT_DONE_BROKEN) {
+        bg_count("router_broken_attempts_total", 1);
+        bg_log(BG_WARN, "req", "Request %s broke at %s: %s, status %ld%s.",
+               q->caller_id, t->upstream, hc_end_name(a->res.end),
+               a->res.status, a->res.crossed ? ", crossed" : "");
+    }
+}
+
 static void
 run_attempt(Req *q, const Ticket *t, Attempt *a)
 {
+    const CallLimits *l = &q->desk->limits;
     g_autofree char *url = make_url(q, t->address);
     g_autoptr(GPtrArray) headers = make_headers(q);
+    char *resuming = make_resuming_body(q);
     uint32_t left_ms = get_left(q);
+    char attempt_id[BG_ID_LEN + 1];
+    bg_make_id(attempt_id);
     HcRequest req = {.method = q->info->request_method,
                      .url = url,
                      .headers = (const char *const *)headers->pdata,
                      .body = q->body->len ? q->body->data : NULL,
                      .body_len = q->body->len,
-                     .connect_ms = CONNECT_MS,
-                     .first_byte_ms = left_ms,
+                     .connect_ms = l->connect_ms,
+                     .first_byte_ms = get_first_byte_ms(q, left_ms),
                      .total_ms = left_ms,
-                     .idle_ms = IDLE_MS,
+                     .idle_ms = l->idle_ms,
+                     .max_idle_ms = l->pool_idle_ms,
                      .fresh = q->service != NULL,
+                     .renew = was_silent(q->desk, t->address),
+                     .attempt_id = attempt_id,
                      .on_head = take_stream_head,
                      .on_data = NULL,
+                     .is_cancelled = is_caller_gone,
                      .ctx = q};
+    if (resuming) {
+        req.body = resuming;
+        req.body_len = strlen(resuming);
+    }
     if (q->stream) {
         req.on_data = take_stream_data;
         g_string_truncate(q->line, 0);
@@ -624,26 +828,29 @@
     HcClient *c = take_client(q->desk);
     hc_call(c, &req, &a->res);
     return_client(q->desk, c);
-    a->done = classify(q, &a->res);
-    a->leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
+    free(resuming);
+    judge_attempt(q, t, a);
 }
 
 static int
 send_answer(Req *q, const HcResult *res)
 {
     if (q->head_sent) {
-        mg_send_chunk(q->conn, "", 0);
+        static const char done[] = "data: [DONE]\n\n";
+        if (send_stream_text(q, done, sizeof(done) - 1)) {
+            mg_send_chunk(q->conn, "", 0);
+        }
         return 200;
     }
     const GString *body = q->stream ? q->line : res->body;
     mg_printf(q->conn,
               "HTTP/1.1 %ld %s\r\nContent-Type: %s\r\n"
-              "X-Bglade-Outcome: answered\r\nX-Request-Id: %s\r\n"
+              "X-Bglade-Outcome: answered\r\nX-Request-Id: %s\r\n%s"
               "Content-Length: %zu\r\n\r\n",
               res->status,
               mg_get_response_code_text(q->conn, (int)res->status),
               res->content_type ? res->content_type : "text/plain",
-              q->caller_id, body->len);
+              q->caller_id, end_connection(q), body->len);
     mg_write(q->conn, body->str, body->len);
     return (int)res->status;
 }
@@ -651,10 +858,13 @@
 static int
 send_refusal(Req *q, const Ticket *t)
 {
+    static const char *const codes[] = {
+        "queue_full", "deadline",    "no_room",   "limit",
+        "stopping",   "no_upstream", "quarantine"};
     int status = t->reason == RT_REFUSED_LIMIT ? 429 : 503;
     g_autofree char *message =
         g_strdup_printf("not run: %s", rt_reason_name(t->reason));
-    return send_error(q, status, "refused-not-run", "refused", message,
+    return send_error(q, status, "refused-not-run", codes[t->reason], message,
                       t->retry_after_ms);
 }
 
@@ -665,49 +875,113 @@
         abort_stream(q);
         return 200;
     }
-    return send_error(q, 502, "failed-may-have-run", "failed",
+    return send_error(q, get_left(q) > 1 ? 502 : 504, "failed-may-have-run",
+                      "failed",
                       "the upstream did not answer; the call may have run", 0);
 }
 
+/* Make the attempt that was decided.  True: the request is over. */
+static bool
+serve_attempt(Req *q, const Ticket *t, int *status)
+{
+    Attempt a = {0};
+    run_attempt(q, t, &a);
+    bool over = true;
+    if (a.end.done == RT_DONE_OK) {
+        *status = send_answer(q, &a.res);
+    }
+    else if (a.end.done == RT_DONE_CANCELLED) {
+        bg_count("router_cancelled_total", 1);
+        *status = STATUS_CALLER_GONE;
+    }
+    else {
+        over = false;
+    }
+    hc_free_result(&a.res);
+    post_done(q, &a.end);
+    return over;
+}
+
 /* Decision after decision until one is final. */
 static int
 run_request(Req *q)
 {
     if (!post_arrival(q)) {
-        return send_error(q, 503, "refused-not-run", "busy",
-                          "not run: the router is busy", 1000);
+        return refuse_busy(q);
     }
     for (;;) {
         Ticket t;
+        int status;
         await_decision(q, &t);
-        if (t.decision == DECIDED_REFUSE) {
+        switch (t.decision) {
+        case DECIDED_NONE:
+        case DECIDED_DROP:
+            bg_count("router_cancelled_total", 1);
+            return STATUS_CALLER_GONE;
+        case DECIDED_REFUSE:
             return send_refusal(q, &t);
-        }
-        if (t.decision == DECIDED_FINISH) {
+        case DECIDED_FINISH:
             return send_failure(q);
+        case DECIDED_SEND:
+            if (serve_attempt(q, &t, &status)) {
+                return status;
+            }
+            break;
         }
-        Attempt a = {0};
-        run_attempt(q, &t, &a);
-        /* A stream that has begun is not started over: the caller already
-           has a part of it. */
-        if (a.done == RT_DONE_NOT_SENT && q->head_sent) {
-            a.done = RT_DONE_BROKEN;
-        }
-        int status = 0;
-        if (a.done == RT_DONE_OK) {
-            status = send_answer(q, &a.res);
-        }
-        hc_free_result(&a.res);
-        post_done(q, a.done, a.leaving);
-        if (a.done == RT_DONE_OK) {
-            return status;
-        }
-        if (a.done == RT_DONE_CANCELLED) {
-            return 499;
-        }
     }
 }
 
+/* Waiting model calls hold HTTP threads.  Each class may hold only so many,
+   so that cold loads and batch work leave some for lookups and services. */
+static bool
+enter_class(Req *q)
+{
+    ReqDesk *d = q->desk;
+    uint32_t most = d->most_inside;
+    uint32_t held[CFG_CLASSES];
+    atomic_fetch_add(&d->models[q->model->class_], 1);
+    for (int i = 0; i < CFG_CLASSES; i++) {
+        held[i] = atomic_load(&d->models[i]);
+    }
+    switch (q->model->class_) {
+    case CFG_BATCH:
+        return held[CFG_BATCH] <= most / 2;
+    case CFG_INTERACTIVE:
+        return held[CFG_BATCH] + held[CFG_INTERACTIVE] <= most / 4 * 3;
+    case CFG_LOOKUP:
+        return held[CFG_LOOKUP] + held[CFG_BATCH] + held[CFG_INTERACTIVE] <=
+               most / 8 * 7;
+    }
+    return false;
+}
+
+static void
+leave_class(Req *q)
+{
+    atomic_fetch_sub(&q->desk->models[q->model->class_], 1);
+}
+
+/* When the answer must be there: the template's wait, or less if the caller
+   says so.  False after a refusal. */
+static bool
+set_deadline(Req *q, uint32_t wait_ms, int *status)
+{
+    const char *given = get_header(q, "X-Deadline-Ms");
+    q->deadline_ms = q->start_ms + wait_ms;
+    if (!given) {
+        return true;
+    }
+    char *end;
+    unsigned long long given_ms = strtoull(given, &end, 10);
+    if (*given < '0' || *given > '9' || *end || given_ms == 0) {
+        *status = refuse_call(q, 400, "bad_deadline",
+                              "X-Deadline-Ms is not a number of ms");
+        return false;
+    }
+    q->deadline_ms = q->start_ms + MIN(given_ms, wait_ms);
+    return true;
+}
+
 /* ---- paths -------------------------------------------------------------- */
 
 static int
@@ -751,8 +1025,12 @@
     if (status) {
         return status;
     }
-    q->deadline_ms = q->start_ms + q->model->wait_ms;
-    return run_request(q);
+    if (!set_deadline(q, q->model->wait_ms, &status)) {
+        return status;
+    }
+    status = enter_class(q) ? run_request(q) : refuse_busy(q);
+    leave_class(q);
+    return status;
 }
 
 static int
@@ -765,7 +1043,9 @@
     if (status) {
         return status;
     }
-    q->deadline_ms = q->start_ms + q->service->wait_ms;
+    if (!set_deadline(q, q->service->wait_ms, &status)) {
+        return status;
+    }
     return run_request(q);
 }
 
@@ -774,9 +1054,8 @@
 {
     const char *path = q->info->local_uri;
     if (atomic_load(&q->desk->inside) > q->desk->most_inside) {
-        mg_disable_connection_keep_alive(q->conn);
-        return send_error(q, 503, "refused-not-run", "busy",
-                          "not run: the router is full", 1000);
+        q->close = true;
+        return refuse_busy(q);
     }
     q->workspace = authenticate(q);
     if (!q->workspace) {
@@ -830,6 +1109,7 @@
     q.cfg = node_get_config(d->node);
     q.caller_id = make_caller_id(&q);
     q.line = g_string_new(NULL);
+    watch_start(&q.watch, q.start_ms);
     int status = serve_path(&q);
     bg_count("router_requests_total", 1);
     g_string_free(q.line, TRUE);
--- a/src/rt.c
+++ b/src/rt.c
@@ -1,23 +1,36 @@
 #include "rt.h"
 
+#include "fq.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_TRIES 3
 #define GHOST_WANT_MS 5000
 #define MIN_RETRY_AFTER_MS 1000
-#define RETRY_BUCKET_MAX 100 /* hundredths of a retry, times the share */
+#define RETRY_COST 100       /* hundredths of a request */
+#define RETRY_CREDIT_MAX 100 /* retries that may be saved up */
+#define RETRY_JITTER_MS 10   /* doubles with each sending */
+#define SAME_UPSTREAM_MS 200
+#define NO_UPSTREAM_WAIT_MS 1000
+#define EWMA_WEIGHT 4 /* a new sample counts for a quarter */
+#define USED_LATELY_MS 1000
 
-typedef struct Upstream Upstream;
 typedef struct Target Target;
 
 typedef struct {
     RtRequest r; /* text members are owned */
     Target *target;
-    Upstream *at;     /* where it runs, or NULL while it waits */
-    GPtrArray *tried; /* upstream ids, owned */
-    GList *link;      /* in target->waiting */
+    FqNode node;       /* in target->queue before its first sending */
+    GList *retry_link; /* in target->retrying afterwards */
+    Up *at;            /* where it runs, or NULL while it waits */
+    GPtrArray *tried;  /* upstream ids, owned */
+    bool may_have_run; /* then it is never refused as not run */
+    uint64_t arrived_ms;
+    uint64_t sent_ms;
+    uint64_t not_before_ms; /* jitter of a retry */
+    uint64_t same_after_ms; /* before that not to an upstream tried */
+    uint64_t latest_ms;     /* a later start can't meet the deadline */
 } Request;
 
 /* What requests wait for: a model, or a service's upstreams. */
@@ -25,35 +38,26 @@
     char *name;
     bool service;
     char *deployment;
-    GQueue waiting; /* Request, by priority, then arrival */
+    char *base;
+    Fq *queue;       /* Request; any of them can use the same upstreams */
+    GQueue retrying; /* Request; each with upstreams to avoid */
+    GList *active;   /* in core->active while anything waits */
     uint32_t inflight;
-    uint32_t load_ms;
+    uint32_t load_ms;       /* measured, at first the template's */
+    uint32_t run_ms;        /* one call, measured; 0: not yet */
+    uint64_t cold_since_ms; /* wanted and not loaded; 0: no */
     uint64_t last_used_ms;
     uint64_t ghost_until_ms; /* wanted although nobody waits any more */
 };
 
-struct Upstream {
-    char *id;
-    char *deployment;
-    char *data_centre;
-    char *address;
-    bool leaving;
-    bool gone;
-    GHashTable *loaded; /* models ready here */
-    uint32_t inflight;  /* ours */
-    uint32_t reported;  /* everybody's, late */
-    uint32_t failures;  /* consecutive */
-    uint64_t ejected_until_ms;
-};
-
 struct RtCore {
     RtParams params;
     RtOutput out;
     BgRandom rng;
-    GHashTable *requests;  /* id -> Request */
-    GHashTable *targets;   /* name -> Target */
-    GHashTable *upstreams; /* id -> Upstream */
-    GHashTable *centres;   /* data centre -> uint64_t newest epoch */
+    UpSet *ups;
+    GHashTable *requests; /* id -> Request */
+    GHashTable *targets;  /* name -> Target */
+    GQueue active;        /* Target, served in turn */
     uint32_t waiting[CFG_CLASSES];
     int64_t retry_credit; /* in hundredths of a request */
     bool draining;
@@ -86,41 +90,28 @@
 free_target(gpointer p)
 {
     Target *t = p;
-    g_queue_clear(&t->waiting);
+    fq_destroy(t->queue);
+    g_queue_clear(&t->retrying);
     g_free(t->name);
     g_free(t->deployment);
+    g_free(t->base);
     g_free(t);
 }
 
-static void
-free_upstream(gpointer p)
-{
-    Upstream *u = p;
-    g_free(u->id);
-    g_free(u->deployment);
-    g_free(u->data_centre);
-    g_free(u->address);
-    g_hash_table_destroy(u->loaded);
-    g_free(u);
-}
-
 RtCore *
 rt_create(const RtParams *params, const RtOutput *out)
 {
     RtCore *c = g_new0(RtCore, 1);
     c->params = *params;
-    c->params.data_centre = g_strdup(params->data_centre);
     c->out = *out;
     bg_seed_random(&c->rng, params->seed);
+    c->ups = up_create(&params->up, out->probe, out->ctx);
     c->requests =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
     c->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
-    c->upstreams =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
-    c->centres =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    c->retry_credit = RETRY_BUCKET_MAX;
+    g_queue_init(&c->active);
+    c->retry_credit = RETRY_CREDIT_MAX * RETRY_COST;
     return c;
 }
 
@@ -130,199 +121,294 @@
     if (!c) {
         return;
     }
+    g_queue_clear(&c->active);
     g_hash_table_destroy(c->targets);
     g_hash_table_destroy(c->requests);
-    g_hash_table_destroy(c->upstreams);
-    g_hash_table_destroy(c->centres);
-    g_free((char *)c->params.data_centre);
+    up_destroy(c->ups);
     g_free(c);
 }
 
-/* ---- choice of an upstream ---------------------------------------------- */
+/* ---- targets ------------------------------------------------------------ */
 
-static bool
-was_tried(const Request *q, const Upstream *u)
+static Target *
+get_target(RtCore *c, const RtRequest *r)
+{
+    const char *name = r->model ? r->model : r->deployment;
+    Target *t = g_hash_table_lookup(c->targets, name);
+    if (!t) {
+        t = g_new0(Target, 1);
+        t->name = g_strdup(name);
+        t->service = r->model == NULL;
+        t->deployment = g_strdup(r->deployment);
+        t->base = g_strdup(r->base);
+        t->load_ms = r->load_ms;
+        t->queue = fq_create();
+        g_queue_init(&t->retrying);
+        g_hash_table_insert(c->targets, t->name, t);
+    }
+    return t;
+}
+
+static UpQuery
+make_query(const Target *t)
 {
-    return g_ptr_array_find_with_equal_func(q->tried, u->id, g_str_equal,
-                                            NULL);
+    UpQuery query = {.deployment = t->deployment,
+                     .model = t->service ? NULL : t->name,
+                     .base = t->base};
+    return query;
 }
 
-static bool
-can_serve(const RtCore *c, const Request *q, const Upstream *u,
-          uint64_t now_ms)
+static uint32_t
+count_slots(const RtCore *c, const Target *t)
 {
-    if (u->gone || u->leaving || u->ejected_until_ms > now_ms ||
-        u->inflight >= c->params.per_upstream ||
-        strcmp(u->deployment, q->r.deployment) != 0 || was_tried(q, u)) {
-        return false;
-    }
-    return !q->r.model || g_hash_table_contains(u->loaded, q->r.model);
+    UpQuery query = make_query(t);
+    return up_count_slots(c->ups, &query);
 }
 
 static uint32_t
-get_load(const Upstream *u)
+count_waiting(const Target *t)
 {
-    /* The report is late but counts every router's work; our own count is
-       exact but only ours. */
-    return MAX(u->inflight, u->reported) + u->inflight;
+    return fq_count(t->queue) + t->retrying.length;
 }
 
-static Upstream *
-pick_less_loaded(RtCore *c, GPtrArray *list)
+static uint32_t
+average(uint32_t old, uint64_t sample)
 {
-    if (list->len == 0) {
-        return NULL;
+    return (uint32_t)((old * (uint64_t)(EWMA_WEIGHT - 1) + sample) /
+                      EWMA_WEIGHT);
+}
+
+/* A model that was wanted has come: that took so long. */
+static void
+note_loaded(RtCore *c, Target *t, uint64_t now_ms)
+{
+    if (t->cold_since_ms && count_slots(c, t) > 0) {
+        t->load_ms = average(t->load_ms, now_ms - t->cold_since_ms);
+        t->cold_since_ms = 0;
     }
-    Upstream *a = list->pdata[bg_pick_random(&c->rng, list->len)];
-    Upstream *b = list->pdata[bg_pick_random(&c->rng, list->len)];
-    return get_load(b) < get_load(a) ? b : a;
 }
 
-static Upstream *
-choose_upstream(RtCore *c, const Request *q, uint64_t now_ms)
+/* The time of a want that was given up on would be no measure of a load. */
+static void
+note_cold(Target *t, uint64_t now_ms)
+{
+    bool wanted = count_waiting(t) > 0 || t->ghost_until_ms > now_ms;
+    if (!t->cold_since_ms || !wanted) {
+        t->cold_since_ms = now_ms;
+    }
+}
+
+static void
+note_all_loaded(RtCore *c, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) near = g_ptr_array_new();
-    g_autoptr(GPtrArray) far = g_ptr_array_new();
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->upstreams);
+    g_hash_table_iter_init(&it, c->targets);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        Upstream *u = p;
-        if (can_serve(c, q, u, now_ms)) {
-            bool here = strcmp(u->data_centre, c->params.data_centre) == 0;
-            g_ptr_array_add(here ? near : far, u);
-        }
+        note_loaded(c, p, now_ms);
     }
-    Upstream *u = pick_less_loaded(c, near);
-    return u ? u : pick_less_loaded(c, far);
 }
 
-/* ---- queues ------------------------------------------------------------- */
+/* ---- waiting ------------------------------------------------------------ */
 
-static Target *
-get_target(RtCore *c, const RtRequest *r)
+static void
+mark_active(RtCore *c, Target *t)
 {
-    const char *name = r->model ? r->model : r->deployment;
-    Target *t = g_hash_table_lookup(c->targets, name);
-    if (!t) {
-        t = g_new0(Target, 1);
-        t->name = g_strdup(name);
-        t->service = r->model == NULL;
-        t->deployment = g_strdup(r->deployment);
-        g_queue_init(&t->waiting);
-        g_hash_table_insert(c->targets, t->name, t);
+    bool waits = count_waiting(t) > 0;
+    if (waits && !t->active) {
+        g_queue_push_tail(&c->active, t);
+        t->active = c->active.tail;
+    }
+    else if (!waits && t->active) {
+        g_queue_delete_link(&c->active, t->active);
+        t->active = NULL;
     }
-    t->load_ms = r->load_ms;
-    return t;
 }
 
 static void
 enqueue(RtCore *c, Request *q)
 {
-    GQueue *w = &q->target->waiting;
-    GList *at = w->tail;
-    while (at && ((Request *)at->data)->r.priority < q->r.priority) {
-        at = at->prev;
-    }
-    if (at) {
-        g_queue_insert_after(w, at, q);
-        q->link = at->next;
-    }
-    else {
-        g_queue_push_head(w, q);
-        q->link = w->head;
-    }
+    fq_push(q->target->queue, &q->node);
     c->waiting[q->r.class_]++;
+    mark_active(c, q->target);
 }
 
 static void
-dequeue(RtCore *c, Request *q)
+enqueue_retry(RtCore *c, Request *q)
 {
-    if (q->link) {
-        g_queue_delete_link(&q->target->waiting, q->link);
-        q->link = NULL;
-        c->waiting[q->r.class_]--;
+    g_queue_push_tail(&q->target->retrying, q);
+    q->retry_link = q->target->retrying.tail;
+    c->waiting[q->r.class_]++;
+    mark_active(c, q->target);
+}
+
+static bool
+is_waiting(const Request *q)
+{
+    return q->node.lane || q->retry_link;
+}
+
+static void
+dequeue(RtCore *c, Request *q, bool served)
+{
+    if (!is_waiting(q)) {
+        return;
     }
+    if (q->retry_link) {
+        g_queue_delete_link(&q->target->retrying, q->retry_link);
+        q->retry_link = NULL;
+    }
+    else {
+        fq_remove(q->target->queue, &q->node, served);
+    }
+    c->waiting[q->r.class_]--;
+    mark_active(c, q->target);
 }
 
 static void
 drop_request(RtCore *c, Request *q)
 {
-    dequeue(c, q);
+    dequeue(c, q, false);
     g_hash_table_remove(c->requests, &q->r.id);
 }
 
+/* ---- final words -------------------------------------------------------- */
+
+static void
+finish(RtCore *c, Request *q)
+{
+    bg_count("router_unfinished_total", 1);
+    c->out.finish(c->out.ctx, q->r.id);
+    drop_request(c, q);
+}
+
+/* "Not run" would be a lie after a sending that may have run: then the
+   request ends as unfinished, whatever stopped it. */
 static void
 refuse(RtCore *c, Request *q, RtReason reason, uint64_t retry_after_ms)
 {
+    if (q->may_have_run) {
+        finish(c, q);
+        return;
+    }
     bg_count("router_refused_total", 1);
     c->out.refuse(c->out.ctx, q->r.id, reason,
                   MAX(retry_after_ms, MIN_RETRY_AFTER_MS));
     drop_request(c, q);
 }
 
+/* ---- sending ------------------------------------------------------------ */
+
+static Up *
+choose_upstream(RtCore *c, const Request *q, uint64_t now_ms)
+{
+    UpQuery query = make_query(q->target);
+    query.affinity = q->r.affinity;
+    if (q->tried->len == 0) {
+        return up_choose(c->ups, now_ms, &query);
+    }
+    query.avoided = q->tried;
+    Up *u = up_choose(c->ups, now_ms, &query);
+    if (u || now_ms < q->same_after_ms) {
+        return u;
+    }
+    query.avoided = NULL;
+    return up_choose(c->ups, now_ms, &query);
+}
+
 static void
-send_to(RtCore *c, Request *q, Upstream *u)
+send_to(RtCore *c, Request *q, Up *u, uint64_t now_ms)
 {
-    dequeue(c, q);
+    dequeue(c, q, true);
     q->at = u;
-    u->inflight++;
+    q->sent_ms = now_ms;
     q->target->inflight++;
-    c->out.send(c->out.ctx, q->r.id, u->id, u->address);
+    up_start(u);
+    c->out.send(c->out.ctx, q->r.id, up_get_id(u), up_get_address(u));
 }
 
-/* Send what can be sent; the rest waits on. */
-static void
-pump_target(RtCore *c, Target *t, uint64_t now_ms)
+static bool
+send_retry(RtCore *c, Target *t, uint64_t now_ms)
 {
-    GList *at = t->waiting.head;
-    while (at) {
+    for (GList *at = t->retrying.head; at; at = at->next) {
         Request *q = at->data;
-        GList *next = at->next;
-        Upstream *u = choose_upstream(c, q, now_ms);
+        Up *u =
+            now_ms >= q->not_before_ms ? choose_upstream(c, q, now_ms) : NULL;
         if (u) {
-            send_to(c, q, u);
-        }
-        else if (q->tried->len == 0) {
-            break; /* the ones behind want the same and find none either */
+            send_to(c, q, u, now_ms);
+            return true;
         }
-        at = next;
     }
+    return false;
 }
 
-static void
-pump_all(RtCore *c, uint64_t now_ms)
+static Request *
+get_request(FqNode *n)
 {
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->targets);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        pump_target(c, p, now_ms);
-    }
+    return n ? (Request *)((char *)n - offsetof(Request, node)) : NULL;
 }
 
-/* ---- events ------------------------------------------------------------- */
-
-/* Whether any upstream holds the model, busy or not. */
+/* Send one that waits; false when none can be sent. */
 static bool
-is_warm(const RtCore *c, const Request *q)
+send_next(RtCore *c, Target *t, uint64_t now_ms)
 {
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->upstreams);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Upstream *u = p;
-        if (!u->gone && !u->leaving &&
-            strcmp(u->deployment, q->r.deployment) == 0 &&
-            (!q->r.model || g_hash_table_contains(u->loaded, q->r.model))) {
-            return true;
+    if (send_retry(c, t, now_ms)) {
+        return true;
+    }
+    Request *q = get_request(fq_peek(t->queue));
+    Up *u = q ? choose_upstream(c, q, now_ms) : NULL;
+    if (u) {
+        send_to(c, q, u, now_ms);
+    }
+    return u != NULL;
+}
+
+/* Send what can be sent.  Targets share upstreams, so each sends one in its
+   turn, and the turn goes on from where it stopped. */
+static void
+pump(RtCore *c, uint64_t now_ms)
+{
+    uint32_t idle = 0;
+    while (c->active.length > 0 && idle < c->active.length) {
+        Target *t = c->active.head->data;
+        idle = send_next(c, t, now_ms) ? 0 : idle + 1;
+        if (t->active) {
+            g_queue_unlink(&c->active, t->active);
+            g_queue_push_tail_link(&c->active, t->active);
         }
     }
-    return false;
 }
 
+/* ---- estimates ---------------------------------------------------------- */
+
+/* What is left of a cold load.  One that takes longer than usual is taken
+   to need a quarter of the usual time more. */
+static uint64_t
+estimate_load(const Target *t, uint64_t now_ms)
+{
+    uint64_t gone_ms = t->cold_since_ms ? now_ms - t->cold_since_ms : 0;
+    uint64_t rest_ms = t->load_ms > gone_ms ? t->load_ms - gone_ms : 0;
+    return MAX(rest_ms, t->load_ms / 4);
+}
+
+/* Until a request of PRIORITY that arrives now would be sent. */
+static uint64_t
+estimate_wait(const RtCore *c, const Target *t, uint32_t priority,
+              uint64_t now_ms)
+{
+    uint32_t slots = count_slots(c, t);
+    if (slots == 0) {
+        return t->service ? 0 : estimate_load(t, now_ms);
+    }
+    uint64_t ahead =
+        fq_count_ahead(t->queue, priority) + t->retrying.length + 1;
+    return ahead * t->run_ms / slots;
+}
+
+/* ---- admission ---------------------------------------------------------- */
+
 static Request *
-add_request(RtCore *c, const RtRequest *r)
+add_request(RtCore *c, uint64_t now_ms, const RtRequest *r)
 {
     Request *q = g_new0(Request, 1);
     q->r = *r;
@@ -330,223 +416,263 @@
     q->r.deployment = g_strdup(r->deployment);
     q->r.base = g_strdup(r->base);
     q->r.workspace = g_strdup(r->workspace);
+    q->node.owner = q->r.workspace;
+    q->node.priority = MIN(r->priority, FQ_PRIORITIES - 1);
+    q->node.cost = MAX(r->cost, 1);
     q->tried = g_ptr_array_new_with_free_func(g_free);
+    q->arrived_ms = now_ms;
     q->target = get_target(c, r);
     g_hash_table_insert(c->requests, &q->r.id, q);
     return q;
 }
 
+/* A call that starts so late that it would usually not end in time is
+   given up; but half of the caller's time is always waited for. */
+static void
+set_latest_start(const RtCore *c, Request *q)
+{
+    const Target *t = q->target;
+    uint64_t left_ms = q->r.deadline_ms > q->arrived_ms
+                           ? q->r.deadline_ms - q->arrived_ms
+                           : 0;
+    q->latest_ms = q->r.deadline_ms - MIN(t->run_ms, left_ms / 2);
+    if (t->service && count_slots(c, t) == 0) {
+        q->latest_ms = MIN(q->latest_ms, q->arrived_ms + NO_UPSTREAM_WAIT_MS);
+    }
+}
+
+/* Queue Q, or refuse it at once when it can't be served in time. */
+static void
+admit(RtCore *c, Request *q, uint64_t now_ms)
+{
+    Target *t = q->target;
+    bool cold = !t->service && count_slots(c, t) == 0;
+    uint64_t wait_ms = estimate_wait(c, t, q->node.priority, now_ms);
+    if (c->waiting[q->r.class_] >= c->params.max_waiting[q->r.class_]) {
+        refuse(c, q, RT_REFUSED_FULL, wait_ms);
+        return;
+    }
+    if (cold) {
+        note_cold(t, now_ms);
+    }
+    set_latest_start(c, q);
+    if (now_ms + wait_ms > q->latest_ms) {
+        if (cold) {
+            /* The load ends too late for this caller, not for the next:
+               the model stays wanted. */
+            t->ghost_until_ms = now_ms + MAX(GHOST_WANT_MS, 2 * wait_ms);
+        }
+        refuse(c, q, RT_REFUSED_DEADLINE, wait_ms);
+        return;
+    }
+    enqueue(c, q);
+}
+
 void
 rt_on_arrive(RtCore *c, uint64_t now_ms, const RtRequest *r)
 {
-    Request *q = add_request(c, r);
+    Request *q = add_request(c, now_ms, r);
     Target *t = q->target;
     t->last_used_ms = now_ms;
-    c->retry_credit =
-        MIN(c->retry_credit + c->params.retry_percent, RETRY_BUCKET_MAX * 100);
+    c->retry_credit = MIN(c->retry_credit + c->params.retry_percent,
+                          RETRY_CREDIT_MAX * RETRY_COST);
     if (c->draining) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
-    Upstream *u =
-        t->waiting.length == 0 ? choose_upstream(c, q, now_ms) : NULL;
+    Up *u = count_waiting(t) == 0 ? choose_upstream(c, q, now_ms) : NULL;
     if (u) {
-        send_to(c, q, u);
-        return;
-    }
-    if (c->waiting[r->class_] >= c->params.max_waiting) {
-        refuse(c, q, RT_REFUSED_FULL, 0);
+        send_to(c, q, u, now_ms);
         return;
     }
-    if (!is_warm(c, q) && now_ms + r->load_ms > r->deadline_ms) {
-        /* The load would end too late for this caller, not for the next:
-           the model stays wanted. */
-        t->ghost_until_ms = now_ms + GHOST_WANT_MS;
-        refuse(c, q, RT_REFUSED_DEADLINE, r->load_ms);
-        return;
-    }
-    enqueue(c, q);
+    admit(c, q, now_ms);
 }
 
+/* ---- ends of sendings --------------------------------------------------- */
+
+/* Within the retry budget, which keeps a failing deployment from being hit
+   twice as hard by its own retries; with jitter, so that those that failed
+   together do not come back together. */
 static void
-leave_upstream(Request *q)
+try_again(RtCore *c, Request *q, uint64_t now_ms)
 {
-    if (q->at) {
-        q->at->inflight--;
-        q->target->inflight--;
-        g_ptr_array_add(q->tried, g_strdup(q->at->id));
-        q->at = NULL;
+    if (q->tried->len >= c->params.max_sends || c->retry_credit < RETRY_COST ||
+        now_ms >= q->r.deadline_ms) {
+        refuse(c, q, RT_REFUSED_UPSTREAM, 0);
+        return;
     }
+    c->retry_credit -= RETRY_COST;
+    bg_count("router_retries_total", 1);
+    uint32_t sends = MIN(q->tried->len, 8);
+    q->not_before_ms =
+        now_ms + bg_pick_random(&c->rng, RETRY_JITTER_MS << sends);
+    q->same_after_ms =
+        now_ms + SAME_UPSTREAM_MS +
+        bg_pick_random(&c->rng, SAME_UPSTREAM_MS << (sends - 1));
+    q->latest_ms = q->r.deadline_ms;
+    enqueue_retry(c, q);
 }
 
-static void
-note_failure(RtCore *c, Upstream *u, uint64_t now_ms)
+static UpEnd
+judge_upstream(const RtEnd *end)
 {
-    u->failures++;
-    if (u->failures >= c->params.eject_failures) {
-        u->ejected_until_ms = now_ms + c->params.eject_ms;
-        u->failures = 0;
-        bg_count("router_ejections_total", 1);
+    bool failed = end->done == RT_DONE_NOT_SENT || end->done == RT_DONE_BROKEN;
+    if (end->done == RT_DONE_OK) {
+        return UP_END_GOOD;
     }
+    /* A pooled connection may have gone silent while the upstream is well;
+       only a fresh one tells. */
+    return failed && !end->old_connection && !end->late ? UP_END_FAILED
+                                                        : UP_END_SAID_NOTHING;
 }
 
-/* Turned away or not sent: nothing ran, so it may go elsewhere, within the
-   retry budget, which keeps a failing deployment from being hit twice as
-   hard by its own retries. */
 static void
-try_again(RtCore *c, Request *q, uint64_t now_ms)
+leave_upstream(RtCore *c, Request *q, uint64_t now_ms, const RtEnd *end)
 {
-    if (q->tried->len >= MAX_TRIES || c->retry_credit < 100 ||
-        now_ms >= q->r.deadline_ms) {
-        refuse(c, q, RT_REFUSED_UPSTREAM, 0);
-        return;
+    Up *u = q->at;
+    Target *t = q->target;
+    q->at = NULL;
+    t->inflight--;
+    g_ptr_array_add(q->tried, g_strdup(up_get_id(u)));
+    if (end->leaving) {
+        up_mark_leaving(c->ups, u, now_ms);
     }
-    c->retry_credit -= 100;
-    bg_count("router_retries_total", 1);
-    enqueue(c, q);
+    else if (end->done == RT_DONE_TURNED_AWAY && q->r.model) {
+        up_forget_model(c->ups, u, q->r.model);
+    }
+    up_finish(c->ups, u, now_ms, judge_upstream(end));
 }
 
 void
-rt_on_done(RtCore *c, uint64_t now_ms, uint64_t id, RtDone done, bool leaving)
+rt_on_done(RtCore *c, uint64_t now_ms, uint64_t id, const RtEnd *end)
 {
     Request *q = g_hash_table_lookup(c->requests, &id);
-    if (!q) {
+    if (!q || !q->at) {
         return;
     }
-    Upstream *u = q->at;
     Target *t = q->target;
-    leave_upstream(q);
+    leave_upstream(c, q, now_ms, end);
     t->last_used_ms = now_ms;
-    if (u && leaving) {
-        u->leaving = true;
-    }
-    switch (done) {
+    switch (end->done) {
     case RT_DONE_OK:
-        if (u) {
-            u->failures = 0;
-        }
+        t->run_ms = t->run_ms ? average(t->run_ms, now_ms - q->sent_ms)
+                              : (uint32_t)(now_ms - q->sent_ms);
         drop_request(c, q);
         break;
     case RT_DONE_CANCELLED:
         drop_request(c, q);
         break;
     case RT_DONE_TURNED_AWAY:
-        if (u && q->r.model && !leaving) {
-            /* Not loaded there after all; the owner will tell when it is. */
-            g_hash_table_remove(u->loaded, q->r.model);
-        }
-        try_again(c, q, now_ms);
-        break;
     case RT_DONE_NOT_SENT:
-        if (u) {
-            note_failure(c, u, now_ms);
-        }
         try_again(c, q, now_ms);
         break;
     case RT_DONE_BROKEN:
-        if (u) {
-            note_failure(c, u, now_ms);
+        q->may_have_run = true;
+        if (q->r.once) {
+            finish(c, q);
+        }
+        else {
+            try_again(c, q, now_ms);
         }
-        c->out.finish(c->out.ctx, id);
-        drop_request(c, q);
         break;
     }
-    pump_all(c, now_ms);
+    pump(c, now_ms);
 }
 
-static Upstream *
-get_upstream(RtCore *c, const Bg__UpstreamState *s)
+bool
+rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id)
 {
-    Upstream *u = g_hash_table_lookup(c->upstreams, s->upstream);
-    if (!u) {
-        u = g_new0(Upstream, 1);
-        u->id = g_strdup(s->upstream);
-        u->deployment = g_strdup(s->deployment);
-        u->data_centre = g_strdup(s->data_centre);
-        u->address = g_strdup(s->address);
-        u->loaded =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        g_hash_table_insert(c->upstreams, u->id, u);
-    }
-    if (strcmp(u->address, s->address) != 0) {
-        g_free(u->address);
-        u->address = g_strdup(s->address);
+    (void)now_ms;
+    Request *q = g_hash_table_lookup(c->requests, &id);
+    if (!q || !is_waiting(q)) {
+        return false;
     }
-    return u;
+    drop_request(c, q);
+    return true;
 }
 
-static void
-take_state(RtCore *c, const Bg__UpstreamState *s, bool current)
-{
-    Upstream *u = get_upstream(c, s);
-    /* Leaving is one-way: whoever says it first is believed, and a list
-       that lags never brings a leaver back. */
-    u->leaving = u->leaving || s->leaving;
-    u->gone = s->gone;
-    if (!s->known || !current) {
-        return;
-    }
-    u->reported = s->reported_inflight;
-    g_hash_table_remove_all(u->loaded);
-    for (size_t i = 0; i < s->n_residents; i++) {
-        if (!s->residents[i]->loading) {
-            g_hash_table_add(u->loaded, g_strdup(s->residents[i]->model));
-        }
-    }
-}
+/* ---- other events ------------------------------------------------------- */
 
 void
 rt_on_residency(RtCore *c, uint64_t now_ms, const Bg__Residency *r)
 {
-    uint64_t *newest = g_hash_table_lookup(c->centres, r->data_centre);
-    if (!newest) {
-        newest = g_new0(uint64_t, 1);
-        g_hash_table_insert(c->centres, g_strdup(r->data_centre), newest);
+    up_on_residency(c->ups, now_ms, r);
+    note_all_loaded(c, now_ms);
+    pump(c, now_ms);
+}
+
+void
+rt_on_probe(RtCore *c, uint64_t now_ms, const char *upstream,
+            const char *address, bool well)
+{
+    up_on_probe(c->ups, now_ms, upstream, address, well);
+    pump(c, now_ms);
+}
+
+typedef struct {
+    RtCore *core;
+    uint64_t now_ms;
+    bool all;
+    RtReason reason;
+    uint64_t retry_after_ms;
+} Sweep;
+
+static void
+sweep_request(Sweep *s, Request *q)
+{
+    if (s->all || s->now_ms >= q->latest_ms) {
+        refuse(s->core, q, s->reason, s->retry_after_ms);
     }
-    /* An owner that was succeeded may still talk; its residents are old. */
-    bool current = r->epoch >= *newest;
-    *newest = MAX(*newest, r->epoch);
-    for (size_t i = 0; i < r->n_upstreams; i++) {
-        take_state(c, r->upstreams[i], current);
+}
+
+static void
+sweep_node(void *ctx, FqNode *n)
+{
+    sweep_request(ctx, get_request(n));
+}
+
+static void
+sweep_target(Sweep *s, Target *t)
+{
+    fq_visit(t->queue, sweep_node, s);
+    GList *at = t->retrying.head;
+    while (at) {
+        Request *q = at->data;
+        at = at->next;
+        sweep_request(s, q);
     }
-    pump_all(c, now_ms);
 }
 
 void
 rt_on_want_refused(RtCore *c, uint64_t now_ms, const char *model,
                    uint64_t retry_after_ms)
 {
-    (void)now_ms;
     Target *t = g_hash_table_lookup(c->targets, model);
-    while (t && t->waiting.length > 0) {
-        refuse(c, t->waiting.head->data, RT_REFUSED_NO_ROOM, retry_after_ms);
+    if (t && count_slots(c, t) == 0) {
+        Sweep s = {c, now_ms, true, RT_REFUSED_NO_ROOM, retry_after_ms};
+        sweep_target(&s, t);
     }
 }
 
 static void
-refuse_late(RtCore *c, Target *t, uint64_t now_ms)
+refuse_late(RtCore *c, uint64_t now_ms)
 {
-    GList *at = t->waiting.head;
+    GList *at = c->active.head;
     while (at) {
-        Request *q = at->data;
-        GList *next = at->next;
-        if (now_ms >= q->r.deadline_ms) {
-            refuse(c, q, RT_REFUSED_DEADLINE, t->load_ms);
-        }
-        at = next;
+        Target *t = at->data;
+        at = at->next;
+        Sweep s = {c, now_ms, false, RT_REFUSED_DEADLINE,
+                   estimate_wait(c, t, 0, now_ms)};
+        sweep_target(&s, t);
     }
 }
 
 void
 rt_on_tick(RtCore *c, uint64_t now_ms)
 {
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->targets);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        refuse_late(c, p, now_ms);
-    }
-    pump_all(c, now_ms);
+    up_on_tick(c->ups, now_ms);
+    refuse_late(c, now_ms);
+    pump(c, now_ms);
 }
 
 void
@@ -558,23 +684,35 @@
 
 /* ---- state -------------------------------------------------------------- */
 
-static uint32_t
-get_top_priority(const Target *t)
+typedef struct {
+    uint64_t now_ms;
+    uint64_t slack_ms;
+} SlackScan;
+
+static void
+scan_slack(SlackScan *scan, const Request *q)
 {
-    return t->waiting.head ? ((Request *)t->waiting.head->data)->r.priority
-                           : 0;
+    uint64_t deadline_ms = q->r.deadline_ms;
+    uint64_t slack_ms =
+        deadline_ms > scan->now_ms ? deadline_ms - scan->now_ms : 0;
+    scan->slack_ms = MIN(scan->slack_ms, slack_ms);
+}
+
+static void
+scan_node(void *ctx, FqNode *n)
+{
+    scan_slack(ctx, get_request(n));
 }
 
 static uint64_t
 get_slack(const Target *t, uint64_t now_ms)
 {
-    uint64_t slack_ms = UINT32_MAX;
-    for (GList *at = t->waiting.head; at; at = at->next) {
-        uint64_t deadline_ms = ((Request *)at->data)->r.deadline_ms;
-        slack_ms =
-            MIN(slack_ms, deadline_ms > now_ms ? deadline_ms - now_ms : 0);
+    SlackScan scan = {now_ms, UINT32_MAX};
+    fq_visit(t->queue, scan_node, &scan);
+    for (GList *at = t->retrying.head; at; at = at->next) {
+        scan_slack(&scan, at->data);
     }
-    return slack_ms;
+    return scan.slack_ms;
 }
 
 static void
@@ -583,9 +721,9 @@
     Bg__Want *w = g_new(Bg__Want, 1);
     bg__want__init(w);
     w->model = g_strdup(t->name);
-    w->waiting = MAX(t->waiting.length, 1);
+    w->waiting = MAX(count_waiting(t), 1);
     w->slack_ms = get_slack(t, now_ms);
-    w->priority = get_top_priority(t);
+    w->priority = fq_get_top_priority(t->queue);
     d->wants[d->n_wants++] = w;
 }
 
@@ -616,10 +754,10 @@
         if (t->service) {
             continue;
         }
-        if (t->waiting.length > 0 || t->ghost_until_ms > now_ms) {
+        if (count_waiting(t) > 0 || t->ghost_until_ms > now_ms) {
             add_want(d, t, now_ms);
         }
-        if (t->inflight > 0 || now_ms - t->last_used_ms < 1000) {
+        if (t->inflight > 0 || now_ms - t->last_used_ms < USED_LATELY_MS) {
             add_usage(d, t);
         }
     }
@@ -632,34 +770,31 @@
     return g_hash_table_size(c->requests);
 }
 
-char *
-rt_dump(const RtCore *c)
+static json_t *
+dump_targets(const RtCore *c)
 {
-    json_t *ups = json_array();
+    json_t *targets = json_array();
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->upstreams);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Upstream *u = p;
-        json_array_append_new(
-            ups, json_pack("{s:s, s:s, s:b, s:b, s:i, s:i, s:i}", "id", u->id,
-                           "data_centre", u->data_centre, "leaving",
-                           u->leaving, "gone", u->gone, "inflight",
-                           (int)u->inflight, "reported", (int)u->reported,
-                           "loaded", (int)g_hash_table_size(u->loaded)));
-    }
-    json_t *targets = json_array();
     g_hash_table_iter_init(&it, c->targets);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const Target *t = p;
-        json_array_append_new(targets,
-                              json_pack("{s:s, s:i, s:i}", "name", t->name,
-                                        "waiting", (int)t->waiting.length,
-                                        "inflight", (int)t->inflight));
+        json_array_append_new(
+            targets,
+            json_pack("{s:s, s:i, s:i, s:i, s:i}", "name", t->name, "waiting",
+                      (int)count_waiting(t), "inflight", (int)t->inflight,
+                      "load_ms", (int)t->load_ms, "run_ms", (int)t->run_ms));
     }
+    return targets;
+}
+
+char *
+rt_dump(const RtCore *c)
+{
     json_t *doc = json_pack("{s:i, s:o, s:o, s:b}", "requests",
                             (int)g_hash_table_size(c->requests), "upstreams",
-                            ups, "targets", targets, "draining", c->draining);
+                            up_dump(c->ups), "targets", dump_targets(c),
+                            "draining", c->draining);
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/rt.h
+++ b/src/rt.h
@@ -1,5 +1,5 @@
-/* rt: routing decisions of one router: admission, queues, the choice of an
-   upstream, retries and ejection.
+/* rt: routing decisions of one router: admission, queues, estimates of the
+   wait, and retries.  The choice of an upstream is in up.
 
    A state machine without threads, I/O or clock.  A request enters with
    rt_on_arrive and gets, through RtOutput, exactly one of: refuse (final,
@@ -12,18 +12,18 @@
 #include "bg_base.h"
 #include "bglade.pb-c.h"
 #include "cfg.h"
+#include "up.h"
 
 typedef struct {
-    const char *data_centre;
-    uint32_t max_waiting;    /* requests queued, each class */
-    uint32_t per_upstream;   /* in flight on one upstream */
-    uint32_t eject_failures; /* consecutive, before an upstream rests */
-    uint32_t eject_ms;       /* how long it rests */
-    uint32_t retry_percent;  /* retries allowed, share of requests */
+    UpParams up;
+    uint32_t max_waiting[CFG_CLASSES]; /* requests queued */
+    uint32_t retry_percent;            /* retries allowed, share of requests */
+    uint32_t max_sends;                /* of one request */
     uint64_t seed;
 } RtParams;
 
-/* Why a request was refused.  All of them: not run. */
+/* Why a request was refused.  All of them: not run.  A request that was
+   sent and may have run is never refused but finished. */
 typedef enum {
     RT_REFUSED_FULL,      /* its queue has no room */
     RT_REFUSED_DEADLINE,  /* can't be served in time */
@@ -41,11 +41,12 @@
     const char *base;       /* base model of an adapter, or NULL */
     const char *workspace;
     CfgClass class_;
-    uint32_t priority;
+    uint32_t priority;    /* below FQ_PRIORITIES */
+    uint32_t cost;        /* share of its workspace it uses, at least 1 */
     uint64_t deadline_ms; /* monotonic */
     uint32_t load_ms;     /* expected cold load of the model */
     uint64_t affinity;    /* digest of the prompt's beginning; 0: none */
-    bool once;            /* non-idempotent: never sent a second time */
+    bool once;            /* not sent again once it may have run */
 } RtRequest;
 
 typedef enum {
@@ -56,14 +57,23 @@
     RT_DONE_CANCELLED    /* the caller is gone */
 } RtDone;
 
+/* How one sending ended. */
+typedef struct {
+    RtDone done;
+    bool leaving;        /* the upstream said of itself that it leaves */
+    bool old_connection; /* a pooled one, which tells nothing of it */
+    bool late;           /* cut off by the request's own deadline */
+} RtEnd;
+
 typedef struct {
     void *ctx;
     void (*send)(void *ctx, uint64_t id, const char *upstream,
                  const char *address);
     void (*refuse)(void *ctx, uint64_t id, RtReason reason,
                    uint64_t retry_after_ms);
-    /* A broken request that may not be sent again. */
+    /* It may have run and is not sent again. */
     void (*finish)(void *ctx, uint64_t id);
+    UpProbe probe;
 } RtOutput;
 
 typedef struct RtCore RtCore;
@@ -72,9 +82,12 @@
 void rt_destroy(RtCore *c);
 
 void rt_on_arrive(RtCore *c, uint64_t now_ms, const RtRequest *r);
-/* LEAVING: the upstream said of itself that it leaves. */
-void rt_on_done(RtCore *c, uint64_t now_ms, uint64_t id, RtDone done,
-                bool leaving);
+void rt_on_done(RtCore *c, uint64_t now_ms, uint64_t id, const RtEnd *end);
+/* The caller is gone.  True: the request waited and is dropped without
+   further output; false: it is at an upstream, and rt_on_done will tell. */
+bool rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id);
+void rt_on_probe(RtCore *c, uint64_t now_ms, const char *upstream,
+                 const char *address, bool well);
 void rt_on_residency(RtCore *c, uint64_t now_ms, const Bg__Residency *r);
 void rt_on_want_refused(RtCore *c, uint64_t now_ms, const char *model,
                         uint64_t retry_after_ms);
--- /dev/null
+++ b/src/up.c
@@ -0,0 +1,511 @@
+#include "up.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SHARE_FULL 16u /* of its traffic; the slow return starts at 1 */
+#define BOUND_NUM 5    /* prefix affinity: at most 5/4 of the mean load */
+#define BOUND_DEN 4
+#define LEFT_KEEP_MS (3600u * 1000)
+
+struct Up {
+    char *id;
+    char *deployment;
+    char *data_centre;
+    char *address;
+    bool leaving;       /* one-way for this id and address */
+    bool gone;          /* off the VM list */
+    bool replaced;      /* its id has a new address; not in the set any more */
+    GHashTable *loaded; /* models ready here */
+    uint32_t inflight;  /* ours; holds the object */
+    uint32_t others;    /* everybody else's, at the last report */
+    uint64_t reported_ms;
+    uint32_t failures; /* consecutive */
+    bool ejected;      /* until a probe finds it well */
+    uint64_t next_probe_ms;
+    uint32_t share; /* of SHARE_FULL */
+    uint64_t next_share_ms;
+};
+
+struct UpSet {
+    UpParams params;
+    UpProbe probe;
+    void *ctx;
+    BgRandom rng;
+    GHashTable *ups;         /* id -> Up */
+    GHashTable *holders;     /* model -> GPtrArray of Up */
+    GHashTable *deployments; /* name -> GPtrArray of Up */
+    GHashTable *centres;     /* data centre -> uint64_t newest epoch */
+    /* "id address" of those that left -> when.  A list that lags may name
+       one of them again after its id has moved on. */
+    GHashTable *left;
+};
+
+/* ---- life --------------------------------------------------------------- */
+
+static void
+free_up(Up *u)
+{
+    g_free(u->id);
+    g_free(u->deployment);
+    g_free(u->data_centre);
+    g_free(u->address);
+    g_hash_table_destroy(u->loaded);
+    g_free(u);
+}
+
+static void
+free_up_value(gpointer p)
+{
+    free_up(p);
+}
+
+static void
+free_list(gpointer p)
+{
+    g_ptr_array_free(p, TRUE);
+}
+
+UpSet *
+up_create(const UpParams *params, UpProbe probe, void *ctx)
+{
+    UpSet *s = g_new0(UpSet, 1);
+    s->params = *params;
+    s->params.data_centre = g_strdup(params->data_centre);
+    s->probe = probe;
+    s->ctx = ctx;
+    bg_seed_random(&s->rng, params->seed);
+    s->ups =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_up_value);
+    s->holders =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+    s->deployments =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+    s->centres =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return s;
+}
+
+void
+up_destroy(UpSet *s)
+{
+    if (!s) {
+        return;
+    }
+    g_hash_table_destroy(s->holders);
+    g_hash_table_destroy(s->deployments);
+    g_hash_table_destroy(s->ups);
+    g_hash_table_destroy(s->centres);
+    g_hash_table_destroy(s->left);
+    g_free((char *)s->params.data_centre);
+    g_free(s);
+}
+
+/* ---- indexes ------------------------------------------------------------ */
+
+static void
+add_to_index(GHashTable *index, const char *name, Up *u)
+{
+    GPtrArray *list = g_hash_table_lookup(index, name);
+    if (!list) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(index, g_strdup(name), list);
+    }
+    g_ptr_array_add(list, u);
+}
+
+static void
+remove_from_index(GHashTable *index, const char *name, Up *u)
+{
+    GPtrArray *list = g_hash_table_lookup(index, name);
+    if (list && g_ptr_array_remove_fast(list, u) && list->len == 0) {
+        g_hash_table_remove(index, name);
+    }
+}
+
+static void
+clear_loaded(UpSet *s, Up *u)
+{
+    GHashTableIter it;
+    gpointer name;
+    g_hash_table_iter_init(&it, u->loaded);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        remove_from_index(s->holders, name, u);
+    }
+    g_hash_table_remove_all(u->loaded);
+}
+
+static void
+add_loaded(UpSet *s, Up *u, const char *model)
+{
+    if (g_hash_table_add(u->loaded, g_strdup(model))) {
+        add_to_index(s->holders, model, u);
+    }
+}
+
+void
+up_forget_model(UpSet *s, Up *u, const char *model)
+{
+    if (g_hash_table_remove(u->loaded, model)) {
+        remove_from_index(s->holders, model, u);
+    }
+}
+
+/* ---- leaving ------------------------------------------------------------ */
+
+static char *
+make_left_key(const char *id, const char *address)
+{
+    return g_strconcat(id, " ", address, NULL);
+}
+
+static bool
+has_left(const UpSet *s, const char *id, const char *address)
+{
+    g_autofree char *key = make_left_key(id, address);
+    return g_hash_table_contains(s->left, key);
+}
+
+void
+up_mark_leaving(UpSet *s, Up *u, uint64_t now_ms)
+{
+    uint64_t *when = g_new(uint64_t, 1);
+    *when = now_ms;
+    u->leaving = true;
+    g_hash_table_replace(s->left, make_left_key(u->id, u->address), when);
+}
+
+static gboolean
+is_old_leaver(gpointer key, gpointer value, gpointer ctx)
+{
+    (void)key;
+    return *(uint64_t *)value + LEFT_KEEP_MS < *(uint64_t *)ctx;
+}
+
+/* ---- what the owners say ------------------------------------------------ */
+
+static Up *
+add_up(UpSet *s, const Bg__UpstreamState *state)
+{
+    Up *u = g_new0(Up, 1);
+    u->id = g_strdup(state->upstream);
+    u->deployment = g_strdup(state->deployment);
+    u->data_centre = g_strdup(state->data_centre);
+    u->address = g_strdup(state->address);
+    u->share = SHARE_FULL;
+    u->loaded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    u->leaving = has_left(s, u->id, u->address);
+    g_hash_table_insert(s->ups, u->id, u);
+    add_to_index(s->deployments, u->deployment, u);
+    return u;
+}
+
+/* Take U out of the set; calls under way keep the object alive. */
+static void
+replace_up(UpSet *s, Up *u, uint64_t now_ms)
+{
+    up_mark_leaving(s, u, now_ms);
+    clear_loaded(s, u);
+    remove_from_index(s->deployments, u->deployment, u);
+    g_hash_table_steal(s->ups, u->id);
+    u->replaced = true;
+    if (u->inflight == 0) {
+        free_up(u);
+    }
+}
+
+/* An id that is back under another address is a new upstream: nothing that
+   was known of the old one holds for it. */
+static Up *
+get_up(UpSet *s, uint64_t now_ms, const Bg__UpstreamState *state, bool current)
+{
+    Up *u = g_hash_table_lookup(s->ups, state->upstream);
+    if (u && strcmp(u->address, state->address) != 0) {
+        /* Only the newest owner may move an id, and never back to where it
+           has left from. */
+        if (!current || has_left(s, state->upstream, state->address)) {
+            return NULL;
+        }
+        replace_up(s, u, now_ms);
+        u = NULL;
+    }
+    return u ? u : add_up(s, state);
+}
+
+static void
+take_state(UpSet *s, uint64_t now_ms, const Bg__UpstreamState *state,
+           bool current)
+{
+    Up *u = get_up(s, now_ms, state, current);
+    if (!u) {
+        return;
+    }
+    /* Leaving is one-way: whoever says it first is believed, and a list
+       that lags never brings a leaver back. */
+    if (state->leaving && !u->leaving) {
+        up_mark_leaving(s, u, now_ms);
+    }
+    u->gone = state->gone;
+    if (!state->known || !current) {
+        return;
+    }
+    u->reported_ms = now_ms;
+    u->others = state->reported_inflight > u->inflight
+                    ? state->reported_inflight - u->inflight
+                    : 0;
+    clear_loaded(s, u);
+    for (size_t i = 0; i < state->n_residents; i++) {
+        if (!state->residents[i]->loading) {
+            add_loaded(s, u, state->residents[i]->model);
+        }
+    }
+}
+
+void
+up_on_residency(UpSet *s, uint64_t now_ms, const Bg__Residency *r)
+{
+    uint64_t *newest = g_hash_table_lookup(s->centres, r->data_centre);
+    if (!newest) {
+        newest = g_new0(uint64_t, 1);
+        g_hash_table_insert(s->centres, g_strdup(r->data_centre), newest);
+    }
+    /* An owner that was succeeded may still talk; its residents are old. */
+    bool current = r->epoch >= *newest;
+    *newest = MAX(*newest, r->epoch);
+    for (size_t i = 0; i < r->n_upstreams; i++) {
+        take_state(s, now_ms, r->upstreams[i], current);
+    }
+}
+
+/* ---- ejection, probes, slow return -------------------------------------- */
+
+static void
+note_failure(UpSet *s, Up *u, uint64_t now_ms)
+{
+    u->failures++;
+    if (u->failures >= s->params.eject_failures && !u->ejected) {
+        u->ejected = true;
+        u->next_probe_ms = now_ms + s->params.eject_ms;
+        bg_count("router_ejections_total", 1);
+    }
+}
+
+/* A burst of held-back requests would push a returning upstream over again,
+   so its share of traffic doubles step by step. */
+void
+up_on_probe(UpSet *s, uint64_t now_ms, const char *upstream,
+            const char *address, bool well)
+{
+    Up *u = g_hash_table_lookup(s->ups, upstream);
+    if (!u || !u->ejected || strcmp(u->address, address) != 0 || !well) {
+        return;
+    }
+    u->ejected = false;
+    u->failures = 0;
+    u->share = 1;
+    u->next_share_ms = now_ms + s->params.return_ms;
+    bg_count("router_returns_total", 1);
+}
+
+static void
+step_share(const UpSet *s, Up *u, uint64_t now_ms)
+{
+    while (u->share < SHARE_FULL && now_ms >= u->next_share_ms) {
+        u->share *= 2;
+        u->next_share_ms += s->params.return_ms;
+    }
+}
+
+void
+up_on_tick(UpSet *s, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, s->ups);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        Up *u = p;
+        step_share(s, u, now_ms);
+        if (u->ejected && !u->gone && !u->leaving &&
+            now_ms >= u->next_probe_ms) {
+            u->next_probe_ms = now_ms + s->params.eject_ms;
+            s->probe(s->ctx, u->id, u->address);
+        }
+    }
+    g_hash_table_foreach_remove(s->left, is_old_leaver, &now_ms);
+}
+
+/* ---- calls -------------------------------------------------------------- */
+
+void
+up_start(Up *u)
+{
+    u->inflight++;
+}
+
+void
+up_finish(UpSet *s, Up *u, uint64_t now_ms, UpEnd end)
+{
+    u->inflight--;
+    if (u->replaced) {
+        if (u->inflight == 0) {
+            free_up(u);
+        }
+        return;
+    }
+    if (end == UP_END_GOOD) {
+        u->failures = 0;
+    }
+    else if (end == UP_END_FAILED) {
+        note_failure(s, u, now_ms);
+    }
+}
+
+/* ---- choice ------------------------------------------------------------- */
+
+static bool
+holds(const Up *u, const UpQuery *q)
+{
+    if (u->gone || u->leaving || strcmp(u->deployment, q->deployment) != 0) {
+        return false;
+    }
+    return !q->base || g_hash_table_contains(u->loaded, q->base);
+}
+
+static bool
+is_free(const UpSet *s, const Up *u, const UpQuery *q)
+{
+    return holds(u, q) && !u->ejected &&
+           u->inflight < s->params.per_upstream &&
+           !(q->avoided &&
+             g_ptr_array_find_with_equal_func((GPtrArray *)q->avoided, u->id,
+                                              g_str_equal, NULL));
+}
+
+static uint32_t
+get_load(const Up *u, uint64_t now_ms)
+{
+    bool fresh = now_ms - u->reported_ms <= UP_REPORT_MS;
+    return u->inflight + (fresh ? u->others : 0);
+}
+
+static Up *
+pick_by_affinity(const GPtrArray *list, uint64_t now_ms, uint64_t affinity)
+{
+    uint64_t total = 1;
+    for (guint i = 0; i < list->len; i++) {
+        total += get_load(list->pdata[i], now_ms);
+    }
+    /* Rounded up, so at least one is always below the bound. */
+    uint64_t parts = (uint64_t)list->len * BOUND_DEN;
+    uint64_t bound = (total * BOUND_NUM + parts - 1) / parts;
+    Up *best = NULL;
+    uint64_t best_score = 0;
+    for (guint i = 0; i < list->len; i++) {
+        Up *u = list->pdata[i];
+        uint64_t score = XXH64(u->id, strlen(u->id), affinity);
+        if (get_load(u, now_ms) < bound && (!best || score > best_score)) {
+            best = u;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static Up *
+pick_of_two(UpSet *s, const GPtrArray *list, uint64_t now_ms)
+{
+    Up *a = list->pdata[bg_pick_random(&s->rng, list->len)];
+    Up *b = list->pdata[bg_pick_random(&s->rng, list->len)];
+    return get_load(b, now_ms) < get_load(a, now_ms) ? b : a;
+}
+
+static Up *
+pick(UpSet *s, const GPtrArray *list, uint64_t now_ms, uint64_t affinity)
+{
+    if (list->len == 0) {
+        return NULL;
+    }
+    return affinity ? pick_by_affinity(list, now_ms, affinity)
+                    : pick_of_two(s, list, now_ms);
+}
+
+static const GPtrArray *
+list_holders(const UpSet *s, const UpQuery *q)
+{
+    return q->model ? g_hash_table_lookup(s->holders, q->model)
+                    : g_hash_table_lookup(s->deployments, q->deployment);
+}
+
+Up *
+up_choose(UpSet *s, uint64_t now_ms, const UpQuery *q)
+{
+    const GPtrArray *all = list_holders(s, q);
+    g_autoptr(GPtrArray) near = g_ptr_array_new();
+    g_autoptr(GPtrArray) far = g_ptr_array_new();
+    g_autoptr(GPtrArray) returning = g_ptr_array_new();
+    for (guint i = 0; all && i < all->len; i++) {
+        Up *u = all->pdata[i];
+        if (!is_free(s, u, q)) {
+            continue;
+        }
+        bool here = strcmp(u->data_centre, s->params.data_centre) == 0;
+        bool now = u->share >= SHARE_FULL ||
+                   bg_pick_random(&s->rng, SHARE_FULL) < u->share;
+        g_ptr_array_add(!now ? returning : here ? near : far, u);
+    }
+    Up *u = pick(s, near, now_ms, q->affinity);
+    if (!u) {
+        u = pick(s, far, now_ms, q->affinity);
+    }
+    return u ? u : pick(s, returning, now_ms, q->affinity);
+}
+
+uint32_t
+up_count_slots(const UpSet *s, const UpQuery *q)
+{
+    const GPtrArray *all = list_holders(s, q);
+    uint32_t slots = 0;
+    for (guint i = 0; all && i < all->len; i++) {
+        if (holds(all->pdata[i], q)) {
+            slots += s->params.per_upstream;
+        }
+    }
+    return slots;
+}
+
+/* ---- state -------------------------------------------------------------- */
+
+const char *
+up_get_id(const Up *u)
+{
+    return u->id;
+}
+
+const char *
+up_get_address(const Up *u)
+{
+    return u->address;
+}
+
+json_t *
+up_dump(const UpSet *s)
+{
+    json_t *list = json_array();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, s->ups);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const Up *u = p;
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:i, s:i, s:i, s:i}",
+                      "id", u->id, "data_centre", u->data_centre, "address",
+                      u->address, "leaving", u->leaving, "gone", u->gone,
+                      "ejected", u->ejected, "share", (int)u->share,
+                      "inflight", (int)u->inflight, "others", (int)u->others,
+                      "loaded", (int)g_hash_table_size(u->loaded)));
+    }
+    return list;
+}
