Whole answers: resumed streams, short and crossed answers, cancels

Sends that left no byte no longer use up max_sends: a dead upstream ate all four within 1.3 s (trial).

--- a/src/req.c
+++ b/src/req.c
@@ -778,7 +778,7 @@
     a->end.done = classify(q, &a->res);
     a->end.leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
     a->end.late = a->res.end == HC_TIMEOUT && get_left(q) <= 1;
-    a->end.old_connection = a->res.reused;
+    a->end.old_connection = a->res.reused && a->res.status == 0;
     if (a->res.end == HC_TIMEOUT && !a->end.late) {
         note_silence(q->desk, t->address);
     }
--- a/src/rt.c
+++ b/src/rt.c
@@ -12,6 +12,7 @@
 #define RETRY_CREDIT_MAX 100 /* retries that may be saved up */
 #define RETRY_JITTER_MS 10   /* doubles with each sending */
 #define SAME_UPSTREAM_MS 200
+#define MAX_BACKOFF_STEPS 5
 #define NO_UPSTREAM_WAIT_MS 1000
 #define EWMA_WEIGHT 4 /* a new sample counts for a quarter */
 #define USED_LATELY_MS 1000
@@ -25,6 +26,7 @@
     GList *retry_link; /* in target->retrying afterwards */
     Up *at;            /* where it runs, or NULL while it waits */
     GPtrArray *tried;  /* upstream ids, owned */
+    uint32_t sends;    /* that reached an upstream */
     bool may_have_run; /* then it is never refused as not run */
     uint64_t arrived_ms;
     uint64_t sent_ms;
@@ -496,19 +498,19 @@
 static void
 try_again(RtCore *c, Request *q, uint64_t now_ms)
 {
-    if (q->tried->len >= c->params.max_sends || c->retry_credit < RETRY_COST ||
+    if (q->sends >= c->params.max_sends || c->retry_credit < RETRY_COST ||
         now_ms >= q->r.deadline_ms) {
         refuse(c, q, RT_REFUSED_UPSTREAM, 0);
         return;
     }
     c->retry_credit -= RETRY_COST;
     bg_count("router_retries_total", 1);
-    uint32_t sends = MIN(q->tried->len, 8);
+    uint32_t tries = MIN(q->tried->len, MAX_BACKOFF_STEPS);
     q->not_before_ms =
-        now_ms + bg_pick_random(&c->rng, RETRY_JITTER_MS << sends);
+        now_ms + bg_pick_random(&c->rng, RETRY_JITTER_MS << tries);
     q->same_after_ms =
         now_ms + SAME_UPSTREAM_MS +
-        bg_pick_random(&c->rng, SAME_UPSTREAM_MS << (sends - 1));
+        bg_pick_random(&c->rng, SAME_UPSTREAM_MS << (tries - 1));
     q->latest_ms = q->r.deadline_ms;
     enqueue_retry(c, q);
 }
@@ -534,6 +536,7 @@
     q->at = NULL;
     t->inflight--;
     g_ptr_array_add(q->tried, g_strdup(up_get_id(u)));
+    q->sends += end->done != RT_DONE_NOT_SENT;
     if (end->leaving) {
         up_mark_leaving(c->ups, u, now_ms);
     }
--- a/src/rt.h
+++ b/src/rt.h
@@ -18,7 +18,7 @@
     UpParams up;
     uint32_t max_waiting[CFG_CLASSES]; /* requests queued */
     uint32_t retry_percent;            /* retries allowed, share of requests */
-    uint32_t max_sends;                /* of one request */
+    uint32_t max_sends; /* of one request that reach an upstream */
     uint64_t seed;
 } RtParams;
 
@@ -61,7 +61,8 @@
 typedef struct {
     RtDone done;
     bool leaving;        /* the upstream said of itself that it leaves */
-    bool old_connection; /* a pooled one, which tells nothing of it */
+    bool old_connection; /* a pooled one gave no answer: it may be dead and
+                            the upstream well */
     bool late;           /* cut off by the request's own deadline */
 } RtEnd;
 
--- a/src/watch.c
+++ b/src/watch.c
@@ -32,7 +32,7 @@
 static bool
 is_socket_of(int fd, const struct mg_request_info *info)
 {
-    struct sockaddr_in addr;
+    struct sockaddr_in addr = {0};
     char text[INET_ADDRSTRLEN];
     return has_port(fd, true, info->remote_port, &addr) &&
            inet_ntop(AF_INET, &addr.sin_addr, text, sizeof(text)) &&
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -14,14 +14,18 @@
 GET  /control/report (--report-lag-ms old).
 GET  /control/audit: the truth at this moment, for tests.
 GET  /control/cache_events?from=N: late and with gaps.
-PUT  /test/faults {stall_loads, fail_loads, cut_stream_after, silent,
-     leaving, token_ms, refuse_new}.
+PUT  /test/faults {stall_loads, fail_loads, cut_stream_after, cut_streams,
+     short_answers, cross_answers, silent, leaving, token_ms, refuse_new}.
+     cut_streams: how many streams are cut; short_answers: how many answers
+     end before their Content-Length; cross_answers: how many carry the
+     previous call's answer and X-Attempt-Id.
 """
 
 import hashlib
 import json
 import os
 import random
+import socket
 import threading
 import time
 import urllib.request
@@ -29,6 +33,10 @@
 import standin
 
 
+class Cancelled(Exception):
+    """The caller closed its connection before it had its answer."""
+
+
 class Engine:
     def __init__(self, args):
         self.args = args
@@ -41,12 +49,16 @@
         self.inflight = 0
         self.in_use = {}
         self.audit = {"loads": {}, "peak_mb": 0, "overcommits": 0,
-                      "runs": {}, "orders": [], "stale_orders": 0}
+                      "runs": {}, "orders": [], "stale_orders": 0,
+                      "cancels": 0, "attempts": []}
+        self.previous = None
         self.reports = []
         self.events = []
         self.rng = random.Random(args.seed)
         self.faults = {"stall_loads": False, "fail_loads": 0,
-                       "cut_stream_after": 0, "silent": False,
+                       "cut_stream_after": 0, "cut_streams": 1,
+                       "short_answers": 0, "cross_answers": 0,
+                       "silent": False,
                        "leaving": False, "token_ms": args.token_ms,
                        "refuse_new": False}
         self.role = "any"
@@ -194,6 +206,7 @@
             self.in_use[name] = self.in_use.get(name, 0) + 1
             mark = h.headers.get("X-Request-Id", "")
             self.audit["runs"][mark] = self.audit["runs"].get(mark, 0) + 1
+            self.audit["attempts"].append(h.headers.get("X-Attempt-Id"))
         try:
             if self.args.die_word in prompt:
                 os._exit(1)
@@ -202,17 +215,53 @@
             if doc.get("stream"):
                 return self.stream(h, name, tokens, start, chat)
             for _ in tokens:
-                self.wait_token()
-            return h.reply(200, self.make_answer(name, tokens, chat))
+                self.wait_token(h)
+            return self.answer(h, self.make_answer(name, tokens, chat))
+        except Cancelled:
+            with self.lock:
+                self.audit["cancels"] += 1
+            h.close_connection = True
+            return None
         finally:
             with self.lock:
                 self.inflight -= 1
                 self.in_use[name] -= 1
 
-    def wait_token(self):
+    def wait_token(self, h):
+        """Raises Cancelled once the caller has closed its connection."""
         time.sleep(self.faults["token_ms"] / 1000)
+        self.check_caller(h)
         while self.faults["silent"]:
             time.sleep(0.05)
+            self.check_caller(h)
+
+    @staticmethod
+    def check_caller(h):
+        try:
+            if h.connection.recv(1, socket.MSG_PEEK |
+                                 socket.MSG_DONTWAIT) == b"":
+                raise Cancelled
+        except BlockingIOError:
+            pass
+        except OSError as e:
+            raise Cancelled from e
+
+    def take_fault(self, name):
+        """True as often as the fault says."""
+        with self.lock:
+            if self.faults[name] <= 0:
+                return False
+            self.faults[name] -= 1
+            return True
+
+    def answer(self, h, doc):
+        own = (h.headers.get("X-Attempt-Id", ""), doc)
+        crossed = self.previous if self.take_fault("cross_answers") else None
+        attempt, doc = crossed or own
+        self.previous = own
+        if self.take_fault("short_answers"):
+            return h.reply_short(200, doc)
+        return h.reply(200, doc, {"X-Attempt-Id": attempt})
 
     @staticmethod
     def make_answer(name, tokens, chat):
@@ -226,14 +275,13 @@
                 "usage": {"completion_tokens": len(tokens)}}
 
     def stream(self, h, name, tokens, start, chat):
-        h.start_stream()
+        h.start_stream({"X-Attempt-Id": h.headers.get("X-Attempt-Id", "")})
         for i, token in enumerate(tokens):
             if i < start:
                 continue
-            self.wait_token()
+            self.wait_token(h)
             cut = self.faults["cut_stream_after"]
-            if cut and i >= cut:
-                self.faults["cut_stream_after"] = 0
+            if cut and i >= cut and self.take_fault("cut_streams"):
                 h.close_connection = True
                 h.connection.shutdown(2)
                 return None
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -1,7 +1,8 @@
 """Stand-in for a plain service: runs every request it gets and counts
 each run by X-Run-Id, the caller's own mark.
 
-PUT /test/faults takes {"delay_ms", "drop_answers", "die_after_run"}.
+PUT /test/faults takes {"delay_ms", "drop_answers", "short_answers",
+"die_after_run"}.
 GET /test/runs -> {mark: runs}.
 """
 
@@ -19,6 +20,7 @@
         self.runs = {}
         self.leaving = False
         self.faults = {"delay_ms": 0, "drop_answers": 0,
+                       "short_answers": 0,
                        "die_after_run": False}
 
     def run(self, h, path, body):
@@ -37,6 +39,9 @@
             h.close_connection = True
             h.connection.close()
             return None
+        if self.faults["short_answers"] > 0:
+            self.faults["short_answers"] -= 1
+            return h.reply_short(200, {"mark": mark, "runs": count})
         return h.reply(200, {"mark": mark, "runs": count, "path": path,
                              "echo": body.decode("utf-8", "replace")})
 
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -47,6 +47,17 @@
         self.end_headers()
         self.wfile.write(data)
 
+    def reply_short(self, status, doc):
+        """Half of the answer, under the whole one's Content-Length."""
+        data = json.dumps(doc).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data[:len(data) // 2])
+        self.wfile.flush()
+        self.close_connection = True
+
     def start_stream(self, headers=None):
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
