--- a/src/req.c
+++ b/src/req.c
@@ -772,13 +772,21 @@
     return MIN(left_ms, q->stream ? l->first_byte_ms : l->answer_ms);
 }
 
+/* A pooled connection that gave no answer, or one that fell silent within
+   it, may be dead while the upstream is well. */
+static bool
+is_connection_at_fault(const HcResult *res)
+{
+    return res->status == 0 ? res->reused : res->end == HC_TIMEOUT;
+}
+
 static void
 judge_attempt(Req *q, const Ticket *t, Attempt *a)
 {
     a->end.done = classify(q, &a->res);
     a->end.leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
     a->end.late = a->res.end == HC_TIMEOUT && get_left(q) <= 1;
-    a->end.old_connection = a->res.reused && a->res.status == 0;
+    a->end.silent_connection = is_connection_at_fault(&a->res);
     if (a->res.end == HC_TIMEOUT && !a->end.late) {
         note_silence(q->desk, t->address);
     }
--- a/src/rt.c
+++ b/src/rt.c
@@ -522,10 +522,11 @@
     if (end->done == RT_DONE_OK) {
         return UP_END_GOOD;
     }
-    /* A pooled connection may have gone silent while the upstream is well;
+    /* An open connection may have gone silent while the upstream is well;
        only a fresh one tells. */
-    return failed && !end->old_connection && !end->late ? UP_END_FAILED
-                                                        : UP_END_SAID_NOTHING;
+    return failed && !end->silent_connection && !end->late
+               ? UP_END_FAILED
+               : UP_END_SAID_NOTHING;
 }
 
 static void
--- a/src/rt.h
+++ b/src/rt.h
@@ -60,10 +60,9 @@
 /* How one sending ended. */
 typedef struct {
     RtDone done;
-    bool leaving;        /* the upstream said of itself that it leaves */
-    bool old_connection; /* a pooled one gave no answer: it may be dead and
-                            the upstream well */
-    bool late;           /* cut off by the request's own deadline */
+    bool leaving;           /* the upstream said of itself that it leaves */
+    bool silent_connection; /* it may be dead and the upstream well */
+    bool late;              /* cut off by the request's own deadline */
 } RtEnd;
 
 typedef struct {
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -50,7 +50,7 @@
         self.in_use = {}
         self.audit = {"loads": {}, "peak_mb": 0, "overcommits": 0,
                       "runs": {}, "orders": [], "stale_orders": 0,
-                      "cancels": 0, "attempts": []}
+                      "cancels": 0, "attempts": [], "turned_away": 0}
         self.previous = None
         self.reports = []
         self.events = []
@@ -197,6 +197,7 @@
         prompt = self.read_prompt(doc)
         with self.lock:
             if self.faults["leaving"] and self.faults["refuse_new"]:
+                self.audit["turned_away"] += 1
                 return h.reply(503, {"error": "leaving", "run": False},
                                {"X-Upstream-State": "leaving"})
             if not self.is_loaded(name):
