--- a/src/hc.c
+++ b/src/hc.c
@@ -290,6 +290,9 @@
 static HcEnd
 run_call(HcClient *c, Call *call)
 {
+    if (check_limits(call) == HC_CANCELLED) {
+        return HC_CANCELLED;
+    }
     for (;;) {
         int running = 0;
         curl_multi_perform(c->multi, &running);
--- a/src/pl.c
+++ b/src/pl.c
@@ -1161,8 +1161,10 @@
         g_hash_table_insert(c->upstreams, u->id, u);
     }
     if (g_strcmp0(u->address, vm->address) != 0) {
+        /* An id that is back under another address is a new upstream. */
         g_free(u->address);
         u->address = g_strdup(vm->address);
+        u->leaving = false;
         u->dirty = true;
     }
     const CfgUpstreams *group = cfg_find_upstreams(cfg, vm->deployment);
