--- a/src/req.c
+++ b/src/req.c
@@ -819,7 +819,10 @@
                      .idle_ms = l->idle_ms,
                      .max_idle_ms = l->pool_idle_ms,
                      .fresh = q->service != NULL,
-                     .renew = was_silent(q->desk, t->address),
+                     /* Nothing is heard of a whole generation before its
+                        end: a forgotten connection would eat the deadline,
+                        and a new one costs little beside the generation. */
+                     .renew = !q->stream || was_silent(q->desk, t->address),
                      .attempt_id = attempt_id,
                      .on_head = take_stream_head,
                      .on_data = NULL,
--- a/src/rt.c
+++ b/src/rt.c
@@ -47,6 +47,7 @@
     uint32_t inflight;
     uint32_t load_ms;       /* measured, at first the template's */
     uint32_t run_ms;        /* one call, measured; 0: not yet */
+    uint32_t run_spread_ms; /* its mean deviation */
     uint64_t cold_since_ms; /* wanted and not loaded; 0: no */
     uint64_t last_used_ms;
     uint64_t ghost_until_ms; /* wanted although nobody waits any more */
@@ -190,6 +191,22 @@
     }
 }
 
+static void
+note_run(Target *t, uint64_t run_ms)
+{
+    uint64_t old_ms = t->run_ms ? t->run_ms : run_ms;
+    uint64_t off_ms = run_ms > old_ms ? run_ms - old_ms : old_ms - run_ms;
+    t->run_spread_ms = average(t->run_spread_ms, off_ms);
+    t->run_ms = average((uint32_t)old_ms, run_ms);
+}
+
+/* What a call seldom takes longer than. */
+static uint32_t
+get_long_run(const Target *t)
+{
+    return t->run_ms + 2 * t->run_spread_ms;
+}
+
 /* The time of a want that was given up on would be no measure of a load. */
 static void
 note_cold(Target *t, uint64_t now_ms)
@@ -437,7 +454,7 @@
     uint64_t left_ms = q->r.deadline_ms > q->arrived_ms
                            ? q->r.deadline_ms - q->arrived_ms
                            : 0;
-    q->latest_ms = q->r.deadline_ms - MIN(t->run_ms, left_ms / 2);
+    q->latest_ms = q->r.deadline_ms - MIN(get_long_run(t), left_ms / 2);
     if (t->service && count_slots(c, t) == 0) {
         q->latest_ms = MIN(q->latest_ms, q->arrived_ms + NO_UPSTREAM_WAIT_MS);
     }
@@ -559,8 +576,7 @@
     t->last_used_ms = now_ms;
     switch (end->done) {
     case RT_DONE_OK:
-        t->run_ms = t->run_ms ? average(t->run_ms, now_ms - q->sent_ms)
-                              : (uint32_t)(now_ms - q->sent_ms);
+        note_run(t, now_ms - q->sent_ms);
         drop_request(c, q);
         break;
     case RT_DONE_CANCELLED:
@@ -572,6 +588,9 @@
         break;
     case RT_DONE_BROKEN:
         q->may_have_run = true;
+        if (end->late) {
+            note_run(t, now_ms - q->sent_ms); /* it takes no less */
+        }
         if (q->r.once) {
             finish(c, q);
         }
--- a/src/up.c
+++ b/src/up.c
@@ -168,13 +168,19 @@
     return g_hash_table_contains(s->left, key);
 }
 
-void
-up_mark_leaving(UpSet *s, Up *u, uint64_t now_ms)
+static void
+note_left(UpSet *s, const char *id, const char *address, uint64_t now_ms)
 {
     uint64_t *when = g_new(uint64_t, 1);
     *when = now_ms;
+    g_hash_table_replace(s->left, make_left_key(id, address), when);
+}
+
+void
+up_mark_leaving(UpSet *s, Up *u, uint64_t now_ms)
+{
     u->leaving = true;
-    g_hash_table_replace(s->left, make_left_key(u->id, u->address), when);
+    note_left(s, u->id, u->address, now_ms);
 }
 
 static gboolean
@@ -238,15 +244,17 @@
 take_state(UpSet *s, uint64_t now_ms, const Bg__UpstreamState *state,
            bool current)
 {
+    /* Leaving is one-way: whoever says it first is believed, also of an
+       address that the id does not have yet, and a list that lags never
+       brings a leaver back. */
+    if (state->leaving) {
+        note_left(s, state->upstream, state->address, now_ms);
+    }
     Up *u = get_up(s, now_ms, state, current);
     if (!u) {
         return;
     }
-    /* Leaving is one-way: whoever says it first is believed, and a list
-       that lags never brings a leaver back. */
-    if (state->leaving && !u->leaving) {
-        up_mark_leaving(s, u, now_ms);
-    }
+    u->leaving = u->leaving || state->leaving;
     u->gone = state->gone;
     if (!state->known || !current) {
         return;
