Limits of a workspace hold over all routers

lim: each router has a home share of each limit (limit / routers); shares move by loans with a lease, which lender and borrower count from opposite ends, so messages may be lost, doubled or late. Routers are linked with each other for it. Weighed: a central allocator in the owner placer (its loss would stop the shares from moving and adds a hop); one bucket per router of the whole limit (14 times the limit).

A bucket holds two seconds: with one, the burst of 200 calls in test_path.py at a limit of 200 a second was refused in part (seen).

--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &bg__want_refused__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__limit_ask__init
+                     (Bg__LimitAsk         *message)
+{
+  static const Bg__LimitAsk init_value = BG__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t bg__limit_ask__get_packed_size
+                     (const Bg__LimitAsk *message)
+{
+  assert(message->base.descriptor == &bg__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__limit_ask__pack
+                     (const Bg__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__limit_ask__pack_to_buffer
+                     (const Bg__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__LimitAsk *
+       bg__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__LimitAsk *)
+     protobuf_c_message_unpack (&bg__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   bg__limit_ask__free_unpacked
+                     (Bg__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__limit_loan__init
+                     (Bg__LimitLoan         *message)
+{
+  static const Bg__LimitLoan init_value = BG__LIMIT_LOAN__INIT;
+  *message = init_value;
+}
+size_t bg__limit_loan__get_packed_size
+                     (const Bg__LimitLoan *message)
+{
+  assert(message->base.descriptor == &bg__limit_loan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__limit_loan__pack
+                     (const Bg__LimitLoan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__limit_loan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__limit_loan__pack_to_buffer
+                     (const Bg__LimitLoan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__limit_loan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__LimitLoan *
+       bg__limit_loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__LimitLoan *)
+     protobuf_c_message_unpack (&bg__limit_loan__descriptor,
+                                allocator, len, data);
+}
+void   bg__limit_loan__free_unpacked
+                     (Bg__LimitLoan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__limit_loan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__frame__init
                      (Bg__Frame         *message)
 {
@@ -2739,7 +2829,161 @@
   (ProtobufCMessageInit) bg__want_refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__frame__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__limit_ask__field_descriptors[4] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitAsk, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "amount",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitAsk, amount),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitAsk, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__limit_ask__field_indices_by_name[] = {
+  2,   /* field[2] = amount */
+  3,   /* field[3] = ask_id */
+  1,   /* field[1] = kind */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange bg__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bg__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.LimitAsk",
+  "LimitAsk",
+  "Bg__LimitAsk",
+  "bg",
+  sizeof(Bg__LimitAsk),
+  4,
+  bg__limit_ask__field_descriptors,
+  bg__limit_ask__field_indices_by_name,
+  1,  bg__limit_ask__number_ranges,
+  (ProtobufCMessageInit) bg__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__limit_loan__field_descriptors[4] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitLoan, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitLoan, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "amount",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitLoan, amount),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__LimitLoan, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__limit_loan__field_indices_by_name[] = {
+  2,   /* field[2] = amount */
+  3,   /* field[3] = ask_id */
+  1,   /* field[1] = kind */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange bg__limit_loan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bg__limit_loan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.LimitLoan",
+  "LimitLoan",
+  "Bg__LimitLoan",
+  "bg",
+  sizeof(Bg__LimitLoan),
+  4,
+  bg__limit_loan__field_descriptors,
+  bg__limit_loan__field_indices_by_name,
+  1,  bg__limit_loan__number_ranges,
+  (ProtobufCMessageInit) bg__limit_loan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__frame__field_descriptors[7] =
 {
   {
     "hello",
@@ -2801,18 +3045,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, limit_ask),
+    &bg__limit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_loan",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, limit_loan),
+    &bg__limit_loan__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__frame__field_indices_by_name[] = {
   2,   /* field[2] = demand */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  5,   /* field[5] = limit_ask */
+  6,   /* field[6] = limit_loan */
   3,   /* field[3] = residency */
   4,   /* field[4] = want_refused */
 };
-static const ProtobufCIntRange bg__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 20, 5 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bg__frame__descriptor =
 {
@@ -2822,10 +3093,10 @@
   "Bg__Frame",
   "bg",
   sizeof(Bg__Frame),
-  5,
+  7,
   bg__frame__field_descriptors,
   bg__frame__field_indices_by_name,
-  1,  bg__frame__number_ranges,
+  2,  bg__frame__number_ranges,
   (ProtobufCMessageInit) bg__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Bg__Demand Bg__Demand;
 typedef struct Bg__Heartbeat Bg__Heartbeat;
 typedef struct Bg__WantRefused Bg__WantRefused;
+typedef struct Bg__LimitAsk Bg__LimitAsk;
+typedef struct Bg__LimitLoan Bg__LimitLoan;
 typedef struct Bg__Frame Bg__Frame;
 
 
@@ -397,13 +399,48 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A router asks the others for a part of a limit, in thousandths; kind is
+ * a LimKind.
+ */
+struct  Bg__LimitAsk
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t kind;
+  uint64_t amount;
+  uint64_t ask_id;
+};
+#define BG__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__limit_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * The answer: lent for a lease that began when ask_id was sent.
+ */
+struct  Bg__LimitLoan
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t kind;
+  uint64_t amount;
+  uint64_t ask_id;
+};
+#define BG__LIMIT_LOAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__limit_loan__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 typedef enum {
   BG__FRAME__BODY__NOT_SET = 0,
   BG__FRAME__BODY_HELLO = 1,
   BG__FRAME__BODY_HEARTBEAT = 2,
   BG__FRAME__BODY_DEMAND = 3,
   BG__FRAME__BODY_RESIDENCY = 4,
-  BG__FRAME__BODY_WANT_REFUSED = 5
+  BG__FRAME__BODY_WANT_REFUSED = 5,
+  BG__FRAME__BODY_LIMIT_ASK = 20,
+  BG__FRAME__BODY_LIMIT_LOAN = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__FRAME__BODY__CASE)
 } Bg__Frame__BodyCase;
 
@@ -417,6 +454,8 @@
     Bg__Demand *demand;
     Bg__Residency *residency;
     Bg__WantRefused *want_refused;
+    Bg__LimitAsk *limit_ask;
+    Bg__LimitLoan *limit_loan;
   };
 };
 #define BG__FRAME__INIT \
@@ -804,6 +843,44 @@
 void   bg__want_refused__free_unpacked
                      (Bg__WantRefused *message,
                       ProtobufCAllocator *allocator);
+/* Bg__LimitAsk methods */
+void   bg__limit_ask__init
+                     (Bg__LimitAsk         *message);
+size_t bg__limit_ask__get_packed_size
+                     (const Bg__LimitAsk   *message);
+size_t bg__limit_ask__pack
+                     (const Bg__LimitAsk   *message,
+                      uint8_t             *out);
+size_t bg__limit_ask__pack_to_buffer
+                     (const Bg__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__LimitAsk *
+       bg__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__limit_ask__free_unpacked
+                     (Bg__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__LimitLoan methods */
+void   bg__limit_loan__init
+                     (Bg__LimitLoan         *message);
+size_t bg__limit_loan__get_packed_size
+                     (const Bg__LimitLoan   *message);
+size_t bg__limit_loan__pack
+                     (const Bg__LimitLoan   *message,
+                      uint8_t             *out);
+size_t bg__limit_loan__pack_to_buffer
+                     (const Bg__LimitLoan   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__LimitLoan *
+       bg__limit_loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__limit_loan__free_unpacked
+                     (Bg__LimitLoan *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__Frame methods */
 void   bg__frame__init
                      (Bg__Frame         *message);
@@ -885,6 +962,12 @@
 typedef void (*Bg__WantRefused_Closure)
                  (const Bg__WantRefused *message,
                   void *closure_data);
+typedef void (*Bg__LimitAsk_Closure)
+                 (const Bg__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Bg__LimitLoan_Closure)
+                 (const Bg__LimitLoan *message,
+                  void *closure_data);
 typedef void (*Bg__Frame_Closure)
                  (const Bg__Frame *message,
                   void *closure_data);
@@ -915,6 +998,8 @@
 extern const ProtobufCMessageDescriptor bg__demand__descriptor;
 extern const ProtobufCMessageDescriptor bg__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor bg__want_refused__descriptor;
+extern const ProtobufCMessageDescriptor bg__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor bg__limit_loan__descriptor;
 extern const ProtobufCMessageDescriptor bg__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -33,6 +33,10 @@
      "retries allowed for each hundred requests"},
     {"router", "max_sends", INI_INT, false, "4", 1, 100, NULL,
      "times that one request is sent at most"},
+    {"router", "routers", INI_INT, false, "1", 1, 100000, NULL,
+     "routers of the whole system, which share every limit"},
+    {"router", "limit_lease_ms", INI_INT, false, "5000", 100, 3600000, NULL,
+     "how long a part of a limit is lent to another router"},
     {"router", "connect_ms", INI_INT, false, "300", 10, 60000, NULL,
      "to connect to an upstream"},
     {"router", "first_byte_ms", INI_INT, false, "5000", 50, 3600000, NULL,
@@ -56,8 +60,10 @@
     Node *node;
     RtCore *core;
     ReqDesk *desk;
-    Ring *probes; /* Probe, to the probe thread */
-    Ring *probed; /* Probe, back from it */
+    Lim *lim;
+    GHashTable *linked; /* names of routers with a link */
+    Ring *probes;       /* Probe, to the probe thread */
+    Ring *probed;       /* Probe, back from it */
     pthread_t probe_thread;
     atomic_bool stopping;
     uint64_t next_demand_ms;
@@ -154,6 +160,24 @@
     }
 }
 
+static void
+output_ask(void *ctx, const Bg__LimitAsk *ask)
+{
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_LIMIT_ASK;
+    frame.limit_ask = (Bg__LimitAsk *)ask;
+    node_send(((Router *)ctx)->node, NULL, NULL, "router", &frame);
+}
+
+static void
+output_lend(void *ctx, const char *to, const Bg__LimitLoan *loan)
+{
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_LIMIT_LOAN;
+    frame.limit_loan = (Bg__LimitLoan *)loan;
+    node_send(((Router *)ctx)->node, to, NULL, "router", &frame);
+}
+
 static uint32_t
 get_setting(const IniFile *f, const char *key)
 {
@@ -182,7 +206,12 @@
         .seed = bg_now_us()};
     RtOutput out = {r, output_send, output_refuse, output_finish,
                     output_probe};
-    r->desk = req_create_desk(n);
+    LimParams limits = {get_setting(f, "routers"),
+                        get_setting(f, "limit_lease_ms")};
+    LimOutput limit_out = {r, output_ask, output_lend};
+    r->lim = lim_create(&limits, &limit_out, bg_now_ms());
+    r->linked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->desk = req_create_desk(n, r->lim);
     r->core = rt_create(&params, &out);
     r->probes = ring_create(PROBE_RING);
     r->probed = ring_create(PROBE_RING);
@@ -200,38 +229,58 @@
     ring_destroy(r->probed, free_probe);
     rt_destroy(r->core);
     req_destroy_desk(r->desk);
+    lim_destroy(r->lim);
+    g_hash_table_destroy(r->linked);
 }
 
 static void
 on_config(void *ctx, uint64_t now_ms, const CfgSet *cfg)
 {
     (void)now_ms;
-    (void)cfg;
-    ((Router *)ctx)->configured = true;
+    Router *r = ctx;
+    lim_on_config(r->lim, cfg);
+    r->configured = true;
 }
 
 static void
 on_frame(void *ctx, uint64_t now_ms, const PeerInfo *from,
          const Bg__Frame *frame)
 {
-    (void)from;
     Router *r = ctx;
-    if (frame->body_case == BG__FRAME__BODY_RESIDENCY) {
+    switch (frame->body_case) {
+    case BG__FRAME__BODY_RESIDENCY:
         rt_on_residency(r->core, now_ms, frame->residency);
-    }
-    else if (frame->body_case == BG__FRAME__BODY_WANT_REFUSED) {
+        break;
+    case BG__FRAME__BODY_WANT_REFUSED:
         rt_on_want_refused(r->core, now_ms, frame->want_refused->model,
                            frame->want_refused->retry_after_ms);
+        break;
+    case BG__FRAME__BODY_LIMIT_ASK:
+        lim_on_ask(r->lim, now_ms, from->node, frame->limit_ask);
+        break;
+    case BG__FRAME__BODY_LIMIT_LOAN:
+        lim_on_loan(r->lim, now_ms, from->node, frame->limit_loan);
+        break;
+    default:
+        break;
     }
 }
 
 static void
 on_link(void *ctx, uint64_t now_ms, const PeerInfo *peer, bool up)
 {
-    (void)ctx;
     (void)now_ms;
-    (void)peer;
-    (void)up;
+    Router *r = ctx;
+    if (strcmp(peer->role, "router") != 0) {
+        return;
+    }
+    if (up) {
+        g_hash_table_add(r->linked, g_strdup(peer->node));
+    }
+    else {
+        g_hash_table_remove(r->linked, peer->node);
+    }
+    lim_on_peers(r->lim, g_hash_table_size(r->linked));
 }
 
 static void
--- a/src/req.c
+++ b/src/req.c
@@ -51,6 +51,7 @@
     RtRequest request; /* ARRIVE; text is borrowed from that thread, which
                           waits for the decision and so outlives it */
     RtEnd end;         /* DONE */
+    uint32_t used;     /* DONE: tokens made */
 } ReqEvent;
 
 /* Limits of one call to an upstream. */
@@ -65,6 +66,8 @@
 struct ReqDesk {
     Node *node;
     GHashTable *tickets; /* id -> Ticket; core thread only */
+    GHashTable *holds;   /* id -> Hold; core thread only */
+    Lim *lim;            /* core thread only */
     atomic_uint_fast64_t next_id;
     atomic_uint inside;
     uint32_t most_inside;            /* beyond it a thread only refuses */
@@ -75,6 +78,21 @@
     GQueue pool; /* idle HcClient */
 };
 
+/* What an admitted request holds of its workspace's limits. */
+typedef struct {
+    uint64_t id;
+    char *workspace;
+    uint32_t tokens;
+    uint64_t start_ms;
+} Hold;
+
+static void
+free_hold(gpointer p)
+{
+    g_free(((Hold *)p)->workspace);
+    g_free(p);
+}
+
 static CallLimits
 read_limits(const IniFile *f)
 {
@@ -88,7 +106,7 @@
 }
 
 ReqDesk *
-req_create_desk(Node *n)
+req_create_desk(Node *n, Lim *limits)
 {
     ReqDesk *d = g_new0(ReqDesk, 1);
     d->node = n;
@@ -98,6 +116,9 @@
         (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
     /* Some threads stay free to refuse and to answer the balancer. */
     d->most_inside = threads - MAX(threads / 8, 2);
+    d->lim = limits;
+    d->holds =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_hold);
     d->limits = read_limits(node_get_settings(n));
     d->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pthread_mutex_init(&d->pool_lock, NULL);
@@ -112,6 +133,7 @@
     pthread_mutex_destroy(&d->pool_lock);
     g_hash_table_destroy(d->tickets);
     g_hash_table_destroy(d->silent);
+    g_hash_table_destroy(d->holds);
     g_free(d);
 }
 
@@ -172,6 +194,36 @@
 
 /* ---- core thread -------------------------------------------------------- */
 
+/* Hold what the request may use; false: over a limit. */
+static bool
+take_hold(ReqDesk *d, uint64_t now_ms, const RtRequest *r,
+          uint64_t *retry_after_ms)
+{
+    uint32_t tokens = r->model ? r->cost : 0;
+    if (!lim_take(d->lim, now_ms, r->workspace, tokens, retry_after_ms)) {
+        return false;
+    }
+    Hold *h = g_new0(Hold, 1);
+    h->id = r->id;
+    h->workspace = g_strdup(r->workspace);
+    h->tokens = tokens;
+    h->start_ms = now_ms;
+    g_hash_table_replace(d->holds, &h->id, h);
+    return true;
+}
+
+static void
+give_hold(ReqDesk *d, uint64_t id, uint32_t used)
+{
+    const Hold *h = g_hash_table_lookup(d->holds, &id);
+    if (h) {
+        uint64_t now_ms = bg_now_ms();
+        lim_give(d->lim, now_ms, h->workspace, h->tokens, used,
+                 now_ms - h->start_ms);
+        g_hash_table_remove(d->holds, &id);
+    }
+}
+
 static void
 decide(ReqDesk *d, uint64_t id, const Ticket *decided)
 {
@@ -183,6 +235,7 @@
        after the final decision, so it leaves the table first. */
     if (decided->decision != DECIDED_SEND) {
         g_hash_table_remove(d->tickets, &id);
+        give_hold(d, id, 0);
     }
     pthread_mutex_lock(&t->lock);
     t->decision = decided->decision;
@@ -228,7 +281,13 @@
         uint64_t *id = g_new(uint64_t, 1);
         *id = e->id;
         g_hash_table_insert(d->tickets, id, e->ticket);
-        rt_on_arrive(core, now_ms, &e->request);
+        uint64_t retry_after_ms;
+        if (take_hold(d, now_ms, &e->request, &retry_after_ms)) {
+            rt_on_arrive(core, now_ms, &e->request);
+        }
+        else {
+            req_on_refuse(d, e->id, RT_REFUSED_LIMIT, retry_after_ms);
+        }
     }
     else if (e->kind == REV_CANCEL) {
         Ticket drop = {.decision = DECIDED_DROP};
@@ -239,6 +298,7 @@
     else {
         if (e->end.done == RT_DONE_OK || e->end.done == RT_DONE_CANCELLED) {
             g_hash_table_remove(d->tickets, &e->id);
+            give_hold(d, e->id, e->used);
         }
         rt_on_done(core, now_ms, e->id, &e->end);
     }
@@ -554,6 +614,7 @@
     e->kind = REV_DONE;
     e->id = q->id;
     e->end = *end;
+    e->used = q->tokens_sent;
     node_post_wait(q->desk->node, e);
 }
 
@@ -689,11 +750,16 @@
     return h;
 }
 
+/* Reads the tokens made as well. */
 static bool
-is_whole_json(const HcResult *res)
+is_whole_json(Req *q, const HcResult *res)
 {
     json_t *doc = js_parse(res->body->str, res->body->len, NULL);
     bool whole = json_is_object(doc);
+    json_t *usage = json_object_get(doc, "usage");
+    json_int_t made =
+        json_integer_value(json_object_get(usage, "completion_tokens"));
+    q->tokens_sent = made > 0 && made < UINT32_MAX ? (uint32_t)made : 0;
     json_decref(doc);
     return whole;
 }
@@ -707,7 +773,7 @@
 /* Whether all of the answer is here: a stream by its own last word, anything
    else by its told length, and a completion by being JSON besides. */
 static bool
-is_whole(const Req *q, const HcResult *res)
+is_whole(Req *q, const HcResult *res)
 {
     if (q->stream && res->status == 200) {
         return q->saw_end;
@@ -715,11 +781,11 @@
     if (q->head_sent || !res->framed) {
         return false;
     }
-    return !q->model || res->status != 200 || is_whole_json(res);
+    return !q->model || res->status != 200 || is_whole_json(q, res);
 }
 
 static RtDone
-classify(const Req *q, const HcResult *res)
+classify(Req *q, const HcResult *res)
 {
     if (q->client_gone) {
         return RT_DONE_CANCELLED;
--- a/src/req.h
+++ b/src/req.h
@@ -8,13 +8,15 @@
 #define REQ_H
 
 #include "bg_base.h"
+#include "lim.h"
 #include "node.h"
 #include "rt.h"
 
 /* Between request threads and the core thread. */
 typedef struct ReqDesk ReqDesk;
 
-ReqDesk *req_create_desk(Node *n);
+/* LIMITS is used on the core thread only and stays the caller's. */
+ReqDesk *req_create_desk(Node *n, Lim *limits);
 void req_destroy_desk(ReqDesk *d);
 
 /* HTTP thread: answer CONN, or return 0 when the path is not ours. */
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -236,6 +236,9 @@
         centre = vm.split("-")[0]
         peers = [p for c in self.centres for p in self.placers(c)
                  if p != name and (role == "router" or c == centre)]
+        if role == "router":
+            # One link between two routers: the later one dials.
+            peers += self.routers()[:self.routers().index(name)]
         doc = {
             "node": {"name": name, "data_centre": centre,
                      "http": "127.0.0.1:%d" % self.port(name),
@@ -250,7 +253,7 @@
             doc["vms"] = {"address": self.address("vms"), "poll_ms": "200"}
             doc["placer"] = {}
         else:
-            doc["router"] = {}
+            doc["router"] = {"routers": len(self.routers())}
         for section, values in self.settings.get(role, {}).items():
             doc.setdefault(section, {}).update(values)
         if not doc["peers"]["dial"]:
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -3,7 +3,7 @@
 
 PUT /test/faults takes {"delay_ms", "drop_answers", "short_answers",
 "die_after_run"}.
-GET /test/runs -> {mark: runs}.
+GET /test/runs -> {mark: runs}.  GET /test/peak -> most runs at once.
 """
 
 import json
@@ -18,6 +18,8 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.runs = {}
+        self.inside = 0
+        self.peak = 0
         self.leaving = False
         self.faults = {"delay_ms": 0, "drop_answers": 0,
                        "short_answers": 0,
@@ -31,9 +33,13 @@
         with self.lock:
             self.runs[mark] = self.runs.get(mark, 0) + 1
             count = self.runs[mark]
+            self.inside += 1
+            self.peak = max(self.peak, self.inside)
         if self.faults["die_after_run"]:
             os._exit(1)
         time.sleep(self.faults["delay_ms"] / 1000)
+        with self.lock:
+            self.inside -= 1
         if self.faults["drop_answers"] > 0:
             self.faults["drop_answers"] -= 1
             h.close_connection = True
@@ -48,6 +54,8 @@
     def handle(self, h, method, path, query, body):
         if path == "/test/runs":
             return h.reply(200, self.runs)
+        if path == "/test/peak":
+            return h.reply(200, {"peak": self.peak})
         if path == "/test/faults":
             self.faults.update(json.loads(body))
             return h.reply(200, self.faults)
