--- a/src/lim.c
+++ b/src/lim.c
@@ -293,10 +293,10 @@
               uint64_t now_ms)
 {
     uint64_t use = get_demand(m, kind, now_ms);
-    if (use > m->home / 2 && use + use / 4 > get_share(l, m, now_ms)) {
-        ask_for_more(l, workspace, m, kind, now_ms);
-    }
-    else if (use > m->home && now_ms > m->asked_ms + l->params.lease_ms / 2) {
+    bool scarce = use > m->home / 2 && use + use / 4 > get_share(l, m, now_ms);
+    bool ending =
+        use > m->home && now_ms > m->asked_ms + l->params.lease_ms / 2;
+    if (scarce || ending) {
         ask_for_more(l, workspace, m, kind, now_ms);
     }
 }
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -33,6 +33,8 @@
      "retries allowed for each hundred requests"},
     {"router", "max_sends", INI_INT, false, "4", 1, 100, NULL,
      "times that one request is sent at most"},
+    {"router", "early_refusal", INI_BOOL, false, "true", 0, 0, NULL,
+     "refuse at once what can't be served in time"},
     {"router", "routers", INI_INT, false, "1", 1, 100000, NULL,
      "routers of the whole system, which share every limit"},
     {"router", "limit_lease_ms", INI_INT, false, "5000", 100, 3600000, NULL,
@@ -203,6 +205,7 @@
                         get_setting(f, "max_waiting_batch")},
         .retry_percent = get_setting(f, "retry_percent"),
         .max_sends = get_setting(f, "max_sends"),
+        .early_refusal = ini_get_bool(f, "router", "early_refusal"),
         .seed = bg_now_us()};
     RtOutput out = {r, output_send, output_refuse, output_finish,
                     output_probe};
--- a/src/rt.c
+++ b/src/rt.c
@@ -454,7 +454,10 @@
     uint64_t left_ms = q->r.deadline_ms > q->arrived_ms
                            ? q->r.deadline_ms - q->arrived_ms
                            : 0;
-    q->latest_ms = q->r.deadline_ms - MIN(get_long_run(t), left_ms / 2);
+    q->latest_ms = q->r.deadline_ms;
+    if (c->params.early_refusal) {
+        q->latest_ms -= MIN(get_long_run(t), left_ms / 2);
+    }
     if (t->service && count_slots(c, t) == 0) {
         q->latest_ms = MIN(q->latest_ms, q->arrived_ms + NO_UPSTREAM_WAIT_MS);
     }
@@ -475,7 +478,7 @@
         note_cold(t, now_ms);
     }
     set_latest_start(c, q);
-    if (now_ms + wait_ms > q->latest_ms) {
+    if (c->params.early_refusal && now_ms + wait_ms > q->latest_ms) {
         if (cold) {
             /* The load ends too late for this caller, not for the next:
                the model stays wanted. */
--- a/src/rt.h
+++ b/src/rt.h
@@ -19,6 +19,7 @@
     uint32_t max_waiting[CFG_CLASSES]; /* requests queued */
     uint32_t retry_percent;            /* retries allowed, share of requests */
     uint32_t max_sends; /* of one request that reach an upstream */
+    bool early_refusal; /* of what can't be served in time */
     uint64_t seed;
 } RtParams;
 
--- a/src/up.c
+++ b/src/up.c
@@ -391,29 +391,47 @@
                                               g_str_equal, NULL));
 }
 
-static uint32_t
+/* What others had at the last report says less the older it is: calls end
+   and others begin.  In thousandths of a call. */
+static uint64_t
 get_load(const Up *u, uint64_t now_ms)
 {
-    bool fresh = now_ms - u->reported_ms <= UP_REPORT_MS;
-    return u->inflight + (fresh ? u->others : 0);
+    uint64_t age_ms = now_ms - u->reported_ms;
+    uint64_t left_ms = age_ms < UP_REPORT_MS ? UP_REPORT_MS - age_ms : 0;
+    return (uint64_t)u->inflight * 1000 +
+           (uint64_t)u->others * 1000 * left_ms / UP_REPORT_MS;
 }
 
+/* At most 5/4 of the mean of LIST, rounded up, so that at least one is
+   always below it.  UNIT is one call. */
+static uint64_t
+get_bound(uint64_t total, guint count, uint64_t unit)
+{
+    uint64_t parts = (uint64_t)count * BOUND_DEN * unit;
+    return ((total + unit) * BOUND_NUM + parts - 1) / parts * unit;
+}
+
+/* The bound holds for our own calls too: the loads that others make are
+   known late, and routers that all see room at one upstream would fill it
+   at once. */
 static Up *
 pick_by_affinity(const GPtrArray *list, uint64_t now_ms, uint64_t affinity)
 {
-    uint64_t total = 1;
+    uint64_t total = 0;
+    uint64_t own = 0;
     for (guint i = 0; i < list->len; i++) {
         total += get_load(list->pdata[i], now_ms);
+        own += ((Up *)list->pdata[i])->inflight;
     }
-    /* Rounded up, so at least one is always below the bound. */
-    uint64_t parts = (uint64_t)list->len * BOUND_DEN;
-    uint64_t bound = (total * BOUND_NUM + parts - 1) / parts;
+    uint64_t bound = get_bound(total, list->len, 1000);
+    uint64_t own_bound = get_bound(own, list->len, 1);
     Up *best = NULL;
     uint64_t best_score = 0;
     for (guint i = 0; i < list->len; i++) {
         Up *u = list->pdata[i];
         uint64_t score = XXH64(u->id, strlen(u->id), affinity);
-        if (get_load(u, now_ms) < bound && (!best || score > best_score)) {
+        if (get_load(u, now_ms) < bound && u->inflight < own_bound &&
+            (!best || score > best_score)) {
             best = u;
             best_score = score;
         }
@@ -435,8 +453,8 @@
     if (list->len == 0) {
         return NULL;
     }
-    return affinity ? pick_by_affinity(list, now_ms, affinity)
-                    : pick_of_two(s, list, now_ms);
+    Up *u = affinity ? pick_by_affinity(list, now_ms, affinity) : NULL;
+    return u ? u : pick_of_two(s, list, now_ms);
 }
 
 static const GPtrArray *
--- a/src/up.h
+++ b/src/up.h
@@ -5,7 +5,7 @@
 
    Load of an upstream: our own calls in flight, which we know exactly, plus
    what others have there: the reported count less our own at the time the
-   report came.  A report is late, so it is forgotten after UP_REPORT_MS. */
+   report came.  A report is late, so it fades out over UP_REPORT_MS. */
 #ifndef UP_H
 #define UP_H
 
--- a/tests/script_rt.c
+++ b/tests/script_rt.c
@@ -272,6 +272,7 @@
                            .max_waiting = {4, 4, 4},
                            .retry_percent = 20,
                            .max_sends = 3,
+                           .early_refusal = true,
                            .seed = 1},
                 .now_ms = 1000};
     char line[4096];
