--- a/src/lim.c
+++ b/src/lim.c
@@ -236,9 +236,9 @@
 get_fill_time(const Lim *l, Limit *m, LimKind kind, uint64_t now_ms,
               int64_t need)
 {
-    uint64_t share = MAX(get_share(l, m, now_ms), 1);
+    uint64_t share = get_share(l, m, now_ms);
     uint64_t lack = need > m->level ? (uint64_t)(need - m->level) : 0;
-    return lack * periods_ms[kind] / share + 1;
+    return lack * periods_ms[kind] / (share ? share : 1) + 1;
 }
 
 static void
