--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -106,3 +106,18 @@
         ends = {c.result() for c in callers}
     assert ends == {(503, "refused-not-run")}
     assert cluster.procs[ROUTER].popen.wait(10) == 0
+
+
+def test_late_caller_is_refused_not_reset(build):
+    """The balancer's check comes once a second.  A caller that it sends in
+    between, when all work is done already, still finds somebody who refuses
+    it as not run."""
+    settings = {"router": {"node": {"drain_notice_ms": 2500}}}
+    with Cluster(build, centres=("dc1",), vms_per_centre=1,
+                 settings=settings) as c:
+        c.publish_samples()
+        c.procs[ROUTER].signal(signal.SIGTERM)
+        time.sleep(1)
+        a = c.complete(ROUTER, "drafting", "bulletin-draft", "late")
+        assert (a.status, a.outcome) == (503, "refused-not-run")
+        assert c.procs[ROUTER].popen.wait(10) == 0
