--- a/tests/script_rt.c
+++ b/tests/script_rt.c
@@ -6,10 +6,9 @@
      at MS                 the clock; a tick follows
      state CENTRE EPOCH UPSTREAM ADDRESS live|leaving|gone known|unknown
            INFLIGHT MODELS  models with commas, or "-"
-     arrive ID MODEL|- DEPLOYMENT WORKSPACE CLASS PRIORITY WAIT_MS LOAD_MS
-            COST AFFINITY once|again
-     done ID ok|not_sent|turned_away|broken|cancelled -|leaving|silent|late
-     cancel ID
+     arrive ID MODEL[/BASE]|- DEPLOYMENT WORKSPACE CLASS PRIORITY WAIT_MS
+   LOAD_MS COST AFFINITY once|again done ID
+   ok|not_sent|turned_away|broken|cancelled -|leaving|silent|late cancel ID
      probe UPSTREAM ADDRESS well|ill
      no_room MODEL RETRY_MS
      drain / wants / count */
@@ -147,8 +146,13 @@
 run_arrive(Script *s, char **w)
 {
     static const char *const classes[] = {"lookup", "interactive", "batch"};
+    char *base = strchr(w[2], '/');
+    if (base) {
+        *base++ = '\0';
+    }
     RtRequest r = {.id = get_number(w[1]),
                    .model = strcmp(w[2], "-") ? w[2] : NULL,
+                   .base = base,
                    .deployment = w[3],
                    .workspace = w[4],
                    .class_ = (CfgClass)find_word(classes, 3, w[5]),
