--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,11 +1,12 @@
 """Admission: bounded queues, deadlines, and always somebody who refuses."""
 
+import http.client
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from cluster import Cluster, expected_text, wait_until
+from cluster import KEYS, Cluster, expected_text, wait_until
 
 ROUTER = "dc1-vm1-router"
 ENGINES = ("dc1-lm1", "dc1-lm2")
@@ -118,6 +119,26 @@
         assert sum(runs.values()) == len(answered)
 
 
+def test_idle_connections_leave_threads(build):
+    """More callers than there are HTTP threads make one call each and keep
+    their connections open.  A thread that waits on an idle connection
+    serves nobody else, so once half are held answers end the connection and
+    the next caller is served at once."""
+    with make_cluster(build) as c:
+        c.publish_samples()
+        idle = []
+        for _ in range(30):
+            conn = http.client.HTTPConnection("127.0.0.1", c.port(ROUTER),
+                                              timeout=10)
+            conn.request("GET", "/v1/models", None,
+                         {"Authorization": "Bearer " + KEYS["registry"]})
+            res = conn.getresponse()
+            assert res.status == 200
+            res.read()
+            idle.append(conn)
+        assert look_up(c).took_s < AT_ONCE_S
+
+
 def test_each_class_has_its_own_bound(build):
     """The batch queue is full; batch callers are refused as not run and the
     interactive queue takes its own."""
