--- a/src/rec.c
+++ b/src/rec.c
@@ -3,6 +3,15 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Over all that a batch says, its id too: with a wrong id a repeated batch
+   would be taken for a new one. */
+static uint64_t
+compute_digest(const Bg__Batch *b)
+{
+    uint64_t seed = XXH64(b->batch_id, strlen(b->batch_id), b->format);
+    return XXH64(b->payload.data, b->payload.len, seed);
+}
+
 uint8_t *
 rec_encode_batch(const char *batch_id, Bg__Record **records, size_t count,
                  size_t *len)
@@ -16,7 +25,7 @@
     batch.payload.len = bg__record_list__get_packed_size(&list);
     batch.payload.data = g_malloc(batch.payload.len + 1);
     bg__record_list__pack(&list, batch.payload.data);
-    batch.digest = XXH64(batch.payload.data, batch.payload.len, REC_FORMAT);
+    batch.digest = compute_digest(&batch);
     *len = bg__batch__get_packed_size(&batch);
     uint8_t *out = g_malloc(*len);
     bg__batch__pack(&batch, out);
@@ -36,7 +45,7 @@
         g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "bad batch id");
         return false;
     }
-    if (XXH64(b->payload.data, b->payload.len, REC_FORMAT) != b->digest) {
+    if (compute_digest(b) != b->digest) {
         g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "digest does not match");
         return false;
     }
