--- a/src/hc.c
+++ b/src/hc.c
@@ -97,6 +97,7 @@
     keep_header(&call->out->content_type, line, len, "Content-Type");
     keep_header(&call->out->retry_after, line, len, "Retry-After");
     keep_header(&call->out->upstream_state, line, len, "X-Upstream-State");
+    keep_header(&call->out->outcome, line, len, "X-Bglade-Outcome");
     return len;
 }
 
@@ -271,6 +272,7 @@
     g_free(r->content_type);
     g_free(r->retry_after);
     g_free(r->upstream_state);
+    g_free(r->outcome);
     if (r->body) {
         g_string_free(r->body, TRUE);
     }
--- a/src/hc.h
+++ b/src/hc.h
@@ -41,6 +41,7 @@
     char *content_type;
     char *retry_after;    /* header, or NULL */
     char *upstream_state; /* X-Upstream-State header, or NULL */
+    char *outcome;        /* X-Bglade-Outcome header, or NULL */
     GString *body;        /* collected when on_data is NULL */
     uint64_t got_bytes;   /* of the answer's body */
 } HcResult;
