--- a/src/fl.c
+++ b/src/fl.c
@@ -23,6 +23,7 @@
     GPtrArray *all; /* Entry, by offset from first */
     uint64_t first;
     uint64_t appends;
+    uint64_t reads;
     uint64_t bytes;
     uint64_t next_turn_us; /* when the next append may take effect */
     atomic_bool stopping;
@@ -163,6 +164,7 @@
     uint32_t most = (uint32_t)read_number(query, "max", DEFAULT_MAX);
     g_autoptr(GString) text = g_string_new(NULL);
     pthread_mutex_lock(&f->lock);
+    f->reads++;
     wait_entry(f, from, (uint32_t)read_number(query, "wait_ms", 0));
     int status = from < f->first ? 410 : 200;
     print_entries(f, from, status == 200 ? most : 0, text);
@@ -176,9 +178,11 @@
     pthread_mutex_lock(&f->lock);
     uint64_t next = f->first + f->all->len;
     g_autofree char *text = g_strdup_printf(
-        "{\"first\":%llu,\"next\":%llu,\"appends\":%llu,\"bytes\":%llu}",
+        "{\"first\":%llu,\"next\":%llu,\"appends\":%llu,\"bytes\":%llu,"
+        "\"reads\":%llu}",
         (unsigned long long)f->first, (unsigned long long)next,
-        (unsigned long long)f->appends, (unsigned long long)f->bytes);
+        (unsigned long long)f->appends, (unsigned long long)f->bytes,
+        (unsigned long long)f->reads);
     pthread_mutex_unlock(&f->lock);
     return reply(conn, 200, text);
 }
--- a/src/hc.c
+++ b/src/hc.c
@@ -247,6 +247,22 @@
     }
 }
 
+static void
+count_bytes(CURL *easy)
+{
+    long sent_head = 0;
+    long got_head = 0;
+    curl_off_t sent = 0;
+    curl_off_t got = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_head);
+    curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &got_head);
+    curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &got);
+    bg_count("http_calls_total", 1);
+    bg_count("http_sent_bytes_total", (uint64_t)(sent_head + sent));
+    bg_count("http_got_bytes_total", (uint64_t)(got_head + got));
+}
+
 void
 hc_call(HcClient *c, const HcRequest *req, HcResult *out)
 {
@@ -259,6 +275,7 @@
     curl_multi_add_handle(c->multi, call.easy);
     out->end = run_call(c, &call);
     curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &out->status);
+    count_bytes(call.easy);
     /* Removing an unfinished transfer closes its connection, so a late
        answer can never be read by the next call. */
     curl_multi_remove_handle(c->multi, call.easy);
