One write for each chunk of a stream

Cause: the HTTP library's chunk call makes three writes, so each token was three system calls and, without delay, three packets.

--- a/src/req.c
+++ b/src/req.c
@@ -17,6 +17,7 @@
 #define CONNECT_MS 300
 #define IDLE_MS 10000
 #define MAX_POOLED_CLIENTS 256
+#define CHUNK_FRAME 24 /* length line and line ends of a chunk */
 
 /* ---- ticket: where a request thread waits for the core ------------------ */
 
@@ -441,10 +442,16 @@
     mg_disable_connection_keep_alive(q->conn);
 }
 
+/* One write a chunk: the library's own call makes three, each a system
+   call and a packet. */
 static bool
 send_stream_text(Req *q, const char *text, size_t len)
 {
-    if (mg_send_chunk(q->conn, text, (unsigned int)len) < 0) {
+    g_autoptr(GString) chunk = g_string_sized_new(len + CHUNK_FRAME);
+    g_string_printf(chunk, "%zx\r\n", len);
+    g_string_append_len(chunk, text, (gssize)len);
+    g_string_append(chunk, "\r\n");
+    if (mg_write(q->conn, chunk->str, chunk->len) < (int)chunk->len) {
         q->client_gone = true;
         return false;
     }
