Tests take ports that outgoing connections never use

Seen in a run of 72 daemons: one ended with 'Address already in use'. The harness asked the system for a free port and released it; until the daemon listened there, an outgoing connection of another process could be given it.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,6 +2,7 @@
 the demo, and stops exactly what it started."""
 
 import http.client
+import itertools
 import json
 import os
 import re
@@ -23,11 +24,22 @@
         "care": "kuura-care-key"}
 
 
+_ports = itertools.cycle(range(12000, 21000))
+for _ in range(os.getpid() * 37 % 9000):
+    next(_ports)
+
+
 def free_port():
-    """A port nobody listens on now."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port nobody listens on now, none twice.  It lies below the range
+    the system takes for outgoing connections: one of these could else sit
+    on the port before the daemon it was meant for listens there."""
+    for port in _ports:
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def wait_until(check, limit_s=15.0, what="condition"):
