make capacity: slopes of each driver, with plots

tests/capacity.py runs real daemons over the fast stand-ins at four or more sizes of each driver and fits a line.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# bitternglade: plain make.  Targets: all demo check lint asan tsan bench.
+# bitternglade: plain make.  Targets: all demo check lint asan tsan bench capacity.
 BUILD ?= build
 CC = gcc
 PKGS = glib-2.0 jansson libcurl libcrypto liburcu-bp libprotobuf-c libxxhash
@@ -89,8 +89,12 @@
 bench: all
 	/usr/bin/python3 tests/bench.py --build $(BUILD)
 
+# Slopes for docs/CAPACITY.md; ONLY=NAME,... measures some of them again.
+capacity: all
+	/usr/bin/python3 tests/capacity.py --build $(BUILD) --only "$(ONLY)"
+
 clean:
 	rm -rf build
 
 -include $(wildcard $(BUILD)/*.d)
-.PHONY: all demo check lint format asan tsan bench clean proto install-packages
+.PHONY: all demo check lint format asan tsan bench capacity clean proto install-packages
