--- a/src/bg_base.h
+++ b/src/bg_base.h
@@ -21,8 +21,9 @@
     BG_ERR_AWAY,     /* the other side could not be reached */
     BG_ERR_UNKNOWN,  /* sent, but the acknowledgement is missing */
     BG_ERR_TRIMMED,  /* the log no longer keeps that offset */
-    BG_ERR_FORMAT,   /* written by a newer or a broken writer */
-    BG_ERR_FULL      /* a bounded queue or table has no room */
+    BG_ERR_FORMAT,   /* truncated, corrupt or from a broken writer */
+    BG_ERR_FULL,     /* a bounded queue or table has no room */
+    BG_ERR_NEWER     /* whole, but of a newer format */
 } BgErrorCode;
 
 #define BG_ERROR bg_error_quark()
--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -952,342 +952,2110 @@
   assert(message->base.descriptor == &bg__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__snapshot_version__init
+                     (Bg__SnapshotVersion         *message)
+{
+  static const Bg__SnapshotVersion init_value = BG__SNAPSHOT_VERSION__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_version__get_packed_size
+                     (const Bg__SnapshotVersion *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_version__pack
+                     (const Bg__SnapshotVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_version__pack_to_buffer
+                     (const Bg__SnapshotVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotVersion *
+       bg__snapshot_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotVersion *)
+     protobuf_c_message_unpack (&bg__snapshot_version__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_version__free_unpacked
+                     (Bg__SnapshotVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_template__init
+                     (Bg__SnapshotTemplate         *message)
+{
+  static const Bg__SnapshotTemplate init_value = BG__SNAPSHOT_TEMPLATE__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_template__get_packed_size
+                     (const Bg__SnapshotTemplate *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_template__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_template__pack
+                     (const Bg__SnapshotTemplate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_template__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_template__pack_to_buffer
+                     (const Bg__SnapshotTemplate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_template__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotTemplate *
+       bg__snapshot_template__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotTemplate *)
+     protobuf_c_message_unpack (&bg__snapshot_template__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_template__free_unpacked
+                     (Bg__SnapshotTemplate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_template__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_intent__init
+                     (Bg__SnapshotIntent         *message)
+{
+  static const Bg__SnapshotIntent init_value = BG__SNAPSHOT_INTENT__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_intent__get_packed_size
+                     (const Bg__SnapshotIntent *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_intent__pack
+                     (const Bg__SnapshotIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_intent__pack_to_buffer
+                     (const Bg__SnapshotIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotIntent *
+       bg__snapshot_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotIntent *)
+     protobuf_c_message_unpack (&bg__snapshot_intent__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_intent__free_unpacked
+                     (Bg__SnapshotIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_centre__init
+                     (Bg__SnapshotCentre         *message)
+{
+  static const Bg__SnapshotCentre init_value = BG__SNAPSHOT_CENTRE__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_centre__get_packed_size
+                     (const Bg__SnapshotCentre *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_centre__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_centre__pack
+                     (const Bg__SnapshotCentre *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_centre__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_centre__pack_to_buffer
+                     (const Bg__SnapshotCentre *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_centre__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotCentre *
+       bg__snapshot_centre__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotCentre *)
+     protobuf_c_message_unpack (&bg__snapshot_centre__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_centre__free_unpacked
+                     (Bg__SnapshotCentre *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_centre__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_deaths__init
+                     (Bg__SnapshotDeaths         *message)
+{
+  static const Bg__SnapshotDeaths init_value = BG__SNAPSHOT_DEATHS__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_deaths__get_packed_size
+                     (const Bg__SnapshotDeaths *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_deaths__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_deaths__pack
+                     (const Bg__SnapshotDeaths *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_deaths__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_deaths__pack_to_buffer
+                     (const Bg__SnapshotDeaths *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_deaths__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotDeaths *
+       bg__snapshot_deaths__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotDeaths *)
+     protobuf_c_message_unpack (&bg__snapshot_deaths__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_deaths__free_unpacked
+                     (Bg__SnapshotDeaths *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_deaths__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_checkpoint__init
+                     (Bg__SnapshotCheckpoint         *message)
+{
+  static const Bg__SnapshotCheckpoint init_value = BG__SNAPSHOT_CHECKPOINT__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_checkpoint__get_packed_size
+                     (const Bg__SnapshotCheckpoint *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_checkpoint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_checkpoint__pack
+                     (const Bg__SnapshotCheckpoint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_checkpoint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_checkpoint__pack_to_buffer
+                     (const Bg__SnapshotCheckpoint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_checkpoint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotCheckpoint *
+       bg__snapshot_checkpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotCheckpoint *)
+     protobuf_c_message_unpack (&bg__snapshot_checkpoint__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_checkpoint__free_unpacked
+                     (Bg__SnapshotCheckpoint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_checkpoint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot__init
+                     (Bg__Snapshot         *message)
+{
+  static const Bg__Snapshot init_value = BG__SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot__get_packed_size
+                     (const Bg__Snapshot *message)
+{
+  assert(message->base.descriptor == &bg__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot__pack
+                     (const Bg__Snapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot__pack_to_buffer
+                     (const Bg__Snapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__Snapshot *
+       bg__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__Snapshot *)
+     protobuf_c_message_unpack (&bg__snapshot__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot__free_unpacked
+                     (Bg__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__entry__init
+                     (Bg__Entry         *message)
+{
+  static const Bg__Entry init_value = BG__ENTRY__INIT;
+  *message = init_value;
+}
+size_t bg__entry__get_packed_size
+                     (const Bg__Entry *message)
+{
+  assert(message->base.descriptor == &bg__entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__entry__pack
+                     (const Bg__Entry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__entry__pack_to_buffer
+                     (const Bg__Entry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__Entry *
+       bg__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__Entry *)
+     protobuf_c_message_unpack (&bg__entry__descriptor,
+                                allocator, len, data);
+}
+void   bg__entry__free_unpacked
+                     (Bg__Entry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__relay_fetch__init
+                     (Bg__RelayFetch         *message)
+{
+  static const Bg__RelayFetch init_value = BG__RELAY_FETCH__INIT;
+  *message = init_value;
+}
+size_t bg__relay_fetch__get_packed_size
+                     (const Bg__RelayFetch *message)
+{
+  assert(message->base.descriptor == &bg__relay_fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__relay_fetch__pack
+                     (const Bg__RelayFetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__relay_fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__relay_fetch__pack_to_buffer
+                     (const Bg__RelayFetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__relay_fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__RelayFetch *
+       bg__relay_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__RelayFetch *)
+     protobuf_c_message_unpack (&bg__relay_fetch__descriptor,
+                                allocator, len, data);
+}
+void   bg__relay_fetch__free_unpacked
+                     (Bg__RelayFetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__relay_fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__relay__init
+                     (Bg__Relay         *message)
+{
+  static const Bg__Relay init_value = BG__RELAY__INIT;
+  *message = init_value;
+}
+size_t bg__relay__get_packed_size
+                     (const Bg__Relay *message)
+{
+  assert(message->base.descriptor == &bg__relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__relay__pack
+                     (const Bg__Relay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__relay__pack_to_buffer
+                     (const Bg__Relay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__Relay *
+       bg__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__Relay *)
+     protobuf_c_message_unpack (&bg__relay__descriptor,
+                                allocator, len, data);
+}
+void   bg__relay__free_unpacked
+                     (Bg__Relay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_fetch__init
+                     (Bg__SnapshotFetch         *message)
+{
+  static const Bg__SnapshotFetch init_value = BG__SNAPSHOT_FETCH__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_fetch__get_packed_size
+                     (const Bg__SnapshotFetch *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_fetch__pack
+                     (const Bg__SnapshotFetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_fetch__pack_to_buffer
+                     (const Bg__SnapshotFetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotFetch *
+       bg__snapshot_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotFetch *)
+     protobuf_c_message_unpack (&bg__snapshot_fetch__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_fetch__free_unpacked
+                     (Bg__SnapshotFetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_chunk__init
+                     (Bg__SnapshotChunk         *message)
+{
+  static const Bg__SnapshotChunk init_value = BG__SNAPSHOT_CHUNK__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_chunk__get_packed_size
+                     (const Bg__SnapshotChunk *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_chunk__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_chunk__pack
+                     (const Bg__SnapshotChunk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_chunk__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_chunk__pack_to_buffer
+                     (const Bg__SnapshotChunk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_chunk__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotChunk *
+       bg__snapshot_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotChunk *)
+     protobuf_c_message_unpack (&bg__snapshot_chunk__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_chunk__free_unpacked
+                     (Bg__SnapshotChunk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_chunk__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__hello_proof__init
+                     (Bg__HelloProof         *message)
+{
+  static const Bg__HelloProof init_value = BG__HELLO_PROOF__INIT;
+  *message = init_value;
+}
+size_t bg__hello_proof__get_packed_size
+                     (const Bg__HelloProof *message)
+{
+  assert(message->base.descriptor == &bg__hello_proof__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__hello_proof__pack
+                     (const Bg__HelloProof *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__hello_proof__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__hello_proof__pack_to_buffer
+                     (const Bg__HelloProof *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__hello_proof__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__HelloProof *
+       bg__hello_proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__HelloProof *)
+     protobuf_c_message_unpack (&bg__hello_proof__descriptor,
+                                allocator, len, data);
+}
+void   bg__hello_proof__free_unpacked
+                     (Bg__HelloProof *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__hello_proof__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__node_status__init
+                     (Bg__NodeStatus         *message)
+{
+  static const Bg__NodeStatus init_value = BG__NODE_STATUS__INIT;
+  *message = init_value;
+}
+size_t bg__node_status__get_packed_size
+                     (const Bg__NodeStatus *message)
+{
+  assert(message->base.descriptor == &bg__node_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__node_status__pack
+                     (const Bg__NodeStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__node_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__node_status__pack_to_buffer
+                     (const Bg__NodeStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__node_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__NodeStatus *
+       bg__node_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__NodeStatus *)
+     protobuf_c_message_unpack (&bg__node_status__descriptor,
+                                allocator, len, data);
+}
+void   bg__node_status__free_unpacked
+                     (Bg__NodeStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__node_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__gossip__init
+                     (Bg__Gossip         *message)
+{
+  static const Bg__Gossip init_value = BG__GOSSIP__INIT;
+  *message = init_value;
+}
+size_t bg__gossip__get_packed_size
+                     (const Bg__Gossip *message)
+{
+  assert(message->base.descriptor == &bg__gossip__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__gossip__pack
+                     (const Bg__Gossip *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__gossip__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__gossip__pack_to_buffer
+                     (const Bg__Gossip *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__gossip__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__Gossip *
+       bg__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__Gossip *)
+     protobuf_c_message_unpack (&bg__gossip__descriptor,
+                                allocator, len, data);
+}
+void   bg__gossip__free_unpacked
+                     (Bg__Gossip *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__gossip__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bg__config_record__field_descriptors[7] =
 {
   {
-    "name",
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "template_text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, template_text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values_text",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bg__ConfigRecord, n_values_text),
+    offsetof(Bg__ConfigRecord, values_text),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "author",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "note",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, note),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ConfigRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__config_record__field_indices_by_name[] = {
+  4,   /* field[4] = author */
+  1,   /* field[1] = base_version */
+  0,   /* field[0] = name */
+  5,   /* field[5] = note */
+  2,   /* field[2] = template_text */
+  3,   /* field[3] = values_text */
+  6,   /* field[6] = wall_ms */
+};
+static const ProtobufCIntRange bg__config_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor bg__config_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.ConfigRecord",
+  "ConfigRecord",
+  "Bg__ConfigRecord",
+  "bg",
+  sizeof(Bg__ConfigRecord),
+  7,
+  bg__config_record__field_descriptors,
+  bg__config_record__field_indices_by_name,
+  1,  bg__config_record__number_ranges,
+  (ProtobufCMessageInit) bg__config_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClaimRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClaimRecord, holder),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClaimRecord, base_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__claim_record__field_indices_by_name[] = {
+  2,   /* field[2] = base_epoch */
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = holder */
+};
+static const ProtobufCIntRange bg__claim_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__claim_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.ClaimRecord",
+  "ClaimRecord",
+  "Bg__ClaimRecord",
+  "bg",
+  sizeof(Bg__ClaimRecord),
+  3,
+  bg__claim_record__field_descriptors,
+  bg__claim_record__field_indices_by_name,
+  1,  bg__claim_record__number_ranges,
+  (ProtobufCMessageInit) bg__claim_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity_mb",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, capacity_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_id",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, load_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ceiling",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, ceiling),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fenced",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, fenced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "adapter",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, adapter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__intent_record__field_indices_by_name[] = {
+  9,   /* field[9] = adapter */
+  5,   /* field[5] = capacity_mb */
+  7,   /* field[7] = ceiling */
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+  8,   /* field[8] = fenced */
+  6,   /* field[6] = load_id */
+  4,   /* field[4] = memory_mb */
+  3,   /* field[3] = model */
+  2,   /* field[2] = upstream */
+};
+static const ProtobufCIntRange bg__intent_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor bg__intent_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.IntentRecord",
+  "IntentRecord",
+  "Bg__IntentRecord",
+  "bg",
+  sizeof(Bg__IntentRecord),
+  10,
+  bg__intent_record__field_descriptors,
+  bg__intent_record__field_indices_by_name,
+  1,  bg__intent_record__number_ranges,
+  (ProtobufCMessageInit) bg__intent_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[6] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, load_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__settle_record__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+  4,   /* field[4] = load_id */
+  5,   /* field[5] = loaded */
+  3,   /* field[3] = model */
+  2,   /* field[2] = upstream */
+};
+static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bg__settle_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SettleRecord",
+  "SettleRecord",
+  "Bg__SettleRecord",
+  "bg",
+  sizeof(Bg__SettleRecord),
+  6,
+  bg__settle_record__field_descriptors,
+  bg__settle_record__field_indices_by_name,
+  1,  bg__settle_record__number_ranges,
+  (ProtobufCMessageInit) bg__settle_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__QuiesceRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__QuiesceRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__QuiesceRecord, holder),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__quiesce_record__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = holder */
+};
+static const ProtobufCIntRange bg__quiesce_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__quiesce_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.QuiesceRecord",
+  "QuiesceRecord",
+  "Bg__QuiesceRecord",
+  "bg",
+  sizeof(Bg__QuiesceRecord),
+  3,
+  bg__quiesce_record__field_descriptors,
+  bg__quiesce_record__field_indices_by_name,
+  1,  bg__quiesce_record__number_ranges,
+  (ProtobufCMessageInit) bg__quiesce_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[9] =
+{
+  {
+    "step",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, step),
+    &bg__key_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, attempt_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, request_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expires_wall_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, expires_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__key_record__field_indices_by_name[] = {
+  3,   /* field[3] = attempt_id */
+  8,   /* field[8] = body */
+  7,   /* field[7] = content_type */
+  5,   /* field[5] = expires_wall_ms */
+  2,   /* field[2] = key */
+  4,   /* field[4] = request_digest */
+  6,   /* field[6] = status */
+  0,   /* field[0] = step */
+  1,   /* field[1] = workspace */
+};
+static const ProtobufCIntRange bg__key_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor bg__key_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.KeyRecord",
+  "KeyRecord",
+  "Bg__KeyRecord",
+  "bg",
+  sizeof(Bg__KeyRecord),
+  9,
+  bg__key_record__field_descriptors,
+  bg__key_record__field_indices_by_name,
+  1,  bg__key_record__number_ranges,
+  (ProtobufCMessageInit) bg__key_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__death_record__field_descriptors[3] =
+{
+  {
+    "request_digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__DeathRecord, request_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__DeathRecord, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__DeathRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__death_record__field_indices_by_name[] = {
+  0,   /* field[0] = request_digest */
+  1,   /* field[1] = upstream */
+  2,   /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange bg__death_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__death_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.DeathRecord",
+  "DeathRecord",
+  "Bg__DeathRecord",
+  "bg",
+  sizeof(Bg__DeathRecord),
+  3,
+  bg__death_record__field_descriptors,
+  bg__death_record__field_indices_by_name,
+  1,  bg__death_record__number_ranges,
+  (ProtobufCMessageInit) bg__death_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__checkpoint_record__field_descriptors[6] =
+{
+  {
+    "covered_offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, covered_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, chunk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunks",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, chunks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint_id",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__CheckpointRecord, checkpoint_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__checkpoint_record__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint_id */
+  1,   /* field[1] = chunk */
+  2,   /* field[2] = chunks */
+  0,   /* field[0] = covered_offset */
+  4,   /* field[4] = data */
+  3,   /* field[3] = digest */
+};
+static const ProtobufCIntRange bg__checkpoint_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bg__checkpoint_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.CheckpointRecord",
+  "CheckpointRecord",
+  "Bg__CheckpointRecord",
+  "bg",
+  sizeof(Bg__CheckpointRecord),
+  6,
+  bg__checkpoint_record__field_descriptors,
+  bg__checkpoint_record__field_indices_by_name,
+  1,  bg__checkpoint_record__number_ranges,
+  (ProtobufCMessageInit) bg__checkpoint_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__record__field_descriptors[8] =
+{
+  {
+    "config",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, config),
+    &bg__config_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, claim),
+    &bg__claim_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, intent),
+    &bg__intent_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settle",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, settle),
+    &bg__settle_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quiesce",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, quiesce),
+    &bg__quiesce_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, key),
+    &bg__key_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "death",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, death),
+    &bg__death_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, checkpoint),
+    &bg__checkpoint_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__record__field_indices_by_name[] = {
+  7,   /* field[7] = checkpoint */
+  1,   /* field[1] = claim */
+  0,   /* field[0] = config */
+  6,   /* field[6] = death */
+  2,   /* field[2] = intent */
+  5,   /* field[5] = key */
+  4,   /* field[4] = quiesce */
+  3,   /* field[3] = settle */
+};
+static const ProtobufCIntRange bg__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor bg__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Record",
+  "Record",
+  "Bg__Record",
+  "bg",
+  sizeof(Bg__Record),
+  8,
+  bg__record__field_descriptors,
+  bg__record__field_indices_by_name,
+  1,  bg__record__number_ranges,
+  (ProtobufCMessageInit) bg__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__batch__field_descriptors[4] =
+{
+  {
+    "format",
     1,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Batch, format),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, name),
+    offsetof(Bg__Batch, batch_id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_version",
-    2,
+    "digest",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, base_version),
+    offsetof(Bg__Batch, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "template_text",
+    "payload",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Batch, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__batch__field_indices_by_name[] = {
+  1,   /* field[1] = batch_id */
+  2,   /* field[2] = digest */
+  0,   /* field[0] = format */
+  3,   /* field[3] = payload */
+};
+static const ProtobufCIntRange bg__batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bg__batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Batch",
+  "Batch",
+  "Bg__Batch",
+  "bg",
+  sizeof(Bg__Batch),
+  4,
+  bg__batch__field_descriptors,
+  bg__batch__field_indices_by_name,
+  1,  bg__batch__number_ranges,
+  (ProtobufCMessageInit) bg__batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__record_list__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__RecordList, n_records),
+    offsetof(Bg__RecordList, records),
+    &bg__record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__record_list__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange bg__record_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bg__record_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.RecordList",
+  "RecordList",
+  "Bg__RecordList",
+  "bg",
+  sizeof(Bg__RecordList),
+  1,
+  bg__record_list__field_descriptors,
+  bg__record_list__field_indices_by_name,
+  1,  bg__record_list__number_ranges,
+  (ProtobufCMessageInit) bg__record_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__hello__field_descriptors[6] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Hello, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, template_text),
+    offsetof(Bg__Hello, role),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "values_text",
+    "version",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Hello, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Hello, proof),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__hello__field_indices_by_name[] = {
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = node */
+  5,   /* field[5] = nonce */
+  4,   /* field[4] = proof */
+  2,   /* field[2] = role */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange bg__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bg__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Hello",
+  "Hello",
+  "Bg__Hello",
+  "bg",
+  sizeof(Bg__Hello),
+  6,
+  bg__hello__field_descriptors,
+  bg__hello__field_indices_by_name,
+  1,  bg__hello__number_ranges,
+  (ProtobufCMessageInit) bg__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__want__field_descriptors[4] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Bg__ConfigRecord, n_values_text),
-    offsetof(Bg__ConfigRecord, values_text),
+    0,   /* quantifier_offset */
+    offsetof(Bg__Want, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "author",
-    5,
+    "waiting",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, author),
+    offsetof(Bg__Want, waiting),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "note",
-    6,
+    "slack_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, note),
+    offsetof(Bg__Want, slack_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    7,
+    "priority",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__ConfigRecord, wall_ms),
+    offsetof(Bg__Want, priority),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__config_record__field_indices_by_name[] = {
-  4,   /* field[4] = author */
-  1,   /* field[1] = base_version */
-  0,   /* field[0] = name */
-  5,   /* field[5] = note */
-  2,   /* field[2] = template_text */
-  3,   /* field[3] = values_text */
-  6,   /* field[6] = wall_ms */
+static const unsigned bg__want__field_indices_by_name[] = {
+  0,   /* field[0] = model */
+  3,   /* field[3] = priority */
+  2,   /* field[2] = slack_ms */
+  1,   /* field[1] = waiting */
 };
-static const ProtobufCIntRange bg__config_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor bg__config_record__descriptor =
+const ProtobufCMessageDescriptor bg__want__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.ConfigRecord",
-  "ConfigRecord",
-  "Bg__ConfigRecord",
+  "bg.Want",
+  "Want",
+  "Bg__Want",
   "bg",
-  sizeof(Bg__ConfigRecord),
-  7,
-  bg__config_record__field_descriptors,
-  bg__config_record__field_indices_by_name,
-  1,  bg__config_record__number_ranges,
-  (ProtobufCMessageInit) bg__config_record__init,
+  sizeof(Bg__Want),
+  4,
+  bg__want__field_descriptors,
+  bg__want__field_indices_by_name,
+  1,  bg__want__number_ranges,
+  (ProtobufCMessageInit) bg__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__resident__field_descriptors[2] =
 {
   {
-    "data_centre",
+    "model",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__ClaimRecord, data_centre),
+    offsetof(Bg__Resident, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holder",
+    "loading",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__ClaimRecord, holder),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "base_epoch",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__ClaimRecord, base_epoch),
+    offsetof(Bg__Resident, loading),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__claim_record__field_indices_by_name[] = {
-  2,   /* field[2] = base_epoch */
-  0,   /* field[0] = data_centre */
-  1,   /* field[1] = holder */
+static const unsigned bg__resident__field_indices_by_name[] = {
+  1,   /* field[1] = loading */
+  0,   /* field[0] = model */
 };
-static const ProtobufCIntRange bg__claim_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__resident__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor bg__claim_record__descriptor =
+const ProtobufCMessageDescriptor bg__resident__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.ClaimRecord",
-  "ClaimRecord",
-  "Bg__ClaimRecord",
+  "bg.Resident",
+  "Resident",
+  "Bg__Resident",
   "bg",
-  sizeof(Bg__ClaimRecord),
-  3,
-  bg__claim_record__field_descriptors,
-  bg__claim_record__field_indices_by_name,
-  1,  bg__claim_record__number_ranges,
-  (ProtobufCMessageInit) bg__claim_record__init,
+  sizeof(Bg__Resident),
+  2,
+  bg__resident__field_descriptors,
+  bg__resident__field_indices_by_name,
+  1,  bg__resident__number_ranges,
+  (ProtobufCMessageInit) bg__resident__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bg__upstream_state__field_descriptors[9] =
 {
   {
-    "data_centre",
+    "upstream",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, data_centre),
+    offsetof(Bg__UpstreamState, upstream),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "deployment",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, epoch),
-    NULL,
+    offsetof(Bg__UpstreamState, deployment),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstream",
+    "data_centre",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, upstream),
+    offsetof(Bg__UpstreamState, data_centre),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "model",
+    "address",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, model),
+    offsetof(Bg__UpstreamState, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
+    "leaving",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, memory_mb),
+    offsetof(Bg__UpstreamState, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "capacity_mb",
+    "reported_inflight",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, capacity_mb),
+    offsetof(Bg__UpstreamState, reported_inflight),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load_id",
+    "residents",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, load_id),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__UpstreamState, n_residents),
+    offsetof(Bg__UpstreamState, residents),
+    &bg__resident__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ceiling",
+    "gone",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, ceiling),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fenced",
-    9,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, fenced),
+    offsetof(Bg__UpstreamState, gone),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "adapter",
-    10,
+    "known",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__IntentRecord, adapter),
+    offsetof(Bg__UpstreamState, known),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__intent_record__field_indices_by_name[] = {
-  9,   /* field[9] = adapter */
-  5,   /* field[5] = capacity_mb */
-  7,   /* field[7] = ceiling */
-  0,   /* field[0] = data_centre */
-  1,   /* field[1] = epoch */
-  8,   /* field[8] = fenced */
-  6,   /* field[6] = load_id */
-  4,   /* field[4] = memory_mb */
-  3,   /* field[3] = model */
-  2,   /* field[2] = upstream */
+static const unsigned bg__upstream_state__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  2,   /* field[2] = data_centre */
+  1,   /* field[1] = deployment */
+  7,   /* field[7] = gone */
+  8,   /* field[8] = known */
+  4,   /* field[4] = leaving */
+  5,   /* field[5] = reported_inflight */
+  6,   /* field[6] = residents */
+  0,   /* field[0] = upstream */
 };
-static const ProtobufCIntRange bg__intent_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__upstream_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 9 }
 };
-const ProtobufCMessageDescriptor bg__intent_record__descriptor =
+const ProtobufCMessageDescriptor bg__upstream_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.IntentRecord",
-  "IntentRecord",
-  "Bg__IntentRecord",
+  "bg.UpstreamState",
+  "UpstreamState",
+  "Bg__UpstreamState",
   "bg",
-  sizeof(Bg__IntentRecord),
-  10,
-  bg__intent_record__field_descriptors,
-  bg__intent_record__field_indices_by_name,
-  1,  bg__intent_record__number_ranges,
-  (ProtobufCMessageInit) bg__intent_record__init,
+  sizeof(Bg__UpstreamState),
+  9,
+  bg__upstream_state__field_descriptors,
+  bg__upstream_state__field_indices_by_name,
+  1,  bg__upstream_state__number_ranges,
+  (ProtobufCMessageInit) bg__upstream_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bg__residency__field_descriptors[5] =
 {
   {
     "data_centre",
@@ -1295,7 +3063,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, data_centre),
+    offsetof(Bg__Residency, data_centre),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1307,1526 +3075,1692 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, epoch),
+    offsetof(Bg__Residency, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstream",
+    "seq",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, upstream),
+    offsetof(Bg__Residency, seq),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "model",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, model),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load_id",
-    5,
+    "full",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, load_id),
+    offsetof(Bg__Residency, full),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loaded",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, loaded),
-    NULL,
+    "upstreams",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Residency, n_upstreams),
+    offsetof(Bg__Residency, upstreams),
+    &bg__upstream_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__settle_record__field_indices_by_name[] = {
+static const unsigned bg__residency__field_indices_by_name[] = {
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
-  4,   /* field[4] = load_id */
-  5,   /* field[5] = loaded */
-  3,   /* field[3] = model */
-  2,   /* field[2] = upstream */
+  3,   /* field[3] = full */
+  2,   /* field[2] = seq */
+  4,   /* field[4] = upstreams */
 };
-static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__residency__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor bg__settle_record__descriptor =
+const ProtobufCMessageDescriptor bg__residency__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.SettleRecord",
-  "SettleRecord",
-  "Bg__SettleRecord",
+  "bg.Residency",
+  "Residency",
+  "Bg__Residency",
   "bg",
-  sizeof(Bg__SettleRecord),
-  6,
-  bg__settle_record__field_descriptors,
-  bg__settle_record__field_indices_by_name,
-  1,  bg__settle_record__number_ranges,
-  (ProtobufCMessageInit) bg__settle_record__init,
+  sizeof(Bg__Residency),
+  5,
+  bg__residency__field_descriptors,
+  bg__residency__field_indices_by_name,
+  1,  bg__residency__number_ranges,
+  (ProtobufCMessageInit) bg__residency__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__usage__field_descriptors[3] =
 {
   {
-    "data_centre",
+    "model",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__QuiesceRecord, data_centre),
+    offsetof(Bg__Usage, model),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "served",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__QuiesceRecord, epoch),
+    offsetof(Bg__Usage, served),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "holder",
+    "inflight",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__QuiesceRecord, holder),
+    offsetof(Bg__Usage, inflight),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__quiesce_record__field_indices_by_name[] = {
-  0,   /* field[0] = data_centre */
-  1,   /* field[1] = epoch */
-  2,   /* field[2] = holder */
+static const unsigned bg__usage__field_indices_by_name[] = {
+  2,   /* field[2] = inflight */
+  0,   /* field[0] = model */
+  1,   /* field[1] = served */
 };
-static const ProtobufCIntRange bg__quiesce_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__usage__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor bg__quiesce_record__descriptor =
+const ProtobufCMessageDescriptor bg__usage__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.QuiesceRecord",
-  "QuiesceRecord",
-  "Bg__QuiesceRecord",
+  "bg.Usage",
+  "Usage",
+  "Bg__Usage",
   "bg",
-  sizeof(Bg__QuiesceRecord),
+  sizeof(Bg__Usage),
   3,
-  bg__quiesce_record__field_descriptors,
-  bg__quiesce_record__field_indices_by_name,
-  1,  bg__quiesce_record__number_ranges,
-  (ProtobufCMessageInit) bg__quiesce_record__init,
+  bg__usage__field_descriptors,
+  bg__usage__field_indices_by_name,
+  1,  bg__usage__number_ranges,
+  (ProtobufCMessageInit) bg__usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bg__demand__field_descriptors[3] =
 {
   {
-    "step",
+    "node",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, step),
-    &bg__key_step__descriptor,
+    offsetof(Bg__Demand, node),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "workspace",
+    "wants",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, workspace),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Demand, n_wants),
+    offsetof(Bg__Demand, wants),
+    &bg__want__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "usage",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, key),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Demand, n_usage),
+    offsetof(Bg__Demand, usage),
+    &bg__usage__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned bg__demand__field_indices_by_name[] = {
+  0,   /* field[0] = node */
+  2,   /* field[2] = usage */
+  1,   /* field[1] = wants */
+};
+static const ProtobufCIntRange bg__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Demand",
+  "Demand",
+  "Bg__Demand",
+  "bg",
+  sizeof(Bg__Demand),
+  3,
+  bg__demand__field_descriptors,
+  bg__demand__field_indices_by_name,
+  1,  bg__demand__number_ranges,
+  (ProtobufCMessageInit) bg__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[10] =
+{
   {
-    "attempt_id",
-    4,
+    "node",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, attempt_id),
+    offsetof(Bg__Heartbeat, node),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_digest",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, request_digest),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "expires_wall_ms",
-    6,
+    "seq",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, expires_wall_ms),
+    offsetof(Bg__Heartbeat, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    7,
+    "applied_offset",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, status),
-    NULL,
+    offsetof(Bg__Heartbeat, applied_offset),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "content_type",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, content_type),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Bg__KeyRecord, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned bg__key_record__field_indices_by_name[] = {
-  3,   /* field[3] = attempt_id */
-  8,   /* field[8] = body */
-  7,   /* field[7] = content_type */
-  5,   /* field[5] = expires_wall_ms */
-  2,   /* field[2] = key */
-  4,   /* field[4] = request_digest */
-  6,   /* field[6] = status */
-  0,   /* field[0] = step */
-  1,   /* field[1] = workspace */
-};
-static const ProtobufCIntRange bg__key_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 9 }
-};
-const ProtobufCMessageDescriptor bg__key_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.KeyRecord",
-  "KeyRecord",
-  "Bg__KeyRecord",
-  "bg",
-  sizeof(Bg__KeyRecord),
-  9,
-  bg__key_record__field_descriptors,
-  bg__key_record__field_indices_by_name,
-  1,  bg__key_record__number_ranges,
-  (ProtobufCMessageInit) bg__key_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor bg__death_record__field_descriptors[3] =
-{
+    "owner",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Heartbeat, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
-    "request_digest",
-    1,
+    "config_version",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__DeathRecord, request_digest),
+    offsetof(Bg__Heartbeat, config_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstream",
-    2,
+    "log_hops",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__DeathRecord, upstream),
+    offsetof(Bg__Heartbeat, log_hops),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    3,
+    "log_first",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__DeathRecord, wall_ms),
+    offsetof(Bg__Heartbeat, log_first),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned bg__death_record__field_indices_by_name[] = {
-  0,   /* field[0] = request_digest */
-  1,   /* field[1] = upstream */
-  2,   /* field[2] = wall_ms */
-};
-static const ProtobufCIntRange bg__death_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor bg__death_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.DeathRecord",
-  "DeathRecord",
-  "Bg__DeathRecord",
-  "bg",
-  sizeof(Bg__DeathRecord),
-  3,
-  bg__death_record__field_descriptors,
-  bg__death_record__field_indices_by_name,
-  1,  bg__death_record__number_ranges,
-  (ProtobufCMessageInit) bg__death_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor bg__checkpoint_record__field_descriptors[6] =
-{
   {
-    "covered_offset",
-    1,
+    "log_next",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, covered_offset),
+    offsetof(Bg__Heartbeat, log_next),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chunk",
-    2,
+    "held",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, chunk),
+    offsetof(Bg__Heartbeat, held),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chunks",
-    3,
+    "ready",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, chunks),
+    offsetof(Bg__Heartbeat, ready),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned bg__heartbeat__field_indices_by_name[] = {
+  2,   /* field[2] = applied_offset */
+  4,   /* field[4] = config_version */
+  8,   /* field[8] = held */
+  6,   /* field[6] = log_first */
+  5,   /* field[5] = log_hops */
+  7,   /* field[7] = log_next */
+  0,   /* field[0] = node */
+  3,   /* field[3] = owner */
+  9,   /* field[9] = ready */
+  1,   /* field[1] = seq */
+};
+static const ProtobufCIntRange bg__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor bg__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Heartbeat",
+  "Heartbeat",
+  "Bg__Heartbeat",
+  "bg",
+  sizeof(Bg__Heartbeat),
+  10,
+  bg__heartbeat__field_descriptors,
+  bg__heartbeat__field_indices_by_name,
+  1,  bg__heartbeat__number_ranges,
+  (ProtobufCMessageInit) bg__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__want_refused__field_descriptors[3] =
+{
   {
-    "digest",
-    4,
+    "model",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, digest),
-    NULL,
+    offsetof(Bg__WantRefused, model),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
-    5,
+    "retry_after_ms",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, data),
+    offsetof(Bg__WantRefused, retry_after_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpoint_id",
-    6,
+    "reason",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__CheckpointRecord, checkpoint_id),
+    offsetof(Bg__WantRefused, reason),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__checkpoint_record__field_indices_by_name[] = {
-  5,   /* field[5] = checkpoint_id */
-  1,   /* field[1] = chunk */
-  2,   /* field[2] = chunks */
-  0,   /* field[0] = covered_offset */
-  4,   /* field[4] = data */
-  3,   /* field[3] = digest */
+static const unsigned bg__want_refused__field_indices_by_name[] = {
+  0,   /* field[0] = model */
+  2,   /* field[2] = reason */
+  1,   /* field[1] = retry_after_ms */
 };
-static const ProtobufCIntRange bg__checkpoint_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__want_refused__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor bg__checkpoint_record__descriptor =
+const ProtobufCMessageDescriptor bg__want_refused__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.CheckpointRecord",
-  "CheckpointRecord",
-  "Bg__CheckpointRecord",
+  "bg.WantRefused",
+  "WantRefused",
+  "Bg__WantRefused",
   "bg",
-  sizeof(Bg__CheckpointRecord),
-  6,
-  bg__checkpoint_record__field_descriptors,
-  bg__checkpoint_record__field_indices_by_name,
-  1,  bg__checkpoint_record__number_ranges,
-  (ProtobufCMessageInit) bg__checkpoint_record__init,
+  sizeof(Bg__WantRefused),
+  3,
+  bg__want_refused__field_descriptors,
+  bg__want_refused__field_indices_by_name,
+  1,  bg__want_refused__number_ranges,
+  (ProtobufCMessageInit) bg__want_refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bg__frame__field_descriptors[11] =
 {
   {
-    "config",
+    "hello",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, config),
-    &bg__config_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, hello),
+    &bg__hello__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
+    "heartbeat",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, claim),
-    &bg__claim_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, heartbeat),
+    &bg__heartbeat__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "intent",
+    "demand",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, intent),
-    &bg__intent_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, demand),
+    &bg__demand__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "settle",
+    "residency",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, settle),
-    &bg__settle_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, residency),
+    &bg__residency__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quiesce",
+    "want_refused",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, quiesce),
-    &bg__quiesce_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, want_refused),
+    &bg__want_refused__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "relay_fetch",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, key),
-    &bg__key_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, relay_fetch),
+    &bg__relay_fetch__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "death",
+    "relay",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, death),
-    &bg__death_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, relay),
+    &bg__relay__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "checkpoint",
+    "snapshot_fetch",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Record, body_case),
-    offsetof(Bg__Record, checkpoint),
-    &bg__checkpoint_record__descriptor,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, snapshot_fetch),
+    &bg__snapshot_fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_chunk",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, snapshot_chunk),
+    &bg__snapshot_chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello_proof",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, hello_proof),
+    &bg__hello_proof__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossip",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, gossip),
+    &bg__gossip__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__record__field_indices_by_name[] = {
-  7,   /* field[7] = checkpoint */
-  1,   /* field[1] = claim */
-  0,   /* field[0] = config */
-  6,   /* field[6] = death */
-  2,   /* field[2] = intent */
-  5,   /* field[5] = key */
-  4,   /* field[4] = quiesce */
-  3,   /* field[3] = settle */
+static const unsigned bg__frame__field_indices_by_name[] = {
+  2,   /* field[2] = demand */
+  10,   /* field[10] = gossip */
+  1,   /* field[1] = heartbeat */
+  0,   /* field[0] = hello */
+  9,   /* field[9] = hello_proof */
+  6,   /* field[6] = relay */
+  5,   /* field[5] = relay_fetch */
+  3,   /* field[3] = residency */
+  8,   /* field[8] = snapshot_chunk */
+  7,   /* field[7] = snapshot_fetch */
+  4,   /* field[4] = want_refused */
 };
-static const ProtobufCIntRange bg__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor bg__record__descriptor =
+const ProtobufCMessageDescriptor bg__frame__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Record",
-  "Record",
-  "Bg__Record",
+  "bg.Frame",
+  "Frame",
+  "Bg__Frame",
   "bg",
-  sizeof(Bg__Record),
-  8,
-  bg__record__field_descriptors,
-  bg__record__field_indices_by_name,
-  1,  bg__record__number_ranges,
-  (ProtobufCMessageInit) bg__record__init,
+  sizeof(Bg__Frame),
+  11,
+  bg__frame__field_descriptors,
+  bg__frame__field_indices_by_name,
+  1,  bg__frame__number_ranges,
+  (ProtobufCMessageInit) bg__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bg__snapshot_version__field_descriptors[2] =
 {
   {
-    "format",
+    "version",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Batch, format),
+    offsetof(Bg__SnapshotVersion, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "batch_id",
+    "config",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Bg__Batch, batch_id),
+    offsetof(Bg__SnapshotVersion, config),
+    &bg__config_record__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned bg__snapshot_version__field_indices_by_name[] = {
+  1,   /* field[1] = config */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange bg__snapshot_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotVersion",
+  "SnapshotVersion",
+  "Bg__SnapshotVersion",
+  "bg",
+  sizeof(Bg__SnapshotVersion),
+  2,
+  bg__snapshot_version__field_descriptors,
+  bg__snapshot_version__field_indices_by_name,
+  1,  bg__snapshot_version__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__snapshot_template__field_descriptors[2] =
+{
   {
-    "digest",
-    3,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__Batch, digest),
-    NULL,
+    offsetof(Bg__SnapshotTemplate, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Bg__Batch, payload),
-    NULL,
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotTemplate, n_versions),
+    offsetof(Bg__SnapshotTemplate, versions),
+    &bg__snapshot_version__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__batch__field_indices_by_name[] = {
-  1,   /* field[1] = batch_id */
-  2,   /* field[2] = digest */
-  0,   /* field[0] = format */
-  3,   /* field[3] = payload */
+static const unsigned bg__snapshot_template__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = versions */
 };
-static const ProtobufCIntRange bg__batch__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_template__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor bg__batch__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_template__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Batch",
-  "Batch",
-  "Bg__Batch",
+  "bg.SnapshotTemplate",
+  "SnapshotTemplate",
+  "Bg__SnapshotTemplate",
   "bg",
-  sizeof(Bg__Batch),
-  4,
-  bg__batch__field_descriptors,
-  bg__batch__field_indices_by_name,
-  1,  bg__batch__number_ranges,
-  (ProtobufCMessageInit) bg__batch__init,
+  sizeof(Bg__SnapshotTemplate),
+  2,
+  bg__snapshot_template__field_descriptors,
+  bg__snapshot_template__field_indices_by_name,
+  1,  bg__snapshot_template__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_template__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__record_list__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bg__snapshot_intent__field_descriptors[2] =
 {
   {
-    "records",
+    "intent",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__RecordList, n_records),
-    offsetof(Bg__RecordList, records),
-    &bg__record__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotIntent, intent),
+    &bg__intent_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotIntent, loaded),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__record_list__field_indices_by_name[] = {
-  0,   /* field[0] = records */
+static const unsigned bg__snapshot_intent__field_indices_by_name[] = {
+  0,   /* field[0] = intent */
+  1,   /* field[1] = loaded */
 };
-static const ProtobufCIntRange bg__record_list__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_intent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor bg__record_list__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.RecordList",
-  "RecordList",
-  "Bg__RecordList",
+  "bg.SnapshotIntent",
+  "SnapshotIntent",
+  "Bg__SnapshotIntent",
   "bg",
-  sizeof(Bg__RecordList),
-  1,
-  bg__record_list__field_descriptors,
-  bg__record_list__field_indices_by_name,
-  1,  bg__record_list__number_ranges,
-  (ProtobufCMessageInit) bg__record_list__init,
+  sizeof(Bg__SnapshotIntent),
+  2,
+  bg__snapshot_intent__field_descriptors,
+  bg__snapshot_intent__field_indices_by_name,
+  1,  bg__snapshot_intent__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__snapshot_centre__field_descriptors[5] =
 {
   {
-    "node",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__Hello, node),
+    offsetof(Bg__SnapshotCentre, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "holder",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__Hello, data_centre),
+    offsetof(Bg__SnapshotCentre, holder),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
+    "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Hello, role),
+    offsetof(Bg__SnapshotCentre, epoch),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "intents",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bg__Hello, version),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotCentre, n_intents),
+    offsetof(Bg__SnapshotCentre, intents),
+    &bg__snapshot_intent__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "proof",
+    "quiesced",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Bg__Hello, proof),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bg__SnapshotCentre, n_quiesced),
+    offsetof(Bg__SnapshotCentre, quiesced),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__hello__field_indices_by_name[] = {
-  1,   /* field[1] = data_centre */
-  0,   /* field[0] = node */
-  4,   /* field[4] = proof */
-  2,   /* field[2] = role */
-  3,   /* field[3] = version */
+static const unsigned bg__snapshot_centre__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
+  1,   /* field[1] = holder */
+  3,   /* field[3] = intents */
+  0,   /* field[0] = name */
+  4,   /* field[4] = quiesced */
 };
-static const ProtobufCIntRange bg__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_centre__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor bg__hello__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Hello",
-  "Hello",
-  "Bg__Hello",
+  "bg.SnapshotCentre",
+  "SnapshotCentre",
+  "Bg__SnapshotCentre",
   "bg",
-  sizeof(Bg__Hello),
+  sizeof(Bg__SnapshotCentre),
   5,
-  bg__hello__field_descriptors,
-  bg__hello__field_indices_by_name,
-  1,  bg__hello__number_ranges,
-  (ProtobufCMessageInit) bg__hello__init,
+  bg__snapshot_centre__field_descriptors,
+  bg__snapshot_centre__field_indices_by_name,
+  1,  bg__snapshot_centre__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_centre__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__want__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bg__snapshot_deaths__field_descriptors[2] =
 {
   {
-    "model",
+    "digest",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Bg__Want, model),
+    offsetof(Bg__SnapshotDeaths, digest),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
+    "upstreams",
     2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bg__SnapshotDeaths, n_upstreams),
+    offsetof(Bg__SnapshotDeaths, upstreams),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__snapshot_deaths__field_indices_by_name[] = {
+  0,   /* field[0] = digest */
+  1,   /* field[1] = upstreams */
+};
+static const ProtobufCIntRange bg__snapshot_deaths__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_deaths__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotDeaths",
+  "SnapshotDeaths",
+  "Bg__SnapshotDeaths",
+  "bg",
+  sizeof(Bg__SnapshotDeaths),
+  2,
+  bg__snapshot_deaths__field_descriptors,
+  bg__snapshot_deaths__field_indices_by_name,
+  1,  bg__snapshot_deaths__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_deaths__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__snapshot_checkpoint__field_descriptors[6] =
+{
+  {
+    "checkpoint_id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__Want, waiting),
-    NULL,
+    offsetof(Bg__SnapshotCheckpoint, checkpoint_id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slack_ms",
-    3,
+    "covered_offset",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Want, slack_ms),
+    offsetof(Bg__SnapshotCheckpoint, covered_offset),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "priority",
-    4,
+    "chunks",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__Want, priority),
+    offsetof(Bg__SnapshotCheckpoint, chunks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotCheckpoint, seen),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned bg__want__field_indices_by_name[] = {
-  0,   /* field[0] = model */
-  3,   /* field[3] = priority */
-  2,   /* field[2] = slack_ms */
-  1,   /* field[1] = waiting */
-};
-static const ProtobufCIntRange bg__want__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor bg__want__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Want",
-  "Want",
-  "Bg__Want",
-  "bg",
-  sizeof(Bg__Want),
-  4,
-  bg__want__field_descriptors,
-  bg__want__field_indices_by_name,
-  1,  bg__want__number_ranges,
-  (ProtobufCMessageInit) bg__want__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor bg__resident__field_descriptors[2] =
-{
   {
-    "model",
-    1,
+    "first_offset",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Resident, model),
+    offsetof(Bg__SnapshotCheckpoint, first_offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loading",
-    2,
+    "last_offset",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Resident, loading),
+    offsetof(Bg__SnapshotCheckpoint, last_offset),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__resident__field_indices_by_name[] = {
-  1,   /* field[1] = loading */
-  0,   /* field[0] = model */
+static const unsigned bg__snapshot_checkpoint__field_indices_by_name[] = {
+  0,   /* field[0] = checkpoint_id */
+  2,   /* field[2] = chunks */
+  1,   /* field[1] = covered_offset */
+  4,   /* field[4] = first_offset */
+  5,   /* field[5] = last_offset */
+  3,   /* field[3] = seen */
 };
-static const ProtobufCIntRange bg__resident__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_checkpoint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor bg__resident__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_checkpoint__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Resident",
-  "Resident",
-  "Bg__Resident",
+  "bg.SnapshotCheckpoint",
+  "SnapshotCheckpoint",
+  "Bg__SnapshotCheckpoint",
   "bg",
-  sizeof(Bg__Resident),
-  2,
-  bg__resident__field_descriptors,
-  bg__resident__field_indices_by_name,
-  1,  bg__resident__number_ranges,
-  (ProtobufCMessageInit) bg__resident__init,
+  sizeof(Bg__SnapshotCheckpoint),
+  6,
+  bg__snapshot_checkpoint__field_descriptors,
+  bg__snapshot_checkpoint__field_indices_by_name,
+  1,  bg__snapshot_checkpoint__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_checkpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__upstream_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bg__snapshot__field_descriptors[12] =
 {
   {
-    "upstream",
+    "format",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, upstream),
+    offsetof(Bg__Snapshot, format),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deployment",
+    "offset",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, deployment),
+    offsetof(Bg__Snapshot, offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "templates",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, data_centre),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Snapshot, n_templates),
+    offsetof(Bg__Snapshot, templates),
+    &bg__snapshot_template__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "centres",
     4,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Snapshot, n_centres),
+    offsetof(Bg__Snapshot, centres),
+    &bg__snapshot_centre__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Snapshot, n_keys),
+    offsetof(Bg__Snapshot, keys),
+    &bg__key_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "void_attempts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, address),
+    offsetof(Bg__Snapshot, n_void_attempts),
+    offsetof(Bg__Snapshot, void_attempts),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    5,
+    "deaths",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Snapshot, n_deaths),
+    offsetof(Bg__Snapshot, deaths),
+    &bg__snapshot_deaths__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batches",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, leaving),
+    offsetof(Bg__Snapshot, batches),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reported_inflight",
-    6,
+    "checkpoint",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, reported_inflight),
-    NULL,
+    offsetof(Bg__Snapshot, checkpoint),
+    &bg__snapshot_checkpoint__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "residents",
-    7,
+    "pending",
+    10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__UpstreamState, n_residents),
-    offsetof(Bg__UpstreamState, residents),
-    &bg__resident__descriptor,
+    offsetof(Bg__Snapshot, n_pending),
+    offsetof(Bg__Snapshot, pending),
+    &bg__snapshot_checkpoint__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "gone",
-    8,
+    "entries_since",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, gone),
+    offsetof(Bg__Snapshot, entries_since),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "known",
-    9,
+    "chain",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Bg__UpstreamState, known),
+    offsetof(Bg__Snapshot, chain),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__upstream_state__field_indices_by_name[] = {
-  3,   /* field[3] = address */
-  2,   /* field[2] = data_centre */
-  1,   /* field[1] = deployment */
-  7,   /* field[7] = gone */
-  8,   /* field[8] = known */
-  4,   /* field[4] = leaving */
-  5,   /* field[5] = reported_inflight */
-  6,   /* field[6] = residents */
-  0,   /* field[0] = upstream */
+static const unsigned bg__snapshot__field_indices_by_name[] = {
+  7,   /* field[7] = batches */
+  3,   /* field[3] = centres */
+  11,   /* field[11] = chain */
+  8,   /* field[8] = checkpoint */
+  6,   /* field[6] = deaths */
+  10,   /* field[10] = entries_since */
+  0,   /* field[0] = format */
+  4,   /* field[4] = keys */
+  1,   /* field[1] = offset */
+  9,   /* field[9] = pending */
+  2,   /* field[2] = templates */
+  5,   /* field[5] = void_attempts */
 };
-static const ProtobufCIntRange bg__upstream_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
-const ProtobufCMessageDescriptor bg__upstream_state__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.UpstreamState",
-  "UpstreamState",
-  "Bg__UpstreamState",
+  "bg.Snapshot",
+  "Snapshot",
+  "Bg__Snapshot",
   "bg",
-  sizeof(Bg__UpstreamState),
-  9,
-  bg__upstream_state__field_descriptors,
-  bg__upstream_state__field_indices_by_name,
-  1,  bg__upstream_state__number_ranges,
-  (ProtobufCMessageInit) bg__upstream_state__init,
+  sizeof(Bg__Snapshot),
+  12,
+  bg__snapshot__field_descriptors,
+  bg__snapshot__field_indices_by_name,
+  1,  bg__snapshot__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__residency__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__entry__field_descriptors[3] =
 {
   {
-    "data_centre",
+    "offset",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Residency, data_centre),
+    offsetof(Bg__Entry, offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "data",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Bg__Residency, epoch),
+    offsetof(Bg__Entry, data),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seq",
+    "digest",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Residency, seq),
+    offsetof(Bg__Entry, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned bg__entry__field_indices_by_name[] = {
+  1,   /* field[1] = data */
+  2,   /* field[2] = digest */
+  0,   /* field[0] = offset */
+};
+static const ProtobufCIntRange bg__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.Entry",
+  "Entry",
+  "Bg__Entry",
+  "bg",
+  sizeof(Bg__Entry),
+  3,
+  bg__entry__field_descriptors,
+  bg__entry__field_indices_by_name,
+  1,  bg__entry__number_ranges,
+  (ProtobufCMessageInit) bg__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__relay_fetch__field_descriptors[2] =
+{
   {
-    "full",
-    4,
+    "after",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Residency, full),
+    offsetof(Bg__RelayFetch, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "upstreams",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Residency, n_upstreams),
-    offsetof(Bg__Residency, upstreams),
-    &bg__upstream_state__descriptor,
+    "stop",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__RelayFetch, stop),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__residency__field_indices_by_name[] = {
-  0,   /* field[0] = data_centre */
-  1,   /* field[1] = epoch */
-  3,   /* field[3] = full */
-  2,   /* field[2] = seq */
-  4,   /* field[4] = upstreams */
+static const unsigned bg__relay_fetch__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+  1,   /* field[1] = stop */
 };
-static const ProtobufCIntRange bg__residency__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__relay_fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor bg__residency__descriptor =
+const ProtobufCMessageDescriptor bg__relay_fetch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Residency",
-  "Residency",
-  "Bg__Residency",
+  "bg.RelayFetch",
+  "RelayFetch",
+  "Bg__RelayFetch",
   "bg",
-  sizeof(Bg__Residency),
-  5,
-  bg__residency__field_descriptors,
-  bg__residency__field_indices_by_name,
-  1,  bg__residency__number_ranges,
-  (ProtobufCMessageInit) bg__residency__init,
+  sizeof(Bg__RelayFetch),
+  2,
+  bg__relay_fetch__field_descriptors,
+  bg__relay_fetch__field_indices_by_name,
+  1,  bg__relay_fetch__number_ranges,
+  (ProtobufCMessageInit) bg__relay_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__usage__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__relay__field_descriptors[4] =
 {
   {
-    "model",
+    "after",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Usage, model),
+    offsetof(Bg__Relay, after),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "served",
+    "entries",
     2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Relay, n_entries),
+    offsetof(Bg__Relay, entries),
+    &bg__entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trimmed",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__Usage, served),
+    offsetof(Bg__Relay, trimmed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "inflight",
-    3,
+    "chain",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Usage, inflight),
+    offsetof(Bg__Relay, chain),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__usage__field_indices_by_name[] = {
-  2,   /* field[2] = inflight */
-  0,   /* field[0] = model */
-  1,   /* field[1] = served */
+static const unsigned bg__relay__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+  3,   /* field[3] = chain */
+  1,   /* field[1] = entries */
+  2,   /* field[2] = trimmed */
 };
-static const ProtobufCIntRange bg__usage__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__relay__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor bg__usage__descriptor =
+const ProtobufCMessageDescriptor bg__relay__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Usage",
-  "Usage",
-  "Bg__Usage",
-  "bg",
-  sizeof(Bg__Usage),
-  3,
-  bg__usage__field_descriptors,
-  bg__usage__field_indices_by_name,
-  1,  bg__usage__number_ranges,
-  (ProtobufCMessageInit) bg__usage__init,
+  "bg.Relay",
+  "Relay",
+  "Bg__Relay",
+  "bg",
+  sizeof(Bg__Relay),
+  4,
+  bg__relay__field_descriptors,
+  bg__relay__field_indices_by_name,
+  1,  bg__relay__number_ranges,
+  (ProtobufCMessageInit) bg__relay__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__snapshot_fetch__field_descriptors[2] =
 {
   {
-    "node",
+    "offset",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Demand, node),
+    offsetof(Bg__SnapshotFetch, offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wants",
+    "chunk",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Demand, n_wants),
-    offsetof(Bg__Demand, wants),
-    &bg__want__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotFetch, chunk),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "usage",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Demand, n_usage),
-    offsetof(Bg__Demand, usage),
-    &bg__usage__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__demand__field_indices_by_name[] = {
-  0,   /* field[0] = node */
-  2,   /* field[2] = usage */
-  1,   /* field[1] = wants */
+static const unsigned bg__snapshot_fetch__field_indices_by_name[] = {
+  1,   /* field[1] = chunk */
+  0,   /* field[0] = offset */
 };
-static const ProtobufCIntRange bg__demand__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_fetch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor bg__demand__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_fetch__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Demand",
-  "Demand",
-  "Bg__Demand",
+  "bg.SnapshotFetch",
+  "SnapshotFetch",
+  "Bg__SnapshotFetch",
   "bg",
-  sizeof(Bg__Demand),
-  3,
-  bg__demand__field_descriptors,
-  bg__demand__field_indices_by_name,
-  1,  bg__demand__number_ranges,
-  (ProtobufCMessageInit) bg__demand__init,
+  sizeof(Bg__SnapshotFetch),
+  2,
+  bg__snapshot_fetch__field_descriptors,
+  bg__snapshot_fetch__field_indices_by_name,
+  1,  bg__snapshot_fetch__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__snapshot_chunk__field_descriptors[5] =
 {
   {
-    "node",
+    "offset",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Heartbeat, node),
+    offsetof(Bg__SnapshotChunk, offset),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seq",
+    "chunk",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__Heartbeat, seq),
+    offsetof(Bg__SnapshotChunk, chunk),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "applied_offset",
+    "chunks",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Bg__Heartbeat, applied_offset),
+    offsetof(Bg__SnapshotChunk, chunks),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner",
+    "digest",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Bg__Heartbeat, owner),
+    offsetof(Bg__SnapshotChunk, digest),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "data",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Bg__Heartbeat, config_version),
+    offsetof(Bg__SnapshotChunk, data),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__heartbeat__field_indices_by_name[] = {
-  2,   /* field[2] = applied_offset */
-  4,   /* field[4] = config_version */
-  0,   /* field[0] = node */
-  3,   /* field[3] = owner */
-  1,   /* field[1] = seq */
+static const unsigned bg__snapshot_chunk__field_indices_by_name[] = {
+  1,   /* field[1] = chunk */
+  2,   /* field[2] = chunks */
+  4,   /* field[4] = data */
+  3,   /* field[3] = digest */
+  0,   /* field[0] = offset */
 };
-static const ProtobufCIntRange bg__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot_chunk__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor bg__heartbeat__descriptor =
+const ProtobufCMessageDescriptor bg__snapshot_chunk__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Heartbeat",
-  "Heartbeat",
-  "Bg__Heartbeat",
+  "bg.SnapshotChunk",
+  "SnapshotChunk",
+  "Bg__SnapshotChunk",
   "bg",
-  sizeof(Bg__Heartbeat),
+  sizeof(Bg__SnapshotChunk),
   5,
-  bg__heartbeat__field_descriptors,
-  bg__heartbeat__field_indices_by_name,
-  1,  bg__heartbeat__number_ranges,
-  (ProtobufCMessageInit) bg__heartbeat__init,
+  bg__snapshot_chunk__field_descriptors,
+  bg__snapshot_chunk__field_indices_by_name,
+  1,  bg__snapshot_chunk__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__want_refused__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__hello_proof__field_descriptors[1] =
 {
   {
-    "model",
+    "proof",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bg__HelloProof, proof),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__hello_proof__field_indices_by_name[] = {
+  0,   /* field[0] = proof */
+};
+static const ProtobufCIntRange bg__hello_proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bg__hello_proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.HelloProof",
+  "HelloProof",
+  "Bg__HelloProof",
+  "bg",
+  sizeof(Bg__HelloProof),
+  1,
+  bg__hello_proof__field_descriptors,
+  bg__hello_proof__field_indices_by_name,
+  1,  bg__hello_proof__number_ranges,
+  (ProtobufCMessageInit) bg__hello_proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__node_status__field_descriptors[7] =
+{
+  {
+    "node",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__WantRefused, model),
+    offsetof(Bg__NodeStatus, node),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
+    "data_centre",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__WantRefused, retry_after_ms),
-    NULL,
+    offsetof(Bg__NodeStatus, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
+    "role",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bg__WantRefused, reason),
+    offsetof(Bg__NodeStatus, role),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned bg__want_refused__field_indices_by_name[] = {
-  0,   /* field[0] = model */
-  2,   /* field[2] = reason */
-  1,   /* field[1] = retry_after_ms */
-};
-static const ProtobufCIntRange bg__want_refused__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor bg__want_refused__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.WantRefused",
-  "WantRefused",
-  "Bg__WantRefused",
-  "bg",
-  sizeof(Bg__WantRefused),
-  3,
-  bg__want_refused__field_descriptors,
-  bg__want_refused__field_indices_by_name,
-  1,  bg__want_refused__number_ranges,
-  (ProtobufCMessageInit) bg__want_refused__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor bg__frame__field_descriptors[5] =
-{
   {
-    "hello",
-    1,
+    "config_version",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Frame, body_case),
-    offsetof(Bg__Frame, hello),
-    &bg__hello__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__NodeStatus, config_version),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
-    2,
+    "applied_offset",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Frame, body_case),
-    offsetof(Bg__Frame, heartbeat),
-    &bg__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__NodeStatus, applied_offset),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "demand",
-    3,
+    "age_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Frame, body_case),
-    offsetof(Bg__Frame, demand),
-    &bg__demand__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__NodeStatus, age_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "residency",
-    4,
+    "held",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Frame, body_case),
-    offsetof(Bg__Frame, residency),
-    &bg__residency__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__NodeStatus, held),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned bg__node_status__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
+  4,   /* field[4] = applied_offset */
+  3,   /* field[3] = config_version */
+  1,   /* field[1] = data_centre */
+  6,   /* field[6] = held */
+  0,   /* field[0] = node */
+  2,   /* field[2] = role */
+};
+static const ProtobufCIntRange bg__node_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor bg__node_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.NodeStatus",
+  "NodeStatus",
+  "Bg__NodeStatus",
+  "bg",
+  sizeof(Bg__NodeStatus),
+  7,
+  bg__node_status__field_descriptors,
+  bg__node_status__field_indices_by_name,
+  1,  bg__node_status__number_ranges,
+  (ProtobufCMessageInit) bg__node_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__gossip__field_descriptors[1] =
+{
   {
-    "want_refused",
-    5,
-    PROTOBUF_C_LABEL_NONE,
+    "nodes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Frame, body_case),
-    offsetof(Bg__Frame, want_refused),
-    &bg__want_refused__descriptor,
+    offsetof(Bg__Gossip, n_nodes),
+    offsetof(Bg__Gossip, nodes),
+    &bg__node_status__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bg__frame__field_indices_by_name[] = {
-  2,   /* field[2] = demand */
-  1,   /* field[1] = heartbeat */
-  0,   /* field[0] = hello */
-  3,   /* field[3] = residency */
-  4,   /* field[4] = want_refused */
+static const unsigned bg__gossip__field_indices_by_name[] = {
+  0,   /* field[0] = nodes */
 };
-static const ProtobufCIntRange bg__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor bg__frame__descriptor =
+const ProtobufCMessageDescriptor bg__gossip__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bg.Frame",
-  "Frame",
-  "Bg__Frame",
+  "bg.Gossip",
+  "Gossip",
+  "Bg__Gossip",
   "bg",
-  sizeof(Bg__Frame),
-  5,
-  bg__frame__field_descriptors,
-  bg__frame__field_indices_by_name,
-  1,  bg__frame__number_ranges,
-  (ProtobufCMessageInit) bg__frame__init,
+  sizeof(Bg__Gossip),
+  1,
+  bg__gossip__field_descriptors,
+  bg__gossip__field_indices_by_name,
+  1,  bg__gossip__number_ranges,
+  (ProtobufCMessageInit) bg__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCEnumValue bg__key_step__enum_values_by_number[4] =
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -36,6 +36,21 @@
 typedef struct Bg__Heartbeat Bg__Heartbeat;
 typedef struct Bg__WantRefused Bg__WantRefused;
 typedef struct Bg__Frame Bg__Frame;
+typedef struct Bg__SnapshotVersion Bg__SnapshotVersion;
+typedef struct Bg__SnapshotTemplate Bg__SnapshotTemplate;
+typedef struct Bg__SnapshotIntent Bg__SnapshotIntent;
+typedef struct Bg__SnapshotCentre Bg__SnapshotCentre;
+typedef struct Bg__SnapshotDeaths Bg__SnapshotDeaths;
+typedef struct Bg__SnapshotCheckpoint Bg__SnapshotCheckpoint;
+typedef struct Bg__Snapshot Bg__Snapshot;
+typedef struct Bg__Entry Bg__Entry;
+typedef struct Bg__RelayFetch Bg__RelayFetch;
+typedef struct Bg__Relay Bg__Relay;
+typedef struct Bg__SnapshotFetch Bg__SnapshotFetch;
+typedef struct Bg__SnapshotChunk Bg__SnapshotChunk;
+typedef struct Bg__HelloProof Bg__HelloProof;
+typedef struct Bg__NodeStatus Bg__NodeStatus;
+typedef struct Bg__Gossip Bg__Gossip;
 
 
 /* --- enums --- */
@@ -264,11 +279,15 @@
   char *data_centre;
   char *role;
   uint32_t version;
+  /*
+   * of version 1 of the protocol
+   */
   ProtobufCBinaryData proof;
+  ProtobufCBinaryData nonce;
 };
 #define BG__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, {0,NULL} }
 
 
 /*
@@ -376,10 +395,19 @@
   uint64_t applied_offset;
   protobuf_c_boolean owner;
   uint64_t config_version;
+  /*
+   * How far from the log: 0 cut off from it, 1 reads it, more: fed by a
+   * process that is one nearer.
+   */
+  uint32_t log_hops;
+  uint64_t log_first;
+  uint64_t log_next;
+  protobuf_c_boolean held;
+  protobuf_c_boolean ready;
 };
 #define BG__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -403,7 +431,13 @@
   BG__FRAME__BODY_HEARTBEAT = 2,
   BG__FRAME__BODY_DEMAND = 3,
   BG__FRAME__BODY_RESIDENCY = 4,
-  BG__FRAME__BODY_WANT_REFUSED = 5
+  BG__FRAME__BODY_WANT_REFUSED = 5,
+  BG__FRAME__BODY_RELAY_FETCH = 6,
+  BG__FRAME__BODY_RELAY = 7,
+  BG__FRAME__BODY_SNAPSHOT_FETCH = 8,
+  BG__FRAME__BODY_SNAPSHOT_CHUNK = 9,
+  BG__FRAME__BODY_HELLO_PROOF = 10,
+  BG__FRAME__BODY_GOSSIP = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__FRAME__BODY__CASE)
 } Bg__Frame__BodyCase;
 
@@ -417,6 +451,12 @@
     Bg__Demand *demand;
     Bg__Residency *residency;
     Bg__WantRefused *want_refused;
+    Bg__RelayFetch *relay_fetch;
+    Bg__Relay *relay;
+    Bg__SnapshotFetch *snapshot_fetch;
+    Bg__SnapshotChunk *snapshot_chunk;
+    Bg__HelloProof *hello_proof;
+    Bg__Gossip *gossip;
   };
 };
 #define BG__FRAME__INIT \
@@ -424,6 +464,240 @@
     , BG__FRAME__BODY__NOT_SET, {0} }
 
 
+struct  Bg__SnapshotVersion
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  Bg__ConfigRecord *config;
+};
+#define BG__SNAPSHOT_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_version__descriptor) \
+    , 0, NULL }
+
+
+struct  Bg__SnapshotTemplate
+{
+  ProtobufCMessage base;
+  char *name;
+  size_t n_versions;
+  Bg__SnapshotVersion **versions;
+};
+#define BG__SNAPSHOT_TEMPLATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_template__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Bg__SnapshotIntent
+{
+  ProtobufCMessage base;
+  Bg__IntentRecord *intent;
+  protobuf_c_boolean loaded;
+};
+#define BG__SNAPSHOT_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_intent__descriptor) \
+    , NULL, 0 }
+
+
+struct  Bg__SnapshotCentre
+{
+  ProtobufCMessage base;
+  char *name;
+  char *holder;
+  uint64_t epoch;
+  size_t n_intents;
+  Bg__SnapshotIntent **intents;
+  size_t n_quiesced;
+  uint64_t *quiesced;
+};
+#define BG__SNAPSHOT_CENTRE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_centre__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+
+
+struct  Bg__SnapshotDeaths
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData digest;
+  size_t n_upstreams;
+  char **upstreams;
+};
+#define BG__SNAPSHOT_DEATHS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_deaths__descriptor) \
+    , {0,NULL}, 0,NULL }
+
+
+/*
+ * A checkpoint whose records were read, in part or in full.
+ */
+struct  Bg__SnapshotCheckpoint
+{
+  ProtobufCMessage base;
+  char *checkpoint_id;
+  uint64_t covered_offset;
+  uint32_t chunks;
+  ProtobufCBinaryData seen;
+  uint64_t first_offset;
+  uint64_t last_offset;
+};
+#define BG__SNAPSHOT_CHECKPOINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_checkpoint__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0 }
+
+
+struct  Bg__Snapshot
+{
+  ProtobufCMessage base;
+  uint32_t format;
+  uint64_t offset;
+  size_t n_templates;
+  Bg__SnapshotTemplate **templates;
+  size_t n_centres;
+  Bg__SnapshotCentre **centres;
+  size_t n_keys;
+  Bg__KeyRecord **keys;
+  size_t n_void_attempts;
+  char **void_attempts;
+  size_t n_deaths;
+  Bg__SnapshotDeaths **deaths;
+  /*
+   * 16 bytes of id and 8 of digest for each batch, oldest first.
+   */
+  ProtobufCBinaryData batches;
+  Bg__SnapshotCheckpoint *checkpoint;
+  size_t n_pending;
+  Bg__SnapshotCheckpoint **pending;
+  uint64_t entries_since;
+  uint64_t chain;
+};
+#define BG__SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, NULL, 0,NULL, 0, 0 }
+
+
+struct  Bg__Entry
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  ProtobufCBinaryData data;
+  uint64_t digest;
+};
+#define BG__ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__entry__descriptor) \
+    , 0, {0,NULL}, 0 }
+
+
+/*
+ * Asks for the entries after an offset, now and as they come.
+ */
+struct  Bg__RelayFetch
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  /*
+   * no more entries, please
+   */
+  protobuf_c_boolean stop;
+};
+#define BG__RELAY_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__relay_fetch__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * All entries after AFTER up to the last one here.  trimmed: the sender no
+ * longer has them; a snapshot is needed.
+ */
+struct  Bg__Relay
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  size_t n_entries;
+  Bg__Entry **entries;
+  protobuf_c_boolean trimmed;
+  /*
+   * Digest of all entries up to AFTER, each folded into the one before.
+   */
+  uint64_t chain;
+};
+#define BG__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__relay__descriptor) \
+    , 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Asks for one chunk of a snapshot; offset 0: of the newest.
+ */
+struct  Bg__SnapshotFetch
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t chunk;
+};
+#define BG__SNAPSHOT_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_fetch__descriptor) \
+    , 0, 0 }
+
+
+struct  Bg__SnapshotChunk
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t chunk;
+  uint32_t chunks;
+  uint64_t digest;
+  ProtobufCBinaryData data;
+};
+#define BG__SNAPSHOT_CHUNK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_chunk__descriptor) \
+    , 0, 0, 0, 0, {0,NULL} }
+
+
+/*
+ * The far end's answer to the challenge in a Hello.
+ */
+struct  Bg__HelloProof
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData proof;
+};
+#define BG__HELLO_PROOF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__hello_proof__descriptor) \
+    , {0,NULL} }
+
+
+/*
+ * What the sender knows of other processes, oldest word of each included.
+ */
+struct  Bg__NodeStatus
+{
+  ProtobufCMessage base;
+  char *node;
+  char *data_centre;
+  char *role;
+  uint64_t config_version;
+  uint64_t applied_offset;
+  uint64_t age_ms;
+  protobuf_c_boolean held;
+};
+#define BG__NODE_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__node_status__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Sent over bridges and to peers now and then; grants nothing.
+ */
+struct  Bg__Gossip
+{
+  ProtobufCMessage base;
+  size_t n_nodes;
+  Bg__NodeStatus **nodes;
+};
+#define BG__GOSSIP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__gossip__descriptor) \
+    , 0,NULL }
+
+
 /* Bg__ConfigRecord methods */
 void   bg__config_record__init
                      (Bg__ConfigRecord         *message);
@@ -823,6 +1097,291 @@
 void   bg__frame__free_unpacked
                      (Bg__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Bg__SnapshotVersion methods */
+void   bg__snapshot_version__init
+                     (Bg__SnapshotVersion         *message);
+size_t bg__snapshot_version__get_packed_size
+                     (const Bg__SnapshotVersion   *message);
+size_t bg__snapshot_version__pack
+                     (const Bg__SnapshotVersion   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_version__pack_to_buffer
+                     (const Bg__SnapshotVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotVersion *
+       bg__snapshot_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_version__free_unpacked
+                     (Bg__SnapshotVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotTemplate methods */
+void   bg__snapshot_template__init
+                     (Bg__SnapshotTemplate         *message);
+size_t bg__snapshot_template__get_packed_size
+                     (const Bg__SnapshotTemplate   *message);
+size_t bg__snapshot_template__pack
+                     (const Bg__SnapshotTemplate   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_template__pack_to_buffer
+                     (const Bg__SnapshotTemplate   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotTemplate *
+       bg__snapshot_template__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_template__free_unpacked
+                     (Bg__SnapshotTemplate *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotIntent methods */
+void   bg__snapshot_intent__init
+                     (Bg__SnapshotIntent         *message);
+size_t bg__snapshot_intent__get_packed_size
+                     (const Bg__SnapshotIntent   *message);
+size_t bg__snapshot_intent__pack
+                     (const Bg__SnapshotIntent   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_intent__pack_to_buffer
+                     (const Bg__SnapshotIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotIntent *
+       bg__snapshot_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_intent__free_unpacked
+                     (Bg__SnapshotIntent *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotCentre methods */
+void   bg__snapshot_centre__init
+                     (Bg__SnapshotCentre         *message);
+size_t bg__snapshot_centre__get_packed_size
+                     (const Bg__SnapshotCentre   *message);
+size_t bg__snapshot_centre__pack
+                     (const Bg__SnapshotCentre   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_centre__pack_to_buffer
+                     (const Bg__SnapshotCentre   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotCentre *
+       bg__snapshot_centre__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_centre__free_unpacked
+                     (Bg__SnapshotCentre *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotDeaths methods */
+void   bg__snapshot_deaths__init
+                     (Bg__SnapshotDeaths         *message);
+size_t bg__snapshot_deaths__get_packed_size
+                     (const Bg__SnapshotDeaths   *message);
+size_t bg__snapshot_deaths__pack
+                     (const Bg__SnapshotDeaths   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_deaths__pack_to_buffer
+                     (const Bg__SnapshotDeaths   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotDeaths *
+       bg__snapshot_deaths__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_deaths__free_unpacked
+                     (Bg__SnapshotDeaths *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotCheckpoint methods */
+void   bg__snapshot_checkpoint__init
+                     (Bg__SnapshotCheckpoint         *message);
+size_t bg__snapshot_checkpoint__get_packed_size
+                     (const Bg__SnapshotCheckpoint   *message);
+size_t bg__snapshot_checkpoint__pack
+                     (const Bg__SnapshotCheckpoint   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_checkpoint__pack_to_buffer
+                     (const Bg__SnapshotCheckpoint   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotCheckpoint *
+       bg__snapshot_checkpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_checkpoint__free_unpacked
+                     (Bg__SnapshotCheckpoint *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Snapshot methods */
+void   bg__snapshot__init
+                     (Bg__Snapshot         *message);
+size_t bg__snapshot__get_packed_size
+                     (const Bg__Snapshot   *message);
+size_t bg__snapshot__pack
+                     (const Bg__Snapshot   *message,
+                      uint8_t             *out);
+size_t bg__snapshot__pack_to_buffer
+                     (const Bg__Snapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Snapshot *
+       bg__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot__free_unpacked
+                     (Bg__Snapshot *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Entry methods */
+void   bg__entry__init
+                     (Bg__Entry         *message);
+size_t bg__entry__get_packed_size
+                     (const Bg__Entry   *message);
+size_t bg__entry__pack
+                     (const Bg__Entry   *message,
+                      uint8_t             *out);
+size_t bg__entry__pack_to_buffer
+                     (const Bg__Entry   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Entry *
+       bg__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__entry__free_unpacked
+                     (Bg__Entry *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__RelayFetch methods */
+void   bg__relay_fetch__init
+                     (Bg__RelayFetch         *message);
+size_t bg__relay_fetch__get_packed_size
+                     (const Bg__RelayFetch   *message);
+size_t bg__relay_fetch__pack
+                     (const Bg__RelayFetch   *message,
+                      uint8_t             *out);
+size_t bg__relay_fetch__pack_to_buffer
+                     (const Bg__RelayFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__RelayFetch *
+       bg__relay_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__relay_fetch__free_unpacked
+                     (Bg__RelayFetch *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Relay methods */
+void   bg__relay__init
+                     (Bg__Relay         *message);
+size_t bg__relay__get_packed_size
+                     (const Bg__Relay   *message);
+size_t bg__relay__pack
+                     (const Bg__Relay   *message,
+                      uint8_t             *out);
+size_t bg__relay__pack_to_buffer
+                     (const Bg__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Relay *
+       bg__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__relay__free_unpacked
+                     (Bg__Relay *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotFetch methods */
+void   bg__snapshot_fetch__init
+                     (Bg__SnapshotFetch         *message);
+size_t bg__snapshot_fetch__get_packed_size
+                     (const Bg__SnapshotFetch   *message);
+size_t bg__snapshot_fetch__pack
+                     (const Bg__SnapshotFetch   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_fetch__pack_to_buffer
+                     (const Bg__SnapshotFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotFetch *
+       bg__snapshot_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_fetch__free_unpacked
+                     (Bg__SnapshotFetch *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotChunk methods */
+void   bg__snapshot_chunk__init
+                     (Bg__SnapshotChunk         *message);
+size_t bg__snapshot_chunk__get_packed_size
+                     (const Bg__SnapshotChunk   *message);
+size_t bg__snapshot_chunk__pack
+                     (const Bg__SnapshotChunk   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_chunk__pack_to_buffer
+                     (const Bg__SnapshotChunk   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotChunk *
+       bg__snapshot_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_chunk__free_unpacked
+                     (Bg__SnapshotChunk *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__HelloProof methods */
+void   bg__hello_proof__init
+                     (Bg__HelloProof         *message);
+size_t bg__hello_proof__get_packed_size
+                     (const Bg__HelloProof   *message);
+size_t bg__hello_proof__pack
+                     (const Bg__HelloProof   *message,
+                      uint8_t             *out);
+size_t bg__hello_proof__pack_to_buffer
+                     (const Bg__HelloProof   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__HelloProof *
+       bg__hello_proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__hello_proof__free_unpacked
+                     (Bg__HelloProof *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__NodeStatus methods */
+void   bg__node_status__init
+                     (Bg__NodeStatus         *message);
+size_t bg__node_status__get_packed_size
+                     (const Bg__NodeStatus   *message);
+size_t bg__node_status__pack
+                     (const Bg__NodeStatus   *message,
+                      uint8_t             *out);
+size_t bg__node_status__pack_to_buffer
+                     (const Bg__NodeStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__NodeStatus *
+       bg__node_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__node_status__free_unpacked
+                     (Bg__NodeStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Gossip methods */
+void   bg__gossip__init
+                     (Bg__Gossip         *message);
+size_t bg__gossip__get_packed_size
+                     (const Bg__Gossip   *message);
+size_t bg__gossip__pack
+                     (const Bg__Gossip   *message,
+                      uint8_t             *out);
+size_t bg__gossip__pack_to_buffer
+                     (const Bg__Gossip   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Gossip *
+       bg__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__gossip__free_unpacked
+                     (Bg__Gossip *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bg__ConfigRecord_Closure)
@@ -888,6 +1447,51 @@
 typedef void (*Bg__Frame_Closure)
                  (const Bg__Frame *message,
                   void *closure_data);
+typedef void (*Bg__SnapshotVersion_Closure)
+                 (const Bg__SnapshotVersion *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotTemplate_Closure)
+                 (const Bg__SnapshotTemplate *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotIntent_Closure)
+                 (const Bg__SnapshotIntent *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotCentre_Closure)
+                 (const Bg__SnapshotCentre *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotDeaths_Closure)
+                 (const Bg__SnapshotDeaths *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotCheckpoint_Closure)
+                 (const Bg__SnapshotCheckpoint *message,
+                  void *closure_data);
+typedef void (*Bg__Snapshot_Closure)
+                 (const Bg__Snapshot *message,
+                  void *closure_data);
+typedef void (*Bg__Entry_Closure)
+                 (const Bg__Entry *message,
+                  void *closure_data);
+typedef void (*Bg__RelayFetch_Closure)
+                 (const Bg__RelayFetch *message,
+                  void *closure_data);
+typedef void (*Bg__Relay_Closure)
+                 (const Bg__Relay *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotFetch_Closure)
+                 (const Bg__SnapshotFetch *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotChunk_Closure)
+                 (const Bg__SnapshotChunk *message,
+                  void *closure_data);
+typedef void (*Bg__HelloProof_Closure)
+                 (const Bg__HelloProof *message,
+                  void *closure_data);
+typedef void (*Bg__NodeStatus_Closure)
+                 (const Bg__NodeStatus *message,
+                  void *closure_data);
+typedef void (*Bg__Gossip_Closure)
+                 (const Bg__Gossip *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -916,6 +1520,21 @@
 extern const ProtobufCMessageDescriptor bg__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor bg__want_refused__descriptor;
 extern const ProtobufCMessageDescriptor bg__frame__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_version__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_template__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_deaths__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_checkpoint__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor bg__entry__descriptor;
+extern const ProtobufCMessageDescriptor bg__relay_fetch__descriptor;
+extern const ProtobufCMessageDescriptor bg__relay__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_fetch__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_chunk__descriptor;
+extern const ProtobufCMessageDescriptor bg__hello_proof__descriptor;
+extern const ProtobufCMessageDescriptor bg__node_status__descriptor;
+extern const ProtobufCMessageDescriptor bg__gossip__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/fold.c
+++ b/src/fold.c
@@ -1,4 +1,4 @@
-#include "fold.h"
+#include "fold_int.h"
 
 #include "rec.h"
 
@@ -11,37 +11,12 @@
    system's batches, and the appender's retries back off to one a second. */
 #define KEPT_BATCH_IDS 16384
 #define KEPT_VERSIONS 20
+/* Of one template's older versions, so that a checkpoint stays small. */
+#define KEPT_VERSION_BYTES (4u * 1024 * 1024)
+#define MAX_PENDING_CHECKPOINTS 4
+#define MAX_CHUNKS 65536
 #define MAX_DEATHS 4096
 
-/* What the log says of one data centre's placement. */
-typedef struct {
-    FoldClaim claim;
-    GHashTable *intents;  /* "upstream\nmodel" -> FoldIntent */
-    GHashTable *memory;   /* upstream -> MB counted (GUINT) */
-    GHashTable *replicas; /* model -> replicas counted (GUINT) */
-    GHashTable *quiesced; /* epoch (uint64_t *) -> set */
-} Centre;
-
-typedef struct {
-    uint8_t digest[32];
-    GPtrArray *upstreams; /* distinct names */
-} Deaths;
-
-struct Fold {
-    uint64_t offset;
-    FoldObserver observe;
-    void *observe_ctx;
-    GHashTable *batches; /* batch id -> digest of its bytes */
-    GQueue batch_order;  /* ids, oldest first; owned by the table */
-    GHashTable *history; /* template name -> GPtrArray of FoldConfig */
-    CfgSet *config;
-    GHashTable *centres;       /* data centre -> Centre */
-    GHashTable *keys;          /* "workspace\nkey" -> FoldKey */
-    GHashTable *void_attempts; /* attempts released before their claim */
-    GHashTable *deaths;        /* hex digest -> Deaths */
-    GQueue death_order;        /* hex digests, oldest first */
-};
-
 /* ---- life --------------------------------------------------------------- */
 
 static void
@@ -95,6 +70,22 @@
     g_free(d);
 }
 
+void
+fold_free_checkpoint(FoldCheckpoint *c)
+{
+    if (c) {
+        g_free(c->id);
+        g_free(c->seen);
+        g_free(c);
+    }
+}
+
+static void
+free_checkpoint(gpointer p)
+{
+    fold_free_checkpoint(p);
+}
+
 static GHashTable *
 make_table(GDestroyNotify free_value)
 {
@@ -113,6 +104,7 @@
     f->void_attempts = make_table(NULL);
     f->deaths = make_table(free_deaths);
     g_queue_init(&f->death_order);
+    f->pending = g_ptr_array_new_with_free_func(free_checkpoint);
     g_autoptr(GString) faults = g_string_new(NULL);
     f->config = cfg_compile(NULL, 0, faults);
     return f;
@@ -132,6 +124,8 @@
     g_hash_table_destroy(f->keys);
     g_hash_table_destroy(f->void_attempts);
     g_hash_table_destroy(f->deaths);
+    g_ptr_array_free(f->pending, TRUE);
+    fold_free_checkpoint(f->checkpoint);
     cfg_unref(f->config);
     g_free(f);
 }
@@ -149,6 +143,12 @@
     return f->offset;
 }
 
+uint64_t
+fold_get_chain(const Fold *f)
+{
+    return f->chain;
+}
+
 /* ---- configuration ------------------------------------------------------ */
 
 static FoldConfig *
@@ -158,15 +158,16 @@
     return h && h->len ? h->pdata[h->len - 1] : NULL;
 }
 
-/* Compile all current templates with CANDIDATE in the place of its name. */
-static CfgSet *
-compile_with(const Fold *f, const CfgSource *candidate, GString *faults)
+/* Compile all current templates, with CANDIDATE (or NULL) in the place of
+   its name. */
+CfgSet *
+fold_compile(const Fold *f, const CfgSource *candidate, GString *faults)
 {
     g_autoptr(GArray) sources = g_array_new(FALSE, TRUE, sizeof(CfgSource));
     g_autoptr(GPtrArray) names = fold_list_templates(f);
     for (guint i = 0; i < names->len; i++) {
         const char *name = names->pdata[i];
-        if (strcmp(name, candidate->name) == 0) {
+        if (candidate && strcmp(name, candidate->name) == 0) {
             continue;
         }
         FoldConfig *c = get_current(f, name);
@@ -174,13 +175,15 @@
                        g_strv_length(c->values_text)};
         g_array_append_val(sources, s);
     }
-    g_array_append_val(sources, *candidate);
+    if (candidate) {
+        g_array_append_val(sources, *candidate);
+    }
     return cfg_compile((CfgSource *)(void *)sources->data, sources->len,
                        faults);
 }
 
-static FoldConfig *
-make_config(const Bg__ConfigRecord *r, uint64_t offset)
+FoldConfig *
+fold_make_config(const Bg__ConfigRecord *r, uint64_t offset)
 {
     FoldConfig *c = g_new0(FoldConfig, 1);
     c->version = offset;
@@ -195,8 +198,23 @@
     return c;
 }
 
-static void
-keep_version(Fold *f, const char *name, FoldConfig *c)
+/* Bytes of all versions but the current one. */
+static size_t
+count_older(const GPtrArray *h)
+{
+    size_t bytes = 0;
+    for (guint i = 0; i + 1 < h->len; i++) {
+        const FoldConfig *c = h->pdata[i];
+        bytes += strlen(c->template_text);
+        for (char **v = c->values_text; *v; v++) {
+            bytes += strlen(*v);
+        }
+    }
+    return bytes;
+}
+
+void
+fold_keep_version(Fold *f, const char *name, FoldConfig *c)
 {
     GPtrArray *h = g_hash_table_lookup(f->history, name);
     if (!h) {
@@ -204,7 +222,8 @@
         g_hash_table_insert(f->history, g_strdup(name), h);
     }
     g_ptr_array_add(h, c);
-    if (h->len > KEPT_VERSIONS) {
+    while (h->len > 1 &&
+           (h->len > KEPT_VERSIONS || count_older(h) > KEPT_VERSION_BYTES)) {
         g_ptr_array_remove_index(h, 0);
     }
 }
@@ -222,13 +241,13 @@
     }
     CfgSource s = {r->name, offset, r->template_text, r->values_text,
                    r->n_values_text};
-    CfgSet *next = compile_with(f, &s, why);
+    CfgSet *next = fold_compile(f, &s, why);
     if (!next) {
         return FOLD_BAD;
     }
     cfg_unref(f->config);
     f->config = next;
-    keep_version(f, r->name, make_config(r, offset));
+    fold_keep_version(f, r->name, fold_make_config(r, offset));
     return FOLD_WON;
 }
 
@@ -272,8 +291,8 @@
 
 /* ---- placement ---------------------------------------------------------- */
 
-static Centre *
-get_centre(Fold *f, const char *name)
+Centre *
+fold_make_centre(Fold *f, const char *name)
 {
     Centre *c = g_hash_table_lookup(f->centres, name);
     if (!c) {
@@ -307,12 +326,21 @@
     }
 }
 
-static char *
-join_pair(const char *a, const char *b)
+char *
+fold_join_pair(const char *a, const char *b)
 {
     return g_strconcat(a, "\n", b, NULL);
 }
 
+void
+fold_add_intent(Centre *c, FoldIntent *in)
+{
+    add_number(c->memory, in->upstream, in->memory_mb);
+    add_number(c->replicas, in->model, 1);
+    g_hash_table_insert(c->intents, fold_join_pair(in->upstream, in->model),
+                        in);
+}
+
 static FoldResult
 lose(GString *why, const char *text)
 {
@@ -323,7 +351,7 @@
 static FoldResult
 apply_claim(Fold *f, uint64_t offset, const Bg__ClaimRecord *r, GString *why)
 {
-    Centre *c = get_centre(f, r->data_centre);
+    Centre *c = fold_make_centre(f, r->data_centre);
     if (r->base_epoch != c->claim.epoch) {
         return lose(why, "another claim came first");
     }
@@ -342,7 +370,7 @@
     if (r->epoch != c->claim.epoch) {
         return lose(why, "the epoch is not current");
     }
-    g_autofree char *pair = join_pair(r->upstream, r->model);
+    g_autofree char *pair = fold_join_pair(r->upstream, r->model);
     if (g_hash_table_contains(c->intents, pair)) {
         return lose(why, "already counted there");
     }
@@ -359,7 +387,7 @@
 static FoldResult
 apply_intent(Fold *f, const Bg__IntentRecord *r, GString *why)
 {
-    Centre *c = get_centre(f, r->data_centre);
+    Centre *c = fold_make_centre(f, r->data_centre);
     FoldResult result = check_intent(c, r, why);
     if (result != FOLD_WON) {
         return result;
@@ -372,20 +400,18 @@
     in->epoch = r->epoch;
     in->fenced = r->fenced;
     in->adapter = r->adapter;
-    g_hash_table_insert(c->intents, join_pair(r->upstream, r->model), in);
-    add_number(c->memory, r->upstream, r->memory_mb);
-    add_number(c->replicas, r->model, 1);
+    fold_add_intent(c, in);
     return FOLD_WON;
 }
 
 static FoldResult
 apply_settle(Fold *f, const Bg__SettleRecord *r, GString *why)
 {
-    Centre *c = get_centre(f, r->data_centre);
+    Centre *c = fold_make_centre(f, r->data_centre);
     if (r->epoch != c->claim.epoch) {
         return lose(why, "the epoch is not current");
     }
-    g_autofree char *pair = join_pair(r->upstream, r->model);
+    g_autofree char *pair = fold_join_pair(r->upstream, r->model);
     FoldIntent *in = g_hash_table_lookup(c->intents, pair);
     if (!in || strcmp(in->load_id, r->load_id) != 0) {
         return lose(why, "no such load");
@@ -403,7 +429,7 @@
 static FoldResult
 apply_quiesce(Fold *f, const Bg__QuiesceRecord *r)
 {
-    Centre *c = get_centre(f, r->data_centre);
+    Centre *c = fold_make_centre(f, r->data_centre);
     uint64_t *epoch = g_new(uint64_t, 1);
     *epoch = r->epoch;
     g_hash_table_add(c->quiesced, epoch);
@@ -428,7 +454,7 @@
                  const char *model)
 {
     const Centre *c = find_centre(f, data_centre);
-    g_autofree char *pair = join_pair(upstream, model);
+    g_autofree char *pair = fold_join_pair(upstream, model);
     return c ? g_hash_table_lookup(c->intents, pair) : NULL;
 }
 
@@ -471,6 +497,18 @@
 
 /* ---- non-idempotent calls ----------------------------------------------- */
 
+FoldKey *
+fold_make_key(Fold *f, const Bg__KeyRecord *r)
+{
+    FoldKey *k = g_new0(FoldKey, 1);
+    k->step = BG__KEY_STEP__KEY_CLAIM;
+    k->attempt_id = g_strdup(r->attempt_id);
+    memcpy(k->request_digest, r->request_digest.data, 32);
+    k->expires_wall_ms = r->expires_wall_ms;
+    g_hash_table_insert(f->keys, fold_join_pair(r->workspace, r->key), k);
+    return k;
+}
+
 static FoldResult
 apply_key_claim(Fold *f, const Bg__KeyRecord *r, char *pair, GString *why)
 {
@@ -486,12 +524,7 @@
         g_string_assign(why, "bad digest");
         return FOLD_BAD;
     }
-    FoldKey *k = g_new0(FoldKey, 1);
-    k->step = BG__KEY_STEP__KEY_CLAIM;
-    k->attempt_id = g_strdup(r->attempt_id);
-    memcpy(k->request_digest, r->request_digest.data, 32);
-    k->expires_wall_ms = r->expires_wall_ms;
-    g_hash_table_insert(f->keys, g_strdup(pair), k);
+    fold_make_key(f, r);
     return FOLD_WON;
 }
 
@@ -529,7 +562,7 @@
 static FoldResult
 apply_key(Fold *f, const Bg__KeyRecord *r, GString *why)
 {
-    g_autofree char *pair = join_pair(r->workspace, r->key);
+    g_autofree char *pair = fold_join_pair(r->workspace, r->key);
     if (r->step == BG__KEY_STEP__KEY_CLAIM) {
         return apply_key_claim(f, r, pair, why);
     }
@@ -539,7 +572,7 @@
 const FoldKey *
 fold_find_key(const Fold *f, const char *workspace, const char *key)
 {
-    g_autofree char *pair = join_pair(workspace, key);
+    g_autofree char *pair = fold_join_pair(workspace, key);
     return g_hash_table_lookup(f->keys, pair);
 }
 
@@ -561,8 +594,8 @@
     return g_string_free(hex, FALSE);
 }
 
-static Deaths *
-get_deaths(Fold *f, const uint8_t *digest)
+Deaths *
+fold_make_deaths(Fold *f, const uint8_t *digest)
 {
     char *hex = format_digest(digest);
     Deaths *d = g_hash_table_lookup(f->deaths, hex);
@@ -588,7 +621,7 @@
         g_string_assign(why, "bad digest");
         return FOLD_BAD;
     }
-    Deaths *d = get_deaths(f, r->request_digest.data);
+    Deaths *d = fold_make_deaths(f, r->request_digest.data);
     if (g_ptr_array_find_with_equal_func(d->upstreams, r->upstream,
                                          g_str_equal, NULL)) {
         return lose(why, "already counted");
@@ -605,6 +638,82 @@
     return d ? d->upstreams->len : 0;
 }
 
+/* ---- checkpoints -------------------------------------------------------- */
+
+static FoldCheckpoint *
+find_pending(Fold *f, uint64_t offset, const Bg__CheckpointRecord *r)
+{
+    for (guint i = 0; i < f->pending->len; i++) {
+        FoldCheckpoint *c = f->pending->pdata[i];
+        if (strcmp(c->id, r->checkpoint_id) == 0) {
+            return c;
+        }
+    }
+    FoldCheckpoint *c = g_new0(FoldCheckpoint, 1);
+    c->id = g_strdup(r->checkpoint_id);
+    c->covered = r->covered_offset;
+    c->first_offset = offset;
+    c->chunks = r->chunks;
+    c->seen = g_malloc0(r->chunks);
+    g_ptr_array_add(f->pending, c);
+    if (f->pending->len > MAX_PENDING_CHECKPOINTS) {
+        g_ptr_array_remove_index(f->pending, 0);
+    }
+    return c;
+}
+
+/* Every process follows which checkpoints the log holds, so that all know
+   when the next is due and none is written twice for nothing. */
+static FoldResult
+apply_checkpoint(Fold *f, uint64_t offset, const Bg__CheckpointRecord *r,
+                 GString *why)
+{
+    if (r->chunks == 0 || r->chunks > MAX_CHUNKS || r->chunk >= r->chunks ||
+        r->covered_offset >= offset) {
+        g_string_assign(why, "bad checkpoint");
+        return FOLD_BAD;
+    }
+    FoldCheckpoint *c = find_pending(f, offset, r);
+    if (c->chunks != r->chunks || c->covered != r->covered_offset) {
+        g_string_assign(why, "differs from its other parts");
+        return FOLD_BAD;
+    }
+    c->last_offset = offset;
+    c->seen[r->chunk] = 1;
+    if (memchr(c->seen, 0, c->chunks)) {
+        return FOLD_WON;
+    }
+    g_ptr_array_set_free_func(f->pending, NULL);
+    g_ptr_array_remove(f->pending, c);
+    g_ptr_array_set_free_func(f->pending, free_checkpoint);
+    if (f->checkpoint && c->covered <= f->checkpoint->covered) {
+        fold_free_checkpoint(c);
+        return lose(why, "a newer checkpoint is whole");
+    }
+    fold_free_checkpoint(f->checkpoint);
+    f->checkpoint = c;
+    f->entries_since = 0;
+    return FOLD_WON;
+}
+
+const FoldCheckpoint *
+fold_get_checkpoint(const Fold *f)
+{
+    return f->checkpoint;
+}
+
+bool
+fold_has_pending_checkpoint(const Fold *f)
+{
+    return f->pending->len > 0;
+}
+
+uint64_t
+fold_count_entries_since(const Fold *f)
+{
+    return f->entries_since;
+}
+
 /* ---- entries ------------------------------------------------------------ */
 
 static FoldResult
@@ -625,25 +734,17 @@
         return apply_key(f, r->key, why);
     case BG__RECORD__BODY_DEATH:
         return apply_death(f, r->death, why);
+    case BG__RECORD__BODY_CHECKPOINT:
+        return apply_checkpoint(f, offset, r->checkpoint, why);
     default:
         g_string_assign(why, "unknown kind");
         return FOLD_BAD;
     }
 }
 
-/* False when a batch of this id was applied before. */
-static bool
-note_batch(Fold *f, const char *id, const uint8_t *data, size_t len)
+void
+fold_note_batch(Fold *f, const char *id, uint64_t digest)
 {
-    uint64_t digest = XXH64(data, len, 0);
-    uint64_t *seen = g_hash_table_lookup(f->batches, id);
-    if (seen) {
-        if (*seen != digest) {
-            bg_log(BG_FAULT, "fold",
-                   "Batch %s came twice with different bytes.", id);
-        }
-        return false;
-    }
     char *copy = g_strdup(id);
     uint64_t *value = g_new(uint64_t, 1);
     *value = digest;
@@ -652,7 +753,40 @@
     if (g_queue_get_length(&f->batch_order) > KEPT_BATCH_IDS) {
         g_hash_table_remove(f->batches, g_queue_pop_head(&f->batch_order));
     }
-    return true;
+}
+
+/* Whether a batch of this id was applied before. */
+static bool
+is_repeated(const Fold *f, const char *id, uint64_t digest)
+{
+    const uint64_t *seen = g_hash_table_lookup(f->batches, id);
+    if (seen && *seen != digest) {
+        bg_log(BG_FAULT, "fold", "Batch %s came twice with different bytes.",
+               id);
+    }
+    return seen != NULL;
+}
+
+static bool
+is_checkpoint(const RecBatch *b)
+{
+    return b->list->n_records > 0 &&
+           b->list->records[0]->body_case == BG__RECORD__BODY_CHECKPOINT;
+}
+
+static void
+apply_batch(Fold *f, uint64_t offset, const RecBatch *batch)
+{
+    g_autoptr(GString) why = g_string_new(NULL);
+    for (size_t i = 0; i < batch->list->n_records; i++) {
+        const Bg__Record *r = batch->list->records[i];
+        g_string_truncate(why, 0);
+        FoldResult result = apply_record(f, offset, r, why);
+        if (f->observe) {
+            f->observe(f->observe_ctx, offset, batch->batch_id, r, result,
+                       why->str);
+        }
+    }
 }
 
 bool
@@ -662,24 +796,30 @@
     if (offset <= f->offset) {
         return true;
     }
-    f->offset = offset;
+    /* A batch is decoded in full before any of it takes effect. */
     RecBatch batch = {0};
-    if (!rec_decode_batch(data, len, &batch, err)) {
+    g_autoptr(GError) bad = NULL;
+    bool good = rec_decode_batch(data, len, &batch, &bad);
+    if (!good && bad->code == BG_ERR_NEWER) {
+        /* Going on would leave out what newer processes apply: two states
+           under one offset, and nobody would see it. */
+        g_propagate_error(err, g_steal_pointer(&bad));
         return false;
     }
-    if (!note_batch(f, batch.batch_id, data, len)) {
-        rec_free_batch(&batch);
-        return true;
+    f->offset = offset;
+    f->chain = XXH64(data, len, f->chain);
+    f->entries_since++;
+    if (!good) {
+        g_propagate_error(err, g_steal_pointer(&bad));
+        return false;
     }
-    g_autoptr(GString) why = g_string_new(NULL);
-    for (size_t i = 0; i < batch.list->n_records; i++) {
-        const Bg__Record *r = batch.list->records[i];
-        g_string_truncate(why, 0);
-        FoldResult result = apply_record(f, offset, r, why);
-        if (f->observe) {
-            f->observe(f->observe_ctx, offset, batch.batch_id, r, result,
-                       why->str);
+    uint64_t digest = XXH64(data, len, 0);
+    if (!is_repeated(f, batch.batch_id, digest)) {
+        fold_note_batch(f, batch.batch_id, digest);
+        if (is_checkpoint(&batch)) {
+            f->entries_since--;
         }
+        apply_batch(f, offset, &batch);
     }
     rec_free_batch(&batch);
     return true;
--- a/src/fold.h
+++ b/src/fold.h
@@ -30,11 +30,43 @@
 
 /* Apply the entry at OFFSET.  Offsets at or below the applied one are
    passed over.  A batch that does not decode moves the offset on and
-   changes nothing else (BG_ERR_FORMAT). */
+   changes nothing else (BG_ERR_FORMAT).  A batch of a newer format changes
+   nothing at all (BG_ERR_NEWER): the fold holds at the offset before it. */
 bool fold_apply(Fold *f, uint64_t offset, const uint8_t *data, size_t len,
                 GError **err);
 /* Offset of the last entry applied; 0: none. */
 uint64_t fold_get_offset(const Fold *f);
+/* A digest of all entries applied, in their order: two processes at one
+   offset with different ones have read different logs. */
+uint64_t fold_get_chain(const Fold *f);
+
+/* ---- whole state --------------------------------------------------------
+   The state as bytes: equal states have equal bytes. */
+GByteArray *fold_encode(const Fold *f);
+/* A digest of those bytes, comparable between processes at one offset. */
+uint64_t fold_digest(const Fold *f);
+/* Take the state in DATA, made by fold_encode, if its offset is above the
+   applied one; BG_ERR_CONFLICT when it is not, BG_ERR_FORMAT or
+   BG_ERR_NEWER when it can't be read.  All or nothing; the observer stays
+   and is told of no record. */
+bool fold_restore(Fold *f, const uint8_t *data, size_t len, GError **err);
+
+/* A checkpoint in the log.  covered: the offset its state stands at. */
+typedef struct {
+    char *id;
+    uint64_t covered;
+    uint64_t first_offset; /* of its records in the log */
+    uint64_t last_offset;
+    uint32_t chunks;
+    uint8_t *seen; /* one flag a chunk */
+} FoldCheckpoint;
+
+/* The newest whole checkpoint that was read, or NULL. */
+const FoldCheckpoint *fold_get_checkpoint(const Fold *f);
+/* Whether one is being written. */
+bool fold_has_pending_checkpoint(const Fold *f);
+/* Entries, checkpoints left out, since it was whole. */
+uint64_t fold_count_entries_since(const Fold *f);
 
 /* ---- configuration ------------------------------------------------------ */
 typedef struct {
--- a/src/lc.c
+++ b/src/lc.c
@@ -10,12 +10,19 @@
 
 #define CONNECT_MS 500
 #define APPEND_MS 2000
-#define READ_WAIT_MS 1000
-#define READ_MARGIN_MS 2000
+/* A frozen log is noticed after both together. */
+#define READ_WAIT_MS 500
+#define READ_MARGIN_MS 700
+#define PAGE_TOTAL_MS 10000
+#define SAME_PAGE_MS 100
+#define APPEND_DOUBT_MS 3000
+#define GATE_MS 10
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 1000
 #define MAX_BATCH_RECORDS 512
 #define PAGE_ENTRIES 500
+#define PAGE_BYTES (64u * 1024 * 1024)
+#define URGENT_RECORDS 4096
 
 /* ---- HTTP adapter ------------------------------------------------------- */
 
@@ -23,6 +30,7 @@
     LogApi api; /* first member: the vtable */
     HcClient *http;
     char *base;
+    uint32_t page_entries; /* asked for; fewer when they are large */
 } HttpLog;
 
 static bool
@@ -86,21 +94,39 @@
     return true;
 }
 
+/* One call; with large entries (checkpoints) a page of the usual count
+   would not fit, so the count is halved until it does. */
+static void
+call_read(HttpLog *h, uint64_t from, uint32_t wait_ms, HcResult *res)
+{
+    for (;;) {
+        g_autofree char *url = g_strdup_printf(
+            "%s/v1/records?from=%llu&wait_ms=%u&max=%u", h->base,
+            (unsigned long long)from, wait_ms, h->page_entries);
+        HcRequest req = {.method = "GET",
+                         .url = url,
+                         .connect_ms = CONNECT_MS,
+                         .first_byte_ms = wait_ms + READ_MARGIN_MS,
+                         .idle_ms = READ_MARGIN_MS,
+                         .total_ms = wait_ms + PAGE_TOTAL_MS,
+                         .max_body = PAGE_BYTES};
+        hc_call(h->http, &req, res);
+        if (res->end != HC_TOO_LARGE || h->page_entries == 1) {
+            break;
+        }
+        h->page_entries /= 2;
+        hc_free_result(res);
+    }
+    h->page_entries = MIN(h->page_entries * 2, PAGE_ENTRIES);
+}
+
 static bool
 read_http(LogApi *a, uint64_t from, uint32_t wait_ms, LogPage *page,
           GError **err)
 {
     HttpLog *h = (HttpLog *)a;
-    g_autofree char *url =
-        g_strdup_printf("%s/v1/records?from=%llu&wait_ms=%u&max=%u", h->base,
-                        (unsigned long long)from, wait_ms, PAGE_ENTRIES);
-    HcRequest req = {.method = "GET",
-                     .url = url,
-                     .connect_ms = CONNECT_MS,
-                     .total_ms = wait_ms + READ_MARGIN_MS,
-                     .max_body = 64u * 1024 * 1024};
     HcResult res;
-    hc_call(h->http, &req, &res);
+    call_read(h, from, wait_ms, &res);
     page->entries = g_array_new(FALSE, TRUE, sizeof(LogEntry));
     json_t *doc = res.end == HC_DONE
                       ? js_parse(res.body->str, res.body->len, NULL)
@@ -142,6 +168,7 @@
     h->api.read = read_http;
     h->api.destroy = destroy_http;
     h->http = hc_create();
+    h->page_entries = PAGE_ENTRIES;
     h->base = g_strconcat("http://", address, NULL);
     return &h->api;
 }
@@ -158,6 +185,15 @@
     memset(page, 0, sizeof(*page));
 }
 
+void
+lc_free_page(LogPage *page)
+{
+    if (page) {
+        lc_clear_page(page);
+        g_free(page);
+    }
+}
+
 /* ---- client ------------------------------------------------------------- */
 
 struct LogClient {
@@ -165,20 +201,25 @@
     LogApi *write_api;
     LcHandlers on;
     LcLimits limits;
-    Ring *queue; /* Bg__Record */
+    Ring *queue;  /* Bg__Record */
+    Ring *urgent; /* the same, written first */
     pthread_t reader;
     pthread_t appender;
     bool started;
     atomic_bool stopping;
-    atomic_bool reachable;
-    atomic_uint_fast64_t from;    /* next offset to read */
+    atomic_bool open;             /* the queue may be written */
+    pthread_mutex_t lock;         /* from */
+    pthread_cond_t asked;         /* from was set */
+    uint64_t from;                /* offset to read; 0: nothing */
+    uint64_t served;              /* reader only: last from answered */
+    atomic_uint_fast64_t fail_ms; /* last append that failed; 0: none since */
     atomic_uint_fast64_t stop_ms; /* when the appender gives up at a stop */
     BgRandom rng;                 /* appender only: jitter */
 };
 
 LogClient *
-lc_create(LogApi *read_api, LogApi *write_api, uint64_t from,
-          const LcHandlers *handlers, const LcLimits *limits)
+lc_create(LogApi *read_api, LogApi *write_api, const LcHandlers *handlers,
+          const LcLimits *limits)
 {
     LogClient *c = g_new0(LogClient, 1);
     c->read_api = read_api;
@@ -186,67 +227,66 @@
     c->on = *handlers;
     c->limits = *limits;
     c->queue = ring_create(limits->max_queue);
-    atomic_store(&c->from, from);
+    c->urgent = ring_create(URGENT_RECORDS);
+    pthread_mutex_init(&c->lock, NULL);
+    pthread_cond_init(&c->asked, NULL);
     bg_seed_random(&c->rng, bg_now_us());
     return c;
 }
 
-static void
-set_reachable(LogClient *c, bool reachable, uint64_t next)
+/* ---- reader ------------------------------------------------------------- */
+
+/* Wait until a read is asked for; 0 at a stop. */
+static uint64_t
+wait_for_ask(LogClient *c)
 {
-    bool was = atomic_exchange(&c->reachable, reachable);
-    if (was != reachable) {
-        bg_log(reachable ? BG_INFO : BG_WARN, "log", "%s",
-               reachable ? "The log is reachable."
-                         : "The log cannot be reached.");
-    }
-    if (c->on.on_reachable) {
-        c->on.on_reachable(c->on.ctx, reachable, next);
+    pthread_mutex_lock(&c->lock);
+    while (!c->from && !atomic_load(&c->stopping)) {
+        pthread_cond_wait(&c->asked, &c->lock);
     }
+    uint64_t from = c->from;
+    pthread_mutex_unlock(&c->lock);
+    return from;
 }
 
-/* Hand over the entries of PAGE in order; each changes hands. */
+/* Answered: nothing more is asked, unless it was in the meantime. */
 static void
-deliver_page(LogClient *c, LogPage *page, uint64_t from)
+end_ask(LogClient *c, uint64_t from)
 {
-    for (guint i = 0; i < page->entries->len; i++) {
-        LogEntry *e = &g_array_index(page->entries, LogEntry, i);
-        /* A service that repeats or reorders entries must not make the
-           fold step back: only the next higher offset goes on. */
-        if (e->offset < from) {
-            bg_log(BG_WARN, "log", "Entry %llu came again; passed over.",
-                   (unsigned long long)e->offset);
-            continue;
-        }
-        from = e->offset + 1;
-        c->on.on_entry(c->on.ctx, e->offset, e->data, e->len);
-        e->data = NULL;
+    pthread_mutex_lock(&c->lock);
+    if (c->from == from) {
+        c->from = 0;
     }
-    atomic_store(&c->from, from);
+    pthread_mutex_unlock(&c->lock);
 }
 
 static void
-read_once(LogClient *c, uint32_t *backoff_ms)
+read_once(LogClient *c, uint64_t from, uint32_t *backoff_ms)
 {
-    LogPage page = {0};
+    LogPage *page = g_new0(LogPage, 1);
     g_autoptr(GError) err = NULL;
-    uint64_t from = atomic_load(&c->from);
-    if (c->read_api->read(c->read_api, from, READ_WAIT_MS, &page, &err)) {
-        deliver_page(c, &page, from);
-        set_reachable(c, true, page.next);
+    if (c->read_api->read(c->read_api, from, READ_WAIT_MS, page, &err)) {
+        /* The same entries asked for again: the receiver could not use
+           them, and asking at full speed would not change them. */
+        if (from == c->served && page->entries->len > 0) {
+            bg_sleep_ms(SAME_PAGE_MS);
+        }
+        c->served = from;
         *backoff_ms = BACKOFF_MIN_MS;
+        end_ask(c, from);
+        c->on.on_page(c->on.ctx, from, page);
+        return;
     }
-    else if (err->code == BG_ERR_TRIMMED) {
-        set_reachable(c, true, page.next);
-        c->on.on_trimmed(c->on.ctx, page.first);
-        bg_sleep_ms(BACKOFF_MIN_MS);
+    if (err->code == BG_ERR_TRIMMED) {
+        c->on.on_trimmed(c->on.ctx, page->first, page->next);
+        bg_sleep_ms(SAME_PAGE_MS);
     }
     else {
-        set_reachable(c, false, 0);
+        c->on.on_away(c->on.ctx);
         bg_sleep_ms(*backoff_ms);
         *backoff_ms = MIN(*backoff_ms * 2, BACKOFF_MAX_MS);
     }
-    lc_clear_page(&page);
+    lc_free_page(page);
 }
 
 static void *
@@ -255,16 +295,30 @@
     LogClient *c = arg;
     uint32_t backoff_ms = BACKOFF_MIN_MS;
     while (!atomic_load(&c->stopping)) {
-        read_once(c, &backoff_ms);
+        uint64_t from = wait_for_ask(c);
+        if (from) {
+            read_once(c, from, &backoff_ms);
+        }
     }
     return NULL;
 }
 
+void
+lc_read_from(LogClient *c, uint64_t offset)
+{
+    pthread_mutex_lock(&c->lock);
+    c->from = offset;
+    pthread_cond_signal(&c->asked);
+    pthread_mutex_unlock(&c->lock);
+}
+
+/* ---- appender ----------------------------------------------------------- */
+
 /* Records for one batch: the first, then what comes within the window. */
 static GPtrArray *
-collect_batch(LogClient *c)
+collect_batch(LogClient *c, Ring *queue, uint32_t first_wait_ms)
 {
-    Bg__Record *first = ring_pop(c->queue, 100);
+    Bg__Record *first = ring_pop(queue, first_wait_ms);
     if (!first) {
         return NULL;
     }
@@ -278,7 +332,7 @@
         uint64_t now_ms = bg_now_ms();
         uint32_t wait_ms =
             now_ms < until_ms ? (uint32_t)(until_ms - now_ms) : 0;
-        Bg__Record *r = ring_pop(c->queue, wait_ms);
+        Bg__Record *r = ring_pop(queue, wait_ms);
         if (!r) {
             break;
         }
@@ -297,11 +351,14 @@
            (stop_ms && now_ms > stop_ms);
 }
 
+static void wait_for_gate(LogClient *c, uint64_t start_ms);
+
 /* Write until the service acknowledges.  After a lost acknowledgement the
    same bytes with the same id go out again: if both took effect the fold
-   passes over the second. */
+   passes over the second.  A batch that is NOT urgent waits while appends
+   are closed, at each attempt. */
 static void
-write_batch(LogClient *c, GPtrArray *records)
+write_batch(LogClient *c, GPtrArray *records, bool urgent)
 {
     char id[BG_ID_LEN + 1];
     bg_make_id(id);
@@ -311,13 +368,18 @@
     uint64_t start_ms = bg_now_ms();
     uint32_t backoff_ms = BACKOFF_MIN_MS;
     for (;;) {
+        if (!urgent) {
+            wait_for_gate(c, start_ms);
+        }
         g_autoptr(GError) err = NULL;
         uint64_t offset;
         if (c->write_api->append(c->write_api, data, len, &offset, &err)) {
+            atomic_store(&c->fail_ms, 0);
             bg_count("log_appends_total", 1);
             bg_count("log_records_total", records->len);
             return;
         }
+        atomic_store(&c->fail_ms, bg_now_ms());
         bg_count("log_append_failures_total", 1);
         if (should_give_up(c, start_ms)) {
             bg_log(BG_WARN, "log", "Gave up a batch of %u records: %s.",
@@ -329,15 +391,46 @@
     }
 }
 
+static bool
+write_from(LogClient *c, Ring *queue, uint32_t first_wait_ms)
+{
+    GPtrArray *records = collect_batch(c, queue, first_wait_ms);
+    if (!records) {
+        return false;
+    }
+    write_batch(c, records, queue == c->urgent);
+    g_ptr_array_free(records, TRUE);
+    return true;
+}
+
+static void
+wait_for_gate(LogClient *c, uint64_t start_ms)
+{
+    while (!atomic_load(&c->open) && !should_give_up(c, start_ms)) {
+        write_from(c, c->urgent, GATE_MS);
+    }
+}
+
+static bool
+has_records(LogClient *c)
+{
+    return ring_count(c->queue) > 0 || ring_count(c->urgent) > 0;
+}
+
 static void *
 run_appender(void *arg)
 {
     LogClient *c = arg;
-    while (!atomic_load(&c->stopping) || ring_count(c->queue) > 0) {
-        GPtrArray *records = collect_batch(c);
-        if (records) {
-            write_batch(c, records);
-            g_ptr_array_free(records, TRUE);
+    while (!atomic_load(&c->stopping) || has_records(c)) {
+        bool stopping = atomic_load(&c->stopping);
+        if (ring_count(c->urgent) > 0) {
+            write_from(c, c->urgent, 0);
+        }
+        else if (atomic_load(&c->open) || stopping) {
+            write_from(c, c->queue, GATE_MS);
+        }
+        else {
+            write_from(c, c->urgent, GATE_MS);
         }
     }
     return NULL;
@@ -361,6 +454,8 @@
     atomic_store(&c->stop_ms, bg_now_ms() + wait_ms);
     atomic_store(&c->stopping, true);
     ring_close(c->queue);
+    ring_close(c->urgent);
+    lc_read_from(c, 0);
     pthread_join(c->appender, NULL);
     pthread_join(c->reader, NULL);
 }
@@ -370,15 +465,18 @@
 {
     lc_stop(c, 0);
     ring_destroy(c->queue, (void (*)(void *))rec_free);
+    ring_destroy(c->urgent, (void (*)(void *))rec_free);
+    pthread_cond_destroy(&c->asked);
+    pthread_mutex_destroy(&c->lock);
     c->read_api->destroy(c->read_api);
     c->write_api->destroy(c->write_api);
     g_free(c);
 }
 
-bool
-lc_append(LogClient *c, Bg__Record *r)
+static bool
+push_record(Ring *queue, Bg__Record *r)
 {
-    if (ring_push(c->queue, r)) {
+    if (ring_push(queue, r)) {
         return true;
     }
     rec_free(r);
@@ -386,13 +484,26 @@
 }
 
 bool
-lc_is_reachable(LogClient *c)
+lc_append(LogClient *c, Bg__Record *r)
 {
-    return atomic_load(&c->reachable);
+    return push_record(c->queue, r);
+}
+
+bool
+lc_append_first(LogClient *c, Bg__Record *r)
+{
+    return push_record(c->urgent, r);
 }
 
 void
-lc_seek(LogClient *c, uint64_t offset)
+lc_open_appends(LogClient *c, bool open)
+{
+    atomic_store(&c->open, open);
+}
+
+bool
+lc_can_append(LogClient *c)
 {
-    atomic_store(&c->from, offset);
+    uint64_t fail_ms = atomic_load(&c->fail_ms);
+    return !fail_ms || bg_now_ms() - fail_ms > APPEND_DOUBT_MS;
 }
