--- a/src/node.c
+++ b/src/node.c
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include "feed.h"
 #include "hc.h"
 #include "lc.h"
 #include "ring.h"
@@ -37,6 +38,14 @@
      "records that come within it share an append"},
     {"log", "max_queue", INI_INT, false, "8192", 16, 1000000, NULL,
      "records waiting to be appended"},
+    {"log", "readers_per_centre", INI_INT, false, "2", 1, 1000, NULL,
+     "placers of a data centre that read the log; the rest is fed by them"},
+    {"log", "relay_wait_ms", INI_INT, false, "1000", 50, 600000, NULL,
+     "without entries from a peer for so long, the log is read directly"},
+    {"log", "checkpoint_entries", INI_INT, false, "20000", 1, 100000000, NULL,
+     "entries after which a checkpoint is due"},
+    {"log", "checkpoint_ms", INI_INT, false, "600000", 100, 2000000000, NULL,
+     "time after which one is due; well below the log's retention"},
     {"peers", "listen", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "where other processes of the system connect"},
     {"peers", "dial", INI_TEXT, false, "", 0, 0, NULL,
@@ -50,8 +59,9 @@
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 typedef enum {
-    EV_ENTRY, /* of the log */
-    EV_LOG,   /* reachable, next */
+    EV_PAGE,    /* one read of the log */
+    EV_TRIMMED, /* the log no longer keeps what was asked for */
+    EV_AWAY,    /* a read failed */
     EV_FRAME,
     EV_LINK,
     EV_ROLE,
@@ -62,10 +72,10 @@
 /* What one thread hands to the core thread. */
 typedef struct {
     EventKind kind;
-    uint64_t offset; /* ENTRY; LOG: next */
-    uint8_t *data;   /* ENTRY */
-    size_t len;
-    bool up; /* LOG, LINK */
+    uint64_t offset; /* PAGE: asked for; TRIMMED: first */
+    uint64_t next;   /* TRIMMED */
+    LogPage *page;
+    bool up; /* LINK */
     char *node;
     char *data_centre;
     char *role;
@@ -88,6 +98,7 @@
     char *name;
     Ring *ring;
     Fold *fold;
+    Feed *feed;
     LogClient *log;
     PeerNet *peers;
     struct mg_context *http;
@@ -97,10 +108,14 @@
     atomic_bool ready;
     atomic_bool drained;
     atomic_bool owner;
-    atomic_uint_fast64_t applied;
-    CfgSet *config; /* RCU-protected pointer */
+    atomic_bool log_usable;
+    atomic_bool has_config; /* a version is in force */
+    CfgSet *config;         /* RCU-protected pointer */
     uint64_t config_version;
-    bool log_reachable; /* core thread */
+    bool config_set;      /* the fold's set was put in force */
+    pthread_mutex_t lock; /* the two below, for other threads */
+    Bg__Heartbeat beat;
+    char *state_line;
 };
 
 /* ---- for roles ---------------------------------------------------------- */
@@ -180,7 +195,7 @@
 bool
 node_is_log_reachable(Node *n)
 {
-    return lc_is_reachable(n->log);
+    return atomic_load(&n->log_usable);
 }
 
 bool
@@ -199,26 +214,23 @@
 /* ---- from other threads to the core ------------------------------------- */
 
 static void
-take_log_entry(void *ctx, uint64_t offset, uint8_t *data, size_t len)
+take_page(void *ctx, uint64_t from, LogPage *page)
 {
-    Event e = {.kind = EV_ENTRY, .offset = offset, .data = data, .len = len};
+    Event e = {.kind = EV_PAGE, .offset = from, .page = page};
     post_event_wait(ctx, &e);
 }
 
 static void
-take_trimmed(void *ctx, uint64_t first)
+take_trimmed(void *ctx, uint64_t first, uint64_t next)
 {
-    (void)ctx;
-    bg_log(BG_FAULT, "node",
-           "The log starts at %llu, past what this process has.",
-           (unsigned long long)first);
-    bg_sleep_ms(1000);
+    Event e = {.kind = EV_TRIMMED, .offset = first, .next = next};
+    post_event_wait(ctx, &e);
 }
 
 static void
-take_reachable(void *ctx, bool reachable, uint64_t next)
+take_away(void *ctx)
 {
-    Event e = {.kind = EV_LOG, .offset = next, .up = reachable};
+    Event e = {.kind = EV_AWAY};
     post_event_wait(ctx, &e);
 }
 
@@ -235,7 +247,7 @@
 static void
 free_event_parts(Event *e)
 {
-    g_free(e->data);
+    lc_free_page(e->page);
     g_free(e->node);
     g_free(e->data_centre);
     g_free(e->role);
@@ -280,7 +292,13 @@
 fill_heartbeat(void *ctx, Bg__Heartbeat *hb)
 {
     Node *n = ctx;
-    hb->applied_offset = atomic_load(&n->applied);
+    char *node = hb->node;
+    uint64_t seq = hb->seq;
+    pthread_mutex_lock(&n->lock);
+    *hb = n->beat;
+    pthread_mutex_unlock(&n->lock);
+    hb->node = node;
+    hb->seq = seq;
     hb->owner = atomic_load(&n->owner);
 }
 
@@ -311,6 +329,7 @@
     synchronize_rcu();
     cfg_unref(old);
     n->config_version = cfg_get_version(next);
+    atomic_store(&n->has_config, n->config_version > 0);
     bg_log(BG_INFO, "node", "Configuration %llu is in force.",
            (unsigned long long)n->config_version);
     if (n->role->on_config) {
@@ -318,35 +337,90 @@
     }
 }
 
+/* Put the fold's set in force once it is whole: while a starting process
+   still reads on, an old version would come back to callers. */
 static void
-apply_entry(Node *n, const Event *e)
+follow_config(Node *n)
 {
-    g_autoptr(GError) err = NULL;
-    if (!fold_apply(n->fold, e->offset, e->data, e->len, &err)) {
-        bg_log(BG_FAULT, "fold", "Entry %llu is refused whole: %s.",
-               (unsigned long long)e->offset, err->message);
+    if (!feed_has_state(n->feed)) {
+        return;
     }
-    atomic_store(&n->applied, fold_get_offset(n->fold));
     CfgSet *cfg = fold_get_config(n->fold);
-    if (cfg_get_version(cfg) != n->config_version) {
+    if (!n->config_set || cfg_get_version(cfg) != n->config_version) {
+        n->config_set = true;
         publish_config(n);
     }
     cfg_unref(cfg);
 }
 
+/* What other threads show of this process. */
+static void
+note_state(Node *n)
+{
+    Bg__Heartbeat beat = BG__HEARTBEAT__INIT;
+    feed_fill_heartbeat(n->feed, &beat);
+    beat.config_version = n->config_version;
+    char *line = feed_describe(n->feed);
+    pthread_mutex_lock(&n->lock);
+    n->beat = beat;
+    char *old = n->state_line;
+    n->state_line = line;
+    pthread_mutex_unlock(&n->lock);
+    g_free(old);
+}
+
+static void
+tick(Node *n, uint64_t now_ms)
+{
+    NodeRole *role = n->role;
+    feed_on_tick(n->feed, now_ms);
+    follow_config(n);
+    note_state(n);
+    bool usable = feed_get_hops(n->feed) > 0 && !feed_get_fault(n->feed) &&
+                  lc_can_append(n->log);
+    atomic_store(&n->log_usable, usable);
+    role->on_log(role->ctx, now_ms, usable,
+                 usable && feed_is_caught_up(n->feed));
+    role->on_tick(role->ctx, now_ms);
+    atomic_store(&n->ready,
+                 feed_has_state(n->feed) && role->is_ready(role->ctx));
+    atomic_store(&n->drained, role->is_drained(role->ctx));
+    atomic_store(&n->owner, role->is_owner && role->is_owner(role->ctx));
+}
+
+static void
+take_frame(Node *n, uint64_t now_ms, const PeerInfo *from,
+           const Bg__Frame *frame)
+{
+    feed_on_frame(n->feed, now_ms, from, frame);
+    n->role->on_frame(n->role->ctx, now_ms, from, frame);
+}
+
+static void
+take_link_change(Node *n, uint64_t now_ms, const PeerInfo *peer, bool up)
+{
+    feed_on_link(n->feed, now_ms, peer, up);
+    n->role->on_link(n->role->ctx, now_ms, peer, up);
+}
+
 static char *
 make_dump(Node *n)
 {
     g_autofree char *role = n->role->dump(n->role->ctx);
     g_autofree char *fold = fold_dump(n->fold);
     g_autofree char *peers = peer_dump(n->peers);
+    const char *fault = feed_get_fault(n->feed);
     return g_strdup_printf(
         "{\"node\":\"%s\",\"data_centre\":\"%s\",\"role\":\"%s\","
-        "\"draining\":%s,\"log_reachable\":%s,\"fold\":%s,\"links\":%s,"
-        "\"state\":%s}\n",
+        "\"draining\":%s,\"log_reachable\":%s,\"log_hops\":%u,"
+        "\"fault\":\"%s\",\"digest\":\"%016llx\",\"chain\":\"%016llx\","
+        "\"config_version\":%llu,\"fold\":%s,\"links\":%s,\"state\":%s}\n",
         n->name, node_get_data_centre(n), n->role->role,
         atomic_load(&n->draining) ? "true" : "false",
-        n->log_reachable ? "true" : "false", fold, peers, role);
+        atomic_load(&n->log_usable) ? "true" : "false", feed_get_hops(n->feed),
+        fault ? fault : "", (unsigned long long)fold_digest(n->fold),
+        (unsigned long long)fold_get_chain(n->fold),
+        (unsigned long long)n->config_version, fold, peers, role);
 }
 
 static void
@@ -366,19 +440,20 @@
     uint64_t now_ms = bg_now_ms();
     PeerInfo info = {e->node, e->data_centre, e->role};
     switch (e->kind) {
-    case EV_ENTRY:
-        apply_entry(n, e);
+    case EV_PAGE:
+        feed_on_page(n->feed, now_ms, e->offset, e->page);
+        break;
+    case EV_TRIMMED:
+        feed_on_trimmed(n->feed, now_ms, e->offset, e->next);
         break;
-    case EV_LOG:
-        n->log_reachable = e->up;
-        role->on_log(role->ctx, now_ms, e->up,
-                     e->up && fold_get_offset(n->fold) + 1 >= e->offset);
+    case EV_AWAY:
+        feed_on_away(n->feed, now_ms);
         break;
     case EV_FRAME:
-        role->on_frame(role->ctx, now_ms, &info, e->frame);
+        take_frame(n, now_ms, &info, e->frame);
         break;
     case EV_LINK:
-        role->on_link(role->ctx, now_ms, &info, e->up);
+        take_link_change(n, now_ms, &info, e->up);
         break;
     case EV_ROLE:
         role->on_event(role->ctx, now_ms, e->role_event);
@@ -390,6 +465,7 @@
         role->on_drain(role->ctx, now_ms);
         break;
     }
+    follow_config(n);
     free_event_parts(e);
     g_free(e);
 }
@@ -403,11 +479,7 @@
         uint64_t now_ms = bg_now_ms();
         if (now_ms >= next_tick_ms) {
             next_tick_ms = now_ms + TICK_MS;
-            n->role->on_tick(n->role->ctx, now_ms);
-            atomic_store(&n->ready, n->role->is_ready(n->role->ctx));
-            atomic_store(&n->drained, n->role->is_drained(n->role->ctx));
-            atomic_store(&n->owner,
-                         n->role->is_owner && n->role->is_owner(n->role->ctx));
+            tick(n, now_ms);
             now_ms = bg_now_ms();
         }
         uint32_t wait_ms =
@@ -462,6 +534,35 @@
     return send_text(conn, 200, "text/plain; version=0.0.4", text->str);
 }
 
+static int
+send_ready(Node *n, struct mg_connection *conn)
+{
+    bool up = atomic_load(&n->ready) && !atomic_load(&n->draining);
+    pthread_mutex_lock(&n->lock);
+    g_autofree char *text =
+        g_strdup_printf("%s; %s\n", up ? "ready" : "not ready",
+                        n->state_line ? n->state_line : "starting");
+    pthread_mutex_unlock(&n->lock);
+    return send_text(conn, up ? 200 : 503, "text/plain", text);
+}
+
+/* Without a configuration nothing is known of any caller: a 401 or 404
+   would be a lie, and no call was run. */
+static int
+refuse_without_config(struct mg_connection *conn)
+{
+    static const char body[] =
+        "{\"error\":{\"message\":\"no configuration yet\","
+        "\"code\":\"not_ready\",\"outcome\":\"refused-not-run\"}}\n";
+    mg_printf(conn,
+              "HTTP/1.1 503 Service Unavailable\r\n"
+              "Content-Type: application/json\r\nRetry-After: 1\r\n"
+              "X-Bglade-Outcome: refused-not-run\r\n"
+              "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+              strlen(body), body);
+    return 503;
+}
+
 static int
 handle_http(struct mg_connection *conn, void *ctx)
 {
@@ -473,9 +574,7 @@
                          up ? "ok\n" : "stopping\n");
     }
     if (strcmp(path, "/readyz") == 0) {
-        bool up = atomic_load(&n->ready) && !atomic_load(&n->draining);
-        return send_text(conn, up ? 200 : 503, "text/plain",
-                         up ? "ready\n" : "not ready\n");
+        return send_ready(n, conn);
     }
     if (strcmp(path, "/metrics") == 0) {
         return send_metrics(conn);
@@ -483,6 +582,9 @@
     if (strcmp(path, "/dump") == 0) {
         return send_dump(n, conn);
     }
+    if (strncmp(path, "/v1/", 4) == 0 && !atomic_load(&n->has_config)) {
+        return refuse_without_config(conn);
+    }
     int status = n->role->on_http ? n->role->on_http(n->role->ctx, conn) : 0;
     return status ? status
                   : send_text(conn, 404, "application/json",
@@ -545,12 +647,58 @@
 open_log(Node *n)
 {
     const char *address = ini_get_text(n->settings, "log", "address");
-    LcHandlers on = {take_log_entry, take_trimmed, take_reachable, n};
+    LcHandlers on = {take_page, take_trimmed, take_away, n};
     LcLimits limits = {(uint32_t)ini_get_int(n->settings, "log", "window_ms"),
                        (uint32_t)ini_get_int(n->settings, "log", "max_queue"),
                        APPEND_GIVE_UP_MS};
-    n->log = lc_create(lc_open_http(address), lc_open_http(address), 1, &on,
-                       &limits);
+    n->log =
+        lc_create(lc_open_http(address), lc_open_http(address), &on, &limits);
+}
+
+static void
+read_log_from(void *ctx, uint64_t offset)
+{
+    lc_read_from(((Node *)ctx)->log, offset);
+}
+
+static void
+send_to_peer(void *ctx, const char *node, const Bg__Frame *frame)
+{
+    peer_send(((Node *)ctx)->peers, node, NULL, NULL, frame);
+}
+
+static void
+append_first(void *ctx, Bg__Record *r)
+{
+    if (!lc_append_first(((Node *)ctx)->log, r)) {
+        bg_log(BG_WARN, "node", "No room for a checkpoint's records.");
+    }
+}
+
+static void
+open_appends(void *ctx, bool open)
+{
+    lc_open_appends(((Node *)ctx)->log, open);
+}
+
+static void
+open_feed(Node *n)
+{
+    const IniFile *s = n->settings;
+    FeedParams params = {
+        .node = n->name,
+        .data_centre = node_get_data_centre(n),
+        .role = n->role->role,
+        .readers_per_centre =
+            (uint32_t)ini_get_int(s, "log", "readers_per_centre"),
+        .relay_wait_ms = (uint32_t)ini_get_int(s, "log", "relay_wait_ms"),
+        .checkpoint_entries =
+            (uint32_t)ini_get_int(s, "log", "checkpoint_entries"),
+        .checkpoint_ms = (uint32_t)ini_get_int(s, "log", "checkpoint_ms"),
+        .seed = bg_now_us()};
+    FeedOutput out = {n, read_log_from, send_to_peer, append_first,
+                      open_appends};
+    n->feed = feed_create(&params, n->fold, &out);
 }
 
 static void
@@ -578,8 +726,11 @@
     n->fold = fold_create();
     fold_set_observer(n->fold, observe_record, n);
     n->config = fold_get_config(n->fold);
+    pthread_mutex_init(&n->lock, NULL);
+    bg__heartbeat__init(&n->beat);
     open_log(n);
     open_peers(n);
+    open_feed(n);
     if (!n->role->start(n->role->ctx, n, err)) {
         return false;
     }
@@ -632,7 +783,10 @@
         g_free(e);
     }
     ring_destroy(n->ring, NULL);
+    feed_destroy(n->feed);
     fold_destroy(n->fold);
+    g_free(n->state_line);
+    pthread_mutex_destroy(&n->lock);
     cfg_unref(n->config);
     bg_log(BG_INFO, "node", "Stopped.");
 }
--- a/src/rec.c
+++ b/src/rec.c
@@ -24,20 +24,58 @@
     return out;
 }
 
+static void
+set_format_error(GError **err, const char *text)
+{
+    g_set_error_literal(err, BG_ERROR, BG_ERR_FORMAT, text);
+}
+
+static bool
+is_hex_id(const char *id)
+{
+    return strlen(id) == BG_ID_LEN &&
+           strspn(id, "0123456789abcdef") == BG_ID_LEN;
+}
+
+/* The digest is checked before the format: corrupt bytes must not pass for
+   a newer writer's, which would hold this process. */
 static bool
 check_batch(const Bg__Batch *b, GError **err)
 {
-    if (b->format != REC_FORMAT) {
-        g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "format %u is not known",
-                    b->format);
+    if (XXH64(b->payload.data, b->payload.len, b->format) != b->digest) {
+        set_format_error(err, "digest does not match");
         return false;
     }
-    if (strlen(b->batch_id) != BG_ID_LEN) {
-        g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "bad batch id");
+    if (!is_hex_id(b->batch_id)) {
+        set_format_error(err, "bad batch id");
         return false;
     }
-    if (XXH64(b->payload.data, b->payload.len, REC_FORMAT) != b->digest) {
-        g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "digest does not match");
+    if (b->format != REC_FORMAT) {
+        g_set_error(err, BG_ERROR,
+                    b->format > REC_FORMAT ? BG_ERR_NEWER : BG_ERR_FORMAT,
+                    "format %u is not known", b->format);
+        return false;
+    }
+    return true;
+}
+
+/* A record without a known body: a newer program's, when it has fields
+   that this one doesn't know, else a broken writer's. */
+static bool
+check_kinds(const Bg__RecordList *list, GError **err)
+{
+    for (size_t i = 0; i < list->n_records; i++) {
+        const Bg__Record *r = list->records[i];
+        if (r->body_case != BG__RECORD__BODY__NOT_SET) {
+            continue;
+        }
+        if (r->base.n_unknown_fields > 0) {
+            g_set_error(err, BG_ERROR, BG_ERR_NEWER,
+                        "a record's kind is not known");
+        }
+        else {
+            set_format_error(err, "a record has no kind");
+        }
         return false;
     }
     return true;
@@ -48,7 +86,7 @@
 {
     Bg__Batch *b = bg__batch__unpack(NULL, len, data);
     if (!b) {
-        g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "not a batch");
+        set_format_error(err, "not a batch");
         return false;
     }
     bool good = check_batch(b, err);
@@ -57,11 +95,15 @@
             bg__record_list__unpack(NULL, b->payload.len, b->payload.data);
         g_strlcpy(out->batch_id, b->batch_id, sizeof(out->batch_id));
         if (!out->list) {
-            g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "records do not parse");
+            set_format_error(err, "records do not parse");
             good = false;
         }
     }
     bg__batch__free_unpacked(b, NULL);
+    if (good && !check_kinds(out->list, err)) {
+        rec_free_batch(out);
+        return false;
+    }
     return good;
 }
 
--- a/src/rec.h
+++ b/src/rec.h
@@ -18,8 +18,10 @@
 /* Bytes of a batch with RECORDS under BATCH_ID; free with g_free. */
 uint8_t *rec_encode_batch(const char *batch_id, Bg__Record **records,
                           size_t count, size_t *len);
-/* False with BG_ERR_FORMAT when the bytes are truncated, corrupt or of a
-   newer format; nothing of them may then be applied. */
+/* False with BG_ERR_FORMAT when the bytes are truncated or corrupt, and with
+   BG_ERR_NEWER when they are whole but of a newer format or kind; nothing of
+   them may then be applied.  Whatever changes what a record means, or which
+   records take effect, raises REC_FORMAT. */
 bool rec_decode_batch(const uint8_t *data, size_t len, RecBatch *out,
                       GError **err);
 void rec_free_batch(RecBatch *b);
