--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -3273,7 +3273,7 @@
   (ProtobufCMessageInit) bg__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[11] =
 {
   {
     "node",
@@ -3395,9 +3395,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "chain",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Heartbeat, chain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = applied_offset */
+  10,   /* field[10] = chain */
   4,   /* field[4] = config_version */
   8,   /* field[8] = held */
   6,   /* field[6] = log_first */
@@ -3411,7 +3424,7 @@
 static const ProtobufCIntRange bg__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bg__heartbeat__descriptor =
 {
@@ -3421,7 +3434,7 @@
   "Bg__Heartbeat",
   "bg",
   sizeof(Bg__Heartbeat),
-  10,
+  11,
   bg__heartbeat__field_descriptors,
   bg__heartbeat__field_indices_by_name,
   1,  bg__heartbeat__number_ranges,
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -404,10 +404,14 @@
   uint64_t log_next;
   protobuf_c_boolean held;
   protobuf_c_boolean ready;
+  /*
+   * Digest of all entries up to applied_offset.
+   */
+  uint64_t chain;
 };
 #define BG__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/feed.c
+++ b/src/feed.c
@@ -45,6 +45,7 @@
     uint64_t log_first;
     uint64_t log_next;
     bool held;
+    bool differs;    /* other entries than ours at one offset */
     bool subscribed; /* it asked for entries */
     uint64_t sent;   /* up to this offset */
 } Peer;
@@ -1125,6 +1126,22 @@
 
 /* ---- frames and links --------------------------------------------------- */
 
+/* Two processes at one offset that applied different entries: one of them
+   read a damaged log.  Which one can't be told here; operators can. */
+static void
+compare_chain(const Feed *f, Peer *p, const Bg__Heartbeat *hb)
+{
+    bool differs = f->has_state && hb->ready && hb->applied_offset > 0 &&
+                   hb->applied_offset == fold_get_offset(f->fold) &&
+                   hb->chain != fold_get_chain(f->fold);
+    if (differs && !p->differs) {
+        bg_count("feed_differing_peers_total", 1);
+        bg_log(BG_FAULT, "feed", "%s applied other entries up to %llu.",
+               p->name, (unsigned long long)hb->applied_offset);
+    }
+    p->differs = differs;
+}
+
 static void
 take_heartbeat(Peer *p, uint64_t now_ms, const Bg__Heartbeat *hb)
 {
@@ -1147,6 +1164,7 @@
     switch (frame->body_case) {
     case BG__FRAME__BODY_HEARTBEAT:
         take_heartbeat(p, now_ms, frame->heartbeat);
+        compare_chain(f, p, frame->heartbeat);
         break;
     case BG__FRAME__BODY_RELAY_FETCH:
         take_relay_fetch(f, p, frame->relay_fetch);
@@ -1265,6 +1283,7 @@
     hb->log_next = f->reading && f->log_ok ? f->log_next : p ? p->log_next : 0;
     hb->held = f->fault != NULL;
     hb->ready = f->has_state;
+    hb->chain = fold_get_chain(f->fold);
 }
 
 char *
--- a/src/lc.c
+++ b/src/lc.c
@@ -56,8 +56,12 @@
         good = *offset > 0;
     }
     if (!good) {
-        bool none = res.end == HC_NOT_SENT ||
-                    (res.end == HC_DONE && res.status >= 400);
+        /* Turned away before it did anything; another 5xx may come from a
+           device that lost the service's answer. */
+        bool none =
+            res.end == HC_NOT_SENT ||
+            (res.end == HC_DONE &&
+             ((res.status >= 400 && res.status < 500) || res.status == 503));
         g_set_error(err, BG_ERROR, none ? BG_ERR_AWAY : BG_ERR_UNKNOWN,
                     "append: %s, status %ld", hc_end_name(res.end),
                     res.status);
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -132,6 +132,7 @@
         self.vms = []
         self.proxies = {}
         self.addresses = {}
+        self.targets = {}
 
     # ---- start ---------------------------------------------------------
 
@@ -161,6 +162,17 @@
             self.addresses[name] = "127.0.0.1:%d" % self.port(proxy)
         return "127.0.0.1:%d" % self.port(proxy)
 
+    def add_log_proxy(self, centre):
+        """A fault proxy between CENTRE's VMs and the log; call before
+        start().  set_proxy("log-CENTRE", cut=True) cuts the centre off."""
+        name = "log-" + centre
+        self.targets[name] = "log"
+        return self.add_proxy(name)
+
+    def log_address(self, centre):
+        name = "log-" + centre
+        return self.address(name if name in self.proxies else "log")
+
     def set_proxy(self, name, **faults):
         control = self.port(self.proxies[name] + "-control")
         with socket.create_connection(("127.0.0.1", control), 5) as s:
@@ -172,7 +184,8 @@
             self.spawn(proxy, [
                 PYTHON, os.path.join(HERE, "fault_proxy.py"), "--port",
                 str(self.port(proxy)), "--target",
-                "127.0.0.1:%d" % self.port(name), "--control-port",
+                "127.0.0.1:%d" % self.port(self.targets.get(name, name)),
+                "--control-port",
                 str(self.port(proxy + "-control"))])
 
     def start_engine(self, e):
@@ -241,7 +254,7 @@
                      "http": "127.0.0.1:%d" % self.port(name),
                      "http_threads": "256" if role == "router" else "8",
                      "log_level": "info"},
-            "log": {"address": self.address("log")},
+            "log": {"address": self.log_address(centre)},
             "peers": {"listen": "127.0.0.1:%d" % self.port(name + "-peer"),
                       "dial": ",".join(self.address(p + "-peer")
                                        for p in peers),
@@ -273,6 +286,32 @@
         self.start_daemon(vm, "placer")
         self.start_daemon(vm, "router")
 
+    def kill_vm(self, vm):
+        """The VM is gone at once; start_vm() brings an empty one."""
+        for role in ("router", "placer"):
+            self.procs[vm + "-" + role].kill()
+
+    def daemons(self):
+        return [vm + "-" + role for vm in self.vm_names()
+                for role in ("placer", "router")]
+
+    def versions(self):
+        """Configuration version in force at each daemon that answers."""
+        out = {}
+        for name in self.daemons():
+            try:
+                out[name] = self.dump(name)["config_version"]
+            except (OSError, ValueError, KeyError):
+                out[name] = None
+        return out
+
+    def wait_in_force(self, version, limit_s=15.0):
+        """Seconds until VERSION is in force at every daemon."""
+        start = time.monotonic()
+        wait_until(lambda: set(self.versions().values()) == {version},
+                   limit_s, "version %d everywhere" % version)
+        return time.monotonic() - start
+
     def stop(self):
         """Stop everything; fails if a daemon crashed by itself."""
         crashed = [p.name for p in self.procs.values()
@@ -307,9 +346,9 @@
 
     # ---- use -----------------------------------------------------------
 
-    def bglade(self, *args, check=True):
+    def bglade(self, *args, check=True, log=None):
         argv = [os.path.join(self.build, "bglade"), "--log",
-                "127.0.0.1:%d" % self.port("log"), *map(str, args)]
+                log or "127.0.0.1:%d" % self.port("log"), *map(str, args)]
         res = subprocess.run(argv, capture_output=True, text=True,
                              timeout=60, cwd=ROOT, check=False)
         if check and res.returncode != 0:
@@ -323,10 +362,15 @@
         self.bglade("publish", s + "/kuura.ini", s + "/kuura-care.ini")
         self.wait_ready()
 
+    def is_ready(self, name):
+        try:
+            return self.call(name, "GET", "/readyz").status == 200
+        except OSError:
+            return False  # it does not listen yet
+
     def wait_ready(self):
         for name in self.routers():
-            wait_until(lambda n=name: self.call(n, "GET", "/readyz").status
-                       == 200, 15, name + " ready")
+            wait_until(lambda n=name: self.is_ready(n), 15, name + " ready")
 
     def call(self, name, method, path, doc=None, headers=None, timeout=40.0):
         return call(self.port(name), method, path, doc, headers, timeout)
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -3,7 +3,10 @@
 POST /v1/append, GET /v1/records; see src/lc.h.  PUT /test/faults takes
 {"down", "slow_ms", "drop_acks", "keep", "hold_appends"}: down refuses
 everything, drop_acks lets that many appends take effect and then closes
-the connection, keep is how many records retention leaves.
+the connection, keep is how many records retention leaves; damage spoils
+that many reads' first records on their way out (another byte each time), shuffle reorders the records
+of that many reads.  PUT /test/expire lets retention take all records, PUT
+/test/reset begins a new log.
 """
 
 import base64
@@ -21,7 +24,7 @@
         self.records = []
         self.appends = 0
         self.faults = {"down": False, "slow_ms": 0, "drop_acks": 0,
-                       "keep": keep}
+                       "keep": keep, "damage": 0, "shuffle": 0}
 
     def append(self, data):
         with self.changed:
@@ -36,6 +39,19 @@
             self.changed.notify_all()
             return offset
 
+    def expire(self):
+        """All records are older than retention; offsets go on."""
+        with self.changed:
+            self.first += len(self.records)
+            self.records = []
+            return self.first
+
+    def reset(self):
+        """A new, empty log in the place of this one."""
+        with self.changed:
+            self.first, self.records = 1, []
+            return self.first
+
     def read(self, start, wait_ms, most):
         until = time.monotonic() + wait_ms / 1000
         with self.changed:
@@ -53,8 +69,19 @@
                 head["records"].append(
                     {"offset": start + i,
                      "data": base64.b64encode(data).decode()})
+            self.spoil(head["records"])
             return 200, head
 
+    def spoil(self, records):
+        if records and self.faults["damage"] > 0:
+            self.faults["damage"] -= 1
+            data = bytearray(base64.b64decode(records[0]["data"]))
+            data[-1 - self.faults["damage"] % 7] ^= 0x55
+            records[0]["data"] = base64.b64encode(data).decode()
+        if len(records) > 1 and self.faults["shuffle"] > 0:
+            self.faults["shuffle"] -= 1
+            records.reverse()
+
     def set_faults(self, faults):
         with self.changed:
             self.faults.update(faults)
@@ -67,6 +94,10 @@
         if path == "/test/state":
             return h.reply(200, {"first": self.first, "appends": self.appends,
                                  "next": self.first + len(self.records)})
+        if path == "/test/expire":
+            return h.reply(200, {"first": self.expire()})
+        if path == "/test/reset":
+            return h.reply(200, {"first": self.reset()})
         if path == "/test/raw" and method == "POST":
             return h.reply(200, {"offset": self.append(body)})
         if self.faults["down"]:
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -11,14 +11,22 @@
      death DIGIT UPSTREAM
      again                 the last batch once more, same id
      bytes TEXT            an entry that is no batch
+     emit KIND             bytes, in hex, of a batch that no fold takes:
+                           newer, kind, truncated, corrupt or garbage
+     bad KIND              such a batch as the next entry
+     digest                of the whole state
+     reload                the state as bytes and back, into a new fold
+     checkpoint            append the state as a checkpoint
      memory CENTRE UPSTREAM / replicas CENTRE MODEL / state */
 #include "bg_base.h"
+#include "ckpt.h"
 #include "fold.h"
 #include "rec.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define MAX_WORDS 12
 
@@ -223,19 +231,130 @@
     puts(text);
 }
 
+static GByteArray *
+make_batch(uint32_t format, const Bg__RecordList *list)
+{
+    Bg__Batch b = BG__BATCH__INIT;
+    b.format = format;
+    b.batch_id = "00000000000000000000000000000001";
+    b.payload.len = bg__record_list__get_packed_size(list);
+    b.payload.data = g_malloc(b.payload.len + 1);
+    bg__record_list__pack(list, b.payload.data);
+    b.digest = XXH64(b.payload.data, b.payload.len, format);
+    GByteArray *out = g_byte_array_new();
+    g_byte_array_set_size(out, (guint)bg__batch__get_packed_size(&b));
+    bg__batch__pack(&b, out->data);
+    g_free(b.payload.data);
+    return out;
+}
+
+/* A batch with one record of TAG (a kind's number on the wire). */
+static GByteArray *
+make_foreign(uint32_t format, uint8_t tag)
+{
+    uint8_t wire[] = {0x0a, 0x02, (uint8_t)(tag << 3 | 2), 0x00};
+    Bg__RecordList *list = bg__record_list__unpack(NULL, sizeof(wire), wire);
+    GByteArray *out = make_batch(format, list);
+    bg__record_list__free_unpacked(list, NULL);
+    return out;
+}
+
+static GByteArray *
+make_bad(const char *kind)
+{
+    GByteArray *out = strcmp(kind, "kind") == 0    ? make_foreign(1, 15)
+                      : strcmp(kind, "newer") == 0 ? make_foreign(2, 7)
+                                                   : make_foreign(1, 7);
+    if (strcmp(kind, "truncated") == 0) {
+        g_byte_array_set_size(out, out->len - 3);
+    }
+    else if (strcmp(kind, "corrupt") == 0) {
+        out->data[out->len - 1] ^= 1;
+    }
+    else if (strcmp(kind, "garbage") == 0) {
+        memset(out->data, 0xff, out->len);
+    }
+    return out;
+}
+
+static void
+run_emit(Script *s, char **w)
+{
+    (void)s;
+    g_autoptr(GByteArray) bytes = make_bad(w[1]);
+    for (guint i = 0; i < bytes->len; i++) {
+        printf("%02x", bytes->data[i]);
+    }
+    puts("");
+}
+
+static void
+run_apply_bad(Script *s, char **w)
+{
+    g_autoptr(GByteArray) bytes = make_bad(w[1]);
+    apply_bytes(s, bytes->data, bytes->len);
+}
+
+static void
+run_digest(Script *s, char **w)
+{
+    (void)w;
+    printf("%llu %016llx\n", (unsigned long long)fold_get_offset(s->fold),
+           (unsigned long long)fold_digest(s->fold));
+}
+
+static void
+run_reload(Script *s, char **w)
+{
+    (void)w;
+    g_autoptr(GByteArray) bytes = fold_encode(s->fold);
+    Fold *next = fold_create();
+    fold_set_observer(next, print_outcome, NULL);
+    g_autoptr(GError) err = NULL;
+    bool good = fold_restore(next, bytes->data, bytes->len, &err);
+    printf("%s, digest %s\n", good ? "taken" : err->message,
+           fold_digest(next) == fold_digest(s->fold) ? "equal" : "differs");
+    fold_destroy(s->fold);
+    s->fold = next;
+    g_clear_error(&err);
+    good = fold_restore(next, bytes->data, bytes->len, &err);
+    printf("again: %s\n", good ? "taken" : err->message);
+}
+
+static void
+run_checkpoint(Script *s, char **w)
+{
+    (void)w;
+    g_autoptr(GPtrArray) records = ckpt_make_records(s->fold);
+    for (guint i = 0; i < records->len; i++) {
+        apply_record(s, records->pdata[i]);
+        rec_free(records->pdata[i]);
+    }
+}
+
 typedef struct {
     const char *name;
     int words; /* with the command itself */
     void (*run)(Script *s, char **w);
 } Command;
 
-static const Command commands[] = {
-    {"config", 4, run_config},     {"claim", 4, run_claim},
-    {"intent", 9, run_intent},     {"settle", 7, run_settle},
-    {"quiesce", 4, run_quiesce},   {"key", 5, run_key},
-    {"death", 3, run_death},       {"again", 1, run_again},
-    {"bytes", 2, run_bytes},       {"memory", 3, run_memory},
-    {"replicas", 3, run_replicas}, {"state", 1, run_state}};
+static const Command commands[] = {{"config", 4, run_config},
+                                   {"claim", 4, run_claim},
+                                   {"intent", 9, run_intent},
+                                   {"settle", 7, run_settle},
+                                   {"quiesce", 4, run_quiesce},
+                                   {"key", 5, run_key},
+                                   {"death", 3, run_death},
+                                   {"again", 1, run_again},
+                                   {"bytes", 2, run_bytes},
+                                   {"memory", 3, run_memory},
+                                   {"replicas", 3, run_replicas},
+                                   {"state", 1, run_state},
+                                   {"emit", 2, run_emit},
+                                   {"bad", 2, run_apply_bad},
+                                   {"digest", 1, run_digest},
+                                   {"reload", 1, run_reload},
+                                   {"checkpoint", 1, run_checkpoint}};
 
 static void
 run_line(Script *s, char *line)
--- /dev/null
+++ b/tests/test_checkpoint.py
@@ -0,0 +1,229 @@
+"""A process that keeps nothing starts at the worst moment, and the log has
+lost, damaged or replaced what it was given."""
+
+import os
+import signal
+import subprocess
+
+import pytest
+
+from cluster import Cluster, wait_until
+from configs import log_kinds, publish, revise
+
+SOON = {"log": {"checkpoint_entries": "20", "checkpoint_ms": "600000"}}
+RARE = {"log": {"checkpoint_entries": "1000000",
+                "checkpoint_ms": "2000000000"}}
+
+
+def make(build, centres=("dc1",), vms=2, log_args=(), settings=None):
+    per_role = {"router": settings or RARE, "placer": settings or RARE}
+    return Cluster(build, centres=centres, vms_per_centre=vms, engines=[],
+                   services=[], log_args=log_args, settings=per_role)
+
+
+def wait_gone(c, vms):
+    for vm in vms:
+        c.kill_vm(vm)
+
+
+def wait_same(c):
+    """All daemons stand at one offset with one digest."""
+    def same():
+        dumps = [c.dump(d) for d in c.daemons()]
+        if len({d["fold"]["offset"] for d in dumps}) != 1:
+            return None
+        return {d["digest"] for d in dumps}
+    digests = wait_until(same, 15, "one offset everywhere")
+    assert len(digests) == 1
+
+
+def append_some(c, name, base, count):
+    for i in range(count):
+        base = revise(c, name, base, priority=i % 9)
+    return base
+
+
+def emit(build, word):
+    """Bytes of a batch, made by the scripted fold binary."""
+    res = subprocess.run([os.path.join(build, "script_fold")],
+                         input="emit %s\n" % word, capture_output=True,
+                         text=True, timeout=20, check=True)
+    return bytes.fromhex(res.stdout.strip())
+
+
+def test_start_after_retention_cut_the_tail(build):
+    """A template is published once; then other records come until the log
+    no longer keeps its entry.  Every VM is replaced at once.  Without a
+    checkpoint in the tail the new ones would find a log that never mentions
+    the template, and its callers would be turned away."""
+    with make(build, log_args=("--keep", "250"), settings=SOON) as c:
+        old = publish(c, "steady")
+        version = append_some(c, "busy", publish(c, "busy"), 270)
+        state = c.call("log", "GET", "/test/state").json()
+        assert state["first"] > old, "retention did not reach it"
+        wait_gone(c, c.vm_names())
+        for vm in c.vm_names():
+            c.start_vm(vm)
+        c.wait_ready()
+        c.wait_in_force(version)
+        wait_same(c)
+        for d in c.daemons():
+            assert c.dump(d)["fold"]["templates"] == {
+                "steady": old, "busy": version}
+
+
+def test_start_with_the_log_down_takes_a_peers_state(build):
+    """The log is down and a VM is replaced.  It has nothing to read; its
+    peers hold what was accepted, so it starts from them and serves."""
+    with make(build) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        c.set_faults("log", down=True)
+        c.kill_vm("dc1-vm1")
+        c.start_vm("dc1-vm1")
+        c.wait_ready()
+        assert c.wait_in_force(version) < 10
+
+
+def test_start_with_neither_log_nor_peers_refuses(build):
+    """Everything is replaced while the log is down.  Nobody knows what was
+    accepted: a caller gets "not run, come again" (not a 401 or 404, which
+    would be a lie), the balancer is told not ready; once the log is back
+    they serve."""
+    with make(build) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        c.set_faults("log", down=True)
+        wait_gone(c, c.vm_names())
+        for vm in c.vm_names():
+            c.start_vm(vm)
+        for name in c.routers():
+            c.wait_port(name)
+            a = c.call(name, "GET", "/readyz")
+            assert a.status == 503
+            a = c.ask(name, "registry", "/v1/completions",
+                      {"model": "t-m", "prompt": "p"})
+            assert (a.status, a.outcome) == (503, "refused-not-run")
+            assert int(a.headers["Retry-After"]) > 0
+        c.set_faults("log", down=False)
+        c.wait_ready()
+        c.wait_in_force(version)
+
+
+def test_outage_longer_than_retention(build):
+    """The log is down for longer than it keeps records.  When it is back it
+    holds nothing, while the VMs still hold all that was accepted.  They
+    write a checkpoint before anything else, so that a VM which starts then,
+    with every other one gone, still finds the state."""
+    with make(build, vms=2) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        c.set_faults("log", down=True)
+        c.call("log", "PUT", "/test/expire")
+        # A new owner has something to append the moment the log is back.
+        c.kill_vm("dc1-vm1")
+        c.set_faults("log", down=False)
+        wait_until(lambda: any("checkpoint" in k for _, k in log_kinds(c)),
+                   15, "checkpoint")
+        kinds = [k for _, entry in log_kinds(c) for k in entry]
+        assert kinds[0] == "checkpoint"
+        wait_gone(c, ["dc1-vm2"])
+        for vm in c.vm_names():
+            c.start_vm(vm)
+        c.wait_ready()
+        c.wait_in_force(version)
+        wait_same(c)
+
+
+def test_replaced_log_reverts_nothing(build):
+    """The log comes back empty, from offset 1: somebody replaced it.  Its
+    silence does not mean "nothing configured": VMs keep what was accepted,
+    say so, and a VM that starts takes the state from them."""
+    with make(build) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        # Nothing may be on its way to the new log: it would hide the loss.
+        wait_until(lambda: c.owner("dc1"), 15, "owner")
+        c.call("log", "PUT", "/test/reset")
+        wait_until(lambda: any("below what was seen" in c.dump(d)["fault"]
+                               for d in c.placers("dc1")), 15, "fault")
+        c.kill_vm("dc1-vm1")
+        c.start_vm("dc1-vm1")
+        c.wait_ready()
+        assert set(c.versions().values()) == {version}
+
+
+def test_paused_vm_comes_back_behind_the_log(build):
+    """A VM is paused while records come and retention passes its offset.
+    It wakes up with an old state and a log that no longer has the next
+    entry; it catches up from a checkpoint or a peer and never steps back."""
+    with make(build, settings=SOON) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        names = ["dc1-vm1-placer", "dc1-vm1-router"]
+        for name in names:
+            c.procs[name].signal(signal.SIGSTOP)
+        c.set_faults("log", keep=250)
+        version = append_some(c, "t", version, 270)
+        for name in names:
+            c.procs[name].signal(signal.SIGCONT)
+        c.wait_in_force(version)
+        wait_same(c)
+
+
+def test_newer_format_holds(build):
+    """A newer program appends a batch that this one can't read.  Passing
+    over it would leave out what newer processes apply: two states under one
+    offset.  So this process holds there, says so, and goes on serving."""
+    with make(build) as c:
+        version = publish(c, "t")
+        c.wait_in_force(version)
+        data = emit(c.build, "newer")
+        at = c.call("log", "POST", "/test/raw", data).json()["offset"]
+        c.bglade("revise", "--base", version, *[
+            os.path.join(c.dir, n) for n in ("t.ini", "t-w0.ini")],
+            check=False)
+        for d in c.daemons():
+            wait_until(lambda n=d: "Held at offset %d" % at
+                       in c.dump(n)["fault"], 15, d + " held")
+        for d in c.routers():
+            assert c.dump(d)["config_version"] == version
+            wait_until(lambda n=d: b"Held at offset" in
+                       c.call(n, "GET", "/readyz").body, 15, "said so")
+            assert c.call(d, "GET", "/readyz").status == 200
+
+
+@pytest.mark.parametrize("word", ["truncated", "corrupt", "garbage"])
+def test_bad_entry_is_refused_whole(build, word):
+    """The log holds an entry that does not decode.  Every process refuses
+    it whole, says so, and goes on to the next, all with one state."""
+    with make(build) as c:
+        version = publish(c, "t")
+        at = c.call("log", "POST", "/test/raw",
+                    emit(c.build, word)).json()["offset"]
+        version = revise(c, "t", version, priority=7)
+        c.wait_in_force(version)
+        wait_same(c)
+        text = c.procs["dc1-vm1-placer"].read_log()
+        assert "Entry %d is refused whole" % at in text
+
+
+@pytest.mark.parametrize("fault", ["damage", "shuffle"])
+def test_bad_read_loses_nothing(build, fault):
+    """Entries are whole in the log but reach one process damaged, or out of
+    order.  Were they passed over there, this process alone would lack them
+    for good; it reads again instead."""
+    with make(build) as c:
+        base = publish(c, "t")
+        c.wait_in_force(base)
+        names = ["dc1-vm1-placer", "dc1-vm1-router", "dc1-vm2-placer",
+                 "dc1-vm2-router"]
+        for name in names:
+            c.procs[name].signal(signal.SIGSTOP)
+        version = append_some(c, "t", base, 3)
+        c.set_faults("log", **{fault: 3})
+        for name in names:
+            c.procs[name].signal(signal.SIGCONT)
+        c.wait_in_force(version)
+        wait_same(c)
+        assert c.set_faults("log")[fault] < 3, "no read was spoiled"
