--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -1627,6 +1627,51 @@
   assert(message->base.descriptor == &bg__gossip__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__status_fetch__init
+                     (Bg__StatusFetch         *message)
+{
+  static const Bg__StatusFetch init_value = BG__STATUS_FETCH__INIT;
+  *message = init_value;
+}
+size_t bg__status_fetch__get_packed_size
+                     (const Bg__StatusFetch *message)
+{
+  assert(message->base.descriptor == &bg__status_fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__status_fetch__pack
+                     (const Bg__StatusFetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__status_fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__status_fetch__pack_to_buffer
+                     (const Bg__StatusFetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__status_fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__StatusFetch *
+       bg__status_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__StatusFetch *)
+     protobuf_c_message_unpack (&bg__status_fetch__descriptor,
+                                allocator, len, data);
+}
+void   bg__status_fetch__free_unpacked
+                     (Bg__StatusFetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__status_fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor bg__config_record__field_descriptors[7] =
 {
   {
@@ -3505,7 +3550,7 @@
   (ProtobufCMessageInit) bg__want_refused__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bg__frame__field_descriptors[12] =
 {
   {
     "hello",
@@ -3639,6 +3684,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "status_fetch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, status_fetch),
+    &bg__status_fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__frame__field_indices_by_name[] = {
   2,   /* field[2] = demand */
@@ -3651,12 +3708,13 @@
   3,   /* field[3] = residency */
   8,   /* field[8] = snapshot_chunk */
   7,   /* field[7] = snapshot_fetch */
+  11,   /* field[11] = status_fetch */
   4,   /* field[4] = want_refused */
 };
 static const ProtobufCIntRange bg__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bg__frame__descriptor =
 {
@@ -3666,7 +3724,7 @@
   "Bg__Frame",
   "bg",
   sizeof(Bg__Frame),
-  11,
+  12,
   bg__frame__field_descriptors,
   bg__frame__field_indices_by_name,
   1,  bg__frame__number_ranges,
@@ -4738,7 +4796,7 @@
   (ProtobufCMessageInit) bg__node_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__gossip__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bg__gossip__field_descriptors[3] =
 {
   {
     "nodes",
@@ -4752,14 +4810,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Gossip, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Gossip, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__gossip__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = data_centre */
   0,   /* field[0] = nodes */
 };
 static const ProtobufCIntRange bg__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bg__gossip__descriptor =
 {
@@ -4769,13 +4853,51 @@
   "Bg__Gossip",
   "bg",
   sizeof(Bg__Gossip),
-  1,
+  3,
   bg__gossip__field_descriptors,
   bg__gossip__field_indices_by_name,
   1,  bg__gossip__number_ranges,
   (ProtobufCMessageInit) bg__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bg__status_fetch__field_descriptors[1] =
+{
+  {
+    "relay",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__StatusFetch, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__status_fetch__field_indices_by_name[] = {
+  0,   /* field[0] = relay */
+};
+static const ProtobufCIntRange bg__status_fetch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bg__status_fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.StatusFetch",
+  "StatusFetch",
+  "Bg__StatusFetch",
+  "bg",
+  sizeof(Bg__StatusFetch),
+  1,
+  bg__status_fetch__field_descriptors,
+  bg__status_fetch__field_indices_by_name,
+  1,  bg__status_fetch__number_ranges,
+  (ProtobufCMessageInit) bg__status_fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue bg__key_step__enum_values_by_number[4] =
 {
   { "KEY_CLAIM", "BG__KEY_STEP__KEY_CLAIM", 0 },
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -51,6 +51,7 @@
 typedef struct Bg__HelloProof Bg__HelloProof;
 typedef struct Bg__NodeStatus Bg__NodeStatus;
 typedef struct Bg__Gossip Bg__Gossip;
+typedef struct Bg__StatusFetch Bg__StatusFetch;
 
 
 /* --- enums --- */
@@ -441,7 +442,8 @@
   BG__FRAME__BODY_SNAPSHOT_FETCH = 8,
   BG__FRAME__BODY_SNAPSHOT_CHUNK = 9,
   BG__FRAME__BODY_HELLO_PROOF = 10,
-  BG__FRAME__BODY_GOSSIP = 11
+  BG__FRAME__BODY_GOSSIP = 11,
+  BG__FRAME__BODY_STATUS_FETCH = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__FRAME__BODY__CASE)
 } Bg__Frame__BodyCase;
 
@@ -461,6 +463,7 @@
     Bg__SnapshotChunk *snapshot_chunk;
     Bg__HelloProof *hello_proof;
     Bg__Gossip *gossip;
+    Bg__StatusFetch *status_fetch;
   };
 };
 #define BG__FRAME__INIT \
@@ -670,7 +673,7 @@
 
 
 /*
- * What the sender knows of other processes, oldest word of each included.
+ * What is known of one process.
  */
 struct  Bg__NodeStatus
 {
@@ -680,6 +683,9 @@
   char *role;
   uint64_t config_version;
   uint64_t applied_offset;
+  /*
+   * since it was heard
+   */
   uint64_t age_ms;
   protobuf_c_boolean held;
 };
@@ -689,17 +695,35 @@
 
 
 /*
- * Sent over bridges and to peers now and then; grants nothing.
+ * The processes of one data centre, as one of its placers heard them.
  */
 struct  Bg__Gossip
 {
   ProtobufCMessage base;
   size_t n_nodes;
   Bg__NodeStatus **nodes;
+  char *data_centre;
+  /*
+   * since that placer wrote it
+   */
+  uint64_t age_ms;
 };
 #define BG__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__gossip__descriptor) \
-    , 0,NULL }
+    , 0,NULL, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Asks for Gossip.  relay: ask other data centres on the asker's behalf.
+ */
+struct  Bg__StatusFetch
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean relay;
+};
+#define BG__STATUS_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__status_fetch__descriptor) \
+    , 0 }
 
 
 /* Bg__ConfigRecord methods */
@@ -1386,6 +1410,25 @@
 void   bg__gossip__free_unpacked
                      (Bg__Gossip *message,
                       ProtobufCAllocator *allocator);
+/* Bg__StatusFetch methods */
+void   bg__status_fetch__init
+                     (Bg__StatusFetch         *message);
+size_t bg__status_fetch__get_packed_size
+                     (const Bg__StatusFetch   *message);
+size_t bg__status_fetch__pack
+                     (const Bg__StatusFetch   *message,
+                      uint8_t             *out);
+size_t bg__status_fetch__pack_to_buffer
+                     (const Bg__StatusFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__StatusFetch *
+       bg__status_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__status_fetch__free_unpacked
+                     (Bg__StatusFetch *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bg__ConfigRecord_Closure)
@@ -1496,6 +1539,9 @@
 typedef void (*Bg__Gossip_Closure)
                  (const Bg__Gossip *message,
                   void *closure_data);
+typedef void (*Bg__StatusFetch_Closure)
+                 (const Bg__StatusFetch *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1539,6 +1585,7 @@
 extern const ProtobufCMessageDescriptor bg__hello_proof__descriptor;
 extern const ProtobufCMessageDescriptor bg__node_status__descriptor;
 extern const ProtobufCMessageDescriptor bg__gossip__descriptor;
+extern const ProtobufCMessageDescriptor bg__status_fetch__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/cli.h
+++ b/src/cli.h
@@ -35,6 +35,7 @@
     uint64_t to; /* a version */
     bool has_to;
     uint32_t wait_s;
+    uint32_t settle_s; /* for the fate of a record */
     bool has_wait;
     bool json;
     int word_count; /* with the command itself */
@@ -46,6 +47,7 @@
 typedef struct {
     LogApi *api;
     Fold *fold;
+    uint32_t settle_ms;
     const char *batch_id; /* ours, once written */
     bool seen;            /* ... and read back */
     FoldResult result;
--- a/src/cli_log.c
+++ b/src/cli_log.c
@@ -9,7 +9,6 @@
 #include <string.h>
 
 #define READ_WAIT_MS 200
-#define SETTLE_MS 15000
 #define RETRY_MS 100
 
 static void
@@ -123,6 +122,7 @@
         fprintf(stderr, "bglade: --log IP:PORT is missing or wrong\n");
         return false;
     }
+    s->settle_ms = a->settle_s * 1000;
     s->api = lc_open_http(a->log_address);
     s->fold = fold_create();
     s->why = g_string_new(NULL);
@@ -157,7 +157,7 @@
     g_autofree uint8_t *data = rec_encode_batch(id, &record, 1, &len);
     bool maybe = false;
     bool acked = false;
-    uint64_t until_ms = bg_now_ms() + SETTLE_MS;
+    uint64_t until_ms = bg_now_ms() + s->settle_ms;
     while (!s->seen && bg_now_ms() < until_ms) {
         g_autoptr(GError) err = NULL;
         uint64_t offset;
--- a/src/feed.c
+++ b/src/feed.c
@@ -276,8 +276,8 @@
 
 /* Rendezvous: each process of a data centre ranks its live placers by one
    hash, so all pick the same few readers without a word between them. */
-static bool
-is_reader(const Feed *f, uint64_t now_ms)
+bool
+feed_is_reader(const Feed *f, uint64_t now_ms)
 {
     if (strcmp(f->params.role, "placer") != 0) {
         return false;
@@ -982,7 +982,7 @@
     bool alone =
         f->no_source_ms && now_ms - f->no_source_ms >= f->params.relay_wait_ms;
     watch_lag(f, now_ms);
-    set_reading(f, !f->fault && (!f->has_state || is_reader(f, now_ms) ||
+    set_reading(f, !f->fault && (!f->has_state || feed_is_reader(f, now_ms) ||
                                  alone || lags(f, now_ms)));
     bool direct = reads_log(f, now_ms) && !f->was_reset;
     set_source(f, now_ms, direct && !lags(f, now_ms) ? NULL : best);
--- a/src/feed.h
+++ b/src/feed.h
@@ -65,6 +65,9 @@
 /* Whether the log can be read, by whatever path, and nothing of it that was
    seen is missing here. */
 bool feed_is_caught_up(const Feed *f);
+/* Whether this process is one of the few of its data centre that read the
+   log and keep links to others. */
+bool feed_is_reader(const Feed *f, uint64_t now_ms);
 /* Why no entry takes effect any more, or NULL. */
 const char *feed_get_fault(const Feed *f);
 void feed_fill_heartbeat(const Feed *f, Bg__Heartbeat *hb);
--- a/src/main_client.c
+++ b/src/main_client.c
@@ -79,7 +79,7 @@
     "is wrong; 3 conflict, nothing changed; 4 not known whether it took "
     "effect.";
 
-enum { KEY_AT = 1000, KEY_KEY_FILE };
+enum { KEY_AT = 1000, KEY_KEY_FILE, KEY_SETTLE };
 
 static const struct argp_option options[] = {
     {"log", 'l', "IP:PORT", 0, "The platform's log service", 0},
@@ -87,6 +87,8 @@
     {"base", 'b', "VERSION", 0, "Version that a revision builds on", 0},
     {"to", 't', "VERSION", 0, "Version to roll back to, show or wait for", 0},
     {"wait", 'w', "SECONDS", 0, "Wait until it is in force everywhere", 0},
+    {"settle", KEY_SETTLE, "SECONDS", 0,
+     "How long to try to learn a record's fate (15)", 0},
     {"note", 'n', "TEXT", 0, "Why; kept with the version", 0},
     {"author", 'a', "NAME", 0, "Who; default: the login name", 0},
     {"key-file", KEY_KEY_FILE, "FILE", 0, "Holds the operators' key", 0},
@@ -156,6 +158,9 @@
     case 'a':
         a->author = arg;
         return 0;
+    case KEY_SETTLE:
+        a->settle_s = (uint32_t)parse_number(arg, state);
+        return 0;
     case KEY_KEY_FILE:
         a->key_file = arg;
         return 0;
@@ -179,7 +184,7 @@
 int
 main(int argc, char **argv)
 {
-    CliArguments a = {.note = "", .author = g_get_user_name()};
+    CliArguments a = {.settle_s = 15, .note = "", .author = g_get_user_name()};
     struct argp argp = {
         options, parse_option, "COMMAND [ARGUMENT...]", doc, NULL, NULL, NULL};
     /* A wrong option is a wrong argument: exit code 2 for both. */
--- a/src/node.c
+++ b/src/node.c
@@ -4,6 +4,7 @@
 #include "hc.h"
 #include "lc.h"
 #include "ring.h"
+#include "roster.h"
 
 #include <argp.h>
 #include <civetweb.h>
@@ -13,6 +14,7 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <urcu-bp.h>
 
 #define RING_EVENTS 8192
@@ -20,6 +22,8 @@
 #define APPEND_GIVE_UP_MS 60000
 #define STOP_APPEND_MS 3000
 #define EXIT_BAD_SETTINGS 2
+#define ASKED_MS 10000 /* others are asked for so long after a request */
+#define FETCH_MS 300
 
 static const IniRule common_rules[] = {
     {"node", "name", INI_TEXT, true, NULL, 0, 0, NULL, "name of this VM"},
@@ -32,6 +36,8 @@
      "debug|info|warn|fault", "least level that is logged"},
     {"node", "drain_ms", INI_INT, false, "60000", 0, 3600000, NULL,
      "longest wait for requests in flight at a stop"},
+    {"node", "operator_key_sha256", INI_TEXT, false, "", 0, 0, NULL,
+     "digest of the key that may ask for a stop over HTTP; empty: nobody"},
     {"log", "address", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "the platform's log service"},
     {"log", "window_ms", INI_INT, false, "5", 0, 1000, NULL,
@@ -50,6 +56,9 @@
      "where other processes of the system connect"},
     {"peers", "dial", INI_TEXT, false, "", 0, 0, NULL,
      "addresses of other processes, comma-separated"},
+    {"peers", "bridges", INI_TEXT, false, "", 0, 0, NULL,
+     "placers of other data centres, comma-separated; a few placers of each "
+     "data centre keep links to them"},
     {"peers", "shared_key", INI_TEXT, true, NULL, 0, 0, NULL,
      "the same in all processes of the system"},
     {"peers", "heartbeat_ms", INI_INT, false, "200", 10, 60000, NULL,
@@ -66,6 +75,7 @@
     EV_LINK,
     EV_ROLE,
     EV_DUMP,
+    EV_STATUS,
     EV_DRAIN
 } EventKind;
 
@@ -99,6 +109,9 @@
     Ring *ring;
     Fold *fold;
     Feed *feed;
+    Roster *roster;
+    uint64_t asked_ms;      /* last time somebody wanted the status */
+    uint64_t next_fetch_ms; /* of the status of others */
     LogClient *log;
     PeerNet *peers;
     struct mg_context *http;
@@ -209,6 +222,11 @@
           const Bg__Frame *frame)
 {
     peer_send(n->peers, node, data_centre, role, frame);
+    /* What is loaded here reaches routers of other data centres over the
+       bridges, which may end at any placer. */
+    if (frame->body_case == BG__FRAME__BODY_RESIDENCY && !node) {
+        peer_send(n->peers, NULL, data_centre, "placer", frame);
+    }
 }
 
 /* ---- from other threads to the core ------------------------------------- */
@@ -360,6 +378,7 @@
     Bg__Heartbeat beat = BG__HEARTBEAT__INIT;
     feed_fill_heartbeat(n->feed, &beat);
     beat.config_version = n->config_version;
+    roster_set_self(n->roster, &beat);
     char *line = feed_describe(n->feed);
     pthread_mutex_lock(&n->lock);
     n->beat = beat;
@@ -369,6 +388,96 @@
     g_free(old);
 }
 
+/* While somebody asks for the status: what the linked placers know. */
+static void
+ask_status(Node *n, uint64_t now_ms)
+{
+    if (!n->asked_ms || now_ms - n->asked_ms > ASKED_MS ||
+        now_ms < n->next_fetch_ms) {
+        return;
+    }
+    n->next_fetch_ms = now_ms + FETCH_MS;
+    Bg__StatusFetch s = BG__STATUS_FETCH__INIT;
+    s.relay = true;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_STATUS_FETCH;
+    frame.status_fetch = &s;
+    peer_send(n->peers, NULL, NULL, "placer", &frame);
+}
+
+static bool
+is_own_centre(const Node *n, const char *data_centre)
+{
+    return strcmp(data_centre, node_get_data_centre(n)) == 0;
+}
+
+static void
+answer_status(Node *n, uint64_t now_ms, const PeerInfo *to)
+{
+    g_autoptr(GPtrArray) list = roster_make_gossip(n->roster, now_ms);
+    for (guint i = 0; i < list->len; i++) {
+        Bg__Frame frame = BG__FRAME__INIT;
+        frame.body_case = BG__FRAME__BODY_GOSSIP;
+        frame.gossip = list->pdata[i];
+        peer_send(n->peers, to->node, NULL, NULL, &frame);
+    }
+}
+
+/* Ask the linked placers of other data centres on an asker's behalf; they
+   answer and ask nobody else. */
+static void
+pass_status_fetch(Node *n)
+{
+    Bg__StatusFetch s = BG__STATUS_FETCH__INIT;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_STATUS_FETCH;
+    frame.status_fetch = &s;
+    peer_send_abroad(n->peers, "placer", &frame);
+}
+
+/* Residency crosses at most one bridge: out from a placer of its own data
+   centre, in to the routers of another. */
+static void
+pass_residency(Node *n, const PeerInfo *from, const Bg__Frame *frame)
+{
+    const char *of = frame->residency->data_centre;
+    if (strcmp(n->role->role, "placer") != 0 ||
+        strcmp(from->data_centre, of) != 0) {
+        return;
+    }
+    if (is_own_centre(n, of)) {
+        peer_send_abroad(n->peers, "placer", frame);
+    }
+    else {
+        peer_send(n->peers, NULL, node_get_data_centre(n), "router", frame);
+    }
+}
+
+static void
+take_common_frame(Node *n, uint64_t now_ms, const PeerInfo *from,
+                  const Bg__Frame *frame)
+{
+    switch (frame->body_case) {
+    case BG__FRAME__BODY_HEARTBEAT:
+        roster_on_heartbeat(n->roster, now_ms, from, frame->heartbeat);
+        break;
+    case BG__FRAME__BODY_GOSSIP:
+        roster_on_gossip(n->roster, now_ms, frame->gossip);
+        break;
+    case BG__FRAME__BODY_STATUS_FETCH:
+        answer_status(n, now_ms, from);
+        if (frame->status_fetch->relay) {
+            pass_status_fetch(n);
+        }
+        break;
+    case BG__FRAME__BODY_RESIDENCY:
+        pass_residency(n, from, frame);
+        break;
+    default:
+        break;
+    }
+}
+
 static void
 tick(Node *n, uint64_t now_ms)
 {
@@ -376,6 +485,9 @@
     feed_on_tick(n->feed, now_ms);
     follow_config(n);
     note_state(n);
+    ask_status(n, now_ms);
+    peer_set_bridging(n->peers, strcmp(role->role, "placer") == 0 &&
+                                    feed_is_reader(n->feed, now_ms));
     bool usable = feed_get_hops(n->feed) > 0 && !feed_get_fault(n->feed) &&
                   lc_can_append(n->log);
     atomic_store(&n->log_usable, usable);
@@ -393,6 +505,7 @@
            const Bg__Frame *frame)
 {
     feed_on_frame(n->feed, now_ms, from, frame);
+    take_common_frame(n, now_ms, from, frame);
     n->role->on_frame(n->role->ctx, now_ms, from, frame);
 }
 
@@ -424,9 +537,8 @@
 }
 
 static void
-answer_dump(Node *n, DumpCall *call)
+answer_call(DumpCall *call, char *text)
 {
-    char *text = make_dump(n);
     pthread_mutex_lock(&call->lock);
     call->text = text;
     pthread_cond_signal(&call->done);
@@ -459,7 +571,11 @@
         role->on_event(role->ctx, now_ms, e->role_event);
         break;
     case EV_DUMP:
-        answer_dump(n, e->dump);
+        answer_call(e->dump, make_dump(n));
+        break;
+    case EV_STATUS:
+        n->asked_ms = now_ms;
+        answer_call(e->dump, roster_dump(n->roster, now_ms));
         break;
     case EV_DRAIN:
         role->on_drain(role->ctx, now_ms);
@@ -507,12 +623,13 @@
     return status;
 }
 
+/* An answer of KIND that the core thread makes. */
 static int
-send_dump(Node *n, struct mg_connection *conn)
+send_from_core(Node *n, struct mg_connection *conn, EventKind kind)
 {
     DumpCall call = {PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER,
                      NULL};
-    Event e = {.kind = EV_DUMP, .dump = &call};
+    Event e = {.kind = kind, .dump = &call};
     if (!post_event(n, &e)) {
         return send_text(conn, 503, "text/plain", "busy\n");
     }
@@ -563,6 +680,37 @@
     return 503;
 }
 
+static bool
+is_operator(const Node *n, struct mg_connection *conn)
+{
+    const char *digest =
+        ini_get_text(n->settings, "node", "operator_key_sha256");
+    const char *auth = mg_get_header(conn, "Authorization");
+    if (!*digest || !auth || !g_str_has_prefix(auth, "Bearer ")) {
+        return false;
+    }
+    /* By digest, so that timing tells nothing of the key. */
+    const char *key = auth + strlen("Bearer ");
+    g_autofree char *hex = bg_digest_hex(key, strlen(key));
+    return strcmp(hex, digest) == 0;
+}
+
+/* Callers reach this port too, so a stop needs the operators' key. */
+static int
+take_drain(Node *n, struct mg_connection *conn)
+{
+    if (strcmp(mg_get_request_info(conn)->request_method, "POST") != 0) {
+        return send_text(conn, 405, "text/plain", "POST only\n");
+    }
+    if (!is_operator(n, conn)) {
+        return send_text(conn, 403, "text/plain", "not allowed\n");
+    }
+    bg_log(BG_INFO, "node", "An operator asks for a stop.");
+    int status = send_text(conn, 200, "text/plain", "stopping\n");
+    kill(getpid(), SIGTERM);
+    return status;
+}
+
 static int
 handle_http(struct mg_connection *conn, void *ctx)
 {
@@ -580,7 +728,13 @@
         return send_metrics(conn);
     }
     if (strcmp(path, "/dump") == 0) {
-        return send_dump(n, conn);
+        return send_from_core(n, conn, EV_DUMP);
+    }
+    if (strcmp(path, "/status") == 0) {
+        return send_from_core(n, conn, EV_STATUS);
+    }
+    if (strcmp(path, "/drain") == 0) {
+        return take_drain(n, conn);
     }
     if (strncmp(path, "/v1/", 4) == 0 && !atomic_load(&n->has_config)) {
         return refuse_without_config(conn);
@@ -711,6 +865,7 @@
         .role = n->role->role,
         .listen = ini_get_text(f, "peers", "listen"),
         .dial = ini_get_text(f, "peers", "dial"),
+        .bridges = ini_get_text(f, "peers", "bridges"),
         .shared_key = ini_get_text(f, "peers", "shared_key"),
         .heartbeat_ms = (uint32_t)ini_get_int(f, "peers", "heartbeat_ms"),
         .silence_ms = (uint32_t)ini_get_int(f, "peers", "silence_ms")};
@@ -731,6 +886,7 @@
     open_log(n);
     open_peers(n);
     open_feed(n);
+    n->roster = roster_create(n->name, node_get_data_centre(n), n->role->role);
     if (!n->role->start(n->role->ctx, n, err)) {
         return false;
     }
@@ -784,6 +940,7 @@
     }
     ring_destroy(n->ring, NULL);
     feed_destroy(n->feed);
+    roster_destroy(n->roster);
     fold_destroy(n->fold);
     g_free(n->state_line);
     pthread_mutex_destroy(&n->lock);
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,8 @@
    /readyz   200 once it can do its duty
    /metrics  counters in the text format
    /dump     the process's state as JSON
+   /status   configuration in force at all processes, as far as known
+   /drain    POST with the operators' key: a graceful stop
 
    Life spans: a request lives in its HTTP thread, a connection in the peer
    and HTTP threads, a configuration version behind an RCU pointer, and the
--- a/src/peer.c
+++ b/src/peer.c
@@ -5,6 +5,8 @@
 #include <fcntl.h>
 #include <jansson.h>
 #include <netinet/tcp.h>
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -14,7 +16,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define PROTOCOL_VERSION 1
+#define PROTOCOL_VERSION 2
+#define NONCE_BYTES 32
+#define PROOF_BYTES 32
+#define MAX_STRANGER_FRAME 4096 /* before the far end showed the key */
 #define MAX_QUEUED (8u * 1024 * 1024)
 #define REDIAL_MS 200
 #define POLL_MS 50
@@ -24,7 +29,10 @@
     int fd;
     int dial_index; /* which address we dialled, or -1 */
     bool connecting;
-    bool hello_seen; /* far end named itself and showed the key */
+    bool hello_seen;                /* far end named itself */
+    bool up;                        /* ... and showed the key */
+    uint8_t nonce[NONCE_BYTES];     /* our challenge */
+    uint8_t far_nonce[NONCE_BYTES]; /* theirs */
     bool doomed;
     char *node;
     char *data_centre;
@@ -39,6 +47,9 @@
     struct sockaddr_in addr;
     uint64_t next_try_ms;
     bool linked;
+    bool bridge;       /* in another data centre */
+    char *node;        /* who answered there last */
+    char *data_centre; /* of it */
 } Target;
 
 struct PeerNet {
@@ -54,6 +65,7 @@
     GArray *targets;      /* Target */
     uint64_t next_beat_ms;
     uint64_t beat_seq;
+    atomic_bool bridging;
 };
 
 /* ---- addresses ---------------------------------------------------------- */
@@ -73,11 +85,19 @@
 }
 
 static void
-add_targets(PeerNet *n, const char *dial)
+clear_target(gpointer p)
+{
+    Target *t = p;
+    g_free(t->node);
+    g_free(t->data_centre);
+}
+
+static void
+add_targets(PeerNet *n, const char *dial, bool bridge)
 {
     g_auto(GStrv) words = g_strsplit(dial, ",", -1);
     for (char **w = words; *w; w++) {
-        Target t = {0};
+        Target t = {.bridge = bridge};
         g_strstrip(*w);
         if (**w && parse_address(*w, &t.addr)) {
             g_array_append_val(n->targets, t);
@@ -110,14 +130,16 @@
     n->settings.role = g_strdup(s->role);
     n->settings.listen = g_strdup(s->listen);
     n->settings.shared_key = g_strdup(s->shared_key);
-    n->settings.dial = NULL;
+    n->settings.dial = n->settings.bridges = NULL;
     n->on = *handlers;
     n->listen_fd = -1;
     n->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     pthread_mutex_init(&n->lock, NULL);
     n->links = g_ptr_array_new_with_free_func(free_link);
     n->targets = g_array_new(FALSE, TRUE, sizeof(Target));
-    add_targets(n, s->dial);
+    g_array_set_clear_func(n->targets, clear_target);
+    add_targets(n, s->dial, false);
+    add_targets(n, s->bridges ? s->bridges : "", true);
     return n;
 }
 
@@ -175,16 +197,31 @@
     return !want || (have && strcmp(want, have) == 0);
 }
 
-void
-peer_send(PeerNet *n, const char *node, const char *data_centre,
-          const char *role, const Bg__Frame *frame)
+typedef struct {
+    const char *node;
+    const char *data_centre;
+    const char *not_data_centre;
+    const char *role;
+} LinkFilter;
+
+static bool
+is_wanted(const LinkFilter *f, const Link *l)
+{
+    return l->up && !l->doomed && matches(f->node, l->node) &&
+           matches(f->data_centre, l->data_centre) &&
+           matches(f->role, l->role) &&
+           (!f->not_data_centre ||
+            strcmp(f->not_data_centre, l->data_centre) != 0);
+}
+
+static void
+send_filtered(PeerNet *n, const LinkFilter *f, const Bg__Frame *frame)
 {
     GByteArray *bytes = pack_frame(frame);
     pthread_mutex_lock(&n->lock);
     for (guint i = 0; i < n->links->len; i++) {
         Link *l = n->links->pdata[i];
-        if (l->hello_seen && !l->doomed && matches(node, l->node) &&
-            matches(data_centre, l->data_centre) && matches(role, l->role)) {
+        if (is_wanted(f, l)) {
             queue_bytes(l, bytes);
             bg_count("peer_sent_bytes_total", bytes->len);
         }
@@ -196,36 +233,92 @@
     (void)done; /* a full eventfd has already woken the thread */
 }
 
+void
+peer_send(PeerNet *n, const char *node, const char *data_centre,
+          const char *role, const Bg__Frame *frame)
+{
+    LinkFilter f = {node, data_centre, NULL, role};
+    send_filtered(n, &f, frame);
+}
+
+void
+peer_send_abroad(PeerNet *n, const char *role, const Bg__Frame *frame)
+{
+    LinkFilter f = {NULL, NULL, n->settings.data_centre, role};
+    send_filtered(n, &f, frame);
+}
+
+/* What one end proves: that it holds the key, now, on this link.  Both
+   nonces are in it, so that a proof heard on one link is worth nothing on
+   another; the prover's comes second, so that our own proof sent back to us
+   does not pass either. */
 static void
-make_proof(const PeerNet *n, const char *node, const char *data_centre,
-           const char *role, uint8_t out[32])
+make_proof(const PeerNet *n, const uint8_t *asked, const uint8_t *own,
+           const char *node, const char *data_centre, const char *role,
+           uint8_t out[PROOF_BYTES])
 {
-    g_autofree char *text =
-        g_strjoin("\n", n->settings.shared_key, node, data_centre, role, NULL);
-    bg_digest(text, strlen(text), out);
+    g_autoptr(GByteArray) text = g_byte_array_new();
+    g_byte_array_append(text, asked, NONCE_BYTES);
+    g_byte_array_append(text, own, NONCE_BYTES);
+    g_autofree char *who = g_strjoin("\n", node, data_centre, role, NULL);
+    g_byte_array_append(text, (const uint8_t *)who, (guint)strlen(who));
+    const char *key = n->settings.shared_key;
+    unsigned int len = PROOF_BYTES;
+    if (!HMAC(EVP_sha256(), key, (int)strlen(key), text->data, text->len, out,
+              &len)) {
+        g_error("peer: HMAC-SHA256 is not available");
+    }
+}
+
+static void
+make_nonce(uint8_t out[NONCE_BYTES])
+{
+    char a[BG_ID_LEN + 1];
+    bg_make_id(a);
+    bg_digest(a, BG_ID_LEN, out);
+}
+
+/* To a link that is not up yet. */
+static void
+send_early(PeerNet *n, Link *l, const Bg__Frame *frame)
+{
+    GByteArray *bytes = pack_frame(frame);
+    pthread_mutex_lock(&n->lock);
+    queue_bytes(l, bytes);
+    pthread_mutex_unlock(&n->lock);
+    g_byte_array_free(bytes, TRUE);
 }
 
 static void
 send_hello(PeerNet *n, Link *l)
 {
-    uint8_t proof[32];
-    make_proof(n, n->settings.node, n->settings.data_centre, n->settings.role,
-               proof);
+    make_nonce(l->nonce);
     Bg__Hello hello = BG__HELLO__INIT;
     hello.node = (char *)n->settings.node;
     hello.data_centre = (char *)n->settings.data_centre;
     hello.role = (char *)n->settings.role;
     hello.version = PROTOCOL_VERSION;
-    hello.proof.data = proof;
-    hello.proof.len = sizeof(proof);
+    hello.nonce.data = l->nonce;
+    hello.nonce.len = NONCE_BYTES;
     Bg__Frame frame = BG__FRAME__INIT;
     frame.body_case = BG__FRAME__BODY_HELLO;
     frame.hello = &hello;
-    GByteArray *bytes = pack_frame(&frame);
-    pthread_mutex_lock(&n->lock);
-    queue_bytes(l, bytes);
-    pthread_mutex_unlock(&n->lock);
-    g_byte_array_free(bytes, TRUE);
+    send_early(n, l, &frame);
+}
+
+static void
+send_proof(PeerNet *n, Link *l)
+{
+    uint8_t proof[PROOF_BYTES];
+    make_proof(n, l->far_nonce, l->nonce, n->settings.node,
+               n->settings.data_centre, n->settings.role, proof);
+    Bg__HelloProof p = BG__HELLO_PROOF__INIT;
+    p.proof.data = proof;
+    p.proof.len = PROOF_BYTES;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_HELLO_PROOF;
+    frame.hello_proof = &p;
+    send_early(n, l, &frame);
 }
 
 static void
@@ -252,19 +345,83 @@
 static bool
 take_hello(PeerNet *n, Link *l, const Bg__Hello *hello)
 {
-    uint8_t proof[32];
-    make_proof(n, hello->node, hello->data_centre, hello->role, proof);
-    if (hello->version != PROTOCOL_VERSION || hello->proof.len != 32 ||
-        memcmp(hello->proof.data, proof, 32) != 0) {
-        bg_log(BG_WARN, "peer", "Refused a link: wrong key or version.");
+    if (hello->version != PROTOCOL_VERSION ||
+        hello->nonce.len != NONCE_BYTES ||
+        strcmp(hello->node, n->settings.node) == 0) {
+        bg_log(BG_WARN, "peer", "Refused a link: wrong version or name.");
         return false;
     }
+    memcpy(l->far_nonce, hello->nonce.data, NONCE_BYTES);
     pthread_mutex_lock(&n->lock);
     l->node = g_strdup(hello->node);
     l->data_centre = g_strdup(hello->data_centre);
     l->role = g_strdup(hello->role);
     l->hello_seen = true;
     pthread_mutex_unlock(&n->lock);
+    send_proof(n, l);
+    return true;
+}
+
+/* Which of two links between the same ends stays: the one that the lower
+   name dialled.  Both ends judge alike. */
+static bool
+is_preferred(const PeerNet *n, const Link *l)
+{
+    bool lower = strcmp(n->settings.node, l->node) < 0;
+    return lower == (l->dial_index >= 0);
+}
+
+/* Under the lock.  Drop what L makes superfluous, or L itself. */
+static void
+drop_doubles(PeerNet *n, Link *l)
+{
+    bool bridge = l->dial_index >= 0 &&
+                  g_array_index(n->targets, Target, l->dial_index).bridge;
+    for (guint i = 0; i < n->links->len; i++) {
+        Link *other = n->links->pdata[i];
+        if (other == l || !other->up || other->doomed) {
+            continue;
+        }
+        if (strcmp(other->node, l->node) == 0) {
+            *(is_preferred(n, l) ? &other->doomed : &l->doomed) = true;
+        }
+        else if (bridge && other->dial_index >= 0 &&
+                 strcmp(other->data_centre, l->data_centre) == 0 &&
+                 g_array_index(n->targets, Target, other->dial_index).bridge) {
+            l->doomed = true; /* one bridge to a data centre is enough */
+        }
+    }
+}
+
+static void
+note_target(PeerNet *n, const Link *l)
+{
+    if (l->dial_index < 0) {
+        return;
+    }
+    Target *t = &g_array_index(n->targets, Target, l->dial_index);
+    g_free(t->node);
+    g_free(t->data_centre);
+    t->node = g_strdup(l->node);
+    t->data_centre = g_strdup(l->data_centre);
+}
+
+static bool
+take_proof(PeerNet *n, Link *l, const Bg__HelloProof *p)
+{
+    uint8_t proof[PROOF_BYTES];
+    make_proof(n, l->nonce, l->far_nonce, l->node, l->data_centre, l->role,
+               proof);
+    if (p->proof.len != PROOF_BYTES ||
+        CRYPTO_memcmp(p->proof.data, proof, PROOF_BYTES) != 0) {
+        bg_log(BG_WARN, "peer", "Refused a link: wrong key.");
+        return false;
+    }
+    note_target(n, l);
+    pthread_mutex_lock(&n->lock);
+    l->up = true;
+    drop_doubles(n, l);
+    pthread_mutex_unlock(&n->lock);
     bg_log(BG_INFO, "peer", "Link to %s is up.", l->node);
     if (n->on.on_up) {
         PeerInfo info = {l->node, l->data_centre, l->role};
@@ -273,6 +430,18 @@
     return true;
 }
 
+/* Hello, then the proof; nothing else is taken from a stranger. */
+static bool
+take_early_frame(PeerNet *n, Link *l, const Bg__Frame *frame)
+{
+    if (!l->hello_seen) {
+        return frame->body_case == BG__FRAME__BODY_HELLO &&
+               take_hello(n, l, frame->hello);
+    }
+    return frame->body_case == BG__FRAME__BODY_HELLO_PROOF &&
+           take_proof(n, l, frame->hello_proof);
+}
+
 static bool
 take_frame(PeerNet *n, Link *l, const uint8_t *data, uint32_t len)
 {
@@ -280,9 +449,8 @@
     if (!frame) {
         return false;
     }
-    if (!l->hello_seen) {
-        bool good = frame->body_case == BG__FRAME__BODY_HELLO &&
-                    take_hello(n, l, frame->hello);
+    if (!l->up) {
+        bool good = take_early_frame(n, l, frame);
         bg__frame__free_unpacked(frame, NULL);
         return good;
     }
@@ -301,7 +469,7 @@
         uint32_t len;
         memcpy(&len, l->in->data + at, 4);
         len = ntohl(len);
-        if (len > PEER_MAX_FRAME) {
+        if (len > (l->up ? PEER_MAX_FRAME : MAX_STRANGER_FRAME)) {
             return false;
         }
         if (l->in->len - at - 4 < len) {
@@ -371,12 +539,32 @@
     return l;
 }
 
+/* Whether T's far end, or for a bridge its data centre, is linked already. */
+static bool
+is_reached(const PeerNet *n, const Target *t)
+{
+    for (guint i = 0; t->node && i < n->links->len; i++) {
+        const Link *l = n->links->pdata[i];
+        if (!l->up) {
+            continue;
+        }
+        bool dialled = t->bridge && l->dial_index >= 0;
+        if (strcmp(l->node, t->node) == 0 ||
+            (dialled && strcmp(l->data_centre, t->data_centre) == 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 dial_targets(PeerNet *n, uint64_t now_ms)
 {
+    bool bridging = atomic_load(&n->bridging);
     for (guint i = 0; i < n->targets->len; i++) {
         Target *t = &g_array_index(n->targets, Target, i);
-        if (t->linked || now_ms < t->next_try_ms) {
+        if (t->linked || now_ms < t->next_try_ms || (t->bridge && !bridging) ||
+            is_reached(n, t)) {
             continue;
         }
         t->next_try_ms = now_ms + REDIAL_MS;
@@ -412,7 +600,7 @@
     if (l->dial_index >= 0) {
         g_array_index(n->targets, Target, l->dial_index).linked = false;
     }
-    if (l->hello_seen) {
+    if (l->up) {
         bg_log(BG_INFO, "peer", "Link to %s is down.", l->node);
         if (n->on.on_down) {
             PeerInfo info = {l->node, l->data_centre, l->role};
@@ -429,13 +617,22 @@
 static bool
 is_silent(const PeerNet *n, const Link *l, uint64_t now_ms)
 {
-    return now_ms - l->last_in_ms > n->settings.silence_ms;
+    uint64_t since_ms = l->up ? l->last_in_ms : l->opened_ms;
+    return now_ms - since_ms > n->settings.silence_ms;
+}
+
+/* A bridge that is another placer's duty now. */
+static bool
+is_retired(const PeerNet *n, const Link *l)
+{
+    return l->dial_index >= 0 && !atomic_load(&n->bridging) &&
+           g_array_index(n->targets, Target, l->dial_index).bridge;
 }
 
 static bool
 serve_link(PeerNet *n, Link *l, short revents)
 {
-    if (l->doomed || is_silent(n, l, bg_now_ms())) {
+    if (l->doomed || is_retired(n, l) || is_silent(n, l, bg_now_ms())) {
         return false;
     }
     if (revents & (POLLERR | POLLNVAL)) {
@@ -540,6 +737,12 @@
     }
 }
 
+void
+peer_set_bridging(PeerNet *n, bool on)
+{
+    atomic_store(&n->bridging, on);
+}
+
 char *
 peer_dump(PeerNet *n)
 {
@@ -547,7 +750,7 @@
     pthread_mutex_lock(&n->lock);
     for (guint i = 0; i < n->links->len; i++) {
         Link *l = n->links->pdata[i];
-        if (l->hello_seen) {
+        if (l->up) {
             json_array_append_new(
                 list, json_pack("{s:s, s:s, s:s, s:i}", "node", l->node,
                                 "data_centre", l->data_centre, "role", l->role,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -247,8 +247,9 @@
     def write_settings(self, vm, role):
         name = vm + "-" + role
         centre = vm.split("-")[0]
-        peers = [p for c in self.centres for p in self.placers(c)
-                 if p != name and (role == "router" or c == centre)]
+        near = [p for p in self.placers(centre) if p != name]
+        far = [p for c in self.centres if c != centre
+               for p in self.placers(c)]
         doc = {
             "node": {"name": name, "data_centre": centre,
                      "http": "127.0.0.1:%d" % self.port(name),
@@ -257,11 +258,14 @@
             "log": {"address": self.log_address(centre)},
             "peers": {"listen": "127.0.0.1:%d" % self.port(name + "-peer"),
                       "dial": ",".join(self.address(p + "-peer")
-                                       for p in peers),
+                                       for p in near),
                       "shared_key": SHARED_KEY}}
         if role == "placer":
             doc["vms"] = {"address": self.address("vms"), "poll_ms": "200"}
             doc["placer"] = {}
+            if far:
+                doc["peers"]["bridges"] = ",".join(
+                    self.address(p + "-peer") for p in far)
         else:
             doc["router"] = {}
         for section, values in self.settings.get(role, {}).items():
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -5,7 +5,7 @@
 everything, drop_acks lets that many appends take effect and then closes
 the connection, keep is how many records retention leaves; damage spoils
 that many reads' first records on their way out (another byte each time), shuffle reorders the records
-of that many reads.  PUT /test/expire lets retention take all records, PUT
+of that many reads.  down_after_appends turns down on after that many appends.  PUT /test/expire lets retention take all records, PUT
 /test/reset begins a new log.
 """
 
@@ -24,7 +24,8 @@
         self.records = []
         self.appends = 0
         self.faults = {"down": False, "slow_ms": 0, "drop_acks": 0,
-                       "keep": keep, "damage": 0, "shuffle": 0}
+                       "keep": keep, "damage": 0, "shuffle": 0,
+                       "down_after_appends": 0}
 
     def append(self, data):
         with self.changed:
@@ -106,6 +107,10 @@
             time.sleep(self.faults["slow_ms"] / 1000)
         if path == "/v1/append":
             offset = self.append(body)
+            if self.faults["down_after_appends"]:
+                self.faults["down_after_appends"] -= 1
+                if not self.faults["down_after_appends"]:
+                    self.set_faults({"down": True})
             if self.faults["drop_acks"] > 0:
                 self.faults["drop_acks"] -= 1
                 h.close_connection = True
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,199 @@
+"""The operators' client: what it says is true, and nothing is lost."""
+
+import json
+import os
+import subprocess
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from cluster import ROOT, Cluster, wait_until
+from configs import accepted, publish, revise, write_template
+
+OPERATOR_KEY = "operators-key"
+
+
+@pytest.fixture(scope="module")
+def cluster(build):
+    import hashlib
+    digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+    node = {"node": {"operator_key_sha256": digest}}
+    with Cluster(build, vms_per_centre=2, engines=[], services=[],
+                 settings={"router": node, "placer": node}) as c:
+        yield c
+
+
+def test_conflict_shows_who_changed_what(cluster):
+    """Two operators start from one version.  The second is told who was
+    first and what they changed, line by line; nothing of the first's work is
+    lost, and the second's files are theirs still."""
+    base = publish(cluster, "shared", priority=3)
+    paths = write_template(cluster.dir, "shared", priority=4)
+    first = accepted(cluster.bglade("revise", "--base", base, "--author",
+                                    "mitali", "--note", "four", *paths))
+    paths = write_template(cluster.dir, "shared", priority=5)
+    res = cluster.bglade("revise", "--base", base, "--author", "tuula",
+                         *paths, check=False)
+    assert res.returncode == 3
+    assert "mitali: four" in res.stdout
+    assert "-priority = 3\n+priority = 4\n" in res.stdout
+    assert "--base %d" % first in res.stdout
+    res = cluster.bglade("--json", "revise", "--base", base, *paths,
+                         check=False)
+    doc = json.loads(res.stdout)
+    assert (doc["outcome"], doc["exit"]) == ("conflict", 3)
+    assert [v["author"] for v in doc["changes"]] == ["mitali"]
+    assert "priority = 4" in cluster.bglade("show", "shared").stdout
+
+
+def test_history_diff_and_rollback(cluster):
+    v1 = publish(cluster, "past", priority=1)
+    v2 = revise(cluster, "past", v1, priority=2)
+    v3 = accepted(cluster.bglade("rollback", "past", "--to", v1))
+    assert v3 > v2
+    doc = json.loads(cluster.bglade("--json", "history", "past").stdout)
+    assert [v["version"] for v in doc] == [v1, v2, v3]
+    out = cluster.bglade("diff", "past", v1, v2).stdout
+    assert out == "@@ 9\n-priority = 1\n+priority = 2\n"
+    assert cluster.bglade("diff", "past", v1, v3).stdout == ""
+    assert cluster.bglade("rollback", "past", "--to", 999999,
+                          check=False).returncode == 2
+    assert "priority = 2" in cluster.bglade("show", "past", "--to",
+                                            v2).stdout
+
+
+def test_publish_of_a_taken_name_conflicts(cluster):
+    publish(cluster, "taken")
+    res = cluster.bglade("publish", *write_template(cluster.dir, "taken"),
+                         check=False)
+    assert res.returncode == 3 and "not accepted" in res.stderr
+
+
+def test_status_from_any_process(cluster):
+    """Whatever process is asked, a router or a placer of any data centre,
+    the answer covers every process of both data centres."""
+    version = publish(cluster, "everywhere")
+    names = {"%s" % d for d in cluster.daemons()}
+    for name in ("dc1-vm1-router", "dc2-vm2-placer"):
+        at = "127.0.0.1:%d" % cluster.port(name)
+        res = cluster.bglade("--json", "--at", at, "--wait", 10, "status")
+        doc = json.loads(res.stdout)
+        assert doc["wanted_version"] == version
+        assert doc["in_force_everywhere"] is True
+        heard = {n["node"].rsplit("-", 1)[0] for n in doc["nodes"]}
+        assert heard == names
+        assert all(n["config_version"] == version and n["age_ms"] < 6000
+                   for n in doc["nodes"])
+
+
+def test_status_wait_tells_who_is_behind(cluster):
+    """Nothing can have a version that does not exist: the wait ends, fails,
+    and names those that lack it."""
+    at = "127.0.0.1:%d" % cluster.port("dc1-vm1-router")
+    res = cluster.bglade("--at", at, "--wait", 1, "--to", 10 ** 9, "status",
+                         check=False)
+    assert res.returncode == 1
+    assert res.stdout.count("BEHIND") == len(cluster.daemons())
+    assert "not in force everywhere" in res.stdout
+
+
+def test_two_operators_race(cluster):
+    """Rounds of two operators who revise one version at the same moment.
+    In each exactly one wins, the other is told, and the text in force is
+    the winner's."""
+    base = publish(cluster, "raced", priority=0)
+    ready = threading.Barrier(2)
+
+    def run(author, paths):
+        ready.wait()
+        res = cluster.bglade("revise", "--base", base, "--author", author,
+                             *paths, check=False)
+        return author, res
+
+    for i in range(20):
+        sides = []
+        for k, author in enumerate(("mitali", "tuula")):
+            folder = os.path.join(cluster.dir, author)
+            os.makedirs(folder, exist_ok=True)
+            sides.append((author, write_template(
+                folder, "raced", priority=(2 * i + k) % 10)))
+        with ThreadPoolExecutor(2) as pool:
+            ends = list(pool.map(lambda s: run(*s), sides))
+        codes = sorted(r.returncode for _, r in ends)
+        assert codes == [0, 3], [r.stderr for _, r in ends]
+        winner = [e for e in ends if e[1].returncode == 0][0]
+        loser = [e for e in ends if e[1].returncode == 3][0]
+        assert "%s" % winner[0] in loser[1].stdout
+        shown = json.loads(cluster.bglade("--json", "show", "raced").stdout)
+        assert shown[0]["author"] == winner[0]
+        base = shown[0]["version"]
+    assert base > 20
+
+
+def test_lost_acknowledgement_is_settled(cluster):
+    """The append takes effect, its acknowledgement is lost.  The client
+    writes the same batch again and reads the log: the operator hears
+    "accepted", once, and one version was made."""
+    cluster.set_faults("log", drop_acks=2)
+    version = publish(cluster, "unheard")
+    assert cluster.set_faults("log")["drop_acks"] == 0
+    doc = json.loads(cluster.bglade("--json", "history", "unheard").stdout)
+    assert [v["version"] for v in doc] == [version]
+
+
+def test_publish_while_the_log_is_down_fails_surely(cluster):
+    """Every attempt is turned away before it does anything: exit 1, and it
+    is true, nothing takes effect later either."""
+    paths = write_template(cluster.dir, "never")
+    cluster.set_faults("log", down=True)
+    res = cluster.bglade("publish", "--settle", 4, *paths, check=False)
+    cluster.set_faults("log", down=False)
+    assert res.returncode == 1, res.stderr
+    assert cluster.bglade("show", "never", check=False).returncode == 2
+
+
+def test_publish_into_an_outage_is_not_known(build):
+    """The append reached the service, then everything went silent: it may
+    have taken effect.  The client says so, exit 4, and the record is in
+    force when the log is back.  Saying "failed" would be a lie."""
+    with Cluster(build, centres=("dc1",), vms_per_centre=1, engines=[],
+                 services=[]) as c:
+        # The claim must be over, so that the publish is the next append.
+        wait_until(lambda: c.owner("dc1"), 15, "owner")
+        c.set_faults("log", down_after_appends=1, drop_acks=1)
+        paths = write_template(c.dir, "perhaps")
+        res = c.bglade("publish", "--settle", 4, *paths, check=False)
+        assert res.returncode == 4, (res.returncode, res.stderr)
+        assert "may take effect yet" in res.stderr
+        c.set_faults("log", down=False)
+        assert c.bglade("show", "perhaps").returncode == 0
+
+
+def test_drain_needs_the_operators_key(cluster):
+    name = "dc2-vm2-router"
+    at = "127.0.0.1:%d" % cluster.port(name)
+    path = os.path.join(cluster.dir, "key")
+    for text, code in (("wrong", 1), (OPERATOR_KEY, 0)):
+        with open(path, "w", encoding="utf-8") as f:
+            f.write(text + "\n")
+        res = cluster.bglade("drain", "--key-file", path, at, check=False)
+        assert res.returncode == code
+        assert cluster.procs[name].is_running() or code == 0
+    proc = cluster.procs[name]
+    wait_until(lambda: not proc.is_running(), 15, "stop")
+    assert proc.popen.returncode == 0
+    cluster.start_daemon("dc2-vm2", "router")
+    cluster.wait_ready()
+
+
+def test_help_of_each_command(build):
+    path = os.path.join(ROOT, build, "bglade")
+    for word in ("check publish revise rollback show history diff status "
+                 "dump drain help").split():
+        res = subprocess.run([path, "help", word], capture_output=True,
+                             text=True, timeout=20, check=False)
+        assert res.returncode == 0 and "bglade" in res.stdout
+    res = subprocess.run([path, "--bogus"], capture_output=True, text=True,
+                         timeout=20, check=False)
+    assert res.returncode == 2
