--- a/src/cli_diff.c
+++ b/src/cli_diff.c
@@ -95,8 +95,9 @@
         replace_all(d, old_end, now_end);
         return;
     }
-    g_autofree uint32_t *t = make_table(d, rows, cols);
+    uint32_t *t = make_table(d, rows, cols);
     walk_table(d, t, rows, cols);
+    g_free(t);
 }
 
 char *
--- a/src/lc.c
+++ b/src/lc.c
@@ -45,7 +45,10 @@
                      .body_len = len,
                      .connect_ms = CONNECT_MS,
                      .total_ms = APPEND_MS,
-                     .fresh = false};
+                     /* On a kept connection the library sends the append
+                        again by itself when the first answer is lost; the
+                        second one's refusal would pass for "not done". */
+                     .fresh = true};
     HcResult res;
     hc_call(h->http, &req, &res);
     bool good = false;
--- a/src/node.c
+++ b/src/node.c
@@ -524,11 +524,12 @@
     g_autofree char *peers = peer_dump(n->peers);
     const char *fault = feed_get_fault(n->feed);
     return g_strdup_printf(
-        "{\"node\":\"%s\",\"data_centre\":\"%s\",\"role\":\"%s\","
+        "{\"node\":\"%s\",\"data_centre\":\"%s\",\"role\":\"%s\",\"ready\":%s,"
         "\"draining\":%s,\"log_reachable\":%s,\"log_hops\":%u,"
         "\"fault\":\"%s\",\"digest\":\"%016llx\",\"chain\":\"%016llx\","
         "\"config_version\":%llu,\"fold\":%s,\"links\":%s,\"state\":%s}\n",
         n->name, node_get_data_centre(n), n->role->role,
+        atomic_load(&n->ready) ? "true" : "false",
         atomic_load(&n->draining) ? "true" : "false",
         atomic_load(&n->log_usable) ? "true" : "false", feed_get_hops(n->feed),
         fault ? fault : "", (unsigned long long)fold_digest(n->fold),
