--- a/tests/test_fuzz_lim.py
+++ b/tests/test_fuzz_lim.py
@@ -24,6 +24,8 @@
         self.now = 1000
         self.held = [0] * ROUTERS
         self.tell("routers %d %d %d %d %d" % (ROUTERS, LEASE_MS, *LIMITS))
+        # Nothing is lent in a router's first lease.
+        self.wait(3000)
 
     def tell(self, line, answers=False):
         self.proc.stdin.write(line + "\n")
@@ -54,6 +56,21 @@
         self.now += step
         self.tell("at %d" % self.now)
 
+    @rule(router=st.integers(0, ROUTERS - 1),
+          heard=st.sampled_from((0, 300, 700)),
+          answered=st.sampled_from((0, 300, 700)),
+          lost=st.integers(0, 3))
+    def borrow(self, router, heard, answered, lost):
+        """A busy router asks; asks and loans take their time, and some of
+        the loans are lost."""
+        self.take(router, 12)
+        self.wait(heard)
+        for _ in range(ROUTERS - 1):
+            self.message("deliver", 0)
+        self.wait(answered)
+        for i in range(ROUTERS - 1):
+            self.message("drop" if i < lost else "deliver", 0)
+
     @rule(router=st.integers(0, ROUTERS - 1))
     def restart(self, router):
         self.tell("restart %d" % router)
@@ -74,5 +91,5 @@
 
 def test_shares():
     run_state_machine_as_test(Limits, settings=settings(
-        derandomize=True, max_examples=120, stateful_step_count=60,
+        derandomize=True, max_examples=200, stateful_step_count=40,
         deadline=None, suppress_health_check=list(HealthCheck)))
