The limit of an unstreamed completion follows measured runs

A fixed answer_ms would have run long generations again and ejected engines that were well after three of them. The limit is three long runs of the model, by tokens asked for, answer_ms at least, and the deadline alone before a run was measured.

--- a/src/main_router.c
+++ b/src/main_router.c
@@ -43,8 +43,8 @@
      "to connect to an upstream"},
     {"router", "first_byte_ms", INI_INT, false, "5000", 50, 3600000, NULL,
      "to the first byte of a stream"},
-    {"router", "answer_ms", INI_INT, false, "30000", 50, 3600000, NULL,
-     "to an unstreamed completion's first byte: the whole generation"},
+    {"router", "answer_ms", INI_INT, false, "10000", 50, 3600000, NULL,
+     "for an unstreamed completion; three long runs if that is more"},
     {"router", "idle_ms", INI_INT, false, "5000", 50, 3600000, NULL,
      "between bytes of an answer"},
     {"router", "pool_idle_ms", INI_INT, false, "10000", 1000, 600000, NULL,
@@ -133,9 +133,10 @@
 /* ---- output of the core ------------------------------------------------- */
 
 static void
-output_send(void *ctx, uint64_t id, const char *upstream, const char *address)
+output_send(void *ctx, uint64_t id, const char *upstream, const char *address,
+            uint32_t long_run_ms)
 {
-    req_on_send(((Router *)ctx)->desk, id, upstream, address);
+    req_on_send(((Router *)ctx)->desk, id, upstream, address, long_run_ms);
 }
 
 static void
--- a/src/req.c
+++ b/src/req.c
@@ -18,6 +18,7 @@
 #define AWAIT_MS 100 /* between looks at whether the caller is gone */
 #define DEFAULT_MAX_TOKENS 256
 #define BUSY_RETRY_MS 1000
+#define LONG_RUNS 3 /* a generation that takes so many is taken for silent */
 #define STATUS_CALLER_GONE 499 /* for the log only; nobody reads it */
 #define MAX_POOLED_CLIENTS 256
 #define CHUNK_FRAME 24 /* length line and line ends of a chunk */
@@ -38,6 +39,7 @@
     Decision decision;
     char upstream[128];
     char address[64];
+    uint32_t long_run_ms;
     RtReason reason;
     uint64_t retry_after_ms;
 } Ticket;
@@ -59,7 +61,7 @@
 typedef struct {
     uint32_t connect_ms;
     uint32_t first_byte_ms; /* of a stream */
-    uint32_t answer_ms;     /* of an unstreamed completion */
+    uint32_t answer_ms;     /* of an unstreamed completion, at least */
     uint32_t idle_ms;       /* between bytes */
     uint32_t pool_idle_ms;  /* of a pooled connection */
 } CallLimits;
@@ -242,6 +244,7 @@
     t->decision = decided->decision;
     t->reason = decided->reason;
     t->retry_after_ms = decided->retry_after_ms;
+    t->long_run_ms = decided->long_run_ms;
     g_strlcpy(t->upstream, decided->upstream, sizeof(t->upstream));
     g_strlcpy(t->address, decided->address, sizeof(t->address));
     pthread_cond_signal(&t->decided);
@@ -249,9 +252,10 @@
 }
 
 void
-req_on_send(ReqDesk *d, uint64_t id, const char *upstream, const char *address)
+req_on_send(ReqDesk *d, uint64_t id, const char *upstream, const char *address,
+            uint32_t long_run_ms)
 {
-    Ticket t = {.decision = DECIDED_SEND};
+    Ticket t = {.decision = DECIDED_SEND, .long_run_ms = long_run_ms};
     g_strlcpy(t.upstream, upstream, sizeof(t.upstream));
     g_strlcpy(t.address, address, sizeof(t.address));
     decide(d, id, &t);
@@ -835,14 +839,27 @@
     return text;
 }
 
+/* Nothing is heard of an unstreamed completion before its end.  A limit
+   below that would run long ones again and eject engines that are well, so
+   it follows what was measured; before that there is none. */
 static uint32_t
-get_first_byte_ms(const Req *q, uint32_t left_ms)
+get_answer_ms(const Req *q, uint32_t long_run_ms, uint32_t left_ms)
+{
+    uint64_t limit_ms = (uint64_t)long_run_ms * LONG_RUNS;
+    return long_run_ms == 0
+               ? left_ms
+               : (uint32_t)MIN(left_ms,
+                               MAX(limit_ms, q->desk->limits.answer_ms));
+}
+
+static uint32_t
+get_first_byte_ms(const Req *q, const Ticket *t, uint32_t left_ms)
 {
-    const CallLimits *l = &q->desk->limits;
     if (!q->model) {
         return left_ms;
     }
-    return MIN(left_ms, q->stream ? l->first_byte_ms : l->answer_ms);
+    return q->stream ? MIN(left_ms, q->desk->limits.first_byte_ms)
+                     : get_answer_ms(q, t->long_run_ms, left_ms);
 }
 
 /* A pooled connection that gave no answer, or one that fell silent within
@@ -887,7 +904,7 @@
                      .body = q->body->len ? q->body->data : NULL,
                      .body_len = q->body->len,
                      .connect_ms = l->connect_ms,
-                     .first_byte_ms = get_first_byte_ms(q, left_ms),
+                     .first_byte_ms = get_first_byte_ms(q, t, left_ms),
                      .total_ms = left_ms,
                      .idle_ms = l->idle_ms,
                      .max_idle_ms = l->pool_idle_ms,
--- a/src/req.h
+++ b/src/req.h
@@ -26,7 +26,7 @@
 void req_on_event(ReqDesk *d, RtCore *core, uint64_t now_ms, void *event);
 /* Core thread: the core's decisions. */
 void req_on_send(ReqDesk *d, uint64_t id, const char *upstream,
-                 const char *address);
+                 const char *address, uint32_t long_run_ms);
 void req_on_refuse(ReqDesk *d, uint64_t id, RtReason reason,
                    uint64_t retry_after_ms);
 void req_on_finish(ReqDesk *d, uint64_t id);
--- a/src/rt.c
+++ b/src/rt.c
@@ -48,6 +48,7 @@
     uint32_t load_ms;       /* measured, at first the template's */
     uint32_t run_ms;        /* one call, measured; 0: not yet */
     uint32_t run_spread_ms; /* its mean deviation */
+    uint32_t run_cost;      /* mean cost of those measured */
     uint64_t cold_since_ms; /* wanted and not loaded; 0: no */
     uint64_t last_used_ms;
     uint64_t ghost_until_ms; /* wanted although nobody waits any more */
@@ -192,12 +193,13 @@
 }
 
 static void
-note_run(Target *t, uint64_t run_ms)
+note_run(Target *t, uint32_t cost, uint64_t run_ms)
 {
     uint64_t old_ms = t->run_ms ? t->run_ms : run_ms;
     uint64_t off_ms = run_ms > old_ms ? run_ms - old_ms : old_ms - run_ms;
     t->run_spread_ms = average(t->run_spread_ms, off_ms);
     t->run_ms = average((uint32_t)old_ms, run_ms);
+    t->run_cost = t->run_cost ? average(t->run_cost, cost) : cost;
 }
 
 /* What a call seldom takes longer than. */
@@ -335,6 +337,18 @@
     return up_choose(c->ups, now_ms, &query);
 }
 
+/* The same for Q: one that asks for more than usual takes longer. */
+static uint32_t
+get_long_run_of(const Request *q)
+{
+    const Target *t = q->target;
+    uint64_t long_ms = get_long_run(t);
+    if (q->node.cost > t->run_cost && t->run_cost > 0) {
+        long_ms = long_ms * q->node.cost / t->run_cost;
+    }
+    return (uint32_t)MIN(long_ms, UINT32_MAX);
+}
+
 static void
 send_to(RtCore *c, Request *q, Up *u, uint64_t now_ms)
 {
@@ -343,7 +357,8 @@
     q->sent_ms = now_ms;
     q->target->inflight++;
     up_start(u);
-    c->out.send(c->out.ctx, q->r.id, up_get_id(u), up_get_address(u));
+    c->out.send(c->out.ctx, q->r.id, up_get_id(u), up_get_address(u),
+                get_long_run_of(q));
 }
 
 static bool
@@ -579,7 +594,7 @@
     t->last_used_ms = now_ms;
     switch (end->done) {
     case RT_DONE_OK:
-        note_run(t, now_ms - q->sent_ms);
+        note_run(t, q->node.cost, now_ms - q->sent_ms);
         drop_request(c, q);
         break;
     case RT_DONE_CANCELLED:
@@ -592,7 +607,8 @@
     case RT_DONE_BROKEN:
         q->may_have_run = true;
         if (end->late) {
-            note_run(t, now_ms - q->sent_ms); /* it takes no less */
+            note_run(t, q->node.cost,
+                     now_ms - q->sent_ms); /* it takes no less */
         }
         if (q->r.once) {
             finish(c, q);
--- a/src/rt.h
+++ b/src/rt.h
@@ -68,8 +68,10 @@
 
 typedef struct {
     void *ctx;
+    /* LONG_RUN_MS: what a call like it seldom takes longer than, measured;
+       0: not known. */
     void (*send)(void *ctx, uint64_t id, const char *upstream,
-                 const char *address);
+                 const char *address, uint32_t long_run_ms);
     void (*refuse)(void *ctx, uint64_t id, RtReason reason,
                    uint64_t retry_after_ms);
     /* It may have run and is not sent again. */
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -159,6 +159,19 @@
     assert count(one, "router_silent_connections_total") == before
 
 
+def test_long_generation_is_not_taken_for_silence(one):
+    """Calls were short so far; one that asks for eight times the tokens
+    takes longer than answer_ms.  It is not silent: running it again would
+    take as long, and the engine is well."""
+    one.set_faults("dc1-lm1", token_ms=30)
+    for i in range(10):
+        call(one, "short %d" % i)
+    before = count(one, "router_silent_connections_total")
+    call(one, "long", tokens=64)
+    assert count(one, "router_silent_connections_total") == before
+    one.set_faults("dc1-lm1", token_ms=2)
+
+
 def test_idle_connection_is_not_used_again(build):
     """A connection idle for longer than pool_idle_ms may have been
     forgotten; it is closed instead of tried, so nothing waits for it."""
