Fuzzed feeds; a batch's digest covers its id

Found by the state machine: a read that spoiled a byte of the batch id decoded, as the digest covered the records only; one process then held a state that no other had. Kept as scripts/feed/damaged_id.

--- a/src/ckpt.c
+++ b/src/ckpt.c
@@ -66,7 +66,9 @@
 {
     Part *part = p;
     for (uint32_t i = 0; i < part->chunks; i++) {
-        g_clear_pointer(&part->data[i], g_bytes_unref);
+        if (part->data[i]) {
+            g_bytes_unref(part->data[i]);
+        }
     }
     g_free(part->data);
     g_free(part->id);
--- a/src/feed.c
+++ b/src/feed.c
@@ -756,15 +756,13 @@
 static void
 finish_scan(Feed *f, uint64_t now_ms)
 {
-    if (take_checkpoint(f)) {
-        follow_log(f);
-    }
-    else if (f->scan_began > f->log_first) {
+    bool taken = take_checkpoint(f);
+    if (!taken && f->scan_began > f->log_first) {
         f->scan_window *= SCAN_WIDER;
         start_scan(f);
         return;
     }
-    else if (fold_get_offset(f->fold) + 1 >= f->log_first) {
+    if (taken || fold_get_offset(f->fold) + 1 >= f->log_first) {
         follow_log(f);
     }
     else {
--- a/src/rec.c
+++ b/src/rec.c
@@ -3,6 +3,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+uint64_t
+rec_digest(uint32_t format, const char *batch_id, const uint8_t *payload,
+           size_t len)
+{
+    return XXH64(payload, len, XXH64(batch_id, strlen(batch_id), format));
+}
+
 uint8_t *
 rec_encode_batch(const char *batch_id, Bg__Record **records, size_t count,
                  size_t *len)
@@ -16,7 +23,8 @@
     batch.payload.len = bg__record_list__get_packed_size(&list);
     batch.payload.data = g_malloc(batch.payload.len + 1);
     bg__record_list__pack(&list, batch.payload.data);
-    batch.digest = XXH64(batch.payload.data, batch.payload.len, REC_FORMAT);
+    batch.digest = rec_digest(REC_FORMAT, batch_id, batch.payload.data,
+                              batch.payload.len);
     *len = bg__batch__get_packed_size(&batch);
     uint8_t *out = g_malloc(*len);
     bg__batch__pack(&batch, out);
@@ -42,7 +50,8 @@
 static bool
 check_batch(const Bg__Batch *b, GError **err)
 {
-    if (XXH64(b->payload.data, b->payload.len, b->format) != b->digest) {
+    if (rec_digest(b->format, b->batch_id, b->payload.data, b->payload.len) !=
+        b->digest) {
         set_format_error(err, "digest does not match");
         return false;
     }
--- a/src/rec.h
+++ b/src/rec.h
@@ -15,6 +15,10 @@
     Bg__RecordList *list;
 } RecBatch;
 
+/* The digest of a batch.  It covers the id: a damaged one would name another
+   batch, and the same records could take effect twice. */
+uint64_t rec_digest(uint32_t format, const char *batch_id,
+                    const uint8_t *payload, size_t len);
 /* Bytes of a batch with RECORDS under BATCH_ID; free with g_free. */
 uint8_t *rec_encode_batch(const char *batch_id, Bg__Record **records,
                           size_t count, size_t *len);
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -26,7 +26,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define MAX_WORDS 12
 
@@ -240,7 +239,7 @@
     b.payload.len = bg__record_list__get_packed_size(list);
     b.payload.data = g_malloc(b.payload.len + 1);
     bg__record_list__pack(list, b.payload.data);
-    b.digest = XXH64(b.payload.data, b.payload.len, format);
+    b.digest = rec_digest(format, b.batch_id, b.payload.data, b.payload.len);
     GByteArray *out = g_byte_array_new();
     g_byte_array_set_size(out, (guint)bg__batch__get_packed_size(&b));
     bg__batch__pack(&b, out->data);
