--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -144,6 +144,7 @@
         self.proxies = {}
         self.addresses = {}
         self.targets = {}
+        self.bridge_proxies = False
 
     # ---- start ---------------------------------------------------------
 
@@ -184,6 +185,13 @@
         name = "log-" + centre
         return self.address(name if name in self.proxies else "log")
 
+    def bridge_address(self, name):
+        """Where placers of other data centres reach NAME.  bridge_proxies:
+        through its proxy, even if those of its own don't."""
+        if self.bridge_proxies and name in self.proxies:
+            return "127.0.0.1:%d" % self.port(self.proxies[name])
+        return self.address(name)
+
     def set_proxy(self, name, **faults):
         control = self.port(self.proxies[name] + "-control")
         with socket.create_connection(("127.0.0.1", control), 5) as s:
@@ -276,7 +284,7 @@
             doc["placer"] = {}
             if far:
                 doc["peers"]["bridges"] = ",".join(
-                    self.address(p + "-peer") for p in far)
+                    self.bridge_address(p + "-peer") for p in far)
         else:
             doc["router"] = {}
         for section, values in self.settings.get(role, {}).items():
--- a/tests/configs.py
+++ b/tests/configs.py
@@ -6,7 +6,8 @@
 import re
 
 
-def write_template(folder, name, priority=5, adapters=0, workspaces=1):
+def write_template(folder, name, priority=5, adapters=0, workspaces=1,
+                   padding=0):
     """Template and values files; returns their paths."""
     lines = ["[template]", "name = " + name, "[upstreams %s-u]" % name,
              "kind = engine", "[model %s-m]" % name,
@@ -14,6 +15,7 @@
     for i in range(adapters):
         lines += ["[adapter %s-a%d]" % (name, i), "base = %s-m" % name]
     lines += ["[workspace]", "priority = %d" % priority]
+    lines += ["# " + "x" * 998] * padding
     paths = [os.path.join(folder, name + ".ini")]
     with open(paths[0], "w", encoding="utf-8") as f:
         f.write("\n".join(lines) + "\n")
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -57,6 +57,10 @@
         except OSError:
             writer.close()
             return
+        if self.faults["cut"]:  # cut while this was being connected
+            writer.close()
+            up_writer.close()
+            return
         self.count += 1
         ident = self.count
         self.open[ident] = (writer, up_writer)
--- a/tests/test_fuzz_fold.py
+++ b/tests/test_fuzz_fold.py
@@ -134,5 +134,5 @@
     FeedMachine.build = build
     from hypothesis.stateful import run_state_machine_as_test
     run_state_machine_as_test(FeedMachine, settings=settings(
-        derandomize=True, deadline=None, max_examples=100, database=None,
+        derandomize=True, deadline=None, max_examples=300, database=None,
         stateful_step_count=40, suppress_health_check=list(HealthCheck)))
