--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -23,6 +23,7 @@
         self.first = 1
         self.records = []
         self.appends = 0
+        self.sent_bytes = 0  # of records, in answers to reads
         self.faults = {"down": False, "slow_ms": 0, "drop_acks": 0,
                        "keep": keep, "damage": 0, "shuffle": 0,
                        "down_after_appends": 0}
@@ -94,6 +95,7 @@
             return h.reply(200, self.faults)
         if path == "/test/state":
             return h.reply(200, {"first": self.first, "appends": self.appends,
+                                 "sent_bytes": self.sent_bytes,
                                  "next": self.first + len(self.records)})
         if path == "/test/expire":
             return h.reply(200, {"first": self.expire()})
@@ -123,6 +125,7 @@
                                      int(query.get("max", 500)))
             if self.faults["down"]:
                 return h.reply(503, {"error": "down"})
+            self.sent_bytes += sum(len(r["data"]) for r in page["records"])
             return h.reply(status, page)
         return h.reply(404, {"error": "no such path"})
 
