Sharper tests: appends held, sets held back, fresh links

Each was red with its safeguard out: without the gate the log began with ['claim', 'checkpoint']; without the state gate a starting placer showed version 5 after 42; without the silence limit 'timed out waiting for fresh links'.

--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -5,7 +5,7 @@
 everything, drop_acks lets that many appends take effect and then closes
 the connection, keep is how many records retention leaves; damage spoils
 that many reads' first records on their way out (another byte each time), shuffle reorders the records
-of that many reads.  down_after_appends turns down on after that many appends.  PUT /test/expire lets retention take all records, PUT
+of that many reads.  reads_down refuses reads only; page is the most records of one read; down_after_appends turns down on after that many appends.  PUT /test/expire lets retention take all records, PUT
 /test/reset begins a new log.
 """
 
@@ -26,7 +26,8 @@
         self.sent_bytes = 0  # of records, in answers to reads
         self.faults = {"down": False, "slow_ms": 0, "drop_acks": 0,
                        "keep": keep, "damage": 0, "shuffle": 0,
-                       "down_after_appends": 0}
+                       "down_after_appends": 0, "reads_down": False,
+                       "page": 0}
 
     def append(self, data):
         with self.changed:
@@ -120,9 +121,12 @@
                 return None
             return h.reply(200, {"offset": offset})
         if path == "/v1/records":
+            if self.faults["reads_down"]:
+                return h.reply(503, {"error": "down"})
             status, page = self.read(int(query["from"]),
                                      int(query.get("wait_ms", 0)),
-                                     int(query.get("max", 500)))
+                                     min(int(query.get("max", 500)),
+                                         self.faults["page"] or 10 ** 6))
             if self.faults["down"]:
                 return h.reply(503, {"error": "down"})
             self.sent_bytes += sum(len(r["data"]) for r in page["records"])
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import subprocess
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -112,22 +114,36 @@
 
 def test_outage_longer_than_retention(build):
     """The log is down for longer than it keeps records.  When it is back it
-    holds nothing, while the VMs still hold all that was accepted.  They
-    write a checkpoint before anything else, so that a VM which starts then,
-    with every other one gone, still finds the state."""
-    with make(build, vms=2) as c:
-        version = publish(c, "t")
+    holds nothing, while the VMs still hold all that was accepted, and routers
+    have records waiting (claims of certificates that were to be registered
+    just now).  The checkpoint goes before those, so that a VM which starts
+    then, with every other one gone, still finds the state."""
+    service = {"id": "dc1-sadasya-ledger", "centre": "dc1",
+               "deployment": "sadasya-ledger"}
+    rare = {"router": RARE, "placer": RARE}
+    with Cluster(build, centres=("dc1",), vms_per_centre=2, engines=[],
+                 services=[service], settings=rare) as c:
+        c.publish_samples()
+        version = max(c.dump("dc1-vm1-router")["fold"]["templates"].values())
         c.wait_in_force(version)
+        wait_until(lambda: c.owner("dc1"), 15, "owner")
         c.set_faults("log", down=True)
         c.call("log", "PUT", "/test/expire")
-        # A new owner has something to append the moment the log is back.
-        c.kill_vm("dc1-vm1")
-        c.set_faults("log", down=False)
+        with ThreadPoolExecutor(8) as pool:
+            for i in range(8):
+                pool.submit(c.ask, c.routers()[i % 2], "registry",
+                            "/v1/services/member-registry/x", {"n": i},
+                            {"Idempotency-Key": "certificate-%d" % i})
+            time.sleep(1.5)  # their claims are tried, and turned away
+            # The log takes appends again before it can be read.
+            c.set_faults("log", reads_down=True, down=False)
+            time.sleep(2.5)
+            c.set_faults("log", reads_down=False)
         wait_until(lambda: any("checkpoint" in k for _, k in log_kinds(c)),
                    15, "checkpoint")
         kinds = [k for _, entry in log_kinds(c) for k in entry]
-        assert kinds[0] == "checkpoint"
-        wait_gone(c, ["dc1-vm2"])
+        assert kinds[0] == "checkpoint", kinds
+        wait_gone(c, c.vm_names())
         for vm in c.vm_names():
             c.start_vm(vm)
         c.wait_ready()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -122,7 +122,7 @@
         version = publish(c, "t")
         for i in range(40):
             version = revise(c, "t", version, priority=i % 9)
-        c.set_faults("log", slow_ms=50)
+        c.set_faults("log", slow_ms=20, page=5)
         with Watcher(c) as w:
             w.highest = {d: version for d in c.daemons()}
             for vm in c.vm_names():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -63,8 +63,11 @@
             c.set_proxy(p + "-peer", freeze_old=True)
         version = revise(c, "t", version, priority=2)
         assert c.wait_in_force(version) < 3
-        wait_until(lambda: len(c.dump("dc1-vm1-router")["links"]) == 2, 15,
-                   "links again")
+        router = c.procs["dc1-vm1-router"]
+        wait_until(lambda: router.read_log().count("is up") >= 4, 15,
+                   "fresh links")
+        wait_until(lambda: c.dump("dc1-vm1-router")["log_hops"] == 2, 15,
+                   "fed again")
 
 
 def test_full_queue_drops_the_link_and_repairs(build):
