--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -268,7 +268,8 @@
         g_byte_array_set_size(out, out->len - 3);
     }
     else if (strcmp(kind, "corrupt") == 0) {
-        out->data[out->len - 1] ^= 1;
+        /* In the digest, which comes before the payload of six bytes. */
+        out->data[out->len - 8] ^= 1;
     }
     else if (strcmp(kind, "garbage") == 0) {
         memset(out->data, 0xff, out->len);
