--- a/src/node.c
+++ b/src/node.c
@@ -310,12 +310,10 @@
 fill_heartbeat(void *ctx, Bg__Heartbeat *hb)
 {
     Node *n = ctx;
-    char *node = hb->node;
     uint64_t seq = hb->seq;
     pthread_mutex_lock(&n->lock);
     *hb = n->beat;
     pthread_mutex_unlock(&n->lock);
-    hb->node = node;
     hb->seq = seq;
     hb->owner = atomic_load(&n->owner);
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -329,7 +329,6 @@
     }
     n->next_beat_ms = now_ms + n->settings.heartbeat_ms;
     Bg__Heartbeat hb = BG__HEARTBEAT__INIT;
-    hb.node = (char *)n->settings.node;
     hb.seq = ++n->beat_seq;
     if (n->on.fill_heartbeat) {
         n->on.fill_heartbeat(n->on.ctx, &hb);
