--- a/tests/script_feed.c
+++ b/tests/script_feed.c
@@ -13,6 +13,9 @@
      deliver I [drop|twice|reverse]   frames waiting for I
      tick MS                  time passes for all
      restart I                I starts anew, with nothing
+     reset                    a new, empty log in the place of this one
+     rounds N                 N times: 100 ms, heartbeats, frames, reads
+     compare I J              whether both have one offset and one state
      check                    offset of each; compares all with the log
      settle                   faults end; rounds of all of it, then check */
 #include "bg_base.h"
@@ -475,6 +478,38 @@
     }
 }
 
+static void
+run_reset(World *w, char **words)
+{
+    (void)words;
+    for (guint i = 0; i < w->log->len; i++) {
+        g_free(g_array_index(w->log, Entry, i).data);
+    }
+    g_array_set_size(w->log, 0);
+    w->first = 1;
+    fold_destroy(w->reference);
+    w->reference = fold_create();
+}
+
+static void
+run_rounds(World *w, char **words)
+{
+    int count = atoi(words[1]);
+    for (int round = 0; round < count; round++) {
+        run_round(w, round);
+    }
+}
+
+static void
+run_compare(World *w, char **words)
+{
+    const Fold *a = w->boxes[get_box(words[1])].fold;
+    const Fold *b = w->boxes[get_box(words[2])].fold;
+    printf("%llu %llu %s\n", (unsigned long long)fold_get_offset(a),
+           (unsigned long long)fold_get_offset(b),
+           fold_digest(a) == fold_digest(b) ? "same" : "differ");
+}
+
 static bool
 is_level(const World *w)
 {
@@ -517,7 +552,8 @@
     {"unlink", 3, run_unlink},   {"beat", 3, run_beat},
     {"deliver", 2, run_deliver}, {"tick", 2, run_tick},
     {"restart", 2, run_restart}, {"check", 1, run_check},
-    {"settle", 1, run_settle}};
+    {"reset", 1, run_reset},     {"rounds", 2, run_rounds},
+    {"compare", 3, run_compare}, {"settle", 1, run_settle}};
 
 static void
 run_line(World *w, char *line)
