--- a/src/rec.c
+++ b/src/rec.c
@@ -3,13 +3,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Over all that a batch says, its id too: with a wrong id a repeated batch
-   would be taken for a new one. */
-static uint64_t
-compute_digest(const Bg__Batch *b)
+uint64_t
+rec_digest(uint32_t format, const char *batch_id, const uint8_t *payload,
+           size_t len)
 {
-    uint64_t seed = XXH64(b->batch_id, strlen(b->batch_id), b->format);
-    return XXH64(b->payload.data, b->payload.len, seed);
+    return XXH64(payload, len, XXH64(batch_id, strlen(batch_id), format));
 }
 
 uint8_t *
@@ -25,7 +23,8 @@
     batch.payload.len = bg__record_list__get_packed_size(&list);
     batch.payload.data = g_malloc(batch.payload.len + 1);
     bg__record_list__pack(&list, batch.payload.data);
-    batch.digest = compute_digest(&batch);
+    batch.digest = rec_digest(REC_FORMAT, batch_id, batch.payload.data,
+                              batch.payload.len);
     *len = bg__batch__get_packed_size(&batch);
     uint8_t *out = g_malloc(*len);
     bg__batch__pack(&batch, out);
@@ -51,7 +50,8 @@
 static bool
 check_batch(const Bg__Batch *b, GError **err)
 {
-    if (compute_digest(b) != b->digest) {
+    if (rec_digest(b->format, b->batch_id, b->payload.data, b->payload.len) !=
+        b->digest) {
         set_format_error(err, "digest does not match");
         return false;
     }
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -5,7 +5,7 @@
 everything, drop_acks lets that many appends take effect and then closes
 the connection, keep is how many records retention leaves; damage spoils
 that many reads' first records on their way out (another byte each time), shuffle reorders the records
-of that many reads.  down_after_appends turns down on after that many appends.  PUT /test/expire lets retention take all records, PUT
+of that many reads.  reads_down refuses reads only; page is the most records of one read; down_after_appends turns down on after that many appends.  PUT /test/expire lets retention take all records, PUT
 /test/reset begins a new log.
 """
 
@@ -23,9 +23,11 @@
         self.first = 1
         self.records = []
         self.appends = 0
+        self.sent_bytes = 0  # of records, in answers to reads
         self.faults = {"down": False, "slow_ms": 0, "drop_acks": 0,
                        "keep": keep, "damage": 0, "shuffle": 0,
-                       "down_after_appends": 0}
+                       "down_after_appends": 0, "reads_down": False,
+                       "page": 0}
 
     def append(self, data):
         with self.changed:
@@ -94,6 +96,7 @@
             return h.reply(200, self.faults)
         if path == "/test/state":
             return h.reply(200, {"first": self.first, "appends": self.appends,
+                                 "sent_bytes": self.sent_bytes,
                                  "next": self.first + len(self.records)})
         if path == "/test/expire":
             return h.reply(200, {"first": self.expire()})
@@ -118,11 +121,15 @@
                 return None
             return h.reply(200, {"offset": offset})
         if path == "/v1/records":
+            if self.faults["reads_down"]:
+                return h.reply(503, {"error": "down"})
             status, page = self.read(int(query["from"]),
                                      int(query.get("wait_ms", 0)),
-                                     int(query.get("max", 500)))
+                                     min(int(query.get("max", 500)),
+                                         self.faults["page"] or 10 ** 6))
             if self.faults["down"]:
                 return h.reply(503, {"error": "down"})
+            self.sent_bytes += sum(len(r["data"]) for r in page["records"])
             return h.reply(status, page)
         return h.reply(404, {"error": "no such path"})
 
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -26,7 +26,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define MAX_WORDS 12
 
@@ -240,9 +239,7 @@
     b.payload.len = bg__record_list__get_packed_size(list);
     b.payload.data = g_malloc(b.payload.len + 1);
     bg__record_list__pack(list, b.payload.data);
-    /* The rule of rec.c, for any format. */
-    uint64_t seed = XXH64(b.batch_id, strlen(b.batch_id), format);
-    b.digest = XXH64(b.payload.data, b.payload.len, seed);
+    b.digest = rec_digest(format, b.batch_id, b.payload.data, b.payload.len);
     GByteArray *out = g_byte_array_new();
     g_byte_array_set_size(out, (guint)bg__batch__get_packed_size(&b));
     bg__batch__pack(&b, out->data);
@@ -271,7 +268,8 @@
         g_byte_array_set_size(out, out->len - 3);
     }
     else if (strcmp(kind, "corrupt") == 0) {
-        out->data[out->len - 1] ^= 1;
+        /* In the digest, which comes before the payload of six bytes. */
+        out->data[out->len - 8] ^= 1;
     }
     else if (strcmp(kind, "garbage") == 0) {
         memset(out->data, 0xff, out->len);
