--- a/tests/capacity.py
+++ b/tests/capacity.py
@@ -180,6 +180,45 @@
     return s
 
 
+def measure_polls():
+    """Reports a second of 245 upstreams, by the poll interval."""
+    s = Slope("reports a second that one owner asks for, 245 upstreams")
+    for poll_ms in (200, 500, 1000, 2500):
+        x = 245 * 1000 / poll_ms
+        s.note_size(x)
+        with FastCluster(build, vms_per_centre=2, engines=245,
+                         settings={"placer": {"placer": {
+                             "poll_ms": str(poll_ms)}}},
+                         engine_args=["--threads", 400]) as c:
+            c.publish_fleet(models=10)
+            owner = c.owner("dc1")
+            time.sleep(1)
+            runs = windows(c, [owner], 5)
+            add_rates(s, x, runs, [owner], "owner")
+    return s
+
+
+def measure_heartbeats():
+    """Heartbeats on each link of 16 VMs, idle."""
+    s = Slope("heartbeats a second on a link, 16 VMs")
+    for beat_ms in (200, 400, 1000, 2500):
+        x = 1000 / beat_ms
+        s.note_size(x)
+        common = {"peers": {"heartbeat_ms": str(beat_ms),
+                            "silence_ms": "20000"}}
+        settings = {"router": common,
+                    "placer": dict(common, placer={"lease_ms": "20000"})}
+        with FastCluster(build, vms_per_centre=16, engines=4,
+                         settings=settings, http_threads=64) as c:
+            c.publish_fleet(models=10)
+            time.sleep(1)
+            names = c.routers() + c.placers("dc1")
+            runs = windows(c, names, 5)
+            add_rates(s, x, runs, c.routers(), "router", False)
+            add_rates(s, x, runs, c.placers("dc1"), "placer", False)
+    return s
+
+
 def measure_models():
     """Models in the configuration, idle."""
     s = Slope("models in the configuration")
@@ -453,7 +492,9 @@
 
 
 SLOPES = {"nodes": measure_nodes, "centres": measure_centres,
-          "upstreams": measure_upstreams, "models": measure_models,
+          "upstreams": measure_upstreams,
+          "polls": measure_polls, "heartbeats": measure_heartbeats,
+          "models": measure_models,
           "adapters": measure_adapters, "templates": measure_templates,
           "requests": measure_requests, "tokens": measure_tokens,
           "streams": measure_streams, "wakes": measure_wakes,
