--- a/tests/capacity.py
+++ b/tests/capacity.py
@@ -462,7 +462,8 @@
 
 def measure_loads():
     """Models held loaded by one owner on 64 upstreams, and requests that
-    spread over them."""
+    spread over them.  The stand-in needs a thread for each connection that
+    the router keeps: up to 16 for each request that ran at once."""
     s = Slope("loaded models of one owner, 64 upstreams")
     for x in (20, 80, 160, 320):
         s.note_size(x)
@@ -470,7 +471,7 @@
                          settings=dict(BUSY_ROUTER, placer={
                              "placer": {"max_loads": "64"}}),
                          engine_args=["--token-us", 0, "--load-scale", 1,
-                                      "--threads", 300]) as c:
+                                      "--threads", 2400]) as c:
             c.publish_fleet(models=x, cold=100000, idle=1)
             owner = c.owner("dc1")
             check_clean(c.load([R1], "--models", "m%", "--count", x, "-c",
