--- a/tests/fast_cluster.py
+++ b/tests/fast_cluster.py
@@ -4,10 +4,11 @@
 import json
 import os
 import re
+import socket
 import subprocess
 import time
 
-from cluster import Cluster, call, free_port, wait_until
+from cluster import Cluster, call, wait_until
 
 KEY = "samiti-drafting-key"
 KEY_SHA256 = ("d87bddde1ad9dfcb4540dc7229e11092c75539707cefe4b92de608ca8d2c0f"
@@ -36,12 +37,13 @@
 
 
 def free_range(count):
-    """The first of COUNT ports in a row that nobody listens on now."""
-    import socket
+    """The first of COUNT ports in a row that nobody listens on now; old
+    connections that still linger on them do not count."""
     for first in range(21000 + os.getpid() % 97 * 100, 31900, 50):
         try:
             for port in range(first, first + count):
                 with socket.socket() as s:
+                    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     s.bind(("127.0.0.1", port))
             return first
         except OSError:
