Only the owner repeats its full residency

Cause: every placer, owner or not, sent its full state to all routers every 5 s; for 245 upstreams that is 9 kB to each router from each of 37 placers. Those that do not own know little more than the VM list; they still send it when a link comes up and when it changes.

--- a/src/main_placer.c
+++ b/src/main_placer.c
@@ -528,7 +528,9 @@
     Placer *p = ctx;
     pl_on_tick(p->core, now_ms);
     send_residency(p, NULL, false);
-    if (now_ms >= p->next_full_ms) {
+    /* A lost difference is made good by the owner's full state; all others
+       repeating what little they know would be most of the traffic. */
+    if (now_ms >= p->next_full_ms && pl_is_owner(p->core)) {
         p->next_full_ms = now_ms + RESIDENCY_FULL_MS;
         send_residency(p, NULL, true);
     }
