Claim non-idempotent calls in the log before they are sent

Cause: a service that requires Idempotency-Key was called unprotected; a repeat at another router ran a second time. Ruled out: trusting the append's acknowledgement (a lost one says nothing; the fold's order decides); waiting for the result's record before answering (a second append in every call's latency for no more safety: without the record a repeat hears may-have-run). Suspects run alone.

--- a/src/fold.c
+++ b/src/fold.c
@@ -589,6 +589,14 @@
     return d->upstreams->len;
 }
 
+bool
+fold_has_death(const Fold *f, const uint8_t digest[32], const char *upstream)
+{
+    const Deaths *d = find_deaths(f, digest);
+    return d && g_ptr_array_find_with_equal_func(d->upstreams, upstream,
+                                                 g_str_equal, NULL);
+}
+
 /* ---- entries ------------------------------------------------------------ */
 
 static FoldResult
--- a/src/fold.h
+++ b/src/fold.h
@@ -103,6 +103,9 @@
 
 /* How many distinct upstreams died while they ran this request. */
 uint32_t fold_count_deaths(const Fold *f, const uint8_t digest[32]);
+/* Whether UPSTREAM is one of them. */
+bool fold_has_death(const Fold *f, const uint8_t digest[32],
+                    const char *upstream);
 
 /* The whole state as JSON text for dumps; free with g_free. */
 char *fold_dump(const Fold *f);
--- a/src/hc.c
+++ b/src/hc.c
@@ -1,6 +1,7 @@
 #include "hc.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <string.h>
 #include <strings.h>
 
@@ -258,6 +259,9 @@
     curl_multi_add_handle(c->multi, call.easy);
     out->end = run_call(c, &call);
     curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &out->status);
+    long os_error = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &os_error);
+    out->refused = out->end == HC_NOT_SENT && os_error == ECONNREFUSED;
     /* Removing an unfinished transfer closes its connection, so a late
        answer can never be read by the next call. */
     curl_multi_remove_handle(c->multi, call.easy);
--- a/src/hc.h
+++ b/src/hc.h
@@ -37,7 +37,8 @@
 
 typedef struct {
     HcEnd end;
-    long status; /* 0: no status line was received */
+    bool refused; /* NOT_SENT: nobody listens at the address */
+    long status;  /* 0: no status line was received */
     char *content_type;
     char *retry_after;    /* header, or NULL */
     char *upstream_state; /* X-Upstream-State header, or NULL */
--- a/src/pl.c
+++ b/src/pl.c
@@ -1313,6 +1313,7 @@
     s->leaving = u->leaving;
     s->gone = u->gone;
     s->known = c->owner && u->boot != NULL;
+    s->boot = g_strdup(u->boot ? u->boot : "");
     s->reported_inflight = u->inflight;
     s->residents = g_new0(Bg__Resident *, g_hash_table_size(u->residents) + 1);
     GHashTableIter it;
--- a/src/req.c
+++ b/src/req.c
@@ -17,6 +17,8 @@
 #define CONNECT_MS 300
 #define IDLE_MS 10000
 #define MAX_POOLED_CLIENTS 256
+#define PROBE_MS 500
+#define MAX_KEY_LEN 255
 
 /* ---- ticket: where a request thread waits for the core ------------------ */
 
@@ -24,9 +26,21 @@
     DECIDED_NONE,
     DECIDED_SEND,
     DECIDED_REFUSE,
-    DECIDED_FINISH
+    DECIDED_FINISH,
+    DECIDED_ONCE /* by the at-most-once core; nothing of this call was sent */
 } Decision;
 
+/* A copy of an OnceDecision that outlives the core's call. */
+typedef struct {
+    OnceVerdict verdict;
+    char *reason;
+    uint64_t retry_after_ms;
+    uint32_t status;
+    char *content_type;
+    GBytes *body;
+    bool answer_dropped;
+} OnceReply;
+
 typedef struct {
     pthread_mutex_t lock;
     pthread_cond_t decided;
@@ -35,6 +49,10 @@
     char address[64];
     RtReason reason;
     uint64_t retry_after_ms;
+    OnceReply *reply;   /* DECIDED_ONCE; the request thread frees it */
+    uint8_t digest[32]; /* of the whole request; set before it is posted */
+    bool quarantined;   /* DECIDED_FINISH: this was the second death */
+    bool suspect;       /* an upstream died under an equal request */
 } Ticket;
 
 typedef enum { REV_ARRIVE, REV_DONE } ReqEventKind;
@@ -48,11 +66,22 @@
                           waits for the decision and so outlives it */
     RtDone done;
     bool leaving;
+    bool keyed;        /* ARRIVE: to be claimed first */
+    OnceCall call;     /* ARRIVE, keyed; text is borrowed like request's */
+    GBytes *body;      /* DONE, keyed and answered */
+    OnceResult result; /* DONE, keyed and answered */
+    char *content_type;
+    bool broken_open; /* DONE: the connection broke with bytes out */
+    bool refused;     /* DONE: and the upstream refused a fresh one */
+    char *upstream;   /* DONE */
 } ReqEvent;
 
 struct ReqDesk {
     Node *node;
-    GHashTable *tickets; /* id -> Ticket; core thread only */
+    GHashTable *tickets;  /* id -> Ticket; core thread only */
+    GHashTable *claiming; /* id -> ReqEvent that waits for its claim */
+    OnceCore *once;
+    QrCore *quarantine;
     atomic_uint_fast64_t next_id;
     atomic_uint inside;
     uint32_t most_inside; /* beyond it a thread only refuses */
@@ -67,6 +96,7 @@
     d->node = n;
     d->tickets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    d->claiming = g_hash_table_new(g_int64_hash, g_int64_equal);
     uint32_t threads =
         (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
     /* Some threads stay free to refuse and to answer the balancer. */
@@ -76,9 +106,34 @@
     return d;
 }
 
+void
+req_use_cores(ReqDesk *d, OnceCore *once, QrCore *quarantine)
+{
+    d->once = once;
+    d->quarantine = quarantine;
+}
+
+static void
+free_event(ReqEvent *e)
+{
+    if (e->body) {
+        g_bytes_unref(e->body);
+    }
+    g_free(e->content_type);
+    g_free(e->upstream);
+    g_free(e);
+}
+
 void
 req_destroy_desk(ReqDesk *d)
 {
+    GHashTableIter it;
+    gpointer e;
+    g_hash_table_iter_init(&it, d->claiming);
+    while (g_hash_table_iter_next(&it, NULL, &e)) {
+        free_event(e);
+    }
+    g_hash_table_destroy(d->claiming);
     g_queue_clear_full(&d->pool, (GDestroyNotify)hc_destroy);
     pthread_mutex_destroy(&d->pool_lock);
     g_hash_table_destroy(d->tickets);
@@ -132,6 +187,8 @@
     t->decision = decided->decision;
     t->reason = decided->reason;
     t->retry_after_ms = decided->retry_after_ms;
+    t->reply = decided->reply;
+    t->quarantined = decided->quarantined;
     g_strlcpy(t->upstream, decided->upstream, sizeof(t->upstream));
     g_strlcpy(t->address, decided->address, sizeof(t->address));
     pthread_cond_signal(&t->decided);
@@ -161,26 +218,155 @@
 req_on_finish(ReqDesk *d, uint64_t id)
 {
     Ticket t = {.decision = DECIDED_FINISH};
+    const Ticket *waiting = g_hash_table_lookup(d->tickets, &id);
+    t.quarantined =
+        waiting && qr_judge(d->quarantine, waiting->digest) == QR_QUARANTINED;
     decide(d, id, &t);
 }
 
+/* ---- core thread: at most once, quarantine ------------------------------ */
+
+static void
+free_reply(OnceReply *r)
+{
+    if (r) {
+        g_free(r->reason);
+        g_free(r->content_type);
+        if (r->body) {
+            g_bytes_unref(r->body);
+        }
+        g_free(r);
+    }
+}
+
+static OnceReply *
+copy_decision(const OnceDecision *o)
+{
+    OnceReply *r = g_new0(OnceReply, 1);
+    r->verdict = o->verdict;
+    r->reason = g_strdup(o->reason);
+    r->retry_after_ms = o->retry_after_ms;
+    r->status = o->status;
+    r->content_type = g_strdup(o->content_type);
+    r->body = g_bytes_new(o->body, o->body_len);
+    r->answer_dropped = o->answer_dropped;
+    return r;
+}
+
+/* Past the claim, if there is one: route it, unless upstreams die of it. */
+static void
+route_request(ReqDesk *d, RtCore *core, uint64_t now_ms, ReqEvent *e)
+{
+    QrVerdict verdict = qr_judge(d->quarantine, e->ticket->digest);
+    if (verdict == QR_QUARANTINED) {
+        once_on_refused(d->once, now_ms, bg_wall_ms(), e->id);
+        req_on_refuse(d, e->id, RT_REFUSED_QUARANTINE, 0);
+        return;
+    }
+    e->ticket->suspect = verdict == QR_SUSPECT;
+    e->request.suspect = verdict == QR_SUSPECT;
+    rt_on_arrive(core, now_ms, &e->request);
+}
+
+void
+req_on_once(ReqDesk *d, RtCore *core, uint64_t now_ms, uint64_t id,
+            const OnceDecision *decision)
+{
+    ReqEvent *e = g_hash_table_lookup(d->claiming, &id);
+    if (!e) {
+        return;
+    }
+    g_hash_table_remove(d->claiming, &id);
+    if (decision->verdict == ONCE_RUN) {
+        route_request(d, core, now_ms, e);
+    }
+    else {
+        Ticket t = {.decision = DECIDED_ONCE,
+                    .reply = copy_decision(decision)};
+        decide(d, id, &t);
+    }
+    free_event(e);
+}
+
+void
+req_on_death(ReqDesk *d, RtCore *core, const uint8_t digest[32])
+{
+    QrVerdict verdict = qr_judge(d->quarantine, digest);
+    g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter it;
+    gpointer id;
+    gpointer t;
+    g_hash_table_iter_init(&it, d->tickets);
+    while (verdict != QR_CLEAR && g_hash_table_iter_next(&it, &id, &t)) {
+        if (memcmp(((Ticket *)t)->digest, digest, 32) == 0) {
+            g_array_append_val(ids, *(uint64_t *)id);
+        }
+    }
+    /* A refusal takes its ticket out of the table. */
+    for (guint i = 0; i < ids->len; i++) {
+        rt_on_death(core, g_array_index(ids, uint64_t, i),
+                    verdict == QR_QUARANTINED);
+    }
+}
+
+/* Before the routing core hears of it: a refusal or a finish that follows
+   must find the key and the deaths as this attempt left them. */
+static void
+note_done(ReqDesk *d, RtCore *core, uint64_t now_ms, const ReqEvent *e)
+{
+    uint64_t wall_ms = bg_wall_ms();
+    if (e->done == RT_DONE_OK) {
+        once_on_answered(d->once, now_ms, wall_ms, e->id, &e->result);
+    }
+    else if (e->done == RT_DONE_NOT_SENT || e->done == RT_DONE_TURNED_AWAY) {
+        once_on_unsent(d->once, e->id);
+    }
+    else {
+        once_on_broken(d->once, now_ms, wall_ms, e->id);
+    }
+    const Ticket *t = g_hash_table_lookup(d->tickets, &e->id);
+    if (!t || !e->upstream) {
+        return;
+    }
+    /* A VM that was told to leave is taken away; no request is to blame. */
+    if (e->broken_open && !rt_is_leaving(core, e->upstream)) {
+        qr_on_broken(d->quarantine, now_ms, wall_ms, t->digest, e->upstream,
+                     e->refused);
+    }
+    if (e->done == RT_DONE_OK && t->suspect) {
+        qr_on_alone(d->quarantine, wall_ms, t->digest, e->upstream);
+    }
+}
+
+static void
+begin_request(ReqDesk *d, RtCore *core, uint64_t now_ms, ReqEvent *e)
+{
+    uint64_t *id = g_new(uint64_t, 1);
+    *id = e->id;
+    g_hash_table_insert(d->tickets, id, e->ticket);
+    if (e->keyed) {
+        g_hash_table_insert(d->claiming, &e->id, e);
+        once_on_begin(d->once, now_ms, bg_wall_ms(), &e->call);
+        return;
+    }
+    route_request(d, core, now_ms, e);
+    free_event(e);
+}
+
 void
 req_on_event(ReqDesk *d, RtCore *core, uint64_t now_ms, void *event)
 {
     ReqEvent *e = event;
     if (e->kind == REV_ARRIVE) {
-        uint64_t *id = g_new(uint64_t, 1);
-        *id = e->id;
-        g_hash_table_insert(d->tickets, id, e->ticket);
-        rt_on_arrive(core, now_ms, &e->request);
+        begin_request(d, core, now_ms, e);
+        return;
     }
-    else {
-        if (e->done == RT_DONE_OK || e->done == RT_DONE_CANCELLED) {
-            g_hash_table_remove(d->tickets, &e->id);
-        }
-        rt_on_done(core, now_ms, e->id, e->done, e->leaving);
+    note_done(d, core, now_ms, e);
+    if (e->done == RT_DONE_OK || e->done == RT_DONE_CANCELLED) {
+        g_hash_table_remove(d->tickets, &e->id);
     }
-    g_free(e);
+    rt_on_done(core, now_ms, e->id, e->done, e->leaving);
+    free_event(e);
 }
 
 /* ---- one request -------------------------------------------------------- */
@@ -195,6 +381,8 @@
     const CfgModel *model;     /* or */
     const CfgService *service; /* one of both */
     const char *service_path;
+    const char *key; /* Idempotency-Key of a call that needs one, or NULL */
+    char attempt_id[BG_ID_LEN + 1];
     GByteArray *body;
     bool chat;
     bool stream;
@@ -342,6 +530,23 @@
     return status;
 }
 
+static int
+read_key(Req *q)
+{
+    const char *key = get_header(q, "Idempotency-Key");
+    if (!key || !*key) {
+        return refuse_call(q, 400, "no_idempotency_key",
+                           "Idempotency-Key is required");
+    }
+    if (strlen(key) > MAX_KEY_LEN) {
+        return refuse_call(q, 400, "bad_idempotency_key",
+                           "Idempotency-Key is too long");
+    }
+    q->key = key;
+    bg_make_id(q->attempt_id);
+    return 0;
+}
+
 static int
 read_service_call(Req *q)
 {
@@ -356,11 +561,7 @@
     }
     q->service = s;
     q->service_path = slash ? slash : "/";
-    if (s->idempotency_required && !get_header(q, "Idempotency-Key")) {
-        return refuse_call(q, 400, "no_idempotency_key",
-                           "Idempotency-Key is required");
-    }
-    return 0;
+    return s->idempotency_required ? read_key(q) : 0;
 }
 
 /* ---- decisions ---------------------------------------------------------- */
@@ -384,6 +585,32 @@
     return XXH64(q->body->data, MIN(q->body->len, AFFINITY_BYTES), 0);
 }
 
+/* Digest of everything that makes this request what it is. */
+static void
+compute_digest(Req *q)
+{
+    const char *query = q->info->query_string;
+    g_autofree char *head =
+        g_strjoin("\n", q->workspace->name, q->info->request_method,
+                  q->info->local_uri, query ? query : "",
+                  q->model ? q->model->name : q->service->name, "", NULL);
+    g_autoptr(GByteArray) all = g_byte_array_new();
+    g_byte_array_append(all, (const guint8 *)head, (guint)strlen(head));
+    g_byte_array_append(all, q->body->data, q->body->len);
+    bg_digest(all->data, all->len, q->ticket.digest);
+}
+
+static void
+fill_call(const Req *q, OnceCall *call)
+{
+    call->id = q->id;
+    call->workspace = q->workspace->name;
+    call->key = q->key;
+    call->attempt_id = q->attempt_id;
+    memcpy(call->digest, q->ticket.digest, sizeof(call->digest));
+    call->deadline_ms = q->deadline_ms;
+}
+
 static bool
 post_arrival(Req *q)
 {
@@ -408,6 +635,11 @@
         r->deployment = q->service->upstreams;
         r->class_ = CFG_LOOKUP;
     }
+    if (q->key) {
+        e->keyed = true;
+        r->once = true;
+        fill_call(q, &e->call);
+    }
     if (node_post(q->desk->node, e)) {
         return true;
     }
@@ -415,17 +647,6 @@
     return false;
 }
 
-static void
-post_done(Req *q, RtDone done, bool leaving)
-{
-    ReqEvent *e = g_new0(ReqEvent, 1);
-    e->kind = REV_DONE;
-    e->id = q->id;
-    e->done = done;
-    e->leaving = leaving;
-    node_post_wait(q->desk->node, e);
-}
-
 /* ---- streamed answers --------------------------------------------------- */
 
 static void
@@ -515,6 +736,9 @@
     HcResult res;
     RtDone done;
     bool leaving;
+    const char *upstream;
+    bool broken_open; /* the connection broke with bytes out: no timeout */
+    bool refused;     /* and the upstream then refused a fresh one */
 } Attempt;
 
 static uint32_t
@@ -598,9 +822,40 @@
     return true;
 }
 
+/* A fresh connection, not the broken one, tells whether the process died. */
+static bool
+is_refused(HcClient *c, const char *address)
+{
+    g_autofree char *url =
+        g_strconcat("http://", address, "/control/report", NULL);
+    HcRequest req = {.method = "GET",
+                     .url = url,
+                     .connect_ms = CONNECT_MS,
+                     .total_ms = PROBE_MS,
+                     .fresh = true};
+    HcResult res;
+    hc_call(c, &req, &res);
+    bool refused = res.refused;
+    hc_free_result(&res);
+    return refused;
+}
+
+/* A router that was paused after its claim won must not send so late that
+   the key's life may be over. */
+static bool
+is_too_late(const Req *q)
+{
+    return q->key && bg_now_ms() >= q->deadline_ms;
+}
+
 static void
 run_attempt(Req *q, const Ticket *t, Attempt *a)
 {
+    a->upstream = t->upstream;
+    if (is_too_late(q)) {
+        a->done = RT_DONE_TURNED_AWAY;
+        return;
+    }
     g_autofree char *url = make_url(q, t->address);
     g_autoptr(GPtrArray) headers = make_headers(q);
     uint32_t left_ms = get_left(q);
@@ -623,11 +878,48 @@
     }
     HcClient *c = take_client(q->desk);
     hc_call(c, &req, &a->res);
-    return_client(q->desk, c);
     a->done = classify(q, &a->res);
+    if (a->res.end == HC_BROKEN && a->done == RT_DONE_BROKEN) {
+        a->broken_open = true;
+        a->refused = is_refused(c, t->address);
+    }
+    return_client(q->desk, c);
     a->leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
 }
 
+/* The answer as it is recorded; one that is not kept goes without body. */
+static void
+fill_result(const Req *q, const Attempt *a, ReqEvent *e)
+{
+    if (!q->key || a->done != RT_DONE_OK) {
+        return;
+    }
+    const GString *body = a->res.body;
+    e->content_type = g_strdup(a->res.content_type);
+    e->result.status = (uint32_t)a->res.status;
+    e->result.content_type = e->content_type;
+    e->result.body_len = body->len;
+    if (body->len <= KEYS_MAX_BODY) {
+        e->body = g_bytes_new(body->str, body->len);
+        e->result.body = g_bytes_get_data(e->body, NULL);
+    }
+}
+
+static void
+post_done(const Req *q, const Attempt *a)
+{
+    ReqEvent *e = g_new0(ReqEvent, 1);
+    e->kind = REV_DONE;
+    e->id = q->id;
+    e->done = a->done;
+    e->leaving = a->leaving;
+    e->broken_open = a->broken_open;
+    e->refused = a->refused;
+    e->upstream = g_strdup(a->upstream);
+    fill_result(q, a, e);
+    node_post_wait(q->desk->node, e);
+}
+
 static int
 send_answer(Req *q, const HcResult *res)
 {
@@ -648,9 +940,20 @@
     return (int)res->status;
 }
 
+/* Final: the same request would only kill the next upstream. */
+static int
+send_quarantined(Req *q, const char *outcome)
+{
+    return send_error(q, 422, outcome, "quarantined",
+                      "upstreams died while they ran this request", 0);
+}
+
 static int
 send_refusal(Req *q, const Ticket *t)
 {
+    if (t->reason == RT_REFUSED_QUARANTINE) {
+        return send_quarantined(q, "refused-not-run");
+    }
     int status = t->reason == RT_REFUSED_LIMIT ? 429 : 503;
     g_autofree char *message =
         g_strdup_printf("not run: %s", rt_reason_name(t->reason));
@@ -659,12 +962,67 @@
 }
 
 static int
-send_failure(Req *q)
+send_replay(Req *q, const OnceReply *r)
+{
+    g_autofree char *text = NULL;
+    size_t len;
+    const char *body = g_bytes_get_data(r->body, &len);
+    const char *type = r->content_type;
+    if (r->answer_dropped) {
+        text = g_strdup_printf(
+            "{\"replayed\":true,\"answer_kept\":false,\"status\":%u,"
+            "\"message\":\"the call ran; its answer was not kept\"}",
+            r->status);
+        body = text;
+        len = strlen(text);
+        type = "application/json";
+    }
+    mg_printf(q->conn,
+              "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n"
+              "X-Bglade-Outcome: answered\r\nX-Bglade-Replayed: true\r\n"
+              "X-Bglade-Answer-Kept: %s\r\n"
+              "X-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n",
+              r->status, mg_get_response_code_text(q->conn, (int)r->status),
+              type, r->answer_dropped ? "false" : "true", q->caller_id, len);
+    mg_write(q->conn, body, len);
+    return (int)r->status;
+}
+
+/* What became of this key, as far as the log knows. */
+static int
+send_once(Req *q, const OnceReply *r)
+{
+    switch (r->verdict) {
+    case ONCE_REPLAY:
+        return send_replay(q, r);
+    case ONCE_IN_PROGRESS:
+        return send_error(q, 409, "refused-not-run", "in_progress",
+                          "an earlier call with this key is in progress",
+                          r->retry_after_ms);
+    case ONCE_MISMATCH:
+        return refuse_call(q, 422, "key_reused",
+                           "this key was used for another request");
+    case ONCE_REFUSED: {
+        g_autofree char *message = g_strdup_printf("not run: %s", r->reason);
+        return send_error(q, 503, "refused-not-run", "refused", message,
+                          r->retry_after_ms);
+    }
+    default:
+        return send_error(q, 502, "failed-may-have-run", "may_have_run",
+                          "an earlier call with this key may have run", 0);
+    }
+}
+
+static int
+send_failure(Req *q, const Ticket *t)
 {
     if (q->head_sent) {
         abort_stream(q);
         return 200;
     }
+    if (t->quarantined) {
+        return send_quarantined(q, "failed-may-have-run");
+    }
     return send_error(q, 502, "failed-may-have-run", "failed",
                       "the upstream did not answer; the call may have run", 0);
 }
@@ -673,6 +1031,7 @@
 static int
 run_request(Req *q)
 {
+    compute_digest(q);
     if (!post_arrival(q)) {
         return send_error(q, 503, "refused-not-run", "busy",
                           "not run: the router is busy", 1000);
@@ -684,7 +1043,12 @@
             return send_refusal(q, &t);
         }
         if (t.decision == DECIDED_FINISH) {
-            return send_failure(q);
+            return send_failure(q, &t);
+        }
+        if (t.decision == DECIDED_ONCE) {
+            int status = send_once(q, t.reply);
+            free_reply(t.reply);
+            return status;
         }
         Attempt a = {0};
         run_attempt(q, &t, &a);
@@ -693,12 +1057,13 @@
         if (a.done == RT_DONE_NOT_SENT && q->head_sent) {
             a.done = RT_DONE_BROKEN;
         }
+        /* The result goes towards the log before the caller has it. */
+        post_done(q, &a);
         int status = 0;
         if (a.done == RT_DONE_OK) {
             status = send_answer(q, &a.res);
         }
         hc_free_result(&a.res);
-        post_done(q, a.done, a.leaving);
         if (a.done == RT_DONE_OK) {
             return status;
         }
--- a/src/req.h
+++ b/src/req.h
@@ -9,12 +9,17 @@
 
 #include "bg_base.h"
 #include "node.h"
+#include "once.h"
+#include "qr.h"
 #include "rt.h"
 
 /* Between request threads and the core thread. */
 typedef struct ReqDesk ReqDesk;
 
 ReqDesk *req_create_desk(Node *n);
+/* The cores that decide about non-idempotent calls and quarantine; both
+   must outlive the desk.  Before the first request. */
+void req_use_cores(ReqDesk *d, OnceCore *once, QrCore *quarantine);
 void req_destroy_desk(ReqDesk *d);
 
 /* HTTP thread: answer CONN, or return 0 when the path is not ours. */
@@ -28,6 +33,11 @@
 void req_on_refuse(ReqDesk *d, uint64_t id, RtReason reason,
                    uint64_t retry_after_ms);
 void req_on_finish(ReqDesk *d, uint64_t id);
+/* Core thread: what the at-most-once core decided about a call. */
+void req_on_once(ReqDesk *d, RtCore *core, uint64_t now_ms, uint64_t id,
+                 const OnceDecision *decision);
+/* Core thread: the fold has applied a death record. */
+void req_on_death(ReqDesk *d, RtCore *core, const uint8_t digest[32]);
 
 /* Requests inside HTTP threads now. */
 uint32_t req_count(const ReqDesk *d);
--- a/src/rt.c
+++ b/src/rt.c
@@ -41,6 +41,7 @@
     bool gone;
     GHashTable *loaded; /* models ready here */
     uint32_t inflight;  /* ours */
+    bool alone;         /* a suspect runs here: nothing beside it */
     uint32_t reported;  /* everybody's, late */
     uint32_t failures;  /* consecutive */
     uint64_t ejected_until_ms;
@@ -147,6 +148,14 @@
                                             NULL);
 }
 
+/* Whatever runs beside a request that kills its upstream dies with it and
+   would be taken for the cause; a suspect therefore runs alone. */
+static bool
+may_share(const Request *q, const Upstream *u)
+{
+    return !u->alone && (!q->r.suspect || u->inflight == 0);
+}
+
 static bool
 can_serve(const RtCore *c, const Request *q, const Upstream *u,
           uint64_t now_ms)
@@ -156,7 +165,8 @@
         strcmp(u->deployment, q->r.deployment) != 0 || was_tried(q, u)) {
         return false;
     }
-    return !q->r.model || g_hash_table_contains(u->loaded, q->r.model);
+    return may_share(q, u) &&
+           (!q->r.model || g_hash_table_contains(u->loaded, q->r.model));
 }
 
 static uint32_t
@@ -267,6 +277,7 @@
     dequeue(c, q);
     q->at = u;
     u->inflight++;
+    u->alone = q->r.suspect;
     q->target->inflight++;
     c->out.send(c->out.ctx, q->r.id, u->id, u->address);
 }
@@ -283,7 +294,7 @@
         if (u) {
             send_to(c, q, u);
         }
-        else if (q->tried->len == 0) {
+        else if (q->tried->len == 0 && !q->r.suspect) {
             break; /* the ones behind want the same and find none either */
         }
         at = next;
@@ -344,7 +355,9 @@
     t->last_used_ms = now_ms;
     c->retry_credit =
         MIN(c->retry_credit + c->params.retry_percent, RETRY_BUCKET_MAX * 100);
-    if (c->draining) {
+    /* A non-idempotent call comes here with its claim settled; it was inside
+       before the stop began. */
+    if (c->draining && !r->once) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
@@ -366,6 +379,11 @@
         return;
     }
     enqueue(c, q);
+    if (((Request *)t->waiting.head->data)->r.suspect) {
+        /* A suspect at the head may wait for an empty upstream; others need
+           not wait behind it. */
+        pump_target(c, t, now_ms);
+    }
 }
 
 static void
@@ -373,6 +391,7 @@
 {
     if (q->at) {
         q->at->inflight--;
+        q->at->alone = false;
         q->target->inflight--;
         g_ptr_array_add(q->tried, g_strdup(q->at->id));
         q->at = NULL;
@@ -556,6 +575,26 @@
     c->draining = true;
 }
 
+void
+rt_on_death(RtCore *c, uint64_t id, bool quarantined)
+{
+    Request *q = g_hash_table_lookup(c->requests, &id);
+    if (!q || q->at) {
+        return;
+    }
+    q->r.suspect = true;
+    if (quarantined) {
+        refuse(c, q, RT_REFUSED_QUARANTINE, 0);
+    }
+}
+
+bool
+rt_is_leaving(const RtCore *c, const char *upstream)
+{
+    const Upstream *u = g_hash_table_lookup(c->upstreams, upstream);
+    return !u || u->leaving || u->gone;
+}
+
 /* ---- state -------------------------------------------------------------- */
 
 static uint32_t
--- a/src/rt.h
+++ b/src/rt.h
@@ -46,6 +46,7 @@
     uint32_t load_ms;     /* expected cold load of the model */
     uint64_t affinity;    /* digest of the prompt's beginning; 0: none */
     bool once;            /* non-idempotent: never sent a second time */
+    bool suspect;         /* an upstream died under it: it runs alone */
 } RtRequest;
 
 typedef enum {
@@ -80,6 +81,11 @@
                         uint64_t retry_after_ms);
 void rt_on_tick(RtCore *c, uint64_t now_ms);
 void rt_on_drain(RtCore *c, uint64_t now_ms);
+/* Upstreams died under a request equal to ID: one that waits becomes a
+   suspect, or is refused when QUARANTINED. */
+void rt_on_death(RtCore *c, uint64_t id, bool quarantined);
+/* Whether UPSTREAM leaves or is gone, by anyone's word. */
+bool rt_is_leaving(const RtCore *c, const char *upstream);
 
 /* What this router waits for and uses; free with the protobuf call. */
 Bg__Demand *rt_make_demand(const RtCore *c, uint64_t now_ms, const char *node);
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,160 @@
+"""A request that kills each upstream that runs it is quarantined."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from cluster import Cluster, expected_text, wait_until
+
+ROUTERS = ("dc1-vm1-router", "dc1-vm2-router")
+DEADLY = "summarise DIE-NOW please"
+MODEL = "bulletin-draft"
+
+
+def engines(count):
+    return [{"id": "dc1-lm%d" % (i + 1), "centre": "dc1",
+             "deployment": "parisankhyan-lm"} for i in range(count)]
+
+
+@pytest.fixture
+def cluster(build):
+    with Cluster(build, centres=("dc1",), engines=engines(3),
+                 services=[]) as c:
+        c.publish_samples()
+        yield c
+
+
+def alive(c):
+    return [e["id"] for e in c.engines if c.procs[e["id"]].is_running()]
+
+
+def restart_dead(c):
+    for e in c.engines:
+        if not c.procs[e["id"]].is_running():
+            c.start_engine(e)
+            c.wait_port(e["id"])
+
+
+def ask(c, router, prompt, **more):
+    return c.complete(router, "drafting", MODEL, prompt, **more)
+
+
+def deaths(c, router):
+    return c.dump(router)["fold"]["deadly_requests"]
+
+
+def kill_once(c, router):
+    """Send the deadly request until one upstream has died under it."""
+    before = len(alive(c))
+    a = ask(c, router, DEADLY)
+    wait_until(lambda: len(alive(c)) == before - 1, 10, "a death")
+    return a
+
+
+def test_second_death_quarantines_on_every_router(cluster):
+    """A caller's request crashes the engine that runs it and the caller sends
+    it again, to whichever router.  After the second engine has died no
+    router gives it to a third: within seconds it gets its final answer at
+    once, 422, and others' requests are served."""
+    a = kill_once(cluster, ROUTERS[0])
+    assert (a.status, a.outcome) == (502, "failed-may-have-run")
+    b = kill_once(cluster, ROUTERS[1])
+    assert (b.status, b.outcome) == (422, "failed-may-have-run")
+    assert b.json()["error"]["code"] == "quarantined"
+    restart_dead(cluster)
+    for router in ROUTERS:
+        wait_until(lambda r=router: ask(cluster, r, "fine").status == 200,
+                   20, "service at " + router)
+        start = time.monotonic()
+        c = ask(cluster, router, DEADLY)
+        assert (c.status, c.outcome) == (422, "refused-not-run")
+        assert c.json()["error"]["code"] == "quarantined"
+        assert "Retry-After" not in c.headers
+        assert time.monotonic() - start < 2
+    assert len(alive(cluster)) == 3
+
+
+def test_innocent_beside_a_death_is_served_and_cleared(cluster):
+    """A slow request runs on the engine that another request kills.  Its
+    caller hears that it failed; it carries a recorded death that was not its
+    doing.  Sent again it runs alone, is answered whole, and is cleared, so
+    that a later unrelated death does not quarantine it."""
+    wait_until(lambda: ask(cluster, ROUTERS[0], "warm").status == 200, 20,
+               "a warm replica")
+    for e in cluster.engines:
+        cluster.set_faults(e["id"], token_ms=150)
+    with ThreadPoolExecutor(1) as pool:
+        job = pool.submit(ask, cluster, ROUTERS[0], "innocent", tokens=20)
+        wait_until(lambda: any(cluster.audit(e["id"])["inflight"]
+                               for e in cluster.engines), 10, "in flight")
+        cluster.procs[busy_engine(cluster)].kill()
+        a = job.result()
+    assert (a.status, a.outcome) == (502, "failed-may-have-run")
+    wait_until(lambda: deaths(cluster, ROUTERS[1]) == 1, 10, "the record")
+    for e in cluster.engines:
+        if cluster.procs[e["id"]].is_running():
+            cluster.set_faults(e["id"], token_ms=2)
+    b = ask(cluster, ROUTERS[1], "innocent", tokens=20)
+    assert b.status == 200, b.body
+    assert b.json()["choices"][0]["text"] == expected_text("innocent", 20)
+    wait_until(lambda: deaths(cluster, ROUTERS[0]) == 0, 10, "cleared")
+
+
+def busy_engine(c):
+    return next(e["id"] for e in c.engines
+                if c.audit(e["id"])["inflight"] > 0)
+
+
+def test_suspect_runs_alone(cluster):
+    """After one death the request is a suspect.  While it runs, its router
+    gives the same engine nothing else, so whatever it kills, it kills alone:
+    of the requests sent beside it none is lost."""
+    kill_once(cluster, ROUTERS[0])
+    wait_until(lambda: ask(cluster, ROUTERS[0], "warm").status == 200, 20,
+               "a warm replica")
+    wait_until(lambda: deaths(cluster, ROUTERS[0]) == 1, 10, "the record")
+    for e in alive(cluster):
+        cluster.set_faults(e, token_ms=30)
+    with ThreadPoolExecutor(17) as pool:
+        jobs = [pool.submit(ask, cluster, ROUTERS[0], "beside %d" % i)
+                for i in range(8)]
+        bad = pool.submit(ask, cluster, ROUTERS[0], DEADLY)
+        jobs += [pool.submit(ask, cluster, ROUTERS[0], "later %d" % i)
+                 for i in range(8)]
+        assert [j.result().status for j in jobs] == [200] * 16
+        assert bad.result().status == 422
+    wait_until(lambda: deaths(cluster, ROUTERS[1]) == 1, 10, "one request")
+
+
+def test_timeout_is_no_death(cluster):
+    """An engine goes silent under a request until the caller's time is up.
+    It did not die: nothing is recorded against the request."""
+    wait_until(lambda: ask(cluster, ROUTERS[0], "warm").status == 200, 20,
+               "a warm replica")
+    for e in cluster.engines:
+        cluster.set_faults(e["id"], silent=True)
+    a = ask(cluster, ROUTERS[0], "slow one")
+    assert (a.status, a.outcome) == (502, "failed-may-have-run")
+    for e in cluster.engines:
+        cluster.set_faults(e["id"], silent=False)
+    assert ask(cluster, ROUTERS[0], "slow one").status == 200
+    assert deaths(cluster, ROUTERS[0]) == 0
+
+
+def test_restart_behind_a_balancer_counts(build):
+    """The engine sits behind a TCP forwarder that accepts connections even
+    when the process is dead, and is restarted by its supervisor.  No
+    connection is refused, but another boot is reported: that is a death."""
+    with_proxy = Cluster(build, centres=("dc1",), engines=engines(1),
+                         services=[])
+    with_proxy.add_proxy("dc1-lm1")
+    with with_proxy as c:
+        c.publish_samples()
+        wait_until(lambda: ask(c, ROUTERS[0], "warm").status == 200, 20,
+                   "a warm replica")
+        ask(c, ROUTERS[0], DEADLY)
+        wait_until(lambda: not alive(c), 10, "a death")
+        assert deaths(c, ROUTERS[0]) == 0
+        restart_dead(c)
+        wait_until(lambda: deaths(c, ROUTERS[1]) == 1, 15, "the record")
