--- a/src/req.c
+++ b/src/req.c
@@ -171,12 +171,13 @@
 
 /* ---- core thread -------------------------------------------------------- */
 
-static void
+/* False when nobody waits for it. */
+static bool
 decide(ReqDesk *d, uint64_t id, const Ticket *decided)
 {
     Ticket *t = g_hash_table_lookup(d->tickets, &id);
     if (!t) {
-        return;
+        return false;
     }
     /* The ticket is on the waiting thread's stack: it is not to be touched
        after the final decision, so it leaves the table first. */
@@ -193,6 +194,7 @@
     g_strlcpy(t->address, decided->address, sizeof(t->address));
     pthread_cond_signal(&t->decided);
     pthread_mutex_unlock(&t->lock);
+    return true;
 }
 
 void
@@ -283,7 +285,9 @@
     else {
         Ticket t = {.decision = DECIDED_ONCE,
                     .reply = copy_decision(decision)};
-        decide(d, id, &t);
+        if (!decide(d, id, &t)) {
+            free_reply(t.reply);
+        }
     }
     free_event(e);
 }
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -323,6 +323,25 @@
         self.bglade("publish", s + "/kuura.ini", s + "/kuura-care.ini")
         self.wait_ready()
 
+    def publish_changed(self, old, new):
+        """The Samiti's template again, with OLD replaced by NEW in it."""
+        s = os.path.join(ROOT, "samples")
+        with open(s + "/samiti.ini", encoding="utf-8") as f:
+            text = f.read()
+        assert old in text
+        path = os.path.join(self.dir, "changed.ini")
+        with open(path, "w", encoding="utf-8") as f:
+            f.write(text.replace(old, new))
+        def version(name):
+            return self.dump(name)["fold"]["templates"]["samiti"]
+
+        before = version(self.routers()[0])
+        self.bglade("--base", before, "revise", path,
+                    s + "/samiti-drafting.ini", s + "/samiti-registry.ini")
+        for name in self.routers():
+            wait_until(lambda n=name: version(n) > before, 10,
+                       "the changed template at " + name)
+
     def wait_ready(self):
         for name in self.routers():
             wait_until(lambda n=name: self.call(n, "GET", "/readyz").status
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -1,30 +1,38 @@
 """Non-idempotent calls run at most once, whatever fails on the way."""
 
-import os
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from cluster import ROOT, Cluster, wait_until
+from cluster import Cluster, wait_until
 
 PATH = "/v1/services/member-registry/certificates"
 LEDGER = "dc1-sadasya-ledger"
 ROUTERS = ("dc1-vm1-router", "dc1-vm2-router")
 
 
-@pytest.fixture
-def cluster(build):
-    """One data centre, two routers, one ledger; the log behind a proxy."""
+def start(build, *proxied):
+    """One data centre, two routers, one ledger; proxies before PROXIED."""
     c = Cluster(build, centres=("dc1",), engines=[],
                 settings={"router": {"router": {"claim_wait_ms": 1500}}})
-    c.add_proxy("log")
-    with c:
-        c.publish_samples()
-        for router in ROUTERS:
-            wait_until(lambda r=router: register(c, r, "warm-" + r).status
-                       == 200, 15, "ledger at " + router)
+    for name in proxied:
+        c.add_proxy(name)
+    return c
+
+
+def warm(c):
+    c.publish_samples()
+    for router in ROUTERS:
+        wait_until(lambda r=router: register(c, r, "warm-" + r).status
+                   == 200, 15, "ledger at " + router)
+
+
+@pytest.fixture
+def cluster(build):
+    with start(build, "log") as c:
+        warm(c)
         yield c
 
 
@@ -39,24 +47,6 @@
     return c.call(LEDGER, "GET", "/test/runs").json().get(key, 0)
 
 
-def publish_short_wait(c):
-    """The registry again, with calls that may take 1 s: their claims expire
-    6 s after they were made."""
-    samples = os.path.join(ROOT, "samples")
-    with open(samples + "/samiti.ini", encoding="utf-8") as f:
-        text = f.read()
-    mark = "idempotency = required"
-    path = os.path.join(c.dir, "short.ini")
-    with open(path, "w", encoding="utf-8") as f:
-        f.write(text.replace(mark, mark + "\nwait_ms = 1000"))
-    before = c.dump(ROUTERS[0])["fold"]["offset"]
-    c.bglade("publish", path, samples + "/samiti-drafting.ini",
-             samples + "/samiti-registry.ini")
-    for router in ROUTERS:
-        wait_until(lambda r=router: c.dump(r)["fold"]["offset"] > before, 10,
-                   "short waits at " + router)
-
-
 def wait_step(c, key_count, router=ROUTERS[1]):
     """Wait until ROUTER's fold holds KEY_COUNT keys."""
     wait_until(lambda: c.dump(router)["fold"]["keys"] == key_count, 10,
@@ -116,7 +106,9 @@
     recorded.  The repeat at the other router finds the claim without an
     ending: "in progress" until the claim expires, then "may have run",
     never a second run."""
-    publish_short_wait(cluster)
+    # Calls of at most 1 s: their claims expire 6 s after they were made.
+    cluster.publish_changed("idempotency = required",
+                            "idempotency = required\nwait_ms = 1000")
     cluster.set_faults(LEDGER, delay_ms=3000)
     with ThreadPoolExecutor(1) as pool:
         job = pool.submit(register, cluster, ROUTERS[0], "killed")
@@ -293,3 +285,22 @@
                 register(cluster, ROUTERS[1], k)), 10, "replay of " + key)
         assert a.headers["X-Bglade-Replayed"] == "true"
         assert runs(cluster, key) == 1
+
+
+def test_pooled_connection_is_never_used(build):
+    """A lookup leaves a connection that could be used again; the ledger
+    closes connections without an answer.  On a connection that was used
+    before, an HTTP library sends the call a second time by itself.  And a
+    device forgets the old connections, so that they go silent."""
+    look = "/v1/services/member-lookup/members/1"
+    with start(build, LEDGER) as c:
+        warm(c)
+        for router in ROUTERS:
+            assert c.ask(router, "registry", look, {}).status == 200
+        c.set_faults(LEDGER, drop_answers=1)
+        a = register(c, ROUTERS[0], "pooled")
+        assert (a.status, a.outcome) == (502, "failed-may-have-run")
+        assert runs(c, "pooled") == 1
+        c.set_proxy(LEDGER, freeze_old=True)
+        assert register(c, ROUTERS[1], "silent").status == 200
+        assert runs(c, "silent") == 1
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -36,6 +36,16 @@
             c.wait_port(e["id"])
 
 
+def restart_small(c):
+    """Dead engines come back with too little memory for the model, so that
+    it is loaded on another one."""
+    for e in c.engines:
+        if not c.procs[e["id"]].is_running():
+            e["args"] = {"memory_mb": 1000}
+            c.start_engine(e)
+            c.wait_port(e["id"])
+
+
 def ask(c, router, prompt, **more):
     return c.complete(router, "drafting", MODEL, prompt, **more)
 
@@ -49,6 +59,7 @@
     before = len(alive(c))
     a = ask(c, router, DEADLY)
     wait_until(lambda: len(alive(c)) == before - 1, 10, "a death")
+    restart_small(c)
     return a
 
 
@@ -62,7 +73,6 @@
     b = kill_once(cluster, ROUTERS[1])
     assert (b.status, b.outcome) == (422, "failed-may-have-run")
     assert b.json()["error"]["code"] == "quarantined"
-    restart_dead(cluster)
     for router in ROUTERS:
         wait_until(lambda r=router: ask(cluster, r, "fine").status == 200,
                    20, "service at " + router)
@@ -90,6 +100,7 @@
                                for e in cluster.engines), 10, "in flight")
         cluster.procs[busy_engine(cluster)].kill()
         a = job.result()
+    restart_small(cluster)
     assert (a.status, a.outcome) == (502, "failed-may-have-run")
     wait_until(lambda: deaths(cluster, ROUTERS[1]) == 1, 10, "the record")
     for e in cluster.engines:
@@ -130,6 +141,7 @@
 def test_timeout_is_no_death(cluster):
     """An engine goes silent under a request until the caller's time is up.
     It did not die: nothing is recorded against the request."""
+    cluster.publish_changed("wait_ms = 20000", "wait_ms = 5000")
     wait_until(lambda: ask(cluster, ROUTERS[0], "warm").status == 200, 20,
                "a warm replica")
     for e in cluster.engines:
