Keep what the core reads of a request out of the caller's stack

Cause: once a call was answered its thread left, and the core thread still read the request's digest from the ticket on that thread's stack. Seen: ThreadSanitizer, 'data race src/req.c in req_handle' against note_done, in one of 21 runs of test_once and test_poison; AddressSanitizer did not see it. Change: the core's table owns a copy (Waiting); a ticket is touched only by a decision.

--- a/src/req.c
+++ b/src/req.c
@@ -49,12 +49,19 @@
     char address[64];
     RtReason reason;
     uint64_t retry_after_ms;
-    OnceReply *reply;   /* DECIDED_ONCE; the request thread frees it */
-    uint8_t digest[32]; /* of the whole request; set before it is posted */
-    bool quarantined;   /* DECIDED_FINISH: this was the second death */
-    bool suspect;       /* an upstream died under an equal request */
+    OnceReply *reply; /* DECIDED_ONCE; the request thread frees it */
+    bool quarantined; /* DECIDED_FINISH: this was the second death */
 } Ticket;
 
+/* What the core thread keeps of a request.  The ticket is on the stack of a
+   thread that leaves once its call is done, so nothing but a decision may
+   touch it; what the core looks at again is copied here. */
+typedef struct {
+    Ticket *ticket;
+    uint8_t digest[32]; /* of the whole request */
+    bool suspect;       /* an upstream died under an equal request */
+} Waiting;
+
 typedef enum { REV_ARRIVE, REV_DONE } ReqEventKind;
 
 /* A request thread's message to the core thread. */
@@ -66,7 +73,9 @@
                           waits for the decision and so outlives it */
     RtDone done;
     bool leaving;
-    bool keyed;        /* ARRIVE: to be claimed first */
+    uint8_t digest[32]; /* ARRIVE: of the whole request */
+    bool keyed;         /* ARRIVE: to be claimed first */
+
     OnceCall call;     /* ARRIVE, keyed; text is borrowed like request's */
     GBytes *body;      /* DONE, keyed and answered */
     OnceResult result; /* DONE, keyed and answered */
@@ -78,7 +87,7 @@
 
 struct ReqDesk {
     Node *node;
-    GHashTable *tickets;  /* id -> Ticket; core thread only */
+    GHashTable *tickets;  /* id -> Waiting; core thread only */
     GHashTable *claiming; /* id -> ReqEvent that waits for its claim */
     OnceCore *once;
     QrCore *quarantine;
@@ -95,7 +104,7 @@
     ReqDesk *d = g_new0(ReqDesk, 1);
     d->node = n;
     d->tickets =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     d->claiming = g_hash_table_new(g_int64_hash, g_int64_equal);
     uint32_t threads =
         (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
@@ -175,10 +184,12 @@
 static bool
 decide(ReqDesk *d, uint64_t id, const Ticket *decided)
 {
-    Ticket *t = g_hash_table_lookup(d->tickets, &id);
-    if (!t) {
+    Waiting *w = g_hash_table_lookup(d->tickets, &id);
+    if (!w) {
         return false;
     }
+    Ticket *t = w->ticket;
+
     /* The ticket is on the waiting thread's stack: it is not to be touched
        after the final decision, so it leaves the table first. */
     if (decided->decision != DECIDED_SEND) {
@@ -220,9 +231,9 @@
 req_on_finish(ReqDesk *d, uint64_t id)
 {
     Ticket t = {.decision = DECIDED_FINISH};
-    const Ticket *waiting = g_hash_table_lookup(d->tickets, &id);
-    t.quarantined =
-        waiting && qr_judge(d->quarantine, waiting->digest) == QR_QUARANTINED;
+    const Waiting *w = g_hash_table_lookup(d->tickets, &id);
+    t.quarantined = w && qr_judge(d->quarantine, w->digest) == QR_QUARANTINED;
+
     decide(d, id, &t);
 }
 
@@ -259,14 +270,17 @@
 static void
 route_request(ReqDesk *d, RtCore *core, uint64_t now_ms, ReqEvent *e)
 {
-    QrVerdict verdict = qr_judge(d->quarantine, e->ticket->digest);
+    QrVerdict verdict = qr_judge(d->quarantine, e->digest);
+
     if (verdict == QR_QUARANTINED) {
         once_on_refused(d->once, now_ms, bg_wall_ms(), e->id);
         req_on_refuse(d, e->id, RT_REFUSED_QUARANTINE, 0);
         return;
     }
-    e->ticket->suspect = verdict == QR_SUSPECT;
-    e->request.suspect = verdict == QR_SUSPECT;
+    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
+    w->suspect = verdict == QR_SUSPECT;
+    e->request.suspect = w->suspect;
+
     rt_on_arrive(core, now_ms, &e->request);
 }
 
@@ -299,10 +313,11 @@
     g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GHashTableIter it;
     gpointer id;
-    gpointer t;
+    gpointer w;
     g_hash_table_iter_init(&it, d->tickets);
-    while (verdict != QR_CLEAR && g_hash_table_iter_next(&it, &id, &t)) {
-        if (memcmp(((Ticket *)t)->digest, digest, 32) == 0) {
+    while (verdict != QR_CLEAR && g_hash_table_iter_next(&it, &id, &w)) {
+        if (memcmp(((Waiting *)w)->digest, digest, 32) == 0) {
+
             g_array_append_val(ids, *(uint64_t *)id);
         }
     }
@@ -328,17 +343,18 @@
     else {
         once_on_broken(d->once, now_ms, wall_ms, e->id);
     }
-    const Ticket *t = g_hash_table_lookup(d->tickets, &e->id);
-    if (!t || !e->upstream) {
+    const Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
+    if (!w || !e->upstream) {
+
         return;
     }
     /* A VM that was told to leave is taken away; no request is to blame. */
     if (e->broken_open && !rt_is_leaving(core, e->upstream)) {
-        qr_on_broken(d->quarantine, now_ms, wall_ms, t->digest, e->upstream,
+        qr_on_broken(d->quarantine, now_ms, wall_ms, w->digest, e->upstream,
                      e->refused);
     }
-    if (e->done == RT_DONE_OK && t->suspect) {
-        qr_on_alone(d->quarantine, wall_ms, t->digest, e->upstream);
+    if (e->done == RT_DONE_OK && w->suspect) {
+        qr_on_alone(d->quarantine, wall_ms, w->digest, e->upstream);
     }
 }
 
@@ -347,7 +363,11 @@
 {
     uint64_t *id = g_new(uint64_t, 1);
     *id = e->id;
-    g_hash_table_insert(d->tickets, id, e->ticket);
+    Waiting *w = g_new0(Waiting, 1);
+    w->ticket = e->ticket;
+    memcpy(w->digest, e->digest, sizeof(w->digest));
+    g_hash_table_insert(d->tickets, id, w);
+
     if (e->keyed) {
         g_hash_table_insert(d->claiming, &e->id, e);
         once_on_begin(d->once, now_ms, bg_wall_ms(), &e->call);
@@ -387,7 +407,9 @@
     const char *service_path;
     const char *key; /* Idempotency-Key of a call that needs one, or NULL */
     char attempt_id[BG_ID_LEN + 1];
+    uint8_t digest[32]; /* of the whole request */
     GByteArray *body;
+
     bool chat;
     bool stream;
     uint64_t id;
@@ -601,7 +623,7 @@
     g_autoptr(GByteArray) all = g_byte_array_new();
     g_byte_array_append(all, (const guint8 *)head, (guint)strlen(head));
     g_byte_array_append(all, q->body->data, q->body->len);
-    bg_digest(all->data, all->len, q->ticket.digest);
+    bg_digest(all->data, all->len, q->digest);
 }
 
 static void
@@ -611,7 +633,7 @@
     call->workspace = q->workspace->name;
     call->key = q->key;
     call->attempt_id = q->attempt_id;
-    memcpy(call->digest, q->ticket.digest, sizeof(call->digest));
+    memcpy(call->digest, q->digest, sizeof(call->digest));
     call->deadline_ms = q->deadline_ms;
 }
 
@@ -622,6 +644,8 @@
     e->kind = REV_ARRIVE;
     e->id = q->id;
     e->ticket = &q->ticket;
+    memcpy(e->digest, q->digest, sizeof(e->digest));
+
     RtRequest *r = &e->request;
     r->id = q->id;
     r->workspace = q->workspace->name;
