--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -54,10 +54,22 @@
     return c.dump(router)["fold"]["deadly_requests"]
 
 
+def offset(c, router):
+    return c.dump(router)["fold"]["offset"]
+
+
+def wait_read(c, before):
+    """Wait until every router has read a record past BEFORE."""
+    for router in ROUTERS:
+        wait_until(lambda r=router: offset(c, r) > before, 10,
+                   "the record at " + router)
+
+
 def kill_once(c, router):
-    """Send the deadly request until one upstream has died under it."""
+    """Send the deadly request; one upstream dies under it."""
     before = len(alive(c))
     a = ask(c, router, DEADLY)
+
     wait_until(lambda: len(alive(c)) == before - 1, 10, "a death")
     restart_small(c)
     return a
@@ -70,7 +82,9 @@
     once, 422, and others' requests are served."""
     a = kill_once(cluster, ROUTERS[0])
     assert (a.status, a.outcome) == (502, "failed-may-have-run")
+    wait_until(lambda: deaths(cluster, ROUTERS[1]) == 1, 10, "the record")
     b = kill_once(cluster, ROUTERS[1])
+    
     assert (b.status, b.outcome) == (422, "failed-may-have-run")
     assert b.json()["error"]["code"] == "quarantined"
     for router in ROUTERS:
@@ -170,3 +184,35 @@
         assert deaths(c, ROUTERS[0]) == 0
         restart_dead(c)
         wait_until(lambda: deaths(c, ROUTERS[1]) == 1, 15, "the record")
+
+
+def test_deadly_call_of_a_service(build):
+    """A lookup crashes the plain service that answers it; calls of services
+    are watched like completions.  The second instance to die is the last:
+    a third is not tried."""
+    ledgers = [{"id": "dc1-ledger%d" % i, "centre": "dc1",
+                "deployment": "sadasya-ledger"} for i in range(3)]
+    look = "/v1/services/member-lookup/members/666"
+    with Cluster(build, centres=("dc1",), engines=[], services=ledgers) as c:
+        c.publish_samples()
+        wait_until(lambda: c.ask(ROUTERS[0], "registry", "/v1/services/"
+                                 "member-lookup/x", {}).status == 200, 15,
+                   "ledgers")
+        for s in ledgers:
+            c.set_faults(s["id"], die_after_run=True)
+        answers = []
+        for router in ROUTERS:
+            before = offset(c, router)
+            answers.append(c.ask(router, "registry", look, {}))
+            wait_read(c, before)
+
+        
+        assert [a.outcome for a in answers] == ["failed-may-have-run"] * 2
+        assert [a.status for a in answers] == [502, 422]
+        for router in ROUTERS:
+            a = c.ask(router, "registry", look, {})
+            assert (a.status, a.outcome) == (422, "refused-not-run")
+        
+        running = [s["id"] for s in ledgers
+                   if c.procs[s["id"]].is_running()]
+        assert len(running) == 1
