--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bg__claim_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__grant_upstream__init
+                     (Bg__GrantUpstream         *message)
+{
+  static const Bg__GrantUpstream init_value = BG__GRANT_UPSTREAM__INIT;
+  *message = init_value;
+}
+size_t bg__grant_upstream__get_packed_size
+                     (const Bg__GrantUpstream *message)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__grant_upstream__pack
+                     (const Bg__GrantUpstream *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__grant_upstream__pack_to_buffer
+                     (const Bg__GrantUpstream *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__GrantUpstream *
+       bg__grant_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__GrantUpstream *)
+     protobuf_c_message_unpack (&bg__grant_upstream__descriptor,
+                                allocator, len, data);
+}
+void   bg__grant_upstream__free_unpacked
+                     (Bg__GrantUpstream *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__intent_record__init
                      (Bg__IntentRecord         *message)
 {
@@ -232,6 +277,96 @@
   assert(message->base.descriptor == &bg__quiesce_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__open_order__init
+                     (Bg__OpenOrder         *message)
+{
+  static const Bg__OpenOrder init_value = BG__OPEN_ORDER__INIT;
+  *message = init_value;
+}
+size_t bg__open_order__get_packed_size
+                     (const Bg__OpenOrder *message)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__open_order__pack
+                     (const Bg__OpenOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__open_order__pack_to_buffer
+                     (const Bg__OpenOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__OpenOrder *
+       bg__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__OpenOrder *)
+     protobuf_c_message_unpack (&bg__open_order__descriptor,
+                                allocator, len, data);
+}
+void   bg__open_order__free_unpacked
+                     (Bg__OpenOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__clear_record__init
+                     (Bg__ClearRecord         *message)
+{
+  static const Bg__ClearRecord init_value = BG__CLEAR_RECORD__INIT;
+  *message = init_value;
+}
+size_t bg__clear_record__get_packed_size
+                     (const Bg__ClearRecord *message)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__clear_record__pack
+                     (const Bg__ClearRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__clear_record__pack_to_buffer
+                     (const Bg__ClearRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__ClearRecord *
+       bg__clear_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__ClearRecord *)
+     protobuf_c_message_unpack (&bg__clear_record__descriptor,
+                                allocator, len, data);
+}
+void   bg__clear_record__free_unpacked
+                     (Bg__ClearRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__key_record__init
                      (Bg__KeyRecord         *message)
 {
@@ -1068,7 +1203,7 @@
   (ProtobufCMessageInit) bg__config_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -1106,16 +1241,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__ClaimRecord, n_grant),
+    offsetof(Bg__ClaimRecord, grant),
+    &bg__grant_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__claim_record__field_indices_by_name[] = {
   2,   /* field[2] = base_epoch */
   0,   /* field[0] = data_centre */
+  3,   /* field[3] = grant */
   1,   /* field[1] = holder */
 };
 static const ProtobufCIntRange bg__claim_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__claim_record__descriptor =
 {
@@ -1125,13 +1273,64 @@
   "Bg__ClaimRecord",
   "bg",
   sizeof(Bg__ClaimRecord),
-  3,
+  4,
   bg__claim_record__field_descriptors,
   bg__claim_record__field_indices_by_name,
   1,  bg__claim_record__number_ranges,
   (ProtobufCMessageInit) bg__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bg__grant_upstream__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deployment",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, deployment),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__grant_upstream__field_indices_by_name[] = {
+  1,   /* field[1] = deployment */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__grant_upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__grant_upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.GrantUpstream",
+  "GrantUpstream",
+  "Bg__GrantUpstream",
+  "bg",
+  sizeof(Bg__GrantUpstream),
+  2,
+  bg__grant_upstream__field_descriptors,
+  bg__grant_upstream__field_indices_by_name,
+  1,  bg__grant_upstream__number_ranges,
+  (ProtobufCMessageInit) bg__grant_upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
 {
   {
@@ -1287,7 +1486,7 @@
   (ProtobufCMessageInit) bg__intent_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[8] =
 {
   {
     "data_centre",
@@ -1361,19 +1560,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_gone",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, vm_gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__settle_record__field_indices_by_name[] = {
+  6,   /* field[6] = closed */
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
   4,   /* field[4] = load_id */
   5,   /* field[5] = loaded */
   3,   /* field[3] = model */
   2,   /* field[2] = upstream */
+  7,   /* field[7] = vm_gone */
 };
 static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bg__settle_record__descriptor =
 {
@@ -1383,14 +1608,14 @@
   "Bg__SettleRecord",
   "bg",
   sizeof(Bg__SettleRecord),
-  6,
+  8,
   bg__settle_record__field_descriptors,
   bg__settle_record__field_indices_by_name,
   1,  bg__settle_record__number_ranges,
   (ProtobufCMessageInit) bg__settle_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -1428,16 +1653,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__QuiesceRecord, n_open),
+    offsetof(Bg__QuiesceRecord, open),
+    &bg__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__quiesce_record__field_indices_by_name[] = {
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
   2,   /* field[2] = holder */
+  3,   /* field[3] = open */
 };
 static const ProtobufCIntRange bg__quiesce_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__quiesce_record__descriptor =
 {
@@ -1447,13 +1685,115 @@
   "Bg__QuiesceRecord",
   "bg",
   sizeof(Bg__QuiesceRecord),
-  3,
+  4,
   bg__quiesce_record__field_descriptors,
   bg__quiesce_record__field_indices_by_name,
   1,  bg__quiesce_record__number_ranges,
   (ProtobufCMessageInit) bg__quiesce_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bg__open_order__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__open_order__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__open_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__open_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.OpenOrder",
+  "OpenOrder",
+  "Bg__OpenOrder",
+  "bg",
+  sizeof(Bg__OpenOrder),
+  2,
+  bg__open_order__field_descriptors,
+  bg__open_order__field_indices_by_name,
+  1,  bg__open_order__number_ranges,
+  (ProtobufCMessageInit) bg__open_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__clear_record__field_descriptors[2] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__clear_record__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+};
+static const ProtobufCIntRange bg__clear_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__clear_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.ClearRecord",
+  "ClearRecord",
+  "Bg__ClearRecord",
+  "bg",
+  sizeof(Bg__ClearRecord),
+  2,
+  bg__clear_record__field_descriptors,
+  bg__clear_record__field_indices_by_name,
+  1,  bg__clear_record__number_ranges,
+  (ProtobufCMessageInit) bg__clear_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[9] =
 {
   {
@@ -1763,7 +2103,7 @@
   (ProtobufCMessageInit) bg__checkpoint_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bg__record__field_descriptors[9] =
 {
   {
     "config",
@@ -1861,10 +2201,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clear",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, clear),
+    &bg__clear_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__record__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
   1,   /* field[1] = claim */
+  8,   /* field[8] = clear */
   0,   /* field[0] = config */
   6,   /* field[6] = death */
   2,   /* field[2] = intent */
@@ -1872,10 +2225,11 @@
   4,   /* field[4] = quiesce */
   3,   /* field[3] = settle */
 };
-static const ProtobufCIntRange bg__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bg__record__descriptor =
 {
@@ -1885,10 +2239,10 @@
   "Bg__Record",
   "bg",
   sizeof(Bg__Record),
-  8,
+  9,
   bg__record__field_descriptors,
   bg__record__field_indices_by_name,
-  1,  bg__record__number_ranges,
+  2,  bg__record__number_ranges,
   (ProtobufCMessageInit) bg__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -17,9 +17,12 @@
 
 typedef struct Bg__ConfigRecord Bg__ConfigRecord;
 typedef struct Bg__ClaimRecord Bg__ClaimRecord;
+typedef struct Bg__GrantUpstream Bg__GrantUpstream;
 typedef struct Bg__IntentRecord Bg__IntentRecord;
 typedef struct Bg__SettleRecord Bg__SettleRecord;
 typedef struct Bg__QuiesceRecord Bg__QuiesceRecord;
+typedef struct Bg__OpenOrder Bg__OpenOrder;
+typedef struct Bg__ClearRecord Bg__ClearRecord;
 typedef struct Bg__KeyRecord Bg__KeyRecord;
 typedef struct Bg__DeathRecord Bg__DeathRecord;
 typedef struct Bg__CheckpointRecord Bg__CheckpointRecord;
@@ -81,10 +84,27 @@
   char *data_centre;
   char *holder;
   uint64_t base_epoch;
+  /*
+   * The fencing upstreams of the standing grant: while the log is away the
+   * owner may load each model on one of them, chosen by hash.
+   */
+  size_t n_grant;
+  Bg__GrantUpstream **grant;
 };
 #define BG__CLAIM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__claim_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+struct  Bg__GrantUpstream
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *deployment;
+};
+#define BG__GRANT_UPSTREAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__grant_upstream__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -122,10 +142,18 @@
   char *model;
   char *load_id;
   protobuf_c_boolean loaded;
+  /*
+   * With loaded: no order of this owner for the load can still arrive.
+   */
+  protobuf_c_boolean closed;
+  /*
+   * Absent because the upstream's VM no longer exists.
+   */
+  protobuf_c_boolean vm_gone;
 };
 #define BG__SETTLE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__settle_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -137,10 +165,41 @@
   char *data_centre;
   uint64_t epoch;
   char *holder;
+  /*
+   * Except these: orders of unknown fate on upstreams without fencing.
+   */
+  size_t n_open;
+  Bg__OpenOrder **open;
 };
 #define BG__QUIESCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__quiesce_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Bg__OpenOrder
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *model;
+};
+#define BG__OPEN_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__open_order__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The owner's word that everything older epochs may have loaded under
+ * their standing grants is recorded or absent.
+ */
+struct  Bg__ClearRecord
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  uint64_t epoch;
+};
+#define BG__CLEAR_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__clear_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -206,7 +265,8 @@
   BG__RECORD__BODY_QUIESCE = 5,
   BG__RECORD__BODY_KEY = 6,
   BG__RECORD__BODY_DEATH = 7,
-  BG__RECORD__BODY_CHECKPOINT = 8
+  BG__RECORD__BODY_CHECKPOINT = 8,
+  BG__RECORD__BODY_CLEAR = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__RECORD__BODY__CASE)
 } Bg__Record__BodyCase;
 
@@ -223,6 +283,7 @@
     Bg__KeyRecord *key;
     Bg__DeathRecord *death;
     Bg__CheckpointRecord *checkpoint;
+    Bg__ClearRecord *clear;
   };
 };
 #define BG__RECORD__INIT \
@@ -462,6 +523,25 @@
 void   bg__claim_record__free_unpacked
                      (Bg__ClaimRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bg__GrantUpstream methods */
+void   bg__grant_upstream__init
+                     (Bg__GrantUpstream         *message);
+size_t bg__grant_upstream__get_packed_size
+                     (const Bg__GrantUpstream   *message);
+size_t bg__grant_upstream__pack
+                     (const Bg__GrantUpstream   *message,
+                      uint8_t             *out);
+size_t bg__grant_upstream__pack_to_buffer
+                     (const Bg__GrantUpstream   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__GrantUpstream *
+       bg__grant_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__grant_upstream__free_unpacked
+                     (Bg__GrantUpstream *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__IntentRecord methods */
 void   bg__intent_record__init
                      (Bg__IntentRecord         *message);
@@ -519,6 +599,44 @@
 void   bg__quiesce_record__free_unpacked
                      (Bg__QuiesceRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bg__OpenOrder methods */
+void   bg__open_order__init
+                     (Bg__OpenOrder         *message);
+size_t bg__open_order__get_packed_size
+                     (const Bg__OpenOrder   *message);
+size_t bg__open_order__pack
+                     (const Bg__OpenOrder   *message,
+                      uint8_t             *out);
+size_t bg__open_order__pack_to_buffer
+                     (const Bg__OpenOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__OpenOrder *
+       bg__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__open_order__free_unpacked
+                     (Bg__OpenOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__ClearRecord methods */
+void   bg__clear_record__init
+                     (Bg__ClearRecord         *message);
+size_t bg__clear_record__get_packed_size
+                     (const Bg__ClearRecord   *message);
+size_t bg__clear_record__pack
+                     (const Bg__ClearRecord   *message,
+                      uint8_t             *out);
+size_t bg__clear_record__pack_to_buffer
+                     (const Bg__ClearRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__ClearRecord *
+       bg__clear_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__clear_record__free_unpacked
+                     (Bg__ClearRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__KeyRecord methods */
 void   bg__key_record__init
                      (Bg__KeyRecord         *message);
@@ -831,6 +949,9 @@
 typedef void (*Bg__ClaimRecord_Closure)
                  (const Bg__ClaimRecord *message,
                   void *closure_data);
+typedef void (*Bg__GrantUpstream_Closure)
+                 (const Bg__GrantUpstream *message,
+                  void *closure_data);
 typedef void (*Bg__IntentRecord_Closure)
                  (const Bg__IntentRecord *message,
                   void *closure_data);
@@ -840,6 +961,12 @@
 typedef void (*Bg__QuiesceRecord_Closure)
                  (const Bg__QuiesceRecord *message,
                   void *closure_data);
+typedef void (*Bg__OpenOrder_Closure)
+                 (const Bg__OpenOrder *message,
+                  void *closure_data);
+typedef void (*Bg__ClearRecord_Closure)
+                 (const Bg__ClearRecord *message,
+                  void *closure_data);
 typedef void (*Bg__KeyRecord_Closure)
                  (const Bg__KeyRecord *message,
                   void *closure_data);
@@ -897,9 +1024,12 @@
 extern const ProtobufCEnumDescriptor    bg__key_step__descriptor;
 extern const ProtobufCMessageDescriptor bg__config_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__claim_record__descriptor;
+extern const ProtobufCMessageDescriptor bg__grant_upstream__descriptor;
 extern const ProtobufCMessageDescriptor bg__intent_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__settle_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__quiesce_record__descriptor;
+extern const ProtobufCMessageDescriptor bg__open_order__descriptor;
+extern const ProtobufCMessageDescriptor bg__clear_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__key_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__death_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__checkpoint_record__descriptor;
--- a/src/fold.c
+++ b/src/fold.c
@@ -12,6 +12,7 @@
 #define KEPT_BATCH_IDS 16384
 #define KEPT_VERSIONS 20
 #define MAX_DEATHS 4096
+#define MAX_GRANTS 16
 
 /* What the log says of one data centre's placement. */
 typedef struct {
@@ -20,6 +21,7 @@
     GHashTable *memory;   /* upstream -> MB counted (GUINT) */
     GHashTable *replicas; /* model -> replicas counted (GUINT) */
     GHashTable *quiesced; /* epoch (uint64_t *) -> set */
+    GPtrArray *grants;    /* FoldGrant, oldest first */
 } Centre;
 
 typedef struct {
@@ -62,9 +64,19 @@
     g_free(in->upstream);
     g_free(in->model);
     g_free(in->load_id);
+    g_array_free(in->open, TRUE);
     g_free(in);
 }
 
+static void
+free_grant(gpointer p)
+{
+    FoldGrant *g = p;
+    g_ptr_array_free(g->upstreams, TRUE);
+    g_ptr_array_free(g->deployments, TRUE);
+    g_free(g);
+}
+
 static void
 free_centre(gpointer p)
 {
@@ -74,6 +86,7 @@
     g_hash_table_destroy(c->memory);
     g_hash_table_destroy(c->replicas);
     g_hash_table_destroy(c->quiesced);
+    g_ptr_array_free(c->grants, TRUE);
     g_free(c);
 }
 
@@ -283,6 +296,7 @@
         c->replicas = make_table(NULL);
         c->quiesced =
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+        c->grants = g_ptr_array_new_with_free_func(free_grant);
         g_hash_table_insert(f->centres, g_strdup(name), c);
     }
     return c;
@@ -320,6 +334,57 @@
     return FOLD_LOST;
 }
 
+static FoldGrant *
+make_grant(const Bg__ClaimRecord *r, uint64_t epoch)
+{
+    FoldGrant *g = g_new0(FoldGrant, 1);
+    g->first_epoch = epoch;
+    g->last_epoch = epoch;
+    g->upstreams = g_ptr_array_new_with_free_func(g_free);
+    g->deployments = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < r->n_grant; i++) {
+        g_ptr_array_add(g->upstreams, g_strdup(r->grant[i]->upstream));
+        g_ptr_array_add(g->deployments, g_strdup(r->grant[i]->deployment));
+    }
+    return g;
+}
+
+static bool
+is_same_list(const GPtrArray *a, const GPtrArray *b)
+{
+    if (a->len != b->len) {
+        return false;
+    }
+    for (guint i = 0; i < a->len; i++) {
+        if (strcmp(a->pdata[i], b->pdata[i]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Grants stay until an owner clears them: whoever held one may have used it
+   without a record.  Past MAX_GRANTS different lists a claim has none. */
+static void
+keep_grant(Centre *c, const Bg__ClaimRecord *r, uint64_t epoch)
+{
+    FoldGrant *g = make_grant(r, epoch);
+    for (guint i = 0; i < c->grants->len; i++) {
+        FoldGrant *old = c->grants->pdata[i];
+        if (is_same_list(old->upstreams, g->upstreams) &&
+            is_same_list(old->deployments, g->deployments)) {
+            old->last_epoch = epoch;
+            free_grant(g);
+            return;
+        }
+    }
+    if (g->upstreams->len == 0 || c->grants->len >= MAX_GRANTS) {
+        free_grant(g);
+        return;
+    }
+    g_ptr_array_add(c->grants, g);
+}
+
 static FoldResult
 apply_claim(Fold *f, uint64_t offset, const Bg__ClaimRecord *r, GString *why)
 {
@@ -330,9 +395,64 @@
     g_free(c->claim.holder);
     c->claim.holder = g_strdup(r->holder);
     c->claim.epoch = offset;
+    keep_grant(c, r, offset);
     return FOLD_WON;
 }
 
+static FoldResult
+apply_clear(Fold *f, const Bg__ClearRecord *r, GString *why)
+{
+    Centre *c = get_centre(f, r->data_centre);
+    if (r->epoch != c->claim.epoch) {
+        return lose(why, "the epoch is not current");
+    }
+    for (guint i = c->grants->len; i > 0; i--) {
+        FoldGrant *g = c->grants->pdata[i - 1];
+        if (g->last_epoch < r->epoch) {
+            g_ptr_array_remove_index(c->grants, i - 1);
+        }
+        else {
+            g->first_epoch = r->epoch;
+        }
+    }
+    return FOLD_WON;
+}
+
+/* ---- orders that may still arrive --------------------------------------- */
+
+static void
+open_intent(FoldIntent *in, uint64_t epoch)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) == epoch) {
+            return;
+        }
+    }
+    g_array_append_val(in->open, epoch);
+}
+
+static void
+close_intent(FoldIntent *in, uint64_t epoch)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) == epoch) {
+            g_array_remove_index_fast(in->open, i);
+            return;
+        }
+    }
+}
+
+bool
+fold_is_open(const FoldIntent *in, uint64_t except)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) != except) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The two ceilings are checked here, at the record's offset, so that no
    owner, paused or late, can record a load that does not fit: an order
    without a record in effect is never given. */
@@ -342,6 +462,9 @@
     if (r->epoch != c->claim.epoch) {
         return lose(why, "the epoch is not current");
     }
+    if (g_hash_table_contains(c->quiesced, &r->epoch)) {
+        return lose(why, "the epoch was handed over");
+    }
     g_autofree char *pair = join_pair(r->upstream, r->model);
     if (g_hash_table_contains(c->intents, pair)) {
         return lose(why, "already counted there");
@@ -356,15 +479,36 @@
     return FOLD_WON;
 }
 
+/* The load that R names, counted already: the current owner may order it
+   again, and then its orders too may still arrive. */
+static FoldIntent *
+find_same_load(const Centre *c, const Bg__IntentRecord *r)
+{
+    g_autofree char *pair = join_pair(r->upstream, r->model);
+    FoldIntent *in = g_hash_table_lookup(c->intents, pair);
+    bool same = in && strcmp(in->load_id, r->load_id) == 0 &&
+                in->memory_mb == r->memory_mb;
+    bool may_order = r->epoch == c->claim.epoch &&
+                     !g_hash_table_contains(c->quiesced, &r->epoch);
+    return same && may_order ? in : NULL;
+}
+
 static FoldResult
 apply_intent(Fold *f, const Bg__IntentRecord *r, GString *why)
 {
     Centre *c = get_centre(f, r->data_centre);
+    FoldIntent *in = find_same_load(c, r);
+    if (in) {
+        open_intent(in, r->epoch);
+        return FOLD_WON;
+    }
     FoldResult result = check_intent(c, r, why);
     if (result != FOLD_WON) {
         return result;
     }
-    FoldIntent *in = g_new0(FoldIntent, 1);
+    in = g_new0(FoldIntent, 1);
+    in->open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    open_intent(in, r->epoch);
     in->upstream = g_strdup(r->upstream);
     in->model = g_strdup(r->model);
     in->load_id = g_strdup(r->load_id);
@@ -392,14 +536,34 @@
     }
     if (r->loaded) {
         in->loaded = true;
+        if (r->closed) {
+            close_intent(in, r->epoch);
+        }
         return FOLD_WON;
     }
+    /* An upstream without fencing takes a former owner's late order: the
+       load goes on counting until that order cannot arrive any more. */
+    if (!in->fenced && !r->vm_gone && fold_is_open(in, r->epoch)) {
+        return lose(why, "an order may still arrive");
+    }
     add_number(c->memory, in->upstream, -(int64_t)in->memory_mb);
     add_number(c->replicas, in->model, -1);
     g_hash_table_remove(c->intents, pair);
     return FOLD_WON;
 }
 
+static bool
+is_listed_open(const Bg__QuiesceRecord *r, const FoldIntent *in)
+{
+    for (size_t i = 0; i < r->n_open; i++) {
+        if (strcmp(r->open[i]->upstream, in->upstream) == 0 &&
+            strcmp(r->open[i]->model, in->model) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static FoldResult
 apply_quiesce(Fold *f, const Bg__QuiesceRecord *r)
 {
@@ -407,6 +571,15 @@
     uint64_t *epoch = g_new(uint64_t, 1);
     *epoch = r->epoch;
     g_hash_table_add(c->quiesced, epoch);
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->intents);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        FoldIntent *in = p;
+        if (!is_listed_open(r, in)) {
+            close_intent(in, r->epoch);
+        }
+    }
     return FOLD_WON;
 }
 
@@ -469,6 +642,13 @@
     return c && g_hash_table_contains(c->quiesced, &epoch);
 }
 
+const GPtrArray *
+fold_get_grants(const Fold *f, const char *data_centre)
+{
+    const Centre *c = find_centre(f, data_centre);
+    return c ? c->grants : NULL;
+}
+
 /* ---- non-idempotent calls ----------------------------------------------- */
 
 static FoldResult
@@ -621,6 +801,8 @@
         return apply_settle(f, r->settle, why);
     case BG__RECORD__BODY_QUIESCE:
         return apply_quiesce(f, r->quiesce);
+    case BG__RECORD__BODY_CLEAR:
+        return apply_clear(f, r->clear, why);
     case BG__RECORD__BODY_KEY:
         return apply_key(f, r->key, why);
     case BG__RECORD__BODY_DEATH:
@@ -698,9 +880,10 @@
         FoldIntent *in = p;
         json_array_append_new(
             intents,
-            json_pack("{s:s, s:s, s:i, s:I, s:b}", "upstream", in->upstream,
-                      "model", in->model, "memory_mb", (int)in->memory_mb,
-                      "epoch", (json_int_t)in->epoch, "loaded", in->loaded));
+            json_pack("{s:s, s:s, s:i, s:I, s:b, s:b}", "upstream",
+                      in->upstream, "model", in->model, "memory_mb",
+                      (int)in->memory_mb, "epoch", (json_int_t)in->epoch,
+                      "loaded", in->loaded, "open", in->open->len > 0));
     }
     return json_pack("{s:s, s:I, s:o}", "holder",
                      c->claim.holder ? c->claim.holder : "", "epoch",
--- a/src/fold.h
+++ b/src/fold.h
@@ -71,9 +71,19 @@
     uint64_t epoch; /* of the owner that recorded it */
     bool fenced;    /* the upstream refuses old fencing numbers */
     bool adapter;
-    bool loaded; /* the upstream was seen to hold it */
+    bool loaded;  /* the upstream was seen to hold it */
+    GArray *open; /* uint64_t: epochs whose orders may still arrive */
 } FoldIntent;
 
+/* Standing grant: upstreams on which the owner of an epoch may load without
+   an intent while the log is away, see pl.c. */
+typedef struct {
+    uint64_t first_epoch; /* first and last claim with this list */
+    uint64_t last_epoch;
+    GPtrArray *upstreams;   /* names, sorted */
+    GPtrArray *deployments; /* of each */
+} FoldGrant;
+
 /* The claim on DATA_CENTRE, or NULL. */
 const FoldClaim *fold_find_claim(const Fold *f, const char *data_centre);
 const FoldIntent *fold_find_intent(const Fold *f, const char *data_centre,
@@ -86,8 +96,12 @@
                            const char *upstream);
 uint32_t fold_count_replicas(const Fold *f, const char *data_centre,
                              const char *model);
-/* Whether the owner of EPOCH has said that none of its orders is still
-   under way. */
+/* Whether an order of an epoch other than EXCEPT may still arrive. */
+bool fold_is_open(const FoldIntent *in, uint64_t except);
+/* Grants of DATA_CENTRE not yet cleared (FoldGrant), or NULL. */
+const GPtrArray *fold_get_grants(const Fold *f, const char *data_centre);
+/* Whether the owner of EPOCH has said that it gives no more orders and,
+   but for those it listed, none is still under way. */
 bool fold_is_quiesced(const Fold *f, const char *data_centre, uint64_t epoch);
 
 /* ---- non-idempotent calls ----------------------------------------------- */
--- a/src/main_placer.c
+++ b/src/main_placer.c
@@ -19,6 +19,9 @@
 #define ORDER_TOTAL_MS 2000
 #define POLL_TOTAL_MS 1000
 #define RESIDENCY_FULL_MS 5000
+/* An order that waited so long for a worker is not sent: its process was
+   paused or is far behind, and its owner has decided anew. */
+#define ORDER_MAX_AGE_MS 1500
 
 static const IniRule rules[] = {
     {"vms", "address", INI_ADDRESS, true, NULL, 0, 0, NULL,
@@ -29,8 +32,22 @@
      "an owner silent for so long is succeeded"},
     {"placer", "poll_ms", INI_INT, false, "200", 10, 600000, NULL,
      "between reports of one upstream"},
-    {"placer", "max_loads", INI_INT, false, "4", 1, 1000, NULL,
-     "loads at once in this data centre"},
+    {"placer", "data_centres", INI_INT, false, "1", 1, 1000, NULL,
+     "data centres that share the weight store, each an equal share"},
+    {"placer", "store_at_once", INI_INT, false, "4", 1, 100000, NULL,
+     "loads from the store at once, all data centres together"},
+    {"placer", "store_starts_per_minute", INI_INT, false, "180", 1, 1000000,
+     NULL, "loads started from the store, all data centres together"},
+    {"placer", "adapters_at_once", INI_INT, false, "32", 1, 100000, NULL,
+     "adapters in transit at once, all data centres together"},
+    {"placer", "gone_ms", INI_INT, false, "10000", 100, 3600000, NULL,
+     "an upstream off the list and silent for so long is taken for gone"},
+    {"placer", "keep_policy", INI_CHOICE, false, "break_even", 0, 0,
+     "break_even|fixed|lru", "when an unused replica is released"},
+    {"placer", "keep_min_ms", INI_INT, false, "2000", 0, 3600000, NULL,
+     "break_even: shortest time an unused replica stays"},
+    {"placer", "fixed_keep_ms", INI_INT, false, "60000", 0, 86400000, NULL,
+     "fixed: time an unused replica stays"},
     {"placer", "per_replica", INI_INT, false, "64", 1, 100000, NULL,
      "waiting requests that ask for one replica"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
@@ -46,6 +63,8 @@
     uint32_t memory_mb;
     uint32_t load_ms;
     uint64_t fence;
+    uint64_t epoch;
+    uint64_t made_ms;
     HcResult res;
 } Job;
 
@@ -65,6 +84,7 @@
     pthread_t threads[ORDER_THREADS + POLL_THREADS];
     pthread_t vm_thread;
     atomic_bool stopping;
+    atomic_uint_fast64_t order_epoch; /* orders of another are not sent */
     uint64_t next_full_ms;
     bool log_ok;
     bool draining;
@@ -133,6 +153,26 @@
     free(body);
 }
 
+/* Best effort: the process may be paused between this check and the send.
+   That a late order breaks no ceiling rests on the records, not on this. */
+static bool
+may_send(Placer *p, const Job *j)
+{
+    if (j->kind == PL_POLL) {
+        return true;
+    }
+    return j->epoch == atomic_load(&p->order_epoch) &&
+           bg_now_ms() - j->made_ms < ORDER_MAX_AGE_MS;
+}
+
+static void
+drop_job(Job *j)
+{
+    bg_count("placer_orders_dropped_total", 1);
+    j->res.end = HC_NOT_SENT;
+    j->res.body = g_string_new(NULL);
+}
+
 static void *
 run_worker(void *arg)
 {
@@ -141,7 +181,12 @@
     while (!atomic_load(&w->placer->stopping)) {
         Job *j = ring_pop(w->jobs, 100);
         if (j) {
-            run_job(http, j);
+            if (may_send(w->placer, j)) {
+                run_job(http, j);
+            }
+            else {
+                drop_job(j);
+            }
             PlacerEvent *e = g_new0(PlacerEvent, 1);
             e->kind = PEV_JOB;
             e->job = j;
@@ -263,8 +308,10 @@
     json_t *m;
     json_array_foreach(models, i, m)
     {
-        PlResident r = {get_text(m, "name"), get_text(m, "load_id"),
-                        strcmp(get_text(m, "state"), "loaded") == 0};
+        PlResident r = {
+            get_text(m, "name"), get_text(m, "load_id"),
+            strcmp(get_text(m, "state"), "loaded") == 0,
+            (uint32_t)json_integer_value(json_object_get(m, "memory_mb"))};
         g_array_append_val(p->residents, r);
     }
     p->report.residents = (PlResident *)(void *)p->residents->data;
@@ -318,7 +365,8 @@
         return strcmp(get_text(doc, "error"), "fence") == 0 ? PL_STALE
                                                             : PL_BUSY;
     }
-    return PL_UNKNOWN;
+    /* An answer of 4xx was made by the upstream after it took the order. */
+    return j->res.status >= 400 && j->res.status < 500 ? PL_BUSY : PL_UNKNOWN;
 }
 
 static void
@@ -336,6 +384,7 @@
         .load_id = j->load_id,
         .end = classify(j, doc),
         .fence = j->fence,
+        .epoch = j->epoch,
         .seq = (uint64_t)json_integer_value(json_object_get(doc, "seq")),
         .report = has_report ? &parsed.report : NULL};
     pl_on_order_done(p->core, now_ms, &r);
@@ -369,12 +418,16 @@
     j->memory_mb = o->memory_mb;
     j->load_ms = o->load_ms;
     j->fence = o->fence;
+    j->epoch = o->epoch;
+    j->made_ms = bg_now_ms();
+    if (o->kind != PL_POLL) {
+        atomic_store(&p->order_epoch, o->epoch);
+    }
     Ring *ring = o->kind == PL_POLL ? p->polls : p->orders;
     if (!ring_push(ring, j)) {
         /* Answered as not sent, through the ring and never from within the
            core, which is in the middle of a decision. */
-        j->res.end = HC_NOT_SENT;
-        j->res.body = g_string_new(NULL);
+        drop_job(j);
         PlacerEvent *e = g_new0(PlacerEvent, 1);
         e->kind = PEV_JOB;
         e->job = j;
@@ -431,6 +484,31 @@
     pthread_create(&p->vm_thread, NULL, run_vm_list, p);
 }
 
+static KeepPolicy
+get_keep_policy(const IniFile *f)
+{
+    const char *word = ini_get_text(f, "placer", "keep_policy");
+    if (strcmp(word, "fixed") == 0) {
+        return KEEP_FIXED;
+    }
+    return strcmp(word, "lru") == 0 ? KEEP_LRU : KEEP_BREAK_EVEN;
+}
+
+/* Equal standing shares: data centres that cannot hear each other still
+   keep the sum within the store's limits. */
+static void
+set_shares(PlParams *params, const IniFile *f)
+{
+    uint32_t centres = (uint32_t)ini_get_int(f, "placer", "data_centres");
+    uint32_t at_once = (uint32_t)ini_get_int(f, "placer", "store_at_once");
+    uint32_t starts =
+        (uint32_t)ini_get_int(f, "placer", "store_starts_per_minute");
+    uint32_t adapters = (uint32_t)ini_get_int(f, "placer", "adapters_at_once");
+    params->max_loads = MAX(at_once / centres, 1);
+    params->load_gap_ms = 60000 * centres / starts;
+    params->max_adapters = MAX(adapters / centres, 1);
+}
+
 static bool
 start_placer(void *ctx, Node *n, GError **err)
 {
@@ -443,9 +521,13 @@
         .data_centre = node_get_data_centre(n),
         .lease_ms = (uint32_t)ini_get_int(f, "placer", "lease_ms"),
         .poll_ms = (uint32_t)ini_get_int(f, "placer", "poll_ms"),
-        .max_loads = (uint32_t)ini_get_int(f, "placer", "max_loads"),
+        .gone_ms = (uint32_t)ini_get_int(f, "placer", "gone_ms"),
+        .keep_policy = get_keep_policy(f),
+        .keep_min_ms = (uint32_t)ini_get_int(f, "placer", "keep_min_ms"),
+        .keep_fixed_ms = (uint32_t)ini_get_int(f, "placer", "fixed_keep_ms"),
         .per_replica = (uint32_t)ini_get_int(f, "placer", "per_replica"),
         .seed = bg_now_us()};
+    set_shares(&params, f);
     PlOutput out = {p, output_append, output_order, output_refuse};
     p->core = pl_create(&params, node_get_fold(n), &out);
     start_threads(p);
@@ -473,6 +555,7 @@
     (void)why;
     Placer *p = ctx;
     pl_on_record(p->core, now_ms, offset, r, result);
+    atomic_store(&p->order_epoch, pl_get_order_epoch(p->core));
 }
 
 static void
@@ -527,6 +610,7 @@
 {
     Placer *p = ctx;
     pl_on_tick(p->core, now_ms);
+    atomic_store(&p->order_epoch, pl_get_order_epoch(p->core));
     send_residency(p, NULL, false);
     if (now_ms >= p->next_full_ms) {
         p->next_full_ms = now_ms + RESIDENCY_FULL_MS;
@@ -546,7 +630,7 @@
 is_drained(void *ctx)
 {
     Placer *p = ctx;
-    return p->draining && pl_is_idle(p->core);
+    return p->draining && pl_is_drained(p->core);
 }
 
 static bool
@@ -558,7 +642,7 @@
 static bool
 is_owner(void *ctx)
 {
-    return pl_is_owner(((Placer *)ctx)->core);
+    return pl_is_active(((Placer *)ctx)->core);
 }
 
 static char *
--- a/src/pl.c
+++ b/src/pl.c
@@ -5,30 +5,49 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define CLAIM_RETRY_MS 2000
+#define CLAIM_HOLD_MAX_MS 60000
+#define VM_LIST_WAIT_MS 3000
+#define GRANT_REFRESH_MS 10000
 #define RECORD_RETRY_MS 3000
 #define ORDER_RETRY_MS 200
+#define REFUSED_RETRY_MS 1000
+#define GONE_POLL_MS 1000
+#define FORGET_GONE_MS 60000
 #define DEMAND_AGE_MS 3000
-#define IDLE_MIN_MS 2000
-#define IDLE_MAX_MS (30u * 60 * 1000)
-#define GIVE_UP_RETRY_AFTER_MS 2000
+#define MIN_GAP_MS 1500
+#define KEEP_MAX_MS (30u * 60 * 1000)
+#define YOUNG_MS 2000
+#define BACKOFF_MIN_MS 500
+#define BACKOFF_MAX_MS 15000
+#define NO_ROOM_RETRY_AFTER_MS 2000
+#define LOG_AWAY_RETRY_AFTER_MS 5000
+#define PRIORITY_WORTH_MS 2000 /* of slack, one step of priority */
+#define MB_PER_SLACK_MS 100
+#define DRAIN_LOG_WAIT_MS 5000
+/* A replica that is there without a record is dropped after its intent lost
+   so often. */
+#define FOUND_TRIES 5
 
 typedef enum {
     LOAD_RECORDING, /* intent appended, not yet in effect */
-    LOAD_ORDERING,  /* in effect; the upstream has not acknowledged */
+    LOAD_ORDERING,  /* may be ordered; the upstream has not acknowledged */
     LOAD_LOADING,   /* acknowledged */
     LOAD_LOADED,
     LOAD_UNLOADING, /* unload ordered, not acknowledged */
-    LOAD_SETTLING   /* absent; the record is on its way */
+    LOAD_LINGERING, /* absent, but an order for it may still arrive */
+    LOAD_SETTLING   /* absent for good; the record is on its way */
 } LoadPhase;
 
 static const char *const phase_names[] = {
-    "recording", "ordering", "loading", "loaded", "unloading", "settling"};
+    "recording", "ordering",  "loading", "loaded",
+    "unloading", "lingering", "settling"};
 
 /* One replica, or what may become one, on one upstream. */
 typedef struct {
-    char *upstream;
+    struct Upstream *at;
     char *model;
     char load_id[BG_ID_LEN + 1];
     LoadPhase phase;
@@ -37,39 +56,71 @@
     uint64_t next_try_ms; /* of its order or record */
     bool order_out;       /* an order's answer is awaited */
     uint64_t order_fence; /* highest number a load order carried */
-    uint64_t ack_seq;     /* reports above it know of the order */
+    uint64_t ack_seq;     /* reports above it know of the last order */
+    uint32_t acked;       /* load orders known to have been taken */
+    /* Load orders of unknown fate.  Each may still arrive, until the
+       upstream was restarted or, if it fences, saw a higher number. */
+    uint32_t unknown;
+    uint64_t unknown_ms; /* when the last of them ended */
+    char *unknown_boot;  /* the upstream's life seen next */
+    bool seen_absent;    /* by a report since the last load order */
+    bool adopted;        /* recorded by an earlier owner */
+    bool found;          /* reported without a record; being recorded */
+    uint32_t found_tries;
+    uint64_t final_ms; /* ADOPTED: when its orders were first known dead */
+    bool granted;      /* ordered under the standing grant */
     bool loaded_recorded;
+    bool closed_recorded;
+    bool from_store;
     uint64_t last_used_ms;
 } Load;
 
 typedef struct {
+    int state; /* 1 loading, 2 loaded */
+    uint32_t memory_mb;
+    char load_id[BG_ID_LEN + 1];
+} Resident;
+
+typedef struct Upstream {
     char *id;
     char *deployment;
-    char *address;
+    char *address; /* NULL: known from records only */
     bool fenced;
     bool leaving;
     bool gone;            /* off the list */
+    uint64_t gone_ms;     /* since when */
     bool dirty;           /* routers do not know its state yet */
     uint32_t capacity_mb; /* 0: no report yet */
     uint32_t inflight;
-    uint64_t seq; /* of the newest report taken */
-    char *boot;   /* the upstream process that made it */
+    uint64_t seq;       /* of the newest report taken */
+    char *boot;         /* the upstream process that made it */
+    uint64_t report_ms; /* when the last report came */
     uint64_t next_poll_ms;
     bool poll_out;
+    uint64_t poll_sent_ms;
     uint64_t settled_epoch; /* epoch under which it may be ordered */
     bool fence_out;
+    uint64_t fence_sent_ms;
     uint64_t next_fence_ms;
-    GHashTable *residents; /* model -> GINT: 1 loading, 2 loaded */
+    bool want_fresh;       /* a report made from now on is needed */
+    uint64_t fresh_ms;     /* SEQ's report was made after this time */
+    uint64_t fenced_to;    /* highest number it acknowledged in this life */
+    uint64_t ack_seq;      /* reports above it know of every answered order */
+    GHashTable *residents; /* model -> Resident */
     GHashTable *tiers;     /* model -> GINT: 1 disk, 2 memory */
+    GHashTable *loads;     /* model -> Load */
 } Upstream;
 
 /* What the routers want of one model, and how it was used. */
 typedef struct {
     char *name;
-    GHashTable *routers; /* node -> Want */
+    GHashTable *routers; /* node -> RouterWant */
     uint64_t last_used_ms;
+    uint64_t wanted_ms; /* since when somebody waits; 0: nobody */
     uint64_t refused_ms;
-    bool was_full; /* could not be placed at the last try */
+    uint32_t failures;     /* loads that died, in a row */
+    uint64_t next_load_ms; /* not before */
+    KeepStats gaps;
 } Model;
 
 typedef struct {
@@ -80,21 +131,40 @@
     uint64_t seen_ms;
 } RouterWant;
 
+/* An epoch of this process that has ended: its orders under way. */
+typedef struct {
+    uint64_t epoch;
+    uint32_t orders_out;
+    GPtrArray *open; /* "upstream\nmodel": orders of unknown fate */
+    uint64_t next_try_ms;
+} Closing;
+
 struct PlCore {
     PlParams params;
     const Fold *fold;
     PlOutput out;
     BgRandom rng;
     GHashTable *upstreams; /* id -> Upstream */
-    GHashTable *loads;     /* "upstream\nmodel" -> Load */
     GHashTable *models;    /* name -> Model */
-    GHashTable *beats;     /* node -> uint64_t last heard */
+    GHashTable *beats;     /* node -> uint64_t last heard as owner */
+    GPtrArray *closing;    /* Closing */
+    uint64_t now_ms;
+    uint64_t start_ms;
+    bool vms_known;
     bool log_reachable;
     bool caught_up;
+    uint64_t log_turned_ms; /* when reachability last changed */
     bool draining;
+    uint64_t drain_ms;
+    uint64_t quiesce_try_ms;
     uint64_t claim_tried_ms;
     uint64_t claim_seen_ms; /* when the claim in force was first seen */
+    uint64_t claim_hold_ms; /* how long a claim is respected unheard */
     uint64_t claim_epoch;
+    uint64_t clear_try_ms;
+    uint64_t grant_changed_ms; /* since when the grant's list is out of date */
+    uint64_t store_start_ms;   /* last start of a load from the store */
+    uint32_t orders_out;       /* of claim_epoch, while owner */
     uint64_t residency_seq;
     bool owner;
 };
@@ -105,8 +175,8 @@
 free_load(gpointer p)
 {
     Load *l = p;
-    g_free(l->upstream);
     g_free(l->model);
+    g_free(l->unknown_boot);
     g_free(l);
 }
 
@@ -120,6 +190,7 @@
     g_free(u->boot);
     g_hash_table_destroy(u->residents);
     g_hash_table_destroy(u->tiers);
+    g_hash_table_destroy(u->loads);
     g_free(u);
 }
 
@@ -132,6 +203,14 @@
     g_free(m);
 }
 
+static void
+free_closing(gpointer p)
+{
+    Closing *k = p;
+    g_ptr_array_free(k->open, TRUE);
+    g_free(k);
+}
+
 PlCore *
 pl_create(const PlParams *params, const Fold *fold, const PlOutput *out)
 {
@@ -139,16 +218,16 @@
     c->params = *params;
     c->params.node = g_strdup(params->node);
     c->params.data_centre = g_strdup(params->data_centre);
+    c->claim_hold_ms = params->lease_ms;
     c->fold = fold;
     c->out = *out;
     bg_seed_random(&c->rng, params->seed);
     c->upstreams =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
-    c->loads =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_load);
     c->models =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
     c->beats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->closing = g_ptr_array_new_with_free_func(free_closing);
     return c;
 }
 
@@ -158,10 +237,10 @@
     if (!c) {
         return;
     }
-    g_hash_table_destroy(c->loads);
     g_hash_table_destroy(c->upstreams);
     g_hash_table_destroy(c->models);
     g_hash_table_destroy(c->beats);
+    g_ptr_array_free(c->closing, TRUE);
     g_free((char *)c->params.node);
     g_free((char *)c->params.data_centre);
     g_free(c);
@@ -169,38 +248,53 @@
 
 /* ---- look-ups ----------------------------------------------------------- */
 
-static char *
-join_pair(const char *upstream, const char *model)
+static Upstream *
+get_upstream(PlCore *c, const char *id)
 {
-    return g_strconcat(upstream, "\n", model, NULL);
+    Upstream *u = g_hash_table_lookup(c->upstreams, id);
+    if (!u) {
+        u = g_new0(Upstream, 1);
+        u->id = g_strdup(id);
+        u->deployment = g_strdup("");
+        u->gone = true;
+        u->gone_ms = c->now_ms;
+        u->dirty = true;
+        u->residents =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        u->tiers =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        u->loads =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_load);
+        g_hash_table_insert(c->upstreams, u->id, u);
+    }
+    return u;
 }
 
 static Load *
 find_load(const PlCore *c, const char *upstream, const char *model)
 {
-    g_autofree char *pair = join_pair(upstream, model);
-    return g_hash_table_lookup(c->loads, pair);
+    Upstream *u = g_hash_table_lookup(c->upstreams, upstream);
+    return u ? g_hash_table_lookup(u->loads, model) : NULL;
 }
 
 static Load *
-add_load(PlCore *c, const char *upstream, const char *model, LoadPhase phase,
-         uint64_t now_ms)
+add_load(Upstream *u, const char *model, LoadPhase phase, uint64_t now_ms)
 {
     Load *l = g_new0(Load, 1);
-    l->upstream = g_strdup(upstream);
+    l->at = u;
     l->model = g_strdup(model);
     l->phase = phase;
     l->phase_ms = now_ms;
     l->last_used_ms = now_ms;
-    g_hash_table_replace(c->loads, join_pair(upstream, model), l);
+    g_hash_table_replace(u->loads, l->model, l);
     return l;
 }
 
 static void
-remove_load(PlCore *c, const Load *l)
+remove_load(Load *l)
 {
-    g_autofree char *pair = join_pair(l->upstream, l->model);
-    g_hash_table_remove(c->loads, pair);
+    l->at->dirty = true;
+    g_hash_table_remove(l->at->loads, l->model);
 }
 
 static void
@@ -209,6 +303,7 @@
     l->phase = phase;
     l->phase_ms = now_ms;
     l->next_try_ms = now_ms;
+    l->at->dirty = true;
 }
 
 static Model *
@@ -225,12 +320,63 @@
     return m;
 }
 
+static GPtrArray *
+list_loads_at(const Upstream *u)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, u->loads);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        g_ptr_array_add(list, p);
+    }
+    return list;
+}
+
+static GPtrArray *
+list_loads(const PlCore *c)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        GHashTableIter at;
+        gpointer l;
+        g_hash_table_iter_init(&at, ((Upstream *)p)->loads);
+        while (g_hash_table_iter_next(&at, NULL, &l)) {
+            g_ptr_array_add(list, l);
+        }
+    }
+    return list;
+}
+
+static const FoldIntent *
+find_intent(const PlCore *c, const char *upstream, const char *model)
+{
+    return fold_find_intent(c->fold, c->params.data_centre, upstream, model);
+}
+
 bool
 pl_is_owner(const PlCore *c)
 {
     return c->owner;
 }
 
+uint64_t
+pl_get_order_epoch(const PlCore *c)
+{
+    return c->owner ? c->claim_epoch : 0;
+}
+
+bool
+pl_is_active(const PlCore *c)
+{
+    return c->owner && !c->draining &&
+           (c->log_reachable ||
+            c->now_ms - c->log_turned_ms < c->params.lease_ms);
+}
+
 /* Whether U may be given orders under the claim in force. */
 static bool
 is_settled(const PlCore *c, const Upstream *u)
@@ -238,44 +384,103 @@
     return u->settled_epoch == c->claim_epoch && u->settled_epoch > 0;
 }
 
+/* Off the list and silent for so long that its VM is taken not to exist. */
+static bool
+is_lost(const PlCore *c, const Upstream *u)
+{
+    return u->gone && c->now_ms - u->gone_ms > c->params.gone_ms &&
+           c->now_ms - MAX(u->report_ms, c->claim_seen_ms) > c->params.gone_ms;
+}
+
 /* ---- records ------------------------------------------------------------ */
 
+static bool
+is_granting(const Upstream *u)
+{
+    return u->fenced && !u->gone && !u->leaving;
+}
+
+static int
+compare_id(gconstpointer a, gconstpointer b)
+{
+    return strcmp((*(Upstream *const *)a)->id, (*(Upstream *const *)b)->id);
+}
+
+/* Upstreams of the standing grant, as far as they are known now. */
+static GPtrArray *
+list_granting(const PlCore *c)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        if (is_granting(p)) {
+            g_ptr_array_add(list, p);
+        }
+    }
+    g_ptr_array_sort(list, compare_id);
+    return list;
+}
+
 static void
 append_claim(PlCore *c, uint64_t base)
 {
+    g_autoptr(GPtrArray) list = list_granting(c);
+    g_autofree Bg__GrantUpstream *names =
+        g_new0(Bg__GrantUpstream, list->len + 1);
+    g_autofree Bg__GrantUpstream **grant =
+        g_new0(Bg__GrantUpstream *, list->len + 1);
+    for (guint i = 0; i < list->len; i++) {
+        const Upstream *u = list->pdata[i];
+        bg__grant_upstream__init(&names[i]);
+        names[i].upstream = u->id;
+        names[i].deployment = u->deployment;
+        grant[i] = &names[i];
+    }
     Bg__ClaimRecord r = BG__CLAIM_RECORD__INIT;
     r.data_centre = (char *)c->params.data_centre;
     r.holder = (char *)c->params.node;
     r.base_epoch = base;
+    r.n_grant = list->len;
+    r.grant = grant;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_CLAIM;
     rec.claim = &r;
     c->out.append(c->out.ctx, rec_copy(&rec));
 }
 
+static uint32_t count_unrecorded(const PlCore *c, const Upstream *u,
+                                 const char *except);
+
 static void
-append_intent(PlCore *c, const Upstream *u, const CfgModel *m, const Load *l)
+append_intent(PlCore *c, const Load *l, uint32_t ceiling, bool adapter)
 {
+    const Upstream *u = l->at;
+    uint32_t unrecorded_mb = count_unrecorded(c, u, l->model);
     Bg__IntentRecord r = BG__INTENT_RECORD__INIT;
     r.data_centre = (char *)c->params.data_centre;
     r.epoch = c->claim_epoch;
     r.upstream = u->id;
-    r.model = m->name;
-    r.memory_mb = m->memory_mb;
-    r.capacity_mb = u->capacity_mb;
+    r.model = l->model;
+    r.memory_mb = l->memory_mb;
+    r.capacity_mb =
+        u->capacity_mb > unrecorded_mb ? u->capacity_mb - unrecorded_mb : 0;
     r.load_id = (char *)l->load_id;
-    r.ceiling = m->replicas;
+    r.ceiling = ceiling;
     r.fenced = u->fenced;
-    r.adapter = m->base != NULL;
+    r.adapter = adapter;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_INTENT;
     rec.intent = &r;
     c->out.append(c->out.ctx, rec_copy(&rec));
 }
 
+typedef enum { SETTLE_LOADED, SETTLE_CLOSED, SETTLE_ABSENT, SETTLE_LOST } Fate;
+
 static void
 append_settle(PlCore *c, const char *upstream, const char *model,
-              const char *load_id, bool loaded)
+              const char *load_id, Fate fate)
 {
     Bg__SettleRecord r = BG__SETTLE_RECORD__INIT;
     r.data_centre = (char *)c->params.data_centre;
@@ -283,7 +488,9 @@
     r.upstream = (char *)upstream;
     r.model = (char *)model;
     r.load_id = (char *)load_id;
-    r.loaded = loaded;
+    r.loaded = fate == SETTLE_LOADED || fate == SETTLE_CLOSED;
+    r.closed = fate == SETTLE_CLOSED;
+    r.vm_gone = fate == SETTLE_LOST;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_SETTLE;
     rec.settle = &r;
@@ -291,7 +498,20 @@
 }
 
 static void
-append_quiesce(PlCore *c, uint64_t epoch)
+append_clear(PlCore *c)
+{
+    Bg__ClearRecord r = BG__CLEAR_RECORD__INIT;
+    r.data_centre = (char *)c->params.data_centre;
+    r.epoch = c->claim_epoch;
+    Bg__Record rec = BG__RECORD__INIT;
+    rec.body_case = BG__RECORD__BODY_CLEAR;
+    rec.clear = &r;
+    c->out.append(c->out.ctx, rec_copy(&rec));
+}
+
+/* OPEN: "upstream\nmodel" of orders of unknown fate. */
+static void
+append_quiesce(PlCore *c, uint64_t epoch, const GPtrArray *open)
 {
     Bg__QuiesceRecord r = BG__QUIESCE_RECORD__INIT;
     r.data_centre = (char *)c->params.data_centre;
@@ -300,7 +520,18 @@
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_QUIESCE;
     rec.quiesce = &r;
-    c->out.append(c->out.ctx, rec_copy(&rec));
+    Bg__Record *copy = rec_copy(&rec);
+    Bg__QuiesceRecord *q = copy->quiesce;
+    q->open = g_new0(Bg__OpenOrder *, open->len + 1);
+    for (guint i = 0; i < open->len; i++) {
+        g_auto(GStrv) pair = g_strsplit(open->pdata[i], "\n", 2);
+        Bg__OpenOrder *o = g_new(Bg__OpenOrder, 1);
+        bg__open_order__init(o);
+        o->upstream = g_strdup(pair[0]);
+        o->model = g_strdup(pair[1]);
+        q->open[q->n_open++] = o;
+    }
+    c->out.append(c->out.ctx, copy);
 }
 
 /* ---- ownership ---------------------------------------------------------- */
@@ -309,23 +540,30 @@
 is_heard(const PlCore *c, const char *node, uint64_t now_ms)
 {
     const uint64_t *beat = g_hash_table_lookup(c->beats, node);
-    uint64_t since_ms =
-        beat && *beat > c->claim_seen_ms ? *beat : c->claim_seen_ms;
-    return now_ms - since_ms < c->params.lease_ms;
+    uint64_t since_ms = MAX(c->claim_seen_ms, c->log_turned_ms);
+    if (now_ms - since_ms < c->claim_hold_ms) {
+        return true;
+    }
+    return beat && now_ms - *beat < c->params.lease_ms;
 }
 
-/* Claim the data centre when nobody holds it or its holder fell silent.
-   Silence only starts the race; the log decides it, and the fencing number
-   and the recorded intents keep a holder that was merely paused harmless. */
+/* Claim the data centre when nobody holds it, its holder has handed over or
+   fell silent.  Silence only starts the race; the log decides it, and the
+   fencing number and the recorded intents keep a holder that was merely
+   paused harmless. */
 static void
 consider_claim(PlCore *c, uint64_t now_ms)
 {
     if (!c->log_reachable || !c->caught_up || c->draining || c->owner ||
-        now_ms - c->claim_tried_ms < CLAIM_RETRY_MS) {
+        now_ms - c->claim_tried_ms < CLAIM_RETRY_MS ||
+        (!c->vms_known && now_ms - c->start_ms < VM_LIST_WAIT_MS)) {
         return;
     }
     const FoldClaim *claim = fold_find_claim(c->fold, c->params.data_centre);
-    if (claim && is_heard(c, claim->holder, now_ms)) {
+    bool handed_over =
+        claim &&
+        fold_is_quiesced(c->fold, c->params.data_centre, claim->epoch);
+    if (claim && !handed_over && is_heard(c, claim->holder, now_ms)) {
         return;
     }
     c->claim_tried_ms = now_ms;
@@ -335,60 +573,110 @@
 static void
 forget_loads(PlCore *c)
 {
-    g_hash_table_remove_all(c->loads);
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        g_hash_table_remove_all(((Upstream *)p)->loads);
+    }
 }
 
-/* Take up an intent of the log, whoever recorded it. */
+/* Take up an intent of the log, whoever recorded it.  The fate of its
+   orders is unknown; reports settle it, see take_absent. */
 static void
 adopt_intent(void *ctx, const FoldIntent *in)
 {
     PlCore *c = ctx;
-    if (find_load(c, in->upstream, in->model)) {
-        return;
-    }
-    Load *l = add_load(c, in->upstream, in->model,
-                       in->loaded ? LOAD_LOADED : LOAD_LOADING, 0);
+    Upstream *u = get_upstream(c, in->upstream);
+    Load *l = add_load(u, in->model, in->loaded ? LOAD_LOADED : LOAD_LOADING,
+                       c->now_ms);
     g_strlcpy(l->load_id, in->load_id, sizeof(l->load_id));
     l->memory_mb = in->memory_mb;
     l->loaded_recorded = in->loaded;
-    /* Its order's fate is unknown: reports settle it, see take_report. */
-    l->ack_seq = UINT64_MAX;
+    l->adopted = true;
 }
 
 static void
-become_owner(PlCore *c, uint64_t epoch, uint64_t now_ms)
+become_owner(PlCore *c, uint64_t epoch)
 {
     c->owner = true;
     c->claim_epoch = epoch;
+    c->orders_out = 0;
+    c->grant_changed_ms = 0;
     forget_loads(c);
     fold_visit_intents(c->fold, c->params.data_centre, adopt_intent, c);
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        ((Load *)p)->last_used_ms = now_ms;
-    }
     g_hash_table_iter_init(&it, c->upstreams);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        ((Upstream *)p)->dirty = true;
+        Upstream *u = p;
+        u->dirty = true;
+        u->settled_epoch = 0;
+        u->fence_out = false;
+        u->next_fence_ms = 0;
     }
     bg_log(BG_INFO, "place", "Owner of %s under epoch %llu.",
            c->params.data_centre, (unsigned long long)epoch);
 }
 
+/* Orders of unknown fate on upstreams that do not fence: they may arrive
+   at any later time. */
+static GPtrArray *
+list_open_orders(const PlCore *c)
+{
+    GPtrArray *open = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) list = list_loads(c);
+    for (guint i = 0; i < list->len; i++) {
+        const Load *l = list->pdata[i];
+        if (l->unknown > 0 && !l->at->fenced) {
+            g_ptr_array_add(open,
+                            g_strconcat(l->at->id, "\n", l->model, NULL));
+        }
+    }
+    return open;
+}
+
+/* OPEN is taken over. */
+static void
+add_closing(PlCore *c, uint64_t epoch, uint32_t orders_out, GPtrArray *open)
+{
+    Closing *k = g_new0(Closing, 1);
+    k->epoch = epoch;
+    k->orders_out = orders_out;
+    k->open = open;
+    g_ptr_array_add(c->closing, k);
+}
+
+/* Nothing is ordered from here on under the old epoch.  Orders that are
+   with a worker are counted; once each was answered, failed or was dropped
+   unsent, the quiesce record says so and a successor stops counting what
+   they might have loaded.  A worker checks the epoch just before it sends,
+   which makes a late order rare; that no late order breaks a ceiling rests
+   on the count alone. */
 static void
 step_down(PlCore *c)
 {
     bg_log(BG_WARN, "place", "No longer owner of %s.", c->params.data_centre);
     c->owner = false;
-    /* Nothing is sent from here on under the old epoch; orders already
-       handed to a worker are answered or closed before this runs dry. */
-    if (pl_is_idle(c)) {
-        append_quiesce(c, c->claim_epoch);
-    }
+    add_closing(c, c->claim_epoch, c->orders_out, list_open_orders(c));
+    c->orders_out = 0;
     forget_loads(c);
 }
 
+/* Two placers that cannot hear each other would take the data centre from
+   one another at every lease; each change in quick succession doubles the
+   time a claim is respected unheard. */
+static void
+adapt_hold(PlCore *c, uint64_t now_ms)
+{
+    bool quick =
+        c->caught_up && c->claim_seen_ms &&
+        now_ms - c->claim_seen_ms < 4 * c->claim_hold_ms &&
+        !fold_is_quiesced(c->fold, c->params.data_centre, c->claim_epoch);
+    c->claim_hold_ms = quick ? MIN(2 * c->claim_hold_ms, CLAIM_HOLD_MAX_MS)
+                             : c->params.lease_ms;
+}
+
 static void
 note_claim(PlCore *c, uint64_t now_ms)
 {
@@ -400,11 +688,217 @@
     if (c->owner) {
         step_down(c);
     }
+    if (!own && c->claim_epoch) {
+        adapt_hold(c, now_ms);
+    }
     c->claim_seen_ms = now_ms;
     c->claim_epoch = claim->epoch;
-    if (own) {
-        become_owner(c, claim->epoch, now_ms);
+    if (own && !c->draining) {
+        become_owner(c, claim->epoch);
+    }
+    else if (own) {
+        add_closing(c, claim->epoch, 0, g_ptr_array_new());
+    }
+}
+
+static void
+close_epochs(PlCore *c, uint64_t now_ms)
+{
+    for (guint i = c->closing->len; i > 0; i--) {
+        Closing *k = c->closing->pdata[i - 1];
+        if (fold_is_quiesced(c->fold, c->params.data_centre, k->epoch)) {
+            g_ptr_array_remove_index(c->closing, i - 1);
+        }
+        else if (k->orders_out == 0 && c->log_reachable &&
+                 now_ms >= k->next_try_ms) {
+            k->next_try_ms = now_ms + RECORD_RETRY_MS;
+            append_quiesce(c, k->epoch, k->open);
+        }
+    }
+}
+
+static bool
+has_recording(const PlCore *c)
+{
+    g_autoptr(GPtrArray) list = list_loads(c);
+    for (guint i = 0; i < list->len; i++) {
+        const Load *l = list->pdata[i];
+        if (l->phase == LOAD_RECORDING || l->order_out) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Hand over at a stop: once nothing is under way the quiesce record ends
+   the epoch, and a successor claims without waiting for the lease.  Loads
+   that an upstream has acknowledged go on there. */
+static void
+hand_over(PlCore *c, uint64_t now_ms)
+{
+    if (!c->owner || !c->draining || c->orders_out > 0 || has_recording(c) ||
+        !c->log_reachable || now_ms < c->quiesce_try_ms) {
+        return;
+    }
+    c->quiesce_try_ms = now_ms + RECORD_RETRY_MS;
+    g_autoptr(GPtrArray) open = list_open_orders(c);
+    append_quiesce(c, c->claim_epoch, open);
+}
+
+/* ---- standing grant ------------------------------------------------------
+   While the log is away nobody can record an intent, and nobody can claim.
+   The claim in force names the data centre's fencing upstreams; each model
+   may be loaded on one of them, the first by rendezvous hash, without an
+   intent.  A successor counts a possible replica there until it has fenced
+   that upstream and seen its report.  Upstreams that do not fence have no
+   grant: nothing would end what a former owner might still load there. */
+
+static const char *
+pick_grant(const FoldGrant *g, const char *deployment, const char *key)
+{
+    const char *best = NULL;
+    uint64_t best_hash = 0;
+    uint64_t seed = XXH64(key, strlen(key), 0);
+    for (guint i = 0; i < g->upstreams->len; i++) {
+        const char *id = g->upstreams->pdata[i];
+        uint64_t hash = XXH64(id, strlen(id), seed);
+        if (strcmp(g->deployments->pdata[i], deployment) == 0 &&
+            (!best || hash > best_hash)) {
+            best = id;
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
+/* An adapter goes where its base goes. */
+static const char *
+get_grant_key(const CfgModel *m)
+{
+    return m->base ? m->base : m->name;
+}
+
+static const FoldGrant *
+find_own_grant(const PlCore *c)
+{
+    const GPtrArray *all = fold_get_grants(c->fold, c->params.data_centre);
+    for (guint i = 0; all && i < all->len; i++) {
+        const FoldGrant *g = all->pdata[i];
+        if (g->last_epoch == c->claim_epoch) {
+            return g;
+        }
+    }
+    return NULL;
+}
+
+/* Whether an earlier owner may hold a replica of M on the upstream that
+   DEPLOYMENT's grant names, unknown to the log. */
+static bool
+is_grant_pending(const PlCore *c, const FoldGrant *g, const char *deployment,
+                 const CfgModel *m)
+{
+    const char *id = pick_grant(g, deployment, get_grant_key(m));
+    Upstream *u = id ? g_hash_table_lookup(c->upstreams, id) : NULL;
+    if (!id || find_intent(c, id, m->name)) {
+        return false;
+    }
+    if (!u) {
+        return !c->vms_known ||
+               c->now_ms - c->claim_seen_ms < c->params.gone_ms;
+    }
+    return !is_settled(c, u) && !is_lost(c, u);
+}
+
+/* Replicas of M that earlier owners may have loaded under their grants. */
+static uint32_t
+count_possible(const PlCore *c, const CfgModel *m)
+{
+    const GPtrArray *all = fold_get_grants(c->fold, c->params.data_centre);
+    uint32_t n = 0;
+    for (guint i = 0; all && i < all->len; i++) {
+        const FoldGrant *g = all->pdata[i];
+        bool pending = false;
+        for (guint j = 0; j < g->deployments->len && !pending; j++) {
+            pending = g->first_epoch < c->claim_epoch &&
+                      is_grant_pending(c, g, g->deployments->pdata[j], m);
+        }
+        n += pending;
+    }
+    return n;
+}
+
+/* Whether U holds something that no intent counts. */
+static bool
+has_unrecorded(const PlCore *c, const Upstream *u)
+{
+    GHashTableIter it;
+    gpointer name;
+    g_hash_table_iter_init(&it, u->residents);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        if (!find_intent(c, u->id, name)) {
+            return true;
+        }
     }
+    return false;
+}
+
+/* Once all that earlier grants cover was fenced and is recorded, say so. */
+static void
+consider_clear(PlCore *c, uint64_t now_ms)
+{
+    const GPtrArray *all = fold_get_grants(c->fold, c->params.data_centre);
+    if (!c->log_reachable || now_ms < c->clear_try_ms || !all) {
+        return;
+    }
+    bool old = false;
+    for (guint i = 0; i < all->len; i++) {
+        const FoldGrant *g = all->pdata[i];
+        if (g->first_epoch == c->claim_epoch) {
+            continue;
+        }
+        old = true;
+        for (guint j = 0; j < g->upstreams->len; j++) {
+            Upstream *u =
+                g_hash_table_lookup(c->upstreams, g->upstreams->pdata[j]);
+            bool done = u ? is_lost(c, u) ||
+                                (is_settled(c, u) && !has_unrecorded(c, u))
+                          : c->now_ms - c->claim_seen_ms > c->params.gone_ms;
+            if (!done) {
+                return;
+            }
+        }
+    }
+    if (old) {
+        c->clear_try_ms = now_ms + RECORD_RETRY_MS;
+        append_clear(c);
+    }
+}
+
+/* A claim's grant names the upstreams that were known then.  When they have
+   changed for a while the owner claims anew. */
+static void
+consider_refresh(PlCore *c, uint64_t now_ms)
+{
+    const FoldGrant *g = find_own_grant(c);
+    g_autoptr(GPtrArray) list = list_granting(c);
+    bool same = g ? g->upstreams->len == list->len : list->len == 0;
+    for (guint i = 0; same && i < list->len; i++) {
+        same = strcmp(((Upstream *)list->pdata[i])->id,
+                      g->upstreams->pdata[i]) == 0;
+    }
+    if (same) {
+        c->grant_changed_ms = 0;
+        return;
+    }
+    if (!c->grant_changed_ms) {
+        c->grant_changed_ms = now_ms;
+    }
+    if (!c->log_reachable || now_ms - c->grant_changed_ms < GRANT_REFRESH_MS ||
+        now_ms - c->claim_tried_ms < GRANT_REFRESH_MS) {
+        return;
+    }
+    c->claim_tried_ms = now_ms;
+    append_claim(c, c->claim_epoch);
 }
 
 /* ---- orders ------------------------------------------------------------- */
@@ -426,7 +920,8 @@
     PlOrder o = {.kind = kind,
                  .upstream = u->id,
                  .address = u->address,
-                 .fence = get_fence(c)};
+                 .fence = get_fence(c),
+                 .epoch = c->claim_epoch};
     if (l) {
         o.model = l->model;
         o.load_id = l->load_id;
@@ -434,44 +929,45 @@
         o.base = m ? m->base : NULL;
         o.load_ms = m ? m->load_ms : 0;
         l->order_out = true;
+        c->orders_out++;
         if (kind == PL_LOAD) {
             l->order_fence = o.fence;
+            l->seen_absent = false;
         }
     }
     c->out.order(c->out.ctx, &o);
 }
 
+/* An upstream off the list is asked too, less often: the list lags and may
+   be wrong, and an upstream that answers is there. */
 static void
 poll_upstream(PlCore *c, Upstream *u, uint64_t now_ms)
 {
-    if (u->poll_out || now_ms < u->next_poll_ms || u->gone) {
+    if (u->poll_out || now_ms < u->next_poll_ms || !u->address) {
         return;
     }
     u->poll_out = true;
-    u->next_poll_ms = now_ms + c->params.poll_ms;
+    u->poll_sent_ms = now_ms;
+    u->next_poll_ms = now_ms + (u->gone ? GONE_POLL_MS : c->params.poll_ms);
     send_order(c, PL_POLL, u, NULL, NULL);
 }
 
-/* Before the first order of an epoch: raise a fencing upstream's number,
-   so that nothing of an older epoch is taken after the answer.  The answer
-   carries a report made after the raise.  An upstream that ignores numbers
-   is usable at once, since every order that may still arrive is recorded
-   and stays counted. */
+/* Before the first order of an epoch the upstream is sent a fence.  One
+   that checks numbers takes nothing older from then on.  Its answer, of
+   either kind of upstream, carries a report made after the fence was sent,
+   while other reports lag. */
 static void
 settle_upstream(PlCore *c, Upstream *u, uint64_t now_ms)
 {
-    if (is_settled(c, u) || u->gone || !u->capacity_mb) {
-        return;
-    }
-    if (!u->fenced) {
-        u->settled_epoch = c->claim_epoch;
+    bool needed = !is_settled(c, u) || u->want_fresh;
+    if (!needed || u->gone || !u->address || u->fence_out || c->draining ||
+        now_ms < u->next_fence_ms) {
         return;
     }
-    if (!u->fence_out && now_ms >= u->next_fence_ms) {
-        u->fence_out = true;
-        u->next_fence_ms = now_ms + ORDER_RETRY_MS;
-        send_order(c, PL_FENCE, u, NULL, NULL);
-    }
+    u->fence_out = true;
+    u->fence_sent_ms = now_ms;
+    u->next_fence_ms = now_ms + ORDER_RETRY_MS;
+    send_order(c, PL_FENCE, u, NULL, NULL);
 }
 
 /* ---- reports ------------------------------------------------------------ */
@@ -491,15 +987,29 @@
         return false;
     }
     for (size_t i = 0; i < r->resident_count; i++) {
-        int have = GPOINTER_TO_INT(
-            g_hash_table_lookup(u->residents, r->residents[i].model));
-        if (have != (r->residents[i].loaded ? 2 : 1)) {
+        const Resident *have =
+            g_hash_table_lookup(u->residents, r->residents[i].model);
+        if (!have || have->state != (r->residents[i].loaded ? 2 : 1)) {
             return false;
         }
     }
     return true;
 }
 
+static void
+copy_residents(Upstream *u, const PlReport *r)
+{
+    g_hash_table_remove_all(u->residents);
+    for (size_t i = 0; i < r->resident_count; i++) {
+        const PlResident *from = &r->residents[i];
+        Resident *to = g_new0(Resident, 1);
+        to->state = from->loaded ? 2 : 1;
+        to->memory_mb = from->memory_mb;
+        g_strlcpy(to->load_id, from->load_id, sizeof(to->load_id));
+        g_hash_table_replace(u->residents, g_strdup(from->model), to);
+    }
+}
+
 static void
 copy_report(Upstream *u, const PlReport *r)
 {
@@ -512,89 +1022,185 @@
     u->capacity_mb = r->capacity_mb;
     u->inflight = r->inflight;
     u->leaving = leaving;
-    g_hash_table_remove_all(u->residents);
-    for (size_t i = 0; i < r->resident_count; i++) {
-        g_hash_table_replace(u->residents, g_strdup(r->residents[i].model),
-                             GINT_TO_POINTER(r->residents[i].loaded ? 2 : 1));
-    }
+    copy_residents(u, r);
     g_hash_table_remove_all(u->tiers);
     copy_tier(u->tiers, r->disk_tier, 1);
     copy_tier(u->tiers, r->memory_tier, 2);
 }
 
-/* Whether a report that lacks the model proves that no order of an older
-   epoch can still bring it. */
+/* Whether no order that could bring L is left: then a report that lacks it
+   is its end.  Three kinds of orders could.  Ours with a worker: order_out.
+   Ours of unknown fate: dead once a fencing upstream acknowledged a higher
+   number, or once the upstream that might hold them was restarted.  Those
+   of earlier owners: dead on a fencing upstream that was fenced in this
+   epoch; on any other only when the fold has them closed. */
 static bool
-is_absence_final(const PlCore *c, const Upstream *u, const Load *l)
+is_final(const PlCore *c, const Load *l)
 {
+    const Upstream *u = l->at;
+    if (l->order_out) {
+        return false;
+    }
     if (u->fenced) {
-        return is_settled(c, u);
+        return is_settled(c, u) &&
+               (l->unknown == 0 || u->fenced_to > l->order_fence);
     }
-    const FoldIntent *in = fold_find_intent(c->fold, c->params.data_centre,
-                                            l->upstream, l->model);
-    return in && (in->epoch == c->claim_epoch ||
-                  fold_is_quiesced(c->fold, c->params.data_centre, in->epoch));
+    const FoldIntent *in = find_intent(c, u->id, l->model);
+    return l->unknown == 0 && (!in || !fold_is_open(in, c->claim_epoch));
 }
 
 static void
 settle_absent(PlCore *c, Load *l, uint64_t now_ms)
 {
+    if (!find_intent(c, l->at->id, l->model)) {
+        remove_load(l); /* was never recorded */
+        return;
+    }
     set_phase(l, LOAD_SETTLING, now_ms);
     l->next_try_ms = now_ms + RECORD_RETRY_MS;
-    append_settle(c, l->upstream, l->model, l->load_id, false);
+    append_settle(c, l->at->id, l->model, l->load_id, SETTLE_ABSENT);
 }
 
 static void
-match_load(PlCore *c, Upstream *u, Load *l, uint64_t now_ms)
+note_failure(PlCore *c, const Load *l, uint64_t now_ms)
 {
-    int state = GPOINTER_TO_INT(g_hash_table_lookup(u->residents, l->model));
-    if (l->phase == LOAD_RECORDING || l->phase == LOAD_SETTLING ||
-        l->phase == LOAD_UNLOADING) {
+    Model *m = get_model(c, l->model);
+    uint32_t shift = MIN(m->failures, 5);
+    m->failures++;
+    m->next_load_ms = now_ms + MIN(BACKOFF_MIN_MS << shift, BACKOFF_MAX_MS);
+    bg_count("placer_load_failures_total", 1);
+    bg_log(BG_WARN, "place", "Load of %s on %s died.", l->model, l->at->id);
+}
+
+/* Record that it is loaded, and that no load order of ours for it can
+   still arrive, once that is so: then its absence is final for whoever
+   succeeds us. */
+static void
+record_loaded(PlCore *c, Load *l, uint64_t now_ms)
+{
+    bool closed = !l->order_out && l->unknown == 0;
+    bool needed = !l->loaded_recorded || (closed && !l->closed_recorded);
+    if (!needed || now_ms < l->next_try_ms || !c->log_reachable ||
+        !find_intent(c, l->at->id, l->model)) {
         return;
     }
-    if (state == 2) {
-        if (l->phase != LOAD_LOADED) {
-            set_phase(l, LOAD_LOADED, now_ms);
+    l->next_try_ms = now_ms + RECORD_RETRY_MS;
+    append_settle(c, l->at->id, l->model, l->load_id,
+                  closed ? SETTLE_CLOSED : SETTLE_LOADED);
+}
+
+static void
+take_present(PlCore *c, Load *l, const Resident *r, uint64_t now_ms)
+{
+    if (l->unknown > 0 && l->acked == 0 &&
+        strcmp(r->load_id, l->load_id) == 0) {
+        l->unknown--; /* this one brought it */
+        l->acked++;
+    }
+    if (r->state == 1) {
+        if (l->phase == LOAD_LINGERING) {
+            set_phase(l, LOAD_LOADING, now_ms);
         }
-        if (!l->loaded_recorded && now_ms >= l->next_try_ms) {
-            l->next_try_ms = now_ms + RECORD_RETRY_MS;
-            append_settle(c, l->upstream, l->model, l->load_id, true);
+        return;
+    }
+    if (l->phase != LOAD_LOADED) {
+        set_phase(l, LOAD_LOADED, now_ms);
+        get_model(c, l->model)->failures = 0;
+    }
+    record_loaded(c, l, now_ms);
+}
+
+static void
+take_absent(PlCore *c, Load *l, uint64_t now_ms)
+{
+    Upstream *u = l->at;
+    l->seen_absent = true;
+    if (l->phase == LOAD_ORDERING) {
+        return;
+    }
+    if (!is_final(c, l)) {
+        if (l->phase != LOAD_LINGERING) {
+            set_phase(l, LOAD_LINGERING, now_ms);
         }
+        l->final_ms = 0;
+        u->want_fresh = u->fenced && l->unknown > 0;
         return;
     }
-    if (state == 1) {
+    /* Reports lag: one made before the last of its orders arrived says
+       nothing.  For our own orders ack_seq tells; of an earlier owner's we
+       know only that by final_ms none was left. */
+    if (l->adopted) {
+        l->final_ms = l->final_ms ? l->final_ms : now_ms;
+        if (u->fresh_ms < l->final_ms) {
+            u->want_fresh = true;
+            return;
+        }
+    }
+    if (l->phase == LOAD_LOADING) {
+        note_failure(c, l, now_ms);
+    }
+    settle_absent(c, l, now_ms);
+}
+
+static void
+match_load(PlCore *c, Load *l, uint64_t now_ms)
+{
+    const Resident *r = g_hash_table_lookup(l->at->residents, l->model);
+    if (l->phase == LOAD_RECORDING || l->phase == LOAD_SETTLING ||
+        l->phase == LOAD_UNLOADING || l->at->seq <= l->ack_seq) {
         return;
     }
-    /* Absent.  Reports lag: one that is older than the order's
-       acknowledgement says nothing about it. */
-    bool newer = l->ack_seq != UINT64_MAX && u->seq > l->ack_seq;
-    bool adopted = l->ack_seq == UINT64_MAX;
-    if ((newer || adopted) && l->phase != LOAD_ORDERING &&
-        is_absence_final(c, u, l)) {
-        settle_absent(c, l, now_ms);
+    if (r) {
+        take_present(c, l, r, now_ms);
+    }
+    else {
+        take_absent(c, l, now_ms);
     }
 }
 
-static GPtrArray *
-list_loads(const PlCore *c, const char *upstream)
+/* A resident that no record counts: loaded under a grant by an owner that
+   died before the log was back, or left over on an upstream that was taken
+   for gone.  It is counted from now on; then it is recorded or dropped. */
+static void
+find_resident(PlCore *c, Upstream *u, const char *model, const Resident *r,
+              uint64_t now_ms)
+{
+    if (g_hash_table_contains(u->loads, model)) {
+        return;
+    }
+    Load *l = add_load(u, model, LOAD_RECORDING, now_ms);
+    g_strlcpy(l->load_id, r->load_id, sizeof(l->load_id));
+    l->memory_mb = r->memory_mb;
+    CfgSet *cfg = fold_get_config(c->fold);
+    const CfgModel *m = cfg_find_model(cfg, model);
+    if (m && l->memory_mb == 0) {
+        l->memory_mb = m->memory_mb; /* the report does not say */
+    }
+    cfg_unref(cfg);
+    l->found = true;
+    l->ack_seq = u->seq;
+    bg_count("placer_unrecorded_total", 1);
+    bg_log(BG_WARN, "place", "Upstream %s holds %s without a record.", u->id,
+           model);
+}
+
+static void
+find_residents(PlCore *c, Upstream *u, uint64_t now_ms)
 {
-    GPtrArray *list = g_ptr_array_new();
     GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        if (!upstream || strcmp(((Load *)p)->upstream, upstream) == 0) {
-            g_ptr_array_add(list, p);
-        }
+    gpointer name;
+    gpointer r;
+    g_hash_table_iter_init(&it, u->residents);
+    while (g_hash_table_iter_next(&it, &name, &r)) {
+        find_resident(c, u, name, r, now_ms);
     }
-    return list;
 }
 
 /* A restarted upstream has lost its replicas, its count of reports and the
    fencing number it was raised to: what was acknowledged before counts for
    nothing, and it must be fenced again before the next order. */
 static void
-note_boot(PlCore *c, Upstream *u, const char *boot)
+note_boot(Upstream *u, const char *boot)
 {
     if (g_strcmp0(u->boot, boot) == 0) {
         return;
@@ -602,10 +1208,12 @@
     if (u->boot) {
         bg_log(BG_WARN, "place", "Upstream %s was restarted.", u->id);
         u->settled_epoch = 0;
-        g_autoptr(GPtrArray) list = list_loads(c, u->id);
+        u->fenced_to = 0;
+        u->fresh_ms = 0;
+        u->ack_seq = 0;
+        g_autoptr(GPtrArray) list = list_loads_at(u);
         for (guint i = 0; i < list->len; i++) {
-            Load *l = list->pdata[i];
-            l->ack_seq = l->ack_seq == UINT64_MAX ? UINT64_MAX : 0;
+            ((Load *)list->pdata[i])->ack_seq = 0;
         }
     }
     u->seq = 0;
@@ -613,10 +1221,35 @@
     u->boot = g_strdup(boot);
 }
 
+/* An order of unknown fate sits in a connection to one life of the upstream
+   and dies with it.  Which life is known only as "not later than the first
+   one seen after the order ended": the one after that has none of it. */
 static void
-take_report(PlCore *c, Upstream *u, const PlReport *r, uint64_t now_ms)
+age_unknown(Upstream *u, uint64_t sent_ms)
 {
-    note_boot(c, u, r->boot);
+    g_autoptr(GPtrArray) list = list_loads_at(u);
+    for (guint i = 0; i < list->len; i++) {
+        Load *l = list->pdata[i];
+        if (l->unknown == 0 || sent_ms <= l->unknown_ms) {
+            continue;
+        }
+        if (!l->unknown_boot) {
+            l->unknown_boot = g_strdup(u->boot);
+        }
+        else if (strcmp(l->unknown_boot, u->boot) != 0) {
+            l->unknown = 0;
+            g_clear_pointer(&l->unknown_boot, g_free);
+        }
+    }
+}
+
+static void
+take_report(PlCore *c, Upstream *u, const PlReport *r, uint64_t sent_ms,
+            uint64_t now_ms)
+{
+    note_boot(u, r->boot);
+    u->report_ms = now_ms;
+    age_unknown(u, sent_ms);
     if (r->seq <= u->seq) {
         return; /* older than what is known */
     }
@@ -624,47 +1257,144 @@
     if (!c->owner || !is_settled(c, u)) {
         return;
     }
-    g_autoptr(GPtrArray) list = list_loads(c, u->id);
+    g_autoptr(GPtrArray) list = list_loads_at(u);
     for (guint i = 0; i < list->len; i++) {
-        match_load(c, u, list->pdata[i], now_ms);
+        match_load(c, list->pdata[i], now_ms);
+    }
+    if (u->seq > u->ack_seq) {
+        find_residents(c, u, now_ms);
     }
 }
 
+/* ---- answers ------------------------------------------------------------ */
+
 static void
-finish_load_order(PlCore *c, Load *l, const PlOrderResult *r, uint64_t now_ms)
+finish_load_order(Load *l, const PlOrderResult *r, uint64_t now_ms)
 {
-    if (r->end == PL_ACKED) {
+    Upstream *u = l->at;
+    l->next_try_ms = now_ms + ORDER_RETRY_MS;
+    switch (r->end) {
+    case PL_ACKED:
+        l->acked++;
         l->ack_seq = r->seq;
         if (l->phase == LOAD_ORDERING) {
             set_phase(l, LOAD_LOADING, now_ms);
         }
-        return;
+        break;
+    case PL_UNKNOWN:
+        /* The same load is ordered again; it is the same replica on the
+           same upstream, so a second arrival adds none. */
+        l->unknown++;
+        l->unknown_ms = now_ms;
+        g_clear_pointer(&l->unknown_boot, g_free);
+        break;
+    case PL_STALE:
+        u->settled_epoch = 0; /* fence again; refused if we are succeeded */
+        break;
+    case PL_BUSY:
+        l->next_try_ms = now_ms + REFUSED_RETRY_MS;
+        break;
+    case PL_NOT_SENT:
+        break;
     }
-    /* Refused, lost or unknown: the same load is ordered again.  It is the
-       same replica on the same upstream, so a second arrival adds none. */
-    (void)c;
-    l->next_try_ms = now_ms + ORDER_RETRY_MS;
 }
 
 static void
 finish_unload_order(PlCore *c, Load *l, const PlOrderResult *r,
                     uint64_t now_ms)
 {
+    l->next_try_ms = now_ms + ORDER_RETRY_MS;
     if (r->end == PL_ACKED) {
-        settle_absent(c, l, now_ms);
+        l->ack_seq = r->seq;
+        if (is_final(c, l) && !l->adopted) {
+            settle_absent(c, l, now_ms);
+        }
+        else {
+            set_phase(l, LOAD_LINGERING, now_ms); /* reports decide */
+        }
     }
     else if (r->end == PL_BUSY) {
         set_phase(l, LOAD_LOADED, now_ms);
         l->last_used_ms = now_ms;
+        l->next_try_ms = now_ms + REFUSED_RETRY_MS;
     }
-    else {
-        l->next_try_ms = now_ms + ORDER_RETRY_MS;
+    else if (r->end == PL_STALE) {
+        l->at->settled_epoch = 0;
+    }
+}
+
+static Closing *
+find_closing(const PlCore *c, uint64_t epoch)
+{
+    for (guint i = 0; i < c->closing->len; i++) {
+        Closing *k = c->closing->pdata[i];
+        if (k->epoch == epoch) {
+            return k;
+        }
+    }
+    return NULL;
+}
+
+/* The answer to an order of an epoch that has ended. */
+static void
+finish_old_order(PlCore *c, const Upstream *u, const PlOrderResult *r)
+{
+    Closing *k = find_closing(c, r->epoch);
+    if (!k || k->orders_out == 0) {
+        return;
+    }
+    k->orders_out--;
+    if (r->kind == PL_LOAD && r->end == PL_UNKNOWN && !u->fenced) {
+        g_ptr_array_add(k->open,
+                        g_strconcat(r->upstream, "\n", r->model, NULL));
+    }
+}
+
+static void
+finish_load_call(PlCore *c, Upstream *u, const PlOrderResult *r,
+                 uint64_t now_ms)
+{
+    if (!c->owner || r->epoch != c->claim_epoch) {
+        finish_old_order(c, u, r);
+        return;
+    }
+    c->orders_out--;
+    Load *l = find_load(c, r->upstream, r->model);
+    if (!l || strcmp(l->load_id, r->load_id) != 0) {
+        return;
+    }
+    l->order_out = false;
+    if (r->end == PL_ACKED) {
+        u->ack_seq = MAX(u->ack_seq, r->seq);
+    }
+    if (r->kind == PL_LOAD) {
+        finish_load_order(l, r, now_ms);
+    }
+    else if (l->phase == LOAD_UNLOADING) {
+        finish_unload_order(c, l, r, now_ms);
+    }
+}
+
+static void
+finish_fence(PlCore *c, Upstream *u, const PlOrderResult *r)
+{
+    if (!c->owner || r->epoch != c->claim_epoch) {
+        return;
+    }
+    u->fence_out = false;
+    if (r->end == PL_ACKED && r->report) {
+        note_boot(u, r->report->boot);
+        u->settled_epoch = c->claim_epoch;
+        u->fresh_ms = u->fence_sent_ms;
+        u->fenced_to = MAX(u->fenced_to, r->fence);
+        u->want_fresh = false;
     }
 }
 
 void
 pl_on_order_done(PlCore *c, uint64_t now_ms, const PlOrderResult *r)
 {
+    c->now_ms = now_ms;
     Upstream *u = g_hash_table_lookup(c->upstreams, r->upstream);
     if (!u) {
         return;
@@ -673,44 +1403,54 @@
         u->poll_out = false;
     }
     if (r->kind == PL_FENCE) {
-        u->fence_out = false;
-        if (r->end == PL_ACKED && c->owner && r->fence >= c->claim_epoch) {
-            u->settled_epoch = c->claim_epoch;
-        }
+        finish_fence(c, u, r);
     }
     if (r->report) {
-        take_report(c, u, r->report, now_ms);
-    }
-    if (r->kind != PL_LOAD && r->kind != PL_UNLOAD) {
-        return;
+        bool fence =
+            r->kind == PL_FENCE && c->owner && r->epoch == c->claim_epoch;
+        uint64_t sent_ms = r->kind == PL_POLL ? u->poll_sent_ms
+                           : fence            ? u->fence_sent_ms
+                                              : 0;
+        take_report(c, u, r->report, sent_ms, now_ms);
     }
-    Load *l = find_load(c, r->upstream, r->model);
-    if (!l || strcmp(l->load_id, r->load_id) != 0) {
-        return; /* of an earlier ownership */
-    }
-    l->order_out = false;
-    if (r->kind == PL_LOAD) {
-        finish_load_order(c, l, r, now_ms);
+    if (r->kind == PL_LOAD || r->kind == PL_UNLOAD) {
+        finish_load_call(c, u, r, now_ms);
     }
-    else if (l->phase == LOAD_UNLOADING) {
-        finish_unload_order(c, l, r, now_ms);
+}
+
+/* ---- counts ------------------------------------------------------------- */
+
+/* Memory of what U holds, or may come to hold, without a record: loads
+   under the grant and found residents. */
+static uint32_t
+count_unrecorded(const PlCore *c, const Upstream *u, const char *except)
+{
+    uint32_t mb = 0;
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, u->loads);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const Load *l = p;
+        if ((l->found || l->granted) && g_strcmp0(l->model, except) != 0 &&
+            !find_intent(c, u->id, l->model)) {
+            mb += l->memory_mb;
+        }
     }
+    return mb;
 }
 
-/* ---- choice ------------------------------------------------------------- */
-
-/* Memory that U must be taken to use: what the log counts and what waits
-   to be recorded. */
+/* Memory that U must be taken to use: what the log counts, and every load
+   that is not in the log yet. */
 static uint32_t
 count_memory(const PlCore *c, const Upstream *u)
 {
     uint32_t mb = fold_count_memory(c->fold, c->params.data_centre, u->id);
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
+    g_hash_table_iter_init(&it, u->loads);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const Load *l = p;
-        if (l->phase == LOAD_RECORDING && strcmp(l->upstream, u->id) == 0) {
+        if (!find_intent(c, u->id, l->model)) {
             mb += l->memory_mb;
         }
     }
@@ -718,47 +1458,68 @@
 }
 
 typedef struct {
-    uint32_t counted; /* replicas, loaded or on the way */
-    uint32_t coming;  /* of these, not loaded yet */
+    uint32_t counted; /* replicas, loaded, on the way or possible */
+    uint32_t usable;  /* of these: loaded or on the way */
+    uint32_t coming;  /* on the way */
+    Load *lingering;  /* one that may be loaded again under its record */
 } Replicas;
 
 static Replicas
-count_replicas(const PlCore *c, const char *model)
+count_replicas(const PlCore *c, const CfgModel *m)
 {
-    Replicas n = {fold_count_replicas(c->fold, c->params.data_centre, model),
-                  0};
+    Replicas n = {
+        fold_count_replicas(c->fold, c->params.data_centre, m->name) +
+            count_possible(c, m),
+        0, 0, NULL};
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
+    g_hash_table_iter_init(&it, c->upstreams);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Load *l = p;
-        if (strcmp(l->model, model) != 0) {
+        Upstream *u = p;
+        Load *l = g_hash_table_lookup(u->loads, m->name);
+        if (!l) {
             continue;
         }
-        n.counted += l->phase == LOAD_RECORDING;
-        n.coming += l->phase < LOAD_LOADED;
+        n.counted += !find_intent(c, u->id, m->name);
+        n.coming += l->phase < LOAD_LOADED && !l->found;
+        n.usable += l->phase <= LOAD_LOADED && !u->leaving && !u->gone;
+        if (l->phase == LOAD_LINGERING && is_settled(c, u) && !u->gone &&
+            !u->leaving && l->memory_mb == m->memory_mb) {
+            n.lingering = l;
+        }
     }
     return n;
 }
 
-static uint32_t
-count_running_loads(const PlCore *c)
+typedef struct {
+    uint32_t store; /* loads under way from the weight store */
+    uint32_t adapters;
+} Transit;
+
+static Transit
+count_transit(const PlCore *c, const CfgSet *cfg)
 {
-    uint32_t n = 0;
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        n += ((Load *)p)->phase < LOAD_LOADED;
+    Transit t = {0, 0};
+    g_autoptr(GPtrArray) list = list_loads(c);
+    for (guint i = 0; i < list->len; i++) {
+        const Load *l = list->pdata[i];
+        const CfgModel *m = cfg_find_model(cfg, l->model);
+        if (l->phase >= LOAD_LOADED || l->found) {
+            continue;
+        }
+        t.adapters += m && m->base;
+        t.store += l->from_store;
     }
-    return n;
+    return t;
 }
 
+/* ---- choice ------------------------------------------------------------- */
+
 static bool
-is_base_loaded(const PlCore *c, const Upstream *u, const char *base)
+is_base_loaded(const Upstream *u, const char *base)
 {
-    const Load *l = find_load(c, u->id, base);
-    return l && l->phase == LOAD_LOADED && l->loaded_recorded;
+    const Load *l = g_hash_table_lookup(u->loads, base);
+    return l && l->phase == LOAD_LOADED;
 }
 
 static bool
@@ -766,17 +1527,24 @@
 {
     return !u->gone && !u->leaving && is_settled(c, u) &&
            strcmp(u->deployment, m->upstreams) == 0 &&
-           !find_load(c, u->id, m->name) &&
-           (!m->base || is_base_loaded(c, u, m->base));
+           !g_hash_table_contains(u->loads, m->name) &&
+           (!m->base || is_base_loaded(u, m->base));
+}
+
+/* Checkpoint tier: 0 remote, 1 disk, 2 memory.  Reports and cache events
+   come late and with gaps, so this is a hint for the choice only. */
+static int
+get_tier(const Upstream *u, const char *model)
+{
+    return GPOINTER_TO_INT(g_hash_table_lookup(u->tiers, model));
 }
 
 /* Higher is better: nearest checkpoint first, then free memory. */
 static int64_t
 score_upstream(const PlCore *c, const Upstream *u, const CfgModel *m)
 {
-    int tier = GPOINTER_TO_INT(g_hash_table_lookup(u->tiers, m->name));
     int64_t free_mb = (int64_t)u->capacity_mb - count_memory(c, u);
-    return ((int64_t)tier << 40) + (free_mb << 8) -
+    return ((int64_t)get_tier(u, m->name) << 40) + (free_mb << 8) -
            (int64_t)MIN(u->inflight, 255);
 }
 
@@ -809,14 +1577,37 @@
 }
 
 static void
+note_start(PlCore *c, Load *l, const CfgModel *m, uint64_t now_ms)
+{
+    l->from_store = !m->base && get_tier(l->at, m->name) == 0;
+    if (l->from_store) {
+        c->store_start_ms = now_ms;
+    }
+}
+
+static Load *
 start_load(PlCore *c, Upstream *u, const CfgModel *m, uint64_t now_ms)
 {
-    Load *l = add_load(c, u->id, m->name, LOAD_RECORDING, now_ms);
+    Load *l = add_load(u, m->name, LOAD_RECORDING, now_ms);
     bg_make_id(l->load_id);
     l->memory_mb = m->memory_mb;
     l->next_try_ms = now_ms + RECORD_RETRY_MS;
-    append_intent(c, u, m, l);
+    note_start(c, l, m, now_ms);
+    append_intent(c, l, m->replicas, m->base != NULL);
     bg_count("placer_intents_total", 1);
+    return l;
+}
+
+/* A load that still counts is ordered again on the same upstream, under its
+   record; the record opens it for this epoch first. */
+static void
+restart_load(PlCore *c, Load *l, const CfgModel *m, uint64_t now_ms)
+{
+    set_phase(l, LOAD_RECORDING, now_ms);
+    l->next_try_ms = now_ms + RECORD_RETRY_MS;
+    l->closed_recorded = false;
+    note_start(c, l, m, now_ms);
+    append_intent(c, l, m->replicas, m->base != NULL);
 }
 
 /* ---- demand ------------------------------------------------------------- */
@@ -861,6 +1652,19 @@
     return w;
 }
 
+static RouterWant *
+note_use(PlCore *c, const char *model, const char *from, uint64_t now_ms)
+{
+    Model *m = get_model(c, model);
+    if (m->last_used_ms && now_ms - m->last_used_ms > MIN_GAP_MS) {
+        keep_add_gap(&m->gaps, now_ms - m->last_used_ms);
+    }
+    m->last_used_ms = now_ms;
+    RouterWant *w = get_router_want(m, from);
+    w->seen_ms = now_ms;
+    return w;
+}
+
 void
 pl_on_demand(PlCore *c, uint64_t now_ms, const char *from, const Bg__Demand *d)
 {
@@ -877,20 +1681,14 @@
         }
     }
     for (size_t i = 0; i < d->n_wants; i++) {
-        Model *m = get_model(c, d->wants[i]->model);
-        RouterWant *w = get_router_want(m, from);
+        RouterWant *w = note_use(c, d->wants[i]->model, from, now_ms);
         w->waiting = d->wants[i]->waiting;
         w->deadline_ms = now_ms + d->wants[i]->slack_ms;
         w->priority = d->wants[i]->priority;
-        w->seen_ms = now_ms;
-        m->last_used_ms = now_ms;
     }
     for (size_t i = 0; i < d->n_usage; i++) {
-        Model *m = get_model(c, d->usage[i]->model);
-        RouterWant *w = get_router_want(m, from);
+        RouterWant *w = note_use(c, d->usage[i]->model, from, now_ms);
         w->inflight = d->usage[i]->inflight;
-        w->seen_ms = now_ms;
-        m->last_used_ms = now_ms;
     }
 }
 
@@ -900,21 +1698,30 @@
     const CfgModel *cfg;
     Model *model;
     Demand demand;
+    int64_t rank; /* lower goes first */
 } Wanted;
 
+/* Deadline slack first; a step of priority is worth some slack, and a large
+   model a little less.  What was waited counts in full, so that a steady
+   stream of urgent wants cannot starve the others. */
+static int64_t
+rank_wanted(const Wanted *w, uint64_t now_ms)
+{
+    uint64_t slack_ms =
+        w->demand.deadline_ms > now_ms ? w->demand.deadline_ms - now_ms : 0;
+    return (int64_t)MIN(slack_ms, 600000) -
+           (int64_t)w->demand.priority * PRIORITY_WORTH_MS +
+           w->cfg->memory_mb / MB_PER_SLACK_MS -
+           (int64_t)(now_ms - w->model->wanted_ms);
+}
+
 static int
 compare_wanted(gconstpointer a, gconstpointer b)
 {
     const Wanted *x = a;
     const Wanted *y = b;
-    if (x->demand.priority != y->demand.priority) {
-        return x->demand.priority > y->demand.priority ? -1 : 1;
-    }
-    if (x->demand.deadline_ms != y->demand.deadline_ms) {
-        return x->demand.deadline_ms < y->demand.deadline_ms ? -1 : 1;
-    }
-    if (x->cfg->memory_mb != y->cfg->memory_mb) {
-        return x->cfg->memory_mb < y->cfg->memory_mb ? -1 : 1;
+    if (x->rank != y->rank) {
+        return x->rank < y->rank ? -1 : 1;
     }
     return strcmp(x->cfg->name, y->cfg->name);
 }
@@ -928,26 +1735,29 @@
     g_hash_table_iter_init(&it, c->models);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         Model *m = p;
-        Wanted w = {cfg_find_model(cfg, m->name), m, merge_demand(m, now_ms)};
-        if (w.cfg && w.demand.waiting > 0) {
-            g_array_append_val(list, w);
+        Wanted w = {cfg_find_model(cfg, m->name), m, merge_demand(m, now_ms),
+                    0};
+        if (!w.cfg || w.demand.waiting == 0) {
+            m->wanted_ms = 0;
+            continue;
         }
+        m->wanted_ms = m->wanted_ms ? m->wanted_ms : now_ms;
+        w.rank = rank_wanted(&w, now_ms);
+        g_array_append_val(list, w);
     }
     g_array_sort(list, compare_wanted);
     return list;
 }
 
 static bool
-is_adapter_base(const PlCore *c, const CfgSet *cfg, const Load *l)
+is_adapter_base(const CfgSet *cfg, const Load *l)
 {
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
+    g_hash_table_iter_init(&it, l->at->loads);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Load *other = p;
-        const CfgModel *m = cfg_find_model(cfg, other->model);
-        if (strcmp(other->upstream, l->upstream) == 0 && m && m->base &&
-            strcmp(m->base, l->model) == 0) {
+        const CfgModel *m = cfg_find_model(cfg, ((Load *)p)->model);
+        if (m && m->base && strcmp(m->base, l->model) == 0) {
             return true;
         }
     }
@@ -955,15 +1765,21 @@
 }
 
 /* A replica that may be dropped: loaded, recorded so, with no request
-   waiting or in flight for its model, and no adapter on it. */
+   waiting or in flight for its model on any router, and no adapter on it.
+   On an upstream that leaves no request can go to it any more, and the
+   upstream itself refuses while one still runs. */
 static bool
 is_droppable(PlCore *c, const CfgSet *cfg, const Load *l, uint64_t now_ms)
 {
-    if (l->phase != LOAD_LOADED || !l->loaded_recorded) {
+    if (l->phase != LOAD_LOADED || !l->loaded_recorded ||
+        is_adapter_base(cfg, l)) {
         return false;
     }
+    if (l->at->leaving) {
+        return now_ms >= l->next_try_ms;
+    }
     Demand d = merge_demand(get_model(c, l->model), now_ms);
-    return d.waiting == 0 && d.inflight == 0 && !is_adapter_base(c, cfg, l);
+    return d.waiting == 0 && d.inflight == 0;
 }
 
 static uint64_t
@@ -972,70 +1788,187 @@
     return MAX(l->last_used_ms, get_model(c, l->model)->last_used_ms);
 }
 
+/* Routers stop sending to it with the next residency. */
 static void
-start_unload(PlCore *c, Load *l, uint64_t now_ms)
+start_unload(Load *l, uint64_t now_ms)
 {
     set_phase(l, LOAD_UNLOADING, now_ms);
-    Upstream *u = g_hash_table_lookup(c->upstreams, l->upstream);
-    if (u) {
-        u->dirty = true; /* routers stop sending to it */
+}
+
+static uint64_t
+get_keep_ms(PlCore *c, const CfgModel *m)
+{
+    if (c->params.keep_policy == KEEP_LRU) {
+        return UINT64_MAX;
     }
+    if (c->params.keep_policy == KEEP_FIXED) {
+        return c->params.keep_fixed_ms;
+    }
+    double cold_cost = m->cold_second_cost * (double)m->load_ms / 1000.0;
+    double idle_cost = MAX(m->idle_hour_cost, 0.001) / 3600e3;
+    uint64_t keep_ms =
+        keep_choose_ms(&get_model(c, m->name)->gaps, cold_cost, idle_cost);
+    return CLAMP(keep_ms, c->params.keep_min_ms, KEEP_MAX_MS);
+}
+
+/* Share of its keep time that an idle replica has used up: the one that is
+   furthest past it goes first. */
+static double
+get_staleness(PlCore *c, const CfgSet *cfg, const Load *l, uint64_t now_ms)
+{
+    const CfgModel *m = cfg_find_model(cfg, l->model);
+    double idle_ms = (double)(now_ms - get_last_use(c, l));
+    uint64_t keep_ms = m ? get_keep_ms(c, m) : 0;
+    return idle_ms / (double)MAX(MIN(keep_ms, KEEP_MAX_MS), 1);
 }
 
-/* Drop the longest unused replica on U; true when one is on its way. */
+/* Drop one unused replica on U; true when one is on its way, or will be:
+   one loaded a moment ago is spared, so that two models do not push each
+   other out in turn. */
 static bool
 evict_one(PlCore *c, const CfgSet *cfg, Upstream *u, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) list = list_loads(c, u->id);
-    Load *oldest = NULL;
+    g_autoptr(GPtrArray) list = list_loads_at(u);
+    Load *victim = NULL;
+    bool young = false;
     for (guint i = 0; i < list->len; i++) {
         Load *l = list->pdata[i];
         if (l->phase == LOAD_UNLOADING || l->phase == LOAD_SETTLING) {
             return true;
         }
-        if (is_droppable(c, cfg, l, now_ms) &&
-            (!oldest || get_last_use(c, l) < get_last_use(c, oldest))) {
-            oldest = l;
+        if (!is_droppable(c, cfg, l, now_ms)) {
+            continue;
+        }
+        if (now_ms - l->phase_ms < YOUNG_MS) {
+            young = true;
+        }
+        else if (!victim || get_staleness(c, cfg, l, now_ms) >
+                                get_staleness(c, cfg, victim, now_ms)) {
+            victim = l;
         }
     }
-    if (oldest) {
-        start_unload(c, oldest, now_ms);
+    if (victim) {
+        start_unload(victim, now_ms);
+        bg_count("placer_evictions_total", 1);
     }
-    return oldest != NULL;
+    return victim != NULL || young;
 }
 
+/* Routers refuse all that wait for the model, at once. */
 static void
-refuse_want(PlCore *c, Wanted *w, uint64_t now_ms)
+refuse_want(PlCore *c, const Wanted *w, uint64_t retry_after_ms,
+            const char *reason, uint64_t now_ms)
 {
     if (now_ms - w->model->refused_ms < ORDER_RETRY_MS) {
         return;
     }
     w->model->refused_ms = now_ms;
-    c->out.refuse(c->out.ctx, w->cfg->name, GIVE_UP_RETRY_AFTER_MS,
-                  "no room for the model");
+    bg_count("placer_wants_refused_total", 1);
+    c->out.refuse(c->out.ctx, w->cfg->name, retry_after_ms, reason);
 }
 
+/* The log is away: the standing grant only. */
 static void
-place_wanted(PlCore *c, const CfgSet *cfg, Wanted *w, uint64_t now_ms)
-{
-    Replicas n = count_replicas(c, w->cfg->name);
-    uint32_t asked =
-        1 + (w->demand.waiting - 1) / MAX(c->params.per_replica, 1);
-    if (n.counted >= MIN(asked, w->cfg->replicas)) {
+place_granted(PlCore *c, const Wanted *w, const Replicas *n, uint64_t now_ms)
+{
+    const FoldGrant *g = find_own_grant(c);
+    const char *id =
+        g ? pick_grant(g, w->cfg->upstreams, get_grant_key(w->cfg)) : NULL;
+    Upstream *u = id ? g_hash_table_lookup(c->upstreams, id) : NULL;
+    bool fits = u && u->fenced && can_take(c, u, w->cfg) &&
+                count_memory(c, u) + w->cfg->memory_mb <= u->capacity_mb;
+    if (!fits) {
+        /* An adapter's base may be on its way there. */
+        if (n->usable == 0 && !(w->cfg->base && u && u->fenced)) {
+            refuse_want(c, w, LOG_AWAY_RETRY_AFTER_MS,
+                        "the log is away and the model is not loaded", now_ms);
+        }
         return;
     }
-    if (!w->cfg->base && count_running_loads(c) >= c->params.max_loads) {
-        return;
+    Load *l = add_load(u, w->cfg->name, LOAD_ORDERING, now_ms);
+    bg_make_id(l->load_id);
+    l->memory_mb = w->cfg->memory_mb;
+    l->granted = true;
+    note_start(c, l, w->cfg, now_ms);
+    bg_count("placer_granted_loads_total", 1);
+    bg_log(BG_WARN, "place", "Log away: %s goes on %s under the grant.",
+           w->cfg->name, u->id);
+}
+
+/* This data centre's standing share of the store's rate and of adapters in
+   transit. */
+static bool
+has_budget(const PlCore *c, const CfgSet *cfg, const CfgModel *m, int tier,
+           uint64_t now_ms)
+{
+    Transit t = count_transit(c, cfg);
+    if (m->base) {
+        return t.adapters < c->params.max_adapters;
+    }
+    if (tier > 0) {
+        return true;
+    }
+    return t.store < c->params.max_loads &&
+           (c->store_start_ms == 0 ||
+            now_ms - c->store_start_ms >= c->params.load_gap_ms);
+}
+
+static void
+refuse_if_late(PlCore *c, const Wanted *w, uint64_t start_ms, uint64_t now_ms)
+{
+    if (start_ms + w->cfg->load_ms > w->demand.deadline_ms) {
+        refuse_want(c, w, start_ms + w->cfg->load_ms - now_ms,
+                    "loads of the model fail", now_ms);
     }
+}
+
+static void
+place_new(PlCore *c, const CfgSet *cfg, Wanted *w, const Replicas *n,
+          uint64_t now_ms)
+{
     Upstream *u = choose_upstream(c, w->cfg, false);
     if (u) {
-        start_load(c, u, w->cfg, now_ms);
+        if (has_budget(c, cfg, w->cfg, get_tier(u, w->cfg->name), now_ms)) {
+            start_load(c, u, w->cfg, now_ms);
+        }
         return;
     }
     u = choose_upstream(c, w->cfg, true);
     bool coming = u && evict_one(c, cfg, u, now_ms);
-    if (!coming && n.counted == 0 && u) {
-        refuse_want(c, w, now_ms);
+    if (!coming && n->usable == 0 && u) {
+        refuse_want(c, w, NO_ROOM_RETRY_AFTER_MS, "no room for the model",
+                    now_ms);
+    }
+}
+
+static void
+place_wanted(PlCore *c, const CfgSet *cfg, Wanted *w, uint64_t now_ms)
+{
+    Replicas n = count_replicas(c, w->cfg);
+    uint32_t asked =
+        1 + (w->demand.waiting - 1) / MAX(c->params.per_replica, 1);
+    if (n.usable >= MIN(asked, w->cfg->replicas)) {
+        return;
+    }
+    if (now_ms < w->model->next_load_ms) {
+        if (n.usable == 0) {
+            refuse_if_late(c, w, w->model->next_load_ms, now_ms);
+        }
+        return;
+    }
+    if (n.lingering && c->log_reachable) {
+        if (has_budget(c, cfg, w->cfg, 0, now_ms)) {
+            restart_load(c, n.lingering, w->cfg, now_ms);
+        }
+    }
+    else if (n.counted >= w->cfg->replicas) {
+        return; /* the ceiling: what counts is not all usable */
+    }
+    else if (!c->log_reachable) {
+        place_granted(c, w, &n, now_ms);
+    }
+    else {
+        place_new(c, cfg, w, &n, now_ms);
     }
 }
 
@@ -1052,56 +1985,67 @@
     }
 }
 
-/* How long an unused replica stays: the ski-rental point, where idling has
-   cost as much as one more cold start would. */
-static uint64_t
-get_keep_ms(const CfgModel *m)
-{
-    double hours = m->cold_second_cost * ((double)m->load_ms / 1000.0) /
-                   MAX(m->idle_hour_cost, 0.001);
-    double keep_ms = hours * 3600.0 * 1000.0;
-    return (uint64_t)CLAMP(keep_ms, IDLE_MIN_MS, IDLE_MAX_MS);
-}
-
+/* With the log away nothing is released: the memory could not be counted
+   free, and a successor may already use the replica. */
 static void
 release_idle(PlCore *c, const CfgSet *cfg, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) list = list_loads(c, NULL);
+    if (!c->log_reachable) {
+        return;
+    }
+    g_autoptr(GPtrArray) list = list_loads(c);
     for (guint i = 0; i < list->len; i++) {
         Load *l = list->pdata[i];
         const CfgModel *m = cfg_find_model(cfg, l->model);
-        uint64_t keep_ms = m ? get_keep_ms(m) : 0;
-        if (now_ms - get_last_use(c, l) > keep_ms &&
+        uint64_t keep_ms = m && !l->at->leaving ? get_keep_ms(c, m) : 0;
+        if (now_ms - get_last_use(c, l) > keep_ms && is_settled(c, l->at) &&
             is_droppable(c, cfg, l, now_ms)) {
-            start_unload(c, l, now_ms);
+            start_unload(l, now_ms);
             bg_count("placer_idle_releases_total", 1);
         }
     }
 }
 
-/* Order or record again what was not answered. */
+static uint32_t
+get_ceiling(const CfgModel *m)
+{
+    return m ? m->replicas : 0;
+}
+
+/* Record again what was not seen in the log, order again what was not
+   answered. */
 static void
 push_load(PlCore *c, const CfgSet *cfg, Load *l, uint64_t now_ms)
 {
-    Upstream *u = g_hash_table_lookup(c->upstreams, l->upstream);
-    if (!u || l->order_out || now_ms < l->next_try_ms || !is_settled(c, u)) {
+    Upstream *u = l->at;
+    const CfgModel *m = cfg_find_model(cfg, l->model);
+    if (l->order_out || now_ms < l->next_try_ms || !is_settled(c, u)) {
         return;
     }
-    const CfgModel *m = cfg_find_model(cfg, l->model);
+    bool unsafe = !u->fenced && l->unknown > 0 && !l->seen_absent;
+    bool unrecorded = !find_intent(c, u->id, l->model);
     l->next_try_ms = now_ms + ORDER_RETRY_MS;
-    switch (l->phase) {
-    case LOAD_ORDERING:
+    if (l->phase == LOAD_RECORDING || (l->granted && unrecorded)) {
+        l->next_try_ms = now_ms + RECORD_RETRY_MS;
+        if (c->log_reachable) {
+            append_intent(c, l, get_ceiling(m), m && m->base);
+        }
+    }
+    if (l->phase == LOAD_ORDERING && !unsafe) {
         send_order(c, PL_LOAD, u, m, l);
-        break;
-    case LOAD_UNLOADING:
+    }
+    else if (l->phase == LOAD_UNLOADING) {
         send_order(c, PL_UNLOAD, u, m, l);
-        break;
-    case LOAD_SETTLING:
+    }
+    else if (l->phase == LOAD_SETTLING && c->log_reachable) {
         l->next_try_ms = now_ms + RECORD_RETRY_MS;
-        append_settle(c, l->upstream, l->model, l->load_id, false);
-        break;
-    default:
-        break;
+        append_settle(c, u->id, l->model, l->load_id, SETTLE_ABSENT);
+    }
+    else if (l->phase == LOAD_LINGERING && u->fenced && l->unknown > 0 &&
+             get_fence(c) <= l->order_fence && c->log_reachable) {
+        /* Any record moves the offset on, and with it the fencing number. */
+        l->next_try_ms = now_ms + RECORD_RETRY_MS;
+        append_intent(c, l, get_ceiling(m), m && m->base);
     }
 }
 
@@ -1121,44 +2065,96 @@
         place_wanted(c, cfg, w, now_ms);
     }
     release_idle(c, cfg, now_ms);
-    g_autoptr(GPtrArray) list = list_loads(c, NULL);
+    g_autoptr(GPtrArray) list = list_loads(c);
     for (guint i = 0; i < list->len; i++) {
         push_load(c, cfg, list->pdata[i], now_ms);
     }
     cfg_unref(cfg);
 }
 
+/* ---- upstreams that are gone -------------------------------------------- */
+
+/* The list alone proves nothing: it lags, and a frozen VM may be missing
+   from it.  Off the list and silent for gone_ms together is taken as the
+   end of the VM.  Should it come back, it is fenced and its report counted
+   before anything else is placed there. */
+static void
+settle_lost(PlCore *c, Upstream *u, uint64_t now_ms)
+{
+    if (!is_lost(c, u) || !c->log_reachable) {
+        return;
+    }
+    g_autoptr(GPtrArray) list = list_loads_at(u);
+    for (guint i = 0; i < list->len; i++) {
+        Load *l = list->pdata[i];
+        if (l->phase == LOAD_SETTLING && now_ms < l->next_try_ms) {
+            continue;
+        }
+        if (!find_intent(c, u->id, l->model)) {
+            remove_load(l);
+            continue;
+        }
+        set_phase(l, LOAD_SETTLING, now_ms);
+        l->next_try_ms = now_ms + RECORD_RETRY_MS;
+        append_settle(c, u->id, l->model, l->load_id, SETTLE_LOST);
+    }
+}
+
+static gboolean
+is_forgettable(gpointer id, gpointer p, gpointer ctx)
+{
+    (void)id;
+    const PlCore *c = ctx;
+    const Upstream *u = p;
+    return u->gone && !u->dirty && !u->poll_out && !u->fence_out &&
+           c->now_ms - u->gone_ms > FORGET_GONE_MS + c->params.gone_ms &&
+           g_hash_table_size(u->loads) == 0;
+}
+
 /* ---- events ------------------------------------------------------------- */
 
+static void
+run_upstreams(PlCore *c, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        Upstream *u = p;
+        poll_upstream(c, u, now_ms);
+        settle_upstream(c, u, now_ms);
+        settle_lost(c, u, now_ms);
+    }
+}
+
 void
 pl_on_tick(PlCore *c, uint64_t now_ms)
 {
+    c->now_ms = now_ms;
+    c->start_ms = c->start_ms ? c->start_ms : now_ms;
     note_claim(c, now_ms);
     consider_claim(c, now_ms);
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, c->upstreams);
-    while (c->owner && g_hash_table_iter_next(&it, NULL, &p)) {
-        poll_upstream(c, p, now_ms);
-        settle_upstream(c, p, now_ms);
+    close_epochs(c, now_ms);
+    if (c->owner) {
+        run_upstreams(c, now_ms);
     }
     decide(c, now_ms);
+    if (c->owner && !c->draining) {
+        consider_clear(c, now_ms);
+        consider_refresh(c, now_ms);
+    }
+    hand_over(c, now_ms);
+    g_hash_table_foreach_remove(c->upstreams, is_forgettable, c);
 }
 
 static void
 take_vm(PlCore *c, const CfgSet *cfg, const PlVm *vm)
 {
-    Upstream *u = g_hash_table_lookup(c->upstreams, vm->id);
-    if (!u) {
-        u = g_new0(Upstream, 1);
-        u->id = g_strdup(vm->id);
+    Upstream *u = get_upstream(c, vm->id);
+    if (strcmp(u->deployment, vm->deployment) != 0) {
+        g_free(u->deployment);
         u->deployment = g_strdup(vm->deployment);
-        u->residents =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        u->tiers =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         u->dirty = true;
-        g_hash_table_insert(c->upstreams, u->id, u);
     }
     if (g_strcmp0(u->address, vm->address) != 0) {
         g_free(u->address);
@@ -1166,20 +2162,24 @@
         u->dirty = true;
     }
     const CfgUpstreams *group = cfg_find_upstreams(cfg, vm->deployment);
-    u->fenced = group && group->fenced;
+    u->fenced = group && group->fenced && group->engine;
     /* A list that lags may still call a leaver live: leaving is one-way
        for an id. */
     if ((vm->leaving && !u->leaving) || u->gone) {
         u->dirty = true;
     }
     u->leaving = u->leaving || vm->leaving;
-    u->gone = false;
+    if (u->gone) {
+        u->gone = false;
+        u->settled_epoch = 0; /* fence and report before any order */
+    }
 }
 
 void
 pl_on_vms(PlCore *c, uint64_t now_ms, const PlVm *vms, size_t count)
 {
-    (void)now_ms;
+    c->now_ms = now_ms;
+    c->vms_known = true;
     CfgSet *cfg = fold_get_config(c->fold);
     g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < count; i++) {
@@ -1193,51 +2193,91 @@
         Upstream *u = p;
         if (!u->gone && !g_hash_table_contains(seen, u->id)) {
             u->gone = true;
+            u->gone_ms = now_ms;
             u->dirty = true;
         }
     }
     cfg_unref(cfg);
 }
 
-static bool
-is_own_intent(const PlCore *c, const Bg__IntentRecord *r)
+/* An intent took effect that was given up before: it was never ordered. */
+static void
+drop_orphan(PlCore *c, const Bg__IntentRecord *r)
+{
+    append_settle(c, r->upstream, r->model, r->load_id, SETTLE_ABSENT);
+    bg_count("placer_orphan_intents_total", 1);
+}
+
+static void
+win_intent(Load *l, uint64_t now_ms)
+{
+    if (l->phase != LOAD_RECORDING) {
+        return;
+    }
+    set_phase(l, l->found ? LOAD_LOADING : LOAD_ORDERING, now_ms);
+    l->found = false;
+}
+
+static void
+lose_intent(Load *l, uint64_t now_ms)
 {
-    return c->owner && strcmp(r->data_centre, c->params.data_centre) == 0 &&
-           r->epoch == c->claim_epoch;
+    bg_count("placer_intents_lost_total", 1);
+    if (!l->found && !l->granted) {
+        if (l->phase == LOAD_RECORDING) {
+            remove_load(l);
+        }
+        return;
+    }
+    /* It is there, or may be, beyond what was decided: drop it unless what
+       stands against it goes first. */
+    l->next_try_ms = now_ms + REFUSED_RETRY_MS;
+    if (++l->found_tries >= FOUND_TRIES && !l->order_out) {
+        set_phase(l, LOAD_UNLOADING, now_ms);
+    }
 }
 
 static void
 take_intent(PlCore *c, uint64_t now_ms, const Bg__IntentRecord *r,
             FoldResult result)
 {
-    Load *l = find_load(c, r->upstream, r->model);
-    if (!is_own_intent(c, r) || !l || strcmp(l->load_id, r->load_id) != 0 ||
-        l->phase != LOAD_RECORDING) {
+    if (!c->owner || strcmp(r->data_centre, c->params.data_centre) != 0 ||
+        r->epoch != c->claim_epoch) {
         return;
     }
-    if (result == FOLD_WON) {
-        set_phase(l, LOAD_ORDERING, now_ms);
+    Load *l = find_load(c, r->upstream, r->model);
+    bool same = l && strcmp(l->load_id, r->load_id) == 0;
+    if (result == FOLD_WON && same) {
+        win_intent(l, now_ms);
     }
-    else {
-        bg_count("placer_intents_lost_total", 1);
-        remove_load(c, l);
+    else if (result == FOLD_WON) {
+        drop_orphan(c, r);
+    }
+    else if (same) {
+        lose_intent(l, now_ms);
     }
 }
 
 static void
-take_settle(PlCore *c, const Bg__SettleRecord *r, FoldResult result)
+take_settle(PlCore *c, uint64_t now_ms, const Bg__SettleRecord *r,
+            FoldResult result)
 {
     Load *l = find_load(c, r->upstream, r->model);
     if (!l || strcmp(r->data_centre, c->params.data_centre) != 0 ||
-        strcmp(l->load_id, r->load_id) != 0 || result != FOLD_WON) {
+        strcmp(l->load_id, r->load_id) != 0) {
         return;
     }
-    if (r->loaded) {
-        l->loaded_recorded = true;
+    if (result != FOLD_WON) {
+        if (l->phase == LOAD_SETTLING) {
+            set_phase(l, LOAD_LINGERING, now_ms);
+        }
+        return;
     }
-    else {
-        remove_load(c, l);
+    if (!r->loaded) {
+        remove_load(l);
+        return;
     }
+    l->loaded_recorded = true;
+    l->closed_recorded = l->closed_recorded || r->closed;
 }
 
 void
@@ -1245,6 +2285,7 @@
              FoldResult result)
 {
     (void)offset;
+    c->now_ms = now_ms;
     switch (r->body_case) {
     case BG__RECORD__BODY_CLAIM:
         note_claim(c, now_ms);
@@ -1253,7 +2294,7 @@
         take_intent(c, now_ms, r->intent, result);
         break;
     case BG__RECORD__BODY_SETTLE:
-        take_settle(c, r->settle, result);
+        take_settle(c, now_ms, r->settle, result);
         break;
     default:
         break;
@@ -1263,16 +2304,40 @@
 void
 pl_on_beat(PlCore *c, uint64_t now_ms, const char *node, bool owner)
 {
-    (void)owner;
+    if (!owner) {
+        return;
+    }
     uint64_t *beat = g_new(uint64_t, 1);
     *beat = now_ms;
     g_hash_table_replace(c->beats, g_strdup(node), beat);
 }
 
+/* An intent that waits for a log that went away blocks its model.  It is
+   given up: nothing was ordered under it, and should it take effect later
+   it is settled then. */
+static void
+give_up_recording(PlCore *c)
+{
+    g_autoptr(GPtrArray) list = list_loads(c);
+    for (guint i = 0; i < list->len; i++) {
+        Load *l = list->pdata[i];
+        if (l->phase == LOAD_RECORDING && !l->found &&
+            !find_intent(c, l->at->id, l->model)) {
+            remove_load(l);
+        }
+    }
+}
+
 void
 pl_on_log(PlCore *c, uint64_t now_ms, bool reachable, bool caught_up)
 {
-    (void)now_ms;
+    c->now_ms = now_ms;
+    if (reachable != c->log_reachable) {
+        c->log_turned_ms = now_ms;
+        if (!reachable) {
+            give_up_recording(c);
+        }
+    }
     c->log_reachable = reachable;
     c->caught_up = caught_up;
 }
@@ -1280,27 +2345,106 @@
 void
 pl_on_drain(PlCore *c, uint64_t now_ms)
 {
-    (void)now_ms;
+    c->now_ms = now_ms;
     c->draining = true;
+    c->drain_ms = now_ms;
 }
 
 bool
-pl_is_idle(const PlCore *c)
+pl_is_drained(const PlCore *c)
+{
+    if (!c->draining || c->orders_out > 0) {
+        return false;
+    }
+    bool handed_over =
+        c->closing->len == 0 &&
+        (!c->owner ||
+         fold_is_quiesced(c->fold, c->params.data_centre, c->claim_epoch));
+    /* Without the log there is nothing to hand over with; the successor
+       then counts what is open. */
+    return handed_over ||
+           (!c->log_reachable && c->now_ms - c->drain_ms > DRAIN_LOG_WAIT_MS);
+}
+
+/* ---- invariants ----------------------------------------------------------
+ */
+
+static void
+check_load(const PlCore *c, const Load *l, GString *faults)
+{
+    const FoldIntent *in = find_intent(c, l->at->id, l->model);
+    bool ordered = l->phase != LOAD_RECORDING;
+    if (ordered && !in && !l->granted && !l->found &&
+        l->phase != LOAD_UNLOADING) {
+        g_string_append_printf(faults, "%s on %s is %s without a record\n",
+                               l->model, l->at->id, phase_names[l->phase]);
+    }
+    if (l->granted && !l->at->fenced) {
+        g_string_append_printf(faults, "%s on %s: grant without fencing\n",
+                               l->model, l->at->id);
+    }
+    if (in && strcmp(in->load_id, l->load_id) != 0 &&
+        l->phase != LOAD_RECORDING) {
+        g_string_append_printf(faults, "%s on %s: another load is recorded\n",
+                               l->model, l->at->id);
+    }
+}
+
+static void
+check_upstream(const PlCore *c, const Upstream *u, GString *faults)
+{
+    uint32_t mb = fold_count_memory(c->fold, c->params.data_centre, u->id);
+    if (u->capacity_mb && mb > u->capacity_mb) {
+        g_string_append_printf(faults, "%s: %u MB recorded of %u\n", u->id, mb,
+                               u->capacity_mb);
+    }
+    if (u->settled_epoch > c->claim_epoch) {
+        g_string_append_printf(faults, "%s: settled in the future\n", u->id);
+    }
+    g_autoptr(GPtrArray) list = list_loads_at(u);
+    for (guint i = 0; c->owner && i < list->len; i++) {
+        check_load(c, list->pdata[i], faults);
+    }
+}
+
+uint32_t
+pl_check(const PlCore *c, GString *faults)
 {
+    gsize before = faults->len;
     GHashTableIter it;
     gpointer p;
-    g_hash_table_iter_init(&it, c->loads);
+    g_hash_table_iter_init(&it, c->upstreams);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Load *l = p;
-        if (l->order_out || l->phase == LOAD_RECORDING) {
-            return false;
-        }
+        check_upstream(c, p, faults);
     }
-    return true;
+    const FoldClaim *claim = fold_find_claim(c->fold, c->params.data_centre);
+    if (c->owner && (!claim || claim->epoch < c->claim_epoch)) {
+        g_string_append(faults, "owner without a claim\n");
+    }
+    uint32_t n = 0;
+    for (gsize i = before; i < faults->len; i++) {
+        n += faults->str[i] == '\n';
+    }
+    return n;
 }
 
 /* ---- state -------------------------------------------------------------- */
 
+/* Only what this owner counts is told to routers, and nothing that is about
+   to be dropped. */
+static void
+add_resident(Bg__UpstreamState *s, const Load *l, const Resident *from)
+{
+    if (!from || l->phase > LOAD_LOADED) {
+        return;
+    }
+    Bg__Resident *r = g_new(Bg__Resident, 1);
+    bg__resident__init(r);
+    r->model = g_strdup(l->model);
+    r->loading = from->state == 1;
+    s->residents[s->n_residents++] = r;
+}
+
 static Bg__UpstreamState *
 make_state(const PlCore *c, const Upstream *u)
 {
@@ -1309,27 +2453,18 @@
     s->upstream = g_strdup(u->id);
     s->deployment = g_strdup(u->deployment);
     s->data_centre = g_strdup(c->params.data_centre);
-    s->address = g_strdup(u->address);
+    s->address = g_strdup(u->address ? u->address : "");
     s->leaving = u->leaving;
     s->gone = u->gone;
-    s->known = c->owner && u->boot != NULL;
+    s->known = c->owner && is_settled(c, u) && u->boot != NULL;
     s->reported_inflight = u->inflight;
-    s->residents = g_new0(Bg__Resident *, g_hash_table_size(u->residents) + 1);
+    s->residents = g_new0(Bg__Resident *, g_hash_table_size(u->loads) + 1);
     GHashTableIter it;
     gpointer name;
-    gpointer state;
-    g_hash_table_iter_init(&it, u->residents);
-    while (g_hash_table_iter_next(&it, &name, &state)) {
-        const Load *l = find_load(c, u->id, name);
-        /* A replica about to be dropped takes no new work. */
-        if (l && l->phase >= LOAD_UNLOADING) {
-            continue;
-        }
-        Bg__Resident *r = g_new(Bg__Resident, 1);
-        bg__resident__init(r);
-        r->model = g_strdup(name);
-        r->loading = GPOINTER_TO_INT(state) == 1;
-        s->residents[s->n_residents++] = r;
+    gpointer l;
+    g_hash_table_iter_init(&it, u->loads);
+    while (g_hash_table_iter_next(&it, &name, &l)) {
+        add_resident(s, l, g_hash_table_lookup(u->residents, name));
     }
     return s;
 }
@@ -1350,7 +2485,7 @@
     g_hash_table_iter_init(&it, c->upstreams);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         Upstream *u = p;
-        if (full || u->dirty) {
+        if (u->address && (full || u->dirty)) {
             r->upstreams[r->n_upstreams++] = make_state(c, u);
         }
         if (!full) {
@@ -1364,34 +2499,41 @@
     return r;
 }
 
+static json_t *
+dump_upstream(const PlCore *c, const Upstream *u)
+{
+    return json_pack("{s:s, s:b, s:b, s:i, s:i, s:b, s:b}", "id", u->id,
+                     "leaving", u->leaving, "gone", u->gone, "capacity_mb",
+                     (int)u->capacity_mb, "counted_mb",
+                     (int)count_memory(c, u), "settled", is_settled(c, u),
+                     "fenced", u->fenced);
+}
+
 char *
 pl_dump(const PlCore *c)
 {
     json_t *loads = json_array();
-    g_autoptr(GPtrArray) list = list_loads(c, NULL);
+    g_autoptr(GPtrArray) list = list_loads(c);
     for (guint i = 0; i < list->len; i++) {
         const Load *l = list->pdata[i];
         json_array_append_new(
-            loads, json_pack("{s:s, s:s, s:s, s:b}", "upstream", l->upstream,
-                             "model", l->model, "phase", phase_names[l->phase],
-                             "order_out", l->order_out));
+            loads, json_pack("{s:s, s:s, s:s, s:b, s:i, s:b, s:b}", "upstream",
+                             l->at->id, "model", l->model, "phase",
+                             phase_names[l->phase], "order_out", l->order_out,
+                             "unknown", (int)l->unknown, "granted", l->granted,
+                             "closed", l->closed_recorded));
     }
     json_t *ups = json_array();
     GHashTableIter it;
     gpointer p;
     g_hash_table_iter_init(&it, c->upstreams);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const Upstream *u = p;
-        json_array_append_new(
-            ups, json_pack("{s:s, s:b, s:b, s:i, s:i, s:b, s:b}", "id", u->id,
-                           "leaving", u->leaving, "gone", u->gone,
-                           "capacity_mb", (int)u->capacity_mb, "counted_mb",
-                           (int)count_memory(c, u), "settled",
-                           is_settled(c, u), "fenced", u->fenced));
-    }
-    json_t *doc = json_pack("{s:b, s:I, s:o, s:o}", "owner", c->owner, "epoch",
-                            (json_int_t)c->claim_epoch, "loads", loads,
-                            "upstreams", ups);
+        json_array_append_new(ups, dump_upstream(c, p));
+    }
+    json_t *doc = json_pack(
+        "{s:b, s:I, s:i, s:i, s:o, s:o}", "owner", c->owner, "epoch",
+        (json_int_t)c->claim_epoch, "orders_out", (int)c->orders_out,
+        "closing", (int)c->closing->len, "loads", loads, "upstreams", ups);
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/pl.h
+++ b/src/pl.h
@@ -12,15 +12,22 @@
 #include "bg_base.h"
 #include "bglade.pb-c.h"
 #include "fold.h"
+#include "keep.h"
 
 typedef struct {
     const char *node;        /* this process */
     const char *data_centre; /* whose upstreams it may own */
     uint32_t lease_ms;       /* an owner silent for so long is succeeded */
     uint32_t poll_ms;        /* between reports of one upstream */
-    uint32_t max_loads;      /* loads from the store at once, this centre's
-                                share */
-    uint32_t per_replica;    /* waiting requests that ask for one replica */
+    uint32_t max_loads;      /* from the store at once, this centre's share */
+    uint32_t load_gap_ms;    /* between starts of them, this centre's share */
+    uint32_t max_adapters;   /* in transit at once, this centre's share */
+    uint32_t gone_ms;        /* off the VM list and silent for so long: the
+                                upstream's VM no longer exists */
+    KeepPolicy keep_policy;
+    uint32_t keep_min_ms;
+    uint32_t keep_fixed_ms;
+    uint32_t per_replica; /* waiting requests that ask for one replica */
     uint64_t seed;
 } PlParams;
 
@@ -37,20 +44,22 @@
     uint32_t memory_mb;
     uint32_t load_ms;
     uint64_t fence; /* refused by a fencing upstream that saw a higher one */
+    uint64_t epoch; /* not to be sent once this is no longer the owner's */
 } PlOrder;
 
 typedef enum {
     PL_ACKED,    /* taken; seq and, for POLL and FENCE, report are set */
     PL_STALE,    /* refused: old fencing number */
-    PL_BUSY,     /* refused: in use */
+    PL_BUSY,     /* refused for another reason, such as in use */
     PL_NOT_SENT, /* never reached the upstream */
-    PL_UNKNOWN   /* may have been taken */
+    PL_UNKNOWN   /* may have been taken, or may be at any later time */
 } PlOrderEnd;
 
 typedef struct {
     const char *model;
     const char *load_id;
     bool loaded; /* else loading */
+    uint32_t memory_mb;
 } PlResident;
 
 /* An upstream's own report.  seq rises with each report it makes. */
@@ -73,6 +82,7 @@
     const char *load_id;
     PlOrderEnd end;
     uint64_t fence;         /* the number the order carried */
+    uint64_t epoch;         /* as in the order */
     uint64_t seq;           /* of the upstream when it acknowledged */
     const PlReport *report; /* or NULL */
 } PlOrderResult;
@@ -108,7 +118,8 @@
                   const Bg__Record *r, FoldResult result);
 void pl_on_demand(PlCore *c, uint64_t now_ms, const char *from,
                   const Bg__Demand *d);
-/* A placer of this data centre was heard. */
+/* A placer of this data centre was heard.  OWNER: it owns the data centre
+   and reads the log. */
 void pl_on_beat(PlCore *c, uint64_t now_ms, const char *node, bool owner);
 /* Whether the log answers, and whether the fold has all of it. */
 void pl_on_log(PlCore *c, uint64_t now_ms, bool reachable, bool caught_up);
@@ -117,8 +128,16 @@
 
 /* ---- state -------------------------------------------------------------- */
 bool pl_is_owner(const PlCore *c);
-/* No order is under way and nothing waits to be recorded. */
-bool pl_is_idle(const PlCore *c);
+/* The epoch under which orders may be sent now; 0: none. */
+uint64_t pl_get_order_epoch(const PlCore *c);
+/* Owner, and neither stopping nor long without the log: whoever hears so
+   need not succeed it. */
+bool pl_is_active(const PlCore *c);
+/* Nothing of this process is under way or left to hand over. */
+bool pl_is_drained(const PlCore *c);
+/* Check every invariant of this core and its fold that one process can see;
+   a line for each broken one goes to FAULTS.  Returns their number. */
+uint32_t pl_check(const PlCore *c, GString *faults);
 /* What routers should know: everything when FULL, else what changed since
    the last call; NULL when nothing did.  Free with the protobuf call. */
 Bg__Residency *pl_take_residency(PlCore *c, bool full);
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -248,7 +248,7 @@
                       "shared_key": SHARED_KEY}}
         if role == "placer":
             doc["vms"] = {"address": self.address("vms"), "poll_ms": "200"}
-            doc["placer"] = {}
+            doc["placer"] = {"data_centres": len(self.centres)}
         else:
             doc["router"] = {}
         for section, values in self.settings.get(role, {}).items():
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -5,8 +5,11 @@
      config NAME BASE PRIORITY
      claim CENTRE HOLDER BASE
      intent CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
-     settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|absent
-     quiesce CENTRE EPOCH HOLDER
+     fenced CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
+                           the same on an upstream that fences
+     settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|closed|absent|gone
+     quiesce CENTRE EPOCH HOLDER OPEN_UPSTREAM|- OPEN_MODEL|-
+     clear CENTRE EPOCH
      key claim|result|release|unknown WORKSPACE KEY ATTEMPT
      death DIGIT UPSTREAM
      again                 the last batch once more, same id
@@ -118,6 +121,7 @@
     i.capacity_mb = (uint32_t)get_number(w[6]);
     i.ceiling = (uint32_t)get_number(w[7]);
     i.load_id = w[8];
+    i.fenced = strcmp(w[0], "fenced") == 0;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_INTENT;
     r.intent = &i;
@@ -133,7 +137,9 @@
     t.upstream = w[3];
     t.model = w[4];
     t.load_id = w[5];
-    t.loaded = strcmp(w[6], "loaded") == 0;
+    t.closed = strcmp(w[6], "closed") == 0;
+    t.loaded = t.closed || strcmp(w[6], "loaded") == 0;
+    t.vm_gone = strcmp(w[6], "gone") == 0;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_SETTLE;
     r.settle = &t;
@@ -147,12 +153,30 @@
     q.data_centre = w[1];
     q.epoch = get_number(w[2]);
     q.holder = w[3];
+    Bg__OpenOrder open = BG__OPEN_ORDER__INIT;
+    Bg__OpenOrder *list = &open;
+    open.upstream = w[4];
+    open.model = w[5];
+    q.n_open = strcmp(w[4], "-") != 0;
+    q.open = &list;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_QUIESCE;
     r.quiesce = &q;
     apply_record(s, &r);
 }
 
+static void
+run_clear(Script *s, char **w)
+{
+    Bg__ClearRecord c = BG__CLEAR_RECORD__INIT;
+    c.data_centre = w[1];
+    c.epoch = get_number(w[2]);
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_CLEAR;
+    r.clear = &c;
+    apply_record(s, &r);
+}
+
 static void
 run_key(Script *s, char **w)
 {
@@ -232,7 +256,8 @@
 static const Command commands[] = {
     {"config", 4, run_config},     {"claim", 4, run_claim},
     {"intent", 9, run_intent},     {"settle", 7, run_settle},
-    {"quiesce", 4, run_quiesce},   {"key", 5, run_key},
+    {"quiesce", 6, run_quiesce},   {"key", 5, run_key},
+    {"fenced", 9, run_intent},     {"clear", 3, run_clear},
     {"death", 3, run_death},       {"again", 1, run_again},
     {"bytes", 2, run_bytes},       {"memory", 3, run_memory},
     {"replicas", 3, run_replicas}, {"state", 1, run_state}};
