An order reaches one life of an upstream only

Change: intents and orders name the upstream's boot; the worker asks for it and sends the order over the same connection; without the log no upstream is fenced anew and a grant needs a later log read. A restart then ends every order of a former life, whoever gave it.

--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -1331,7 +1331,7 @@
   (ProtobufCMessageInit) bg__grant_upstream__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[11] =
 {
   {
     "data_centre",
@@ -1453,9 +1453,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, boot),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__intent_record__field_indices_by_name[] = {
   9,   /* field[9] = adapter */
+  10,   /* field[10] = boot */
   5,   /* field[5] = capacity_mb */
   7,   /* field[7] = ceiling */
   0,   /* field[0] = data_centre */
@@ -1469,7 +1482,7 @@
 static const ProtobufCIntRange bg__intent_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bg__intent_record__descriptor =
 {
@@ -1479,7 +1492,7 @@
   "Bg__IntentRecord",
   "bg",
   sizeof(Bg__IntentRecord),
-  10,
+  11,
   bg__intent_record__field_descriptors,
   bg__intent_record__field_indices_by_name,
   1,  bg__intent_record__number_ranges,
@@ -1573,12 +1586,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vm_gone",
+    "life_ended",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bg__SettleRecord, vm_gone),
+    offsetof(Bg__SettleRecord, life_ended),
     NULL,
     NULL,
     0,             /* flags */
@@ -1589,11 +1602,11 @@
   6,   /* field[6] = closed */
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
+  7,   /* field[7] = life_ended */
   4,   /* field[4] = load_id */
   5,   /* field[5] = loaded */
   3,   /* field[3] = model */
   2,   /* field[2] = upstream */
-  7,   /* field[7] = vm_gone */
 };
 static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
 {
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -123,10 +123,15 @@
   uint32_t ceiling;
   protobuf_c_boolean fenced;
   protobuf_c_boolean adapter;
+  /*
+   * The life of the upstream that orders of this load are for; they reach
+   * no later one.
+   */
+  char *boot;
 };
 #define BG__INTENT_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__intent_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -147,9 +152,9 @@
    */
   protobuf_c_boolean closed;
   /*
-   * Absent because the upstream's VM no longer exists.
+   * Absent because the life of the upstream that it was for has ended.
    */
-  protobuf_c_boolean vm_gone;
+  protobuf_c_boolean life_ended;
 };
 #define BG__SETTLE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__settle_record__descriptor) \
--- a/src/fold.c
+++ b/src/fold.c
@@ -64,6 +64,7 @@
     g_free(in->upstream);
     g_free(in->model);
     g_free(in->load_id);
+    g_free(in->boot);
     g_array_free(in->open, TRUE);
     g_free(in);
 }
@@ -487,6 +488,7 @@
     g_autofree char *pair = join_pair(r->upstream, r->model);
     FoldIntent *in = g_hash_table_lookup(c->intents, pair);
     bool same = in && strcmp(in->load_id, r->load_id) == 0 &&
+                strcmp(in->boot, r->boot) == 0 &&
                 in->memory_mb == r->memory_mb;
     bool may_order = r->epoch == c->claim.epoch &&
                      !g_hash_table_contains(c->quiesced, &r->epoch);
@@ -512,6 +514,7 @@
     in->upstream = g_strdup(r->upstream);
     in->model = g_strdup(r->model);
     in->load_id = g_strdup(r->load_id);
+    in->boot = g_strdup(r->boot);
     in->memory_mb = r->memory_mb;
     in->epoch = r->epoch;
     in->fenced = r->fenced;
@@ -543,7 +546,7 @@
     }
     /* An upstream without fencing takes a former owner's late order: the
        load goes on counting until that order cannot arrive any more. */
-    if (!in->fenced && !r->vm_gone && fold_is_open(in, r->epoch)) {
+    if (!in->fenced && !r->life_ended && fold_is_open(in, r->epoch)) {
         return lose(why, "an order may still arrive");
     }
     add_number(c->memory, in->upstream, -(int64_t)in->memory_mb);
--- a/src/fold.h
+++ b/src/fold.h
@@ -72,6 +72,7 @@
     bool fenced;    /* the upstream refuses old fencing numbers */
     bool adapter;
     bool loaded;  /* the upstream was seen to hold it */
+    char *boot;   /* life of the upstream that its orders are for */
     GArray *open; /* uint64_t: epochs whose orders may still arrive */
 } FoldIntent;
 
--- a/src/hc.c
+++ b/src/hc.c
@@ -140,6 +140,31 @@
 
 /* ---- one call ----------------------------------------------------------- */
 
+static curl_socket_t
+refuse_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *addr)
+{
+    (void)ctx;
+    (void)purpose;
+    (void)addr;
+    return CURL_SOCKET_BAD;
+}
+
+static void
+set_connection(CURL *e, const HcRequest *req)
+{
+    if (req->fresh || req->pair_first) {
+        /* On a pooled connection that proves dead curl sends the request
+           a second time by itself; on a fresh one it never does. */
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    if (req->fresh || req->pair_second) {
+        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (req->pair_second) {
+        curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
+    }
+}
+
 static struct curl_slist *
 set_options(Call *call)
 {
@@ -165,12 +190,7 @@
         curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)req->body_len);
     }
-    if (req->fresh) {
-        /* On a pooled connection that proves dead curl sends the request
-           a second time by itself; on a fresh one it never does. */
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    }
+    set_connection(e, req);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, take_data);
--- a/src/hc.h
+++ b/src/hc.h
@@ -27,6 +27,10 @@
     uint32_t total_ms;
     size_t max_body; /* of a collected body; 0: 16 MiB */
     bool fresh;      /* new connection, closed after use, never retried */
+    /* Two calls over one connection, and so to one life of the far process:
+       the first opens it, the second uses no other and closes it. */
+    bool pair_first;
+    bool pair_second;
 
     /* All may be NULL.  Returning false stops the call. */
     bool (*on_head)(void *ctx, long status, const char *content_type);
--- a/src/main_placer.c
+++ b/src/main_placer.c
@@ -64,6 +64,7 @@
     uint32_t load_ms;
     uint64_t fence;
     uint64_t epoch;
+    char *boot;
     uint64_t made_ms;
     HcResult res;
 } Job;
@@ -107,6 +108,7 @@
     g_free(j->model);
     g_free(j->base);
     g_free(j->load_id);
+    g_free(j->boot);
     hc_free_result(&j->res);
     g_free(j);
 }
@@ -129,9 +131,48 @@
     return text;
 }
 
+static void
+drop_job(Job *j)
+{
+    bg_count("placer_orders_dropped_total", 1);
+    j->res.end = HC_NOT_SENT;
+    j->res.body = g_string_new(NULL);
+}
+
+/* Whether the upstream at J's address lives the life that J is for.  The
+   connection is kept for the order: it belongs to one process, so the order
+   reaches this life or none.  Without it an order of a paused owner could
+   reach a restarted upstream, which has forgotten its fencing number. */
+static bool
+check_life(HcClient *http, const Job *j)
+{
+    g_autofree char *url =
+        g_strconcat("http://", j->address, "/control/report", NULL);
+    HcRequest req = {.method = "GET",
+                     .url = url,
+                     .connect_ms = ORDER_CONNECT_MS,
+                     .total_ms = POLL_TOTAL_MS,
+                     .pair_first = true};
+    HcResult res;
+    hc_call(http, &req, &res);
+    json_t *doc = res.end == HC_DONE && res.status == 200
+                      ? js_parse(res.body->str, res.body->len, NULL)
+                      : NULL;
+    const char *boot = json_string_value(json_object_get(doc, "boot"));
+    bool same = boot && g_strcmp0(boot, j->boot) == 0;
+    json_decref(doc);
+    hc_free_result(&res);
+    return same;
+}
+
 static void
 run_job(HcClient *http, Job *j)
 {
+    bool bound = j->kind == PL_LOAD || j->kind == PL_UNLOAD;
+    if (bound && !check_life(http, j)) {
+        drop_job(j);
+        return;
+    }
     static const char *const paths[] = {"/control/report", "/control/fence",
                                         "/control/load", "/control/unload"};
     static const char *const headers[] = {"Content-Type: application/json",
@@ -148,7 +189,8 @@
                      .connect_ms = ORDER_CONNECT_MS,
                      .total_ms = poll ? POLL_TOTAL_MS : ORDER_TOTAL_MS,
                      /* An order is never sent twice by the library. */
-                     .fresh = !poll};
+                     .fresh = j->kind == PL_FENCE,
+                     .pair_second = bound};
     hc_call(http, &req, &j->res);
     free(body);
 }
@@ -165,14 +207,6 @@
            bg_now_ms() - j->made_ms < ORDER_MAX_AGE_MS;
 }
 
-static void
-drop_job(Job *j)
-{
-    bg_count("placer_orders_dropped_total", 1);
-    j->res.end = HC_NOT_SENT;
-    j->res.body = g_string_new(NULL);
-}
-
 static void *
 run_worker(void *arg)
 {
@@ -419,6 +453,7 @@
     j->load_ms = o->load_ms;
     j->fence = o->fence;
     j->epoch = o->epoch;
+    j->boot = g_strdup(o->boot);
     j->made_ms = bg_now_ms();
     if (o->kind != PL_POLL) {
         atomic_store(&p->order_epoch, o->epoch);
--- a/src/pl.c
+++ b/src/pl.c
@@ -12,6 +12,7 @@
 #define CLAIM_HOLD_MAX_MS 60000
 #define VM_LIST_WAIT_MS 3000
 #define GRANT_REFRESH_MS 10000
+#define GRANT_CONFIRM_MS 3500 /* longer than a read of the log may take */
 #define RECORD_RETRY_MS 3000
 #define ORDER_RETRY_MS 200
 #define REFUSED_RETRY_MS 1000
@@ -59,16 +60,16 @@
     uint64_t order_fence; /* highest number a load order carried */
     uint64_t ack_seq;     /* reports above it know of the last order */
     uint32_t acked;       /* load orders known to have been taken */
-    /* Load orders of unknown fate.  Each may still arrive, until the
-       upstream was restarted or, if it fences, saw a higher number. */
+    char *boot;           /* life of the upstream that its orders are for */
+    /* Load orders of unknown fate.  Each may still arrive, until that life
+       ends or, if the upstream fences, it saw a higher number. */
     uint32_t unknown;
-    uint64_t unknown_ms; /* when the last of them ended */
-    char *unknown_boot;  /* the upstream's life seen next */
-    bool seen_absent;    /* by a report since the last load order */
-    bool adopted;        /* recorded by an earlier owner */
-    bool found;          /* reported without a record; being recorded */
+    bool seen_absent; /* by a report since the last load order */
+    bool adopted;     /* recorded by an earlier owner */
+    bool found;       /* reported without a record; being recorded */
     uint32_t found_tries;
     uint64_t final_ms; /* ADOPTED: when its orders were first known dead */
+    bool ended;        /* the life it was for ended */
     bool granted;      /* ordered under the standing grant */
     bool loaded_recorded;
     bool closed_recorded;
@@ -95,11 +96,14 @@
     uint32_t inflight;
     uint64_t seq;       /* of the newest report taken */
     char *boot;         /* the upstream process that made it */
+    uint64_t boot_ms;   /* when the newest report of it was asked for */
     uint64_t report_ms; /* when the last report came */
     uint64_t next_poll_ms;
     bool poll_out;
     uint64_t poll_sent_ms;
     uint64_t settled_epoch; /* epoch under which it may be ordered */
+    uint64_t settled_ms;
+    bool confirmed; /* SETTLED_EPOCH was still ours by the log, later */
     bool fence_out;
     uint64_t fence_sent_ms;
     uint64_t next_fence_ms;
@@ -177,7 +181,7 @@
 {
     Load *l = p;
     g_free(l->model);
-    g_free(l->unknown_boot);
+    g_free(l->boot);
     g_free(l);
 }
 
@@ -222,8 +226,8 @@
     c->claim_hold_ms = params->lease_ms;
     c->fold = fold;
     c->out = *out;
-    bg_seed_random(&c->rng, params->seed ^ XXH64(params->node,
-                                                 strlen(params->node), 0));
+    bg_seed_random(&c->rng, params->seed ^
+                                XXH64(params->node, strlen(params->node), 0));
     c->upstreams =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_upstream);
     c->models =
@@ -472,13 +476,19 @@
     r.ceiling = ceiling;
     r.fenced = u->fenced;
     r.adapter = adapter;
+    r.boot = l->boot;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_INTENT;
     rec.intent = &r;
     c->out.append(c->out.ctx, rec_copy(&rec));
 }
 
-typedef enum { SETTLE_LOADED, SETTLE_CLOSED, SETTLE_ABSENT, SETTLE_LOST } Fate;
+typedef enum {
+    SETTLE_LOADED,
+    SETTLE_CLOSED,
+    SETTLE_ABSENT,
+    SETTLE_ENDED
+} Fate;
 
 static void
 append_settle(PlCore *c, const char *upstream, const char *model,
@@ -492,7 +502,7 @@
     r.load_id = (char *)load_id;
     r.loaded = fate == SETTLE_LOADED || fate == SETTLE_CLOSED;
     r.closed = fate == SETTLE_CLOSED;
-    r.vm_gone = fate == SETTLE_LOST;
+    r.life_ended = fate == SETTLE_ENDED;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_SETTLE;
     rec.settle = &r;
@@ -595,6 +605,7 @@
     g_strlcpy(l->load_id, in->load_id, sizeof(l->load_id));
     l->memory_mb = in->memory_mb;
     l->loaded_recorded = in->loaded;
+    l->boot = g_strdup(in->boot);
     l->adopted = true;
 }
 
@@ -930,6 +941,7 @@
         o.memory_mb = l->memory_mb;
         o.base = m ? m->base : NULL;
         o.load_ms = m ? m->load_ms : 0;
+        o.boot = l->boot;
         l->order_out = true;
         c->orders_out++;
         if (kind == PL_LOAD) {
@@ -962,8 +974,10 @@
 settle_upstream(PlCore *c, Upstream *u, uint64_t now_ms)
 {
     bool needed = !is_settled(c, u) || u->want_fresh;
-    if (!needed || u->gone || !u->address || u->fence_out || c->draining ||
-        now_ms < u->next_fence_ms) {
+    /* Without the log this owner cannot know whether it was succeeded, and
+       an upstream that was restarted has forgotten its successor's number. */
+    if (!needed || !c->log_reachable || u->gone || !u->address ||
+        u->fence_out || c->draining || now_ms < u->next_fence_ms) {
         return;
     }
     u->fence_out = true;
@@ -1033,7 +1047,7 @@
 /* Whether no order that could bring L is left: then a report that lacks it
    is its end.  Three kinds of orders could.  Ours with a worker: order_out.
    Ours of unknown fate: dead once a fencing upstream acknowledged a higher
-   number, or once the upstream that might hold them was restarted.  Those
+   number (a restart ends the load itself, see end_former_life).  Those
    of earlier owners: dead on a fencing upstream that was fenced in this
    epoch; on any other only when the fold has them closed. */
 static bool
@@ -1179,6 +1193,7 @@
         l->memory_mb = m->memory_mb; /* the report does not say */
     }
     cfg_unref(cfg);
+    l->boot = g_strdup(u->boot);
     l->found = true;
     l->ack_seq = u->seq;
     bg_count("placer_unrecorded_total", 1);
@@ -1199,13 +1214,18 @@
 }
 
 /* A restarted upstream has lost its replicas, its count of reports and the
-   fencing number it was raised to: what was acknowledged before counts for
-   nothing, and it must be fenced again before the next order. */
-static void
-note_boot(Upstream *u, const char *boot)
+   fencing number it was raised to: it must be fenced again before the next
+   order.  Answers overtake each other; one of a former life is passed over.
+   False then. */
+static bool
+note_boot(Upstream *u, const char *boot, uint64_t sent_ms)
 {
     if (g_strcmp0(u->boot, boot) == 0) {
-        return;
+        u->boot_ms = MAX(u->boot_ms, sent_ms);
+        return true;
+    }
+    if (u->boot && sent_ms <= u->boot_ms) {
+        return false;
     }
     if (u->boot) {
         bg_log(BG_WARN, "place", "Upstream %s was restarted.", u->id);
@@ -1213,53 +1233,61 @@
         u->fenced_to = 0;
         u->fresh_ms = 0;
         u->ack_seq = 0;
-        g_autoptr(GPtrArray) list = list_loads_at(u);
-        for (guint i = 0; i < list->len; i++) {
-            ((Load *)list->pdata[i])->ack_seq = 0;
-        }
+        u->dirty = true;
     }
     u->seq = 0;
+    u->boot_ms = sent_ms;
     g_free(u->boot);
     u->boot = g_strdup(boot);
+    return true;
 }
 
-/* An order of unknown fate sits in a connection to one life of the upstream
-   and dies with it.  Which life is known only as "not later than the first
-   one seen after the order ended": the one after that has none of it. */
+/* A load for a former life of the upstream ended with it: orders for it go
+   over connections to that life, see the worker's check. */
 static void
-age_unknown(Upstream *u, uint64_t sent_ms)
+end_former_life(PlCore *c, Load *l, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) list = list_loads_at(u);
-    for (guint i = 0; i < list->len; i++) {
-        Load *l = list->pdata[i];
-        if (l->unknown == 0 || sent_ms <= l->unknown_ms) {
-            continue;
-        }
-        if (!l->unknown_boot) {
-            l->unknown_boot = g_strdup(u->boot);
-        }
-        else if (strcmp(l->unknown_boot, u->boot) != 0) {
-            l->unknown = 0;
-            g_clear_pointer(&l->unknown_boot, g_free);
-        }
+    if (!l->boot || l->order_out || l->phase == LOAD_SETTLING ||
+        strcmp(l->boot, l->at->boot) == 0) {
+        return;
+    }
+    if (l->phase == LOAD_LOADING || l->phase == LOAD_ORDERING) {
+        note_failure(c, l, now_ms);
     }
+    if (!find_intent(c, l->at->id, l->model)) {
+        remove_load(l);
+        return;
+    }
+    set_phase(l, LOAD_SETTLING, now_ms);
+    l->ended = true;
+    l->next_try_ms = now_ms + RECORD_RETRY_MS;
+    append_settle(c, l->at->id, l->model, l->load_id, SETTLE_ENDED);
 }
 
 static void
 take_report(PlCore *c, Upstream *u, const PlReport *r, uint64_t sent_ms,
             uint64_t now_ms)
 {
-    note_boot(u, r->boot);
+    if (!note_boot(u, r->boot, sent_ms)) {
+        return;
+    }
     u->report_ms = now_ms;
-    age_unknown(u, sent_ms);
     if (r->seq <= u->seq) {
         return; /* older than what is known */
     }
     copy_report(u, r);
-    if (!c->owner || !is_settled(c, u)) {
+    if (!c->owner) {
         return;
     }
     g_autoptr(GPtrArray) list = list_loads_at(u);
+    for (guint i = 0; i < list->len; i++) {
+        end_former_life(c, list->pdata[i], now_ms);
+    }
+    if (!is_settled(c, u)) {
+        return;
+    }
+    g_ptr_array_unref(g_steal_pointer(&list));
+    list = list_loads_at(u);
     for (guint i = 0; i < list->len; i++) {
         match_load(c, list->pdata[i], now_ms);
     }
@@ -1287,8 +1315,6 @@
         /* The same load is ordered again; it is the same replica on the
            same upstream, so a second arrival adds none. */
         l->unknown++;
-        l->unknown_ms = now_ms;
-        g_clear_pointer(&l->unknown_boot, g_free);
         break;
     case PL_STALE:
         u->settled_epoch = 0; /* fence again; refused if we are succeeded */
@@ -1385,7 +1411,13 @@
     }
     u->fence_out = false;
     if (r->end == PL_ACKED && r->report) {
-        note_boot(u, r->report->boot);
+        if (!note_boot(u, r->report->boot, u->fence_sent_ms)) {
+            return;
+        }
+        if (!is_settled(c, u)) {
+            u->settled_ms = c->now_ms;
+            u->confirmed = false;
+        }
         u->settled_epoch = c->claim_epoch;
         u->fresh_ms = u->fence_sent_ms;
         u->fenced_to = MAX(u->fenced_to, r->fence);
@@ -1601,6 +1633,7 @@
 {
     Load *l = add_load(u, m->name, LOAD_RECORDING, now_ms);
     make_load_id(c, l);
+    l->boot = g_strdup(u->boot);
     l->memory_mb = m->memory_mb;
     l->next_try_ms = now_ms + RECORD_RETRY_MS;
     note_start(c, l, m, now_ms);
@@ -1886,7 +1919,7 @@
     const char *id =
         g ? pick_grant(g, w->cfg->upstreams, get_grant_key(w->cfg)) : NULL;
     Upstream *u = id ? g_hash_table_lookup(c->upstreams, id) : NULL;
-    bool fits = u && u->fenced && can_take(c, u, w->cfg) &&
+    bool fits = u && u->fenced && u->confirmed && can_take(c, u, w->cfg) &&
                 count_memory(c, u) + w->cfg->memory_mb <= u->capacity_mb;
     if (!fits) {
         /* An adapter's base may be on its way there. */
@@ -1898,6 +1931,7 @@
     }
     Load *l = add_load(u, w->cfg->name, LOAD_ORDERING, now_ms);
     make_load_id(c, l);
+    l->boot = g_strdup(u->boot);
     l->memory_mb = w->cfg->memory_mb;
     l->granted = true;
     note_start(c, l, w->cfg, now_ms);
@@ -2030,7 +2064,8 @@
 {
     Upstream *u = l->at;
     const CfgModel *m = cfg_find_model(cfg, l->model);
-    if (l->order_out || now_ms < l->next_try_ms || !is_settled(c, u)) {
+    if (l->order_out || now_ms < l->next_try_ms ||
+        (!is_settled(c, u) && l->phase != LOAD_SETTLING)) {
         return;
     }
     bool unsafe = !u->fenced && l->unknown > 0 && !l->seen_absent;
@@ -2050,7 +2085,8 @@
     }
     else if (l->phase == LOAD_SETTLING && c->log_reachable) {
         l->next_try_ms = now_ms + RECORD_RETRY_MS;
-        append_settle(c, u->id, l->model, l->load_id, SETTLE_ABSENT);
+        append_settle(c, u->id, l->model, l->load_id,
+                      l->ended ? SETTLE_ENDED : SETTLE_ABSENT);
     }
     else if (l->phase == LOAD_LINGERING && u->fenced && l->unknown > 0 &&
              get_fence(c) <= l->order_fence && c->log_reachable) {
@@ -2106,8 +2142,9 @@
             continue;
         }
         set_phase(l, LOAD_SETTLING, now_ms);
+        l->ended = true;
         l->next_try_ms = now_ms + RECORD_RETRY_MS;
-        append_settle(c, u->id, l->model, l->load_id, SETTLE_LOST);
+        append_settle(c, u->id, l->model, l->load_id, SETTLE_ENDED);
     }
 }
 
@@ -2323,20 +2360,58 @@
     g_hash_table_replace(c->beats, g_strdup(node), beat);
 }
 
-/* An intent that waits for a log that went away blocks its model.  It is
-   given up: nothing was ordered under it, and should it take effect later
-   it is settled then. */
+/* Whether the standing grant covers L where it is. */
+static bool
+is_covered(const PlCore *c, const CfgSet *cfg, const Load *l)
+{
+    const FoldGrant *g = find_own_grant(c);
+    const CfgModel *m = cfg_find_model(cfg, l->model);
+    const char *id =
+        g && m ? pick_grant(g, m->upstreams, get_grant_key(m)) : NULL;
+    return id && l->at->fenced && l->at->confirmed && is_settled(c, l->at) &&
+           strcmp(id, l->at->id) == 0;
+}
+
+/* An intent that waits for a log that went away blocks its model.  Under the
+   grant the load goes on.  Any other is given up: nothing was ordered under
+   it, and should it take effect later it is settled then. */
 static void
 give_up_recording(PlCore *c)
 {
+    CfgSet *cfg = fold_get_config(c->fold);
     g_autoptr(GPtrArray) list = list_loads(c);
     for (guint i = 0; i < list->len; i++) {
         Load *l = list->pdata[i];
-        if (l->phase == LOAD_RECORDING && !l->found &&
-            !find_intent(c, l->at->id, l->model)) {
+        if (l->phase != LOAD_RECORDING || l->found ||
+            find_intent(c, l->at->id, l->model)) {
+            continue;
+        }
+        if (is_covered(c, cfg, l)) {
+            l->granted = true;
+            set_phase(l, LOAD_ORDERING, c->now_ms);
+        }
+        else {
             remove_load(l);
         }
     }
+    cfg_unref(cfg);
+}
+
+/* A grant holds on a life of an upstream that was fenced while the claim
+   was in force.  Only a log read that began after the fence proves that, so
+   one that ends a read's longest time after it. */
+static void
+confirm_grants(PlCore *c, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        Upstream *u = p;
+        u->confirmed =
+            u->confirmed ||
+            (is_settled(c, u) && now_ms - u->settled_ms > GRANT_CONFIRM_MS);
+    }
 }
 
 void
@@ -2351,6 +2426,9 @@
     }
     c->log_reachable = reachable;
     c->caught_up = caught_up;
+    if (c->owner && reachable && caught_up) {
+        confirm_grants(c, now_ms);
+    }
 }
 
 void
--- a/src/pl.h
+++ b/src/pl.h
@@ -43,15 +43,16 @@
     const char *load_id;
     uint32_t memory_mb;
     uint32_t load_ms;
-    uint64_t fence; /* refused by a fencing upstream that saw a higher one */
-    uint64_t epoch; /* not to be sent once this is no longer the owner's */
+    uint64_t fence;   /* refused by a fencing upstream that saw a higher one */
+    uint64_t epoch;   /* not to be sent once this is no longer the owner's */
+    const char *boot; /* LOAD and UNLOAD: only to this life of it */
 } PlOrder;
 
 typedef enum {
     PL_ACKED,    /* taken; seq and, for POLL and FENCE, report are set */
     PL_STALE,    /* refused: old fencing number */
     PL_BUSY,     /* refused for another reason, such as in use */
-    PL_NOT_SENT, /* never reached the upstream */
+    PL_NOT_SENT, /* never reached the upstream, or not the life it is for */
     PL_UNKNOWN   /* may have been taken, or may be at any later time */
 } PlOrderEnd;
 
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -139,7 +139,7 @@
     t.load_id = w[5];
     t.closed = strcmp(w[6], "closed") == 0;
     t.loaded = t.closed || strcmp(w[6], "loaded") == 0;
-    t.vm_gone = strcmp(w[6], "gone") == 0;
+    t.life_ended = strcmp(w[6], "gone") == 0;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_SETTLE;
     r.settle = &t;
--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -96,10 +96,10 @@
         break;
     case BG__RECORD__BODY_SETTLE:
         printf("settle %s %s %s%s\n", r->settle->upstream, r->settle->model,
-               r->settle->closed    ? "closed"
-               : r->settle->loaded  ? "loaded"
-               : r->settle->vm_gone ? "gone"
-                                    : "absent",
+               r->settle->closed       ? "closed"
+               : r->settle->loaded     ? "loaded"
+               : r->settle->life_ended ? "ended"
+                                       : "absent",
                "");
         break;
     case BG__RECORD__BODY_QUIESCE:
@@ -143,11 +143,11 @@
     copy->fence = o->fence;
     copy->epoch = o->epoch;
     g_ptr_array_add(n->script->orders, copy);
-    printf("order %s %u %s %s %s %s %u %llu %llu\n", n->name,
+    printf("order %s %u %s %s %s %s %u %llu %llu %s\n", n->name,
            n->script->orders->len - 1, kind_names[o->kind], o->upstream,
            o->model ? o->model : "-", o->load_id ? o->load_id : "-",
            o->memory_mb, (unsigned long long)o->fence,
-           (unsigned long long)o->epoch);
+           (unsigned long long)o->epoch, o->boot ? o->boot : "-");
 }
 
 static void
@@ -504,8 +504,7 @@
 {
     bg_set_log_level(BG_FAULT);
     Script s = {.now_ms = 100000};
-    s.nodes =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+    s.nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
     s.log = g_array_new(FALSE, FALSE, sizeof(Bytes));
     s.appends = g_array_new(FALSE, FALSE, sizeof(Bytes));
     s.orders = g_ptr_array_new_with_free_func(free_order);
--- a/tests/test_fuzz_pl.py
+++ b/tests/test_fuzz_pl.py
@@ -7,9 +7,8 @@
 placer has not sent yet, even later.  The oracle knows nothing of records:
 it counts memory and replicas on the engines.
 
-Left out on purpose: an order of a former owner that was never sent does not
-reach a fencing engine that restarted since, because the worker drops orders
-of an ended epoch; docs/DESIGN.md names what remains of that.
+An order reaches only the life of the engine that it names, since its worker
+asks for that first and sends over the same connection.
 """
 
 import os
@@ -129,7 +128,7 @@
                 "node": words[1], "id": words[2], "kind": words[3],
                 "engine": words[4], "model": words[5], "load": words[6],
                 "mb": int(words[7]), "fence": int(words[8]),
-                "boot": self.engines[words[4]].boot})
+                "boot": words[10]})
 
     def reaches_log(self, node):
         return not self.log_down and node not in self.cut
@@ -188,9 +187,8 @@
             self.answer(order, end, seq)
 
     def is_dropped(self, order):
-        """The worker's check, as far as the proof relies on it."""
-        engine = self.engines[order["engine"]]
-        return engine.checks and engine.boot != order["boot"]
+        """An order goes over a connection to the life that it is for."""
+        return order["boot"] not in ("-", self.engines[order["engine"]].boot)
 
     def deliver_orders(self, lag=0):
         todo = [o for o in self.unsent if self.alive.get(o["node"]) is False]
