--- a/src/pl.c
+++ b/src/pl.c
@@ -11,6 +11,7 @@
 #define CLAIM_RETRY_MS 2000
 #define CLAIM_HOLD_MAX_MS 60000
 #define VM_LIST_WAIT_MS 3000
+#define GRANT_FIRST_MS 1000
 #define GRANT_REFRESH_MS 10000
 #define GRANT_CONFIRM_MS 3500 /* longer than a read of the log may take */
 #define RECORD_RETRY_MS 3000
@@ -906,8 +907,9 @@
     if (!c->grant_changed_ms) {
         c->grant_changed_ms = now_ms;
     }
-    if (!c->log_reachable || now_ms - c->grant_changed_ms < GRANT_REFRESH_MS ||
-        now_ms - c->claim_tried_ms < GRANT_REFRESH_MS) {
+    uint32_t wait_ms = g ? GRANT_REFRESH_MS : GRANT_FIRST_MS;
+    if (!c->log_reachable || now_ms - c->grant_changed_ms < wait_ms ||
+        now_ms - c->claim_tried_ms < wait_ms) {
         return;
     }
     c->claim_tried_ms = now_ms;
@@ -2591,11 +2593,11 @@
 static json_t *
 dump_upstream(const PlCore *c, const Upstream *u)
 {
-    return json_pack("{s:s, s:b, s:b, s:i, s:i, s:b, s:b}", "id", u->id,
-                     "leaving", u->leaving, "gone", u->gone, "capacity_mb",
-                     (int)u->capacity_mb, "counted_mb",
-                     (int)count_memory(c, u), "settled", is_settled(c, u),
-                     "fenced", u->fenced);
+    return json_pack(
+        "{s:s, s:b, s:b, s:i, s:i, s:b, s:b, s:b}", "id", u->id, "leaving",
+        u->leaving, "gone", u->gone, "capacity_mb", (int)u->capacity_mb,
+        "counted_mb", (int)count_memory(c, u), "settled", is_settled(c, u),
+        "fenced", u->fenced, "confirmed", u->confirmed && is_settled(c, u));
 }
 
 char *
@@ -2619,10 +2621,12 @@
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         json_array_append_new(ups, dump_upstream(c, p));
     }
+    const FoldGrant *g = find_own_grant(c);
     json_t *doc = json_pack(
-        "{s:b, s:I, s:i, s:i, s:o, s:o}", "owner", c->owner, "epoch",
-        (json_int_t)c->claim_epoch, "orders_out", (int)c->orders_out,
-        "closing", (int)c->closing->len, "loads", loads, "upstreams", ups);
+        "{s:b, s:I, s:i, s:i, s:i, s:o, s:o}", "owner", c->owner, "epoch",
+        (json_int_t)c->claim_epoch, "grant", g ? (int)g->upstreams->len : 0,
+        "orders_out", (int)c->orders_out, "closing", (int)c->closing->len,
+        "loads", loads, "upstreams", ups);
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/tests/placement.py
+++ b/tests/placement.py
@@ -23,13 +23,13 @@
 memory_mb = 50000
 replicas = 1
 load_ms = 300
-wait_ms = 15000
+wait_ms = 8000
 [model fen-two]
 upstreams = fen
 memory_mb = 50000
 replicas = 2
 load_ms = 300
-wait_ms = 15000
+wait_ms = 8000
 [adapter fen-small]
 base = fen-one
 memory_mb = 100
@@ -38,7 +38,7 @@
 memory_mb = 50000
 replicas = 1
 load_ms = 300
-wait_ms = 15000
+wait_ms = 8000
 [workspace]
 models = *
 """
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,165 @@
+"""Loads that die, stall or end with their upstream."""
+
+import signal
+import time
+
+from cluster import wait_until
+from placement import (Ask, Watch, check_memory, count_loads, engine_names,
+                       holders, make_cluster, start, wait_owner)
+
+ROUTER = "dc1-vm1-router"
+
+
+def test_load_that_dies_is_decided_again(build):
+    """The engine takes the order, then the load dies: its report lacks the
+    model again.  That is one new decision, not two, and the caller, who
+    waits all the time, is answered."""
+    with make_cluster(build, vms=2) as c:
+        start(c)
+        for name in engine_names(c):
+            c.set_faults(name, fail_loads=1)
+        for model in ("fen-one", "ign-one"):
+            watch = Watch(c, model)
+            assert Ask(c, ROUTER, model).result().status == 200
+            assert watch.stop() == 1
+            assert count_loads(c, model) in (2, 3)
+        check_memory(c)
+
+
+def test_loads_that_keep_dying_refuse_their_callers(build):
+    """Every load of the model dies.  The placer tries less and less often;
+    a caller that cannot be served in time is told so with Retry-After
+    before its deadline, as not run."""
+    with make_cluster(build, vms=1) as c:
+        start(c)
+        for name in engine_names(c, "ign"):
+            c.set_faults(name, fail_loads=1000)
+        began = time.monotonic()
+        a = Ask(c, ROUTER, "ign-one").result()
+        assert a.status == 503, a.body
+        assert a.outcome == "refused-not-run"
+        assert int(a.headers["Retry-After"]) >= 1
+        assert time.monotonic() - began < 16
+        assert count_loads(c, "ign-one") < 12
+
+
+def test_engine_killed_in_a_load(build):
+    """An engine dies while it loads and comes back empty, with a new boot
+    id.  What was ordered in its former life is settled; the model is
+    loaded once more and its caller answered."""
+    with make_cluster(build, vms=2) as c:
+        start(c)
+        for model, kind in (("fen-one", "fen"), ("ign-one", "ign")):
+            for name in engine_names(c, kind):
+                c.set_faults(name, stall_loads=True)
+            ask = Ask(c, ROUTER, model)
+            wait_until(lambda m=model: holders(c, m), 10, "load begun")
+            dead = holders(c, model)[0]
+            c.procs[dead].kill()
+            c.procs[dead].start()
+            c.wait_port(dead)
+            watch = Watch(c, model)
+            for name in engine_names(c, kind):
+                c.set_faults(name, stall_loads=False)
+            assert ask.result().status == 200, ask.answer.body
+            assert watch.stop() == 1
+        check_memory(c)
+
+
+def test_stalled_load_is_not_begun_elsewhere(build):
+    """A load stalls, as when the weight store hangs.  The same model is not
+    started on a second engine; its callers are refused at their deadlines
+    and later ones are served by the load that went on."""
+    with make_cluster(build, vms=1) as c:
+        start(c)
+        for name in engine_names(c, "fen"):
+            c.set_faults(name, stall_loads=True)
+        asks = [Ask(c, ROUTER, "fen-one", "p%d" % i) for i in range(3)]
+        wait_until(lambda: holders(c, "fen-one"), 10, "load begun")
+        for ask in asks:
+            a = ask.result()
+            assert (a.status, a.outcome) == (503, "refused-not-run"), a.body
+            assert int(a.headers["Retry-After"]) >= 1
+        assert count_loads(c, "fen-one") == 1
+        for name in engine_names(c, "fen"):
+            c.set_faults(name, stall_loads=False)
+        assert Ask(c, ROUTER, "fen-one").result().status == 200
+        assert count_loads(c, "fen-one") == 1
+        check_memory(c)
+
+
+def test_vm_that_is_gone_frees_its_replica(build):
+    """The VM of the only replica vanishes: it answers nothing and the
+    platform's list drops it.  After gone_ms the placer counts it no more
+    and loads the model elsewhere."""
+    with make_cluster(build, vms=1) as c:
+        start(c)
+        for model in ("fen-one", "ign-one"):
+            assert Ask(c, ROUTER, model).result().status == 200
+            dead = holders(c, model)[0]
+            c.procs[dead].kill()
+            c.vms = [v for v in c.vms if v["id"] != dead]
+            c.set_vms(c.vms)
+            wait_until(lambda m=model: c.complete(
+                ROUTER, "drafting", m, "x").status == 200, 20,
+                       "served elsewhere")
+            assert len(holders(c, model)) == 1
+
+
+def test_list_that_is_wrong_frees_nothing(build):
+    """The platform's list leaves out a VM that lives.  It answers its
+    reports, so its replica goes on counting: no second one is loaded."""
+    with make_cluster(build, vms=1) as c:
+        start(c)
+        assert Ask(c, ROUTER, "ign-one").result().status == 200
+        there = holders(c, "ign-one")[0]
+        watch = Watch(c, "ign-one")
+        c.set_vms([v for v in c.vms if v["id"] != there])
+        until = time.monotonic() + 4
+        while time.monotonic() < until:
+            a = c.complete(ROUTER, "drafting", "ign-one", "x")
+            assert a.status in (200, 503), a.body
+        c.set_vms(c.vms)
+        wait_until(lambda: c.complete(
+            ROUTER, "drafting", "ign-one", "x").status == 200, 15, "back")
+        assert watch.stop() == 1
+
+
+def test_frozen_vm_that_comes_back_is_counted_first(build):
+    """A VM freezes and is dropped from the list for so long that it is taken
+    for gone; its model is loaded elsewhere.  Then it comes back with the
+    replica still in memory.  The placer finds what no record counts, and
+    drops it before it places anything there."""
+    with make_cluster(build, vms=1) as c:
+        owner = start(c)
+        assert Ask(c, ROUTER, "fen-one").result().status == 200
+        frozen = holders(c, "fen-one")[0]
+        c.procs[frozen].signal(signal.SIGSTOP)
+        c.set_vms([v for v in c.vms if v["id"] != frozen])
+        wait_until(lambda: c.complete(
+            ROUTER, "drafting", "fen-one", "x").status == 200, 25,
+                   "served elsewhere")
+        c.procs[frozen].signal(signal.SIGCONT)
+        c.set_vms(c.vms)
+        wait_until(lambda: len(holders(c, "fen-one")) == 1, 15,
+                   "the second replica dropped")
+        assert "fen-one" not in c.audit(frozen)["models"]
+        assert Ask(c, ROUTER, "fen-two").result().status == 200
+        assert wait_owner(c) == owner
+        check_memory(c)
+
+
+def test_replica_on_a_leaving_vm_moves(build):
+    """The VM of the only replica is leaving; no new work goes there.  The
+    replica is dropped once nothing runs on it, and loaded elsewhere."""
+    with make_cluster(build, vms=1) as c:
+        start(c)
+        assert Ask(c, ROUTER, "fen-one").result().status == 200
+        there = holders(c, "fen-one")[0]
+        watch = Watch(c, "fen-one")
+        c.set_vms([dict(v, state="leaving") if v["id"] == there else v
+                   for v in c.vms])
+        wait_until(lambda: c.complete(
+            ROUTER, "drafting", "fen-one", "x").status == 200
+            and holders(c, "fen-one") != [there], 25, "moved")
+        assert watch.stop() == 1
