--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -319,6 +319,10 @@
 finish_order(const Script *s, Node *n, const char *id, PlOrderEnd end,
              uint64_t seq, const PlReport *report)
 {
+    if (get_number(id) >= s->orders->len) {
+        printf("no order %s\n", id);
+        return;
+    }
     const Order *o = s->orders->pdata[get_number(id)];
     PlOrderResult r = {.kind = o->kind,
                        .upstream = o->upstream,
@@ -366,6 +370,10 @@
 static void
 decide_append(Script *s, const char *id, bool commit)
 {
+    if (get_number(id) >= s->appends->len) {
+        printf("no append %s\n", id);
+        return;
+    }
     Bytes *b = &g_array_index(s->appends, Bytes, get_number(id));
     if (b->data && commit && s->log->len < MAX_ENTRIES) {
         g_array_append_val(s->log, *b);
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -75,8 +75,8 @@
                    for n in engine_names(c, kind)
                    for o in c.audit(n)["orders"])
         assert stale + late == 2, "the stuck order never arrived"
-        assert (stale >= 1) == (kind == "fen")
         assert watch.stop() == 1
+        assert (stale >= 1) == (kind == "fen")
         assert len(holders(c, model)) == 1
         check_memory(c)
         assert c.complete("dc1-vm1-router", "drafting", model,
