--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -150,15 +150,19 @@
 
 
 def test_replica_on_a_leaving_vm_moves(build):
-    """The VM of the only replica is leaving while callers keep coming.  No
-    new work goes there, so they wait for a replica that the ceiling forbids
-    as long as the old one counts.  It is dropped although its model is
+    """The VM of the only replica is leaving while a long answer runs on it
+    and callers keep coming.  No new work goes there, so they wait for a
+    replica that the ceiling forbids as long as the old one counts.  Once the
+    answer has ended, whole, the replica is dropped although its model is
     wanted, and loaded elsewhere in time for every caller."""
     with make_cluster(build, vms=1) as c:
         start(c)
         assert Ask(c, ROUTER, "fen-one").result().status == 200
         there = holders(c, "fen-one")[0]
         watch = Watch(c, "fen-one")
+        c.set_faults(there, token_ms=200)
+        long = Ask(c, ROUTER, "fen-one", "long")
+        wait_until(lambda: c.audit(there)["inflight"], 5, "the answer begun")
         c.set_vms([dict(v, state="leaving") if v["id"] == there else v
                    for v in c.vms])
         asks = []
@@ -167,5 +171,6 @@
             time.sleep(0.1)
         for ask in asks:
             assert ask.result().status == 200, ask.answer.body
+        assert long.result().status == 200
         assert holders(c, "fen-one") not in ([], [there])
         assert watch.stop() == 1
