Fencing kinds are known as soon as the template is in force

Cause: an intent recorded before the next VM list after a template carried fenced = false, and a successor counted it on for no need.

--- a/src/main_placer.c
+++ b/src/main_placer.c
@@ -593,6 +593,13 @@
     atomic_store(&p->order_epoch, pl_get_order_epoch(p->core));
 }
 
+static void
+on_config(void *ctx, uint64_t now_ms, const CfgSet *cfg)
+{
+    (void)now_ms;
+    pl_on_config(((Placer *)ctx)->core, cfg);
+}
+
 static void
 on_frame(void *ctx, uint64_t now_ms, const PeerInfo *from,
          const Bg__Frame *frame)
@@ -697,6 +704,7 @@
                      .start = start_placer,
                      .stop = stop_placer,
                      .on_record = on_record,
+                     .on_config = on_config,
                      .on_frame = on_frame,
                      .on_link = on_link,
                      .on_log = on_log,
--- a/src/pl.c
+++ b/src/pl.c
@@ -88,12 +88,8 @@
 typedef struct Upstream {
     char *id;
     char *deployment;
-    char *address; /* NULL: known from records only */
-    bool fenced;
-    bool leaving;
-    bool gone;            /* off the list */
+    char *address;        /* NULL: known from records only */
     uint64_t gone_ms;     /* since when */
-    bool dirty;           /* routers do not know its state yet */
     uint32_t capacity_mb; /* 0: no report yet */
     uint32_t inflight;
     uint64_t seq;       /* of the newest report taken */
@@ -101,21 +97,25 @@
     uint64_t boot_ms;   /* when the newest report of it was asked for */
     uint64_t report_ms; /* when the last report came */
     uint64_t next_poll_ms;
-    bool poll_out;
     uint64_t poll_sent_ms;
     uint64_t settled_epoch; /* epoch under which it may be ordered */
     uint64_t settled_ms;
-    bool confirmed; /* SETTLED_EPOCH was still ours by the log, later */
-    bool fence_out;
     uint64_t fence_sent_ms;
     uint64_t next_fence_ms;
-    bool want_fresh;       /* a report made from now on is needed */
     uint64_t fresh_ms;     /* SEQ's report was made after this time */
     uint64_t fenced_to;    /* highest number it acknowledged in this life */
     uint64_t ack_seq;      /* reports above it know of every answered order */
     GHashTable *residents; /* model -> Resident */
     GHashTable *tiers;     /* model -> GINT: 1 disk, 2 memory */
     GHashTable *loads;     /* model -> Load */
+    bool fenced;
+    bool leaving;
+    bool gone;  /* off the list */
+    bool dirty; /* routers do not know its state yet */
+    bool poll_out;
+    bool confirmed; /* SETTLED_EPOCH was still ours by the log, later */
+    bool fence_out;
+    bool want_fresh; /* a report made from now on is needed */
 } Upstream;
 
 /* What the routers want of one model, and how it was used. */
@@ -431,31 +431,34 @@
     return list;
 }
 
+static Bg__GrantUpstream *
+make_grant_name(const Upstream *u)
+{
+    Bg__GrantUpstream *name = g_new(Bg__GrantUpstream, 1);
+    bg__grant_upstream__init(name);
+    name->upstream = g_strdup(u->id);
+    name->deployment = g_strdup(u->deployment);
+    return name;
+}
+
 static void
 append_claim(PlCore *c, uint64_t base)
 {
-    g_autoptr(GPtrArray) list = list_granting(c);
-    g_autofree Bg__GrantUpstream *names =
-        g_new0(Bg__GrantUpstream, list->len + 1);
-    g_autofree Bg__GrantUpstream **grant =
-        g_new0(Bg__GrantUpstream *, list->len + 1);
-    for (guint i = 0; i < list->len; i++) {
-        const Upstream *u = list->pdata[i];
-        bg__grant_upstream__init(&names[i]);
-        names[i].upstream = u->id;
-        names[i].deployment = u->deployment;
-        grant[i] = &names[i];
-    }
     Bg__ClaimRecord r = BG__CLAIM_RECORD__INIT;
     r.data_centre = (char *)c->params.data_centre;
     r.holder = (char *)c->params.node;
     r.base_epoch = base;
-    r.n_grant = list->len;
-    r.grant = grant;
     Bg__Record rec = BG__RECORD__INIT;
     rec.body_case = BG__RECORD__BODY_CLAIM;
     rec.claim = &r;
-    c->out.append(c->out.ctx, rec_copy(&rec));
+    Bg__Record *copy = rec_copy(&rec);
+    g_autoptr(GPtrArray) list = list_granting(c);
+    Bg__ClaimRecord *claim = copy->claim;
+    claim->grant = g_new0(Bg__GrantUpstream *, list->len + 1);
+    for (guint i = 0; i < list->len; i++) {
+        claim->grant[claim->n_grant++] = make_grant_name(list->pdata[i]);
+    }
+    c->out.append(c->out.ctx, copy);
 }
 
 static uint32_t count_unrecorded(const PlCore *c, const Upstream *u,
@@ -2217,6 +2220,25 @@
     g_hash_table_foreach_remove(c->upstreams, is_forgettable, c);
 }
 
+/* Unknown deployments count as ignoring the numbers: the safe side. */
+static void
+note_fencing(Upstream *u, const CfgSet *cfg)
+{
+    const CfgUpstreams *group = cfg_find_upstreams(cfg, u->deployment);
+    u->fenced = group && group->fenced && group->engine;
+}
+
+void
+pl_on_config(PlCore *c, const CfgSet *cfg)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->upstreams);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        note_fencing(p, cfg);
+    }
+}
+
 static void
 take_vm(PlCore *c, const CfgSet *cfg, const PlVm *vm)
 {
@@ -2231,8 +2253,7 @@
         u->address = g_strdup(vm->address);
         u->dirty = true;
     }
-    const CfgUpstreams *group = cfg_find_upstreams(cfg, vm->deployment);
-    u->fenced = group && group->fenced && group->engine;
+    note_fencing(u, cfg);
     /* A list that lags may still call a leaver live: leaving is one-way
        for an id. */
     if ((vm->leaving && !u->leaving) || u->gone) {
--- a/src/pl.h
+++ b/src/pl.h
@@ -113,6 +113,7 @@
 /* ---- events ------------------------------------------------------------- */
 void pl_on_tick(PlCore *c, uint64_t now_ms);
 void pl_on_vms(PlCore *c, uint64_t now_ms, const PlVm *vms, size_t count);
+void pl_on_config(PlCore *c, const CfgSet *cfg);
 void pl_on_order_done(PlCore *c, uint64_t now_ms, const PlOrderResult *r);
 /* After the fold took an entry: R had RESULT at OFFSET. */
 void pl_on_record(PlCore *c, uint64_t now_ms, uint64_t offset,
--- a/tests/placement.py
+++ b/tests/placement.py
@@ -92,10 +92,13 @@
 
 
 def wait_settled(c, owner):
-    """Every upstream may be ordered by OWNER."""
-    wait_until(lambda: all(u["settled"] for u in
-                           c.dump(owner)["state"]["upstreams"]
-                           if not u["gone"]), 15, "upstreams settled")
+    """Every upstream may be ordered by OWNER, which knows those that fence."""
+    def is_so():
+        ups = [u for u in c.dump(owner)["state"]["upstreams"]
+               if not u["gone"]]
+        return all(u["settled"] and u["fenced"] == ("fen" in u["id"])
+                   for u in ups)
+    wait_until(is_so, 15, "upstreams settled")
 
 
 def start(c):
--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -480,7 +480,11 @@
 static void
 run_line(Script *s, char *line)
 {
-    char *words[MAX_WORDS] = {0};
+    static char nothing[] = "";
+    char *words[MAX_WORDS];
+    for (int i = 0; i < MAX_WORDS; i++) {
+        words[i] = nothing;
+    }
     int count = 0;
     char *save;
     for (char *w = strtok_r(line, " \n", &save); w && count < MAX_WORDS;
