--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -4,6 +4,7 @@
    checked ("BROKEN ..."), then "ok" is printed.
 
      config                 templates with the models below, to the log
+     limits LOADS GAP_MS    from the store, of placers from now on
      place NODE             a new placer of dc1, at the log's start
      kill NODE
      time MS                set the clock
@@ -13,7 +14,7 @@
      read NODE COUNT        deliver the next entries
      commit N / drop N      an append takes effect, or never does
      beat NODE FROM         NODE hears FROM, the owner
-     demand NODE MODEL:WAITING:INFLIGHT ...
+     demand NODE MODEL:WAITING:INFLIGHT[:SLACK_MS[:PRIORITY]] ...
      done NODE N acked|stale|busy|unsent|unknown SEQ
      report NODE N BOOT SEQ CAPACITY MODEL:LOAD:loading|loaded:MB ...
      drain NODE / drained NODE / state NODE / offset
@@ -76,6 +77,8 @@
     GArray *appends;   /* Bytes; data NULL once decided */
     GPtrArray *orders; /* Order */
     uint64_t now_ms;
+    uint32_t max_loads;
+    uint32_t load_gap_ms;
 } Script;
 
 static const char *const kind_names[] = {"poll", "fence", "load", "unload"};
@@ -244,8 +247,8 @@
                        .data_centre = "dc1",
                        .lease_ms = 2000,
                        .poll_ms = 200,
-                       .max_loads = 4,
-                       .load_gap_ms = 0,
+                       .max_loads = s->max_loads,
+                       .load_gap_ms = s->load_gap_ms,
                        .max_adapters = 32,
                        .gone_ms = 10000,
                        .keep_min_ms = 2000,
@@ -296,10 +299,13 @@
         char *name = strtok_r(w[i], ":", &save);
         uint32_t waiting = (uint32_t)get_number(strtok_r(NULL, ":", &save));
         uint32_t inflight = (uint32_t)get_number(strtok_r(NULL, ":", &save));
+        const char *slack = strtok_r(NULL, ":", &save);
+        const char *priority = slack ? strtok_r(NULL, ":", &save) : NULL;
         bg__want__init(&wants[i]);
         wants[i].model = name;
         wants[i].waiting = waiting;
-        wants[i].slack_ms = 10000;
+        wants[i].slack_ms = slack ? get_number(slack) : 10000;
+        wants[i].priority = (uint32_t)get_number(priority);
         bg__usage__init(&uses[i]);
         uses[i].model = name;
         uses[i].inflight = inflight;
@@ -446,6 +452,10 @@
     else if (strcmp(w[0], "place") == 0) {
         run_place(s, w[1]);
     }
+    else if (strcmp(w[0], "limits") == 0) {
+        s->max_loads = (uint32_t)get_number(w[1]);
+        s->load_gap_ms = (uint32_t)get_number(w[2]);
+    }
     else if (strcmp(w[0], "time") == 0) {
         s->now_ms = get_number(w[1]);
     }
@@ -515,7 +525,7 @@
 main(void)
 {
     bg_set_log_level(BG_FAULT);
-    Script s = {.now_ms = 100000};
+    Script s = {.now_ms = 100000, .max_loads = 4};
     s.nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
     s.log = g_array_new(FALSE, FALSE, sizeof(Bytes));
     s.appends = g_array_new(FALSE, FALSE, sizeof(Bytes));
