--- a/src/fold.c
+++ b/src/fold.c
@@ -12,7 +12,6 @@
 #define KEPT_BATCH_IDS 16384
 #define KEPT_VERSIONS 20
 #define MAX_DEATHS 4096
-#define MAX_GRANTS 16
 
 /* What the log says of one data centre's placement. */
 typedef struct {
@@ -365,7 +364,7 @@
 }
 
 /* Grants stay until an owner clears them: whoever held one may have used it
-   without a record.  Past MAX_GRANTS different lists a claim has none. */
+   without a record.  Past FOLD_MAX_GRANTS different lists a claim has none. */
 static void
 keep_grant(Centre *c, const Bg__ClaimRecord *r, uint64_t epoch)
 {
@@ -379,7 +378,7 @@
             return;
         }
     }
-    if (g->upstreams->len == 0 || c->grants->len >= MAX_GRANTS) {
+    if (g->upstreams->len == 0 || c->grants->len >= FOLD_MAX_GRANTS) {
         free_grant(g);
         return;
     }
--- a/src/fold.h
+++ b/src/fold.h
@@ -76,6 +76,8 @@
     GArray *open; /* uint64_t: epochs whose orders may still arrive */
 } FoldIntent;
 
+#define FOLD_MAX_GRANTS 16 /* of one data centre, not cleared */
+
 /* Standing grant: upstreams on which the owner of an epoch may load without
    an intent while the log is away, see pl.c. */
 typedef struct {
--- a/src/pl.c
+++ b/src/pl.c
@@ -23,7 +23,7 @@
 #define DEMAND_AGE_MS 3000
 #define MIN_GAP_MS 1500
 #define KEEP_MAX_MS (30u * 60 * 1000)
-#define YOUNG_MS 2000
+
 #define BACKOFF_MIN_MS 500
 #define BACKOFF_MAX_MS 15000
 #define NO_ROOM_RETRY_AFTER_MS 2000
@@ -168,6 +168,7 @@
     uint64_t claim_seen_ms; /* when the claim in force was first seen */
     uint64_t claim_hold_ms; /* how long a claim is respected unheard */
     uint64_t claim_epoch;
+    char *claim_holder;
     uint64_t clear_try_ms;
     uint64_t grant_changed_ms; /* since when the grant's list is out of date */
     uint64_t store_start_ms;   /* last start of a load from the store */
@@ -249,6 +250,7 @@
     g_hash_table_destroy(c->models);
     g_hash_table_destroy(c->beats);
     g_ptr_array_free(c->closing, TRUE);
+    g_free(c->claim_holder);
     g_free((char *)c->params.node);
     g_free((char *)c->params.data_centre);
     g_free(c);
@@ -685,10 +687,10 @@
    one another at every lease; each change in quick succession doubles the
    time a claim is respected unheard. */
 static void
-adapt_hold(PlCore *c, uint64_t now_ms)
+adapt_hold(PlCore *c, bool other, uint64_t now_ms)
 {
     bool quick =
-        c->caught_up && c->claim_seen_ms &&
+        other && c->caught_up && c->claim_seen_ms &&
         now_ms - c->claim_seen_ms < 4 * c->claim_hold_ms &&
         !fold_is_quiesced(c->fold, c->params.data_centre, c->claim_epoch);
     c->claim_hold_ms = quick ? MIN(2 * c->claim_hold_ms, CLAIM_HOLD_MAX_MS)
@@ -707,8 +709,10 @@
         step_down(c);
     }
     if (!own && c->claim_epoch) {
-        adapt_hold(c, now_ms);
+        adapt_hold(c, g_strcmp0(c->claim_holder, claim->holder) != 0, now_ms);
     }
+    g_free(c->claim_holder);
+    c->claim_holder = g_strdup(claim->holder);
     c->claim_seen_ms = now_ms;
     c->claim_epoch = claim->epoch;
     if (own && !c->draining) {
@@ -911,6 +915,10 @@
     if (!c->grant_changed_ms) {
         c->grant_changed_ms = now_ms;
     }
+    const GPtrArray *all = fold_get_grants(c->fold, c->params.data_centre);
+    if (all && all->len >= FOLD_MAX_GRANTS) {
+        return; /* a claim would have none; wait until some are cleared */
+    }
     uint32_t wait_ms = g ? GRANT_REFRESH_MS : GRANT_FIRST_MS;
     if (!c->log_reachable || now_ms - c->grant_changed_ms < wait_ms ||
         now_ms - c->claim_tried_ms < wait_ms) {
@@ -1164,7 +1172,7 @@
             set_phase(l, LOAD_LINGERING, now_ms);
         }
         l->final_ms = 0;
-        u->want_fresh = u->fenced && l->unknown > 0;
+        u->want_fresh = u->want_fresh || (u->fenced && l->unknown > 0);
         return;
     }
     /* Reports lag: one made before the last of its orders arrived says
@@ -1892,8 +1900,8 @@
 }
 
 /* Drop one unused replica on U; true when one is on its way, or will be:
-   one loaded a moment ago is spared, so that two models do not push each
-   other out in turn. */
+   one that has not stayed for as long as its load takes is spared, so that
+   two models do not push each other out in turn. */
 static bool
 evict_one(PlCore *c, const CfgSet *cfg, Upstream *u, uint64_t now_ms)
 {
@@ -1908,7 +1916,8 @@
         if (!is_droppable(c, cfg, l, now_ms)) {
             continue;
         }
-        if (now_ms - l->phase_ms < YOUNG_MS) {
+        const CfgModel *m = cfg_find_model(cfg, l->model);
+        if (m && now_ms - l->phase_ms < m->load_ms) {
             young = true;
         }
         else if (!victim || get_staleness(c, cfg, l, now_ms) >
@@ -2302,6 +2311,7 @@
 static void
 win_intent(Load *l, uint64_t now_ms)
 {
+    l->closed_recorded = false; /* the record opened it for this epoch */
     if (l->phase != LOAD_RECORDING) {
         return;
     }
@@ -2310,9 +2320,12 @@
 }
 
 static void
-lose_intent(Load *l, uint64_t now_ms)
+lose_intent(const PlCore *c, Load *l, uint64_t now_ms)
 {
     bg_count("placer_intents_lost_total", 1);
+    if (find_intent(c, l->at->id, l->model)) {
+        return; /* counts already; step down or the next report decides */
+    }
     if (!l->found && !l->granted) {
         if (l->phase == LOAD_RECORDING) {
             remove_load(l);
@@ -2344,7 +2357,7 @@
         drop_orphan(c, r);
     }
     else if (same) {
-        lose_intent(l, now_ms);
+        lose_intent(c, l, now_ms);
     }
 }
 
