--- a/src/hc.h
+++ b/src/hc.h
@@ -25,8 +25,13 @@
     uint32_t first_byte_ms; /* from start to the answer's first byte */
     uint32_t idle_ms;       /* between bytes of the answer */
     uint32_t total_ms;
-    size_t max_body; /* of a collected body; 0: 16 MiB */
-    bool fresh;      /* new connection, closed after use, never retried */
+    size_t max_body;      /* of a collected body; 0: 16 MiB */
+    uint32_t max_idle_ms; /* of a pooled connection; 0: 30 s */
+    bool fresh;           /* new connection, closed after use, never retried */
+    bool renew;           /* new connection, pooled after use */
+    /* Sent as X-Attempt-Id.  An answer that carries another one belongs to
+       another call: it is broken.  NULL: none. */
+    const char *attempt_id;
     /* Two calls over one connection, and so to one life of the far process:
        the first opens it, the second uses no other and closes it. */
     bool pair_first;
@@ -45,8 +50,12 @@
     char *content_type;
     char *retry_after;    /* header, or NULL */
     char *upstream_state; /* X-Upstream-State header, or NULL */
+    char *outcome;        /* X-Bglade-Outcome header, or NULL */
     GString *body;        /* collected when on_data is NULL */
     uint64_t got_bytes;   /* of the answer's body */
+    bool framed;  /* its length was told: by header, chunks or status */
+    bool reused;  /* a pooled connection carried it */
+    bool crossed; /* it carried another call's X-Attempt-Id */
 } HcResult;
 
 typedef struct HcClient HcClient;
--- a/src/pl.c
+++ b/src/pl.c
@@ -2258,8 +2258,10 @@
         u->dirty = true;
     }
     if (g_strcmp0(u->address, vm->address) != 0) {
+        /* An id that is back under another address is a new upstream. */
         g_free(u->address);
         u->address = g_strdup(vm->address);
+        u->leaving = false;
         u->dirty = true;
     }
     note_fencing(u, cfg);
