--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bg__claim_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__grant_upstream__init
+                     (Bg__GrantUpstream         *message)
+{
+  static const Bg__GrantUpstream init_value = BG__GRANT_UPSTREAM__INIT;
+  *message = init_value;
+}
+size_t bg__grant_upstream__get_packed_size
+                     (const Bg__GrantUpstream *message)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__grant_upstream__pack
+                     (const Bg__GrantUpstream *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__grant_upstream__pack_to_buffer
+                     (const Bg__GrantUpstream *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__GrantUpstream *
+       bg__grant_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__GrantUpstream *)
+     protobuf_c_message_unpack (&bg__grant_upstream__descriptor,
+                                allocator, len, data);
+}
+void   bg__grant_upstream__free_unpacked
+                     (Bg__GrantUpstream *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__intent_record__init
                      (Bg__IntentRecord         *message)
 {
@@ -232,6 +277,96 @@
   assert(message->base.descriptor == &bg__quiesce_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__open_order__init
+                     (Bg__OpenOrder         *message)
+{
+  static const Bg__OpenOrder init_value = BG__OPEN_ORDER__INIT;
+  *message = init_value;
+}
+size_t bg__open_order__get_packed_size
+                     (const Bg__OpenOrder *message)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__open_order__pack
+                     (const Bg__OpenOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__open_order__pack_to_buffer
+                     (const Bg__OpenOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__OpenOrder *
+       bg__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__OpenOrder *)
+     protobuf_c_message_unpack (&bg__open_order__descriptor,
+                                allocator, len, data);
+}
+void   bg__open_order__free_unpacked
+                     (Bg__OpenOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__clear_record__init
+                     (Bg__ClearRecord         *message)
+{
+  static const Bg__ClearRecord init_value = BG__CLEAR_RECORD__INIT;
+  *message = init_value;
+}
+size_t bg__clear_record__get_packed_size
+                     (const Bg__ClearRecord *message)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__clear_record__pack
+                     (const Bg__ClearRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__clear_record__pack_to_buffer
+                     (const Bg__ClearRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__ClearRecord *
+       bg__clear_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__ClearRecord *)
+     protobuf_c_message_unpack (&bg__clear_record__descriptor,
+                                allocator, len, data);
+}
+void   bg__clear_record__free_unpacked
+                     (Bg__ClearRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__key_record__init
                      (Bg__KeyRecord         *message)
 {
@@ -1177,6 +1312,51 @@
   assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__snapshot_grant__init
+                     (Bg__SnapshotGrant         *message)
+{
+  static const Bg__SnapshotGrant init_value = BG__SNAPSHOT_GRANT__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_grant__get_packed_size
+                     (const Bg__SnapshotGrant *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_grant__pack
+                     (const Bg__SnapshotGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_grant__pack_to_buffer
+                     (const Bg__SnapshotGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotGrant *
+       bg__snapshot_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotGrant *)
+     protobuf_c_message_unpack (&bg__snapshot_grant__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_grant__free_unpacked
+                     (Bg__SnapshotGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__snapshot_centre__init
                      (Bg__SnapshotCentre         *message)
 {
@@ -1968,7 +2148,7 @@
   (ProtobufCMessageInit) bg__config_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -2006,16 +2186,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__ClaimRecord, n_grant),
+    offsetof(Bg__ClaimRecord, grant),
+    &bg__grant_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__claim_record__field_indices_by_name[] = {
   2,   /* field[2] = base_epoch */
   0,   /* field[0] = data_centre */
+  3,   /* field[3] = grant */
   1,   /* field[1] = holder */
 };
 static const ProtobufCIntRange bg__claim_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__claim_record__descriptor =
 {
@@ -2025,14 +2218,65 @@
   "Bg__ClaimRecord",
   "bg",
   sizeof(Bg__ClaimRecord),
-  3,
+  4,
   bg__claim_record__field_descriptors,
   bg__claim_record__field_indices_by_name,
   1,  bg__claim_record__number_ranges,
   (ProtobufCMessageInit) bg__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bg__grant_upstream__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deployment",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, deployment),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__grant_upstream__field_indices_by_name[] = {
+  1,   /* field[1] = deployment */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__grant_upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__grant_upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.GrantUpstream",
+  "GrantUpstream",
+  "Bg__GrantUpstream",
+  "bg",
+  sizeof(Bg__GrantUpstream),
+  2,
+  bg__grant_upstream__field_descriptors,
+  bg__grant_upstream__field_indices_by_name,
+  1,  bg__grant_upstream__number_ranges,
+  (ProtobufCMessageInit) bg__grant_upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[11] =
 {
   {
     "data_centre",
@@ -2154,9 +2398,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, boot),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__intent_record__field_indices_by_name[] = {
   9,   /* field[9] = adapter */
+  10,   /* field[10] = boot */
   5,   /* field[5] = capacity_mb */
   7,   /* field[7] = ceiling */
   0,   /* field[0] = data_centre */
@@ -2170,7 +2427,7 @@
 static const ProtobufCIntRange bg__intent_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bg__intent_record__descriptor =
 {
@@ -2180,14 +2437,14 @@
   "Bg__IntentRecord",
   "bg",
   sizeof(Bg__IntentRecord),
-  10,
+  11,
   bg__intent_record__field_descriptors,
   bg__intent_record__field_indices_by_name,
   1,  bg__intent_record__number_ranges,
   (ProtobufCMessageInit) bg__intent_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[8] =
 {
   {
     "data_centre",
@@ -2261,10 +2518,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, life_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__settle_record__field_indices_by_name[] = {
+  6,   /* field[6] = closed */
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
+  7,   /* field[7] = life_ended */
   4,   /* field[4] = load_id */
   5,   /* field[5] = loaded */
   3,   /* field[3] = model */
@@ -2273,7 +2556,7 @@
 static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bg__settle_record__descriptor =
 {
@@ -2283,14 +2566,14 @@
   "Bg__SettleRecord",
   "bg",
   sizeof(Bg__SettleRecord),
-  6,
+  8,
   bg__settle_record__field_descriptors,
   bg__settle_record__field_indices_by_name,
   1,  bg__settle_record__number_ranges,
   (ProtobufCMessageInit) bg__settle_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -2328,16 +2611,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__QuiesceRecord, n_open),
+    offsetof(Bg__QuiesceRecord, open),
+    &bg__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__quiesce_record__field_indices_by_name[] = {
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
   2,   /* field[2] = holder */
+  3,   /* field[3] = open */
 };
 static const ProtobufCIntRange bg__quiesce_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__quiesce_record__descriptor =
 {
@@ -2347,13 +2643,115 @@
   "Bg__QuiesceRecord",
   "bg",
   sizeof(Bg__QuiesceRecord),
-  3,
+  4,
   bg__quiesce_record__field_descriptors,
   bg__quiesce_record__field_indices_by_name,
   1,  bg__quiesce_record__number_ranges,
   (ProtobufCMessageInit) bg__quiesce_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bg__open_order__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__open_order__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__open_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__open_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.OpenOrder",
+  "OpenOrder",
+  "Bg__OpenOrder",
+  "bg",
+  sizeof(Bg__OpenOrder),
+  2,
+  bg__open_order__field_descriptors,
+  bg__open_order__field_indices_by_name,
+  1,  bg__open_order__number_ranges,
+  (ProtobufCMessageInit) bg__open_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__clear_record__field_descriptors[2] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__clear_record__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+};
+static const ProtobufCIntRange bg__clear_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__clear_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.ClearRecord",
+  "ClearRecord",
+  "Bg__ClearRecord",
+  "bg",
+  sizeof(Bg__ClearRecord),
+  2,
+  bg__clear_record__field_descriptors,
+  bg__clear_record__field_indices_by_name,
+  1,  bg__clear_record__number_ranges,
+  (ProtobufCMessageInit) bg__clear_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[12] =
 {
   {
@@ -2728,7 +3126,7 @@
   (ProtobufCMessageInit) bg__checkpoint_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bg__record__field_descriptors[9] =
 {
   {
     "config",
@@ -2826,10 +3224,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clear",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, clear),
+    &bg__clear_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__record__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
   1,   /* field[1] = claim */
+  8,   /* field[8] = clear */
   0,   /* field[0] = config */
   6,   /* field[6] = death */
   2,   /* field[2] = intent */
@@ -2837,10 +3248,11 @@
   4,   /* field[4] = quiesce */
   3,   /* field[3] = settle */
 };
-static const ProtobufCIntRange bg__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bg__record__descriptor =
 {
@@ -2850,10 +3262,10 @@
   "Bg__Record",
   "bg",
   sizeof(Bg__Record),
-  8,
+  9,
   bg__record__field_descriptors,
   bg__record__field_indices_by_name,
-  1,  bg__record__number_ranges,
+  2,  bg__record__number_ranges,
   (ProtobufCMessageInit) bg__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4272,7 +4684,7 @@
   (ProtobufCMessageInit) bg__snapshot_template__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot_intent__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bg__snapshot_intent__field_descriptors[3] =
 {
   {
     "intent",
@@ -4298,15 +4710,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bg__SnapshotIntent, n_open),
+    offsetof(Bg__SnapshotIntent, open),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__snapshot_intent__field_indices_by_name[] = {
   0,   /* field[0] = intent */
   1,   /* field[1] = loaded */
+  2,   /* field[2] = open */
 };
 static const ProtobufCIntRange bg__snapshot_intent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor =
 {
@@ -4316,14 +4741,78 @@
   "Bg__SnapshotIntent",
   "bg",
   sizeof(Bg__SnapshotIntent),
-  2,
+  3,
   bg__snapshot_intent__field_descriptors,
   bg__snapshot_intent__field_indices_by_name,
   1,  bg__snapshot_intent__number_ranges,
   (ProtobufCMessageInit) bg__snapshot_intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot_centre__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__snapshot_grant__field_descriptors[3] =
+{
+  {
+    "first_epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotGrant, first_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotGrant, last_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotGrant, n_upstreams),
+    offsetof(Bg__SnapshotGrant, upstreams),
+    &bg__grant_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__snapshot_grant__field_indices_by_name[] = {
+  0,   /* field[0] = first_epoch */
+  1,   /* field[1] = last_epoch */
+  2,   /* field[2] = upstreams */
+};
+static const ProtobufCIntRange bg__snapshot_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotGrant",
+  "SnapshotGrant",
+  "Bg__SnapshotGrant",
+  "bg",
+  sizeof(Bg__SnapshotGrant),
+  3,
+  bg__snapshot_grant__field_descriptors,
+  bg__snapshot_grant__field_indices_by_name,
+  1,  bg__snapshot_grant__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__snapshot_centre__field_descriptors[6] =
 {
   {
     "name",
@@ -4385,9 +4874,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grants",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotCentre, n_grants),
+    offsetof(Bg__SnapshotCentre, grants),
+    &bg__snapshot_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__snapshot_centre__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
+  5,   /* field[5] = grants */
   1,   /* field[1] = holder */
   3,   /* field[3] = intents */
   0,   /* field[0] = name */
@@ -4396,7 +4898,7 @@
 static const ProtobufCIntRange bg__snapshot_centre__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor =
 {
@@ -4406,7 +4908,7 @@
   "Bg__SnapshotCentre",
   "bg",
   sizeof(Bg__SnapshotCentre),
-  5,
+  6,
   bg__snapshot_centre__field_descriptors,
   bg__snapshot_centre__field_indices_by_name,
   1,  bg__snapshot_centre__number_ranges,
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -17,9 +17,12 @@
 
 typedef struct Bg__ConfigRecord Bg__ConfigRecord;
 typedef struct Bg__ClaimRecord Bg__ClaimRecord;
+typedef struct Bg__GrantUpstream Bg__GrantUpstream;
 typedef struct Bg__IntentRecord Bg__IntentRecord;
 typedef struct Bg__SettleRecord Bg__SettleRecord;
 typedef struct Bg__QuiesceRecord Bg__QuiesceRecord;
+typedef struct Bg__OpenOrder Bg__OpenOrder;
+typedef struct Bg__ClearRecord Bg__ClearRecord;
 typedef struct Bg__KeyRecord Bg__KeyRecord;
 typedef struct Bg__DeathRecord Bg__DeathRecord;
 typedef struct Bg__CheckpointRecord Bg__CheckpointRecord;
@@ -41,6 +44,7 @@
 typedef struct Bg__SnapshotVersion Bg__SnapshotVersion;
 typedef struct Bg__SnapshotTemplate Bg__SnapshotTemplate;
 typedef struct Bg__SnapshotIntent Bg__SnapshotIntent;
+typedef struct Bg__SnapshotGrant Bg__SnapshotGrant;
 typedef struct Bg__SnapshotCentre Bg__SnapshotCentre;
 typedef struct Bg__SnapshotDeaths Bg__SnapshotDeaths;
 typedef struct Bg__SnapshotKey Bg__SnapshotKey;
@@ -101,10 +105,27 @@
   char *data_centre;
   char *holder;
   uint64_t base_epoch;
+  /*
+   * The fencing upstreams of the standing grant: while the log is away the
+   * owner may load each model on one of them, chosen by hash.
+   */
+  size_t n_grant;
+  Bg__GrantUpstream **grant;
 };
 #define BG__CLAIM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__claim_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+struct  Bg__GrantUpstream
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *deployment;
+};
+#define BG__GRANT_UPSTREAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__grant_upstream__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -123,10 +144,15 @@
   uint32_t ceiling;
   protobuf_c_boolean fenced;
   protobuf_c_boolean adapter;
+  /*
+   * The life of the upstream that orders of this load are for; they reach
+   * no later one.
+   */
+  char *boot;
 };
 #define BG__INTENT_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__intent_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -142,10 +168,18 @@
   char *model;
   char *load_id;
   protobuf_c_boolean loaded;
+  /*
+   * With loaded: no order of this owner for the load can still arrive.
+   */
+  protobuf_c_boolean closed;
+  /*
+   * Absent because the life of the upstream that it was for has ended.
+   */
+  protobuf_c_boolean life_ended;
 };
 #define BG__SETTLE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__settle_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -157,10 +191,41 @@
   char *data_centre;
   uint64_t epoch;
   char *holder;
+  /*
+   * Except these: orders of unknown fate on upstreams without fencing.
+   */
+  size_t n_open;
+  Bg__OpenOrder **open;
 };
 #define BG__QUIESCE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__quiesce_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Bg__OpenOrder
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *model;
+};
+#define BG__OPEN_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__open_order__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The owner's word that everything older epochs may have loaded under
+ * their standing grants is recorded or absent.
+ */
+struct  Bg__ClearRecord
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  uint64_t epoch;
+};
+#define BG__CLEAR_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__clear_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -238,7 +303,8 @@
   BG__RECORD__BODY_QUIESCE = 5,
   BG__RECORD__BODY_KEY = 6,
   BG__RECORD__BODY_DEATH = 7,
-  BG__RECORD__BODY_CHECKPOINT = 8
+  BG__RECORD__BODY_CHECKPOINT = 8,
+  BG__RECORD__BODY_CLEAR = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__RECORD__BODY__CASE)
 } Bg__Record__BodyCase;
 
@@ -255,6 +321,7 @@
     Bg__KeyRecord *key;
     Bg__DeathRecord *death;
     Bg__CheckpointRecord *checkpoint;
+    Bg__ClearRecord *clear;
   };
 };
 #define BG__RECORD__INIT \
@@ -556,10 +623,25 @@
   ProtobufCMessage base;
   Bg__IntentRecord *intent;
   protobuf_c_boolean loaded;
+  size_t n_open;
+  uint64_t *open;
 };
 #define BG__SNAPSHOT_INTENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_intent__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, 0,NULL }
+
+
+struct  Bg__SnapshotGrant
+{
+  ProtobufCMessage base;
+  uint64_t first_epoch;
+  uint64_t last_epoch;
+  size_t n_upstreams;
+  Bg__GrantUpstream **upstreams;
+};
+#define BG__SNAPSHOT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_grant__descriptor) \
+    , 0, 0, 0,NULL }
 
 
 struct  Bg__SnapshotCentre
@@ -572,10 +654,12 @@
   Bg__SnapshotIntent **intents;
   size_t n_quiesced;
   uint64_t *quiesced;
+  size_t n_grants;
+  Bg__SnapshotGrant **grants;
 };
 #define BG__SNAPSHOT_CENTRE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_centre__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Bg__SnapshotDeaths
@@ -853,6 +937,25 @@
 void   bg__claim_record__free_unpacked
                      (Bg__ClaimRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bg__GrantUpstream methods */
+void   bg__grant_upstream__init
+                     (Bg__GrantUpstream         *message);
+size_t bg__grant_upstream__get_packed_size
+                     (const Bg__GrantUpstream   *message);
+size_t bg__grant_upstream__pack
+                     (const Bg__GrantUpstream   *message,
+                      uint8_t             *out);
+size_t bg__grant_upstream__pack_to_buffer
+                     (const Bg__GrantUpstream   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__GrantUpstream *
+       bg__grant_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__grant_upstream__free_unpacked
+                     (Bg__GrantUpstream *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__IntentRecord methods */
 void   bg__intent_record__init
                      (Bg__IntentRecord         *message);
@@ -910,6 +1013,44 @@
 void   bg__quiesce_record__free_unpacked
                      (Bg__QuiesceRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bg__OpenOrder methods */
+void   bg__open_order__init
+                     (Bg__OpenOrder         *message);
+size_t bg__open_order__get_packed_size
+                     (const Bg__OpenOrder   *message);
+size_t bg__open_order__pack
+                     (const Bg__OpenOrder   *message,
+                      uint8_t             *out);
+size_t bg__open_order__pack_to_buffer
+                     (const Bg__OpenOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__OpenOrder *
+       bg__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__open_order__free_unpacked
+                     (Bg__OpenOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__ClearRecord methods */
+void   bg__clear_record__init
+                     (Bg__ClearRecord         *message);
+size_t bg__clear_record__get_packed_size
+                     (const Bg__ClearRecord   *message);
+size_t bg__clear_record__pack
+                     (const Bg__ClearRecord   *message,
+                      uint8_t             *out);
+size_t bg__clear_record__pack_to_buffer
+                     (const Bg__ClearRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__ClearRecord *
+       bg__clear_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__clear_record__free_unpacked
+                     (Bg__ClearRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__KeyRecord methods */
 void   bg__key_record__init
                      (Bg__KeyRecord         *message);
@@ -1309,6 +1450,25 @@
 void   bg__snapshot_intent__free_unpacked
                      (Bg__SnapshotIntent *message,
                       ProtobufCAllocator *allocator);
+/* Bg__SnapshotGrant methods */
+void   bg__snapshot_grant__init
+                     (Bg__SnapshotGrant         *message);
+size_t bg__snapshot_grant__get_packed_size
+                     (const Bg__SnapshotGrant   *message);
+size_t bg__snapshot_grant__pack
+                     (const Bg__SnapshotGrant   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_grant__pack_to_buffer
+                     (const Bg__SnapshotGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotGrant *
+       bg__snapshot_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_grant__free_unpacked
+                     (Bg__SnapshotGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__SnapshotCentre methods */
 void   bg__snapshot_centre__init
                      (Bg__SnapshotCentre         *message);
@@ -1602,6 +1762,9 @@
 typedef void (*Bg__ClaimRecord_Closure)
                  (const Bg__ClaimRecord *message,
                   void *closure_data);
+typedef void (*Bg__GrantUpstream_Closure)
+                 (const Bg__GrantUpstream *message,
+                  void *closure_data);
 typedef void (*Bg__IntentRecord_Closure)
                  (const Bg__IntentRecord *message,
                   void *closure_data);
@@ -1611,6 +1774,12 @@
 typedef void (*Bg__QuiesceRecord_Closure)
                  (const Bg__QuiesceRecord *message,
                   void *closure_data);
+typedef void (*Bg__OpenOrder_Closure)
+                 (const Bg__OpenOrder *message,
+                  void *closure_data);
+typedef void (*Bg__ClearRecord_Closure)
+                 (const Bg__ClearRecord *message,
+                  void *closure_data);
 typedef void (*Bg__KeyRecord_Closure)
                  (const Bg__KeyRecord *message,
                   void *closure_data);
@@ -1674,6 +1843,9 @@
 typedef void (*Bg__SnapshotIntent_Closure)
                  (const Bg__SnapshotIntent *message,
                   void *closure_data);
+typedef void (*Bg__SnapshotGrant_Closure)
+                 (const Bg__SnapshotGrant *message,
+                  void *closure_data);
 typedef void (*Bg__SnapshotCentre_Closure)
                  (const Bg__SnapshotCentre *message,
                   void *closure_data);
@@ -1728,9 +1900,12 @@
 extern const ProtobufCEnumDescriptor    bg__key_step__descriptor;
 extern const ProtobufCMessageDescriptor bg__config_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__claim_record__descriptor;
+extern const ProtobufCMessageDescriptor bg__grant_upstream__descriptor;
 extern const ProtobufCMessageDescriptor bg__intent_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__settle_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__quiesce_record__descriptor;
+extern const ProtobufCMessageDescriptor bg__open_order__descriptor;
+extern const ProtobufCMessageDescriptor bg__clear_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__key_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__death_record__descriptor;
 extern const ProtobufCMessageDescriptor bg__checkpoint_record__descriptor;
@@ -1752,6 +1927,7 @@
 extern const ProtobufCMessageDescriptor bg__snapshot_version__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_template__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_grant__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_deaths__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_key__descriptor;
--- a/src/fold_int.h
+++ b/src/fold_int.h
@@ -11,6 +11,7 @@
     GHashTable *memory;   /* upstream -> MB counted (GUINT) */
     GHashTable *replicas; /* model -> replicas counted (GUINT) */
     GHashTable *quiesced; /* epoch (uint64_t *) -> set */
+    GPtrArray *grants;    /* FoldGrant, oldest first */
 } Centre;
 
 typedef struct {
--- a/src/hc.h
+++ b/src/hc.h
@@ -32,6 +32,10 @@
     /* Sent as X-Attempt-Id.  An answer that carries another one belongs to
        another call: it is broken.  NULL: none. */
     const char *attempt_id;
+    /* Two calls over one connection, and so to one life of the far process:
+       the first opens it, the second uses no other and closes it. */
+    bool pair_first;
+    bool pair_second;
 
     /* All may be NULL.  Returning false stops the call. */
     bool (*on_head)(void *ctx, long status, const char *content_type);
--- a/src/snap.c
+++ b/src/snap.c
@@ -113,6 +113,14 @@
 
 /* ---- placement ---------------------------------------------------------- */
 
+static int
+compare_numbers(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
 static Bg__SnapshotIntent *
 encode_intent(Encoder *e, const FoldIntent *in)
 {
@@ -125,10 +133,16 @@
     r->epoch = in->epoch;
     r->fenced = in->fenced;
     r->adapter = in->adapter;
+    r->boot = in->boot;
     Bg__SnapshotIntent *s = own(e, g_new(Bg__SnapshotIntent, 1));
     bg__snapshot_intent__init(s);
     s->intent = r;
     s->loaded = in->loaded;
+    /* Sorted: the order of closing must not show in the bytes. */
+    s->n_open = in->open->len;
+    s->open = own(e, g_new0(uint64_t, in->open->len + 1));
+    memcpy(s->open, in->open->data, in->open->len * sizeof(uint64_t));
+    qsort(s->open, s->n_open, sizeof(uint64_t), compare_numbers);
     return s;
 }
 
@@ -148,17 +162,12 @@
     in->fenced = r->fenced;
     in->adapter = r->adapter;
     in->loaded = s->loaded;
+    in->boot = g_strdup(r->boot);
+    in->open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_vals(in->open, s->open, (guint)s->n_open);
     fold_add_intent(c, in);
 }
 
-static int
-compare_numbers(const void *a, const void *b)
-{
-    uint64_t x = *(const uint64_t *)a;
-    uint64_t y = *(const uint64_t *)b;
-    return x < y ? -1 : x > y;
-}
-
 static void
 encode_quiesced(Encoder *e, const Centre *c, Bg__SnapshotCentre *s)
 {
@@ -173,6 +182,48 @@
     qsort(s->quiesced, s->n_quiesced, sizeof(uint64_t), compare_numbers);
 }
 
+static Bg__SnapshotGrant *
+encode_grant(Encoder *e, const FoldGrant *g)
+{
+    Bg__SnapshotGrant *s = own(e, g_new(Bg__SnapshotGrant, 1));
+    bg__snapshot_grant__init(s);
+    s->first_epoch = g->first_epoch;
+    s->last_epoch = g->last_epoch;
+    s->upstreams = own(e, g_new0(Bg__GrantUpstream *, g->upstreams->len + 1));
+    for (guint i = 0; i < g->upstreams->len; i++) {
+        Bg__GrantUpstream *u = own(e, g_new(Bg__GrantUpstream, 1));
+        bg__grant_upstream__init(u);
+        u->upstream = g->upstreams->pdata[i];
+        u->deployment = g->deployments->pdata[i];
+        s->upstreams[s->n_upstreams++] = u;
+    }
+    return s;
+}
+
+static void
+encode_grants(Encoder *e, const Centre *c, Bg__SnapshotCentre *s)
+{
+    s->grants = own(e, g_new0(Bg__SnapshotGrant *, c->grants->len + 1));
+    for (guint i = 0; i < c->grants->len; i++) {
+        s->grants[s->n_grants++] = encode_grant(e, c->grants->pdata[i]);
+    }
+}
+
+static void
+decode_grant(Centre *c, const Bg__SnapshotGrant *s)
+{
+    FoldGrant *g = g_new0(FoldGrant, 1);
+    g->first_epoch = s->first_epoch;
+    g->last_epoch = s->last_epoch;
+    g->upstreams = g_ptr_array_new_with_free_func(g_free);
+    g->deployments = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < s->n_upstreams; i++) {
+        g_ptr_array_add(g->upstreams, g_strdup(s->upstreams[i]->upstream));
+        g_ptr_array_add(g->deployments, g_strdup(s->upstreams[i]->deployment));
+    }
+    g_ptr_array_add(c->grants, g);
+}
+
 static Bg__SnapshotCentre *
 encode_centre(Encoder *e, const char *name, const Centre *c)
 {
@@ -189,6 +240,7 @@
             encode_intent(e, g_hash_table_lookup(c->intents, pairs->pdata[i]));
     }
     encode_quiesced(e, c, s);
+    encode_grants(e, c, s);
     return s;
 }
 
@@ -220,6 +272,9 @@
             g_hash_table_add(c->quiesced,
                              g_memdup2(&sc->quiesced[n], sizeof(uint64_t)));
         }
+        for (size_t n = 0; n < sc->n_grants; n++) {
+            decode_grant(c, sc->grants[n]);
+        }
     }
 }
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -139,6 +139,7 @@
         self.store_args = list(store_args)
         self.vm_lag_ms = vm_lag_ms
         self.settings = settings or {}
+        self.node_settings = {}  # daemon's name -> section -> values
         self.procs = {}
         self.ports = {}
         self.vms = []
@@ -288,7 +289,7 @@
                       "shared_key": SHARED_KEY}}
         if role == "placer":
             doc["vms"] = {"address": self.address("vms"), "poll_ms": "200"}
-            doc["placer"] = {}
+            doc["placer"] = {"data_centres": len(self.centres)}
             if far:
                 doc["peers"]["bridges"] = ",".join(
                     self.bridge_address(p + "-peer") for p in far)
@@ -296,6 +297,8 @@
             doc["router"] = {"routers": len(self.routers())}
         for section, values in self.settings.get(role, {}).items():
             doc.setdefault(section, {}).update(values)
+        for section, values in self.node_settings.get(name, {}).items():
+            doc.setdefault(section, {}).update(values)
         if not doc["peers"]["dial"]:
             del doc["peers"]["dial"]
         path = os.path.join(self.dir, name + ".ini")
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -4,9 +4,14 @@
 
      config NAME BASE PRIORITY
      claim CENTRE HOLDER BASE
+     grant CENTRE HOLDER BASE UPSTREAM DEPLOYMENT   a claim with a grant
+     grants CENTRE         what may still have been used
      intent CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
-     settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|absent
-     quiesce CENTRE EPOCH HOLDER
+     fenced CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
+                           the same on an upstream that fences
+     settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|closed|absent|gone
+     quiesce CENTRE EPOCH HOLDER OPEN_UPSTREAM|- OPEN_MODEL|-
+     clear CENTRE EPOCH
      key claim|result|release|unknown WORKSPACE KEY ATTEMPT
      time AUTHOR WALL      of the key and death records that follow
      fill COUNT            so many claims, printed as one line
@@ -117,12 +122,34 @@
     c.data_centre = w[1];
     c.holder = w[2];
     c.base_epoch = get_number(w[3]);
+    Bg__GrantUpstream name = BG__GRANT_UPSTREAM__INIT;
+    Bg__GrantUpstream *list = &name;
+    name.upstream = w[4];
+    name.deployment = w[5];
+    c.n_grant = strcmp(w[0], "grant") == 0;
+    c.grant = &list;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_CLAIM;
     r.claim = &c;
     apply_record(s, &r);
 }
 
+static void
+run_grants(Script *s, char **w)
+{
+    const GPtrArray *all = fold_get_grants(s->fold, w[1]);
+    for (guint i = 0; all && i < all->len; i++) {
+        const FoldGrant *g = all->pdata[i];
+        printf("grant of %llu to %llu:", (unsigned long long)g->first_epoch,
+               (unsigned long long)g->last_epoch);
+        for (guint j = 0; j < g->upstreams->len; j++) {
+            printf(" %s:%s", (char *)g->upstreams->pdata[j],
+                   (char *)g->deployments->pdata[j]);
+        }
+        printf("\n");
+    }
+}
+
 static void
 run_intent(Script *s, char **w)
 {
@@ -135,6 +162,7 @@
     i.capacity_mb = (uint32_t)get_number(w[6]);
     i.ceiling = (uint32_t)get_number(w[7]);
     i.load_id = w[8];
+    i.fenced = strcmp(w[0], "fenced") == 0;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_INTENT;
     r.intent = &i;
@@ -150,7 +178,9 @@
     t.upstream = w[3];
     t.model = w[4];
     t.load_id = w[5];
-    t.loaded = strcmp(w[6], "loaded") == 0;
+    t.closed = strcmp(w[6], "closed") == 0;
+    t.loaded = t.closed || strcmp(w[6], "loaded") == 0;
+    t.life_ended = strcmp(w[6], "gone") == 0;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_SETTLE;
     r.settle = &t;
@@ -164,12 +194,30 @@
     q.data_centre = w[1];
     q.epoch = get_number(w[2]);
     q.holder = w[3];
+    Bg__OpenOrder open = BG__OPEN_ORDER__INIT;
+    Bg__OpenOrder *list = &open;
+    open.upstream = w[4];
+    open.model = w[5];
+    q.n_open = strcmp(w[4], "-") != 0;
+    q.open = &list;
     Bg__Record r = BG__RECORD__INIT;
     r.body_case = BG__RECORD__BODY_QUIESCE;
     r.quiesce = &q;
     apply_record(s, &r);
 }
 
+static void
+run_clear(Script *s, char **w)
+{
+    Bg__ClearRecord c = BG__CLEAR_RECORD__INIT;
+    c.data_centre = w[1];
+    c.epoch = get_number(w[2]);
+    Bg__Record r = BG__RECORD__INIT;
+    r.body_case = BG__RECORD__BODY_CLEAR;
+    r.clear = &c;
+    apply_record(s, &r);
+}
+
 static void
 run_key(Script *s, char **w)
 {
@@ -385,7 +433,9 @@
 static const Command commands[] = {
     {"config", 4, run_config},   {"claim", 4, run_claim},
     {"intent", 9, run_intent},   {"settle", 7, run_settle},
-    {"quiesce", 4, run_quiesce}, {"key", 5, run_key},
+    {"quiesce", 6, run_quiesce}, {"fenced", 9, run_intent},
+    {"clear", 3, run_clear},     {"grant", 6, run_claim},
+    {"grants", 2, run_grants},   {"key", 5, run_key},
     {"death", 3, run_death},     {"time", 3, run_time},
     {"fill", 2, run_fill},       {"deaths", 2, run_deaths},
     {"again", 1, run_again},     {"bytes", 2, run_bytes},
