A replica on an upstream that does not answer is not counted on

Cause: a dead engine that stays on the VM list kept its model from being placed elsewhere; callers waited out their deadlines (test_poison: 504). Ruled out: settling its replicas as absent; dead and frozen look the same, and the ceiling must hold. Change: after three polls without a report an upstream's replicas still count, but are not usable, and nothing is placed there. test_poison.py: a completion whose upstream died is now tried again alone, so the first sending of a deadly request ends with the second death, and an innocent is answered in its first call; a timeout at the deadline is 504, as OPERATING.md says. Still as strict: no third engine dies, the innocent is cleared, a timeout is no death.

--- a/src/pl.c
+++ b/src/pl.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define MISSED_POLLS_SILENT 3 /* then nobody is counted on there */
 #define CLAIM_RETRY_MS 2000
 #define CLAIM_HOLD_MAX_MS 60000
 #define VM_LIST_WAIT_MS 3000
@@ -98,6 +99,7 @@
     uint64_t report_ms; /* when the last report came */
     uint64_t next_poll_ms;
     uint64_t poll_sent_ms;
+    uint32_t missed_polls;  /* since the last report */
     uint64_t settled_epoch; /* epoch under which it may be ordered */
     uint64_t settled_ms;
     uint64_t fence_sent_ms;
@@ -1468,6 +1470,7 @@
     }
     if (r->kind == PL_POLL) {
         u->poll_out = false;
+        u->missed_polls = r->report ? 0 : u->missed_polls + 1;
     }
     if (r->kind == PL_FENCE) {
         finish_fence(c, u, r);
@@ -1524,9 +1527,18 @@
     return mb;
 }
 
+/* A dead engine that stays on the VM list can't be told from a frozen one:
+   its replicas count on, but nobody can use them, and callers would wait for
+   them until their deadlines.  Another one is decided, under the ceiling. */
+static bool
+is_answering(const Upstream *u)
+{
+    return u->missed_polls < MISSED_POLLS_SILENT;
+}
+
 typedef struct {
     uint32_t counted; /* replicas, loaded, on the way or possible */
-    uint32_t usable;  /* of these: loaded or on the way */
+    uint32_t usable;  /* of these: loaded or on the way, where it answers */
     uint32_t coming;  /* on the way */
     Load *lingering;  /* one that may be loaded again under its record */
 } Replicas;
@@ -1549,7 +1561,8 @@
         }
         n.counted += !find_intent(c, u->id, m->name);
         n.coming += l->phase < LOAD_LOADED && !l->found;
-        n.usable += l->phase <= LOAD_LOADED && !u->leaving && !u->gone;
+        n.usable += l->phase <= LOAD_LOADED && !u->leaving && !u->gone &&
+                    is_answering(u);
         if (l->phase == LOAD_LINGERING && is_settled(c, u) && !u->gone &&
             !u->leaving && l->memory_mb == m->memory_mb) {
             n.lingering = l;
@@ -1592,7 +1605,7 @@
 static bool
 can_take(const PlCore *c, const Upstream *u, const CfgModel *m)
 {
-    return !u->gone && !u->leaving && is_settled(c, u) &&
+    return !u->gone && !u->leaving && is_settled(c, u) && is_answering(u) &&
            strcmp(u->deployment, m->upstreams) == 0 &&
            !g_hash_table_contains(u->loads, m->name) &&
            (!m->base || is_base_loaded(u, m->base));
--- a/src/req.c
+++ b/src/req.c
@@ -454,10 +454,11 @@
     else {
         once_on_broken(d->once, now_ms, wall_ms, e->id);
     }
-    const Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
+    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
     if (!w || !e->upstream) {
         return;
     }
+    w->suspect = w->suspect || e->end.died; /* from here on it runs alone */
     /* A VM that was told to leave is taken away; no request is to blame. */
     if (e->broken_open && !rt_is_leaving(core, e->upstream)) {
         qr_on_broken(d->quarantine, now_ms, wall_ms, w->digest, e->upstream,
