--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -997,6 +997,51 @@
   assert(message->base.descriptor == &bg__limit_loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__upstream_left__init
+                     (Bg__UpstreamLeft         *message)
+{
+  static const Bg__UpstreamLeft init_value = BG__UPSTREAM_LEFT__INIT;
+  *message = init_value;
+}
+size_t bg__upstream_left__get_packed_size
+                     (const Bg__UpstreamLeft *message)
+{
+  assert(message->base.descriptor == &bg__upstream_left__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__upstream_left__pack
+                     (const Bg__UpstreamLeft *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__upstream_left__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__upstream_left__pack_to_buffer
+                     (const Bg__UpstreamLeft *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__upstream_left__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__UpstreamLeft *
+       bg__upstream_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__UpstreamLeft *)
+     protobuf_c_message_unpack (&bg__upstream_left__descriptor,
+                                allocator, len, data);
+}
+void   bg__upstream_left__free_unpacked
+                     (Bg__UpstreamLeft *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__upstream_left__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__frame__init
                      (Bg__Frame         *message)
 {
@@ -3794,7 +3839,58 @@
   (ProtobufCMessageInit) bg__limit_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor bg__upstream_left__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__UpstreamLeft, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__UpstreamLeft, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__upstream_left__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__upstream_left__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__upstream_left__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.UpstreamLeft",
+  "UpstreamLeft",
+  "Bg__UpstreamLeft",
+  "bg",
+  sizeof(Bg__UpstreamLeft),
+  2,
+  bg__upstream_left__field_descriptors,
+  bg__upstream_left__field_indices_by_name,
+  1,  bg__upstream_left__number_ranges,
+  (ProtobufCMessageInit) bg__upstream_left__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -3964,6 +4060,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream_left",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Frame, body_case),
+    offsetof(Bg__Frame, upstream_left),
+    &bg__upstream_left__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__frame__field_indices_by_name[] = {
   2,   /* field[2] = demand */
@@ -3979,13 +4087,14 @@
   8,   /* field[8] = snapshot_chunk */
   7,   /* field[7] = snapshot_fetch */
   11,   /* field[11] = status_fetch */
+  14,   /* field[14] = upstream_left */
   4,   /* field[4] = want_refused */
 };
 static const ProtobufCIntRange bg__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 12 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor bg__frame__descriptor =
 {
@@ -3995,7 +4104,7 @@
   "Bg__Frame",
   "bg",
   sizeof(Bg__Frame),
-  14,
+  15,
   bg__frame__field_descriptors,
   bg__frame__field_indices_by_name,
   2,  bg__frame__number_ranges,
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Bg__WantRefused Bg__WantRefused;
 typedef struct Bg__LimitAsk Bg__LimitAsk;
 typedef struct Bg__LimitLoan Bg__LimitLoan;
+typedef struct Bg__UpstreamLeft Bg__UpstreamLeft;
 typedef struct Bg__Frame Bg__Frame;
 typedef struct Bg__SnapshotVersion Bg__SnapshotVersion;
 typedef struct Bg__SnapshotTemplate Bg__SnapshotTemplate;
@@ -465,6 +466,20 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * An upstream told a router itself that it leaves.
+ */
+struct  Bg__UpstreamLeft
+{
+  ProtobufCMessage base;
+  char *upstream;
+  char *address;
+};
+#define BG__UPSTREAM_LEFT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__upstream_left__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   BG__FRAME__BODY__NOT_SET = 0,
   BG__FRAME__BODY_HELLO = 1,
@@ -474,6 +489,7 @@
   BG__FRAME__BODY_WANT_REFUSED = 5,
   BG__FRAME__BODY_LIMIT_ASK = 20,
   BG__FRAME__BODY_LIMIT_LOAN = 21,
+  BG__FRAME__BODY_UPSTREAM_LEFT = 22,
   BG__FRAME__BODY_RELAY_FETCH = 6,
   BG__FRAME__BODY_RELAY = 7,
   BG__FRAME__BODY_SNAPSHOT_FETCH = 8,
@@ -496,6 +512,7 @@
     Bg__WantRefused *want_refused;
     Bg__LimitAsk *limit_ask;
     Bg__LimitLoan *limit_loan;
+    Bg__UpstreamLeft *upstream_left;
     Bg__RelayFetch *relay_fetch;
     Bg__Relay *relay;
     Bg__SnapshotFetch *snapshot_fetch;
@@ -1183,6 +1200,25 @@
 void   bg__limit_loan__free_unpacked
                      (Bg__LimitLoan *message,
                       ProtobufCAllocator *allocator);
+/* Bg__UpstreamLeft methods */
+void   bg__upstream_left__init
+                     (Bg__UpstreamLeft         *message);
+size_t bg__upstream_left__get_packed_size
+                     (const Bg__UpstreamLeft   *message);
+size_t bg__upstream_left__pack
+                     (const Bg__UpstreamLeft   *message,
+                      uint8_t             *out);
+size_t bg__upstream_left__pack_to_buffer
+                     (const Bg__UpstreamLeft   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__UpstreamLeft *
+       bg__upstream_left__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__upstream_left__free_unpacked
+                     (Bg__UpstreamLeft *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__Frame methods */
 void   bg__frame__init
                      (Bg__Frame         *message);
@@ -1574,6 +1610,9 @@
 typedef void (*Bg__LimitLoan_Closure)
                  (const Bg__LimitLoan *message,
                   void *closure_data);
+typedef void (*Bg__UpstreamLeft_Closure)
+                 (const Bg__UpstreamLeft *message,
+                  void *closure_data);
 typedef void (*Bg__Frame_Closure)
                  (const Bg__Frame *message,
                   void *closure_data);
@@ -1654,6 +1693,7 @@
 extern const ProtobufCMessageDescriptor bg__want_refused__descriptor;
 extern const ProtobufCMessageDescriptor bg__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor bg__limit_loan__descriptor;
+extern const ProtobufCMessageDescriptor bg__upstream_left__descriptor;
 extern const ProtobufCMessageDescriptor bg__frame__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_version__descriptor;
 extern const ProtobufCMessageDescriptor bg__snapshot_template__descriptor;
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -181,6 +181,18 @@
     node_send(((Router *)ctx)->node, to, NULL, "router", &frame);
 }
 
+static void
+output_left(void *ctx, const char *upstream, const char *address)
+{
+    Bg__UpstreamLeft left = BG__UPSTREAM_LEFT__INIT;
+    left.upstream = (char *)upstream;
+    left.address = (char *)address;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_UPSTREAM_LEFT;
+    frame.upstream_left = &left;
+    node_send(((Router *)ctx)->node, NULL, NULL, "router", &frame);
+}
+
 static uint32_t
 get_setting(const IniFile *f, const char *key)
 {
@@ -208,8 +220,9 @@
         .max_sends = get_setting(f, "max_sends"),
         .early_refusal = ini_get_bool(f, "router", "early_refusal"),
         .seed = bg_now_us()};
-    RtOutput out = {r, output_send, output_refuse, output_finish,
-                    output_probe};
+    RtOutput out = {
+        r,          output_send, output_refuse, output_finish, output_probe,
+        output_left};
     LimParams limits = {get_setting(f, "routers"),
                         get_setting(f, "limit_lease_ms")};
     LimOutput limit_out = {r, output_ask, output_lend};
@@ -265,6 +278,10 @@
     case BG__FRAME__BODY_LIMIT_LOAN:
         lim_on_loan(r->lim, now_ms, from->node, frame->limit_loan);
         break;
+    case BG__FRAME__BODY_UPSTREAM_LEFT:
+        rt_on_left(r->core, now_ms, frame->upstream_left->upstream,
+                   frame->upstream_left->address);
+        break;
     default:
         break;
     }
--- a/src/rt.c
+++ b/src/rt.c
@@ -574,6 +574,7 @@
     g_ptr_array_add(q->tried, g_strdup(up_get_id(u)));
     q->sends += end->done != RT_DONE_NOT_SENT;
     if (end->leaving) {
+        c->out.left(c->out.ctx, up_get_id(u), up_get_address(u));
         up_mark_leaving(c->ups, u, now_ms);
     }
     else if (end->done == RT_DONE_TURNED_AWAY && q->r.model) {
@@ -651,6 +652,13 @@
     pump(c, now_ms);
 }
 
+void
+rt_on_left(RtCore *c, uint64_t now_ms, const char *upstream,
+           const char *address)
+{
+    up_on_left(c->ups, now_ms, upstream, address);
+}
+
 typedef struct {
     RtCore *core;
     uint64_t now_ms;
--- a/src/rt.h
+++ b/src/rt.h
@@ -77,6 +77,8 @@
     /* It may have run and is not sent again. */
     void (*finish)(void *ctx, uint64_t id);
     UpProbe probe;
+    /* An upstream said itself that it leaves: for the other routers. */
+    void (*left)(void *ctx, const char *upstream, const char *address);
 } RtOutput;
 
 typedef struct RtCore RtCore;
@@ -92,6 +94,9 @@
 void rt_on_probe(RtCore *c, uint64_t now_ms, const char *upstream,
                  const char *address, bool well);
 void rt_on_residency(RtCore *c, uint64_t now_ms, const Bg__Residency *r);
+/* Another router's word that an upstream leaves. */
+void rt_on_left(RtCore *c, uint64_t now_ms, const char *upstream,
+                const char *address);
 void rt_on_want_refused(RtCore *c, uint64_t now_ms, const char *model,
                         uint64_t retry_after_ms);
 void rt_on_tick(RtCore *c, uint64_t now_ms);
--- a/src/up.c
+++ b/src/up.c
@@ -183,6 +183,17 @@
     note_left(s, u->id, u->address, now_ms);
 }
 
+void
+up_on_left(UpSet *s, uint64_t now_ms, const char *upstream,
+           const char *address)
+{
+    Up *u = g_hash_table_lookup(s->ups, upstream);
+    note_left(s, upstream, address, now_ms);
+    if (u && strcmp(u->address, address) == 0) {
+        u->leaving = true;
+    }
+}
+
 static gboolean
 is_old_leaver(gpointer key, gpointer value, gpointer ctx)
 {
--- a/src/up.h
+++ b/src/up.h
@@ -48,6 +48,9 @@
 void up_destroy(UpSet *s);
 
 void up_on_residency(UpSet *s, uint64_t now_ms, const Bg__Residency *r);
+/* Another router's word that UPSTREAM leaves. */
+void up_on_left(UpSet *s, uint64_t now_ms, const char *upstream,
+                const char *address);
 void up_on_probe(UpSet *s, uint64_t now_ms, const char *upstream,
                  const char *address, bool well);
 /* Send the probes that are due. */
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -2,8 +2,8 @@
 each run by X-Run-Id, the caller's own mark.
 
 PUT /test/faults takes {"delay_ms", "drop_answers", "short_answers",
-"die_after_run"}.
-GET /test/runs -> {mark: runs}.  GET /test/peak -> most runs at once.
+"die_after_run", "refuse_new" (turn away, and report nothing of it)}.
+GET /test/runs -> {mark: runs}.  GET /test/peak -> most runs at once, calls turned away.
 """
 
 import json
@@ -21,13 +21,15 @@
         self.inside = 0
         self.peak = 0
         self.leaving = False
+        self.turned_away = 0
         self.faults = {"delay_ms": 0, "drop_answers": 0,
                        "short_answers": 0,
-                       "die_after_run": False}
+                       "die_after_run": False, "refuse_new": False}
 
     def run(self, h, path, body):
         mark = h.headers.get("X-Run-Id") or path
-        if self.leaving:
+        if self.leaving or self.faults["refuse_new"]:
+            self.turned_away += 1
             return h.reply(503, {"error": "leaving", "run": False},
                            {"X-Upstream-State": "leaving"})
         with self.lock:
@@ -55,7 +57,8 @@
         if path == "/test/runs":
             return h.reply(200, self.runs)
         if path == "/test/peak":
-            return h.reply(200, {"peak": self.peak})
+            return h.reply(200, {"peak": self.peak,
+                                 "turned_away": self.turned_away})
         if path == "/test/faults":
             self.faults.update(json.loads(body))
             return h.reply(200, self.faults)
--- a/tests/script_rt.c
+++ b/tests/script_rt.c
@@ -10,6 +10,7 @@
    LOAD_MS COST AFFINITY once|again done ID
    ok|not_sent|turned_away|broken|cancelled -|leaving|silent|late cancel ID
      probe UPSTREAM ADDRESS well|ill
+     left UPSTREAM ADDRESS   another router's word
      no_room MODEL RETRY_MS
      drain / wants / count */
 #include "rt.h"
@@ -57,6 +58,13 @@
     printf("probe %s %s\n", upstream, address);
 }
 
+static void
+print_left(void *ctx, const char *upstream, const char *address)
+{
+    (void)ctx;
+    printf("left %s %s\n", upstream, address);
+}
+
 static uint64_t
 get_number(const char *word)
 {
@@ -77,7 +85,8 @@
 static void
 start_core(Script *s)
 {
-    RtOutput out = {s, print_send, print_refuse, print_finish, print_probe};
+    RtOutput out = {s,           print_send, print_refuse, print_finish,
+                    print_probe, print_left};
     if (!s->core) {
         s->core = rt_create(&s->params, &out);
     }
@@ -193,6 +202,12 @@
     rt_on_probe(s->core, s->now_ms, w[1], w[2], strcmp(w[3], "well") == 0);
 }
 
+static void
+run_left(Script *s, char **w)
+{
+    rt_on_left(s->core, s->now_ms, w[1], w[2]);
+}
+
 static void
 run_no_room(Script *s, char **w)
 {
@@ -238,7 +253,7 @@
     {"done", 4, run_done},   {"cancel", 2, run_cancel},
     {"probe", 4, run_probe}, {"no_room", 3, run_no_room},
     {"drain", 1, run_drain}, {"wants", 1, run_wants},
-    {"count", 1, run_count}};
+    {"count", 1, run_count}, {"left", 3, run_left}};
 
 static void
 run_line(Script *s, char *line)
--- a/tests/test_fuzz_rt.py
+++ b/tests/test_fuzz_rt.py
@@ -129,6 +129,12 @@
         self.tell("state dc1 %d %s %s %s %s 0 %s" % (
             epoch, *where, word, "known" if known else "unknown", models))
 
+    @rule(name=st.sampled_from(UPSTREAMS), port=st.sampled_from((1, 2)))
+    def left_by_a_peer(self, name, port):
+        where = (name, "10.0.0.1:%d" % port)
+        self.left.add(where)
+        self.tell("left %s %s" % where)
+
     @rule()
     def new_epoch(self):
         self.epoch += 1
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -112,6 +112,38 @@
     assert count_new_work(cluster, "later") == 0
 
 
+def test_peer_says_leaving(build):
+    """One of two routers is turned away by an upstream that leaves; list
+    and report call it live.  The other router hears it from the first and
+    sends nothing."""
+    services = [{"id": "dc1-ledger%d" % i, "centre": "dc1",
+                 "deployment": "sadasya-ledger"} for i in (1, 2)]
+    with Cluster(build, centres=("dc1",), vms_per_centre=2,
+                 services=services) as c:
+        c.publish_samples()
+
+        def ask(router, i):
+            a = c.ask(router, "registry", "/v1/services/member-lookup/m",
+                      {"q": i})
+            assert a.status == 200, a.body
+
+        def find(router):
+            return next((u for u in c.dump(router)["state"]["upstreams"]
+                         if u["id"] == "dc1-ledger1"), {})
+        first, second = c.routers()
+        wait_until(lambda: all(find(r) for r in (first, second)), 10, "both")
+        wait_until(lambda: any(link["node"].startswith(second) for link in
+                               c.dump(first)["links"]), 10, "their link")
+        c.set_faults("dc1-ledger1", refuse_new=True)
+        for i in range(12):
+            ask(first, i)
+        wait_until(lambda: find(second)["leaving"], 3, "the peer's word")
+        for i in range(12):
+            ask(second, i)
+        turned = c.call("dc1-ledger1", "GET", "/test/peak").json()
+        assert turned["turned_away"] == 1
+
+
 def test_service_turns_work_away(build):
     """A plain service says that it leaves: the call was not run there, so
     it may be sent to the other one, once."""
