Routing core: suspects of an upstream's death run alone

What quarantine needs of the core, for its shell to use: a request under which an upstream died is sent again as a suspect, to an upstream that runs nothing else of ours, and takes down two at most; equal ones that wait turn suspects or are refused. A claimed call that was inside before a stop is not refused by it.

--- a/src/rt.c
+++ b/src/rt.c
@@ -13,6 +13,7 @@
 #define RETRY_JITTER_MS 10   /* doubles with each sending */
 #define SAME_UPSTREAM_MS 200
 #define MAX_BACKOFF_STEPS 5
+#define MAX_DEATHS 2 /* upstreams that one request may take down */
 #define NO_UPSTREAM_WAIT_MS 1000
 #define EWMA_WEIGHT 4 /* a new sample counts for a quarter */
 #define USED_LATELY_MS 1000
@@ -27,6 +28,7 @@
     Up *at;            /* where it runs, or NULL while it waits */
     GPtrArray *tried;  /* upstream ids, owned */
     uint32_t sends;    /* that reached an upstream */
+    uint32_t deaths;   /* of upstreams while they ran it */
     bool may_have_run; /* then it is never refused as not run */
     uint64_t arrived_ms;
     uint64_t sent_ms;
@@ -247,18 +249,24 @@
 }
 
 static void
-enqueue(RtCore *c, Request *q)
+enqueue_retry(RtCore *c, Request *q)
 {
-    fq_push(q->target->queue, &q->node);
+    g_queue_push_tail(&q->target->retrying, q);
+    q->retry_link = q->target->retrying.tail;
     c->waiting[q->r.class_]++;
     mark_active(c, q->target);
 }
 
+/* A suspect waits for an empty upstream; the fair queue holds only those
+   that can all use the same ones. */
 static void
-enqueue_retry(RtCore *c, Request *q)
+enqueue(RtCore *c, Request *q)
 {
-    g_queue_push_tail(&q->target->retrying, q);
-    q->retry_link = q->target->retrying.tail;
+    if (q->r.suspect) {
+        enqueue_retry(c, q);
+        return;
+    }
+    fq_push(q->target->queue, &q->node);
     c->waiting[q->r.class_]++;
     mark_active(c, q->target);
 }
@@ -325,6 +333,7 @@
 {
     UpQuery query = make_query(q->target);
     query.affinity = q->r.affinity;
+    query.alone = q->r.suspect;
     if (q->tried->len == 0) {
         return up_choose(c->ups, now_ms, &query);
     }
@@ -356,7 +365,7 @@
     q->at = u;
     q->sent_ms = now_ms;
     q->target->inflight++;
-    up_start(u);
+    up_start(u, q->r.suspect);
     c->out.send(c->out.ctx, q->r.id, up_get_id(u), up_get_address(u),
                 get_long_run_of(q));
 }
@@ -513,7 +522,7 @@
     t->last_used_ms = now_ms;
     c->retry_credit = MIN(c->retry_credit + c->params.retry_percent,
                           RETRY_CREDIT_MAX * RETRY_COST);
-    if (c->draining) {
+    if (c->draining && !r->inside) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
@@ -523,6 +532,10 @@
         return;
     }
     admit(c, q, now_ms);
+    if (t->retrying.length > 0) {
+        /* What waits may be a suspect; others need not wait behind it. */
+        pump(c, now_ms);
+    }
 }
 
 /* ---- ends of sendings --------------------------------------------------- */
@@ -611,7 +624,9 @@
             note_run(t, q->node.cost,
                      now_ms - q->sent_ms); /* it takes no less */
         }
-        if (q->r.once) {
+        q->deaths += end->died;
+        q->r.suspect = q->r.suspect || end->died;
+        if (q->r.once || q->deaths >= MAX_DEATHS) {
             finish(c, q);
         }
         else {
@@ -622,6 +637,31 @@
     pump(c, now_ms);
 }
 
+void
+rt_on_death(RtCore *c, uint64_t now_ms, uint64_t id, bool quarantined)
+{
+    Request *q = g_hash_table_lookup(c->requests, &id);
+    if (!q || !is_waiting(q)) {
+        return;
+    }
+    if (quarantined) {
+        refuse(c, q, RT_REFUSED_QUARANTINE, 0);
+        return;
+    }
+    if (!q->r.suspect) {
+        dequeue(c, q, false);
+        q->r.suspect = true;
+        enqueue(c, q);
+    }
+    pump(c, now_ms);
+}
+
+bool
+rt_is_leaving(const RtCore *c, const char *upstream)
+{
+    return up_is_leaving(c->ups, upstream);
+}
+
 bool
 rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id)
 {
--- a/src/rt.h
+++ b/src/rt.h
@@ -48,6 +48,8 @@
     uint32_t load_ms;     /* expected cold load of the model */
     uint64_t affinity;    /* digest of the prompt's beginning; 0: none */
     bool once;            /* not sent again once it may have run */
+    bool suspect;         /* an upstream died under it: it runs alone */
+    bool inside;          /* taken in before a stop began: not refused by it */
 } RtRequest;
 
 typedef enum {
@@ -63,6 +65,7 @@
     RtDone done;
     bool leaving;           /* the upstream said of itself that it leaves */
     bool silent_connection; /* it may be dead and the upstream well */
+    bool died;              /* BROKEN: the upstream's process ended */
     bool late;              /* cut off by the request's own deadline */
 } RtEnd;
 
@@ -91,6 +94,11 @@
 /* The caller is gone.  True: the request waited and is dropped without
    further output; false: it is at an upstream, and rt_on_done will tell. */
 bool rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id);
+/* Upstreams died under a request equal to ID: one that waits becomes a
+   suspect, or is refused when QUARANTINED. */
+void rt_on_death(RtCore *c, uint64_t now_ms, uint64_t id, bool quarantined);
+/* Whether UPSTREAM leaves or is gone, by anyone's word. */
+bool rt_is_leaving(const RtCore *c, const char *upstream);
 void rt_on_probe(RtCore *c, uint64_t now_ms, const char *upstream,
                  const char *address, bool well);
 void rt_on_residency(RtCore *c, uint64_t now_ms, const Bg__Residency *r);
--- a/src/up.c
+++ b/src/up.c
@@ -19,6 +19,7 @@
     bool replaced;      /* its id has a new address; not in the set any more */
     GHashTable *loaded; /* models ready here */
     uint32_t inflight;  /* ours; holds the object */
+    bool alone;         /* what runs here runs alone */
     uint32_t others;    /* everybody else's, at the last report */
     uint64_t reported_ms;
     uint32_t failures; /* consecutive */
@@ -358,8 +359,9 @@
 /* ---- calls -------------------------------------------------------------- */
 
 void
-up_start(Up *u)
+up_start(Up *u, bool alone)
 {
+    u->alone = alone;
     u->inflight++;
 }
 
@@ -367,6 +369,7 @@
 up_finish(UpSet *s, Up *u, uint64_t now_ms, UpEnd end)
 {
     u->inflight--;
+    u->alone = false;
     if (u->replaced) {
         if (u->inflight == 0) {
             free_up(u);
@@ -392,10 +395,18 @@
     return !q->base || g_hash_table_contains(u->loaded, q->base);
 }
 
+/* Whatever runs beside a request that kills its upstream dies with it and
+   would be taken for the cause; a suspect therefore runs alone. */
+static bool
+may_share(const Up *u, const UpQuery *q)
+{
+    return !u->alone && (!q->alone || u->inflight == 0);
+}
+
 static bool
 is_free(const UpSet *s, const Up *u, const UpQuery *q)
 {
-    return holds(u, q) && !u->ejected &&
+    return holds(u, q) && may_share(u, q) && !u->ejected &&
            u->inflight < s->params.per_upstream &&
            !(q->avoided &&
              g_ptr_array_find_with_equal_func((GPtrArray *)q->avoided, u->id,
@@ -514,6 +525,13 @@
 
 /* ---- state -------------------------------------------------------------- */
 
+bool
+up_is_leaving(const UpSet *s, const char *upstream)
+{
+    const Up *u = g_hash_table_lookup(s->ups, upstream);
+    return !u || u->leaving || u->gone;
+}
+
 const char *
 up_get_id(const Up *u)
 {
--- a/src/up.h
+++ b/src/up.h
@@ -36,6 +36,7 @@
     const char *base;         /* that an adapter needs, or NULL */
     uint64_t affinity;        /* 0: none */
     const GPtrArray *avoided; /* upstream ids, or NULL */
+    bool alone;               /* only one that runs nothing of ours */
 } UpQuery;
 
 typedef enum {
@@ -64,14 +65,17 @@
    included; 0: the model is cold. */
 uint32_t up_count_slots(const UpSet *s, const UpQuery *q);
 
-/* A call starts; U stays valid until up_finish. */
-void up_start(Up *u);
+/* A call starts; U stays valid until up_finish.  ALONE: nothing is put
+   beside it. */
+void up_start(Up *u, bool alone);
 void up_finish(UpSet *s, Up *u, uint64_t now_ms, UpEnd end);
 /* It said itself that it leaves: no new work, whatever a list says. */
 void up_mark_leaving(UpSet *s, Up *u, uint64_t now_ms);
 /* It said that it does not hold MODEL; the next report tells better. */
 void up_forget_model(UpSet *s, Up *u, const char *model);
 
+/* Whether it leaves or is gone, or is not known at all. */
+bool up_is_leaving(const UpSet *s, const char *upstream);
 const char *up_get_id(const Up *u);
 const char *up_get_address(const Up *u);
 /* As a JSON array, borrowed by nobody: the caller owns it. */
--- a/tests/script_rt.c
+++ b/tests/script_rt.c
@@ -1,18 +1,22 @@
-/* Drives the routing core from a script on standard input, one event a
-   line, and prints its decisions.  The same program serves the scripted
-   tests, the fuzzer and the bench of choices.
+/* Drives the routing core from a script on standard input, one event a line,
+   and prints its decisions.  The same program serves the scripted tests, the
+   fuzzer and the bench of choices.
 
-     set KEY VALUE         before the first event; keys in `settings`
-     at MS                 the clock; a tick follows
-     state CENTRE EPOCH UPSTREAM ADDRESS live|leaving|gone known|unknown
-           INFLIGHT MODELS  models with commas, or "-"
-     arrive ID MODEL[/BASE]|- DEPLOYMENT WORKSPACE CLASS PRIORITY WAIT_MS
-   LOAD_MS COST AFFINITY once|again done ID
-   ok|not_sent|turned_away|broken|cancelled -|leaving|silent|late cancel ID
-     probe UPSTREAM ADDRESS well|ill
-     left UPSTREAM ADDRESS   another router's word
+     set KEY VALUE: before the first event; the keys are in run_set
+     at MS: the clock; a tick follows
+     state CENTRE EPOCH UPSTREAM ADDRESS WORD KNOWN INFLIGHT MODELS: WORD is
+   live, leaving or gone, KNOWN known or unknown, MODELS a,b or "-"
+     arrive ID MODEL DEPLOYMENT WORKSPACE CLASS PRIORITY WAIT_MS LOAD_MS COST
+   AFFINITY AGAIN: MODEL may be MODEL/BASE, or "-" for a service; AGAIN is
+   once or again
+     done ID END MARK: END is ok, not_sent, turned_away, broken or cancelled,
+   MARK leaving, silent, late, died or "-"
+     death ID WORD: WORD is suspect or quarantined
+     cancel ID
+     probe UPSTREAM ADDRESS WORD: WORD is well or ill
+     left UPSTREAM ADDRESS: another router's word
      no_room MODEL RETRY_MS
-     drain / wants / count */
+     drain, wants, count */
 #include "rt.h"
 
 #include <stdio.h>
@@ -184,6 +188,7 @@
     RtEnd end = {.done = (RtDone)find_word(ends, 5, w[2]),
                  .leaving = strcmp(w[3], "leaving") == 0,
                  .silent_connection = strcmp(w[3], "silent") == 0,
+                 .died = strcmp(w[3], "died") == 0,
                  .late = strcmp(w[3], "late") == 0};
     rt_on_done(s->core, s->now_ms, get_number(w[1]), &end);
 }
@@ -202,6 +207,13 @@
     rt_on_probe(s->core, s->now_ms, w[1], w[2], strcmp(w[3], "well") == 0);
 }
 
+static void
+run_death(Script *s, char **w)
+{
+    rt_on_death(s->core, s->now_ms, get_number(w[1]),
+                strcmp(w[2], "quarantined") == 0);
+}
+
 static void
 run_left(Script *s, char **w)
 {
@@ -253,7 +265,8 @@
     {"done", 4, run_done},   {"cancel", 2, run_cancel},
     {"probe", 4, run_probe}, {"no_room", 3, run_no_room},
     {"drain", 1, run_drain}, {"wants", 1, run_wants},
-    {"count", 1, run_count}, {"left", 3, run_left}};
+    {"count", 1, run_count}, {"left", 3, run_left},
+    {"death", 3, run_death}};
 
 static void
 run_line(Script *s, char *line)
--- a/tests/test_fuzz_rt.py
+++ b/tests/test_fuzz_rt.py
@@ -2,7 +2,8 @@
 each request gets one final answer; it is at one upstream at most; "not run"
 is said only of what was never sent or was turned away; a call that may not
 be repeated is not sent again once it may have run; an upstream never holds
-more than its bound; nothing is sent to one that is leaving or gone."""
+more than its bound; nothing is sent to one that is leaving or gone;
+a suspect of an upstream's death runs alone and takes down two at most."""
 
 import os
 import subprocess
@@ -59,6 +60,10 @@
         assert not (q["once"] and q["ran"]), "a second run"
         assert where not in self.left, "sent to a leaver"
         assert where not in self.gone, "sent to one that is gone"
+        assert q["deaths"] < 2, "a third upstream"
+        beside = [p for p in self.open.values() if p["at"] == where]
+        assert not any(p["suspect"] for p in beside + [q] if beside), \
+            "a suspect beside others"
         q["at"] = where
         self.inflight[where] = self.inflight.get(where, 0) + 1
         assert self.inflight[where] <= PER_UPSTREAM
@@ -80,7 +85,8 @@
     def arrive(self, model, once, workspace, kind, priority, wait, load,
                affinity):
         self.next_id += 1
-        self.open[self.next_id] = {"once": once, "at": None, "ran": False}
+        self.open[self.next_id] = {"once": once, "at": None, "ran": False,
+                                   "suspect": False, "deaths": 0}
         self.tell("arrive %d %s lm %s %s %d %d %d 1 %d %s" % (
             self.next_id, model, workspace, kind, priority, wait, load,
             affinity, "once" if once else "again"))
@@ -92,7 +98,7 @@
     @rule(data=st.data(),
           end=st.sampled_from(("ok", "ok", "not_sent", "turned_away",
                                "broken", "cancelled")),
-          mark=st.sampled_from(("-", "leaving", "silent", "late")))
+          mark=st.sampled_from(("-", "leaving", "silent", "late", "died")))
     def done(self, data, end, mark):
         ident = data.draw(st.sampled_from(self.list_sent()))
         self.finish_send(ident, end, mark)
@@ -104,6 +110,9 @@
             self.left.add(q["at"])
         q["at"] = None
         q["ran"] = q["ran"] or end == "broken"
+        if end == "broken" and mark == "died":
+            q["deaths"] += 1
+            q["suspect"] = True
         if end in ("ok", "cancelled"):
             self.end(ident, end)
         self.tell("done %d %s %s" % (ident, end, mark))
@@ -129,6 +138,16 @@
         self.tell("state dc1 %d %s %s %s %s 0 %s" % (
             epoch, *where, word, "known" if known else "unknown", models))
 
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), quarantined=st.booleans())
+    def death(self, data, quarantined):
+        """An equal request has killed an upstream elsewhere."""
+        ident = data.draw(st.sampled_from(sorted(self.open)))
+        if not self.open[ident]["at"] and not quarantined:
+            self.open[ident]["suspect"] = True
+        self.tell("death %d %s" % (ident, "quarantined" if quarantined
+                                   else "suspect"))
+
     @rule(name=st.sampled_from(UPSTREAMS), port=st.sampled_from((1, 2)))
     def left_by_a_peer(self, name, port):
         where = (name, "10.0.0.1:%d" % port)
