--- a/tests/test_fuzz_rt.py
+++ b/tests/test_fuzz_rt.py
@@ -103,6 +103,14 @@
         ident = data.draw(st.sampled_from(self.list_sent()))
         self.finish_send(ident, end, mark)
 
+    @precondition(lambda self: self.list_sent())
+    @rule(data=st.data())
+    def die(self, data):
+        """An upstream dies under a request, which may go on elsewhere."""
+        ident = data.draw(st.sampled_from(self.list_sent()))
+        self.finish_send(ident, "broken", "died")
+        self.wait(300)
+
     def finish_send(self, ident, end, mark):
         q = self.open[ident]
         self.inflight[q["at"]] -= 1
