--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bg__claim_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__grant_upstream__init
+                     (Bg__GrantUpstream         *message)
+{
+  static const Bg__GrantUpstream init_value = BG__GRANT_UPSTREAM__INIT;
+  *message = init_value;
+}
+size_t bg__grant_upstream__get_packed_size
+                     (const Bg__GrantUpstream *message)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__grant_upstream__pack
+                     (const Bg__GrantUpstream *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__grant_upstream__pack_to_buffer
+                     (const Bg__GrantUpstream *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__GrantUpstream *
+       bg__grant_upstream__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__GrantUpstream *)
+     protobuf_c_message_unpack (&bg__grant_upstream__descriptor,
+                                allocator, len, data);
+}
+void   bg__grant_upstream__free_unpacked
+                     (Bg__GrantUpstream *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__grant_upstream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__intent_record__init
                      (Bg__IntentRecord         *message)
 {
@@ -232,6 +277,96 @@
   assert(message->base.descriptor == &bg__quiesce_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__open_order__init
+                     (Bg__OpenOrder         *message)
+{
+  static const Bg__OpenOrder init_value = BG__OPEN_ORDER__INIT;
+  *message = init_value;
+}
+size_t bg__open_order__get_packed_size
+                     (const Bg__OpenOrder *message)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__open_order__pack
+                     (const Bg__OpenOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__open_order__pack_to_buffer
+                     (const Bg__OpenOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__OpenOrder *
+       bg__open_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__OpenOrder *)
+     protobuf_c_message_unpack (&bg__open_order__descriptor,
+                                allocator, len, data);
+}
+void   bg__open_order__free_unpacked
+                     (Bg__OpenOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__open_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__clear_record__init
+                     (Bg__ClearRecord         *message)
+{
+  static const Bg__ClearRecord init_value = BG__CLEAR_RECORD__INIT;
+  *message = init_value;
+}
+size_t bg__clear_record__get_packed_size
+                     (const Bg__ClearRecord *message)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__clear_record__pack
+                     (const Bg__ClearRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__clear_record__pack_to_buffer
+                     (const Bg__ClearRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__ClearRecord *
+       bg__clear_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__ClearRecord *)
+     protobuf_c_message_unpack (&bg__clear_record__descriptor,
+                                allocator, len, data);
+}
+void   bg__clear_record__free_unpacked
+                     (Bg__ClearRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__clear_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__key_record__init
                      (Bg__KeyRecord         *message)
 {
@@ -1222,6 +1357,51 @@
   assert(message->base.descriptor == &bg__snapshot_intent__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__snapshot_grant__init
+                     (Bg__SnapshotGrant         *message)
+{
+  static const Bg__SnapshotGrant init_value = BG__SNAPSHOT_GRANT__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_grant__get_packed_size
+                     (const Bg__SnapshotGrant *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_grant__pack
+                     (const Bg__SnapshotGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_grant__pack_to_buffer
+                     (const Bg__SnapshotGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotGrant *
+       bg__snapshot_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotGrant *)
+     protobuf_c_message_unpack (&bg__snapshot_grant__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_grant__free_unpacked
+                     (Bg__SnapshotGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__snapshot_centre__init
                      (Bg__SnapshotCentre         *message)
 {
@@ -1312,6 +1492,96 @@
   assert(message->base.descriptor == &bg__snapshot_deaths__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bg__snapshot_key__init
+                     (Bg__SnapshotKey         *message)
+{
+  static const Bg__SnapshotKey init_value = BG__SNAPSHOT_KEY__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_key__get_packed_size
+                     (const Bg__SnapshotKey *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_key__pack
+                     (const Bg__SnapshotKey *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_key__pack_to_buffer
+                     (const Bg__SnapshotKey *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotKey *
+       bg__snapshot_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotKey *)
+     protobuf_c_message_unpack (&bg__snapshot_key__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_key__free_unpacked
+                     (Bg__SnapshotKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bg__snapshot_keys__init
+                     (Bg__SnapshotKeys         *message)
+{
+  static const Bg__SnapshotKeys init_value = BG__SNAPSHOT_KEYS__INIT;
+  *message = init_value;
+}
+size_t bg__snapshot_keys__get_packed_size
+                     (const Bg__SnapshotKeys *message)
+{
+  assert(message->base.descriptor == &bg__snapshot_keys__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bg__snapshot_keys__pack
+                     (const Bg__SnapshotKeys *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bg__snapshot_keys__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bg__snapshot_keys__pack_to_buffer
+                     (const Bg__SnapshotKeys *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bg__snapshot_keys__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bg__SnapshotKeys *
+       bg__snapshot_keys__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bg__SnapshotKeys *)
+     protobuf_c_message_unpack (&bg__snapshot_keys__descriptor,
+                                allocator, len, data);
+}
+void   bg__snapshot_keys__free_unpacked
+                     (Bg__SnapshotKeys *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bg__snapshot_keys__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bg__snapshot_checkpoint__init
                      (Bg__SnapshotCheckpoint         *message)
 {
@@ -1923,7 +2193,7 @@
   (ProtobufCMessageInit) bg__config_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__claim_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -1961,16 +2231,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__ClaimRecord, n_grant),
+    offsetof(Bg__ClaimRecord, grant),
+    &bg__grant_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__claim_record__field_indices_by_name[] = {
   2,   /* field[2] = base_epoch */
   0,   /* field[0] = data_centre */
+  3,   /* field[3] = grant */
   1,   /* field[1] = holder */
 };
 static const ProtobufCIntRange bg__claim_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__claim_record__descriptor =
 {
@@ -1980,14 +2263,65 @@
   "Bg__ClaimRecord",
   "bg",
   sizeof(Bg__ClaimRecord),
-  3,
+  4,
   bg__claim_record__field_descriptors,
   bg__claim_record__field_indices_by_name,
   1,  bg__claim_record__number_ranges,
   (ProtobufCMessageInit) bg__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bg__grant_upstream__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deployment",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__GrantUpstream, deployment),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__grant_upstream__field_indices_by_name[] = {
+  1,   /* field[1] = deployment */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__grant_upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__grant_upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.GrantUpstream",
+  "GrantUpstream",
+  "Bg__GrantUpstream",
+  "bg",
+  sizeof(Bg__GrantUpstream),
+  2,
+  bg__grant_upstream__field_descriptors,
+  bg__grant_upstream__field_indices_by_name,
+  1,  bg__grant_upstream__number_ranges,
+  (ProtobufCMessageInit) bg__grant_upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__intent_record__field_descriptors[11] =
 {
   {
     "data_centre",
@@ -2109,9 +2443,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boot",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__IntentRecord, boot),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__intent_record__field_indices_by_name[] = {
   9,   /* field[9] = adapter */
+  10,   /* field[10] = boot */
   5,   /* field[5] = capacity_mb */
   7,   /* field[7] = ceiling */
   0,   /* field[0] = data_centre */
@@ -2125,7 +2472,7 @@
 static const ProtobufCIntRange bg__intent_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bg__intent_record__descriptor =
 {
@@ -2135,14 +2482,14 @@
   "Bg__IntentRecord",
   "bg",
   sizeof(Bg__IntentRecord),
-  10,
+  11,
   bg__intent_record__field_descriptors,
   bg__intent_record__field_indices_by_name,
   1,  bg__intent_record__number_ranges,
   (ProtobufCMessageInit) bg__intent_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bg__settle_record__field_descriptors[8] =
 {
   {
     "data_centre",
@@ -2216,10 +2563,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "closed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SettleRecord, life_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__settle_record__field_indices_by_name[] = {
+  6,   /* field[6] = closed */
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
+  7,   /* field[7] = life_ended */
   4,   /* field[4] = load_id */
   5,   /* field[5] = loaded */
   3,   /* field[3] = model */
@@ -2228,7 +2601,7 @@
 static const ProtobufCIntRange bg__settle_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bg__settle_record__descriptor =
 {
@@ -2238,14 +2611,14 @@
   "Bg__SettleRecord",
   "bg",
   sizeof(Bg__SettleRecord),
-  6,
+  8,
   bg__settle_record__field_descriptors,
   bg__settle_record__field_indices_by_name,
   1,  bg__settle_record__number_ranges,
   (ProtobufCMessageInit) bg__settle_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__quiesce_record__field_descriptors[4] =
 {
   {
     "data_centre",
@@ -2283,16 +2656,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__QuiesceRecord, n_open),
+    offsetof(Bg__QuiesceRecord, open),
+    &bg__open_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__quiesce_record__field_indices_by_name[] = {
   0,   /* field[0] = data_centre */
   1,   /* field[1] = epoch */
   2,   /* field[2] = holder */
+  3,   /* field[3] = open */
 };
 static const ProtobufCIntRange bg__quiesce_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bg__quiesce_record__descriptor =
 {
@@ -2302,17 +2688,119 @@
   "Bg__QuiesceRecord",
   "bg",
   sizeof(Bg__QuiesceRecord),
-  3,
+  4,
   bg__quiesce_record__field_descriptors,
   bg__quiesce_record__field_indices_by_name,
   1,  bg__quiesce_record__number_ranges,
   (ProtobufCMessageInit) bg__quiesce_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bg__open_order__field_descriptors[2] =
 {
   {
-    "step",
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__OpenOrder, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__open_order__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bg__open_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__open_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.OpenOrder",
+  "OpenOrder",
+  "Bg__OpenOrder",
+  "bg",
+  sizeof(Bg__OpenOrder),
+  2,
+  bg__open_order__field_descriptors,
+  bg__open_order__field_indices_by_name,
+  1,  bg__open_order__number_ranges,
+  (ProtobufCMessageInit) bg__open_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__clear_record__field_descriptors[2] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__ClearRecord, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__clear_record__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = epoch */
+};
+static const ProtobufCIntRange bg__clear_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__clear_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.ClearRecord",
+  "ClearRecord",
+  "Bg__ClearRecord",
+  "bg",
+  sizeof(Bg__ClearRecord),
+  2,
+  bg__clear_record__field_descriptors,
+  bg__clear_record__field_indices_by_name,
+  1,  bg__clear_record__number_ranges,
+  (ProtobufCMessageInit) bg__clear_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__key_record__field_descriptors[12] =
+{
+  {
+    "step",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_ENUM,
@@ -2419,9 +2907,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_dropped",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, answer_dropped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "author",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__KeyRecord, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__key_record__field_indices_by_name[] = {
+  9,   /* field[9] = answer_dropped */
   3,   /* field[3] = attempt_id */
+  10,   /* field[10] = author */
   8,   /* field[8] = body */
   7,   /* field[7] = content_type */
   5,   /* field[5] = expires_wall_ms */
@@ -2429,12 +2955,13 @@
   4,   /* field[4] = request_digest */
   6,   /* field[6] = status */
   0,   /* field[0] = step */
+  11,   /* field[11] = wall_ms */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange bg__key_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bg__key_record__descriptor =
 {
@@ -2444,14 +2971,14 @@
   "Bg__KeyRecord",
   "bg",
   sizeof(Bg__KeyRecord),
-  9,
+  12,
   bg__key_record__field_descriptors,
   bg__key_record__field_indices_by_name,
   1,  bg__key_record__number_ranges,
   (ProtobufCMessageInit) bg__key_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__death_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bg__death_record__field_descriptors[5] =
 {
   {
     "request_digest",
@@ -2489,8 +3016,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "author",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__DeathRecord, author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bg__DeathRecord, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__death_record__field_indices_by_name[] = {
+  3,   /* field[3] = author */
+  4,   /* field[4] = cleared */
   0,   /* field[0] = request_digest */
   1,   /* field[1] = upstream */
   2,   /* field[2] = wall_ms */
@@ -2498,7 +3051,7 @@
 static const ProtobufCIntRange bg__death_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bg__death_record__descriptor =
 {
@@ -2508,7 +3061,7 @@
   "Bg__DeathRecord",
   "bg",
   sizeof(Bg__DeathRecord),
-  3,
+  5,
   bg__death_record__field_descriptors,
   bg__death_record__field_indices_by_name,
   1,  bg__death_record__number_ranges,
@@ -2618,7 +3171,7 @@
   (ProtobufCMessageInit) bg__checkpoint_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bg__record__field_descriptors[9] =
 {
   {
     "config",
@@ -2716,10 +3269,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clear",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__Record, body_case),
+    offsetof(Bg__Record, clear),
+    &bg__clear_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__record__field_indices_by_name[] = {
   7,   /* field[7] = checkpoint */
   1,   /* field[1] = claim */
+  8,   /* field[8] = clear */
   0,   /* field[0] = config */
   6,   /* field[6] = death */
   2,   /* field[2] = intent */
@@ -2727,10 +3293,11 @@
   4,   /* field[4] = quiesce */
   3,   /* field[3] = settle */
 };
-static const ProtobufCIntRange bg__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bg__record__descriptor =
 {
@@ -2740,10 +3307,10 @@
   "Bg__Record",
   "bg",
   sizeof(Bg__Record),
-  8,
+  9,
   bg__record__field_descriptors,
   bg__record__field_indices_by_name,
-  1,  bg__record__number_ranges,
+  2,  bg__record__number_ranges,
   (ProtobufCMessageInit) bg__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3093,7 +3660,7 @@
   (ProtobufCMessageInit) bg__resident__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__upstream_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bg__upstream_state__field_descriptors[10] =
 {
   {
     "upstream",
@@ -3203,9 +3770,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "boot",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__UpstreamState, boot),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__upstream_state__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  9,   /* field[9] = boot */
   2,   /* field[2] = data_centre */
   1,   /* field[1] = deployment */
   7,   /* field[7] = gone */
@@ -3218,7 +3798,7 @@
 static const ProtobufCIntRange bg__upstream_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bg__upstream_state__descriptor =
 {
@@ -3228,7 +3808,7 @@
   "Bg__UpstreamState",
   "bg",
   sizeof(Bg__UpstreamState),
-  9,
+  10,
   bg__upstream_state__field_descriptors,
   bg__upstream_state__field_indices_by_name,
   1,  bg__upstream_state__number_ranges,
@@ -4213,7 +4793,7 @@
   (ProtobufCMessageInit) bg__snapshot_template__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot_intent__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bg__snapshot_intent__field_descriptors[3] =
 {
   {
     "intent",
@@ -4239,15 +4819,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Bg__SnapshotIntent, n_open),
+    offsetof(Bg__SnapshotIntent, open),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__snapshot_intent__field_indices_by_name[] = {
   0,   /* field[0] = intent */
   1,   /* field[1] = loaded */
+  2,   /* field[2] = open */
 };
 static const ProtobufCIntRange bg__snapshot_intent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor =
 {
@@ -4257,14 +4850,78 @@
   "Bg__SnapshotIntent",
   "bg",
   sizeof(Bg__SnapshotIntent),
-  2,
+  3,
   bg__snapshot_intent__field_descriptors,
   bg__snapshot_intent__field_indices_by_name,
   1,  bg__snapshot_intent__number_ranges,
   (ProtobufCMessageInit) bg__snapshot_intent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot_centre__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bg__snapshot_grant__field_descriptors[3] =
+{
+  {
+    "first_epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotGrant, first_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotGrant, last_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotGrant, n_upstreams),
+    offsetof(Bg__SnapshotGrant, upstreams),
+    &bg__grant_upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__snapshot_grant__field_indices_by_name[] = {
+  0,   /* field[0] = first_epoch */
+  1,   /* field[1] = last_epoch */
+  2,   /* field[2] = upstreams */
+};
+static const ProtobufCIntRange bg__snapshot_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotGrant",
+  "SnapshotGrant",
+  "Bg__SnapshotGrant",
+  "bg",
+  sizeof(Bg__SnapshotGrant),
+  3,
+  bg__snapshot_grant__field_descriptors,
+  bg__snapshot_grant__field_indices_by_name,
+  1,  bg__snapshot_grant__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__snapshot_centre__field_descriptors[6] =
 {
   {
     "name",
@@ -4326,9 +4983,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grants",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotCentre, n_grants),
+    offsetof(Bg__SnapshotCentre, grants),
+    &bg__snapshot_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__snapshot_centre__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
+  5,   /* field[5] = grants */
   1,   /* field[1] = holder */
   3,   /* field[3] = intents */
   0,   /* field[0] = name */
@@ -4337,7 +5007,7 @@
 static const ProtobufCIntRange bg__snapshot_centre__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor =
 {
@@ -4347,14 +5017,14 @@
   "Bg__SnapshotCentre",
   "bg",
   sizeof(Bg__SnapshotCentre),
-  5,
+  6,
   bg__snapshot_centre__field_descriptors,
   bg__snapshot_centre__field_indices_by_name,
   1,  bg__snapshot_centre__number_ranges,
   (ProtobufCMessageInit) bg__snapshot_centre__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot_deaths__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bg__snapshot_deaths__field_descriptors[3] =
 {
   {
     "digest",
@@ -4380,15 +5050,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotDeaths, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__snapshot_deaths__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
   0,   /* field[0] = digest */
   1,   /* field[1] = upstreams */
 };
 static const ProtobufCIntRange bg__snapshot_deaths__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bg__snapshot_deaths__descriptor =
 {
@@ -4398,13 +5081,180 @@
   "Bg__SnapshotDeaths",
   "bg",
   sizeof(Bg__SnapshotDeaths),
-  2,
+  3,
   bg__snapshot_deaths__field_descriptors,
   bg__snapshot_deaths__field_indices_by_name,
   1,  bg__snapshot_deaths__number_ranges,
   (ProtobufCMessageInit) bg__snapshot_deaths__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bg__snapshot_key__field_descriptors[2] =
+{
+  {
+    "record",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKey, record),
+    &bg__key_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKey, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__snapshot_key__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  0,   /* field[0] = record */
+};
+static const ProtobufCIntRange bg__snapshot_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_key__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotKey",
+  "SnapshotKey",
+  "Bg__SnapshotKey",
+  "bg",
+  sizeof(Bg__SnapshotKey),
+  2,
+  bg__snapshot_key__field_descriptors,
+  bg__snapshot_key__field_indices_by_name,
+  1,  bg__snapshot_key__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bg__snapshot_keys__field_descriptors[7] =
+{
+  {
+    "keys",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bg__SnapshotKeys, n_keys),
+    offsetof(Bg__SnapshotKeys, keys),
+    &bg__snapshot_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bodies",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bg__SnapshotKeys, n_bodies),
+    offsetof(Bg__SnapshotKeys, bodies),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "void_attempts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bg__SnapshotKeys, n_void_attempts),
+    offsetof(Bg__SnapshotKeys, void_attempts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_author",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKeys, ahead_author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKeys, ahead_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "second_author",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKeys, second_author),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "second_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__SnapshotKeys, second_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bg__snapshot_keys__field_indices_by_name[] = {
+  3,   /* field[3] = ahead_author */
+  4,   /* field[4] = ahead_ms */
+  1,   /* field[1] = bodies */
+  0,   /* field[0] = keys */
+  5,   /* field[5] = second_author */
+  6,   /* field[6] = second_ms */
+  2,   /* field[2] = void_attempts */
+};
+static const ProtobufCIntRange bg__snapshot_keys__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor bg__snapshot_keys__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bg.SnapshotKeys",
+  "SnapshotKeys",
+  "Bg__SnapshotKeys",
+  "bg",
+  sizeof(Bg__SnapshotKeys),
+  7,
+  bg__snapshot_keys__field_descriptors,
+  bg__snapshot_keys__field_indices_by_name,
+  1,  bg__snapshot_keys__number_ranges,
+  (ProtobufCMessageInit) bg__snapshot_keys__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bg__snapshot_checkpoint__field_descriptors[6] =
 {
   {
@@ -4508,7 +5358,7 @@
   (ProtobufCMessageInit) bg__snapshot_checkpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__snapshot__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bg__snapshot__field_descriptors[11] =
 {
   {
     "format",
@@ -4561,27 +5411,15 @@
   {
     "keys",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bg__Snapshot, n_keys),
+    0,   /* quantifier_offset */
     offsetof(Bg__Snapshot, keys),
-    &bg__key_record__descriptor,
+    &bg__snapshot_keys__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "void_attempts",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Bg__Snapshot, n_void_attempts),
-    offsetof(Bg__Snapshot, void_attempts),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "deaths",
     7,
@@ -4656,23 +5494,23 @@
   },
 };
 static const unsigned bg__snapshot__field_indices_by_name[] = {
-  7,   /* field[7] = batches */
+  6,   /* field[6] = batches */
   3,   /* field[3] = centres */
-  11,   /* field[11] = chain */
-  8,   /* field[8] = checkpoint */
-  6,   /* field[6] = deaths */
-  10,   /* field[10] = entries_since */
+  10,   /* field[10] = chain */
+  7,   /* field[7] = checkpoint */
+  5,   /* field[5] = deaths */
+  9,   /* field[9] = entries_since */
   0,   /* field[0] = format */
   4,   /* field[4] = keys */
   1,   /* field[1] = offset */
-  9,   /* field[9] = pending */
+  8,   /* field[8] = pending */
   2,   /* field[2] = templates */
-  5,   /* field[5] = void_attempts */
 };
-static const ProtobufCIntRange bg__snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange bg__snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 7, 5 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bg__snapshot__descriptor =
 {
@@ -4682,10 +5520,10 @@
   "Bg__Snapshot",
   "bg",
   sizeof(Bg__Snapshot),
-  12,
+  11,
   bg__snapshot__field_descriptors,
   bg__snapshot__field_indices_by_name,
-  1,  bg__snapshot__number_ranges,
+  2,  bg__snapshot__number_ranges,
   (ProtobufCMessageInit) bg__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/fold.h
+++ b/src/fold.h
@@ -10,6 +10,7 @@
 #include "bg_base.h"
 #include "bglade.pb-c.h"
 #include "cfg.h"
+#include "keys.h"
 
 typedef enum {
     FOLD_WON,  /* took effect */
@@ -103,9 +104,22 @@
     uint64_t epoch; /* of the owner that recorded it */
     bool fenced;    /* the upstream refuses old fencing numbers */
     bool adapter;
-    bool loaded; /* the upstream was seen to hold it */
+    bool loaded;  /* the upstream was seen to hold it */
+    char *boot;   /* life of the upstream that its orders are for */
+    GArray *open; /* uint64_t: epochs whose orders may still arrive */
 } FoldIntent;
 
+#define FOLD_MAX_GRANTS 16 /* of one data centre, not cleared */
+
+/* Standing grant: upstreams on which the owner of an epoch may load without
+   an intent while the log is away, see pl.c. */
+typedef struct {
+    uint64_t first_epoch; /* first and last claim with this list */
+    uint64_t last_epoch;
+    GPtrArray *upstreams;   /* names, sorted */
+    GPtrArray *deployments; /* of each */
+} FoldGrant;
+
 /* The claim on DATA_CENTRE, or NULL. */
 const FoldClaim *fold_find_claim(const Fold *f, const char *data_centre);
 const FoldIntent *fold_find_intent(const Fold *f, const char *data_centre,
@@ -118,29 +132,29 @@
                            const char *upstream);
 uint32_t fold_count_replicas(const Fold *f, const char *data_centre,
                              const char *model);
-/* Whether the owner of EPOCH has said that none of its orders is still
-   under way. */
+/* Whether an order of an epoch other than EXCEPT may still arrive. */
+bool fold_is_open(const FoldIntent *in, uint64_t except);
+/* Grants of DATA_CENTRE not yet cleared (FoldGrant), or NULL. */
+const GPtrArray *fold_get_grants(const Fold *f, const char *data_centre);
+/* Whether the owner of EPOCH has said that it gives no more orders and,
+   but for those it listed, none is still under way. */
 bool fold_is_quiesced(const Fold *f, const char *data_centre, uint64_t epoch);
 
 /* ---- non-idempotent calls ----------------------------------------------- */
-typedef struct {
-    Bg__KeyStep step; /* CLAIM: under way; RESULT; UNKNOWN */
-    char *attempt_id;
-    uint8_t request_digest[32];
-    uint64_t expires_wall_ms; /* a claim past it may have run */
-    uint32_t status;
-    char *content_type;
-    uint8_t *body;
-    size_t body_len;
-} FoldKey;
-
-const FoldKey *fold_find_key(const Fold *f, const char *workspace,
-                             const char *key);
+const KeyEntry *fold_find_key(const Fold *f, const char *workspace,
+                              const char *key);
 uint32_t fold_count_keys(const Fold *f);
 
 /* ---- deadly requests ---------------------------------------------------- */
+/* Distinct upstreams after whose death a request is quarantined.  One death
+   is not enough: everything in flight beside the deadly request shares it. */
+#define FOLD_DEATHS_TO_QUARANTINE 2
+
 /* How many distinct upstreams died while they ran this request. */
 uint32_t fold_count_deaths(const Fold *f, const uint8_t digest[32]);
+/* Whether UPSTREAM is one of them. */
+bool fold_has_death(const Fold *f, const uint8_t digest[32],
+                    const char *upstream);
 
 /* The whole state as JSON text for dumps; free with g_free. */
 char *fold_dump(const Fold *f);
--- a/src/hc.c
+++ b/src/hc.c
@@ -1,6 +1,7 @@
 #include "hc.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -172,6 +173,31 @@
 
 /* ---- one call ----------------------------------------------------------- */
 
+static curl_socket_t
+refuse_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *addr)
+{
+    (void)ctx;
+    (void)purpose;
+    (void)addr;
+    return CURL_SOCKET_BAD;
+}
+
+static void
+set_connection(CURL *e, const HcRequest *req)
+{
+    if (req->fresh || req->renew || req->pair_first) {
+        /* On a pooled connection that proves dead curl sends the request
+           a second time by itself; on a fresh one it never does. */
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    if (req->fresh || req->pair_second) {
+        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (req->pair_second) {
+        curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, refuse_socket);
+    }
+}
+
 static int
 set_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
@@ -222,15 +248,7 @@
         curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)req->body_len);
     }
-    if (req->fresh) {
-        /* On a pooled connection that proves dead curl sends the request
-           a second time by itself; on a fresh one it never does. */
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    }
-    else if (req->renew) {
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-    }
+    set_connection(e, req);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, take_data);
@@ -345,6 +363,9 @@
     curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
     out->reused = connects == 0;
     out->framed = out->framed || out->status == 204 || out->status == 304;
+    long os_error = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &os_error);
+    out->refused = out->end == HC_NOT_SENT && os_error == ECONNREFUSED;
     /* Removing an unfinished transfer closes its connection, so a late
        answer can never be read by the next call. */
     curl_multi_remove_handle(c->multi, call.easy);
--- a/src/hc.h
+++ b/src/hc.h
@@ -32,6 +32,10 @@
     /* Sent as X-Attempt-Id.  An answer that carries another one belongs to
        another call: it is broken.  NULL: none. */
     const char *attempt_id;
+    /* Two calls over one connection, and so to one life of the far process:
+       the first opens it, the second uses no other and closes it. */
+    bool pair_first;
+    bool pair_second;
 
     /* All may be NULL.  Returning false stops the call. */
     bool (*on_head)(void *ctx, long status, const char *content_type);
@@ -42,7 +46,8 @@
 
 typedef struct {
     HcEnd end;
-    long status; /* 0: no status line was received */
+    bool refused; /* NOT_SENT: nobody listens at the address */
+    long status;  /* 0: no status line was received */
     char *content_type;
     char *retry_after;    /* header, or NULL */
     char *upstream_state; /* X-Upstream-State header, or NULL */
--- a/src/rt.c
+++ b/src/rt.c
@@ -13,10 +13,10 @@
 #define RETRY_JITTER_MS 10   /* doubles with each sending */
 #define SAME_UPSTREAM_MS 200
 #define MAX_BACKOFF_STEPS 5
-#define MAX_DEATHS 2 /* upstreams that one request may take down */
 #define NO_UPSTREAM_WAIT_MS 1000
 #define EWMA_WEIGHT 4 /* a new sample counts for a quarter */
 #define USED_LATELY_MS 1000
+#define MAX_DEATHS 2 /* of upstreams under one request */
 
 typedef struct Target Target;
 
@@ -28,8 +28,8 @@
     Up *at;            /* where it runs, or NULL while it waits */
     GPtrArray *tried;  /* upstream ids, owned */
     uint32_t sends;    /* that reached an upstream */
-    uint32_t deaths;   /* of upstreams while they ran it */
     bool may_have_run; /* then it is never refused as not run */
+    uint32_t deaths;   /* upstreams that ended under it here */
     uint64_t arrived_ms;
     uint64_t sent_ms;
     uint64_t not_before_ms; /* jitter of a retry */
@@ -249,24 +249,18 @@
 }
 
 static void
-enqueue_retry(RtCore *c, Request *q)
+enqueue(RtCore *c, Request *q)
 {
-    g_queue_push_tail(&q->target->retrying, q);
-    q->retry_link = q->target->retrying.tail;
+    fq_push(q->target->queue, &q->node);
     c->waiting[q->r.class_]++;
     mark_active(c, q->target);
 }
 
-/* A suspect waits for an empty upstream; the fair queue holds only those
-   that can all use the same ones. */
 static void
-enqueue(RtCore *c, Request *q)
+enqueue_retry(RtCore *c, Request *q)
 {
-    if (q->r.suspect) {
-        enqueue_retry(c, q);
-        return;
-    }
-    fq_push(q->target->queue, &q->node);
+    g_queue_push_tail(&q->target->retrying, q);
+    q->retry_link = q->target->retrying.tail;
     c->waiting[q->r.class_]++;
     mark_active(c, q->target);
 }
@@ -487,6 +481,18 @@
     }
 }
 
+static void
+make_suspect(RtCore *c, Request *q)
+{
+    q->r.suspect = true;
+    if (q->node.lane) {
+        /* Out of the queue, where it would hold up those behind it until an
+           upstream is empty. */
+        dequeue(c, q, false);
+        enqueue_retry(c, q);
+    }
+}
+
 /* Queue Q, or refuse it at once when it can't be served in time. */
 static void
 admit(RtCore *c, Request *q, uint64_t now_ms)
@@ -512,6 +518,9 @@
         return;
     }
     enqueue(c, q);
+    if (q->r.suspect) {
+        make_suspect(c, q);
+    }
 }
 
 void
@@ -522,7 +531,8 @@
     t->last_used_ms = now_ms;
     c->retry_credit = MIN(c->retry_credit + c->params.retry_percent,
                           RETRY_CREDIT_MAX * RETRY_COST);
-    if (c->draining && !r->inside) {
+    /* One with a claim was inside before the stop began. */
+    if (c->draining && !r->claimed) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
@@ -531,10 +541,10 @@
         send_to(c, q, u, now_ms);
         return;
     }
+    bool behind_others = t->retrying.length > 0;
     admit(c, q, now_ms);
-    if (t->retrying.length > 0) {
-        /* What waits may be a suspect; others need not wait behind it. */
-        pump(c, now_ms);
+    if (behind_others) {
+        pump(c, now_ms); /* those may wait for what this one need not */
     }
 }
 
@@ -624,6 +634,9 @@
             note_run(t, q->node.cost,
                      now_ms - q->sent_ms); /* it takes no less */
         }
+        /* Whatever runs beside a request that kills its upstream dies with
+           it and would be taken for the cause: it goes on alone, and after
+           a second death nowhere. */
         q->deaths += end->died;
         q->r.suspect = q->r.suspect || end->died;
         if (q->r.once || q->deaths >= MAX_DEATHS) {
@@ -637,23 +650,31 @@
     pump(c, now_ms);
 }
 
-void
-rt_on_death(RtCore *c, uint64_t now_ms, uint64_t id, bool quarantined)
+bool
+rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id)
 {
+    (void)now_ms;
     Request *q = g_hash_table_lookup(c->requests, &id);
     if (!q || !is_waiting(q)) {
+        return false;
+    }
+    drop_request(c, q);
+    return true;
+}
+
+void
+rt_on_death(RtCore *c, uint64_t id, bool quarantined)
+{
+    Request *q = g_hash_table_lookup(c->requests, &id);
+    if (!q || q->at) {
         return;
     }
     if (quarantined) {
         refuse(c, q, RT_REFUSED_QUARANTINE, 0);
-        return;
     }
-    if (!q->r.suspect) {
-        dequeue(c, q, false);
-        q->r.suspect = true;
-        enqueue(c, q);
+    else {
+        make_suspect(c, q);
     }
-    pump(c, now_ms);
 }
 
 bool
@@ -662,18 +683,6 @@
     return up_is_leaving(c->ups, upstream);
 }
 
-bool
-rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id)
-{
-    (void)now_ms;
-    Request *q = g_hash_table_lookup(c->requests, &id);
-    if (!q || !is_waiting(q)) {
-        return false;
-    }
-    drop_request(c, q);
-    return true;
-}
-
 /* ---- other events ------------------------------------------------------- */
 
 void
--- a/src/rt.h
+++ b/src/rt.h
@@ -48,8 +48,8 @@
     uint32_t load_ms;     /* expected cold load of the model */
     uint64_t affinity;    /* digest of the prompt's beginning; 0: none */
     bool once;            /* not sent again once it may have run */
+    bool claimed;         /* non-idempotent, and its claim is settled */
     bool suspect;         /* an upstream died under it: it runs alone */
-    bool inside;          /* taken in before a stop began: not refused by it */
 } RtRequest;
 
 typedef enum {
@@ -65,8 +65,8 @@
     RtDone done;
     bool leaving;           /* the upstream said of itself that it leaves */
     bool silent_connection; /* it may be dead and the upstream well */
-    bool died;              /* BROKEN: the upstream's process ended */
     bool late;              /* cut off by the request's own deadline */
+    bool died;              /* the upstream's process ended under it */
 } RtEnd;
 
 typedef struct {
@@ -94,11 +94,6 @@
 /* The caller is gone.  True: the request waited and is dropped without
    further output; false: it is at an upstream, and rt_on_done will tell. */
 bool rt_on_cancel(RtCore *c, uint64_t now_ms, uint64_t id);
-/* Upstreams died under a request equal to ID: one that waits becomes a
-   suspect, or is refused when QUARANTINED. */
-void rt_on_death(RtCore *c, uint64_t now_ms, uint64_t id, bool quarantined);
-/* Whether UPSTREAM leaves or is gone, by anyone's word. */
-bool rt_is_leaving(const RtCore *c, const char *upstream);
 void rt_on_probe(RtCore *c, uint64_t now_ms, const char *upstream,
                  const char *address, bool well);
 void rt_on_residency(RtCore *c, uint64_t now_ms, const Bg__Residency *r);
@@ -107,8 +102,13 @@
                 const char *address);
 void rt_on_want_refused(RtCore *c, uint64_t now_ms, const char *model,
                         uint64_t retry_after_ms);
+/* Upstreams died under a request equal to ID: one that waits becomes a
+   suspect, or is refused when QUARANTINED. */
+void rt_on_death(RtCore *c, uint64_t id, bool quarantined);
 void rt_on_tick(RtCore *c, uint64_t now_ms);
 void rt_on_drain(RtCore *c, uint64_t now_ms);
+/* Whether UPSTREAM leaves or is gone, by anyone's word. */
+bool rt_is_leaving(const RtCore *c, const char *upstream);
 
 /* What this router waits for and uses; free with the protobuf call. */
 Bg__Demand *rt_make_demand(const RtCore *c, uint64_t now_ms, const char *node);
--- a/src/up.c
+++ b/src/up.c
@@ -19,7 +19,7 @@
     bool replaced;      /* its id has a new address; not in the set any more */
     GHashTable *loaded; /* models ready here */
     uint32_t inflight;  /* ours; holds the object */
-    bool alone;         /* what runs here runs alone */
+    bool alone;         /* its one call suffers none beside it */
     uint32_t others;    /* everybody else's, at the last report */
     uint64_t reported_ms;
     uint32_t failures; /* consecutive */
@@ -361,8 +361,8 @@
 void
 up_start(Up *u, bool alone)
 {
-    u->alone = alone;
     u->inflight++;
+    u->alone = alone;
 }
 
 void
@@ -395,18 +395,11 @@
     return !q->base || g_hash_table_contains(u->loaded, q->base);
 }
 
-/* Whatever runs beside a request that kills its upstream dies with it and
-   would be taken for the cause; a suspect therefore runs alone. */
-static bool
-may_share(const Up *u, const UpQuery *q)
-{
-    return !u->alone && (!q->alone || u->inflight == 0);
-}
-
 static bool
 is_free(const UpSet *s, const Up *u, const UpQuery *q)
 {
-    return holds(u, q) && may_share(u, q) && !u->ejected &&
+    return holds(u, q) && !u->ejected && !u->alone &&
+           (!q->alone || u->inflight == 0) &&
            u->inflight < s->params.per_upstream &&
            !(q->avoided &&
              g_ptr_array_find_with_equal_func((GPtrArray *)q->avoided, u->id,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -139,12 +139,14 @@
         self.store_args = list(store_args)
         self.vm_lag_ms = vm_lag_ms
         self.settings = settings or {}
+        self.node_settings = {}  # daemon's name -> section -> values
         self.procs = {}
         self.ports = {}
         self.vms = []
         self.proxies = {}
         self.addresses = {}
         self.targets = {}
+        self.bridge_proxies = False
 
     # ---- start ---------------------------------------------------------
 
@@ -185,6 +187,13 @@
         name = "log-" + centre
         return self.address(name if name in self.proxies else "log")
 
+    def bridge_address(self, name):
+        """Where placers of other data centres reach NAME.  bridge_proxies:
+        through its proxy, even if those of its own don't."""
+        if self.bridge_proxies and name in self.proxies:
+            return "127.0.0.1:%d" % self.port(self.proxies[name])
+        return self.address(name)
+
     def set_proxy(self, name, **faults):
         control = self.port(self.proxies[name] + "-control")
         with socket.create_connection(("127.0.0.1", control), 5) as s:
@@ -280,14 +289,16 @@
                       "shared_key": SHARED_KEY}}
         if role == "placer":
             doc["vms"] = {"address": self.address("vms"), "poll_ms": "200"}
-            doc["placer"] = {}
+            doc["placer"] = {"data_centres": len(self.centres)}
             if far:
                 doc["peers"]["bridges"] = ",".join(
-                    self.address(p + "-peer") for p in far)
+                    self.bridge_address(p + "-peer") for p in far)
         else:
             doc["router"] = {"routers": len(self.routers())}
         for section, values in self.settings.get(role, {}).items():
             doc.setdefault(section, {}).update(values)
+        for section, values in self.node_settings.get(name, {}).items():
+            doc.setdefault(section, {}).update(values)
         if not doc["peers"]["dial"]:
             del doc["peers"]["dial"]
         path = os.path.join(self.dir, name + ".ini")
@@ -390,6 +401,25 @@
         except OSError:
             return False  # it does not listen yet
 
+    def publish_changed(self, old, new):
+        """The Samiti's template again, with OLD replaced by NEW in it."""
+        s = os.path.join(ROOT, "samples")
+        with open(s + "/samiti.ini", encoding="utf-8") as f:
+            text = f.read()
+        assert old in text
+        path = os.path.join(self.dir, "changed.ini")
+        with open(path, "w", encoding="utf-8") as f:
+            f.write(text.replace(old, new))
+        def version(name):
+            return self.dump(name)["fold"]["templates"]["samiti"]
+
+        before = version(self.routers()[0])
+        self.bglade("--base", before, "revise", path,
+                    s + "/samiti-drafting.ini", s + "/samiti-registry.ini")
+        for name in self.routers():
+            wait_until(lambda n=name: version(n) > before, 10,
+                       "the changed template at " + name)
+
     def wait_ready(self):
         for name in self.routers():
             wait_until(lambda n=name: self.is_ready(n), 15, name + " ready")
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -67,6 +67,8 @@
             return h.reply(200, {})
         if path == "/control/report":
             return h.reply(200, {"leaving": self.leaving})
+        if path.startswith("/control/"):
+            return h.reply(404, {"error": "no such path"})
         return self.run(h, path, body)
 
 
--- a/tests/script_rt.c
+++ b/tests/script_rt.c
@@ -210,8 +210,7 @@
 static void
 run_death(Script *s, char **w)
 {
-    rt_on_death(s->core, s->now_ms, get_number(w[1]),
-                strcmp(w[2], "quarantined") == 0);
+    rt_on_death(s->core, get_number(w[1]), strcmp(w[2], "quarantined") == 0);
 }
 
 static void
