A restored owner looks at its claim before any other event

A paused owner that takes a state past its successor's claim would send its next order with that state's offset, above its successor's fencing number. The placement core looks at the claim on each tick; the shell now ticks it right after a restore.

--- a/src/feed.c
+++ b/src/feed.c
@@ -671,6 +671,9 @@
     f->fetch.wanted = false;
     f->target = f->log_next;
     bg_count("feed_restores_total", 1);
+    if (f->out.on_restored) {
+        f->out.on_restored(f->out.ctx);
+    }
     bg_log(BG_INFO, "feed", "State at offset %llu taken from %s, %u bytes.",
            (unsigned long long)fold_get_offset(f->fold), whence, state->len);
     return true;
--- a/src/feed.h
+++ b/src/feed.h
@@ -37,6 +37,9 @@
     void (*append)(void *ctx, Bg__Record *r);
     /* Whether other records may be appended now. */
     void (*open_appends)(void *ctx, bool open);
+    /* The fold was replaced as a whole: records in between were told to no
+       observer.  May be NULL. */
+    void (*on_restored)(void *ctx);
 } FeedOutput;
 
 typedef struct Feed Feed;
--- a/src/node.c
+++ b/src/node.c
@@ -834,6 +834,16 @@
     lc_open_appends(((Node *)ctx)->log, open);
 }
 
+/* An owner that was paused may hold a claim that this state has replaced.
+   Its next order would carry the state's offset, above its successor's
+   number, so the core looks at the claim before any other event. */
+static void
+take_restored(void *ctx)
+{
+    Node *n = ctx;
+    n->role->on_tick(n->role->ctx, bg_now_ms());
+}
+
 static void
 open_feed(Node *n)
 {
@@ -849,8 +859,12 @@
             (uint32_t)ini_get_int(s, "log", "checkpoint_entries"),
         .checkpoint_ms = (uint32_t)ini_get_int(s, "log", "checkpoint_ms"),
         .seed = bg_now_us()};
-    FeedOutput out = {n, read_log_from, send_to_peer, append_first,
-                      open_appends};
+    FeedOutput out = {n,
+                      read_log_from,
+                      send_to_peer,
+                      append_first,
+                      open_appends,
+                      take_restored};
     n->feed = feed_create(&params, n->fold, &out);
 }
 
--- a/tests/configs.py
+++ b/tests/configs.py
@@ -80,7 +80,10 @@
         "log", "GET", "/v1/records?from=%d&max=100000" % first).json()
     out = []
     for r in page["records"]:
-        payload = dict(_fields(base64.b64decode(r["data"])))[4]
+        data = base64.b64decode(r["data"])
+        if data[:1] != b"\x08":
+            continue  # no batch
+        payload = dict(_fields(data))[4]
         out.append((r["offset"], [KINDS.get(n) for _, rec in _fields(payload)
                                   for n, _ in _fields(rec)]))
     return out
--- a/tests/script_feed.c
+++ b/tests/script_feed.c
@@ -254,7 +254,8 @@
                     .checkpoint_entries = 8,
                     .checkpoint_ms = 60000,
                     .seed = (uint64_t)i + 1};
-    FeedOutput out = {b, take_read_from, take_send, take_append, take_open};
+    FeedOutput out = {b,           take_read_from, take_send,
+                      take_append, take_open,      NULL};
     b->feed = feed_create(&p, b->fold, &out);
     b->asked = 0;
     b->top = 0;
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -169,22 +169,38 @@
         assert set(c.versions().values()) == {version}
 
 
-def test_paused_vm_comes_back_behind_the_log(build):
-    """A VM is paused while records come and retention passes its offset.
-    It wakes up with an old state and a log that no longer has the next
-    entry; it catches up from a checkpoint or a peer and never steps back."""
+def test_paused_owner_comes_back_behind_the_log(build):
+    """The owner of a data centre is paused; another claims it; so much comes
+    that neither the log nor any process still has the entries in between.
+    It wakes up as owner, takes a state that stands far behind the other's
+    claim, and must see at once that it owns nothing: its next order would
+    carry that state's offset, a higher number than its successor's."""
     with make(build, settings=SOON) as c:
         version = publish(c, "t")
         c.wait_in_force(version)
-        names = ["dc1-vm1-placer", "dc1-vm1-router"]
+        old = wait_until(lambda: c.owner("dc1"), 15, "owner")
+        names = [old, old.replace("placer", "router")]
         for name in names:
             c.procs[name].signal(signal.SIGSTOP)
-        c.set_faults("log", keep=250)
-        version = append_some(c, "t", version, 270)
+        other = [p for p in c.placers("dc1") if p != old][0]
+        wait_until(lambda: c.dump(other)["state"]["owner"], 15, "new owner")
+        c.set_faults("log", keep=30)
+        for _ in range(60):  # entries that change nothing, but are kept
+            at = c.call("log", "POST", "/test/raw",
+                        b"x" * 100000).json()["offset"]
+            wait_until(lambda n=at: c.dump(other)["fold"]["offset"] >= n, 15,
+                       "the other reads on")
+        wait_until(lambda: any("checkpoint" in k for _, k in log_kinds(c)),
+                   15, "checkpoint")
+        version = revise(c, "t", version, priority=7)
         for name in names:
             c.procs[name].signal(signal.SIGCONT)
         c.wait_in_force(version)
         wait_same(c)
+        assert "State at offset" in c.procs[old].read_log()
+        wait_until(lambda: not c.dump(old)["state"]["owner"], 5,
+                   "the old owner steps down")
+        assert c.dump(other)["state"]["owner"]
 
 
 def test_newer_format_holds(build):
