--- a/src/main_router.c
+++ b/src/main_router.c
@@ -1,38 +1,145 @@
 /* bglade-router: answers callers.  Shell around the routing core. */
+#include "hc.h"
 #include "node.h"
 #include "req.h"
+#include "ring.h"
 #include "rt.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #define DEMAND_MS 100
+#define PROBE_RING 256
+#define PROBE_CONNECT_MS 300
+#define PROBE_TOTAL_MS 1000
+#define DEMAND_REPEAT_MS 1000 /* less than the age at which it lapses */
 
 static const IniRule rules[] = {
-    {"router", "max_waiting", INI_INT, false, "1000", 1, 1000000, NULL,
-     "requests that may wait, in each class"},
+    {"router", "max_waiting_lookup", INI_INT, false, "1000", 1, 1000000, NULL,
+     "lookups and service calls that may wait"},
+    {"router", "max_waiting_interactive", INI_INT, false, "1000", 1, 1000000,
+     NULL, "interactive requests that may wait"},
+    {"router", "max_waiting_batch", INI_INT, false, "1000", 1, 1000000, NULL,
+     "batch requests that may wait"},
     {"router", "per_upstream", INI_INT, false, "64", 1, 100000, NULL,
      "requests of this router on one upstream at once"},
     {"router", "eject_failures", INI_INT, false, "3", 1, 1000, NULL,
-     "consecutive failures after which an upstream rests"},
-    {"router", "eject_ms", INI_INT, false, "2000", 1, 600000, NULL,
-     "how long it rests"},
+     "consecutive failures after which an upstream is ejected"},
+    {"router", "eject_ms", INI_INT, false, "1000", 1, 600000, NULL,
+     "its rest before a probe, and between probes"},
+    {"router", "return_ms", INI_INT, false, "500", 1, 600000, NULL,
+     "after which a returning upstream's share of traffic doubles"},
     {"router", "retry_percent", INI_INT, false, "20", 0, 100, NULL,
      "retries allowed for each hundred requests"},
+    {"router", "max_sends", INI_INT, false, "4", 1, 100, NULL,
+     "times that one request is sent at most"},
+    {"router", "early_refusal", INI_BOOL, false, "true", 0, 0, NULL,
+     "refuse at once what can't be served in time"},
+    {"router", "routers", INI_INT, false, "1", 1, 100000, NULL,
+     "routers of the whole system, which share every limit"},
+    {"router", "limit_lease_ms", INI_INT, false, "5000", 100, 3600000, NULL,
+     "how long a part of a limit is lent to another router"},
+    {"router", "connect_ms", INI_INT, false, "300", 10, 60000, NULL,
+     "to connect to an upstream"},
+    {"router", "first_byte_ms", INI_INT, false, "5000", 50, 3600000, NULL,
+     "to the first byte of a stream"},
+    {"router", "answer_ms", INI_INT, false, "10000", 50, 3600000, NULL,
+     "for an unstreamed completion; three long runs if that is more"},
+    {"router", "idle_ms", INI_INT, false, "5000", 50, 3600000, NULL,
+     "between bytes of an answer"},
+    {"router", "pool_idle_ms", INI_INT, false, "10000", 1000, 600000, NULL,
+     "a pooled connection idle for longer is not used again"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
+/* Is an upstream well?  Asked on a fresh connection. */
+typedef struct {
+    char *upstream;
+    char *address;
+    bool well;
+} Probe;
+
 typedef struct {
     Node *node;
     RtCore *core;
     ReqDesk *desk;
+    Lim *lim;
+    GHashTable *linked; /* names of routers with a link */
+    Ring *probes;       /* Probe, to the probe thread */
+    Ring *probed;       /* Probe, back from it */
+    pthread_t probe_thread;
+    atomic_bool stopping;
     uint64_t next_demand_ms;
-    bool configured; /* a configuration has come in force */
+    uint64_t repeat_demand_ms;
+    GByteArray *last_demand; /* as sent; NULL: none */
+    bool configured;         /* a configuration has come in force */
     bool draining;
 } Router;
 
+/* ---- probes ------------------------------------------------------------- */
+
+static void
+free_probe(void *p)
+{
+    Probe *probe = p;
+    g_free(probe->upstream);
+    g_free(probe->address);
+    g_free(probe);
+}
+
+static bool
+is_well(HcClient *http, const char *address)
+{
+    g_autofree char *url =
+        g_strconcat("http://", address, "/control/report", NULL);
+    HcRequest req = {.method = "GET",
+                     .url = url,
+                     .connect_ms = PROBE_CONNECT_MS,
+                     .total_ms = PROBE_TOTAL_MS,
+                     .fresh = true};
+    HcResult res;
+    hc_call(http, &req, &res);
+    bool well = res.end == HC_DONE && res.status == 200;
+    hc_free_result(&res);
+    return well;
+}
+
+static void *
+run_probes(void *arg)
+{
+    Router *r = arg;
+    HcClient *http = hc_create();
+    while (!atomic_load(&r->stopping)) {
+        Probe *p = ring_pop(r->probes, 100);
+        if (!p) {
+            continue;
+        }
+        p->well = is_well(http, p->address);
+        if (!ring_push(r->probed, p)) {
+            free_probe(p); /* the core asks again */
+        }
+    }
+    hc_destroy(http);
+    return NULL;
+}
+
+static void
+take_probes(Router *r, uint64_t now_ms)
+{
+    Probe *p;
+    while ((p = ring_pop(r->probed, 0))) {
+        rt_on_probe(r->core, now_ms, p->upstream, p->address, p->well);
+        free_probe(p);
+    }
+}
+
+/* ---- output of the core ------------------------------------------------- */
+
 static void
-output_send(void *ctx, uint64_t id, const char *upstream, const char *address)
+output_send(void *ctx, uint64_t id, const char *upstream, const char *address,
+            uint32_t long_run_ms)
 {
-    req_on_send(((Router *)ctx)->desk, id, upstream, address);
+    req_on_send(((Router *)ctx)->desk, id, upstream, address, long_run_ms);
 }
 
 static void
@@ -47,6 +154,42 @@
     req_on_finish(((Router *)ctx)->desk, id);
 }
 
+static void
+output_probe(void *ctx, const char *upstream, const char *address)
+{
+    Router *r = ctx;
+    Probe *p = g_new0(Probe, 1);
+    p->upstream = g_strdup(upstream);
+    p->address = g_strdup(address);
+    if (!ring_push(r->probes, p)) {
+        free_probe(p); /* the core asks again */
+    }
+}
+
+static void
+output_ask(void *ctx, const Bg__LimitAsk *ask)
+{
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_LIMIT_ASK;
+    frame.limit_ask = (Bg__LimitAsk *)ask;
+    node_send(((Router *)ctx)->node, NULL, NULL, "router", &frame);
+}
+
+static void
+output_lend(void *ctx, const char *to, const Bg__LimitLoan *loan)
+{
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_LIMIT_LOAN;
+    frame.limit_loan = (Bg__LimitLoan *)loan;
+    node_send(((Router *)ctx)->node, to, NULL, "router", &frame);
+}
+
+static uint32_t
+get_setting(const IniFile *f, const char *key)
+{
+    return (uint32_t)ini_get_int(f, "router", key);
+}
+
 static bool
 start_router(void *ctx, Node *n, GError **err)
 {
@@ -55,16 +198,31 @@
     r->node = n;
     const IniFile *f = node_get_settings(n);
     RtParams params = {
-        .data_centre = node_get_data_centre(n),
-        .max_waiting = (uint32_t)ini_get_int(f, "router", "max_waiting"),
-        .per_upstream = (uint32_t)ini_get_int(f, "router", "per_upstream"),
-        .eject_failures = (uint32_t)ini_get_int(f, "router", "eject_failures"),
-        .eject_ms = (uint32_t)ini_get_int(f, "router", "eject_ms"),
-        .retry_percent = (uint32_t)ini_get_int(f, "router", "retry_percent"),
+        .up = {.data_centre = node_get_data_centre(n),
+               .per_upstream = get_setting(f, "per_upstream"),
+               .eject_failures = get_setting(f, "eject_failures"),
+               .eject_ms = get_setting(f, "eject_ms"),
+               .return_ms = get_setting(f, "return_ms"),
+               .seed = bg_now_us()},
+        .max_waiting = {get_setting(f, "max_waiting_lookup"),
+                        get_setting(f, "max_waiting_interactive"),
+                        get_setting(f, "max_waiting_batch")},
+        .retry_percent = get_setting(f, "retry_percent"),
+        .max_sends = get_setting(f, "max_sends"),
+        .early_refusal = ini_get_bool(f, "router", "early_refusal"),
         .seed = bg_now_us()};
-    RtOutput out = {r, output_send, output_refuse, output_finish};
-    r->desk = req_create_desk(n);
+    RtOutput out = {r, output_send, output_refuse, output_finish,
+                    output_probe};
+    LimParams limits = {get_setting(f, "routers"),
+                        get_setting(f, "limit_lease_ms")};
+    LimOutput limit_out = {r, output_ask, output_lend};
+    r->lim = lim_create(&limits, &limit_out, bg_now_ms());
+    r->linked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->desk = req_create_desk(n, r->lim);
     r->core = rt_create(&params, &out);
+    r->probes = ring_create(PROBE_RING);
+    r->probed = ring_create(PROBE_RING);
+    pthread_create(&r->probe_thread, NULL, run_probes, r);
     return true;
 }
 
@@ -72,40 +230,70 @@
 stop_router(void *ctx)
 {
     Router *r = ctx;
+    atomic_store(&r->stopping, true);
+    pthread_join(r->probe_thread, NULL);
+    ring_destroy(r->probes, free_probe);
+    ring_destroy(r->probed, free_probe);
     rt_destroy(r->core);
     req_destroy_desk(r->desk);
+    lim_destroy(r->lim);
+    g_hash_table_destroy(r->linked);
+    if (r->last_demand) {
+        g_byte_array_free(r->last_demand, TRUE);
+    }
 }
 
 static void
 on_config(void *ctx, uint64_t now_ms, const CfgSet *cfg)
 {
     (void)now_ms;
-    (void)cfg;
-    ((Router *)ctx)->configured = true;
+    Router *r = ctx;
+    lim_on_config(r->lim, cfg);
+    r->configured = true;
 }
 
 static void
 on_frame(void *ctx, uint64_t now_ms, const PeerInfo *from,
          const Bg__Frame *frame)
 {
-    (void)from;
     Router *r = ctx;
-    if (frame->body_case == BG__FRAME__BODY_RESIDENCY) {
+    switch (frame->body_case) {
+    case BG__FRAME__BODY_RESIDENCY:
         rt_on_residency(r->core, now_ms, frame->residency);
-    }
-    else if (frame->body_case == BG__FRAME__BODY_WANT_REFUSED) {
+        break;
+    case BG__FRAME__BODY_WANT_REFUSED:
         rt_on_want_refused(r->core, now_ms, frame->want_refused->model,
                            frame->want_refused->retry_after_ms);
+        break;
+    case BG__FRAME__BODY_LIMIT_ASK:
+        lim_on_ask(r->lim, now_ms, from->node, frame->limit_ask);
+        break;
+    case BG__FRAME__BODY_LIMIT_LOAN:
+        lim_on_loan(r->lim, now_ms, from->node, frame->limit_loan);
+        break;
+    default:
+        break;
     }
 }
 
 static void
 on_link(void *ctx, uint64_t now_ms, const PeerInfo *peer, bool up)
 {
-    (void)ctx;
     (void)now_ms;
-    (void)peer;
-    (void)up;
+    Router *r = ctx;
+    if (up) {
+        r->repeat_demand_ms = 0; /* a new placer knows none */
+    }
+    if (strcmp(peer->role, "router") != 0) {
+        return;
+    }
+    if (up) {
+        g_hash_table_add(r->linked, g_strdup(peer->node));
+    }
+    else {
+        g_hash_table_remove(r->linked, peer->node);
+    }
+    lim_on_peers(r->lim, g_hash_table_size(r->linked));
 }
 
 static void
@@ -124,14 +312,38 @@
     req_on_event(r->desk, r->core, now_ms, event);
 }
 
+/* Demand that has not changed is repeated now and then, for a frame may be
+   lost; an empty one is not, for on the other side it lapses to the same. */
+static bool
+is_demand_due(Router *r, uint64_t now_ms, const Bg__Demand *d)
+{
+    GByteArray *bytes = g_byte_array_new();
+    g_byte_array_set_size(bytes, (guint)bg__demand__get_packed_size(d));
+    bg__demand__pack(d, bytes->data);
+    GByteArray *last = r->last_demand;
+    bool same = last && last->len == bytes->len &&
+                memcmp(last->data, bytes->data, bytes->len) == 0;
+    bool empty = d->n_wants == 0 && d->n_usage == 0;
+    bool due = !same || (!empty && now_ms >= r->repeat_demand_ms);
+    if (last) {
+        g_byte_array_free(last, TRUE);
+    }
+    r->last_demand = bytes;
+    return due;
+}
+
 static void
 send_demand(Router *r, uint64_t now_ms)
 {
     Bg__Demand *d = rt_make_demand(r->core, now_ms, node_get_name(r->node));
-    Bg__Frame frame = BG__FRAME__INIT;
-    frame.body_case = BG__FRAME__BODY_DEMAND;
-    frame.demand = d;
-    node_send(r->node, NULL, node_get_data_centre(r->node), "placer", &frame);
+    if (is_demand_due(r, now_ms, d)) {
+        r->repeat_demand_ms = now_ms + DEMAND_REPEAT_MS;
+        Bg__Frame frame = BG__FRAME__INIT;
+        frame.body_case = BG__FRAME__BODY_DEMAND;
+        frame.demand = d;
+        node_send(r->node, NULL, node_get_data_centre(r->node), "placer",
+                  &frame);
+    }
     bg__demand__free_unpacked(d, NULL);
 }
 
@@ -139,6 +351,7 @@
 on_tick(void *ctx, uint64_t now_ms)
 {
     Router *r = ctx;
+    take_probes(r, now_ms);
     rt_on_tick(r->core, now_ms);
     if (now_ms >= r->next_demand_ms) {
         r->next_demand_ms = now_ms + DEMAND_MS;
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,9 +2,9 @@
 the demo, and stops exactly what it started."""
 
 import http.client
+import itertools
 import json
 import os
-import random
 import re
 import shutil
 import signal
@@ -18,27 +18,28 @@
 ROOT = os.path.dirname(HERE)
 PYTHON = "/usr/bin/python3"
 SHARED_KEY = "test-key"
-GIVEN_PORTS = set()
 SANITIZER = re.compile(r"WARNING: ThreadSanitizer|ERROR: AddressSanitizer|"
                        r"runtime error:")
 KEYS = {"drafting": "samiti-drafting-key", "registry": "samiti-registry-key",
         "care": "kuura-care-key"}
 
 
+_ports = itertools.cycle(range(12000, 21000))
+for _ in range(os.getpid() * 37 % 9000):
+    next(_ports)
+
+
 def free_port():
-    """A port nobody listens on now, from below the range that outgoing
-    connections take theirs from: one of those, made between this look and
-    the daemon's start, would keep it from listening."""
-    while True:
-        port = random.randrange(10000, 32000)
+    """A port nobody listens on now, none twice.  It lies below the range
+    the system takes for outgoing connections: one of these could else sit
+    on the port before the daemon it was meant for listens there."""
+    for port in _ports:
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
+                return port
             except OSError:
                 continue
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
-            return port
 
 
 def wait_until(check, limit_s=15.0, what="condition"):
@@ -269,6 +270,12 @@
         near = [p for p in self.placers(centre) if p != name]
         far = [p for c in self.centres if c != centre
                for p in self.placers(c)]
+        if role == "router":
+            # Routers of a data centre lend each other parts of limits; the
+            # later one of a pair dials.
+            near += [vm + "-router" for vm in self.vm_names()
+                     if vm.startswith(centre + "-")
+                     and vm + "-router" < name]
         doc = {
             "node": {"name": name, "data_centre": centre,
                      "http": "127.0.0.1:%d" % self.port(name),
@@ -286,7 +293,7 @@
                 doc["peers"]["bridges"] = ",".join(
                     self.bridge_address(p + "-peer") for p in far)
         else:
-            doc["router"] = {}
+            doc["router"] = {"routers": len(self.routers())}
         for section, values in self.settings.get(role, {}).items():
             doc.setdefault(section, {}).update(values)
         if not doc["peers"]["dial"]:
