A failed start ends at once; ports are held for the life of a run

A placer that could not listen returned through the end of its process while its threads ran: thread sanitizer, ini_destroy against run_vm_list, then SEGV. The port had been taken by a run beside this one; a UDP twin now keeps each given port from other runs.

--- a/src/node.c
+++ b/src/node.c
@@ -1086,7 +1086,9 @@
     g_autoptr(GError) err = NULL;
     if (!start_node(n, &err)) {
         bg_log(BG_FAULT, "node", "Cannot start: %s.", err->message);
-        return EXIT_FAILURE;
+        /* The role's threads may run already and use what a return would
+           free; nothing was served that needs an orderly end. */
+        _exit(EXIT_FAILURE);
     }
     int sig;
     sigwait(&set, &sig);
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -24,22 +24,30 @@
         "care": "kuura-care-key"}
 
 
+GIVEN_PORTS = []
 _ports = itertools.cycle(range(12000, 21000))
 for _ in range(os.getpid() * 37 % 9000):
     next(_ports)
 
 
 def free_port():
-    """A port nobody listens on now, none twice.  It lies below the range
-    the system takes for outgoing connections: one of these could else sit
-    on the port before the daemon it was meant for listens there."""
-    for port in _ports:
-        with socket.socket() as s:
-            try:
+    """A port nobody listens on now, from below the range that outgoing
+    connections take theirs from: one of those, made between this look and
+    the daemon's start, would keep it from listening.  Its UDP twin stays
+    bound as long as this run lives, so that a run beside it takes
+    another."""
+    while True:
+        port = next(_ports)
+        twin = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            twin.bind(("127.0.0.1", port))
+            with socket.socket() as s:
                 s.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+        except OSError:
+            twin.close()
+            continue
+        GIVEN_PORTS.append(twin)
+        return port
 
 
 def wait_until(check, limit_s=15.0, what="condition"):
