--- a/src/fold.c
+++ b/src/fold.c
@@ -16,6 +16,9 @@
 #define MAX_PENDING_CHECKPOINTS 4
 #define MAX_CHUNKS 65536
 #define MAX_DEATHS 4096
+/* A deadly request is tried again after a day: the fault it met may have
+   been mended. */
+#define DEATH_LIFE_MS (24ull * 3600 * 1000)
 
 /* ---- life --------------------------------------------------------------- */
 
@@ -37,9 +40,20 @@
     g_free(in->upstream);
     g_free(in->model);
     g_free(in->load_id);
+    g_free(in->boot);
+    g_array_free(in->open, TRUE);
     g_free(in);
 }
 
+static void
+free_grant(gpointer p)
+{
+    FoldGrant *g = p;
+    g_ptr_array_free(g->upstreams, TRUE);
+    g_ptr_array_free(g->deployments, TRUE);
+    g_free(g);
+}
+
 static void
 free_centre(gpointer p)
 {
@@ -49,19 +63,10 @@
     g_hash_table_destroy(c->memory);
     g_hash_table_destroy(c->replicas);
     g_hash_table_destroy(c->quiesced);
+    g_ptr_array_free(c->grants, TRUE);
     g_free(c);
 }
 
-static void
-free_key(gpointer p)
-{
-    FoldKey *k = p;
-    g_free(k->attempt_id);
-    g_free(k->content_type);
-    g_free(k->body);
-    g_free(k);
-}
-
 static void
 free_deaths(gpointer p)
 {
@@ -100,8 +105,7 @@
     g_queue_init(&f->batch_order);
     f->history = make_table((GDestroyNotify)g_ptr_array_unref);
     f->centres = make_table(free_centre);
-    f->keys = make_table(free_key);
-    f->void_attempts = make_table(NULL);
+    f->keys = keys_create();
     f->deaths = make_table(free_deaths);
     g_queue_init(&f->death_order);
     f->pending = g_ptr_array_new_with_free_func(free_checkpoint);
@@ -121,8 +125,7 @@
     g_hash_table_destroy(f->batches);
     g_hash_table_destroy(f->history);
     g_hash_table_destroy(f->centres);
-    g_hash_table_destroy(f->keys);
-    g_hash_table_destroy(f->void_attempts);
+    keys_destroy(f->keys);
     g_hash_table_destroy(f->deaths);
     g_ptr_array_free(f->pending, TRUE);
     fold_free_checkpoint(f->checkpoint);
@@ -302,6 +305,7 @@
         c->replicas = make_table(NULL);
         c->quiesced =
             g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+        c->grants = g_ptr_array_new_with_free_func(free_grant);
         g_hash_table_insert(f->centres, g_strdup(name), c);
     }
     return c;
@@ -348,6 +352,57 @@
     return FOLD_LOST;
 }
 
+static FoldGrant *
+make_grant(const Bg__ClaimRecord *r, uint64_t epoch)
+{
+    FoldGrant *g = g_new0(FoldGrant, 1);
+    g->first_epoch = epoch;
+    g->last_epoch = epoch;
+    g->upstreams = g_ptr_array_new_with_free_func(g_free);
+    g->deployments = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < r->n_grant; i++) {
+        g_ptr_array_add(g->upstreams, g_strdup(r->grant[i]->upstream));
+        g_ptr_array_add(g->deployments, g_strdup(r->grant[i]->deployment));
+    }
+    return g;
+}
+
+static bool
+is_same_list(const GPtrArray *a, const GPtrArray *b)
+{
+    if (a->len != b->len) {
+        return false;
+    }
+    for (guint i = 0; i < a->len; i++) {
+        if (strcmp(a->pdata[i], b->pdata[i]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Grants stay until an owner clears them: whoever held one may have used it
+   without a record.  Past FOLD_MAX_GRANTS different lists a claim has none. */
+static void
+keep_grant(Centre *c, const Bg__ClaimRecord *r, uint64_t epoch)
+{
+    FoldGrant *g = make_grant(r, epoch);
+    for (guint i = 0; i < c->grants->len; i++) {
+        FoldGrant *old = c->grants->pdata[i];
+        if (is_same_list(old->upstreams, g->upstreams) &&
+            is_same_list(old->deployments, g->deployments)) {
+            old->last_epoch = epoch;
+            free_grant(g);
+            return;
+        }
+    }
+    if (g->upstreams->len == 0 || c->grants->len >= FOLD_MAX_GRANTS) {
+        free_grant(g);
+        return;
+    }
+    g_ptr_array_add(c->grants, g);
+}
+
 static FoldResult
 apply_claim(Fold *f, uint64_t offset, const Bg__ClaimRecord *r, GString *why)
 {
@@ -358,9 +413,64 @@
     g_free(c->claim.holder);
     c->claim.holder = g_strdup(r->holder);
     c->claim.epoch = offset;
+    keep_grant(c, r, offset);
+    return FOLD_WON;
+}
+
+static FoldResult
+apply_clear(Fold *f, const Bg__ClearRecord *r, GString *why)
+{
+    Centre *c = fold_make_centre(f, r->data_centre);
+    if (r->epoch != c->claim.epoch) {
+        return lose(why, "the epoch is not current");
+    }
+    for (guint i = c->grants->len; i > 0; i--) {
+        FoldGrant *g = c->grants->pdata[i - 1];
+        if (g->last_epoch < r->epoch) {
+            g_ptr_array_remove_index(c->grants, i - 1);
+        }
+        else {
+            g->first_epoch = r->epoch;
+        }
+    }
     return FOLD_WON;
 }
 
+/* ---- orders that may still arrive --------------------------------------- */
+
+static void
+open_intent(FoldIntent *in, uint64_t epoch)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) == epoch) {
+            return;
+        }
+    }
+    g_array_append_val(in->open, epoch);
+}
+
+static void
+close_intent(FoldIntent *in, uint64_t epoch)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) == epoch) {
+            g_array_remove_index_fast(in->open, i);
+            return;
+        }
+    }
+}
+
+bool
+fold_is_open(const FoldIntent *in, uint64_t except)
+{
+    for (guint i = 0; i < in->open->len; i++) {
+        if (g_array_index(in->open, uint64_t, i) != except) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The two ceilings are checked here, at the record's offset, so that no
    owner, paused or late, can record a load that does not fit: an order
    without a record in effect is never given. */
@@ -370,6 +480,9 @@
     if (r->epoch != c->claim.epoch) {
         return lose(why, "the epoch is not current");
     }
+    if (g_hash_table_contains(c->quiesced, &r->epoch)) {
+        return lose(why, "the epoch was handed over");
+    }
     g_autofree char *pair = fold_join_pair(r->upstream, r->model);
     if (g_hash_table_contains(c->intents, pair)) {
         return lose(why, "already counted there");
@@ -384,18 +497,41 @@
     return FOLD_WON;
 }
 
+/* The load that R names, counted already: the current owner may order it
+   again, and then its orders too may still arrive. */
+static FoldIntent *
+find_same_load(const Centre *c, const Bg__IntentRecord *r)
+{
+    g_autofree char *pair = fold_join_pair(r->upstream, r->model);
+    FoldIntent *in = g_hash_table_lookup(c->intents, pair);
+    bool same = in && strcmp(in->load_id, r->load_id) == 0 &&
+                strcmp(in->boot, r->boot) == 0 &&
+                in->memory_mb == r->memory_mb;
+    bool may_order = r->epoch == c->claim.epoch &&
+                     !g_hash_table_contains(c->quiesced, &r->epoch);
+    return same && may_order ? in : NULL;
+}
+
 static FoldResult
 apply_intent(Fold *f, const Bg__IntentRecord *r, GString *why)
 {
     Centre *c = fold_make_centre(f, r->data_centre);
+    FoldIntent *in = find_same_load(c, r);
+    if (in) {
+        open_intent(in, r->epoch);
+        return FOLD_WON;
+    }
     FoldResult result = check_intent(c, r, why);
     if (result != FOLD_WON) {
         return result;
     }
-    FoldIntent *in = g_new0(FoldIntent, 1);
+    in = g_new0(FoldIntent, 1);
+    in->open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    open_intent(in, r->epoch);
     in->upstream = g_strdup(r->upstream);
     in->model = g_strdup(r->model);
     in->load_id = g_strdup(r->load_id);
+    in->boot = g_strdup(r->boot);
     in->memory_mb = r->memory_mb;
     in->epoch = r->epoch;
     in->fenced = r->fenced;
@@ -418,14 +554,34 @@
     }
     if (r->loaded) {
         in->loaded = true;
+        if (r->closed) {
+            close_intent(in, r->epoch);
+        }
         return FOLD_WON;
     }
+    /* An upstream without fencing takes a former owner's late order: the
+       load goes on counting until that order cannot arrive any more. */
+    if (!in->fenced && !r->life_ended && fold_is_open(in, r->epoch)) {
+        return lose(why, "an order may still arrive");
+    }
     add_number(c->memory, in->upstream, -(int64_t)in->memory_mb);
     add_number(c->replicas, in->model, -1);
     g_hash_table_remove(c->intents, pair);
     return FOLD_WON;
 }
 
+static bool
+is_listed_open(const Bg__QuiesceRecord *r, const FoldIntent *in)
+{
+    for (size_t i = 0; i < r->n_open; i++) {
+        if (strcmp(r->open[i]->upstream, in->upstream) == 0 &&
+            strcmp(r->open[i]->model, in->model) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static FoldResult
 apply_quiesce(Fold *f, const Bg__QuiesceRecord *r)
 {
@@ -433,6 +589,15 @@
     uint64_t *epoch = g_new(uint64_t, 1);
     *epoch = r->epoch;
     g_hash_table_add(c->quiesced, epoch);
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->intents);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        FoldIntent *in = p;
+        if (!is_listed_open(r, in)) {
+            close_intent(in, r->epoch);
+        }
+    }
     return FOLD_WON;
 }
 
@@ -495,91 +660,31 @@
     return c && g_hash_table_contains(c->quiesced, &epoch);
 }
 
-/* ---- non-idempotent calls ----------------------------------------------- */
-
-FoldKey *
-fold_make_key(Fold *f, const Bg__KeyRecord *r)
-{
-    FoldKey *k = g_new0(FoldKey, 1);
-    k->step = BG__KEY_STEP__KEY_CLAIM;
-    k->attempt_id = g_strdup(r->attempt_id);
-    memcpy(k->request_digest, r->request_digest.data, 32);
-    k->expires_wall_ms = r->expires_wall_ms;
-    g_hash_table_insert(f->keys, fold_join_pair(r->workspace, r->key), k);
-    return k;
-}
-
-static FoldResult
-apply_key_claim(Fold *f, const Bg__KeyRecord *r, char *pair, GString *why)
+const GPtrArray *
+fold_get_grants(const Fold *f, const char *data_centre)
 {
-    /* A router that told its caller "not run" gave the attempt up; its
-       claim may still arrive behind the release and must stay void. */
-    if (g_hash_table_contains(f->void_attempts, r->attempt_id)) {
-        return lose(why, "the attempt was given up");
-    }
-    if (g_hash_table_contains(f->keys, pair)) {
-        return lose(why, "the key is taken");
-    }
-    if (r->request_digest.len != 32) {
-        g_string_assign(why, "bad digest");
-        return FOLD_BAD;
-    }
-    fold_make_key(f, r);
-    return FOLD_WON;
+    const Centre *c = find_centre(f, data_centre);
+    return c ? c->grants : NULL;
 }
 
-static FoldResult
-apply_key_end(Fold *f, const Bg__KeyRecord *r, const char *pair, GString *why)
-{
-    FoldKey *k = g_hash_table_lookup(f->keys, pair);
-    if (!k || strcmp(k->attempt_id, r->attempt_id) != 0) {
-        if (r->step == BG__KEY_STEP__KEY_RELEASE) {
-            g_hash_table_add(f->void_attempts, g_strdup(r->attempt_id));
-        }
-        return lose(why, "the attempt does not hold the key");
-    }
-    if (k->step == BG__KEY_STEP__KEY_RESULT) {
-        return lose(why, "the result is already recorded");
-    }
-    if (k->step == BG__KEY_STEP__KEY_UNKNOWN &&
-        r->step == BG__KEY_STEP__KEY_RELEASE) {
-        return lose(why, "the call may have run");
-    }
-    if (r->step == BG__KEY_STEP__KEY_RELEASE) {
-        g_hash_table_remove(f->keys, pair);
-        return FOLD_WON;
-    }
-    k->step = r->step;
-    k->status = r->status;
-    g_free(k->content_type);
-    k->content_type = g_strdup(r->content_type);
-    g_free(k->body);
-    k->body = g_memdup2(r->body.data, r->body.len);
-    k->body_len = r->body.len;
-    return FOLD_WON;
-}
+/* ---- non-idempotent calls ----------------------------------------------- */
 
 static FoldResult
 apply_key(Fold *f, const Bg__KeyRecord *r, GString *why)
 {
-    g_autofree char *pair = fold_join_pair(r->workspace, r->key);
-    if (r->step == BG__KEY_STEP__KEY_CLAIM) {
-        return apply_key_claim(f, r, pair, why);
-    }
-    return apply_key_end(f, r, pair, why);
+    return keys_apply(f->keys, r, why) ? FOLD_WON : FOLD_LOST;
 }
 
-const FoldKey *
+const KeyEntry *
 fold_find_key(const Fold *f, const char *workspace, const char *key)
 {
-    g_autofree char *pair = fold_join_pair(workspace, key);
-    return g_hash_table_lookup(f->keys, pair);
+    return keys_find(f->keys, workspace, key);
 }
 
 uint32_t
 fold_count_keys(const Fold *f)
 {
-    return g_hash_table_size(f->keys);
+    return keys_count(f->keys);
 }
 
 /* ---- deadly requests ---------------------------------------------------- */
@@ -594,8 +699,30 @@
     return g_string_free(hex, FALSE);
 }
 
+static void
+remove_deaths(Fold *f, Deaths *d)
+{
+    char *hex = d->link->data;
+    g_queue_delete_link(&f->death_order, d->link);
+    g_hash_table_remove(f->deaths, hex);
+}
+
+static void
+remove_old_deaths(Fold *f)
+{
+    uint64_t now_ms = keys_get_time(f->keys);
+    while (f->death_order.head) {
+        Deaths *d = g_hash_table_lookup(f->deaths, f->death_order.head->data);
+        bool old = now_ms > d->born_ms + DEATH_LIFE_MS;
+        if (!old && g_hash_table_size(f->deaths) < MAX_DEATHS) {
+            return;
+        }
+        remove_deaths(f, d);
+    }
+}
+
 Deaths *
-fold_make_deaths(Fold *f, const uint8_t *digest)
+fold_make_deaths(Fold *f, const uint8_t *digest, uint64_t born_ms)
 {
     char *hex = format_digest(digest);
     Deaths *d = g_hash_table_lookup(f->deaths, hex);
@@ -603,17 +730,41 @@
         g_free(hex);
         return d;
     }
-    if (g_hash_table_size(f->deaths) >= MAX_DEATHS) {
-        g_hash_table_remove(f->deaths, g_queue_pop_head(&f->death_order));
-    }
+    remove_old_deaths(f);
     d = g_new0(Deaths, 1);
     memcpy(d->digest, digest, 32);
     d->upstreams = g_ptr_array_new_with_free_func(g_free);
+    d->born_ms = born_ms;
     g_hash_table_insert(f->deaths, hex, d);
     g_queue_push_tail(&f->death_order, hex);
+    d->link = f->death_order.tail;
     return d;
 }
 
+static const Deaths *
+find_deaths(const Fold *f, const uint8_t *digest)
+{
+    g_autofree char *hex = format_digest(digest);
+    return g_hash_table_lookup(f->deaths, hex);
+}
+
+/* Innocents that were in flight beside a deadly request carry a death that
+   was not theirs; one that ran alone and was answered is rid of it, else
+   two unrelated deaths would quarantine it. */
+static FoldResult
+clear_deaths(Fold *f, const Bg__DeathRecord *r, GString *why)
+{
+    Deaths *d = (Deaths *)find_deaths(f, r->request_digest.data);
+    if (!d) {
+        return lose(why, "nothing to clear");
+    }
+    if (d->upstreams->len >= FOLD_DEATHS_TO_QUARANTINE) {
+        return lose(why, "it is quarantined");
+    }
+    remove_deaths(f, d);
+    return FOLD_WON;
+}
+
 static FoldResult
 apply_death(Fold *f, const Bg__DeathRecord *r, GString *why)
 {
@@ -621,7 +772,12 @@
         g_string_assign(why, "bad digest");
         return FOLD_BAD;
     }
-    Deaths *d = fold_make_deaths(f, r->request_digest.data);
+    keys_note_time(f->keys, r->author, r->wall_ms);
+    if (r->cleared) {
+        return clear_deaths(f, r, why);
+    }
+    Deaths *d = fold_make_deaths(f, r->request_digest.data,
+                                 keys_get_birth(f->keys, r->wall_ms));
     if (g_ptr_array_find_with_equal_func(d->upstreams, r->upstream,
                                          g_str_equal, NULL)) {
         return lose(why, "already counted");
@@ -633,9 +789,19 @@
 uint32_t
 fold_count_deaths(const Fold *f, const uint8_t digest[32])
 {
-    g_autofree char *hex = format_digest(digest);
-    Deaths *d = g_hash_table_lookup(f->deaths, hex);
-    return d ? d->upstreams->len : 0;
+    const Deaths *d = find_deaths(f, digest);
+    if (!d || keys_get_time(f->keys) > d->born_ms + DEATH_LIFE_MS) {
+        return 0;
+    }
+    return d->upstreams->len;
+}
+
+bool
+fold_has_death(const Fold *f, const uint8_t digest[32], const char *upstream)
+{
+    const Deaths *d = find_deaths(f, digest);
+    return d && g_ptr_array_find_with_equal_func(d->upstreams, upstream,
+                                                 g_str_equal, NULL);
 }
 
 /* ---- checkpoints -------------------------------------------------------- */
@@ -730,6 +896,8 @@
         return apply_settle(f, r->settle, why);
     case BG__RECORD__BODY_QUIESCE:
         return apply_quiesce(f, r->quiesce);
+    case BG__RECORD__BODY_CLEAR:
+        return apply_clear(f, r->clear, why);
     case BG__RECORD__BODY_KEY:
         return apply_key(f, r->key, why);
     case BG__RECORD__BODY_DEATH:
@@ -838,15 +1006,29 @@
         FoldIntent *in = p;
         json_array_append_new(
             intents,
-            json_pack("{s:s, s:s, s:i, s:I, s:b}", "upstream", in->upstream,
-                      "model", in->model, "memory_mb", (int)in->memory_mb,
-                      "epoch", (json_int_t)in->epoch, "loaded", in->loaded));
+            json_pack("{s:s, s:s, s:i, s:I, s:b, s:b}", "upstream",
+                      in->upstream, "model", in->model, "memory_mb",
+                      (int)in->memory_mb, "epoch", (json_int_t)in->epoch,
+                      "loaded", in->loaded, "open", in->open->len > 0));
     }
     return json_pack("{s:s, s:I, s:o}", "holder",
                      c->claim.holder ? c->claim.holder : "", "epoch",
                      (json_int_t)c->claim.epoch, "intents", intents);
 }
 
+static uint32_t
+count_quarantined(const Fold *f)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer d;
+    g_hash_table_iter_init(&it, f->deaths);
+    while (g_hash_table_iter_next(&it, NULL, &d)) {
+        n += ((Deaths *)d)->upstreams->len >= FOLD_DEATHS_TO_QUARANTINE;
+    }
+    return n;
+}
+
 char *
 fold_dump(const Fold *f)
 {
@@ -867,10 +1049,11 @@
         json_object_set_new(centres, name, dump_centre(p));
     }
     json_t *doc =
-        json_pack("{s:I, s:o, s:o, s:i, s:i}", "offset", (json_int_t)f->offset,
-                  "templates", templates, "data_centres", centres, "keys",
-                  (int)g_hash_table_size(f->keys), "deadly_requests",
-                  (int)g_hash_table_size(f->deaths));
+        json_pack("{s:I, s:o, s:o, s:i, s:i, s:i}", "offset",
+                  (json_int_t)f->offset, "templates", templates,
+                  "data_centres", centres, "keys", (int)keys_count(f->keys),
+                  "deadly_requests", (int)g_hash_table_size(f->deaths),
+                  "quarantined_requests", (int)count_quarantined(f));
     char *text = json_dumps(doc, JSON_SORT_KEYS | JSON_COMPACT);
     json_decref(doc);
     char *copy = g_strdup(text);
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -14,6 +14,8 @@
 #define PROBE_CONNECT_MS 300
 #define PROBE_TOTAL_MS 1000
 #define DEMAND_REPEAT_MS 1000 /* less than the age at which it lapses */
+/* Longer than the log client keeps trying one batch. */
+#define RESEND_MS 70000
 
 static const IniRule rules[] = {
     {"router", "max_waiting_lookup", INI_INT, false, "1000", 1, 1000000, NULL,
@@ -50,6 +52,8 @@
      "between bytes of an answer"},
     {"router", "pool_idle_ms", INI_INT, false, "10000", 1000, 600000, NULL,
      "a pooled connection idle for longer is not used again"},
+    {"router", "claim_wait_ms", INI_INT, false, "2000", 1, 600000, NULL,
+     "longest wait for the claim of a non-idempotent call"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 /* Is an upstream well?  Asked on a fresh connection. */
@@ -69,6 +73,8 @@
     Ring *probed;       /* Probe, back from it */
     pthread_t probe_thread;
     atomic_bool stopping;
+    OnceCore *once;
+    QrCore *quarantine;
     uint64_t next_demand_ms;
     uint64_t repeat_demand_ms;
     GByteArray *last_demand; /* as sent; NULL: none */
@@ -139,19 +145,56 @@
 output_send(void *ctx, uint64_t id, const char *upstream, const char *address,
             uint32_t long_run_ms)
 {
-    req_on_send(((Router *)ctx)->desk, id, upstream, address, long_run_ms);
+    Router *r = ctx;
+    once_on_sent(r->once, id);
+    req_on_send(r->desk, id, upstream, address, long_run_ms);
 }
 
 static void
 output_refuse(void *ctx, uint64_t id, RtReason reason, uint64_t retry_after_ms)
 {
-    req_on_refuse(((Router *)ctx)->desk, id, reason, retry_after_ms);
+    Router *r = ctx;
+    once_on_refused(r->once, bg_now_ms(), bg_wall_ms(), id);
+    req_on_refuse(r->desk, id, reason, retry_after_ms);
 }
 
 static void
 output_finish(void *ctx, uint64_t id)
 {
-    req_on_finish(((Router *)ctx)->desk, id);
+    Router *r = ctx;
+    once_on_broken(r->once, bg_now_ms(), bg_wall_ms(), id);
+    req_on_finish(r->desk, id);
+}
+
+static void
+output_once(void *ctx, uint64_t id, const OnceDecision *decision)
+{
+    Router *r = ctx;
+    req_on_once(r->desk, r->core, bg_now_ms(), id, decision);
+}
+
+static bool
+output_append(void *ctx, Bg__Record *record)
+{
+    return node_append(((Router *)ctx)->node, record);
+}
+
+/* The two cores that decide by the log: at most once, and quarantine. */
+static void
+create_log_cores(Router *r)
+{
+    const IniFile *f = node_get_settings(r->node);
+    const char *author = ini_get_text(f, "node", "name");
+    OnceParams once = {author,
+                       (uint32_t)ini_get_int(f, "router", "claim_wait_ms"),
+                       RESEND_MS};
+    OnceOutput once_out = {r, output_once, output_append};
+    r->once = once_create(&once, &once_out, node_get_fold(r->node));
+    QrParams quarantine = {author, RESEND_MS};
+    QrOutput quarantine_out = {r, output_append};
+    r->quarantine =
+        qr_create(&quarantine, &quarantine_out, node_get_fold(r->node));
+    req_use_cores(r->desk, r->once, r->quarantine);
 }
 
 static void
@@ -220,6 +263,7 @@
     r->linked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     r->desk = req_create_desk(n, r->lim);
     r->core = rt_create(&params, &out);
+    create_log_cores(r);
     r->probes = ring_create(PROBE_RING);
     r->probed = ring_create(PROBE_RING);
     pthread_create(&r->probe_thread, NULL, run_probes, r);
@@ -238,11 +282,42 @@
     req_destroy_desk(r->desk);
     lim_destroy(r->lim);
     g_hash_table_destroy(r->linked);
+    once_destroy(r->once);
+    qr_destroy(r->quarantine);
     if (r->last_demand) {
         g_byte_array_free(r->last_demand, TRUE);
     }
 }
 
+static void
+on_record(void *ctx, uint64_t now_ms, uint64_t offset, const Bg__Record *rec,
+          FoldResult result, const char *why)
+{
+    (void)offset;
+    Router *r = ctx;
+    if (rec->body_case == BG__RECORD__BODY_KEY) {
+        once_on_record(r->once, now_ms, bg_wall_ms(), rec->key, result, why);
+    }
+    else if (rec->body_case == BG__RECORD__BODY_DEATH) {
+        qr_on_record(r->quarantine, rec->death);
+        if (result == FOLD_WON) {
+            req_on_death(r->desk, r->core, rec->death->request_digest.data);
+        }
+    }
+}
+
+static void
+note_boots(Router *r, uint64_t now_ms, const Bg__Residency *m)
+{
+    for (size_t i = 0; i < m->n_upstreams; i++) {
+        const Bg__UpstreamState *s = m->upstreams[i];
+        if (*s->boot) {
+            qr_on_boot(r->quarantine, now_ms, bg_wall_ms(), s->upstream,
+                       s->boot);
+        }
+    }
+}
+
 static void
 on_config(void *ctx, uint64_t now_ms, const CfgSet *cfg)
 {
@@ -259,6 +334,7 @@
     Router *r = ctx;
     switch (frame->body_case) {
     case BG__FRAME__BODY_RESIDENCY:
+        note_boots(r, now_ms, frame->residency);
         rt_on_residency(r->core, now_ms, frame->residency);
         break;
     case BG__FRAME__BODY_WANT_REFUSED:
@@ -299,10 +375,9 @@
 static void
 on_log(void *ctx, uint64_t now_ms, bool reachable, bool caught_up)
 {
-    (void)ctx;
     (void)now_ms;
-    (void)reachable;
     (void)caught_up;
+    once_on_log(((Router *)ctx)->once, reachable);
 }
 
 static void
@@ -351,6 +426,8 @@
 on_tick(void *ctx, uint64_t now_ms)
 {
     Router *r = ctx;
+    once_on_tick(r->once, now_ms, bg_wall_ms());
+    qr_on_tick(r->quarantine, now_ms);
     take_probes(r, now_ms);
     rt_on_tick(r->core, now_ms);
     if (now_ms >= r->next_demand_ms) {
@@ -364,6 +441,7 @@
 {
     Router *r = ctx;
     r->draining = true;
+    once_on_drain(r->once);
     rt_on_drain(r->core, now_ms);
 }
 
@@ -372,7 +450,7 @@
 {
     Router *r = ctx;
     return r->draining && rt_count_requests(r->core) == 0 &&
-           req_count(r->desk) == 0;
+           once_count_open(r->once) == 0 && req_count(r->desk) == 0;
 }
 
 static bool
@@ -384,7 +462,11 @@
 static char *
 dump(void *ctx)
 {
-    return rt_dump(((Router *)ctx)->core);
+    Router *r = ctx;
+    g_autofree char *routing = rt_dump(r->core);
+    g_autofree char *once = once_dump(r->once);
+    /* One object: the routing core's members and "once". */
+    return g_strdup_printf("{\"once\":%s,%s", once, routing + 1);
 }
 
 static int
@@ -402,6 +484,7 @@
                      .rules = rules,
                      .start = start_router,
                      .stop = stop_router,
+                     .on_record = on_record,
                      .on_config = on_config,
                      .on_frame = on_frame,
                      .on_link = on_link,
--- a/src/rt.c
+++ b/src/rt.c
@@ -16,6 +16,7 @@
 #define NO_UPSTREAM_WAIT_MS 1000
 #define EWMA_WEIGHT 4 /* a new sample counts for a quarter */
 #define USED_LATELY_MS 1000
+#define MAX_DEATHS 2 /* of upstreams under one request */
 
 typedef struct Target Target;
 
@@ -28,6 +29,7 @@
     GPtrArray *tried;  /* upstream ids, owned */
     uint32_t sends;    /* that reached an upstream */
     bool may_have_run; /* then it is never refused as not run */
+    uint32_t deaths;   /* upstreams that ended under it here */
     uint64_t arrived_ms;
     uint64_t sent_ms;
     uint64_t not_before_ms; /* jitter of a retry */
@@ -325,6 +327,7 @@
 {
     UpQuery query = make_query(q->target);
     query.affinity = q->r.affinity;
+    query.alone = q->r.suspect;
     if (q->tried->len == 0) {
         return up_choose(c->ups, now_ms, &query);
     }
@@ -356,7 +359,7 @@
     q->at = u;
     q->sent_ms = now_ms;
     q->target->inflight++;
-    up_start(u);
+    up_start(u, q->r.suspect);
     c->out.send(c->out.ctx, q->r.id, up_get_id(u), up_get_address(u),
                 get_long_run_of(q));
 }
@@ -478,6 +481,18 @@
     }
 }
 
+static void
+make_suspect(RtCore *c, Request *q)
+{
+    q->r.suspect = true;
+    if (q->node.lane) {
+        /* Out of the queue, where it would hold up those behind it until an
+           upstream is empty. */
+        dequeue(c, q, false);
+        enqueue_retry(c, q);
+    }
+}
+
 /* Queue Q, or refuse it at once when it can't be served in time. */
 static void
 admit(RtCore *c, Request *q, uint64_t now_ms)
@@ -503,6 +518,9 @@
         return;
     }
     enqueue(c, q);
+    if (q->r.suspect) {
+        make_suspect(c, q);
+    }
 }
 
 void
@@ -513,7 +531,8 @@
     t->last_used_ms = now_ms;
     c->retry_credit = MIN(c->retry_credit + c->params.retry_percent,
                           RETRY_CREDIT_MAX * RETRY_COST);
-    if (c->draining) {
+    /* One with a claim was inside before the stop began. */
+    if (c->draining && !r->claimed) {
         refuse(c, q, RT_REFUSED_DRAINING, 0);
         return;
     }
@@ -522,7 +541,11 @@
         send_to(c, q, u, now_ms);
         return;
     }
+    bool behind_others = t->retrying.length > 0;
     admit(c, q, now_ms);
+    if (behind_others) {
+        pump(c, now_ms); /* those may wait for what this one need not */
+    }
 }
 
 /* ---- ends of sendings --------------------------------------------------- */
@@ -610,7 +633,12 @@
             note_run(t, q->node.cost,
                      now_ms - q->sent_ms); /* it takes no less */
         }
-        if (q->r.once) {
+        /* Whatever runs beside a request that kills its upstream dies with
+           it and would be taken for the cause: it goes on alone, and after
+           a second death nowhere. */
+        q->deaths += end->died;
+        q->r.suspect = q->r.suspect || end->died;
+        if (q->r.once || q->deaths >= MAX_DEATHS) {
             finish(c, q);
         }
         else {
@@ -633,6 +661,27 @@
     return true;
 }
 
+void
+rt_on_death(RtCore *c, uint64_t id, bool quarantined)
+{
+    Request *q = g_hash_table_lookup(c->requests, &id);
+    if (!q || q->at) {
+        return;
+    }
+    if (quarantined) {
+        refuse(c, q, RT_REFUSED_QUARANTINE, 0);
+    }
+    else {
+        make_suspect(c, q);
+    }
+}
+
+bool
+rt_is_leaving(const RtCore *c, const char *upstream)
+{
+    return up_is_leaving(c->ups, upstream);
+}
+
 /* ---- other events ------------------------------------------------------- */
 
 void
--- a/src/snap.c
+++ b/src/snap.c
@@ -44,16 +44,6 @@
     return keys;
 }
 
-/* "a\nb" as two texts. */
-static char **
-split_pair(Encoder *e, const char *pair)
-{
-    char **words = g_strsplit(pair, "\n", 2);
-    own(e, words[0]);
-    own(e, words[1]);
-    return own(e, words);
-}
-
 /* ---- configuration ------------------------------------------------------ */
 
 static Bg__SnapshotVersion *
@@ -123,6 +113,14 @@
 
 /* ---- placement ---------------------------------------------------------- */
 
+static int
+compare_numbers(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
 static Bg__SnapshotIntent *
 encode_intent(Encoder *e, const FoldIntent *in)
 {
@@ -135,10 +133,16 @@
     r->epoch = in->epoch;
     r->fenced = in->fenced;
     r->adapter = in->adapter;
+    r->boot = in->boot;
     Bg__SnapshotIntent *s = own(e, g_new(Bg__SnapshotIntent, 1));
     bg__snapshot_intent__init(s);
     s->intent = r;
     s->loaded = in->loaded;
+    /* Sorted: the order of closing must not show in the bytes. */
+    s->n_open = in->open->len;
+    s->open = own(e, g_new0(uint64_t, in->open->len + 1));
+    memcpy(s->open, in->open->data, in->open->len * sizeof(uint64_t));
+    qsort(s->open, s->n_open, sizeof(uint64_t), compare_numbers);
     return s;
 }
 
@@ -158,17 +162,12 @@
     in->fenced = r->fenced;
     in->adapter = r->adapter;
     in->loaded = s->loaded;
+    in->boot = g_strdup(r->boot);
+    in->open = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_vals(in->open, s->open, (guint)s->n_open);
     fold_add_intent(c, in);
 }
 
-static int
-compare_numbers(const void *a, const void *b)
-{
-    uint64_t x = *(const uint64_t *)a;
-    uint64_t y = *(const uint64_t *)b;
-    return x < y ? -1 : x > y;
-}
-
 static void
 encode_quiesced(Encoder *e, const Centre *c, Bg__SnapshotCentre *s)
 {
@@ -183,6 +182,48 @@
     qsort(s->quiesced, s->n_quiesced, sizeof(uint64_t), compare_numbers);
 }
 
+static Bg__SnapshotGrant *
+encode_grant(Encoder *e, const FoldGrant *g)
+{
+    Bg__SnapshotGrant *s = own(e, g_new(Bg__SnapshotGrant, 1));
+    bg__snapshot_grant__init(s);
+    s->first_epoch = g->first_epoch;
+    s->last_epoch = g->last_epoch;
+    s->upstreams = own(e, g_new0(Bg__GrantUpstream *, g->upstreams->len + 1));
+    for (guint i = 0; i < g->upstreams->len; i++) {
+        Bg__GrantUpstream *u = own(e, g_new(Bg__GrantUpstream, 1));
+        bg__grant_upstream__init(u);
+        u->upstream = g->upstreams->pdata[i];
+        u->deployment = g->deployments->pdata[i];
+        s->upstreams[s->n_upstreams++] = u;
+    }
+    return s;
+}
+
+static void
+encode_grants(Encoder *e, const Centre *c, Bg__SnapshotCentre *s)
+{
+    s->grants = own(e, g_new0(Bg__SnapshotGrant *, c->grants->len + 1));
+    for (guint i = 0; i < c->grants->len; i++) {
+        s->grants[s->n_grants++] = encode_grant(e, c->grants->pdata[i]);
+    }
+}
+
+static void
+decode_grant(Centre *c, const Bg__SnapshotGrant *s)
+{
+    FoldGrant *g = g_new0(FoldGrant, 1);
+    g->first_epoch = s->first_epoch;
+    g->last_epoch = s->last_epoch;
+    g->upstreams = g_ptr_array_new_with_free_func(g_free);
+    g->deployments = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < s->n_upstreams; i++) {
+        g_ptr_array_add(g->upstreams, g_strdup(s->upstreams[i]->upstream));
+        g_ptr_array_add(g->deployments, g_strdup(s->upstreams[i]->deployment));
+    }
+    g_ptr_array_add(c->grants, g);
+}
+
 static Bg__SnapshotCentre *
 encode_centre(Encoder *e, const char *name, const Centre *c)
 {
@@ -199,6 +240,7 @@
             encode_intent(e, g_hash_table_lookup(c->intents, pairs->pdata[i]));
     }
     encode_quiesced(e, c, s);
+    encode_grants(e, c, s);
     return s;
 }
 
@@ -230,71 +272,10 @@
             g_hash_table_add(c->quiesced,
                              g_memdup2(&sc->quiesced[n], sizeof(uint64_t)));
         }
-    }
-}
-
-/* ---- non-idempotent calls ----------------------------------------------- */
-
-static Bg__KeyRecord *
-encode_key(Encoder *e, const char *pair, const FoldKey *k)
-{
-    char **words = split_pair(e, pair);
-    Bg__KeyRecord *r = own(e, g_new(Bg__KeyRecord, 1));
-    bg__key_record__init(r);
-    r->workspace = words[0];
-    r->key = words[1];
-    r->step = k->step;
-    r->attempt_id = k->attempt_id;
-    r->request_digest.data = (uint8_t *)k->request_digest;
-    r->request_digest.len = sizeof(k->request_digest);
-    r->expires_wall_ms = k->expires_wall_ms;
-    r->status = k->status;
-    r->content_type = k->content_type ? k->content_type : r->content_type;
-    r->body.data = k->body;
-    r->body.len = k->body_len;
-    return r;
-}
-
-static void
-encode_keys(Encoder *e, Bg__Snapshot *s)
-{
-    g_autoptr(GPtrArray) pairs = sort_keys(e->fold->keys);
-    s->n_keys = pairs->len;
-    s->keys = own(e, g_new0(Bg__KeyRecord *, pairs->len + 1));
-    for (guint i = 0; i < pairs->len; i++) {
-        s->keys[i] =
-            encode_key(e, pairs->pdata[i],
-                       g_hash_table_lookup(e->fold->keys, pairs->pdata[i]));
-    }
-    g_autoptr(GPtrArray) attempts = sort_keys(e->fold->void_attempts);
-    s->n_void_attempts = attempts->len;
-    s->void_attempts =
-        own(e, g_memdup2(attempts->pdata, attempts->len * sizeof(char *)));
-}
-
-static bool
-decode_keys(Fold *f, const Bg__Snapshot *s, GError **err)
-{
-    for (size_t i = 0; i < s->n_keys; i++) {
-        const Bg__KeyRecord *r = s->keys[i];
-        if (r->request_digest.len != 32) {
-            g_set_error(err, BG_ERROR, BG_ERR_FORMAT,
-                        "a key has a bad digest");
-            return false;
-        }
-        FoldKey *k = fold_make_key(f, r);
-        k->step = r->step;
-        k->status = r->status;
-        if (r->step != BG__KEY_STEP__KEY_CLAIM) {
-            k->content_type = g_strdup(r->content_type);
-            k->body = g_memdup2(r->body.data, r->body.len);
-            k->body_len = r->body.len;
+        for (size_t n = 0; n < sc->n_grants; n++) {
+            decode_grant(c, sc->grants[n]);
         }
     }
-    for (size_t i = 0; i < s->n_void_attempts; i++) {
-        g_hash_table_add(f->void_attempts, g_strdup(s->void_attempts[i]));
-    }
-    return true;
 }
 
 /* ---- deadly requests ---------------------------------------------------- */
@@ -312,6 +293,7 @@
         r->digest.len = sizeof(d->digest);
         r->upstreams = (char **)d->upstreams->pdata;
         r->n_upstreams = d->upstreams->len;
+        r->born_ms = d->born_ms;
         s->deaths[s->n_deaths++] = r;
     }
 }
@@ -325,7 +307,7 @@
             g_set_error(err, BG_ERROR, BG_ERR_FORMAT, "a death's bad digest");
             return false;
         }
-        Deaths *d = fold_make_deaths(f, r->digest.data);
+        Deaths *d = fold_make_deaths(f, r->digest.data, r->born_ms);
         for (size_t n = 0; n < r->n_upstreams; n++) {
             g_ptr_array_add(d->upstreams, g_strdup(r->upstreams[n]));
         }
@@ -451,7 +433,7 @@
     s.chain = f->chain;
     encode_templates(&e, &s);
     encode_centres(&e, &s);
-    encode_keys(&e, &s);
+    s.keys = keys_save(f->keys);
     encode_deaths(&e, &s);
     encode_batches(&e, &s);
     encode_checkpoints(&e, &s);
@@ -459,6 +441,7 @@
     GByteArray *out = g_byte_array_sized_new((guint)len);
     g_byte_array_set_size(out, (guint)len);
     bg__snapshot__pack(&s, out->data);
+    bg__snapshot_keys__free_unpacked(s.keys, NULL);
     g_ptr_array_free(e.owned, TRUE);
     return out;
 }
@@ -503,7 +486,7 @@
     decode_centres(f, s);
     decode_batches(f, s);
     decode_checkpoints(f, s);
-    if (decode_templates(f, s, err) && decode_keys(f, s, err) &&
+    if (decode_templates(f, s, err) && keys_load(f->keys, s->keys, err) &&
         decode_deaths(f, s, err)) {
         return f;
     }
