--- a/tests/capacity.py
+++ b/tests/capacity.py
@@ -492,7 +492,74 @@
     return s
 
 
-SLOPES = {"nodes": measure_nodes, "centres": measure_centres,
+# ---- what a router has to look through ----------------------------------
+
+def cpu_of_requests(c, router):
+    """Microseconds of the router's CPU for a request on a warm model."""
+    runs = windows(c, [router], 0, lambda: check_clean(
+        c.load([router], "--models", "m0", "-r", 200, "-c", 32, "-d", 2000)))
+    return [w.used[router]["cpu"] / w.result["answered"] * 1e6 for w in runs]
+
+
+def measure_used():
+    """Adapters that a router has seen a request for.  Their callers cannot
+    wait for a load, so each request is refused at once and loads nothing."""
+    s = Slope("models that a router has seen requests for")
+    for x in (1000, 5000, 10000, 22000):
+        s.note_size(x)
+        with FastCluster(build, vms_per_centre=1, engines=4,
+                         settings=BUSY_ROUTER,
+                         engine_args=["--token-us", 0]) as c:
+            template = make_template(models=2, adapters=x).replace(
+                "memory_mb = 1\n", "memory_mb = 1\nwait_ms = 1\n")
+            c.publish(template, [make_values()])
+            c.wait_ready()
+            wait_until(lambda: c.owner("dc1"), 20, "owner")
+            c.warm(R1, ["m0"])
+            out = check_clean(c.load([R1], "--models", "m-a%", "--count", x,
+                                     "-c", 8, "-n", 4 * x, "-d", 30000))
+            used = len([t for t in c.dump(R1)["state"]["targets"]
+                        if t["name"].startswith("m-a")])
+            assert out["refused"] > 0 and used > x * 0.9, (out, used)
+            time.sleep(6)
+            runs = windows(c, [R1], 3)
+            s.add("router_cpu", "% of a core, idle", used,
+                  [w.rate([R1], "cpu") * 100 for w in runs])
+            s.add("router_cpu_request", "us of CPU a request", used,
+                  cpu_of_requests(c, R1))
+            add_memory(s, used, c, [R1], "router")
+    return s
+
+
+def measure_known():
+    """Upstreams of all data centres that a router knows, 245 in each."""
+    s = Slope("upstreams that a router knows")
+    slow = {"placer": {"placer": {"poll_ms": "2000"},
+                       "vms": {"poll_ms": "5000"}}}
+    for centres in (1, 2, 4, 8):
+        x = 245 * centres
+        s.note_size(x)
+        with FastCluster(build, centres=["dc%d" % (i + 1)
+                                         for i in range(centres)],
+                         vms_per_centre=1, engines=245,
+                         settings=dict(BUSY_ROUTER, **slow),
+                         engine_args=["--token-us", 0, "--threads",
+                                      400]) as c:
+            c.publish_fleet(models=2)
+            wait_until(lambda: len(c.dump(R1)["state"]["upstreams"]) == x,
+                       30, "upstreams known")
+            time.sleep(3)
+            c.warm(R1, ["m0"])
+            runs = windows(c, [R1], 3)
+            s.add("router_cpu", "% of a core, idle", x,
+                  [w.rate([R1], "cpu") * 100 for w in runs])
+            s.add("router_cpu_request", "us of CPU a request", x,
+                  cpu_of_requests(c, R1))
+            add_memory(s, x, c, [R1], "router")
+    return s
+
+
+SLOPES = {"used": measure_used, "known": measure_known, "nodes": measure_nodes, "centres": measure_centres,
           "upstreams": measure_upstreams,
           "polls": measure_polls, "heartbeats": measure_heartbeats,
           "models": measure_models,
