--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -35,7 +35,25 @@
 typedef struct Bg__Demand Bg__Demand;
 typedef struct Bg__Heartbeat Bg__Heartbeat;
 typedef struct Bg__WantRefused Bg__WantRefused;
+typedef struct Bg__LimitAsk Bg__LimitAsk;
+typedef struct Bg__LimitLoan Bg__LimitLoan;
 typedef struct Bg__Frame Bg__Frame;
+typedef struct Bg__SnapshotVersion Bg__SnapshotVersion;
+typedef struct Bg__SnapshotTemplate Bg__SnapshotTemplate;
+typedef struct Bg__SnapshotIntent Bg__SnapshotIntent;
+typedef struct Bg__SnapshotCentre Bg__SnapshotCentre;
+typedef struct Bg__SnapshotDeaths Bg__SnapshotDeaths;
+typedef struct Bg__SnapshotCheckpoint Bg__SnapshotCheckpoint;
+typedef struct Bg__Snapshot Bg__Snapshot;
+typedef struct Bg__Entry Bg__Entry;
+typedef struct Bg__RelayFetch Bg__RelayFetch;
+typedef struct Bg__Relay Bg__Relay;
+typedef struct Bg__SnapshotFetch Bg__SnapshotFetch;
+typedef struct Bg__SnapshotChunk Bg__SnapshotChunk;
+typedef struct Bg__HelloProof Bg__HelloProof;
+typedef struct Bg__NodeStatus Bg__NodeStatus;
+typedef struct Bg__Gossip Bg__Gossip;
+typedef struct Bg__StatusFetch Bg__StatusFetch;
 
 
 /* --- enums --- */
@@ -264,11 +282,15 @@
   char *data_centre;
   char *role;
   uint32_t version;
+  /*
+   * of version 1 of the protocol
+   */
   ProtobufCBinaryData proof;
+  ProtobufCBinaryData nonce;
 };
 #define BG__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, {0,NULL} }
 
 
 /*
@@ -376,10 +398,23 @@
   uint64_t applied_offset;
   protobuf_c_boolean owner;
   uint64_t config_version;
+  /*
+   * How far from the log: 0 cut off from it, 1 reads it, more: fed by a
+   * process that is one nearer.
+   */
+  uint32_t log_hops;
+  uint64_t log_first;
+  uint64_t log_next;
+  protobuf_c_boolean held;
+  protobuf_c_boolean ready;
+  /*
+   * Digest of all entries up to applied_offset.
+   */
+  uint64_t chain;
 };
 #define BG__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -397,13 +432,55 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A router asks the others for a part of a limit, in thousandths; kind is
+ * a LimKind.
+ */
+struct  Bg__LimitAsk
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t kind;
+  uint64_t amount;
+  uint64_t ask_id;
+};
+#define BG__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__limit_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * The answer: lent for a lease that began when ask_id was sent.
+ */
+struct  Bg__LimitLoan
+{
+  ProtobufCMessage base;
+  char *workspace;
+  uint32_t kind;
+  uint64_t amount;
+  uint64_t ask_id;
+};
+#define BG__LIMIT_LOAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__limit_loan__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 typedef enum {
   BG__FRAME__BODY__NOT_SET = 0,
   BG__FRAME__BODY_HELLO = 1,
   BG__FRAME__BODY_HEARTBEAT = 2,
   BG__FRAME__BODY_DEMAND = 3,
   BG__FRAME__BODY_RESIDENCY = 4,
-  BG__FRAME__BODY_WANT_REFUSED = 5
+  BG__FRAME__BODY_WANT_REFUSED = 5,
+  BG__FRAME__BODY_LIMIT_ASK = 20,
+  BG__FRAME__BODY_LIMIT_LOAN = 21,
+  BG__FRAME__BODY_RELAY_FETCH = 6,
+  BG__FRAME__BODY_RELAY = 7,
+  BG__FRAME__BODY_SNAPSHOT_FETCH = 8,
+  BG__FRAME__BODY_SNAPSHOT_CHUNK = 9,
+  BG__FRAME__BODY_HELLO_PROOF = 10,
+  BG__FRAME__BODY_GOSSIP = 11,
+  BG__FRAME__BODY_STATUS_FETCH = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BG__FRAME__BODY__CASE)
 } Bg__Frame__BodyCase;
 
@@ -417,6 +494,15 @@
     Bg__Demand *demand;
     Bg__Residency *residency;
     Bg__WantRefused *want_refused;
+    Bg__LimitAsk *limit_ask;
+    Bg__LimitLoan *limit_loan;
+    Bg__RelayFetch *relay_fetch;
+    Bg__Relay *relay;
+    Bg__SnapshotFetch *snapshot_fetch;
+    Bg__SnapshotChunk *snapshot_chunk;
+    Bg__HelloProof *hello_proof;
+    Bg__Gossip *gossip;
+    Bg__StatusFetch *status_fetch;
   };
 };
 #define BG__FRAME__INIT \
@@ -424,6 +510,261 @@
     , BG__FRAME__BODY__NOT_SET, {0} }
 
 
+struct  Bg__SnapshotVersion
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  Bg__ConfigRecord *config;
+};
+#define BG__SNAPSHOT_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_version__descriptor) \
+    , 0, NULL }
+
+
+struct  Bg__SnapshotTemplate
+{
+  ProtobufCMessage base;
+  char *name;
+  size_t n_versions;
+  Bg__SnapshotVersion **versions;
+};
+#define BG__SNAPSHOT_TEMPLATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_template__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Bg__SnapshotIntent
+{
+  ProtobufCMessage base;
+  Bg__IntentRecord *intent;
+  protobuf_c_boolean loaded;
+};
+#define BG__SNAPSHOT_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_intent__descriptor) \
+    , NULL, 0 }
+
+
+struct  Bg__SnapshotCentre
+{
+  ProtobufCMessage base;
+  char *name;
+  char *holder;
+  uint64_t epoch;
+  size_t n_intents;
+  Bg__SnapshotIntent **intents;
+  size_t n_quiesced;
+  uint64_t *quiesced;
+};
+#define BG__SNAPSHOT_CENTRE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_centre__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+
+
+struct  Bg__SnapshotDeaths
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData digest;
+  size_t n_upstreams;
+  char **upstreams;
+};
+#define BG__SNAPSHOT_DEATHS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_deaths__descriptor) \
+    , {0,NULL}, 0,NULL }
+
+
+/*
+ * A checkpoint whose records were read, in part or in full.
+ */
+struct  Bg__SnapshotCheckpoint
+{
+  ProtobufCMessage base;
+  char *checkpoint_id;
+  uint64_t covered_offset;
+  uint32_t chunks;
+  ProtobufCBinaryData seen;
+  uint64_t first_offset;
+  uint64_t last_offset;
+};
+#define BG__SNAPSHOT_CHECKPOINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_checkpoint__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0 }
+
+
+struct  Bg__Snapshot
+{
+  ProtobufCMessage base;
+  uint32_t format;
+  uint64_t offset;
+  size_t n_templates;
+  Bg__SnapshotTemplate **templates;
+  size_t n_centres;
+  Bg__SnapshotCentre **centres;
+  size_t n_keys;
+  Bg__KeyRecord **keys;
+  size_t n_void_attempts;
+  char **void_attempts;
+  size_t n_deaths;
+  Bg__SnapshotDeaths **deaths;
+  /*
+   * 16 bytes of id and 8 of digest for each batch, oldest first.
+   */
+  ProtobufCBinaryData batches;
+  Bg__SnapshotCheckpoint *checkpoint;
+  size_t n_pending;
+  Bg__SnapshotCheckpoint **pending;
+  uint64_t entries_since;
+  uint64_t chain;
+};
+#define BG__SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, NULL, 0,NULL, 0, 0 }
+
+
+struct  Bg__Entry
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  ProtobufCBinaryData data;
+  uint64_t digest;
+};
+#define BG__ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__entry__descriptor) \
+    , 0, {0,NULL}, 0 }
+
+
+/*
+ * Asks for the entries after an offset, now and as they come.
+ */
+struct  Bg__RelayFetch
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  /*
+   * no more entries, please
+   */
+  protobuf_c_boolean stop;
+};
+#define BG__RELAY_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__relay_fetch__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * All entries after AFTER up to the last one here.  trimmed: the sender no
+ * longer has them; a snapshot is needed.
+ */
+struct  Bg__Relay
+{
+  ProtobufCMessage base;
+  uint64_t after;
+  size_t n_entries;
+  Bg__Entry **entries;
+  protobuf_c_boolean trimmed;
+  /*
+   * Digest of all entries up to AFTER, each folded into the one before.
+   */
+  uint64_t chain;
+};
+#define BG__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__relay__descriptor) \
+    , 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Asks for one chunk of a snapshot; offset 0: of the newest.
+ */
+struct  Bg__SnapshotFetch
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t chunk;
+};
+#define BG__SNAPSHOT_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_fetch__descriptor) \
+    , 0, 0 }
+
+
+struct  Bg__SnapshotChunk
+{
+  ProtobufCMessage base;
+  uint64_t offset;
+  uint32_t chunk;
+  uint32_t chunks;
+  uint64_t digest;
+  ProtobufCBinaryData data;
+};
+#define BG__SNAPSHOT_CHUNK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__snapshot_chunk__descriptor) \
+    , 0, 0, 0, 0, {0,NULL} }
+
+
+/*
+ * The far end's answer to the challenge in a Hello.
+ */
+struct  Bg__HelloProof
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData proof;
+};
+#define BG__HELLO_PROOF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__hello_proof__descriptor) \
+    , {0,NULL} }
+
+
+/*
+ * What is known of one process.
+ */
+struct  Bg__NodeStatus
+{
+  ProtobufCMessage base;
+  char *node;
+  char *data_centre;
+  char *role;
+  uint64_t config_version;
+  uint64_t applied_offset;
+  /*
+   * since it was heard
+   */
+  uint64_t age_ms;
+  protobuf_c_boolean held;
+};
+#define BG__NODE_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__node_status__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * The processes of one data centre, as one of its placers heard them.
+ */
+struct  Bg__Gossip
+{
+  ProtobufCMessage base;
+  size_t n_nodes;
+  Bg__NodeStatus **nodes;
+  char *data_centre;
+  /*
+   * since that placer wrote it
+   */
+  uint64_t age_ms;
+};
+#define BG__GOSSIP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__gossip__descriptor) \
+    , 0,NULL, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Asks for Gossip.  relay: ask other data centres on the asker's behalf.
+ */
+struct  Bg__StatusFetch
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean relay;
+};
+#define BG__STATUS_FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bg__status_fetch__descriptor) \
+    , 0 }
+
+
 /* Bg__ConfigRecord methods */
 void   bg__config_record__init
                      (Bg__ConfigRecord         *message);
@@ -804,6 +1145,44 @@
 void   bg__want_refused__free_unpacked
                      (Bg__WantRefused *message,
                       ProtobufCAllocator *allocator);
+/* Bg__LimitAsk methods */
+void   bg__limit_ask__init
+                     (Bg__LimitAsk         *message);
+size_t bg__limit_ask__get_packed_size
+                     (const Bg__LimitAsk   *message);
+size_t bg__limit_ask__pack
+                     (const Bg__LimitAsk   *message,
+                      uint8_t             *out);
+size_t bg__limit_ask__pack_to_buffer
+                     (const Bg__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__LimitAsk *
+       bg__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__limit_ask__free_unpacked
+                     (Bg__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__LimitLoan methods */
+void   bg__limit_loan__init
+                     (Bg__LimitLoan         *message);
+size_t bg__limit_loan__get_packed_size
+                     (const Bg__LimitLoan   *message);
+size_t bg__limit_loan__pack
+                     (const Bg__LimitLoan   *message,
+                      uint8_t             *out);
+size_t bg__limit_loan__pack_to_buffer
+                     (const Bg__LimitLoan   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__LimitLoan *
+       bg__limit_loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__limit_loan__free_unpacked
+                     (Bg__LimitLoan *message,
+                      ProtobufCAllocator *allocator);
 /* Bg__Frame methods */
 void   bg__frame__init
                      (Bg__Frame         *message);
@@ -823,6 +1202,310 @@
 void   bg__frame__free_unpacked
                      (Bg__Frame *message,
                       ProtobufCAllocator *allocator);
+/* Bg__SnapshotVersion methods */
+void   bg__snapshot_version__init
+                     (Bg__SnapshotVersion         *message);
+size_t bg__snapshot_version__get_packed_size
+                     (const Bg__SnapshotVersion   *message);
+size_t bg__snapshot_version__pack
+                     (const Bg__SnapshotVersion   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_version__pack_to_buffer
+                     (const Bg__SnapshotVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotVersion *
+       bg__snapshot_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_version__free_unpacked
+                     (Bg__SnapshotVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotTemplate methods */
+void   bg__snapshot_template__init
+                     (Bg__SnapshotTemplate         *message);
+size_t bg__snapshot_template__get_packed_size
+                     (const Bg__SnapshotTemplate   *message);
+size_t bg__snapshot_template__pack
+                     (const Bg__SnapshotTemplate   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_template__pack_to_buffer
+                     (const Bg__SnapshotTemplate   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotTemplate *
+       bg__snapshot_template__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_template__free_unpacked
+                     (Bg__SnapshotTemplate *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotIntent methods */
+void   bg__snapshot_intent__init
+                     (Bg__SnapshotIntent         *message);
+size_t bg__snapshot_intent__get_packed_size
+                     (const Bg__SnapshotIntent   *message);
+size_t bg__snapshot_intent__pack
+                     (const Bg__SnapshotIntent   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_intent__pack_to_buffer
+                     (const Bg__SnapshotIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotIntent *
+       bg__snapshot_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_intent__free_unpacked
+                     (Bg__SnapshotIntent *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotCentre methods */
+void   bg__snapshot_centre__init
+                     (Bg__SnapshotCentre         *message);
+size_t bg__snapshot_centre__get_packed_size
+                     (const Bg__SnapshotCentre   *message);
+size_t bg__snapshot_centre__pack
+                     (const Bg__SnapshotCentre   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_centre__pack_to_buffer
+                     (const Bg__SnapshotCentre   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotCentre *
+       bg__snapshot_centre__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_centre__free_unpacked
+                     (Bg__SnapshotCentre *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotDeaths methods */
+void   bg__snapshot_deaths__init
+                     (Bg__SnapshotDeaths         *message);
+size_t bg__snapshot_deaths__get_packed_size
+                     (const Bg__SnapshotDeaths   *message);
+size_t bg__snapshot_deaths__pack
+                     (const Bg__SnapshotDeaths   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_deaths__pack_to_buffer
+                     (const Bg__SnapshotDeaths   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotDeaths *
+       bg__snapshot_deaths__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_deaths__free_unpacked
+                     (Bg__SnapshotDeaths *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotCheckpoint methods */
+void   bg__snapshot_checkpoint__init
+                     (Bg__SnapshotCheckpoint         *message);
+size_t bg__snapshot_checkpoint__get_packed_size
+                     (const Bg__SnapshotCheckpoint   *message);
+size_t bg__snapshot_checkpoint__pack
+                     (const Bg__SnapshotCheckpoint   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_checkpoint__pack_to_buffer
+                     (const Bg__SnapshotCheckpoint   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotCheckpoint *
+       bg__snapshot_checkpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_checkpoint__free_unpacked
+                     (Bg__SnapshotCheckpoint *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Snapshot methods */
+void   bg__snapshot__init
+                     (Bg__Snapshot         *message);
+size_t bg__snapshot__get_packed_size
+                     (const Bg__Snapshot   *message);
+size_t bg__snapshot__pack
+                     (const Bg__Snapshot   *message,
+                      uint8_t             *out);
+size_t bg__snapshot__pack_to_buffer
+                     (const Bg__Snapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Snapshot *
+       bg__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot__free_unpacked
+                     (Bg__Snapshot *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Entry methods */
+void   bg__entry__init
+                     (Bg__Entry         *message);
+size_t bg__entry__get_packed_size
+                     (const Bg__Entry   *message);
+size_t bg__entry__pack
+                     (const Bg__Entry   *message,
+                      uint8_t             *out);
+size_t bg__entry__pack_to_buffer
+                     (const Bg__Entry   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Entry *
+       bg__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__entry__free_unpacked
+                     (Bg__Entry *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__RelayFetch methods */
+void   bg__relay_fetch__init
+                     (Bg__RelayFetch         *message);
+size_t bg__relay_fetch__get_packed_size
+                     (const Bg__RelayFetch   *message);
+size_t bg__relay_fetch__pack
+                     (const Bg__RelayFetch   *message,
+                      uint8_t             *out);
+size_t bg__relay_fetch__pack_to_buffer
+                     (const Bg__RelayFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__RelayFetch *
+       bg__relay_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__relay_fetch__free_unpacked
+                     (Bg__RelayFetch *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Relay methods */
+void   bg__relay__init
+                     (Bg__Relay         *message);
+size_t bg__relay__get_packed_size
+                     (const Bg__Relay   *message);
+size_t bg__relay__pack
+                     (const Bg__Relay   *message,
+                      uint8_t             *out);
+size_t bg__relay__pack_to_buffer
+                     (const Bg__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Relay *
+       bg__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__relay__free_unpacked
+                     (Bg__Relay *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotFetch methods */
+void   bg__snapshot_fetch__init
+                     (Bg__SnapshotFetch         *message);
+size_t bg__snapshot_fetch__get_packed_size
+                     (const Bg__SnapshotFetch   *message);
+size_t bg__snapshot_fetch__pack
+                     (const Bg__SnapshotFetch   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_fetch__pack_to_buffer
+                     (const Bg__SnapshotFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotFetch *
+       bg__snapshot_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_fetch__free_unpacked
+                     (Bg__SnapshotFetch *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__SnapshotChunk methods */
+void   bg__snapshot_chunk__init
+                     (Bg__SnapshotChunk         *message);
+size_t bg__snapshot_chunk__get_packed_size
+                     (const Bg__SnapshotChunk   *message);
+size_t bg__snapshot_chunk__pack
+                     (const Bg__SnapshotChunk   *message,
+                      uint8_t             *out);
+size_t bg__snapshot_chunk__pack_to_buffer
+                     (const Bg__SnapshotChunk   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__SnapshotChunk *
+       bg__snapshot_chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__snapshot_chunk__free_unpacked
+                     (Bg__SnapshotChunk *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__HelloProof methods */
+void   bg__hello_proof__init
+                     (Bg__HelloProof         *message);
+size_t bg__hello_proof__get_packed_size
+                     (const Bg__HelloProof   *message);
+size_t bg__hello_proof__pack
+                     (const Bg__HelloProof   *message,
+                      uint8_t             *out);
+size_t bg__hello_proof__pack_to_buffer
+                     (const Bg__HelloProof   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__HelloProof *
+       bg__hello_proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__hello_proof__free_unpacked
+                     (Bg__HelloProof *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__NodeStatus methods */
+void   bg__node_status__init
+                     (Bg__NodeStatus         *message);
+size_t bg__node_status__get_packed_size
+                     (const Bg__NodeStatus   *message);
+size_t bg__node_status__pack
+                     (const Bg__NodeStatus   *message,
+                      uint8_t             *out);
+size_t bg__node_status__pack_to_buffer
+                     (const Bg__NodeStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__NodeStatus *
+       bg__node_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__node_status__free_unpacked
+                     (Bg__NodeStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__Gossip methods */
+void   bg__gossip__init
+                     (Bg__Gossip         *message);
+size_t bg__gossip__get_packed_size
+                     (const Bg__Gossip   *message);
+size_t bg__gossip__pack
+                     (const Bg__Gossip   *message,
+                      uint8_t             *out);
+size_t bg__gossip__pack_to_buffer
+                     (const Bg__Gossip   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__Gossip *
+       bg__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__gossip__free_unpacked
+                     (Bg__Gossip *message,
+                      ProtobufCAllocator *allocator);
+/* Bg__StatusFetch methods */
+void   bg__status_fetch__init
+                     (Bg__StatusFetch         *message);
+size_t bg__status_fetch__get_packed_size
+                     (const Bg__StatusFetch   *message);
+size_t bg__status_fetch__pack
+                     (const Bg__StatusFetch   *message,
+                      uint8_t             *out);
+size_t bg__status_fetch__pack_to_buffer
+                     (const Bg__StatusFetch   *message,
+                      ProtobufCBuffer     *buffer);
+Bg__StatusFetch *
+       bg__status_fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bg__status_fetch__free_unpacked
+                     (Bg__StatusFetch *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Bg__ConfigRecord_Closure)
@@ -885,9 +1568,63 @@
 typedef void (*Bg__WantRefused_Closure)
                  (const Bg__WantRefused *message,
                   void *closure_data);
+typedef void (*Bg__LimitAsk_Closure)
+                 (const Bg__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Bg__LimitLoan_Closure)
+                 (const Bg__LimitLoan *message,
+                  void *closure_data);
 typedef void (*Bg__Frame_Closure)
                  (const Bg__Frame *message,
                   void *closure_data);
+typedef void (*Bg__SnapshotVersion_Closure)
+                 (const Bg__SnapshotVersion *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotTemplate_Closure)
+                 (const Bg__SnapshotTemplate *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotIntent_Closure)
+                 (const Bg__SnapshotIntent *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotCentre_Closure)
+                 (const Bg__SnapshotCentre *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotDeaths_Closure)
+                 (const Bg__SnapshotDeaths *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotCheckpoint_Closure)
+                 (const Bg__SnapshotCheckpoint *message,
+                  void *closure_data);
+typedef void (*Bg__Snapshot_Closure)
+                 (const Bg__Snapshot *message,
+                  void *closure_data);
+typedef void (*Bg__Entry_Closure)
+                 (const Bg__Entry *message,
+                  void *closure_data);
+typedef void (*Bg__RelayFetch_Closure)
+                 (const Bg__RelayFetch *message,
+                  void *closure_data);
+typedef void (*Bg__Relay_Closure)
+                 (const Bg__Relay *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotFetch_Closure)
+                 (const Bg__SnapshotFetch *message,
+                  void *closure_data);
+typedef void (*Bg__SnapshotChunk_Closure)
+                 (const Bg__SnapshotChunk *message,
+                  void *closure_data);
+typedef void (*Bg__HelloProof_Closure)
+                 (const Bg__HelloProof *message,
+                  void *closure_data);
+typedef void (*Bg__NodeStatus_Closure)
+                 (const Bg__NodeStatus *message,
+                  void *closure_data);
+typedef void (*Bg__Gossip_Closure)
+                 (const Bg__Gossip *message,
+                  void *closure_data);
+typedef void (*Bg__StatusFetch_Closure)
+                 (const Bg__StatusFetch *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -915,7 +1652,25 @@
 extern const ProtobufCMessageDescriptor bg__demand__descriptor;
 extern const ProtobufCMessageDescriptor bg__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor bg__want_refused__descriptor;
+extern const ProtobufCMessageDescriptor bg__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor bg__limit_loan__descriptor;
 extern const ProtobufCMessageDescriptor bg__frame__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_version__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_template__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_intent__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_centre__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_deaths__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_checkpoint__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor bg__entry__descriptor;
+extern const ProtobufCMessageDescriptor bg__relay_fetch__descriptor;
+extern const ProtobufCMessageDescriptor bg__relay__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_fetch__descriptor;
+extern const ProtobufCMessageDescriptor bg__snapshot_chunk__descriptor;
+extern const ProtobufCMessageDescriptor bg__hello_proof__descriptor;
+extern const ProtobufCMessageDescriptor bg__node_status__descriptor;
+extern const ProtobufCMessageDescriptor bg__gossip__descriptor;
+extern const ProtobufCMessageDescriptor bg__status_fetch__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/node.c
+++ b/src/node.c
@@ -1,8 +1,10 @@
 #include "node.h"
 
+#include "feed.h"
 #include "hc.h"
 #include "lc.h"
 #include "ring.h"
+#include "roster.h"
 
 #include <argp.h>
 #include <civetweb.h>
@@ -12,6 +14,7 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <urcu-bp.h>
 
 #define RING_EVENTS 8192
@@ -19,6 +22,8 @@
 #define APPEND_GIVE_UP_MS 60000
 #define STOP_APPEND_MS 3000
 #define EXIT_BAD_SETTINGS 2
+#define ASKED_MS 10000 /* others are asked for so long after a request */
+#define FETCH_MS 300
 
 static const IniRule common_rules[] = {
     {"node", "name", INI_TEXT, true, NULL, 0, 0, NULL, "name of this VM"},
@@ -31,16 +36,31 @@
      "debug|info|warn|fault", "least level that is logged"},
     {"node", "drain_ms", INI_INT, false, "60000", 0, 3600000, NULL,
      "longest wait for requests in flight at a stop"},
+    {"node", "drain_notice_ms", INI_INT, false, "500", 0, 3600000, NULL,
+     "least time from the failing health check to the end of listening"},
+    {"node", "operator_key_sha256", INI_TEXT, false, "", 0, 0, NULL,
+     "digest of the key that may ask for a stop over HTTP; empty: nobody"},
     {"log", "address", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "the platform's log service"},
     {"log", "window_ms", INI_INT, false, "5", 0, 1000, NULL,
      "records that come within it share an append"},
     {"log", "max_queue", INI_INT, false, "8192", 16, 1000000, NULL,
      "records waiting to be appended"},
+    {"log", "readers_per_centre", INI_INT, false, "2", 1, 1000, NULL,
+     "placers of a data centre that read the log; the rest is fed by them"},
+    {"log", "relay_wait_ms", INI_INT, false, "1000", 50, 600000, NULL,
+     "without entries from a peer for so long, the log is read directly"},
+    {"log", "checkpoint_entries", INI_INT, false, "20000", 1, 100000000, NULL,
+     "entries after which a checkpoint is due"},
+    {"log", "checkpoint_ms", INI_INT, false, "600000", 100, 2000000000, NULL,
+     "time after which one is due; well below the log's retention"},
     {"peers", "listen", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "where other processes of the system connect"},
     {"peers", "dial", INI_TEXT, false, "", 0, 0, NULL,
      "addresses of other processes, comma-separated"},
+    {"peers", "bridges", INI_TEXT, false, "", 0, 0, NULL,
+     "placers of other data centres, comma-separated; a few placers of each "
+     "data centre keep links to them"},
     {"peers", "shared_key", INI_TEXT, true, NULL, 0, 0, NULL,
      "the same in all processes of the system"},
     {"peers", "heartbeat_ms", INI_INT, false, "200", 10, 60000, NULL,
@@ -50,22 +70,24 @@
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 typedef enum {
-    EV_ENTRY, /* of the log */
-    EV_LOG,   /* reachable, next */
+    EV_PAGE,    /* one read of the log */
+    EV_TRIMMED, /* the log no longer keeps what was asked for */
+    EV_AWAY,    /* a read failed */
     EV_FRAME,
     EV_LINK,
     EV_ROLE,
     EV_DUMP,
+    EV_STATUS,
     EV_DRAIN
 } EventKind;
 
 /* What one thread hands to the core thread. */
 typedef struct {
     EventKind kind;
-    uint64_t offset; /* ENTRY; LOG: next */
-    uint8_t *data;   /* ENTRY */
-    size_t len;
-    bool up; /* LOG, LINK */
+    uint64_t offset; /* PAGE: asked for; TRIMMED: first */
+    uint64_t next;   /* TRIMMED */
+    LogPage *page;
+    bool up; /* LINK */
     char *node;
     char *data_centre;
     char *role;
@@ -88,19 +110,29 @@
     char *name;
     Ring *ring;
     Fold *fold;
+    Feed *feed;
+    Roster *roster;
+    uint64_t asked_ms;      /* last time somebody wanted the status */
+    uint64_t next_fetch_ms; /* of the status of others */
     LogClient *log;
     PeerNet *peers;
     struct mg_context *http;
     pthread_t core;
     atomic_bool stopping;
     atomic_bool draining;
+    atomic_uint connections; /* open at the HTTP server */
+    uint32_t http_threads;
     atomic_bool ready;
     atomic_bool drained;
     atomic_bool owner;
-    atomic_uint_fast64_t applied;
-    CfgSet *config; /* RCU-protected pointer */
+    atomic_bool log_usable;
+    atomic_bool has_config; /* a version is in force */
+    CfgSet *config;         /* RCU-protected pointer */
     uint64_t config_version;
-    bool log_reachable; /* core thread */
+    bool config_set;      /* the fold's set was put in force */
+    pthread_mutex_t lock; /* the two below, for other threads */
+    Bg__Heartbeat beat;
+    char *state_line;
 };
 
 /* ---- for roles ---------------------------------------------------------- */
@@ -180,45 +212,53 @@
 bool
 node_is_log_reachable(Node *n)
 {
-    return lc_is_reachable(n->log);
+    return atomic_load(&n->log_usable);
 }
 
 bool
-node_is_draining(Node *n)
+node_is_draining(const Node *n)
 {
     return atomic_load(&n->draining);
 }
 
+bool
+node_is_crowded(const Node *n)
+{
+    return atomic_load(&n->connections) > n->http_threads / 2;
+}
+
 void
 node_send(Node *n, const char *node, const char *data_centre, const char *role,
           const Bg__Frame *frame)
 {
     peer_send(n->peers, node, data_centre, role, frame);
+    /* What is loaded here reaches routers of other data centres over the
+       bridges, which may end at any placer. */
+    if (frame->body_case == BG__FRAME__BODY_RESIDENCY && !node) {
+        peer_send(n->peers, NULL, data_centre, "placer", frame);
+    }
 }
 
 /* ---- from other threads to the core ------------------------------------- */
 
 static void
-take_log_entry(void *ctx, uint64_t offset, uint8_t *data, size_t len)
+take_page(void *ctx, uint64_t from, LogPage *page)
 {
-    Event e = {.kind = EV_ENTRY, .offset = offset, .data = data, .len = len};
+    Event e = {.kind = EV_PAGE, .offset = from, .page = page};
     post_event_wait(ctx, &e);
 }
 
 static void
-take_trimmed(void *ctx, uint64_t first)
+take_trimmed(void *ctx, uint64_t first, uint64_t next)
 {
-    (void)ctx;
-    bg_log(BG_FAULT, "node",
-           "The log starts at %llu, past what this process has.",
-           (unsigned long long)first);
-    bg_sleep_ms(1000);
+    Event e = {.kind = EV_TRIMMED, .offset = first, .next = next};
+    post_event_wait(ctx, &e);
 }
 
 static void
-take_reachable(void *ctx, bool reachable, uint64_t next)
+take_away(void *ctx)
 {
-    Event e = {.kind = EV_LOG, .offset = next, .up = reachable};
+    Event e = {.kind = EV_AWAY};
     post_event_wait(ctx, &e);
 }
 
@@ -235,7 +275,7 @@
 static void
 free_event_parts(Event *e)
 {
-    g_free(e->data);
+    lc_free_page(e->page);
     g_free(e->node);
     g_free(e->data_centre);
     g_free(e->role);
@@ -280,7 +320,11 @@
 fill_heartbeat(void *ctx, Bg__Heartbeat *hb)
 {
     Node *n = ctx;
-    hb->applied_offset = atomic_load(&n->applied);
+    uint64_t seq = hb->seq;
+    pthread_mutex_lock(&n->lock);
+    *hb = n->beat;
+    pthread_mutex_unlock(&n->lock);
+    hb->seq = seq;
     hb->owner = atomic_load(&n->owner);
 }
 
@@ -311,6 +355,7 @@
     synchronize_rcu();
     cfg_unref(old);
     n->config_version = cfg_get_version(next);
+    atomic_store(&n->has_config, n->config_version > 0);
     bg_log(BG_INFO, "node", "Configuration %llu is in force.",
            (unsigned long long)n->config_version);
     if (n->role->on_config) {
@@ -318,41 +363,191 @@
     }
 }
 
+/* Put the fold's set in force once it is whole: while a starting process
+   still reads on, an old version would come back to callers. */
 static void
-apply_entry(Node *n, const Event *e)
+follow_config(Node *n)
 {
-    g_autoptr(GError) err = NULL;
-    if (!fold_apply(n->fold, e->offset, e->data, e->len, &err)) {
-        bg_log(BG_FAULT, "fold", "Entry %llu is refused whole: %s.",
-               (unsigned long long)e->offset, err->message);
+    if (!feed_has_state(n->feed)) {
+        return;
     }
-    atomic_store(&n->applied, fold_get_offset(n->fold));
     CfgSet *cfg = fold_get_config(n->fold);
-    if (cfg_get_version(cfg) != n->config_version) {
+    if (!n->config_set || cfg_get_version(cfg) != n->config_version) {
+        n->config_set = true;
         publish_config(n);
     }
     cfg_unref(cfg);
 }
 
+/* What other threads show of this process. */
+static void
+note_state(Node *n)
+{
+    Bg__Heartbeat beat = BG__HEARTBEAT__INIT;
+    feed_fill_heartbeat(n->feed, &beat);
+    beat.config_version = n->config_version;
+    roster_set_self(n->roster, &beat);
+    char *line = feed_describe(n->feed);
+    pthread_mutex_lock(&n->lock);
+    n->beat = beat;
+    char *old = n->state_line;
+    n->state_line = line;
+    pthread_mutex_unlock(&n->lock);
+    g_free(old);
+}
+
+/* While somebody asks for the status: what the linked placers know. */
+static void
+ask_status(Node *n, uint64_t now_ms)
+{
+    if (!n->asked_ms || now_ms - n->asked_ms > ASKED_MS ||
+        now_ms < n->next_fetch_ms) {
+        return;
+    }
+    n->next_fetch_ms = now_ms + FETCH_MS;
+    Bg__StatusFetch s = BG__STATUS_FETCH__INIT;
+    s.relay = true;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_STATUS_FETCH;
+    frame.status_fetch = &s;
+    peer_send(n->peers, NULL, NULL, "placer", &frame);
+}
+
+static bool
+is_own_centre(const Node *n, const char *data_centre)
+{
+    return strcmp(data_centre, node_get_data_centre(n)) == 0;
+}
+
+static void
+answer_status(Node *n, uint64_t now_ms, const PeerInfo *to)
+{
+    g_autoptr(GPtrArray) list = roster_make_gossip(n->roster, now_ms);
+    for (guint i = 0; i < list->len; i++) {
+        Bg__Frame frame = BG__FRAME__INIT;
+        frame.body_case = BG__FRAME__BODY_GOSSIP;
+        frame.gossip = list->pdata[i];
+        peer_send(n->peers, to->node, NULL, NULL, &frame);
+    }
+}
+
+/* Ask the linked placers of other data centres on an asker's behalf; they
+   answer and ask nobody else. */
+static void
+pass_status_fetch(Node *n)
+{
+    Bg__StatusFetch s = BG__STATUS_FETCH__INIT;
+    Bg__Frame frame = BG__FRAME__INIT;
+    frame.body_case = BG__FRAME__BODY_STATUS_FETCH;
+    frame.status_fetch = &s;
+    peer_send_abroad(n->peers, "placer", &frame);
+}
+
+/* Residency crosses at most one bridge: out from a placer of its own data
+   centre, in to the routers of another. */
+static void
+pass_residency(Node *n, const PeerInfo *from, const Bg__Frame *frame)
+{
+    const char *of = frame->residency->data_centre;
+    if (strcmp(n->role->role, "placer") != 0 ||
+        strcmp(from->data_centre, of) != 0) {
+        return;
+    }
+    if (is_own_centre(n, of)) {
+        peer_send_abroad(n->peers, "placer", frame);
+    }
+    else {
+        peer_send(n->peers, NULL, node_get_data_centre(n), "router", frame);
+    }
+}
+
+static void
+take_common_frame(Node *n, uint64_t now_ms, const PeerInfo *from,
+                  const Bg__Frame *frame)
+{
+    switch (frame->body_case) {
+    case BG__FRAME__BODY_HEARTBEAT:
+        roster_on_heartbeat(n->roster, now_ms, from, frame->heartbeat);
+        break;
+    case BG__FRAME__BODY_GOSSIP:
+        roster_on_gossip(n->roster, now_ms, frame->gossip);
+        break;
+    case BG__FRAME__BODY_STATUS_FETCH:
+        answer_status(n, now_ms, from);
+        if (frame->status_fetch->relay) {
+            pass_status_fetch(n);
+        }
+        break;
+    case BG__FRAME__BODY_RESIDENCY:
+        pass_residency(n, from, frame);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+tick(Node *n, uint64_t now_ms)
+{
+    NodeRole *role = n->role;
+    feed_on_tick(n->feed, now_ms);
+    follow_config(n);
+    note_state(n);
+    ask_status(n, now_ms);
+    peer_set_bridging(n->peers, strcmp(role->role, "placer") == 0 &&
+                                    feed_is_reader(n->feed, now_ms));
+    bool usable = feed_get_hops(n->feed) > 0 && !feed_get_fault(n->feed) &&
+                  lc_can_append(n->log);
+    atomic_store(&n->log_usable, usable);
+    role->on_log(role->ctx, now_ms, usable,
+                 usable && feed_is_caught_up(n->feed));
+    role->on_tick(role->ctx, now_ms);
+    atomic_store(&n->ready,
+                 feed_has_state(n->feed) && role->is_ready(role->ctx));
+    atomic_store(&n->drained, role->is_drained(role->ctx));
+    atomic_store(&n->owner, role->is_owner && role->is_owner(role->ctx));
+}
+
+static void
+take_frame(Node *n, uint64_t now_ms, const PeerInfo *from,
+           const Bg__Frame *frame)
+{
+    feed_on_frame(n->feed, now_ms, from, frame);
+    take_common_frame(n, now_ms, from, frame);
+    n->role->on_frame(n->role->ctx, now_ms, from, frame);
+}
+
+static void
+take_link_change(Node *n, uint64_t now_ms, const PeerInfo *peer, bool up)
+{
+    feed_on_link(n->feed, now_ms, peer, up);
+    n->role->on_link(n->role->ctx, now_ms, peer, up);
+}
+
 static char *
 make_dump(Node *n)
 {
     g_autofree char *role = n->role->dump(n->role->ctx);
     g_autofree char *fold = fold_dump(n->fold);
     g_autofree char *peers = peer_dump(n->peers);
+    const char *fault = feed_get_fault(n->feed);
     return g_strdup_printf(
-        "{\"node\":\"%s\",\"data_centre\":\"%s\",\"role\":\"%s\","
-        "\"draining\":%s,\"log_reachable\":%s,\"fold\":%s,\"links\":%s,"
-        "\"state\":%s}\n",
+        "{\"node\":\"%s\",\"data_centre\":\"%s\",\"role\":\"%s\",\"ready\":%s,"
+        "\"draining\":%s,\"log_reachable\":%s,\"log_hops\":%u,"
+        "\"fault\":\"%s\",\"digest\":\"%016llx\",\"chain\":\"%016llx\","
+        "\"config_version\":%llu,\"fold\":%s,\"links\":%s,\"state\":%s}\n",
         n->name, node_get_data_centre(n), n->role->role,
+        atomic_load(&n->ready) ? "true" : "false",
         atomic_load(&n->draining) ? "true" : "false",
-        n->log_reachable ? "true" : "false", fold, peers, role);
+        atomic_load(&n->log_usable) ? "true" : "false", feed_get_hops(n->feed),
+        fault ? fault : "", (unsigned long long)fold_digest(n->fold),
+        (unsigned long long)fold_get_chain(n->fold),
+        (unsigned long long)n->config_version, fold, peers, role);
 }
 
 static void
-answer_dump(Node *n, DumpCall *call)
+answer_call(DumpCall *call, char *text)
 {
-    char *text = make_dump(n);
     pthread_mutex_lock(&call->lock);
     call->text = text;
     pthread_cond_signal(&call->done);
@@ -366,30 +561,36 @@
     uint64_t now_ms = bg_now_ms();
     PeerInfo info = {e->node, e->data_centre, e->role};
     switch (e->kind) {
-    case EV_ENTRY:
-        apply_entry(n, e);
+    case EV_PAGE:
+        feed_on_page(n->feed, now_ms, e->offset, e->page);
+        break;
+    case EV_TRIMMED:
+        feed_on_trimmed(n->feed, now_ms, e->offset, e->next);
         break;
-    case EV_LOG:
-        n->log_reachable = e->up;
-        role->on_log(role->ctx, now_ms, e->up,
-                     e->up && fold_get_offset(n->fold) + 1 >= e->offset);
+    case EV_AWAY:
+        feed_on_away(n->feed, now_ms);
         break;
     case EV_FRAME:
-        role->on_frame(role->ctx, now_ms, &info, e->frame);
+        take_frame(n, now_ms, &info, e->frame);
         break;
     case EV_LINK:
-        role->on_link(role->ctx, now_ms, &info, e->up);
+        take_link_change(n, now_ms, &info, e->up);
         break;
     case EV_ROLE:
         role->on_event(role->ctx, now_ms, e->role_event);
         break;
     case EV_DUMP:
-        answer_dump(n, e->dump);
+        answer_call(e->dump, make_dump(n));
+        break;
+    case EV_STATUS:
+        n->asked_ms = now_ms;
+        answer_call(e->dump, roster_dump(n->roster, now_ms));
         break;
     case EV_DRAIN:
         role->on_drain(role->ctx, now_ms);
         break;
     }
+    follow_config(n);
     free_event_parts(e);
     g_free(e);
 }
@@ -403,11 +604,7 @@
         uint64_t now_ms = bg_now_ms();
         if (now_ms >= next_tick_ms) {
             next_tick_ms = now_ms + TICK_MS;
-            n->role->on_tick(n->role->ctx, now_ms);
-            atomic_store(&n->ready, n->role->is_ready(n->role->ctx));
-            atomic_store(&n->drained, n->role->is_drained(n->role->ctx));
-            atomic_store(&n->owner,
-                         n->role->is_owner && n->role->is_owner(n->role->ctx));
+            tick(n, now_ms);
             now_ms = bg_now_ms();
         }
         uint32_t wait_ms =
@@ -422,25 +619,37 @@
 
 /* ---- HTTP for operators ------------------------------------------------- */
 
+static Node *
+get_node(const struct mg_connection *conn)
+{
+    return mg_get_user_data(mg_get_context(conn));
+}
+
 static int
 send_text(struct mg_connection *conn, int status, const char *type,
           const char *text)
 {
+    const Node *n = get_node(conn);
+    bool close = node_is_draining(n) || node_is_crowded(n);
+    if (close) {
+        mg_disable_connection_keep_alive(conn);
+    }
     mg_printf(conn,
-              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n%s"
               "Content-Length: %zu\r\n\r\n",
               status, mg_get_response_code_text(conn, status), type,
-              strlen(text));
+              close ? "Connection: close\r\n" : "", strlen(text));
     mg_write(conn, text, strlen(text));
     return status;
 }
 
+/* An answer of KIND that the core thread makes. */
 static int
-send_dump(Node *n, struct mg_connection *conn)
+send_from_core(Node *n, struct mg_connection *conn, EventKind kind)
 {
     DumpCall call = {PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER,
                      NULL};
-    Event e = {.kind = EV_DUMP, .dump = &call};
+    Event e = {.kind = kind, .dump = &call};
     if (!post_event(n, &e)) {
         return send_text(conn, 503, "text/plain", "busy\n");
     }
@@ -462,6 +671,66 @@
     return send_text(conn, 200, "text/plain; version=0.0.4", text->str);
 }
 
+static int
+send_ready(Node *n, struct mg_connection *conn)
+{
+    bool up = atomic_load(&n->ready) && !atomic_load(&n->draining);
+    pthread_mutex_lock(&n->lock);
+    g_autofree char *text =
+        g_strdup_printf("%s; %s\n", up ? "ready" : "not ready",
+                        n->state_line ? n->state_line : "starting");
+    pthread_mutex_unlock(&n->lock);
+    return send_text(conn, up ? 200 : 503, "text/plain", text);
+}
+
+/* Without a configuration nothing is known of any caller: a 401 or 404
+   would be a lie, and no call was run. */
+static int
+refuse_without_config(struct mg_connection *conn)
+{
+    static const char body[] =
+        "{\"error\":{\"message\":\"no configuration yet\","
+        "\"code\":\"not_ready\",\"outcome\":\"refused-not-run\"}}\n";
+    mg_printf(conn,
+              "HTTP/1.1 503 Service Unavailable\r\n"
+              "Content-Type: application/json\r\nRetry-After: 1\r\n"
+              "X-Bglade-Outcome: refused-not-run\r\n"
+              "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+              strlen(body), body);
+    return 503;
+}
+
+static bool
+is_operator(const Node *n, struct mg_connection *conn)
+{
+    const char *digest =
+        ini_get_text(n->settings, "node", "operator_key_sha256");
+    const char *auth = mg_get_header(conn, "Authorization");
+    if (!*digest || !auth || !g_str_has_prefix(auth, "Bearer ")) {
+        return false;
+    }
+    /* By digest, so that timing tells nothing of the key. */
+    const char *key = auth + strlen("Bearer ");
+    g_autofree char *hex = bg_digest_hex(key, strlen(key));
+    return strcmp(hex, digest) == 0;
+}
+
+/* Callers reach this port too, so a stop needs the operators' key. */
+static int
+take_drain(Node *n, struct mg_connection *conn)
+{
+    if (strcmp(mg_get_request_info(conn)->request_method, "POST") != 0) {
+        return send_text(conn, 405, "text/plain", "POST only\n");
+    }
+    if (!is_operator(n, conn)) {
+        return send_text(conn, 403, "text/plain", "not allowed\n");
+    }
+    bg_log(BG_INFO, "node", "An operator asks for a stop.");
+    int status = send_text(conn, 200, "text/plain", "stopping\n");
+    kill(getpid(), SIGTERM);
+    return status;
+}
+
 static int
 handle_http(struct mg_connection *conn, void *ctx)
 {
@@ -473,15 +742,22 @@
                          up ? "ok\n" : "stopping\n");
     }
     if (strcmp(path, "/readyz") == 0) {
-        bool up = atomic_load(&n->ready) && !atomic_load(&n->draining);
-        return send_text(conn, up ? 200 : 503, "text/plain",
-                         up ? "ready\n" : "not ready\n");
+        return send_ready(n, conn);
     }
     if (strcmp(path, "/metrics") == 0) {
         return send_metrics(conn);
     }
     if (strcmp(path, "/dump") == 0) {
-        return send_dump(n, conn);
+        return send_from_core(n, conn, EV_DUMP);
+    }
+    if (strcmp(path, "/status") == 0) {
+        return send_from_core(n, conn, EV_STATUS);
+    }
+    if (strcmp(path, "/drain") == 0) {
+        return take_drain(n, conn);
+    }
+    if (strncmp(path, "/v1/", 4) == 0 && !atomic_load(&n->has_config)) {
+        return refuse_without_config(conn);
     }
     int status = n->role->on_http ? n->role->on_http(n->role->ctx, conn) : 0;
     return status ? status
@@ -498,9 +774,25 @@
     return 1;
 }
 
+static int
+count_opened(const struct mg_connection *conn, void **conn_data)
+{
+    (void)conn_data;
+    atomic_fetch_add(&get_node(conn)->connections, 1);
+    return 0;
+}
+
+static void
+count_closed(const struct mg_connection *conn)
+{
+    atomic_fetch_sub(&get_node(conn)->connections, 1);
+}
+
 static bool
 start_http(Node *n, GError **err)
 {
+    n->http_threads =
+        (uint32_t)ini_get_int(n->settings, "node", "http_threads");
     const char *options[] = {"listening_ports",
                              ini_get_text(n->settings, "node", "http"),
                              "num_threads",
@@ -518,7 +810,9 @@
                              "listen_backlog",
                              "512",
                              NULL};
-    struct mg_callbacks callbacks = {.log_message = log_http};
+    struct mg_callbacks callbacks = {.log_message = log_http,
+                                     .init_connection = count_opened,
+                                     .connection_closed = count_closed};
     n->http = mg_start(&callbacks, n, options);
     if (!n->http) {
         g_set_error(err, BG_ERROR, BG_ERR_AWAY, "cannot listen on %s",
@@ -545,12 +839,58 @@
 open_log(Node *n)
 {
     const char *address = ini_get_text(n->settings, "log", "address");
-    LcHandlers on = {take_log_entry, take_trimmed, take_reachable, n};
+    LcHandlers on = {take_page, take_trimmed, take_away, n};
     LcLimits limits = {(uint32_t)ini_get_int(n->settings, "log", "window_ms"),
                        (uint32_t)ini_get_int(n->settings, "log", "max_queue"),
                        APPEND_GIVE_UP_MS};
-    n->log = lc_create(lc_open_http(address), lc_open_http(address), 1, &on,
-                       &limits);
+    n->log =
+        lc_create(lc_open_http(address), lc_open_http(address), &on, &limits);
+}
+
+static void
+read_log_from(void *ctx, uint64_t offset)
+{
+    lc_read_from(((Node *)ctx)->log, offset);
+}
+
+static void
+send_to_peer(void *ctx, const char *node, const Bg__Frame *frame)
+{
+    peer_send(((Node *)ctx)->peers, node, NULL, NULL, frame);
+}
+
+static void
+append_first(void *ctx, Bg__Record *r)
+{
+    if (!lc_append_first(((Node *)ctx)->log, r)) {
+        bg_log(BG_WARN, "node", "No room for a checkpoint's records.");
+    }
+}
+
+static void
+open_appends(void *ctx, bool open)
+{
+    lc_open_appends(((Node *)ctx)->log, open);
+}
+
+static void
+open_feed(Node *n)
+{
+    const IniFile *s = n->settings;
+    FeedParams params = {
+        .node = n->name,
+        .data_centre = node_get_data_centre(n),
+        .role = n->role->role,
+        .readers_per_centre =
+            (uint32_t)ini_get_int(s, "log", "readers_per_centre"),
+        .relay_wait_ms = (uint32_t)ini_get_int(s, "log", "relay_wait_ms"),
+        .checkpoint_entries =
+            (uint32_t)ini_get_int(s, "log", "checkpoint_entries"),
+        .checkpoint_ms = (uint32_t)ini_get_int(s, "log", "checkpoint_ms"),
+        .seed = bg_now_us()};
+    FeedOutput out = {n, read_log_from, send_to_peer, append_first,
+                      open_appends};
+    n->feed = feed_create(&params, n->fold, &out);
 }
 
 static void
@@ -563,6 +903,7 @@
         .role = n->role->role,
         .listen = ini_get_text(f, "peers", "listen"),
         .dial = ini_get_text(f, "peers", "dial"),
+        .bridges = ini_get_text(f, "peers", "bridges"),
         .shared_key = ini_get_text(f, "peers", "shared_key"),
         .heartbeat_ms = (uint32_t)ini_get_int(f, "peers", "heartbeat_ms"),
         .silence_ms = (uint32_t)ini_get_int(f, "peers", "silence_ms")};
@@ -578,8 +919,12 @@
     n->fold = fold_create();
     fold_set_observer(n->fold, observe_record, n);
     n->config = fold_get_config(n->fold);
+    pthread_mutex_init(&n->lock, NULL);
+    bg__heartbeat__init(&n->beat);
     open_log(n);
     open_peers(n);
+    open_feed(n);
+    n->roster = roster_create(n->name, node_get_data_centre(n), n->role->role);
     if (!n->role->start(n->role->ctx, n, err)) {
         return false;
     }
@@ -608,6 +953,9 @@
     uint64_t until_ms =
         bg_now_ms() + (uint64_t)ini_get_int(n->settings, "node", "drain_ms");
     bg_sleep_ms(2 * TICK_MS);
+    /* The balancer sends on until it has seen the failing health check:
+       those callers get a refusal, not a reset connection. */
+    bg_sleep_ms((uint32_t)ini_get_int(n->settings, "node", "drain_notice_ms"));
     while (!atomic_load(&n->drained) && bg_now_ms() < until_ms) {
         bg_sleep_ms(TICK_MS);
     }
@@ -632,7 +980,11 @@
         g_free(e);
     }
     ring_destroy(n->ring, NULL);
+    feed_destroy(n->feed);
+    roster_destroy(n->roster);
     fold_destroy(n->fold);
+    g_free(n->state_line);
+    pthread_mutex_destroy(&n->lock);
     cfg_unref(n->config);
     bg_log(BG_INFO, "node", "Stopped.");
 }
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,8 @@
    /readyz   200 once it can do its duty
    /metrics  counters in the text format
    /dump     the process's state as JSON
+   /status   configuration in force at all processes, as far as known
+   /drain    POST with the operators' key: a graceful stop
 
    Life spans: a request lives in its HTTP thread, a connection in the peer
    and HTTP threads, a configuration version behind an RCU pointer, and the
@@ -73,7 +75,9 @@
 /* Any thread: queue a record for the log; takes R. */
 bool node_append(Node *n, Bg__Record *r);
 bool node_is_log_reachable(Node *n);
-bool node_is_draining(Node *n);
+bool node_is_draining(const Node *n);
+/* More than half of the HTTP threads hold a connection. */
+bool node_is_crowded(const Node *n);
 void node_send(Node *n, const char *node, const char *data_centre,
                const char *role, const Bg__Frame *frame);
 
--- a/src/rec.h
+++ b/src/rec.h
@@ -15,11 +15,17 @@
     Bg__RecordList *list;
 } RecBatch;
 
+/* The digest of a batch.  It covers the id: a damaged one would name another
+   batch, and the same records could take effect twice. */
+uint64_t rec_digest(uint32_t format, const char *batch_id,
+                    const uint8_t *payload, size_t len);
 /* Bytes of a batch with RECORDS under BATCH_ID; free with g_free. */
 uint8_t *rec_encode_batch(const char *batch_id, Bg__Record **records,
                           size_t count, size_t *len);
-/* False with BG_ERR_FORMAT when the bytes are truncated, corrupt or of a
-   newer format; nothing of them may then be applied. */
+/* False with BG_ERR_FORMAT when the bytes are truncated or corrupt, and with
+   BG_ERR_NEWER when they are whole but of a newer format or kind; nothing of
+   them may then be applied.  Whatever changes what a record means, or which
+   records take effect, raises REC_FORMAT. */
 bool rec_decode_batch(const uint8_t *data, size_t len, RecBatch *out,
                       GError **err);
 void rec_free_batch(RecBatch *b);
--- a/src/req.h
+++ b/src/req.h
@@ -8,13 +8,15 @@
 #define REQ_H
 
 #include "bg_base.h"
+#include "lim.h"
 #include "node.h"
 #include "rt.h"
 
 /* Between request threads and the core thread. */
 typedef struct ReqDesk ReqDesk;
 
-ReqDesk *req_create_desk(Node *n);
+/* LIMITS is used on the core thread only and stays the caller's. */
+ReqDesk *req_create_desk(Node *n, Lim *limits);
 void req_destroy_desk(ReqDesk *d);
 
 /* HTTP thread: answer CONN, or return 0 when the path is not ours. */
@@ -24,7 +26,7 @@
 void req_on_event(ReqDesk *d, RtCore *core, uint64_t now_ms, void *event);
 /* Core thread: the core's decisions. */
 void req_on_send(ReqDesk *d, uint64_t id, const char *upstream,
-                 const char *address);
+                 const char *address, uint32_t long_run_ms);
 void req_on_refuse(ReqDesk *d, uint64_t id, RtReason reason,
                    uint64_t retry_after_ms);
 void req_on_finish(ReqDesk *d, uint64_t id);
--- a/tests/fake_service.py
+++ b/tests/fake_service.py
@@ -1,8 +1,9 @@
 """Stand-in for a plain service: runs every request it gets and counts
 each run by X-Run-Id, the caller's own mark.
 
-PUT /test/faults takes {"delay_ms", "drop_answers", "die_after_run"}.
-GET /test/runs -> {mark: runs}.
+PUT /test/faults takes {"delay_ms", "drop_answers", "short_answers",
+"die_after_run"}.
+GET /test/runs -> {mark: runs}.  GET /test/peak -> most runs at once.
 """
 
 import json
@@ -17,8 +18,11 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.runs = {}
+        self.inside = 0
+        self.peak = 0
         self.leaving = False
         self.faults = {"delay_ms": 0, "drop_answers": 0,
+                       "short_answers": 0,
                        "die_after_run": False}
 
     def run(self, h, path, body):
@@ -29,20 +33,29 @@
         with self.lock:
             self.runs[mark] = self.runs.get(mark, 0) + 1
             count = self.runs[mark]
+            self.inside += 1
+            self.peak = max(self.peak, self.inside)
         if self.faults["die_after_run"]:
             os._exit(1)
         time.sleep(self.faults["delay_ms"] / 1000)
+        with self.lock:
+            self.inside -= 1
         if self.faults["drop_answers"] > 0:
             self.faults["drop_answers"] -= 1
             h.close_connection = True
             h.connection.close()
             return None
+        if self.faults["short_answers"] > 0:
+            self.faults["short_answers"] -= 1
+            return h.reply_short(200, {"mark": mark, "runs": count})
         return h.reply(200, {"mark": mark, "runs": count, "path": path,
                              "echo": body.decode("utf-8", "replace")})
 
     def handle(self, h, method, path, query, body):
         if path == "/test/runs":
             return h.reply(200, self.runs)
+        if path == "/test/peak":
+            return h.reply(200, {"peak": self.peak})
         if path == "/test/faults":
             self.faults.update(json.loads(body))
             return h.reply(200, self.faults)
