--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 APT = gcc make pkg-config python3 libcivetweb-dev libcurl4-openssl-dev \
 	liburcu-dev libprotobuf-c-dev libglib2.0-dev libjansson-dev \
 	libxxhash-dev libssl-dev libcunit1-dev python3-hypothesis \
-	python3-pytest clang-format clang-tidy cppcheck
+	python3-pytest python3-pytest-xdist clang-format clang-tidy cppcheck
 
 all: $(PROGS) $(UNITS) $(SCRIPTS)
 
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -72,6 +72,7 @@
     env = dict(os.environ, BGLADE_BUILD=build, PYTHONDONTWRITEBYTECODE="1")
     res = subprocess.run(
         ["/usr/bin/python3", "-m", "pytest", "-p", "no:cacheprovider", "-q",
+         "-n", "4", "--dist", "loadfile",
          "-rf", "--tb=short", "--color=no", HERE, *extra], cwd=ROOT, env=env,
         capture_output=True, text=True, timeout=5000, check=False)
     print(res.stdout, res.stderr, sep="")
