--- a/src/req.c
+++ b/src/req.c
@@ -870,6 +870,7 @@
         r->affinity = compute_affinity(q);
     }
     else {
+        g_assert(q->service != NULL); /* one of both is set */
         r->deployment = q->service->upstreams;
         r->class_ = CFG_LOOKUP;
     }
