A process that starts to read, or follows a dead root, is cut off until it hears

Heartbeats name the process that reads the log at the end of the way, so that processes which lost it do not follow each other for a second. scripts/fold/snapshot_open printed a digest with a random checkpoint id in it, another one each run; the script's id is fixed, and so is the digest.

--- a/src/bglade.pb-c.c
+++ b/src/bglade.pb-c.c
@@ -3988,7 +3988,7 @@
   (ProtobufCMessageInit) bg__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bg__heartbeat__field_descriptors[12] =
 {
   {
     "node",
@@ -4122,6 +4122,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_root",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bg__Heartbeat, log_root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bg__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = applied_offset */
@@ -4131,6 +4143,7 @@
   6,   /* field[6] = log_first */
   5,   /* field[5] = log_hops */
   7,   /* field[7] = log_next */
+  11,   /* field[11] = log_root */
   0,   /* field[0] = node */
   3,   /* field[3] = owner */
   9,   /* field[9] = ready */
@@ -4139,7 +4152,7 @@
 static const ProtobufCIntRange bg__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bg__heartbeat__descriptor =
 {
@@ -4149,7 +4162,7 @@
   "Bg__Heartbeat",
   "bg",
   sizeof(Bg__Heartbeat),
-  11,
+  12,
   bg__heartbeat__field_descriptors,
   bg__heartbeat__field_indices_by_name,
   1,  bg__heartbeat__number_ranges,
--- a/src/bglade.pb-c.h
+++ b/src/bglade.pb-c.h
@@ -496,10 +496,14 @@
    * Digest of all entries up to applied_offset.
    */
   uint64_t chain;
+  /*
+   * Digest of the name of the process that reads the log for this one.
+   */
+  uint64_t log_root;
 };
 #define BG__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bg__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/feed.c
+++ b/src/feed.c
@@ -42,6 +42,8 @@
     uint64_t beat_ms; /* 0: none yet */
     uint64_t applied;
     uint32_t hops;
+    uint64_t id;   /* digest of its name */
+    uint64_t root; /* of the process that reads the log for it */
     uint64_t log_first;
     uint64_t log_next;
     bool held;
@@ -257,6 +259,31 @@
     return weigh(f->params.node, p->name) > weigh(f->params.node, best->name);
 }
 
+static uint64_t
+make_id(const char *name)
+{
+    return XXH64(name, strlen(name), 0);
+}
+
+/* Whether entries that come by way of ROOT have ceased: it is this process,
+   which looks for a source itself, or it says that it reads no more.  Without
+   it processes would go on following each other for a while and take the log
+   for reachable. */
+static bool
+is_dead_root(const Feed *f, uint64_t now_ms, uint64_t root)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, f->peers);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const Peer *peer = p;
+        if (peer->id == root) {
+            return !is_live(peer, now_ms) || peer->hops != 1;
+        }
+    }
+    return root == make_id(f->params.node);
+}
+
 static Peer *
 find_source(const Feed *f, uint64_t now_ms)
 {
@@ -267,7 +294,8 @@
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         Peer *peer = p;
         if (is_live(peer, now_ms) && !peer->held && peer->hops > 0 &&
-            peer->hops < MAX_HOPS && is_better(f, peer, best)) {
+            peer->hops < MAX_HOPS && !is_dead_root(f, now_ms, peer->root) &&
+            is_better(f, peer, best)) {
             best = peer;
         }
     }
@@ -646,6 +674,8 @@
 set_reading(Feed *f, bool on)
 {
     if (on && !f->reading) {
+        /* What the last read said, maybe long ago, holds no more. */
+        f->log_ok = false;
         go_on_reading(f);
     }
     else if (!on && f->reading) {
@@ -1149,6 +1179,7 @@
     p->beat_ms = now_ms;
     p->applied = hb->ready ? hb->applied_offset : 0;
     p->hops = hb->log_hops;
+    p->root = hb->log_root;
     p->log_first = hb->log_first;
     p->log_next = hb->log_next;
     p->held = hb->held;
@@ -1191,6 +1222,7 @@
     if (up && !p) {
         p = g_new0(Peer, 1);
         p->name = g_strdup(info->node);
+        p->id = make_id(info->node);
         p->data_centre = g_strdup(info->data_centre);
         p->placer = strcmp(info->role, "placer") == 0;
         g_hash_table_insert(f->peers, p->name, p);
@@ -1281,6 +1313,9 @@
     hb->log_hops = feed_get_hops(f);
     hb->log_first = get_log_first(f);
     const Peer *p = find_peer(f, f->source);
+    hb->log_root = hb->log_hops == 1 ? make_id(f->params.node)
+                   : p               ? p->root
+                                     : 0;
     hb->log_next = f->reading && f->log_ok ? f->log_next : p ? p->log_next : 0;
     hb->held = f->fault != NULL;
     hb->ready = f->has_state;
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -419,8 +419,11 @@
     (void)w;
     g_autoptr(GPtrArray) records = ckpt_make_records(s->fold);
     for (guint i = 0; i < records->len; i++) {
-        apply_record(s, records->pdata[i]);
-        rec_free(records->pdata[i]);
+        Bg__Record *r = records->pdata[i];
+        /* A fixed id: it is part of the state, and of its digest. */
+        memset(r->checkpoint->checkpoint_id, 'c', BG_ID_LEN);
+        apply_record(s, r);
+        rec_free(r);
     }
 }
 
