--- a/tests/capacity.py
+++ b/tests/capacity.py
@@ -25,7 +25,7 @@
 REPEATS = 3
 R1 = "dc1-vm1-router"
 BUSY_ROUTER = {"router": {"router": {"per_upstream": "4000",
-                                     "max_waiting": "4000"}}}
+                                     "max_waiting_interactive": "4000"}}}
 
 
 class Slope:
