--- a/src/cli.h
+++ b/src/cli.h
@@ -53,6 +53,7 @@
     FoldResult result;
     uint64_t offset;
     GString *why;
+    uint32_t trims; /* looks that retention overtook */
 } CliSession;
 
 /* Read the log up to its end, from its newest checkpoint if need be; the
--- a/src/cli_log.c
+++ b/src/cli_log.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define READ_WAIT_MS 200
+#define MAX_TRIMS 10
 #define RETRY_MS 100
 
 static void
@@ -86,6 +87,7 @@
     LogPage page = {0};
     uint64_t from = fold_get_offset(s->fold) + 1;
     g_autoptr(GError) away = NULL;
+    g_autoptr(GError) trimmed = NULL;
     bool good = s->api->read(s->api, from, READ_WAIT_MS, &page, &away);
     *more = true;
     if (good) {
@@ -93,7 +95,17 @@
         *more = fold_get_offset(s->fold) + 1 < page.next;
     }
     else if (away->code == BG_ERR_TRIMMED) {
-        good = take_checkpoint(s, page.first, err);
+        good = take_checkpoint(s, page.first, &trimmed);
+        /* Retention may move on while the checkpoint is looked for: the
+           next look begins at the new start. */
+        if (!good && trimmed->code == BG_ERR_TRIMMED &&
+            ++s->trims < MAX_TRIMS) {
+            bg_sleep_ms(RETRY_MS);
+            good = true;
+        }
+        else if (!good) {
+            g_propagate_error(err, g_steal_pointer(&trimmed));
+        }
     }
     else {
         g_propagate_error(err, g_steal_pointer(&away));
--- a/tests/unit_base.c
+++ b/tests/unit_base.c
@@ -124,7 +124,10 @@
     CU_ASSERT_PTR_NOT_NULL_FATAL(set);
     CU_ASSERT_EQUAL(cfg_get_version(set), 7);
     const CfgWorkspace *w = cfg_authenticate(set, "key");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(w);
+    CU_ASSERT_PTR_NOT_NULL(w);
+    if (!w) {
+        return; /* the analyser does not know that FATAL ends the test */
+    }
     CU_ASSERT_EQUAL(w->requests_per_second, 12);
     CU_ASSERT_TRUE(cfg_may_call_model(w, "m"));
     CU_ASSERT_FALSE(cfg_may_call_model(w, "a"));
