Split the request file: desk.c is where request threads and the core meet

Cause: req.c had grown to 1631 lines with two subjects, the core thread's side and one request's life. Change: moved and renamed, no change of behaviour.

--- /dev/null
+++ b/src/desk.c
@@ -0,0 +1,505 @@
+#include "desk.h"
+
+#include "ini.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+#define MAX_POOLED_CLIENTS 256
+
+/* What the core thread keeps of a request.  The ticket is on the stack of a
+   thread that leaves once its call is done, so nothing but a decision may
+   touch it; what the core looks at again is copied here. */
+typedef struct {
+    Ticket *ticket;
+    uint8_t digest[32]; /* of the whole request */
+    bool suspect;       /* an upstream died under an equal request */
+} Waiting;
+
+struct Desk {
+    Node *node;
+    /* Core thread only. */
+    GHashTable *tickets;  /* id -> Waiting */
+    GHashTable *claiming; /* id -> DeskEvent that waits for its claim */
+    GHashTable *holds;    /* id -> Hold */
+    Lim *lim;
+    OnceCore *once;
+    QrCore *quarantine;
+
+    atomic_uint_fast64_t next_id;
+    atomic_uint inside;
+    uint32_t most_inside;            /* beyond it a thread only refuses */
+    atomic_uint models[CFG_CLASSES]; /* model calls inside, by class */
+    CallLimits limits;
+    GHashTable *silent; /* address -> uint64_t ms; under pool_lock */
+    pthread_mutex_t pool_lock;
+    GQueue pool; /* idle HcClient */
+};
+
+/* What an admitted request holds of its workspace's limits. */
+typedef struct {
+    uint64_t id;
+    char *workspace;
+    uint32_t tokens;
+    uint64_t start_ms;
+} Hold;
+
+static void
+free_hold(gpointer p)
+{
+    g_free(((Hold *)p)->workspace);
+    g_free(p);
+}
+
+static CallLimits
+read_limits(const IniFile *f)
+{
+    CallLimits l = {
+        .connect_ms = (uint32_t)ini_get_int(f, "router", "connect_ms"),
+        .first_byte_ms = (uint32_t)ini_get_int(f, "router", "first_byte_ms"),
+        .answer_ms = (uint32_t)ini_get_int(f, "router", "answer_ms"),
+        .idle_ms = (uint32_t)ini_get_int(f, "router", "idle_ms"),
+        .pool_idle_ms = (uint32_t)ini_get_int(f, "router", "pool_idle_ms")};
+    return l;
+}
+
+Desk *
+desk_create(Node *n, Lim *limits)
+{
+    Desk *d = g_new0(Desk, 1);
+    d->node = n;
+    d->tickets =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    d->claiming = g_hash_table_new(g_int64_hash, g_int64_equal);
+    uint32_t threads =
+        (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
+    /* Some threads stay free to refuse and to answer the balancer. */
+    d->most_inside = threads - MAX(threads / 8, 2);
+    d->lim = limits;
+    d->holds =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_hold);
+    d->limits = read_limits(node_get_settings(n));
+    d->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    pthread_mutex_init(&d->pool_lock, NULL);
+    g_queue_init(&d->pool);
+    return d;
+}
+
+void
+desk_use_cores(Desk *d, OnceCore *once, QrCore *quarantine)
+{
+    d->once = once;
+    d->quarantine = quarantine;
+}
+
+static void
+free_event(DeskEvent *e)
+{
+    if (e->body) {
+        g_bytes_unref(e->body);
+    }
+    g_free(e->content_type);
+    g_free(e->upstream);
+    g_free(e);
+}
+
+void
+desk_destroy(Desk *d)
+{
+    GHashTableIter it;
+    gpointer e;
+    g_hash_table_iter_init(&it, d->claiming);
+    while (g_hash_table_iter_next(&it, NULL, &e)) {
+        free_event(e);
+    }
+    g_hash_table_destroy(d->claiming);
+    g_queue_clear_full(&d->pool, (GDestroyNotify)hc_destroy);
+    pthread_mutex_destroy(&d->pool_lock);
+    g_hash_table_destroy(d->tickets);
+    g_hash_table_destroy(d->silent);
+    g_hash_table_destroy(d->holds);
+    g_free(d);
+}
+
+uint32_t
+desk_count(const Desk *d)
+{
+    return atomic_load(&d->inside);
+}
+
+HcClient *
+desk_take_client(Desk *d)
+{
+    pthread_mutex_lock(&d->pool_lock);
+    HcClient *c = g_queue_pop_head(&d->pool);
+    pthread_mutex_unlock(&d->pool_lock);
+    return c ? c : hc_create();
+}
+
+void
+desk_return_client(Desk *d, HcClient *c)
+{
+    pthread_mutex_lock(&d->pool_lock);
+    bool keep = g_queue_get_length(&d->pool) < MAX_POOLED_CLIENTS;
+    if (keep) {
+        g_queue_push_head(&d->pool, c);
+    }
+    pthread_mutex_unlock(&d->pool_lock);
+    if (!keep) {
+        hc_destroy(c);
+    }
+}
+
+void
+desk_note_silence(Desk *d, const char *address)
+{
+    uint64_t *when = g_new(uint64_t, 1);
+    *when = bg_now_ms();
+    pthread_mutex_lock(&d->pool_lock);
+    g_hash_table_replace(d->silent, g_strdup(address), when);
+    pthread_mutex_unlock(&d->pool_lock);
+    bg_count("router_silent_connections_total", 1);
+}
+
+bool
+desk_was_silent(Desk *d, const char *address)
+{
+    pthread_mutex_lock(&d->pool_lock);
+    const uint64_t *when = g_hash_table_lookup(d->silent, address);
+    bool silent = when && bg_now_ms() < *when + d->limits.pool_idle_ms;
+    if (when && !silent) {
+        g_hash_table_remove(d->silent, address);
+    }
+    pthread_mutex_unlock(&d->pool_lock);
+    return silent;
+}
+
+/* ---- request threads ---------------------------------------------------- */
+
+uint64_t
+desk_enter(Desk *d)
+{
+    atomic_fetch_add(&d->inside, 1);
+    return atomic_fetch_add(&d->next_id, 1) + 1;
+}
+
+void
+desk_leave(Desk *d)
+{
+    atomic_fetch_sub(&d->inside, 1);
+}
+
+bool
+desk_is_full(const Desk *d)
+{
+    return atomic_load(&d->inside) > d->most_inside;
+}
+
+bool
+desk_enter_class(Desk *d, CfgClass class_)
+{
+    uint32_t most = d->most_inside;
+    uint32_t held[CFG_CLASSES];
+    atomic_fetch_add(&d->models[class_], 1);
+    for (int i = 0; i < CFG_CLASSES; i++) {
+        held[i] = atomic_load(&d->models[i]);
+    }
+    switch (class_) {
+    case CFG_BATCH:
+        return held[CFG_BATCH] <= most / 2;
+    case CFG_INTERACTIVE:
+        return held[CFG_BATCH] + held[CFG_INTERACTIVE] <= most / 4 * 3;
+    case CFG_LOOKUP:
+        return held[CFG_LOOKUP] + held[CFG_BATCH] + held[CFG_INTERACTIVE] <=
+               most / 8 * 7;
+    }
+    return false;
+}
+
+void
+desk_leave_class(Desk *d, CfgClass class_)
+{
+    atomic_fetch_sub(&d->models[class_], 1);
+}
+
+Node *
+desk_get_node(const Desk *d)
+{
+    return d->node;
+}
+
+const CallLimits *
+desk_get_limits(const Desk *d)
+{
+    return &d->limits;
+}
+
+/* ---- core thread -------------------------------------------------------- */
+
+/* Hold what the request may use; false: over a limit. */
+static bool
+take_hold(Desk *d, uint64_t now_ms, const RtRequest *r,
+          uint64_t *retry_after_ms)
+{
+    uint32_t tokens = r->model ? r->cost : 0;
+    if (!lim_take(d->lim, now_ms, r->workspace, tokens, retry_after_ms)) {
+        return false;
+    }
+    Hold *h = g_new0(Hold, 1);
+    h->id = r->id;
+    h->workspace = g_strdup(r->workspace);
+    h->tokens = tokens;
+    h->start_ms = now_ms;
+    g_hash_table_replace(d->holds, &h->id, h);
+    return true;
+}
+
+static void
+give_hold(Desk *d, uint64_t id, uint32_t used)
+{
+    const Hold *h = g_hash_table_lookup(d->holds, &id);
+    if (h) {
+        uint64_t now_ms = bg_now_ms();
+        lim_give(d->lim, now_ms, h->workspace, h->tokens, used,
+                 now_ms - h->start_ms);
+        g_hash_table_remove(d->holds, &id);
+    }
+}
+
+/* False when nobody waits for it. */
+static bool
+decide(Desk *d, uint64_t id, const Ticket *decided)
+{
+    Waiting *w = g_hash_table_lookup(d->tickets, &id);
+    if (!w) {
+        return false;
+    }
+    Ticket *t = w->ticket;
+    /* The ticket is on the waiting thread's stack: it is not to be touched
+       after the final decision, so it leaves the table first. */
+    if (decided->decision != DECIDED_SEND) {
+        g_hash_table_remove(d->tickets, &id);
+        give_hold(d, id, 0);
+    }
+    pthread_mutex_lock(&t->lock);
+    t->decision = decided->decision;
+    t->reason = decided->reason;
+    t->retry_after_ms = decided->retry_after_ms;
+    t->long_run_ms = decided->long_run_ms;
+    t->reply = decided->reply;
+    t->quarantined = decided->quarantined;
+    g_strlcpy(t->upstream, decided->upstream, sizeof(t->upstream));
+    g_strlcpy(t->address, decided->address, sizeof(t->address));
+    pthread_cond_signal(&t->decided);
+    pthread_mutex_unlock(&t->lock);
+    return true;
+}
+
+void
+desk_on_send(Desk *d, uint64_t id, const char *upstream, const char *address,
+             uint32_t long_run_ms)
+{
+    Ticket t = {.decision = DECIDED_SEND, .long_run_ms = long_run_ms};
+    g_strlcpy(t.upstream, upstream, sizeof(t.upstream));
+    g_strlcpy(t.address, address, sizeof(t.address));
+    decide(d, id, &t);
+}
+
+void
+desk_on_refuse(Desk *d, uint64_t id, RtReason reason, uint64_t retry_after_ms)
+{
+    Ticket t = {.decision = DECIDED_REFUSE,
+                .reason = reason,
+                .retry_after_ms = retry_after_ms};
+    decide(d, id, &t);
+}
+
+void
+desk_on_finish(Desk *d, uint64_t id)
+{
+    Ticket t = {.decision = DECIDED_FINISH};
+    const Waiting *w = g_hash_table_lookup(d->tickets, &id);
+    t.quarantined = w && qr_judge(d->quarantine, w->digest) == QR_QUARANTINED;
+    decide(d, id, &t);
+}
+
+/* ---- core thread: at most once, quarantine ------------------------------ */
+
+void
+desk_free_reply(OnceReply *r)
+{
+    if (r) {
+        g_free(r->reason);
+        g_free(r->content_type);
+        if (r->body) {
+            g_bytes_unref(r->body);
+        }
+        g_free(r);
+    }
+}
+
+static OnceReply *
+copy_decision(const OnceDecision *o)
+{
+    OnceReply *r = g_new0(OnceReply, 1);
+    r->verdict = o->verdict;
+    r->reason = g_strdup(o->reason);
+    r->retry_after_ms = o->retry_after_ms;
+    r->status = o->status;
+    r->content_type = g_strdup(o->content_type);
+    r->body = g_bytes_new(o->body, o->body_len);
+    r->answer_dropped = o->answer_dropped;
+    return r;
+}
+
+/* Past the claim, if there is one: route it, unless upstreams die of it. */
+static void
+route_request(Desk *d, RtCore *core, uint64_t now_ms, DeskEvent *e)
+{
+    QrVerdict verdict = qr_judge(d->quarantine, e->digest);
+    if (verdict == QR_QUARANTINED) {
+        once_on_refused(d->once, now_ms, bg_wall_ms(), e->id);
+        desk_on_refuse(d, e->id, RT_REFUSED_QUARANTINE, 0);
+        return;
+    }
+    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
+    w->suspect = verdict == QR_SUSPECT;
+    e->request.suspect = w->suspect;
+    rt_on_arrive(core, now_ms, &e->request);
+}
+
+void
+desk_on_once(Desk *d, RtCore *core, uint64_t now_ms, uint64_t id,
+             const OnceDecision *decision)
+{
+    DeskEvent *e = g_hash_table_lookup(d->claiming, &id);
+    if (!e) {
+        return;
+    }
+    g_hash_table_remove(d->claiming, &id);
+    if (decision->verdict == ONCE_RUN) {
+        route_request(d, core, now_ms, e);
+    }
+    else {
+        Ticket t = {.decision = DECIDED_ONCE,
+                    .reply = copy_decision(decision)};
+        if (!decide(d, id, &t)) {
+            desk_free_reply(t.reply);
+        }
+    }
+    free_event(e);
+}
+
+void
+desk_on_death(Desk *d, RtCore *core, const uint8_t digest[32])
+{
+    QrVerdict verdict = qr_judge(d->quarantine, digest);
+    g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter it;
+    gpointer id;
+    gpointer w;
+    g_hash_table_iter_init(&it, d->tickets);
+    while (verdict != QR_CLEAR && g_hash_table_iter_next(&it, &id, &w)) {
+        if (memcmp(((Waiting *)w)->digest, digest, 32) == 0) {
+            g_array_append_val(ids, *(uint64_t *)id);
+        }
+    }
+    /* A refusal takes its ticket out of the table. */
+    for (guint i = 0; i < ids->len; i++) {
+        rt_on_death(core, g_array_index(ids, uint64_t, i),
+                    verdict == QR_QUARANTINED);
+    }
+}
+
+/* Before the routing core hears of it: a refusal or a finish that follows
+   must find the key and the deaths as this attempt left them. */
+static void
+note_done(Desk *d, RtCore *core, uint64_t now_ms, const DeskEvent *e)
+{
+    uint64_t wall_ms = bg_wall_ms();
+    if (e->end.done == RT_DONE_OK) {
+        once_on_answered(d->once, now_ms, wall_ms, e->id, &e->result);
+    }
+    else if (e->end.done == RT_DONE_NOT_SENT ||
+             e->end.done == RT_DONE_TURNED_AWAY) {
+        once_on_unsent(d->once, e->id);
+    }
+    else {
+        once_on_broken(d->once, now_ms, wall_ms, e->id);
+    }
+    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
+    if (!w || !e->upstream) {
+        return;
+    }
+    w->suspect = w->suspect || e->end.died; /* from here on it runs alone */
+    /* A VM that was told to leave is taken away; no request is to blame. */
+    if (e->broken_open && !rt_is_leaving(core, e->upstream)) {
+        qr_on_broken(d->quarantine, now_ms, wall_ms, w->digest, e->upstream,
+                     e->end.died);
+    }
+    if (e->end.done == RT_DONE_OK && w->suspect) {
+        qr_on_alone(d->quarantine, wall_ms, w->digest, e->upstream);
+    }
+}
+
+static void
+begin_request(Desk *d, RtCore *core, uint64_t now_ms, DeskEvent *e)
+{
+    uint64_t *id = g_new(uint64_t, 1);
+    *id = e->id;
+    Waiting *w = g_new0(Waiting, 1);
+    w->ticket = e->ticket;
+    memcpy(w->digest, e->digest, sizeof(w->digest));
+    g_hash_table_insert(d->tickets, id, w);
+    uint64_t retry_after_ms;
+    if (!take_hold(d, now_ms, &e->request, &retry_after_ms)) {
+        desk_on_refuse(d, e->id, RT_REFUSED_LIMIT, retry_after_ms);
+        free_event(e);
+        return;
+    }
+    if (e->keyed) {
+        g_hash_table_insert(d->claiming, &e->id, e);
+        once_on_begin(d->once, now_ms, bg_wall_ms(), &e->call);
+        return;
+    }
+    route_request(d, core, now_ms, e);
+    free_event(e);
+}
+
+static void
+cancel_request(Desk *d, RtCore *core, uint64_t now_ms, uint64_t id)
+{
+    Ticket drop = {.decision = DECIDED_DROP};
+    if (rt_on_cancel(core, now_ms, id)) {
+        decide(d, id, &drop);
+    }
+}
+
+static void
+end_attempt(Desk *d, RtCore *core, uint64_t now_ms, const DeskEvent *e)
+{
+    note_done(d, core, now_ms, e);
+    if (e->end.done == RT_DONE_OK || e->end.done == RT_DONE_CANCELLED) {
+        g_hash_table_remove(d->tickets, &e->id);
+        give_hold(d, e->id, e->used);
+    }
+    rt_on_done(core, now_ms, e->id, &e->end);
+}
+
+void
+desk_on_event(Desk *d, RtCore *core, uint64_t now_ms, void *event)
+{
+    DeskEvent *e = event;
+    switch (e->kind) {
+    case DESK_ARRIVE:
+        begin_request(d, core, now_ms, e); /* takes the event */
+        return;
+    case DESK_CANCEL:
+        cancel_request(d, core, now_ms, e->id);
+        break;
+    case DESK_DONE:
+        end_attempt(d, core, now_ms, e);
+        break;
+    }
+    free_event(e);
+}
--- a/src/main_router.c
+++ b/src/main_router.c
@@ -66,7 +66,7 @@
 typedef struct {
     Node *node;
     RtCore *core;
-    ReqDesk *desk;
+    Desk *desk;
     Lim *lim;
     GHashTable *linked; /* names of routers with a link */
     Ring *probes;       /* Probe, to the probe thread */
@@ -147,7 +147,7 @@
 {
     Router *r = ctx;
     once_on_sent(r->once, id);
-    req_on_send(r->desk, id, upstream, address, long_run_ms);
+    desk_on_send(r->desk, id, upstream, address, long_run_ms);
 }
 
 static void
@@ -155,7 +155,7 @@
 {
     Router *r = ctx;
     once_on_refused(r->once, bg_now_ms(), bg_wall_ms(), id);
-    req_on_refuse(r->desk, id, reason, retry_after_ms);
+    desk_on_refuse(r->desk, id, reason, retry_after_ms);
 }
 
 static void
@@ -163,14 +163,14 @@
 {
     Router *r = ctx;
     once_on_broken(r->once, bg_now_ms(), bg_wall_ms(), id);
-    req_on_finish(r->desk, id);
+    desk_on_finish(r->desk, id);
 }
 
 static void
 output_once(void *ctx, uint64_t id, const OnceDecision *decision)
 {
     Router *r = ctx;
-    req_on_once(r->desk, r->core, bg_now_ms(), id, decision);
+    desk_on_once(r->desk, r->core, bg_now_ms(), id, decision);
 }
 
 static bool
@@ -194,7 +194,7 @@
     QrOutput quarantine_out = {r, output_append};
     r->quarantine =
         qr_create(&quarantine, &quarantine_out, node_get_fold(r->node));
-    req_use_cores(r->desk, r->once, r->quarantine);
+    desk_use_cores(r->desk, r->once, r->quarantine);
 }
 
 static void
@@ -274,7 +274,7 @@
     LimOutput limit_out = {r, output_ask, output_lend};
     r->lim = lim_create(&limits, &limit_out, bg_now_ms());
     r->linked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    r->desk = req_create_desk(n, r->lim);
+    r->desk = desk_create(n, r->lim);
     r->core = rt_create(&params, &out);
     create_log_cores(r);
     r->probes = ring_create(PROBE_RING);
@@ -292,7 +292,7 @@
     ring_destroy(r->probes, free_probe);
     ring_destroy(r->probed, free_probe);
     rt_destroy(r->core);
-    req_destroy_desk(r->desk);
+    desk_destroy(r->desk);
     lim_destroy(r->lim);
     g_hash_table_destroy(r->linked);
     once_destroy(r->once);
@@ -314,7 +314,7 @@
     else if (rec->body_case == BG__RECORD__BODY_DEATH) {
         qr_on_record(r->quarantine, rec->death);
         if (result == FOLD_WON) {
-            req_on_death(r->desk, r->core, rec->death->request_digest.data);
+            desk_on_death(r->desk, r->core, rec->death->request_digest.data);
         }
     }
 }
@@ -401,7 +401,7 @@
 on_event(void *ctx, uint64_t now_ms, void *event)
 {
     Router *r = ctx;
-    req_on_event(r->desk, r->core, now_ms, event);
+    desk_on_event(r->desk, r->core, now_ms, event);
 }
 
 /* Demand that has not changed is repeated now and then, for a frame may be
@@ -467,7 +467,7 @@
 {
     Router *r = ctx;
     return r->draining && rt_count_requests(r->core) == 0 &&
-           once_count_open(r->once) == 0 && req_count(r->desk) == 0;
+           once_count_open(r->once) == 0 && desk_count(r->desk) == 0;
 }
 
 static bool
--- a/src/req.c
+++ b/src/req.c
@@ -1,13 +1,11 @@
 #include "req.h"
 
 #include "hc.h"
-#include "ini.h"
 #include "js.h"
 #include "watch.h"
 
 #include <civetweb.h>
 #include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -20,522 +18,15 @@
 #define BUSY_RETRY_MS 1000
 #define LONG_RUNS 3 /* a generation that takes so many is taken for silent */
 #define STATUS_CALLER_GONE 499 /* for the log only; nobody reads it */
-#define MAX_POOLED_CLIENTS 256
 #define PROBE_MS 500
 #define MAX_KEY_LEN 255
 #define CHUNK_FRAME 24 /* length line and line ends of a chunk */
 
-/* ---- ticket: where a request thread waits for the core ------------------ */
-
-typedef enum {
-    DECIDED_NONE,
-    DECIDED_SEND,
-    DECIDED_REFUSE,
-    DECIDED_FINISH,
-    DECIDED_DROP, /* its caller was gone while it waited */
-    DECIDED_ONCE  /* by the at-most-once core; nothing of this call was sent */
-} Decision;
-
-/* A copy of an OnceDecision that outlives the core's call. */
-typedef struct {
-    OnceVerdict verdict;
-    char *reason;
-    uint64_t retry_after_ms;
-    uint32_t status;
-    char *content_type;
-    GBytes *body;
-    bool answer_dropped;
-} OnceReply;
-
-typedef struct {
-    pthread_mutex_t lock;
-    pthread_cond_t decided;
-    Decision decision;
-    char upstream[128];
-    char address[64];
-    uint32_t long_run_ms;
-    RtReason reason;
-    uint64_t retry_after_ms;
-    OnceReply *reply; /* DECIDED_ONCE; the request thread frees it */
-    bool quarantined; /* DECIDED_FINISH: this was the second death */
-} Ticket;
-
-/* What the core thread keeps of a request.  The ticket is on the stack of a
-   thread that leaves once its call is done, so nothing but a decision may
-   touch it; what the core looks at again is copied here. */
-typedef struct {
-    Ticket *ticket;
-    uint8_t digest[32]; /* of the whole request */
-    bool suspect;       /* an upstream died under an equal request */
-} Waiting;
-
-typedef enum { REV_ARRIVE, REV_DONE, REV_CANCEL } ReqEventKind;
-
-/* A request thread's message to the core thread. */
-typedef struct {
-    ReqEventKind kind;
-    uint64_t id;
-    Ticket *ticket;    /* ARRIVE; lives on the request thread's stack */
-    RtRequest request; /* ARRIVE; text is borrowed from that thread, which
-                          waits for the decision and so outlives it */
-    RtEnd end;         /* DONE */
-    uint32_t used;     /* DONE: tokens made */
-
-    uint8_t digest[32]; /* ARRIVE: of the whole request */
-    bool keyed;         /* ARRIVE: to be claimed first */
-    OnceCall call;      /* ARRIVE, keyed; text is borrowed like request's */
-    GBytes *body;       /* DONE, keyed and answered */
-    OnceResult result;  /* DONE, keyed and answered */
-    char *content_type;
-    bool broken_open; /* DONE: the connection broke with bytes out */
-    char *upstream;   /* DONE */
-} ReqEvent;
-
-/* Limits of one call to an upstream. */
-typedef struct {
-    uint32_t connect_ms;
-    uint32_t first_byte_ms; /* of a stream */
-    uint32_t answer_ms;     /* of an unstreamed completion, at least */
-    uint32_t idle_ms;       /* between bytes */
-    uint32_t pool_idle_ms;  /* of a pooled connection */
-} CallLimits;
-
-struct ReqDesk {
-    Node *node;
-    /* Core thread only. */
-    GHashTable *tickets;  /* id -> Waiting */
-    GHashTable *claiming; /* id -> ReqEvent that waits for its claim */
-    GHashTable *holds;    /* id -> Hold */
-    Lim *lim;
-    OnceCore *once;
-    QrCore *quarantine;
-
-    atomic_uint_fast64_t next_id;
-    atomic_uint inside;
-    uint32_t most_inside;            /* beyond it a thread only refuses */
-    atomic_uint models[CFG_CLASSES]; /* model calls inside, by class */
-    CallLimits limits;
-    GHashTable *silent; /* address -> uint64_t ms; under pool_lock */
-    pthread_mutex_t pool_lock;
-    GQueue pool; /* idle HcClient */
-};
-
-/* What an admitted request holds of its workspace's limits. */
-typedef struct {
-    uint64_t id;
-    char *workspace;
-    uint32_t tokens;
-    uint64_t start_ms;
-} Hold;
-
-static void
-free_hold(gpointer p)
-{
-    g_free(((Hold *)p)->workspace);
-    g_free(p);
-}
-
-static CallLimits
-read_limits(const IniFile *f)
-{
-    CallLimits l = {
-        .connect_ms = (uint32_t)ini_get_int(f, "router", "connect_ms"),
-        .first_byte_ms = (uint32_t)ini_get_int(f, "router", "first_byte_ms"),
-        .answer_ms = (uint32_t)ini_get_int(f, "router", "answer_ms"),
-        .idle_ms = (uint32_t)ini_get_int(f, "router", "idle_ms"),
-        .pool_idle_ms = (uint32_t)ini_get_int(f, "router", "pool_idle_ms")};
-    return l;
-}
-
-ReqDesk *
-req_create_desk(Node *n, Lim *limits)
-{
-    ReqDesk *d = g_new0(ReqDesk, 1);
-    d->node = n;
-    d->tickets =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    d->claiming = g_hash_table_new(g_int64_hash, g_int64_equal);
-    uint32_t threads =
-        (uint32_t)ini_get_int(node_get_settings(n), "node", "http_threads");
-    /* Some threads stay free to refuse and to answer the balancer. */
-    d->most_inside = threads - MAX(threads / 8, 2);
-    d->lim = limits;
-    d->holds =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_hold);
-    d->limits = read_limits(node_get_settings(n));
-    d->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    pthread_mutex_init(&d->pool_lock, NULL);
-    g_queue_init(&d->pool);
-    return d;
-}
-
-void
-req_use_cores(ReqDesk *d, OnceCore *once, QrCore *quarantine)
-{
-    d->once = once;
-    d->quarantine = quarantine;
-}
-
-static void
-free_event(ReqEvent *e)
-{
-    if (e->body) {
-        g_bytes_unref(e->body);
-    }
-    g_free(e->content_type);
-    g_free(e->upstream);
-    g_free(e);
-}
-
-void
-req_destroy_desk(ReqDesk *d)
-{
-    GHashTableIter it;
-    gpointer e;
-    g_hash_table_iter_init(&it, d->claiming);
-    while (g_hash_table_iter_next(&it, NULL, &e)) {
-        free_event(e);
-    }
-    g_hash_table_destroy(d->claiming);
-    g_queue_clear_full(&d->pool, (GDestroyNotify)hc_destroy);
-    pthread_mutex_destroy(&d->pool_lock);
-    g_hash_table_destroy(d->tickets);
-    g_hash_table_destroy(d->silent);
-    g_hash_table_destroy(d->holds);
-    g_free(d);
-}
-
-uint32_t
-req_count(const ReqDesk *d)
-{
-    return atomic_load(&d->inside);
-}
-
-static HcClient *
-take_client(ReqDesk *d)
-{
-    pthread_mutex_lock(&d->pool_lock);
-    HcClient *c = g_queue_pop_head(&d->pool);
-    pthread_mutex_unlock(&d->pool_lock);
-    return c ? c : hc_create();
-}
-
-static void
-return_client(ReqDesk *d, HcClient *c)
-{
-    pthread_mutex_lock(&d->pool_lock);
-    bool keep = g_queue_get_length(&d->pool) < MAX_POOLED_CLIENTS;
-    if (keep) {
-        g_queue_push_head(&d->pool, c);
-    }
-    pthread_mutex_unlock(&d->pool_lock);
-    if (!keep) {
-        hc_destroy(c);
-    }
-}
-
-/* A connection to ADDRESS went silent: others opened before may be as dead,
-   and only new ones are used until the pool has forgotten the old. */
-static void
-note_silence(ReqDesk *d, const char *address)
-{
-    uint64_t *when = g_new(uint64_t, 1);
-    *when = bg_now_ms();
-    pthread_mutex_lock(&d->pool_lock);
-    g_hash_table_replace(d->silent, g_strdup(address), when);
-    pthread_mutex_unlock(&d->pool_lock);
-    bg_count("router_silent_connections_total", 1);
-}
-
-static bool
-was_silent(ReqDesk *d, const char *address)
-{
-    pthread_mutex_lock(&d->pool_lock);
-    const uint64_t *when = g_hash_table_lookup(d->silent, address);
-    bool silent = when && bg_now_ms() < *when + d->limits.pool_idle_ms;
-    if (when && !silent) {
-        g_hash_table_remove(d->silent, address);
-    }
-    pthread_mutex_unlock(&d->pool_lock);
-    return silent;
-}
-
-/* ---- core thread -------------------------------------------------------- */
-
-/* Hold what the request may use; false: over a limit. */
-static bool
-take_hold(ReqDesk *d, uint64_t now_ms, const RtRequest *r,
-          uint64_t *retry_after_ms)
-{
-    uint32_t tokens = r->model ? r->cost : 0;
-    if (!lim_take(d->lim, now_ms, r->workspace, tokens, retry_after_ms)) {
-        return false;
-    }
-    Hold *h = g_new0(Hold, 1);
-    h->id = r->id;
-    h->workspace = g_strdup(r->workspace);
-    h->tokens = tokens;
-    h->start_ms = now_ms;
-    g_hash_table_replace(d->holds, &h->id, h);
-    return true;
-}
-
-static void
-give_hold(ReqDesk *d, uint64_t id, uint32_t used)
-{
-    const Hold *h = g_hash_table_lookup(d->holds, &id);
-    if (h) {
-        uint64_t now_ms = bg_now_ms();
-        lim_give(d->lim, now_ms, h->workspace, h->tokens, used,
-                 now_ms - h->start_ms);
-        g_hash_table_remove(d->holds, &id);
-    }
-}
-
-/* False when nobody waits for it. */
-static bool
-decide(ReqDesk *d, uint64_t id, const Ticket *decided)
-{
-    Waiting *w = g_hash_table_lookup(d->tickets, &id);
-    if (!w) {
-        return false;
-    }
-    Ticket *t = w->ticket;
-    /* The ticket is on the waiting thread's stack: it is not to be touched
-       after the final decision, so it leaves the table first. */
-    if (decided->decision != DECIDED_SEND) {
-        g_hash_table_remove(d->tickets, &id);
-        give_hold(d, id, 0);
-    }
-    pthread_mutex_lock(&t->lock);
-    t->decision = decided->decision;
-    t->reason = decided->reason;
-    t->retry_after_ms = decided->retry_after_ms;
-    t->long_run_ms = decided->long_run_ms;
-    t->reply = decided->reply;
-    t->quarantined = decided->quarantined;
-    g_strlcpy(t->upstream, decided->upstream, sizeof(t->upstream));
-    g_strlcpy(t->address, decided->address, sizeof(t->address));
-    pthread_cond_signal(&t->decided);
-    pthread_mutex_unlock(&t->lock);
-    return true;
-}
-
-void
-req_on_send(ReqDesk *d, uint64_t id, const char *upstream, const char *address,
-            uint32_t long_run_ms)
-{
-    Ticket t = {.decision = DECIDED_SEND, .long_run_ms = long_run_ms};
-    g_strlcpy(t.upstream, upstream, sizeof(t.upstream));
-    g_strlcpy(t.address, address, sizeof(t.address));
-    decide(d, id, &t);
-}
-
-void
-req_on_refuse(ReqDesk *d, uint64_t id, RtReason reason,
-              uint64_t retry_after_ms)
-{
-    Ticket t = {.decision = DECIDED_REFUSE,
-                .reason = reason,
-                .retry_after_ms = retry_after_ms};
-    decide(d, id, &t);
-}
-
-void
-req_on_finish(ReqDesk *d, uint64_t id)
-{
-    Ticket t = {.decision = DECIDED_FINISH};
-    const Waiting *w = g_hash_table_lookup(d->tickets, &id);
-    t.quarantined = w && qr_judge(d->quarantine, w->digest) == QR_QUARANTINED;
-    decide(d, id, &t);
-}
-
-/* ---- core thread: at most once, quarantine ------------------------------ */
-
-static void
-free_reply(OnceReply *r)
-{
-    if (r) {
-        g_free(r->reason);
-        g_free(r->content_type);
-        if (r->body) {
-            g_bytes_unref(r->body);
-        }
-        g_free(r);
-    }
-}
-
-static OnceReply *
-copy_decision(const OnceDecision *o)
-{
-    OnceReply *r = g_new0(OnceReply, 1);
-    r->verdict = o->verdict;
-    r->reason = g_strdup(o->reason);
-    r->retry_after_ms = o->retry_after_ms;
-    r->status = o->status;
-    r->content_type = g_strdup(o->content_type);
-    r->body = g_bytes_new(o->body, o->body_len);
-    r->answer_dropped = o->answer_dropped;
-    return r;
-}
-
-/* Past the claim, if there is one: route it, unless upstreams die of it. */
-static void
-route_request(ReqDesk *d, RtCore *core, uint64_t now_ms, ReqEvent *e)
-{
-    QrVerdict verdict = qr_judge(d->quarantine, e->digest);
-    if (verdict == QR_QUARANTINED) {
-        once_on_refused(d->once, now_ms, bg_wall_ms(), e->id);
-        req_on_refuse(d, e->id, RT_REFUSED_QUARANTINE, 0);
-        return;
-    }
-    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
-    w->suspect = verdict == QR_SUSPECT;
-    e->request.suspect = w->suspect;
-    rt_on_arrive(core, now_ms, &e->request);
-}
-
-void
-req_on_once(ReqDesk *d, RtCore *core, uint64_t now_ms, uint64_t id,
-            const OnceDecision *decision)
-{
-    ReqEvent *e = g_hash_table_lookup(d->claiming, &id);
-    if (!e) {
-        return;
-    }
-    g_hash_table_remove(d->claiming, &id);
-    if (decision->verdict == ONCE_RUN) {
-        route_request(d, core, now_ms, e);
-    }
-    else {
-        Ticket t = {.decision = DECIDED_ONCE,
-                    .reply = copy_decision(decision)};
-        if (!decide(d, id, &t)) {
-            free_reply(t.reply);
-        }
-    }
-    free_event(e);
-}
-
-void
-req_on_death(ReqDesk *d, RtCore *core, const uint8_t digest[32])
-{
-    QrVerdict verdict = qr_judge(d->quarantine, digest);
-    g_autoptr(GArray) ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    GHashTableIter it;
-    gpointer id;
-    gpointer w;
-    g_hash_table_iter_init(&it, d->tickets);
-    while (verdict != QR_CLEAR && g_hash_table_iter_next(&it, &id, &w)) {
-        if (memcmp(((Waiting *)w)->digest, digest, 32) == 0) {
-            g_array_append_val(ids, *(uint64_t *)id);
-        }
-    }
-    /* A refusal takes its ticket out of the table. */
-    for (guint i = 0; i < ids->len; i++) {
-        rt_on_death(core, g_array_index(ids, uint64_t, i),
-                    verdict == QR_QUARANTINED);
-    }
-}
-
-/* Before the routing core hears of it: a refusal or a finish that follows
-   must find the key and the deaths as this attempt left them. */
-static void
-note_done(ReqDesk *d, RtCore *core, uint64_t now_ms, const ReqEvent *e)
-{
-    uint64_t wall_ms = bg_wall_ms();
-    if (e->end.done == RT_DONE_OK) {
-        once_on_answered(d->once, now_ms, wall_ms, e->id, &e->result);
-    }
-    else if (e->end.done == RT_DONE_NOT_SENT ||
-             e->end.done == RT_DONE_TURNED_AWAY) {
-        once_on_unsent(d->once, e->id);
-    }
-    else {
-        once_on_broken(d->once, now_ms, wall_ms, e->id);
-    }
-    Waiting *w = g_hash_table_lookup(d->tickets, &e->id);
-    if (!w || !e->upstream) {
-        return;
-    }
-    w->suspect = w->suspect || e->end.died; /* from here on it runs alone */
-    /* A VM that was told to leave is taken away; no request is to blame. */
-    if (e->broken_open && !rt_is_leaving(core, e->upstream)) {
-        qr_on_broken(d->quarantine, now_ms, wall_ms, w->digest, e->upstream,
-                     e->end.died);
-    }
-    if (e->end.done == RT_DONE_OK && w->suspect) {
-        qr_on_alone(d->quarantine, wall_ms, w->digest, e->upstream);
-    }
-}
-
-static void
-begin_request(ReqDesk *d, RtCore *core, uint64_t now_ms, ReqEvent *e)
-{
-    uint64_t *id = g_new(uint64_t, 1);
-    *id = e->id;
-    Waiting *w = g_new0(Waiting, 1);
-    w->ticket = e->ticket;
-    memcpy(w->digest, e->digest, sizeof(w->digest));
-    g_hash_table_insert(d->tickets, id, w);
-    uint64_t retry_after_ms;
-    if (!take_hold(d, now_ms, &e->request, &retry_after_ms)) {
-        req_on_refuse(d, e->id, RT_REFUSED_LIMIT, retry_after_ms);
-        free_event(e);
-        return;
-    }
-    if (e->keyed) {
-        g_hash_table_insert(d->claiming, &e->id, e);
-        once_on_begin(d->once, now_ms, bg_wall_ms(), &e->call);
-        return;
-    }
-    route_request(d, core, now_ms, e);
-    free_event(e);
-}
-
-static void
-cancel_request(ReqDesk *d, RtCore *core, uint64_t now_ms, uint64_t id)
-{
-    Ticket drop = {.decision = DECIDED_DROP};
-    if (rt_on_cancel(core, now_ms, id)) {
-        decide(d, id, &drop);
-    }
-}
-
-static void
-end_attempt(ReqDesk *d, RtCore *core, uint64_t now_ms, const ReqEvent *e)
-{
-    note_done(d, core, now_ms, e);
-    if (e->end.done == RT_DONE_OK || e->end.done == RT_DONE_CANCELLED) {
-        g_hash_table_remove(d->tickets, &e->id);
-        give_hold(d, e->id, e->used);
-    }
-    rt_on_done(core, now_ms, e->id, &e->end);
-}
-
-void
-req_on_event(ReqDesk *d, RtCore *core, uint64_t now_ms, void *event)
-{
-    ReqEvent *e = event;
-    switch (e->kind) {
-    case REV_ARRIVE:
-        begin_request(d, core, now_ms, e); /* takes the event */
-        return;
-    case REV_CANCEL:
-        cancel_request(d, core, now_ms, e->id);
-        break;
-    case REV_DONE:
-        end_attempt(d, core, now_ms, e);
-        break;
-    }
-    free_event(e);
-}
-
 /* ---- one request -------------------------------------------------------- */
 
 /* What a request thread knows of its request. */
 typedef struct {
-    ReqDesk *desk;
+    Desk *desk;
     struct mg_connection *conn;
     const struct mg_request_info *info;
     CfgSet *cfg;
@@ -571,7 +62,7 @@
 static const char *
 end_connection(Req *q)
 {
-    const Node *n = q->desk->node;
+    const Node *n = desk_get_node(q->desk);
     if (!q->close && !node_is_draining(n) && !node_is_crowded(n)) {
         return "";
     }
@@ -760,10 +251,10 @@
 static void
 post_cancel(Req *q)
 {
-    ReqEvent *e = g_new0(ReqEvent, 1);
-    e->kind = REV_CANCEL;
+    DeskEvent *e = g_new0(DeskEvent, 1);
+    e->kind = DESK_CANCEL;
     e->id = q->id;
-    node_post_wait(q->desk->node, e);
+    node_post_wait(desk_get_node(q->desk), e);
 }
 
 static void
@@ -848,8 +339,8 @@
 static bool
 post_arrival(Req *q)
 {
-    ReqEvent *e = g_new0(ReqEvent, 1);
-    e->kind = REV_ARRIVE;
+    DeskEvent *e = g_new0(DeskEvent, 1);
+    e->kind = DESK_ARRIVE;
     e->id = q->id;
     e->ticket = &q->ticket;
     memcpy(e->digest, q->digest, sizeof(e->digest));
@@ -880,7 +371,7 @@
         r->claimed = true;
         fill_call(q, &e->call);
     }
-    if (node_post(q->desk->node, e)) {
+    if (node_post(desk_get_node(q->desk), e)) {
         return true;
     }
     g_free(e);
@@ -1114,8 +605,9 @@
     uint64_t limit_ms = (uint64_t)long_run_ms * LONG_RUNS;
     return long_run_ms == 0
                ? left_ms
-               : (uint32_t)MIN(left_ms,
-                               MAX(limit_ms, q->desk->limits.answer_ms));
+               : (uint32_t)MIN(
+                     left_ms,
+                     MAX(limit_ms, desk_get_limits(q->desk)->answer_ms));
 }
 
 static uint32_t
@@ -1124,7 +616,7 @@
     if (!q->model) {
         return left_ms;
     }
-    return q->stream ? MIN(left_ms, q->desk->limits.first_byte_ms)
+    return q->stream ? MIN(left_ms, desk_get_limits(q->desk)->first_byte_ms)
                      : get_answer_ms(q, t->long_run_ms, left_ms);
 }
 
@@ -1138,13 +630,13 @@
 
 /* A fresh connection, not the broken one, tells whether the process died. */
 static bool
-is_refused(const ReqDesk *d, HcClient *c, const char *address)
+is_refused(const Desk *d, HcClient *c, const char *address)
 {
     g_autofree char *url =
         g_strconcat("http://", address, "/control/report", NULL);
     HcRequest req = {.method = "GET",
                      .url = url,
-                     .connect_ms = d->limits.connect_ms,
+                     .connect_ms = desk_get_limits(d)->connect_ms,
                      .total_ms = PROBE_MS,
                      .fresh = true};
     HcResult res;
@@ -1170,7 +662,7 @@
     a->end.late = a->res.end == HC_TIMEOUT && get_left(q) <= 1;
     a->end.silent_connection = is_connection_at_fault(&a->res);
     if (a->res.end == HC_TIMEOUT && !a->end.late) {
-        note_silence(q->desk, t->address);
+        desk_note_silence(q->desk, t->address);
     }
     if (a->end.done == RT_DONE_BROKEN) {
         bg_count("router_broken_attempts_total", 1);
@@ -1188,7 +680,7 @@
         a->end.done = RT_DONE_TURNED_AWAY;
         return;
     }
-    const CallLimits *l = &q->desk->limits;
+    const CallLimits *l = desk_get_limits(q->desk);
     g_autofree char *url = make_url(q, t->address);
     g_autoptr(GPtrArray) headers = make_headers(q);
     char *resuming = make_resuming_body(q);
@@ -1209,7 +701,8 @@
                      /* Nothing is heard of a whole generation before its
                         end: a forgotten connection would eat the deadline,
                         and a new one costs little beside the generation. */
-                     .renew = !q->stream || was_silent(q->desk, t->address),
+                     .renew =
+                         !q->stream || desk_was_silent(q->desk, t->address),
                      .attempt_id = attempt_id,
                      .on_head = take_stream_head,
                      .on_data = NULL,
@@ -1223,7 +716,7 @@
         req.on_data = take_stream_data;
         g_string_truncate(q->line, 0);
     }
-    HcClient *c = take_client(q->desk);
+    HcClient *c = desk_take_client(q->desk);
     hc_call(c, &req, &a->res);
     free(resuming);
     judge_attempt(q, t, a);
@@ -1231,12 +724,12 @@
         a->broken_open = true;
         a->end.died = is_refused(q->desk, c, t->address);
     }
-    return_client(q->desk, c);
+    desk_return_client(q->desk, c);
 }
 
 /* The answer as it is recorded; one that is not kept goes without body. */
 static void
-fill_result(const Req *q, const Attempt *a, ReqEvent *e)
+fill_result(const Req *q, const Attempt *a, DeskEvent *e)
 {
     if (!q->key || a->end.done != RT_DONE_OK) {
         return;
@@ -1255,15 +748,15 @@
 static void
 post_done(const Req *q, const Attempt *a)
 {
-    ReqEvent *e = g_new0(ReqEvent, 1);
-    e->kind = REV_DONE;
+    DeskEvent *e = g_new0(DeskEvent, 1);
+    e->kind = DESK_DONE;
     e->id = q->id;
     e->end = a->end;
     e->used = q->tokens_sent;
     e->broken_open = a->broken_open;
     e->upstream = g_strdup(a->upstream);
     fill_result(q, a, e);
-    node_post_wait(q->desk->node, e);
+    node_post_wait(desk_get_node(q->desk), e);
 }
 
 static int
@@ -1426,7 +919,7 @@
             return send_failure(q, &t);
         case DECIDED_ONCE:
             status = send_once(q, t.reply);
-            free_reply(t.reply);
+            desk_free_reply(t.reply);
             return status;
         case DECIDED_SEND:
             if (serve_attempt(q, &t, &status)) {
@@ -1437,36 +930,6 @@
     }
 }
 
-/* Waiting model calls hold HTTP threads.  Each class may hold only so many,
-   so that cold loads and batch work leave some for lookups and services. */
-static bool
-enter_class(Req *q)
-{
-    ReqDesk *d = q->desk;
-    uint32_t most = d->most_inside;
-    uint32_t held[CFG_CLASSES];
-    atomic_fetch_add(&d->models[q->model->class_], 1);
-    for (int i = 0; i < CFG_CLASSES; i++) {
-        held[i] = atomic_load(&d->models[i]);
-    }
-    switch (q->model->class_) {
-    case CFG_BATCH:
-        return held[CFG_BATCH] <= most / 2;
-    case CFG_INTERACTIVE:
-        return held[CFG_BATCH] + held[CFG_INTERACTIVE] <= most / 4 * 3;
-    case CFG_LOOKUP:
-        return held[CFG_LOOKUP] + held[CFG_BATCH] + held[CFG_INTERACTIVE] <=
-               most / 8 * 7;
-    }
-    return false;
-}
-
-static void
-leave_class(Req *q)
-{
-    atomic_fetch_sub(&q->desk->models[q->model->class_], 1);
-}
-
 /* When the answer must be there: the template's wait, or less if the caller
    says so.  False after a refusal. */
 static bool
@@ -1534,8 +997,9 @@
     if (!set_deadline(q, q->model->wait_ms, &status)) {
         return status;
     }
-    status = enter_class(q) ? run_request(q) : refuse_busy(q);
-    leave_class(q);
+    status = desk_enter_class(q->desk, q->model->class_) ? run_request(q)
+                                                         : refuse_busy(q);
+    desk_leave_class(q->desk, q->model->class_);
     return status;
 }
 
@@ -1559,7 +1023,7 @@
 serve_path(Req *q)
 {
     const char *path = q->info->local_uri;
-    if (atomic_load(&q->desk->inside) > q->desk->most_inside) {
+    if (desk_is_full(q->desk)) {
         q->close = true;
         return refuse_busy(q);
     }
@@ -1599,7 +1063,7 @@
 }
 
 int
-req_handle(ReqDesk *d, struct mg_connection *conn)
+req_handle(Desk *d, struct mg_connection *conn)
 {
     Req q = {.desk = d,
              .conn = conn,
@@ -1608,11 +1072,10 @@
     if (strncmp(q.info->local_uri, "/v1/", 4) != 0) {
         return 0;
     }
-    atomic_fetch_add(&d->inside, 1);
     pthread_mutex_init(&q.ticket.lock, NULL);
     pthread_cond_init(&q.ticket.decided, NULL);
-    q.id = atomic_fetch_add(&d->next_id, 1) + 1;
-    q.cfg = node_get_config(d->node);
+    q.id = desk_enter(d);
+    q.cfg = node_get_config(desk_get_node(d));
     q.caller_id = make_caller_id(&q);
     q.line = g_string_new(NULL);
     watch_start(&q.watch, q.start_ms);
@@ -1626,6 +1089,6 @@
     cfg_unref(q.cfg);
     pthread_cond_destroy(&q.ticket.decided);
     pthread_mutex_destroy(&q.ticket.lock);
-    atomic_fetch_sub(&d->inside, 1);
+    desk_leave(d);
     return status;
 }
--- a/src/req.h
+++ b/src/req.h
@@ -1,47 +1,17 @@
 /* req: the life of one caller's request, on its own HTTP thread: who asks,
    what for, the core's decision, the call to the upstream, the answer.
 
-   Every answer carries X-Bglade-Outcome: answered, refused-not-run or
-   failed-may-have-run.  "Not run" is said only when no byte reached an
-   upstream or the upstream itself said so. */
+   Every answer carries X-Bglade-Outcome: answered, streaming,
+   refused-not-run or failed-may-have-run.  "Not run" is said only when no
+   byte reached an upstream or the upstream itself said so. */
 #ifndef REQ_H
 #define REQ_H
 
-#include "bg_base.h"
-#include "lim.h"
-#include "node.h"
-#include "once.h"
-#include "qr.h"
-#include "rt.h"
+#include "desk.h"
 
-/* Between request threads and the core thread. */
-typedef struct ReqDesk ReqDesk;
+struct mg_connection;
 
-/* LIMITS is used on the core thread only and stays the caller's. */
-ReqDesk *req_create_desk(Node *n, Lim *limits);
-/* The cores that decide about non-idempotent calls and quarantine; both
-   must outlive the desk.  Before the first request. */
-void req_use_cores(ReqDesk *d, OnceCore *once, QrCore *quarantine);
-void req_destroy_desk(ReqDesk *d);
-
-/* HTTP thread: answer CONN, or return 0 when the path is not ours. */
-int req_handle(ReqDesk *d, struct mg_connection *conn);
-
-/* Core thread: an event posted by a request thread; frees it. */
-void req_on_event(ReqDesk *d, RtCore *core, uint64_t now_ms, void *event);
-/* Core thread: the core's decisions. */
-void req_on_send(ReqDesk *d, uint64_t id, const char *upstream,
-                 const char *address, uint32_t long_run_ms);
-void req_on_refuse(ReqDesk *d, uint64_t id, RtReason reason,
-                   uint64_t retry_after_ms);
-void req_on_finish(ReqDesk *d, uint64_t id);
-/* Core thread: what the at-most-once core decided about a call. */
-void req_on_once(ReqDesk *d, RtCore *core, uint64_t now_ms, uint64_t id,
-                 const OnceDecision *decision);
-/* Core thread: the fold has applied a death record. */
-void req_on_death(ReqDesk *d, RtCore *core, const uint8_t digest[32]);
-
-/* Requests inside HTTP threads now. */
-uint32_t req_count(const ReqDesk *d);
+/* Answer CONN, or return 0 when the path is not ours. */
+int req_handle(Desk *d, struct mg_connection *conn);
 
 #endif
