--- /dev/null
+++ b/src/pl_int.h
@@ -0,0 +1,255 @@
+/* pl_int: inside of the placement core, for the pl_*.c files only.
+
+   pl.c        life, events and state
+   pl_book.c   what is known of loads, and records for the log
+   pl_own.c    who owns the data centre, and the standing grant
+   pl_order.c  orders, reports and answers of upstreams
+   pl_place.c  counts, choice and decisions
+   pl_check.c  the invariants, in one place */
+#ifndef PL_INT_H
+#define PL_INT_H
+
+#include "pl.h"
+
+#define MISSED_POLLS_SILENT 3 /* then nobody is counted on there */
+#define CLAIM_RETRY_MS 2000
+#define CLAIM_HOLD_MAX_MS 60000
+#define VM_LIST_WAIT_MS 3000
+#define GRANT_FIRST_MS 1000
+#define GRANT_REFRESH_MS 10000
+#define GRANT_CONFIRM_MS 3500 /* longer than a read of the log may take */
+#define RECORD_RETRY_MS 3000
+#define ORDER_RETRY_MS 200
+#define REFUSED_RETRY_MS 1000
+#define GONE_POLL_MS 1000
+#define LOADING_POLL_MS 40
+#define FORGET_GONE_MS 60000
+#define DEMAND_AGE_MS 3000
+#define MIN_GAP_MS 1500
+#define KEEP_MAX_MS (30u * 60 * 1000)
+
+#define BACKOFF_MIN_MS 500
+#define BACKOFF_MAX_MS 15000
+#define NO_ROOM_RETRY_AFTER_MS 2000
+#define LOG_AWAY_RETRY_AFTER_MS 5000
+#define PRIORITY_WORTH_MS 2000 /* of slack, one step of priority */
+#define MB_PER_SLACK_MS 100
+#define DRAIN_LOG_WAIT_MS 5000
+/* A replica that is there without a record is dropped after its intent lost
+   so often. */
+#define FOUND_TRIES 5
+
+typedef enum {
+    LOAD_RECORDING, /* intent appended, not yet in effect */
+    LOAD_ORDERING,  /* may be ordered; the upstream has not acknowledged */
+    LOAD_LOADING,   /* acknowledged */
+    LOAD_LOADED,
+    LOAD_UNLOADING, /* unload ordered, not acknowledged */
+    LOAD_LINGERING, /* absent, but an order for it may still arrive */
+    LOAD_SETTLING   /* absent for good; the record is on its way */
+} LoadPhase;
+
+static const char *const phase_names[] = {
+    "recording", "ordering",  "loading", "loaded",
+    "unloading", "lingering", "settling"};
+
+/* One replica, or what may become one, on one upstream. */
+typedef struct {
+    struct Upstream *at;
+    char *model;
+    char load_id[BG_ID_LEN + 1];
+    LoadPhase phase;
+    uint32_t memory_mb;
+    uint64_t phase_ms;    /* when the phase began */
+    uint64_t next_try_ms; /* of its order or record */
+    bool order_out;       /* an order's answer is awaited */
+    uint64_t order_fence; /* highest number a load order carried */
+    uint64_t ack_seq;     /* reports above it know of the last order */
+    uint32_t acked;       /* load orders known to have been taken */
+    char *boot;           /* life of the upstream that its orders are for */
+    /* Load orders of unknown fate.  Each may still arrive, until that life
+       ends or, if the upstream fences, it saw a higher number. */
+    uint32_t unknown;
+    bool seen_absent; /* by a report since the last load order */
+    bool adopted;     /* recorded by an earlier owner */
+    bool found;       /* reported without a record; being recorded */
+    uint32_t found_tries;
+    uint64_t final_ms; /* ADOPTED: when its orders were first known dead */
+    bool ended;        /* the life it was for ended */
+    bool granted;      /* ordered under the standing grant */
+    bool loaded_recorded;
+    bool closed_recorded;
+    bool from_store;
+    uint64_t last_used_ms;
+} Load;
+
+typedef struct {
+    int state; /* 1 loading, 2 loaded */
+    uint32_t memory_mb;
+    char load_id[BG_ID_LEN + 1];
+} Resident;
+
+typedef struct Upstream {
+    char *id;
+    char *deployment;
+    char *address;        /* NULL: known from records only */
+    uint64_t gone_ms;     /* since when */
+    uint32_t capacity_mb; /* 0: no report yet */
+    uint32_t inflight;
+    uint64_t seq;       /* of the newest report taken */
+    char *boot;         /* the upstream process that made it */
+    uint64_t boot_ms;   /* when the newest report of it was asked for */
+    uint64_t report_ms; /* when the last report came */
+    uint64_t next_poll_ms;
+    uint64_t poll_sent_ms;
+    uint32_t missed_polls;  /* since the last report */
+    uint64_t settled_epoch; /* epoch under which it may be ordered */
+    uint64_t settled_ms;
+    uint64_t fence_sent_ms;
+    uint64_t next_fence_ms;
+    uint64_t fresh_ms;     /* SEQ's report was made after this time */
+    uint64_t fenced_to;    /* highest number it acknowledged in this life */
+    uint64_t ack_seq;      /* reports above it know of every answered order */
+    GHashTable *residents; /* model -> Resident */
+    GHashTable *tiers;     /* model -> GINT: 1 disk, 2 memory */
+    GHashTable *loads;     /* model -> Load */
+    bool engine; /* takes orders; plain services are asked for reports only */
+    bool fenced;
+    bool leaving;
+    bool gone;  /* off the list */
+    bool dirty; /* routers do not know its state yet */
+    bool poll_out;
+    bool confirmed; /* SETTLED_EPOCH was still ours by the log, later */
+    bool fence_out;
+    bool want_fresh; /* a report made from now on is needed */
+} Upstream;
+
+/* What the routers want of one model, and how it was used. */
+typedef struct {
+    char *name;
+    GHashTable *routers; /* node -> RouterWant */
+    uint64_t last_used_ms;
+    uint64_t wanted_ms; /* since when somebody waits; 0: nobody */
+    uint64_t refused_ms;
+    uint32_t failures;     /* loads that died, in a row */
+    uint64_t next_load_ms; /* not before */
+    KeepStats gaps;
+} Model;
+
+typedef struct {
+    uint32_t waiting;
+    uint64_t deadline_ms;
+    uint32_t priority;
+    uint32_t inflight;
+    uint64_t seen_ms;
+} RouterWant;
+
+/* An epoch of this process that has ended: its orders under way. */
+typedef struct {
+    uint64_t epoch;
+    uint32_t orders_out;
+    GPtrArray *open; /* "upstream\nmodel": orders of unknown fate */
+    uint64_t next_try_ms;
+} Closing;
+
+struct PlCore {
+    PlParams params;
+    const Fold *fold;
+    PlOutput out;
+    BgRandom rng;
+    GHashTable *upstreams; /* id -> Upstream */
+    GHashTable *models;    /* name -> Model */
+    GHashTable *beats;     /* node -> uint64_t last heard as owner */
+    GPtrArray *closing;    /* Closing */
+    uint64_t now_ms;
+    uint64_t start_ms;
+    bool vms_known;
+    bool log_reachable;
+    bool caught_up;
+    uint64_t log_turned_ms; /* when reachability last changed */
+    bool draining;
+    uint64_t drain_ms;
+    uint64_t quiesce_try_ms;
+    uint64_t claim_tried_ms;
+    uint64_t claim_seen_ms; /* when the claim in force was first seen */
+    uint64_t claim_hold_ms; /* how long a claim is respected unheard */
+    uint64_t claim_epoch;
+    char *claim_holder;
+    uint64_t clear_try_ms;
+    uint64_t grant_changed_ms; /* since when the grant's list is out of date */
+    uint64_t store_start_ms;   /* last start of a load from the store */
+    uint32_t orders_out;       /* of claim_epoch, while owner */
+    uint64_t residency_seq;
+    bool owner;
+};
+
+typedef enum {
+    SETTLE_LOADED,
+    SETTLE_CLOSED,
+    SETTLE_ABSENT,
+    SETTLE_ENDED
+} Fate;
+
+typedef struct {
+    uint32_t counted; /* replicas, loaded, on the way or possible */
+    uint32_t usable;  /* of these: loaded or on the way, where it answers */
+    uint32_t coming;  /* on the way */
+    Load *lingering;  /* one that may be loaded again under its record */
+} Replicas;
+
+/* ---- pl.c: life, events and state ---- */
+void pl_free_load(gpointer p);
+
+/* ---- pl_book.c: what is known of loads, and records for the log ---- */
+Upstream *pl_get_upstream(PlCore *c, const char *id);
+Load *pl_find_load(const PlCore *c, const char *upstream, const char *model);
+Load *pl_add_load(Upstream *u, const char *model, LoadPhase phase,
+                  uint64_t now_ms);
+void pl_remove_load(Load *l);
+void pl_set_phase(Load *l, LoadPhase phase, uint64_t now_ms);
+Model *pl_get_model(PlCore *c, const char *name);
+GPtrArray *pl_list_loads_at(const Upstream *u);
+GPtrArray *pl_list_loads(const PlCore *c);
+const FoldIntent *pl_find_intent(const PlCore *c, const char *upstream,
+                                 const char *model);
+bool pl_is_settled(const PlCore *c, const Upstream *u);
+bool pl_is_lost(const PlCore *c, const Upstream *u);
+GPtrArray *pl_list_granting(const PlCore *c);
+void pl_append_claim(PlCore *c, uint64_t base);
+void pl_append_intent(PlCore *c, const Load *l, uint32_t ceiling,
+                      bool adapter);
+void pl_append_settle(PlCore *c, const char *upstream, const char *model,
+                      const char *load_id, Fate fate);
+void pl_append_clear(PlCore *c);
+void pl_append_quiesce(PlCore *c, uint64_t epoch, const GPtrArray *open);
+
+/* ---- pl_own.c: who owns the data centre, and the standing grant ---- */
+void pl_consider_claim(PlCore *c, uint64_t now_ms);
+void pl_note_claim(PlCore *c, uint64_t now_ms);
+void pl_close_epochs(PlCore *c, uint64_t now_ms);
+void pl_hand_over(PlCore *c, uint64_t now_ms);
+const char *pl_pick_grant(const FoldGrant *g, const char *deployment,
+                          const char *key);
+const char *pl_get_grant_key(const CfgModel *m);
+const FoldGrant *pl_find_own_grant(const PlCore *c);
+uint32_t pl_count_possible(const PlCore *c, const CfgModel *m);
+void pl_consider_clear(PlCore *c, uint64_t now_ms);
+void pl_consider_refresh(PlCore *c, uint64_t now_ms);
+
+/* ---- pl_order.c: orders, reports and answers of upstreams ---- */
+uint64_t pl_get_fence(const PlCore *c);
+void pl_send_order(PlCore *c, PlOrderKind kind, const Upstream *u,
+                   const CfgModel *m, Load *l);
+void pl_poll_upstream(PlCore *c, Upstream *u, uint64_t now_ms);
+void pl_settle_upstream(PlCore *c, Upstream *u, uint64_t now_ms);
+void pl_take_absent(PlCore *c, Load *l, uint64_t now_ms);
+
+/* ---- pl_place.c: counts, choice and decisions ---- */
+uint32_t pl_count_unrecorded(const PlCore *c, const Upstream *u,
+                             const char *except);
+uint32_t pl_count_memory(const PlCore *c, const Upstream *u);
+void pl_decide(PlCore *c, uint64_t now_ms);
+void pl_settle_lost(PlCore *c, Upstream *u, uint64_t now_ms);
+gboolean pl_is_forgettable(gpointer id, gpointer p, gpointer ctx);
+
+#endif
