Scripted: an owner that takes a peer's state finds its own intent there

Asked by the state work: might a load in RECORDING miss its record for good after a restore? It does not: the intent is appended again, loses against its own, and the load is ordered (scripts/pl/restore). Nothing to mend.

--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -12,6 +12,7 @@
      vms NODE ID:DEPLOYMENT[:leaving] ...
      log NODE up|down
      read NODE COUNT        deliver the next entries
+     restore NODE           the state of all entries, without the records
      commit N / drop N      an append takes effect, or never does
      beat NODE FROM         NODE hears FROM, the owner
      demand NODE MODEL:WAITING:INFLIGHT[:SLACK_MS[:PRIORITY]] ...
@@ -271,6 +272,27 @@
     }
 }
 
+/* The state of the whole log at once, as a process takes it that fell behind:
+   the core is told of no record. */
+static void
+run_restore(Script *s, Node *n)
+{
+    Fold *whole = fold_create();
+    for (guint i = 0; i < s->log->len; i++) {
+        const Bytes *b = &g_array_index(s->log, Bytes, i);
+        fold_apply(whole, i + 1, b->data, b->len, NULL);
+    }
+    g_autoptr(GByteArray) state = fold_encode(whole);
+    g_autoptr(GError) err = NULL;
+    if (fold_restore(n->fold, state->data, state->len, &err)) {
+        n->read = s->log->len;
+    }
+    else {
+        printf("not restored: %s\n", err->message);
+    }
+    fold_destroy(whole);
+}
+
 static void
 run_vms(const Script *s, Node *n, char **w, int count)
 {
@@ -413,6 +435,9 @@
     else if (strcmp(w[0], "read") == 0) {
         run_read(s, n, get_number(w[2]));
     }
+    else if (strcmp(w[0], "restore") == 0) {
+        run_restore(s, n);
+    }
     else if (strcmp(w[0], "beat") == 0) {
         pl_on_beat(n->core, s->now_ms, w[2], true);
     }
