Unstreamed completions close their connections

Cause: each opened a connection of its own and left it in the pool, where no other call of its kind takes it, up to 16 for each of 256 clients. Ruled out: the routing core (32 waiting, one upstream ejected: it was right), the load tool, the placer. Change: closed after use. After: at most one more (test_silence.py::test_unstreamed_completions_leave_no_connections, red first).

--- a/src/req.c
+++ b/src/req.c
@@ -697,12 +697,14 @@
                      .total_ms = left_ms,
                      .idle_ms = l->idle_ms,
                      .max_idle_ms = l->pool_idle_ms,
-                     .fresh = q->service != NULL,
                      /* Nothing is heard of a whole generation before its
                         end: a forgotten connection would eat the deadline,
-                        and a new one costs little beside the generation. */
-                     .renew =
-                         !q->stream || desk_was_silent(q->desk, t->address),
+                        and a new one costs little beside the generation.
+                        It is closed after use: no other call of its kind
+                        would take it from the pool, and idle ones would hold
+                        the engine's threads until it falls silent. */
+                     .fresh = !q->stream,
+                     .renew = desk_was_silent(q->desk, t->address),
                      .attempt_id = attempt_id,
                      .on_head = take_stream_head,
                      .on_data = NULL,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -208,3 +208,23 @@
     wait_until(is_back, 15, "return")
     assert len(shares) >= 3 and shares == sorted(shares)
     call_many(two, 8)
+
+
+def open_connections(port):
+    """Established connections to PORT on this machine."""
+    with open("/proc/net/tcp", encoding="ascii") as f:
+        rows = [line.split() for line in f.readlines()[1:]]
+    return sum(r[2].endswith(":%04X" % port) and r[3] == "01" for r in rows)
+
+
+def test_unstreamed_completions_leave_no_connections(one):
+    """Each unstreamed completion opens a connection of its own.  If it were
+    kept in the pool, where none of its kind is ever used again, idle ones
+    would pile up at the engine until it has no thread for a caller and falls
+    silent."""
+    port = one.port("dc1-lm1")
+    call_many(one, 2)
+    before = open_connections(port)
+    for i in range(20):
+        call(one, "left %d" % i)
+    assert open_connections(port) <= before + 1
