--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -29,6 +29,7 @@
 #include "ckpt.h"
 #include "fold.h"
 #include "rec.h"
+#include "script.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -451,13 +452,8 @@
 run_line(Script *s, char *line)
 {
     char *words[MAX_WORDS] = {0};
-    int count = 0;
-    char *save;
-    for (char *w = strtok_r(line, " \n", &save); w && count < MAX_WORDS;
-         w = strtok_r(NULL, " \n", &save)) {
-        words[count++] = w;
-    }
-    if (count == 0 || words[0][0] == '#') {
+    int count = script_split(line, words, MAX_WORDS);
+    if (count == 0) {
         return;
     }
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
--- a/tests/script_lim.c
+++ b/tests/script_lim.c
@@ -9,6 +9,7 @@
      restart ROUTER          a new process in its place
      shares                  prints the sum of the shares of each limit */
 #include "lim.h"
+#include "script.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -225,13 +226,8 @@
 run_line(Script *s, char *line)
 {
     char *words[8] = {0};
-    int count = 0;
-    char *save;
-    for (char *w = strtok_r(line, " \n", &save); w && count < 8;
-         w = strtok_r(NULL, " \n", &save)) {
-        words[count++] = w;
-    }
-    if (count == 0 || words[0][0] == '#') {
+    int count = script_split(line, words, 8);
+    if (count == 0) {
         return;
     }
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -27,6 +27,7 @@
 #include "fold.h"
 #include "pl.h"
 #include "rec.h"
+#include "script.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -520,13 +521,8 @@
     for (int i = 0; i < MAX_WORDS; i++) {
         words[i] = nothing;
     }
-    int count = 0;
-    char *save;
-    for (char *w = strtok_r(line, " \n", &save); w && count < MAX_WORDS;
-         w = strtok_r(NULL, " \n", &save)) {
-        words[count++] = w;
-    }
-    if (count == 0 || words[0][0] == '#') {
+    int count = script_split(line, words, MAX_WORDS);
+    if (count == 0) {
         return;
     }
     if (!run_command(s, words, count)) {
