--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 
 HAND = $(filter-out src/bglade.pb-c.c,$(wildcard src/*.c)) \
 	$(wildcard tests/*.c)
-HAND_H = $(filter-out src/bglade.pb-c.h,$(wildcard src/*.h))
+HAND_H = $(filter-out src/bglade.pb-c.h,$(wildcard src/*.h)) \
+	$(wildcard tests/*.h)
 
 lint:
 	clang-format --dry-run -Werror $(HAND) $(HAND_H)
--- a/tests/script_feed.c
+++ b/tests/script_feed.c
@@ -22,6 +22,7 @@
 #include "ckpt.h"
 #include "feed.h"
 #include "rec.h"
+#include "script.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -560,13 +561,8 @@
 run_line(World *w, char *line)
 {
     char *words[MAX_WORDS + 1] = {0};
-    int count = 0;
-    char *save;
-    for (char *t = strtok_r(line, " \n", &save); t && count < MAX_WORDS;
-         t = strtok_r(NULL, " \n", &save)) {
-        words[count++] = t;
-    }
-    if (count == 0 || words[0][0] == '#') {
+    int count = script_split(line, words, MAX_WORDS);
+    if (count == 0) {
         return;
     }
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
