A replaced log: the test waits for the placers as well

Cause: the test read versions once the routers were ready; a placer that had just started and was not ready yet stood at 0 (seen once, in make tsan beside make asan: {0, 1} == {1}; which process it was the run did not say). Ruled out: nothing else was looked into; a process without state says so at /readyz (503), and the test now asks that of each. Change: each placer must be ready, then all versions must be the accepted one: the same assertion.

--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -165,7 +165,10 @@
                                for d in c.placers("dc1")), 15, "fault")
         c.kill_vm("dc1-vm1")
         c.start_vm("dc1-vm1")
-        c.wait_ready()
+        c.wait_ready()  # routers; placers may still be without state
+        for d in c.placers("dc1"):
+            wait_until(lambda n=d: c.call(n, "GET", "/readyz").status == 200,
+                       15, d + " ready")
         assert set(c.versions().values()) == {version}
 
 
