--- a/Makefile
+++ b/Makefile
@@ -5,17 +5,20 @@
 CFLAGS ?= -O2 -g
 CFLAGS_ALL = -std=gnu11 -Wall -Wextra -Werror -D_GNU_SOURCE -Isrc \
 	$(shell pkg-config --cflags $(PKGS)) $(CFLAGS) $(SAN)
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lev -lhttp_parser \
+	-lpthread -lm
 
 LIB_SRC = $(filter-out src/main_%.c,$(wildcard src/*.c))
-LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/%.o)
+PF_SRC = $(wildcard platform/*.c)
+LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/%.o) $(PF_SRC:platform/%.c=$(BUILD)/%.o)
 BINS = $(patsubst src/main_%.c,$(BUILD)/bglade-%,$(wildcard src/main_*.c))
 UNITS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/unit_*.c))
 SCRIPTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/script_*.c))
 PROGS = $(subst bglade-client,bglade,$(BINS))
 APT = gcc make pkg-config python3 libcivetweb-dev libcurl4-openssl-dev \
 	liburcu-dev libprotobuf-c-dev libglib2.0-dev libjansson-dev \
-	libxxhash-dev libssl-dev libcunit1-dev python3-hypothesis \
+	libxxhash-dev libssl-dev libev-dev libhttp-parser-dev \
+	protobuf-c-compiler libcunit1-dev python3-hypothesis \
 	python3-pytest python3-pytest-xdist clang-format clang-tidy cppcheck
 
 all: $(PROGS) $(UNITS) $(SCRIPTS)
@@ -25,6 +28,11 @@
 	@echo CC $@
 	@$(CC) $(CFLAGS_ALL) -MMD -c $< -o $@
 
+$(BUILD)/%.o: platform/%.c
+	@mkdir -p $(BUILD)
+	@echo CC $@
+	@$(CC) $(CFLAGS_ALL) -MMD -c $< -o $@
+
 $(BUILD)/libbglade.a: $(LIB_OBJ)
 	rm -f $@
 	ar rcs $@ $^
@@ -49,7 +57,7 @@
 
 # The generated code is committed; only a change of the schema needs this.
 proto:
-	cd src && protoc-c --c_out=. bglade.proto
+	cd src && protoc-c --c_out=. bglade.proto gateway.proto
 
 install-packages:
 	apt-get update -q && DEBIAN_FRONTEND=noninteractive \
@@ -62,9 +70,10 @@
 check: all
 	/usr/bin/python3 tests/run_all.py --build $(BUILD)
 
-HAND = $(filter-out src/bglade.pb-c.c,$(wildcard src/*.c)) \
+HAND = $(filter-out %.pb-c.c,$(wildcard src/*.c)) $(PF_SRC) \
 	$(wildcard tests/*.c)
-HAND_H = $(filter-out src/bglade.pb-c.h,$(wildcard src/*.h)) \
+HAND_H = $(filter-out %.pb-c.h,$(wildcard src/*.h)) \
+	$(wildcard platform/*.h) \
 	$(wildcard tests/*.h)
 
 lint:
--- a/src/bg_base.c
+++ b/src/bg_base.c
@@ -87,6 +87,12 @@
     return read_clock_us(CLOCK_REALTIME) / 1000;
 }
 
+uint64_t
+bg_boot_ms(void)
+{
+    return read_clock_us(CLOCK_BOOTTIME) / 1000;
+}
+
 void
 bg_sleep_ms(uint32_t wait_ms)
 {
--- a/src/bg_base.h
+++ b/src/bg_base.h
@@ -42,6 +42,9 @@
 uint64_t bg_now_ms(void);  /* monotonic, milliseconds */
 uint64_t bg_now_us(void);  /* monotonic, microseconds */
 uint64_t bg_wall_ms(void); /* since the epoch, milliseconds */
+/* Like bg_now_ms, but a suspension of the VM counts: for leases and
+   deadlines, which go on while the VM sleeps. */
+uint64_t bg_boot_ms(void);
 void bg_sleep_ms(uint32_t wait_ms);
 
 /* Write BG_ID_LEN random hex digits and a NUL into ID. */
--- /dev/null
+++ b/src/dep.c
@@ -0,0 +1,233 @@
+#include "dep.h"
+
+#include <string.h>
+
+/* ---- configuration ------------------------------------------------------ */
+
+static void
+clear_split(void *p)
+{
+    g_free(((DepSplit *)p)->service);
+}
+
+static void
+free_route(void *p)
+{
+    DepRoute *r = p;
+    g_free(r->name);
+    g_free(r->host);
+    g_free(r->prefix);
+    g_array_free(r->splits, TRUE);
+    g_free(r);
+}
+
+static void
+free_model(void *p)
+{
+    g_free(((DepModel *)p)->name);
+    g_free(p);
+}
+
+static void
+free_service(void *p)
+{
+    DepService *s = p;
+    g_free(s->name);
+    g_free(s->health_path);
+    g_hash_table_destroy(s->models);
+    g_free(s);
+}
+
+DepConfig *
+dep_create_config(void)
+{
+    DepConfig *c = g_new0(DepConfig, 1);
+    c->refs = 1;
+    c->routes = g_ptr_array_new_with_free_func(free_route);
+    c->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    return c;
+}
+
+DepConfig *
+dep_ref_config(DepConfig *c)
+{
+    g_atomic_int_inc(&c->refs);
+    return c;
+}
+
+void
+dep_unref_config(DepConfig *c)
+{
+    if (!c || !g_atomic_int_dec_and_test(&c->refs)) {
+        return;
+    }
+    if (c->hosts) {
+        g_hash_table_destroy(c->hosts);
+    }
+    g_ptr_array_free(c->routes, TRUE);
+    g_hash_table_destroy(c->services);
+    g_free(c);
+}
+
+DepRoute *
+dep_add_route(DepConfig *c)
+{
+    DepRoute *r = g_new0(DepRoute, 1);
+    r->splits = g_array_new(FALSE, TRUE, sizeof(DepSplit));
+    g_array_set_clear_func(r->splits, clear_split);
+    g_ptr_array_add(c->routes, r);
+    return r;
+}
+
+DepService *
+dep_add_service(DepConfig *c, const char *name)
+{
+    DepService *s = g_new0(DepService, 1);
+    s->name = g_strdup(name);
+    s->models =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
+    g_hash_table_insert(c->services, s->name, s);
+    return s;
+}
+
+DepModel *
+dep_add_model(DepService *s, const char *name)
+{
+    DepModel *m = g_new0(DepModel, 1);
+    m->name = g_strdup(name);
+    g_hash_table_insert(s->models, m->name, m);
+    return m;
+}
+
+static gint
+compare_prefix_length(gconstpointer a, gconstpointer b)
+{
+    const DepRoute *x = *(DepRoute *const *)a;
+    const DepRoute *y = *(DepRoute *const *)b;
+    size_t x_len = strlen(x->prefix);
+    size_t y_len = strlen(y->prefix);
+    return x_len < y_len ? 1 : x_len > y_len ? -1 : 0;
+}
+
+static void
+free_route_list(void *p)
+{
+    g_ptr_array_free(p, TRUE);
+}
+
+void
+dep_index_routes(DepConfig *c)
+{
+    c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                     free_route_list);
+    for (guint i = 0; i < c->routes->len; i++) {
+        DepRoute *r = c->routes->pdata[i];
+        GPtrArray *list = g_hash_table_lookup(c->hosts, r->host);
+        if (!list) {
+            list = g_ptr_array_new();
+            g_hash_table_insert(c->hosts, r->host, list);
+        }
+        g_ptr_array_add(list, r);
+    }
+    GHashTableIter it;
+    gpointer list;
+    g_hash_table_iter_init(&it, c->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &list)) {
+        g_ptr_array_sort(list, compare_prefix_length);
+    }
+}
+
+const DepRoute *
+dep_find_route(const DepConfig *c, const char *host, const char *path)
+{
+    const char *colon = strchr(host, ':');
+    g_autofree char *bare =
+        g_ascii_strdown(host, colon ? (gssize)(colon - host) : -1);
+    const GPtrArray *list = g_hash_table_lookup(c->hosts, bare);
+    for (guint i = 0; list && i < list->len; i++) {
+        const DepRoute *r = list->pdata[i];
+        if (g_str_has_prefix(path, r->prefix)) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+const char *
+dep_pick_service(const DepRoute *r, uint64_t hash)
+{
+    uint64_t total = 0;
+    for (guint i = 0; i < r->splits->len; i++) {
+        total += g_array_index(r->splits, DepSplit, i).weight;
+    }
+    uint64_t at = total ? hash % total : 0;
+    for (guint i = 0; i < r->splits->len; i++) {
+        const DepSplit *s = &g_array_index(r->splits, DepSplit, i);
+        if (at < s->weight) {
+            return s->service;
+        }
+        at -= s->weight;
+    }
+    return g_array_index(r->splits, DepSplit, 0).service;
+}
+
+/* ---- upstreams ---------------------------------------------------------- */
+
+static void
+free_resident(void *p)
+{
+    DepResident *r = p;
+    g_free(r->name);
+    g_ptr_array_free(r->adapters, TRUE);
+    g_free(r);
+}
+
+DepUpstream *
+dep_create_upstream(void)
+{
+    DepUpstream *u = g_new0(DepUpstream, 1);
+    u->models = g_ptr_array_new_with_free_func(free_resident);
+    u->in_memory = g_ptr_array_new_with_free_func(g_free);
+    u->on_disk = g_ptr_array_new_with_free_func(g_free);
+    return u;
+}
+
+void
+dep_destroy_upstream(DepUpstream *u)
+{
+    if (!u) {
+        return;
+    }
+    g_free(u->id);
+    g_free(u->service);
+    g_free(u->address);
+    g_free(u->data_centre);
+    g_ptr_array_free(u->models, TRUE);
+    g_ptr_array_free(u->in_memory, TRUE);
+    g_ptr_array_free(u->on_disk, TRUE);
+    g_free(u);
+}
+
+DepResident *
+dep_add_resident(DepUpstream *u, const char *name)
+{
+    DepResident *r = g_new0(DepResident, 1);
+    r->name = g_strdup(name);
+    r->adapters = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(u->models, r);
+    return r;
+}
+
+/* ---- one request -------------------------------------------------------- */
+
+void
+dep_clear_call(DepCall *call)
+{
+    g_free(call->model);
+    g_free(call->adapter);
+    if (call->parts) {
+        g_array_free(call->parts, TRUE);
+    }
+    memset(call, 0, sizeof(*call));
+}
--- /dev/null
+++ b/src/gw.c
@@ -0,0 +1,1057 @@
+#include "gw.h"
+
+#include "jl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* The caller's clock started before ours: an answer that it is to see in
+   time leaves this much before its deadline. */
+#define DEADLINE_MARGIN_MS 80
+/* An upstream that takes several times the usual is taken for silent, where
+   the request may be sent elsewhere. */
+#define SILENT_FACTOR 4
+#define SILENT_MIN_PLAIN_MS 120
+#define SILENT_MIN_STREAM_MS 700
+/* Pause inside a stream after which it is resumed elsewhere, in pauses that
+   the route allows; without that figure the fixed time. */
+#define SILENT_GAPS 2
+#define SILENT_GAP_MS 1000
+/* Kept connections older than this aren't used for what may not be sent
+   twice: a close that crosses the request would lose it. */
+#define MAX_IDLE_ONCE_MS 1500
+#define DEATH_LIFE_MS 120000
+/* A refusal without a better estimate: until a VM or upstream is back. */
+#define RETRY_SOON_MS 200
+#define RETRY_LATER_MS 1000
+/* A service without any upstream is waited for this long: its list may be
+   behind. */
+#define EMPTY_WAIT_MS 150
+#define WAIT_LIFE_MS 1500 /* an estimate older than this is forgotten */
+/* Least time in which a model that has just come can still answer. */
+#define SERVE_MS 150
+#define MAX_SENDS 6 /* of one request, those that ran nothing included */
+
+typedef enum { REQ_WAITING, REQ_SENT } ReqState;
+
+typedef struct {
+    Gw *gw;
+    HtExchange *x;
+    DepConfig *config;
+    const DepRoute *route; /* of that configuration */
+    const char *service;   /* of that route */
+    DepCall call;
+    UtQuery query;
+    GPtrArray *tried; /* Ut: not to be used again */
+    uint64_t digest;  /* of what the caller asks, whoever carries it */
+    uint64_t arrival_ms;
+    uint64_t final_ms; /* an answer, of whatever kind, is out by then */
+    ReqState state;
+    const char *waits_for; /* for the log */
+    uint64_t wait_from_ms;
+    GList *link; /* in the gateway's requests */
+
+    /* the call that is out */
+    HtCall *hc;
+    Ut *ut;
+    uint64_t sent_ms;
+    uint64_t first_ms; /* 0: no byte of an answer yet */
+    uint64_t heard_ms;
+    bool not_run; /* the answer says so */
+    uint16_t status;
+    bool takes_stream; /* its events go to the caller */
+
+    uint32_t sends;   /* that reached an upstream */
+    uint32_t runs;    /* that may have run */
+    bool repeated;    /* the next send draws on the budget */
+
+    /* the answer, if it is not passed on as it comes */
+    GString *head;
+    GByteArray *body;
+    /* a failure that an upstream answered, kept while another is tried */
+    uint16_t kept_status;
+    GString *kept_head;
+    GByteArray *kept_body;
+
+    /* the stream that is passed on */
+    bool streaming;
+    GString *partial; /* bytes of an event that is not whole */
+    int64_t last_event;
+} Req;
+
+typedef struct {
+    GHashTable *upstreams; /* set: those that ended under it */
+    uint64_t last_ms;
+} Deaths;
+
+typedef struct {
+    uint64_t said_ms;
+    uint32_t wait_ms;
+} Wait;
+
+struct Gw {
+    GwParams params;
+    const GwWire *wire;
+    GwOutput out;
+    HtPool *pool;
+    UtSet *upstreams;
+    Rb *budget;
+    DepConfig *config; /* NULL: none yet */
+    GQueue reqs;       /* Req */
+    GHashTable *arrived; /* model or "model/adapter" -> count */
+    GHashTable *waits;   /* model -> Wait */
+    GHashTable *deaths;  /* digest -> Deaths */
+    BgRandom rng;
+};
+
+static void try_send(Req *q);
+
+/* ---- ends --------------------------------------------------------------- */
+
+static void
+log_end(const Req *q, const char *outcome, uint16_t status, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
+    JlLine *l = jl_begin("request-end");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "outcome", outcome);
+    jl_number(l, "status", status);
+    jl_text(l, "why", why);
+    jl_text(l, "route", q->route ? q->route->name : NULL);
+    jl_text(l, "model", q->call.model);
+    jl_text(l, "adapter", q->call.adapter);
+    jl_text(l, "upstream", q->ut ? ut_get_id(q->ut) : NULL);
+    jl_number(l, "sends", q->sends);
+    jl_number(l, "runs", q->runs);
+    jl_number(l, "took_ms", (int64_t)(now_ms - q->arrival_ms));
+    if (q->first_ms) {
+        jl_number(l, "first_ms", (int64_t)(q->first_ms - q->arrival_ms));
+    }
+    jl_end(l);
+    bg_count("gateway_requests_total", 1);
+}
+
+static void
+free_req(Req *q)
+{
+    if (q->link) {
+        g_queue_delete_link(&q->gw->reqs, q->link);
+    }
+    dep_clear_call(&q->call);
+    dep_unref_config(q->config);
+    g_ptr_array_free(q->tried, TRUE);
+    g_string_free(q->head, TRUE);
+    g_byte_array_free(q->body, TRUE);
+    if (q->kept_head) {
+        g_string_free(q->kept_head, TRUE);
+        g_byte_array_free(q->kept_body, TRUE);
+    }
+    g_string_free(q->partial, TRUE);
+    g_free(q);
+}
+
+/* The call is over; its upstream is judged by END. */
+static void
+release(Req *q, UtEnd end)
+{
+    if (!q->ut) {
+        return;
+    }
+    uint32_t first =
+        q->first_ms > q->sent_ms && !q->not_run && q->status / 100 == 2
+            ? (uint32_t)(q->first_ms - q->sent_ms)
+            : 0;
+    ut_finish(q->gw->upstreams, q->ut, bg_boot_ms(), end, first, &q->query);
+    q->ut = NULL;
+    q->hc = NULL;
+}
+
+static void
+drop_call(Req *q, UtEnd end)
+{
+    if (q->hc) {
+        ht_cancel_call(q->hc);
+    }
+    release(q, end);
+}
+
+/* Answer the caller ourselves.  Q is gone after it. */
+static void
+answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why)
+{
+    log_end(q, status == 503 ? "refused" : "failed", status, why);
+    drop_call(q, UT_END_NEUTRAL);
+    HtExchange *x = q->x;
+    if (q->streaming) {
+        /* Its head is out: only an end that is visibly not whole is left. */
+        free_req(q);
+        ht_abort_answer(x);
+        return;
+    }
+    g_autoptr(GString) head = g_string_new(NULL);
+    if (q->call.attempt_id) {
+        g_string_append_printf(head, "%s: %s\r\n", q->gw->wire->attempt_id,
+                               q->call.attempt_id);
+    }
+    if (retry_ms) {
+        g_string_append_printf(head, "Retry-After: %.3f\r\n",
+                               retry_ms / 1000.);
+    }
+    free_req(q);
+    ht_start_answer(x, status, head->str, 0);
+    ht_end_answer(x);
+}
+
+static bool
+may_repeat(const Req *q)
+{
+    return q->route->kind == DEP_IDEMPOTENT ||
+           (q->route->kind == DEP_STREAM && q->route->resumable);
+}
+
+/* Nothing more can be done.  A refusal is true only if nothing ran. */
+static void
+give_up(Req *q, uint32_t retry_ms, const char *why)
+{
+    if (q->kept_head) {
+        /* The upstream's own failure tells the caller more than ours. */
+        HtExchange *x = q->x;
+        g_autoptr(GString) head = g_steal_pointer(&q->kept_head);
+        g_autoptr(GByteArray) body = g_steal_pointer(&q->kept_body);
+        uint16_t status = q->kept_status;
+        log_end(q, "passed-on", status, why);
+        drop_call(q, UT_END_NEUTRAL);
+        free_req(q);
+        ht_start_answer(x, status, head->str, body->len);
+        ht_write_answer(x, (const char *)body->data, body->len);
+        ht_end_answer(x);
+        return;
+    }
+    if (q->runs == 0) {
+        answer(q, 503, retry_ms ? retry_ms : RETRY_SOON_MS, why);
+    }
+    else {
+        answer(q, bg_boot_ms() >= q->final_ms ? 504 : 502, 0, why);
+    }
+}
+
+/* ---- sending ------------------------------------------------------------ */
+
+static void
+append_line(GString *out, const char *name, const char *value)
+{
+    g_string_append(out, name);
+    g_string_append(out, ": ");
+    g_string_append(out, value);
+    g_string_append(out, "\r\n");
+}
+
+static GByteArray *
+build_request(const Req *q, uint64_t now_ms)
+{
+    const GwWire *w = q->gw->wire;
+    const HtHead *in = ht_get_head(q->x);
+    const GByteArray *body = ht_get_body(q->x);
+    bool resuming = q->last_event > q->call.resume_after;
+    g_autoptr(GString) head = g_string_sized_new(1024);
+    g_string_printf(head, "%s %s HTTP/1.1\r\n", in->method, in->target);
+    for (guint i = 0; i < in->headers->len; i++) {
+        const HtHeader *h = &g_array_index(in->headers, HtHeader, i);
+        if (ht_is_hop_header(in, h->name) || w->is_own_header(h->name) ||
+            (resuming && g_ascii_strcasecmp(h->name, w->last_event) == 0)) {
+            continue;
+        }
+        append_line(head, h->name, h->value);
+    }
+    if (resuming) {
+        g_string_append_printf(head, "%s: %lld\r\n", w->last_event,
+                               (long long)q->last_event);
+    }
+    uint64_t left_ms = q->final_ms > now_ms ? q->final_ms - now_ms : 1;
+    g_string_append_printf(head, "%s: %llu\r\n", w->deadline_ms,
+                           (unsigned long long)left_ms);
+    append_line(head, w->expected_upstream, ut_get_id(q->ut));
+    if (body->len > 0 || strcmp(in->method, "POST") == 0) {
+        g_string_append_printf(head, "Content-Length: %u\r\n", body->len);
+    }
+    g_string_append(head, "\r\n");
+    GByteArray *out = g_byte_array_sized_new((guint)head->len + body->len);
+    g_byte_array_append(out, (guint8 *)head->str, (guint)head->len);
+    g_byte_array_append(out, body->data, body->len);
+    return out;
+}
+
+static void on_call_head(void *ctx, HtCall *call, const HtHead *head);
+static void on_call_data(void *ctx, HtCall *call, const char *data,
+                         size_t len);
+static void on_call_end(void *ctx, HtCall *call, HtEnd end);
+
+static void
+send_to(Req *q, Ut *ut, uint64_t now_ms)
+{
+    q->state = REQ_SENT;
+    q->ut = ut;
+    q->sent_ms = now_ms;
+    q->heard_ms = now_ms;
+    q->first_ms = 0;
+    q->not_run = false;
+    q->takes_stream = false;
+    q->status = 0;
+    g_string_truncate(q->partial, 0);
+    ut_start(ut, &q->query);
+    HtRequest req = {
+        .address = ut_get_address(ut),
+        .request = build_request(q, now_ms),
+        .connect_ms = q->gw->params.connect_ms,
+        .match_name = q->gw->wire->attempt_id,
+        .match_value = q->call.attempt_id,
+        .max_idle_ms = may_repeat(q) ? 0 : MAX_IDLE_ONCE_MS,
+    };
+    if (!q->call.attempt_id) {
+        req.match_name = NULL;
+    }
+    HtCallHandler handler = {q, on_call_head, on_call_data, on_call_end};
+    q->hc = ht_start_call(q->gw->pool, &req, &handler);
+    if (q->sends > 0 || q->query.model) {
+        JlLine *l = jl_begin("request-sent");
+        jl_text(l, "id", q->call.attempt_id);
+        jl_text(l, "upstream", ut_get_id(ut));
+        jl_number(l, "send", q->sends + 1);
+        jl_number(l, "running", ut_get_running(ut));
+        jl_number(l, "left_ms", (int64_t)(q->final_ms - now_ms));
+        jl_end(l);
+    }
+}
+
+/* ---- waiting ------------------------------------------------------------ */
+
+static uint32_t
+get_wait_ms(const Req *q, uint64_t now_ms)
+{
+    const Wait *w = g_hash_table_lookup(q->gw->waits, q->query.model);
+    if (!w || now_ms - w->said_ms > WAIT_LIFE_MS) {
+        return 0;
+    }
+    uint64_t gone_ms = now_ms - w->said_ms;
+    return w->wait_ms > gone_ms ? w->wait_ms - (uint32_t)gone_ms : 1;
+}
+
+static void
+wait_for(Req *q, uint64_t now_ms, const char *what)
+{
+    bool begins = q->state != REQ_WAITING || !q->waits_for;
+    q->state = REQ_WAITING;
+    if (!q->waits_for) {
+        q->wait_from_ms = now_ms;
+    }
+    q->waits_for = what;
+    if (begins && q->query.model) {
+        JlLine *l = jl_begin("request-waits");
+        jl_text(l, "id", q->call.attempt_id);
+        jl_text(l, "for", what);
+        jl_text(l, "model", q->call.model);
+        jl_text(l, "adapter", q->call.adapter);
+        jl_number(l, "estimate_ms", get_wait_ms(q, now_ms));
+        jl_end(l);
+        q->gw->out.wanted(q->gw->out.ctx);
+    }
+}
+
+/* A model that comes too late is refused now, with the time at which it
+   should be there. */
+static void
+wait_for_model(Req *q, uint64_t now_ms, const char *what)
+{
+    uint32_t wait_ms = get_wait_ms(q, now_ms);
+    if (wait_ms && now_ms + wait_ms + SERVE_MS > q->final_ms) {
+        give_up(q, wait_ms, "model can't be loaded in time");
+        return;
+    }
+    wait_for(q, now_ms, what);
+}
+
+static void
+try_send(Req *q)
+{
+    uint64_t now_ms = bg_boot_ms();
+    if (now_ms >= q->final_ms) {
+        give_up(q, RETRY_SOON_MS, "deadline");
+        return;
+    }
+    /* It left while it waited: nothing is begun for it. */
+    if (ht_is_gone(q->x)) {
+        q->state = REQ_WAITING;
+        q->waits_for = "nothing: the caller is gone";
+        return;
+    }
+    if (q->sends >= MAX_SENDS) {
+        give_up(q, RETRY_SOON_MS, "turned away too often");
+        return;
+    }
+    Ut *ut = NULL;
+    switch (ut_choose(q->gw->upstreams, now_ms, &q->query, &ut)) {
+    case UT_FOUND:
+        if (q->sends > 0 && !rb_take(q->gw->budget, now_ms, q->service)) {
+            give_up(q, RETRY_LATER_MS, "no budget for a repeat");
+            return;
+        }
+        send_to(q, ut, now_ms);
+        return;
+    case UT_COLD:
+        wait_for_model(q, now_ms, "model");
+        return;
+    case UT_ADAPTER:
+        wait_for_model(q, now_ms, "adapter");
+        return;
+    case UT_FULL:
+        wait_for(q, now_ms, "slot");
+        return;
+    case UT_NONE:
+        if (now_ms - q->arrival_ms < EMPTY_WAIT_MS) {
+            wait_for(q, now_ms, "upstream");
+            return;
+        }
+        give_up(q, RETRY_LATER_MS, "the service has no upstream");
+        return;
+    case UT_TRIED:
+        if (q->runs == 0 && q->tried->len > 0) {
+            g_ptr_array_set_size(q->tried, 0);
+            wait_for(q, now_ms, "slot");
+            return;
+        }
+        give_up(q, RETRY_SOON_MS, "no other upstream");
+        return;
+    }
+}
+
+/* ---- what comes back ---------------------------------------------------- */
+
+static void
+copy_headers(const HtHead *head, GString *out)
+{
+    g_string_truncate(out, 0);
+    for (guint i = 0; i < head->headers->len; i++) {
+        const HtHeader *h = &g_array_index(head->headers, HtHeader, i);
+        if (!ht_is_hop_header(head, h->name)) {
+            append_line(out, h->name, h->value);
+        }
+    }
+}
+
+static void
+on_call_head(void *ctx, HtCall *call, const HtHead *head)
+{
+    (void)call;
+    Req *q = ctx;
+    const GwWire *w = q->gw->wire;
+    uint64_t now_ms = bg_boot_ms();
+    q->first_ms = now_ms;
+    q->heard_ms = now_ms;
+    q->status = head->status;
+    q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
+    GwLoad load;
+    if (w->read_load(head, &load)) {
+        ut_note_load(q->ut, now_ms, load.running, load.waiting, load.slots);
+    }
+    g_byte_array_set_size(q->body, 0);
+    if (!q->streaming) {
+        copy_headers(head, q->head);
+    }
+    q->takes_stream = q->route->kind == DEP_STREAM && head->status == 200 &&
+                      !q->not_run;
+}
+
+/* Length of the first whole event in TEXT, its blank line included; 0: it
+   is not whole yet. */
+static size_t
+find_event_end(const GString *text)
+{
+    const char *lf = strstr(text->str, "\n\n");
+    const char *crlf = strstr(text->str, "\n\r\n");
+    if (crlf && (!lf || crlf < lf)) {
+        return (size_t)(crlf - text->str) + 3;
+    }
+    return lf ? (size_t)(lf - text->str) + 2 : 0;
+}
+
+static int64_t
+read_event_id(const char *text, size_t len)
+{
+    const char *end = text + len;
+    for (const char *line = text; line < end;) {
+        if (strncmp(line, "id:", 3) == 0) {
+            return strtoll(line + 3, NULL, 10);
+        }
+        const char *lf = memchr(line, '\n', (size_t)(end - line));
+        line = lf ? lf + 1 : end;
+    }
+    return -1;
+}
+
+static void
+start_stream(Req *q)
+{
+    if (!q->streaming) {
+        q->streaming = true;
+        ht_start_answer(q->x, q->status, q->head->str, -1);
+    }
+}
+
+/* Only whole events are passed on, so that after a break the next upstream
+   goes on exactly behind what the caller has. */
+static void
+pass_events(Req *q)
+{
+    size_t len;
+    while ((len = find_event_end(q->partial)) > 0) {
+        int64_t id = read_event_id(q->partial->str, len);
+        if (id < 0 || id > q->last_event) {
+            start_stream(q);
+            ht_write_answer(q->x, q->partial->str, len);
+        }
+        q->last_event = MAX(q->last_event, id);
+        g_string_erase(q->partial, 0, (gssize)len);
+    }
+}
+
+static void
+on_call_data(void *ctx, HtCall *call, const char *data, size_t len)
+{
+    (void)call;
+    Req *q = ctx;
+    q->heard_ms = bg_boot_ms();
+    if (q->takes_stream) {
+        g_string_append_len(q->partial, data, (gssize)len);
+        pass_events(q);
+        return;
+    }
+    g_byte_array_append(q->body, (const guint8 *)data, (guint)len);
+}
+
+static void
+finish_stream(Req *q)
+{
+    start_stream(q);
+    ht_write_answer(q->x, q->partial->str, q->partial->len);
+    log_end(q, "answered", q->status, NULL);
+    release(q, UT_END_GOOD);
+    HtExchange *x = q->x;
+    free_req(q);
+    ht_end_answer(x);
+}
+
+static void
+pass_on(Req *q)
+{
+    HtExchange *x = q->x;
+    log_end(q, "answered", q->status, NULL);
+    release(q, q->status >= 500 ? UT_END_FAILED : UT_END_GOOD);
+    uint16_t status = q->status;
+    g_autoptr(GString) head = g_string_new_len(q->head->str,
+                                               (gssize)q->head->len);
+    g_autoptr(GByteArray) body = g_byte_array_ref(q->body);
+    q->body = g_byte_array_new();
+    free_req(q);
+    ht_start_answer(x, status, head->str, body->len);
+    ht_write_answer(x, (const char *)body->data, body->len);
+    ht_end_answer(x);
+}
+
+/* Whether another upstream may be tried after this one may have run it. */
+static bool
+may_run_again(const Req *q, uint64_t now_ms)
+{
+    const Deaths *d = g_hash_table_lookup(q->gw->deaths, &q->digest);
+    return may_repeat(q) && q->runs < q->route->attempts &&
+           now_ms + 20 < q->final_ms &&
+           !(d && g_hash_table_size(d->upstreams) > 1);
+}
+
+/* It ran nothing: the next upstream may have it. */
+static void
+handle_not_run(Req *q, uint64_t now_ms)
+{
+    q->sends++;
+    Ut *ut = q->ut;
+    bool other = q->status == 421;
+    if (q->query.model && (other || q->status == 503)) {
+        /* It lacks the model, or an order on it is under way. */
+        ut_note_absent(q->gw->upstreams, ut, now_ms, q->query.model,
+                       q->query.adapter);
+        release(q, UT_END_NEUTRAL);
+    }
+    else {
+        g_ptr_array_add(q->tried, ut);
+        release(q, other ? UT_END_NEUTRAL : UT_END_SHED);
+    }
+    try_send(q);
+}
+
+static void
+handle_failure(Req *q, UtEnd end, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
+    Ut *ut = q->ut;
+    q->sends++;
+    q->runs++;
+    JlLine *l = jl_begin("request-broken");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(ut));
+    jl_text(l, "why", why);
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_number(l, "last_event", q->last_event);
+    jl_end(l);
+    g_ptr_array_add(q->tried, ut);
+    release(q, end);
+    if (!may_run_again(q, now_ms)) {
+        give_up(q, 0, why);
+        return;
+    }
+    try_send(q);
+}
+
+/* An upstream's own failure: of what may run again another is asked, and
+   the failure kept in case that brings nothing better. */
+static void
+handle_error_status(Req *q)
+{
+    uint64_t now_ms = bg_boot_ms();
+    q->runs++;
+    if (q->status == 504 || !may_run_again(q, now_ms)) {
+        pass_on(q);
+        return;
+    }
+    q->sends++;
+    if (q->kept_head) {
+        g_string_free(q->kept_head, TRUE);
+        g_byte_array_free(q->kept_body, TRUE);
+    }
+    q->kept_status = q->status;
+    q->kept_head = q->head;
+    q->kept_body = q->body;
+    q->head = g_string_new(NULL);
+    q->body = g_byte_array_new();
+    g_ptr_array_add(q->tried, q->ut);
+    release(q, UT_END_FAILED);
+    try_send(q);
+}
+
+static void
+on_call_end(void *ctx, HtCall *call, HtEnd end)
+{
+    (void)call;
+    Req *q = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    q->hc = NULL;
+    if (end == HT_NOT_SENT) {
+        g_ptr_array_add(q->tried, q->ut);
+        release(q, UT_END_DEAD);
+        try_send(q);
+        return;
+    }
+    if (end == HT_DONE && q->not_run) {
+        handle_not_run(q, now_ms);
+    }
+    else if (end == HT_DONE && q->takes_stream) {
+        q->runs++;
+        finish_stream(q);
+    }
+    else if (end == HT_DONE && q->streaming) {
+        /* A resumption that was answered with something else. */
+        handle_failure(q, UT_END_FAILED, "resumption refused");
+    }
+    else if (end == HT_DONE && q->status >= 500) {
+        handle_error_status(q);
+    }
+    else if (end == HT_DONE) {
+        q->runs++;
+        pass_on(q);
+    }
+    else {
+        q->gw->out.died(q->gw->out.ctx, q->digest, ut_get_id(q->ut));
+        handle_failure(q, UT_END_FAILED,
+                       end == HT_GARBLED ? "garbled" : "broken off");
+    }
+}
+
+/* ---- arrival ------------------------------------------------------------ */
+
+static uint64_t
+digest_request(const HtExchange *x)
+{
+    const HtHead *head = ht_get_head(x);
+    const GByteArray *body = ht_get_body(x);
+    uint64_t d = XXH64(head->target, strlen(head->target), 0);
+    return XXH64(body->data, body->len, d);
+}
+
+static void
+refuse_at_door(HtExchange *x, uint16_t status, uint32_t retry_ms)
+{
+    char head[64] = "";
+    if (retry_ms) {
+        snprintf(head, sizeof(head), "Retry-After: %.3f\r\n",
+                 retry_ms / 1000.);
+    }
+    ht_start_answer(x, status, head, 0);
+    ht_end_answer(x);
+}
+
+static void
+set_final_time(Req *q)
+{
+    uint32_t left_ms = q->route->timeout_ms;
+    if (q->call.deadline_ms) {
+        uint32_t d = q->call.deadline_ms > DEADLINE_MARGIN_MS
+                         ? q->call.deadline_ms - DEADLINE_MARGIN_MS
+                         : 1;
+        left_ms = left_ms ? MIN(left_ms, d) : d;
+    }
+    q->final_ms = q->arrival_ms + (left_ms ? left_ms : 60000);
+}
+
+static void
+fill_query(Req *q)
+{
+    q->query.service = q->service;
+    q->query.tried = q->tried;
+    q->query.prompt_tokens = q->call.prompt_tokens;
+    if (!q->route->by_model || !q->call.model) {
+        return;
+    }
+    q->query.model = q->call.model;
+    q->query.adapter = q->call.adapter;
+    const GArray *parts = q->call.parts;
+    if (parts && parts->len > 1) {
+        /* The last part is this request's own. */
+        q->query.affinity =
+            g_array_index(parts, DepPart, parts->len - 2).digest;
+    }
+}
+
+static void
+note_arrival(Req *q)
+{
+    if (!q->query.model) {
+        return;
+    }
+    g_autofree char *key =
+        q->query.adapter
+            ? g_strconcat(q->query.model, "/", q->query.adapter, NULL)
+            : g_strdup(q->query.model);
+    guint n = GPOINTER_TO_UINT(g_hash_table_lookup(q->gw->arrived, key));
+    g_hash_table_insert(q->gw->arrived, g_steal_pointer(&key),
+                        GUINT_TO_POINTER(n + 1));
+}
+
+static Req *
+create_req(Gw *g, HtExchange *x, const DepRoute *route)
+{
+    Req *q = g_new0(Req, 1);
+    q->gw = g;
+    q->x = x;
+    q->config = dep_ref_config(g->config);
+    q->route = route;
+    q->tried = g_ptr_array_new();
+    q->head = g_string_new(NULL);
+    q->body = g_byte_array_new();
+    q->partial = g_string_new(NULL);
+    q->arrival_ms = ht_get_arrival_ms(x);
+    q->digest = digest_request(x);
+    g->wire->read_call(ht_get_head(x), &q->call);
+    q->last_event = q->call.resume_after;
+    q->service = dep_pick_service(route, bg_next_random(&g->rng));
+    set_final_time(q);
+    fill_query(q);
+    note_arrival(q);
+    g_queue_push_tail(&g->reqs, q);
+    q->link = g->reqs.tail;
+    ht_set_user(x, q);
+    return q;
+}
+
+static bool
+is_deadly(const Gw *g, uint64_t digest)
+{
+    const Deaths *d = g_hash_table_lookup(g->deaths, &digest);
+    return d && g_hash_table_size(d->upstreams) >= g->params.death_limit;
+}
+
+void
+gw_on_request(Gw *g, HtExchange *x)
+{
+    const HtHead *head = ht_get_head(x);
+    if (!g->config) {
+        refuse_at_door(x, 503, RETRY_SOON_MS);
+        return;
+    }
+    const char *host = ht_find_header(head, "Host");
+    g_autofree char *path =
+        g_strndup(head->target, strcspn(head->target, "?"));
+    const DepRoute *route =
+        host ? dep_find_route(g->config, host, path) : NULL;
+    if (!route) {
+        JlLine *l = jl_begin("request-no-route");
+        jl_text(l, "id", ht_find_header(head, g->wire->attempt_id));
+        jl_text(l, "host", host);
+        jl_text(l, "path", path);
+        jl_number(l, "version", (int64_t)g->config->version);
+        jl_end(l);
+        refuse_at_door(x, 404, 0);
+        return;
+    }
+    Req *q = create_req(g, x, route);
+    rb_on_request(g->budget, bg_boot_ms(), q->service);
+    if (is_deadly(g, q->digest)) {
+        answer(q, 503, RETRY_LATER_MS * 10, "upstreams ended under it");
+        return;
+    }
+    try_send(q);
+}
+
+void
+gw_on_gone(Gw *g, HtExchange *x)
+{
+    (void)g;
+    Req *q = ht_get_user(x);
+    if (!q) {
+        return;
+    }
+    log_end(q, "caller-gone", 0, q->state == REQ_WAITING ? q->waits_for : "");
+    drop_call(q, UT_END_NEUTRAL);
+    free_req(q);
+}
+
+/* ---- time --------------------------------------------------------------- */
+
+static bool
+is_silent(const Req *q, uint64_t now_ms)
+{
+    if (!may_repeat(q) || q->runs + 1 >= q->route->attempts) {
+        return false;
+    }
+    bool stream = q->route->kind == DEP_STREAM;
+    if (q->first_ms && stream && q->takes_stream) {
+        uint64_t most = q->route->gap_ms
+                            ? (uint64_t)q->route->gap_ms * SILENT_GAPS
+                            : SILENT_GAP_MS;
+        return now_ms - q->heard_ms > most;
+    }
+    uint32_t usual = ut_get_usual_ms(q->gw->upstreams, q->ut, &q->query);
+    uint64_t most = MAX((uint64_t)usual * SILENT_FACTOR,
+                        stream ? SILENT_MIN_STREAM_MS : SILENT_MIN_PLAIN_MS);
+    return now_ms - q->sent_ms > most;
+}
+
+static void
+look_at(Req *q, uint64_t now_ms)
+{
+    if (now_ms >= q->final_ms) {
+        if (q->state == REQ_SENT) {
+            bool sent = q->hc && ht_was_sent(q->hc);
+            q->runs += sent;
+            drop_call(q, sent ? UT_END_FAILED : UT_END_DEAD);
+        }
+        give_up(q, RETRY_SOON_MS, "deadline");
+    }
+    else if (q->state == REQ_WAITING) {
+        try_send(q);
+    }
+    else if (is_silent(q, now_ms)) {
+        ht_cancel_call(q->hc);
+        q->hc = NULL;
+        ht_drop_kept(q->gw->pool, ut_get_address(q->ut));
+        handle_failure(q, UT_END_SILENT, "silent");
+    }
+}
+
+/* Looking at one request may end it, but no other. */
+void
+gw_on_tick(Gw *g, uint64_t now_ms)
+{
+    GList *next;
+    for (GList *l = g->reqs.head; l; l = next) {
+        next = l->next;
+        look_at(l->data, now_ms);
+    }
+}
+
+void
+gw_on_change(Gw *g)
+{
+    GList *next;
+    for (GList *l = g->reqs.head; l; l = next) {
+        next = l->next;
+        Req *q = l->data;
+        if (q->state == REQ_WAITING) {
+            try_send(q);
+        }
+    }
+}
+
+/* ---- what others tell --------------------------------------------------- */
+
+void
+gw_on_wait(Gw *g, uint64_t now_ms, const char *model, uint32_t wait_ms)
+{
+    Wait *w = g_new0(Wait, 1);
+    w->said_ms = now_ms;
+    w->wait_ms = wait_ms;
+    g_hash_table_replace(g->waits, g_strdup(model), w);
+}
+
+static void
+free_deaths(void *p)
+{
+    Deaths *d = p;
+    g_hash_table_destroy(d->upstreams);
+    g_free(d);
+}
+
+static gboolean
+is_old_death(gpointer key, gpointer value, gpointer now_ms)
+{
+    (void)key;
+    return ((Deaths *)value)->last_ms + DEATH_LIFE_MS < *(uint64_t *)now_ms;
+}
+
+void
+gw_on_death(Gw *g, uint64_t now_ms, uint64_t request, const char *upstream)
+{
+    g_hash_table_foreach_remove(g->deaths, is_old_death, &now_ms);
+    Deaths *d = g_hash_table_lookup(g->deaths, &request);
+    if (!d) {
+        d = g_new0(Deaths, 1);
+        d->upstreams =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        gint64 *key = g_new(gint64, 1);
+        *key = (gint64)request;
+        g_hash_table_insert(g->deaths, key, d);
+    }
+    d->last_ms = now_ms;
+    g_hash_table_add(d->upstreams, g_strdup(upstream));
+}
+
+/* ---- demand ------------------------------------------------------------- */
+
+static MpWant *
+find_want(GPtrArray *wants, GHashTable *index, const char *model,
+          const char *adapter)
+{
+    g_autofree char *key =
+        adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+    MpWant *w = g_hash_table_lookup(index, key);
+    if (!w) {
+        w = g_new0(MpWant, 1);
+        w->model = g_strdup(model);
+        w->adapter = g_strdup(adapter);
+        g_ptr_array_add(wants, w);
+        g_hash_table_insert(index, g_steal_pointer(&key), w);
+    }
+    return w;
+}
+
+static void
+add_use(GPtrArray *uses, const Req *q)
+{
+    MpUse *u = g_new0(MpUse, 1);
+    u->upstream = g_strdup(ut_get_id(q->ut));
+    u->model = g_strdup(q->query.model);
+    u->adapter = g_strdup(q->query.adapter);
+    g_ptr_array_add(uses, u);
+}
+
+void
+gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses)
+{
+    g_autoptr(GHashTable) index =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        const Req *q = l->data;
+        if (!q->query.model) {
+            continue;
+        }
+        MpWant *w = find_want(wants, index, q->query.model, NULL);
+        MpWant *a = q->query.adapter ? find_want(wants, index, q->query.model,
+                                                 q->query.adapter)
+                                     : NULL;
+        if (q->ut) {
+            w->running++;
+            add_use(uses, q);
+        }
+        else if (a) {
+            /* The model's own callers wait only if nobody holds it; the
+               placing VM sees that by itself. */
+            a->waiting++;
+            w->waiting++;
+        }
+        else {
+            w->waiting++;
+        }
+    }
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, g->arrived);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        g_auto(GStrv) words = g_strsplit(k, "/", 2);
+        find_want(wants, index, words[0], words[1])->arrived =
+            GPOINTER_TO_UINT(v);
+    }
+    g_hash_table_remove_all(g->arrived);
+}
+
+uint32_t
+gw_count(const Gw *g)
+{
+    return g->reqs.length;
+}
+
+/* ---- the gateway -------------------------------------------------------- */
+
+Gw *
+gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
+          HtPool *pool, UtSet *upstreams, Rb *budget)
+{
+    Gw *g = g_new0(Gw, 1);
+    g->params = *params;
+    g->wire = wire;
+    g->out = *out;
+    g->pool = pool;
+    g->upstreams = upstreams;
+    g->budget = budget;
+    g_queue_init(&g->reqs);
+    g->arrived =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->waits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g->deaths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                      free_deaths);
+    bg_seed_random(&g->rng, params->seed);
+    return g;
+}
+
+void
+gw_destroy(Gw *g)
+{
+    while (g->reqs.head) {
+        Req *q = g->reqs.head->data;
+        ht_set_user(q->x, NULL);
+        drop_call(q, UT_END_NEUTRAL);
+        free_req(q);
+    }
+    dep_unref_config(g->config);
+    g_hash_table_destroy(g->arrived);
+    g_hash_table_destroy(g->waits);
+    g_hash_table_destroy(g->deaths);
+    g_free(g);
+}
+
+void
+gw_on_config(Gw *g, DepConfig *c)
+{
+    dep_unref_config(g->config);
+    g->config = dep_ref_config(c);
+}
--- /dev/null
+++ b/src/gw.h
@@ -0,0 +1,83 @@
+/* gw: the life of callers' requests in a gateway: route, wait for a model,
+   choice of an upstream, the call, the answer passed on as it comes, repeats
+   and resumption.
+
+   Promises.  A request that may not be repeated is sent on only as long as
+   no byte of it left or the upstream said that it ran nothing.  "Refused"
+   (503) is said only of what has not run and never will.  An answer is the
+   upstream's, unchanged and whole, or visibly broken off.  Work is cancelled
+   as soon as its caller is gone. */
+#ifndef GW_H
+#define GW_H
+
+#include "bg_base.h"
+#include "dep.h"
+#include "ht.h"
+#include "mp.h"
+#include "rb.h"
+#include "ut.h"
+
+/* What an upstream says of its load in an answer. */
+typedef struct {
+    uint32_t running;
+    uint32_t waiting;
+    uint32_t slots;
+} GwLoad;
+
+/* How requests and answers look on the wire. */
+typedef struct {
+    const char *attempt_id;        /* echoed in the answer */
+    const char *deadline_ms;       /* what the upstream may take */
+    const char *expected_upstream; /* another one answers 421 */
+    const char *not_run;           /* of an answer: nothing was run */
+    const char *urgency;           /* 0 first, 9 last */
+    const char *last_event;        /* resume a stream after this event */
+    /* The gateway's to set: a caller's own is not passed on. */
+    bool (*is_own_header)(const char *name);
+    /* Text in OUT is borrowed from HEAD or freed by dep_clear_call. */
+    void (*read_call)(const HtHead *head, DepCall *out);
+    bool (*read_load)(const HtHead *head, GwLoad *out);
+} GwWire;
+
+typedef struct {
+    const char *vm;
+    uint32_t connect_ms;  /* to an upstream */
+    uint32_t death_limit; /* a request under which so many ended is refused */
+    uint64_t seed;
+} GwParams;
+
+typedef struct {
+    void *ctx;
+    /* Callers begin to wait for a model: tell the placing VM soon. */
+    void (*wanted)(void *ctx);
+    /* An upstream broke off under the request with this digest. */
+    void (*died)(void *ctx, uint64_t request, const char *upstream);
+} GwOutput;
+
+typedef struct Gw Gw;
+
+/* POOL, UPSTREAMS and BUDGET stay the caller's. */
+Gw *gw_create(const GwParams *params, const GwWire *wire,
+              const GwOutput *out, HtPool *pool, UtSet *upstreams,
+              Rb *budget);
+void gw_destroy(Gw *g);
+
+void gw_on_config(Gw *g, DepConfig *c);
+/* Upstreams or what they hold changed: what waits is looked at again. */
+void gw_on_change(Gw *g);
+void gw_on_tick(Gw *g, uint64_t now_ms);
+/* The placing VM's estimate for a model that is not held. */
+void gw_on_wait(Gw *g, uint64_t now_ms, const char *model, uint32_t wait_ms);
+/* An upstream broke off under that request, here or elsewhere. */
+void gw_on_death(Gw *g, uint64_t now_ms, uint64_t request,
+                 const char *upstream);
+
+/* For HtHandler. */
+void gw_on_request(Gw *g, HtExchange *x);
+void gw_on_gone(Gw *g, HtExchange *x);
+
+/* Append MpWant and MpUse of now; arrivals are those since the last call. */
+void gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses);
+uint32_t gw_count(const Gw *g);
+
+#endif
--- /dev/null
+++ b/src/ht.h
@@ -0,0 +1,146 @@
+/* ht: HTTP/1.1 on an event loop, both sides.  A server hands over whole
+   requests and takes answers in pieces; a pool makes calls over kept
+   connections.  Parsing is http-parser's, events are libev's.  Everything
+   here belongs to the loop's thread. */
+#ifndef HT_H
+#define HT_H
+
+#include "bg_base.h"
+
+#include <ev.h>
+
+typedef struct {
+    const char *name;
+    const char *value;
+} HtHeader;
+
+/* Head of a request or an answer; its text lives as long as it does. */
+typedef struct {
+    const char *method; /* of a request */
+    const char *target; /* of a request: path and query, as sent */
+    uint16_t status;    /* of an answer */
+    bool chunked;
+    bool keeps_alive;
+    GArray *headers; /* HtHeader, in the order of arrival */
+} HtHead;
+
+/* Value of the first header called NAME in any case, or NULL. */
+const char *ht_find_header(const HtHead *head, const char *name);
+/* Headers that concern one connection only and are never passed on. */
+bool ht_is_hop_header(const HtHead *head, const char *name);
+
+/* ---- server ------------------------------------------------------------- */
+
+typedef struct HtServer HtServer;
+typedef struct HtExchange HtExchange;
+
+/* What a client may send; 0: not limited. */
+typedef struct {
+    uint32_t header_bytes;
+    uint32_t body_bytes;
+    uint32_t header_ms; /* from the first byte of a head to its last */
+    uint32_t idle_ms;   /* of a kept connection */
+} HtLimits;
+
+typedef struct {
+    void *ctx;
+    /* A request was read whole; it is answered with ht_start_answer,
+       ht_write_answer and ht_end_answer, or given up with ht_abort_answer.
+       X is gone after either end. */
+    void (*on_request)(void *ctx, HtExchange *x);
+    /* The client closed before its answer was whole; X is gone after it. */
+    void (*on_gone)(void *ctx, HtExchange *x);
+} HtHandler;
+
+/* Listen on ADDRESS (IP:PORT); NULL with ERR set when that fails. */
+HtServer *ht_listen(struct ev_loop *loop, const char *address,
+                    const HtHandler *handler, GError **err);
+void ht_destroy_server(HtServer *s);
+void ht_set_limits(HtServer *s, const HtLimits *limits);
+/* Answers end their connections from now on, idle ones included. */
+void ht_close_kept(HtServer *s);
+/* Ends what was idle or slow for too long; call every 100 ms or so. */
+void ht_tick_server(HtServer *s, uint64_t now_ms);
+uint32_t ht_count_connections(const HtServer *s);
+
+const HtHead *ht_get_head(const HtExchange *x);
+const GByteArray *ht_get_body(const HtExchange *x);
+/* When its first byte was read, by bg_boot_ms. */
+uint64_t ht_get_arrival_ms(const HtExchange *x);
+void *ht_get_user(const HtExchange *x);
+void ht_set_user(HtExchange *x, void *user);
+/* Whether the client has closed, asked of the socket just now. */
+bool ht_is_gone(const HtExchange *x);
+
+/* HEADERS: whole lines with their line ends, without those that frame the
+   body.  LENGTH below 0: the body is sent in chunks. */
+void ht_start_answer(HtExchange *x, uint16_t status, const char *headers,
+                     int64_t length);
+void ht_write_answer(HtExchange *x, const char *data, size_t len);
+void ht_end_answer(HtExchange *x);
+/* Close without the rest: the client sees that the answer is not whole. */
+void ht_abort_answer(HtExchange *x);
+
+/* ---- calls -------------------------------------------------------------- */
+
+typedef struct HtPool HtPool;
+typedef struct HtCall HtCall;
+
+typedef enum {
+    HT_DONE,     /* the whole answer was received */
+    HT_NOT_SENT, /* no byte of the request left this process */
+    HT_BROKEN,   /* the connection failed after bytes were sent */
+    HT_GARBLED   /* what came is no HTTP */
+} HtEnd;
+
+typedef struct {
+    const char *address; /* IP:PORT */
+    /* The whole request, head and body; taken over by the call. */
+    GByteArray *request;
+    uint32_t connect_ms;
+    /* An answer that carries another value in this header belongs to
+       another call and is passed over.  NULL: any answer is ours. */
+    const char *match_name;
+    const char *match_value;
+    uint32_t max_idle_ms; /* of a kept connection; 0: any age */
+    bool fresh;           /* over a new connection, not kept after it */
+} HtRequest;
+
+typedef struct {
+    void *ctx;
+    void (*on_head)(void *ctx, HtCall *call, const HtHead *head);
+    void (*on_data)(void *ctx, HtCall *call, const char *data, size_t len);
+    /* Exactly once; the call is gone after it. */
+    void (*on_end)(void *ctx, HtCall *call, HtEnd end);
+} HtCallHandler;
+
+HtPool *ht_create_pool(struct ev_loop *loop);
+void ht_destroy_pool(HtPool *p);
+/* Always answered through HANDLER, never before this returns. */
+HtCall *ht_start_call(HtPool *p, const HtRequest *req,
+                      const HtCallHandler *handler);
+/* Close its connection: the far side drops the work.  No on_end follows. */
+void ht_cancel_call(HtCall *call);
+/* Whether any byte of the request was handed to the network. */
+bool ht_was_sent(const HtCall *call);
+void ht_tick_pool(HtPool *p, uint64_t now_ms);
+/* Forget kept connections to ADDRESS: one of them was found silent. */
+void ht_drop_kept(HtPool *p, const char *address);
+
+/* A call that is collected whole. */
+typedef struct {
+    HtEnd end;
+    bool timed_out;
+    uint16_t status; /* 0: no answer came */
+    const GByteArray *body;
+} HtReply;
+
+typedef void (*HtReplyFn)(void *ctx, const HtReply *reply);
+
+/* Send METHOD TARGET with BODY (may be NULL) and EXTRA header lines (may be
+   NULL) and hand the whole answer to DONE, within TOTAL_MS. */
+void ht_fetch(HtPool *p, const char *address, const char *method,
+              const char *target, const char *extra, const void *body,
+              size_t body_len, uint32_t total_ms, HtReplyFn done, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/lk.h
@@ -0,0 +1,49 @@
+/* lk: links between gateways.  Each gateway keeps one link to the VM that
+   places models, which sends to all that are linked to it.  Frames are
+   protobuf messages after their length.  A link that said nothing for
+   LK_SILENT_MS is closed and opened anew: connections can go silent for good
+   while new ones work.  Belongs to the loop's thread. */
+#ifndef LK_H
+#define LK_H
+
+#include "bg_base.h"
+#include "gateway.pb-c.h"
+
+#include <ev.h>
+
+#define LK_SILENT_MS 900
+#define LK_BEAT_MS 250 /* both sides say something at least this often */
+
+typedef struct Lk Lk;
+typedef struct LkPeer LkPeer;
+
+typedef struct {
+    void *ctx;
+    /* FROM: who sent it; NULL: the VM that we are linked to. */
+    void (*on_frame)(void *ctx, LkPeer *from, const Gwp__Frame *frame);
+    /* A gateway linked to us has come, or is gone (then PEER is freed). */
+    void (*on_peer)(void *ctx, LkPeer *peer, bool here);
+    /* Our own link opened or ended. */
+    void (*on_link)(void *ctx, bool open);
+} LkHandler;
+
+Lk *lk_create(struct ev_loop *loop, const char *listen_address,
+              const char *vm, const char *process, const LkHandler *handler,
+              GError **err);
+void lk_destroy(Lk *l);
+
+/* Link to the gateway at ADDRESS, and again whenever that ends; NULL: to
+   none. */
+void lk_set_target(Lk *l, const char *address);
+bool lk_is_open(const Lk *l);
+/* To the VM that we are linked to; dropped when there is none. */
+void lk_send_up(Lk *l, const Gwp__Frame *frame);
+/* To all that are linked to us, or to one of them. */
+void lk_send_down(Lk *l, LkPeer *to, const Gwp__Frame *frame);
+uint32_t lk_count_peers(const Lk *l);
+/* Name of the VM at the other end; "" before it said so. */
+const char *lk_get_vm(const LkPeer *p);
+void lk_set_vm(LkPeer *p, const char *vm);
+void lk_on_tick(Lk *l, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/ls.c
@@ -0,0 +1,309 @@
+#include "ls.h"
+
+#include <string.h>
+
+#define READ_PAUSE_MS 300  /* between reads while the holder is not heard */
+#define JITTER_MS 200      /* so that not all VMs claim at one moment */
+/* "free" in place of a process: the holder gave the lease up. */
+#define FREE_PROCESS "free"
+
+struct Ls {
+    LsParams params;
+    char *vm;
+    char *process;
+    char *address;
+    LsOutput out;
+    BgRandom rng;
+
+    bool known; /* the topic was read once */
+    uint64_t tail;
+    uint64_t newest; /* 1 + offset of the newest record seen; 0: none */
+    char *holder_vm;      /* of the newest record; NULL: none was written */
+    char *holder_process;
+    char *holder_address;
+    uint64_t seen_ms;     /* when that record was first seen */
+    uint64_t read_sent_ms; /* of the last read that was answered */
+    uint64_t heard_ms;    /* the holder, over a link */
+
+    bool reading;
+    bool writing;
+    bool giving_up; /* the append that is out frees the lease */
+    uint64_t sent_ms;      /* of the append that is out */
+    uint64_t read_out_ms;  /* of the read that is out */
+    uint64_t next_read_ms;
+    uint64_t next_claim_ms; /* 0: not waiting to claim */
+
+    bool holding;
+    uint64_t token;
+    uint64_t valid_until_ms; /* of our right */
+    uint64_t order_from_ms;
+    bool stopping;
+    bool freed;
+};
+
+Ls *
+ls_create(const LsParams *params, const LsOutput *out)
+{
+    Ls *l = g_new0(Ls, 1);
+    l->params = *params;
+    l->vm = g_strdup(params->vm);
+    l->process = g_strdup(params->process);
+    l->address = g_strdup(params->address);
+    l->out = *out;
+    bg_seed_random(&l->rng, params->seed);
+    return l;
+}
+
+void
+ls_destroy(Ls *l)
+{
+    g_free(l->vm);
+    g_free(l->process);
+    g_free(l->address);
+    g_free(l->holder_vm);
+    g_free(l->holder_process);
+    g_free(l->holder_address);
+    g_free(l);
+}
+
+static bool
+is_ours(const Ls *l)
+{
+    return g_strcmp0(l->holder_process, l->process) == 0;
+}
+
+static bool
+is_free(const Ls *l)
+{
+    return !l->holder_process ||
+           strcmp(l->holder_process, FREE_PROCESS) == 0;
+}
+
+static void
+lose(Ls *l)
+{
+    if (l->holding) {
+        l->holding = false;
+        l->out.changed(l->out.ctx);
+    }
+}
+
+/* "VM PROCESS ADDRESS", words without blanks. */
+static void
+take_record(Ls *l, uint64_t now_ms, const char *value)
+{
+    g_auto(GStrv) words = g_strsplit(value ? value : "", " ", 3);
+    bool whole = g_strv_length(words) == 3;
+    g_free(l->holder_vm);
+    g_free(l->holder_process);
+    g_free(l->holder_address);
+    l->holder_vm = g_strdup(whole ? words[0] : "?");
+    l->holder_process = g_strdup(whole ? words[1] : "?");
+    l->holder_address = whole ? g_strdup(words[2]) : NULL;
+    l->seen_ms = now_ms;
+    l->next_claim_ms = 0;
+    if (!is_ours(l)) {
+        lose(l);
+    }
+    l->out.changed(l->out.ctx);
+}
+
+static void
+start_append(Ls *l, uint64_t now_ms, const char *process)
+{
+    g_autofree char *value =
+        g_strdup_printf("%s %s %s", l->vm, process, l->address);
+    l->writing = true;
+    l->sent_ms = now_ms;
+    l->out.append(l->out.ctx, l->tail, value);
+}
+
+/* When the lease may be claimed; 0: not as far as we know. */
+static uint64_t
+find_claim_time(const Ls *l)
+{
+    if (is_free(l)) {
+        return 1;
+    }
+    /* Our own VM's former process is gone: its ports are ours. */
+    if (g_strcmp0(l->holder_vm, l->vm) == 0) {
+        return 1;
+    }
+    return l->seen_ms + l->params.lease_ms;
+}
+
+static void
+consider_claim(Ls *l, uint64_t now_ms)
+{
+    uint64_t from_ms = find_claim_time(l);
+    if (now_ms < from_ms) {
+        l->next_claim_ms = 0;
+        return;
+    }
+    /* A read that was sent after that time showed no renewal. */
+    if (l->read_sent_ms < from_ms) {
+        return;
+    }
+    if (l->next_claim_ms == 0) {
+        l->next_claim_ms = now_ms + bg_pick_random(&l->rng, JITTER_MS);
+    }
+    if (now_ms >= l->next_claim_ms) {
+        l->next_claim_ms = 0;
+        start_append(l, now_ms, l->process);
+    }
+}
+
+static void
+consider_read(Ls *l, uint64_t now_ms)
+{
+    bool quiet =
+        !l->holding && now_ms - l->heard_ms > l->params.quiet_ms;
+    if (!l->reading && !l->writing && now_ms >= l->next_read_ms &&
+        (!l->known || quiet)) {
+        l->reading = true;
+        l->read_out_ms = now_ms;
+        l->out.read(l->out.ctx, l->tail);
+    }
+}
+
+void
+ls_on_tick(Ls *l, uint64_t now_ms)
+{
+    if (l->holding && now_ms >= l->valid_until_ms) {
+        bg_log(BG_WARN, "lease", "lapsed: not renewed for %u ms",
+               l->params.lease_ms);
+        lose(l);
+    }
+    if (l->stopping) {
+        return;
+    }
+    consider_read(l, now_ms);
+    if (!l->known || l->writing || l->reading) {
+        return;
+    }
+    if (!l->holding) {
+        consider_claim(l, now_ms);
+    }
+    else if (now_ms >= l->sent_ms + l->params.renew_ms) {
+        start_append(l, now_ms, l->process);
+    }
+}
+
+void
+ls_on_read(Ls *l, uint64_t now_ms, StEnd end, const char *value,
+           uint64_t offset, uint64_t tail)
+{
+    l->reading = false;
+    l->next_read_ms = now_ms + READ_PAUSE_MS;
+    if (end != ST_OK) {
+        return;
+    }
+    l->known = true;
+    l->read_sent_ms = l->read_out_ms;
+    if (value && offset + 1 > l->newest) {
+        l->newest = offset + 1;
+        take_record(l, now_ms, value);
+    }
+    l->tail = tail;
+}
+
+static void
+take_right(Ls *l, uint64_t now_ms, uint64_t offset)
+{
+    /* A first holder, and a successor on the same VM, follow nobody whose
+       orders could still be on their way from elsewhere. */
+    bool rest = l->holder_process && g_strcmp0(l->holder_vm, l->vm) != 0;
+    l->holding = true;
+    l->token = offset + 1;
+    l->order_from_ms = rest ? now_ms + l->params.rest_ms : now_ms;
+    bg_log(BG_INFO, "lease", "held, token %llu, first order in %u ms",
+           (unsigned long long)l->token, rest ? l->params.rest_ms : 0);
+}
+
+void
+ls_on_append(Ls *l, uint64_t now_ms, StEnd end, uint64_t offset,
+             uint64_t tail)
+{
+    l->writing = false;
+    if (l->giving_up) {
+        l->freed = true;
+        return;
+    }
+    if (end == ST_OK) {
+        bool began = !l->holding && !l->stopping;
+        if (began) {
+            take_right(l, now_ms, offset);
+        }
+        l->tail = offset + 1;
+        l->newest = offset + 1;
+        l->valid_until_ms = l->sent_ms + l->params.lease_ms;
+        g_autofree char *value =
+            g_strdup_printf("%s %s %s", l->vm, l->process, l->address);
+        take_record(l, now_ms, value);
+        return;
+    }
+    /* Somebody wrote, or our own append was done and its answer lost: the
+       topic tells which. */
+    (void)tail;
+    if (end != ST_REFUSED) {
+        l->known = false;
+        l->next_read_ms = now_ms;
+    }
+}
+
+void
+ls_on_heard(Ls *l, uint64_t now_ms)
+{
+    l->heard_ms = now_ms;
+}
+
+void
+ls_stop(Ls *l, uint64_t now_ms)
+{
+    if (l->stopping) {
+        return;
+    }
+    l->stopping = true;
+    bool free_it = l->holding && !l->writing;
+    lose(l);
+    if (free_it) {
+        l->giving_up = true;
+        start_append(l, now_ms, FREE_PROCESS);
+    }
+}
+
+bool
+ls_is_stopped(const Ls *l)
+{
+    return l->stopping && !l->writing;
+}
+
+bool
+ls_is_holder(const Ls *l, uint64_t now_ms)
+{
+    return l->holding && now_ms < l->valid_until_ms;
+}
+
+bool
+ls_may_order(const Ls *l, uint64_t now_ms)
+{
+    return ls_is_holder(l, now_ms) && now_ms >= l->order_from_ms;
+}
+
+uint64_t
+ls_get_token(const Ls *l)
+{
+    return l->token;
+}
+
+const char *
+ls_get_holder_address(const Ls *l)
+{
+    return is_free(l) ? NULL : l->holder_address;
+}
+
+const char *
+ls_get_holder_vm(const Ls *l)
+{
+    return is_free(l) ? NULL : l->holder_vm;
+}
--- /dev/null
+++ b/src/ls.h
@@ -0,0 +1,68 @@
+/* ls: the lease under which one VM at a time may order upstreams.
+
+   The lease is the newest record of a topic of its own.  Whoever appends
+   under the condition that nothing was written since holds it, and renews it
+   the same way.  A holder counts its right from the moment at which it sent
+   the renewal that was acknowledged; a successor counts from the moment at
+   which it saw that renewal, which is later, and its own append fails if
+   there was another.  So two rights never overlap, whatever is lost, late or
+   paused.  The first order of a successor waits REST_MS more, for upstreams
+   that don't check tokens.
+
+   A state machine without threads, I/O or clock; times are of a clock that
+   goes on while the VM is suspended (bg_boot_ms). */
+#ifndef LS_H
+#define LS_H
+
+#include "bg_base.h"
+#include "st.h"
+
+typedef struct {
+    const char *vm;      /* this VM */
+    const char *process; /* this process, unlike any other's */
+    const char *address; /* where others reach its links */
+    uint32_t lease_ms;   /* how long an unrenewed right lasts */
+    uint32_t renew_ms;   /* between renewals */
+    uint32_t rest_ms;    /* from another VM's right to our first order */
+    uint32_t quiet_ms;   /* without a word of the holder: ask the store */
+    uint64_t seed;
+} LsParams;
+
+typedef struct {
+    void *ctx;
+    /* Answered by ls_on_read; at most one is out. */
+    void (*read)(void *ctx, uint64_t from);
+    /* Answered by ls_on_append; at most one is out. */
+    void (*append)(void *ctx, uint64_t at, const char *value);
+    /* Another holder is known, or this VM's right began or ended. */
+    void (*changed)(void *ctx);
+} LsOutput;
+
+typedef struct Ls Ls;
+
+Ls *ls_create(const LsParams *params, const LsOutput *out);
+void ls_destroy(Ls *l);
+
+void ls_on_tick(Ls *l, uint64_t now_ms);
+/* END and TAIL as of StReply; VALUE: of the newest record read, or NULL. */
+void ls_on_read(Ls *l, uint64_t now_ms, StEnd end, const char *value,
+                uint64_t offset, uint64_t tail);
+void ls_on_append(Ls *l, uint64_t now_ms, StEnd end, uint64_t offset,
+                  uint64_t tail);
+/* The holder was heard over a link. */
+void ls_on_heard(Ls *l, uint64_t now_ms);
+/* Give the lease up, or never take it: this process stops. */
+void ls_stop(Ls *l, uint64_t now_ms);
+/* Nothing of the stop is left to be written. */
+bool ls_is_stopped(const Ls *l);
+
+/* Whether an order may be sent at this moment. */
+bool ls_may_order(const Ls *l, uint64_t now_ms);
+bool ls_is_holder(const Ls *l, uint64_t now_ms);
+/* Token of our right: higher than that of any holder before. */
+uint64_t ls_get_token(const Ls *l);
+/* Link address of the holder, NULL when it is not known. */
+const char *ls_get_holder_address(const Ls *l);
+const char *ls_get_holder_vm(const Ls *l);
+
+#endif
--- /dev/null
+++ b/src/mp.c
@@ -0,0 +1,1351 @@
+#include "mp.h"
+
+#include <math.h>
+#include <string.h>
+
+/* A gateway that said nothing for so long has no callers waiting. */
+#define DEMAND_LIFE_MS 2000
+/* Uses of a model in so long make its rate. */
+#define RATE_MS 5000.
+/* Requests at once that one replica serves well: with more, prompts are read
+   in pieces between the tokens of too many others. */
+#define PER_REPLICA 10
+/* A model used this often a second gets a second replica, so that the loss
+   of one upstream isn't the loss of the model; and a third. */
+#define RATE_FOR_TWO 1.0
+#define RATE_FOR_THREE 5.0
+/* A replica stays at least this long, or loads would chase each other. */
+#define SETTLE_MS 1500
+/* Expected uses in so long are what an eviction loses. */
+#define HORIZON_MS 15000.
+/* A load is taken for done this much after its stated time. */
+#define LOAD_MARGIN_MS 15
+#define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
+#define ADAPTER_SETTLE_MS 300
+/* Reports lag by some 200 ms; asked again no sooner. */
+#define ASK_PAUSE_MS 150
+#define RETRY_PAUSE_MS 30 /* after a conflict with our own running order */
+#define GOAL_LIFE_MS 4000
+/* A model that is held and still waited for: what we believe is wrong. */
+#define DOUBT_MS 700
+#define BACKGROUND_AT_ONCE 2
+
+typedef struct {
+    char *name;
+    uint64_t ready_ms; /* usable from then on */
+    uint64_t used_ms;
+} Adapter;
+
+typedef struct {
+    char *name;
+    uint64_t ready_ms;
+    bool unloading;
+    bool from_store;
+    uint64_t used_ms;
+    GPtrArray *adapters; /* Adapter */
+} Replica;
+
+typedef struct {
+    DepUpstream *entry; /* id, address, service, copies */
+    bool known;         /* content is known, and the sequence it is at */
+    bool asking;
+    uint64_t next_ask_ms;
+    uint64_t sequence;
+    GPtrArray *replicas; /* Replica */
+    uint64_t busy_until_ms;
+    uint64_t retry_ms; /* no order before */
+    char *goal;        /* model that is to be loaded here */
+    uint64_t goal_until_ms;
+    /* the order that is out */
+    bool ordered;
+    bool order_unload;
+    char *order_model;
+    char *order_adapter;
+    uint64_t order_load_ms;
+    bool order_from_store;
+    bool told;      /* gateways know the present content */
+} Up;
+
+typedef struct {
+    GPtrArray *wants; /* MpWant */
+    GPtrArray *uses;  /* MpUse */
+    uint64_t said_ms;
+} Gateway;
+
+/* Of a model, or "model/adapter". */
+typedef struct {
+    uint32_t waiting;
+    uint32_t running;
+    double rate; /* uses a second, decayed */
+    uint64_t rated_ms;
+    uint64_t wanted_since_ms; /* 0: nobody waits */
+} Demand;
+
+struct Mp {
+    MpParams params;
+    MpOutput out;
+    const DepConfig *config; /* the caller's reference, held by ours */
+    GHashTable *ups;         /* id -> Up */
+    GHashTable *gateways;    /* name -> Gateway */
+    GHashTable *demands;     /* name -> Demand */
+    GArray *store_starts;    /* uint64_t: loads from the store begun */
+};
+
+/* ---- memory ------------------------------------------------------------- */
+
+static void
+free_adapter(void *p)
+{
+    g_free(((Adapter *)p)->name);
+    g_free(p);
+}
+
+static void
+free_replica(void *p)
+{
+    Replica *r = p;
+    g_free(r->name);
+    g_ptr_array_free(r->adapters, TRUE);
+    g_free(r);
+}
+
+static void
+free_up(void *p)
+{
+    Up *u = p;
+    dep_destroy_upstream(u->entry);
+    g_ptr_array_free(u->replicas, TRUE);
+    g_free(u->goal);
+    g_free(u->order_model);
+    g_free(u->order_adapter);
+    g_free(u);
+}
+
+static void
+free_want(void *p)
+{
+    MpWant *w = p;
+    g_free(w->model);
+    g_free(w->adapter);
+    g_free(w);
+}
+
+static void
+free_use(void *p)
+{
+    MpUse *u = p;
+    g_free(u->upstream);
+    g_free(u->model);
+    g_free(u->adapter);
+    g_free(u);
+}
+
+static void
+free_gateway(void *p)
+{
+    Gateway *g = p;
+    g_ptr_array_free(g->wants, TRUE);
+    g_ptr_array_free(g->uses, TRUE);
+    g_free(g);
+}
+
+Mp *
+mp_create(const MpParams *params, const MpOutput *out)
+{
+    Mp *m = g_new0(Mp, 1);
+    m->params = *params;
+    m->out = *out;
+    m->ups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_up);
+    m->gateways =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_gateway);
+    m->demands =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    m->store_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    return m;
+}
+
+void
+mp_destroy(Mp *m)
+{
+    dep_unref_config((DepConfig *)m->config);
+    g_hash_table_destroy(m->ups);
+    g_hash_table_destroy(m->gateways);
+    g_hash_table_destroy(m->demands);
+    g_array_free(m->store_starts, TRUE);
+    g_free(m);
+}
+
+/* ---- what is known ------------------------------------------------------ */
+
+void
+mp_on_config(Mp *m, const DepConfig *c)
+{
+    dep_unref_config((DepConfig *)m->config);
+    m->config = dep_ref_config((DepConfig *)c);
+}
+
+static const DepService *
+find_service(const Mp *m, const Up *u)
+{
+    const DepService *s =
+        m->config ? g_hash_table_lookup(m->config->services, u->entry->service)
+                  : NULL;
+    return s && s->has_models ? s : NULL;
+}
+
+static const DepModel *
+find_model(const Mp *m, const Up *u, const char *name)
+{
+    const DepService *s = find_service(m, u);
+    return s ? g_hash_table_lookup(s->models, name) : NULL;
+}
+
+static Replica *
+find_replica(const Up *u, const char *model)
+{
+    for (guint i = 0; i < u->replicas->len; i++) {
+        Replica *r = u->replicas->pdata[i];
+        if (strcmp(r->name, model) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+static Adapter *
+find_adapter(const Replica *r, const char *name)
+{
+    for (guint i = 0; i < r->adapters->len; i++) {
+        Adapter *a = r->adapters->pdata[i];
+        if (strcmp(a->name, name) == 0) {
+            return a;
+        }
+    }
+    return NULL;
+}
+
+static Replica *
+add_replica(Up *u, const char *model, uint64_t ready_ms)
+{
+    Replica *r = g_new0(Replica, 1);
+    r->name = g_strdup(model);
+    r->ready_ms = ready_ms;
+    r->used_ms = ready_ms;
+    r->adapters = g_ptr_array_new_with_free_func(free_adapter);
+    g_ptr_array_add(u->replicas, r);
+    return r;
+}
+
+static void
+add_adapter(Replica *r, const char *name, uint64_t ready_ms)
+{
+    Adapter *a = g_new0(Adapter, 1);
+    a->name = g_strdup(name);
+    a->ready_ms = ready_ms;
+    a->used_ms = ready_ms;
+    g_ptr_array_add(r->adapters, a);
+}
+
+static void
+distrust(Up *u, uint64_t ask_ms)
+{
+    u->known = false;
+    u->next_ask_ms = MAX(u->next_ask_ms, ask_ms);
+}
+
+static DepUpstream *
+copy_entry(const DepUpstream *e)
+{
+    DepUpstream *c = dep_create_upstream();
+    c->id = g_strdup(e->id);
+    c->service = g_strdup(e->service);
+    c->address = g_strdup(e->address);
+    c->data_centre = g_strdup(e->data_centre);
+    c->draining = e->draining;
+    c->slots = e->slots;
+    c->born_ms = e->born_ms;
+    c->sequence = e->sequence;
+    for (guint i = 0; i < e->in_memory->len; i++) {
+        g_ptr_array_add(c->in_memory, g_strdup(e->in_memory->pdata[i]));
+    }
+    for (guint i = 0; i < e->on_disk->len; i++) {
+        g_ptr_array_add(c->on_disk, g_strdup(e->on_disk->pdata[i]));
+    }
+    return c;
+}
+
+void
+mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry)
+{
+    Up *u = g_hash_table_lookup(m->ups, entry->id);
+    if (u && (u->entry->born_ms != entry->born_ms ||
+              strcmp(u->entry->address, entry->address) != 0)) {
+        mp_on_gone(m, entry->id);
+        u = NULL;
+    }
+    if (!u) {
+        u = g_new0(Up, 1);
+        u->entry = copy_entry(entry);
+        u->replicas = g_ptr_array_new_with_free_func(free_replica);
+        g_hash_table_insert(m->ups, u->entry->id, u);
+        return;
+    }
+    DepUpstream *copy = copy_entry(entry);
+    copy->draining = copy->draining || u->entry->draining;
+    g_hash_table_steal(m->ups, u->entry->id);
+    dep_destroy_upstream(u->entry);
+    u->entry = copy;
+    g_hash_table_insert(m->ups, copy->id, u);
+    /* Orders were accepted that we know nothing of. */
+    if (u->known && !u->ordered && entry->sequence > u->sequence) {
+        distrust(u, now_ms);
+    }
+}
+
+void
+mp_on_gone(Mp *m, const char *id)
+{
+    g_hash_table_remove(m->ups, id);
+}
+
+void
+mp_keep_only(Mp *m, GHashTable *ids)
+{
+    g_autoptr(GList) known = g_hash_table_get_keys(m->ups);
+    for (GList *l = known; l; l = l->next) {
+        if (!g_hash_table_contains(ids, l->data)) {
+            mp_on_gone(m, l->data);
+        }
+    }
+}
+
+void
+mp_begin(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        u->next_ask_ms = 0;
+        distrust(u, now_ms);
+        g_clear_pointer(&u->goal, g_free);
+    }
+}
+
+/* ---- demand ------------------------------------------------------------- */
+
+static char *
+make_key(const char *model, const char *adapter)
+{
+    return adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+}
+
+static Demand *
+get_demand(Mp *m, const char *model, const char *adapter)
+{
+    g_autofree char *key = make_key(model, adapter);
+    Demand *d = g_hash_table_lookup(m->demands, key);
+    if (!d) {
+        d = g_new0(Demand, 1);
+        g_hash_table_insert(m->demands, g_steal_pointer(&key), d);
+    }
+    return d;
+}
+
+static double
+get_rate(const Demand *d, uint64_t now_ms)
+{
+    return d ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS) : 0;
+}
+
+static void
+add_arrivals(Demand *d, uint64_t now_ms, uint32_t count)
+{
+    d->rate = get_rate(d, now_ms) + count * 1000. / RATE_MS;
+    d->rated_ms = now_ms;
+}
+
+static const Demand *
+peek_demand(const Mp *m, const char *model)
+{
+    return g_hash_table_lookup(m->demands, model);
+}
+
+static void
+note_uses(Mp *m, uint64_t now_ms, const GPtrArray *uses)
+{
+    for (guint i = 0; i < uses->len; i++) {
+        const MpUse *use = uses->pdata[i];
+        Up *u = g_hash_table_lookup(m->ups, use->upstream);
+        Replica *r = u ? find_replica(u, use->model) : NULL;
+        if (!r) {
+            continue;
+        }
+        r->used_ms = MAX(r->used_ms, now_ms);
+        Adapter *a = use->adapter ? find_adapter(r, use->adapter) : NULL;
+        if (a) {
+            a->used_ms = MAX(a->used_ms, now_ms);
+        }
+    }
+}
+
+/* Waiting and running over all gateways that still speak. */
+static void
+sum_demand(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Demand *d = v;
+        d->waiting = 0;
+        d->running = 0;
+    }
+    g_hash_table_iter_init(&it, m->gateways);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Gateway *g = v;
+        if (now_ms - g->said_ms > DEMAND_LIFE_MS) {
+            g_hash_table_iter_remove(&it);
+            continue;
+        }
+        for (guint i = 0; i < g->wants->len; i++) {
+            const MpWant *w = g->wants->pdata[i];
+            Demand *d = get_demand(m, w->model, w->adapter);
+            d->waiting += w->waiting;
+            d->running += w->running;
+        }
+    }
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Demand *d = v;
+        if (d->waiting == 0) {
+            d->wanted_since_ms = 0;
+        }
+        else if (d->wanted_since_ms == 0) {
+            d->wanted_since_ms = now_ms;
+        }
+    }
+}
+
+void
+mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
+             const GPtrArray *wants, const GPtrArray *uses)
+{
+    Gateway *g = g_new0(Gateway, 1);
+    g->said_ms = now_ms;
+    g->wants = g_ptr_array_new_with_free_func(free_want);
+    g->uses = g_ptr_array_new_with_free_func(free_use);
+    for (guint i = 0; i < wants->len; i++) {
+        const MpWant *w = wants->pdata[i];
+        MpWant *copy = g_new0(MpWant, 1);
+        *copy = *w;
+        copy->model = g_strdup(w->model);
+        copy->adapter = g_strdup(w->adapter);
+        g_ptr_array_add(g->wants, copy);
+        if (w->arrived) {
+            add_arrivals(get_demand(m, w->model, NULL), now_ms, w->arrived);
+        }
+        if (w->arrived && w->adapter) {
+            add_arrivals(get_demand(m, w->model, w->adapter), now_ms,
+                         w->arrived);
+        }
+    }
+    for (guint i = 0; i < uses->len; i++) {
+        const MpUse *u = uses->pdata[i];
+        MpUse *copy = g_new0(MpUse, 1);
+        copy->upstream = g_strdup(u->upstream);
+        copy->model = g_strdup(u->model);
+        copy->adapter = g_strdup(u->adapter);
+        g_ptr_array_add(g->uses, copy);
+    }
+    g_hash_table_replace(m->gateways, g_strdup(gateway), g);
+    note_uses(m, now_ms, uses);
+}
+
+static bool
+is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->gateways);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Gateway *g = v;
+        for (guint i = 0; i < g->uses->len; i++) {
+            const MpUse *use = g->uses->pdata[i];
+            if (strcmp(use->upstream, u->entry->id) == 0 &&
+                strcmp(use->model, model) == 0 &&
+                (!adapter || g_strcmp0(use->adapter, adapter) == 0)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* ---- telling gateways --------------------------------------------------- */
+
+static void
+tell(Mp *m, Up *u, uint64_t now_ms)
+{
+    DepUpstream *view = dep_create_upstream();
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        if (r->ready_ms > now_ms || r->unloading) {
+            continue;
+        }
+        DepResident *d = dep_add_resident(view, r->name);
+        for (guint j = 0; j < r->adapters->len; j++) {
+            const Adapter *a = r->adapters->pdata[j];
+            if (a->ready_ms <= now_ms) {
+                g_ptr_array_add(d->adapters, g_strdup(a->name));
+            }
+        }
+    }
+    u->told = true;
+    m->out.placed(m->out.ctx, u->entry->id, view->models);
+    dep_destroy_upstream(view);
+}
+
+/* Loads end by the clock, so gateways are told when their time has come. */
+static bool
+has_just_become_ready(const Up *u, uint64_t now_ms, uint64_t before_ms)
+{
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        if (r->ready_ms > before_ms && r->ready_ms <= now_ms) {
+            return true;
+        }
+        for (guint j = 0; j < r->adapters->len; j++) {
+            const Adapter *a = r->adapters->pdata[j];
+            if (a->ready_ms > before_ms && a->ready_ms <= now_ms) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void
+mp_tell_all(Mp *m)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        ((Up *)v)->told = false;
+    }
+}
+
+/* ---- reports and answers ------------------------------------------------ */
+
+void
+mp_on_report(Mp *m, uint64_t now_ms, const char *id,
+             const DepUpstream *report)
+{
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (!u) {
+        return;
+    }
+    u->asking = false;
+    u->next_ask_ms = now_ms + ASK_PAUSE_MS;
+    /* While an order is carried out its outcome is not in the models yet. */
+    if (!report || report->busy || u->ordered) {
+        return;
+    }
+    bool same_life = !report->born_ms || !u->entry->born_ms ||
+                     report->born_ms == u->entry->born_ms;
+    /* Reports lag: this one may be from before our last order. */
+    if (!same_life || report->sequence < u->sequence) {
+        return;
+    }
+    u->known = true;
+    u->told = false;
+    u->sequence = report->sequence;
+    u->busy_until_ms = 0;
+    GPtrArray *old = u->replicas;
+    u->replicas = g_ptr_array_new_with_free_func(free_replica);
+    for (guint i = 0; i < report->models->len; i++) {
+        const DepResident *d = report->models->pdata[i];
+        Replica *r = add_replica(u, d->name, now_ms);
+        r->used_ms = 0;
+        for (guint j = 0; j < old->len; j++) {
+            const Replica *o = old->pdata[j];
+            if (strcmp(o->name, d->name) == 0) {
+                r->used_ms = o->used_ms;
+            }
+        }
+        for (guint j = 0; j < d->adapters->len; j++) {
+            add_adapter(r, d->adapters->pdata[j], now_ms);
+        }
+    }
+    g_ptr_array_free(old, TRUE);
+    for (guint i = 0; i < 2; i++) {
+        GPtrArray **to = i ? &u->entry->on_disk : &u->entry->in_memory;
+        const GPtrArray *from = i ? report->on_disk : report->in_memory;
+        g_ptr_array_set_size(*to, 0);
+        for (guint j = 0; j < from->len; j++) {
+            g_ptr_array_add(*to, g_strdup(from->pdata[j]));
+        }
+    }
+}
+
+static bool
+has_name(const GPtrArray *list, const char *name)
+{
+    for (guint i = 0; i < list->len; i++) {
+        if (strcmp(list->pdata[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_copies(Up *u, const char *model)
+{
+    if (!has_name(u->entry->in_memory, model)) {
+        g_ptr_array_add(u->entry->in_memory, g_strdup(model));
+    }
+    if (!has_name(u->entry->on_disk, model)) {
+        g_ptr_array_add(u->entry->on_disk, g_strdup(model));
+    }
+}
+
+static void
+apply_model_order(Up *u, uint64_t now_ms)
+{
+    Replica *r = find_replica(u, u->order_model);
+    if (u->order_unload) {
+        /* The next order finds it in progress, or done: no more is needed
+           to count its memory as free at that moment. */
+        if (r) {
+            g_ptr_array_remove(u->replicas, r);
+        }
+        return;
+    }
+    if (!r) {
+        r = add_replica(u, u->order_model, 0);
+    }
+    r->ready_ms = now_ms + u->order_load_ms;
+    r->used_ms = r->ready_ms;
+    r->from_store = u->order_from_store;
+    u->busy_until_ms = r->ready_ms;
+    note_copies(u, u->order_model);
+}
+
+static void
+apply_adapter_order(Up *u, uint64_t now_ms)
+{
+    Replica *r = find_replica(u, u->order_model);
+    Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
+    if (u->order_unload && a) {
+        g_ptr_array_remove(r->adapters, a);
+    }
+    else if (!u->order_unload && r && !a) {
+        add_adapter(r, u->order_adapter, now_ms + ADAPTER_LOAD_MS);
+    }
+}
+
+static void
+apply_order(Up *u, uint64_t now_ms)
+{
+    if (u->order_adapter) {
+        apply_adapter_order(u, now_ms);
+    }
+    else {
+        apply_model_order(u, now_ms);
+    }
+    u->told = false;
+}
+
+void
+mp_on_order_end(Mp *m, uint64_t now_ms, const char *id, MpOrderEnd end)
+{
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (!u || !u->ordered) {
+        return;
+    }
+    u->ordered = false;
+    bool load = !u->order_unload && !u->order_adapter;
+    switch (end) {
+    case MP_ORDER_TAKEN:
+        u->sequence++;
+        apply_order(u, now_ms);
+        if (load) {
+            g_clear_pointer(&u->goal, g_free);
+        }
+        break;
+    case MP_ORDER_HOLDS:
+        /* Whether this counts as accepted is not told: ask. */
+        u->order_load_ms = 0;
+        apply_order(u, now_ms);
+        distrust(u, now_ms);
+        g_clear_pointer(&u->goal, g_free);
+        break;
+    case MP_ORDER_CONFLICT:
+        /* An unload waits for its runs, or something acted late. */
+        u->retry_ms = now_ms + RETRY_PAUSE_MS;
+        distrust(u, now_ms + RETRY_PAUSE_MS);
+        break;
+    case MP_ORDER_NOT_SENT:
+        u->retry_ms = now_ms + ASK_PAUSE_MS;
+        break;
+    case MP_ORDER_REFUSED:
+    case MP_ORDER_UNKNOWN:
+        u->retry_ms = now_ms + ASK_PAUSE_MS;
+        distrust(u, now_ms + ASK_PAUSE_MS);
+        g_clear_pointer(&u->goal, g_free);
+        break;
+    }
+}
+
+/* ---- replicas ----------------------------------------------------------- */
+
+static bool
+can_use(const Mp *m, const Up *u)
+{
+    return !u->entry->draining && find_service(m, u);
+}
+
+static uint32_t
+count_replicas(const Mp *m, const char *model)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (!can_use(m, u)) {
+            continue;
+        }
+        bool coming = g_strcmp0(u->goal, model) == 0;
+        n += coming || find_replica(u, model) != NULL;
+    }
+    return n;
+}
+
+static uint32_t
+get_adapter_room_mb(const DepService *s)
+{
+    uint32_t most = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepModel *d = v;
+        most = MAX(most, d->adapters ? d->adapter_mb : 0);
+    }
+    return most * s->max_adapters;
+}
+
+static int64_t
+get_free_mb(const Mp *m, const Up *u)
+{
+    const DepService *s = find_service(m, u);
+    int64_t free_mb = (int64_t)s->memory_mb - get_adapter_room_mb(s);
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        const DepModel *d = find_model(m, u, r->name);
+        /* A model that is no longer declared has an unknown size: nothing
+           more is loaded beside it. */
+        free_mb -= d ? d->memory_mb : s->memory_mb;
+    }
+    return free_mb;
+}
+
+static uint32_t
+get_load_ms(const Up *u, const DepModel *d, bool *from_store)
+{
+    *from_store = false;
+    if (has_name(u->entry->in_memory, d->name)) {
+        return d->warm_ms ? d->warm_ms : d->load_ms;
+    }
+    if (has_name(u->entry->on_disk, d->name)) {
+        return d->disk_ms ? d->disk_ms : d->load_ms;
+    }
+    *from_store = true;
+    return d->load_ms;
+}
+
+static double
+get_eviction_loss_ms(const Mp *m, uint64_t now_ms, const Up *u,
+                     const Replica *r)
+{
+    const DepModel *d = find_model(m, u, r->name);
+    if (!d) {
+        return 0;
+    }
+    bool from_store;
+    double reload_ms = get_load_ms(u, d, &from_store);
+    double uses = get_rate(peek_demand(m, r->name), now_ms) * HORIZON_MS / 1000;
+    uint32_t replicas = count_replicas(m, r->name);
+    if (replicas > 1) {
+        return 30 + uses * reload_ms * 0.05;
+    }
+    /* Even a model that nobody asked for may be asked for. */
+    return (uses + 0.5) * reload_ms;
+}
+
+static bool
+is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+{
+    const Demand *d = peek_demand(m, r->name);
+    bool waited = d && d->waiting > 0 && count_replicas(m, r->name) < 2;
+    return !waited && now_ms >= r->ready_ms + SETTLE_MS &&
+           now_ms >= r->used_ms + 100 && !is_in_use(m, u, r->name, NULL);
+}
+
+static Replica *
+pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_)
+{
+    Replica *best = NULL;
+    double least = 0;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        Replica *r = u->replicas->pdata[i];
+        bool excluded = false;
+        for (guint j = 0; not_ && j < not_->len; j++) {
+            excluded = excluded || not_->pdata[j] == r;
+        }
+        if (excluded || !is_evictable(m, now_ms, u, r)) {
+            continue;
+        }
+        double loss = get_eviction_loss_ms(m, now_ms, u, r);
+        if (!best || loss < least) {
+            best = r;
+            least = loss;
+        }
+    }
+    return best;
+}
+
+/* What it costs to load MODEL on U, in ms of callers' waiting; below 0: it
+   can't be. */
+static double
+compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u,
+                  const DepModel *d, bool may_evict)
+{
+    bool from_store;
+    double cost = get_load_ms(u, d, &from_store);
+    if (u->busy_until_ms > now_ms) {
+        cost += (double)(u->busy_until_ms - now_ms);
+    }
+    int64_t free_mb = get_free_mb(m, u);
+    g_autoptr(GPtrArray) victims = g_ptr_array_new();
+    while (free_mb < (int64_t)d->memory_mb) {
+        Replica *r = may_evict ? pick_victim(m, now_ms, u, victims) : NULL;
+        const DepModel *rd = r ? find_model(m, u, r->name) : NULL;
+        if (!rd) {
+            return -1;
+        }
+        g_ptr_array_add(victims, r);
+        free_mb += rd->memory_mb;
+        cost += get_eviction_loss_ms(m, now_ms, u, r) + 10;
+    }
+    /* Spread: an upstream that serves much already is slower. */
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        cost += get_rate(peek_demand(m, r->name), now_ms) * 20;
+    }
+    return cost;
+}
+
+static uint32_t
+count_store_loads(const Mp *m, uint64_t now_ms)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        n += u->ordered && u->order_from_store;
+        for (guint i = 0; i < u->replicas->len; i++) {
+            const Replica *r = u->replicas->pdata[i];
+            n += r->from_store && r->ready_ms > now_ms;
+        }
+    }
+    return n;
+}
+
+/* The weight store allows a number of loads begun in any window. */
+#define STORE_WINDOW_MS 5000
+#define STORE_CAUTION 0.85
+
+static bool
+may_start_store_load(Mp *m, uint64_t now_ms, const DepService *s)
+{
+    while (m->store_starts->len &&
+           g_array_index(m->store_starts, uint64_t, 0) + STORE_WINDOW_MS <
+               now_ms) {
+        g_array_remove_index(m->store_starts, 0);
+    }
+    double rate = m->params.store_loads_per_s > 0
+                      ? m->params.store_loads_per_s
+                      : s->loads_per_s;
+    return m->store_starts->len + 1 <=
+               rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
+           count_store_loads(m, now_ms) < m->params.store_at_once;
+}
+
+/* ---- orders ------------------------------------------------------------- */
+
+static void
+send_order(Mp *m, uint64_t now_ms, Up *u, const char *model,
+           const char *adapter, bool unload)
+{
+    g_free(u->order_model);
+    g_free(u->order_adapter);
+    u->order_model = g_strdup(model);
+    u->order_adapter = g_strdup(adapter);
+    u->order_unload = unload;
+    u->order_from_store = false;
+    u->order_load_ms = 0;
+    u->ordered = true;
+    if (!unload && !adapter) {
+        const DepModel *d = find_model(m, u, model);
+        bool from_store;
+        u->order_load_ms = get_load_ms(u, d, &from_store) + LOAD_MARGIN_MS;
+        u->order_from_store = from_store;
+        if (from_store) {
+            g_array_append_val(m->store_starts, now_ms);
+        }
+    }
+    MpOrder o = {u->entry->id, u->entry->address, u->order_model,
+                 u->order_adapter, unload, u->sequence};
+    m->out.order(m->out.ctx, &o);
+}
+
+static bool
+can_order(const Up *u, uint64_t now_ms)
+{
+    return u->known && !u->ordered && now_ms >= u->retry_ms &&
+           now_ms >= u->busy_until_ms && !u->entry->draining;
+}
+
+/* Work on U's goal: make room, then load. */
+static void
+pursue_goal(Mp *m, uint64_t now_ms, Up *u)
+{
+    const DepModel *d = find_model(m, u, u->goal);
+    if (!d || now_ms > u->goal_until_ms || u->entry->draining) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    if (!can_order(u, now_ms)) {
+        return;
+    }
+    if (find_replica(u, u->goal)) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    if (get_free_mb(m, u) >= (int64_t)d->memory_mb) {
+        bool from_store;
+        get_load_ms(u, d, &from_store);
+        if (!from_store || may_start_store_load(m, now_ms, find_service(m, u))) {
+            send_order(m, now_ms, u, u->goal, NULL, false);
+        }
+        return;
+    }
+    const Replica *victim = pick_victim(m, now_ms, u, NULL);
+    if (!victim) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    send_order(m, now_ms, u, victim->name, NULL, true);
+    /* Gateways send nothing more there from now on. */
+    Replica *r = find_replica(u, victim->name);
+    r->unloading = true;
+    u->told = false;
+}
+
+static Up *
+find_best_place(const Mp *m, uint64_t now_ms, const char *model,
+                bool may_evict, bool *from_store)
+{
+    Up *best = NULL;
+    double least = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        const DepModel *d = can_use(m, u) ? find_model(m, u, model) : NULL;
+        if (!d || u->goal || !u->known || u->ordered ||
+            find_replica(u, model)) {
+            continue;
+        }
+        double cost = compute_load_cost(m, now_ms, u, d, may_evict);
+        if (cost >= 0 && (!best || cost < least)) {
+            best = u;
+            least = cost;
+            get_load_ms(u, d, from_store);
+        }
+    }
+    return best;
+}
+
+static void
+set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model)
+{
+    u->goal = g_strdup(model);
+    u->goal_until_ms = now_ms + GOAL_LIFE_MS;
+    pursue_goal(m, now_ms, u);
+}
+
+static uint32_t
+get_desired(const Mp *m, uint64_t now_ms, const char *model)
+{
+    const Demand *d = peek_demand(m, model);
+    if (!d) {
+        return 0;
+    }
+    double rate = get_rate(d, now_ms);
+    uint32_t by_load = (d->running + d->waiting + PER_REPLICA - 1) /
+                       PER_REPLICA;
+    uint32_t by_rate = rate >= RATE_FOR_THREE ? 3 : rate >= RATE_FOR_TWO ? 2
+                       : d->waiting > 0 || rate > 0.01                   ? 1
+                                                                         : 0;
+    return MAX(by_load, by_rate);
+}
+
+typedef struct {
+    const char *model;
+    const Demand *demand;
+    uint64_t since_ms;
+    bool none; /* nobody holds it */
+} Wanted;
+
+static gint
+compare_wanted(gconstpointer a, gconstpointer b)
+{
+    const Wanted *x = a;
+    const Wanted *y = b;
+    if (x->none != y->none) {
+        return x->none ? -1 : 1;
+    }
+    if ((x->demand->waiting > 0) != (y->demand->waiting > 0)) {
+        return x->demand->waiting > 0 ? -1 : 1;
+    }
+    return x->since_ms < y->since_ms ? -1 : x->since_ms > y->since_ms;
+}
+
+/* Models that lack replicas, those that callers wait for longest first. */
+static GArray *
+list_wanted(const Mp *m, uint64_t now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(Wanted));
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const Demand *d = v;
+        if (strchr(k, '/')) {
+            continue;
+        }
+        uint32_t have = count_replicas(m, k);
+        if (have < get_desired(m, now_ms, k)) {
+            Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
+                        have == 0};
+            g_array_append_val(out, w);
+        }
+    }
+    g_array_sort(out, compare_wanted);
+    return out;
+}
+
+static void
+place_models(Mp *m, uint64_t now_ms)
+{
+    g_autoptr(GArray) wanted = list_wanted(m, now_ms);
+    for (guint i = 0; i < wanted->len; i++) {
+        const Wanted *w = &g_array_index(wanted, Wanted, i);
+        bool from_store = false;
+        Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
+        if (!u) {
+            continue;
+        }
+        if (from_store &&
+            !may_start_store_load(m, now_ms, find_service(m, u))) {
+            continue;
+        }
+        set_goal(m, now_ms, u, w->model);
+    }
+}
+
+/* A declared model that nobody holds, into room that is free. */
+static void
+prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
+{
+    if (count_store_loads(m, now_ms) >= BACKGROUND_AT_ONCE ||
+        !may_start_store_load(m, now_ms, s)) {
+        return;
+    }
+    GHashTableIter it;
+    gpointer k;
+    g_hash_table_iter_init(&it, s->models);
+    while (g_hash_table_iter_next(&it, &k, NULL)) {
+        bool from_store;
+        if (count_replicas(m, k) > 0) {
+            continue;
+        }
+        Up *u = find_best_place(m, now_ms, k, false, &from_store);
+        if (u) {
+            set_goal(m, now_ms, u, k);
+            return;
+        }
+    }
+}
+
+static void
+prefetch(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->config->services);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepService *s = v;
+        if (s->has_models) {
+            prefetch_one(m, now_ms, s);
+        }
+    }
+}
+
+/* ---- adapters ----------------------------------------------------------- */
+
+static uint32_t
+count_adapters(const Up *u)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        n += ((Replica *)u->replicas->pdata[i])->adapters->len;
+    }
+    return n;
+}
+
+/* The adapter least recently used that nobody uses now. */
+static Adapter *
+pick_adapter_victim(const Mp *m, uint64_t now_ms, const Up *u,
+                    const char **model)
+{
+    Adapter *best = NULL;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        for (guint j = 0; j < r->adapters->len; j++) {
+            Adapter *a = r->adapters->pdata[j];
+            g_autofree char *key = make_key(r->name, a->name);
+            const Demand *d = peek_demand(m, key);
+            bool quiet = now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
+                         !(d && d->waiting) &&
+                         !is_in_use(m, u, r->name, a->name);
+            if (quiet && (!best || a->used_ms < best->used_ms)) {
+                best = a;
+                *model = r->name;
+            }
+        }
+    }
+    return best;
+}
+
+static bool
+is_adapter_held(const Mp *m, const char *model, const char *adapter)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        const Replica *r = can_use(m, u) ? find_replica(u, model) : NULL;
+        if (r && (find_adapter(r, adapter) ||
+                  (u->ordered && g_strcmp0(u->order_adapter, adapter) == 0 &&
+                   strcmp(u->order_model, model) == 0))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+place_adapter(Mp *m, uint64_t now_ms, const char *model, const char *adapter)
+{
+    Up *best = NULL;
+    double least = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        const Replica *r = can_use(m, u) ? find_replica(u, model) : NULL;
+        if (!r || r->unloading || r->ready_ms > now_ms ||
+            !can_order(u, now_ms)) {
+            continue;
+        }
+        const char *victim_model;
+        bool full = count_adapters(u) >= find_service(m, u)->max_adapters;
+        if (full && !pick_adapter_victim(m, now_ms, u, &victim_model)) {
+            continue;
+        }
+        double cost = count_adapters(u) + (full ? 100 : 0);
+        if (!best || cost < least) {
+            best = u;
+            least = cost;
+        }
+    }
+    if (!best) {
+        return;
+    }
+    const char *victim_model = NULL;
+    if (count_adapters(best) >= find_service(m, best)->max_adapters) {
+        const Adapter *a =
+            pick_adapter_victim(m, now_ms, best, &victim_model);
+        g_autofree char *name = g_strdup(a->name);
+        send_order(m, now_ms, best, victim_model, name, true);
+        return;
+    }
+    send_order(m, now_ms, best, model, adapter, false);
+}
+
+static void
+place_adapters(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const Demand *d = v;
+        const char *slash = strchr(k, '/');
+        if (!slash || d->waiting == 0) {
+            continue;
+        }
+        g_autofree char *model = g_strndup(k, (gsize)(slash - (char *)k));
+        if (!is_adapter_held(m, model, slash + 1)) {
+            place_adapter(m, now_ms, model, slash + 1);
+        }
+    }
+}
+
+/* ---- the round ---------------------------------------------------------- */
+
+/* Held for long, as we believe, and still waited for: ask again. */
+static void
+doubt(Mp *m, uint64_t now_ms, Up *u)
+{
+    if (!u->known || u->ordered || u->busy_until_ms > now_ms) {
+        return;
+    }
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        const Demand *d = peek_demand(m, r->name);
+        if (d && d->wanted_since_ms &&
+            now_ms > MAX(d->wanted_since_ms, r->ready_ms) + DOUBT_MS) {
+            distrust(u, now_ms);
+            return;
+        }
+    }
+}
+
+#define TICK_LOOK_BACK_MS 200 /* ticks come more often than this */
+
+void
+mp_on_tick(Mp *m, uint64_t now_ms, bool may_order)
+{
+    if (!m->config) {
+        return;
+    }
+    sum_demand(m, now_ms);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        if (!find_service(m, u)) {
+            continue;
+        }
+        doubt(m, now_ms, u);
+        if (!u->known && !u->asking && !u->ordered &&
+            now_ms >= u->next_ask_ms) {
+            u->asking = true;
+            m->out.ask(m->out.ctx, u->entry);
+        }
+        if (may_order && u->goal) {
+            pursue_goal(m, now_ms, u);
+        }
+    }
+    if (may_order) {
+        place_models(m, now_ms);
+        place_adapters(m, now_ms);
+        if (m->params.prefetch) {
+            prefetch(m, now_ms);
+        }
+    }
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        if (find_service(m, u) && u->known &&
+            (!u->told ||
+             has_just_become_ready(u, now_ms, now_ms - TICK_LOOK_BACK_MS))) {
+            tell(m, u, now_ms);
+        }
+    }
+}
+
+/* ---- how long callers wait ---------------------------------------------- */
+
+uint32_t
+mp_get_wait_ms(const Mp *m, uint64_t now_ms, const char *model)
+{
+    uint32_t best = UINT32_MAX;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        const DepModel *d = can_use(m, u) ? find_model(m, u, model) : NULL;
+        const Replica *r = d ? find_replica(u, model) : NULL;
+        if (r) {
+            uint64_t wait =
+                r->ready_ms > now_ms ? r->ready_ms - now_ms : 0;
+            best = MIN(best, (uint32_t)wait);
+        }
+        else if (d && g_strcmp0(u->goal, model) == 0) {
+            bool from_store;
+            best = MIN(best, get_load_ms(u, d, &from_store) + 100);
+        }
+    }
+    return best;
+}
+
+void
+mp_visit_waits(const Mp *m, uint64_t now_ms,
+               void (*visit)(void *ctx, const char *model, uint32_t wait_ms),
+               void *ctx)
+{
+    uint32_t queued = 0;
+    g_autoptr(GArray) wanted = list_wanted(m, now_ms);
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const Demand *d = v;
+        uint32_t wait_ms =
+            strchr(k, '/') ? 0 : mp_get_wait_ms(m, now_ms, k);
+        if (d->waiting > 0 && wait_ms > 0 && wait_ms != UINT32_MAX) {
+            visit(ctx, k, wait_ms);
+        }
+    }
+    /* Those that wait for the weight store go side by side, by turns. */
+    uint32_t rounds_ms = 0;
+    for (guint i = 0; i < wanted->len; i++) {
+        const Wanted *w = &g_array_index(wanted, Wanted, i);
+        if (!w->none) {
+            continue;
+        }
+        rounds_ms = 6000 * (1 + queued / MAX(m->params.store_at_once, 1));
+        queued++;
+        visit(ctx, w->model, rounds_ms);
+    }
+}
--- /dev/null
+++ b/src/mp.h
@@ -0,0 +1,104 @@
+/* mp: what is loaded on which upstream, decided by the one VM that holds the
+   lease for it.
+
+   Models are loaded when callers wait for them, on more upstreams as their
+   use grows, and where room is left before anybody asks.  Memory is counted
+   from the order on: an order of which no answer came counts until something
+   proves that it can't act.  Each order names the number of orders that the
+   upstream had accepted (its sequence) when its content was last known, so an
+   order of this or an earlier holder that acts late finds another number and
+   is refused, and nothing is ever loaded onto content that is not known.
+
+   A state machine without threads, I/O or clock. */
+#ifndef MP_H
+#define MP_H
+
+#include "bg_base.h"
+#include "dep.h"
+
+typedef enum {
+    MP_ORDER_TAKEN,    /* it is being carried out */
+    MP_ORDER_HOLDS,    /* already so */
+    MP_ORDER_CONFLICT, /* another is in progress, or the sequence differs */
+    MP_ORDER_REFUSED,  /* not carried out: wrong upstream or unknown model */
+    MP_ORDER_NOT_SENT,
+    MP_ORDER_UNKNOWN /* may act yet */
+} MpOrderEnd;
+
+typedef struct {
+    const char *upstream; /* id; with the life that is expected there */
+    const char *address;
+    const char *model;
+    const char *adapter; /* NULL: the model itself */
+    bool unload;
+    uint64_t sequence;
+} MpOrder;
+
+typedef void (*MpOrderFn)(void *ctx, MpOrderEnd end, uint16_t status);
+
+/* What one gateway says of one model or adapter. */
+typedef struct {
+    char *model;
+    char *adapter;    /* NULL: the model itself */
+    uint32_t waiting; /* callers, for it to be loaded */
+    uint32_t running;
+    uint32_t arrived; /* since the last word */
+} MpWant;
+
+/* What one gateway has running on one upstream. */
+typedef struct {
+    char *upstream;
+    char *model;
+    char *adapter;
+} MpUse;
+
+typedef struct {
+    void *ctx;
+    /* Answered by mp_on_order_end; one at a time for each upstream. */
+    void (*order)(void *ctx, const MpOrder *order);
+    /* Ask the upstream for a report; answered by mp_on_report. */
+    void (*ask)(void *ctx, const DepUpstream *of);
+    /* Gateways are to believe this of UPSTREAM: DepResident list, borrowed. */
+    void (*placed)(void *ctx, const char *upstream, const GPtrArray *models);
+} MpOutput;
+
+typedef struct {
+    double store_loads_per_s; /* 0: as the service says */
+    uint32_t store_at_once;   /* loads from the weight store side by side */
+    bool prefetch;            /* into room that nobody needs */
+} MpParams;
+
+typedef struct Mp Mp;
+
+Mp *mp_create(const MpParams *params, const MpOutput *out);
+void mp_destroy(Mp *m);
+
+void mp_on_config(Mp *m, const DepConfig *c);
+void mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry);
+void mp_on_gone(Mp *m, const char *id);
+void mp_keep_only(Mp *m, GHashTable *ids);
+
+/* The lease was gained: nothing that was believed before counts. */
+void mp_begin(Mp *m, uint64_t now_ms);
+/* All there is of GATEWAY's wants and uses now; both lists are borrowed. */
+void mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
+                  const GPtrArray *wants, const GPtrArray *uses);
+/* REPORT: NULL when the upstream did not answer. */
+void mp_on_report(Mp *m, uint64_t now_ms, const char *id,
+                  const DepUpstream *report);
+void mp_on_order_end(Mp *m, uint64_t now_ms, const char *id, MpOrderEnd end);
+/* Decide what is due; orders are given only when MAY_ORDER. */
+void mp_on_tick(Mp *m, uint64_t now_ms, bool may_order);
+
+/* How long callers of MODEL have to wait for it, as far as is known; 0: it
+   is held somewhere; UINT32_MAX: not known. */
+uint32_t mp_get_wait_ms(const Mp *m, uint64_t now_ms, const char *model);
+/* Each model that is wanted and not held: VISIT with its wait. */
+void mp_visit_waits(const Mp *m, uint64_t now_ms,
+                    void (*visit)(void *ctx, const char *model,
+                                  uint32_t wait_ms),
+                    void *ctx);
+/* Tell all placements again: a gateway has come. */
+void mp_tell_all(Mp *m);
+
+#endif
--- /dev/null
+++ b/src/rb.h
@@ -0,0 +1,31 @@
+/* rb: the budget of repeats.  A service must not get more arrivals beyond
+   the first of each request, in any window, than a share of its requests and
+   a fixed slack, summed over all gateways.  Gateways don't ask one another:
+   each keeps the share of its own requests and an equal part of the slack.
+   No threads, I/O or clock. */
+#ifndef RB_H
+#define RB_H
+
+#include "bg_base.h"
+
+typedef struct {
+    uint32_t window_ms;
+    double ratio;      /* repeats allowed for each request */
+    double slack;      /* repeats allowed besides, all gateways */
+    uint32_t gateways; /* that may exist at once */
+} RbParams;
+
+typedef struct Rb Rb;
+
+Rb *rb_create(const RbParams *params);
+void rb_destroy(Rb *b);
+void rb_set_gateways(Rb *b, uint32_t gateways);
+
+/* A request for SERVICE has come. */
+void rb_on_request(Rb *b, uint64_t now_ms, const char *service);
+/* True: one more arrival beyond the first is allowed, and counted. */
+bool rb_take(Rb *b, uint64_t now_ms, const char *service);
+/* It did not reach the service after all. */
+void rb_give_back(Rb *b, uint64_t now_ms, const char *service);
+
+#endif
--- /dev/null
+++ b/src/st.c
@@ -0,0 +1,221 @@
+#include "st.h"
+
+#include <ev.h>
+#include <string.h>
+
+/* After a failed call the next one waits, twice as long each time, so that a
+   store in trouble isn't pressed by every VM; half of it is random, so that
+   they do not come back as one. */
+#define FIRST_BACKOFF_MS 80
+#define MAX_BACKOFF_MS 700
+
+StRecord *
+st_create_record(const char *key, size_t key_len, uint64_t offset)
+{
+    StRecord *r = g_new0(StRecord, 1);
+    r->key = g_strndup(key, key_len);
+    r->offset = offset;
+    return r;
+}
+
+void
+st_free_record(void *record)
+{
+    StRecord *r = record;
+    g_free(r->key);
+    if (r->value) {
+        g_bytes_unref(r->value);
+    }
+    g_free(r);
+}
+
+struct StWatch {
+    struct ev_loop *loop;
+    St *store;
+    StWatchParams params;
+    StWatchHandler handler;
+    ev_timer timer; /* the next call */
+    BgRandom rng;
+    bool listed;
+    bool listing;     /* a listing is under way */
+    bool reached;
+    bool asking;      /* a call is out */
+    bool doomed;      /* destroyed while a call was out */
+    uint64_t next;    /* offset to read from */
+    GPtrArray *pages; /* of the listing under way: StRecord */
+    uint32_t backoff_ms;
+};
+
+static void ask(StWatch *w);
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *t, int events)
+{
+    (void)loop;
+    (void)events;
+    ask(t->data);
+}
+
+static void
+ask_after(StWatch *w, uint32_t wait_ms)
+{
+    ev_timer_stop(w->loop, &w->timer);
+    ev_timer_set(&w->timer, wait_ms / 1000., 0.);
+    ev_timer_start(w->loop, &w->timer);
+}
+
+static void
+note_reach(StWatch *w, bool reached)
+{
+    if (w->reached != reached) {
+        w->reached = reached;
+        w->handler.on_reach(w->handler.ctx, reached);
+    }
+}
+
+static void
+back_off(StWatch *w)
+{
+    note_reach(w, false);
+    w->backoff_ms = w->backoff_ms ? MIN(w->backoff_ms * 2, MAX_BACKOFF_MS)
+                                  : FIRST_BACKOFF_MS;
+    ask_after(w, w->backoff_ms / 2 +
+                     bg_pick_random(&w->rng, w->backoff_ms / 2 + 1));
+}
+
+static void
+begin_listing(StWatch *w)
+{
+    w->listing = true;
+    if (w->pages) {
+        g_ptr_array_free(w->pages, TRUE);
+    }
+    w->pages = g_ptr_array_new_with_free_func(st_free_record);
+}
+
+static void
+take_page(StWatch *w, const StReply *r)
+{
+    /* Pages are no snapshot: what changes meanwhile is read from the tail
+       that the first page told. */
+    if (w->pages->len == 0) {
+        w->next = r->tail;
+    }
+    while (r->records->len > 0) {
+        g_ptr_array_add(w->pages, g_ptr_array_steal_index(r->records, 0));
+    }
+    if (r->has_more && w->pages->len > 0) {
+        ask(w);
+        return;
+    }
+    w->listing = false;
+    w->listed = true;
+    w->handler.on_records(w->handler.ctx, w->pages, true);
+    g_ptr_array_free(w->pages, TRUE);
+    w->pages = NULL;
+    ask_after(w, w->params.pause_ms);
+}
+
+static void
+take_records(StWatch *w, const StReply *r)
+{
+    if (r->records->len > 0) {
+        const StRecord *last = r->records->pdata[r->records->len - 1];
+        w->next = last->offset + 1;
+        w->handler.on_records(w->handler.ctx, r->records, false);
+    }
+    else if (r->tail < w->next) {
+        /* A tail below what was read: another history. */
+        bg_log(BG_WARN, "store", "%s: tail %llu below %llu, listing anew",
+               w->params.name, (unsigned long long)r->tail,
+               (unsigned long long)w->next);
+        begin_listing(w);
+    }
+    ask_after(w, w->params.pause_ms);
+}
+
+static void
+on_reply(void *ctx, const StReply *r)
+{
+    StWatch *w = ctx;
+    w->asking = false;
+    if (w->doomed) {
+        if (w->pages) {
+            g_ptr_array_free(w->pages, TRUE);
+        }
+        g_free(w);
+        return;
+    }
+    if (r->end == ST_TRIMMED) {
+        begin_listing(w);
+        ask_after(w, 0);
+        return;
+    }
+    if (r->end != ST_OK) {
+        back_off(w);
+        return;
+    }
+    w->backoff_ms = 0;
+    note_reach(w, true);
+    if (w->listing) {
+        take_page(w, r);
+    }
+    else {
+        take_records(w, r);
+    }
+}
+
+static void
+ask(StWatch *w)
+{
+    w->asking = true;
+    if (!w->listing) {
+        w->store->ops->read(w->store, w->params.topic, w->next,
+                            w->params.wait_ms, on_reply, w);
+        return;
+    }
+    const char *after = NULL;
+    if (w->pages->len > 0) {
+        after = ((StRecord *)w->pages->pdata[w->pages->len - 1])->key;
+    }
+    w->store->ops->list(w->store, w->params.topic, after, on_reply, w);
+}
+
+StWatch *
+st_create_watch(struct ev_loop *loop, St *s, const StWatchParams *params,
+                const StWatchHandler *handler)
+{
+    StWatch *w = g_new0(StWatch, 1);
+    w->loop = loop;
+    w->store = s;
+    w->params = *params;
+    w->handler = *handler;
+    bg_seed_random(&w->rng, bg_now_us() ^ (uint64_t)(uintptr_t)w);
+    ev_timer_init(&w->timer, on_timer, 0., 0.);
+    w->timer.data = w;
+    begin_listing(w);
+    ask_after(w, 0);
+    return w;
+}
+
+void
+st_destroy_watch(StWatch *w)
+{
+    ev_timer_stop(w->loop, &w->timer);
+    w->doomed = true;
+    if (!w->asking) {
+        on_reply(w, &(StReply){.end = ST_AWAY});
+    }
+}
+
+bool
+st_is_listed(const StWatch *w)
+{
+    return w->listed;
+}
+
+bool
+st_is_reached(const StWatch *w)
+{
+    return w->reached;
+}
--- /dev/null
+++ b/src/st.h
@@ -0,0 +1,88 @@
+/* st: the store that outlives every process, as the product uses it: topics
+   of records with a key, of which the newest of each key stays; reads from
+   an offset; appends under the condition that nobody wrote since. */
+#ifndef ST_H
+#define ST_H
+
+#include "bg_base.h"
+
+typedef enum {
+    ST_CONFIG,    /* written by operators, under one key */
+    ST_UPSTREAMS, /* written by upstreams, each under its id */
+    ST_OWNER      /* ours: who may order upstreams, see ls */
+} StTopic;
+
+typedef enum {
+    ST_OK,
+    ST_CONFLICT, /* somebody wrote since; nothing was done */
+    ST_REFUSED,  /* nothing was done */
+    ST_TRIMMED,  /* the records asked for are no longer kept */
+    ST_AWAY      /* no answer: an append may have been done, or be done yet */
+} StEnd;
+
+typedef struct {
+    char *key;
+    GBytes *value; /* NULL: the key was dropped */
+    uint64_t offset;
+} StRecord;
+
+typedef struct {
+    StEnd end;
+    GPtrArray *records; /* StRecord; NULL unless ST_OK of a list or read */
+    uint64_t tail;      /* offset that the next record will get */
+    uint64_t offset;    /* of an append */
+    bool has_more;      /* of a list: go on after the last key */
+} StReply;
+
+typedef void (*StReplyFn)(void *ctx, const StReply *reply);
+
+typedef struct St St;
+
+typedef struct {
+    /* The newest record of each key, from the one after AFTER (NULL: all). */
+    void (*list)(St *s, StTopic topic, const char *after, StReplyFn done,
+                 void *ctx);
+    /* Records from FROM on, as soon as there is one or WAIT_MS are over. */
+    void (*read)(St *s, StTopic topic, uint64_t from, uint32_t wait_ms,
+                 StReplyFn done, void *ctx);
+    /* Append one record if the topic's tail is still AT. */
+    void (*append)(St *s, StTopic topic, uint64_t at, const char *key,
+                   const void *value, size_t len, StReplyFn done, void *ctx);
+} StOps;
+
+struct St {
+    const StOps *ops;
+};
+
+StRecord *st_create_record(const char *key, size_t key_len, uint64_t offset);
+void st_free_record(void *record);
+
+/* ---- following a topic -------------------------------------------------- */
+
+typedef struct StWatch StWatch;
+struct ev_loop;
+
+typedef struct {
+    StTopic topic;
+    const char *name;  /* for the log */
+    uint32_t wait_ms;  /* a read is held open for so long; 0: polled */
+    uint32_t pause_ms; /* between reads */
+} StWatchParams;
+
+typedef struct {
+    void *ctx;
+    /* WHOLE: RECORDS are all there is; what is not among them is gone. */
+    void (*on_records)(void *ctx, const GPtrArray *records, bool whole);
+    /* The store answered again after it did not, or stopped answering. */
+    void (*on_reach)(void *ctx, bool reached);
+} StWatchHandler;
+
+StWatch *st_create_watch(struct ev_loop *loop, St *s,
+                         const StWatchParams *params,
+                         const StWatchHandler *handler);
+void st_destroy_watch(StWatch *w);
+/* A first listing has come. */
+bool st_is_listed(const StWatch *w);
+bool st_is_reached(const StWatch *w);
+
+#endif
--- /dev/null
+++ b/src/ut.c
@@ -0,0 +1,625 @@
+#include "ut.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Reported load fades: it is as old as the answer that told it. */
+#define REPORT_FADE_MS 1000
+/* What an upstream says it lacks is believed for so long; a load that was
+   thought done may take a little longer. */
+#define ABSENT_MS 40
+#define LONGEST_ABSENT_MS 1000 /* doubled each time, up to this */
+/* Rest after it could not be reached; doubled each time, up to the longest. */
+#define FIRST_REST_MS 250
+#define LONGEST_REST_MS 3000
+/* Weight of a new sample in the averages of failures and first bytes: about
+   the last five answers decide. */
+#define SAMPLE_WEIGHT 0.2
+/* An upstream that was found slow or failing is tried again: what is held
+   against it halves in this time. */
+#define FORGIVE_MS 2500.
+/* How much a failing upstream is shunned: one that fails half of its
+   requests looks as loaded as one with 8 times the load. */
+#define FAILURE_COST 15.
+/* The preferred holder of a prompt's leading parts is left when its load
+   passes this share of the mean and so many requests more. */
+#define AFFINITY_LOAD 1.5
+#define AFFINITY_SLACK 3.
+/* Another data centre's upstream costs a round trip and paid bytes: it is
+   taken when it has this much less load. */
+#define REMOTE_COST 1.15
+
+typedef struct {
+    char *what; /* "model" or "model/adapter" */
+    uint64_t until_ms;
+    uint32_t last_ms;
+} Absence;
+
+struct Ut {
+    DepUpstream *entry;
+    GPtrArray *placed; /* DepResident, by the placing VM; NULL: by entry */
+    bool gone;         /* no longer listed; kept while calls are out */
+    bool leaving;
+    uint32_t running; /* our calls */
+    uint32_t reported; /* running and waiting, less ours at that time */
+    uint64_t reported_ms;
+    uint32_t reported_slots;
+    uint32_t failures; /* unreachable in a row */
+    uint64_t rest_until_ms;
+    uint64_t shed_until_ms;
+    double fail_rate; /* 0 to 1 */
+    double slowness;  /* first byte against the usual; 1: as usual */
+    uint64_t judged_ms;
+    GArray *absences; /* Absence */
+};
+
+struct UtSet {
+    char *data_centre;
+    BgRandom rng;
+    GHashTable *by_id; /* id -> Ut */
+    GPtrArray *ghosts; /* Ut: gone, with calls out */
+    double plain_ms;   /* usual first byte of a service without models */
+};
+
+static void
+clear_absence(void *p)
+{
+    g_free(((Absence *)p)->what);
+}
+
+static void
+free_ut(void *p)
+{
+    Ut *u = p;
+    dep_destroy_upstream(u->entry);
+    if (u->placed) {
+        g_ptr_array_free(u->placed, TRUE);
+    }
+    g_array_free(u->absences, TRUE);
+    g_free(u);
+}
+
+UtSet *
+ut_create(const UtParams *params)
+{
+    UtSet *s = g_new0(UtSet, 1);
+    s->data_centre = g_strdup(params->data_centre);
+    bg_seed_random(&s->rng, params->seed);
+    s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    s->ghosts = g_ptr_array_new();
+    return s;
+}
+
+void
+ut_destroy(UtSet *s)
+{
+    GHashTableIter it;
+    gpointer u;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &u)) {
+        free_ut(u);
+    }
+    g_hash_table_destroy(s->by_id);
+    for (guint i = 0; i < s->ghosts->len; i++) {
+        free_ut(s->ghosts->pdata[i]);
+    }
+    g_ptr_array_free(s->ghosts, TRUE);
+    g_free(s->data_centre);
+    g_free(s);
+}
+
+/* ---- what is known of them ---------------------------------------------- */
+
+static void
+drop(UtSet *s, Ut *u)
+{
+    g_hash_table_remove(s->by_id, u->entry->id);
+    u->gone = true;
+    if (u->running == 0) {
+        free_ut(u);
+    }
+    else {
+        g_ptr_array_add(s->ghosts, u);
+    }
+}
+
+/* Another life, or another place under the same id: nothing that was learnt
+   of the former holds. */
+static bool
+is_same_life(const DepUpstream *a, const DepUpstream *b)
+{
+    return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0 &&
+           strcmp(a->service, b->service) == 0;
+}
+
+void
+ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry)
+{
+    Ut *u = g_hash_table_lookup(s->by_id, entry->id);
+    if (u && !is_same_life(u->entry, entry)) {
+        drop(s, u);
+        u = NULL;
+    }
+    if (u) {
+        g_hash_table_steal(s->by_id, u->entry->id);
+        dep_destroy_upstream(u->entry);
+    }
+    else {
+        u = g_new0(Ut, 1);
+        u->absences = g_array_new(FALSE, FALSE, sizeof(Absence));
+        g_array_set_clear_func(u->absences, clear_absence);
+        u->slowness = 1;
+        u->judged_ms = now_ms;
+    }
+    u->entry = entry;
+    u->leaving = u->leaving || entry->draining;
+    g_hash_table_insert(s->by_id, entry->id, u);
+}
+
+void
+ut_on_gone(UtSet *s, uint64_t now_ms, const char *id)
+{
+    (void)now_ms;
+    Ut *u = g_hash_table_lookup(s->by_id, id);
+    if (u) {
+        drop(s, u);
+    }
+}
+
+void
+ut_keep_only(UtSet *s, uint64_t now_ms, GHashTable *ids)
+{
+    g_autoptr(GList) known = g_hash_table_get_keys(s->by_id);
+    for (GList *l = known; l; l = l->next) {
+        if (!g_hash_table_contains(ids, l->data)) {
+            ut_on_gone(s, now_ms, l->data);
+        }
+    }
+}
+
+void
+ut_on_placement(UtSet *s, uint64_t now_ms, const char *id, GPtrArray *models)
+{
+    (void)now_ms;
+    Ut *u = g_hash_table_lookup(s->by_id, id);
+    if (!u) {
+        g_ptr_array_free(models, TRUE);
+        return;
+    }
+    if (u->placed) {
+        g_ptr_array_free(u->placed, TRUE);
+    }
+    u->placed = models;
+}
+
+void
+ut_forget_placement(UtSet *s)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Ut *u = v;
+        if (u->placed) {
+            g_ptr_array_free(u->placed, TRUE);
+            u->placed = NULL;
+        }
+    }
+}
+
+/* ---- holding ------------------------------------------------------------ */
+
+static bool
+has_text(const GPtrArray *list, const char *text)
+{
+    for (guint i = 0; i < list->len; i++) {
+        if (strcmp(list->pdata[i], text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_absent(const Ut *u, uint64_t now_ms, const char *model,
+          const char *adapter)
+{
+    for (guint i = 0; i < u->absences->len; i++) {
+        const Absence *a = &g_array_index(u->absences, Absence, i);
+        size_t len = strlen(model);
+        if (a->until_ms <= now_ms || strncmp(a->what, model, len) != 0) {
+            continue;
+        }
+        if (a->what[len] == '\0' ||
+            (adapter && a->what[len] == '/' &&
+             strcmp(a->what + len + 1, adapter) == 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+typedef enum { HOLDS_NOT, HOLDS_MODEL, HOLDS_ALL } Holds;
+
+static Holds
+check_holds(const Ut *u, uint64_t now_ms, const UtQuery *q)
+{
+    if (!q->model) {
+        return HOLDS_ALL;
+    }
+    const GPtrArray *models = u->placed ? u->placed : u->entry->models;
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        if (strcmp(r->name, q->model) != 0) {
+            continue;
+        }
+        if (is_absent(u, now_ms, q->model, NULL)) {
+            return HOLDS_NOT;
+        }
+        if (!q->adapter) {
+            return HOLDS_ALL;
+        }
+        return has_text(r->adapters, q->adapter) &&
+                       !is_absent(u, now_ms, q->model, q->adapter)
+                   ? HOLDS_ALL
+                   : HOLDS_MODEL;
+    }
+    return HOLDS_NOT;
+}
+
+/* ---- choice ------------------------------------------------------------- */
+
+static double
+get_others(const Ut *u, uint64_t now_ms)
+{
+    uint64_t age_ms = now_ms - u->reported_ms;
+    if (u->reported_ms == 0 || age_ms >= REPORT_FADE_MS) {
+        return 0;
+    }
+    return u->reported * (1. - (double)age_ms / REPORT_FADE_MS);
+}
+
+static double
+get_load(const Ut *u, uint64_t now_ms)
+{
+    return u->running + get_others(u, now_ms);
+}
+
+/* What is held against it, eased with time. */
+static double
+get_handicap(const Ut *u, uint64_t now_ms)
+{
+    double ease = exp2(-(double)(now_ms - u->judged_ms) / FORGIVE_MS);
+    double slow = 1 + (u->slowness - 1) * ease;
+    return slow * (1 + FAILURE_COST * u->fail_rate * ease);
+}
+
+static double
+compute_cost(const UtSet *s, const Ut *u, uint64_t now_ms, const UtQuery *q)
+{
+    double cost = (get_load(u, now_ms) + 1) * get_handicap(u, now_ms);
+    if (strcmp(u->entry->data_centre, s->data_centre) != 0) {
+        /* A plain call is short: the way there is much of its time. */
+        cost *= q->model ? REMOTE_COST : REMOTE_COST * 1.3;
+    }
+    return cost;
+}
+
+static uint32_t
+get_slots(const Ut *u)
+{
+    return u->reported_slots ? u->reported_slots : MAX(u->entry->slots, 1);
+}
+
+static bool
+was_tried(const UtQuery *q, const Ut *u)
+{
+    for (guint i = 0; q->tried && i < q->tried->len; i++) {
+        if (q->tried->pdata[i] == u) {
+            return true;
+        }
+    }
+    return false;
+}
+
+typedef struct {
+    Ut *ut;
+    double cost;
+    uint64_t rank; /* rendezvous */
+} Candidate;
+
+static uint64_t
+compute_rank(uint64_t affinity, const char *id)
+{
+    return XXH64(id, strlen(id), affinity);
+}
+
+/* The holder that all gateways prefer for these leading parts, unless it is
+   far more loaded than the others. */
+static const Candidate *
+prefer_by_affinity(const GArray *c, double mean)
+{
+    const Candidate *best = NULL;
+    for (guint i = 0; i < c->len; i++) {
+        const Candidate *x = &g_array_index(c, Candidate, i);
+        if (x->cost <= mean * AFFINITY_LOAD + AFFINITY_SLACK &&
+            (!best || x->rank > best->rank)) {
+            best = x;
+        }
+    }
+    return best;
+}
+
+static const Candidate *
+pick(UtSet *s, const GArray *c, const UtQuery *q)
+{
+    double sum = 0;
+    const Candidate *least = &g_array_index(c, Candidate, 0);
+    for (guint i = 0; i < c->len; i++) {
+        const Candidate *x = &g_array_index(c, Candidate, i);
+        sum += x->cost;
+        if (x->cost < least->cost) {
+            least = x;
+        }
+    }
+    if (q->affinity) {
+        const Candidate *x = prefer_by_affinity(c, sum / c->len);
+        if (x) {
+            return x;
+        }
+    }
+    /* The better of two, so that gateways with the same stale reports do not
+       all run to one upstream. */
+    const Candidate *a = &g_array_index(
+        c, Candidate, bg_pick_random(&s->rng, c->len));
+    const Candidate *b = least;
+    return a->cost < b->cost * 1.05 ? a : b;
+}
+
+UtAnswer
+ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out)
+{
+    g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(Candidate));
+    g_autoptr(GArray) resting = g_array_new(FALSE, FALSE, sizeof(Candidate));
+    bool any = false;
+    bool model = false;
+    bool all = false;
+    bool full = false;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Ut *u = v;
+        if (u->leaving || strcmp(u->entry->service, q->service) != 0) {
+            continue;
+        }
+        any = true;
+        Holds holds = check_holds(u, now_ms, q);
+        model = model || holds != HOLDS_NOT;
+        if (holds != HOLDS_ALL) {
+            continue;
+        }
+        all = true;
+        if (was_tried(q, u)) {
+            continue;
+        }
+        Candidate c = {u, compute_cost(s, u, now_ms, q),
+                       compute_rank(q->affinity, u->entry->id)};
+        if (now_ms < u->shed_until_ms && u->running > 0) {
+            full = true;
+        }
+        else if (now_ms < u->rest_until_ms) {
+            g_array_append_val(resting, c);
+        }
+        else {
+            g_array_append_val(open, c);
+        }
+    }
+    GArray *from = open->len ? open : resting;
+    if (from->len == 0) {
+        return !any    ? UT_NONE
+               : !model ? UT_COLD
+               : !all   ? UT_ADAPTER
+               : full   ? UT_FULL
+                        : UT_TRIED;
+    }
+    *out = pick(s, from, q)->ut;
+    return UT_FOUND;
+}
+
+/* ---- calls -------------------------------------------------------------- */
+
+void
+ut_start(Ut *u, const UtQuery *q)
+{
+    (void)q;
+    u->running++;
+}
+
+static void
+ease(Ut *u, uint64_t now_ms)
+{
+    double f = exp2(-(double)(now_ms - u->judged_ms) / FORGIVE_MS);
+    u->fail_rate *= f;
+    u->slowness = 1 + (u->slowness - 1) * f;
+    u->judged_ms = now_ms;
+}
+
+static void
+note_first_byte(UtSet *s, Ut *u, uint32_t first_ms, const UtQuery *q)
+{
+    if (q->model) {
+        uint32_t usual = ut_get_usual_ms(s, u, q);
+        double x = CLAMP((double)first_ms / MAX(usual, 1), 0.5, 10);
+        u->slowness += SAMPLE_WEIGHT * (MAX(x, 1) - u->slowness);
+        return;
+    }
+    if (s->plain_ms > 0) {
+        double x = CLAMP(first_ms / s->plain_ms, 0.5, 10);
+        u->slowness += SAMPLE_WEIGHT * (MAX(x, 1) - u->slowness);
+    }
+    double mean = s->plain_ms > 0 ? s->plain_ms : first_ms;
+    s->plain_ms = MAX(1, mean + 0.05 * (first_ms - mean));
+}
+
+void
+ut_finish(UtSet *s, Ut *u, uint64_t now_ms, UtEnd end, uint32_t first_ms,
+          const UtQuery *q)
+{
+    u->running--;
+    ease(u, now_ms);
+    switch (end) {
+    case UT_END_GOOD:
+        u->failures = 0;
+        u->rest_until_ms = 0;
+        u->fail_rate *= 1 - SAMPLE_WEIGHT;
+        break;
+    case UT_END_FAILED:
+        u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
+        break;
+    case UT_END_DEAD:
+    case UT_END_SILENT:
+        u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
+        u->rest_until_ms =
+            now_ms + MIN(FIRST_REST_MS << MIN(u->failures, 10),
+                         LONGEST_REST_MS);
+        u->failures++;
+        break;
+    case UT_END_SHED:
+        u->shed_until_ms = now_ms + ABSENT_MS;
+        break;
+    case UT_END_NEUTRAL:
+        break;
+    }
+    if (first_ms) {
+        note_first_byte(s, u, first_ms, q);
+    }
+    if (u->gone && u->running == 0) {
+        g_ptr_array_remove_fast(s->ghosts, u);
+        free_ut(u);
+    }
+}
+
+void
+ut_note_absent(UtSet *s, Ut *u, uint64_t now_ms, const char *model,
+               const char *adapter)
+{
+    (void)s;
+    g_autofree char *what =
+        adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+    uint32_t last_ms = 0;
+    for (guint i = 0; i < u->absences->len;) {
+        Absence *a = &g_array_index(u->absences, Absence, i);
+        bool same = strcmp(a->what, what) == 0;
+        if (same && now_ms < a->until_ms + LONGEST_ABSENT_MS) {
+            last_ms = a->last_ms;
+        }
+        if (same || a->until_ms + LONGEST_ABSENT_MS <= now_ms) {
+            g_array_remove_index_fast(u->absences, i);
+        }
+        else {
+            i++;
+        }
+    }
+    Absence a = {.what = g_steal_pointer(&what)};
+    a.last_ms = last_ms ? MIN(last_ms * 2, LONGEST_ABSENT_MS) : ABSENT_MS;
+    a.until_ms = now_ms + a.last_ms;
+    g_array_append_val(u->absences, a);
+}
+
+void
+ut_note_leaving(Ut *u)
+{
+    u->leaving = true;
+}
+
+void
+ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting,
+             uint32_t slots)
+{
+    uint32_t all = running + waiting;
+    u->reported = all > u->running ? all - u->running : 0;
+    u->reported_ms = now_ms;
+    u->reported_slots = slots;
+}
+
+/* Reading the prompt and the first step; a queue or other requests make it
+   longer.  Of engines that read about 38 tokens in a ms. */
+#define TOKENS_PER_MS 30.
+#define FIRST_STEP_MS 100.
+
+uint32_t
+ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q)
+{
+    (void)u;
+    if (!q->model) {
+        return (uint32_t)s->plain_ms;
+    }
+    return (uint32_t)(FIRST_STEP_MS + q->prompt_tokens / TOKENS_PER_MS);
+}
+
+const char *
+ut_get_id(const Ut *u)
+{
+    return u->entry->id;
+}
+
+const char *
+ut_get_address(const Ut *u)
+{
+    return u->entry->address;
+}
+
+const DepUpstream *
+ut_get_entry(const Ut *u)
+{
+    return u->entry;
+}
+
+bool
+ut_is_gone(const Ut *u)
+{
+    return u->gone || u->leaving;
+}
+
+uint32_t
+ut_get_running(const Ut *u)
+{
+    return u->running;
+}
+
+void
+ut_sum_load(const UtSet *s, uint64_t now_ms, const char *service,
+            uint32_t *slots, uint32_t *taken)
+{
+    *slots = 0;
+    *taken = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        if (!u->leaving && strcmp(u->entry->service, service) == 0) {
+            *slots += get_slots(u);
+            *taken += (uint32_t)get_load(u, now_ms);
+        }
+    }
+}
+
+uint32_t
+ut_count(const UtSet *s)
+{
+    return g_hash_table_size(s->by_id);
+}
+
+void
+ut_visit(const UtSet *s, void (*visit)(void *ctx, const Ut *u), void *ctx)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        visit(ctx, v);
+    }
+}
--- /dev/null
+++ b/src/ut.h
@@ -0,0 +1,95 @@
+/* ut: the upstreams that a gateway knows, what they hold, how they do, and
+   the choice among them.  Fed by their entries in the store, by the word of
+   the VM that places models, and by the ends of this gateway's own calls.
+   No threads, I/O or clock. */
+#ifndef UT_H
+#define UT_H
+
+#include "bg_base.h"
+#include "dep.h"
+
+typedef struct {
+    const char *data_centre; /* of this gateway */
+    uint64_t seed;
+} UtParams;
+
+typedef struct UtSet UtSet;
+typedef struct Ut Ut;
+
+UtSet *ut_create(const UtParams *params);
+void ut_destroy(UtSet *s);
+
+/* ENTRY is taken over.  RELISTED entries: those not among them are gone. */
+void ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry);
+void ut_on_gone(UtSet *s, uint64_t now_ms, const char *id);
+/* Only IDS (a set of char *) are left. */
+void ut_keep_only(UtSet *s, uint64_t now_ms, GHashTable *ids);
+/* What the placing VM says that UPSTREAM holds: DepResident list, taken
+   over.  It goes before the entry until ut_forget_placement. */
+void ut_on_placement(UtSet *s, uint64_t now_ms, const char *id,
+                     GPtrArray *models);
+/* The placing VM is not heard any more: entries count again. */
+void ut_forget_placement(UtSet *s);
+
+/* Who could serve. */
+typedef struct {
+    const char *service;
+    const char *model;       /* NULL: any upstream of the service */
+    const char *adapter;     /* NULL: the model itself */
+    uint64_t affinity;       /* digest of the shared leading parts; 0: none */
+    uint32_t prompt_tokens;
+    const GPtrArray *tried;  /* Ut * that are not to be used again, or NULL */
+} UtQuery;
+
+typedef enum {
+    UT_FOUND,
+    UT_NONE,    /* the service has no upstream at all */
+    UT_COLD,    /* nobody holds the model */
+    UT_ADAPTER, /* the model is held, the adapter is not */
+    UT_TRIED,   /* all that could serve were tried */
+    UT_FULL     /* all that could serve have as much as they take */
+} UtAnswer;
+
+/* The upstream to send to now, in *OUT if UT_FOUND. */
+UtAnswer ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out);
+
+/* A call to U starts; U stays valid until ut_finish. */
+void ut_start(Ut *u, const UtQuery *q);
+
+typedef enum {
+    UT_END_GOOD,     /* it answered */
+    UT_END_FAILED,   /* it failed the request, or broke off */
+    UT_END_DEAD,     /* it can't be reached */
+    UT_END_SILENT,   /* it did not answer in time */
+    UT_END_SHED,     /* it said that it ran nothing: it is full */
+    UT_END_NEUTRAL   /* tells nothing of it */
+} UtEnd;
+
+/* FIRST_MS: to its first byte; 0: not known. */
+void ut_finish(UtSet *s, Ut *u, uint64_t now_ms, UtEnd end,
+               uint32_t first_ms, const UtQuery *q);
+/* It said that it does not hold this (for now). */
+void ut_note_absent(UtSet *s, Ut *u, uint64_t now_ms, const char *model,
+                    const char *adapter);
+/* It said itself that it leaves, or is another than expected. */
+void ut_note_leaving(Ut *u);
+/* What an answer said of its load. */
+void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting,
+                  uint32_t slots);
+/* A first byte within so long is usual for this query; 0: not known. */
+uint32_t ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q);
+
+const char *ut_get_id(const Ut *u);
+const char *ut_get_address(const Ut *u);
+const DepUpstream *ut_get_entry(const Ut *u);
+bool ut_is_gone(const Ut *u);
+uint32_t ut_get_running(const Ut *u);
+/* Requests of SERVICE that fit at once, and those that run or wait. */
+void ut_sum_load(const UtSet *s, uint64_t now_ms, const char *service,
+                 uint32_t *slots, uint32_t *taken);
+uint32_t ut_count(const UtSet *s);
+/* VISIT each upstream. */
+void ut_visit(const UtSet *s, void (*visit)(void *ctx, const Ut *u),
+              void *ctx);
+
+#endif
