--- a/src/dep.c
+++ b/src/dep.c
@@ -180,6 +180,7 @@
     DepResident *r = p;
     g_free(r->name);
     g_ptr_array_free(r->adapters, TRUE);
+    g_ptr_array_free(r->coming, TRUE);
     g_free(r);
 }
 
@@ -215,6 +216,7 @@
     DepResident *r = g_new0(DepResident, 1);
     r->name = g_strdup(name);
     r->adapters = g_ptr_array_new_with_free_func(g_free);
+    r->coming = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(u->models, r);
     return r;
 }
--- a/src/dep.h
+++ b/src/dep.h
@@ -91,6 +91,7 @@
     char *name;
     uint64_t version;
     GPtrArray *adapters; /* char * */
+    GPtrArray *coming;   /* char *: adapters on their way */
 } DepResident;
 
 /* What an upstream said of itself. */
--- a/src/gw.c
+++ b/src/gw.c
@@ -104,6 +104,7 @@
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
     BgRandom rng;
+    bool closed;
 };
 
 static void try_send(Req *q);
@@ -783,7 +784,7 @@
 gw_on_request(Gw *g, HtExchange *x)
 {
     const HtHead *head = ht_get_head(x);
-    if (!g->config) {
+    if (!g->config || g->closed) {
         refuse_at_door(x, 503, RETRY_SOON_MS);
         return;
     }
@@ -878,6 +879,17 @@
     }
 }
 
+void
+gw_close(Gw *g)
+{
+    g->closed = true;
+    while (g->reqs.head) {
+        Req *q = g->reqs.head->data;
+        q->runs += q->hc && ht_was_sent(q->hc);
+        give_up(q, RETRY_SOON_MS, "the gateway stops");
+    }
+}
+
 void
 gw_on_change(Gw *g)
 {
--- a/src/gw.h
+++ b/src/gw.h
@@ -76,6 +76,10 @@
 void gw_on_request(Gw *g, HtExchange *x);
 void gw_on_gone(Gw *g, HtExchange *x);
 
+/* The process ends: everything still open is answered now, and what comes
+   from now on is refused. */
+void gw_close(Gw *g);
+
 /* Append MpWant and MpUse of now; arrivals are those since the last call. */
 void gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses);
 uint32_t gw_count(const Gw *g);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -41,6 +41,9 @@
 /* The balancer asks once a second and takes a VM out after two misses; until
    then new connections come. */
 #define LEAVE_MS 2600
+/* What is still open is answered this long before the process is killed,
+   and the answers have a moment to leave. */
+#define CLOSE_MARGIN_MS 1000
 #define GRACE_MARGIN_MS 700
 #define LOG_STOP_MS 100
 #define STORE_AT_ONCE 4 /* loads that the weight store serves at full speed */
@@ -848,6 +851,9 @@
     uint64_t since_ms = now_ms - g->stop_ms;
     uint64_t grace_ms =
         (uint64_t)ini_get_int(g->settings, "bounds", "grace_s") * 1000;
+    if (since_ms + CLOSE_MARGIN_MS >= grace_ms) {
+        gw_close(g->gw);
+    }
     if (since_ms + GRACE_MARGIN_MS >= grace_ms) {
         return true;
     }
--- a/src/mp.c
+++ b/src/mp.c
@@ -22,9 +22,14 @@
 #define LOAD_MARGIN_MS 15
 #define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
 #define ADAPTER_SETTLE_MS 300
-/* Reports lag by some 200 ms; asked again no sooner. */
+/* A report's numbers are of now, its lists of some 200 ms ago: what it lists
+   is believed only when no order was accepted in this time before it. */
+#define REPORT_LAG_MS 450
 #define ASK_PAUSE_MS 150
-#define RETRY_PAUSE_MS 30 /* after a conflict with our own running order */
+#define RETRY_PAUSE_MS 25 /* after a conflict with our own running order */
+/* An unload waits for its runs; a conflict in this time after it says no
+   more than that. */
+#define UNLOAD_MS 1200
 #define GOAL_LIFE_MS 4000
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
@@ -34,6 +39,7 @@
     char *name;
     uint64_t ready_ms; /* usable from then on */
     uint64_t used_ms;
+    bool leaving; /* its unload waits for requests that use it */
 } Adapter;
 
 typedef struct {
@@ -54,6 +60,8 @@
     GPtrArray *replicas; /* Replica */
     uint64_t busy_until_ms;
     uint64_t retry_ms; /* no order before */
+    uint64_t changed_ms; /* an order was accepted, or may have been */
+    uint64_t unloaded_ms; /* of a model, the last */
     char *goal;        /* model that is to be loaded here */
     uint64_t goal_until_ms;
     /* the order that is out */
@@ -497,7 +505,7 @@
         DepResident *d = dep_add_resident(view, r->name);
         for (guint j = 0; j < r->adapters->len; j++) {
             const Adapter *a = r->adapters->pdata[j];
-            if (a->ready_ms <= now_ms) {
+            if (a->ready_ms <= now_ms && !a->leaving) {
                 g_ptr_array_add(d->adapters, g_strdup(a->name));
             }
         }
@@ -549,6 +557,10 @@
     }
     u->asking = false;
     u->next_ask_ms = now_ms + ASK_PAUSE_MS;
+    if (now_ms < u->changed_ms + REPORT_LAG_MS) {
+        u->next_ask_ms = u->changed_ms + REPORT_LAG_MS;
+        return;
+    }
     /* While an order is carried out its outcome is not in the models yet. */
     if (!report || report->busy || u->ordered) {
         return;
@@ -578,6 +590,9 @@
         for (guint j = 0; j < d->adapters->len; j++) {
             add_adapter(r, d->adapters->pdata[j], now_ms);
         }
+        for (guint j = 0; j < d->coming->len; j++) {
+            add_adapter(r, d->coming->pdata[j], now_ms + ADAPTER_LOAD_MS);
+        }
     }
     g_ptr_array_free(old, TRUE);
     for (guint i = 0; i < 2; i++) {
@@ -619,6 +634,7 @@
     if (u->order_unload) {
         /* The next order finds it in progress, or done: no more is needed
            to count its memory as free at that moment. */
+        u->unloaded_ms = now_ms;
         if (r) {
             g_ptr_array_remove(u->replicas, r);
         }
@@ -640,13 +656,27 @@
     Replica *r = find_replica(u, u->order_model);
     Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
     if (u->order_unload && a) {
-        g_ptr_array_remove(r->adapters, a);
+        /* It goes on to take its place until it is reported gone. */
+        a->leaving = true;
     }
     else if (!u->order_unload && r && !a) {
         add_adapter(r, u->order_adapter, now_ms + ADAPTER_LOAD_MS);
     }
 }
 
+/* An adapter that no request used was unloaded at once. */
+static void
+drop_adapter(Up *u)
+{
+    Replica *r = find_replica(u, u->order_model);
+    Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
+    if (a) {
+        g_ptr_array_remove(r->adapters, a);
+    }
+    u->sequence++;
+    u->told = false;
+}
+
 static void
 apply_order(Up *u, uint64_t now_ms)
 {
@@ -671,12 +701,21 @@
     switch (end) {
     case MP_ORDER_TAKEN:
         u->sequence++;
+        u->changed_ms = now_ms;
         apply_order(u, now_ms);
         if (load) {
             g_clear_pointer(&u->goal, g_free);
         }
+        else if (u->order_adapter && u->order_unload) {
+            distrust(u, now_ms + REPORT_LAG_MS);
+        }
         break;
     case MP_ORDER_HOLDS:
+        u->changed_ms = now_ms;
+        if (u->order_adapter && u->order_unload) {
+            drop_adapter(u);
+            break;
+        }
         /* Whether this counts as accepted is not told: ask. */
         u->order_load_ms = 0;
         apply_order(u, now_ms);
@@ -684,15 +723,17 @@
         g_clear_pointer(&u->goal, g_free);
         break;
     case MP_ORDER_CONFLICT:
-        /* An unload waits for its runs, or something acted late. */
         u->retry_ms = now_ms + RETRY_PAUSE_MS;
-        distrust(u, now_ms + RETRY_PAUSE_MS);
+        if (now_ms > u->unloaded_ms + UNLOAD_MS) {
+            distrust(u, now_ms + RETRY_PAUSE_MS);
+        }
         break;
     case MP_ORDER_NOT_SENT:
         u->retry_ms = now_ms + ASK_PAUSE_MS;
         break;
     case MP_ORDER_REFUSED:
     case MP_ORDER_UNKNOWN:
+        u->changed_ms = now_ms;
         u->retry_ms = now_ms + ASK_PAUSE_MS;
         distrust(u, now_ms + ASK_PAUSE_MS);
         g_clear_pointer(&u->goal, g_free);
@@ -1137,7 +1178,7 @@
             Adapter *a = r->adapters->pdata[j];
             g_autofree char *key = make_key(r->name, a->name);
             const Demand *d = peek_demand(m, key);
-            bool quiet = now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
+            bool quiet = !a->leaving && now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
                          !(d && d->waiting) &&
                          !is_in_use(m, u, r->name, a->name);
             if (quiet && (!best || a->used_ms < best->used_ms)) {
@@ -1158,7 +1199,8 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
         const Replica *r = can_use(m, u) ? find_replica(u, model) : NULL;
-        if (r && (find_adapter(r, adapter) ||
+        const Adapter *a = r ? find_adapter(r, adapter) : NULL;
+        if (r && ((a && !a->leaving) ||
                   (u->ordered && g_strcmp0(u->order_adapter, adapter) == 0 &&
                    strcmp(u->order_model, model) == 0))) {
             return true;
