--- a/src/gw.c
+++ b/src/gw.c
@@ -827,6 +827,16 @@
 
 /* ---- time --------------------------------------------------------------- */
 
+static bool
+has_other(const Req *q, uint64_t now_ms)
+{
+    Ut *other = NULL;
+    g_ptr_array_add(q->tried, q->ut);
+    UtAnswer a = ut_choose(q->gw->upstreams, now_ms, &q->query, &other);
+    g_ptr_array_set_size(q->tried, (gint)q->tried->len - 1);
+    return a == UT_FOUND && ut_get_running(other) < ut_get_running(q->ut) + 4;
+}
+
 static bool
 is_silent(const Req *q, uint64_t now_ms)
 {
@@ -838,12 +848,12 @@
         uint64_t most = q->route->gap_ms
                             ? (uint64_t)q->route->gap_ms * SILENT_GAPS
                             : SILENT_GAP_MS;
-        return now_ms - q->heard_ms > most;
+        return now_ms - q->heard_ms > most && has_other(q, now_ms);
     }
     uint32_t usual = ut_get_usual_ms(q->gw->upstreams, q->ut, &q->query);
     uint64_t most = MAX((uint64_t)usual * SILENT_FACTOR,
                         stream ? SILENT_MIN_STREAM_MS : SILENT_MIN_PLAIN_MS);
-    return now_ms - q->sent_ms > most;
+    return now_ms - q->sent_ms > most && has_other(q, now_ms);
 }
 
 static void
@@ -1021,6 +1031,16 @@
     return g->reqs.length;
 }
 
+uint32_t
+gw_count_waiting(const Gw *g)
+{
+    uint32_t n = 0;
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        n += ((Req *)l->data)->state == REQ_WAITING;
+    }
+    return n;
+}
+
 /* ---- the gateway -------------------------------------------------------- */
 
 Gw *
--- a/src/gw.h
+++ b/src/gw.h
@@ -83,5 +83,6 @@
 /* Append MpWant and MpUse of now; arrivals are those since the last call. */
 void gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses);
 uint32_t gw_count(const Gw *g);
+uint32_t gw_count_waiting(const Gw *g);
 
 #endif
--- a/src/ls.c
+++ b/src/ls.c
@@ -38,7 +38,7 @@
     uint64_t valid_until_ms; /* of our right */
     uint64_t order_from_ms;
     bool stopping;
-    bool freed;
+    uint64_t yielded_until_ms;
 };
 
 Ls *
@@ -182,7 +182,9 @@
         return;
     }
     if (!l->holding) {
-        consider_claim(l, now_ms);
+        if (now_ms >= l->yielded_until_ms) {
+            consider_claim(l, now_ms);
+        }
     }
     else if (now_ms >= l->sent_ms + l->params.renew_ms) {
         start_append(l, now_ms, l->process);
@@ -226,7 +228,8 @@
 {
     l->writing = false;
     if (l->giving_up) {
-        l->freed = true;
+        l->giving_up = false;
+        l->known = false;
         return;
     }
     if (end == ST_OK) {
@@ -257,13 +260,9 @@
     l->heard_ms = now_ms;
 }
 
-void
-ls_stop(Ls *l, uint64_t now_ms)
+static void
+give_up_lease(Ls *l, uint64_t now_ms)
 {
-    if (l->stopping) {
-        return;
-    }
-    l->stopping = true;
     bool free_it = l->holding && !l->writing;
     lose(l);
     if (free_it) {
@@ -272,6 +271,22 @@
     }
 }
 
+void
+ls_yield(Ls *l, uint64_t now_ms, uint32_t pause_ms)
+{
+    l->yielded_until_ms = now_ms + pause_ms;
+    give_up_lease(l, now_ms);
+}
+
+void
+ls_stop(Ls *l, uint64_t now_ms)
+{
+    if (!l->stopping) {
+        l->stopping = true;
+        give_up_lease(l, now_ms);
+    }
+}
+
 bool
 ls_is_stopped(const Ls *l)
 {
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -47,7 +47,20 @@
 #define GRACE_MARGIN_MS 700
 #define LOG_STOP_MS 100
 #define STORE_AT_ONCE 4 /* loads that the weight store serves at full speed */
-#define MIN_GATEWAYS 2
+/* Gateways are counted by the placing VM; until it has told, so many are
+   assumed to share the budget of repeats. */
+#define ASSUMED_GATEWAYS 16
+/* Without a link to the placing VM: */
+#define MAIL_MS 300           /* between frames left in the store for it */
+#define ALONE_PAUSE_MS 200    /* between reads of upstreams' entries */
+/* The placing VM reads that mail, more often while gateways are missing. */
+#define MAIL_PAUSE_MS 1000
+#define MAIL_BUSY_PAUSE_MS 250
+#define MEMBER_MS 30000 /* a gateway not linked for so long is gone */
+/* A placing VM that can't reach half of what it should order leaves that to
+   another for a while. */
+#define YIELD_AFTER_MS 1500
+#define YIELD_MS 8000
 
 static const IniRule rules[] = {
     {"gateway", "name", INI_TEXT, true, NULL, 0, 0, NULL, "this VM"},
@@ -91,6 +104,10 @@
     St *store;
     StWatch *config_watch;
     StWatch *upstream_watch;
+    StWatch *mail_watch; /* NULL: this VM does not place */
+    GHashTable *members; /* gateways -> when last linked, uint64_t */
+    uint64_t mail_ms;    /* when mail was last left */
+    uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
     UtSet *upstreams;
     Rb *budget;
     Gw *gw;
@@ -478,7 +495,7 @@
 }
 
 static void
-take_demand(Gateway *g, LkPeer *from, const Gwp__Demand *d)
+take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
 {
     g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(free_want);
     g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(free_use);
@@ -499,7 +516,7 @@
         g_ptr_array_add(uses, u);
     }
     uint64_t now_ms = bg_boot_ms();
-    mp_on_demand(g->placement, now_ms, lk_get_vm(from), wants, uses);
+    mp_on_demand(g->placement, now_ms, from, wants, uses);
     if (g->placing) {
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
     }
@@ -528,7 +545,7 @@
 {
     uint64_t now_ms = bg_boot_ms();
     ls_on_heard(g->lease, now_ms);
-    rb_set_gateways(g->budget, MAX(s->gateways, MIN_GATEWAYS));
+    rb_on_gateways(g->budget, now_ms, s->gateways);
     for (size_t i = 0; i < s->n_waits; i++) {
         gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
     }
@@ -551,6 +568,81 @@
     }
 }
 
+/* ---- who is there ---- */
+
+static void
+note_member(Gateway *g, const char *vm)
+{
+    uint64_t *seen_ms = g_new(uint64_t, 1);
+    *seen_ms = bg_boot_ms();
+    g_hash_table_replace(g->members, g_strdup(vm), seen_ms);
+}
+
+static gboolean
+is_past_member(gpointer vm, gpointer seen_ms, gpointer now_ms)
+{
+    (void)vm;
+    return *(uint64_t *)seen_ms + MEMBER_MS < *(uint64_t *)now_ms;
+}
+
+/* Gateways of the last while, this one included. */
+static uint32_t
+count_members(Gateway *g, uint64_t now_ms)
+{
+    g_hash_table_foreach_remove(g->members, is_past_member, &now_ms);
+    return g_hash_table_size(g->members) + 1;
+}
+
+/* ---- mail, where links are cut ---- */
+
+static void
+on_mail_records(void *ctx, const GPtrArray *records, bool whole)
+{
+    Gateway *g = ctx;
+    for (guint i = 0; !whole && i < records->len; i++) {
+        const StRecord *r = records->pdata[i];
+        gsize len = 0;
+        const uint8_t *data =
+            r->value ? g_bytes_get_data(r->value, &len) : NULL;
+        Gwp__Frame *f = data ? gwp__frame__unpack(NULL, len, data) : NULL;
+        if (f && f->body_case == GWP__FRAME__BODY_DEMAND) {
+            note_member(g, r->key);
+            take_demand(g, r->key, f->demand);
+        }
+        if (f) {
+            gwp__frame__free_unpacked(f, NULL);
+        }
+    }
+}
+
+static void
+on_mail_reach(void *ctx, bool reached)
+{
+    (void)ctx;
+    (void)reached;
+}
+
+static void
+watch_mail(Gateway *g, bool places)
+{
+    if (!places && g->mail_watch) {
+        st_destroy_watch(g->mail_watch);
+        g->mail_watch = NULL;
+    }
+    else if (places && !g->mail_watch) {
+        StWatchParams mail = {ST_MAIL, "mail", 0, MAIL_BUSY_PAUSE_MS};
+        StWatchHandler on_mail = {g, on_mail_records, on_mail_reach};
+        g->mail_watch = st_create_watch(g->loop, g->store, &mail, &on_mail);
+    }
+}
+
+static void
+on_mail_left(void *ctx, const StReply *reply)
+{
+    (void)ctx;
+    (void)reply; /* a frame that was lost is followed by the next */
+}
+
 static void
 on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame)
 {
@@ -564,7 +656,8 @@
         break;
     case GWP__FRAME__BODY_DEMAND:
         if (from) {
-            take_demand(g, from, frame->demand);
+            note_member(g, lk_get_vm(from));
+            take_demand(g, lk_get_vm(from), frame->demand);
         }
         break;
     case GWP__FRAME__BODY_PLACEMENT:
@@ -611,6 +704,7 @@
     jl_text(l, "vm", g->lease ? ls_get_holder_vm(g->lease) : NULL);
     jl_end(l);
     if (open) {
+        st_set_pause(g->upstream_watch, UPSTREAM_PAUSE_MS);
         send_demand(g);
     }
     else {
@@ -651,7 +745,17 @@
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_DEMAND;
     f.demand = &d;
-    lk_send_up(g->links, &f);
+    if (lk_is_open(g->links)) {
+        lk_send_up(g->links, &f);
+    }
+    else {
+        size_t len = gwp__frame__get_packed_size(&f);
+        g_autofree uint8_t *bytes = g_malloc(len + 1);
+        gwp__frame__pack(&f, bytes);
+        g->store->ops->append(g->store, ST_MAIL, ST_ANY_TAIL,
+                              get_text(g, "name"), bytes, len, on_mail_left,
+                              g);
+    }
     g_free(wr);
     g_free(w);
     g_free(ur);
@@ -664,7 +768,13 @@
 {
     g->demand_ms = bg_boot_ms();
     if (!g->placing && !lk_is_open(g->links)) {
-        return;
+        bool waits = gw_count_waiting(g->gw) > 0;
+        st_set_pause(g->upstream_watch,
+                     waits ? ALONE_PAUSE_MS : UPSTREAM_PAUSE_MS);
+        if (!waits || g->demand_ms < g->mail_ms + MAIL_MS) {
+            return;
+        }
+        g->mail_ms = g->demand_ms;
     }
     g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(free_want);
     g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(free_use);
@@ -707,8 +817,11 @@
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
-    s.gateways = lk_count_peers(g->links) + 1;
-    rb_set_gateways(g->budget, MAX(s.gateways, MIN_GATEWAYS));
+    s.gateways = count_members(g, now_ms);
+    rb_on_gateways(g->budget, now_ms, s.gateways);
+    st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
+                                    ? MAIL_BUSY_PAUSE_MS
+                                    : MAIL_PAUSE_MS);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_STATE;
     f.state = &s;
@@ -823,6 +936,29 @@
 
 /* ---- time --------------------------------------------------------------- */
 
+static void
+consider_yield(Gateway *g, uint64_t now_ms)
+{
+    uint32_t all;
+    uint32_t unreached;
+    mp_count_unreached(g->placement, &all, &unreached);
+    if (unreached * 2 <= all) {
+        g->unreached_ms = 0;
+        return;
+    }
+    if (g->unreached_ms == 0) {
+        g->unreached_ms = now_ms;
+    }
+    if (now_ms > g->unreached_ms + YIELD_AFTER_MS) {
+        JlLine *l = jl_begin("lease-yielded");
+        jl_number(l, "upstreams", all);
+        jl_number(l, "unreached", unreached);
+        jl_end(l);
+        g->unreached_ms = 0;
+        ls_yield(g->lease, now_ms, YIELD_MS);
+    }
+}
+
 static void
 follow_lease(Gateway *g, uint64_t now_ms)
 {
@@ -839,9 +975,11 @@
             ut_forget_placement(g->upstreams);
         }
         on_lease_changed(g);
+        watch_mail(g, places);
     }
     if (g->placing) {
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+        consider_yield(g, now_ms);
     }
 }
 
@@ -978,8 +1116,8 @@
         g_ascii_strtod(ini_get_text(g->settings, "bounds", "retry_ratio"),
                        NULL),
         (double)ini_get_int(g->settings, "bounds", "retry_slack"),
-        MIN_GATEWAYS};
-    g->budget = rb_create(&rb);
+        ASSUMED_GATEWAYS};
+    g->budget = rb_create(&rb, bg_boot_ms());
     GwParams gw = {get_text(g, "name"), CONNECT_MS, DEATH_LIMIT, seed};
     GwOutput gw_out = {g, on_wanted, on_died};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
@@ -1040,6 +1178,8 @@
 {
     g_autoptr(GError) err = NULL;
     bg_make_id(g->process);
+    g->members =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
     if (!g->loop) {
         fprintf(stderr, "no event loop\n");
--- a/src/mp.c
+++ b/src/mp.c
@@ -72,6 +72,7 @@
     uint64_t order_load_ms;
     bool order_from_store;
     bool told;      /* gateways know the present content */
+    bool unreached; /* it did not answer last time */
 } Up;
 
 typedef struct {
@@ -557,6 +558,7 @@
     }
     u->asking = false;
     u->next_ask_ms = now_ms + ASK_PAUSE_MS;
+    u->unreached = !report;
     if (now_ms < u->changed_ms + REPORT_LAG_MS) {
         u->next_ask_ms = u->changed_ms + REPORT_LAG_MS;
         return;
@@ -697,6 +699,7 @@
         return;
     }
     u->ordered = false;
+    u->unreached = end == MP_ORDER_NOT_SENT || end == MP_ORDER_UNKNOWN;
     bool load = !u->order_unload && !u->order_adapter;
     switch (end) {
     case MP_ORDER_TAKEN:
@@ -1334,6 +1337,23 @@
     }
 }
 
+void
+mp_count_unreached(const Mp *m, uint32_t *all, uint32_t *unreached)
+{
+    *all = 0;
+    *unreached = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (can_use(m, u)) {
+            *all += 1;
+            *unreached += u->unreached;
+        }
+    }
+}
+
 /* ---- how long callers wait ---------------------------------------------- */
 
 uint32_t
--- a/src/mp.h
+++ b/src/mp.h
@@ -98,6 +98,9 @@
                     void (*visit)(void *ctx, const char *model,
                                   uint32_t wait_ms),
                     void *ctx);
+/* Upstreams with models that there are, and those of them that did not
+   answer when they were last asked or ordered. */
+void mp_count_unreached(const Mp *m, uint32_t *all, uint32_t *unreached);
 /* Tell all placements again: a gateway has come. */
 void mp_tell_all(Mp *m);
 
--- a/src/rb.c
+++ b/src/rb.c
@@ -14,14 +14,18 @@
 
 struct Rb {
     RbParams params;
+    uint64_t start_ms;
+    uint64_t gateways_ms; /* when as many were last seen */
     GHashTable *accounts; /* service -> Account */
 };
 
 Rb *
-rb_create(const RbParams *params)
+rb_create(const RbParams *params, uint64_t now_ms)
 {
     Rb *b = g_new0(Rb, 1);
     b->params = *params;
+    b->start_ms = now_ms;
+    b->gateways_ms = now_ms;
     b->accounts =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return b;
@@ -35,9 +39,13 @@
 }
 
 void
-rb_set_gateways(Rb *b, uint32_t gateways)
+rb_on_gateways(Rb *b, uint64_t now_ms, uint32_t gateways)
 {
-    b->params.gateways = MAX(gateways, 1);
+    if (gateways >= b->params.gateways ||
+        now_ms > b->gateways_ms + RB_MEMORY_MS) {
+        b->params.gateways = MAX(gateways, 1);
+        b->gateways_ms = now_ms;
+    }
 }
 
 static Account *
@@ -77,9 +85,10 @@
         requests += a->requests[i];
         repeats += a->repeats[i];
     }
-    double allowed =
-        CAUTION * (b->params.ratio * requests +
-                   b->params.slack / MAX(b->params.gateways, 1));
+    bool new_here = now_ms < b->start_ms + b->params.window_ms;
+    double slack =
+        new_here ? 0 : b->params.slack / MAX(b->params.gateways, 1);
+    double allowed = CAUTION * (b->params.ratio * requests + slack);
     if (repeats + 1 > allowed) {
         return false;
     }
--- a/src/rb.h
+++ b/src/rb.h
@@ -17,9 +17,14 @@
 
 typedef struct Rb Rb;
 
-Rb *rb_create(const RbParams *params);
+/* Until a window after NOW_MS there is no slack: a process that ended here
+   may have spent it. */
+Rb *rb_create(const RbParams *params, uint64_t now_ms);
 void rb_destroy(Rb *b);
-void rb_set_gateways(Rb *b, uint32_t gateways);
+/* So many are seen now.  Fewer than before are believed only when nobody saw
+   more for RB_MEMORY_MS: those cut off from us go on spending. */
+#define RB_MEMORY_MS 30000
+void rb_on_gateways(Rb *b, uint64_t now_ms, uint32_t gateways);
 
 /* A request for SERVICE has come. */
 void rb_on_request(Rb *b, uint64_t now_ms, const char *service);
--- a/src/st.c
+++ b/src/st.c
@@ -208,6 +208,16 @@
     }
 }
 
+void
+st_set_pause(StWatch *w, uint32_t pause_ms)
+{
+    bool sooner = pause_ms < w->params.pause_ms;
+    w->params.pause_ms = pause_ms;
+    if (sooner && !w->asking && w->backoff_ms == 0) {
+        ask_after(w, pause_ms);
+    }
+}
+
 bool
 st_is_listed(const StWatch *w)
 {
--- a/src/st.h
+++ b/src/st.h
@@ -9,9 +9,12 @@
 typedef enum {
     ST_CONFIG,    /* written by operators, under one key */
     ST_UPSTREAMS, /* written by upstreams, each under its id */
-    ST_OWNER      /* ours: who may order upstreams, see ls */
+    ST_OWNER,     /* ours: who may order upstreams, see ls */
+    ST_MAIL       /* ours: frames of gateways that can't link, by VM */
 } StTopic;
 
+#define ST_ANY_TAIL UINT64_MAX /* append whatever was written since */
+
 typedef enum {
     ST_OK,
     ST_CONFLICT, /* somebody wrote since; nothing was done */
@@ -45,7 +48,7 @@
     /* Records from FROM on, as soon as there is one or WAIT_MS are over. */
     void (*read)(St *s, StTopic topic, uint64_t from, uint32_t wait_ms,
                  StReplyFn done, void *ctx);
-    /* Append one record if the topic's tail is still AT. */
+    /* Append one record if the topic's tail is still AT, or ST_ANY_TAIL. */
     void (*append)(St *s, StTopic topic, uint64_t at, const char *key,
                    const void *value, size_t len, StReplyFn done, void *ctx);
 } StOps;
@@ -81,6 +84,7 @@
                          const StWatchParams *params,
                          const StWatchHandler *handler);
 void st_destroy_watch(StWatch *w);
+void st_set_pause(StWatch *w, uint32_t pause_ms);
 /* A first listing has come. */
 bool st_is_listed(const StWatch *w);
 bool st_is_reached(const StWatch *w);
--- a/src/ut.c
+++ b/src/ut.c
@@ -8,8 +8,9 @@
 #define REPORT_FADE_MS 1000
 /* What an upstream says it lacks is believed for so long; a load that was
    thought done may take a little longer. */
-#define ABSENT_MS 40
-#define LONGEST_ABSENT_MS 1000 /* doubled each time, up to this */
+#define ABSENT_MS 80
+#define LONGEST_ABSENT_MS 1000 /* three times as long each time, up to this */
+#define SHED_REST_MS 60 /* a full upstream frees slots all the time */
 /* Rest after it could not be reached; doubled each time, up to the longest. */
 #define FIRST_REST_MS 250
 #define LONGEST_REST_MS 3000
@@ -487,7 +488,7 @@
         u->failures++;
         break;
     case UT_END_SHED:
-        u->shed_until_ms = now_ms + ABSENT_MS;
+        u->shed_until_ms = now_ms + SHED_REST_MS;
         break;
     case UT_END_NEUTRAL:
         break;
@@ -523,7 +524,7 @@
         }
     }
     Absence a = {.what = g_steal_pointer(&what)};
-    a.last_ms = last_ms ? MIN(last_ms * 2, LONGEST_ABSENT_MS) : ABSENT_MS;
+    a.last_ms = last_ms ? MIN(last_ms * 3, LONGEST_ABSENT_MS) : ABSENT_MS;
     a.until_ms = now_ms + a.last_ms;
     g_array_append_val(u->absences, a);
 }
