--- a/src/dep.h
+++ b/src/dep.h
@@ -29,6 +29,8 @@
     uint32_t timeout_ms;   /* to the whole answer; 0: none */
     uint32_t objective_ms; /* to the first byte, for full credit */
     uint32_t gap_ms;       /* longest pause between events; 0: not told */
+    uint32_t patience_ms;  /* callers leave after so long without an event;
+                              0: not told */
     uint32_t attempts;     /* upstreams that one request may run on */
     uint32_t priority;     /* 0 is the highest */
     GArray *splits;        /* DepSplit; at least one */
--- a/src/gw.c
+++ b/src/gw.c
@@ -48,6 +48,7 @@
     uint64_t digest;  /* of what the caller asks, whoever carries it */
     uint64_t arrival_ms;
     uint64_t final_ms; /* an answer, of whatever kind, is out by then */
+    uint64_t first_by_ms; /* the caller leaves when it has nothing by then */
     ReqState state;
     const char *waits_for; /* for the log */
     uint64_t wait_from_ms;
@@ -366,7 +367,7 @@
 wait_for_model(Req *q, uint64_t now_ms, const char *what)
 {
     uint32_t wait_ms = get_wait_ms(q, now_ms);
-    if (wait_ms && now_ms + wait_ms + SERVE_MS > q->final_ms) {
+    if (wait_ms && now_ms + wait_ms + SERVE_MS > q->first_by_ms) {
         give_up(q, wait_ms, "model can't be loaded in time");
         return;
     }
@@ -377,7 +378,8 @@
 try_send(Req *q)
 {
     uint64_t now_ms = bg_boot_ms();
-    if (now_ms >= q->final_ms) {
+    if (now_ms >= q->final_ms ||
+        (!q->streaming && now_ms >= q->first_by_ms)) {
         give_up(q, RETRY_SOON_MS, "deadline");
         return;
     }
@@ -711,6 +713,12 @@
         left_ms = left_ms ? MIN(left_ms, d) : d;
     }
     q->final_ms = q->arrival_ms + (left_ms ? left_ms : 60000);
+    q->first_by_ms = q->final_ms;
+    if (q->route->patience_ms) {
+        q->first_by_ms = MIN(q->final_ms, q->arrival_ms +
+                                              q->route->patience_ms -
+                                              DEADLINE_MARGIN_MS);
+    }
 }
 
 static void
--- a/src/mp.c
+++ b/src/mp.c
@@ -12,8 +12,8 @@
 #define PER_REPLICA 10
 /* A model used this often a second gets a second replica, so that the loss
    of one upstream isn't the loss of the model; and a third. */
-#define RATE_FOR_TWO 1.0
-#define RATE_FOR_THREE 5.0
+#define RATE_FOR_TWO 0.7
+#define RATE_FOR_THREE 4.0
 /* A replica stays at least this long, or loads would chase each other. */
 #define SETTLE_MS 1500
 /* Expected uses in so long are what an eviction loses. */
@@ -33,7 +33,6 @@
 #define GOAL_LIFE_MS 4000
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
-#define BACKGROUND_AT_ONCE 2
 
 typedef struct {
     char *name;
@@ -1119,12 +1118,32 @@
     }
 }
 
-/* A declared model that nobody holds, into room that is free. */
+/* Whether a load of MODEL needs the weight store wherever it is begun. */
+static bool
+has_no_copy(const Mp *m, const char *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (can_use(m, u) && (find_replica(u, model) ||
+                              g_strcmp0(u->goal, model) == 0 ||
+                              has_name(u->entry->on_disk, model) ||
+                              has_name(u->entry->in_memory, model))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A declared model that no upstream has a copy of, even where another that
+   has its copy beside it must make room: its first callers then wait for a
+   disk, not for the weight store (0.5 s against 6 s). */
 static void
 prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
 {
-    if (count_store_loads(m, now_ms) >= BACKGROUND_AT_ONCE ||
-        !may_start_store_load(m, now_ms, s)) {
+    if (!may_start_store_load(m, now_ms, s)) {
         return;
     }
     GHashTableIter it;
@@ -1132,10 +1151,10 @@
     g_hash_table_iter_init(&it, s->models);
     while (g_hash_table_iter_next(&it, &k, NULL)) {
         bool from_store;
-        if (count_replicas(m, k) > 0) {
+        if (!has_no_copy(m, k)) {
             continue;
         }
-        Up *u = find_best_place(m, now_ms, k, false, &from_store);
+        Up *u = find_best_place(m, now_ms, k, true, &from_store);
         if (u) {
             set_goal(m, now_ms, u, k);
             return;
@@ -1380,6 +1399,21 @@
     return best;
 }
 
+static uint32_t
+get_longest_load_ms(const Mp *m, const char *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    uint32_t longest = 0;
+    g_hash_table_iter_init(&it, m->config->services);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepModel *d =
+            g_hash_table_lookup(((DepService *)v)->models, model);
+        longest = d ? MAX(longest, d->load_ms) : longest;
+    }
+    return longest;
+}
+
 void
 mp_visit_waits(const Mp *m, uint64_t now_ms,
                void (*visit)(void *ctx, const char *model, uint32_t wait_ms),
@@ -1399,15 +1433,14 @@
             visit(ctx, k, wait_ms);
         }
     }
-    /* Those that wait for the weight store go side by side, by turns. */
-    uint32_t rounds_ms = 0;
+    /* Those that need the weight store take turns there. */
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
-        if (!w->none) {
-            continue;
+        if (w->none && has_no_copy(m, w->model)) {
+            uint32_t load_ms = get_longest_load_ms(m, w->model);
+            visit(ctx, w->model,
+                  load_ms * (1 + queued / MAX(m->params.store_at_once, 1)));
+            queued++;
         }
-        rounds_ms = 6000 * (1 + queued / MAX(m->params.store_at_once, 1));
-        queued++;
-        visit(ctx, w->model, rounds_ms);
     }
 }
