--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &gwp__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__entry__init
+                     (Gwp__Entry         *message)
+{
+  static const Gwp__Entry init_value = GWP__ENTRY__INIT;
+  *message = init_value;
+}
+size_t gwp__entry__get_packed_size
+                     (const Gwp__Entry *message)
+{
+  assert(message->base.descriptor == &gwp__entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__entry__pack
+                     (const Gwp__Entry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__entry__pack_to_buffer
+                     (const Gwp__Entry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Entry *
+       gwp__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Entry *)
+     protobuf_c_message_unpack (&gwp__entry__descriptor,
+                                allocator, len, data);
+}
+void   gwp__entry__free_unpacked
+                     (Gwp__Entry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__death__init
                      (Gwp__Death         *message)
 {
@@ -866,7 +911,7 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[3] =
 {
   {
     "waits",
@@ -892,15 +937,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
+  2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
   0,   /* field[0] = waits */
 };
 static const ProtobufCIntRange gwp__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -910,13 +968,64 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  2,
+  3,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   1,  gwp__state__number_ranges,
   (ProtobufCMessageInit) gwp__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__entry__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Entry, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Entry, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__entry__field_indices_by_name[] = {
+  0,   /* field[0] = upstream */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange gwp__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Entry",
+  "Entry",
+  "Gwp__Entry",
+  "gwp",
+  sizeof(Gwp__Entry),
+  2,
+  gwp__entry__field_descriptors,
+  gwp__entry__field_indices_by_name,
+  1,  gwp__entry__number_ranges,
+  (ProtobufCMessageInit) gwp__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__death__field_descriptors[2] =
 {
   {
@@ -968,7 +1077,7 @@
   (ProtobufCMessageInit) gwp__death__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[6] =
 {
   {
     "hello",
@@ -1030,10 +1139,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, entry),
+    &gwp__entry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   4,   /* field[4] = death */
   1,   /* field[1] = demand */
+  5,   /* field[5] = entry */
   0,   /* field[0] = hello */
   2,   /* field[2] = placement */
   3,   /* field[3] = state */
@@ -1041,7 +1163,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -1051,7 +1173,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  5,
+  6,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Gwp__Placement Gwp__Placement;
 typedef struct Gwp__Wait Gwp__Wait;
 typedef struct Gwp__State Gwp__State;
+typedef struct Gwp__Entry Gwp__Entry;
 typedef struct Gwp__Death Gwp__Death;
 typedef struct Gwp__Frame Gwp__Frame;
 
@@ -138,10 +139,28 @@
   size_t n_waits;
   Gwp__Wait **waits;
   uint32_t gateways;
+  uint64_t config_version;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
+
+
+/*
+ * An upstream's entry as the placing VM read it from the store.
+ */
+struct  Gwp__Entry
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * empty: it is gone
+   */
+  ProtobufCBinaryData value;
+};
+#define GWP__ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__entry__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL} }
 
 
 /*
@@ -164,7 +183,8 @@
   GWP__FRAME__BODY_DEMAND = 2,
   GWP__FRAME__BODY_PLACEMENT = 3,
   GWP__FRAME__BODY_STATE = 4,
-  GWP__FRAME__BODY_DEATH = 5
+  GWP__FRAME__BODY_DEATH = 5,
+  GWP__FRAME__BODY_ENTRY = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -178,6 +198,7 @@
     Gwp__Placement *placement;
     Gwp__State *state;
     Gwp__Death *death;
+    Gwp__Entry *entry;
   };
 };
 #define GWP__FRAME__INIT \
@@ -337,6 +358,25 @@
 void   gwp__state__free_unpacked
                      (Gwp__State *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Entry methods */
+void   gwp__entry__init
+                     (Gwp__Entry         *message);
+size_t gwp__entry__get_packed_size
+                     (const Gwp__Entry   *message);
+size_t gwp__entry__pack
+                     (const Gwp__Entry   *message,
+                      uint8_t             *out);
+size_t gwp__entry__pack_to_buffer
+                     (const Gwp__Entry   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Entry *
+       gwp__entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__entry__free_unpacked
+                     (Gwp__Entry *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Death methods */
 void   gwp__death__init
                      (Gwp__Death         *message);
@@ -401,6 +441,9 @@
 typedef void (*Gwp__State_Closure)
                  (const Gwp__State *message,
                   void *closure_data);
+typedef void (*Gwp__Entry_Closure)
+                 (const Gwp__Entry *message,
+                  void *closure_data);
 typedef void (*Gwp__Death_Closure)
                  (const Gwp__Death *message,
                   void *closure_data);
@@ -421,6 +464,7 @@
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
 extern const ProtobufCMessageDescriptor gwp__wait__descriptor;
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
+extern const ProtobufCMessageDescriptor gwp__entry__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
--- a/src/gw.c
+++ b/src/gw.c
@@ -26,6 +26,7 @@
 /* A refusal without a better estimate: until a VM or upstream is back. */
 #define RETRY_SOON_MS 200
 #define RETRY_LATER_MS 1000
+#define RETRY_STOP_MS 50 /* another gateway takes it at once */
 /* A service without any upstream is waited for this long: its list may be
    behind. */
 #define EMPTY_WAIT_MS 150
@@ -105,7 +106,7 @@
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
     BgRandom rng;
-    bool closed;
+    bool closed; /* takes no more requests */
 };
 
 static void try_send(Req *q);
@@ -343,6 +344,10 @@
 static void
 wait_for(Req *q, uint64_t now_ms, const char *what)
 {
+    if (q->gw->closed) {
+        give_up(q, RETRY_STOP_MS, "the gateway stops");
+        return;
+    }
     bool begins = q->state != REQ_WAITING || !q->waits_for;
     q->state = REQ_WAITING;
     if (!q->waits_for) {
@@ -793,7 +798,7 @@
 {
     const HtHead *head = ht_get_head(x);
     if (!g->config || g->closed) {
-        refuse_at_door(x, 503, RETRY_SOON_MS);
+        refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS);
         return;
     }
     const char *host = ht_find_header(head, "Host");
@@ -897,6 +902,12 @@
     }
 }
 
+void
+gw_stop_taking(Gw *g)
+{
+    g->closed = true;
+}
+
 void
 gw_close(Gw *g)
 {
--- a/src/gw.h
+++ b/src/gw.h
@@ -76,6 +76,9 @@
 void gw_on_request(Gw *g, HtExchange *x);
 void gw_on_gone(Gw *g, HtExchange *x);
 
+/* The process is about to stop: what comes from now on, and what would have
+   to wait, is refused, so that its caller goes to another gateway. */
+void gw_stop_taking(Gw *g);
 /* The process ends: everything still open is answered now, and what comes
    from now on is refused. */
 void gw_close(Gw *g);
--- a/src/ht.c
+++ b/src/ht.c
@@ -172,6 +172,15 @@
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms, sizeof(user_ms));
 }
 
+/* Bytes on their way are dropped instead of being delivered later, when a
+   cut link heals: whoever gave a call up has acted on that. */
+static void
+reset_on_close(int fd)
+{
+    struct linger off = {1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &off, sizeof(off));
+}
+
 static bool
 is_closed_by_peer(int fd)
 {
@@ -1165,6 +1174,7 @@
     Wire *w = call->wire;
     w->call = NULL;
     free_call(call);
+    reset_on_close(w->fd);
     if (!w->parsing) {
         close_wire(w);
     } /* else the parser's caller closes it */
@@ -1185,6 +1195,7 @@
         Wire *w = l->data;
         if (w->call && w->connecting &&
             now_ms - w->since_ms > w->call->connect_ms) {
+            reset_on_close(w->fd);
             break_wire(w, HT_NOT_SENT);
             next = p->wires.head; /* the handler may have opened or closed */
         }
--- a/src/lk.c
+++ b/src/lk.c
@@ -19,6 +19,7 @@
     int fd;
     bool ours; /* we opened it */
     bool connecting;
+    bool urgent;
     ev_io read_watch;
     ev_io write_watch;
     GByteArray *in;
@@ -314,6 +315,22 @@
     }
 }
 
+void
+lk_set_urgent(LkPeer *p, bool urgent)
+{
+    p->urgent = urgent;
+}
+
+void
+lk_send_urgent(Lk *l, const Gwp__Frame *frame)
+{
+    for (GList *p = l->peers.head; p; p = p->next) {
+        if (((LkPeer *)p->data)->urgent) {
+            send_frame(p->data, frame);
+        }
+    }
+}
+
 uint32_t
 lk_count_peers(const Lk *l)
 {
--- a/src/lk.h
+++ b/src/lk.h
@@ -40,6 +40,10 @@
 void lk_send_up(Lk *l, const Gwp__Frame *frame);
 /* To all that are linked to us, or to one of them. */
 void lk_send_down(Lk *l, LkPeer *to, const Gwp__Frame *frame);
+/* Callers wait at that gateway: it is told first. */
+void lk_set_urgent(LkPeer *p, bool urgent);
+/* To all urgent ones that are linked to us. */
+void lk_send_urgent(Lk *l, const Gwp__Frame *frame);
 uint32_t lk_count_peers(const Lk *l);
 /* Name of the VM at the other end; "" before it said so. */
 const char *lk_get_vm(const LkPeer *p);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -25,11 +25,21 @@
 /* A call that starts to wait is told to the placing VM this soon, with what
    else comes meanwhile. */
 #define WANTED_MS 2
-#define CONFIG_WAIT_MS 1500 /* a read of the configuration is held open */
+#define PLACE_MS 2
+/* A read of the configuration is held open for so long.  It ends with the
+   first change; a silent connection costs this long to be noticed. */
+#define CONFIG_WAIT_MS 1500
 #define CONFIG_PAUSE_MS 5
 /* An upstream's entry is seen this late at most; well under the time in
    which one that leaves may still get work. */
-#define UPSTREAM_PAUSE_MS 600
+#define UPSTREAM_PAUSE_MS 500
+/* While linked to the placing VM, which passes news on, the store is asked
+   this seldom: calls are dear, and 400 VMs would not fit its limits. */
+#define LINKED_CONFIG_WAIT_MS 10000
+#define LINKED_UPSTREAM_PAUSE_MS 5000
+#define PLACING_UPSTREAM_PAUSE_MS 250
+/* News that the placing VM told of must have come from the store by then. */
+#define BEHIND_MS 250
 /* An unrenewed lease ends after this.  Shorter: a successor comes sooner;
    longer: placement goes on through a short outage of the store. */
 #define LEASE_MS 2500
@@ -107,6 +117,8 @@
     StWatch *mail_watch; /* NULL: this VM does not place */
     GHashTable *members; /* gateways -> when last linked, uint64_t */
     uint64_t mail_ms;    /* when mail was last left */
+    uint64_t behind_ms; /* told of a newer configuration since; 0: not */
+    GHashTable *untold;    /* upstream -> DepResident list, for the next beat */
     uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
     UtSet *upstreams;
     Rb *budget;
@@ -120,6 +132,7 @@
     bool dirty;   /* what waits should be looked at again */
     ev_timer tick;
     ev_timer wanted;
+    ev_timer place;
     ev_signal term;
     ev_signal interrupt;
     ev_signal hup;
@@ -200,6 +213,36 @@
 }
 
 static void
+drop_upstream(Gateway *g, uint64_t now_ms, const char *id)
+{
+    JlLine *l = jl_begin("upstream-gone");
+    jl_text(l, "upstream", id);
+    jl_end(l);
+    ut_on_gone(g->upstreams, now_ms, id);
+    mp_on_gone(g->placement, id);
+}
+
+/* To the gateways that are linked to us, which seldom ask the store. */
+static void
+pass_entry_on(Gateway *g, const StRecord *r)
+{
+    if (!g->placing) {
+        return;
+    }
+    Gwp__Entry e = GWP__ENTRY__INIT;
+    gsize len = 0;
+    e.upstream = r->key;
+    e.value.data =
+        r->value ? (uint8_t *)g_bytes_get_data(r->value, &len) : NULL;
+    e.value.len = len;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_ENTRY;
+    f.entry = &e;
+    lk_send_down(g->links, NULL, &f);
+}
+
+/* True: others should know, too: it is new, another, or it leaves. */
+static bool
 take_upstream(Gateway *g, uint64_t now_ms, const StRecord *r)
 {
     gsize len;
@@ -214,13 +257,14 @@
         /* It names no upstream, so what it named before is no more. */
         ut_on_gone(g->upstreams, now_ms, r->key);
         mp_on_gone(g->placement, r->key);
-        return;
+        return true;
     }
-    if (u->draining) {
+    bool draining = u->draining;
+    if (draining) {
         log_upstream("upstream-leaves", u);
     }
     mp_on_entry(g->placement, now_ms, u);
-    ut_on_entry(g->upstreams, now_ms, u);
+    return ut_on_entry(g->upstreams, now_ms, u) || draining;
 }
 
 static void
@@ -233,14 +277,13 @@
         const StRecord *r = records->pdata[i];
         if (r->value) {
             g_hash_table_add(ids, r->key);
-            take_upstream(g, now_ms, r);
+            if (take_upstream(g, now_ms, r)) {
+                pass_entry_on(g, r);
+            }
             continue;
         }
-        JlLine *l = jl_begin("upstream-gone");
-        jl_text(l, "upstream", r->key);
-        jl_end(l);
-        ut_on_gone(g->upstreams, now_ms, r->key);
-        mp_on_gone(g->placement, r->key);
+        drop_upstream(g, now_ms, r->key);
+        pass_entry_on(g, r);
     }
     if (whole) {
         ut_keep_only(g->upstreams, now_ms, ids);
@@ -350,6 +393,28 @@
 
 /* ---- placement ---------------------------------------------------------- */
 
+/* Demand comes from many gateways: decided once for what comes together. */
+static void
+place_soon(Gateway *g)
+{
+    if (!ev_is_active(&g->place)) {
+        ev_timer_set(&g->place, PLACE_MS / 1000., 0.);
+        ev_timer_start(g->loop, &g->place);
+    }
+}
+
+static void
+on_place_timer(struct ev_loop *loop, ev_timer *t, int events)
+{
+    (void)loop;
+    (void)events;
+    Gateway *g = t->data;
+    uint64_t now_ms = bg_boot_ms();
+    if (g->placing) {
+        mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+    }
+}
+
 typedef struct {
     Gateway *g;
     char *upstream;
@@ -371,6 +436,7 @@
     jl_number(l, "end", end);
     jl_end(l);
     mp_on_order_end(o->g->placement, bg_boot_ms(), o->upstream, end);
+    place_soon(o->g);
     g_free(o->upstream);
     g_free(o->model);
     g_free(o->adapter);
@@ -432,8 +498,11 @@
     return list;
 }
 
+typedef enum { TELL_URGENT, TELL_ALL } Tell;
+
 static void
-send_placement(Gateway *g, const char *upstream, const GPtrArray *models)
+send_placement(Gateway *g, Tell to, const char *upstream,
+               const GPtrArray *models)
 {
     Gwp__Placement m = GWP__PLACEMENT__INIT;
     Gwp__Resident *list = g_new0(Gwp__Resident, models->len + 1);
@@ -452,21 +521,50 @@
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_PLACEMENT;
     f.placement = &m;
-    lk_send_down(g->links, NULL, &f);
+    if (to == TELL_ALL) {
+        lk_send_down(g->links, NULL, &f);
+    }
+    else {
+        lk_send_urgent(g->links, &f);
+    }
     g_free(refs);
     g_free(list);
 }
 
+/* Gateways where callers wait are told at once, the others with the next
+   beat: one frame a change and gateway would be most of the placing VM's
+   work with many gateways and adapters. */
 static void
 on_placed(void *ctx, const char *upstream, const GPtrArray *models)
 {
     Gateway *g = ctx;
-    ut_on_placement(g->upstreams, bg_boot_ms(), upstream,
-                    copy_residents(models));
-    send_placement(g, upstream, models);
+    GPtrArray *copy = copy_residents(models);
+    send_placement(g, TELL_URGENT, upstream, models);
+    g_hash_table_replace(g->untold, g_strdup(upstream),
+                         copy_residents(models));
+    ut_on_placement(g->upstreams, bg_boot_ms(), upstream, copy);
     g->dirty = true;
 }
 
+static void
+tell_the_rest(Gateway *g)
+{
+    GHashTableIter it;
+    gpointer upstream;
+    gpointer models;
+    g_hash_table_iter_init(&it, g->untold);
+    while (g_hash_table_iter_next(&it, &upstream, &models)) {
+        send_placement(g, TELL_ALL, upstream, models);
+    }
+    g_hash_table_remove_all(g->untold);
+}
+
+static void
+free_residents(void *p)
+{
+    g_ptr_array_free(p, TRUE);
+}
+
 /* ---- links -------------------------------------------------------------- */
 
 static void
@@ -494,6 +592,17 @@
     return *wire ? g_strdup(wire) : NULL;
 }
 
+static bool
+has_waiting(const Gwp__Demand *d)
+{
+    for (size_t i = 0; i < d->n_wants; i++) {
+        if (d->wants[i]->waiting > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
 {
@@ -515,10 +624,8 @@
         u->adapter = to_text(d->uses[i]->adapter);
         g_ptr_array_add(uses, u);
     }
-    uint64_t now_ms = bg_boot_ms();
-    mp_on_demand(g->placement, now_ms, from, wants, uses);
-    if (g->placing) {
-        mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+    if (mp_on_demand(g->placement, bg_boot_ms(), from, wants, uses)) {
+        place_soon(g);
     }
 }
 
@@ -540,12 +647,46 @@
     gw_on_change(g->gw);
 }
 
+/* A newer configuration was told of; our own read should have ended with it
+   by now. */
+static void
+follow_version(Gateway *g, uint64_t now_ms, uint64_t version)
+{
+    if (g->config && version <= g->config->version) {
+        g->behind_ms = 0;
+    }
+    else if (g->behind_ms == 0) {
+        g->behind_ms = now_ms;
+    }
+    else if (now_ms > g->behind_ms + BEHIND_MS) {
+        g->behind_ms = 0;
+        ht_drop_kept(g->pool, get_text(g, "store"));
+        st_restart(g->config_watch);
+    }
+}
+
+/* An upstream's entry as the placing VM read it. */
+static void
+take_entry(Gateway *g, const Gwp__Entry *e)
+{
+    StRecord r = {e->upstream, NULL, 0};
+    if (e->value.len > 0) {
+        r.value = g_bytes_new(e->value.data, e->value.len);
+        take_upstream(g, bg_boot_ms(), &r);
+        g_bytes_unref(r.value);
+    }
+    else {
+        drop_upstream(g, bg_boot_ms(), e->upstream);
+    }
+}
+
 static void
 take_state(Gateway *g, const Gwp__State *s)
 {
     uint64_t now_ms = bg_boot_ms();
     ls_on_heard(g->lease, now_ms);
     rb_on_gateways(g->budget, now_ms, s->gateways);
+    follow_version(g, now_ms, s->config_version);
     for (size_t i = 0; i < s->n_waits; i++) {
         gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
     }
@@ -657,6 +798,7 @@
     case GWP__FRAME__BODY_DEMAND:
         if (from) {
             note_member(g, lk_get_vm(from));
+            lk_set_urgent(from, has_waiting(frame->demand));
             take_demand(g, lk_get_vm(from), frame->demand);
         }
         break;
@@ -670,6 +812,12 @@
             take_state(g, frame->state);
         }
         break;
+    case GWP__FRAME__BODY_ENTRY:
+        if (!from) {
+            take_entry(g, frame->entry);
+            gw_on_change(g->gw);
+        }
+        break;
     case GWP__FRAME__BODY_DEATH:
         gw_on_death(g->gw, bg_boot_ms(), frame->death->request,
                     frame->death->upstream);
@@ -696,6 +844,18 @@
 
 static void send_demand(Gateway *g);
 
+/* How often the store is asked, by whether others tell us its news. */
+static void
+follow_store(Gateway *g)
+{
+    bool linked = lk_is_open(g->links) && !g->placing;
+    st_set_wait(g->config_watch,
+                linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
+    st_set_pause(g->upstream_watch, linked ? LINKED_UPSTREAM_PAUSE_MS
+                                    : g->placing ? PLACING_UPSTREAM_PAUSE_MS
+                                                 : UPSTREAM_PAUSE_MS);
+}
+
 static void
 on_link(void *ctx, bool open)
 {
@@ -703,11 +863,15 @@
     JlLine *l = jl_begin(open ? "placer-linked" : "placer-lost");
     jl_text(l, "vm", g->lease ? ls_get_holder_vm(g->lease) : NULL);
     jl_end(l);
+    follow_store(g);
     if (open) {
-        st_set_pause(g->upstream_watch, UPSTREAM_PAUSE_MS);
         send_demand(g);
     }
     else {
+        /* Whatever silenced the link may have silenced the others. */
+        ht_drop_kept(g->pool, get_text(g, "store"));
+        st_restart(g->config_watch);
+        st_restart(g->upstream_watch);
         ut_forget_placement(g->upstreams);
     }
 }
@@ -780,10 +944,10 @@
     g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(free_use);
     gw_collect_demand(g->gw, wants, uses);
     if (g->placing) {
-        mp_on_demand(g->placement, g->demand_ms, get_text(g, "name"), wants,
-                     uses);
-        mp_on_tick(g->placement, g->demand_ms,
-                   ls_may_order(g->lease, g->demand_ms));
+        if (mp_on_demand(g->placement, g->demand_ms, get_text(g, "name"),
+                         wants, uses)) {
+            place_soon(g);
+        }
     }
     else {
         send_demand_up(g, wants, uses);
@@ -818,6 +982,7 @@
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
     s.gateways = count_members(g, now_ms);
+    s.config_version = g->config ? g->config->version : 0;
     rb_on_gateways(g->budget, now_ms, s.gateways);
     st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
                                     ? MAIL_BUSY_PAUSE_MS
@@ -975,6 +1140,7 @@
             ut_forget_placement(g->upstreams);
         }
         on_lease_changed(g);
+        follow_store(g);
         watch_mail(g, places);
     }
     if (g->placing) {
@@ -989,6 +1155,9 @@
     uint64_t since_ms = now_ms - g->stop_ms;
     uint64_t grace_ms =
         (uint64_t)ini_get_int(g->settings, "bounds", "grace_s") * 1000;
+    if (since_ms >= LEAVE_MS) {
+        gw_stop_taking(g->gw);
+    }
     if (since_ms + CLOSE_MARGIN_MS >= grace_ms) {
         gw_close(g->gw);
     }
@@ -1011,6 +1180,7 @@
     if (now_ms >= g->demand_ms + DEMAND_MS) {
         send_demand(g);
         if (g->placing) {
+            tell_the_rest(g);
             send_state(g, now_ms);
         }
     }
@@ -1162,6 +1332,8 @@
     ev_timer_start(g->loop, &g->tick);
     ev_timer_init(&g->wanted, on_wanted_timer, 0., 0.);
     g->wanted.data = g;
+    ev_timer_init(&g->place, on_place_timer, 0., 0.);
+    g->place.data = g;
     ev_signal_init(&g->term, on_term, SIGTERM);
     ev_signal_init(&g->interrupt, on_term, SIGINT);
     ev_signal_init(&g->hup, on_hup, SIGHUP);
@@ -1178,6 +1350,8 @@
 {
     g_autoptr(GError) err = NULL;
     bg_make_id(g->process);
+    g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      free_residents);
     g->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
--- a/src/mp.c
+++ b/src/mp.c
@@ -5,6 +5,11 @@
 
 /* A gateway that said nothing for so long has no callers waiting. */
 #define DEMAND_LIFE_MS 2000
+#define FORGOTTEN_RATE 0.0005 /* uses a second; the model is idle */
+#define SUM_MS 500            /* demand is summed at least this often */
+/* Between looks for a place for a model that found none. */
+#define TRY_PAUSE_MS 80
+#define PREFETCH_MS 200
 /* Uses of a model in so long make its rate. */
 #define RATE_MS 5000.
 /* Requests at once that one replica serves well: with more, prompts are read
@@ -87,6 +92,7 @@
     double rate; /* uses a second, decayed */
     uint64_t rated_ms;
     uint64_t wanted_since_ms; /* 0: nobody waits */
+    uint64_t next_try_ms;     /* no place was found: not looked for before */
 } Demand;
 
 struct Mp {
@@ -97,6 +103,14 @@
     GHashTable *gateways;    /* name -> Gateway */
     GHashTable *demands;     /* name -> Demand */
     GArray *store_starts;    /* uint64_t: loads from the store begun */
+    GHashTable *rooms;       /* service -> MB kept free for adapters */
+    uint64_t next_prefetch_ms;
+    uint64_t summed_ms;
+    /* Derived anew at each tick, or when demand changes. */
+    bool demand_changed;
+    GHashTable *counts; /* model -> usable upstreams with it, or to have it */
+    GHashTable *in_use; /* set of "upstream model" and
+                           "upstream model/adapter" */
 };
 
 /* ---- memory ------------------------------------------------------------- */
@@ -169,6 +183,10 @@
     m->demands =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     m->store_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    m->rooms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    m->counts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    m->in_use = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return m;
 }
 
@@ -180,16 +198,43 @@
     g_hash_table_destroy(m->gateways);
     g_hash_table_destroy(m->demands);
     g_array_free(m->store_starts, TRUE);
+    g_hash_table_destroy(m->rooms);
+    g_hash_table_destroy(m->counts);
+    g_hash_table_destroy(m->in_use);
     g_free(m);
 }
 
 /* ---- what is known ------------------------------------------------------ */
 
+/* Adapters come and go beside models, up to the most that fit. */
+static uint32_t
+compute_adapter_room_mb(const DepService *s)
+{
+    uint32_t most = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepModel *d = v;
+        most = MAX(most, d->adapters ? d->adapter_mb : 0);
+    }
+    return most * s->max_adapters;
+}
+
 void
 mp_on_config(Mp *m, const DepConfig *c)
 {
     dep_unref_config((DepConfig *)m->config);
     m->config = dep_ref_config((DepConfig *)c);
+    g_hash_table_remove_all(m->rooms);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->services);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepService *s = v;
+        g_hash_table_insert(m->rooms, g_strdup(s->name),
+                            GUINT_TO_POINTER(compute_adapter_room_mb(s)));
+    }
 }
 
 static const DepService *
@@ -427,7 +472,10 @@
     g_hash_table_iter_init(&it, m->demands);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Demand *d = v;
-        if (d->waiting == 0) {
+        if (d->waiting == 0 && get_rate(d, now_ms) < FORGOTTEN_RATE) {
+            g_hash_table_iter_remove(&it);
+        }
+        else if (d->waiting == 0) {
             d->wanted_since_ms = 0;
         }
         else if (d->wanted_since_ms == 0) {
@@ -436,16 +484,18 @@
     }
 }
 
-void
+bool
 mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
              const GPtrArray *wants, const GPtrArray *uses)
 {
     Gateway *g = g_new0(Gateway, 1);
+    bool waits = false;
     g->said_ms = now_ms;
     g->wants = g_ptr_array_new_with_free_func(free_want);
     g->uses = g_ptr_array_new_with_free_func(free_use);
     for (guint i = 0; i < wants->len; i++) {
         const MpWant *w = wants->pdata[i];
+        waits = waits || w->waiting > 0;
         MpWant *copy = g_new0(MpWant, 1);
         *copy = *w;
         copy->model = g_strdup(w->model);
@@ -469,26 +519,44 @@
     }
     g_hash_table_replace(m->gateways, g_strdup(gateway), g);
     note_uses(m, now_ms, uses);
+    m->demand_changed = true;
+    return waits;
 }
 
-static bool
-is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
+static void
+note_in_use(Mp *m, const MpUse *use)
 {
+    g_hash_table_add(m->in_use,
+                     g_strconcat(use->upstream, " ", use->model, NULL));
+    if (use->adapter) {
+        g_hash_table_add(m->in_use, g_strconcat(use->upstream, " ",
+                                                use->model, "/", use->adapter,
+                                                NULL));
+    }
+}
+
+static void
+collect_uses(Mp *m)
+{
+    g_hash_table_remove_all(m->in_use);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->gateways);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Gateway *g = v;
         for (guint i = 0; i < g->uses->len; i++) {
-            const MpUse *use = g->uses->pdata[i];
-            if (strcmp(use->upstream, u->entry->id) == 0 &&
-                strcmp(use->model, model) == 0 &&
-                (!adapter || g_strcmp0(use->adapter, adapter) == 0)) {
-                return true;
-            }
+            note_in_use(m, g->uses->pdata[i]);
         }
     }
-    return false;
+}
+
+static bool
+is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
+{
+    g_autofree char *key =
+        adapter ? g_strconcat(u->entry->id, " ", model, "/", adapter, NULL)
+                : g_strconcat(u->entry->id, " ", model, NULL);
+    return g_hash_table_contains(m->in_use, key);
 }
 
 /* ---- telling gateways --------------------------------------------------- */
@@ -754,7 +822,20 @@
 static uint32_t
 count_replicas(const Mp *m, const char *model)
 {
-    uint32_t n = 0;
+    return GPOINTER_TO_UINT(g_hash_table_lookup(m->counts, model));
+}
+
+static void
+add_count(Mp *m, const char *model)
+{
+    g_hash_table_insert(m->counts, g_strdup(model),
+                        GUINT_TO_POINTER(count_replicas(m, model) + 1));
+}
+
+static void
+count_all_replicas(Mp *m)
+{
+    g_hash_table_remove_all(m->counts);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
@@ -763,31 +844,22 @@
         if (!can_use(m, u)) {
             continue;
         }
-        bool coming = g_strcmp0(u->goal, model) == 0;
-        n += coming || find_replica(u, model) != NULL;
-    }
-    return n;
-}
-
-static uint32_t
-get_adapter_room_mb(const DepService *s)
-{
-    uint32_t most = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, s->models);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const DepModel *d = v;
-        most = MAX(most, d->adapters ? d->adapter_mb : 0);
+        for (guint i = 0; i < u->replicas->len; i++) {
+            add_count(m, ((Replica *)u->replicas->pdata[i])->name);
+        }
+        if (u->goal && !find_replica(u, u->goal)) {
+            add_count(m, u->goal);
+        }
     }
-    return most * s->max_adapters;
 }
 
 static int64_t
 get_free_mb(const Mp *m, const Up *u)
 {
     const DepService *s = find_service(m, u);
-    int64_t free_mb = (int64_t)s->memory_mb - get_adapter_room_mb(s);
+    int64_t room_mb =
+        GPOINTER_TO_UINT(g_hash_table_lookup(m->rooms, s->name));
+    int64_t free_mb = (int64_t)s->memory_mb - room_mb;
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
         const DepModel *d = find_model(m, u, r->name);
@@ -1034,6 +1106,7 @@
 {
     u->goal = g_strdup(model);
     u->goal_until_ms = now_ms + GOAL_LIFE_MS;
+    add_count(m, u->goal);
     pursue_goal(m, now_ms, u);
 }
 
@@ -1055,7 +1128,7 @@
 
 typedef struct {
     const char *model;
-    const Demand *demand;
+    Demand *demand;
     uint64_t since_ms;
     bool none; /* nobody holds it */
 } Wanted;
@@ -1084,12 +1157,12 @@
     gpointer v;
     g_hash_table_iter_init(&it, m->demands);
     while (g_hash_table_iter_next(&it, &k, &v)) {
-        const Demand *d = v;
+        Demand *d = v;
         if (strchr(k, '/')) {
             continue;
         }
         uint32_t have = count_replicas(m, k);
-        if (have < get_desired(m, now_ms, k)) {
+        if (now_ms >= d->next_try_ms && have < get_desired(m, now_ms, k)) {
             Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
                         have == 0};
             g_array_append_val(out, w);
@@ -1107,34 +1180,47 @@
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         bool from_store = false;
         Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
-        if (!u) {
-            continue;
-        }
-        if (from_store &&
-            !may_start_store_load(m, now_ms, find_service(m, u))) {
+        if (!u || (from_store &&
+                   !may_start_store_load(m, now_ms, find_service(m, u)))) {
+            w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
             continue;
         }
         set_goal(m, now_ms, u, w->model);
     }
 }
 
-/* Whether a load of MODEL needs the weight store wherever it is begun. */
-static bool
-has_no_copy(const Mp *m, const char *model)
+static void
+add_names(GHashTable *set, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        g_hash_table_add(set, names->pdata[i]);
+    }
+}
+
+/* Models whose load does not need the weight store everywhere; keys are
+   borrowed. */
+static GHashTable *
+list_copied(const Mp *m)
 {
+    GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (can_use(m, u) && (find_replica(u, model) ||
-                              g_strcmp0(u->goal, model) == 0 ||
-                              has_name(u->entry->on_disk, model) ||
-                              has_name(u->entry->in_memory, model))) {
-            return false;
+        if (!can_use(m, u)) {
+            continue;
+        }
+        for (guint i = 0; i < u->replicas->len; i++) {
+            g_hash_table_add(set, ((Replica *)u->replicas->pdata[i])->name);
+        }
+        if (u->goal) {
+            g_hash_table_add(set, u->goal);
         }
+        add_names(set, u->entry->on_disk);
+        add_names(set, u->entry->in_memory);
     }
-    return true;
+    return set;
 }
 
 /* A declared model that no upstream has a copy of, even where another that
@@ -1146,12 +1232,13 @@
     if (!may_start_store_load(m, now_ms, s)) {
         return;
     }
+    g_autoptr(GHashTable) copied = list_copied(m);
     GHashTableIter it;
     gpointer k;
     g_hash_table_iter_init(&it, s->models);
     while (g_hash_table_iter_next(&it, &k, NULL)) {
         bool from_store;
-        if (!has_no_copy(m, k)) {
+        if (g_hash_table_contains(copied, k)) {
             continue;
         }
         Up *u = find_best_place(m, now_ms, k, true, &from_store);
@@ -1165,6 +1252,10 @@
 static void
 prefetch(Mp *m, uint64_t now_ms)
 {
+    if (!m->params.prefetch || now_ms < m->next_prefetch_ms) {
+        return;
+    }
+    m->next_prefetch_ms = now_ms + PREFETCH_MS;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->config->services);
@@ -1212,23 +1303,34 @@
     return best;
 }
 
-static bool
-is_adapter_held(const Mp *m, const char *model, const char *adapter)
+/* Set of "model/adapter" that are held, or ordered, on usable upstreams. */
+static GHashTable *
+list_held_adapters(const Mp *m)
 {
+    GHashTable *set =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        const Replica *r = can_use(m, u) ? find_replica(u, model) : NULL;
-        const Adapter *a = r ? find_adapter(r, adapter) : NULL;
-        if (r && ((a && !a->leaving) ||
-                  (u->ordered && g_strcmp0(u->order_adapter, adapter) == 0 &&
-                   strcmp(u->order_model, model) == 0))) {
-            return true;
+        if (!can_use(m, u)) {
+            continue;
+        }
+        for (guint i = 0; i < u->replicas->len; i++) {
+            const Replica *r = u->replicas->pdata[i];
+            for (guint j = 0; j < r->adapters->len; j++) {
+                const Adapter *a = r->adapters->pdata[j];
+                if (!a->leaving) {
+                    g_hash_table_add(set, make_key(r->name, a->name));
+                }
+            }
+        }
+        if (u->ordered && u->order_adapter && !u->order_unload) {
+            g_hash_table_add(set, make_key(u->order_model, u->order_adapter));
         }
     }
-    return false;
+    return set;
 }
 
 static void
@@ -1274,6 +1376,7 @@
 static void
 place_adapters(Mp *m, uint64_t now_ms)
 {
+    g_autoptr(GHashTable) held = NULL;
     GHashTableIter it;
     gpointer k;
     gpointer v;
@@ -1284,8 +1387,12 @@
         if (!slash || d->waiting == 0) {
             continue;
         }
-        g_autofree char *model = g_strndup(k, (gsize)(slash - (char *)k));
-        if (!is_adapter_held(m, model, slash + 1)) {
+        if (!held) {
+            held = list_held_adapters(m);
+        }
+        if (!g_hash_table_contains(held, k)) {
+            g_autofree char *model =
+                g_strndup(k, (gsize)(slash - (char *)k));
             place_adapter(m, now_ms, model, slash + 1);
         }
     }
@@ -1319,7 +1426,13 @@
     if (!m->config) {
         return;
     }
-    sum_demand(m, now_ms);
+    if (m->demand_changed || now_ms >= m->summed_ms + SUM_MS) {
+        m->demand_changed = false;
+        m->summed_ms = now_ms;
+        sum_demand(m, now_ms);
+        collect_uses(m);
+    }
+    count_all_replicas(m);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
@@ -1341,9 +1454,7 @@
     if (may_order) {
         place_models(m, now_ms);
         place_adapters(m, now_ms);
-        if (m->params.prefetch) {
-            prefetch(m, now_ms);
-        }
+        prefetch(m, now_ms);
     }
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -1415,12 +1526,17 @@
 }
 
 void
-mp_visit_waits(const Mp *m, uint64_t now_ms,
+mp_visit_waits(Mp *m, uint64_t now_ms,
                void (*visit)(void *ctx, const char *model, uint32_t wait_ms),
                void *ctx)
 {
     uint32_t queued = 0;
+    if (!m->config) {
+        return;
+    }
+    count_all_replicas(m);
     g_autoptr(GArray) wanted = list_wanted(m, now_ms);
+    g_autoptr(GHashTable) copied = list_copied(m);
     GHashTableIter it;
     gpointer k;
     gpointer v;
@@ -1436,7 +1552,7 @@
     /* Those that need the weight store take turns there. */
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
-        if (w->none && has_no_copy(m, w->model)) {
+        if (w->none && !g_hash_table_contains(copied, w->model)) {
             uint32_t load_ms = get_longest_load_ms(m, w->model);
             visit(ctx, w->model,
                   load_ms * (1 + queued / MAX(m->params.store_at_once, 1)));
--- a/src/mp.h
+++ b/src/mp.h
@@ -80,8 +80,9 @@
 
 /* The lease was gained: nothing that was believed before counts. */
 void mp_begin(Mp *m, uint64_t now_ms);
-/* All there is of GATEWAY's wants and uses now; both lists are borrowed. */
-void mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
+/* All there is of GATEWAY's wants and uses now; both lists are borrowed.
+   True: callers wait, so a tick is due. */
+bool mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
                   const GPtrArray *wants, const GPtrArray *uses);
 /* REPORT: NULL when the upstream did not answer. */
 void mp_on_report(Mp *m, uint64_t now_ms, const char *id,
@@ -94,7 +95,7 @@
    is held somewhere; UINT32_MAX: not known. */
 uint32_t mp_get_wait_ms(const Mp *m, uint64_t now_ms, const char *model);
 /* Each model that is wanted and not held: VISIT with its wait. */
-void mp_visit_waits(const Mp *m, uint64_t now_ms,
+void mp_visit_waits(Mp *m, uint64_t now_ms,
                     void (*visit)(void *ctx, const char *model,
                                   uint32_t wait_ms),
                     void *ctx);
--- a/src/st.c
+++ b/src/st.c
@@ -39,13 +39,17 @@
     bool listed;
     bool listing;     /* a listing is under way */
     bool reached;
-    bool asking;      /* a call is out */
-    bool doomed;      /* destroyed while a call was out */
+    struct Ask *asking; /* the call that is out, or NULL */
     uint64_t next;    /* offset to read from */
     GPtrArray *pages; /* of the listing under way: StRecord */
     uint32_t backoff_ms;
 };
 
+/* One call; it outlives a watch that has forgotten it. */
+typedef struct Ask {
+    StWatch *watch; /* NULL: forgotten */
+} Ask;
+
 static void ask(StWatch *w);
 
 static void
@@ -137,15 +141,13 @@
 static void
 on_reply(void *ctx, const StReply *r)
 {
-    StWatch *w = ctx;
-    w->asking = false;
-    if (w->doomed) {
-        if (w->pages) {
-            g_ptr_array_free(w->pages, TRUE);
-        }
-        g_free(w);
+    Ask *a = ctx;
+    StWatch *w = a->watch;
+    g_free(a);
+    if (!w) {
         return;
     }
+    w->asking = NULL;
     if (r->end == ST_TRIMMED) {
         begin_listing(w);
         ask_after(w, 0);
@@ -168,17 +170,19 @@
 static void
 ask(StWatch *w)
 {
-    w->asking = true;
+    w->asking = g_new0(Ask, 1);
+    w->asking->watch = w;
     if (!w->listing) {
         w->store->ops->read(w->store, w->params.topic, w->next,
-                            w->params.wait_ms, on_reply, w);
+                            w->params.wait_ms, on_reply, w->asking);
         return;
     }
     const char *after = NULL;
     if (w->pages->len > 0) {
         after = ((StRecord *)w->pages->pdata[w->pages->len - 1])->key;
     }
-    w->store->ops->list(w->store, w->params.topic, after, on_reply, w);
+    w->store->ops->list(w->store, w->params.topic, after, on_reply,
+                        w->asking);
 }
 
 StWatch *
@@ -198,14 +202,37 @@
     return w;
 }
 
+static void
+forget_ask(StWatch *w)
+{
+    if (w->asking) {
+        w->asking->watch = NULL;
+        w->asking = NULL;
+    }
+}
+
 void
 st_destroy_watch(StWatch *w)
 {
     ev_timer_stop(w->loop, &w->timer);
-    w->doomed = true;
-    if (!w->asking) {
-        on_reply(w, &(StReply){.end = ST_AWAY});
+    forget_ask(w);
+    if (w->pages) {
+        g_ptr_array_free(w->pages, TRUE);
     }
+    g_free(w);
+}
+
+void
+st_restart(StWatch *w)
+{
+    forget_ask(w);
+    ask_after(w, 0);
+}
+
+void
+st_set_wait(StWatch *w, uint32_t wait_ms)
+{
+    w->params.wait_ms = wait_ms;
 }
 
 void
--- a/src/st.h
+++ b/src/st.h
@@ -85,6 +85,9 @@
                          const StWatchHandler *handler);
 void st_destroy_watch(StWatch *w);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
+void st_set_wait(StWatch *w, uint32_t wait_ms);
+/* Forget the call that is out, which may be silent, and ask anew. */
+void st_restart(StWatch *w);
 /* A first listing has come. */
 bool st_is_listed(const StWatch *w);
 bool st_is_reached(const StWatch *w);
--- a/src/ut.c
+++ b/src/ut.c
@@ -134,7 +134,7 @@
            strcmp(a->service, b->service) == 0;
 }
 
-void
+bool
 ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry)
 {
     Ut *u = g_hash_table_lookup(s->by_id, entry->id);
@@ -142,6 +142,7 @@
         drop(s, u);
         u = NULL;
     }
+    bool is_new = !u;
     if (u) {
         g_hash_table_steal(s->by_id, u->entry->id);
         dep_destroy_upstream(u->entry);
@@ -154,8 +155,10 @@
         u->judged_ms = now_ms;
     }
     u->entry = entry;
+    bool leaves = entry->draining && !u->leaving;
     u->leaving = u->leaving || entry->draining;
     g_hash_table_insert(s->by_id, entry->id, u);
+    return is_new || leaves;
 }
 
 void
--- a/src/ut.h
+++ b/src/ut.h
@@ -19,8 +19,9 @@
 UtSet *ut_create(const UtParams *params);
 void ut_destroy(UtSet *s);
 
-/* ENTRY is taken over.  RELISTED entries: those not among them are gone. */
-void ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry);
+/* ENTRY is taken over.  True: the upstream is new, another than before under
+   its id, or it leaves. */
+bool ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry);
 void ut_on_gone(UtSet *s, uint64_t now_ms, const char *id);
 /* Only IDS (a set of char *) are left. */
 void ut_keep_only(UtSet *s, uint64_t now_ms, GHashTable *ids);
