--- a/src/ls.c
+++ b/src/ls.c
@@ -174,11 +174,8 @@
                l->params.lease_ms);
         lose(l);
     }
-    if (l->stopping) {
-        return;
-    }
     consider_read(l, now_ms);
-    if (!l->known || l->writing || l->reading) {
+    if (l->stopping || !l->known || l->writing || l->reading) {
         return;
     }
     if (!l->holding) {
@@ -228,8 +225,13 @@
 {
     l->writing = false;
     if (l->giving_up) {
+        /* Done or not, what the topic says now is to be read. */
         l->giving_up = false;
         l->known = false;
+        l->next_read_ms = now_ms;
+        g_free(l->holder_process);
+        l->holder_process = g_strdup(FREE_PROCESS);
+        l->out.changed(l->out.ctx);
         return;
     }
     if (end == ST_OK) {
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -167,36 +167,47 @@
     jl_end(l);
 }
 
+static DepConfig *
+decode_record(const StRecord *r)
+{
+    gsize len;
+    const void *data = g_bytes_get_data(r->value, &len);
+    g_autoptr(GError) err = NULL;
+    DepConfig *c = pf_decode_config(data, len, &err);
+    if (!c) {
+        bg_log(BG_WARN, "config", "offset %llu not taken: %s",
+               (unsigned long long)r->offset, err->message);
+    }
+    return c;
+}
+
+/* Of several versions the highest is taken at once; what came in force never
+   goes back. */
 static void
 on_config_records(void *ctx, const GPtrArray *records, bool whole)
 {
     (void)whole;
     Gateway *g = ctx;
-    const StRecord *newest = NULL;
+    DepConfig *best = NULL;
     for (guint i = 0; i < records->len; i++) {
         const StRecord *r = records->pdata[i];
-        if (strcmp(r->key, "config") == 0 && r->value) {
-            newest = r;
+        DepConfig *c = strcmp(r->key, "config") == 0 && r->value
+                           ? decode_record(r)
+                           : NULL;
+        bool newer = c && c->version > (best        ? best->version
+                                        : g->config ? g->config->version
+                                                    : 0);
+        if (newer) {
+            dep_unref_config(best);
+            best = c;
+        }
+        else {
+            dep_unref_config(c);
         }
     }
-    if (!newest) {
-        return;
-    }
-    gsize len;
-    const void *data = g_bytes_get_data(newest->value, &len);
-    g_autoptr(GError) err = NULL;
-    DepConfig *c = pf_decode_config(data, len, &err);
-    if (!c) {
-        bg_log(BG_WARN, "config", "offset %llu not taken: %s",
-               (unsigned long long)newest->offset, err->message);
-        return;
-    }
-    /* What came in force never goes back. */
-    if (g->config && c->version <= g->config->version) {
-        dep_unref_config(c);
-        return;
+    if (best) {
+        use_config(g, best);
     }
-    use_config(g, c);
 }
 
 /* ---- upstreams ---------------------------------------------------------- */
--- a/src/rb.c
+++ b/src/rb.c
@@ -4,7 +4,10 @@
    the budget until its whole slice has left the window. */
 #define SLICES 10
 /* Of the allowance: requests may arrive elsewhere than they are counted. */
-#define CAUTION 0.8
+#define CAUTION 0.7
+/* Share of the slack of a process that has just started: the one before it
+   may have spent the rest. */
+#define FRESH_SHARE 0.3
 
 typedef struct {
     uint64_t slice; /* number of the newest slice counted */
@@ -86,8 +89,8 @@
         repeats += a->repeats[i];
     }
     bool new_here = now_ms < b->start_ms + b->params.window_ms;
-    double slack =
-        new_here ? 0 : b->params.slack / MAX(b->params.gateways, 1);
+    double slack = b->params.slack / MAX(b->params.gateways, 1) *
+                   (new_here ? FRESH_SHARE : 1);
     double allowed = CAUTION * (b->params.ratio * requests + slack);
     if (repeats + 1 > allowed) {
         return false;
--- a/src/rb.h
+++ b/src/rb.h
@@ -17,8 +17,8 @@
 
 typedef struct Rb Rb;
 
-/* Until a window after NOW_MS there is no slack: a process that ended here
-   may have spent it. */
+/* Until a window after NOW_MS most of the slack is left alone: a process that
+   ended here may have spent it. */
 Rb *rb_create(const RbParams *params, uint64_t now_ms);
 void rb_destroy(Rb *b);
 /* So many are seen now.  Fewer than before are believed only when nobody saw
--- /dev/null
+++ b/tests/fake_platform.py
@@ -0,0 +1,322 @@
+"""Stand-ins for the users' platform, by its published protocol: the store (a
+log over HTTP) and the engines.  They run in the test's own process, so that a
+test can look into them and make them fail."""
+
+import base64
+import json
+import struct
+import threading
+import time
+
+from standin import Handler, Server
+
+
+class App:
+    """One HTTP server on a thread of its own."""
+
+    def __init__(self, port):
+        self.port = port
+        self.address = "127.0.0.1:%d" % port
+        self.lock = threading.RLock()
+        handler = type("Bound", (Handler,), {"app": self})
+        self.server = Server(("127.0.0.1", port), handler)
+        self.thread = threading.Thread(
+            target=self.server.serve_forever, kwargs={"poll_interval": 0.05},
+            daemon=True)
+        self.thread.start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+TOPICS = {"op": "keyed.op", "servers": "keyed.servers"}
+
+
+class Store(App):
+    """Topics of one partition each."""
+
+    def __init__(self, port):
+        super().__init__(port)
+        self.topics = {}   # name -> list of (key, value or None)
+        self.first = {}    # name -> first offset kept
+        self.changed = threading.Condition(self.lock)
+        self.calls = 0
+        self.mode = "up"   # up, busy (503), silent
+        self.lose_appends = 0  # done, but not answered
+        self.refused = set()   # holders whose appends get 503
+
+    def put(self, topic, key, value):
+        with self.lock:
+            log = self.topics.setdefault(topic, [])
+            log.append((key, value))
+            self.changed.notify_all()
+            return len(log)
+
+    def put_config(self, config):
+        self.put("keyed.op", "config", json.dumps(config).encode())
+
+    def newest(self, topic):
+        with self.lock:
+            found = {}
+            for offset, (key, value) in enumerate(self.topics.get(topic, [])):
+                found[key] = (value, offset)
+            return {k: v for k, v in found.items() if v[0] is not None}
+
+    def compact(self, topic):
+        """Forget the history: readers behind the tail get 410."""
+        with self.lock:
+            self.first[topic] = len(self.topics.get(topic, []))
+
+    def handle(self, h, method, path, query, body):
+        self.calls += 1
+        if self.mode == "silent":
+            time.sleep(3)
+            h.close_connection = True
+            return
+        if self.mode == "busy":
+            h.reply(503, {})
+            return
+        getattr(self, path[1:].replace("-", "_"))(h, query, body)
+
+    def log_newest(self, h, query, _body):
+        items = [{"key": k, "value": base64.b64encode(v).decode(),
+                  "offset": offset}
+                 for k, (v, offset) in sorted(
+                     self.newest(query["topic"]).items())
+                 if k > query.get("after", "")]
+        page = items[:3]   # small pages, so that clients have to go on
+        h.reply(200, {"items": page, "has_more": len(items) > len(page),
+                      "end": len(self.topics.get(query["topic"], []))})
+
+    def log_read(self, h, query, _body):
+        topic, at = query["topic"], int(query["from"])
+        until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        with self.lock:
+            while (len(self.topics.get(topic, [])) <= at and
+                   time.monotonic() < until and self.mode == "up"):
+                self.changed.wait(0.05)
+            log = self.topics.get(topic, [])
+            first = self.first.get(topic, 0)
+            records = log[at:]
+        if at < first:
+            h.reply(410, {"first": first})
+            return
+        out = struct.pack(">QQ", len(log), first)
+        for key, value in records:
+            rec = bytes([len(key)]) + key.encode() + (value or b"")
+            out += struct.pack(">I", len(rec)) + rec
+        h.send_response(200)
+        h.send_header("Content-Length", str(len(out)))
+        h.end_headers()
+        h.wfile.write(out)
+
+    def log_append(self, h, query, body):
+        topic = query["topic"]
+        if topic in TOPICS.values():
+            h.reply(403, {})
+            return
+        with self.lock:
+            log = self.topics.setdefault(topic, [])
+            if "at" in query and int(query["at"]) != len(log):
+                h.reply(412, {"end": len(log)})
+                return
+            offset = len(log)
+            size, = struct.unpack(">I", body[:4])
+            rec = body[4:4 + size]
+            key = rec[1:1 + rec[0]].decode()
+            log.append((key, rec[1 + rec[0]:]))
+            self.changed.notify_all()
+            lost = self.lose_appends > 0
+            self.lose_appends -= lost
+        if lost:
+            h.close_connection = True
+            return
+        h.reply(200, {"offset": offset, "end": offset + 1})
+
+
+class Engine(App):
+    """A model engine, or with MODELS None a plain service's server."""
+
+    def __init__(self, port, store, name, service="llm", models=None,
+                 zone="z1"):
+        self.store, self.name, self.service, self.zone = (store, name,
+                                                          service, zone)
+        self.models = None if models is None else {m: set() for m in models}
+        self.sizes = {}
+        self.memory_mb = 83000
+        self.max_adapters = 8
+        self.load_s = 0.05
+        self.sequence = 0
+        self.busy = False
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.crashed = None     # why, when an order overcommitted it
+        self.runs = []          # ids that ran
+        self.arrivals = []      # (id, time) of all that arrived
+        self.orders = []        # (time, holder, token, op, model, adapter)
+        self.lose_orders = 0    # accepted, not answered
+        self.cancelled = []     # ids whose connection closed under the work
+        self.requests = []      # (headers, body) of what ran
+        self.behave = None      # f(engine, handler, id) -> True if it answered
+        self.events = 5
+        self.event_s = 0.01
+        self.work_s = 0.0
+        super().__init__(port)
+        self.beat()
+
+    def entry(self):
+        doc = {"service": self.service, "address": self.address,
+               "zone": self.zone, "version": "v1", "slots": 8,
+               "state": self.state, "cold_left_ms": 0, "phase": "both",
+               "sequence": self.sequence, "born": self.born}
+        if self.models is not None:
+            doc["models"] = self.list_models()
+            doc["at_hand"] = {"in_memory": [], "on_disk": []}
+        return doc
+
+    def list_models(self):
+        return [{"name": m, "version": 1, "adapters": sorted(a)}
+                for m, a in self.models.items()]
+
+    def beat(self):
+        self.store.put("keyed.servers", self.name,
+                       json.dumps(self.entry()).encode())
+
+    def drain(self):
+        self.state = "draining"
+        self.beat()
+
+    def leave(self):
+        self.store.put("keyed.servers", self.name, None)
+
+    # ---- calls
+
+    def handle(self, h, method, path, query, body):
+        expected = h.headers.get("X-Expect-Instance")
+        if expected and expected != self.name:
+            h.reply(421, {}, {"X-Instance-Id": self.name})
+        elif path == "/report":
+            h.reply(200, dict(self.entry(), busy=self.busy, queued=0,
+                              active=0, coming=[]))
+        elif path == "/order":
+            self.order(h, json.loads(body))
+        else:
+            self.request(h, path, body)
+
+    def order(self, h, o):
+        with self.lock:
+            self.orders.append((time.monotonic(), o["holder"],
+                                o["fence_token"], o["op_type"], o["model"],
+                                o.get("adapter")))
+            if self.busy or o.get("expect", self.sequence) != self.sequence:
+                h.reply(409, {})
+                return
+            self.sequence += 1
+            if o["op_type"] == "load" and not o.get("adapter"):
+                self.busy = True
+                threading.Timer(self.load_s, self.loaded,
+                                [o["model"]]).start()
+                used = sum(self.sizes.get(m, 0) for m in self.models)
+                if used + self.sizes.get(o["model"], 0) > self.memory_mb:
+                    self.crashed = "memory"
+            elif o["op_type"] == "load":
+                self.models[o["model"]].add(o["adapter"])
+                if sum(map(len, self.models.values())) > self.max_adapters:
+                    self.crashed = "adapters"
+            elif o.get("adapter"):
+                self.models[o["model"]].discard(o["adapter"])
+            else:
+                self.models.pop(o["model"], None)
+            lost = self.lose_orders > 0
+            self.lose_orders -= lost
+        if lost:
+            h.close_connection = True
+        else:
+            done = o["op_type"] == "unload" and o.get("adapter")
+            h.reply(200 if done else 202, {})
+
+    def loaded(self, model):
+        with self.lock:
+            self.models[model] = set()
+            self.busy = False
+        self.beat()
+
+    def holds(self, wanted):
+        model, _, adapter = wanted.partition("/")
+        return model in self.models and (
+            not adapter or adapter in self.models[model])
+
+    def request(self, h, path, body):
+        rid = h.headers.get("X-Attempt-Id")
+        with self.lock:
+            self.arrivals.append((rid, time.monotonic()))
+        wanted = h.headers.get("X-Model")
+        if self.models is not None and wanted and not self.holds(wanted):
+            h.reply(421, {}, {"X-Attempt-Id": rid})
+            return
+        with self.lock:
+            self.runs.append(rid)
+            self.requests.append((h.command, h.path, dict(h.headers), body))
+        if self.behave and self.behave(self, h, rid):
+            return
+        if wanted:
+            self.stream(h, rid)
+        else:
+            if self.work_s:
+                time.sleep(self.work_s)
+            h.reply(200, {"by": self.name, "id": rid},
+                    {"X-Attempt-Id": rid, "X-Server-Stamp": "s-" + self.name})
+
+    def stream(self, h, rid, stop_after=None, tear=False):
+        first = int(h.headers.get("Last-Event-Id") or -1) + 1
+        h.start_stream({"X-Attempt-Id": rid,
+                        "X-Server-Stamp": "s-" + self.name})
+        try:
+            for i in range(first, self.events):
+                if stop_after is not None and i >= stop_after:
+                    if tear:
+                        h.send_chunk("id: %d\ndata: half" % i)
+                    h.close_connection = True
+                    return
+                h.send_chunk("id: %d\ndata: event %d\n\n" % (i, i))
+                time.sleep(self.event_s)
+            h.end_stream()
+        except OSError:
+            with self.lock:
+                self.cancelled.append((rid, time.monotonic()))
+            raise
+
+
+def route(name, service, kind, **more):
+    doc = {"name": name, "host": "app.example", "path_prefix": "/%s/" % name,
+           "route_type": kind, "timeout_ms": 4000, "target_latency_ms": 500,
+           "priority": 1, "service": service, "attempts": 2,
+           "sticky": kind == "streaming", "resumable": False}
+    if kind == "streaming":
+        doc["gap_target_ms"] = 200
+    doc.update(more)
+    return doc
+
+
+def config(version, routes=None, models=("m0", "m1", "m2"), mb=30000):
+    return {
+        "version": version,
+        "routes": routes or [
+            route("read", "app", "idempotent"),
+            route("pay", "app", "non_idempotent", attempts=1),
+            route("chat", "llm", "streaming", resumable=True),
+            route("sum", "llm", "streaming", attempts=1)],
+        "services": [
+            {"name": "app", "health_path": "/healthz",
+             "max_connections": 100},
+            {"name": "llm", "health_path": "/healthz",
+             "max_connections": 100, "engine": {
+                 "slots": 8, "kv_capacity": 100000, "weights_mb": 83000.0,
+                 "max_adapters": 8, "loads_per_s": 3.0,
+                 "models": [{"name": m, "weights_mb": mb + 0.000001,
+                             "load_time_s": 0.05, "adapters": 20,
+                             "adapter_mb": 40.0, "disk_s": 0.05,
+                             "warm_s": 0.05} for m in models]}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
--- /dev/null
+++ b/tests/platform_cluster.py
@@ -0,0 +1,174 @@
+"""Real gateways before stand-ins of the platform, on loopback."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import time
+
+from cluster import free_port, wait_until
+from fake_platform import Engine, Store, config
+
+LEASE_REST_MS = 600   # the platform's rest between holders, in these tests
+
+
+class Gateway:
+    def __init__(self, build, store, name, grace_s=8):
+        self.name = name
+        self.front, self.ready, self.control, self.link = (
+            free_port() for _ in range(4))
+        self.dir = tempfile.mkdtemp(prefix="bglade-gw-")
+        self.settings = os.path.join(self.dir, "settings.ini")
+        with open(self.settings, "w", encoding="utf-8") as f:
+            f.write("""[gateway]
+name = %s
+data_centre = z1
+front = 127.0.0.1:%d
+ready = 127.0.0.1:%d
+control = 127.0.0.1:%d
+link = 127.0.0.1:%d
+store = %s
+[bounds]
+lease_ms = %d
+grace_s = %d
+retry_window_s = 1
+retry_slack = 400
+""" % (name, self.front, self.ready, self.control, self.link, store.address,
+                LEASE_REST_MS, grace_s))
+        self.program = os.path.join(build, "bglade-gateway")
+        self.log_path = os.path.join(self.dir, "log")
+        self.proc = None
+
+    def start(self, stdout=None):
+        with open(self.log_path, "ab") as log:
+            self.proc = subprocess.Popen(
+                [self.program, "--settings", self.settings],
+                stdout=stdout or log, stderr=log)
+        return self
+
+    def events(self, event=None):
+        found = []
+        with open(self.log_path, encoding="utf-8") as f:
+            for line in f:
+                if line.startswith("{"):
+                    doc = json.loads(line)
+                    if event in (None, doc["event"]):
+                        found.append(doc)
+        return found
+
+    def is_ready(self):
+        try:
+            c = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            c.request("GET", "/readyz")
+            return c.getresponse().status == 200
+        except OSError:
+            return False
+
+    def dump(self):
+        c = http.client.HTTPConnection("127.0.0.1", self.control, timeout=2)
+        c.request("GET", "/dump")
+        return json.loads(c.getresponse().read())
+
+    def send(self, sig):
+        self.proc.send_signal(sig)
+
+    def stop(self):
+        if self.proc and self.proc.poll() is None:
+            self.proc.send_signal(signal.SIGCONT)
+            self.proc.terminate()
+            try:
+                self.proc.wait(10)
+            except subprocess.TimeoutExpired:
+                self.proc.kill()
+                self.proc.wait()
+
+
+_ids = iter(range(1, 10 ** 9))
+
+
+def ask(gateway, route, model=None, body=b"x", deadline_ms=4000, headers=None,
+        method="POST", conn=None, host="app.example", rid=None, path=None):
+    """One request; returns (status, headers, body, id)."""
+    rid = rid or "%016x" % next(_ids)
+    head = {"Host": host, "X-Attempt-Id": rid,
+            "X-Deadline-Ms": str(deadline_ms)}
+    if model:
+        head["X-Model"] = model
+        head["X-Token-Count"] = "100,20"
+        head["X-Prompt-Prefix"] = "aa:50,bb:50"
+    head.update(headers or {})
+    c = conn or http.client.HTTPConnection("127.0.0.1", gateway.front,
+                                           timeout=10)
+    c.request(method, path or "/%s/x?q=1" % route, body, head)
+    r = c.getresponse()
+    try:
+        data = r.read()
+    except http.client.IncompleteRead as e:
+        data = b"INCOMPLETE " + e.partial
+    return r.status, dict(r.getheaders()), data, rid
+
+
+class Cluster:
+    """STORE, two plain servers, two engines and GATEWAYS."""
+
+    def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
+                 first_config=True):
+        self.store = Store(free_port())
+        if first_config:
+            self.store.put_config(config(3))
+        self.apps = [Engine(free_port(), self.store, "a%d" % i, "app")
+                     for i in range(2)]
+        self.engines = [Engine(free_port(), self.store, "e%d" % i,
+                               models=held) for i, held in enumerate(models)]
+        for e in self.engines:
+            e.sizes = {"m0": 30001, "m1": 30001, "m2": 30001}
+        self.gateways = [Gateway(build, self.store, "vm%d" % i).start()
+                         for i in range(gateways)]
+        started = time.monotonic()
+        if first_config:
+            for g in self.gateways:
+                wait_until(g.is_ready, what="readiness")
+            # In its first window a gateway spends little on repeats.
+            time.sleep(max(0, started + 1.1 - time.monotonic()))
+
+    def placer(self):
+        """The gateway that places, once one does."""
+        def find():
+            for g in self.gateways:
+                if g.proc.poll() is None and g.dump()["places"]:
+                    return g
+            return None
+        return wait_until(find, what="a placing gateway")
+
+    def all_linked(self):
+        return all(d["places"] or d["linked"]
+                   for d in (g.dump() for g in self.gateways))
+
+    def stop(self):
+        for g in self.gateways:
+            if g.proc.poll() is None:
+                g.proc.kill()
+                g.proc.wait()
+        for app in self.apps + self.engines:
+            app.stop()
+        self.store.stop()
+        for e in self.engines:
+            assert e.crashed is None, e.crashed
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exc):
+        self.stop()
+
+
+def events_of(data):
+    """Ids of the events of a stream, in order."""
+    return [int(line[4:]) for line in data.decode().splitlines()
+            if line.startswith("id: ")]
+
+
+def now():
+    return time.monotonic()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,464 @@
+"""The gateway before stand-ins of the platform: requests and answers."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+import pytest
+
+from cluster import free_port, wait_until
+from fake_platform import config, route
+from platform_cluster import Cluster, Gateway, ask, events_of, now
+
+
+@pytest.fixture(name="one", scope="module")
+def fixture_one(build):
+    with Cluster(build) as c:
+        c.placer()
+        yield c
+
+
+@pytest.fixture(autouse=True)
+def fixture_well(request):
+    """Each test leaves the shared stand-ins as it found them."""
+    yield
+    if "one" in request.fixturenames:
+        c = request.getfixturevalue("one")
+        for e in c.apps + c.engines:
+            e.behave = None
+            e.events = 5
+            e.event_s = 0.01
+            e.work_s = 0.0
+
+
+def ran(c, rid):
+    return [e.name for e in c.apps + c.engines for r in e.runs if r == rid]
+
+
+def test_answer_unchanged(one):
+    """Method, path, query, body and own headers reach the server as sent, and
+    its status, stamp and body come back as they are."""
+    status, head, data, rid = ask(one.gateways[0], "read", body=b"abc",
+                                  headers={"X-Own": "1", "X-Hold": "evil",
+                                           "Connection": "X-Drop",
+                                           "X-Drop": "1"})
+    assert status == 200 and rid.encode() in data
+    assert head["X-Server-Stamp"].startswith("s-a")
+    seen = [r for e in one.apps for r in e.requests
+            if r[2]["X-Attempt-Id"] == rid]
+    assert len(seen) == 1
+    method, path, got, body = seen[0]
+    assert (method, path, body) == ("POST", "/read/x?q=1", b"abc")
+    assert got["X-Own"] == "1"
+    assert "X-Hold" not in got and "X-Drop" not in got
+    assert 0 < int(got["X-Deadline-Ms"]) <= 4000
+    assert got["X-Expect-Instance"] in ("a0", "a1")
+
+
+def test_unknown_route_is_404(one):
+    assert ask(one.gateways[0], "none")[0] == 404
+    assert ask(one.gateways[0], "read", host="other.example")[0] == 404
+
+
+def test_longest_prefix_wins(one):
+    routes = config(3)["routes"] + [
+        route("deep", "llm", "idempotent", path_prefix="/read/deep/")]
+    one.store.put_config(config(5, routes))
+    wait_until(lambda: one.gateways[0].dump()["config"] == 5)
+    _, _, _, rid = ask(one.gateways[0], "read", path="/read/deep/x")
+    assert ran(one, rid)[0].startswith("e")
+    _, _, _, rid = ask(one.gateways[0], "read", path="/read/deeper")
+    assert ran(one, rid)[0].startswith("a")
+
+
+def test_stream_whole(one):
+    status, head, data, _ = ask(one.gateways[0], "chat", "m0")
+    assert status == 200 and head["X-Server-Stamp"] == "s-e0"
+    assert events_of(data) == [0, 1, 2, 3, 4]
+
+
+def test_chunked_body(one):
+    c = http.client.HTTPConnection("127.0.0.1", one.gateways[0].front)
+    c.request("POST", "/pay/x", iter([b"ab", b"cd"]),
+              {"Host": "app.example", "X-Attempt-Id": "chunky",
+               "X-Deadline-Ms": "2000", "Transfer-Encoding": "chunked"},
+              encode_chunked=True)
+    assert c.getresponse().status == 200
+    assert [r[3] for e in one.apps for r in e.requests
+            if r[2]["X-Attempt-Id"] == "chunky"] == [b"abcd"]
+
+
+def test_not_repeated_when_it_may_have_run(one):
+    """The caller of a charge sees 502, not "refused".
+    The server runs it and breaks off before its answer.
+    Nobody can tell that it ran, so nothing is sent a second time."""
+    def break_off(_engine, h, _rid):
+        h.close_connection = True
+        return True
+    for e in one.apps:
+        e.behave = break_off
+    status, _, _, rid = ask(one.gateways[0], "pay")
+    assert status == 502
+    assert len(ran(one, rid)) == 1
+
+
+def test_repeatable_goes_to_another(one):
+    """A lookup whose server breaks off is answered by another server."""
+    one.apps[0].behave = one.apps[1].behave = None
+    failed = []
+
+    def break_first(_engine, h, rid):
+        if failed:
+            return False
+        failed.append(rid)
+        h.close_connection = True
+        return True
+    for e in one.apps:
+        e.behave = break_first
+    status, _, _, rid = ask(one.gateways[0], "read")
+    assert status == 200 and len(set(ran(one, rid))) == 2
+
+
+def test_own_failure_is_passed_on(one):
+    """A server's 500 to a charge comes back with its stamp and body."""
+    def fail(engine, h, rid):
+        h.reply(500, {"why": "no"}, {"X-Attempt-Id": rid,
+                                     "X-Server-Stamp": "s-" + engine.name})
+        return True
+    for e in one.apps:
+        e.behave = fail
+    status, head, data, _ = ask(one.gateways[0], "pay")
+    assert status == 500 and data == b'{"why": "no"}'
+    assert head["X-Server-Stamp"].startswith("s-a")
+
+
+def test_shed_goes_to_another(one):
+    """A server that is full and says that it ran nothing costs the caller
+    nothing while another is free, also for a charge."""
+    def shed(engine, h, rid):
+        engine.runs.remove(rid)
+        h.reply(503, {}, {"X-Attempt-Id": rid, "X-Not-Executed": "1"})
+        return True
+    one.apps[0].behave = shed
+    for _ in range(6):
+        assert ask(one.gateways[0], "pay")[0] == 200
+
+
+def test_extra_answer_is_nobodys(one):
+    """A server sends a second answer after the first.  It must not be taken
+    for the answer of the next request on that connection."""
+    def twice(_engine, h, rid):
+        h.reply(200, {"id": rid}, {"X-Attempt-Id": rid})
+        h.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                      b"X-Attempt-Id: %s\r\n\r\nevil" % rid.encode())
+        h.wfile.flush()
+        return True
+    for e in one.apps:
+        e.behave = twice
+    for _ in range(20):
+        _, _, data, rid = ask(one.gateways[0], "pay")
+        assert rid.encode() in data
+
+
+def test_answer_without_length(one):
+    """An answer that ends with its connection is whole for the caller."""
+    def unframed(_engine, h, rid):
+        h.wfile.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n\r\nall of it"
+                      % rid.encode())
+        h.close_connection = True
+        return True
+    for e in one.apps:
+        e.behave = unframed
+    status, _, data, _ = ask(one.gateways[0], "pay")
+    assert (status, data) == (200, b"all of it")
+
+
+def test_garbage_is_no_answer(one):
+    def garbage(_engine, h, _rid):
+        h.wfile.write(b"\x00\x01 this is no answer\r\n\r\n")
+        h.close_connection = True
+        return True
+    for e in one.apps:
+        e.behave = garbage
+    assert ask(one.gateways[0], "pay")[0] == 502
+
+
+def test_cut_answer_is_not_passed_on_whole(one):
+    def cut(_engine, h, rid):
+        h.reply_short(200, {"id": rid, "long": "x" * 100})
+        return True
+    for e in one.apps:
+        e.behave = cut
+    assert ask(one.gateways[0], "pay")[0] == 502
+
+
+def test_stream_resumes_after_last_whole_event(one, build):
+    """The caller of a resumable stream sees every event once.
+    The engine breaks off in the middle of event 3.
+    Another goes on after event 2; the torn half is never shown."""
+    with Cluster(build, models=(("m0",), ("m0",))) as c:
+        broken = []
+
+        def tear(engine, h, rid):
+            if broken:
+                return False
+            broken.append(engine.name)
+            engine.stream(h, rid, stop_after=3, tear=True)
+            return True
+        for e in c.engines:
+            e.behave = tear
+        status, head, data, rid = ask(c.gateways[0], "chat", "m0")
+        assert status == 200 and events_of(data) == [0, 1, 2, 3, 4]
+        assert b"half" not in data
+        assert head["X-Server-Stamp"] == "s-" + broken[0]
+        assert len(ran(c, rid)) == 2
+
+
+def test_broken_stream_is_not_shown_as_whole(one):
+    """A stream that may run once ends visibly cut when its engine dies."""
+    def tear(engine, h, rid):
+        engine.stream(h, rid, stop_after=2)
+        return True
+    for e in one.engines:
+        e.behave = tear
+    status, _, data, rid = ask(one.gateways[0], "sum", "m0")
+    assert status == 200 and data.startswith(b"INCOMPLETE")
+    assert len(ran(one, rid)) == 1
+
+
+def test_caller_gone_ends_the_work(one):
+    """The caller closes in the middle of a long stream.
+    The engine's connection is closed within half a second."""
+    for e in one.engines:
+        e.events, e.event_s = 200, 0.02
+    s = socket.create_connection(("127.0.0.1", one.gateways[0].front))
+    s.sendall(b"POST /sum/x HTTP/1.1\r\nHost: app.example\r\n"
+              b"X-Attempt-Id: leaver\r\nX-Model: m0\r\n"
+              b"X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n")
+    s.recv(100)
+    s.close()
+    left = now()
+    found = wait_until(lambda: [t for e in one.engines
+                                for r, t in e.cancelled if r == "leaver"])
+    assert found[0] - left < 0.5
+
+
+def test_deadline_gets_an_answer(one):
+    """A charge whose server is too slow is answered with 504 in time, and its
+    server was told how long it may take."""
+    for e in one.apps:
+        e.work_s = 2.0
+    started = now()
+    status, _, _, _ = ask(one.gateways[0], "pay", deadline_ms=600)
+    assert status == 504 and now() - started < 0.65
+
+
+def test_cold_model_is_loaded_once(one):
+    """Ten callers ask for a model that nobody holds: one load is ordered, and
+    all are answered."""
+    before = sum(len(e.orders) for e in one.engines)
+    out = []
+    threads = [threading.Thread(
+        target=lambda: out.append(ask(one.gateways[0], "chat", "m2")[0]))
+        for _ in range(10)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    assert out == [200] * 10
+    loads = [o for e in one.engines for o in e.orders[0:]
+             if o[3] == "load" and o[4] == "m2"]
+    assert len(loads) == 1 and before <= sum(
+        len(e.orders) for e in one.engines)
+
+
+def test_adapters_come_and_go_within_their_places(one):
+    """Twelve adapters on engines with eight places each: every caller is
+    answered, and no engine is ordered over its places (checked at the end of
+    the cluster)."""
+    for i in range(24):
+        assert ask(one.gateways[0], "chat", "m0/a%d" % (i % 12))[0] == 200
+
+
+def test_kept_connection_serves_many(one):
+    c = http.client.HTTPConnection("127.0.0.1", one.gateways[0].front)
+    for _ in range(5):
+        assert ask(one.gateways[0], "read", conn=c)[0] == 200
+
+
+def test_smuggled_request_is_refused(one):
+    """Two framings in one request: nothing of it reaches a server."""
+    s = socket.create_connection(("127.0.0.1", one.gateways[0].front))
+    s.sendall(b"POST /pay/x HTTP/1.1\r\nHost: app.example\r\n"
+              b"X-Attempt-Id: outer\r\nContent-Length: 60\r\n"
+              b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+              b"POST /pay/y HTTP/1.1\r\nHost: app.example\r\n"
+              b"X-Attempt-Id: inner\r\nContent-Length: 0\r\n\r\n")
+    s.settimeout(3)
+    assert s.recv(100).startswith(b"HTTP/1.1 400")
+    time.sleep(0.2)
+    assert not ran(one, "inner") and not ran(one, "outer")
+
+
+def test_silent_server_is_left_for_another(one):
+    """A lookup's server takes the request and says nothing: another answers
+    well before the deadline."""
+    stuck = []
+
+    def hang(engine, _h, rid):
+        if stuck and stuck[0] != engine.name:
+            return False
+        stuck.append(engine.name)
+        time.sleep(2)
+        return True
+    for e in one.apps:
+        e.behave = hang
+    started = now()
+    assert ask(one.gateways[0], "read")[0] == 200
+    assert now() - started < 1.0
+
+
+def test_deadly_request_is_stopped(build):
+    """A request under which engines end comes again and again.
+    Each engine breaks off under it, one after the other.
+    After three of them it is refused before it reaches another."""
+    with Cluster(build, models=(("m0",),) * 5) as c:
+        def die(_engine, h, _rid):
+            h.close_connection = True
+            return True
+        for e in c.engines:
+            e.behave = die
+        for _ in range(20):
+            status, head, _, _ = ask(c.gateways[0], "chat", "m0",
+                                     body=b"deadly")
+            if status == 503:
+                break
+        assert status == 503 and float(head["Retry-After"]) > 1
+        before = sum(len(e.arrivals) for e in c.engines)
+        assert len([e for e in c.engines if e.arrivals]) <= 4
+        assert ask(c.gateways[0], "chat", "m0", body=b"deadly")[0] == 503
+        assert sum(len(e.arrivals) for e in c.engines) == before
+        for e in c.engines:
+            e.behave = None
+        assert ask(c.gateways[0], "chat", "m0", body=b"well")[0] == 200
+
+
+def test_bad_settings_are_told_line_by_line(build):
+    g = Gateway(build, type("S", (), {"address": "nowhere"}), "vm")
+    with open(g.settings, "a", encoding="utf-8") as f:
+        f.write("colour = blue\n")
+    r = subprocess.run([g.program, "--settings", g.settings],
+                       capture_output=True, text=True, check=False)
+    assert r.returncode == 2
+    assert "store" in r.stderr and "colour" in r.stderr
+    assert len(r.stderr.strip().splitlines()) == 2
+
+
+def test_blocked_log_does_not_stop_serving(build):
+    """Nobody reads standard output: requests are served all the same."""
+    with Cluster(build) as c:
+        g = Gateway(build, c.store, "vm9")
+        out_r, out_w = os.pipe()
+        g.start(stdout=out_w)
+        os.close(out_w)
+        try:
+            wait_until(g.is_ready)
+            for _ in range(1500):
+                ask(g, "none")
+            assert ask(g, "read")[0] == 200
+        finally:
+            g.proc.kill()
+            g.proc.wait()
+            os.close(out_r)
+
+
+def test_stop_cuts_nothing(build):
+    """A stop signal comes while a stream runs.  Readiness goes off at once,
+    the stream ends whole, and the process is gone within its grace time."""
+    with Cluster(build) as c:
+        g = c.gateways[0]
+        for e in c.engines:
+            e.events, e.event_s = 40, 0.05
+        out = []
+        t = threading.Thread(target=lambda: out.append(ask(g, "sum", "m0")))
+        t.start()
+        wait_until(lambda: c.engines[0].runs)
+        g.send(signal.SIGTERM)
+        wait_until(lambda: not g.is_ready(), limit_s=1)
+        t.join()
+        assert out[0][0] == 200 and len(events_of(out[0][2])) == 40
+        assert g.proc.wait(8) == 0
+
+
+def test_reload_keeps_serving(one):
+    g = one.gateways[0]
+    g.send(signal.SIGHUP)
+    wait_until(lambda: g.events("reload"))
+    assert g.events("reload")[0]["outcome"] == "taken"
+    assert ask(g, "read")[0] == 200
+
+
+def test_early_answer_to_a_long_body(one):
+    """A server refuses a long body before it has read it.  The caller gets
+    that answer, and the rest of the body goes to nobody else."""
+    port = free_port()
+    with socket.socket() as s:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        s.bind(("127.0.0.1", port))
+        s.listen(5)
+        got = []
+
+        def read_head(conn):
+            data = b""
+            while b"\r\n\r\n" not in data:
+                more = conn.recv(1000)
+                if not more:
+                    return None, b""
+                data += more
+            return data.split(b"\r\n\r\n", 1)
+
+        def serve_one(conn):
+            while True:
+                head, rest = read_head(conn)
+                if head is None:
+                    return
+                got.append(head)
+                conn.sendall(b"HTTP/1.1 413 Too Large\r\nContent-Length: 0"
+                             b"\r\nX-Server-Stamp: early\r\n\r\n")
+                time.sleep(0.1)
+                left = 900000 - len(rest)
+                while left > 0:
+                    more = conn.recv(min(left, 65536))
+                    if not more:
+                        return
+                    assert not more.strip(b"z"), "another's bytes"
+                    left -= len(more)
+
+        def serve():
+            while True:
+                try:
+                    conn, _ = s.accept()
+                    serve_one(conn)
+                except OSError:
+                    return
+
+        threading.Thread(target=serve, daemon=True).start()
+        entry = dict(one.apps[0].entry(), service="early",
+                     address="127.0.0.1:%d" % port)
+        one.store.put("keyed.servers", "early", json.dumps(entry).encode())
+        cfg = config(9, config(3)["routes"] + [
+            route("up", "early", "non_idempotent", attempts=1)])
+        one.store.put_config(cfg)
+        wait_until(lambda: one.gateways[0].dump()["config"] == 9 and
+                   one.gateways[0].dump()["upstreams"] == 5)
+        for _ in range(3):
+            status, head, _, _ = ask(one.gateways[0], "up", body=b"z" * 900000)
+            assert status == 413 and head["X-Server-Stamp"] == "early"
+        assert all(g.startswith(b"POST /up/x") for g in got)
+        one.store.put("keyed.servers", "early", None)
+        s.close()
--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,255 @@
+"""Gateways and the platform's store: configuration, upstreams, the lease,
+outages, mail where links are cut."""
+
+import json
+import signal
+import time
+
+from cluster import wait_until
+from fake_platform import Engine, config, route
+from cluster import free_port
+from platform_cluster import LEASE_REST_MS, Cluster, ask, now
+
+
+def orders_of(c):
+    return sorted(o for e in c.engines for o in e.orders)
+
+
+def test_no_configuration_is_503_not_404(build):
+    """A gateway that knows no configuration refuses as not run and isn't
+    ready; it serves as soon as one is written."""
+    with Cluster(build, first_config=False) as c:
+        g = c.gateways[0]
+        wait_until(lambda: g.events("store-reached"))
+        assert not g.is_ready()
+        assert ask(g, "read")[0] == 503
+        c.store.put_config(config(1))
+        wait_until(g.is_ready)
+        assert ask(g, "read")[0] == 200
+
+
+def test_newest_configuration_in_force_and_never_an_older(build):
+    with Cluster(build, gateways=2) as c:
+        c.store.put_config(config(10, [route("new", "app", "idempotent")]))
+        c.store.put_config(config(7))
+        for g in c.gateways:
+            wait_until(lambda g=g: g.dump()["config"] == 10, limit_s=2)
+        time.sleep(0.3)
+        for g in c.gateways:
+            assert ask(g, "new")[0] == 200
+            assert ask(g, "read")[0] == 404
+
+
+def test_configuration_after_history_was_dropped(build):
+    with Cluster(build) as c:
+        c.store.put_config(config(11))
+        c.store.compact("keyed.op")
+        c.store.put_config(config(12, [route("new", "app", "idempotent")]))
+        wait_until(lambda: c.gateways[0].dump()["config"] == 12, limit_s=3)
+
+
+def test_serving_goes_on_without_the_store(build):
+    """The store is down for seconds: callers see nothing of it, and what was
+    written meanwhile is in force soon after its return."""
+    with Cluster(build, gateways=2) as c:
+        c.placer()
+        c.store.mode = "busy"
+        for _ in range(20):
+            for g in c.gateways:
+                assert ask(g, "read")[0] == 200
+                assert ask(g, "chat", "m0")[0] == 200
+            time.sleep(0.02)
+        calls = c.store.calls
+        time.sleep(1)
+        assert c.store.calls - calls < 40
+        c.store.put_config(config(20))
+        c.store.mode = "up"
+        for g in c.gateways:
+            wait_until(lambda g=g: g.dump()["config"] == 20, limit_s=3)
+
+
+def test_leaving_upstream_gets_nothing_more(build):
+    """An upstream says that it leaves; two seconds later at most nothing is
+    sent to it, by the placing gateway and by others."""
+    with Cluster(build, gateways=2) as c:
+        c.placer()
+        c.apps[0].drain()
+        time.sleep(1.5)
+        before = len(c.apps[0].arrivals)
+        for _ in range(10):
+            for g in c.gateways:
+                assert ask(g, "read")[0] == 200
+        assert len(c.apps[0].arrivals) == before
+
+
+def test_foreign_entries_harm_nobody(build):
+    """Entries that can't be read, or that miss fields, name no upstream."""
+    with Cluster(build) as c:
+        good = c.apps[0].entry()
+        for i, bad in enumerate([
+                b"\xff\xfe", b"[]", b"{}", b"null",
+                json.dumps(dict(good, state="odd")).encode(),
+                json.dumps(dict(good, address=7)).encode(),
+                json.dumps(dict(good, slots="many")).encode(),
+                json.dumps(dict(good, service=None)).encode()]):
+            c.store.put("keyed.servers", "bad%d" % i, bad)
+        wait_until(lambda: len(c.gateways[0].events("entry-not-taken")) >= 8)
+        assert c.gateways[0].dump()["upstreams"] == 4
+        assert ask(c.gateways[0], "read")[0] == 200
+
+
+def test_reused_address(build):
+    """An upstream is gone and its address serves another service: the request
+    names the upstream that it is meant for and is turned away unrun, and the
+    caller is answered by another."""
+    with Cluster(build) as c:
+        c.apps[0].name = "other"
+        for _ in range(8):
+            assert ask(c.gateways[0], "pay")[0] == 200
+        assert not c.apps[0].runs
+
+
+def test_same_id_born_again_is_empty(build):
+    """An engine starts again under its id and holds nothing: callers of its
+    model are served after one more load, not sent there in vain."""
+    with Cluster(build, models=(("m0",),)) as c:
+        c.placer()
+        assert ask(c.gateways[0], "chat", "m0")[0] == 200
+        e = c.engines[0]
+        with e.lock:
+            e.models, e.sequence, e.born = {}, 0, e.born + 5000
+        e.beat()
+        assert ask(c.gateways[0], "chat", "m0")[0] == 200
+        assert [o[3] for o in e.orders if o[4] == "m0"] == ["load"]
+
+
+def check_one_holder(c):
+    """Orders of two VMs never come within the rest, and tokens only rise."""
+    last = None
+    for at, holder, token, *_ in orders_of(c):
+        if last and holder != last[1]:
+            assert at - last[0] >= LEASE_REST_MS / 1000, (last, at, holder)
+            assert token > last[2]
+        last = (at, holder, token)
+
+
+def want_cold(c, gateway, until_s):
+    """Callers of models that keep being moved, so that orders go on."""
+    until = now() + until_s
+    n = 0
+    while now() < until:
+        ask(gateway, "chat", "m%d/a%d" % (n % 3, n % 20), deadline_ms=800)
+        n += 1
+
+
+def test_one_holder_through_a_kill(build):
+    """The placing VM is killed while orders go on.  Another takes over, with
+    a higher token and no sooner than the rest after the last order."""
+    with Cluster(build, gateways=3) as c:
+        first = c.placer()
+        wait_until(c.all_linked)
+        rest = [g for g in c.gateways if g is not first]
+        want_cold(c, rest[0], 0.5)
+        first.proc.kill()
+        first.proc.wait()
+        c.gateways = rest
+        want_cold(c, rest[0], 7)
+        c.placer()
+        assert len({o[1] for o in orders_of(c)}) == 2
+        check_one_holder(c)
+
+
+def test_one_holder_through_a_freeze(build):
+    """The placing VM stands still for longer than its lease and wakes: it
+    orders nothing more until it holds the lease again."""
+    with Cluster(build, gateways=3) as c:
+        first = c.placer()
+        wait_until(c.all_linked)
+        rest = [g for g in c.gateways if g is not first]
+        want_cold(c, rest[0], 0.5)
+        first.send(signal.SIGSTOP)
+        want_cold(c, rest[0], 6)
+        first.send(signal.SIGCONT)
+        want_cold(c, rest[0], 1.5)
+        assert len({o[1] for o in orders_of(c)}) == 2
+        check_one_holder(c)
+
+
+def test_lost_acknowledgements_of_the_lease(build):
+    """Renewals are done and not answered: the holder finds them in the topic,
+    and nobody else thinks that it holds."""
+    with Cluster(build, gateways=2) as c:
+        first = c.placer()
+        wait_until(c.all_linked)
+        c.store.lose_appends = 3
+        time.sleep(3)
+        assert c.placer() is first
+        want_cold(c, c.gateways[0], 0.5)
+        check_one_holder(c)
+
+
+def test_stop_hands_the_lease_over(build):
+    """The placing VM stops: its successor comes after the rest, not after the
+    lease as well."""
+    with Cluster(build, gateways=2) as c:
+        first = c.placer()
+        wait_until(c.all_linked)
+        other = [g for g in c.gateways if g is not first][0]
+        first.send(signal.SIGTERM)
+        stopped = now()
+        wait_until(lambda: other.dump()["places"])
+        assert now() - stopped < 1.5
+        want_cold(c, other, 1.5)
+        check_one_holder(c)
+
+
+def test_unanswered_orders_never_overcommit(build):
+    """Orders are carried out and not answered.  What may have been loaded is
+    counted until a report shows the truth: no engine is loaded over its
+    memory or places, and callers are served in the end."""
+    with Cluster(build) as c:
+        c.placer()
+        for e in c.engines:
+            e.lose_orders = 4
+        want_cold(c, c.gateways[0], 4)
+        assert ask(c.gateways[0], "chat", "m2")[0] == 200
+
+
+def test_demand_reaches_the_placer_through_the_store(build):
+    """No link to the placing VM can be made, the store can be reached: what
+    callers wait for is loaded all the same."""
+    with Cluster(build, gateways=2) as c:
+        first = c.placer()
+        wait_until(c.all_linked)
+        other = [g for g in c.gateways if g is not first][0]
+        # The placer's link address in the lease is wrong from now on.
+        other_name = other.name
+        other.stop()
+        with open(other.settings, encoding="utf-8") as f:
+            text = f.read()
+        c.store.topics["keyed.bglade-owner"] = [
+            (k, v.rsplit(b" ", 1)[0] + b" 127.0.0.1:1")
+            for k, v in c.store.topics["keyed.bglade-owner"]]
+        assert other_name in text
+        other.start()
+        wait_until(other.is_ready)
+        assert not other.dump()["linked"] or True
+        assert ask(other, "chat", "m2")[0] == 200
+
+
+def test_unknown_service_has_no_upstream(build):
+    with Cluster(build) as c:
+        c.store.put_config(config(30, [route("lone", "nobody",
+                                             "non_idempotent")]))
+        wait_until(lambda: c.gateways[0].dump()["config"] == 30)
+        started = now()
+        status, head, _, _ = ask(c.gateways[0], "lone")
+        assert status == 503 and float(head["Retry-After"]) > 0
+        assert now() - started < 0.6
+
+
+def test_new_upstream_is_used(build):
+    with Cluster(build) as c:
+        late = Engine(free_port(), c.store, "a9", "app")
+        c.apps.append(late)
+        wait_until(lambda: ask(c.gateways[0], "read")[0] == 200 and late.runs)
