--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -911,7 +911,7 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[4] =
 {
   {
     "waits",
@@ -949,16 +949,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_store",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, reads_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
+  3,   /* field[3] = reads_store */
   0,   /* field[0] = waits */
 };
 static const ProtobufCIntRange gwp__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -968,7 +981,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  3,
+  4,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   1,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -140,10 +140,14 @@
   Gwp__Wait **waits;
   uint32_t gateways;
   uint64_t config_version;
+  /*
+   * it knows the upstreams' entries of now
+   */
+  protobuf_c_boolean reads_store;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -40,6 +40,8 @@
 #define PLACING_UPSTREAM_PAUSE_MS 250
 /* News that the placing VM told of must have come from the store by then. */
 #define BEHIND_MS 250
+/* The placing VM's own read is at most so old, or others read themselves. */
+#define STORE_FRESH_MS 700
 /* An unrenewed lease ends after this.  Shorter: a successor comes sooner;
    longer: placement goes on through a short outage of the store. */
 #define LEASE_MS 2500
@@ -129,6 +131,7 @@
     DepConfig *config; /* NULL: none yet */
     uint64_t config_ms;
     bool placing; /* this VM held the lease at the last tick */
+    bool placer_reads; /* the VM that we are linked to reads the store */
     bool dirty;   /* what waits should be looked at again */
     ev_timer tick;
     ev_timer wanted;
@@ -658,6 +661,19 @@
     gw_on_change(g->gw);
 }
 
+/* How often the store is asked, by whether others tell us its news. */
+static void
+follow_store(Gateway *g)
+{
+    bool linked =
+        lk_is_open(g->links) && !g->placing && g->placer_reads;
+    st_set_wait(g->config_watch,
+                linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
+    st_set_pause(g->upstream_watch, linked ? LINKED_UPSTREAM_PAUSE_MS
+                                    : g->placing ? PLACING_UPSTREAM_PAUSE_MS
+                                                 : UPSTREAM_PAUSE_MS);
+}
+
 /* A newer configuration was told of; our own read should have ended with it
    by now. */
 static void
@@ -698,6 +714,10 @@
     ls_on_heard(g->lease, now_ms);
     rb_on_gateways(g->budget, now_ms, s->gateways);
     follow_version(g, now_ms, s->config_version);
+    if (g->placer_reads != s->reads_store) {
+        g->placer_reads = s->reads_store;
+        follow_store(g);
+    }
     for (size_t i = 0; i < s->n_waits; i++) {
         gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
     }
@@ -855,18 +875,6 @@
 
 static void send_demand(Gateway *g);
 
-/* How often the store is asked, by whether others tell us its news. */
-static void
-follow_store(Gateway *g)
-{
-    bool linked = lk_is_open(g->links) && !g->placing;
-    st_set_wait(g->config_watch,
-                linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
-    st_set_pause(g->upstream_watch, linked ? LINKED_UPSTREAM_PAUSE_MS
-                                    : g->placing ? PLACING_UPSTREAM_PAUSE_MS
-                                                 : UPSTREAM_PAUSE_MS);
-}
-
 static void
 on_link(void *ctx, bool open)
 {
@@ -874,6 +882,7 @@
     JlLine *l = jl_begin(open ? "placer-linked" : "placer-lost");
     jl_text(l, "vm", g->lease ? ls_get_holder_vm(g->lease) : NULL);
     jl_end(l);
+    g->placer_reads = false;
     follow_store(g);
     if (open) {
         send_demand(g);
@@ -993,6 +1002,8 @@
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
     s.gateways = count_members(g, now_ms);
+    s.reads_store =
+        st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
     s.config_version = g->config ? g->config->version : 0;
     rb_on_gateways(g->budget, now_ms, s.gateways);
     st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
--- a/src/st.c
+++ b/src/st.c
@@ -36,6 +36,7 @@
     StWatchHandler handler;
     ev_timer timer; /* the next call */
     BgRandom rng;
+    uint64_t answered_ms; /* 0: never */
     bool listed;
     bool listing;     /* a listing is under way */
     bool reached;
@@ -158,6 +159,7 @@
         return;
     }
     w->backoff_ms = 0;
+    w->answered_ms = bg_boot_ms();
     note_reach(w, true);
     if (w->listing) {
         take_page(w, r);
@@ -256,3 +258,9 @@
 {
     return w->reached;
 }
+
+uint64_t
+st_get_age_ms(const StWatch *w, uint64_t now_ms)
+{
+    return w->answered_ms ? now_ms - w->answered_ms : UINT64_MAX;
+}
--- a/src/st.h
+++ b/src/st.h
@@ -91,5 +91,7 @@
 /* A first listing has come. */
 bool st_is_listed(const StWatch *w);
 bool st_is_reached(const StWatch *w);
+/* Since the store last answered it; UINT64_MAX: never. */
+uint64_t st_get_age_ms(const StWatch *w, uint64_t now_ms);
 
 #endif
