--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -476,10 +476,45 @@
     char *upstream;
 } AskCtx;
 
+static void
+append_names(GString *out, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        g_string_append_printf(out, "%s%s", i ? " " : "",
+                               (const char *)names->pdata[i]);
+    }
+}
+
+static void
+log_report(const char *upstream, const DepUpstream *r)
+{
+    JlLine *l = jl_begin("upstream-report");
+    jl_text(l, "upstream", upstream);
+    if (r) {
+        g_autoptr(GString) models = g_string_new(NULL);
+        for (guint i = 0; i < r->models->len; i++) {
+            const DepResident *d = r->models->pdata[i];
+            g_string_append_printf(models, "%s%s+%u", i ? " " : "", d->name,
+                                   d->adapters->len);
+        }
+        g_autoptr(GString) memory = g_string_new(NULL);
+        append_names(memory, r->in_memory);
+        g_autoptr(GString) disk = g_string_new(NULL);
+        append_names(disk, r->on_disk);
+        jl_number(l, "sequence", (int64_t)r->sequence);
+        jl_number(l, "busy", r->busy);
+        jl_text(l, "models", models->str);
+        jl_text(l, "in_memory", memory->str);
+        jl_text(l, "on_disk", disk->str);
+    }
+    jl_end(l);
+}
+
 static void
 on_report(void *ctx, DepUpstream *report)
 {
     AskCtx *a = ctx;
+    log_report(a->upstream, report);
     mp_on_report(a->g->placement, bg_boot_ms(), a->upstream, report);
     dep_destroy_upstream(report);
     g_free(a->upstream);
