Copies beside upstreams go before the weight store

Cause: a load took the weight store (6 s, shared) whenever the upstreams with a copy on disk (0.5 s) were busy for a moment; store loads were taken for done by the clock, so callers ran into 421; a silent call was cut before the budget allowed another, which turned slow into failed. Ruled out: too few replicas alone (orders were refused, not missing).

--- a/src/gw.c
+++ b/src/gw.c
@@ -15,6 +15,7 @@
 #define SILENT_FACTOR 4
 #define SILENT_MIN_PLAIN_MS 120
 #define SILENT_MIN_STREAM_MS 700
+#define SILENT_OBJECTIVE 0.8 /* of the route's objective for a first event */
 /* Pause inside a stream after which it is resumed elsewhere, in pauses that
    the route allows; without that figure the fixed time. */
 #define SILENT_GAPS 2
@@ -67,7 +68,7 @@
 
     uint32_t sends;   /* that reached an upstream */
     uint32_t runs;    /* that may have run */
-    bool repeated;    /* the next send draws on the budget */
+    bool paid;        /* the next send is already counted as a repeat */
 
     /* the answer, if it is not passed on as it comes */
     GString *head;
@@ -401,10 +402,12 @@
     Ut *ut = NULL;
     switch (ut_choose(q->gw->upstreams, now_ms, &q->query, &ut)) {
     case UT_FOUND:
-        if (q->sends > 0 && !rb_take(q->gw->budget, now_ms, q->service)) {
+        if (q->sends > 0 && !q->paid &&
+            !rb_take(q->gw->budget, now_ms, q->service)) {
             give_up(q, RETRY_LATER_MS, "no budget for a repeat");
             return;
         }
+        q->paid = false;
         send_to(q, ut, now_ms);
         return;
     case UT_COLD:
@@ -866,6 +869,9 @@
     uint32_t usual = ut_get_usual_ms(q->gw->upstreams, q->ut, &q->query);
     uint64_t most = MAX((uint64_t)usual * SILENT_FACTOR,
                         stream ? SILENT_MIN_STREAM_MS : SILENT_MIN_PLAIN_MS);
+    if (stream) {
+        most = MAX(most, q->route->objective_ms * SILENT_OBJECTIVE);
+    }
     return now_ms - q->sent_ms > most && has_other(q, now_ms);
 }
 
@@ -883,7 +889,9 @@
     else if (q->state == REQ_WAITING) {
         try_send(q);
     }
-    else if (is_silent(q, now_ms)) {
+    else if (is_silent(q, now_ms) &&
+             rb_take(q->gw->budget, now_ms, q->service)) {
+        q->paid = true;
         ht_cancel_call(q->hc);
         q->hc = NULL;
         ht_drop_kept(q->gw->pool, ut_get_address(q->ut));
--- a/src/ls.c
+++ b/src/ls.c
@@ -3,7 +3,10 @@
 #include <string.h>
 
 #define READ_PAUSE_MS 300  /* between reads while the holder is not heard */
-#define JITTER_MS 200      /* so that not all VMs claim at one moment */
+/* Not all VMs claim at one moment, and the former holder, whose VM needs no
+   rest, goes before them. */
+#define FIRST_CLAIM_MS 120
+#define JITTER_MS 200
 /* "free" in place of a process: the holder gave the lease up. */
 #define FREE_PROCESS "free"
 
@@ -145,7 +148,12 @@
         return;
     }
     if (l->next_claim_ms == 0) {
-        l->next_claim_ms = now_ms + bg_pick_random(&l->rng, JITTER_MS);
+        bool former = g_strcmp0(l->holder_vm, l->vm) == 0;
+        l->next_claim_ms = now_ms;
+        if (!former && l->holder_vm) {
+            l->next_claim_ms +=
+                FIRST_CLAIM_MS + bg_pick_random(&l->rng, JITTER_MS);
+        }
     }
     if (now_ms >= l->next_claim_ms) {
         l->next_claim_ms = 0;
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -44,8 +44,8 @@
 #define STORE_FRESH_MS 700
 /* An unrenewed lease ends after this.  Shorter: a successor comes sooner;
    longer: placement goes on through a short outage of the store. */
-#define LEASE_MS 2500
-#define RENEW_MS 500
+#define LEASE_MS 1500
+#define RENEW_MS 350
 #define REST_MARGIN_MS 150
 #define QUIET_MS 700 /* of the link to the holder: then ask the store */
 #define CONNECT_MS 250 /* data centres are 1 to 3 ms apart */
--- a/src/mp.c
+++ b/src/mp.c
@@ -14,7 +14,7 @@
 #define RATE_MS 5000.
 /* Requests at once that one replica serves well: with more, prompts are read
    in pieces between the tokens of too many others. */
-#define PER_REPLICA 10
+#define PER_REPLICA 7
 /* A model used this often a second gets a second replica, so that the loss
    of one upstream isn't the loss of the model; and a third. */
 #define RATE_FOR_TWO 0.7
@@ -23,6 +23,9 @@
 #define SETTLE_MS 1500
 /* Expected uses in so long are what an eviction loses. */
 #define HORIZON_MS 15000.
+/* Not by the clock, but when the upstream says so. */
+#define WHEN_TOLD UINT64_MAX
+#define TOLD_PAUSE_MS 400 /* between questions about a load that is late */
 /* A load is taken for done this much after its stated time. */
 #define LOAD_MARGIN_MS 15
 #define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
@@ -36,6 +39,8 @@
    more than that. */
 #define UNLOAD_MS 1200
 #define GOAL_LIFE_MS 4000
+/* Upstreams with a copy are waited for so long before the weight store. */
+#define COPY_WAIT_MS 1500
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
 
@@ -48,8 +53,11 @@
 
 typedef struct {
     char *name;
-    uint64_t ready_ms;
+    uint64_t ready_ms;    /* usable from then on, or WHEN_TOLD */
+    uint64_t expected_ms; /* when its load should end */
     bool unloading;
+    /* From the weight store, which takes longer the more loads it serves: not
+       usable before the upstream says so. */
     bool from_store;
     uint64_t used_ms;
     GPtrArray *adapters; /* Adapter */
@@ -327,6 +335,21 @@
     return c;
 }
 
+/* An entry is written when a load ends. */
+static void
+finish_told_loads(Up *u, uint64_t now_ms, const DepUpstream *entry)
+{
+    for (guint i = 0; i < entry->models->len; i++) {
+        const DepResident *d = entry->models->pdata[i];
+        Replica *r = find_replica(u, d->name);
+        if (r && r->ready_ms == WHEN_TOLD && entry->sequence >= u->sequence) {
+            r->ready_ms = now_ms;
+            u->busy_until_ms = now_ms;
+            u->told = false;
+        }
+    }
+}
+
 void
 mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry)
 {
@@ -349,6 +372,7 @@
     dep_destroy_upstream(u->entry);
     u->entry = copy;
     g_hash_table_insert(m->ups, copy->id, u);
+    finish_told_loads(u, now_ms, entry);
     /* Orders were accepted that we know nothing of. */
     if (u->known && !u->ordered && entry->sequence > u->sequence) {
         distrust(u, now_ms);
@@ -631,6 +655,9 @@
         return;
     }
     /* While an order is carried out its outcome is not in the models yet. */
+    if (report && report->busy) {
+        u->next_ask_ms = now_ms + TOLD_PAUSE_MS;
+    }
     if (!report || report->busy || u->ordered) {
         return;
     }
@@ -712,10 +739,12 @@
     if (!r) {
         r = add_replica(u, u->order_model, 0);
     }
-    r->ready_ms = now_ms + u->order_load_ms;
-    r->used_ms = r->ready_ms;
+    r->expected_ms = now_ms + u->order_load_ms;
+    r->ready_ms = u->order_from_store ? WHEN_TOLD : r->expected_ms;
+    r->used_ms = r->expected_ms;
     r->from_store = u->order_from_store;
     u->busy_until_ms = r->ready_ms;
+    u->next_ask_ms = r->expected_ms;
     note_copies(u, u->order_model);
 }
 
@@ -907,8 +936,10 @@
 is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
 {
     const Demand *d = peek_demand(m, r->name);
-    bool waited = d && d->waiting > 0 && count_replicas(m, r->name) < 2;
-    return !waited && now_ms >= r->ready_ms + SETTLE_MS &&
+    bool last = count_replicas(m, r->name) < 2;
+    bool waited = d && d->waiting > 0 && last;
+    return !waited && r->ready_ms != WHEN_TOLD &&
+           now_ms >= r->ready_ms + SETTLE_MS &&
            now_ms >= r->used_ms + 100 && !is_in_use(m, u, r->name, NULL);
 }
 
@@ -943,6 +974,9 @@
 {
     bool from_store;
     double cost = get_load_ms(u, d, &from_store);
+    if (u->busy_until_ms == WHEN_TOLD) {
+        return -1;
+    }
     if (u->busy_until_ms > now_ms) {
         cost += (double)(u->busy_until_ms - now_ms);
     }
@@ -967,7 +1001,7 @@
 }
 
 static uint32_t
-count_store_loads(const Mp *m, uint64_t now_ms)
+count_store_loads(const Mp *m)
 {
     uint32_t n = 0;
     GHashTableIter it;
@@ -978,7 +1012,7 @@
         n += u->ordered && u->order_from_store;
         for (guint i = 0; i < u->replicas->len; i++) {
             const Replica *r = u->replicas->pdata[i];
-            n += r->from_store && r->ready_ms > now_ms;
+            n += r->ready_ms == WHEN_TOLD;
         }
     }
     return n;
@@ -1001,7 +1035,7 @@
                       : s->loads_per_s;
     return m->store_starts->len + 1 <=
                rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
-           count_store_loads(m, now_ms) < m->params.store_at_once;
+           count_store_loads(m) < m->params.store_at_once;
 }
 
 /* ---- orders ------------------------------------------------------------- */
@@ -1075,6 +1109,45 @@
     u->told = false;
 }
 
+typedef struct {
+    const char *model;
+    Demand *demand;
+    uint64_t since_ms;
+    bool none; /* nobody holds it */
+} Wanted;
+
+/* Whether some usable upstream has a copy of MODEL beside it; it may be busy
+   just now. */
+static bool
+has_copy(const Mp *m, const char *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (can_use(m, u) && !u->unreached && !find_replica(u, model) &&
+            (has_name(u->entry->on_disk, model) ||
+             has_name(u->entry->in_memory, model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The weight store is slow and shared: it is left for models that callers
+   wait for in vain, that is whose copies beside upstreams can't be used. */
+static bool
+may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w)
+{
+    if (!has_copy(m, w->model)) {
+        return w->none || w->demand->waiting + w->demand->running >
+                              PER_REPLICA * count_replicas(m, w->model);
+    }
+    return w->none && w->demand->waiting > 0 &&
+           now_ms > w->since_ms + COPY_WAIT_MS;
+}
+
 static Up *
 find_best_place(const Mp *m, uint64_t now_ms, const char *model,
                 bool may_evict, bool *from_store)
@@ -1126,13 +1199,6 @@
     return MAX(by_load, by_rate);
 }
 
-typedef struct {
-    const char *model;
-    Demand *demand;
-    uint64_t since_ms;
-    bool none; /* nobody holds it */
-} Wanted;
-
 static gint
 compare_wanted(gconstpointer a, gconstpointer b)
 {
@@ -1180,8 +1246,10 @@
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         bool from_store = false;
         Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
-        if (!u || (from_store &&
-                   !may_start_store_load(m, now_ms, find_service(m, u)))) {
+        if (!u ||
+            (from_store &&
+             (!may_use_store(m, now_ms, w) ||
+              !may_start_store_load(m, now_ms, find_service(m, u))))) {
             w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
             continue;
         }
@@ -1411,6 +1479,7 @@
         const Replica *r = u->replicas->pdata[i];
         const Demand *d = peek_demand(m, r->name);
         if (d && d->wanted_since_ms &&
+            r->ready_ms <= now_ms &&
             now_ms > MAX(d->wanted_since_ms, r->ready_ms) + DOUBT_MS) {
             distrust(u, now_ms);
             return;
@@ -1418,6 +1487,19 @@
     }
 }
 
+static bool
+is_load_late(const Up *u, uint64_t now_ms)
+{
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        if (r->ready_ms == WHEN_TOLD && now_ms > r->expected_ms &&
+            now_ms >= u->next_ask_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 #define TICK_LOOK_BACK_MS 200 /* ticks come more often than this */
 
 void
@@ -1442,6 +1524,9 @@
             continue;
         }
         doubt(m, now_ms, u);
+        if (is_load_late(u, now_ms)) {
+            distrust(u, now_ms);
+        }
         if (!u->known && !u->asking && !u->ordered &&
             now_ms >= u->next_ask_ms) {
             u->asking = true;
@@ -1498,8 +1583,10 @@
         const DepModel *d = can_use(m, u) ? find_model(m, u, model) : NULL;
         const Replica *r = d ? find_replica(u, model) : NULL;
         if (r) {
-            uint64_t wait =
-                r->ready_ms > now_ms ? r->ready_ms - now_ms : 0;
+            uint64_t ready_ms = r->ready_ms == WHEN_TOLD
+                                    ? MAX(r->expected_ms, now_ms + 1)
+                                    : r->ready_ms;
+            uint64_t wait = ready_ms > now_ms ? ready_ms - now_ms : 0;
             best = MIN(best, (uint32_t)wait);
         }
         else if (d && g_strcmp0(u->goal, model) == 0) {
