--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -911,7 +911,7 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[5] =
 {
   {
     "waits",
@@ -961,17 +961,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rest_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, rest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
   3,   /* field[3] = reads_store */
+  4,   /* field[4] = rest_ms */
   0,   /* field[0] = waits */
 };
 static const ProtobufCIntRange gwp__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -981,7 +994,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  4,
+  5,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   1,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -140,6 +140,10 @@
   Gwp__Wait **waits;
   uint32_t gateways;
   uint64_t config_version;
+  /*
+   * until its first order; 0: it orders
+   */
+  uint32_t rest_ms;
   /*
    * it knows the upstreams' entries of now
    */
@@ -147,7 +151,7 @@
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gw.c
+++ b/src/gw.c
@@ -31,7 +31,12 @@
 /* A service without any upstream is waited for this long: its list may be
    behind. */
 #define EMPTY_WAIT_MS 150
-#define WAIT_LIFE_MS 1500 /* an estimate older than this is forgotten */
+/* A placing VM that isn't heard for so long is lost, and another orders so
+   long after it was last heard: the lease, the claim, the rest. */
+#define PLACER_LOST_MS 1000
+#define PLACER_MOVES_MS 5200
+#define PLACER_BACK_MS 400 /* it is overdue: may be back at any moment */
+#define WAIT_LIFE_MS 1500  /* an estimate older than this is forgotten */
 /* Least time in which a model that has just come can still answer. */
 #define SERVE_MS 150
 #define MAX_SENDS 6 /* of one request, those that ran nothing included */
@@ -106,6 +111,8 @@
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
+    uint64_t placer_ms;  /* when the placing VM was last heard */
+    uint64_t orders_ms;  /* when it gives its first order */
     BgRandom rng;
     bool closed; /* takes no more requests */
 };
@@ -331,15 +338,30 @@
 
 /* ---- waiting ------------------------------------------------------------ */
 
+/* Until the placing VM orders anything; 0: it does. */
+static uint32_t
+get_placer_wait_ms(const Gw *g, uint64_t now_ms)
+{
+    if (now_ms > g->placer_ms + PLACER_LOST_MS) {
+        uint64_t back_ms = g->placer_ms + PLACER_MOVES_MS;
+        return back_ms > now_ms + PLACER_BACK_MS ? (uint32_t)(back_ms - now_ms)
+                                                 : PLACER_BACK_MS;
+    }
+    return g->orders_ms > now_ms ? (uint32_t)(g->orders_ms - now_ms) : 0;
+}
+
 static uint32_t
 get_wait_ms(const Req *q, uint64_t now_ms)
 {
+    uint32_t placer_ms = get_placer_wait_ms(q->gw, now_ms);
     const Wait *w = g_hash_table_lookup(q->gw->waits, q->query.model);
     if (!w || now_ms - w->said_ms > WAIT_LIFE_MS) {
-        return 0;
+        return placer_ms;
     }
     uint64_t gone_ms = now_ms - w->said_ms;
-    return w->wait_ms > gone_ms ? w->wait_ms - (uint32_t)gone_ms : 1;
+    uint32_t load_ms =
+        w->wait_ms > gone_ms ? w->wait_ms - (uint32_t)gone_ms : 1;
+    return placer_ms + load_ms;
 }
 
 static void
@@ -941,6 +963,13 @@
 
 /* ---- what others tell --------------------------------------------------- */
 
+void
+gw_on_placer(Gw *g, uint64_t now_ms, uint32_t rest_ms)
+{
+    g->placer_ms = now_ms;
+    g->orders_ms = now_ms + rest_ms;
+}
+
 void
 gw_on_wait(Gw *g, uint64_t now_ms, const char *model, uint32_t wait_ms)
 {
@@ -1080,6 +1109,7 @@
     g->pool = pool;
     g->upstreams = upstreams;
     g->budget = budget;
+    g->placer_ms = bg_boot_ms();
     g_queue_init(&g->reqs);
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/gw.h
+++ b/src/gw.h
@@ -65,6 +65,8 @@
 /* Upstreams or what they hold changed: what waits is looked at again. */
 void gw_on_change(Gw *g);
 void gw_on_tick(Gw *g, uint64_t now_ms);
+/* The placing VM was heard; it gives its first order in REST_MS. */
+void gw_on_placer(Gw *g, uint64_t now_ms, uint32_t rest_ms);
 /* The placing VM's estimate for a model that is not held. */
 void gw_on_wait(Gw *g, uint64_t now_ms, const char *model, uint32_t wait_ms);
 /* An upstream broke off under that request, here or elsewhere. */
--- a/src/ls.c
+++ b/src/ls.c
@@ -181,11 +181,11 @@
         lose(l);
     }
     consider_read(l, now_ms);
-    if (l->stopping || !l->known || l->writing || l->reading) {
+    if (!l->known || l->writing || l->reading) {
         return;
     }
     if (!l->holding) {
-        if (now_ms >= l->yielded_until_ms) {
+        if (!l->stopping && now_ms >= l->yielded_until_ms) {
             consider_claim(l, now_ms);
         }
     }
@@ -286,18 +286,9 @@
 }
 
 void
-ls_stop(Ls *l, uint64_t now_ms)
+ls_leave(Ls *l)
 {
-    if (!l->stopping) {
-        l->stopping = true;
-        give_up_lease(l, now_ms);
-    }
-}
-
-bool
-ls_is_stopped(const Ls *l)
-{
-    return l->stopping && !l->writing;
+    l->stopping = true;
 }
 
 bool
@@ -318,6 +309,13 @@
     return l->token;
 }
 
+uint32_t
+ls_get_rest_ms(const Ls *l, uint64_t now_ms)
+{
+    return now_ms < l->order_from_ms ? (uint32_t)(l->order_from_ms - now_ms)
+                                     : 0;
+}
+
 const char *
 ls_get_holder_address(const Ls *l)
 {
--- a/src/ls.h
+++ b/src/ls.h
@@ -54,16 +54,18 @@
 /* Give the lease up, and leave it to others for PAUSE_MS: what this VM
    should order it can't reach. */
 void ls_yield(Ls *l, uint64_t now_ms, uint32_t pause_ms);
-/* Give the lease up, or never take it: this process stops. */
-void ls_stop(Ls *l, uint64_t now_ms);
-/* Nothing of the stop is left to be written. */
-bool ls_is_stopped(const Ls *l);
+/* This process is about to stop: it claims the lease no more, but goes on
+   renewing one that it holds.  Its successor on the same VM, which is there
+   in less time than a lease, takes it over without a rest. */
+void ls_leave(Ls *l);
 
 /* Whether an order may be sent at this moment. */
 bool ls_may_order(const Ls *l, uint64_t now_ms);
 bool ls_is_holder(const Ls *l, uint64_t now_ms);
 /* Token of our right: higher than that of any holder before. */
 uint64_t ls_get_token(const Ls *l);
+/* Until the first order of this holder; 0: it may order. */
+uint32_t ls_get_rest_ms(const Ls *l, uint64_t now_ms);
 /* Link address of the holder, NULL when it is not known. */
 const char *ls_get_holder_address(const Ls *l);
 const char *ls_get_holder_vm(const Ls *l);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -750,6 +750,7 @@
 {
     uint64_t now_ms = bg_boot_ms();
     ls_on_heard(g->lease, now_ms);
+    gw_on_placer(g->gw, now_ms, s->rest_ms);
     rb_on_gateways(g->budget, now_ms, s->gateways);
     follow_version(g, now_ms, s->config_version);
     if (g->placer_reads != s->reads_store) {
@@ -1039,6 +1040,8 @@
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
     s.gateways = count_members(g, now_ms);
+    s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
+    gw_on_placer(g->gw, now_ms, s.rest_ms);
     s.reads_store = st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
     s.config_version = g->config ? g->config->version : 0;
     rb_on_gateways(g->budget, now_ms, s.gateways);
@@ -1223,7 +1226,7 @@
         return true;
     }
     return since_ms >= LEAVE_MS && gw_count(g->gw) == 0 &&
-           ht_count_connections(g->front) == 0 && ls_is_stopped(g->lease);
+           ht_count_connections(g->front) == 0;
 }
 
 static void
@@ -1279,7 +1282,7 @@
     JlLine *l = jl_begin("stopping");
     jl_number(l, "requests", gw_count(g->gw));
     jl_end(l);
-    ls_stop(g->lease, g->stop_ms);
+    ls_leave(g->lease);
     ht_close_kept(g->front);
 }
 
