--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &gwp__wait__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__load__init
+                     (Gwp__Load         *message)
+{
+  static const Gwp__Load init_value = GWP__LOAD__INIT;
+  *message = init_value;
+}
+size_t gwp__load__get_packed_size
+                     (const Gwp__Load *message)
+{
+  assert(message->base.descriptor == &gwp__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__load__pack
+                     (const Gwp__Load *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__load__pack_to_buffer
+                     (const Gwp__Load *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Load *
+       gwp__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Load *)
+     protobuf_c_message_unpack (&gwp__load__descriptor,
+                                allocator, len, data);
+}
+void   gwp__load__free_unpacked
+                     (Gwp__Load *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__state__init
                      (Gwp__State         *message)
 {
@@ -911,7 +956,58 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__load__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Load, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Load, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__load__field_indices_by_name[] = {
+  1,   /* field[1] = running */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange gwp__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Load",
+  "Load",
+  "Gwp__Load",
+  "gwp",
+  sizeof(Gwp__Load),
+  2,
+  gwp__load__field_descriptors,
+  gwp__load__field_indices_by_name,
+  1,  gwp__load__number_ranges,
+  (ProtobufCMessageInit) gwp__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[6] =
 {
   {
     "waits",
@@ -973,10 +1069,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__State, n_loads),
+    offsetof(Gwp__State, loads),
+    &gwp__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
+  5,   /* field[5] = loads */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
   0,   /* field[0] = waits */
@@ -984,7 +1093,7 @@
 static const ProtobufCIntRange gwp__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -994,7 +1103,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  5,
+  6,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   1,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Gwp__Resident Gwp__Resident;
 typedef struct Gwp__Placement Gwp__Placement;
 typedef struct Gwp__Wait Gwp__Wait;
+typedef struct Gwp__Load Gwp__Load;
 typedef struct Gwp__State Gwp__State;
 typedef struct Gwp__Entry Gwp__Entry;
 typedef struct Gwp__Death Gwp__Death;
@@ -130,6 +131,20 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Requests of all gateways that run on one upstream.
+ */
+struct  Gwp__Load
+{
+  ProtobufCMessage base;
+  char *upstream;
+  uint32_t running;
+};
+#define GWP__LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__load__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Heartbeat of the placing VM.
  */
@@ -144,6 +159,11 @@
    * until its first order; 0: it orders
    */
   uint32_t rest_ms;
+  /*
+   * upstreams that are left out have few
+   */
+  size_t n_loads;
+  Gwp__Load **loads;
   /*
    * it knows the upstreams' entries of now
    */
@@ -151,7 +171,7 @@
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -347,6 +367,25 @@
 void   gwp__wait__free_unpacked
                      (Gwp__Wait *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Load methods */
+void   gwp__load__init
+                     (Gwp__Load         *message);
+size_t gwp__load__get_packed_size
+                     (const Gwp__Load   *message);
+size_t gwp__load__pack
+                     (const Gwp__Load   *message,
+                      uint8_t             *out);
+size_t gwp__load__pack_to_buffer
+                     (const Gwp__Load   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Load *
+       gwp__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__load__free_unpacked
+                     (Gwp__Load *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__State methods */
 void   gwp__state__init
                      (Gwp__State         *message);
@@ -446,6 +485,9 @@
 typedef void (*Gwp__Wait_Closure)
                  (const Gwp__Wait *message,
                   void *closure_data);
+typedef void (*Gwp__Load_Closure)
+                 (const Gwp__Load *message,
+                  void *closure_data);
 typedef void (*Gwp__State_Closure)
                  (const Gwp__State *message,
                   void *closure_data);
@@ -471,6 +513,7 @@
 extern const ProtobufCMessageDescriptor gwp__resident__descriptor;
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
 extern const ProtobufCMessageDescriptor gwp__wait__descriptor;
+extern const ProtobufCMessageDescriptor gwp__load__descriptor;
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
 extern const ProtobufCMessageDescriptor gwp__entry__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
--- a/src/gw.c
+++ b/src/gw.c
@@ -64,6 +64,7 @@
     /* the call that is out */
     HtCall *hc;
     Ut *ut;
+    char *last_upstream; /* for the log */
     uint64_t sent_ms;
     uint64_t first_ms; /* 0: no byte of an answer yet */
     uint64_t heard_ms;
@@ -133,7 +134,7 @@
     jl_text(l, "route", q->route ? q->route->name : NULL);
     jl_text(l, "model", q->call.model);
     jl_text(l, "adapter", q->call.adapter);
-    jl_text(l, "upstream", q->ut ? ut_get_id(q->ut) : NULL);
+    jl_text(l, "upstream", q->last_upstream);
     jl_number(l, "sends", q->sends);
     jl_number(l, "runs", q->runs);
     jl_number(l, "took_ms", (int64_t)(now_ms - q->arrival_ms));
@@ -160,6 +161,7 @@
         g_byte_array_free(q->kept_body, TRUE);
     }
     g_string_free(q->partial, TRUE);
+    g_free(q->last_upstream);
     g_free(q);
 }
 
@@ -304,6 +306,8 @@
 {
     q->state = REQ_SENT;
     q->ut = ut;
+    g_free(q->last_upstream);
+    q->last_upstream = g_strdup(ut_get_id(ut));
     q->sent_ms = now_ms;
     q->heard_ms = now_ms;
     q->first_ms = 0;
@@ -680,6 +684,7 @@
     if (end == HT_NOT_SENT) {
         g_ptr_array_add(q->tried, q->ut);
         release(q, UT_END_DEAD);
+        q->paid = q->sends > 0; /* the repeat did not reach the service */
         try_send(q);
         return;
     }
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -69,6 +69,8 @@
    assumed to share the budget of repeats. */
 #define ASSUMED_GATEWAYS 16
 /* Without a link to the placing VM: */
+/* Upstreams with fewer requests are left out of what all are told. */
+#define MIN_TOLD_LOAD 3
 #define MAIL_MS 300        /* between frames left in the store for it */
 #define ALONE_PAUSE_MS 200 /* between reads of upstreams' entries */
 /* The placing VM reads that mail, more often while gateways are missing. */
@@ -788,6 +790,10 @@
         g->placer_reads = s->reads_store;
         follow_store(g);
     }
+    for (size_t i = 0; i < s->n_loads; i++) {
+        ut_on_total(g->upstreams, now_ms, s->loads[i]->upstream,
+                    s->loads[i]->running);
+    }
     for (size_t i = 0; i < s->n_waits; i++) {
         gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
     }
@@ -1061,15 +1067,41 @@
     gw_on_wait(list->g->gw, list->now_ms, model, wait_ms);
 }
 
+typedef struct {
+    GPtrArray *loads; /* Gwp__Load */
+    Gateway *g;
+    uint64_t now_ms;
+} LoadList;
+
+static void
+add_load(void *ctx, const char *upstream, uint32_t running)
+{
+    LoadList *list = ctx;
+    ut_on_total(list->g->upstreams, list->now_ms, upstream, running);
+    if (running < MIN_TOLD_LOAD) {
+        return;
+    }
+    Gwp__Load *l = g_new0(Gwp__Load, 1);
+    gwp__load__init(l);
+    l->upstream = (char *)upstream;
+    l->running = running;
+    g_ptr_array_add(list->loads, l);
+}
+
 static void
 send_state(Gateway *g, uint64_t now_ms)
 {
+    g_autoptr(GPtrArray) loads = g_ptr_array_new_with_free_func(g_free);
+    LoadList load_list = {loads, g, now_ms};
+    mp_visit_loads(g->placement, add_load, &load_list);
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
     mp_visit_waits(g->placement, now_ms, add_wait, &list);
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
+    s.n_loads = loads->len;
+    s.loads = (Gwp__Load **)loads->pdata;
     s.gateways = count_members(g, now_ms);
     s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
     gw_on_placer(g->gw, now_ms, s.rest_ms);
--- a/src/mp.c
+++ b/src/mp.c
@@ -701,6 +701,18 @@
     u->told = false;
 }
 
+/* The unload that took it out of use was not accepted, as far as is known:
+   left out of use it would be missed by callers and not be loaded again. */
+static void
+keep_replica(Up *u)
+{
+    Replica *r = mp_find_replica(u, u->order_model);
+    if (r) {
+        r->unloading = false;
+        u->told = false;
+    }
+}
+
 void
 mp_on_order_end(Mp *m, uint64_t now_ms, const char *id, MpOrderEnd end)
 {
@@ -709,6 +721,9 @@
         return;
     }
     u->ordered = false;
+    if (u->order_unload && !u->order_adapter && end != MP_ORDER_TAKEN) {
+        keep_replica(u);
+    }
     u->unreached = end == MP_ORDER_NOT_SENT || end == MP_ORDER_UNKNOWN;
     bool load = !u->order_unload && !u->order_adapter;
     switch (end) {
@@ -856,6 +871,32 @@
     }
 }
 
+void
+mp_visit_loads(const Mp *m,
+               void (*visit)(void *ctx, const char *upstream,
+                             uint32_t running),
+               void *ctx)
+{
+    g_autoptr(GHashTable) sums = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->gateways);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const GPtrArray *uses = ((Gateway *)v)->uses;
+        for (guint i = 0; i < uses->len; i++) {
+            const MpUse *use = uses->pdata[i];
+            guint n =
+                GPOINTER_TO_UINT(g_hash_table_lookup(sums, use->upstream));
+            g_hash_table_insert(sums, use->upstream, GUINT_TO_POINTER(n + 1));
+        }
+    }
+    g_hash_table_iter_init(&it, sums);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        visit(ctx, k, GPOINTER_TO_UINT(v));
+    }
+}
+
 /* ---- how long callers wait ---------------------------------------------- */
 
 uint32_t
--- a/src/mp.h
+++ b/src/mp.h
@@ -102,6 +102,11 @@
 /* Upstreams with models that there are, and those of them that did not
    answer when they were last asked or ordered. */
 void mp_count_unreached(const Mp *m, uint32_t *all, uint32_t *unreached);
+/* Requests that all gateways have running on each upstream, as last said. */
+void mp_visit_loads(const Mp *m,
+                    void (*visit)(void *ctx, const char *upstream,
+                                  uint32_t running),
+                    void *ctx);
 /* VISIT each upstream whose content is known, as MpOutput.placed: a gateway
    has come. */
 void mp_visit_placed(const Mp *m, uint64_t now_ms,
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -1,5 +1,6 @@
 #include "mp_int.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Between looks for a place for a model that found none. */
@@ -19,6 +20,10 @@
 /* A load is taken for done this much after its stated time. */
 #define LOAD_MARGIN_MS 15
 #define ADAPTER_SETTLE_MS 300
+#define USUAL_LOAD_MS 450 /* from a disk beside the upstream: 350 to 520 */
+/* For one more replica of a model that has some: about five uses of another
+   model that then wait for its load. */
+#define MOST_LOSS_MS 2500
 #define GOAL_LIFE_MS 4000
 /* Upstreams with a copy are waited for so long before the weight store. */
 #define COPY_WAIT_MS 1500
@@ -57,7 +62,10 @@
             continue;
         }
         for (guint i = 0; i < u->replicas->len; i++) {
-            add_count(m, ((Replica *)u->replicas->pdata[i])->name);
+            const Replica *r = u->replicas->pdata[i];
+            if (!r->unloading) {
+                add_count(m, r->name);
+            }
         }
         if (u->goal && !mp_find_replica(u, u->goal)) {
             add_count(m, u->goal);
@@ -153,7 +161,7 @@
    can't be. */
 static double
 compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u, const DepModel *d,
-                  bool may_evict)
+                  double most_loss_ms)
 {
     bool from_store;
     double cost = mp_get_load_ms(u, d, &from_store);
@@ -163,18 +171,24 @@
     if (u->busy_until_ms > now_ms) {
         cost += (double)(u->busy_until_ms - now_ms);
     }
+    double loss_ms = 0;
     int64_t free_mb = get_free_mb(m, u);
     g_autoptr(GPtrArray) victims = g_ptr_array_new();
     while (free_mb < (int64_t)d->memory_mb) {
-        Replica *r = may_evict ? pick_victim(m, now_ms, u, victims) : NULL;
+        Replica *r =
+            most_loss_ms > 0 ? pick_victim(m, now_ms, u, victims) : NULL;
         const DepModel *rd = r ? mp_find_model(m, u, r->name) : NULL;
         if (!rd) {
             return -1;
         }
         g_ptr_array_add(victims, r);
         free_mb += rd->memory_mb;
-        cost += get_eviction_loss_ms(m, now_ms, u, r) + 10;
+        loss_ms += get_eviction_loss_ms(m, now_ms, u, r) + 10;
     }
+    if (loss_ms > most_loss_ms) {
+        return -1;
+    }
+    cost += loss_ms;
     /* Spread: an upstream that serves much already is slower. */
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
@@ -327,7 +341,7 @@
 
 static Up *
 find_best_place(const Mp *m, uint64_t now_ms, const char *model,
-                bool may_evict, bool *from_store)
+                double most_loss_ms, bool *from_store)
 {
     Up *best = NULL;
     double least = 0;
@@ -342,7 +356,7 @@
             mp_find_replica(u, model)) {
             continue;
         }
-        double cost = compute_load_cost(m, now_ms, u, d, may_evict);
+        double cost = compute_load_cost(m, now_ms, u, d, most_loss_ms);
         if (cost >= 0 && (!best || cost < least)) {
             best = u;
             least = cost;
@@ -417,6 +431,21 @@
     return out;
 }
 
+/* What may be evicted for it.  Without callers waiting a model that was used
+   lately takes another's place only if that one is used less, or the two
+   would evict each other in turn. */
+static double
+get_most_loss_ms(const Wanted *w, uint64_t now_ms)
+{
+    if (w->none && w->demand->waiting > 0) {
+        return INFINITY;
+    }
+    if (!w->none) {
+        return MOST_LOSS_MS;
+    }
+    return mp_get_rate(w->demand, now_ms) * HORIZON_MS / 1000 * USUAL_LOAD_MS;
+}
+
 void
 mp_place_models(Mp *m, uint64_t now_ms)
 {
@@ -424,7 +453,8 @@
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         bool from_store = false;
-        Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
+        Up *u = find_best_place(m, now_ms, w->model,
+                                get_most_loss_ms(w, now_ms), &from_store);
         if (!u || (from_store && (!may_use_store(m, now_ms, w) ||
                                   !may_start_store_load(
                                       m, now_ms, mp_find_service(m, u))))) {
@@ -487,7 +517,7 @@
         if (g_hash_table_contains(copied, k)) {
             continue;
         }
-        Up *u = find_best_place(m, now_ms, k, true, &from_store);
+        Up *u = find_best_place(m, now_ms, k, INFINITY, &from_store);
         if (u) {
             set_goal(m, now_ms, u, k);
             return;
--- a/src/ut.c
+++ b/src/ut.c
@@ -9,9 +9,10 @@
 /* What an upstream says it lacks is believed for so long; a load that was
    thought done may take a little longer. */
 #define ABSENT_MS 80
-#define LONGEST_ABSENT_MS 1000 /* three times as long each time, up to this   \
-                                */
-#define SHED_REST_MS 60        /* a full upstream frees slots all the time */
+#define LONGEST_ABSENT_MS                                                     \
+    1000                /* three times as long each time, up to this          \
+                         */
+#define SHED_REST_MS 60 /* a full upstream frees slots all the time */
 /* Rest after it could not be reached; doubled each time, up to the longest. */
 #define FIRST_REST_MS 250
 #define LONGEST_REST_MS 3000
@@ -31,6 +32,7 @@
 /* Another data centre's upstream costs a round trip and paid bytes: it is
    taken when it has this much less load. */
 #define REMOTE_COST 1.15
+#define DRAWS 4
 
 typedef struct {
     char *what; /* "model" or "model/adapter" */
@@ -47,6 +49,8 @@
     uint32_t reported; /* running and waiting, less ours at that time */
     uint64_t reported_ms;
     uint32_t reported_slots;
+    uint32_t told; /* running for other gateways, by the placing VM */
+    uint64_t told_ms;
     uint32_t failures; /* unreachable in a row */
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
@@ -275,13 +279,22 @@
 /* ---- choice ------------------------------------------------------------- */
 
 static double
-get_others(const Ut *u, uint64_t now_ms)
+fade(uint32_t count, uint64_t since_ms, uint64_t now_ms)
 {
-    uint64_t age_ms = now_ms - u->reported_ms;
-    if (u->reported_ms == 0 || age_ms >= REPORT_FADE_MS) {
+    uint64_t age_ms = now_ms - since_ms;
+    if (since_ms == 0 || age_ms >= REPORT_FADE_MS) {
         return 0;
     }
-    return u->reported * (1. - (double)age_ms / REPORT_FADE_MS);
+    return count * (1. - (double)age_ms / REPORT_FADE_MS);
+}
+
+/* An answer tells the load of its upstream, but with many gateways each sees
+   few answers of each; the placing VM's sum fills the gaps. */
+static double
+get_others(const Ut *u, uint64_t now_ms)
+{
+    return MAX(fade(u->reported, u->reported_ms, now_ms),
+               fade(u->told, u->told_ms, now_ms));
 }
 
 static double
@@ -359,13 +372,8 @@
 pick(UtSet *s, const GArray *c, const UtQuery *q)
 {
     double sum = 0;
-    const Candidate *least = &g_array_index(c, Candidate, 0);
     for (guint i = 0; i < c->len; i++) {
-        const Candidate *x = &g_array_index(c, Candidate, i);
-        sum += x->cost;
-        if (x->cost < least->cost) {
-            least = x;
-        }
+        sum += g_array_index(c, Candidate, i).cost;
     }
     if (q->affinity) {
         const Candidate *x = prefer_by_affinity(c, sum / c->len);
@@ -373,12 +381,17 @@
             return x;
         }
     }
-    /* The better of two, so that gateways with the same stale reports do not
-       all run to one upstream. */
-    const Candidate *a =
-        &g_array_index(c, Candidate, bg_pick_random(&s->rng, c->len));
-    const Candidate *b = least;
-    return a->cost < b->cost * 1.05 ? a : b;
+    /* The best of a few drawn at random: gateways that know the same loads,
+       a little old, would otherwise all run to one upstream. */
+    const Candidate *best = NULL;
+    for (int i = 0; i < DRAWS; i++) {
+        const Candidate *x =
+            &g_array_index(c, Candidate, bg_pick_random(&s->rng, c->len));
+        if (!best || x->cost < best->cost) {
+            best = x;
+        }
+    }
+    return best;
 }
 
 UtAnswer
@@ -547,6 +560,16 @@
     u->reported_slots = slots;
 }
 
+void
+ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running)
+{
+    Ut *u = g_hash_table_lookup(s->by_id, id);
+    if (u) {
+        u->told = running > u->running ? running - u->running : 0;
+        u->told_ms = now_ms;
+    }
+}
+
 /* Reading the prompt and the first step; a queue or other requests make it
    longer.  Of engines that read about 38 tokens in a ms. */
 #define TOKENS_PER_MS 30.
--- a/src/ut.h
+++ b/src/ut.h
@@ -77,6 +77,8 @@
 /* What an answer said of its load. */
 void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting,
                   uint32_t slots);
+/* What all gateways together have running there. */
+void ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running);
 /* A first byte within so long is usual for this query; 0: not known. */
 uint32_t ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q);
 
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -496,6 +496,7 @@
     char *order_adapter;
     int loads;
     int unloads;
+    GHashTable *usable; /* set of models that gateways were told of */
 } Engine;
 
 #define ENGINES 4
@@ -507,6 +508,8 @@
     DepConfig *config;
     Engine engines[ENGINES];
     int lose; /* answers of orders that are lost */
+    bool refuse_unloads;
+    int refused;
     bool overcommitted;
     uint64_t now_ms;
 } Site;
@@ -537,9 +540,12 @@
 static void
 site_placed(void *ctx, const char *upstream, const GPtrArray *models)
 {
-    (void)ctx;
-    (void)upstream;
-    (void)models;
+    Engine *e = find_engine(ctx, upstream);
+    g_hash_table_remove_all(e->usable);
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        g_hash_table_add(e->usable, g_strdup(r->name));
+    }
 }
 
 static DepResident *
@@ -561,6 +567,10 @@
     if (e->busy_until_ms > s->now_ms || o->sequence != e->state->sequence) {
         return MP_ORDER_CONFLICT;
     }
+    if (o->unload && !e->order_adapter && s->refuse_unloads) {
+        s->refused++;
+        return MP_ORDER_CONFLICT;
+    }
     e->state->sequence++;
     DepResident *r = find_resident(e, e->order_model);
     if (e->order_adapter) {
@@ -654,6 +664,8 @@
     for (int i = 0; i < ENGINES; i++) {
         g_autofree char *id = g_strdup_printf("u%d", i);
         s->engines[i].state = make_upstream(id, "s", NULL);
+        s->engines[i].usable =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         mp_on_entry(s->mp, s->now_ms, s->engines[i].state);
     }
     mp_begin(s->mp, s->now_ms);
@@ -668,6 +680,7 @@
     for (int i = 0; i < ENGINES; i++) {
         dep_destroy_upstream(s->engines[i].state);
         g_free(s->engines[i].coming);
+        g_hash_table_destroy(s->engines[i].usable);
     }
 }
 
@@ -758,6 +771,40 @@
     stop_site(&s);
 }
 
+/* A second unload soon after a first is turned away, as its upstream is still
+   at an order.  The model that was to make room must stay usable: left out of
+   use it would count as held, be missed by its callers, and never be loaded
+   again. */
+static void
+test_placement_after_refused_unload(void)
+{
+    Site s;
+    start_site(&s, 6);
+    for (int i = 1; i < ENGINES; i++) {
+        mp_on_gone(s.mp, s.engines[i].state->id);
+    }
+    Engine *e = &s.engines[0];
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    want(&s, "g", "m1", NULL, 1);
+    run_site(&s, 3500, true);
+    CU_ASSERT_EQUAL(e->state->models->len, 2);
+    want(&s, "g", "m2", NULL, 1);
+    run_site(&s, 900, true);
+    CU_ASSERT_EQUAL(e->unloads, 1);
+    s.refuse_unloads = true;
+    want(&s, "g", "m3", NULL, 1);
+    run_site(&s, 100, true);
+    CU_ASSERT(s.refused > 0);
+    want(&s, "g", "m4", NULL, 0);
+    run_site(&s, 300, false);
+    for (guint i = 0; i < e->state->models->len; i++) {
+        const DepResident *r = e->state->models->pdata[i];
+        CU_ASSERT(g_hash_table_contains(e->usable, r->name));
+    }
+    stop_site(&s);
+}
+
 /* The same for adapters, of which an engine has room for eight. */
 static void
 test_placement_of_adapters(void)
@@ -841,6 +888,7 @@
         {"one load for a burst", test_placement_one_load_for_a_burst},
         {"waits for its right", test_placement_waits_for_its_right},
         {"never overcommits", test_placement_never_overcommits},
+        {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
         {"moves on notice", test_placement_moves_on_notice},
         {"route split", test_route_split},
