The placing VM's heartbeat has a clock of its own; a refused store isn't pressed; waiting for an adapter isn't doubt of its model

Cause: the heartbeat was sent together with demand, which is also sent whenever callers begin to wait, so a busy placing VM fell silent for its followers (placer-lost again and again) and for its own callers (refused as if nobody placed); found by test_adapters_come_and_go_within_their_places. A refused append of the lease was tried again at each tick (62 calls a second in an outage, bound 40; test_serving_goes_on_without_the_store). Callers of an adapter counted as callers of its model, so a held model was doubted and its upstream asked anew.

--- a/src/gw.c
+++ b/src/gw.c
@@ -58,6 +58,7 @@
     uint64_t first_by_ms; /* the caller leaves when it has nothing by then */
     ReqState state;
     const char *waits_for; /* for the log */
+    bool lacks_model;      /* waiting: nobody holds even the model */
     uint64_t wait_from_ms;
     GList *link; /* in the gateway's requests */
 
@@ -436,9 +437,11 @@
         send_to(q, ut, now_ms);
         return;
     case UT_COLD:
+        q->lacks_model = true;
         wait_for_model(q, now_ms, "model");
         return;
     case UT_ADAPTER:
+        q->lacks_model = false;
         wait_for_model(q, now_ms, "adapter");
         return;
     case UT_FULL:
@@ -1063,14 +1066,9 @@
             w->running++;
             add_use(uses, q);
         }
-        else if (a) {
-            /* The model's own callers wait only if nobody holds it; the
-               placing VM sees that by itself. */
-            a->waiting++;
-            w->waiting++;
-        }
         else {
-            w->waiting++;
+            (a ? a : w)->waiting++;
+            w->waiting += a && q->lacks_model;
         }
     }
     GHashTableIter it;
--- a/src/ls.c
+++ b/src/ls.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define REFUSED_PAUSE_MS 120 /* a store that refuses is not pressed */
+#define MAX_READ_DOUBLINGS 2
 #define READ_PAUSE_MS 300 /* between reads while the holder is not heard */
 /* Not all VMs claim at one moment, and the former holder, whose VM needs no
    rest, goes before them. */
@@ -34,7 +36,9 @@
     uint64_t sent_ms;     /* of the append that is out */
     uint64_t read_out_ms; /* of the read that is out */
     uint64_t next_read_ms;
-    uint64_t next_claim_ms; /* 0: not waiting to claim */
+    uint64_t next_append_ms; /* after one was refused */
+    uint32_t failed_reads;   /* in a row */
+    uint64_t next_claim_ms;  /* 0: not waiting to claim */
 
     bool holding;
     uint64_t token;
@@ -181,7 +185,7 @@
         lose(l);
     }
     consider_read(l, now_ms);
-    if (!l->known || l->writing || l->reading) {
+    if (!l->known || l->writing || l->reading || now_ms < l->next_append_ms) {
         return;
     }
     if (!l->holding) {
@@ -199,10 +203,13 @@
            uint64_t offset, uint64_t tail)
 {
     l->reading = false;
-    l->next_read_ms = now_ms + READ_PAUSE_MS;
+    l->next_read_ms =
+        now_ms + (READ_PAUSE_MS << MIN(l->failed_reads, MAX_READ_DOUBLINGS));
     if (end != ST_OK) {
+        l->failed_reads++;
         return;
     }
+    l->failed_reads = 0;
     l->known = true;
     l->read_sent_ms = l->read_out_ms;
     if (value && offset + 1 > l->newest) {
@@ -252,13 +259,16 @@
         take_record(l, now_ms, value);
         return;
     }
+    if (end == ST_REFUSED) {
+        l->next_append_ms = now_ms + REFUSED_PAUSE_MS +
+                            bg_pick_random(&l->rng, REFUSED_PAUSE_MS);
+        return;
+    }
     /* Somebody wrote, or our own append was done and its answer lost: the
        topic tells which. */
     (void)tail;
-    if (end != ST_REFUSED) {
-        l->known = false;
-        l->next_read_ms = now_ms;
-    }
+    l->known = false;
+    l->next_read_ms = now_ms;
 }
 
 void
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -153,6 +153,7 @@
     ev_signal hup;
     uint64_t slow_tick_ms;
     uint64_t demand_ms;
+    uint64_t state_ms;
     uint64_t stop_ms; /* 0: not stopping */
 } Gateway;
 
@@ -1303,10 +1304,13 @@
     lk_on_tick(g->links, now_ms);
     if (now_ms >= g->demand_ms + DEMAND_MS) {
         send_demand(g);
-        if (g->placing) {
-            tell_the_rest(g);
-            send_state(g, now_ms);
-        }
+    }
+    /* By a clock of its own: demand is also sent whenever callers begin to
+       wait, and a busy placing VM would never get to say that it lives. */
+    if (g->placing && now_ms >= g->state_ms + DEMAND_MS) {
+        g->state_ms = now_ms;
+        tell_the_rest(g);
+        send_state(g, now_ms);
     }
 }
 
--- a/src/mp.c
+++ b/src/mp.c
@@ -795,7 +795,7 @@
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
         if (r->ready_ms == WHEN_TOLD && now_ms > r->expected_ms &&
-            now_ms >= u->next_ask_ms) {
+            now_ms >= u->changed_ms + REPORT_LAG_MS) {
             return true;
         }
     }
@@ -826,11 +826,8 @@
             continue;
         }
         doubt(m, now_ms, u);
-        if (is_load_late(u, now_ms)) {
-            distrust(u, now_ms);
-        }
-        if (!u->known && !u->asking && !u->ordered &&
-            now_ms >= u->next_ask_ms) {
+        if ((!u->known || is_load_late(u, now_ms)) && !u->asking &&
+            !u->ordered && now_ms >= u->next_ask_ms) {
             u->asking = true;
             m->out.ask(m->out.ctx, u->entry);
         }
