--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &gwp__death__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__snapshot__init
+                     (Gwp__Snapshot         *message)
+{
+  static const Gwp__Snapshot init_value = GWP__SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t gwp__snapshot__get_packed_size
+                     (const Gwp__Snapshot *message)
+{
+  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__snapshot__pack
+                     (const Gwp__Snapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__snapshot__pack_to_buffer
+                     (const Gwp__Snapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Snapshot *
+       gwp__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Snapshot *)
+     protobuf_c_message_unpack (&gwp__snapshot__descriptor,
+                                allocator, len, data);
+}
+void   gwp__snapshot__free_unpacked
+                     (Gwp__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -1212,6 +1257,70 @@
   (ProtobufCMessageInit) gwp__death__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__snapshot__field_descriptors[3] =
+{
+  {
+    "config",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Snapshot, config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstreams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Snapshot, n_upstreams),
+    offsetof(Gwp__Snapshot, upstreams),
+    &gwp__entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placer_link",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Snapshot, placer_link),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__snapshot__field_indices_by_name[] = {
+  0,   /* field[0] = config */
+  2,   /* field[2] = placer_link */
+  1,   /* field[1] = upstreams */
+};
+static const ProtobufCIntRange gwp__snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Snapshot",
+  "Snapshot",
+  "Gwp__Snapshot",
+  "gwp",
+  sizeof(Gwp__Snapshot),
+  3,
+  gwp__snapshot__field_descriptors,
+  gwp__snapshot__field_indices_by_name,
+  1,  gwp__snapshot__number_ranges,
+  (ProtobufCMessageInit) gwp__snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[6] =
 {
   {
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Gwp__State Gwp__State;
 typedef struct Gwp__Entry Gwp__Entry;
 typedef struct Gwp__Death Gwp__Death;
+typedef struct Gwp__Snapshot Gwp__Snapshot;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -205,6 +206,28 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * What a starting gateway takes from another while the store is away.
+ */
+struct  Gwp__Snapshot
+{
+  ProtobufCMessage base;
+  /*
+   * as written in the store; empty: none
+   */
+  ProtobufCBinaryData config;
+  size_t n_upstreams;
+  Gwp__Entry **upstreams;
+  /*
+   * empty: not known
+   */
+  char *placer_link;
+};
+#define GWP__SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__snapshot__descriptor) \
+    , {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -443,6 +466,25 @@
 void   gwp__death__free_unpacked
                      (Gwp__Death *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Snapshot methods */
+void   gwp__snapshot__init
+                     (Gwp__Snapshot         *message);
+size_t gwp__snapshot__get_packed_size
+                     (const Gwp__Snapshot   *message);
+size_t gwp__snapshot__pack
+                     (const Gwp__Snapshot   *message,
+                      uint8_t             *out);
+size_t gwp__snapshot__pack_to_buffer
+                     (const Gwp__Snapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Snapshot *
+       gwp__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__snapshot__free_unpacked
+                     (Gwp__Snapshot *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -497,6 +539,9 @@
 typedef void (*Gwp__Death_Closure)
                  (const Gwp__Death *message,
                   void *closure_data);
+typedef void (*Gwp__Snapshot_Closure)
+                 (const Gwp__Snapshot *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -517,6 +562,7 @@
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
 extern const ProtobufCMessageDescriptor gwp__entry__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
+extern const ProtobufCMessageDescriptor gwp__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/gn.h
@@ -0,0 +1,106 @@
+/* gn: the gateway's process around its cores, in parts by what they speak
+   with: gn_store (configuration, upstreams, lease), gn_place (orders and
+   reports), gn_links (other gateways), main_gateway (callers, time, signals).
+   All of it runs on the loop's thread. */
+#ifndef GN_H
+#define GN_H
+
+#include "gw.h"
+#include "ini.h"
+#include "jl.h"
+#include "lk.h"
+#include "ls.h"
+#include "mp.h"
+#include "rb.h"
+#include "st.h"
+#include "ut.h"
+
+typedef struct Gateway {
+    struct ev_loop *loop;
+    const char *path;
+    IniFile *settings;
+    char process[BG_ID_LEN + 1];
+    HtPool *pool;
+    HtServer *front;
+    HtServer *ready;
+    HtServer *control; /* NULL: none */
+    St *store;
+    StWatch *config_watch;
+    StWatch *upstream_watch;
+    StWatch *mail_watch; /* NULL: this VM does not place */
+    GHashTable *members; /* gateways -> when last linked, uint64_t */
+    uint64_t mail_ms;    /* when mail was last left */
+    uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
+    GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
+    uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
+    UtSet *upstreams;
+    Rb *budget;
+    Gw *gw;
+    Mp *placement;
+    Ls *lease;
+    Lk *links;
+    DepConfig *config;    /* NULL: none yet */
+    GBytes *config_bytes; /* as written in the store */
+    GHashTable *entries;  /* upstream -> GBytes, as written in the store */
+    bool has_snapshot;    /* taken from another gateway */
+    uint64_t next_seed_ms;
+    guint next_seed;
+    uint64_t config_ms;
+    bool placing;      /* this VM held the lease at the last tick */
+    bool placer_reads; /* the VM that we are linked to reads the store */
+    bool dirty;        /* what waits should be looked at again */
+    ev_timer tick;
+    ev_timer wanted;
+    ev_timer place;
+    ev_signal term;
+    ev_signal interrupt;
+    ev_signal hup;
+    uint64_t slow_tick_ms;
+    uint64_t demand_ms;
+    uint64_t state_ms;
+    uint64_t stop_ms; /* 0: not stopping */
+} Gateway;
+
+/* main_gateway */
+const char *gn_get_text(const Gateway *g, const char *key);
+
+/* gn_store */
+void gn_use_config(Gateway *g, DepConfig *c, GBytes *written);
+void gn_watch_store(Gateway *g);
+/* Not linked to the placing VM; HURRY: callers wait for its work. */
+void gn_hurry_store(Gateway *g, bool hurry);
+void gn_append_lease(void *ctx, uint64_t at, const char *value);
+void gn_read_lease(void *ctx, uint64_t from);
+void gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id);
+void gn_follow_store(Gateway *g);
+void gn_on_lease_changed(void *ctx);
+void gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version);
+bool gn_take_upstream(Gateway *g, uint64_t now_ms, const StRecord *r);
+
+/* gn_place */
+void gn_on_place_timer(struct ev_loop *loop, ev_timer *t, int events);
+void gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models);
+void gn_tell_newcomer(Gateway *g, LkPeer *peer);
+void gn_free_residents(void *p);
+void gn_tell_the_rest(Gateway *g);
+void gn_send_order(void *ctx, const MpOrder *order);
+void gn_ask_upstream(void *ctx, const DepUpstream *of);
+void gn_place_soon(Gateway *g);
+
+/* gn_links */
+void gn_send_state(Gateway *g, uint64_t now_ms);
+void gn_send_demand(Gateway *g);
+void gn_on_link(void *ctx, bool open);
+void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
+                   bool down);
+void gn_on_peer(void *ctx, LkPeer *peer, bool here);
+void gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame);
+void gn_watch_mail(Gateway *g, bool places);
+
+/* gn_start */
+/* Ask another gateway when the store does not answer a starting process. */
+void gn_tick_start(Gateway *g, uint64_t now_ms);
+/* Answer such a question. */
+void gn_answer_snapshot(Gateway *g, HtExchange *x);
+
+#endif
--- /dev/null
+++ b/src/gn_links.c
@@ -0,0 +1,428 @@
+#include "gn.h"
+
+#include <string.h>
+
+/* The placing VM's own read is at most so old, or others read themselves. */
+#define STORE_FRESH_MS 700
+/* Upstreams with fewer requests are left out of what all are told. */
+#define MIN_TOLD_LOAD 3
+#define MAIL_MS 300 /* between frames left in the store for it */
+/* The placing VM reads that mail, more often while gateways are missing. */
+#define MAIL_PAUSE_MS 1000
+#define MAIL_BUSY_PAUSE_MS 250
+#define MEMBER_MS 30000 /* a gateway not linked for so long is gone */
+
+/* ---- links -------------------------------------------------------------- */
+
+static char *
+to_text(const char *wire)
+{
+    return *wire ? g_strdup(wire) : NULL;
+}
+
+static bool
+has_waiting(const Gwp__Demand *d)
+{
+    for (size_t i = 0; i < d->n_wants; i++) {
+        if (d->wants[i]->waiting > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
+{
+    g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(mp_free_want);
+    g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(mp_free_use);
+    for (size_t i = 0; i < d->n_wants; i++) {
+        MpWant *w = g_new0(MpWant, 1);
+        w->model = g_strdup(d->wants[i]->model);
+        w->adapter = to_text(d->wants[i]->adapter);
+        w->waiting = d->wants[i]->waiting;
+        w->running = d->wants[i]->running;
+        w->arrived = d->wants[i]->arrived;
+        g_ptr_array_add(wants, w);
+    }
+    for (size_t i = 0; i < d->n_uses; i++) {
+        MpUse *u = g_new0(MpUse, 1);
+        u->upstream = g_strdup(d->uses[i]->upstream);
+        u->model = g_strdup(d->uses[i]->model);
+        u->adapter = to_text(d->uses[i]->adapter);
+        g_ptr_array_add(uses, u);
+    }
+    if (mp_on_demand(g->placement, bg_boot_ms(), from, wants, uses)) {
+        gn_place_soon(g);
+    }
+}
+
+static void
+take_placement(Gateway *g, const Gwp__Placement *p)
+{
+    DepUpstream *u = dep_create_upstream();
+    for (size_t i = 0; i < p->n_residents; i++) {
+        const Gwp__Resident *r = p->residents[i];
+        DepResident *d = dep_add_resident(u, r->model);
+        for (size_t j = 0; j < r->n_adapters; j++) {
+            g_ptr_array_add(d->adapters, g_strdup(r->adapters[j]));
+        }
+    }
+    GPtrArray *list = u->models;
+    u->models = g_ptr_array_new();
+    dep_destroy_upstream(u);
+    ut_on_placement(g->upstreams, bg_boot_ms(), p->upstream, list);
+    gw_on_change(g->gw);
+}
+
+/* An upstream's entry as the placing VM read it. */
+static void
+take_entry(Gateway *g, const Gwp__Entry *e)
+{
+    StRecord r = {e->upstream, NULL, 0};
+    if (e->value.len > 0) {
+        r.value = g_bytes_new(e->value.data, e->value.len);
+        gn_take_upstream(g, bg_boot_ms(), &r);
+        g_bytes_unref(r.value);
+    }
+    else {
+        gn_drop_upstream(g, bg_boot_ms(), e->upstream);
+    }
+}
+
+static void
+take_state(Gateway *g, const Gwp__State *s)
+{
+    uint64_t now_ms = bg_boot_ms();
+    ls_on_heard(g->lease, now_ms);
+    gw_on_placer(g->gw, now_ms, s->rest_ms);
+    rb_on_gateways(g->budget, now_ms, s->gateways);
+    gn_follow_version(g, now_ms, s->config_version);
+    if (g->placer_reads != s->reads_store) {
+        g->placer_reads = s->reads_store;
+        gn_follow_store(g);
+    }
+    for (size_t i = 0; i < s->n_loads; i++) {
+        ut_on_total(g->upstreams, now_ms, s->loads[i]->upstream,
+                    s->loads[i]->running);
+    }
+    for (size_t i = 0; i < s->n_waits; i++) {
+        gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
+    }
+}
+
+void
+gn_send_death(Gateway *g, uint64_t request, const char *upstream, bool down)
+{
+    Gwp__Death d = GWP__DEATH__INIT;
+    d.request = request;
+    d.upstream = (char *)upstream;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_DEATH;
+    f.death = &d;
+    if (down) {
+        lk_send_down(g->links, NULL, &f);
+    }
+    else {
+        lk_send_up(g->links, &f);
+    }
+}
+
+/* ---- who is there ---- */
+
+static void
+note_member(Gateway *g, const char *vm)
+{
+    uint64_t *seen_ms = g_new(uint64_t, 1);
+    *seen_ms = bg_boot_ms();
+    g_hash_table_replace(g->members, g_strdup(vm), seen_ms);
+}
+
+static gboolean
+is_past_member(gpointer vm, gpointer seen_ms, gpointer now_ms)
+{
+    (void)vm;
+    return *(uint64_t *)seen_ms + MEMBER_MS < *(uint64_t *)now_ms;
+}
+
+/* Gateways of the last while, this one included. */
+static uint32_t
+count_members(Gateway *g, uint64_t now_ms)
+{
+    g_hash_table_foreach_remove(g->members, is_past_member, &now_ms);
+    return g_hash_table_size(g->members) + 1;
+}
+
+/* ---- mail, where links are cut ---- */
+
+static void
+on_mail_records(void *ctx, const GPtrArray *records, bool whole)
+{
+    Gateway *g = ctx;
+    for (guint i = 0; !whole && i < records->len; i++) {
+        const StRecord *r = records->pdata[i];
+        gsize len = 0;
+        const uint8_t *data =
+            r->value ? g_bytes_get_data(r->value, &len) : NULL;
+        Gwp__Frame *f = data ? gwp__frame__unpack(NULL, len, data) : NULL;
+        if (f && f->body_case == GWP__FRAME__BODY_DEMAND) {
+            note_member(g, r->key);
+            take_demand(g, r->key, f->demand);
+        }
+        if (f) {
+            gwp__frame__free_unpacked(f, NULL);
+        }
+    }
+}
+
+static void
+on_mail_reach(void *ctx, bool reached)
+{
+    (void)ctx;
+    (void)reached;
+}
+
+void
+gn_watch_mail(Gateway *g, bool places)
+{
+    if (!places && g->mail_watch) {
+        st_destroy_watch(g->mail_watch);
+        g->mail_watch = NULL;
+    }
+    else if (places && !g->mail_watch) {
+        StWatchParams mail = {ST_MAIL, "mail", 0, MAIL_BUSY_PAUSE_MS};
+        StWatchHandler on_mail = {g, on_mail_records, on_mail_reach};
+        g->mail_watch = st_create_watch(g->loop, g->store, &mail, &on_mail);
+    }
+}
+
+static void
+on_mail_left(void *ctx, const StReply *reply)
+{
+    (void)ctx;
+    (void)reply; /* a frame that was lost is followed by the next */
+}
+
+void
+gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame)
+{
+    Gateway *g = ctx;
+    switch (frame->body_case) {
+    case GWP__FRAME__BODY_HELLO:
+        if (from) {
+            lk_set_vm(from, frame->hello->vm);
+            gn_tell_newcomer(g, from);
+        }
+        break;
+    case GWP__FRAME__BODY_DEMAND:
+        if (from) {
+            note_member(g, lk_get_vm(from));
+            lk_set_urgent(from, has_waiting(frame->demand));
+            take_demand(g, lk_get_vm(from), frame->demand);
+        }
+        break;
+    case GWP__FRAME__BODY_PLACEMENT:
+        if (!from) {
+            take_placement(g, frame->placement);
+        }
+        break;
+    case GWP__FRAME__BODY_STATE:
+        if (!from) {
+            take_state(g, frame->state);
+        }
+        break;
+    case GWP__FRAME__BODY_ENTRY:
+        if (!from) {
+            take_entry(g, frame->entry);
+            gw_on_change(g->gw);
+        }
+        break;
+    case GWP__FRAME__BODY_DEATH:
+        gw_on_death(g->gw, bg_boot_ms(), frame->death->request,
+                    frame->death->upstream);
+        if (from) {
+            gn_send_death(g, frame->death->request, frame->death->upstream,
+                          true);
+        }
+        break;
+    default:
+        break; /* of a newer gateway */
+    }
+}
+
+void
+gn_on_peer(void *ctx, LkPeer *peer, bool here)
+{
+    (void)ctx;
+    if (!here) {
+        JlLine *l = jl_begin("peer-gone");
+        jl_text(l, "vm", lk_get_vm(peer));
+        jl_end(l);
+    }
+}
+
+void
+gn_on_link(void *ctx, bool open)
+{
+    Gateway *g = ctx;
+    JlLine *l = jl_begin(open ? "placer-linked" : "placer-lost");
+    jl_text(l, "vm", g->lease ? ls_get_holder_vm(g->lease) : NULL);
+    jl_end(l);
+    g->placer_reads = false;
+    gn_follow_store(g);
+    if (open) {
+        gn_send_demand(g);
+    }
+    else {
+        /* Whatever silenced the link may have silenced the others. */
+        ht_drop_kept(g->pool, gn_get_text(g, "store"));
+        st_restart(g->config_watch);
+        st_restart(g->upstream_watch);
+        ut_forget_placement(g->upstreams);
+    }
+}
+
+static void
+send_demand_up(Gateway *g, const GPtrArray *wants, const GPtrArray *uses)
+{
+    Gwp__Demand d = GWP__DEMAND__INIT;
+    Gwp__Want *w = g_new0(Gwp__Want, wants->len + 1);
+    Gwp__Want **wr = g_new0(Gwp__Want *, wants->len + 1);
+    for (guint i = 0; i < wants->len; i++) {
+        const MpWant *x = wants->pdata[i];
+        gwp__want__init(&w[i]);
+        w[i].model = x->model;
+        w[i].adapter = x->adapter ? x->adapter : (char *)"";
+        w[i].waiting = x->waiting;
+        w[i].running = x->running;
+        w[i].arrived = x->arrived;
+        wr[i] = &w[i];
+    }
+    Gwp__Use *u = g_new0(Gwp__Use, uses->len + 1);
+    Gwp__Use **ur = g_new0(Gwp__Use *, uses->len + 1);
+    for (guint i = 0; i < uses->len; i++) {
+        const MpUse *x = uses->pdata[i];
+        gwp__use__init(&u[i]);
+        u[i].upstream = x->upstream;
+        u[i].model = x->model;
+        u[i].adapter = x->adapter ? x->adapter : (char *)"";
+        ur[i] = &u[i];
+    }
+    d.n_wants = wants->len;
+    d.wants = wr;
+    d.n_uses = uses->len;
+    d.uses = ur;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_DEMAND;
+    f.demand = &d;
+    if (lk_is_open(g->links)) {
+        lk_send_up(g->links, &f);
+    }
+    else {
+        size_t len = gwp__frame__get_packed_size(&f);
+        g_autofree uint8_t *bytes = g_malloc(len + 1);
+        gwp__frame__pack(&f, bytes);
+        g->store->ops->append(g->store, ST_MAIL, ST_ANY_TAIL,
+                              gn_get_text(g, "name"), bytes, len, on_mail_left,
+                              g);
+    }
+    g_free(wr);
+    g_free(w);
+    g_free(ur);
+    g_free(u);
+}
+
+/* What callers here want, to whoever places. */
+void
+gn_send_demand(Gateway *g)
+{
+    g->demand_ms = bg_boot_ms();
+    if (!g->placing && !lk_is_open(g->links)) {
+        bool waits = gw_count_waiting(g->gw) > 0;
+        gn_hurry_store(g, waits);
+        if (!waits || g->demand_ms < g->mail_ms + MAIL_MS) {
+            return;
+        }
+        g->mail_ms = g->demand_ms;
+    }
+    g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(mp_free_want);
+    g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(mp_free_use);
+    gw_collect_demand(g->gw, wants, uses);
+    if (g->placing) {
+        if (mp_on_demand(g->placement, g->demand_ms, gn_get_text(g, "name"),
+                         wants, uses)) {
+            gn_place_soon(g);
+        }
+    }
+    else {
+        send_demand_up(g, wants, uses);
+    }
+}
+
+typedef struct {
+    GPtrArray *waits; /* Gwp__Wait */
+    Gateway *g;
+    uint64_t now_ms;
+} WaitList;
+
+static void
+add_wait(void *ctx, const char *model, uint32_t wait_ms)
+{
+    WaitList *list = ctx;
+    Gwp__Wait *w = g_new0(Gwp__Wait, 1);
+    gwp__wait__init(w);
+    w->model = (char *)model;
+    w->wait_ms = wait_ms;
+    g_ptr_array_add(list->waits, w);
+    gw_on_wait(list->g->gw, list->now_ms, model, wait_ms);
+}
+
+typedef struct {
+    GPtrArray *loads; /* Gwp__Load */
+    Gateway *g;
+    uint64_t now_ms;
+} LoadList;
+
+static void
+add_load(void *ctx, const char *upstream, uint32_t running)
+{
+    LoadList *list = ctx;
+    ut_on_total(list->g->upstreams, list->now_ms, upstream, running);
+    if (running < MIN_TOLD_LOAD) {
+        return;
+    }
+    Gwp__Load *l = g_new0(Gwp__Load, 1);
+    gwp__load__init(l);
+    l->upstream = (char *)upstream;
+    l->running = running;
+    g_ptr_array_add(list->loads, l);
+}
+
+void
+gn_send_state(Gateway *g, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) loads = g_ptr_array_new_with_free_func(g_free);
+    LoadList load_list = {loads, g, now_ms};
+    mp_visit_loads(g->placement, add_load, &load_list);
+    g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
+    WaitList list = {waits, g, now_ms};
+    mp_visit_waits(g->placement, now_ms, add_wait, &list);
+    Gwp__State s = GWP__STATE__INIT;
+    s.n_waits = waits->len;
+    s.waits = (Gwp__Wait **)waits->pdata;
+    s.n_loads = loads->len;
+    s.loads = (Gwp__Load **)loads->pdata;
+    s.gateways = count_members(g, now_ms);
+    s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
+    gw_on_placer(g->gw, now_ms, s.rest_ms);
+    s.reads_store = st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
+    s.config_version = g->config ? g->config->version : 0;
+    rb_on_gateways(g->budget, now_ms, s.gateways);
+    st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
+                                    ? MAIL_BUSY_PAUSE_MS
+                                    : MAIL_PAUSE_MS);
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_STATE;
+    f.state = &s;
+    lk_send_down(g->links, NULL, &f);
+}
--- /dev/null
+++ b/src/gn_place.c
@@ -0,0 +1,241 @@
+#include "gn.h"
+
+#include "../platform/pf_wire.h"
+
+#include <string.h>
+
+#define PLACE_MS 2
+
+/* ---- placement ---------------------------------------------------------- */
+
+/* Demand comes from many gateways: decided once for what comes together. */
+void
+gn_place_soon(Gateway *g)
+{
+    if (!ev_is_active(&g->place)) {
+        ev_timer_set(&g->place, PLACE_MS / 1000., 0.);
+        ev_timer_start(g->loop, &g->place);
+    }
+}
+
+void
+gn_on_place_timer(struct ev_loop *loop, ev_timer *t, int events)
+{
+    (void)loop;
+    (void)events;
+    Gateway *g = t->data;
+    uint64_t now_ms = bg_boot_ms();
+    if (g->placing) {
+        mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+    }
+}
+
+typedef struct {
+    Gateway *g;
+    char *upstream;
+    bool unload;
+    char *model;
+    char *adapter;
+} OrderCtx;
+
+static void
+on_order_end(void *ctx, MpOrderEnd end, uint16_t status)
+{
+    OrderCtx *o = ctx;
+    JlLine *l = jl_begin("order-end");
+    jl_text(l, "upstream", o->upstream);
+    jl_text(l, "op", o->unload ? "unload" : "load");
+    jl_text(l, "model", o->model);
+    jl_text(l, "adapter", o->adapter);
+    jl_number(l, "status", status);
+    jl_number(l, "end", end);
+    jl_end(l);
+    mp_on_order_end(o->g->placement, bg_boot_ms(), o->upstream, end);
+    gn_place_soon(o->g);
+    g_free(o->upstream);
+    g_free(o->model);
+    g_free(o->adapter);
+    g_free(o);
+}
+
+void
+gn_send_order(void *ctx, const MpOrder *order)
+{
+    Gateway *g = ctx;
+    OrderCtx *o = g_new0(OrderCtx, 1);
+    o->g = g;
+    o->upstream = g_strdup(order->upstream);
+    o->unload = order->unload;
+    o->model = g_strdup(order->model);
+    o->adapter = g_strdup(order->adapter);
+    pf_send_order(g->pool, order, gn_get_text(g, "name"),
+                  ls_get_token(g->lease), on_order_end, o);
+}
+
+typedef struct {
+    Gateway *g;
+    char *upstream;
+} AskCtx;
+
+static void
+append_names(GString *out, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        g_string_append_printf(out, "%s%s", i ? " " : "",
+                               (const char *)names->pdata[i]);
+    }
+}
+
+static void
+log_report(const char *upstream, const DepUpstream *r)
+{
+    JlLine *l = jl_begin("upstream-report");
+    jl_text(l, "upstream", upstream);
+    if (r) {
+        g_autoptr(GString) models = g_string_new(NULL);
+        for (guint i = 0; i < r->models->len; i++) {
+            const DepResident *d = r->models->pdata[i];
+            g_string_append_printf(models, "%s%s+%u", i ? " " : "", d->name,
+                                   d->adapters->len);
+        }
+        g_autoptr(GString) memory = g_string_new(NULL);
+        append_names(memory, r->in_memory);
+        g_autoptr(GString) disk = g_string_new(NULL);
+        append_names(disk, r->on_disk);
+        jl_number(l, "sequence", (int64_t)r->sequence);
+        jl_number(l, "busy", r->busy);
+        jl_text(l, "models", models->str);
+        jl_text(l, "in_memory", memory->str);
+        jl_text(l, "on_disk", disk->str);
+    }
+    jl_end(l);
+}
+
+static void
+on_report(void *ctx, DepUpstream *report)
+{
+    AskCtx *a = ctx;
+    log_report(a->upstream, report);
+    mp_on_report(a->g->placement, bg_boot_ms(), a->upstream, report);
+    dep_destroy_upstream(report);
+    g_free(a->upstream);
+    g_free(a);
+}
+
+void
+gn_ask_upstream(void *ctx, const DepUpstream *of)
+{
+    AskCtx *a = g_new0(AskCtx, 1);
+    a->g = ctx;
+    a->upstream = g_strdup(of->id);
+    pf_fetch_report(a->g->pool, of, on_report, a);
+}
+
+static GPtrArray *
+copy_residents(const GPtrArray *models)
+{
+    DepUpstream *u = dep_create_upstream();
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        DepResident *c = dep_add_resident(u, r->name);
+        for (guint j = 0; j < r->adapters->len; j++) {
+            g_ptr_array_add(c->adapters, g_strdup(r->adapters->pdata[j]));
+        }
+    }
+    GPtrArray *list = u->models;
+    u->models = g_ptr_array_new();
+    dep_destroy_upstream(u);
+    return list;
+}
+
+typedef enum { TELL_URGENT, TELL_ALL, TELL_ONE } Tell;
+
+/* ONE: of TELL_ONE. */
+static void
+send_placement(Gateway *g, Tell to, LkPeer *one, const char *upstream,
+               const GPtrArray *models)
+{
+    Gwp__Placement m = GWP__PLACEMENT__INIT;
+    Gwp__Resident *list = g_new0(Gwp__Resident, models->len + 1);
+    Gwp__Resident **refs = g_new0(Gwp__Resident *, models->len + 1);
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        gwp__resident__init(&list[i]);
+        list[i].model = r->name;
+        list[i].n_adapters = r->adapters->len;
+        list[i].adapters = (char **)r->adapters->pdata;
+        refs[i] = &list[i];
+    }
+    m.upstream = (char *)upstream;
+    m.n_residents = models->len;
+    m.residents = refs;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_PLACEMENT;
+    f.placement = &m;
+    if (to != TELL_URGENT) {
+        lk_send_down(g->links, to == TELL_ONE ? one : NULL, &f);
+    }
+    else {
+        lk_send_urgent(g->links, &f);
+    }
+    g_free(refs);
+    g_free(list);
+}
+
+/* Gateways where callers wait are told at once, the others with the next
+   beat: one frame a change and gateway would be most of the placing VM's
+   work with many gateways and adapters. */
+void
+gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models)
+{
+    Gateway *g = ctx;
+    GPtrArray *copy = copy_residents(models);
+    send_placement(g, TELL_URGENT, NULL, upstream, models);
+    g_hash_table_replace(g->untold, g_strdup(upstream),
+                         copy_residents(models));
+    ut_on_placement(g->upstreams, bg_boot_ms(), upstream, copy);
+    g->dirty = true;
+}
+
+void
+gn_tell_the_rest(Gateway *g)
+{
+    GHashTableIter it;
+    gpointer upstream;
+    gpointer models;
+    g_hash_table_iter_init(&it, g->untold);
+    while (g_hash_table_iter_next(&it, &upstream, &models)) {
+        send_placement(g, TELL_ALL, NULL, upstream, models);
+    }
+    g_hash_table_remove_all(g->untold);
+}
+
+typedef struct {
+    Gateway *g;
+    LkPeer *to;
+} Newcomer;
+
+static void
+tell_one(void *ctx, const char *upstream, const GPtrArray *models)
+{
+    const Newcomer *n = ctx;
+    send_placement(n->g, TELL_ONE, n->to, upstream, models);
+}
+
+/* All that is placed, to it alone: telling everybody at each arrival would be
+   many times the placing VM's time when all arrive at once, after it took
+   over; it would lose the lease again. */
+void
+gn_tell_newcomer(Gateway *g, LkPeer *peer)
+{
+    Newcomer n = {g, peer};
+    if (g->placing) {
+        mp_visit_placed(g->placement, bg_boot_ms(), tell_one, &n);
+    }
+}
+
+void
+gn_free_residents(void *p)
+{
+    g_ptr_array_free(p, TRUE);
+}
--- /dev/null
+++ b/src/gn_store.c
@@ -0,0 +1,352 @@
+#include "gn.h"
+
+#include "../platform/pf_store.h"
+#include "../platform/pf_wire.h"
+
+#include <string.h>
+
+/* A read of the configuration is held open for so long.  It ends with the
+   first change; a silent connection costs this long to be noticed. */
+#define CONFIG_WAIT_MS 1500
+#define CONFIG_PAUSE_MS 5 /* and the next one begins */
+/* An upstream's entry is seen this late at most; well under the time in
+   which one that leaves may still get work. */
+#define UPSTREAM_PAUSE_MS 500
+/* While linked to the placing VM, which passes news on, the store is asked
+   this seldom: calls are dear, and 400 VMs would not fit its limits. */
+#define LINKED_CONFIG_WAIT_MS 10000
+#define LINKED_UPSTREAM_PAUSE_MS 5000
+#define PLACING_UPSTREAM_PAUSE_MS 250
+/* Callers wait for a model and no link to the placing VM is open: entries are
+   all that tells of loads that end. */
+#define ALONE_PAUSE_MS 200
+/* News that the placing VM told of must have come from the store by then. */
+#define BEHIND_MS 250
+
+/* ---- configuration ------------------------------------------------------ */
+
+/* C is taken over; WRITTEN is as it stands in the store. */
+void
+gn_use_config(Gateway *g, DepConfig *c, GBytes *written)
+{
+    if (g->config_bytes) {
+        g_bytes_unref(g->config_bytes);
+    }
+    g->config_bytes = g_bytes_ref(written);
+    dep_unref_config(g->config);
+    g->config = c;
+    g->config_ms = bg_boot_ms();
+    gw_on_config(g->gw, c);
+    mp_on_config(g->placement, c);
+    HtLimits limits = {c->max_header_bytes, c->max_body_bytes,
+                       c->header_timeout_ms, c->idle_timeout_ms};
+    ht_set_limits(g->front, &limits);
+    g->dirty = true;
+    JlLine *l = jl_begin("config-taken");
+    jl_number(l, "version", (int64_t)c->version);
+    jl_number(l, "routes", c->routes->len);
+    jl_end(l);
+}
+
+static DepConfig *
+decode_record(const StRecord *r)
+{
+    gsize len;
+    const void *data = g_bytes_get_data(r->value, &len);
+    g_autoptr(GError) err = NULL;
+    DepConfig *c = pf_decode_config(data, len, &err);
+    if (!c) {
+        bg_log(BG_WARN, "config", "offset %llu not taken: %s",
+               (unsigned long long)r->offset, err->message);
+    }
+    return c;
+}
+
+/* Of several versions the highest is taken at once; what came in force never
+   goes back. */
+static void
+on_config_records(void *ctx, const GPtrArray *records, bool whole)
+{
+    (void)whole;
+    Gateway *g = ctx;
+    DepConfig *best = NULL;
+    GBytes *written = NULL;
+    for (guint i = 0; i < records->len; i++) {
+        const StRecord *r = records->pdata[i];
+        DepConfig *c = strcmp(r->key, "config") == 0 && r->value
+                           ? decode_record(r)
+                           : NULL;
+        bool newer = c && c->version > (best        ? best->version
+                                        : g->config ? g->config->version
+                                                    : 0);
+        if (newer) {
+            dep_unref_config(best);
+            best = c;
+            written = r->value;
+        }
+        else {
+            dep_unref_config(c);
+        }
+    }
+    if (best) {
+        gn_use_config(g, best, written);
+    }
+}
+
+/* ---- upstreams ---------------------------------------------------------- */
+
+static void
+log_upstream(const char *event, const DepUpstream *u)
+{
+    JlLine *l = jl_begin(event);
+    jl_text(l, "upstream", u->id);
+    jl_text(l, "service", u->service);
+    jl_text(l, "address", u->address);
+    jl_number(l, "sequence", (int64_t)u->sequence);
+    jl_end(l);
+}
+
+void
+gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id)
+{
+    JlLine *l = jl_begin("upstream-gone");
+    jl_text(l, "upstream", id);
+    jl_end(l);
+    g_hash_table_remove(g->entries, id);
+    ut_on_gone(g->upstreams, now_ms, id);
+    mp_on_gone(g->placement, id);
+}
+
+/* To the gateways that are linked to us, which seldom ask the store. */
+static void
+pass_entry_on(Gateway *g, const StRecord *r)
+{
+    if (!g->placing) {
+        return;
+    }
+    Gwp__Entry e = GWP__ENTRY__INIT;
+    gsize len = 0;
+    e.upstream = r->key;
+    e.value.data =
+        r->value ? (uint8_t *)g_bytes_get_data(r->value, &len) : NULL;
+    e.value.len = len;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_ENTRY;
+    f.entry = &e;
+    lk_send_down(g->links, NULL, &f);
+}
+
+/* True: others should know, too: it is new, another, or it leaves. */
+bool
+gn_take_upstream(Gateway *g, uint64_t now_ms, const StRecord *r)
+{
+    gsize len;
+    const void *data = g_bytes_get_data(r->value, &len);
+    g_autoptr(GError) err = NULL;
+    DepUpstream *u = pf_decode_upstream(r->key, data, len, &err);
+    g_hash_table_replace(g->entries, g_strdup(r->key), g_bytes_ref(r->value));
+    if (!u) {
+        JlLine *l = jl_begin("entry-not-taken");
+        jl_text(l, "upstream", r->key);
+        jl_text(l, "why", err->message);
+        jl_end(l);
+        /* It names no upstream, so what it named before is no more. */
+        ut_on_gone(g->upstreams, now_ms, r->key);
+        mp_on_gone(g->placement, r->key);
+        return true;
+    }
+    bool draining = u->draining;
+    if (draining) {
+        log_upstream("upstream-leaves", u);
+    }
+    mp_on_entry(g->placement, now_ms, u);
+    return ut_on_entry(g->upstreams, now_ms, u) || draining;
+}
+
+static gboolean
+is_not_in(gpointer id, gpointer entry, gpointer ids)
+{
+    (void)entry;
+    return !g_hash_table_contains(ids, id);
+}
+
+static void
+on_upstream_records(void *ctx, const GPtrArray *records, bool whole)
+{
+    Gateway *g = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < records->len; i++) {
+        const StRecord *r = records->pdata[i];
+        if (r->value) {
+            g_hash_table_add(ids, r->key);
+            if (gn_take_upstream(g, now_ms, r)) {
+                pass_entry_on(g, r);
+            }
+            continue;
+        }
+        gn_drop_upstream(g, now_ms, r->key);
+        pass_entry_on(g, r);
+    }
+    if (whole) {
+        g_hash_table_foreach_remove(g->entries, is_not_in, ids);
+        ut_keep_only(g->upstreams, now_ms, ids);
+        mp_keep_only(g->placement, ids);
+    }
+    g->dirty = g->dirty || records->len > 0;
+}
+
+static void
+log_reach(const char *what, bool reached)
+{
+    JlLine *l = jl_begin(reached ? "store-reached" : "store-lost");
+    jl_text(l, "topic", what);
+    jl_end(l);
+}
+
+static void
+on_config_reach(void *ctx, bool reached)
+{
+    (void)ctx;
+    log_reach("config", reached);
+}
+
+static void
+on_upstream_reach(void *ctx, bool reached)
+{
+    (void)ctx;
+    log_reach("upstreams", reached);
+}
+
+/* ---- lease -------------------------------------------------------------- */
+
+static void
+on_lease_read(void *ctx, const StReply *r)
+{
+    Gateway *g = ctx;
+    const char *value = NULL;
+    g_autofree char *text = NULL;
+    uint64_t offset = 0;
+    if (r->end == ST_OK && r->records->len > 0) {
+        const StRecord *newest = r->records->pdata[0];
+        for (guint i = 1; i < r->records->len; i++) {
+            const StRecord *x = r->records->pdata[i];
+            newest = x->offset > newest->offset ? x : newest;
+        }
+        gsize len = 0;
+        const char *data =
+            newest->value ? g_bytes_get_data(newest->value, &len) : "";
+        text = g_strndup(data, len);
+        value = text;
+        offset = newest->offset;
+    }
+    ls_on_read(g->lease, bg_boot_ms(), r->end, value, offset, r->tail);
+}
+
+static void
+list_lease(Gateway *g)
+{
+    g->store->ops->list(g->store, ST_OWNER, NULL, on_lease_read, g);
+}
+
+static void
+on_lease_tail(void *ctx, const StReply *r)
+{
+    if (r->end == ST_TRIMMED) {
+        list_lease(ctx);
+        return;
+    }
+    on_lease_read(ctx, r);
+}
+
+void
+gn_read_lease(void *ctx, uint64_t from)
+{
+    Gateway *g = ctx;
+    if (from == 0) {
+        list_lease(g);
+        return;
+    }
+    g->store->ops->read(g->store, ST_OWNER, from, 0, on_lease_tail, g);
+}
+
+static void
+on_lease_append(void *ctx, const StReply *r)
+{
+    Gateway *g = ctx;
+    ls_on_append(g->lease, bg_boot_ms(), r->end, r->offset, r->tail);
+}
+
+void
+gn_append_lease(void *ctx, uint64_t at, const char *value)
+{
+    Gateway *g = ctx;
+    g->store->ops->append(g->store, ST_OWNER, at, "owner", value,
+                          strlen(value), on_lease_append, g);
+}
+
+void
+gn_on_lease_changed(void *ctx)
+{
+    Gateway *g = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    bool holds = g->lease && ls_is_holder(g->lease, now_ms);
+    const char *address = g->lease ? ls_get_holder_address(g->lease) : NULL;
+    if (!address && g->has_snapshot && !st_is_reached(g->upstream_watch)) {
+        return; /* another gateway's word stands until the store answers */
+    }
+    lk_set_target(g->links, holds ? NULL : address);
+}
+
+/* ---- how often the store is asked ----------------------------------------
+ */
+
+/* How often the store is asked, by whether others tell us its news. */
+void
+gn_follow_store(Gateway *g)
+{
+    bool linked = lk_is_open(g->links) && !g->placing && g->placer_reads;
+    st_set_wait(g->config_watch,
+                linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
+    st_set_pause(g->upstream_watch, linked       ? LINKED_UPSTREAM_PAUSE_MS
+                                    : g->placing ? PLACING_UPSTREAM_PAUSE_MS
+                                                 : UPSTREAM_PAUSE_MS);
+}
+
+/* A newer configuration was told of; our own read should have ended with it
+   by now. */
+void
+gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version)
+{
+    if (g->config && version <= g->config->version) {
+        g->behind_ms = 0;
+    }
+    else if (g->behind_ms == 0) {
+        g->behind_ms = now_ms;
+    }
+    else if (now_ms > g->behind_ms + BEHIND_MS) {
+        g->behind_ms = 0;
+        ht_drop_kept(g->pool, gn_get_text(g, "store"));
+        st_restart(g->config_watch);
+    }
+}
+
+void
+gn_watch_store(Gateway *g)
+{
+    g->store = pf_create_store(g->pool, gn_get_text(g, "store"));
+    StWatchParams config = {ST_CONFIG, "config", CONFIG_WAIT_MS,
+                            CONFIG_PAUSE_MS};
+    StWatchHandler on_config = {g, on_config_records, on_config_reach};
+    g->config_watch = st_create_watch(g->loop, g->store, &config, &on_config);
+    StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, UPSTREAM_PAUSE_MS};
+    StWatchHandler on_ups = {g, on_upstream_records, on_upstream_reach};
+    g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
+}
+
+void
+gn_hurry_store(Gateway *g, bool hurry)
+{
+    st_set_pause(g->upstream_watch,
+                 hurry ? ALONE_PAUSE_MS : UPSTREAM_PAUSE_MS);
+}
--- a/src/ht.c
+++ b/src/ht.c
@@ -1,14 +1,6 @@
 #include "ht_int.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-
-/* Unacknowledged bytes for so long: the far end or the path is dead. */
-#define USER_TIMEOUT_MS 4000
 
 /* ---- messages ----------------------------------------------------------- */
 
@@ -119,50 +111,3 @@
     const char *listed = ht_find_header(head, "Connection");
     return listed && is_listed(listed, name);
 }
-
-/* ---- sockets ------------------------------------------------------------ */
-
-bool
-ht_parse_address(const char *text, struct sockaddr_in *out)
-{
-    char host[64];
-    const char *colon = strrchr(text, ':');
-    if (!colon || (size_t)(colon - text) >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    long port = strtol(colon + 1, NULL, 10);
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    out->sin_port = htons((uint16_t)port);
-    return port > 0 && port < 65536 &&
-           inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
-void
-ht_tune_socket(int fd)
-{
-    int on = 1;
-    unsigned int user_ms = USER_TIMEOUT_MS;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms, sizeof(user_ms));
-}
-
-/* Bytes on their way are dropped instead of being delivered later, when a
-   cut link heals: whoever gave a call up has acted on that. */
-void
-ht_reset_on_close(int fd)
-{
-    struct linger off = {1, 0};
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &off, sizeof(off));
-}
-
-bool
-ht_is_closed_by_peer(int fd)
-{
-    char byte;
-    ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
-}
--- a/src/ht_int.h
+++ b/src/ht_int.h
@@ -1,5 +1,5 @@
 /* ht_int: what the server and the pool of ht share: messages as the parser
-   hands them over in pieces, and sockets. */
+   hands them over in pieces. */
 #ifndef HT_INT_H
 #define HT_INT_H
 
@@ -25,11 +25,4 @@
 /* The head was parsed whole. */
 void ht_finish_head(HtMessage *m, const http_parser *p);
 
-struct sockaddr_in;
-/* IP:PORT; false when it is something else. */
-bool ht_parse_address(const char *text, struct sockaddr_in *out);
-void ht_tune_socket(int fd);
-bool ht_is_closed_by_peer(int fd);
-void ht_reset_on_close(int fd);
-
 #endif
--- a/src/ht_pool.c
+++ b/src/ht_pool.c
@@ -1,6 +1,6 @@
 #include "ht_int.h"
+#include "so.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -294,10 +294,7 @@
     (void)events;
     Wire *w = watch->data;
     if (w->connecting) {
-        int e = 0;
-        socklen_t len = sizeof(e);
-        getsockopt(w->fd, SOL_SOCKET, SO_ERROR, &e, &len);
-        if (e != 0) {
+        if (!so_is_connected(w->fd)) {
             break_wire(w, HT_NOT_SENT);
             return;
         }
@@ -314,20 +311,10 @@
 static Wire *
 open_wire(HtPool *p, const char *address)
 {
-    struct sockaddr_in addr;
-    if (!ht_parse_address(address, &addr)) {
-        return NULL;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int fd = so_connect(address);
     if (fd < 0) {
         return NULL;
     }
-    ht_tune_socket(fd);
-    if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 &&
-        errno != EINPROGRESS) {
-        close(fd);
-        return NULL;
-    }
     Wire *w = g_new0(Wire, 1);
     w->pool = p;
     w->address = g_strdup(address);
@@ -361,7 +348,7 @@
             best = w;
         }
     }
-    return best && !ht_is_closed_by_peer(best->fd) ? best : NULL;
+    return best && !so_is_closed_by_peer(best->fd) ? best : NULL;
 }
 
 static void
@@ -455,7 +442,7 @@
     Wire *w = call->wire;
     w->call = NULL;
     free_call(call);
-    ht_reset_on_close(w->fd);
+    so_reset_on_close(w->fd);
     w->cancelled = true;
     if (!w->parsing) {
         close_wire(w);
@@ -490,7 +477,7 @@
     Wire *w;
     while ((w = find_overdue(p, now_ms))) {
         if (w->call) {
-            ht_reset_on_close(w->fd);
+            so_reset_on_close(w->fd);
             break_wire(w, HT_NOT_SENT);
         }
         else {
--- a/src/ht_server.c
+++ b/src/ht_server.c
@@ -1,6 +1,6 @@
 #include "ht_int.h"
+#include "so.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,7 +11,6 @@
 /* bytes held behind an open request */
 #define LINGER_MS 1000 /* for the client to take the last answer */
 /* for the client to take the last answer */
-#define BACKLOG 512 /* a full queue drops opening packets for seconds */
 /* no timeout was told */
 #define DEFAULT_HEADER_BYTES (64 * 1024)
 #define DEFAULT_BODY_BYTES (64u * 1024 * 1024)
@@ -297,7 +296,6 @@
     c->behind = g_byte_array_new();
     c->out = g_byte_array_new();
     c->since_ms = bg_boot_ms();
-    ht_tune_socket(fd);
     start_parser(c);
     ev_io_init(&c->read_watch, on_conn_readable, fd, EV_READ);
     ev_io_init(&c->write_watch, on_conn_writable, fd, EV_WRITE);
@@ -315,8 +313,7 @@
     (void)events;
     HtServer *s = w->data;
     int fd;
-    while ((fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
-           0) {
+    while ((fd = so_accept(s->fd)) >= 0) {
         accept_one(s, fd);
     }
 }
@@ -325,21 +322,8 @@
 ht_listen(struct ev_loop *loop, const char *address, const HtHandler *handler,
           GError **err)
 {
-    struct sockaddr_in addr;
-    if (!ht_parse_address(address, &addr)) {
-        g_set_error(err, BG_ERROR, BG_ERR_INVALID, "%s: not IP:PORT", address);
-        return NULL;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (fd < 0 || bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
-        listen(fd, BACKLOG) != 0) {
-        g_set_error(err, BG_ERROR, BG_ERR_AWAY, "%s: %s", address,
-                    g_strerror(errno));
-        if (fd >= 0) {
-            close(fd);
-        }
+    int fd = so_listen(address, err);
+    if (fd < 0) {
         return NULL;
     }
     HtServer *s = g_new0(HtServer, 1);
@@ -456,7 +440,7 @@
 bool
 ht_is_gone(const HtExchange *x)
 {
-    return ht_is_closed_by_peer(x->conn->fd);
+    return so_is_closed_by_peer(x->conn->fd);
 }
 
 static const char *
--- a/src/lk.c
+++ b/src/lk.c
@@ -1,9 +1,9 @@
 #include "lk.h"
 
+#include "so.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -45,19 +45,6 @@
     uint64_t next_connect_ms;
 };
 
-static bool
-parse_address(const char *text, struct sockaddr_in *out)
-{
-    g_auto(GStrv) parts = g_strsplit(text, ":", 2);
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    if (g_strv_length(parts) != 2) {
-        return false;
-    }
-    out->sin_port = htons((uint16_t)strtoul(parts[1], NULL, 10));
-    return inet_pton(AF_INET, parts[0], &out->sin_addr) == 1;
-}
-
 static void
 close_peer(LkPeer *p)
 {
@@ -183,10 +170,7 @@
     (void)events;
     LkPeer *p = w->data;
     if (p->connecting) {
-        int e = 0;
-        socklen_t len = sizeof(e);
-        getsockopt(p->fd, SOL_SOCKET, SO_ERROR, &e, &len);
-        if (e != 0) {
+        if (!so_is_connected(p->fd)) {
             close_peer(p);
             return;
         }
@@ -209,8 +193,6 @@
     p->out = g_byte_array_new();
     p->vm = g_strdup("");
     p->heard_ms = bg_boot_ms();
-    int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     ev_io_init(&p->read_watch, on_readable, fd, EV_READ);
     ev_io_init(&p->write_watch, on_writable, fd, EV_WRITE);
     p->read_watch.data = p;
@@ -224,8 +206,7 @@
     (void)events;
     Lk *l = w->data;
     int fd;
-    while ((fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
-           0) {
+    while ((fd = so_accept(l->fd)) >= 0) {
         LkPeer *p = create_peer(l, fd);
         g_queue_push_tail(&l->peers, p);
         p->link = l->peers.tail;
@@ -238,16 +219,8 @@
 lk_create(struct ev_loop *loop, const char *listen_address, const char *vm,
           const char *process, const LkHandler *handler, GError **err)
 {
-    struct sockaddr_in addr;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (!parse_address(listen_address, &addr) ||
-        bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
-        listen(fd, 256) != 0) {
-        g_set_error(err, BG_ERROR, BG_ERR_AWAY, "%s: %s", listen_address,
-                    g_strerror(errno));
-        close(fd);
+    int fd = so_listen(listen_address, err);
+    if (fd < 0) {
         return NULL;
     }
     Lk *l = g_new0(Lk, 1);
@@ -356,20 +329,11 @@
 static void
 connect_up(Lk *l, uint64_t now_ms)
 {
-    struct sockaddr_in addr;
     l->next_connect_ms = now_ms + RECONNECT_MS;
-    if (!parse_address(l->target, &addr)) {
-        return;
-    }
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int fd = so_connect(l->target);
     if (fd < 0) {
         return;
     }
-    if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 &&
-        errno != EINPROGRESS) {
-        close(fd);
-        return;
-    }
     l->up = create_peer(l, fd);
     l->up->ours = true;
     l->up->connecting = true;
--- a/src/mp.c
+++ b/src/mp.c
@@ -52,8 +52,8 @@
     g_free(u);
 }
 
-static void
-free_want(void *p)
+void
+mp_free_want(void *p)
 {
     MpWant *w = p;
     g_free(w->model);
@@ -61,8 +61,8 @@
     g_free(w);
 }
 
-static void
-free_use(void *p)
+void
+mp_free_use(void *p)
 {
     MpUse *u = p;
     g_free(u->upstream);
@@ -415,8 +415,8 @@
     Gateway *g = g_new0(Gateway, 1);
     bool waits = false;
     g->said_ms = now_ms;
-    g->wants = g_ptr_array_new_with_free_func(free_want);
-    g->uses = g_ptr_array_new_with_free_func(free_use);
+    g->wants = g_ptr_array_new_with_free_func(mp_free_want);
+    g->uses = g_ptr_array_new_with_free_func(mp_free_use);
     for (guint i = 0; i < wants->len; i++) {
         const MpWant *w = wants->pdata[i];
         waits = waits || w->waiting > 0;
--- a/src/mp.h
+++ b/src/mp.h
@@ -52,6 +52,9 @@
     char *adapter;
 } MpUse;
 
+void mp_free_want(void *want);
+void mp_free_use(void *use);
+
 typedef struct {
     void *ctx;
     /* Answered by mp_on_order_end; one at a time for each upstream. */
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -28,6 +28,33 @@
         assert ask(g, "read")[0] == 200
 
 
+def test_start_without_the_store(build):
+    """The store is away when a gateway starts: it takes the configuration and
+    the upstreams from another one, serves by them, and follows the store as
+    soon as that is back."""
+    with Cluster(build, gateways=2) as c:
+        first = c.placer()
+        other = [g for g in c.gateways if g is not first][0]
+        other.proc.kill()
+        other.proc.wait()
+        with open(other.settings, encoding="utf-8") as f:
+            text = f.read()
+        with open(other.settings, "w", encoding="utf-8") as f:
+            f.write(text.replace("[bounds]", "seeds = 127.0.0.1:%d,127.0.0.1"
+                                 ":%d\n[bounds]" % (other.control,
+                                                    first.control)))
+        c.store.mode = "busy"
+        other.start()
+        wait_until(other.is_ready, limit_s=4)
+        assert ask(other, "read")[0] == 200
+        assert ask(other, "chat", "m0")[0] == 200
+        assert ask(other, "none")[0] == 404
+        c.store.put_config(config(21))
+        c.store.mode = "up"
+        wait_until(lambda: other.dump()["config"] == 21, limit_s=3)
+        assert ask(other, "read")[0] == 200
+
+
 def test_newest_configuration_in_force_and_never_an_older(build):
     with Cluster(build, gateways=2) as c:
         c.store.put_config(config(10, [route("new", "app", "idempotent")]))
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -45,7 +45,7 @@
                    if ".pb-c." not in p)
     adapter = count("platform/*.[ch]")
     gateway = sum(count("src/%s.[ch]" % name) for name in (
-        "ht*", "st", "dep", "ls", "rb", "ut", "mp*", "lk", "gw*", "jl",
+        "ht*", "so", "gn*", "st", "dep", "ls", "rb", "ut", "mp*", "lk", "gw*", "jl",
         "main_gateway"))
     print("platform/ %d lines, gateway %d lines" % (adapter, gateway))
     assert adapter * 4 < gateway
