--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -276,8 +276,9 @@
     else {
         /* Whatever silenced the link may have silenced the others. */
         ht_drop_kept(g->pool, gn_get_text(g, "store"));
-        st_restart(g->config_watch);
-        st_restart(g->upstream_watch);
+        uint64_t now_ms = bg_boot_ms();
+        st_restart(g->config_watch, now_ms, 0);
+        st_restart(g->upstream_watch, now_ms, 0);
         ut_forget_placement(g->upstreams);
     }
 }
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -22,6 +22,7 @@
 #define ALONE_PAUSE_MS 200
 /* News that the placing VM told of must have come from the store by then. */
 #define BEHIND_MS 250
+#define SLOW_CALL_MS 1000 /* a call as old as this may be silent */
 
 /* ---- configuration ------------------------------------------------------ */
 
@@ -327,7 +328,7 @@
     else if (now_ms > g->behind_ms + BEHIND_MS) {
         g->behind_ms = 0;
         ht_drop_kept(g->pool, gn_get_text(g, "store"));
-        st_restart(g->config_watch);
+        st_restart(g->config_watch, now_ms, SLOW_CALL_MS);
     }
 }
 
--- a/src/gw.c
+++ b/src/gw.c
@@ -58,7 +58,6 @@
     uint64_t first_by_ms; /* the caller leaves when it has nothing by then */
     ReqState state;
     const char *waits_for; /* for the log */
-    bool lacks_model;      /* waiting: nobody holds even the model */
     uint64_t wait_from_ms;
     GList *link; /* in the gateway's requests */
 
@@ -69,26 +68,28 @@
     uint64_t sent_ms;
     uint64_t first_ms; /* 0: no byte of an answer yet */
     uint64_t heard_ms;
-    bool not_run; /* the answer says so */
-    uint16_t status;
-    bool takes_stream; /* its events go to the caller */
 
     uint32_t sends; /* that reached an upstream */
     uint32_t runs;  /* that may have run */
-    bool paid;      /* the next send is already counted as a repeat */
 
     /* the answer, if it is not passed on as it comes */
     GString *head;
     GByteArray *body;
     /* a failure that an upstream answered, kept while another is tried */
-    uint16_t kept_status;
     GString *kept_head;
     GByteArray *kept_body;
 
     /* the stream that is passed on */
-    bool streaming;
     GString *partial; /* bytes of an event that is not whole */
     int64_t last_event;
+
+    uint16_t status;      /* of the answer to the call that is out */
+    uint16_t kept_status; /* of the kept failure */
+    bool lacks_model;     /* waiting: nobody holds even the model */
+    bool not_run;         /* the upstream says so */
+    bool takes_stream;    /* events of the call go to the caller */
+    bool streaming;       /* the stream's head is out */
+    bool paid;            /* the next send is already counted as a repeat */
 } Req;
 
 typedef struct {
--- a/src/ht_pool.c
+++ b/src/ht_pool.c
@@ -455,19 +455,22 @@
     return call->sent > 0;
 }
 
-/* One whose time is over, or NULL. */
+/* 0 when the time of WIRE is over at NOW_MS. */
+static gint
+compare_overdue(gconstpointer wire, gconstpointer now_ms)
+{
+    const Wire *w = wire;
+    uint64_t age_ms = *(const uint64_t *)now_ms - w->since_ms;
+    bool overdue = w->call ? w->connecting && age_ms > w->call->connect_ms
+                           : age_ms >= w->keep_ms;
+    return overdue ? 0 : 1;
+}
+
 static Wire *
-find_overdue(const HtPool *p, uint64_t now_ms)
+find_overdue(HtPool *p, uint64_t now_ms)
 {
-    for (GList *l = p->wires.head; l; l = l->next) {
-        Wire *w = l->data;
-        uint64_t age_ms = now_ms - w->since_ms;
-        if (w->call ? w->connecting && age_ms > w->call->connect_ms
-                    : age_ms >= w->keep_ms) {
-            return w;
-        }
-    }
-    return NULL;
+    GList *found = g_queue_find_custom(&p->wires, &now_ms, compare_overdue);
+    return found ? found->data : NULL;
 }
 
 /* A handler may open and close connections, so each look begins anew. */
--- a/src/st.c
+++ b/src/st.c
@@ -37,6 +37,7 @@
     ev_timer timer; /* the next call */
     BgRandom rng;
     uint64_t answered_ms; /* 0: never */
+    uint64_t asked_ms;    /* of the call that is out */
     bool listed;
     bool listing; /* a listing is under way */
     bool reached;
@@ -174,9 +175,14 @@
 {
     w->asking = g_new0(Ask, 1);
     w->asking->watch = w;
+    w->asked_ms = bg_boot_ms();
     if (!w->listing) {
+        /* A store that did not answer last time may be silent: a read held
+           open would find that out, and its return, only when its time is
+           over. */
         w->store->ops->read(w->store, w->params.topic, w->next,
-                            w->params.wait_ms, on_reply, w->asking);
+                            w->reached ? w->params.wait_ms : 0, on_reply,
+                            w->asking);
         return;
     }
     const char *after = NULL;
@@ -224,8 +230,11 @@
 }
 
 void
-st_restart(StWatch *w)
+st_restart(StWatch *w, uint64_t now_ms, uint32_t min_age_ms)
 {
+    if (w->asking && now_ms < w->asked_ms + min_age_ms) {
+        return;
+    }
     forget_ask(w);
     ask_after(w, 0);
 }
--- a/src/st.h
+++ b/src/st.h
@@ -86,8 +86,9 @@
 void st_destroy_watch(StWatch *w);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
 void st_set_wait(StWatch *w, uint32_t wait_ms);
-/* Forget the call that is out, which may be silent, and ask anew. */
-void st_restart(StWatch *w);
+/* Forget the call that is out, which may be silent, and ask anew; a call that
+   is younger than MIN_AGE_MS may just be slow and is left. */
+void st_restart(StWatch *w, uint64_t now_ms, uint32_t min_age_ms);
 /* A first listing has come. */
 bool st_is_listed(const StWatch *w);
 bool st_is_reached(const StWatch *w);
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -67,6 +67,23 @@
             assert ask(g, "read")[0] == 404
 
 
+def test_configuration_after_a_silent_outage(build):
+    """The store says nothing for seconds and is back: a configuration written
+    then is in force within two seconds also at a gateway that seldom asks,
+    because it is linked to the placing one."""
+    with Cluster(build, gateways=2) as c:
+        c.placer()
+        wait_until(c.all_linked)
+        c.store.mode = "silent"
+        time.sleep(5)
+        c.store.mode = "up"
+        c.store.put_config(config(40))
+        written = now()
+        for g in c.gateways:
+            wait_until(lambda g=g: g.dump()["config"] == 40)
+        assert now() - written < 2.0
+
+
 def test_configuration_after_history_was_dropped(build):
     with Cluster(build) as c:
         c.store.put_config(config(11))
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -81,6 +81,7 @@
         uint64_t tail;
         GPtrArray *r = pf_decode_records(b->data, b->len, 0, &tail);
         CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+        g_assert(r != NULL);
         CU_ASSERT_EQUAL(r->len, 0);
         g_ptr_array_free(r, TRUE);
         g_byte_array_free(b, TRUE);
@@ -164,6 +165,7 @@
     g_autoptr(GError) err = NULL;
     DepConfig *c = pf_decode_config(text, strlen(text), &err);
     CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+    g_assert(c != NULL);
     CU_ASSERT_EQUAL(c->version, 9);
     const DepRoute *r = dep_find_route(c, "h.example", "/a/b");
     CU_ASSERT_PTR_NOT_NULL_FATAL(r);
