--- a/src/gw.c
+++ b/src/gw.c
@@ -230,7 +230,7 @@
 static void
 give_up(Req *q, uint32_t retry_ms, const char *why)
 {
-    if (q->kept_head) {
+    if (q->kept_head && !q->streaming) {
         /* The upstream's own failure tells the caller more than ours. */
         HtExchange *x = q->x;
         g_autoptr(GString) head = g_steal_pointer(&q->kept_head);
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -231,6 +231,29 @@
     assert len(ran(one, rid)) == 1
 
 
+def test_failure_after_a_kept_failure(build):
+    """The first engine fails a stream with 500, which is kept while a second
+    one is tried.  That one breaks off in the middle of its events.  The caller
+    sees a stream that is visibly cut, not the kept 500 inside of it."""
+    with Cluster(build, models=(("m0",), ("m0",))) as c:
+        seen = []
+
+        def misbehave(engine, h, rid):
+            seen.append(engine.name)
+            if len(seen) == 1:
+                h.reply(500, {}, {"X-Attempt-Id": rid})
+            else:
+                engine.stream(h, rid, stop_after=2)
+            return True
+        for e in c.engines:
+            e.behave = misbehave
+        status, _, data, _ = ask(c.gateways[0], "chat", "m0")
+        assert len(seen) == 2
+        assert status == 200 and data.startswith(b"INCOMPLETE")
+        assert b"HTTP/1.1" not in data and events_of(
+            data.replace(b"INCOMPLETE ", b"")) == [0, 1]
+
+
 def test_caller_gone_ends_the_work(one):
     """The caller closes in the middle of a long stream.
     The engine's connection is closed within half a second."""
