--- a/src/gw.c
+++ b/src/gw.c
@@ -19,6 +19,8 @@
 /* Pause inside a stream after which it is resumed elsewhere, in pauses that
    the route allows; without that figure the fixed time. */
 #define SILENT_GAPS 2
+#define ALIVE_MS 700
+#define LESS_LOAD 0.5
 #define SILENT_GAP_MS 1000
 /* Kept connections older than this aren't used for what may not be sent
    twice: a close that crosses the request would lose it. */
@@ -39,6 +41,10 @@
 #define WAIT_LIFE_MS 1500  /* an estimate older than this is forgotten */
 /* Least time in which a model that has just come can still answer. */
 #define SERVE_MS 150
+/* On the wire 0 is first, 9 last, 5 usual. */
+#define FIRST_URGENCY 3
+#define URGENCY_STEP 2
+#define LAST_URGENCY 9
 #define MAX_SENDS 6 /* of one request, those that ran nothing included */
 
 typedef enum { REQ_WAITING, REQ_SENT } ReqState;
@@ -263,6 +269,14 @@
     g_string_append(out, "\r\n");
 }
 
+/* Upstreams take the more urgent first: the operators' highest rank goes
+   before the rank that is usual, each further one behind it. */
+static uint32_t
+get_urgency(const DepRoute *r)
+{
+    return MIN(FIRST_URGENCY + r->priority * URGENCY_STEP, LAST_URGENCY);
+}
+
 static GByteArray *
 build_request(const Req *q, uint64_t now_ms)
 {
@@ -288,6 +302,10 @@
     g_string_append_printf(head, "%s: %llu\r\n", w->deadline_ms,
                            (unsigned long long)left_ms);
     append_line(head, w->expected_upstream, ut_get_id(q->ut));
+    if (q->query.model) {
+        g_string_append_printf(head, "%s: %u\r\n", w->urgency,
+                               get_urgency(q->route));
+    }
     if (body->len > 0 || strcmp(in->method, "POST") == 0) {
         g_string_append_printf(head, "Content-Length: %u\r\n", body->len);
     }
@@ -880,7 +898,15 @@
     g_ptr_array_add(q->tried, q->ut);
     UtAnswer a = ut_choose(q->gw->upstreams, now_ms, &q->query, &other);
     g_ptr_array_set_size(q->tried, (gint)q->tried->len - 1);
-    return a == UT_FOUND && ut_get_running(other) < ut_get_running(q->ut) + 4;
+    if (a != UT_FOUND) {
+        return false;
+    }
+    /* One that answers others is busy, not dead: leaving it throws away the
+       place in its queue, which pays only where there is far less to do. */
+    bool lives = ut_get_heard_ms(q->ut) + ALIVE_MS > now_ms;
+    double here = ut_get_load(q->ut, now_ms);
+    double there = ut_get_load(other, now_ms);
+    return lives ? there + 2 < here * LESS_LOAD : there < here + 4;
 }
 
 static bool
--- a/src/ut.c
+++ b/src/ut.c
@@ -51,6 +51,7 @@
     uint32_t reported_slots;
     uint32_t told; /* running for other gateways, by the placing VM */
     uint64_t told_ms;
+    uint64_t heard_ms; /* it began an answer; 0: never */
     uint32_t failures; /* unreachable in a row */
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
@@ -297,8 +298,8 @@
                fade(u->told, u->told_ms, now_ms));
 }
 
-static double
-get_load(const Ut *u, uint64_t now_ms)
+double
+ut_get_load(const Ut *u, uint64_t now_ms)
 {
     return u->running + get_others(u, now_ms);
 }
@@ -315,7 +316,7 @@
 static double
 compute_cost(const UtSet *s, const Ut *u, uint64_t now_ms, const UtQuery *q)
 {
-    double cost = (get_load(u, now_ms) + 1) * get_handicap(u, now_ms);
+    double cost = (ut_get_load(u, now_ms) + 1) * get_handicap(u, now_ms);
     if (strcmp(u->entry->data_centre, s->data_centre) != 0) {
         /* A plain call is short: the way there is much of its time. */
         cost *= q->model ? REMOTE_COST : REMOTE_COST * 1.3;
@@ -509,6 +510,7 @@
         break;
     }
     if (first_ms) {
+        u->heard_ms = now_ms;
         note_first_byte(s, u, first_ms, q);
     }
     if (u->gone && u->running == 0) {
@@ -609,6 +611,12 @@
     return u->gone || u->leaving;
 }
 
+uint64_t
+ut_get_heard_ms(const Ut *u)
+{
+    return u->heard_ms;
+}
+
 uint32_t
 ut_get_running(const Ut *u)
 {
@@ -628,7 +636,7 @@
         const Ut *u = v;
         if (!u->leaving && strcmp(u->entry->service, service) == 0) {
             *slots += get_slots(u);
-            *taken += (uint32_t)get_load(u, now_ms);
+            *taken += (uint32_t)ut_get_load(u, now_ms);
         }
     }
 }
--- a/src/ut.h
+++ b/src/ut.h
@@ -87,6 +87,10 @@
 const DepUpstream *ut_get_entry(const Ut *u);
 bool ut_is_gone(const Ut *u);
 uint32_t ut_get_running(const Ut *u);
+/* Ours and what is known of others'. */
+double ut_get_load(const Ut *u, uint64_t now_ms);
+/* When it last began an answer to this gateway; 0: never. */
+uint64_t ut_get_heard_ms(const Ut *u);
 /* Requests of SERVICE that fit at once, and those that run or wait. */
 void ut_sum_load(const UtSet *s, uint64_t now_ms, const char *service,
                  uint32_t *slots, uint32_t *taken);
