--- a/src/mp.c
+++ b/src/mp.c
@@ -9,6 +9,8 @@
 #define SUM_MS 500            /* demand is summed at least this often */
 /* Uses of a model in so long make its rate. */
 #define RATE_MS 5000.
+#define LATE_SHARE 0.3 /* of its stated time: then a load is late */
+#define MOST_AT_ONCE 16
 #define TOLD_PAUSE_MS 400 /* between questions about a load that is late */
 #define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
 /* A report's numbers are of now, its lists of some 200 ms ago: what it lists
@@ -86,6 +88,7 @@
     Mp *m = g_new0(Mp, 1);
     m->params = *params;
     m->out = *out;
+    m->at_once = MAX(params->store_at_once, 1);
     m->ups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_up);
     m->gateways =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_gateway);
@@ -237,12 +240,15 @@
 
 /* An entry is written when a load ends. */
 static void
-finish_told_loads(Up *u, uint64_t now_ms, const DepUpstream *entry)
+finish_told_loads(Mp *m, Up *u, uint64_t now_ms, const DepUpstream *entry)
 {
     for (guint i = 0; i < entry->models->len; i++) {
         const DepResident *d = entry->models->pdata[i];
         Replica *r = mp_find_replica(u, d->name);
         if (r && r->ready_ms == WHEN_TOLD && entry->sequence >= u->sequence) {
+            if (!r->late && mp_count_store_loads(m) >= m->at_once) {
+                m->at_once = MIN(m->at_once + 1, MOST_AT_ONCE);
+            }
             r->ready_ms = now_ms;
             u->busy_until_ms = now_ms;
             u->told = false;
@@ -272,7 +278,7 @@
     dep_destroy_upstream(u->entry);
     u->entry = copy;
     g_hash_table_insert(m->ups, copy->id, u);
-    finish_told_loads(u, now_ms, entry);
+    finish_told_loads(m, u, now_ms, entry);
     /* Orders were accepted that we know nothing of. */
     if (u->known && !u->ordered && entry->sequence > u->sequence) {
         distrust(u, now_ms);
@@ -653,6 +659,8 @@
     if (!r) {
         r = add_replica(u, u->order_model, 0);
     }
+    r->ordered_ms = now_ms;
+    r->late = false;
     r->expected_ms = now_ms + u->order_load_ms;
     r->ready_ms = u->order_from_store ? WHEN_TOLD : r->expected_ms;
     r->used_ms = r->expected_ms;
@@ -789,6 +797,24 @@
     }
 }
 
+/* Beyond what the store serves at full speed all loads take longer, so none
+   of them comes in time: fewer at once, of those that are missed most. */
+static void
+learn_store(Mp *m, uint64_t now_ms, Up *u)
+{
+    for (guint i = 0; i < u->replicas->len; i++) {
+        Replica *r = u->replicas->pdata[i];
+        if (r->ready_ms != WHEN_TOLD || r->late) {
+            continue;
+        }
+        uint64_t stated_ms = r->expected_ms - r->ordered_ms;
+        if (now_ms > r->expected_ms + stated_ms * LATE_SHARE) {
+            r->late = true;
+            m->at_once = MAX(MIN(m->at_once, mp_count_store_loads(m)) / 2, 1);
+        }
+    }
+}
+
 static bool
 is_load_late(const Up *u, uint64_t now_ms)
 {
@@ -826,6 +852,7 @@
             continue;
         }
         doubt(m, now_ms, u);
+        learn_store(m, now_ms, u);
         if ((!u->known || is_load_late(u, now_ms)) && !u->asking &&
             !u->ordered && now_ms >= u->next_ask_ms) {
             u->asking = true;
@@ -966,8 +993,7 @@
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         if (w->none && !g_hash_table_contains(copied, w->model)) {
             uint32_t load_ms = get_longest_load_ms(m, w->model);
-            visit(ctx, w->model,
-                  load_ms * (1 + queued / MAX(m->params.store_at_once, 1)));
+            visit(ctx, w->model, load_ms * (1 + queued / m->at_once));
             queued++;
         }
     }
--- a/src/mp.h
+++ b/src/mp.h
@@ -67,7 +67,8 @@
 
 typedef struct {
     double store_loads_per_s; /* 0: as the service says */
-    uint32_t store_at_once;   /* loads from the weight store side by side */
+    uint32_t store_at_once;   /* loads from the weight store side by side, at
+                                 first: it is learnt */
     bool prefetch;            /* into room that nobody needs */
 } MpParams;
 
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -19,6 +19,8 @@
     char *name;
     uint64_t ready_ms;    /* usable from then on, or WHEN_TOLD */
     uint64_t expected_ms; /* when its load should end */
+    uint64_t ordered_ms;  /* when it was ordered */
+    bool late;            /* its load takes longer than it should */
     bool unloading;
     /* From the weight store, which takes longer the more loads it serves: not
        usable before the upstream says so. */
@@ -78,6 +80,9 @@
     GHashTable *rooms;       /* service -> MB kept free for adapters */
     uint64_t next_prefetch_ms;
     uint64_t summed_ms;
+    /* Loads that the weight store serves side by side at full speed, learnt
+       from how long they take. */
+    uint32_t at_once;
     /* Derived anew at each tick, or when demand changes. */
     bool demand_changed;
     GHashTable *counts; /* model -> usable upstreams with it, or to have it */
@@ -106,6 +111,7 @@
 
 /* mp_place.c */
 bool mp_can_use(const Mp *m, const Up *u);
+uint32_t mp_count_store_loads(const Mp *m);
 void mp_count_all_replicas(Mp *m);
 void mp_place_models(Mp *m, uint64_t now_ms);
 GHashTable *mp_list_copied(const Mp *m);
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -197,8 +197,8 @@
     return cost;
 }
 
-static uint32_t
-count_store_loads(const Mp *m)
+uint32_t
+mp_count_store_loads(const Mp *m)
 {
     uint32_t n = 0;
     GHashTableIter it;
@@ -231,7 +231,7 @@
                                                   : s->loads_per_s;
     return m->store_starts->len + 1 <=
                rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
-           count_store_loads(m) < m->params.store_at_once;
+           mp_count_store_loads(m) < m->at_once;
 }
 
 /* ---- orders ------------------------------------------------------------- */
@@ -505,7 +505,11 @@
 static void
 prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
 {
-    if (!may_start_store_load(m, now_ms, s)) {
+    /* Callers' loads go before: what is begun ahead of need holds the store
+       for as long as they would wait. */
+    bool scarce = m->at_once <= 1 && g_hash_table_size(m->demands) > 0;
+    if (scarce || mp_count_store_loads(m) >= MAX(m->at_once / 2, 1) ||
+        !may_start_store_load(m, now_ms, s)) {
         return;
     }
     g_autoptr(GHashTable) copied = mp_list_copied(m);
