--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -509,6 +509,7 @@
     Engine engines[ENGINES];
     int lose; /* answers of orders that are lost */
     bool refuse_unloads;
+    bool shared_store; /* loads side by side take as many times longer */
     int refused;
     bool overcommitted;
     uint64_t now_ms;
@@ -604,7 +605,11 @@
     e->used_mb += MODEL_MB;
     s->overcommitted = s->overcommitted || e->used_mb > ENGINE_MB;
     e->coming = g_strdup(e->order_model);
-    e->busy_until_ms = s->now_ms + 500;
+    uint64_t side_by_side = 1;
+    for (int i = 0; i < ENGINES; i++) {
+        side_by_side += s->engines[i].coming && &s->engines[i] != e;
+    }
+    e->busy_until_ms = s->now_ms + 500 * (s->shared_store ? side_by_side : 1);
     return MP_ORDER_TAKEN;
 }
 
@@ -842,6 +847,32 @@
     stop_site(&s);
 }
 
+/* The weight store serves one load at full speed and shares its rate among
+   more.  Eight models are asked for at once: after the first loads came late
+   they are taken one by one, so the first of them comes long before the last
+   would have let all come. */
+static void
+test_placement_learns_the_store(void)
+{
+    Site s;
+    start_site(&s, 8);
+    s.shared_store = true;
+    for (int i = 0; i < 8; i++) {
+        g_autofree char *gateway = g_strdup_printf("g%d", i);
+        g_autofree char *model = g_strdup_printf("m%d", i);
+        want(&s, gateway, model, NULL, 1);
+    }
+    run_site(&s, 300, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 4);
+    run_site(&s, 2000, true);
+    int loading = 0;
+    for (int i = 0; i < ENGINES; i++) {
+        loading += s.engines[i].coming != NULL;
+    }
+    CU_ASSERT(loading <= 1);
+    stop_site(&s);
+}
+
 /* ---- routes ------------------------------------------------------------- */
 
 static void
@@ -891,6 +922,7 @@
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
         {"moves on notice", test_placement_moves_on_notice},
+        {"learns the store", test_placement_learns_the_store},
         {"route split", test_route_split},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
