--- a/src/gn.h
+++ b/src/gn.h
@@ -48,13 +48,13 @@
     uint64_t config_ms;
     bool placing;      /* this VM held the lease at the last tick */
     bool placer_reads; /* the VM that we are linked to reads the store */
-    bool dirty;        /* what waits should be looked at again */
     ev_timer tick;
     ev_timer wanted;
     ev_timer place;
     ev_signal term;
     ev_signal interrupt;
     ev_signal hup;
+    ev_stat file; /* the settings */
     uint64_t slow_tick_ms;
     uint64_t demand_ms;
     uint64_t state_ms;
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -194,7 +194,7 @@
     g_hash_table_replace(g->untold, g_strdup(upstream),
                          copy_residents(models));
     ut_on_placement(g->upstreams, bg_boot_ms(), upstream, copy);
-    g->dirty = true;
+    gw_on_change(g->gw);
 }
 
 void
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -42,7 +42,6 @@
     HtLimits limits = {c->max_header_bytes, c->max_body_bytes,
                        c->header_timeout_ms, c->idle_timeout_ms};
     ht_set_limits(g->front, &limits);
-    g->dirty = true;
     JlLine *l = jl_begin("config-taken");
     jl_number(l, "version", (int64_t)c->version);
     jl_number(l, "routes", c->routes->len);
@@ -194,7 +193,6 @@
         ut_keep_only(g->upstreams, now_ms, ids);
         mp_keep_only(g->placement, ids);
     }
-    g->dirty = g->dirty || records->len > 0;
 }
 
 static void
--- a/src/gw.c
+++ b/src/gw.c
@@ -1,5 +1,6 @@
 #include "gw.h"
 
+#include "hist.h"
 #include "jl.h"
 
 #include <stdio.h>
@@ -120,6 +121,8 @@
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
+    Hist *whole_us;      /* from a request's arrival to its answer's end */
+    Hist *first_us;      /* ... to its first byte */
     uint64_t placer_ms;  /* when the placing VM was last heard */
     uint64_t orders_ms;  /* when it gives its first order */
     BgRandom rng;
@@ -130,6 +133,27 @@
 
 /* ---- ends --------------------------------------------------------------- */
 
+static void
+count_end(const Req *q, const char *outcome, uint64_t now_ms)
+{
+    static const char *const names[][2] = {
+        {"answered", "gateway_answered_total"},
+        {"passed-on", "gateway_passed_on_total"},
+        {"refused", "gateway_refused_total"},
+        {"failed", "gateway_failed_total"},
+        {"caller-gone", "gateway_caller_gone_total"}};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(names[i][0], outcome) == 0) {
+            bg_count(names[i][1], 1);
+        }
+    }
+    bg_count("gateway_sends_total", q->sends + (q->ut != NULL));
+    if (strcmp(outcome, "answered") == 0) {
+        hist_add(q->gw->whole_us, (now_ms - q->arrival_ms) * 1000);
+        hist_add(q->gw->first_us, (q->first_ms - q->arrival_ms) * 1000);
+    }
+}
+
 static void
 log_end(const Req *q, const char *outcome, uint16_t status, const char *why)
 {
@@ -150,7 +174,7 @@
         jl_number(l, "first_ms", (int64_t)(q->first_ms - q->arrival_ms));
     }
     jl_end(l);
-    bg_count("gateway_requests_total", 1);
+    count_end(q, outcome, now_ms);
 }
 
 static void
@@ -335,7 +359,7 @@
     q->takes_stream = false;
     q->status = 0;
     g_string_truncate(q->partial, 0);
-    ut_start(ut, &q->query);
+    ut_start(ut);
     HtRequest req = {
         .address = ut_get_address(ut),
         .request = build_request(q, now_ms),
@@ -1110,6 +1134,27 @@
     g_hash_table_remove_all(g->arrived);
 }
 
+static void
+print_latency(GString *out, const char *name, const Hist *h)
+{
+    static const uint32_t permilles[] = {500, 950, 990};
+    g_string_append_printf(out, "# TYPE bglade_%s_seconds summary\n", name);
+    for (size_t i = 0; i < G_N_ELEMENTS(permilles); i++) {
+        g_string_append_printf(
+            out, "bglade_%s_seconds{quantile=\"%.2f\"} %.6f\n", name,
+            permilles[i] / 1000., hist_quantile(h, permilles[i]) / 1e6);
+    }
+    g_string_append_printf(out, "bglade_%s_seconds_count %llu\n", name,
+                           (unsigned long long)hist_count(h));
+}
+
+void
+gw_print_metrics(const Gw *g, GString *out)
+{
+    print_latency(out, "gateway_answer", g->whole_us);
+    print_latency(out, "gateway_first_byte", g->first_us);
+}
+
 uint32_t
 gw_count(const Gw *g)
 {
@@ -1140,6 +1185,8 @@
     g->upstreams = upstreams;
     g->budget = budget;
     g->placer_ms = bg_boot_ms();
+    g->whole_us = hist_create();
+    g->first_us = hist_create();
     g_queue_init(&g->reqs);
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -1162,6 +1209,8 @@
     g_hash_table_destroy(g->arrived);
     g_hash_table_destroy(g->waits);
     g_hash_table_destroy(g->deaths);
+    hist_destroy(g->whole_us);
+    hist_destroy(g->first_us);
     g_free(g);
 }
 
--- a/src/gw.h
+++ b/src/gw.h
@@ -40,7 +40,6 @@
 } GwWire;
 
 typedef struct {
-    const char *vm;
     uint32_t connect_ms;  /* to an upstream */
     uint32_t death_limit; /* a request under which so many ended is refused */
     uint64_t seed;
@@ -86,6 +85,8 @@
 
 /* Append MpWant and MpUse of now; arrivals are those since the last call. */
 void gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses);
+/* Latencies so far, as Prometheus text. */
+void gw_print_metrics(const Gw *g, GString *out);
 uint32_t gw_count(const Gw *g);
 uint32_t gw_count_waiting(const Gw *g);
 
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -37,6 +37,7 @@
    and the answers have a moment to leave. */
 #define CLOSE_MARGIN_MS 1000
 #define GRACE_MARGIN_MS 700
+#define SETTINGS_LOOK_S 2.
 #define LOG_STOP_MS 100
 #define STORE_AT_ONCE                                                         \
     4 /* loads that the weight store serves at full speed                     \
@@ -183,7 +184,9 @@
     g_autoptr(GString) out = g_string_new(NULL);
     const char *target = ht_get_head(x)->target;
     if (strcmp(target, "/metrics") == 0) {
+        bg_gauge("gateway_log_lines_dropped", jl_count_dropped());
         bg_print_metrics(out);
+        gw_print_metrics(((Gateway *)ctx)->gw, out);
         answer_text(x, out);
     }
     else if (strcmp(target, "/snapshot") == 0) {
@@ -299,7 +302,6 @@
     ls_on_tick(g->lease, now_ms);
     follow_lease(g, now_ms);
     ht_tick_pool(g->pool, now_ms);
-    g->dirty = false;
     gw_on_tick(g->gw, now_ms);
     if (now_ms >= g->slow_tick_ms) {
         g->slow_tick_ms = now_ms + SLOW_TICK_MS;
@@ -329,18 +331,15 @@
     ht_close_kept(g->front);
 }
 
-static void
-apply_bounds(Gateway *g)
+static double
+get_ratio(const IniFile *f)
 {
-    (void)g; /* read where they are used; the rest holds for a process */
+    return g_ascii_strtod(ini_get_text(f, "bounds", "retry_ratio"), NULL);
 }
 
 static void
-on_hup(struct ev_loop *loop, ev_signal *w, int events)
+reload(Gateway *g)
 {
-    (void)loop;
-    (void)events;
-    Gateway *g = w->data;
     g_autoptr(GString) faults = g_string_new(NULL);
     IniFile *f = ini_load(g->path, rules, faults);
     JlLine *l = jl_begin("reload");
@@ -350,7 +349,27 @@
     if (f) {
         ini_destroy(g->settings);
         g->settings = f;
-        apply_bounds(g);
+        rb_set_allowance(g->budget, get_ratio(f),
+                         (double)ini_get_int(f, "bounds", "retry_slack"));
+    }
+}
+
+static void
+on_hup(struct ev_loop *loop, ev_signal *w, int events)
+{
+    (void)loop;
+    (void)events;
+    reload(w->data);
+}
+
+/* The file may change without a signal. */
+static void
+on_settings_changed(struct ev_loop *loop, ev_stat *w, int events)
+{
+    (void)loop;
+    (void)events;
+    if (w->attr.st_nlink) { /* else it is just being replaced */
+        reload(w->data);
     }
 }
 
@@ -396,16 +415,15 @@
     g->upstreams = ut_create(&up);
     RbParams rb = {
         (uint32_t)ini_get_int(g->settings, "bounds", "retry_window_s") * 1000,
-        g_ascii_strtod(ini_get_text(g->settings, "bounds", "retry_ratio"),
-                       NULL),
+        get_ratio(g->settings),
         (double)ini_get_int(g->settings, "bounds", "retry_slack"),
         ASSUMED_GATEWAYS};
     g->budget = rb_create(&rb, bg_boot_ms());
-    GwParams gw = {gn_get_text(g, "name"), CONNECT_MS, DEATH_LIMIT, seed};
+    GwParams gw = {CONNECT_MS, DEATH_LIMIT, seed};
     GwOutput gw_out = {g, on_wanted, on_died};
     g->gw =
         gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
-    MpParams mp = {0, STORE_AT_ONCE,
+    MpParams mp = {STORE_AT_ONCE,
                    ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {g, gn_send_order, gn_ask_upstream, gn_on_placed};
     g->placement = mp_create(&mp, &mp_out);
@@ -439,6 +457,9 @@
     g->term.data = g;
     g->interrupt.data = g;
     g->hup.data = g;
+    ev_stat_init(&g->file, on_settings_changed, g->path, SETTINGS_LOOK_S);
+    g->file.data = g;
+    ev_stat_start(g->loop, &g->file);
     ev_signal_start(g->loop, &g->term);
     ev_signal_start(g->loop, &g->interrupt);
     ev_signal_start(g->loop, &g->hup);
@@ -455,7 +476,7 @@
                                        (GDestroyNotify)g_bytes_unref);
     g->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
+    g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV | EVFLAG_NOINOTIFY);
     if (!g->loop) {
         fprintf(stderr, "no event loop\n");
         return 1;
--- a/src/mp.h
+++ b/src/mp.h
@@ -66,10 +66,9 @@
 } MpOutput;
 
 typedef struct {
-    double store_loads_per_s; /* 0: as the service says */
-    uint32_t store_at_once;   /* loads from the weight store side by side, at
-                                 first: it is learnt */
-    bool prefetch;            /* into room that nobody needs */
+    uint32_t store_at_once; /* loads from the weight store side by side, at
+                               first: it is learnt */
+    bool prefetch;          /* into room that nobody needs */
 } MpParams;
 
 typedef struct Mp Mp;
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -227,10 +227,8 @@
                now_ms) {
         g_array_remove_index(m->store_starts, 0);
     }
-    double rate = m->params.store_loads_per_s > 0 ? m->params.store_loads_per_s
-                                                  : s->loads_per_s;
     return m->store_starts->len + 1 <=
-               rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
+               s->loads_per_s * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
            mp_count_store_loads(m) < m->at_once;
 }
 
--- a/src/rb.c
+++ b/src/rb.c
@@ -51,6 +51,13 @@
     }
 }
 
+void
+rb_set_allowance(Rb *b, double ratio, double slack)
+{
+    b->params.ratio = ratio;
+    b->params.slack = slack;
+}
+
 static Account *
 get_account(Rb *b, uint64_t now_ms, const char *service)
 {
--- a/src/rb.h
+++ b/src/rb.h
@@ -21,6 +21,8 @@
    ended here may have spent it. */
 Rb *rb_create(const RbParams *params, uint64_t now_ms);
 void rb_destroy(Rb *b);
+/* The settings changed. */
+void rb_set_allowance(Rb *b, double ratio, double slack);
 /* So many are seen now.  Fewer than before are believed only when nobody saw
    more for RB_MEMORY_MS: those cut off from us go on spending. */
 #define RB_MEMORY_MS 30000
--- a/src/ut.c
+++ b/src/ut.c
@@ -449,9 +449,8 @@
 /* ---- calls -------------------------------------------------------------- */
 
 void
-ut_start(Ut *u, const UtQuery *q)
+ut_start(Ut *u)
 {
-    (void)q;
     u->running++;
 }
 
--- a/src/ut.h
+++ b/src/ut.h
@@ -55,7 +55,7 @@
 UtAnswer ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out);
 
 /* A call to U starts; U stays valid until ut_finish. */
-void ut_start(Ut *u, const UtQuery *q);
+void ut_start(Ut *u);
 
 typedef enum {
     UT_END_GOOD,   /* it answered */
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -448,6 +448,31 @@
     assert ask(g, "read")[0] == 200
 
 
+def test_settings_change_without_a_signal(one):
+    """The file is replaced, once by a good one and once by a bad one."""
+    g = one.gateways[0]
+    before = len(g.events("reload"))
+    with open(g.settings, "a", encoding="utf-8") as f:
+        f.write("retry_ratio = 0.1\n")
+    wait_until(lambda: len(g.events("reload")) > before)
+    with open(g.settings, "a", encoding="utf-8") as f:
+        f.write("colour = blue\n")
+    wait_until(lambda: g.events("reload")[-1]["outcome"] != "taken")
+    assert "colour" in g.events("reload")[-1]["faults"]
+    assert ask(g, "read")[0] == 200
+
+
+def test_metrics_and_dump(one):
+    g = one.gateways[0]
+    ask(g, "read")
+    c = http.client.HTTPConnection("127.0.0.1", g.control)
+    c.request("GET", "/metrics")
+    text = c.getresponse().read().decode()
+    assert "bglade_gateway_answered_total" in text
+    assert 'bglade_gateway_first_byte_seconds{quantile="0.95"}' in text
+    assert g.dump()["ready"] is True
+
+
 def test_early_answer_to_a_long_body(one):
     """A server refuses a long body before it has read it.  The caller gets
     that answer, and the rest of the body goes to nobody else."""
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -350,7 +350,7 @@
     for (int i = 0; i < 40; i++) {
         Ut *u = NULL;
         CU_ASSERT_EQUAL(ut_choose(s, 10, &q, &u), UT_FOUND);
-        ut_start(u, &q);
+        ut_start(u);
         most = MAX(most, ut_get_running(u));
     }
     CU_ASSERT(most <= 12);
@@ -370,7 +370,7 @@
         if (ut_choose(s, now_ms, &q, &u) != UT_FOUND) {
             continue;
         }
-        ut_start(u, &q);
+        ut_start(u);
         bool bad = strcmp(ut_get_id(u), "u1") == 0;
         failed += bad;
         ut_finish(s, u, now_ms + 10, bad ? UT_END_FAILED : UT_END_GOOD, 10,
@@ -391,7 +391,7 @@
     for (uint64_t now_ms = 0; now_ms < 10000; now_ms += 10) {
         Ut *u = NULL;
         CU_ASSERT_EQUAL(ut_choose(s, now_ms, &q, &u), UT_FOUND);
-        ut_start(u, &q);
+        ut_start(u);
         bool bad = strcmp(ut_get_id(u), "u1") == 0;
         dead += bad;
         ut_finish(s, u, now_ms, bad ? UT_END_DEAD : UT_END_GOOD, 0, &q);
@@ -432,7 +432,7 @@
     for (uint64_t now_ms = 0; now_ms < 3000; now_ms += 10) {
         Ut *u = NULL;
         if (ut_choose(s, now_ms, &q, &u) == UT_FOUND) {
-            ut_start(u, &q);
+            ut_start(u);
             ut_note_absent(s, u, now_ms, "m0", NULL);
             ut_finish(s, u, now_ms, UT_END_NEUTRAL, 0, &q);
             sends++;
@@ -455,7 +455,7 @@
     for (int i = 0; i < 30; i++) {
         Ut *u = NULL;
         ut_choose(s, 0, &q, &u);
-        ut_start(u, &q);
+        ut_start(u);
         same += u == first;
     }
     CU_ASSERT(same >= 4 && same < 20);
@@ -471,7 +471,7 @@
     UtQuery q = {.service = "s", .model = "m0"};
     Ut *u = NULL;
     ut_choose(s, 0, &q, &u);
-    ut_start(u, &q);
+    ut_start(u);
     DepUpstream *e = make_upstream("u0", "s", NULL);
     e->born_ms = 2;
     CU_ASSERT_TRUE(ut_on_entry(s, 5, e));
@@ -644,7 +644,7 @@
 {
     memset(s, 0, sizeof(*s));
     s->now_ms = 100000;
-    MpParams p = {0, 4, false};
+    MpParams p = {4, false};
     MpOutput out = {s, site_order, site_ask, site_placed};
     s->mp = mp_create(&p, &out);
     s->config = dep_create_config();
