--- a/src/ht.h
+++ b/src/ht.h
@@ -115,6 +115,7 @@
 } HtCallHandler;
 
 HtPool *ht_create_pool(struct ev_loop *loop);
+/* Calls that are out end as broken; their handlers must start no others. */
 void ht_destroy_pool(HtPool *p);
 /* Always answered through HANDLER, never before this returns. */
 HtCall *ht_start_call(HtPool *p, const HtRequest *req,
--- a/src/ht_pool.c
+++ b/src/ht_pool.c
@@ -379,18 +379,12 @@
 void
 ht_destroy_pool(HtPool *p)
 {
-    ev_timer_stop(p->loop, &p->fail_timer);
     Wire *w;
     while ((w = g_queue_peek_head(&p->wires))) {
-        if (w->call) {
-            free_call(w->call);
-        }
-        close_wire(w);
-    }
-    HtCall *call;
-    while ((call = g_queue_pop_head(&p->failed))) {
-        free_call(call);
+        break_wire(w, HT_BROKEN);
     }
+    on_fail_timer(p->loop, &p->fail_timer, 0);
+    ev_timer_stop(p->loop, &p->fail_timer);
     g_free(p);
 }
 
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -465,6 +465,39 @@
     ev_signal_start(g->loop, &g->hup);
 }
 
+/* Whatever may still call back goes before what it calls. */
+static void
+destroy_all(Gateway *g)
+{
+    gw_destroy(g->gw);
+    ht_destroy_server(g->front);
+    ht_destroy_server(g->ready);
+    if (g->control) {
+        ht_destroy_server(g->control);
+    }
+    lk_destroy(g->links);
+    ht_destroy_pool(g->pool);
+    st_destroy_watch(g->config_watch);
+    st_destroy_watch(g->upstream_watch);
+    if (g->mail_watch) {
+        st_destroy_watch(g->mail_watch);
+    }
+    pf_destroy_store(g->store);
+    mp_destroy(g->placement);
+    ls_destroy(g->lease);
+    rb_destroy(g->budget);
+    ut_destroy(g->upstreams);
+    dep_unref_config(g->config);
+    if (g->config_bytes) {
+        g_bytes_unref(g->config_bytes);
+    }
+    g_hash_table_destroy(g->entries);
+    g_hash_table_destroy(g->untold);
+    g_hash_table_destroy(g->members);
+    ini_destroy(g->settings);
+    ev_loop_destroy(g->loop);
+}
+
 static int
 run(Gateway *g)
 {
@@ -501,6 +534,7 @@
     jl_number(l, "after_ms", (int64_t)(bg_boot_ms() - g->stop_ms));
     jl_end(l);
     jl_stop(LOG_STOP_MS);
+    destroy_all(g);
     return 0;
 }
 
