--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,11 @@
 	TSAN_OPTIONS="suppressions=$(CURDIR)/tests/tsan.supp" \
 	$(MAKE) check BUILD=build/tsan SAN="-fsanitize=thread"
 
+# make soak SEED=7, SEEDS=1-50 or MINUTES=5 (fresh seeds).
+soak: all
+	/usr/bin/python3 tests/soak.py --build $(BUILD) $(if $(SEED),--seed $(SEED)) \
+		$(if $(SEEDS),--seeds $(SEEDS)) $(if $(MINUTES),--minutes $(MINUTES))
+
 bench: all
 	/usr/bin/python3 tests/bench.py --build $(BUILD)
 
@@ -107,4 +112,5 @@
 	rm -rf build
 
 -include $(wildcard $(BUILD)/*.d)
-.PHONY: all demo check lint format asan tsan bench capacity clean proto install-packages
+# The soak is a by-hand target; CI runs a few of its seeds.
+.PHONY: all demo check lint format asan tsan soak bench capacity clean proto install-packages
