The soak waits for the process that got the signal

Seeds 200, 207, 209 and 221 reported 'still there 9 s after SIGTERM'. Their logs have no 'stopping' line for that process: a second SIGTERM fault had taken the one started after it for its own, or the process was stopped by another fault whose end the soak did not get to.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -101,21 +101,33 @@
         if kind == "HUP":
             return lambda: None
         if kind == "STOP":
-            return lambda: g.send(signal.SIGCONT)
+            return lambda: self.wake(g)
+
+        proc = g.proc
 
         def again():
-            if kind == "TERM":
+            # Another fault may have ended and restarted it meanwhile, or hold
+            # it stopped; the signal went to this process alone (seeds 200,
+            # 207, 209 and 221 waited for one that never got it, or slept).
+            if g.proc is not proc:
+                return
+            if kind == "TERM" and proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
                 try:
-                    code = g.proc.wait(9)
-                    if code != 0:
-                        self.broken.append("exit %d after SIGTERM" % code)
+                    proc.wait(9)
                 except subprocess.TimeoutExpired:
                     self.broken.append("still there 9 s after SIGTERM")
-                    g.proc.kill()
-            g.proc.wait()
+                    proc.kill()
+            code = proc.wait()
+            if kind == "TERM" and code not in (0, -signal.SIGKILL):
+                self.broken.append("exit %d after SIGTERM" % code)
             g.start()
         return again
 
+    def wake(self, g):
+        if g.proc.poll() is None:
+            g.send(signal.SIGCONT)
+
     def fault_link(self):
         link = self.rng.choice(self.to_link + self.to_store)
         link.set(**self.rng.choice([
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 
 # 109, 126: versions written just before the look at them; the check looked
-# too early.
-SEEDS = [1, 109, 126]
+# too early.  200: a process was restarted between two SIGTERMs, and the soak
+# waited for the end of one that got none.
+SEEDS = [1, 109, 126, 200]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
