A starting VM's test begins when its version is in force everywhere

It failed once, beside load: dc1-vm2-router was seen at version 22 of 43. Its log has 22 in force at 13.176 s and 43 at 13.392 s, and no step back: the look began before the 43 versions, accepted quickly, had reached it. The test's own check is as before; it now waits for what it takes as given.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -122,6 +122,9 @@
         version = publish(c, "t")
         for i in range(40):
             version = revise(c, "t", version, priority=i % 9)
+        # Accepted is not yet in force everywhere, and the watcher takes any
+        # lower version from now on for a step back.
+        c.wait_in_force(version)
         c.set_faults("log", slow_ms=20, page=5)
         with Watcher(c) as w:
             w.highest = {d: version for d in c.daemons()}
