--- a/src/cli.h
+++ b/src/cli.h
@@ -81,6 +81,7 @@
 int cli_status(const CliArguments *a);
 int cli_dump(const CliArguments *a);
 int cli_drain(const CliArguments *a);
+int cli_explain(const CliArguments *a);
 
 /* Print DOC on one line and free it. */
 void cli_print_json(json_t *doc);
--- a/src/dep.c
+++ b/src/dep.c
@@ -119,8 +119,8 @@
 void
 dep_index_routes(DepConfig *c)
 {
-    c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                     free_route_list);
+    c->hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_route_list);
     for (guint i = 0; i < c->routes->len; i++) {
         DepRoute *r = c->routes->pdata[i];
         GPtrArray *list = g_hash_table_lookup(c->hosts, r->host);
--- a/src/dep.h
+++ b/src/dep.h
@@ -56,8 +56,8 @@
     uint32_t kv_tokens;
     uint32_t memory_mb; /* for models and adapters */
     uint32_t max_adapters;
-    double loads_per_s;  /* from the weight store, all upstreams */
-    GHashTable *models;  /* name -> DepModel */
+    double loads_per_s; /* from the weight store, all upstreams */
+    GHashTable *models; /* name -> DepModel */
 } DepService;
 
 typedef struct {
@@ -105,8 +105,8 @@
     bool draining;
     uint32_t gone_in_ms; /* draining: until it ends; 0: not told */
     uint32_t slots;
-    uint64_t born_ms;    /* of this life; 0: not told */
-    uint64_t sequence;   /* orders accepted in this life */
+    uint64_t born_ms;  /* of this life; 0: not told */
+    uint64_t sequence; /* orders accepted in this life */
     bool tells_models;
     bool busy;            /* of a report: an order is being carried out */
     GPtrArray *models;    /* DepResident */
@@ -127,15 +127,15 @@
 
 /* What a request's headers say. */
 typedef struct {
-    const char *attempt_id;  /* NULL: missing */
-    uint32_t deadline_ms;    /* from its arrival; 0: none */
-    char *model;             /* NULL: none */
-    char *adapter;           /* NULL: none */
-    uint32_t prompt_tokens;  /* 0: not told */
-    uint32_t output_tokens;  /* at most; 0: not told */
-    GArray *parts;           /* DepPart, leading parts of the prompt in order;
-                                NULL: none */
-    int64_t resume_after;    /* last event the caller has; -1: none */
+    const char *attempt_id; /* NULL: missing */
+    uint32_t deadline_ms;   /* from its arrival; 0: none */
+    char *model;            /* NULL: none */
+    char *adapter;          /* NULL: none */
+    uint32_t prompt_tokens; /* 0: not told */
+    uint32_t output_tokens; /* at most; 0: not told */
+    GArray *parts;          /* DepPart, leading parts of the prompt in order;
+                               NULL: none */
+    int64_t resume_after;   /* last event the caller has; -1: none */
 } DepCall;
 
 void dep_clear_call(DepCall *call);
--- a/src/gw.c
+++ b/src/gw.c
@@ -49,7 +49,7 @@
     GPtrArray *tried; /* Ut: not to be used again */
     uint64_t digest;  /* of what the caller asks, whoever carries it */
     uint64_t arrival_ms;
-    uint64_t final_ms; /* an answer, of whatever kind, is out by then */
+    uint64_t final_ms;    /* an answer, of whatever kind, is out by then */
     uint64_t first_by_ms; /* the caller leaves when it has nothing by then */
     ReqState state;
     const char *waits_for; /* for the log */
@@ -66,9 +66,9 @@
     uint16_t status;
     bool takes_stream; /* its events go to the caller */
 
-    uint32_t sends;   /* that reached an upstream */
-    uint32_t runs;    /* that may have run */
-    bool paid;        /* the next send is already counted as a repeat */
+    uint32_t sends; /* that reached an upstream */
+    uint32_t runs;  /* that may have run */
+    bool paid;      /* the next send is already counted as a repeat */
 
     /* the answer, if it is not passed on as it comes */
     GString *head;
@@ -101,8 +101,8 @@
     HtPool *pool;
     UtSet *upstreams;
     Rb *budget;
-    DepConfig *config; /* NULL: none yet */
-    GQueue reqs;       /* Req */
+    DepConfig *config;   /* NULL: none yet */
+    GQueue reqs;         /* Req */
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
@@ -384,8 +384,7 @@
 try_send(Req *q)
 {
     uint64_t now_ms = bg_boot_ms();
-    if (now_ms >= q->final_ms ||
-        (!q->streaming && now_ms >= q->first_by_ms)) {
+    if (now_ms >= q->final_ms || (!q->streaming && now_ms >= q->first_by_ms)) {
         give_up(q, RETRY_SOON_MS, "deadline");
         return;
     }
@@ -470,8 +469,8 @@
     if (!q->streaming) {
         copy_headers(head, q->head);
     }
-    q->takes_stream = q->route->kind == DEP_STREAM && head->status == 200 &&
-                      !q->not_run;
+    q->takes_stream =
+        q->route->kind == DEP_STREAM && head->status == 200 && !q->not_run;
 }
 
 /* Length of the first whole event in TEXT, its blank line included; 0: it
@@ -560,8 +559,8 @@
     log_end(q, "answered", q->status, NULL);
     release(q, q->status >= 500 ? UT_END_FAILED : UT_END_GOOD);
     uint16_t status = q->status;
-    g_autoptr(GString) head = g_string_new_len(q->head->str,
-                                               (gssize)q->head->len);
+    g_autoptr(GString) head =
+        g_string_new_len(q->head->str, (gssize)q->head->len);
     g_autoptr(GByteArray) body = g_byte_array_ref(q->body);
     q->body = g_byte_array_new();
     free_req(q);
@@ -723,9 +722,9 @@
     q->final_ms = q->arrival_ms + (left_ms ? left_ms : 60000);
     q->first_by_ms = q->final_ms;
     if (q->route->patience_ms) {
-        q->first_by_ms = MIN(q->final_ms, q->arrival_ms +
-                                              q->route->patience_ms -
-                                              DEADLINE_MARGIN_MS);
+        q->first_by_ms =
+            MIN(q->final_ms,
+                q->arrival_ms + q->route->patience_ms - DEADLINE_MARGIN_MS);
     }
 }
 
@@ -920,8 +919,8 @@
 gw_close(Gw *g)
 {
     g->closed = true;
-    while (g->reqs.head) {
-        Req *q = g->reqs.head->data;
+    Req *q;
+    while ((q = g_queue_peek_head(&g->reqs))) {
         q->runs += q->hc && ht_was_sent(q->hc);
         give_up(q, RETRY_SOON_MS, "the gateway stops");
     }
@@ -1082,10 +1081,8 @@
     g->upstreams = upstreams;
     g->budget = budget;
     g_queue_init(&g->reqs);
-    g->arrived =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g->waits =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->deaths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                       free_deaths);
     bg_seed_random(&g->rng, params->seed);
@@ -1095,8 +1092,8 @@
 void
 gw_destroy(Gw *g)
 {
-    while (g->reqs.head) {
-        Req *q = g->reqs.head->data;
+    Req *q;
+    while ((q = g_queue_peek_head(&g->reqs))) {
         ht_set_user(q->x, NULL);
         drop_call(q, UT_END_NEUTRAL);
         free_req(q);
--- a/src/gw.h
+++ b/src/gw.h
@@ -57,9 +57,8 @@
 typedef struct Gw Gw;
 
 /* POOL, UPSTREAMS and BUDGET stay the caller's. */
-Gw *gw_create(const GwParams *params, const GwWire *wire,
-              const GwOutput *out, HtPool *pool, UtSet *upstreams,
-              Rb *budget);
+Gw *gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
+              HtPool *pool, UtSet *upstreams, Rb *budget);
 void gw_destroy(Gw *g);
 
 void gw_on_config(Gw *g, DepConfig *c);
--- /dev/null
+++ b/src/ht_int.h
@@ -0,0 +1,35 @@
+/* ht_int: what the server and the pool of ht share: messages as the parser
+   hands them over in pieces, and sockets. */
+#ifndef HT_INT_H
+#define HT_INT_H
+
+#include "ht.h"
+
+#include <http_parser.h>
+
+#define HT_READ_BYTES 65536
+
+typedef struct {
+    HtHead head;
+    GStringChunk *text;
+    GString *name;
+    GString *value;
+    GString *target;
+    size_t header_bytes;
+} HtMessage;
+
+void ht_start_message(HtMessage *m);
+void ht_free_message(HtMessage *m);
+void ht_add_header_name(HtMessage *m, const char *at, size_t len);
+void ht_add_header_value(HtMessage *m, const char *at, size_t len);
+/* The head was parsed whole. */
+void ht_finish_head(HtMessage *m, const http_parser *p);
+
+struct sockaddr_in;
+/* IP:PORT; false when it is something else. */
+bool ht_parse_address(const char *text, struct sockaddr_in *out);
+void ht_tune_socket(int fd);
+bool ht_is_closed_by_peer(int fd);
+void ht_reset_on_close(int fd);
+
+#endif
--- /dev/null
+++ b/src/ht_server.c
@@ -0,0 +1,554 @@
+#include "ht_int.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_PIPELINED (256 * 1024) /* bytes held behind an open request */
+/* bytes held behind an open request */
+#define LINGER_MS 1000 /* for the client to take the last answer */
+/* for the client to take the last answer */
+#define BACKLOG 512 /* a full queue drops opening packets for seconds */
+/* no timeout was told */
+#define DEFAULT_HEADER_BYTES (64 * 1024)
+#define DEFAULT_BODY_BYTES (64u * 1024 * 1024)
+
+typedef struct HtConn HtConn;
+
+typedef enum { CONN_READING, CONN_BUSY, CONN_LINGERING } ConnState;
+
+struct HtExchange {
+    HtConn *conn;
+    HtMessage msg;
+    GByteArray *body;
+    uint64_t arrival_ms;
+    void *user;
+    bool chunked; /* the answer is sent in chunks */
+};
+
+struct HtConn {
+    HtServer *server;
+    int fd;
+    ev_io read_watch;
+    ev_io write_watch;
+    http_parser parser;
+    ConnState state;
+    HtExchange *x;      /* being read or answered; NULL: idle */
+    GByteArray *behind; /* bytes that came after the open request */
+    GByteArray *out;
+    size_t out_at;
+    bool close_after;  /* the answer being sent ends the connection */
+    bool answer_ended; /* close_after: all of it is in OUT */
+    uint16_t refuse;   /* status for what broke the limits; 0: none */
+    uint64_t since_ms; /* of the current state */
+    GList *link;       /* in the server's connections */
+};
+
+struct HtServer {
+    struct ev_loop *loop;
+    int fd;
+    ev_io watch;
+    HtHandler handler;
+    HtLimits limits;
+    bool closing;
+    GQueue conns; /* HtConn */
+};
+
+static void
+free_exchange(HtExchange *x)
+{
+    ht_free_message(&x->msg);
+    g_byte_array_free(x->body, TRUE);
+    g_free(x);
+}
+
+static void
+close_conn(HtConn *c)
+{
+    HtExchange *x = c->x;
+    c->x = NULL;
+    ev_io_stop(c->server->loop, &c->read_watch);
+    ev_io_stop(c->server->loop, &c->write_watch);
+    close(c->fd);
+    g_queue_delete_link(&c->server->conns, c->link);
+    g_byte_array_free(c->behind, TRUE);
+    g_byte_array_free(c->out, TRUE);
+    if (x) {
+        if (c->state == CONN_BUSY) {
+            c->server->handler.on_gone(c->server->handler.ctx, x);
+        }
+        free_exchange(x);
+    }
+    g_free(c);
+}
+
+/* False: the connection is gone. */
+static bool
+flush_conn(HtConn *c)
+{
+    while (c->out_at < c->out->len) {
+        ssize_t n = send(c->fd, c->out->data + c->out_at,
+                         c->out->len - c->out_at, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            ev_io_start(c->server->loop, &c->write_watch);
+            return true;
+        }
+        if (n < 0 && errno != EINTR) {
+            close_conn(c);
+            return false;
+        }
+        c->out_at += n > 0 ? (size_t)n : 0;
+    }
+    g_byte_array_set_size(c->out, 0);
+    c->out_at = 0;
+    ev_io_stop(c->server->loop, &c->write_watch);
+    if (c->answer_ended && c->state != CONN_LINGERING) {
+        shutdown(c->fd, SHUT_WR);
+        c->state = CONN_LINGERING;
+        c->since_ms = bg_boot_ms();
+    }
+    return true;
+}
+
+static void feed_conn(HtConn *c, const uint8_t *data, size_t len);
+
+static int
+on_request_begin(http_parser *p)
+{
+    HtConn *c = p->data;
+    HtExchange *x = g_new0(HtExchange, 1);
+    x->conn = c;
+    x->body = g_byte_array_new();
+    x->arrival_ms = bg_boot_ms();
+    ht_start_message(&x->msg);
+    c->x = x;
+    c->since_ms = x->arrival_ms;
+    return 0;
+}
+
+static int
+on_request_target(http_parser *p, const char *at, size_t len)
+{
+    HtConn *c = p->data;
+    g_string_append_len(c->x->msg.target, at, (gssize)len);
+    c->x->msg.header_bytes += len;
+    return 0;
+}
+
+static int
+check_header_bytes(HtConn *c)
+{
+    uint32_t most = c->server->limits.header_bytes;
+    if (c->x->msg.header_bytes > (most ? most : DEFAULT_HEADER_BYTES)) {
+        c->refuse = 431;
+        return 1;
+    }
+    return 0;
+}
+
+static int
+on_request_name(http_parser *p, const char *at, size_t len)
+{
+    HtConn *c = p->data;
+    ht_add_header_name(&c->x->msg, at, len);
+    return check_header_bytes(c);
+}
+
+static int
+on_request_value(http_parser *p, const char *at, size_t len)
+{
+    HtConn *c = p->data;
+    ht_add_header_value(&c->x->msg, at, len);
+    return check_header_bytes(c);
+}
+
+static int
+on_request_head(http_parser *p)
+{
+    HtConn *c = p->data;
+    ht_finish_head(&c->x->msg, p);
+    uint32_t most = c->server->limits.body_bytes;
+    if (p->content_length != ULLONG_MAX &&
+        p->content_length > (most ? most : DEFAULT_BODY_BYTES)) {
+        c->refuse = 413;
+        return 1;
+    }
+    const char *expect = ht_find_header(&c->x->msg.head, "Expect");
+    if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        static const char go[] = "HTTP/1.1 100 Continue\r\n\r\n";
+        g_byte_array_append(c->out, (const guint8 *)go, sizeof(go) - 1);
+        ev_io_start(c->server->loop, &c->write_watch);
+    }
+    return 0;
+}
+
+static int
+on_request_body(http_parser *p, const char *at, size_t len)
+{
+    HtConn *c = p->data;
+    uint32_t most = c->server->limits.body_bytes;
+    if (c->x->body->len + len > (most ? most : DEFAULT_BODY_BYTES)) {
+        c->refuse = 413;
+        return 1;
+    }
+    g_byte_array_append(c->x->body, (const guint8 *)at, (guint)len);
+    return 0;
+}
+
+static int
+on_request_end(http_parser *p)
+{
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings request_settings = {
+    .on_message_begin = on_request_begin,
+    .on_url = on_request_target,
+    .on_header_field = on_request_name,
+    .on_header_value = on_request_value,
+    .on_headers_complete = on_request_head,
+    .on_body = on_request_body,
+    .on_message_complete = on_request_end,
+};
+
+/* A request that can't be taken: answered and the connection ended. */
+static void
+refuse_unreadable(HtConn *c)
+{
+    if (!c->x) {
+        close_conn(c);
+        return;
+    }
+    c->state = CONN_BUSY;
+    c->close_after = true;
+    ht_start_answer(c->x, c->refuse ? c->refuse : 400, "", 0);
+    ht_end_answer(c->x);
+}
+
+static void
+feed_conn(HtConn *c, const uint8_t *data, size_t len)
+{
+    size_t used = http_parser_execute(&c->parser, &request_settings,
+                                      (const char *)data, len);
+    enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
+    if (e == HPE_PAUSED) {
+        g_byte_array_append(c->behind, data + used, (guint)(len - used));
+        c->state = CONN_BUSY;
+        c->close_after = !c->x->msg.head.keeps_alive || c->server->closing;
+        c->server->handler.on_request(c->server->handler.ctx, c->x);
+    }
+    else if (e != HPE_OK || c->parser.upgrade) {
+        refuse_unreadable(c);
+    }
+}
+
+static void
+on_conn_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)events;
+    HtConn *c = w->data;
+    uint8_t buf[HT_READ_BYTES];
+    ssize_t n = recv(c->fd, buf, sizeof(buf), 0);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    if (n <= 0) {
+        close_conn(c);
+        return;
+    }
+    if (c->state == CONN_LINGERING) {
+        return;
+    }
+    if (c->state == CONN_BUSY) {
+        g_byte_array_append(c->behind, buf, (guint)n);
+        if (c->behind->len > MAX_PIPELINED) {
+            ev_io_stop(loop, &c->read_watch);
+        }
+        return;
+    }
+    feed_conn(c, buf, (size_t)n);
+}
+
+static void
+on_conn_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)loop;
+    (void)events;
+    flush_conn(w->data);
+}
+
+static void
+start_parser(HtConn *c)
+{
+    http_parser_init(&c->parser, HTTP_REQUEST);
+    c->parser.data = c;
+}
+
+static void
+accept_one(HtServer *s, int fd)
+{
+    HtConn *c = g_new0(HtConn, 1);
+    c->server = s;
+    c->fd = fd;
+    c->behind = g_byte_array_new();
+    c->out = g_byte_array_new();
+    c->since_ms = bg_boot_ms();
+    ht_tune_socket(fd);
+    start_parser(c);
+    ev_io_init(&c->read_watch, on_conn_readable, fd, EV_READ);
+    ev_io_init(&c->write_watch, on_conn_writable, fd, EV_WRITE);
+    c->read_watch.data = c;
+    c->write_watch.data = c;
+    g_queue_push_tail(&s->conns, c);
+    c->link = s->conns.tail;
+    ev_io_start(s->loop, &c->read_watch);
+}
+
+static void
+on_acceptable(struct ev_loop *loop, ev_io *w, int events)
+{
+    (void)loop;
+    (void)events;
+    HtServer *s = w->data;
+    int fd;
+    while ((fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
+           0) {
+        accept_one(s, fd);
+    }
+}
+
+HtServer *
+ht_listen(struct ev_loop *loop, const char *address, const HtHandler *handler,
+          GError **err)
+{
+    struct sockaddr_in addr;
+    if (!ht_parse_address(address, &addr)) {
+        g_set_error(err, BG_ERROR, BG_ERR_INVALID, "%s: not IP:PORT", address);
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (fd < 0 || bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
+        listen(fd, BACKLOG) != 0) {
+        g_set_error(err, BG_ERROR, BG_ERR_AWAY, "%s: %s", address,
+                    g_strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    HtServer *s = g_new0(HtServer, 1);
+    s->loop = loop;
+    s->fd = fd;
+    s->handler = *handler;
+    g_queue_init(&s->conns);
+    ev_io_init(&s->watch, on_acceptable, fd, EV_READ);
+    s->watch.data = s;
+    ev_io_start(loop, &s->watch);
+    return s;
+}
+
+void
+ht_destroy_server(HtServer *s)
+{
+    ev_io_stop(s->loop, &s->watch);
+    close(s->fd);
+    HtConn *c;
+    while ((c = g_queue_peek_head(&s->conns))) {
+        close_conn(c);
+    }
+    g_free(s);
+}
+
+void
+ht_set_limits(HtServer *s, const HtLimits *limits)
+{
+    s->limits = *limits;
+}
+
+void
+ht_close_kept(HtServer *s)
+{
+    s->closing = true;
+    for (GList *l = s->conns.head; l; l = l->next) {
+        HtConn *c = l->data;
+        c->close_after = true;
+    }
+}
+
+/* At a stop a kept connection ends when it has been idle for this long: a
+   request that was sent just before is still read and answered. */
+#define STOP_IDLE_MS 1500
+
+static bool
+is_overdue(const HtServer *s, const HtConn *c, uint64_t now_ms)
+{
+    uint64_t age_ms = now_ms - c->since_ms;
+    if (c->state == CONN_LINGERING) {
+        return age_ms > LINGER_MS;
+    }
+    if (c->state == CONN_BUSY) {
+        return false;
+    }
+    if (c->x) {
+        return s->limits.header_ms && age_ms > s->limits.header_ms * 2ull;
+    }
+    if (s->closing) {
+        return age_ms > STOP_IDLE_MS;
+    }
+    return s->limits.idle_ms && age_ms > s->limits.idle_ms;
+}
+
+void
+ht_tick_server(HtServer *s, uint64_t now_ms)
+{
+    GList *next;
+    for (GList *l = s->conns.head; l; l = next) {
+        next = l->next;
+        HtConn *c = l->data;
+        if (is_overdue(s, c, now_ms)) {
+            close_conn(c);
+        }
+    }
+}
+
+uint32_t
+ht_count_connections(const HtServer *s)
+{
+    return s->conns.length;
+}
+
+const HtHead *
+ht_get_head(const HtExchange *x)
+{
+    return &x->msg.head;
+}
+
+const GByteArray *
+ht_get_body(const HtExchange *x)
+{
+    return x->body;
+}
+
+uint64_t
+ht_get_arrival_ms(const HtExchange *x)
+{
+    return x->arrival_ms;
+}
+
+void *
+ht_get_user(const HtExchange *x)
+{
+    return x->user;
+}
+
+void
+ht_set_user(HtExchange *x, void *user)
+{
+    x->user = user;
+}
+
+bool
+ht_is_gone(const HtExchange *x)
+{
+    return ht_is_closed_by_peer(x->conn->fd);
+}
+
+static const char *
+get_reason(uint16_t status)
+{
+    switch (status) {
+#define XX(num, name, string)                                                 \
+    case num:                                                                 \
+        return #string;
+        HTTP_STATUS_MAP(XX)
+#undef XX
+    default:
+        return "Status";
+    }
+}
+
+void
+ht_start_answer(HtExchange *x, uint16_t status, const char *headers,
+                int64_t length)
+{
+    HtConn *c = x->conn;
+    x->chunked = length < 0;
+    g_autoptr(GString) head = g_string_new(NULL);
+    g_string_append_printf(head, "HTTP/1.1 %u %s\r\n%s", status,
+                           get_reason(status), headers);
+    if (x->chunked) {
+        g_string_append(head, "Transfer-Encoding: chunked\r\n");
+    }
+    else {
+        g_string_append_printf(head, "Content-Length: %lld\r\n",
+                               (long long)length);
+    }
+    g_string_append(head,
+                    c->close_after ? "Connection: close\r\n\r\n" : "\r\n");
+    g_byte_array_append(c->out, (const guint8 *)head->str, (guint)head->len);
+}
+
+/* Output is sent when the loop comes round, so that a head and its body
+   leave in one packet. */
+static void
+schedule_flush(HtConn *c)
+{
+    ev_io_start(c->server->loop, &c->write_watch);
+}
+
+void
+ht_write_answer(HtExchange *x, const char *data, size_t len)
+{
+    HtConn *c = x->conn;
+    if (len > 0 && x->chunked) {
+        char line[24];
+        int n = snprintf(line, sizeof(line), "%zx\r\n", len);
+        g_byte_array_append(c->out, (const guint8 *)line, (guint)n);
+    }
+    g_byte_array_append(c->out, (const guint8 *)data, (guint)len);
+    if (len > 0 && x->chunked) {
+        g_byte_array_append(c->out, (const guint8 *)"\r\n", 2);
+    }
+    schedule_flush(c);
+}
+
+void
+ht_end_answer(HtExchange *x)
+{
+    HtConn *c = x->conn;
+    if (x->chunked) {
+        g_byte_array_append(c->out, (const guint8 *)"0\r\n\r\n", 5);
+    }
+    c->x = NULL;
+    free_exchange(x);
+    c->since_ms = bg_boot_ms();
+    c->answer_ended = c->close_after;
+    if (!c->close_after) {
+        c->state = CONN_READING;
+        start_parser(c);
+        ev_io_start(c->server->loop, &c->read_watch);
+    }
+    if (!flush_conn(c) || c->close_after || c->behind->len == 0) {
+        return;
+    }
+    GByteArray *behind = c->behind;
+    c->behind = g_byte_array_new();
+    feed_conn(c, behind->data, behind->len);
+    g_byte_array_free(behind, TRUE);
+}
+
+void
+ht_abort_answer(HtExchange *x)
+{
+    HtConn *c = x->conn;
+    c->state = CONN_READING; /* whoever aborts knows that it is gone */
+    if (flush_conn(c)) {
+        close_conn(c);
+    }
+}
--- a/src/lk.c
+++ b/src/lk.c
@@ -9,7 +9,9 @@
 #include <unistd.h>
 
 #define MAX_FRAME (1024 * 1024)
-#define MAX_UNSENT (4 * 1024 * 1024) /* a peer that doesn't read is dropped */
+#define MAX_UNSENT                                                            \
+    (4 * 1024 * 1024) /* a peer that doesn't read is dropped                  \
+                       */
 #define CONNECT_MS 400
 #define RECONNECT_MS 150
 #define HEAD_BYTES 4
@@ -129,8 +131,8 @@
         if (p->in->len - at - HEAD_BYTES < len) {
             break;
         }
-        Gwp__Frame *f = gwp__frame__unpack(NULL, len,
-                                           p->in->data + at + HEAD_BYTES);
+        Gwp__Frame *f =
+            gwp__frame__unpack(NULL, len, p->in->data + at + HEAD_BYTES);
         if (!f) {
             close_peer(p);
             return false;
@@ -267,8 +269,9 @@
     ev_io_stop(l->loop, &l->accept_watch);
     close(l->fd);
     lk_set_target(l, NULL);
-    while (l->peers.head) {
-        close_peer(l->peers.head->data);
+    LkPeer *p;
+    while ((p = g_queue_peek_head(&l->peers))) {
+        close_peer(p);
     }
     g_free(l->vm);
     g_free(l->process);
--- a/src/lk.h
+++ b/src/lk.h
@@ -27,9 +27,8 @@
     void (*on_link)(void *ctx, bool open);
 } LkHandler;
 
-Lk *lk_create(struct ev_loop *loop, const char *listen_address,
-              const char *vm, const char *process, const LkHandler *handler,
-              GError **err);
+Lk *lk_create(struct ev_loop *loop, const char *listen_address, const char *vm,
+              const char *process, const LkHandler *handler, GError **err);
 void lk_destroy(Lk *l);
 
 /* Link to the gateway at ADDRESS, and again whenever that ends; NULL: to
--- a/src/ls.c
+++ b/src/ls.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define READ_PAUSE_MS 300  /* between reads while the holder is not heard */
+#define READ_PAUSE_MS 300 /* between reads while the holder is not heard */
 /* Not all VMs claim at one moment, and the former holder, whose VM needs no
    rest, goes before them. */
 #define FIRST_CLAIM_MS 120
@@ -21,18 +21,18 @@
     bool known; /* the topic was read once */
     uint64_t tail;
     uint64_t newest; /* 1 + offset of the newest record seen; 0: none */
-    char *holder_vm;      /* of the newest record; NULL: none was written */
+    char *holder_vm; /* of the newest record; NULL: none was written */
     char *holder_process;
     char *holder_address;
-    uint64_t seen_ms;     /* when that record was first seen */
+    uint64_t seen_ms;      /* when that record was first seen */
     uint64_t read_sent_ms; /* of the last read that was answered */
-    uint64_t heard_ms;    /* the holder, over a link */
+    uint64_t heard_ms;     /* the holder, over a link */
 
     bool reading;
     bool writing;
-    bool giving_up; /* the append that is out frees the lease */
-    uint64_t sent_ms;      /* of the append that is out */
-    uint64_t read_out_ms;  /* of the read that is out */
+    bool giving_up;       /* the append that is out frees the lease */
+    uint64_t sent_ms;     /* of the append that is out */
+    uint64_t read_out_ms; /* of the read that is out */
     uint64_t next_read_ms;
     uint64_t next_claim_ms; /* 0: not waiting to claim */
 
@@ -78,8 +78,7 @@
 static bool
 is_free(const Ls *l)
 {
-    return !l->holder_process ||
-           strcmp(l->holder_process, FREE_PROCESS) == 0;
+    return !l->holder_process || strcmp(l->holder_process, FREE_PROCESS) == 0;
 }
 
 static void
@@ -164,8 +163,7 @@
 static void
 consider_read(Ls *l, uint64_t now_ms)
 {
-    bool quiet =
-        !l->holding && now_ms - l->heard_ms > l->params.quiet_ms;
+    bool quiet = !l->holding && now_ms - l->heard_ms > l->params.quiet_ms;
     if (!l->reading && !l->writing && now_ms >= l->next_read_ms &&
         (!l->known || quiet)) {
         l->reading = true;
@@ -228,8 +226,7 @@
 }
 
 void
-ls_on_append(Ls *l, uint64_t now_ms, StEnd end, uint64_t offset,
-             uint64_t tail)
+ls_on_append(Ls *l, uint64_t now_ms, StEnd end, uint64_t offset, uint64_t tail)
 {
     l->writing = false;
     if (l->giving_up) {
--- a/src/main_client.c
+++ b/src/main_client.c
@@ -60,6 +60,10 @@
      "Asks one process for a graceful stop, as SIGTERM does. FILE holds the\n"
      "operators' key whose digest is [node] operator_key_sha256.\n"
      "Exit: 0 it stops, 1 no answer or refused."},
+    {"explain", cli_explain, "[--json] explain ID FILE...",
+     "The story of one request from the structured logs of several VMs, in\n"
+     "order, with what befell its model, upstreams and VMs meanwhile.\n"
+     "Exit: 0, 1 no line about it, 2 a file can't be read."},
     {"help", run_help, "help COMMAND", "What a command does."}};
 
 static const char doc[] =
@@ -74,6 +78,7 @@
     "status                      what is in force where, --at IP:PORT\n"
     "dump IP:PORT                a process's state\n"
     "drain IP:PORT               a process's graceful stop\n"
+    "explain ID FILE...          one request's story from logs\n"
     "help COMMAND                more on one of these\n"
     "\vExit codes: 0 done; 1 failed, nothing changed; 2 a file or argument "
     "is wrong; 3 conflict, nothing changed; 4 not known whether it took "
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -47,7 +47,7 @@
 #define LEASE_MS 1500
 #define RENEW_MS 350
 #define REST_MARGIN_MS 150
-#define QUIET_MS 700 /* of the link to the holder: then ask the store */
+#define QUIET_MS 700   /* of the link to the holder: then ask the store */
 #define CONNECT_MS 250 /* data centres are 1 to 3 ms apart */
 #define DEATH_LIMIT 3
 /* The balancer asks once a second and takes a VM out after two misses; until
@@ -58,13 +58,15 @@
 #define CLOSE_MARGIN_MS 1000
 #define GRACE_MARGIN_MS 700
 #define LOG_STOP_MS 100
-#define STORE_AT_ONCE 4 /* loads that the weight store serves at full speed */
+#define STORE_AT_ONCE                                                         \
+    4 /* loads that the weight store serves at full speed                     \
+       */
 /* Gateways are counted by the placing VM; until it has told, so many are
    assumed to share the budget of repeats. */
 #define ASSUMED_GATEWAYS 16
 /* Without a link to the placing VM: */
-#define MAIL_MS 300           /* between frames left in the store for it */
-#define ALONE_PAUSE_MS 200    /* between reads of upstreams' entries */
+#define MAIL_MS 300        /* between frames left in the store for it */
+#define ALONE_PAUSE_MS 200 /* between reads of upstreams' entries */
 /* The placing VM reads that mail, more often while gateways are missing. */
 #define MAIL_PAUSE_MS 1000
 #define MAIL_BUSY_PAUSE_MS 250
@@ -86,6 +88,8 @@
      "metrics, state dump and what a starting gateway asks of others"},
     {"gateway", "link", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "where other gateways link to this one"},
+    {"gateway", "advertise", INI_ADDRESS, false, NULL, 0, 0, NULL,
+     "where others reach the link address, if not there"},
     {"gateway", "store", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "the platform's store"},
     {"gateway", "seeds", INI_TEXT, false, "", 0, 0, NULL,
@@ -119,8 +123,8 @@
     StWatch *mail_watch; /* NULL: this VM does not place */
     GHashTable *members; /* gateways -> when last linked, uint64_t */
     uint64_t mail_ms;    /* when mail was last left */
-    uint64_t behind_ms; /* told of a newer configuration since; 0: not */
-    GHashTable *untold;    /* upstream -> DepResident list, for the next beat */
+    uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
+    GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
     uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
     UtSet *upstreams;
     Rb *budget;
@@ -130,9 +134,9 @@
     Lk *links;
     DepConfig *config; /* NULL: none yet */
     uint64_t config_ms;
-    bool placing; /* this VM held the lease at the last tick */
+    bool placing;      /* this VM held the lease at the last tick */
     bool placer_reads; /* the VM that we are linked to reads the store */
-    bool dirty;   /* what waits should be looked at again */
+    bool dirty;        /* what waits should be looked at again */
     ev_timer tick;
     ev_timer wanted;
     ev_timer place;
@@ -467,8 +471,8 @@
     o->unload = order->unload;
     o->model = g_strdup(order->model);
     o->adapter = g_strdup(order->adapter);
-    pf_send_order(g->pool, order, get_text(g, "name"),
-                  ls_get_token(g->lease), on_order_end, o);
+    pf_send_order(g->pool, order, get_text(g, "name"), ls_get_token(g->lease),
+                  on_order_end, o);
 }
 
 typedef struct {
@@ -700,11 +704,10 @@
 static void
 follow_store(Gateway *g)
 {
-    bool linked =
-        lk_is_open(g->links) && !g->placing && g->placer_reads;
+    bool linked = lk_is_open(g->links) && !g->placing && g->placer_reads;
     st_set_wait(g->config_watch,
                 linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
-    st_set_pause(g->upstream_watch, linked ? LINKED_UPSTREAM_PAUSE_MS
+    st_set_pause(g->upstream_watch, linked       ? LINKED_UPSTREAM_PAUSE_MS
                                     : g->placing ? PLACING_UPSTREAM_PAUSE_MS
                                                  : UPSTREAM_PAUSE_MS);
 }
@@ -888,8 +891,7 @@
         gw_on_death(g->gw, bg_boot_ms(), frame->death->request,
                     frame->death->upstream);
         if (from) {
-            send_death(g, frame->death->request, frame->death->upstream,
-                       true);
+            send_death(g, frame->death->request, frame->death->upstream, true);
         }
         break;
     default:
@@ -1037,8 +1039,7 @@
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
     s.gateways = count_members(g, now_ms);
-    s.reads_store =
-        st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
+    s.reads_store = st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
     s.config_version = g->config ? g->config->version : 0;
     rb_on_gateways(g->budget, now_ms, s.gateways);
     st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
@@ -1318,12 +1319,10 @@
     LkHandler link = {g, on_frame, on_peer, on_link};
     g->links = lk_create(g->loop, get_text(g, "link"), get_text(g, "name"),
                          g->process, &link, err);
-    g->front =
-        g->links ? ht_listen(g->loop, get_text(g, "front"), &front, err)
-                 : NULL;
-    g->ready = g->front
-                   ? ht_listen(g->loop, get_text(g, "ready"), &ready, err)
-                   : NULL;
+    g->front = g->links ? ht_listen(g->loop, get_text(g, "front"), &front, err)
+                        : NULL;
+    g->ready = g->front ? ht_listen(g->loop, get_text(g, "ready"), &ready, err)
+                        : NULL;
     const char *address = get_text(g, "control");
     if (g->ready && address) {
         g->control = ht_listen(g->loop, address, &control, err);
@@ -1347,22 +1346,21 @@
     g->budget = rb_create(&rb, bg_boot_ms());
     GwParams gw = {get_text(g, "name"), CONNECT_MS, DEATH_LIMIT, seed};
     GwOutput gw_out = {g, on_wanted, on_died};
-    g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
-                      g->budget);
+    g->gw =
+        gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
     MpParams mp = {0, STORE_AT_ONCE,
                    ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {g, send_order, ask_upstream, on_placed};
     g->placement = mp_create(&mp, &mp_out);
-    LsParams ls = {
-        get_text(g, "name"),
-        g->process,
-        get_text(g, "link"),
-        LEASE_MS,
-        RENEW_MS,
-        (uint32_t)ini_get_int(g->settings, "bounds", "lease_ms") +
-            REST_MARGIN_MS,
-        QUIET_MS,
-        seed};
+    LsParams ls = {get_text(g, "name"),
+                   g->process,
+                   get_text(g, "link"),
+                   LEASE_MS,
+                   RENEW_MS,
+                   (uint32_t)ini_get_int(g->settings, "bounds", "lease_ms") +
+                       REST_MARGIN_MS,
+                   QUIET_MS,
+                   seed};
     LsOutput ls_out = {g, read_lease, append_lease, on_lease_changed};
     g->lease = ls_create(&ls, &ls_out);
 }
@@ -1374,8 +1372,7 @@
     StWatchParams config = {ST_CONFIG, "config", CONFIG_WAIT_MS,
                             CONFIG_PAUSE_MS};
     StWatchHandler on_config = {g, on_config_records, on_config_reach};
-    g->config_watch =
-        st_create_watch(g->loop, g->store, &config, &on_config);
+    g->config_watch = st_create_watch(g->loop, g->store, &config, &on_config);
     StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, UPSTREAM_PAUSE_MS};
     StWatchHandler on_ups = {g, on_upstream_records, on_upstream_reach};
     g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
@@ -1407,8 +1404,8 @@
 {
     g_autoptr(GError) err = NULL;
     bg_make_id(g->process);
-    g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                      free_residents);
+    g->untold =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_residents);
     g->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
--- a/src/mp.c
+++ b/src/mp.c
@@ -1,4 +1,4 @@
-#include "mp.h"
+#include "mp_int.h"
 
 #include <math.h>
 #include <string.h>
@@ -7,29 +7,10 @@
 #define DEMAND_LIFE_MS 2000
 #define FORGOTTEN_RATE 0.0005 /* uses a second; the model is idle */
 #define SUM_MS 500            /* demand is summed at least this often */
-/* Between looks for a place for a model that found none. */
-#define TRY_PAUSE_MS 80
-#define PREFETCH_MS 200
 /* Uses of a model in so long make its rate. */
 #define RATE_MS 5000.
-/* Requests at once that one replica serves well: with more, prompts are read
-   in pieces between the tokens of too many others. */
-#define PER_REPLICA 7
-/* A model used this often a second gets a second replica, so that the loss
-   of one upstream isn't the loss of the model; and a third. */
-#define RATE_FOR_TWO 0.7
-#define RATE_FOR_THREE 4.0
-/* A replica stays at least this long, or loads would chase each other. */
-#define SETTLE_MS 1500
-/* Expected uses in so long are what an eviction loses. */
-#define HORIZON_MS 15000.
-/* Not by the clock, but when the upstream says so. */
-#define WHEN_TOLD UINT64_MAX
 #define TOLD_PAUSE_MS 400 /* between questions about a load that is late */
-/* A load is taken for done this much after its stated time. */
-#define LOAD_MARGIN_MS 15
 #define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
-#define ADAPTER_SETTLE_MS 300
 /* A report's numbers are of now, its lists of some 200 ms ago: what it lists
    is believed only when no order was accepted in this time before it. */
 #define REPORT_LAG_MS 450
@@ -38,89 +19,9 @@
 /* An unload waits for its runs; a conflict in this time after it says no
    more than that. */
 #define UNLOAD_MS 1200
-#define GOAL_LIFE_MS 4000
-/* Upstreams with a copy are waited for so long before the weight store. */
-#define COPY_WAIT_MS 1500
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
 
-typedef struct {
-    char *name;
-    uint64_t ready_ms; /* usable from then on */
-    uint64_t used_ms;
-    bool leaving; /* its unload waits for requests that use it */
-} Adapter;
-
-typedef struct {
-    char *name;
-    uint64_t ready_ms;    /* usable from then on, or WHEN_TOLD */
-    uint64_t expected_ms; /* when its load should end */
-    bool unloading;
-    /* From the weight store, which takes longer the more loads it serves: not
-       usable before the upstream says so. */
-    bool from_store;
-    uint64_t used_ms;
-    GPtrArray *adapters; /* Adapter */
-} Replica;
-
-typedef struct {
-    DepUpstream *entry; /* id, address, service, copies */
-    bool known;         /* content is known, and the sequence it is at */
-    bool asking;
-    uint64_t next_ask_ms;
-    uint64_t sequence;
-    GPtrArray *replicas; /* Replica */
-    uint64_t busy_until_ms;
-    uint64_t retry_ms; /* no order before */
-    uint64_t changed_ms; /* an order was accepted, or may have been */
-    uint64_t unloaded_ms; /* of a model, the last */
-    char *goal;        /* model that is to be loaded here */
-    uint64_t goal_until_ms;
-    /* the order that is out */
-    bool ordered;
-    bool order_unload;
-    char *order_model;
-    char *order_adapter;
-    uint64_t order_load_ms;
-    bool order_from_store;
-    bool told;      /* gateways know the present content */
-    bool unreached; /* it did not answer last time */
-} Up;
-
-typedef struct {
-    GPtrArray *wants; /* MpWant */
-    GPtrArray *uses;  /* MpUse */
-    uint64_t said_ms;
-} Gateway;
-
-/* Of a model, or "model/adapter". */
-typedef struct {
-    uint32_t waiting;
-    uint32_t running;
-    double rate; /* uses a second, decayed */
-    uint64_t rated_ms;
-    uint64_t wanted_since_ms; /* 0: nobody waits */
-    uint64_t next_try_ms;     /* no place was found: not looked for before */
-} Demand;
-
-struct Mp {
-    MpParams params;
-    MpOutput out;
-    const DepConfig *config; /* the caller's reference, held by ours */
-    GHashTable *ups;         /* id -> Up */
-    GHashTable *gateways;    /* name -> Gateway */
-    GHashTable *demands;     /* name -> Demand */
-    GArray *store_starts;    /* uint64_t: loads from the store begun */
-    GHashTable *rooms;       /* service -> MB kept free for adapters */
-    uint64_t next_prefetch_ms;
-    uint64_t summed_ms;
-    /* Derived anew at each tick, or when demand changes. */
-    bool demand_changed;
-    GHashTable *counts; /* model -> usable upstreams with it, or to have it */
-    GHashTable *in_use; /* set of "upstream model" and
-                           "upstream model/adapter" */
-};
-
 /* ---- memory ------------------------------------------------------------- */
 
 static void
@@ -192,8 +93,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     m->store_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     m->rooms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    m->counts =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    m->counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     m->in_use = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return m;
 }
@@ -245,8 +145,8 @@
     }
 }
 
-static const DepService *
-find_service(const Mp *m, const Up *u)
+const DepService *
+mp_find_service(const Mp *m, const Up *u)
 {
     const DepService *s =
         m->config ? g_hash_table_lookup(m->config->services, u->entry->service)
@@ -254,15 +154,15 @@
     return s && s->has_models ? s : NULL;
 }
 
-static const DepModel *
-find_model(const Mp *m, const Up *u, const char *name)
+const DepModel *
+mp_find_model(const Mp *m, const Up *u, const char *name)
 {
-    const DepService *s = find_service(m, u);
+    const DepService *s = mp_find_service(m, u);
     return s ? g_hash_table_lookup(s->models, name) : NULL;
 }
 
-static Replica *
-find_replica(const Up *u, const char *model)
+Replica *
+mp_find_replica(const Up *u, const char *model)
 {
     for (guint i = 0; i < u->replicas->len; i++) {
         Replica *r = u->replicas->pdata[i];
@@ -341,7 +241,7 @@
 {
     for (guint i = 0; i < entry->models->len; i++) {
         const DepResident *d = entry->models->pdata[i];
-        Replica *r = find_replica(u, d->name);
+        Replica *r = mp_find_replica(u, d->name);
         if (r && r->ready_ms == WHEN_TOLD && entry->sequence >= u->sequence) {
             r->ready_ms = now_ms;
             u->busy_until_ms = now_ms;
@@ -412,8 +312,8 @@
 
 /* ---- demand ------------------------------------------------------------- */
 
-static char *
-make_key(const char *model, const char *adapter)
+char *
+mp_make_key(const char *model, const char *adapter)
 {
     return adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
 }
@@ -421,7 +321,7 @@
 static Demand *
 get_demand(Mp *m, const char *model, const char *adapter)
 {
-    g_autofree char *key = make_key(model, adapter);
+    g_autofree char *key = mp_make_key(model, adapter);
     Demand *d = g_hash_table_lookup(m->demands, key);
     if (!d) {
         d = g_new0(Demand, 1);
@@ -430,8 +330,8 @@
     return d;
 }
 
-static double
-get_rate(const Demand *d, uint64_t now_ms)
+double
+mp_get_rate(const Demand *d, uint64_t now_ms)
 {
     return d ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS) : 0;
 }
@@ -439,12 +339,12 @@
 static void
 add_arrivals(Demand *d, uint64_t now_ms, uint32_t count)
 {
-    d->rate = get_rate(d, now_ms) + count * 1000. / RATE_MS;
+    d->rate = mp_get_rate(d, now_ms) + count * 1000. / RATE_MS;
     d->rated_ms = now_ms;
 }
 
-static const Demand *
-peek_demand(const Mp *m, const char *model)
+const Demand *
+mp_peek_demand(const Mp *m, const char *model)
 {
     return g_hash_table_lookup(m->demands, model);
 }
@@ -455,7 +355,7 @@
     for (guint i = 0; i < uses->len; i++) {
         const MpUse *use = uses->pdata[i];
         Up *u = g_hash_table_lookup(m->ups, use->upstream);
-        Replica *r = u ? find_replica(u, use->model) : NULL;
+        Replica *r = u ? mp_find_replica(u, use->model) : NULL;
         if (!r) {
             continue;
         }
@@ -496,7 +396,7 @@
     g_hash_table_iter_init(&it, m->demands);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Demand *d = v;
-        if (d->waiting == 0 && get_rate(d, now_ms) < FORGOTTEN_RATE) {
+        if (d->waiting == 0 && mp_get_rate(d, now_ms) < FORGOTTEN_RATE) {
             g_hash_table_iter_remove(&it);
         }
         else if (d->waiting == 0) {
@@ -553,9 +453,8 @@
     g_hash_table_add(m->in_use,
                      g_strconcat(use->upstream, " ", use->model, NULL));
     if (use->adapter) {
-        g_hash_table_add(m->in_use, g_strconcat(use->upstream, " ",
-                                                use->model, "/", use->adapter,
-                                                NULL));
+        g_hash_table_add(m->in_use, g_strconcat(use->upstream, " ", use->model,
+                                                "/", use->adapter, NULL));
     }
 }
 
@@ -574,8 +473,8 @@
     }
 }
 
-static bool
-is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
+bool
+mp_is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
 {
     g_autofree char *key =
         adapter ? g_strconcat(u->entry->id, " ", model, "/", adapter, NULL)
@@ -640,8 +539,7 @@
 /* ---- reports and answers ------------------------------------------------ */
 
 void
-mp_on_report(Mp *m, uint64_t now_ms, const char *id,
-             const DepUpstream *report)
+mp_on_report(Mp *m, uint64_t now_ms, const char *id, const DepUpstream *report)
 {
     Up *u = g_hash_table_lookup(m->ups, id);
     if (!u) {
@@ -701,8 +599,8 @@
     }
 }
 
-static bool
-has_name(const GPtrArray *list, const char *name)
+bool
+mp_has_name(const GPtrArray *list, const char *name)
 {
     for (guint i = 0; i < list->len; i++) {
         if (strcmp(list->pdata[i], name) == 0) {
@@ -715,10 +613,10 @@
 static void
 note_copies(Up *u, const char *model)
 {
-    if (!has_name(u->entry->in_memory, model)) {
+    if (!mp_has_name(u->entry->in_memory, model)) {
         g_ptr_array_add(u->entry->in_memory, g_strdup(model));
     }
-    if (!has_name(u->entry->on_disk, model)) {
+    if (!mp_has_name(u->entry->on_disk, model)) {
         g_ptr_array_add(u->entry->on_disk, g_strdup(model));
     }
 }
@@ -726,7 +624,7 @@
 static void
 apply_model_order(Up *u, uint64_t now_ms)
 {
-    Replica *r = find_replica(u, u->order_model);
+    Replica *r = mp_find_replica(u, u->order_model);
     if (u->order_unload) {
         /* The next order finds it in progress, or done: no more is needed
            to count its memory as free at that moment. */
@@ -751,7 +649,7 @@
 static void
 apply_adapter_order(Up *u, uint64_t now_ms)
 {
-    Replica *r = find_replica(u, u->order_model);
+    Replica *r = mp_find_replica(u, u->order_model);
     Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
     if (u->order_unload && a) {
         /* It goes on to take its place until it is reported gone. */
@@ -766,7 +664,7 @@
 static void
 drop_adapter(Up *u)
 {
-    Replica *r = find_replica(u, u->order_model);
+    Replica *r = mp_find_replica(u, u->order_model);
     Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
     if (a) {
         g_ptr_array_remove(r->adapters, a);
@@ -840,632 +738,6 @@
     }
 }
 
-/* ---- replicas ----------------------------------------------------------- */
-
-static bool
-can_use(const Mp *m, const Up *u)
-{
-    return !u->entry->draining && find_service(m, u);
-}
-
-static uint32_t
-count_replicas(const Mp *m, const char *model)
-{
-    return GPOINTER_TO_UINT(g_hash_table_lookup(m->counts, model));
-}
-
-static void
-add_count(Mp *m, const char *model)
-{
-    g_hash_table_insert(m->counts, g_strdup(model),
-                        GUINT_TO_POINTER(count_replicas(m, model) + 1));
-}
-
-static void
-count_all_replicas(Mp *m)
-{
-    g_hash_table_remove_all(m->counts);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (!can_use(m, u)) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            add_count(m, ((Replica *)u->replicas->pdata[i])->name);
-        }
-        if (u->goal && !find_replica(u, u->goal)) {
-            add_count(m, u->goal);
-        }
-    }
-}
-
-static int64_t
-get_free_mb(const Mp *m, const Up *u)
-{
-    const DepService *s = find_service(m, u);
-    int64_t room_mb =
-        GPOINTER_TO_UINT(g_hash_table_lookup(m->rooms, s->name));
-    int64_t free_mb = (int64_t)s->memory_mb - room_mb;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        const Replica *r = u->replicas->pdata[i];
-        const DepModel *d = find_model(m, u, r->name);
-        /* A model that is no longer declared has an unknown size: nothing
-           more is loaded beside it. */
-        free_mb -= d ? d->memory_mb : s->memory_mb;
-    }
-    return free_mb;
-}
-
-static uint32_t
-get_load_ms(const Up *u, const DepModel *d, bool *from_store)
-{
-    *from_store = false;
-    if (has_name(u->entry->in_memory, d->name)) {
-        return d->warm_ms ? d->warm_ms : d->load_ms;
-    }
-    if (has_name(u->entry->on_disk, d->name)) {
-        return d->disk_ms ? d->disk_ms : d->load_ms;
-    }
-    *from_store = true;
-    return d->load_ms;
-}
-
-static double
-get_eviction_loss_ms(const Mp *m, uint64_t now_ms, const Up *u,
-                     const Replica *r)
-{
-    const DepModel *d = find_model(m, u, r->name);
-    if (!d) {
-        return 0;
-    }
-    bool from_store;
-    double reload_ms = get_load_ms(u, d, &from_store);
-    double uses = get_rate(peek_demand(m, r->name), now_ms) * HORIZON_MS / 1000;
-    uint32_t replicas = count_replicas(m, r->name);
-    if (replicas > 1) {
-        return 30 + uses * reload_ms * 0.05;
-    }
-    /* Even a model that nobody asked for may be asked for. */
-    return (uses + 0.5) * reload_ms;
-}
-
-static bool
-is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
-{
-    const Demand *d = peek_demand(m, r->name);
-    bool last = count_replicas(m, r->name) < 2;
-    bool waited = d && d->waiting > 0 && last;
-    return !waited && r->ready_ms != WHEN_TOLD &&
-           now_ms >= r->ready_ms + SETTLE_MS &&
-           now_ms >= r->used_ms + 100 && !is_in_use(m, u, r->name, NULL);
-}
-
-static Replica *
-pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_)
-{
-    Replica *best = NULL;
-    double least = 0;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        Replica *r = u->replicas->pdata[i];
-        bool excluded = false;
-        for (guint j = 0; not_ && j < not_->len; j++) {
-            excluded = excluded || not_->pdata[j] == r;
-        }
-        if (excluded || !is_evictable(m, now_ms, u, r)) {
-            continue;
-        }
-        double loss = get_eviction_loss_ms(m, now_ms, u, r);
-        if (!best || loss < least) {
-            best = r;
-            least = loss;
-        }
-    }
-    return best;
-}
-
-/* What it costs to load MODEL on U, in ms of callers' waiting; below 0: it
-   can't be. */
-static double
-compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u,
-                  const DepModel *d, bool may_evict)
-{
-    bool from_store;
-    double cost = get_load_ms(u, d, &from_store);
-    if (u->busy_until_ms == WHEN_TOLD) {
-        return -1;
-    }
-    if (u->busy_until_ms > now_ms) {
-        cost += (double)(u->busy_until_ms - now_ms);
-    }
-    int64_t free_mb = get_free_mb(m, u);
-    g_autoptr(GPtrArray) victims = g_ptr_array_new();
-    while (free_mb < (int64_t)d->memory_mb) {
-        Replica *r = may_evict ? pick_victim(m, now_ms, u, victims) : NULL;
-        const DepModel *rd = r ? find_model(m, u, r->name) : NULL;
-        if (!rd) {
-            return -1;
-        }
-        g_ptr_array_add(victims, r);
-        free_mb += rd->memory_mb;
-        cost += get_eviction_loss_ms(m, now_ms, u, r) + 10;
-    }
-    /* Spread: an upstream that serves much already is slower. */
-    for (guint i = 0; i < u->replicas->len; i++) {
-        const Replica *r = u->replicas->pdata[i];
-        cost += get_rate(peek_demand(m, r->name), now_ms) * 20;
-    }
-    return cost;
-}
-
-static uint32_t
-count_store_loads(const Mp *m)
-{
-    uint32_t n = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        n += u->ordered && u->order_from_store;
-        for (guint i = 0; i < u->replicas->len; i++) {
-            const Replica *r = u->replicas->pdata[i];
-            n += r->ready_ms == WHEN_TOLD;
-        }
-    }
-    return n;
-}
-
-/* The weight store allows a number of loads begun in any window. */
-#define STORE_WINDOW_MS 5000
-#define STORE_CAUTION 0.85
-
-static bool
-may_start_store_load(Mp *m, uint64_t now_ms, const DepService *s)
-{
-    while (m->store_starts->len &&
-           g_array_index(m->store_starts, uint64_t, 0) + STORE_WINDOW_MS <
-               now_ms) {
-        g_array_remove_index(m->store_starts, 0);
-    }
-    double rate = m->params.store_loads_per_s > 0
-                      ? m->params.store_loads_per_s
-                      : s->loads_per_s;
-    return m->store_starts->len + 1 <=
-               rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
-           count_store_loads(m) < m->params.store_at_once;
-}
-
-/* ---- orders ------------------------------------------------------------- */
-
-static void
-send_order(Mp *m, uint64_t now_ms, Up *u, const char *model,
-           const char *adapter, bool unload)
-{
-    g_free(u->order_model);
-    g_free(u->order_adapter);
-    u->order_model = g_strdup(model);
-    u->order_adapter = g_strdup(adapter);
-    u->order_unload = unload;
-    u->order_from_store = false;
-    u->order_load_ms = 0;
-    u->ordered = true;
-    if (!unload && !adapter) {
-        const DepModel *d = find_model(m, u, model);
-        bool from_store;
-        u->order_load_ms = get_load_ms(u, d, &from_store) + LOAD_MARGIN_MS;
-        u->order_from_store = from_store;
-        if (from_store) {
-            g_array_append_val(m->store_starts, now_ms);
-        }
-    }
-    MpOrder o = {u->entry->id, u->entry->address, u->order_model,
-                 u->order_adapter, unload, u->sequence};
-    m->out.order(m->out.ctx, &o);
-}
-
-static bool
-can_order(const Up *u, uint64_t now_ms)
-{
-    return u->known && !u->ordered && now_ms >= u->retry_ms &&
-           now_ms >= u->busy_until_ms && !u->entry->draining;
-}
-
-/* Work on U's goal: make room, then load. */
-static void
-pursue_goal(Mp *m, uint64_t now_ms, Up *u)
-{
-    const DepModel *d = find_model(m, u, u->goal);
-    if (!d || now_ms > u->goal_until_ms || u->entry->draining) {
-        g_clear_pointer(&u->goal, g_free);
-        return;
-    }
-    if (!can_order(u, now_ms)) {
-        return;
-    }
-    if (find_replica(u, u->goal)) {
-        g_clear_pointer(&u->goal, g_free);
-        return;
-    }
-    if (get_free_mb(m, u) >= (int64_t)d->memory_mb) {
-        bool from_store;
-        get_load_ms(u, d, &from_store);
-        if (!from_store || may_start_store_load(m, now_ms, find_service(m, u))) {
-            send_order(m, now_ms, u, u->goal, NULL, false);
-        }
-        return;
-    }
-    const Replica *victim = pick_victim(m, now_ms, u, NULL);
-    if (!victim) {
-        g_clear_pointer(&u->goal, g_free);
-        return;
-    }
-    send_order(m, now_ms, u, victim->name, NULL, true);
-    /* Gateways send nothing more there from now on. */
-    Replica *r = find_replica(u, victim->name);
-    r->unloading = true;
-    u->told = false;
-}
-
-typedef struct {
-    const char *model;
-    Demand *demand;
-    uint64_t since_ms;
-    bool none; /* nobody holds it */
-} Wanted;
-
-/* Whether some usable upstream has a copy of MODEL beside it; it may be busy
-   just now. */
-static bool
-has_copy(const Mp *m, const char *model)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (can_use(m, u) && !u->unreached && !find_replica(u, model) &&
-            (has_name(u->entry->on_disk, model) ||
-             has_name(u->entry->in_memory, model))) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* The weight store is slow and shared: it is left for models that callers
-   wait for in vain, that is whose copies beside upstreams can't be used. */
-static bool
-may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w)
-{
-    if (!has_copy(m, w->model)) {
-        return w->none || w->demand->waiting + w->demand->running >
-                              PER_REPLICA * count_replicas(m, w->model);
-    }
-    return w->none && w->demand->waiting > 0 &&
-           now_ms > w->since_ms + COPY_WAIT_MS;
-}
-
-static Up *
-find_best_place(const Mp *m, uint64_t now_ms, const char *model,
-                bool may_evict, bool *from_store)
-{
-    Up *best = NULL;
-    double least = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Up *u = v;
-        const DepModel *d = can_use(m, u) ? find_model(m, u, model) : NULL;
-        if (!d || u->goal || !u->known || u->ordered ||
-            find_replica(u, model)) {
-            continue;
-        }
-        double cost = compute_load_cost(m, now_ms, u, d, may_evict);
-        if (cost >= 0 && (!best || cost < least)) {
-            best = u;
-            least = cost;
-            get_load_ms(u, d, from_store);
-        }
-    }
-    return best;
-}
-
-static void
-set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model)
-{
-    u->goal = g_strdup(model);
-    u->goal_until_ms = now_ms + GOAL_LIFE_MS;
-    add_count(m, u->goal);
-    pursue_goal(m, now_ms, u);
-}
-
-static uint32_t
-get_desired(const Mp *m, uint64_t now_ms, const char *model)
-{
-    const Demand *d = peek_demand(m, model);
-    if (!d) {
-        return 0;
-    }
-    double rate = get_rate(d, now_ms);
-    uint32_t by_load = (d->running + d->waiting + PER_REPLICA - 1) /
-                       PER_REPLICA;
-    uint32_t by_rate = rate >= RATE_FOR_THREE ? 3 : rate >= RATE_FOR_TWO ? 2
-                       : d->waiting > 0 || rate > 0.01                   ? 1
-                                                                         : 0;
-    return MAX(by_load, by_rate);
-}
-
-static gint
-compare_wanted(gconstpointer a, gconstpointer b)
-{
-    const Wanted *x = a;
-    const Wanted *y = b;
-    if (x->none != y->none) {
-        return x->none ? -1 : 1;
-    }
-    if ((x->demand->waiting > 0) != (y->demand->waiting > 0)) {
-        return x->demand->waiting > 0 ? -1 : 1;
-    }
-    return x->since_ms < y->since_ms ? -1 : x->since_ms > y->since_ms;
-}
-
-/* Models that lack replicas, those that callers wait for longest first. */
-static GArray *
-list_wanted(const Mp *m, uint64_t now_ms)
-{
-    GArray *out = g_array_new(FALSE, FALSE, sizeof(Wanted));
-    GHashTableIter it;
-    gpointer k;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        Demand *d = v;
-        if (strchr(k, '/')) {
-            continue;
-        }
-        uint32_t have = count_replicas(m, k);
-        if (now_ms >= d->next_try_ms && have < get_desired(m, now_ms, k)) {
-            Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
-                        have == 0};
-            g_array_append_val(out, w);
-        }
-    }
-    g_array_sort(out, compare_wanted);
-    return out;
-}
-
-static void
-place_models(Mp *m, uint64_t now_ms)
-{
-    g_autoptr(GArray) wanted = list_wanted(m, now_ms);
-    for (guint i = 0; i < wanted->len; i++) {
-        const Wanted *w = &g_array_index(wanted, Wanted, i);
-        bool from_store = false;
-        Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
-        if (!u ||
-            (from_store &&
-             (!may_use_store(m, now_ms, w) ||
-              !may_start_store_load(m, now_ms, find_service(m, u))))) {
-            w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
-            continue;
-        }
-        set_goal(m, now_ms, u, w->model);
-    }
-}
-
-static void
-add_names(GHashTable *set, const GPtrArray *names)
-{
-    for (guint i = 0; i < names->len; i++) {
-        g_hash_table_add(set, names->pdata[i]);
-    }
-}
-
-/* Models whose load does not need the weight store everywhere; keys are
-   borrowed. */
-static GHashTable *
-list_copied(const Mp *m)
-{
-    GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (!can_use(m, u)) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            g_hash_table_add(set, ((Replica *)u->replicas->pdata[i])->name);
-        }
-        if (u->goal) {
-            g_hash_table_add(set, u->goal);
-        }
-        add_names(set, u->entry->on_disk);
-        add_names(set, u->entry->in_memory);
-    }
-    return set;
-}
-
-/* A declared model that no upstream has a copy of, even where another that
-   has its copy beside it must make room: its first callers then wait for a
-   disk, not for the weight store (0.5 s against 6 s). */
-static void
-prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
-{
-    if (!may_start_store_load(m, now_ms, s)) {
-        return;
-    }
-    g_autoptr(GHashTable) copied = list_copied(m);
-    GHashTableIter it;
-    gpointer k;
-    g_hash_table_iter_init(&it, s->models);
-    while (g_hash_table_iter_next(&it, &k, NULL)) {
-        bool from_store;
-        if (g_hash_table_contains(copied, k)) {
-            continue;
-        }
-        Up *u = find_best_place(m, now_ms, k, true, &from_store);
-        if (u) {
-            set_goal(m, now_ms, u, k);
-            return;
-        }
-    }
-}
-
-static void
-prefetch(Mp *m, uint64_t now_ms)
-{
-    if (!m->params.prefetch || now_ms < m->next_prefetch_ms) {
-        return;
-    }
-    m->next_prefetch_ms = now_ms + PREFETCH_MS;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->config->services);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const DepService *s = v;
-        if (s->has_models) {
-            prefetch_one(m, now_ms, s);
-        }
-    }
-}
-
-/* ---- adapters ----------------------------------------------------------- */
-
-static uint32_t
-count_adapters(const Up *u)
-{
-    uint32_t n = 0;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        n += ((Replica *)u->replicas->pdata[i])->adapters->len;
-    }
-    return n;
-}
-
-/* The adapter least recently used that nobody uses now. */
-static Adapter *
-pick_adapter_victim(const Mp *m, uint64_t now_ms, const Up *u,
-                    const char **model)
-{
-    Adapter *best = NULL;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        const Replica *r = u->replicas->pdata[i];
-        for (guint j = 0; j < r->adapters->len; j++) {
-            Adapter *a = r->adapters->pdata[j];
-            g_autofree char *key = make_key(r->name, a->name);
-            const Demand *d = peek_demand(m, key);
-            bool quiet = !a->leaving && now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
-                         !(d && d->waiting) &&
-                         !is_in_use(m, u, r->name, a->name);
-            if (quiet && (!best || a->used_ms < best->used_ms)) {
-                best = a;
-                *model = r->name;
-            }
-        }
-    }
-    return best;
-}
-
-/* Set of "model/adapter" that are held, or ordered, on usable upstreams. */
-static GHashTable *
-list_held_adapters(const Mp *m)
-{
-    GHashTable *set =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (!can_use(m, u)) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            const Replica *r = u->replicas->pdata[i];
-            for (guint j = 0; j < r->adapters->len; j++) {
-                const Adapter *a = r->adapters->pdata[j];
-                if (!a->leaving) {
-                    g_hash_table_add(set, make_key(r->name, a->name));
-                }
-            }
-        }
-        if (u->ordered && u->order_adapter && !u->order_unload) {
-            g_hash_table_add(set, make_key(u->order_model, u->order_adapter));
-        }
-    }
-    return set;
-}
-
-static void
-place_adapter(Mp *m, uint64_t now_ms, const char *model, const char *adapter)
-{
-    Up *best = NULL;
-    double least = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Up *u = v;
-        const Replica *r = can_use(m, u) ? find_replica(u, model) : NULL;
-        if (!r || r->unloading || r->ready_ms > now_ms ||
-            !can_order(u, now_ms)) {
-            continue;
-        }
-        const char *victim_model;
-        bool full = count_adapters(u) >= find_service(m, u)->max_adapters;
-        if (full && !pick_adapter_victim(m, now_ms, u, &victim_model)) {
-            continue;
-        }
-        double cost = count_adapters(u) + (full ? 100 : 0);
-        if (!best || cost < least) {
-            best = u;
-            least = cost;
-        }
-    }
-    if (!best) {
-        return;
-    }
-    const char *victim_model = NULL;
-    if (count_adapters(best) >= find_service(m, best)->max_adapters) {
-        const Adapter *a =
-            pick_adapter_victim(m, now_ms, best, &victim_model);
-        g_autofree char *name = g_strdup(a->name);
-        send_order(m, now_ms, best, victim_model, name, true);
-        return;
-    }
-    send_order(m, now_ms, best, model, adapter, false);
-}
-
-static void
-place_adapters(Mp *m, uint64_t now_ms)
-{
-    g_autoptr(GHashTable) held = NULL;
-    GHashTableIter it;
-    gpointer k;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        const Demand *d = v;
-        const char *slash = strchr(k, '/');
-        if (!slash || d->waiting == 0) {
-            continue;
-        }
-        if (!held) {
-            held = list_held_adapters(m);
-        }
-        if (!g_hash_table_contains(held, k)) {
-            g_autofree char *model =
-                g_strndup(k, (gsize)(slash - (char *)k));
-            place_adapter(m, now_ms, model, slash + 1);
-        }
-    }
-}
-
 /* ---- the round ---------------------------------------------------------- */
 
 /* Held for long, as we believe, and still waited for: ask again. */
@@ -1477,9 +749,8 @@
     }
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
-        const Demand *d = peek_demand(m, r->name);
-        if (d && d->wanted_since_ms &&
-            r->ready_ms <= now_ms &&
+        const Demand *d = mp_peek_demand(m, r->name);
+        if (d && d->wanted_since_ms && r->ready_ms <= now_ms &&
             now_ms > MAX(d->wanted_since_ms, r->ready_ms) + DOUBT_MS) {
             distrust(u, now_ms);
             return;
@@ -1514,13 +785,13 @@
         sum_demand(m, now_ms);
         collect_uses(m);
     }
-    count_all_replicas(m);
+    mp_count_all_replicas(m);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
-        if (!find_service(m, u)) {
+        if (!mp_find_service(m, u)) {
             continue;
         }
         doubt(m, now_ms, u);
@@ -1533,18 +804,18 @@
             m->out.ask(m->out.ctx, u->entry);
         }
         if (may_order && u->goal) {
-            pursue_goal(m, now_ms, u);
+            mp_pursue_goal(m, now_ms, u);
         }
     }
     if (may_order) {
-        place_models(m, now_ms);
-        place_adapters(m, now_ms);
-        prefetch(m, now_ms);
+        mp_place_models(m, now_ms);
+        mp_place_adapters(m, now_ms);
+        mp_prefetch(m, now_ms);
     }
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
-        if (find_service(m, u) && u->known &&
+        if (mp_find_service(m, u) && u->known &&
             (!u->told ||
              has_just_become_ready(u, now_ms, now_ms - TICK_LOOK_BACK_MS))) {
             tell(m, u, now_ms);
@@ -1562,7 +833,7 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (can_use(m, u)) {
+        if (mp_can_use(m, u)) {
             *all += 1;
             *unreached += u->unreached;
         }
@@ -1580,8 +851,9 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        const DepModel *d = can_use(m, u) ? find_model(m, u, model) : NULL;
-        const Replica *r = d ? find_replica(u, model) : NULL;
+        const DepModel *d =
+            mp_can_use(m, u) ? mp_find_model(m, u, model) : NULL;
+        const Replica *r = d ? mp_find_replica(u, model) : NULL;
         if (r) {
             uint64_t ready_ms = r->ready_ms == WHEN_TOLD
                                     ? MAX(r->expected_ms, now_ms + 1)
@@ -1591,7 +863,7 @@
         }
         else if (d && g_strcmp0(u->goal, model) == 0) {
             bool from_store;
-            best = MIN(best, get_load_ms(u, d, &from_store) + 100);
+            best = MIN(best, mp_get_load_ms(u, d, &from_store) + 100);
         }
     }
     return best;
@@ -1621,17 +893,16 @@
     if (!m->config) {
         return;
     }
-    count_all_replicas(m);
-    g_autoptr(GArray) wanted = list_wanted(m, now_ms);
-    g_autoptr(GHashTable) copied = list_copied(m);
+    mp_count_all_replicas(m);
+    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms);
+    g_autoptr(GHashTable) copied = mp_list_copied(m);
     GHashTableIter it;
     gpointer k;
     gpointer v;
     g_hash_table_iter_init(&it, m->demands);
     while (g_hash_table_iter_next(&it, &k, &v)) {
         const Demand *d = v;
-        uint32_t wait_ms =
-            strchr(k, '/') ? 0 : mp_get_wait_ms(m, now_ms, k);
+        uint32_t wait_ms = strchr(k, '/') ? 0 : mp_get_wait_ms(m, now_ms, k);
         if (d->waiting > 0 && wait_ms > 0 && wait_ms != UINT32_MAX) {
             visit(ctx, k, wait_ms);
         }
--- /dev/null
+++ b/src/mp_int.h
@@ -0,0 +1,118 @@
+/* mp_int: what the two files of mp share: mp.c keeps what is known and asked
+   for, mp_place.c decides what is loaded where. */
+#ifndef MP_INT_H
+#define MP_INT_H
+
+#include "mp.h"
+
+/* Not by the clock, but when the upstream says so. */
+#define WHEN_TOLD UINT64_MAX
+
+typedef struct {
+    char *name;
+    uint64_t ready_ms; /* usable from then on */
+    uint64_t used_ms;
+    bool leaving; /* its unload waits for requests that use it */
+} Adapter;
+
+typedef struct {
+    char *name;
+    uint64_t ready_ms;    /* usable from then on, or WHEN_TOLD */
+    uint64_t expected_ms; /* when its load should end */
+    bool unloading;
+    /* From the weight store, which takes longer the more loads it serves: not
+       usable before the upstream says so. */
+    bool from_store;
+    uint64_t used_ms;
+    GPtrArray *adapters; /* Adapter */
+} Replica;
+
+typedef struct {
+    DepUpstream *entry; /* id, address, service, copies */
+    bool known;         /* content is known, and the sequence it is at */
+    bool asking;
+    uint64_t next_ask_ms;
+    uint64_t sequence;
+    GPtrArray *replicas; /* Replica */
+    uint64_t busy_until_ms;
+    uint64_t retry_ms;    /* no order before */
+    uint64_t changed_ms;  /* an order was accepted, or may have been */
+    uint64_t unloaded_ms; /* of a model, the last */
+    char *goal;           /* model that is to be loaded here */
+    uint64_t goal_until_ms;
+    /* the order that is out */
+    bool ordered;
+    bool order_unload;
+    char *order_model;
+    char *order_adapter;
+    uint64_t order_load_ms;
+    bool order_from_store;
+    bool told;      /* gateways know the present content */
+    bool unreached; /* it did not answer last time */
+} Up;
+
+typedef struct {
+    GPtrArray *wants; /* MpWant */
+    GPtrArray *uses;  /* MpUse */
+    uint64_t said_ms;
+} Gateway;
+
+/* Of a model, or "model/adapter". */
+typedef struct {
+    uint32_t waiting;
+    uint32_t running;
+    double rate; /* uses a second, decayed */
+    uint64_t rated_ms;
+    uint64_t wanted_since_ms; /* 0: nobody waits */
+    uint64_t next_try_ms;     /* no place was found: not looked for before */
+} Demand;
+
+struct Mp {
+    MpParams params;
+    MpOutput out;
+    const DepConfig *config; /* the caller's reference, held by ours */
+    GHashTable *ups;         /* id -> Up */
+    GHashTable *gateways;    /* name -> Gateway */
+    GHashTable *demands;     /* name -> Demand */
+    GArray *store_starts;    /* uint64_t: loads from the store begun */
+    GHashTable *rooms;       /* service -> MB kept free for adapters */
+    uint64_t next_prefetch_ms;
+    uint64_t summed_ms;
+    /* Derived anew at each tick, or when demand changes. */
+    bool demand_changed;
+    GHashTable *counts; /* model -> usable upstreams with it, or to have it */
+    GHashTable *in_use; /* set of "upstream model" and
+                           "upstream model/adapter" */
+};
+
+/* A model that lacks replicas. */
+typedef struct {
+    const char *model;
+    Demand *demand;
+    uint64_t since_ms;
+    bool none; /* nobody holds it */
+} Wanted;
+
+/* mp.c */
+Replica *mp_find_replica(const Up *u, const char *model);
+char *mp_make_key(const char *model, const char *adapter);
+const DepService *mp_find_service(const Mp *m, const Up *u);
+bool mp_has_name(const GPtrArray *list, const char *name);
+const DepModel *mp_find_model(const Mp *m, const Up *u, const char *name);
+const Demand *mp_peek_demand(const Mp *m, const char *model);
+bool mp_is_in_use(const Mp *m, const Up *u, const char *model,
+                  const char *adapter);
+double mp_get_rate(const Demand *d, uint64_t now_ms);
+
+/* mp_place.c */
+bool mp_can_use(const Mp *m, const Up *u);
+void mp_count_all_replicas(Mp *m);
+void mp_place_models(Mp *m, uint64_t now_ms);
+GHashTable *mp_list_copied(const Mp *m);
+uint32_t mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store);
+GArray *mp_list_wanted(const Mp *m, uint64_t now_ms);
+void mp_place_adapters(Mp *m, uint64_t now_ms);
+void mp_prefetch(Mp *m, uint64_t now_ms);
+void mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u);
+
+#endif
--- /dev/null
+++ b/src/mp_place.c
@@ -0,0 +1,644 @@
+#include "mp_int.h"
+
+#include <string.h>
+
+/* Between looks for a place for a model that found none. */
+#define TRY_PAUSE_MS 80
+#define PREFETCH_MS 200
+/* Requests at once that one replica serves well: with more, prompts are read
+   in pieces between the tokens of too many others. */
+#define PER_REPLICA 7
+/* A model used this often a second gets a second replica, so that the loss
+   of one upstream isn't the loss of the model; and a third. */
+#define RATE_FOR_TWO 0.7
+#define RATE_FOR_THREE 4.0
+/* A replica stays at least this long, or loads would chase each other. */
+#define SETTLE_MS 1500
+/* Expected uses in so long are what an eviction loses. */
+#define HORIZON_MS 15000.
+/* A load is taken for done this much after its stated time. */
+#define LOAD_MARGIN_MS 15
+#define ADAPTER_SETTLE_MS 300
+#define GOAL_LIFE_MS 4000
+/* Upstreams with a copy are waited for so long before the weight store. */
+#define COPY_WAIT_MS 1500
+
+/* ---- replicas ----------------------------------------------------------- */
+
+bool
+mp_can_use(const Mp *m, const Up *u)
+{
+    return !u->entry->draining && mp_find_service(m, u);
+}
+
+static uint32_t
+count_replicas(const Mp *m, const char *model)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(m->counts, model));
+}
+
+static void
+add_count(Mp *m, const char *model)
+{
+    g_hash_table_insert(m->counts, g_strdup(model),
+                        GUINT_TO_POINTER(count_replicas(m, model) + 1));
+}
+
+void
+mp_count_all_replicas(Mp *m)
+{
+    g_hash_table_remove_all(m->counts);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (!mp_can_use(m, u)) {
+            continue;
+        }
+        for (guint i = 0; i < u->replicas->len; i++) {
+            add_count(m, ((Replica *)u->replicas->pdata[i])->name);
+        }
+        if (u->goal && !mp_find_replica(u, u->goal)) {
+            add_count(m, u->goal);
+        }
+    }
+}
+
+static int64_t
+get_free_mb(const Mp *m, const Up *u)
+{
+    const DepService *s = mp_find_service(m, u);
+    int64_t room_mb = GPOINTER_TO_UINT(g_hash_table_lookup(m->rooms, s->name));
+    int64_t free_mb = (int64_t)s->memory_mb - room_mb;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        const DepModel *d = mp_find_model(m, u, r->name);
+        /* A model that is no longer declared has an unknown size: nothing
+           more is loaded beside it. */
+        free_mb -= d ? d->memory_mb : s->memory_mb;
+    }
+    return free_mb;
+}
+
+uint32_t
+mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store)
+{
+    *from_store = false;
+    if (mp_has_name(u->entry->in_memory, d->name)) {
+        return d->warm_ms ? d->warm_ms : d->load_ms;
+    }
+    if (mp_has_name(u->entry->on_disk, d->name)) {
+        return d->disk_ms ? d->disk_ms : d->load_ms;
+    }
+    *from_store = true;
+    return d->load_ms;
+}
+
+static double
+get_eviction_loss_ms(const Mp *m, uint64_t now_ms, const Up *u,
+                     const Replica *r)
+{
+    const DepModel *d = mp_find_model(m, u, r->name);
+    if (!d) {
+        return 0;
+    }
+    bool from_store;
+    double reload_ms = mp_get_load_ms(u, d, &from_store);
+    double uses =
+        mp_get_rate(mp_peek_demand(m, r->name), now_ms) * HORIZON_MS / 1000;
+    uint32_t replicas = count_replicas(m, r->name);
+    if (replicas > 1) {
+        return 30 + uses * reload_ms * 0.05;
+    }
+    /* Even a model that nobody asked for may be asked for. */
+    return (uses + 0.5) * reload_ms;
+}
+
+static bool
+is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+{
+    const Demand *d = mp_peek_demand(m, r->name);
+    bool last = count_replicas(m, r->name) < 2;
+    bool waited = d && d->waiting > 0 && last;
+    return !waited && r->ready_ms != WHEN_TOLD &&
+           now_ms >= r->ready_ms + SETTLE_MS && now_ms >= r->used_ms + 100 &&
+           !mp_is_in_use(m, u, r->name, NULL);
+}
+
+static Replica *
+pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_)
+{
+    Replica *best = NULL;
+    double least = 0;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        Replica *r = u->replicas->pdata[i];
+        bool excluded = false;
+        for (guint j = 0; not_ && j < not_->len; j++) {
+            excluded = excluded || not_->pdata[j] == r;
+        }
+        if (excluded || !is_evictable(m, now_ms, u, r)) {
+            continue;
+        }
+        double loss = get_eviction_loss_ms(m, now_ms, u, r);
+        if (!best || loss < least) {
+            best = r;
+            least = loss;
+        }
+    }
+    return best;
+}
+
+/* What it costs to load MODEL on U, in ms of callers' waiting; below 0: it
+   can't be. */
+static double
+compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u, const DepModel *d,
+                  bool may_evict)
+{
+    bool from_store;
+    double cost = mp_get_load_ms(u, d, &from_store);
+    if (u->busy_until_ms == WHEN_TOLD) {
+        return -1;
+    }
+    if (u->busy_until_ms > now_ms) {
+        cost += (double)(u->busy_until_ms - now_ms);
+    }
+    int64_t free_mb = get_free_mb(m, u);
+    g_autoptr(GPtrArray) victims = g_ptr_array_new();
+    while (free_mb < (int64_t)d->memory_mb) {
+        Replica *r = may_evict ? pick_victim(m, now_ms, u, victims) : NULL;
+        const DepModel *rd = r ? mp_find_model(m, u, r->name) : NULL;
+        if (!rd) {
+            return -1;
+        }
+        g_ptr_array_add(victims, r);
+        free_mb += rd->memory_mb;
+        cost += get_eviction_loss_ms(m, now_ms, u, r) + 10;
+    }
+    /* Spread: an upstream that serves much already is slower. */
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        cost += mp_get_rate(mp_peek_demand(m, r->name), now_ms) * 20;
+    }
+    return cost;
+}
+
+static uint32_t
+count_store_loads(const Mp *m)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        n += u->ordered && u->order_from_store;
+        for (guint i = 0; i < u->replicas->len; i++) {
+            const Replica *r = u->replicas->pdata[i];
+            n += r->ready_ms == WHEN_TOLD;
+        }
+    }
+    return n;
+}
+
+/* The weight store allows a number of loads begun in any window. */
+#define STORE_WINDOW_MS 5000
+#define STORE_CAUTION 0.85
+
+static bool
+may_start_store_load(Mp *m, uint64_t now_ms, const DepService *s)
+{
+    while (m->store_starts->len &&
+           g_array_index(m->store_starts, uint64_t, 0) + STORE_WINDOW_MS <
+               now_ms) {
+        g_array_remove_index(m->store_starts, 0);
+    }
+    double rate = m->params.store_loads_per_s > 0 ? m->params.store_loads_per_s
+                                                  : s->loads_per_s;
+    return m->store_starts->len + 1 <=
+               rate * STORE_WINDOW_MS / 1000 * STORE_CAUTION &&
+           count_store_loads(m) < m->params.store_at_once;
+}
+
+/* ---- orders ------------------------------------------------------------- */
+
+static void
+send_order(Mp *m, uint64_t now_ms, Up *u, const char *model,
+           const char *adapter, bool unload)
+{
+    g_free(u->order_model);
+    g_free(u->order_adapter);
+    u->order_model = g_strdup(model);
+    u->order_adapter = g_strdup(adapter);
+    u->order_unload = unload;
+    u->order_from_store = false;
+    u->order_load_ms = 0;
+    u->ordered = true;
+    if (!unload && !adapter) {
+        const DepModel *d = mp_find_model(m, u, model);
+        bool from_store;
+        u->order_load_ms = mp_get_load_ms(u, d, &from_store) + LOAD_MARGIN_MS;
+        u->order_from_store = from_store;
+        if (from_store) {
+            g_array_append_val(m->store_starts, now_ms);
+        }
+    }
+    MpOrder o = {u->entry->id,   u->entry->address,
+                 u->order_model, u->order_adapter,
+                 unload,         u->sequence};
+    m->out.order(m->out.ctx, &o);
+}
+
+static bool
+can_order(const Up *u, uint64_t now_ms)
+{
+    return u->known && !u->ordered && now_ms >= u->retry_ms &&
+           now_ms >= u->busy_until_ms && !u->entry->draining;
+}
+
+/* Work on U's goal: make room, then load. */
+void
+mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u)
+{
+    const DepModel *d = mp_find_model(m, u, u->goal);
+    if (!d || now_ms > u->goal_until_ms || u->entry->draining) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    if (!can_order(u, now_ms)) {
+        return;
+    }
+    if (mp_find_replica(u, u->goal)) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    if (get_free_mb(m, u) >= (int64_t)d->memory_mb) {
+        bool from_store;
+        mp_get_load_ms(u, d, &from_store);
+        if (!from_store ||
+            may_start_store_load(m, now_ms, mp_find_service(m, u))) {
+            send_order(m, now_ms, u, u->goal, NULL, false);
+        }
+        return;
+    }
+    const Replica *victim = pick_victim(m, now_ms, u, NULL);
+    if (!victim) {
+        g_clear_pointer(&u->goal, g_free);
+        return;
+    }
+    send_order(m, now_ms, u, victim->name, NULL, true);
+    /* Gateways send nothing more there from now on. */
+    Replica *r = mp_find_replica(u, victim->name);
+    r->unloading = true;
+    u->told = false;
+}
+
+/* Whether some usable upstream has a copy of MODEL beside it; it may be busy
+   just now. */
+static bool
+has_copy(const Mp *m, const char *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (mp_can_use(m, u) && !u->unreached && !mp_find_replica(u, model) &&
+            (mp_has_name(u->entry->on_disk, model) ||
+             mp_has_name(u->entry->in_memory, model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The weight store is slow and shared: it is left for models that callers
+   wait for in vain, that is whose copies beside upstreams can't be used. */
+static bool
+may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w)
+{
+    if (!has_copy(m, w->model)) {
+        return w->none || w->demand->waiting + w->demand->running >
+                              PER_REPLICA * count_replicas(m, w->model);
+    }
+    return w->none && w->demand->waiting > 0 &&
+           now_ms > w->since_ms + COPY_WAIT_MS;
+}
+
+static Up *
+find_best_place(const Mp *m, uint64_t now_ms, const char *model,
+                bool may_evict, bool *from_store)
+{
+    Up *best = NULL;
+    double least = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        const DepModel *d =
+            mp_can_use(m, u) ? mp_find_model(m, u, model) : NULL;
+        if (!d || u->goal || !u->known || u->ordered ||
+            mp_find_replica(u, model)) {
+            continue;
+        }
+        double cost = compute_load_cost(m, now_ms, u, d, may_evict);
+        if (cost >= 0 && (!best || cost < least)) {
+            best = u;
+            least = cost;
+            mp_get_load_ms(u, d, from_store);
+        }
+    }
+    return best;
+}
+
+static void
+set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model)
+{
+    u->goal = g_strdup(model);
+    u->goal_until_ms = now_ms + GOAL_LIFE_MS;
+    add_count(m, u->goal);
+    mp_pursue_goal(m, now_ms, u);
+}
+
+static uint32_t
+get_desired(const Mp *m, uint64_t now_ms, const char *model)
+{
+    const Demand *d = mp_peek_demand(m, model);
+    if (!d) {
+        return 0;
+    }
+    double rate = mp_get_rate(d, now_ms);
+    uint32_t by_load =
+        (d->running + d->waiting + PER_REPLICA - 1) / PER_REPLICA;
+    uint32_t by_rate = rate >= RATE_FOR_THREE          ? 3
+                       : rate >= RATE_FOR_TWO          ? 2
+                       : d->waiting > 0 || rate > 0.01 ? 1
+                                                       : 0;
+    return MAX(by_load, by_rate);
+}
+
+static gint
+compare_wanted(gconstpointer a, gconstpointer b)
+{
+    const Wanted *x = a;
+    const Wanted *y = b;
+    if (x->none != y->none) {
+        return x->none ? -1 : 1;
+    }
+    if ((x->demand->waiting > 0) != (y->demand->waiting > 0)) {
+        return x->demand->waiting > 0 ? -1 : 1;
+    }
+    return x->since_ms < y->since_ms ? -1 : x->since_ms > y->since_ms;
+}
+
+/* Models that lack replicas, those that callers wait for longest first. */
+GArray *
+mp_list_wanted(const Mp *m, uint64_t now_ms)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(Wanted));
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        Demand *d = v;
+        if (strchr(k, '/')) {
+            continue;
+        }
+        uint32_t have = count_replicas(m, k);
+        if (now_ms >= d->next_try_ms && have < get_desired(m, now_ms, k)) {
+            Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
+                        have == 0};
+            g_array_append_val(out, w);
+        }
+    }
+    g_array_sort(out, compare_wanted);
+    return out;
+}
+
+void
+mp_place_models(Mp *m, uint64_t now_ms)
+{
+    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms);
+    for (guint i = 0; i < wanted->len; i++) {
+        const Wanted *w = &g_array_index(wanted, Wanted, i);
+        bool from_store = false;
+        Up *u = find_best_place(m, now_ms, w->model, true, &from_store);
+        if (!u || (from_store && (!may_use_store(m, now_ms, w) ||
+                                  !may_start_store_load(
+                                      m, now_ms, mp_find_service(m, u))))) {
+            w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
+            continue;
+        }
+        set_goal(m, now_ms, u, w->model);
+    }
+}
+
+static void
+add_names(GHashTable *set, const GPtrArray *names)
+{
+    for (guint i = 0; i < names->len; i++) {
+        g_hash_table_add(set, names->pdata[i]);
+    }
+}
+
+/* Models whose load does not need the weight store everywhere; keys are
+   borrowed. */
+GHashTable *
+mp_list_copied(const Mp *m)
+{
+    GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (!mp_can_use(m, u)) {
+            continue;
+        }
+        for (guint i = 0; i < u->replicas->len; i++) {
+            g_hash_table_add(set, ((Replica *)u->replicas->pdata[i])->name);
+        }
+        if (u->goal) {
+            g_hash_table_add(set, u->goal);
+        }
+        add_names(set, u->entry->on_disk);
+        add_names(set, u->entry->in_memory);
+    }
+    return set;
+}
+
+/* A declared model that no upstream has a copy of, even where another that
+   has its copy beside it must make room: its first callers then wait for a
+   disk, not for the weight store (0.5 s against 6 s). */
+static void
+prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
+{
+    if (!may_start_store_load(m, now_ms, s)) {
+        return;
+    }
+    g_autoptr(GHashTable) copied = mp_list_copied(m);
+    GHashTableIter it;
+    gpointer k;
+    g_hash_table_iter_init(&it, s->models);
+    while (g_hash_table_iter_next(&it, &k, NULL)) {
+        bool from_store;
+        if (g_hash_table_contains(copied, k)) {
+            continue;
+        }
+        Up *u = find_best_place(m, now_ms, k, true, &from_store);
+        if (u) {
+            set_goal(m, now_ms, u, k);
+            return;
+        }
+    }
+}
+
+void
+mp_prefetch(Mp *m, uint64_t now_ms)
+{
+    if (!m->params.prefetch || now_ms < m->next_prefetch_ms) {
+        return;
+    }
+    m->next_prefetch_ms = now_ms + PREFETCH_MS;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->config->services);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepService *s = v;
+        if (s->has_models) {
+            prefetch_one(m, now_ms, s);
+        }
+    }
+}
+
+/* ---- adapters ----------------------------------------------------------- */
+
+static uint32_t
+count_adapters(const Up *u)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        n += ((Replica *)u->replicas->pdata[i])->adapters->len;
+    }
+    return n;
+}
+
+/* The adapter least recently used that nobody uses now. */
+static Adapter *
+pick_adapter_victim(const Mp *m, uint64_t now_ms, const Up *u,
+                    const char **model)
+{
+    Adapter *best = NULL;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        for (guint j = 0; j < r->adapters->len; j++) {
+            Adapter *a = r->adapters->pdata[j];
+            g_autofree char *key = mp_make_key(r->name, a->name);
+            const Demand *d = mp_peek_demand(m, key);
+            bool quiet =
+                !a->leaving && now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
+                !(d && d->waiting) && !mp_is_in_use(m, u, r->name, a->name);
+            if (quiet && (!best || a->used_ms < best->used_ms)) {
+                best = a;
+                *model = r->name;
+            }
+        }
+    }
+    return best;
+}
+
+/* Set of "model/adapter" that are held, or ordered, on usable upstreams. */
+static GHashTable *
+list_held_adapters(const Mp *m)
+{
+    GHashTable *set =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (!mp_can_use(m, u)) {
+            continue;
+        }
+        for (guint i = 0; i < u->replicas->len; i++) {
+            const Replica *r = u->replicas->pdata[i];
+            for (guint j = 0; j < r->adapters->len; j++) {
+                const Adapter *a = r->adapters->pdata[j];
+                if (!a->leaving) {
+                    g_hash_table_add(set, mp_make_key(r->name, a->name));
+                }
+            }
+        }
+        if (u->ordered && u->order_adapter && !u->order_unload) {
+            g_hash_table_add(set,
+                             mp_make_key(u->order_model, u->order_adapter));
+        }
+    }
+    return set;
+}
+
+static void
+place_adapter(Mp *m, uint64_t now_ms, const char *model, const char *adapter)
+{
+    Up *best = NULL;
+    double least = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        const Replica *r = mp_can_use(m, u) ? mp_find_replica(u, model) : NULL;
+        if (!r || r->unloading || r->ready_ms > now_ms ||
+            !can_order(u, now_ms)) {
+            continue;
+        }
+        const char *victim_model;
+        bool full = count_adapters(u) >= mp_find_service(m, u)->max_adapters;
+        if (full && !pick_adapter_victim(m, now_ms, u, &victim_model)) {
+            continue;
+        }
+        double cost = count_adapters(u) + (full ? 100 : 0);
+        if (!best || cost < least) {
+            best = u;
+            least = cost;
+        }
+    }
+    if (!best) {
+        return;
+    }
+    const char *victim_model = NULL;
+    if (count_adapters(best) >= mp_find_service(m, best)->max_adapters) {
+        const Adapter *a = pick_adapter_victim(m, now_ms, best, &victim_model);
+        g_autofree char *name = g_strdup(a->name);
+        send_order(m, now_ms, best, victim_model, name, true);
+        return;
+    }
+    send_order(m, now_ms, best, model, adapter, false);
+}
+
+void
+mp_place_adapters(Mp *m, uint64_t now_ms)
+{
+    g_autoptr(GHashTable) held = NULL;
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->demands);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const Demand *d = v;
+        const char *slash = strchr(k, '/');
+        if (!slash || d->waiting == 0) {
+            continue;
+        }
+        if (!held) {
+            held = list_held_adapters(m);
+        }
+        if (!g_hash_table_contains(held, k)) {
+            g_autofree char *model = g_strndup(k, (gsize)(slash - (char *)k));
+            place_adapter(m, now_ms, model, slash + 1);
+        }
+    }
+}
--- a/src/st.c
+++ b/src/st.c
@@ -38,11 +38,11 @@
     BgRandom rng;
     uint64_t answered_ms; /* 0: never */
     bool listed;
-    bool listing;     /* a listing is under way */
+    bool listing; /* a listing is under way */
     bool reached;
     struct Ask *asking; /* the call that is out, or NULL */
-    uint64_t next;    /* offset to read from */
-    GPtrArray *pages; /* of the listing under way: StRecord */
+    uint64_t next;      /* offset to read from */
+    GPtrArray *pages;   /* of the listing under way: StRecord */
     uint32_t backoff_ms;
 };
 
@@ -183,8 +183,7 @@
     if (w->pages->len > 0) {
         after = ((StRecord *)w->pages->pdata[w->pages->len - 1])->key;
     }
-    w->store->ops->list(w->store, w->params.topic, after, on_reply,
-                        w->asking);
+    w->store->ops->list(w->store, w->params.topic, after, on_reply, w->asking);
 }
 
 StWatch *
--- a/src/ut.c
+++ b/src/ut.c
@@ -9,8 +9,9 @@
 /* What an upstream says it lacks is believed for so long; a load that was
    thought done may take a little longer. */
 #define ABSENT_MS 80
-#define LONGEST_ABSENT_MS 1000 /* three times as long each time, up to this */
-#define SHED_REST_MS 60 /* a full upstream frees slots all the time */
+#define LONGEST_ABSENT_MS 1000 /* three times as long each time, up to this   \
+                                */
+#define SHED_REST_MS 60        /* a full upstream frees slots all the time */
 /* Rest after it could not be reached; doubled each time, up to the longest. */
 #define FIRST_REST_MS 250
 #define LONGEST_REST_MS 3000
@@ -42,7 +43,7 @@
     GPtrArray *placed; /* DepResident, by the placing VM; NULL: by entry */
     bool gone;         /* no longer listed; kept while calls are out */
     bool leaving;
-    uint32_t running; /* our calls */
+    uint32_t running;  /* our calls */
     uint32_t reported; /* running and waiting, less ours at that time */
     uint64_t reported_ms;
     uint32_t reported_slots;
@@ -226,8 +227,7 @@
 }
 
 static bool
-is_absent(const Ut *u, uint64_t now_ms, const char *model,
-          const char *adapter)
+is_absent(const Ut *u, uint64_t now_ms, const char *model, const char *adapter)
 {
     for (guint i = 0; i < u->absences->len; i++) {
         const Absence *a = &g_array_index(u->absences, Absence, i);
@@ -375,8 +375,8 @@
     }
     /* The better of two, so that gateways with the same stale reports do not
        all run to one upstream. */
-    const Candidate *a = &g_array_index(
-        c, Candidate, bg_pick_random(&s->rng, c->len));
+    const Candidate *a =
+        &g_array_index(c, Candidate, bg_pick_random(&s->rng, c->len));
     const Candidate *b = least;
     return a->cost < b->cost * 1.05 ? a : b;
 }
@@ -422,7 +422,7 @@
     }
     GArray *from = open->len ? open : resting;
     if (from->len == 0) {
-        return !any    ? UT_NONE
+        return !any     ? UT_NONE
                : !model ? UT_COLD
                : !all   ? UT_ADAPTER
                : full   ? UT_FULL
@@ -485,9 +485,8 @@
     case UT_END_DEAD:
     case UT_END_SILENT:
         u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
-        u->rest_until_ms =
-            now_ms + MIN(FIRST_REST_MS << MIN(u->failures, 10),
-                         LONGEST_REST_MS);
+        u->rest_until_ms = now_ms + MIN(FIRST_REST_MS << MIN(u->failures, 10),
+                                        LONGEST_REST_MS);
         u->failures++;
         break;
     case UT_END_SHED:
--- a/src/ut.h
+++ b/src/ut.h
@@ -35,11 +35,11 @@
 /* Who could serve. */
 typedef struct {
     const char *service;
-    const char *model;       /* NULL: any upstream of the service */
-    const char *adapter;     /* NULL: the model itself */
-    uint64_t affinity;       /* digest of the shared leading parts; 0: none */
+    const char *model;   /* NULL: any upstream of the service */
+    const char *adapter; /* NULL: the model itself */
+    uint64_t affinity;   /* digest of the shared leading parts; 0: none */
     uint32_t prompt_tokens;
-    const GPtrArray *tried;  /* Ut * that are not to be used again, or NULL */
+    const GPtrArray *tried; /* Ut * that are not to be used again, or NULL */
 } UtQuery;
 
 typedef enum {
@@ -58,17 +58,17 @@
 void ut_start(Ut *u, const UtQuery *q);
 
 typedef enum {
-    UT_END_GOOD,     /* it answered */
-    UT_END_FAILED,   /* it failed the request, or broke off */
-    UT_END_DEAD,     /* it can't be reached */
-    UT_END_SILENT,   /* it did not answer in time */
-    UT_END_SHED,     /* it said that it ran nothing: it is full */
-    UT_END_NEUTRAL   /* tells nothing of it */
+    UT_END_GOOD,   /* it answered */
+    UT_END_FAILED, /* it failed the request, or broke off */
+    UT_END_DEAD,   /* it can't be reached */
+    UT_END_SILENT, /* it did not answer in time */
+    UT_END_SHED,   /* it said that it ran nothing: it is full */
+    UT_END_NEUTRAL /* tells nothing of it */
 } UtEnd;
 
 /* FIRST_MS: to its first byte; 0: not known. */
-void ut_finish(UtSet *s, Ut *u, uint64_t now_ms, UtEnd end,
-               uint32_t first_ms, const UtQuery *q);
+void ut_finish(UtSet *s, Ut *u, uint64_t now_ms, UtEnd end, uint32_t first_ms,
+               const UtQuery *q);
 /* It said that it does not hold this (for now). */
 void ut_note_absent(UtSet *s, Ut *u, uint64_t now_ms, const char *model,
                     const char *adapter);
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,387 @@
+"""A randomized soak of real gateways: faults from outside, promises checked
+from what callers, engines and the store see.
+
+    soak.py --build build --seed N [--seconds S]      one run
+    soak.py --build build --seeds FROM-TO             several
+    soak.py --build build --minutes M                 fresh seeds for so long
+
+Each run ends with "seed N: ok" or with what was broken, and exits 1 then.
+"""
+
+import argparse
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from cluster import PYTHON, free_port
+from fake_platform import Engine, Store, config, route
+from platform_cluster import LEASE_REST_MS, Gateway, ask, events_of
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+SETTLE_S = 12          # after the last fault everything is served again
+DRAIN_BOUND_S = 2.0    # by machines that are well
+ASKERS = 4
+
+
+class Link:
+    """A fault proxy before one address."""
+
+    def __init__(self, target):
+        self.port, control = free_port(), free_port()
+        self.address = "127.0.0.1:%d" % self.port
+        self.proc = subprocess.Popen(
+            [PYTHON, os.path.join(HERE, "fault_proxy.py"), "--port",
+             str(self.port), "--control-port", str(control), "--target",
+             target])
+        for _ in range(200):
+            try:
+                self.control = socket.create_connection(
+                    ("127.0.0.1", control))
+                break
+            except OSError:
+                time.sleep(0.05)
+
+    def set(self, **faults):
+        base = {"delay_ms": 0, "cut": False, "freeze": False, "one_way": ""}
+        self.control.sendall(json.dumps(dict(base, **faults)).encode() +
+                             b"\n")
+        self.control.recv(10)
+
+    def stop(self):
+        self.proc.terminate()
+        self.proc.wait()
+
+
+class Soak:
+    def __init__(self, build, seed):
+        self.rng = random.Random(seed)
+        self.store = Store(free_port())
+        self.version = 3
+        self.store.put_config(config(3))
+        self.apps = [Engine(free_port(), self.store, "a%d" % i, "app")
+                     for i in range(3)]
+        self.engines = [Engine(free_port(), self.store, "e%d" % i,
+                               models=["m%d" % (i % 3)]) for i in range(4)]
+        for e in self.engines:
+            e.sizes = {"m%d" % i: 30001 for i in range(6)}
+        self.store.put_config(config(4, models=["m%d" % i for i in range(6)]))
+        self.version = 4
+        self.gateways, self.to_store, self.to_link = [], [], []
+        for i in range(3):
+            store = Link(self.store.address)
+            g = Gateway(build, store, "vm%d" % i)
+            link = Link("127.0.0.1:%d" % g.link)
+            with open(g.settings, encoding="utf-8") as f:
+                text = f.read()
+            with open(g.settings, "w", encoding="utf-8") as f:
+                f.write(text.replace("[bounds]", "advertise = %s\n[bounds]" %
+                                     link.address))
+            self.gateways.append(g.start())
+            self.to_store.append(store)
+            self.to_link.append(link)
+        self.broken, self.results, self.stopping = [], [], False
+        self.faulty_until = time.monotonic() + 3600
+        self.drained = {}      # engine -> when
+        self.lock = threading.Lock()
+
+    # ---- faults: each returns what undoes it
+
+    def fault_signal(self):
+        g = self.rng.choice(self.gateways)
+        kind = self.rng.choice(["STOP", "KILL", "TERM", "HUP"])
+        if g.proc.poll() is not None:
+            return lambda: None
+        g.send(getattr(signal, "SIG" + kind))
+        if kind == "HUP":
+            return lambda: None
+        if kind == "STOP":
+            return lambda: g.send(signal.SIGCONT)
+
+        def again():
+            if kind == "TERM":
+                try:
+                    code = g.proc.wait(9)
+                    if code != 0:
+                        self.broken.append("exit %d after SIGTERM" % code)
+                except subprocess.TimeoutExpired:
+                    self.broken.append("still there 9 s after SIGTERM")
+                    g.proc.kill()
+            g.proc.wait()
+            g.start()
+        return again
+
+    def fault_link(self):
+        link = self.rng.choice(self.to_link + self.to_store)
+        link.set(**self.rng.choice([
+            {"delay_ms": 150}, {"cut": True}, {"freeze": True},
+            {"one_way": "up"}, {"one_way": "down"}, {"freeze_old": True}]))
+        return link.set
+
+    def fault_store(self):
+        if self.rng.random() < 0.4:
+            self.store.lose_appends = self.rng.randint(1, 4)
+            return lambda: None
+        self.store.mode = self.rng.choice(["busy", "silent"])
+
+        def back():
+            self.store.mode = "up"
+        return back
+
+    def fault_engine(self):
+        e = self.rng.choice(self.apps + self.engines)
+        what = self.rng.choice(["break", "shed", "slow", "lose"])
+        if what == "lose":
+            e.lose_orders = 2
+            return lambda: None
+
+        def act(engine, h, rid):
+            if what == "shed":
+                engine.runs.remove(rid)
+                h.reply(503, {}, {"X-Attempt-Id": rid, "X-Not-Executed": "1"})
+                return True
+            if what == "slow":
+                time.sleep(0.4)
+                return False
+            if self.rng.random() < 0.5:
+                h.close_connection = True
+                return True
+            return False
+        e.behave = act
+
+        def back():
+            e.behave = None
+        return back
+
+    def fault_leave(self):
+        """An engine drains and comes back under another id later."""
+        e = self.rng.choice(self.apps)
+        if self.drained:
+            return lambda: None
+        e.drain()
+        with self.lock:
+            self.drained[e] = time.monotonic()
+
+        def back():
+            e.leave()
+            with self.lock:
+                del self.drained[e]
+            e.name += "x"
+            e.state = "ready"
+            e.born += 1000
+            e.beat()
+        return back
+
+    def fault_config(self):
+        self.version += self.rng.randint(1, 3)
+        self.store.put_config(config(
+            self.version, models=["m%d" % i for i in range(6)]))
+        return lambda: None
+
+    # ---- callers
+
+    def ask_one(self, rng):
+        kind = rng.choice(["read", "pay", "pay", "chat", "sum"])
+        model = None
+        if kind in ("chat", "sum"):
+            model = "m%d" % min(rng.randint(0, 9), 5)
+            if rng.random() < 0.3:
+                model += "/a%d" % rng.randint(0, 11)
+        g = rng.choice(self.gateways)
+        rid = "%016x" % rng.getrandbits(64)
+        try:
+            status, _, data, _ = ask(g, kind, model, rid=rid,
+                                     body=rid.encode(), deadline_ms=3000)
+        except OSError:
+            status, data = 0, b""
+        except Exception as e:   # an answer that is no HTTP
+            status, data = 0, b""
+            if "BadStatusLine" not in repr(e) and "Remote" not in repr(e):
+                self.broken.append("%s %s: %r" % (kind, rid, e))
+        with self.lock:
+            self.results.append((kind, rid, status, time.monotonic()))
+        if status == 200:
+            self.check_answer(kind, rid, data)
+
+    def check_answer(self, kind, rid, data):
+        if kind in ("read", "pay") and rid.encode() not in data:
+            self.broken.append("%s %s got another's answer" % (kind, rid))
+        if kind in ("chat", "sum"):
+            got = events_of(data.replace(b"INCOMPLETE ", b""))
+            if got != list(range(len(got))):
+                self.broken.append("%s %s events %r" % (kind, rid, got))
+            whole = not data.startswith(b"INCOMPLETE")
+            if whole and len(got) != 5:
+                self.broken.append("%s %s looks whole: %r" % (kind, rid, got))
+
+    def run_asker(self, seed):
+        rng = random.Random(seed)
+        while not self.stopping:
+            self.ask_one(rng)
+            time.sleep(rng.random() * 0.06)
+
+    # ---- checks
+
+    def check_runs(self):
+        runs = {}
+        for e in self.apps + self.engines:
+            for rid in e.runs:
+                runs[rid] = runs.get(rid, 0) + 1
+        for kind, rid, status, _ in self.results:
+            n = runs.get(rid, 0)
+            if kind in ("pay", "sum") and n > 1:
+                self.broken.append("%s %s ran %d times" % (kind, rid, n))
+            if kind in ("pay", "sum") and status in (503, 429, 408, 421) and n:
+                self.broken.append("%s %s refused, and ran" % (kind, rid))
+            if status == 404:
+                self.broken.append("%s %s got 404" % (kind, rid))
+
+    def check_orders(self):
+        for e in self.engines:
+            if e.crashed:
+                self.broken.append("%s overcommitted: %s" % (e.name,
+                                                             e.crashed))
+            last = None
+            for at, holder, token, *_ in e.orders:
+                if last and holder != last[1]:
+                    if at - last[0] < LEASE_REST_MS / 1000 - 0.05:
+                        self.broken.append("%s: holders %s and %s within "
+                                           "%.3f s" % (e.name, last[1],
+                                                       holder, at - last[0]))
+                if last and token < last[2]:
+                    self.broken.append("%s: token %d after %d" % (
+                        e.name, token, last[2]))
+                last = (at, holder, token)
+
+    def check_versions(self):
+        for g in self.gateways:
+            last = {}
+            process = None
+            for line in g.events():
+                if line["event"] == "started":
+                    process = line["process"]
+                if line["event"] == "config-taken":
+                    if line["version"] <= last.get(process, 0):
+                        self.broken.append("%s went back to version %d" % (
+                            g.name, line["version"]))
+                    last[process] = line["version"]
+
+    def check_settled(self):
+        """Everything is well again: all kinds are served by all gateways."""
+        until = time.monotonic() + SETTLE_S
+        left = [(g, k, m) for g in self.gateways
+                for k, m in (("read", None), ("pay", None), ("chat", "m0"),
+                             ("sum", "m5"))]
+        while left and time.monotonic() < until:
+            g, kind, model = left[0]
+            try:
+                if ask(g, kind, model, deadline_ms=2500)[0] == 200:
+                    left.pop(0)
+                    continue
+            except OSError:
+                pass
+            time.sleep(0.1)
+        for g, kind, _ in left:
+            self.broken.append("%s does not serve %s again" % (g.name, kind))
+        for g in self.gateways:
+            if not left and g.dump()["config"] != self.version:
+                self.broken.append("%s is at version %d of %d" % (
+                    g.name, g.dump()["config"], self.version))
+
+    # ---- the run
+
+    def run(self, seconds):
+        for _ in range(100):
+            if all(g.is_ready() for g in self.gateways):
+                break
+            time.sleep(0.1)
+        askers = [threading.Thread(target=self.run_asker,
+                                   args=(self.rng.getrandbits(32),))
+                  for _ in range(ASKERS)]
+        for t in askers:
+            t.start()
+        faults = [self.fault_signal, self.fault_link, self.fault_store,
+                  self.fault_engine, self.fault_leave, self.fault_config]
+        until = time.monotonic() + seconds
+        undo = []
+        while time.monotonic() < until:
+            undo.append((time.monotonic() + self.rng.uniform(0.2, 4),
+                         self.rng.choice(faults)()))
+            time.sleep(self.rng.uniform(0.1, 1.2))
+            due = [u for u in undo if u[0] <= time.monotonic()]
+            undo = [u for u in undo if u not in due]
+            for _, back in due:
+                back()
+        for _, back in undo:
+            back()
+        for link in self.to_link + self.to_store:
+            link.set()
+        self.check_settled()
+        self.stopping = True
+        for t in askers:
+            t.join()
+        time.sleep(0.3)
+        self.check_runs()
+        self.check_orders()
+        self.check_versions()
+
+    def stop(self):
+        for g in self.gateways:
+            if g.proc.poll() is None:
+                g.proc.kill()
+                g.proc.wait()
+        for link in self.to_link + self.to_store:
+            link.stop()
+        for app in self.apps + self.engines + [self.store]:
+            app.stop()
+
+
+def run_seed(build, seed, seconds):
+    soak = Soak(build, seed)
+    try:
+        soak.run(seconds)
+    finally:
+        soak.stop()
+    counts = {}
+    for _, _, status, _ in soak.results:
+        counts[status] = counts.get(status, 0) + 1
+    told = "ok" if not soak.broken else "BROKEN"
+    print("seed %d: %s, %d requests %s" % (seed, told, len(soak.results),
+                                           sorted(counts.items())))
+    for what in soak.broken[:10]:
+        print("    " + what)
+    if soak.broken:
+        print("    logs: " + " ".join(g.log_path for g in soak.gateways))
+    sys.stdout.flush()
+    return not soak.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds")
+    parser.add_argument("--minutes", type=float)
+    parser.add_argument("--seconds", type=float, default=12)
+    args = parser.parse_args()
+    if args.seed is not None:
+        seeds = [args.seed]
+    elif args.seeds:
+        first, last = args.seeds.split("-")
+        seeds = range(int(first), int(last) + 1)
+    else:
+        until = time.monotonic() + 60 * (args.minutes or 1)
+        seeds = iter(lambda: random.getrandbits(32)
+                     if time.monotonic() < until else None, None)
+    good = [run_seed(args.build, seed, args.seconds) for seed in seeds]
+    print("%d seeds, %d broken" % (len(good), good.count(False)))
+    sys.exit(0 if all(good) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_names.py
@@ -0,0 +1,62 @@
+"""The users' platform is known in platform/ alone."""
+
+import glob
+import os
+import re
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+# Names that only the platform uses: headers, calls, fields, topics.
+PLATFORM_WORDS = [
+    "X-Model", "X-Token-Count", "X-Prompt-Prefix", "X-Expect-Instance",
+    "X-Instance-Load", "X-Instance-Id", "X-Not-Executed", "X-Deadline-Ms",
+    "X-Server-Stamp", "X-Request-Urgency", "X-Length-Hint", "Kv-From",
+    "Last-Event-Id", "log-append", "log-read", "log-newest", "log-join",
+    "keyed.op", "keyed.servers", "path_prefix", "route_type", "traffic_split",
+    "target_latency_ms", "gap_target_ms", "op_type", "fence_token", "at_hand",
+    "load_time_s", "weights_mb", "cold_left_ms", "sticky", "BENCH",
+    "fleetbench", "machine_class"]
+
+
+# The product's own interface had this header before the platform's.
+OWN = {"req.c: X-Deadline-Ms"}
+
+
+def read(path):
+    with open(path, encoding="utf-8") as f:
+        return f.read()
+
+
+def test_platform_words_stand_in_platform_alone():
+    found = []
+    for path in sorted(glob.glob(os.path.join(ROOT, "src", "*"))):
+        text = read(path)
+        found += ["%s: %s" % (os.path.basename(path), w)
+                  for w in PLATFORM_WORDS if w in text]
+    assert not set(found) - OWN
+
+
+def test_adapter_is_small():
+    """The adapter translates; the product's gateway is several times its
+    size."""
+    def count(pattern):
+        paths = glob.glob(os.path.join(ROOT, pattern))
+        return sum(len(read(p).splitlines()) for p in paths
+                   if ".pb-c." not in p)
+    adapter = count("platform/*.[ch]")
+    gateway = sum(count("src/%s.[ch]" % name) for name in (
+        "ht*", "st", "dep", "ls", "rb", "ut", "mp*", "lk", "gw*", "jl",
+        "main_gateway"))
+    print("platform/ %d lines, gateway %d lines" % (adapter, gateway))
+    assert adapter * 4 < gateway
+
+
+def test_settings_template_names_only_known_keys():
+    """Each key of the template is one that the gateway knows."""
+    known = set(re.findall(r'\{"(?:gateway|bounds)", "(\w+)"',
+                           read(os.path.join(ROOT, "src",
+                                             "main_gateway.c"))))
+    used = set(re.findall(r"^(?:\{\{[#/][^}]*\}\})*(\w+) = ",
+                          read(os.path.join(ROOT, "platform",
+                                            "settings.ini")), re.M))
+    assert used and used <= known
--- /dev/null
+++ b/tests/unit_gateway.c
@@ -0,0 +1,827 @@
+/* The gateway's decision cores, without threads, I/O or clock: the lease, the
+   budget of repeats, the choice of an upstream, placement. */
+#include "dep.h"
+#include "ls.h"
+#include "mp.h"
+#include "rb.h"
+#include "ut.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+/* ---- lease -------------------------------------------------------------- */
+
+/* A topic of the store, and processes that read and write it. */
+typedef struct {
+    char *newest; /* value of the newest record, or NULL */
+    uint64_t tail;
+} Topic;
+
+typedef struct {
+    Ls *lease;
+    Topic *topic;
+    bool cut; /* from the store */
+    bool reading;
+    uint64_t from;
+    bool writing;
+    uint64_t at;
+    char *value;
+} Vm;
+
+static void
+vm_read(void *ctx, uint64_t from)
+{
+    Vm *v = ctx;
+    v->reading = true;
+    v->from = from;
+}
+
+static void
+vm_append(void *ctx, uint64_t at, const char *value)
+{
+    Vm *v = ctx;
+    v->writing = true;
+    v->at = at;
+    g_free(v->value);
+    v->value = g_strdup(value);
+}
+
+static void
+vm_changed(void *ctx)
+{
+    (void)ctx;
+}
+
+static void
+vm_start(Vm *v, Topic *t, const char *name, const char *process)
+{
+    memset(v, 0, sizeof(*v));
+    v->topic = t;
+    LsParams p = {name, process, "127.0.0.1:1", 1000, 300, 3000, 500, 7};
+    LsOutput out = {v, vm_read, vm_append, vm_changed};
+    v->lease = ls_create(&p, &out);
+}
+
+static void
+vm_stop(Vm *v)
+{
+    ls_destroy(v->lease);
+    g_free(v->value);
+}
+
+static void
+vm_answer(Vm *v, uint64_t now_ms)
+{
+    if (v->reading) {
+        v->reading = false;
+        bool news = v->topic->newest && v->topic->tail > v->from;
+        ls_on_read(v->lease, now_ms, v->cut ? ST_AWAY : ST_OK,
+                   news ? v->topic->newest : NULL, v->topic->tail - 1,
+                   v->topic->tail);
+    }
+    if (v->writing) {
+        v->writing = false;
+        bool fits = v->at == v->topic->tail;
+        if (!v->cut && fits) {
+            g_free(v->topic->newest);
+            v->topic->newest = g_strdup(v->value);
+            v->topic->tail++;
+        }
+        ls_on_append(v->lease, now_ms,
+                     v->cut ? ST_AWAY
+                     : fits ? ST_OK
+                            : ST_CONFLICT,
+                     v->topic->tail - 1, v->topic->tail);
+    }
+}
+
+static void
+vm_run(Vm *vms, int n, uint64_t *now_ms, uint64_t for_ms)
+{
+    for (uint64_t end = *now_ms + for_ms; *now_ms < end; *now_ms += 20) {
+        int holders = 0;
+        for (int i = 0; i < n; i++) {
+            ls_on_tick(vms[i].lease, *now_ms);
+            vm_answer(&vms[i], *now_ms);
+            holders += ls_is_holder(vms[i].lease, *now_ms);
+        }
+        CU_ASSERT(holders <= 1);
+    }
+}
+
+/* The first VM that claims holds the lease and may order at once; it goes on
+   holding it. */
+static void
+test_lease_first_holder(void)
+{
+    Topic t = {0};
+    Vm v[2];
+    uint64_t now_ms = 1000;
+    vm_start(&v[0], &t, "a", "a1");
+    vm_start(&v[1], &t, "b", "b1");
+    vm_run(v, 2, &now_ms, 5000);
+    CU_ASSERT(ls_may_order(v[0].lease, now_ms) ||
+              ls_may_order(v[1].lease, now_ms));
+    vm_stop(&v[0]);
+    vm_stop(&v[1]);
+    g_free(t.newest);
+}
+
+/* The holder is cut from the store.  Its right ends by itself before another
+   VM's begins, and that one's first order waits for the rest as well; its
+   token is higher. */
+static void
+test_lease_moves_on(void)
+{
+    Topic t = {0};
+    Vm v[2];
+    uint64_t now_ms = 1000;
+    vm_start(&v[0], &t, "a", "a1");
+    vm_run(v, 1, &now_ms, 1000);
+    CU_ASSERT(ls_may_order(v[0].lease, now_ms));
+    uint64_t token = ls_get_token(v[0].lease);
+    vm_start(&v[1], &t, "b", "b1");
+    vm_run(v, 2, &now_ms, 1000);
+    v[0].cut = true;
+    uint64_t cut_ms = now_ms;
+    vm_run(v, 2, &now_ms, 2500);
+    CU_ASSERT_FALSE(ls_is_holder(v[0].lease, now_ms));
+    CU_ASSERT(ls_is_holder(v[1].lease, now_ms));
+    CU_ASSERT_FALSE(ls_may_order(v[1].lease, now_ms));
+    CU_ASSERT(ls_get_token(v[1].lease) > token);
+    vm_run(v, 2, &now_ms, 3000);
+    CU_ASSERT(ls_may_order(v[1].lease, now_ms));
+    CU_ASSERT(now_ms - cut_ms >= 4000);
+    vm_stop(&v[0]);
+    vm_stop(&v[1]);
+    g_free(t.newest);
+}
+
+/* The holder stands still for longer than its lease: at the moment it wakes
+   it may order nothing, before any timer of its own has run. */
+static void
+test_lease_of_a_sleeper(void)
+{
+    Topic t = {0};
+    Vm v;
+    uint64_t now_ms = 1000;
+    vm_start(&v, &t, "a", "a1");
+    vm_run(&v, 1, &now_ms, 1000);
+    CU_ASSERT(ls_may_order(v.lease, now_ms));
+    CU_ASSERT_FALSE(ls_may_order(v.lease, now_ms + 5000));
+    vm_stop(&v);
+    g_free(t.newest);
+}
+
+/* A new process on the holder's VM goes on without the lease's time and the
+   rest: the former process is gone, and one VM is one holder. */
+static void
+test_lease_after_restart(void)
+{
+    Topic t = {0};
+    Vm v;
+    uint64_t now_ms = 1000;
+    vm_start(&v, &t, "a", "a1");
+    vm_run(&v, 1, &now_ms, 1000);
+    uint64_t token = ls_get_token(v.lease);
+    vm_stop(&v);
+    vm_start(&v, &t, "a", "a2");
+    vm_run(&v, 1, &now_ms, 300);
+    CU_ASSERT(ls_may_order(v.lease, now_ms));
+    CU_ASSERT(ls_get_token(v.lease) > token);
+    vm_stop(&v);
+    g_free(t.newest);
+}
+
+/* A holder that stops gives the lease up: another takes it without waiting
+   for its end, and still rests before its first order. */
+static void
+test_lease_given_up(void)
+{
+    Topic t = {0};
+    Vm v[2];
+    uint64_t now_ms = 1000;
+    vm_start(&v[0], &t, "a", "a1");
+    vm_run(v, 1, &now_ms, 1000);
+    vm_start(&v[1], &t, "b", "b1");
+    vm_run(v, 2, &now_ms, 400);
+    ls_stop(v[0].lease, now_ms);
+    vm_run(v, 2, &now_ms, 900);
+    CU_ASSERT(ls_is_stopped(v[0].lease));
+    CU_ASSERT(ls_is_holder(v[1].lease, now_ms));
+    CU_ASSERT_FALSE(ls_may_order(v[1].lease, now_ms));
+    CU_ASSERT_STRING_EQUAL(ls_get_holder_vm(v[0].lease), "b");
+    vm_stop(&v[0]);
+    vm_stop(&v[1]);
+    g_free(t.newest);
+}
+
+/* ---- budget ------------------------------------------------------------- */
+
+/* Repeats of several gateways together stay within the service's allowance in
+   every window, also when one of them starts anew in the middle. */
+static void
+test_budget_in_every_window(void)
+{
+    enum { GATEWAYS = 5, END_MS = 40000 };
+    RbParams p = {10000, 0.2, 54, GATEWAYS};
+    Rb *b[GATEWAYS];
+    static uint32_t requests[END_MS / 10];
+    static uint32_t repeats[END_MS / 10];
+    memset(requests, 0, sizeof(requests));
+    memset(repeats, 0, sizeof(repeats));
+    for (int i = 0; i < GATEWAYS; i++) {
+        b[i] = rb_create(&p, 0);
+    }
+    for (uint64_t now_ms = 0; now_ms < END_MS; now_ms += 10) {
+        if (now_ms == 15000) {
+            rb_destroy(b[0]);
+            b[0] = rb_create(&p, now_ms);
+        }
+        Rb *one = b[now_ms / 10 % GATEWAYS];
+        rb_on_request(one, now_ms, "s");
+        requests[now_ms / 10]++;
+        while (rb_take(one, now_ms, "s")) {
+            repeats[now_ms / 10]++;
+        }
+    }
+    for (int from = 0; from + 1000 <= END_MS / 10; from += 7) {
+        uint32_t asked = 0;
+        uint32_t again = 0;
+        for (int i = from; i < from + 1000; i++) {
+            asked += requests[i];
+            again += repeats[i];
+        }
+        CU_ASSERT(again <= 0.2 * asked + 54);
+    }
+    for (int i = 0; i < GATEWAYS; i++) {
+        rb_destroy(b[i]);
+    }
+}
+
+/* Gateways that are cut off go on spending their part: fewer of them in sight
+   don't make ours larger. */
+static void
+test_budget_remembers_gateways(void)
+{
+    RbParams p = {1000, 0, 100, 10};
+    Rb *b = rb_create(&p, 0);
+    rb_on_gateways(b, 2000, 1);
+    int taken = 0;
+    while (rb_take(b, 2000, "s")) {
+        taken++;
+    }
+    CU_ASSERT(taken <= 10);
+    rb_on_gateways(b, 2000 + RB_MEMORY_MS, 1);
+    taken = 0;
+    while (rb_take(b, 2000 + RB_MEMORY_MS, "s")) {
+        taken++;
+    }
+    CU_ASSERT(taken > 50);
+    rb_destroy(b);
+}
+
+/* ---- choice ------------------------------------------------------------- */
+
+static DepUpstream *
+make_upstream(const char *id, const char *service, const char *model)
+{
+    DepUpstream *u = dep_create_upstream();
+    u->id = g_strdup(id);
+    u->service = g_strdup(service);
+    u->address = g_strdup_printf("127.0.0.1:%u", 1000 + g_str_hash(id) % 999);
+    u->data_centre = g_strdup("z");
+    u->slots = 4;
+    u->born_ms = 1;
+    if (model) {
+        dep_add_resident(u, model);
+    }
+    return u;
+}
+
+static UtSet *
+make_set(int n, const char *model)
+{
+    UtParams p = {"z", 3};
+    UtSet *s = ut_create(&p);
+    for (int i = 0; i < n; i++) {
+        g_autofree char *id = g_strdup_printf("u%d", i);
+        ut_on_entry(s, 0, make_upstream(id, "s", model));
+    }
+    return s;
+}
+
+static void
+test_choice_spreads(void)
+{
+    UtSet *s = make_set(4, NULL);
+    UtQuery q = {.service = "s"};
+    uint32_t most = 0;
+    for (int i = 0; i < 40; i++) {
+        Ut *u = NULL;
+        CU_ASSERT_EQUAL(ut_choose(s, 10, &q, &u), UT_FOUND);
+        ut_start(u, &q);
+        most = MAX(most, ut_get_running(u));
+    }
+    CU_ASSERT(most <= 12);
+    ut_destroy(s);
+}
+
+/* One upstream fails what it is given at once, and so always looks idle: it
+   must not draw the requests to it. */
+static void
+test_choice_shuns_what_fails(void)
+{
+    UtSet *s = make_set(4, NULL);
+    UtQuery q = {.service = "s"};
+    int failed = 0;
+    for (uint64_t now_ms = 0; now_ms < 4000; now_ms += 20) {
+        Ut *u = NULL;
+        if (ut_choose(s, now_ms, &q, &u) != UT_FOUND) {
+            continue;
+        }
+        ut_start(u, &q);
+        bool bad = strcmp(ut_get_id(u), "u1") == 0;
+        failed += bad;
+        ut_finish(s, u, now_ms + 10, bad ? UT_END_FAILED : UT_END_GOOD, 10,
+                  &q);
+    }
+    CU_ASSERT(failed < 25); /* of 200; a quarter would be 50 */
+    ut_destroy(s);
+}
+
+/* An upstream that can't be reached rests, longer each time, and is tried all
+   the same when there is no other. */
+static void
+test_choice_rests_the_dead(void)
+{
+    UtSet *s = make_set(2, NULL);
+    UtQuery q = {.service = "s"};
+    int dead = 0;
+    for (uint64_t now_ms = 0; now_ms < 10000; now_ms += 10) {
+        Ut *u = NULL;
+        CU_ASSERT_EQUAL(ut_choose(s, now_ms, &q, &u), UT_FOUND);
+        ut_start(u, &q);
+        bool bad = strcmp(ut_get_id(u), "u1") == 0;
+        dead += bad;
+        ut_finish(s, u, now_ms, bad ? UT_END_DEAD : UT_END_GOOD, 0, &q);
+    }
+    CU_ASSERT(dead >= 1 && dead < 20);
+    ut_on_gone(s, 10000, "u0");
+    Ut *u = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 10000, &q, &u), UT_FOUND);
+    ut_destroy(s);
+}
+
+static void
+test_choice_by_model(void)
+{
+    UtSet *s = make_set(2, "m0");
+    ut_on_entry(s, 0, make_upstream("x", "s", "m1"));
+    Ut *u = NULL;
+    UtQuery q = {.service = "s", .model = "m1"};
+    CU_ASSERT_EQUAL(ut_choose(s, 0, &q, &u), UT_FOUND);
+    CU_ASSERT_STRING_EQUAL(ut_get_id(u), "x");
+    q.adapter = "a1";
+    CU_ASSERT_EQUAL(ut_choose(s, 0, &q, &u), UT_ADAPTER);
+    q = (UtQuery){.service = "s", .model = "m9"};
+    CU_ASSERT_EQUAL(ut_choose(s, 0, &q, &u), UT_COLD);
+    q = (UtQuery){.service = "t"};
+    CU_ASSERT_EQUAL(ut_choose(s, 0, &q, &u), UT_NONE);
+    ut_destroy(s);
+}
+
+/* It says that it lacks the model: nothing is sent there for a while, longer
+   each time, so that a wrong belief doesn't spend the budget of repeats. */
+static void
+test_choice_after_absence(void)
+{
+    UtSet *s = make_set(1, "m0");
+    UtQuery q = {.service = "s", .model = "m0"};
+    int sends = 0;
+    for (uint64_t now_ms = 0; now_ms < 3000; now_ms += 10) {
+        Ut *u = NULL;
+        if (ut_choose(s, now_ms, &q, &u) == UT_FOUND) {
+            ut_start(u, &q);
+            ut_note_absent(s, u, now_ms, "m0", NULL);
+            ut_finish(s, u, now_ms, UT_END_NEUTRAL, 0, &q);
+            sends++;
+        }
+    }
+    CU_ASSERT(sends <= 6);
+    ut_destroy(s);
+}
+
+/* Requests that share their leading parts go to one holder while it isn't far
+   more loaded than the others, and spread when it is. */
+static void
+test_choice_keeps_prompts_together(void)
+{
+    UtSet *s = make_set(5, "m0");
+    UtQuery q = {.service = "s", .model = "m0", .affinity = 77};
+    Ut *first = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 0, &q, &first), UT_FOUND);
+    int same = 0;
+    for (int i = 0; i < 30; i++) {
+        Ut *u = NULL;
+        ut_choose(s, 0, &q, &u);
+        ut_start(u, &q);
+        same += u == first;
+    }
+    CU_ASSERT(same >= 4 && same < 20);
+    ut_destroy(s);
+}
+
+/* The same id in another life, or at another address: what was learnt of the
+   former is forgotten, and a call that is out there may still end. */
+static void
+test_choice_reborn(void)
+{
+    UtSet *s = make_set(1, "m0");
+    UtQuery q = {.service = "s", .model = "m0"};
+    Ut *u = NULL;
+    ut_choose(s, 0, &q, &u);
+    ut_start(u, &q);
+    DepUpstream *e = make_upstream("u0", "s", NULL);
+    e->born_ms = 2;
+    CU_ASSERT_TRUE(ut_on_entry(s, 5, e));
+    CU_ASSERT_TRUE(ut_is_gone(u));
+    Ut *other = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 5, &q, &other), UT_COLD);
+    ut_finish(s, u, 9, UT_END_GOOD, 3, &q);
+    ut_destroy(s);
+}
+
+/* ---- placement ---------------------------------------------------------- */
+
+/* Engines that carry orders out, with what they were ordered. */
+typedef struct {
+    DepUpstream *state;
+    uint32_t used_mb;
+    uint64_t busy_until_ms;
+    char *coming;
+    bool asked;
+    MpOrder order; /* out, if upstream is set */
+    char *order_model;
+    char *order_adapter;
+    int loads;
+    int unloads;
+} Engine;
+
+#define ENGINES 4
+#define MODEL_MB 30000
+#define ENGINE_MB 83000
+
+typedef struct {
+    Mp *mp;
+    DepConfig *config;
+    Engine engines[ENGINES];
+    int lose; /* answers of orders that are lost */
+    bool overcommitted;
+    uint64_t now_ms;
+} Site;
+
+static Engine *
+find_engine(Site *s, const char *id)
+{
+    return &s->engines[id[1] - '0'];
+}
+
+static void
+site_order(void *ctx, const MpOrder *o)
+{
+    Engine *e = find_engine(ctx, o->upstream);
+    CU_ASSERT_PTR_NULL(e->order.upstream);
+    e->order = *o;
+    e->order.upstream = e->state->id;
+    e->order_model = g_strdup(o->model);
+    e->order_adapter = g_strdup(o->adapter);
+}
+
+static void
+site_ask(void *ctx, const DepUpstream *of)
+{
+    find_engine(ctx, of->id)->asked = true;
+}
+
+static void
+site_placed(void *ctx, const char *upstream, const GPtrArray *models)
+{
+    (void)ctx;
+    (void)upstream;
+    (void)models;
+}
+
+static DepResident *
+find_resident(const Engine *e, const char *model)
+{
+    for (guint i = 0; i < e->state->models->len; i++) {
+        DepResident *r = e->state->models->pdata[i];
+        if (strcmp(r->name, model) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+static MpOrderEnd
+carry_out(Site *s, Engine *e)
+{
+    const MpOrder *o = &e->order;
+    if (e->busy_until_ms > s->now_ms || o->sequence != e->state->sequence) {
+        return MP_ORDER_CONFLICT;
+    }
+    e->state->sequence++;
+    DepResident *r = find_resident(e, e->order_model);
+    if (e->order_adapter) {
+        if (r && !o->unload) {
+            g_ptr_array_add(r->adapters, g_strdup(e->order_adapter));
+        }
+        guint n = 0;
+        for (guint i = 0; i < e->state->models->len; i++) {
+            n += ((DepResident *)e->state->models->pdata[i])->adapters->len;
+        }
+        s->overcommitted = s->overcommitted || n > 8;
+        if (r && o->unload) {
+            for (guint i = 0; i < r->adapters->len; i++) {
+                if (strcmp(r->adapters->pdata[i], e->order_adapter) == 0) {
+                    g_ptr_array_remove_index(r->adapters, i);
+                }
+            }
+            return MP_ORDER_HOLDS;
+        }
+        return MP_ORDER_TAKEN;
+    }
+    if (o->unload) {
+        e->unloads++;
+        if (r) {
+            e->used_mb -= MODEL_MB;
+            g_ptr_array_remove(e->state->models, r);
+        }
+        return MP_ORDER_TAKEN;
+    }
+    e->loads++;
+    e->used_mb += MODEL_MB;
+    s->overcommitted = s->overcommitted || e->used_mb > ENGINE_MB;
+    e->coming = g_strdup(e->order_model);
+    e->busy_until_ms = s->now_ms + 500;
+    return MP_ORDER_TAKEN;
+}
+
+static void
+answer_engine(Site *s, Engine *e)
+{
+    if (e->coming && s->now_ms >= e->busy_until_ms) {
+        dep_add_resident(e->state, e->coming);
+        g_clear_pointer(&e->coming, g_free);
+        mp_on_entry(s->mp, s->now_ms, e->state);
+    }
+    if (e->order.upstream) {
+        MpOrderEnd end = carry_out(s, e);
+        if (s->lose > 0) {
+            s->lose--;
+            end = MP_ORDER_UNKNOWN;
+        }
+        e->order.upstream = NULL;
+        g_clear_pointer(&e->order_model, g_free);
+        g_clear_pointer(&e->order_adapter, g_free);
+        mp_on_order_end(s->mp, s->now_ms, e->state->id, end);
+    }
+    if (e->asked) {
+        e->asked = false;
+        e->state->busy = e->coming != NULL;
+        mp_on_report(s->mp, s->now_ms, e->state->id, e->state);
+    }
+}
+
+static void
+start_site(Site *s, int models)
+{
+    memset(s, 0, sizeof(*s));
+    s->now_ms = 100000;
+    MpParams p = {0, 4, false};
+    MpOutput out = {s, site_order, site_ask, site_placed};
+    s->mp = mp_create(&p, &out);
+    s->config = dep_create_config();
+    s->config->version = 1;
+    DepService *svc = dep_add_service(s->config, "s");
+    svc->has_models = true;
+    svc->memory_mb = ENGINE_MB;
+    svc->max_adapters = 8;
+    svc->loads_per_s = 3;
+    for (int i = 0; i < models; i++) {
+        g_autofree char *name = g_strdup_printf("m%d", i);
+        DepModel *m = dep_add_model(svc, name);
+        m->memory_mb = MODEL_MB;
+        m->load_ms = 500;
+        m->disk_ms = 500;
+        m->warm_ms = 500;
+        m->adapters = 30;
+        m->adapter_mb = 40;
+    }
+    dep_index_routes(s->config);
+    mp_on_config(s->mp, s->config);
+    for (int i = 0; i < ENGINES; i++) {
+        g_autofree char *id = g_strdup_printf("u%d", i);
+        s->engines[i].state = make_upstream(id, "s", NULL);
+        mp_on_entry(s->mp, s->now_ms, s->engines[i].state);
+    }
+    mp_begin(s->mp, s->now_ms);
+}
+
+static void
+stop_site(Site *s)
+{
+    CU_ASSERT_FALSE(s->overcommitted);
+    mp_destroy(s->mp);
+    dep_unref_config(s->config);
+    for (int i = 0; i < ENGINES; i++) {
+        dep_destroy_upstream(s->engines[i].state);
+        g_free(s->engines[i].coming);
+    }
+}
+
+static void
+run_site(Site *s, uint64_t for_ms, bool may_order)
+{
+    for (uint64_t end = s->now_ms + for_ms; s->now_ms < end; s->now_ms += 20) {
+        mp_on_tick(s->mp, s->now_ms, may_order);
+        for (int i = 0; i < ENGINES; i++) {
+            answer_engine(s, &s->engines[i]);
+        }
+    }
+}
+
+static void
+want(Site *s, const char *gateway, const char *model, const char *adapter,
+     uint32_t waiting)
+{
+    MpWant w = {(char *)model, (char *)adapter, waiting, 0, waiting};
+    g_autoptr(GPtrArray) wants = g_ptr_array_new();
+    g_autoptr(GPtrArray) uses = g_ptr_array_new();
+    g_ptr_array_add(wants, &w);
+    mp_on_demand(s->mp, s->now_ms, gateway, wants, uses);
+}
+
+static int
+count_loads(const Site *s)
+{
+    int n = 0;
+    for (int i = 0; i < ENGINES; i++) {
+        n += s->engines[i].loads;
+    }
+    return n;
+}
+
+/* A burst for one cold model reaches ten gateways at once: one load. */
+static void
+test_placement_one_load_for_a_burst(void)
+{
+    Site s;
+    start_site(&s, 3);
+    run_site(&s, 500, true);
+    for (int i = 0; i < 10; i++) {
+        g_autofree char *name = g_strdup_printf("g%d", i);
+        want(&s, name, "m0", NULL, i < 3 ? 1 : 0);
+    }
+    run_site(&s, 400, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 1);
+    stop_site(&s);
+}
+
+static void
+test_placement_waits_for_its_right(void)
+{
+    Site s;
+    start_site(&s, 3);
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1000, false);
+    CU_ASSERT_EQUAL(count_loads(&s), 0);
+    run_site(&s, 1000, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 1);
+    stop_site(&s);
+}
+
+/* More models than fit are asked for in turn, and every second answer to an
+   order is lost: no engine is ever loaded over its memory, and each model
+   comes in the end. */
+static void
+test_placement_never_overcommits(void)
+{
+    Site s;
+    start_site(&s, 12);
+    for (int i = 0; i < 36; i++) {
+        g_autofree char *model = g_strdup_printf("m%d", i * 5 % 12);
+        s.lose = i % 2;
+        want(&s, "g", model, NULL, 1);
+        run_site(&s, 1500, true);
+        bool held = false;
+        for (int e = 0; e < ENGINES; e++) {
+            held = held || find_resident(&s.engines[e], model);
+        }
+        run_site(&s, held ? 0 : 4000, true);
+        for (int e = 0; e < ENGINES; e++) {
+            held = held || find_resident(&s.engines[e], model);
+        }
+        CU_ASSERT(held);
+    }
+    stop_site(&s);
+}
+
+/* The same for adapters, of which an engine has room for eight. */
+static void
+test_placement_of_adapters(void)
+{
+    Site s;
+    start_site(&s, 2);
+    for (int i = 0; i < 120; i++) {
+        g_autofree char *adapter = g_strdup_printf("a%d", i % 30);
+        s.lose = i % 7 == 0;
+        want(&s, "g", i % 2 ? "m0" : "m1", adapter, 1);
+        run_site(&s, 400, true);
+    }
+    stop_site(&s);
+}
+
+/* The upstream of a model that is in use says that it leaves: the model is
+   loaded elsewhere before anybody misses it. */
+static void
+test_placement_moves_on_notice(void)
+{
+    Site s;
+    start_site(&s, 3);
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 1);
+    for (int i = 0; i < ENGINES; i++) {
+        if (find_resident(&s.engines[i], "m0")) {
+            s.engines[i].state->draining = true;
+            mp_on_entry(s.mp, s.now_ms, s.engines[i].state);
+        }
+    }
+    want(&s, "g", "m0", NULL, 0);
+    run_site(&s, 1000, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 2);
+    stop_site(&s);
+}
+
+/* ---- routes ------------------------------------------------------------- */
+
+static void
+test_route_split(void)
+{
+    DepConfig *c = dep_create_config();
+    DepRoute *r = dep_add_route(c);
+    r->host = g_strdup("h");
+    r->prefix = g_strdup("/a/");
+    DepSplit one = {g_strdup("one"), 90};
+    DepSplit two = {g_strdup("two"), 10};
+    g_array_append_val(r->splits, one);
+    g_array_append_val(r->splits, two);
+    dep_index_routes(c);
+    CU_ASSERT_PTR_EQUAL(dep_find_route(c, "H:80", "/a/b"), r);
+    CU_ASSERT_PTR_NULL(dep_find_route(c, "h", "/ab"));
+    int second = 0;
+    for (uint64_t i = 0; i < 1000; i++) {
+        second += strcmp(dep_pick_service(r, i), "two") == 0;
+    }
+    CU_ASSERT_EQUAL(second, 100);
+    dep_unref_config(c);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"first holder", test_lease_first_holder},
+        {"lease moves on", test_lease_moves_on},
+        {"lease of a sleeper", test_lease_of_a_sleeper},
+        {"lease after restart", test_lease_after_restart},
+        {"lease given up", test_lease_given_up},
+        {"budget in every window", test_budget_in_every_window},
+        {"budget remembers gateways", test_budget_remembers_gateways},
+        {"choice spreads", test_choice_spreads},
+        {"choice shuns what fails", test_choice_shuns_what_fails},
+        {"choice rests the dead", test_choice_rests_the_dead},
+        {"choice by model", test_choice_by_model},
+        {"choice after absence", test_choice_after_absence},
+        {"prompts together", test_choice_keeps_prompts_together},
+        {"reborn", test_choice_reborn},
+        {"one load for a burst", test_placement_one_load_for_a_burst},
+        {"waits for its right", test_placement_waits_for_its_right},
+        {"never overcommits", test_placement_never_overcommits},
+        {"adapters", test_placement_of_adapters},
+        {"moves on notice", test_placement_moves_on_notice},
+        {"route split", test_route_split},
+        CU_TEST_INFO_NULL};
+    static CU_SuiteInfo suites[] = {
+        {"gateway", NULL, NULL, NULL, NULL, (CU_TestInfo *)tests},
+        CU_SUITE_INFO_NULL};
+    CU_initialize_registry();
+    CU_register_suites(suites);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned int failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/unit_platform.c
@@ -0,0 +1,264 @@
+/* The adapter: what the platform writes, decoded, also when it is malformed,
+   cut off or from another writer. */
+#include "../platform/pf_store.h"
+#include "../platform/pf_wire.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static const uint8_t head[16] = {0, 0, 0, 0, 0, 0, 0, 9,
+                                 0, 0, 0, 0, 0, 0, 0, 1};
+
+static GByteArray *
+start_body(void)
+{
+    GByteArray *b = g_byte_array_new();
+    g_byte_array_append(b, head, sizeof(head));
+    return b;
+}
+
+static void
+add_record(GByteArray *b, const char *key, const char *value)
+{
+    GByteArray *r = pf_encode_record(key, value, strlen(value));
+    g_byte_array_append(b, r->data, r->len);
+    g_byte_array_free(r, TRUE);
+}
+
+static void
+test_records(void)
+{
+    GByteArray *b = start_body();
+    add_record(b, "k1", "one");
+    add_record(b, "k2", ""); /* dropped key */
+    uint64_t tail = 0;
+    GPtrArray *r = pf_decode_records(b->data, b->len, 5, &tail);
+    CU_ASSERT_EQUAL(tail, 9);
+    CU_ASSERT_EQUAL(r->len, 2);
+    const StRecord *first = r->pdata[0];
+    const StRecord *second = r->pdata[1];
+    CU_ASSERT_STRING_EQUAL(first->key, "k1");
+    CU_ASSERT_EQUAL(first->offset, 5);
+    CU_ASSERT_EQUAL(g_bytes_get_size(first->value), 3);
+    CU_ASSERT_PTR_NULL(second->value);
+    CU_ASSERT_EQUAL(second->offset, 6);
+    g_ptr_array_free(r, TRUE);
+    g_byte_array_free(b, TRUE);
+}
+
+/* Cut off at every byte: whole records before the cut, never more. */
+static void
+test_records_cut_off(void)
+{
+    GByteArray *b = start_body();
+    add_record(b, "k1", "one");
+    add_record(b, "k2", "two");
+    for (guint len = 0; len < b->len; len++) {
+        uint64_t tail;
+        GPtrArray *r = pf_decode_records(b->data, len, 0, &tail);
+        if (len < sizeof(head)) {
+            CU_ASSERT_PTR_NULL(r);
+            continue;
+        }
+        CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+        g_assert(r != NULL);
+        CU_ASSERT(r->len <= (len - sizeof(head)) / 10);
+        g_ptr_array_free(r, TRUE);
+    }
+    g_byte_array_free(b, TRUE);
+}
+
+/* Lengths that can't be: past the end, zero, a key longer than its record. */
+static void
+test_records_malformed(void)
+{
+    static const uint8_t bad[][8] = {{0xff, 0xff, 0xff, 0xff, 1, 'a', 'b'},
+                                     {0, 0, 0, 0, 0, 0, 0},
+                                     {0, 0, 0, 2, 9, 'a', 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        GByteArray *b = start_body();
+        g_byte_array_append(b, bad[i], sizeof(bad[i]));
+        uint64_t tail;
+        GPtrArray *r = pf_decode_records(b->data, b->len, 0, &tail);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+        CU_ASSERT_EQUAL(r->len, 0);
+        g_ptr_array_free(r, TRUE);
+        g_byte_array_free(b, TRUE);
+    }
+}
+
+static DepUpstream *
+decode_upstream(const char *text)
+{
+    g_autoptr(GError) err = NULL;
+    DepUpstream *u = pf_decode_upstream("id", text, strlen(text), &err);
+    CU_ASSERT((u == NULL) == (err != NULL));
+    return u;
+}
+
+#define GOOD                                                                  \
+    "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+    "\"slots\":4"
+
+static void
+test_upstream(void)
+{
+    DepUpstream *u = decode_upstream(
+        "{" GOOD ",\"state\":\"ready\",\"sequence\":7,\"born\":12,"
+        "\"models\":[{\"name\":\"m\",\"version\":2,\"adapters\":[\"a1\",3]},"
+        "{\"name\":5}],\"coming\":[\"m/a2@1\",\"x/a3@1\",9],"
+        "\"at_hand\":{\"in_memory\":[\"m\"],\"on_disk\":[\"m\",\"n\"]},"
+        "\"colour\":\"unknown field\"}");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(u);
+    CU_ASSERT_EQUAL(u->sequence, 7);
+    CU_ASSERT_EQUAL(u->born_ms, 12);
+    CU_ASSERT_EQUAL(u->models->len, 1);
+    const DepResident *r = u->models->pdata[0];
+    CU_ASSERT_EQUAL(r->adapters->len, 1);
+    CU_ASSERT_EQUAL(r->coming->len, 1);
+    CU_ASSERT_STRING_EQUAL(r->coming->pdata[0], "a2");
+    CU_ASSERT_EQUAL(u->on_disk->len, 2);
+    dep_destroy_upstream(u);
+}
+
+static void
+test_upstream_foreign(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[]",
+        "7",
+        "null",
+        "\xff\xfe",
+        "{}",
+        "{" GOOD "}",
+        "{" GOOD ",\"state\":\"odd\"}",
+        "{" GOOD ",\"state\":7}",
+        "{\"service\":1,\"address\":\"a:1\",\"zone\":\"z\",\"slots\":1,"
+        "\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
+        "\"slots\":\"1\",\"state\":\"ready\"}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_PTR_NULL(decode_upstream(bad[i]));
+    }
+}
+
+static void
+test_config(void)
+{
+    static const char text[] =
+        "{\"version\":9,\"new\":{},\"routes\":[{\"name\":\"r\",\"host\":"
+        "\"H.Example\",\"path_prefix\":\"/a/\",\"route_type\":\"streaming\","
+        "\"timeout_ms\":5000,\"target_latency_ms\":800,\"gap_target_ms\":400,"
+        "\"attempts\":2,\"resumable\":true,\"sticky\":true,"
+        "\"traffic_split\":[{\"service\":\"s\",\"weight\":90},"
+        "{\"service\":\"t\",\"weight\":10}]},"
+        "{\"name\":\"q\",\"host\":\"h\",\"path_prefix\":\"/\","
+        "\"route_type\":\"novel\",\"service\":\"s\"}],"
+        "\"services\":[{\"name\":\"s\",\"engine\":{\"weights_mb\":83000.0,"
+        "\"max_adapters\":8,\"models\":[{\"name\":\"m\",\"weights_mb\":"
+        "16100.000000000002,\"load_time_s\":6.0,\"disk_s\":0.35}]}}]}";
+    g_autoptr(GError) err = NULL;
+    DepConfig *c = pf_decode_config(text, strlen(text), &err);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+    CU_ASSERT_EQUAL(c->version, 9);
+    const DepRoute *r = dep_find_route(c, "h.example", "/a/b");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+    g_assert(r != NULL);
+    CU_ASSERT(r->kind == DEP_STREAM && r->resumable && r->by_model);
+    CU_ASSERT_EQUAL(r->patience_ms, 3200);
+    CU_ASSERT_EQUAL(r->splits->len, 2);
+    /* A kind that is not known is never repeated. */
+    const DepRoute *novel = dep_find_route(c, "h", "/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(novel);
+    g_assert(novel != NULL);
+    CU_ASSERT_EQUAL(novel->kind, DEP_NON_IDEMPOTENT);
+    const DepService *s = g_hash_table_lookup(c->services, "s");
+    const DepModel *m = g_hash_table_lookup(s->models, "m");
+    CU_ASSERT_EQUAL(m->memory_mb, 16100);
+    CU_ASSERT_EQUAL(m->disk_ms, 350);
+    dep_unref_config(c);
+}
+
+static void
+test_config_malformed(void)
+{
+    static const char *const bad[] = {
+        "", "[]", "{\"routes\":[{\"name\":\"r\",\"host\":\"h\"}]}",
+        "{\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\"}]}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_autoptr(GError) err = NULL;
+        CU_ASSERT_PTR_NULL(pf_decode_config(bad[i], strlen(bad[i]), &err));
+        CU_ASSERT_PTR_NOT_NULL(err);
+    }
+}
+
+static void
+add_header(HtHead *h, const char *name, const char *value)
+{
+    HtHeader x = {name, value};
+    g_array_append_val(h->headers, x);
+}
+
+/* Two prompts share their parts up to where they differ, and a part counts
+   with all parts before it. */
+static void
+test_call_headers(void)
+{
+    HtHead h = {.headers = g_array_new(FALSE, FALSE, sizeof(HtHeader))};
+    add_header(&h, "x-attempt-id", "id");
+    add_header(&h, "X-Model", "m/a7");
+    add_header(&h, "X-Token-Count", "1460,80");
+    add_header(&h, "X-Prompt-Prefix", "5c:800,91:410,e4:250");
+    add_header(&h, "X-Deadline-Ms", "5000");
+    add_header(&h, "Last-Event-Id", "12");
+    DepCall one;
+    pf_gw_wire.read_call(&h, &one);
+    CU_ASSERT_STRING_EQUAL(one.attempt_id, "id");
+    CU_ASSERT_STRING_EQUAL(one.model, "m");
+    CU_ASSERT_STRING_EQUAL(one.adapter, "a7");
+    CU_ASSERT(one.prompt_tokens == 1460 && one.output_tokens == 80);
+    CU_ASSERT(one.deadline_ms == 5000 && one.resume_after == 12);
+    CU_ASSERT_EQUAL(one.parts->len, 3);
+    g_array_set_size(h.headers, 0);
+    add_header(&h, "X-Prompt-Prefix", "00:800,91:410,e4:250");
+    DepCall two;
+    pf_gw_wire.read_call(&h, &two);
+    for (guint i = 0; i < 3; i++) {
+        CU_ASSERT_NOT_EQUAL(g_array_index(one.parts, DepPart, i).digest,
+                            g_array_index(two.parts, DepPart, i).digest);
+    }
+    CU_ASSERT_PTR_NULL(two.attempt_id);
+    CU_ASSERT_EQUAL(two.resume_after, -1);
+    dep_clear_call(&one);
+    dep_clear_call(&two);
+    g_array_free(h.headers, TRUE);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"records", test_records},
+        {"records cut off", test_records_cut_off},
+        {"records malformed", test_records_malformed},
+        {"upstream", test_upstream},
+        {"upstream foreign", test_upstream_foreign},
+        {"config", test_config},
+        {"config malformed", test_config_malformed},
+        {"call headers", test_call_headers},
+        CU_TEST_INFO_NULL};
+    static CU_SuiteInfo suites[] = {
+        {"platform", NULL, NULL, NULL, NULL, (CU_TestInfo *)tests},
+        CU_SUITE_INFO_NULL};
+    CU_initialize_registry();
+    CU_register_suites(suites);
+    CU_basic_set_mode(CU_BRM_VERBOSE);
+    CU_basic_run_tests();
+    unsigned int failed = CU_get_number_of_failures();
+    CU_cleanup_registry();
+    return failed ? 1 : 0;
+}
