--- a/src/dep.c
+++ b/src/dep.c
@@ -221,6 +221,31 @@
     return r;
 }
 
+bool
+dep_has_name(const GPtrArray *list, const char *name)
+{
+    for (guint i = 0; i < list->len; i++) {
+        if (strcmp(list->pdata[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+dep_copy_names(GPtrArray *to, const GPtrArray *from)
+{
+    for (guint i = 0; i < from->len; i++) {
+        g_ptr_array_add(to, g_strdup(from->pdata[i]));
+    }
+}
+
+char *
+dep_make_key(const char *model, const char *adapter)
+{
+    return adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+}
+
 /* ---- one request -------------------------------------------------------- */
 
 void
--- a/src/dep.h
+++ b/src/dep.h
@@ -118,6 +118,14 @@
 void dep_destroy_upstream(DepUpstream *u);
 DepResident *dep_add_resident(DepUpstream *u, const char *name);
 
+/* Lists of names (char *). */
+bool dep_has_name(const GPtrArray *list, const char *name);
+/* Append copies of all of FROM. */
+void dep_copy_names(GPtrArray *to, const GPtrArray *from);
+/* "model", or "model/adapter" with an adapter: a key for what callers ask
+   for; free with g_free. */
+char *dep_make_key(const char *model, const char *adapter);
+
 /* ---- one request -------------------------------------------------------- */
 
 typedef struct {
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -52,7 +52,8 @@
         u->adapter = to_text(d->uses[i]->adapter);
         g_ptr_array_add(uses, u);
     }
-    if (mp_on_demand(g->placement, bg_boot_ms(), from, wants, uses)) {
+    if (mp_on_demand(g->placement, bg_boot_ms(), from, g_steal_pointer(&wants),
+                     g_steal_pointer(&uses))) {
         gn_place_soon(g);
     }
 }
@@ -351,7 +352,7 @@
     gw_collect_demand(g->gw, wants, uses);
     if (g->placing) {
         if (mp_on_demand(g->placement, g->demand_ms, gn_get_text(g, "name"),
-                         wants, uses)) {
+                         g_steal_pointer(&wants), g_steal_pointer(&uses))) {
             gn_place_soon(g);
         }
     }
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -138,9 +138,7 @@
     for (guint i = 0; i < models->len; i++) {
         const DepResident *r = models->pdata[i];
         DepResident *c = dep_add_resident(u, r->name);
-        for (guint j = 0; j < r->adapters->len; j++) {
-            g_ptr_array_add(c->adapters, g_strdup(r->adapters->pdata[j]));
-        }
+        dep_copy_names(c->adapters, r->adapters);
     }
     GPtrArray *list = u->models;
     u->models = g_ptr_array_new();
--- a/src/gw.c
+++ b/src/gw.c
@@ -11,6 +11,7 @@
 /* The caller's clock started before ours: an answer that it is to see in
    time leaves this much before its deadline. */
 #define DEADLINE_MARGIN_MS 80
+#define NO_LIMIT_MS 60000 /* neither the caller nor the route sets one */
 /* An upstream that takes several times the usual is taken for silent, where
    the request may be sent elsewhere. */
 #define SILENT_FACTOR 4
@@ -20,9 +21,14 @@
 /* Pause inside a stream after which it is resumed elsewhere, in pauses that
    the route allows; without that figure the fixed time. */
 #define SILENT_GAPS 2
+#define SILENT_GAP_MS 1000
+/* An upstream that began an answer in this time is busy, not dead; it is left
+   only for one with less than this share of its load, and so many less. */
 #define ALIVE_MS 700
 #define LESS_LOAD 0.5
-#define SILENT_GAP_MS 1000
+#define LESS_REQUESTS 2
+/* A dead one is left for any that has not so many more. */
+#define MORE_REQUESTS 4
 /* Kept connections older than this aren't used for what may not be sent
    twice: a close that crosses the request would lose it. */
 #define MAX_IDLE_ONCE_MS 1500
@@ -65,8 +71,7 @@
     uint64_t first_by_ms; /* the caller leaves when it has nothing by then */
     ReqState state;
     const char *waits_for; /* for the log */
-    uint64_t wait_from_ms;
-    GList *link; /* in the gateway's requests */
+    GList *link;           /* in the gateway's requests */
 
     /* the call that is out */
     HtCall *hc;
@@ -222,6 +227,15 @@
     release(q, end);
 }
 
+static void
+send_whole(HtExchange *x, uint16_t status, const GString *head,
+           const GByteArray *body)
+{
+    ht_start_answer(x, status, head->str, body->len);
+    ht_write_answer(x, (const char *)body->data, body->len);
+    ht_end_answer(x);
+}
+
 /* Answer the caller ourselves.  Q is gone after it. */
 static void
 answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why)
@@ -269,9 +283,7 @@
         log_end(q, "passed-on", status, why);
         drop_call(q, UT_END_NEUTRAL);
         free_req(q);
-        ht_start_answer(x, status, head->str, body->len);
-        ht_write_answer(x, (const char *)body->data, body->len);
-        ht_end_answer(x);
+        send_whole(x, status, head, body);
         return;
     }
     if (q->runs == 0) {
@@ -421,9 +433,6 @@
     }
     bool begins = q->state != REQ_WAITING || !q->waits_for;
     q->state = REQ_WAITING;
-    if (!q->waits_for) {
-        q->wait_from_ms = now_ms;
-    }
     q->waits_for = what;
     if (begins && q->query.model) {
         JlLine *l = jl_begin("request-waits");
@@ -535,7 +544,7 @@
     q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
     GwLoad load;
     if (w->read_load(head, &load)) {
-        ut_note_load(q->ut, now_ms, load.running, load.waiting, load.slots);
+        ut_note_load(q->ut, now_ms, load.running, load.waiting);
     }
     g_byte_array_set_size(q->body, 0);
     if (!q->streaming) {
@@ -636,9 +645,7 @@
     g_autoptr(GByteArray) body = g_byte_array_ref(q->body);
     q->body = g_byte_array_new();
     free_req(q);
-    ht_start_answer(x, status, head->str, body->len);
-    ht_write_answer(x, (const char *)body->data, body->len);
-    ht_end_answer(x);
+    send_whole(x, status, head, body);
 }
 
 /* Whether another upstream may be tried after this one may have run it. */
@@ -792,7 +799,7 @@
                          : 1;
         left_ms = left_ms ? MIN(left_ms, d) : d;
     }
-    q->final_ms = q->arrival_ms + (left_ms ? left_ms : 60000);
+    q->final_ms = q->arrival_ms + (left_ms ? left_ms : NO_LIMIT_MS);
     q->first_by_ms = q->final_ms;
     if (q->route->patience_ms) {
         q->first_by_ms =
@@ -826,10 +833,7 @@
     if (!q->query.model) {
         return;
     }
-    g_autofree char *key =
-        q->query.adapter
-            ? g_strconcat(q->query.model, "/", q->query.adapter, NULL)
-            : g_strdup(q->query.model);
+    g_autofree char *key = dep_make_key(q->query.model, q->query.adapter);
     guint n = GPOINTER_TO_UINT(g_hash_table_lookup(q->gw->arrived, key));
     g_hash_table_insert(q->gw->arrived, g_steal_pointer(&key),
                         GUINT_TO_POINTER(n + 1));
@@ -930,7 +934,8 @@
     bool lives = ut_get_heard_ms(q->ut) + ALIVE_MS > now_ms;
     double here = ut_get_load(q->ut, now_ms);
     double there = ut_get_load(other, now_ms);
-    return lives ? there + 2 < here * LESS_LOAD : there < here + 4;
+    return lives ? there + LESS_REQUESTS < here * LESS_LOAD
+                 : there < here + MORE_REQUESTS;
 }
 
 static bool
@@ -1076,8 +1081,7 @@
 find_want(GPtrArray *wants, GHashTable *index, const char *model,
           const char *adapter)
 {
-    g_autofree char *key =
-        adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+    g_autofree char *key = dep_make_key(model, adapter);
     MpWant *w = g_hash_table_lookup(index, key);
     if (!w) {
         w = g_new0(MpWant, 1);
--- a/src/ht.c
+++ b/src/ht.c
@@ -67,7 +67,6 @@
     m->head.method = http_method_str((enum http_method)p->method);
     m->head.target = m->target->str;
     m->head.status = (uint16_t)p->status_code;
-    m->head.chunked = (p->flags & F_CHUNKED) != 0;
     m->head.keeps_alive = http_should_keep_alive(p) != 0;
 }
 
--- a/src/ht.h
+++ b/src/ht.h
@@ -19,7 +19,6 @@
     const char *method; /* of a request */
     const char *target; /* of a request: path and query, as sent */
     uint16_t status;    /* of an answer */
-    bool chunked;
     bool keeps_alive;
     GArray *headers; /* HtHeader, in the order of arrival */
 } HtHead;
--- a/src/mp.c
+++ b/src/mp.c
@@ -104,7 +104,7 @@
 void
 mp_destroy(Mp *m)
 {
-    dep_unref_config((DepConfig *)m->config);
+    dep_unref_config(m->config);
     g_hash_table_destroy(m->ups);
     g_hash_table_destroy(m->gateways);
     g_hash_table_destroy(m->demands);
@@ -133,10 +133,10 @@
 }
 
 void
-mp_on_config(Mp *m, const DepConfig *c)
+mp_on_config(Mp *m, DepConfig *c)
 {
-    dep_unref_config((DepConfig *)m->config);
-    m->config = dep_ref_config((DepConfig *)c);
+    dep_unref_config(m->config);
+    m->config = dep_ref_config(c);
     g_hash_table_remove_all(m->rooms);
     GHashTableIter it;
     gpointer v;
@@ -229,12 +229,8 @@
     c->slots = e->slots;
     c->born_ms = e->born_ms;
     c->sequence = e->sequence;
-    for (guint i = 0; i < e->in_memory->len; i++) {
-        g_ptr_array_add(c->in_memory, g_strdup(e->in_memory->pdata[i]));
-    }
-    for (guint i = 0; i < e->on_disk->len; i++) {
-        g_ptr_array_add(c->on_disk, g_strdup(e->on_disk->pdata[i]));
-    }
+    dep_copy_names(c->in_memory, e->in_memory);
+    dep_copy_names(c->on_disk, e->on_disk);
     return c;
 }
 
@@ -318,16 +314,10 @@
 
 /* ---- demand ------------------------------------------------------------- */
 
-char *
-mp_make_key(const char *model, const char *adapter)
-{
-    return adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
-}
-
 static Demand *
 get_demand(Mp *m, const char *model, const char *adapter)
 {
-    g_autofree char *key = mp_make_key(model, adapter);
+    g_autofree char *key = dep_make_key(model, adapter);
     Demand *d = g_hash_table_lookup(m->demands, key);
     if (!d) {
         d = g_new0(Demand, 1);
@@ -415,22 +405,17 @@
 }
 
 bool
-mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
-             const GPtrArray *wants, const GPtrArray *uses)
+mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway, GPtrArray *wants,
+             GPtrArray *uses)
 {
     Gateway *g = g_new0(Gateway, 1);
     bool waits = false;
     g->said_ms = now_ms;
-    g->wants = g_ptr_array_new_with_free_func(mp_free_want);
-    g->uses = g_ptr_array_new_with_free_func(mp_free_use);
+    g->wants = wants;
+    g->uses = uses;
     for (guint i = 0; i < wants->len; i++) {
         const MpWant *w = wants->pdata[i];
         waits = waits || w->waiting > 0;
-        MpWant *copy = g_new0(MpWant, 1);
-        *copy = *w;
-        copy->model = g_strdup(w->model);
-        copy->adapter = g_strdup(w->adapter);
-        g_ptr_array_add(g->wants, copy);
         if (w->arrived) {
             add_arrivals(get_demand(m, w->model, NULL), now_ms, w->arrived);
         }
@@ -439,14 +424,6 @@
                          w->arrived);
         }
     }
-    for (guint i = 0; i < uses->len; i++) {
-        const MpUse *u = uses->pdata[i];
-        MpUse *copy = g_new0(MpUse, 1);
-        copy->upstream = g_strdup(u->upstream);
-        copy->model = g_strdup(u->model);
-        copy->adapter = g_strdup(u->adapter);
-        g_ptr_array_add(g->uses, copy);
-    }
     g_hash_table_replace(m->gateways, g_strdup(gateway), g);
     note_uses(m, now_ms, uses);
     m->demand_changed = true;
@@ -611,34 +588,19 @@
         }
     }
     g_ptr_array_free(old, TRUE);
-    for (guint i = 0; i < 2; i++) {
-        GPtrArray **to = i ? &u->entry->on_disk : &u->entry->in_memory;
-        const GPtrArray *from = i ? report->on_disk : report->in_memory;
-        g_ptr_array_set_size(*to, 0);
-        for (guint j = 0; j < from->len; j++) {
-            g_ptr_array_add(*to, g_strdup(from->pdata[j]));
-        }
-    }
-}
-
-bool
-mp_has_name(const GPtrArray *list, const char *name)
-{
-    for (guint i = 0; i < list->len; i++) {
-        if (strcmp(list->pdata[i], name) == 0) {
-            return true;
-        }
-    }
-    return false;
+    g_ptr_array_set_size(u->entry->in_memory, 0);
+    dep_copy_names(u->entry->in_memory, report->in_memory);
+    g_ptr_array_set_size(u->entry->on_disk, 0);
+    dep_copy_names(u->entry->on_disk, report->on_disk);
 }
 
 static void
 note_copies(Up *u, const char *model)
 {
-    if (!mp_has_name(u->entry->in_memory, model)) {
+    if (!dep_has_name(u->entry->in_memory, model)) {
         g_ptr_array_add(u->entry->in_memory, g_strdup(model));
     }
-    if (!mp_has_name(u->entry->on_disk, model)) {
+    if (!dep_has_name(u->entry->on_disk, model)) {
         g_ptr_array_add(u->entry->on_disk, g_strdup(model));
     }
 }
@@ -664,7 +626,6 @@
     r->expected_ms = now_ms + u->order_load_ms;
     r->ready_ms = u->order_from_store ? WHEN_TOLD : r->expected_ms;
     r->used_ms = r->expected_ms;
-    r->from_store = u->order_from_store;
     u->busy_until_ms = r->ready_ms;
     u->next_ask_ms = r->expected_ms;
     note_copies(u, u->order_model);
@@ -923,8 +884,8 @@
 
 /* ---- how long callers wait ---------------------------------------------- */
 
-uint32_t
-mp_get_wait_ms(const Mp *m, uint64_t now_ms, const char *model)
+static uint32_t
+get_wait_ms(const Mp *m, uint64_t now_ms, const char *model)
 {
     uint32_t best = UINT32_MAX;
     GHashTableIter it;
@@ -983,7 +944,7 @@
     g_hash_table_iter_init(&it, m->demands);
     while (g_hash_table_iter_next(&it, &k, &v)) {
         const Demand *d = v;
-        uint32_t wait_ms = strchr(k, '/') ? 0 : mp_get_wait_ms(m, now_ms, k);
+        uint32_t wait_ms = strchr(k, '/') ? 0 : get_wait_ms(m, now_ms, k);
         if (d->waiting > 0 && wait_ms > 0 && wait_ms != UINT32_MAX) {
             visit(ctx, k, wait_ms);
         }
--- a/src/mp.h
+++ b/src/mp.h
@@ -76,17 +76,17 @@
 Mp *mp_create(const MpParams *params, const MpOutput *out);
 void mp_destroy(Mp *m);
 
-void mp_on_config(Mp *m, const DepConfig *c);
+void mp_on_config(Mp *m, DepConfig *c);
 void mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry);
 void mp_on_gone(Mp *m, const char *id);
 void mp_keep_only(Mp *m, GHashTable *ids);
 
 /* The lease was gained: nothing that was believed before counts. */
 void mp_begin(Mp *m, uint64_t now_ms);
-/* All there is of GATEWAY's wants and uses now; both lists are borrowed.
-   True: callers wait, so a tick is due. */
+/* All there is of GATEWAY's wants and uses now; both lists, which free what
+   they hold, are taken over.  True: callers wait, so a tick is due. */
 bool mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
-                  const GPtrArray *wants, const GPtrArray *uses);
+                  GPtrArray *wants, GPtrArray *uses);
 /* REPORT: NULL when the upstream did not answer. */
 void mp_on_report(Mp *m, uint64_t now_ms, const char *id,
                   const DepUpstream *report);
@@ -94,9 +94,6 @@
 /* Decide what is due; orders are given only when MAY_ORDER. */
 void mp_on_tick(Mp *m, uint64_t now_ms, bool may_order);
 
-/* How long callers of MODEL have to wait for it, as far as is known; 0: it
-   is held somewhere; UINT32_MAX: not known. */
-uint32_t mp_get_wait_ms(const Mp *m, uint64_t now_ms, const char *model);
 /* Each model that is wanted and not held: VISIT with its wait. */
 void mp_visit_waits(Mp *m, uint64_t now_ms,
                     void (*visit)(void *ctx, const char *model,
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -22,9 +22,6 @@
     uint64_t ordered_ms;  /* when it was ordered */
     bool late;            /* its load takes longer than it should */
     bool unloading;
-    /* From the weight store, which takes longer the more loads it serves: not
-       usable before the upstream says so. */
-    bool from_store;
     uint64_t used_ms;
     GPtrArray *adapters; /* Adapter */
 } Replica;
@@ -72,12 +69,12 @@
 struct Mp {
     MpParams params;
     MpOutput out;
-    const DepConfig *config; /* the caller's reference, held by ours */
-    GHashTable *ups;         /* id -> Up */
-    GHashTable *gateways;    /* name -> Gateway */
-    GHashTable *demands;     /* name -> Demand */
-    GArray *store_starts;    /* uint64_t: loads from the store begun */
-    GHashTable *rooms;       /* service -> MB kept free for adapters */
+    DepConfig *config;    /* NULL: none yet */
+    GHashTable *ups;      /* id -> Up */
+    GHashTable *gateways; /* name -> Gateway */
+    GHashTable *demands;  /* name -> Demand */
+    GArray *store_starts; /* uint64_t: loads from the store begun */
+    GHashTable *rooms;    /* service -> MB kept free for adapters */
     uint64_t next_prefetch_ms;
     uint64_t summed_ms;
     /* Loads that the weight store serves side by side at full speed, learnt
@@ -100,9 +97,7 @@
 
 /* mp.c */
 Replica *mp_find_replica(const Up *u, const char *model);
-char *mp_make_key(const char *model, const char *adapter);
 const DepService *mp_find_service(const Mp *m, const Up *u);
-bool mp_has_name(const GPtrArray *list, const char *name);
 const DepModel *mp_find_model(const Mp *m, const Up *u, const char *name);
 const Demand *mp_peek_demand(const Mp *m, const char *model);
 bool mp_is_in_use(const Mp *m, const Up *u, const char *model,
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -93,10 +93,10 @@
 mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store)
 {
     *from_store = false;
-    if (mp_has_name(u->entry->in_memory, d->name)) {
+    if (dep_has_name(u->entry->in_memory, d->name)) {
         return d->warm_ms ? d->warm_ms : d->load_ms;
     }
-    if (mp_has_name(u->entry->on_disk, d->name)) {
+    if (dep_has_name(u->entry->on_disk, d->name)) {
         return d->disk_ms ? d->disk_ms : d->load_ms;
     }
     *from_store = true;
@@ -316,8 +316,8 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
         if (mp_can_use(m, u) && !u->unreached && !mp_find_replica(u, model) &&
-            (mp_has_name(u->entry->on_disk, model) ||
-             mp_has_name(u->entry->in_memory, model))) {
+            (dep_has_name(u->entry->on_disk, model) ||
+             dep_has_name(u->entry->in_memory, model))) {
             return true;
         }
     }
@@ -567,7 +567,7 @@
         const Replica *r = u->replicas->pdata[i];
         for (guint j = 0; j < r->adapters->len; j++) {
             Adapter *a = r->adapters->pdata[j];
-            g_autofree char *key = mp_make_key(r->name, a->name);
+            g_autofree char *key = dep_make_key(r->name, a->name);
             const Demand *d = mp_peek_demand(m, key);
             bool quiet =
                 !a->leaving && now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
@@ -600,13 +600,13 @@
             for (guint j = 0; j < r->adapters->len; j++) {
                 const Adapter *a = r->adapters->pdata[j];
                 if (!a->leaving) {
-                    g_hash_table_add(set, mp_make_key(r->name, a->name));
+                    g_hash_table_add(set, dep_make_key(r->name, a->name));
                 }
             }
         }
         if (u->ordered && u->order_adapter && !u->order_unload) {
             g_hash_table_add(set,
-                             mp_make_key(u->order_model, u->order_adapter));
+                             dep_make_key(u->order_model, u->order_adapter));
         }
     }
     return set;
--- a/src/rb.c
+++ b/src/rb.c
@@ -105,11 +105,3 @@
     a->repeats[a->slice % (SLICES + 1)]++;
     return true;
 }
-
-void
-rb_give_back(Rb *b, uint64_t now_ms, const char *service)
-{
-    Account *a = get_account(b, now_ms, service);
-    uint32_t *n = &a->repeats[a->slice % (SLICES + 1)];
-    *n -= *n > 0;
-}
--- a/src/rb.h
+++ b/src/rb.h
@@ -32,7 +32,5 @@
 void rb_on_request(Rb *b, uint64_t now_ms, const char *service);
 /* True: one more arrival beyond the first is allowed, and counted. */
 bool rb_take(Rb *b, uint64_t now_ms, const char *service);
-/* It did not reach the service after all. */
-void rb_give_back(Rb *b, uint64_t now_ms, const char *service);
 
 #endif
--- a/src/ut.c
+++ b/src/ut.c
@@ -48,7 +48,6 @@
     uint32_t running;  /* our calls */
     uint32_t reported; /* running and waiting, less ours at that time */
     uint64_t reported_ms;
-    uint32_t reported_slots;
     uint32_t told; /* running for other gateways, by the placing VM */
     uint64_t told_ms;
     uint64_t heard_ms; /* it began an answer; 0: never */
@@ -220,17 +219,6 @@
 
 /* ---- holding ------------------------------------------------------------ */
 
-static bool
-has_text(const GPtrArray *list, const char *text)
-{
-    for (guint i = 0; i < list->len; i++) {
-        if (strcmp(list->pdata[i], text) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 is_absent(const Ut *u, uint64_t now_ms, const char *model, const char *adapter)
 {
@@ -269,7 +257,7 @@
         if (!q->adapter) {
             return HOLDS_ALL;
         }
-        return has_text(r->adapters, q->adapter) &&
+        return dep_has_name(r->adapters, q->adapter) &&
                        !is_absent(u, now_ms, q->model, q->adapter)
                    ? HOLDS_ALL
                    : HOLDS_MODEL;
@@ -324,12 +312,6 @@
     return cost;
 }
 
-static uint32_t
-get_slots(const Ut *u)
-{
-    return u->reported_slots ? u->reported_slots : MAX(u->entry->slots, 1);
-}
-
 static bool
 was_tried(const UtQuery *q, const Ut *u)
 {
@@ -423,7 +405,8 @@
             continue;
         }
         Candidate c = {u, compute_cost(s, u, now_ms, q),
-                       compute_rank(q->affinity, u->entry->id)};
+                       q->affinity ? compute_rank(q->affinity, u->entry->id)
+                                   : 0};
         if (now_ms < u->shed_until_ms && u->running > 0) {
             full = true;
         }
@@ -523,8 +506,7 @@
                const char *adapter)
 {
     (void)s;
-    g_autofree char *what =
-        adapter ? g_strconcat(model, "/", adapter, NULL) : g_strdup(model);
+    g_autofree char *what = dep_make_key(model, adapter);
     uint32_t last_ms = 0;
     for (guint i = 0; i < u->absences->len;) {
         Absence *a = &g_array_index(u->absences, Absence, i);
@@ -546,19 +528,11 @@
 }
 
 void
-ut_note_leaving(Ut *u)
-{
-    u->leaving = true;
-}
-
-void
-ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting,
-             uint32_t slots)
+ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting)
 {
     uint32_t all = running + waiting;
     u->reported = all > u->running ? all - u->running : 0;
     u->reported_ms = now_ms;
-    u->reported_slots = slots;
 }
 
 void
@@ -598,12 +572,6 @@
     return u->entry->address;
 }
 
-const DepUpstream *
-ut_get_entry(const Ut *u)
-{
-    return u->entry;
-}
-
 bool
 ut_is_gone(const Ut *u)
 {
@@ -622,37 +590,8 @@
     return u->running;
 }
 
-void
-ut_sum_load(const UtSet *s, uint64_t now_ms, const char *service,
-            uint32_t *slots, uint32_t *taken)
-{
-    *slots = 0;
-    *taken = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, s->by_id);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Ut *u = v;
-        if (!u->leaving && strcmp(u->entry->service, service) == 0) {
-            *slots += get_slots(u);
-            *taken += (uint32_t)ut_get_load(u, now_ms);
-        }
-    }
-}
-
 uint32_t
 ut_count(const UtSet *s)
 {
     return g_hash_table_size(s->by_id);
 }
-
-void
-ut_visit(const UtSet *s, void (*visit)(void *ctx, const Ut *u), void *ctx)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, s->by_id);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        visit(ctx, v);
-    }
-}
--- a/src/ut.h
+++ b/src/ut.h
@@ -72,11 +72,8 @@
 /* It said that it does not hold this (for now). */
 void ut_note_absent(UtSet *s, Ut *u, uint64_t now_ms, const char *model,
                     const char *adapter);
-/* It said itself that it leaves, or is another than expected. */
-void ut_note_leaving(Ut *u);
 /* What an answer said of its load. */
-void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting,
-                  uint32_t slots);
+void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting);
 /* What all gateways together have running there. */
 void ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running);
 /* A first byte within so long is usual for this query; 0: not known. */
@@ -84,19 +81,12 @@
 
 const char *ut_get_id(const Ut *u);
 const char *ut_get_address(const Ut *u);
-const DepUpstream *ut_get_entry(const Ut *u);
 bool ut_is_gone(const Ut *u);
 uint32_t ut_get_running(const Ut *u);
 /* Ours and what is known of others'. */
 double ut_get_load(const Ut *u, uint64_t now_ms);
 /* When it last began an answer to this gateway; 0: never. */
 uint64_t ut_get_heard_ms(const Ut *u);
-/* Requests of SERVICE that fit at once, and those that run or wait. */
-void ut_sum_load(const UtSet *s, uint64_t now_ms, const char *service,
-                 uint32_t *slots, uint32_t *taken);
 uint32_t ut_count(const UtSet *s);
-/* VISIT each upstream. */
-void ut_visit(const UtSet *s, void (*visit)(void *ctx, const Ut *u),
-              void *ctx);
 
 #endif
