An upstream that can't be reached is asked by one call at a time, and its models are loaded elsewhere

Ruled out: full engines (they had no connection at all), a wrong placement told to gateways (it was the last known one). Change: where only unreachable upstreams are left, one call at a time tries them, 100 ms apart, and the rest wait as for a model; a gateway tells the placing VM of a call that broke off or found nobody; that VM asks the upstream, and if it doesn't answer counts nothing there and loads from another copy. A copy beside an upstream that is away is waited for a third of a store load. Tests: choice probes the only holder, replaces the unreachable (both red without the change).

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &gwp__death__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__unreached__init
+                     (Gwp__Unreached         *message)
+{
+  static const Gwp__Unreached init_value = GWP__UNREACHED__INIT;
+  *message = init_value;
+}
+size_t gwp__unreached__get_packed_size
+                     (const Gwp__Unreached *message)
+{
+  assert(message->base.descriptor == &gwp__unreached__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__unreached__pack
+                     (const Gwp__Unreached *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__unreached__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__unreached__pack_to_buffer
+                     (const Gwp__Unreached *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__unreached__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Unreached *
+       gwp__unreached__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Unreached *)
+     protobuf_c_message_unpack (&gwp__unreached__descriptor,
+                                allocator, len, data);
+}
+void   gwp__unreached__free_unpacked
+                     (Gwp__Unreached *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__unreached__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__snapshot__init
                      (Gwp__Snapshot         *message)
 {
@@ -1257,6 +1302,44 @@
   (ProtobufCMessageInit) gwp__death__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__unreached__field_descriptors[1] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Unreached, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__unreached__field_indices_by_name[] = {
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange gwp__unreached__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__unreached__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Unreached",
+  "Unreached",
+  "Gwp__Unreached",
+  "gwp",
+  sizeof(Gwp__Unreached),
+  1,
+  gwp__unreached__field_descriptors,
+  gwp__unreached__field_indices_by_name,
+  1,  gwp__unreached__number_ranges,
+  (ProtobufCMessageInit) gwp__unreached__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__snapshot__field_descriptors[3] =
 {
   {
@@ -1321,7 +1404,7 @@
   (ProtobufCMessageInit) gwp__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[7] =
 {
   {
     "hello",
@@ -1395,6 +1478,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreached",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, unreached),
+    &gwp__unreached__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   4,   /* field[4] = death */
@@ -1403,11 +1498,12 @@
   0,   /* field[0] = hello */
   2,   /* field[2] = placement */
   3,   /* field[3] = state */
+  6,   /* field[6] = unreached */
 };
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -1417,7 +1513,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  6,
+  7,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Gwp__State Gwp__State;
 typedef struct Gwp__Entry Gwp__Entry;
 typedef struct Gwp__Death Gwp__Death;
+typedef struct Gwp__Unreached Gwp__Unreached;
 typedef struct Gwp__Snapshot Gwp__Snapshot;
 typedef struct Gwp__Frame Gwp__Frame;
 
@@ -206,6 +207,19 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A gateway could not connect to an upstream that it had reached before.
+ */
+struct  Gwp__Unreached
+{
+  ProtobufCMessage base;
+  char *upstream;
+};
+#define GWP__UNREACHED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__unreached__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 /*
  * What a starting gateway takes from another while the store is away.
  */
@@ -235,7 +249,8 @@
   GWP__FRAME__BODY_PLACEMENT = 3,
   GWP__FRAME__BODY_STATE = 4,
   GWP__FRAME__BODY_DEATH = 5,
-  GWP__FRAME__BODY_ENTRY = 6
+  GWP__FRAME__BODY_ENTRY = 6,
+  GWP__FRAME__BODY_UNREACHED = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -250,6 +265,7 @@
     Gwp__State *state;
     Gwp__Death *death;
     Gwp__Entry *entry;
+    Gwp__Unreached *unreached;
   };
 };
 #define GWP__FRAME__INIT \
@@ -466,6 +482,25 @@
 void   gwp__death__free_unpacked
                      (Gwp__Death *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Unreached methods */
+void   gwp__unreached__init
+                     (Gwp__Unreached         *message);
+size_t gwp__unreached__get_packed_size
+                     (const Gwp__Unreached   *message);
+size_t gwp__unreached__pack
+                     (const Gwp__Unreached   *message,
+                      uint8_t             *out);
+size_t gwp__unreached__pack_to_buffer
+                     (const Gwp__Unreached   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Unreached *
+       gwp__unreached__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__unreached__free_unpacked
+                     (Gwp__Unreached *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Snapshot methods */
 void   gwp__snapshot__init
                      (Gwp__Snapshot         *message);
@@ -539,6 +574,9 @@
 typedef void (*Gwp__Death_Closure)
                  (const Gwp__Death *message,
                   void *closure_data);
+typedef void (*Gwp__Unreached_Closure)
+                 (const Gwp__Unreached *message,
+                  void *closure_data);
 typedef void (*Gwp__Snapshot_Closure)
                  (const Gwp__Snapshot *message,
                   void *closure_data);
@@ -562,6 +600,7 @@
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
 extern const ProtobufCMessageDescriptor gwp__entry__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
+extern const ProtobufCMessageDescriptor gwp__unreached__descriptor;
 extern const ProtobufCMessageDescriptor gwp__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
--- a/src/gn.h
+++ b/src/gn.h
@@ -93,6 +93,8 @@
 void gn_on_link(void *ctx, bool open);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
                    bool down);
+/* A call to UPSTREAM broke off or found nobody: the placing VM asks it. */
+void gn_suspect(Gateway *g, const char *upstream);
 void gn_on_peer(void *ctx, LkPeer *peer, bool here);
 void gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame);
 void gn_watch_mail(Gateway *g, bool places);
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -129,6 +129,21 @@
     }
 }
 
+void
+gn_suspect(Gateway *g, const char *upstream)
+{
+    if (g->placing) {
+        mp_on_suspicion(g->placement, bg_boot_ms(), upstream);
+        return;
+    }
+    Gwp__Unreached u = GWP__UNREACHED__INIT;
+    u.upstream = (char *)upstream;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_UNREACHED;
+    f.unreached = &u;
+    lk_send_up(g->links, &f);
+}
+
 /* ---- who is there ---- */
 
 static void
@@ -246,6 +261,11 @@
                           true);
         }
         break;
+    case GWP__FRAME__BODY_UNREACHED:
+        if (from && g->placing) {
+            gn_suspect(g, frame->unreached->upstream);
+        }
+        break;
     default:
         break; /* of a newer gateway */
     }
--- a/src/gw.c
+++ b/src/gw.c
@@ -499,6 +499,16 @@
     case UT_FULL:
         wait_for(q, now_ms, "slot");
         return;
+    case UT_AWAY:
+        /* The placing VM may have the model loaded elsewhere. */
+        q->lacks_model = true;
+        if (q->query.model) {
+            wait_for_model(q, now_ms, "upstream that answers");
+        }
+        else {
+            wait_for(q, now_ms, "upstream that answers");
+        }
+        return;
     case UT_NONE:
         if (now_ms - q->arrival_ms < EMPTY_WAIT_MS) {
             wait_for(q, now_ms, "upstream");
@@ -736,6 +746,9 @@
     q->hc = NULL;
     if (end == HT_NOT_SENT) {
         g_ptr_array_add(q->tried, q->ut);
+        if (!ut_is_away(q->ut)) {
+            q->gw->out.unreached(q->gw->out.ctx, ut_get_id(q->ut));
+        }
         release(q, UT_END_DEAD);
         q->paid = q->sends > 0; /* the repeat did not reach the service */
         try_send(q);
--- a/src/gw.h
+++ b/src/gw.h
@@ -51,6 +51,8 @@
     void (*wanted)(void *ctx);
     /* An upstream broke off under the request with this digest. */
     void (*died)(void *ctx, uint64_t request, const char *upstream);
+    /* No connection to an upstream that could be reached before. */
+    void (*unreached)(void *ctx, const char *upstream);
 } GwOutput;
 
 typedef struct Gw Gw;
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -116,6 +116,13 @@
     Gateway *g = ctx;
     gw_on_death(g->gw, bg_boot_ms(), request, upstream);
     gn_send_death(g, request, upstream, g->placing);
+    gn_suspect(g, upstream);
+}
+
+static void
+on_unreached(void *ctx, const char *upstream)
+{
+    gn_suspect(ctx, upstream);
 }
 
 static void
@@ -420,7 +427,7 @@
         ASSUMED_GATEWAYS};
     g->budget = rb_create(&rb, bg_boot_ms());
     GwParams gw = {CONNECT_MS, DEATH_LIMIT, seed};
-    GwOutput gw_out = {g, on_wanted, on_died};
+    GwOutput gw_out = {g, on_wanted, on_died, on_unreached};
     g->gw =
         gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
     MpParams mp = {STORE_AT_ONCE,
--- a/src/mp.c
+++ b/src/mp.c
@@ -21,6 +21,8 @@
 /* An unload waits for its runs; a conflict in this time after it says no
    more than that. */
 #define UNLOAD_MS 1200
+/* Between questions to an upstream whose calls break off. */
+#define SUSPECT_PAUSE_MS 500
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
 
@@ -537,6 +539,20 @@
 
 /* ---- reports and answers ------------------------------------------------ */
 
+/* A crash breaks off many calls at once: one question answers for them all. */
+void
+mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id)
+{
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (!u || !mp_find_service(m, u) || u->asking || u->ordered ||
+        now_ms < u->suspected_ms + SUSPECT_PAUSE_MS) {
+        return;
+    }
+    u->suspected_ms = now_ms;
+    u->asking = true;
+    m->out.ask(m->out.ctx, u->entry);
+}
+
 void
 mp_on_report(Mp *m, uint64_t now_ms, const char *id, const DepUpstream *report)
 {
@@ -546,6 +562,11 @@
     }
     u->asking = false;
     u->next_ask_ms = now_ms + ASK_PAUSE_MS;
+    if (!report && !u->unreached) {
+        /* Asked again until it answers: its content is another if it has
+           restarted. */
+        distrust(u, now_ms);
+    }
     u->unreached = !report;
     if (now_ms < u->changed_ms + REPORT_LAG_MS) {
         u->next_ask_ms = u->changed_ms + REPORT_LAG_MS;
@@ -693,7 +714,8 @@
     if (u->order_unload && !u->order_adapter && end != MP_ORDER_TAKEN) {
         keep_replica(u);
     }
-    u->unreached = end == MP_ORDER_NOT_SENT || end == MP_ORDER_UNKNOWN;
+    /* One whose answer is missing may be well: it is asked first. */
+    u->unreached = end == MP_ORDER_NOT_SENT;
     bool load = !u->order_unload && !u->order_adapter;
     switch (end) {
     case MP_ORDER_TAKEN:
--- a/src/mp.h
+++ b/src/mp.h
@@ -87,6 +87,8 @@
    they hold, are taken over.  True: callers wait, so a tick is due. */
 bool mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
                   GPtrArray *wants, GPtrArray *uses);
+/* A gateway's call broke off there: it may be down, so it is asked. */
+void mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id);
 /* REPORT: NULL when the upstream did not answer. */
 void mp_on_report(Mp *m, uint64_t now_ms, const char *id,
                   const DepUpstream *report);
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -48,6 +48,7 @@
     bool order_from_store;
     bool told;      /* gateways know the present content */
     bool unreached; /* it did not answer last time */
+    uint64_t suspected_ms;
 } Up;
 
 typedef struct {
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -27,6 +27,9 @@
 #define GOAL_LIFE_MS 4000
 /* Upstreams with a copy are waited for so long before the weight store. */
 #define COPY_WAIT_MS 1500
+/* Those beside an upstream that is away are waited for at least this part of
+   a load from the store. */
+#define AWAY_WAIT_PART 3
 
 /* ---- replicas ----------------------------------------------------------- */
 
@@ -58,7 +61,9 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (!mp_can_use(m, u)) {
+        /* What is on one that can't be reached serves nobody: its callers
+           wait for another replica. */
+        if (!mp_can_use(m, u) || u->unreached) {
             continue;
         }
         for (guint i = 0; i < u->replicas->len; i++) {
@@ -305,36 +310,45 @@
     u->told = false;
 }
 
-/* Whether some usable upstream has a copy of MODEL beside it; it may be busy
-   just now. */
-static bool
-has_copy(const Mp *m, const char *model)
+typedef enum {
+    COPY_NONE,
+    COPY_AWAY, /* beside an upstream that does not answer just now */
+    COPY_NEAR  /* beside one that does; it may be busy */
+} Copy;
+
+static Copy
+find_copy(const Mp *m, const char *model)
 {
+    Copy best = COPY_NONE;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (mp_can_use(m, u) && !u->unreached && !mp_find_replica(u, model) &&
+        if (mp_can_use(m, u) && (u->unreached || !mp_find_replica(u, model)) &&
             (dep_has_name(u->entry->on_disk, model) ||
              dep_has_name(u->entry->in_memory, model))) {
-            return true;
+            best = MAX(best, u->unreached ? COPY_AWAY : COPY_NEAR);
         }
     }
-    return false;
+    return best;
 }
 
 /* The weight store is slow and shared: it is left for models that callers
    wait for in vain, that is whose copies beside upstreams can't be used. */
 static bool
-may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w)
+may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w, const DepModel *d)
 {
-    if (!has_copy(m, w->model)) {
+    Copy copy = find_copy(m, w->model);
+    if (copy == COPY_NONE) {
         return w->none || w->demand->waiting + w->demand->running >
                               PER_REPLICA * count_replicas(m, w->model);
     }
-    return w->none && w->demand->waiting > 0 &&
-           now_ms > w->since_ms + COPY_WAIT_MS;
+    /* A process that crashed is back before the store could have served. */
+    uint64_t wait_ms = copy == COPY_NEAR
+                           ? COPY_WAIT_MS
+                           : MAX(COPY_WAIT_MS, d->load_ms / AWAY_WAIT_PART);
+    return w->none && w->demand->waiting > 0 && now_ms > w->since_ms + wait_ms;
 }
 
 static Up *
@@ -350,7 +364,7 @@
         Up *u = v;
         const DepModel *d =
             mp_can_use(m, u) ? mp_find_model(m, u, model) : NULL;
-        if (!d || u->goal || !u->known || u->ordered ||
+        if (!d || u->goal || !u->known || u->ordered || u->unreached ||
             mp_find_replica(u, model)) {
             continue;
         }
@@ -453,7 +467,8 @@
         bool from_store = false;
         Up *u = find_best_place(m, now_ms, w->model,
                                 get_most_loss_ms(w, now_ms), &from_store);
-        if (!u || (from_store && (!may_use_store(m, now_ms, w) ||
+        const DepModel *d = u ? mp_find_model(m, u, w->model) : NULL;
+        if (!u || (from_store && (!may_use_store(m, now_ms, w, d) ||
                                   !may_start_store_load(
                                       m, now_ms, mp_find_service(m, u))))) {
             w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
--- a/src/ut.c
+++ b/src/ut.c
@@ -16,6 +16,10 @@
 /* Rest after it could not be reached; doubled each time, up to the longest. */
 #define FIRST_REST_MS 250
 #define LONGEST_REST_MS 3000
+/* One that refused its last connection is asked by one call at a time, this
+   long after that, also where no other holds the model: a crashed process
+   refuses at once, and what waits for it would connect without pause. */
+#define PROBE_PAUSE_MS 100
 /* Weight of a new sample in the averages of failures and first bytes: about
    the last five answers decide. */
 #define SAMPLE_WEIGHT 0.2
@@ -52,6 +56,8 @@
     uint64_t told_ms;
     uint64_t heard_ms; /* it began an answer; 0: never */
     uint32_t failures; /* unreachable in a row */
+    uint64_t away_ms;  /* could not be reached then, nor since; 0: it can */
+    bool probed;       /* a call is out to see whether it is still away */
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
     double fail_rate; /* 0 to 1 */
@@ -329,6 +335,13 @@
     uint64_t rank; /* rendezvous */
 } Candidate;
 
+/* Could not be reached, and it is not yet time for a single try. */
+static bool
+is_left_alone(const Ut *u, uint64_t now_ms)
+{
+    return u->away_ms && (u->probed || now_ms < u->away_ms + PROBE_PAUSE_MS);
+}
+
 static uint64_t
 compute_rank(uint64_t affinity, const char *id)
 {
@@ -386,6 +399,7 @@
     bool model = false;
     bool all = false;
     bool full = false;
+    bool away = false;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, s->by_id);
@@ -410,6 +424,9 @@
         if (now_ms < u->shed_until_ms && u->running > 0) {
             full = true;
         }
+        else if (is_left_alone(u, now_ms)) {
+            away = true;
+        }
         else if (now_ms < u->rest_until_ms) {
             g_array_append_val(resting, c);
         }
@@ -423,6 +440,7 @@
                : !model ? UT_COLD
                : !all   ? UT_ADAPTER
                : full   ? UT_FULL
+               : away   ? UT_AWAY
                         : UT_TRIED;
     }
     *out = pick(s, from, q)->ut;
@@ -435,6 +453,7 @@
 ut_start(Ut *u)
 {
     u->running++;
+    u->probed = u->away_ms != 0;
 }
 
 static void
@@ -468,6 +487,7 @@
           const UtQuery *q)
 {
     u->running--;
+    u->probed = false;
     ease(u, now_ms);
     switch (end) {
     case UT_END_GOOD:
@@ -479,6 +499,8 @@
         u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
         break;
     case UT_END_DEAD:
+        u->away_ms = now_ms;
+        /* fall through */
     case UT_END_SILENT:
         u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
         u->rest_until_ms = now_ms + MIN(FIRST_REST_MS << MIN(u->failures, 10),
@@ -491,6 +513,9 @@
     case UT_END_NEUTRAL:
         break;
     }
+    if (end != UT_END_DEAD && end != UT_END_SILENT) {
+        u->away_ms = 0;
+    }
     if (first_ms) {
         u->heard_ms = now_ms;
         note_first_byte(s, u, first_ms, q);
@@ -578,6 +603,12 @@
     return u->gone || u->leaving;
 }
 
+bool
+ut_is_away(const Ut *u)
+{
+    return u->away_ms != 0;
+}
+
 uint64_t
 ut_get_heard_ms(const Ut *u)
 {
--- a/src/ut.h
+++ b/src/ut.h
@@ -48,7 +48,8 @@
     UT_COLD,    /* nobody holds the model */
     UT_ADAPTER, /* the model is held, the adapter is not */
     UT_TRIED,   /* all that could serve were tried */
-    UT_FULL     /* all that could serve have as much as they take */
+    UT_FULL,    /* all that could serve have as much as they take */
+    UT_AWAY     /* none that could serve can be reached just now */
 } UtAnswer;
 
 /* The upstream to send to now, in *OUT if UT_FOUND. */
@@ -82,6 +83,8 @@
 const char *ut_get_id(const Ut *u);
 const char *ut_get_address(const Ut *u);
 bool ut_is_gone(const Ut *u);
+/* It could not be reached by the last call that ended there. */
+bool ut_is_away(const Ut *u);
 uint32_t ut_get_running(const Ut *u);
 /* Ours and what is known of others'. */
 double ut_get_load(const Ut *u, uint64_t now_ms);
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -403,6 +403,37 @@
     ut_destroy(s);
 }
 
+/* The only holder of a model crashes; its port refuses each connection at
+   once.  What waits for it must not connect without pause (fifty callers
+   would take the VM's processor for seconds), yet finds it soon after it is
+   back. */
+static void
+test_choice_probes_the_only_holder(void)
+{
+    UtSet *s = make_set(1, "m0");
+    UtQuery q = {.service = "s", .model = "m0"};
+    int tries = 0;
+    for (uint64_t now_ms = 0; now_ms < 3000; now_ms += 4) {
+        Ut *u = NULL;
+        UtAnswer a = ut_choose(s, now_ms, &q, &u);
+        CU_ASSERT(a == UT_FOUND || a == UT_AWAY);
+        if (a == UT_FOUND) {
+            ut_start(u);
+            ut_finish(s, u, now_ms, UT_END_DEAD, 0, &q);
+            tries++;
+        }
+    }
+    CU_ASSERT(tries >= 10 && tries <= 40);
+    Ut *u = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 3200, &q, &u), UT_FOUND);
+    ut_start(u);
+    Ut *second = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 3200, &q, &second), UT_AWAY);
+    ut_finish(s, u, 3210, UT_END_GOOD, 10, &q);
+    CU_ASSERT_EQUAL(ut_choose(s, 3210, &q, &second), UT_FOUND);
+    ut_destroy(s);
+}
+
 static void
 test_choice_by_model(void)
 {
@@ -491,6 +522,7 @@
     uint64_t busy_until_ms;
     char *coming;
     bool asked;
+    bool down;     /* refuses connections */
     MpOrder order; /* out, if upstream is set */
     char *order_model;
     char *order_adapter;
@@ -622,7 +654,7 @@
         mp_on_entry(s->mp, s->now_ms, e->state);
     }
     if (e->order.upstream) {
-        MpOrderEnd end = carry_out(s, e);
+        MpOrderEnd end = e->down ? MP_ORDER_NOT_SENT : carry_out(s, e);
         if (s->lose > 0) {
             s->lose--;
             end = MP_ORDER_UNKNOWN;
@@ -635,7 +667,8 @@
     if (e->asked) {
         e->asked = false;
         e->state->busy = e->coming != NULL;
-        mp_on_report(s->mp, s->now_ms, e->state->id, e->state);
+        mp_on_report(s->mp, s->now_ms, e->state->id,
+                     e->down ? NULL : e->state);
     }
 }
 
@@ -851,6 +884,42 @@
     stop_site(&s);
 }
 
+/* The only holder of a model in use crashes, and its entry stays for seconds.
+   Calls break off, gateways say so; the model must be loaded from the copy
+   beside another upstream at once, not when the entry lapses.  The crashed
+   one is back later with nothing loaded: it is asked until it answers. */
+static void
+test_placement_replaces_the_unreachable(void)
+{
+    Site s;
+    start_site(&s, 3);
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    Engine *holder = NULL;
+    Engine *other = NULL;
+    for (int i = 0; i < ENGINES; i++) {
+        Engine *e = &s.engines[i];
+        *(find_resident(e, "m0") ? &holder : &other) = e;
+    }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(holder);
+    DepService *svc = g_hash_table_lookup(s.config->services, "s");
+    ((DepModel *)g_hash_table_lookup(svc->models, "m0"))->load_ms = 6000;
+    g_ptr_array_add(other->state->on_disk, g_strdup("m0"));
+    mp_on_entry(s.mp, s.now_ms, other->state);
+    holder->down = true;
+    mp_on_suspicion(s.mp, s.now_ms, holder->state->id);
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 700, true);
+    CU_ASSERT_PTR_NOT_NULL(find_resident(other, "m0"));
+    CU_ASSERT_EQUAL(count_loads(&s), 2);
+    holder->down = false;
+    g_ptr_array_set_size(holder->state->models, 0);
+    holder->used_mb = 0;
+    run_site(&s, 1500, true);
+    CU_ASSERT_FALSE(g_hash_table_contains(holder->usable, "m0"));
+    stop_site(&s);
+}
+
 /* The weight store serves one load at full speed and shares its rate among
    more.  Eight models are asked for at once: after the first loads came late
    they are taken one by one, so the first of them comes long before the last
@@ -916,6 +985,7 @@
         {"choice spreads", test_choice_spreads},
         {"choice shuns what fails", test_choice_shuns_what_fails},
         {"choice rests the dead", test_choice_rests_the_dead},
+        {"choice probes the only holder", test_choice_probes_the_only_holder},
         {"choice by model", test_choice_by_model},
         {"choice after absence", test_choice_after_absence},
         {"prompts together", test_choice_keeps_prompts_together},
@@ -926,6 +996,7 @@
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
         {"moves on notice", test_placement_moves_on_notice},
+        {"replaces the unreachable", test_placement_replaces_the_unreachable},
         {"learns the store", test_placement_learns_the_store},
         {"route split", test_route_split},
         CU_TEST_INFO_NULL};
