--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &gwp__use__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__began__init
+                     (Gwp__Began         *message)
+{
+  static const Gwp__Began init_value = GWP__BEGAN__INIT;
+  *message = init_value;
+}
+size_t gwp__began__get_packed_size
+                     (const Gwp__Began *message)
+{
+  assert(message->base.descriptor == &gwp__began__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__began__pack
+                     (const Gwp__Began *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__began__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__began__pack_to_buffer
+                     (const Gwp__Began *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__began__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Began *
+       gwp__began__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Began *)
+     protobuf_c_message_unpack (&gwp__began__descriptor,
+                                allocator, len, data);
+}
+void   gwp__began__free_unpacked
+                     (Gwp__Began *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__began__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__demand__init
                      (Gwp__Demand         *message)
 {
@@ -688,7 +733,7 @@
   (ProtobufCMessageInit) gwp__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__want__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__want__field_descriptors[6] =
 {
   {
     "model",
@@ -750,18 +795,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Want, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__want__field_indices_by_name[] = {
   1,   /* field[1] = adapter */
   4,   /* field[4] = arrived */
   0,   /* field[0] = model */
+  5,   /* field[5] = refused */
   3,   /* field[3] = running */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange gwp__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__want__descriptor =
 {
@@ -771,14 +829,14 @@
   "Gwp__Want",
   "gwp",
   sizeof(Gwp__Want),
-  5,
+  6,
   gwp__want__field_descriptors,
   gwp__want__field_indices_by_name,
   1,  gwp__want__number_ranges,
   (ProtobufCMessageInit) gwp__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__use__field_descriptors[4] =
 {
   {
     "upstream",
@@ -816,16 +874,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "began",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Use, began),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__use__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
+  3,   /* field[3] = began */
   1,   /* field[1] = model */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange gwp__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gwp__use__descriptor =
 {
@@ -835,14 +906,65 @@
   "Gwp__Use",
   "gwp",
   sizeof(Gwp__Use),
-  3,
+  4,
   gwp__use__field_descriptors,
   gwp__use__field_indices_by_name,
   1,  gwp__use__number_ranges,
   (ProtobufCMessageInit) gwp__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__began__field_descriptors[2] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Began, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Began, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__began__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange gwp__began__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__began__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Began",
+  "Began",
+  "Gwp__Began",
+  "gwp",
+  sizeof(Gwp__Began),
+  2,
+  gwp__began__field_descriptors,
+  gwp__began__field_indices_by_name,
+  1,  gwp__began__number_ranges,
+  (ProtobufCMessageInit) gwp__began__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[3] =
 {
   {
     "wants",
@@ -868,15 +990,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "began",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Demand, n_began),
+    offsetof(Gwp__Demand, began),
+    &gwp__began__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__demand__field_indices_by_name[] = {
+  2,   /* field[2] = began */
   1,   /* field[1] = uses */
   0,   /* field[0] = wants */
 };
 static const ProtobufCIntRange gwp__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gwp__demand__descriptor =
 {
@@ -886,7 +1021,7 @@
   "Gwp__Demand",
   "gwp",
   sizeof(Gwp__Demand),
-  2,
+  3,
   gwp__demand__field_descriptors,
   gwp__demand__field_indices_by_name,
   1,  gwp__demand__number_ranges,
@@ -1046,7 +1181,7 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__load__field_descriptors[3] =
 {
   {
     "upstream",
@@ -1072,15 +1207,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Load, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__load__field_indices_by_name[] = {
   1,   /* field[1] = running */
   0,   /* field[0] = upstream */
+  2,   /* field[2] = wait_ms */
 };
 static const ProtobufCIntRange gwp__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gwp__load__descriptor =
 {
@@ -1090,7 +1238,7 @@
   "Gwp__Load",
   "gwp",
   sizeof(Gwp__Load),
-  2,
+  3,
   gwp__load__field_descriptors,
   gwp__load__field_indices_by_name,
   1,  gwp__load__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Gwp__Hello Gwp__Hello;
 typedef struct Gwp__Want Gwp__Want;
 typedef struct Gwp__Use Gwp__Use;
+typedef struct Gwp__Began Gwp__Began;
 typedef struct Gwp__Demand Gwp__Demand;
 typedef struct Gwp__Resident Gwp__Resident;
 typedef struct Gwp__Placement Gwp__Placement;
@@ -61,10 +62,14 @@
    * since the last frame
    */
   uint32_t arrived;
+  /*
+   * of these, as too many wait already
+   */
+  uint32_t refused;
 };
 #define GWP__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__want__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gwp__Use
@@ -73,10 +78,28 @@
   char *upstream;
   char *model;
   char *adapter;
+  /*
+   * the first byte of its answer has come
+   */
+  protobuf_c_boolean began;
 };
 #define GWP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__use__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Answers that began on an upstream since the last frame.
+ */
+struct  Gwp__Began
+{
+  ProtobufCMessage base;
+  char *upstream;
+  uint32_t count;
+};
+#define GWP__BEGAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__began__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -89,10 +112,12 @@
   Gwp__Want **wants;
   size_t n_uses;
   Gwp__Use **uses;
+  size_t n_began;
+  Gwp__Began **began;
 };
 #define GWP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__demand__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Gwp__Resident
@@ -134,17 +159,21 @@
 
 
 /*
- * Requests of all gateways that run on one upstream.
+ * Requests of all gateways that are at one upstream.
  */
 struct  Gwp__Load
 {
   ProtobufCMessage base;
   char *upstream;
   uint32_t running;
+  /*
+   * until one that comes now begins, as estimated
+   */
+  uint32_t wait_ms;
 };
 #define GWP__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -338,6 +367,25 @@
 void   gwp__use__free_unpacked
                      (Gwp__Use *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Began methods */
+void   gwp__began__init
+                     (Gwp__Began         *message);
+size_t gwp__began__get_packed_size
+                     (const Gwp__Began   *message);
+size_t gwp__began__pack
+                     (const Gwp__Began   *message,
+                      uint8_t             *out);
+size_t gwp__began__pack_to_buffer
+                     (const Gwp__Began   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Began *
+       gwp__began__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__began__free_unpacked
+                     (Gwp__Began *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Demand methods */
 void   gwp__demand__init
                      (Gwp__Demand         *message);
@@ -558,6 +606,9 @@
 typedef void (*Gwp__Use_Closure)
                  (const Gwp__Use *message,
                   void *closure_data);
+typedef void (*Gwp__Began_Closure)
+                 (const Gwp__Began *message,
+                  void *closure_data);
 typedef void (*Gwp__Demand_Closure)
                  (const Gwp__Demand *message,
                   void *closure_data);
@@ -600,6 +651,7 @@
 extern const ProtobufCMessageDescriptor gwp__hello__descriptor;
 extern const ProtobufCMessageDescriptor gwp__want__descriptor;
 extern const ProtobufCMessageDescriptor gwp__use__descriptor;
+extern const ProtobufCMessageDescriptor gwp__began__descriptor;
 extern const ProtobufCMessageDescriptor gwp__demand__descriptor;
 extern const ProtobufCMessageDescriptor gwp__resident__descriptor;
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -34,8 +34,7 @@
 static void
 take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
 {
-    g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(mp_free_want);
-    g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(mp_free_use);
+    MpDemand *demand = mp_create_demand();
     for (size_t i = 0; i < d->n_wants; i++) {
         MpWant *w = g_new0(MpWant, 1);
         w->model = g_strdup(d->wants[i]->model);
@@ -43,17 +42,24 @@
         w->waiting = d->wants[i]->waiting;
         w->running = d->wants[i]->running;
         w->arrived = d->wants[i]->arrived;
-        g_ptr_array_add(wants, w);
+        w->refused = d->wants[i]->refused;
+        g_ptr_array_add(demand->wants, w);
     }
     for (size_t i = 0; i < d->n_uses; i++) {
         MpUse *u = g_new0(MpUse, 1);
         u->upstream = g_strdup(d->uses[i]->upstream);
         u->model = g_strdup(d->uses[i]->model);
         u->adapter = to_text(d->uses[i]->adapter);
-        g_ptr_array_add(uses, u);
+        u->began = d->uses[i]->began;
+        g_ptr_array_add(demand->uses, u);
     }
-    if (mp_on_demand(g->placement, bg_boot_ms(), from, g_steal_pointer(&wants),
-                     g_steal_pointer(&uses))) {
+    for (size_t i = 0; i < d->n_began; i++) {
+        MpBegan *b = g_new0(MpBegan, 1);
+        b->upstream = g_strdup(d->began[i]->upstream);
+        b->count = d->began[i]->count;
+        g_ptr_array_add(demand->began, b);
+    }
+    if (mp_on_demand(g->placement, bg_boot_ms(), from, demand)) {
         gn_place_soon(g);
     }
 }
@@ -107,7 +113,7 @@
     }
     for (size_t i = 0; i < s->n_loads; i++) {
         ut_on_total(g->upstreams, now_ms, s->loads[i]->upstream,
-                    s->loads[i]->running);
+                    s->loads[i]->running, s->loads[i]->wait_ms);
     }
     for (size_t i = 0; i < s->n_waits; i++) {
         gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
@@ -306,36 +312,93 @@
     }
 }
 
+/* Lists of a frame, freed together; what they point to stays the demand's. */
+typedef struct {
+    Gwp__Want *wants;
+    Gwp__Want **want_refs;
+    Gwp__Use *uses;
+    Gwp__Use **use_refs;
+    Gwp__Began *began;
+    Gwp__Began **began_refs;
+} DemandLists;
+
 static void
-send_demand_up(Gateway *g, const GPtrArray *wants, const GPtrArray *uses)
+list_wants(DemandLists *l, const GPtrArray *wants)
 {
-    Gwp__Demand d = GWP__DEMAND__INIT;
-    Gwp__Want *w = g_new0(Gwp__Want, wants->len + 1);
-    Gwp__Want **wr = g_new0(Gwp__Want *, wants->len + 1);
+    l->wants = g_new0(Gwp__Want, wants->len + 1);
+    l->want_refs = g_new0(Gwp__Want *, wants->len + 1);
     for (guint i = 0; i < wants->len; i++) {
         const MpWant *x = wants->pdata[i];
-        gwp__want__init(&w[i]);
-        w[i].model = x->model;
-        w[i].adapter = x->adapter ? x->adapter : (char *)"";
-        w[i].waiting = x->waiting;
-        w[i].running = x->running;
-        w[i].arrived = x->arrived;
-        wr[i] = &w[i];
+        Gwp__Want *w = &l->wants[i];
+        gwp__want__init(w);
+        w->model = x->model;
+        w->adapter = x->adapter ? x->adapter : (char *)"";
+        w->waiting = x->waiting;
+        w->running = x->running;
+        w->arrived = x->arrived;
+        w->refused = x->refused;
+        l->want_refs[i] = w;
     }
-    Gwp__Use *u = g_new0(Gwp__Use, uses->len + 1);
-    Gwp__Use **ur = g_new0(Gwp__Use *, uses->len + 1);
+}
+
+static void
+list_uses(DemandLists *l, const GPtrArray *uses)
+{
+    l->uses = g_new0(Gwp__Use, uses->len + 1);
+    l->use_refs = g_new0(Gwp__Use *, uses->len + 1);
     for (guint i = 0; i < uses->len; i++) {
         const MpUse *x = uses->pdata[i];
-        gwp__use__init(&u[i]);
-        u[i].upstream = x->upstream;
-        u[i].model = x->model;
-        u[i].adapter = x->adapter ? x->adapter : (char *)"";
-        ur[i] = &u[i];
+        Gwp__Use *u = &l->uses[i];
+        gwp__use__init(u);
+        u->upstream = x->upstream;
+        u->model = x->model;
+        u->adapter = x->adapter ? x->adapter : (char *)"";
+        u->began = x->began;
+        l->use_refs[i] = u;
+    }
+}
+
+static void
+list_began(DemandLists *l, const GPtrArray *began)
+{
+    l->began = g_new0(Gwp__Began, began->len + 1);
+    l->began_refs = g_new0(Gwp__Began *, began->len + 1);
+    for (guint i = 0; i < began->len; i++) {
+        const MpBegan *x = began->pdata[i];
+        Gwp__Began *b = &l->began[i];
+        gwp__began__init(b);
+        b->upstream = x->upstream;
+        b->count = x->count;
+        l->began_refs[i] = b;
     }
-    d.n_wants = wants->len;
-    d.wants = wr;
-    d.n_uses = uses->len;
-    d.uses = ur;
+}
+
+static void
+clear_lists(DemandLists *l)
+{
+    g_free(l->wants);
+    g_free(l->want_refs);
+    g_free(l->uses);
+    g_free(l->use_refs);
+    g_free(l->began);
+    g_free(l->began_refs);
+}
+
+/* Over the link to the placing VM, or as mail where that is cut. */
+static void
+send_demand_up(Gateway *g, const MpDemand *demand)
+{
+    DemandLists lists;
+    list_wants(&lists, demand->wants);
+    list_uses(&lists, demand->uses);
+    list_began(&lists, demand->began);
+    Gwp__Demand d = GWP__DEMAND__INIT;
+    d.n_wants = demand->wants->len;
+    d.wants = lists.want_refs;
+    d.n_uses = demand->uses->len;
+    d.uses = lists.use_refs;
+    d.n_began = demand->began->len;
+    d.began = lists.began_refs;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_DEMAND;
     f.demand = &d;
@@ -350,10 +413,7 @@
                               gn_get_text(g, "name"), bytes, len, on_mail_left,
                               g);
     }
-    g_free(wr);
-    g_free(w);
-    g_free(ur);
-    g_free(u);
+    clear_lists(&lists);
 }
 
 /* What callers here want, to whoever places. */
@@ -369,17 +429,14 @@
         }
         g->mail_ms = g->demand_ms;
     }
-    g_autoptr(GPtrArray) wants = g_ptr_array_new_with_free_func(mp_free_want);
-    g_autoptr(GPtrArray) uses = g_ptr_array_new_with_free_func(mp_free_use);
-    gw_collect_demand(g->gw, wants, uses);
-    if (g->placing) {
-        if (mp_on_demand(g->placement, g->demand_ms, gn_get_text(g, "name"),
-                         g_steal_pointer(&wants), g_steal_pointer(&uses))) {
-            gn_place_soon(g);
-        }
+    MpDemand *demand = gw_collect_demand(g->gw);
+    if (!g->placing) {
+        send_demand_up(g, demand);
+        mp_destroy_demand(demand);
     }
-    else {
-        send_demand_up(g, wants, uses);
+    else if (mp_on_demand(g->placement, g->demand_ms, gn_get_text(g, "name"),
+                          demand)) {
+        gn_place_soon(g);
     }
 }
 
@@ -408,10 +465,10 @@
 } LoadList;
 
 static void
-add_load(void *ctx, const char *upstream, uint32_t running)
+add_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
 {
     LoadList *list = ctx;
-    ut_on_total(list->g->upstreams, list->now_ms, upstream, running);
+    ut_on_total(list->g->upstreams, list->now_ms, upstream, running, wait_ms);
     if (running < MIN_TOLD_LOAD) {
         return;
     }
@@ -419,6 +476,7 @@
     gwp__load__init(l);
     l->upstream = (char *)upstream;
     l->running = running;
+    l->wait_ms = wait_ms;
     g_ptr_array_add(list->loads, l);
 }
 
@@ -427,7 +485,7 @@
 {
     g_autoptr(GPtrArray) loads = g_ptr_array_new_with_free_func(g_free);
     LoadList load_list = {loads, g, now_ms};
-    mp_visit_loads(g->placement, add_load, &load_list);
+    mp_visit_loads(g->placement, now_ms, add_load, &load_list);
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
     mp_visit_waits(g->placement, now_ms, add_wait, &list);
--- a/src/gw.c
+++ b/src/gw.c
@@ -46,6 +46,11 @@
 #define PLACER_MOVES_MS 5200
 #define PLACER_BACK_MS 400 /* it is overdue: may be back at any moment */
 #define WAIT_LIFE_MS 1500  /* an estimate older than this is forgotten */
+/* A request is not sent behind others that take longer to begin than this
+   part of its route's objective: a queue that is longer makes all answers late
+   and none more, since the upstream begins as many a second with a short one.
+ */
+#define QUEUE_OBJECTIVES 1.25
 /* Least time in which a model that has just come can still answer. */
 #define SERVE_MS 150
 /* On the wire 0 is first, 9 last, 5 usual. */
@@ -124,6 +129,8 @@
     DepConfig *config;   /* NULL: none yet */
     GQueue reqs;         /* Req */
     GHashTable *arrived; /* model or "model/adapter" -> count */
+    GHashTable *refused; /* model -> count: too many waited */
+    GHashTable *began;   /* upstream -> count of answers that began there */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
     Hist *whole_us;      /* from a request's arrival to its answer's end */
@@ -136,6 +143,13 @@
 
 static void try_send(Req *q);
 
+static void
+add_count(GHashTable *counts, const char *key)
+{
+    guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
+    g_hash_table_insert(counts, g_strdup(key), GUINT_TO_POINTER(n + 1));
+}
+
 /* ---- ends --------------------------------------------------------------- */
 
 static void
@@ -459,6 +473,32 @@
     wait_for(q, now_ms, what);
 }
 
+/* What has run already is sent on, however long that takes. */
+static uint32_t
+get_most_wait_ms(const Req *q, uint64_t now_ms)
+{
+    if (q->runs > 0 || q->route->objective_ms == 0) {
+        return 0;
+    }
+    uint64_t left_ms = q->first_by_ms - now_ms;
+    return (uint32_t)MAX(
+        MIN(q->route->objective_ms * QUEUE_OBJECTIVES, (double)left_ms), 1);
+}
+
+/* It can't begin in time behind those that wait: refused now, to come back
+   when these will have begun.  Not all at the same moment. */
+static void
+refuse_busy(Req *q, uint64_t now_ms, const Ut *least_busy)
+{
+    uint32_t over_ms =
+        ut_get_wait_ms(least_busy, now_ms) - q->query.most_wait_ms;
+    uint32_t spread = (uint32_t)bg_pick_random(&q->gw->rng, RETRY_LATER_MS);
+    if (q->query.model) {
+        add_count(q->gw->refused, q->query.model);
+    }
+    give_up(q, RETRY_SOON_MS + over_ms + spread, "too many wait");
+}
+
 static void
 try_send(Req *q)
 {
@@ -478,7 +518,11 @@
         return;
     }
     Ut *ut = NULL;
+    q->query.most_wait_ms = get_most_wait_ms(q, now_ms);
     switch (ut_choose(q->gw->upstreams, now_ms, &q->query, &ut)) {
+    case UT_BUSY:
+        refuse_busy(q, now_ms, ut);
+        return;
     case UT_FOUND:
         if (q->sends > 0 && !q->paid &&
             !rb_take(q->gw->budget, now_ms, q->service)) {
@@ -552,6 +596,9 @@
     q->heard_ms = now_ms;
     q->status = head->status;
     q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
+    if (q->query.model && !q->not_run) {
+        add_count(q->gw->began, ut_get_id(q->ut));
+    }
     GwLoad load;
     if (w->read_load(head, &load)) {
         ut_note_load(q->ut, now_ms, load.running, load.waiting);
@@ -668,6 +715,20 @@
            !(d && g_hash_table_size(d->upstreams) > 1);
 }
 
+static void
+log_not_run(const Req *q, uint64_t now_ms)
+{
+    JlLine *l = jl_begin("request-not-run");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_number(l, "status", q->status);
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_number(l, "left_ms", (int64_t)(q->final_ms - q->sent_ms));
+    jl_text(l, "model", q->query.model);
+    jl_text(l, "adapter", q->query.adapter);
+    jl_end(l);
+}
+
 /* It ran nothing: the next upstream may have it. */
 static void
 handle_not_run(Req *q, uint64_t now_ms)
@@ -675,6 +736,7 @@
     q->sends++;
     Ut *ut = q->ut;
     bool other = q->status == 421;
+    log_not_run(q, now_ms);
     if (q->query.model && (other || q->status == 503)) {
         /* It lacks the model, or an order on it is under way. */
         ut_note_absent(q->gw->upstreams, ut, now_ms, q->query.model,
@@ -847,9 +909,7 @@
         return;
     }
     g_autofree char *key = dep_make_key(q->query.model, q->query.adapter);
-    guint n = GPOINTER_TO_UINT(g_hash_table_lookup(q->gw->arrived, key));
-    g_hash_table_insert(q->gw->arrived, g_steal_pointer(&key),
-                        GUINT_TO_POINTER(n + 1));
+    add_count(q->gw->arrived, key);
 }
 
 static Req *
@@ -1113,12 +1173,24 @@
     u->upstream = g_strdup(ut_get_id(q->ut));
     u->model = g_strdup(q->query.model);
     u->adapter = g_strdup(q->query.adapter);
+    u->began = q->first_ms != 0;
     g_ptr_array_add(uses, u);
 }
 
-void
-gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses)
+static void
+add_began(GPtrArray *list, const char *upstream, uint32_t count)
+{
+    MpBegan *b = g_new0(MpBegan, 1);
+    b->upstream = g_strdup(upstream);
+    b->count = count;
+    g_ptr_array_add(list, b);
+}
+
+MpDemand *
+gw_collect_demand(Gw *g)
 {
+    MpDemand *d = mp_create_demand();
+    GPtrArray *wants = d->wants;
     g_autoptr(GHashTable) index =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (GList *l = g->reqs.head; l; l = l->next) {
@@ -1132,7 +1204,7 @@
                                      : NULL;
         if (q->ut) {
             w->running++;
-            add_use(uses, q);
+            add_use(d->uses, q);
         }
         else {
             (a ? a : w)->waiting++;
@@ -1149,6 +1221,17 @@
             GPOINTER_TO_UINT(v);
     }
     g_hash_table_remove_all(g->arrived);
+    g_hash_table_iter_init(&it, g->refused);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        find_want(wants, index, k, NULL)->refused = GPOINTER_TO_UINT(v);
+    }
+    g_hash_table_remove_all(g->refused);
+    g_hash_table_iter_init(&it, g->began);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        add_began(d->began, k, GPOINTER_TO_UINT(v));
+    }
+    g_hash_table_remove_all(g->began);
+    return d;
 }
 
 static void
@@ -1206,6 +1289,8 @@
     g->first_us = hist_create();
     g_queue_init(&g->reqs);
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->began = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->deaths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                       free_deaths);
@@ -1224,6 +1309,8 @@
     }
     dep_unref_config(g->config);
     g_hash_table_destroy(g->arrived);
+    g_hash_table_destroy(g->refused);
+    g_hash_table_destroy(g->began);
     g_hash_table_destroy(g->waits);
     g_hash_table_destroy(g->deaths);
     hist_destroy(g->whole_us);
--- a/src/gw.h
+++ b/src/gw.h
@@ -85,8 +85,9 @@
    from now on is refused. */
 void gw_close(Gw *g);
 
-/* Append MpWant and MpUse of now; arrivals are those since the last call. */
-void gw_collect_demand(Gw *g, GPtrArray *wants, GPtrArray *uses);
+/* What callers here want and use now; arrivals and beginnings are those since
+   the last call.  To be freed with mp_destroy_demand. */
+MpDemand *gw_collect_demand(Gw *g);
 /* Latencies so far, as Prometheus text. */
 void gw_print_metrics(const Gw *g, GString *out);
 uint32_t gw_count(const Gw *g);
--- a/src/mp.c
+++ b/src/mp.c
@@ -9,7 +9,8 @@
 #define SUM_MS 500            /* demand is summed at least this often */
 /* Uses of a model in so long make its rate. */
 #define RATE_MS 5000.
-#define LATE_SHARE 0.3 /* of its stated time: then a load is late */
+#define REFUSED_MEMORY_MS 2000. /* refusals in so long make their rate */
+#define LATE_SHARE 0.3          /* of its stated time: then a load is late */
 /* Ended in its stated time: so much more, and the lag of the word of it. */
 #define IN_TIME_SHARE 0.1
 #define IN_TIME_MS 450
@@ -28,6 +29,12 @@
 #define UNLOAD_MS 1200
 /* Between questions to an upstream whose calls break off. */
 #define SUSPECT_PAUSE_MS 500
+/* Between beginnings on an upstream, before anything is learnt: reading a
+   prompt of 3,000 tokens. */
+#define FIRST_PAUSE_MS 80.
+#define MOST_PAUSE_MS 1000 /* a longer silence of ours tells nothing */
+#define PAUSE_WEIGHT 0.3   /* of a new sample: about the last second decides */
+#define QUEUE_TO_LEARN 3   /* so many wait: the upstream is not idle */
 /* A model that is held and still waited for: what we believe is wrong. */
 #define DOUBT_MS 700
 
@@ -61,8 +68,8 @@
     g_free(u);
 }
 
-void
-mp_free_want(void *p)
+static void
+free_want(void *p)
 {
     MpWant *w = p;
     g_free(w->model);
@@ -70,8 +77,8 @@
     g_free(w);
 }
 
-void
-mp_free_use(void *p)
+static void
+free_use(void *p)
 {
     MpUse *u = p;
     g_free(u->upstream);
@@ -80,12 +87,37 @@
     g_free(u);
 }
 
+static void
+free_began(void *p)
+{
+    g_free(((MpBegan *)p)->upstream);
+    g_free(p);
+}
+
+MpDemand *
+mp_create_demand(void)
+{
+    MpDemand *d = g_new0(MpDemand, 1);
+    d->wants = g_ptr_array_new_with_free_func(free_want);
+    d->uses = g_ptr_array_new_with_free_func(free_use);
+    d->began = g_ptr_array_new_with_free_func(free_began);
+    return d;
+}
+
+void
+mp_destroy_demand(MpDemand *d)
+{
+    g_ptr_array_free(d->wants, TRUE);
+    g_ptr_array_free(d->uses, TRUE);
+    g_ptr_array_free(d->began, TRUE);
+    g_free(d);
+}
+
 static void
 free_gateway(void *p)
 {
     Gateway *g = p;
-    g_ptr_array_free(g->wants, TRUE);
-    g_ptr_array_free(g->uses, TRUE);
+    mp_destroy_demand(g->demand);
     g_free(g);
 }
 
@@ -373,6 +405,21 @@
     return d ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS) : 0;
 }
 
+double
+mp_get_refused_rate(const Demand *d, uint64_t now_ms)
+{
+    return d->refused *
+           exp(-(double)(now_ms - d->refused_ms) / REFUSED_MEMORY_MS);
+}
+
+static void
+add_refused(Demand *d, uint64_t now_ms, uint32_t count)
+{
+    d->refused =
+        mp_get_refused_rate(d, now_ms) + count * 1000. / REFUSED_MEMORY_MS;
+    d->refused_ms = now_ms;
+}
+
 static void
 add_arrivals(Demand *d, uint64_t now_ms, uint32_t count)
 {
@@ -423,8 +470,9 @@
             g_hash_table_iter_remove(&it);
             continue;
         }
-        for (guint i = 0; i < g->wants->len; i++) {
-            const MpWant *w = g->wants->pdata[i];
+        const GPtrArray *wants = g->demand->wants;
+        for (guint i = 0; i < wants->len; i++) {
+            const MpWant *w = wants->pdata[i];
             Demand *d = get_demand(m, w->model, w->adapter);
             d->waiting += w->waiting;
             d->running += w->running;
@@ -445,28 +493,42 @@
     }
 }
 
+static void
+note_began(Mp *m, const GPtrArray *began)
+{
+    for (guint i = 0; i < began->len; i++) {
+        const MpBegan *b = began->pdata[i];
+        Up *u = g_hash_table_lookup(m->ups, b->upstream);
+        if (u) {
+            u->began += b->count;
+        }
+    }
+}
+
 bool
-mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway, GPtrArray *wants,
-             GPtrArray *uses)
+mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway, MpDemand *demand)
 {
     Gateway *g = g_new0(Gateway, 1);
     bool waits = false;
     g->said_ms = now_ms;
-    g->wants = wants;
-    g->uses = uses;
-    for (guint i = 0; i < wants->len; i++) {
-        const MpWant *w = wants->pdata[i];
+    g->demand = demand;
+    for (guint i = 0; i < demand->wants->len; i++) {
+        const MpWant *w = demand->wants->pdata[i];
         waits = waits || w->waiting > 0;
         if (w->arrived) {
             add_arrivals(get_demand(m, w->model, NULL), now_ms, w->arrived);
         }
+        if (w->refused) {
+            add_refused(get_demand(m, w->model, NULL), now_ms, w->refused);
+        }
         if (w->arrived && w->adapter) {
             add_arrivals(get_demand(m, w->model, w->adapter), now_ms,
                          w->arrived);
         }
     }
     g_hash_table_replace(m->gateways, g_strdup(gateway), g);
-    note_uses(m, now_ms, uses);
+    note_uses(m, now_ms, demand->uses);
+    note_began(m, demand->began);
     m->demand_changed = true;
     return waits;
 }
@@ -490,9 +552,9 @@
     gpointer v;
     g_hash_table_iter_init(&it, m->gateways);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Gateway *g = v;
-        for (guint i = 0; i < g->uses->len; i++) {
-            note_in_use(m, g->uses->pdata[i]);
+        const GPtrArray *uses = ((const Gateway *)v)->demand->uses;
+        for (guint i = 0; i < uses->len; i++) {
+            note_in_use(m, uses->pdata[i]);
         }
     }
 }
@@ -918,29 +980,78 @@
     }
 }
 
-void
-mp_visit_loads(const Mp *m,
-               void (*visit)(void *ctx, const char *upstream,
-                             uint32_t running),
-               void *ctx)
+static void
+sum_loads(Mp *m)
 {
-    g_autoptr(GHashTable) sums = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter it;
-    gpointer k;
     gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        u->running = 0;
+        u->queued = 0;
+    }
     g_hash_table_iter_init(&it, m->gateways);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const GPtrArray *uses = ((Gateway *)v)->uses;
+        const GPtrArray *uses = ((Gateway *)v)->demand->uses;
         for (guint i = 0; i < uses->len; i++) {
             const MpUse *use = uses->pdata[i];
-            guint n =
-                GPOINTER_TO_UINT(g_hash_table_lookup(sums, use->upstream));
-            g_hash_table_insert(sums, use->upstream, GUINT_TO_POINTER(n + 1));
+            Up *u = g_hash_table_lookup(m->ups, use->upstream);
+            if (u) {
+                u->running++;
+                u->queued += !use->began;
+            }
         }
     }
-    g_hash_table_iter_init(&it, sums);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        visit(ctx, k, GPOINTER_TO_UINT(v));
+}
+
+/* Only where requests wait does the pause between beginnings tell how fast
+   the upstream is, and not how seldom it is asked. */
+static void
+learn_pause(Up *u, uint64_t now_ms, uint32_t queued_before)
+{
+    uint64_t passed_ms = now_ms - u->summed_ms;
+    bool waited =
+        queued_before >= QUEUE_TO_LEARN && u->queued >= QUEUE_TO_LEARN;
+    if (u->pause_ms == 0) {
+        u->pause_ms = FIRST_PAUSE_MS;
+    }
+    if (waited && passed_ms <= MOST_PAUSE_MS) {
+        double pause_ms = (double)passed_ms / MAX(u->began, 1);
+        if (u->began > 0 || pause_ms > u->pause_ms) {
+            u->pause_ms += PAUSE_WEIGHT * (pause_ms - u->pause_ms);
+        }
+    }
+    u->began = 0;
+    u->summed_ms = now_ms;
+}
+
+void
+mp_visit_loads(Mp *m, uint64_t now_ms,
+               void (*visit)(void *ctx, const char *upstream, uint32_t running,
+                             uint32_t wait_ms),
+               void *ctx)
+{
+    g_autoptr(GHashTable) before = g_hash_table_new(NULL, NULL);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        g_hash_table_insert(before, v, GUINT_TO_POINTER(((Up *)v)->queued));
+    }
+    sum_loads(m);
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        if (!mp_find_service(m, u)) {
+            continue;
+        }
+        learn_pause(u, now_ms,
+                    GPOINTER_TO_UINT(g_hash_table_lookup(before, u)));
+        if (u->running > 0) {
+            visit(ctx, u->entry->id, u->running,
+                  (uint32_t)(u->queued * u->pause_ms));
+        }
     }
 }
 
--- a/src/mp.h
+++ b/src/mp.h
@@ -44,6 +44,7 @@
     uint32_t waiting; /* callers, for it to be loaded */
     uint32_t running;
     uint32_t arrived; /* since the last word */
+    uint32_t refused; /* of these, as too many wait already */
 } MpWant;
 
 /* What one gateway has running on one upstream. */
@@ -51,10 +52,24 @@
     char *upstream;
     char *model;
     char *adapter;
+    bool began; /* the first byte of its answer has come */
 } MpUse;
 
-void mp_free_want(void *want);
-void mp_free_use(void *use);
+/* Answers that began on one upstream since the last word. */
+typedef struct {
+    char *upstream;
+    uint32_t count;
+} MpBegan;
+
+/* All there is of one gateway's wants and uses now. */
+typedef struct {
+    GPtrArray *wants; /* MpWant */
+    GPtrArray *uses;  /* MpUse */
+    GPtrArray *began; /* MpBegan */
+} MpDemand;
+
+MpDemand *mp_create_demand(void);
+void mp_destroy_demand(MpDemand *d);
 
 typedef struct {
     void *ctx;
@@ -89,10 +104,9 @@
 
 /* The lease was gained: nothing that was believed before counts. */
 void mp_begin(Mp *m, uint64_t now_ms);
-/* All there is of GATEWAY's wants and uses now; both lists, which free what
-   they hold, are taken over.  True: callers wait, so a tick is due. */
+/* DEMAND of GATEWAY is taken over.  True: callers wait, so a tick is due. */
 bool mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
-                  GPtrArray *wants, GPtrArray *uses);
+                  MpDemand *demand);
 /* A gateway's call broke off there: it may be down, so it is asked. */
 void mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id);
 /* REPORT: NULL when the upstream did not answer. */
@@ -113,10 +127,13 @@
 /* What the VM that placed before had learnt of the weight store. */
 void mp_set_store_rate(Mp *m, MpStoreRate rate);
 MpStoreRate mp_get_store_rate(const Mp *m);
-/* Requests that all gateways have running on each upstream, as last said. */
-void mp_visit_loads(const Mp *m,
+/* Requests that all gateways have at each upstream, as last said, and how
+   long one that comes now waits for its first byte behind those that wait:
+   as many times the pause between beginnings there.  To be called a few times
+   a second: the pauses are learnt by it. */
+void mp_visit_loads(Mp *m, uint64_t now_ms,
                     void (*visit)(void *ctx, const char *upstream,
-                                  uint32_t running),
+                                  uint32_t running, uint32_t wait_ms),
                     void *ctx);
 /* VISIT each upstream whose content is known, as MpOutput.placed: a gateway
    has come. */
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -40,6 +40,7 @@
     uint64_t unloaded_ms; /* of a model, the last */
     char *goal;           /* model that is to be loaded here */
     uint64_t goal_until_ms;
+    bool goal_urgent; /* replicas in use make room for it */
     /* the order that is out */
     bool ordered;
     bool order_unload;
@@ -50,11 +51,15 @@
     bool told;      /* gateways know the present content */
     bool unreached; /* it did not answer last time */
     uint64_t suspected_ms;
+    uint32_t running; /* requests of all gateways there, as last summed */
+    uint32_t queued;  /* of these, that wait for their first byte */
+    uint32_t began;   /* answers that began since then */
+    uint64_t summed_ms;
+    double pause_ms; /* between beginnings while others wait */
 } Up;
 
 typedef struct {
-    GPtrArray *wants; /* MpWant */
-    GPtrArray *uses;  /* MpUse */
+    MpDemand *demand;
     uint64_t said_ms;
 } Gateway;
 
@@ -64,6 +69,8 @@
     uint32_t running;
     double rate; /* uses a second, decayed */
     uint64_t rated_ms;
+    double refused; /* a second, decayed */
+    uint64_t refused_ms;
     uint64_t wanted_since_ms; /* 0: nobody waits */
     uint64_t next_try_ms;     /* no place was found: not looked for before */
 } Demand;
@@ -93,7 +100,8 @@
     const char *model;
     Demand *demand;
     uint64_t since_ms;
-    bool none; /* nobody holds it */
+    bool none;       /* nobody holds it */
+    uint32_t excess; /* requests beyond what its replicas serve well */
 } Wanted;
 
 /* mp.c */
@@ -104,6 +112,7 @@
 bool mp_is_in_use(const Mp *m, const Up *u, const char *model,
                   const char *adapter);
 double mp_get_rate(const Demand *d, uint64_t now_ms);
+double mp_get_refused_rate(const Demand *d, uint64_t now_ms);
 
 /* mp_place.c */
 bool mp_can_use(const Mp *m, const Up *u);
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -22,8 +22,17 @@
 #define ADAPTER_SETTLE_MS 300
 #define USUAL_LOAD_MS 450 /* from a disk beside the upstream: 350 to 520 */
 /* For one more replica of a model that has some: about five uses of another
-   model that then wait for its load. */
+   model that then wait for its load; */
 #define MOST_LOSS_MS 2500
+/* more for each request beyond what its replicas serve well, which waits for
+   about as long as those before it take to begin. */
+#define EXCESS_LOSS_MS 300
+/* A refused request would have been at its upstream for so long. */
+#define STAY_S 1.5
+/* With so many requests too many also a replica in use makes room, if what it
+   serves has somewhere to go: its unload waits for its runs. */
+#define URGENT_EXCESS (2 * PER_REPLICA)
+#define IN_USE_LOSS_MS 1500
 #define GOAL_LIFE_MS 4000
 /* Upstreams with a copy are waited for so long before the weight store. */
 #define COPY_WAIT_MS 1500
@@ -108,6 +117,12 @@
     return d->load_ms;
 }
 
+static bool
+is_idle(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+{
+    return now_ms >= r->used_ms + 100 && !mp_is_in_use(m, u, r->name, NULL);
+}
+
 static double
 get_eviction_loss_ms(const Mp *m, uint64_t now_ms, const Up *u,
                      const Replica *r)
@@ -122,25 +137,28 @@
         mp_get_rate(mp_peek_demand(m, r->name), now_ms) * HORIZON_MS / 1000;
     uint32_t replicas = count_replicas(m, r->name);
     if (replicas > 1) {
-        return 30 + uses * reload_ms * 0.05;
+        return 30 + uses * reload_ms * 0.05 +
+               (is_idle(m, now_ms, u, r) ? 0 : IN_USE_LOSS_MS);
     }
     /* Even a model that nobody asked for may be asked for. */
     return (uses + 0.5) * reload_ms;
 }
 
 static bool
-is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r,
+             bool urgent)
 {
     const Demand *d = mp_peek_demand(m, r->name);
     bool last = count_replicas(m, r->name) < 2;
     bool waited = d && d->waiting > 0 && last;
-    return !waited && r->ready_ms != WHEN_TOLD &&
-           now_ms >= r->ready_ms + SETTLE_MS && now_ms >= r->used_ms + 100 &&
-           !mp_is_in_use(m, u, r->name, NULL);
+    bool free_to_go = is_idle(m, now_ms, u, r) || (urgent && !last);
+    return !waited && free_to_go && r->ready_ms != WHEN_TOLD &&
+           now_ms >= r->ready_ms + SETTLE_MS;
 }
 
 static Replica *
-pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_)
+pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_,
+            bool urgent)
 {
     Replica *best = NULL;
     double least = 0;
@@ -150,7 +168,7 @@
         for (guint j = 0; not_ && j < not_->len; j++) {
             excluded = excluded || not_->pdata[j] == r;
         }
-        if (excluded || !is_evictable(m, now_ms, u, r)) {
+        if (excluded || !is_evictable(m, now_ms, u, r, urgent)) {
             continue;
         }
         double loss = get_eviction_loss_ms(m, now_ms, u, r);
@@ -181,7 +199,10 @@
     g_autoptr(GPtrArray) victims = g_ptr_array_new();
     while (free_mb < (int64_t)d->memory_mb) {
         Replica *r =
-            most_loss_ms > 0 ? pick_victim(m, now_ms, u, victims) : NULL;
+            most_loss_ms > 0
+                ? pick_victim(m, now_ms, u, victims,
+                              most_loss_ms > URGENT_EXCESS * EXCESS_LOSS_MS)
+                : NULL;
         const DepModel *rd = r ? mp_find_model(m, u, r->name) : NULL;
         if (!rd) {
             return -1;
@@ -339,7 +360,7 @@
         }
         return;
     }
-    const Replica *victim = pick_victim(m, now_ms, u, NULL);
+    const Replica *victim = pick_victim(m, now_ms, u, NULL, u->goal_urgent);
     if (!victim) {
         g_clear_pointer(&u->goal, g_free);
         return;
@@ -382,8 +403,11 @@
 {
     Copy copy = find_copy(m, w->model);
     if (copy == COPY_NONE) {
-        return w->none || w->demand->waiting + w->demand->running >
-                              PER_REPLICA * count_replicas(m, w->model);
+        return w->none || w->excess > 0;
+    }
+    /* Its copies are where no room can be made: they would have gone first. */
+    if (w->excess > URGENT_EXCESS) {
+        return true;
     }
     /* A process that crashed is back before the store could have served. */
     uint64_t wait_ms = copy == COPY_NEAR
@@ -420,14 +444,23 @@
 }
 
 static void
-set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model)
+set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model, bool urgent)
 {
     u->goal = g_strdup(model);
     u->goal_until_ms = now_ms + GOAL_LIFE_MS;
+    u->goal_urgent = urgent;
     add_count(m, u->goal);
     mp_pursue_goal(m, now_ms, u);
 }
 
+/* Requests there would be at once if none were refused. */
+static uint32_t
+count_asked(const Demand *d, uint64_t now_ms)
+{
+    return d->running + d->waiting +
+           (uint32_t)(mp_get_refused_rate(d, now_ms) * STAY_S);
+}
+
 static uint32_t
 get_desired(const Mp *m, uint64_t now_ms, const char *model)
 {
@@ -437,7 +470,7 @@
     }
     double rate = mp_get_rate(d, now_ms);
     uint32_t by_load =
-        (d->running + d->waiting + PER_REPLICA - 1) / PER_REPLICA;
+        (count_asked(d, now_ms) + PER_REPLICA - 1) / PER_REPLICA;
     uint32_t by_rate = rate >= RATE_FOR_THREE          ? 3
                        : rate >= RATE_FOR_TWO          ? 2
                        : d->waiting > 0 || rate > 0.01 ? 1
@@ -453,6 +486,9 @@
     if (x->none != y->none) {
         return x->none ? -1 : 1;
     }
+    if (!x->none && x->excess != y->excess) {
+        return x->excess > y->excess ? -1 : 1;
+    }
     if ((x->demand->waiting > 0) != (y->demand->waiting > 0)) {
         return x->demand->waiting > 0 ? -1 : 1;
     }
@@ -475,8 +511,10 @@
         }
         uint32_t have = count_replicas(m, k);
         if (now_ms >= d->next_try_ms && have < get_desired(m, now_ms, k)) {
+            uint32_t asked = count_asked(d, now_ms);
+            uint32_t served = have * PER_REPLICA;
             Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
-                        have == 0};
+                        have == 0, asked > served ? asked - served : 0};
             g_array_append_val(out, w);
         }
     }
@@ -494,7 +532,7 @@
         return INFINITY;
     }
     if (!w->none) {
-        return MOST_LOSS_MS;
+        return MAX(MOST_LOSS_MS, w->excess * EXCESS_LOSS_MS);
     }
     return mp_get_rate(w->demand, now_ms) * HORIZON_MS / 1000 * USUAL_LOAD_MS;
 }
@@ -515,7 +553,7 @@
             w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
             continue;
         }
-        set_goal(m, now_ms, u, w->model);
+        set_goal(m, now_ms, u, w->model, w->excess > URGENT_EXCESS);
     }
 }
 
@@ -579,7 +617,7 @@
         }
         Up *u = find_best_place(m, now_ms, k, INFINITY, &from_store);
         if (u) {
-            set_goal(m, now_ms, u, k);
+            set_goal(m, now_ms, u, k, false);
             return;
         }
     }
--- a/src/ut.c
+++ b/src/ut.c
@@ -52,7 +52,8 @@
     uint32_t running;  /* our calls */
     uint32_t reported; /* running and waiting, less ours at that time */
     uint64_t reported_ms;
-    uint32_t told; /* running for other gateways, by the placing VM */
+    uint32_t told;         /* running for other gateways, by the placing VM */
+    uint32_t told_wait_ms; /* behind those that wait there */
     uint64_t told_ms;
     uint64_t heard_ms; /* it began an answer; 0: never */
     uint32_t failures; /* unreachable in a row */
@@ -390,6 +391,12 @@
     return best;
 }
 
+static Ut *
+get_less_busy(Ut *a, Ut *b, uint64_t now_ms)
+{
+    return a && ut_get_wait_ms(a, now_ms) < ut_get_wait_ms(b, now_ms) ? a : b;
+}
+
 UtAnswer
 ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out)
 {
@@ -400,6 +407,7 @@
     bool all = false;
     bool full = false;
     bool away = false;
+    Ut *least_busy = NULL;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, s->by_id);
@@ -427,6 +435,10 @@
         else if (is_left_alone(u, now_ms)) {
             away = true;
         }
+        else if (q->most_wait_ms &&
+                 ut_get_wait_ms(u, now_ms) > q->most_wait_ms) {
+            least_busy = get_less_busy(least_busy, u, now_ms);
+        }
         else if (now_ms < u->rest_until_ms) {
             g_array_append_val(resting, c);
         }
@@ -435,6 +447,10 @@
         }
     }
     GArray *from = open->len ? open : resting;
+    if (from->len == 0 && least_busy) {
+        *out = least_busy;
+        return UT_BUSY;
+    }
     if (from->len == 0) {
         return !any     ? UT_NONE
                : !model ? UT_COLD
@@ -561,15 +577,23 @@
 }
 
 void
-ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running)
+ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running,
+            uint32_t wait_ms)
 {
     Ut *u = g_hash_table_lookup(s->by_id, id);
     if (u) {
         u->told = running > u->running ? running - u->running : 0;
+        u->told_wait_ms = wait_ms;
         u->told_ms = now_ms;
     }
 }
 
+uint32_t
+ut_get_wait_ms(const Ut *u, uint64_t now_ms)
+{
+    return now_ms < u->told_ms + REPORT_FADE_MS ? u->told_wait_ms : 0;
+}
+
 /* Reading the prompt and the first step; a queue or other requests make it
    longer.  Of engines that read about 38 tokens in a ms. */
 #define TOKENS_PER_MS 30.
--- a/src/ut.h
+++ b/src/ut.h
@@ -39,6 +39,8 @@
     const char *adapter; /* NULL: the model itself */
     uint64_t affinity;   /* digest of the shared leading parts; 0: none */
     uint32_t prompt_tokens;
+    uint32_t
+        most_wait_ms; /* where more wait is told nothing is sent; 0: any */
     const GPtrArray *tried; /* Ut * that are not to be used again, or NULL */
 } UtQuery;
 
@@ -49,10 +51,12 @@
     UT_ADAPTER, /* the model is held, the adapter is not */
     UT_TRIED,   /* all that could serve were tried */
     UT_FULL,    /* all that could serve have as much as they take */
-    UT_AWAY     /* none that could serve can be reached just now */
+    UT_AWAY,    /* none that could serve can be reached just now */
+    UT_BUSY     /* what waits at all that could serve takes too long */
 } UtAnswer;
 
-/* The upstream to send to now, in *OUT if UT_FOUND. */
+/* The upstream to send to now, in *OUT if UT_FOUND; if UT_BUSY, the one with
+   the least wait. */
 UtAnswer ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out);
 
 /* A call to U starts; U stays valid until ut_finish. */
@@ -75,8 +79,12 @@
                     const char *adapter);
 /* What an answer said of its load. */
 void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting);
-/* What all gateways together have running there. */
-void ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running);
+/* What all gateways together have running there, and how long one that comes
+   now waits for its first byte behind those that wait. */
+void ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running,
+                 uint32_t wait_ms);
+/* That wait, as last told and so long ago as counts; 0: none is known. */
+uint32_t ut_get_wait_ms(const Ut *u, uint64_t now_ms);
 /* A first byte within so long is usual for this query; 0: not known. */
 uint32_t ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q);
 
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -434,6 +434,31 @@
     ut_destroy(s);
 }
 
+/* A model that rises has two holders; more wait there than begin in time.  A
+   gateway that hears of it sends nothing more behind them, and says which is
+   the less busy; what has run elsewhere already goes on all the same. */
+static void
+test_choice_leaves_long_queues_alone(void)
+{
+    UtSet *s = make_set(2, "m0");
+    ut_on_total(s, 1000, "u0", 60, 5000);
+    ut_on_total(s, 1000, "u1", 40, 3000);
+    UtQuery q = {.service = "s", .model = "m0", .most_wait_ms = 1000};
+    Ut *u = NULL;
+    CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_BUSY);
+    CU_ASSERT_STRING_EQUAL(ut_get_id(u), "u1");
+    CU_ASSERT_EQUAL(ut_get_wait_ms(u, 1100), 3000);
+    q.most_wait_ms = 4000;
+    CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_FOUND);
+    CU_ASSERT_STRING_EQUAL(ut_get_id(u), "u1");
+    q.most_wait_ms = 0;
+    CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_FOUND);
+    /* What was told long ago tells nothing. */
+    q.most_wait_ms = 1000;
+    CU_ASSERT_EQUAL(ut_choose(s, 2500, &q, &u), UT_FOUND);
+    ut_destroy(s);
+}
+
 static void
 test_choice_by_model(void)
 {
@@ -763,10 +788,9 @@
     w->adapter = g_strdup(adapter);
     w->waiting = waiting;
     w->arrived = arrived;
-    GPtrArray *wants = g_ptr_array_new_with_free_func(mp_free_want);
-    GPtrArray *uses = g_ptr_array_new_with_free_func(mp_free_use);
-    g_ptr_array_add(wants, w);
-    mp_on_demand(s->mp, s->now_ms, gateway, wants, uses);
+    MpDemand *demand = mp_create_demand();
+    g_ptr_array_add(demand->wants, w);
+    mp_on_demand(s->mp, s->now_ms, gateway, demand);
 }
 
 static void
@@ -948,6 +972,88 @@
     stop_site(&s);
 }
 
+static void
+add_uses(MpDemand *d, const char *upstream, uint32_t queued, uint32_t began)
+{
+    for (uint32_t i = 0; i < queued + began; i++) {
+        MpUse *u = g_new0(MpUse, 1);
+        u->upstream = g_strdup(upstream);
+        u->model = g_strdup("m0");
+        u->began = i >= queued;
+        g_ptr_array_add(d->uses, u);
+    }
+}
+
+typedef struct {
+    uint32_t running;
+    uint32_t wait_ms;
+} SeenLoad;
+
+static void
+see_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
+{
+    SeenLoad *seen = ctx;
+    if (strcmp(upstream, "u0") == 0) {
+        seen->running = running;
+        seen->wait_ms = wait_ms;
+    }
+}
+
+/* Twenty requests wait on an upstream that begins five a second; two gateways
+   say so.  One that came now would wait for four seconds: all gateways have to
+   hear that, since none of them sees more than its own part. */
+static void
+test_placement_tells_of_queues(void)
+{
+    Site s;
+    start_site(&s, 3);
+    run_site(&s, 300, true);
+    SeenLoad seen = {0, 0};
+    for (int i = 0; i < 30; i++) {
+        for (int g = 0; g < 2; g++) {
+            MpDemand *d = mp_create_demand();
+            add_uses(d, "u0", 10, 4);
+            if (g == 0) {
+                MpBegan *b = g_new0(MpBegan, 1);
+                b->upstream = g_strdup("u0");
+                b->count = 1;
+                g_ptr_array_add(d->began, b);
+            }
+            mp_on_demand(s.mp, s.now_ms, g ? "g1" : "g0", d);
+        }
+        run_site(&s, 200, true);
+        mp_visit_loads(s.mp, s.now_ms, see_load, &seen);
+    }
+    CU_ASSERT_EQUAL(seen.running, 28);
+    CU_ASSERT(seen.wait_ms > 3500 && seen.wait_ms < 4500);
+    stop_site(&s);
+}
+
+/* A model rises; its one replica serves what it can, gateways refuse the
+   rest, so that hardly anything waits.  The refused count as its load, or it
+   would look served and get no second replica. */
+static void
+test_placement_counts_the_refused(void)
+{
+    Site s;
+    start_site(&s, 3);
+    want(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 1);
+    for (int i = 0; i < 10; i++) {
+        MpDemand *d = mp_create_demand();
+        MpWant *w = g_new0(MpWant, 1);
+        w->model = g_strdup("m0");
+        w->running = 5;
+        w->refused = 10;
+        g_ptr_array_add(d->wants, w);
+        mp_on_demand(s.mp, s.now_ms, "g", d);
+        run_site(&s, 200, true);
+    }
+    CU_ASSERT(count_loads(&s) >= 3);
+    stop_site(&s);
+}
+
 #define STORE_LOAD_MS 6000
 
 static void
@@ -1063,6 +1169,8 @@
         {"choice shuns what fails", test_choice_shuns_what_fails},
         {"choice rests the dead", test_choice_rests_the_dead},
         {"choice probes the only holder", test_choice_probes_the_only_holder},
+        {"choice leaves long queues alone",
+         test_choice_leaves_long_queues_alone},
         {"choice by model", test_choice_by_model},
         {"choice after absence", test_choice_after_absence},
         {"prompts together", test_choice_keeps_prompts_together},
@@ -1074,6 +1182,8 @@
         {"adapters", test_placement_of_adapters},
         {"moves on notice", test_placement_moves_on_notice},
         {"replaces the unreachable", test_placement_replaces_the_unreachable},
+        {"tells of queues", test_placement_tells_of_queues},
+        {"counts the refused", test_placement_counts_the_refused},
         {"learns a narrow store", test_placement_learns_a_narrow_store},
         {"learns a wide store", test_placement_learns_a_wide_store},
         {"route split", test_route_split},
