--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -13,9 +13,11 @@
    which one that leaves may still get work. */
 #define UPSTREAM_PAUSE_MS 500
 /* While linked to the placing VM, which passes news on, the store is asked
-   this seldom: calls are dear, and 400 VMs would not fit its limits. */
-#define LINKED_CONFIG_WAIT_MS 10000
-#define LINKED_UPSTREAM_PAUSE_MS 5000
+   this seldom: calls are dear, and 400 VMs would not fit its limits.  What
+   changed while the link came up is seen by the read that is still due then,
+   at the pause of before. */
+#define LINKED_CONFIG_WAIT_MS 25000
+#define LINKED_UPSTREAM_PAUSE_MS 20000
 #define PLACING_UPSTREAM_PAUSE_MS 250
 /* Callers wait for a model and no link to the placing VM is open: entries are
    all that tells of loads that end. */
