What a restarted upstream held is doubted, and every wait for the store is told

Change: an upstream that could not be reached stays doubted until it answers or is told of anew, single calls find out, at growing pauses; all models that lack replicas are estimated each time, by the loads under way. Tests: choice doubts the restarted, always estimates (both red without).

--- a/src/mp.c
+++ b/src/mp.c
@@ -15,6 +15,7 @@
 #define IN_TIME_SHARE 0.1
 #define IN_TIME_MS 450
 #define MOST_AT_ONCE 16
+#define LATE_MS 1000 /* a load that is overdue ends about then */
 /* The store may have been slow for other reasons: more are tried again. */
 #define STORE_MEMORY_MS 60000
 #define TOLD_PAUSE_MS 400 /* between questions about a load that is late */
@@ -1112,6 +1113,37 @@
     return longest;
 }
 
+/* When each of the loads that the weight store serves side by side ends; 0: no
+   load is under way there. */
+static void
+list_store_slots(const Mp *m, uint64_t now_ms, uint64_t *free_in_ms)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        for (guint i = 0; i < u->replicas->len; i++) {
+            const Replica *r = u->replicas->pdata[i];
+            if (r->ready_ms == WHEN_TOLD && n < m->store.at_once) {
+                free_in_ms[n++] =
+                    MAX(r->expected_ms, now_ms + LATE_MS) - now_ms;
+            }
+        }
+    }
+}
+
+static uint64_t *
+pick_first_free(const Mp *m, uint64_t *free_in_ms)
+{
+    uint32_t best = 0;
+    for (uint32_t i = 1; i < m->store.at_once; i++) {
+        best = free_in_ms[i] < free_in_ms[best] ? i : best;
+    }
+    return &free_in_ms[best];
+}
+
 void
 mp_visit_waits(Mp *m, uint64_t now_ms,
                void (*visit)(void *ctx, const char *model, uint32_t wait_ms),
@@ -1120,9 +1152,10 @@
     if (!m->config) {
         return;
     }
-    uint32_t queued = mp_count_store_loads(m);
+    uint64_t free_in_ms[MOST_AT_ONCE] = {0};
+    list_store_slots(m, now_ms, free_in_ms);
     mp_count_all_replicas(m);
-    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms);
+    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms, true);
     g_autoptr(GHashTable) copied = mp_list_copied(m);
     GHashTableIter it;
     gpointer k;
@@ -1139,9 +1172,9 @@
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         if (w->none && !g_hash_table_contains(copied, w->model)) {
-            uint32_t load_ms = get_longest_load_ms(m, w->model);
-            visit(ctx, w->model, load_ms * (1 + queued / m->store.at_once));
-            queued++;
+            uint64_t *first = pick_first_free(m, free_in_ms);
+            *first += get_longest_load_ms(m, w->model);
+            visit(ctx, w->model, (uint32_t)*first);
         }
     }
 }
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -121,7 +121,7 @@
 void mp_place_models(Mp *m, uint64_t now_ms);
 GHashTable *mp_list_copied(const Mp *m);
 uint32_t mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store);
-GArray *mp_list_wanted(const Mp *m, uint64_t now_ms);
+GArray *mp_list_wanted(const Mp *m, uint64_t now_ms, bool all);
 void mp_place_adapters(Mp *m, uint64_t now_ms);
 void mp_prefetch(Mp *m, uint64_t now_ms);
 void mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u);
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -495,9 +495,10 @@
     return x->since_ms < y->since_ms ? -1 : x->since_ms > y->since_ms;
 }
 
-/* Models that lack replicas, those that callers wait for longest first. */
+/* Models that lack replicas, those that callers wait for longest first; ALL:
+   also those for which a place was looked for just now. */
 GArray *
-mp_list_wanted(const Mp *m, uint64_t now_ms)
+mp_list_wanted(const Mp *m, uint64_t now_ms, bool all)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(Wanted));
     GHashTableIter it;
@@ -510,7 +511,8 @@
             continue;
         }
         uint32_t have = count_replicas(m, k);
-        if (now_ms >= d->next_try_ms && have < get_desired(m, now_ms, k)) {
+        if ((all || now_ms >= d->next_try_ms) &&
+            have < get_desired(m, now_ms, k)) {
             uint32_t asked = count_asked(d, now_ms);
             uint32_t served = have * PER_REPLICA;
             Wanted w = {k, d, d->wanted_since_ms ? d->wanted_since_ms : now_ms,
@@ -540,7 +542,7 @@
 void
 mp_place_models(Mp *m, uint64_t now_ms)
 {
-    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms);
+    g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms, false);
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         bool from_store = false;
--- a/src/ut.c
+++ b/src/ut.c
@@ -20,6 +20,8 @@
    long after that, also where no other holds the model: a crashed process
    refuses at once, and what waits for it would connect without pause. */
 #define PROBE_PAUSE_MS 100
+/* Doubled each time it turns a call away, up to this. */
+#define LONGEST_PROBE_PAUSE_MS 1600
 /* Weight of a new sample in the averages of failures and first bytes: about
    the last five answers decide. */
 #define SAMPLE_WEIGHT 0.2
@@ -59,6 +61,7 @@
     uint32_t failures; /* unreachable in a row */
     uint64_t away_ms;  /* could not be reached then, nor since; 0: it can */
     bool probed;       /* a call is out to see whether it is still away */
+    uint32_t probe_pause_ms;
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
     double fail_rate; /* 0 to 1 */
@@ -207,6 +210,7 @@
         g_ptr_array_free(u->placed, TRUE);
     }
     u->placed = models;
+    u->away_ms = 0;
 }
 
 void
@@ -340,7 +344,8 @@
 static bool
 is_left_alone(const Ut *u, uint64_t now_ms)
 {
-    return u->away_ms && (u->probed || now_ms < u->away_ms + PROBE_PAUSE_MS);
+    return u->away_ms &&
+           (u->probed || now_ms < u->away_ms + u->probe_pause_ms);
 }
 
 static uint64_t
@@ -498,6 +503,15 @@
     s->plain_ms = MAX(1, mean + 0.05 * (first_ms - mean));
 }
 
+/* It may be back with nothing loaded, and turn away all that it held: until
+   it has answered, or is told of anew, single calls find that out. */
+static void
+note_turned_away(Ut *u, uint64_t now_ms)
+{
+    u->probe_pause_ms = MIN(u->probe_pause_ms * 2, LONGEST_PROBE_PAUSE_MS);
+    u->away_ms = now_ms;
+}
+
 void
 ut_finish(UtSet *s, Ut *u, uint64_t now_ms, UtEnd end, uint32_t first_ms,
           const UtQuery *q)
@@ -507,15 +521,18 @@
     ease(u, now_ms);
     switch (end) {
     case UT_END_GOOD:
+        u->away_ms = 0;
         u->failures = 0;
         u->rest_until_ms = 0;
         u->fail_rate *= 1 - SAMPLE_WEIGHT;
         break;
     case UT_END_FAILED:
+        u->away_ms = 0;
         u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
         break;
     case UT_END_DEAD:
         u->away_ms = now_ms;
+        u->probe_pause_ms = PROBE_PAUSE_MS;
         /* fall through */
     case UT_END_SILENT:
         u->fail_rate += SAMPLE_WEIGHT * (1 - u->fail_rate);
@@ -524,14 +541,15 @@
         u->failures++;
         break;
     case UT_END_SHED:
+        u->away_ms = 0;
         u->shed_until_ms = now_ms + SHED_REST_MS;
         break;
     case UT_END_NEUTRAL:
+        if (u->away_ms) {
+            note_turned_away(u, now_ms);
+        }
         break;
     }
-    if (end != UT_END_DEAD && end != UT_END_SILENT) {
-        u->away_ms = 0;
-    }
     if (first_ms) {
         u->heard_ms = now_ms;
         note_first_byte(s, u, first_ms, q);
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -434,6 +434,39 @@
     ut_destroy(s);
 }
 
+/* An upstream crashes and is back a second later with nothing loaded; its
+   entry still lists its models, and it turns away each request for them.  Each
+   costs a repeat, of which there are few: single calls find out, until its new
+   content is told. */
+static void
+test_choice_doubts_the_restarted(void)
+{
+    UtSet *s = make_set(1, "m0");
+    UtQuery q = {.service = "s", .model = "m0"};
+    Ut *u = NULL;
+    ut_choose(s, 0, &q, &u);
+    ut_start(u);
+    ut_finish(s, u, 0, UT_END_DEAD, 0, &q);
+    int turned_away = 0;
+    for (uint64_t now_ms = 1000; now_ms < 4000; now_ms += 4) {
+        if (ut_choose(s, now_ms, &q, &u) == UT_FOUND) {
+            ut_start(u);
+            ut_note_absent(s, u, now_ms, "m0", NULL);
+            ut_finish(s, u, now_ms, UT_END_NEUTRAL, 0, &q);
+            turned_away++;
+        }
+    }
+    CU_ASSERT(turned_away >= 2 && turned_away <= 5);
+    DepUpstream *e = dep_create_upstream();
+    dep_add_resident(e, "m0");
+    GPtrArray *models = e->models;
+    e->models = g_ptr_array_new();
+    dep_destroy_upstream(e);
+    ut_on_placement(s, 6000, "u0", models);
+    CU_ASSERT_EQUAL(ut_choose(s, 6000, &q, &u), UT_FOUND);
+    ut_destroy(s);
+}
+
 /* A model that rises has two holders; more wait there than begin in time.  A
    gateway that hears of it sends nothing more behind them, and says which is
    the less busy; what has run elsewhere already goes on all the same. */
@@ -1056,6 +1089,14 @@
 
 #define STORE_LOAD_MS 6000
 
+static void
+note_wait(void *ctx, const char *model, uint32_t wait_ms)
+{
+    if (strcmp(model, "m7") == 0) {
+        *(uint32_t *)ctx = wait_ms;
+    }
+}
+
 static void
 start_store_site(Site *s)
 {
@@ -1103,6 +1144,25 @@
     stop_site(&s);
 }
 
+/* Eight models need a store that loads one at a time.  Callers of the last are
+   to hear at once that it takes many times one load, each time that they are
+   told anything: without an estimate they would be held to their deadline. */
+static void
+test_placement_always_estimates(void)
+{
+    Site s;
+    start_store_site(&s);
+    s.shared_store = true;
+    for (int i = 0; i < 20; i++) {
+        want_many(&s);
+        run_site(&s, 100, true);
+        uint32_t wait_ms = 0;
+        mp_visit_waits(s.mp, s.now_ms, note_wait, &wait_ms);
+        CU_ASSERT(wait_ms >= 2 * STORE_LOAD_MS);
+    }
+    stop_site(&s);
+}
+
 /* A store that serves many at full speed is found out from the loads that
    come in time; the VM that places next begins with what was learnt. */
 static void
@@ -1169,6 +1229,7 @@
         {"choice shuns what fails", test_choice_shuns_what_fails},
         {"choice rests the dead", test_choice_rests_the_dead},
         {"choice probes the only holder", test_choice_probes_the_only_holder},
+        {"choice doubts the restarted", test_choice_doubts_the_restarted},
         {"choice leaves long queues alone",
          test_choice_leaves_long_queues_alone},
         {"choice by model", test_choice_by_model},
@@ -1185,6 +1246,7 @@
         {"tells of queues", test_placement_tells_of_queues},
         {"counts the refused", test_placement_counts_the_refused},
         {"learns a narrow store", test_placement_learns_a_narrow_store},
+        {"always estimates", test_placement_always_estimates},
         {"learns a wide store", test_placement_learns_a_wide_store},
         {"route split", test_route_split},
         CU_TEST_INFO_NULL};
