What the placing VM told counts until newer entries; nothing is begun beside a former VM's load

Change: what was told is outdated by the next entry of that upstream only; an upstream at an order that we don't know of rules out a trial. Tests: choice keeps what was told, waits for a former load (red without).

--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -308,7 +308,7 @@
         uint64_t now_ms = bg_boot_ms();
         st_restart(g->config_watch, now_ms, 0);
         st_restart(g->upstream_watch, now_ms, 0);
-        ut_forget_placement(g->upstreams);
+        ut_outdate_placement(g->upstreams);
     }
 }
 
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -244,7 +244,7 @@
             mp_begin(g->placement, now_ms);
         }
         else {
-            ut_forget_placement(g->upstreams);
+            ut_outdate_placement(g->upstreams);
         }
         gn_on_lease_changed(g);
         gn_follow_store(g);
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -260,7 +260,7 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (u->ordered && u->order_from_store) {
+        if ((u->ordered && u->order_from_store) || (!u->known && u->busy)) {
             return false;
         }
         for (guint i = 0; i < u->replicas->len; i++) {
--- a/src/ut.c
+++ b/src/ut.c
@@ -49,6 +49,7 @@
 struct Ut {
     DepUpstream *entry;
     GPtrArray *placed; /* DepResident, by the placing VM; NULL: by entry */
+    bool outdated;     /* what it placed: the next entry goes before */
     bool gone;         /* no longer listed; kept while calls are out */
     bool leaving;
     uint32_t running;  /* our calls */
@@ -161,6 +162,11 @@
     if (u) {
         g_hash_table_steal(s->by_id, u->entry->id);
         dep_destroy_upstream(u->entry);
+        if (u->outdated && u->placed) {
+            g_ptr_array_free(u->placed, TRUE);
+            u->placed = NULL;
+        }
+        u->outdated = false;
     }
     else {
         u = g_new0(Ut, 1);
@@ -210,21 +216,18 @@
         g_ptr_array_free(u->placed, TRUE);
     }
     u->placed = models;
+    u->outdated = false;
     u->away_ms = 0;
 }
 
 void
-ut_forget_placement(UtSet *s)
+ut_outdate_placement(UtSet *s)
 {
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, s->by_id);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Ut *u = v;
-        if (u->placed) {
-            g_ptr_array_free(u->placed, TRUE);
-            u->placed = NULL;
-        }
+        ((Ut *)v)->outdated = true;
     }
 }
 
--- a/src/ut.h
+++ b/src/ut.h
@@ -26,11 +26,12 @@
 /* Only IDS (a set of char *) are left. */
 void ut_keep_only(UtSet *s, uint64_t now_ms, GHashTable *ids);
 /* What the placing VM says that UPSTREAM holds: DepResident list, taken
-   over.  It goes before the entry until ut_forget_placement. */
+   over.  It goes before the entry, until ut_outdate_placement. */
 void ut_on_placement(UtSet *s, uint64_t now_ms, const char *id,
                      GPtrArray *models);
-/* The placing VM is not heard any more: entries count again. */
-void ut_forget_placement(UtSet *s);
+/* The placing VM is not heard any more: what it told counts only until an
+   upstream's next entry, which is read from now on and is newer. */
+void ut_outdate_placement(UtSet *s);
 
 /* Who could serve. */
 typedef struct {
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -341,6 +341,17 @@
     return s;
 }
 
+static GPtrArray *
+list_models(const char *model)
+{
+    DepUpstream *e = dep_create_upstream();
+    dep_add_resident(e, model);
+    GPtrArray *models = e->models;
+    e->models = g_ptr_array_new();
+    dep_destroy_upstream(e);
+    return models;
+}
+
 static void
 test_choice_spreads(void)
 {
@@ -457,16 +468,28 @@
         }
     }
     CU_ASSERT(turned_away >= 2 && turned_away <= 5);
-    DepUpstream *e = dep_create_upstream();
-    dep_add_resident(e, "m0");
-    GPtrArray *models = e->models;
-    e->models = g_ptr_array_new();
-    dep_destroy_upstream(e);
-    ut_on_placement(s, 6000, "u0", models);
+    ut_on_placement(s, 6000, "u0", list_models("m0"));
     CU_ASSERT_EQUAL(ut_choose(s, 6000, &q, &u), UT_FOUND);
     ut_destroy(s);
 }
 
+/* The placing VM falls silent, and with it the store.  The entries that this
+   gateway read are older than what it was told last: until it reads newer
+   ones, requests go where that VM said. */
+static void
+test_choice_keeps_what_was_told(void)
+{
+    UtSet *s = make_set(1, "m0");
+    UtQuery q = {.service = "s", .model = "m1"};
+    Ut *u = NULL;
+    ut_on_placement(s, 100, "u0", list_models("m1"));
+    ut_outdate_placement(s);
+    CU_ASSERT_EQUAL(ut_choose(s, 200, &q, &u), UT_FOUND);
+    ut_on_entry(s, 300, make_upstream("u0", "s", "m0"));
+    CU_ASSERT_EQUAL(ut_choose(s, 300, &q, &u), UT_COLD);
+    ut_destroy(s);
+}
+
 /* A model that rises has two holders; more wait there than begin in time.  A
    gateway that hears of it sends nothing more behind them, and says which is
    the less busy; what has run elsewhere already goes on all the same. */
@@ -1144,6 +1167,28 @@
     stop_site(&s);
 }
 
+/* A VM begins to place while a load that the former ordered is under way, and
+   knows only that its upstream is at an order.  Nothing is begun beside it:
+   the store serves one at full speed, and the wanted model would come no
+   sooner. */
+static void
+test_placement_waits_for_a_former_load(void)
+{
+    Site s;
+    start_store_site(&s);
+    s.shared_store = true;
+    Engine *e = &s.engines[0];
+    e->coming = g_strdup("m0");
+    e->left_ms = 4000;
+    e->used_mb = MODEL_MB;
+    e->state->sequence = 1;
+    run_site(&s, 600, false);
+    say_demand(&s, "g", "m1", NULL, 1, 0);
+    run_site(&s, 1500, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 0);
+    stop_site(&s);
+}
+
 /* Eight models need a store that loads one at a time.  Callers of the last are
    to hear at once that it takes many times one load, each time that they are
    told anything: without an estimate they would be held to their deadline. */
@@ -1230,6 +1275,7 @@
         {"choice rests the dead", test_choice_rests_the_dead},
         {"choice probes the only holder", test_choice_probes_the_only_holder},
         {"choice doubts the restarted", test_choice_doubts_the_restarted},
+        {"choice keeps what was told", test_choice_keeps_what_was_told},
         {"choice leaves long queues alone",
          test_choice_leaves_long_queues_alone},
         {"choice by model", test_choice_by_model},
@@ -1246,6 +1292,7 @@
         {"tells of queues", test_placement_tells_of_queues},
         {"counts the refused", test_placement_counts_the_refused},
         {"learns a narrow store", test_placement_learns_a_narrow_store},
+        {"waits for a former load", test_placement_waits_for_a_former_load},
         {"always estimates", test_placement_always_estimates},
         {"learns a wide store", test_placement_learns_a_wide_store},
         {"route split", test_route_split},
