A dying upstream is asked again until its port is closed

The second death was then the first on record, the request was meant for a third engine, and its caller got 504 at its deadline. Ruled out: a slow load (the third was never ordered). Change: the question is repeated for half a second while it breaks without an answer.

--- a/src/req.c
+++ b/src/req.c
@@ -19,6 +19,9 @@
 #define LONG_RUNS 3 /* a generation that takes so many is taken for silent */
 #define STATUS_CALLER_GONE 499 /* for the log only; nobody reads it */
 #define PROBE_MS 500
+/* A dying process is given half a second to close its last socket. */
+#define DEATH_PROBES 6
+#define DEATH_PROBE_PAUSE_MS 100
 #define MAX_KEY_LEN 255
 #define CHUNK_FRAME 24 /* length line and line ends of a chunk */
 
@@ -628,7 +631,9 @@
     return res->status == 0 ? res->reused : res->end == HC_TIMEOUT;
 }
 
-/* A fresh connection, not the broken one, tells whether the process died. */
+/* A fresh connection, not the broken one, tells whether the process died.  It
+   is tried again while it breaks without an answer: a dying process takes
+   connections until its last socket is closed. */
 static bool
 is_refused(const Desk *d, HcClient *c, const char *address)
 {
@@ -639,10 +644,18 @@
                      .connect_ms = desk_get_limits(d)->connect_ms,
                      .total_ms = PROBE_MS,
                      .fresh = true};
-    HcResult res;
-    hc_call(c, &req, &res);
-    bool refused = res.refused;
-    hc_free_result(&res);
+    bool refused = false;
+    bool broken = true;
+    for (int i = 0; i < DEATH_PROBES && broken && !refused; i++) {
+        if (i > 0) {
+            g_usleep(DEATH_PROBE_PAUSE_MS * 1000);
+        }
+        HcResult res;
+        hc_call(c, &req, &res);
+        refused = res.refused;
+        broken = res.end == HC_BROKEN;
+        hc_free_result(&res);
+    }
     return refused;
 }
 
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -47,6 +47,7 @@
         self.fence = 0
         self.models = {}
         self.tiers = dict(p.split("=") for p in args.tiers.split(",") if p)
+        self.dying = False
         self.inflight = 0
         self.in_use = {}
         self.audit = {"loads": {}, "peak_mb": 0, "overcommits": 0,
@@ -212,7 +213,7 @@
             self.audit["attempts"].append(h.headers.get("X-Attempt-Id"))
         try:
             if self.args.die_word in prompt:
-                os._exit(1)
+                self.die(h)
             tokens = self.make_tokens(prompt, int(doc.get("max_tokens", 8)))
             start = int(doc.get("resume_from_token", 0))
             if doc.get("stream"):
@@ -230,6 +231,14 @@
                 self.inflight -= 1
                 self.in_use[name] -= 1
 
+    def die(self, h):
+        """A process that dies on a busy machine closes its sockets one after
+        the other: for a moment its port still takes connections."""
+        self.dying = True
+        h.connection.shutdown(2)
+        time.sleep(self.args.die_slowly_ms / 1000)
+        os._exit(1)
+
     def wait_token(self, h):
         """Raises Cancelled once the caller has closed its connection."""
         time.sleep(self.faults["token_ms"] / 1000)
@@ -299,6 +308,10 @@
     # ---- paths ---------------------------------------------------------
 
     def handle(self, h, method, path, query, body):
+        if self.dying:
+            h.close_connection = True
+            h.connection.shutdown(2)
+            return None
         doc = json.loads(body) if body else {}
         if path == "/v1/chat/completions":
             return self.complete(h, doc, True)
@@ -348,6 +361,7 @@
     parser.add_argument("--token-ms", type=float, default=2.0)
     parser.add_argument("--report-lag-ms", type=int, default=100)
     parser.add_argument("--die-word", default="DIE-NOW")
+    parser.add_argument("--die-slowly-ms", type=int, default=0)
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
     standin.serve(Engine(args), args.port)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -85,6 +85,21 @@
     assert len(alive(cluster)) == 3
 
 
+def test_slow_death_counts_too(build):
+    """A caller's request crashes the engine that runs it; the dying process
+    still takes connections for a moment, and closes them.  The first question
+    after the break finds a port that is neither refused nor answers.  Taken
+    for no death, the caller would wait for its deadline (504) while the
+    request went on to a third engine."""
+    slow = [dict(e, args={"die_slowly_ms": 150}) for e in engines(3)]
+    with Cluster(build, centres=("dc1",), engines=slow, services=[]) as c:
+        c.publish_samples()
+        a = ask(c, ROUTERS[0], DEADLY)
+        assert a.status in (422, 502)
+        wait_quarantine(c)
+        assert len(alive(c)) == 1
+
+
 def test_innocent_beside_a_death_is_served_and_cleared(cluster):
     """A slow request runs on the engine that is killed.  It carries a
     recorded death that was not its doing; it is tried again elsewhere, alone,
