What may make room for a load is one value, for the choice and for the deed

Cause (reading the change): whether replicas in use may go was guessed from the most loss in one place and from the excess in another, so a goal could be set that found no victim and was set again. Queues before are kept beside queues now, in place of a table made at each sum.

--- a/src/mp.c
+++ b/src/mp.c
@@ -990,6 +990,7 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
         u->running = 0;
+        u->queued_before = u->queued;
         u->queued = 0;
     }
     g_hash_table_iter_init(&it, m->gateways);
@@ -1009,11 +1010,11 @@
 /* Only where requests wait does the pause between beginnings tell how fast
    the upstream is, and not how seldom it is asked. */
 static void
-learn_pause(Up *u, uint64_t now_ms, uint32_t queued_before)
+learn_pause(Up *u, uint64_t now_ms)
 {
     uint64_t passed_ms = now_ms - u->summed_ms;
     bool waited =
-        queued_before >= QUEUE_TO_LEARN && u->queued >= QUEUE_TO_LEARN;
+        u->queued_before >= QUEUE_TO_LEARN && u->queued >= QUEUE_TO_LEARN;
     if (u->pause_ms == 0) {
         u->pause_ms = FIRST_PAUSE_MS;
     }
@@ -1033,13 +1034,8 @@
                              uint32_t wait_ms),
                void *ctx)
 {
-    g_autoptr(GHashTable) before = g_hash_table_new(NULL, NULL);
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        g_hash_table_insert(before, v, GUINT_TO_POINTER(((Up *)v)->queued));
-    }
     sum_loads(m);
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -1047,8 +1043,7 @@
         if (!mp_find_service(m, u)) {
             continue;
         }
-        learn_pause(u, now_ms,
-                    GPOINTER_TO_UINT(g_hash_table_lookup(before, u)));
+        learn_pause(u, now_ms);
         if (u->running > 0) {
             visit(ctx, u->entry->id, u->running,
                   (uint32_t)(u->queued * u->pause_ms));
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -40,7 +40,7 @@
     uint64_t unloaded_ms; /* of a model, the last */
     char *goal;           /* model that is to be loaded here */
     uint64_t goal_until_ms;
-    bool goal_urgent; /* replicas in use make room for it */
+    bool goal_in_use; /* replicas in use may make room for it */
     /* the order that is out */
     bool ordered;
     bool order_unload;
@@ -53,7 +53,8 @@
     uint64_t suspected_ms;
     uint32_t running; /* requests of all gateways there, as last summed */
     uint32_t queued;  /* of these, that wait for their first byte */
-    uint32_t began;   /* answers that began since then */
+    uint32_t queued_before; /* at the sum before */
+    uint32_t began;         /* answers that began since then */
     uint64_t summed_ms;
     double pause_ms; /* between beginnings while others wait */
 } Up;
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -144,21 +144,27 @@
     return (uses + 0.5) * reload_ms;
 }
 
+/* What may make room for a load. */
+typedef struct {
+    double most_loss_ms; /* of callers' waiting */
+    bool in_use;         /* also replicas in use, but not the last */
+} Sacrifice;
+
 static bool
 is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r,
-             bool urgent)
+             bool in_use)
 {
     const Demand *d = mp_peek_demand(m, r->name);
     bool last = count_replicas(m, r->name) < 2;
     bool waited = d && d->waiting > 0 && last;
-    bool free_to_go = is_idle(m, now_ms, u, r) || (urgent && !last);
+    bool free_to_go = is_idle(m, now_ms, u, r) || (in_use && !last);
     return !waited && free_to_go && r->ready_ms != WHEN_TOLD &&
            now_ms >= r->ready_ms + SETTLE_MS;
 }
 
 static Replica *
 pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_,
-            bool urgent)
+            bool in_use)
 {
     Replica *best = NULL;
     double least = 0;
@@ -168,7 +174,7 @@
         for (guint j = 0; not_ && j < not_->len; j++) {
             excluded = excluded || not_->pdata[j] == r;
         }
-        if (excluded || !is_evictable(m, now_ms, u, r, urgent)) {
+        if (excluded || !is_evictable(m, now_ms, u, r, in_use)) {
             continue;
         }
         double loss = get_eviction_loss_ms(m, now_ms, u, r);
@@ -184,7 +190,7 @@
    can't be. */
 static double
 compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u, const DepModel *d,
-                  double most_loss_ms)
+                  const Sacrifice *may_go)
 {
     bool from_store;
     double cost = mp_get_load_ms(u, d, &from_store);
@@ -198,11 +204,9 @@
     int64_t free_mb = get_free_mb(m, u);
     g_autoptr(GPtrArray) victims = g_ptr_array_new();
     while (free_mb < (int64_t)d->memory_mb) {
-        Replica *r =
-            most_loss_ms > 0
-                ? pick_victim(m, now_ms, u, victims,
-                              most_loss_ms > URGENT_EXCESS * EXCESS_LOSS_MS)
-                : NULL;
+        Replica *r = may_go->most_loss_ms > 0
+                         ? pick_victim(m, now_ms, u, victims, may_go->in_use)
+                         : NULL;
         const DepModel *rd = r ? mp_find_model(m, u, r->name) : NULL;
         if (!rd) {
             return -1;
@@ -211,7 +215,7 @@
         free_mb += rd->memory_mb;
         loss_ms += get_eviction_loss_ms(m, now_ms, u, r) + 10;
     }
-    if (loss_ms > most_loss_ms) {
+    if (loss_ms > may_go->most_loss_ms) {
         return -1;
     }
     cost += loss_ms;
@@ -360,7 +364,7 @@
         }
         return;
     }
-    const Replica *victim = pick_victim(m, now_ms, u, NULL, u->goal_urgent);
+    const Replica *victim = pick_victim(m, now_ms, u, NULL, u->goal_in_use);
     if (!victim) {
         g_clear_pointer(&u->goal, g_free);
         return;
@@ -418,7 +422,7 @@
 
 static Up *
 find_best_place(const Mp *m, uint64_t now_ms, const char *model,
-                double most_loss_ms, bool *from_store)
+                const Sacrifice *may_go, bool *from_store)
 {
     Up *best = NULL;
     double least = 0;
@@ -433,7 +437,7 @@
             mp_find_replica(u, model)) {
             continue;
         }
-        double cost = compute_load_cost(m, now_ms, u, d, most_loss_ms);
+        double cost = compute_load_cost(m, now_ms, u, d, may_go);
         if (cost >= 0 && (!best || cost < least)) {
             best = u;
             least = cost;
@@ -444,11 +448,11 @@
 }
 
 static void
-set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model, bool urgent)
+set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model, bool in_use)
 {
     u->goal = g_strdup(model);
     u->goal_until_ms = now_ms + GOAL_LIFE_MS;
-    u->goal_urgent = urgent;
+    u->goal_in_use = in_use;
     add_count(m, u->goal);
     mp_pursue_goal(m, now_ms, u);
 }
@@ -546,8 +550,9 @@
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         bool from_store = false;
-        Up *u = find_best_place(m, now_ms, w->model,
-                                get_most_loss_ms(w, now_ms), &from_store);
+        Sacrifice may_go = {get_most_loss_ms(w, now_ms),
+                            w->excess > URGENT_EXCESS};
+        Up *u = find_best_place(m, now_ms, w->model, &may_go, &from_store);
         const DepModel *d = u ? mp_find_model(m, u, w->model) : NULL;
         if (!u || (from_store && (!may_use_store(m, now_ms, w, d) ||
                                   !may_start_store_load(
@@ -555,7 +560,7 @@
             w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
             continue;
         }
-        set_goal(m, now_ms, u, w->model, w->excess > URGENT_EXCESS);
+        set_goal(m, now_ms, u, w->model, may_go.in_use);
     }
 }
 
@@ -617,7 +622,8 @@
         if (g_hash_table_contains(copied, k)) {
             continue;
         }
-        Up *u = find_best_place(m, now_ms, k, INFINITY, &from_store);
+        Sacrifice may_go = {INFINITY, false};
+        Up *u = find_best_place(m, now_ms, k, &may_go, &from_store);
         if (u) {
             set_goal(m, now_ms, u, k, false);
             return;
