--- a/src/ini.c
+++ b/src/ini.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -70,6 +71,18 @@
         }
         return NULL;
     }
+    case INI_NUMBER: {
+        errno = 0;
+        double n = g_ascii_strtod(value, &end);
+        if (errno || end == value || *end || !isfinite(n)) {
+            return g_strdup_printf("'%s' is not a number", value);
+        }
+        if (n < (double)rule->min || n > (double)rule->max) {
+            return g_strdup_printf("%g is not in %lld to %lld", n,
+                                   (long long)rule->min, (long long)rule->max);
+        }
+        return NULL;
+    }
     case INI_BOOL:
         return has_choice("true|false", value)
                    ? NULL
@@ -106,6 +119,10 @@
         }
         char *value = g_key_file_get_value(kf, sec, *k, NULL);
         g_strstrip(value);
+        if (!*value && !rule->required) {
+            g_free(value);
+            continue;
+        }
         g_autofree char *wrong = ini_check_value(rule, value);
         if (wrong) {
             g_string_append_printf(faults, "%s: [%s] %s: %s\n", path, sec, *k,
@@ -183,6 +200,12 @@
     return strtoll(ini_get_text(f, sec, key), NULL, 10);
 }
 
+double
+ini_get_number(const IniFile *f, const char *sec, const char *key)
+{
+    return g_ascii_strtod(ini_get_text(f, sec, key), NULL);
+}
+
 bool
 ini_get_bool(const IniFile *f, const char *sec, const char *key)
 {
--- a/src/ini.h
+++ b/src/ini.h
@@ -6,7 +6,14 @@
 
 #include "bg_base.h"
 
-typedef enum { INI_TEXT, INI_INT, INI_BOOL, INI_ADDRESS, INI_CHOICE } IniType;
+typedef enum {
+    INI_TEXT,
+    INI_INT,
+    INI_NUMBER, /* whole, or with a fraction */
+    INI_BOOL,
+    INI_ADDRESS,
+    INI_CHOICE
+} IniType;
 
 typedef struct {
     const char *section;
@@ -14,7 +21,7 @@
     IniType type;
     bool required;
     const char *fallback; /* text form; NULL: none */
-    int64_t min;          /* INI_INT only */
+    int64_t min;          /* INI_INT and INI_NUMBER */
     int64_t max;
     const char *choices; /* INI_CHOICE: words separated by '|' */
     const char *doc;
@@ -23,7 +30,9 @@
 typedef struct IniFile IniFile;
 
 /* Read PATH and check it against RULES (ended by a NULL section).  All
-   faults, one a line, go to FAULTS; returns NULL if there was any. */
+   faults, one a line, go to FAULTS; returns NULL if there was any.  An
+   optional key with an empty value counts as left out: a template that has
+   nothing to fill in leaves it so. */
 IniFile *ini_load(const char *path, const IniRule *rules, GString *faults);
 void ini_destroy(IniFile *f);
 
@@ -31,6 +40,7 @@
    by the file. */
 const char *ini_get_text(const IniFile *f, const char *sec, const char *key);
 int64_t ini_get_int(const IniFile *f, const char *sec, const char *key);
+double ini_get_number(const IniFile *f, const char *sec, const char *key);
 bool ini_get_bool(const IniFile *f, const char *sec, const char *key);
 
 /* NULL when VALUE keeps RULE, else what is wrong; free with g_free. */
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -7,6 +7,7 @@
 
 #include <argp.h>
 #include <malloc.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -69,19 +70,19 @@
      "the platform's store"},
     {"gateway", "seeds", INI_TEXT, false, "", 0, 0, NULL,
      "control addresses of other gateways, by commas"},
-    {"gateway", "cpu_share", INI_TEXT, false, "0.25", 0, 0, NULL,
+    {"gateway", "cpu_share", INI_NUMBER, false, "0.25", 0, 1024, NULL,
      "of a core that this VM has; the larger places rather"},
     {"gateway", "prefetch", INI_BOOL, false, "true", 0, 0, NULL,
      "load models that nobody holds into room that is free"},
-    {"bounds", "retry_ratio", INI_TEXT, false, "0.2", 0, 0, NULL,
+    {"bounds", "retry_ratio", INI_NUMBER, false, "0.2", 0, 1000, NULL,
      "repeats allowed for each request"},
-    {"bounds", "retry_window_s", INI_INT, false, "10", 1, 3600, NULL,
+    {"bounds", "retry_window_s", INI_NUMBER, false, "10", 0, 3600, NULL,
      "window in which repeats are counted"},
-    {"bounds", "retry_slack", INI_INT, false, "50", 0, 1000000, NULL,
+    {"bounds", "retry_slack", INI_NUMBER, false, "50", 0, 1000000, NULL,
      "repeats allowed besides, all gateways together"},
-    {"bounds", "lease_ms", INI_INT, false, "3000", 0, 600000, NULL,
+    {"bounds", "lease_ms", INI_NUMBER, false, "3000", 0, 600000, NULL,
      "rest between the orders of two VMs to one upstream"},
-    {"bounds", "grace_s", INI_INT, false, "8", 1, 600, NULL,
+    {"bounds", "grace_s", INI_NUMBER, false, "8", 0, 600, NULL,
      "from the signal to stop to being killed"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
@@ -91,6 +92,12 @@
     return ini_get_text(g->settings, "gateway", key);
 }
 
+static double
+get_bound(const IniFile *f, const char *key)
+{
+    return ini_get_number(f, "bounds", key);
+}
+
 /* ---- requests ----------------------------------------------------------- */
 
 static void
@@ -264,8 +271,7 @@
 may_exit(Gateway *g, uint64_t now_ms)
 {
     uint64_t since_ms = now_ms - g->stop_ms;
-    uint64_t grace_ms =
-        (uint64_t)ini_get_int(g->settings, "bounds", "grace_s") * 1000;
+    uint64_t grace_ms = (uint64_t)(get_bound(g->settings, "grace_s") * 1000);
     if (since_ms >= LEAVE_MS) {
         gw_stop_taking(g->gw);
     }
@@ -340,12 +346,6 @@
     ht_close_kept(g->front);
 }
 
-static double
-get_ratio(const IniFile *f)
-{
-    return g_ascii_strtod(ini_get_text(f, "bounds", "retry_ratio"), NULL);
-}
-
 static void
 reload(Gateway *g)
 {
@@ -358,8 +358,8 @@
     if (f) {
         ini_destroy(g->settings);
         g->settings = f;
-        rb_set_allowance(g->budget, get_ratio(f),
-                         (double)ini_get_int(f, "bounds", "retry_slack"));
+        rb_set_allowance(g->budget, get_bound(f, "retry_ratio"),
+                         get_bound(f, "retry_slack"));
     }
 }
 
@@ -411,7 +411,7 @@
 static uint32_t
 get_claim_delay_ms(const Gateway *g)
 {
-    double share = g_ascii_strtod(gn_get_text(g, "cpu_share"), NULL);
+    double share = ini_get_number(g->settings, "gateway", "cpu_share");
     double lack = CLAMP((LARGE_CPU_SHARE - share) / LARGE_CPU_SHARE, 0, 1);
     return (uint32_t)(lack * SMALL_CLAIM_MS);
 }
@@ -422,11 +422,9 @@
     uint64_t seed = bg_now_us() ^ g_str_hash(g->process);
     UtParams up = {gn_get_text(g, "data_centre"), seed};
     g->upstreams = ut_create(&up);
-    RbParams rb = {
-        (uint32_t)ini_get_int(g->settings, "bounds", "retry_window_s") * 1000,
-        get_ratio(g->settings),
-        (double)ini_get_int(g->settings, "bounds", "retry_slack"),
-        ASSUMED_GATEWAYS};
+    RbParams rb = {(uint32_t)(get_bound(g->settings, "retry_window_s") * 1000),
+                   get_bound(g->settings, "retry_ratio"),
+                   get_bound(g->settings, "retry_slack"), ASSUMED_GATEWAYS};
     g->budget = rb_create(&rb, bg_boot_ms());
     GwParams gw = {CONNECT_MS, DEATH_LIMIT, seed};
     GwOutput gw_out = {g, on_wanted, on_died, on_unreached};
@@ -441,7 +439,7 @@
                    LEASE_MS,
                    RENEW_MS,
                    ORDER_MS,
-                   (uint32_t)ini_get_int(g->settings, "bounds", "lease_ms") +
+                   (uint32_t)ceil(get_bound(g->settings, "lease_ms")) +
                        REST_MARGIN_MS,
                    QUIET_MS,
                    get_claim_delay_ms(g),
@@ -548,15 +546,37 @@
     return 0;
 }
 
+typedef struct {
+    const char *path; /* NULL: not named */
+    bool check_only;
+    bool print_settings;
+} Arguments;
+
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
-    Gateway *g = state->input;
-    if (key == 's') {
-        g->path = arg;
+    Arguments *a = state->input;
+    switch (key) {
+    case 's':
+        a->path = arg;
+        return 0;
+    case 'k':
+        a->check_only = true;
         return 0;
+    case 'p':
+        a->print_settings = true;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
     }
-    return ARGP_ERR_UNKNOWN;
+}
+
+static void
+print_settings(void)
+{
+    g_autoptr(GString) text = g_string_new(NULL);
+    ini_print_schema(rules, text);
+    fputs(text->str, stdout);
 }
 
 int
@@ -565,13 +585,20 @@
     static const struct argp_option options[] = {
         {"settings", 's', "FILE", 0,
          "settings file (else $BITTERNGLADE_SETTINGS)", 0},
+        {"check", 'k', NULL, 0, "check the settings and stop", 0},
+        {"print-settings", 'p', NULL, 0,
+         "print every setting with its default", 0},
         {0}};
     static const struct argp argp = {
         options, parse_option, NULL, "Answer callers of a platform.",
         NULL,    NULL,         NULL};
-    Gateway g = {.path = getenv("BITTERNGLADE_SETTINGS")};
-    argp_parse(&argp, argc, argv, 0, NULL, &g);
-    if (!g.path) {
+    Arguments a = {.path = getenv("BITTERNGLADE_SETTINGS")};
+    argp_parse(&argp, argc, argv, 0, NULL, &a);
+    if (a.print_settings) {
+        print_settings();
+        return 0;
+    }
+    if (!a.path) {
         fprintf(stderr, "no settings file was named\n");
         return 2;
     }
@@ -579,10 +606,15 @@
     mallopt(M_ARENA_MAX, 1);
     signal(SIGPIPE, SIG_IGN);
     g_autoptr(GString) faults = g_string_new(NULL);
-    g.settings = ini_load(g.path, rules, faults);
+    Gateway g = {.path = a.path, .settings = ini_load(a.path, rules, faults)};
     if (!g.settings) {
         fputs(faults->str, stderr);
         return 2;
     }
+    if (a.check_only) {
+        puts("settings are good");
+        ini_destroy(g.settings);
+        return 0;
+    }
     return run(&g);
 }
