--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 BINS = $(patsubst src/main_%.c,$(BUILD)/bglade-%,$(wildcard src/main_*.c))
 UNITS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/unit_*.c))
 SCRIPTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/script_*.c))
+BENCHES = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/bench_*.c))
 PROGS = $(subst bglade-client,bglade,$(BINS))
 APT = gcc make pkg-config python3 libcivetweb-dev libcurl4-openssl-dev \
 	liburcu-dev libprotobuf-c-dev libglib2.0-dev libjansson-dev \
@@ -53,6 +54,10 @@
 	@echo LD $@
 	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
 
+$(BUILD)/bench_%: tests/bench_%.c $(BUILD)/libbglade.a
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
+
 .PRECIOUS: $(BUILD)/%.o
 
 # The generated code is committed; only a change of the schema needs this.
@@ -104,6 +109,13 @@
 bench: all
 	/usr/bin/python3 tests/bench.py --build $(BUILD)
 
+# The core of placement alone, from a small site to the largest.
+bench-placement: $(BENCHES)
+	$(BUILD)/bench_mp 12 40 60 7 40
+	$(BUILD)/bench_mp 140 56 110 75 300
+	$(BUILD)/bench_mp 320 599 1447 295 934
+	$(BUILD)/bench_mp 2700 110 22000 400 5200
+
 # Slopes for docs/CAPACITY.md; ONLY=NAME,... measures some of them again.
 capacity: all
 	/usr/bin/python3 tests/capacity.py --build $(BUILD) --only "$(ONLY)"
@@ -113,4 +125,4 @@
 
 -include $(wildcard $(BUILD)/*.d)
 # The soak is a by-hand target; CI runs a few of its seeds.
-.PHONY: all demo check lint format asan tsan soak bench capacity clean proto install-packages
+.PHONY: all demo check lint format asan tsan soak bench bench-placement capacity clean proto install-packages
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -939,7 +939,7 @@
   (ProtobufCMessageInit) gwp__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__use__field_descriptors[5] =
 {
   {
     "upstream",
@@ -978,12 +978,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "began",
+    "running",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gwp__Use, began),
+    offsetof(Gwp__Use, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Use, queued),
     NULL,
     NULL,
     0,             /* flags */
@@ -992,14 +1004,15 @@
 };
 static const unsigned gwp__use__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
-  3,   /* field[3] = began */
   1,   /* field[1] = model */
+  4,   /* field[4] = queued */
+  3,   /* field[3] = running */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange gwp__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__use__descriptor =
 {
@@ -1009,7 +1022,7 @@
   "Gwp__Use",
   "gwp",
   sizeof(Gwp__Use),
-  4,
+  5,
   gwp__use__field_descriptors,
   gwp__use__field_indices_by_name,
   1,  gwp__use__number_ranges,
@@ -1067,7 +1080,7 @@
   (ProtobufCMessageInit) gwp__began__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[4] =
 {
   {
     "wants",
@@ -1105,16 +1118,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Demand, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__demand__field_indices_by_name[] = {
   2,   /* field[2] = began */
   1,   /* field[1] = uses */
   0,   /* field[0] = wants */
+  3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange gwp__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gwp__demand__descriptor =
 {
@@ -1124,7 +1150,7 @@
   "Gwp__Demand",
   "gwp",
   sizeof(Gwp__Demand),
-  3,
+  4,
   gwp__demand__field_descriptors,
   gwp__demand__field_indices_by_name,
   1,  gwp__demand__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -78,20 +78,24 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Requests on an upstream.
+ */
 struct  Gwp__Use
 {
   ProtobufCMessage base;
   char *upstream;
   char *model;
   char *adapter;
+  uint32_t running;
   /*
-   * the first byte of its answer has come
+   * of these, whose answer has not begun
    */
-  protobuf_c_boolean began;
+  uint32_t queued;
 };
 #define GWP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__use__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -109,7 +113,8 @@
 
 
 /*
- * All there is of a gateway's wants and uses; also its heartbeat.
+ * A gateway's wants and uses that changed since its last frame; also its
+ * heartbeat.
  */
 struct  Gwp__Demand
 {
@@ -120,10 +125,14 @@
   Gwp__Use **uses;
   size_t n_began;
   Gwp__Began **began;
+  /*
+   * all there is: a row that is left out is zero
+   */
+  protobuf_c_boolean whole;
 };
 #define GWP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__demand__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Gwp__Resident
--- a/src/gn.h
+++ b/src/gn.h
@@ -5,6 +5,7 @@
 #ifndef GN_H
 #define GN_H
 
+#include "dm.h"
 #include "gw.h"
 #include "ini.h"
 #include "jl.h"
@@ -40,6 +41,7 @@
     StWatch *config_watch;
     StWatch *upstream_watch;
     StWatch *mail_watch; /* NULL: this VM does not place */
+    Dm *demand;          /* of callers here and at gateways linked to us */
     GHashTable *members; /* gateways -> when last linked, uint64_t */
     uint64_t mail_ms;    /* when mail was last left */
     uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
@@ -51,17 +53,18 @@
     Mp *placement;
     Ls *lease;
     Renewal renewal;
-    bool store_doubted; /* it did not answer the last append of the lease */
     Lk *links;
     DepConfig *config;    /* NULL: none yet */
     GBytes *config_bytes; /* as written in the store */
     GHashTable *entries;  /* upstream -> GBytes, as written in the store */
-    bool has_snapshot;    /* taken from another gateway */
     uint64_t next_seed_ms;
     guint next_seed;
     uint64_t config_ms;
-    bool placing;      /* this VM held the lease at the last tick */
-    bool placer_reads; /* the VM that we are linked to reads the store */
+    bool placing;       /* this VM held the lease at the last tick */
+    bool placer_reads;  /* the VM that we are linked to reads the store */
+    bool sums_due;      /* all of demand, to whoever places */
+    bool store_doubted; /* it did not answer the last append of the lease */
+    bool has_snapshot;  /* taken from another gateway */
     ev_timer tick;
     ev_timer wanted;
     ev_timer place;
@@ -111,6 +114,7 @@
 /* gn_links */
 void gn_send_state(Gateway *g, uint64_t now_ms);
 void gn_send_demand(Gateway *g);
+void gn_update_placement(Gateway *g, uint64_t now_ms);
 void gn_on_link(void *ctx, bool open);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
                    bool down);
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -11,58 +11,60 @@
 #define MAIL_PAUSE_MS 1000
 #define MAIL_BUSY_PAUSE_MS 250
 #define MEMBER_MS 30000 /* a gateway not linked for so long is gone */
+/* A gateway that said nothing for so long has no callers waiting. */
+#define DEMAND_LIFE_MS 2000
 
 /* ---- links -------------------------------------------------------------- */
 
-static char *
-to_text(const char *wire)
-{
-    return *wire ? g_strdup(wire) : NULL;
-}
-
-static bool
-has_waiting(const Gwp__Demand *d)
+static DmDemand *
+read_demand(const Gwp__Demand *d)
 {
+    DmDemand *demand = dm_create_demand(d->whole);
     for (size_t i = 0; i < d->n_wants; i++) {
-        if (d->wants[i]->waiting > 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
-{
-    MpDemand *demand = mp_create_demand();
-    for (size_t i = 0; i < d->n_wants; i++) {
-        MpWant *w = g_new0(MpWant, 1);
-        w->model = g_strdup(d->wants[i]->model);
-        w->adapter = to_text(d->wants[i]->adapter);
-        w->waiting = d->wants[i]->waiting;
-        w->running = d->wants[i]->running;
-        w->arrived = d->wants[i]->arrived;
-        w->refused = d->wants[i]->refused;
-        w->hurried = d->wants[i]->hurried;
-        g_ptr_array_add(demand->wants, w);
+        const Gwp__Want *x = d->wants[i];
+        DmWant *w =
+            dm_add_want(demand, x->model, *x->adapter ? x->adapter : NULL);
+        w->waiting = x->waiting;
+        w->running = x->running;
+        w->arrived = x->arrived;
+        w->refused = x->refused;
+        w->hurried = x->hurried;
     }
     for (size_t i = 0; i < d->n_uses; i++) {
-        MpUse *u = g_new0(MpUse, 1);
-        u->upstream = g_strdup(d->uses[i]->upstream);
-        u->model = g_strdup(d->uses[i]->model);
-        u->adapter = to_text(d->uses[i]->adapter);
-        u->began = d->uses[i]->began;
-        g_ptr_array_add(demand->uses, u);
+        const Gwp__Use *x = d->uses[i];
+        DmUse *u = dm_add_use(demand, x->upstream, x->model,
+                              *x->adapter ? x->adapter : NULL);
+        u->running = x->running;
+        u->queued = x->queued;
     }
     for (size_t i = 0; i < d->n_began; i++) {
-        MpBegan *b = g_new0(MpBegan, 1);
-        b->upstream = g_strdup(d->began[i]->upstream);
-        b->count = d->began[i]->count;
-        g_ptr_array_add(demand->began, b);
+        dm_add_began(demand, d->began[i]->upstream, d->began[i]->count);
     }
-    if (mp_on_demand(g->placement, bg_boot_ms(), from, demand)) {
+    return demand;
+}
+
+/* True: more callers wait than before. */
+static bool
+take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
+{
+    DmDemand *demand = read_demand(d);
+    bool more = dm_take(g->demand, bg_boot_ms(), from, demand);
+    dm_destroy_demand(demand);
+    if (more && g->placing) {
         gn_place_soon(g);
     }
+    return more;
+}
+
+/* What callers want and use, as far as it changed, to the placement. */
+void
+gn_update_placement(Gateway *g, uint64_t now_ms)
+{
+    dm_drop_silent(g->demand, now_ms, DEMAND_LIFE_MS);
+    DmDemand *sums = dm_collect(g->demand, g->sums_due);
+    g->sums_due = false;
+    mp_on_demand(g->placement, now_ms, sums);
+    dm_destroy_demand(sums);
 }
 
 static void
@@ -192,7 +194,8 @@
         Gwp__Frame *f = data ? gwp__frame__unpack(NULL, len, data) : NULL;
         if (f && f->body_case == GWP__FRAME__BODY_DEMAND) {
             note_member(g, r->key);
-            take_demand(g, r->key, f->demand);
+            g_autofree char *source = g_strconcat("mail ", r->key, NULL);
+            take_demand(g, source, f->demand);
         }
         if (f) {
             gwp__frame__free_unpacked(f, NULL);
@@ -242,8 +245,8 @@
     case GWP__FRAME__BODY_DEMAND:
         if (from) {
             note_member(g, lk_get_vm(from));
-            lk_set_urgent(from, has_waiting(frame->demand));
             take_demand(g, lk_get_vm(from), frame->demand);
+            lk_set_urgent(from, dm_waits(g->demand, lk_get_vm(from)));
         }
         break;
     case GWP__FRAME__BODY_PLACEMENT:
@@ -293,8 +296,9 @@
 void
 gn_on_peer(void *ctx, LkPeer *peer, bool here)
 {
-    (void)ctx;
+    Gateway *g = ctx;
     if (!here) {
+        dm_drop(g->demand, lk_get_vm(peer));
         JlLine *l = jl_begin("peer-gone");
         jl_text(l, "vm", lk_get_vm(peer));
         jl_end(l);
@@ -311,6 +315,7 @@
     g->placer_reads = false;
     gn_follow_store(g);
     if (open) {
+        g->sums_due = true;
         gn_send_demand(g);
     }
     else {
@@ -339,7 +344,7 @@
     l->wants = g_new0(Gwp__Want, wants->len + 1);
     l->want_refs = g_new0(Gwp__Want *, wants->len + 1);
     for (guint i = 0; i < wants->len; i++) {
-        const MpWant *x = wants->pdata[i];
+        const DmWant *x = wants->pdata[i];
         Gwp__Want *w = &l->wants[i];
         gwp__want__init(w);
         w->model = x->model;
@@ -359,13 +364,14 @@
     l->uses = g_new0(Gwp__Use, uses->len + 1);
     l->use_refs = g_new0(Gwp__Use *, uses->len + 1);
     for (guint i = 0; i < uses->len; i++) {
-        const MpUse *x = uses->pdata[i];
+        const DmUse *x = uses->pdata[i];
         Gwp__Use *u = &l->uses[i];
         gwp__use__init(u);
         u->upstream = x->upstream;
         u->model = x->model;
         u->adapter = x->adapter ? x->adapter : (char *)"";
-        u->began = x->began;
+        u->running = x->running;
+        u->queued = x->queued;
         l->use_refs[i] = u;
     }
 }
@@ -376,7 +382,7 @@
     l->began = g_new0(Gwp__Began, began->len + 1);
     l->began_refs = g_new0(Gwp__Began *, began->len + 1);
     for (guint i = 0; i < began->len; i++) {
-        const MpBegan *x = began->pdata[i];
+        const DmBegan *x = began->pdata[i];
         Gwp__Began *b = &l->began[i];
         gwp__began__init(b);
         b->upstream = x->upstream;
@@ -398,13 +404,14 @@
 
 /* Over the link to the placing VM, or as mail where that is cut. */
 static void
-send_demand_up(Gateway *g, const MpDemand *demand)
+send_demand_up(Gateway *g, const DmDemand *demand)
 {
     DemandLists lists;
     list_wants(&lists, demand->wants);
     list_uses(&lists, demand->uses);
     list_began(&lists, demand->began);
     Gwp__Demand d = GWP__DEMAND__INIT;
+    d.whole = demand->whole;
     d.n_wants = demand->wants->len;
     d.wants = lists.want_refs;
     d.n_uses = demand->uses->len;
@@ -441,15 +448,20 @@
         }
         g->mail_ms = g->demand_ms;
     }
-    MpDemand *demand = gw_collect_demand(g->gw);
-    if (!g->placing) {
-        send_demand_up(g, demand);
-        mp_destroy_demand(demand);
-    }
-    else if (mp_on_demand(g->placement, g->demand_ms, gn_get_text(g, "name"),
-                          demand)) {
-        gn_place_soon(g);
+    DmDemand *own = gw_collect_demand(g->gw);
+    bool more = dm_take(g->demand, g->demand_ms, gn_get_text(g, "name"), own);
+    dm_destroy_demand(own);
+    if (g->placing) {
+        if (more) {
+            gn_place_soon(g);
+        }
+        return;
     }
+    DmDemand *sums =
+        dm_collect(g->demand, g->sums_due || !lk_is_open(g->links));
+    g->sums_due = false;
+    send_demand_up(g, sums);
+    dm_destroy_demand(sums);
 }
 
 typedef struct {
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -26,6 +26,7 @@
     Gateway *g = t->data;
     uint64_t now_ms = bg_boot_ms();
     if (g->placing) {
+        gn_update_placement(g, now_ms);
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
     }
 }
--- a/src/gw.c
+++ b/src/gw.c
@@ -1211,95 +1211,102 @@
 
 /* ---- demand ------------------------------------------------------------- */
 
-static MpWant *
-find_want(GPtrArray *wants, GHashTable *index, const char *model,
-          const char *adapter)
+/* A demand that is being collected. */
+typedef struct {
+    DmDemand *demand;
+    GHashTable *wants; /* model or "model/adapter" -> DmWant */
+    GHashTable *uses;  /* "upstream model" or "upstream model/adapter" -> DmUse
+                        */
+} Collection;
+
+static DmWant *
+find_want(Collection *c, const char *model, const char *adapter)
 {
     g_autofree char *key = dep_make_key(model, adapter);
-    MpWant *w = g_hash_table_lookup(index, key);
+    DmWant *w = g_hash_table_lookup(c->wants, key);
     if (!w) {
-        w = g_new0(MpWant, 1);
-        w->model = g_strdup(model);
-        w->adapter = g_strdup(adapter);
-        g_ptr_array_add(wants, w);
-        g_hash_table_insert(index, g_steal_pointer(&key), w);
+        w = dm_add_want(c->demand, model, adapter);
+        g_hash_table_insert(c->wants, g_steal_pointer(&key), w);
     }
     return w;
 }
 
-static void
-add_use(GPtrArray *uses, const Req *q)
+static DmUse *
+find_use(Collection *c, const Req *q)
 {
-    MpUse *u = g_new0(MpUse, 1);
-    u->upstream = g_strdup(ut_get_id(q->ut));
-    u->model = g_strdup(q->query.model);
-    u->adapter = g_strdup(q->query.adapter);
-    u->began = q->first_ms != 0;
-    g_ptr_array_add(uses, u);
+    g_autofree char *name = dep_make_key(q->query.model, q->query.adapter);
+    g_autofree char *key = g_strconcat(ut_get_id(q->ut), " ", name, NULL);
+    DmUse *u = g_hash_table_lookup(c->uses, key);
+    if (!u) {
+        u = dm_add_use(c->demand, ut_get_id(q->ut), q->query.model,
+                       q->query.adapter);
+        g_hash_table_insert(c->uses, g_steal_pointer(&key), u);
+    }
+    return u;
 }
 
 static void
-add_began(GPtrArray *list, const char *upstream, uint32_t count)
+collect_request(Collection *c, const Req *q)
+{
+    DmWant *w = find_want(c, q->query.model, NULL);
+    DmWant *a = q->query.adapter
+                    ? find_want(c, q->query.model, q->query.adapter)
+                    : NULL;
+    if (q->ut) {
+        DmUse *u = find_use(c, q);
+        w->running++;
+        u->running++;
+        u->queued += q->first_ms == 0;
+        return;
+    }
+    (a ? a : w)->waiting++;
+    w->waiting += a && q->lacks_model;
+}
+
+/* Counts of COUNTS, by model or "model/adapter", go to the field at OFFSET of
+   its want, and begin anew. */
+static void
+collect_counts(Collection *c, GHashTable *counts, size_t offset)
 {
-    MpBegan *b = g_new0(MpBegan, 1);
-    b->upstream = g_strdup(upstream);
-    b->count = count;
-    g_ptr_array_add(list, b);
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, counts);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        g_auto(GStrv) words = g_strsplit(k, "/", 2);
+        DmWant *w = find_want(c, words[0], words[1]);
+        G_STRUCT_MEMBER(uint32_t, w, offset) = GPOINTER_TO_UINT(v);
+    }
+    g_hash_table_remove_all(counts);
 }
 
-MpDemand *
+DmDemand *
 gw_collect_demand(Gw *g)
 {
-    MpDemand *d = mp_create_demand();
-    GPtrArray *wants = d->wants;
-    g_autoptr(GHashTable) index =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    Collection c = {
+        dm_create_demand(true),
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
     for (GList *l = g->reqs.head; l; l = l->next) {
         const Req *q = l->data;
-        if (!q->query.model) {
-            continue;
-        }
-        MpWant *w = find_want(wants, index, q->query.model, NULL);
-        MpWant *a = q->query.adapter ? find_want(wants, index, q->query.model,
-                                                 q->query.adapter)
-                                     : NULL;
-        if (q->ut) {
-            w->running++;
-            add_use(d->uses, q);
-        }
-        else {
-            (a ? a : w)->waiting++;
-            w->waiting += a && q->lacks_model;
+        if (q->query.model) {
+            collect_request(&c, q);
         }
     }
+    collect_counts(&c, g->arrived, offsetof(DmWant, arrived));
+    collect_counts(&c, g->hurried, offsetof(DmWant, hurried));
+    collect_counts(&c, g->refused, offsetof(DmWant, refused));
     GHashTableIter it;
     gpointer k;
     gpointer v;
-    g_hash_table_iter_init(&it, g->arrived);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        g_auto(GStrv) words = g_strsplit(k, "/", 2);
-        find_want(wants, index, words[0], words[1])->arrived =
-            GPOINTER_TO_UINT(v);
-    }
-    g_hash_table_remove_all(g->arrived);
-    g_hash_table_iter_init(&it, g->hurried);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        g_auto(GStrv) words = g_strsplit(k, "/", 2);
-        find_want(wants, index, words[0], words[1])->hurried =
-            GPOINTER_TO_UINT(v);
-    }
-    g_hash_table_remove_all(g->hurried);
-    g_hash_table_iter_init(&it, g->refused);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        find_want(wants, index, k, NULL)->refused = GPOINTER_TO_UINT(v);
-    }
-    g_hash_table_remove_all(g->refused);
     g_hash_table_iter_init(&it, g->began);
     while (g_hash_table_iter_next(&it, &k, &v)) {
-        add_began(d->began, k, GPOINTER_TO_UINT(v));
+        dm_add_began(c.demand, k, GPOINTER_TO_UINT(v));
     }
     g_hash_table_remove_all(g->began);
-    return d;
+    g_hash_table_destroy(c.wants);
+    g_hash_table_destroy(c.uses);
+    return c.demand;
 }
 
 static void
--- a/src/gw.h
+++ b/src/gw.h
@@ -13,7 +13,7 @@
 #include "bg_base.h"
 #include "dep.h"
 #include "ht.h"
-#include "mp.h"
+#include "dm.h"
 #include "rb.h"
 #include "ut.h"
 
@@ -86,8 +86,8 @@
 void gw_close(Gw *g);
 
 /* What callers here want and use now; arrivals and beginnings are those since
-   the last call.  To be freed with mp_destroy_demand. */
-MpDemand *gw_collect_demand(Gw *g);
+   the last call.  To be freed with dm_destroy_demand. */
+DmDemand *gw_collect_demand(Gw *g);
 /* Latencies so far, as Prometheus text. */
 void gw_print_metrics(const Gw *g, GString *out);
 uint32_t gw_count(const Gw *g);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -251,6 +251,7 @@
         JlLine *l = jl_begin(places ? "lease-held" : "lease-lost");
         jl_number(l, "token", (int64_t)ls_get_token(g->lease));
         jl_end(l);
+        g->sums_due = true;
         if (places) {
             mp_begin(g->placement, now_ms);
         }
@@ -262,6 +263,7 @@
         gn_watch_mail(g, places);
     }
     if (g->placing) {
+        gn_update_placement(g, now_ms);
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
         consider_yield(g, now_ms);
     }
@@ -490,6 +492,7 @@
         st_destroy_watch(g->mail_watch);
     }
     pf_destroy_store(g->store);
+    dm_destroy(g->demand);
     mp_destroy(g->placement);
     ls_destroy(g->lease);
     g_free(g->renewal.value);
@@ -511,6 +514,7 @@
 {
     g_autoptr(GError) err = NULL;
     bg_make_id(g->process);
+    g->demand = dm_create();
     g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       gn_free_residents);
     g->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/mp.c
+++ b/src/mp.c
@@ -1,15 +1,7 @@
 #include "mp_int.h"
 
-#include <math.h>
 #include <string.h>
 
-/* A gateway that said nothing for so long has no callers waiting. */
-#define DEMAND_LIFE_MS 2000
-#define FORGOTTEN_RATE 0.0005 /* uses a second; the model is idle */
-#define SUM_MS 500            /* demand is summed at least this often */
-/* Uses of a model in so long make its rate. */
-#define RATE_MS 5000.
-#define REFUSED_MEMORY_MS 2000. /* refusals in so long make their rate */
 #define TOLD_PAUSE_MS 400 /* between questions about a load that is late */
 #define ADAPTER_LOAD_MS 9 /* 5 to 6.7 ms, and the way of the order */
 /* A report's numbers are of now, its lists of some 200 ms ago: what it lists
@@ -41,74 +33,55 @@
 free_replica(void *p)
 {
     Replica *r = p;
-    g_free(r->name);
     g_ptr_array_free(r->adapters, TRUE);
     g_free(r);
 }
 
 static void
-free_up(void *p)
-{
-    Up *u = p;
-    dep_destroy_upstream(u->entry);
-    g_ptr_array_free(u->replicas, TRUE);
-    g_free(u->goal);
-    g_free(u->order_model);
-    g_free(u->order_adapter);
-    g_free(u);
-}
-
-static void
-free_want(void *p)
+free_model(void *p)
 {
-    MpWant *w = p;
-    g_free(w->model);
-    g_free(w->adapter);
-    g_free(w);
+    Model *model = p;
+    g_free(model->name);
+    g_ptr_array_free(model->holders, TRUE);
+    g_ptr_array_free(model->copies, TRUE);
+    g_ptr_array_free(model->goals, TRUE);
+    g_free(model);
 }
 
+/* What it holds is no longer listed with its models. */
 static void
-free_use(void *p)
+unlist_replicas(Up *u, const GPtrArray *replicas)
 {
-    MpUse *u = p;
-    g_free(u->upstream);
-    g_free(u->model);
-    g_free(u->adapter);
-    g_free(u);
+    for (guint i = 0; i < replicas->len; i++) {
+        g_ptr_array_remove_fast(
+            ((Replica *)replicas->pdata[i])->model->holders, u);
+    }
 }
 
 static void
-free_began(void *p)
-{
-    g_free(((MpBegan *)p)->upstream);
-    g_free(p);
-}
-
-MpDemand *
-mp_create_demand(void)
-{
-    MpDemand *d = g_new0(MpDemand, 1);
-    d->wants = g_ptr_array_new_with_free_func(free_want);
-    d->uses = g_ptr_array_new_with_free_func(free_use);
-    d->began = g_ptr_array_new_with_free_func(free_began);
-    return d;
-}
-
-void
-mp_destroy_demand(MpDemand *d)
+unlist_copies(Up *u)
 {
-    g_ptr_array_free(d->wants, TRUE);
-    g_ptr_array_free(d->uses, TRUE);
-    g_ptr_array_free(d->began, TRUE);
-    g_free(d);
+    for (guint i = 0; i < u->on_disk->len; i++) {
+        g_ptr_array_remove_fast(((Model *)u->on_disk->pdata[i])->copies, u);
+    }
+    for (guint i = 0; i < u->in_memory->len; i++) {
+        g_ptr_array_remove_fast(((Model *)u->in_memory->pdata[i])->copies, u);
+    }
 }
 
 static void
-free_gateway(void *p)
+free_up(void *p)
 {
-    Gateway *g = p;
-    mp_destroy_demand(g->demand);
-    g_free(g);
+    Up *u = p;
+    mp_set_goal(u, NULL);
+    unlist_copies(u);
+    unlist_replicas(u, u->replicas);
+    dep_destroy_upstream(u->entry);
+    g_ptr_array_free(u->in_memory, TRUE);
+    g_ptr_array_free(u->on_disk, TRUE);
+    g_ptr_array_free(u->replicas, TRUE);
+    g_free(u->order_adapter);
+    g_free(u);
 }
 
 Mp *
@@ -119,32 +92,75 @@
     m->out = *out;
     m->store.at_once = 1;
     m->ups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_up);
-    m->gateways =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_gateway);
-    m->demands =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    m->rooms = g_hash_table_new(g_direct_hash, g_direct_equal);
+    m->models =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
+    m->adapters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        mp_free_wanted_adapter);
+    m->loads =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, mp_free_load);
     m->store_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    m->rooms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    m->counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    m->in_use = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return m;
 }
 
 void
 mp_destroy(Mp *m)
 {
-    dep_unref_config(m->config);
     g_hash_table_destroy(m->ups);
-    g_hash_table_destroy(m->gateways);
-    g_hash_table_destroy(m->demands);
-    g_array_free(m->store_starts, TRUE);
+    g_hash_table_destroy(m->adapters);
+    g_hash_table_destroy(m->loads);
+    g_hash_table_destroy(m->models);
     g_hash_table_destroy(m->rooms);
-    g_hash_table_destroy(m->counts);
-    g_hash_table_destroy(m->in_use);
+    g_array_free(m->store_starts, TRUE);
+    dep_unref_config(m->config);
     g_free(m);
 }
 
-/* ---- what is known ------------------------------------------------------ */
+/* ---- models and services ------------------------------------------------ */
+
+static void
+find_declaration(const DepConfig *c, Model *model)
+{
+    model->service = NULL;
+    model->declared = NULL;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->services);
+    while (!model->declared && g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepService *s = v;
+        model->declared = g_hash_table_lookup(s->models, model->name);
+        model->service = s;
+    }
+}
+
+Model *
+mp_get_model(Mp *m, const char *name)
+{
+    Model *model = g_hash_table_lookup(m->models, name);
+    if (!model) {
+        model = g_new0(Model, 1);
+        model->name = g_strdup(name);
+        model->holders = g_ptr_array_new();
+        model->copies = g_ptr_array_new();
+        model->goals = g_ptr_array_new();
+        g_hash_table_insert(m->models, model->name, model);
+        if (m->config) {
+            find_declaration(m->config, model);
+        }
+    }
+    return model;
+}
+
+const DepModel *
+mp_find_declared(const Up *u, const Model *model)
+{
+    if (!u->service) {
+        return NULL;
+    }
+    return u->service == model->service
+               ? model->declared
+               : g_hash_table_lookup(u->service->models, model->name);
+}
 
 /* Adapters come and go beside models, up to the most that fit. */
 static uint32_t
@@ -161,44 +177,79 @@
     return most * s->max_adapters;
 }
 
-void
-mp_on_config(Mp *m, DepConfig *c)
+static uint32_t
+find_room_mb(const Mp *m, const DepService *s)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(m->rooms, s));
+}
+
+static void
+find_service(const Mp *m, Up *u)
+{
+    const DepService *s =
+        m->config ? g_hash_table_lookup(m->config->services, u->entry->service)
+                  : NULL;
+    u->service = s && s->has_models ? s : NULL;
+    u->room_mb = u->service ? find_room_mb(m, u->service) : 0;
+}
+
+static void
+compute_rooms(Mp *m)
 {
-    dep_unref_config(m->config);
-    m->config = dep_ref_config(c);
     g_hash_table_remove_all(m->rooms);
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, c->services);
+    g_hash_table_iter_init(&it, m->config->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const DepService *s = v;
-        g_hash_table_insert(m->rooms, g_strdup(s->name),
-                            GUINT_TO_POINTER(compute_adapter_room_mb(s)));
+        g_hash_table_insert(m->rooms, v,
+                            GUINT_TO_POINTER(compute_adapter_room_mb(v)));
     }
 }
 
-const DepService *
-mp_find_service(const Mp *m, const Up *u)
+static void
+list_declared(Mp *m)
 {
-    const DepService *s =
-        m->config ? g_hash_table_lookup(m->config->services, u->entry->service)
-                  : NULL;
-    return s && s->has_models ? s : NULL;
+    GHashTableIter it;
+    gpointer s;
+    g_hash_table_iter_init(&it, m->config->services);
+    while (g_hash_table_iter_next(&it, NULL, &s)) {
+        GHashTableIter models;
+        gpointer name;
+        g_hash_table_iter_init(&models, ((DepService *)s)->models);
+        while (g_hash_table_iter_next(&models, &name, NULL)) {
+            mp_get_model(m, name);
+        }
+    }
 }
 
-const DepModel *
-mp_find_model(const Mp *m, const Up *u, const char *name)
+void
+mp_on_config(Mp *m, DepConfig *c)
 {
-    const DepService *s = mp_find_service(m, u);
-    return s ? g_hash_table_lookup(s->models, name) : NULL;
+    DepConfig *former = m->config;
+    m->config = dep_ref_config(c);
+    compute_rooms(m);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        find_declaration(c, v);
+    }
+    list_declared(m);
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        find_service(m, v);
+    }
+    dep_unref_config(former);
 }
 
+/* ---- what is known of upstreams ----------------------------------------- */
+
 Replica *
-mp_find_replica(const Up *u, const char *model)
+mp_find_replica(const Up *u, const Model *model)
 {
     for (guint i = 0; i < u->replicas->len; i++) {
         Replica *r = u->replicas->pdata[i];
-        if (strcmp(r->name, model) == 0) {
+        if (r->model == model) {
             return r;
         }
     }
@@ -218,17 +269,25 @@
 }
 
 static Replica *
-add_replica(Up *u, const char *model, uint64_t ready_ms)
+add_replica(Up *u, Model *model, uint64_t ready_ms)
 {
     Replica *r = g_new0(Replica, 1);
-    r->name = g_strdup(model);
+    r->model = model;
     r->ready_ms = ready_ms;
     r->used_ms = ready_ms;
     r->adapters = g_ptr_array_new_with_free_func(free_adapter);
     g_ptr_array_add(u->replicas, r);
+    g_ptr_array_add(model->holders, u);
     return r;
 }
 
+static void
+remove_replica(Up *u, Replica *r)
+{
+    g_ptr_array_remove_fast(r->model->holders, u);
+    g_ptr_array_remove(u->replicas, r);
+}
+
 static void
 add_adapter(Replica *r, const char *name, uint64_t ready_ms)
 {
@@ -239,6 +298,69 @@
     g_ptr_array_add(r->adapters, a);
 }
 
+static bool
+lists_model(GPtrArray *list, const Model *model)
+{
+    return g_ptr_array_find(list, model, NULL);
+}
+
+bool
+mp_has_copy(const Up *u, const Model *model)
+{
+    return lists_model(u->on_disk, model) || lists_model(u->in_memory, model);
+}
+
+static bool
+is_same_list(const GPtrArray *models, const GPtrArray *names)
+{
+    if (models->len != names->len) {
+        return false;
+    }
+    for (guint i = 0; i < names->len; i++) {
+        if (strcmp(((Model *)models->pdata[i])->name, names->pdata[i]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+add_copy(Up *u, GPtrArray *list, Model *model)
+{
+    g_ptr_array_add(list, model);
+    g_ptr_array_add(model->copies, u);
+}
+
+static void
+set_copies(Mp *m, Up *u, const GPtrArray *in_memory, const GPtrArray *on_disk)
+{
+    if (is_same_list(u->in_memory, in_memory) &&
+        is_same_list(u->on_disk, on_disk)) {
+        return;
+    }
+    unlist_copies(u);
+    g_ptr_array_set_size(u->in_memory, 0);
+    g_ptr_array_set_size(u->on_disk, 0);
+    for (guint i = 0; i < in_memory->len; i++) {
+        add_copy(u, u->in_memory, mp_get_model(m, in_memory->pdata[i]));
+    }
+    for (guint i = 0; i < on_disk->len; i++) {
+        add_copy(u, u->on_disk, mp_get_model(m, on_disk->pdata[i]));
+    }
+}
+
+void
+mp_set_goal(Up *u, Model *model)
+{
+    if (u->goal) {
+        g_ptr_array_remove_fast(u->goal->goals, u);
+    }
+    u->goal = model;
+    if (model) {
+        g_ptr_array_add(model->goals, u);
+    }
+}
+
 static void
 distrust(Up *u, uint64_t ask_ms)
 {
@@ -257,8 +379,6 @@
     c->draining = e->draining;
     c->slots = e->slots;
     c->born_ms = e->born_ms;
-    dep_copy_names(c->in_memory, e->in_memory);
-    dep_copy_names(c->on_disk, e->on_disk);
     return c;
 }
 
@@ -270,7 +390,8 @@
 {
     for (guint i = 0; i < entry->models->len; i++) {
         const DepResident *d = entry->models->pdata[i];
-        Replica *r = mp_find_replica(u, d->name);
+        const Model *model = g_hash_table_lookup(m->models, d->name);
+        Replica *r = model ? mp_find_replica(u, model) : NULL;
         if (r && r->ready_ms == WHEN_TOLD) {
             mp_learn_from_end(m, now_ms, r);
             r->ready_ms = now_ms;
@@ -283,17 +404,42 @@
 /* An order that acted late, of us or of a VM that placed before, shows as
    models that we don't expect there, or miss. */
 static bool
-holds_as_listed(const Up *u, const DepUpstream *entry)
+holds_as_listed(const Mp *m, const Up *u, const DepUpstream *entry)
 {
     for (guint i = 0; i < entry->models->len; i++) {
         const DepResident *d = entry->models->pdata[i];
-        if (!mp_find_replica(u, d->name)) {
+        const Model *model = g_hash_table_lookup(m->models, d->name);
+        if (!model || !mp_find_replica(u, model)) {
             return false;
         }
     }
     return entry->models->len == u->replicas->len;
 }
 
+static Up *
+create_up(Mp *m, const DepUpstream *entry)
+{
+    Up *u = g_new0(Up, 1);
+    u->entry = copy_entry(entry);
+    u->in_memory = g_ptr_array_new();
+    u->on_disk = g_ptr_array_new();
+    u->replicas = g_ptr_array_new_with_free_func(free_replica);
+    u->load = mp_get_load(m, entry->id);
+    g_hash_table_insert(m->ups, u->entry->id, u);
+    return u;
+}
+
+static void
+replace_entry(Mp *m, Up *u, const DepUpstream *entry)
+{
+    DepUpstream *copy = copy_entry(entry);
+    copy->draining = copy->draining || u->entry->draining;
+    g_hash_table_steal(m->ups, u->entry->id);
+    dep_destroy_upstream(u->entry);
+    u->entry = copy;
+    g_hash_table_insert(m->ups, copy->id, u);
+}
+
 void
 mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry)
 {
@@ -303,23 +449,22 @@
         mp_on_gone(m, entry->id);
         u = NULL;
     }
-    if (!u) {
-        u = g_new0(Up, 1);
-        u->entry = copy_entry(entry);
-        u->replicas = g_ptr_array_new_with_free_func(free_replica);
-        g_hash_table_insert(m->ups, u->entry->id, u);
+    bool is_new = !u;
+    if (is_new) {
+        u = create_up(m, entry);
+    }
+    else {
+        replace_entry(m, u, entry);
+    }
+    find_service(m, u);
+    set_copies(m, u, entry->in_memory, entry->on_disk);
+    if (is_new) {
         return;
     }
-    DepUpstream *copy = copy_entry(entry);
-    copy->draining = copy->draining || u->entry->draining;
-    g_hash_table_steal(m->ups, u->entry->id);
-    dep_destroy_upstream(u->entry);
-    u->entry = copy;
-    g_hash_table_insert(m->ups, copy->id, u);
     finish_told_loads(m, u, now_ms, entry);
     if (u->known &&
         now_ms > MAX(u->changed_ms, u->busy_until_ms) + ENTRY_LAG_MS &&
-        !holds_as_listed(u, entry)) {
+        !holds_as_listed(m, u, entry)) {
         mp_on_suspicion(m, now_ms, entry->id);
     }
 }
@@ -351,215 +496,77 @@
         Up *u = v;
         u->next_ask_ms = 0;
         distrust(u, now_ms);
-        g_clear_pointer(&u->goal, g_free);
+        mp_set_goal(u, NULL);
     }
 }
 
-/* ---- demand ------------------------------------------------------------- */
-
-static Demand *
-get_demand(Mp *m, const char *model, const char *adapter)
-{
-    g_autofree char *key = dep_make_key(model, adapter);
-    Demand *d = g_hash_table_lookup(m->demands, key);
-    if (!d) {
-        d = g_new0(Demand, 1);
-        g_hash_table_insert(m->demands, g_steal_pointer(&key), d);
-    }
-    return d;
-}
-
-double
-mp_get_rate(const Demand *d, uint64_t now_ms)
-{
-    return d ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS) : 0;
-}
-
-double
-mp_get_hurried_rate(const Demand *d, uint64_t now_ms)
-{
-    return d ? d->hurried * exp(-(double)(now_ms - d->rated_ms) / RATE_MS) : 0;
-}
-
-double
-mp_get_refused_rate(const Demand *d, uint64_t now_ms)
-{
-    return d->refused *
-           exp(-(double)(now_ms - d->refused_ms) / REFUSED_MEMORY_MS);
-}
+/* ---- reports ------------------------------------------------------------ */
 
 static void
-add_refused(Demand *d, uint64_t now_ms, uint32_t count)
-{
-    d->refused =
-        mp_get_refused_rate(d, now_ms) + count * 1000. / REFUSED_MEMORY_MS;
-    d->refused_ms = now_ms;
-}
-
-static void
-add_arrivals(Demand *d, uint64_t now_ms, uint32_t count, uint32_t hurried)
-{
-    d->hurried = mp_get_hurried_rate(d, now_ms) + hurried * 1000. / RATE_MS;
-    d->rate = mp_get_rate(d, now_ms) + count * 1000. / RATE_MS;
-    d->rated_ms = now_ms;
-}
-
-const Demand *
-mp_peek_demand(const Mp *m, const char *model)
+ask(Mp *m, Up *u)
 {
-    return g_hash_table_lookup(m->demands, model);
+    u->asking = true;
+    m->out.ask(m->out.ctx, u->entry);
 }
 
-static void
-note_uses(Mp *m, uint64_t now_ms, const GPtrArray *uses)
+/* A crash breaks off many calls at once: one question answers for them all. */
+void
+mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id)
 {
-    for (guint i = 0; i < uses->len; i++) {
-        const MpUse *use = uses->pdata[i];
-        Up *u = g_hash_table_lookup(m->ups, use->upstream);
-        Replica *r = u ? mp_find_replica(u, use->model) : NULL;
-        if (!r) {
-            continue;
-        }
-        r->used_ms = MAX(r->used_ms, now_ms);
-        Adapter *a = use->adapter ? find_adapter(r, use->adapter) : NULL;
-        if (a) {
-            a->used_ms = MAX(a->used_ms, now_ms);
-        }
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (!u || !u->service || u->asking || u->ordered ||
+        now_ms < u->suspected_ms + SUSPECT_PAUSE_MS) {
+        return;
     }
+    u->suspected_ms = now_ms;
+    ask(m, u);
 }
 
-/* Waiting and running over all gateways that still speak. */
+/* What was known of a replica before is kept.  Asking makes it no newer: or
+   each report would keep all that is idle there from making room. */
 static void
-sum_demand(Mp *m, uint64_t now_ms)
+carry_over(Replica *r, const GPtrArray *old)
 {
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Demand *d = v;
-        d->waiting = 0;
-        d->running = 0;
-    }
-    g_hash_table_iter_init(&it, m->gateways);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Gateway *g = v;
-        if (now_ms - g->said_ms > DEMAND_LIFE_MS) {
-            g_hash_table_iter_remove(&it);
-            continue;
-        }
-        const GPtrArray *wants = g->demand->wants;
-        for (guint i = 0; i < wants->len; i++) {
-            const MpWant *w = wants->pdata[i];
-            Demand *d = get_demand(m, w->model, w->adapter);
-            d->waiting += w->waiting;
-            d->running += w->running;
-        }
-    }
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Demand *d = v;
-        if (d->waiting == 0 && mp_get_rate(d, now_ms) < FORGOTTEN_RATE) {
-            g_hash_table_iter_remove(&it);
-        }
-        else if (d->waiting == 0) {
-            d->wanted_since_ms = 0;
-        }
-        else if (d->wanted_since_ms == 0) {
-            d->wanted_since_ms = now_ms;
+    for (guint i = 0; i < old->len; i++) {
+        const Replica *o = old->pdata[i];
+        if (o->model == r->model) {
+            r->used_ms = o->used_ms;
+            r->unloading = o->unloading;
+            r->ready_ms = MIN(o->ready_ms, r->ready_ms);
         }
     }
 }
 
 static void
-note_began(Mp *m, const GPtrArray *began)
+take_resident(Mp *m, Up *u, uint64_t now_ms, const DepResident *d,
+              const GPtrArray *old)
 {
-    for (guint i = 0; i < began->len; i++) {
-        const MpBegan *b = began->pdata[i];
-        Up *u = g_hash_table_lookup(m->ups, b->upstream);
-        if (u) {
-            u->began += b->count;
-        }
+    Replica *r = add_replica(u, mp_get_model(m, d->name), now_ms);
+    r->used_ms = 0;
+    carry_over(r, old);
+    for (guint i = 0; i < d->adapters->len; i++) {
+        add_adapter(r, d->adapters->pdata[i], now_ms);
     }
-}
-
-bool
-mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway, MpDemand *demand)
-{
-    Gateway *g = g_new0(Gateway, 1);
-    bool waits = false;
-    g->said_ms = now_ms;
-    g->demand = demand;
-    for (guint i = 0; i < demand->wants->len; i++) {
-        const MpWant *w = demand->wants->pdata[i];
-        waits = waits || w->waiting > 0;
-        if (w->arrived) {
-            add_arrivals(get_demand(m, w->model, NULL), now_ms, w->arrived,
-                         w->hurried);
-        }
-        if (w->refused) {
-            add_refused(get_demand(m, w->model, NULL), now_ms, w->refused);
-        }
-        if (w->arrived && w->adapter) {
-            add_arrivals(get_demand(m, w->model, w->adapter), now_ms,
-                         w->arrived, w->hurried);
-        }
+    for (guint i = 0; i < d->coming->len; i++) {
+        add_adapter(r, d->coming->pdata[i], now_ms + ADAPTER_LOAD_MS);
     }
-    g_hash_table_replace(m->gateways, g_strdup(gateway), g);
-    note_uses(m, now_ms, demand->uses);
-    note_began(m, demand->began);
-    m->demand_changed = true;
-    return waits;
 }
 
 static void
-note_in_use(Mp *m, const MpUse *use)
+take_report(Mp *m, Up *u, uint64_t now_ms, const DepUpstream *report)
 {
-    g_hash_table_add(m->in_use,
-                     g_strconcat(use->upstream, " ", use->model, NULL));
-    if (use->adapter) {
-        g_hash_table_add(m->in_use, g_strconcat(use->upstream, " ", use->model,
-                                                "/", use->adapter, NULL));
-    }
-}
-
-static void
-collect_uses(Mp *m)
-{
-    g_hash_table_remove_all(m->in_use);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->gateways);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const GPtrArray *uses = ((const Gateway *)v)->demand->uses;
-        for (guint i = 0; i < uses->len; i++) {
-            note_in_use(m, uses->pdata[i]);
-        }
-    }
-}
-
-bool
-mp_is_in_use(const Mp *m, const Up *u, const char *model, const char *adapter)
-{
-    g_autofree char *key =
-        adapter ? g_strconcat(u->entry->id, " ", model, "/", adapter, NULL)
-                : g_strconcat(u->entry->id, " ", model, NULL);
-    return g_hash_table_contains(m->in_use, key);
-}
-
-/* ---- reports and answers ------------------------------------------------ */
-
-/* A crash breaks off many calls at once: one question answers for them all. */
-void
-mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id)
-{
-    Up *u = g_hash_table_lookup(m->ups, id);
-    if (!u || !mp_find_service(m, u) || u->asking || u->ordered ||
-        now_ms < u->suspected_ms + SUSPECT_PAUSE_MS) {
-        return;
+    u->known = true;
+    u->told = false;
+    u->sequence = report->sequence;
+    u->busy_until_ms = 0;
+    GPtrArray *old = u->replicas;
+    unlist_replicas(u, old);
+    u->replicas = g_ptr_array_new_with_free_func(free_replica);
+    for (guint i = 0; i < report->models->len; i++) {
+        take_resident(m, u, now_ms, report->models->pdata[i], old);
     }
-    u->suspected_ms = now_ms;
-    u->asking = true;
-    m->out.ask(m->out.ctx, u->entry);
+    g_ptr_array_free(old, TRUE);
+    set_copies(m, u, report->in_memory, report->on_disk);
 }
 
 void
@@ -592,51 +599,21 @@
     bool same_life = !report->born_ms || !u->entry->born_ms ||
                      report->born_ms == u->entry->born_ms;
     /* Reports lag: this one may be from before our last order. */
-    if (!same_life || report->sequence < u->sequence) {
-        return;
+    if (same_life && report->sequence >= u->sequence) {
+        take_report(m, u, now_ms, report);
     }
-    u->known = true;
-    u->told = false;
-    u->sequence = report->sequence;
-    u->busy_until_ms = 0;
-    GPtrArray *old = u->replicas;
-    u->replicas = g_ptr_array_new_with_free_func(free_replica);
-    for (guint i = 0; i < report->models->len; i++) {
-        const DepResident *d = report->models->pdata[i];
-        Replica *r = add_replica(u, d->name, now_ms);
-        r->used_ms = 0;
-        for (guint j = 0; j < old->len; j++) {
-            const Replica *o = old->pdata[j];
-            if (strcmp(o->name, d->name) == 0) {
-                r->used_ms = o->used_ms;
-                r->unloading = o->unloading;
-                /* Asking makes it no newer: or each report would keep all
-                   that is idle there from making room for SETTLE_MS. */
-                r->ready_ms = MIN(o->ready_ms, now_ms);
-            }
-        }
-        for (guint j = 0; j < d->adapters->len; j++) {
-            add_adapter(r, d->adapters->pdata[j], now_ms);
-        }
-        for (guint j = 0; j < d->coming->len; j++) {
-            add_adapter(r, d->coming->pdata[j], now_ms + ADAPTER_LOAD_MS);
-        }
-    }
-    g_ptr_array_free(old, TRUE);
-    g_ptr_array_set_size(u->entry->in_memory, 0);
-    dep_copy_names(u->entry->in_memory, report->in_memory);
-    g_ptr_array_set_size(u->entry->on_disk, 0);
-    dep_copy_names(u->entry->on_disk, report->on_disk);
 }
 
+/* ---- answers to orders -------------------------------------------------- */
+
 static void
-note_copies(Up *u, const char *model)
+note_copies(Up *u, Model *model)
 {
-    if (!dep_has_name(u->entry->in_memory, model)) {
-        g_ptr_array_add(u->entry->in_memory, g_strdup(model));
+    if (!lists_model(u->in_memory, model)) {
+        add_copy(u, u->in_memory, model);
     }
-    if (!dep_has_name(u->entry->on_disk, model)) {
-        g_ptr_array_add(u->entry->on_disk, g_strdup(model));
+    if (!lists_model(u->on_disk, model)) {
+        add_copy(u, u->on_disk, model);
     }
 }
 
@@ -649,7 +626,7 @@
            to count its memory as free at that moment. */
         u->unloaded_ms = now_ms;
         if (r) {
-            g_ptr_array_remove(u->replicas, r);
+            remove_replica(u, r);
         }
         return;
     }
@@ -718,6 +695,35 @@
     }
 }
 
+static void
+note_taken(const Mp *m, Up *u, uint64_t now_ms)
+{
+    u->sequence++;
+    u->changed_ms = now_ms;
+    apply_order(m, u, now_ms);
+    if (!u->order_unload && !u->order_adapter) {
+        mp_set_goal(u, NULL);
+    }
+    else if (u->order_adapter && u->order_unload) {
+        distrust(u, now_ms + REPORT_LAG_MS);
+    }
+}
+
+static void
+note_holds(const Mp *m, Up *u, uint64_t now_ms)
+{
+    u->changed_ms = now_ms;
+    if (u->order_adapter && u->order_unload) {
+        drop_adapter(u);
+        return;
+    }
+    /* Whether this counts as accepted is not told: ask. */
+    u->order_load_ms = 0;
+    apply_order(m, u, now_ms);
+    distrust(u, now_ms);
+    mp_set_goal(u, NULL);
+}
+
 void
 mp_on_order_end(Mp *m, uint64_t now_ms, const char *id, MpOrderEnd end)
 {
@@ -735,30 +741,12 @@
     }
     /* One whose answer is missing may be well: it is asked first. */
     u->unreached = end == MP_ORDER_NOT_SENT;
-    bool load = !u->order_unload && !u->order_adapter;
     switch (end) {
     case MP_ORDER_TAKEN:
-        u->sequence++;
-        u->changed_ms = now_ms;
-        apply_order(m, u, now_ms);
-        if (load) {
-            g_clear_pointer(&u->goal, g_free);
-        }
-        else if (u->order_adapter && u->order_unload) {
-            distrust(u, now_ms + REPORT_LAG_MS);
-        }
+        note_taken(m, u, now_ms);
         break;
     case MP_ORDER_HOLDS:
-        u->changed_ms = now_ms;
-        if (u->order_adapter && u->order_unload) {
-            drop_adapter(u);
-            break;
-        }
-        /* Whether this counts as accepted is not told: ask. */
-        u->order_load_ms = 0;
-        apply_order(m, u, now_ms);
-        distrust(u, now_ms);
-        g_clear_pointer(&u->goal, g_free);
+        note_holds(m, u, now_ms);
         break;
     case MP_ORDER_CONFLICT:
         u->retry_ms = now_ms + RETRY_PAUSE_MS;
@@ -774,7 +762,7 @@
         u->changed_ms = now_ms;
         u->retry_ms = now_ms + ASK_PAUSE_MS;
         distrust(u, now_ms + ASK_PAUSE_MS);
-        g_clear_pointer(&u->goal, g_free);
+        mp_set_goal(u, NULL);
         break;
     }
 }
@@ -793,12 +781,11 @@
     }
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
-        const Demand *d = mp_peek_demand(m, r->name);
-        if (d && d->wanted_since_ms && r->ready_ms <= now_ms &&
-            now_ms > MAX(d->wanted_since_ms, r->ready_ms) + DOUBT_MS) {
+        uint64_t since_ms = r->model->demand.wanted_since_ms;
+        if (since_ms && r->ready_ms <= now_ms &&
+            now_ms > MAX(since_ms, r->ready_ms) + DOUBT_MS) {
             u->doubted_ms = now_ms;
-            u->asking = true;
-            m->out.ask(m->out.ctx, u->entry);
+            ask(m, u);
             return;
         }
     }
@@ -817,39 +804,55 @@
     return false;
 }
 
+static void
+look_at(Mp *m, uint64_t now_ms, Up *u, bool may_order)
+{
+    doubt(m, now_ms, u);
+    mp_learn_from_lateness(m, now_ms, u);
+    if ((!u->known || is_load_late(u, now_ms)) && !u->asking && !u->ordered &&
+        now_ms >= u->next_ask_ms) {
+        ask(m, u);
+    }
+    if (may_order && u->goal) {
+        mp_pursue_goal(m, now_ms, u);
+    }
+}
+
 #define TICK_LOOK_BACK_MS 200 /* ticks come more often than this */
 
+static void
+tell_changes(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        if (u->service && u->known &&
+            (!u->told || mp_has_just_become_ready(
+                             u, now_ms, now_ms - TICK_LOOK_BACK_MS))) {
+            mp_tell(m, u, now_ms);
+        }
+    }
+}
+
 void
 mp_on_tick(Mp *m, uint64_t now_ms, bool may_order)
 {
     if (!m->config) {
         return;
     }
-    if (m->demand_changed || now_ms >= m->summed_ms + SUM_MS) {
-        m->demand_changed = false;
-        m->summed_ms = now_ms;
-        sum_demand(m, now_ms);
-        collect_uses(m);
-    }
-    mp_count_all_replicas(m);
+    mp_forget_idle(m, now_ms);
+    mp_count_replicas(m);
     mp_sum_store_loads(m, now_ms);
+    m->store_closed = NULL;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
-        if (!mp_find_service(m, u)) {
-            continue;
-        }
-        doubt(m, now_ms, u);
-        mp_learn_from_lateness(m, now_ms, u);
-        if ((!u->known || is_load_late(u, now_ms)) && !u->asking &&
-            !u->ordered && now_ms >= u->next_ask_ms) {
-            u->asking = true;
-            m->out.ask(m->out.ctx, u->entry);
-        }
-        if (may_order && u->goal) {
-            mp_pursue_goal(m, now_ms, u);
+        if (u->service) {
+            look_at(m, now_ms, u, may_order);
         }
     }
     if (may_order) {
@@ -857,15 +860,7 @@
         mp_place_adapters(m, now_ms);
         mp_prefetch(m, now_ms);
     }
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Up *u = v;
-        if (mp_find_service(m, u) && u->known &&
-            (!u->told || mp_has_just_become_ready(
-                             u, now_ms, now_ms - TICK_LOOK_BACK_MS))) {
-            mp_tell(m, u, now_ms);
-        }
-    }
+    tell_changes(m, now_ms);
 }
 
 void
@@ -878,7 +873,7 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (mp_can_use(m, u)) {
+        if (mp_can_use(u)) {
             *all += 1;
             *unreached += u->unreached;
         }
--- a/src/mp.h
+++ b/src/mp.h
@@ -23,6 +23,7 @@
 
 #include "bg_base.h"
 #include "dep.h"
+#include "dm.h"
 
 typedef enum {
     MP_ORDER_TAKEN,    /* it is being carried out */
@@ -45,41 +46,6 @@
 
 typedef void (*MpOrderFn)(void *ctx, MpOrderEnd end, uint16_t status);
 
-/* What one gateway says of one model or adapter. */
-typedef struct {
-    char *model;
-    char *adapter;    /* NULL: the model itself */
-    uint32_t waiting; /* callers, for it to be loaded */
-    uint32_t running;
-    uint32_t arrived; /* since the last word */
-    uint32_t hurried; /* of these, that are late after a load from a disk */
-    uint32_t refused; /* of these, as too many wait already */
-} MpWant;
-
-/* What one gateway has running on one upstream. */
-typedef struct {
-    char *upstream;
-    char *model;
-    char *adapter;
-    bool began; /* the first byte of its answer has come */
-} MpUse;
-
-/* Answers that began on one upstream since the last word. */
-typedef struct {
-    char *upstream;
-    uint32_t count;
-} MpBegan;
-
-/* All there is of one gateway's wants and uses now. */
-typedef struct {
-    GPtrArray *wants; /* MpWant */
-    GPtrArray *uses;  /* MpUse */
-    GPtrArray *began; /* MpBegan */
-} MpDemand;
-
-MpDemand *mp_create_demand(void);
-void mp_destroy_demand(MpDemand *d);
-
 typedef struct {
     void *ctx;
     /* Answered by mp_on_order_end; one at a time for each upstream. */
@@ -113,9 +79,9 @@
 
 /* The lease was gained: nothing that was believed before counts. */
 void mp_begin(Mp *m, uint64_t now_ms);
-/* DEMAND of GATEWAY is taken over.  True: callers wait, so a tick is due. */
-bool mp_on_demand(Mp *m, uint64_t now_ms, const char *gateway,
-                  MpDemand *demand);
+/* SUMS over all gateways that changed, or all that there are.  True: callers
+   wait for one of them, so a tick is due. */
+bool mp_on_demand(Mp *m, uint64_t now_ms, const DmDemand *sums);
 /* A gateway's call broke off there: it may be down, so it is asked. */
 void mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id);
 /* REPORT: NULL when the upstream did not answer. */
--- /dev/null
+++ b/src/mp_adapter.c
@@ -0,0 +1,139 @@
+#include "mp_int.h"
+
+#include <string.h>
+
+#define ADAPTER_SETTLE_MS 300
+/* One without a free place is taken after all that have one. */
+#define FULL_COST 100
+
+static uint32_t
+count_adapters(const Up *u)
+{
+    uint32_t n = 0;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        n += ((Replica *)u->replicas->pdata[i])->adapters->len;
+    }
+    return n;
+}
+
+static bool
+is_quiet(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r,
+         const Adapter *a)
+{
+    if (a->leaving || now_ms < a->used_ms + ADAPTER_SETTLE_MS) {
+        return false;
+    }
+    const Demand *d = mp_find_adapter_demand(m, r->model, a->name);
+    return !(d && d->waiting > 0) && !mp_is_in_use(u, r->model, a->name);
+}
+
+/* The adapter least recently used that nobody uses now. */
+static Adapter *
+pick_victim(const Mp *m, uint64_t now_ms, const Up *u, Model **model)
+{
+    Adapter *best = NULL;
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        for (guint j = 0; j < r->adapters->len; j++) {
+            Adapter *a = r->adapters->pdata[j];
+            if ((!best || a->used_ms < best->used_ms) &&
+                is_quiet(m, now_ms, u, r, a)) {
+                best = a;
+                *model = r->model;
+            }
+        }
+    }
+    return best;
+}
+
+static bool
+is_on_its_way(const Up *u, const WantedAdapter *w)
+{
+    return u->ordered && !u->order_unload && u->order_model == w->model &&
+           g_strcmp0(u->order_adapter, w->name) == 0;
+}
+
+static bool
+holds_adapter(const Up *u, const WantedAdapter *w)
+{
+    const Replica *r = mp_find_replica(u, w->model);
+    for (guint i = 0; r && i < r->adapters->len; i++) {
+        const Adapter *a = r->adapters->pdata[i];
+        if (!a->leaving && strcmp(a->name, w->name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Held, or ordered, on an upstream that can be used. */
+static bool
+is_placed(const WantedAdapter *w)
+{
+    for (guint i = 0; i < w->model->holders->len; i++) {
+        const Up *u = w->model->holders->pdata[i];
+        if (mp_can_use(u) && (holds_adapter(u, w) || is_on_its_way(u, w))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static Up *
+find_place(const Mp *m, uint64_t now_ms, const Model *model)
+{
+    Up *best = NULL;
+    uint32_t least = 0;
+    for (guint i = 0; i < model->holders->len; i++) {
+        Up *u = model->holders->pdata[i];
+        const Replica *r = mp_find_replica(u, model);
+        if (!mp_can_use(u) || r->unloading || r->ready_ms > now_ms ||
+            !mp_can_order(u, now_ms)) {
+            continue;
+        }
+        uint32_t cost = count_adapters(u);
+        Model *of;
+        if (cost >= u->service->max_adapters) {
+            if (!pick_victim(m, now_ms, u, &of)) {
+                continue;
+            }
+            cost += FULL_COST;
+        }
+        if (!best || cost < least) {
+            best = u;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+static void
+place_adapter(Mp *m, uint64_t now_ms, const WantedAdapter *w)
+{
+    Up *u = find_place(m, now_ms, w->model);
+    if (!u) {
+        return;
+    }
+    if (count_adapters(u) < u->service->max_adapters) {
+        mp_send_order(m, now_ms, u, w->model, w->name, false);
+        return;
+    }
+    Model *of = NULL;
+    const Adapter *a = pick_victim(m, now_ms, u, &of);
+    g_autofree char *name = g_strdup(a->name);
+    mp_send_order(m, now_ms, u, of, name, true);
+}
+
+void
+mp_place_adapters(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->adapters);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const WantedAdapter *w = v;
+        if (w->demand.waiting > 0 && !is_placed(w)) {
+            place_adapter(m, now_ms, w);
+        }
+    }
+}
--- /dev/null
+++ b/src/mp_demand.c
@@ -0,0 +1,351 @@
+#include "mp_int.h"
+
+#include <math.h>
+#include <string.h>
+
+#define FORGOTTEN_RATE 0.0005 /* uses a second; the model is idle */
+#define FORGET_MS 500         /* between looks for what is idle */
+/* Uses of a model in so long make its rate. */
+#define RATE_MS 5000.
+#define REFUSED_MEMORY_MS 2000. /* refusals in so long make their rate */
+
+/* ---- rates -------------------------------------------------------------- */
+
+double
+mp_get_rate(const Demand *d, uint64_t now_ms)
+{
+    return d->rate > 0
+               ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS)
+               : 0;
+}
+
+double
+mp_get_hurried_rate(const Demand *d, uint64_t now_ms)
+{
+    return d->hurried > 0
+               ? d->hurried * exp(-(double)(now_ms - d->rated_ms) / RATE_MS)
+               : 0;
+}
+
+double
+mp_get_refused_rate(const Demand *d, uint64_t now_ms)
+{
+    return d->refused > 0
+               ? d->refused *
+                     exp(-(double)(now_ms - d->refused_ms) / REFUSED_MEMORY_MS)
+               : 0;
+}
+
+static void
+add_refused(Demand *d, uint64_t now_ms, uint32_t count)
+{
+    d->refused =
+        mp_get_refused_rate(d, now_ms) + count * 1000. / REFUSED_MEMORY_MS;
+    d->refused_ms = now_ms;
+}
+
+static void
+add_arrivals(Demand *d, uint64_t now_ms, uint32_t count, uint32_t hurried)
+{
+    d->hurried = mp_get_hurried_rate(d, now_ms) + hurried * 1000. / RATE_MS;
+    d->rate = mp_get_rate(d, now_ms) + count * 1000. / RATE_MS;
+    d->rated_ms = now_ms;
+}
+
+static void
+set_levels(Demand *d, uint64_t now_ms, uint32_t waiting, uint32_t running)
+{
+    d->waiting = waiting;
+    d->running = running;
+    if (waiting == 0) {
+        d->wanted_since_ms = 0;
+    }
+    else if (d->wanted_since_ms == 0) {
+        d->wanted_since_ms = now_ms;
+    }
+}
+
+/* ---- wants -------------------------------------------------------------- */
+
+void
+mp_free_wanted_adapter(void *wanted)
+{
+    g_free(((WantedAdapter *)wanted)->name);
+    g_free(wanted);
+}
+
+Demand *
+mp_find_adapter_demand(const Mp *m, const Model *model, const char *adapter)
+{
+    g_autofree char *key = dep_make_key(model->name, adapter);
+    WantedAdapter *w = g_hash_table_lookup(m->adapters, key);
+    return w ? &w->demand : NULL;
+}
+
+static Demand *
+get_adapter_demand(Mp *m, Model *model, const char *adapter)
+{
+    g_autofree char *key = dep_make_key(model->name, adapter);
+    WantedAdapter *w = g_hash_table_lookup(m->adapters, key);
+    if (!w) {
+        w = g_new0(WantedAdapter, 1);
+        w->model = model;
+        w->name = g_strdup(adapter);
+        g_hash_table_insert(m->adapters, g_steal_pointer(&key), w);
+    }
+    return &w->demand;
+}
+
+static void
+take_want(Mp *m, uint64_t now_ms, const DmWant *w)
+{
+    Model *model = mp_get_model(m, w->model);
+    Demand *d = &model->demand;
+    if (w->adapter) {
+        d = get_adapter_demand(m, model, w->adapter);
+    }
+    set_levels(d, now_ms, w->waiting, w->running);
+    if (w->arrived > 0) {
+        add_arrivals(&model->demand, now_ms, w->arrived, w->hurried);
+    }
+    if (w->arrived > 0 && w->adapter) {
+        add_arrivals(d, now_ms, w->arrived, w->hurried);
+    }
+    if (w->refused > 0) {
+        add_refused(&model->demand, now_ms, w->refused);
+    }
+}
+
+/* ---- uses --------------------------------------------------------------- */
+
+static void
+free_use(void *p)
+{
+    Use *u = p;
+    g_free(u->model);
+    g_free(u->adapter);
+    g_free(u);
+}
+
+void
+mp_free_load(void *load)
+{
+    g_ptr_array_free(((Load *)load)->uses, TRUE);
+    g_free(load);
+}
+
+Load *
+mp_get_load(Mp *m, const char *upstream)
+{
+    Load *l = g_hash_table_lookup(m->loads, upstream);
+    if (!l) {
+        l = g_new0(Load, 1);
+        l->uses = g_ptr_array_new_with_free_func(free_use);
+        g_hash_table_insert(m->loads, g_strdup(upstream), l);
+    }
+    return l;
+}
+
+static Use *
+find_use(const Load *l, const char *model, const char *adapter)
+{
+    for (guint i = 0; i < l->uses->len; i++) {
+        Use *u = l->uses->pdata[i];
+        if (strcmp(u->model, model) == 0 &&
+            g_strcmp0(u->adapter, adapter) == 0) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+static Use *
+get_use(Load *l, const char *model, const char *adapter)
+{
+    Use *u = find_use(l, model, adapter);
+    if (!u) {
+        u = g_new0(Use, 1);
+        u->model = g_strdup(model);
+        u->adapter = g_strdup(adapter);
+        g_ptr_array_add(l->uses, u);
+    }
+    return u;
+}
+
+/* Also the end of a use counts as one: from then on it is idle. */
+static void
+note_used(const Mp *m, uint64_t now_ms, const DmUse *use)
+{
+    const Up *u = g_hash_table_lookup(m->ups, use->upstream);
+    const Model *model = g_hash_table_lookup(m->models, use->model);
+    Replica *r = u && model ? mp_find_replica(u, model) : NULL;
+    if (!r) {
+        return;
+    }
+    r->used_ms = MAX(r->used_ms, now_ms);
+    for (guint i = 0; use->adapter && i < r->adapters->len; i++) {
+        Adapter *a = r->adapters->pdata[i];
+        if (strcmp(a->name, use->adapter) == 0) {
+            a->used_ms = MAX(a->used_ms, now_ms);
+        }
+    }
+}
+
+static void
+take_use(Mp *m, uint64_t now_ms, const DmUse *use)
+{
+    Load *l = mp_get_load(m, use->upstream);
+    Use *u = get_use(l, use->model, use->adapter);
+    l->running += use->running - u->running;
+    l->queued += use->queued - u->queued;
+    u->running = use->running;
+    u->queued = use->queued;
+    note_used(m, now_ms, use);
+    if (u->running == 0) {
+        g_ptr_array_remove_fast(l->uses, u);
+    }
+}
+
+/* A request that uses an adapter uses its model as well. */
+bool
+mp_is_in_use(const Up *u, const Model *model, const char *adapter)
+{
+    for (guint i = 0; i < u->load->uses->len; i++) {
+        const Use *x = u->load->uses->pdata[i];
+        if (strcmp(x->model, model->name) == 0 &&
+            (!adapter || g_strcmp0(x->adapter, adapter) == 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- all of it ---------------------------------------------------------- */
+
+static void
+clear_levels(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        set_levels(&((Model *)v)->demand, now_ms, 0, 0);
+    }
+    g_hash_table_iter_init(&it, m->adapters);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        set_levels(&((WantedAdapter *)v)->demand, now_ms, 0, 0);
+    }
+    g_hash_table_iter_init(&it, m->loads);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Load *l = v;
+        g_ptr_array_set_size(l->uses, 0);
+        l->running = 0;
+        l->queued = 0;
+    }
+}
+
+bool
+mp_on_demand(Mp *m, uint64_t now_ms, const DmDemand *sums)
+{
+    bool waits = false;
+    if (sums->whole) {
+        clear_levels(m, now_ms);
+    }
+    for (guint i = 0; i < sums->wants->len; i++) {
+        const DmWant *w = sums->wants->pdata[i];
+        take_want(m, now_ms, w);
+        waits = waits || w->waiting > 0;
+    }
+    for (guint i = 0; i < sums->uses->len; i++) {
+        take_use(m, now_ms, sums->uses->pdata[i]);
+    }
+    for (guint i = 0; i < sums->began->len; i++) {
+        const DmBegan *b = sums->began->pdata[i];
+        mp_get_load(m, b->upstream)->began += b->count;
+    }
+    return waits;
+}
+
+static bool
+is_asked_for(const Demand *d, uint64_t now_ms)
+{
+    return d->waiting > 0 || mp_get_rate(d, now_ms) >= FORGOTTEN_RATE;
+}
+
+static gboolean
+is_idle_adapter(gpointer key, gpointer wanted, gpointer now_ms)
+{
+    (void)key;
+    return !is_asked_for(&((WantedAdapter *)wanted)->demand,
+                         *(uint64_t *)now_ms);
+}
+
+static gboolean
+is_idle_load(gpointer upstream, gpointer load, gpointer mp)
+{
+    return ((Load *)load)->uses->len == 0 &&
+           !g_hash_table_contains(((Mp *)mp)->ups, upstream);
+}
+
+static bool
+has_adapters_wanted(const Mp *m, const Model *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->adapters);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        if (((WantedAdapter *)v)->model == model) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_ordered(const Mp *m, const Model *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (u->ordered && u->order_model == model) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Callers may ask for anything: what is not declared stays no longer than
+   they do. */
+static bool
+is_unknown(const Mp *m, const Model *model)
+{
+    return !model->declared && model->holders->len == 0 &&
+           model->copies->len == 0 && model->goals->len == 0 &&
+           !has_adapters_wanted(m, model) && !is_ordered(m, model);
+}
+
+void
+mp_forget_idle(Mp *m, uint64_t now_ms)
+{
+    if (now_ms < m->forgot_ms + FORGET_MS) {
+        return;
+    }
+    m->forgot_ms = now_ms;
+    m->asked = false;
+    g_hash_table_foreach_remove(m->adapters, is_idle_adapter, &now_ms);
+    g_hash_table_foreach_remove(m->loads, is_idle_load, m);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Model *model = v;
+        if (is_asked_for(&model->demand, now_ms)) {
+            m->asked = true;
+        }
+        else if (is_unknown(m, model)) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -1,5 +1,6 @@
-/* mp_int: what the files of mp share: mp.c keeps what is known and asked for,
-   mp_place.c decides what is loaded where, mp_store.c how many loads the
+/* mp_int: what the files of mp share: mp.c keeps what upstreams hold and were
+   ordered, mp_demand.c what callers ask for, mp_place.c decides what is loaded
+   where, mp_adapter.c the same of adapters, mp_store.c how many loads the
    weight store is asked for at once, mp_tell.c what gateways are told. */
 #ifndef MP_INT_H
 #define MP_INT_H
@@ -9,6 +10,35 @@
 /* Not by the clock, but when the upstream says so. */
 #define WHEN_TOLD UINT64_MAX
 
+typedef struct Model Model;
+typedef struct Up Up;
+
+/* What callers ask for, of a model or an adapter. */
+typedef struct {
+    uint32_t waiting;
+    uint32_t running;
+    double rate; /* uses a second, decayed */
+    uint64_t rated_ms;
+    double hurried; /* of the rate: those with no time for a load */
+    double refused; /* a second, decayed */
+    uint64_t refused_ms;
+    uint64_t wanted_since_ms; /* 0: nobody waits */
+    uint64_t next_try_ms;     /* no place was found: not looked for before */
+} Demand;
+
+struct Model {
+    char *name;
+    /* Of the first service that declares it, which nearly always is the only
+       one; NULL: none does. */
+    const DepService *service;
+    const DepModel *declared;
+    Demand demand;
+    GPtrArray *holders; /* Up: with a replica, whatever its state */
+    GPtrArray *copies;  /* Up: with a copy on disk or in memory */
+    GPtrArray *goals;   /* Up: it is to be loaded there */
+    uint32_t replicas;  /* usable, or to be; derived anew at each tick */
+};
+
 typedef struct {
     char *name;
     uint64_t ready_ms; /* usable from then on */
@@ -17,7 +47,7 @@
 } Adapter;
 
 typedef struct {
-    char *name;
+    Model *model;
     uint64_t ready_ms;      /* usable from then on, or WHEN_TOLD */
     uint64_t expected_ms;   /* when its load should end */
     uint64_t ordered_ms;    /* when it was ordered */
@@ -28,9 +58,29 @@
     GPtrArray *adapters; /* Adapter */
 } Replica;
 
+/* Requests of all gateways that use one model or adapter there. */
+typedef struct {
+    char *model;
+    char *adapter; /* NULL: the model itself */
+    uint32_t running;
+    uint32_t queued;
+} Use;
+
+/* What is at an upstream, by its id: told of before and after its entry. */
 typedef struct {
-    DepUpstream *entry; /* id, address, service, copies */
-    bool known;         /* content is known, and the sequence it is at */
+    GPtrArray *uses; /* Use */
+    uint32_t running;
+    uint32_t queued; /* of these, that wait for their first byte */
+    uint32_t began;  /* answers that began since it was last looked at */
+} Load;
+
+struct Up {
+    DepUpstream *entry;        /* id, address, service */
+    const DepService *service; /* NULL: none with models */
+    uint32_t room_mb;          /* of its memory, kept for adapters */
+    GPtrArray *in_memory;      /* Model: copies */
+    GPtrArray *on_disk;
+    bool known; /* content is known, and the sequence it is at */
     bool asking;
     bool busy; /* at an order of which we don't know, as last reported */
     uint64_t next_ask_ms;
@@ -40,13 +90,13 @@
     uint64_t retry_ms;    /* no order before */
     uint64_t changed_ms;  /* an order was accepted, or may have been */
     uint64_t unloaded_ms; /* of a model, the last */
-    char *goal;           /* model that is to be loaded here */
+    Model *goal;          /* that is to be loaded here; NULL: none */
     uint64_t goal_until_ms;
     double goal_gain; /* callers a second, when it was set */
     /* the order that is out */
     bool ordered;
     bool order_unload;
-    char *order_model;
+    Model *order_model;
     char *order_adapter;
     uint64_t order_ms; /* when it was sent */
     uint64_t order_load_ms;
@@ -55,74 +105,68 @@
     bool unreached; /* it did not answer last time */
     uint64_t suspected_ms;
     uint64_t doubted_ms;
-    uint32_t running; /* requests of all gateways there, as last summed */
-    uint32_t queued;  /* of these, that wait for their first byte */
-    uint32_t queued_before; /* at the sum before */
-    uint32_t began;         /* answers that began since then */
-    uint64_t summed_ms;
+    Load *load;
+    uint32_t queued_before; /* when it was last looked at */
+    uint64_t looked_ms;
     double pause_ms; /* between beginnings while others wait */
-} Up;
-
-typedef struct {
-    MpDemand *demand;
-    uint64_t said_ms;
-} Gateway;
+};
 
-/* Of a model, or "model/adapter". */
+/* Callers of one adapter. */
 typedef struct {
-    uint32_t waiting;
-    uint32_t running;
-    double rate; /* uses a second, decayed */
-    uint64_t rated_ms;
-    double hurried; /* of the rate: those with no time for a load */
-    double refused; /* a second, decayed */
-    uint64_t refused_ms;
-    uint64_t wanted_since_ms; /* 0: nobody waits */
-    uint64_t next_try_ms;     /* no place was found: not looked for before */
-} Demand;
+    Model *model;
+    char *name;
+    Demand demand;
+} WantedAdapter;
 
 struct Mp {
     MpParams params;
     MpOutput out;
     DepConfig *config;    /* NULL: none yet */
     GHashTable *ups;      /* id -> Up */
-    GHashTable *gateways; /* name -> Gateway */
-    GHashTable *demands;  /* name -> Demand */
+    GHashTable *rooms;    /* DepService -> MB kept free for adapters */
+    GHashTable *models;   /* name -> Model */
+    GHashTable *adapters; /* "model/adapter" -> WantedAdapter */
+    GHashTable *loads;    /* id of an upstream -> Load */
     GArray *store_starts; /* uint64_t: loads from the store begun */
-    GHashTable *rooms;    /* service -> MB kept free for adapters */
     uint64_t next_prefetch_ms;
-    uint64_t summed_ms;
+    uint64_t forgot_ms;             /* when idle models were last forgotten */
+    bool asked;                     /* callers asked for some model lately */
+    const DepService *store_closed; /* its loads wait for a later tick */
     MpStoreRate store;
     uint64_t store_late_ms; /* when a load was last found late */
     double loads_ms;        /* time times loads from the store, as summed */
     uint64_t loads_summed_ms;
     uint32_t loads_beside; /* when it was last summed */
-    /* Derived anew at each tick, or when demand changes. */
-    bool demand_changed;
-    GHashTable *counts; /* model -> usable upstreams with it, or to have it */
-    GHashTable *in_use; /* set of "upstream model" and
-                           "upstream model/adapter" */
 };
 
 /* A model that lacks replicas. */
 typedef struct {
-    const char *model;
-    Demand *demand;
+    Model *model;
     uint64_t since_ms;
     bool none;   /* nobody holds it */
     double gain; /* callers a second that a replica more serves in time */
 } Wanted;
 
 /* mp.c */
-Replica *mp_find_replica(const Up *u, const char *model);
-const DepService *mp_find_service(const Mp *m, const Up *u);
-const DepModel *mp_find_model(const Mp *m, const Up *u, const char *name);
-const Demand *mp_peek_demand(const Mp *m, const char *model);
-bool mp_is_in_use(const Mp *m, const Up *u, const char *model,
-                  const char *adapter);
+Model *mp_get_model(Mp *m, const char *name);
+Replica *mp_find_replica(const Up *u, const Model *model);
+/* As the service of U declares it; NULL: it doesn't. */
+const DepModel *mp_find_declared(const Up *u, const Model *model);
+bool mp_has_copy(const Up *u, const Model *model);
+void mp_set_goal(Up *u, Model *model); /* NULL: none */
+
+/* mp_demand.c */
+Demand *mp_find_adapter_demand(const Mp *m, const Model *model,
+                               const char *adapter);
+bool mp_is_in_use(const Up *u, const Model *model, const char *adapter);
 double mp_get_rate(const Demand *d, uint64_t now_ms);
 double mp_get_hurried_rate(const Demand *d, uint64_t now_ms);
 double mp_get_refused_rate(const Demand *d, uint64_t now_ms);
+Load *mp_get_load(Mp *m, const char *upstream);
+void mp_free_load(void *load);
+void mp_free_wanted_adapter(void *wanted);
+/* What nobody asks for any more is left out. */
+void mp_forget_idle(Mp *m, uint64_t now_ms);
 
 /* mp_tell.c */
 void mp_tell(Mp *m, Up *u, uint64_t now_ms);
@@ -148,14 +192,21 @@
 uint64_t *mp_pick_first_slot(const Mp *m, uint64_t *free_in_ms);
 
 /* mp_place.c */
-bool mp_can_use(const Mp *m, const Up *u);
-void mp_count_all_replicas(Mp *m);
+bool mp_can_use(const Up *u);
+bool mp_can_order(const Up *u, uint64_t now_ms);
+void mp_send_order(Mp *m, uint64_t now_ms, Up *u, Model *model,
+                   const char *adapter, bool unload);
+void mp_count_replicas(Mp *m);
 void mp_place_models(Mp *m, uint64_t now_ms);
-GHashTable *mp_list_copied(const Mp *m);
-uint32_t mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store);
+/* Its load does not need the weight store everywhere. */
+bool mp_is_copied(const Model *model);
+uint32_t mp_get_load_ms(const Up *u, const DepModel *d, const Model *model,
+                        bool *from_store);
 GArray *mp_list_wanted(const Mp *m, uint64_t now_ms, bool all);
-void mp_place_adapters(Mp *m, uint64_t now_ms);
 void mp_prefetch(Mp *m, uint64_t now_ms);
 void mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u);
 
+/* mp_adapter.c */
+void mp_place_adapters(Mp *m, uint64_t now_ms);
+
 #endif
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -7,25 +7,19 @@
 #define TRY_PAUSE_MS 80
 #define PREFETCH_MS 200
 /* Requests at once that one replica serves well.  With more, prompts are read
-   in pieces between the tokens of too many others: of streams with up to 24
-   requests at their upstream 1 to 5 in 100 pause for over 150 ms, with 30
-   about 15, with 40 about 35 (logs of upstreams with 64 slots).  16 leaves
-   room for the requests of its other models; from 14 to 32 callers are served
-   alike. */
+   in pieces between the tokens of too many others, and streams pause. */
 #define GOOD_REQUESTS 16.
 /* A replica stays at least this long: until its first uses are told. */
 #define SETTLE_MS 450
 /* A load is taken for done this much after its stated time. */
 #define LOAD_MARGIN_MS 15
-#define ADAPTER_SETTLE_MS 300
 /* A refused request would have been at its upstream for about so long. */
 #define STAY_S 1.5
 /* Bounds of what is observed of stays: few samples, or a stuck upstream. */
 #define LEAST_STAY_S 0.3
 #define MOST_STAY_S 4.
 /* A caller that has time for a load from a disk comes late this often after
-   all, as the load has to wait for room or for others (logs: 10 to 20 in 100
-   of those that waited). */
+   all, as the load has to wait for room or for others. */
 #define RELOAD_RISK 0.2
 /* Even a model that nobody asked for lately may be asked for. */
 #define UNASKED_LOSS 0.02
@@ -47,11 +41,11 @@
 #define CROWD_S 0.3
 /* Nothing is gained by waiting for a copy when so many callers miss it. */
 #define STORE_GAIN 8.
-/* A replica in use makes room for no less: its callers were 0.02 of all worse
-   off from a gain of 8 on, and 0.05 from 3. */
+/* A replica in use makes room for no less: its own callers come later. */
 #define IN_USE_GAIN 16.
 /* An unload of an idle replica takes so long: free room goes before it. */
 #define UNLOAD_S 0.1
+#define IDLE_MS 100 /* after its last use was told */
 #define GOAL_LIFE_MS 4000
 /* Upstreams with a copy are waited for so long before the weight store. */
 #define COPY_WAIT_MS 1500
@@ -62,74 +56,66 @@
 /* ---- replicas ----------------------------------------------------------- */
 
 bool
-mp_can_use(const Mp *m, const Up *u)
+mp_can_use(const Up *u)
 {
-    return !u->entry->draining && mp_find_service(m, u);
-}
-
-static uint32_t
-count_replicas(const Mp *m, const char *model)
-{
-    return GPOINTER_TO_UINT(g_hash_table_lookup(m->counts, model));
+    return !u->entry->draining && u->service;
 }
 
+/* What is on one that can't be reached serves nobody: its callers wait for
+   another replica. */
 static void
-add_count(Mp *m, const char *model)
+count_replicas_of(const Up *u)
 {
-    g_hash_table_insert(m->counts, g_strdup(model),
-                        GUINT_TO_POINTER(count_replicas(m, model) + 1));
+    if (!mp_can_use(u) || u->unreached) {
+        return;
+    }
+    for (guint i = 0; i < u->replicas->len; i++) {
+        const Replica *r = u->replicas->pdata[i];
+        r->model->replicas += !r->unloading;
+    }
+    if (u->goal && !mp_find_replica(u, u->goal)) {
+        u->goal->replicas++;
+    }
 }
 
 void
-mp_count_all_replicas(Mp *m)
+mp_count_replicas(Mp *m)
 {
-    g_hash_table_remove_all(m->counts);
     GHashTableIter it;
     gpointer v;
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        ((Model *)v)->replicas = 0;
+    }
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        /* What is on one that can't be reached serves nobody: its callers
-           wait for another replica. */
-        if (!mp_can_use(m, u) || u->unreached) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            const Replica *r = u->replicas->pdata[i];
-            if (!r->unloading) {
-                add_count(m, r->name);
-            }
-        }
-        if (u->goal && !mp_find_replica(u, u->goal)) {
-            add_count(m, u->goal);
-        }
+        count_replicas_of(v);
     }
 }
 
 static int64_t
-get_free_mb(const Mp *m, const Up *u)
+get_free_mb(const Up *u)
 {
-    const DepService *s = mp_find_service(m, u);
-    int64_t room_mb = GPOINTER_TO_UINT(g_hash_table_lookup(m->rooms, s->name));
-    int64_t free_mb = (int64_t)s->memory_mb - room_mb;
+    int64_t free_mb = (int64_t)u->service->memory_mb - u->room_mb;
     for (guint i = 0; i < u->replicas->len; i++) {
         const Replica *r = u->replicas->pdata[i];
-        const DepModel *d = mp_find_model(m, u, r->name);
+        const DepModel *d = mp_find_declared(u, r->model);
         /* A model that is no longer declared has an unknown size: nothing
            more is loaded beside it. */
-        free_mb -= d ? d->memory_mb : s->memory_mb;
+        free_mb -= d ? d->memory_mb : u->service->memory_mb;
     }
     return free_mb;
 }
 
 uint32_t
-mp_get_load_ms(const Up *u, const DepModel *d, bool *from_store)
+mp_get_load_ms(const Up *u, const DepModel *d, const Model *model,
+               bool *from_store)
 {
     *from_store = false;
-    if (dep_has_name(u->entry->in_memory, d->name)) {
+    if (g_ptr_array_find(u->in_memory, model, NULL)) {
         return d->warm_ms ? d->warm_ms : d->load_ms;
     }
-    if (dep_has_name(u->entry->on_disk, d->name)) {
+    if (g_ptr_array_find(u->on_disk, model, NULL)) {
         return d->disk_ms ? d->disk_ms : d->load_ms;
     }
     *from_store = true;
@@ -137,9 +123,9 @@
 }
 
 static bool
-is_idle(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+is_idle(uint64_t now_ms, const Up *u, const Replica *r)
 {
-    return now_ms >= r->used_ms + 100 && !mp_is_in_use(m, u, r->name, NULL);
+    return now_ms >= r->used_ms + IDLE_MS && !mp_is_in_use(u, r->model, NULL);
 }
 
 /* ---- what a replica is worth -------------------------------------------- */
@@ -154,9 +140,8 @@
 /* Of these, how many come too late with so many replicas: none while each
    has what it serves well, all with twice that. */
 static double
-count_late(const Demand *d, uint64_t now_ms, uint32_t replicas)
+count_late(double asked, uint32_t replicas)
 {
-    double asked = d ? count_asked(d, now_ms) : 0;
     return asked * CLAMP(asked / replicas / GOOD_REQUESTS - 1, 0, 1);
 }
 
@@ -165,36 +150,30 @@
 static double
 get_gain(const Demand *d, uint64_t now_ms, uint32_t replicas)
 {
+    double asked = count_asked(d, now_ms);
     double gain =
-        count_late(d, now_ms, replicas) - count_late(d, now_ms, replicas + 1);
+        count_late(asked, replicas) - count_late(asked, replicas + 1);
     if (replicas == 1) {
         gain += mp_get_hurried_rate(d, now_ms) * LOST_SHARE;
     }
     return gain;
 }
 
-static bool
-has_copy(const Up *u, const char *model)
-{
-    return dep_has_name(u->entry->on_disk, model) ||
-           dep_has_name(u->entry->in_memory, model);
-}
-
 /* Callers a second that come too late without this replica. */
 static double
-get_loss(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+get_loss(uint64_t now_ms, const Up *u, const Replica *r)
 {
-    if (!mp_find_model(m, u, r->name)) {
+    if (!mp_find_declared(u, r->model)) {
         return 0;
     }
-    const Demand *d = mp_peek_demand(m, r->name);
-    uint32_t replicas = count_replicas(m, r->name);
+    const Demand *d = &r->model->demand;
+    uint32_t replicas = r->model->replicas;
     if (replicas > 1) {
         return get_gain(d, now_ms, replicas - 1);
     }
     double hurried = mp_get_hurried_rate(d, now_ms);
     double patient = MAX(mp_get_rate(d, now_ms) - hurried, 0);
-    if (!has_copy(u, r->name)) {
+    if (!mp_has_copy(u, r->model)) {
         /* It would come back from the weight store, and be loaded ahead of
            need in its turn: models that have no copy must not push each other
            out without end. */
@@ -209,38 +188,36 @@
 get_stay_s(const Demand *d, uint64_t now_ms)
 {
     double rate = mp_get_rate(d, now_ms);
-    return d && rate > 0 ? CLAMP(d->running / rate, LEAST_STAY_S, MOST_STAY_S)
-                         : LEAST_STAY_S;
+    return rate > 0 ? CLAMP(d->running / rate, LEAST_STAY_S, MOST_STAY_S)
+                    : LEAST_STAY_S;
 }
 
-/* One in use makes room only for much: its upstream takes no other order until
-   its last request has ended. */
-static bool
-is_evictable(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r,
-             double gain)
-{
-    const Demand *d = mp_peek_demand(m, r->name);
-    bool waited = d && d->waiting > 0 && count_replicas(m, r->name) < 2;
-    bool free_to_go = gain >= IN_USE_GAIN || is_idle(m, now_ms, u, r);
-    return !waited && !r->unloading && free_to_go &&
-           r->ready_ms != WHEN_TOLD && now_ms >= r->ready_ms + SETTLE_MS;
-}
-
-/* What loading something in place of R costs: callers a second that come too
-   late, and the time until its last request has ended. */
+/* What loading something in place of a replica costs: callers a second that
+   come too late, and the time until its last request has ended. */
 typedef struct {
     double loss;
     double wait_s;
 } Price;
 
-static Price
-get_price(const Mp *m, uint64_t now_ms, const Up *u, const Replica *r)
+/* One in use makes room only for much: its upstream takes no other order until
+   its last request has ended.  False: it makes none for GAIN. */
+static bool
+get_price(uint64_t now_ms, const Up *u, const Replica *r, double gain,
+          Price *out)
 {
-    Price p = {get_loss(m, now_ms, u, r), UNLOAD_S};
-    if (!is_idle(m, now_ms, u, r)) {
-        p.wait_s += get_stay_s(mp_peek_demand(m, r->name), now_ms);
+    const Demand *d = &r->model->demand;
+    bool waited = d->waiting > 0 && r->model->replicas < 2;
+    if (waited || r->unloading || r->ready_ms == WHEN_TOLD ||
+        now_ms < r->ready_ms + SETTLE_MS) {
+        return false;
+    }
+    bool idle = is_idle(now_ms, u, r);
+    if (!idle && gain < IN_USE_GAIN) {
+        return false;
     }
-    return p;
+    out->loss = get_loss(now_ms, u, r);
+    out->wait_s = UNLOAD_S + (idle ? 0 : get_stay_s(d, now_ms));
+    return out->loss + LEAST_GAIN <= gain;
 }
 
 static double
@@ -249,78 +226,91 @@
     return p->loss * HORIZON_S + p->wait_s * gain;
 }
 
-/* What makes room for a model whose loading gains GAIN at the least cost. */
+#define MAX_VICTIMS 16 /* for one load; smaller models make no more room */
+
+typedef struct {
+    Replica *list[MAX_VICTIMS];
+    uint32_t count;
+    Price price; /* of all together */
+} Victims;
+
+static bool
+is_victim(const Victims *v, const Replica *r)
+{
+    for (uint32_t i = 0; i < v->count; i++) {
+        if (v->list[i] == r) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* One more that makes room for a model whose loading gains GAIN, at the least
+   cost; NULL: there is none. */
 static Replica *
-pick_victim(const Mp *m, uint64_t now_ms, const Up *u, const GPtrArray *not_,
-            double gain)
+pick_victim(uint64_t now_ms, const Up *u, double gain, Victims *victims)
 {
     Replica *best = NULL;
-    double least = 0;
+    Price price = {0, 0};
     for (guint i = 0; i < u->replicas->len; i++) {
         Replica *r = u->replicas->pdata[i];
-        bool excluded = false;
-        for (guint j = 0; not_ && j < not_->len; j++) {
-            excluded = excluded || not_->pdata[j] == r;
-        }
-        if (excluded || !is_evictable(m, now_ms, u, r, gain)) {
-            continue;
-        }
-        Price p = get_price(m, now_ms, u, r);
-        if (p.loss + LEAST_GAIN <= gain &&
-            (!best || weigh(&p, gain) < least)) {
+        Price p;
+        if (!is_victim(victims, r) && get_price(now_ms, u, r, gain, &p) &&
+            (!best || weigh(&p, gain) < weigh(&price, gain))) {
             best = r;
-            least = weigh(&p, gain);
+            price = p;
         }
     }
+    if (!best || victims->count == MAX_VICTIMS) {
+        return NULL;
+    }
+    victims->list[victims->count++] = best;
+    victims->price.loss += price.loss;
+    victims->price.wait_s = MAX(victims->price.wait_s, price.wait_s);
     return best;
 }
 
 /* What it costs to load MODEL on U, in caller seconds; below 0: it can't be,
    or costs others more than it gains. */
 static double
-compute_load_cost(const Mp *m, uint64_t now_ms, const Up *u, const DepModel *d,
-                  double gain)
+compute_load_cost(uint64_t now_ms, const Up *u, const Model *model,
+                  const DepModel *d, double gain)
 {
     bool from_store;
-    double ready_s = mp_get_load_ms(u, d, &from_store) / 1000.;
+    double ready_s = mp_get_load_ms(u, d, model, &from_store) / 1000.;
     if (u->busy_until_ms == WHEN_TOLD) {
         return -1;
     }
     if (u->busy_until_ms > now_ms) {
         ready_s += (double)(u->busy_until_ms - now_ms) / 1000;
     }
-    Price all = {0, 0};
-    int64_t free_mb = get_free_mb(m, u);
-    g_autoptr(GPtrArray) victims = g_ptr_array_new();
+    Victims victims = {.count = 0};
+    int64_t free_mb = get_free_mb(u);
     while (free_mb < (int64_t)d->memory_mb) {
-        Replica *r = pick_victim(m, now_ms, u, victims, gain);
-        const DepModel *rd = r ? mp_find_model(m, u, r->name) : NULL;
+        const Replica *r = pick_victim(now_ms, u, gain, &victims);
+        const DepModel *rd = r ? mp_find_declared(u, r->model) : NULL;
         if (!rd) {
             return -1;
         }
-        g_ptr_array_add(victims, r);
         free_mb += rd->memory_mb;
-        Price p = get_price(m, now_ms, u, r);
-        all.loss += p.loss;
-        all.wait_s = MAX(all.wait_s, p.wait_s);
     }
-    if (all.loss > 0 && all.loss + LEAST_GAIN > gain) {
+    const Price *all = &victims.price;
+    if (all->loss > 0 && all->loss + LEAST_GAIN > gain) {
         return -1;
     }
     /* Spread: an upstream that serves much already is slower. */
-    double crowd_s = u->running / GOOD_REQUESTS * CROWD_S;
-    return weigh(&all, gain) + gain * (ready_s + crowd_s);
+    double crowd_s = u->load->running / GOOD_REQUESTS * CROWD_S;
+    return weigh(all, gain) + gain * (ready_s + crowd_s);
 }
 
 /* ---- orders ------------------------------------------------------------- */
 
-static void
-send_order(Mp *m, uint64_t now_ms, Up *u, const char *model,
-           const char *adapter, bool unload)
+void
+mp_send_order(Mp *m, uint64_t now_ms, Up *u, Model *model, const char *adapter,
+              bool unload)
 {
-    g_free(u->order_model);
     g_free(u->order_adapter);
-    u->order_model = g_strdup(model);
+    u->order_model = model;
     u->order_adapter = g_strdup(adapter);
     u->order_unload = unload;
     u->order_from_store = false;
@@ -328,9 +318,10 @@
     u->ordered = true;
     u->order_ms = now_ms;
     if (!unload && !adapter) {
-        const DepModel *d = mp_find_model(m, u, model);
+        const DepModel *d = mp_find_declared(u, model);
         bool from_store;
-        u->order_load_ms = mp_get_load_ms(u, d, &from_store) + LOAD_MARGIN_MS;
+        u->order_load_ms =
+            mp_get_load_ms(u, d, model, &from_store) + LOAD_MARGIN_MS;
         u->order_from_store = from_store;
         if (from_store) {
             g_array_append_val(m->store_starts, now_ms);
@@ -338,7 +329,7 @@
     }
     MpOrder o = {.upstream = u->entry->id,
                  .address = u->entry->address,
-                 .model = u->order_model,
+                 .model = model->name,
                  .adapter = u->order_adapter,
                  .unload = unload,
                  .from_store = u->order_from_store,
@@ -346,8 +337,8 @@
     m->out.order(m->out.ctx, &o);
 }
 
-static bool
-can_order(const Up *u, uint64_t now_ms)
+bool
+mp_can_order(const Up *u, uint64_t now_ms)
 {
     return u->known && !u->ordered && now_ms >= u->retry_ms &&
            now_ms >= u->busy_until_ms && !u->entry->draining;
@@ -368,7 +359,7 @@
 static void
 drop_goal(Up *u)
 {
-    g_clear_pointer(&u->goal, g_free);
+    mp_set_goal(u, NULL);
     Replica *r = find_leaving(u);
     if (r) {
         r->unloading = false;
@@ -383,7 +374,8 @@
 {
     Replica *r = find_leaving(u);
     if (!r) {
-        r = pick_victim(m, now_ms, u, NULL, u->goal_gain);
+        Victims victims = {.count = 0};
+        r = pick_victim(now_ms, u, u->goal_gain, &victims);
         if (!r) {
             drop_goal(u);
             return;
@@ -391,36 +383,51 @@
         r->unloading = true;
         u->told = false;
     }
-    if (is_idle(m, now_ms, u, r)) {
-        send_order(m, now_ms, u, r->name, NULL, true);
+    if (is_idle(now_ms, u, r)) {
+        mp_send_order(m, now_ms, u, r->model, NULL, true);
     }
 }
 
+/* Closed for one model it is closed for all with less to gain, which come
+   after it in a round. */
+static bool
+may_start_store_load(Mp *m, uint64_t now_ms, const DepService *s, double gain)
+{
+    if (m->store_closed == s) {
+        return false;
+    }
+    bool open = mp_may_start_store_load(m, now_ms, s, gain);
+    m->store_closed = open ? m->store_closed : s;
+    return open;
+}
+
 /* Work on U's goal: make room, then load. */
 void
 mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u)
 {
-    const DepModel *d = mp_find_model(m, u, u->goal);
+    const DepModel *d = mp_find_declared(u, u->goal);
     if (!d || now_ms > u->goal_until_ms || u->entry->draining ||
         mp_find_replica(u, u->goal)) {
         drop_goal(u);
         return;
     }
-    if (!can_order(u, now_ms)) {
+    if (!mp_can_order(u, now_ms)) {
         return;
     }
-    if (get_free_mb(m, u) < (int64_t)d->memory_mb) {
+    if (get_free_mb(u) < (int64_t)d->memory_mb) {
         make_room(m, now_ms, u);
         return;
     }
     bool from_store;
-    mp_get_load_ms(u, d, &from_store);
-    if (!from_store || mp_may_start_store_load(
-                           m, now_ms, mp_find_service(m, u), u->goal_gain)) {
-        send_order(m, now_ms, u, u->goal, NULL, false);
+    mp_get_load_ms(u, d, u->goal, &from_store);
+    if (!from_store ||
+        mp_may_start_store_load(m, now_ms, u->service, u->goal_gain)) {
+        mp_send_order(m, now_ms, u, u->goal, NULL, false);
     }
 }
 
+/* ---- places ------------------------------------------------------------- */
+
 typedef enum {
     COPY_NONE,
     COPY_AWAY, /* beside an upstream that does not answer just now */
@@ -428,16 +435,12 @@
 } Copy;
 
 static Copy
-find_copy(const Mp *m, const char *model)
+find_copy(const Model *model)
 {
     Copy best = COPY_NONE;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (mp_can_use(m, u) && (u->unreached || !mp_find_replica(u, model)) &&
-            has_copy(u, model)) {
+    for (guint i = 0; i < model->copies->len; i++) {
+        const Up *u = model->copies->pdata[i];
+        if (mp_can_use(u) && (u->unreached || !mp_find_replica(u, model))) {
             best = MAX(best, u->unreached ? COPY_AWAY : COPY_NEAR);
         }
     }
@@ -447,58 +450,75 @@
 /* The weight store is slow and shared: it is left for models that callers
    wait for in vain, that is whose copies beside upstreams can't be used. */
 static bool
-may_use_store(const Mp *m, uint64_t now_ms, const Wanted *w, const DepModel *d)
+may_use_store(uint64_t now_ms, const Wanted *w)
 {
-    Copy copy = find_copy(m, w->model);
+    Copy copy = find_copy(w->model);
     if (copy == COPY_NONE || w->gain >= STORE_GAIN) {
         return true;
     }
     /* A process that crashed is back before the store could have served. */
+    uint32_t load_ms = w->model->declared ? w->model->declared->load_ms : 0;
     uint64_t wait_ms = copy == COPY_NEAR
                            ? COPY_WAIT_MS
-                           : MAX(COPY_WAIT_MS, d->load_ms / AWAY_WAIT_PART);
-    return w->none && w->demand->waiting > 0 && now_ms > w->since_ms + wait_ms;
+                           : MAX(COPY_WAIT_MS, load_ms / AWAY_WAIT_PART);
+    return w->none && w->model->demand.waiting > 0 &&
+           now_ms > w->since_ms + wait_ms;
 }
 
-static Up *
-find_best_place(Mp *m, uint64_t now_ms, const Wanted *w)
+typedef struct {
+    Up *up; /* NULL: none */
+    double cost;
+} Place;
+
+static void
+weigh_place(uint64_t now_ms, const Wanted *w, Up *u, Place *best)
+{
+    const DepModel *d = mp_find_declared(u, w->model);
+    if (!d || !mp_can_use(u) || u->goal || !u->known || u->ordered ||
+        u->unreached || mp_find_replica(u, w->model)) {
+        return;
+    }
+    double cost = compute_load_cost(now_ms, u, w->model, d, w->gain);
+    if (cost >= 0 && (!best->up || cost < best->cost)) {
+        *best = (Place){u, cost};
+    }
+}
+
+static void
+weigh_store_places(Mp *m, uint64_t now_ms, const Wanted *w, Place *best)
 {
-    Up *best = NULL;
-    double least = 0;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
-        const DepModel *d =
-            mp_can_use(m, u) ? mp_find_model(m, u, w->model) : NULL;
-        if (!d || u->goal || !u->known || u->ordered || u->unreached ||
-            mp_find_replica(u, w->model)) {
-            continue;
-        }
-        double cost = compute_load_cost(m, now_ms, u, d, w->gain);
-        if (cost < 0 || (best && cost >= least)) {
-            continue;
-        }
-        bool from_store;
-        mp_get_load_ms(u, d, &from_store);
-        if (!from_store || (may_use_store(m, now_ms, w, d) &&
-                            mp_may_start_store_load(
-                                m, now_ms, mp_find_service(m, u), w->gain))) {
-            best = u;
-            least = cost;
+        if (u->service && !mp_has_copy(u, w->model) &&
+            may_start_store_load(m, now_ms, u->service, w->gain)) {
+            weigh_place(now_ms, w, u, best);
         }
     }
-    return best;
+}
+
+static Up *
+find_best_place(Mp *m, uint64_t now_ms, const Wanted *w)
+{
+    Place best = {NULL, 0};
+    for (guint i = 0; i < w->model->copies->len; i++) {
+        weigh_place(now_ms, w, w->model->copies->pdata[i], &best);
+    }
+    if (may_use_store(now_ms, w)) {
+        weigh_store_places(m, now_ms, w, &best);
+    }
+    return best.up;
 }
 
 static void
-set_goal(Mp *m, uint64_t now_ms, Up *u, const char *model, double gain)
+begin_goal(Mp *m, uint64_t now_ms, Up *u, Model *model, double gain)
 {
-    u->goal = g_strdup(model);
+    mp_set_goal(u, model);
     u->goal_until_ms = now_ms + GOAL_LIFE_MS;
     u->goal_gain = gain;
-    add_count(m, u->goal);
+    model->replicas++;
     mp_pursue_goal(m, now_ms, u);
 }
 
@@ -529,17 +549,16 @@
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(Wanted));
     GHashTableIter it;
-    gpointer k;
     gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        Demand *d = v;
-        if (strchr(k, '/') || (!all && now_ms < d->next_try_ms)) {
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Model *model = v;
+        const Demand *d = &model->demand;
+        if (!all && now_ms < d->next_try_ms) {
             continue;
         }
-        uint32_t have = count_replicas(m, k);
-        Wanted w = {.model = k,
-                    .demand = d,
+        uint32_t have = model->replicas;
+        Wanted w = {.model = model,
                     .since_ms =
                         d->wanted_since_ms ? d->wanted_since_ms : now_ms,
                     .none = have == 0};
@@ -560,75 +579,60 @@
         const Wanted *w = &g_array_index(wanted, Wanted, i);
         Up *u = find_best_place(m, now_ms, w);
         if (u) {
-            set_goal(m, now_ms, u, w->model, w->gain);
+            begin_goal(m, now_ms, u, w->model, w->gain);
         }
         else {
-            w->demand->next_try_ms = now_ms + TRY_PAUSE_MS;
+            w->model->demand.next_try_ms = now_ms + TRY_PAUSE_MS;
         }
     }
 }
 
-static void
-add_names(GHashTable *set, const GPtrArray *names)
+/* ---- ahead of need ------------------------------------------------------ */
+
+static bool
+has_usable(const GPtrArray *ups)
 {
-    for (guint i = 0; i < names->len; i++) {
-        g_hash_table_add(set, names->pdata[i]);
+    for (guint i = 0; i < ups->len; i++) {
+        if (mp_can_use(ups->pdata[i])) {
+            return true;
+        }
     }
+    return false;
 }
 
-/* Models whose load does not need the weight store everywhere; keys are
-   borrowed. */
-GHashTable *
-mp_list_copied(const Mp *m)
+bool
+mp_is_copied(const Model *model)
 {
-    GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (!mp_can_use(m, u)) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            g_hash_table_add(set, ((Replica *)u->replicas->pdata[i])->name);
-        }
-        if (u->goal) {
-            g_hash_table_add(set, u->goal);
-        }
-        add_names(set, u->entry->on_disk);
-        add_names(set, u->entry->in_memory);
-    }
-    return set;
+    return has_usable(model->holders) || has_usable(model->copies) ||
+           has_usable(model->goals);
 }
 
 /* A declared model that no upstream has a copy of, even where another that
    has its copy beside it must make room: its first callers then wait for a
-   disk, not for the weight store (0.5 s against 6 s). */
+   disk, not for the weight store. */
 static void
 prefetch_one(Mp *m, uint64_t now_ms, const DepService *s)
 {
     /* Callers' loads go before: what is begun ahead of need holds the store
        for as long as they would wait. */
-    bool asked = g_hash_table_size(m->demands) > 0;
-    bool scarce = asked && m->store.at_once <= 1;
-    uint32_t most = asked ? m->store.at_once / 2 : m->store.at_once;
+    bool scarce = m->asked && m->store.at_once <= 1;
+    uint32_t most = m->asked ? m->store.at_once / 2 : m->store.at_once;
     if (scarce || mp_count_store_loads(m) >= most ||
         !mp_may_start_store_load(m, now_ms, s, 0)) {
         return;
     }
-    g_autoptr(GHashTable) copied = mp_list_copied(m);
     GHashTableIter it;
     gpointer k;
     g_hash_table_iter_init(&it, s->models);
     while (g_hash_table_iter_next(&it, &k, NULL)) {
-        if (g_hash_table_contains(copied, k)) {
+        Model *model = mp_get_model(m, k);
+        if (mp_is_copied(model)) {
             continue;
         }
-        Wanted w = {.model = k, .gain = PREFETCH_GAIN, .since_ms = now_ms};
+        Wanted w = {.model = model, .gain = PREFETCH_GAIN, .since_ms = now_ms};
         Up *u = find_best_place(m, now_ms, &w);
         if (u) {
-            set_goal(m, now_ms, u, k, w.gain);
+            begin_goal(m, now_ms, u, model, w.gain);
             return;
         }
     }
@@ -651,133 +655,3 @@
         }
     }
 }
-
-/* ---- adapters ----------------------------------------------------------- */
-
-static uint32_t
-count_adapters(const Up *u)
-{
-    uint32_t n = 0;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        n += ((Replica *)u->replicas->pdata[i])->adapters->len;
-    }
-    return n;
-}
-
-/* The adapter least recently used that nobody uses now. */
-static Adapter *
-pick_adapter_victim(const Mp *m, uint64_t now_ms, const Up *u,
-                    const char **model)
-{
-    Adapter *best = NULL;
-    for (guint i = 0; i < u->replicas->len; i++) {
-        const Replica *r = u->replicas->pdata[i];
-        for (guint j = 0; j < r->adapters->len; j++) {
-            Adapter *a = r->adapters->pdata[j];
-            g_autofree char *key = dep_make_key(r->name, a->name);
-            const Demand *d = mp_peek_demand(m, key);
-            bool quiet =
-                !a->leaving && now_ms >= a->used_ms + ADAPTER_SETTLE_MS &&
-                !(d && d->waiting) && !mp_is_in_use(m, u, r->name, a->name);
-            if (quiet && (!best || a->used_ms < best->used_ms)) {
-                best = a;
-                *model = r->name;
-            }
-        }
-    }
-    return best;
-}
-
-/* Set of "model/adapter" that are held, or ordered, on usable upstreams. */
-static GHashTable *
-list_held_adapters(const Mp *m)
-{
-    GHashTable *set =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (!mp_can_use(m, u)) {
-            continue;
-        }
-        for (guint i = 0; i < u->replicas->len; i++) {
-            const Replica *r = u->replicas->pdata[i];
-            for (guint j = 0; j < r->adapters->len; j++) {
-                const Adapter *a = r->adapters->pdata[j];
-                if (!a->leaving) {
-                    g_hash_table_add(set, dep_make_key(r->name, a->name));
-                }
-            }
-        }
-        if (u->ordered && u->order_adapter && !u->order_unload) {
-            g_hash_table_add(set,
-                             dep_make_key(u->order_model, u->order_adapter));
-        }
-    }
-    return set;
-}
-
-static void
-place_adapter(Mp *m, uint64_t now_ms, const char *model, const char *adapter)
-{
-    Up *best = NULL;
-    double least = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Up *u = v;
-        const Replica *r = mp_can_use(m, u) ? mp_find_replica(u, model) : NULL;
-        if (!r || r->unloading || r->ready_ms > now_ms ||
-            !can_order(u, now_ms)) {
-            continue;
-        }
-        const char *victim_model;
-        bool full = count_adapters(u) >= mp_find_service(m, u)->max_adapters;
-        if (full && !pick_adapter_victim(m, now_ms, u, &victim_model)) {
-            continue;
-        }
-        double cost = count_adapters(u) + (full ? 100 : 0);
-        if (!best || cost < least) {
-            best = u;
-            least = cost;
-        }
-    }
-    if (!best) {
-        return;
-    }
-    const char *victim_model = NULL;
-    if (count_adapters(best) >= mp_find_service(m, best)->max_adapters) {
-        const Adapter *a = pick_adapter_victim(m, now_ms, best, &victim_model);
-        g_autofree char *name = g_strdup(a->name);
-        send_order(m, now_ms, best, victim_model, name, true);
-        return;
-    }
-    send_order(m, now_ms, best, model, adapter, false);
-}
-
-void
-mp_place_adapters(Mp *m, uint64_t now_ms)
-{
-    g_autoptr(GHashTable) held = NULL;
-    GHashTableIter it;
-    gpointer k;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        const Demand *d = v;
-        const char *slash = strchr(k, '/');
-        if (!slash || d->waiting == 0) {
-            continue;
-        }
-        if (!held) {
-            held = list_held_adapters(m);
-        }
-        if (!g_hash_table_contains(held, k)) {
-            g_autofree char *model = g_strndup(k, (gsize)(slash - (char *)k));
-            place_adapter(m, now_ms, model, slash + 1);
-        }
-    }
-}
--- a/src/mp_store.c
+++ b/src/mp_store.c
@@ -182,9 +182,8 @@
     double n = 0;
     g_autoptr(GPtrArray) loads = list_loads(m);
     for (guint i = 0; i < loads->len; i++) {
-        const Replica *r = loads->pdata[i];
-        const Demand *d = mp_peek_demand(m, r->name);
-        n += d ? d->waiting + mp_get_rate(d, now_ms) : 0;
+        const Demand *d = &((Replica *)loads->pdata[i])->model->demand;
+        n += d->waiting + mp_get_rate(d, now_ms);
     }
     return n;
 }
--- a/src/mp_tell.c
+++ b/src/mp_tell.c
@@ -1,7 +1,5 @@
 #include "mp_int.h"
 
-#include <string.h>
-
 /* Between beginnings on an upstream, before anything is learnt: reading a
    prompt of 3,000 tokens. */
 #define FIRST_PAUSE_MS 80.
@@ -22,7 +20,7 @@
         if (r->ready_ms > now_ms || r->unloading) {
             continue;
         }
-        DepResident *d = dep_add_resident(view, r->name);
+        DepResident *d = dep_add_resident(view, r->model->name);
         for (guint j = 0; j < r->adapters->len; j++) {
             const Adapter *a = r->adapters->pdata[j];
             if (a->ready_ms <= now_ms && !a->leaving) {
@@ -72,7 +70,7 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Up *u = v;
-        if (u->known && mp_find_service(m, u)) {
+        if (u->known && u->service) {
             DepUpstream *view = make_view(u, now_ms);
             visit(ctx, u->entry->id, view->models);
             dep_destroy_upstream(view);
@@ -82,51 +80,27 @@
 
 /* ---- how much is at them ------------------------------------------------ */
 
-static void
-sum_loads(Mp *m)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Up *u = v;
-        u->running = 0;
-        u->queued_before = u->queued;
-        u->queued = 0;
-    }
-    g_hash_table_iter_init(&it, m->gateways);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const GPtrArray *uses = ((Gateway *)v)->demand->uses;
-        for (guint i = 0; i < uses->len; i++) {
-            const MpUse *use = uses->pdata[i];
-            Up *u = g_hash_table_lookup(m->ups, use->upstream);
-            if (u) {
-                u->running++;
-                u->queued += !use->began;
-            }
-        }
-    }
-}
-
 /* Only where requests wait does the pause between beginnings tell how fast
    the upstream is, and not how seldom it is asked. */
 static void
 learn_pause(Up *u, uint64_t now_ms)
 {
-    uint64_t passed_ms = now_ms - u->summed_ms;
+    uint64_t passed_ms = now_ms - u->looked_ms;
+    Load *l = u->load;
     bool waited =
-        u->queued_before >= QUEUE_TO_LEARN && u->queued >= QUEUE_TO_LEARN;
+        u->queued_before >= QUEUE_TO_LEARN && l->queued >= QUEUE_TO_LEARN;
     if (u->pause_ms == 0) {
         u->pause_ms = FIRST_PAUSE_MS;
     }
     if (waited && passed_ms <= MOST_PAUSE_MS) {
-        double pause_ms = (double)passed_ms / MAX(u->began, 1);
-        if (u->began > 0 || pause_ms > u->pause_ms) {
+        double pause_ms = (double)passed_ms / MAX(l->began, 1);
+        if (l->began > 0 || pause_ms > u->pause_ms) {
             u->pause_ms += PAUSE_WEIGHT * (pause_ms - u->pause_ms);
         }
     }
-    u->began = 0;
-    u->summed_ms = now_ms;
+    l->began = 0;
+    u->queued_before = l->queued;
+    u->looked_ms = now_ms;
 }
 
 void
@@ -137,17 +111,16 @@
 {
     GHashTableIter it;
     gpointer v;
-    sum_loads(m);
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
-        if (!mp_find_service(m, u)) {
+        if (!u->service) {
             continue;
         }
         learn_pause(u, now_ms);
-        if (u->running > 0) {
-            visit(ctx, u->entry->id, u->running,
-                  (uint32_t)(u->queued * u->pause_ms));
+        if (u->load->running > 0) {
+            visit(ctx, u->entry->id, u->load->running,
+                  (uint32_t)(u->load->queued * u->pause_ms));
         }
     }
 }
@@ -155,34 +128,41 @@
 /* ---- how long callers wait ---------------------------------------------- */
 
 static uint32_t
-get_wait_ms(const Mp *m, uint64_t now_ms, const char *model)
+get_replica_wait_ms(const Replica *r, uint64_t now_ms)
+{
+    uint64_t ready_ms = r->ready_ms == WHEN_TOLD
+                            ? MAX(r->expected_ms, now_ms + 1)
+                            : r->ready_ms;
+    return ready_ms > now_ms ? (uint32_t)(ready_ms - now_ms) : 0;
+}
+
+#define GOAL_MS 100 /* from a goal to its order, about */
+
+static uint32_t
+get_wait_ms(uint64_t now_ms, const Model *model)
 {
     uint32_t best = UINT32_MAX;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        const DepModel *d =
-            mp_can_use(m, u) ? mp_find_model(m, u, model) : NULL;
-        const Replica *r = d ? mp_find_replica(u, model) : NULL;
-        if (r) {
-            uint64_t ready_ms = r->ready_ms == WHEN_TOLD
-                                    ? MAX(r->expected_ms, now_ms + 1)
-                                    : r->ready_ms;
-            uint64_t wait = ready_ms > now_ms ? ready_ms - now_ms : 0;
-            best = MIN(best, (uint32_t)wait);
+    for (guint i = 0; i < model->holders->len; i++) {
+        const Up *u = model->holders->pdata[i];
+        if (mp_can_use(u) && mp_find_declared(u, model)) {
+            best = MIN(best,
+                       get_replica_wait_ms(mp_find_replica(u, model), now_ms));
         }
-        else if (d && g_strcmp0(u->goal, model) == 0) {
-            bool from_store;
-            best = MIN(best, mp_get_load_ms(u, d, &from_store) + 100);
+    }
+    for (guint i = 0; i < model->goals->len; i++) {
+        const Up *u = model->goals->pdata[i];
+        const DepModel *d = mp_find_declared(u, model);
+        bool from_store;
+        if (mp_can_use(u) && d && !mp_find_replica(u, model)) {
+            best =
+                MIN(best, mp_get_load_ms(u, d, model, &from_store) + GOAL_MS);
         }
     }
     return best;
 }
 
 static uint32_t
-get_longest_load_ms(const Mp *m, const char *model)
+get_longest_load_ms(const Mp *m, const Model *model)
 {
     GHashTableIter it;
     gpointer v;
@@ -190,7 +170,7 @@
     g_hash_table_iter_init(&it, m->config->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const DepModel *d =
-            g_hash_table_lookup(((DepService *)v)->models, model);
+            g_hash_table_lookup(((DepService *)v)->models, model->name);
         longest = d ? MAX(longest, d->load_ms) : longest;
     }
     return longest;
@@ -206,27 +186,26 @@
     }
     uint64_t free_in_ms[MP_MOST_AT_ONCE] = {0};
     mp_list_store_slots(m, now_ms, free_in_ms);
-    mp_count_all_replicas(m);
+    mp_count_replicas(m);
     g_autoptr(GArray) wanted = mp_list_wanted(m, now_ms, true);
-    g_autoptr(GHashTable) copied = mp_list_copied(m);
     GHashTableIter it;
-    gpointer k;
     gpointer v;
-    g_hash_table_iter_init(&it, m->demands);
-    while (g_hash_table_iter_next(&it, &k, &v)) {
-        const Demand *d = v;
-        uint32_t wait_ms = strchr(k, '/') ? 0 : get_wait_ms(m, now_ms, k);
-        if (d->waiting > 0 && wait_ms > 0 && wait_ms != UINT32_MAX) {
-            visit(ctx, k, wait_ms);
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Model *model = v;
+        uint32_t wait_ms =
+            model->demand.waiting > 0 ? get_wait_ms(now_ms, model) : 0;
+        if (wait_ms > 0 && wait_ms != UINT32_MAX) {
+            visit(ctx, model->name, wait_ms);
         }
     }
     /* Those that need the weight store take turns there. */
     for (guint i = 0; i < wanted->len; i++) {
         const Wanted *w = &g_array_index(wanted, Wanted, i);
-        if (w->none && !g_hash_table_contains(copied, w->model)) {
+        if (w->none && !mp_is_copied(w->model)) {
             uint64_t *first = mp_pick_first_slot(m, free_in_ms);
             *first += get_longest_load_ms(m, w->model);
-            visit(ctx, w->model, (uint32_t)*first);
+            visit(ctx, w->model->name, (uint32_t)*first);
         }
     }
 }
--- /dev/null
+++ b/tests/bench_mp.c
@@ -0,0 +1,387 @@
+/* Bench of the placement core alone: processor time for a second of a fleet's
+   life, calm and after half of the upstreams have crashed.
+   bench_mp UPSTREAMS MODELS ADAPTERS GATEWAYS REQUESTS_PER_S */
+#include "mp.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+
+#define MODEL_MB 30000
+#define ENGINE_MB 83000
+#define DISK_MS 450
+#define STORE_MS 13200
+#define COPIES 5
+#define TELL_MS 200
+#define TICK_MS 20
+#define STAY_MS 1200
+
+typedef struct {
+    DepUpstream *state;
+    MpOrder order;
+    char *order_model;
+    char *order_adapter;
+    char *coming;
+    uint64_t ready_ms;
+    bool ordered;
+    bool asked;
+} Engine;
+
+typedef struct {
+    uint32_t model;
+    int engine; /* -1: waits */
+    uint64_t end_ms;
+    uint32_t gateway;
+} Request;
+
+typedef struct {
+    Mp *mp;
+    Dm *demand;
+    Engine *engines;
+    uint32_t engine_count;
+    uint32_t models;
+    uint32_t adapters;
+    uint32_t gateways;
+    uint32_t rate;
+    GArray *requests;  /* Request */
+    uint32_t *arrived; /* by gateway and model */
+    uint64_t now_ms;
+    uint64_t orders;
+    BgRandom rng;
+    GHashTable *index;
+} Bench;
+
+static double
+get_cpu_ms(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
+}
+
+static double spent_ms; /* inside the core */
+static uint64_t events;
+
+#define MEASURE(call)                                                         \
+    do {                                                                      \
+        double begin_ms = get_cpu_ms();                                       \
+        call;                                                                 \
+        spent_ms += get_cpu_ms() - begin_ms;                                  \
+        events++;                                                             \
+    } while (0)
+
+static void
+on_order(void *ctx, const MpOrder *o)
+{
+    Bench *b = ctx;
+    Engine *e = g_hash_table_lookup(b->index, o->upstream);
+    e->ordered = true;
+    e->order = *o;
+    e->order_model = g_strdup(o->model);
+    e->order_adapter = g_strdup(o->adapter);
+    b->orders++;
+}
+
+static void
+on_ask(void *ctx, const DepUpstream *of)
+{
+    Bench *b = ctx;
+    ((Engine *)g_hash_table_lookup(b->index, of->id))->asked = true;
+}
+
+static void
+on_placed(void *ctx, const char *upstream, const GPtrArray *models)
+{
+    (void)ctx;
+    (void)upstream;
+    (void)models;
+}
+
+static DepResident *
+find_resident(const Engine *e, const char *model)
+{
+    for (guint i = 0; i < e->state->models->len; i++) {
+        DepResident *r = e->state->models->pdata[i];
+        if (strcmp(r->name, model) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+static char *
+name_model(uint32_t i)
+{
+    return g_strdup_printf("model%06u", i);
+}
+
+static void
+answer(Bench *b, Engine *e)
+{
+    if (e->coming && b->now_ms >= e->ready_ms) {
+        dep_add_resident(e->state, e->coming);
+        g_clear_pointer(&e->coming, g_free);
+        MEASURE(mp_on_entry(b->mp, b->now_ms, e->state));
+    }
+    if (e->ordered) {
+        e->ordered = false;
+        MpOrderEnd end = MP_ORDER_TAKEN;
+        if (e->coming || e->order.sequence != e->state->sequence) {
+            end = MP_ORDER_CONFLICT;
+        }
+        else {
+            e->state->sequence++;
+            DepResident *r = find_resident(e, e->order_model);
+            if (e->order_adapter && r && !e->order.unload) {
+                g_ptr_array_add(r->adapters, g_strdup(e->order_adapter));
+            }
+            else if (e->order_adapter && r) {
+                for (guint i = 0; i < r->adapters->len; i++) {
+                    if (strcmp(r->adapters->pdata[i], e->order_adapter) == 0) {
+                        g_ptr_array_remove_index(r->adapters, i);
+                    }
+                }
+                end = MP_ORDER_HOLDS;
+            }
+            else if (!e->order_adapter && e->order.unload && r) {
+                g_ptr_array_remove(e->state->models, r);
+            }
+            else if (!e->order_adapter && !e->order.unload) {
+                e->coming = g_strdup(e->order_model);
+                e->ready_ms = b->now_ms + DISK_MS;
+            }
+        }
+        g_clear_pointer(&e->order_model, g_free);
+        g_clear_pointer(&e->order_adapter, g_free);
+        MEASURE(mp_on_order_end(b->mp, b->now_ms, e->state->id, end));
+    }
+    if (e->asked) {
+        e->asked = false;
+        e->state->busy = e->coming != NULL;
+        MEASURE(mp_on_report(b->mp, b->now_ms, e->state->id, e->state));
+    }
+}
+
+static int
+find_engine_of(Bench *b, const char *model)
+{
+    uint32_t from = (uint32_t)bg_pick_random(&b->rng, b->engine_count);
+    for (uint32_t i = 0; i < b->engine_count; i++) {
+        uint32_t n = (from + i) % b->engine_count;
+        if (find_resident(&b->engines[n], model)) {
+            return (int)n;
+        }
+    }
+    return -1;
+}
+
+/* A tenth of the requests ask for any model, the others for a hot sixth. */
+static uint32_t
+pick_model(Bench *b)
+{
+    uint32_t hot = MAX(b->models / 6, 1);
+    if (bg_pick_random(&b->rng, 10) == 0) {
+        return (uint32_t)bg_pick_random(&b->rng, b->models);
+    }
+    double u = (double)bg_pick_random(&b->rng, 1000000) / 1e6;
+    return (uint32_t)(u * u * u * hot);
+}
+
+static void
+arrive(Bench *b)
+{
+    static double due;
+    due += b->rate / 1000.;
+    for (; due >= 1; due -= 1) {
+        Request r = {.model = pick_model(b),
+                     .engine = -1,
+                     .gateway =
+                         (uint32_t)bg_pick_random(&b->rng, b->gateways)};
+        g_array_append_val(b->requests, r);
+        b->arrived[r.gateway * b->models + r.model]++;
+    }
+    for (guint i = 0; i < b->requests->len;) {
+        Request *r = &g_array_index(b->requests, Request, i);
+        if (r->engine < 0 && b->now_ms % 10 == 0) {
+            g_autofree char *name = name_model(r->model);
+            r->engine = find_engine_of(b, name);
+            r->end_ms = b->now_ms + STAY_MS;
+        }
+        if (r->engine >= 0 && b->now_ms >= r->end_ms) {
+            g_array_remove_index_fast(b->requests, i);
+            continue;
+        }
+        i++;
+    }
+}
+
+/* What GATEWAY has; the ledger before the core is part of what is measured. */
+static void
+tell(Bench *b, uint32_t gateway)
+{
+    DmDemand *d = dm_create_demand(true);
+    g_autofree uint32_t *want_of = g_new0(uint32_t, b->models);
+    for (guint i = 0; i < b->requests->len; i++) {
+        const Request *r = &g_array_index(b->requests, Request, i);
+        if (r->gateway != gateway) {
+            continue;
+        }
+        if (!want_of[r->model]) {
+            g_autofree char *name = name_model(r->model);
+            DmWant *w = dm_add_want(d, name, NULL);
+            w->arrived = b->arrived[gateway * b->models + r->model];
+            b->arrived[gateway * b->models + r->model] = 0;
+            want_of[r->model] = d->wants->len;
+        }
+        DmWant *w = d->wants->pdata[want_of[r->model] - 1];
+        if (r->engine < 0) {
+            w->waiting++;
+            continue;
+        }
+        w->running++;
+        dm_add_use(d, b->engines[r->engine].state->id, w->model, NULL)
+            ->running = 1;
+    }
+    char name[16];
+    snprintf(name, sizeof(name), "g%u", gateway);
+    MEASURE(dm_take(b->demand, b->now_ms, name, d));
+    dm_destroy_demand(d);
+}
+
+static void
+tick(Bench *b)
+{
+    DmDemand *sums = dm_collect(b->demand, false);
+    mp_on_demand(b->mp, b->now_ms, sums);
+    dm_destroy_demand(sums);
+    mp_on_tick(b->mp, b->now_ms, true);
+}
+
+static void
+run(Bench *b, uint64_t for_ms, const char *what)
+{
+    spent_ms = 0;
+    events = 0;
+    b->orders = 0;
+    uint32_t waiting = 0;
+    for (uint64_t end = b->now_ms + for_ms; b->now_ms < end; b->now_ms++) {
+        arrive(b);
+        for (uint32_t g = b->now_ms % TELL_MS; g < b->gateways; g += TELL_MS) {
+            tell(b, g);
+        }
+        if (b->now_ms % TICK_MS == 0) {
+            MEASURE(tick(b));
+        }
+        for (uint32_t i = 0; i < b->engine_count; i++) {
+            answer(b, &b->engines[i]);
+        }
+    }
+    for (guint i = 0; i < b->requests->len; i++) {
+        waiting += g_array_index(b->requests, Request, i).engine < 0;
+    }
+    struct rusage u;
+    getrusage(RUSAGE_SELF, &u);
+    printf("%-8s %8.1f ms a second, %8.2f us an event (%llu), %llu orders, "
+           "%u wait, %ld MB\n",
+           what, spent_ms * 1000 / (double)for_ms,
+           spent_ms * 1000 / (double)events, (unsigned long long)events,
+           (unsigned long long)b->orders, waiting, u.ru_maxrss / 1024);
+}
+
+static void
+start(Bench *b)
+{
+    MpParams p = {true};
+    MpOutput out = {b, on_order, on_ask, on_placed};
+    b->mp = mp_create(&p, &out);
+    b->demand = dm_create();
+    DepConfig *c = dep_create_config();
+    DepService *s = dep_add_service(c, "s");
+    s->has_models = true;
+    s->memory_mb = ENGINE_MB;
+    s->max_adapters = 8;
+    s->loads_per_s = 70;
+    for (uint32_t i = 0; i < b->models; i++) {
+        g_autofree char *name = name_model(i);
+        DepModel *m = dep_add_model(s, name);
+        m->memory_mb = MODEL_MB;
+        m->load_ms = STORE_MS;
+        m->disk_ms = DISK_MS;
+        m->warm_ms = DISK_MS / 2;
+        m->adapters = b->adapters / b->models;
+        m->adapter_mb = 40;
+    }
+    dep_index_routes(c);
+    mp_on_config(b->mp, c);
+    dep_unref_config(c);
+    b->engines = g_new0(Engine, b->engine_count);
+    b->index = g_hash_table_new(g_str_hash, g_str_equal);
+    uint32_t next = 0;
+    for (uint32_t i = 0; i < b->engine_count; i++) {
+        DepUpstream *u = dep_create_upstream();
+        u->id = g_strdup_printf("i-%08x", i * 2654435761u);
+        u->service = g_strdup("s");
+        u->address = g_strdup("10.0.0.1:80");
+        u->data_centre = g_strdup("z");
+        u->slots = 32;
+        u->born_ms = 1;
+        for (int k = 0; k < COPIES; k++) {
+            char *name = name_model(next++ % b->models);
+            g_ptr_array_add(u->on_disk, name);
+            if (k < 2) {
+                dep_add_resident(u, name);
+            }
+        }
+        b->engines[i].state = u;
+        g_hash_table_insert(b->index, u->id, &b->engines[i]);
+        mp_on_entry(b->mp, b->now_ms, u);
+    }
+    mp_begin(b->mp, b->now_ms);
+}
+
+static void
+crash_half(Bench *b)
+{
+    for (uint32_t i = 0; i < b->engine_count; i += 2) {
+        Engine *e = &b->engines[i];
+        mp_on_gone(b->mp, e->state->id);
+        g_ptr_array_set_size(e->state->models, 0);
+        e->state->born_ms++;
+        e->state->sequence = 0;
+        e->ordered = false;
+        g_clear_pointer(&e->coming, g_free);
+        mp_on_entry(b->mp, b->now_ms, e->state);
+        for (guint r = 0; r < b->requests->len; r++) {
+            Request *q = &g_array_index(b->requests, Request, r);
+            q->engine = q->engine == (int)i ? -1 : q->engine;
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 6) {
+        fprintf(stderr, "bench_mp UPSTREAMS MODELS ADAPTERS GATEWAYS "
+                        "REQUESTS_PER_S\n");
+        return 2;
+    }
+    Bench b = {.engine_count = (uint32_t)atoi(argv[1]),
+               .models = (uint32_t)atoi(argv[2]),
+               .adapters = (uint32_t)atoi(argv[3]),
+               .gateways = (uint32_t)atoi(argv[4]),
+               .rate = (uint32_t)atoi(argv[5]),
+               .now_ms = 100000};
+    bg_seed_random(&b.rng, 1);
+    b.requests = g_array_new(FALSE, TRUE, sizeof(Request));
+    b.arrived = g_new0(uint32_t, (size_t)b.gateways * b.models);
+    start(&b);
+    run(&b, 5000, "warm");
+    run(&b, 5000, "calm");
+    crash_half(&b);
+    run(&b, 1000, "crash");
+    run(&b, 4000, "after");
+    return 0;
+}
--- /dev/null
+++ b/tests/script_dm.c
@@ -0,0 +1,164 @@
+/* A ledger of demand, with the words of its sources in the script's hand.
+   One event a line:
+
+     at MS
+     word SOURCE whole|more    begins a word; rows follow
+     want MODEL[/ADAPTER] WAITING RUNNING [ARRIVED HURRIED REFUSED]
+     use UPSTREAM MODEL[/ADAPTER] RUNNING QUEUED
+     began UPSTREAM COUNT
+     end                       takes it; prints "more wait" if so
+     drop SOURCE
+     silent LIFE_MS
+     collect whole|changed     prints the sums, sorted
+     sources                   prints how many there are */
+#include "dm.h"
+#include "script.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define MOST_WORDS 8
+
+typedef struct {
+    Dm *ledger;
+    DmDemand *word; /* that is being read */
+    char *source;
+    uint64_t now_ms;
+} Script;
+
+static uint32_t
+get_number(char **words, int count, int at)
+{
+    return at < count ? (uint32_t)strtoul(words[at], NULL, 10) : 0;
+}
+
+static void
+read_want(const Script *s, char **words, int count)
+{
+    g_auto(GStrv) names = g_strsplit(words[1], "/", 2);
+    DmWant *w = dm_add_want(s->word, names[0], names[1]);
+    w->waiting = get_number(words, count, 2);
+    w->running = get_number(words, count, 3);
+    w->arrived = get_number(words, count, 4);
+    w->hurried = get_number(words, count, 5);
+    w->refused = get_number(words, count, 6);
+}
+
+static void
+read_use(const Script *s, char **words, int count)
+{
+    g_auto(GStrv) names = g_strsplit(words[2], "/", 2);
+    DmUse *u = dm_add_use(s->word, words[1], names[0], names[1]);
+    u->running = get_number(words, count, 3);
+    u->queued = get_number(words, count, 4);
+}
+
+static void
+take_word(Script *s)
+{
+    if (dm_take(s->ledger, s->now_ms, s->source, s->word)) {
+        puts("more wait");
+    }
+    dm_destroy_demand(s->word);
+    g_free(s->source);
+}
+
+static gint
+compare_lines(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void
+print_sums(const DmDemand *d)
+{
+    g_autoptr(GPtrArray) lines = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < d->wants->len; i++) {
+        const DmWant *w = d->wants->pdata[i];
+        g_ptr_array_add(
+            lines,
+            g_strdup_printf("want %s%s%s waiting %u running %u arrived "
+                            "%u hurried %u refused %u",
+                            w->model, w->adapter ? "/" : "",
+                            w->adapter ? w->adapter : "", w->waiting,
+                            w->running, w->arrived, w->hurried, w->refused));
+    }
+    for (guint i = 0; i < d->uses->len; i++) {
+        const DmUse *u = d->uses->pdata[i];
+        g_ptr_array_add(
+            lines, g_strdup_printf(
+                       "use %s %s%s%s running %u queued %u", u->upstream,
+                       u->model, u->adapter ? "/" : "",
+                       u->adapter ? u->adapter : "", u->running, u->queued));
+    }
+    for (guint i = 0; i < d->began->len; i++) {
+        const DmBegan *b = d->began->pdata[i];
+        g_ptr_array_add(lines,
+                        g_strdup_printf("began %s %u", b->upstream, b->count));
+    }
+    g_ptr_array_sort(lines, compare_lines);
+    printf("%s:\n", d->whole ? "all" : "changed");
+    for (guint i = 0; i < lines->len; i++) {
+        printf("  %s\n", (const char *)lines->pdata[i]);
+    }
+}
+
+static bool
+run_line(Script *s, char **words, int count)
+{
+    const char *verb = words[0];
+    if (strcmp(verb, "at") == 0 && count == 2) {
+        s->now_ms = strtoull(words[1], NULL, 10);
+    }
+    else if (strcmp(verb, "word") == 0 && count == 3) {
+        s->source = g_strdup(words[1]);
+        s->word = dm_create_demand(strcmp(words[2], "whole") == 0);
+    }
+    else if (strcmp(verb, "want") == 0 && count >= 4) {
+        read_want(s, words, count);
+    }
+    else if (strcmp(verb, "use") == 0 && count == 5) {
+        read_use(s, words, count);
+    }
+    else if (strcmp(verb, "began") == 0 && count == 3) {
+        dm_add_began(s->word, words[1], get_number(words, count, 2));
+    }
+    else if (strcmp(verb, "end") == 0) {
+        take_word(s);
+    }
+    else if (strcmp(verb, "drop") == 0 && count == 2) {
+        dm_drop(s->ledger, words[1]);
+    }
+    else if (strcmp(verb, "silent") == 0 && count == 2) {
+        dm_drop_silent(s->ledger, s->now_ms, get_number(words, count, 1));
+    }
+    else if (strcmp(verb, "collect") == 0 && count == 2) {
+        DmDemand *d = dm_collect(s->ledger, strcmp(words[1], "whole") == 0);
+        print_sums(d);
+        dm_destroy_demand(d);
+    }
+    else if (strcmp(verb, "sources") == 0) {
+        printf("%u sources\n", dm_count_sources(s->ledger));
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+int
+main(void)
+{
+    Script s = {.ledger = dm_create()};
+    char line[256];
+    while (fgets(line, sizeof(line), stdin)) {
+        char *words[MOST_WORDS];
+        int count = script_split(line, words, MOST_WORDS);
+        if (count > 0 && !run_line(&s, words, count)) {
+            fprintf(stderr, "what is '%s'?\n", words[0]);
+            return 2;
+        }
+    }
+    dm_destroy(s.ledger);
+    return 0;
+}
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -760,6 +760,7 @@
 
 typedef struct {
     Mp *mp;
+    Dm *demand; /* of all gateways */
     DepConfig *config;
     Engine engines[ENGINES];
     int lose; /* answers of orders that are lost */
@@ -924,6 +925,7 @@
     MpParams p = {false};
     MpOutput out = {s, site_order, site_ask, site_placed};
     s->mp = mp_create(&p, &out);
+    s->demand = dm_create();
     s->config = dep_create_config();
     s->config->version = 1;
     DepService *svc = dep_add_service(s->config, "s");
@@ -958,6 +960,7 @@
 {
     CU_ASSERT_FALSE(s->overcommitted);
     mp_destroy(s->mp);
+    dm_destroy(s->demand);
     dep_unref_config(s->config);
     for (int i = 0; i < ENGINES; i++) {
         dep_destroy_upstream(s->engines[i].state);
@@ -966,12 +969,33 @@
     }
 }
 
+#define DEMAND_LIFE_MS 2000
+
+static void
+tell_sums(Site *s)
+{
+    DmDemand *sums = dm_collect(s->demand, false);
+    mp_on_demand(s->mp, s->now_ms, sums);
+    dm_destroy_demand(sums);
+}
+
+/* DEMAND is all that GATEWAY has now; freed. */
+static void
+take_demand(Site *s, const char *gateway, DmDemand *demand)
+{
+    dm_take(s->demand, s->now_ms, gateway, demand);
+    dm_destroy_demand(demand);
+    tell_sums(s);
+}
+
 static void
 run_site(Site *s, uint64_t for_ms, bool may_order)
 {
     uint64_t end = s->now_ms + for_ms;
     for (; s->now_ms < end; s->now_ms += STEP_MS) {
         advance_loads(s);
+        dm_drop_silent(s->demand, s->now_ms, DEMAND_LIFE_MS);
+        tell_sums(s);
         mp_on_tick(s->mp, s->now_ms, may_order);
         for (int i = 0; i < ENGINES; i++) {
             answer_engine(s, &s->engines[i]);
@@ -983,14 +1007,11 @@
 say_demand(Site *s, const char *gateway, const char *model,
            const char *adapter, uint32_t waiting, uint32_t arrived)
 {
-    MpWant *w = g_new0(MpWant, 1);
-    w->model = g_strdup(model);
-    w->adapter = g_strdup(adapter);
+    DmDemand *demand = dm_create_demand(true);
+    DmWant *w = dm_add_want(demand, model, adapter);
     w->waiting = waiting;
     w->arrived = arrived;
-    MpDemand *demand = mp_create_demand();
-    g_ptr_array_add(demand->wants, w);
-    mp_on_demand(s->mp, s->now_ms, gateway, demand);
+    take_demand(s, gateway, demand);
 }
 
 static void
@@ -1173,15 +1194,11 @@
 }
 
 static void
-add_uses(MpDemand *d, const char *upstream, uint32_t queued, uint32_t began)
+add_uses(DmDemand *d, const char *upstream, uint32_t queued, uint32_t began)
 {
-    for (uint32_t i = 0; i < queued + began; i++) {
-        MpUse *u = g_new0(MpUse, 1);
-        u->upstream = g_strdup(upstream);
-        u->model = g_strdup("m0");
-        u->began = i >= queued;
-        g_ptr_array_add(d->uses, u);
-    }
+    DmUse *u = dm_add_use(d, upstream, "m0", NULL);
+    u->running = queued + began;
+    u->queued = queued;
 }
 
 typedef struct {
@@ -1211,15 +1228,12 @@
     SeenLoad seen = {0, 0};
     for (int i = 0; i < 30; i++) {
         for (int g = 0; g < 2; g++) {
-            MpDemand *d = mp_create_demand();
+            DmDemand *d = dm_create_demand(true);
             add_uses(d, "u0", 10, 4);
             if (g == 0) {
-                MpBegan *b = g_new0(MpBegan, 1);
-                b->upstream = g_strdup("u0");
-                b->count = 1;
-                g_ptr_array_add(d->began, b);
+                dm_add_began(d, "u0", 1);
             }
-            mp_on_demand(s.mp, s.now_ms, g ? "g1" : "g0", d);
+            take_demand(&s, g ? "g1" : "g0", d);
         }
         run_site(&s, 200, true);
         mp_visit_loads(s.mp, s.now_ms, see_load, &seen);
@@ -1241,13 +1255,11 @@
     run_site(&s, 1500, true);
     CU_ASSERT_EQUAL(count_loads(&s), 1);
     for (int i = 0; i < 10; i++) {
-        MpDemand *d = mp_create_demand();
-        MpWant *w = g_new0(MpWant, 1);
-        w->model = g_strdup("m0");
+        DmDemand *d = dm_create_demand(true);
+        DmWant *w = dm_add_want(d, "m0", NULL);
         w->running = 5;
         w->refused = 10;
-        g_ptr_array_add(d->wants, w);
-        mp_on_demand(s.mp, s.now_ms, "g", d);
+        take_demand(&s, "g", d);
         run_site(&s, 200, true);
     }
     CU_ASSERT(count_loads(&s) >= 3);
@@ -1509,23 +1521,17 @@
 say_running(Site *s, const char *gateway, const char *model, uint32_t running,
             uint32_t arrived)
 {
-    MpDemand *d = mp_create_demand();
-    MpWant *w = g_new0(MpWant, 1);
-    w->model = g_strdup(model);
+    DmDemand *d = dm_create_demand(true);
+    DmWant *w = dm_add_want(d, model, NULL);
     w->running = running;
     w->arrived = arrived;
-    g_ptr_array_add(d->wants, w);
     for (int i = 0; i < ENGINES; i++) {
         Engine *e = &s->engines[i];
         if (running > 0 && find_resident(e, model)) {
-            MpUse *u = g_new0(MpUse, 1);
-            u->upstream = g_strdup(e->state->id);
-            u->model = g_strdup(model);
-            u->began = true;
-            g_ptr_array_add(d->uses, u);
+            dm_add_use(d, e->state->id, model, NULL)->running = 1;
         }
     }
-    mp_on_demand(s->mp, s->now_ms, gateway, d);
+    take_demand(s, gateway, d);
 }
 
 static int
