--- a/tests/bench_mp.c
+++ b/tests/bench_mp.c
@@ -47,7 +47,9 @@
     uint32_t rate;
     GArray *requests;  /* Request */
     uint32_t *arrived; /* by gateway and model */
+    uint32_t *want_of; /* by model: its want in what is told, from 1 */
     uint64_t now_ms;
+    uint32_t due; /* thousandths of a request */
     uint64_t orders;
     BgRandom rng;
     GHashTable *index;
@@ -192,9 +194,9 @@
 static void
 arrive(Bench *b)
 {
-    static double due;
-    due += b->rate / 1000.;
-    for (; due >= 1; due -= 1) {
+    b->due += b->rate;
+    while (b->due >= 1000) {
+        b->due -= 1000;
         Request r = {.model = pick_model(b),
                      .engine = -1,
                      .gateway =
@@ -222,7 +224,8 @@
 tell(Bench *b, uint32_t gateway)
 {
     DmDemand *d = dm_create_demand(true);
-    g_autofree uint32_t *want_of = g_new0(uint32_t, b->models);
+    memset(b->want_of, 0, sizeof(uint32_t) * b->models);
+    uint32_t *want_of = b->want_of;
     for (guint i = 0; i < b->requests->len; i++) {
         const Request *r = &g_array_index(b->requests, Request, i);
         if (r->gateway != gateway) {
@@ -286,8 +289,9 @@
     printf("%-8s %8.1f ms a second, %8.2f us an event (%llu), %llu orders, "
            "%u wait, %ld MB\n",
            what, spent_ms * 1000 / (double)for_ms,
-           spent_ms * 1000 / (double)events, (unsigned long long)events,
-           (unsigned long long)b->orders, waiting, u.ru_maxrss / 1024);
+           spent_ms * 1000 / (double)MAX(events, 1),
+           (unsigned long long)events, (unsigned long long)b->orders, waiting,
+           u.ru_maxrss / 1024);
 }
 
 static void
@@ -376,6 +380,7 @@
                .now_ms = 100000};
     bg_seed_random(&b.rng, 1);
     b.requests = g_array_new(FALSE, TRUE, sizeof(Request));
+    b.want_of = g_new0(uint32_t, b.models);
     b.arrived = g_new0(uint32_t, (size_t)b.gateways * b.models);
     start(&b);
     run(&b, 5000, "warm");
