--- a/src/dm.c
+++ b/src/dm.c
@@ -443,3 +443,16 @@
 {
     return g_hash_table_size(l->sources);
 }
+
+uint32_t
+dm_count_waiting(const Dm *l)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->sources);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        n += ((Source *)v)->waiting;
+    }
+    return n;
+}
--- a/src/dm.h
+++ b/src/dm.h
@@ -68,6 +68,7 @@
 DmDemand *dm_collect(Dm *l, bool whole);
 /* Callers of SOURCE wait. */
 bool dm_waits(const Dm *l, const char *source);
+uint32_t dm_count_waiting(const Dm *l);
 uint32_t dm_count_sources(const Dm *l);
 
 #endif
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -52,6 +52,141 @@
   assert(message->base.descriptor == &gwp__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__assign__init
+                     (Gwp__Assign         *message)
+{
+  static const Gwp__Assign init_value = GWP__ASSIGN__INIT;
+  *message = init_value;
+}
+size_t gwp__assign__get_packed_size
+                     (const Gwp__Assign *message)
+{
+  assert(message->base.descriptor == &gwp__assign__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__assign__pack
+                     (const Gwp__Assign *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__assign__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__assign__pack_to_buffer
+                     (const Gwp__Assign *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__assign__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Assign *
+       gwp__assign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Assign *)
+     protobuf_c_message_unpack (&gwp__assign__descriptor,
+                                allocator, len, data);
+}
+void   gwp__assign__free_unpacked
+                     (Gwp__Assign *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__assign__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__members__init
+                     (Gwp__Members         *message)
+{
+  static const Gwp__Members init_value = GWP__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t gwp__members__get_packed_size
+                     (const Gwp__Members *message)
+{
+  assert(message->base.descriptor == &gwp__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__members__pack
+                     (const Gwp__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__members__pack_to_buffer
+                     (const Gwp__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Members *
+       gwp__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Members *)
+     protobuf_c_message_unpack (&gwp__members__descriptor,
+                                allocator, len, data);
+}
+void   gwp__members__free_unpacked
+                     (Gwp__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__holder__init
+                     (Gwp__Holder         *message)
+{
+  static const Gwp__Holder init_value = GWP__HOLDER__INIT;
+  *message = init_value;
+}
+size_t gwp__holder__get_packed_size
+                     (const Gwp__Holder *message)
+{
+  assert(message->base.descriptor == &gwp__holder__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__holder__pack
+                     (const Gwp__Holder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__holder__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__holder__pack_to_buffer
+                     (const Gwp__Holder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__holder__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Holder *
+       gwp__holder__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Holder *)
+     protobuf_c_message_unpack (&gwp__holder__descriptor,
+                                allocator, len, data);
+}
+void   gwp__holder__free_unpacked
+                     (Gwp__Holder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__holder__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__want__init
                      (Gwp__Want         *message)
 {
@@ -367,49 +502,49 @@
   assert(message->base.descriptor == &gwp__wait__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gwp__load__init
-                     (Gwp__Load         *message)
+void   gwp__loads__init
+                     (Gwp__Loads         *message)
 {
-  static const Gwp__Load init_value = GWP__LOAD__INIT;
+  static const Gwp__Loads init_value = GWP__LOADS__INIT;
   *message = init_value;
 }
-size_t gwp__load__get_packed_size
-                     (const Gwp__Load *message)
+size_t gwp__loads__get_packed_size
+                     (const Gwp__Loads *message)
 {
-  assert(message->base.descriptor == &gwp__load__descriptor);
+  assert(message->base.descriptor == &gwp__loads__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gwp__load__pack
-                     (const Gwp__Load *message,
+size_t gwp__loads__pack
+                     (const Gwp__Loads *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gwp__load__descriptor);
+  assert(message->base.descriptor == &gwp__loads__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gwp__load__pack_to_buffer
-                     (const Gwp__Load *message,
+size_t gwp__loads__pack_to_buffer
+                     (const Gwp__Loads *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gwp__load__descriptor);
+  assert(message->base.descriptor == &gwp__loads__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gwp__Load *
-       gwp__load__unpack
+Gwp__Loads *
+       gwp__loads__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gwp__Load *)
-     protobuf_c_message_unpack (&gwp__load__descriptor,
+  return (Gwp__Loads *)
+     protobuf_c_message_unpack (&gwp__loads__descriptor,
                                 allocator, len, data);
 }
-void   gwp__load__free_unpacked
-                     (Gwp__Load *message,
+void   gwp__loads__free_unpacked
+                     (Gwp__Loads *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gwp__load__descriptor);
+  assert(message->base.descriptor == &gwp__loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   gwp__state__init
@@ -457,49 +592,139 @@
   assert(message->base.descriptor == &gwp__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gwp__entry__init
-                     (Gwp__Entry         *message)
+void   gwp__upstream__init
+                     (Gwp__Upstream         *message)
 {
-  static const Gwp__Entry init_value = GWP__ENTRY__INIT;
+  static const Gwp__Upstream init_value = GWP__UPSTREAM__INIT;
   *message = init_value;
 }
-size_t gwp__entry__get_packed_size
-                     (const Gwp__Entry *message)
+size_t gwp__upstream__get_packed_size
+                     (const Gwp__Upstream *message)
 {
-  assert(message->base.descriptor == &gwp__entry__descriptor);
+  assert(message->base.descriptor == &gwp__upstream__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gwp__entry__pack
-                     (const Gwp__Entry *message,
+size_t gwp__upstream__pack
+                     (const Gwp__Upstream *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gwp__entry__descriptor);
+  assert(message->base.descriptor == &gwp__upstream__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gwp__entry__pack_to_buffer
-                     (const Gwp__Entry *message,
+size_t gwp__upstream__pack_to_buffer
+                     (const Gwp__Upstream *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gwp__entry__descriptor);
+  assert(message->base.descriptor == &gwp__upstream__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gwp__Entry *
-       gwp__entry__unpack
+Gwp__Upstream *
+       gwp__upstream__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gwp__Entry *)
-     protobuf_c_message_unpack (&gwp__entry__descriptor,
+  return (Gwp__Upstream *)
+     protobuf_c_message_unpack (&gwp__upstream__descriptor,
                                 allocator, len, data);
 }
-void   gwp__entry__free_unpacked
-                     (Gwp__Entry *message,
+void   gwp__upstream__free_unpacked
+                     (Gwp__Upstream *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gwp__entry__descriptor);
+  assert(message->base.descriptor == &gwp__upstream__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__upstreams__init
+                     (Gwp__Upstreams         *message)
+{
+  static const Gwp__Upstreams init_value = GWP__UPSTREAMS__INIT;
+  *message = init_value;
+}
+size_t gwp__upstreams__get_packed_size
+                     (const Gwp__Upstreams *message)
+{
+  assert(message->base.descriptor == &gwp__upstreams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__upstreams__pack
+                     (const Gwp__Upstreams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__upstreams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__upstreams__pack_to_buffer
+                     (const Gwp__Upstreams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__upstreams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Upstreams *
+       gwp__upstreams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Upstreams *)
+     protobuf_c_message_unpack (&gwp__upstreams__descriptor,
+                                allocator, len, data);
+}
+void   gwp__upstreams__free_unpacked
+                     (Gwp__Upstreams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__upstreams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__config__init
+                     (Gwp__Config         *message)
+{
+  static const Gwp__Config init_value = GWP__CONFIG__INIT;
+  *message = init_value;
+}
+size_t gwp__config__get_packed_size
+                     (const Gwp__Config *message)
+{
+  assert(message->base.descriptor == &gwp__config__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__config__pack
+                     (const Gwp__Config *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__config__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__config__pack_to_buffer
+                     (const Gwp__Config *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__config__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Config *
+       gwp__config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Config *)
+     protobuf_c_message_unpack (&gwp__config__descriptor,
+                                allocator, len, data);
+}
+void   gwp__config__free_unpacked
+                     (Gwp__Config *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   gwp__death__init
@@ -592,49 +817,49 @@
   assert(message->base.descriptor == &gwp__unreached__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gwp__snapshot__init
-                     (Gwp__Snapshot         *message)
+void   gwp__introduction__init
+                     (Gwp__Introduction         *message)
 {
-  static const Gwp__Snapshot init_value = GWP__SNAPSHOT__INIT;
+  static const Gwp__Introduction init_value = GWP__INTRODUCTION__INIT;
   *message = init_value;
 }
-size_t gwp__snapshot__get_packed_size
-                     (const Gwp__Snapshot *message)
+size_t gwp__introduction__get_packed_size
+                     (const Gwp__Introduction *message)
 {
-  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  assert(message->base.descriptor == &gwp__introduction__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gwp__snapshot__pack
-                     (const Gwp__Snapshot *message,
+size_t gwp__introduction__pack
+                     (const Gwp__Introduction *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  assert(message->base.descriptor == &gwp__introduction__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gwp__snapshot__pack_to_buffer
-                     (const Gwp__Snapshot *message,
+size_t gwp__introduction__pack_to_buffer
+                     (const Gwp__Introduction *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  assert(message->base.descriptor == &gwp__introduction__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gwp__Snapshot *
-       gwp__snapshot__unpack
+Gwp__Introduction *
+       gwp__introduction__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gwp__Snapshot *)
-     protobuf_c_message_unpack (&gwp__snapshot__descriptor,
+  return (Gwp__Introduction *)
+     protobuf_c_message_unpack (&gwp__introduction__descriptor,
                                 allocator, len, data);
 }
-void   gwp__snapshot__free_unpacked
-                     (Gwp__Snapshot *message,
+void   gwp__introduction__free_unpacked
+                     (Gwp__Introduction *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gwp__snapshot__descriptor);
+  assert(message->base.descriptor == &gwp__introduction__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   gwp__lease_append__init
@@ -772,7 +997,7 @@
   assert(message->base.descriptor == &gwp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[7] =
 {
   {
     "vm",
@@ -798,15 +1023,80 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fitness",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, fitness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shunned",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, shunned),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__hello__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  6,   /* field[6] = config_version */
+  2,   /* field[2] = data_centre */
+  4,   /* field[4] = fitness */
   1,   /* field[1] = process */
+  5,   /* field[5] = shunned */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange gwp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gwp__hello__descriptor =
 {
@@ -816,13 +1106,140 @@
   "Gwp__Hello",
   "gwp",
   sizeof(Gwp__Hello),
-  2,
+  7,
   gwp__hello__field_descriptors,
   gwp__hello__field_indices_by_name,
   1,  gwp__hello__number_ranges,
   (ProtobufCMessageInit) gwp__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__assign__field_descriptors[1] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Assign, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__assign__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+};
+static const ProtobufCIntRange gwp__assign__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__assign__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Assign",
+  "Assign",
+  "Gwp__Assign",
+  "gwp",
+  sizeof(Gwp__Assign),
+  1,
+  gwp__assign__field_descriptors,
+  gwp__assign__field_indices_by_name,
+  1,  gwp__assign__number_ranges,
+  (ProtobufCMessageInit) gwp__assign__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__members__field_descriptors[2] =
+{
+  {
+    "vms",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__Members, n_vms),
+    offsetof(Gwp__Members, vms),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Members, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__members__field_indices_by_name[] = {
+  1,   /* field[1] = leaving */
+  0,   /* field[0] = vms */
+};
+static const ProtobufCIntRange gwp__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Members",
+  "Members",
+  "Gwp__Members",
+  "gwp",
+  sizeof(Gwp__Members),
+  2,
+  gwp__members__field_descriptors,
+  gwp__members__field_indices_by_name,
+  1,  gwp__members__number_ranges,
+  (ProtobufCMessageInit) gwp__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__holder__field_descriptors[1] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Holder, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__holder__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+};
+static const ProtobufCIntRange gwp__holder__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__holder__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Holder",
+  "Holder",
+  "Gwp__Holder",
+  "gwp",
+  sizeof(Gwp__Holder),
+  1,
+  gwp__holder__field_descriptors,
+  gwp__holder__field_indices_by_name,
+  1,  gwp__holder__number_ranges,
+  (ProtobufCMessageInit) gwp__holder__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__want__field_descriptors[7] =
 {
   {
@@ -1310,68 +1727,81 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__loads__field_descriptors[4] =
 {
   {
-    "upstream",
+    "keys",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gwp__Load, upstream),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Gwp__Loads, n_keys),
+    offsetof(Gwp__Loads, keys),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "running",
     2,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gwp__Load, running),
+    offsetof(Gwp__Loads, n_running),
+    offsetof(Gwp__Loads, running),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "wait_ms",
     3,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gwp__Loads, n_wait_ms),
+    offsetof(Gwp__Loads, wait_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Gwp__Load, wait_ms),
+    offsetof(Gwp__Loads, whole),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gwp__load__field_indices_by_name[] = {
+static const unsigned gwp__loads__field_indices_by_name[] = {
+  0,   /* field[0] = keys */
   1,   /* field[1] = running */
-  0,   /* field[0] = upstream */
   2,   /* field[2] = wait_ms */
+  3,   /* field[3] = whole */
 };
-static const ProtobufCIntRange gwp__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange gwp__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor gwp__load__descriptor =
+const ProtobufCMessageDescriptor gwp__loads__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gwp.Load",
-  "Load",
-  "Gwp__Load",
+  "gwp.Loads",
+  "Loads",
+  "Gwp__Loads",
   "gwp",
-  sizeof(Gwp__Load),
-  3,
-  gwp__load__field_descriptors,
-  gwp__load__field_indices_by_name,
-  1,  gwp__load__number_ranges,
-  (ProtobufCMessageInit) gwp__load__init,
+  sizeof(Gwp__Loads),
+  4,
+  gwp__loads__field_descriptors,
+  gwp__loads__field_indices_by_name,
+  1,  gwp__loads__number_ranges,
+  (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gwp__state__field_descriptors[8] =
@@ -1436,18 +1866,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "loads",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gwp__State, n_loads),
-    offsetof(Gwp__State, loads),
-    &gwp__load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "store_at_once",
     7,
@@ -1472,20 +1890,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
+  7,   /* field[7] = address */
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
-  5,   /* field[5] = loads */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
-  6,   /* field[6] = store_at_once */
-  7,   /* field[7] = store_most */
+  5,   /* field[5] = store_at_once */
+  6,   /* field[6] = store_most */
   0,   /* field[0] = waits */
 };
-static const ProtobufCIntRange gwp__state__number_ranges[1 + 1] =
+static const ProtobufCIntRange gwp__state__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 7, 5 },
   { 0, 8 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
@@ -1499,59 +1930,226 @@
   8,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
-  1,  gwp__state__number_ranges,
+  2,  gwp__state__number_ranges,
   (ProtobufCMessageInit) gwp__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__entry__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__upstream__field_descriptors[7] =
 {
   {
-    "upstream",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gwp__Entry, upstream),
+    offsetof(Gwp__Upstream, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "value",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "residents",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Upstream, n_residents),
+    offsetof(Gwp__Upstream, residents),
+    &gwp__resident__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__upstream__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  5,   /* field[5] = born_ms */
+  3,   /* field[3] = data_centre */
+  4,   /* field[4] = draining */
+  0,   /* field[0] = id */
+  6,   /* field[6] = residents */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange gwp__upstream__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor gwp__upstream__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Upstream",
+  "Upstream",
+  "Gwp__Upstream",
+  "gwp",
+  sizeof(Gwp__Upstream),
+  7,
+  gwp__upstream__field_descriptors,
+  gwp__upstream__field_indices_by_name,
+  1,  gwp__upstream__number_ranges,
+  (ProtobufCMessageInit) gwp__upstream__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__upstreams__field_descriptors[3] =
+{
+  {
+    "upstreams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Upstreams, n_upstreams),
+    offsetof(Gwp__Upstreams, upstreams),
+    &gwp__upstream__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__Upstreams, n_gone),
+    offsetof(Gwp__Upstreams, gone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstreams, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__upstreams__field_indices_by_name[] = {
+  1,   /* field[1] = gone */
+  0,   /* field[0] = upstreams */
+  2,   /* field[2] = whole */
+};
+static const ProtobufCIntRange gwp__upstreams__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__upstreams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Upstreams",
+  "Upstreams",
+  "Gwp__Upstreams",
+  "gwp",
+  sizeof(Gwp__Upstreams),
+  3,
+  gwp__upstreams__field_descriptors,
+  gwp__upstreams__field_indices_by_name,
+  1,  gwp__upstreams__number_ranges,
+  (ProtobufCMessageInit) gwp__upstreams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__config__field_descriptors[1] =
+{
+  {
+    "written",
+    1,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Gwp__Entry, value),
+    offsetof(Gwp__Config, written),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gwp__entry__field_indices_by_name[] = {
-  0,   /* field[0] = upstream */
-  1,   /* field[1] = value */
+static const unsigned gwp__config__field_indices_by_name[] = {
+  0,   /* field[0] = written */
 };
-static const ProtobufCIntRange gwp__entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange gwp__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor gwp__entry__descriptor =
+const ProtobufCMessageDescriptor gwp__config__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gwp.Entry",
-  "Entry",
-  "Gwp__Entry",
+  "gwp.Config",
+  "Config",
+  "Gwp__Config",
   "gwp",
-  sizeof(Gwp__Entry),
-  2,
-  gwp__entry__field_descriptors,
-  gwp__entry__field_indices_by_name,
-  1,  gwp__entry__number_ranges,
-  (ProtobufCMessageInit) gwp__entry__init,
+  sizeof(Gwp__Config),
+  1,
+  gwp__config__field_descriptors,
+  gwp__config__field_indices_by_name,
+  1,  gwp__config__number_ranges,
+  (ProtobufCMessageInit) gwp__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gwp__death__field_descriptors[2] =
@@ -1643,68 +2241,42 @@
   (ProtobufCMessageInit) gwp__unreached__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__snapshot__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__introduction__field_descriptors[1] =
 {
   {
-    "config",
+    "link",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Gwp__Snapshot, config),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upstreams",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gwp__Snapshot, n_upstreams),
-    offsetof(Gwp__Snapshot, upstreams),
-    &gwp__entry__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "placer_link",
-    3,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gwp__Snapshot, placer_link),
+    offsetof(Gwp__Introduction, link),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned gwp__snapshot__field_indices_by_name[] = {
-  0,   /* field[0] = config */
-  2,   /* field[2] = placer_link */
-  1,   /* field[1] = upstreams */
+static const unsigned gwp__introduction__field_indices_by_name[] = {
+  0,   /* field[0] = link */
 };
-static const ProtobufCIntRange gwp__snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange gwp__introduction__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor gwp__snapshot__descriptor =
+const ProtobufCMessageDescriptor gwp__introduction__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gwp.Snapshot",
-  "Snapshot",
-  "Gwp__Snapshot",
+  "gwp.Introduction",
+  "Introduction",
+  "Gwp__Introduction",
   "gwp",
-  sizeof(Gwp__Snapshot),
-  3,
-  gwp__snapshot__field_descriptors,
-  gwp__snapshot__field_indices_by_name,
-  1,  gwp__snapshot__number_ranges,
-  (ProtobufCMessageInit) gwp__snapshot__init,
+  sizeof(Gwp__Introduction),
+  1,
+  gwp__introduction__field_descriptors,
+  gwp__introduction__field_indices_by_name,
+  1,  gwp__introduction__number_ranges,
+  (ProtobufCMessageInit) gwp__introduction__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor gwp__lease_append__field_descriptors[3] =
@@ -1861,7 +2433,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[14] =
 {
   {
     "hello",
@@ -1924,13 +2496,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry",
+    "upstreams",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Gwp__Frame, body_case),
-    offsetof(Gwp__Frame, entry),
-    &gwp__entry__descriptor,
+    offsetof(Gwp__Frame, upstreams),
+    &gwp__upstreams__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1971,22 +2543,87 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assign",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, assign),
+    &gwp__assign__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, members),
+    &gwp__members__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holder",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, holder),
+    &gwp__holder__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, config),
+    &gwp__config__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, loads),
+    &gwp__loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
+  9,   /* field[9] = assign */
+  12,   /* field[12] = config */
   4,   /* field[4] = death */
   1,   /* field[1] = demand */
-  5,   /* field[5] = entry */
   0,   /* field[0] = hello */
+  11,   /* field[11] = holder */
   8,   /* field[8] = lease_answer */
   7,   /* field[7] = lease_append */
+  13,   /* field[13] = loads */
+  10,   /* field[10] = members */
   2,   /* field[2] = placement */
   3,   /* field[3] = state */
   6,   /* field[6] = unreached */
+  5,   /* field[5] = upstreams */
 };
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -1996,7 +2633,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  9,
+  14,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -16,6 +16,9 @@
 
 
 typedef struct Gwp__Hello Gwp__Hello;
+typedef struct Gwp__Assign Gwp__Assign;
+typedef struct Gwp__Members Gwp__Members;
+typedef struct Gwp__Holder Gwp__Holder;
 typedef struct Gwp__Want Gwp__Want;
 typedef struct Gwp__Use Gwp__Use;
 typedef struct Gwp__Began Gwp__Began;
@@ -23,12 +26,14 @@
 typedef struct Gwp__Resident Gwp__Resident;
 typedef struct Gwp__Placement Gwp__Placement;
 typedef struct Gwp__Wait Gwp__Wait;
-typedef struct Gwp__Load Gwp__Load;
+typedef struct Gwp__Loads Gwp__Loads;
 typedef struct Gwp__State Gwp__State;
-typedef struct Gwp__Entry Gwp__Entry;
+typedef struct Gwp__Upstream Gwp__Upstream;
+typedef struct Gwp__Upstreams Gwp__Upstreams;
+typedef struct Gwp__Config Gwp__Config;
 typedef struct Gwp__Death Gwp__Death;
 typedef struct Gwp__Unreached Gwp__Unreached;
-typedef struct Gwp__Snapshot Gwp__Snapshot;
+typedef struct Gwp__Introduction Gwp__Introduction;
 typedef struct Gwp__LeaseAppend Gwp__LeaseAppend;
 typedef struct Gwp__LeaseAnswer Gwp__LeaseAnswer;
 typedef struct Gwp__Frame Gwp__Frame;
@@ -44,10 +49,75 @@
   ProtobufCMessage base;
   char *vm;
   char *process;
+  char *data_centre;
+  /*
+   * where others link to this gateway
+   */
+  char *address;
+  /*
+   * share of a core, in thousandths
+   */
+  uint32_t fitness;
+  /*
+   * relay that it could not reach; empty: none
+   */
+  char *shunned;
+  /*
+   * that it has; 0: none
+   */
+  uint64_t config_version;
 };
 #define GWP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The receiver is to link to the gateway at ADDRESS, a relay of its data
+ * centre; empty: to the placing VM.
+ */
+struct  Gwp__Assign
+{
+  ProtobufCMessage base;
+  char *address;
+};
+#define GWP__ASSIGN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__assign__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+/*
+ * The gateways that are linked to the sender.
+ */
+struct  Gwp__Members
+{
+  ProtobufCMessage base;
+  size_t n_vms;
+  char **vms;
+  /*
+   * the sender is about to stop
+   */
+  protobuf_c_boolean leaving;
+};
+#define GWP__MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__members__descriptor) \
+    , 0,NULL, 0 }
+
+
+/*
+ * Who places, as far as the sender knows, told where it is not linked to it.
+ */
+struct  Gwp__Holder
+{
+  ProtobufCMessage base;
+  /*
+   * empty: not known
+   */
+  char *address;
+};
+#define GWP__HOLDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__holder__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 struct  Gwp__Want
@@ -174,21 +244,32 @@
 
 
 /*
- * Requests of all gateways that are at one upstream.
+ * Requests of all gateways that are at upstreams, where they changed; three
+ * columns of one table.
  */
-struct  Gwp__Load
+struct  Gwp__Loads
 {
   ProtobufCMessage base;
-  char *upstream;
-  uint32_t running;
+  /*
+   * ut_make_key of the upstream
+   */
+  size_t n_keys;
+  uint32_t *keys;
+  size_t n_running;
+  uint32_t *running;
   /*
    * until one that comes now begins, as estimated
    */
-  uint32_t wait_ms;
+  size_t n_wait_ms;
+  uint32_t *wait_ms;
+  /*
+   * an upstream that is left out has none
+   */
+  protobuf_c_boolean whole;
 };
-#define GWP__LOAD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gwp__load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+#define GWP__LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__loads__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -205,11 +286,6 @@
    * until its first order; 0: it orders
    */
   uint32_t rest_ms;
-  /*
-   * upstreams that are left out have few
-   */
-  size_t n_loads;
-  Gwp__Load **loads;
   /*
    * loads from the weight store side by side ...
    */
@@ -222,27 +298,67 @@
    * it knows the upstreams' entries of now
    */
   protobuf_c_boolean reads_store;
+  /*
+   * of its links
+   */
+  char *address;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
- * An upstream's entry as the placing VM read it from the store.
+ * What gateways need of an upstream's entry in the store.
  */
-struct  Gwp__Entry
+struct  Gwp__Upstream
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *data_centre;
+  protobuf_c_boolean draining;
+  uint64_t born_ms;
+  size_t n_residents;
+  Gwp__Resident **residents;
+};
+#define GWP__UPSTREAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * Upstreams that are new, others than before or leaving.
+ */
+struct  Gwp__Upstreams
+{
+  ProtobufCMessage base;
+  size_t n_upstreams;
+  Gwp__Upstream **upstreams;
+  size_t n_gone;
+  char **gone;
+  /*
+   * all there are: one that is left out is gone
+   */
+  protobuf_c_boolean whole;
+};
+#define GWP__UPSTREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__upstreams__descriptor) \
+    , 0,NULL, 0,NULL, 0 }
+
+
+struct  Gwp__Config
 {
   ProtobufCMessage base;
-  char *upstream;
   /*
-   * empty: it is gone
+   * as it stands in the store
    */
-  ProtobufCBinaryData value;
+  ProtobufCBinaryData written;
 };
-#define GWP__ENTRY__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gwp__entry__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL} }
+#define GWP__CONFIG__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__config__descriptor) \
+    , {0,NULL} }
 
 
 /*
@@ -273,25 +389,16 @@
 
 
 /*
- * What a starting gateway takes from another while the store is away.
+ * Where a gateway that starts while the store is away may link to.
  */
-struct  Gwp__Snapshot
+struct  Gwp__Introduction
 {
   ProtobufCMessage base;
-  /*
-   * as written in the store; empty: none
-   */
-  ProtobufCBinaryData config;
-  size_t n_upstreams;
-  Gwp__Entry **upstreams;
-  /*
-   * empty: not known
-   */
-  char *placer_link;
+  char *link;
 };
-#define GWP__SNAPSHOT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gwp__snapshot__descriptor) \
-    , {0,NULL}, 0,NULL, (char *)protobuf_c_empty_string }
+#define GWP__INTRODUCTION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__introduction__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 /*
@@ -343,10 +450,15 @@
   GWP__FRAME__BODY_PLACEMENT = 3,
   GWP__FRAME__BODY_STATE = 4,
   GWP__FRAME__BODY_DEATH = 5,
-  GWP__FRAME__BODY_ENTRY = 6,
+  GWP__FRAME__BODY_UPSTREAMS = 6,
   GWP__FRAME__BODY_UNREACHED = 7,
   GWP__FRAME__BODY_LEASE_APPEND = 8,
-  GWP__FRAME__BODY_LEASE_ANSWER = 9
+  GWP__FRAME__BODY_LEASE_ANSWER = 9,
+  GWP__FRAME__BODY_ASSIGN = 10,
+  GWP__FRAME__BODY_MEMBERS = 11,
+  GWP__FRAME__BODY_HOLDER = 12,
+  GWP__FRAME__BODY_CONFIG = 13,
+  GWP__FRAME__BODY_LOADS = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -360,10 +472,15 @@
     Gwp__Placement *placement;
     Gwp__State *state;
     Gwp__Death *death;
-    Gwp__Entry *entry;
+    Gwp__Upstreams *upstreams;
     Gwp__Unreached *unreached;
     Gwp__LeaseAppend *lease_append;
     Gwp__LeaseAnswer *lease_answer;
+    Gwp__Assign *assign;
+    Gwp__Members *members;
+    Gwp__Holder *holder;
+    Gwp__Config *config;
+    Gwp__Loads *loads;
   };
 };
 #define GWP__FRAME__INIT \
@@ -390,6 +507,63 @@
 void   gwp__hello__free_unpacked
                      (Gwp__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Assign methods */
+void   gwp__assign__init
+                     (Gwp__Assign         *message);
+size_t gwp__assign__get_packed_size
+                     (const Gwp__Assign   *message);
+size_t gwp__assign__pack
+                     (const Gwp__Assign   *message,
+                      uint8_t             *out);
+size_t gwp__assign__pack_to_buffer
+                     (const Gwp__Assign   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Assign *
+       gwp__assign__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__assign__free_unpacked
+                     (Gwp__Assign *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Members methods */
+void   gwp__members__init
+                     (Gwp__Members         *message);
+size_t gwp__members__get_packed_size
+                     (const Gwp__Members   *message);
+size_t gwp__members__pack
+                     (const Gwp__Members   *message,
+                      uint8_t             *out);
+size_t gwp__members__pack_to_buffer
+                     (const Gwp__Members   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Members *
+       gwp__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__members__free_unpacked
+                     (Gwp__Members *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Holder methods */
+void   gwp__holder__init
+                     (Gwp__Holder         *message);
+size_t gwp__holder__get_packed_size
+                     (const Gwp__Holder   *message);
+size_t gwp__holder__pack
+                     (const Gwp__Holder   *message,
+                      uint8_t             *out);
+size_t gwp__holder__pack_to_buffer
+                     (const Gwp__Holder   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Holder *
+       gwp__holder__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__holder__free_unpacked
+                     (Gwp__Holder *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Want methods */
 void   gwp__want__init
                      (Gwp__Want         *message);
@@ -523,24 +697,24 @@
 void   gwp__wait__free_unpacked
                      (Gwp__Wait *message,
                       ProtobufCAllocator *allocator);
-/* Gwp__Load methods */
-void   gwp__load__init
-                     (Gwp__Load         *message);
-size_t gwp__load__get_packed_size
-                     (const Gwp__Load   *message);
-size_t gwp__load__pack
-                     (const Gwp__Load   *message,
+/* Gwp__Loads methods */
+void   gwp__loads__init
+                     (Gwp__Loads         *message);
+size_t gwp__loads__get_packed_size
+                     (const Gwp__Loads   *message);
+size_t gwp__loads__pack
+                     (const Gwp__Loads   *message,
                       uint8_t             *out);
-size_t gwp__load__pack_to_buffer
-                     (const Gwp__Load   *message,
+size_t gwp__loads__pack_to_buffer
+                     (const Gwp__Loads   *message,
                       ProtobufCBuffer     *buffer);
-Gwp__Load *
-       gwp__load__unpack
+Gwp__Loads *
+       gwp__loads__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   gwp__load__free_unpacked
-                     (Gwp__Load *message,
+void   gwp__loads__free_unpacked
+                     (Gwp__Loads *message,
                       ProtobufCAllocator *allocator);
 /* Gwp__State methods */
 void   gwp__state__init
@@ -561,24 +735,62 @@
 void   gwp__state__free_unpacked
                      (Gwp__State *message,
                       ProtobufCAllocator *allocator);
-/* Gwp__Entry methods */
-void   gwp__entry__init
-                     (Gwp__Entry         *message);
-size_t gwp__entry__get_packed_size
-                     (const Gwp__Entry   *message);
-size_t gwp__entry__pack
-                     (const Gwp__Entry   *message,
+/* Gwp__Upstream methods */
+void   gwp__upstream__init
+                     (Gwp__Upstream         *message);
+size_t gwp__upstream__get_packed_size
+                     (const Gwp__Upstream   *message);
+size_t gwp__upstream__pack
+                     (const Gwp__Upstream   *message,
                       uint8_t             *out);
-size_t gwp__entry__pack_to_buffer
-                     (const Gwp__Entry   *message,
+size_t gwp__upstream__pack_to_buffer
+                     (const Gwp__Upstream   *message,
                       ProtobufCBuffer     *buffer);
-Gwp__Entry *
-       gwp__entry__unpack
+Gwp__Upstream *
+       gwp__upstream__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   gwp__entry__free_unpacked
-                     (Gwp__Entry *message,
+void   gwp__upstream__free_unpacked
+                     (Gwp__Upstream *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Upstreams methods */
+void   gwp__upstreams__init
+                     (Gwp__Upstreams         *message);
+size_t gwp__upstreams__get_packed_size
+                     (const Gwp__Upstreams   *message);
+size_t gwp__upstreams__pack
+                     (const Gwp__Upstreams   *message,
+                      uint8_t             *out);
+size_t gwp__upstreams__pack_to_buffer
+                     (const Gwp__Upstreams   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Upstreams *
+       gwp__upstreams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__upstreams__free_unpacked
+                     (Gwp__Upstreams *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Config methods */
+void   gwp__config__init
+                     (Gwp__Config         *message);
+size_t gwp__config__get_packed_size
+                     (const Gwp__Config   *message);
+size_t gwp__config__pack
+                     (const Gwp__Config   *message,
+                      uint8_t             *out);
+size_t gwp__config__pack_to_buffer
+                     (const Gwp__Config   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Config *
+       gwp__config__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__config__free_unpacked
+                     (Gwp__Config *message,
                       ProtobufCAllocator *allocator);
 /* Gwp__Death methods */
 void   gwp__death__init
@@ -618,24 +830,24 @@
 void   gwp__unreached__free_unpacked
                      (Gwp__Unreached *message,
                       ProtobufCAllocator *allocator);
-/* Gwp__Snapshot methods */
-void   gwp__snapshot__init
-                     (Gwp__Snapshot         *message);
-size_t gwp__snapshot__get_packed_size
-                     (const Gwp__Snapshot   *message);
-size_t gwp__snapshot__pack
-                     (const Gwp__Snapshot   *message,
+/* Gwp__Introduction methods */
+void   gwp__introduction__init
+                     (Gwp__Introduction         *message);
+size_t gwp__introduction__get_packed_size
+                     (const Gwp__Introduction   *message);
+size_t gwp__introduction__pack
+                     (const Gwp__Introduction   *message,
                       uint8_t             *out);
-size_t gwp__snapshot__pack_to_buffer
-                     (const Gwp__Snapshot   *message,
+size_t gwp__introduction__pack_to_buffer
+                     (const Gwp__Introduction   *message,
                       ProtobufCBuffer     *buffer);
-Gwp__Snapshot *
-       gwp__snapshot__unpack
+Gwp__Introduction *
+       gwp__introduction__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   gwp__snapshot__free_unpacked
-                     (Gwp__Snapshot *message,
+void   gwp__introduction__free_unpacked
+                     (Gwp__Introduction *message,
                       ProtobufCAllocator *allocator);
 /* Gwp__LeaseAppend methods */
 void   gwp__lease_append__init
@@ -699,6 +911,15 @@
 typedef void (*Gwp__Hello_Closure)
                  (const Gwp__Hello *message,
                   void *closure_data);
+typedef void (*Gwp__Assign_Closure)
+                 (const Gwp__Assign *message,
+                  void *closure_data);
+typedef void (*Gwp__Members_Closure)
+                 (const Gwp__Members *message,
+                  void *closure_data);
+typedef void (*Gwp__Holder_Closure)
+                 (const Gwp__Holder *message,
+                  void *closure_data);
 typedef void (*Gwp__Want_Closure)
                  (const Gwp__Want *message,
                   void *closure_data);
@@ -720,14 +941,20 @@
 typedef void (*Gwp__Wait_Closure)
                  (const Gwp__Wait *message,
                   void *closure_data);
-typedef void (*Gwp__Load_Closure)
-                 (const Gwp__Load *message,
+typedef void (*Gwp__Loads_Closure)
+                 (const Gwp__Loads *message,
                   void *closure_data);
 typedef void (*Gwp__State_Closure)
                  (const Gwp__State *message,
                   void *closure_data);
-typedef void (*Gwp__Entry_Closure)
-                 (const Gwp__Entry *message,
+typedef void (*Gwp__Upstream_Closure)
+                 (const Gwp__Upstream *message,
+                  void *closure_data);
+typedef void (*Gwp__Upstreams_Closure)
+                 (const Gwp__Upstreams *message,
+                  void *closure_data);
+typedef void (*Gwp__Config_Closure)
+                 (const Gwp__Config *message,
                   void *closure_data);
 typedef void (*Gwp__Death_Closure)
                  (const Gwp__Death *message,
@@ -735,8 +962,8 @@
 typedef void (*Gwp__Unreached_Closure)
                  (const Gwp__Unreached *message,
                   void *closure_data);
-typedef void (*Gwp__Snapshot_Closure)
-                 (const Gwp__Snapshot *message,
+typedef void (*Gwp__Introduction_Closure)
+                 (const Gwp__Introduction *message,
                   void *closure_data);
 typedef void (*Gwp__LeaseAppend_Closure)
                  (const Gwp__LeaseAppend *message,
@@ -754,6 +981,9 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor gwp__hello__descriptor;
+extern const ProtobufCMessageDescriptor gwp__assign__descriptor;
+extern const ProtobufCMessageDescriptor gwp__members__descriptor;
+extern const ProtobufCMessageDescriptor gwp__holder__descriptor;
 extern const ProtobufCMessageDescriptor gwp__want__descriptor;
 extern const ProtobufCMessageDescriptor gwp__use__descriptor;
 extern const ProtobufCMessageDescriptor gwp__began__descriptor;
@@ -761,12 +991,14 @@
 extern const ProtobufCMessageDescriptor gwp__resident__descriptor;
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
 extern const ProtobufCMessageDescriptor gwp__wait__descriptor;
-extern const ProtobufCMessageDescriptor gwp__load__descriptor;
+extern const ProtobufCMessageDescriptor gwp__loads__descriptor;
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
-extern const ProtobufCMessageDescriptor gwp__entry__descriptor;
+extern const ProtobufCMessageDescriptor gwp__upstream__descriptor;
+extern const ProtobufCMessageDescriptor gwp__upstreams__descriptor;
+extern const ProtobufCMessageDescriptor gwp__config__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
 extern const ProtobufCMessageDescriptor gwp__unreached__descriptor;
-extern const ProtobufCMessageDescriptor gwp__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor gwp__introduction__descriptor;
 extern const ProtobufCMessageDescriptor gwp__lease_append__descriptor;
 extern const ProtobufCMessageDescriptor gwp__lease_answer__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
--- a/src/gn.h
+++ b/src/gn.h
@@ -1,7 +1,9 @@
 /* gn: the gateway's process around its cores, in parts by what they speak
    with: gn_store (configuration, upstreams), gn_lease (the lease), gn_place
-   (orders and reports), gn_links (other gateways), main_gateway (callers,
-   time, signals). All of it runs on the loop's thread. */
+   (orders and reports), gn_links (other gateways), gn_demand (what callers
+   want, towards the placing VM), gn_relay (who links to whom, and what a new
+   link is told), main_gateway (callers, time, signals).  All of it runs on the
+   loop's thread. */
 #ifndef GN_H
 #define GN_H
 
@@ -13,6 +15,7 @@
 #include "ls.h"
 #include "mp.h"
 #include "rb.h"
+#include "rl.h"
 #include "st.h"
 #include "ut.h"
 
@@ -28,6 +31,18 @@
     uint64_t sent_ms;
 } Renewal;
 
+/* Our own link: to the placing VM, or to a relay. */
+typedef struct {
+    char *placer;     /* address of the placing VM's links; NULL: not known */
+    char *relay;      /* we were sent to; NULL: none */
+    char *shunned;    /* relay that could not be reached; NULL: none */
+    uint64_t lost_ms; /* it ended last, or the process started */
+    uint32_t patience_ms; /* after that the store is asked instead */
+    uint64_t alone_ms;    /* without a word of the placing VM for so long we
+                            look for it ourselves */
+    uint64_t next_try_ms; /* of that look */
+} Uplink;
+
 typedef struct Gateway {
     struct ev_loop *loop;
     const char *path;
@@ -42,10 +57,11 @@
     StWatch *upstream_watch;
     StWatch *mail_watch; /* NULL: this VM does not place */
     Dm *demand;          /* of callers here and at gateways linked to us */
-    GHashTable *members; /* gateways -> when last linked, uint64_t */
+    GHashTable *members; /* gateways -> when last heard of, uint64_t */
     uint64_t mail_ms;    /* when mail was last left */
     uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
     GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
+    GHashTable *told;    /* ut_make_key -> UtTotal, as last told down */
     uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
     UtSet *upstreams;
     Rb *budget;
@@ -54,17 +70,20 @@
     Ls *lease;
     Renewal renewal;
     Lk *links;
+    Uplink uplink;
+    BgRandom rng;
     DepConfig *config;    /* NULL: none yet */
     GBytes *config_bytes; /* as written in the store */
-    GHashTable *entries;  /* upstream -> GBytes, as written in the store */
     uint64_t next_seed_ms;
     guint next_seed;
     uint64_t config_ms;
-    bool placing;       /* this VM held the lease at the last tick */
-    bool placer_reads;  /* the VM that we are linked to reads the store */
-    bool sums_due;      /* all of demand, to whoever places */
-    bool store_doubted; /* it did not answer the last append of the lease */
-    bool has_snapshot;  /* taken from another gateway */
+    uint64_t placer_ms;  /* when the placing VM was last heard; 0: never */
+    uint64_t members_ms; /* when our members were last told */
+    bool placing;        /* this VM held the lease at the last tick */
+    bool placer_reads;   /* the placing VM reads the store */
+    bool sums_due;       /* all of demand, to whoever places */
+    bool store_doubted;  /* it did not answer the last append of the lease */
+    bool has_upstreams;  /* taken from another gateway */
     ev_timer tick;
     ev_timer wanted;
     ev_timer place;
@@ -79,17 +98,20 @@
 } Gateway;
 
 /* main_gateway */
+/* Callers begin to wait: the placing VM is told soon, with what else comes
+   meanwhile. */
+void gn_want(Gateway *g);
 const char *gn_get_text(const Gateway *g, const char *key);
 
 /* gn_store */
 void gn_use_config(Gateway *g, DepConfig *c, GBytes *written);
 void gn_watch_store(Gateway *g);
-/* Not linked to the placing VM; HURRY: callers wait for its work. */
-void gn_hurry_store(Gateway *g, bool hurry);
 void gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id);
-void gn_follow_store(Gateway *g);
+/* U is taken over.  True: others should know, too: it is new, another, or it
+   leaves. */
+bool gn_take_upstream(Gateway *g, uint64_t now_ms, DepUpstream *u);
+void gn_follow_store(Gateway *g, uint64_t now_ms);
 void gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version);
-bool gn_take_upstream(Gateway *g, uint64_t now_ms, const StRecord *r);
 
 /* gn_lease */
 void gn_append_lease(void *ctx, uint64_t at, const char *value);
@@ -104,30 +126,65 @@
 /* gn_place */
 void gn_on_place_timer(struct ev_loop *loop, ev_timer *t, int events);
 void gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models);
-void gn_tell_newcomer(Gateway *g, LkPeer *peer);
 void gn_free_residents(void *p);
-void gn_tell_the_rest(Gateway *g);
 void gn_send_order(void *ctx, const MpOrder *order);
 void gn_ask_upstream(void *ctx, const DepUpstream *of);
 void gn_place_soon(Gateway *g);
+/* A call to UPSTREAM broke off or found nobody: the placing VM asks it. */
+void gn_suspect(Gateway *g, const char *upstream);
 
-/* gn_links */
-void gn_send_state(Gateway *g, uint64_t now_ms);
+/* gn_demand */
+/* True: more callers wait than before. */
+bool gn_take_demand(Gateway *g, const char *from, const Gwp__Demand *d);
+/* What callers here and at linked gateways want, to whoever places. */
 void gn_send_demand(Gateway *g);
 void gn_update_placement(Gateway *g, uint64_t now_ms);
+void gn_watch_mail(Gateway *g, bool places);
+void gn_pace_mail(Gateway *g, uint32_t linked, uint32_t known);
+void gn_note_member(Gateway *g, const char *vm);
+/* Gateways of the last while, this one included. */
+uint32_t gn_count_members(Gateway *g, uint64_t now_ms);
+
+/* gn_relay */
+void gn_greet(void *ctx, Gwp__Hello *hello);
+void gn_take_hello(Gateway *g, LkPeer *from, const Gwp__Hello *hello);
+void gn_take_members(Gateway *g, LkPeer *from, const Gwp__Members *m);
+void gn_take_assign(Gateway *g, const Gwp__Assign *a);
+void gn_take_holder(Gateway *g, const Gwp__Holder *h);
+void gn_on_peer(void *ctx, LkPeer *peer, bool here);
 void gn_on_link(void *ctx, bool open);
+void gn_on_unreached(void *ctx);
+/* The placing VM's links are at ADDRESS; NULL: not known. */
+void gn_set_placer(Gateway *g, const char *address);
+void gn_tick_relay(Gateway *g, uint64_t now_ms);
+/* The placing VM was heard lately, here or through relays. */
+bool gn_hears_placer(const Gateway *g, uint64_t now_ms);
+/* Gateways that are linked to us, or to a relay that is. */
+uint32_t gn_count_linked(Gateway *g);
+/* Our members are to look for another relay: this process stops. */
+void gn_dismiss_members(Gateway *g);
+
+/* gn_links */
+void gn_send_state(Gateway *g, uint64_t now_ms);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
                    bool down);
-/* A call to UPSTREAM broke off or found nobody: the placing VM asks it. */
-void gn_suspect(Gateway *g, const char *upstream);
-void gn_on_peer(void *ctx, LkPeer *peer, bool here);
 void gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame);
-void gn_watch_mail(Gateway *g, bool places);
+/* To all gateways linked to us: at once where callers wait, to the others
+   with the next beat. */
+void gn_pass_placement(Gateway *g, const char *upstream,
+                       const GPtrArray *models);
+void gn_tell_the_rest(Gateway *g);
+void gn_pass_upstreams(Gateway *g, const GPtrArray *changed,
+                       const GPtrArray *gone);
+void gn_pass_all_upstreams(Gateway *g);
+void gn_pass_config(Gateway *g, LkPeer *to);
+/* All there is, to one that has come. */
+void gn_send_all(Gateway *g, LkPeer *to, uint64_t config_version);
 
 /* gn_start */
 /* Ask another gateway when the store does not answer a starting process. */
 void gn_tick_start(Gateway *g, uint64_t now_ms);
 /* Answer such a question. */
-void gn_answer_snapshot(Gateway *g, HtExchange *x);
+void gn_answer_introduction(Gateway *g, HtExchange *x);
 
 #endif
--- a/src/gn_lease.c
+++ b/src/gn_lease.c
@@ -256,11 +256,8 @@
 gn_on_lease_changed(void *ctx)
 {
     Gateway *g = ctx;
-    uint64_t now_ms = bg_boot_ms();
-    bool holds = g->lease && ls_is_holder(g->lease, now_ms);
+    /* Not known, or given up: the link stays where it is until somebody
+       holds it. */
     const char *address = g->lease ? ls_get_holder_address(g->lease) : NULL;
-    if (!address && g->has_snapshot && !st_is_reached(g->upstream_watch)) {
-        return; /* another gateway's word stands until the store answers */
-    }
-    lk_set_target(g->links, holds ? NULL : address);
+    gn_set_placer(g, address ? address : g->uplink.placer);
 }
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -1,469 +1,324 @@
 #include "gn.h"
 
-#include <string.h>
+#include "../platform/pf_wire.h"
+
+#include <stdlib.h>
 
 /* The placing VM's own read is at most so old, or others read themselves. */
 #define STORE_FRESH_MS 700
-/* Upstreams with fewer requests are left out of what all are told. */
+/* Upstreams with fewer requests are as good as idle ones to who chooses. */
 #define MIN_TOLD_LOAD 3
-#define MAIL_MS 300 /* between frames left in the store for it */
-/* The placing VM reads that mail, more often while gateways are missing. */
-#define MAIL_PAUSE_MS 1000
-#define MAIL_BUSY_PAUSE_MS 250
-#define MEMBER_MS 30000 /* a gateway not linked for so long is gone */
-/* A gateway that said nothing for so long has no callers waiting. */
-#define DEMAND_LIFE_MS 2000
-
-/* ---- links -------------------------------------------------------------- */
-
-static DmDemand *
-read_demand(const Gwp__Demand *d)
-{
-    DmDemand *demand = dm_create_demand(d->whole);
-    for (size_t i = 0; i < d->n_wants; i++) {
-        const Gwp__Want *x = d->wants[i];
-        DmWant *w =
-            dm_add_want(demand, x->model, *x->adapter ? x->adapter : NULL);
-        w->waiting = x->waiting;
-        w->running = x->running;
-        w->arrived = x->arrived;
-        w->refused = x->refused;
-        w->hurried = x->hurried;
-    }
-    for (size_t i = 0; i < d->n_uses; i++) {
-        const Gwp__Use *x = d->uses[i];
-        DmUse *u = dm_add_use(demand, x->upstream, x->model,
-                              *x->adapter ? x->adapter : NULL);
-        u->running = x->running;
-        u->queued = x->queued;
-    }
-    for (size_t i = 0; i < d->n_began; i++) {
-        dm_add_began(demand, d->began[i]->upstream, d->began[i]->count);
-    }
-    return demand;
-}
-
-/* True: more callers wait than before. */
-static bool
-take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
+/* A load is told again when it differs by more than this part of it, and by
+   more than one request. */
+#define TOLD_PART 8
+#define TOLD_WAIT_MS 50 /* the same of waits */
+
+/* ---- what is told: upstreams and what they hold ------------------------- */
+
+static void
+fill_residents(const GPtrArray *models, GPtrArray *out)
 {
-    DmDemand *demand = read_demand(d);
-    bool more = dm_take(g->demand, bg_boot_ms(), from, demand);
-    dm_destroy_demand(demand);
-    if (more && g->placing) {
-        gn_place_soon(g);
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        Gwp__Resident *x = g_new0(Gwp__Resident, 1);
+        gwp__resident__init(x);
+        x->model = r->name;
+        x->n_adapters = r->adapters->len;
+        x->adapters = (char **)r->adapters->pdata;
+        g_ptr_array_add(out, x);
     }
-    return more;
 }
 
-/* What callers want and use, as far as it changed, to the placement. */
-void
-gn_update_placement(Gateway *g, uint64_t now_ms)
-{
-    dm_drop_silent(g->demand, now_ms, DEMAND_LIFE_MS);
-    DmDemand *sums = dm_collect(g->demand, g->sums_due);
-    g->sums_due = false;
-    mp_on_demand(g->placement, now_ms, sums);
-    dm_destroy_demand(sums);
-}
-
-static void
-take_placement(Gateway *g, const Gwp__Placement *p)
+static GPtrArray *
+read_residents(size_t n, Gwp__Resident *const *residents)
 {
     DepUpstream *u = dep_create_upstream();
-    for (size_t i = 0; i < p->n_residents; i++) {
-        const Gwp__Resident *r = p->residents[i];
-        DepResident *d = dep_add_resident(u, r->model);
-        for (size_t j = 0; j < r->n_adapters; j++) {
-            g_ptr_array_add(d->adapters, g_strdup(r->adapters[j]));
+    for (size_t i = 0; i < n; i++) {
+        DepResident *d = dep_add_resident(u, residents[i]->model);
+        for (size_t j = 0; j < residents[i]->n_adapters; j++) {
+            g_ptr_array_add(d->adapters, g_strdup(residents[i]->adapters[j]));
         }
     }
     GPtrArray *list = u->models;
     u->models = g_ptr_array_new();
     dep_destroy_upstream(u);
-    ut_on_placement(g->upstreams, bg_boot_ms(), p->upstream, list);
-    gw_on_change(g->gw);
+    return list;
 }
 
-/* An upstream's entry as the placing VM read it. */
-static void
-take_entry(Gateway *g, const Gwp__Entry *e)
+static GPtrArray *
+copy_residents(const GPtrArray *models)
 {
-    StRecord r = {e->upstream, NULL, 0};
-    if (e->value.len > 0) {
-        r.value = g_bytes_new(e->value.data, e->value.len);
-        gn_take_upstream(g, bg_boot_ms(), &r);
-        g_bytes_unref(r.value);
-    }
-    else {
-        gn_drop_upstream(g, bg_boot_ms(), e->upstream);
-    }
+    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
+    fill_residents(models, rows);
+    return read_residents(rows->len, (Gwp__Resident **)rows->pdata);
 }
 
 static void
-take_state(Gateway *g, const Gwp__State *s)
+send_placement(Gateway *g, bool urgent, const char *upstream,
+               const GPtrArray *models)
 {
-    uint64_t now_ms = bg_boot_ms();
-    ls_on_heard(g->lease, now_ms);
-    gw_on_placer(g->gw, now_ms, s->rest_ms);
-    rb_on_gateways(g->budget, now_ms, s->gateways);
-    gn_follow_version(g, now_ms, s->config_version);
-    MpStoreRate rate = {s->store_at_once, s->store_most};
-    mp_set_store_rate(g->placement, rate);
-    if (g->placer_reads != s->reads_store) {
-        g->placer_reads = s->reads_store;
-        gn_follow_store(g);
-    }
-    for (size_t i = 0; i < s->n_loads; i++) {
-        ut_on_total(g->upstreams, now_ms, s->loads[i]->upstream,
-                    s->loads[i]->running, s->loads[i]->wait_ms);
+    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
+    fill_residents(models, rows);
+    Gwp__Placement m = GWP__PLACEMENT__INIT;
+    m.upstream = (char *)upstream;
+    m.n_residents = rows->len;
+    m.residents = (Gwp__Resident **)rows->pdata;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_PLACEMENT;
+    f.placement = &m;
+    if (urgent) {
+        lk_send_urgent(g->links, &f);
     }
-    for (size_t i = 0; i < s->n_waits; i++) {
-        gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
+    else {
+        lk_send_down(g->links, NULL, &f);
     }
 }
 
 void
-gn_send_death(Gateway *g, uint64_t request, const char *upstream, bool down)
+gn_pass_placement(Gateway *g, const char *upstream, const GPtrArray *models)
 {
-    Gwp__Death d = GWP__DEATH__INIT;
-    d.request = request;
-    d.upstream = (char *)upstream;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_DEATH;
-    f.death = &d;
-    if (down) {
-        lk_send_down(g->links, NULL, &f);
-    }
-    else {
-        lk_send_up(g->links, &f);
+    if (lk_count_peers(g->links) > 0) {
+        send_placement(g, true, upstream, models);
+        g_hash_table_replace(g->untold, g_strdup(upstream),
+                             copy_residents(models));
     }
 }
 
 void
-gn_suspect(Gateway *g, const char *upstream)
+gn_tell_the_rest(Gateway *g)
 {
-    if (g->placing) {
-        mp_on_suspicion(g->placement, bg_boot_ms(), upstream);
-        return;
+    GHashTableIter it;
+    gpointer upstream;
+    gpointer models;
+    g_hash_table_iter_init(&it, g->untold);
+    while (g_hash_table_iter_next(&it, &upstream, &models)) {
+        send_placement(g, false, upstream, models);
     }
-    Gwp__Unreached u = GWP__UNREACHED__INIT;
-    u.upstream = (char *)upstream;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_UNREACHED;
-    f.unreached = &u;
-    lk_send_up(g->links, &f);
+    g_hash_table_remove_all(g->untold);
 }
 
-/* ---- who is there ---- */
+/* A frame of upstreams that is being filled. */
+typedef struct {
+    GPtrArray *rows;      /* Gwp__Upstream */
+    GPtrArray *residents; /* GPtrArray of Gwp__Resident, one a row */
+} UpstreamRows;
 
 static void
-note_member(Gateway *g, const char *vm)
-{
-    uint64_t *seen_ms = g_new(uint64_t, 1);
-    *seen_ms = bg_boot_ms();
-    g_hash_table_replace(g->members, g_strdup(vm), seen_ms);
-}
-
-static gboolean
-is_past_member(gpointer vm, gpointer seen_ms, gpointer now_ms)
+free_list(void *p)
 {
-    (void)vm;
-    return *(uint64_t *)seen_ms + MEMBER_MS < *(uint64_t *)now_ms;
+    g_ptr_array_free(p, TRUE);
 }
 
-/* Gateways of the last while, this one included. */
-static uint32_t
-count_members(Gateway *g, uint64_t now_ms)
-{
-    g_hash_table_foreach_remove(g->members, is_past_member, &now_ms);
-    return g_hash_table_size(g->members) + 1;
-}
-
-/* ---- mail, where links are cut ---- */
-
 static void
-on_mail_records(void *ctx, const GPtrArray *records, bool whole)
-{
-    Gateway *g = ctx;
-    for (guint i = 0; !whole && i < records->len; i++) {
-        const StRecord *r = records->pdata[i];
-        gsize len = 0;
-        const uint8_t *data =
-            r->value ? g_bytes_get_data(r->value, &len) : NULL;
-        Gwp__Frame *f = data ? gwp__frame__unpack(NULL, len, data) : NULL;
-        if (f && f->body_case == GWP__FRAME__BODY_DEMAND) {
-            note_member(g, r->key);
-            g_autofree char *source = g_strconcat("mail ", r->key, NULL);
-            take_demand(g, source, f->demand);
-        }
-        if (f) {
-            gwp__frame__free_unpacked(f, NULL);
-        }
-    }
+add_upstream(void *ctx, const DepUpstream *u, const GPtrArray *models)
+{
+    UpstreamRows *rows = ctx;
+    GPtrArray *residents = g_ptr_array_new_with_free_func(g_free);
+    fill_residents(models, residents);
+    Gwp__Upstream *x = g_new0(Gwp__Upstream, 1);
+    gwp__upstream__init(x);
+    x->id = u->id;
+    x->service = u->service;
+    x->address = u->address;
+    x->data_centre = u->data_centre;
+    x->draining = u->draining;
+    x->born_ms = u->born_ms;
+    x->n_residents = residents->len;
+    x->residents = (Gwp__Resident **)residents->pdata;
+    g_ptr_array_add(rows->rows, x);
+    g_ptr_array_add(rows->residents, residents);
 }
 
 static void
-on_mail_reach(void *ctx, bool reached)
+send_upstreams(Gateway *g, LkPeer *to, const UpstreamRows *rows,
+               const GPtrArray *gone, bool whole)
 {
-    (void)ctx;
-    (void)reached;
+    Gwp__Upstreams m = GWP__UPSTREAMS__INIT;
+    m.n_upstreams = rows->rows->len;
+    m.upstreams = (Gwp__Upstream **)rows->rows->pdata;
+    m.n_gone = gone ? gone->len : 0;
+    m.gone = gone ? (char **)gone->pdata : NULL;
+    m.whole = whole;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_UPSTREAMS;
+    f.upstreams = &m;
+    lk_send_down(g->links, to, &f);
 }
 
 void
-gn_watch_mail(Gateway *g, bool places)
+gn_pass_upstreams(Gateway *g, const GPtrArray *changed, const GPtrArray *gone)
 {
-    if (!places && g->mail_watch) {
-        st_destroy_watch(g->mail_watch);
-        g->mail_watch = NULL;
+    g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) residents = g_ptr_array_new_with_free_func(free_list);
+    UpstreamRows rows = {list, residents};
+    for (guint i = 0; i < changed->len; i++) {
+        const DepUpstream *u = changed->pdata[i];
+        add_upstream(&rows, u, u->models);
     }
-    else if (places && !g->mail_watch) {
-        StWatchParams mail = {ST_MAIL, "mail", 0, MAIL_BUSY_PAUSE_MS};
-        StWatchHandler on_mail = {g, on_mail_records, on_mail_reach};
-        g->mail_watch = st_create_watch(g->loop, g->store, &mail, &on_mail);
+    if (rows.rows->len + gone->len > 0) {
+        send_upstreams(g, NULL, &rows, gone, false);
     }
 }
 
-static void
-on_mail_left(void *ctx, const StReply *reply)
+/* False: this process knows none yet. */
+static bool
+send_all_upstreams(Gateway *g, LkPeer *to)
 {
-    (void)ctx;
-    (void)reply; /* a frame that was lost is followed by the next */
+    g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) residents = g_ptr_array_new_with_free_func(free_list);
+    UpstreamRows rows = {list, residents};
+    ut_visit(g->upstreams, add_upstream, &rows);
+    if (list->len > 0) {
+        send_upstreams(g, to, &rows, NULL, true);
+    }
+    return list->len > 0;
 }
 
 void
-gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame)
+gn_pass_all_upstreams(Gateway *g)
 {
-    Gateway *g = ctx;
-    switch (frame->body_case) {
-    case GWP__FRAME__BODY_HELLO:
-        if (from) {
-            lk_set_vm(from, frame->hello->vm);
-            gn_tell_newcomer(g, from);
-        }
-        break;
-    case GWP__FRAME__BODY_DEMAND:
-        if (from) {
-            note_member(g, lk_get_vm(from));
-            take_demand(g, lk_get_vm(from), frame->demand);
-            lk_set_urgent(from, dm_waits(g->demand, lk_get_vm(from)));
-        }
-        break;
-    case GWP__FRAME__BODY_PLACEMENT:
-        if (!from) {
-            take_placement(g, frame->placement);
-        }
-        break;
-    case GWP__FRAME__BODY_STATE:
-        if (!from) {
-            take_state(g, frame->state);
-        }
-        break;
-    case GWP__FRAME__BODY_ENTRY:
-        if (!from) {
-            take_entry(g, frame->entry);
-            gw_on_change(g->gw);
-        }
-        break;
-    case GWP__FRAME__BODY_DEATH:
-        gw_on_death(g->gw, bg_boot_ms(), frame->death->request,
-                    frame->death->upstream);
-        if (from) {
-            gn_send_death(g, frame->death->request, frame->death->upstream,
-                          true);
-        }
-        break;
-    case GWP__FRAME__BODY_UNREACHED:
-        if (from && g->placing) {
-            gn_suspect(g, frame->unreached->upstream);
-        }
-        break;
-    case GWP__FRAME__BODY_LEASE_APPEND:
-        if (!from) {
-            gn_relay_lease(g, frame->lease_append);
-        }
-        break;
-    case GWP__FRAME__BODY_LEASE_ANSWER:
-        if (from) {
-            gn_take_lease_answer(g, frame->lease_answer);
-        }
-        break;
-    default:
-        break; /* of a newer gateway */
+    if (lk_count_peers(g->links) > 0) {
+        send_all_upstreams(g, NULL);
     }
 }
 
 void
-gn_on_peer(void *ctx, LkPeer *peer, bool here)
+gn_pass_config(Gateway *g, LkPeer *to)
 {
-    Gateway *g = ctx;
-    if (!here) {
-        dm_drop(g->demand, lk_get_vm(peer));
-        JlLine *l = jl_begin("peer-gone");
-        jl_text(l, "vm", lk_get_vm(peer));
-        jl_end(l);
+    if (!g->config_bytes || (!to && lk_count_peers(g->links) == 0)) {
+        return;
     }
+    gsize len;
+    const void *data = g_bytes_get_data(g->config_bytes, &len);
+    Gwp__Config c = GWP__CONFIG__INIT;
+    c.written.data = (uint8_t *)data;
+    c.written.len = len;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_CONFIG;
+    f.config = &c;
+    lk_send_down(g->links, to, &f);
 }
 
-void
-gn_on_link(void *ctx, bool open)
-{
-    Gateway *g = ctx;
-    JlLine *l = jl_begin(open ? "placer-linked" : "placer-lost");
-    jl_text(l, "vm", g->lease ? ls_get_holder_vm(g->lease) : NULL);
-    jl_end(l);
-    g->placer_reads = false;
-    gn_follow_store(g);
-    if (open) {
-        g->sums_due = true;
-        gn_send_demand(g);
-    }
-    else {
-        /* Whatever silenced the link may have silenced the others. */
-        ht_drop_kept(g->pool, gn_get_text(g, "store"));
-        uint64_t now_ms = bg_boot_ms();
-        st_restart(g->config_watch, now_ms, 0);
-        st_restart(g->upstream_watch, now_ms, 0);
-        ut_outdate_placement(g->upstreams);
+/* ---- what is told: loads ------------------------------------------------ */
+
+static void
+send_totals(Gateway *g, LkPeer *to, const GArray *totals, bool whole)
+{
+    g_autofree uint32_t *columns = g_new(uint32_t, totals->len * 3 + 1);
+    Gwp__Loads m = GWP__LOADS__INIT;
+    m.keys = columns;
+    m.running = columns + totals->len;
+    m.wait_ms = columns + totals->len * 2;
+    m.n_keys = m.n_running = m.n_wait_ms = totals->len;
+    m.whole = whole;
+    for (guint i = 0; i < totals->len; i++) {
+        const UtTotal *t = &g_array_index(totals, UtTotal, i);
+        m.keys[i] = t->key;
+        m.running[i] = t->running;
+        m.wait_ms[i] = t->wait_ms;
     }
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_LOADS;
+    f.loads = &m;
+    lk_send_down(g->links, to, &f);
 }
 
-/* Lists of a frame, freed together; what they point to stays the demand's. */
-typedef struct {
-    Gwp__Want *wants;
-    Gwp__Want **want_refs;
-    Gwp__Use *uses;
-    Gwp__Use **use_refs;
-    Gwp__Began *began;
-    Gwp__Began **began_refs;
-} DemandLists;
-
 static void
-list_wants(DemandLists *l, const GPtrArray *wants)
+add_total(void *ctx, const UtTotal *total)
 {
-    l->wants = g_new0(Gwp__Want, wants->len + 1);
-    l->want_refs = g_new0(Gwp__Want *, wants->len + 1);
-    for (guint i = 0; i < wants->len; i++) {
-        const DmWant *x = wants->pdata[i];
-        Gwp__Want *w = &l->wants[i];
-        gwp__want__init(w);
-        w->model = x->model;
-        w->adapter = x->adapter ? x->adapter : (char *)"";
-        w->waiting = x->waiting;
-        w->running = x->running;
-        w->arrived = x->arrived;
-        w->refused = x->refused;
-        w->hurried = x->hurried;
-        l->want_refs[i] = w;
-    }
+    g_array_append_val((GArray *)ctx, *total);
+}
+
+/* Loads as they stand and as they were told differ enough to matter. */
+static bool
+is_worth_telling(const UtTotal *now, const UtTotal *told)
+{
+    uint32_t slack = 1 + told->running / TOLD_PART;
+    uint32_t wait_slack = TOLD_WAIT_MS + told->wait_ms / TOLD_PART;
+    return ABS((int64_t)now->running - told->running) > slack ||
+           ABS((int64_t)now->wait_ms - told->wait_ms) > wait_slack;
 }
 
+typedef struct {
+    Gateway *g;
+    GHashTable *seen; /* key */
+    GArray *changes;  /* UtTotal */
+} LoadList;
+
 static void
-list_uses(DemandLists *l, const GPtrArray *uses)
+note_total(LoadList *list, const UtTotal *now)
 {
-    l->uses = g_new0(Gwp__Use, uses->len + 1);
-    l->use_refs = g_new0(Gwp__Use *, uses->len + 1);
-    for (guint i = 0; i < uses->len; i++) {
-        const DmUse *x = uses->pdata[i];
-        Gwp__Use *u = &l->uses[i];
-        gwp__use__init(u);
-        u->upstream = x->upstream;
-        u->model = x->model;
-        u->adapter = x->adapter ? x->adapter : (char *)"";
-        u->running = x->running;
-        u->queued = x->queued;
-        l->use_refs[i] = u;
+    gpointer key = GUINT_TO_POINTER(now->key);
+    UtTotal none = {now->key, 0, 0};
+    UtTotal *told = g_hash_table_lookup(list->g->told, key);
+    if (is_worth_telling(now, told ? told : &none)) {
+        g_array_append_val(list->changes, *now);
+        g_hash_table_replace(list->g->told, key, g_memdup2(now, sizeof(*now)));
     }
 }
 
 static void
-list_began(DemandLists *l, const GPtrArray *began)
+add_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
 {
-    l->began = g_new0(Gwp__Began, began->len + 1);
-    l->began_refs = g_new0(Gwp__Began *, began->len + 1);
-    for (guint i = 0; i < began->len; i++) {
-        const DmBegan *x = began->pdata[i];
-        Gwp__Began *b = &l->began[i];
-        gwp__began__init(b);
-        b->upstream = x->upstream;
-        b->count = x->count;
-        l->began_refs[i] = b;
+    LoadList *list = ctx;
+    UtTotal t = {ut_make_key(upstream), running, wait_ms};
+    if (running < MIN_TOLD_LOAD) {
+        t = (UtTotal){t.key, 0, 0};
     }
+    g_hash_table_add(list->seen, GUINT_TO_POINTER(t.key));
+    note_total(list, &t);
 }
 
-static void
-clear_lists(DemandLists *l)
+static gboolean
+is_past_load(gpointer key, gpointer total, gpointer ctx)
 {
-    g_free(l->wants);
-    g_free(l->want_refs);
-    g_free(l->uses);
-    g_free(l->use_refs);
-    g_free(l->began);
-    g_free(l->began_refs);
+    const UtTotal *told = total;
+    LoadList *list = ctx;
+    if (g_hash_table_contains(list->seen, key)) {
+        return FALSE;
+    }
+    UtTotal none = {told->key, 0, 0};
+    if (told->running > 0) {
+        g_array_append_val(list->changes, none);
+    }
+    return TRUE;
 }
 
-/* Over the link to the placing VM, or as mail where that is cut. */
+/* Loads that changed enough since they were last told. */
 static void
-send_demand_up(Gateway *g, const DmDemand *demand)
-{
-    DemandLists lists;
-    list_wants(&lists, demand->wants);
-    list_uses(&lists, demand->uses);
-    list_began(&lists, demand->began);
-    Gwp__Demand d = GWP__DEMAND__INIT;
-    d.whole = demand->whole;
-    d.n_wants = demand->wants->len;
-    d.wants = lists.want_refs;
-    d.n_uses = demand->uses->len;
-    d.uses = lists.use_refs;
-    d.n_began = demand->began->len;
-    d.began = lists.began_refs;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_DEMAND;
-    f.demand = &d;
-    if (lk_is_open(g->links)) {
-        lk_send_up(g->links, &f);
-    }
-    else {
-        size_t len = gwp__frame__get_packed_size(&f);
-        g_autofree uint8_t *bytes = g_malloc(len + 1);
-        gwp__frame__pack(&f, bytes);
-        g->store->ops->append(g->store, ST_MAIL, ST_ANY_TAIL,
-                              gn_get_text(g, "name"), bytes, len, on_mail_left,
-                              g);
+send_loads(Gateway *g, uint64_t now_ms)
+{
+    g_autoptr(GHashTable) seen =
+        g_hash_table_new(g_direct_hash, g_direct_equal);
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(UtTotal));
+    LoadList list = {g, seen, changes};
+    mp_visit_loads(g->placement, now_ms, add_load, &list);
+    g_hash_table_foreach_remove(g->told, is_past_load, &list);
+    ut_on_totals(g->upstreams, now_ms, (UtTotal *)changes->data, changes->len,
+                 false);
+    if (changes->len > 0) {
+        send_totals(g, NULL, changes, false);
     }
-    clear_lists(&lists);
 }
 
-/* What callers here want, to whoever places. */
+/* ---- what is told: all of it -------------------------------------------- */
+
 void
-gn_send_demand(Gateway *g)
-{
-    g->demand_ms = bg_boot_ms();
-    if (!g->placing && !lk_is_open(g->links)) {
-        bool waits = gw_count_waiting(g->gw) > 0;
-        gn_hurry_store(g, waits);
-        if (!waits || g->demand_ms < g->mail_ms + MAIL_MS) {
-            return;
-        }
-        g->mail_ms = g->demand_ms;
-    }
-    DmDemand *own = gw_collect_demand(g->gw);
-    bool more = dm_take(g->demand, g->demand_ms, gn_get_text(g, "name"), own);
-    dm_destroy_demand(own);
-    if (g->placing) {
-        if (more) {
-            gn_place_soon(g);
-        }
-        return;
+gn_send_all(Gateway *g, LkPeer *to, uint64_t config_version)
+{
+    if (g->config && g->config->version > config_version) {
+        gn_pass_config(g, to);
+    }
+    if (!send_all_upstreams(g, to)) {
+        return; /* all are told when the first ones come */
     }
-    DmDemand *sums =
-        dm_collect(g->demand, g->sums_due || !lk_is_open(g->links));
-    g->sums_due = false;
-    send_demand_up(g, sums);
-    dm_destroy_demand(sums);
+    g_autoptr(GArray) totals = g_array_new(FALSE, FALSE, sizeof(UtTotal));
+    ut_visit_totals(g->upstreams, add_total, totals);
+    send_totals(g, to, totals, true);
 }
 
+/* ---- heartbeat of the placing VM ---------------------------------------- */
+
 typedef struct {
     GPtrArray *waits; /* Gwp__Wait */
     Gateway *g;
@@ -482,56 +337,229 @@
     gw_on_wait(list->g->gw, list->now_ms, model, wait_ms);
 }
 
-typedef struct {
-    GPtrArray *loads; /* Gwp__Load */
-    Gateway *g;
-    uint64_t now_ms;
-} LoadList;
-
-static void
-add_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
-{
-    LoadList *list = ctx;
-    ut_on_total(list->g->upstreams, list->now_ms, upstream, running, wait_ms);
-    if (running < MIN_TOLD_LOAD) {
-        return;
-    }
-    Gwp__Load *l = g_new0(Gwp__Load, 1);
-    gwp__load__init(l);
-    l->upstream = (char *)upstream;
-    l->running = running;
-    l->wait_ms = wait_ms;
-    g_ptr_array_add(list->loads, l);
-}
-
 void
 gn_send_state(Gateway *g, uint64_t now_ms)
 {
-    g_autoptr(GPtrArray) loads = g_ptr_array_new_with_free_func(g_free);
-    LoadList load_list = {loads, g, now_ms};
-    mp_visit_loads(g->placement, now_ms, add_load, &load_list);
+    send_loads(g, now_ms);
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
     mp_visit_waits(g->placement, now_ms, add_wait, &list);
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
-    s.n_loads = loads->len;
-    s.loads = (Gwp__Load **)loads->pdata;
-    s.gateways = count_members(g, now_ms);
+    s.gateways = gn_count_members(g, now_ms);
     s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
-    gw_on_placer(g->gw, now_ms, s.rest_ms);
     s.reads_store = st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
     s.config_version = g->config ? g->config->version : 0;
+    s.address = (char *)gn_get_text(g, "link");
     MpStoreRate rate = mp_get_store_rate(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
+    gw_on_placer(g->gw, now_ms, s.rest_ms);
     rb_on_gateways(g->budget, now_ms, s.gateways);
-    st_set_pause(g->mail_watch, lk_count_peers(g->links) + 1 < s.gateways
-                                    ? MAIL_BUSY_PAUSE_MS
-                                    : MAIL_PAUSE_MS);
+    gn_pace_mail(g, gn_count_linked(g), s.gateways);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_STATE;
     f.state = &s;
     lk_send_down(g->links, NULL, &f);
 }
+
+/* ---- what others tell --------------------------------------------------- */
+
+static void
+take_placement(Gateway *g, const Gwp__Placement *p)
+{
+    GPtrArray *models = read_residents(p->n_residents, p->residents);
+    gn_pass_placement(g, p->upstream, models);
+    ut_on_placement(g->upstreams, bg_boot_ms(), p->upstream, models);
+    gw_on_change(g->gw);
+}
+
+static DepUpstream *
+read_upstream(const Gwp__Upstream *x)
+{
+    DepUpstream *u = dep_create_upstream();
+    u->id = g_strdup(x->id);
+    u->service = g_strdup(x->service);
+    u->address = g_strdup(x->address);
+    u->data_centre = g_strdup(x->data_centre);
+    u->draining = x->draining;
+    u->born_ms = x->born_ms;
+    return u;
+}
+
+static void
+take_upstreams(Gateway *g, const Gwp__Upstreams *m)
+{
+    uint64_t now_ms = bg_boot_ms();
+    g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < m->n_upstreams; i++) {
+        const Gwp__Upstream *x = m->upstreams[i];
+        g_hash_table_add(ids, x->id);
+        gn_take_upstream(g, now_ms, read_upstream(x));
+        ut_on_placement(g->upstreams, now_ms, x->id,
+                        read_residents(x->n_residents, x->residents));
+    }
+    for (size_t i = 0; i < m->n_gone; i++) {
+        gn_drop_upstream(g, now_ms, m->gone[i]);
+    }
+    if (m->whole) {
+        ut_keep_only(g->upstreams, now_ms, ids);
+        g->has_upstreams = true;
+    }
+    gw_on_change(g->gw);
+}
+
+static void
+take_loads(Gateway *g, const Gwp__Loads *m)
+{
+    size_t n = MIN(m->n_keys, MIN(m->n_running, m->n_wait_ms));
+    g_autoptr(GArray) totals = g_array_new(FALSE, FALSE, sizeof(UtTotal));
+    for (size_t i = 0; i < n; i++) {
+        UtTotal t = {m->keys[i], m->running[i], m->wait_ms[i]};
+        g_array_append_val(totals, t);
+    }
+    ut_on_totals(g->upstreams, bg_boot_ms(), (UtTotal *)totals->data, n,
+                 m->whole);
+}
+
+static void
+take_state(Gateway *g, const Gwp__State *s)
+{
+    uint64_t now_ms = bg_boot_ms();
+    g->placer_ms = now_ms;
+    g->placer_reads = s->reads_store;
+    gn_set_placer(g, s->address);
+    ls_on_heard(g->lease, now_ms);
+    ut_on_totals(g->upstreams, now_ms, NULL, 0, false);
+    gw_on_placer(g->gw, now_ms, s->rest_ms);
+    rb_on_gateways(g->budget, now_ms, s->gateways);
+    gn_follow_version(g, now_ms, s->config_version);
+    MpStoreRate rate = {s->store_at_once, s->store_most};
+    mp_set_store_rate(g->placement, rate);
+    for (size_t i = 0; i < s->n_waits; i++) {
+        gw_on_wait(g->gw, now_ms, s->waits[i]->model, s->waits[i]->wait_ms);
+    }
+}
+
+static void
+take_config(Gateway *g, const Gwp__Config *m)
+{
+    g_autoptr(GError) err = NULL;
+    DepConfig *c = pf_decode_config(m->written.data, m->written.len, &err);
+    if (!c) {
+        bg_log(BG_WARN, "config", "not taken from a link: %s", err->message);
+        return;
+    }
+    if (g->config && c->version <= g->config->version) {
+        dep_unref_config(c);
+        return;
+    }
+    g_autoptr(GBytes) written = g_bytes_new(m->written.data, m->written.len);
+    gn_use_config(g, c, written);
+}
+
+void
+gn_send_death(Gateway *g, uint64_t request, const char *upstream, bool down)
+{
+    Gwp__Death d = GWP__DEATH__INIT;
+    d.request = request;
+    d.upstream = (char *)upstream;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_DEATH;
+    f.death = &d;
+    if (down) {
+        lk_send_down(g->links, NULL, &f);
+    }
+    else {
+        lk_send_up(g->links, &f);
+    }
+}
+
+static void
+take_death(Gateway *g, const LkPeer *from, const Gwp__Death *d)
+{
+    gw_on_death(g->gw, bg_boot_ms(), d->request, d->upstream);
+    gn_send_death(g, d->request, d->upstream, !from || g->placing);
+}
+
+/* Of the VM that we are linked to. */
+static void
+take_from_above(Gateway *g, const Gwp__Frame *f)
+{
+    switch (f->body_case) {
+    case GWP__FRAME__BODY_PLACEMENT:
+        take_placement(g, f->placement);
+        break;
+    case GWP__FRAME__BODY_STATE:
+        take_state(g, f->state);
+        lk_send_down(g->links, NULL, f);
+        break;
+    case GWP__FRAME__BODY_LOADS:
+        take_loads(g, f->loads);
+        lk_send_down(g->links, NULL, f);
+        break;
+    case GWP__FRAME__BODY_UPSTREAMS:
+        take_upstreams(g, f->upstreams);
+        lk_send_down(g->links, NULL, f);
+        break;
+    case GWP__FRAME__BODY_CONFIG:
+        take_config(g, f->config);
+        break;
+    case GWP__FRAME__BODY_DEATH:
+        take_death(g, NULL, f->death);
+        break;
+    case GWP__FRAME__BODY_LEASE_APPEND:
+        gn_relay_lease(g, f->lease_append);
+        break;
+    case GWP__FRAME__BODY_ASSIGN:
+        gn_take_assign(g, f->assign);
+        break;
+    case GWP__FRAME__BODY_HOLDER:
+        gn_take_holder(g, f->holder);
+        break;
+    default:
+        break; /* a beat, or of a newer gateway */
+    }
+}
+
+static void
+take_from_below(Gateway *g, LkPeer *from, const Gwp__Frame *f)
+{
+    switch (f->body_case) {
+    case GWP__FRAME__BODY_HELLO:
+        gn_take_hello(g, from, f->hello);
+        break;
+    case GWP__FRAME__BODY_MEMBERS:
+        gn_take_members(g, from, f->members);
+        break;
+    case GWP__FRAME__BODY_DEMAND:
+        if (gn_take_demand(g, lk_get_vm(from), f->demand) && !g->placing) {
+            gn_want(g); /* passed on at once */
+        }
+        lk_set_urgent(from, dm_waits(g->demand, lk_get_vm(from)));
+        break;
+    case GWP__FRAME__BODY_DEATH:
+        take_death(g, from, f->death);
+        break;
+    case GWP__FRAME__BODY_UNREACHED:
+        gn_suspect(g, f->unreached->upstream);
+        break;
+    case GWP__FRAME__BODY_LEASE_ANSWER:
+        gn_take_lease_answer(g, f->lease_answer);
+        break;
+    default:
+        break; /* a beat, or of a newer gateway */
+    }
+}
+
+void
+gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame)
+{
+    if (from) {
+        take_from_below(ctx, from, frame);
+    }
+    else {
+        take_from_above(ctx, frame);
+    }
+}
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -138,109 +138,45 @@
     pf_fetch_report(a->g->pool, of, on_report, a);
 }
 
-static GPtrArray *
-copy_residents(const GPtrArray *models)
+/* ---- what gateways are told ----------------------------------------------
+ */
+
+void
+gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models)
 {
+    Gateway *g = ctx;
+    gn_pass_placement(g, upstream, models);
     DepUpstream *u = dep_create_upstream();
     for (guint i = 0; i < models->len; i++) {
         const DepResident *r = models->pdata[i];
-        DepResident *c = dep_add_resident(u, r->name);
-        dep_copy_names(c->adapters, r->adapters);
+        dep_copy_names(dep_add_resident(u, r->name)->adapters, r->adapters);
     }
-    GPtrArray *list = u->models;
+    ut_on_placement(g->upstreams, bg_boot_ms(), upstream,
+                    g_steal_pointer(&u->models));
     u->models = g_ptr_array_new();
     dep_destroy_upstream(u);
-    return list;
-}
-
-typedef enum { TELL_URGENT, TELL_ALL, TELL_ONE } Tell;
-
-/* ONE: of TELL_ONE. */
-static void
-send_placement(Gateway *g, Tell to, LkPeer *one, const char *upstream,
-               const GPtrArray *models)
-{
-    Gwp__Placement m = GWP__PLACEMENT__INIT;
-    Gwp__Resident *list = g_new0(Gwp__Resident, models->len + 1);
-    Gwp__Resident **refs = g_new0(Gwp__Resident *, models->len + 1);
-    for (guint i = 0; i < models->len; i++) {
-        const DepResident *r = models->pdata[i];
-        gwp__resident__init(&list[i]);
-        list[i].model = r->name;
-        list[i].n_adapters = r->adapters->len;
-        list[i].adapters = (char **)r->adapters->pdata;
-        refs[i] = &list[i];
-    }
-    m.upstream = (char *)upstream;
-    m.n_residents = models->len;
-    m.residents = refs;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_PLACEMENT;
-    f.placement = &m;
-    if (to != TELL_URGENT) {
-        lk_send_down(g->links, to == TELL_ONE ? one : NULL, &f);
-    }
-    else {
-        lk_send_urgent(g->links, &f);
-    }
-    g_free(refs);
-    g_free(list);
-}
-
-/* Gateways where callers wait are told at once, the others with the next
-   beat: one frame a change and gateway would be most of the placing VM's
-   work with many gateways and adapters. */
-void
-gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models)
-{
-    Gateway *g = ctx;
-    GPtrArray *copy = copy_residents(models);
-    send_placement(g, TELL_URGENT, NULL, upstream, models);
-    g_hash_table_replace(g->untold, g_strdup(upstream),
-                         copy_residents(models));
-    ut_on_placement(g->upstreams, bg_boot_ms(), upstream, copy);
     gw_on_change(g->gw);
 }
 
 void
-gn_tell_the_rest(Gateway *g)
+gn_free_residents(void *p)
 {
-    GHashTableIter it;
-    gpointer upstream;
-    gpointer models;
-    g_hash_table_iter_init(&it, g->untold);
-    while (g_hash_table_iter_next(&it, &upstream, &models)) {
-        send_placement(g, TELL_ALL, NULL, upstream, models);
-    }
-    g_hash_table_remove_all(g->untold);
+    g_ptr_array_free(p, TRUE);
 }
 
-typedef struct {
-    Gateway *g;
-    LkPeer *to;
-} Newcomer;
-
-static void
-tell_one(void *ctx, const char *upstream, const GPtrArray *models)
-{
-    const Newcomer *n = ctx;
-    send_placement(n->g, TELL_ONE, n->to, upstream, models);
-}
+/* ---- suspicion ---------------------------------------------------------- */
 
-/* All that is placed, to it alone: telling everybody at each arrival would be
-   many times the placing VM's time when all arrive at once, after it took
-   over; it would lose the lease again. */
 void
-gn_tell_newcomer(Gateway *g, LkPeer *peer)
+gn_suspect(Gateway *g, const char *upstream)
 {
-    Newcomer n = {g, peer};
     if (g->placing) {
-        mp_visit_placed(g->placement, bg_boot_ms(), tell_one, &n);
+        mp_on_suspicion(g->placement, bg_boot_ms(), upstream);
+        return;
     }
-}
-
-void
-gn_free_residents(void *p)
-{
-    g_ptr_array_free(p, TRUE);
+    Gwp__Unreached u = GWP__UNREACHED__INIT;
+    u.upstream = (char *)upstream;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_UNREACHED;
+    f.unreached = &u;
+    lk_send_up(g->links, &f);
 }
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -12,17 +12,18 @@
 /* An upstream's entry is seen this late at most; well under the time in
    which one that leaves may still get work. */
 #define UPSTREAM_PAUSE_MS 500
-/* While linked to the placing VM, which passes news on, the store is asked
-   this seldom: calls are dear, and 400 VMs would not fit its limits.  What
-   changed while the link came up is seen by the read that is still due then,
-   at the pause of before. */
-#define LINKED_CONFIG_WAIT_MS 25000
-#define LINKED_UPSTREAM_PAUSE_MS 20000
 #define PLACING_UPSTREAM_PAUSE_MS 250
+/* Linked to the placing VM itself: it passes news on, and a read of our own
+   finds those that it misses. */
+#define LINKED_CONFIG_WAIT_MS 25000
 /* Callers wait for a model and no link to the placing VM is open: entries are
    all that tells of loads that end. */
 #define ALONE_PAUSE_MS 200
-/* News that the placing VM told of must have come from the store by then. */
+/* A process that starts, or has lost its link, waits so long to hear from
+   others before it asks the store; not all of them together. */
+#define LONELY_MS 400
+#define LONELY_JITTER_MS 300
+/* News that the placing VM told of must have come by then. */
 #define BEHIND_MS 250
 #define SLOW_CALL_MS 1000 /* a call as old as this may be silent */
 
@@ -41,6 +42,7 @@
     g->config_ms = bg_boot_ms();
     gw_on_config(g->gw, c);
     mp_on_config(g->placement, c);
+    gn_pass_config(g, NULL);
     HtLimits limits = {c->max_header_bytes, c->max_body_bytes,
                        c->header_timeout_ms, c->idle_timeout_ms};
     ht_set_limits(g->front, &limits);
@@ -109,66 +111,75 @@
 
 void
 gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id)
+{
+    ut_on_gone(g->upstreams, now_ms, id);
+    mp_on_gone(g->placement, id);
+}
+
+bool
+gn_take_upstream(Gateway *g, uint64_t now_ms, DepUpstream *u)
+{
+    return ut_on_entry(g->upstreams, now_ms, u);
+}
+
+/* News of one reading, for the gateways that are linked to us, which seldom
+   ask the store. */
+typedef struct {
+    GPtrArray *changed; /* DepUpstream */
+    GPtrArray *gone;    /* char *, borrowed */
+} News;
+
+static void
+free_upstream(void *u)
+{
+    dep_destroy_upstream(u);
+}
+
+/* Whoever reads the store logs it; others believe what is told. */
+static void
+log_gone(const char *id)
 {
     JlLine *l = jl_begin("upstream-gone");
     jl_text(l, "upstream", id);
     jl_end(l);
-    g_hash_table_remove(g->entries, id);
-    ut_on_gone(g->upstreams, now_ms, id);
-    mp_on_gone(g->placement, id);
 }
 
-/* To the gateways that are linked to us, which seldom ask the store. */
 static void
-pass_entry_on(Gateway *g, const StRecord *r)
+take_gone(Gateway *g, uint64_t now_ms, const StRecord *r, News *news)
 {
-    if (!g->placing) {
-        return;
+    if (ut_knows(g->upstreams, r->key)) {
+        log_gone(r->key);
+        g_ptr_array_add(news->gone, r->key);
     }
-    Gwp__Entry e = GWP__ENTRY__INIT;
-    gsize len = 0;
-    e.upstream = r->key;
-    e.value.data =
-        r->value ? (uint8_t *)g_bytes_get_data(r->value, &len) : NULL;
-    e.value.len = len;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_ENTRY;
-    f.entry = &e;
-    lk_send_down(g->links, NULL, &f);
+    gn_drop_upstream(g, now_ms, r->key);
 }
 
-/* True: others should know, too: it is new, another, or it leaves. */
-bool
-gn_take_upstream(Gateway *g, uint64_t now_ms, const StRecord *r)
+static void
+take_entry(Gateway *g, uint64_t now_ms, const StRecord *r, News *news)
 {
     gsize len;
     const void *data = g_bytes_get_data(r->value, &len);
     g_autoptr(GError) err = NULL;
     DepUpstream *u = pf_decode_upstream(r->key, data, len, &err);
-    g_hash_table_replace(g->entries, g_strdup(r->key), g_bytes_ref(r->value));
     if (!u) {
         JlLine *l = jl_begin("entry-not-taken");
         jl_text(l, "upstream", r->key);
         jl_text(l, "why", err->message);
         jl_end(l);
         /* It names no upstream, so what it named before is no more. */
-        ut_on_gone(g->upstreams, now_ms, r->key);
-        mp_on_gone(g->placement, r->key);
-        return true;
-    }
-    bool draining = u->draining;
-    if (draining) {
-        log_upstream("upstream-leaves", u);
+        take_gone(g, now_ms, r, news);
+        return;
     }
+    DepUpstream *copy = pf_decode_upstream(r->key, data, len, NULL);
     mp_on_entry(g->placement, now_ms, u);
-    return ut_on_entry(g->upstreams, now_ms, u) || draining;
-}
-
-static gboolean
-is_not_in(gpointer id, gpointer entry, gpointer ids)
-{
-    (void)entry;
-    return !g_hash_table_contains(ids, id);
+    if (!gn_take_upstream(g, now_ms, u)) {
+        dep_destroy_upstream(copy);
+        return;
+    }
+    if (copy->draining) {
+        log_upstream("upstream-leaves", copy);
+    }
+    g_ptr_array_add(news->changed, copy);
 }
 
 static void
@@ -177,22 +188,27 @@
     Gateway *g = ctx;
     uint64_t now_ms = bg_boot_ms();
     g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autoptr(GPtrArray) changed =
+        g_ptr_array_new_with_free_func(free_upstream);
+    g_autoptr(GPtrArray) gone = g_ptr_array_new();
+    News news = {changed, gone};
     for (guint i = 0; i < records->len; i++) {
         const StRecord *r = records->pdata[i];
         if (r->value) {
             g_hash_table_add(ids, r->key);
-            if (gn_take_upstream(g, now_ms, r)) {
-                pass_entry_on(g, r);
-            }
-            continue;
+            take_entry(g, now_ms, r, &news);
+        }
+        else {
+            take_gone(g, now_ms, r, &news);
         }
-        gn_drop_upstream(g, now_ms, r->key);
-        pass_entry_on(g, r);
     }
     if (whole) {
-        g_hash_table_foreach_remove(g->entries, is_not_in, ids);
         ut_keep_only(g->upstreams, now_ms, ids);
         mp_keep_only(g->placement, ids);
+        gn_pass_all_upstreams(g);
+    }
+    else if (lk_count_peers(g->links) > 0) {
+        gn_pass_upstreams(g, changed, gone);
     }
 }
 
@@ -218,19 +234,29 @@
     log_reach("upstreams", reached);
 }
 
-/* ---- how often the store is asked ----------------------------------------
- */
+/* ---- how often the store is asked --------------------------------------- */
 
-/* How often the store is asked, by whether others tell us its news. */
+/* How often the store is asked follows from who tells us its news: the placing
+   VM, a relay, or nobody. */
 void
-gn_follow_store(Gateway *g)
+gn_follow_store(Gateway *g, uint64_t now_ms)
 {
-    bool linked = lk_is_open(g->links) && !g->placing && g->placer_reads;
-    st_set_wait(g->config_watch,
-                linked ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
-    st_set_pause(g->upstream_watch, linked       ? LINKED_UPSTREAM_PAUSE_MS
-                                    : g->placing ? PLACING_UPSTREAM_PAUSE_MS
-                                                 : UPSTREAM_PAUSE_MS);
+    bool heard = gn_hears_placer(g, now_ms);
+    bool member = g->uplink.relay && lk_is_open(g->links);
+    bool lonely = !heard && !member &&
+                  now_ms >= g->uplink.lost_ms + g->uplink.patience_ms;
+    bool direct = heard && !member;
+    bool behind = g->behind_ms && now_ms > g->behind_ms + BEHIND_MS;
+    st_set_wait(g->config_watch, direct && !g->placing && !behind
+                                     ? LINKED_CONFIG_WAIT_MS
+                                     : CONFIG_WAIT_MS);
+    st_set_idle(g->config_watch, !(direct || lonely || behind));
+    bool waits = lonely && gw_count_waiting(g->gw) > 0;
+    st_set_pause(g->upstream_watch, g->placing ? PLACING_UPSTREAM_PAUSE_MS
+                                    : waits    ? ALONE_PAUSE_MS
+                                               : UPSTREAM_PAUSE_MS);
+    bool reads = g->placing || lonely || (direct && !g->placer_reads);
+    st_set_idle(g->upstream_watch, !reads);
 }
 
 /* A newer configuration was told of; our own read should have ended with it
@@ -244,8 +270,8 @@
     else if (g->behind_ms == 0) {
         g->behind_ms = now_ms;
     }
-    else if (now_ms > g->behind_ms + BEHIND_MS) {
-        g->behind_ms = 0;
+    else if (now_ms > g->behind_ms + SLOW_CALL_MS) {
+        g->behind_ms = now_ms;
         ht_drop_kept(g->pool, gn_get_text(g, "store"));
         st_restart(g->config_watch, now_ms, SLOW_CALL_MS);
     }
@@ -262,11 +288,7 @@
     StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, UPSTREAM_PAUSE_MS};
     StWatchHandler on_ups = {g, on_upstream_records, on_upstream_reach};
     g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
-}
-
-void
-gn_hurry_store(Gateway *g, bool hurry)
-{
-    st_set_pause(g->upstream_watch,
-                 hurry ? ALONE_PAUSE_MS : UPSTREAM_PAUSE_MS);
+    g->uplink.lost_ms = bg_boot_ms();
+    g->uplink.patience_ms =
+        LONELY_MS + bg_pick_random(&g->rng, LONELY_JITTER_MS);
 }
--- a/src/lk.c
+++ b/src/lk.c
@@ -8,12 +8,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MAX_FRAME (1024 * 1024)
-#define MAX_UNSENT                                                            \
-    (4 * 1024 * 1024) /* a peer that doesn't read is dropped                  \
-                       */
+#define MAX_FRAME (8 * 1024 * 1024) /* all upstreams of a large fleet */
+/* A peer that doesn't read gets no more than this. */
+#define MAX_UNSENT (16 * 1024 * 1024)
 #define CONNECT_MS 400
-#define RECONNECT_MS 150
+/* Those that a lost relay leaves behind don't come as one. */
+#define RECONNECT_MS 100
+#define RECONNECT_JITTER_MS 100
 #define HEAD_BYTES 4
 
 struct LkPeer {
@@ -22,11 +23,15 @@
     bool ours; /* we opened it */
     bool connecting;
     bool urgent;
+    bool taking;   /* its frames are being handed over */
+    bool dropped;  /* meanwhile: freed after that */
+    bool overflew; /* frames for it were lost: it is closed */
     ev_io read_watch;
     ev_io write_watch;
     GByteArray *in;
     GByteArray *out;
     char *vm;
+    void *user;
     uint64_t heard_ms;
     uint64_t said_ms;
     GList *link; /* in the hub's peers; NULL: ours */
@@ -37,8 +42,7 @@
     int fd;
     ev_io accept_watch;
     LkHandler handler;
-    char *vm;
-    char *process;
+    BgRandom rng;
     GQueue peers;    /* LkPeer, linked to us */
     guint next_some; /* whose turn it is */
     char *target;    /* NULL: none */
@@ -47,28 +51,48 @@
 };
 
 static void
-close_peer(LkPeer *p)
+free_peer(LkPeer *p)
 {
-    Lk *l = p->hub;
-    ev_io_stop(l->loop, &p->read_watch);
-    ev_io_stop(l->loop, &p->write_watch);
+    g_byte_array_free(p->in, TRUE);
+    g_byte_array_free(p->out, TRUE);
+    g_free(p->vm);
+    g_free(p);
+}
+
+static void
+drop_peer(LkPeer *p)
+{
+    ev_io_stop(p->hub->loop, &p->read_watch);
+    ev_io_stop(p->hub->loop, &p->write_watch);
     close(p->fd);
-    if (p->ours) {
-        bool was_open = !p->connecting;
-        l->up = NULL;
-        l->next_connect_ms = bg_boot_ms() + RECONNECT_MS;
-        if (was_open) {
-            l->handler.on_link(l->handler.ctx, false);
-        }
+    p->dropped = p->taking;
+    if (!p->dropped) {
+        free_peer(p);
     }
-    else {
+}
+
+/* The far end is gone, or never answered. */
+static void
+close_peer(LkPeer *p)
+{
+    Lk *l = p->hub;
+    if (!p->ours) {
         g_queue_delete_link(&l->peers, p->link);
         l->handler.on_peer(l->handler.ctx, p, false);
+        drop_peer(p);
+        return;
+    }
+    bool was_open = !p->connecting;
+    l->up = NULL;
+    l->next_connect_ms = bg_boot_ms() + RECONNECT_MS +
+                         bg_pick_random(&l->rng, RECONNECT_JITTER_MS);
+    drop_peer(p);
+    if (was_open) {
+        l->handler.on_link(l->handler.ctx, false);
+    }
+    else {
+        l->handler.on_unreached(l->handler.ctx);
     }
-    g_byte_array_free(p->in, TRUE);
-    g_byte_array_free(p->out, TRUE);
-    g_free(p->vm);
-    g_free(p);
 }
 
 static void
@@ -86,34 +110,57 @@
 }
 
 static void
-send_frame(LkPeer *p, const Gwp__Frame *frame)
+send_bytes(LkPeer *p, const GByteArray *bytes)
 {
-    size_t len = gwp__frame__get_packed_size(frame);
-    if (p->out->len + len > MAX_UNSENT) {
-        return; /* it is silent, and closed when that is noticed */
+    p->overflew = p->overflew || p->out->len + bytes->len > MAX_UNSENT;
+    if (p->overflew) {
+        return;
     }
-    guint at = p->out->len;
-    g_byte_array_set_size(p->out, at + HEAD_BYTES + (guint)len);
-    uint32_t head = htonl((uint32_t)len);
-    memcpy(p->out->data + at, &head, HEAD_BYTES);
-    gwp__frame__pack(frame, p->out->data + at + HEAD_BYTES);
+    g_byte_array_append(p->out, bytes->data, bytes->len);
     p->said_ms = bg_boot_ms();
     if (!p->connecting) {
         ev_io_start(p->hub->loop, &p->write_watch);
     }
 }
 
-/* False: the peer is gone. */
+/* With its length before it; to be freed. */
+static GByteArray *
+pack_frame(const Gwp__Frame *frame)
+{
+    size_t len = gwp__frame__get_packed_size(frame);
+    uint32_t head = htonl((uint32_t)len);
+    GByteArray *bytes = g_byte_array_new();
+    g_byte_array_set_size(bytes, HEAD_BYTES + (guint)len);
+    memcpy(bytes->data, &head, HEAD_BYTES);
+    gwp__frame__pack(frame, bytes->data + HEAD_BYTES);
+    return bytes;
+}
+
+static void
+send_frame(LkPeer *p, const Gwp__Frame *frame)
+{
+    g_autoptr(GByteArray) bytes = pack_frame(frame);
+    send_bytes(p, bytes);
+}
+
+/* One without a body: this end lives. */
+static void
+send_beat(LkPeer *p)
+{
+    Gwp__Frame f = GWP__FRAME__INIT;
+    send_frame(p, &f);
+}
+
+/* A frame may have this very link closed.  False: what came is no frame. */
 static bool
-take_frames(LkPeer *p)
+hand_over(LkPeer *p, size_t *taken)
 {
     size_t at = 0;
-    while (p->in->len - at >= HEAD_BYTES) {
+    while (!p->dropped && p->in->len - at >= HEAD_BYTES) {
         uint32_t head;
         memcpy(&head, p->in->data + at, HEAD_BYTES);
         size_t len = ntohl(head);
         if (len > MAX_FRAME) {
-            close_peer(p);
             return false;
         }
         if (p->in->len - at - HEAD_BYTES < len) {
@@ -122,17 +169,34 @@
         Gwp__Frame *f =
             gwp__frame__unpack(NULL, len, p->in->data + at + HEAD_BYTES);
         if (!f) {
-            close_peer(p);
             return false;
         }
         p->hub->handler.on_frame(p->hub->handler.ctx, p->ours ? NULL : p, f);
         gwp__frame__free_unpacked(f, NULL);
         at += HEAD_BYTES + len;
     }
-    g_byte_array_remove_range(p->in, 0, (guint)at);
+    *taken = at;
     return true;
 }
 
+static void
+take_frames(LkPeer *p)
+{
+    size_t taken = 0;
+    p->taking = true;
+    bool whole = hand_over(p, &taken);
+    p->taking = false;
+    if (p->dropped) {
+        free_peer(p);
+    }
+    else if (!whole) {
+        close_peer(p);
+    }
+    else {
+        g_byte_array_remove_range(p->in, 0, (guint)taken);
+    }
+}
+
 static void
 on_readable(struct ev_loop *loop, ev_io *w, int events)
 {
@@ -157,8 +221,7 @@
 say_hello(LkPeer *p)
 {
     Gwp__Hello hello = GWP__HELLO__INIT;
-    hello.vm = p->hub->vm;
-    hello.process = p->hub->process;
+    p->hub->handler.greet(p->hub->handler.ctx, &hello);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_HELLO;
     f.hello = &hello;
@@ -217,8 +280,8 @@
 }
 
 Lk *
-lk_create(struct ev_loop *loop, const char *listen_address, const char *vm,
-          const char *process, const LkHandler *handler, GError **err)
+lk_create(struct ev_loop *loop, const char *listen_address,
+          const LkHandler *handler, GError **err)
 {
     int fd = so_listen(listen_address, err);
     if (fd < 0) {
@@ -227,9 +290,8 @@
     Lk *l = g_new0(Lk, 1);
     l->loop = loop;
     l->fd = fd;
-    l->vm = g_strdup(vm);
-    l->process = g_strdup(process);
     l->handler = *handler;
+    bg_seed_random(&l->rng, bg_now_us() ^ g_str_hash(listen_address));
     g_queue_init(&l->peers);
     ev_io_init(&l->accept_watch, on_acceptable, fd, EV_READ);
     l->accept_watch.data = l;
@@ -247,11 +309,23 @@
     while ((p = g_queue_peek_head(&l->peers))) {
         close_peer(p);
     }
-    g_free(l->vm);
-    g_free(l->process);
     g_free(l);
 }
 
+static void
+connect_up(Lk *l, uint64_t now_ms)
+{
+    l->next_connect_ms = now_ms + RECONNECT_MS;
+    int fd = so_connect(l->target);
+    if (fd < 0) {
+        return;
+    }
+    l->up = create_peer(l, fd);
+    l->up->ours = true;
+    l->up->connecting = true;
+    ev_io_start(l->loop, &l->up->write_watch);
+}
+
 void
 lk_set_target(Lk *l, const char *address)
 {
@@ -261,9 +335,19 @@
     g_free(l->target);
     l->target = g_strdup(address);
     if (l->up) {
-        close_peer(l->up);
+        drop_peer(l->up);
+        l->up = NULL;
+    }
+    uint64_t now_ms = bg_boot_ms();
+    if (l->target && now_ms >= l->next_connect_ms) {
+        connect_up(l, now_ms);
     }
-    l->next_connect_ms = 0;
+}
+
+const char *
+lk_get_target(const Lk *l)
+{
+    return l->target;
 }
 
 bool
@@ -287,8 +371,9 @@
         send_frame(to, frame);
         return;
     }
+    g_autoptr(GByteArray) bytes = pack_frame(frame);
     for (GList *p = l->peers.head; p; p = p->next) {
-        send_frame(p->data, frame);
+        send_bytes(p->data, bytes);
     }
 }
 
@@ -313,9 +398,11 @@
 void
 lk_send_urgent(Lk *l, const Gwp__Frame *frame)
 {
+    g_autoptr(GByteArray) bytes = NULL;
     for (GList *p = l->peers.head; p; p = p->next) {
         if (((LkPeer *)p->data)->urgent) {
-            send_frame(p->data, frame);
+            bytes = bytes ? bytes : pack_frame(frame);
+            send_bytes(p->data, bytes);
         }
     }
 }
@@ -326,6 +413,14 @@
     return l->peers.length;
 }
 
+void
+lk_visit_peers(Lk *l, void (*visit)(void *ctx, LkPeer *p), void *ctx)
+{
+    for (GList *p = l->peers.head; p; p = p->next) {
+        visit(ctx, p->data);
+    }
+}
+
 const char *
 lk_get_vm(const LkPeer *p)
 {
@@ -335,32 +430,54 @@
 void
 lk_set_vm(LkPeer *p, const char *vm)
 {
+    GList *next;
+    for (GList *l = p->hub->peers.head; l; l = next) {
+        next = l->next;
+        LkPeer *former = l->data;
+        if (former != p && strcmp(former->vm, vm) == 0) {
+            close_peer(former);
+        }
+    }
     g_free(p->vm);
     p->vm = g_strdup(vm);
 }
 
+void *
+lk_get_user(const LkPeer *p)
+{
+    return p->user;
+}
+
+void
+lk_set_user(LkPeer *p, void *user)
+{
+    p->user = user;
+}
+
 static void
-connect_up(Lk *l, uint64_t now_ms)
+beat(LkPeer *p, uint64_t now_ms)
 {
-    l->next_connect_ms = now_ms + RECONNECT_MS;
-    int fd = so_connect(l->target);
-    if (fd < 0) {
+    if (!p->connecting && now_ms >= p->said_ms + LK_BEAT_MS) {
+        send_beat(p);
+    }
+}
+
+static void
+look_up(Lk *l, uint64_t now_ms)
+{
+    uint64_t most = l->up->connecting ? CONNECT_MS : LK_SILENT_MS;
+    if (now_ms > l->up->heard_ms + most) {
+        close_peer(l->up);
         return;
     }
-    l->up = create_peer(l, fd);
-    l->up->ours = true;
-    l->up->connecting = true;
-    ev_io_start(l->loop, &l->up->write_watch);
+    beat(l->up, now_ms);
 }
 
 void
 lk_on_tick(Lk *l, uint64_t now_ms)
 {
     if (l->up) {
-        uint64_t most = l->up->connecting ? CONNECT_MS : LK_SILENT_MS;
-        if (now_ms - l->up->heard_ms > most) {
-            close_peer(l->up);
-        }
+        look_up(l, now_ms);
     }
     else if (l->target && now_ms >= l->next_connect_ms) {
         connect_up(l, now_ms);
@@ -368,8 +485,11 @@
     GList *next;
     for (GList *p = l->peers.head; p; p = next) {
         next = p->next;
-        if (now_ms - ((LkPeer *)p->data)->heard_ms > LK_SILENT_MS * 2) {
-            close_peer(p->data);
+        LkPeer *peer = p->data;
+        if (peer->overflew || now_ms > peer->heard_ms + LK_SILENT_MS * 2) {
+            close_peer(peer);
+            continue;
         }
+        beat(peer, now_ms);
     }
 }
--- a/src/ls.c
+++ b/src/ls.c
@@ -41,6 +41,7 @@
     uint64_t renewed_ms;     /* when the last renewal was sent */
     uint64_t order_from_ms;
     uint64_t yielded_until_ms;
+    uint64_t held_off_until_ms;
 
     uint32_t holder_rest_ms; /* that its VM had left when it was written */
     uint32_t failed_reads;   /* in a row */
@@ -200,7 +201,8 @@
 static void
 consider_read(Ls *l, uint64_t now_ms)
 {
-    bool quiet = !l->holding && now_ms - l->heard_ms > l->params.quiet_ms;
+    bool quiet = !l->holding && now_ms >= l->held_off_until_ms &&
+                 now_ms - l->heard_ms > l->params.quiet_ms;
     if (!l->reading && !l->writing && now_ms >= l->next_read_ms &&
         (!l->known || quiet)) {
         l->reading = true;
@@ -222,7 +224,8 @@
         return;
     }
     if (!l->holding) {
-        if (!l->stopping && now_ms >= l->yielded_until_ms) {
+        if (!l->stopping && now_ms >= l->yielded_until_ms &&
+            now_ms >= l->held_off_until_ms) {
             consider_claim(l, now_ms);
         }
     }
@@ -275,6 +278,13 @@
         l->out.changed(l->out.ctx);
         return;
     }
+    if (end == ST_OK && now_ms < l->yielded_until_ms) {
+        /* It was given up while this renewal was out. */
+        l->tail = offset + 1;
+        l->giving_up = true;
+        start_append(l, now_ms, FREE_PROCESS);
+        return;
+    }
     if (end == ST_OK) {
         bool began = !l->holding && !l->stopping;
         if (began) {
@@ -306,6 +316,12 @@
     l->heard_ms = now_ms;
 }
 
+void
+ls_hold_off(Ls *l, uint64_t until_ms)
+{
+    l->held_off_until_ms = until_ms;
+}
+
 static void
 give_up_lease(Ls *l, uint64_t now_ms)
 {
--- a/src/ls.h
+++ b/src/ls.h
@@ -53,6 +53,9 @@
                   uint64_t tail);
 /* The holder was heard over a link. */
 void ls_on_heard(Ls *l, uint64_t now_ms);
+/* Somebody else follows the lease for this VM: it reads and claims nothing
+   until UNTIL_MS. */
+void ls_hold_off(Ls *l, uint64_t until_ms);
 /* Give the lease up, and leave it to others for PAUSE_MS: what this VM
    should order it can't reach. */
 void ls_yield(Ls *l, uint64_t now_ms, uint32_t pause_ms);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -19,6 +19,7 @@
 /* A call that starts to wait is told to the placing VM this soon, with what
    else comes meanwhile. */
 #define WANTED_MS 2
+#define RELAYED_WANTED_MS 6 /* for many gateways at once */
 /* An unrenewed lease ends after this.  Shorter: a successor comes sooner;
    longer: placement goes on through a short outage of the store. */
 #define LEASE_MS 1500
@@ -84,6 +85,12 @@
      "rest between the orders of two VMs to one upstream"},
     {"bounds", "grace_s", INI_NUMBER, false, "8", 0, 600, NULL,
      "from the signal to stop to being killed"},
+    {"relays", "direct", INI_INT, false, "24", 0, 10000, NULL,
+     "gateways that link to the placing one before relays are used"},
+    {"relays", "members", INI_INT, false, "64", 1, 10000, NULL,
+     "gateways that link to one relay"},
+    {"relays", "moves", INI_INT, false, "10", 1, 10000, NULL,
+     "of these, that it gets in a tenth of a second"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 const char *
@@ -108,16 +115,23 @@
     gn_send_demand(t->data);
 }
 
-static void
-on_wanted(void *ctx)
+void
+gn_want(Gateway *g)
 {
-    Gateway *g = ctx;
     if (!ev_is_active(&g->wanted)) {
-        ev_timer_set(&g->wanted, WANTED_MS / 1000., 0.);
+        uint32_t wait_ms =
+            lk_count_peers(g->links) > 0 ? RELAYED_WANTED_MS : WANTED_MS;
+        ev_timer_set(&g->wanted, wait_ms / 1000., 0.);
         ev_timer_start(g->loop, &g->wanted);
     }
 }
 
+static void
+on_wanted(void *ctx)
+{
+    gn_want(ctx);
+}
+
 static void
 on_died(void *ctx, uint64_t request, const char *upstream)
 {
@@ -156,7 +170,7 @@
 is_ready(const Gateway *g)
 {
     return g->config && !g->stop_ms &&
-           (st_is_listed(g->upstream_watch) || g->has_snapshot);
+           (st_is_listed(g->upstream_watch) || g->has_upstreams);
 }
 
 static void
@@ -183,14 +197,16 @@
         out,
         "{\"vm\":\"%s\",\"ready\":%s,\"config\":%llu,\"config_age_ms\":%llu,"
         "\"upstreams\":%u,\"requests\":%u,\"connections\":%u,"
-        "\"places\":%s,\"placer\":\"%s\",\"linked\":%s,\"peers\":%u}\n",
+        "\"places\":%s,\"placer\":\"%s\",\"linked\":%s,\"peers\":%u,"
+        "\"relay\":\"%s\"}\n",
         gn_get_text(g, "name"), is_ready(g) ? "true" : "false",
         (unsigned long long)(g->config ? g->config->version : 0),
         (unsigned long long)(now_ms - g->config_ms), ut_count(g->upstreams),
         gw_count(g->gw), ht_count_connections(g->front),
         g->placing ? "true" : "false",
         ls_get_holder_vm(g->lease) ? ls_get_holder_vm(g->lease) : "",
-        lk_is_open(g->links) ? "true" : "false", lk_count_peers(g->links));
+        lk_is_open(g->links) ? "true" : "false", lk_count_peers(g->links),
+        g->uplink.relay ? g->uplink.relay : "");
 }
 
 static void
@@ -204,8 +220,8 @@
         gw_print_metrics(((Gateway *)ctx)->gw, out);
         answer_text(x, out);
     }
-    else if (strcmp(target, "/snapshot") == 0) {
-        gn_answer_snapshot(ctx, x);
+    else if (strcmp(target, "/introduction") == 0) {
+        gn_answer_introduction(ctx, x);
     }
     else if (strcmp(target, "/dump") == 0) {
         print_dump(ctx, out);
@@ -258,8 +274,8 @@
         else {
             ut_outdate_placement(g->upstreams);
         }
+        g_hash_table_remove_all(g->told);
         gn_on_lease_changed(g);
-        gn_follow_store(g);
         gn_watch_mail(g, places);
     }
     if (g->placing) {
@@ -296,16 +312,20 @@
         ht_tick_server(g->control, now_ms);
     }
     lk_on_tick(g->links, now_ms);
+    gn_tick_relay(g, now_ms);
+    gn_follow_store(g, now_ms);
     gn_tick_start(g, now_ms);
     if (now_ms >= g->demand_ms + DEMAND_MS) {
         gn_send_demand(g);
     }
     /* By a clock of its own: demand is also sent whenever callers begin to
        wait, and a busy placing VM would never get to say that it lives. */
-    if (g->placing && now_ms >= g->state_ms + DEMAND_MS) {
+    if (now_ms >= g->state_ms + DEMAND_MS) {
         g->state_ms = now_ms;
         gn_tell_the_rest(g);
-        gn_send_state(g, now_ms);
+        if (g->placing) {
+            gn_send_state(g, now_ms);
+        }
     }
 }
 
@@ -345,6 +365,9 @@
     jl_number(l, "requests", gw_count(g->gw));
     jl_end(l);
     ls_leave(g->lease);
+    if (!g->placing) {
+        gn_dismiss_members(g);
+    }
     ht_close_kept(g->front);
 }
 
@@ -392,9 +415,9 @@
     HtHandler front = {g, on_front_request, on_front_gone};
     HtHandler ready = {g, on_ready_request, on_any_gone};
     HtHandler control = {g, on_control_request, on_any_gone};
-    LkHandler link = {g, gn_on_frame, gn_on_peer, gn_on_link};
-    g->links = lk_create(g->loop, gn_get_text(g, "link"),
-                         gn_get_text(g, "name"), g->process, &link, err);
+    LkHandler link = {g,          gn_greet,   gn_on_frame,
+                      gn_on_peer, gn_on_link, gn_on_unreached};
+    g->links = lk_create(g->loop, gn_get_text(g, "link"), &link, err);
     g->front = g->links
                    ? ht_listen(g->loop, gn_get_text(g, "front"), &front, err)
                    : NULL;
@@ -502,8 +525,11 @@
     if (g->config_bytes) {
         g_bytes_unref(g->config_bytes);
     }
-    g_hash_table_destroy(g->entries);
+    g_hash_table_destroy(g->told);
     g_hash_table_destroy(g->untold);
+    g_free(g->uplink.placer);
+    g_free(g->uplink.relay);
+    g_free(g->uplink.shunned);
     g_hash_table_destroy(g->members);
     ini_destroy(g->settings);
     ev_loop_destroy(g->loop);
@@ -517,8 +543,9 @@
     g->demand = dm_create();
     g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       gn_free_residents);
-    g->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                       (GDestroyNotify)g_bytes_unref);
+    g->told =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    bg_seed_random(&g->rng, bg_now_us() ^ g_str_hash(g->process));
     g->members =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->loop = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV | EVFLAG_NOINOTIFY);
--- /dev/null
+++ b/src/rl.c
@@ -0,0 +1,126 @@
+#include "rl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SPARES 1 /* of each data centre stay linked beside its relays */
+
+/* A peer with what the plan derives. */
+typedef struct {
+    const RlPeer *peer;
+    size_t which;
+    bool fit;      /* at least half as fit as the fittest there */
+    uint32_t load; /* members, and those on their way */
+    uint32_t moved;
+} Candidate;
+
+static int
+compare_flags(bool a, bool b)
+{
+    return (int)b - (int)a;
+}
+
+static int
+compare_numbers(uint32_t a, uint32_t b)
+{
+    return (b > a) - (b < a);
+}
+
+/* Those that should relay come first; one that does already goes before one
+   that is as fit, so that its members stay. */
+static int
+compare_candidates(const void *a, const void *b)
+{
+    const Candidate *x = a;
+    const Candidate *y = b;
+    int c = compare_flags(!x->peer->leaving, !y->peer->leaving);
+    c = c ? c : compare_flags(x->fit, y->fit);
+    c = c ? c : compare_flags(x->peer->members > 0, y->peer->members > 0);
+    c = c ? c : compare_numbers(x->peer->fitness, y->peer->fitness);
+    return c ? c : strcmp(x->peer->vm, y->peer->vm);
+}
+
+static int
+compare_data_centres(const void *a, const void *b)
+{
+    const Candidate *x = a;
+    const Candidate *y = b;
+    return strcmp(x->peer->data_centre, y->peer->data_centre);
+}
+
+/* The relay with the least to do that takes one more; NULL: none. */
+static Candidate *
+pick_relay(Candidate *relays, size_t count, const RlParams *params,
+           const char *shunned)
+{
+    Candidate *best = NULL;
+    for (size_t i = 0; i < count; i++) {
+        Candidate *r = &relays[i];
+        bool usable = !r->peer->leaving && r->load < params->members &&
+                      r->moved < params->moves &&
+                      g_strcmp0(r->peer->address, shunned) != 0;
+        if (usable && (!best || r->load < best->load)) {
+            best = r;
+        }
+    }
+    return best;
+}
+
+static void
+mark_fit(Candidate *list, size_t count)
+{
+    uint32_t most = 0;
+    for (size_t i = 0; i < count; i++) {
+        most = MAX(most, list[i].peer->fitness);
+    }
+    for (size_t i = 0; i < count; i++) {
+        list[i].fit = list[i].peer->fitness * 2 >= most;
+    }
+}
+
+/* LIST: all of one data centre. */
+static void
+plan_data_centre(const RlParams *params, Candidate *list, size_t count,
+                 RlMove move, void *ctx)
+{
+    uint32_t vms = 0;
+    for (size_t i = 0; i < count; i++) {
+        vms += 1 + list[i].peer->members;
+    }
+    size_t relays = (vms + params->members) / (params->members + 1);
+    mark_fit(list, count);
+    qsort(list, count, sizeof(*list), compare_candidates);
+    for (size_t i = relays + SPARES; i < count; i++) {
+        const RlPeer *p = list[i].peer;
+        Candidate *r = pick_relay(list, relays, params, p->shunned);
+        if (r && !p->leaving) {
+            r->load++;
+            r->moved++;
+            move(ctx, list[i].which, r->peer->address);
+        }
+    }
+}
+
+void
+rl_plan(const RlParams *params, const RlPeer *peers, size_t count, RlMove move,
+        void *ctx)
+{
+    if (count <= params->direct) {
+        return;
+    }
+    g_autofree Candidate *all = g_new0(Candidate, count);
+    for (size_t i = 0; i < count; i++) {
+        all[i] = (Candidate){
+            .peer = &peers[i], .which = i, .load = peers[i].members};
+    }
+    qsort(all, count, sizeof(*all), compare_data_centres);
+    for (size_t i = 0; i < count;) {
+        size_t n = 1;
+        while (i + n < count &&
+               compare_data_centres(&all[i], &all[i + n]) == 0) {
+            n++;
+        }
+        plan_data_centre(params, &all[i], n, move, ctx);
+        i += n;
+    }
+}
--- a/src/st.c
+++ b/src/st.c
@@ -8,6 +8,9 @@
    they do not come back as one. */
 #define FIRST_BACKOFF_MS 80
 #define MAX_BACKOFF_MS 700
+/* After so long without an answer a listing is shorter than what was written
+   meanwhile, which may be kept no longer. */
+#define RELIST_MS 3000
 
 StRecord *
 st_create_record(const char *key, size_t key_len, uint64_t offset)
@@ -38,6 +41,7 @@
     BgRandom rng;
     uint64_t answered_ms; /* 0: never */
     uint64_t asked_ms;    /* of the call that is out */
+    bool idle;
     bool listed;
     bool listing; /* a listing is under way */
     bool reached;
@@ -66,8 +70,10 @@
 ask_after(StWatch *w, uint32_t wait_ms)
 {
     ev_timer_stop(w->loop, &w->timer);
-    ev_timer_set(&w->timer, wait_ms / 1000., 0.);
-    ev_timer_start(w->loop, &w->timer);
+    if (!w->idle) {
+        ev_timer_set(&w->timer, wait_ms / 1000., 0.);
+        ev_timer_start(w->loop, &w->timer);
+    }
 }
 
 static void
@@ -110,7 +116,12 @@
     while (r->records->len > 0) {
         g_ptr_array_add(w->pages, g_ptr_array_steal_index(r->records, 0));
     }
-    if (r->has_more && w->pages->len > 0) {
+    bool more = r->has_more && w->pages->len > 0;
+    if (more && w->idle) {
+        begin_listing(w); /* anew when it is needed */
+        return;
+    }
+    if (more) {
         ask(w);
         return;
     }
@@ -204,8 +215,8 @@
     bg_seed_random(&w->rng, bg_now_us() ^ (uint64_t)(uintptr_t)w);
     ev_timer_init(&w->timer, on_timer, 0., 0.);
     w->timer.data = w;
+    w->idle = true;
     begin_listing(w);
-    ask_after(w, 0);
     return w;
 }
 
@@ -229,6 +240,26 @@
     g_free(w);
 }
 
+void
+st_set_idle(StWatch *w, bool idle)
+{
+    if (w->idle == idle) {
+        return;
+    }
+    w->idle = idle;
+    forget_ask(w);
+    if (idle) {
+        ev_timer_stop(w->loop, &w->timer);
+        return;
+    }
+    uint64_t now_ms = bg_boot_ms();
+    if (!w->listing && now_ms > w->answered_ms + RELIST_MS) {
+        begin_listing(w);
+    }
+    w->backoff_ms = 0;
+    ask_after(w, 0);
+}
+
 void
 st_restart(StWatch *w, uint64_t now_ms, uint32_t min_age_ms)
 {
@@ -250,7 +281,7 @@
 {
     bool sooner = pause_ms < w->params.pause_ms;
     w->params.pause_ms = pause_ms;
-    if (sooner && !w->asking && w->backoff_ms == 0) {
+    if (sooner && !w->idle && !w->asking && w->backoff_ms == 0) {
         ask_after(w, pause_ms);
     }
 }
--- a/src/st.h
+++ b/src/st.h
@@ -84,6 +84,9 @@
                          const StWatchParams *params,
                          const StWatchHandler *handler);
 void st_destroy_watch(StWatch *w);
+/* An idle watch asks for nothing; others tell what it would.  It begins
+   idle. */
+void st_set_idle(StWatch *w, bool idle);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
 void st_set_wait(StWatch *w, uint32_t wait_ms);
 /* Forget the call that is out, which may be silent, and ask anew; a call that
--- a/src/ut.c
+++ b/src/ut.c
@@ -47,6 +47,7 @@
 } Absence;
 
 struct Ut {
+    UtSet *set;
     DepUpstream *entry;
     GPtrArray *placed; /* DepResident, by the placing VM; NULL: by entry */
     bool outdated;     /* what it placed: the next entry goes before */
@@ -57,11 +58,11 @@
     uint64_t reported_ms;
     uint32_t told;         /* running for other gateways, by the placing VM */
     uint32_t told_wait_ms; /* behind those that wait there */
-    uint64_t told_ms;
-    uint64_t heard_ms; /* it began an answer; 0: never */
-    uint32_t failures; /* unreachable in a row */
-    uint64_t away_ms;  /* could not be reached then, nor since; 0: it can */
-    bool probed;       /* a call is out to see whether it is still away */
+    uint32_t total;        /* running for all, as told */
+    uint64_t heard_ms;     /* it began an answer; 0: never */
+    uint32_t failures;     /* unreachable in a row */
+    uint64_t away_ms; /* could not be reached then, nor since; 0: it can */
+    bool probed;      /* a call is out to see whether it is still away */
     uint32_t probe_pause_ms;
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
@@ -74,9 +75,11 @@
 struct UtSet {
     char *data_centre;
     BgRandom rng;
-    GHashTable *by_id; /* id -> Ut */
-    GPtrArray *ghosts; /* Ut: gone, with calls out */
-    double plain_ms;   /* usual first byte of a service without models */
+    GHashTable *by_id;  /* id -> Ut */
+    GHashTable *by_key; /* ut_make_key of its id -> Ut */
+    uint64_t totals_ms; /* when the totals of all were last told to hold */
+    GPtrArray *ghosts;  /* Ut: gone, with calls out */
+    double plain_ms;    /* usual first byte of a service without models */
 };
 
 static void
@@ -104,6 +107,7 @@
     s->data_centre = g_strdup(params->data_centre);
     bg_seed_random(&s->rng, params->seed);
     s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    s->by_key = g_hash_table_new(g_direct_hash, g_direct_equal);
     s->ghosts = g_ptr_array_new();
     return s;
 }
@@ -118,6 +122,7 @@
         free_ut(u);
     }
     g_hash_table_destroy(s->by_id);
+    g_hash_table_destroy(s->by_key);
     for (guint i = 0; i < s->ghosts->len; i++) {
         free_ut(s->ghosts->pdata[i]);
     }
@@ -132,6 +137,10 @@
 drop(UtSet *s, Ut *u)
 {
     g_hash_table_remove(s->by_id, u->entry->id);
+    gpointer key = GUINT_TO_POINTER(ut_make_key(u->entry->id));
+    if (g_hash_table_lookup(s->by_key, key) == u) {
+        g_hash_table_remove(s->by_key, key);
+    }
     u->gone = true;
     if (u->running == 0) {
         free_ut(u);
@@ -170,6 +179,9 @@
     }
     else {
         u = g_new0(Ut, 1);
+        u->set = s;
+        g_hash_table_insert(s->by_key,
+                            GUINT_TO_POINTER(ut_make_key(entry->id)), u);
         u->absences = g_array_new(FALSE, FALSE, sizeof(Absence));
         g_array_set_clear_func(u->absences, clear_absence);
         u->slowness = 1;
@@ -297,7 +309,7 @@
 get_others(const Ut *u, uint64_t now_ms)
 {
     return MAX(fade(u->reported, u->reported_ms, now_ms),
-               fade(u->told, u->told_ms, now_ms));
+               fade(u->told, u->set->totals_ms, now_ms));
 }
 
 double
@@ -597,22 +609,75 @@
     u->reported_ms = now_ms;
 }
 
+static void
+set_total(Ut *u, uint32_t running, uint32_t wait_ms)
+{
+    u->total = running;
+    u->told = running > u->running ? running - u->running : 0;
+    u->told_wait_ms = wait_ms;
+}
+
 void
-ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running,
-            uint32_t wait_ms)
+ut_on_totals(UtSet *s, uint64_t now_ms, const UtTotal *totals, size_t n,
+             bool whole)
 {
-    Ut *u = g_hash_table_lookup(s->by_id, id);
-    if (u) {
-        u->told = running > u->running ? running - u->running : 0;
-        u->told_wait_ms = wait_ms;
-        u->told_ms = now_ms;
+    s->totals_ms = now_ms;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (whole && g_hash_table_iter_next(&it, NULL, &v)) {
+        set_total(v, 0, 0);
+    }
+    for (size_t i = 0; i < n; i++) {
+        Ut *u =
+            g_hash_table_lookup(s->by_key, GUINT_TO_POINTER(totals[i].key));
+        if (u) {
+            set_total(u, totals[i].running, totals[i].wait_ms);
+        }
+    }
+}
+
+void
+ut_visit_totals(const UtSet *s, void (*visit)(void *ctx, const UtTotal *total),
+                void *ctx)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        UtTotal t = {ut_make_key(u->entry->id), u->total, u->told_wait_ms};
+        if (t.running > 0) {
+            visit(ctx, &t);
+        }
     }
 }
 
+void
+ut_visit(const UtSet *s,
+         void (*visit)(void *ctx, const DepUpstream *entry,
+                       const GPtrArray *models),
+         void *ctx)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        visit(ctx, u->entry, u->placed ? u->placed : u->entry->models);
+    }
+}
+
+uint32_t
+ut_make_key(const char *id)
+{
+    return XXH32(id, strlen(id), 0);
+}
+
 uint32_t
 ut_get_wait_ms(const Ut *u, uint64_t now_ms)
 {
-    return now_ms < u->told_ms + REPORT_FADE_MS ? u->told_wait_ms : 0;
+    return now_ms < u->set->totals_ms + REPORT_FADE_MS ? u->told_wait_ms : 0;
 }
 
 /* Reading the prompt and the first step; a queue or other requests make it
@@ -671,3 +736,9 @@
 {
     return g_hash_table_size(s->by_id);
 }
+
+bool
+ut_knows(const UtSet *s, const char *id)
+{
+    return g_hash_table_contains(s->by_id, id);
+}
--- a/src/ut.h
+++ b/src/ut.h
@@ -80,10 +80,29 @@
                     const char *adapter);
 /* What an answer said of its load. */
 void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting);
-/* What all gateways together have running there, and how long one that comes
-   now waits for its first byte behind those that wait. */
-void ut_on_total(UtSet *s, uint64_t now_ms, const char *id, uint32_t running,
-                 uint32_t wait_ms);
+/* What all gateways together have running at an upstream, and how long one
+   that comes now waits for its first byte behind those that wait. */
+typedef struct {
+    uint32_t key; /* ut_make_key of its id */
+    uint32_t running;
+    uint32_t wait_ms;
+} UtTotal;
+
+uint32_t ut_make_key(const char *id);
+/* Totals that changed, as the placing VM tells them; WHOLE: all others are
+   none.  They hold as long as it is heard, so it says that they do, also
+   without any. */
+void ut_on_totals(UtSet *s, uint64_t now_ms, const UtTotal *totals, size_t n,
+                  bool whole);
+/* VISIT each that is not none. */
+void ut_visit_totals(const UtSet *s,
+                     void (*visit)(void *ctx, const UtTotal *total),
+                     void *ctx);
+/* VISIT each upstream with what it holds, as last told: DepResident list. */
+void ut_visit(const UtSet *s,
+              void (*visit)(void *ctx, const DepUpstream *entry,
+                            const GPtrArray *models),
+              void *ctx);
 /* That wait, as last told and so long ago as counts; 0: none is known. */
 uint32_t ut_get_wait_ms(const Ut *u, uint64_t now_ms);
 /* A first byte within so long is usual for this query; 0: not known. */
@@ -100,5 +119,6 @@
 /* When it last began an answer to this gateway; 0: never. */
 uint64_t ut_get_heard_ms(const Ut *u);
 uint32_t ut_count(const UtSet *s);
+bool ut_knows(const UtSet *s, const char *id);
 
 #endif
--- a/tests/bench_mp.c
+++ b/tests/bench_mp.c
@@ -288,7 +288,7 @@
     getrusage(RUSAGE_SELF, &u);
     printf("%-8s %8.1f ms a second, %8.2f us an event (%llu), %llu orders, "
            "%u wait, %ld MB\n",
-           what, spent_ms * 1000 / (double)for_ms,
+           what, spent_ms * 1000 / (double)MAX(for_ms, 1),
            spent_ms * 1000 / (double)MAX(events, 1),
            (unsigned long long)events, (unsigned long long)b->orders, waiting,
            u.ru_maxrss / 1024);
@@ -332,7 +332,7 @@
         u->slots = 32;
         u->born_ms = 1;
         for (int k = 0; k < COPIES; k++) {
-            char *name = name_model(next++ % b->models);
+            char *name = name_model(next++ % MAX(b->models, 1));
             g_ptr_array_add(u->on_disk, name);
             if (k < 2) {
                 dep_add_resident(u, name);
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -42,6 +42,7 @@
         self.first = {}    # name -> first offset kept
         self.changed = threading.Condition(self.lock)
         self.calls = 0
+        self.called = {}   # "PATH TOPIC" -> calls
         self.mode = "up"   # up, busy (503), silent
         self.lose_appends = 0  # done, but not answered
         self.refused = set()   # holders whose appends get 503
@@ -70,6 +71,9 @@
 
     def handle(self, h, method, path, query, body):
         self.calls += 1
+        what = "%s %s" % (path, query.get("topic"))
+        with self.lock:
+            self.called[what] = self.called.get(what, 0) + 1
         if self.mode == "silent":
             time.sleep(3)
             h.close_connection = True
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -15,7 +15,7 @@
 
 
 class Gateway:
-    def __init__(self, build, store, name, grace_s=8):
+    def __init__(self, build, store, name, grace_s=8, extra=""):
         self.name = name
         self.front, self.ready, self.control, self.link = (
             free_port() for _ in range(4))
@@ -35,8 +35,8 @@
 grace_s = %d
 retry_window_s = 1
 retry_slack = 400
-""" % (name, self.front, self.ready, self.control, self.link, store.address,
-                LEASE_REST_MS, grace_s))
+%s""" % (name, self.front, self.ready, self.control, self.link, store.address,
+                LEASE_REST_MS, grace_s, extra))
         self.program = os.path.join(build, "bglade-gateway")
         self.log_path = os.path.join(self.dir, "log")
         self.proc = None
@@ -114,7 +114,7 @@
     """STORE, two plain servers, two engines and GATEWAYS."""
 
     def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
-                 first_config=True, doors=False):
+                 first_config=True, doors=False, extra=""):
         self.store = Store(free_port())
         if first_config:
             self.store.put_config(config(3))
@@ -127,7 +127,8 @@
         self.doors = [Door(free_port(), self.store)
                       for _ in range(gateways if doors else 0)]
         ways = self.doors or [self.store] * gateways
-        self.gateways = [Gateway(build, ways[i], "vm%d" % i).start()
+        self.gateways = [Gateway(build, ways[i], "vm%d" % i,
+                                 extra=extra).start()
                          for i in range(gateways)]
         started = time.monotonic()
         if first_config:
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,175 @@
+"""Gateways behind relays: links, news, losses of relays and of the placing VM.
+
+With one link allowed to the placing VM, one of five others relays, one stays
+as its spare, and three are members of the relay."""
+
+import signal
+import time
+
+import pytest
+
+from cluster import wait_until
+from fake_platform import config, route
+from platform_cluster import Cluster, Gateway, ask, now
+
+VMS = 6
+LIST = "/log-newest keyed.servers"
+RELAYS = "[relays]\ndirect = 1\n"
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet(build):
+    with Cluster(build, gateways=VMS, models=(("m0",), ()),
+                 extra=RELAYS) as c:
+        wait_until(lambda: len(members(c)) == VMS - 3, what="relays")
+        yield c
+
+
+def dumps(c):
+    return {g.name: g.dump() for g in c.gateways if g.proc.poll() is None}
+
+
+def members(c):
+    """Gateways that are linked to a relay."""
+    return [n for n, d in dumps(c).items() if d["relay"] and d["linked"]]
+
+
+def find_relay(c):
+    for g in c.gateways:
+        if g.proc.poll() is None:
+            d = g.dump()
+            if d["peers"] > 0 and not d["places"]:
+                return g
+    return None
+
+
+def find(c, names):
+    return [g for g in c.gateways if g.name in names]
+
+
+def all_serve(c, model, within_s=6):
+    """Each gateway serves MODEL, loaded or not."""
+    until = now() + within_s
+    for g in c.gateways:
+        if g.proc.poll() is not None:
+            continue
+        status = 0
+        while status != 200:
+            assert now() < until, "%s does not serve %s" % (g.name, model)
+            status = ask(g, "chat", model)[0]
+
+
+def test_few_link_to_the_placing_vm(fleet):
+    """Guards against one VM that carries a link of every other."""
+    c = fleet
+    placer = c.placer()
+    assert placer.dump()["peers"] == 2
+    assert find_relay(c).dump()["peers"] == 3
+    all_serve(c, "m0")
+    all_serve(c, "m1")
+
+
+def test_members_ask_the_store_for_nothing(fleet):
+    """Guards against calls to the store that grow with the fleet."""
+    c = fleet
+    time.sleep(1.0)
+    before = dict(c.store.called)
+    time.sleep(3.0)
+    assert len(members(c)) == VMS - 3
+    calls = {k: n - before.get(k, 0) for k, n in c.store.called.items()
+             if n > before.get(k, 0)}
+    # Of the placing VM alone, a second: four reads of upstreams, three
+    # renewals, a read of its mail and one of the configuration.
+    assert sum(calls.values()) <= 3 * 9 + 3, calls
+
+
+def test_news_reach_members(fleet):
+    """Guards against members that are left behind: a new route, a leaving
+    upstream and a model that is loaded."""
+    c = fleet
+    names = members(c)
+    routes = config(3)["routes"] + [route("late", "app", "idempotent")]
+    c.store.put_config(config(7, routes))
+    for g in find(c, names):
+        wait_until(lambda g=g: ask(g, "late")[0] == 200, limit_s=3,
+                   what="the new route at " + g.name)
+    c.apps[0].leave()
+    time.sleep(2.0)
+    seen = len(c.apps[0].requests)
+    for g in find(c, names):
+        assert ask(g, "late")[0] == 200
+    assert len(c.apps[0].requests) == seen
+
+
+@pytest.mark.parametrize("how", ["kill", "term", "freeze"])
+def test_lost_relay_is_replaced(fleet, how):
+    """Guards against members that stay without a relay: callers of models that
+    are held see nothing of it, a cold model is loaded after a moment."""
+    c = fleet
+    relay = find_relay(c)
+    others = [g for g in c.gateways if g is not relay]
+    relay.send({"kill": signal.SIGKILL, "term": signal.SIGTERM,
+                "freeze": signal.SIGSTOP}[how])
+    gone = now()
+    while now() < gone + 1.5:
+        for g in others:
+            assert ask(g, "chat", "m0")[0] == 200
+    for g in others:
+        wait_until(lambda g=g: g.dump()["linked"] or g.dump()["places"],
+                   limit_s=4, what="a link of " + g.name)
+    status = 0
+    while status != 200:
+        assert now() < gone + 8
+        status = ask(others[-1], "chat", "m2")[0]
+
+
+def test_relays_stay_while_the_placing_vm_is_lost(fleet):
+    """Guards against a whole fleet that asks the store and links anew when the
+    placing VM is lost: members stay with their relay, and another VM places
+    after the lease and the rest."""
+    c = fleet
+    placer = c.placer()
+    names = members(c)
+    before = {n: len(g.events("placer-lost"))
+              for n, g in ((g.name, g) for g in find(c, names))}
+    placer.send(signal.SIGKILL)
+    gone = now()
+    placer.proc.wait()
+    wait_until(lambda: any(d["places"] for d in dumps(c).values()),
+               limit_s=6, what="a successor")
+    all_serve(c, "m1", 8)
+    assert now() < gone + 9
+    for g in find(c, names):
+        if not g.dump()["places"]:
+            assert len(g.events("placer-lost")) <= before[g.name] + 1
+
+
+def test_starting_member_needs_little(fleet, build):
+    """Guards against starts that press the store: a process that comes to a
+    fleet takes what it needs from its relay."""
+    c = fleet
+    late = Gateway(build, c.store, "late", extra=RELAYS)
+    before = c.store.called.get(LIST, 0)
+    late.start()
+    c.gateways.append(late)
+    wait_until(late.is_ready, what="readiness")
+    assert ask(late, "chat", "m0")[0] == 200
+    assert c.store.called.get(LIST, 0) == before
+    wait_until(lambda: late.dump()["linked"], what="its link")
+
+
+def test_start_without_the_store_behind_relays(fleet, build):
+    """Guards against a process that serves nothing as it starts while the
+    store is away and the gateway that it knows is no placing one."""
+    c = fleet
+    seed = find(c, members(c))[0]
+    c.store.mode = "busy"
+    late = Gateway(build, c.store, "late", extra=RELAYS)
+    text = open(late.settings, encoding="utf-8").read()
+    with open(late.settings, "w", encoding="utf-8") as f:
+        f.write(text.replace("[bounds]", "seeds = 127.0.0.1:%d\n[bounds]"
+                             % seed.control))
+    late.start()
+    c.gateways.append(late)
+    wait_until(late.is_ready, limit_s=4, what="readiness")
+    assert ask(late, "chat", "m0")[0] == 200
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -356,6 +356,34 @@
     g_free(t.newest);
 }
 
+/* Guards against a holder that yields while a renewal is out, is told that it
+   was done, and holds the lease again. */
+static void
+test_lease_given_up_in_a_renewal(void)
+{
+    Topic t = {0};
+    Vm v[2];
+    uint64_t now_ms = 1000;
+    vm_start(&v[0], &t, "a", "a1");
+    vm_run(v, 1, &now_ms, 1000);
+    vm_start(&v[1], &t, "b", "b1");
+    vm_run(v, 2, &now_ms, 400);
+    while (!v[0].writing) {
+        now_ms += 20;
+        ls_on_tick(v[0].lease, now_ms);
+    }
+    ls_yield(v[0].lease, now_ms, 5000);
+    vm_answer(&v[0], now_ms);
+    CU_ASSERT_FALSE(ls_is_holder(v[0].lease, now_ms));
+    vm_run(v, 2, &now_ms, 1200);
+    CU_ASSERT(ls_is_holder(v[1].lease, now_ms));
+    vm_run(v, 2, &now_ms, 2000);
+    CU_ASSERT_FALSE(ls_is_holder(v[0].lease, now_ms));
+    vm_stop(&v[0]);
+    vm_stop(&v[1]);
+    g_free(t.newest);
+}
+
 /* A holder that is about to stop goes on renewing; the process after it on
    the same VM takes over and orders at once.  If none comes, another VM does
    after the lease. */
@@ -636,8 +664,9 @@
 test_choice_leaves_long_queues_alone(void)
 {
     UtSet *s = make_set(2, "m0");
-    ut_on_total(s, 1000, "u0", 60, 5000);
-    ut_on_total(s, 1000, "u1", 40, 3000);
+    UtTotal totals[] = {{ut_make_key("u0"), 60, 5000},
+                        {ut_make_key("u1"), 40, 3000}};
+    ut_on_totals(s, 1000, totals, 2, false);
     UtQuery q = {.service = "s", .model = "m0", .most_wait_ms = 1000};
     Ut *u = NULL;
     CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_BUSY);
@@ -1736,6 +1765,7 @@
          test_lease_rest_begins_with_the_last_order},
         {"lease after restart", test_lease_after_restart},
         {"lease given up", test_lease_given_up},
+        {"lease given up in a renewal", test_lease_given_up_in_a_renewal},
         {"lease of a leaver", test_lease_of_a_leaver},
         {"budget in every window", test_budget_in_every_window},
         {"budget remembers gateways", test_budget_remembers_gateways},
