News reach gateways around those that are cut from the store

Change: a gateway that reads the store tells the placing VM its version and, where that can't read, its news; the placing VM asks it for what is newer and passes on. A relay says when it neither hears the placing VM nor reads the store, and its members then read for themselves. That there are no upstreams is told as well. Tests: test_news_around_those_cut_from_the_store[both] and test_ready_before_the_first_upstream are red on the code before.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &gwp__holder__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__config_wanted__init
+                     (Gwp__ConfigWanted         *message)
+{
+  static const Gwp__ConfigWanted init_value = GWP__CONFIG_WANTED__INIT;
+  *message = init_value;
+}
+size_t gwp__config_wanted__get_packed_size
+                     (const Gwp__ConfigWanted *message)
+{
+  assert(message->base.descriptor == &gwp__config_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__config_wanted__pack
+                     (const Gwp__ConfigWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__config_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__config_wanted__pack_to_buffer
+                     (const Gwp__ConfigWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__config_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__ConfigWanted *
+       gwp__config_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__ConfigWanted *)
+     protobuf_c_message_unpack (&gwp__config_wanted__descriptor,
+                                allocator, len, data);
+}
+void   gwp__config_wanted__free_unpacked
+                     (Gwp__ConfigWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__config_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__want__init
                      (Gwp__Want         *message)
 {
@@ -1151,7 +1196,7 @@
   (ProtobufCMessageInit) gwp__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__members__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__members__field_descriptors[4] =
 {
   {
     "vms",
@@ -1177,15 +1222,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_store",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Members, reads_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Members, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__members__field_indices_by_name[] = {
+  3,   /* field[3] = config_version */
   1,   /* field[1] = leaving */
+  2,   /* field[2] = reads_store */
   0,   /* field[0] = vms */
 };
 static const ProtobufCIntRange gwp__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gwp__members__descriptor =
 {
@@ -1195,14 +1266,14 @@
   "Gwp__Members",
   "gwp",
   sizeof(Gwp__Members),
-  2,
+  4,
   gwp__members__field_descriptors,
   gwp__members__field_indices_by_name,
   1,  gwp__members__number_ranges,
   (ProtobufCMessageInit) gwp__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__holder__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gwp__holder__field_descriptors[2] =
 {
   {
     "address",
@@ -1216,14 +1287,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Holder, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__holder__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  1,   /* field[1] = blind */
 };
 static const ProtobufCIntRange gwp__holder__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gwp__holder__descriptor =
 {
@@ -1233,13 +1317,31 @@
   "Gwp__Holder",
   "gwp",
   sizeof(Gwp__Holder),
-  1,
+  2,
   gwp__holder__field_descriptors,
   gwp__holder__field_indices_by_name,
   1,  gwp__holder__number_ranges,
   (ProtobufCMessageInit) gwp__holder__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define gwp__config_wanted__field_descriptors NULL
+#define gwp__config_wanted__field_indices_by_name NULL
+#define gwp__config_wanted__number_ranges NULL
+const ProtobufCMessageDescriptor gwp__config_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.ConfigWanted",
+  "ConfigWanted",
+  "Gwp__ConfigWanted",
+  "gwp",
+  sizeof(Gwp__ConfigWanted),
+  0,
+  gwp__config_wanted__field_descriptors,
+  gwp__config_wanted__field_indices_by_name,
+  0,  gwp__config_wanted__number_ranges,
+  (ProtobufCMessageInit) gwp__config_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__want__field_descriptors[7] =
 {
   {
@@ -1804,7 +1906,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[9] =
 {
   {
     "waits",
@@ -1902,11 +2004,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "informed",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, informed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
+  8,   /* field[8] = informed */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
   5,   /* field[5] = store_at_once */
@@ -1917,7 +2032,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -1927,7 +2042,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  8,
+  9,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
@@ -2433,7 +2548,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -2603,10 +2718,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_wanted",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, config_wanted),
+    &gwp__config_wanted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
   12,   /* field[12] = config */
+  14,   /* field[14] = config_wanted */
   4,   /* field[4] = death */
   1,   /* field[1] = demand */
   0,   /* field[0] = hello */
@@ -2623,7 +2751,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -2633,7 +2761,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  14,
+  15,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Gwp__Assign Gwp__Assign;
 typedef struct Gwp__Members Gwp__Members;
 typedef struct Gwp__Holder Gwp__Holder;
+typedef struct Gwp__ConfigWanted Gwp__ConfigWanted;
 typedef struct Gwp__Want Gwp__Want;
 typedef struct Gwp__Use Gwp__Use;
 typedef struct Gwp__Began Gwp__Began;
@@ -98,14 +99,19 @@
    * the sender is about to stop
    */
   protobuf_c_boolean leaving;
+  /*
+   * it knows the upstreams' entries of now
+   */
+  protobuf_c_boolean reads_store;
+  uint64_t config_version;
 };
 #define GWP__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__members__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0, 0 }
 
 
 /*
- * Who places, as far as the sender knows, told where it is not linked to it.
+ * Who places, as far as a relay knows.
  */
 struct  Gwp__Holder
 {
@@ -114,10 +120,27 @@
    * empty: not known
    */
   char *address;
+  /*
+   * it neither hears the placing VM nor reads the store
+   */
+  protobuf_c_boolean blind;
 };
 #define GWP__HOLDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__holder__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The receiver told of a newer configuration: the sender has no other way to
+ * it.
+ */
+struct  Gwp__ConfigWanted
+{
+  ProtobufCMessage base;
+};
+#define GWP__CONFIG_WANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__config_wanted__descriptor) \
+     }
 
 
 struct  Gwp__Want
@@ -302,10 +325,14 @@
    * of its links
    */
   char *address;
+  /*
+   * it, or a gateway linked to it, reads the store
+   */
+  protobuf_c_boolean informed;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -458,7 +485,8 @@
   GWP__FRAME__BODY_MEMBERS = 11,
   GWP__FRAME__BODY_HOLDER = 12,
   GWP__FRAME__BODY_CONFIG = 13,
-  GWP__FRAME__BODY_LOADS = 14
+  GWP__FRAME__BODY_LOADS = 14,
+  GWP__FRAME__BODY_CONFIG_WANTED = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -481,6 +509,7 @@
     Gwp__Holder *holder;
     Gwp__Config *config;
     Gwp__Loads *loads;
+    Gwp__ConfigWanted *config_wanted;
   };
 };
 #define GWP__FRAME__INIT \
@@ -564,6 +593,25 @@
 void   gwp__holder__free_unpacked
                      (Gwp__Holder *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__ConfigWanted methods */
+void   gwp__config_wanted__init
+                     (Gwp__ConfigWanted         *message);
+size_t gwp__config_wanted__get_packed_size
+                     (const Gwp__ConfigWanted   *message);
+size_t gwp__config_wanted__pack
+                     (const Gwp__ConfigWanted   *message,
+                      uint8_t             *out);
+size_t gwp__config_wanted__pack_to_buffer
+                     (const Gwp__ConfigWanted   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__ConfigWanted *
+       gwp__config_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__config_wanted__free_unpacked
+                     (Gwp__ConfigWanted *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Want methods */
 void   gwp__want__init
                      (Gwp__Want         *message);
@@ -920,6 +968,9 @@
 typedef void (*Gwp__Holder_Closure)
                  (const Gwp__Holder *message,
                   void *closure_data);
+typedef void (*Gwp__ConfigWanted_Closure)
+                 (const Gwp__ConfigWanted *message,
+                  void *closure_data);
 typedef void (*Gwp__Want_Closure)
                  (const Gwp__Want *message,
                   void *closure_data);
@@ -984,6 +1035,7 @@
 extern const ProtobufCMessageDescriptor gwp__assign__descriptor;
 extern const ProtobufCMessageDescriptor gwp__members__descriptor;
 extern const ProtobufCMessageDescriptor gwp__holder__descriptor;
+extern const ProtobufCMessageDescriptor gwp__config_wanted__descriptor;
 extern const ProtobufCMessageDescriptor gwp__want__descriptor;
 extern const ProtobufCMessageDescriptor gwp__use__descriptor;
 extern const ProtobufCMessageDescriptor gwp__began__descriptor;
--- a/src/gn.h
+++ b/src/gn.h
@@ -77,10 +77,15 @@
     uint64_t next_seed_ms;
     guint next_seed;
     uint64_t config_ms;
+    uint64_t start_ms;
     uint64_t placer_ms;  /* when the placing VM was last heard; 0: never */
     uint64_t members_ms; /* when our members were last told */
+    uint64_t asked_ms;   /* for a newer configuration */
     bool placing;        /* this VM held the lease at the last tick */
     bool placer_reads;   /* the placing VM reads the store */
+    bool informed;       /* it, or a gateway linked to it, does */
+    bool relay_blind;    /* our relay neither hears it nor reads the store */
+    bool blind;          /* nor do we, as our members were told */
     bool sums_due;       /* all of demand, to whoever places */
     bool store_doubted;  /* it did not answer the last append of the lease */
     bool has_upstreams;  /* taken from another gateway */
@@ -110,6 +115,9 @@
 /* U is taken over.  True: others should know, too: it is new, another, or it
    leaves. */
 bool gn_take_upstream(Gateway *g, uint64_t now_ms, DepUpstream *u);
+bool gn_knows_upstreams(const Gateway *g);
+/* This process reads the upstreams' entries of now. */
+bool gn_reads_store(const Gateway *g, uint64_t now_ms);
 void gn_follow_store(Gateway *g, uint64_t now_ms);
 void gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version);
 
@@ -157,6 +165,8 @@
 /* The placing VM's links are at ADDRESS; NULL: not known. */
 void gn_set_placer(Gateway *g, const char *address);
 void gn_tick_relay(Gateway *g, uint64_t now_ms);
+/* A gateway linked to us reads the store. */
+bool gn_has_reader(Gateway *g);
 /* The placing VM was heard lately, here or through relays. */
 bool gn_hears_placer(const Gateway *g, uint64_t now_ms);
 /* Gateways that are linked to us, or to a relay that is. */
@@ -174,8 +184,10 @@
 void gn_pass_placement(Gateway *g, const char *upstream,
                        const GPtrArray *models);
 void gn_tell_the_rest(Gateway *g);
+/* To the placing VM as well, where that does not read the store. */
 void gn_pass_upstreams(Gateway *g, const GPtrArray *changed,
                        const GPtrArray *gone);
+void gn_ask_config(Gateway *g, LkPeer *of);
 void gn_pass_all_upstreams(Gateway *g);
 void gn_pass_config(Gateway *g, LkPeer *to);
 /* All there is, to one that has come. */
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -4,8 +4,6 @@
 
 #include <stdlib.h>
 
-/* The placing VM's own read is at most so old, or others read themselves. */
-#define STORE_FRESH_MS 700
 /* Upstreams with fewer requests are as good as idle ones to who chooses. */
 #define MIN_TOLD_LOAD 3
 /* A load is told again when it differs by more than this part of it, and by
@@ -143,6 +141,9 @@
     f.body_case = GWP__FRAME__BODY_UPSTREAMS;
     f.upstreams = &m;
     lk_send_down(g->links, to, &f);
+    if (!to && !whole && !g->placing && !g->placer_reads) {
+        lk_send_up(g->links, &f);
+    }
 }
 
 void
@@ -160,18 +161,30 @@
     }
 }
 
-/* False: this process knows none yet. */
+void
+gn_ask_config(Gateway *g, LkPeer *of)
+{
+    Gwp__ConfigWanted w = GWP__CONFIG_WANTED__INIT;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_CONFIG_WANTED;
+    f.config_wanted = &w;
+    lk_send_down(g->links, of, &f);
+}
+
+/* False: this process does not know them yet; that there are none is known as
+   well. */
 static bool
 send_all_upstreams(Gateway *g, LkPeer *to)
 {
+    if (!gn_knows_upstreams(g)) {
+        return false;
+    }
     g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
     g_autoptr(GPtrArray) residents = g_ptr_array_new_with_free_func(free_list);
     UpstreamRows rows = {list, residents};
     ut_visit(g->upstreams, add_upstream, &rows);
-    if (list->len > 0) {
-        send_upstreams(g, to, &rows, NULL, true);
-    }
-    return list->len > 0;
+    send_upstreams(g, to, &rows, NULL, true);
+    return true;
 }
 
 void
@@ -182,12 +195,10 @@
     }
 }
 
-void
-gn_pass_config(Gateway *g, LkPeer *to)
+/* TO: one of those linked to us; NULL: all of them. */
+static void
+send_config(Gateway *g, LkPeer *to, bool up)
 {
-    if (!g->config_bytes || (!to && lk_count_peers(g->links) == 0)) {
-        return;
-    }
     gsize len;
     const void *data = g_bytes_get_data(g->config_bytes, &len);
     Gwp__Config c = GWP__CONFIG__INIT;
@@ -196,7 +207,20 @@
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_CONFIG;
     f.config = &c;
-    lk_send_down(g->links, to, &f);
+    if (up) {
+        lk_send_up(g->links, &f);
+    }
+    else {
+        lk_send_down(g->links, to, &f);
+    }
+}
+
+void
+gn_pass_config(Gateway *g, LkPeer *to)
+{
+    if (g->config_bytes && (to || lk_count_peers(g->links) > 0)) {
+        send_config(g, to, false);
+    }
 }
 
 /* ---- what is told: loads ------------------------------------------------ */
@@ -349,7 +373,8 @@
     s.waits = (Gwp__Wait **)waits->pdata;
     s.gateways = gn_count_members(g, now_ms);
     s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
-    s.reads_store = st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
+    s.reads_store = gn_reads_store(g, now_ms);
+    s.informed = s.reads_store || gn_has_reader(g);
     s.config_version = g->config ? g->config->version : 0;
     s.address = (char *)gn_get_text(g, "link");
     MpStoreRate rate = mp_get_store_rate(g->placement);
@@ -397,6 +422,9 @@
         const Gwp__Upstream *x = m->upstreams[i];
         g_hash_table_add(ids, x->id);
         gn_take_upstream(g, now_ms, read_upstream(x));
+        if (x->draining) {
+            mp_on_leaving(g->placement, x->id);
+        }
         ut_on_placement(g->upstreams, now_ms, x->id,
                         read_residents(x->n_residents, x->residents));
     }
@@ -410,6 +438,39 @@
     gw_on_change(g->gw);
 }
 
+/* What an upstream holds, as its entry says, is older than what is known
+   here. */
+static void
+take_news_from_below(Gateway *g, const Gwp__Frame *f)
+{
+    uint64_t now_ms = bg_boot_ms();
+    const Gwp__Upstreams *m = f->upstreams;
+    bool news = false;
+    for (size_t i = 0; i < m->n_upstreams; i++) {
+        const Gwp__Upstream *x = m->upstreams[i];
+        DepUpstream *u = read_upstream(x);
+        if (!ut_knows(g->upstreams, x->id)) {
+            g_ptr_array_free(u->models, TRUE);
+            u->models = read_residents(x->n_residents, x->residents);
+        }
+        if (x->draining) {
+            mp_on_leaving(g->placement, x->id);
+        }
+        news = gn_take_upstream(g, now_ms, u) || news;
+    }
+    for (size_t i = 0; i < m->n_gone; i++) {
+        news = ut_knows(g->upstreams, m->gone[i]) || news;
+        gn_drop_upstream(g, now_ms, m->gone[i]);
+    }
+    if (news) {
+        lk_send_down(g->links, NULL, f);
+        if (!g->placing) {
+            lk_send_up(g->links, f);
+        }
+        gw_on_change(g->gw);
+    }
+}
+
 static void
 take_loads(Gateway *g, const Gwp__Loads *m)
 {
@@ -429,6 +490,7 @@
     uint64_t now_ms = bg_boot_ms();
     g->placer_ms = now_ms;
     g->placer_reads = s->reads_store;
+    g->informed = s->informed;
     gn_set_placer(g, s->address);
     ls_on_heard(g->lease, now_ms);
     ut_on_totals(g->upstreams, now_ms, NULL, 0, false);
@@ -518,6 +580,11 @@
     case GWP__FRAME__BODY_HOLDER:
         gn_take_holder(g, f->holder);
         break;
+    case GWP__FRAME__BODY_CONFIG_WANTED:
+        if (g->config_bytes) {
+            send_config(g, NULL, true);
+        }
+        break;
     default:
         break; /* a beat, or of a newer gateway */
     }
@@ -548,6 +615,12 @@
     case GWP__FRAME__BODY_LEASE_ANSWER:
         gn_take_lease_answer(g, f->lease_answer);
         break;
+    case GWP__FRAME__BODY_UPSTREAMS:
+        take_news_from_below(g, f);
+        break;
+    case GWP__FRAME__BODY_CONFIG:
+        take_config(g, f->config);
+        break;
     default:
         break; /* a beat, or of a newer gateway */
     }
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -12,6 +12,9 @@
 /* A lost link is opened anew before the store is asked who places. */
 #define RELINK_MS 500
 #define MEMBERS_MS 1000 /* between words of who is linked to us */
+/* Between questions for a newer configuration: a read of our own that is on
+   its way is there by then. */
+#define CONFIG_PAUSE_MS 250
 /* Here for so long, it was not sent on: it is told all. */
 #define SETTLED_MS 250
 /* One that was sent to a relay is there, and told of, after so long. */
@@ -31,6 +34,7 @@
     uint64_t config_version;
     uint64_t since_ms;
     bool leaving;
+    bool reads_store;
     bool told; /* all there is */
 } Peer;
 
@@ -87,6 +91,19 @@
     g->uplink.shunned = g_steal_pointer(&g->uplink.relay);
 }
 
+/* TO: one of those linked to us; NULL: all of them. */
+static void
+send_holder(Gateway *g, LkPeer *to)
+{
+    Gwp__Holder h = GWP__HOLDER__INIT;
+    h.address = g->uplink.placer ? g->uplink.placer : (char *)"";
+    h.blind = g->blind;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_HOLDER;
+    f.holder = &h;
+    lk_send_down(g->links, to, &f);
+}
+
 void
 gn_set_placer(Gateway *g, const char *address)
 {
@@ -94,12 +111,7 @@
     if (g_strcmp0(u->placer, address) != 0) {
         g_free(u->placer);
         u->placer = g_strdup(address);
-        Gwp__Holder h = GWP__HOLDER__INIT;
-        h.address = address ? u->placer : (char *)"";
-        Gwp__Frame f = GWP__FRAME__INIT;
-        f.body_case = GWP__FRAME__BODY_HOLDER;
-        f.holder = &h;
-        lk_send_down(g->links, NULL, &f);
+        send_holder(g, NULL);
     }
     choose_target(g);
 }
@@ -107,9 +119,21 @@
 void
 gn_take_holder(Gateway *g, const Gwp__Holder *h)
 {
+    g->relay_blind = h->blind;
     gn_set_placer(g, *h->address ? h->address : NULL);
 }
 
+/* Members of a relay that learns nothing any more ask the store themselves. */
+static void
+tell_blindness(Gateway *g, uint64_t now_ms)
+{
+    bool blind = !gn_hears_placer(g, now_ms) && !gn_reads_store(g, now_ms);
+    if (g->blind != blind) {
+        g->blind = blind;
+        send_holder(g, NULL);
+    }
+}
+
 void
 gn_take_assign(Gateway *g, const Gwp__Assign *a)
 {
@@ -152,6 +176,7 @@
     Gateway *g = ctx;
     uint64_t now_ms = bg_boot_ms();
     log_link(g, open);
+    g->relay_blind = false;
     if (open) {
         g->sums_due = true;
         g->members_ms = 0;
@@ -243,6 +268,7 @@
     lk_set_user(from, p);
     gn_note_member(g, hello->vm);
     g->members_ms = 0;
+    send_holder(g, from);
     /* The placing VM may send it on first. */
     uint32_t direct = (uint32_t)ini_get_int(g->settings, "relays", "direct");
     if (!g->placing || lk_count_peers(g->links) <= direct) {
@@ -259,6 +285,8 @@
         return;
     }
     p->leaving = m->leaving;
+    p->reads_store = m->reads_store;
+    p->config_version = MAX(p->config_version, m->config_version);
     g_ptr_array_set_size(p->members, 0);
     for (size_t i = 0; i < m->n_vms; i++) {
         g_ptr_array_add(p->members, g_strdup(m->vms[i]));
@@ -319,12 +347,57 @@
     m.n_vms = vms->len;
     m.vms = (char **)vms->pdata;
     m.leaving = g->stop_ms != 0;
+    m.reads_store = gn_reads_store(g, now_ms);
+    m.config_version = g->config ? g->config->version : 0;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_MEMBERS;
     f.members = &m;
     lk_send_up(g->links, &f);
 }
 
+static void
+note_reader(void *ctx, LkPeer *peer)
+{
+    const Peer *p = lk_get_user(peer);
+    bool *found = ctx;
+    *found = *found || (p && p->reads_store);
+}
+
+bool
+gn_has_reader(Gateway *g)
+{
+    bool found = false;
+    lk_visit_peers(g->links, note_reader, &found);
+    return found;
+}
+
+typedef struct {
+    uint64_t version;
+    LkPeer *peer; /* NULL: none has a newer one */
+} Newest;
+
+static void
+note_version(void *ctx, LkPeer *peer)
+{
+    Newest *n = ctx;
+    const Peer *p = lk_get_user(peer);
+    if (p && p->config_version > n->version) {
+        *n = (Newest){p->config_version, peer};
+    }
+}
+
+/* The store is cut off from here, and not from there. */
+static void
+ask_newer_config(Gateway *g, uint64_t now_ms)
+{
+    Newest n = {g->config ? g->config->version : 0, NULL};
+    lk_visit_peers(g->links, note_version, &n);
+    if (n.peer && now_ms >= g->asked_ms + CONFIG_PAUSE_MS) {
+        g->asked_ms = now_ms;
+        gn_ask_config(g, n.peer);
+    }
+}
+
 /* ---- the plan of the placing VM ----------------------------------------- */
 
 typedef struct {
@@ -438,6 +511,8 @@
         lk_visit_peers(g->links, note_members, g);
     }
     lk_visit_peers(g->links, tell_if_settled, g);
+    tell_blindness(g, now_ms);
+    ask_newer_config(g, now_ms);
     send_members(g, now_ms);
     hold_off_lease(g, now_ms);
     look_for_placer(g, now_ms);
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -23,9 +23,13 @@
    others before it asks the store; not all of them together. */
 #define LONELY_MS 400
 #define LONELY_JITTER_MS 300
+/* A process that by then was told nothing asks the store itself. */
+#define OVERDUE_MS 2000
 /* News that the placing VM told of must have come by then. */
 #define BEHIND_MS 250
 #define SLOW_CALL_MS 1000 /* a call as old as this may be silent */
+/* A read is at most so old, or others read themselves. */
+#define STORE_FRESH_MS 1200
 
 /* ---- configuration ------------------------------------------------------ */
 
@@ -40,6 +44,7 @@
     dep_unref_config(g->config);
     g->config = c;
     g->config_ms = bg_boot_ms();
+    g->members_ms = 0; /* the placing VM hears of it at once */
     gw_on_config(g->gw, c);
     mp_on_config(g->placement, c);
     gn_pass_config(g, NULL);
@@ -122,6 +127,12 @@
     return ut_on_entry(g->upstreams, now_ms, u);
 }
 
+bool
+gn_knows_upstreams(const Gateway *g)
+{
+    return g->has_upstreams || st_is_listed(g->upstream_watch);
+}
+
 /* News of one reading, for the gateways that are linked to us, which seldom
    ask the store. */
 typedef struct {
@@ -207,7 +218,7 @@
         mp_keep_only(g->placement, ids);
         gn_pass_all_upstreams(g);
     }
-    else if (lk_count_peers(g->links) > 0) {
+    else {
         gn_pass_upstreams(g, changed, gone);
     }
 }
@@ -238,24 +249,43 @@
 
 /* How often the store is asked follows from who tells us its news: the placing
    VM, a relay, or nobody. */
+bool
+gn_reads_store(const Gateway *g, uint64_t now_ms)
+{
+    return st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
+}
+
+/* News of the store come over our link. */
+static bool
+is_told(const Gateway *g, uint64_t now_ms)
+{
+    return gn_hears_placer(g, now_ms)
+               ? g->informed
+               : g->uplink.relay && lk_is_open(g->links) && !g->relay_blind;
+}
+
 void
 gn_follow_store(Gateway *g, uint64_t now_ms)
 {
     bool heard = gn_hears_placer(g, now_ms);
-    bool member = g->uplink.relay && lk_is_open(g->links);
-    bool lonely = !heard && !member &&
-                  now_ms >= g->uplink.lost_ms + g->uplink.patience_ms;
-    bool direct = heard && !member;
+    bool told = is_told(g, now_ms);
+    bool direct = heard && !g->uplink.relay;
+    bool lonely = !told && now_ms >= g->uplink.lost_ms + g->uplink.patience_ms;
     bool behind = g->behind_ms && now_ms > g->behind_ms + BEHIND_MS;
-    st_set_wait(g->config_watch, direct && !g->placing && !behind
-                                     ? LINKED_CONFIG_WAIT_MS
-                                     : CONFIG_WAIT_MS);
-    st_set_idle(g->config_watch, !(direct || lonely || behind));
-    bool waits = lonely && gw_count_waiting(g->gw) > 0;
+    /* Whoever should have told it does not know it either. */
+    bool lacks = !g->config || !gn_knows_upstreams(g);
+    bool overdue = lacks && now_ms >= g->start_ms + OVERDUE_MS;
+    bool held_open = direct && told && !g->placing && !behind;
+    st_set_wait(g->config_watch,
+                held_open ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
+    st_set_idle(g->config_watch,
+                !(g->placing || direct || lonely || behind || overdue));
+    bool waits = !heard && gw_count_waiting(g->gw) > 0;
     st_set_pause(g->upstream_watch, g->placing ? PLACING_UPSTREAM_PAUSE_MS
                                     : waits    ? ALONE_PAUSE_MS
                                                : UPSTREAM_PAUSE_MS);
-    bool reads = g->placing || lonely || (direct && !g->placer_reads);
+    bool reads =
+        g->placing || lonely || overdue || (direct && !g->placer_reads);
     st_set_idle(g->upstream_watch, !reads);
 }
 
@@ -288,7 +318,8 @@
     StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, UPSTREAM_PAUSE_MS};
     StWatchHandler on_ups = {g, on_upstream_records, on_upstream_reach};
     g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
-    g->uplink.lost_ms = bg_boot_ms();
+    g->start_ms = bg_boot_ms();
+    g->uplink.lost_ms = g->start_ms;
     g->uplink.patience_ms =
         LONELY_MS + bg_pick_random(&g->rng, LONELY_JITTER_MS);
 }
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -169,8 +169,7 @@
 static bool
 is_ready(const Gateway *g)
 {
-    return g->config && !g->stop_ms &&
-           (st_is_listed(g->upstream_watch) || g->has_upstreams);
+    return g->config && !g->stop_ms && gn_knows_upstreams(g);
 }
 
 static void
--- a/src/mp.c
+++ b/src/mp.c
@@ -475,6 +475,15 @@
     g_hash_table_remove(m->ups, id);
 }
 
+void
+mp_on_leaving(Mp *m, const char *id)
+{
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (u) {
+        u->entry->draining = true;
+    }
+}
+
 void
 mp_keep_only(Mp *m, GHashTable *ids)
 {
--- a/src/mp.h
+++ b/src/mp.h
@@ -75,6 +75,8 @@
 void mp_on_config(Mp *m, DepConfig *c);
 void mp_on_entry(Mp *m, uint64_t now_ms, const DepUpstream *entry);
 void mp_on_gone(Mp *m, const char *id);
+/* It is about to end: nothing more is loaded there. */
+void mp_on_leaving(Mp *m, const char *id);
 void mp_keep_only(Mp *m, GHashTable *ids);
 
 /* The lease was gained: nothing that was believed before counts. */
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -114,12 +114,12 @@
     """STORE, two plain servers, two engines and GATEWAYS."""
 
     def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
-                 first_config=True, doors=False, extra=""):
+                 first_config=True, doors=False, extra="", apps=2):
         self.store = Store(free_port())
         if first_config:
             self.store.put_config(config(3))
         self.apps = [Engine(free_port(), self.store, "a%d" % i, "app")
-                     for i in range(2)]
+                     for i in range(apps)]
         self.engines = [Engine(free_port(), self.store, "e%d" % i,
                                models=held) for i, held in enumerate(models)]
         for e in self.engines:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -173,3 +173,43 @@
     c.gateways.append(late)
     wait_until(late.is_ready, limit_s=4, what="readiness")
     assert ask(late, "chat", "m0")[0] == 200
+
+
+@pytest.mark.parametrize("extra", ["", RELAYS])
+def test_ready_before_the_first_upstream(build, extra):
+    """Guards against gateways that stay out of rotation as no upstream was
+    there yet when they linked."""
+    with Cluster(build, gateways=3, models=(), apps=0, extra=extra) as c:
+        wait_until(c.all_linked, what="links")
+        late = Gateway(build, c.store, "late", extra=extra).start()
+        c.gateways.append(late)
+        wait_until(late.is_ready, limit_s=1.5, what="readiness")
+
+
+@pytest.mark.parametrize("cut", ["placer", "relay", "both"])
+def test_news_around_those_cut_from_the_store(build, cut):
+    """Guards against members that keep an old configuration, and send to an
+    upstream that leaves, as the placing VM, their relay or both can't reach
+    the store."""
+    with Cluster(build, gateways=VMS, models=(("m0",), ()), doors=True,
+                 extra=RELAYS) as c:
+        wait_until(lambda: len(members(c)) == VMS - 3, what="relays")
+        names = members(c)
+        blind = {"placer": [c.placer()], "relay": [find_relay(c)],
+                 "both": [c.placer(), find_relay(c)]}[cut]
+        for g in blind:
+            c.doors[c.gateways.index(g)].mode = "busy"
+        time.sleep(0.5)
+        routes = config(3)["routes"] + [route("late", "app", "idempotent")]
+        c.store.put_config(config(7, routes))
+        c.apps[0].leave()
+        written = now()
+        for g in find(c, names):
+            wait_until(lambda g=g: ask(g, "late")[0] == 200,
+                       limit_s=max(0.1, written + 3 - now()),
+                       what="the new route at " + g.name)
+        time.sleep(max(0, written + 2.5 - now()))
+        seen = len(c.apps[0].requests)
+        for g in find(c, names):
+            assert ask(g, "late")[0] == 200
+        assert len(c.apps[0].requests) == seen
