What a replica serves well follows from slow answers; crashes told once; yield only to cuts

With prompts of 9,000 tokens streams pause from 4 to 6 on; hot models stayed on 3 replicas with 40 in 100 answers late. Now gateways tell how many answers were slow by what their upstream did, and the limit of each model follows: less than the load that was too much, more where all is well. - 295 gateways each tried a crashed upstream ten times a second (5,800 sends in two seconds, 934 requests a second). The placing VM tells of it once, and tries it for all; it asks less often each time itself. - A placing VM yielded when half of the upstreams did not answer, also when they had crashed. Only upstreams that others use, or whose data centre is out of reach as well, count as cut off. Besides: 'bglade timeline', lines for loops that were late, for upstreams found away and for limits that changed. Tests: unit 'choice leaves what is told away', 'tells crash from cut', client test_timeline.

--- a/src/cli.h
+++ b/src/cli.h
@@ -7,7 +7,8 @@
    cli_process status, dump, drain: what processes say over HTTP
    cli_lines   structured logs of several VMs, in order
    cli_explain one request's story from them
-   cli_losses  where answers came late or not at all, from them */
+   cli_losses  where answers came late or not at all, from them
+   cli_timeline what happened when, in rows of two seconds, from them */
 #ifndef CLI_H
 #define CLI_H
 
@@ -100,6 +101,7 @@
 int cli_drain(const CliArguments *a);
 int cli_explain(const CliArguments *a);
 int cli_losses(const CliArguments *a);
+int cli_timeline(const CliArguments *a);
 
 /* Print DOC on one line and free it. */
 void cli_print_json(json_t *doc);
--- a/src/dm.c
+++ b/src/dm.c
@@ -89,7 +89,7 @@
 typedef enum { ROW_WANT, ROW_USE, ROW_BEGAN } RowKind;
 
 #define LEVELS 2 /* waiting and running, or running and queued */
-#define FLOWS 3  /* arrived, hurried and refused, or began */
+#define FLOWS 5  /* arrived, hurried, refused, ended and slow, or began */
 
 /* One sum. */
 typedef struct {
@@ -284,6 +284,8 @@
     add_flow(l, r, 0, w->arrived);
     add_flow(l, r, 1, w->hurried);
     add_flow(l, r, 2, w->refused);
+    add_flow(l, r, 3, w->ended);
+    add_flow(l, r, 4, w->slow);
     return r->levels[0] > before;
 }
 
@@ -366,6 +368,8 @@
         w->arrived = r->flows[0];
         w->hurried = r->flows[1];
         w->refused = r->flows[2];
+        w->ended = r->flows[3];
+        w->slow = r->flows[4];
     }
     else if (r->kind == ROW_USE) {
         DmUse *u = dm_add_use(d, r->upstream, r->model, r->adapter);
@@ -380,7 +384,12 @@
 static bool
 has_flow(const Row *r)
 {
-    return r->flows[0] > 0 || r->flows[1] > 0 || r->flows[2] > 0;
+    for (int i = 0; i < FLOWS; i++) {
+        if (r->flows[i] > 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static bool
--- a/src/dm.h
+++ b/src/dm.h
@@ -22,6 +22,9 @@
     uint32_t arrived;
     uint32_t hurried; /* of these, that are late after a load from a disk */
     uint32_t refused; /* of these, as too many wait already */
+    uint32_t ended;   /* answers that ended */
+    uint32_t slow;    /* of these, that began late at their upstream, or
+                         paused longer than their route allows */
 } DmWant;
 
 /* Requests on one upstream, as they stand. */
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &gwp__upstreams__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__away__init
+                     (Gwp__Away         *message)
+{
+  static const Gwp__Away init_value = GWP__AWAY__INIT;
+  *message = init_value;
+}
+size_t gwp__away__get_packed_size
+                     (const Gwp__Away *message)
+{
+  assert(message->base.descriptor == &gwp__away__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__away__pack
+                     (const Gwp__Away *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__away__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__away__pack_to_buffer
+                     (const Gwp__Away *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__away__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Away *
+       gwp__away__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Away *)
+     protobuf_c_message_unpack (&gwp__away__descriptor,
+                                allocator, len, data);
+}
+void   gwp__away__free_unpacked
+                     (Gwp__Away *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__away__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__config__init
                      (Gwp__Config         *message)
 {
@@ -1342,7 +1387,7 @@
   (ProtobufCMessageInit) gwp__config_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__want__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gwp__want__field_descriptors[9] =
 {
   {
     "model",
@@ -1428,20 +1473,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Want, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Want, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__want__field_indices_by_name[] = {
   1,   /* field[1] = adapter */
   4,   /* field[4] = arrived */
+  7,   /* field[7] = ended */
   6,   /* field[6] = hurried */
   0,   /* field[0] = model */
   5,   /* field[5] = refused */
   3,   /* field[3] = running */
+  8,   /* field[8] = slow */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange gwp__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gwp__want__descriptor =
 {
@@ -1451,7 +1522,7 @@
   "Gwp__Want",
   "gwp",
   sizeof(Gwp__Want),
-  7,
+  9,
   gwp__want__field_descriptors,
   gwp__want__field_indices_by_name,
   1,  gwp__want__number_ranges,
@@ -2229,6 +2300,44 @@
   (ProtobufCMessageInit) gwp__upstreams__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__away__field_descriptors[1] =
+{
+  {
+    "upstreams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__Away, n_upstreams),
+    offsetof(Gwp__Away, upstreams),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__away__field_indices_by_name[] = {
+  0,   /* field[0] = upstreams */
+};
+static const ProtobufCIntRange gwp__away__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__away__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Away",
+  "Away",
+  "Gwp__Away",
+  "gwp",
+  sizeof(Gwp__Away),
+  1,
+  gwp__away__field_descriptors,
+  gwp__away__field_indices_by_name,
+  1,  gwp__away__number_ranges,
+  (ProtobufCMessageInit) gwp__away__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__config__field_descriptors[1] =
 {
   {
@@ -2548,7 +2657,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -2730,9 +2839,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "away",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, away),
+    &gwp__away__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
+  15,   /* field[15] = away */
   12,   /* field[12] = config */
   14,   /* field[14] = config_wanted */
   4,   /* field[4] = death */
@@ -2751,7 +2873,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -2761,7 +2883,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  15,
+  16,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Gwp__State Gwp__State;
 typedef struct Gwp__Upstream Gwp__Upstream;
 typedef struct Gwp__Upstreams Gwp__Upstreams;
+typedef struct Gwp__Away Gwp__Away;
 typedef struct Gwp__Config Gwp__Config;
 typedef struct Gwp__Death Gwp__Death;
 typedef struct Gwp__Unreached Gwp__Unreached;
@@ -165,10 +166,18 @@
    * of these, that are late after a load from a disk
    */
   uint32_t hurried;
+  /*
+   * answers since the last frame
+   */
+  uint32_t ended;
+  /*
+   * of these, late by what their upstream did
+   */
+  uint32_t slow;
 };
 #define GWP__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__want__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -375,6 +384,20 @@
     , 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * The placing VM could not reach these.
+ */
+struct  Gwp__Away
+{
+  ProtobufCMessage base;
+  size_t n_upstreams;
+  char **upstreams;
+};
+#define GWP__AWAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__away__descriptor) \
+    , 0,NULL }
+
+
 struct  Gwp__Config
 {
   ProtobufCMessage base;
@@ -486,7 +509,8 @@
   GWP__FRAME__BODY_HOLDER = 12,
   GWP__FRAME__BODY_CONFIG = 13,
   GWP__FRAME__BODY_LOADS = 14,
-  GWP__FRAME__BODY_CONFIG_WANTED = 15
+  GWP__FRAME__BODY_CONFIG_WANTED = 15,
+  GWP__FRAME__BODY_AWAY = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -510,6 +534,7 @@
     Gwp__Config *config;
     Gwp__Loads *loads;
     Gwp__ConfigWanted *config_wanted;
+    Gwp__Away *away;
   };
 };
 #define GWP__FRAME__INIT \
@@ -821,6 +846,25 @@
 void   gwp__upstreams__free_unpacked
                      (Gwp__Upstreams *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Away methods */
+void   gwp__away__init
+                     (Gwp__Away         *message);
+size_t gwp__away__get_packed_size
+                     (const Gwp__Away   *message);
+size_t gwp__away__pack
+                     (const Gwp__Away   *message,
+                      uint8_t             *out);
+size_t gwp__away__pack_to_buffer
+                     (const Gwp__Away   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Away *
+       gwp__away__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__away__free_unpacked
+                     (Gwp__Away *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Config methods */
 void   gwp__config__init
                      (Gwp__Config         *message);
@@ -1004,6 +1048,9 @@
 typedef void (*Gwp__Upstreams_Closure)
                  (const Gwp__Upstreams *message,
                   void *closure_data);
+typedef void (*Gwp__Away_Closure)
+                 (const Gwp__Away *message,
+                  void *closure_data);
 typedef void (*Gwp__Config_Closure)
                  (const Gwp__Config *message,
                   void *closure_data);
@@ -1047,6 +1094,7 @@
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
 extern const ProtobufCMessageDescriptor gwp__upstream__descriptor;
 extern const ProtobufCMessageDescriptor gwp__upstreams__descriptor;
+extern const ProtobufCMessageDescriptor gwp__away__descriptor;
 extern const ProtobufCMessageDescriptor gwp__config__descriptor;
 extern const ProtobufCMessageDescriptor gwp__death__descriptor;
 extern const ProtobufCMessageDescriptor gwp__unreached__descriptor;
--- a/src/gn.h
+++ b/src/gn.h
@@ -61,8 +61,10 @@
     uint64_t mail_ms;    /* when mail was last left */
     uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
     GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
+    GPtrArray *away;     /* char *: found unreachable, not told yet */
     GHashTable *told;    /* ut_make_key -> UtTotal, as last told down */
-    uint64_t unreached_ms; /* since when half is out of reach; 0: it isn't */
+    uint64_t cut_off_ms;   /* since when half is cut off; 0: it isn't */
+    uint64_t tick_ms;      /* the last */
     UtSet *upstreams;
     Rb *budget;
     Gw *gw;
@@ -134,6 +136,9 @@
 /* gn_place */
 void gn_on_place_timer(struct ev_loop *loop, ev_timer *t, int events);
 void gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models);
+void gn_on_away(void *ctx, const char *upstream);
+void gn_on_judged(void *ctx, const char *model, double good, double slow,
+                  double load, uint32_t replicas);
 void gn_free_residents(void *p);
 void gn_send_order(void *ctx, const MpOrder *order);
 void gn_ask_upstream(void *ctx, const DepUpstream *of);
@@ -169,6 +174,8 @@
 bool gn_has_reader(Gateway *g);
 /* The placing VM was heard lately, here or through relays. */
 bool gn_hears_placer(const Gateway *g, uint64_t now_ms);
+/* Set of names of the data centres of this VM and of those linked to it. */
+GHashTable *gn_list_linked_data_centres(Gateway *g);
 /* Gateways that are linked to us, or to a relay that is. */
 uint32_t gn_count_linked(Gateway *g);
 /* Our members are to look for another relay: this process stops. */
@@ -184,6 +191,7 @@
 void gn_pass_placement(Gateway *g, const char *upstream,
                        const GPtrArray *models);
 void gn_tell_the_rest(Gateway *g);
+void gn_tell_away(Gateway *g);
 /* To the placing VM as well, where that does not read the store. */
 void gn_pass_upstreams(Gateway *g, const GPtrArray *changed,
                        const GPtrArray *gone);
--- a/src/gn_demand.c
+++ b/src/gn_demand.c
@@ -52,6 +52,8 @@
         w->arrived = x->arrived;
         w->refused = x->refused;
         w->hurried = x->hurried;
+        w->ended = x->ended;
+        w->slow = x->slow;
     }
     for (size_t i = 0; i < d->n_uses; i++) {
         const Gwp__Use *x = d->uses[i];
@@ -188,6 +190,8 @@
         w->arrived = x->arrived;
         w->refused = x->refused;
         w->hurried = x->hurried;
+        w->ended = x->ended;
+        w->slow = x->slow;
         l->want_refs[i] = w;
     }
 }
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -223,6 +223,22 @@
     }
 }
 
+void
+gn_tell_away(Gateway *g)
+{
+    if (g->away->len == 0) {
+        return;
+    }
+    Gwp__Away a = GWP__AWAY__INIT;
+    a.n_upstreams = g->away->len;
+    a.upstreams = (char **)g->away->pdata;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_AWAY;
+    f.away = &a;
+    lk_send_down(g->links, NULL, &f);
+    g_ptr_array_set_size(g->away, 0);
+}
+
 /* ---- what is told: loads ------------------------------------------------ */
 
 static void
@@ -484,6 +500,14 @@
                  m->whole);
 }
 
+static void
+take_away(Gateway *g, const Gwp__Away *a)
+{
+    for (size_t i = 0; i < a->n_upstreams; i++) {
+        ut_on_away(g->upstreams, bg_boot_ms(), a->upstreams[i]);
+    }
+}
+
 static void
 take_state(Gateway *g, const Gwp__State *s)
 {
@@ -568,6 +592,10 @@
     case GWP__FRAME__BODY_CONFIG:
         take_config(g, f->config);
         break;
+    case GWP__FRAME__BODY_AWAY:
+        take_away(g, f->away);
+        lk_send_down(g->links, NULL, f);
+        break;
     case GWP__FRAME__BODY_DEATH:
         take_death(g, NULL, f->death);
         break;
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -29,6 +29,7 @@
         gn_update_placement(g, now_ms);
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
     }
+    gn_tell_away(g);
 }
 
 typedef struct {
@@ -158,6 +159,33 @@
     gw_on_change(g->gw);
 }
 
+/* All that one look finds are told together. */
+void
+gn_on_away(void *ctx, const char *upstream)
+{
+    Gateway *g = ctx;
+    JlLine *l = jl_begin("upstream-away");
+    jl_text(l, "upstream", upstream);
+    jl_end(l);
+    ut_on_away(g->upstreams, bg_boot_ms(), upstream);
+    g_ptr_array_add(g->away, g_strdup(upstream));
+    gn_place_soon(g);
+}
+
+void
+gn_on_judged(void *ctx, const char *model, double good, double slow,
+             double load, uint32_t replicas)
+{
+    (void)ctx;
+    JlLine *l = jl_begin("replicas-judged");
+    jl_text(l, "model", model);
+    jl_number(l, "good_requests", (int64_t)good);
+    jl_number(l, "slow_percent", (int64_t)(slow * 100));
+    jl_number(l, "load", (int64_t)load);
+    jl_number(l, "replicas", replicas);
+    jl_end(l);
+}
+
 void
 gn_free_residents(void *p)
 {
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -325,6 +325,24 @@
     }
 }
 
+static void
+add_data_centre(void *ctx, LkPeer *peer)
+{
+    const Peer *p = lk_get_user(peer);
+    if (p) {
+        g_hash_table_add(ctx, p->data_centre);
+    }
+}
+
+GHashTable *
+gn_list_linked_data_centres(Gateway *g)
+{
+    GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(set, (void *)gn_get_text(g, "data_centre"));
+    lk_visit_peers(g->links, add_data_centre, set);
+    return set;
+}
+
 uint32_t
 gn_count_linked(Gateway *g)
 {
--- a/src/gw.c
+++ b/src/gw.c
@@ -135,6 +135,8 @@
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *hurried; /* of these: late after a load from a disk */
     GHashTable *refused; /* model -> count: too many waited */
+    GHashTable *ended;   /* model -> count of answers */
+    GHashTable *slow;    /* of these: late by what their upstream did */
     GHashTable *began;   /* upstream -> count of answers that began there */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
@@ -191,6 +193,28 @@
                           : NULL;
 }
 
+/* Late by its upstream, however long it waited for a model before. */
+static bool
+is_slow(const Req *q)
+{
+    uint32_t objective_ms = q->route->objective_ms;
+    bool first = objective_ms && q->first_ms - q->sent_ms > objective_ms;
+    bool pause = q->route->gap_ms && q->worst_gap_ms > q->route->gap_ms;
+    return first || pause;
+}
+
+static void
+count_answer(const Req *q)
+{
+    if (!q->query.model || !q->first_ms) {
+        return;
+    }
+    add_count(q->gw->ended, q->query.model);
+    if (is_slow(q)) {
+        add_count(q->gw->slow, q->query.model);
+    }
+}
+
 static void
 log_end(const Req *q, const char *outcome, uint16_t status, const char *why)
 {
@@ -736,6 +760,7 @@
 static void
 finish_stream(Req *q)
 {
+    count_answer(q);
     start_stream(q);
     ht_write_answer(q->x, q->partial->str, q->partial->len);
     log_end(q, "answered", q->status, NULL);
@@ -1296,6 +1321,8 @@
     collect_counts(&c, g->arrived, offsetof(DmWant, arrived));
     collect_counts(&c, g->hurried, offsetof(DmWant, hurried));
     collect_counts(&c, g->refused, offsetof(DmWant, refused));
+    collect_counts(&c, g->ended, offsetof(DmWant, ended));
+    collect_counts(&c, g->slow, offsetof(DmWant, slow));
     GHashTableIter it;
     gpointer k;
     gpointer v;
@@ -1366,6 +1393,8 @@
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->hurried = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g->slow = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->began = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->deaths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -1387,6 +1416,8 @@
     g_hash_table_destroy(g->arrived);
     g_hash_table_destroy(g->hurried);
     g_hash_table_destroy(g->refused);
+    g_hash_table_destroy(g->ended);
+    g_hash_table_destroy(g->slow);
     g_hash_table_destroy(g->began);
     g_hash_table_destroy(g->waits);
     g_hash_table_destroy(g->deaths);
--- a/src/main_client.c
+++ b/src/main_client.c
@@ -69,6 +69,13 @@
      "gateways: by route the reasons, the upstreams whose streams paused too\n"
      "long, the waits for models, and spans in which nothing was loaded.\n"
      "Exit: 0, 2 a file can't be read."},
+    {"timeline", cli_timeline, "timeline FILE...",
+     "A day in rows of two seconds, from the structured logs of all gateways:\n"
+     "requests in time, late, refused, failed and left by their callers; waits,\n"
+     "sends, calls broken off and not run; orders taken, in conflict, unsent\n"
+     "and unanswered; upstreams asked and found away; links made and lost;\n"
+     "loops that were late, losses of the store, and who began to place.\n"
+     "Exit: 0, 2 a file can't be read."},
     {"help", run_help, "help COMMAND", "What a command does."}};
 
 static const char doc[] =
@@ -85,6 +92,7 @@
     "drain IP:PORT               a process's graceful stop\n"
     "explain ID FILE...          one request's story from logs\n"
     "losses FILE...              where answers came late, from logs\n"
+    "timeline FILE...            what happened when, from logs\n"
     "help COMMAND                more on one of these\n"
     "\vExit codes: 0 done; 1 failed, nothing changed; 2 a file or argument "
     "is wrong; 3 conflict, nothing changed; 4 not known whether it took "
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -15,6 +15,7 @@
 
 #define TICK_MS 20
 #define SLOW_TICK_MS 100
+#define LATE_MS 150 /* a loop that is later than this is worth a line */
 #define DEMAND_MS 200
 /* A call that starts to wait is told to the placing VM this soon, with what
    else comes meanwhile. */
@@ -48,8 +49,8 @@
 /* Gateways are counted by the placing VM; until it has told, so many are
    assumed to share the budget of repeats. */
 #define ASSUMED_GATEWAYS 16
-/* A placing VM that can't reach half of what it should order leaves that to
-   another for a while. */
+/* A placing VM that is cut off from half of what it should order leaves that
+   to another for a while. */
 #define YIELD_AFTER_MS 1500
 #define YIELD_MS 8000
 
@@ -238,21 +239,22 @@
 consider_yield(Gateway *g, uint64_t now_ms)
 {
     uint32_t all;
-    uint32_t unreached;
-    mp_count_unreached(g->placement, &all, &unreached);
-    if (unreached * 2 <= all) {
-        g->unreached_ms = 0;
+    uint32_t cut_off;
+    g_autoptr(GHashTable) linked = gn_list_linked_data_centres(g);
+    mp_count_cut_off(g->placement, now_ms, linked, &all, &cut_off);
+    if (cut_off * 2 <= all) {
+        g->cut_off_ms = 0;
         return;
     }
-    if (g->unreached_ms == 0) {
-        g->unreached_ms = now_ms;
+    if (g->cut_off_ms == 0) {
+        g->cut_off_ms = now_ms;
     }
-    if (now_ms > g->unreached_ms + YIELD_AFTER_MS) {
+    if (now_ms > g->cut_off_ms + YIELD_AFTER_MS) {
         JlLine *l = jl_begin("lease-yielded");
         jl_number(l, "upstreams", all);
-        jl_number(l, "unreached", unreached);
+        jl_number(l, "cut_off", cut_off);
         jl_end(l);
-        g->unreached_ms = 0;
+        g->cut_off_ms = 0;
         ls_yield(g->lease, now_ms, YIELD_MS);
     }
 }
@@ -280,7 +282,6 @@
     if (g->placing) {
         gn_update_placement(g, now_ms);
         mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
-        consider_yield(g, now_ms);
     }
 }
 
@@ -324,16 +325,34 @@
         gn_tell_the_rest(g);
         if (g->placing) {
             gn_send_state(g, now_ms);
+            consider_yield(g, now_ms);
         }
     }
 }
 
+/* Whoever reads the logs of a late answer needs to know that the process
+   itself was late: frozen, out of processor time, or busy with something. */
+static void
+note_lateness(Gateway *g, uint64_t now_ms)
+{
+    uint64_t due_ms = g->tick_ms + TICK_MS;
+    bool late = g->tick_ms && now_ms > due_ms + LATE_MS;
+    g->tick_ms = now_ms;
+    if (late) {
+        JlLine *l = jl_begin("loop-late");
+        jl_number(l, "late_ms", (int64_t)(now_ms - due_ms));
+        jl_end(l);
+        bg_count("gateway_loop_late_total", 1);
+    }
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *t, int events)
 {
     (void)events;
     Gateway *g = t->data;
     uint64_t now_ms = bg_boot_ms();
+    note_lateness(g, now_ms);
     gn_tick_lease(g, now_ms);
     ls_on_tick(g->lease, now_ms);
     follow_lease(g, now_ms);
@@ -455,7 +474,8 @@
     g->gw =
         gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
-    MpOutput mp_out = {g, gn_send_order, gn_ask_upstream, gn_on_placed};
+    MpOutput mp_out = {g, gn_send_order, gn_ask_upstream, gn_on_placed,
+                       gn_on_away, gn_on_judged};
     g->placement = mp_create(&mp, &mp_out);
     LsParams ls = {gn_get_text(g, "name"),
                    g->process,
@@ -524,6 +544,7 @@
     if (g->config_bytes) {
         g_bytes_unref(g->config_bytes);
     }
+    g_ptr_array_free(g->away, TRUE);
     g_hash_table_destroy(g->told);
     g_hash_table_destroy(g->untold);
     g_free(g->uplink.placer);
@@ -542,6 +563,7 @@
     g->demand = dm_create();
     g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                       gn_free_residents);
+    g->away = g_ptr_array_new_with_free_func(g_free);
     g->told =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     bg_seed_random(&g->rng, bg_now_us() ^ g_str_hash(g->process));
--- a/src/mp.c
+++ b/src/mp.c
@@ -11,6 +11,7 @@
    most while the store answers. */
 #define ENTRY_LAG_MS 1500
 #define ASK_PAUSE_MS 150
+#define MOST_ASK_DOUBLINGS 3
 #define RETRY_PAUSE_MS 25 /* after a conflict with our own running order */
 /* An unload waits for its runs; a conflict in this time after it says no
    more than that. */
@@ -91,6 +92,7 @@
     m->params = *params;
     m->out = *out;
     m->store.at_once = 1;
+    m->good = MP_FIRST_GOOD;
     m->ups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_up);
     m->rooms = g_hash_table_new(g_direct_hash, g_direct_equal);
     m->models =
@@ -143,6 +145,7 @@
         model->holders = g_ptr_array_new();
         model->copies = g_ptr_array_new();
         model->goals = g_ptr_array_new();
+        model->good = m->good;
         g_hash_table_insert(m->models, model->name, model);
         if (m->config) {
             find_declaration(m->config, model);
@@ -578,6 +581,24 @@
     set_copies(m, u, report->in_memory, report->on_disk);
 }
 
+static void
+note_reach(Mp *m, Up *u, bool reached)
+{
+    if (!reached && !u->unreached) {
+        m->out.away(m->out.ctx, u->entry->id);
+    }
+    u->unreached = !reached;
+}
+
+/* One that doesn't answer is asked less often each time, as a crash may keep
+   half of all away for seconds; its entry tells when it starts again. */
+static uint64_t
+get_ask_pause_ms(Up *u, bool answered)
+{
+    u->unanswered = answered ? 0 : u->unanswered + 1;
+    return ASK_PAUSE_MS << MIN(u->unanswered, MOST_ASK_DOUBLINGS);
+}
+
 void
 mp_on_report(Mp *m, uint64_t now_ms, const char *id, const DepUpstream *report)
 {
@@ -586,13 +607,13 @@
         return;
     }
     u->asking = false;
-    u->next_ask_ms = now_ms + ASK_PAUSE_MS;
+    u->next_ask_ms = now_ms + get_ask_pause_ms(u, report != NULL);
     if (!report && !u->unreached) {
         /* Asked again until it answers: its content is another if it has
            restarted. */
         distrust(u, now_ms);
     }
-    u->unreached = !report;
+    note_reach(m, u, report != NULL);
     if (now_ms < u->changed_ms + REPORT_LAG_MS) {
         u->next_ask_ms = u->changed_ms + REPORT_LAG_MS;
         return;
@@ -749,7 +770,7 @@
         keep_replica(u);
     }
     /* One whose answer is missing may be well: it is asked first. */
-    u->unreached = end == MP_ORDER_NOT_SENT;
+    note_reach(m, u, end != MP_ORDER_NOT_SENT);
     switch (end) {
     case MP_ORDER_TAKEN:
         note_taken(m, u, now_ms);
@@ -853,6 +874,7 @@
     }
     mp_forget_idle(m, now_ms);
     mp_count_replicas(m);
+    mp_judge_replicas(m, now_ms);
     mp_sum_store_loads(m, now_ms);
     m->store_closed = NULL;
     GHashTableIter it;
@@ -872,11 +894,22 @@
     tell_changes(m, now_ms);
 }
 
+#define SERVED_MS 1500 /* an answer that began there so long ago still counts */
+
+static bool
+is_cut_off(const Up *u, uint64_t now_ms, GHashTable *linked)
+{
+    return u->unreached &&
+           (now_ms < u->load->began_ms + SERVED_MS ||
+            !g_hash_table_contains(linked, u->entry->data_centre));
+}
+
 void
-mp_count_unreached(const Mp *m, uint32_t *all, uint32_t *unreached)
+mp_count_cut_off(const Mp *m, uint64_t now_ms, GHashTable *linked,
+                 uint32_t *all, uint32_t *cut_off)
 {
     *all = 0;
-    *unreached = 0;
+    *cut_off = 0;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
@@ -884,7 +917,7 @@
         const Up *u = v;
         if (mp_can_use(u)) {
             *all += 1;
-            *unreached += u->unreached;
+            *cut_off += is_cut_off(u, now_ms, linked);
         }
     }
 }
--- a/src/mp.h
+++ b/src/mp.h
@@ -54,6 +54,14 @@
     void (*ask)(void *ctx, const DepUpstream *of);
     /* Gateways are to believe this of UPSTREAM: DepResident list, borrowed. */
     void (*placed)(void *ctx, const char *upstream, const GPtrArray *models);
+    /* UPSTREAM did not answer: they are to leave it alone until it is placed
+       anew. */
+    void (*away)(void *ctx, const char *upstream);
+    /* For the log: a replica of MODEL is believed to serve GOOD requests at
+       once well, as SLOW of its answers were slow with LOAD at each of its
+       REPLICAS. */
+    void (*judged)(void *ctx, const char *model, double good, double slow,
+                   double load, uint32_t replicas);
 } MpOutput;
 
 typedef struct {
@@ -98,9 +106,12 @@
                     void (*visit)(void *ctx, const char *model,
                                   uint32_t wait_ms),
                     void *ctx);
-/* Upstreams with models that there are, and those of them that did not
-   answer when they were last asked or ordered. */
-void mp_count_unreached(const Mp *m, uint32_t *all, uint32_t *unreached);
+/* Upstreams with models that there are, and those of them that are cut off
+   from here: they did not answer, and others use them, or no gateway of their
+   data centre is among LINKED (a set of names) either.  One that merely
+   crashed is no more within another VM's reach. */
+void mp_count_cut_off(const Mp *m, uint64_t now_ms, GHashTable *linked,
+                      uint32_t *all, uint32_t *cut_off);
 /* What the VM that placed before had learnt of the weight store. */
 void mp_set_store_rate(Mp *m, MpStoreRate rate);
 MpStoreRate mp_get_store_rate(const Mp *m);
--- a/src/mp_demand.c
+++ b/src/mp_demand.c
@@ -114,6 +114,69 @@
     if (w->refused > 0) {
         add_refused(&model->demand, now_ms, w->refused);
     }
+    model->ended += w->ended;
+    model->slow += w->slow;
+}
+
+/* ---- how much one replica serves well ----------------------------------- */
+
+#define LEAST_GOOD 1.
+#define MOST_GOOD 64.
+/* Answers that tell of a replica's load; with fewer chance decides. */
+#define ANSWERS_TO_JUDGE 12
+/* Between judgements: answers that began before the last change have ended. */
+#define JUDGE_MS 1000
+#define SLOW_SHARE 0.1 /* of answers, from which on a replica has too many */
+#define WELL_SHARE 0.03 /* up to which it may have more */
+#define LESS 0.8        /* of the load that was too much */
+#define MORE 1.1        /* of the load that was served well */
+#define TOLD_CHANGE 0.15 /* that is worth a line in the log */
+#define TOLD_OTHERS 0.05 /* how much one model says of the others */
+
+/* What prompts take to read, how long answers are and what else runs there
+   differs by model, site and hour; whether callers were served in time shows
+   it all. */
+static void
+judge(Mp *m, Model *model)
+{
+    double slow = (double)model->slow / model->ended;
+    double load = (double)model->demand.running / MAX(model->replicas, 1);
+    double before = model->good;
+    if (slow > SLOW_SHARE) {
+        model->good = MIN(model->good, MAX(load, LEAST_GOOD)) * LESS;
+    }
+    else if (slow <= WELL_SHARE && load * MORE > model->good) {
+        model->good = load * MORE;
+    }
+    model->good = CLAMP(model->good, LEAST_GOOD, MOST_GOOD);
+    if (fabs(model->good - before) > before * TOLD_CHANGE) {
+        m->out.judged(m->out.ctx, model->name, model->good, slow, load,
+                      model->replicas);
+    }
+    m->good += TOLD_OTHERS * (model->good - m->good);
+}
+
+void
+mp_judge_replicas(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Model *model = v;
+        if (now_ms < model->judged_ms + JUDGE_MS) {
+            continue;
+        }
+        if (model->ended >= ANSWERS_TO_JUDGE) {
+            judge(m, model);
+        }
+        else if (now_ms < model->judged_ms + JUDGE_MS * 5) {
+            continue; /* more answers may come */
+        }
+        model->judged_ms = now_ms;
+        model->ended = 0;
+        model->slow = 0;
+    }
 }
 
 /* ---- uses --------------------------------------------------------------- */
@@ -261,7 +324,9 @@
     }
     for (guint i = 0; i < sums->began->len; i++) {
         const DmBegan *b = sums->began->pdata[i];
-        mp_get_load(m, b->upstream)->began += b->count;
+        Load *l = mp_get_load(m, b->upstream);
+        l->began += b->count;
+        l->began_ms = now_ms;
     }
     return waits;
 }
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -37,6 +37,12 @@
     GPtrArray *copies;  /* Up: with a copy on disk or in memory */
     GPtrArray *goals;   /* Up: it is to be loaded there */
     uint32_t replicas;  /* usable, or to be; derived anew at each tick */
+    /* Requests at once that one replica serves well, as far as is known, and
+       what it follows from. */
+    double good;
+    uint32_t ended; /* answers since it was last looked at */
+    uint32_t slow;  /* of these */
+    uint64_t judged_ms;
 };
 
 typedef struct {
@@ -72,6 +78,7 @@
     uint32_t running;
     uint32_t queued; /* of these, that wait for their first byte */
     uint32_t began;  /* answers that began since it was last looked at */
+    uint64_t began_ms; /* when the last one was told */
 } Load;
 
 struct Up {
@@ -84,6 +91,7 @@
     bool asking;
     bool busy; /* at an order of which we don't know, as last reported */
     uint64_t next_ask_ms;
+    uint32_t unanswered; /* questions in a row */
     uint64_t sequence;
     GPtrArray *replicas; /* Replica */
     uint64_t busy_until_ms;
@@ -127,6 +135,7 @@
     GHashTable *models;   /* name -> Model */
     GHashTable *adapters; /* "model/adapter" -> WantedAdapter */
     GHashTable *loads;    /* id of an upstream -> Load */
+    double good; /* of a model of which nothing is known */
     GArray *store_starts; /* uint64_t: loads from the store begun */
     uint64_t next_prefetch_ms;
     uint64_t forgot_ms;             /* when idle models were last forgotten */
@@ -156,6 +165,7 @@
 void mp_set_goal(Up *u, Model *model); /* NULL: none */
 
 /* mp_demand.c */
+#define MP_FIRST_GOOD 16. /* requests at a replica, before anything is known */
 Demand *mp_find_adapter_demand(const Mp *m, const Model *model,
                                const char *adapter);
 bool mp_is_in_use(const Up *u, const Model *model, const char *adapter);
@@ -165,6 +175,8 @@
 Load *mp_get_load(Mp *m, const char *upstream);
 void mp_free_load(void *load);
 void mp_free_wanted_adapter(void *wanted);
+/* Limits of replicas follow from the answers that were slow. */
+void mp_judge_replicas(Mp *m, uint64_t now_ms);
 /* What nobody asks for any more is left out. */
 void mp_forget_idle(Mp *m, uint64_t now_ms);
 
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -6,9 +6,6 @@
 /* Between looks for a place for a model that found none. */
 #define TRY_PAUSE_MS 80
 #define PREFETCH_MS 200
-/* Requests at once that one replica serves well.  With more, prompts are read
-   in pieces between the tokens of too many others, and streams pause. */
-#define GOOD_REQUESTS 16.
 /* A replica stays at least this long: until its first uses are told. */
 #define SETTLE_MS 450
 /* A load is taken for done this much after its stated time. */
@@ -140,19 +137,20 @@
 /* Of these, how many come too late with so many replicas: none while each
    has what it serves well, all with twice that. */
 static double
-count_late(double asked, uint32_t replicas)
+count_late(double asked, uint32_t replicas, double good)
 {
-    return asked * CLAMP(asked / replicas / GOOD_REQUESTS - 1, 0, 1);
+    return asked * CLAMP(asked / replicas / good - 1, 0, 1);
 }
 
 /* Callers a second that a further replica of a model with REPLICAS, at least
    one, serves in time. */
 static double
-get_gain(const Demand *d, uint64_t now_ms, uint32_t replicas)
+get_gain(const Model *model, uint64_t now_ms, uint32_t replicas)
 {
+    const Demand *d = &model->demand;
     double asked = count_asked(d, now_ms);
-    double gain =
-        count_late(asked, replicas) - count_late(asked, replicas + 1);
+    double gain = count_late(asked, replicas, model->good) -
+                  count_late(asked, replicas + 1, model->good);
     if (replicas == 1) {
         gain += mp_get_hurried_rate(d, now_ms) * LOST_SHARE;
     }
@@ -169,7 +167,7 @@
     const Demand *d = &r->model->demand;
     uint32_t replicas = r->model->replicas;
     if (replicas > 1) {
-        return get_gain(d, now_ms, replicas - 1);
+        return get_gain(r->model, now_ms, replicas - 1);
     }
     double hurried = mp_get_hurried_rate(d, now_ms);
     double patient = MAX(mp_get_rate(d, now_ms) - hurried, 0);
@@ -299,7 +297,7 @@
         return -1;
     }
     /* Spread: an upstream that serves much already is slower. */
-    double crowd_s = u->load->running / GOOD_REQUESTS * CROWD_S;
+    double crowd_s = u->load->running / model->good * CROWD_S;
     return weigh(all, gain) + gain * (ready_s + crowd_s);
 }
 
@@ -562,7 +560,7 @@
                     .since_ms =
                         d->wanted_since_ms ? d->wanted_since_ms : now_ms,
                     .none = have == 0};
-        w.gain = w.none ? get_missing(d, now_ms) : get_gain(d, now_ms, have);
+        w.gain = w.none ? get_missing(d, now_ms) : get_gain(model, now_ms, have);
         if (w.gain > (w.none ? UNASKED_LOSS : GAIN_OF_MORE)) {
             g_array_append_val(out, w);
         }
--- a/src/ut.c
+++ b/src/ut.c
@@ -64,6 +64,7 @@
     uint64_t away_ms; /* could not be reached then, nor since; 0: it can */
     bool probed;      /* a call is out to see whether it is still away */
     uint32_t probe_pause_ms;
+    uint64_t told_away_ms; /* by the placing VM, and not heard since; 0: no */
     uint64_t rest_until_ms;
     uint64_t shed_until_ms;
     double fail_rate; /* 0 to 1 */
@@ -230,6 +231,16 @@
     u->placed = models;
     u->outdated = false;
     u->away_ms = 0;
+    u->told_away_ms = 0;
+}
+
+void
+ut_on_away(UtSet *s, uint64_t now_ms, const char *id)
+{
+    Ut *u = g_hash_table_lookup(s->by_id, id);
+    if (u) {
+        u->told_away_ms = now_ms;
+    }
 }
 
 void
@@ -355,10 +366,28 @@
     uint64_t rank; /* rendezvous */
 } Candidate;
 
+static bool
+hears_placer(const UtSet *s, uint64_t now_ms)
+{
+    return now_ms < s->totals_ms + REPORT_FADE_MS;
+}
+
+/* The placing VM tries it as well, and tells when it is back: with hundreds of
+   gateways these tries of each are too many. */
+static bool
+is_told_away(const Ut *u, uint64_t now_ms)
+{
+    return u->told_away_ms && hears_placer(u->set, now_ms);
+}
+
 /* Could not be reached, and it is not yet time for a single try. */
 static bool
 is_left_alone(const Ut *u, uint64_t now_ms)
 {
+    if (is_told_away(u, now_ms)) {
+        return u->probed || now_ms < MAX(u->told_away_ms, u->away_ms) +
+                                         LONGEST_PROBE_PAUSE_MS;
+    }
     return u->away_ms &&
            (u->probed || now_ms < u->away_ms + u->probe_pause_ms);
 }
@@ -489,7 +518,7 @@
 ut_start(Ut *u)
 {
     u->running++;
-    u->probed = u->away_ms != 0;
+    u->probed = u->away_ms != 0 || u->told_away_ms != 0;
 }
 
 static void
@@ -567,6 +596,7 @@
     }
     if (first_ms) {
         u->heard_ms = now_ms;
+        u->told_away_ms = 0;
         note_first_byte(s, u, first_ms, q);
     }
     if (u->gone && u->running == 0) {
@@ -677,7 +707,7 @@
 uint32_t
 ut_get_wait_ms(const Ut *u, uint64_t now_ms)
 {
-    return now_ms < u->set->totals_ms + REPORT_FADE_MS ? u->told_wait_ms : 0;
+    return hears_placer(u->set, now_ms) ? u->told_wait_ms : 0;
 }
 
 /* Reading the prompt and the first step; a queue or other requests make it
--- a/src/ut.h
+++ b/src/ut.h
@@ -29,6 +29,9 @@
    over.  It goes before the entry, until ut_outdate_placement. */
 void ut_on_placement(UtSet *s, uint64_t now_ms, const char *id,
                      GPtrArray *models);
+/* The placing VM could not reach it: it is left alone, but for a single try
+   now and then, until it is placed anew or answers here. */
+void ut_on_away(UtSet *s, uint64_t now_ms, const char *id);
 /* The placing VM is not heard any more: what it told counts only until an
    upstream's next entry, which is read from now on and is newer. */
 void ut_outdate_placement(UtSet *s);
--- a/tests/bench_mp.c
+++ b/tests/bench_mp.c
@@ -101,6 +101,25 @@
     (void)models;
 }
 
+static void
+on_away(void *ctx, const char *upstream)
+{
+    (void)ctx;
+    (void)upstream;
+}
+
+static void
+on_judged(void *ctx, const char *model, double good, double slow, double load,
+            uint32_t replicas)
+{
+    (void)ctx;
+    (void)model;
+    (void)good;
+    (void)slow;
+    (void)load;
+    (void)replicas;
+}
+
 static DepResident *
 find_resident(const Engine *e, const char *model)
 {
@@ -298,7 +317,7 @@
 start(Bench *b)
 {
     MpParams p = {true};
-    MpOutput out = {b, on_order, on_ask, on_placed};
+    MpOutput out = {b, on_order, on_ask, on_placed, on_away, on_judged};
     b->mp = mp_create(&p, &out);
     b->demand = dm_create();
     DepConfig *c = dep_create_config();
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -247,3 +247,37 @@
                           str(tmp_path / "none")], capture_output=True,
                          text=True, timeout=10, check=False)
     assert res.returncode == 2
+
+
+TIMELINE_LOG = """\
+{"t_ms":1000,"node":"a","event":"lease-held","token":1}
+{"t_ms":1100,"node":"a","event":"order-end","op":"load","status":202,"end":0}
+{"t_ms":1200,"node":"a","event":"order-end","op":"load","status":409,"end":2}
+{"t_ms":1300,"node":"a","event":"order-end","op":"load","status":0,"end":4}
+{"t_ms":1400,"node":"a","event":"order-end","op":"load","status":0,"end":5}
+{"t_ms":1500,"node":"b","event":"request-end","outcome":"answered"}
+{"t_ms":3100,"node":"b","event":"request-end","outcome":"answered","late":"pause"}
+{"t_ms":3200,"node":"b","event":"request-end","outcome":"refused"}
+{"t_ms":7100,"node":"b","event":"loop-late","late_ms":400}
+{"t_ms":7200,"node":"b","event":"placer-lost"}
+{"t_ms":7300,"node":"b","event":"lease-held","token":9}
+"""
+
+
+def test_timeline(build, tmp_path):
+    """A row tells its two seconds, rows without events stand as well."""
+    log = tmp_path / "log"
+    log.write_text(TIMELINE_LOG)
+    res = subprocess.run([os.path.join(build, "bglade"), "timeline", str(log)],
+                         capture_output=True, text=True, timeout=10,
+                         check=False)
+    assert res.returncode == 0
+    rows = [line.split() for line in res.stdout.splitlines()]
+    assert [r[0] for r in rows] == ["seconds", "0.0", "2.0", "4.0", "6.0"]
+    seen = [{t: n for t, n in zip(rows[0], r) if n != "0" and t != "seconds"}
+            for r in rows[1:]]
+    assert seen == [
+        {"in-time": "1", "taken": "1", "conflict": "1", "unsent": "1",
+         "noans": "1", "began": "a"},
+        {"late": "1", "refused": "1"}, {},
+        {"unlinked": "1", "lateloop": "1", "began": "b"}]
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -612,6 +612,38 @@
     ut_destroy(s);
 }
 
+/* Guards against hundreds of gateways that each try a crashed upstream ten
+   times a second: the placing VM tells of it, and tries it for all. */
+static void
+test_choice_leaves_what_is_told_away(void)
+{
+    UtSet *s = make_set(2, "m0");
+    UtQuery q = {.service = "s", .model = "m0"};
+    Ut *u = NULL;
+    ut_on_away(s, 1000, "u0");
+    int tries = 0;
+    for (uint64_t now_ms = 1000; now_ms < 3000; now_ms += 4) {
+        ut_on_totals(s, now_ms, NULL, 0, false);
+        CU_ASSERT_EQUAL(ut_choose(s, now_ms, &q, &u), UT_FOUND);
+        if (strcmp(ut_get_id(u), "u0") == 0) {
+            ut_start(u);
+            ut_finish(s, u, now_ms, UT_END_DEAD, 0, &q);
+            tries++;
+        }
+    }
+    CU_ASSERT(tries <= 1);
+    ut_on_away(s, 3000, "u1");
+    ut_on_totals(s, 3000, NULL, 0, false);
+    CU_ASSERT_EQUAL(ut_choose(s, 3010, &q, &u), UT_AWAY);
+    ut_on_placement(s, 3020, "u1", list_models("m0"));
+    CU_ASSERT_EQUAL(ut_choose(s, 3020, &q, &u), UT_FOUND);
+    CU_ASSERT_STRING_EQUAL(ut_get_id(u), "u1");
+    /* Nobody tells when it is back: it is tried as if nothing was told. */
+    ut_on_away(s, 3030, "u1");
+    CU_ASSERT_EQUAL(ut_choose(s, 9000, &q, &u), UT_FOUND);
+    ut_destroy(s);
+}
+
 /* An upstream crashes and is back a second later with nothing loaded; its
    entry still lists its models, and it turns away each request for them.  Each
    costs a repeat, of which there are few: single calls find out, until its new
@@ -772,6 +804,7 @@
     char *coming;
     bool asked;
     int asks;
+    int told_away;
     bool down;     /* refuses connections */
     MpOrder order; /* out, if upstream is set */
     char *order_model;
@@ -838,6 +871,25 @@
     }
 }
 
+static void
+site_away(void *ctx, const char *upstream)
+{
+    Engine *e = find_engine(ctx, upstream);
+    e->told_away++;
+}
+
+static void
+site_judged(void *ctx, const char *model, double good, double slow, double load,
+            uint32_t replicas)
+{
+    (void)ctx;
+    (void)model;
+    (void)good;
+    (void)slow;
+    (void)load;
+    (void)replicas;
+}
+
 static DepResident *
 find_resident(const Engine *e, const char *model)
 {
@@ -952,7 +1004,8 @@
     s->now_ms = 100000;
     s->load_ms = LOAD_MS;
     MpParams p = {false};
-    MpOutput out = {s, site_order, site_ask, site_placed};
+    MpOutput out = {s, site_order, site_ask, site_placed, site_away,
+                    site_judged};
     s->mp = mp_create(&p, &out);
     s->demand = dm_create();
     s->config = dep_create_config();
@@ -1601,6 +1654,42 @@
     stop_site(&s);
 }
 
+static uint32_t
+count_cut_off(const Site *s, const char *linked)
+{
+    uint32_t all = 0;
+    uint32_t cut_off = 0;
+    g_autoptr(GHashTable) set = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(set, (void *)linked);
+    mp_count_cut_off(s->mp, s->now_ms, set, &all, &cut_off);
+    CU_ASSERT_EQUAL(all, ENGINES);
+    return cut_off;
+}
+
+/* Guards against a placing VM that gives its lease up since upstreams crashed:
+   nobody else reaches them either, and nobody orders until the rest is over.
+   Where others use them, or their data centre is out of reach as well, it is
+   a cut. */
+static void
+test_placement_tells_crash_from_cut(void)
+{
+    Site s;
+    start_site(&s, 3);
+    run_site(&s, 300, true);
+    for (int i = 0; i < ENGINES - 1; i++) {
+        s.engines[i].down = true;
+        mp_on_suspicion(s.mp, s.now_ms, s.engines[i].state->id);
+    }
+    run_site(&s, 2000, true);
+    CU_ASSERT_EQUAL(count_cut_off(&s, s.engines[0].state->data_centre), 0);
+    CU_ASSERT_EQUAL(count_cut_off(&s, "elsewhere"), ENGINES - 1);
+    DmDemand *d = dm_create_demand(true);
+    dm_add_began(d, "u0", 1);
+    take_demand(&s, "g", d);
+    CU_ASSERT_EQUAL(count_cut_off(&s, s.engines[0].state->data_centre), 1);
+    stop_site(&s);
+}
+
 /* Two models fill an upstream each and have replicas to spare; others have
    free room.  A third model is loaded into that, and nothing is unloaded for
    it. */
@@ -1635,7 +1724,8 @@
     Site s;
     start_site(&s, 9);
     MpParams p = {true};
-    MpOutput out = {&s, site_order, site_ask, site_placed};
+    MpOutput out = {&s, site_order, site_ask, site_placed, site_away,
+                    site_judged};
     mp_destroy(s.mp);
     s.mp = mp_create(&p, &out);
     mp_on_config(s.mp, s.config);
@@ -1773,6 +1863,8 @@
         {"choice shuns what fails", test_choice_shuns_what_fails},
         {"choice rests the dead", test_choice_rests_the_dead},
         {"choice probes the only holder", test_choice_probes_the_only_holder},
+        {"choice leaves what is told away",
+         test_choice_leaves_what_is_told_away},
         {"choice doubts the restarted", test_choice_doubts_the_restarted},
         {"choice keeps what was told", test_choice_keeps_what_was_told},
         {"choice leaves long queues alone",
@@ -1803,6 +1895,7 @@
         {"learns from lateness", test_placement_learns_from_lateness},
         {"doubt keeps in use", test_placement_doubt_keeps_in_use},
         {"risen model gets places", test_placement_risen_model_gets_places},
+        {"tells crash from cut", test_placement_tells_crash_from_cut},
         {"free room first", test_placement_free_room_first},
         {"without copies is calm", test_placement_without_copies_is_calm},
         {"victim ends its requests", test_placement_victim_ends_its_requests},
