--- a/src/cli_timeline.c
+++ b/src/cli_timeline.c
@@ -32,8 +32,8 @@
 } Column;
 
 static const char *const titles[COLUMNS] = {
-    "in-time", "late",   "refused", "failed",  "left",   "waits", "sends",
-    "broken",  "notrun", "taken",   "conflict", "unsent", "noans", "asked",
+    "in-time", "late",   "refused",  "failed",   "left",   "waits", "sends",
+    "broken",  "notrun", "taken",    "conflict", "unsent", "noans", "asked",
     "away",    "linked", "unlinked", "lateloop", "nostore"};
 
 typedef struct {
@@ -49,11 +49,11 @@
 } Simple;
 
 static const Simple simple[] = {
-    {"request-waits", COL_WAITS},     {"request-sent", COL_SENDS},
-    {"request-broken", COL_BROKEN},   {"request-not-run", COL_NOT_RUN},
-    {"upstream-report", COL_ASKED},   {"upstream-away", COL_AWAY},
-    {"placer-linked", COL_LINKED},    {"placer-lost", COL_UNLINKED},
-    {"loop-late", COL_LATE_LOOPS},    {"store-lost", COL_STORE}};
+    {"request-waits", COL_WAITS},   {"request-sent", COL_SENDS},
+    {"request-broken", COL_BROKEN}, {"request-not-run", COL_NOT_RUN},
+    {"upstream-report", COL_ASKED}, {"upstream-away", COL_AWAY},
+    {"placer-linked", COL_LINKED},  {"placer-lost", COL_UNLINKED},
+    {"loop-late", COL_LATE_LOOPS},  {"store-lost", COL_STORE}};
 
 static Column
 classify_end(const json_t *f)
--- a/src/gn.h
+++ b/src/gn.h
@@ -63,8 +63,8 @@
     GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
     GPtrArray *away;     /* char *: found unreachable, not told yet */
     GHashTable *told;    /* ut_make_key -> UtTotal, as last told down */
-    uint64_t cut_off_ms;   /* since when half is cut off; 0: it isn't */
-    uint64_t tick_ms;      /* the last */
+    uint64_t cut_off_ms; /* since when half is cut off; 0: it isn't */
+    uint64_t tick_ms;    /* the last */
     UtSet *upstreams;
     Rb *budget;
     Gw *gw;
--- a/src/main_client.c
+++ b/src/main_client.c
@@ -70,8 +70,10 @@
      "long, the waits for models, and spans in which nothing was loaded.\n"
      "Exit: 0, 2 a file can't be read."},
     {"timeline", cli_timeline, "timeline FILE...",
-     "A day in rows of two seconds, from the structured logs of all gateways:\n"
-     "requests in time, late, refused, failed and left by their callers; waits,\n"
+     "A day in rows of two seconds, from the structured logs of all "
+     "gateways:\n"
+     "requests in time, late, refused, failed and left by their callers; "
+     "waits,\n"
      "sends, calls broken off and not run; orders taken, in conflict, unsent\n"
      "and unanswered; upstreams asked and found away; links made and lost;\n"
      "loops that were late, losses of the store, and who began to place.\n"
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -474,8 +474,9 @@
     g->gw =
         gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
-    MpOutput mp_out = {g, gn_send_order, gn_ask_upstream, gn_on_placed,
-                       gn_on_away, gn_on_judged};
+    MpOutput mp_out = {
+        g,          gn_send_order, gn_ask_upstream, gn_on_placed,
+        gn_on_away, gn_on_judged};
     g->placement = mp_create(&mp, &mp_out);
     LsParams ls = {gn_get_text(g, "name"),
                    g->process,
--- a/src/mp_place.c
+++ b/src/mp_place.c
@@ -560,7 +560,8 @@
                     .since_ms =
                         d->wanted_since_ms ? d->wanted_since_ms : now_ms,
                     .none = have == 0};
-        w.gain = w.none ? get_missing(d, now_ms) : get_gain(model, now_ms, have);
+        w.gain =
+            w.none ? get_missing(d, now_ms) : get_gain(model, now_ms, have);
         if (w.gain > (w.none ? UNASKED_LOSS : GAIN_OF_MORE)) {
             g_array_append_val(out, w);
         }
--- a/tests/bench_mp.c
+++ b/tests/bench_mp.c
@@ -110,7 +110,7 @@
 
 static void
 on_judged(void *ctx, const char *model, double good, double slow, double load,
-            uint32_t replicas)
+          uint32_t replicas)
 {
     (void)ctx;
     (void)model;
