Silence and slowness judged by all gateways; spread thresholds; affinity where it pays

Cause: a gateway of a large fleet sends few requests to any one upstream, so its own view of what is silent or slow was mostly empty: it left busy upstreams for others and lost the place in their queue. Queue limits were the same figure everywhere, so gateways held back and sent as one. Affinity to leading parts crowded single upstreams although reading those parts costs a few ms.

Change: the placing VM tells with the load of an upstream whether requests wait there and none begins (stalled). Counts of requests that are about to be late are levels in place of finished answers, so a replica's limit follows without a lag of an answer's length. Each request draws its own queue limit. Affinity applies where the shared parts take 25 ms or more to read. What others hear counts only where they have requests: without that a server that only one gateway uses was left later than its deadline (test_silent_server_is_left_for_another failed, and passes now).

--- a/src/dm.c
+++ b/src/dm.c
@@ -88,8 +88,9 @@
 
 typedef enum { ROW_WANT, ROW_USE, ROW_BEGAN } RowKind;
 
-#define LEVELS 2 /* waiting and running, or running and queued */
-#define FLOWS 5  /* arrived, hurried, refused, ended and slow, or began */
+/* Waiting and running; or running, queued and slow. */
+#define LEVELS 3
+#define FLOWS 3 /* arrived, hurried and refused; or began */
 
 /* One sum. */
 typedef struct {
@@ -208,11 +209,22 @@
     }
 }
 
+static bool
+is_none(const uint32_t levels[LEVELS])
+{
+    for (int i = 0; i < LEVELS; i++) {
+        if (levels[i] > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 set_part(Dm *l, Source *s, Row *r, const uint32_t levels[LEVELS])
 {
     Part *p = g_hash_table_lookup(s->parts, r);
-    if (!p && levels[0] == 0 && levels[1] == 0) {
+    if (!p && is_none(levels)) {
         return;
     }
     if (!p) {
@@ -245,7 +257,7 @@
     while (g_hash_table_iter_next(&it, &k, &v)) {
         Part *p = v;
         bool left_out = whole && p->word != s->word;
-        if (left_out || (p->levels[0] == 0 && p->levels[1] == 0)) {
+        if (left_out || is_none(p->levels)) {
             drop_part(l, s, k, p);
             g_hash_table_iter_remove(&it);
         }
@@ -279,13 +291,11 @@
 {
     Row *r = get_row(l, ROW_WANT, NULL, w->model, w->adapter);
     uint32_t before = r->levels[0];
-    uint32_t levels[LEVELS] = {w->waiting, w->running};
+    uint32_t levels[LEVELS] = {w->waiting, w->running, 0};
     set_part(l, s, r, levels);
     add_flow(l, r, 0, w->arrived);
     add_flow(l, r, 1, w->hurried);
     add_flow(l, r, 2, w->refused);
-    add_flow(l, r, 3, w->ended);
-    add_flow(l, r, 4, w->slow);
     return r->levels[0] > before;
 }
 
@@ -293,7 +303,7 @@
 take_use(Dm *l, Source *s, const DmUse *u)
 {
     Row *r = get_row(l, ROW_USE, u->upstream, u->model, u->adapter);
-    uint32_t levels[LEVELS] = {u->running, u->queued};
+    uint32_t levels[LEVELS] = {u->running, u->queued, u->slow};
     set_part(l, s, r, levels);
 }
 
@@ -368,13 +378,12 @@
         w->arrived = r->flows[0];
         w->hurried = r->flows[1];
         w->refused = r->flows[2];
-        w->ended = r->flows[3];
-        w->slow = r->flows[4];
     }
     else if (r->kind == ROW_USE) {
         DmUse *u = dm_add_use(d, r->upstream, r->model, r->adapter);
         u->running = r->levels[0];
         u->queued = r->levels[1];
+        u->slow = r->levels[2];
     }
     else {
         dm_add_began(d, r->upstream, r->flows[0]);
@@ -396,7 +405,7 @@
 is_news(const Row *r, bool whole)
 {
     if (whole) {
-        return r->levels[0] > 0 || r->levels[1] > 0 || has_flow(r);
+        return !is_none(r->levels) || has_flow(r);
     }
     return memcmp(r->told, r->levels, sizeof(r->told)) != 0 || has_flow(r);
 }
--- a/src/dm.h
+++ b/src/dm.h
@@ -22,9 +22,6 @@
     uint32_t arrived;
     uint32_t hurried; /* of these, that are late after a load from a disk */
     uint32_t refused; /* of these, as too many wait already */
-    uint32_t ended;   /* answers that ended */
-    uint32_t slow;    /* of these, that began late at their upstream, or
-                         paused longer than their route allows */
 } DmWant;
 
 /* Requests on one upstream, as they stand. */
@@ -34,6 +31,9 @@
     char *adapter; /* NULL: the model itself */
     uint32_t running;
     uint32_t queued; /* of these, whose answer has not begun */
+    uint32_t slow;   /* of these, that are about to come late: they wait for
+                        their first byte, or pause, for much of what their
+                        route allows */
 } DmUse;
 
 /* Answers that began on one upstream since the last word. */
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1387,7 +1387,7 @@
   (ProtobufCMessageInit) gwp__config_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__want__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gwp__want__field_descriptors[7] =
 {
   {
     "model",
@@ -1473,46 +1473,20 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "ended",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gwp__Want, ended),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slow",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gwp__Want, slow),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned gwp__want__field_indices_by_name[] = {
   1,   /* field[1] = adapter */
   4,   /* field[4] = arrived */
-  7,   /* field[7] = ended */
   6,   /* field[6] = hurried */
   0,   /* field[0] = model */
   5,   /* field[5] = refused */
   3,   /* field[3] = running */
-  8,   /* field[8] = slow */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange gwp__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gwp__want__descriptor =
 {
@@ -1522,14 +1496,14 @@
   "Gwp__Want",
   "gwp",
   sizeof(Gwp__Want),
-  9,
+  7,
   gwp__want__field_descriptors,
   gwp__want__field_indices_by_name,
   1,  gwp__want__number_ranges,
   (ProtobufCMessageInit) gwp__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__use__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__use__field_descriptors[6] =
 {
   {
     "upstream",
@@ -1591,18 +1565,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slow",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Use, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__use__field_indices_by_name[] = {
   2,   /* field[2] = adapter */
   1,   /* field[1] = model */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
+  5,   /* field[5] = slow */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange gwp__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__use__descriptor =
 {
@@ -1612,7 +1599,7 @@
   "Gwp__Use",
   "gwp",
   sizeof(Gwp__Use),
-  5,
+  6,
   gwp__use__field_descriptors,
   gwp__use__field_indices_by_name,
   1,  gwp__use__number_ranges,
@@ -1900,7 +1887,7 @@
   (ProtobufCMessageInit) gwp__wait__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__loads__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__loads__field_descriptors[5] =
 {
   {
     "keys",
@@ -1950,17 +1937,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stalled",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Gwp__Loads, n_stalled),
+    offsetof(Gwp__Loads, stalled),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__loads__field_indices_by_name[] = {
   0,   /* field[0] = keys */
   1,   /* field[1] = running */
+  4,   /* field[4] = stalled */
   2,   /* field[2] = wait_ms */
   3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange gwp__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__loads__descriptor =
 {
@@ -1970,7 +1970,7 @@
   "Gwp__Loads",
   "gwp",
   sizeof(Gwp__Loads),
-  4,
+  5,
   gwp__loads__field_descriptors,
   gwp__loads__field_indices_by_name,
   1,  gwp__loads__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -166,18 +166,10 @@
    * of these, that are late after a load from a disk
    */
   uint32_t hurried;
-  /*
-   * answers since the last frame
-   */
-  uint32_t ended;
-  /*
-   * of these, late by what their upstream did
-   */
-  uint32_t slow;
 };
 #define GWP__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__want__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -194,10 +186,14 @@
    * of these, whose answer has not begun
    */
   uint32_t queued;
+  /*
+   * of these, that are about to come late
+   */
+  uint32_t slow;
 };
 #define GWP__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__use__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -276,7 +272,7 @@
 
 
 /*
- * Requests of all gateways that are at upstreams, where they changed; three
+ * Requests of all gateways that are at upstreams, where they changed; the
  * columns of one table.
  */
 struct  Gwp__Loads
@@ -298,10 +294,15 @@
    * an upstream that is left out has none
    */
   protobuf_c_boolean whole;
+  /*
+   * requests wait there, and no answer begins
+   */
+  size_t n_stalled;
+  protobuf_c_boolean *stalled;
 };
 #define GWP__LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__loads__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/src/gn_demand.c
+++ b/src/gn_demand.c
@@ -52,8 +52,6 @@
         w->arrived = x->arrived;
         w->refused = x->refused;
         w->hurried = x->hurried;
-        w->ended = x->ended;
-        w->slow = x->slow;
     }
     for (size_t i = 0; i < d->n_uses; i++) {
         const Gwp__Use *x = d->uses[i];
@@ -61,6 +59,7 @@
             dm_add_use(demand, x->upstream, x->model, to_adapter(x->adapter));
         u->running = x->running;
         u->queued = x->queued;
+        u->slow = x->slow;
     }
     for (size_t i = 0; i < d->n_began; i++) {
         dm_add_began(demand, d->began[i]->upstream, d->began[i]->count);
@@ -190,8 +189,6 @@
         w->arrived = x->arrived;
         w->refused = x->refused;
         w->hurried = x->hurried;
-        w->ended = x->ended;
-        w->slow = x->slow;
         l->want_refs[i] = w;
     }
 }
@@ -210,6 +207,7 @@
         u->adapter = x->adapter ? x->adapter : (char *)"";
         u->running = x->running;
         u->queued = x->queued;
+        u->slow = x->slow;
         l->use_refs[i] = u;
     }
 }
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -250,12 +250,17 @@
     m.running = columns + totals->len;
     m.wait_ms = columns + totals->len * 2;
     m.n_keys = m.n_running = m.n_wait_ms = totals->len;
+    m.n_stalled = totals->len;
+    g_autofree protobuf_c_boolean *stalled =
+        g_new(protobuf_c_boolean, totals->len + 1);
+    m.stalled = stalled;
     m.whole = whole;
     for (guint i = 0; i < totals->len; i++) {
         const UtTotal *t = &g_array_index(totals, UtTotal, i);
         m.keys[i] = t->key;
         m.running[i] = t->running;
         m.wait_ms[i] = t->wait_ms;
+        m.stalled[i] = t->stalled;
     }
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_LOADS;
@@ -276,7 +281,8 @@
     uint32_t slack = 1 + told->running / TOLD_PART;
     uint32_t wait_slack = TOLD_WAIT_MS + told->wait_ms / TOLD_PART;
     return ABS((int64_t)now->running - told->running) > slack ||
-           ABS((int64_t)now->wait_ms - told->wait_ms) > wait_slack;
+           ABS((int64_t)now->wait_ms - told->wait_ms) > wait_slack ||
+           now->stalled != told->stalled;
 }
 
 typedef struct {
@@ -289,7 +295,7 @@
 note_total(LoadList *list, const UtTotal *now)
 {
     gpointer key = GUINT_TO_POINTER(now->key);
-    UtTotal none = {now->key, 0, 0};
+    UtTotal none = {.key = now->key};
     UtTotal *told = g_hash_table_lookup(list->g->told, key);
     if (is_worth_telling(now, told ? told : &none)) {
         g_array_append_val(list->changes, *now);
@@ -298,12 +304,14 @@
 }
 
 static void
-add_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
+add_load(void *ctx, const char *upstream, const MpLoad *load)
 {
     LoadList *list = ctx;
-    UtTotal t = {ut_make_key(upstream), running, wait_ms};
-    if (running < MIN_TOLD_LOAD) {
-        t = (UtTotal){t.key, 0, 0};
+    UtTotal t = {ut_make_key(upstream), load->running, load->wait_ms,
+                 load->stalled};
+    if (load->running < MIN_TOLD_LOAD) {
+        t.running = 0;
+        t.wait_ms = 0;
     }
     g_hash_table_add(list->seen, GUINT_TO_POINTER(t.key));
     note_total(list, &t);
@@ -317,7 +325,7 @@
     if (g_hash_table_contains(list->seen, key)) {
         return FALSE;
     }
-    UtTotal none = {told->key, 0, 0};
+    UtTotal none = {.key = told->key};
     if (told->running > 0) {
         g_array_append_val(list->changes, none);
     }
@@ -491,9 +499,10 @@
 take_loads(Gateway *g, const Gwp__Loads *m)
 {
     size_t n = MIN(m->n_keys, MIN(m->n_running, m->n_wait_ms));
+    n = MIN(n, m->n_stalled);
     g_autoptr(GArray) totals = g_array_new(FALSE, FALSE, sizeof(UtTotal));
     for (size_t i = 0; i < n; i++) {
-        UtTotal t = {m->keys[i], m->running[i], m->wait_ms[i]};
+        UtTotal t = {m->keys[i], m->running[i], m->wait_ms[i], m->stalled[i]};
         g_array_append_val(totals, t);
     }
     ut_on_totals(g->upstreams, bg_boot_ms(), (UtTotal *)totals->data, n,
--- a/src/gw.c
+++ b/src/gw.c
@@ -22,9 +22,8 @@
    the route allows; without that figure the fixed time. */
 #define SILENT_GAPS 2
 #define SILENT_GAP_MS 1000
-/* An upstream that began an answer in this time is busy, not dead; it is left
-   only for one with less than this share of its load, and so many less. */
-#define ALIVE_MS 700
+/* An upstream that is busy, not dead, is left only for one with less than this
+   share of its load, and so many less. */
 #define LESS_LOAD 0.5
 #define LESS_REQUESTS 2
 /* A dead one is left for any that has not so many more. */
@@ -57,6 +56,10 @@
 #define FIRST_URGENCY 3
 #define URGENCY_STEP 2
 #define LAST_URGENCY 9
+/* Parts of what a route allows, after which a request is about to be late: of
+   its objective without a first byte, of its gap without a next event. */
+#define SLOW_WAIT 0.6
+#define SLOW_PAUSE 0.8
 #define MAX_SENDS 6 /* of one request, those that ran nothing included */
 
 typedef enum { REQ_WAITING, REQ_SENT } ReqState;
@@ -88,6 +91,7 @@
     uint64_t heard_ms;
     uint64_t event_ms;     /* when an event last went out; 0: none yet */
     uint32_t worst_gap_ms; /* between two events that went out */
+    uint64_t last_gap_ms;  /* between the last two */
     char *gap_upstream;    /* that made it, for the log */
 
     uint32_t sends; /* that reached an upstream */
@@ -135,8 +139,6 @@
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *hurried; /* of these: late after a load from a disk */
     GHashTable *refused; /* model -> count: too many waited */
-    GHashTable *ended;   /* model -> count of answers */
-    GHashTable *slow;    /* of these: late by what their upstream did */
     GHashTable *began;   /* upstream -> count of answers that began there */
     GHashTable *waits;   /* model -> Wait */
     GHashTable *deaths;  /* digest -> Deaths */
@@ -193,28 +195,6 @@
                           : NULL;
 }
 
-/* Late by its upstream, however long it waited for a model before. */
-static bool
-is_slow(const Req *q)
-{
-    uint32_t objective_ms = q->route->objective_ms;
-    bool first = objective_ms && q->first_ms - q->sent_ms > objective_ms;
-    bool pause = q->route->gap_ms && q->worst_gap_ms > q->route->gap_ms;
-    return first || pause;
-}
-
-static void
-count_answer(const Req *q)
-{
-    if (!q->query.model || !q->first_ms) {
-        return;
-    }
-    add_count(q->gw->ended, q->query.model);
-    if (is_slow(q)) {
-        add_count(q->gw->slow, q->query.model);
-    }
-}
-
 static void
 log_end(const Req *q, const char *outcome, uint16_t status, const char *why)
 {
@@ -430,6 +410,7 @@
     q->sent_ms = now_ms;
     q->heard_ms = now_ms;
     q->first_ms = 0;
+    q->last_gap_ms = 0;
     q->not_run = false;
     q->takes_stream = false;
     q->status = 0;
@@ -454,6 +435,8 @@
         jl_text(l, "upstream", ut_get_id(ut));
         jl_number(l, "send", q->sends + 1);
         jl_number(l, "running", ut_get_running(ut));
+        jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
+        jl_number(l, "tokens", q->call.prompt_tokens);
         jl_number(l, "left_ms", (int64_t)(q->final_ms - now_ms));
         jl_end(l);
     }
@@ -722,6 +705,7 @@
         g_free(q->gap_upstream);
         q->gap_upstream = g_strdup(ut_get_id(q->ut));
     }
+    q->last_gap_ms = gap_ms;
     q->event_ms = now_ms;
 }
 
@@ -760,7 +744,6 @@
 static void
 finish_stream(Req *q)
 {
-    count_answer(q);
     start_stream(q);
     ht_write_answer(q->x, q->partial->str, q->partial->len);
     log_end(q, "answered", q->status, NULL);
@@ -967,6 +950,7 @@
 fill_query(Req *q)
 {
     q->query.service = q->service;
+    q->query.draw = (uint32_t)bg_pick_random(&q->gw->rng, 100);
     q->query.tried = q->tried;
     q->query.prompt_tokens = q->call.prompt_tokens;
     if (!q->route->by_model || !q->call.model) {
@@ -979,6 +963,9 @@
         /* The last part is this request's own. */
         q->query.affinity =
             g_array_index(parts, DepPart, parts->len - 2).digest;
+        for (guint i = 0; i + 1 < parts->len; i++) {
+            q->query.shared_tokens += g_array_index(parts, DepPart, i).tokens;
+        }
     }
 }
 
@@ -1090,7 +1077,7 @@
     }
     /* One that answers others is busy, not dead: leaving it throws away the
        place in its queue, which pays only where there is far less to do. */
-    bool lives = ut_get_heard_ms(q->ut) + ALIVE_MS > now_ms;
+    bool lives = ut_is_alive(q->ut, now_ms);
     double here = ut_get_load(q->ut, now_ms);
     double there = ut_get_load(other, now_ms);
     return lives ? there + LESS_REQUESTS < here * LESS_LOAD
@@ -1238,6 +1225,7 @@
 
 /* A demand that is being collected. */
 typedef struct {
+    uint64_t now_ms;
     DmDemand *demand;
     GHashTable *wants; /* model or "model/adapter" -> DmWant */
     GHashTable *uses;  /* "upstream model" or "upstream model/adapter" -> DmUse
@@ -1270,6 +1258,20 @@
     return u;
 }
 
+/* About to come late, by what its upstream does at this moment. */
+static bool
+is_slow(const Req *q, uint64_t now_ms)
+{
+    const DepRoute *r = q->route;
+    if (!q->first_ms) {
+        return r->objective_ms &&
+               now_ms - q->sent_ms > r->objective_ms * SLOW_WAIT;
+    }
+    uint64_t since_ms = MAX(q->event_ms, q->first_ms);
+    uint64_t pause_ms = MAX(now_ms - since_ms, q->last_gap_ms);
+    return r->gap_ms && pause_ms > r->gap_ms * SLOW_PAUSE;
+}
+
 static void
 collect_request(Collection *c, const Req *q)
 {
@@ -1282,6 +1284,7 @@
         w->running++;
         u->running++;
         u->queued += q->first_ms == 0;
+        u->slow += is_slow(q, c->now_ms);
         return;
     }
     (a ? a : w)->waiting++;
@@ -1309,7 +1312,7 @@
 gw_collect_demand(Gw *g)
 {
     Collection c = {
-        dm_create_demand(true),
+        bg_boot_ms(), dm_create_demand(true),
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
     for (GList *l = g->reqs.head; l; l = l->next) {
@@ -1321,8 +1324,6 @@
     collect_counts(&c, g->arrived, offsetof(DmWant, arrived));
     collect_counts(&c, g->hurried, offsetof(DmWant, hurried));
     collect_counts(&c, g->refused, offsetof(DmWant, refused));
-    collect_counts(&c, g->ended, offsetof(DmWant, ended));
-    collect_counts(&c, g->slow, offsetof(DmWant, slow));
     GHashTableIter it;
     gpointer k;
     gpointer v;
@@ -1393,8 +1394,6 @@
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->hurried = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g->slow = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->began = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->deaths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -1416,8 +1415,6 @@
     g_hash_table_destroy(g->arrived);
     g_hash_table_destroy(g->hurried);
     g_hash_table_destroy(g->refused);
-    g_hash_table_destroy(g->ended);
-    g_hash_table_destroy(g->slow);
     g_hash_table_destroy(g->began);
     g_hash_table_destroy(g->waits);
     g_hash_table_destroy(g->deaths);
--- a/src/mp.c
+++ b/src/mp.c
@@ -146,6 +146,8 @@
         model->copies = g_ptr_array_new();
         model->goals = g_ptr_array_new();
         model->good = m->good;
+        model->summed_ms = m->now_ms;
+        model->judged_ms = m->now_ms;
         g_hash_table_insert(m->models, model->name, model);
         if (m->config) {
             find_declaration(m->config, model);
@@ -872,6 +874,7 @@
     if (!m->config) {
         return;
     }
+    m->now_ms = now_ms;
     mp_forget_idle(m, now_ms);
     mp_count_replicas(m);
     mp_judge_replicas(m, now_ms);
@@ -894,7 +897,8 @@
     tell_changes(m, now_ms);
 }
 
-#define SERVED_MS 1500 /* an answer that began there so long ago still counts */
+#define SERVED_MS                                                             \
+    1500 /* an answer that began there so long ago still counts */
 
 static bool
 is_cut_off(const Up *u, uint64_t now_ms, GHashTable *linked)
--- a/src/mp.h
+++ b/src/mp.h
@@ -115,13 +115,20 @@
 /* What the VM that placed before had learnt of the weight store. */
 void mp_set_store_rate(Mp *m, MpStoreRate rate);
 MpStoreRate mp_get_store_rate(const Mp *m);
-/* Requests that all gateways have at each upstream, as last said, and how
-   long one that comes now waits for its first byte behind those that wait:
-   as many times the pause between beginnings there.  To be called a few times
-   a second: the pauses are learnt by it. */
+/* What all gateways together have at an upstream. */
+typedef struct {
+    uint32_t running; /* requests, as last said */
+    uint32_t wait_ms; /* of one that comes now, for its first byte behind those
+                         that wait: as many times the pause between beginnings
+                         there */
+    bool stalled;     /* requests wait there, and no answer begins */
+} MpLoad;
+
+/* VISIT each upstream that has requests.  To be called a few times a second:
+   the pauses are learnt by it. */
 void mp_visit_loads(Mp *m, uint64_t now_ms,
                     void (*visit)(void *ctx, const char *upstream,
-                                  uint32_t running, uint32_t wait_ms),
+                                  const MpLoad *load),
                     void *ctx);
 /* VISIT each upstream whose content is known, as MpOutput.placed: a gateway
    has come. */
--- a/src/mp_demand.c
+++ b/src/mp_demand.c
@@ -114,33 +114,35 @@
     if (w->refused > 0) {
         add_refused(&model->demand, now_ms, w->refused);
     }
-    model->ended += w->ended;
-    model->slow += w->slow;
 }
 
 /* ---- how much one replica serves well ----------------------------------- */
 
 #define LEAST_GOOD 1.
 #define MOST_GOOD 64.
-/* Answers that tell of a replica's load; with fewer chance decides. */
-#define ANSWERS_TO_JUDGE 12
-/* Between judgements: answers that began before the last change have ended. */
+#define LEAST_RUNNING 3. /* requests at once; with fewer chance decides */
 #define JUDGE_MS 1000
-#define SLOW_SHARE 0.1 /* of answers, from which on a replica has too many */
-#define WELL_SHARE 0.03 /* up to which it may have more */
-#define LESS 0.8        /* of the load that was too much */
-#define MORE 1.1        /* of the load that was served well */
+#define SLOW_SHARE                                                            \
+    0.15                 /* of requests, from which on a replica has too many \
+                          */
+#define WELL_SHARE 0.05  /* up to which it may have more */
+#define LESS 0.8         /* of the load that was too much */
+#define MORE 1.1         /* of the load that was served well */
 #define TOLD_CHANGE 0.15 /* that is worth a line in the log */
 #define TOLD_OTHERS 0.05 /* how much one model says of the others */
 
 /* What prompts take to read, how long answers are and what else runs there
-   differs by model, site and hour; whether callers were served in time shows
-   it all. */
+   differs by model, site and hour; whether callers are served in time shows it
+   all. */
 static void
-judge(Mp *m, Model *model)
+judge(Mp *m, Model *model, uint64_t passed_ms)
 {
-    double slow = (double)model->slow / model->ended;
-    double load = (double)model->demand.running / MAX(model->replicas, 1);
+    double running = model->running_ms / (double)passed_ms;
+    if (running < LEAST_RUNNING) {
+        return;
+    }
+    double slow = model->slow_ms / model->running_ms;
+    double load = running / MAX(model->replicas, 1);
     double before = model->good;
     if (slow > SLOW_SHARE) {
         model->good = MIN(model->good, MAX(load, LEAST_GOOD)) * LESS;
@@ -156,6 +158,15 @@
     m->good += TOLD_OTHERS * (model->good - m->good);
 }
 
+static void
+sum_model(Model *model, uint64_t now_ms)
+{
+    double passed_ms = (double)(now_ms - model->summed_ms);
+    model->slow_ms += passed_ms * model->slow;
+    model->running_ms += passed_ms * model->demand.running;
+    model->summed_ms = now_ms;
+}
+
 void
 mp_judge_replicas(Mp *m, uint64_t now_ms)
 {
@@ -164,18 +175,15 @@
     g_hash_table_iter_init(&it, m->models);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Model *model = v;
-        if (now_ms < model->judged_ms + JUDGE_MS) {
+        sum_model(model, now_ms);
+        uint64_t passed_ms = now_ms - model->judged_ms;
+        if (passed_ms < JUDGE_MS) {
             continue;
         }
-        if (model->ended >= ANSWERS_TO_JUDGE) {
-            judge(m, model);
-        }
-        else if (now_ms < model->judged_ms + JUDGE_MS * 5) {
-            continue; /* more answers may come */
-        }
+        judge(m, model, passed_ms);
         model->judged_ms = now_ms;
-        model->ended = 0;
-        model->slow = 0;
+        model->slow_ms = 0;
+        model->running_ms = 0;
     }
 }
 
@@ -261,8 +269,11 @@
     Use *u = get_use(l, use->model, use->adapter);
     l->running += use->running - u->running;
     l->queued += use->queued - u->queued;
+    mp_get_model(m, use->model)->slow += use->slow - u->slow;
     u->running = use->running;
     u->queued = use->queued;
+    u->slow = use->slow;
+    l->queued_ms = l->queued == 0 ? 0 : l->queued_ms ? l->queued_ms : now_ms;
     note_used(m, now_ms, use);
     if (u->running == 0) {
         g_ptr_array_remove_fast(l->uses, u);
@@ -293,6 +304,7 @@
     g_hash_table_iter_init(&it, m->models);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         set_levels(&((Model *)v)->demand, now_ms, 0, 0);
+        ((Model *)v)->slow = 0;
     }
     g_hash_table_iter_init(&it, m->adapters);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -304,6 +316,7 @@
         g_ptr_array_set_size(l->uses, 0);
         l->running = 0;
         l->queued = 0;
+        l->queued_ms = 0;
     }
 }
 
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -40,8 +40,10 @@
     /* Requests at once that one replica serves well, as far as is known, and
        what it follows from. */
     double good;
-    uint32_t ended; /* answers since it was last looked at */
-    uint32_t slow;  /* of these */
+    uint32_t slow;     /* requests that are about to come late */
+    double slow_ms;    /* time times these, since it was last judged */
+    double running_ms; /* the same of all */
+    uint64_t summed_ms;
     uint64_t judged_ms;
 };
 
@@ -70,15 +72,17 @@
     char *adapter; /* NULL: the model itself */
     uint32_t running;
     uint32_t queued;
+    uint32_t slow;
 } Use;
 
 /* What is at an upstream, by its id: told of before and after its entry. */
 typedef struct {
     GPtrArray *uses; /* Use */
     uint32_t running;
-    uint32_t queued; /* of these, that wait for their first byte */
-    uint32_t began;  /* answers that began since it was last looked at */
-    uint64_t began_ms; /* when the last one was told */
+    uint32_t queued;    /* of these, that wait for their first byte */
+    uint32_t began;     /* answers that began since it was last looked at */
+    uint64_t began_ms;  /* when the last one was told */
+    uint64_t queued_ms; /* since when some wait; 0: none does */
 } Load;
 
 struct Up {
@@ -135,7 +139,8 @@
     GHashTable *models;   /* name -> Model */
     GHashTable *adapters; /* "model/adapter" -> WantedAdapter */
     GHashTable *loads;    /* id of an upstream -> Load */
-    double good; /* of a model of which nothing is known */
+    uint64_t now_ms;      /* of the last tick */
+    double good;          /* of a model of which nothing is known */
     GArray *store_starts; /* uint64_t: loads from the store begun */
     uint64_t next_prefetch_ms;
     uint64_t forgot_ms;             /* when idle models were last forgotten */
@@ -165,7 +170,8 @@
 void mp_set_goal(Up *u, Model *model); /* NULL: none */
 
 /* mp_demand.c */
-#define MP_FIRST_GOOD 16. /* requests at a replica, before anything is known */
+/* Requests at a replica, before anything is known. */
+#define MP_FIRST_GOOD 16.
 Demand *mp_find_adapter_demand(const Mp *m, const Model *model,
                                const char *adapter);
 bool mp_is_in_use(const Up *u, const Model *model, const char *adapter);
--- a/src/mp_tell.c
+++ b/src/mp_tell.c
@@ -103,10 +103,24 @@
     u->looked_ms = now_ms;
 }
 
+/* ---- loads ------------------------------------------------------------- */
+
+/* Longer than reading any prompt, and the lag of what gateways tell. */
+#define STALLED_MS 1500
+
+/* Gateways see few answers of each upstream: alone they can't tell one that is
+   busy from one that hangs. */
+static bool
+is_stalled(const Load *l, uint64_t now_ms)
+{
+    return l->queued_ms &&
+           now_ms > MAX(l->queued_ms, l->began_ms) + STALLED_MS;
+}
+
 void
 mp_visit_loads(Mp *m, uint64_t now_ms,
-               void (*visit)(void *ctx, const char *upstream, uint32_t running,
-                             uint32_t wait_ms),
+               void (*visit)(void *ctx, const char *upstream,
+                             const MpLoad *load),
                void *ctx)
 {
     GHashTableIter it;
@@ -114,13 +128,15 @@
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
+        Load *l = u->load;
         if (!u->service) {
             continue;
         }
         learn_pause(u, now_ms);
-        if (u->load->running > 0) {
-            visit(ctx, u->entry->id, u->load->running,
-                  (uint32_t)(u->load->queued * u->pause_ms));
+        MpLoad load = {l->running, (uint32_t)(l->queued * u->pause_ms),
+                       is_stalled(l, now_ms)};
+        if (load.running > 0) {
+            visit(ctx, u->entry->id, &load);
         }
     }
 }
--- a/src/ut.c
+++ b/src/ut.c
@@ -35,10 +35,20 @@
    passes this share of the mean and so many requests more. */
 #define AFFINITY_LOAD 1.5
 #define AFFINITY_SLACK 3.
+/* Engines read prompts about this fast. */
+#define TOKENS_PER_MS 30.
+/* Leading parts that take less to read are not worth a crowd at the upstream
+   that keeps them. */
+#define LEAST_SHARED_MS 25
 /* Another data centre's upstream costs a round trip and paid bytes: it is
    taken when it has this much less load. */
 #define REMOTE_COST 1.15
 #define DRAWS 4
+/* The longest queue that is accepted, in percent of what the request allows,
+   is spread from this to 100 more. */
+#define WAIT_SPREAD 50
+/* One that began an answer here in this time is busy, not dead. */
+#define ALIVE_MS 700
 
 typedef struct {
     char *what; /* "model" or "model/adapter" */
@@ -59,6 +69,7 @@
     uint32_t told;         /* running for other gateways, by the placing VM */
     uint32_t told_wait_ms; /* behind those that wait there */
     uint32_t total;        /* running for all, as told */
+    bool stalled;          /* as told */
     uint64_t heard_ms;     /* it began an answer; 0: never */
     uint32_t failures;     /* unreachable in a row */
     uint64_t away_ms; /* could not be reached then, nor since; 0: it can */
@@ -392,6 +403,15 @@
            (u->probed || now_ms < u->away_ms + u->probe_pause_ms);
 }
 
+/* One more would come late there.  The threshold differs by request: with one
+   for all, hundreds of gateways would hold back and send as one. */
+static bool
+is_crowded(const Ut *u, uint64_t now_ms, const UtQuery *q)
+{
+    double patience = (WAIT_SPREAD + q->draw) / 100.;
+    return ut_get_wait_ms(u, now_ms) > q->most_wait_ms * patience;
+}
+
 static uint64_t
 compute_rank(uint64_t affinity, const char *id)
 {
@@ -421,7 +441,7 @@
     for (guint i = 0; i < c->len; i++) {
         sum += g_array_index(c, Candidate, i).cost;
     }
-    if (q->affinity) {
+    if (q->affinity && q->shared_tokens / TOKENS_PER_MS >= LEAST_SHARED_MS) {
         const Candidate *x = prefer_by_affinity(c, sum / c->len);
         if (x) {
             return x;
@@ -484,8 +504,7 @@
         else if (is_left_alone(u, now_ms)) {
             away = true;
         }
-        else if (q->most_wait_ms &&
-                 ut_get_wait_ms(u, now_ms) > q->most_wait_ms) {
+        else if (q->most_wait_ms && is_crowded(u, now_ms, q)) {
             least_busy = get_less_busy(least_busy, u, now_ms);
         }
         else if (now_ms < u->rest_until_ms) {
@@ -640,11 +659,12 @@
 }
 
 static void
-set_total(Ut *u, uint32_t running, uint32_t wait_ms)
+set_total(Ut *u, const UtTotal *t)
 {
-    u->total = running;
-    u->told = running > u->running ? running - u->running : 0;
-    u->told_wait_ms = wait_ms;
+    u->total = t->running;
+    u->told = t->running > u->running ? t->running - u->running : 0;
+    u->told_wait_ms = t->wait_ms;
+    u->stalled = t->stalled;
 }
 
 void
@@ -655,14 +675,15 @@
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, s->by_id);
+    static const UtTotal none;
     while (whole && g_hash_table_iter_next(&it, NULL, &v)) {
-        set_total(v, 0, 0);
+        set_total(v, &none);
     }
     for (size_t i = 0; i < n; i++) {
         Ut *u =
             g_hash_table_lookup(s->by_key, GUINT_TO_POINTER(totals[i].key));
         if (u) {
-            set_total(u, totals[i].running, totals[i].wait_ms);
+            set_total(u, &totals[i]);
         }
     }
 }
@@ -676,7 +697,8 @@
     g_hash_table_iter_init(&it, s->by_id);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Ut *u = v;
-        UtTotal t = {ut_make_key(u->entry->id), u->total, u->told_wait_ms};
+        UtTotal t = {ut_make_key(u->entry->id), u->total, u->told_wait_ms,
+                     u->stalled};
         if (t.running > 0) {
             visit(ctx, &t);
         }
@@ -711,8 +733,7 @@
 }
 
 /* Reading the prompt and the first step; a queue or other requests make it
-   longer.  Of engines that read about 38 tokens in a ms. */
-#define TOKENS_PER_MS 30.
+   longer. */
 #define FIRST_STEP_MS 100.
 
 uint32_t
@@ -749,10 +770,15 @@
     return u->away_ms != 0;
 }
 
-uint64_t
-ut_get_heard_ms(const Ut *u)
+bool
+ut_is_alive(const Ut *u, uint64_t now_ms)
 {
-    return u->heard_ms;
+    if (now_ms < u->heard_ms + ALIVE_MS) {
+        return true;
+    }
+    /* What others hear counts only where they have requests. */
+    return u->told > 0 && hears_placer(u->set, now_ms) && !u->stalled &&
+           !u->told_away_ms;
 }
 
 uint32_t
--- a/src/ut.h
+++ b/src/ut.h
@@ -39,12 +39,14 @@
 /* Who could serve. */
 typedef struct {
     const char *service;
-    const char *model;   /* NULL: any upstream of the service */
-    const char *adapter; /* NULL: the model itself */
-    uint64_t affinity;   /* digest of the shared leading parts; 0: none */
+    const char *model;      /* NULL: any upstream of the service */
+    const char *adapter;    /* NULL: the model itself */
+    uint64_t affinity;      /* digest of the shared leading parts; 0: none */
+    uint32_t shared_tokens; /* of these parts */
     uint32_t prompt_tokens;
-    uint32_t
-        most_wait_ms; /* where more wait is told nothing is sent; 0: any */
+    uint32_t most_wait_ms; /* where about as much wait is told nothing is sent;
+                              0: any */
+    uint32_t draw;         /* of this request, by chance: 0 to 99 */
     const GPtrArray *tried; /* Ut * that are not to be used again, or NULL */
 } UtQuery;
 
@@ -56,7 +58,7 @@
     UT_TRIED,   /* all that could serve were tried */
     UT_FULL,    /* all that could serve have as much as they take */
     UT_AWAY,    /* none that could serve can be reached just now */
-    UT_BUSY     /* what waits at all that could serve takes too long */
+    UT_BUSY     /* all that could serve have more than they serve in time */
 } UtAnswer;
 
 /* The upstream to send to now, in *OUT if UT_FOUND; if UT_BUSY, the one with
@@ -89,6 +91,7 @@
     uint32_t key; /* ut_make_key of its id */
     uint32_t running;
     uint32_t wait_ms;
+    bool stalled; /* requests wait there, and no answer begins */
 } UtTotal;
 
 uint32_t ut_make_key(const char *id);
@@ -119,8 +122,9 @@
 uint32_t ut_get_running(const Ut *u);
 /* Ours and what is known of others'. */
 double ut_get_load(const Ut *u, uint64_t now_ms);
-/* When it last began an answer to this gateway; 0: never. */
-uint64_t ut_get_heard_ms(const Ut *u);
+/* It begins answers, as far as is known: of all gateways while the placing VM
+   is heard, else of this one. */
+bool ut_is_alive(const Ut *u, uint64_t now_ms);
 uint32_t ut_count(const UtSet *s);
 bool ut_knows(const UtSet *s, const char *id);
 
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -696,10 +696,11 @@
 test_choice_leaves_long_queues_alone(void)
 {
     UtSet *s = make_set(2, "m0");
-    UtTotal totals[] = {{ut_make_key("u0"), 60, 5000},
-                        {ut_make_key("u1"), 40, 3000}};
+    UtTotal totals[] = {{ut_make_key("u0"), 60, 5000, false},
+                        {ut_make_key("u1"), 40, 3000, false}};
     ut_on_totals(s, 1000, totals, 2, false);
-    UtQuery q = {.service = "s", .model = "m0", .most_wait_ms = 1000};
+    UtQuery q = {
+        .service = "s", .model = "m0", .most_wait_ms = 1000, .draw = 50};
     Ut *u = NULL;
     CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_BUSY);
     CU_ASSERT_STRING_EQUAL(ut_get_id(u), "u1");
@@ -707,6 +708,12 @@
     q.most_wait_ms = 4000;
     CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_FOUND);
     CU_ASSERT_STRING_EQUAL(ut_get_id(u), "u1");
+    /* Some hold back sooner, some later, or all would send at one moment. */
+    q.draw = 0;
+    CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_BUSY);
+    q.most_wait_ms = 2100;
+    q.draw = 99;
+    CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_FOUND);
     q.most_wait_ms = 0;
     CU_ASSERT_EQUAL(ut_choose(s, 1100, &q, &u), UT_FOUND);
     /* What was told long ago tells nothing. */
@@ -879,8 +886,8 @@
 }
 
 static void
-site_judged(void *ctx, const char *model, double good, double slow, double load,
-            uint32_t replicas)
+site_judged(void *ctx, const char *model, double good, double slow,
+            double load, uint32_t replicas)
 {
     (void)ctx;
     (void)model;
@@ -1004,8 +1011,8 @@
     s->now_ms = 100000;
     s->load_ms = LOAD_MS;
     MpParams p = {false};
-    MpOutput out = {s, site_order, site_ask, site_placed, site_away,
-                    site_judged};
+    MpOutput out = {s,           site_order, site_ask,
+                    site_placed, site_away,  site_judged};
     s->mp = mp_create(&p, &out);
     s->demand = dm_create();
     s->config = dep_create_config();
@@ -1289,12 +1296,12 @@
 } SeenLoad;
 
 static void
-see_load(void *ctx, const char *upstream, uint32_t running, uint32_t wait_ms)
+see_load(void *ctx, const char *upstream, const MpLoad *load)
 {
     SeenLoad *seen = ctx;
     if (strcmp(upstream, "u0") == 0) {
-        seen->running = running;
-        seen->wait_ms = wait_ms;
+        seen->running = load->running;
+        seen->wait_ms = load->wait_ms;
     }
 }
 
@@ -1724,8 +1731,8 @@
     Site s;
     start_site(&s, 9);
     MpParams p = {true};
-    MpOutput out = {&s, site_order, site_ask, site_placed, site_away,
-                    site_judged};
+    MpOutput out = {&s,          site_order, site_ask,
+                    site_placed, site_away,  site_judged};
     mp_destroy(s.mp);
     s.mp = mp_create(&p, &out);
     mp_on_config(s.mp, s.config);
