--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &gwp__placement__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__placement_wanted__init
+                     (Gwp__PlacementWanted         *message)
+{
+  static const Gwp__PlacementWanted init_value = GWP__PLACEMENT_WANTED__INIT;
+  *message = init_value;
+}
+size_t gwp__placement_wanted__get_packed_size
+                     (const Gwp__PlacementWanted *message)
+{
+  assert(message->base.descriptor == &gwp__placement_wanted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__placement_wanted__pack
+                     (const Gwp__PlacementWanted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__placement_wanted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__placement_wanted__pack_to_buffer
+                     (const Gwp__PlacementWanted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__placement_wanted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__PlacementWanted *
+       gwp__placement_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__PlacementWanted *)
+     protobuf_c_message_unpack (&gwp__placement_wanted__descriptor,
+                                allocator, len, data);
+}
+void   gwp__placement_wanted__free_unpacked
+                     (Gwp__PlacementWanted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__placement_wanted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__wait__init
                      (Gwp__Wait         *message)
 {
@@ -1785,7 +1830,7 @@
   (ProtobufCMessageInit) gwp__resident__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__placement__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gwp__placement__field_descriptors[5] =
 {
   {
     "upstream",
@@ -1811,15 +1856,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dropped",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__Placement, n_dropped),
+    offsetof(Gwp__Placement, dropped),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Placement, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Placement, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__placement__field_indices_by_name[] = {
+  4,   /* field[4] = digest */
+  2,   /* field[2] = dropped */
   1,   /* field[1] = residents */
   0,   /* field[0] = upstream */
+  3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange gwp__placement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__placement__descriptor =
 {
@@ -1829,13 +1913,51 @@
   "Gwp__Placement",
   "gwp",
   sizeof(Gwp__Placement),
-  2,
+  5,
   gwp__placement__field_descriptors,
   gwp__placement__field_indices_by_name,
   1,  gwp__placement__number_ranges,
   (ProtobufCMessageInit) gwp__placement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__placement_wanted__field_descriptors[1] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__PlacementWanted, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__placement_wanted__field_indices_by_name[] = {
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange gwp__placement_wanted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__placement_wanted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.PlacementWanted",
+  "PlacementWanted",
+  "Gwp__PlacementWanted",
+  "gwp",
+  sizeof(Gwp__PlacementWanted),
+  1,
+  gwp__placement_wanted__field_descriptors,
+  gwp__placement_wanted__field_indices_by_name,
+  1,  gwp__placement_wanted__number_ranges,
+  (ProtobufCMessageInit) gwp__placement_wanted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__wait__field_descriptors[2] =
 {
   {
@@ -1977,7 +2099,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[10] =
 {
   {
     "waits",
@@ -2087,6 +2209,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
@@ -2095,6 +2229,7 @@
   8,   /* field[8] = informed */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
+  9,   /* field[9] = sent_ms */
   5,   /* field[5] = store_at_once */
   6,   /* field[6] = store_most */
   0,   /* field[0] = waits */
@@ -2103,7 +2238,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -2113,7 +2248,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  9,
+  10,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
@@ -2657,7 +2792,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[17] =
 {
   {
     "hello",
@@ -2851,6 +2986,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placement_wanted",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, placement_wanted),
+    &gwp__placement_wanted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -2866,6 +3013,7 @@
   13,   /* field[13] = loads */
   10,   /* field[10] = members */
   2,   /* field[2] = placement */
+  16,   /* field[16] = placement_wanted */
   3,   /* field[3] = state */
   6,   /* field[6] = unreached */
   5,   /* field[5] = upstreams */
@@ -2873,7 +3021,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -2883,7 +3031,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  16,
+  17,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Gwp__Demand Gwp__Demand;
 typedef struct Gwp__Resident Gwp__Resident;
 typedef struct Gwp__Placement Gwp__Placement;
+typedef struct Gwp__PlacementWanted Gwp__PlacementWanted;
 typedef struct Gwp__Wait Gwp__Wait;
 typedef struct Gwp__Loads Gwp__Loads;
 typedef struct Gwp__State Gwp__State;
@@ -97,9 +98,12 @@
   size_t n_vms;
   char **vms;
   /*
-   * the sender is about to stop
+   * the sender should get no more: it is about to stop,
    */
   protobuf_c_boolean leaving;
+  /*
+   * or is told late itself
+   */
   /*
    * it knows the upstreams' entries of now
    */
@@ -246,7 +250,8 @@
 
 
 /*
- * What the placing VM knows that one upstream holds.
+ * What the placing VM knows that one upstream holds: the models that changed,
+ * and those that it holds no more.
  */
 struct  Gwp__Placement
 {
@@ -254,10 +259,33 @@
   char *upstream;
   size_t n_residents;
   Gwp__Resident **residents;
+  size_t n_dropped;
+  char **dropped;
+  /*
+   * RESIDENTS is all that it holds
+   */
+  protobuf_c_boolean whole;
+  /*
+   * of all that it holds then
+   */
+  uint32_t digest;
 };
 #define GWP__PLACEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__placement__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * What the sender knows of the upstream differs from what it was told.
+ */
+struct  Gwp__PlacementWanted
+{
+  ProtobufCMessage base;
+  char *upstream;
+};
+#define GWP__PLACEMENT_WANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__placement_wanted__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 struct  Gwp__Wait
@@ -339,10 +367,14 @@
    * it, or a gateway linked to it, reads the store
    */
   protobuf_c_boolean informed;
+  /*
+   * by its clock
+   */
+  uint64_t sent_ms;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -511,7 +543,8 @@
   GWP__FRAME__BODY_CONFIG = 13,
   GWP__FRAME__BODY_LOADS = 14,
   GWP__FRAME__BODY_CONFIG_WANTED = 15,
-  GWP__FRAME__BODY_AWAY = 16
+  GWP__FRAME__BODY_AWAY = 16,
+  GWP__FRAME__BODY_PLACEMENT_WANTED = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -536,6 +569,7 @@
     Gwp__Loads *loads;
     Gwp__ConfigWanted *config_wanted;
     Gwp__Away *away;
+    Gwp__PlacementWanted *placement_wanted;
   };
 };
 #define GWP__FRAME__INIT \
@@ -752,6 +786,25 @@
 void   gwp__placement__free_unpacked
                      (Gwp__Placement *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__PlacementWanted methods */
+void   gwp__placement_wanted__init
+                     (Gwp__PlacementWanted         *message);
+size_t gwp__placement_wanted__get_packed_size
+                     (const Gwp__PlacementWanted   *message);
+size_t gwp__placement_wanted__pack
+                     (const Gwp__PlacementWanted   *message,
+                      uint8_t             *out);
+size_t gwp__placement_wanted__pack_to_buffer
+                     (const Gwp__PlacementWanted   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__PlacementWanted *
+       gwp__placement_wanted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__placement_wanted__free_unpacked
+                     (Gwp__PlacementWanted *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Wait methods */
 void   gwp__wait__init
                      (Gwp__Wait         *message);
@@ -1034,6 +1087,9 @@
 typedef void (*Gwp__Placement_Closure)
                  (const Gwp__Placement *message,
                   void *closure_data);
+typedef void (*Gwp__PlacementWanted_Closure)
+                 (const Gwp__PlacementWanted *message,
+                  void *closure_data);
 typedef void (*Gwp__Wait_Closure)
                  (const Gwp__Wait *message,
                   void *closure_data);
@@ -1090,6 +1146,7 @@
 extern const ProtobufCMessageDescriptor gwp__demand__descriptor;
 extern const ProtobufCMessageDescriptor gwp__resident__descriptor;
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
+extern const ProtobufCMessageDescriptor gwp__placement_wanted__descriptor;
 extern const ProtobufCMessageDescriptor gwp__wait__descriptor;
 extern const ProtobufCMessageDescriptor gwp__loads__descriptor;
 extern const ProtobufCMessageDescriptor gwp__state__descriptor;
--- a/src/gn.h
+++ b/src/gn.h
@@ -1,9 +1,10 @@
 /* gn: the gateway's process around its cores, in parts by what they speak
    with: gn_store (configuration, upstreams), gn_lease (the lease), gn_place
    (orders and reports), gn_links (other gateways), gn_demand (what callers
-   want, towards the placing VM), gn_relay (who links to whom, and what a new
-   link is told), main_gateway (callers, time, signals).  All of it runs on the
-   loop's thread. */
+   want, towards the placing VM), gn_placed (what upstreams hold, as it is
+   told), gn_relay (who links to whom, and what a new link is told),
+   main_gateway (callers, time, signals).  All of it runs on the loop's thread.
+ */
 #ifndef GN_H
 #define GN_H
 
@@ -11,6 +12,7 @@
 #include "gw.h"
 #include "ini.h"
 #include "jl.h"
+#include "lag.h"
 #include "lk.h"
 #include "ls.h"
 #include "mp.h"
@@ -41,6 +43,7 @@
     uint64_t alone_ms;    /* without a word of the placing VM for so long we
                             look for it ourselves */
     uint64_t next_try_ms; /* of that look */
+    Lag lag;              /* of what the placing VM tells */
 } Uplink;
 
 typedef struct Gateway {
@@ -60,7 +63,8 @@
     GHashTable *members; /* gateways -> when last heard of, uint64_t */
     uint64_t mail_ms;    /* when mail was last left */
     uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
-    GHashTable *untold;  /* upstream -> DepResident list, for the next beat */
+    GHashTable *untold;  /* upstream -> set of models that changed there, for
+                            the next beat; an empty set: whole */
     GPtrArray *away;     /* char *: found unreachable, not told yet */
     GHashTable *told;    /* ut_make_key -> UtTotal, as last told down */
     uint64_t cut_off_ms; /* since when half is cut off; 0: it isn't */
@@ -80,7 +84,9 @@
     guint next_seed;
     uint64_t config_ms;
     uint64_t start_ms;
-    uint64_t placer_ms;  /* when the placing VM was last heard; 0: never */
+    uint64_t
+        placer_ms;  /* when what the placing VM last told was sent; 0: never */
+    uint32_t fleet; /* gateways, as it told */
     uint64_t members_ms; /* when our members were last told */
     uint64_t asked_ms;   /* for a newer configuration */
     bool placing;        /* this VM held the lease at the last tick */
@@ -109,6 +115,8 @@
    meanwhile. */
 void gn_want(Gateway *g);
 const char *gn_get_text(const Gateway *g, const char *key);
+/* Where other gateways link to this one. */
+const char *gn_get_address(const Gateway *g);
 
 /* gn_store */
 void gn_use_config(Gateway *g, DepConfig *c, GBytes *written);
@@ -139,7 +147,6 @@
 void gn_on_away(void *ctx, const char *upstream);
 void gn_on_judged(void *ctx, const char *model, double good, double slow,
                   double load, uint32_t replicas);
-void gn_free_residents(void *p);
 void gn_send_order(void *ctx, const MpOrder *order);
 void gn_ask_upstream(void *ctx, const DepUpstream *of);
 void gn_place_soon(Gateway *g);
@@ -181,16 +188,15 @@
 /* Our members are to look for another relay: this process stops. */
 void gn_dismiss_members(Gateway *g);
 
+/* What the placing VM tells comes so late that it does not count: a link on
+   the way carries less than is sent. */
+bool gn_is_told_late(const Gateway *g, uint64_t now_ms);
+
 /* gn_links */
 void gn_send_state(Gateway *g, uint64_t now_ms);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
                    bool down);
 void gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame);
-/* To all gateways linked to us: at once where callers wait, to the others
-   with the next beat. */
-void gn_pass_placement(Gateway *g, const char *upstream,
-                       const GPtrArray *models);
-void gn_tell_the_rest(Gateway *g);
 void gn_tell_away(Gateway *g);
 /* To the placing VM as well, where that does not read the store. */
 void gn_pass_upstreams(Gateway *g, const GPtrArray *changed,
@@ -201,6 +207,19 @@
 /* All there is, to one that has come. */
 void gn_send_all(Gateway *g, LkPeer *to, uint64_t config_version);
 
+/* gn_placed */
+/* DepResident list -> Gwp__Resident list that borrows its names. */
+void gn_fill_residents(const GPtrArray *models, GPtrArray *out);
+GPtrArray *gn_read_residents(size_t n, Gwp__Resident *const *residents);
+/* UPSTREAM holds MODELS (taken over) from now on.  All gateways linked to us
+   are told what differs: at once where callers wait, the others with the next
+   beat. */
+void gn_place(Gateway *g, const char *upstream, GPtrArray *models);
+void gn_take_placement(Gateway *g, const Gwp__Placement *p);
+void gn_tell_the_rest(Gateway *g);
+/* One that is linked to us lost count. */
+void gn_repeat_placement(Gateway *g, LkPeer *to, const char *upstream);
+
 /* gn_start */
 /* Ask another gateway when the store does not answer a starting process. */
 void gn_tick_start(Gateway *g, uint64_t now_ms);
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -13,88 +13,6 @@
 
 /* ---- what is told: upstreams and what they hold ------------------------- */
 
-static void
-fill_residents(const GPtrArray *models, GPtrArray *out)
-{
-    for (guint i = 0; i < models->len; i++) {
-        const DepResident *r = models->pdata[i];
-        Gwp__Resident *x = g_new0(Gwp__Resident, 1);
-        gwp__resident__init(x);
-        x->model = r->name;
-        x->n_adapters = r->adapters->len;
-        x->adapters = (char **)r->adapters->pdata;
-        g_ptr_array_add(out, x);
-    }
-}
-
-static GPtrArray *
-read_residents(size_t n, Gwp__Resident *const *residents)
-{
-    DepUpstream *u = dep_create_upstream();
-    for (size_t i = 0; i < n; i++) {
-        DepResident *d = dep_add_resident(u, residents[i]->model);
-        for (size_t j = 0; j < residents[i]->n_adapters; j++) {
-            g_ptr_array_add(d->adapters, g_strdup(residents[i]->adapters[j]));
-        }
-    }
-    GPtrArray *list = u->models;
-    u->models = g_ptr_array_new();
-    dep_destroy_upstream(u);
-    return list;
-}
-
-static GPtrArray *
-copy_residents(const GPtrArray *models)
-{
-    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
-    fill_residents(models, rows);
-    return read_residents(rows->len, (Gwp__Resident **)rows->pdata);
-}
-
-static void
-send_placement(Gateway *g, bool urgent, const char *upstream,
-               const GPtrArray *models)
-{
-    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
-    fill_residents(models, rows);
-    Gwp__Placement m = GWP__PLACEMENT__INIT;
-    m.upstream = (char *)upstream;
-    m.n_residents = rows->len;
-    m.residents = (Gwp__Resident **)rows->pdata;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_PLACEMENT;
-    f.placement = &m;
-    if (urgent) {
-        lk_send_urgent(g->links, &f);
-    }
-    else {
-        lk_send_down(g->links, NULL, &f);
-    }
-}
-
-void
-gn_pass_placement(Gateway *g, const char *upstream, const GPtrArray *models)
-{
-    if (lk_count_peers(g->links) > 0) {
-        send_placement(g, true, upstream, models);
-        g_hash_table_replace(g->untold, g_strdup(upstream),
-                             copy_residents(models));
-    }
-}
-
-void
-gn_tell_the_rest(Gateway *g)
-{
-    GHashTableIter it;
-    gpointer upstream;
-    gpointer models;
-    g_hash_table_iter_init(&it, g->untold);
-    while (g_hash_table_iter_next(&it, &upstream, &models)) {
-        send_placement(g, false, upstream, models);
-    }
-    g_hash_table_remove_all(g->untold);
-}
-
 /* A frame of upstreams that is being filled. */
 typedef struct {
     GPtrArray *rows;      /* Gwp__Upstream */
@@ -112,7 +30,7 @@
 {
     UpstreamRows *rows = ctx;
     GPtrArray *residents = g_ptr_array_new_with_free_func(g_free);
-    fill_residents(models, residents);
+    gn_fill_residents(models, residents);
     Gwp__Upstream *x = g_new0(Gwp__Upstream, 1);
     gwp__upstream__init(x);
     x->id = u->id;
@@ -154,7 +72,8 @@
     UpstreamRows rows = {list, residents};
     for (guint i = 0; i < changed->len; i++) {
         const DepUpstream *u = changed->pdata[i];
-        add_upstream(&rows, u, u->models);
+        const GPtrArray *placed = ut_get_placed(g->upstreams, u->id);
+        add_upstream(&rows, u, placed ? placed : u->models);
     }
     if (rows.rows->len + gone->len > 0) {
         send_upstreams(g, NULL, &rows, gone, false);
@@ -400,7 +319,8 @@
     s.reads_store = gn_reads_store(g, now_ms);
     s.informed = s.reads_store || gn_has_reader(g);
     s.config_version = g->config ? g->config->version : 0;
-    s.address = (char *)gn_get_text(g, "link");
+    s.address = (char *)gn_get_address(g);
+    s.sent_ms = now_ms;
     MpStoreRate rate = mp_get_store_rate(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
@@ -415,15 +335,6 @@
 
 /* ---- what others tell --------------------------------------------------- */
 
-static void
-take_placement(Gateway *g, const Gwp__Placement *p)
-{
-    GPtrArray *models = read_residents(p->n_residents, p->residents);
-    gn_pass_placement(g, p->upstream, models);
-    ut_on_placement(g->upstreams, bg_boot_ms(), p->upstream, models);
-    gw_on_change(g->gw);
-}
-
 static DepUpstream *
 read_upstream(const Gwp__Upstream *x)
 {
@@ -450,7 +361,7 @@
             mp_on_leaving(g->placement, x->id);
         }
         ut_on_placement(g->upstreams, now_ms, x->id,
-                        read_residents(x->n_residents, x->residents));
+                        gn_read_residents(x->n_residents, x->residents));
     }
     for (size_t i = 0; i < m->n_gone; i++) {
         gn_drop_upstream(g, now_ms, m->gone[i]);
@@ -475,7 +386,7 @@
         DepUpstream *u = read_upstream(x);
         if (!ut_knows(g->upstreams, x->id)) {
             g_ptr_array_free(u->models, TRUE);
-            u->models = read_residents(x->n_residents, x->residents);
+            u->models = gn_read_residents(x->n_residents, x->residents);
         }
         if (x->draining) {
             mp_on_leaving(g->placement, x->id);
@@ -521,12 +432,14 @@
 take_state(Gateway *g, const Gwp__State *s)
 {
     uint64_t now_ms = bg_boot_ms();
-    g->placer_ms = now_ms;
+    gn_set_placer(g, s->address);
+    uint64_t sent_ms = now_ms - lag_note(&g->uplink.lag, now_ms, s->sent_ms);
+    g->placer_ms = MAX(g->placer_ms, sent_ms);
+    g->fleet = s->gateways;
     g->placer_reads = s->reads_store;
     g->informed = s->informed;
-    gn_set_placer(g, s->address);
-    ls_on_heard(g->lease, now_ms);
-    ut_on_totals(g->upstreams, now_ms, NULL, 0, false);
+    ls_on_heard(g->lease, sent_ms);
+    ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
     gw_on_placer(g->gw, now_ms, s->rest_ms);
     rb_on_gateways(g->budget, now_ms, s->gateways);
     gn_follow_version(g, now_ms, s->config_version);
@@ -584,7 +497,7 @@
 {
     switch (f->body_case) {
     case GWP__FRAME__BODY_PLACEMENT:
-        take_placement(g, f->placement);
+        gn_take_placement(g, f->placement);
         break;
     case GWP__FRAME__BODY_STATE:
         take_state(g, f->state);
@@ -646,6 +559,9 @@
     case GWP__FRAME__BODY_DEATH:
         take_death(g, from, f->death);
         break;
+    case GWP__FRAME__BODY_PLACEMENT_WANTED:
+        gn_repeat_placement(g, from, f->placement_wanted->upstream);
+        break;
     case GWP__FRAME__BODY_UNREACHED:
         gn_suspect(g, f->unreached->upstream);
         break;
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -146,17 +146,14 @@
 gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models)
 {
     Gateway *g = ctx;
-    gn_pass_placement(g, upstream, models);
     DepUpstream *u = dep_create_upstream();
     for (guint i = 0; i < models->len; i++) {
         const DepResident *r = models->pdata[i];
         dep_copy_names(dep_add_resident(u, r->name)->adapters, r->adapters);
     }
-    ut_on_placement(g->upstreams, bg_boot_ms(), upstream,
-                    g_steal_pointer(&u->models));
+    gn_place(g, upstream, g_steal_pointer(&u->models));
     u->models = g_ptr_array_new();
     dep_destroy_upstream(u);
-    gw_on_change(g->gw);
 }
 
 /* All that one look finds are told together. */
@@ -186,12 +183,6 @@
     jl_end(l);
 }
 
-void
-gn_free_residents(void *p)
-{
-    g_ptr_array_free(p, TRUE);
-}
-
 /* ---- suspicion ---------------------------------------------------------- */
 
 void
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -56,12 +56,19 @@
     return g->placing || (g->placer_ms && now_ms < g->placer_ms + HEARD_MS);
 }
 
+bool
+gn_is_told_late(const Gateway *g, uint64_t now_ms)
+{
+    return g->uplink.lag.late_ms > HEARD_MS ||
+           lk_get_quiet_ms(g->links, now_ms) > HEARD_MS;
+}
+
 static void
 choose_target(Gateway *g)
 {
     const Uplink *u = &g->uplink;
     const char *target = g->placing ? NULL : u->relay ? u->relay : u->placer;
-    if (g_strcmp0(target, gn_get_text(g, "link")) == 0) {
+    if (g_strcmp0(target, gn_get_address(g)) == 0) {
         target = NULL; /* of a process before this one on our VM */
     }
     lk_set_target(g->links, target);
@@ -111,6 +118,7 @@
     if (g_strcmp0(u->placer, address) != 0) {
         g_free(u->placer);
         u->placer = g_strdup(address);
+        lag_reset(&u->lag);
         send_holder(g, NULL);
     }
     choose_target(g);
@@ -177,6 +185,7 @@
     uint64_t now_ms = bg_boot_ms();
     log_link(g, open);
     g->relay_blind = false;
+    lag_reset(&g->uplink.lag);
     if (open) {
         g->sums_due = true;
         g->members_ms = 0;
@@ -247,7 +256,7 @@
     hello->vm = (char *)gn_get_text(g, "name");
     hello->process = (char *)g->process;
     hello->data_centre = (char *)gn_get_text(g, "data_centre");
-    hello->address = (char *)gn_get_text(g, "link");
+    hello->address = (char *)gn_get_address(g);
     hello->fitness = (uint32_t)(share * 1000);
     hello->shunned = g->uplink.shunned ? g->uplink.shunned : (char *)"";
     hello->config_version = g->config ? g->config->version : 0;
@@ -364,7 +373,7 @@
     Gwp__Members m = GWP__MEMBERS__INIT;
     m.n_vms = vms->len;
     m.vms = (char **)vms->pdata;
-    m.leaving = g->stop_ms != 0;
+    m.leaving = g->stop_ms != 0 || gn_is_told_late(g, now_ms);
     m.reads_store = gn_reads_store(g, now_ms);
     m.config_version = g->config ? g->config->version : 0;
     Gwp__Frame f = GWP__FRAME__INIT;
--- a/src/gn_start.c
+++ b/src/gn_start.c
@@ -65,7 +65,7 @@
     }
     const char *target = lk_is_open(g->links) ? lk_get_target(g->links) : NULL;
     Gwp__Introduction i = GWP__INTRODUCTION__INIT;
-    i.link = (char *)(target ? target : gn_get_text(g, "link"));
+    i.link = (char *)(target ? target : gn_get_address(g));
     size_t size = gwp__introduction__get_packed_size(&i);
     g_autofree uint8_t *bytes = g_malloc(size + 1);
     gwp__introduction__pack(&i, bytes);
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -28,6 +28,11 @@
 /* News that the placing VM told of must have come by then. */
 #define BEHIND_MS 250
 #define SLOW_CALL_MS 1000 /* a call as old as this may be silent */
+/* Longest pauses between calls that fail: of a gateway that hears nobody, and
+   of one among many that hear each other, which together ask as often. */
+#define LEAST_BACKOFF_MS 700
+#define MOST_BACKOFF_MS 6000
+#define BACKOFF_OF_ONE_MS 30
 /* A read is at most so old, or others read themselves. */
 #define STORE_FRESH_MS 1200
 
@@ -193,6 +198,35 @@
     g_ptr_array_add(news->changed, copy);
 }
 
+typedef struct {
+    GHashTable *ids;
+    GPtrArray *missing; /* char * */
+} Missing;
+
+static void
+note_missing(void *ctx, const DepUpstream *u, const GPtrArray *models)
+{
+    (void)models;
+    Missing *m = ctx;
+    if (!g_hash_table_contains(m->ids, u->id)) {
+        g_ptr_array_add(m->missing, g_strdup(u->id));
+    }
+}
+
+/* Those that went while the store was not read. */
+static void
+drop_missing(Gateway *g, GHashTable *ids, GPtrArray *missing, News *news)
+{
+    Missing m = {ids, missing};
+    ut_visit(g->upstreams, note_missing, &m);
+    for (guint i = 0; i < missing->len; i++) {
+        log_gone(missing->pdata[i]);
+        g_ptr_array_add(news->gone, missing->pdata[i]);
+    }
+    ut_keep_only(g->upstreams, bg_boot_ms(), ids);
+    mp_keep_only(g->placement, ids);
+}
+
 static void
 on_upstream_records(void *ctx, const GPtrArray *records, bool whole)
 {
@@ -202,6 +236,7 @@
     g_autoptr(GPtrArray) changed =
         g_ptr_array_new_with_free_func(free_upstream);
     g_autoptr(GPtrArray) gone = g_ptr_array_new();
+    g_autoptr(GPtrArray) missing = g_ptr_array_new_with_free_func(g_free);
     News news = {changed, gone};
     for (guint i = 0; i < records->len; i++) {
         const StRecord *r = records->pdata[i];
@@ -214,13 +249,10 @@
         }
     }
     if (whole) {
-        ut_keep_only(g->upstreams, now_ms, ids);
-        mp_keep_only(g->placement, ids);
+        drop_missing(g, ids, missing, &news);
         gn_pass_all_upstreams(g);
     }
-    else {
-        gn_pass_upstreams(g, changed, gone);
-    }
+    gn_pass_upstreams(g, changed, gone);
 }
 
 static void
@@ -259,9 +291,21 @@
 static bool
 is_told(const Gateway *g, uint64_t now_ms)
 {
-    return gn_hears_placer(g, now_ms)
-               ? g->informed
-               : g->uplink.relay && lk_is_open(g->links) && !g->relay_blind;
+    if (gn_hears_placer(g, now_ms)) {
+        return g->informed;
+    }
+    return g->uplink.relay && lk_is_open(g->links) && !g->relay_blind &&
+           !gn_is_told_late(g, now_ms);
+}
+
+/* Whoever reaches the store first tells the others that hear the placing VM,
+   so they needn't all press a store that is in trouble. */
+static uint32_t
+get_most_backoff_ms(const Gateway *g, bool heard)
+{
+    uint32_t most_ms = g->fleet * BACKOFF_OF_ONE_MS;
+    return heard ? CLAMP(most_ms, LEAST_BACKOFF_MS, MOST_BACKOFF_MS)
+                 : LEAST_BACKOFF_MS;
 }
 
 void
@@ -287,6 +331,9 @@
     bool reads =
         g->placing || lonely || overdue || (direct && !g->placer_reads);
     st_set_idle(g->upstream_watch, !reads);
+    uint32_t backoff_ms = get_most_backoff_ms(g, heard && !g->placing);
+    st_set_most_backoff(g->config_watch, backoff_ms);
+    st_set_most_backoff(g->upstream_watch, backoff_ms);
 }
 
 /* A newer configuration was told of; our own read should have ended with it
--- /dev/null
+++ b/src/lag.c
@@ -0,0 +1,33 @@
+#include "lag.h"
+
+/* Clocks of VMs drift by less than a hundredth: far less than what counts as
+   late in two of these. */
+#define WINDOW_MS 15000
+
+void
+lag_reset(Lag *l)
+{
+    *l = (Lag){0};
+}
+
+static void
+turn_window(Lag *l, uint64_t now_ms, int64_t difference_ms)
+{
+    bool follows = l->window_ms && now_ms < l->window_ms + 2 * WINDOW_MS;
+    l->least_before_ms = follows ? l->least_ms : difference_ms;
+    l->least_ms = difference_ms;
+    l->window_ms = now_ms;
+}
+
+uint64_t
+lag_note(Lag *l, uint64_t now_ms, uint64_t sent_ms)
+{
+    int64_t difference_ms = (int64_t)(now_ms - sent_ms);
+    if (!l->window_ms || now_ms >= l->window_ms + WINDOW_MS) {
+        turn_window(l, now_ms, difference_ms);
+    }
+    l->least_ms = MIN(l->least_ms, difference_ms);
+    l->late_ms =
+        (uint64_t)(difference_ms - MIN(l->least_ms, l->least_before_ms));
+    return l->late_ms;
+}
--- a/src/lk.c
+++ b/src/lk.c
@@ -32,7 +32,8 @@
     GByteArray *out;
     char *vm;
     void *user;
-    uint64_t heard_ms;
+    uint64_t heard_ms; /* any byte */
+    uint64_t frame_ms; /* a whole frame */
     uint64_t said_ms;
     GList *link; /* in the hub's peers; NULL: ours */
 };
@@ -171,6 +172,7 @@
         if (!f) {
             return false;
         }
+        p->frame_ms = bg_boot_ms();
         p->hub->handler.on_frame(p->hub->handler.ctx, p->ours ? NULL : p, f);
         gwp__frame__free_unpacked(f, NULL);
         at += HEAD_BYTES + len;
@@ -257,6 +259,7 @@
     p->out = g_byte_array_new();
     p->vm = g_strdup("");
     p->heard_ms = bg_boot_ms();
+    p->frame_ms = p->heard_ms;
     ev_io_init(&p->read_watch, on_readable, fd, EV_READ);
     ev_io_init(&p->write_watch, on_writable, fd, EV_WRITE);
     p->read_watch.data = p;
@@ -356,6 +359,12 @@
     return l->up && !l->up->connecting;
 }
 
+uint64_t
+lk_get_quiet_ms(const Lk *l, uint64_t now_ms)
+{
+    return l->up ? now_ms - l->up->frame_ms : UINT64_MAX;
+}
+
 void
 lk_send_up(Lk *l, const Gwp__Frame *frame)
 {
--- a/src/lk.h
+++ b/src/lk.h
@@ -40,6 +40,8 @@
 void lk_set_target(Lk *l, const char *address);
 const char *lk_get_target(const Lk *l);
 bool lk_is_open(const Lk *l);
+/* Since the last whole frame of the VM that we are linked to. */
+uint64_t lk_get_quiet_ms(const Lk *l, uint64_t now_ms);
 /* To the VM that we are linked to; dropped when there is none. */
 void lk_send_up(Lk *l, const Gwp__Frame *frame);
 /* To all that are linked to us, or to one of them. */
--- a/src/ls.c
+++ b/src/ls.c
@@ -311,9 +311,9 @@
 }
 
 void
-ls_on_heard(Ls *l, uint64_t now_ms)
+ls_on_heard(Ls *l, uint64_t heard_ms)
 {
-    l->heard_ms = now_ms;
+    l->heard_ms = MAX(l->heard_ms, heard_ms);
 }
 
 void
--- a/src/ls.h
+++ b/src/ls.h
@@ -51,8 +51,8 @@
                 uint64_t offset, uint64_t tail);
 void ls_on_append(Ls *l, uint64_t now_ms, StEnd end, uint64_t offset,
                   uint64_t tail);
-/* The holder was heard over a link. */
-void ls_on_heard(Ls *l, uint64_t now_ms);
+/* The holder was heard over a link: it lived at HEARD_MS. */
+void ls_on_heard(Ls *l, uint64_t heard_ms);
 /* Somebody else follows the lease for this VM: it reads and claims nothing
    until UNTIL_MS. */
 void ls_hold_off(Ls *l, uint64_t until_ms);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -100,6 +100,13 @@
     return ini_get_text(g->settings, "gateway", key);
 }
 
+const char *
+gn_get_address(const Gateway *g)
+{
+    const char *advertised = gn_get_text(g, "advertise");
+    return *advertised ? advertised : gn_get_text(g, "link");
+}
+
 static double
 get_bound(const IniFile *f, const char *key)
 {
@@ -480,7 +487,7 @@
     g->placement = mp_create(&mp, &mp_out);
     LsParams ls = {gn_get_text(g, "name"),
                    g->process,
-                   gn_get_text(g, "link"),
+                   gn_get_address(g),
                    LEASE_MS,
                    RENEW_MS,
                    ORDER_MS,
@@ -563,7 +570,7 @@
     bg_make_id(g->process);
     g->demand = dm_create();
     g->untold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                      gn_free_residents);
+                                      (GDestroyNotify)g_hash_table_destroy);
     g->away = g_ptr_array_new_with_free_func(g_free);
     g->told =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
--- a/src/rl.c
+++ b/src/rl.c
@@ -78,6 +78,26 @@
     }
 }
 
+/* A small VM that relays since no other was there. */
+static bool
+should_hand_over(const Candidate *c, const Candidate *best)
+{
+    return c->peer->members > 0 && !c->fit && best->fit;
+}
+
+/* C and its members, which follow it. */
+static void
+move_to_relay(Candidate *relays, size_t count, const RlParams *params,
+              const Candidate *c, RlMove move, void *ctx)
+{
+    Candidate *r = pick_relay(relays, count, params, c->peer->shunned);
+    if (r && !c->peer->leaving) {
+        r->load += 1 + c->peer->members;
+        r->moved += 1 + c->peer->members;
+        move(ctx, c->which, r->peer->address);
+    }
+}
+
 /* LIST: all of one data centre. */
 static void
 plan_data_centre(const RlParams *params, Candidate *list, size_t count,
@@ -90,14 +110,14 @@
     size_t relays = (vms + params->members) / (params->members + 1);
     mark_fit(list, count);
     qsort(list, count, sizeof(*list), compare_candidates);
-    for (size_t i = relays + SPARES; i < count; i++) {
-        const RlPeer *p = list[i].peer;
-        Candidate *r = pick_relay(list, relays, params, p->shunned);
-        if (r && !p->leaving) {
-            r->load++;
-            r->moved++;
-            move(ctx, list[i].which, r->peer->address);
+    size_t spares = SPARES;
+    for (size_t i = relays; i < count; i++) {
+        const Candidate *c = &list[i];
+        if (spares > 0 && !should_hand_over(c, &list[0])) {
+            spares--;
+            continue;
         }
+        move_to_relay(list, relays, params, c, move, ctx);
     }
 }
 
--- a/src/rl.h
+++ b/src/rl.h
@@ -29,7 +29,7 @@
     const char *shunned; /* relay that it could not reach; NULL: none */
     uint32_t fitness;    /* share of a core, in thousandths */
     uint32_t members;    /* linked to it */
-    bool leaving;        /* it is about to stop */
+    bool leaving;        /* it should relay to nobody */
 } RlPeer;
 
 /* PEERS[WHICH] is to link to the relay at ADDRESS. */
--- a/src/st.c
+++ b/src/st.c
@@ -7,7 +7,7 @@
    store in trouble isn't pressed by every VM; half of it is random, so that
    they do not come back as one. */
 #define FIRST_BACKOFF_MS 80
-#define MAX_BACKOFF_MS 700
+#define MOST_BACKOFF_MS 700
 /* After so long without an answer a listing is shorter than what was written
    meanwhile, which may be kept no longer. */
 #define RELIST_MS 3000
@@ -49,6 +49,7 @@
     uint64_t next;      /* offset to read from */
     GPtrArray *pages;   /* of the listing under way: StRecord */
     uint32_t backoff_ms;
+    uint32_t most_ms; /* of it */
 };
 
 /* One call; it outlives a watch that has forgotten it. */
@@ -89,8 +90,8 @@
 back_off(StWatch *w)
 {
     note_reach(w, false);
-    w->backoff_ms = w->backoff_ms ? MIN(w->backoff_ms * 2, MAX_BACKOFF_MS)
-                                  : FIRST_BACKOFF_MS;
+    w->backoff_ms =
+        w->backoff_ms ? MIN(w->backoff_ms * 2, w->most_ms) : FIRST_BACKOFF_MS;
     ask_after(w, w->backoff_ms / 2 +
                      bg_pick_random(&w->rng, w->backoff_ms / 2 + 1));
 }
@@ -216,6 +217,7 @@
     ev_timer_init(&w->timer, on_timer, 0., 0.);
     w->timer.data = w;
     w->idle = true;
+    w->most_ms = MOST_BACKOFF_MS;
     begin_listing(w);
     return w;
 }
@@ -270,6 +272,18 @@
     ask_after(w, 0);
 }
 
+void
+st_set_most_backoff(StWatch *w, uint32_t most_ms)
+{
+    w->most_ms = most_ms;
+    if (w->backoff_ms > most_ms) {
+        w->backoff_ms = most_ms;
+        if (!w->asking) {
+            ask_after(w, bg_pick_random(&w->rng, most_ms));
+        }
+    }
+}
+
 void
 st_set_wait(StWatch *w, uint32_t wait_ms)
 {
--- a/src/st.h
+++ b/src/st.h
@@ -88,6 +88,8 @@
    idle. */
 void st_set_idle(StWatch *w, bool idle);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
+/* The longest pause after calls that failed; 700 ms when none is set. */
+void st_set_most_backoff(StWatch *w, uint32_t most_ms);
 void st_set_wait(StWatch *w, uint32_t wait_ms);
 /* Forget the call that is out, which may be silent, and ask anew; a call that
    is younger than MIN_AGE_MS may just be slow and is left. */
--- a/src/ut.c
+++ b/src/ut.c
@@ -245,6 +245,20 @@
     u->told_away_ms = 0;
 }
 
+bool
+ut_is_told_away(const UtSet *s, const char *id)
+{
+    const Ut *u = g_hash_table_lookup(s->by_id, id);
+    return u && u->told_away_ms != 0;
+}
+
+const GPtrArray *
+ut_get_placed(const UtSet *s, const char *id)
+{
+    const Ut *u = g_hash_table_lookup(s->by_id, id);
+    return u && !u->outdated ? u->placed : NULL;
+}
+
 void
 ut_on_away(UtSet *s, uint64_t now_ms, const char *id)
 {
--- a/src/ut.h
+++ b/src/ut.h
@@ -29,6 +29,10 @@
    over.  It goes before the entry, until ut_outdate_placement. */
 void ut_on_placement(UtSet *s, uint64_t now_ms, const char *id,
                      GPtrArray *models);
+/* As told, and not placed since. */
+bool ut_is_told_away(const UtSet *s, const char *id);
+/* That list; NULL: none was told, or it may be over. */
+const GPtrArray *ut_get_placed(const UtSet *s, const char *id);
 /* The placing VM could not reach it: it is left alone, but for a single try
    now and then, until it is placed anew or answers here. */
 void ut_on_away(UtSet *s, uint64_t now_ms, const char *id);
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -5,7 +5,8 @@
 open and move nothing); freeze_old (only connections open now go silent);
 one_way ("up" or "down": bytes in that direction vanish); drop_after_up
 (close after that many upward bytes went through and before any answer);
-hold_text with hold_ms (upward bytes with that text are held for so long).
+hold_text with hold_ms (upward bytes with that text are held for so long);
+rate (bytes a second that each connection carries; 0: any).
 """
 
 import asyncio
@@ -19,12 +20,16 @@
         self.target = (host, port)
         self.faults = {"delay_ms": 0, "cut": False, "freeze": False,
                        "one_way": "", "drop_after_up": 0,
-                       "hold_text": "", "hold_ms": 0}
+                       "hold_text": "", "hold_ms": 0, "rate": 0}
         self.held = 0
         self.open = {}
         self.silent = set()
         self.count = 0
 
+    def get_piece(self):
+        """A twentieth of a second's bytes."""
+        return self.faults["rate"] // 20 or 65536
+
     def is_frozen(self, ident):
         return self.faults["freeze"] or ident in self.silent
 
@@ -37,7 +42,9 @@
     async def pump(self, ident, way, reader, writer):
         sent = 0
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(self.get_piece()):
+                if self.faults["rate"]:
+                    await asyncio.sleep(len(data) / self.faults["rate"])
                 if self.faults["delay_ms"]:
                     await asyncio.sleep(self.faults["delay_ms"] / 1000)
                 await self.hold(way, data)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -4,16 +4,48 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import tempfile
 import time
 
-from cluster import free_port, wait_until
+from cluster import PYTHON, free_port, wait_until
 from fake_platform import Door, Engine, Store, config
 
+HERE = os.path.dirname(os.path.abspath(__file__))
 LEASE_REST_MS = 600   # the platform's rest between holders, in these tests
 
 
+class Link:
+    """A fault proxy before one address."""
+
+    def __init__(self, target):
+        self.port, control = free_port(), free_port()
+        self.address = "127.0.0.1:%d" % self.port
+        self.proc = subprocess.Popen(
+            [PYTHON, os.path.join(HERE, "fault_proxy.py"), "--port",
+             str(self.port), "--control-port", str(control), "--target",
+             target])
+        for _ in range(200):
+            try:
+                self.control = socket.create_connection(
+                    ("127.0.0.1", control))
+                break
+            except OSError:
+                time.sleep(0.05)
+
+    def set(self, **faults):
+        base = {"delay_ms": 0, "cut": False, "freeze": False, "one_way": "",
+                "rate": 0}
+        self.control.sendall(json.dumps(dict(base, **faults)).encode() +
+                             b"\n")
+        self.control.recv(10)
+
+    def stop(self):
+        self.proc.terminate()
+        self.proc.wait()
+
+
 class Gateway:
     def __init__(self, build, store, name, grace_s=8, extra=""):
         self.name = name
@@ -41,6 +73,14 @@
         self.log_path = os.path.join(self.dir, "log")
         self.proc = None
 
+    def advertise(self, link):
+        """Others reach this gateway through LINK; before it is started."""
+        with open(self.settings, encoding="utf-8") as f:
+            text = f.read()
+        with open(self.settings, "w", encoding="utf-8") as f:
+            f.write(text.replace("[bounds]", "advertise = %s\n[bounds]" %
+                                 link.address))
+
     def start(self, stdout=None):
         with open(self.log_path, "ab") as log:
             self.proc = subprocess.Popen(
@@ -114,7 +154,8 @@
     """STORE, two plain servers, two engines and GATEWAYS."""
 
     def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
-                 first_config=True, doors=False, extra="", apps=2):
+                 first_config=True, doors=False, extra="", apps=2,
+                 links=False):
         self.store = Store(free_port())
         if first_config:
             self.store.put_config(config(3))
@@ -127,9 +168,14 @@
         self.doors = [Door(free_port(), self.store)
                       for _ in range(gateways if doors else 0)]
         ways = self.doors or [self.store] * gateways
-        self.gateways = [Gateway(build, ways[i], "vm%d" % i,
-                                 extra=extra).start()
+        self.gateways = [Gateway(build, ways[i], "vm%d" % i, extra=extra)
                          for i in range(gateways)]
+        self.links = []
+        for g in self.gateways if links else []:
+            self.links.append(Link("127.0.0.1:%d" % g.link))
+            g.advertise(self.links[-1])
+        for g in self.gateways:
+            g.start()
         started = time.monotonic()
         if first_config:
             for g in self.gateways:
@@ -155,7 +201,7 @@
             if g.proc.poll() is None:
                 g.proc.kill()
                 g.proc.wait()
-        for app in self.apps + self.engines + self.doors:
+        for app in self.apps + self.engines + self.doors + self.links:
             app.stop()
         self.store.stop()
         for e in self.engines:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,7 +21,7 @@
 
 from cluster import PYTHON, free_port
 from fake_platform import Engine, Store, config, route
-from platform_cluster import LEASE_REST_MS, Gateway, ask, events_of
+from platform_cluster import LEASE_REST_MS, Gateway, Link, ask, events_of
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 SETTLE_S = 12          # after the last fault everything is served again
@@ -29,35 +29,6 @@
 ASKERS = 4
 
 
-class Link:
-    """A fault proxy before one address."""
-
-    def __init__(self, target):
-        self.port, control = free_port(), free_port()
-        self.address = "127.0.0.1:%d" % self.port
-        self.proc = subprocess.Popen(
-            [PYTHON, os.path.join(HERE, "fault_proxy.py"), "--port",
-             str(self.port), "--control-port", str(control), "--target",
-             target])
-        for _ in range(200):
-            try:
-                self.control = socket.create_connection(
-                    ("127.0.0.1", control))
-                break
-            except OSError:
-                time.sleep(0.05)
-
-    def set(self, **faults):
-        base = {"delay_ms": 0, "cut": False, "freeze": False, "one_way": ""}
-        self.control.sendall(json.dumps(dict(base, **faults)).encode() +
-                             b"\n")
-        self.control.recv(10)
-
-    def stop(self):
-        self.proc.terminate()
-        self.proc.wait()
-
-
 class Soak:
     def __init__(self, build, seed):
         self.rng = random.Random(seed)
@@ -77,11 +48,7 @@
             store = Link(self.store.address)
             g = Gateway(build, store, "vm%d" % i)
             link = Link("127.0.0.1:%d" % g.link)
-            with open(g.settings, encoding="utf-8") as f:
-                text = f.read()
-            with open(g.settings, "w", encoding="utf-8") as f:
-                f.write(text.replace("[bounds]", "advertise = %s\n[bounds]" %
-                                     link.address))
+            g.advertise(link)
             self.gateways.append(g.start())
             self.to_store.append(store)
             self.to_link.append(link)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -186,17 +186,30 @@
         wait_until(late.is_ready, limit_s=1.5, what="readiness")
 
 
-@pytest.mark.parametrize("cut", ["placer", "relay", "both"])
+def find_spare(c):
+    """Linked to the placing VM itself, with nobody linked to it."""
+    for g in c.gateways:
+        d = g.dump()
+        if not d["places"] and not d["relay"] and d["peers"] == 0:
+            return g
+    return None
+
+
+@pytest.mark.parametrize("cut", ["placer", "relay", "both", "all but one"])
 def test_news_around_those_cut_from_the_store(build, cut):
     """Guards against members that keep an old configuration, and send to an
-    upstream that leaves, as the placing VM, their relay or both can't reach
-    the store."""
+    upstream that leaves, as the placing VM, their relay, both or all but one
+    can't reach the store."""
     with Cluster(build, gateways=VMS, models=(("m0",), ()), doors=True,
                  extra=RELAYS) as c:
         wait_until(lambda: len(members(c)) == VMS - 3, what="relays")
         names = members(c)
         blind = {"placer": [c.placer()], "relay": [find_relay(c)],
-                 "both": [c.placer(), find_relay(c)]}[cut]
+                 "both": [c.placer(), find_relay(c)],
+                 "all but one": [g for g in c.gateways
+                                 if g is not find_spare(c)]}[cut]
+        if cut == "all but one":
+            time.sleep(3.5)  # what it read last is no beginning any more
         for g in blind:
             c.doors[c.gateways.index(g)].mode = "busy"
         time.sleep(0.5)
@@ -213,3 +226,49 @@
         for g in find(c, names):
             assert ask(g, "late")[0] == 200
         assert len(c.apps[0].requests) == seen
+
+
+def test_full_link_of_a_relay(build):
+    """Guards against members that keep an old configuration, and send to an
+    upstream that left, as the link of their relay carries less than is sent:
+    they hear the placing VM at the usual pace, but what it said long ago."""
+    with Cluster(build, gateways=VMS, models=(("m0",), ()), links=True,
+                 extra=RELAYS) as c:
+        wait_until(lambda: len(members(c)) == VMS - 3, what="relays")
+        names = members(c)
+        relay = find_relay(c)
+        c.links[c.gateways.index(relay)].set(rate=200)
+        time.sleep(6)
+        routes = config(3)["routes"] + [route("late", "app", "idempotent")]
+        c.store.put_config(config(7, routes))
+        c.apps[0].leave()
+        written = now()
+        for g in find(c, names):
+            wait_until(lambda g=g: ask(g, "late")[0] == 200,
+                       limit_s=max(0.1, written + 3 - now()),
+                       what="the new route at " + g.name)
+        time.sleep(max(0, written + 2.5 - now()))
+        seen = len(c.apps[0].requests)
+        for g in find(c, names):
+            assert ask(g, "late")[0] == 200
+        assert len(c.apps[0].requests) == seen
+
+
+def test_placements_of_many_models_reach_members(build):
+    """Guards against members that lose count of what an upstream holds, as they
+    are told changes only: each of six models in turn is loaded, and its callers
+    at all gateways are served without one that meets another model."""
+    names = ["m%d" % i for i in range(6)]
+    with Cluster(build, gateways=VMS, models=(("m0",), ("m1",), ()),
+                 first_config=False, extra=RELAYS) as c:
+        for e in c.engines:
+            e.sizes = {m: 30001 for m in names}
+        c.store.put_config(config(3, models=names))
+        for g in c.gateways:
+            wait_until(g.is_ready, what="readiness")
+        wait_until(lambda: len(members(c)) == VMS - 3, what="relays")
+        for model in names + names[::-1]:
+            all_serve(c, model)
+            time.sleep(0.3)
+            for g in c.gateways:
+                assert ask(g, "chat", model)[0] == 200
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1,6 +1,7 @@
 /* The gateway's decision cores, without threads, I/O or clock: the lease, the
    budget of repeats, the choice of an upstream, placement. */
 #include "dep.h"
+#include "lag.h"
 #include "ls.h"
 #include "mp.h"
 #include "rb.h"
@@ -672,6 +673,32 @@
     ut_destroy(s);
 }
 
+/* A relay's link carried a third of what was sent: its members heard the
+   placing VM at the usual pace, and took what was true ten seconds before for
+   news. */
+static void
+test_lag_of_a_full_link(void)
+{
+    Lag l = {0};
+    for (uint64_t sent_ms = 0; sent_ms < 4000; sent_ms += 200) {
+        uint64_t late_ms = lag_note(&l, 900000 + sent_ms, sent_ms);
+        CU_ASSERT_EQUAL(late_ms, 0);
+    }
+    uint64_t late_ms = 0;
+    for (uint64_t sent_ms = 4000; sent_ms < 10000; sent_ms += 200) {
+        uint64_t queued_ms = (sent_ms - 4000) * 2;
+        late_ms = lag_note(&l, 900000 + sent_ms + queued_ms, sent_ms);
+        CU_ASSERT_EQUAL(late_ms, queued_ms);
+    }
+    CU_ASSERT(late_ms > 10000);
+    /* Another link, and a clock that drifts by half a thousandth. */
+    lag_reset(&l);
+    for (uint64_t sent_ms = 0; sent_ms < 600000; sent_ms += 200) {
+        late_ms = lag_note(&l, 5000000 + sent_ms + sent_ms / 2000, sent_ms);
+        CU_ASSERT(late_ms < 50);
+    }
+}
+
 /* The placing VM falls silent, and with it the store.  The entries that this
    gateway read are older than what it was told last: until it reads newer
    ones, requests go where that VM said. */
@@ -1906,6 +1933,7 @@
         {"free room first", test_placement_free_room_first},
         {"without copies is calm", test_placement_without_copies_is_calm},
         {"victim ends its requests", test_placement_victim_ends_its_requests},
+        {"lag of a full link", test_lag_of_a_full_link},
         {"route split", test_route_split},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
