Loads are told through an outage of the store; finders of residents as one

The store was away for all for eight seconds; the placing VM lost its lease after 1.5 s and with it stopped telling what runs where, for 10 s in all with the rest of its successor. Each of 295 gateways then saw its own requests only. The pause between calls to the failing store, which grows with the fleet for gateways that hear the placing VM, ended at the same moment. Ruled out: a new replica crowded in the moment at which it is told (sends per 200 ms to three upstreams of the hottest models: no bursts). Change: a VM that lost the lease and knows of no other holder goes on summing and telling, marked as idle: it does not count as a heard holder for the lease, nor for estimates of loads, and gives no order. Test: test_loads_are_told_through_an_outage, red on the code before.

dep_find_resident replaces three copies; the two tests of news share their check.

--- a/src/dep.c
+++ b/src/dep.c
@@ -221,6 +221,18 @@
     return r;
 }
 
+DepResident *
+dep_find_resident(const GPtrArray *models, const char *name)
+{
+    for (guint i = 0; i < models->len; i++) {
+        DepResident *r = models->pdata[i];
+        if (strcmp(r->name, name) == 0) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
 bool
 dep_has_name(const GPtrArray *list, const char *name)
 {
--- a/src/dep.h
+++ b/src/dep.h
@@ -117,6 +117,8 @@
 DepUpstream *dep_create_upstream(void);
 void dep_destroy_upstream(DepUpstream *u);
 DepResident *dep_add_resident(DepUpstream *u, const char *name);
+/* Of a DepResident list; NULL: it isn't there. */
+DepResident *dep_find_resident(const GPtrArray *models, const char *name);
 
 /* Lists of names (char *). */
 bool dep_has_name(const GPtrArray *list, const char *name);
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2099,7 +2099,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[11] =
 {
   {
     "waits",
@@ -2221,11 +2221,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, idle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
   2,   /* field[2] = config_version */
   1,   /* field[1] = gateways */
+  10,   /* field[10] = idle */
   8,   /* field[8] = informed */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
@@ -2238,7 +2251,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -2248,7 +2261,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  10,
+  11,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -371,10 +371,14 @@
    * by its clock
    */
   uint64_t sent_ms;
+  /*
+   * it lost the lease, and nobody else is known to place
+   */
+  protobuf_c_boolean idle;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/gn.h
+++ b/src/gn.h
@@ -90,6 +90,7 @@
     uint64_t members_ms; /* when our members were last told */
     uint64_t asked_ms;   /* for a newer configuration */
     bool placing;        /* this VM held the lease at the last tick */
+    bool was_placing;    /* it did, and no other VM is known to place since */
     bool placer_reads;   /* the placing VM reads the store */
     bool informed;       /* it, or a gateway linked to it, does */
     bool relay_blind;    /* our relay neither hears it nor reads the store */
@@ -192,6 +193,11 @@
    the way carries less than is sent. */
 bool gn_is_told_late(const Gateway *g, uint64_t now_ms);
 
+/* The lease was lost, and nobody else is known to place: this VM orders
+   nothing more, but still sums what gateways linked to it use, and tells them.
+ */
+bool gn_still_sums(const Gateway *g);
+
 /* gn_links */
 void gn_send_state(Gateway *g, uint64_t now_ms);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -310,7 +310,11 @@
     send_loads(g, now_ms);
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
-    mp_visit_waits(g->placement, now_ms, add_wait, &list);
+    if (g->placing) {
+        mp_visit_waits(g->placement, now_ms, add_wait, &list);
+        gw_on_placer(g->gw, now_ms, ls_get_rest_ms(g->lease, now_ms));
+        gn_pace_mail(g, gn_count_linked(g), gn_count_members(g, now_ms));
+    }
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
@@ -321,12 +325,11 @@
     s.config_version = g->config ? g->config->version : 0;
     s.address = (char *)gn_get_address(g);
     s.sent_ms = now_ms;
+    s.idle = !g->placing;
     MpStoreRate rate = mp_get_store_rate(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
-    gw_on_placer(g->gw, now_ms, s.rest_ms);
     rb_on_gateways(g->budget, now_ms, s.gateways);
-    gn_pace_mail(g, gn_count_linked(g), s.gateways);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_STATE;
     f.state = &s;
@@ -438,9 +441,11 @@
     g->fleet = s->gateways;
     g->placer_reads = s->reads_store;
     g->informed = s->informed;
-    ls_on_heard(g->lease, sent_ms);
     ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
-    gw_on_placer(g->gw, now_ms, s->rest_ms);
+    if (!s->idle) {
+        ls_on_heard(g->lease, sent_ms);
+        gw_on_placer(g->gw, now_ms, s->rest_ms);
+    }
     rb_on_gateways(g->budget, now_ms, s->gateways);
     gn_follow_version(g, now_ms, s->config_version);
     MpStoreRate rate = {s->store_at_once, s->store_most};
--- a/src/gn_placed.c
+++ b/src/gn_placed.c
@@ -71,25 +71,13 @@
     return sum;
 }
 
-static const DepResident *
-find_resident(const GPtrArray *models, const char *name)
-{
-    for (guint i = 0; i < models->len; i++) {
-        const DepResident *r = models->pdata[i];
-        if (strcmp(r->name, name) == 0) {
-            return r;
-        }
-    }
-    return NULL;
-}
-
 /* Models of A that B lacks or holds otherwise. */
 static void
 add_changed(const GPtrArray *a, const GPtrArray *b, GHashTable *names)
 {
     for (guint i = 0; i < a->len; i++) {
         const DepResident *x = a->pdata[i];
-        const DepResident *y = find_resident(b, x->name);
+        const DepResident *y = dep_find_resident(b, x->name);
         if (!y || digest_resident(x) != digest_resident(y)) {
             g_hash_table_add(names, g_strdup(x->name));
         }
@@ -138,7 +126,7 @@
     gpointer name;
     g_hash_table_iter_init(&it, names);
     while (g_hash_table_iter_next(&it, &name, NULL)) {
-        if (!find_resident(models, name)) {
+        if (!dep_find_resident(models, name)) {
             g_ptr_array_add(dropped, name);
         }
     }
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -63,6 +63,12 @@
            lk_get_quiet_ms(g->links, now_ms) > HEARD_MS;
 }
 
+bool
+gn_still_sums(const Gateway *g)
+{
+    return !g->placing && g->was_placing && lk_count_peers(g->links) > 0;
+}
+
 static void
 choose_target(Gateway *g)
 {
@@ -71,6 +77,7 @@
     if (g_strcmp0(target, gn_get_address(g)) == 0) {
         target = NULL; /* of a process before this one on our VM */
     }
+    g->was_placing = g->placing || (g->was_placing && !target);
     lk_set_target(g->links, target);
 }
 
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -330,6 +330,10 @@
     if (now_ms >= g->state_ms + DEMAND_MS) {
         g->state_ms = now_ms;
         gn_tell_the_rest(g);
+        if (gn_still_sums(g)) {
+            gn_update_placement(g, now_ms);
+            gn_send_state(g, now_ms);
+        }
         if (g->placing) {
             gn_send_state(g, now_ms);
             consider_yield(g, now_ms);
--- a/tests/bench_mp.c
+++ b/tests/bench_mp.c
@@ -120,18 +120,6 @@
     (void)replicas;
 }
 
-static DepResident *
-find_resident(const Engine *e, const char *model)
-{
-    for (guint i = 0; i < e->state->models->len; i++) {
-        DepResident *r = e->state->models->pdata[i];
-        if (strcmp(r->name, model) == 0) {
-            return r;
-        }
-    }
-    return NULL;
-}
-
 static char *
 name_model(uint32_t i)
 {
@@ -154,7 +142,8 @@
         }
         else {
             e->state->sequence++;
-            DepResident *r = find_resident(e, e->order_model);
+            DepResident *r =
+                dep_find_resident(e->state->models, e->order_model);
             if (e->order_adapter && r && !e->order.unload) {
                 g_ptr_array_add(r->adapters, g_strdup(e->order_adapter));
             }
@@ -191,7 +180,7 @@
     uint32_t from = (uint32_t)bg_pick_random(&b->rng, b->engine_count);
     for (uint32_t i = 0; i < b->engine_count; i++) {
         uint32_t n = (from + i) % b->engine_count;
-        if (find_resident(&b->engines[n], model)) {
+        if (dep_find_resident(b->engines[n].state->models, model)) {
             return (int)n;
         }
     }
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -3,6 +3,7 @@
 
 import json
 import signal
+import threading
 import time
 
 import pytest
@@ -57,6 +58,37 @@
         assert ask(other, "read")[0] == 200
 
 
+def test_loads_are_told_through_an_outage(build):
+    """Guards against gateways that see only their own requests, and crowd one
+    engine, while the store is away for all and nobody may place: the VM that
+    placed last goes on telling what runs where, and gives no order."""
+    with Cluster(build, gateways=3, models=(("m0",),), apps=1) as c:
+        placer = c.placer()
+        wait_until(c.all_linked, what="links")
+        one, other = [g for g in c.gateways if g is not placer]
+        engine = c.engines[0]
+        engine.events, engine.event_s = 60, 0.1
+        c.store.mode = "busy"
+        wait_until(lambda: not placer.dump()["places"], limit_s=4,
+                   what="the end of the lease")
+        ordered = len(engine.orders)
+        busy = [threading.Thread(target=ask, args=(one, "chat", "m0"),
+                                 kwargs={"deadline_ms": 9000})
+                for _ in range(6)]
+        for t in busy:
+            t.start()
+        time.sleep(1.2)
+        rid = ask(other, "chat", "m0", deadline_ms=9000)[3]
+        sent = [e for e in other.events("request-sent") if e["id"] == rid]
+        assert sent[0]["load"] >= 4
+        assert len(engine.orders) == ordered
+        for t in busy:
+            t.join()
+        c.store.mode = "up"
+        wait_until(lambda: any(g.dump()["places"] for g in c.gateways),
+                   limit_s=6, what="a placing gateway")
+
+
 def test_newest_configuration_in_force_and_never_an_older(build):
     with Cluster(build, gateways=2) as c:
         c.store.put_config(config(10, [route("new", "app", "idempotent")]))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -59,6 +59,24 @@
             status = ask(g, "chat", model)[0]
 
 
+def check_news_reach(c, names):
+    """A new route is in force at NAMES within 3 s, and they send nothing more to
+    an upstream that left 2.5 s ago."""
+    routes = config(3)["routes"] + [route("late", "app", "idempotent")]
+    c.store.put_config(config(7, routes))
+    c.apps[0].leave()
+    written = now()
+    for g in find(c, names):
+        wait_until(lambda g=g: ask(g, "late")[0] == 200,
+                   limit_s=max(0.1, written + 3 - now()),
+                   what="the new route at " + g.name)
+    time.sleep(max(0, written + 2.5 - now()))
+    seen = len(c.apps[0].requests)
+    for g in find(c, names):
+        assert ask(g, "late")[0] == 200
+    assert len(c.apps[0].requests) == seen
+
+
 def test_few_link_to_the_placing_vm(fleet):
     """Guards against one VM that carries a link of every other."""
     c = fleet
@@ -87,18 +105,7 @@
     """Guards against members that are left behind: a new route, a leaving
     upstream and a model that is loaded."""
     c = fleet
-    names = members(c)
-    routes = config(3)["routes"] + [route("late", "app", "idempotent")]
-    c.store.put_config(config(7, routes))
-    for g in find(c, names):
-        wait_until(lambda g=g: ask(g, "late")[0] == 200, limit_s=3,
-                   what="the new route at " + g.name)
-    c.apps[0].leave()
-    time.sleep(2.0)
-    seen = len(c.apps[0].requests)
-    for g in find(c, names):
-        assert ask(g, "late")[0] == 200
-    assert len(c.apps[0].requests) == seen
+    check_news_reach(c, members(c))
 
 
 @pytest.mark.parametrize("how", ["kill", "term", "freeze"])
@@ -213,19 +220,7 @@
         for g in blind:
             c.doors[c.gateways.index(g)].mode = "busy"
         time.sleep(0.5)
-        routes = config(3)["routes"] + [route("late", "app", "idempotent")]
-        c.store.put_config(config(7, routes))
-        c.apps[0].leave()
-        written = now()
-        for g in find(c, names):
-            wait_until(lambda g=g: ask(g, "late")[0] == 200,
-                       limit_s=max(0.1, written + 3 - now()),
-                       what="the new route at " + g.name)
-        time.sleep(max(0, written + 2.5 - now()))
-        seen = len(c.apps[0].requests)
-        for g in find(c, names):
-            assert ask(g, "late")[0] == 200
-        assert len(c.apps[0].requests) == seen
+        check_news_reach(c, names)
 
 
 def test_full_link_of_a_relay(build):
@@ -239,19 +234,7 @@
         relay = find_relay(c)
         c.links[c.gateways.index(relay)].set(rate=200)
         time.sleep(6)
-        routes = config(3)["routes"] + [route("late", "app", "idempotent")]
-        c.store.put_config(config(7, routes))
-        c.apps[0].leave()
-        written = now()
-        for g in find(c, names):
-            wait_until(lambda g=g: ask(g, "late")[0] == 200,
-                       limit_s=max(0.1, written + 3 - now()),
-                       what="the new route at " + g.name)
-        time.sleep(max(0, written + 2.5 - now()))
-        seen = len(c.apps[0].requests)
-        for g in find(c, names):
-            assert ask(g, "late")[0] == 200
-        assert len(c.apps[0].requests) == seen
+        check_news_reach(c, names)
 
 
 def test_placements_of_many_models_reach_members(build):
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -924,18 +924,6 @@
     (void)replicas;
 }
 
-static DepResident *
-find_resident(const Engine *e, const char *model)
-{
-    for (guint i = 0; i < e->state->models->len; i++) {
-        DepResident *r = e->state->models->pdata[i];
-        if (strcmp(r->name, model) == 0) {
-            return r;
-        }
-    }
-    return NULL;
-}
-
 static MpOrderEnd
 carry_out(Site *s, Engine *e)
 {
@@ -948,7 +936,7 @@
         return MP_ORDER_CONFLICT;
     }
     e->state->sequence++;
-    DepResident *r = find_resident(e, e->order_model);
+    DepResident *r = dep_find_resident(e->state->models, e->order_model);
     if (e->order_adapter) {
         if (r && !o->unload) {
             g_ptr_array_add(r->adapters, g_strdup(e->order_adapter));
@@ -1191,11 +1179,13 @@
         run_site(&s, 1500, true);
         bool held = false;
         for (int e = 0; e < ENGINES; e++) {
-            held = held || find_resident(&s.engines[e], model);
+            held =
+                held || dep_find_resident(s.engines[e].state->models, model);
         }
         run_site(&s, held ? 0 : 4000, true);
         for (int e = 0; e < ENGINES; e++) {
-            held = held || find_resident(&s.engines[e], model);
+            held =
+                held || dep_find_resident(s.engines[e].state->models, model);
         }
         CU_ASSERT(held);
     }
@@ -1262,7 +1252,7 @@
     run_site(&s, 1500, true);
     CU_ASSERT_EQUAL(count_loads(&s), 1);
     for (int i = 0; i < ENGINES; i++) {
-        if (find_resident(&s.engines[i], "m0")) {
+        if (dep_find_resident(s.engines[i].state->models, "m0")) {
             s.engines[i].state->draining = true;
             mp_on_entry(s.mp, s.now_ms, s.engines[i].state);
         }
@@ -1284,13 +1274,14 @@
     start_site(&s, 3);
     want(&s, "g", "m0", NULL, 1);
     run_site(&s, 1500, true);
-    Engine *holder = NULL;
-    Engine *other = NULL;
-    for (int i = 0; i < ENGINES; i++) {
-        Engine *e = &s.engines[i];
-        *(find_resident(e, "m0") ? &holder : &other) = e;
-    }
-    CU_ASSERT_PTR_NOT_NULL_FATAL(holder);
+    int at = 0;
+    while (at < ENGINES - 1 &&
+           !dep_find_resident(s.engines[at].state->models, "m0")) {
+        at++;
+    }
+    Engine *holder = &s.engines[at];
+    Engine *other = &s.engines[(at + 1) % ENGINES];
+    CU_ASSERT_PTR_NOT_NULL(dep_find_resident(holder->state->models, "m0"));
     DepService *svc = g_hash_table_lookup(s.config->services, "s");
     ((DepModel *)g_hash_table_lookup(svc->models, "m0"))->load_ms = 6000;
     g_ptr_array_add(other->state->on_disk, g_strdup("m0"));
@@ -1299,7 +1290,7 @@
     mp_on_suspicion(s.mp, s.now_ms, holder->state->id);
     want(&s, "g", "m0", NULL, 1);
     run_site(&s, 700, true);
-    CU_ASSERT_PTR_NOT_NULL(find_resident(other, "m0"));
+    CU_ASSERT_PTR_NOT_NULL(dep_find_resident(other->state->models, "m0"));
     CU_ASSERT_EQUAL(count_loads(&s), 2);
     holder->down = false;
     g_ptr_array_set_size(holder->state->models, 0);
@@ -1643,7 +1634,7 @@
     w->arrived = arrived;
     for (int i = 0; i < ENGINES; i++) {
         Engine *e = &s->engines[i];
-        if (running > 0 && find_resident(e, model)) {
+        if (running > 0 && dep_find_resident(e->state->models, model)) {
             dm_add_use(d, e->state->id, model, NULL)->running = 1;
         }
     }
@@ -1655,7 +1646,7 @@
 {
     int n = 0;
     for (int i = 0; i < ENGINES; i++) {
-        n += find_resident(&s->engines[i], model) != NULL;
+        n += dep_find_resident(s->engines[i].state->models, model) != NULL;
     }
     return n;
 }
@@ -1808,7 +1799,7 @@
     const char *goes = strcmp(stays, "m0") == 0 ? "m1" : "m0";
     say_running(&s, strcmp(goes, "m0") == 0 ? "g0" : "g1", goes, 0, 0);
     run_site(&s, 400, true);
-    CU_ASSERT_PTR_NULL(find_resident(e, goes));
+    CU_ASSERT_PTR_NULL(dep_find_resident(e->state->models, goes));
     CU_ASSERT_EQUAL(e->loads, 3);
     stop_site(&s);
 }
