A few slow requests don't make a replica too small

On sites with few upstreams requests are slow for many reasons (crashes, restarts, waits), and the limit went down to 1 to 3: models with a handful of callers took the places of others. Change: the least limit is 10. Test: 'few slow take no places', red with a least limit of 1.

--- a/src/mp_demand.c
+++ b/src/mp_demand.c
@@ -118,7 +118,8 @@
 
 /* ---- how much one replica serves well ----------------------------------- */
 
-#define LEAST_GOOD 1.
+/* Fewer that are slow have another reason than too many beside them. */
+#define LEAST_GOOD 10.
 #define MOST_GOOD 64.
 #define LEAST_RUNNING 3. /* requests at once; with fewer chance decides */
 #define JUDGE_MS 1000
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1624,9 +1624,10 @@
     stop_site(&s);
 }
 
+/* SLOW: each of them is about to come late. */
 static void
-say_running(Site *s, const char *gateway, const char *model, uint32_t running,
-            uint32_t arrived)
+say_uses(Site *s, const char *gateway, const char *model, uint32_t running,
+         uint32_t arrived, bool slow)
 {
     DmDemand *d = dm_create_demand(true);
     DmWant *w = dm_add_want(d, model, NULL);
@@ -1635,12 +1636,21 @@
     for (int i = 0; i < ENGINES; i++) {
         Engine *e = &s->engines[i];
         if (running > 0 && dep_find_resident(e->state->models, model)) {
-            dm_add_use(d, e->state->id, model, NULL)->running = 1;
+            DmUse *u = dm_add_use(d, e->state->id, model, NULL);
+            u->running = 1;
+            u->slow = slow;
         }
     }
     take_demand(s, gateway, d);
 }
 
+static void
+say_running(Site *s, const char *gateway, const char *model, uint32_t running,
+            uint32_t arrived)
+{
+    say_uses(s, gateway, model, running, arrived, false);
+}
+
 static int
 count_holders(const Site *s, const char *model)
 {
@@ -1679,6 +1689,32 @@
     stop_site(&s);
 }
 
+/* Guards against a model that takes the places of others although its few
+   requests are slow for another reason than too many beside them. */
+static void
+test_placement_few_slow_take_no_places(void)
+{
+    Site s;
+    start_site(&s, 8);
+    for (int i = 0; i < 8; i++) {
+        g_autofree char *model = g_strdup_printf("m%d", i);
+        want(&s, model, model, NULL, 1);
+        run_site(&s, 1000, true);
+    }
+    int before = count_loads(&s);
+    for (int t = 0; t < 50; t++) {
+        say_uses(&s, "m0", "m0", 6, 1, true);
+        for (int i = 1; i < 8 && t % 5 == 0; i++) {
+            g_autofree char *model = g_strdup_printf("m%d", i);
+            say_running(&s, model, model, 0, 1);
+        }
+        run_site(&s, 200, true);
+    }
+    CU_ASSERT_EQUAL(count_holders(&s, "m0"), 1);
+    CU_ASSERT_EQUAL(count_loads(&s), before);
+    stop_site(&s);
+}
+
 static uint32_t
 count_cut_off(const Site *s, const char *linked)
 {
@@ -1920,6 +1956,7 @@
         {"learns from lateness", test_placement_learns_from_lateness},
         {"doubt keeps in use", test_placement_doubt_keeps_in_use},
         {"risen model gets places", test_placement_risen_model_gets_places},
+        {"few slow take no places", test_placement_few_slow_take_no_places},
         {"tells crash from cut", test_placement_tells_crash_from_cut},
         {"free room first", test_placement_free_room_first},
         {"without copies is calm", test_placement_without_copies_is_calm},
