A starting process is greeted by the placing VM, and asks the store sooner

Change: the placing VM tells its state to whoever links to it at once, not with the next beat, so a gateway of a fleet that lives knows within its first 0.1 s that it will be told; one that hears nobody asks after 0.15 to 0.3 s. After a lost link the old pause stays. Ruled out: asking at once; each of hundreds of processes would list all upstreams. The test test_starting_member_needs_little was red with the shorter pause alone.

--- a/src/gn.h
+++ b/src/gn.h
@@ -129,6 +129,8 @@
 bool gn_knows_upstreams(const Gateway *g);
 /* This process reads the upstreams' entries of now. */
 bool gn_reads_store(const Gateway *g, uint64_t now_ms);
+/* The link was lost: whoever has the news will be heard soon. */
+void gn_await_news(Gateway *g, uint64_t now_ms);
 void gn_follow_store(Gateway *g, uint64_t now_ms);
 void gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version);
 
@@ -200,6 +202,8 @@
 
 /* gn_links */
 void gn_send_state(Gateway *g, uint64_t now_ms);
+/* One that has come hears at once that this VM places. */
+void gn_greet_member(Gateway *g, LkPeer *to);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
                    bool down);
 void gn_on_frame(void *ctx, LkPeer *from, const Gwp__Frame *frame);
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -304,16 +304,14 @@
     gw_on_wait(list->g->gw, list->now_ms, model, wait_ms);
 }
 
-void
-gn_send_state(Gateway *g, uint64_t now_ms)
+/* TO: one of those linked to us; NULL: all of them. */
+static void
+send_state(Gateway *g, LkPeer *to, uint64_t now_ms)
 {
-    send_loads(g, now_ms);
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
     if (g->placing) {
         mp_visit_waits(g->placement, now_ms, add_wait, &list);
-        gw_on_placer(g->gw, now_ms, ls_get_rest_ms(g->lease, now_ms));
-        gn_pace_mail(g, gn_count_linked(g), gn_count_members(g, now_ms));
     }
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
@@ -329,11 +327,31 @@
     MpStoreRate rate = mp_get_store_rate(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
-    rb_on_gateways(g->budget, now_ms, s.gateways);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_STATE;
     f.state = &s;
-    lk_send_down(g->links, NULL, &f);
+    lk_send_down(g->links, to, &f);
+}
+
+void
+gn_send_state(Gateway *g, uint64_t now_ms)
+{
+    uint32_t gateways = gn_count_members(g, now_ms);
+    send_loads(g, now_ms);
+    send_state(g, NULL, now_ms);
+    rb_on_gateways(g->budget, now_ms, gateways);
+    if (g->placing) {
+        gw_on_placer(g->gw, now_ms, ls_get_rest_ms(g->lease, now_ms));
+        gn_pace_mail(g, gn_count_linked(g), gateways);
+    }
+}
+
+void
+gn_greet_member(Gateway *g, LkPeer *to)
+{
+    if (g->placing) {
+        send_state(g, to, bg_boot_ms());
+    }
 }
 
 /* ---- what others tell --------------------------------------------------- */
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -199,7 +199,7 @@
         gn_send_demand(g);
         return;
     }
-    g->uplink.lost_ms = now_ms;
+    gn_await_news(g, now_ms);
     ls_hold_off(g->lease, now_ms + RELINK_MS);
     /* Whatever silenced the link may have silenced the others. */
     ht_drop_kept(g->pool, gn_get_text(g, "store"));
@@ -285,6 +285,7 @@
     gn_note_member(g, hello->vm);
     g->members_ms = 0;
     send_holder(g, from);
+    gn_greet_member(g, from);
     /* The placing VM may send it on first. */
     uint32_t direct = (uint32_t)ini_get_int(g->settings, "relays", "direct");
     if (!g->placing || lk_count_peers(g->links) <= direct) {
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -19,10 +19,13 @@
 /* Callers wait for a model and no link to the placing VM is open: entries are
    all that tells of loads that end. */
 #define ALONE_PAUSE_MS 200
-/* A process that starts, or has lost its link, waits so long to hear from
-   others before it asks the store; not all of them together. */
+/* A process that has lost its link waits so long to hear from others before it
+   asks the store; not all of them together. */
 #define LONELY_MS 400
 #define LONELY_JITTER_MS 300
+/* The same of one that starts: its callers are turned away meanwhile. */
+#define START_LONELY_MS 150
+#define START_JITTER_MS 150
 /* A process that by then was told nothing asks the store itself. */
 #define OVERDUE_MS 2000
 /* News that the placing VM told of must have come by then. */
@@ -367,6 +370,14 @@
     g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
     g->start_ms = bg_boot_ms();
     g->uplink.lost_ms = g->start_ms;
+    g->uplink.patience_ms =
+        START_LONELY_MS + bg_pick_random(&g->rng, START_JITTER_MS);
+}
+
+void
+gn_await_news(Gateway *g, uint64_t now_ms)
+{
+    g->uplink.lost_ms = now_ms;
     g->uplink.patience_ms =
         LONELY_MS + bg_pick_random(&g->rng, LONELY_JITTER_MS);
 }
