--- a/src/gn_placed.c
+++ b/src/gn_placed.c
@@ -108,20 +108,26 @@
     }
 }
 
-/* NAMES: of models that changed; none: all are told. */
-static void
-send_placement(Gateway *g, Audience to, LkPeer *one, const char *upstream,
-               const GPtrArray *models, GHashTable *names)
+/* Of MODELS those among NAMES; none: all. */
+static GPtrArray *
+choose_models(const GPtrArray *models, GHashTable *names)
 {
-    bool whole = g_hash_table_size(names) == 0;
-    g_autoptr(GPtrArray) chosen = g_ptr_array_new();
-    g_autoptr(GPtrArray) dropped = g_ptr_array_new();
+    GPtrArray *chosen = g_ptr_array_new();
+    bool all = g_hash_table_size(names) == 0;
     for (guint i = 0; i < models->len; i++) {
-        const DepResident *r = models->pdata[i];
-        if (whole || g_hash_table_contains(names, r->name)) {
-            g_ptr_array_add(chosen, (void *)r);
+        DepResident *r = models->pdata[i];
+        if (all || g_hash_table_contains(names, r->name)) {
+            g_ptr_array_add(chosen, r);
         }
     }
+    return chosen;
+}
+
+/* Of NAMES those that are not among MODELS, borrowed. */
+static GPtrArray *
+list_dropped(const GPtrArray *models, GHashTable *names)
+{
+    GPtrArray *dropped = g_ptr_array_new();
     GHashTableIter it;
     gpointer name;
     g_hash_table_iter_init(&it, names);
@@ -130,6 +136,16 @@
             g_ptr_array_add(dropped, name);
         }
     }
+    return dropped;
+}
+
+/* NAMES: of models that changed; none: all are told. */
+static void
+send_placement(Gateway *g, Audience to, LkPeer *one, const char *upstream,
+               const GPtrArray *models, GHashTable *names)
+{
+    g_autoptr(GPtrArray) chosen = choose_models(models, names);
+    g_autoptr(GPtrArray) dropped = list_dropped(models, names);
     g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
     gn_fill_residents(chosen, rows);
     Gwp__Placement m = GWP__PLACEMENT__INIT;
@@ -138,7 +154,7 @@
     m.residents = (Gwp__Resident **)rows->pdata;
     m.n_dropped = dropped->len;
     m.dropped = (char **)dropped->pdata;
-    m.whole = whole;
+    m.whole = g_hash_table_size(names) == 0;
     m.digest = digest_models(models);
     send_frame(g, to, one, &m);
 }
