--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# bitternglade: plain make.  Targets: all demo check lint asan tsan bench capacity.
+# bitternglade: plain make.  Targets: all demo check lint asan tsan bench.
 BUILD ?= build
 CC = gcc
 PKGS = glib-2.0 jansson libcurl libcrypto liburcu-bp libprotobuf-c libxxhash
@@ -116,13 +116,9 @@
 	$(BUILD)/bench_mp 320 599 1447 295 934
 	$(BUILD)/bench_mp 2700 110 22000 400 5200
 
-# Slopes for docs/CAPACITY.md; ONLY=NAME,... measures some of them again.
-capacity: all
-	/usr/bin/python3 tests/capacity.py --build $(BUILD) --only "$(ONLY)"
-
 clean:
 	rm -rf build
 
 -include $(wildcard $(BUILD)/*.d)
 # The soak is a by-hand target; CI runs a few of its seeds.
-.PHONY: all demo check lint format asan tsan soak bench bench-placement capacity clean proto install-packages
+.PHONY: all demo check lint format asan tsan soak bench bench-placement clean proto install-packages
--- a/tests/fast_cluster.py
+++ b/tests/fast_cluster.py
@@ -1,5 +1,5 @@
 """Real daemons over the fast stand-ins of bglade-load, at chosen sizes, for
-benches and the capacity tool."""
+benches."""
 
 import json
 import os
