Review of the change: told once, one copy of what stood twice, dead code out

Acts alike; found by reading the whole change: - The cause of placements that were told again for 200 ms was a look back by a fixed time in the placement's tick. It looks back to the last tick now. The check against unchanged placements stays: a report without news is told as well. - Dead: mp_visit_placed, st_is_reached, the answer of mp_on_demand, a bound in judge that its clamp makes needless. - Stood twice: copies of residents (dep_copy_residents, dep_take_residents), fading rates, the longest pause before a failing store, whether upstreams are known, leaving a relay, how tests add a setting. - Done twice: gateways counted twice a beat; every member noted at each tick of the placing VM, where their own word each second does it.

--- a/src/dep.c
+++ b/src/dep.c
@@ -221,6 +221,26 @@
     return r;
 }
 
+GPtrArray *
+dep_take_residents(DepUpstream *u)
+{
+    GPtrArray *models = g_steal_pointer(&u->models);
+    u->models = g_ptr_array_new();
+    dep_destroy_upstream(u);
+    return models;
+}
+
+GPtrArray *
+dep_copy_residents(const GPtrArray *models)
+{
+    DepUpstream *u = dep_create_upstream();
+    for (guint i = 0; i < models->len; i++) {
+        const DepResident *r = models->pdata[i];
+        dep_copy_names(dep_add_resident(u, r->name)->adapters, r->adapters);
+    }
+    return dep_take_residents(u);
+}
+
 DepResident *
 dep_find_resident(const GPtrArray *models, const char *name)
 {
--- a/src/dep.h
+++ b/src/dep.h
@@ -117,6 +117,9 @@
 DepUpstream *dep_create_upstream(void);
 void dep_destroy_upstream(DepUpstream *u);
 DepResident *dep_add_resident(DepUpstream *u, const char *name);
+/* What U holds, to be freed; U is destroyed. */
+GPtrArray *dep_take_residents(DepUpstream *u);
+GPtrArray *dep_copy_residents(const GPtrArray *models);
 /* Of a DepResident list; NULL: it isn't there. */
 DepResident *dep_find_resident(const GPtrArray *models, const char *name);
 
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -306,7 +306,7 @@
 
 /* TO: one of those linked to us; NULL: all of them. */
 static void
-send_state(Gateway *g, LkPeer *to, uint64_t now_ms)
+send_state(Gateway *g, LkPeer *to, uint64_t now_ms, uint32_t gateways)
 {
     g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
     WaitList list = {waits, g, now_ms};
@@ -316,7 +316,7 @@
     Gwp__State s = GWP__STATE__INIT;
     s.n_waits = waits->len;
     s.waits = (Gwp__Wait **)waits->pdata;
-    s.gateways = gn_count_members(g, now_ms);
+    s.gateways = gateways;
     s.rest_ms = ls_get_rest_ms(g->lease, now_ms);
     s.reads_store = gn_reads_store(g, now_ms);
     s.informed = s.reads_store || gn_has_reader(g);
@@ -338,7 +338,7 @@
 {
     uint32_t gateways = gn_count_members(g, now_ms);
     send_loads(g, now_ms);
-    send_state(g, NULL, now_ms);
+    send_state(g, NULL, now_ms, gateways);
     rb_on_gateways(g->budget, now_ms, gateways);
     if (g->placing) {
         gw_on_placer(g->gw, now_ms, ls_get_rest_ms(g->lease, now_ms));
@@ -350,7 +350,8 @@
 gn_greet_member(Gateway *g, LkPeer *to)
 {
     if (g->placing) {
-        send_state(g, to, bg_boot_ms());
+        uint64_t now_ms = bg_boot_ms();
+        send_state(g, to, now_ms, gn_count_members(g, now_ms));
     }
 }
 
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -145,15 +145,7 @@
 void
 gn_on_placed(void *ctx, const char *upstream, const GPtrArray *models)
 {
-    Gateway *g = ctx;
-    DepUpstream *u = dep_create_upstream();
-    for (guint i = 0; i < models->len; i++) {
-        const DepResident *r = models->pdata[i];
-        dep_copy_names(dep_add_resident(u, r->name)->adapters, r->adapters);
-    }
-    gn_place(g, upstream, g_steal_pointer(&u->models));
-    u->models = g_ptr_array_new();
-    dep_destroy_upstream(u);
+    gn_place(ctx, upstream, dep_copy_residents(models));
 }
 
 /* All that one look finds are told together. */
--- a/src/gn_placed.c
+++ b/src/gn_placed.c
@@ -20,15 +20,6 @@
     }
 }
 
-static GPtrArray *
-take_models(DepUpstream *u)
-{
-    GPtrArray *list = u->models;
-    u->models = g_ptr_array_new();
-    dep_destroy_upstream(u);
-    return list;
-}
-
 static void
 add_resident(DepUpstream *u, const Gwp__Resident *r)
 {
@@ -45,7 +36,7 @@
     for (size_t i = 0; i < n; i++) {
         add_resident(u, residents[i]);
     }
-    return take_models(u);
+    return dep_take_residents(u);
 }
 
 /* ---- what differs ------------------------------------------------------- */
@@ -256,7 +247,7 @@
     for (size_t i = 0; i < p->n_residents; i++) {
         add_resident(u, p->residents[i]);
     }
-    return take_models(u);
+    return dep_take_residents(u);
 }
 
 static void
--- a/src/gn_relay.c
+++ b/src/gn_relay.c
@@ -98,11 +98,13 @@
     choose_target(g);
 }
 
+/* For the placing VM itself. */
 static void
-shun_relay(Gateway *g)
+leave_relay(Gateway *g)
 {
     g_free(g->uplink.shunned);
     g->uplink.shunned = g_steal_pointer(&g->uplink.relay);
+    choose_target(g);
 }
 
 /* TO: one of those linked to us; NULL: all of them. */
@@ -153,8 +155,7 @@
 gn_take_assign(Gateway *g, const Gwp__Assign *a)
 {
     if (!*a->address) {
-        shun_relay(g);
-        choose_target(g);
+        leave_relay(g);
         return;
     }
     /* Who was linked to us goes there as well: no chains. */
@@ -207,8 +208,7 @@
     st_restart(g->upstream_watch, now_ms, 0);
     ut_outdate_placement(g->upstreams);
     if (g->uplink.relay) {
-        shun_relay(g);
-        choose_target(g);
+        leave_relay(g);
     }
 }
 
@@ -217,8 +217,7 @@
 {
     Gateway *g = ctx;
     if (g->uplink.relay) {
-        shun_relay(g);
-        choose_target(g);
+        leave_relay(g);
     }
     else if (g->uplink.shunned) {
         /* The placing VM can't be reached from here: the relay, which may
@@ -238,8 +237,7 @@
     }
     u->next_try_ms =
         now_ms + RETRY_ALONE_MS + bg_pick_random(&g->rng, ALONE_JITTER_MS);
-    shun_relay(g);
-    choose_target(g);
+    leave_relay(g);
 }
 
 /* A relay's members leave it to the relay to ask the store who places, as long
@@ -301,6 +299,7 @@
     if (!p) {
         return;
     }
+    gn_note_member(g, lk_get_vm(from));
     p->leaving = m->leaving;
     p->reads_store = m->reads_store;
     p->config_version = MAX(p->config_version, m->config_version);
@@ -524,26 +523,11 @@
     }
 }
 
-static void
-note_members(void *ctx, LkPeer *peer)
-{
-    Gateway *g = ctx;
-    const Peer *p = lk_get_user(peer);
-    if (!p) {
-        return;
-    }
-    gn_note_member(g, lk_get_vm(peer));
-    for (guint i = 0; i < p->members->len; i++) {
-        gn_note_member(g, p->members->pdata[i]);
-    }
-}
-
 void
 gn_tick_relay(Gateway *g, uint64_t now_ms)
 {
     if (g->placing) {
         plan_relays(g);
-        lk_visit_peers(g->links, note_members, g);
     }
     lk_visit_peers(g->links, tell_if_settled, g);
     tell_blindness(g, now_ms);
--- a/src/gn_start.c
+++ b/src/gn_start.c
@@ -35,8 +35,7 @@
     if (g->next_seed_ms == 0) {
         g->next_seed_ms = now_ms + PATIENCE_MS;
     }
-    bool done =
-        g->config && (g->has_upstreams || st_is_listed(g->upstream_watch));
+    bool done = g->config && gn_knows_upstreams(g);
     if (done || g->uplink.placer || now_ms < g->next_seed_ms) {
         return;
     }
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -31,9 +31,8 @@
 /* News that the placing VM told of must have come by then. */
 #define BEHIND_MS 250
 #define SLOW_CALL_MS 1000 /* a call as old as this may be silent */
-/* Longest pauses between calls that fail: of a gateway that hears nobody, and
-   of one among many that hear each other, which together ask as often. */
-#define LEAST_BACKOFF_MS 700
+/* Longest pause between calls that fail, of a gateway among many that hear
+   each other, which together ask as often as one that hears nobody. */
 #define MOST_BACKOFF_MS 6000
 #define BACKOFF_OF_ONE_MS 30
 /* A read is at most so old, or others read themselves. */
@@ -307,8 +306,8 @@
 get_most_backoff_ms(const Gateway *g, bool heard)
 {
     uint32_t most_ms = g->fleet * BACKOFF_OF_ONE_MS;
-    return heard ? CLAMP(most_ms, LEAST_BACKOFF_MS, MOST_BACKOFF_MS)
-                 : LEAST_BACKOFF_MS;
+    return heard ? CLAMP(most_ms, ST_MOST_BACKOFF_MS, MOST_BACKOFF_MS)
+                 : ST_MOST_BACKOFF_MS;
 }
 
 void
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -310,6 +310,19 @@
            ht_count_connections(g->front) == 0;
 }
 
+static void
+tell_state(Gateway *g, uint64_t now_ms)
+{
+    if (g->placing) {
+        gn_send_state(g, now_ms);
+        consider_yield(g, now_ms);
+    }
+    else if (gn_still_sums(g)) {
+        gn_update_placement(g, now_ms);
+        gn_send_state(g, now_ms);
+    }
+}
+
 static void
 tick_slow(Gateway *g, uint64_t now_ms)
 {
@@ -330,14 +343,7 @@
     if (now_ms >= g->state_ms + DEMAND_MS) {
         g->state_ms = now_ms;
         gn_tell_the_rest(g);
-        if (gn_still_sums(g)) {
-            gn_update_placement(g, now_ms);
-            gn_send_state(g, now_ms);
-        }
-        if (g->placing) {
-            gn_send_state(g, now_ms);
-            consider_yield(g, now_ms);
-        }
+        tell_state(g, now_ms);
     }
 }
 
--- a/src/mp.c
+++ b/src/mp.c
@@ -850,10 +850,8 @@
     }
 }
 
-#define TICK_LOOK_BACK_MS 200 /* ticks come more often than this */
-
 static void
-tell_changes(Mp *m, uint64_t now_ms)
+tell_changes(Mp *m, uint64_t now_ms, uint64_t last_ms)
 {
     GHashTableIter it;
     gpointer v;
@@ -861,8 +859,7 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
         if (u->service && u->known &&
-            (!u->told || mp_has_just_become_ready(
-                             u, now_ms, now_ms - TICK_LOOK_BACK_MS))) {
+            (!u->told || mp_has_just_become_ready(u, now_ms, last_ms))) {
             mp_tell(m, u, now_ms);
         }
     }
@@ -874,6 +871,7 @@
     if (!m->config) {
         return;
     }
+    uint64_t last_ms = m->now_ms;
     m->now_ms = now_ms;
     mp_forget_idle(m, now_ms);
     mp_count_replicas(m);
@@ -894,7 +892,7 @@
         mp_place_adapters(m, now_ms);
         mp_prefetch(m, now_ms);
     }
-    tell_changes(m, now_ms);
+    tell_changes(m, now_ms, last_ms);
 }
 
 #define SERVED_MS                                                             \
--- a/src/mp.h
+++ b/src/mp.h
@@ -89,9 +89,8 @@
 
 /* The lease was gained: nothing that was believed before counts. */
 void mp_begin(Mp *m, uint64_t now_ms);
-/* SUMS over all gateways that changed, or all that there are.  True: callers
-   wait for one of them, so a tick is due. */
-bool mp_on_demand(Mp *m, uint64_t now_ms, const DmDemand *sums);
+/* SUMS over all gateways that changed, or all that there are. */
+void mp_on_demand(Mp *m, uint64_t now_ms, const DmDemand *sums);
 /* A gateway's call broke off there: it may be down, so it is asked. */
 void mp_on_suspicion(Mp *m, uint64_t now_ms, const char *id);
 /* REPORT: NULL when the upstream did not answer. */
@@ -130,11 +129,5 @@
                     void (*visit)(void *ctx, const char *upstream,
                                   const MpLoad *load),
                     void *ctx);
-/* VISIT each upstream whose content is known, as MpOutput.placed: a gateway
-   has come. */
-void mp_visit_placed(const Mp *m, uint64_t now_ms,
-                     void (*visit)(void *ctx, const char *upstream,
-                                   const GPtrArray *models),
-                     void *ctx);
 
 #endif
--- a/src/mp_demand.c
+++ b/src/mp_demand.c
@@ -11,29 +11,29 @@
 
 /* ---- rates -------------------------------------------------------------- */
 
+/* Of RATE as it stood at THEN_MS what counts now. */
+static double
+fade(double rate, uint64_t now_ms, uint64_t then_ms, double memory_ms)
+{
+    return rate > 0 ? rate * exp(-(double)(now_ms - then_ms) / memory_ms) : 0;
+}
+
 double
 mp_get_rate(const Demand *d, uint64_t now_ms)
 {
-    return d->rate > 0
-               ? d->rate * exp(-(double)(now_ms - d->rated_ms) / RATE_MS)
-               : 0;
+    return fade(d->rate, now_ms, d->rated_ms, RATE_MS);
 }
 
 double
 mp_get_hurried_rate(const Demand *d, uint64_t now_ms)
 {
-    return d->hurried > 0
-               ? d->hurried * exp(-(double)(now_ms - d->rated_ms) / RATE_MS)
-               : 0;
+    return fade(d->hurried, now_ms, d->rated_ms, RATE_MS);
 }
 
 double
 mp_get_refused_rate(const Demand *d, uint64_t now_ms)
 {
-    return d->refused > 0
-               ? d->refused *
-                     exp(-(double)(now_ms - d->refused_ms) / REFUSED_MEMORY_MS)
-               : 0;
+    return fade(d->refused, now_ms, d->refused_ms, REFUSED_MEMORY_MS);
 }
 
 static void
@@ -146,7 +146,7 @@
     double load = running / MAX(model->replicas, 1);
     double before = model->good;
     if (slow > SLOW_SHARE) {
-        model->good = MIN(model->good, MAX(load, LEAST_GOOD)) * LESS;
+        model->good = MIN(model->good, load) * LESS;
     }
     else if (slow <= WELL_SHARE && load * MORE > model->good) {
         model->good = load * MORE;
@@ -321,17 +321,14 @@
     }
 }
 
-bool
+void
 mp_on_demand(Mp *m, uint64_t now_ms, const DmDemand *sums)
 {
-    bool waits = false;
     if (sums->whole) {
         clear_levels(m, now_ms);
     }
     for (guint i = 0; i < sums->wants->len; i++) {
-        const DmWant *w = sums->wants->pdata[i];
-        take_want(m, now_ms, w);
-        waits = waits || w->waiting > 0;
+        take_want(m, now_ms, sums->wants->pdata[i]);
     }
     for (guint i = 0; i < sums->uses->len; i++) {
         take_use(m, now_ms, sums->uses->pdata[i]);
@@ -342,7 +339,6 @@
         l->began += b->count;
         l->began_ms = now_ms;
     }
-    return waits;
 }
 
 static bool
--- a/src/mp_tell.c
+++ b/src/mp_tell.c
@@ -59,25 +59,6 @@
     return false;
 }
 
-void
-mp_visit_placed(const Mp *m, uint64_t now_ms,
-                void (*visit)(void *ctx, const char *upstream,
-                              const GPtrArray *models),
-                void *ctx)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, m->ups);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Up *u = v;
-        if (u->known && u->service) {
-            DepUpstream *view = make_view(u, now_ms);
-            visit(ctx, u->entry->id, view->models);
-            dep_destroy_upstream(view);
-        }
-    }
-}
-
 /* ---- how much is at them ------------------------------------------------ */
 
 /* Only where requests wait does the pause between beginnings tell how fast
--- a/src/st.c
+++ b/src/st.c
@@ -7,7 +7,6 @@
    store in trouble isn't pressed by every VM; half of it is random, so that
    they do not come back as one. */
 #define FIRST_BACKOFF_MS 80
-#define MOST_BACKOFF_MS 700
 /* After so long without an answer a listing is shorter than what was written
    meanwhile, which may be kept no longer. */
 #define RELIST_MS 3000
@@ -217,7 +216,7 @@
     ev_timer_init(&w->timer, on_timer, 0., 0.);
     w->timer.data = w;
     w->idle = true;
-    w->most_ms = MOST_BACKOFF_MS;
+    w->most_ms = ST_MOST_BACKOFF_MS;
     begin_listing(w);
     return w;
 }
@@ -306,12 +305,6 @@
     return w->listed;
 }
 
-bool
-st_is_reached(const StWatch *w)
-{
-    return w->reached;
-}
-
 uint64_t
 st_get_age_ms(const StWatch *w, uint64_t now_ms)
 {
--- a/src/st.h
+++ b/src/st.h
@@ -88,7 +88,8 @@
    idle. */
 void st_set_idle(StWatch *w, bool idle);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
-/* The longest pause after calls that failed; 700 ms when none is set. */
+/* The longest pause after calls that failed, where none is set. */
+#define ST_MOST_BACKOFF_MS 700
 void st_set_most_backoff(StWatch *w, uint32_t most_ms);
 void st_set_wait(StWatch *w, uint32_t wait_ms);
 /* Forget the call that is out, which may be silent, and ask anew; a call that
@@ -96,7 +97,6 @@
 void st_restart(StWatch *w, uint64_t now_ms, uint32_t min_age_ms);
 /* A first listing has come. */
 bool st_is_listed(const StWatch *w);
-bool st_is_reached(const StWatch *w);
 /* Since the store last answered it; UINT64_MAX: never. */
 uint64_t st_get_age_ms(const StWatch *w, uint64_t now_ms);
 
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -73,13 +73,13 @@
         self.log_path = os.path.join(self.dir, "log")
         self.proc = None
 
-    def advertise(self, link):
-        """Others reach this gateway through LINK; before it is started."""
+    def add_setting(self, key, value):
+        """Of section [gateway]; before it is started."""
         with open(self.settings, encoding="utf-8") as f:
             text = f.read()
         with open(self.settings, "w", encoding="utf-8") as f:
-            f.write(text.replace("[bounds]", "advertise = %s\n[bounds]" %
-                                 link.address))
+            f.write(text.replace("[bounds]", "%s = %s\n[bounds]" %
+                                 (key, value)))
 
     def start(self, stdout=None):
         with open(self.log_path, "ab") as log:
@@ -173,7 +173,7 @@
         self.links = []
         for g in self.gateways if links else []:
             self.links.append(Link("127.0.0.1:%d" % g.link))
-            g.advertise(self.links[-1])
+            g.add_setting("advertise", self.links[-1].address)
         for g in self.gateways:
             g.start()
         started = time.monotonic()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -48,7 +48,7 @@
             store = Link(self.store.address)
             g = Gateway(build, store, "vm%d" % i)
             link = Link("127.0.0.1:%d" % g.link)
-            g.advertise(link)
+            g.add_setting("advertise", link.address)
             self.gateways.append(g.start())
             self.to_store.append(store)
             self.to_link.append(link)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -40,12 +40,8 @@
         other = [g for g in c.gateways if g is not first][0]
         other.proc.kill()
         other.proc.wait()
-        with open(other.settings, encoding="utf-8") as f:
-            text = f.read()
-        with open(other.settings, "w", encoding="utf-8") as f:
-            f.write(text.replace("[bounds]", "seeds = 127.0.0.1:%d,127.0.0.1"
-                                 ":%d\n[bounds]" % (other.control,
-                                                    first.control)))
+        other.add_setting("seeds", "127.0.0.1:%d,127.0.0.1:%d" %
+                          (other.control, first.control))
         c.store.mode = "busy"
         other.start()
         wait_until(other.is_ready, limit_s=4)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -172,10 +172,7 @@
     seed = find(c, members(c))[0]
     c.store.mode = "busy"
     late = Gateway(build, c.store, "late", extra=RELAYS)
-    text = open(late.settings, encoding="utf-8").read()
-    with open(late.settings, "w", encoding="utf-8") as f:
-        f.write(text.replace("[bounds]", "seeds = 127.0.0.1:%d\n[bounds]"
-                             % seed.control))
+    late.add_setting("seeds", "127.0.0.1:%d" % seed.control)
     late.start()
     c.gateways.append(late)
     wait_until(late.is_ready, limit_s=4, what="readiness")
