Keys and priorities of workspaces on the gateway

An unknown key is 401 at once, and 503 while a newer configuration is known to exist. A workspace's priority goes before the route's. fail_closed with revoke_ms: no key is let in while the configuration may be older than that.

A request that waits when its key is taken away goes on: it was let in by the configuration in force when it came, like one that already runs.

Ways weighed for the table: keys in clear (they would stand in cores and dumps); a hash table of the process's seed (its compare is not constant in time).

--- a/src/dep.c
+++ b/src/dep.c
@@ -1,5 +1,8 @@
 #include "dep.h"
 
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+#include <stdio.h>
 #include <string.h>
 
 /* ---- configuration ------------------------------------------------------ */
@@ -38,6 +41,28 @@
     g_free(s);
 }
 
+static void
+free_workspace(void *p)
+{
+    g_free(((DepWorkspace *)p)->name);
+    g_free(p);
+}
+
+/* A digest's bits are as good as drawn: any of them make a hash. */
+static guint
+hash_key(gconstpointer p)
+{
+    guint h;
+    memcpy(&h, ((const DepKey *)p)->bytes, sizeof(h));
+    return h;
+}
+
+static gboolean
+are_keys_equal(gconstpointer a, gconstpointer b)
+{
+    return CRYPTO_memcmp(a, b, sizeof(DepKey)) == 0;
+}
+
 DepConfig *
 dep_create_config(void)
 {
@@ -46,6 +71,9 @@
     c->routes = g_ptr_array_new_with_free_func(free_route);
     c->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    c->workspaces =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_workspace);
+    c->keys = g_hash_table_new_full(hash_key, are_keys_equal, g_free, NULL);
     return c;
 }
 
@@ -67,6 +95,8 @@
     }
     g_ptr_array_free(c->routes, TRUE);
     g_hash_table_destroy(c->services);
+    g_hash_table_destroy(c->keys);
+    g_hash_table_destroy(c->workspaces);
     g_free(c);
 }
 
@@ -100,6 +130,44 @@
     return m;
 }
 
+DepWorkspace *
+dep_add_workspace(DepConfig *c, const char *name)
+{
+    DepWorkspace *w = g_new0(DepWorkspace, 1);
+    w->name = g_strdup(name);
+    g_hash_table_insert(c->workspaces, w->name, w);
+    return w;
+}
+
+DepKey
+dep_digest_key(const char *key)
+{
+    DepKey k;
+    SHA256((const unsigned char *)key, strlen(key), k.bytes);
+    return k;
+}
+
+void
+dep_print_fingerprint(const DepKey *key, char out[DEP_FINGERPRINT_LEN + 1])
+{
+    for (int i = 0; i < DEP_FINGERPRINT_LEN / 2; i++) {
+        snprintf(out + 2 * i, 3, "%02x", key->bytes[i]);
+    }
+}
+
+void
+dep_add_key(DepConfig *c, DepWorkspace *w, const char *key)
+{
+    DepKey k = dep_digest_key(key);
+    g_hash_table_insert(c->keys, g_memdup2(&k, sizeof(k)), w);
+}
+
+const DepWorkspace *
+dep_find_workspace(const DepConfig *c, const DepKey *key)
+{
+    return g_hash_table_lookup(c->keys, key);
+}
+
 static gint
 compare_prefix_length(gconstpointer a, gconstpointer b)
 {
--- a/src/dep.h
+++ b/src/dep.h
@@ -19,10 +19,19 @@
     uint32_t weight;
 } DepSplit;
 
+/* Who calls: keys belong to it, and limits and a priority hold for all that it
+   asks for. */
+typedef struct {
+    char *name;
+    bool has_priority; /* which goes before a route's */
+    uint32_t priority; /* 0 is the highest */
+} DepWorkspace;
+
 typedef struct {
     char *name;
     char *host;
-    char *prefix; /* begins and ends with a slash */
+    char *prefix;   /* begins and ends with a slash */
+    bool is_public; /* no key is asked for */
     DepKind kind;
     bool resumable;        /* streams only */
     bool by_model;         /* its requests name a model */
@@ -60,11 +69,25 @@
     GHashTable *models; /* name -> DepModel */
 } DepService;
 
+#define DEP_KEY_BYTES 32
+#define DEP_FINGERPRINT_LEN 8
+
+/* SHA-256 of a key.  Its leading bytes are the fingerprint by which a key is
+   named in logs. */
+typedef struct {
+    uint8_t bytes[DEP_KEY_BYTES];
+} DepKey;
+
 typedef struct {
     uint64_t version;
     GPtrArray *routes;    /* DepRoute */
     GHashTable *hosts;    /* host -> GPtrArray of DepRoute, longest first */
     GHashTable *services; /* name -> DepService */
+    /* Requests carry the key of a workspace, but on public routes. */
+    bool asks_keys;
+    GHashTable *workspaces; /* name -> DepWorkspace */
+    GHashTable *keys;       /* DepKey -> DepWorkspace; never the keys
+                               themselves, which would show in a core */
     uint32_t max_header_bytes;
     uint32_t max_body_bytes;
     uint32_t header_timeout_ms;
@@ -78,6 +101,15 @@
 DepRoute *dep_add_route(DepConfig *c);
 DepService *dep_add_service(DepConfig *c, const char *name);
 DepModel *dep_add_model(DepService *s, const char *name);
+DepWorkspace *dep_add_workspace(DepConfig *c, const char *name);
+/* KEY is one of W's, which is C's. */
+void dep_add_key(DepConfig *c, DepWorkspace *w, const char *key);
+DepKey dep_digest_key(const char *key);
+/* In hexadecimal, and a terminating zero. */
+void dep_print_fingerprint(const DepKey *key,
+                           char out[DEP_FINGERPRINT_LEN + 1]);
+/* The workspace that holds KEY, or NULL. */
+const DepWorkspace *dep_find_workspace(const DepConfig *c, const DepKey *key);
 /* Once all routes are in: index them by host. */
 void dep_index_routes(DepConfig *c);
 /* Of the routes of HOST (a port in it is ignored) the one with the longest
--- a/src/gn.h
+++ b/src/gn.h
@@ -58,17 +58,18 @@
     St *store;
     StWatch *config_watch;
     StWatch *upstream_watch;
-    StWatch *mail_watch; /* NULL: this VM does not place */
-    Dm *demand;          /* of callers here and at gateways linked to us */
-    GHashTable *members; /* gateways -> when last heard of, uint64_t */
-    uint64_t mail_ms;    /* when mail was last left */
-    uint64_t behind_ms;  /* told of a newer configuration since; 0: not */
-    GHashTable *untold;  /* upstream -> set of models that changed there, for
-                            the next beat; an empty set: whole */
-    GPtrArray *away;     /* char *: found unreachable, not told yet */
-    GHashTable *told;    /* ut_make_key -> UtTotal, as last told down */
-    uint64_t cut_off_ms; /* since when half is cut off; 0: it isn't */
-    uint64_t tick_ms;    /* the last */
+    StWatch *mail_watch;   /* NULL: this VM does not place */
+    Dm *demand;            /* of callers here and at gateways linked to us */
+    GHashTable *members;   /* gateways -> when last heard of, uint64_t */
+    uint64_t mail_ms;      /* when mail was last left */
+    uint64_t behind_ms;    /* told of a newer configuration since; 0: not */
+    uint64_t confirmed_ms; /* ours was the newest, as the placing VM told */
+    GHashTable *untold;    /* upstream -> set of models that changed there, for
+                              the next beat; an empty set: whole */
+    GPtrArray *away;       /* char *: found unreachable, not told yet */
+    GHashTable *told;      /* ut_make_key -> UtTotal, as last told down */
+    uint64_t cut_off_ms;   /* since when half is cut off; 0: it isn't */
+    uint64_t tick_ms;      /* the last */
     UtSet *upstreams;
     Rb *budget;
     Gw *gw;
@@ -133,6 +134,8 @@
 void gn_await_news(Gateway *g, uint64_t now_ms);
 void gn_follow_store(Gateway *g, uint64_t now_ms);
 void gn_follow_version(Gateway *g, uint64_t now_ms, uint64_t version);
+/* Since the configuration in force was last known to be the newest. */
+uint64_t gn_get_config_age_ms(const Gateway *g, uint64_t now_ms);
 
 /* gn_lease */
 void gn_append_lease(void *ctx, uint64_t at, const char *value);
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -467,6 +467,9 @@
     }
     rb_on_gateways(g->budget, now_ms, s->gateways);
     gn_follow_version(g, now_ms, s->config_version);
+    if (s->informed && g->behind_ms == 0) {
+        g->confirmed_ms = sent_ms;
+    }
     MpStoreRate rate = {s->store_at_once, s->store_most};
     mp_set_store_rate(g->placement, rate);
     for (size_t i = 0; i < s->n_waits; i++) {
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -356,6 +356,13 @@
     }
 }
 
+uint64_t
+gn_get_config_age_ms(const Gateway *g, uint64_t now_ms)
+{
+    uint64_t told_ms = now_ms - MIN(g->confirmed_ms, now_ms);
+    return MIN(told_ms, st_get_age_ms(g->config_watch, now_ms));
+}
+
 void
 gn_watch_store(Gateway *g)
 {
--- a/src/gw.c
+++ b/src/gw.c
@@ -68,8 +68,9 @@
     Gw *gw;
     HtExchange *x;
     DepConfig *config;
-    const DepRoute *route; /* of that configuration */
-    const char *service;   /* of that route */
+    const DepRoute *route;         /* of that configuration */
+    const DepWorkspace *workspace; /* ... too; NULL: none is asked for */
+    const char *service;           /* of that route */
     DepCall call;
     UtQuery query;
     GPtrArray *tried; /* Ut: not to be used again */
@@ -148,6 +149,8 @@
     uint64_t orders_ms;  /* when it gives its first order */
     BgRandom rng;
     bool closed; /* takes no more requests */
+    bool behind; /* a newer configuration than ours is known to exist */
+    bool stale;  /* keys may have been taken away unheard */
 };
 
 static void try_send(Req *q);
@@ -205,6 +208,7 @@
     jl_number(l, "status", status);
     jl_text(l, "why", why);
     jl_text(l, "route", q->route ? q->route->name : NULL);
+    jl_text(l, "workspace", q->workspace ? q->workspace->name : NULL);
     jl_text(l, "model", q->call.model);
     jl_text(l, "adapter", q->call.adapter);
     jl_text(l, "upstream", q->last_upstream);
@@ -348,12 +352,20 @@
     g_string_append(out, "\r\n");
 }
 
+static uint32_t
+get_priority(const Req *q)
+{
+    return q->workspace && q->workspace->has_priority ? q->workspace->priority
+                                                      : q->route->priority;
+}
+
 /* Upstreams take the more urgent first: the operators' highest rank goes
    before the rank that is usual, each further one behind it. */
 static uint32_t
-get_urgency(const DepRoute *r)
+get_urgency(const Req *q)
 {
-    return MIN(FIRST_URGENCY + r->priority * URGENCY_STEP, LAST_URGENCY);
+    uint32_t priority = MIN(get_priority(q), LAST_URGENCY);
+    return MIN(FIRST_URGENCY + priority * URGENCY_STEP, LAST_URGENCY);
 }
 
 static GByteArray *
@@ -382,8 +394,10 @@
                            (unsigned long long)left_ms);
     append_line(head, w->expected_upstream, ut_get_id(q->ut));
     if (q->query.model) {
-        g_string_append_printf(head, "%s: %u\r\n", w->urgency,
-                               get_urgency(q->route));
+        g_string_append_printf(head, "%s: %u\r\n", w->urgency, get_urgency(q));
+    }
+    if (q->workspace) {
+        append_line(head, w->workspace, q->workspace->name);
     }
     if (body->len > 0 || strcmp(in->method, "POST") == 0) {
         g_string_append_printf(head, "Content-Length: %u\r\n", body->len);
@@ -915,15 +929,21 @@
     return XXH64(body->data, body->len, d);
 }
 
+/* TEXT: what the caller is told. */
 static void
-refuse_at_door(HtExchange *x, uint16_t status, uint32_t retry_ms)
+refuse_at_door(HtExchange *x, uint16_t status, uint32_t retry_ms,
+               const char *text)
 {
-    char head[64] = "";
+    g_autoptr(GString) head = g_string_new(NULL);
+    if (*text) {
+        append_line(head, "Content-Type", "text/plain");
+    }
     if (retry_ms) {
-        snprintf(head, sizeof(head), "Retry-After: %.3f\r\n",
-                 retry_ms / 1000.);
+        g_string_append_printf(head, "Retry-After: %.3f\r\n",
+                               retry_ms / 1000.);
     }
-    ht_start_answer(x, status, head, 0);
+    ht_start_answer(x, status, head->str, (int64_t)strlen(text));
+    ht_write_answer(x, text, strlen(text));
     ht_end_answer(x);
 }
 
@@ -986,13 +1006,15 @@
 }
 
 static Req *
-create_req(Gw *g, HtExchange *x, const DepRoute *route)
+create_req(Gw *g, HtExchange *x, const DepRoute *route,
+           const DepWorkspace *workspace)
 {
     Req *q = g_new0(Req, 1);
     q->gw = g;
     q->x = x;
     q->config = dep_ref_config(g->config);
     q->route = route;
+    q->workspace = workspace;
     q->tried = g_ptr_array_new();
     q->head = g_string_new(NULL);
     q->body = g_byte_array_new();
@@ -1018,12 +1040,60 @@
     return d && g_hash_table_size(d->upstreams) >= g->params.death_limit;
 }
 
+static void
+log_key(const Gw *g, const HtHead *head, const DepKey *key, const char *why)
+{
+    char fingerprint[DEP_FINGERPRINT_LEN + 1] = "";
+    if (key) {
+        dep_print_fingerprint(key, fingerprint);
+    }
+    JlLine *l = jl_begin("key-refused");
+    jl_text(l, "id", ht_find_header(head, g->wire->attempt_id));
+    jl_text(l, "key", key ? fingerprint : NULL);
+    jl_text(l, "why", why);
+    jl_number(l, "version", (int64_t)g->config->version);
+    jl_end(l);
+    bg_count("gateway_keys_refused_total", 1);
+}
+
+/* The workspace whose key the caller shows.  NULL: it is answered. */
+static const DepWorkspace *
+admit_key(Gw *g, HtExchange *x)
+{
+    const HtHead *head = ht_get_head(x);
+    const char *text = g->wire->read_key(head);
+    if (!text) {
+        log_key(g, head, NULL, "not one key");
+        refuse_at_door(x, 401, 0, "one key is needed\n");
+        return NULL;
+    }
+    DepKey key = dep_digest_key(text);
+    const DepWorkspace *w = dep_find_workspace(g->config, &key);
+    if (g->stale) {
+        log_key(g, head, &key, "the configuration may be old");
+        refuse_at_door(x, 503, RETRY_LATER_MS, "keys can't be checked\n");
+        return NULL;
+    }
+    if (!w && g->behind) {
+        /* The newer configuration may have brought it. */
+        log_key(g, head, &key, "not known yet");
+        refuse_at_door(x, 503, RETRY_SOON_MS, "keys can't be checked\n");
+        return NULL;
+    }
+    if (!w) {
+        log_key(g, head, &key, "unknown");
+        refuse_at_door(x, 401, 0, "unknown key\n");
+    }
+    return w;
+}
+
 void
 gw_on_request(Gw *g, HtExchange *x)
 {
     const HtHead *head = ht_get_head(x);
     if (!g->config || g->closed) {
-        refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS);
+        refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS,
+                       "not ready\n");
         return;
     }
     const char *host = ht_find_header(head, "Host");
@@ -1038,10 +1108,17 @@
         jl_text(l, "path", path);
         jl_number(l, "version", (int64_t)g->config->version);
         jl_end(l);
-        refuse_at_door(x, 404, 0);
+        refuse_at_door(x, 404, 0, "no such route\n");
         return;
     }
-    Req *q = create_req(g, x, route);
+    const DepWorkspace *workspace = NULL;
+    if (g->config->asks_keys && !route->is_public) {
+        workspace = admit_key(g, x);
+        if (!workspace) {
+            return;
+        }
+    }
+    Req *q = create_req(g, x, route, workspace);
     rb_on_request(g->budget, bg_boot_ms(), q->service);
     if (is_deadly(g, q->digest)) {
         answer(q, 503, RETRY_LATER_MS * 10, "upstreams ended under it");
@@ -1429,3 +1506,10 @@
     dep_unref_config(g->config);
     g->config = dep_ref_config(c);
 }
+
+void
+gw_on_trust(Gw *g, bool behind, bool stale)
+{
+    g->behind = behind;
+    g->stale = stale;
+}
--- a/src/gw.h
+++ b/src/gw.h
@@ -32,6 +32,9 @@
     const char *not_run;           /* of an answer: nothing was run */
     const char *urgency;           /* 0 first, 9 last */
     const char *last_event;        /* resume a stream after this event */
+    const char *workspace;         /* that calls, to the upstream */
+    /* The caller's key; NULL: none, or more than one. */
+    const char *(*read_key)(const HtHead *head);
     /* The gateway's to set: a caller's own is not passed on. */
     bool (*is_own_header)(const char *name);
     /* Text in OUT is borrowed from HEAD or freed by dep_clear_call. */
@@ -63,6 +66,10 @@
 void gw_destroy(Gw *g);
 
 void gw_on_config(Gw *g, DepConfig *c);
+/* Whether the configuration in force may be older than the newest one: BEHIND,
+   a newer one is known to exist; STALE, nothing was heard of it for so long
+   that keys may have been taken away, and none is let in. */
+void gw_on_trust(Gw *g, bool behind, bool stale);
 /* Upstreams or what they hold changed: what waits is looked at again. */
 void gw_on_change(Gw *g);
 void gw_on_tick(Gw *g, uint64_t now_ms);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -86,6 +86,10 @@
      "rest between the orders of two VMs to one upstream"},
     {"bounds", "grace_s", INI_NUMBER, false, "8", 0, 600, NULL,
      "from the signal to stop to being killed"},
+    {"bounds", "fail_closed", INI_BOOL, false, "false", 0, 0, NULL,
+     "let no key in while the configuration may be older than revoke_ms"},
+    {"bounds", "revoke_ms", INI_NUMBER, false, "5000", 0, 3600000, NULL,
+     "a key that was taken away is let in no longer than this"},
     {"relays", "direct", INI_INT, false, "24", 0, 10000, NULL,
      "gateways that link to the placing one before relays are used"},
     {"relays", "members", INI_INT, false, "64", 1, 10000, NULL,
@@ -323,9 +327,18 @@
     }
 }
 
+static bool
+may_miss_revocations(const Gateway *g, uint64_t now_ms)
+{
+    return ini_get_bool(g->settings, "bounds", "fail_closed") &&
+           gn_get_config_age_ms(g, now_ms) >
+               (uint64_t)get_bound(g->settings, "revoke_ms");
+}
+
 static void
 tick_slow(Gateway *g, uint64_t now_ms)
 {
+    gw_on_trust(g->gw, g->behind_ms != 0, may_miss_revocations(g, now_ms));
     ht_tick_server(g->front, now_ms);
     ht_tick_server(g->ready, now_ms);
     if (g->control) {
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -323,8 +323,13 @@
     return doc
 
 
-def config(version, routes=None, models=("m0", "m1", "m2"), mb=30000):
-    return {
+def workspace(name, keys, **more):
+    return dict({"name": name, "api_keys": list(keys)}, **more)
+
+
+def config(version, routes=None, models=("m0", "m1", "m2"), mb=30000,
+           workspaces=None):
+    doc = {
         "version": version,
         "routes": routes or [
             route("read", "app", "idempotent"),
@@ -344,3 +349,6 @@
                              "warm_s": 0.05} for m in models]}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+    if workspaces is not None:
+        doc["tenants"] = workspaces
+    return doc
--- /dev/null
+++ b/tests/test_workspaces.py
@@ -0,0 +1,167 @@
+"""Workspaces on the gateway: keys and priorities of those who call."""
+
+import http.client
+import socket
+import time
+
+import pytest
+
+from cluster import wait_until
+from fake_platform import config, route, workspace
+from platform_cluster import Cluster, ask
+
+KEY, OTHER = "k-aaaaaaaaaaaaaaaa", "k-bbbbbbbbbbbbbbbb"
+ROUTES = config(1)["routes"] + [
+    route("open", "app", "idempotent", public=True)]
+
+
+def with_keys(version, first=(KEY,), second=(OTHER,)):
+    return config(version, ROUTES, workspaces=[
+        workspace("alpha", first, priority=0), workspace("beta", second)])
+
+
+def put(c, doc):
+    """Once all gateways have it in force."""
+    c.store.put_config(doc)
+    wait_until(lambda: all(g.dump()["config"] == doc["version"]
+                           for g in c.gateways if g.proc.poll() is None))
+
+
+@pytest.fixture(name="one", scope="module")
+def fixture_one(build):
+    with Cluster(build) as c:
+        c.placer()
+        put(c, with_keys(10))
+        yield c
+
+
+def seen_by(c, rid):
+    """Headers with which RID ran."""
+    return [r[2] for e in c.apps + c.engines for r in e.requests
+            if r[2]["X-Attempt-Id"] == rid]
+
+
+def ask_with(c, headers, route_name="read"):
+    return ask(c.gateways[0], route_name, headers=headers)
+
+
+def test_key_becomes_workspace(one):
+    """A server sees who calls, and neither the key nor what the caller says
+    of itself."""
+    status, _, _, rid = ask_with(one, {"X-Api-Key": KEY, "X-Tenant": "beta"})
+    assert status == 200
+    head, = seen_by(one, rid)
+    assert head["X-Tenant"] == "alpha"
+    assert "X-Api-Key" not in head
+
+
+@pytest.mark.parametrize("headers", [
+    {}, {"X-Api-Key": ""}, {"X-Api-Key": KEY[:-1]}, {"X-Api-Key": KEY + "x"},
+    {"X-Api-Key": KEY.upper()}, {"X-Api-Key": "Bearer " + KEY},
+    {"X-Api-Key": KEY + "," + OTHER}, {"X-Tenant": "alpha"}])
+def test_wrong_key_is_401(one, headers):
+    status, _, data, rid = ask_with(one, headers)
+    assert status == 401 and b"key" in data
+    assert seen_by(one, rid) == []
+
+
+def test_two_keys_are_401(one):
+    """Two headers: which of them counts must not be a guess."""
+    s = socket.create_connection(("127.0.0.1", one.gateways[0].front))
+    s.sendall(("GET /read/x HTTP/1.1\r\nHost: app.example\r\n"
+               "X-Attempt-Id: twokeys\r\nX-Api-Key: %s\r\n"
+               "X-Api-Key: %s\r\n\r\n" % (KEY, KEY)).encode())
+    assert s.recv(4096).startswith(b"HTTP/1.1 401")
+    s.close()
+
+
+def test_public_route_needs_no_key(one):
+    """Nor does a caller say there who it is."""
+    status, _, _, rid = ask_with(one, {"X-Tenant": "beta",
+                                       "X-Api-Key": OTHER}, "open")
+    assert status == 200
+    head, = seen_by(one, rid)
+    assert "X-Tenant" not in head and "X-Api-Key" not in head
+
+
+def test_priority_of_workspace_goes_before_route(one):
+    urgency = {}
+    for key in (KEY, OTHER):
+        status, _, _, rid = ask(one.gateways[0], "chat", "m0",
+                                headers={"X-Api-Key": key})
+        assert status == 200
+        urgency[key], = [int(h["X-Request-Urgency"])
+                         for h in seen_by(one, rid)]
+    # alpha has priority 0, beta none of its own, and the route has 1.
+    assert urgency[KEY] < urgency[OTHER]
+
+
+def test_key_is_in_no_log(one):
+    ask_with(one, {"X-Api-Key": KEY})
+    ask_with(one, {"X-Api-Key": "k-unknown-unknown"})
+    g = one.gateways[0]
+    refused = wait_until(lambda: [e for e in g.events("key-refused")
+                                  if e.get("why") == "unknown"])
+    assert len(refused[-1]["key"]) == 8
+    with open(g.log_path, encoding="utf-8") as f:
+        text = f.read()
+    for key in (KEY, OTHER, "k-unknown-unknown"):
+        assert key not in text
+
+
+def test_no_configuration_is_503(build):
+    """A gateway that knows no configuration can't tell a wrong key."""
+    with Cluster(build, first_config=False) as c:
+        wait_until(lambda: c.gateways[0].events("started"))
+        assert ask_with(c, {"X-Api-Key": KEY})[0] == 503
+
+
+def test_key_taken_away_on_open_connections(build):
+    """Callers that keep their connections lose a key like all others, on VMs
+    that read the store and on those that are told."""
+    with Cluster(build, gateways=3) as c:
+        c.placer()
+        put(c, with_keys(10))
+        kept = []
+        for g in c.gateways:
+            conn = http.client.HTTPConnection("127.0.0.1", g.front)
+            assert ask(g, "read", headers={"X-Api-Key": KEY},
+                       conn=conn)[0] == 200
+            kept.append((g, conn))
+        put(c, with_keys(12, first=("k-new",)))
+        for g, conn in kept:
+            assert ask(g, "read", headers={"X-Api-Key": KEY},
+                       conn=conn)[0] == 401
+            assert ask(g, "read", headers={"X-Api-Key": "k-new"},
+                       conn=conn)[0] == 200
+
+
+def test_all_keys_taken_away(build):
+    """A workspace without keys, and a configuration without workspaces, let
+    nobody in by an old key."""
+    with Cluster(build) as c:
+        put(c, with_keys(10, first=()))
+        assert ask_with(c, {"X-Api-Key": KEY})[0] == 401
+        assert ask_with(c, {"X-Api-Key": OTHER})[0] == 200
+        put(c, config(12, ROUTES, workspaces=[]))
+        assert ask_with(c, {"X-Api-Key": OTHER})[0] == 401
+        assert ask_with(c, {}, "open")[0] == 200
+
+
+def test_fail_closed_when_the_store_is_silent(build):
+    """With fail_closed a VM that can't hear of revocations for revoke_ms lets
+    no key in; without it callers don't feel the outage."""
+    for closed in (True, False):
+        extra = "fail_closed = %s\nrevoke_ms = 2500\n" % str(closed).lower()
+        with Cluster(build, doors=True, extra=extra) as c:
+            put(c, with_keys(10))
+            assert ask_with(c, {"X-Api-Key": KEY})[0] == 200
+            c.doors[0].mode = "busy"
+            if closed:
+                wait_until(lambda: ask_with(c, {"X-Api-Key": KEY})[0] == 503)
+                assert ask_with(c, {}, "open")[0] == 200
+                c.doors[0].mode = "up"
+                wait_until(lambda: ask_with(c, {"X-Api-Key": KEY})[0] == 200)
+            else:
+                time.sleep(4)
+                assert ask_with(c, {"X-Api-Key": KEY})[0] == 200
