Limits of workspaces, summed over all gateways

Change: the core wl. Each gateway lets requests in where they come and tells what it let in and what was asked for; relays sum for their members, the placing VM for all. What comes near its limit is told back with the level of its bucket, and every gateway lets the same part of it in, by chance. Without a word from who sums, relays and single VMs keep to their part of the fleet. 429 with the time in which the debt is paid; what has not run is given back.

A home VM is exact while it is reached, passes the bound in a cut, and costs each request a round trip; not built.

--- a/src/dep.h
+++ b/src/dep.h
@@ -25,6 +25,12 @@
     char *name;
     bool has_priority; /* which goes before a route's */
     uint32_t priority; /* 0 is the highest */
+    /* Limit over all gateways, in requests, or in tokens of prompt and answer.
+     */
+    bool counts_tokens;
+    uint32_t plain_tokens; /* of a request that tells none */
+    double rate_per_s;     /* 0: no limit */
+    double burst;
 } DepWorkspace;
 
 typedef struct {
--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -367,6 +367,141 @@
   assert(message->base.descriptor == &gwp__began__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__spent__init
+                     (Gwp__Spent         *message)
+{
+  static const Gwp__Spent init_value = GWP__SPENT__INIT;
+  *message = init_value;
+}
+size_t gwp__spent__get_packed_size
+                     (const Gwp__Spent *message)
+{
+  assert(message->base.descriptor == &gwp__spent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__spent__pack
+                     (const Gwp__Spent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__spent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__spent__pack_to_buffer
+                     (const Gwp__Spent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__spent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Spent *
+       gwp__spent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Spent *)
+     protobuf_c_message_unpack (&gwp__spent__descriptor,
+                                allocator, len, data);
+}
+void   gwp__spent__free_unpacked
+                     (Gwp__Spent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__spent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__level__init
+                     (Gwp__Level         *message)
+{
+  static const Gwp__Level init_value = GWP__LEVEL__INIT;
+  *message = init_value;
+}
+size_t gwp__level__get_packed_size
+                     (const Gwp__Level *message)
+{
+  assert(message->base.descriptor == &gwp__level__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__level__pack
+                     (const Gwp__Level *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__level__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__level__pack_to_buffer
+                     (const Gwp__Level *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__level__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Level *
+       gwp__level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Level *)
+     protobuf_c_message_unpack (&gwp__level__descriptor,
+                                allocator, len, data);
+}
+void   gwp__level__free_unpacked
+                     (Gwp__Level *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__level__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__limits__init
+                     (Gwp__Limits         *message)
+{
+  static const Gwp__Limits init_value = GWP__LIMITS__INIT;
+  *message = init_value;
+}
+size_t gwp__limits__get_packed_size
+                     (const Gwp__Limits *message)
+{
+  assert(message->base.descriptor == &gwp__limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__limits__pack
+                     (const Gwp__Limits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__limits__pack_to_buffer
+                     (const Gwp__Limits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Limits *
+       gwp__limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Limits *)
+     protobuf_c_message_unpack (&gwp__limits__descriptor,
+                                allocator, len, data);
+}
+void   gwp__limits__free_unpacked
+                     (Gwp__Limits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__demand__init
                      (Gwp__Demand         *message)
 {
@@ -1702,7 +1837,186 @@
   (ProtobufCMessageInit) gwp__began__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__spent__field_descriptors[3] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Spent, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Spent, spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Spent, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__spent__field_indices_by_name[] = {
+  2,   /* field[2] = asked */
+  1,   /* field[1] = spent */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange gwp__spent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__spent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Spent",
+  "Spent",
+  "Gwp__Spent",
+  "gwp",
+  sizeof(Gwp__Spent),
+  3,
+  gwp__spent__field_descriptors,
+  gwp__spent__field_indices_by_name,
+  1,  gwp__spent__number_ranges,
+  (ProtobufCMessageInit) gwp__spent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__level__field_descriptors[3] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Level, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Level, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Level, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__level__field_indices_by_name[] = {
+  2,   /* field[2] = asked */
+  1,   /* field[1] = level */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange gwp__level__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__level__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Level",
+  "Level",
+  "Gwp__Level",
+  "gwp",
+  sizeof(Gwp__Level),
+  3,
+  gwp__level__field_descriptors,
+  gwp__level__field_indices_by_name,
+  1,  gwp__level__number_ranges,
+  (ProtobufCMessageInit) gwp__level__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__limits__field_descriptors[2] =
+{
+  {
+    "levels",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Limits, n_levels),
+    offsetof(Gwp__Limits, levels),
+    &gwp__level__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Limits, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__limits__field_indices_by_name[] = {
+  0,   /* field[0] = levels */
+  1,   /* field[1] = share */
+};
+static const ProtobufCIntRange gwp__limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Limits",
+  "Limits",
+  "Gwp__Limits",
+  "gwp",
+  sizeof(Gwp__Limits),
+  2,
+  gwp__limits__field_descriptors,
+  gwp__limits__field_indices_by_name,
+  1,  gwp__limits__number_ranges,
+  (ProtobufCMessageInit) gwp__limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[5] =
 {
   {
     "wants",
@@ -1752,9 +2066,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spent",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Demand, n_spent),
+    offsetof(Gwp__Demand, spent),
+    &gwp__spent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__demand__field_indices_by_name[] = {
   2,   /* field[2] = began */
+  4,   /* field[4] = spent */
   1,   /* field[1] = uses */
   0,   /* field[0] = wants */
   3,   /* field[3] = whole */
@@ -1762,7 +2089,7 @@
 static const ProtobufCIntRange gwp__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__demand__descriptor =
 {
@@ -1772,7 +2099,7 @@
   "Gwp__Demand",
   "gwp",
   sizeof(Gwp__Demand),
-  4,
+  5,
   gwp__demand__field_descriptors,
   gwp__demand__field_indices_by_name,
   1,  gwp__demand__number_ranges,
@@ -2805,7 +3132,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -3011,6 +3338,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, limits),
+    &gwp__limits__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -3023,6 +3362,7 @@
   11,   /* field[11] = holder */
   8,   /* field[8] = lease_answer */
   7,   /* field[7] = lease_append */
+  17,   /* field[17] = limits */
   13,   /* field[13] = loads */
   10,   /* field[10] = members */
   2,   /* field[2] = placement */
@@ -3034,7 +3374,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -3044,7 +3384,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  17,
+  18,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -23,6 +23,9 @@
 typedef struct Gwp__Want Gwp__Want;
 typedef struct Gwp__Use Gwp__Use;
 typedef struct Gwp__Began Gwp__Began;
+typedef struct Gwp__Spent Gwp__Spent;
+typedef struct Gwp__Level Gwp__Level;
+typedef struct Gwp__Limits Gwp__Limits;
 typedef struct Gwp__Demand Gwp__Demand;
 typedef struct Gwp__Resident Gwp__Resident;
 typedef struct Gwp__Placement Gwp__Placement;
@@ -214,6 +217,64 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What callers of a workspace asked for since the last frame, and what was let
+ * in, in the unit of its limit.
+ */
+struct  Gwp__Spent
+{
+  ProtobufCMessage base;
+  char *workspace;
+  /*
+   * below 0: more was given back
+   */
+  double spent;
+  double asked;
+};
+#define GWP__SPENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__spent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What is left of the limit of a workspace that comes near it.
+ */
+struct  Gwp__Level
+{
+  ProtobufCMessage base;
+  char *workspace;
+  /*
+   * below 0: in debt
+   */
+  double level;
+  /*
+   * a second
+   */
+  double asked;
+};
+#define GWP__LEVEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__level__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Of the sender, to gateways that it sums for: all levels that matter.
+ */
+struct  Gwp__Limits
+{
+  ProtobufCMessage base;
+  size_t n_levels;
+  Gwp__Level **levels;
+  /*
+   * of the limits, that the levels are of
+   */
+  double share;
+};
+#define GWP__LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__limits__descriptor) \
+    , 0,NULL, 0 }
+
+
 /*
  * A gateway's wants and uses that changed since its last frame; also its
  * heartbeat.
@@ -231,10 +292,12 @@
    * all there is: a row that is left out is zero
    */
   protobuf_c_boolean whole;
+  size_t n_spent;
+  Gwp__Spent **spent;
 };
 #define GWP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__demand__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Gwp__Resident
@@ -548,7 +611,8 @@
   GWP__FRAME__BODY_LOADS = 14,
   GWP__FRAME__BODY_CONFIG_WANTED = 15,
   GWP__FRAME__BODY_AWAY = 16,
-  GWP__FRAME__BODY_PLACEMENT_WANTED = 17
+  GWP__FRAME__BODY_PLACEMENT_WANTED = 17,
+  GWP__FRAME__BODY_LIMITS = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -574,6 +638,7 @@
     Gwp__ConfigWanted *config_wanted;
     Gwp__Away *away;
     Gwp__PlacementWanted *placement_wanted;
+    Gwp__Limits *limits;
   };
 };
 #define GWP__FRAME__INIT \
@@ -733,6 +798,63 @@
 void   gwp__began__free_unpacked
                      (Gwp__Began *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Spent methods */
+void   gwp__spent__init
+                     (Gwp__Spent         *message);
+size_t gwp__spent__get_packed_size
+                     (const Gwp__Spent   *message);
+size_t gwp__spent__pack
+                     (const Gwp__Spent   *message,
+                      uint8_t             *out);
+size_t gwp__spent__pack_to_buffer
+                     (const Gwp__Spent   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Spent *
+       gwp__spent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__spent__free_unpacked
+                     (Gwp__Spent *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Level methods */
+void   gwp__level__init
+                     (Gwp__Level         *message);
+size_t gwp__level__get_packed_size
+                     (const Gwp__Level   *message);
+size_t gwp__level__pack
+                     (const Gwp__Level   *message,
+                      uint8_t             *out);
+size_t gwp__level__pack_to_buffer
+                     (const Gwp__Level   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Level *
+       gwp__level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__level__free_unpacked
+                     (Gwp__Level *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Limits methods */
+void   gwp__limits__init
+                     (Gwp__Limits         *message);
+size_t gwp__limits__get_packed_size
+                     (const Gwp__Limits   *message);
+size_t gwp__limits__pack
+                     (const Gwp__Limits   *message,
+                      uint8_t             *out);
+size_t gwp__limits__pack_to_buffer
+                     (const Gwp__Limits   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Limits *
+       gwp__limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__limits__free_unpacked
+                     (Gwp__Limits *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Demand methods */
 void   gwp__demand__init
                      (Gwp__Demand         *message);
@@ -1082,6 +1204,15 @@
 typedef void (*Gwp__Began_Closure)
                  (const Gwp__Began *message,
                   void *closure_data);
+typedef void (*Gwp__Spent_Closure)
+                 (const Gwp__Spent *message,
+                  void *closure_data);
+typedef void (*Gwp__Level_Closure)
+                 (const Gwp__Level *message,
+                  void *closure_data);
+typedef void (*Gwp__Limits_Closure)
+                 (const Gwp__Limits *message,
+                  void *closure_data);
 typedef void (*Gwp__Demand_Closure)
                  (const Gwp__Demand *message,
                   void *closure_data);
@@ -1147,6 +1278,9 @@
 extern const ProtobufCMessageDescriptor gwp__want__descriptor;
 extern const ProtobufCMessageDescriptor gwp__use__descriptor;
 extern const ProtobufCMessageDescriptor gwp__began__descriptor;
+extern const ProtobufCMessageDescriptor gwp__spent__descriptor;
+extern const ProtobufCMessageDescriptor gwp__level__descriptor;
+extern const ProtobufCMessageDescriptor gwp__limits__descriptor;
 extern const ProtobufCMessageDescriptor gwp__demand__descriptor;
 extern const ProtobufCMessageDescriptor gwp__resident__descriptor;
 extern const ProtobufCMessageDescriptor gwp__placement__descriptor;
--- a/src/gn.h
+++ b/src/gn.h
@@ -20,6 +20,7 @@
 #include "rl.h"
 #include "st.h"
 #include "ut.h"
+#include "wl.h"
 
 /* The append to the owner topic that is out. */
 typedef struct {
@@ -72,6 +73,7 @@
     uint64_t tick_ms;      /* the last */
     UtSet *upstreams;
     Rb *budget;
+    Wl *limits; /* of workspaces */
     Gw *gw;
     Mp *placement;
     Ls *lease;
@@ -109,6 +111,7 @@
     uint64_t slow_tick_ms;
     uint64_t demand_ms;
     uint64_t state_ms;
+    uint64_t limits_ms;
     uint64_t stop_ms; /* 0: not stopping */
 } Gateway;
 
@@ -205,6 +208,8 @@
 
 /* gn_links */
 void gn_send_state(Gateway *g, uint64_t now_ms);
+/* What is left of workspaces' limits, where nobody tells us. */
+void gn_tell_limits(Gateway *g, uint64_t now_ms);
 /* One that has come hears at once that this VM places. */
 void gn_greet_member(Gateway *g, LkPeer *to);
 void gn_send_death(Gateway *g, uint64_t request, const char *upstream,
--- a/src/gn_demand.c
+++ b/src/gn_demand.c
@@ -67,9 +67,20 @@
     return demand;
 }
 
+static void
+take_spent(Gateway *g, uint64_t now_ms, const Gwp__Demand *d)
+{
+    for (size_t i = 0; i < d->n_spent; i++) {
+        const Gwp__Spent *x = d->spent[i];
+        WlSpent spent = {x->workspace, x->spent, x->asked};
+        wl_on_spent(g->limits, now_ms, &spent);
+    }
+}
+
 bool
 gn_take_demand(Gateway *g, const char *from, const Gwp__Demand *d)
 {
+    take_spent(g, bg_boot_ms(), d);
     DmDemand *demand = read_demand(d);
     bool more = dm_take(g->demand, bg_boot_ms(), from, demand);
     dm_destroy_demand(demand);
@@ -171,6 +182,8 @@
     Gwp__Use **use_refs;
     Gwp__Began *began;
     Gwp__Began **began_refs;
+    GArray *spent; /* Gwp__Spent */
+    Gwp__Spent **spent_refs;
 } DemandLists;
 
 static void
@@ -227,6 +240,28 @@
     }
 }
 
+static void
+add_spent(void *ctx, const WlSpent *x)
+{
+    Gwp__Spent s;
+    gwp__spent__init(&s);
+    s.workspace = (char *)x->workspace;
+    s.spent = x->spent;
+    s.asked = x->asked;
+    g_array_append_val((GArray *)ctx, s);
+}
+
+static void
+list_spent(DemandLists *l, Wl *limits)
+{
+    l->spent = g_array_new(FALSE, FALSE, sizeof(Gwp__Spent));
+    wl_collect_spent(limits, add_spent, l->spent);
+    l->spent_refs = g_new0(Gwp__Spent *, l->spent->len + 1);
+    for (guint i = 0; i < l->spent->len; i++) {
+        l->spent_refs[i] = &g_array_index(l->spent, Gwp__Spent, i);
+    }
+}
+
 static void
 clear_lists(DemandLists *l)
 {
@@ -236,6 +271,8 @@
     g_free(l->use_refs);
     g_free(l->began);
     g_free(l->began_refs);
+    g_array_free(l->spent, TRUE);
+    g_free(l->spent_refs);
 }
 
 /* Over the link, or as mail where that is cut. */
@@ -246,6 +283,7 @@
     list_wants(&lists, demand->wants);
     list_uses(&lists, demand->uses);
     list_began(&lists, demand->began);
+    list_spent(&lists, g->limits);
     Gwp__Demand d = GWP__DEMAND__INIT;
     d.whole = demand->whole;
     d.n_wants = demand->wants->len;
@@ -254,6 +292,8 @@
     d.uses = lists.use_refs;
     d.n_began = demand->began->len;
     d.began = lists.began_refs;
+    d.n_spent = lists.spent->len;
+    d.spent = lists.spent_refs;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_DEMAND;
     f.demand = &d;
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -355,8 +355,58 @@
     }
 }
 
+/* ---- what is told: limits ----------------------------------------------- */
+
+static void
+add_level(void *ctx, const WlLevel *x)
+{
+    Gwp__Level l;
+    gwp__level__init(&l);
+    l.workspace = (char *)x->workspace;
+    l.level = x->level;
+    l.asked = x->asked;
+    g_array_append_val((GArray *)ctx, l);
+}
+
+void
+gn_tell_limits(Gateway *g, uint64_t now_ms)
+{
+    bool knows = g->placing || gn_still_sums(g);
+    wl_on_fleet(g->limits, now_ms, g->placing, gn_count_linked(g) + 1,
+                knows ? gn_count_members(g, now_ms) : g->fleet);
+    if (!wl_tells(g->limits, now_ms)) {
+        return;
+    }
+    g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(Gwp__Level));
+    Gwp__Limits m = GWP__LIMITS__INIT;
+    m.share = wl_visit_levels(g->limits, now_ms, add_level, levels);
+    g_autofree Gwp__Level **refs = g_new(Gwp__Level *, levels->len + 1);
+    for (guint i = 0; i < levels->len; i++) {
+        refs[i] = &g_array_index(levels, Gwp__Level, i);
+    }
+    m.n_levels = levels->len;
+    m.levels = refs;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_LIMITS;
+    f.limits = &m;
+    lk_send_down(g->links, NULL, &f);
+}
+
 /* ---- what others tell --------------------------------------------------- */
 
+static void
+take_limits(Gateway *g, const Gwp__Limits *m)
+{
+    g_autofree WlLevel *levels = g_new(WlLevel, m->n_levels + 1);
+    for (size_t i = 0; i < m->n_levels; i++) {
+        const Gwp__Level *x = m->levels[i];
+        levels[i] = (WlLevel){x->workspace, x->level, x->asked};
+    }
+    uint64_t now_ms = bg_boot_ms();
+    uint64_t sent_ms = now_ms - MIN(g->uplink.lag.late_ms, now_ms);
+    wl_on_levels(g->limits, now_ms, sent_ms, m->share, levels, m->n_levels);
+}
+
 static DepUpstream *
 read_upstream(const Gwp__Upstream *x)
 {
@@ -541,6 +591,10 @@
     case GWP__FRAME__BODY_CONFIG:
         take_config(g, f->config);
         break;
+    case GWP__FRAME__BODY_LIMITS:
+        take_limits(g, f->limits);
+        lk_send_down(g->links, NULL, f);
+        break;
     case GWP__FRAME__BODY_AWAY:
         take_away(g, f->away);
         lk_send_down(g->links, NULL, f);
--- a/src/gw.c
+++ b/src/gw.c
@@ -74,6 +74,7 @@
     DepCall call;
     UtQuery query;
     GPtrArray *tried; /* Ut: not to be used again */
+    double cost;      /* against its workspace's limit, let in; 0: nothing */
     uint64_t digest;  /* of what the caller asks, whoever carries it */
     uint64_t arrival_ms;
     uint64_t final_ms;    /* an answer, of whatever kind, is out by then */
@@ -135,6 +136,7 @@
     HtPool *pool;
     UtSet *upstreams;
     Rb *budget;
+    Wl *limits;          /* of workspaces */
     DepConfig *config;   /* NULL: none yet */
     GQueue reqs;         /* Req */
     GHashTable *arrived; /* model or "model/adapter" -> count */
@@ -171,6 +173,7 @@
         {"answered", "gateway_answered_total"},
         {"passed-on", "gateway_passed_on_total"},
         {"refused", "gateway_refused_total"},
+        {"limited", "gateway_limited_total"},
         {"failed", "gateway_failed_total"},
         {"caller-gone", "gateway_caller_gone_total"}};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -283,11 +286,30 @@
     ht_end_answer(x);
 }
 
+static const char *
+name_outcome(uint16_t status)
+{
+    return status == 503 ? "refused" : status == 429 ? "limited" : "failed";
+}
+
+/* Q has not run and never will: its workspace may ask for as much again. */
+static void
+give_back(Req *q)
+{
+    if (q->cost > 0) {
+        wl_give_back(q->gw->limits, bg_boot_ms(), q->workspace, q->cost);
+        q->cost = 0;
+    }
+}
+
 /* Answer the caller ourselves.  Q is gone after it. */
 static void
 answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why)
 {
-    log_end(q, status == 503 ? "refused" : "failed", status, why);
+    log_end(q, name_outcome(status), status, why);
+    if (status == 503) {
+        give_back(q);
+    }
     drop_call(q, UT_END_NEUTRAL);
     HtExchange *x = q->x;
     if (q->streaming) {
@@ -1026,7 +1048,6 @@
     q->service = dep_pick_service(route, bg_next_random(&g->rng));
     set_final_time(q);
     fill_query(q);
-    note_arrival(q);
     g_queue_push_tail(&g->reqs, q);
     q->link = g->reqs.tail;
     ht_set_user(x, q);
@@ -1087,6 +1108,27 @@
     return w;
 }
 
+static double
+get_cost(const Req *q)
+{
+    if (!q->workspace->counts_tokens) {
+        return 1;
+    }
+    double tokens = (double)q->call.prompt_tokens + q->call.output_tokens;
+    return tokens > 0 ? tokens : q->workspace->plain_tokens;
+}
+
+static bool
+take_limit(Req *q, uint32_t *retry_ms)
+{
+    double cost = get_cost(q);
+    if (!wl_take(q->gw->limits, bg_boot_ms(), q->workspace, cost, retry_ms)) {
+        return false;
+    }
+    q->cost = cost;
+    return true;
+}
+
 void
 gw_on_request(Gw *g, HtExchange *x)
 {
@@ -1120,6 +1162,12 @@
     }
     Req *q = create_req(g, x, route, workspace);
     rb_on_request(g->budget, bg_boot_ms(), q->service);
+    uint32_t retry_ms;
+    if (workspace && !take_limit(q, &retry_ms)) {
+        answer(q, 429, retry_ms, "over the workspace's limit");
+        return;
+    }
+    note_arrival(q);
     if (is_deadly(g, q->digest)) {
         answer(q, 503, RETRY_LATER_MS * 10, "upstreams ended under it");
         return;
@@ -1136,6 +1184,9 @@
         return;
     }
     log_end(q, "caller-gone", 0, q->state == REQ_WAITING ? q->waits_for : "");
+    if (q->state == REQ_WAITING && q->runs == 0) {
+        give_back(q);
+    }
     drop_call(q, UT_END_NEUTRAL);
     free_req(q);
 }
@@ -1455,7 +1506,7 @@
 
 Gw *
 gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
-          HtPool *pool, UtSet *upstreams, Rb *budget)
+          HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits)
 {
     Gw *g = g_new0(Gw, 1);
     g->params = *params;
@@ -1464,6 +1515,7 @@
     g->pool = pool;
     g->upstreams = upstreams;
     g->budget = budget;
+    g->limits = limits;
     g->placer_ms = bg_boot_ms();
     g->whole_us = hist_create();
     g->first_us = hist_create();
--- a/src/gw.h
+++ b/src/gw.h
@@ -16,6 +16,7 @@
 #include "dm.h"
 #include "rb.h"
 #include "ut.h"
+#include "wl.h"
 
 /* What an upstream says of its load in an answer. */
 typedef struct {
@@ -60,9 +61,9 @@
 
 typedef struct Gw Gw;
 
-/* POOL, UPSTREAMS and BUDGET stay the caller's. */
+/* POOL, UPSTREAMS, BUDGET and LIMITS stay the caller's. */
 Gw *gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
-              HtPool *pool, UtSet *upstreams, Rb *budget);
+              HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits);
 void gw_destroy(Gw *g);
 
 void gw_on_config(Gw *g, DepConfig *c);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -17,6 +17,7 @@
 #define SLOW_TICK_MS 100
 #define LATE_MS 150 /* a loop that is later than this is worth a line */
 #define DEMAND_MS 200
+#define PRESSED_MS 100 /* instead, while a workspace is near its limit */
 /* A call that starts to wait is told to the placing VM this soon, with what
    else comes meanwhile. */
 #define WANTED_MS 2
@@ -90,6 +91,12 @@
      "let no key in while the configuration may be older than revoke_ms"},
     {"bounds", "revoke_ms", INI_NUMBER, false, "5000", 0, 3600000, NULL,
      "a key that was taken away is let in no longer than this"},
+    {"bounds", "limit_window_s", INI_NUMBER, false, "8", 0, 3600, NULL,
+     "window in which what a workspace was let in is counted"},
+    {"bounds", "limit_excess", INI_NUMBER, false, "0.1", 0, 1000, NULL,
+     "part by which a window may exceed a workspace's rate and burst"},
+    {"bounds", "limit_slack", INI_NUMBER, false, "0", 0, 1000000000, NULL,
+     "tokens or requests by which it may exceed them besides"},
     {"relays", "direct", INI_INT, false, "24", 0, 10000, NULL,
      "gateways that link to the placing one before relays are used"},
     {"relays", "members", INI_INT, false, "64", 1, 10000, NULL,
@@ -234,6 +241,10 @@
     else if (strcmp(target, "/introduction") == 0) {
         gn_answer_introduction(ctx, x);
     }
+    else if (strcmp(target, "/limits") == 0) {
+        wl_print(((Gateway *)ctx)->limits, bg_boot_ms(), out);
+        answer_text(x, out);
+    }
     else if (strcmp(target, "/dump") == 0) {
         print_dump(ctx, out);
         answer_text(x, out);
@@ -348,9 +359,14 @@
     gn_tick_relay(g, now_ms);
     gn_follow_store(g, now_ms);
     gn_tick_start(g, now_ms);
-    if (now_ms >= g->demand_ms + DEMAND_MS) {
+    bool pressed = wl_is_pressed(g->limits);
+    if (now_ms >= g->demand_ms + (pressed ? PRESSED_MS : DEMAND_MS)) {
         gn_send_demand(g);
     }
+    if (now_ms >= g->limits_ms + (pressed ? PRESSED_MS : DEMAND_MS)) {
+        g->limits_ms = now_ms;
+        gn_tell_limits(g, now_ms);
+    }
     /* By a clock of its own: demand is also sent whenever callers begin to
        wait, and a busy placing VM would never get to say that it lives. */
     if (now_ms >= g->state_ms + DEMAND_MS) {
@@ -433,6 +449,8 @@
         g->settings = f;
         rb_set_allowance(g->budget, get_bound(f, "retry_ratio"),
                          get_bound(f, "retry_slack"));
+        wl_set_bound(g->limits, get_bound(f, "limit_excess"),
+                     get_bound(f, "limit_slack"));
     }
 }
 
@@ -499,10 +517,14 @@
                    get_bound(g->settings, "retry_ratio"),
                    get_bound(g->settings, "retry_slack"), ASSUMED_GATEWAYS};
     g->budget = rb_create(&rb, bg_boot_ms());
+    WlParams wl = {(uint32_t)(get_bound(g->settings, "limit_window_s") * 1000),
+                   get_bound(g->settings, "limit_excess"),
+                   get_bound(g->settings, "limit_slack"), seed};
+    g->limits = wl_create(&wl);
     GwParams gw = {CONNECT_MS, DEATH_LIMIT, seed};
     GwOutput gw_out = {g, on_wanted, on_died, on_unreached};
-    g->gw =
-        gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams, g->budget);
+    g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
+                      g->budget, g->limits);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {
         g,          gn_send_order, gn_ask_upstream, gn_on_placed,
@@ -570,6 +592,7 @@
     ls_destroy(g->lease);
     g_free(g->renewal.value);
     rb_destroy(g->budget);
+    wl_destroy(g->limits);
     ut_destroy(g->upstreams);
     dep_unref_config(g->config);
     if (g->config_bytes) {
--- /dev/null
+++ b/src/wl.c
@@ -0,0 +1,515 @@
+#include "wl.h"
+
+#include <math.h>
+
+/* What is asked for a second is a mean over this, and a level that is off is
+   brought back to zero in about as long.  Sums need about half of it on their
+   way; a shorter time would make the part that is let in swing. */
+#define SETTLE_MS 700
+/* Of what the bound allows beyond rate and burst, this part is lent to bursts;
+   the rest is for what sums learn late. */
+#define CAPACITY_PART 0.25
+/* Levels are told several times a second; older ones don't count. */
+#define TOLD_LIFE_MS 700
+/* Assumed where the fleet's size was never told. */
+#define ASSUMED_FLEET 64
+/* While others are missing, who sums keeps to the rest of the limit, but to no
+   less than this: most of those that are missing are down, and their callers
+   come here. */
+#define LEAST_SHARE 0.6
+/* A level matters to others while less than this many times what is asked for
+   could be let in. */
+#define NEAR_LIMIT 2
+/* A smaller fleet than before is believed after so long: whoever has just
+   begun to sum knows only a few, and those cut off go on spending. */
+#define FLEET_MEMORY_MS 30000
+/* Of the bucket, that one request is held against at most. */
+#define LARGE_PART 0.5
+#define IDLE_MS                                                               \
+    30000 /* an account that was not used for so long is dropped              \
+           */
+#define LEAST_RETRY_MS 200
+#define RETRY_SPREAD_MS 1000 /* callers don't all come back at once */
+
+/* Which counts an account is judged by. */
+typedef enum {
+    VIEW_OWN,   /* of this gateway and those that it sums for */
+    VIEW_ALONE, /* its own, which sums for nobody, and what was last told */
+    VIEW_TOLD
+} View;
+
+typedef struct {
+    char *workspace;
+    double rate; /* a second */
+    double burst;
+    double capacity; /* of the bucket, all gateways together */
+    /* as far as this gateway knows, with those that it sums for */
+    double level;
+    double asked; /* a second */
+    uint64_t counted_ms;
+    /* as last told; the whole capacity and 0 where it was not named */
+    double told_level;
+    double told_asked; /* a second */
+    double since_told; /* spent here since then */
+    /* not told yet */
+    double untold_spent;
+    double untold_asked;
+    uint64_t used_ms;
+    View view; /* the last */
+} Account;
+
+struct Wl {
+    WlParams params;
+    DepConfig *config;    /* NULL: none yet */
+    bool has_limits;      /* of any workspace */
+    GHashTable *accounts; /* workspace -> Account */
+    uint64_t told_ms;     /* levels were last told; 0: never */
+    double told_share;    /* of the fleet's limit, that they are of */
+    bool sums;
+    uint32_t heard;
+    uint32_t known;    /* 0: not told */
+    uint64_t known_ms; /* when as many were last told of */
+    bool pressed;      /* some workspace is near its limit */
+    BgRandom rng;
+};
+
+/* ---- accounts ----------------------------------------------------------- */
+
+static void
+free_account(void *p)
+{
+    g_free(((Account *)p)->workspace);
+    g_free(p);
+}
+
+static bool
+has_limit(const DepWorkspace *w)
+{
+    return w->rate_per_s > 0;
+}
+
+static void
+set_limit(const Wl *l, Account *a, const DepWorkspace *w)
+{
+    double window_s = l->params.window_ms / 1000.;
+    double beyond = l->params.excess * (w->rate_per_s * window_s + w->burst) +
+                    l->params.slack;
+    a->rate = w->rate_per_s;
+    a->burst = w->burst;
+    a->capacity = w->burst + CAPACITY_PART * beyond;
+}
+
+/* Part of the fleet's limit that this gateway and those that it sums for may
+   use where they go by their own counts. */
+static double
+get_share(const Wl *l)
+{
+    uint32_t known = l->known ? MAX(l->known, l->heard) : ASSUMED_FLEET;
+    double heard = MIN((double)l->heard / known, 1);
+    return l->sums ? MAX(heard, LEAST_SHARE) : heard;
+}
+
+static View
+choose_view(const Wl *l, uint64_t now_ms)
+{
+    bool was_told = l->told_ms > 0;
+    if (!l->sums && was_told && now_ms < l->told_ms + TOLD_LIFE_MS) {
+        return VIEW_TOLD;
+    }
+    return !l->sums && was_told && l->heard == 1 ? VIEW_ALONE : VIEW_OWN;
+}
+
+/* Own counts go on from what was last told, less what was spent since. */
+static void
+take_over_told(const Wl *l, Account *a, uint64_t now_ms)
+{
+    double share = get_share(l);
+    double filled = a->rate * (double)(now_ms - l->told_ms) / 1000.;
+    a->level = MIN(a->told_level + filled, a->capacity) * share;
+    a->level -= a->since_told;
+    a->asked = MAX(a->asked, a->told_asked * share);
+    a->counted_ms = now_ms;
+    a->untold_spent = 0;
+    a->untold_asked = 0;
+}
+
+/* Who sums for us from now on learns what is asked for here, and what was
+   spent beyond our part. */
+static void
+hand_over_counts(Account *a)
+{
+    a->untold_asked += a->asked * SETTLE_MS / 1000.;
+    a->untold_spent += MAX(-a->level, 0);
+}
+
+/* This gateway begins to sum for all: what it counted alone says little. */
+static void
+take_over_sums(Wl *l, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Account *a = v;
+        take_over_told(l, a, now_ms);
+        a->view = VIEW_OWN;
+    }
+}
+
+/* Bring A's own counts to NOW_MS. */
+static void
+count_time(const Wl *l, Account *a, uint64_t now_ms)
+{
+    View view = choose_view(l, now_ms);
+    if (a->view == VIEW_TOLD && view != VIEW_TOLD) {
+        take_over_told(l, a, now_ms);
+    }
+    else if (a->view != VIEW_TOLD && view == VIEW_TOLD) {
+        hand_over_counts(a);
+    }
+    a->view = view;
+    if (now_ms <= a->counted_ms) {
+        return;
+    }
+    double passed_ms = (double)(now_ms - a->counted_ms);
+    double share = get_share(l);
+    a->counted_ms = now_ms;
+    a->asked *= exp(-passed_ms / SETTLE_MS);
+    a->level = MIN(a->level + a->rate * share * passed_ms / 1000.,
+                   a->capacity * share);
+}
+
+/* NULL: WORKSPACE has no limit. */
+static Account *
+get_account(Wl *l, uint64_t now_ms, const char *workspace)
+{
+    Account *a = g_hash_table_lookup(l->accounts, workspace);
+    if (!a) {
+        const DepWorkspace *w =
+            l->config ? g_hash_table_lookup(l->config->workspaces, workspace)
+                      : NULL;
+        if (!w || !has_limit(w)) {
+            return NULL;
+        }
+        a = g_new0(Account, 1);
+        a->workspace = g_strdup(workspace);
+        a->counted_ms = now_ms;
+        set_limit(l, a, w);
+        a->told_level = a->capacity;
+        a->level = a->capacity * get_share(l);
+        g_hash_table_insert(l->accounts, a->workspace, a);
+    }
+    a->used_ms = now_ms;
+    count_time(l, a, now_ms);
+    return a;
+}
+
+/* ---- letting in --------------------------------------------------------- */
+
+/* While the configured burst covers COST, all that comes is within the limit,
+   however fast.  A request that is large beside the bucket counts only in
+   part, or none would be let in. */
+static double
+divide_allowed(const Account *a, double share, double level, double asked,
+               double cost)
+{
+    level -= MIN(cost, a->capacity * share * LARGE_PART);
+    double allowed = a->rate * share + level * 1000. / SETTLE_MS;
+    double part = asked > 0 ? MAX(allowed, 0) / asked : NEAR_LIMIT;
+    bool within = level > (a->capacity - a->burst) * share;
+    return within ? MAX(part, 1) : part;
+}
+
+/* What is left of a level that was told a while ago: it goes towards zero,
+   whether it was above or below. */
+static double
+get_told_level(const Wl *l, const Account *a, uint64_t now_ms)
+{
+    double age_ms = now_ms > l->told_ms ? (double)(now_ms - l->told_ms) : 0;
+    return a->told_level * exp(-age_ms / SETTLE_MS);
+}
+
+/* Of requests like one of COST, the part that may be let in; above 1: all. */
+static double
+get_part(const Wl *l, const Account *a, uint64_t now_ms, double cost)
+{
+    if (a->view == VIEW_OWN) {
+        return divide_allowed(a, get_share(l), a->level, a->asked, cost);
+    }
+    if (a->view == VIEW_ALONE && a->level <= 0) {
+        return 0;
+    }
+    return divide_allowed(a, l->told_share, get_told_level(l, a, now_ms),
+                          a->told_asked, cost);
+}
+
+static uint32_t
+get_retry_ms(Wl *l, const Account *a, double cost)
+{
+    bool told = a->view == VIEW_TOLD;
+    double rate = a->rate * (told ? l->told_share : get_share(l));
+    double debt = MAX(-(told ? a->told_level : a->level), 0) + cost;
+    double wait_ms = debt / rate * 1000;
+    return (uint32_t)CLAMP(wait_ms, LEAST_RETRY_MS, l->params.window_ms) +
+           bg_pick_random(&l->rng, RETRY_SPREAD_MS);
+}
+
+static bool
+draw(Wl *l, double part)
+{
+    const uint32_t steps = 1 << 20;
+    return bg_pick_random(&l->rng, steps) < part * steps;
+}
+
+/* What is spent within our own part is not told; of a process that was never
+   told anything nobody knows that part. */
+static void
+count(const Wl *l, Account *a, double spent, double asked)
+{
+    a->level -= spent;
+    a->asked += asked * 1000. / SETTLE_MS;
+    a->since_told += spent;
+    if (a->view == VIEW_TOLD || (!l->sums && l->told_ms == 0)) {
+        a->untold_spent += spent;
+        a->untold_asked += asked;
+    }
+}
+
+bool
+wl_take(Wl *l, uint64_t now_ms, const DepWorkspace *w, double cost,
+        uint32_t *retry_ms)
+{
+    Account *a = get_account(l, now_ms, w->name);
+    if (!a) {
+        return true;
+    }
+    count(l, a, 0, cost);
+    if (!draw(l, get_part(l, a, now_ms, cost))) {
+        *retry_ms = get_retry_ms(l, a, cost);
+        return false;
+    }
+    count(l, a, cost, 0);
+    return true;
+}
+
+void
+wl_give_back(Wl *l, uint64_t now_ms, const DepWorkspace *w, double cost)
+{
+    Account *a = get_account(l, now_ms, w->name);
+    if (a) {
+        count(l, a, -cost, 0);
+    }
+}
+
+/* ---- sums --------------------------------------------------------------- */
+
+void
+wl_on_spent(Wl *l, uint64_t now_ms, const WlSpent *spent)
+{
+    Account *a = get_account(l, now_ms, spent->workspace);
+    if (a) {
+        count(l, a, spent->spent, spent->asked);
+    }
+}
+
+void
+wl_collect_spent(Wl *l, void (*visit)(void *ctx, const WlSpent *spent),
+                 void *ctx)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Account *a = v;
+        if (a->untold_spent != 0 || a->untold_asked != 0) {
+            WlSpent spent = {a->workspace, a->untold_spent, a->untold_asked};
+            visit(ctx, &spent);
+        }
+        a->untold_spent = 0;
+        a->untold_asked = 0;
+    }
+}
+
+/* FIRST: nothing was told before, and all that was spent is untold. */
+static void
+forget_told(Wl *l, bool first)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Account *a = v;
+        a->told_level = a->capacity;
+        a->told_asked = 0;
+        a->since_told = 0;
+        a->view = first ? VIEW_TOLD : a->view;
+    }
+}
+
+void
+wl_on_levels(Wl *l, uint64_t now_ms, uint64_t sent_ms, double share,
+             const WlLevel *levels, size_t n)
+{
+    bool first = l->told_ms == 0;
+    l->told_ms = sent_ms;
+    l->told_share = share;
+    l->pressed = n > 0;
+    forget_told(l, first);
+    for (size_t i = 0; i < n; i++) {
+        Account *a = get_account(l, now_ms, levels[i].workspace);
+        if (a) {
+            a->told_level = levels[i].level;
+            a->told_asked = levels[i].asked;
+        }
+    }
+}
+
+bool
+wl_tells(const Wl *l, uint64_t now_ms)
+{
+    return l->has_limits && choose_view(l, now_ms) != VIEW_TOLD;
+}
+
+static gboolean
+is_idle(gpointer workspace, gpointer account, gpointer now_ms)
+{
+    (void)workspace;
+    return ((Account *)account)->used_ms + IDLE_MS < *(uint64_t *)now_ms;
+}
+
+double
+wl_visit_levels(Wl *l, uint64_t now_ms,
+                void (*visit)(void *ctx, const WlLevel *level), void *ctx)
+{
+    g_hash_table_foreach_remove(l->accounts, is_idle, &now_ms);
+    l->pressed = false;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Account *a = v;
+        count_time(l, a, now_ms);
+        if (get_part(l, a, now_ms, 0) < NEAR_LIMIT) {
+            WlLevel level = {a->workspace, a->level, a->asked};
+            l->pressed = true;
+            visit(ctx, &level);
+        }
+    }
+    return get_share(l);
+}
+
+void
+wl_print(Wl *l, uint64_t now_ms, GString *out)
+{
+    static const char *const views[] = {"own", "alone", "told"};
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Account *a = v;
+        count_time(l, a, now_ms);
+        bool told = a->view == VIEW_TOLD;
+        g_string_append_printf(
+            out,
+            "{\"workspace\":\"%s\",\"rate\":%.3f,\"burst\":%.3f,"
+            "\"counts\":\"%s\",\"level\":%.3f,\"asked\":%.3f,"
+            "\"told_ms_ago\":%lld,\"share\":%.3f,\"let_in\":%.3f}\n",
+            a->workspace, a->rate, a->burst, views[a->view],
+            told ? a->told_level : a->level, told ? a->told_asked : a->asked,
+            l->told_ms ? (long long)(now_ms - l->told_ms) : -1LL,
+            told ? l->told_share : get_share(l),
+            MIN(get_part(l, a, now_ms, 0), 1));
+    }
+}
+
+/* ---- life --------------------------------------------------------------- */
+
+void
+wl_on_fleet(Wl *l, uint64_t now_ms, bool sums, uint32_t heard, uint32_t known)
+{
+    bool begins = sums && !l->sums && l->told_ms > 0;
+    l->sums = sums;
+    l->heard = heard;
+    if (known >= l->known || now_ms > l->known_ms + FLEET_MEMORY_MS) {
+        l->known = known;
+        l->known_ms = now_ms;
+    }
+    if (begins) {
+        take_over_sums(l, now_ms);
+    }
+}
+
+bool
+wl_is_pressed(const Wl *l)
+{
+    return l->pressed;
+}
+
+/* False: the account of one that has no limit any more. */
+static bool
+renew_limit(const Wl *l, Account *a)
+{
+    const DepWorkspace *w =
+        g_hash_table_lookup(l->config->workspaces, a->workspace);
+    if (!w || !has_limit(w)) {
+        return false;
+    }
+    set_limit(l, a, w);
+    return true;
+}
+
+static void
+renew_limits(Wl *l)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, l->accounts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        if (!renew_limit(l, v)) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+void
+wl_on_config(Wl *l, DepConfig *c)
+{
+    dep_unref_config(l->config);
+    l->config = dep_ref_config(c);
+    l->has_limits = false;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->workspaces);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        l->has_limits = l->has_limits || has_limit(v);
+    }
+    renew_limits(l);
+}
+
+void
+wl_set_bound(Wl *l, double excess, double slack)
+{
+    l->params.excess = excess;
+    l->params.slack = slack;
+    renew_limits(l);
+}
+
+Wl *
+wl_create(const WlParams *params)
+{
+    Wl *l = g_new0(Wl, 1);
+    l->params = *params;
+    l->heard = 1;
+    l->accounts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_account);
+    bg_seed_random(&l->rng, params->seed);
+    return l;
+}
+
+void
+wl_destroy(Wl *l)
+{
+    g_hash_table_destroy(l->accounts);
+    dep_unref_config(l->config);
+    g_free(l);
+}
