Limits inside a cut: a relay's group has room for a large request

A quarter of the fleet had a quarter of the bucket, so one request of 9,000 tokens emptied it, and small ones behind it were refused too. Ruled out: members without a link (two of 42). Change: a relay that goes by its own counts keeps its share of the burst and a fixed part of what the bound allows beyond it, and lets in all that this covers. A refused request's line tells what it was judged by.

--- a/src/gw.c
+++ b/src/gw.c
@@ -1118,11 +1118,30 @@
     return tokens > 0 ? tokens : q->workspace->plain_tokens;
 }
 
+static void
+log_limit(const Req *q, double cost, const WlRefusal *why)
+{
+    JlLine *l = jl_begin("limit-refused");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "workspace", q->workspace->name);
+    jl_number(l, "cost", (int64_t)cost);
+    jl_number(l, "level", (int64_t)why->level);
+    jl_number(l, "asked", (int64_t)why->asked);
+    jl_number(l, "let_in_percent", (int64_t)(why->let_in * 100));
+    jl_text(l, "counts", why->counts);
+    jl_number(l, "told_ms_ago", why->told_ms_ago);
+    jl_number(l, "version", (int64_t)q->config->version);
+    jl_end(l);
+}
+
 static bool
 take_limit(Req *q, uint32_t *retry_ms)
 {
     double cost = get_cost(q);
-    if (!wl_take(q->gw->limits, bg_boot_ms(), q->workspace, cost, retry_ms)) {
+    WlRefusal why;
+    if (!wl_take(q->gw->limits, bg_boot_ms(), q->workspace, cost, &why)) {
+        *retry_ms = why.retry_ms;
+        log_limit(q, cost, &why);
         return false;
     }
     q->cost = cost;
--- a/src/wl.c
+++ b/src/wl.c
@@ -9,6 +9,9 @@
 /* Of what the bound allows beyond rate and burst, this part is lent to bursts;
    the rest is for what sums learn late. */
 #define CAPACITY_PART 0.25
+/* The same of a relay that goes by its own counts, whatever its share: a
+   request is as large for few gateways as for all. */
+#define GROUP_PART 0.15
 /* Levels are told several times a second; older ones don't count. */
 #define TOLD_LIFE_MS 700
 /* Assumed where the fleet's size was never told. */
@@ -38,10 +41,13 @@
     VIEW_TOLD
 } View;
 
+static const char *const view_names[] = {"own", "alone", "told"};
+
 typedef struct {
     char *workspace;
     double rate; /* a second */
     double burst;
+    double beyond;   /* what the bound allows in a window besides */
     double capacity; /* of the bucket, all gateways together */
     /* as far as this gateway knows, with those that it sums for */
     double level;
@@ -92,11 +98,11 @@
 set_limit(const Wl *l, Account *a, const DepWorkspace *w)
 {
     double window_s = l->params.window_ms / 1000.;
-    double beyond = l->params.excess * (w->rate_per_s * window_s + w->burst) +
-                    l->params.slack;
     a->rate = w->rate_per_s;
     a->burst = w->burst;
-    a->capacity = w->burst + CAPACITY_PART * beyond;
+    a->beyond = l->params.excess * (w->rate_per_s * window_s + w->burst) +
+                l->params.slack;
+    a->capacity = a->burst + CAPACITY_PART * a->beyond;
 }
 
 /* Part of the fleet's limit that this gateway and those that it sums for may
@@ -109,6 +115,16 @@
     return l->sums ? MAX(heard, LEAST_SHARE) : heard;
 }
 
+/* Of the bucket that this gateway counts. */
+static double
+get_own_capacity(const Wl *l, const Account *a)
+{
+    double share = get_share(l);
+    bool group = !l->sums && l->heard > 1;
+    return group ? MIN(share * a->burst + GROUP_PART * a->beyond, a->capacity)
+                 : share * a->capacity;
+}
+
 static View
 choose_view(const Wl *l, uint64_t now_ms)
 {
@@ -125,8 +141,8 @@
 {
     double share = get_share(l);
     double filled = a->rate * (double)(now_ms - l->told_ms) / 1000.;
-    a->level = MIN(a->told_level + filled, a->capacity) * share;
-    a->level -= a->since_told;
+    double part = MIN((a->told_level + filled) / a->capacity, 1);
+    a->level = part * get_own_capacity(l, a) - a->since_told;
     a->asked = MAX(a->asked, a->told_asked * share);
     a->counted_ms = now_ms;
     a->untold_spent = 0;
@@ -176,7 +192,7 @@
     a->counted_ms = now_ms;
     a->asked *= exp(-passed_ms / SETTLE_MS);
     a->level = MIN(a->level + a->rate * share * passed_ms / 1000.,
-                   a->capacity * share);
+                   get_own_capacity(l, a));
 }
 
 /* NULL: WORKSPACE has no limit. */
@@ -196,7 +212,7 @@
         a->counted_ms = now_ms;
         set_limit(l, a, w);
         a->told_level = a->capacity;
-        a->level = a->capacity * get_share(l);
+        a->level = get_own_capacity(l, a);
         g_hash_table_insert(l->accounts, a->workspace, a);
     }
     a->used_ms = now_ms;
@@ -216,7 +232,8 @@
     level -= MIN(cost, a->capacity * share * LARGE_PART);
     double allowed = a->rate * share + level * 1000. / SETTLE_MS;
     double part = asked > 0 ? MAX(allowed, 0) / asked : NEAR_LIMIT;
-    bool within = level > (a->capacity - a->burst) * share;
+    bool within =
+        level > (share < LEAST_SHARE ? 0 : a->capacity - a->burst) * share;
     return within ? MAX(part, 1) : part;
 }
 
@@ -275,9 +292,21 @@
     }
 }
 
+static void
+explain(Wl *l, const Account *a, uint64_t now_ms, double cost, WlRefusal *why)
+{
+    bool told = a->view == VIEW_TOLD;
+    why->retry_ms = get_retry_ms(l, a, cost);
+    why->counts = view_names[a->view];
+    why->level = told ? a->told_level : a->level;
+    why->asked = told ? a->told_asked : a->asked;
+    why->let_in = get_part(l, a, now_ms, cost);
+    why->told_ms_ago = l->told_ms ? (int64_t)(now_ms - l->told_ms) : -1;
+}
+
 bool
 wl_take(Wl *l, uint64_t now_ms, const DepWorkspace *w, double cost,
-        uint32_t *retry_ms)
+        WlRefusal *why)
 {
     Account *a = get_account(l, now_ms, w->name);
     if (!a) {
@@ -285,7 +314,7 @@
     }
     count(l, a, 0, cost);
     if (!draw(l, get_part(l, a, now_ms, cost))) {
-        *retry_ms = get_retry_ms(l, a, cost);
+        explain(l, a, now_ms, cost, why);
         return false;
     }
     count(l, a, cost, 0);
@@ -401,24 +430,21 @@
 void
 wl_print(Wl *l, uint64_t now_ms, GString *out)
 {
-    static const char *const views[] = {"own", "alone", "told"};
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, l->accounts);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Account *a = v;
+        WlRefusal now;
         count_time(l, a, now_ms);
-        bool told = a->view == VIEW_TOLD;
+        explain(l, a, now_ms, 0, &now);
         g_string_append_printf(
             out,
             "{\"workspace\":\"%s\",\"rate\":%.3f,\"burst\":%.3f,"
             "\"counts\":\"%s\",\"level\":%.3f,\"asked\":%.3f,"
-            "\"told_ms_ago\":%lld,\"share\":%.3f,\"let_in\":%.3f}\n",
-            a->workspace, a->rate, a->burst, views[a->view],
-            told ? a->told_level : a->level, told ? a->told_asked : a->asked,
-            l->told_ms ? (long long)(now_ms - l->told_ms) : -1LL,
-            told ? l->told_share : get_share(l),
-            MIN(get_part(l, a, now_ms, 0), 1));
+            "\"told_ms_ago\":%lld,\"let_in\":%.3f}\n",
+            a->workspace, a->rate, a->burst, now.counts, now.level, now.asked,
+            (long long)now.told_ms_ago, MIN(now.let_in, 1));
     }
 }
 
--- a/src/wl.h
+++ b/src/wl.h
@@ -47,6 +47,17 @@
     double asked; /* a second */
 } WlLevel;
 
+/* Why a request was refused. */
+typedef struct {
+    uint32_t retry_ms;   /* a caller that comes back then finds room if nobody
+                            else took it */
+    const char *counts;  /* that it was judged by: own, alone, told */
+    double level;        /* of the bucket */
+    double asked;        /* a second */
+    double let_in;       /* part of requests like this one */
+    int64_t told_ms_ago; /* -1: never */
+} WlRefusal;
+
 typedef struct Wl Wl;
 
 Wl *wl_create(const WlParams *params);
@@ -62,10 +73,9 @@
 /* Some workspace is near its limit: sums are worth telling more often. */
 bool wl_is_pressed(const Wl *l);
 
-/* Let in a request of W that costs COST.  False: it is refused, and a caller
-   that comes back after RETRY_MS finds room if nobody else took it. */
+/* Let in a request of W that costs COST.  False: it is refused. */
 bool wl_take(Wl *l, uint64_t now_ms, const DepWorkspace *w, double cost,
-             uint32_t *retry_ms);
+             WlRefusal *why);
 /* What was let in has not run and never will. */
 void wl_give_back(Wl *l, uint64_t now_ms, const DepWorkspace *w, double cost);
 
--- a/tests/script_wl.c
+++ b/tests/script_wl.c
@@ -520,9 +520,9 @@
     if (s->way == WAY_HOME) {
         return take_at_home(s, vm, workspace, w, l, cost);
     }
-    uint32_t retry_ms;
+    WlRefusal why;
     DepWorkspace asks = {.name = w->name};
-    return wl_take(s->fleet[vm].limits, s->now_ms, &asks, cost, &retry_ms);
+    return wl_take(s->fleet[vm].limits, s->now_ms, &asks, cost, &why);
 }
 
 static void
