--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -372,8 +372,10 @@
 gn_tell_limits(Gateway *g, uint64_t now_ms)
 {
     bool knows = g->placing || gn_still_sums(g);
+    uint32_t told = g->fleet ? g->fleet : ls_get_fleet(g->lease);
     wl_on_fleet(g->limits, now_ms, g->placing, gn_count_linked(g) + 1,
-                knows ? gn_count_members(g, now_ms) : g->fleet);
+                knows ? gn_count_members(g, now_ms) : told);
+    ls_set_fleet(g->lease, wl_get_fleet(g->limits));
     if (!wl_tells(g->limits, now_ms)) {
         return;
     }
--- a/src/ls.c
+++ b/src/ls.c
@@ -44,6 +44,8 @@
     uint64_t held_off_until_ms;
 
     uint32_t holder_rest_ms; /* that its VM had left when it was written */
+    uint32_t holder_fleet;   /* 0: not told */
+    uint32_t fleet;          /* that we tell with our own */
     uint32_t failed_reads;   /* in a row */
     bool known;              /* the topic was read once */
     bool reading;
@@ -101,7 +103,7 @@
 
 #define RECORD_WORDS 4
 
-/* "VM PROCESS ADDRESS REST", words without blanks. */
+/* "VM PROCESS ADDRESS REST [FLEET]", words without blanks. */
 static void
 take_record(Ls *l, uint64_t now_ms, const char *value)
 {
@@ -113,7 +115,9 @@
     l->holder_vm = g_strdup(whole ? words[0] : "?");
     l->holder_process = g_strdup(whole ? words[1] : "?");
     l->holder_address = whole ? g_strdup(words[2]) : NULL;
-    l->holder_rest_ms = whole ? (uint32_t)strtoul(words[3], NULL, 10) : 0;
+    char *rest = NULL;
+    l->holder_rest_ms = whole ? (uint32_t)strtoul(words[3], &rest, 10) : 0;
+    l->holder_fleet = rest ? (uint32_t)strtoul(rest, NULL, 10) : 0;
     l->seen_ms = now_ms;
     l->next_claim_ms = 0;
     if (!is_ours(l)) {
@@ -125,8 +129,8 @@
 static char *
 make_record(const Ls *l, uint64_t now_ms, const char *process)
 {
-    return g_strdup_printf("%s %s %s %u", l->vm, process, l->address,
-                           ls_get_rest_ms(l, now_ms));
+    return g_strdup_printf("%s %s %s %u %u", l->vm, process, l->address,
+                           ls_get_rest_ms(l, now_ms), l->fleet);
 }
 
 static void
@@ -383,3 +387,15 @@
 {
     return is_free(l) ? NULL : l->holder_vm;
 }
+
+void
+ls_set_fleet(Ls *l, uint32_t gateways)
+{
+    l->fleet = gateways;
+}
+
+uint32_t
+ls_get_fleet(const Ls *l)
+{
+    return l->holder_fleet;
+}
--- a/src/ls.h
+++ b/src/ls.h
@@ -74,5 +74,10 @@
 /* Link address of the holder, NULL when it is not known. */
 const char *ls_get_holder_address(const Ls *l);
 const char *ls_get_holder_vm(const Ls *l);
+/* Gateways that there are, written with each renewal: a process that has just
+   started learns it before any gateway tells it. */
+void ls_set_fleet(Ls *l, uint32_t gateways);
+/* As the newest record tells; 0: it doesn't. */
+uint32_t ls_get_fleet(const Ls *l);
 
 #endif
--- a/src/wl.c
+++ b/src/wl.c
@@ -8,12 +8,12 @@
 #define SETTLE_MS 700
 /* Of what the bound allows beyond rate and burst, this part is lent to bursts;
    the rest is for what sums learn late. */
-#define CAPACITY_PART 0.25
+#define CAPACITY_PART 0.15
 /* The same of a relay that goes by its own counts, whatever its share: a
    request is as large for few gateways as for all. */
-#define GROUP_PART 0.15
+#define GROUP_PART 0.12
 /* Levels are told several times a second; older ones don't count. */
-#define TOLD_LIFE_MS 700
+#define TOLD_LIFE_MS 500
 /* Assumed where the fleet's size was never told. */
 #define ASSUMED_FLEET 64
 /* While others are missing, who sums keeps to the rest of the limit, but to no
@@ -465,6 +465,12 @@
     }
 }
 
+uint32_t
+wl_get_fleet(const Wl *l)
+{
+    return l->known;
+}
+
 bool
 wl_is_pressed(const Wl *l)
 {
--- a/src/wl.h
+++ b/src/wl.h
@@ -70,6 +70,8 @@
    SUMS: for all that there are; else only while nobody tells it. */
 void wl_on_fleet(Wl *l, uint64_t now_ms, bool sums, uint32_t heard,
                  uint32_t known);
+/* Gateways that there are, as far as is believed; 0: not known. */
+uint32_t wl_get_fleet(const Wl *l);
 /* Some workspace is near its limit: sums are worth telling more often. */
 bool wl_is_pressed(const Wl *l);
 
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -414,6 +414,26 @@
     g_free(t.newest);
 }
 
+/* A process that has just started must not take itself for one of few. */
+static void
+test_lease_tells_the_fleet(void)
+{
+    Topic t = {0};
+    Vm v[2];
+    uint64_t now_ms = 1000;
+    vm_start(&v[0], &t, "a", "a1");
+    ls_set_fleet(v[0].lease, 90);
+    vm_run(v, 1, &now_ms, 1000);
+    vm_start(&v[1], &t, "b", "b1");
+    CU_ASSERT_EQUAL(ls_get_fleet(v[1].lease), 0);
+    vm_run(v, 2, &now_ms, 400);
+    CU_ASSERT_EQUAL(ls_get_fleet(v[1].lease), 90);
+    CU_ASSERT_STRING_EQUAL(ls_get_holder_address(v[1].lease), "127.0.0.1:1");
+    vm_stop(&v[0]);
+    vm_stop(&v[1]);
+    g_free(t.newest);
+}
+
 /* ---- budget ------------------------------------------------------------- */
 
 /* Repeats of several gateways together stay within the service's allowance in
@@ -1918,6 +1938,7 @@
         {"lease given up", test_lease_given_up},
         {"lease given up in a renewal", test_lease_given_up_in_a_renewal},
         {"lease of a leaver", test_lease_of_a_leaver},
+        {"lease tells the fleet", test_lease_tells_the_fleet},
         {"budget in every window", test_budget_in_every_window},
         {"budget remembers gateways", test_budget_remembers_gateways},
         {"choice spreads", test_choice_spreads},
