Heartbeats of upstreams are parsed once

Read: each entry was parsed a second time, whether it was news or not, 2,500 a second there. Change: the second parse only for entries that are news. Conclusion: kept, as it only leaves work out.

--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -189,12 +189,12 @@
         take_gone(g, now_ms, r, news);
         return;
     }
-    DepUpstream *copy = pf_decode_upstream(r->key, data, len, NULL);
     mp_on_entry(g->placement, now_ms, u);
     if (!gn_take_upstream(g, now_ms, u)) {
-        dep_destroy_upstream(copy);
         return;
     }
+    /* U is taken over; most entries are heartbeats and end before this. */
+    DepUpstream *copy = pf_decode_upstream(r->key, data, len, NULL);
     if (copy->draining) {
         log_upstream("upstream-leaves", copy);
     }
