--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -399,14 +399,16 @@
 static void
 take_limits(Gateway *g, const Gwp__Limits *m)
 {
-    g_autofree WlLevel *levels = g_new(WlLevel, m->n_levels + 1);
+    g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(WlLevel));
     for (size_t i = 0; i < m->n_levels; i++) {
         const Gwp__Level *x = m->levels[i];
-        levels[i] = (WlLevel){x->workspace, x->level, x->asked};
+        WlLevel level = {x->workspace, x->level, x->asked};
+        g_array_append_val(levels, level);
     }
     uint64_t now_ms = bg_boot_ms();
     uint64_t sent_ms = now_ms - MIN(g->uplink.lag.late_ms, now_ms);
-    wl_on_levels(g->limits, now_ms, sent_ms, m->share, levels, m->n_levels);
+    wl_on_levels(g->limits, now_ms, sent_ms, m->share,
+                 (const WlLevel *)levels->data, levels->len);
 }
 
 static DepUpstream *
