--- a/src/gn.h
+++ b/src/gn.h
@@ -111,8 +111,8 @@
     uint64_t slow_tick_ms;
     uint64_t demand_ms;
     uint64_t state_ms;
-    uint64_t limits_ms;
-    uint64_t stop_ms; /* 0: not stopping */
+    uint64_t limits_ms; /* when levels of limits were last told */
+    uint64_t stop_ms;   /* 0: not stopping */
 } Gateway;
 
 /* main_gateway */
--- a/src/gn_demand.c
+++ b/src/gn_demand.c
@@ -1,5 +1,7 @@
 #include "gn.h"
 
+#include <math.h>
+
 #define MAIL_MS 300 /* between frames left in the store for the placing VM */
 /* The placing VM reads that mail, more often while gateways are missing. */
 #define MAIL_PAUSE_MS 1000
@@ -72,6 +74,10 @@
 {
     for (size_t i = 0; i < d->n_spent; i++) {
         const Gwp__Spent *x = d->spent[i];
+        if (!isfinite(x->spent) || !(x->asked >= 0) || !isfinite(x->asked)) {
+            bg_log(BG_WARN, "limits", "no amount of %s", x->workspace);
+            continue;
+        }
         WlSpent spent = {x->workspace, x->spent, x->asked};
         wl_on_spent(g->limits, now_ms, &spent);
     }
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -2,6 +2,7 @@
 
 #include "../platform/pf_wire.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Upstreams with fewer requests are as good as idle ones to who chooses. */
@@ -376,7 +377,7 @@
     wl_on_fleet(g->limits, now_ms, g->placing, gn_count_linked(g) + 1,
                 knows ? gn_count_members(g, now_ms) : told);
     ls_set_fleet(g->lease, wl_get_fleet(g->limits));
-    if (!wl_tells(g->limits, now_ms)) {
+    if (!wl_has_limits(g->limits) || !wl_tells(g->limits, now_ms)) {
         return;
     }
     g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(Gwp__Level));
@@ -399,9 +400,17 @@
 static void
 take_limits(Gateway *g, const Gwp__Limits *m)
 {
+    if (!(m->share > 0 && m->share <= 1)) {
+        bg_log(BG_WARN, "limits", "a share of %f was told", m->share);
+        return;
+    }
     g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(WlLevel));
     for (size_t i = 0; i < m->n_levels; i++) {
         const Gwp__Level *x = m->levels[i];
+        if (!isfinite(x->level) || !(x->asked >= 0) || !isfinite(x->asked)) {
+            bg_log(BG_WARN, "limits", "no level of %s", x->workspace);
+            continue;
+        }
         WlLevel level = {x->workspace, x->level, x->asked};
         g_array_append_val(levels, level);
     }
--- a/src/wl.c
+++ b/src/wl.c
@@ -28,9 +28,9 @@
 #define FLEET_MEMORY_MS 30000
 /* Of the bucket, that one request is held against at most. */
 #define LARGE_PART 0.5
-#define IDLE_MS                                                               \
-    30000 /* an account that was not used for so long is dropped              \
-           */
+/* An account that was not used for so long is dropped. */
+#define IDLE_MS 30000
+#define ROUNDING 1e-9 /* of a bucket: what sums of fractions may be off */
 #define LEAST_RETRY_MS 200
 #define RETRY_SPREAD_MS 1000 /* callers don't all come back at once */
 
@@ -102,7 +102,9 @@
     a->burst = w->burst;
     a->beyond = l->params.excess * (w->rate_per_s * window_s + w->burst) +
                 l->params.slack;
-    a->capacity = a->burst + CAPACITY_PART * a->beyond;
+    /* A limit without any burst has to let single requests in as well. */
+    a->capacity =
+        MAX(a->burst + CAPACITY_PART * a->beyond, a->rate * SETTLE_MS / 1000.);
 }
 
 /* Part of the fleet's limit that this gateway and those that it sums for may
@@ -232,8 +234,8 @@
     level -= MIN(cost, a->capacity * share * LARGE_PART);
     double allowed = a->rate * share + level * 1000. / SETTLE_MS;
     double part = asked > 0 ? MAX(allowed, 0) / asked : NEAR_LIMIT;
-    bool within =
-        level > (share < LEAST_SHARE ? 0 : a->capacity - a->burst) * share;
+    double lent = share < LEAST_SHARE ? 0 : a->capacity - a->burst;
+    bool within = level >= lent * share - a->capacity * ROUNDING;
     return within ? MAX(part, 1) : part;
 }
 
@@ -393,10 +395,16 @@
     }
 }
 
+bool
+wl_has_limits(const Wl *l)
+{
+    return l->has_limits;
+}
+
 bool
 wl_tells(const Wl *l, uint64_t now_ms)
 {
-    return l->has_limits && choose_view(l, now_ms) != VIEW_TOLD;
+    return choose_view(l, now_ms) != VIEW_TOLD;
 }
 
 static gboolean
--- a/src/wl.h
+++ b/src/wl.h
@@ -91,8 +91,9 @@
    the part of the fleet's limit that it sums for. */
 void wl_on_levels(Wl *l, uint64_t now_ms, uint64_t sent_ms, double share,
                   const WlLevel *levels, size_t n);
-/* Some workspace has a limit, and nobody tells us: we tell those that we sum
-   for. */
+/* Of any workspace. */
+bool wl_has_limits(const Wl *l);
+/* Nobody tells us: we tell those that we sum for. */
 bool wl_tells(const Wl *l, uint64_t now_ms);
 /* The levels that matter; returns the share to tell with them. */
 double wl_visit_levels(Wl *l, uint64_t now_ms,
