--- a/src/cli_losses.c
+++ b/src/cli_losses.c
@@ -1,6 +1,6 @@
 /* bglade losses: where answers came late or not at all, from the logs of all
-   gateways: by route the reason, by upstream the pauses, by model the waits
-   for its load, and the times in which nothing was loaded. */
+   gateways: by route and by workspace the reason, by upstream the pauses, by
+   model the waits for its load, and the times in which nothing was loaded. */
 #include "cli.h"
 
 #include "hist.h"
@@ -12,10 +12,11 @@
 #define TOP 8            /* upstreams and models that are shown */
 #define NO_ORDER_MS 2000 /* a span without an order that is worth a line */
 
+/* Requests of a route or of a workspace. */
 typedef struct {
     uint32_t total;
     GHashTable *reasons; /* text -> count */
-} Route;
+} Group;
 
 typedef struct {
     Hist *wait_us; /* from the start of a wait for it to the send */
@@ -23,18 +24,19 @@
 } Model;
 
 typedef struct {
-    GHashTable *routes;  /* name -> Route */
-    GHashTable *models;  /* name -> Model */
-    GHashTable *pauses;  /* upstream -> count of late streams */
-    GHashTable *waiting; /* request id -> CliLine of its wait for a model */
-    int64_t order_ms;    /* of the last load or unload taken; 0: none */
-    bool missed;         /* callers waited for a model since */
+    GHashTable *routes;     /* name -> Group */
+    GHashTable *workspaces; /* the same */
+    GHashTable *models;     /* name -> Model */
+    GHashTable *pauses;     /* upstream -> count of late streams */
+    GHashTable *waiting;    /* request id -> CliLine of its wait for a model */
+    int64_t order_ms;       /* of the last load or unload taken; 0: none */
+    bool missed;            /* callers waited for a model since */
 } Losses;
 
 static void
-free_route(void *p)
+free_group(void *p)
 {
-    g_hash_table_destroy(((Route *)p)->reasons);
+    g_hash_table_destroy(((Group *)p)->reasons);
     g_free(p);
 }
 
@@ -52,17 +54,18 @@
     g_hash_table_insert(counts, g_strdup(key), GUINT_TO_POINTER(n + 1));
 }
 
-static Route *
-get_route(Losses *l, const char *name)
+static void
+add_request(GHashTable *groups, const char *name, const char *reason)
 {
-    Route *r = g_hash_table_lookup(l->routes, name);
-    if (!r) {
-        r = g_new0(Route, 1);
-        r->reasons =
+    Group *g = g_hash_table_lookup(groups, name);
+    if (!g) {
+        g = g_new0(Group, 1);
+        g->reasons =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        g_hash_table_insert(l->routes, g_strdup(name), r);
+        g_hash_table_insert(groups, g_strdup(name), g);
     }
-    return r;
+    g->total++;
+    add_count(g->reasons, reason);
 }
 
 static Model *
@@ -100,10 +103,12 @@
     if (!*route) {
         return;
     }
-    Route *r = get_route(l, route);
+    const char *workspace = cli_get_text(f, "workspace");
     g_autofree char *reason = describe_end(f);
-    r->total++;
-    add_count(r->reasons, reason);
+    add_request(l->routes, route, reason);
+    if (*workspace) {
+        add_request(l->workspaces, workspace, reason);
+    }
     if (strstr(cli_get_text(f, "late"), "pause")) {
         add_count(l->pauses, cli_get_text(f, "gap_upstream"));
     }
@@ -244,15 +249,22 @@
 }
 
 static void
-print_losses(const Losses *l)
+print_groups(GHashTable *groups, const char *what)
 {
-    g_autoptr(GPtrArray) routes = list_names(l->routes);
-    for (guint i = 0; i < routes->len; i++) {
-        const Route *r = g_hash_table_lookup(l->routes, routes->pdata[i]);
-        printf("route %s: %u requests\n", (const char *)routes->pdata[i],
-               r->total);
-        print_counts(r->reasons, G_MAXUINT, "  ");
+    g_autoptr(GPtrArray) names = list_names(groups);
+    for (guint i = 0; i < names->len; i++) {
+        const Group *g = g_hash_table_lookup(groups, names->pdata[i]);
+        printf("%s %s: %u requests\n", what, (const char *)names->pdata[i],
+               g->total);
+        print_counts(g->reasons, G_MAXUINT, "  ");
     }
+}
+
+static void
+print_losses(const Losses *l)
+{
+    print_groups(l->routes, "route");
+    print_groups(l->workspaces, "workspace");
     puts("upstreams, by streams that paused too long there");
     print_counts(l->pauses, TOP, "  ");
     print_models(l);
@@ -270,7 +282,8 @@
         return CLI_INVALID;
     }
     Losses l = {
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route),
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_group),
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_group),
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_model),
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         g_hash_table_new(g_str_hash, g_str_equal),
@@ -281,6 +294,7 @@
     }
     print_losses(&l);
     g_hash_table_destroy(l.routes);
+    g_hash_table_destroy(l.workspaces);
     g_hash_table_destroy(l.models);
     g_hash_table_destroy(l.pauses);
     g_hash_table_destroy(l.waiting);
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -214,6 +214,10 @@
 not a line of ours
 {"t_ms":6300,"node":"a","event":"request-end","id":"4","outcome":"refused",\
 "route":"r","model":"m","why":"too many wait"}
+{"t_ms":6400,"node":"a","event":"request-end","id":"5","outcome":"limited",\
+"route":"s","workspace":"w","why":"over the workspace's limit"}
+{"t_ms":6500,"node":"a","event":"request-end","id":"6","outcome":"answered",\
+"route":"s","workspace":"w"}
 """
 
 LOSSES_TOLD = """\
@@ -223,6 +227,12 @@
         1  late by first byte, waited for model
         1  late by pause
         1  refused: too many wait
+route s: 2 requests
+        1  in time
+        1  limited: over the workspace's limit
+workspace w: 2 requests
+        1  in time
+        1  limited: over the workspace's limit
 upstreams, by streams that paused too long there
         1  u1
 models, by callers that waited for them or were refused
