The watcher of configurations outlives an answer that a kill cuts

Traced: a daemon was killed while it answered /dump, http.client raised IncompleteRead, which is no OSError, and the watcher's thread ended with it. So the watcher could also end after its first look, unseen. Such an answer counts as none now, and a watcher that ended by an error fails its test.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,6 +1,7 @@
 """An accepted configuration is in force everywhere within seconds and never
 reverts, whatever is cut off, restarted or lost on the way."""
 
+import http.client
 import threading
 import time
 
@@ -22,6 +23,7 @@
         self.highest = {}
         self.faults = []
         self.looks = 0
+        self.ended = False  # by being stopped, not by an error
         self.stopping = threading.Event()
         self.thread = threading.Thread(target=self.run)
 
@@ -30,9 +32,10 @@
             for name in self.cluster.daemons():
                 try:
                     dump = self.cluster.dump(name)
-                except (OSError, ValueError):
-                    continue  # it is starting, or was killed
+                except (OSError, ValueError, http.client.HTTPException):
+                    continue  # it is starting, or was killed in its answer
                 self.look(name, dump["config_version"], dump["ready"])
+        self.ended = True
 
     def look(self, name, version, ready):
         self.looks += 1
@@ -51,7 +54,7 @@
         self.stopping.set()
         self.thread.join()
         if args[0] is None:
-            assert self.looks > 0 and self.faults == []
+            assert self.ended and self.looks > 0 and self.faults == []
 
 
 def make(build, centres=("dc1", "dc2"), vms=2, cut=(), **kinds):
