--- a/src/bg_base.c
+++ b/src/bg_base.c
@@ -100,8 +100,8 @@
     nanosleep(&ts, NULL);
 }
 
-static void
-format_hex(const uint8_t *data, size_t len, char *out)
+void
+bg_format_hex(const uint8_t *data, size_t len, char *out)
 {
     static const char digits[] = "0123456789abcdef";
     for (size_t i = 0; i < len; i++) {
@@ -119,13 +119,13 @@
     if (getrandom(raw, sizeof(raw), 0) != (ssize_t)sizeof(raw)) {
         g_error("base: no random bytes");
     }
-    format_hex(raw, sizeof(raw), id);
+    bg_format_hex(raw, sizeof(raw), id);
 }
 
 void
-bg_digest(const void *data, size_t len, uint8_t out[32])
+bg_digest(const void *data, size_t len, uint8_t out[BG_DIGEST_BYTES])
 {
-    unsigned int out_len = 32;
+    unsigned int out_len = BG_DIGEST_BYTES;
     if (!EVP_Digest(data, len, out, &out_len, EVP_sha256(), NULL)) {
         g_error("base: SHA-256 is not available");
     }
@@ -134,10 +134,10 @@
 char *
 bg_digest_hex(const void *data, size_t len)
 {
-    uint8_t raw[32];
+    uint8_t raw[BG_DIGEST_BYTES];
     bg_digest(data, len, raw);
-    char *hex = g_malloc(65);
-    format_hex(raw, sizeof(raw), hex);
+    char *hex = g_malloc(2 * BG_DIGEST_BYTES + 1);
+    bg_format_hex(raw, sizeof(raw), hex);
     return hex;
 }
 
--- a/src/bg_base.h
+++ b/src/bg_base.h
@@ -47,11 +47,16 @@
 uint64_t bg_boot_ms(void);
 void bg_sleep_ms(uint32_t wait_ms);
 
+/* Write the LEN bytes of DATA as 2 * LEN hex digits and a NUL into OUT. */
+void bg_format_hex(const uint8_t *data, size_t len, char *out);
+
 /* Write BG_ID_LEN random hex digits and a NUL into ID. */
 void bg_make_id(char id[BG_ID_LEN + 1]);
 
-/* SHA-256 of DATA; OUT has 32 bytes. */
-void bg_digest(const void *data, size_t len, uint8_t out[32]);
+#define BG_DIGEST_BYTES 32
+
+/* SHA-256 of DATA. */
+void bg_digest(const void *data, size_t len, uint8_t out[BG_DIGEST_BYTES]);
 /* The same as 64 hex digits; free with g_free. */
 char *bg_digest_hex(const void *data, size_t len);
 
--- a/src/dep.c
+++ b/src/dep.c
@@ -1,8 +1,6 @@
 #include "dep.h"
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
-#include <stdio.h>
 #include <string.h>
 
 /* ---- configuration ------------------------------------------------------ */
@@ -143,16 +141,14 @@
 dep_digest_key(const char *key)
 {
     DepKey k;
-    SHA256((const unsigned char *)key, strlen(key), k.bytes);
+    bg_digest(key, strlen(key), k.bytes);
     return k;
 }
 
 void
 dep_print_fingerprint(const DepKey *key, char out[DEP_FINGERPRINT_LEN + 1])
 {
-    for (int i = 0; i < DEP_FINGERPRINT_LEN / 2; i++) {
-        snprintf(out + 2 * i, 3, "%02x", key->bytes[i]);
-    }
+    bg_format_hex(key->bytes, DEP_FINGERPRINT_LEN / 2, out);
 }
 
 void
--- a/src/dep.h
+++ b/src/dep.h
@@ -75,13 +75,12 @@
     GHashTable *models; /* name -> DepModel */
 } DepService;
 
-#define DEP_KEY_BYTES 32
 #define DEP_FINGERPRINT_LEN 8
 
 /* SHA-256 of a key.  Its leading bytes are the fingerprint by which a key is
    named in logs. */
 typedef struct {
-    uint8_t bytes[DEP_KEY_BYTES];
+    uint8_t bytes[BG_DIGEST_BYTES];
 } DepKey;
 
 typedef struct {
--- a/src/fold.c
+++ b/src/fold.c
@@ -692,11 +692,9 @@
 static char *
 format_digest(const uint8_t *digest)
 {
-    GString *hex = g_string_sized_new(64);
-    for (int i = 0; i < 32; i++) {
-        g_string_append_printf(hex, "%02x", digest[i]);
-    }
-    return g_string_free(hex, FALSE);
+    char *hex = g_malloc(2 * BG_DIGEST_BYTES + 1);
+    bg_format_hex(digest, BG_DIGEST_BYTES, hex);
+    return hex;
 }
 
 static void
--- a/src/snap.c
+++ b/src/snap.c
@@ -349,9 +349,7 @@
     for (size_t at = 0; at + RAW_BATCH <= s->batches.len; at += RAW_BATCH) {
         const uint8_t *raw = s->batches.data + at;
         char id[BG_ID_LEN + 1];
-        for (size_t i = 0; i < RAW_ID; i++) {
-            g_snprintf(id + 2 * i, 3, "%02x", raw[i]);
-        }
+        bg_format_hex(raw, RAW_ID, id);
         uint64_t digest;
         memcpy(&digest, raw + RAW_ID, sizeof(digest));
         fold_note_batch(f, id, GUINT64_FROM_LE(digest));
