--- a/src/gw.c
+++ b/src/gw.c
@@ -164,6 +164,26 @@
     g_hash_table_insert(counts, g_strdup(key), GUINT_TO_POINTER(n + 1));
 }
 
+/* ---- heads of answers and requests -------------------------------------- */
+
+static void
+append_line(GString *out, const char *name, const char *value)
+{
+    g_string_append(out, name);
+    g_string_append(out, ": ");
+    g_string_append(out, value);
+    g_string_append(out, "\r\n");
+}
+
+/* RETRY_MS: until the caller may come back; 0: nothing is said. */
+static void
+append_retry(GString *out, uint32_t retry_ms)
+{
+    if (retry_ms) {
+        g_string_append_printf(out, "Retry-After: %.3f\r\n", retry_ms / 1000.);
+    }
+}
+
 /* ---- ends --------------------------------------------------------------- */
 
 static void
@@ -320,13 +340,9 @@
     }
     g_autoptr(GString) head = g_string_new(NULL);
     if (q->call.attempt_id) {
-        g_string_append_printf(head, "%s: %s\r\n", q->gw->wire->attempt_id,
-                               q->call.attempt_id);
-    }
-    if (retry_ms) {
-        g_string_append_printf(head, "Retry-After: %.3f\r\n",
-                               retry_ms / 1000.);
+        append_line(head, q->gw->wire->attempt_id, q->call.attempt_id);
     }
+    append_retry(head, retry_ms);
     free_req(q);
     ht_start_answer(x, status, head->str, 0);
     ht_end_answer(x);
@@ -365,15 +381,6 @@
 
 /* ---- sending ------------------------------------------------------------ */
 
-static void
-append_line(GString *out, const char *name, const char *value)
-{
-    g_string_append(out, name);
-    g_string_append(out, ": ");
-    g_string_append(out, value);
-    g_string_append(out, "\r\n");
-}
-
 static uint32_t
 get_priority(const Req *q)
 {
@@ -960,10 +967,7 @@
     if (*text) {
         append_line(head, "Content-Type", "text/plain");
     }
-    if (retry_ms) {
-        g_string_append_printf(head, "Retry-After: %.3f\r\n",
-                               retry_ms / 1000.);
-    }
+    append_retry(head, retry_ms);
     ht_start_answer(x, status, head->str, (int64_t)strlen(text));
     ht_write_answer(x, text, strlen(text));
     ht_end_answer(x);
