bglade timeline: what a limit turns away is refused, not failed

The outcome limited came with the limits; the timeline knew only refused, so 429s stood in the column of failures. The test's log has one now, and failed before the change.

--- a/src/cli_timeline.c
+++ b/src/cli_timeline.c
@@ -62,7 +62,7 @@
     if (strcmp(outcome, "answered") == 0) {
         return *cli_get_text(f, "late") ? COL_LATE : COL_IN_TIME;
     }
-    if (strcmp(outcome, "refused") == 0) {
+    if (strcmp(outcome, "refused") == 0 || strcmp(outcome, "limited") == 0) {
         return COL_REFUSED;
     }
     return strcmp(outcome, "caller-gone") == 0 ? COL_GONE : COL_FAILED;
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -268,6 +268,7 @@
 {"t_ms":1500,"node":"b","event":"request-end","outcome":"answered"}
 {"t_ms":3100,"node":"b","event":"request-end","outcome":"answered","late":"pause"}
 {"t_ms":3200,"node":"b","event":"request-end","outcome":"refused"}
+{"t_ms":3300,"node":"b","event":"request-end","outcome":"limited"}
 {"t_ms":7100,"node":"b","event":"loop-late","late_ms":400}
 {"t_ms":7200,"node":"b","event":"placer-lost"}
 {"t_ms":7300,"node":"b","event":"lease-held","token":9}
@@ -289,5 +290,5 @@
     assert seen == [
         {"in-time": "1", "taken": "1", "conflict": "1", "unsent": "1",
          "noans": "1", "began": "a"},
-        {"late": "1", "refused": "1"}, {},
+        {"late": "1", "refused": "2"}, {},
         {"unlinked": "1", "lateloop": "1", "began": "b"}]
