Limits: one check of told amounts, one list of pointers for frames, one way to the known level

gn_links and gn_demand checked amounts each their own way and built the same list of pointers; wl chose between told and counted in three places.

--- a/src/gn.h
+++ b/src/gn.h
@@ -207,6 +207,9 @@
 bool gn_still_sums(const Gateway *g);
 
 /* gn_links */
+/* Pointers to each of ITEMS, as a repeated field of a frame has them; to be
+   freed. */
+gpointer *gn_point_at(const GArray *items);
 void gn_send_state(Gateway *g, uint64_t now_ms);
 /* What is left of workspaces' limits, where nobody tells us. */
 void gn_tell_limits(Gateway *g, uint64_t now_ms);
--- a/src/gn_demand.c
+++ b/src/gn_demand.c
@@ -1,7 +1,5 @@
 #include "gn.h"
 
-#include <math.h>
-
 #define MAIL_MS 300 /* between frames left in the store for the placing VM */
 /* The placing VM reads that mail, more often while gateways are missing. */
 #define MAIL_PAUSE_MS 1000
@@ -74,7 +72,7 @@
 {
     for (size_t i = 0; i < d->n_spent; i++) {
         const Gwp__Spent *x = d->spent[i];
-        if (!isfinite(x->spent) || !(x->asked >= 0) || !isfinite(x->asked)) {
+        if (!wl_is_amount(x->spent, x->asked)) {
             bg_log(BG_WARN, "limits", "no amount of %s", x->workspace);
             continue;
         }
@@ -262,10 +260,7 @@
 {
     l->spent = g_array_new(FALSE, FALSE, sizeof(Gwp__Spent));
     wl_collect_spent(limits, add_spent, l->spent);
-    l->spent_refs = g_new0(Gwp__Spent *, l->spent->len + 1);
-    for (guint i = 0; i < l->spent->len; i++) {
-        l->spent_refs[i] = &g_array_index(l->spent, Gwp__Spent, i);
-    }
+    l->spent_refs = (Gwp__Spent **)gn_point_at(l->spent);
 }
 
 static void
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -2,7 +2,6 @@
 
 #include "../platform/pf_wire.h"
 
-#include <math.h>
 #include <stdlib.h>
 
 /* Upstreams with fewer requests are as good as idle ones to who chooses. */
@@ -358,6 +357,17 @@
 
 /* ---- what is told: limits ----------------------------------------------- */
 
+gpointer *
+gn_point_at(const GArray *items)
+{
+    gpointer *refs = g_new(gpointer, items->len + 1);
+    guint size = g_array_get_element_size((GArray *)items);
+    for (guint i = 0; i < items->len; i++) {
+        refs[i] = items->data + (size_t)i * size;
+    }
+    return refs;
+}
+
 static void
 add_level(void *ctx, const WlLevel *x)
 {
@@ -383,12 +393,9 @@
     g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(Gwp__Level));
     Gwp__Limits m = GWP__LIMITS__INIT;
     m.share = wl_visit_levels(g->limits, now_ms, add_level, levels);
-    g_autofree Gwp__Level **refs = g_new(Gwp__Level *, levels->len + 1);
-    for (guint i = 0; i < levels->len; i++) {
-        refs[i] = &g_array_index(levels, Gwp__Level, i);
-    }
+    g_autofree gpointer *refs = gn_point_at(levels);
     m.n_levels = levels->len;
-    m.levels = refs;
+    m.levels = (Gwp__Level **)refs;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_LIMITS;
     f.limits = &m;
@@ -407,7 +414,7 @@
     g_autoptr(GArray) levels = g_array_new(FALSE, FALSE, sizeof(WlLevel));
     for (size_t i = 0; i < m->n_levels; i++) {
         const Gwp__Level *x = m->levels[i];
-        if (!isfinite(x->level) || !(x->asked >= 0) || !isfinite(x->asked)) {
+        if (!wl_is_amount(x->level, x->asked)) {
             bg_log(BG_WARN, "limits", "no level of %s", x->workspace);
             continue;
         }
--- a/src/wl.c
+++ b/src/wl.c
@@ -262,13 +262,19 @@
                           a->told_asked, cost);
 }
 
+/* As told, or as this gateway counts, whichever it goes by. */
+static double
+get_known_level(const Account *a)
+{
+    return a->view == VIEW_TOLD ? a->told_level : a->level;
+}
+
 static uint32_t
 get_retry_ms(Wl *l, const Account *a, double cost)
 {
-    bool told = a->view == VIEW_TOLD;
-    double rate = a->rate * (told ? l->told_share : get_share(l));
-    double debt = MAX(-(told ? a->told_level : a->level), 0) + cost;
-    double wait_ms = debt / rate * 1000;
+    double share = a->view == VIEW_TOLD ? l->told_share : get_share(l);
+    double debt = MAX(-get_known_level(a), 0) + cost;
+    double wait_ms = debt / (a->rate * share) * 1000;
     return (uint32_t)CLAMP(wait_ms, LEAST_RETRY_MS, l->params.window_ms) +
            bg_pick_random(&l->rng, RETRY_SPREAD_MS);
 }
@@ -297,11 +303,10 @@
 static void
 explain(Wl *l, const Account *a, uint64_t now_ms, double cost, WlRefusal *why)
 {
-    bool told = a->view == VIEW_TOLD;
     why->retry_ms = get_retry_ms(l, a, cost);
     why->counts = view_names[a->view];
-    why->level = told ? a->told_level : a->level;
-    why->asked = told ? a->told_asked : a->asked;
+    why->level = get_known_level(a);
+    why->asked = a->view == VIEW_TOLD ? a->told_asked : a->asked;
     why->let_in = get_part(l, a, now_ms, cost);
     why->told_ms_ago = l->told_ms ? (int64_t)(now_ms - l->told_ms) : -1;
 }
@@ -334,6 +339,12 @@
 
 /* ---- sums --------------------------------------------------------------- */
 
+bool
+wl_is_amount(double amount, double asked)
+{
+    return isfinite(amount) && isfinite(asked) && asked >= 0;
+}
+
 void
 wl_on_spent(Wl *l, uint64_t now_ms, const WlSpent *spent)
 {
--- a/src/wl.h
+++ b/src/wl.h
@@ -40,6 +40,9 @@
     double asked;
 } WlSpent;
 
+/* An amount that a frame tells makes sense. */
+bool wl_is_amount(double amount, double asked);
+
 /* What is left of a limit. */
 typedef struct {
     const char *workspace;
