Gateways whose workspaces have no limits don't count the fleet for them

Five times a second every gateway listed those linked to it for limits that nobody has. Done where there are limits now, and when a configuration brings the first: process tests of limits refuse callers without that.

--- a/src/gn.h
+++ b/src/gn.h
@@ -211,6 +211,9 @@
    freed. */
 gpointer *gn_point_at(const GArray *items);
 void gn_send_state(Gateway *g, uint64_t now_ms);
+/* How many gateways there are, and for how many this one sums: of use where
+   workspaces have limits. */
+void gn_follow_fleet(Gateway *g, uint64_t now_ms);
 /* What is left of workspaces' limits, where nobody tells us. */
 void gn_tell_limits(Gateway *g, uint64_t now_ms);
 /* One that has come hears at once that this VM places. */
--- a/src/gn_links.c
+++ b/src/gn_links.c
@@ -380,13 +380,21 @@
 }
 
 void
-gn_tell_limits(Gateway *g, uint64_t now_ms)
+gn_follow_fleet(Gateway *g, uint64_t now_ms)
 {
+    if (!wl_has_limits(g->limits)) {
+        return;
+    }
     bool knows = g->placing || gn_still_sums(g);
     uint32_t told = g->fleet ? g->fleet : ls_get_fleet(g->lease);
     wl_on_fleet(g->limits, now_ms, g->placing, gn_count_linked(g) + 1,
                 knows ? gn_count_members(g, now_ms) : told);
     ls_set_fleet(g->lease, wl_get_fleet(g->limits));
+}
+
+void
+gn_tell_limits(Gateway *g, uint64_t now_ms)
+{
     if (!wl_has_limits(g->limits) || !wl_tells(g->limits, now_ms)) {
         return;
     }
--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -54,6 +54,7 @@
     g->members_ms = 0; /* the placing VM hears of it at once */
     gw_on_config(g->gw, c);
     wl_on_config(g->limits, c);
+    gn_follow_fleet(g, g->config_ms);
     mp_on_config(g->placement, c);
     gn_pass_config(g, NULL);
     HtLimits limits = {c->max_header_bytes, c->max_body_bytes,
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -365,6 +365,7 @@
     }
     if (now_ms >= g->limits_ms + (pressed ? PRESSED_MS : DEMAND_MS)) {
         g->limits_ms = now_ms;
+        gn_follow_fleet(g, now_ms);
         gn_tell_limits(g, now_ms);
     }
     /* By a clock of its own: demand is also sent whenever callers begin to
