--- a/tests/script_dm.c
+++ b/tests/script_dm.c
@@ -17,8 +17,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define MOST_WORDS 8
-
 typedef struct {
     Dm *ledger;
     DmDemand *word; /* that is being read */
@@ -104,8 +102,9 @@
 }
 
 static bool
-run_line(Script *s, char **words, int count)
+run_line(void *ctx, char **words, int count)
 {
+    Script *s = ctx;
     const char *verb = words[0];
     if (strcmp(verb, "at") == 0 && count == 2) {
         s->now_ms = strtoull(words[1], NULL, 10);
@@ -150,15 +149,7 @@
 main(void)
 {
     Script s = {.ledger = dm_create()};
-    char line[256];
-    while (fgets(line, sizeof(line), stdin)) {
-        char *words[MOST_WORDS];
-        int count = script_split(line, words, MOST_WORDS);
-        if (count > 0 && !run_line(&s, words, count)) {
-            fprintf(stderr, "what is '%s'?\n", words[0]);
-            return 2;
-        }
-    }
+    int status = script_run(run_line, &s);
     dm_destroy(s.ledger);
-    return 0;
+    return status;
 }
--- a/tests/script_rl.c
+++ b/tests/script_rl.c
@@ -9,8 +9,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define MOST_WORDS 10
-
 typedef struct {
     RlParams params;
     GArray *peers; /* RlPeer */
@@ -61,8 +59,9 @@
 }
 
 static bool
-run_line(Script *s, char **words, int count)
+run_line(void *ctx, char **words, int count)
 {
+    Script *s = ctx;
     if (strcmp(words[0], "params") == 0 && count == 4) {
         s->params = (RlParams){(uint32_t)strtoul(words[1], NULL, 10),
                                (uint32_t)strtoul(words[2], NULL, 10),
@@ -86,14 +85,6 @@
 {
     Script s = {.peers = g_array_new(FALSE, FALSE, sizeof(RlPeer)),
                 .moves = g_ptr_array_new_with_free_func(g_free)};
-    char line[256];
-    while (fgets(line, sizeof(line), stdin)) {
-        char *words[MOST_WORDS];
-        int count = script_split(line, words, MOST_WORDS);
-        if (count > 0 && !run_line(&s, words, count)) {
-            fprintf(stderr, "what is '%s'?\n", words[0]);
-            return 2;
-        }
-    }
-    return 0;
+    int status = script_run(run_line, &s);
+    return status;
 }
--- a/tests/script_wl.c
+++ b/tests/script_wl.c
@@ -24,7 +24,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define MOST_WORDS 8
 #define DIRECT_VMS 24
 #define HOP_MS 4    /* of a frame, at most twice as much */
 #define LINK_MS 300 /* to link to another VM */
@@ -789,8 +788,9 @@
 }
 
 static bool
-run_line(Sim *s, char **words, int count)
+run_line(void *ctx, char **words, int count)
 {
+    Sim *s = ctx;
     if (strcmp(words[0], "fleet") == 0 && count == 3) {
         forget_all(s);
         s->vms = atoi(words[1]);
@@ -849,16 +849,8 @@
     Sim s = {.workspaces = g_ptr_array_new(),
              .loads = g_array_new(FALSE, TRUE, sizeof(Load)),
              .faults = g_array_new(FALSE, TRUE, sizeof(Fault))};
-    char line[256];
-    while (fgets(line, sizeof(line), stdin)) {
-        char *words[MOST_WORDS];
-        int count = script_split(line, words, MOST_WORDS);
-        if (count > 0 && !run_line(&s, words, count)) {
-            fprintf(stderr, "what is '%s'?\n", words[0]);
-            return 2;
-        }
-    }
+    int status = script_run(run_line, &s);
     forget_all(&s);
     dep_unref_config(s.config);
-    return 0;
+    return status;
 }
