Limits: what chance lets in can't pass a bound with little to spare

The part that is let in falls with the debt but is never zero before 0.7 s of the rate are owed; where the bound leaves 300 tokens besides, three lucky draws pass it.

--- a/src/wl.c
+++ b/src/wl.c
@@ -26,6 +26,9 @@
 /* A smaller fleet than before is believed after so long: whoever has just
    begun to sum knows only a few, and those cut off go on spending. */
 #define FLEET_MEMORY_MS 30000
+/* Of what the bound allows beyond rate and burst, this part may be owed before
+   nothing more is let in, however little is asked for. */
+#define DEBT_PART 0.4
 /* Of the bucket, that one request is held against at most. */
 #define LARGE_PART 0.5
 /* An account that was not used for so long is dropped. */
@@ -231,6 +234,9 @@
 divide_allowed(const Account *a, double share, double level, double asked,
                double cost)
 {
+    if (level < -DEBT_PART * a->beyond * share) {
+        return 0;
+    }
     level -= MIN(cost, a->capacity * share * LARGE_PART);
     double allowed = a->rate * share + level * 1000. / SETTLE_MS;
     double part = asked > 0 ? MAX(allowed, 0) / asked : NEAR_LIMIT;
