--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -323,6 +323,12 @@
     return doc
 
 
+def routes_with_public():
+    """The usual ones, and "open", which asks for no key."""
+    return config(1)["routes"] + [
+        route("open", "app", "idempotent", public=True)]
+
+
 def workspace(name, keys, **more):
     return dict({"name": name, "api_keys": list(keys)}, **more)
 
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -196,6 +196,13 @@
         return all(d["places"] or d["linked"]
                    for d in (g.dump() for g in self.gateways))
 
+    def put_in_force(self, doc):
+        """A configuration, on all gateways that run."""
+        self.store.put_config(doc)
+        wait_until(lambda: all(g.dump()["config"] == doc["version"]
+                               for g in self.gateways
+                               if g.proc.poll() is None))
+
     def stop(self):
         for g in self.gateways:
             if g.proc.poll() is None:
--- a/tests/script_rl.c
+++ b/tests/script_rl.c
@@ -85,6 +85,5 @@
 {
     Script s = {.peers = g_array_new(FALSE, FALSE, sizeof(RlPeer)),
                 .moves = g_ptr_array_new_with_free_func(g_free)};
-    int status = script_run(run_line, &s);
-    return status;
+    return script_run(run_line, &s);
 }
--- a/tests/test_workspace_limits.py
+++ b/tests/test_workspace_limits.py
@@ -4,14 +4,13 @@
 import time
 
 from cluster import wait_until
-from fake_platform import config, route, workspace
+from fake_platform import config, routes_with_public, workspace
 from platform_cluster import Cluster, ask
 
 KEY = "k-aaaaaaaaaaaaaaaa"
 WINDOW_S = 2
 BOUND = "limit_window_s = %d\nlimit_excess = 0.1\nlimit_slack = 4\n" % WINDOW_S
-ROUTES = config(1)["routes"] + [
-    route("open", "app", "idempotent", public=True)]
+ROUTES = routes_with_public()
 
 
 def limited(version, rate, burst, **more):
@@ -20,11 +19,6 @@
         workspace("beta", ["k-other"])])
 
 
-def put(c, doc):
-    c.store.put_config(doc)
-    wait_until(lambda: all(g.dump()["config"] == doc["version"]
-                           for g in c.gateways if g.proc.poll() is None))
-
 
 def press(gateways, seconds, per_s, key=KEY, tokens=None, **more):
     """(time, status, headers) of requests spread over GATEWAYS."""
@@ -65,7 +59,7 @@
     """Over it 429 with a time to come back; within it nobody is refused."""
     with Cluster(build, extra=BOUND) as c:
         c.placer()
-        put(c, limited(10, 20, 20))
+        c.put_in_force(limited(10, 20, 20))
         assert all(s == 200 for _, s, _ in press(c.gateways, 3, 12))
         answers = press(c.gateways, 5, 80)
         assert {s for _, s, _ in answers} == {200, 429}
@@ -85,7 +79,7 @@
     with Cluster(build, gateways=4, extra=BOUND) as c:
         c.placer()
         wait_until(c.all_linked)
-        put(c, limited(10, 20, 20))
+        c.put_in_force(limited(10, 20, 20))
         assert all(s == 200 for _, s, _ in press(c.gateways, 3, 12))
         answers = press(c.gateways, 6, 80)
         assert most_in_window(ran(answers)) <= (20 * WINDOW_S + 20) * 1.1 + 4
@@ -96,7 +90,7 @@
     """Those that it told keep to their parts until another sums."""
     with Cluster(build, gateways=4, extra=BOUND) as c:
         wait_until(c.all_linked)
-        put(c, limited(10, 20, 20))
+        c.put_in_force(limited(10, 20, 20))
         lost = c.placer()
         rest = [g for g in c.gateways if g is not lost]
         threading.Timer(2, lost.proc.kill).start()
@@ -110,7 +104,8 @@
     none as the workspace says."""
     with Cluster(build, extra=BOUND.replace("slack = 4", "slack = 0")) as c:
         c.placer()
-        put(c, limited(10, 1000, 1000, unit="token_budget", plain_tokens=500))
+        c.put_in_force(limited(10, 1000, 1000, unit="token_budget",
+                               plain_tokens=500))
         plain = press(c.gateways, 4, 20)
         assert most_in_window(ran(plain)) <= 3000 * 1.1 / 500
         time.sleep(2)
@@ -124,7 +119,7 @@
     callers that come when they are back are let in."""
     with Cluster(build, extra=BOUND) as c:
         c.placer()
-        put(c, limited(10, 2, 4))
+        c.put_in_force(limited(10, 2, 4))
 
         def shed(_engine, h, _rid):
             h.reply(503, {}, {"X-Not-Executed": "1"})
@@ -141,12 +136,12 @@
     with Cluster(build, gateways=2, extra=BOUND) as c:
         c.placer()
         wait_until(c.all_linked)
-        put(c, limited(10, 200, 200))
+        c.put_in_force(limited(10, 200, 200))
         assert all(s == 200 for _, s, _ in press(c.gateways, 2, 40))
-        put(c, limited(12, 5, 5))
+        c.put_in_force(limited(12, 5, 5))
         time.sleep(0.5)
         answers = press(c.gateways, 5, 40)
         assert most_in_window(ran(answers)) <= (5 * WINDOW_S + 5) * 1.1 + 4
-        put(c, limited(14, 0, 0))
+        c.put_in_force(limited(14, 0, 0))
         time.sleep(0.5)
         assert all(s == 200 for _, s, _ in press(c.gateways, 2, 40))
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -7,12 +7,11 @@
 import pytest
 
 from cluster import wait_until
-from fake_platform import config, route, workspace
+from fake_platform import config, routes_with_public, workspace
 from platform_cluster import Cluster, ask
 
 KEY, OTHER = "k-aaaaaaaaaaaaaaaa", "k-bbbbbbbbbbbbbbbb"
-ROUTES = config(1)["routes"] + [
-    route("open", "app", "idempotent", public=True)]
+ROUTES = routes_with_public()
 
 
 def with_keys(version, first=(KEY,), second=(OTHER,)):
@@ -20,18 +19,12 @@
         workspace("alpha", first, priority=0), workspace("beta", second)])
 
 
-def put(c, doc):
-    """Once all gateways have it in force."""
-    c.store.put_config(doc)
-    wait_until(lambda: all(g.dump()["config"] == doc["version"]
-                           for g in c.gateways if g.proc.poll() is None))
-
 
 @pytest.fixture(name="one", scope="module")
 def fixture_one(build):
     with Cluster(build) as c:
         c.placer()
-        put(c, with_keys(10))
+        c.put_in_force(with_keys(10))
         yield c
 
 
@@ -121,14 +114,14 @@
     that read the store and on those that are told."""
     with Cluster(build, gateways=3) as c:
         c.placer()
-        put(c, with_keys(10))
+        c.put_in_force(with_keys(10))
         kept = []
         for g in c.gateways:
             conn = http.client.HTTPConnection("127.0.0.1", g.front)
             assert ask(g, "read", headers={"X-Api-Key": KEY},
                        conn=conn)[0] == 200
             kept.append((g, conn))
-        put(c, with_keys(12, first=("k-new",)))
+        c.put_in_force(with_keys(12, first=("k-new",)))
         for g, conn in kept:
             assert ask(g, "read", headers={"X-Api-Key": KEY},
                        conn=conn)[0] == 401
@@ -140,10 +133,10 @@
     """A workspace without keys, and a configuration without workspaces, let
     nobody in by an old key."""
     with Cluster(build) as c:
-        put(c, with_keys(10, first=()))
+        c.put_in_force(with_keys(10, first=()))
         assert ask_with(c, {"X-Api-Key": KEY})[0] == 401
         assert ask_with(c, {"X-Api-Key": OTHER})[0] == 200
-        put(c, config(12, ROUTES, workspaces=[]))
+        c.put_in_force(config(12, ROUTES, workspaces=[]))
         assert ask_with(c, {"X-Api-Key": OTHER})[0] == 401
         assert ask_with(c, {}, "open")[0] == 200
 
@@ -154,7 +147,7 @@
     for closed in (True, False):
         extra = "fail_closed = %s\nrevoke_ms = 2500\n" % str(closed).lower()
         with Cluster(build, doors=True, extra=extra) as c:
-            put(c, with_keys(10))
+            c.put_in_force(with_keys(10))
             assert ask_with(c, {"X-Api-Key": KEY})[0] == 200
             c.doors[0].mode = "busy"
             if closed:
