--- a/src/dep.c
+++ b/src/dep.c
@@ -140,7 +140,7 @@
 DepKey
 dep_digest_key(const char *key)
 {
-    DepKey k;
+    DepKey k = {{0}};
     bg_digest(key, strlen(key), k.bytes);
     return k;
 }
