Starts: what comes before the first configuration waits for it

When all processes are killed at once each is back after half a second and has its configuration 0.14 to 0.44 s later. Callers come back once or twice, to another gateway that is starting too.

For a second after its start a process without a configuration lets what comes wait, each request for 0.45 s at most, then refuses as before. A service without upstreams is waited for from the configuration on.

Test: test_start_keeps_its_first_callers (503 before), and that a start which takes long still refuses.

--- a/src/gn_store.c
+++ b/src/gn_store.c
@@ -64,6 +64,7 @@
     jl_number(l, "version", (int64_t)c->version);
     jl_number(l, "routes", c->routes->len);
     jl_end(l);
+    gw_admit_early(g->gw);
 }
 
 static DepConfig *
--- a/src/gw.c
+++ b/src/gw.c
@@ -39,6 +39,11 @@
 /* A service without any upstream is waited for this long: its list may be
    behind. */
 #define EMPTY_WAIT_MS 150
+/* A process that starts is told its first configuration within this, or the
+   store is away.  What comes before waits for it: the callers' other gateways
+   may be starting too, and they come back only once or twice. */
+#define START_MS 1000
+#define START_WAIT_MS 450 /* of one request */
 /* A placing VM that isn't heard for so long is lost, and another orders so
    long after it was last heard: the lease, the claim, the rest. */
 #define PLACER_LOST_MS 1000
@@ -136,8 +141,11 @@
     HtPool *pool;
     UtSet *upstreams;
     Rb *budget;
-    Wl *limits;          /* of workspaces */
-    DepConfig *config;   /* NULL: none yet */
+    Wl *limits;         /* of workspaces */
+    DepConfig *config;  /* NULL: none yet */
+    uint64_t config_ms; /* when the first was taken */
+    uint64_t start_ms;
+    GQueue early;        /* HtExchange: came before the first configuration */
     GQueue reqs;         /* Req */
     GHashTable *arrived; /* model or "model/adapter" -> count */
     GHashTable *hurried; /* of these: late after a load from a disk */
@@ -642,7 +650,7 @@
         }
         return;
     case UT_NONE:
-        if (now_ms - q->arrival_ms < EMPTY_WAIT_MS) {
+        if (now_ms < MAX(q->arrival_ms, q->gw->config_ms) + EMPTY_WAIT_MS) {
             wait_for(q, now_ms, "upstream");
             return;
         }
@@ -1152,15 +1160,17 @@
     return true;
 }
 
-void
-gw_on_request(Gw *g, HtExchange *x)
+static void
+refuse_unready(const Gw *g, HtExchange *x)
+{
+    refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS,
+                   "not ready\n");
+}
+
+static void
+admit(Gw *g, HtExchange *x)
 {
     const HtHead *head = ht_get_head(x);
-    if (!g->config || g->closed) {
-        refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS,
-                       "not ready\n");
-        return;
-    }
     const char *host = ht_find_header(head, "Host");
     g_autofree char *path =
         g_strndup(head->target, strcspn(head->target, "?"));
@@ -1198,12 +1208,47 @@
     try_send(q);
 }
 
+void
+gw_on_request(Gw *g, HtExchange *x)
+{
+    if (g->config && !g->closed) {
+        admit(g, x);
+    }
+    else if (g->closed || bg_boot_ms() >= g->start_ms + START_MS) {
+        refuse_unready(g, x);
+    }
+    else {
+        g_queue_push_tail(&g->early, x);
+    }
+}
+
+/* Those that waited long enough, and all once the process stops. */
+static void
+refuse_early(Gw *g, uint64_t now_ms)
+{
+    HtExchange *x;
+    while ((x = g_queue_peek_head(&g->early)) &&
+           (g->closed || now_ms >= ht_get_arrival_ms(x) + START_WAIT_MS)) {
+        g_queue_pop_head(&g->early);
+        refuse_unready(g, x);
+    }
+}
+
+void
+gw_admit_early(Gw *g)
+{
+    HtExchange *x;
+    while ((x = g_queue_pop_head(&g->early))) {
+        admit(g, x);
+    }
+}
+
 void
 gw_on_gone(Gw *g, HtExchange *x)
 {
-    (void)g;
     Req *q = ht_get_user(x);
     if (!q) {
+        g_queue_remove(&g->early, x);
         return;
     }
     log_end(q, "caller-gone", 0, q->state == REQ_WAITING ? q->waits_for : "");
@@ -1285,6 +1330,7 @@
 void
 gw_on_tick(Gw *g, uint64_t now_ms)
 {
+    refuse_early(g, now_ms);
     GList *next;
     for (GList *l = g->reqs.head; l; l = next) {
         next = l->next;
@@ -1302,6 +1348,7 @@
 gw_close(Gw *g)
 {
     g->closed = true;
+    refuse_early(g, bg_boot_ms());
     Req *q;
     while ((q = g_queue_peek_head(&g->reqs))) {
         q->runs += q->hc && ht_was_sent(q->hc);
@@ -1542,6 +1589,8 @@
     g->placer_ms = bg_boot_ms();
     g->whole_us = hist_create();
     g->first_us = hist_create();
+    g->start_ms = bg_boot_ms();
+    g_queue_init(&g->early);
     g_queue_init(&g->reqs);
     g->arrived = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g->hurried = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -1563,6 +1612,7 @@
         drop_call(q, UT_END_NEUTRAL);
         free_req(q);
     }
+    g_queue_clear(&g->early);
     dep_unref_config(g->config);
     g_hash_table_destroy(g->arrived);
     g_hash_table_destroy(g->hurried);
@@ -1578,6 +1628,9 @@
 void
 gw_on_config(Gw *g, DepConfig *c)
 {
+    if (!g->config) {
+        g->config_ms = bg_boot_ms();
+    }
     dep_unref_config(g->config);
     g->config = dep_ref_config(c);
 }
--- a/src/gw.h
+++ b/src/gw.h
@@ -67,6 +67,8 @@
 void gw_destroy(Gw *g);
 
 void gw_on_config(Gw *g, DepConfig *c);
+/* Take what came before the first configuration, which is in force now. */
+void gw_admit_early(Gw *g);
 /* Whether the configuration in force may be older than the newest one: BEHIND,
    a newer one is known to exist; STALE, nothing was heard of it for so long
    that keys may have been taken away, and none is let in. */
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -150,6 +150,7 @@
         self.store = store
         self.called = {}   # "PATH TOPIC" -> calls
         self.mode = "up"   # up, busy or silent
+        self.delay_s = 0   # of each answer
         super().__init__(port)
 
     def handle(self, h, method, path, query, body):
@@ -161,6 +162,7 @@
         elif self.mode == "busy":
             h.reply(503, {})
         else:
+            time.sleep(self.delay_s)
             self.store.handle(h, method, path, query, body)
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -31,6 +31,41 @@
         assert ask(g, "read")[0] == 200
 
 
+def ask_at_start(gateway):
+    """Status of a request that comes as soon as GATEWAY takes connections."""
+    gateway.start()
+
+    def try_it():
+        try:
+            return ask(gateway, "read")[0]
+        except ConnectionRefusedError:
+            return None
+    return wait_until(try_it, what="a connection")
+
+
+def test_start_keeps_its_first_callers(build):
+    """Guards against callers that are turned away, and come back once, while
+    all gateways start together: they wait for the first configuration."""
+    with Cluster(build, doors=True) as c:
+        c.gateways[0].stop()
+        c.doors[0].delay_s = 0.1
+        assert ask_at_start(c.gateways[0]) == 200
+
+
+def test_start_that_takes_long_refuses(build):
+    """Guards against callers that are held by a process that can't serve."""
+    with Cluster(build, doors=True) as c:
+        c.gateways[0].stop()
+        c.doors[0].mode = "silent"
+        began = now()
+        assert ask_at_start(c.gateways[0]) == 503
+        assert now() - began < 1.5
+        wait_until(lambda: now() - began > 1.5)
+        began = now()
+        assert ask(c.gateways[0], "read")[0] == 503
+        assert now() - began < 0.3
+
+
 def test_start_without_the_store(build):
     """The store is away when a gateway starts: it takes the configuration and
     the upstreams from another one, serves by them, and follows the store as
