Placing: a few upstreams are asked at a time

A VM that begins to place asked all upstreams in one turn. Change: at most 96 questions are open; the next ones follow as answers come. Test: unit "asks a few at a time" (1,000 open before, 96 after, all answered).

--- a/src/mp.c
+++ b/src/mp.c
@@ -11,6 +11,9 @@
    most while the store answers. */
 #define ENTRY_LAG_MS 1500
 #define ASK_PAUSE_MS 150
+/* Who begins to place knows none: thousands of answers at once would come late
+   for a VM with a part of a core, and be taken for upstreams that are away. */
+#define MOST_ASKING 96
 #define MOST_ASK_DOUBLINGS 3
 #define RETRY_PAUSE_MS 25 /* after a conflict with our own running order */
 /* An unload waits for its runs; a conflict in this time after it says no
@@ -520,6 +523,7 @@
 ask(Mp *m, Up *u)
 {
     u->asking = true;
+    m->asking++;
     m->out.ask(m->out.ctx, u->entry);
 }
 
@@ -842,7 +846,7 @@
     doubt(m, now_ms, u);
     mp_learn_from_lateness(m, now_ms, u);
     if ((!u->known || is_load_late(u, now_ms)) && !u->asking && !u->ordered &&
-        now_ms >= u->next_ask_ms) {
+        now_ms >= u->next_ask_ms && m->asking < MOST_ASKING) {
         ask(m, u);
     }
     if (may_order && u->goal) {
@@ -850,6 +854,19 @@
     }
 }
 
+static uint32_t
+count_asking(const Mp *m)
+{
+    uint32_t n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        n += ((Up *)v)->asking;
+    }
+    return n;
+}
+
 static void
 tell_changes(Mp *m, uint64_t now_ms, uint64_t last_ms)
 {
@@ -878,6 +895,7 @@
     mp_judge_replicas(m, now_ms);
     mp_sum_store_loads(m, now_ms);
     m->store_closed = NULL;
+    m->asking = count_asking(m);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->ups);
--- a/src/mp_int.h
+++ b/src/mp_int.h
@@ -145,6 +145,7 @@
     uint64_t next_prefetch_ms;
     uint64_t forgot_ms;             /* when idle models were last forgotten */
     bool asked;                     /* callers asked for some model lately */
+    uint32_t asking;                /* upstreams that haven't answered yet */
     const DepService *store_closed; /* its loads wait for a later tick */
     MpStoreRate store;
     uint64_t store_late_ms; /* when a load was last found late */
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1320,6 +1320,83 @@
     stop_site(&s);
 }
 
+#define MANY 1000
+
+typedef struct {
+    GPtrArray *open; /* ids, borrowed */
+    guint most;
+} Questions;
+
+static void
+note_question(void *ctx, const DepUpstream *of)
+{
+    Questions *q = ctx;
+    g_ptr_array_add(q->open, of->id);
+    q->most = MAX(q->most, q->open->len);
+}
+
+static void
+free_upstream(void *u)
+{
+    dep_destroy_upstream(u);
+}
+
+static void
+ignore_placed(void *ctx, const char *upstream, const GPtrArray *models)
+{
+    (void)ctx;
+    (void)upstream;
+    (void)models;
+}
+
+static DepConfig *
+make_small_config(void)
+{
+    DepConfig *c = dep_create_config();
+    c->version = 1;
+    DepService *s = dep_add_service(c, "s");
+    s->has_models = true;
+    s->memory_mb = ENGINE_MB;
+    dep_add_model(s, "m0")->memory_mb = MODEL_MB;
+    dep_index_routes(c);
+    return c;
+}
+
+/* Guards against a placing VM that takes a thousand upstreams for away, since
+   it asked all of them at once and was late for their answers. */
+static void
+test_placement_asks_a_few_at_a_time(void)
+{
+    g_autoptr(GPtrArray) open = g_ptr_array_new();
+    Questions q = {open, 0};
+    MpOutput out = {.ctx = &q, .ask = note_question, .placed = ignore_placed};
+    MpParams params = {false};
+    Mp *m = mp_create(&params, &out);
+    DepConfig *c = make_small_config();
+    mp_on_config(m, c);
+    g_autoptr(GPtrArray) states =
+        g_ptr_array_new_with_free_func(free_upstream);
+    for (int i = 0; i < MANY; i++) {
+        g_autofree char *id = g_strdup_printf("u%d", i);
+        g_ptr_array_add(states, make_upstream(id, "s", NULL));
+        mp_on_entry(m, 1, states->pdata[i]);
+    }
+    mp_begin(m, 1);
+    g_autoptr(GHashTable) answered = g_hash_table_new(g_str_hash, g_str_equal);
+    for (uint64_t now_ms = 10; now_ms < 1000; now_ms += 20) {
+        mp_on_tick(m, now_ms, false);
+        while (open->len > 0) {
+            char *id = g_ptr_array_steal_index(open, open->len - 1);
+            g_hash_table_add(answered, id);
+            mp_on_report(m, now_ms + 5, id, states->pdata[atoi(id + 1)]);
+        }
+    }
+    CU_ASSERT(q.most <= 100);
+    CU_ASSERT_EQUAL(g_hash_table_size(answered), MANY);
+    mp_destroy(m);
+    dep_unref_config(c);
+}
+
 static void
 add_uses(DmDemand *d, const char *upstream, uint32_t queued, uint32_t began)
 {
@@ -1962,6 +2039,7 @@
         {"adapters", test_placement_of_adapters},
         {"moves on notice", test_placement_moves_on_notice},
         {"replaces the unreachable", test_placement_replaces_the_unreachable},
+        {"asks a few at a time", test_placement_asks_a_few_at_a_time},
         {"tells of queues", test_placement_tells_of_queues},
         {"counts the refused", test_placement_counts_the_refused},
         {"learns a narrow store", test_placement_learns_a_narrow_store},
