--- a/src/gw.c
+++ b/src/gw.c
@@ -1184,6 +1184,12 @@
 static void
 refuse_unready(const Gw *g, HtExchange *x)
 {
+    JlLine *l = jl_begin("request-unready");
+    jl_text(l, "id", ht_find_header(ht_get_head(x), g->wire->attempt_id));
+    jl_text(l, "why", g->closed ? "the gateway stops" : "no configuration");
+    jl_number(l, "waited_ms", (int64_t)(bg_boot_ms() - ht_get_arrival_ms(x)));
+    jl_end(l);
+    bg_count("gateway_unready_total", 1);
     refuse_at_door(x, 503, g->closed ? RETRY_STOP_MS : RETRY_SOON_MS,
                    "not ready\n");
 }
