--- a/src/gn.h
+++ b/src/gn.h
@@ -159,6 +159,8 @@
 void gn_send_order(void *ctx, const MpOrder *order);
 void gn_ask_upstream(void *ctx, const DepUpstream *of);
 void gn_place_soon(Gateway *g);
+/* This VM holds the lease, and knows all upstreams. */
+bool gn_may_order(const Gateway *g, uint64_t now_ms);
 /* A call to UPSTREAM broke off or found nobody: the placing VM asks it. */
 void gn_suspect(Gateway *g, const char *upstream);
 
--- a/src/gn_place.c
+++ b/src/gn_place.c
@@ -8,6 +8,14 @@
 
 /* ---- placement ---------------------------------------------------------- */
 
+/* With a part of the upstreams known, what is held by others would be loaded
+   again. */
+bool
+gn_may_order(const Gateway *g, uint64_t now_ms)
+{
+    return gn_knows_upstreams(g) && ls_may_order(g->lease, now_ms);
+}
+
 /* Demand comes from many gateways: decided once for what comes together. */
 void
 gn_place_soon(Gateway *g)
@@ -27,7 +35,7 @@
     uint64_t now_ms = bg_boot_ms();
     if (g->placing) {
         gn_update_placement(g, now_ms);
-        mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+        mp_on_tick(g->placement, now_ms, gn_may_order(g, now_ms));
     }
     gn_tell_away(g);
 }
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -303,7 +303,7 @@
     }
     if (g->placing) {
         gn_update_placement(g, now_ms);
-        mp_on_tick(g->placement, now_ms, ls_may_order(g->lease, now_ms));
+        mp_on_tick(g->placement, now_ms, gn_may_order(g, now_ms));
     }
 }
 
