--- a/src/gw.c
+++ b/src/gw.c
@@ -44,6 +44,9 @@
    may be starting too, and they come back only once or twice. */
 #define START_MS 1000
 #define START_WAIT_MS 450 /* of one request */
+/* After its configuration the longest list of upstreams has come within this,
+   or the store is away. */
+#define LIST_MS 5000
 /* A placing VM that isn't heard for so long is lost, and another orders so
    long after it was last heard: the lease, the claim, the rest. */
 #define PLACER_LOST_MS 1000
@@ -601,7 +604,9 @@
 static bool
 may_be_unknown(const Req *q, uint64_t now_ms)
 {
-    return !q->gw->knows_all && now_ms < q->arrival_ms + START_WAIT_MS;
+    const Gw *g = q->gw;
+    return !g->knows_all && now_ms < g->config_ms + LIST_MS &&
+           now_ms < q->arrival_ms + START_WAIT_MS;
 }
 
 static void
@@ -1265,7 +1270,7 @@
 gw_admit_early(Gw *g)
 {
     HtExchange *x;
-    while ((x = g_queue_pop_head(&g->early))) {
+    while (!g->closed && (x = g_queue_pop_head(&g->early))) {
         admit(g, x);
     }
 }
