The test of the fleet's calls counts by the time that passed

test_members_ask_the_store_for_nothing failed twice beside load (31 calls where 30 are allowed). Traced by the calls: twelve renewals at 350 ms, so 4.2 s had passed and not three: reading the state of six gateways came before the count.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -92,14 +92,15 @@
     """Guards against calls to the store that grow with the fleet."""
     c = fleet
     time.sleep(1.0)
-    before = dict(c.store.called)
+    began, before = now(), dict(c.store.called)
     time.sleep(3.0)
-    assert len(members(c)) == VMS - 3
     calls = {k: n - before.get(k, 0) for k, n in c.store.called.items()
              if n > before.get(k, 0)}
+    seconds = now() - began
+    assert len(members(c)) == VMS - 3
     # Of the placing VM alone, a second: four reads of upstreams, three
     # renewals, a read of its mail and one of the configuration.
-    assert sum(calls.values()) <= 3 * 9 + 3, calls
+    assert sum(calls.values()) <= seconds * 9 + 3, calls
 
 
 def test_news_reach_members(fleet):
