Test harness: don't parse a log line that is not written whole yet

test_a_named_limit_is_logged failed once with 'Unterminated string': it polls the log of a running gateway, and Gateway.events() parsed the last line while the gateway was writing it. A line without its newline is read by the next poll.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -103,7 +103,8 @@
         found = []
         with open(self.log_path, encoding="utf-8") as f:
             for line in f:
-                if line.startswith("{"):
+                # The last line may not be written whole yet.
+                if line.startswith("{") and line.endswith("\n"):
                     doc = json.loads(line)
                     if event in (None, doc["event"]):
                         found.append(doc)
