--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1222,6 +1222,186 @@
   assert(message->base.descriptor == &gwp__lease_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__upstream_limit__init
+                     (Gwp__UpstreamLimit         *message)
+{
+  static const Gwp__UpstreamLimit init_value = GWP__UPSTREAM_LIMIT__INIT;
+  *message = init_value;
+}
+size_t gwp__upstream_limit__get_packed_size
+                     (const Gwp__UpstreamLimit *message)
+{
+  assert(message->base.descriptor == &gwp__upstream_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__upstream_limit__pack
+                     (const Gwp__UpstreamLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__upstream_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__upstream_limit__pack_to_buffer
+                     (const Gwp__UpstreamLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__upstream_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__UpstreamLimit *
+       gwp__upstream_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__UpstreamLimit *)
+     protobuf_c_message_unpack (&gwp__upstream_limit__descriptor,
+                                allocator, len, data);
+}
+void   gwp__upstream_limit__free_unpacked
+                     (Gwp__UpstreamLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__upstream_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__upstream_limits__init
+                     (Gwp__UpstreamLimits         *message)
+{
+  static const Gwp__UpstreamLimits init_value = GWP__UPSTREAM_LIMITS__INIT;
+  *message = init_value;
+}
+size_t gwp__upstream_limits__get_packed_size
+                     (const Gwp__UpstreamLimits *message)
+{
+  assert(message->base.descriptor == &gwp__upstream_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__upstream_limits__pack
+                     (const Gwp__UpstreamLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__upstream_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__upstream_limits__pack_to_buffer
+                     (const Gwp__UpstreamLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__upstream_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__UpstreamLimits *
+       gwp__upstream_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__UpstreamLimits *)
+     protobuf_c_message_unpack (&gwp__upstream_limits__descriptor,
+                                allocator, len, data);
+}
+void   gwp__upstream_limits__free_unpacked
+                     (Gwp__UpstreamLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__upstream_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__slot_ask__init
+                     (Gwp__SlotAsk         *message)
+{
+  static const Gwp__SlotAsk init_value = GWP__SLOT_ASK__INIT;
+  *message = init_value;
+}
+size_t gwp__slot_ask__get_packed_size
+                     (const Gwp__SlotAsk *message)
+{
+  assert(message->base.descriptor == &gwp__slot_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__slot_ask__pack
+                     (const Gwp__SlotAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__slot_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__slot_ask__pack_to_buffer
+                     (const Gwp__SlotAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__slot_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__SlotAsk *
+       gwp__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__SlotAsk *)
+     protobuf_c_message_unpack (&gwp__slot_ask__descriptor,
+                                allocator, len, data);
+}
+void   gwp__slot_ask__free_unpacked
+                     (Gwp__SlotAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__slot_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__slot_answer__init
+                     (Gwp__SlotAnswer         *message)
+{
+  static const Gwp__SlotAnswer init_value = GWP__SLOT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t gwp__slot_answer__get_packed_size
+                     (const Gwp__SlotAnswer *message)
+{
+  assert(message->base.descriptor == &gwp__slot_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__slot_answer__pack
+                     (const Gwp__SlotAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__slot_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__slot_answer__pack_to_buffer
+                     (const Gwp__SlotAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__slot_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__SlotAnswer *
+       gwp__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__SlotAnswer *)
+     protobuf_c_message_unpack (&gwp__slot_answer__descriptor,
+                                allocator, len, data);
+}
+void   gwp__slot_answer__free_unpacked
+                     (Gwp__SlotAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__slot_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -3132,7 +3312,289 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor gwp__upstream_limit__field_descriptors[5] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__upstream_limit__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = born_ms */
+  3,   /* field[3] = known */
+  2,   /* field[2] = per_s */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange gwp__upstream_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gwp__upstream_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.UpstreamLimit",
+  "UpstreamLimit",
+  "Gwp__UpstreamLimit",
+  "gwp",
+  sizeof(Gwp__UpstreamLimit),
+  5,
+  gwp__upstream_limit__field_descriptors,
+  gwp__upstream_limit__field_indices_by_name,
+  1,  gwp__upstream_limit__number_ranges,
+  (ProtobufCMessageInit) gwp__upstream_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__upstream_limits__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__UpstreamLimits, n_rows),
+    offsetof(Gwp__UpstreamLimits, rows),
+    &gwp__upstream_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__upstream_limits__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange gwp__upstream_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__upstream_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.UpstreamLimits",
+  "UpstreamLimits",
+  "Gwp__UpstreamLimits",
+  "gwp",
+  sizeof(Gwp__UpstreamLimits),
+  1,
+  gwp__upstream_limits__field_descriptors,
+  gwp__upstream_limits__field_indices_by_name,
+  1,  gwp__upstream_limits__number_ranges,
+  (ProtobufCMessageInit) gwp__upstream_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__slot_ask__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAsk, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAsk, limit),
+    &gwp__upstream_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_wait_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAsk, max_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__slot_ask__field_indices_by_name[] = {
+  2,   /* field[2] = limit */
+  3,   /* field[3] = max_wait_ms */
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__slot_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__slot_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.SlotAsk",
+  "SlotAsk",
+  "Gwp__SlotAsk",
+  "gwp",
+  sizeof(Gwp__SlotAsk),
+  4,
+  gwp__slot_ask__field_descriptors,
+  gwp__slot_ask__field_indices_by_name,
+  1,  gwp__slot_ask__number_ranges,
+  (ProtobufCMessageInit) gwp__slot_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__slot_answer__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAnswer, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAnswer, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__slot_answer__field_indices_by_name[] = {
+  2,   /* field[2] = granted */
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = vm */
+  3,   /* field[3] = wait_ms */
+};
+static const ProtobufCIntRange gwp__slot_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__slot_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.SlotAnswer",
+  "SlotAnswer",
+  "Gwp__SlotAnswer",
+  "gwp",
+  sizeof(Gwp__SlotAnswer),
+  4,
+  gwp__slot_answer__field_descriptors,
+  gwp__slot_answer__field_indices_by_name,
+  1,  gwp__slot_answer__number_ranges,
+  (ProtobufCMessageInit) gwp__slot_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[21] =
 {
   {
     "hello",
@@ -3350,6 +3812,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream_limits",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, upstream_limits),
+    &gwp__upstream_limits__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, slot_ask),
+    &gwp__slot_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_answer",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, slot_answer),
+    &gwp__slot_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -3367,14 +3865,17 @@
   10,   /* field[10] = members */
   2,   /* field[2] = placement */
   16,   /* field[16] = placement_wanted */
+  20,   /* field[20] = slot_answer */
+  19,   /* field[19] = slot_ask */
   3,   /* field[3] = state */
   6,   /* field[6] = unreached */
+  18,   /* field[18] = upstream_limits */
   5,   /* field[5] = upstreams */
 };
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -3384,7 +3885,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  18,
+  21,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -42,6 +42,10 @@
 typedef struct Gwp__Introduction Gwp__Introduction;
 typedef struct Gwp__LeaseAppend Gwp__LeaseAppend;
 typedef struct Gwp__LeaseAnswer Gwp__LeaseAnswer;
+typedef struct Gwp__UpstreamLimit Gwp__UpstreamLimit;
+typedef struct Gwp__UpstreamLimits Gwp__UpstreamLimits;
+typedef struct Gwp__SlotAsk Gwp__SlotAsk;
+typedef struct Gwp__SlotAnswer Gwp__SlotAnswer;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -610,6 +614,90 @@
     , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * The limit that an upstream names, in requests a second over all gateways.
+ */
+struct  Gwp__UpstreamLimit
+{
+  ProtobufCMessage base;
+  char *upstream;
+  /*
+   * of the process that named it
+   */
+  uint64_t born_ms;
+  /*
+   * 0: none
+   */
+  double per_s;
+  /*
+   * in force at the sender; else named in an answer
+   */
+  protobuf_c_boolean known;
+  /*
+   * KNOWN: since it was last named or published there
+   */
+  uint32_t age_ms;
+};
+#define GWP__UPSTREAM_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream_limit__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Towards the leader: what answers named.  From the leader: what is in force.
+ */
+struct  Gwp__UpstreamLimits
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Gwp__UpstreamLimit **rows;
+};
+#define GWP__UPSTREAM_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream_limits__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * A gateway wants to send a request to a limited upstream.
+ */
+struct  Gwp__SlotAsk
+{
+  ProtobufCMessage base;
+  /*
+   * that asks
+   */
+  char *vm;
+  uint64_t ticket;
+  /*
+   * as known there
+   */
+  Gwp__UpstreamLimit *limit;
+  uint32_t max_wait_ms;
+};
+#define GWP__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__slot_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
+
+
+struct  Gwp__SlotAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * that asked
+   */
+  char *vm;
+  uint64_t ticket;
+  protobuf_c_boolean granted;
+  /*
+   * until the slot begins, or until it may ask again
+   */
+  uint32_t wait_ms;
+};
+#define GWP__SLOT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__slot_answer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -629,7 +717,10 @@
   GWP__FRAME__BODY_CONFIG_WANTED = 15,
   GWP__FRAME__BODY_AWAY = 16,
   GWP__FRAME__BODY_PLACEMENT_WANTED = 17,
-  GWP__FRAME__BODY_LIMITS = 18
+  GWP__FRAME__BODY_LIMITS = 18,
+  GWP__FRAME__BODY_UPSTREAM_LIMITS = 19,
+  GWP__FRAME__BODY_SLOT_ASK = 20,
+  GWP__FRAME__BODY_SLOT_ANSWER = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -656,6 +747,9 @@
     Gwp__Away *away;
     Gwp__PlacementWanted *placement_wanted;
     Gwp__Limits *limits;
+    Gwp__UpstreamLimits *upstream_limits;
+    Gwp__SlotAsk *slot_ask;
+    Gwp__SlotAnswer *slot_answer;
   };
 };
 #define GWP__FRAME__INIT \
@@ -1176,6 +1270,82 @@
 void   gwp__lease_answer__free_unpacked
                      (Gwp__LeaseAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__UpstreamLimit methods */
+void   gwp__upstream_limit__init
+                     (Gwp__UpstreamLimit         *message);
+size_t gwp__upstream_limit__get_packed_size
+                     (const Gwp__UpstreamLimit   *message);
+size_t gwp__upstream_limit__pack
+                     (const Gwp__UpstreamLimit   *message,
+                      uint8_t             *out);
+size_t gwp__upstream_limit__pack_to_buffer
+                     (const Gwp__UpstreamLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__UpstreamLimit *
+       gwp__upstream_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__upstream_limit__free_unpacked
+                     (Gwp__UpstreamLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__UpstreamLimits methods */
+void   gwp__upstream_limits__init
+                     (Gwp__UpstreamLimits         *message);
+size_t gwp__upstream_limits__get_packed_size
+                     (const Gwp__UpstreamLimits   *message);
+size_t gwp__upstream_limits__pack
+                     (const Gwp__UpstreamLimits   *message,
+                      uint8_t             *out);
+size_t gwp__upstream_limits__pack_to_buffer
+                     (const Gwp__UpstreamLimits   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__UpstreamLimits *
+       gwp__upstream_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__upstream_limits__free_unpacked
+                     (Gwp__UpstreamLimits *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__SlotAsk methods */
+void   gwp__slot_ask__init
+                     (Gwp__SlotAsk         *message);
+size_t gwp__slot_ask__get_packed_size
+                     (const Gwp__SlotAsk   *message);
+size_t gwp__slot_ask__pack
+                     (const Gwp__SlotAsk   *message,
+                      uint8_t             *out);
+size_t gwp__slot_ask__pack_to_buffer
+                     (const Gwp__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__SlotAsk *
+       gwp__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__slot_ask__free_unpacked
+                     (Gwp__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__SlotAnswer methods */
+void   gwp__slot_answer__init
+                     (Gwp__SlotAnswer         *message);
+size_t gwp__slot_answer__get_packed_size
+                     (const Gwp__SlotAnswer   *message);
+size_t gwp__slot_answer__pack
+                     (const Gwp__SlotAnswer   *message,
+                      uint8_t             *out);
+size_t gwp__slot_answer__pack_to_buffer
+                     (const Gwp__SlotAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__SlotAnswer *
+       gwp__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__slot_answer__free_unpacked
+                     (Gwp__SlotAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -1278,6 +1448,18 @@
 typedef void (*Gwp__LeaseAnswer_Closure)
                  (const Gwp__LeaseAnswer *message,
                   void *closure_data);
+typedef void (*Gwp__UpstreamLimit_Closure)
+                 (const Gwp__UpstreamLimit *message,
+                  void *closure_data);
+typedef void (*Gwp__UpstreamLimits_Closure)
+                 (const Gwp__UpstreamLimits *message,
+                  void *closure_data);
+typedef void (*Gwp__SlotAsk_Closure)
+                 (const Gwp__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Gwp__SlotAnswer_Closure)
+                 (const Gwp__SlotAnswer *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -1314,6 +1496,10 @@
 extern const ProtobufCMessageDescriptor gwp__introduction__descriptor;
 extern const ProtobufCMessageDescriptor gwp__lease_append__descriptor;
 extern const ProtobufCMessageDescriptor gwp__lease_answer__descriptor;
+extern const ProtobufCMessageDescriptor gwp__upstream_limit__descriptor;
+extern const ProtobufCMessageDescriptor gwp__upstream_limits__descriptor;
+extern const ProtobufCMessageDescriptor gwp__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor gwp__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -9,6 +9,7 @@
      gateway_node_content  changes of what each upstream holds
      gateway_node_relay    which gateway this one links to; state of linked
                            gateways
+     gateway_node_limits   limits that upstreams name, and slots for them
      gateway_node_start    starting while the store is unreachable
      main_gateway          settings, listeners, timers, signals
    The leader is the gateway that holds the lease for placement.  Links form a
@@ -127,10 +128,11 @@
     ev_signal hup;
     ev_stat file; /* the settings */
     uint64_t slow_tick_ms;
-    uint64_t demand_ms; /* demand was last sent */
-    uint64_t state_ms;  /* the leader's state was last sent */
-    uint64_t limits_ms; /* levels of limits were last published */
-    uint64_t stop_ms;   /* 0: not stopping */
+    uint64_t demand_ms;          /* demand was last sent */
+    uint64_t state_ms;           /* the leader's state was last sent */
+    uint64_t limits_ms;          /* levels of limits were last published */
+    uint64_t upstream_limits_ms; /* upstreams' limits were last published */
+    uint64_t stop_ms;            /* 0: not stopping */
 } Gateway;
 
 /* main_gateway */
@@ -278,6 +280,24 @@
 /* TO found that its copy of UPSTREAM's models differs from ours. */
 void gn_resend_placement(Gateway *g, LkPeer *to, const char *upstream);
 
+/* gateway_node_limits */
+/* An answer to this gateway says NAMED of UPSTREAM's limit. */
+void gn_on_upstream_named(void *ctx, const char *upstream,
+                          const UlNamed *named);
+void gn_on_ask_slot(void *ctx, UlTicket ticket, const char *upstream,
+                    uint32_t max_wait_ms);
+/* FROM: the gateway that sent it; NULL: the VM that we are linked to. */
+void gn_take_upstream_limits(Gateway *g, const LkPeer *from,
+                             const Gwp__Frame *frame);
+void gn_take_slot_ask(Gateway *g, LkPeer *from, const Gwp__Frame *frame);
+void gn_take_slot_answer(Gateway *g, const Gwp__Frame *frame);
+/* Send all limits known to TO; NULL: to all linked gateways. */
+void gn_send_upstream_limits(Gateway *g, LkPeer *to);
+/* Report to the VM that we have linked to the limits in force here: a new
+   leader may not know them. */
+void gn_report_upstream_limits(Gateway *g);
+void gn_tick_upstream_limits(Gateway *g, uint64_t now_ms);
+
 /* gateway_node_start */
 /* Ask another gateway for a link if the store does not answer a starting
    process. */
--- /dev/null
+++ b/src/gateway_node_limits.c
@@ -0,0 +1,339 @@
+#include "gateway_node.h"
+
+#include <string.h>
+
+/* All limits in force are published again after this time, for gateways that
+   had not known the upstream. */
+#define PUBLISH_MS 1000
+
+/* ---- limits ------------------------------------------------------------- */
+
+static void
+log_change(const Gateway *g, const char *upstream, UlChange change,
+           const UlNamed *named)
+{
+    static const char *const words[] = {[UL_BEGUN] = "named",
+                                        [UL_CHANGED] = "changed",
+                                        [UL_ENDED] = "ended",
+                                        [UL_NOT_READ] = "not read"};
+    if (change == UL_SAME) {
+        return;
+    }
+    JlLine *l = jl_begin("upstream-limit");
+    jl_text(l, "upstream", upstream);
+    jl_text(l, "what", words[change]);
+    jl_text(l, "by", named ? "answer" : "gateway");
+    jl_text(l, "text", named ? named->text : NULL);
+    double per_s = ul_get_limit(g->upstream_limits, upstream);
+    if (per_s > 0) {
+        jl_number(l, "limit_per_1000_s", (int64_t)(per_s * 1000));
+    }
+    jl_end(l);
+    bg_count("gateway_upstream_limits_total", 1);
+}
+
+static Gwp__UpstreamLimit
+make_row(const Gateway *g, const char *upstream, double per_s)
+{
+    Gwp__UpstreamLimit x;
+    gwp__upstream_limit__init(&x);
+    x.upstream = (char *)upstream;
+    x.born_ms = ut_get_born_ms(g->upstreams, upstream);
+    x.per_s = per_s;
+    return x;
+}
+
+/* A row of a limit as it is known here. */
+static Gwp__UpstreamLimit
+make_known_row(const Gateway *g, const char *upstream)
+{
+    Gwp__UpstreamLimit x =
+        make_row(g, upstream, ul_get_limit(g->upstream_limits, upstream));
+    x.known = true;
+    x.age_ms = ul_get_age_ms(g->upstream_limits, bg_boot_ms(), upstream);
+    return x;
+}
+
+/* Rows of a frame, whose texts are borrowed. */
+typedef struct {
+    const Gateway *g;
+    GArray *rows; /* Gwp__UpstreamLimit */
+} Rows;
+
+static void
+add_known(void *ctx, const char *upstream, double per_s)
+{
+    (void)per_s;
+    const Rows *r = ctx;
+    Gwp__UpstreamLimit x = make_known_row(r->g, upstream);
+    g_array_append_val(r->rows, x);
+}
+
+/* UP: to the VM that we are linked to; else to TO, or to all linked gateways
+   if it is NULL. */
+static void
+send_rows(const Gateway *g, LkPeer *to, const GArray *rows, bool up)
+{
+    g_autofree gpointer *refs = gn_list_pointers(rows);
+    Gwp__UpstreamLimits m = GWP__UPSTREAM_LIMITS__INIT;
+    m.n_rows = rows->len;
+    m.rows = (Gwp__UpstreamLimit **)refs;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_UPSTREAM_LIMITS;
+    f.upstream_limits = &m;
+    if (up) {
+        lk_send_up(g->links, &f);
+    }
+    else {
+        lk_send_down(g->links, to, &f);
+    }
+}
+
+static void
+send_row(const Gateway *g, Gwp__UpstreamLimit row, bool up)
+{
+    g_autoptr(GArray) list =
+        g_array_new(FALSE, FALSE, sizeof(Gwp__UpstreamLimit));
+    g_array_append_val(list, row);
+    send_rows(g, NULL, list, up);
+}
+
+static void
+publish_change(const Gateway *g, const char *upstream, UlChange change)
+{
+    if (g->is_leader && change != UL_SAME && change != UL_NOT_READ) {
+        send_row(g, make_known_row(g, upstream), false);
+    }
+}
+
+void
+gn_on_upstream_named(void *ctx, const char *upstream, const UlNamed *named)
+{
+    Gateway *g = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    bool report;
+    bool decides = g->is_leader || !gn_hears_leader(g, now_ms);
+    UlChange change = ul_on_answer(g->upstream_limits, now_ms, upstream, named,
+                                   decides, &report);
+    log_change(g, upstream, change, named);
+    publish_change(g, upstream, change);
+    if (report && !g->is_leader) {
+        send_row(g, make_row(g, upstream, named->per_s), true);
+    }
+}
+
+/* To TO, or all linked gateways if it is NULL; UP: to the VM that we are
+   linked to. */
+static void
+send_known(Gateway *g, LkPeer *to, bool up)
+{
+    g_autoptr(GArray) list =
+        g_array_new(FALSE, FALSE, sizeof(Gwp__UpstreamLimit));
+    Rows rows = {g, list};
+    ul_visit(g->upstream_limits, add_known, &rows);
+    if (list->len > 0) {
+        send_rows(g, to, list, up);
+    }
+}
+
+void
+gn_send_upstream_limits(Gateway *g, LkPeer *to)
+{
+    send_known(g, to, false);
+}
+
+void
+gn_report_upstream_limits(Gateway *g)
+{
+    send_known(g, NULL, true);
+}
+
+void
+gn_tick_upstream_limits(Gateway *g, uint64_t now_ms)
+{
+    if (g->is_leader && now_ms >= g->upstream_limits_ms + PUBLISH_MS) {
+        g->upstream_limits_ms = now_ms;
+        gn_send_upstream_limits(g, NULL);
+    }
+}
+
+/* Whether the limit is that of a process known here. */
+static bool
+is_valid_row(const Gateway *g, const Gwp__UpstreamLimit *x)
+{
+    if (!ul_is_limit(x->per_s)) {
+        bg_log(BG_WARN, "limits", "invalid limit of upstream %s", x->upstream);
+        return false;
+    }
+    return ut_is_born(g->upstreams, x->upstream, x->born_ms);
+}
+
+static void
+take_report(Gateway *g, const Gwp__UpstreamLimit *x)
+{
+    uint64_t now_ms = bg_boot_ms();
+    UlChange change = x->known ? ul_on_known(g->upstream_limits, now_ms,
+                                             x->upstream, x->per_s, x->age_ms)
+                               : ul_on_report(g->upstream_limits, now_ms,
+                                              x->upstream, x->per_s);
+    log_change(g, x->upstream, change, NULL);
+    publish_change(g, x->upstream, change);
+}
+
+static void
+take_reports(Gateway *g, const Gwp__UpstreamLimits *m)
+{
+    for (size_t i = 0; i < m->n_rows; i++) {
+        const Gwp__UpstreamLimit *x = m->rows[i];
+        if (is_valid_row(g, x)) {
+            take_report(g, x);
+        }
+    }
+}
+
+static void
+take_limits(Gateway *g, const Gwp__UpstreamLimits *m)
+{
+    uint64_t now_ms = bg_boot_ms();
+    for (size_t i = 0; i < m->n_rows; i++) {
+        const Gwp__UpstreamLimit *x = m->rows[i];
+        if (is_valid_row(g, x)) {
+            log_change(
+                g, x->upstream,
+                ul_on_limit(g->upstream_limits, now_ms, x->upstream, x->per_s),
+                NULL);
+        }
+    }
+    gw_on_change(g->gw);
+}
+
+void
+gn_take_upstream_limits(Gateway *g, const LkPeer *from,
+                        const Gwp__Frame *frame)
+{
+    if (!from) {
+        take_limits(g, frame->upstream_limits);
+        lk_send_down(g->links, NULL, frame);
+    }
+    else if (g->is_leader) {
+        take_reports(g, frame->upstream_limits);
+    }
+    else {
+        lk_send_up(g->links, frame);
+    }
+}
+
+/* ---- slots -------------------------------------------------------------- */
+
+static void
+send_ask(const Gateway *g, UlTicket ticket, const char *upstream,
+         uint32_t max_wait_ms)
+{
+    Gwp__SlotAsk a = GWP__SLOT_ASK__INIT;
+    a.vm = (char *)gn_get_text(g, "name");
+    a.ticket = ticket;
+    Gwp__UpstreamLimit limit = make_known_row(g, upstream);
+    a.limit = &limit;
+    a.max_wait_ms = max_wait_ms;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_SLOT_ASK;
+    f.slot_ask = &a;
+    lk_send_up(g->links, &f);
+}
+
+/* Whether this VM holds the lease at this moment, also if the process was
+   suspended since the last tick. */
+static bool
+leads(const Gateway *g, uint64_t now_ms)
+{
+    return g->is_leader && ls_is_leader(g->lease, now_ms);
+}
+
+static bool
+has_leader(const Gateway *g, uint64_t now_ms)
+{
+    return lk_is_open(g->links) && gn_hears_leader(g, now_ms);
+}
+
+void
+gn_on_ask_slot(void *ctx, UlTicket ticket, const char *upstream,
+               uint32_t max_wait_ms)
+{
+    Gateway *g = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    uint32_t wait_ms;
+    bool granted;
+    if (leads(g, now_ms)) {
+        granted = ul_schedule(g->upstream_limits, now_ms, upstream,
+                              max_wait_ms, &wait_ms);
+    }
+    else if (!g->is_leader && has_leader(g, now_ms)) {
+        send_ask(g, ticket, upstream, max_wait_ms);
+        return;
+    }
+    else {
+        granted =
+            ul_take_alone(g->upstream_limits, now_ms, upstream, &wait_ms);
+    }
+    ul_on_slot(g->upstream_limits, now_ms, ticket, granted, wait_ms);
+}
+
+static void
+answer_ask(const Gateway *g, LkPeer *to, const Gwp__SlotAsk *ask, bool granted,
+           uint32_t wait_ms)
+{
+    Gwp__SlotAnswer a = GWP__SLOT_ANSWER__INIT;
+    a.vm = ask->vm;
+    a.ticket = ask->ticket;
+    a.granted = granted;
+    a.wait_ms = wait_ms;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_SLOT_ANSWER;
+    f.slot_answer = &a;
+    lk_send_down(g->links, to, &f);
+}
+
+void
+gn_take_slot_ask(Gateway *g, LkPeer *from, const Gwp__Frame *frame)
+{
+    uint64_t now_ms = bg_boot_ms();
+    const Gwp__SlotAsk *a = frame->slot_ask;
+    if (!g->is_leader && has_leader(g, now_ms)) {
+        lk_send_up(g->links, frame);
+        return;
+    }
+    uint32_t wait_ms = UL_NO_LEADER_WAIT_MS;
+    bool granted = false;
+    if (leads(g, now_ms) && a->limit && is_valid_row(g, a->limit)) {
+        take_report(g, a->limit);
+        granted = ul_schedule(g->upstream_limits, now_ms, a->limit->upstream,
+                              a->max_wait_ms, &wait_ms);
+    }
+    answer_ask(g, from, a, granted, wait_ms);
+}
+
+typedef struct {
+    Gateway *g;
+    const Gwp__Frame *frame;
+} Answer;
+
+static void
+pass_on(void *ctx, LkPeer *p)
+{
+    const Answer *a = ctx;
+    if (strcmp(lk_get_vm(p), a->frame->slot_answer->vm) == 0) {
+        lk_send_down(a->g->links, p, a->frame);
+    }
+}
+
+void
+gn_take_slot_answer(Gateway *g, const Gwp__Frame *frame)
+{
+    const Gwp__SlotAnswer *x = frame->slot_answer;
+    if (strcmp(x->vm, gn_get_text(g, "name")) == 0) {
+        gw_on_slot(g->gw, bg_boot_ms(), x->ticket, x->granted, x->wait_ms);
+        return;
+    }
+    Answer a = {g, frame};
+    lk_visit_peers(g->links, pass_on, &a);
+}
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -287,6 +287,7 @@
     g_autoptr(GArray) totals = g_array_new(FALSE, FALSE, sizeof(UtTotal));
     ut_visit_totals(g->upstreams, add_total, totals);
     send_totals(g, to, totals, true);
+    gn_send_upstream_limits(g, to);
 }
 
 /* ---- sending: the leader's heartbeat ------------------------------------ */
@@ -345,6 +346,7 @@
     send_loads(g, now_ms);
     send_state(g, NULL, now_ms, gateways);
     rb_on_gateways(g->budget, now_ms, gateways);
+    ul_on_fleet(g->upstream_limits, now_ms, gateways);
     if (g->is_leader) {
         gw_on_leader(g->gw, now_ms, ls_get_order_delay_ms(g->lease, now_ms));
         gn_set_mail_interval(g, gn_count_linked(g), gateways);
@@ -552,6 +554,7 @@
         gw_on_leader(g->gw, now_ms, s->rest_ms);
     }
     rb_on_gateways(g->budget, now_ms, s->gateways);
+    ul_on_fleet(g->upstream_limits, now_ms, s->gateways);
     gn_on_config_version(g, now_ms, s->config_version);
     if (s->informed && g->behind_ms == 0) {
         g->confirmed_ms = sent_ms;
@@ -632,6 +635,12 @@
         take_limits(g, f->limits);
         lk_send_down(g->links, NULL, f);
         break;
+    case GWP__FRAME__BODY_UPSTREAM_LIMITS:
+        gn_take_upstream_limits(g, NULL, f);
+        break;
+    case GWP__FRAME__BODY_SLOT_ANSWER:
+        gn_take_slot_answer(g, f);
+        break;
     case GWP__FRAME__BODY_AWAY:
         take_unreachable(g, f->away);
         lk_send_down(g->links, NULL, f);
@@ -678,6 +687,12 @@
     case GWP__FRAME__BODY_DEATH:
         take_break(g, from, f->death);
         break;
+    case GWP__FRAME__BODY_UPSTREAM_LIMITS:
+        gn_take_upstream_limits(g, from, f);
+        break;
+    case GWP__FRAME__BODY_SLOT_ASK:
+        gn_take_slot_ask(g, from, f);
+        break;
     case GWP__FRAME__BODY_PLACEMENT_WANTED:
         gn_resend_placement(g, from, f->placement_wanted->upstream);
         break;
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -205,6 +205,7 @@
         g->full_demand_due = true;
         g->members_ms = 0;
         wl_on_link(g->limits);
+        gn_report_upstream_limits(g);
         gn_send_demand(g);
         return;
     }
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -80,6 +80,9 @@
    without a first byte, or of its gap_ms without a next event. */
 #define SLOW_FIRST_BYTE 0.6
 #define SLOW_PAUSE 0.8
+/* An answer to a wish for a slot isn't waited for longer than this where
+   others could serve the request. */
+#define BRIEF_ANSWER_MS 60
 #define MAX_SENDS 6     /* of one request, including sends that ran nothing */
 #define MIN_RETRY_MS 20 /* with less time left a request is not sent again */
 
@@ -131,6 +134,11 @@
     GString *partial;   /* bytes of an incomplete event */
     int64_t last_event; /* id of the last one that the caller has */
 
+    /* the slot of a limited upstream that it waits for */
+    UlTicket ticket; /* 0: none */
+    uint64_t slot_asked_ms;
+    bool others_serve; /* could serve the request without one */
+
     uint16_t status;      /* of the answer to the current call */
     uint16_t kept_status; /* of the kept answer */
     bool lacks_model;     /* waiting: for the model, not an adapter */
@@ -280,9 +288,21 @@
     count_outcome(q, outcome, now_ms);
 }
 
+/* Gives up the request's wish for a slot, or its slot. */
+static void
+drop_ticket(Req *q)
+{
+    if (q->ticket) {
+        ul_release(q->gw->upstream_limits, bg_boot_ms(), q->ticket);
+    }
+    q->ticket = 0;
+    q->query.slot_at = NULL;
+}
+
 static void
 free_req(Req *q)
 {
+    drop_ticket(q);
     if (q->link) {
         g_queue_delete_link(&q->gw->reqs, q->link);
     }
@@ -655,6 +675,95 @@
     wait_for(q, now_ms, "upstream");
 }
 
+/* ---- slots of limited upstreams ----------------------------------------- */
+
+/* False: the request goes on waiting for its slot. */
+static bool
+check_slot(Req *q, uint64_t now_ms)
+{
+    Ul *limits = q->gw->upstream_limits;
+    switch (ul_check(limits, now_ms, q->ticket)) {
+    case UL_SLOT_ASKED:
+        if (!q->others_serve || now_ms < q->slot_asked_ms + BRIEF_ANSWER_MS) {
+            return false;
+        }
+        break;
+    case UL_SLOT_LATER:
+        return false;
+    case UL_SLOT_NOW:
+        q->query.slot_at = ul_get_upstream(limits, q->ticket);
+        return true;
+    case UL_SLOT_NONE:
+        break;
+    }
+    drop_ticket(q);
+    return true;
+}
+
+/* Asks the leader for a slot of UT. */
+static void
+ask_slot(Req *q, const Ut *ut, uint64_t now_ms, bool others_serve)
+{
+    const GwOutput *out = &q->gw->out;
+    bool send;
+    uint32_t max_wait_ms =
+        others_serve ? UT_BRIEF_SLOT_WAIT_MS : q->query.max_slot_wait_ms;
+    q->ticket = ul_ask(q->gw->upstream_limits, now_ms, ut_get_id(ut),
+                       max_wait_ms, &send);
+    q->slot_asked_ms = now_ms;
+    q->others_serve = others_serve;
+    q->state = REQ_WAITING;
+    q->waiting_for = "limit";
+    q->waited_for = q->waited_for || others_serve ? q->waited_for : "limit";
+    if (send) {
+        bg_count("gateway_slots_asked_total", 1);
+        out->ask_slot(out->ctx, q->ticket, ut_get_id(ut), max_wait_ms);
+    }
+}
+
+/* A request that was sent before waits on, until its caller leaves.  Any other
+   is refused at once, with the time until the next slot as Retry-After. */
+static void
+handle_limited(Req *q, uint64_t now_ms, const Ut *first)
+{
+    uint32_t wait_ms =
+        ul_get_wait_ms(q->gw->upstream_limits, now_ms, ut_get_id(first));
+    bg_count("gateway_held_for_limit_total", 1);
+    if (q->runs > 0 && now_ms + wait_ms < get_disconnect_ms(q)) {
+        wait_for(q, now_ms, "limit");
+        return;
+    }
+    if (q->query.model) {
+        add_count(q->gw->refused_busy, q->query.model);
+    }
+    give_up(q, wait_ms, "over the upstream's limit");
+}
+
+/* The request is sent to UT: its slot is used, or another request may have
+   it. */
+static void
+settle_ticket(Req *q, const Ut *ut)
+{
+    if (q->ticket && strcmp(q->query.slot_at, ut_get_id(ut)) == 0) {
+        ul_use(q->gw->upstream_limits, q->ticket);
+        q->ticket = 0;
+    }
+    drop_ticket(q);
+}
+
+/* ---- the next step of a request ----------------------------------------- */
+
+/* Longest wait for a slot, if no other upstream can serve the request. */
+static uint32_t
+get_max_slot_wait_ms(const Req *q, uint64_t now_ms)
+{
+    uint64_t end_ms = get_disconnect_ms(q);
+    uint64_t left_ms = end_ms > now_ms ? end_ms - now_ms : 0;
+    uint64_t most_ms = MIN(left_ms, UL_MAX_WAIT_MS);
+    return (uint32_t)(q->query.max_wait_ms ? MIN(q->query.max_wait_ms, most_ms)
+                                           : most_ms);
+}
+
 static void
 try_send(Req *q)
 {
@@ -674,9 +783,16 @@
         give_up(q, RETRY_SOON_MS, "too many sends");
         return;
     }
+    if (q->ticket && !check_slot(q, now_ms)) {
+        return;
+    }
     Ut *ut = NULL;
     q->query.max_wait_ms = get_max_wait_ms(q, now_ms);
+    q->query.max_slot_wait_ms = get_max_slot_wait_ms(q, now_ms);
     UtChoice found = ut_choose(q->gw->upstreams, now_ms, &q->query, &ut);
+    if (found != UT_FOUND) {
+        drop_ticket(q);
+    }
     if (!ut && may_be_unlisted(q, now_ms)) {
         wait_for_list(q, now_ms);
         return;
@@ -692,8 +808,19 @@
             return;
         }
         q->retry_counted = false;
+        settle_ticket(q, ut);
         send_to(q, ut, now_ms);
         return;
+    case UT_ASK:
+    case UT_ASK_BRIEFLY:
+        ask_slot(q, ut, now_ms, found == UT_ASK_BRIEFLY);
+        if (check_slot(q, now_ms)) {
+            try_send(q); /* it was answered at once */
+        }
+        return;
+    case UT_LIMITED:
+        handle_limited(q, now_ms, ut);
+        return;
     case UT_COLD:
         q->lacks_model = true;
         wait_for_model(q, now_ms, "model");
@@ -750,33 +877,13 @@
     }
 }
 
-static void
-log_limit_change(const Req *q, UlChange change, const UlNamed *named)
-{
-    static const char *const words[] = {[UL_BEGUN] = "named",
-                                        [UL_CHANGED] = "changed",
-                                        [UL_ENDED] = "ended",
-                                        [UL_NOT_READ] = "not read"};
-    JlLine *l = jl_begin("upstream-limit");
-    jl_text(l, "upstream", ut_get_id(q->ut));
-    jl_text(l, "what", words[change]);
-    jl_text(l, "text", named->text);
-    add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(q->ut)));
-    jl_text(l, "id", q->call.attempt_id);
-    jl_end(l);
-    bg_count("gateway_upstream_limits_total", 1);
-}
-
 static void
 note_limit(const Req *q, const HtHead *head)
 {
+    const GwOutput *out = &q->gw->out;
     UlNamed named;
     q->gw->wire->read_limit(head, &named);
-    UlChange change =
-        ul_on_answer(q->gw->upstream_limits, ut_get_id(q->ut), &named);
-    if (change != UL_SAME) {
-        log_limit_change(q, change, &named);
-    }
+    out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
 }
 
 static void
@@ -1531,6 +1638,20 @@
     g_hash_table_add(d->upstreams, g_strdup(upstream));
 }
 
+void
+gw_on_slot(Gw *g, uint64_t now_ms, UlTicket ticket, bool granted,
+           uint32_t wait_ms)
+{
+    ul_on_slot(g->upstream_limits, now_ms, ticket, granted, wait_ms);
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        Req *q = l->data;
+        if (q->ticket == ticket) {
+            try_send(q); /* it may free Q */
+            return;
+        }
+    }
+}
+
 /* ---- demand ------------------------------------------------------------- */
 
 /* A demand under construction. */
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -67,6 +67,13 @@
     /* Connecting failed to an upstream that was not yet known to be
        unreachable. */
     void (*upstream_unreachable)(void *ctx, const char *upstream);
+    /* What an answer says of its upstream's limit. */
+    void (*upstream_named)(void *ctx, const char *upstream,
+                           const UlNamed *named);
+    /* A request wants a slot of UPSTREAM within MAX_WAIT_MS: answered by
+       ul_on_slot before this returns, or by gw_on_slot later. */
+    void (*ask_slot)(void *ctx, UlTicket ticket, const char *upstream,
+                     uint32_t max_wait_ms);
 } GwOutput;
 
 typedef struct Gw Gw;
@@ -104,6 +111,10 @@
 void gw_on_upstream_break(Gw *g, uint64_t now_ms, uint64_t request,
                           const char *upstream);
 
+/* The answer to ask_slot, as in ul_on_slot. */
+void gw_on_slot(Gw *g, uint64_t now_ms, UlTicket ticket, bool granted,
+                uint32_t wait_ms);
+
 /* For HtHandler. */
 void gw_on_request(Gw *g, HtExchange *x);
 void gw_on_gone(Gw *g, HtExchange *x);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -255,6 +255,10 @@
         wl_print(((Gateway *)ctx)->limits, bg_boot_ms(), out);
         answer_text(x, out);
     }
+    else if (strcmp(target, "/upstream-limits") == 0) {
+        ul_print(((Gateway *)ctx)->upstream_limits, bg_boot_ms(), out);
+        answer_text(x, out);
+    }
     else if (strcmp(target, "/dump") == 0) {
         print_dump(ctx, out);
         answer_text(x, out);
@@ -303,6 +307,7 @@
         g->full_demand_due = true;
         if (is_leader) {
             mp_on_lease_gained(g->placement, now_ms);
+            ul_on_lead(g->upstream_limits, now_ms);
         }
         else {
             ut_mark_placement_stale(g->upstreams);
@@ -372,6 +377,7 @@
     gn_schedule_store_reads(g, now_ms);
     gn_tick_start(g, now_ms);
     bool near_limit = wl_is_near_limit(g->limits);
+    gn_tick_upstream_limits(g, now_ms);
     if (now_ms >= g->demand_ms + (near_limit ? NEAR_LIMIT_MS : DEMAND_MS)) {
         gn_send_demand(g);
     }
@@ -525,7 +531,8 @@
 create_cores(Gateway *g)
 {
     uint64_t seed = bg_now_us() ^ g_str_hash(g->process);
-    UtParams up = {gn_get_text(g, "data_centre"), seed};
+    g->upstream_limits = ul_create(bg_boot_ms(), seed);
+    UtParams up = {gn_get_text(g, "data_centre"), seed, g->upstream_limits};
     g->upstreams = ut_create(&up);
     RbParams rb = {(uint32_t)(get_bound(g->settings, "retry_window_s") * 1000),
                    get_bound(g->settings, "retry_ratio"),
@@ -535,10 +542,13 @@
                    get_bound(g->settings, "limit_excess"),
                    get_bound(g->settings, "limit_slack"), seed};
     g->limits = wl_create(&wl);
-    g->upstream_limits = ul_create();
     GwParams gw = {CONNECT_MS, BREAK_LIMIT, seed};
-    GwOutput gw_out = {g, on_demand_changed, on_upstream_broke,
-                       on_upstream_unreachable};
+    GwOutput gw_out = {g,
+                       on_demand_changed,
+                       on_upstream_broke,
+                       on_upstream_unreachable,
+                       gn_on_upstream_named,
+                       gn_on_ask_slot};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
                       g->budget, g->limits, g->upstream_limits);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
@@ -612,8 +622,8 @@
     g_free(g->renewal.value);
     rb_destroy(g->budget);
     wl_destroy(g->limits);
-    ul_destroy(g->upstream_limits);
     ut_destroy(g->upstreams);
+    ul_destroy(g->upstream_limits);
     dep_unref_config(g->config);
     if (g->config_bytes) {
         g_bytes_unref(g->config_bytes);
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -95,6 +95,7 @@
     uint64_t totals_ms; /* when the totals were last refreshed */
     GPtrArray *removed; /* Ut: gone, with calls running */
     double plain_ms;    /* mean time to first byte, services without models */
+    Ul *limits;         /* NULL: no upstream is limited */
 };
 
 static void
@@ -121,6 +122,7 @@
     UtSet *s = g_new0(UtSet, 1);
     s->data_centre = g_strdup(params->data_centre);
     bg_seed_random(&s->rng, params->seed);
+    s->limits = params->limits;
     s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->by_key = g_hash_table_new(g_direct_hash, g_direct_equal);
     s->removed = g_ptr_array_new();
@@ -152,6 +154,9 @@
 drop(UtSet *s, Ut *u)
 {
     g_hash_table_remove(s->by_id, u->entry->id);
+    if (s->limits) {
+        ul_forget(s->limits, u->entry->id);
+    }
     gpointer key = GUINT_TO_POINTER(ut_make_key(u->entry->id));
     if (g_hash_table_lookup(s->by_key, key) == u) {
         g_hash_table_remove(s->by_key, key);
@@ -488,18 +493,78 @@
     return a && ut_get_wait_ms(a, now_ms) < ut_get_wait_ms(b, now_ms) ? a : b;
 }
 
-UtChoice
-ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out)
+/* The upstreams that could serve a query, by what stands in the way. */
+typedef struct {
+    GArray *available; /* Candidate */
+    GArray *backed_off;
+    GArray *limited; /* a slot is needed, and may be had in time */
+    bool any;
+    bool model;
+    bool all;
+    bool full;
+    bool unreachable;
+    Ut *least_busy;
+    Ut *first_slot; /* of those without a slot in time, the soonest */
+    Ut *at_slot;    /* the request has a slot there */
+} Options;
+
+static uint32_t
+get_slot_wait_ms(const Ut *u, uint64_t now_ms)
+{
+    return ul_get_wait_ms(u->set->limits, now_ms, u->entry->id);
+}
+
+static bool
+is_limited(const Ut *u)
+{
+    const Ul *limits = u->set->limits;
+    return limits && ul_get_limit(limits, u->entry->id) > 0;
+}
+
+static void
+add_limited(Options *o, const Candidate *c, uint64_t now_ms, const UtQuery *q)
+{
+    uint32_t wait_ms = get_slot_wait_ms(c->ut, now_ms);
+    if (q->slot_at && strcmp(q->slot_at, c->ut->entry->id) == 0) {
+        o->at_slot = c->ut;
+    }
+    else if (wait_ms <= q->max_slot_wait_ms) {
+        g_array_append_val(o->limited, *c);
+    }
+    else if (!o->first_slot ||
+             wait_ms < get_slot_wait_ms(o->first_slot, now_ms)) {
+        o->first_slot = c->ut;
+    }
+}
+
+static void
+add_option(UtSet *s, Options *o, Ut *u, uint64_t now_ms, const UtQuery *q)
+{
+    Candidate c = {u, compute_cost(s, u, now_ms, q),
+                   q->affinity ? compute_rank(q->affinity, u->entry->id) : 0};
+    if (now_ms < u->shed_until_ms && u->running > 0) {
+        o->full = true;
+    }
+    else if (awaits_probe(u, now_ms)) {
+        o->unreachable = true;
+    }
+    else if (q->max_wait_ms && is_wait_too_long(u, now_ms, q)) {
+        o->least_busy = get_less_busy(o->least_busy, u, now_ms);
+    }
+    else if (is_limited(u)) {
+        add_limited(o, &c, now_ms, q);
+    }
+    else if (now_ms < u->backoff_until_ms) {
+        g_array_append_val(o->backed_off, c);
+    }
+    else {
+        g_array_append_val(o->available, c);
+    }
+}
+
+static void
+list_options(UtSet *s, Options *o, uint64_t now_ms, const UtQuery *q)
 {
-    g_autoptr(GArray) available = g_array_new(FALSE, FALSE, sizeof(Candidate));
-    g_autoptr(GArray) backed_off =
-        g_array_new(FALSE, FALSE, sizeof(Candidate));
-    bool any = false;
-    bool model = false;
-    bool all = false;
-    bool full = false;
-    bool unreachable = false;
-    Ut *least_busy = NULL;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, s->by_id);
@@ -508,50 +573,86 @@
         if (u->leaving || strcmp(u->entry->service, q->service) != 0) {
             continue;
         }
-        any = true;
+        o->any = true;
         Holds holds = check_holds(u, now_ms, q);
-        model = model || holds != HOLDS_NOT;
+        o->model = o->model || holds != HOLDS_NOT;
         if (holds != HOLDS_ALL) {
             continue;
         }
-        all = true;
-        if (was_tried(q, u)) {
-            continue;
-        }
-        Candidate c = {u, compute_cost(s, u, now_ms, q),
-                       q->affinity ? compute_rank(q->affinity, u->entry->id)
-                                   : 0};
-        if (now_ms < u->shed_until_ms && u->running > 0) {
-            full = true;
-        }
-        else if (awaits_probe(u, now_ms)) {
-            unreachable = true;
-        }
-        else if (q->max_wait_ms && is_wait_too_long(u, now_ms, q)) {
-            least_busy = get_less_busy(least_busy, u, now_ms);
-        }
-        else if (now_ms < u->backoff_until_ms) {
-            g_array_append_val(backed_off, c);
-        }
-        else {
-            g_array_append_val(available, c);
+        o->all = true;
+        if (!was_tried(q, u)) {
+            add_option(s, o, u, now_ms, q);
         }
     }
-    GArray *from = available->len ? available : backed_off;
-    if (from->len == 0 && least_busy) {
-        *out = least_busy;
+}
+
+static UtChoice
+describe_none(const Options *o, Ut **out)
+{
+    if (o->least_busy) {
+        *out = o->least_busy;
         return UT_BUSY;
     }
-    if (from->len == 0) {
-        return !any          ? UT_NONE
-               : !model      ? UT_COLD
-               : !all        ? UT_ADAPTER
-               : full        ? UT_FULL
-               : unreachable ? UT_UNREACHABLE
-                             : UT_TRIED;
+    if (o->first_slot) {
+        *out = o->first_slot;
+        return UT_LIMITED;
     }
-    *out = pick(s, from, q)->ut;
-    return UT_FOUND;
+    return !o->any          ? UT_NONE
+           : !o->model      ? UT_COLD
+           : !o->all        ? UT_ADAPTER
+           : o->full        ? UT_FULL
+           : o->unreachable ? UT_UNREACHABLE
+                            : UT_TRIED;
+}
+
+/* Adds the limited ones that may have a slot at once to those AVAILABLE. */
+static void
+add_brief(GArray *available, const GArray *limited, uint64_t now_ms)
+{
+    for (guint i = 0; i < limited->len; i++) {
+        const Candidate *c = &g_array_index(limited, Candidate, i);
+        if (get_slot_wait_ms(c->ut, now_ms) <= UT_BRIEF_SLOT_WAIT_MS) {
+            g_array_append_val(available, *c);
+        }
+    }
+}
+
+static UtChoice
+choose_option(UtSet *s, const Options *o, uint64_t now_ms, const UtQuery *q,
+              Ut **out)
+{
+    if (o->at_slot) {
+        *out = o->at_slot;
+        return UT_FOUND;
+    }
+    if (o->available->len > 0) {
+        add_brief(o->available, o->limited, now_ms);
+        *out = pick(s, o->available, q)->ut;
+        return is_limited(*out) ? UT_ASK_BRIEFLY : UT_FOUND;
+    }
+    if (o->limited->len > 0) {
+        *out = pick(s, o->limited, q)->ut;
+        return UT_ASK;
+    }
+    if (o->backed_off->len > 0) {
+        *out = pick(s, o->backed_off, q)->ut;
+        return UT_FOUND;
+    }
+    return describe_none(o, out);
+}
+
+UtChoice
+ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out)
+{
+    Options o = {.available = g_array_new(FALSE, FALSE, sizeof(Candidate)),
+                 .backed_off = g_array_new(FALSE, FALSE, sizeof(Candidate)),
+                 .limited = g_array_new(FALSE, FALSE, sizeof(Candidate))};
+    list_options(s, &o, now_ms, q);
+    UtChoice choice = choose_option(s, &o, now_ms, q, out);
+    g_array_free(o.available, TRUE);
+    g_array_free(o.backed_off, TRUE);
+    g_array_free(o.limited, TRUE);
+    return choice;
 }
 
 /* ---- calls -------------------------------------------------------------- */
@@ -824,3 +925,16 @@
 {
     return g_hash_table_contains(s->by_id, id);
 }
+
+uint64_t
+ut_get_born_ms(const UtSet *s, const char *id)
+{
+    const Ut *u = g_hash_table_lookup(s->by_id, id);
+    return u ? u->entry->born_ms : 0;
+}
+
+bool
+ut_is_born(const UtSet *s, const char *id, uint64_t born_ms)
+{
+    return ut_knows(s, id) && ut_get_born_ms(s, id) == born_ms;
+}
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -10,10 +10,12 @@
 
 #include "base.h"
 #include "gateway_types.h"
+#include "upstream_limits.h"
 
 typedef struct {
     const char *data_centre; /* of this gateway */
     uint64_t seed;
+    Ul *limits; /* borrowed; NULL: no upstream is limited */
 } UtParams;
 
 typedef struct UtSet UtSet;
@@ -56,6 +58,10 @@
     uint32_t max_wait_ms;   /* longest queue wait, about; 0: any */
     uint32_t draw;          /* random, 0 to 99: varies max_wait_ms */
     const GPtrArray *tried; /* Ut * that are not to be used again, or NULL */
+    uint32_t max_slot_wait_ms; /* longest wait for a slot of a limited
+                                  upstream */
+    const char *slot_at; /* id of a limited upstream of which the request has a
+                            slot, or NULL */
 } UtQuery;
 
 typedef enum {
@@ -66,11 +72,19 @@
     UT_TRIED,       /* all that could serve were tried */
     UT_FULL,        /* some are left, but have just shed a call */
     UT_UNREACHABLE, /* none that could serve can be reached just now */
-    UT_BUSY         /* the queues of all that could serve are too long */
+    UT_BUSY,        /* the queues of all that could serve are too long */
+    UT_ASK,         /* a slot of a limited upstream is needed */
+    UT_ASK_BRIEFLY, /* the same, but others could serve it without one */
+    UT_LIMITED      /* all that could serve have no slot in time */
 } UtChoice;
 
-/* Sets *OUT to the upstream to send to (UT_FOUND) or the one with the shortest
-   queue wait (UT_BUSY). */
+/* A slot isn't waited for longer than this where others could serve the
+   request. */
+#define UT_BRIEF_SLOT_WAIT_MS 30
+
+/* Sets *OUT to the upstream to send to (UT_FOUND), to ask a slot of (UT_ASK,
+   UT_ASK_BRIEFLY), with the shortest queue wait (UT_BUSY) or with the shortest
+   wait for a slot (UT_LIMITED). */
 UtChoice ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out);
 
 /* A call to U starts.  U stays valid until ut_finish. */
@@ -140,5 +154,9 @@
 bool ut_is_alive(const Ut *u, uint64_t now_ms);
 uint32_t ut_count(const UtSet *s);
 bool ut_knows(const UtSet *s, const char *id);
+/* It is known, and the process that was born at BORN_MS has its id. */
+bool ut_is_born(const UtSet *s, const char *id, uint64_t born_ms);
+/* 0: unknown, or not given. */
+uint64_t ut_get_born_ms(const UtSet *s, const char *id);
 
 #endif
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -1,5 +1,6 @@
 """Limits that upstreams name, which hold over all gateways together."""
 
+import signal
 import threading
 import time
 
@@ -9,19 +10,34 @@
 from platform_cluster import Cluster, ask, now
 
 
+def limit_events(gateway):
+    return [(e["what"], e.get("text"), e.get("limit_per_1000_s"))
+            for e in gateway.events("upstream-limit")]
+
+
+def name_limit(gateway, engine, named, what):
+    """ENGINE names NAMED in its answers until GATEWAY logs WHAT."""
+    engine.rate_limit = named
+
+    def is_logged():
+        assert ask(gateway, "chat", "m0")[0] == 200
+        return limit_events(gateway)[-1:] == [what]
+    wait_until(is_logged)
+
+
 def test_a_named_limit_is_logged(build):
-    """Guards against a limit that nobody can see in the logs: begun, changed,
-    not readable, ended."""
+    """Guards against a limit that nobody can see in the logs: begun, lowered,
+    not readable (which changes nothing), raised, ended."""
     with Cluster(build, models=(("m0",),)) as c:
         g, engine = c.gateways[0], c.engines[0]
-        for named in (None, "40", "60.5", "x", ["7", "7"], "60.5", None):
-            engine.rate_limit = named
-            assert ask(g, "chat", "m0")[0] == 200
-        wait_until(lambda: len(g.events("upstream-limit")) == 4)
-        assert [(e["what"], e.get("text"), e.get("limit_per_1000_s"))
-                for e in g.events("upstream-limit")] == [
-                    ("named", None, 40000), ("changed", None, 60500),
-                    ("not read", "x", 60500), ("ended", None, None)]
+        c.leader()
+        name_limit(g, engine, "60.5", ("named", None, 60500))
+        name_limit(g, engine, "40", ("changed", None, 40000))
+        name_limit(g, engine, "x", ("not read", "x", 40000))
+        name_limit(g, engine, "45", ("changed", None, 45000))
+        name_limit(g, engine, ["7", "7"], ("not read", "7", 45000))
+        name_limit(g, engine, None, ("ended", None, None))
+        assert len(limit_events(g)) == 6
 
 
 # The users' bound: in a window of WINDOW_S, from GRACE_S after an upstream
@@ -107,3 +123,126 @@
         refused = [(s, h) for at, s, h in answers if at > begin and s != 200]
         assert {s for s, _ in refused} == {503}
         assert all(float(h["Retry-After"]) > 0 for _, h in refused)
+
+
+def check_bound(engine, per_s, begin, end, least_use=0):
+    arrived = arrivals_between(engine, begin, end)
+    assert largest_window(arrived) <= allowed(per_s)
+    assert len(arrived) >= least_use * per_s * (end - begin)
+
+
+def name_and_load(c, per_s, demand_per_s):
+    """The first engine names PER_S, and callers ask for more; returns them
+    once every gateway knows the limit."""
+    c.leader()
+    wait_until(c.all_linked)
+    c.engines[0].rate_limit = str(per_s)
+    callers = Callers(c.gateways, demand_per_s)
+    wait_until(lambda: all(g.events("upstream-limit") for g in c.gateways))
+    return callers
+
+
+def test_another_replica_takes_what_a_limit_does_not_allow(build):
+    """Guards against callers refused for a limit while another upstream holds
+    the model, and against a limited upstream that is left unused."""
+    with Cluster(build, gateways=3, models=(("m0",), ("m0",))) as c:
+        callers = name_and_load(c, 4, 20)
+        begin = now() + GRACE_S
+        time.sleep(GRACE_S + 8)
+        end = now()
+        answers = callers.stop()
+        check_bound(c.engines[0], 4, begin, end, LEAST_USE)
+        assert {s for at, s, _ in answers if at < end} == {200}
+
+
+def test_an_ended_limit_binds_nobody(build):
+    """Guards against a limit that outlives its naming."""
+    with Cluster(build, gateways=3, models=(("m0",),)) as c:
+        callers = name_and_load(c, 2, 12)
+        time.sleep(2)
+        c.engines[0].rate_limit = None
+        wait_until(lambda: all(limit_events(g)[-1][0] == "ended"
+                               for g in c.gateways))
+        begin = now()
+        time.sleep(3)
+        answers = callers.stop()
+        assert {s for at, s, _ in answers if at > begin} == {200}
+
+
+def test_a_new_process_under_the_id_has_no_limit(build):
+    """Guards against the limit of an upstream's former process."""
+    with Cluster(build, gateways=3, models=(("m0",),)) as c:
+        callers = name_and_load(c, 2, 12)
+        engine = c.engines[0]
+        engine.rate_limit = None
+        engine.born += 5000
+        engine.publish_entry()
+        begin = now() + 1
+        time.sleep(3)
+        answers = callers.stop()
+        assert {s for at, s, _ in answers if at > begin} == {200}
+
+
+def kill_leader(c):
+    c.leader().send(signal.SIGKILL)
+
+
+def kill_and_restart_all(c):
+    for g in c.gateways:
+        g.send(signal.SIGKILL)
+    for g in c.gateways:
+        g.proc.wait()
+        g.start()
+
+
+def pause_leader(c):
+    leader = c.leader()
+    leader.send(signal.SIGSTOP)
+    time.sleep(4)
+    leader.send(signal.SIGCONT)
+
+
+def restart_in_turn(c):
+    for g in c.gateways:
+        g.send(signal.SIGTERM)
+        g.proc.wait(12)
+        g.start()
+        wait_until(g.is_ready)
+
+
+def cut_links(c):
+    for p in c.link_proxies:
+        p.set(cut=True)
+    time.sleep(4)
+    for p in c.link_proxies:
+        p.set()
+
+
+def delay_links(c):
+    for p in c.link_proxies:
+        p.set(delay_ms=700)
+    time.sleep(4)
+    for p in c.link_proxies:
+        p.set()
+
+
+@pytest.mark.parametrize("fault", [
+    kill_leader, kill_and_restart_all, pause_leader, restart_in_turn,
+    cut_links, delay_links], ids=lambda f: f.__name__)
+def test_a_limit_holds_through(build, fault):
+    """Guards against a sum that is above the limit while the gateway that
+    hands out the slots is lost, paused, replaced or out of reach."""
+    with Cluster(build, gateways=4, models=(("m0",),),
+                 link_proxies=fault in (cut_links, delay_links)) as c:
+        callers = name_and_load(c, 2, 16)
+        begin = now() + GRACE_S
+        time.sleep(GRACE_S)
+        fault(c)
+        time.sleep(5)
+        end = now()
+        callers.stop()
+        # A process that doesn't know the limit yet may send until it does.
+        unaware = 8 if fault in (kill_and_restart_all, restart_in_turn) else 0
+        arrived = arrivals_between(c.engines[0], begin, end)
+        assert largest_window(arrived) <= allowed(2) + unaware
+        assert len(arrivals_between(c.engines[0], end - 3, end)) >= 3
