rb: a gateway that doesn't know how many share the slack uses none

What services would see: when all of 300 gateways start at once and none has heard a leader, each took an equal part of the slack for 16 gateways, the number assumed until the leader reports: 2 retries each in the first window and 9 in later ones at a slack of 220, so 600 and more.

test_budget_of_new_gateways fails before (gateways that know no number took the whole slack each) and passes now. A gateway that has heard a leader, which takes a fraction of a second, is not affected; until then it retries by the ratio of its own requests alone.

--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -55,9 +55,6 @@
 #define GRACE_MARGIN_MS 700
 #define SETTINGS_POLL_S 2.
 #define LOG_STOP_MS 100
-/* The leader counts the gateways that share the retry budget.  Until it has
-   reported, this many are assumed. */
-#define ASSUMED_GATEWAYS 16
 /* A leader that is cut off from more than half of the upstreams for
    YIELD_AFTER_MS gives up the lease, so that another VM can send the orders,
    and doesn't claim it again for YIELD_MS. */
@@ -536,7 +533,7 @@
     g->upstreams = ut_create(&up);
     RbParams rb = {(uint32_t)(get_bound(g->settings, "retry_window_s") * 1000),
                    get_bound(g->settings, "retry_ratio"),
-                   get_bound(g->settings, "retry_slack"), ASSUMED_GATEWAYS};
+                   get_bound(g->settings, "retry_slack"), 0};
     g->budget = rb_create(&rb, bg_boot_ms());
     WlParams wl = {(uint32_t)(get_bound(g->settings, "limit_window_s") * 1000),
                    get_bound(g->settings, "limit_excess"),
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -45,7 +45,7 @@
 void
 rb_on_gateways(Rb *b, uint64_t now_ms, uint32_t gateways)
 {
-    if (gateways >= b->params.gateways ||
+    if (b->params.gateways == 0 || gateways >= b->params.gateways ||
         now_ms > b->gateways_ms + RB_MEMORY_MS) {
         b->params.gateways = MAX(gateways, 1);
         b->gateways_ms = now_ms;
@@ -86,6 +86,19 @@
     a->requests[a->slice % (SLICES + 1)]++;
 }
 
+/* This gateway's part of the slack.  One that does not know how many share it
+   uses none: hundreds may start at once. */
+static double
+get_slack(const Rb *b, uint64_t now_ms)
+{
+    if (b->params.gateways == 0) {
+        return 0;
+    }
+    bool is_new = now_ms < b->start_ms + b->params.window_ms;
+    return b->params.slack / b->params.gateways *
+           (is_new ? NEW_PROCESS_SHARE : 1);
+}
+
 bool
 rb_take(Rb *b, uint64_t now_ms, const char *service)
 {
@@ -96,9 +109,7 @@
         requests += a->requests[i];
         retries += a->retries[i];
     }
-    bool is_new = now_ms < b->start_ms + b->params.window_ms;
-    double slack = b->params.slack / MAX(b->params.gateways, 1) *
-                   (is_new ? NEW_PROCESS_SHARE : 1);
+    double slack = get_slack(b, now_ms);
     double allowed = SAFETY_FACTOR * (b->params.ratio * requests + slack);
     if (retries + 1 > allowed) {
         return false;
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -14,7 +14,7 @@
     uint32_t window_ms;
     double ratio;      /* retries allowed for each request */
     double slack;      /* further retries allowed, for all gateways */
-    uint32_t gateways; /* that may share the slack */
+    uint32_t gateways; /* that may share the slack; 0: not known yet */
 } RbParams;
 
 typedef struct Rb Rb;
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -505,6 +505,28 @@
     rb_destroy(b);
 }
 
+/* Guards against the slack spent many times over by gateways that all start
+   at once and have not heard how many they are. */
+static void
+test_budget_of_new_gateways(void)
+{
+    enum { GATEWAYS = 300, SLACK = 220 };
+    RbParams p = {10000, 0.2, SLACK, 0};
+    int taken = 0;
+    for (int i = 0; i < GATEWAYS; i++) {
+        Rb *b = rb_create(&p, 0);
+        while (rb_take(b, 100, "s") || rb_take(b, 11000, "s")) {
+            taken++;
+        }
+        rb_on_gateways(b, 11000, GATEWAYS);
+        while (rb_take(b, 11000, "s")) {
+            taken++;
+        }
+        rb_destroy(b);
+    }
+    CU_ASSERT(taken <= SLACK);
+}
+
 /* ---- choice ------------------------------------------------------------- */
 
 static DepUpstream *
@@ -2057,6 +2079,7 @@
         {"budget in every window", test_budget_in_every_window},
         {"budget keeps share of lost gateways",
          test_budget_keeps_share_of_lost_gateways},
+        {"budget of new gateways", test_budget_of_new_gateways},
         {"choice balances load", test_choice_balances_load},
         {"choice avoids failing upstream", test_choice_avoids_failing},
         {"choice backs off unreachable upstream",
