Gateways claim the lease although a dead leader's address accepts links

What callers see: the leader is gone, another process at its address accepts connections and closes them, and no gateway places models or hands out slots any more: not within 15 s, the limit of the test.

Cause: each link that opens and ends holds off reads and claims of the lease for 500 ms, as a link that was lost may be opened again; one that opens and ends every 200 ms holds them off for ever. Found by test_a_limit_holds_through behind proxies, whose ports stay open when the gateway is killed; in the logs placer-linked and placer-lost every 200 ms, and no lease-held.

Fix: only a link over which a frame came holds the lease off when it ends. test_leader_behind_an_open_port_is_succeeded fails before (no leader within 15 s) and passes now, three runs of three.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -55,7 +55,8 @@
     uint64_t leader_timeout_ms; /* without contact to the leader through the
                                    relay: link to the leader itself */
     uint64_t next_search_ms;    /* earliest time of that */
-    Lag lag;                    /* of the leader's heartbeats */
+    bool answered; /* a frame came over the link since it opened */
+    Lag lag;       /* of the leader's heartbeats */
 } Uplink;
 
 typedef struct Gateway {
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -612,6 +612,7 @@
 static void
 take_from_above(Gateway *g, const Gwp__Frame *f)
 {
+    g->uplink.answered = true;
     switch (f->body_case) {
     case GWP__FRAME__BODY_PLACEMENT:
         gn_take_placement(g, f->placement);
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -202,6 +202,7 @@
     g->relay_disconnected = false;
     lag_reset(&g->uplink.lag);
     if (open) {
+        g->uplink.answered = false;
         g->full_demand_due = true;
         g->members_ms = 0;
         wl_on_link(g->limits);
@@ -209,8 +210,12 @@
         gn_send_demand(g);
         return;
     }
-    gn_delay_store_reads(g, now_ms);
-    ls_hold_off(g->lease, now_ms + RELINK_MS);
+    /* Whatever accepts links at that address and never answers is no gateway:
+       it must not keep this one from the lease. */
+    if (g->uplink.answered) {
+        gn_delay_store_reads(g, now_ms);
+        ls_hold_off(g->lease, now_ms + RELINK_MS);
+    }
     /* What broke the link may have broken connections to the store too. */
     ht_drop_idle(g->pool, gn_get_text(g, "store"));
     st_restart(g->config_watch, now_ms, 0);
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -399,6 +399,23 @@
         check_one_holder(c)
 
 
+# From the last contact with a leader until the next one gives orders.
+LEADER_CHANGE_S = 5.2
+
+
+def test_leader_behind_an_open_port_is_succeeded(build):
+    """Guards against a lease that nobody claims: the address of a dead leader
+    accepts links and closes them again, as another process there would."""
+    with Cluster(build, gateways=3, link_proxies=True) as c:
+        first = c.leader()
+        wait_until(c.all_linked)
+        first.send(signal.SIGKILL)
+        first.proc.wait()
+        killed = now()
+        c.leader()
+        assert now() - killed < LEADER_CHANGE_S
+
+
 def test_unanswered_orders_never_overcommit(build):
     """Engines carry out orders without a response.  What may have been loaded
     is counted until a report shows the state: no engine is ordered over its
