--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -527,6 +527,133 @@
     CU_ASSERT(taken <= SLACK);
 }
 
+/* ---- limits of upstreams ------------------------------------------------ */
+
+#define LIMIT_START_MS 100000
+
+/* A gateway at which upstream "u" named a limit of PER_S. */
+static Ul *
+make_limited(double per_s)
+{
+    Ul *l = ul_create(0, 1);
+    UlNamed named = {UL_LIMITED, per_s, NULL};
+    bool report;
+    CU_ASSERT_EQUAL(
+        ul_on_answer(l, LIMIT_START_MS, "u", &named, true, &report), UL_BEGUN);
+    return l;
+}
+
+/* Guards against two leaders' slots at the same time. */
+static void
+test_limit_new_leader_waits(void)
+{
+    Ul *l = make_limited(10);
+    uint32_t wait_ms;
+    ul_on_lead(l, LIMIT_START_MS);
+    CU_ASSERT(ul_schedule(l, LIMIT_START_MS, "u", UL_MAX_WAIT_MS, &wait_ms));
+    CU_ASSERT_EQUAL(wait_ms, UL_MAX_WAIT_MS);
+    CU_ASSERT(!ul_schedule(l, LIMIT_START_MS, "u", UL_MAX_WAIT_MS, &wait_ms));
+    ul_destroy(l);
+}
+
+/* Guards against slots without end from a leader that has just started: it
+   takes the limit over from those that ask, but not one that ended since. */
+static void
+test_limit_is_told_to_new_leader(void)
+{
+    Ul *l = ul_create(0, 1);
+    uint64_t now_ms = LIMIT_START_MS;
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms, "u", 2, 300), UL_BEGUN);
+    CU_ASSERT_DOUBLE_EQUAL(ul_get_limit(l, "u"), 2, 1e-9);
+    CU_ASSERT_EQUAL(ul_on_limit(l, now_ms, "u", 0), UL_ENDED);
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 200, "u", 2, 300), UL_SAME);
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 400, "u", 2, 300), UL_BEGUN);
+    ul_destroy(l);
+}
+
+/* Guards against slots that are used after their time: answers that come late,
+   and gateways that were suspended. */
+static void
+test_limit_slots_expire(void)
+{
+    Ul *l = make_limited(10);
+    uint64_t now_ms = LIMIT_START_MS;
+    bool send;
+    UlTicket late = ul_ask(l, now_ms, "u", 100, &send);
+    UlTicket used = ul_ask(l, now_ms, "u", 100, &send);
+    ul_on_slot(l, now_ms + 10, used, true, 50);
+    CU_ASSERT_EQUAL(ul_check(l, now_ms + 20, used), UL_SLOT_LATER);
+    CU_ASSERT_EQUAL(ul_check(l, now_ms + 60, used), UL_SLOT_NOW);
+    CU_ASSERT_EQUAL(ul_check(l, now_ms + 400, used), UL_SLOT_NONE);
+    CU_ASSERT_EQUAL(ul_check(l, now_ms + 300, late), UL_SLOT_ASKED);
+    ul_on_slot(l, now_ms + 500, late, true, 0);
+    CU_ASSERT_EQUAL(ul_check(l, now_ms + 500, late), UL_SLOT_NONE);
+    ul_destroy(l);
+}
+
+/* Guards against a slot lost because its request left: another uses it. */
+static void
+test_limit_released_slot_is_used(void)
+{
+    Ul *l = make_limited(10);
+    bool send;
+    UlTicket first = ul_ask(l, LIMIT_START_MS, "u", 100, &send);
+    CU_ASSERT(send);
+    ul_release(l, LIMIT_START_MS, first);
+    ul_on_slot(l, LIMIT_START_MS + 5, first, true, 0);
+    UlTicket second = ul_ask(l, LIMIT_START_MS + 6, "u", 100, &send);
+    CU_ASSERT(!send);
+    CU_ASSERT_EQUAL(ul_check(l, LIMIT_START_MS + 6, second), UL_SLOT_NOW);
+    ul_use(l, second);
+    ul_ask(l, LIMIT_START_MS + 7, "u", 100, &send);
+    CU_ASSERT(send);
+    ul_destroy(l);
+}
+
+/* Guards against an allowance used again by each new process, and by more
+   gateways than share it. */
+static void
+test_limit_without_leader(void)
+{
+    Ul *l = make_limited(10);
+    uint32_t wait_ms;
+    uint64_t now_ms = LIMIT_START_MS;
+    CU_ASSERT(!ul_take_alone(l, now_ms, "u", &wait_ms));
+    ul_on_fleet(l, now_ms, 9);
+    CU_ASSERT(ul_take_alone(l, now_ms, "u", &wait_ms));
+    CU_ASSERT(!ul_take_alone(l, now_ms + UL_WINDOW_MS, "u", &wait_ms));
+    ul_on_fleet(l, now_ms, 300);
+    CU_ASSERT(!ul_take_alone(l, now_ms + 60000, "u", &wait_ms));
+    ul_destroy(l);
+    l = ul_create(LIMIT_START_MS, 1);
+    ul_on_limit(l, now_ms, "u", 10);
+    ul_on_fleet(l, now_ms, 9);
+    CU_ASSERT(!ul_take_alone(l, now_ms + 100, "u", &wait_ms));
+    CU_ASSERT(wait_ms >= UL_WINDOW_MS - 100);
+    ul_destroy(l);
+}
+
+/* Guards against a limit opened by an answer that overtook another one. */
+static void
+test_limit_lowest_of_last_second(void)
+{
+    Ul *l = make_limited(2);
+    UlNamed more = {UL_LIMITED, 50, NULL};
+    UlNamed none = {UL_UNLIMITED, 0, NULL};
+    bool report;
+    uint64_t now_ms = LIMIT_START_MS;
+    CU_ASSERT_EQUAL(ul_on_answer(l, now_ms + 500, "u", &more, true, &report),
+                    UL_SAME);
+    CU_ASSERT_EQUAL(ul_on_answer(l, now_ms + 900, "u", &none, true, &report),
+                    UL_SAME);
+    CU_ASSERT_EQUAL(ul_on_answer(l, now_ms + 1000, "u", &more, true, &report),
+                    UL_CHANGED);
+    CU_ASSERT_EQUAL(ul_on_answer(l, now_ms + 2100, "u", &none, true, &report),
+                    UL_ENDED);
+    CU_ASSERT(!ul_has_limits(l));
+    ul_destroy(l);
+}
+
 /* ---- choice ------------------------------------------------------------- */
 
 static DepUpstream *
@@ -2080,6 +2207,12 @@
         {"budget keeps share of lost gateways",
          test_budget_keeps_share_of_lost_gateways},
         {"budget of new gateways", test_budget_of_new_gateways},
+        {"limit: new leader waits", test_limit_new_leader_waits},
+        {"limit is told to new leader", test_limit_is_told_to_new_leader},
+        {"limit: slots expire", test_limit_slots_expire},
+        {"limit: released slot is used", test_limit_released_slot_is_used},
+        {"limit without leader", test_limit_without_leader},
+        {"limit: lowest of last second", test_limit_lowest_of_last_second},
         {"choice balances load", test_choice_balances_load},
         {"choice avoids failing upstream", test_choice_avoids_failing},
         {"choice backs off unreachable upstream",
