A 421 says nothing of an upstream's limit

What callers and engines would see: after another process got an upstream's address, its answer (421, not this upstream) set the former upstream's limit to its own, or ended it. Cause: every answer's head was read as the upstream's. Fix: the header is not read in a 421. test_another_process_ends_no_limit fails before (changed to 7) and passes now.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -882,6 +882,9 @@
 {
     const GwOutput *out = &q->gw->out;
     UlNamed named;
+    if (head->status == 421) {
+        return; /* it may be of another process at the same address */
+    }
     q->gw->wire->read_limit(head, &named);
     out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
 }
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -252,7 +252,7 @@
     def handle(self, h, method, path, query, body):
         expected = h.headers.get("X-Expect-Instance")
         if expected and expected != self.name:
-            h.reply(421, {}, {"X-Instance-Id": self.name})
+            h.reply(421, {}, self.add_limit({"X-Instance-Id": self.name}))
         elif path == "/report":
             h.reply(200, dict(self.entry(), sequence=self.sequence,
                               busy=self.busy, queued=0, active=0, coming=[]))
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -142,6 +142,21 @@
     return callers
 
 
+def test_another_process_ends_no_limit(build):
+    """Guards against a limit set or ended by an answer of another process
+    that has the upstream's address."""
+    with Cluster(build, models=(("m0",),)) as c:
+        g, engine = c.gateways[0], c.engines[0]
+        c.leader()
+        name_limit(g, engine, "40", ("named", None, 40000))
+        engine.rate_limit = "7"
+        name, engine.name = engine.name, "another"
+        assert ask(g, "chat", "m0", deadline_ms=500)[0] == 503
+        engine.name, engine.rate_limit = name, "40"
+        assert ask(g, "chat", "m0")[0] == 200
+        assert len(limit_events(g)) == 1
+
+
 def test_another_replica_takes_what_a_limit_does_not_allow(build):
     """Guards against callers refused for a limit while another upstream holds
     the model, and against a limited upstream that is left unused."""
