bglade-gateway starts without the optional setting control

Cause: listen_all compared with NULL, but a text setting that is left out is "". test_control_address_may_be_left_out fails before (no readiness within 15 s) and passes now.

--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -507,7 +507,7 @@
                    ? ht_listen(g->loop, gn_get_text(g, "ready"), &ready, err)
                    : NULL;
     const char *address = gn_get_text(g, "control");
-    if (g->ready && address) {
+    if (g->ready && *address) {
         g->control = ht_listen(g->loop, address, &control, err);
         return g->control != NULL;
     }
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -32,6 +32,21 @@
         assert ask(g, "read")[0] == 200
 
 
+def test_control_address_may_be_left_out(build):
+    """Guards against a gateway that doesn't start without an optional
+    setting."""
+    with Cluster(build) as c:
+        g = c.gateways[0]
+        g.stop()
+        with open(g.settings, encoding="utf-8") as f:
+            lines = [x for x in f if not x.startswith("control =")]
+        with open(g.settings, "w", encoding="utf-8") as f:
+            f.writelines(lines)
+        g.start()
+        wait_until(g.is_ready, what="readiness")
+        assert ask(g, "read")[0] == 200
+
+
 def ask_at_start(gateway):
     """Starts GATEWAY; returns the status of a request sent as soon as it
     accepts connections."""
