--- a/src/placer_decisions.c
+++ b/src/placer_decisions.c
@@ -58,7 +58,7 @@
     Replicas n = {
         fold_count_replicas(c->fold, c->params.data_centre, m->name) +
             pl_count_possible(c, m),
-        0, 0, NULL};
+        0, NULL};
     GHashTableIter it;
     gpointer p;
     g_hash_table_iter_init(&it, c->upstreams);
@@ -69,7 +69,6 @@
             continue;
         }
         n.counted += !pl_find_intent(c, u->id, m->name);
-        n.coming += l->phase < LOAD_LOADED && !l->found;
         n.usable += l->phase <= LOAD_LOADED && !u->leaving && !u->gone &&
                     is_reachable(u);
         if (l->phase == LOAD_LINGERING && pl_is_settled(c, u) && !u->gone &&
--- a/src/placer_internal.h
+++ b/src/placer_internal.h
@@ -207,7 +207,6 @@
                          possible */
     uint32_t usable;  /* loaded or to be loaded, on an upstream that is
                          reachable and not leaving */
-    uint32_t coming;  /* to be loaded: recording, ordering or loading */
     Load *lingering;  /* one that may be loaded again under its record */
 } Replicas;
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -61,7 +61,6 @@
         self.mode = "up"
         # Number of appends to carry out without a response.
         self.drop_append_replies = 0
-        self.refused = set()   # not used
 
     def put(self, topic, key, value):
         with self.lock:
--- a/tests/placement.py
+++ b/tests/placement.py
@@ -1,5 +1,5 @@
 """Shared by the placement tests: a template with models of one or two
-replicas, on engines that check fencing numbers ("fen") and on engines that
+replicas, on engines that check fencing tokens ("fen") and on engines that
 ignore them ("ign"), and helpers that inspect the engines themselves."""
 
 import os
--- a/tests/script_fold.c
+++ b/tests/script_fold.c
@@ -8,7 +8,7 @@
      grants CENTRE         print the grants that were not cleared
      intent CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
      fenced CENTRE EPOCH UPSTREAM MODEL MB CAPACITY CEILING LOAD
-                           the same on an upstream that checks fencing numbers
+                           the same on an upstream that checks fencing tokens
      settle CENTRE EPOCH UPSTREAM MODEL LOAD loaded|closed|absent|gone
      quiesce CENTRE EPOCH HOLDER OPEN_UPSTREAM|- OPEN_MODEL|-
      clear CENTRE EPOCH
--- a/tests/script_pl.c
+++ b/tests/script_pl.c
@@ -21,7 +21,7 @@
      report NODE N BOOT SEQ CAPACITY MODEL:LOAD:loading|loaded:MB ...
      drain NODE / drained NODE / state NODE / offset
 
-   Upstreams of deployment "fen" check fencing numbers, those of "ign" don't.
+   Upstreams of deployment "fen" check fencing tokens, those of "ign" don't.
    Models: fa, fb on fen and ia, ib on ign, 40 and 60 MB, ceilings 1 and 2; fl
    is an adapter of 10 MB on fb. */
 #include "base.h"
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -178,7 +178,7 @@
     between.  The former owner resumes and restores a state whose offset is far
     above the other's claim.  It must notice at once that it no longer owns the
     data centre: its next order would carry the state's offset, which is higher
-    than its successor's fencing number."""
+    than its successor's fencing token."""
     with make(build, settings=SOON) as c:
         version = publish(c, "t")
         c.wait_in_force(version)
--- a/tests/test_outage_place.py
+++ b/tests/test_outage_place.py
@@ -38,7 +38,7 @@
 def test_owner_goes_on_within_its_grant(build):
     """The log is unreachable for longer than the lease.  Models on engines
     that fence are still loaded, each on the one engine that the owner's grant
-    names; requests for models on engines that ignore fencing numbers are
+    names; requests for models on engines that ignore fencing tokens are
     refused at once as not run.  No placer claims.  When the log is back, the
     loads are recorded; no model ever exceeded its ceiling."""
     with make_cluster(build, vms=2) as c:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -43,7 +43,7 @@
     """A load order is delayed in transit.  Its owner dies (or is paused past
     its lease and resumed), and another placer succeeds it while requests for
     the model still wait.  Seconds later the delayed order arrives.  An engine
-    that checks fencing numbers refuses it.  One that ignores them accepts it,
+    that checks fencing tokens refuses it.  One that ignores them accepts it,
     so the successor must have counted it from the beginning: the model never
     has more than one replica."""
     model = kind + "-one"
