--- a/src/gateway_node_limits.c
+++ b/src/gateway_node_limits.c
@@ -130,7 +130,7 @@
     g_autoptr(GArray) list =
         g_array_new(FALSE, FALSE, sizeof(Gwp__UpstreamLimit));
     Rows rows = {g, list};
-    ul_visit(g->upstream_limits, add_known, &rows);
+    ul_visit(g->upstream_limits, bg_boot_ms(), add_known, &rows);
     if (list->len > 0) {
         send_rows(g, to, list, up);
     }
--- a/src/upstream_limits.c
+++ b/src/upstream_limits.c
@@ -282,7 +282,7 @@
 }
 
 void
-ul_visit(const Ul *l,
+ul_visit(const Ul *l, uint64_t now_ms,
          void (*visit)(void *ctx, const char *upstream, double per_s),
          void *ctx)
 {
@@ -291,7 +291,10 @@
     gpointer v;
     g_hash_table_iter_init(&it, l->entries);
     while (g_hash_table_iter_next(&it, &id, &v)) {
-        visit(ctx, id, ((const Entry *)v)->per_s);
+        const Entry *e = v;
+        if (e->per_s > 0 || now_ms < e->low_ms + IDLE_MS) {
+            visit(ctx, id, e->per_s);
+        }
     }
 }
 
--- a/src/upstream_limits.h
+++ b/src/upstream_limits.h
@@ -96,7 +96,7 @@
 /* Time since the limit in force was last named or published. */
 uint32_t ul_get_age_ms(const Ul *l, uint64_t now_ms, const char *upstream);
 /* Visits all upstreams that named a limit; PER_S is 0 if it ended lately. */
-void ul_visit(const Ul *l,
+void ul_visit(const Ul *l, uint64_t now_ms,
               void (*visit)(void *ctx, const char *upstream, double per_s),
               void *ctx);
 /* Appends a line of JSON for each limit in force. */
--- a/tests/script_ul.c
+++ b/tests/script_ul.c
@@ -628,7 +628,7 @@
         if (s->now_ms >= v->published_ms + PUBLISH_MS) {
             v->published_ms = s->now_ms;
             Publication p = {s, vm};
-            ul_visit(v->limits, publish_known, &p);
+            ul_visit(v->limits, s->now_ms, publish_known, &p);
         }
     }
 }
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -633,6 +633,28 @@
     ul_destroy(l);
 }
 
+static void
+count_limit(void *ctx, const char *upstream, double per_s)
+{
+    (void)upstream;
+    (void)per_s;
+    (*(int *)ctx)++;
+}
+
+/* Guards against limits that ended long ago and are published for ever. */
+static void
+test_limit_ended_is_forgotten(void)
+{
+    Ul *l = make_limited(2);
+    int visited = 0;
+    ul_on_limit(l, LIMIT_START_MS, "u", 0);
+    ul_visit(l, LIMIT_START_MS + 1000, count_limit, &visited);
+    CU_ASSERT_EQUAL(visited, 1);
+    ul_visit(l, LIMIT_START_MS + 60000, count_limit, &visited);
+    CU_ASSERT_EQUAL(visited, 1);
+    ul_destroy(l);
+}
+
 /* Guards against a limit opened by an answer that overtook another one. */
 static void
 test_limit_lowest_of_last_second(void)
@@ -2212,6 +2234,7 @@
         {"limit: slots expire", test_limit_slots_expire},
         {"limit: released slot is used", test_limit_released_slot_is_used},
         {"limit without leader", test_limit_without_leader},
+        {"limit: ended is forgotten", test_limit_ended_is_forgotten},
         {"limit: lowest of last second", test_limit_lowest_of_last_second},
         {"choice balances load", test_choice_balances_load},
         {"choice avoids failing upstream", test_choice_avoids_failing},
