--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -55,12 +55,12 @@
 
 
 class Callers:
-    """Sends PER_S requests a second for model MODEL to GATEWAYS in turn until
-    stop(); answers has (time, status, headers) of each."""
+    """Sends PER_S requests a second on ROUTE, for model MODEL, to GATEWAYS in
+    turn until stop(); answers has (time, status, headers) of each."""
 
-    def __init__(self, gateways, per_s, model="m0", **more):
-        self.gateways, self.per_s, self.model = gateways, per_s, model
-        self.more = more
+    def __init__(self, gateways, per_s, route="chat", model="m0"):
+        self.gateways, self.per_s = gateways, per_s
+        self.route, self.model = route, model
         self.answers, self.threads = [], []
         self.lock = threading.Lock()
         self.ends = threading.Event()
@@ -78,7 +78,7 @@
     def one(self, gateway):
         at = now()
         try:
-            status, head, _, _ = ask(gateway, "chat", self.model, **self.more)
+            status, head, _, _ = ask(gateway, self.route, self.model)
         except OSError:   # the gateway is down
             return
         with self.lock:
@@ -170,6 +170,28 @@
         assert {s for at, s, _ in answers if at < end} == {200}
 
 
+def test_a_whole_service_names_limits(build):
+    """Guards against one limit that is kept for all upstreams of a service,
+    or for none, where all of them name theirs at the same moment."""
+    with Cluster(build, gateways=3, apps=3) as c:
+        c.leader()
+        wait_until(c.all_linked)
+        for app, per_s in zip(c.apps, (1, 2, 4)):
+            app.rate_limit = str(per_s)
+        callers = Callers(c.gateways, 30, "read", None)
+        time.sleep(GRACE_S)
+        begin = now()
+        time.sleep(8)
+        end = now()
+        answers = callers.stop()
+        for app, per_s in zip(c.apps, (1, 2, 4)):
+            check_bound(app, per_s, begin, end, LEAST_USE)
+        refused = [(s, h) for at, s, h in answers
+                   if begin < at < end and s != 200]
+        assert {s for s, _ in refused} == {503}
+        assert all(float(h["Retry-After"]) > 0 for _, h in refused)
+
+
 def test_an_ended_limit_binds_nobody(build):
     """Guards against a limit that outlives its naming."""
     with Cluster(build, gateways=3, models=(("m0",),)) as c:
