ul: a limit that rises is used at once

What callers would see: an upstream whose limit rises from 0.1 to 100 a second gets nothing for up to 10 s more. Cause: the leader's next slot, and the wait that each gateway had been told, were computed for the lower limit.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -80,7 +80,7 @@
    without a first byte, or of its gap_ms without a next event. */
 #define SLOW_FIRST_BYTE 0.6
 #define SLOW_PAUSE 0.8
-/* An answer to a wish for a slot isn't waited for longer than this where
+/* An answer to a slot request isn't waited for longer than this where
    others could serve the request. */
 #define BRIEF_ANSWER_MS 60
 #define MAX_SENDS 6     /* of one request, including sends that ran nothing */
@@ -288,7 +288,7 @@
     count_outcome(q, outcome, now_ms);
 }
 
-/* Gives up the request's wish for a slot, or its slot. */
+/* Withdraws the slot request, or gives up the slot. */
 static void
 drop_ticket(Req *q)
 {
--- a/src/upstream_limits.c
+++ b/src/upstream_limits.c
@@ -12,7 +12,7 @@
    say that its limit has ended. */
 #define MIN_PER_S 0.1
 #define MAX_PER_S 1e6 /* of a limit in a frame */
-/* An answer to an older wish is not used. */
+/* An answer to an older slot request is not used. */
 #define ANSWER_LIFETIME_MS 400
 /* A slot may be used for this long from its beginning. */
 #define SLOT_LIFETIME_MS 200
@@ -126,6 +126,9 @@
 {
     double before = e->per_s;
     e->per_s = per_s > 0 ? MAX(per_s, MIN_PER_S) : 0;
+    if (e->per_s > before) {
+        e->next_known_ms = 0; /* it was computed for a longer interval */
+    }
     l->limited += (e->per_s > 0) - (before > 0);
     return e->per_s == before ? UL_SAME
            : e->per_s == 0    ? UL_ENDED
@@ -442,8 +445,8 @@
     g_hash_table_remove(l->tickets, &ticket);
 }
 
-/* A wish that was not answered in time: the leader is slow or out of reach, so
-   it isn't asked again at once. */
+/* A slot request that was not answered in time: the leader is slow or out of
+   reach, so it isn't asked again at once. */
 static void
 note_unanswered(const Ul *l, uint64_t now_ms, const Ticket *t)
 {
@@ -517,6 +520,9 @@
     e->next_ms = MAX(e->next_ms, (double)now_ms - saved_ms);
     /* The predecessor's slots begin before then. */
     e->next_ms = MAX(e->next_ms, (double)(l->lead_ms + UL_MAX_WAIT_MS));
+    /* After a rise of the limit the next slot may be far too late. */
+    e->next_ms =
+        MIN(e->next_ms, (double)now_ms + UL_MAX_WAIT_MS + interval_ms);
     double left_ms = MAX(e->next_ms - (double)now_ms, 0);
     if (left_ms > MIN(max_wait_ms, UL_MAX_WAIT_MS)) {
         *wait_ms = get_retry_ms(l, e, left_ms);
--- a/src/upstream_limits.h
+++ b/src/upstream_limits.h
@@ -104,7 +104,7 @@
 
 /* ---- slots: the gateway that sends -------------------------------------- */
 
-typedef uint64_t UlTicket; /* a wish for a slot; 0: none */
+typedef uint64_t UlTicket; /* a slot request, or the slot; 0: none */
 
 typedef enum {
     UL_SLOT_ASKED, /* not answered yet */
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -633,6 +633,28 @@
     ul_destroy(l);
 }
 
+/* Guards against an upstream that gets nothing after its limit rose: the next
+   slot was computed for the lower one. */
+static void
+test_limit_rises(void)
+{
+    Ul *l = make_limited(0.1);
+    uint64_t now_ms = LIMIT_START_MS;
+    uint32_t wait_ms;
+    bool send;
+    while (ul_schedule(l, now_ms, "u", 0, &wait_ms)) {
+    }
+    UlTicket t = ul_ask(l, now_ms, "u", 0, &send);
+    ul_on_slot(l, now_ms, t, false, wait_ms);
+    CU_ASSERT(ul_get_wait_ms(l, now_ms, "u") > 3000);
+    ul_on_limit(l, now_ms, "u", 100);
+    CU_ASSERT_EQUAL(ul_get_wait_ms(l, now_ms, "u"), 0);
+    now_ms += 100;
+    CU_ASSERT(!ul_schedule(l, now_ms, "u", 0, &wait_ms));
+    CU_ASSERT(ul_schedule(l, now_ms + 1100, "u", 0, &wait_ms));
+    ul_destroy(l);
+}
+
 static void
 count_limit(void *ctx, const char *upstream, double per_s)
 {
@@ -2234,6 +2256,7 @@
         {"limit: slots expire", test_limit_slots_expire},
         {"limit: released slot is used", test_limit_released_slot_is_used},
         {"limit without leader", test_limit_without_leader},
+        {"limit rises", test_limit_rises},
         {"limit: ended is forgotten", test_limit_ended_is_forgotten},
         {"limit: lowest of last second", test_limit_lowest_of_last_second},
         {"choice balances load", test_choice_balances_load},
