--- a/src/gateway_node_limits.c
+++ b/src/gateway_node_limits.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* All limits in force are published again after this time, for gateways that
-   had not known the upstream. */
+/* All known limits are published again after this time, for gateways that had
+   not known the upstream. */
 #define PUBLISH_MS 1000
 
 /* ---- limits ------------------------------------------------------------- */
