--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -2,7 +2,8 @@
    after the first.  In any window, the retries that a service receives from
    all gateways together must not exceed a ratio of its requests plus a fixed
    slack.  Gateways don't coordinate: each keeps to the ratio of its own
-   requests and an equal part of the slack.
+   requests and an equal part of the slack, or none of it while it doesn't know
+   how many share it.
 
    No threads, I/O or clock. */
 #ifndef RETRY_BUDGET_H
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -101,7 +101,7 @@
 
 
 @pytest.mark.parametrize("gateways", [3, 7])
-def test_gateways_keep_a_named_limit_together(build, gateways):
+def test_sum_over_gateways_above_a_named_limit(build, gateways):
     """Guards against a limit that each gateway keeps by itself, or none: the
     sum of their requests is far above it."""
     with Cluster(build, gateways=gateways, models=(("m0",),)) as c:
