--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -87,6 +87,7 @@
     UtSet *upstreams;
     Rb *budget;
     Wl *limits; /* of workspaces */
+    Ul *upstream_limits;
     Gw *gw;
     Mp *placement;
     Ls *lease;
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -159,7 +159,8 @@
     HtPool *pool;
     UtSet *upstreams;
     Rb *budget;
-    Wl *limits;         /* of workspaces */
+    Wl *limits; /* of workspaces */
+    Ul *upstream_limits;
     DepConfig *config;  /* NULL: none yet */
     uint64_t config_ms; /* when the first came */
     uint64_t start_ms;
@@ -475,6 +476,15 @@
                          size_t len);
 static void on_call_end(void *ctx, HtCall *call, HtResult result);
 
+/* PER_S: the upstream's limit; 0: it names none. */
+static void
+add_limit(JlLine *l, double per_s)
+{
+    if (per_s > 0) {
+        jl_number(l, "limit_per_1000_s", (int64_t)(per_s * 1000));
+    }
+}
+
 static void
 send_to(Req *q, Ut *ut, uint64_t now_ms)
 {
@@ -513,6 +523,7 @@
         jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
         jl_number(l, "tokens", q->call.prompt_tokens);
         jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - now_ms));
+        add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(ut)));
         jl_end(l);
     }
 }
@@ -739,6 +750,35 @@
     }
 }
 
+static void
+log_limit_change(const Req *q, UlChange change, const UlNamed *named)
+{
+    static const char *const words[] = {[UL_BEGUN] = "named",
+                                        [UL_CHANGED] = "changed",
+                                        [UL_ENDED] = "ended",
+                                        [UL_NOT_READ] = "not read"};
+    JlLine *l = jl_begin("upstream-limit");
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_text(l, "what", words[change]);
+    jl_text(l, "text", named->text);
+    add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(q->ut)));
+    jl_text(l, "id", q->call.attempt_id);
+    jl_end(l);
+    bg_count("gateway_upstream_limits_total", 1);
+}
+
+static void
+note_limit(const Req *q, const HtHead *head)
+{
+    UlNamed named;
+    q->gw->wire->read_limit(head, &named);
+    UlChange change =
+        ul_on_answer(q->gw->upstream_limits, ut_get_id(q->ut), &named);
+    if (change != UL_SAME) {
+        log_limit_change(q, change, &named);
+    }
+}
+
 static void
 on_call_head(void *ctx, HtCall *call, const HtHead *head)
 {
@@ -757,6 +797,7 @@
     if (w->read_load(head, &load)) {
         ut_note_load(q->ut, now_ms, load.running, load.waiting);
     }
+    note_limit(q, head);
     g_byte_array_set_size(q->body, 0);
     if (!q->streaming) {
         copy_headers(head, q->head);
@@ -1648,7 +1689,8 @@
 
 Gw *
 gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
-          HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits)
+          HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits,
+          Ul *upstream_limits)
 {
     Gw *g = g_new0(Gw, 1);
     g->params = *params;
@@ -1658,6 +1700,7 @@
     g->upstreams = upstreams;
     g->budget = budget;
     g->limits = limits;
+    g->upstream_limits = upstream_limits;
     g->leader_ms = bg_boot_ms();
     g->answer_us = hist_create();
     g->first_byte_us = hist_create();
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -18,6 +18,7 @@
 #include "http.h"
 #include "demand_aggregate.h"
 #include "retry_budget.h"
+#include "upstream_limits.h"
 #include "upstream_table.h"
 #include "workspace_limits.h"
 
@@ -45,6 +46,8 @@
     /* Strings in OUT are borrowed from HEAD or freed by dep_clear_call. */
     void (*read_call)(const HtHead *head, DepCall *out);
     bool (*read_load)(const HtHead *head, GwLoad *out);
+    /* The upstream's limit; its text is borrowed from HEAD. */
+    void (*read_limit)(const HtHead *head, UlNamed *out);
 } GwWire;
 
 typedef struct {
@@ -68,9 +71,10 @@
 
 typedef struct Gw Gw;
 
-/* POOL, UPSTREAMS, BUDGET and LIMITS are borrowed. */
+/* POOL, UPSTREAMS, BUDGET, LIMITS and UPSTREAM_LIMITS are borrowed. */
 Gw *gw_create(const GwParams *params, const GwWire *wire, const GwOutput *out,
-              HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits);
+              HtPool *pool, UtSet *upstreams, Rb *budget, Wl *limits,
+              Ul *upstream_limits);
 void gw_destroy(Gw *g);
 
 void gw_on_config(Gw *g, DepConfig *c);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -535,11 +535,12 @@
                    get_bound(g->settings, "limit_excess"),
                    get_bound(g->settings, "limit_slack"), seed};
     g->limits = wl_create(&wl);
+    g->upstream_limits = ul_create();
     GwParams gw = {CONNECT_MS, BREAK_LIMIT, seed};
     GwOutput gw_out = {g, on_demand_changed, on_upstream_broke,
                        on_upstream_unreachable};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
-                      g->budget, g->limits);
+                      g->budget, g->limits, g->upstream_limits);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {g,
                        gn_send_order,
@@ -611,6 +612,7 @@
     g_free(g->renewal.value);
     rb_destroy(g->budget);
     wl_destroy(g->limits);
+    ul_destroy(g->upstream_limits);
     ut_destroy(g->upstreams);
     dep_unref_config(g->config);
     if (g->config_bytes) {
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -241,6 +241,38 @@
     g_array_free(h.headers, TRUE);
 }
 
+static UlNamed
+read_limit(const char *one, const char *two)
+{
+    HtHead h = {.headers = g_array_new(FALSE, FALSE, sizeof(HtHeader))};
+    UlNamed n;
+    if (one) {
+        add_header(&h, "server-limit", one);
+    }
+    if (two) {
+        add_header(&h, "Server-Limit", two);
+    }
+    pf_gw_wire.read_limit(&h, &n);
+    g_array_free(h.headers, TRUE);
+    return n;
+}
+
+/* A limit that can't be read neither sets nor ends one. */
+static void
+test_limit_header(void)
+{
+    static const char *const bad[] = {
+        "",    "x",     "-1",   "0",   "0.0", "1x",    "nan",
+        "inf", "1e400", "0x10", "1,5", "1 2", "1.2.3", "99999999999"};
+    CU_ASSERT_EQUAL(read_limit(NULL, NULL).kind, UL_UNLIMITED);
+    CU_ASSERT_EQUAL(read_limit("1", NULL).kind, UL_LIMITED);
+    CU_ASSERT_DOUBLE_EQUAL(read_limit("0.25", NULL).per_s, 0.25, 1e-9);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_EQUAL(read_limit(bad[i], NULL).kind, UL_UNREADABLE);
+    }
+    CU_ASSERT_EQUAL(read_limit("2", "2").kind, UL_UNREADABLE);
+}
+
 int
 main(void)
 {
@@ -253,6 +285,7 @@
         {"config", test_config},
         {"config malformed", test_config_malformed},
         {"call headers", test_call_headers},
+        {"limit header", test_limit_header},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
         {"platform", NULL, NULL, NULL, NULL, (CU_TestInfo *)tests},
