Gateway: log calls that found no connection

An incident's logs had no line for a call to an upstream that could not be connected, so a gateway without a path could not be told from one whose requests are lost on connections from before.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -1119,6 +1119,17 @@
     try_send(q);
 }
 
+static void
+log_not_connected(const Req *q, uint64_t now_ms)
+{
+    JlLine *l = jl_begin("request-not-connected");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_end(l);
+    bg_count("gateway_not_connected_total", 1);
+}
+
 static void
 on_call_end(void *ctx, HtCall *call, HtResult result)
 {
@@ -1127,6 +1138,7 @@
     uint64_t now_ms = bg_boot_ms();
     q->hc = NULL;
     if (result == HT_NOT_SENT) {
+        log_not_connected(q, now_ms);
         g_ptr_array_add(q->tried, q->ut);
         if (!ut_is_unreachable(q->ut)) {
             q->gw->out.upstream_unreachable(q->gw->out.ctx, ut_get_id(q->ut));
