--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -16,6 +16,7 @@
 
 from cluster import PYTHON, free_port, wait_until
 from fake_platform import Engine, Store, StoreProxy, config
+from path_relay import PathRelays
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 # Least time between the orders of two lease holders (setting lease_ms, which
@@ -82,6 +83,7 @@
         self.program = os.path.join(build, "bglade-gateway")
         self.log_path = os.path.join(self.dir, "log")
         self.proc = None
+        self.env = None   # None: that of the tests
         self.starts_before = 0
 
     def add_setting(self, key, value):
@@ -98,7 +100,7 @@
         with open(self.log_path, "ab") as log:
             self.proc = subprocess.Popen(
                 [self.program, "--settings", self.settings],
-                stdout=stdout or log, stderr=log)
+                stdout=stdout or log, stderr=log, env=self.env)
         return self
 
     def events(self, event=None):
@@ -182,11 +184,13 @@
     first_config: the store holds a configuration, and all gateways are ready
     on return.
     extra: text added to the gateways' settings.
+    paths: each gateway reaches each upstream through a relay of their own;
+    cut() and heal() change it (see path_relay).
     """
 
     def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
                  first_config=True, store_proxies=False, extra="", apps=2,
-                 link_proxies=False):
+                 link_proxies=False, paths=False):
         self.store = Store(free_port())
         if first_config:
             self.store.put_config(config(3))
@@ -206,6 +210,10 @@
         for g in self.gateways if link_proxies else []:
             self.link_proxies.append(FaultProxy("127.0.0.1:%d" % g.link))
             g.add_setting("advertise", self.link_proxies[-1].address)
+        self.paths = PathRelays(build) if paths else None
+        for g in self.gateways if paths else []:
+            g.env = self.paths.make_env(g.name, [
+                e.address for e in self.apps + self.engines])
         for g in self.gateways:
             g.start()
         started = time.monotonic()
@@ -216,6 +224,16 @@
             # (retry_window_s).
             time.sleep(max(0, started + 1.1 - time.monotonic()))
 
+    def cut(self, gateways, how, upstreams=None):
+        """Cuts GATEWAYS from UPSTREAMS (None: all of them); HOW: a mode of
+        path_relay."""
+        upstreams = self.apps + self.engines if upstreams is None else upstreams
+        self.paths.set_mode([g.name for g in gateways],
+                            [u.address for u in upstreams], how)
+
+    def heal(self, gateways):
+        self.cut(gateways, "open")
+
     def leader(self):
         """Waits for a gateway to hold the lease for placement; returns it."""
         def find():
@@ -246,6 +264,8 @@
                     self.link_proxies):
             app.stop()
         self.store.stop()
+        if self.paths:
+            self.paths.stop()
         for e in self.engines:
             assert e.overcommitted is None, e.overcommitted
 
