--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -142,6 +142,276 @@
   assert(message->base.descriptor == &gwp__members__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__helper__init
+                     (Gwp__Helper         *message)
+{
+  static const Gwp__Helper init_value = GWP__HELPER__INIT;
+  *message = init_value;
+}
+size_t gwp__helper__get_packed_size
+                     (const Gwp__Helper *message)
+{
+  assert(message->base.descriptor == &gwp__helper__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__helper__pack
+                     (const Gwp__Helper *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__helper__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__helper__pack_to_buffer
+                     (const Gwp__Helper *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__helper__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Helper *
+       gwp__helper__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Helper *)
+     protobuf_c_message_unpack (&gwp__helper__descriptor,
+                                allocator, len, data);
+}
+void   gwp__helper__free_unpacked
+                     (Gwp__Helper *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__helper__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__helpers__init
+                     (Gwp__Helpers         *message)
+{
+  static const Gwp__Helpers init_value = GWP__HELPERS__INIT;
+  *message = init_value;
+}
+size_t gwp__helpers__get_packed_size
+                     (const Gwp__Helpers *message)
+{
+  assert(message->base.descriptor == &gwp__helpers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__helpers__pack
+                     (const Gwp__Helpers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__helpers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__helpers__pack_to_buffer
+                     (const Gwp__Helpers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__helpers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Helpers *
+       gwp__helpers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Helpers *)
+     protobuf_c_message_unpack (&gwp__helpers__descriptor,
+                                allocator, len, data);
+}
+void   gwp__helpers__free_unpacked
+                     (Gwp__Helpers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__helpers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__detour_ask__init
+                     (Gwp__DetourAsk         *message)
+{
+  static const Gwp__DetourAsk init_value = GWP__DETOUR_ASK__INIT;
+  *message = init_value;
+}
+size_t gwp__detour_ask__get_packed_size
+                     (const Gwp__DetourAsk *message)
+{
+  assert(message->base.descriptor == &gwp__detour_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__detour_ask__pack
+                     (const Gwp__DetourAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__detour_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__detour_ask__pack_to_buffer
+                     (const Gwp__DetourAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__detour_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__DetourAsk *
+       gwp__detour_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__DetourAsk *)
+     protobuf_c_message_unpack (&gwp__detour_ask__descriptor,
+                                allocator, len, data);
+}
+void   gwp__detour_ask__free_unpacked
+                     (Gwp__DetourAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__detour_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__detour_answer__init
+                     (Gwp__DetourAnswer         *message)
+{
+  static const Gwp__DetourAnswer init_value = GWP__DETOUR_ANSWER__INIT;
+  *message = init_value;
+}
+size_t gwp__detour_answer__get_packed_size
+                     (const Gwp__DetourAnswer *message)
+{
+  assert(message->base.descriptor == &gwp__detour_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__detour_answer__pack
+                     (const Gwp__DetourAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__detour_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__detour_answer__pack_to_buffer
+                     (const Gwp__DetourAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__detour_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__DetourAnswer *
+       gwp__detour_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__DetourAnswer *)
+     protobuf_c_message_unpack (&gwp__detour_answer__descriptor,
+                                allocator, len, data);
+}
+void   gwp__detour_answer__free_unpacked
+                     (Gwp__DetourAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__detour_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__detour_data__init
+                     (Gwp__DetourData         *message)
+{
+  static const Gwp__DetourData init_value = GWP__DETOUR_DATA__INIT;
+  *message = init_value;
+}
+size_t gwp__detour_data__get_packed_size
+                     (const Gwp__DetourData *message)
+{
+  assert(message->base.descriptor == &gwp__detour_data__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__detour_data__pack
+                     (const Gwp__DetourData *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__detour_data__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__detour_data__pack_to_buffer
+                     (const Gwp__DetourData *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__detour_data__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__DetourData *
+       gwp__detour_data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__DetourData *)
+     protobuf_c_message_unpack (&gwp__detour_data__descriptor,
+                                allocator, len, data);
+}
+void   gwp__detour_data__free_unpacked
+                     (Gwp__DetourData *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__detour_data__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__detour_end__init
+                     (Gwp__DetourEnd         *message)
+{
+  static const Gwp__DetourEnd init_value = GWP__DETOUR_END__INIT;
+  *message = init_value;
+}
+size_t gwp__detour_end__get_packed_size
+                     (const Gwp__DetourEnd *message)
+{
+  assert(message->base.descriptor == &gwp__detour_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__detour_end__pack
+                     (const Gwp__DetourEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__detour_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__detour_end__pack_to_buffer
+                     (const Gwp__DetourEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__detour_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__DetourEnd *
+       gwp__detour_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__DetourEnd *)
+     protobuf_c_message_unpack (&gwp__detour_end__descriptor,
+                                allocator, len, data);
+}
+void   gwp__detour_end__free_unpacked
+                     (Gwp__DetourEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__detour_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__holder__init
                      (Gwp__Holder         *message)
 {
@@ -1447,7 +1717,7 @@
   assert(message->base.descriptor == &gwp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[8] =
 {
   {
     "vm",
@@ -1533,11 +1803,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "detour",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, detour),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__hello__field_indices_by_name[] = {
   3,   /* field[3] = address */
   6,   /* field[6] = config_version */
   2,   /* field[2] = data_centre */
+  7,   /* field[7] = detour */
   4,   /* field[4] = fitness */
   1,   /* field[1] = process */
   5,   /* field[5] = shunned */
@@ -1546,7 +1829,7 @@
 static const ProtobufCIntRange gwp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gwp__hello__descriptor =
 {
@@ -1556,7 +1839,7 @@
   "Gwp__Hello",
   "gwp",
   sizeof(Gwp__Hello),
-  7,
+  8,
   gwp__hello__field_descriptors,
   gwp__hello__field_indices_by_name,
   1,  gwp__hello__number_ranges,
@@ -1601,7 +1884,7 @@
   (ProtobufCMessageInit) gwp__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__members__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__members__field_descriptors[5] =
 {
   {
     "vms",
@@ -1651,9 +1934,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "helpers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Members, n_helpers),
+    offsetof(Gwp__Members, helpers),
+    &gwp__helper__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__members__field_indices_by_name[] = {
   3,   /* field[3] = config_version */
+  4,   /* field[4] = helpers */
   1,   /* field[1] = leaving */
   2,   /* field[2] = reads_store */
   0,   /* field[0] = vms */
@@ -1661,7 +1957,7 @@
 static const ProtobufCIntRange gwp__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__members__descriptor =
 {
@@ -1671,13 +1967,299 @@
   "Gwp__Members",
   "gwp",
   sizeof(Gwp__Members),
-  4,
+  5,
   gwp__members__field_descriptors,
   gwp__members__field_indices_by_name,
   1,  gwp__members__number_ranges,
   (ProtobufCMessageInit) gwp__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__helper__field_descriptors[3] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Helper, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Helper, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Helper, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__helper__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__helper__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__helper__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Helper",
+  "Helper",
+  "Gwp__Helper",
+  "gwp",
+  sizeof(Gwp__Helper),
+  3,
+  gwp__helper__field_descriptors,
+  gwp__helper__field_indices_by_name,
+  1,  gwp__helper__number_ranges,
+  (ProtobufCMessageInit) gwp__helper__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__helpers__field_descriptors[2] =
+{
+  {
+    "helpers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Helpers, n_helpers),
+    offsetof(Gwp__Helpers, helpers),
+    &gwp__helper__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Helpers, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__helpers__field_indices_by_name[] = {
+  0,   /* field[0] = helpers */
+  1,   /* field[1] = key */
+};
+static const ProtobufCIntRange gwp__helpers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__helpers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Helpers",
+  "Helpers",
+  "Gwp__Helpers",
+  "gwp",
+  sizeof(Gwp__Helpers),
+  2,
+  gwp__helpers__field_descriptors,
+  gwp__helpers__field_indices_by_name,
+  1,  gwp__helpers__number_ranges,
+  (ProtobufCMessageInit) gwp__helpers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__detour_ask__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourAsk, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourAsk, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourAsk, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourAsk, request),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__detour_ask__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = key */
+  3,   /* field[3] = request */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__detour_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__detour_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.DetourAsk",
+  "DetourAsk",
+  "Gwp__DetourAsk",
+  "gwp",
+  sizeof(Gwp__DetourAsk),
+  4,
+  gwp__detour_ask__field_descriptors,
+  gwp__detour_ask__field_indices_by_name,
+  1,  gwp__detour_ask__number_ranges,
+  (ProtobufCMessageInit) gwp__detour_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__detour_answer__field_descriptors[1] =
+{
+  {
+    "result",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourAnswer, result),
+    &gwp__detour_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__detour_answer__field_indices_by_name[] = {
+  0,   /* field[0] = result */
+};
+static const ProtobufCIntRange gwp__detour_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__detour_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.DetourAnswer",
+  "DetourAnswer",
+  "Gwp__DetourAnswer",
+  "gwp",
+  sizeof(Gwp__DetourAnswer),
+  1,
+  gwp__detour_answer__field_descriptors,
+  gwp__detour_answer__field_indices_by_name,
+  1,  gwp__detour_answer__number_ranges,
+  (ProtobufCMessageInit) gwp__detour_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__detour_data__field_descriptors[1] =
+{
+  {
+    "data",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__DetourData, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__detour_data__field_indices_by_name[] = {
+  0,   /* field[0] = data */
+};
+static const ProtobufCIntRange gwp__detour_data__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__detour_data__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.DetourData",
+  "DetourData",
+  "Gwp__DetourData",
+  "gwp",
+  sizeof(Gwp__DetourData),
+  1,
+  gwp__detour_data__field_descriptors,
+  gwp__detour_data__field_indices_by_name,
+  1,  gwp__detour_data__number_ranges,
+  (ProtobufCMessageInit) gwp__detour_data__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define gwp__detour_end__field_descriptors NULL
+#define gwp__detour_end__field_indices_by_name NULL
+#define gwp__detour_end__number_ranges NULL
+const ProtobufCMessageDescriptor gwp__detour_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.DetourEnd",
+  "DetourEnd",
+  "Gwp__DetourEnd",
+  "gwp",
+  sizeof(Gwp__DetourEnd),
+  0,
+  gwp__detour_end__field_descriptors,
+  gwp__detour_end__field_indices_by_name,
+  0,  gwp__detour_end__number_ranges,
+  (ProtobufCMessageInit) gwp__detour_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__holder__field_descriptors[2] =
 {
   {
@@ -3594,7 +4176,7 @@
   (ProtobufCMessageInit) gwp__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[26] =
 {
   {
     "hello",
@@ -3848,6 +4430,66 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "helpers",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, helpers),
+    &gwp__helpers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detour_ask",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, detour_ask),
+    &gwp__detour_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detour_answer",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, detour_answer),
+    &gwp__detour_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detour_data",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, detour_data),
+    &gwp__detour_data__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "detour_end",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, detour_end),
+    &gwp__detour_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -3856,7 +4498,12 @@
   14,   /* field[14] = config_wanted */
   4,   /* field[4] = death */
   1,   /* field[1] = demand */
+  23,   /* field[23] = detour_answer */
+  22,   /* field[22] = detour_ask */
+  24,   /* field[24] = detour_data */
+  25,   /* field[25] = detour_end */
   0,   /* field[0] = hello */
+  21,   /* field[21] = helpers */
   11,   /* field[11] = holder */
   8,   /* field[8] = lease_answer */
   7,   /* field[7] = lease_append */
@@ -3875,7 +4522,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -3885,10 +4532,44 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  21,
+  26,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
   (ProtobufCMessageInit) gwp__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue gwp__detour_result__enum_values_by_number[5] =
+{
+  { "DETOUR_OPEN", "GWP__DETOUR_RESULT__DETOUR_OPEN", 0 },
+  { "DETOUR_NO_PATH", "GWP__DETOUR_RESULT__DETOUR_NO_PATH", 1 },
+  { "DETOUR_CUT", "GWP__DETOUR_RESULT__DETOUR_CUT", 2 },
+  { "DETOUR_FULL", "GWP__DETOUR_RESULT__DETOUR_FULL", 3 },
+  { "DETOUR_REFUSED", "GWP__DETOUR_RESULT__DETOUR_REFUSED", 4 },
+};
+static const ProtobufCIntRange gwp__detour_result__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex gwp__detour_result__enum_values_by_name[5] =
+{
+  { "DETOUR_CUT", 2 },
+  { "DETOUR_FULL", 3 },
+  { "DETOUR_NO_PATH", 1 },
+  { "DETOUR_OPEN", 0 },
+  { "DETOUR_REFUSED", 4 },
+};
+const ProtobufCEnumDescriptor gwp__detour_result__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gwp.DetourResult",
+  "DetourResult",
+  "Gwp__DetourResult",
+  "gwp",
+  5,
+  gwp__detour_result__enum_values_by_number,
+  5,
+  gwp__detour_result__enum_values_by_name,
+  1,
+  gwp__detour_result__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -18,6 +18,12 @@
 typedef struct Gwp__Hello Gwp__Hello;
 typedef struct Gwp__Assign Gwp__Assign;
 typedef struct Gwp__Members Gwp__Members;
+typedef struct Gwp__Helper Gwp__Helper;
+typedef struct Gwp__Helpers Gwp__Helpers;
+typedef struct Gwp__DetourAsk Gwp__DetourAsk;
+typedef struct Gwp__DetourAnswer Gwp__DetourAnswer;
+typedef struct Gwp__DetourData Gwp__DetourData;
+typedef struct Gwp__DetourEnd Gwp__DetourEnd;
 typedef struct Gwp__Holder Gwp__Holder;
 typedef struct Gwp__ConfigWanted Gwp__ConfigWanted;
 typedef struct Gwp__Want Gwp__Want;
@@ -51,6 +57,26 @@
 
 /* --- enums --- */
 
+typedef enum _Gwp__DetourResult {
+  GWP__DETOUR_RESULT__DETOUR_OPEN = 0,
+  /*
+   * the upstream can't be reached from there either
+   */
+  GWP__DETOUR_RESULT__DETOUR_NO_PATH = 1,
+  /*
+   * nor can the others be reached from there
+   */
+  GWP__DETOUR_RESULT__DETOUR_CUT = 2,
+  /*
+   * it takes no more detours now
+   */
+  GWP__DETOUR_RESULT__DETOUR_FULL = 3,
+  /*
+   * wrong key, or no upstream has that address
+   */
+  GWP__DETOUR_RESULT__DETOUR_REFUSED = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__DETOUR_RESULT)
+} Gwp__DetourResult;
 
 /* --- messages --- */
 
@@ -79,10 +105,14 @@
    * in force there; 0: none
    */
   uint64_t config_version;
+  /*
+   * where it takes detours; empty: it takes none
+   */
+  char *detour;
 };
 #define GWP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -119,10 +149,106 @@
    */
   protobuf_c_boolean reads_store;
   uint64_t config_version;
+  /*
+   * some of them, for detours
+   */
+  size_t n_helpers;
+  Gwp__Helper **helpers;
 };
 #define GWP__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__members__descriptor) \
-    , 0,NULL, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0,NULL }
+
+
+/*
+ * A gateway that takes detours: connections to upstreams for gateways that
+ * can't reach these themselves.
+ */
+struct  Gwp__Helper
+{
+  ProtobufCMessage base;
+  char *vm;
+  char *data_centre;
+  char *address;
+};
+#define GWP__HELPER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__helper__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Towards the members: some of the gateways that take detours.
+ */
+struct  Gwp__Helpers
+{
+  ProtobufCMessage base;
+  size_t n_helpers;
+  Gwp__Helper **helpers;
+  /*
+   * shown in each DetourAsk; 0: not known
+   */
+  uint64_t key;
+};
+#define GWP__HELPERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__helpers__descriptor) \
+    , 0,NULL, 0 }
+
+
+/*
+ * First frame on a connection for a detour.  After an answer with DETOUR_OPEN
+ * the sender's bytes go to the upstream as they are, and those of the upstream
+ * come in DetourData frames.
+ */
+struct  Gwp__DetourAsk
+{
+  ProtobufCMessage base;
+  char *vm;
+  uint64_t key;
+  /*
+   * of the upstream
+   */
+  char *address;
+  /*
+   * id of the first request, for the logs
+   */
+  char *request;
+};
+#define GWP__DETOUR_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__detour_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Gwp__DetourAnswer
+{
+  ProtobufCMessage base;
+  Gwp__DetourResult result;
+};
+#define GWP__DETOUR_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__detour_answer__descriptor) \
+    , GWP__DETOUR_RESULT__DETOUR_OPEN }
+
+
+struct  Gwp__DetourData
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData data;
+};
+#define GWP__DETOUR_DATA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__detour_data__descriptor) \
+    , {0,NULL} }
+
+
+/*
+ * The upstream closed its connection in order.  A detour that ends without it
+ * was broken off.
+ */
+struct  Gwp__DetourEnd
+{
+  ProtobufCMessage base;
+};
+#define GWP__DETOUR_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__detour_end__descriptor) \
+     }
 
 
 /*
@@ -720,7 +846,12 @@
   GWP__FRAME__BODY_LIMITS = 18,
   GWP__FRAME__BODY_UPSTREAM_LIMITS = 19,
   GWP__FRAME__BODY_SLOT_ASK = 20,
-  GWP__FRAME__BODY_SLOT_ANSWER = 21
+  GWP__FRAME__BODY_SLOT_ANSWER = 21,
+  GWP__FRAME__BODY_HELPERS = 22,
+  GWP__FRAME__BODY_DETOUR_ASK = 23,
+  GWP__FRAME__BODY_DETOUR_ANSWER = 24,
+  GWP__FRAME__BODY_DETOUR_DATA = 25,
+  GWP__FRAME__BODY_DETOUR_END = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -750,6 +881,11 @@
     Gwp__UpstreamLimits *upstream_limits;
     Gwp__SlotAsk *slot_ask;
     Gwp__SlotAnswer *slot_answer;
+    Gwp__Helpers *helpers;
+    Gwp__DetourAsk *detour_ask;
+    Gwp__DetourAnswer *detour_answer;
+    Gwp__DetourData *detour_data;
+    Gwp__DetourEnd *detour_end;
   };
 };
 #define GWP__FRAME__INIT \
@@ -814,6 +950,120 @@
 void   gwp__members__free_unpacked
                      (Gwp__Members *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Helper methods */
+void   gwp__helper__init
+                     (Gwp__Helper         *message);
+size_t gwp__helper__get_packed_size
+                     (const Gwp__Helper   *message);
+size_t gwp__helper__pack
+                     (const Gwp__Helper   *message,
+                      uint8_t             *out);
+size_t gwp__helper__pack_to_buffer
+                     (const Gwp__Helper   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Helper *
+       gwp__helper__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__helper__free_unpacked
+                     (Gwp__Helper *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__Helpers methods */
+void   gwp__helpers__init
+                     (Gwp__Helpers         *message);
+size_t gwp__helpers__get_packed_size
+                     (const Gwp__Helpers   *message);
+size_t gwp__helpers__pack
+                     (const Gwp__Helpers   *message,
+                      uint8_t             *out);
+size_t gwp__helpers__pack_to_buffer
+                     (const Gwp__Helpers   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Helpers *
+       gwp__helpers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__helpers__free_unpacked
+                     (Gwp__Helpers *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__DetourAsk methods */
+void   gwp__detour_ask__init
+                     (Gwp__DetourAsk         *message);
+size_t gwp__detour_ask__get_packed_size
+                     (const Gwp__DetourAsk   *message);
+size_t gwp__detour_ask__pack
+                     (const Gwp__DetourAsk   *message,
+                      uint8_t             *out);
+size_t gwp__detour_ask__pack_to_buffer
+                     (const Gwp__DetourAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__DetourAsk *
+       gwp__detour_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__detour_ask__free_unpacked
+                     (Gwp__DetourAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__DetourAnswer methods */
+void   gwp__detour_answer__init
+                     (Gwp__DetourAnswer         *message);
+size_t gwp__detour_answer__get_packed_size
+                     (const Gwp__DetourAnswer   *message);
+size_t gwp__detour_answer__pack
+                     (const Gwp__DetourAnswer   *message,
+                      uint8_t             *out);
+size_t gwp__detour_answer__pack_to_buffer
+                     (const Gwp__DetourAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__DetourAnswer *
+       gwp__detour_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__detour_answer__free_unpacked
+                     (Gwp__DetourAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__DetourData methods */
+void   gwp__detour_data__init
+                     (Gwp__DetourData         *message);
+size_t gwp__detour_data__get_packed_size
+                     (const Gwp__DetourData   *message);
+size_t gwp__detour_data__pack
+                     (const Gwp__DetourData   *message,
+                      uint8_t             *out);
+size_t gwp__detour_data__pack_to_buffer
+                     (const Gwp__DetourData   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__DetourData *
+       gwp__detour_data__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__detour_data__free_unpacked
+                     (Gwp__DetourData *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__DetourEnd methods */
+void   gwp__detour_end__init
+                     (Gwp__DetourEnd         *message);
+size_t gwp__detour_end__get_packed_size
+                     (const Gwp__DetourEnd   *message);
+size_t gwp__detour_end__pack
+                     (const Gwp__DetourEnd   *message,
+                      uint8_t             *out);
+size_t gwp__detour_end__pack_to_buffer
+                     (const Gwp__DetourEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__DetourEnd *
+       gwp__detour_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__detour_end__free_unpacked
+                     (Gwp__DetourEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Holder methods */
 void   gwp__holder__init
                      (Gwp__Holder         *message);
@@ -1376,6 +1626,24 @@
 typedef void (*Gwp__Members_Closure)
                  (const Gwp__Members *message,
                   void *closure_data);
+typedef void (*Gwp__Helper_Closure)
+                 (const Gwp__Helper *message,
+                  void *closure_data);
+typedef void (*Gwp__Helpers_Closure)
+                 (const Gwp__Helpers *message,
+                  void *closure_data);
+typedef void (*Gwp__DetourAsk_Closure)
+                 (const Gwp__DetourAsk *message,
+                  void *closure_data);
+typedef void (*Gwp__DetourAnswer_Closure)
+                 (const Gwp__DetourAnswer *message,
+                  void *closure_data);
+typedef void (*Gwp__DetourData_Closure)
+                 (const Gwp__DetourData *message,
+                  void *closure_data);
+typedef void (*Gwp__DetourEnd_Closure)
+                 (const Gwp__DetourEnd *message,
+                  void *closure_data);
 typedef void (*Gwp__Holder_Closure)
                  (const Gwp__Holder *message,
                   void *closure_data);
@@ -1469,9 +1737,16 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    gwp__detour_result__descriptor;
 extern const ProtobufCMessageDescriptor gwp__hello__descriptor;
 extern const ProtobufCMessageDescriptor gwp__assign__descriptor;
 extern const ProtobufCMessageDescriptor gwp__members__descriptor;
+extern const ProtobufCMessageDescriptor gwp__helper__descriptor;
+extern const ProtobufCMessageDescriptor gwp__helpers__descriptor;
+extern const ProtobufCMessageDescriptor gwp__detour_ask__descriptor;
+extern const ProtobufCMessageDescriptor gwp__detour_answer__descriptor;
+extern const ProtobufCMessageDescriptor gwp__detour_data__descriptor;
+extern const ProtobufCMessageDescriptor gwp__detour_end__descriptor;
 extern const ProtobufCMessageDescriptor gwp__holder__descriptor;
 extern const ProtobufCMessageDescriptor gwp__config_wanted__descriptor;
 extern const ProtobufCMessageDescriptor gwp__want__descriptor;
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -10,6 +10,8 @@
      gateway_node_relay    which gateway this one links to; state of linked
                            gateways
      gateway_node_limits   limits that upstreams name, and slots for them
+     gateway_node_detours  paths to upstreams, and detours by way of other
+                           gateways
      gateway_node_start    starting while the store is unreachable
      main_gateway          settings, listeners, timers, signals
    The leader is the gateway that holds the lease for placement.  Links form a
@@ -20,12 +22,14 @@
 #define GATEWAY_NODE_H
 
 #include "demand_aggregate.h"
+#include "detour_server.h"
 #include "gateway_request.h"
 #include "ini.h"
 #include "json_log.h"
 #include "lag.h"
 #include "lease.h"
 #include "model_placement.h"
+#include "path_table.h"
 #include "relay_plan.h"
 #include "retry_budget.h"
 #include "store.h"
@@ -59,6 +63,20 @@
     Lag lag;       /* of the leader's heartbeats */
 } Uplink;
 
+/* Detours by way of other gateways, and for them. */
+typedef struct {
+    Pt *paths;
+    Ds *server;          /* NULL: this gateway takes none */
+    Gwp__Helpers *above; /* as last published to us; NULL: never */
+    uint64_t key;        /* of DetourAsk; 0: not known */
+    uint64_t former_key; /* still taken */
+    bool changed;        /* the helpers known here, since published_ms */
+    uint64_t published_ms;
+    uint64_t probe_ms; /* an upstream was last probed while cut off */
+    uint32_t logged_failed;
+    bool logged_cut_off;
+} Detours;
+
 typedef struct Gateway {
     struct ev_loop *loop;
     const char *path; /* of the settings */
@@ -90,6 +108,7 @@
     Rb *budget;
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
+    Detours detours;
     Gw *gw;
     Mp *placement;
     Ls *lease;
@@ -225,6 +244,9 @@
 GHashTable *gn_list_linked_data_centres(Gateway *g);
 /* Gateways that are linked to us, or to a relay that is. */
 uint32_t gn_count_linked(Gateway *g);
+/* Adds the helpers (Gwp__Helper *, borrowed) among the gateways linked to us;
+   MEMBERS: and among theirs. */
+void gn_add_helpers(Gateway *g, bool members, GPtrArray *out);
 /* This process stops: order our members to link to the leader. */
 void gn_dismiss_members(Gateway *g);
 /* The leader's frames arrive too late to be used: a link on the way carries
@@ -299,6 +321,18 @@
 void gn_report_upstream_limits(Gateway *g);
 void gn_tick_upstream_limits(Gateway *g, uint64_t now_ms);
 
+/* gateway_node_detours */
+bool gn_create_detours(Gateway *g, GError **err);
+void gn_destroy_detours(Gateway *g);
+void gn_tick_detours(Gateway *g, uint64_t now_ms);
+/* Helpers among the gateways linked to us, or their members, have changed. */
+void gn_on_helpers_changed(Gateway *g);
+void gn_take_helpers(Gateway *g, const Gwp__Helpers *m);
+/* TO: a linked gateway; NULL: all of them. */
+void gn_send_helpers(Gateway *g, LkPeer *to);
+/* This gateway alone has no path to the upstreams. */
+bool gn_is_cut_off(const Gateway *g, uint64_t now_ms);
+
 /* gateway_node_start */
 /* Ask another gateway for a link if the store does not answer a starting
    process. */
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -642,6 +642,9 @@
     case GWP__FRAME__BODY_SLOT_ANSWER:
         gn_take_slot_answer(g, f);
         break;
+    case GWP__FRAME__BODY_HELPERS:
+        gn_take_helpers(g, f->helpers);
+        break;
     case GWP__FRAME__BODY_AWAY:
         take_unreachable(g, f->away);
         lk_send_down(g->links, NULL, f);
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -25,14 +25,21 @@
 /* A relay that could not be reached is tried again after this time. */
 #define UNREACHABLE_RELAY_MS 5000
 
+/* A relay names so many of its members as helpers for other data centres. */
+#define MAX_REPORTED_HELPERS 16
+
 /* What is known of a gateway that is linked to us. */
 typedef struct {
     char *data_centre;
     char *address;
     char *unreachable_relay; /* NULL: none */
     GPtrArray *members;      /* char *: linked to it */
-    uint32_t expected;       /* members, and those assigned to it since */
-    uint64_t expected_ms;    /* the last one was assigned */
+    Gwp__Helper helper;      /* it itself; its texts are this struct's */
+    Gwp__Members *reported;  /* by it last; NULL: never */
+    char *vm;
+    char *detour;
+    uint32_t expected;    /* members, and those assigned to it since */
+    uint64_t expected_ms; /* the last one was assigned */
     uint32_t fitness;
     uint64_t config_version;
     uint64_t since_ms; /* linked */
@@ -48,6 +55,11 @@
     g_free(p->address);
     g_free(p->unreachable_relay);
     g_ptr_array_free(p->members, TRUE);
+    if (p->reported) {
+        gwp__members__free_unpacked(p->reported, NULL);
+    }
+    g_free(p->vm);
+    g_free(p->detour);
     g_free(p);
 }
 
@@ -280,6 +292,7 @@
     const char *unreachable = g->uplink.unreachable_relay;
     hello->shunned = (char *)(unreachable ? unreachable : "");
     hello->config_version = g->config ? g->config->version : 0;
+    hello->detour = (char *)gn_get_text(g, "detour");
 }
 
 void
@@ -294,10 +307,18 @@
     p->fitness = hello->fitness;
     p->config_version = hello->config_version;
     p->since_ms = bg_boot_ms();
+    p->vm = g_strdup(hello->vm);
+    p->detour = g_strdup(hello->detour);
+    gwp__helper__init(&p->helper);
+    p->helper.vm = p->vm;
+    p->helper.data_centre = p->data_centre;
+    p->helper.address = p->detour;
     lk_set_user(from, p);
+    gn_on_helpers_changed(g);
     gn_note_member(g, hello->vm);
     g->members_ms = 0;
     send_leader(g, from);
+    gn_send_helpers(g, from);
     gn_send_initial_state(g, from);
     /* Beyond DIRECT links the leader may assign it to a relay first, see
        send_due_snapshot. */
@@ -308,6 +329,37 @@
     }
 }
 
+static bool
+same_helpers(const Gwp__Members *a, const Gwp__Members *b)
+{
+    if (!a || a->n_helpers != b->n_helpers) {
+        return !a && b->n_helpers == 0;
+    }
+    for (size_t i = 0; i < a->n_helpers; i++) {
+        if (strcmp(a->helpers[i]->address, b->helpers[i]->address) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Keeps a copy of M. */
+static void
+keep_report(Gateway *g, Peer *p, const Gwp__Members *m)
+{
+    if (same_helpers(p->reported, m)) {
+        return;
+    }
+    size_t len = gwp__members__get_packed_size(m);
+    g_autofree uint8_t *bytes = g_malloc(len + 1);
+    gwp__members__pack(m, bytes);
+    if (p->reported) {
+        gwp__members__free_unpacked(p->reported, NULL);
+    }
+    p->reported = gwp__members__unpack(NULL, len, bytes);
+    gn_on_helpers_changed(g);
+}
+
 void
 gn_take_members(Gateway *g, LkPeer *from, const Gwp__Members *m)
 {
@@ -319,6 +371,7 @@
     p->leaving = m->leaving;
     p->reads_store = m->reads_store;
     p->config_version = MAX(p->config_version, m->config_version);
+    keep_report(g, p, m);
     g_ptr_array_set_size(p->members, 0);
     for (size_t i = 0; i < m->n_vms; i++) {
         g_ptr_array_add(p->members, g_strdup(m->vms[i]));
@@ -338,6 +391,7 @@
     if (p) {
         free_peer_info(p);
         lk_set_user(peer, NULL);
+        gn_on_helpers_changed(g);
     }
     g->members_ms = 0;
     JlLine *l = jl_begin("peer-gone");
@@ -357,6 +411,35 @@
     }
 }
 
+typedef struct {
+    bool members;
+    GPtrArray *out;
+} HelperList;
+
+static void
+add_helpers(void *ctx, LkPeer *peer)
+{
+    HelperList *list = ctx;
+    Peer *p = lk_get_user(peer);
+    if (!p || p->leaving) {
+        return;
+    }
+    if (*p->detour) {
+        g_ptr_array_add(list->out, &p->helper);
+    }
+    for (size_t i = 0;
+         list->members && p->reported && i < p->reported->n_helpers; i++) {
+        g_ptr_array_add(list->out, p->reported->helpers[i]);
+    }
+}
+
+void
+gn_add_helpers(Gateway *g, bool members, GPtrArray *out)
+{
+    HelperList list = {members, out};
+    lk_visit_peers(g->links, add_helpers, &list);
+}
+
 static void
 add_data_centre(void *ctx, LkPeer *peer)
 {
@@ -399,6 +482,10 @@
     m.leaving = g->stop_ms != 0 || gn_is_lagging(g, now_ms);
     m.reads_store = gn_reads_store(g, now_ms);
     m.config_version = g->config ? g->config->version : 0;
+    g_autoptr(GPtrArray) helpers = g_ptr_array_new();
+    gn_add_helpers(g, false, helpers);
+    m.n_helpers = MIN(helpers->len, MAX_REPORTED_HELPERS);
+    m.helpers = (Gwp__Helper **)helpers->pdata;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_MEMBERS;
     f.members = &m;
--- a/src/gateway_node_start.c
+++ b/src/gateway_node_start.c
@@ -47,8 +47,11 @@
     }
     const char *seed = g_strstrip(seeds[g->next_seed++ % count]);
     if (g_strcmp0(seed, gn_get_text(g, "control")) != 0) {
-        ht_fetch(g->pool, seed, "GET", "/introduction", NULL, NULL, 0,
-                 SEED_CALL_TIMEOUT_MS, on_introduction, g);
+        HtFetch get = {.address = seed,
+                       .method = "GET",
+                       .target = "/introduction",
+                       .total_ms = SEED_CALL_TIMEOUT_MS};
+        ht_fetch(g->pool, &get, on_introduction, g);
     }
 }
 
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -132,6 +132,10 @@
 void
 gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id)
 {
+    const char *address = ut_find_address(g->upstreams, id);
+    if (address) {
+        pt_forget(g->detours.paths, address);
+    }
     ut_on_gone(g->upstreams, now_ms, id);
     mp_on_removed(g->placement, id);
 }
@@ -139,7 +143,12 @@
 bool
 gn_take_upstream(Gateway *g, uint64_t now_ms, DepUpstream *u)
 {
-    return ut_on_entry(g->upstreams, now_ms, u);
+    const char *address = u->address;
+    bool changed = ut_on_entry(g->upstreams, now_ms, u);
+    if (changed) {
+        pt_forget(g->detours.paths, address);
+    }
+    return changed;
 }
 
 bool
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -112,6 +112,8 @@
     HtCall *hc;
     Ut *ut;
     char *last_upstream; /* for the log */
+    char *helper; /* the gateway by whose way the last answer came; NULL:
+                     none; for the log */
     uint64_t sent_ms;
     uint64_t first_ms; /* 0: no byte of an answer yet */
     uint64_t last_data_ms;
@@ -272,6 +274,7 @@
     jl_text(l, "model", q->call.model);
     jl_text(l, "adapter", q->call.adapter);
     jl_text(l, "upstream", q->last_upstream);
+    jl_text(l, "by", q->helper);
     jl_number(l, "sends", q->sends);
     jl_number(l, "runs", q->runs);
     jl_number(l, "took_ms", (int64_t)(now_ms - q->arrival_ms));
@@ -317,6 +320,7 @@
     }
     g_string_free(q->partial, TRUE);
     g_free(q->last_upstream);
+    g_free(q->helper);
     g_free(q->gap_upstream);
     g_free(q);
 }
@@ -523,6 +527,7 @@
     ut_start(ut);
     HtRequest req = {
         .address = ut_get_address(ut),
+        .way = HT_WAY_ANY,
         .request = build_request(q, now_ms),
         .connect_ms = q->gw->params.connect_ms,
         .match_name = q->gw->wire->attempt_id,
@@ -892,8 +897,9 @@
 static void
 on_call_head(void *ctx, HtCall *call, const HtHead *head)
 {
-    (void)call;
     Req *q = ctx;
+    g_free(q->helper);
+    q->helper = g_strdup(ht_get_helper(call));
     const GwWire *w = q->gw->wire;
     uint64_t now_ms = bg_boot_ms();
     q->first_ms = now_ms;
--- a/src/http.h
+++ b/src/http.h
@@ -6,6 +6,7 @@
 #define HTTP_H
 
 #include "base.h"
+#include "path_table.h"
 
 #include <ev.h>
 
@@ -94,8 +95,14 @@
     HT_GARBLED   /* the answer is not valid HTTP */
 } HtResult;
 
+typedef enum {
+    HT_WAY_DIRECT,
+    HT_WAY_ANY /* also by way of another gateway, see ht_set_detours */
+} HtWay;
+
 typedef struct {
     const char *address; /* IP:PORT */
+    HtWay way;
     /* Head and body; taken over by the call. */
     GByteArray *request;
     uint32_t connect_ms;
@@ -117,6 +124,27 @@
 } HtCallHandler;
 
 HtPool *ht_create_pool(struct ev_loop *loop);
+
+/* A connection was opened by way of a helper, or was not. */
+typedef struct {
+    const char *address; /* of the upstream */
+    const char *helper;
+    const char *request; /* match_value of the call; NULL: none */
+    PtAnswer answer;
+    uint32_t after_ms;
+    bool had_failed; /* own connections to it fail */
+} HtDetour;
+
+/* Lets calls go by way of other gateways. */
+typedef struct {
+    Pt *paths;      /* borrowed */
+    const char *vm; /* of this gateway, for the helper's log */
+    void *ctx;
+    uint64_t (*get_key)(void *ctx); /* of DetourAsk */
+    void (*on_detour)(void *ctx, const HtDetour *detour);
+} HtDetours;
+
+void ht_set_detours(HtPool *p, const HtDetours *detours);
 /* Calls in progress end as HT_BROKEN, or as HT_NOT_SENT if no byte was sent;
    their handlers must start no others. */
 void ht_destroy_pool(HtPool *p);
@@ -128,6 +156,14 @@
 void ht_cancel_call(HtCall *call);
 /* Whether any byte of the request was handed to the kernel. */
 bool ht_was_sent(const HtCall *call);
+/* It was sent on an own connection, of a path that failed meanwhile: neither
+   end hears the other. */
+bool ht_is_cut_off(const HtCall *call);
+/* Address of the gateway by whose way it is sent; NULL: none. */
+const char *ht_get_helper(const HtCall *call);
+/* Opens a connection to ADDRESS, for calls to come, and notes in the paths
+   whether that succeeds. */
+void ht_probe(HtPool *p, const char *address);
 void ht_tick_pool(HtPool *p, uint64_t now_ms);
 /* Close the idle connections to ADDRESS, after one of them went silent. */
 void ht_drop_idle(HtPool *p, const char *address);
@@ -142,10 +178,19 @@
 
 typedef void (*HtReplyFn)(void *ctx, const HtReply *reply);
 
-/* Send METHOD TARGET with BODY (may be NULL) and EXTRA header lines (may be
-   NULL), and call DONE with the whole answer or after TOTAL_MS. */
-void ht_fetch(HtPool *p, const char *address, const char *method,
-              const char *target, const char *extra, const void *body,
-              size_t body_len, uint32_t total_ms, HtReplyFn done, void *ctx);
+/* Texts are borrowed during the call of ht_fetch. */
+typedef struct {
+    const char *address; /* IP:PORT */
+    HtWay way;
+    const char *method;
+    const char *target;
+    const char *extra; /* header lines, or NULL */
+    const void *body;  /* NULL: none */
+    size_t body_len;
+    uint32_t total_ms;
+} HtFetch;
+
+/* Sends REQ, and calls DONE with the whole answer or after total_ms. */
+void ht_fetch(HtPool *p, const HtFetch *req, HtReplyFn done, void *ctx);
 
 #endif
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -1,4 +1,5 @@
-#include "http_internal.h"
+#include "http_pool_internal.h"
+
 #include "sockets.h"
 
 #include <errno.h>
@@ -11,93 +12,82 @@
    crosses their close is lost, so idle connections are closed a second
    earlier. */
 #define KEEP_MARGIN_MS 1100
-#define DEFAULT_KEEP_MS 4000 /* without a Keep-Alive header */
-
-typedef struct Conn Conn;
-
-/* One connection of the pool. */
-struct Conn {
-    HtPool *pool;
-    char *address;
-    int fd;
-    ev_io read_watch;
-    ev_io write_watch;
-    http_parser parser;
-    HtMessage msg;
-    HtCall *call; /* NULL: idle */
-    bool connecting;
-    bool reusable;
-    bool skipped;     /* the message being read is interim or another call's */
-    bool got_message; /* the call's answer is whole */
-    bool parsing;     /* inside the parser's callbacks */
-    bool cancelled;   /* by a handler, inside the parser's callbacks */
-    uint32_t keep_ms; /* how long it may be idle */
-    uint64_t since_ms; /* idle, or connecting, since */
-    GList *link;       /* in the pool's conns */
-};
-
-struct HtCall {
-    HtPool *pool;
-    Conn *conn;
-    HtCallHandler handler;
-    GByteArray *request;
-    size_t sent;
-    uint32_t connect_ms;
-    char *match_name;
-    char *match_value;
-    bool fresh;
-    bool failed; /* no connection could be opened: ends at fail_timer */
-    GList *link; /* in the pool's failed calls */
-};
-
-struct HtPool {
-    struct ev_loop *loop;
-    GQueue conns;  /* Conn; also the idle ones */
-    GQueue failed; /* HtCall */
-    ev_timer fail_timer;
-};
+/* A connection that no call waits for, to see whether a path is back. */
+#define PROBE_CONNECT_MS 250
+/* A helper that has not answered by then is cut off too, or gone. */
+#define HELPER_ANSWER_MS 150
+/* After so long without a byte from an upstream a new connection shows whether
+   it is slow or out of reach. */
+#define SILENT_CALL_MS 500
 
-static void
-free_call(HtCall *call)
+void
+ht_free_call(HtCall *call)
 {
     g_byte_array_free(call->request, TRUE);
+    g_ptr_array_free(call->helpers, TRUE);
+    g_free(call->address);
     g_free(call->match_name);
     g_free(call->match_value);
     g_free(call);
 }
 
-static void
-close_conn(Conn *w)
+void
+ht_free_conn(HtConn *w)
+{
+    ht_free_message(&w->msg);
+    g_byte_array_free(w->framed, TRUE);
+    g_free(w->address);
+    g_free(w->helper);
+    g_free(w);
+}
+
+void
+ht_forget_opening(HtConn *w)
+{
+    HtCall *call = w->opener;
+    w->opener = NULL;
+    if (call && call->direct == w) {
+        call->direct = NULL;
+    }
+    if (call && call->detour == w) {
+        call->detour = NULL;
+    }
+}
+
+void
+ht_close_conn(HtConn *w)
 {
     ev_io_stop(w->pool->loop, &w->read_watch);
     ev_io_stop(w->pool->loop, &w->write_watch);
     close(w->fd);
     g_queue_delete_link(&w->pool->conns, w->link);
-    ht_free_message(&w->msg);
-    g_free(w->address);
-    g_free(w);
+    ht_forget_opening(w);
+    w->closed = true;
+    if (!w->unframing) {
+        ht_free_conn(w);
+    }
 }
 
 static void
-end_call(Conn *w, HtResult result)
+end_call(HtConn *w, HtResult result)
 {
     HtCall *call = w->call;
     w->call = NULL;
     call->handler.on_end(call->handler.ctx, call, result);
-    free_call(call);
+    ht_free_call(call);
 }
 
-static void
-fail_conn(Conn *w, HtResult result)
+void
+ht_fail_conn(HtConn *w, HtResult result)
 {
     HtCall *call = w->call;
     w->call = NULL;
-    close_conn(w);
+    ht_close_conn(w);
     if (call) {
         call->conn = NULL;
         call->handler.on_end(call->handler.ctx, call,
                              call->sent == 0 ? HT_NOT_SENT : result);
-        free_call(call);
+        ht_free_call(call);
     }
 }
 
@@ -106,7 +96,7 @@
 static int
 on_answer_begin(http_parser *p)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     ht_free_message(&w->msg);
     ht_start_message(&w->msg);
     return 0;
@@ -115,7 +105,7 @@
 static int
 on_answer_name(http_parser *p, const char *at, size_t len)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     ht_add_header_name(&w->msg, at, len);
     return 0;
 }
@@ -123,13 +113,13 @@
 static int
 on_answer_value(http_parser *p, const char *at, size_t len)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     ht_add_header_value(&w->msg, at, len);
     return 0;
 }
 
 static bool
-is_for_other_call(const Conn *w)
+is_for_other_call(const HtConn *w)
 {
     const HtCall *call = w->call;
     if (!call->match_name) {
@@ -140,7 +130,7 @@
 }
 
 static void
-read_keep_alive(Conn *w)
+read_keep_alive(HtConn *w)
 {
     const char *keep = ht_find_header(&w->msg.head, "Keep-Alive");
     const char *timeout = keep ? strstr(keep, "timeout=") : NULL;
@@ -155,7 +145,7 @@
 static int
 on_answer_head(http_parser *p)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     ht_finish_head(&w->msg, p);
     w->skipped = p->status_code / 100 == 1 || is_for_other_call(w);
     if (w->skipped) {
@@ -170,7 +160,7 @@
 static int
 on_answer_body(http_parser *p, const char *at, size_t len)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     if (!w->skipped) {
         w->call->handler.on_data(w->call->handler.ctx, w->call, at, len);
     }
@@ -180,7 +170,7 @@
 static int
 on_answer_end(http_parser *p)
 {
-    Conn *w = p->data;
+    HtConn *w = p->data;
     if (!w->skipped) {
         w->got_message = true;
         w->reusable = w->reusable && http_should_keep_alive(p);
@@ -198,8 +188,8 @@
     .on_message_complete = on_answer_end,
 };
 
-static void
-make_idle(Conn *w)
+void
+ht_make_idle(HtConn *w)
 {
     w->got_message = false;
     w->since_ms = bg_boot_ms();
@@ -210,33 +200,51 @@
 
 /* The answer is whole; LEFT unexpected bytes followed it. */
 static void
-finish_answer(Conn *w, size_t left)
+finish_answer(HtConn *w, size_t left)
 {
     HtCall *call = w->call;
     bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
                 call->sent == call->request->len;
     w->got_message = false;
     if (keep) {
-        make_idle(w);
+        ht_make_idle(w);
         end_call(w, HT_DONE);
         return;
     }
     w->call = NULL;
-    close_conn(w);
+    ht_close_conn(w);
     call->conn = NULL;
     call->handler.on_end(call->handler.ctx, call, HT_DONE);
-    free_call(call);
+    ht_free_call(call);
+}
+
+Pt *
+ht_get_paths(const HtConn *w)
+{
+    return w->way == HT_WAY_ANY ? w->pool->detours.paths : NULL;
 }
 
 static void
-parse_input(Conn *w, const uint8_t *data, size_t len)
+note_heard(HtConn *w)
+{
+    w->call->heard = true;
+    if (!w->helper && ht_get_paths(w)) {
+        pt_on_alive(ht_get_paths(w), bg_boot_ms(), w->address);
+    }
+}
+
+void
+ht_parse_input(HtConn *w, const uint8_t *data, size_t len)
 {
+    if (len > 0) {
+        note_heard(w);
+    }
     w->parsing = true;
     size_t used = http_parser_execute(&w->parser, &answer_settings,
                                       (const char *)data, len);
     w->parsing = false;
     if (w->cancelled) {
-        close_conn(w);
+        ht_close_conn(w);
         return;
     }
     enum http_errno e = HTTP_PARSER_ERRNO(&w->parser);
@@ -244,34 +252,15 @@
         finish_answer(w, len - used);
     }
     else if (e != HPE_OK || w->parser.upgrade) {
-        fail_conn(w, HT_GARBLED);
+        ht_fail_conn(w, HT_GARBLED);
     }
     else if (len == 0) {
-        fail_conn(w, HT_BROKEN);
-    }
-}
-
-static void
-on_readable(struct ev_loop *loop, ev_io *watch, int events)
-{
-    (void)loop;
-    (void)events;
-    Conn *w = watch->data;
-    uint8_t buf[HT_READ_BYTES];
-    ssize_t n = recv(w->fd, buf, sizeof(buf), 0);
-    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
-    }
-    /* An idle connection that sends anything can't be used again. */
-    if (n < 0 || !w->call) {
-        fail_conn(w, HT_BROKEN);
-        return;
+        ht_fail_conn(w, HT_BROKEN);
     }
-    parse_input(w, buf, (size_t)n);
 }
 
-static void
-send_request(Conn *w)
+void
+ht_send_request(HtConn *w)
 {
     HtCall *call = w->call;
     while (call->sent < call->request->len) {
@@ -281,76 +270,54 @@
             return;
         }
         if (n < 0 && errno != EINTR) {
-            fail_conn(w, HT_BROKEN);
+            ht_fail_conn(w, HT_BROKEN);
             return;
         }
+        if (call->sent == 0) {
+            call->sent_ms = bg_boot_ms();
+        }
         call->sent += n > 0 ? (size_t)n : 0;
     }
     ev_io_stop(w->pool->loop, &w->write_watch);
 }
 
-static void
-on_writable(struct ev_loop *loop, ev_io *watch, int events)
+static bool
+is_unused(const HtConn *w)
 {
-    (void)events;
-    Conn *w = watch->data;
-    if (w->connecting) {
-        if (!so_is_connected(w->fd)) {
-            fail_conn(w, HT_NOT_SENT);
-            return;
-        }
-        w->connecting = false;
-        ev_io_start(loop, &w->read_watch);
-    }
-    if (!w->call) {
-        ev_io_stop(loop, &w->write_watch);
-        return;
-    }
-    send_request(w);
+    return !w->call && !w->connecting && !w->asking;
 }
 
-static Conn *
-open_conn(HtPool *p, const char *address)
+/* Connections by way of a helper are left alone while the own path works. */
+static bool
+may_reuse(const HtConn *w, const HtRequest *req, bool use_helpers)
 {
-    int fd = so_connect(address);
-    if (fd < 0) {
-        return NULL;
-    }
-    Conn *w = g_new0(Conn, 1);
-    w->pool = p;
-    w->address = g_strdup(address);
-    w->fd = fd;
-    w->connecting = true;
-    w->reusable = true;
-    w->keep_ms = DEFAULT_KEEP_MS;
-    make_idle(w);
-    ev_io_init(&w->read_watch, on_readable, fd, EV_READ);
-    ev_io_init(&w->write_watch, on_writable, fd, EV_WRITE);
-    w->read_watch.data = w;
-    w->write_watch.data = w;
-    g_queue_push_head(&p->conns, w);
-    w->link = p->conns.head;
-    return w;
+    return is_unused(w) && strcmp(w->address, req->address) == 0 &&
+           (!w->helper || use_helpers);
 }
 
 /* The idle connection that was used last, as it is the least likely to have
    been closed. */
-static Conn *
+static HtConn *
 take_idle(HtPool *p, const HtRequest *req)
 {
     uint64_t now_ms = bg_boot_ms();
-    Conn *best = NULL;
+    Pt *paths = req->way == HT_WAY_ANY ? p->detours.paths : NULL;
+    bool use_helpers =
+        paths && (pt_is_failed(paths, req->address) || pt_is_cut_off(paths));
+    HtConn *best = NULL;
     for (GList *l = p->conns.head; l; l = l->next) {
-        Conn *w = l->data;
+        HtConn *w = l->data;
         uint64_t idle_ms = now_ms - w->since_ms;
-        if (!w->call && !w->connecting && idle_ms < w->keep_ms &&
+        if (may_reuse(w, req, use_helpers) && idle_ms < w->keep_ms &&
             (!req->max_idle_ms || idle_ms < req->max_idle_ms) &&
-            strcmp(w->address, req->address) == 0 &&
             (!best || w->since_ms > best->since_ms)) {
             best = w;
         }
     }
-    return best && !so_is_closed_by_peer(best->fd) ? best : NULL;
+    return best && !so_is_closed_by_peer(best->fd) &&
+                   !(best->helper && so_has_input(best->fd))
+               ? best
+               : NULL;
 }
 
 static void
@@ -362,7 +329,7 @@
     HtCall *call;
     while ((call = g_queue_pop_head(&p->failed))) {
         call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
-        free_call(call);
+        ht_free_call(call);
     }
 }
 
@@ -378,70 +345,129 @@
     return p;
 }
 
+void
+ht_set_detours(HtPool *p, const HtDetours *detours)
+{
+    p->detours = *detours;
+}
+
 void
 ht_destroy_pool(HtPool *p)
 {
-    Conn *w;
+    HtConn *w;
     while ((w = g_queue_peek_head(&p->conns))) {
-        fail_conn(w, HT_BROKEN);
+        HtCall *call = w->opener;
+        if (!call) {
+            ht_fail_conn(w, HT_BROKEN);
+            continue;
+        }
+        ht_close_conn(w);
+        if (!call->direct && !call->detour) {
+            call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
+            ht_free_call(call);
+        }
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
     ev_timer_stop(p->loop, &p->fail_timer);
     g_free(p);
 }
 
-static void
-attach_call(HtCall *call, Conn *w)
-{
-    call->conn = w;
-    w->call = call;
-    /* Bytes sent into a connection that the far side has just closed would
-       be lost, so the write waits until the loop reports it writable. */
-    ev_io_start(w->pool->loop, &w->write_watch);
-}
-
-HtCall *
-ht_start_call(HtPool *p, const HtRequest *req, const HtCallHandler *handler)
+static HtCall *
+create_call(HtPool *p, const HtRequest *req, const HtCallHandler *handler)
 {
     HtCall *call = g_new0(HtCall, 1);
     call->pool = p;
     call->handler = *handler;
     call->request = req->request;
     call->connect_ms = req->connect_ms;
+    call->begun_ms = bg_boot_ms();
+    call->detour_at_ms = UINT64_MAX;
+    call->helpers = g_ptr_array_new_with_free_func(g_free);
+    call->address = g_strdup(req->address);
     call->match_name = g_strdup(req->match_name);
     call->match_value = g_strdup(req->match_value);
+    call->way = p->detours.paths ? req->way : HT_WAY_DIRECT;
     call->fresh = req->fresh;
-    Conn *w = req->fresh ? NULL : take_idle(p, req);
-    if (!w) {
-        w = open_conn(p, req->address);
+    return call;
+}
+
+/* Opens what PLAN says; false: nothing could be opened. */
+static bool
+open_planned(HtCall *call, const PtPlan *plan)
+{
+    call->may_detour = plan->detour_after_ms != PT_NEVER;
+    if (plan->direct) {
+        ht_open_direct(call);
     }
-    if (w) {
-        attach_call(call, w);
-        return call;
+    if (call->may_detour && call->direct) {
+        call->detour_at_ms = call->begun_ms + plan->detour_after_ms;
     }
+    if (call->may_detour && (plan->detour_after_ms == 0 || !call->direct)) {
+        ht_open_detour(call);
+    }
+    return call->direct || call->detour || ht_open_direct(call);
+}
+
+static void
+start_failed(HtPool *p, HtCall *call)
+{
     call->failed = true;
     g_queue_push_tail(&p->failed, call);
     call->link = p->failed.tail;
     ev_timer_set(&p->fail_timer, 0., 0.);
     ev_timer_start(p->loop, &p->fail_timer);
+}
+
+HtCall *
+ht_start_call(HtPool *p, const HtRequest *req, const HtCallHandler *handler)
+{
+    HtCall *call = create_call(p, req, handler);
+    HtConn *w = req->fresh ? NULL : take_idle(p, req);
+    PtPlan plan = {true, PT_NEVER};
+    if (call->way == HT_WAY_ANY && (!w || w->helper)) {
+        plan = pt_plan(p->detours.paths, call->begun_ms, req->address);
+    }
+    if (w && w->helper && plan.direct) {
+        ht_probe(p, req->address);
+    }
+    if (w) {
+        ht_attach_call(call, w);
+    }
+    else if (!open_planned(call, &plan)) {
+        start_failed(p, call);
+    }
     return call;
 }
 
+void
+ht_probe(HtPool *p, const char *address)
+{
+    if (!ht_open_conn(p, address, NULL, HT_WAY_ANY, NULL)) {
+        pt_on_direct(p->detours.paths, bg_boot_ms(), address, false);
+    }
+}
+
 void
 ht_cancel_call(HtCall *call)
 {
     if (call->failed) {
         g_queue_delete_link(&call->pool->failed, call->link);
-        free_call(call);
+        ht_free_call(call);
+        return;
+    }
+    HtConn *w = call->conn;
+    if (!w) {
+        ht_leave_opening(call->direct);
+        ht_leave_opening(call->detour);
+        ht_free_call(call);
         return;
     }
-    Conn *w = call->conn;
     w->call = NULL;
-    free_call(call);
+    ht_free_call(call);
     so_reset_on_close(w->fd);
     w->cancelled = true;
     if (!w->parsing) {
-        close_conn(w);
+        ht_close_conn(w);
     } /* else the parser's caller closes it */
 }
 
@@ -451,137 +477,120 @@
     return call->sent > 0;
 }
 
-/* 0 when the connection's time is over at NOW_MS. */
-static gint
-compare_overdue(gconstpointer conn, gconstpointer now_ms)
+bool
+ht_is_cut_off(const HtCall *call)
 {
-    const Conn *w = conn;
-    uint64_t age_ms = *(const uint64_t *)now_ms - w->since_ms;
-    bool overdue = w->call ? w->connecting && age_ms > w->call->connect_ms
-                           : age_ms >= w->keep_ms;
-    return overdue ? 0 : 1;
+    const HtConn *w = call->conn;
+    return w && !w->helper && ht_get_paths(w) &&
+           pt_is_failed(ht_get_paths(w), w->address);
 }
 
-static Conn *
-find_overdue(HtPool *p, uint64_t now_ms)
+const char *
+ht_get_helper(const HtCall *call)
 {
-    GList *found = g_queue_find_custom(&p->conns, &now_ms, compare_overdue);
-    return found ? found->data : NULL;
+    return call->conn ? call->conn->helper : NULL;
 }
 
-/* A handler may open and close connections, so each search starts over. */
-void
-ht_tick_pool(HtPool *p, uint64_t now_ms)
+/* ---- time ---- */
+
+static bool
+is_overdue(const HtConn *w, uint64_t now_ms)
 {
-    Conn *w;
-    while ((w = find_overdue(p, now_ms))) {
-        if (w->call) {
-            so_reset_on_close(w->fd);
-            fail_conn(w, HT_NOT_SENT);
-        }
-        else {
-            close_conn(w);
-        }
+    const HtCall *opener = w->opener;
+    if (w->call) {
+        return false;
+    }
+    if (opener) {
+        return now_ms > opener->begun_ms + opener->connect_ms ||
+               (w->helper && now_ms > w->since_ms + HELPER_ANSWER_MS);
     }
+    return now_ms >=
+           w->since_ms + (w->connecting ? PROBE_CONNECT_MS : w->keep_ms);
 }
 
-void
-ht_drop_idle(HtPool *p, const char *address)
+/* 0 when W is overdue at NOW_MS. */
+static gint
+compare_overdue(gconstpointer w, gconstpointer now_ms)
 {
-    GList *next;
-    for (GList *l = p->conns.head; l; l = next) {
-        next = l->next;
-        Conn *w = l->data;
-        if (!w->call && strcmp(w->address, address) == 0) {
-            close_conn(w);
-        }
-    }
+    return is_overdue(w, *(const uint64_t *)now_ms) ? 0 : 1;
 }
 
-/* ---- ht_fetch ----------------------------------------------------------- */
-
-typedef struct {
-    HtCall *call;
-    ev_timer timer;
-    struct ev_loop *loop;
-    HtReplyFn done;
-    void *ctx;
-    uint16_t status;
-    GByteArray *body;
-} Fetch;
+/* A handler may open and close connections, so each search starts over. */
+static HtConn *
+find_overdue(HtPool *p, uint64_t now_ms)
+{
+    GList *found = g_queue_find_custom(&p->conns, &now_ms, compare_overdue);
+    return found ? found->data : NULL;
+}
 
+/* CALL has no time left: no other helper is asked. */
 static void
-finish_fetch(Fetch *f, HtResult result, bool timed_out)
+end_late_opening(HtConn *w, uint64_t now_ms)
 {
-    ev_timer_stop(f->loop, &f->timer);
-    HtReply reply = {result, timed_out, f->status, f->body};
-    f->done(f->ctx, &reply);
-    g_byte_array_free(f->body, TRUE);
-    g_free(f);
+    HtCall *call = w->opener;
+    if (call && now_ms > call->begun_ms + call->connect_ms) {
+        call->may_detour = false;
+    }
+    if (call || w->connecting) {
+        ht_fail_opening(w, PT_LOST, true);
+    }
+    else {
+        ht_close_conn(w);
+    }
 }
 
-static void
-on_fetch_head(void *ctx, HtCall *call, const HtHead *head)
+static bool
+is_silent(const HtConn *w, uint64_t now_ms)
 {
-    (void)call;
-    Fetch *f = ctx;
-    f->status = head->status;
+    const HtCall *call = w->call;
+    return call && !w->helper && ht_get_paths(w) && call->sent > 0 &&
+           !call->heard && now_ms > call->sent_ms + SILENT_CALL_MS;
 }
 
-static void
-on_fetch_data(void *ctx, HtCall *call, const char *data, size_t len)
+static bool
+needs_detour(const HtConn *w, uint64_t now_ms)
 {
-    (void)call;
-    Fetch *f = ctx;
-    g_byte_array_append(f->body, (const guint8 *)data, (guint)len);
+    return w->opener && !w->helper && now_ms >= w->opener->detour_at_ms;
 }
 
+/* Opening only adds connections at the head of the list. */
 static void
-on_fetch_end(void *ctx, HtCall *call, HtResult result)
+open_due(HtPool *p, uint64_t now_ms)
 {
-    (void)call;
-    finish_fetch(ctx, result, false);
+    for (GList *l = p->conns.head; l; l = l->next) {
+        HtConn *w = l->data;
+        if (needs_detour(w, now_ms)) {
+            ht_open_detour(w->opener);
+        }
+        else if (is_silent(w, now_ms) &&
+                 pt_wants_probe(ht_get_paths(w), now_ms, w->address,
+                                w->call->sent_ms)) {
+            ht_probe(p, w->address);
+        }
+    }
 }
 
-static void
-on_fetch_timeout(struct ev_loop *loop, ev_timer *t, int events)
+void
+ht_tick_pool(HtPool *p, uint64_t now_ms)
 {
-    (void)loop;
-    (void)events;
-    Fetch *f = t->data;
-    HtResult result = ht_was_sent(f->call) ? HT_BROKEN : HT_NOT_SENT;
-    ht_cancel_call(f->call);
-    f->status = 0;
-    finish_fetch(f, result, true);
+    HtConn *w;
+    while ((w = find_overdue(p, now_ms))) {
+        end_late_opening(w, now_ms);
+    }
+    if (p->detours.paths) {
+        open_due(p, now_ms);
+    }
 }
 
 void
-ht_fetch(HtPool *p, const char *address, const char *method,
-         const char *target, const char *extra, const void *body,
-         size_t body_len, uint32_t total_ms, HtReplyFn done, void *ctx)
-{
-    Fetch *f = g_new0(Fetch, 1);
-    f->loop = p->loop;
-    f->done = done;
-    f->ctx = ctx;
-    f->body = g_byte_array_new();
-    g_autoptr(GString) head = g_string_new(NULL);
-    g_string_printf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s", method, target,
-                    address, extra ? extra : "");
-    if (body || strcmp(method, "GET") != 0) {
-        g_string_append_printf(head, "Content-Length: %zu\r\n", body_len);
-    }
-    g_string_append(head, "\r\n");
-    GByteArray *request = g_byte_array_new();
-    g_byte_array_append(request, (guint8 *)head->str, (guint)head->len);
-    if (body) {
-        g_byte_array_append(request, body, (guint)body_len);
-    }
-    HtRequest req = {
-        .address = address, .request = request, .connect_ms = total_ms};
-    HtCallHandler handler = {f, on_fetch_head, on_fetch_data, on_fetch_end};
-    f->call = ht_start_call(p, &req, &handler);
-    ev_timer_init(&f->timer, on_fetch_timeout, total_ms / 1000., 0.);
-    f->timer.data = f;
-    ev_timer_start(p->loop, &f->timer);
+ht_drop_idle(HtPool *p, const char *address)
+{
+    GList *next;
+    for (GList *l = p->conns.head; l; l = next) {
+        next = l->next;
+        HtConn *w = l->data;
+        if (is_unused(w) && strcmp(w->address, address) == 0) {
+            ht_close_conn(w);
+        }
+    }
 }
--- /dev/null
+++ b/src/http_pool_internal.h
@@ -0,0 +1,100 @@
+/* http_pool_internal: connections and calls of the client, for the
+   http_*.c files only. */
+#ifndef HTTP_POOL_INTERNAL_H
+#define HTTP_POOL_INTERNAL_H
+
+#include "http_internal.h"
+
+typedef struct HtConn HtConn;
+
+/* One connection of the pool. */
+struct HtConn {
+    HtPool *pool;
+    char *address;
+    char *helper; /* the gateway by whose way it goes; NULL: none */
+    int fd;
+    ev_io read_watch;
+    ev_io write_watch;
+    http_parser parser;
+    HtMessage msg;
+    HtCall *call;   /* NULL: idle, or not open yet */
+    HtCall *opener; /* until it is open: the call it is opened for; NULL: it is
+                       a probe */
+    GByteArray *framed; /* input of a helper, up to an incomplete frame */
+    HtWay way;
+    bool connecting;
+    bool asking; /* the helper has not answered yet */
+    bool reusable;
+    bool skipped;     /* the message being read is interim or another call's */
+    bool got_message; /* the call's answer is whole */
+    bool parsing;     /* inside the parser's callbacks */
+    bool cancelled;   /* by a handler, inside the parser's callbacks */
+    bool unframing;   /* inside the loop over a helper's frames */
+    bool closed;      /* meanwhile: freed after that loop */
+    uint32_t keep_ms; /* how long it may be idle */
+    uint64_t since_ms; /* idle, or opening, since */
+    GList *link;       /* in the pool's conns */
+};
+
+struct HtCall {
+    HtPool *pool;
+    HtConn *conn; /* that it is sent on; NULL: none yet */
+    /* Until then: those being opened for it; the first to open is used. */
+    HtConn *direct;
+    HtConn *detour;
+    HtCallHandler handler;
+    GByteArray *request;
+    size_t sent;
+    uint32_t connect_ms;
+    uint64_t begun_ms;
+    uint64_t detour_at_ms; /* when to try a helper too */
+    uint64_t sent_ms;      /* the first byte */
+    GPtrArray *helpers;    /* char *: addresses of those asked */
+    char *address;
+    char *match_name;
+    char *match_value;
+    HtWay way;
+    bool may_detour;
+    bool fresh;
+    bool heard;  /* a byte came back */
+    bool failed; /* no connection could be opened: ends at fail_timer */
+    GList *link; /* in the pool's failed calls */
+};
+
+struct HtPool {
+    struct ev_loop *loop;
+    GQueue conns;  /* HtConn; also the idle ones */
+    GQueue failed; /* HtCall */
+    ev_timer fail_timer;
+    HtDetours detours; /* paths is NULL: no detours */
+};
+
+/* http_pool */
+void ht_free_call(HtCall *call);
+void ht_free_conn(HtConn *w);
+void ht_close_conn(HtConn *w);
+/* Ends its call, if it has one, with RESULT, or as not sent. */
+void ht_fail_conn(HtConn *w, HtResult result);
+/* W no longer opens for its call. */
+void ht_forget_opening(HtConn *w);
+/* LEN 0: the connection was closed in order.  May free W. */
+void ht_parse_input(HtConn *w, const uint8_t *data, size_t len);
+void ht_make_idle(HtConn *w);
+void ht_send_request(HtConn *w);
+/* The paths that W tells of; NULL: it goes to no upstream. */
+Pt *ht_get_paths(const HtConn *w);
+
+/* http_open */
+/* HELPER: NULL to connect to ADDRESS itself.  OPENER: NULL for a probe. */
+HtConn *ht_open_conn(HtPool *p, const char *address, const char *helper,
+                     HtWay way, HtCall *opener);
+bool ht_open_direct(HtCall *call);
+/* False: no helper is left. */
+bool ht_open_detour(HtCall *call);
+/* W could not be opened.  Its call tries another way, or ends. */
+void ht_fail_opening(HtConn *w, PtAnswer answer, bool timed_out);
+/* Its call needs W no more: an own connection goes on as a probe. */
+void ht_leave_opening(HtConn *w);
+void ht_attach_call(HtCall *call, HtConn *w);
+
+#endif
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -75,6 +75,9 @@
      "address for links of other gateways"},
     {"gateway", "advertise", INI_ADDRESS, false, NULL, 0, 0, NULL,
      "address at which others reach link, if it differs"},
+    {"gateway", "detour", INI_ADDRESS, false, NULL, 0, 0, NULL,
+     "address where other gateways ask for detours to upstreams that they "
+     "can't reach; none: this gateway takes no detours"},
     {"gateway", "store", INI_ADDRESS, true, NULL, 0, 0, NULL,
      "address of the platform's store"},
     {"gateway", "seeds", INI_TEXT, false, "", 0, 0, NULL,
@@ -109,6 +112,8 @@
      "gateways that link to one relay"},
     {"relays", "moves", INI_INT, false, "10", 1, 10000, NULL,
      "of these, how many it is assigned per 100 ms"},
+    {"detours", "most", INI_INT, false, "256", 0, 100000, NULL,
+     "detours for other gateways at a time"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 const char *
@@ -252,6 +257,10 @@
         wl_print(((Gateway *)ctx)->limits, bg_boot_ms(), out);
         answer_text(x, out);
     }
+    else if (strcmp(target, "/paths") == 0) {
+        pt_print(((Gateway *)ctx)->detours.paths, bg_boot_ms(), out);
+        answer_text(x, out);
+    }
     else if (strcmp(target, "/upstream-limits") == 0) {
         ul_print(((Gateway *)ctx)->upstream_limits, bg_boot_ms(), out);
         answer_text(x, out);
@@ -275,6 +284,9 @@
     uint32_t cut_off;
     g_autoptr(GHashTable) linked = gn_list_linked_data_centres(g);
     mp_count_cut_off(g->placement, now_ms, linked, &all, &cut_off);
+    if (gn_is_cut_off(g, now_ms)) {
+        cut_off = all; /* reports still come, by detours; orders can't go */
+    }
     if (cut_off * 2 <= all) {
         g->cut_off_ms = 0;
         return;
@@ -371,6 +383,7 @@
     }
     lk_on_tick(g->links, now_ms);
     gn_tick_relay(g, now_ms);
+    gn_tick_detours(g, now_ms);
     gn_schedule_store_reads(g, now_ms);
     gn_tick_start(g, now_ms);
     bool near_limit = wl_is_near_limit(g->limits);
@@ -419,6 +432,9 @@
     ls_on_tick(g->lease, now_ms);
     follow_lease(g, now_ms);
     ht_tick_pool(g->pool, now_ms);
+    if (g->detours.server) {
+        ds_on_tick(g->detours.server, now_ms);
+    }
     gw_on_tick(g->gw, now_ms);
     if (now_ms >= g->slow_tick_ms) {
         g->slow_tick_ms = now_ms + SLOW_TICK_MS;
@@ -509,9 +525,9 @@
     const char *address = gn_get_text(g, "control");
     if (g->ready && *address) {
         g->control = ht_listen(g->loop, address, &control, err);
-        return g->control != NULL;
+        return g->control && gn_create_detours(g, err);
     }
-    return g->ready != NULL;
+    return g->ready && gn_create_detours(g, err);
 }
 
 /* Leadership costs CPU time (0.1 core with 75 gateways), so larger VMs claim
@@ -607,6 +623,7 @@
     }
     lk_destroy(g->links);
     ht_destroy_pool(g->pool);
+    gn_destroy_detours(g);
     st_destroy_watch(g->config_watch);
     st_destroy_watch(g->upstream_watch);
     if (g->mail_watch) {
--- /dev/null
+++ b/src/path_table.c
@@ -0,0 +1,415 @@
+#include "path_table.h"
+
+#include <string.h>
+
+/* Between two probes of a failed path; doubled with each that fails, up to the
+   maximum, which bounds how long a path that is back stays unused. */
+#define MIN_PROBE_MS 250
+#define MAX_PROBE_MS 1000
+/* A silent call makes one probe of its upstream in this time. */
+#define SILENT_PROBE_MS 1000
+/* So many upstreams must fail, without a success since the first, before this
+   gateway counts as cut off: one alone may have crashed. */
+#define CUT_OFF_UPSTREAMS 2
+/* An upstream that no helper reaches either; doubled each time. */
+#define MIN_NO_DETOUR_MS 500
+#define MAX_NO_DETOUR_MS 4000
+/* A helper that did not answer, or is cut off itself; doubled each time. */
+#define MIN_HELPER_REST_MS 500
+#define MAX_HELPER_REST_MS 4000
+#define HELPER_FULL_MS 200
+#define MAX_DOUBLINGS 8
+/* A helper that is no longer named is still used. */
+#define KEEP_HELPER_MS 15000
+#define MAX_HELPERS 128
+/* A detour that was opened within this time shows that a helper reaches
+   upstreams. */
+#define RECENT_DETOUR_MS 3000
+
+typedef struct {
+    char *address;
+    uint64_t failed_ms; /* own connections fail since; 0: they don't */
+    uint64_t next_probe_ms;
+    uint32_t probe_ms;
+    uint64_t alive_ms; /* last sign of it on an own connection */
+    uint64_t silent_probe_ms;
+    uint64_t no_detour_until_ms;
+    uint32_t no_detours; /* in a row */
+    bool in_run;         /* counted in Pt.failed_run */
+} Path;
+
+typedef struct {
+    char *vm;
+    char *data_centre;
+    char *address;
+    uint64_t named_ms; /* it was last named */
+    uint64_t rest_until_ms;
+    uint32_t failures; /* in a row */
+} Helper;
+
+struct Pt {
+    char *data_centre;
+    char *address;
+    BgRandom rng;
+    GHashTable *paths;   /* address -> Path */
+    GPtrArray *helpers;  /* Helper */
+    uint32_t failed;     /* paths with failed_ms */
+    uint32_t failed_run; /* upstreams that failed since the last success */
+    uint64_t detour_ms;  /* the last one was opened; 0: none */
+};
+
+static void
+free_path(void *p)
+{
+    g_free(((Path *)p)->address);
+    g_free(p);
+}
+
+static void
+free_helper(void *p)
+{
+    Helper *h = p;
+    g_free(h->vm);
+    g_free(h->data_centre);
+    g_free(h->address);
+    g_free(h);
+}
+
+Pt *
+pt_create(const PtParams *params)
+{
+    Pt *t = g_new0(Pt, 1);
+    t->data_centre = g_strdup(params->data_centre);
+    t->address = g_strdup(params->address);
+    bg_seed_random(&t->rng, params->seed);
+    t->paths = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_path);
+    t->helpers = g_ptr_array_new_with_free_func(free_helper);
+    return t;
+}
+
+void
+pt_destroy(Pt *t)
+{
+    g_hash_table_destroy(t->paths);
+    g_ptr_array_free(t->helpers, TRUE);
+    g_free(t->data_centre);
+    g_free(t->address);
+    g_free(t);
+}
+
+/* ---- helpers ------------------------------------------------------------ */
+
+static Helper *
+find_helper(const Pt *t, const char *address)
+{
+    for (guint i = 0; i < t->helpers->len; i++) {
+        Helper *h = t->helpers->pdata[i];
+        if (strcmp(h->address, address) == 0) {
+            return h;
+        }
+    }
+    return NULL;
+}
+
+static void
+name_helper(Pt *t, uint64_t now_ms, const PtHelper *named)
+{
+    Helper *h = find_helper(t, named->address);
+    if (!h) {
+        h = g_new0(Helper, 1);
+        h->vm = g_strdup(named->vm);
+        h->data_centre = g_strdup(named->data_centre);
+        h->address = g_strdup(named->address);
+        g_ptr_array_add(t->helpers, h);
+    }
+    h->named_ms = now_ms;
+}
+
+void
+pt_set_helpers(Pt *t, uint64_t now_ms, const PtHelper *helpers, size_t n)
+{
+    for (guint i = t->helpers->len; i > 0; i--) {
+        const Helper *h = t->helpers->pdata[i - 1];
+        if (now_ms >= h->named_ms + KEEP_HELPER_MS ||
+            t->helpers->len > MAX_HELPERS) {
+            g_ptr_array_remove_index_fast(t->helpers, i - 1);
+        }
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (*helpers[i].address &&
+            strcmp(helpers[i].address, t->address) != 0) {
+            name_helper(t, now_ms, &helpers[i]);
+        }
+    }
+}
+
+uint32_t
+pt_count_helpers(const Pt *t)
+{
+    return t->helpers->len;
+}
+
+static bool
+was_tried(const GPtrArray *tried, const char *address)
+{
+    for (guint i = 0; i < tried->len; i++) {
+        if (strcmp(tried->pdata[i], address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A random one: of this data centre first, where the way is short, then of any
+   other, as a whole data centre may be cut off. */
+const char *
+pt_pick_helper(Pt *t, uint64_t now_ms, const GPtrArray *tried)
+{
+    const Helper *best = NULL;
+    uint32_t best_rank = 0;
+    for (guint i = 0; i < t->helpers->len; i++) {
+        const Helper *h = t->helpers->pdata[i];
+        if (now_ms < h->rest_until_ms || was_tried(tried, h->address)) {
+            continue;
+        }
+        bool near =
+            tried->len == 0 && strcmp(h->data_centre, t->data_centre) == 0;
+        uint32_t rank = bg_pick_random(&t->rng, 1u << 30) + 1;
+        rank += near ? 1u << 30 : 0;
+        if (rank > best_rank) {
+            best = h;
+            best_rank = rank;
+        }
+    }
+    return best ? best->address : NULL;
+}
+
+/* ---- paths -------------------------------------------------------------- */
+
+static Path *
+find_path(const Pt *t, const char *address)
+{
+    return g_hash_table_lookup(t->paths, address);
+}
+
+static Path *
+get_path(Pt *t, const char *address)
+{
+    Path *p = find_path(t, address);
+    if (!p) {
+        p = g_new0(Path, 1);
+        p->address = g_strdup(address);
+        g_hash_table_insert(t->paths, p->address, p);
+    }
+    return p;
+}
+
+void
+pt_forget(Pt *t, const char *address)
+{
+    Path *p = find_path(t, address);
+    if (!p) {
+        return;
+    }
+    t->failed -= p->failed_ms != 0;
+    t->failed_run -= p->in_run;
+    g_hash_table_remove(t->paths, address);
+}
+
+/* Whether the next probe is due: its caller makes it. */
+static bool
+take_probe(Path *p, uint64_t now_ms)
+{
+    if (now_ms < p->next_probe_ms) {
+        return false;
+    }
+    p->next_probe_ms = now_ms + p->probe_ms;
+    return true;
+}
+
+PtPlan
+pt_plan(Pt *t, uint64_t now_ms, const char *address)
+{
+    Path *p = get_path(t, address);
+    bool detour = t->helpers->len > 0 && now_ms >= p->no_detour_until_ms;
+    if (!detour) {
+        return (PtPlan){true, PT_NEVER};
+    }
+    if (!p->failed_ms) {
+        return (PtPlan){true, pt_is_cut_off(t) ? 0 : PT_DETOUR_AFTER_MS};
+    }
+    return (PtPlan){take_probe(p, now_ms), 0};
+}
+
+bool
+pt_may_connect(Pt *t, uint64_t now_ms, const char *address)
+{
+    Path *p = find_path(t, address);
+    return !p || !p->failed_ms || take_probe(p, now_ms);
+}
+
+static void
+end_run(Pt *t)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, t->paths);
+    while (t->failed_run > 0 && g_hash_table_iter_next(&it, NULL, &v)) {
+        ((Path *)v)->in_run = false;
+    }
+    t->failed_run = 0;
+}
+
+static void
+set_opened(Pt *t, Path *p, uint64_t now_ms)
+{
+    t->failed -= p->failed_ms != 0;
+    p->failed_ms = 0;
+    p->no_detour_until_ms = 0;
+    p->no_detours = 0;
+    p->alive_ms = now_ms;
+    end_run(t);
+}
+
+static void
+set_failed(Pt *t, Path *p, uint64_t now_ms)
+{
+    t->failed += p->failed_ms == 0;
+    p->probe_ms =
+        p->failed_ms ? MIN(p->probe_ms * 2, MAX_PROBE_MS) : MIN_PROBE_MS;
+    p->failed_ms = p->failed_ms ? p->failed_ms : now_ms;
+    /* The jitter keeps gateways that were cut off together from probing at the
+       same moments. */
+    p->next_probe_ms =
+        now_ms + p->probe_ms / 2 + bg_pick_random(&t->rng, p->probe_ms);
+    t->failed_run += !p->in_run;
+    p->in_run = true;
+}
+
+void
+pt_on_direct(Pt *t, uint64_t now_ms, const char *address, bool opened)
+{
+    Path *p = get_path(t, address);
+    if (opened) {
+        set_opened(t, p, now_ms);
+    }
+    else {
+        set_failed(t, p, now_ms);
+    }
+}
+
+void
+pt_on_alive(Pt *t, uint64_t now_ms, const char *address)
+{
+    get_path(t, address)->alive_ms = now_ms;
+    end_run(t);
+}
+
+static uint32_t
+double_rest(uint32_t least_ms, uint32_t most_ms, uint32_t times)
+{
+    return MIN(least_ms << MIN(times, MAX_DOUBLINGS), most_ms);
+}
+
+void
+pt_on_detour(Pt *t, uint64_t now_ms, const char *address, const char *helper,
+             PtAnswer answer)
+{
+    Helper *h = find_helper(t, helper);
+    Path *p = get_path(t, address);
+    if (answer == PT_OPENED) {
+        t->detour_ms = now_ms;
+        p->no_detours = 0;
+        p->no_detour_until_ms = 0;
+    }
+    if (!h) {
+        return;
+    }
+    if (answer == PT_OPENED || answer == PT_NO_PATH) {
+        h->failures = 0;
+    }
+    else if (answer == PT_FULL) {
+        h->rest_until_ms = now_ms + HELPER_FULL_MS;
+    }
+    else {
+        h->rest_until_ms =
+            now_ms +
+            double_rest(MIN_HELPER_REST_MS, MAX_HELPER_REST_MS, h->failures);
+        h->failures++;
+    }
+}
+
+void
+pt_on_no_detour(Pt *t, uint64_t now_ms, const char *address)
+{
+    Path *p = get_path(t, address);
+    p->no_detour_until_ms =
+        now_ms +
+        double_rest(MIN_NO_DETOUR_MS, MAX_NO_DETOUR_MS, p->no_detours);
+    p->no_detours++;
+}
+
+bool
+pt_wants_probe(Pt *t, uint64_t now_ms, const char *address, uint64_t sent_ms)
+{
+    Path *p = get_path(t, address);
+    if (p->alive_ms >= sent_ms || p->failed_ms ||
+        now_ms < p->silent_probe_ms + SILENT_PROBE_MS) {
+        return false;
+    }
+    p->silent_probe_ms = now_ms;
+    return true;
+}
+
+bool
+pt_is_failed(const Pt *t, const char *address)
+{
+    const Path *p = find_path(t, address);
+    return p && p->failed_ms;
+}
+
+bool
+pt_is_cut_off(const Pt *t)
+{
+    return t->failed_run >= CUT_OFF_UPSTREAMS;
+}
+
+bool
+pt_is_cut_off_alone(const Pt *t, uint64_t now_ms)
+{
+    return pt_is_cut_off(t) && t->detour_ms &&
+           now_ms < t->detour_ms + RECENT_DETOUR_MS;
+}
+
+uint32_t
+pt_count_failed(const Pt *t)
+{
+    return t->failed;
+}
+
+void
+pt_print(const Pt *t, uint64_t now_ms, GString *out)
+{
+    for (guint i = 0; i < t->helpers->len; i++) {
+        const Helper *h = t->helpers->pdata[i];
+        g_string_append_printf(
+            out,
+            "{\"helper\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\","
+            "\"rests_ms\":%llu}\n",
+            h->vm, h->address, h->data_centre,
+            (unsigned long long)(h->rest_until_ms > now_ms
+                                     ? h->rest_until_ms - now_ms
+                                     : 0));
+    }
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, t->paths);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Path *p = v;
+        if (p->failed_ms) {
+            g_string_append_printf(
+                out, "{\"upstream\":\"%s\",\"failed_ms\":%llu}\n", p->address,
+                (unsigned long long)(now_ms - p->failed_ms));
+        }
+    }
+}
--- a/src/sockets.c
+++ b/src/sockets.c
@@ -112,6 +112,13 @@
                         errno != EINTR);
 }
 
+bool
+so_has_input(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 void
 so_reset_on_close(int fd)
 {
--- a/src/sockets.h
+++ b/src/sockets.h
@@ -15,6 +15,8 @@
 int so_accept(int fd);
 /* Whether the far end has closed; consumes no input. */
 bool so_is_closed_by_peer(int fd);
+/* Whether bytes wait to be read, or the far end has closed. */
+bool so_has_input(int fd);
 /* Make close() drop unsent bytes and reset the connection.  Otherwise a
    request could still be delivered when the network recovers, after its sender
    gave it up and acted on that. */
--- a/src/tcp_links.c
+++ b/src/tcp_links.c
@@ -1,15 +1,13 @@
 #include "tcp_links.h"
 
+#include "frames.h"
 #include "sockets.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Enough for all upstreams of a large fleet. */
-#define MAX_FRAME_BYTES (8 * 1024 * 1024)
 /* Limit of the output queued for a far end that does not read.  Frames beyond
    it are dropped, and a peer's link is closed. */
 #define MAX_UNSENT_BYTES (16 * 1024 * 1024)
@@ -17,7 +15,6 @@
 /* The jitter spreads the members of a lost relay. */
 #define RECONNECT_MS 100
 #define RECONNECT_JITTER_MS 100
-#define HEAD_BYTES 4 /* length prefix of a frame */
 
 struct LkPeer {
     Lk *links;
@@ -127,23 +124,10 @@
     }
 }
 
-/* The frame, preceded by its length; to be freed. */
-static GByteArray *
-pack_frame(const Gwp__Frame *frame)
-{
-    size_t len = gwp__frame__get_packed_size(frame);
-    uint32_t head = htonl((uint32_t)len);
-    GByteArray *bytes = g_byte_array_new();
-    g_byte_array_set_size(bytes, HEAD_BYTES + (guint)len);
-    memcpy(bytes->data, &head, HEAD_BYTES);
-    gwp__frame__pack(frame, bytes->data + HEAD_BYTES);
-    return bytes;
-}
-
 static void
 send_frame(LkPeer *p, const Gwp__Frame *frame)
 {
-    g_autoptr(GByteArray) bytes = pack_frame(frame);
+    g_autoptr(GByteArray) bytes = fr_pack(frame);
     send_bytes(p, bytes);
 }
 
@@ -160,30 +144,16 @@
 static bool
 dispatch_frames(LkPeer *p, size_t *taken)
 {
-    size_t at = 0;
-    while (!p->dropped && p->in->len - at >= HEAD_BYTES) {
-        uint32_t head;
-        memcpy(&head, p->in->data + at, HEAD_BYTES);
-        size_t len = ntohl(head);
-        if (len > MAX_FRAME_BYTES) {
-            return false;
-        }
-        if (p->in->len - at - HEAD_BYTES < len) {
-            break;
-        }
-        Gwp__Frame *f =
-            gwp__frame__unpack(NULL, len, p->in->data + at + HEAD_BYTES);
-        if (!f) {
-            return false;
-        }
+    Gwp__Frame *f;
+    FrResult r = FR_PARTIAL;
+    while (!p->dropped &&
+           (r = fr_next(p->in, taken, FR_MAX_BYTES, &f)) == FR_WHOLE) {
         p->frame_ms = bg_boot_ms();
         p->links->handler.on_frame(p->links->handler.ctx,
                                    p->outgoing ? NULL : p, f);
         gwp__frame__free_unpacked(f, NULL);
-        at += HEAD_BYTES + len;
     }
-    *taken = at;
-    return true;
+    return r != FR_INVALID;
 }
 
 static void
@@ -385,7 +355,7 @@
         send_frame(to, frame);
         return;
     }
-    g_autoptr(GByteArray) bytes = pack_frame(frame);
+    g_autoptr(GByteArray) bytes = fr_pack(frame);
     for (GList *p = l->peers.head; p; p = p->next) {
         send_bytes(p->data, bytes);
     }
@@ -415,7 +385,7 @@
     g_autoptr(GByteArray) bytes = NULL;
     for (GList *p = l->peers.head; p; p = p->next) {
         if (((LkPeer *)p->data)->urgent) {
-            bytes = bytes ? bytes : pack_frame(frame);
+            bytes = bytes ? bytes : fr_pack(frame);
             send_bytes(p->data, bytes);
         }
     }
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -271,7 +271,7 @@
 ut_on_unreachable(UtSet *s, uint64_t now_ms, const char *id)
 {
     Ut *u = g_hash_table_lookup(s->by_id, id);
-    if (u) {
+    if (u && now_ms >= u->last_answer_ms + ALIVE_MS) {
         u->reported_unreachable_ms = now_ms;
     }
 }
@@ -926,6 +926,41 @@
     return g_hash_table_contains(s->by_id, id);
 }
 
+const char *
+ut_find_address(const UtSet *s, const char *id)
+{
+    const Ut *u = g_hash_table_lookup(s->by_id, id);
+    return u ? u->entry->address : NULL;
+}
+
+bool
+ut_has_address(const UtSet *s, const char *address)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        if (!u->leaving && strcmp(u->entry->address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const Ut *
+ut_pick_any(UtSet *s)
+{
+    uint32_t nth = bg_pick_random(&s->rng, g_hash_table_size(s->by_id));
+    GHashTableIter it;
+    gpointer v = NULL;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v) && nth > 0) {
+        nth--;
+    }
+    return v;
+}
+
 uint64_t
 ut_get_born_ms(const UtSet *s, const char *id)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -40,8 +40,10 @@
 bool ut_is_reported_unreachable(const UtSet *s, const char *id);
 /* The models last published by the leader; NULL: none, or stale. */
 const GPtrArray *ut_get_placement(const UtSet *s, const char *id);
-/* The leader could not reach it.  It gets only single probes until the leader
-   publishes its placement again or it answers this gateway. */
+/* The leader could not reach it, by no way.  It gets only single probes until
+   the leader publishes its placement again or it answers this gateway. Ignored
+   if it answered this gateway just now: the leader may be the one that is cut
+   off. */
 void ut_on_unreachable(UtSet *s, uint64_t now_ms, const char *id);
 /* Contact with the leader was lost.  Its placement of an upstream is used only
    until the upstream's next entry, which is newer: entries are read from the
@@ -154,6 +156,12 @@
 bool ut_is_alive(const Ut *u, uint64_t now_ms);
 uint32_t ut_count(const UtSet *s);
 bool ut_knows(const UtSet *s, const char *id);
+/* NULL: not known. */
+const char *ut_find_address(const UtSet *s, const char *id);
+/* An upstream that is listed, and does not drain, has ADDRESS. */
+bool ut_has_address(const UtSet *s, const char *address);
+/* A random one that is listed; NULL: none. */
+const Ut *ut_pick_any(UtSet *s);
 /* It is known, and the process that was born at BORN_MS has its id. */
 bool ut_is_born(const UtSet *s, const char *id, uint64_t born_ms);
 /* 0: unknown, or not given. */
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -60,8 +60,8 @@
 
     def __init__(self, build, store, name, grace_s=8, extra=""):
         self.name = name
-        self.front, self.ready, self.control, self.link = (
-            free_port() for _ in range(4))
+        self.front, self.ready, self.control, self.link, self.detour = (
+            free_port() for _ in range(5))
         self.dir = tempfile.mkdtemp(prefix="bglade-gw-")
         self.settings = os.path.join(self.dir, "settings.ini")
         with open(self.settings, "w", encoding="utf-8") as f:
@@ -72,13 +72,15 @@
 ready = 127.0.0.1:%d
 control = 127.0.0.1:%d
 link = 127.0.0.1:%d
+detour = 127.0.0.1:%d
 store = %s
 [bounds]
 lease_ms = %d
 grace_s = %d
 retry_window_s = 1
 retry_slack = 400
-%s""" % (name, self.front, self.ready, self.control, self.link, store.address,
+%s""" % (name, self.front, self.ready, self.control, self.link,
+                self.detour, store.address,
                 LEASE_GUARD_MS, grace_s, extra))
         self.program = os.path.join(build, "bglade-gateway")
         self.log_path = os.path.join(self.dir, "log")
