Requests sent into a dead path no longer count as queued at the upstream

A request that was sent on a connection of a path that failed waits for its first byte until its deadline; it was reported to the leader as queued at the upstream, and the leader published a queue there, and a wait, to all gateways.

The fix: a request on an own connection whose path fails is still reported as running, but not as queued or slow: what one gateway doesn't hear says nothing of the queue.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -1735,8 +1735,11 @@
         DmUse *u = find_use(c, q);
         w->running++;
         u->running++;
-        u->queued += q->first_ms == 0;
-        u->slow += is_slow(q, c->now_ms);
+        /* What this gateway alone doesn't hear says nothing of the queue
+           there. */
+        bool heard = !(q->hc && ht_is_cut_off(q->hc));
+        u->queued += heard && q->first_ms == 0;
+        u->slow += heard && is_slow(q, c->now_ms);
         return;
     }
     (a ? a : w)->waiting++;
