An order that could not be sent no longer makes its upstream unreachable for all

What callers saw: at gateways that reached an upstream its requests waited or were refused, since the leader had published it as unreachable.

Cause: an order that finds no connection is a fact about the pair, leader and upstream; it was published as a fact about the upstream.

Unit test "unsent order says nothing of the upstream" is red without the change.

The fix: such an order asks for a report, which comes by any way, and the answer decides; orders are tried again at doubling intervals.

--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -787,8 +787,12 @@
         cancel_unload(u);
     }
     /* If only the answer is missing the upstream may be healthy: a report is
-       requested first. */
-    set_reachable(m, u, result != MP_ORDER_NOT_SENT);
+       requested first.  An order that wasn't sent says nothing of the upstream
+       either: orders go directly, and reports come by any way. */
+    if (result != MP_ORDER_NOT_SENT) {
+        u->unsent_orders = 0;
+        set_reachable(m, u, true);
+    }
     switch (result) {
     case MP_ORDER_ACCEPTED:
         on_accepted(m, u, now_ms);
@@ -803,7 +807,12 @@
         }
         break;
     case MP_ORDER_NOT_SENT:
-        u->retry_ms = now_ms + REPORT_INTERVAL_MS;
+        u->retry_ms = now_ms + (REPORT_INTERVAL_MS
+                                << MIN(u->unsent_orders, MAX_REPORT_BACKOFFS));
+        u->unsent_orders++;
+        if (!u->report_pending) {
+            request_report(m, u);
+        }
         break;
     case MP_ORDER_REFUSED:
     case MP_ORDER_UNKNOWN:
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1066,6 +1066,7 @@
     int report_requests;
     int reported_unreachable; /* times */
     bool down;                /* refuses connections */
+    bool cut;                 /* from the leader, but not from others */
     MpOrder order;            /* pending if upstream is set */
     char *order_model;
     char *order_adapter;
@@ -1231,7 +1232,7 @@
     }
     if (e->order.upstream) {
         MpOrderResult result =
-            e->down ? MP_ORDER_NOT_SENT : execute_order(s, e);
+            e->down || e->cut ? MP_ORDER_NOT_SENT : execute_order(s, e);
         if (s->answers_to_lose > 0) {
             s->answers_to_lose--;
             result = MP_ORDER_UNKNOWN;
@@ -1945,6 +1946,33 @@
     stop_site(&s);
 }
 
+/* Guards against a leader without a path to an upstream that has all gateways
+   leave it alone: it can't send its order, but the upstream reports, by way of
+   another gateway. */
+static void
+test_placement_unsent_order_says_nothing_of_the_upstream(void)
+{
+    Site s;
+    start_site(&s, 3);
+    for (int i = 1; i < ENGINES; i++) {
+        mp_on_removed(s.mp, s.engines[i].state->id);
+    }
+    Engine *e = &s.engines[0];
+    run_site(&s, 400, true);
+    e->report_requests = 0;
+    e->cut = true;
+    report_waiting(&s, "g", "m0", NULL, 1);
+    run_site(&s, 3000, true);
+    CU_ASSERT_EQUAL(e->loads, 0);
+    CU_ASSERT_EQUAL(e->reported_unreachable, 0);
+    CU_ASSERT(e->report_requests >= 1 && e->report_requests <= 10);
+    e->cut = false;
+    report_waiting(&s, "g", "m0", NULL, 1);
+    run_site(&s, 3000, true);
+    CU_ASSERT_EQUAL(e->loads, 1);
+    stop_site(&s);
+}
+
 /* SLOW: each of the requests is about to be late. */
 static void
 report_uses(Site *s, const char *gateway, const char *model, uint32_t running,
@@ -2299,6 +2327,8 @@
         {"learns from late loads", test_placement_learns_from_late_loads},
         {"suspicion keeps upstream in use",
          test_placement_suspicion_keeps_upstream_in_use},
+        {"unsent order says nothing of the upstream",
+         test_placement_unsent_order_says_nothing_of_the_upstream},
         {"popular model gets slots", test_placement_popular_model_gets_slots},
         {"few slow requests take no slots",
          test_placement_few_slow_requests_take_no_slots},
