--- a/src/gateway_node_orders.c
+++ b/src/gateway_node_orders.c
@@ -159,9 +159,14 @@
 gn_on_unreachable(void *ctx, const char *upstream)
 {
     Gateway *g = ctx;
+    bool cut_off = pt_is_cut_off(g->detours.paths);
     JlLine *l = jl_begin("upstream-away");
     jl_text(l, "upstream", upstream);
+    jl_number(l, "published", !cut_off);
     jl_end(l);
+    if (cut_off) {
+        return; /* others may well reach it */
+    }
     ut_on_unreachable(g->upstreams, bg_boot_ms(), upstream);
     g_ptr_array_add(g->unreachable, g_strdup(upstream));
     gn_schedule_placement(g);
--- a/src/http.h
+++ b/src/http.h
@@ -182,6 +182,7 @@
 typedef struct {
     const char *address; /* IP:PORT */
     HtWay way;
+    bool fresh; /* as in HtRequest */
     const char *method;
     const char *target;
     const char *extra; /* header lines, or NULL */
--- a/src/http_fetch.c
+++ b/src/http_fetch.c
@@ -85,6 +85,7 @@
     f->body = g_byte_array_new();
     HtRequest call = {.address = req->address,
                       .way = req->way,
+                      .fresh = req->fresh,
                       .request = build_fetch(req),
                       .connect_ms = req->total_ms};
     HtCallHandler handler = {f, on_fetch_head, on_fetch_data, on_fetch_end};
