--- a/src/gateway_node_detours.c
+++ b/src/gateway_node_detours.c
@@ -249,6 +249,7 @@
 gn_tick_detours(Gateway *g, uint64_t now_ms)
 {
     publish_helpers(g, now_ms);
+    pt_on_tick(g->detours.paths, now_ms);
     if (pt_is_cut_off(g->detours.paths)) {
         probe_any(g, now_ms);
     }
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -8,9 +8,12 @@
 #include <sys/socket.h>
 
 #define DEFAULT_KEEP_MS 4000 /* without a Keep-Alive header */
-/* Helpers asked for one call: a cut may take in the first, of the same data
-   centre, and by chance another. */
-#define MAX_HELPERS 3
+/* A helper that has not answered by then may be cut off too: the next is
+   asked. */
+#define NEXT_HELPER_MS 30
+/* So many helpers without a path show that the upstream is down, rather than
+   that they are cut off as well. */
+#define MIN_NO_PATHS 2
 /* Of a helper's frame: what it read from the upstream at once. */
 #define MAX_DETOUR_FRAME_BYTES (64 * 1024)
 
@@ -57,21 +60,41 @@
     return call->direct != NULL;
 }
 
+bool
+ht_is_opening(const HtCall *call)
+{
+    bool opening = call->direct != NULL;
+    for (size_t i = 0; i < HT_MAX_HELPERS; i++) {
+        opening = opening || call->detours[i];
+    }
+    return opening;
+}
+
+/* Opens a connection by way of HELPER; false: it fails at once. */
+static bool
+open_by(HtCall *call, const char *helper)
+{
+    guint nth = call->helpers->len;
+    g_ptr_array_add(call->helpers, g_strdup(helper));
+    call->detours[nth] =
+        ht_open_conn(call->pool, call->address, helper, HT_WAY_ANY, call);
+    return call->detours[nth] != NULL;
+}
+
 bool
 ht_open_detour(HtCall *call)
 {
-    HtPool *p = call->pool;
+    Pt *paths = call->pool->detours.paths;
+    uint64_t now_ms = bg_boot_ms();
     call->detour_at_ms = UINT64_MAX;
-    while (call->may_detour && call->helpers->len < MAX_HELPERS) {
+    while (call->may_detour && call->helpers->len < HT_MAX_HELPERS) {
         const char *helper =
-            pt_pick_helper(p->detours.paths, bg_boot_ms(), call->helpers);
+            pt_pick_helper(paths, now_ms, call->address, call->helpers);
         if (!helper) {
             return false;
         }
-        g_ptr_array_add(call->helpers, g_strdup(helper));
-        call->detour =
-            ht_open_conn(p, call->address, helper, HT_WAY_ANY, call);
-        if (call->detour) {
+        if (open_by(call, helper)) {
+            call->detour_at_ms = now_ms + NEXT_HELPER_MS;
             return true;
         }
     }
@@ -99,22 +122,21 @@
 end_unsent(HtCall *call)
 {
     HtPool *p = call->pool;
-    if (call->helpers->len > 0) {
+    if (call->no_paths >= MIN_NO_PATHS) {
         pt_on_no_detour(p->detours.paths, bg_boot_ms(), call->address);
     }
     call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
     ht_free_call(call);
 }
 
-/* A connection for CALL could not be opened.  Tries a helper, or another one;
+/* A connection for CALL could not be opened.  Asks a helper, or another one;
    ends the call if none is left. */
 static void
 try_other_way(HtCall *call)
 {
-    if (call->detour || ht_open_detour(call) || call->direct) {
-        return;
+    if (!ht_open_detour(call) && !ht_is_opening(call)) {
+        end_unsent(call);
     }
-    end_unsent(call);
 }
 
 static void
@@ -149,6 +171,9 @@
     HtCall *call = w->opener;
     if (w->helper) {
         report_detour(w, answer);
+        if (call) {
+            call->no_paths += answer == PT_NO_PATH;
+        }
     }
     else if (ht_get_paths(w) && !timed_out) {
         pt_on_direct(ht_get_paths(w), bg_boot_ms(), w->address, false);
@@ -176,9 +201,8 @@
     ev_io_start(w->pool->loop, &w->write_watch);
 }
 
-/* The connection that came second: an own one goes on as a probe. */
-void
-ht_leave_opening(HtConn *w)
+static void
+leave_opening(HtConn *w)
 {
     if (w && w->helper) {
         so_reset_on_close(w->fd);
@@ -189,6 +213,15 @@
     }
 }
 
+void
+ht_leave_openings(HtCall *call)
+{
+    leave_opening(call->direct);
+    for (size_t i = 0; i < HT_MAX_HELPERS; i++) {
+        leave_opening(call->detours[i]);
+    }
+}
+
 static void
 use_opened(HtConn *w)
 {
@@ -202,8 +235,7 @@
         ev_io_stop(w->pool->loop, &w->write_watch);
         return;
     }
-    ht_leave_opening(call->direct);
-    ht_leave_opening(call->detour);
+    ht_leave_openings(call);
     ht_attach_call(call, w);
 }
 
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -49,8 +49,10 @@
     if (call && call->direct == w) {
         call->direct = NULL;
     }
-    if (call && call->detour == w) {
-        call->detour = NULL;
+    for (size_t i = 0; call && i < HT_MAX_HELPERS; i++) {
+        if (call->detours[i] == w) {
+            call->detours[i] = NULL;
+        }
     }
 }
 
@@ -362,7 +364,7 @@
             continue;
         }
         ht_close_conn(w);
-        if (!call->direct && !call->detour) {
+        if (!ht_is_opening(call)) {
             call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
             ht_free_call(call);
         }
@@ -405,7 +407,7 @@
     if (call->may_detour && (plan->detour_after_ms == 0 || !call->direct)) {
         ht_open_detour(call);
     }
-    return call->direct || call->detour || ht_open_direct(call);
+    return ht_is_opening(call) || ht_open_direct(call);
 }
 
 static void
@@ -457,8 +459,7 @@
     }
     HtConn *w = call->conn;
     if (!w) {
-        ht_leave_opening(call->direct);
-        ht_leave_opening(call->detour);
+        ht_leave_openings(call);
         ht_free_call(call);
         return;
     }
@@ -550,7 +551,7 @@
 static bool
 needs_detour(const HtConn *w, uint64_t now_ms)
 {
-    return w->opener && !w->helper && now_ms >= w->opener->detour_at_ms;
+    return w->opener && now_ms >= w->opener->detour_at_ms;
 }
 
 /* Opening only adds connections at the head of the list. */
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -5,6 +5,10 @@
 
 #include "http_internal.h"
 
+/* Helpers asked for one call: a cut may take in the first, of the same data
+   centre, and by chance another. */
+#define HT_MAX_HELPERS 3
+
 typedef struct HtConn HtConn;
 
 /* One connection of the pool. */
@@ -41,15 +45,16 @@
     HtConn *conn; /* that it is sent on; NULL: none yet */
     /* Until then: those being opened for it; the first to open is used. */
     HtConn *direct;
-    HtConn *detour;
+    HtConn *detours[HT_MAX_HELPERS];
     HtCallHandler handler;
     GByteArray *request;
     size_t sent;
     uint32_t connect_ms;
     uint64_t begun_ms;
-    uint64_t detour_at_ms; /* when to try a helper too */
+    uint64_t detour_at_ms; /* when to ask a helper too, or one more */
     uint64_t sent_ms;      /* the first byte */
     GPtrArray *helpers;    /* char *: addresses of those asked */
+    uint32_t no_paths;     /* of these, have no path to the upstream */
     char *address;
     char *match_name;
     char *match_value;
@@ -89,12 +94,13 @@
 HtConn *ht_open_conn(HtPool *p, const char *address, const char *helper,
                      HtWay way, HtCall *opener);
 bool ht_open_direct(HtCall *call);
+bool ht_is_opening(const HtCall *call);
 /* False: no helper is left. */
 bool ht_open_detour(HtCall *call);
 /* W could not be opened.  Its call tries another way, or ends. */
 void ht_fail_opening(HtConn *w, PtAnswer answer, bool timed_out);
-/* Its call needs W no more: an own connection goes on as a probe. */
-void ht_leave_opening(HtConn *w);
+/* CALL needs those being opened no more: an own one goes on as a probe. */
+void ht_leave_openings(HtCall *call);
 void ht_attach_call(HtCall *call, HtConn *w);
 
 #endif
--- a/src/path_table.c
+++ b/src/path_table.c
@@ -11,14 +11,24 @@
 /* So many upstreams must fail, without a success since the first, before this
    gateway counts as cut off: one alone may have crashed. */
 #define CUT_OFF_UPSTREAMS 2
+/* It also does where so many times more upstreams fail than were heard of
+   within RECENT_ALIVE_MS. */
+#define CUT_OFF_RATIO 2
+#define RECENT_ALIVE_MS 2000
 /* An upstream that no helper reaches either; doubled each time. */
-#define MIN_NO_DETOUR_MS 500
-#define MAX_NO_DETOUR_MS 4000
+#define MIN_NO_DETOUR_MS 250
+#define MAX_NO_DETOUR_MS 2000
 /* A helper that did not answer, or is cut off itself; doubled each time. */
 #define MIN_HELPER_REST_MS 500
 #define MAX_HELPER_REST_MS 4000
 #define HELPER_FULL_MS 200
+/* What it answered says so long something of its paths. */
+#define HELPER_MEMORY_MS 3000
 #define MAX_DOUBLINGS 8
+/* What one helper answered for one upstream. */
+#define NO_PATH_MEMORY_MS 2000
+#define MAX_NO_PATHS 8
+#define MAX_ADDRESS 24 /* IP:PORT */
 /* A helper that is no longer named is still used. */
 #define KEEP_HELPER_MS 15000
 #define MAX_HELPERS 128
@@ -26,9 +36,18 @@
    upstreams. */
 #define RECENT_DETOUR_MS 3000
 
+/* A helper that lately had no path to one upstream. */
+typedef struct {
+    char helper[MAX_ADDRESS];
+    uint64_t until_ms;
+} NoPath;
+
 typedef struct {
     char *address;
-    uint64_t failed_ms; /* own connections fail since; 0: they don't */
+    char good_helper[MAX_ADDRESS]; /* that reached it last; "": none */
+    NoPath no_paths[MAX_NO_PATHS];
+    uint32_t next_no_path; /* the entry to use next */
+    uint64_t failed_ms;    /* own connections fail since; 0: they don't */
     uint64_t next_probe_ms;
     uint32_t probe_ms;
     uint64_t alive_ms; /* last sign of it on an own connection */
@@ -42,7 +61,9 @@
     char *vm;
     char *data_centre;
     char *address;
-    uint64_t named_ms; /* it was last named */
+    uint64_t named_ms;   /* it was last named */
+    uint64_t opened_ms;  /* it last opened a detour; 0: never */
+    uint64_t no_path_ms; /* it last had no path itself; 0: never */
     uint64_t rest_until_ms;
     uint32_t failures; /* in a row */
 } Helper;
@@ -51,11 +72,13 @@
     char *data_centre;
     char *address;
     BgRandom rng;
-    GHashTable *paths;   /* address -> Path */
-    GPtrArray *helpers;  /* Helper */
-    uint32_t failed;     /* paths with failed_ms */
-    uint32_t failed_run; /* upstreams that failed since the last success */
-    uint64_t detour_ms;  /* the last one was opened; 0: none */
+    GHashTable *paths;      /* address -> Path */
+    GPtrArray *helpers;     /* Helper */
+    uint32_t failed;        /* paths with failed_ms */
+    uint32_t failed_run;    /* upstreams that failed since the last success */
+    uint64_t detour_ms;     /* the last one was opened; 0: none */
+    uint64_t bad_helper_ms; /* one had no path, or did not answer; 0: none */
+    bool mostly_failed;     /* by the last tick */
 };
 
 static void
@@ -160,30 +183,6 @@
     return false;
 }
 
-/* A random one: of this data centre first, where the way is short, then of any
-   other, as a whole data centre may be cut off. */
-const char *
-pt_pick_helper(Pt *t, uint64_t now_ms, const GPtrArray *tried)
-{
-    const Helper *best = NULL;
-    uint32_t best_rank = 0;
-    for (guint i = 0; i < t->helpers->len; i++) {
-        const Helper *h = t->helpers->pdata[i];
-        if (now_ms < h->rest_until_ms || was_tried(tried, h->address)) {
-            continue;
-        }
-        bool near =
-            tried->len == 0 && strcmp(h->data_centre, t->data_centre) == 0;
-        uint32_t rank = bg_pick_random(&t->rng, 1u << 30) + 1;
-        rank += near ? 1u << 30 : 0;
-        if (rank > best_rank) {
-            best = h;
-            best_rank = rank;
-        }
-    }
-    return best ? best->address : NULL;
-}
-
 /* ---- paths -------------------------------------------------------------- */
 
 static Path *
@@ -204,6 +203,66 @@
     return p;
 }
 
+static bool
+has_no_path(const Path *p, uint64_t now_ms, const char *helper)
+{
+    for (size_t i = 0; i < MAX_NO_PATHS; i++) {
+        if (now_ms < p->no_paths[i].until_ms &&
+            strcmp(p->no_paths[i].helper, helper) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The one that reached this upstream goes first, one that did not goes last;
+   between them, those that lately reached any go before those that did not.
+   Among equals one of this data centre, where the way is short; but once a
+   helper failed, any, as a whole data centre may be cut off. */
+static uint32_t
+rank_helper(const Pt *t, uint64_t now_ms, const Path *p, const Helper *h,
+            bool first)
+{
+    if (strcmp(p->good_helper, h->address) == 0) {
+        return 8;
+    }
+    if (has_no_path(p, now_ms, h->address)) {
+        return 0;
+    }
+    bool near = first && strcmp(h->data_centre, t->data_centre) == 0;
+    /* As long as all have paths the load is spread over all. */
+    bool good = t->bad_helper_ms && h->opened_ms > h->no_path_ms &&
+                now_ms < t->bad_helper_ms + HELPER_MEMORY_MS &&
+                now_ms < h->opened_ms + HELPER_MEMORY_MS;
+    bool bad = h->no_path_ms >= h->opened_ms && h->no_path_ms &&
+               now_ms < h->no_path_ms + HELPER_MEMORY_MS;
+    return (good ? 5 : bad ? 1 : 3) + near;
+}
+
+const char *
+pt_pick_helper(Pt *t, uint64_t now_ms, const char *address,
+               const GPtrArray *tried)
+{
+    const Path *p = get_path(t, address);
+    const Helper *best = NULL;
+    uint32_t best_rank = 0;
+    uint32_t equals = 0;
+    for (guint i = 0; i < t->helpers->len; i++) {
+        const Helper *h = t->helpers->pdata[i];
+        if (now_ms < h->rest_until_ms || was_tried(tried, h->address)) {
+            continue;
+        }
+        uint32_t rank = rank_helper(t, now_ms, p, h, tried->len == 0);
+        equals = !best || rank > best_rank ? 1 : equals + (rank == best_rank);
+        if (!best || rank > best_rank ||
+            (rank == best_rank && bg_pick_random(&t->rng, equals) == 0)) {
+            best = h;
+            best_rank = rank;
+        }
+    }
+    return best ? best->address : NULL;
+}
+
 void
 pt_forget(Pt *t, const char *address)
 {
@@ -311,6 +370,18 @@
     return MIN(least_ms << MIN(times, MAX_DOUBLINGS), most_ms);
 }
 
+static void
+note_no_path(Path *p, uint64_t now_ms, const char *helper)
+{
+    NoPath *n = &p->no_paths[p->next_no_path];
+    p->next_no_path = (p->next_no_path + 1) % MAX_NO_PATHS;
+    g_strlcpy(n->helper, helper, sizeof(n->helper));
+    n->until_ms = now_ms + NO_PATH_MEMORY_MS;
+    if (strcmp(p->good_helper, helper) == 0) {
+        *p->good_helper = '\0';
+    }
+}
+
 void
 pt_on_detour(Pt *t, uint64_t now_ms, const char *address, const char *helper,
              PtAnswer answer)
@@ -318,16 +389,25 @@
     Helper *h = find_helper(t, helper);
     Path *p = get_path(t, address);
     if (answer == PT_OPENED) {
+        g_strlcpy(p->good_helper, helper, sizeof(p->good_helper));
         t->detour_ms = now_ms;
         p->no_detours = 0;
         p->no_detour_until_ms = 0;
     }
+    else {
+        note_no_path(p, now_ms, helper);
+        t->bad_helper_ms = now_ms;
+    }
     if (!h) {
         return;
     }
-    if (answer == PT_OPENED || answer == PT_NO_PATH) {
+    if (answer == PT_OPENED) {
+        h->opened_ms = now_ms;
         h->failures = 0;
     }
+    else if (answer == PT_NO_PATH) {
+        h->no_path_ms = now_ms;
+    }
     else if (answer == PT_FULL) {
         h->rest_until_ms = now_ms + HELPER_FULL_MS;
     }
@@ -371,7 +451,26 @@
 bool
 pt_is_cut_off(const Pt *t)
 {
-    return t->failed_run >= CUT_OFF_UPSTREAMS;
+    return t->mostly_failed || t->failed_run >= CUT_OFF_UPSTREAMS;
+}
+
+void
+pt_on_tick(Pt *t, uint64_t now_ms)
+{
+    t->mostly_failed = false;
+    if (t->failed < CUT_OFF_UPSTREAMS) {
+        return;
+    }
+    uint32_t alive = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, t->paths);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Path *p = v;
+        alive += !p->failed_ms && p->alive_ms &&
+                 now_ms < p->alive_ms + RECENT_ALIVE_MS;
+    }
+    t->mostly_failed = t->failed > alive * CUT_OFF_RATIO;
 }
 
 bool
--- a/src/path_table.h
+++ b/src/path_table.h
@@ -5,9 +5,10 @@
    or all upstreams that others reach.
 
    A path whose connection failed is used again after a probe succeeded.  Where
-   several upstreams failed and none was reached since, the gateway counts as
-   cut off: it then takes both ways at once also to the others.  An upstream
-   that no helper reaches either gets no detour for a while.
+   several upstreams failed and none was reached since, or far fewer than that
+   lately, the gateway counts as cut off: it then takes both ways at once also
+   to the others.  An upstream that no helper reaches either gets no detour for
+   a while.
 
    No threads, I/O or clock: callers pass the time in. */
 #ifndef PATH_TABLE_H
@@ -53,9 +54,11 @@
 void pt_forget(Pt *t, const char *address);
 /* How to connect to the upstream at ADDRESS now. */
 PtPlan pt_plan(Pt *t, uint64_t now_ms, const char *address);
-/* The helper to ask; TRIED: addresses (char *) of those asked before.  NULL:
-   none is left.  The text is valid until pt_set_helpers. */
-const char *pt_pick_helper(Pt *t, uint64_t now_ms, const GPtrArray *tried);
+/* The helper to ask for the upstream at ADDRESS; TRIED: addresses (char *) of
+   those asked before.  NULL: none is left.  The text is valid until
+   pt_set_helpers. */
+const char *pt_pick_helper(Pt *t, uint64_t now_ms, const char *address,
+                           const GPtrArray *tried);
 
 /* An own connection to ADDRESS was opened, or could not be. */
 void pt_on_direct(Pt *t, uint64_t now_ms, const char *address, bool opened);
@@ -86,12 +89,15 @@
 bool pt_may_connect(Pt *t, uint64_t now_ms, const char *address);
 /* Own connections to ADDRESS fail at present. */
 bool pt_is_failed(const Pt *t, const char *address);
-/* Own connections to several upstreams fail, and to none they succeed. */
+/* Own connections to several upstreams fail, and to none, or few, they
+   succeed. */
 bool pt_is_cut_off(const Pt *t);
 /* The same, and a helper reached some: so the fault is this gateway's. */
 bool pt_is_cut_off_alone(const Pt *t, uint64_t now_ms);
 /* Upstreams to which own connections fail at present. */
 uint32_t pt_count_failed(const Pt *t);
+/* Call it about every 100 ms. */
+void pt_on_tick(Pt *t, uint64_t now_ms);
 /* What is known of paths and helpers, for the state dump, as JSON lines. */
 void pt_print(const Pt *t, uint64_t now_ms, GString *out);
 
