Callers are refused at once where no gateway reaches an upstream

What callers saw: with all gateways cut from the upstreams, requests waited for "reachable upstream" until their deadline, 4 s in test_all_cut_refuses_at_once (red before), and were then refused.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -838,6 +838,10 @@
         wait_for(q, now_ms, "slot");
         return;
     case UT_UNREACHABLE:
+        if (q->runs == 0 && q->gw->out.is_isolated(q->gw->out.ctx)) {
+            give_up(q, RETRY_LATER_MS, "cut off from the upstreams");
+            return;
+        }
         /* The leader may have the model loaded elsewhere. */
         q->lacks_model = true;
         if (q->query.model) {
@@ -855,6 +859,10 @@
         give_up(q, RETRY_LATER_MS, "the service has no upstream");
         return;
     case UT_TRIED:
+        if (q->runs == 0 && q->gw->out.is_isolated(q->gw->out.ctx)) {
+            give_up(q, RETRY_LATER_MS, "cut off from the upstreams");
+            return;
+        }
         if (q->tried->len > 0 && (q->runs == 0 || may_repeat(q))) {
             /* Try the upstreams that broke off once more: most of them are
                well, and one that is gone will be found unreachable, so that
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -67,6 +67,8 @@
     /* Connecting failed to an upstream that was not yet known to be
        unreachable. */
     void (*upstream_unreachable)(void *ctx, const char *upstream);
+    /* This gateway reaches no upstream, by any way. */
+    bool (*is_isolated)(void *ctx);
     /* What an answer says of its upstream's limit. */
     void (*upstream_named)(void *ctx, const char *upstream,
                            const UlNamed *named);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -229,9 +229,13 @@
 static void
 note_heard(HtConn *w)
 {
+    Pt *paths = ht_get_paths(w);
     w->call->heard = true;
-    if (!w->helper && ht_get_paths(w)) {
-        pt_on_alive(ht_get_paths(w), bg_boot_ms(), w->address);
+    if (paths && w->helper) {
+        pt_on_alive_by_detour(paths, bg_boot_ms());
+    }
+    else if (paths) {
+        pt_on_alive(paths, bg_boot_ms(), w->address);
     }
 }
 
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -178,6 +178,12 @@
     gn_report_suspicion(ctx, upstream);
 }
 
+static bool
+is_isolated(void *ctx)
+{
+    return pt_is_isolated(((Gateway *)ctx)->detours.paths, bg_boot_ms());
+}
+
 static void
 on_front_request(void *ctx, HtExchange *x)
 {
@@ -560,6 +566,7 @@
                        on_demand_changed,
                        on_upstream_broke,
                        on_upstream_unreachable,
+                       is_isolated,
                        gn_on_upstream_named,
                        gn_on_ask_slot};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, g->upstreams,
--- a/src/path_table.c
+++ b/src/path_table.c
@@ -32,7 +32,10 @@
 /* A helper that is no longer named is still used. */
 #define KEEP_HELPER_MS 15000
 #define MAX_HELPERS 128
-/* A detour that was opened within this time shows that a helper reaches
+/* After so long without any way a gateway counts as isolated: the first
+   detours are open long before. */
+#define ISOLATED_MS 1000
+/* An answer by way of a helper within this time shows that a helper reaches
    upstreams. */
 #define RECENT_DETOUR_MS 3000
 
@@ -78,6 +81,7 @@
     uint32_t failed_run;    /* upstreams that failed since the last success */
     uint64_t detour_ms;     /* the last one was opened; 0: none */
     uint64_t bad_helper_ms; /* one had no path, or did not answer; 0: none */
+    uint64_t cut_off_ms;    /* by the ticks, since; 0: it is not */
     bool mostly_failed;     /* by the last tick */
 };
 
@@ -364,6 +368,12 @@
     end_run(t);
 }
 
+void
+pt_on_alive_by_detour(Pt *t, uint64_t now_ms)
+{
+    t->detour_ms = now_ms;
+}
+
 static uint32_t
 double_rest(uint32_t least_ms, uint32_t most_ms, uint32_t times)
 {
@@ -454,13 +464,9 @@
     return t->mostly_failed || t->failed_run >= CUT_OFF_UPSTREAMS;
 }
 
-void
-pt_on_tick(Pt *t, uint64_t now_ms)
+static uint32_t
+count_alive(const Pt *t, uint64_t now_ms)
 {
-    t->mostly_failed = false;
-    if (t->failed < CUT_OFF_UPSTREAMS) {
-        return;
-    }
     uint32_t alive = 0;
     GHashTableIter it;
     gpointer v;
@@ -470,7 +476,28 @@
         alive += !p->failed_ms && p->alive_ms &&
                  now_ms < p->alive_ms + RECENT_ALIVE_MS;
     }
-    t->mostly_failed = t->failed > alive * CUT_OFF_RATIO;
+    return alive;
+}
+
+void
+pt_on_tick(Pt *t, uint64_t now_ms)
+{
+    t->mostly_failed = t->failed >= CUT_OFF_UPSTREAMS &&
+                       t->failed > count_alive(t, now_ms) * CUT_OFF_RATIO;
+    if (!pt_is_cut_off(t)) {
+        t->cut_off_ms = 0;
+    }
+    else if (t->cut_off_ms == 0) {
+        t->cut_off_ms = now_ms;
+    }
+}
+
+bool
+pt_is_isolated(const Pt *t, uint64_t now_ms)
+{
+    return pt_is_cut_off(t) && t->cut_off_ms &&
+           now_ms >= t->cut_off_ms + ISOLATED_MS &&
+           !pt_is_cut_off_alone(t, now_ms);
 }
 
 bool
--- a/src/path_table.h
+++ b/src/path_table.h
@@ -65,6 +65,9 @@
 /* Bytes came from ADDRESS on an own connection. */
 void pt_on_alive(Pt *t, uint64_t now_ms, const char *address);
 
+/* Bytes came from an upstream by way of a helper. */
+void pt_on_alive_by_detour(Pt *t, uint64_t now_ms);
+
 typedef enum {
     PT_OPENED,
     PT_NO_PATH, /* the helper does not reach this upstream */
@@ -94,6 +97,9 @@
 bool pt_is_cut_off(const Pt *t);
 /* The same, and a helper reached some: so the fault is this gateway's. */
 bool pt_is_cut_off_alone(const Pt *t, uint64_t now_ms);
+/* It has been cut off for a while, and no helper reached one for it: no
+   upstream can be reached by any way. */
+bool pt_is_isolated(const Pt *t, uint64_t now_ms);
 /* Upstreams to which own connections fail at present. */
 uint32_t pt_count_failed(const Pt *t);
 /* Call it about every 100 ms. */
--- a/tests/path_relay.py
+++ b/tests/path_relay.py
@@ -7,6 +7,7 @@
 refuse   new connections are refused, open ones live on
 reset    new connections are refused, open ones are reset
 hang     new connections are not answered, open ones carry nothing
+silent   connections are accepted, but carry nothing
 """
 
 import asyncio
@@ -53,7 +54,7 @@
     async def pump(self, reader, writer):
         try:
             while data := await reader.read(65536):
-                while self.mode == "hang":
+                while self.mode in ("hang", "silent"):
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
@@ -98,7 +99,7 @@
     async def set_mode(self, mode):
         self.close()
         self.mode = mode
-        if mode == "open":
+        if mode in ("open", "silent"):
             await self.open()
         elif mode == "hang":
             self.block()
--- a/tests/unit_paths.c
+++ b/tests/unit_paths.c
@@ -98,6 +98,26 @@
     pt_destroy(t);
 }
 
+/* Guards against refusing callers in the first moments of a cut, before a
+   detour is open, and against holding them where no gateway has a path. */
+static void
+test_isolated_is_told_from_cut_off(void)
+{
+    Pt *t = create_paths(3);
+    pt_on_direct(t, 1000, UPSTREAM, false);
+    pt_on_direct(t, 1000, OTHER, false);
+    pt_on_tick(t, 1100);
+    CU_ASSERT(pt_is_cut_off(t) && !pt_is_isolated(t, 2000));
+    CU_ASSERT(pt_is_isolated(t, 2100));
+    pt_on_detour(t, 2200, OTHER, "10.1.0.1:2", PT_OPENED);
+    CU_ASSERT_FALSE(pt_is_isolated(t, 2300));
+    CU_ASSERT(pt_is_isolated(t, 5200));
+    pt_on_direct(t, 5300, OTHER, true);
+    pt_on_tick(t, 5400);
+    CU_ASSERT_FALSE(pt_is_isolated(t, 5400));
+    pt_destroy(t);
+}
+
 /* Guards against asking helpers again that are cut off as well, while another
    reaches the upstream. */
 static void
@@ -203,6 +223,7 @@
         {"failed path is probed within two seconds",
          test_failed_path_is_probed_within_two_seconds},
         {"cut off is told from a crash", test_cut_off_is_told_from_a_crash},
+        {"isolated is told from cut off", test_isolated_is_told_from_cut_off},
         {"helper without a path goes last",
          test_helper_without_a_path_goes_last},
         {"helpers stay through a change of leader",
