--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1884,7 +1884,7 @@
   (ProtobufCMessageInit) gwp__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__members__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__members__field_descriptors[6] =
 {
   {
     "vms",
@@ -1946,6 +1946,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "with_helpers",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Members, with_helpers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__members__field_indices_by_name[] = {
   3,   /* field[3] = config_version */
@@ -1953,11 +1965,12 @@
   1,   /* field[1] = leaving */
   2,   /* field[2] = reads_store */
   0,   /* field[0] = vms */
+  5,   /* field[5] = with_helpers */
 };
 static const ProtobufCIntRange gwp__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__members__descriptor =
 {
@@ -1967,7 +1980,7 @@
   "Gwp__Members",
   "gwp",
   sizeof(Gwp__Members),
-  5,
+  6,
   gwp__members__field_descriptors,
   gwp__members__field_indices_by_name,
   1,  gwp__members__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -154,10 +154,14 @@
    */
   size_t n_helpers;
   Gwp__Helper **helpers;
+  /*
+   * HELPERS is set; else it is as it was last
+   */
+  protobuf_c_boolean with_helpers;
 };
 #define GWP__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__members__descriptor) \
-    , 0,NULL, 0, 0, 0, 0,NULL }
+    , 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -72,7 +72,9 @@
     uint64_t former_key; /* still taken */
     bool changed;        /* the helpers known here, since published_ms */
     uint64_t published_ms;
-    uint64_t probe_ms; /* an upstream was last probed while cut off */
+    uint64_t reported_ms;     /* our members were last named to the leader */
+    uint64_t reported_digest; /* of what was named then */
+    uint64_t probe_ms;        /* an upstream was last probed while cut off */
     uint32_t logged_failed;
     bool logged_cut_off;
 } Detours;
--- a/src/gateway_node_detours.c
+++ b/src/gateway_node_detours.c
@@ -14,10 +14,12 @@
 
 /* ---- detours for this gateway's calls ----------------------------------- */
 
-static uint64_t
-get_key(void *ctx)
+static void
+fill_ask(void *ctx, Gwp__DetourAsk *ask)
 {
-    return ((Gateway *)ctx)->detours.key;
+    const Gateway *g = ctx;
+    ask->vm = (char *)gn_get_text(g, "name");
+    ask->key = g->detours.key;
 }
 
 static void
@@ -268,8 +270,7 @@
     PtParams paths = {gn_get_text(g, "data_centre"), gn_get_text(g, "detour"),
                       bg_now_us() ^ g_str_hash(g->process)};
     d->paths = pt_create(&paths);
-    HtDetours calls = {d->paths, gn_get_text(g, "name"), g, get_key,
-                       on_detour};
+    HtDetours calls = {d->paths, g, fill_ask, on_detour};
     ht_set_detours(g->pool, &calls);
     DsParams server = {gn_get_text(g, "detour"),
                        (uint32_t)ini_get_int(g->settings, "detours", "most")};
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -1,6 +1,7 @@
 #include "gateway_node.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Without a heartbeat of the leader for this long it counts as lost. */
 #define LEADER_TIMEOUT_MS 1000
@@ -27,6 +28,7 @@
 
 /* A relay names so many of its members as helpers for other data centres. */
 #define MAX_REPORTED_HELPERS 16
+#define HELPERS_INTERVAL_MS 15000
 
 /* What is known of a gateway that is linked to us. */
 typedef struct {
@@ -215,6 +217,7 @@
     lag_reset(&g->uplink.lag);
     if (open) {
         g->uplink.answered = false;
+        g->detours.reported_ms = 0;
         g->full_demand_due = true;
         g->members_ms = 0;
         wl_on_link(g->limits);
@@ -347,7 +350,7 @@
 static void
 keep_report(Gateway *g, Peer *p, const Gwp__Members *m)
 {
-    if (same_helpers(p->reported, m)) {
+    if (!m->with_helpers || same_helpers(p->reported, m)) {
         return;
     }
     size_t len = gwp__members__get_packed_size(m);
@@ -466,6 +469,30 @@
     return vms->len;
 }
 
+/* Names our members as helpers where these have changed, or the last report
+   may be lost. */
+static void
+fill_helpers(Gateway *g, uint64_t now_ms, GPtrArray *helpers,
+             Gwp__Members *out)
+{
+    Detours *d = &g->detours;
+    gn_add_helpers(g, false, helpers);
+    guint n = MIN(helpers->len, MAX_REPORTED_HELPERS);
+    uint64_t digest = n;
+    for (guint i = 0; i < n; i++) {
+        const char *address = ((Gwp__Helper *)helpers->pdata[i])->address;
+        digest = XXH64(address, strlen(address), digest);
+    }
+    out->with_helpers = digest != d->reported_digest ||
+                        now_ms >= d->reported_ms + HELPERS_INTERVAL_MS;
+    if (out->with_helpers) {
+        d->reported_digest = digest;
+        d->reported_ms = now_ms;
+        out->n_helpers = n;
+        out->helpers = (Gwp__Helper **)helpers->pdata;
+    }
+}
+
 static void
 send_members(Gateway *g, uint64_t now_ms)
 {
@@ -483,9 +510,7 @@
     m.reads_store = gn_reads_store(g, now_ms);
     m.config_version = g->config ? g->config->version : 0;
     g_autoptr(GPtrArray) helpers = g_ptr_array_new();
-    gn_add_helpers(g, false, helpers);
-    m.n_helpers = MIN(helpers->len, MAX_REPORTED_HELPERS);
-    m.helpers = (Gwp__Helper **)helpers->pdata;
+    fill_helpers(g, now_ms, helpers, &m);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_MEMBERS;
     f.members = &m;
--- a/src/http.h
+++ b/src/http.h
@@ -6,6 +6,7 @@
 #define HTTP_H
 
 #include "base.h"
+#include "gateway.pb-c.h"
 #include "path_table.h"
 
 #include <ev.h>
@@ -137,10 +138,10 @@
 
 /* Lets calls go by way of other gateways. */
 typedef struct {
-    Pt *paths;      /* borrowed */
-    const char *vm; /* of this gateway, for the helper's log */
+    Pt *paths; /* borrowed */
     void *ctx;
-    uint64_t (*get_key)(void *ctx); /* of DetourAsk */
+    /* Sets vm and key, whose texts are borrowed. */
+    void (*fill_ask)(void *ctx, Gwp__DetourAsk *ask);
     void (*on_detour)(void *ctx, const HtDetour *detour);
 } HtDetours;
 
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -246,8 +246,7 @@
 {
     const HtDetours *d = &w->pool->detours;
     Gwp__DetourAsk ask = GWP__DETOUR_ASK__INIT;
-    ask.vm = (char *)d->vm;
-    ask.key = d->get_key(d->ctx);
+    d->fill_ask(d->ctx, &ask);
     ask.address = w->address;
     const char *request = w->opener ? w->opener->match_value : NULL;
     ask.request = (char *)(request ? request : "");
--- a/tests/path_relay.py
+++ b/tests/path_relay.py
@@ -33,7 +33,7 @@
 
 def reset(writer):
     sock = writer.get_extra_info("socket")
-    if sock:
+    if sock and sock.fileno() >= 0:   # else it is closed already
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,6 +5,7 @@
     soak.py --build build --seeds FROM-TO             one run per seed
     soak.py --build build --minutes M                 new seeds for M minutes
     soak.py ... --limits       upstreams also name limits on requests
+    soak.py ... --cuts         gateways also lose their paths to upstreams
 
 A run prints "seed N: ok", or "seed N: BROKEN" and the violations; the exit
 status is 1 if any run is broken.
@@ -25,6 +26,7 @@
 from fake_platform import Engine, Store, config, route
 from platform_cluster import (LEASE_GUARD_MS, FaultProxy, Gateway, ask,
                               event_ids)
+from path_relay import PathRelays
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 # After the last fault, until every route is served again by every gateway.
@@ -41,8 +43,9 @@
 
 
 class Soak:
-    def __init__(self, build, seed, limits=False):
+    def __init__(self, build, seed, limits=False, cuts=False):
         self.limits = limits
+        self.paths = PathRelays(build) if cuts else None
         self.limited = []      # (server, limit, since, until)
         self.rng = random.Random(seed)
         self.store = Store(free_port())
@@ -62,6 +65,8 @@
             g = Gateway(build, store, "vm%d" % i)
             link = FaultProxy("127.0.0.1:%d" % g.link)
             g.add_setting("advertise", link.address)
+            if cuts:
+                g.env = self.paths.make_env(g.name, self.list_addresses())
             self.gateways.append(g.start())
             self.store_proxies.append(store)
             self.link_proxies.append(link)
@@ -70,6 +75,9 @@
         self.drained = {}      # server -> time at which it began to drain
         self.lock = threading.Lock()
 
+    def list_addresses(self):
+        return [u.address for u in self.apps + self.engines]
+
     # ---- faults: each returns a function that undoes it
 
     def fault_signal(self):
@@ -202,6 +210,17 @@
             self.limited.append((e, per_s, begin, time.monotonic()))
         return undo_fault
 
+    def fault_paths(self):
+        """Some gateways lose their paths to some or all upstreams."""
+        cut = [g.name for g in
+               self.rng.sample(self.gateways, self.rng.randint(1, 3))]
+        to = self.list_addresses()
+        if self.rng.random() < 0.4:
+            to = self.rng.sample(to, self.rng.randint(1, len(to)))
+        self.paths.set_mode(cut, to, self.rng.choice(
+            ["hang", "reset", "refuse", "silent"]))
+        return lambda: self.paths.set_mode(cut, to, "open")
+
     # ---- callers
 
     def send_one(self, rng):
@@ -357,6 +376,8 @@
                   self.fault_engine, self.fault_leave, self.fault_config]
         if self.limits:
             faults += [self.fault_limit] * 2
+        if self.paths:
+            faults += [self.fault_paths] * 4
         until = time.monotonic() + seconds
         pending = []
         while time.monotonic() < until:
@@ -374,6 +395,9 @@
             undo_fault()
         for link in self.link_proxies + self.store_proxies:
             link.set()
+        if self.paths:
+            self.paths.set_mode([g.name for g in self.gateways],
+                                self.list_addresses(), "open")
         self.check_settled()
         self.stopping = True
         for t in clients:
@@ -393,10 +417,12 @@
             link.stop()
         for app in self.apps + self.engines + [self.store]:
             app.stop()
+        if self.paths:
+            self.paths.stop()
 
 
-def run_seed(build, seed, seconds, limits=False):
-    soak = Soak(build, seed, limits)
+def run_seed(build, seed, seconds, limits=False, cuts=False):
+    soak = Soak(build, seed, limits, cuts)
     try:
         soak.run(seconds)
     finally:
@@ -423,6 +449,7 @@
     parser.add_argument("--minutes", type=float)
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--limits", action="store_true")
+    parser.add_argument("--cuts", action="store_true")
     args = parser.parse_args()
     if args.seed is not None:
         seeds = [args.seed]
@@ -433,7 +460,8 @@
         until = time.monotonic() + 60 * (args.minutes or 1)
         seeds = iter(lambda: random.getrandbits(32)
                      if time.monotonic() < until else None, None)
-    good = [run_seed(args.build, seed, args.seconds, args.limits) for seed in seeds]
+    good = [run_seed(args.build, seed, args.seconds, args.limits, args.cuts)
+            for seed in seeds]
     print("%d seeds, %d broken" % (len(good), good.count(False)))
     sys.exit(0 if all(good) else 1)
 
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -376,6 +376,22 @@
     wait_until(served)
 
 
+# After a reload the name that was shown to helpers was freed memory.
+def test_reload_keeps_the_name_shown_to_helpers(pair):
+    c, cut, helper = pair
+    for _ in range(3):
+        cut.send(signal.SIGHUP)
+        time.sleep(0.3)
+    seen = len(helper.events("detour-refused"))
+    c.cut([cut, helper], "reset")
+
+    def refused():
+        ask(cut, "read", deadline_ms=300)
+        return len(helper.events("detour-refused")) > seen
+    wait_until(refused)
+    assert {e["for"] for e in helper.events("detour-refused")} == {cut.name}
+
+
 # A gateway whose path was back stayed on the detour, or dropped what ran on
 # it.
 @pytest.mark.parametrize("how", ["hang", "reset", "refuse"])
