--- a/tests/path_relay.py
+++ b/tests/path_relay.py
@@ -8,6 +8,8 @@
 reset    new connections are refused, open ones are reset
 hang     new connections are not answered, open ones carry nothing
 silent   connections are accepted, but carry nothing
+one_way  new connections are not answered, open ones carry what goes to the
+         upstream, and nothing back
 """
 
 import asyncio
@@ -51,10 +53,14 @@
         self.writers = set()
         self.accepted = 0   # connections
 
-    async def pump(self, reader, writer):
+    def is_held(self, back):
+        return (self.mode in ("hang", "silent") or
+                (self.mode == "one_way" and back))
+
+    async def pump(self, reader, writer, back):
         try:
             while data := await reader.read(65536):
-                while self.mode in ("hang", "silent"):
+                while self.is_held(back):
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
@@ -71,8 +77,8 @@
             return
         pair = {writer, up_writer}
         self.writers |= pair
-        await asyncio.gather(self.pump(reader, up_writer),
-                             self.pump(up_reader, writer))
+        await asyncio.gather(self.pump(reader, up_writer, False),
+                             self.pump(up_reader, writer, True))
         self.writers -= pair
 
     async def open(self):
@@ -101,7 +107,7 @@
         self.mode = mode
         if mode in ("open", "silent"):
             await self.open()
-        elif mode == "hang":
+        elif mode in ("hang", "one_way"):
             self.block()
         elif mode == "reset":
             for w in list(self.writers):
--- a/tests/test_cut_gateways.py
+++ b/tests/test_cut_gateways.py
@@ -128,3 +128,28 @@
         others = [g for g in c.gateways if g is not leader]
         at_cut, at_others = measure(c, [leader], others, how)
         assert_served_alike(at_cut, at_others)
+
+
+# Cut from some upstreams only, or in one direction, a gateway kept to those
+# that it reached, or lost the answers.
+@pytest.mark.parametrize("what", ["models", "plain", "all but one", "one way",
+                                  "one of each"])
+def test_partly_cut_gateway_fails_its_callers(build, what):
+    how = "one_way" if what == "one way" else "hang"
+    with start(build, 3, how) as c:
+        leader = c.leader()
+        wait_until(c.all_linked)
+        cut = next(g for g in c.gateways if g is not leader)
+        upstreams = {"models": c.engines, "plain": c.apps,
+                     "all but one": c.apps + c.engines[1:],
+                     "one way": None,
+                     "one of each": [c.apps[0], c.engines[1]]}[what]
+        others = [g for g in c.gateways if g is not cut]
+        at_cut, at_others = measure(c, [cut], others, how, upstreams)
+        assert_served_alike(at_cut, at_others)
+        runs = {}
+        for u in c.apps + c.engines:
+            for rid, path in zip(u.runs, (r[1] for r in u.requests)):
+                if path.startswith(("/pay/", "/sum/")):
+                    runs[rid] = runs.get(rid, 0) + 1
+        assert set(runs.values()) == {1}
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -420,6 +420,46 @@
                                 if e["id"] == rid][0]
 
 
+# A stream in the middle of a cut ended, or went on with events missing.
+@pytest.mark.parametrize("how", ["hang", "reset"])
+def test_stream_goes_on_by_detour(build, how):
+    with Cluster(build, gateways=2, models=MODELS, paths=True) as c:
+        cut = pick_follower(c)
+        wait_until(c.all_linked)
+        for e in c.engines:
+            e.events, e.event_s = 30, 0.05
+        results = []
+        t = ask_later(results, cut, "chat", "m0", deadline_ms=9000)
+        wait_until(lambda: any(e.runs for e in c.engines))
+        time.sleep(0.5)
+        c.cut([cut], how)
+        t.join()
+        status, _, data, _ = results[0]
+        assert status == 200 and event_ids(data) == list(range(30))
+        assert [e for e in cut.events("request-end")][-1].get("by")
+
+
+# A long body that was half sent when the path was cut reached an upstream
+# twice.
+@pytest.mark.parametrize("how", ["hang", "reset", "one_way"])
+def test_half_sent_body_is_not_sent_again(build, how):
+    with Cluster(build, gateways=2, models=MODELS, paths=True) as c:
+        cut = pick_follower(c)
+        wait_until(c.all_linked)
+        results, threads = [], []
+        for i in range(8):
+            threads.append(ask_later(results, cut, "pay", body=b"y" * 3000000,
+                                     deadline_ms=2500))
+            if i == 3:
+                c.cut([cut], how)
+        for t in threads:
+            t.join()
+        runs = count_runs(c)
+        assert all(n == 1 for n in runs.values())
+        assert all(r[0] != 503 or r[3] not in runs for r in results), results
+        assert ask(cut, "pay", body=b"y" * 3000000)[0] == 200
+
+
 # Everyone cut: callers waited for their deadline.
 def test_all_cut_refuses_at_once(build):
     with Cluster(build, gateways=3, models=MODELS, paths=True) as c:
@@ -466,14 +506,16 @@
         c.paths.set_mode([g.name for g in c.gateways],
                          [app.address, engine.address], "silent")
         for g in c.gateways:
-            for route, model in (("pay", None), ("sum", "m0")):
+            # A body beyond all buffers leaves bytes unsent.
+            for route, model, size in (("pay", None, 1), ("sum", "m0", 1),
+                                       ("pay", None, 4000000)):
                 threads.append(ask_later(results, g, route, model,
-                                         deadline_ms=4000))
+                                         body=b"x" * size, deadline_ms=4000))
         time.sleep(1.3)
         c.heal(c.gateways)
         for t in threads:
             t.join()
-        assert [r[0] for r in results] == [200] * 6, results
+        assert [r[0] for r in results] == [200] * 9, [r[0] for r in results]
         assert [len(e.orders) for e in c.engines] == orders
         for g in c.gateways:
             assert not [e for e in g.events("upstream-away")
