gateway_request.c in five files, calls in one direction

Sending, waiting and refusing, and upstream answers are files of their own, as is the demand; each calls only those before it. The callbacks of a call are handed in when the gateway is created, since answers lead to the next send.

--- /dev/null
+++ b/src/gateway_request_answer.c
@@ -0,0 +1,341 @@
+#include "gateway_request_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MIN_RETRY_MS 20 /* with less time left a request is not sent again */
+
+/* ---- upstream answers --------------------------------------------------- */
+
+static void
+copy_headers(const HtHead *head, GString *out)
+{
+    g_string_truncate(out, 0);
+    for (guint i = 0; i < head->headers->len; i++) {
+        const HtHeader *h = &g_array_index(head->headers, HtHeader, i);
+        if (!ht_is_hop_header(head, h->name)) {
+            gw_append_line(out, h->name, h->value);
+        }
+    }
+}
+
+static void
+note_limit(const Req *q, const HtHead *head)
+{
+    const GwOutput *out = &q->gw->out;
+    UlNamed named;
+    if (head->status == 421) {
+        return; /* it may be of another process at the same address */
+    }
+    q->gw->wire->read_limit(head, &named);
+    out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
+}
+
+static void
+note_brittle(const Req *q, const HtHead *head)
+{
+    static const char *const words[] = {"no longer", "named", "unreadable"};
+    double per_s = 0;
+    if (head->status == 421) {
+        return; /* as for a limit */
+    }
+    GwBrittle kind = q->gw->wire->read_brittle(head, &per_s);
+    per_s = kind == GW_BRITTLE ? per_s : 0;
+    if (!ut_note_brittle(q->ut, kind, per_s)) {
+        return;
+    }
+    JlLine *l = jl_begin("upstream-brittle");
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_text(l, "what", words[kind]);
+    if (kind == GW_BRITTLE) {
+        jl_number(l, "rejects_per_1000_s", (int64_t)(per_s * 1000));
+    }
+    jl_end(l);
+}
+
+void
+gw_on_call_head(void *ctx, HtCall *call, const HtHead *head)
+{
+    Req *q = ctx;
+    g_free(q->helper);
+    q->helper = g_strdup(ht_get_helper(call));
+    const GwWire *w = q->gw->wire;
+    uint64_t now_ms = bg_boot_ms();
+    q->first_ms = now_ms;
+    q->last_data_ms = now_ms;
+    q->status = head->status;
+    q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
+    if (q->query.model && !q->not_run) {
+        gw_add_count(q->gw->begun_answers, ut_get_id(q->ut));
+    }
+    GwLoad load;
+    if (w->read_load(head, &load)) {
+        ut_note_load(q->ut, now_ms, load.running, load.waiting);
+    }
+    note_limit(q, head);
+    note_brittle(q, head);
+    g_byte_array_set_size(q->body, 0);
+    if (!q->streaming) {
+        copy_headers(head, q->head);
+    }
+    q->forwards_events =
+        q->route->kind == DEP_STREAM && head->status == 200 && !q->not_run;
+}
+
+/* Length of the first event in TEXT with its blank line; 0: incomplete. */
+static size_t
+find_event_end(const GString *text)
+{
+    const char *lf = strstr(text->str, "\n\n");
+    const char *crlf = strstr(text->str, "\n\r\n");
+    if (crlf && (!lf || crlf < lf)) {
+        return (size_t)(crlf - text->str) + 3;
+    }
+    return lf ? (size_t)(lf - text->str) + 2 : 0;
+}
+
+static int64_t
+read_event_id(const char *text, size_t len)
+{
+    const char *end = text + len;
+    for (const char *line = text; line < end;) {
+        if (strncmp(line, "id:", 3) == 0) {
+            return strtoll(line + 3, NULL, 10);
+        }
+        const char *lf = memchr(line, '\n', (size_t)(end - line));
+        line = lf ? lf + 1 : end;
+    }
+    return -1;
+}
+
+static void
+start_stream(Req *q)
+{
+    if (!q->streaming) {
+        q->streaming = true;
+        ht_start_answer(q->x, q->status, q->head->str, -1);
+    }
+}
+
+static void
+note_event(Req *q)
+{
+    uint64_t now_ms = bg_boot_ms();
+    uint64_t gap_ms = q->last_event_ms ? now_ms - q->last_event_ms : 0;
+    if (gap_ms > q->max_gap_ms) {
+        q->max_gap_ms = (uint32_t)gap_ms;
+        g_free(q->gap_upstream);
+        q->gap_upstream = g_strdup(ut_get_id(q->ut));
+    }
+    q->last_gap_ms = gap_ms;
+    q->last_event_ms = now_ms;
+}
+
+/* Forwards only complete events, so that after a break the next upstream
+   resumes exactly behind what the caller has. */
+static void
+forward_events(Req *q)
+{
+    size_t len;
+    while ((len = find_event_end(q->partial)) > 0) {
+        int64_t id = read_event_id(q->partial->str, len);
+        if (id < 0 || id > q->last_event) {
+            start_stream(q);
+            ht_write_answer(q->x, q->partial->str, len);
+            note_event(q);
+        }
+        q->last_event = MAX(q->last_event, id);
+        g_string_erase(q->partial, 0, (gssize)len);
+    }
+}
+
+void
+gw_on_call_data(void *ctx, HtCall *call, const char *data, size_t len)
+{
+    (void)call;
+    Req *q = ctx;
+    q->last_data_ms = bg_boot_ms();
+    if (q->forwards_events) {
+        g_string_append_len(q->partial, data, (gssize)len);
+        forward_events(q);
+        return;
+    }
+    g_byte_array_append(q->body, (const guint8 *)data, (guint)len);
+}
+
+static void
+finish_stream(Req *q)
+{
+    start_stream(q);
+    ht_write_answer(q->x, q->partial->str, q->partial->len);
+    gw_log_end(q, "answered", q->status, NULL);
+    gw_finish_call(q, UT_OUTCOME_GOOD);
+    HtExchange *x = q->x;
+    gw_free_req(q);
+    ht_end_answer(x);
+}
+
+static void
+forward_answer(Req *q)
+{
+    HtExchange *x = q->x;
+    gw_log_end(q, "answered", q->status, NULL);
+    gw_finish_call(q, q->status >= 500 ? UT_OUTCOME_FAILED : UT_OUTCOME_GOOD);
+    uint16_t status = q->status;
+    g_autoptr(GString) head =
+        g_string_new_len(q->head->str, (gssize)q->head->len);
+    g_autoptr(GByteArray) body = g_byte_array_ref(q->body);
+    q->body = g_byte_array_new();
+    gw_free_req(q);
+    gw_send_whole(x, status, head, body);
+}
+
+/* Whether the request may be sent again after an upstream may have run it. */
+static bool
+may_run_again(const Req *q, uint64_t now_ms)
+{
+    const Breaks *d = g_hash_table_lookup(q->gw->breaks, &q->digest);
+    return gw_may_repeat(q) && q->runs < q->route->attempts &&
+           now_ms + MIN_RETRY_MS < q->answer_by_ms &&
+           !(d && g_hash_table_size(d->upstreams) > 1);
+}
+
+static void
+log_not_run(const Req *q, uint64_t now_ms)
+{
+    JlLine *l = jl_begin("request-not-run");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_number(l, "status", q->status);
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - q->sent_ms));
+    jl_text(l, "model", q->query.model);
+    jl_text(l, "adapter", q->query.adapter);
+    jl_end(l);
+}
+
+/* The upstream ran nothing, so the request may go to another in any case. */
+static void
+handle_not_run(Req *q, uint64_t now_ms)
+{
+    q->sends++;
+    Ut *ut = q->ut;
+    bool other = q->status == 421;
+    log_not_run(q, now_ms);
+    if (q->query.model && (other || q->status == 503)) {
+        /* It lacks the model, or an order for that model is in progress. */
+        ut_note_absent(q->gw->upstreams, ut, now_ms, q->query.model,
+                       q->query.adapter);
+        gw_finish_call(q, UT_OUTCOME_NEUTRAL);
+    }
+    else {
+        g_ptr_array_add(q->tried, ut);
+        gw_finish_call(q, other ? UT_OUTCOME_NEUTRAL : UT_OUTCOME_SHED);
+    }
+    gw_try_send(q);
+}
+
+void
+gw_handle_failure(Req *q, UtOutcome outcome, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
+    Ut *ut = q->ut;
+    q->sends++;
+    q->runs++;
+    JlLine *l = jl_begin("request-broken");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(ut));
+    jl_text(l, "why", why);
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_number(l, "last_event", q->last_event);
+    jl_end(l);
+    g_ptr_array_add(q->tried, ut);
+    gw_finish_call(q, outcome);
+    if (!may_run_again(q, now_ms)) {
+        gw_give_up(q, 0, why);
+        return;
+    }
+    gw_try_send(q);
+}
+
+/* The upstream answered 5xx.  A request that may run again is sent to another
+   upstream.  The answer is kept, and forwarded if no other upstream answers.
+ */
+static void
+handle_error_status(Req *q)
+{
+    uint64_t now_ms = bg_boot_ms();
+    q->runs++;
+    if (q->status == 504 || !may_run_again(q, now_ms)) {
+        forward_answer(q);
+        return;
+    }
+    q->sends++;
+    if (q->kept_head) {
+        g_string_free(q->kept_head, TRUE);
+        g_byte_array_free(q->kept_body, TRUE);
+    }
+    q->kept_status = q->status;
+    q->kept_head = q->head;
+    q->kept_body = q->body;
+    q->head = g_string_new(NULL);
+    q->body = g_byte_array_new();
+    g_ptr_array_add(q->tried, q->ut);
+    gw_finish_call(q, UT_OUTCOME_FAILED);
+    gw_try_send(q);
+}
+
+static void
+log_not_connected(const Req *q, uint64_t now_ms)
+{
+    JlLine *l = jl_begin("request-not-connected");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
+    jl_end(l);
+    bg_count("gateway_not_connected_total", 1);
+}
+
+void
+gw_on_call_end(void *ctx, HtCall *call, HtResult result)
+{
+    (void)call;
+    Req *q = ctx;
+    uint64_t now_ms = bg_boot_ms();
+    q->hc = NULL;
+    if (result == HT_NOT_SENT) {
+        log_not_connected(q, now_ms);
+        g_ptr_array_add(q->tried, q->ut);
+        if (!ut_is_unreachable(q->ut)) {
+            q->gw->out.upstream_unreachable(q->gw->out.ctx, ut_get_id(q->ut));
+        }
+        gw_finish_call(q, UT_OUTCOME_UNREACHABLE);
+        q->retry_counted =
+            q->sends > 0; /* the retry never left this process */
+        gw_try_send(q);
+        return;
+    }
+    if (result == HT_DONE && q->not_run) {
+        handle_not_run(q, now_ms);
+    }
+    else if (result == HT_DONE && q->forwards_events) {
+        q->runs++;
+        finish_stream(q);
+    }
+    else if (result == HT_DONE && q->streaming) {
+        /* The resumption was not answered with a stream. */
+        gw_handle_failure(q, UT_OUTCOME_FAILED, "resumption refused");
+    }
+    else if (result == HT_DONE && q->status >= 500) {
+        handle_error_status(q);
+    }
+    else if (result == HT_DONE) {
+        q->runs++;
+        forward_answer(q);
+    }
+    else {
+        q->gw->out.upstream_broke(q->gw->out.ctx, q->digest, ut_get_id(q->ut));
+        gw_handle_failure(q, UT_OUTCOME_FAILED,
+                          result == HT_GARBLED ? "garbled" : "broken off");
+    }
+}
--- /dev/null
+++ b/src/gateway_request_internal.h
@@ -0,0 +1,167 @@
+/* gateway_request_internal: a caller's request, for the gateway_request*.c
+   files only.  Calls go one way, each file to those above it:
+     gateway_request_send    heads, the final answer, sending to an upstream
+     gateway_request_wait    waiting, refusing, slots, the next step
+     gateway_request_answer  what an upstream answers
+     gateway_request         arrival, time, reports from other processes
+     gateway_request_demand  the demand of the requests here */
+#ifndef GATEWAY_REQUEST_INTERNAL_H
+#define GATEWAY_REQUEST_INTERNAL_H
+
+#include "gateway_request.h"
+
+#include "hist.h"
+#include "json_log.h"
+
+/* Retry-After of a refusal without a better estimate: about the time until a
+   VM or upstream is back. */
+#define RETRY_SOON_MS 200
+#define RETRY_LATER_MS 1000
+#define RETRY_STOPPING_MS 50  /* another gateway accepts it at once */
+#define START_MAX_WAIT_MS 450 /* limit for one request */
+
+typedef enum { REQ_WAITING, REQ_SENT } ReqState;
+
+typedef struct {
+    Gw *gw;
+    HtExchange *x;
+    DepConfig *config;
+    const DepRoute *route;         /* in config */
+    const DepWorkspace *workspace; /* in config; NULL: no key is required */
+    const char *service;           /* picked from route's splits */
+    DepCall call;
+    UtQuery query;
+    GPtrArray *tried; /* Ut: excluded from the choice */
+    double cost;      /* charged to the workspace's limit; 0: none */
+    uint64_t digest;  /* of target and body; the same for each retry */
+    uint64_t arrival_ms;
+    uint64_t answer_by_ms;     /* any answer is sent by then */
+    uint64_t first_byte_by_ms; /* the caller leaves without a byte by then */
+    ReqState state;
+    const char *waiting_for; /* for the log */
+    const char *waited_for;  /* first value of waiting_for */
+    GList *link;             /* in gw->reqs */
+
+    /* the upstream call in progress */
+    HtCall *hc;
+    Ut *ut;
+    char *last_upstream; /* for the log */
+    char *helper; /* the gateway by whose way the last answer came; NULL:
+                     none; for the log */
+    uint64_t sent_ms;
+    uint64_t first_ms; /* 0: no byte of an answer yet */
+    uint64_t last_data_ms;
+    uint64_t last_event_ms; /* last event forwarded at; 0: none yet */
+    uint32_t max_gap_ms;    /* between two forwarded events */
+    uint64_t last_gap_ms;   /* between the last two */
+    char *gap_upstream;     /* that caused max_gap_ms, for the log */
+
+    uint32_t sends; /* that reached an upstream */
+    uint32_t runs;  /* that may have run */
+
+    /* the answer, unless its events are forwarded as they come */
+    GString *head;
+    GByteArray *body;
+    /* an upstream's 5xx answer, kept while another upstream is tried */
+    GString *kept_head;
+    GByteArray *kept_body;
+
+    /* the stream that is forwarded */
+    GString *partial;   /* bytes of an incomplete event */
+    int64_t last_event; /* id of the last one that the caller has */
+
+    /* the slot of a limited upstream that it waits for */
+    UlTicket ticket; /* 0: none */
+    uint64_t slot_asked_ms;
+    bool others_serve; /* could serve the request without one */
+
+    uint16_t status;      /* of the answer to the current call */
+    uint16_t kept_status; /* of the kept answer */
+    bool lacks_model;     /* waiting: for the model, not an adapter */
+    bool not_run;         /* as the upstream's answer says */
+    bool forwards_events; /* of the current call, to the caller */
+    bool streaming;       /* the head of the stream was sent */
+    bool retry_counted;   /* the budget already paid for the next send */
+} Req;
+
+/* Upstreams that broke off while they ran one request. */
+typedef struct {
+    GHashTable *upstreams; /* set of ids */
+    uint64_t last_ms;
+} Breaks;
+
+/* The leader's estimate of when a model is loaded. */
+typedef struct {
+    uint64_t reported_ms;
+    uint32_t wait_ms;
+} WaitEstimate;
+
+struct Gw {
+    GwParams params;
+    const GwWire *wire;
+    GwOutput out;
+    HtCallHandler handler; /* of the upstream calls; without their context */
+    HtPool *pool;
+    UtSet *upstreams;
+    Rb *budget;
+    Wl *limits; /* of workspaces */
+    Ul *upstream_limits;
+    DepConfig *config;  /* NULL: none yet */
+    uint64_t config_ms; /* when the first came */
+    uint64_t start_ms;
+    GQueue early;        /* HtExchange: before the first configuration */
+    GQueue reqs;         /* Req */
+    GHashTable *arrived; /* model or "model/adapter" -> count */
+    GHashTable
+        *arrived_tight_deadline; /* of these: late after a load from disk */
+    GHashTable *refused_busy;    /* model -> count: the queue was too long */
+    GHashTable *begun_answers;   /* upstream -> count */
+    GHashTable *wait_estimates;  /* model -> WaitEstimate */
+    GHashTable *breaks;          /* digest -> Breaks */
+    Hist *answer_us; /* from a request's arrival to the end of its answer */
+    Hist *first_byte_us;     /* ... to its first byte */
+    uint64_t leader_ms;      /* last contact with the leader */
+    uint64_t first_order_ms; /* when the leader sends its first order */
+    BgRandom rng;
+    bool closed;             /* accepts no more requests */
+    bool behind;             /* a newer configuration exists */
+    bool stale;              /* keys may have been revoked since */
+    bool upstreams_complete; /* the list was read to its end */
+};
+
+/* gateway_request_send */
+void gw_add_count(GHashTable *counts, const char *key);
+void gw_append_line(GString *out, const char *name, const char *value);
+/* RETRY_MS: time until the caller may retry; 0: no header. */
+void gw_append_retry(GString *out, uint32_t retry_ms);
+void gw_log_end(const Req *q, const char *outcome, uint16_t status,
+                const char *why);
+/* Withdraws the slot request, or gives up the slot. */
+void gw_drop_ticket(Req *q);
+void gw_free_req(Req *q);
+/* The call is over; OUTCOME updates the state of its upstream. */
+void gw_finish_call(Req *q, UtOutcome outcome);
+void gw_cancel_call(Req *q, UtOutcome outcome);
+void gw_send_whole(HtExchange *x, uint16_t status, const GString *head,
+                   const GByteArray *body);
+/* Q has not run and never will: its cost is credited to the workspace. */
+void gw_refund_limit(Req *q);
+/* Sends the gateway's own answer.  Frees Q. */
+void gw_answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why);
+bool gw_may_repeat(const Req *q);
+/* Ends a request that can't be served.  503 may be sent only if nothing ran.
+   Frees Q. */
+void gw_give_up(Req *q, uint32_t retry_ms, const char *why);
+void gw_send_to(Req *q, Ut *ut, uint64_t now_ms);
+
+/* gateway_request_wait */
+void gw_try_send(Req *q);
+
+/* gateway_request_answer */
+void gw_handle_failure(Req *q, UtOutcome outcome, const char *why);
+/* For Gw.handler. */
+void gw_on_call_head(void *ctx, HtCall *call, const HtHead *head);
+void gw_on_call_data(void *ctx, HtCall *call, const char *data, size_t len);
+void gw_on_call_end(void *ctx, HtCall *call, HtResult result);
+
+#endif
--- /dev/null
+++ b/src/gateway_request_send.c
@@ -0,0 +1,358 @@
+#include "gateway_request_internal.h"
+
+#include <string.h>
+
+/* Connections that were idle for longer are not reused for a request that may
+   not be sent twice: it would be lost if the upstream closed the connection at
+   the same moment. */
+#define MAX_IDLE_NO_REPEAT_MS 1500
+/* Urgency on the wire: 0 is the most urgent, 5 the default, 9 the least. */
+#define FIRST_URGENCY 3
+#define URGENCY_STEP 2
+#define LAST_URGENCY 9
+
+void
+gw_add_count(GHashTable *counts, const char *key)
+{
+    guint n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, key));
+    g_hash_table_insert(counts, g_strdup(key), GUINT_TO_POINTER(n + 1));
+}
+
+/* ---- heads of answers and requests -------------------------------------- */
+
+void
+gw_append_line(GString *out, const char *name, const char *value)
+{
+    g_string_append(out, name);
+    g_string_append(out, ": ");
+    g_string_append(out, value);
+    g_string_append(out, "\r\n");
+}
+
+void
+gw_append_retry(GString *out, uint32_t retry_ms)
+{
+    if (retry_ms) {
+        g_string_append_printf(out, "Retry-After: %.3f\r\n", retry_ms / 1000.);
+    }
+}
+
+/* ---- results ------------------------------------------------------------ */
+
+static void
+count_outcome(const Req *q, const char *outcome, uint64_t now_ms)
+{
+    static const char *const names[][2] = {
+        {"answered", "gateway_answered_total"},
+        {"passed-on", "gateway_passed_on_total"},
+        {"refused", "gateway_refused_total"},
+        {"limited", "gateway_limited_total"},
+        {"failed", "gateway_failed_total"},
+        {"caller-gone", "gateway_caller_gone_total"}};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (strcmp(names[i][0], outcome) == 0) {
+            bg_count(names[i][1], 1);
+        }
+    }
+    bg_count("gateway_sends_total", q->sends + (q->ut != NULL));
+    if (strcmp(outcome, "answered") == 0) {
+        hist_add(q->gw->answer_us, (now_ms - q->arrival_ms) * 1000);
+        hist_add(q->gw->first_byte_us, (q->first_ms - q->arrival_ms) * 1000);
+    }
+}
+
+/* The objectives of its route that the answer missed; NULL: none. */
+static const char *
+describe_lateness(const Req *q)
+{
+    bool first = q->route->objective_ms && q->first_ms &&
+                 q->first_ms - q->arrival_ms > q->route->objective_ms;
+    bool pause = q->route->gap_ms && q->max_gap_ms > q->route->gap_ms;
+    return first && pause ? "first byte and pause"
+           : first        ? "first byte"
+           : pause        ? "pause"
+                          : NULL;
+}
+
+void
+gw_log_end(const Req *q, const char *outcome, uint16_t status, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
+    JlLine *l = jl_begin("request-end");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "outcome", outcome);
+    jl_number(l, "status", status);
+    jl_text(l, "why", why);
+    jl_text(l, "route", q->route ? q->route->name : NULL);
+    jl_text(l, "workspace", q->workspace ? q->workspace->name : NULL);
+    jl_text(l, "model", q->call.model);
+    jl_text(l, "adapter", q->call.adapter);
+    jl_text(l, "upstream", q->last_upstream);
+    jl_text(l, "by", q->helper);
+    jl_number(l, "sends", q->sends);
+    jl_number(l, "runs", q->runs);
+    jl_number(l, "took_ms", (int64_t)(now_ms - q->arrival_ms));
+    if (q->first_ms) {
+        jl_number(l, "first_ms", (int64_t)(q->first_ms - q->arrival_ms));
+    }
+    if (q->max_gap_ms) {
+        jl_number(l, "gap_ms", q->max_gap_ms);
+        jl_text(l, "gap_upstream", q->gap_upstream);
+    }
+    jl_text(l, "late", q->route ? describe_lateness(q) : NULL);
+    jl_text(l, "waited_for", q->waited_for);
+    jl_end(l);
+    count_outcome(q, outcome, now_ms);
+}
+
+void
+gw_drop_ticket(Req *q)
+{
+    if (q->ticket) {
+        ul_release(q->gw->upstream_limits, bg_boot_ms(), q->ticket);
+    }
+    q->ticket = 0;
+    q->query.slot_at = NULL;
+}
+
+void
+gw_free_req(Req *q)
+{
+    gw_drop_ticket(q);
+    if (q->link) {
+        g_queue_delete_link(&q->gw->reqs, q->link);
+    }
+    dep_clear_call(&q->call);
+    dep_unref_config(q->config);
+    g_ptr_array_free(q->tried, TRUE);
+    g_string_free(q->head, TRUE);
+    g_byte_array_free(q->body, TRUE);
+    if (q->kept_head) {
+        g_string_free(q->kept_head, TRUE);
+        g_byte_array_free(q->kept_body, TRUE);
+    }
+    g_string_free(q->partial, TRUE);
+    g_free(q->last_upstream);
+    g_free(q->helper);
+    g_free(q->gap_upstream);
+    g_free(q);
+}
+
+void
+gw_finish_call(Req *q, UtOutcome outcome)
+{
+    if (!q->ut) {
+        return;
+    }
+    uint32_t first =
+        q->first_ms > q->sent_ms && !q->not_run && q->status / 100 == 2
+            ? (uint32_t)(q->first_ms - q->sent_ms)
+            : 0;
+    ut_finish(q->gw->upstreams, q->ut, bg_boot_ms(), outcome, first,
+              &q->query);
+    q->ut = NULL;
+    q->hc = NULL;
+}
+
+void
+gw_cancel_call(Req *q, UtOutcome outcome)
+{
+    if (q->hc) {
+        ht_cancel_call(q->hc);
+    }
+    gw_finish_call(q, outcome);
+}
+
+void
+gw_send_whole(HtExchange *x, uint16_t status, const GString *head,
+              const GByteArray *body)
+{
+    ht_start_answer(x, status, head->str, body->len);
+    ht_write_answer(x, (const char *)body->data, body->len);
+    ht_end_answer(x);
+}
+
+static const char *
+name_outcome(uint16_t status)
+{
+    return status == 503 ? "refused" : status == 429 ? "limited" : "failed";
+}
+
+void
+gw_refund_limit(Req *q)
+{
+    if (q->cost > 0) {
+        wl_give_back(q->gw->limits, bg_boot_ms(), q->workspace, q->cost);
+        q->cost = 0;
+    }
+}
+
+void
+gw_answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why)
+{
+    gw_log_end(q, name_outcome(status), status, why);
+    if (status == 503) {
+        gw_refund_limit(q);
+    }
+    gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
+    HtExchange *x = q->x;
+    if (q->streaming) {
+        /* The head was sent, so the status can't change: the stream is
+           visibly truncated. */
+        gw_free_req(q);
+        ht_abort_answer(x);
+        return;
+    }
+    g_autoptr(GString) head = g_string_new(NULL);
+    if (q->call.attempt_id) {
+        gw_append_line(head, q->gw->wire->attempt_id, q->call.attempt_id);
+    }
+    gw_append_retry(head, retry_ms);
+    gw_free_req(q);
+    ht_start_answer(x, status, head->str, 0);
+    ht_end_answer(x);
+}
+
+bool
+gw_may_repeat(const Req *q)
+{
+    return q->route->kind == DEP_IDEMPOTENT ||
+           (q->route->kind == DEP_STREAM && q->route->resumable);
+}
+
+void
+gw_give_up(Req *q, uint32_t retry_ms, const char *why)
+{
+    if (q->kept_head && !q->streaming) {
+        /* The upstream's own error says more than a 502. */
+        HtExchange *x = q->x;
+        g_autoptr(GString) head = g_steal_pointer(&q->kept_head);
+        g_autoptr(GByteArray) body = g_steal_pointer(&q->kept_body);
+        uint16_t status = q->kept_status;
+        gw_log_end(q, "passed-on", status, why);
+        gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
+        gw_free_req(q);
+        gw_send_whole(x, status, head, body);
+        return;
+    }
+    if (q->runs == 0) {
+        gw_answer(q, 503, retry_ms ? retry_ms : RETRY_SOON_MS, why);
+    }
+    else {
+        gw_answer(q, bg_boot_ms() >= q->answer_by_ms ? 504 : 502, 0, why);
+    }
+}
+
+/* ---- sending ------------------------------------------------------------ */
+
+static uint32_t
+get_priority(const Req *q)
+{
+    return q->workspace && q->workspace->has_priority ? q->workspace->priority
+                                                      : q->route->priority;
+}
+
+/* Upstreams run the more urgent requests first.  The operators' priority 0
+   maps to FIRST_URGENCY, ahead of the default 5; each further one is less
+   urgent. */
+static uint32_t
+get_urgency(const Req *q)
+{
+    uint32_t priority = MIN(get_priority(q), LAST_URGENCY);
+    return MIN(FIRST_URGENCY + priority * URGENCY_STEP, LAST_URGENCY);
+}
+
+static GByteArray *
+build_request(const Req *q, uint64_t now_ms)
+{
+    const GwWire *w = q->gw->wire;
+    const HtHead *in = ht_get_head(q->x);
+    const GByteArray *body = ht_get_body(q->x);
+    bool resuming = q->last_event > q->call.resume_after;
+    g_autoptr(GString) head = g_string_sized_new(1024);
+    g_string_printf(head, "%s %s HTTP/1.1\r\n", in->method, in->target);
+    for (guint i = 0; i < in->headers->len; i++) {
+        const HtHeader *h = &g_array_index(in->headers, HtHeader, i);
+        if (ht_is_hop_header(in, h->name) || w->is_own_header(h->name) ||
+            (resuming && g_ascii_strcasecmp(h->name, w->last_event) == 0)) {
+            continue;
+        }
+        gw_append_line(head, h->name, h->value);
+    }
+    if (resuming) {
+        g_string_append_printf(head, "%s: %lld\r\n", w->last_event,
+                               (long long)q->last_event);
+    }
+    uint64_t left_ms = q->answer_by_ms > now_ms ? q->answer_by_ms - now_ms : 1;
+    g_string_append_printf(head, "%s: %llu\r\n", w->deadline_ms,
+                           (unsigned long long)left_ms);
+    gw_append_line(head, w->expected_upstream, ut_get_id(q->ut));
+    if (q->query.model) {
+        g_string_append_printf(head, "%s: %u\r\n", w->urgency, get_urgency(q));
+    }
+    if (q->workspace) {
+        gw_append_line(head, w->workspace, q->workspace->name);
+    }
+    if (body->len > 0 || strcmp(in->method, "POST") == 0) {
+        g_string_append_printf(head, "Content-Length: %u\r\n", body->len);
+    }
+    g_string_append(head, "\r\n");
+    GByteArray *out = g_byte_array_sized_new((guint)head->len + body->len);
+    g_byte_array_append(out, (guint8 *)head->str, (guint)head->len);
+    g_byte_array_append(out, body->data, body->len);
+    return out;
+}
+
+/* PER_S: the upstream's limit; 0: it names none. */
+static void
+add_limit(JlLine *l, double per_s)
+{
+    if (per_s > 0) {
+        jl_number(l, "limit_per_1000_s", (int64_t)(per_s * 1000));
+    }
+}
+
+void
+gw_send_to(Req *q, Ut *ut, uint64_t now_ms)
+{
+    q->state = REQ_SENT;
+    q->ut = ut;
+    g_free(q->last_upstream);
+    q->last_upstream = g_strdup(ut_get_id(ut));
+    q->sent_ms = now_ms;
+    q->last_data_ms = now_ms;
+    q->first_ms = 0;
+    q->last_gap_ms = 0;
+    q->not_run = false;
+    q->forwards_events = false;
+    q->status = 0;
+    g_string_truncate(q->partial, 0);
+    ut_start(ut);
+    HtRequest req = {
+        .address = ut_get_address(ut),
+        .way = HT_WAY_ANY,
+        .request = build_request(q, now_ms),
+        .connect_ms = q->gw->params.connect_ms,
+        .match_name = q->gw->wire->attempt_id,
+        .match_value = q->call.attempt_id,
+        .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
+    };
+    if (!q->call.attempt_id) {
+        req.match_name = NULL;
+    }
+    HtCallHandler handler = q->gw->handler;
+    handler.ctx = q;
+    q->hc = ht_start_call(q->gw->pool, &req, &handler);
+    if (q->sends > 0 || q->query.model) {
+        JlLine *l = jl_begin("request-sent");
+        jl_text(l, "id", q->call.attempt_id);
+        jl_text(l, "upstream", ut_get_id(ut));
+        jl_number(l, "send", q->sends + 1);
+        jl_number(l, "running", ut_get_running(ut));
+        jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
+        jl_number(l, "tokens", q->call.prompt_tokens);
+        jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - now_ms));
+        add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(ut)));
+        jl_end(l);
+    }
+}
--- /dev/null
+++ b/src/gateway_request_wait.c
@@ -0,0 +1,354 @@
+#include "gateway_request_internal.h"
+
+#include <string.h>
+
+/* A request for a service without upstreams waits this long: the list may be
+   out of date. */
+#define EMPTY_WAIT_MS 150
+/* The longest list of upstreams is complete within this time after the first
+   configuration, unless the store is unreachable. */
+#define FIRST_LIST_TIMEOUT_MS 5000
+/* The leader counts as lost after this time without contact. */
+#define LEADER_LOST_MS 1000
+/* From the last contact with a lost leader to the first order of the next: the
+   rest of the lease, the claim, the guard interval. */
+#define LEADER_CHANGE_MS 5200
+/* The wait that is assumed after LEADER_CHANGE_MS: a leader is overdue and may
+   send orders at any moment. */
+#define LEADER_OVERDUE_MS 400
+#define ESTIMATE_MAX_AGE_MS 1500 /* older ones are ignored */
+/* A request is refused rather than queued at an upstream where it would wait
+   longer than this multiple of its route's objective.  A longer queue makes
+   all answers late and raises no throughput: the upstream begins as many
+   requests a second with a short one. */
+#define MAX_QUEUE_OBJECTIVES 1.25
+/* Least time that a model needs to answer once its load has ended.  If the
+   caller leaves earlier, the request does not wait for the model. */
+#define MIN_SERVE_MS 150
+/* An answer to a slot request isn't waited for longer than this where
+   others could serve the request. */
+#define BRIEF_ANSWER_MS 60
+#define MAX_SENDS 6 /* of one request, including sends that ran nothing */
+
+/* ---- waiting ------------------------------------------------------------ */
+
+/* Time until a leader can send orders; 0: it can now. */
+static uint32_t
+get_leader_wait_ms(const Gw *g, uint64_t now_ms)
+{
+    if (now_ms > g->leader_ms + LEADER_LOST_MS) {
+        uint64_t back_ms = g->leader_ms + LEADER_CHANGE_MS;
+        return back_ms > now_ms + LEADER_OVERDUE_MS
+                   ? (uint32_t)(back_ms - now_ms)
+                   : LEADER_OVERDUE_MS;
+    }
+    return g->first_order_ms > now_ms ? (uint32_t)(g->first_order_ms - now_ms)
+                                      : 0;
+}
+
+static uint32_t
+get_wait_ms(const Req *q, uint64_t now_ms)
+{
+    uint32_t leader_ms = get_leader_wait_ms(q->gw, now_ms);
+    const WaitEstimate *w =
+        g_hash_table_lookup(q->gw->wait_estimates, q->query.model);
+    if (!w || now_ms - w->reported_ms > ESTIMATE_MAX_AGE_MS) {
+        return leader_ms;
+    }
+    uint64_t gone_ms = now_ms - w->reported_ms;
+    uint32_t load_ms =
+        w->wait_ms > gone_ms ? w->wait_ms - (uint32_t)gone_ms : 1;
+    return leader_ms + load_ms;
+}
+
+static void
+wait_for(Req *q, uint64_t now_ms, const char *what)
+{
+    if (q->gw->closed) {
+        gw_give_up(q, RETRY_STOPPING_MS, "the gateway stops");
+        return;
+    }
+    bool begins = q->state != REQ_WAITING || !q->waiting_for;
+    q->state = REQ_WAITING;
+    q->waiting_for = what;
+    q->waited_for = q->waited_for ? q->waited_for : what;
+    if (begins && q->query.model) {
+        JlLine *l = jl_begin("request-waits");
+        jl_text(l, "id", q->call.attempt_id);
+        jl_text(l, "for", what);
+        jl_text(l, "model", q->call.model);
+        jl_text(l, "adapter", q->call.adapter);
+        jl_number(l, "estimate_ms", get_wait_ms(q, now_ms));
+        jl_end(l);
+        q->gw->out.demand_changed(q->gw->out.ctx);
+    }
+}
+
+/* Time at which the caller disconnects if it receives nothing more. */
+static uint64_t
+get_disconnect_ms(const Req *q)
+{
+    if (!q->streaming) {
+        return q->first_byte_by_ms;
+    }
+    return q->route->event_timeout_ms
+               ? MIN(q->answer_by_ms,
+                     q->last_event_ms + q->route->event_timeout_ms)
+               : q->answer_by_ms;
+}
+
+/* Refuses the request at once if the model is estimated to come too late, with
+   the estimate as Retry-After. */
+static void
+wait_for_model(Req *q, uint64_t now_ms, const char *what)
+{
+    uint32_t wait_ms = get_wait_ms(q, now_ms);
+    if (wait_ms && now_ms + wait_ms + MIN_SERVE_MS > get_disconnect_ms(q)) {
+        gw_give_up(q, wait_ms, "model can't be loaded in time");
+        return;
+    }
+    wait_for(q, now_ms, what);
+}
+
+/* Longest queueing time to accept at an upstream; 0: any, if the request has
+   already run somewhere or its route has no objective. */
+static uint32_t
+get_max_wait_ms(const Req *q, uint64_t now_ms)
+{
+    if (q->runs > 0 || q->route->objective_ms == 0) {
+        return 0;
+    }
+    uint64_t left_ms = q->first_byte_by_ms - now_ms;
+    return (uint32_t)MAX(
+        MIN(q->route->objective_ms * MAX_QUEUE_OBJECTIVES, (double)left_ms),
+        1);
+}
+
+/* Even on the least busy upstream the request can't begin in time.
+   Retry-After is the time until the queue there is short enough, plus a random
+   part that spreads the retries. */
+static void
+refuse_busy(Req *q, uint64_t now_ms, const Ut *least_busy)
+{
+    uint32_t over_ms =
+        ut_get_wait_ms(least_busy, now_ms) - q->query.max_wait_ms;
+    uint32_t spread = (uint32_t)bg_pick_random(&q->gw->rng, RETRY_LATER_MS);
+    if (q->query.model) {
+        gw_add_count(q->gw->refused_busy, q->query.model);
+    }
+    gw_give_up(q, RETRY_SOON_MS + over_ms + spread, "too many wait");
+}
+
+/* The process has just started: an upstream that could serve the request may
+   be in the part of the list that was not read yet. */
+static bool
+may_be_unlisted(const Req *q, uint64_t now_ms)
+{
+    const Gw *g = q->gw;
+    return !g->upstreams_complete &&
+           now_ms < g->config_ms + FIRST_LIST_TIMEOUT_MS &&
+           now_ms < q->arrival_ms + START_MAX_WAIT_MS;
+}
+
+static void
+wait_for_list(Req *q, uint64_t now_ms)
+{
+    q->lacks_model = false;
+    wait_for(q, now_ms, "upstream");
+}
+
+/* ---- slots of limited upstreams ----------------------------------------- */
+
+/* False: the request goes on waiting for its slot. */
+static bool
+check_slot(Req *q, uint64_t now_ms)
+{
+    Ul *limits = q->gw->upstream_limits;
+    switch (ul_check(limits, now_ms, q->ticket)) {
+    case UL_SLOT_ASKED:
+        if (!q->others_serve || now_ms < q->slot_asked_ms + BRIEF_ANSWER_MS) {
+            return false;
+        }
+        break;
+    case UL_SLOT_LATER:
+        return false;
+    case UL_SLOT_NOW:
+        q->query.slot_at = ul_get_upstream(limits, q->ticket);
+        return true;
+    case UL_SLOT_NONE:
+        break;
+    }
+    gw_drop_ticket(q);
+    return true;
+}
+
+/* Asks the leader for a slot of UT. */
+static void
+ask_slot(Req *q, const Ut *ut, uint64_t now_ms, bool others_serve)
+{
+    const GwOutput *out = &q->gw->out;
+    bool send;
+    uint32_t max_wait_ms =
+        others_serve ? UT_BRIEF_SLOT_WAIT_MS : q->query.max_slot_wait_ms;
+    q->ticket = ul_ask(q->gw->upstream_limits, now_ms, ut_get_id(ut),
+                       max_wait_ms, &send);
+    q->slot_asked_ms = now_ms;
+    q->others_serve = others_serve;
+    q->state = REQ_WAITING;
+    q->waiting_for = "limit";
+    q->waited_for = q->waited_for || others_serve ? q->waited_for : "limit";
+    if (send) {
+        bg_count("gateway_slots_asked_total", 1);
+        out->ask_slot(out->ctx, q->ticket, ut_get_id(ut), max_wait_ms);
+    }
+}
+
+/* A request that was sent before waits on, until its caller leaves.  Any other
+   is refused at once, with the time until the next slot as Retry-After. */
+static void
+handle_limited(Req *q, uint64_t now_ms, const Ut *first)
+{
+    uint32_t wait_ms =
+        ul_get_wait_ms(q->gw->upstream_limits, now_ms, ut_get_id(first));
+    bg_count("gateway_held_for_limit_total", 1);
+    if (q->runs > 0 && now_ms + wait_ms < get_disconnect_ms(q)) {
+        wait_for(q, now_ms, "limit");
+        return;
+    }
+    if (q->query.model) {
+        gw_add_count(q->gw->refused_busy, q->query.model);
+    }
+    gw_give_up(q, wait_ms, "over the upstream's limit");
+}
+
+/* The request is sent to UT: its slot is used, or another request may have
+   it. */
+static void
+settle_ticket(Req *q, const Ut *ut)
+{
+    if (q->ticket && strcmp(q->query.slot_at, ut_get_id(ut)) == 0) {
+        ul_use(q->gw->upstream_limits, q->ticket);
+        q->ticket = 0;
+    }
+    gw_drop_ticket(q);
+}
+
+/* ---- the next step of a request ----------------------------------------- */
+
+/* Longest wait for a slot, if no other upstream can serve the request. */
+static uint32_t
+get_max_slot_wait_ms(const Req *q, uint64_t now_ms)
+{
+    uint64_t end_ms = get_disconnect_ms(q);
+    uint64_t left_ms = end_ms > now_ms ? end_ms - now_ms : 0;
+    uint64_t most_ms = MIN(left_ms, UL_MAX_WAIT_MS);
+    return (uint32_t)(q->query.max_wait_ms ? MIN(q->query.max_wait_ms, most_ms)
+                                           : most_ms);
+}
+
+void
+gw_try_send(Req *q)
+{
+    uint64_t now_ms = bg_boot_ms();
+    if (now_ms >= q->answer_by_ms ||
+        (!q->streaming && now_ms >= q->first_byte_by_ms)) {
+        gw_give_up(q, RETRY_SOON_MS, "deadline");
+        return;
+    }
+    /* The caller left while the request waited: don't send it. */
+    if (ht_is_gone(q->x)) {
+        q->state = REQ_WAITING;
+        q->waiting_for = "nothing: caller disconnected";
+        return;
+    }
+    if (q->sends >= MAX_SENDS) {
+        gw_give_up(q, RETRY_SOON_MS, "too many sends");
+        return;
+    }
+    if (q->ticket && !check_slot(q, now_ms)) {
+        return;
+    }
+    Ut *ut = NULL;
+    q->query.max_wait_ms = get_max_wait_ms(q, now_ms);
+    q->query.max_slot_wait_ms = get_max_slot_wait_ms(q, now_ms);
+    UtChoice found = ut_choose(q->gw->upstreams, now_ms, &q->query, &ut);
+    if (found != UT_FOUND) {
+        gw_drop_ticket(q);
+    }
+    if (!ut && may_be_unlisted(q, now_ms)) {
+        wait_for_list(q, now_ms);
+        return;
+    }
+    switch (found) {
+    case UT_BUSY:
+        refuse_busy(q, now_ms, ut);
+        return;
+    case UT_FOUND:
+        if (q->sends > 0 && !q->retry_counted &&
+            !rb_take(q->gw->budget, now_ms, q->service)) {
+            gw_give_up(q, RETRY_LATER_MS, "no budget for a retry");
+            return;
+        }
+        q->retry_counted = false;
+        settle_ticket(q, ut);
+        gw_send_to(q, ut, now_ms);
+        return;
+    case UT_ASK:
+    case UT_ASK_BRIEFLY:
+        ask_slot(q, ut, now_ms, found == UT_ASK_BRIEFLY);
+        if (check_slot(q, now_ms)) {
+            gw_try_send(q); /* it was answered at once */
+        }
+        return;
+    case UT_LIMITED:
+        handle_limited(q, now_ms, ut);
+        return;
+    case UT_COLD:
+        q->lacks_model = true;
+        wait_for_model(q, now_ms, "model");
+        return;
+    case UT_ADAPTER:
+        q->lacks_model = false;
+        wait_for_model(q, now_ms, "adapter");
+        return;
+    case UT_FULL:
+        wait_for(q, now_ms, "slot");
+        return;
+    case UT_UNREACHABLE:
+        if (q->runs == 0 && q->gw->out.is_isolated(q->gw->out.ctx)) {
+            gw_give_up(q, RETRY_LATER_MS, "cut off from the upstreams");
+            return;
+        }
+        /* The leader may have the model loaded elsewhere. */
+        q->lacks_model = true;
+        if (q->query.model) {
+            wait_for_model(q, now_ms, "reachable upstream");
+        }
+        else {
+            wait_for(q, now_ms, "reachable upstream");
+        }
+        return;
+    case UT_NONE:
+        if (now_ms < MAX(q->arrival_ms, q->gw->config_ms) + EMPTY_WAIT_MS) {
+            wait_for(q, now_ms, "upstream");
+            return;
+        }
+        gw_give_up(q, RETRY_LATER_MS, "the service has no upstream");
+        return;
+    case UT_TRIED:
+        if (q->runs == 0 && q->gw->out.is_isolated(q->gw->out.ctx)) {
+            gw_give_up(q, RETRY_LATER_MS, "cut off from the upstreams");
+            return;
+        }
+        if (q->tried->len > 0 && (q->runs == 0 || gw_may_repeat(q))) {
+            /* Try the upstreams that broke off once more: most of them are
+               well, and one that is gone will be found unreachable, so that
+               the leader has the model loaded elsewhere. */
+            g_ptr_array_set_size(q->tried, 0);
+            wait_for(q, now_ms, "slot");
+            return;
+        }
+        gw_give_up(q, RETRY_SOON_MS, "no other upstream");
+        return;
+    }
+}
