--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -106,7 +106,7 @@
     bool busy;                 /* last report: an order is in progress */
     uint64_t next_report_ms;   /* no report is requested before */
     uint32_t missed_reports;   /* requests without an answer, in a row */
-    uint32_t unsent_orders; /* in a row: it can't be connected to */
+    uint32_t unsent_orders;    /* in a row: it can't be connected to */
     uint64_t sequence;         /* orders that it accepted */
     GPtrArray *replicas;       /* Replica */
     uint64_t busy_until_ms;    /* end of the load in progress */
--- a/src/path_table.c
+++ b/src/path_table.c
@@ -29,7 +29,7 @@
 #define NO_PATH_MEMORY_MS 2000
 #define MAX_NO_PATHS 8
 #define MAX_ADDRESS 24 /* IP:PORT */
-/* A helper that is no longer named is still used. */
+/* A helper that is no longer named is used for this time still. */
 #define KEEP_HELPER_MS 15000
 #define MAX_HELPERS 128
 /* After so long without any way a gateway counts as isolated: the first
@@ -64,7 +64,7 @@
     char *vm;
     char *data_centre;
     char *address;
-    uint64_t named_ms;   /* it was last named */
+    uint64_t dropped_ms; /* it is no longer named since; 0: it is */
     uint64_t opened_ms;  /* it last opened a detour; 0: never */
     uint64_t no_path_ms; /* it last had no path itself; 0: never */
     uint64_t rest_until_ms;
@@ -139,7 +139,7 @@
 }
 
 static void
-name_helper(Pt *t, uint64_t now_ms, const PtHelper *named)
+name_helper(Pt *t, const PtHelper *named)
 {
     Helper *h = find_helper(t, named->address);
     if (!h) {
@@ -149,23 +149,44 @@
         h->address = g_strdup(named->address);
         g_ptr_array_add(t->helpers, h);
     }
-    h->named_ms = now_ms;
+    h->dropped_ms = 0;
 }
 
-void
-pt_set_helpers(Pt *t, uint64_t now_ms, const PtHelper *helpers, size_t n)
+static bool
+is_named(const Helper *h, const PtHelper *helpers, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (strcmp(helpers[i].address, h->address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+drop_helpers(Pt *t, uint64_t now_ms, const PtHelper *helpers, size_t n)
 {
     for (guint i = t->helpers->len; i > 0; i--) {
-        const Helper *h = t->helpers->pdata[i - 1];
-        if (now_ms >= h->named_ms + KEEP_HELPER_MS ||
+        Helper *h = t->helpers->pdata[i - 1];
+        if (is_named(h, helpers, n)) {
+            continue;
+        }
+        h->dropped_ms = h->dropped_ms ? h->dropped_ms : now_ms;
+        if (now_ms >= h->dropped_ms + KEEP_HELPER_MS ||
             t->helpers->len > MAX_HELPERS) {
             g_ptr_array_remove_index_fast(t->helpers, i - 1);
         }
     }
+}
+
+void
+pt_set_helpers(Pt *t, uint64_t now_ms, const PtHelper *helpers, size_t n)
+{
+    drop_helpers(t, now_ms, helpers, n);
     for (size_t i = 0; i < n; i++) {
         if (*helpers[i].address &&
             strcmp(helpers[i].address, t->address) != 0) {
-            name_helper(t, now_ms, &helpers[i]);
+            name_helper(t, &helpers[i]);
         }
     }
 }
--- a/tests/unit_paths.c
+++ b/tests/unit_paths.c
@@ -145,12 +145,16 @@
 test_helpers_stay_through_a_change_of_leader(void)
 {
     Pt *t = create_paths(3);
-    pt_set_helpers(t, 5000, NULL, 0);
-    CU_ASSERT_EQUAL(pt_count_helpers(t), 3);
     PtHelper self = {"vm9", "near", "10.9.0.1:2"};
-    pt_set_helpers(t, 20000, &self, 1);
+    pt_set_helpers(t, 600000, &self, 1);
+    CU_ASSERT_EQUAL(pt_count_helpers(t), 3);
+    pt_set_helpers(t, 605000, helpers, 3);
+    pt_set_helpers(t, 700000, NULL, 0);
+    pt_set_helpers(t, 714000, &self, 1);
+    CU_ASSERT_EQUAL(pt_count_helpers(t), 3);
+    pt_set_helpers(t, 715000, &self, 1);
     CU_ASSERT_EQUAL(pt_count_helpers(t), 0);
-    CU_ASSERT_EQUAL(pt_plan(t, 20001, UPSTREAM).detour_after_ms, PT_NEVER);
+    CU_ASSERT_EQUAL(pt_plan(t, 720000, UPSTREAM).detour_after_ms, PT_NEVER);
     pt_destroy(t);
 }
 
