--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -434,9 +434,12 @@
         time.sleep(0.5)
         c.cut([cut], how)
         t.join()
-        status, _, data, _ = results[0]
+        status, _, data, rid = results[0]
         assert status == 200 and event_ids(data) == list(range(30))
-        assert [e for e in cut.events("request-end")][-1].get("by")
+        # Another thread of the gateway writes the log.
+        end = wait_until(lambda: [e for e in cut.events("request-end")
+                                  if e["id"] == rid])
+        assert end[0].get("by")
 
 
 # A long body that was half sent when the path was cut reached an upstream
