--- a/tests/test_brittle.py
+++ b/tests/test_brittle.py
@@ -1,7 +1,5 @@
 """Upstreams that fall over when they turn too many requests away."""
 
-import pytest
-
 from cluster import wait_until
 from platform_cluster import Cluster, now
 from test_cut_gateways import Callers
@@ -12,8 +10,15 @@
 
 # Gateways together sent brittle upstreams more than they had room for, so that
 # they fell over again and again.
-@pytest.mark.parametrize("gateways", [3, 7])
-def test_brittle_upstreams_fall_over(build, gateways):
+def test_brittle_upstreams_fall_over_with_three_gateways(build):
+    check_falls(build, 3)
+
+
+def test_brittle_upstreams_fall_over_with_seven_gateways(build):
+    check_falls(build, 7)
+
+
+def check_falls(build, gateways):
     with Cluster(build, gateways=gateways, models=(("m0", "m1"),),
                  apps=4) as c:
         wait_until(c.all_linked)
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -218,6 +218,19 @@
         return int(f.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2 ** 20
 
 
+# The time that a caller gave went on only at the gateway, not at the upstream.
+def test_deadline_runs_on(pair):
+    c, cut, _ = pair
+    for a in c.apps:
+        a.work_s = 3.0
+    started = now()
+    status, _, _, rid = ask(cut, "pay", deadline_ms=1000)
+    assert status == 504 and now() - started < 1.2
+    given = [int(head["X-Deadline-Ms"]) for a in c.apps
+             for _, _, head, _ in a.requests if head["X-Attempt-Id"] == rid]
+    assert len(given) == 1 and 0 < given[0] <= 1000
+
+
 # ---- who may ask ----------------------------------------------------------
 
 OPEN, NO_PATH, CUT, FULL, REFUSED = range(5)
