--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -902,6 +902,28 @@
     out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
 }
 
+static void
+note_brittle(const Req *q, const HtHead *head)
+{
+    static const char *const words[] = {"no longer", "named", "unreadable"};
+    double per_s = 0;
+    if (head->status == 421) {
+        return; /* as for a limit */
+    }
+    GwBrittle kind = q->gw->wire->read_brittle(head, &per_s);
+    per_s = kind == GW_BRITTLE ? per_s : 0;
+    if (!ut_note_brittle(q->ut, kind, per_s)) {
+        return;
+    }
+    JlLine *l = jl_begin("upstream-brittle");
+    jl_text(l, "upstream", ut_get_id(q->ut));
+    jl_text(l, "what", words[kind]);
+    if (kind == GW_BRITTLE) {
+        jl_number(l, "rejects_per_1000_s", (int64_t)(per_s * 1000));
+    }
+    jl_end(l);
+}
+
 static void
 on_call_head(void *ctx, HtCall *call, const HtHead *head)
 {
@@ -922,6 +944,7 @@
         ut_note_load(q->ut, now_ms, load.running, load.waiting);
     }
     note_limit(q, head);
+    note_brittle(q, head);
     g_byte_array_set_size(q->body, 0);
     if (!q->streaming) {
         copy_headers(head, q->head);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -29,6 +29,10 @@
     uint32_t slots;
 } GwLoad;
 
+/* A brittle upstream falls over once it has to turn away more requests a
+   second, of all gateways together, than it says. */
+typedef enum { GW_NOT_BRITTLE, GW_BRITTLE, GW_BRITTLE_UNREADABLE } GwBrittle;
+
 /* Header names of the platform, and functions that read its headers. */
 typedef struct {
     const char *attempt_id;        /* echoed in the answer */
@@ -48,6 +52,8 @@
     bool (*read_load)(const HtHead *head, GwLoad *out);
     /* The upstream's limit; its text is borrowed from HEAD. */
     void (*read_limit)(const HtHead *head, UlNamed *out);
+    /* GW_BRITTLE: PER_S is what it says. */
+    GwBrittle (*read_brittle)(const HtHead *head, double *per_s);
 } GwWire;
 
 typedef struct {
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -217,6 +217,14 @@
         # Limit on requests a second that its answers name: a text, or a list
         # to name several; None: none.
         self.rate_limit = None
+        # Brittle: it says that it falls over once it turns away more requests
+        # a second; None: it does not fall.
+        self.brittle = None
+        self.room = None        # requests at a time, if brittle
+        self.inside = 0
+        self.rejected = []      # times
+        self.falls = []         # times
+        self.down_s = 1.5       # from a fall until it is back
         super().__init__(port)
         self.publish_entry()
 
@@ -306,8 +314,30 @@
     def add_limit(self, headers):
         if self.rate_limit is not None:
             headers["Server-Limit"] = self.rate_limit
+        if self.brittle is not None:
+            headers["Server-Brittle"] = str(self.brittle)
         return headers
 
+    def turn_away(self, h, rid):
+        """No room.  True: the answer was given, or the engine is down."""
+        with self.lock:
+            at = time.monotonic()
+            down = self.falls and at < self.falls[-1] + self.down_s
+            full = not down and self.inside >= self.room
+            if full:
+                self.rejected.append(at)
+                if sum(t > at - 1 for t in self.rejected) > self.brittle:
+                    self.falls.append(at)
+                    self.rejected = []
+            elif not down:
+                self.inside += 1
+        if down:
+            h.close_connection = True
+        elif full:
+            h.reply(503, {}, self.add_limit({"X-Attempt-Id": rid,
+                                             "X-Not-Executed": "1"}))
+        return down or full
+
     def request(self, h, path, body):
         rid = h.headers.get("X-Attempt-Id")
         with self.lock:
@@ -316,6 +346,15 @@
         if self.models is not None and wanted and not self.is_loaded(wanted):
             h.reply(421, {}, self.add_limit({"X-Attempt-Id": rid}))
             return
+        if self.brittle is not None and self.turn_away(h, rid):
+            return
+        try:
+            self.run_request(h, rid, wanted, body)
+        finally:
+            with self.lock:
+                self.inside = max(0, self.inside - 1)
+
+    def run_request(self, h, rid, wanted, body):
         with self.lock:
             self.runs.append(rid)
             self.requests.append((h.command, h.path, dict(h.headers), body))
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -15,6 +15,7 @@
     "keyed.op", "keyed.servers", "path_prefix", "route_type", "traffic_split",
     "target_latency_ms", "gap_target_ms", "op_type", "fence_token", "at_hand",
     "X-Api-Key", "X-Tenant", "api_keys", "token_budget", "Server-Limit",
+    "Server-Brittle",
     "load_time_s", "weights_mb", "cold_left_ms", "sticky", "BENCH",
     "fleetbench", "machine_class"]
 
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -273,6 +273,35 @@
     CU_ASSERT_EQUAL(read_limit("2", "2").kind, UL_UNREADABLE);
 }
 
+/* A value that can't be read says nothing, and 0 is a value. */
+static void
+test_brittle_header(void)
+{
+    static const struct {
+        const char *text;
+        GwBrittle kind;
+        double per_s;
+    } cases[] = {{"0", GW_BRITTLE, 0},
+                 {"50", GW_BRITTLE, 50},
+                 {"2.5", GW_BRITTLE, 2.5},
+                 {"", GW_BRITTLE_UNREADABLE, 0},
+                 {"-1", GW_BRITTLE_UNREADABLE, 0},
+                 {"many", GW_BRITTLE_UNREADABLE, 0},
+                 {"1e3", GW_BRITTLE_UNREADABLE, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        HtHead h = {.headers = g_array_new(FALSE, FALSE, sizeof(HtHeader))};
+        double per_s;
+        CU_ASSERT_EQUAL(pf_gw_wire.read_brittle(&h, &per_s), GW_NOT_BRITTLE);
+        add_header(&h, "server-brittle", cases[i].text);
+        CU_ASSERT_EQUAL(pf_gw_wire.read_brittle(&h, &per_s), cases[i].kind);
+        CU_ASSERT(cases[i].kind != GW_BRITTLE || per_s == cases[i].per_s);
+        add_header(&h, "Server-Brittle", "1");
+        CU_ASSERT_EQUAL(pf_gw_wire.read_brittle(&h, &per_s),
+                        GW_BRITTLE_UNREADABLE);
+        g_array_free(h.headers, TRUE);
+    }
+}
+
 int
 main(void)
 {
@@ -286,6 +315,7 @@
         {"config malformed", test_config_malformed},
         {"call headers", test_call_headers},
         {"limit header", test_limit_header},
+        {"brittle header", test_brittle_header},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
         {"platform", NULL, NULL, NULL, NULL, (CU_TestInfo *)tests},
