--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -64,6 +64,7 @@
     q->first_ms = now_ms;
     q->last_data_ms = now_ms;
     q->status = head->status;
+    q->framing = head->framing;
     q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
     if (q->query.model && !q->not_run) {
         gw_add_count(q->gw->begun_answers, ut_get_id(q->ut));
@@ -142,6 +143,7 @@
         if (id < 0 || id > q->last_event) {
             start_stream(q);
             ht_write_answer(q->x, q->partial->str, len);
+            q->events++;
             note_event(q);
         }
         q->last_event = MAX(q->last_event, id);
@@ -155,6 +157,7 @@
     (void)call;
     Req *q = ctx;
     q->last_data_ms = bg_boot_ms();
+    q->body_bytes += len;
     if (q->forwards_events) {
         g_string_append_len(q->partial, data, (gssize)len);
         forward_events(q);
@@ -247,6 +250,7 @@
     jl_text(l, "why", why);
     jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
     jl_number(l, "last_event", q->last_event);
+    gw_log_body(l, q);
     jl_end(l);
     g_ptr_array_add(q->tried, ut);
     gw_finish_call(q, outcome);
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -79,6 +79,11 @@
 
     SpTurn turn; /* of a suspect: asked for, granted or used; 0: none */
 
+    /* Of the answer to the current call, for the log. */
+    HtFraming framing;
+    uint32_t events;     /* forwarded */
+    uint64_t body_bytes; /* received */
+
     uint16_t status;      /* of the answer to the current call */
     uint16_t kept_status; /* of the kept answer */
     bool lacks_model;     /* waiting: for the model, not an adapter */
@@ -138,6 +143,8 @@
 void gw_append_retry(GString *out, uint32_t retry_ms);
 /* Names the request, alike for each of its copies. */
 void gw_log_digest(JlLine *l, const Req *q);
+/* What was received of the current answer, and how its end is marked. */
+void gw_log_body(JlLine *l, const Req *q);
 void gw_log_end(const Req *q, const char *outcome, uint16_t status,
                 const char *why);
 /* Withdraws the slot request, or gives up the slot. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -71,6 +71,20 @@
     jl_text(l, "request", text);
 }
 
+void
+gw_log_body(JlLine *l, const Req *q)
+{
+    if (q->status == 0) {
+        return;
+    }
+    jl_text(l, "framing", ht_name_framing(q->framing));
+    jl_number(l, "body_bytes", (int64_t)q->body_bytes);
+    if (q->forwards_events) {
+        jl_number(l, "events", q->events);
+        jl_number(l, "rest_bytes", (int64_t)q->partial->len);
+    }
+}
+
 /* The objectives of its route that the answer missed; NULL: none. */
 static const char *
 describe_lateness(const Req *q)
@@ -102,6 +116,7 @@
     jl_text(l, "adapter", q->call.adapter);
     jl_text(l, "upstream", q->last_upstream);
     jl_text(l, "by", q->helper);
+    gw_log_body(l, q);
     jl_number(l, "sends", q->sends);
     jl_number(l, "runs", q->runs);
     jl_number(l, "took_ms", (int64_t)(now_ms - q->arrival_ms));
@@ -412,6 +427,8 @@
     q->unsent = false;
     q->forwards_events = false;
     q->status = 0;
+    q->events = 0;
+    q->body_bytes = 0;
     g_string_truncate(q->partial, 0);
     ut_start(ut);
     HtRequest req = {
--- a/src/http.c
+++ b/src/http.c
@@ -60,10 +60,32 @@
     m->header_bytes += len;
 }
 
+static HtFraming
+read_framing(const http_parser *p)
+{
+    if (p->status_code / 100 == 1 || p->status_code == 204 ||
+        p->status_code == 304) {
+        return HT_NO_BODY;
+    }
+    if (p->flags & F_CHUNKED) {
+        return HT_BY_CHUNKS;
+    }
+    return p->content_length != ULLONG_MAX ? HT_BY_LENGTH : HT_BY_CLOSE;
+}
+
+const char *
+ht_name_framing(HtFraming framing)
+{
+    static const char *const names[] = {"no body", "length", "chunks",
+                                        "close"};
+    return names[framing];
+}
+
 void
 ht_finish_head(HtMessage *m, const http_parser *p)
 {
     flush_header(m);
+    m->head.framing = read_framing(p);
     m->head.method = http_method_str((enum http_method)p->method);
     m->head.target = m->target->str;
     m->head.status = (uint16_t)p->status_code;
--- a/src/http.h
+++ b/src/http.h
@@ -16,11 +16,22 @@
     const char *value;
 } HtHeader;
 
+/* How the end of an answer is marked. */
+typedef enum {
+    HT_NO_BODY, /* the status allows none */
+    HT_BY_LENGTH,
+    HT_BY_CHUNKS,
+    HT_BY_CLOSE /* it ends with its connection */
+} HtFraming;
+
+const char *ht_name_framing(HtFraming framing);
+
 /* Head of a request or an answer, which owns its texts. */
 typedef struct {
     const char *method; /* of a request */
     const char *target; /* of a request: path and query, as sent */
     uint16_t status;    /* of an answer */
+    HtFraming framing;  /* of an answer */
     bool keeps_alive;
     GArray *headers; /* HtHeader, in the order of arrival */
 } HtHead;
