Failing tests: a stream that ends inside an event is passed on as complete (known red)

Stand-in engines write their answers byte for byte, in each framing, with each way to end, at each place of an event, to real gateways, on the own path and by detour. A bare CR or a zero byte keeps events back until the end of the stream.

--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,221 @@
+"""Answers that upstreams break off: how their callers can tell, in each framing
+of the answer, with each way to end, at each place of a stream.
+
+Each case is a stream that an engine writes byte for byte (raw_answers) to a
+real gateway.  A case that fails is printed; none is left out for another.
+"""
+
+import http.client
+import itertools
+
+import pytest
+
+from cluster import wait_until
+from platform_cluster import Cluster, ask
+from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSE, CLOSED, FRAMINGS,
+                         INSIDE, LENGTH, RESET, RawAnswer, cut_event, event)
+
+MODELS = (("m0",), ("m0",))
+EVENTS = 5
+# In a cut stream: whole events before the cut one.
+BEFORE = 2
+EOLS = ("\n", "\r\n")
+
+
+@pytest.fixture(name="cluster", scope="module")
+def fixture_cluster(build):
+    with Cluster(build, gateways=1, models=MODELS) as c:
+        yield c
+
+
+@pytest.fixture(name="detour", scope="module")
+def fixture_detour(build):
+    """Three gateways, one of which goes by way of the others."""
+    with Cluster(build, gateways=3, models=MODELS, paths=True) as c:
+        cut = next(g for g in c.gateways if g is not c.leader())
+        wait_until(c.all_linked)
+        wait_until(lambda: ask(cut, "chat", "m0")[0] == 200)
+        c.cut([cut], "refuse")
+        wait_until(lambda: (ask(cut, "chat", "m0", deadline_ms=1500)[0] == 200
+                            and cut.events("detour-opened")))
+        yield c, cut
+
+
+def whole(first, eol="\n"):
+    return "".join(event(i, eol) for i in range(first, EVENTS))
+
+
+def cut_in(place, before=BEFORE, eol="\n"):
+    return lambda first: "".join(
+        event(i, eol) for i in range(first, first + before)) + cut_event(
+            place, first + before, eol)
+
+
+_bodies = itertools.count()
+
+
+def ask_new(gateway, route, model="m0"):
+    """No request is a copy of another: copies under which upstreams ended are
+    stopped."""
+    return ask(gateway, route, model, body=b"request %d" % next(_bodies))
+
+
+def set_answer(c, answer):
+    for e in c.engines:
+        e.on_request = answer
+
+
+def ends_of(framing):
+    """Each way in which an answer with that framing may end."""
+    if framing in (LENGTH, CHUNKS):
+        return (AS_FRAMED, CLOSED, RESET)
+    return (CLOSED, RESET)
+
+
+def all_cuts():
+    return [(f, end, place, eol) for f in FRAMINGS for end in ends_of(f)
+            for place in INSIDE for eol in EOLS]
+
+
+def find_fault(answer, shown, complete):
+    """What is wrong with ANSWER, of which the caller should get the events
+    SHOWN; None: nothing."""
+    status, _, data, _ = answer
+    got = data[len(b"INCOMPLETE "):] if data.startswith(
+        b"INCOMPLETE ") else data
+    if status != 200:
+        return "status %d" % status
+    if complete == data.startswith(b"INCOMPLETE "):
+        return "framed as %scomplete" % ("in" if complete else "")
+    if got.decode() != shown:
+        return "body %r" % got
+    return None
+
+
+def report(faults):
+    for case, fault in faults:
+        print(*case, fault, sep=", ")
+    assert not faults, "%d of the cases above" % len(faults)
+
+
+def run_cuts(c, gateway, route, check):
+    faults = []
+    for case in all_cuts():
+        framing, end, place, eol = case
+        set_answer(c, RawAnswer(framing, end, cut_in(place, eol=eol), times=1))
+        fault = check(ask_new(gateway, route), eol)
+        if fault:
+            faults.append((case, fault))
+    set_answer(c, None)
+    report(faults)
+
+
+# The caller of a stream that ended inside an event got it framed as complete,
+# half an event included.
+def test_stream_that_ends_inside_an_event_is_broken(cluster):
+    run_cuts(cluster, cluster.gateways[0], "sum", lambda answer, eol: find_fault(
+        answer, "".join(event(i, eol) for i in range(BEFORE)), False))
+
+
+def test_stream_that_ends_inside_an_event_is_broken_by_detour(detour):
+    c, cut = detour
+    run_cuts(c, cut, "sum", lambda answer, eol: find_fault(
+        answer, "".join(event(i, eol) for i in range(BEFORE)), False))
+
+
+# The same stream, where it may be resumed, was not.
+def test_stream_that_ends_inside_an_event_is_resumed(cluster):
+    run_cuts(cluster, cluster.gateways[0], "chat",
+             lambda answer, eol: find_fault(answer, "".join(
+                 event(i, eol) for i in range(BEFORE)) + whole(BEFORE), True))
+
+
+def test_stream_that_ends_inside_an_event_is_resumed_by_detour(detour):
+    c, cut = detour
+    run_cuts(c, cut, "chat", lambda answer, eol: find_fault(
+        answer, "".join(event(i, eol) for i in range(BEFORE)) + whole(BEFORE),
+        True))
+
+
+# A stream that ended inside its first event was answered with 200 and half an
+# event.
+def test_stream_that_ends_inside_its_first_event_is_not_begun(cluster):
+    faults = []
+    for framing in FRAMINGS:
+        for end in ends_of(framing):
+            for place in INSIDE:
+                set_answer(cluster, RawAnswer(framing, end, cut_in(place, 0)))
+                status, _, data, _ = ask_new(cluster.gateways[0], "sum")
+                if (status, data) != (502, b""):
+                    faults.append(((framing, end, place), (status, data)))
+    set_answer(cluster, None)
+    report(faults)
+
+
+# A stream of which the system closed the connection between two events looks
+# like a whole one: it must not fail.
+@pytest.mark.parametrize("route", ["sum", "chat"])
+@pytest.mark.parametrize("framing, end", [
+    (LENGTH, AS_FRAMED), (CHUNKS, AS_FRAMED), (CLOSE, CLOSED), (BARE, CLOSED)])
+@pytest.mark.parametrize("eol", EOLS)
+def test_whole_stream_arrives_whole_in_one_run(cluster, route, framing, end,
+                                               eol):
+    raw = RawAnswer(framing, end, lambda first: whole(first, eol))
+    set_answer(cluster, raw)
+    answer = ask_new(cluster.gateways[0], route)
+    set_answer(cluster, None)
+    assert find_fault(answer, whole(0, eol), True) is None, answer
+    assert len(raw.resumed_at) == 1
+
+
+@pytest.mark.parametrize("framing, end", [
+    (LENGTH, AS_FRAMED), (CHUNKS, AS_FRAMED), (CLOSE, CLOSED), (BARE, CLOSED)])
+@pytest.mark.parametrize("route, body, content_type", [
+    ("sum", "", "text/event-stream"),
+    ("chat", "", "text/event-stream"),
+    ("chat", '{"events": "none\\n\\n"}', "application/json"),
+    ("chat", '{"events": "none"}', None),
+    ("chat", "\n\n\n", "text/plain"),
+    ("chat", ": comment\n\n: and no event\n", "text/event-stream"),
+    ("read", "plain text", "text/plain"),
+    ("read", "", None)])
+def test_whole_answer_arrives_whole(cluster, framing, end, route, body,
+                                    content_type):
+    raw = RawAnswer(framing, end, lambda _first: body,
+                    content_type=content_type)
+    set_answer(cluster, raw)
+    for a in cluster.apps:
+        a.on_request = raw
+    status, _, data, _ = ask_new(cluster.gateways[0], route,
+                                 None if route == "read" else "m0")
+    set_answer(cluster, None)
+    for a in cluster.apps:
+        a.on_request = None
+    assert (status, data.decode()) == (200, body)
+    assert len(raw.resumed_at) == 1
+
+
+def read_events(gateway, count):
+    """The first COUNT events of a stream, as read from the socket."""
+    c = http.client.HTTPConnection("127.0.0.1", gateway.front, timeout=1)
+    c.request("POST", "/sum/x", b"request %d" % next(_bodies), {
+        "Host": "app.example", "X-Attempt-Id": "%x" % next(_bodies),
+        "X-Model": "m0", "X-Token-Count": "100,20",
+        "X-Prompt-Prefix": "aa:50,bb:50", "X-Deadline-Ms": "4000"})
+    r, data = c.getresponse(), b""
+    while data.count(b"data: ") < count:
+        data += r.read1(1000)
+    c.close()
+    return data
+
+
+# A line that ended in a bare CR, or held a zero byte, kept all further events
+# from the caller until the stream was over.
+@pytest.mark.parametrize("body", [whole(0, "\r"),
+                                  "data: a\0b\n\n" + whole(0)],
+                         ids=["bare-CR", "zero-byte"])
+def test_events_are_forwarded_as_they_arrive(cluster, body):
+    set_answer(cluster, RawAnswer(CHUNKS, AS_FRAMED, lambda _first: body,
+                                  pieces=2, pause_s=2.0))
+    read_events(cluster.gateways[0], 2)
+    set_answer(cluster, None)
