Events end as the HTML standard says, and each byte of a stream is looked at once

Callers of a stream whose lines end in a bare CR, or that holds a zero byte, got its events only when the stream was over. The gateway searched for two line feeds in a C string, from the begin of the unfinished event, with each packet. event_stream (es) reads lines by LF, CRLF and CR, split anywhere, with comments, fields without a colon, a byte order mark and zero bytes, and hands out whole events with their bytes unchanged.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -145,7 +145,6 @@
     q->tried = g_ptr_array_new();
     q->head = g_string_new(NULL);
     q->body = g_byte_array_new();
-    q->partial = g_string_new(NULL);
     q->arrival_ms = ht_get_arrival_ms(x);
     q->digest = digest_request(x, workspace);
     g->wire->read_call(ht_get_head(x), &q->call);
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -81,32 +81,20 @@
     }
     q->forwards_events =
         q->route->kind == DEP_STREAM && head->status == 200 && !q->not_run;
+    es_destroy(q->reader);
+    q->reader = q->forwards_events ? es_create(SIZE_MAX) : NULL;
 }
 
-/* Length of the first event in TEXT with its blank line; 0: incomplete. */
-static size_t
-find_event_end(const GString *text)
-{
-    const char *lf = strstr(text->str, "\n\n");
-    const char *crlf = strstr(text->str, "\n\r\n");
-    if (crlf && (!lf || crlf < lf)) {
-        return (size_t)(crlf - text->str) + 3;
-    }
-    return lf ? (size_t)(lf - text->str) + 2 : 0;
-}
-
+/* -1: EVENT has no number as its id. */
 static int64_t
-read_event_id(const char *text, size_t len)
+read_event_id(const EsEvent *event)
 {
-    const char *end = text + len;
-    for (const char *line = text; line < end;) {
-        if (strncmp(line, "id:", 3) == 0) {
-            return strtoll(line + 3, NULL, 10);
-        }
-        const char *lf = memchr(line, '\n', (size_t)(end - line));
-        line = lf ? lf + 1 : end;
+    char *end;
+    if (!event->id || !g_ascii_isdigit(event->id[0])) {
+        return -1;
     }
-    return -1;
+    int64_t id = strtoll(event->id, &end, 10);
+    return *end ? -1 : id;
 }
 
 static void
@@ -132,22 +120,30 @@
     q->last_event_ms = now_ms;
 }
 
+static void
+forward_event(Req *q, const EsEvent *event)
+{
+    int64_t id = read_event_id(event);
+    if (id < 0 || id > q->last_event) {
+        start_stream(q);
+        ht_write_answer(q->x, event->text, event->len);
+        q->events++;
+        note_event(q);
+    }
+    q->last_event = MAX(q->last_event, id);
+}
+
 /* Forwards only complete events, so that after a break the next upstream
    resumes exactly behind what the caller has. */
 static void
-forward_events(Req *q)
+forward_events(Req *q, const char *data, size_t len)
 {
-    size_t len;
-    while ((len = find_event_end(q->partial)) > 0) {
-        int64_t id = read_event_id(q->partial->str, len);
-        if (id < 0 || id > q->last_event) {
-            start_stream(q);
-            ht_write_answer(q->x, q->partial->str, len);
-            q->events++;
-            note_event(q);
-        }
-        q->last_event = MAX(q->last_event, id);
-        g_string_erase(q->partial, 0, (gssize)len);
+    EsEvent event;
+    size_t used;
+    while (es_read(q->reader, data, len, &used, &event) == ES_EVENT) {
+        forward_event(q, &event);
+        data += used;
+        len -= used;
     }
 }
 
@@ -159,8 +155,7 @@
     q->last_data_ms = bg_boot_ms();
     q->body_bytes += len;
     if (q->forwards_events) {
-        g_string_append_len(q->partial, data, (gssize)len);
-        forward_events(q);
+        forward_events(q, data, len);
         return;
     }
     g_byte_array_append(q->body, (const guint8 *)data, (guint)len);
@@ -170,7 +165,9 @@
 finish_stream(Req *q)
 {
     start_stream(q);
-    ht_write_answer(q->x, q->partial->str, q->partial->len);
+    size_t len;
+    const char *rest = es_get_rest(q->reader, &len);
+    ht_write_answer(q->x, rest, len);
     gw_log_end(q, "answered", q->status, NULL);
     gw_finish_call(q, UT_OUTCOME_GOOD);
     HtExchange *x = q->x;
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -10,6 +10,7 @@
 
 #include "gateway_request.h"
 
+#include "event_stream.h"
 #include "hist.h"
 #include "json_log.h"
 
@@ -69,7 +70,7 @@
     GByteArray *kept_body;
 
     /* the stream that is forwarded */
-    GString *partial;   /* bytes of an incomplete event */
+    Es *reader;         /* of the current answer; NULL: not a stream */
     int64_t last_event; /* id of the last one that the caller has */
 
     /* the slot of a limited upstream that it waits for */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -81,7 +81,9 @@
     jl_number(l, "body_bytes", (int64_t)q->body_bytes);
     if (q->forwards_events) {
         jl_number(l, "events", q->events);
-        jl_number(l, "rest_bytes", (int64_t)q->partial->len);
+        size_t len;
+        es_get_rest(q->reader, &len);
+        jl_number(l, "rest_bytes", (int64_t)len);
     }
 }
 
@@ -173,7 +175,7 @@
         g_string_free(q->kept_head, TRUE);
         g_byte_array_free(q->kept_body, TRUE);
     }
-    g_string_free(q->partial, TRUE);
+    es_destroy(q->reader);
     g_free(q->last_upstream);
     g_free(q->helper);
     g_free(q->gap_upstream);
@@ -429,7 +431,6 @@
     q->status = 0;
     q->events = 0;
     q->body_bytes = 0;
-    g_string_truncate(q->partial, 0);
     ut_start(ut);
     HtRequest req = {
         .address = ut_get_address(ut),
