A stream that ends inside an event was broken off: one place decides whether an answer is complete

Callers got a stream that an upstream had broken off framed as complete, with half an event at its end, and it was not resumed although its route allowed it.

Cause: "the message ended" (the HTTP parser's word) was taken for "the answer is whole". An answer without length and chunks ends with its connection, so an upstream whose process ends midway sends a message that the parser calls complete; so does one that sends its last chunk, or its length, behind half an event. Nobody asked what the bytes mean.

answer_end (ae) decides it now, for every answer, from how the end is marked, what the connection told, and what the bytes mean, and says why (AeEnd). It collects the body or takes the events apart; the pool asks it at each end, and gateway requests and ht_fetch see its verdict only. HtResult is gone. Half an event is never sent on. A stream that ends inside an event is resumed behind its last whole event or visibly cut; before the first event the caller gets 502. Only a connection that broke blames the request for its upstream's end (ae_is_break); an orderly end is kept for as long as for a cancelled call. An answer of another type on a stream's route is collected and passed on as any other. Logs and request-broken name the end.

--- /dev/null
+++ b/src/answer_end.c
@@ -0,0 +1,211 @@
+#include "answer_end.h"
+
+#include <jansson.h>
+#include <string.h>
+
+struct Ae {
+    AeExpect expect;
+    AeFraming framing;
+    uint16_t status; /* 0: no head yet */
+    bool typed;      /* the head names the type of the body */
+    bool is_stream;  /* ... an event stream, and no encoding */
+    bool continues;  /* a stream that has begun */
+    Es *events;      /* NULL: the body is collected */
+    GByteArray *body;
+    uint64_t bytes;
+};
+
+bool
+ae_is_whole(AeEnd end)
+{
+    return end <= AE_WHOLE_CLOSE;
+}
+
+bool
+ae_is_break(AeEnd end)
+{
+    return end == AE_UNANSWERED || end == AE_SHORT || end == AE_RESET ||
+           end == AE_NOT_HTTP;
+}
+
+const char *
+ae_name_end(AeEnd end)
+{
+    static const char *const names[AE_ENDS] = {
+        "no body",  "length",    "last chunk", "connection's end",
+        "not sent", "no answer", "broken off", "reset",
+        "inside",   "garbled",   "too large",  "timed out"};
+    return names[end];
+}
+
+const char *
+ae_name_framing(AeFraming framing)
+{
+    static const char *const names[] = {"no body", "length", "chunks",
+                                        "close"};
+    return names[framing];
+}
+
+bool
+ae_is_json(const GByteArray *body)
+{
+    json_t *doc =
+        json_loadb((const char *)body->data, body->len, JSON_DECODE_ANY, NULL);
+    json_decref(doc);
+    return doc != NULL;
+}
+
+bool
+ae_is_never_whole(const GByteArray *body)
+{
+    (void)body;
+    return false;
+}
+
+Ae *
+ae_create(const AeExpect *expect)
+{
+    Ae *a = g_new0(Ae, 1);
+    a->expect = *expect;
+    a->body = g_byte_array_new();
+    return a;
+}
+
+void
+ae_destroy(Ae *a)
+{
+    es_destroy(a->events);
+    g_byte_array_unref(a->body);
+    g_free(a);
+}
+
+static bool
+is_event_stream(const char *type)
+{
+    static const char name[] = "text/event-stream";
+    size_t len = strlen(name);
+    return g_ascii_strncasecmp(type, name, len) == 0 &&
+           (type[len] == '\0' || strchr("; \t", type[len]));
+}
+
+void
+ae_on_head(Ae *a, const AeHead *head)
+{
+    a->status = head->status;
+    a->framing = head->framing;
+    a->typed = head->type || head->encoding;
+    a->is_stream =
+        !head->encoding && head->type && is_event_stream(head->type);
+}
+
+bool
+ae_read_events(Ae *a, bool continues)
+{
+    if (a->typed && !a->is_stream) {
+        return false;
+    }
+    a->continues = continues;
+    size_t max = a->expect.max_event_bytes;
+    a->events = es_create(max ? max : SIZE_MAX);
+    return true;
+}
+
+static AeResult
+read_event(Ae *a, const char *data, size_t len, size_t *used, EsEvent *event)
+{
+    EsResult r = es_read(a->events, data, len, used, event);
+    a->bytes += *used;
+    return r == ES_EVENT  ? AE_READ_EVENT
+           : r == ES_MORE ? AE_READ_ALL
+                          : AE_READ_TOO_LARGE;
+}
+
+AeResult
+ae_read(Ae *a, const char *data, size_t len, size_t *used, EsEvent *event)
+{
+    if (a->events) {
+        return read_event(a, data, len, used, event);
+    }
+    size_t max = a->expect.max_body_bytes;
+    if (max && a->body->len + len > max) {
+        *used = 0;
+        return AE_READ_TOO_LARGE;
+    }
+    g_byte_array_append(a->body, (const guint8 *)data, (guint)len);
+    a->bytes += len;
+    *used = len;
+    return AE_READ_ALL;
+}
+
+/* ---- the end ------------------------------------------------------------ */
+
+/* Text without a type, of which no line looks like an event's, is no stream.
+ */
+static bool
+is_no_stream(const Ae *a)
+{
+    return !a->typed && !a->continues && !es_has_fields(a->events);
+}
+
+static bool
+is_inside(const Ae *a)
+{
+    if (a->events) {
+        return es_is_inside(a->events) && !is_no_stream(a);
+    }
+    return a->framing == AE_BY_CLOSE && a->status == 200 &&
+           a->expect.may_end && !a->expect.may_end(a->body);
+}
+
+AeEnd
+ae_end(Ae *a, AeSignal signal)
+{
+    static const AeEnd whole[] = {[AE_NO_BODY] = AE_WHOLE_NO_BODY,
+                                  [AE_BY_LENGTH] = AE_WHOLE_LENGTH,
+                                  [AE_BY_CHUNKS] = AE_WHOLE_CHUNKS,
+                                  [AE_BY_CLOSE] = AE_WHOLE_CLOSE};
+    switch (signal) {
+    case AE_INVALID:
+        return AE_NOT_HTTP;
+    case AE_FAILED:
+        return AE_RESET;
+    case AE_CLOSED:
+        return a->status == 0 ? AE_UNANSWERED : AE_SHORT;
+    default:
+        return is_inside(a) ? AE_INSIDE : whole[a->framing];
+    }
+}
+
+AeFraming
+ae_get_framing(const Ae *a)
+{
+    return a->framing;
+}
+
+uint64_t
+ae_get_bytes(const Ae *a)
+{
+    return a->bytes;
+}
+
+size_t
+ae_get_rest_bytes(const Ae *a)
+{
+    size_t len = 0;
+    if (a->events) {
+        es_get_rest(a->events, &len);
+    }
+    return len;
+}
+
+GByteArray *
+ae_get_body(Ae *a)
+{
+    if (a->events) {
+        size_t len;
+        const char *rest = es_get_rest(a->events, &len);
+        g_byte_array_set_size(a->body, 0);
+        g_byte_array_append(a->body, (const guint8 *)rest, (guint)len);
+    }
+    return a->body;
+}
--- /dev/null
+++ b/src/answer_end.h
@@ -0,0 +1,112 @@
+/* ae: whether an answer is complete, and how that is known.
+
+   The one place that decides this, for answers that go to callers and for
+   those that the gateway reads itself.  Three things count: how the answer
+   marks its end, what the connection told of it, and what the bytes mean.  An
+   answer without length and chunks ends with its connection, so only the bytes
+   can show that it was broken off: a stream that ends inside an event, a
+   document that ends halfway.
+
+   Collects the body, or takes an event stream apart, within bounds.
+
+   Workload: bodies and events of some megabytes in thousands of pieces; each
+   byte is looked at once.
+
+   No I/O or clock.  Not thread-safe. */
+#ifndef ANSWER_END_H
+#define ANSWER_END_H
+
+#include "base.h"
+#include "event_stream.h"
+
+/* How an answer marks its end. */
+typedef enum {
+    AE_NO_BODY, /* its status allows none */
+    AE_BY_LENGTH,
+    AE_BY_CHUNKS,
+    AE_BY_CLOSE /* it ends with its connection */
+} AeFraming;
+
+/* What the connection told last. */
+typedef enum {
+    AE_MESSAGE_OVER, /* all that the framing announced came */
+    AE_CLOSED,       /* it ended in order before that */
+    AE_FAILED,       /* it was reset, or lost by a helper */
+    AE_INVALID       /* what came is no HTTP */
+} AeSignal;
+
+typedef enum {
+    AE_WHOLE_NO_BODY,
+    AE_WHOLE_LENGTH,
+    AE_WHOLE_CHUNKS,
+    AE_WHOLE_CLOSE, /* the connection ended in order, at a place where the
+                       answer may end */
+    AE_NOT_SENT,    /* no byte of the request left this process */
+    AE_UNANSWERED,  /* the connection ended in order before the head */
+    AE_SHORT,       /* ... before the length or the last chunk */
+    AE_RESET,
+    AE_INSIDE, /* the message is over inside an event or document */
+    AE_NOT_HTTP,
+    AE_TOO_LARGE,
+    AE_TIMED_OUT,
+    AE_ENDS
+} AeEnd;
+
+bool ae_is_whole(AeEnd end);
+/* The upstream's connection broke, and perhaps its process with it.  The other
+   ends are no sign of that. */
+bool ae_is_break(AeEnd end);
+/* For logs. */
+const char *ae_name_end(AeEnd end);
+const char *ae_name_framing(AeFraming framing);
+
+typedef struct {
+    size_t max_body_bytes;  /* kept; 0: not limited */
+    size_t max_event_bytes; /* 0: not limited */
+    /* Whether BODY, of status 200 and without length and chunks, may end
+       there.  NULL: anywhere. */
+    bool (*may_end)(const GByteArray *body);
+} AeExpect;
+
+/* For AeExpect: BODY is JSON. */
+bool ae_is_json(const GByteArray *body);
+/* For AeExpect: such an answer always has a length. */
+bool ae_is_never_whole(const GByteArray *body);
+
+typedef struct {
+    uint16_t status;
+    AeFraming framing;
+    const char *type;     /* Content-Type, or NULL */
+    const char *encoding; /* Content-Encoding, or NULL */
+} AeHead;
+
+typedef struct Ae Ae;
+
+Ae *ae_create(const AeExpect *expect);
+void ae_destroy(Ae *a);
+void ae_on_head(Ae *a, const AeHead *head);
+/* The answer should be an event stream.  False: its head says otherwise, and
+   its body is collected.  CONTINUES: the one of a stream that has begun, so it
+   has to be one also if its head names no type. */
+bool ae_read_events(Ae *a, bool continues);
+
+typedef enum {
+    AE_READ_ALL,
+    AE_READ_EVENT, /* call it again for the bytes behind it */
+    AE_READ_TOO_LARGE
+} AeResult;
+
+AeResult ae_read(Ae *a, const char *data, size_t len, size_t *used,
+                 EsEvent *event);
+AeEnd ae_end(Ae *a, AeSignal signal);
+
+AeFraming ae_get_framing(const Ae *a);
+/* Bytes of the body so far. */
+uint64_t ae_get_bytes(const Ae *a);
+/* Of an event stream: those behind the last event. */
+size_t ae_get_rest_bytes(const Ae *a);
+/* Call it after ae_end.  Of an event stream: the rest, which is no event.
+   Borrowed. */
+GByteArray *ae_get_body(Ae *a);
+
+#endif
--- a/src/gateway_node_start.c
+++ b/src/gateway_node_start.c
@@ -12,7 +12,7 @@
 on_introduction(void *ctx, const HtReply *reply)
 {
     Gateway *g = ctx;
-    if (reply->result != HT_DONE || reply->status != 200 || g->uplink.leader) {
+    if (!ae_is_whole(reply->end) || reply->status != 200 || g->uplink.leader) {
         return; /* the next seed is asked, or the leader is known already */
     }
     Gwp__Introduction *i =
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -144,7 +144,6 @@
     q->key = *key;
     q->tried = g_ptr_array_new();
     q->head = g_string_new(NULL);
-    q->body = g_byte_array_new();
     q->arrival_ms = ht_get_arrival_ms(x);
     q->digest = digest_request(x, workspace);
     g->wire->read_call(ht_get_head(x), &q->call);
@@ -550,8 +549,8 @@
     g->params = *params;
     g->wire = wire;
     g->out = *out;
-    g->handler = (HtCallHandler){NULL, gw_on_call_head, gw_on_call_data,
-                                 gw_on_call_end};
+    g->handler = (HtCallHandler){NULL, gw_on_call_head, gw_on_call_bytes,
+                                 gw_on_call_event, gw_on_call_end};
     g->pool = pool;
     g->upstreams = cores->upstreams;
     g->budget = cores->budget;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -59,6 +59,9 @@
 
 typedef struct {
     uint32_t connect_ms; /* timeout of a connection to an upstream */
+    /* Of an answer that is kept whole, and of an event; 0: not limited. */
+    size_t max_body_bytes;
+    size_t max_event_bytes;
     uint64_t seed;
 } GwParams;
 
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -75,14 +75,11 @@
     }
     note_limit(q, head);
     note_brittle(q, head);
-    g_byte_array_set_size(q->body, 0);
     if (!q->streaming) {
         copy_headers(head, q->head);
     }
-    q->forwards_events =
-        q->route->kind == DEP_STREAM && head->status == 200 && !q->not_run;
-    es_destroy(q->reader);
-    q->reader = q->forwards_events ? es_create(SIZE_MAX) : NULL;
+    q->forwards_events = q->route->kind == DEP_STREAM && head->status == 200 &&
+                         !q->not_run && ht_read_events(call, q->streaming);
 }
 
 /* -1: EVENT has no number as its id. */
@@ -120,54 +117,38 @@
     q->last_event_ms = now_ms;
 }
 
-static void
-forward_event(Req *q, const EsEvent *event)
+void
+gw_on_call_bytes(void *ctx, HtCall *call, size_t len)
 {
-    int64_t id = read_event_id(event);
-    if (id < 0 || id > q->last_event) {
-        start_stream(q);
-        ht_write_answer(q->x, event->text, event->len);
-        q->events++;
-        note_event(q);
-    }
-    q->last_event = MAX(q->last_event, id);
+    (void)call;
+    Req *q = ctx;
+    q->last_data_ms = bg_boot_ms();
+    q->body_bytes += len;
 }
 
 /* Forwards only complete events, so that after a break the next upstream
    resumes exactly behind what the caller has. */
-static void
-forward_events(Req *q, const char *data, size_t len)
-{
-    EsEvent event;
-    size_t used;
-    while (es_read(q->reader, data, len, &used, &event) == ES_EVENT) {
-        forward_event(q, &event);
-        data += used;
-        len -= used;
-    }
-}
-
 void
-gw_on_call_data(void *ctx, HtCall *call, const char *data, size_t len)
+gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event)
 {
     (void)call;
     Req *q = ctx;
-    q->last_data_ms = bg_boot_ms();
-    q->body_bytes += len;
-    if (q->forwards_events) {
-        forward_events(q, data, len);
-        return;
+    int64_t id = read_event_id(event);
+    if (id < 0 || id > q->last_event) {
+        start_stream(q);
+        ht_write_answer(q->x, event->text, event->len);
+        q->events++;
+        note_event(q);
     }
-    g_byte_array_append(q->body, (const guint8 *)data, (guint)len);
+    q->last_event = MAX(q->last_event, id);
 }
 
+/* REST: what followed the last event. */
 static void
-finish_stream(Req *q)
+finish_stream(Req *q, const GByteArray *rest)
 {
     start_stream(q);
-    size_t len;
-    const char *rest = es_get_rest(q->reader, &len);
-    ht_write_answer(q->x, rest, len);
+    ht_write_answer(q->x, (const char *)rest->data, rest->len);
     gw_log_end(q, "answered", q->status, NULL);
     gw_finish_call(q, UT_OUTCOME_GOOD);
     HtExchange *x = q->x;
@@ -176,7 +157,7 @@
 }
 
 static void
-forward_answer(Req *q)
+forward_answer(Req *q, const GByteArray *body)
 {
     HtExchange *x = q->x;
     gw_log_end(q, "answered", q->status, NULL);
@@ -184,8 +165,6 @@
     uint16_t status = q->status;
     g_autoptr(GString) head =
         g_string_new_len(q->head->str, (gssize)q->head->len);
-    g_autoptr(GByteArray) body = g_byte_array_ref(q->body);
-    q->body = g_byte_array_new();
     gw_free_req(q);
     gw_send_whole(x, status, head, body);
 }
@@ -262,24 +241,23 @@
    upstream.  The answer is kept, and forwarded if no other upstream answers.
  */
 static void
-handle_error_status(Req *q)
+handle_error_status(Req *q, GByteArray *body)
 {
     uint64_t now_ms = bg_boot_ms();
     q->runs++;
     if (q->status == 504 || !may_run_again(q, now_ms)) {
-        forward_answer(q);
+        forward_answer(q, body);
         return;
     }
     q->sends++;
     if (q->kept_head) {
         g_string_free(q->kept_head, TRUE);
-        g_byte_array_free(q->kept_body, TRUE);
+        g_byte_array_unref(q->kept_body);
     }
     q->kept_status = q->status;
     q->kept_head = q->head;
-    q->kept_body = q->body;
+    q->kept_body = g_byte_array_ref(body);
     q->head = g_string_new(NULL);
-    q->body = g_byte_array_new();
     g_ptr_array_add(q->tried, q->ut);
     gw_finish_call(q, UT_OUTCOME_FAILED);
     gw_try_send(q);
@@ -296,47 +274,58 @@
     bg_count("gateway_not_connected_total", 1);
 }
 
-void
-gw_on_call_end(void *ctx, HtCall *call, HtResult result)
+static void
+handle_not_sent(Req *q)
 {
-    (void)call;
-    Req *q = ctx;
-    uint64_t now_ms = bg_boot_ms();
-    q->hc = NULL;
-    if (result == HT_NOT_SENT) {
-        log_not_connected(q, now_ms);
-        g_ptr_array_add(q->tried, q->ut);
-        if (!ut_is_unreachable(q->ut)) {
-            q->gw->out.upstream_unreachable(q->gw->out.ctx, ut_get_id(q->ut));
-        }
-        gw_finish_call(q, UT_OUTCOME_UNREACHABLE);
-        q->retry_counted =
-            q->sends > 0; /* the retry never left this process */
-        gw_try_send(q);
-        return;
+    log_not_connected(q, bg_boot_ms());
+    g_ptr_array_add(q->tried, q->ut);
+    if (!ut_is_unreachable(q->ut)) {
+        q->gw->out.upstream_unreachable(q->gw->out.ctx, ut_get_id(q->ut));
     }
-    if (result == HT_DONE && q->not_run) {
-        handle_not_run(q, now_ms);
+    gw_finish_call(q, UT_OUTCOME_UNREACHABLE);
+    q->retry_counted = q->sends > 0; /* the retry never left this process */
+    gw_try_send(q);
+}
+
+static void
+handle_whole(Req *q, GByteArray *body)
+{
+    if (q->not_run) {
+        handle_not_run(q, bg_boot_ms());
     }
-    else if (result == HT_DONE && q->forwards_events) {
+    else if (q->forwards_events) {
         q->runs++;
-        finish_stream(q);
+        finish_stream(q, body);
     }
-    else if (result == HT_DONE && q->streaming) {
-        /* The resumption was not answered with a stream. */
+    else if (q->streaming) {
         gw_handle_failure(q, UT_OUTCOME_FAILED, "resumption refused");
     }
-    else if (result == HT_DONE && q->status >= 500) {
-        handle_error_status(q);
+    else if (q->status >= 500) {
+        handle_error_status(q, body);
     }
-    else if (result == HT_DONE) {
+    else {
         q->runs++;
-        forward_answer(q);
+        forward_answer(q, body);
+    }
+}
+
+void
+gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer)
+{
+    (void)call;
+    Req *q = ctx;
+    q->hc = NULL;
+    q->end = end;
+    q->rest_bytes = ae_get_rest_bytes(answer);
+    if (end == AE_NOT_SENT) {
+        handle_not_sent(q);
+    }
+    else if (ae_is_whole(end)) {
+        handle_whole(q, ae_get_body(answer));
     }
     else {
-        q->broke = true;
+        q->broke = ae_is_break(end);
         q->gw->out.upstream_broke(q->gw->out.ctx, ut_get_id(q->ut));
-        gw_handle_failure(q, UT_OUTCOME_FAILED,
-                          result == HT_GARBLED ? "garbled" : "broken off");
+        gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(end));
     }
 }
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -10,7 +10,6 @@
 
 #include "gateway_request.h"
 
-#include "event_stream.h"
 #include "hist.h"
 #include "json_log.h"
 
@@ -64,13 +63,11 @@
 
     /* the answer, unless its events are forwarded as they come */
     GString *head;
-    GByteArray *body;
     /* an upstream's 5xx answer, kept while another upstream is tried */
     GString *kept_head;
     GByteArray *kept_body;
 
     /* the stream that is forwarded */
-    Es *reader;         /* of the current answer; NULL: not a stream */
     int64_t last_event; /* id of the last one that the caller has */
 
     /* the slot of a limited upstream that it waits for */
@@ -81,9 +78,11 @@
     SpTurn turn; /* of a suspect: asked for, granted or used; 0: none */
 
     /* Of the answer to the current call, for the log. */
-    HtFraming framing;
+    AeFraming framing;
+    AeEnd end;           /* AE_ENDS: not yet */
     uint32_t events;     /* forwarded */
     uint64_t body_bytes; /* received */
+    uint64_t rest_bytes; /* of these, behind the last event */
 
     uint16_t status;      /* of the answer to the current call */
     uint16_t kept_status; /* of the kept answer */
@@ -177,7 +176,8 @@
 void gw_handle_failure(Req *q, UtOutcome outcome, const char *why);
 /* For Gw.handler. */
 void gw_on_call_head(void *ctx, HtCall *call, const HtHead *head);
-void gw_on_call_data(void *ctx, HtCall *call, const char *data, size_t len);
-void gw_on_call_end(void *ctx, HtCall *call, HtResult result);
+void gw_on_call_bytes(void *ctx, HtCall *call, size_t len);
+void gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event);
+void gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer);
 
 #endif
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -77,13 +77,12 @@
     if (q->status == 0) {
         return;
     }
-    jl_text(l, "framing", ht_name_framing(q->framing));
+    jl_text(l, "end", q->end == AE_ENDS ? NULL : ae_name_end(q->end));
+    jl_text(l, "framing", ae_name_framing(q->framing));
     jl_number(l, "body_bytes", (int64_t)q->body_bytes);
     if (q->forwards_events) {
         jl_number(l, "events", q->events);
-        size_t len;
-        es_get_rest(q->reader, &len);
-        jl_number(l, "rest_bytes", (int64_t)len);
+        jl_number(l, "rest_bytes", (int64_t)q->rest_bytes);
     }
 }
 
@@ -170,12 +169,10 @@
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
     g_string_free(q->head, TRUE);
-    g_byte_array_free(q->body, TRUE);
     if (q->kept_head) {
         g_string_free(q->kept_head, TRUE);
-        g_byte_array_free(q->kept_body, TRUE);
+        g_byte_array_unref(q->kept_body);
     }
-    es_destroy(q->reader);
     g_free(q->last_upstream);
     g_free(q->helper);
     g_free(q->gap_upstream);
@@ -431,12 +428,16 @@
     q->status = 0;
     q->events = 0;
     q->body_bytes = 0;
+    q->rest_bytes = 0;
+    q->end = AE_ENDS;
     ut_start(ut);
     HtRequest req = {
         .address = ut_get_address(ut),
         .way = HT_WAY_ANY,
         .request = build_request(q, now_ms),
         .connect_ms = q->gw->params.connect_ms,
+        .expect = {q->gw->params.max_body_bytes, q->gw->params.max_event_bytes,
+                   NULL},
         .match_name = q->gw->wire->attempt_id,
         .match_value = q->call.attempt_id,
         .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
--- a/src/http.c
+++ b/src/http.c
@@ -60,25 +60,17 @@
     m->header_bytes += len;
 }
 
-static HtFraming
+static AeFraming
 read_framing(const http_parser *p)
 {
     if (p->status_code / 100 == 1 || p->status_code == 204 ||
         p->status_code == 304) {
-        return HT_NO_BODY;
+        return AE_NO_BODY;
     }
     if (p->flags & F_CHUNKED) {
-        return HT_BY_CHUNKS;
+        return AE_BY_CHUNKS;
     }
-    return p->content_length != ULLONG_MAX ? HT_BY_LENGTH : HT_BY_CLOSE;
-}
-
-const char *
-ht_name_framing(HtFraming framing)
-{
-    static const char *const names[] = {"no body", "length", "chunks",
-                                        "close"};
-    return names[framing];
+    return p->content_length != ULLONG_MAX ? AE_BY_LENGTH : AE_BY_CLOSE;
 }
 
 void
--- a/src/http.h
+++ b/src/http.h
@@ -5,6 +5,7 @@
 #ifndef HTTP_H
 #define HTTP_H
 
+#include "answer_end.h"
 #include "base.h"
 #include "gateway.pb-c.h"
 #include "path_table.h"
@@ -16,22 +17,12 @@
     const char *value;
 } HtHeader;
 
-/* How the end of an answer is marked. */
-typedef enum {
-    HT_NO_BODY, /* the status allows none */
-    HT_BY_LENGTH,
-    HT_BY_CHUNKS,
-    HT_BY_CLOSE /* it ends with its connection */
-} HtFraming;
-
-const char *ht_name_framing(HtFraming framing);
-
 /* Head of a request or an answer, which owns its texts. */
 typedef struct {
     const char *method; /* of a request */
     const char *target; /* of a request: path and query, as sent */
     uint16_t status;    /* of an answer */
-    HtFraming framing;  /* of an answer */
+    AeFraming framing;  /* of an answer */
     bool keeps_alive;
     GArray *headers; /* HtHeader, in the order of arrival */
 } HtHead;
@@ -100,13 +91,6 @@
 typedef struct HtPool HtPool;
 typedef struct HtCall HtCall;
 
-typedef enum {
-    HT_DONE,     /* the whole answer was received */
-    HT_NOT_SENT, /* no byte of the request left this process */
-    HT_BROKEN,   /* the connection failed after bytes were sent */
-    HT_GARBLED   /* the answer is not valid HTTP */
-} HtResult;
-
 typedef enum {
     HT_WAY_DIRECT,
     HT_WAY_ANY /* also by way of another gateway, see ht_set_detours */
@@ -118,6 +102,7 @@
     /* Head and body; taken over by the call. */
     GByteArray *request;
     uint32_t connect_ms;
+    AeExpect expect;
     /* An answer with another value in this header belongs to another call and
        is skipped.  NULL: any answer is ours. */
     const char *match_name;
@@ -129,10 +114,14 @@
 
 typedef struct {
     void *ctx;
+    /* It may call ht_read_events. */
     void (*on_head)(void *ctx, HtCall *call, const HtHead *head);
-    void (*on_data)(void *ctx, HtCall *call, const char *data, size_t len);
-    /* Called exactly once; the call is freed after it. */
-    void (*on_end)(void *ctx, HtCall *call, HtResult result);
+    /* LEN bytes of the body came. */
+    void (*on_bytes)(void *ctx, HtCall *call, size_t len);
+    void (*on_event)(void *ctx, HtCall *call, const EsEvent *event);
+    /* Called exactly once; the call is freed after it.  ANSWER: what was
+       received, as in ae_end and ae_get_body. */
+    void (*on_end)(void *ctx, HtCall *call, AeEnd end, Ae *answer);
 } HtCallHandler;
 
 HtPool *ht_create_pool(struct ev_loop *loop);
@@ -157,7 +146,7 @@
 } HtDetours;
 
 void ht_set_detours(HtPool *p, const HtDetours *detours);
-/* Calls in progress end as HT_BROKEN, or as HT_NOT_SENT if no byte was sent;
+/* Calls in progress end as AE_RESET, or as AE_NOT_SENT if no byte was sent;
    their handlers must start no others. */
 void ht_destroy_pool(HtPool *p);
 /* The result always arrives through HANDLER, never before this returns. */
@@ -166,6 +155,8 @@
 /* Close its connection, so that the far side drops the work.  No on_end
    follows. */
 void ht_cancel_call(HtCall *call);
+/* As ae_read_events, for the answer of CALL. */
+bool ht_read_events(HtCall *call, bool continues);
 /* Whether any byte of the request was handed to the kernel. */
 bool ht_was_sent(const HtCall *call);
 /* It was sent on an own connection, of a path that failed meanwhile: neither
@@ -182,8 +173,7 @@
 
 /* Result of ht_fetch. */
 typedef struct {
-    HtResult result;
-    bool timed_out;
+    AeEnd end;       /* AE_TIMED_OUT: after bytes were sent */
     uint16_t status; /* 0: no answer came */
     const GByteArray *body;
 } HtReply;
@@ -201,6 +191,7 @@
     const void *body;  /* NULL: none */
     size_t body_len;
     uint32_t total_ms;
+    bool (*may_end)(const GByteArray *body); /* as in AeExpect */
 } HtFetch;
 
 /* Sends REQ, and calls DONE with the whole answer or after total_ms. */
--- a/src/http_fetch.c
+++ b/src/http_fetch.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Of an answer; those that are read here are far smaller. */
+#define MAX_BODY_BYTES (64 * 1024 * 1024)
+
 typedef struct {
     HtCall *call;
     ev_timer timer;
@@ -9,16 +12,21 @@
     HtReplyFn done;
     void *ctx;
     uint16_t status;
-    GByteArray *body;
 } Fetch;
 
 static void
-finish_fetch(Fetch *f, HtResult result, bool timed_out)
+log_broken(const Fetch *f, AeEnd end, const GByteArray *body)
+{
+    bg_log(BG_WARN, "http", "answer with status %u, %u bytes: %s", f->status,
+           body->len, ae_name_end(end));
+}
+
+static void
+finish_fetch(Fetch *f, AeEnd end, const GByteArray *body)
 {
     ev_timer_stop(f->loop, &f->timer);
-    HtReply reply = {result, timed_out, f->status, f->body};
+    HtReply reply = {end, f->status, body};
     f->done(f->ctx, &reply);
-    g_byte_array_free(f->body, TRUE);
     g_free(f);
 }
 
@@ -31,18 +39,23 @@
 }
 
 static void
-on_fetch_data(void *ctx, HtCall *call, const char *data, size_t len)
+on_fetch_bytes(void *ctx, HtCall *call, size_t len)
 {
+    (void)ctx;
     (void)call;
-    Fetch *f = ctx;
-    g_byte_array_append(f->body, (const guint8 *)data, (guint)len);
+    (void)len;
 }
 
 static void
-on_fetch_end(void *ctx, HtCall *call, HtResult result)
+on_fetch_end(void *ctx, HtCall *call, AeEnd end, Ae *answer)
 {
     (void)call;
-    finish_fetch(ctx, result, false);
+    Fetch *f = ctx;
+    const GByteArray *body = ae_get_body(answer);
+    if (f->status && !ae_is_whole(end)) {
+        log_broken(f, end, body);
+    }
+    finish_fetch(f, end, body);
 }
 
 static void
@@ -51,10 +64,11 @@
     (void)loop;
     (void)events;
     Fetch *f = t->data;
-    HtResult result = ht_was_sent(f->call) ? HT_BROKEN : HT_NOT_SENT;
+    AeEnd end = ht_was_sent(f->call) ? AE_TIMED_OUT : AE_NOT_SENT;
     ht_cancel_call(f->call);
     f->status = 0;
-    finish_fetch(f, result, true);
+    g_autoptr(GByteArray) none = g_byte_array_new();
+    finish_fetch(f, end, none);
 }
 
 static GByteArray *
@@ -82,13 +96,14 @@
     f->loop = p->loop;
     f->done = done;
     f->ctx = ctx;
-    f->body = g_byte_array_new();
     HtRequest call = {.address = req->address,
                       .way = req->way,
                       .fresh = req->fresh,
                       .request = build_fetch(req),
+                      .expect = {MAX_BODY_BYTES, MAX_BODY_BYTES, req->may_end},
                       .connect_ms = req->total_ms};
-    HtCallHandler handler = {f, on_fetch_head, on_fetch_data, on_fetch_end};
+    HtCallHandler handler = {f, on_fetch_head, on_fetch_bytes, NULL,
+                             on_fetch_end};
     f->call = ht_start_call(p, &call, &handler);
     ev_timer_init(&f->timer, on_fetch_timeout, req->total_ms / 1000., 0.);
     f->timer.data = f;
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -125,7 +125,7 @@
     if (call->no_paths >= MIN_NO_PATHS) {
         pt_on_no_detour(p->detours.paths, bg_boot_ms(), call->address);
     }
-    call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
+    call->handler.on_end(call->handler.ctx, call, AE_NOT_SENT, call->answer);
     ht_free_call(call);
 }
 
@@ -315,7 +315,7 @@
         ht_parse_input(w, NULL, 0);
     }
     else {
-        ht_fail_conn(w, HT_GARBLED);
+        ht_fail_conn(w, AE_INVALID);
     }
 }
 
@@ -326,7 +326,7 @@
         ht_fail_opening(w, PT_LOST, false);
     }
     else {
-        ht_fail_conn(w, HT_BROKEN);
+        ht_fail_conn(w, AE_FAILED);
     }
 }
 
@@ -378,7 +378,7 @@
     }
     /* An idle connection that sends anything can't be used again. */
     if (n < 0 || !w->call) {
-        ht_fail_conn(w, HT_BROKEN);
+        ht_fail_conn(w, AE_FAILED);
         return;
     }
     ht_parse_input(w, buf, (size_t)n);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -24,6 +24,7 @@
 ht_free_call(HtCall *call)
 {
     g_byte_array_free(call->request, TRUE);
+    ae_destroy(call->answer);
     g_ptr_array_free(call->helpers, TRUE);
     g_free(call->address);
     g_free(call->match_name);
@@ -70,29 +71,32 @@
     }
 }
 
+/* The call is on no connection any more. */
 static void
-end_call(HtConn *w, HtResult result)
+end_call(HtCall *call, AeEnd end)
 {
-    HtCall *call = w->call;
-    w->call = NULL;
-    call->handler.on_end(call->handler.ctx, call, result);
+    call->conn = NULL;
+    call->handler.on_end(call->handler.ctx, call, end, call->answer);
     ht_free_call(call);
 }
 
-void
-ht_fail_conn(HtConn *w, HtResult result)
+static void
+close_call(HtConn *w, AeEnd end)
 {
     HtCall *call = w->call;
     w->call = NULL;
     ht_close_conn(w);
     if (call) {
-        call->conn = NULL;
-        call->handler.on_end(call->handler.ctx, call,
-                             call->sent == 0 ? HT_NOT_SENT : result);
-        ht_free_call(call);
+        end_call(call, call->sent == 0 ? AE_NOT_SENT : end);
     }
 }
 
+void
+ht_fail_conn(HtConn *w, AeSignal signal)
+{
+    close_call(w, w->call ? ae_end(w->call->answer, signal) : AE_RESET);
+}
+
 /* ---- parsing of answers ---- */
 
 static int
@@ -155,18 +159,42 @@
         return 0;
     }
     read_keep_alive(w);
+    AeHead head = {.status = w->msg.head.status,
+                   .framing = w->msg.head.framing,
+                   .type = ht_find_header(&w->msg.head, "Content-Type"),
+                   .encoding =
+                       ht_find_header(&w->msg.head, "Content-Encoding")};
+    ae_on_head(w->call->answer, &head);
     w->call->handler.on_head(w->call->handler.ctx, w->call, &w->msg.head);
     return w->cancelled ? -1 : 0;
 }
 
+/* False: the call was cancelled, or its answer is too large. */
+static bool
+take_body(HtConn *w, const char *data, size_t len)
+{
+    HtCall *call = w->call;
+    call->handler.on_bytes(call->handler.ctx, call, len);
+    AeResult r = AE_READ_EVENT;
+    while (!w->cancelled && r == AE_READ_EVENT) {
+        EsEvent event;
+        size_t used;
+        r = ae_read(call->answer, data, len, &used, &event);
+        data += used;
+        len -= used;
+        if (r == AE_READ_EVENT) {
+            call->handler.on_event(call->handler.ctx, call, &event);
+        }
+    }
+    w->too_large = !w->cancelled && r == AE_READ_TOO_LARGE;
+    return !w->cancelled && !w->too_large;
+}
+
 static int
 on_answer_body(http_parser *p, const char *at, size_t len)
 {
     HtConn *w = p->data;
-    if (!w->skipped) {
-        w->call->handler.on_data(w->call->handler.ctx, w->call, at, len);
-    }
-    return w->cancelled ? -1 : 0;
+    return w->skipped || take_body(w, at, len) ? 0 : -1;
 }
 
 static int
@@ -194,30 +222,28 @@
 ht_make_idle(HtConn *w)
 {
     w->got_message = false;
+    w->too_large = false;
     w->since_ms = bg_boot_ms();
     http_parser_init(&w->parser, HTTP_RESPONSE);
     w->parser.data = w;
     ht_free_message(&w->msg);
 }
 
-/* The answer is whole; LEFT unexpected bytes followed it. */
+/* The message is over; LEFT unexpected bytes followed it. */
 static void
 finish_answer(HtConn *w, size_t left)
 {
     HtCall *call = w->call;
     bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
                 call->sent == call->request->len;
-    w->got_message = false;
-    if (keep) {
-        ht_make_idle(w);
-        end_call(w, HT_DONE);
+    AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
+    if (!keep) {
+        close_call(w, end);
         return;
     }
     w->call = NULL;
-    ht_close_conn(w);
-    call->conn = NULL;
-    call->handler.on_end(call->handler.ctx, call, HT_DONE);
-    ht_free_call(call);
+    ht_make_idle(w);
+    end_call(call, end);
 }
 
 Pt *
@@ -257,11 +283,14 @@
     if (w->got_message) {
         finish_answer(w, len - used);
     }
-    else if (e != HPE_OK || w->parser.upgrade) {
-        ht_fail_conn(w, HT_GARBLED);
+    else if (w->too_large) {
+        close_call(w, AE_TOO_LARGE);
     }
     else if (len == 0) {
-        ht_fail_conn(w, HT_BROKEN);
+        ht_fail_conn(w, AE_CLOSED);
+    }
+    else if (e != HPE_OK || w->parser.upgrade) {
+        ht_fail_conn(w, AE_INVALID);
     }
 }
 
@@ -276,7 +305,7 @@
             return;
         }
         if (n < 0 && errno != EINTR) {
-            ht_fail_conn(w, HT_BROKEN);
+            ht_fail_conn(w, AE_FAILED);
             return;
         }
         if (call->sent == 0) {
@@ -334,8 +363,7 @@
     HtPool *p = t->data;
     HtCall *call;
     while ((call = g_queue_pop_head(&p->failed))) {
-        call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
-        ht_free_call(call);
+        end_call(call, AE_NOT_SENT);
     }
 }
 
@@ -364,13 +392,12 @@
     while ((w = g_queue_peek_head(&p->conns))) {
         HtCall *call = w->opener;
         if (!call) {
-            ht_fail_conn(w, HT_BROKEN);
+            ht_fail_conn(w, AE_FAILED);
             continue;
         }
         ht_close_conn(w);
         if (!ht_is_opening(call)) {
-            call->handler.on_end(call->handler.ctx, call, HT_NOT_SENT);
-            ht_free_call(call);
+            end_call(call, AE_NOT_SENT);
         }
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
@@ -385,6 +412,7 @@
     call->pool = p;
     call->handler = *handler;
     call->request = req->request;
+    call->answer = ae_create(&req->expect);
     call->connect_ms = req->connect_ms;
     call->begun_ms = bg_boot_ms();
     call->detour_at_ms = UINT64_MAX;
@@ -476,6 +504,12 @@
     } /* else the parser's caller closes it */
 }
 
+bool
+ht_read_events(HtCall *call, bool continues)
+{
+    return ae_read_events(call->answer, continues);
+}
+
 bool
 ht_was_sent(const HtCall *call)
 {
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -30,7 +30,8 @@
     bool asking; /* the helper has not answered yet */
     bool reusable;
     bool skipped;     /* the message being read is interim or another call's */
-    bool got_message; /* the call's answer is whole */
+    bool got_message; /* all that the answer's framing announced came */
+    bool too_large;   /* the answer has more bytes than are kept */
     bool parsing;     /* inside the parser's callbacks */
     bool cancelled;   /* by a handler, inside the parser's callbacks */
     bool unframing;   /* inside the loop over a helper's frames */
@@ -48,6 +49,7 @@
     HtConn *detours[HT_MAX_HELPERS];
     HtCallHandler handler;
     GByteArray *request;
+    Ae *answer;
     size_t sent;
     uint32_t connect_ms;
     uint64_t begun_ms;
@@ -78,8 +80,8 @@
 void ht_free_call(HtCall *call);
 void ht_free_conn(HtConn *w);
 void ht_close_conn(HtConn *w);
-/* Ends its call, if it has one, with RESULT, or as not sent. */
-void ht_fail_conn(HtConn *w, HtResult result);
+/* Ends its call, if it has one, as broken off or as not sent. */
+void ht_fail_conn(HtConn *w, AeSignal signal);
 /* W no longer opens for its call. */
 void ht_forget_opening(HtConn *w);
 /* LEN 0: the connection was closed in order.  May free W. */
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -583,7 +583,7 @@
                    get_bound(g->settings, "limit_slack"), seed};
     g->limits = wl_create(&wl);
     g->suspects = sp_create(bg_boot_ms(), seed);
-    GwParams gw = {CONNECT_MS, seed};
+    GwParams gw = {.connect_ms = CONNECT_MS, .seed = seed};
     GwOutput gw_out = {g,
                        on_demand_changed,
                        gn_on_run,
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -19,7 +19,7 @@
 EVENTS = 5
 # In a cut stream: whole events before the cut one.
 BEFORE = 2
-EOLS = ("\n", "\r\n")
+EOLS = ("\n", "\r\n", "\r")
 
 
 @pytest.fixture(name="cluster", scope="module")
