A lease read that ends before its records is no lapsed lease

A follower without a link took the lease of a living leader: in a read of the lease's topic the answer told of later records and had none of them, and the follower took the tail it named as read. Its claim on that tail succeeded.

Now the platform's answers without a length must end where they may: JSON as JSON, records behind a record, those of other gateways never. A read says behind which record it ends (StReply.next); the lease goes on from there, not from the tail; a read that has none of the records it tells of counts as unreachable.

--- a/src/gateway_node_lease.c
+++ b/src/gateway_node_lease.c
@@ -45,7 +45,7 @@
 {
     Gateway *g = ctx;
     Newest n = find_newest(r);
-    ls_on_read(g->lease, bg_boot_ms(), r->result, n.value, n.offset, r->tail);
+    ls_on_read(g->lease, bg_boot_ms(), r->result, n.value, n.offset, r->next);
     g_free(n.value);
     if (r->result == ST_OK) {
         gn_take_lease_note(g);
@@ -223,7 +223,7 @@
     RelayCtx *c = ctx;
     Newest n = find_newest(r);
     if (n.value) {
-        answer_relay(c, ST_CONFLICT, &n, r->tail);
+        answer_relay(c, ST_CONFLICT, &n, r->next);
     }
     g_free(n.value);
     g_free(c);
--- a/src/gateway_node_start.c
+++ b/src/gateway_node_start.c
@@ -50,6 +50,7 @@
         HtFetch get = {.address = seed,
                        .method = "GET",
                        .target = "/introduction",
+                       .may_end = ae_is_never_whole,
                        .total_ms = SEED_CALL_TIMEOUT_MS};
         ht_fetch(g->pool, &get, on_introduction, g);
     }
--- a/src/store.h
+++ b/src/store.h
@@ -41,6 +41,8 @@
     StResult result;
     GPtrArray *records; /* StRecord; NULL unless ST_OK of a list or read */
     uint64_t tail;      /* offset of the next record to be appended */
+    uint64_t next;      /* behind the records: of a read, it may be below the
+                           tail */
     uint64_t offset;    /* of the appended record */
     bool has_more;      /* of a list: continue after the last key */
 } StReply;
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -32,8 +32,10 @@
     add_record(b, "k1", "one");
     add_record(b, "k2", ""); /* deleted key */
     uint64_t tail = 0;
-    GPtrArray *r = pf_decode_records(b->data, b->len, 5, &tail);
+    uint64_t next = 0;
+    GPtrArray *r = pf_decode_records(b->data, b->len, 5, &tail, &next);
     CU_ASSERT_EQUAL(tail, 9);
+    CU_ASSERT_EQUAL(next, 7);
     CU_ASSERT_EQUAL(r->len, 2);
     const StRecord *first = r->pdata[0];
     const StRecord *second = r->pdata[1];
@@ -55,7 +57,8 @@
     add_record(b, "k2", "two");
     for (guint len = 0; len < b->len; len++) {
         uint64_t tail;
-        GPtrArray *r = pf_decode_records(b->data, len, 0, &tail);
+        uint64_t next;
+        GPtrArray *r = pf_decode_records(b->data, len, 0, &tail, &next);
         if (len < sizeof(head)) {
             CU_ASSERT_PTR_NULL(r);
             continue;
@@ -63,6 +66,7 @@
         CU_ASSERT_PTR_NOT_NULL_FATAL(r);
         g_assert(r != NULL);
         CU_ASSERT(r->len <= (len - sizeof(head)) / 10);
+        CU_ASSERT_EQUAL(next, r->len);
         g_ptr_array_free(r, TRUE);
     }
     g_byte_array_free(b, TRUE);
@@ -79,7 +83,8 @@
         GByteArray *b = start_body();
         g_byte_array_append(b, bad[i], sizeof(bad[i]));
         uint64_t tail;
-        GPtrArray *r = pf_decode_records(b->data, b->len, 0, &tail);
+        uint64_t next;
+        GPtrArray *r = pf_decode_records(b->data, b->len, 0, &tail, &next);
         CU_ASSERT_PTR_NOT_NULL_FATAL(r);
         g_assert(r != NULL);
         CU_ASSERT_EQUAL(r->len, 0);
