Bounds on what a gateway keeps of an answer; a slow caller holds its upstream back

An upstream that never ended an event, or answered a plain route with any number of bytes, made a gateway keep them all; so did a caller that reads its stream slowly. answer_end stops at [answers] max_event_kb (1024) and max_body_kb (16384): the caller gets 502, or sees its stream cut if it has begun; the log says "too large"; no other upstream is asked, as its answer would be the same. Beyond max_unsent_kb (256) of a stream that its caller has not taken, the gateway reads no more from the upstream until all was taken.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -379,6 +379,18 @@
     gw_free_req(q);
 }
 
+void
+gw_on_drained(Gw *g, HtExchange *x)
+{
+    (void)g;
+    Req *q = ht_get_user(x);
+    if (q && q->paused) {
+        q->paused = false;
+        q->last_data_ms = bg_boot_ms();
+        ht_resume_call(q->hc);
+    }
+}
+
 /* ---- time --------------------------------------------------------------- */
 
 static bool
@@ -405,7 +417,7 @@
 static bool
 is_silent(const Req *q, uint64_t now_ms)
 {
-    if (!gw_may_repeat(q) || q->runs + 1 >= q->route->attempts) {
+    if (q->paused || !gw_may_repeat(q) || q->runs + 1 >= q->route->attempts) {
         return false;
     }
     bool stream = q->route->kind == DEP_STREAM;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -62,6 +62,8 @@
     /* Of an answer that is kept whole, and of an event; 0: not limited. */
     size_t max_body_bytes;
     size_t max_event_bytes;
+    /* Of a stream that its caller has not taken yet: no more is read. */
+    size_t max_unsent_bytes;
     uint64_t seed;
 } GwParams;
 
@@ -145,6 +147,7 @@
 /* For HtHandler. */
 void gw_on_request(Gw *g, HtExchange *x);
 void gw_on_gone(Gw *g, HtExchange *x);
+void gw_on_drained(Gw *g, HtExchange *x);
 
 /* The process is about to stop.  New requests, and those that would have to
    wait, are refused, so that their callers go to another gateway. */
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -118,7 +118,6 @@
 void
 gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event)
 {
-    (void)call;
     Req *q = ctx;
     /* A mark is one only at the begin of the caller's stream. */
     size_t from = po_has_begun(q->position) ? event->mark_len : 0;
@@ -129,6 +128,10 @@
     ht_write_answer(q->x, event->text + from, event->len - from);
     q->events++;
     note_event(q);
+    if (ht_get_unsent(q->x) > q->gw->params.max_unsent_bytes) {
+        q->paused = true;
+        ht_pause_call(call);
+    }
 }
 
 /* REST: what followed the last event. */
@@ -200,22 +203,28 @@
     gw_try_send(q);
 }
 
-void
-gw_handle_failure(Req *q, UtOutcome outcome, const char *why)
+static void
+log_broken(const Req *q, uint64_t now_ms, const char *why)
 {
-    uint64_t now_ms = bg_boot_ms();
-    Ut *ut = q->ut;
-    q->sends++;
-    q->runs++;
     JlLine *l = jl_begin("request-broken");
     jl_text(l, "id", q->call.attempt_id);
     gw_log_digest(l, q);
-    jl_text(l, "upstream", ut_get_id(ut));
+    jl_text(l, "upstream", ut_get_id(q->ut));
     jl_text(l, "why", why);
     jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
     jl_text(l, "last_event", po_get_id(q->position));
     gw_log_body(l, q);
     jl_end(l);
+}
+
+void
+gw_handle_failure(Req *q, UtOutcome outcome, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
+    Ut *ut = q->ut;
+    q->sends++;
+    q->runs++;
+    log_broken(q, now_ms, why);
     g_ptr_array_add(q->tried, ut);
     gw_finish_call(q, outcome);
     if (!may_run_again(q, now_ms)) {
@@ -275,6 +284,18 @@
     gw_try_send(q);
 }
 
+/* Another run would end alike, so there is none. */
+static void
+handle_too_large(Req *q)
+{
+    const char *why = ae_name_end(AE_TOO_LARGE);
+    q->sends++;
+    q->runs++;
+    log_broken(q, bg_boot_ms(), why);
+    gw_finish_call(q, UT_OUTCOME_NEUTRAL);
+    gw_give_up(q, 0, why);
+}
+
 static void
 handle_whole(Req *q, GByteArray *body)
 {
@@ -308,6 +329,9 @@
     if (end == AE_NOT_SENT) {
         handle_not_sent(q);
     }
+    else if (end == AE_TOO_LARGE) {
+        handle_too_large(q);
+    }
     else if (ae_is_whole(end)) {
         handle_whole(q, ae_get_body(answer));
     }
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -92,9 +92,10 @@
     bool forwards_events; /* of the current call, to the caller */
     bool streaming;       /* the head of the stream was sent */
     bool retry_counted;   /* the budget already paid for the next send */
-    bool broke;           /* the upstream broke off the current call */
-    bool unsent;          /* the current call was cancelled before it was sent
-                           */
+    bool paused; /* the current call, until the caller has read more */
+    bool broke;  /* the upstream broke off the current call */
+    bool unsent; /* the current call was cancelled before it was sent
+                  */
 } Req;
 
 /* The leader's estimate of when a model is loaded. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -426,6 +426,7 @@
     q->not_run = false;
     q->broke = false;
     q->unsent = false;
+    q->paused = false;
     q->forwards_events = false;
     q->status = 0;
     q->events = 0;
--- a/src/http.h
+++ b/src/http.h
@@ -54,6 +54,8 @@
     void (*on_request)(void *ctx, HtExchange *x);
     /* The client closed before its answer ended; X is freed after this. */
     void (*on_gone)(void *ctx, HtExchange *x);
+    /* The client has taken all of the answer so far; NULL: not wanted. */
+    void (*on_drained)(void *ctx, HtExchange *x);
 } HtHandler;
 
 /* Listen on ADDRESS (IP:PORT); NULL with ERR set when that fails. */
@@ -82,6 +84,8 @@
 void ht_start_answer(HtExchange *x, uint16_t status, const char *headers,
                      int64_t length);
 void ht_write_answer(HtExchange *x, const char *data, size_t len);
+/* Bytes of the answer that the kernel has not taken. */
+size_t ht_get_unsent(const HtExchange *x);
 void ht_end_answer(HtExchange *x);
 /* Close without the rest: the client sees that the answer is incomplete. */
 void ht_abort_answer(HtExchange *x);
@@ -157,6 +161,9 @@
 void ht_cancel_call(HtCall *call);
 /* As ae_read_events, for the answer of CALL. */
 bool ht_read_events(HtCall *call, bool continues);
+/* Reads no more of its answer until ht_resume_call. */
+void ht_pause_call(HtCall *call);
+void ht_resume_call(HtCall *call);
 /* Whether any byte of the request was handed to the kernel. */
 bool ht_was_sent(const HtCall *call);
 /* It was sent on an own connection, of a path that failed meanwhile: neither
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -242,6 +242,7 @@
         return;
     }
     w->call = NULL;
+    ht_resume_call(call); /* an idle connection is read */
     ht_make_idle(w);
     end_call(call, end);
 }
@@ -510,6 +511,22 @@
     return ae_read_events(call->answer, continues);
 }
 
+void
+ht_pause_call(HtCall *call)
+{
+    if (call->conn) {
+        ev_io_stop(call->pool->loop, &call->conn->read_watch);
+    }
+}
+
+void
+ht_resume_call(HtCall *call)
+{
+    if (call->conn) {
+        ev_io_start(call->pool->loop, &call->conn->read_watch);
+    }
+}
+
 bool
 ht_was_sent(const HtCall *call)
 {
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -101,6 +101,9 @@
     g_byte_array_set_size(c->out, 0);
     c->out_at = 0;
     ev_io_stop(c->server->loop, &c->write_watch);
+    if (c->x && c->state == CONN_BUSY && c->server->handler.on_drained) {
+        c->server->handler.on_drained(c->server->handler.ctx, c->x);
+    }
     if (c->answer_ended && c->state != CONN_LINGERING) {
         shutdown(c->fd, SHUT_WR);
         c->state = CONN_LINGERING;
@@ -500,6 +503,12 @@
     schedule_flush(c);
 }
 
+size_t
+ht_get_unsent(const HtExchange *x)
+{
+    return x->conn->out->len - x->conn->out_at;
+}
+
 void
 ht_end_answer(HtExchange *x)
 {
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -114,6 +114,12 @@
      "of these, how many it is assigned per 100 ms"},
     {"detours", "most", INI_INT, false, "256", 0, 100000, NULL,
      "detours for other gateways at a time"},
+    {"answers", "max_event_kb", INI_INT, false, "1024", 1, 1048576, NULL,
+     "an upstream's stream with a larger event is broken off"},
+    {"answers", "max_body_kb", INI_INT, false, "16384", 1, 1048576, NULL,
+     "an upstream's larger answer, other than a stream, is refused (502)"},
+    {"answers", "max_unsent_kb", INI_INT, false, "256", 1, 1048576, NULL,
+     "an upstream's stream is read on when its caller took all but this"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 const char *
@@ -193,6 +199,12 @@
     gw_on_gone(((Gateway *)ctx)->gw, x);
 }
 
+static void
+on_front_drained(void *ctx, HtExchange *x)
+{
+    gw_on_drained(((Gateway *)ctx)->gw, x);
+}
+
 static void
 ignore_disconnect(void *ctx, HtExchange *x)
 {
@@ -537,9 +549,9 @@
 static bool
 listen_all(Gateway *g, GError **err)
 {
-    HtHandler front = {g, on_front_request, on_front_gone};
-    HtHandler ready = {g, on_ready_request, ignore_disconnect};
-    HtHandler control = {g, on_control_request, ignore_disconnect};
+    HtHandler front = {g, on_front_request, on_front_gone, on_front_drained};
+    HtHandler ready = {g, on_ready_request, ignore_disconnect, NULL};
+    HtHandler control = {g, on_control_request, ignore_disconnect, NULL};
     LkHandler link = {g,          gn_fill_hello, gn_on_frame,
                       gn_on_peer, gn_on_link,    gn_on_connect_failed};
     g->links = lk_create(g->loop, gn_get_text(g, "link"), &link, err);
@@ -567,6 +579,12 @@
     return (uint32_t)(lack * SMALL_CLAIM_MS);
 }
 
+static size_t
+get_answer_bytes(const Gateway *g, const char *key)
+{
+    return (size_t)ini_get_int(g->settings, "answers", key) * 1024;
+}
+
 static void
 create_cores(Gateway *g)
 {
@@ -583,7 +601,11 @@
                    get_bound(g->settings, "limit_slack"), seed};
     g->limits = wl_create(&wl);
     g->suspects = sp_create(bg_boot_ms(), seed);
-    GwParams gw = {.connect_ms = CONNECT_MS, .seed = seed};
+    GwParams gw = {.connect_ms = CONNECT_MS,
+                   .max_body_bytes = get_answer_bytes(g, "max_body_kb"),
+                   .max_event_bytes = get_answer_bytes(g, "max_event_kb"),
+                   .max_unsent_bytes = get_answer_bytes(g, "max_unsent_kb"),
+                   .seed = seed};
     GwOutput gw_out = {g,
                        on_demand_changed,
                        gn_on_run,
--- /dev/null
+++ b/tests/test_answer_bounds.py
@@ -0,0 +1,131 @@
+"""Answers that are too large, and callers that read slowly."""
+
+import itertools
+import socket
+import time
+
+import pytest
+
+from cluster import wait_until
+from platform_cluster import Cluster, ask
+from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSED, RESET, RawAnswer,
+                         event)
+
+MODELS = (("m0",), ("m0",))
+KB, MB = 1024, 1024 * 1024
+# Bounds of this file's cluster, and what a gateway may keep beyond them: its
+# buffers of one read and one write.
+MAX_EVENT_KB, MAX_BODY_KB, MAX_UNSENT_KB = 256, 1024, 128
+SLACK_MB = 4
+COUNT = 20000   # events of 1 KB
+_bodies = itertools.count()
+
+
+@pytest.fixture(name="cluster", scope="module")
+def fixture_cluster(build):
+    with Cluster(build, gateways=1, models=MODELS, extra="""[answers]
+max_event_kb = %d
+max_body_kb = %d
+max_unsent_kb = %d
+""" % (MAX_EVENT_KB, MAX_BODY_KB, MAX_UNSENT_KB)) as c:
+        yield c
+
+
+def set_answer(c, answer):
+    for u in c.engines + c.apps:
+        u.on_request = answer
+
+
+def read_rss_mb(gateway):
+    with open("/proc/%d/status" % gateway.proc.pid, encoding="utf-8") as f:
+        line = next(x for x in f if x.startswith("VmRSS:"))
+    return int(line.split()[1]) / KB
+
+
+def connect(gateway, route="sum", version="1.1", receive_bytes=None):
+    """Sends a request; returns the socket."""
+    s = socket.socket()
+    if receive_bytes:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    s.settimeout(10)
+    s.connect(("127.0.0.1", gateway.front))
+    body = "request %d" % next(_bodies)
+    s.sendall(("POST /%s/x HTTP/%s\r\nHost: app.example\r\nX-Attempt-Id: %x\r\n"
+               "X-Model: m0\r\nX-Token-Count: 100,20\r\n"
+               "X-Prompt-Prefix: aa:50,bb:50\r\nX-Deadline-Ms: 20000\r\n"
+               "Content-Length: %d\r\n\r\n%s" % (
+                   route, version, next(_bodies), len(body), body)).encode())
+    return s
+
+
+def read_all(s):
+    """(bytes, whether the connection ended in order)."""
+    pieces = []
+    try:
+        while not pieces or pieces[-1]:
+            pieces.append(s.recv(65536))
+        return b"".join(pieces), True
+    except ConnectionResetError:
+        return b"".join(pieces), False
+
+
+# An event without an end was kept without a bound.
+def test_event_beyond_its_bound_breaks_the_stream(cluster):
+    big = event(0) + "id: 1\n" + "data: 0123456789\n" * (
+        2 * MAX_EVENT_KB * KB // 17)
+    raw = RawAnswer(CHUNKS, AS_FRAMED, lambda _first: big, pieces=50)
+    set_answer(cluster, raw)
+    status, _, data, rid = ask(cluster.gateways[0], "chat", "m0",
+                               body=b"request %d" % next(_bodies))
+    set_answer(cluster, None)
+    assert (status, data) == (200, b"INCOMPLETE " + event(0).encode())
+    assert len(raw.resumed_at) == 1   # another run would end alike
+
+    def find_end():
+        return [e for e in cluster.gateways[0].events("request-end")
+                if e["id"] == rid]
+    wait_until(find_end)
+    assert find_end()[0]["why"] == "too large"
+
+
+# An answer to a plain route was kept whole without a bound.
+@pytest.mark.parametrize("framing, end", [
+    (CHUNKS, AS_FRAMED), (BARE, CLOSED)])
+def test_answer_beyond_its_bound_is_refused(cluster, framing, end):
+    raw = RawAnswer(framing, end, lambda _first: "x" * (2 * MAX_BODY_KB * KB),
+                    content_type="text/plain")
+    set_answer(cluster, raw)
+    before = read_rss_mb(cluster.gateways[0])
+    status, _, data, _ = ask(cluster.gateways[0], "read")
+    set_answer(cluster, None)
+    assert (status, data) == (502, b"")
+    assert len(raw.resumed_at) == 1
+    assert read_rss_mb(cluster.gateways[0]) - before < SLACK_MB
+
+
+def test_answer_within_its_bound_arrives(cluster):
+    text = "x" * (MAX_BODY_KB * KB)
+    set_answer(cluster, RawAnswer(CHUNKS, AS_FRAMED, lambda _first: text,
+                                  content_type="text/plain"))
+    status, _, data, _ = ask(cluster.gateways[0], "read")
+    set_answer(cluster, None)
+    assert (status, data) == (200, text.encode())
+
+
+# A caller that read slowly made the gateway keep its whole stream.
+def test_slow_caller_holds_its_upstream_back(cluster):
+    gateway = cluster.gateways[0]
+    many = "".join("id: %d\ndata: %s\n\n" % (i, "x" * 1000)
+                   for i in range(COUNT))
+    set_answer(cluster, RawAnswer(CHUNKS, AS_FRAMED, lambda _first: many,
+                                  pieces=300))
+    before = read_rss_mb(gateway)
+    with connect(gateway, receive_bytes=4096) as s:
+        time.sleep(2)
+        grown = read_rss_mb(gateway) - before
+        pieces = [s.recv(1 << 20)]
+        while not pieces[-1].endswith(b"0\r\n\r\n"):
+            pieces.append(s.recv(1 << 20))
+    set_answer(cluster, None)
+    assert grown < SLACK_MB
+    assert b"".join(pieces).count(b"\ndata: ") == COUNT
