Callers of HTTP/1.0 can read a stream, and see where one was broken off

A caller of HTTP/1.0 got a stream in chunks, which it can't read. Its stream now ends with the connection, and a broken one with a reset of it, as an orderly end would look complete.

--- a/src/http.h
+++ b/src/http.h
@@ -80,7 +80,8 @@
 bool ht_is_gone(const HtExchange *x);
 
 /* HEADERS: header lines, each with its CRLF, without those that frame the
-   body.  LENGTH below 0: the body is sent chunked. */
+   body.  LENGTH below 0: the body is sent chunked, or, to a client of
+   HTTP/1.0, ends with the connection. */
 void ht_start_answer(HtExchange *x, uint16_t status, const char *headers,
                      int64_t length);
 void ht_write_answer(HtExchange *x, const char *data, size_t len);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -22,7 +22,9 @@
     GByteArray *body;
     uint64_t arrival_ms;
     void *user;
-    bool chunked; /* the answer is sent in chunks */
+    bool chunked;      /* the answer is sent in chunks */
+    bool reads_chunks; /* the client does */
+    bool until_close;  /* the answer ends with the connection */
 };
 
 struct HtConn {
@@ -170,6 +172,8 @@
 {
     HtConn *c = p->data;
     ht_finish_head(&c->x->msg, p);
+    c->x->reads_chunks =
+        p->http_major > 1 || (p->http_major == 1 && p->http_minor > 0);
     uint32_t max_bytes = c->server->limits.body_bytes;
     if (p->content_length != ULLONG_MAX &&
         p->content_length > (max_bytes ? max_bytes : DEFAULT_BODY_BYTES)) {
@@ -463,14 +467,16 @@
                 int64_t length)
 {
     HtConn *c = x->conn;
-    x->chunked = length < 0;
+    x->chunked = length < 0 && x->reads_chunks;
+    x->until_close = length < 0 && !x->reads_chunks;
+    c->close_after = c->close_after || x->until_close;
     g_autoptr(GString) head = g_string_new(NULL);
     g_string_append_printf(head, "HTTP/1.1 %u %s\r\n%s", status,
                            get_reason(status), headers);
     if (x->chunked) {
         g_string_append(head, "Transfer-Encoding: chunked\r\n");
     }
-    else {
+    else if (!x->until_close) {
         g_string_append_printf(head, "Content-Length: %lld\r\n",
                                (long long)length);
     }
@@ -538,8 +544,13 @@
 ht_abort_answer(HtExchange *x)
 {
     HtConn *c = x->conn;
+    bool until_close = x->until_close;
     c->state = CONN_READING; /* close_conn won't call on_gone */
-    if (flush_conn(c)) {
-        close_conn(c);
+    if (!flush_conn(c)) {
+        return;
+    }
+    if (until_close) {
+        so_reset_on_close(c->fd); /* an orderly end would look complete */
     }
+    close_conn(c);
 }
--- a/tests/test_answer_bounds.py
+++ b/tests/test_answer_bounds.py
@@ -1,4 +1,5 @@
-"""Answers that are too large, and callers that read slowly."""
+"""Answers that are too large, callers that read slowly, and callers of
+HTTP/1.0, who can't read chunks."""
 
 import itertools
 import socket
@@ -129,3 +130,25 @@
     set_answer(cluster, None)
     assert grown < SLACK_MB
     assert b"".join(pieces).count(b"\ndata: ") == COUNT
+
+
+# A caller of HTTP/1.0 got chunks, which it can't read, and no sign of a broken
+# answer.
+def test_caller_of_http_1_0_reads_a_stream(cluster):
+    text = "".join(event(i) for i in range(5))
+    set_answer(cluster, RawAnswer(CHUNKS, AS_FRAMED, lambda _first: text))
+    with connect(cluster.gateways[0], version="1.0") as s:
+        data, orderly = read_all(s)
+    set_answer(cluster, None)
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert b"chunked" not in head and b"Connection: close" in head
+    assert (body, orderly) == (text.encode(), True)
+
+
+@pytest.mark.parametrize("end", [CLOSED, RESET])
+def test_caller_of_http_1_0_sees_a_broken_stream(cluster, end):
+    set_answer(cluster, RawAnswer(CHUNKS, end, lambda _first: event(0)))
+    with connect(cluster.gateways[0], version="1.0") as s:
+        _, orderly = read_all(s)
+    set_answer(cluster, None)
+    assert not orderly
