A stream of an upstream that ended between two events goes on at another

Streams without a length reached their callers short and complete when their upstream's process ended between two of their events: nothing in their own bytes tells them from whole ones.

If two or more connections ended within 5 ms of each other, the gateway connects: refused means that the process is gone, and the stream is asked again behind its last event. If that brings nothing within 500 ms, or can't be done, it ends as a whole one, as one that is whole must not fail. Alone at its upstream, or not resumable, it ends at once.

Also two tests on what blames a request: a deadly stream without a length is still stopped after its third end, and upstreams that cut streams and live on get nobody stopped.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -16,6 +16,9 @@
 #define SILENT_MIN_PLAIN_MS 120
 #define SILENT_MIN_STREAM_MS 700
 #define SILENT_OBJECTIVE 0.8
+/* For so long a stream that may be whole or not is kept open, to see whether
+   it goes on elsewhere. */
+#define MAX_DOUBT_MS 500
 /* Pause within a stream after which it is resumed elsewhere, as a multiple of
    the route's gap_ms, or SILENT_GAP_MS if the route has none. */
 #define SILENT_GAPS 2
@@ -417,7 +420,8 @@
 static bool
 is_silent(const Req *q, uint64_t now_ms)
 {
-    if (q->paused || !gw_may_repeat(q) || q->runs + 1 >= q->route->attempts) {
+    if (q->paused || q->check || !gw_may_repeat(q) ||
+        q->runs + 1 >= q->route->attempts) {
         return false;
     }
     bool stream = q->route->kind == DEP_STREAM;
@@ -441,7 +445,10 @@
 static void
 check_request(Req *q, uint64_t now_ms)
 {
-    if (now_ms >= q->answer_by_ms) {
+    if (q->doubt_ms && now_ms > q->doubt_ms + MAX_DOUBT_MS) {
+        gw_finish_doubtful(q, "no sign that it goes on");
+    }
+    else if (now_ms >= q->answer_by_ms) {
         if (q->state == REQ_SENT) {
             bool sent = q->hc && ht_was_sent(q->hc);
             q->runs += sent;
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -124,6 +124,7 @@
     if (!po_take(q->position, event)) {
         return;
     }
+    q->doubt_ms = 0;
     start_stream(q);
     ht_write_answer(q->x, event->text + from, event->len - from);
     q->events++;
@@ -296,6 +297,47 @@
     gw_give_up(q, 0, why);
 }
 
+/* Its own bytes don't tell whether a stream without a length, which ended
+   between two events, is whole. */
+static bool
+may_go_on(const Req *q, uint64_t now_ms)
+{
+    return q->end == AE_WHOLE_CLOSE && po_get_id(q->position) &&
+           !q->doubt_ms && may_run_again(q, now_ms);
+}
+
+static void
+on_checked(void *ctx, HtLife life)
+{
+    Req *q = ctx;
+    q->check = NULL;
+    if (life == HT_ENDED) {
+        gw_handle_failure(q, UT_OUTCOME_FAILED, "upstream ended");
+        return;
+    }
+    q->runs++;
+    g_autoptr(GByteArray) rest = g_steal_pointer(&q->rest);
+    finish_stream(q, rest);
+}
+
+static void
+handle_stream_end(Req *q, GByteArray *rest)
+{
+    uint64_t now_ms = bg_boot_ms();
+    if (may_go_on(q, now_ms)) {
+        q->check =
+            ht_start_check(q->gw->pool, ut_get_address(q->ut), on_checked, q);
+    }
+    if (!q->check) {
+        q->runs++;
+        finish_stream(q, rest);
+        return;
+    }
+    bg_count("gateway_doubtful_streams_total", 1);
+    q->doubt_ms = now_ms;
+    q->rest = g_byte_array_ref(rest);
+}
+
 static void
 handle_whole(Req *q, GByteArray *body)
 {
@@ -303,8 +345,7 @@
         handle_not_run(q, bg_boot_ms());
     }
     else if (q->forwards_events) {
-        q->runs++;
-        finish_stream(q, body);
+        handle_stream_end(q, body);
     }
     else if (q->streaming) {
         gw_handle_failure(q, UT_OUTCOME_FAILED, "resumption refused");
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -70,6 +70,11 @@
 
     /* the stream that is forwarded */
     Po *position;
+    /* It may be whole or not: whether it goes on is being asked since then; 0:
+       no doubt. */
+    uint64_t doubt_ms;
+    GByteArray *rest; /* what followed its last event, or NULL */
+    HtCheck *check;   /* whether its upstream lives; NULL: none */
 
     /* the slot of a limited upstream that it waits for */
     UlTicket ticket; /* 0: none */
@@ -165,6 +170,8 @@
 void gw_drop_turn(Req *q);
 /* Upstreams ended under Q: it isn't sent for WAIT_MS.  Frees Q. */
 void gw_stop(Req *q, uint32_t wait_ms);
+/* Nothing shows that the stream goes on: ends it as a whole one.  Frees Q. */
+void gw_finish_doubtful(Req *q, const char *why);
 bool gw_may_repeat(const Req *q);
 /* Ends a request that can't be served.  503 may be sent only if nothing ran.
    Frees Q. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -169,6 +169,10 @@
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
     po_destroy(q->position);
+    g_clear_pointer(&q->rest, g_byte_array_unref);
+    if (q->check) {
+        ht_cancel_check(q->check);
+    }
     g_string_free(q->head, TRUE);
     if (q->kept_head) {
         g_string_free(q->kept_head, TRUE);
@@ -256,11 +260,25 @@
     }
 }
 
+void
+gw_finish_doubtful(Req *q, const char *why)
+{
+    gw_log_end(q, "answered", q->status, why);
+    gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
+    HtExchange *x = q->x;
+    gw_free_req(q);
+    ht_end_answer(x);
+}
+
 /* BODY: plain text, or empty. */
 static void
 answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why,
        const char *body)
 {
+    if (q->doubt_ms) {
+        gw_finish_doubtful(q, why);
+        return;
+    }
     gw_log_end(q, name_outcome(status), status, why);
     if (status == 503) {
         gw_refund_limit(q);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -80,10 +80,48 @@
     ht_free_call(call);
 }
 
+/* Connections to one address that were closed or broke within HT_END_MS of
+   each other. */
+typedef struct {
+    uint64_t last_ms;
+    uint32_t count;
+} Burst;
+
+static void
+note_end(HtConn *w)
+{
+    GHashTable *bursts = w->pool->bursts;
+    uint64_t now_ms = bg_boot_ms();
+    Burst *b = g_hash_table_lookup(bursts, w->address);
+    if (!b) {
+        b = g_new0(Burst, 1);
+        g_hash_table_insert(bursts, g_strdup(w->address), b);
+    }
+    b->count = now_ms <= b->last_ms + HT_END_MS ? b->count + 1 : 1;
+    b->last_ms = now_ms;
+}
+
+uint32_t
+ht_count_ends(const HtPool *p, const char *address)
+{
+    const Burst *b = g_hash_table_lookup(p->bursts, address);
+    return b && bg_boot_ms() <= b->last_ms + HT_BURST_MS ? b->count : 0;
+}
+
+/* Its connection ended before the next request could be sent on it. */
+static bool
+has_ended(AeEnd end)
+{
+    return ae_is_break(end) || end == AE_INSIDE || end == AE_WHOLE_CLOSE;
+}
+
 static void
 close_call(HtConn *w, AeEnd end)
 {
     HtCall *call = w->call;
+    if (call && call->sent > 0 && has_ended(end)) {
+        note_end(w);
+    }
     w->call = NULL;
     ht_close_conn(w);
     if (call) {
@@ -375,6 +413,7 @@
     p->loop = loop;
     g_queue_init(&p->conns);
     g_queue_init(&p->failed);
+    p->bursts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ev_timer_init(&p->fail_timer, on_fail_timer, 0., 0.);
     p->fail_timer.data = p;
     return p;
@@ -403,6 +442,7 @@
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
     ev_timer_stop(p->loop, &p->fail_timer);
+    g_hash_table_destroy(p->bursts);
     g_free(p);
 }
 
@@ -626,9 +666,17 @@
     }
 }
 
+static gboolean
+is_old(gpointer address, gpointer burst, gpointer now_ms)
+{
+    (void)address;
+    return *(uint64_t *)now_ms > ((Burst *)burst)->last_ms + HT_BURST_MS;
+}
+
 void
 ht_tick_pool(HtPool *p, uint64_t now_ms)
 {
+    g_hash_table_foreach_remove(p->bursts, is_old, &now_ms);
     HtConn *w;
     while ((w = find_overdue(p, now_ms))) {
         end_late_opening(w, now_ms);
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -73,10 +73,18 @@
     GQueue conns;  /* HtConn; also the idle ones */
     GQueue failed; /* HtCall */
     ev_timer fail_timer;
-    HtDetours detours; /* paths is NULL: no detours */
+    HtDetours detours;  /* paths is NULL: no detours */
+    GHashTable *bursts; /* address -> Burst of http_pool.c */
 };
 
+/* Between the ends of two connections of a process that ends. */
+#define HT_END_MS 5
+#define HT_BURST_MS (4 * HT_END_MS) /* for so long it is remembered */
+
 /* http_pool */
+/* Connections to ADDRESS, each with a call, that ended shortly after each
+   other in the last HT_BURST_MS. */
+uint32_t ht_count_ends(const HtPool *p, const char *address);
 void ht_free_call(HtCall *call);
 void ht_free_conn(HtConn *w);
 void ht_close_conn(HtConn *w);
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -243,6 +243,7 @@
         self.ended_s = 0.3
         self.new_id = False
         self.events_before_end = 0   # of a stream, sent before it ends
+        self.answer_before_end = None   # as on_request, sent before it ends
         self.deadly_arrivals = []    # times
         self.ends = []               # times at which its process ended
         self.ends_by = []            # (time, body) of these, by a request
@@ -401,7 +402,9 @@
     def run_deadly(self, h, rid, wanted, body):
         self.deadly_arrivals.append(time.monotonic())
         self.deadly_copies.append((self.deadly_arrivals[-1], rid, body))
-        if wanted and self.events_before_end:
+        if self.answer_before_end:
+            self.answer_before_end(self, h, rid)
+        elif wanted and self.events_before_end:
             self.stream(h, rid, stop_after=self.events_before_end)
         time.sleep(self.rest_s)
         self.end(body)
--- a/tests/test_deadly.py
+++ b/tests/test_deadly.py
@@ -8,6 +8,7 @@
 
 from cluster import wait_until
 from platform_cluster import Cluster, ask, now
+from raw_answers import AS_FRAMED, BARE, CHUNKS, CLOSED, RawAnswer, event
 
 # The users' rule: after the third end, and LATE_S for all to know of it, the
 # request reaches upstreams three times more at the most.
@@ -153,6 +154,34 @@
         assert count_late(c.engines) <= MAX_LATE
 
 
+# An upstream that ends inside an event of a stream without a length closes its
+# connection in order.
+@pytest.mark.parametrize("back_s", [0.3, 3])
+@pytest.mark.parametrize("route", ["sum", "chat"])
+def test_deadly_stream_without_a_length(build, route, back_s):
+    with linked_cluster(build, models=(("m0",),) * 4) as c:
+        for e in c.engines:
+            e.ended_s = back_s
+            e.answer_before_end = RawAnswer(
+                BARE, CLOSED, lambda _first: event(0) + "id: 1\nda")
+        Copies(c.gateways, 60, 0.1, route=route).join()
+        assert count_late(c.engines) <= MAX_LATE
+
+
+# Upstreams that cut a stream and live on were taken for ended ones, and the
+# request was stopped.
+@pytest.mark.parametrize("framing, end", [(BARE, CLOSED), (CHUNKS, AS_FRAMED)])
+def test_stream_that_is_cut_ends_no_upstream(build, framing, end):
+    with linked_cluster(build, models=(("m0",),) * 4) as c:
+        for e in c.engines:
+            e.on_request = RawAnswer(framing, end, lambda _first:
+                                     event(0) + "id: 1\nda")
+        answers = [ask(c.gateways[i % 3], "sum", "m0", b"common")
+                   for i in range(20)]
+        assert [a[0] for a in answers] == [200] * 20
+        assert not any(g.events("suspect") for g in c.gateways)
+
+
 # Four upstreams ended under a common request, for another one's doing; it was
 # refused for two minutes after that.
 def test_common_request_beside_a_deadly_one_is_served(build):
