--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -359,6 +359,25 @@
     }
 }
 
+static void
+count_end(AeEnd end)
+{
+    static const char *const names[AE_ENDS] = {
+        [AE_WHOLE_NO_BODY] = "gateway_ends_no_body_total",
+        [AE_WHOLE_LENGTH] = "gateway_ends_length_total",
+        [AE_WHOLE_CHUNKS] = "gateway_ends_last_chunk_total",
+        [AE_WHOLE_CLOSE] = "gateway_ends_close_total",
+        [AE_NOT_SENT] = "gateway_ends_not_sent_total",
+        [AE_UNANSWERED] = "gateway_ends_no_answer_total",
+        [AE_SHORT] = "gateway_ends_broken_off_total",
+        [AE_RESET] = "gateway_ends_reset_total",
+        [AE_INSIDE] = "gateway_ends_inside_total",
+        [AE_NOT_HTTP] = "gateway_ends_garbled_total",
+        [AE_TOO_LARGE] = "gateway_ends_too_large_total",
+        [AE_TIMED_OUT] = "gateway_ends_timed_out_total"};
+    bg_count(names[end], 1);
+}
+
 void
 gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer)
 {
@@ -367,6 +386,7 @@
     q->hc = NULL;
     q->end = end;
     q->rest_bytes = ae_get_rest_bytes(answer);
+    count_end(end);
     if (end == AE_NOT_SENT) {
         handle_not_sent(q);
     }
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,7 @@
     soak.py ... --limits       upstreams also name limits on requests
     soak.py ... --cuts         gateways also lose their paths to upstreams
     soak.py ... --deadly       some requests end each upstream that runs them
+    soak.py ... --framings     upstreams answer in any framing and break off
 
 A run prints "seed N: ok", or "seed N: BROKEN" and the violations; the exit
 status is 1 if any run is broken.
@@ -29,6 +30,8 @@
 from platform_cluster import (LEASE_GUARD_MS, FaultProxy, Gateway, ask,
                               event_ids)
 from path_relay import PathRelays
+from raw_answers import (AS_FRAMED, CHUNKS, CLOSED, FRAMINGS, INSIDE, LENGTH,
+                         RESET, RawAnswer, cut_event, event)
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 # After the last fault, until every route is served again by every gateway.
@@ -51,9 +54,14 @@
 DEADLY_EVERY_S = 0.1   # between two copies of one such request
 
 
+EVENTS = 5   # of a stream
+
+
 class Soak:
-    def __init__(self, build, seed, limits=False, cuts=False, deadly=False):
+    def __init__(self, build, seed, limits=False, cuts=False, deadly=False,
+                 framings=False):
         self.limits = limits
+        self.answer = self.answer_raw if framings else None
         self.deadly = deadly
         self.deadly_threads = []
         self.deadly_copies = {}   # body -> {request id: gateway}
@@ -70,6 +78,8 @@
                                models=["m%d" % (i % 3)]) for i in range(4)]
         for e in self.engines:
             e.sizes = {"m%d" % i: 30001 for i in range(6)}
+        for e in self.apps + self.engines:
+            e.on_request = self.answer
         self.store.put_config(config(4, models=["m%d" % i for i in range(6)]))
         self.version = 4
         self.gateways, self.store_proxies, self.link_proxies = [], [], []
@@ -180,6 +190,34 @@
             self.store.mode = "up"
         return self.disturb(None, undo_fault)
 
+    def answer_raw(self, engine, h, rid):
+        """Answers in any framing, and often breaks off."""
+        last = h.headers.get("Last-Event-Id") or "-1"
+        rng = random.Random(rid + last)
+        framing = rng.choice(FRAMINGS)
+        breaks = rng.random() < 0.3
+        end = AS_FRAMED if framing in (LENGTH, CHUNKS) else CLOSED
+        if breaks and (framing in (LENGTH, CHUNKS) or rng.random() < 0.5):
+            end = rng.choice([CLOSED, RESET] if framing in (LENGTH, CHUNKS)
+                             else [RESET])
+        body, kind = self.make_body(engine, h, rid, rng, int(last) + 1, breaks)
+        return RawAnswer(framing, end, lambda _first: body, content_type=kind,
+                         pieces=rng.randint(1, 6), pause_s=0.005)(
+                             engine, h, rid)
+
+    @staticmethod
+    def make_body(engine, h, rid, rng, first, breaks):
+        """(body, content type); a body that BREAKS is cut."""
+        if not h.headers.get("X-Model"):
+            return json.dumps({"by": engine.name, "id": rid}), (
+                "application/json")
+        count = rng.randrange(first, EVENTS) if breaks and first < EVENTS else (
+            EVENTS)
+        text = "".join(event(i) for i in range(first, count))
+        if breaks and count < EVENTS:
+            text += cut_event(rng.choice(list(INSIDE)), count)
+        return text, "text/event-stream"
+
     def fault_engine(self):
         e = self.rng.choice(self.apps + self.engines)
         what = self.rng.choice(["break", "shed", "slow", "lose"])
@@ -195,15 +233,14 @@
                 return True
             if what == "slow":
                 time.sleep(0.4)
-                return False
-            if self.rng.random() < 0.5:
+            elif self.rng.random() < 0.5:
                 h.close_connection = True
                 return True
-            return False
+            return self.answer(engine, h, rid) if self.answer else False
         e.on_request = act
 
         def undo_fault():
-            e.on_request = None
+            e.on_request = self.answer
         return undo_fault
 
     def fault_leave(self):
@@ -311,10 +348,14 @@
                 "%s %s got the answer of another request" % (kind, rid))
         if kind in ("chat", "sum"):
             got = event_ids(data.replace(b"INCOMPLETE ", b""))
+            sent = "".join(event(i) for i in range(len(got))).encode()
+            if data.replace(b"INCOMPLETE ", b"") != sent:
+                self.violations.append("%s %s got other bytes: %r" % (
+                    kind, rid, data))
             if got != list(range(len(got))):
                 self.violations.append("%s %s events %r" % (kind, rid, got))
             complete = not data.startswith(b"INCOMPLETE")
-            if complete and len(got) != 5:
+            if complete and len(got) != EVENTS:
                 self.violations.append(
                     "%s %s is incomplete and ends as complete: %r" % (
                         kind, rid, got))
@@ -500,7 +541,8 @@
 
 
 def run_seed(build, seed, args):
-    soak = Soak(build, seed, args.limits, args.cuts, args.deadly)
+    soak = Soak(build, seed, args.limits, args.cuts, args.deadly,
+                args.framings)
     try:
         soak.run(args.seconds)
     finally:
@@ -529,6 +571,7 @@
     parser.add_argument("--limits", action="store_true")
     parser.add_argument("--cuts", action="store_true")
     parser.add_argument("--deadly", action="store_true")
+    parser.add_argument("--framings", action="store_true")
     args = parser.parse_args()
     if args.seed is not None:
         seeds = [args.seed]
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -7,6 +7,9 @@
 
 import http.client
 import itertools
+import os
+import re
+import subprocess
 
 import pytest
 
@@ -137,6 +140,51 @@
         True))
 
 
+# The logs said "answered", and nothing of how the end was known.
+def test_explain_tells_how_an_end_was_known(build, cluster):
+    gateway = cluster.gateways[0]
+    set_answer(cluster, RawAnswer(BARE, CLOSED, cut_in("in its data"),
+                                  times=1))
+    rid = ask_new(gateway, "chat")[3]
+    set_answer(cluster, None)
+
+    def explain():
+        return subprocess.run([os.path.join(build, "bglade"), "explain", rid,
+                               gateway.log_path], capture_output=True,
+                              text=True, timeout=20, check=False).stdout
+    wait_until(lambda: "request-end" in explain())
+    broken, end = [x for x in explain().splitlines()
+                   if "request-broken" in x or "request-end" in x]
+    for text in ('why="inside"', 'end="inside"', 'framing="close"',
+                 "events=2", "rest_bytes=10", 'last_event="1"'):
+        assert text in broken
+    for text in ('outcome="answered"', 'end="last chunk"', "events=3"):
+        assert text in end
+    c = http.client.HTTPConnection("127.0.0.1", gateway.control, timeout=2)
+    c.request("GET", "/metrics")
+    metrics = c.getresponse().read().decode()
+    assert re.search(r"^bglade_gateway_ends_inside_total [1-9]", metrics, re.M)
+
+
+# Half a line at the end of a log, as of a process that was killed, is no event.
+def test_log_whose_last_line_is_half(build, cluster, tmp_path):
+    gateway = cluster.gateways[0]
+    rid = ask_new(gateway, "chat")[3]
+    wait_until(lambda: any(e["id"] == rid
+                           for e in gateway.events("request-end")))
+    with open(gateway.log_path, encoding="utf-8") as f:
+        lines = [x for x in f if rid in x or "started" in x]
+    last = next(x for x in lines if "request-end" in x)
+    lines.remove(last)
+    log = tmp_path / "log"
+    log.write_text("".join(lines) + last[:len(last) // 2])
+    for command in (["explain", rid], ["losses"]):
+        r = subprocess.run([os.path.join(build, "bglade"), command[0],
+                            *command[1:], str(log)], capture_output=True,
+                           text=True, timeout=20, check=False)
+        assert "request-end" not in r.stdout and "answered" not in r.stdout
+
+
 # A stream that ended inside its first event was answered with 200 and half an
 # event.
 def test_stream_that_ends_inside_its_first_event_is_not_begun(cluster):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,9 @@
 LIMIT_SEEDS = [1, 8, 45]
 
 
+FRAMING_SEEDS = [1, 2]
+
+
 def run_soak(build, seed, *more):
     r = subprocess.run(
         ["/usr/bin/python3", os.path.join(HERE, "soak.py"), "--build", build,
@@ -38,3 +41,9 @@
 @pytest.mark.parametrize("seed", LIMIT_SEEDS)
 def test_soak_seed_with_limits(build, seed):
     run_soak(build, seed, "--seconds", "14", "--limits")
+
+
+# With upstreams that answer in any framing and break off anywhere.
+@pytest.mark.parametrize("seed", FRAMING_SEEDS)
+def test_soak_seed_with_framings(build, seed):
+    run_soak(build, seed, "--seconds", "10", "--framings")
