--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -316,8 +316,7 @@
         return;
     }
     q->runs++;
-    g_autoptr(GByteArray) rest = g_steal_pointer(&q->rest);
-    finish_stream(q, rest);
+    finish_stream(q, q->rest);
 }
 
 static void
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -73,7 +73,7 @@
     /* It may be whole or not: whether it goes on is being asked since then; 0:
        no doubt. */
     uint64_t doubt_ms;
-    GByteArray *rest; /* what followed its last event, or NULL */
+    GByteArray *rest; /* with doubt_ms: what followed its last event */
     HtCheck *check;   /* whether its upstream lives; NULL: none */
 
     /* the slot of a limited upstream that it waits for */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -169,7 +169,9 @@
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
     po_destroy(q->position);
-    g_clear_pointer(&q->rest, g_byte_array_unref);
+    if (q->rest) {
+        g_byte_array_unref(q->rest);
+    }
     if (q->check) {
         ht_cancel_check(q->check);
     }
@@ -266,6 +268,7 @@
     gw_log_end(q, "answered", q->status, why);
     gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
     HtExchange *x = q->x;
+    ht_write_answer(x, (const char *)q->rest->data, q->rest->len);
     gw_free_req(q);
     ht_end_answer(x);
 }
