--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -182,16 +182,14 @@
             *used = at;
             return ES_TOO_LARGE;
         }
-        append(s, data + at, n);
-        at += n;
-        if (at == len) {
+        bool ended = at + n < len;
+        append(s, data + at, n + ended);
+        at += n + ended;
+        if (!ended) {
             break;
         }
-        size_t end = s->text->len;
-        s->after_cr = data[at] == '\r';
-        append(s, data + at, 1);
-        at++;
-        blank = take_line(s, end);
+        s->after_cr = data[at - 1] == '\r';
+        blank = take_line(s, s->text->len - 1);
         s->line_at = s->text->len;
         at += skip_line_feed(s, data + at, len - at);
     }
