--- a/tests/soak.py
+++ b/tests/soak.py
@@ -516,6 +516,10 @@
         if self.paths:
             self.paths.set_mode([g.name for g in self.gateways],
                                 self.list_addresses(), "open")
+        if self.answer:
+            # The checks send copies of one request: three broken ones stop it.
+            for e in self.apps + self.engines:
+                e.on_request = None
         self.check_settled()
         self.stopping = True
         for t in clients + self.deadly_threads:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,9 @@
 LIMIT_SEEDS = [1, 8, 45]
 
 
-FRAMING_SEEDS = [1, 2]
+# 28 failed once for a fault of the soak: its upstreams still broke off when it
+# asked with copies of one request whether all is served again.
+FRAMING_SEEDS = [1, 2, 28]
 
 
 def run_soak(build, seed, *more):
