--- a/tests/test_answer_bounds.py
+++ b/tests/test_answer_bounds.py
@@ -9,8 +9,8 @@
 
 from cluster import wait_until
 from platform_cluster import Cluster, ask
-from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSED, RESET, RawAnswer,
-                         event)
+from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSED, LENGTH, RESET,
+                         RawAnswer, event)
 
 MODELS = (("m0",), ("m0",))
 KB, MB = 1024, 1024 * 1024
@@ -113,15 +113,17 @@
     assert (status, data) == (200, text.encode())
 
 
-# A caller that read slowly made the gateway keep its whole stream.
-def test_slow_caller_holds_its_upstream_back(cluster):
+# A caller that read slowly made the gateway keep its whole stream; and an
+# upstream that is held back is not silent.
+@pytest.mark.parametrize("route", ["sum", "chat"])
+def test_slow_caller_holds_its_upstream_back(cluster, route):
     gateway = cluster.gateways[0]
     many = "".join("id: %d\ndata: %s\n\n" % (i, "x" * 1000)
                    for i in range(COUNT))
-    set_answer(cluster, RawAnswer(CHUNKS, AS_FRAMED, lambda _first: many,
-                                  pieces=300))
+    raw = RawAnswer(CHUNKS, AS_FRAMED, lambda _first: many, pieces=300)
+    set_answer(cluster, raw)
     before = read_rss_mb(gateway)
-    with connect(gateway, receive_bytes=4096) as s:
+    with connect(gateway, route, receive_bytes=4096) as s:
         time.sleep(2)
         grown = read_rss_mb(gateway) - before
         pieces = [s.recv(1 << 20)]
@@ -129,9 +131,24 @@
             pieces.append(s.recv(1 << 20))
     set_answer(cluster, None)
     assert grown < SLACK_MB
+    assert len(raw.resumed_at) == 1
     assert b"".join(pieces).count(b"\ndata: ") == COUNT
 
 
+# A connection whose answer ended while it was held back was not read again: the
+# next request on it got no answer.
+def test_connection_is_used_after_its_answer_was_held_back(build):
+    with Cluster(build, models=(("m0",),),
+                 extra="[answers]\nmax_unsent_kb = 1\n") as c:
+        many = "".join("id: %d\ndata: %s\n\n" % (i, "x" * 100)
+                       for i in range(100))
+        set_answer(c, RawAnswer(LENGTH, AS_FRAMED, lambda _first: many))
+        for _ in range(5):
+            status, _, data, _ = ask(c.gateways[0], "sum", "m0", body=b"%d" %
+                                     next(_bodies), deadline_ms=1500)
+            assert (status, data) == (200, many.encode())
+
+
 # A caller of HTTP/1.0 got chunks, which it can't read, and no sign of a broken
 # answer.
 def test_caller_of_http_1_0_reads_a_stream(cluster):
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -13,6 +13,8 @@
 MODELS = (("m0",), ("m0",))
 EVENTS = 20
 STREAMS = 24
+# A stream lasts 0.1 s; its end is held back for half a second at the most.
+MAX_END_S = 1.5
 
 
 class Stream(RawAnswer):
@@ -32,11 +34,11 @@
             yield (text + "\n\n").encode()
 
 
-def run_streams(gateway, count, route="chat"):
+def run_streams(gateway, count, route="chat", deadline_ms=4000):
     answers, threads = [], []
     for i in range(count):
         threads.append(threading.Thread(target=lambda n=i: answers.append(
-            ask(gateway, route, "m0", b"request %d" % n))))
+            ask(gateway, route, "m0", b"request %d" % n, deadline_ms))))
         threads[-1].start()
     return answers, threads
 
@@ -106,7 +108,9 @@
 
 # The last event had come when the upstream ended, and nobody can go on.
 @pytest.mark.parametrize("route", ["chat", "sum"])
-def test_whole_stream_of_an_ended_upstream_does_not_fail(build, route):
+@pytest.mark.parametrize("deadline_ms", [400, 4000])
+def test_whole_stream_of_an_ended_upstream_does_not_fail(build, route,
+                                                         deadline_ms):
     with Cluster(build, models=(("m0",),)) as c:
         proxy = put_behind(c, c.engines[0])
 
@@ -116,9 +120,11 @@
                 kill(proxy)
                 h.close_connection = True
         set_answer(c, WholeThenEnd(0.001))
-        answers, threads = run_streams(c.gateways[0], 4, route)
+        began = time.monotonic()
+        answers, threads = run_streams(c.gateways[0], 4, route, deadline_ms)
         for t in threads:
             t.join()
         whole = Stream.make(0).encode()
         assert whole in [a[2] for a in answers]
         assert not any(a[2].startswith(b"INCOMPLETE") for a in answers)
+        assert time.monotonic() - began < MAX_END_S
