sp: one solo end beside another request's first end is forgiven

A common request was refused for 13.5 and 16.1 s (bound 12 s): twice it ran in a solo turn, beside no suspect, when a request that had ended nothing before ended its upstream; the second solo end stopped it for a minute.

Cause: an end in a solo turn counted as sure, also where requests that were no suspects were under way there. Now such an end is marked, and the first of them doesn't lengthen the stop: it takes two more to get a minute.

--- a/src/suspects.c
+++ b/src/suspects.c
@@ -63,6 +63,7 @@
     uint64_t used_ms; /* last end, or request for a turn */
     uint32_t asked;   /* turns: one that comes again and again has many */
     uint64_t third_ms;
+    bool shared;  /* a solo end may have been the first one of another */
     bool own;     /* an end was seen here */
     bool changed; /* not yet published */
     Turn turn;    /* the leader's, or a gateway's that is alone */
@@ -97,6 +98,7 @@
     uint64_t at_ms;
     uint64_t blamed; /* the suspect that ran there in a solo turn; 0: none */
     uint64_t beside; /* another suspect that ran there; 0: none */
+    bool shared;     /* also by requests that were no suspects before */
 } UpstreamEnd;
 
 struct Sp {
@@ -314,6 +316,7 @@
 {
     set_ends(s, x, 0);
     x->solo_ends = 0;
+    x->shared = false;
     x->late_runs = 0;
     x->hold_until_ms = 0;
     x->third_ms = 0;
@@ -398,7 +401,9 @@
     if (sure && x->late_runs >= SP_LATE_RUNS) {
         return SP_BLOCK_MS;
     }
-    return sure ? stop_ms[MIN(x->solo_ends, SP_LATE_RUNS) - 1]
+    /* One end may have been a first one of another request. */
+    uint32_t own_ends = x->solo_ends - (x->shared && x->solo_ends > 1);
+    return sure ? stop_ms[MIN(own_ends, SP_LATE_RUNS) - 1]
                 : unsure_stop_ms[MIN(x->late_runs, UNSURE_STOPS - 1)];
 }
 
@@ -493,6 +498,21 @@
     return true;
 }
 
+/* A request that was no suspect ran there as well, and may have ended it
+   instead of the one that ran in a solo turn. */
+static void
+note_first(Sp *s, UpstreamEnd *e)
+{
+    Suspect *blamed = !e->shared && e->blamed ? find(s, e->blamed) : NULL;
+    e->shared = true;
+    if (blamed && blamed->solo_ends > 0) {
+        blamed->shared = true;
+        blamed->hold_until_ms =
+            MIN(blamed->hold_until_ms, blamed->last_ms + get_stop_ms(blamed));
+        note_changed(s, blamed);
+    }
+}
+
 /* ---- turns: the leader -------------------------------------------------- */
 
 void
@@ -515,6 +535,7 @@
 {
     UpstreamEnd *e = note_upstream_end(s, now_ms, t->upstream, t->since_ms);
     bool sure = t->solo && e->blamed != x->request && take_blame(e, x);
+    x->shared = x->shared || (sure && e->shared);
     if (broke && !t->solo) {
         note_beside(s, e, x);
     }
@@ -702,6 +723,9 @@
     if (x->ends >= SP_SOLO_ENDS) {
         note_beside(s, e, x);
     }
+    else if (x->ends == 0) {
+        note_first(s, e);
+    }
     note_seen(x, now_ms, upstream);
     count_end(s, x, now_ms, false, false);
 }
--- a/tests/test_fuzz_sp.py
+++ b/tests/test_fuzz_sp.py
@@ -87,9 +87,10 @@
 # in half a second, and none for a day; blame withdrawn for a common request that
 # had been cleared before; two ends of one upstream within a second taken for one;
 # a turn whose caller had left blamed for an end a second later; a new leader
-# that took copies under way for late runs.
+# that took copies under way for late runs; a common request whose two solo runs
+# met first ends of others.
 FOUND = [11, 51, 59, 187, 1604, 1653, 10428, 13576, 15405, 16935,
-         23507, 33579, 33595, 60374]
+         23507, 33579, 33595, 60374, 9100353]
 SEEDS = [*range(61, 101), *FOUND]
 # Twenty deadly requests on two upstreams: twice a common one ran alone when a
 # request that had ended nothing before ended its upstream.
