--- a/src/suspects.c
+++ b/src/suspects.c
@@ -1,15 +1,10 @@
-#include "suspects.h"
+#include "suspects_internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* From one refused turn to the next question, at the least and at the most. */
-#define MIN_WAIT_MS 20
-#define MAX_WAIT_MS 500
-/* An answer to an older question is not used, so a turn that is granted begins
-   within this time or never. */
-#define ANSWER_LIFETIME_MS 400
+#define MAX_WAIT_MS 500 /* from one refused turn to the next question */
 /* A new leader grants none: its predecessor's turns begin by then, and the
    gateways linked to it have told it what they know. */
 #define SETTLE_MS 1000
@@ -23,14 +18,12 @@
 #define SAME_END_MS 1000
 /* Copies that were under way elsewhere at the third end are not late runs. */
 #define UNDER_WAY_MS 3000
-#define SEEN_ENDS 8
 /* A suspect that is not stopped is forgotten after this time without an end.
  */
 #define KEEP_MS 600000
 /* What was cleared is kept, for gateways that still report older ends. */
 #define CLEARED_MS 10000
-#define SWEEP_MS 500 /* between two looks at all rows */
-#define MAX_LEFT 256
+#define SWEEP_MS 500       /* between two looks at all rows */
 #define MAX_UPSTREAMS 1024 /* of which ends are kept */
 #define NOTE_ROWS 32       /* of a lease record, which is written often */
 #define MAX_NOTE 2048      /* bytes of one that is read */
@@ -43,76 +36,6 @@
 static const uint32_t unsure_stop_ms[UNSURE_STOPS] = {
     0, 2000, SP_FIRST_STOP_MS, 600000};
 
-typedef struct {
-    SpTurn id; /* 0: none */
-    char *upstream;
-    uint64_t since_ms;
-    uint64_t until_ms;
-    bool solo;
-    bool late; /* counted in late_runs */
-    bool left; /* the call was cancelled */
-} Turn;
-
-typedef struct {
-    uint64_t request;
-    uint32_t ends; /* 0: cleared */
-    uint32_t solo_ends;
-    uint32_t late_runs;
-    uint64_t hold_until_ms;
-    uint64_t last_ms; /* last end, or when it was cleared */
-    uint64_t used_ms; /* last end, or request for a turn */
-    uint32_t asked;   /* turns: one that comes again and again has many */
-    uint64_t third_ms;
-    bool shared;  /* a solo end may have been the first one of another */
-    bool own;     /* an end was seen here */
-    bool changed; /* not yet published */
-    Turn turn;    /* the leader's, or a gateway's that is alone */
-    Turn past; /* of a call that was cancelled, or of a gateway that is gone:
-                  until_ms is when it counts as run well */
-    SpTurn last_turn;
-    uint32_t seen[SEEN_ENDS]; /* upstreams' hashes */
-    uint64_t seen_ms[SEEN_ENDS];
-    uint32_t next_seen;
-    /* of the copies here */
-    SpTurn here;       /* one of them has or asks a turn */
-    uint64_t retry_ms; /* no question before */
-} Suspect;
-
-/* A turn that a copy here has or asks. */
-typedef struct {
-    uint64_t request;
-    char *upstream;
-    uint64_t asked_ms;
-    bool granted;
-    bool used;
-} Ticket;
-
-typedef struct {
-    uint64_t request;
-    char *upstream;
-    uint64_t at_ms;
-} Left;
-
-/* The last end of an upstream. */
-typedef struct {
-    uint64_t at_ms;
-    uint64_t blamed; /* the suspect that ran there in a solo turn; 0: none */
-    uint64_t beside; /* another suspect that ran there; 0: none */
-    bool shared;     /* also by requests that were no suspects before */
-} UpstreamEnd;
-
-struct Sp {
-    GHashTable *rows;    /* request -> Suspect */
-    GHashTable *tickets; /* SpTurn -> Ticket */
-    GHashTable *ends;    /* upstream -> UpstreamEnd */
-    GQueue left;         /* Left, the oldest first */
-    GArray *changed;     /* uint64_t: requests */
-    uint64_t lead_ms;
-    uint64_t swept_ms;
-    uint32_t suspects; /* rows with ends */
-    BgRandom rng;
-};
-
 static void
 free_suspect(void *p)
 {
@@ -129,8 +52,8 @@
     g_free(p);
 }
 
-static void
-free_left(void *p)
+void
+sp_free_left(void *p)
 {
     g_free(((Left *)p)->upstream);
     g_free(p);
@@ -158,15 +81,15 @@
     g_hash_table_destroy(s->rows);
     g_hash_table_destroy(s->tickets);
     g_hash_table_destroy(s->ends);
-    g_queue_clear_full(&s->left, free_left);
+    g_queue_clear_full(&s->left, sp_free_left);
     g_array_free(s->changed, TRUE);
     g_free(s);
 }
 
 /* ---- rows --------------------------------------------------------------- */
 
-static Suspect *
-find(const Sp *s, uint64_t request)
+Suspect *
+sp_find_row(const Sp *s, uint64_t request)
 {
     return g_hash_table_lookup(s->rows, &request);
 }
@@ -220,10 +143,10 @@
     g_list_free(rows);
 }
 
-static Suspect *
-get_row(Sp *s, uint64_t request)
+Suspect *
+sp_add_row(Sp *s, uint64_t request)
 {
-    Suspect *x = find(s, request);
+    Suspect *x = sp_find_row(s, request);
     if (x) {
         return x;
     }
@@ -236,8 +159,8 @@
     return x;
 }
 
-static uint32_t
-get_time_left(uint64_t until_ms, uint64_t now_ms)
+uint32_t
+sp_get_time_left(uint64_t until_ms, uint64_t now_ms)
 {
     return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
 }
@@ -249,14 +172,14 @@
                    x->ends,
                    x->solo_ends,
                    x->late_runs,
-                   get_time_left(x->hold_until_ms, now_ms),
-                   get_time_left(now_ms, x->last_ms)};
+                   sp_get_time_left(x->hold_until_ms, now_ms),
+                   sp_get_time_left(now_ms, x->last_ms)};
 }
 
 SpRow
 sp_get_row(const Sp *s, uint64_t now_ms, uint64_t request)
 {
-    const Suspect *x = find(s, request);
+    const Suspect *x = sp_find_row(s, request);
     return x ? make_row(x, now_ms) : (SpRow){.request = request};
 }
 
@@ -265,11 +188,11 @@
                uint32_t *wait_ms)
 {
     *wait_ms = 0;
-    const Suspect *x = s->suspects > 0 ? find(s, request) : NULL;
+    const Suspect *x = s->suspects > 0 ? sp_find_row(s, request) : NULL;
     if (!x || x->ends == 0) {
         return SP_CLEAR;
     }
-    *wait_ms = get_time_left(x->hold_until_ms, now_ms);
+    *wait_ms = sp_get_time_left(x->hold_until_ms, now_ms);
     return *wait_ms > 0 ? SP_STOPPED : SP_SUSPECT;
 }
 
@@ -311,8 +234,8 @@
     sp_visit(s, now_ms, print_row, out);
 }
 
-static void
-clear(Sp *s, Suspect *x, uint64_t now_ms)
+void
+sp_clear_row(Sp *s, Suspect *x, uint64_t now_ms)
 {
     set_ends(s, x, 0);
     x->solo_ends = 0;
@@ -328,10 +251,10 @@
 void
 sp_on_row(Sp *s, uint64_t now_ms, const SpRow *row)
 {
-    if (row->ends == 0 && !find(s, row->request)) {
+    if (row->ends == 0 && !sp_find_row(s, row->request)) {
         return;
     }
-    Suspect *x = get_row(s, row->request);
+    Suspect *x = sp_add_row(s, row->request);
     set_ends(s, x, row->ends);
     x->solo_ends = row->solo_ends;
     x->late_runs = row->late_runs;
@@ -345,14 +268,14 @@
 void
 sp_on_known(Sp *s, uint64_t now_ms, const SpRow *row)
 {
-    const Suspect *known = find(s, row->request);
+    const Suspect *known = sp_find_row(s, row->request);
     uint64_t last_ms = now_ms - MIN(now_ms, row->age_ms);
     bool cleared_since =
         known && known->ends == 0 && known->last_ms >= last_ms;
     if (row->ends == 0 || cleared_since) {
         return;
     }
-    Suspect *x = get_row(s, row->request);
+    Suspect *x = sp_add_row(s, row->request);
     bool more = row->ends > x->ends || row->solo_ends > x->solo_ends ||
                 row->late_runs > x->late_runs;
     if (!more) {
@@ -377,7 +300,7 @@
 {
     uint32_t key = g_str_hash(upstream);
     uint64_t seen_ms = 0;
-    for (uint32_t i = 0; i < SEEN_ENDS; i++) {
+    for (uint32_t i = 0; i < SP_SEEN_ENDS; i++) {
         if (x->seen[i] == key) {
             seen_ms = MAX(seen_ms, x->seen_ms[i]);
         }
@@ -390,7 +313,7 @@
 {
     x->seen[x->next_seen] = g_str_hash(upstream);
     x->seen_ms[x->next_seen] = now_ms;
-    x->next_seen = (x->next_seen + 1) % SEEN_ENDS;
+    x->next_seen = (x->next_seen + 1) % SP_SEEN_ENDS;
 }
 
 /* How long X is stopped from its last end on. */
@@ -416,8 +339,8 @@
 }
 
 /* SOLO, LATE: as the turn of the run was. */
-static void
-count_end(Sp *s, Suspect *x, uint64_t now_ms, bool solo, bool late)
+void
+sp_count_end(Sp *s, Suspect *x, uint64_t now_ms, bool solo, bool late)
 {
     set_ends(s, x, x->ends + 1);
     x->solo_ends += solo;
@@ -436,9 +359,9 @@
 
 /* The end of UPSTREAM that is reported now, of a run that began after
    SINCE_MS: all reports within SAME_END_MS are of the same one. */
-static UpstreamEnd *
-note_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
-                  uint64_t since_ms)
+UpstreamEnd *
+sp_note_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
+                     uint64_t since_ms)
 {
     UpstreamEnd *e = g_hash_table_lookup(s->ends, upstream);
     if (e && now_ms < e->at_ms + SAME_END_MS && e->at_ms >= since_ms) {
@@ -479,8 +402,9 @@
 note_beside(Sp *s, UpstreamEnd *e, const Suspect *x)
 {
     e->beside = x->request;
-    Suspect *blamed =
-        e->blamed && e->blamed != x->request ? find(s, e->blamed) : NULL;
+    Suspect *blamed = e->blamed && e->blamed != x->request
+                          ? sp_find_row(s, e->blamed)
+                          : NULL;
     if (blamed) {
         e->blamed = 0;
         withdraw_blame(s, blamed);
@@ -503,7 +427,8 @@
 static void
 note_first(Sp *s, UpstreamEnd *e)
 {
-    Suspect *blamed = !e->shared && e->blamed ? find(s, e->blamed) : NULL;
+    Suspect *blamed =
+        !e->shared && e->blamed ? sp_find_row(s, e->blamed) : NULL;
     e->shared = true;
     if (blamed && blamed->solo_ends > 0) {
         blamed->shared = true;
@@ -533,7 +458,7 @@
 static void
 count_turn(Sp *s, Suspect *x, uint64_t now_ms, const Turn *t, bool broke)
 {
-    UpstreamEnd *e = note_upstream_end(s, now_ms, t->upstream, t->since_ms);
+    UpstreamEnd *e = sp_note_upstream_end(s, now_ms, t->upstream, t->since_ms);
     bool sure = t->solo && e->blamed != x->request && take_blame(e, x);
     x->shared = x->shared || (sure && e->shared);
     if (broke && !t->solo) {
@@ -546,7 +471,7 @@
         return;
     }
     note_seen(x, now_ms, t->upstream);
-    count_end(s, x, now_ms, sure, t->late);
+    sp_count_end(s, x, now_ms, sure, t->late);
 }
 
 /* The upstream of turn T ran nothing, or runs on. */
@@ -631,7 +556,7 @@
 static uint32_t
 get_wait_ms(const Turn *t, uint64_t now_ms)
 {
-    return (uint32_t)CLAMP((now_ms - t->since_ms) / 2, MIN_WAIT_MS,
+    return (uint32_t)CLAMP((now_ms - t->since_ms) / 2, SP_MIN_WAIT_MS,
                            MAX_WAIT_MS);
 }
 
@@ -656,18 +581,18 @@
 sp_grant(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
          SpTurn turn, uint32_t run_ms, uint32_t *wait_ms)
 {
-    *wait_ms = get_time_left(s->lead_ms + SETTLE_MS, now_ms);
+    *wait_ms = sp_get_time_left(s->lead_ms + SETTLE_MS, now_ms);
     if (*wait_ms) {
         return false;
     }
-    Suspect *x = find(s, request);
+    Suspect *x = sp_find_row(s, request);
     if (!x || x->ends == 0) {
         return true;
     }
     x->used_ms = now_ms;
     x->asked++;
     settle(s, x, now_ms);
-    *wait_ms = get_time_left(x->hold_until_ms, now_ms);
+    *wait_ms = sp_get_time_left(x->hold_until_ms, now_ms);
     if (*wait_ms) {
         return false;
     }
@@ -682,7 +607,7 @@
         return false;
     }
     if (is_occupied(s, upstream, x->ends >= SP_SOLO_ENDS)) {
-        *wait_ms = MIN_WAIT_MS;
+        *wait_ms = SP_MIN_WAIT_MS;
         return false;
     }
     begin_turn(s, x, now_ms, upstream, turn, run_ms);
@@ -697,11 +622,11 @@
 }
 
 /* BLAMED: no call broke off. */
-static void
-on_end(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
-       SpTurn turn, bool blamed)
+void
+sp_note_end(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
+            SpTurn turn, bool blamed)
 {
-    Suspect *x = get_row(s, request);
+    Suspect *x = sp_add_row(s, request);
     bool in_turn = turn && x->turn.id == turn;
     if (in_turn || is_left_at(&x->turn, upstream)) {
         end_turn(s, x, now_ms, in_turn);
@@ -714,7 +639,7 @@
     if (blamed && x->ends >= SP_SOLO_ENDS) {
         return; /* only an end in a turn may stop it */
     }
-    UpstreamEnd *e = note_upstream_end(s, now_ms, upstream, 0);
+    UpstreamEnd *e = sp_note_upstream_end(s, now_ms, upstream, 0);
     uint64_t seen_ms = get_seen_ms(x, upstream);
     bool counted = turn && turn == x->last_turn;
     if (counted || (seen_ms && now_ms < seen_ms + SAME_END_MS)) {
@@ -727,7 +652,7 @@
         note_first(s, e);
     }
     note_seen(x, now_ms, upstream);
-    count_end(s, x, now_ms, false, false);
+    sp_count_end(s, x, now_ms, false, false);
 }
 
 void
@@ -735,10 +660,11 @@
              SpTurn turn, SpResult result)
 {
     if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
-        on_end(s, now_ms, request, upstream, turn, result == SP_RUN_BLAMED);
+        sp_note_end(s, now_ms, request, upstream, turn,
+                    result == SP_RUN_BLAMED);
         return;
     }
-    Suspect *x = find(s, request);
+    Suspect *x = sp_find_row(s, request);
     if (!x) {
         return;
     }
@@ -748,7 +674,7 @@
             release_turn(x);
         }
         if (x->ends > 0) {
-            clear(s, x, now_ms);
+            sp_clear_row(s, x, now_ms);
         }
     }
     else if (result == SP_RUN_LEFT && in_turn) {
@@ -764,11 +690,11 @@
 bool
 sp_lift(Sp *s, uint64_t now_ms, uint64_t request)
 {
-    Suspect *x = find(s, request);
+    Suspect *x = sp_find_row(s, request);
     if (!x || x->ends == 0) {
         return false;
     }
-    clear(s, x, now_ms);
+    sp_clear_row(s, x, now_ms);
     return true;
 }
 
@@ -813,7 +739,7 @@
                 void (*visit)(void *ctx, const SpRow *row), void *ctx)
 {
     for (guint i = 0; i < s->changed->len; i++) {
-        Suspect *x = find(s, g_array_index(s->changed, uint64_t, i));
+        Suspect *x = sp_find_row(s, g_array_index(s->changed, uint64_t, i));
         if (x && x->changed) {
             x->changed = false;
             SpRow row = make_row(x, now_ms);
@@ -828,7 +754,7 @@
                SpTurn turn, uint32_t run_ms, uint64_t since_ms,
                uint32_t *wait_ms)
 {
-    const Suspect *x = find(s, request);
+    const Suspect *x = sp_find_row(s, request);
     bool own_first = x && x->own && x->ends == 1;
     if (!own_first && now_ms < since_ms + SP_ALONE_MS) {
         *wait_ms = SP_NO_LEADER_WAIT_MS;
@@ -837,206 +763,6 @@
     return sp_grant(s, now_ms, request, upstream, turn, run_ms, wait_ms);
 }
 
-/* ---- turns: the gateway that sends -------------------------------------- */
-
-static SpTurn
-draw_turn(Sp *s)
-{
-    SpTurn turn = 0;
-    while (turn == 0) {
-        turn = bg_next_random(&s->rng);
-    }
-    return turn;
-}
-
-static bool
-is_waited_for(const Ticket *t, uint64_t now_ms)
-{
-    return t->used || now_ms < t->asked_ms + ANSWER_LIFETIME_MS;
-}
-
-static void
-forget_ticket(Sp *s, SpTurn turn)
-{
-    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    Suspect *x = t ? find(s, t->request) : NULL;
-    if (x && x->here == turn) {
-        x->here = 0;
-    }
-    g_hash_table_remove(s->tickets, &turn);
-}
-
-SpTurn
-sp_ask(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
-       uint32_t *wait_ms)
-{
-    Suspect *x = get_row(s, request);
-    const Ticket *t =
-        x->here ? g_hash_table_lookup(s->tickets, &x->here) : NULL;
-    *wait_ms = MIN_WAIT_MS;
-    if (t && is_waited_for(t, now_ms)) {
-        return 0;
-    }
-    if (now_ms < x->retry_ms) {
-        *wait_ms = get_time_left(x->retry_ms, now_ms);
-        return 0;
-    }
-    SpTurn turn = draw_turn(s);
-    Ticket *n = g_new0(Ticket, 1);
-    n->request = request;
-    n->upstream = g_strdup(upstream);
-    n->asked_ms = now_ms;
-    x->here = turn;
-    int64_t *key = g_new(int64_t, 1);
-    *key = (int64_t)turn;
-    g_hash_table_insert(s->tickets, key, n);
-    return turn;
-}
-
-bool
-sp_on_turn(Sp *s, uint64_t now_ms, SpTurn turn, bool granted, uint32_t wait_ms)
-{
-    Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    if (!t || t->used || !is_waited_for(t, now_ms)) {
-        return false;
-    }
-    if (granted) {
-        t->granted = true;
-        return true;
-    }
-    Suspect *x = find(s, t->request);
-    if (x) {
-        x->retry_ms = now_ms + wait_ms;
-    }
-    forget_ticket(s, turn);
-    return true;
-}
-
-SpTurnState
-sp_check(const Sp *s, uint64_t now_ms, SpTurn turn)
-{
-    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    if (!t || !is_waited_for(t, now_ms)) {
-        return SP_TURN_NONE;
-    }
-    return t->granted ? SP_TURN_GRANTED : SP_TURN_ASKED;
-}
-
-const char *
-sp_get_upstream(const Sp *s, SpTurn turn)
-{
-    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    return t ? t->upstream : NULL;
-}
-
-void
-sp_use(Sp *s, SpTurn turn)
-{
-    Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    if (t) {
-        t->used = true;
-    }
-}
-
-bool
-sp_release(Sp *s, SpTurn turn)
-{
-    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    bool granted = t && t->granted;
-    forget_ticket(s, turn);
-    return granted;
-}
-
-static void
-keep_left(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream)
-{
-    if (g_queue_get_length(&s->left) >= MAX_LEFT) {
-        free_left(g_queue_pop_head(&s->left));
-    }
-    Left *l = g_new0(Left, 1);
-    l->request = request;
-    l->upstream = g_strdup(upstream);
-    l->at_ms = now_ms;
-    g_queue_push_tail(&s->left, l);
-}
-
-/* A gateway that follows makes it a suspect at once; the leader counts, as
-   others may have reported the same end. */
-static void
-count_own(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
-          SpRole role, bool blamed)
-{
-    Suspect *x = get_row(s, request);
-    x->own = true;
-    if (role == SP_ALONE) {
-        on_end(s, now_ms, request, upstream, 0, blamed);
-    }
-    else if (role == SP_FOLLOWS && x->ends == 0) {
-        count_end(s, x, now_ms, false, false);
-    }
-}
-
-static bool
-clear_own(Sp *s, uint64_t now_ms, uint64_t request)
-{
-    Suspect *x = find(s, request);
-    if (!x || x->ends == 0) {
-        return false;
-    }
-    clear(s, x, now_ms);
-    return true;
-}
-
-bool
-sp_on_run(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
-          SpTurn turn, SpResult result, SpRole role)
-{
-    if (turn) {
-        forget_ticket(s, turn);
-    }
-    if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
-        count_own(s, now_ms, request, upstream, role, result == SP_RUN_BLAMED);
-        return true;
-    }
-    if (result == SP_RUN_LEFT) {
-        keep_left(s, now_ms, request, upstream);
-    }
-    if (role == SP_LEADS) {
-        return true;
-    }
-    if (result == SP_RUN_ANSWERED) {
-        return clear_own(s, now_ms, request);
-    }
-    if (turn) {
-        sp_on_result(s, now_ms, request, upstream, turn, result);
-    }
-    return turn != 0;
-}
-
-void
-sp_on_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
-                   void (*blame)(void *ctx, uint64_t request,
-                                 const char *upstream),
-                   void *ctx)
-{
-    (void)note_upstream_end(s, now_ms, upstream, 0);
-    GList *next;
-    for (GList *l = s->left.head; l; l = next) {
-        next = l->next;
-        Left *x = l->data;
-        bool old = now_ms > x->at_ms + SP_LEFT_MS;
-        bool here = strcmp(x->upstream, upstream) == 0;
-        if (!old && !here) {
-            continue;
-        }
-        g_queue_delete_link(&s->left, l);
-        if (!old) {
-            blame(ctx, x->request, upstream);
-        }
-        free_left(x);
-    }
-}
-
 /* ---- the lease record --------------------------------------------------- */
 
 /* The surest first, of these the ones that come most often. */
@@ -1069,7 +795,7 @@
         g_string_append_printf(out, "%s%llx.%u.%u.%u.%u", count ? "," : "",
                                (unsigned long long)x->request, x->ends,
                                x->solo_ends, x->late_runs,
-                               get_time_left(x->hold_until_ms, now_ms));
+                               sp_get_time_left(x->hold_until_ms, now_ms));
         count++;
     }
     g_list_free(rows);
