--- a/tests/test_fuzz_sp.py
+++ b/tests/test_fuzz_sp.py
@@ -95,6 +95,8 @@
 # Twenty deadly requests on two upstreams: twice a common one ran alone when a
 # request that had ended nothing before ended its upstream.
 TWO_FIRST_ENDS = 60280
+# Sends one deadly request four times after its third end.
+FOUR_LATE = 9111119
 
 
 @pytest.mark.parametrize("first", range(0, len(SEEDS), 15))
@@ -107,6 +109,10 @@
     assert check(build, TWO_FIRST_ENDS) is None
 
 
+def test_late_sends_stay_within_three(build):
+    assert check(build, FOUR_LATE) is None
+
+
 @pytest.mark.parametrize("policy, figure, bound", [
     ("count", "late", MAX_LATE), ("share", "late", MAX_LATE),
     ("together", "refused", 0)])
