--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -334,6 +334,9 @@
     }
     bg_count("gateway_doubtful_streams_total", 1);
     q->doubt_ms = now_ms;
+    if (q->rest) {
+        g_byte_array_unref(q->rest);
+    }
     q->rest = g_byte_array_ref(rest);
 }
 
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -10,7 +10,8 @@
 #define FIRST_URGENCY 3
 #define URGENCY_STEP 2
 #define LAST_URGENCY 9
-#define DIGEST_LEN 16 /* hexadecimal digits */
+#define STREAM_STATUS 200 /* any other answer is no stream */
+#define DIGEST_LEN 16     /* hexadecimal digits */
 
 void
 gw_add_count(GHashTable *counts, const char *key)
@@ -58,6 +59,8 @@
     bg_count("gateway_sends_total", q->sends + (q->ut != NULL));
     if (strcmp(outcome, "answered") == 0) {
         hist_add(q->gw->answer_us, (now_ms - q->arrival_ms) * 1000);
+    }
+    if (strcmp(outcome, "answered") == 0 && q->first_ms) {
         hist_add(q->gw->first_byte_us, (q->first_ms - q->arrival_ms) * 1000);
     }
 }
@@ -265,7 +268,7 @@
 void
 gw_finish_doubtful(Req *q, const char *why)
 {
-    gw_log_end(q, "answered", q->status, why);
+    gw_log_end(q, "answered", STREAM_STATUS, why);
     gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
     HtExchange *x = q->x;
     ht_write_answer(x, (const char *)q->rest->data, q->rest->len);
