Revert: sp forgives one solo end beside another request's first end

A common request refused for 13.5 or 16.1 s instead of 12 s is the smaller harm: the users' rule on sends goes first. A way that keeps both has to tell the two apart later: once the request that shared the end is stopped itself, that end is explained.

--- a/src/suspects.c
+++ b/src/suspects.c
@@ -239,7 +239,6 @@
 {
     set_ends(s, x, 0);
     x->solo_ends = 0;
-    x->shared = false;
     x->late_runs = 0;
     x->hold_until_ms = 0;
     x->third_ms = 0;
@@ -324,9 +323,7 @@
     if (sure && x->late_runs >= SP_LATE_RUNS) {
         return SP_BLOCK_MS;
     }
-    /* One end may have been a first one of another request. */
-    uint32_t own_ends = x->solo_ends - (x->shared && x->solo_ends > 1);
-    return sure ? stop_ms[MIN(own_ends, SP_LATE_RUNS) - 1]
+    return sure ? stop_ms[MIN(x->solo_ends, SP_LATE_RUNS) - 1]
                 : unsure_stop_ms[MIN(x->late_runs, UNSURE_STOPS - 1)];
 }
 
@@ -422,22 +419,6 @@
     return true;
 }
 
-/* A request that was no suspect ran there as well, and may have ended it
-   instead of the one that ran in a solo turn. */
-static void
-note_first(Sp *s, UpstreamEnd *e)
-{
-    Suspect *blamed =
-        !e->shared && e->blamed ? sp_find_row(s, e->blamed) : NULL;
-    e->shared = true;
-    if (blamed && blamed->solo_ends > 0) {
-        blamed->shared = true;
-        blamed->hold_until_ms =
-            MIN(blamed->hold_until_ms, blamed->last_ms + get_stop_ms(blamed));
-        note_changed(s, blamed);
-    }
-}
-
 /* ---- turns: the leader -------------------------------------------------- */
 
 void
@@ -460,7 +441,6 @@
 {
     UpstreamEnd *e = sp_note_upstream_end(s, now_ms, t->upstream, t->since_ms);
     bool sure = t->solo && e->blamed != x->request && take_blame(e, x);
-    x->shared = x->shared || (sure && e->shared);
     if (broke && !t->solo) {
         note_beside(s, e, x);
     }
@@ -648,9 +628,6 @@
     if (x->ends >= SP_SOLO_ENDS) {
         note_beside(s, e, x);
     }
-    else if (x->ends == 0) {
-        note_first(s, e);
-    }
     note_seen(x, now_ms, upstream);
     sp_count_end(s, x, now_ms, false, false);
 }
--- a/src/suspects_internal.h
+++ b/src/suspects_internal.h
@@ -29,7 +29,6 @@
     uint64_t used_ms; /* last end, or request for a turn */
     uint32_t asked;   /* turns: one that comes again and again has many */
     uint64_t third_ms;
-    bool shared;  /* a solo end may have been the first one of another */
     bool own;     /* an end was seen here */
     bool changed; /* not yet published */
     Turn turn;    /* the leader's, or a gateway's that is alone */
@@ -64,7 +63,6 @@
     uint64_t at_ms;
     uint64_t blamed; /* the suspect that ran there in a solo turn; 0: none */
     uint64_t beside; /* another suspect that ran there; 0: none */
-    bool shared;     /* also by requests that were no suspects before */
 } UpstreamEnd;
 
 struct Sp {
