test_operator_lifts_a_stop waits for the log line that it reads

Traced: it waits until /suspects has "stopped_ms", which each row has, also one that is not stopped, and then reads a log line that the leader writes at the third end, by its log thread.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -102,6 +102,7 @@
             a.deadly = b"nothing"
         g = c.gateways[2]
         wait_until(lambda: "stopped_ms" in control(g, "GET", "/suspects")[1])
+        wait_until(lambda: events(c, "stopped"))
         request = events(c, "stopped")[0]["request"]
         assert ask(g, "read", body=DEADLY)[0] == 503
         assert control(g, "GET", "/suspects/lift/" + request)[0] == 405
