--- a/tests/test_answer_bounds.py
+++ b/tests/test_answer_bounds.py
@@ -9,7 +9,7 @@
 
 from cluster import wait_until
 from platform_cluster import Cluster, ask
-from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSED, LENGTH, RESET,
+from raw_answers import (AS_FRAMED, BARE, CHUNKS, CLOSE, CLOSED, LENGTH, RESET,
                          RawAnswer, event)
 
 MODELS = (("m0",), ("m0",))
@@ -162,10 +162,25 @@
     assert (body, orderly) == (text.encode(), True)
 
 
-@pytest.mark.parametrize("end", [CLOSED, RESET])
-def test_caller_of_http_1_0_sees_a_broken_stream(cluster, end):
-    set_answer(cluster, RawAnswer(CHUNKS, end, lambda _first: event(0)))
+# Broken in each framing, behind an event and inside one.
+@pytest.mark.parametrize("framing, end", [
+    (LENGTH, CLOSED), (LENGTH, RESET), (CHUNKS, CLOSED), (CHUNKS, RESET),
+    (CLOSE, RESET), (BARE, RESET)])
+@pytest.mark.parametrize("body", [event(0), event(0) + "id: 1\nda"])
+def test_caller_of_http_1_0_sees_a_broken_stream(cluster, framing, end, body):
+    set_answer(cluster, RawAnswer(framing, end, lambda _first: body))
     with connect(cluster.gateways[0], version="1.0") as s:
         _, orderly = read_all(s)
     set_answer(cluster, None)
     assert not orderly
+
+
+@pytest.mark.parametrize("framing, end", [
+    (LENGTH, AS_FRAMED), (CHUNKS, AS_FRAMED), (CLOSE, CLOSED), (BARE, CLOSED)])
+def test_caller_of_http_1_0_sees_half_an_event(cluster, framing, end):
+    set_answer(cluster, RawAnswer(framing, end,
+                                  lambda _first: event(0) + "id: 1\nda"))
+    with connect(cluster.gateways[0], version="1.0") as s:
+        data, orderly = read_all(s)
+    set_answer(cluster, None)
+    assert not orderly and b"id: 1" not in data
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -140,6 +140,93 @@
         True))
 
 
+# Ends that break an answer wherever they come.
+BREAKS = [(LENGTH, CLOSED), (LENGTH, RESET), (CHUNKS, CLOSED), (CHUNKS, RESET),
+          (CLOSE, RESET), (BARE, RESET)]
+
+
+def run_breaks(c, gateway, before, check):
+    """Streams that break off behind BEFORE whole events, and no further."""
+    faults = []
+    for framing, end in BREAKS:
+        for route in ("sum", "chat"):
+            set_answer(c, RawAnswer(framing, end, lambda first: "".join(
+                event(i) for i in range(first, first + before)), times=1))
+            fault = check(route, ask_new(gateway, route))
+            if fault:
+                faults.append(((framing, end, route), fault))
+    set_answer(c, None)
+    report(faults)
+
+
+def check_between(route, answer):
+    shown = whole(0) if route == "chat" else "".join(
+        event(i) for i in range(BEFORE))
+    return find_fault(answer, shown, route == "chat")
+
+
+def check_before_first(route, answer):
+    if route == "chat":
+        return find_fault(answer, whole(0), True)
+    return None if (answer[0], answer[2]) == (502, b"") else repr(answer)
+
+
+@pytest.mark.parametrize("before, check", [(BEFORE, check_between),
+                                           (0, check_before_first)],
+                         ids=["between-events", "before-the-first"])
+def test_stream_that_breaks_off_outside_an_event(cluster, before, check):
+    run_breaks(cluster, cluster.gateways[0], before, check)
+
+
+@pytest.mark.parametrize("before, check", [(BEFORE, check_between),
+                                           (0, check_before_first)],
+                         ids=["between-events", "before-the-first"])
+def test_stream_that_breaks_off_outside_an_event_by_detour(detour, before,
+                                                           check):
+    c, cut = detour
+    run_breaks(c, cut, before, check)
+
+
+# Resumable: the first run ends inside its first event.
+def test_stream_that_ends_inside_its_first_event_is_asked_again(cluster,
+                                                                detour):
+    faults = []
+    for c, gateway in ((cluster, cluster.gateways[0]), detour):
+        for framing in FRAMINGS:
+            for end in ends_of(framing):
+                for place in INSIDE:
+                    set_answer(c, RawAnswer(framing, end, cut_in(place, 0),
+                                            times=1))
+                    fault = find_fault(ask_new(gateway, "chat"), whole(0),
+                                       True)
+                    if fault:
+                        faults.append(((framing, end, place), fault))
+        set_answer(c, None)
+    report(faults)
+
+
+def test_whole_answers_arrive_whole_by_detour(detour):
+    c, cut = detour
+    faults = []
+    for framing in FRAMINGS:
+        end = AS_FRAMED if framing in (LENGTH, CHUNKS) else CLOSED
+        for route, body in (("chat", whole(0)), ("sum", whole(0)),
+                            ("sum", ""), ("read", "text"), ("read", "")):
+            raw = RawAnswer(framing, end, lambda _first, text=body: text,
+                            content_type="text/event-stream" if route != "read"
+                            else "text/plain")
+            for u in c.engines + c.apps:
+                u.on_request = raw
+            fault = find_fault(ask_new(cut, route, None if route == "read"
+                                       else "m0"), body, True)
+            if fault or len(raw.resumed_at) != 1:
+                faults.append(((framing, route, body),
+                               fault or "%d runs" % len(raw.resumed_at)))
+    for u in c.engines + c.apps:
+        u.on_request = None
+    report(faults)
+
+
 # The logs said "answered", and nothing of how the end was known.
 def test_explain_tells_how_an_end_was_known(build, cluster):
     gateway = cluster.gateways[0]
