What the gateway reads itself: a broken answer is logged with its call, and counted

The log named a status and a number of bytes, not what was read, and no metric counted it. test_half_a_list_is_read_again: a store that answers half a list without a length leaves a starting gateway not ready; the list is read again.

--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -2,10 +2,10 @@
 
    The one place that decides this, for answers that go to callers and for
    those that the gateway reads itself.  Three things count: how the answer
-   marks its end, what the connection told of it, and what the bytes mean.  An
-   answer without length and chunks ends with its connection, so only the bytes
-   can show that it was broken off: a stream that ends inside an event, a
-   document that ends halfway.
+   marks its end, how its connection ended, and what the bytes mean.  An answer
+   without length and chunks ends with its connection, so only the bytes can
+   show that it was broken off: a stream that ends inside an event, a document
+   that ends halfway.
 
    Collects the body, or takes an event stream apart, within bounds.
 
@@ -27,11 +27,11 @@
     AE_BY_CLOSE /* it ends with its connection */
 } AeFraming;
 
-/* What the connection told last. */
+/* The last event of its connection. */
 typedef enum {
     AE_MESSAGE_OVER, /* all that the framing announced came */
-    AE_CLOSED,       /* it ended in order before that */
-    AE_FAILED,       /* it was reset, or lost by a helper */
+    AE_CLOSED,       /* it was closed in order before that */
+    AE_FAILED,       /* it was reset, or its helper was lost */
     AE_INVALID       /* what came is no HTTP */
 } AeSignal;
 
--- a/src/http_fetch.c
+++ b/src/http_fetch.c
@@ -11,14 +11,16 @@
     struct ev_loop *loop;
     HtReplyFn done;
     void *ctx;
+    char *target; /* for the log */
     uint16_t status;
 } Fetch;
 
 static void
 log_broken(const Fetch *f, AeEnd end, const GByteArray *body)
 {
-    bg_log(BG_WARN, "http", "answer with status %u, %u bytes: %s", f->status,
-           body->len, ae_name_end(end));
+    bg_log(BG_WARN, "http", "%s: answer with status %u, %u bytes: %s",
+           f->target, f->status, body->len, ae_name_end(end));
+    bg_count("gateway_reads_broken_total", 1);
 }
 
 static void
@@ -27,6 +29,7 @@
     ev_timer_stop(f->loop, &f->timer);
     HtReply reply = {end, f->status, body};
     f->done(f->ctx, &reply);
+    g_free(f->target);
     g_free(f);
 }
 
@@ -96,6 +99,7 @@
     f->loop = p->loop;
     f->done = done;
     f->ctx = ctx;
+    f->target = g_strdup(req->target);
     HtRequest call = {.address = req->address,
                       .way = req->way,
                       .fresh = req->fresh,
