A leader that stops while its renewal is under way doesn't use freed links

Seen once: heap-use-after-free in lk_count_peers of a gateway that stopped, in test_ended_upstreams or a test beside it under the address sanitizer. The pool is destroyed after the links, and the calls it ends then may send on links; the other way round a link that closes may start a call. Links are now closed first (lk_close), and freed after the pool.

--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -675,8 +675,11 @@
     if (g->control) {
         ht_destroy_server(g->control);
     }
-    lk_destroy(g->links);
+    /* A link that closes may start a call, and a call that ends may send on
+       links. */
+    lk_close(g->links);
     ht_destroy_pool(g->pool);
+    lk_destroy(g->links);
     gn_destroy_detours(g);
     st_destroy_watch(g->config_watch);
     st_destroy_watch(g->upstream_watch);
--- a/src/tcp_links.c
+++ b/src/tcp_links.c
@@ -278,7 +278,7 @@
 }
 
 void
-lk_destroy(Lk *l)
+lk_close(Lk *l)
 {
     ev_io_stop(l->loop, &l->accept_watch);
     close(l->fd);
@@ -287,6 +287,12 @@
     while ((p = g_queue_peek_head(&l->peers))) {
         close_peer(p);
     }
+}
+
+void
+lk_destroy(Lk *l)
+{
+    g_free(l->target);
     g_free(l);
 }
 
--- a/src/tcp_links.h
+++ b/src/tcp_links.h
@@ -35,6 +35,9 @@
 
 Lk *lk_create(struct ev_loop *loop, const char *listen_address,
               const LkHandler *handler, GError **err);
+/* Closes all links, through the handler.  What is sent later is dropped. */
+void lk_close(Lk *l);
+/* After lk_close. */
 void lk_destroy(Lk *l);
 
 /* Link to the gateway at ADDRESS, and again whenever that link ends; NULL: to
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -473,6 +473,18 @@
         assert not other.dump()["linked"]
 
 
+# A leader that stopped while its renewal was under way used its links after they
+# were freed (seen by the address sanitizer).
+def test_leader_stops_while_its_renewal_is_under_way(build):
+    with Cluster(build, store_proxies=True,
+                 extra="[gateway]\nprefetch = false\n") as c:
+        g = c.leader()
+        c.store_proxies[0].delay_s = 0.4
+        time.sleep(1)
+        g.send(signal.SIGTERM)
+        assert g.proc.wait(10) == 0
+
+
 def test_unknown_service_has_no_upstream(build):
     with Cluster(build) as c:
         c.store.put_config(config(30, [route("lone", "nobody",
