An answer to HEAD has no body, whatever its head says

Callers of HEAD got 504 at their deadline where the upstream's head named a length or chunks: the parser waited for a body. The gateway's own answers to HEAD (404 and others) had a body, which the caller takes for the begin of its next answer. Also: a test that ends one by one cost no connection; a help text that said the opposite; some comments; the stand-ins no longer print a trace for each call that a gateway gives up.

--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -53,8 +53,8 @@
 } AeEnd;
 
 bool ae_is_whole(AeEnd end);
-/* The upstream's connection broke, and perhaps its process with it.  The other
-   ends are no sign of that. */
+/* The connection broke, or carried no HTTP: the upstream's process may have
+   ended.  The other ends are no sign of that. */
 bool ae_is_break(AeEnd end);
 /* For logs. */
 const char *ae_name_end(AeEnd end);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -186,6 +186,21 @@
     w->keep_ms = ms > 0 ? (uint32_t)ms : 0;
 }
 
+/* Values that the parser expects of on_headers_complete. */
+#define PARSER_GO_ON 0
+#define PARSER_NO_BODY 1
+#define PARSER_STOP (-1)
+
+/* Its answer has no body, whatever its head says. */
+static bool
+is_head_request(const HtCall *call)
+{
+    static const char method[] = "HEAD ";
+    size_t len = strlen(method);
+    return call->request->len > len &&
+           memcmp(call->request->data, method, len) == 0;
+}
+
 static int
 on_answer_head(http_parser *p)
 {
@@ -194,17 +209,20 @@
     w->skipped = p->status_code / 100 == 1 || is_for_other_call(w);
     if (w->skipped) {
         w->reusable = w->reusable && p->status_code / 100 == 1;
-        return 0;
+        return PARSER_GO_ON;
     }
+    bool no_body = is_head_request(w->call);
     read_keep_alive(w);
     AeHead head = {.status = w->msg.head.status,
-                   .framing = w->msg.head.framing,
+                   .framing = no_body ? AE_NO_BODY : w->msg.head.framing,
                    .type = ht_find_header(&w->msg.head, "Content-Type"),
                    .encoding =
                        ht_find_header(&w->msg.head, "Content-Encoding")};
     ae_on_head(w->call->answer, &head);
     w->call->handler.on_head(w->call->handler.ctx, w->call, &w->msg.head);
-    return w->cancelled ? -1 : 0;
+    return w->cancelled ? PARSER_STOP
+           : no_body    ? PARSER_NO_BODY
+                        : PARSER_GO_ON;
 }
 
 /* False: the call was cancelled, or its answer is too large. */
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -77,7 +77,7 @@
     GHashTable *bursts; /* address -> Burst of http_pool.c */
 };
 
-/* Between the ends of two connections of a process that ends. */
+/* The most between the ends of two connections of a process that ends. */
 #define HT_END_MS 5
 #define HT_BURST_MS (4 * HT_END_MS) /* for so long it is remembered */
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -25,6 +25,7 @@
     bool chunked;      /* the answer is sent in chunks */
     bool reads_chunks; /* the client does */
     bool until_close;  /* the answer ends with the connection */
+    bool no_body;      /* of the answer, as the method is HEAD */
 };
 
 struct HtConn {
@@ -467,8 +468,9 @@
                 int64_t length)
 {
     HtConn *c = x->conn;
-    x->chunked = length < 0 && x->reads_chunks;
-    x->until_close = length < 0 && !x->reads_chunks;
+    x->no_body = g_strcmp0(x->msg.head.method, "HEAD") == 0;
+    x->chunked = length < 0 && x->reads_chunks && !x->no_body;
+    x->until_close = length < 0 && !x->reads_chunks && !x->no_body;
     c->close_after = c->close_after || x->until_close;
     g_autoptr(GString) head = g_string_new(NULL);
     g_string_append_printf(head, "HTTP/1.1 %u %s\r\n%s", status,
@@ -476,7 +478,7 @@
     if (x->chunked) {
         g_string_append(head, "Transfer-Encoding: chunked\r\n");
     }
-    else if (!x->until_close) {
+    else if (!x->until_close && !x->no_body) {
         g_string_append_printf(head, "Content-Length: %lld\r\n",
                                (long long)length);
     }
@@ -497,6 +499,10 @@
 ht_write_answer(HtExchange *x, const char *data, size_t len)
 {
     HtConn *c = x->conn;
+    if (x->no_body) {
+        schedule_flush(c);
+        return;
+    }
     if (len > 0 && x->chunked) {
         char line[24];
         int n = snprintf(line, sizeof(line), "%zx\r\n", len);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -119,7 +119,7 @@
     {"answers", "max_body_kb", INI_INT, false, "16384", 1, 1048576, NULL,
      "an upstream's larger answer, other than a stream, is refused (502)"},
     {"answers", "max_unsent_kb", INI_INT, false, "256", 1, 1048576, NULL,
-     "an upstream's stream is read on when its caller took all but this"},
+     "of a stream that its caller has not taken; beyond it no more is read"},
     {NULL, NULL, INI_TEXT, false, NULL, 0, 0, NULL, NULL}};
 
 const char *
--- a/tests/raw_answers.py
+++ b/tests/raw_answers.py
@@ -70,6 +70,9 @@
         first = int(last) + 1 if last.isdigit() else 0
         body = self.body(first).encode()
         h.wfile.write(self.head(engine, rid, len(body)))
+        if h.command == "HEAD":
+            h.close_connection = self.framing in (CLOSE, BARE)
+            return True
         for piece in self.cut(body):
             h.wfile.write(piece)
             h.wfile.flush()
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -21,7 +21,9 @@
         super().__init__(*args)
 
     def handle_error(self, request, client_address):
-        if not self.ended:
+        # A gateway resets the connection of a call that it gives up.
+        given_up = isinstance(sys.exc_info()[1], ConnectionError)
+        if not self.ended and not given_up:
             super().handle_error(request, client_address)
 
     def note_open(self, connection):
@@ -78,7 +80,7 @@
         except (BrokenPipeError, ConnectionResetError):
             self.close_connection = True
 
-    do_GET = do_POST = do_PUT = do_DELETE = _run
+    do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = _run
 
     def _send_headers(self, headers):
         """HEADERS: name -> value, or a list of values."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import re
+import socket
 import subprocess
 
 import pytest
@@ -227,6 +228,33 @@
     report(faults)
 
 
+# An answer to HEAD was waited for until the deadline, as if its body came; and
+# the gateway's own had one, which the caller took for the next answer.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_answer_to_head_has_no_body(cluster, framing):
+    end = AS_FRAMED if framing in (LENGTH, CHUNKS) else CLOSED
+    raw = RawAnswer(framing, end, lambda _first: "text",
+                    content_type="text/plain")
+    for u in cluster.engines + cluster.apps:
+        u.on_request = raw
+    gateway = cluster.gateways[0]
+    c = http.client.HTTPConnection("127.0.0.1", gateway.front, timeout=10)
+    got = []
+    for route, model in (("read", None), ("chat", "m0")):
+        got.append(ask(gateway, route, model, method="HEAD", body=None,
+                       conn=c, deadline_ms=1500)[::2])
+    for u in cluster.engines + cluster.apps:
+        u.on_request = None
+    got.append(ask(gateway, "read", conn=c)[0])
+    c.close()
+    assert got == [(200, b""), (200, b""), 200]
+    with socket.create_connection(("127.0.0.1", gateway.front), 10) as s:
+        s.sendall(b"HEAD /none HTTP/1.1\r\nHost: x\r\n"
+                  b"Connection: close\r\n\r\n")
+        data = b"".join(iter(lambda: s.recv(1000), b""))
+    assert data.startswith(b"HTTP/1.1 404 ") and data.endswith(b"\r\n\r\n")
+
+
 # The logs said "answered", and nothing of how the end was known.
 def test_explain_tells_how_an_end_was_known(build, cluster):
     gateway = cluster.gateways[0]
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -128,3 +128,28 @@
         assert whole in [a[2] for a in answers]
         assert not any(a[2].startswith(b"INCOMPLETE") for a in answers)
         assert time.monotonic() - began < MAX_END_S
+
+
+# An end that no other one is near opens no connection to the upstream.
+def test_ends_one_by_one_cost_no_connection(build):
+    with Cluster(build, models=(("m0",),)) as c:
+        server, opened = c.engines[0].server, []
+        accept = server.get_request
+
+        def count():
+            opened.append(1)
+            return accept()
+        server.get_request = count
+        # One of them is under way all the time.
+        set_answer(c, Stream(0.1))
+        answers, threads = run_streams(c.gateways[0], 1)
+        time.sleep(0.1)
+        set_answer(c, Stream(0.001))
+        before = len(opened)
+        for i in range(20):
+            assert ask(c.gateways[0], "chat", "m0", b"one %d" % i)[0] == 200
+            time.sleep(0.02)
+        assert len(opened) - before == 20
+        for t in threads:
+            t.join()
+        assert answers[0][0] == 200
