Tests of streams over two software versions, red: known red until the fix

What callers see: a stream that is broken off goes on at an upstream of another software version, in the same answer or when its caller takes it up.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -195,7 +195,7 @@
     """
 
     def __init__(self, port, store, name, service="llm", models=None,
-                 zone="z1"):
+                 zone="z1", version="v1"):
         self.store, self.name, self.service, self.zone = (store, name,
                                                           service, zone)
         self.models = None if models is None else {m: set() for m in models}
@@ -207,6 +207,12 @@
         self.entries_published = 0
         self.busy = False       # a load is running
         self.born = int(time.time() * 1000)
+        self.version = version  # of its software
+        self.next_version = None   # of its next process; None: the same
+        self.entry_late_s = 0.0    # entry of that process, after its start
+        # Its events name the version that made them.
+        self.names_version = False
+        self.reports = 0        # times it was asked for a report
         self.state = "ready"
         # "memory" or "adapters" once an order exceeded that limit.
         self.overcommitted = None
@@ -242,6 +248,7 @@
         self.rest_s = 0.03
         self.ended_s = 0.3
         self.new_id = False
+        self.keeps_models = False   # they are loaded again before it listens
         self.events_before_end = 0   # of a stream, sent before it ends
         self.answer_before_end = None   # as on_request, sent before it ends
         self.deadly_arrivals = []    # times
@@ -253,7 +260,7 @@
 
     def entry(self):
         doc = {"service": self.service, "address": self.address,
-               "zone": self.zone, "version": "v1", "slots": 8,
+               "zone": self.zone, "version": self.version, "slots": 8,
                "state": self.state, "cold_left_ms": 0, "phase": "both",
                "sequence": self.entries_published, "born": self.born}
         if self.models is not None:
@@ -284,6 +291,7 @@
         if expected and expected != self.name:
             h.reply(421, {}, self.add_limit({"X-Instance-Id": self.name}))
         elif path == "/report":
+            self.reports += 1
             h.reply(200, dict(self.entry(), sequence=self.sequence,
                               busy=self.busy, queued=0, active=0, coming=[]))
         elif path == "/order":
@@ -393,11 +401,13 @@
             self.leave()
             self.name += "+"
         self.born = int(time.time() * 1000)
+        self.version = self.next_version or self.version
         self.sequence = 0
         self.busy = False
-        self.models = None if self.models is None else {}
+        if not self.keeps_models:
+            self.models = None if self.models is None else {}
         self.listen()
-        self.publish_entry()
+        threading.Timer(self.entry_late_s, self.publish_entry).start()
 
     def run_deadly(self, h, rid, wanted, body):
         self.deadly_arrivals.append(time.monotonic())
@@ -440,7 +450,8 @@
                         h.send_chunk("id: %d\ndata: half" % i)
                     h.close_connection = True
                     return
-                h.send_chunk("id: %d\ndata: event %d\n\n" % (i, i))
+                h.send_chunk("id: %d\ndata: event %d%s\n\n" % (
+                    i, i, " of " + self.version if self.names_version else ""))
                 time.sleep(self.event_s)
             h.end_stream()
         except OSError:
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -186,20 +186,22 @@
     first_config: the store holds a configuration, and all gateways are ready
     on return.
     extra: text added to the gateways' settings.
+    versions: of the engines' software; empty: all the same.
     paths: each gateway reaches each upstream through a relay of their own;
     cut() and heal() change it (see path_relay).
     """
 
     def __init__(self, build, gateways=1, models=(("m0",), ("m1",)),
                  first_config=True, store_proxies=False, extra="", apps=2,
-                 link_proxies=False, paths=False):
+                 link_proxies=False, paths=False, versions=()):
         self.store = Store(free_port())
         if first_config:
             self.store.put_config(config(3))
         self.apps = [Engine(free_port(), self.store, "a%d" % i, "app")
                      for i in range(apps)]
         self.engines = [Engine(free_port(), self.store, "e%d" % i,
-                               models=loaded)
+                               models=loaded,
+                               version=versions[i] if versions else "v1")
                         for i, loaded in enumerate(models)]
         for e in self.engines:
             e.sizes = {"m0": 30001, "m1": 30001, "m2": 30001}
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,252 @@
+"""A stream goes on only at the software version that began it."""
+
+import threading
+import time
+
+import pytest
+
+from cluster import free_port, wait_until
+from fake_platform import Engine
+from platform_cluster import Cluster
+from stream_callers import (Stream, begin_streams, check_streams, run_all,
+                            take_up_all)
+
+STREAMS = 24
+# A stream of 14 events takes 0.7 s.
+EVENTS, EVENT_S = 14, 0.05
+
+
+class Breaks:
+    """The first run of each stream ends after EVENTS, without its end."""
+
+    def __init__(self, events=4):
+        self.events = events
+        self.seen = set()
+        self.lock = threading.Lock()
+
+    def __call__(self, engine, h, rid):
+        with self.lock:
+            first = rid not in self.seen
+            self.seen.add(rid)
+        if first:
+            engine.stream(h, rid, stop_after=self.events)
+        return first
+
+
+def prepare(c):
+    for e in c.engines:
+        e.names_version = True
+        e.events, e.event_s = EVENTS, EVENT_S
+        e.on_request = None
+
+
+def wait_settled(c):
+    """The version of each new stream can be told later."""
+    def settled():
+        dumps = [g.dump() for g in c.gateways if g.proc.poll() is None]
+        return all(d.get("versions_settled", True) for d in dumps)
+    wait_until(settled, 40, what="settled versions")
+
+
+def add_engine(c, name, version, model="m0"):
+    c.engines.append(Engine(free_port(), c.store, name, models=(model,),
+                            version=version))
+    prepare(c)
+
+
+@pytest.fixture(name="mixed")
+def fixture_mixed(shared):
+    """Three gateways, before three engines of v1 and three of v2."""
+    prepare(shared)
+    for g in shared.gateways:
+        if g.proc.poll() is not None:
+            g.start()
+    wait_until(lambda: all(g.is_ready() for g in shared.gateways),
+               what="readiness")
+    shared.leader()
+    wait_until(shared.all_linked, what="links")
+    wait_settled(shared)
+    return shared
+
+
+@pytest.fixture(name="shared", scope="module")
+def fixture_shared(build):
+    with Cluster(build, gateways=3, models=(("m0",),) * 6, paths=True,
+                 versions=("v1",) * 3 + ("v2",) * 3) as c:
+        c.leader()
+        yield c
+
+
+def followers(c):
+    leader = c.leader()
+    return [g for g in c.gateways if g is not leader]
+
+
+# A gateway went on with a broken stream at an upstream of another version.
+def test_gateway_goes_on_at_the_version_that_began(mixed):
+    breaks = Breaks()
+    for e in mixed.engines:
+        e.on_request = breaks
+    streams = [Stream() for _ in range(STREAMS)]
+
+    def run(i):
+        if streams[i].open(mixed.gateways[i % 3]):
+            streams[i].read()
+    run_all(STREAMS, run)
+    check_streams(streams)
+    assert {v for s in streams for v in s.versions()} == {"v1", "v2"}
+
+
+# A caller that came back got the rest of its stream from another version.
+def test_caller_goes_on_at_the_same_gateway(mixed):
+    streams = begin_streams(STREAMS, lambda i: mixed.gateways[i % 3])
+    take_up_all(streams, lambda i: mixed.gateways[i % 3])
+    check_streams(streams)
+
+
+def test_caller_goes_on_at_another_gateway(mixed):
+    streams = begin_streams(STREAMS, lambda i: mixed.gateways[i % 3])
+    take_up_all(streams, lambda i: mixed.gateways[(i + 1) % 3])
+    check_streams(streams)
+
+
+def test_caller_goes_on_twice(mixed):
+    streams = begin_streams(STREAMS, lambda i: mixed.gateways[i % 3])
+
+    def again(i):
+        streams[i].close()
+        if streams[i].open(mixed.gateways[(i + 1) % 3]):
+            streams[i].read(6)
+    run_all(STREAMS, again)
+    take_up_all(streams, lambda i: mixed.gateways[(i + 2) % 3])
+    check_streams(streams)
+
+
+def test_caller_goes_on_at_a_gateway_cut_from_all_engines(mixed):
+    g = followers(mixed)[0]
+    streams = begin_streams(STREAMS, lambda i: mixed.leader())
+    mixed.cut([g], "reset")
+    try:
+        take_up_all(streams, lambda i: g, tries=2)
+    finally:
+        mixed.heal([g])
+    check_streams(streams)
+
+
+def kill(*gateways):
+    for g in gateways:
+        g.proc.kill()
+        g.proc.wait()
+
+
+def test_caller_goes_on_after_its_gateway_was_killed(mixed):
+    dead, other = followers(mixed)
+    streams = begin_streams(STREAMS, lambda i: dead)
+    kill(dead)
+    take_up_all(streams, lambda i: other)
+    check_streams(streams)
+
+
+def test_caller_goes_on_after_the_leader_was_killed(mixed):
+    leader, others = mixed.leader(), followers(mixed)
+    streams = begin_streams(STREAMS, lambda i: leader)
+    kill(leader)
+    take_up_all(streams, lambda i: others[i % 2], tries=3)
+    check_streams(streams)
+
+
+def test_caller_goes_on_after_all_gateways_were_killed(mixed):
+    streams = begin_streams(STREAMS, lambda i: mixed.gateways[i % 3])
+    kill(*mixed.gateways)
+    for g in mixed.gateways:
+        g.start()
+    wait_until(lambda: all(g.is_ready() for g in mixed.gateways),
+               what="readiness")
+    take_up_all(streams, lambda i: mixed.gateways[(i + 1) % 3], tries=4)
+    check_streams(streams)
+
+
+# An upstream was back under its id at another version before its entry said
+# so, and streams of both were joined.
+def test_upstream_is_back_at_another_version_before_its_entry(mixed):
+    e = mixed.engines[0]
+    streams = begin_streams(STREAMS, lambda i: mixed.gateways[i % 3])
+    former = e.version
+    e.keeps_models, e.ended_s, e.entry_late_s = True, 0.05, 1.5
+    e.next_version = "v2"
+    e.end()
+    time.sleep(0.1)
+    try:
+        late = [Stream() for _ in range(STREAMS)]
+
+        def run(i):
+            if late[i].open(mixed.gateways[i % 3]):
+                late[i].read(3)
+        run_all(STREAMS, run)
+        late = [s for s in late if s.events()]
+        take_up_all(streams + late, lambda i: mixed.gateways[(i + 1) % 3])
+        check_streams(streams + late, share=0)
+        assert len(late) > STREAMS / 2
+    finally:
+        time.sleep(1.5)
+        e.next_version, e.ended_s, e.entry_late_s = former, 0.05, 0.0
+        e.end()
+        wait_until(lambda: e.version == former and not e.server.ended,
+                   what="the former version")
+        e.keeps_models = False
+
+
+# While all upstreams had one version, streams were refused or asked about.
+def test_one_version_costs_nothing(build):
+    with Cluster(build, gateways=3, models=(("m0",),) * 3) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        begin_streams(STREAMS, lambda i: c.gateways[i % 3])
+        asked = [e.reports for e in c.engines]
+        calls = dict(c.store.call_counts)
+        streams = begin_streams(STREAMS, lambda i: c.gateways[i % 3])
+        take_up_all(streams, lambda i: c.gateways[(i + 1) % 3])
+        check_streams(streams, share=1)
+        assert [e.reports for e in c.engines] == asked
+        known = ("owner", "mail", "keyed.op", "keyed.servers")
+        assert {k: n for k, n in c.store.call_counts.items()
+                if not any(x in k for x in known)
+                and n != calls.get(k)} == {}
+
+
+# While upstreams changed their version one after another, streams went on at
+# the next one.
+def test_upstreams_change_version_one_after_another(build):
+    with Cluster(build, gateways=3, models=(("m0",),) * 4) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        done = threading.Event()
+        streams = []
+
+        def call(k):
+            i = k
+            while not done.is_set():
+                s = Stream()
+                if s.open(c.gateways[i % 3]):
+                    s.read(3)
+                    streams.append(s)
+                    s.take_up(c.gateways[(i + 1) % 3])
+                i += 1
+        threads = [threading.Thread(target=call, args=(k,)) for k in range(6)]
+        for t in threads:
+            t.start()
+        for old in c.engines[:4]:
+            add_engine(c, "n" + old.name, "v2")
+            time.sleep(0.5)
+            old.drain()
+            time.sleep(1.2)
+            old.leave()
+        done.set()
+        for t in threads:
+            t.join()
+        began = [s for s in streams if s.events()]
+        check_streams(began, share=0)
+        assert len(began) > 50
+        assert {v for s in began for v in s.versions()} == {"v1", "v2"}
