Observability: the version of upstreams and what a caller resumes are read and logged

The lines of the incident couldn't tell the three hypotheses apart: none named the software version of an upstream, nor the attempt that a caller takes up. An entry that changes its version is another process.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1852,6 +1852,141 @@
   assert(message->base.descriptor == &gwp__slot_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__version_shares__init
+                     (Gwp__VersionShares         *message)
+{
+  static const Gwp__VersionShares init_value = GWP__VERSION_SHARES__INIT;
+  *message = init_value;
+}
+size_t gwp__version_shares__get_packed_size
+                     (const Gwp__VersionShares *message)
+{
+  assert(message->base.descriptor == &gwp__version_shares__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__version_shares__pack
+                     (const Gwp__VersionShares *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__version_shares__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__version_shares__pack_to_buffer
+                     (const Gwp__VersionShares *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__version_shares__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__VersionShares *
+       gwp__version_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__VersionShares *)
+     protobuf_c_message_unpack (&gwp__version_shares__descriptor,
+                                allocator, len, data);
+}
+void   gwp__version_shares__free_unpacked
+                     (Gwp__VersionShares *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__version_shares__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__service_versions__init
+                     (Gwp__ServiceVersions         *message)
+{
+  static const Gwp__ServiceVersions init_value = GWP__SERVICE_VERSIONS__INIT;
+  *message = init_value;
+}
+size_t gwp__service_versions__get_packed_size
+                     (const Gwp__ServiceVersions *message)
+{
+  assert(message->base.descriptor == &gwp__service_versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__service_versions__pack
+                     (const Gwp__ServiceVersions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__service_versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__service_versions__pack_to_buffer
+                     (const Gwp__ServiceVersions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__service_versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__ServiceVersions *
+       gwp__service_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__ServiceVersions *)
+     protobuf_c_message_unpack (&gwp__service_versions__descriptor,
+                                allocator, len, data);
+}
+void   gwp__service_versions__free_unpacked
+                     (Gwp__ServiceVersions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__service_versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__version_plan__init
+                     (Gwp__VersionPlan         *message)
+{
+  static const Gwp__VersionPlan init_value = GWP__VERSION_PLAN__INIT;
+  *message = init_value;
+}
+size_t gwp__version_plan__get_packed_size
+                     (const Gwp__VersionPlan *message)
+{
+  assert(message->base.descriptor == &gwp__version_plan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__version_plan__pack
+                     (const Gwp__VersionPlan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__version_plan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__version_plan__pack_to_buffer
+                     (const Gwp__VersionPlan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__version_plan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__VersionPlan *
+       gwp__version_plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__VersionPlan *)
+     protobuf_c_message_unpack (&gwp__version_plan__descriptor,
+                                allocator, len, data);
+}
+void   gwp__version_plan__free_unpacked
+                     (Gwp__VersionPlan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__version_plan__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -2522,7 +2657,7 @@
   (ProtobufCMessageInit) gwp__config_wanted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__want__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gwp__want__field_descriptors[8] =
 {
   {
     "model",
@@ -2608,6 +2743,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Want, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__want__field_indices_by_name[] = {
   1,   /* field[1] = adapter */
@@ -2616,12 +2763,13 @@
   0,   /* field[0] = model */
   5,   /* field[5] = refused */
   3,   /* field[3] = running */
+  7,   /* field[7] = version */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange gwp__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gwp__want__descriptor =
 {
@@ -2631,7 +2779,7 @@
   "Gwp__Want",
   "gwp",
   sizeof(Gwp__Want),
-  7,
+  8,
   gwp__want__field_descriptors,
   gwp__want__field_indices_by_name,
   1,  gwp__want__number_ranges,
@@ -3381,7 +3529,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[12] =
 {
   {
     "waits",
@@ -3515,6 +3663,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version_plan",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, version_plan),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
@@ -3527,13 +3687,14 @@
   9,   /* field[9] = sent_ms */
   5,   /* field[5] = store_at_once */
   6,   /* field[6] = store_most */
+  11,   /* field[11] = version_plan */
   0,   /* field[0] = waits */
 };
 static const ProtobufCIntRange gwp__state__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -3543,14 +3704,14 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  11,
+  12,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
   (ProtobufCMessageInit) gwp__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__upstream__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gwp__upstream__field_descriptors[8] =
 {
   {
     "id",
@@ -3636,6 +3797,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__upstream__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -3645,11 +3818,12 @@
   0,   /* field[0] = id */
   6,   /* field[6] = residents */
   1,   /* field[1] = service */
+  7,   /* field[7] = version */
 };
 static const ProtobufCIntRange gwp__upstream__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gwp__upstream__descriptor =
 {
@@ -3659,7 +3833,7 @@
   "Gwp__Upstream",
   "gwp",
   sizeof(Gwp__Upstream),
-  7,
+  8,
   gwp__upstream__field_descriptors,
   gwp__upstream__field_indices_by_name,
   1,  gwp__upstream__number_ranges,
@@ -4742,7 +4916,186 @@
   (ProtobufCMessageInit) gwp__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor gwp__version_shares__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__VersionShares, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__VersionShares, at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsettled",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__VersionShares, unsettled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__version_shares__field_indices_by_name[] = {
+  1,   /* field[1] = at */
+  0,   /* field[0] = model */
+  2,   /* field[2] = unsettled */
+};
+static const ProtobufCIntRange gwp__version_shares__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__version_shares__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.VersionShares",
+  "VersionShares",
+  "Gwp__VersionShares",
+  "gwp",
+  sizeof(Gwp__VersionShares),
+  3,
+  gwp__version_shares__field_descriptors,
+  gwp__version_shares__field_indices_by_name,
+  1,  gwp__version_shares__number_ranges,
+  (ProtobufCMessageInit) gwp__version_shares__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__service_versions__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__ServiceVersions, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__ServiceVersions, n_versions),
+    offsetof(Gwp__ServiceVersions, versions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__ServiceVersions, n_shares),
+    offsetof(Gwp__ServiceVersions, shares),
+    &gwp__version_shares__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__service_versions__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  2,   /* field[2] = shares */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange gwp__service_versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__service_versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.ServiceVersions",
+  "ServiceVersions",
+  "Gwp__ServiceVersions",
+  "gwp",
+  sizeof(Gwp__ServiceVersions),
+  3,
+  gwp__service_versions__field_descriptors,
+  gwp__service_versions__field_indices_by_name,
+  1,  gwp__service_versions__number_ranges,
+  (ProtobufCMessageInit) gwp__service_versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__version_plan__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__VersionPlan, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__VersionPlan, n_services),
+    offsetof(Gwp__VersionPlan, services),
+    &gwp__service_versions__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__version_plan__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = services */
+};
+static const ProtobufCIntRange gwp__version_plan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__version_plan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.VersionPlan",
+  "VersionPlan",
+  "Gwp__VersionPlan",
+  "gwp",
+  sizeof(Gwp__VersionPlan),
+  2,
+  gwp__version_plan__field_descriptors,
+  gwp__version_plan__field_indices_by_name,
+  1,  gwp__version_plan__number_ranges,
+  (ProtobufCMessageInit) gwp__version_plan__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[30] =
 {
   {
     "hello",
@@ -5092,6 +5445,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version_plan",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, version_plan),
+    &gwp__version_plan__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -5123,11 +5488,12 @@
   6,   /* field[6] = unreached */
   18,   /* field[18] = upstream_limits */
   5,   /* field[5] = upstreams */
+  29,   /* field[29] = version_plan */
 };
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -5137,7 +5503,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  29,
+  30,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -56,6 +56,9 @@
 typedef struct Gwp__UpstreamLimits Gwp__UpstreamLimits;
 typedef struct Gwp__SlotAsk Gwp__SlotAsk;
 typedef struct Gwp__SlotAnswer Gwp__SlotAnswer;
+typedef struct Gwp__VersionShares Gwp__VersionShares;
+typedef struct Gwp__ServiceVersions Gwp__ServiceVersions;
+typedef struct Gwp__VersionPlan Gwp__VersionPlan;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -340,10 +343,14 @@
    * of these, that would be late after a load from disk
    */
   uint32_t hurried;
+  /*
+   * only at upstreams of this version; empty: at any
+   */
+  char *version;
 };
 #define GWP__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__want__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -612,10 +619,14 @@
    * it lost the lease, and no other leader is known
    */
   protobuf_c_boolean idle;
+  /*
+   * number of its version plan; 0: it knows none
+   */
+  uint64_t version_plan;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -632,10 +643,14 @@
   uint64_t born_ms;
   size_t n_residents;
   Gwp__Resident **residents;
+  /*
+   * of its software; empty: it names none
+   */
+  char *version;
 };
 #define GWP__UPSTREAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -950,6 +965,63 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * The shares of a model's streams in the version plan, see vp.
+ */
+struct  Gwp__VersionShares
+{
+  ProtobufCMessage base;
+  /*
+   * empty: all models without a row
+   */
+  char *model;
+  /*
+   * of each share the index of its version
+   */
+  ProtobufCBinaryData at;
+  /*
+   * a bit for each share
+   */
+  uint32_t unsettled;
+};
+#define GWP__VERSION_SHARES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__version_shares__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+struct  Gwp__ServiceVersions
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_versions;
+  char **versions;
+  size_t n_shares;
+  Gwp__VersionShares **shares;
+};
+#define GWP__SERVICE_VERSIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__service_versions__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+/*
+ * At which software version new streams begin: the record of the store, as
+ * written there.
+ */
+struct  Gwp__VersionPlan
+{
+  ProtobufCMessage base;
+  /*
+   * one more with each change
+   */
+  uint64_t number;
+  size_t n_services;
+  Gwp__ServiceVersions **services;
+};
+#define GWP__VERSION_PLAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__version_plan__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -980,7 +1052,8 @@
   GWP__FRAME__BODY_DETOUR_END = 26,
   GWP__FRAME__BODY_SUSPECTS = 27,
   GWP__FRAME__BODY_TURN_ASK = 28,
-  GWP__FRAME__BODY_TURN_ANSWER = 29
+  GWP__FRAME__BODY_TURN_ANSWER = 29,
+  GWP__FRAME__BODY_VERSION_PLAN = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -1018,6 +1091,7 @@
     Gwp__Suspects *suspects;
     Gwp__TurnAsk *turn_ask;
     Gwp__TurnAnswer *turn_answer;
+    Gwp__VersionPlan *version_plan;
   };
 };
 #define GWP__FRAME__INIT \
@@ -1804,6 +1878,63 @@
 void   gwp__slot_answer__free_unpacked
                      (Gwp__SlotAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__VersionShares methods */
+void   gwp__version_shares__init
+                     (Gwp__VersionShares         *message);
+size_t gwp__version_shares__get_packed_size
+                     (const Gwp__VersionShares   *message);
+size_t gwp__version_shares__pack
+                     (const Gwp__VersionShares   *message,
+                      uint8_t             *out);
+size_t gwp__version_shares__pack_to_buffer
+                     (const Gwp__VersionShares   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__VersionShares *
+       gwp__version_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__version_shares__free_unpacked
+                     (Gwp__VersionShares *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__ServiceVersions methods */
+void   gwp__service_versions__init
+                     (Gwp__ServiceVersions         *message);
+size_t gwp__service_versions__get_packed_size
+                     (const Gwp__ServiceVersions   *message);
+size_t gwp__service_versions__pack
+                     (const Gwp__ServiceVersions   *message,
+                      uint8_t             *out);
+size_t gwp__service_versions__pack_to_buffer
+                     (const Gwp__ServiceVersions   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__ServiceVersions *
+       gwp__service_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__service_versions__free_unpacked
+                     (Gwp__ServiceVersions *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__VersionPlan methods */
+void   gwp__version_plan__init
+                     (Gwp__VersionPlan         *message);
+size_t gwp__version_plan__get_packed_size
+                     (const Gwp__VersionPlan   *message);
+size_t gwp__version_plan__pack
+                     (const Gwp__VersionPlan   *message,
+                      uint8_t             *out);
+size_t gwp__version_plan__pack_to_buffer
+                     (const Gwp__VersionPlan   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__VersionPlan *
+       gwp__version_plan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__version_plan__free_unpacked
+                     (Gwp__VersionPlan *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -1948,6 +2079,15 @@
 typedef void (*Gwp__SlotAnswer_Closure)
                  (const Gwp__SlotAnswer *message,
                   void *closure_data);
+typedef void (*Gwp__VersionShares_Closure)
+                 (const Gwp__VersionShares *message,
+                  void *closure_data);
+typedef void (*Gwp__ServiceVersions_Closure)
+                 (const Gwp__ServiceVersions *message,
+                  void *closure_data);
+typedef void (*Gwp__VersionPlan_Closure)
+                 (const Gwp__VersionPlan *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -2000,6 +2140,9 @@
 extern const ProtobufCMessageDescriptor gwp__upstream_limits__descriptor;
 extern const ProtobufCMessageDescriptor gwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor gwp__slot_answer__descriptor;
+extern const ProtobufCMessageDescriptor gwp__version_shares__descriptor;
+extern const ProtobufCMessageDescriptor gwp__service_versions__descriptor;
+extern const ProtobufCMessageDescriptor gwp__version_plan__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -41,6 +41,7 @@
     x->data_centre = u->data_centre;
     x->draining = u->draining;
     x->born_ms = u->born_ms;
+    x->version = u->version;
     x->n_residents = residents->len;
     x->residents = (Gwp__Resident **)residents->pdata;
     g_ptr_array_add(rows->rows, x);
@@ -454,6 +455,7 @@
     u->data_centre = g_strdup(x->data_centre);
     u->draining = x->draining;
     u->born_ms = x->born_ms;
+    u->version = g_strdup(x->version);
     return u;
 }
 
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -126,6 +126,7 @@
     jl_text(l, "upstream", u->id);
     jl_text(l, "service", u->service);
     jl_text(l, "address", u->address);
+    jl_text(l, "version", u->version);
     jl_end(l);
 }
 
@@ -216,9 +217,7 @@
     }
     /* U was taken over.  Most entries are heartbeats and return above. */
     DepUpstream *copy = pf_decode_upstream(r->key, data, len, NULL);
-    if (copy->draining) {
-        log_upstream("upstream-leaves", copy);
-    }
+    log_upstream(copy->draining ? "upstream-leaves" : "upstream-taken", copy);
     g_ptr_array_add(changes->changed, copy);
 }
 
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -49,6 +49,7 @@
     HtCall *hc;
     Ut *ut;
     char *last_upstream; /* for the log */
+    char *last_version;  /* of its software; for the log */
     char *helper; /* the gateway by whose way the last answer came; NULL:
                      none; for the log */
     uint64_t sent_ms;
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -120,6 +120,8 @@
     jl_text(l, "adapter", q->call.adapter);
     jl_text(l, "upstream", q->last_upstream);
     jl_text(l, "by", q->helper);
+    jl_text(l, "version", q->last_version);
+    jl_text(l, "resumes", q->call.resumes);
     gw_log_body(l, q);
     jl_number(l, "sends", q->sends);
     jl_number(l, "runs", q->runs);
@@ -184,6 +186,7 @@
         g_byte_array_unref(q->kept_body);
     }
     g_free(q->last_upstream);
+    g_free(q->last_version);
     g_free(q->helper);
     g_free(q->gap_upstream);
     g_free(q);
@@ -443,6 +446,8 @@
     q->ut = ut;
     g_free(q->last_upstream);
     q->last_upstream = g_strdup(ut_get_id(ut));
+    g_free(q->last_version);
+    q->last_version = g_strdup(ut_get_version(ut));
     q->sent_ms = now_ms;
     q->last_data_ms = now_ms;
     q->first_ms = 0;
@@ -480,6 +485,7 @@
         JlLine *l = jl_begin("request-sent");
         jl_text(l, "id", q->call.attempt_id);
         jl_text(l, "upstream", ut_get_id(ut));
+        jl_text(l, "version", ut_get_version(ut));
         jl_number(l, "send", q->sends + 1);
         jl_number(l, "running", ut_get_running(ut));
         jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
--- a/src/gateway_types.c
+++ b/src/gateway_types.c
@@ -269,6 +269,7 @@
     g_free(u->service);
     g_free(u->address);
     g_free(u->data_centre);
+    g_free(u->version);
     g_ptr_array_free(u->models, TRUE);
     g_ptr_array_free(u->in_memory, TRUE);
     g_ptr_array_free(u->on_disk, TRUE);
--- a/src/gateway_types.h
+++ b/src/gateway_types.h
@@ -152,6 +152,8 @@
     bool draining;
     uint32_t gone_in_ms; /* draining: time until it exits; 0: not given */
     uint32_t slots;
+    char *version;     /* of its software; empty: it names none; NULL: not
+                          known, as in a report */
     uint64_t born_ms;  /* when the process started; 0: not given */
     uint64_t sequence; /* in a report: orders accepted since then */
     bool reports_models;
@@ -197,6 +199,10 @@
     GArray *parts;          /* DepPart, leading parts of the prompt in order;
                                NULL: none */
     int64_t resume_after;   /* id of the last event the caller has; -1: none */
+    /* The caller takes a stream up: the attempt that brought its first event;
+       NULL: it names none, or none that can be read. */
+    const char *resumes;
+    bool takes_up; /* it has events, or says that it takes a stream up */
 } DepCall;
 
 void dep_clear_call(DepCall *call);
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -178,7 +178,8 @@
 is_same_instance(const DepUpstream *a, const DepUpstream *b)
 {
     return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0 &&
-           strcmp(a->service, b->service) == 0;
+           strcmp(a->service, b->service) == 0 &&
+           g_strcmp0(a->version, b->version) == 0;
 }
 
 bool
@@ -890,6 +891,12 @@
     return u->entry->id;
 }
 
+const char *
+ut_get_version(const Ut *u)
+{
+    return u->entry->version ? u->entry->version : "";
+}
+
 const char *
 ut_get_address(const Ut *u)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -145,6 +145,8 @@
 
 const char *ut_get_id(const Ut *u);
 const char *ut_get_address(const Ut *u);
+/* Of its software, by its entry; empty: it names none. */
+const char *ut_get_version(const Ut *u);
 /* It is no longer listed, or it drains. */
 bool ut_is_gone(const Ut *u);
 /* A call of this gateway could not reach it, and neither an answer nor a
