--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1987,6 +1987,141 @@
   assert(message->base.descriptor == &gwp__version_plan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__stream_notes__init
+                     (Gwp__StreamNotes         *message)
+{
+  static const Gwp__StreamNotes init_value = GWP__STREAM_NOTES__INIT;
+  *message = init_value;
+}
+size_t gwp__stream_notes__get_packed_size
+                     (const Gwp__StreamNotes *message)
+{
+  assert(message->base.descriptor == &gwp__stream_notes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__stream_notes__pack
+                     (const Gwp__StreamNotes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__stream_notes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__stream_notes__pack_to_buffer
+                     (const Gwp__StreamNotes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__stream_notes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__StreamNotes *
+       gwp__stream_notes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__StreamNotes *)
+     protobuf_c_message_unpack (&gwp__stream_notes__descriptor,
+                                allocator, len, data);
+}
+void   gwp__stream_notes__free_unpacked
+                     (Gwp__StreamNotes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__stream_notes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__note_ask__init
+                     (Gwp__NoteAsk         *message)
+{
+  static const Gwp__NoteAsk init_value = GWP__NOTE_ASK__INIT;
+  *message = init_value;
+}
+size_t gwp__note_ask__get_packed_size
+                     (const Gwp__NoteAsk *message)
+{
+  assert(message->base.descriptor == &gwp__note_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__note_ask__pack
+                     (const Gwp__NoteAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__note_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__note_ask__pack_to_buffer
+                     (const Gwp__NoteAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__note_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__NoteAsk *
+       gwp__note_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__NoteAsk *)
+     protobuf_c_message_unpack (&gwp__note_ask__descriptor,
+                                allocator, len, data);
+}
+void   gwp__note_ask__free_unpacked
+                     (Gwp__NoteAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__note_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__note_answer__init
+                     (Gwp__NoteAnswer         *message)
+{
+  static const Gwp__NoteAnswer init_value = GWP__NOTE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t gwp__note_answer__get_packed_size
+                     (const Gwp__NoteAnswer *message)
+{
+  assert(message->base.descriptor == &gwp__note_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__note_answer__pack
+                     (const Gwp__NoteAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__note_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__note_answer__pack_to_buffer
+                     (const Gwp__NoteAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__note_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__NoteAnswer *
+       gwp__note_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__NoteAnswer *)
+     protobuf_c_message_unpack (&gwp__note_answer__descriptor,
+                                allocator, len, data);
+}
+void   gwp__note_answer__free_unpacked
+                     (Gwp__NoteAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__note_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -5095,7 +5230,212 @@
   (ProtobufCMessageInit) gwp__version_plan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[30] =
+static const ProtobufCFieldDescriptor gwp__stream_notes__field_descriptors[4] =
+{
+  {
+    "versions",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gwp__StreamNotes, n_versions),
+    offsetof(Gwp__StreamNotes, versions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gwp__StreamNotes, n_keys),
+    offsetof(Gwp__StreamNotes, keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gwp__StreamNotes, n_at),
+    offsetof(Gwp__StreamNotes, at),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Gwp__StreamNotes, n_left_ms),
+    offsetof(Gwp__StreamNotes, left_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__stream_notes__field_indices_by_name[] = {
+  2,   /* field[2] = at */
+  1,   /* field[1] = keys */
+  3,   /* field[3] = left_ms */
+  0,   /* field[0] = versions */
+};
+static const ProtobufCIntRange gwp__stream_notes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__stream_notes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.StreamNotes",
+  "StreamNotes",
+  "Gwp__StreamNotes",
+  "gwp",
+  sizeof(Gwp__StreamNotes),
+  4,
+  gwp__stream_notes__field_descriptors,
+  gwp__stream_notes__field_indices_by_name,
+  1,  gwp__stream_notes__number_ranges,
+  (ProtobufCMessageInit) gwp__stream_notes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__note_ask__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAsk, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAsk, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__note_ask__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__note_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gwp__note_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.NoteAsk",
+  "NoteAsk",
+  "Gwp__NoteAsk",
+  "gwp",
+  sizeof(Gwp__NoteAsk),
+  2,
+  gwp__note_ask__field_descriptors,
+  gwp__note_ask__field_indices_by_name,
+  1,  gwp__note_ask__number_ranges,
+  (ProtobufCMessageInit) gwp__note_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__note_answer__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAnswer, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAnswer, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAnswer, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__NoteAnswer, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__note_answer__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  2,   /* field[2] = known */
+  3,   /* field[3] = version */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__note_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__note_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.NoteAnswer",
+  "NoteAnswer",
+  "Gwp__NoteAnswer",
+  "gwp",
+  sizeof(Gwp__NoteAnswer),
+  4,
+  gwp__note_answer__field_descriptors,
+  gwp__note_answer__field_indices_by_name,
+  1,  gwp__note_answer__number_ranges,
+  (ProtobufCMessageInit) gwp__note_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[33] =
 {
   {
     "hello",
@@ -5457,6 +5797,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_notes",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, stream_notes),
+    &gwp__stream_notes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "note_ask",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, note_ask),
+    &gwp__note_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "note_answer",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, note_answer),
+    &gwp__note_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -5476,12 +5852,15 @@
   17,   /* field[17] = limits */
   13,   /* field[13] = loads */
   10,   /* field[10] = members */
+  32,   /* field[32] = note_answer */
+  31,   /* field[31] = note_ask */
   2,   /* field[2] = placement */
   16,   /* field[16] = placement_wanted */
   4,   /* field[4] = run */
   20,   /* field[20] = slot_answer */
   19,   /* field[19] = slot_ask */
   3,   /* field[3] = state */
+  30,   /* field[30] = stream_notes */
   26,   /* field[26] = suspects */
   28,   /* field[28] = turn_answer */
   27,   /* field[27] = turn_ask */
@@ -5493,7 +5872,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 30 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -5503,7 +5882,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  30,
+  33,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -59,6 +59,9 @@
 typedef struct Gwp__VersionShares Gwp__VersionShares;
 typedef struct Gwp__ServiceVersions Gwp__ServiceVersions;
 typedef struct Gwp__VersionPlan Gwp__VersionPlan;
+typedef struct Gwp__StreamNotes Gwp__StreamNotes;
+typedef struct Gwp__NoteAsk Gwp__NoteAsk;
+typedef struct Gwp__NoteAnswer Gwp__NoteAnswer;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -1022,6 +1025,66 @@
     , 0, 0,NULL }
 
 
+/*
+ * Towards the leader, and from it to a few others: which version began streams
+ * of unsettled shares; the columns of one table.
+ */
+struct  Gwp__StreamNotes
+{
+  ProtobufCMessage base;
+  size_t n_versions;
+  char **versions;
+  /*
+   * see sn
+   */
+  size_t n_keys;
+  uint64_t *keys;
+  /*
+   * index of the version
+   */
+  size_t n_at;
+  uint32_t *at;
+  size_t n_left_ms;
+  uint32_t *left_ms;
+};
+#define GWP__STREAM_NOTES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__stream_notes__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A caller takes up a stream of an unsettled share.
+ */
+struct  Gwp__NoteAsk
+{
+  ProtobufCMessage base;
+  /*
+   * that asks
+   */
+  char *vm;
+  uint64_t key;
+};
+#define GWP__NOTE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__note_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Gwp__NoteAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * that asked
+   */
+  char *vm;
+  uint64_t key;
+  protobuf_c_boolean known;
+  char *version;
+};
+#define GWP__NOTE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__note_answer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -1053,7 +1116,10 @@
   GWP__FRAME__BODY_SUSPECTS = 27,
   GWP__FRAME__BODY_TURN_ASK = 28,
   GWP__FRAME__BODY_TURN_ANSWER = 29,
-  GWP__FRAME__BODY_VERSION_PLAN = 30
+  GWP__FRAME__BODY_VERSION_PLAN = 30,
+  GWP__FRAME__BODY_STREAM_NOTES = 31,
+  GWP__FRAME__BODY_NOTE_ASK = 32,
+  GWP__FRAME__BODY_NOTE_ANSWER = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -1092,6 +1158,9 @@
     Gwp__TurnAsk *turn_ask;
     Gwp__TurnAnswer *turn_answer;
     Gwp__VersionPlan *version_plan;
+    Gwp__StreamNotes *stream_notes;
+    Gwp__NoteAsk *note_ask;
+    Gwp__NoteAnswer *note_answer;
   };
 };
 #define GWP__FRAME__INIT \
@@ -1935,6 +2004,63 @@
 void   gwp__version_plan__free_unpacked
                      (Gwp__VersionPlan *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__StreamNotes methods */
+void   gwp__stream_notes__init
+                     (Gwp__StreamNotes         *message);
+size_t gwp__stream_notes__get_packed_size
+                     (const Gwp__StreamNotes   *message);
+size_t gwp__stream_notes__pack
+                     (const Gwp__StreamNotes   *message,
+                      uint8_t             *out);
+size_t gwp__stream_notes__pack_to_buffer
+                     (const Gwp__StreamNotes   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__StreamNotes *
+       gwp__stream_notes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__stream_notes__free_unpacked
+                     (Gwp__StreamNotes *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__NoteAsk methods */
+void   gwp__note_ask__init
+                     (Gwp__NoteAsk         *message);
+size_t gwp__note_ask__get_packed_size
+                     (const Gwp__NoteAsk   *message);
+size_t gwp__note_ask__pack
+                     (const Gwp__NoteAsk   *message,
+                      uint8_t             *out);
+size_t gwp__note_ask__pack_to_buffer
+                     (const Gwp__NoteAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__NoteAsk *
+       gwp__note_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__note_ask__free_unpacked
+                     (Gwp__NoteAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__NoteAnswer methods */
+void   gwp__note_answer__init
+                     (Gwp__NoteAnswer         *message);
+size_t gwp__note_answer__get_packed_size
+                     (const Gwp__NoteAnswer   *message);
+size_t gwp__note_answer__pack
+                     (const Gwp__NoteAnswer   *message,
+                      uint8_t             *out);
+size_t gwp__note_answer__pack_to_buffer
+                     (const Gwp__NoteAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__NoteAnswer *
+       gwp__note_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__note_answer__free_unpacked
+                     (Gwp__NoteAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -2088,6 +2214,15 @@
 typedef void (*Gwp__VersionPlan_Closure)
                  (const Gwp__VersionPlan *message,
                   void *closure_data);
+typedef void (*Gwp__StreamNotes_Closure)
+                 (const Gwp__StreamNotes *message,
+                  void *closure_data);
+typedef void (*Gwp__NoteAsk_Closure)
+                 (const Gwp__NoteAsk *message,
+                  void *closure_data);
+typedef void (*Gwp__NoteAnswer_Closure)
+                 (const Gwp__NoteAnswer *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -2143,6 +2278,9 @@
 extern const ProtobufCMessageDescriptor gwp__version_shares__descriptor;
 extern const ProtobufCMessageDescriptor gwp__service_versions__descriptor;
 extern const ProtobufCMessageDescriptor gwp__version_plan__descriptor;
+extern const ProtobufCMessageDescriptor gwp__stream_notes__descriptor;
+extern const ProtobufCMessageDescriptor gwp__note_ask__descriptor;
+extern const ProtobufCMessageDescriptor gwp__note_answer__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/tests/script_vp.c
@@ -0,0 +1,952 @@
+/* Runs the version plan (vp) for the gateways of a script, in virtual time.
+   One command a line:
+
+     one plan, without a fleet:
+       plan                  begins anew, at 1 s
+       at MS                 the time is MS from now on
+       upstream SERVICE VERSION MODEL,...   is ready; VERSION -: none
+       gone                  no upstream is ready any more
+       propose               the leader's next plan comes into force
+       heartbeat             the leader names its plan now
+       read                  the store is read now
+       begin SERVICE MODEL ATTEMPT, resume SERVICE MODEL ATTEMPT
+                             prints the answer; ATTEMPT came just now
+       print                 prints the plan
+
+     fleet GATEWAYS ENGINES MODELS SEED   a fleet whose engines change their
+                             version, and whose callers break off streams and
+                             take them up again
+     policy notes|plan|keepers|local   how a gateway knows the version that
+                             began a stream.  plan: by the plan alone.  notes:
+                             and by notes of unsettled shares, which the leader
+                             and two others have.  keepers: three gateways by
+                             hash of the attempt are told and asked
+     lag MS, late MS         of messages; how much too young a heartbeat is
+                             estimated
+     rollout AT MS           engines change one after another, each MS
+     crash AT SHARE FOR      engines, back at their version under new ids
+     kill WHO|all|leader AT FOR, cut WHO|leader AT FOR, freeze WHO|leader AT
+       FOR, outage AT FOR    a cut gateway reaches neither the store nor
+                             another gateway; times in ms
+     run MS                  prints streams that were taken up, went on, were
+                             refused, might have gone on, are mixed, and
+                             bytes sent for them a stream begun */
+#include "script.h"
+#include "version_plan.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+#define MAX_GATEWAYS 400
+#define MAX_ENGINES 400
+#define STEP_MS 20
+#define HEARTBEAT_MS 200
+#define CHANGE_MS 200 /* between the leader's looks at the fleet */
+#define STORE_MS 8
+#define LEASE_MS 2500 /* from the loss of a leader to the next one */
+#define LIFE_MS 15000
+#define ENTRY_MS 500 /* between reads of the engines' entries */
+#define KEEPERS 3
+#define FRAME_BYTES 40 /* a note to a keeper, a question, or an answer */
+#define ROW_BYTES 13   /* a note among others in one frame */
+#define BACKUPS 2
+#define GATHER_MS 400 /* until a new leader has the notes of others */
+#define START_MS 1000
+
+typedef struct {
+    char name[8];
+    uint64_t models; /* a bit for each */
+    uint32_t id;
+    bool up;
+} Engine;
+
+/* A frame on its way. */
+typedef struct {
+    uint64_t due_ms;
+    uint64_t sent_ms;
+    uint64_t number; /* of a heartbeat, if PLAN is NULL */
+    GBytes *plan;
+    int to;
+} Frame;
+
+typedef struct {
+    Vp *vp;
+    GHashTable *notes;  /* attempt -> version */
+    uint64_t down_ms;   /* until then; 0: it is up */
+    uint64_t cut_ms;    /* until then; 0: it isn't cut */
+    uint64_t frozen_ms; /* until then */
+    Engine known[MAX_ENGINES];
+    uint64_t known_ms;
+} Gateway;
+
+typedef struct {
+    char attempt[24];
+    char version[8];
+    uint64_t begun_ms;
+    uint64_t resume_ms; /* its caller takes it up then */
+    int model;
+    int gateway;
+    int tries;
+} Stream;
+
+typedef struct {
+    char kind;
+    int who; /* -1: the leader; -2: all */
+    uint64_t at_ms;
+    uint64_t for_ms;
+    double share;
+} Fault;
+
+typedef enum { BY_NOTES, BY_PLAN, BY_KEEPERS, BY_LOCAL } Policy;
+
+typedef struct {
+    /* one plan */
+    Vp *vp;
+    VpFleet *fleet;
+    uint64_t now_ms;
+    /* a fleet */
+    BgRandom rng;
+    Policy policy;
+    uint32_t lag_ms;
+    uint32_t late_ms;
+    int gateways;
+    int engines;
+    int models;
+    Gateway *all;
+    Engine real[MAX_ENGINES];
+    uint32_t next_id;
+    GBytes *stored;
+    uint64_t outage_ms;
+    int leader; /* -1: none */
+    uint64_t elect_ms;
+    bool leader_read;   /* it has read the store */
+    uint64_t gather_ms; /* it has the others' notes then; 0: it has them */
+    uint64_t change_ms;
+    uint64_t append_ms; /* its append is acknowledged then; 0: none */
+    GBytes *appended;
+    GQueue frames;
+    GArray *faults;
+    GPtrArray *streams;
+    uint64_t rollout_ms;
+    uint64_t rollout_step_ms;
+    int rolled;
+    int version;
+    /* results */
+    uint64_t begun;
+    uint64_t refused_begins;
+    uint64_t taken_up;
+    uint64_t possible;
+    uint64_t went_on;
+    uint64_t mixed;
+    uint64_t bytes;
+} Script;
+
+/* ---- one plan ----------------------------------------------------------- */
+
+static void
+print_answer(VpAnswer answer, const char *version)
+{
+    static const char *const names[] = {[VP_AT] = "at",
+                                        [VP_UNPLANNED] = "unplanned",
+                                        [VP_ASK] = "ask",
+                                        [VP_UNSETTLED] = "unsettled"};
+    printf("%s%s%s\n", names[answer], answer == VP_AT ? " " : "",
+           answer == VP_AT ? version : "");
+}
+
+static void
+begin_plan(Script *s)
+{
+    if (s->vp) {
+        vp_destroy(s->vp);
+        vp_destroy_fleet(s->fleet);
+    }
+    s->vp = vp_create();
+    vp_set_life(s->vp, LIFE_MS);
+    s->fleet = vp_create_fleet();
+    s->now_ms = START_MS;
+}
+
+static void
+add_ready(Script *s, char **words)
+{
+    const char *version = strcmp(words[2], "-") == 0 ? "" : words[2];
+    vp_add_upstream(s->fleet, words[1], version);
+    char *save;
+    for (char *m = strtok_r(words[3], ",", &save); m;
+         m = strtok_r(NULL, ",", &save)) {
+        vp_add_replica(s->fleet, words[1], version, m);
+    }
+}
+
+static void
+propose(Script *s)
+{
+    g_autoptr(GBytes) plan = vp_propose(s->vp, s->now_ms, s->fleet);
+    if (!plan) {
+        puts("no change");
+        return;
+    }
+    gsize len;
+    const void *data = g_bytes_get_data(plan, &len);
+    printf("plan %llu: %s\n", (unsigned long long)vp_read_number(data, len),
+           vp_take(s->vp, s->now_ms, data, len) ? "taken" : "not taken");
+}
+
+static void
+print_plan(const Script *s)
+{
+    g_autoptr(GString) out = g_string_new(NULL);
+    vp_print(s->vp, out);
+    fputs(out->str, stdout);
+}
+
+static bool
+run_plan_line(Script *s, char **words, int count)
+{
+    const char *version = NULL;
+    if (strcmp(words[0], "plan") == 0) {
+        begin_plan(s);
+    }
+    else if (strcmp(words[0], "at") == 0 && count == 2) {
+        s->now_ms = strtoull(words[1], NULL, 10);
+    }
+    else if (strcmp(words[0], "upstream") == 0 && count == 4) {
+        add_ready(s, words);
+    }
+    else if (strcmp(words[0], "gone") == 0) {
+        vp_destroy_fleet(s->fleet);
+        s->fleet = vp_create_fleet();
+    }
+    else if (strcmp(words[0], "propose") == 0) {
+        propose(s);
+    }
+    else if (strcmp(words[0], "heartbeat") == 0) {
+        vp_on_heartbeat(s->vp, vp_get_number(s->vp), s->now_ms);
+    }
+    else if (strcmp(words[0], "read") == 0) {
+        vp_on_none(s->vp, s->now_ms);
+        vp_on_read(s->vp, vp_get_number(s->vp), s->now_ms);
+    }
+    else if (strcmp(words[0], "begin") == 0 && count == 4) {
+        VpAnswer a =
+            vp_begin(s->vp, s->now_ms, words[1], words[2], words[3], &version);
+        print_answer(a, version);
+    }
+    else if (strcmp(words[0], "resume") == 0 && count == 4) {
+        VpAnswer a = vp_resume(s->vp, s->now_ms, s->now_ms, words[1], words[2],
+                               words[3], &version);
+        print_answer(a, version);
+    }
+    else if (strcmp(words[0], "print") == 0) {
+        print_plan(s);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+/* ---- a fleet: its parts ------------------------------------------------- */
+
+static const char *const SERVICE = "llm";
+
+static void
+name_model(int model, char out[8])
+{
+    (void)g_snprintf(out, 8, "m%d", model);
+}
+
+static uint32_t
+pick(Script *s, uint32_t below)
+{
+    return (uint32_t)bg_pick_random(&s->rng, below);
+}
+
+static void
+start_engine(Script *s, Engine *e, int version, uint64_t models)
+{
+    (void)g_snprintf(e->name, sizeof(e->name), "v%d", version);
+    e->models = models;
+    e->id = s->next_id++;
+    e->up = true;
+}
+
+static void
+start_gateway(Gateway *g)
+{
+    if (g->vp) {
+        vp_destroy(g->vp);
+        g_hash_table_destroy(g->notes);
+    }
+    memset(g, 0, sizeof(*g));
+    g->vp = vp_create();
+    vp_set_life(g->vp, LIFE_MS);
+    g->notes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+create_fleet(Script *s, char **words)
+{
+    s->gateways = (int)strtol(words[1], NULL, 10);
+    s->engines = (int)strtol(words[2], NULL, 10);
+    s->models = (int)strtol(words[3], NULL, 10);
+    bg_seed_random(&s->rng, strtoull(words[4], NULL, 10));
+    s->all = g_new0(Gateway, s->gateways);
+    for (int i = 0; i < s->gateways; i++) {
+        start_gateway(&s->all[i]);
+    }
+    for (int i = 0; i < s->engines; i++) {
+        /* The first model is held by all, each other one by one or two. */
+        uint64_t models = 1;
+        for (int m = 1; m < s->models; m++) {
+            bool holds = m % s->engines == i || (m * 7 + 3) % s->engines == i;
+            models |= (uint64_t)holds << m;
+        }
+        start_engine(s, &s->real[i], 1, models);
+    }
+    s->version = 1;
+    s->leader = -1;
+    s->lag_ms = 5;
+    s->faults = g_array_new(FALSE, FALSE, sizeof(Fault));
+    s->streams = g_ptr_array_new_with_free_func(g_free);
+    g_queue_init(&s->frames);
+}
+
+static bool
+is_up(const Script *s, const Gateway *g)
+{
+    return s->now_ms >= g->down_ms && s->now_ms >= g->frozen_ms;
+}
+
+static bool
+is_linked(const Script *s, const Gateway *g)
+{
+    return is_up(s, g) && s->now_ms >= g->cut_ms;
+}
+
+static bool
+reaches_store(const Script *s, const Gateway *g)
+{
+    return is_linked(s, g) && s->now_ms >= s->outage_ms;
+}
+
+static void
+take_stored(Script *s, Gateway *g, uint64_t asked_ms)
+{
+    if (!s->stored) {
+        vp_on_none(g->vp, asked_ms);
+        return;
+    }
+    gsize len;
+    const void *data = g_bytes_get_data(s->stored, &len);
+    vp_take(g->vp, s->now_ms, data, len);
+    vp_on_read(g->vp, vp_read_number(data, len), asked_ms);
+}
+
+/* ---- notes -------------------------------------------------------------- */
+
+static void
+take_note(Gateway *g, const char *attempt, const char *version)
+{
+    g_hash_table_replace(g->notes, g_strdup(attempt), g_strdup(version));
+}
+
+/* To the leader, and by it to others. */
+static void
+send_note(Script *s, Gateway *from, const char *attempt, const char *version)
+{
+    Gateway *to = s->leader >= 0 ? &s->all[s->leader] : NULL;
+    if (!to || !is_linked(s, from) || !is_linked(s, to)) {
+        return;
+    }
+    take_note(to, attempt, version);
+    s->bytes += ROW_BYTES;
+    for (int i = 0; from == to && i < BACKUPS; i++) {
+        Gateway *backup = &s->all[pick(s, (uint32_t)s->gateways)];
+        s->bytes += ROW_BYTES;
+        if (is_linked(s, backup)) {
+            take_note(backup, attempt, version);
+        }
+    }
+}
+
+static bool
+has_unsettled_share(const Gateway *g, const Stream *x)
+{
+    char model[8];
+    name_model(x->model, model);
+    return vp_is_unsettled(g->vp, SERVICE, model, x->attempt);
+}
+
+/* G has taken a plan. */
+static void
+send_unsettled(Script *s, int gateway)
+{
+    Gateway *g = &s->all[gateway];
+    for (guint i = 0; s->policy == BY_NOTES && i < s->streams->len; i++) {
+        const Stream *x = s->streams->pdata[i];
+        if (x->gateway == gateway && has_unsettled_share(g, x) &&
+            g_hash_table_contains(g->notes, x->attempt)) {
+            send_note(s, g, x->attempt, x->version);
+        }
+    }
+}
+
+static void
+gather_notes(Script *s)
+{
+    if (s->leader < 0 || s->gather_ms == 0 || s->now_ms < s->gather_ms) {
+        return;
+    }
+    s->gather_ms = 0;
+    for (int i = 0; i < s->gateways; i++) {
+        Gateway *g = &s->all[i];
+        GHashTableIter it;
+        gpointer k;
+        gpointer v;
+        g_hash_table_iter_init(&it, g->notes);
+        while (i != s->leader && g_hash_table_iter_next(&it, &k, &v)) {
+            send_note(s, g, k, v);
+        }
+    }
+}
+
+/* ---- the leader --------------------------------------------------------- */
+
+static void
+send_frame(Script *s, int to, GBytes *plan, uint64_t number)
+{
+    const Gateway *from = &s->all[s->leader];
+    if (to == s->leader || !is_linked(s, from) || !is_linked(s, &s->all[to])) {
+        return;
+    }
+    Frame *f = g_new0(Frame, 1);
+    f->due_ms = s->now_ms + 1 + pick(s, s->lag_ms * 2);
+    f->sent_ms = s->now_ms;
+    f->number = number;
+    f->plan = plan ? g_bytes_ref(plan) : NULL;
+    f->to = to;
+    g_queue_push_tail(&s->frames, f);
+}
+
+static void
+deliver(Script *s, Frame *f)
+{
+    Gateway *g = &s->all[f->to];
+    if (s->now_ms < g->down_ms || s->now_ms < g->cut_ms) {
+        return; /* lost with its connection */
+    }
+    if (f->plan) {
+        gsize len;
+        const void *data = g_bytes_get_data(f->plan, &len);
+        vp_take(g->vp, s->now_ms, data, len);
+        send_unsettled(s, f->to);
+    }
+    else {
+        vp_on_heartbeat(g->vp, f->number, f->sent_ms + s->late_ms);
+    }
+}
+
+static void
+deliver_frames(Script *s)
+{
+    for (GList *l = s->frames.head; l;) {
+        GList *next = l->next;
+        Frame *f = l->data;
+        if (s->now_ms >= MAX(f->due_ms, s->all[f->to].frozen_ms)) {
+            deliver(s, f);
+            if (f->plan) {
+                g_bytes_unref(f->plan);
+            }
+            g_free(f);
+            g_queue_delete_link(&s->frames, l);
+        }
+        l = next;
+    }
+}
+
+static void
+elect(Script *s)
+{
+    if (s->leader >= 0 && reaches_store(s, &s->all[s->leader])) {
+        s->elect_ms = s->now_ms + LEASE_MS;
+        return;
+    }
+    if (s->now_ms < s->elect_ms) {
+        return;
+    }
+    for (int tries = 0; tries < s->gateways; tries++) {
+        int i = (int)pick(s, (uint32_t)s->gateways);
+        if (reaches_store(s, &s->all[i])) {
+            s->leader = i;
+            s->leader_read = false;
+            s->append_ms = 0;
+            s->gather_ms = s->now_ms + GATHER_MS;
+            s->elect_ms = s->now_ms + LEASE_MS;
+            return;
+        }
+    }
+}
+
+static GBytes *
+propose_plan(Script *s, const Gateway *g)
+{
+    VpFleet *fleet = vp_create_fleet();
+    for (int i = 0; i < s->engines; i++) {
+        const Engine *e = &g->known[i];
+        if (!e->up) {
+            continue;
+        }
+        vp_add_upstream(fleet, SERVICE, e->name);
+        for (int m = 0; m < s->models; m++) {
+            char model[8];
+            name_model(m, model);
+            if (e->models >> m & 1) {
+                vp_add_replica(fleet, SERVICE, e->name, model);
+            }
+        }
+    }
+    GBytes *plan = vp_propose(g->vp, s->now_ms, fleet);
+    vp_destroy_fleet(fleet);
+    return plan;
+}
+
+static void
+finish_append(Script *s, Gateway *g)
+{
+    gsize len;
+    const void *data = g_bytes_get_data(s->appended, &len);
+    s->append_ms = 0;
+    vp_take(g->vp, s->now_ms, data, len);
+    send_unsettled(s, s->leader);
+    for (int i = 0; i < s->gateways; i++) {
+        send_frame(s, i, s->appended, 0);
+    }
+}
+
+static void
+lead(Script *s)
+{
+    if (s->leader < 0 || s->policy > BY_PLAN) {
+        return;
+    }
+    Gateway *g = &s->all[s->leader];
+    bool leads = s->now_ms + LEASE_MS / 2 < s->elect_ms;
+    if (!is_up(s, g) || !leads) {
+        return;
+    }
+    if (!s->leader_read && reaches_store(s, g)) {
+        take_stored(s, g, s->now_ms);
+        s->leader_read = true;
+    }
+    if (s->append_ms && s->now_ms >= s->append_ms && is_linked(s, g)) {
+        finish_append(s, g);
+    }
+    if (s->now_ms % HEARTBEAT_MS == 0 && s->leader_read) {
+        vp_on_heartbeat(g->vp, vp_get_number(g->vp), s->now_ms);
+        for (int i = 0; i < s->gateways; i++) {
+            send_frame(s, i, NULL, vp_get_number(g->vp));
+        }
+    }
+    if (s->now_ms < s->change_ms || s->append_ms || !s->leader_read ||
+        !reaches_store(s, g)) {
+        return;
+    }
+    s->change_ms = s->now_ms + CHANGE_MS;
+    GBytes *plan = propose_plan(s, g);
+    if (plan) { /* the store has it at once, and answers later */
+        g_clear_pointer(&s->stored, g_bytes_unref);
+        s->stored = plan;
+        s->appended = plan;
+        s->append_ms = s->now_ms + STORE_MS;
+    }
+}
+
+/* ---- faults ------------------------------------------------------------- */
+
+static void
+hit(Script *s, const Fault *f, int who)
+{
+    Gateway *g = &s->all[who];
+    uint64_t until_ms = s->now_ms + f->for_ms;
+    if (f->kind == 'k') {
+        start_gateway(g);
+        g->down_ms = until_ms;
+        if (who == s->leader) {
+            s->leader = -1;
+            s->append_ms = 0;
+            s->elect_ms = s->now_ms + LEASE_MS;
+        }
+        for (guint i = 0; i < s->streams->len; i++) {
+            Stream *x = s->streams->pdata[i];
+            if (x->gateway == who && x->resume_ms > until_ms) {
+                x->resume_ms = s->now_ms + 20 + pick(s, 6000);
+            }
+        }
+    }
+    else if (f->kind == 'c') {
+        g->cut_ms = until_ms;
+    }
+    else {
+        g->frozen_ms = until_ms;
+    }
+}
+
+static void
+crash_engines(Script *s, const Fault *f)
+{
+    for (int i = 0; i < s->engines; i++) {
+        Engine *e = &s->real[i];
+        if (pick(s, 1000) < f->share * 1000) {
+            uint64_t models = e->models;
+            e->id = s->next_id++;
+            /* What it held may be loaded elsewhere meanwhile. */
+            s->real[pick(s, (uint32_t)s->engines)].models |= models;
+            e->models = 1;
+        }
+    }
+}
+
+static void
+apply_faults(Script *s)
+{
+    for (guint i = 0; i < s->faults->len; i++) {
+        const Fault *f = &g_array_index(s->faults, Fault, i);
+        if (s->now_ms < f->at_ms || s->now_ms >= f->at_ms + STEP_MS) {
+            continue;
+        }
+        if (f->kind == 'o') {
+            s->outage_ms = s->now_ms + f->for_ms;
+        }
+        else if (f->kind == 'e') {
+            crash_engines(s, f);
+        }
+        int leader = s->leader;
+        for (int k = 0; strchr("kcf", f->kind) && k < s->gateways; k++) {
+            if (f->who == -2 || k == (f->who < 0 ? leader : f->who)) {
+                hit(s, f, k);
+            }
+        }
+    }
+    if (s->rollout_ms && s->now_ms >= s->rollout_ms &&
+        s->rolled < s->engines) {
+        Engine *e = &s->real[s->rolled++];
+        start_engine(s, e, s->version, e->models);
+        s->rollout_ms += s->rollout_step_ms;
+    }
+}
+
+/* ---- streams ------------------------------------------------------------ */
+
+static void
+look_at_engines(Script *s)
+{
+    for (int i = 0; i < s->gateways; i++) {
+        Gateway *g = &s->all[i];
+        if (s->now_ms >= g->known_ms + ENTRY_MS && reaches_store(s, g)) {
+            memcpy(g->known, s->real, sizeof(g->known));
+            g->known_ms = s->now_ms;
+        }
+    }
+}
+
+/* The engine that G sends to, as it really is; NULL: none that it knows is
+   there. */
+static const Engine *
+choose_engine(Script *s, const Gateway *g, int model, const char *version)
+{
+    uint32_t first = pick(s, (uint32_t)s->engines);
+    for (int k = 0; k < s->engines; k++) {
+        uint32_t i = (first + (uint32_t)k) % (uint32_t)s->engines;
+        const Engine *e = &g->known[i];
+        bool fits = e->up && e->models >> model & 1 &&
+                    (!version || strcmp(e->name, version) == 0);
+        /* Another process at that address answers that it is another. */
+        if (fits && s->real[i].up && s->real[i].id == e->id) {
+            return &s->real[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+tell_keepers(Script *s, const Stream *x)
+{
+    for (int k = 0; k < KEEPERS; k++) {
+        uint64_t h = XXH64(x->attempt, strlen(x->attempt), (uint64_t)k);
+        Gateway *g = &s->all[h % (uint64_t)s->gateways];
+        s->bytes += FRAME_BYTES * 2;
+        if (is_linked(s, g) && is_linked(s, &s->all[x->gateway])) {
+            take_note(g, x->attempt, x->version);
+        }
+    }
+}
+
+static const char *
+ask_keepers(Script *s, Gateway *from, const char *attempt)
+{
+    const char *own = g_hash_table_lookup(from->notes, attempt);
+    for (int k = 0; !own && s->policy == BY_KEEPERS && k < KEEPERS; k++) {
+        uint64_t h = XXH64(attempt, strlen(attempt), (uint64_t)k);
+        const Gateway *g = &s->all[h % (uint64_t)s->gateways];
+        s->bytes += FRAME_BYTES * 2;
+        if (is_linked(s, g) && is_linked(s, from)) {
+            own = g_hash_table_lookup(g->notes, attempt);
+        }
+    }
+    return own;
+}
+
+static bool
+may_begin(Script *s, Gateway *g, const Stream *x, const char **version)
+{
+    char model[8];
+    name_model(x->model, model);
+    *version = NULL;
+    if (s->policy > BY_PLAN) {
+        return true;
+    }
+    VpAnswer a =
+        vp_begin(g->vp, s->now_ms, SERVICE, model, x->attempt, version);
+    if (a == VP_ASK && reaches_store(s, g)) {
+        take_stored(s, g, s->now_ms);
+        a = vp_begin(g->vp, s->now_ms, SERVICE, model, x->attempt, version);
+    }
+    return a == VP_AT;
+}
+
+static void
+begin_stream(Script *s)
+{
+    Stream *x = g_new0(Stream, 1);
+    x->gateway = (int)pick(s, (uint32_t)s->gateways);
+    Gateway *g = &s->all[x->gateway];
+    x->model = pick(s, 2) ? 0 : (int)pick(s, (uint32_t)s->models);
+    (void)g_snprintf(x->attempt, sizeof(x->attempt), "%016llx",
+                     (unsigned long long)bg_next_random(&s->rng));
+    x->begun_ms = s->now_ms;
+    x->resume_ms =
+        pick(s, 4) ? UINT64_MAX : s->now_ms + 200 + pick(s, LIFE_MS - 500);
+    const char *version;
+    const Engine *e = is_up(s, g) && may_begin(s, g, x, &version)
+                          ? choose_engine(s, g, x->model, version)
+                          : NULL;
+    s->refused_begins += is_up(s, g) && !e;
+    if (!e) {
+        g_free(x);
+        return;
+    }
+    s->begun++;
+    g_strlcpy(x->version, e->name, sizeof(x->version));
+    take_note(g, x->attempt, x->version);
+    if (s->policy == BY_KEEPERS) {
+        tell_keepers(s, x);
+    }
+    if (s->policy == BY_NOTES && has_unsettled_share(g, x)) {
+        send_note(s, g, x->attempt, x->version);
+    }
+    g_ptr_array_add(s->streams, x);
+}
+
+/* By this gateway's notes, or else the leader's. */
+static const char *
+find_note(Script *s, const Gateway *g, const Stream *x)
+{
+    const char *own = g_hash_table_lookup(g->notes, x->attempt);
+    if (own || s->leader < 0 || !has_unsettled_share(g, x)) {
+        return own;
+    }
+    const Gateway *leader = &s->all[s->leader];
+    s->bytes += FRAME_BYTES * 2;
+    return is_linked(s, g) && is_linked(s, leader)
+               ? g_hash_table_lookup(leader->notes, x->attempt)
+               : NULL;
+}
+
+static const char *
+find_version(Script *s, Gateway *g, const Stream *x)
+{
+    char model[8];
+    name_model(x->model, model);
+    if (s->policy > BY_PLAN) {
+        return ask_keepers(s, g, x->attempt);
+    }
+    const char *version = s->policy == BY_NOTES ? find_note(s, g, x) : NULL;
+    if (version) {
+        return version;
+    }
+    VpAnswer a = vp_resume(g->vp, s->now_ms, s->now_ms, SERVICE, model,
+                           x->attempt, &version);
+    if (a == VP_ASK && reaches_store(s, g)) {
+        take_stored(s, g, s->now_ms);
+        a = vp_resume(g->vp, s->now_ms, s->now_ms, SERVICE, model, x->attempt,
+                      &version);
+    }
+    return a == VP_AT ? version : NULL;
+}
+
+static bool
+is_served(const Script *s, const Stream *x)
+{
+    for (int i = 0; i < s->engines; i++) {
+        const Engine *e = &s->real[i];
+        if (e->up && strcmp(e->name, x->version) == 0 &&
+            e->models >> x->model & 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+take_up(Script *s, Stream *x)
+{
+    int at = (int)pick(s, (uint32_t)s->gateways);
+    Gateway *g = &s->all[at];
+    if (!is_up(s, g) && x->tries++ < 3) {
+        x->resume_ms = s->now_ms + 300;
+        return;
+    }
+    x->resume_ms = UINT64_MAX;
+    if (!is_up(s, g) || s->now_ms > x->begun_ms + LIFE_MS) {
+        return;
+    }
+    s->taken_up++;
+    bool possible = is_served(s, x) && reaches_store(s, g);
+    const char *version = find_version(s, g, x);
+    const Engine *e = version ? choose_engine(s, g, x->model, version) : NULL;
+    s->possible += possible;
+    s->went_on += possible && e;
+    s->mixed += e && strcmp(e->name, x->version) != 0;
+}
+
+static gboolean
+is_over(gconstpointer stream, uint64_t now_ms)
+{
+    return now_ms > ((const Stream *)stream)->begun_ms + LIFE_MS;
+}
+
+static void
+run_streams(Script *s)
+{
+    uint32_t new_streams = 1 + pick(s, 3);
+    for (uint32_t i = 0; i < new_streams; i++) {
+        begin_stream(s);
+    }
+    for (guint i = 0; i < s->streams->len;) {
+        Stream *x = s->streams->pdata[i];
+        if (s->now_ms >= x->resume_ms) {
+            take_up(s, x);
+        }
+        if (is_over(x, s->now_ms)) {
+            g_ptr_array_remove_index_fast(s->streams, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static void
+run_fleet(Script *s, uint64_t for_ms)
+{
+    uint64_t end_ms = START_MS + for_ms;
+    for (s->now_ms = START_MS; s->now_ms < end_ms; s->now_ms += STEP_MS) {
+        apply_faults(s);
+        look_at_engines(s);
+        elect(s);
+        gather_notes(s);
+        deliver_frames(s);
+        lead(s);
+        if (s->now_ms > START_MS + 3000) {
+            run_streams(s);
+        }
+    }
+    printf("taken up %llu possible %llu went on %llu mixed %llu begun %llu "
+           "refused %llu bytes %llu\n",
+           (unsigned long long)s->taken_up, (unsigned long long)s->possible,
+           (unsigned long long)s->went_on, (unsigned long long)s->mixed,
+           (unsigned long long)s->begun, (unsigned long long)s->refused_begins,
+           (unsigned long long)s->bytes);
+}
+
+/* ---- commands ----------------------------------------------------------- */
+
+static int
+read_who(const Script *s, const char *word)
+{
+    return strcmp(word, "all") == 0 ? -2
+           : strcmp(word, "leader") == 0
+               ? -1
+               : (int)strtol(word, NULL, 10) % s->gateways;
+}
+
+static void
+add_fault(Script *s, char kind, int who, const char *at, const char *length,
+          double share)
+{
+    Fault f = {kind, who, START_MS + strtoull(at, NULL, 10),
+               strtoull(length, NULL, 10), share};
+    f.at_ms -= f.at_ms % STEP_MS;
+    g_array_append_val(s->faults, f);
+}
+
+static bool
+run_fleet_line(Script *s, char **words, int count)
+{
+    if (strcmp(words[0], "fleet") == 0 && count == 5) {
+        create_fleet(s, words);
+    }
+    else if (strcmp(words[0], "policy") == 0 && count == 2) {
+        s->policy = strcmp(words[1], "notes") == 0     ? BY_NOTES
+                    : strcmp(words[1], "plan") == 0    ? BY_PLAN
+                    : strcmp(words[1], "keepers") == 0 ? BY_KEEPERS
+                                                       : BY_LOCAL;
+    }
+    else if (strcmp(words[0], "lag") == 0 && count == 2) {
+        s->lag_ms = (uint32_t)strtoul(words[1], NULL, 10);
+    }
+    else if (strcmp(words[0], "late") == 0 && count == 2) {
+        s->late_ms = (uint32_t)strtoul(words[1], NULL, 10);
+    }
+    else if (strcmp(words[0], "rollout") == 0 && count == 3) {
+        s->rollout_ms = START_MS + strtoull(words[1], NULL, 10);
+        s->rollout_step_ms = strtoull(words[2], NULL, 10);
+        s->version++;
+    }
+    else if (strcmp(words[0], "crash") == 0 && count == 4) {
+        add_fault(s, 'e', 0, words[1], words[3],
+                  g_ascii_strtod(words[2], NULL));
+    }
+    else if (strcmp(words[0], "outage") == 0 && count == 3) {
+        add_fault(s, 'o', 0, words[1], words[2], 0);
+    }
+    else if (count == 4 &&
+             (strcmp(words[0], "kill") == 0 || strcmp(words[0], "cut") == 0 ||
+              strcmp(words[0], "freeze") == 0)) {
+        add_fault(s, words[0][0], read_who(s, words[1]), words[2], words[3],
+                  0);
+    }
+    else if (strcmp(words[0], "run") == 0 && count == 2) {
+        run_fleet(s, strtoull(words[1], NULL, 10));
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static bool
+run_line(void *ctx, char **words, int count)
+{
+    return run_plan_line(ctx, words, count) ||
+           run_fleet_line(ctx, words, count);
+}
+
+int
+main(void)
+{
+    static Script s;
+    return script_run(run_line, &s);
+}
--- /dev/null
+++ b/tests/test_fuzz_vp.py
@@ -0,0 +1,87 @@
+"""The version plan over random fleets with random faults, in virtual time.
+By hand: test_fuzz_vp.py --build DIR FIRST LAST [POLICY]."""
+
+import os
+import random
+import re
+import subprocess
+import sys
+
+import pytest
+
+LENGTH_MS = 60000
+
+
+def add_rollouts(r, lines):
+    at = r.uniform(1, 20000)
+    for _ in range(r.choice([1, 1, 2])):
+        lines.append("rollout %d %d" % (at, r.choice([40, 200, 500, 1500])))
+
+
+def add_faults(r, lines, vms):
+    for _ in range(r.choice([0, 1, 2, 4, 8])):
+        at, length = r.uniform(1, LENGTH_MS - 8000), r.uniform(100, 9000)
+        who = r.choice(["leader", str(r.randrange(vms))])
+        kind = r.choice(["kill", "kill", "cut", "cut", "freeze", "outage",
+                         "all", "crash"])
+        lines.append({
+            "all": "kill all %d %d" % (at, r.uniform(100, 2000)),
+            "outage": "outage %d %d" % (at, length),
+            "crash": "crash %d %.2f 0" % (at, r.uniform(0.05, 0.6))}.get(
+                kind, "%s %s %d %d" % (kind, who, at, length)))
+
+
+def make_script(seed, policy="notes"):
+    r = random.Random(seed)
+    vms = r.choice([3, 3, 7, 7, 12, 30])
+    lines = ["fleet %d %d %d %d" % (vms, r.choice([4, 8, 18, 40]),
+                                    r.choice([1, 5, 20, 60]), seed),
+             "policy " + policy,
+             "lag %d" % r.choice([1, 5, 50, 300]),
+             "late %d" % r.choice([0, 0, 50, 300])]
+    add_rollouts(r, lines)
+    add_faults(r, lines, vms)
+    lines.append("run %d" % LENGTH_MS)
+    return "\n".join(lines) + "\n"
+
+
+def run_script(build, text):
+    """What a scripted run counted, by name."""
+    out = subprocess.run([os.path.join(build, "script_vp")], input=text,
+                         capture_output=True, text=True, timeout=300,
+                         check=True).stdout
+    return {name: int(n) for name, n in re.findall(r"([a-z ]+) (\d+)", out)}
+
+
+def check(build, seed):
+    """What the run of SEED breaks, or None."""
+    found = run_script(build, make_script(seed))
+    if found[" mixed"]:
+        return "seed %d: %d streams are mixed" % (seed, found[" mixed"])
+    return None
+
+
+SEEDS = [*range(1, 121)]
+
+
+@pytest.mark.parametrize("first", range(0, len(SEEDS), 20))
+def test_no_stream_is_mixed(build, first):
+    faults = [check(build, seed) for seed in SEEDS[first:first + 20]]
+    assert [f for f in faults if f] == []
+
+
+def main():
+    build, first, last = sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    policy = sys.argv[5] if len(sys.argv) > 5 else "notes"
+    total = {}
+    for seed in range(first, last + 1):
+        found = run_script(build, make_script(seed, policy))
+        if found[" mixed"]:
+            print("seed %d: %d mixed" % (seed, found[" mixed"]))
+        for k, n in found.items():
+            total[k] = total.get(k, 0) + n
+    print("%s, %d seeds: %s" % (policy, last - first + 1, total))
+
+
+if __name__ == "__main__":
+    main()
