A stream goes on only at the software version that began it

Cause: the choice of an upstream knew no versions, neither where the gateway itself goes on after a break nor where a caller takes a stream up, and nothing told a gateway at which version a stream began that it had never seen.

Now a stream of a resumable route begins at the version that the plan gives its attempt, and goes on there. The leader changes the plan in the store; a caller's resumption is confirmed by a read of the store that began after it came, or, while there is one version, by the leader's heartbeat. What isn't known is refused: 503, and Retry-After only if waiting can help. The service of a split route is picked by the attempt too.

While there are several versions the first event is held back until the upstream's report names the birth in its entry, once a connection: an upstream may be back under its id at another version before its entry says so.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -14,6 +14,9 @@
                            for them
      gateway_node_detours  paths to upstreams, and detours by way of other
                            gateways
+     gateway_node_versions the version plan, and which process is at an
+                           upstream
+     gateway_node_notes    notes of which version began a stream
      gateway_node_start    starting while the store is unreachable
      main_gateway          settings, listeners, timers, signals
    The leader is the gateway that holds the lease for placement.  Links form a
@@ -35,9 +38,11 @@
 #include "relay_plan.h"
 #include "retry_budget.h"
 #include "store.h"
+#include "stream_notes.h"
 #include "suspects.h"
 #include "tcp_links.h"
 #include "upstream_table.h"
+#include "version_plan.h"
 #include "workspace_limits.h"
 
 /* The last append to the lease topic. */
@@ -114,6 +119,19 @@
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
     Sp *suspects;
+    Vp *versions;
+    Sn *notes;
+    GArray *notes_due;      /* uint64_t: keys of notes that are not sent yet */
+    uint64_t lead_ms;       /* it leads since; 0: it doesn't */
+    uint64_t plan_read_ms;  /* a read of the version plan is under way since;
+                               0: none is */
+    uint64_t plan_asked_ms; /* a request last needed one */
+    uint64_t plan_retry_ms; /* no read is begun before */
+    uint64_t plan_behind_ms;   /* a newer plan is known since; 0: none */
+    uint64_t plan_tail;        /* end of its topic, if plan_listed */
+    bool plan_listed;          /* as leader: the topic was read, and only this
+                                  process has written since */
+    bool plan_pending;         /* an append of a plan is under way */
     uint64_t suspects_ms;      /* rows were last published */
     uint64_t suspects_note_ms; /* the note of the lease record was made */
     uint64_t led_ms; /* a leader, or this one as such, was last there */
@@ -368,6 +386,37 @@
 /* This gateway alone has no path to the upstreams. */
 bool gn_is_cut_off(const Gateway *g, uint64_t now_ms);
 
+/* gateway_node_versions */
+/* TO: a linked gateway; NULL: all of them. */
+void gn_send_versions(Gateway *g, LkPeer *to);
+void gn_take_versions(Gateway *g, const Gwp__VersionPlan *m);
+/* Read the version plan in the store. */
+void gn_read_versions(Gateway *g);
+/* The leader's heartbeat, sent at SENT_MS, names plan NUMBER. */
+void gn_on_plan_number(Gateway *g, uint64_t now_ms, uint64_t number,
+                       uint64_t sent_ms);
+/* As leader: change the plan if that is due. */
+void gn_tick_versions(Gateway *g, uint64_t now_ms);
+/* For GwOutput. */
+void gn_on_ask_versions(void *ctx);
+void gn_on_ask_process(void *ctx, const DepUpstream *upstream,
+                       uint64_t asked_ms);
+
+/* gateway_node_notes */
+/* For GwOutput. */
+void gn_on_send_note(void *ctx, uint64_t key);
+bool gn_on_ask_note(void *ctx, uint64_t key);
+/* The plan changed: notes of streams that are unsettled now become due. */
+void gn_collect_notes(Gateway *g);
+/* Send all notes to the VM that we have linked to: a new leader lacks them. */
+void gn_report_notes(Gateway *g);
+/* FROM: the gateway that sent it; NULL: the VM that we are linked to. */
+void gn_take_notes(Gateway *g, const LkPeer *from, const Gwp__Frame *frame);
+void gn_take_note_ask(Gateway *g, LkPeer *from, const Gwp__Frame *frame);
+void gn_take_note_answer(Gateway *g, const Gwp__Frame *frame);
+/* Send the notes that are due. */
+void gn_tick_notes(Gateway *g, uint64_t now_ms);
+
 /* gateway_node_start */
 /* Ask another gateway for a link if the store does not answer a starting
    process. */
--- a/src/gateway_node_demand.c
+++ b/src/gateway_node_demand.c
@@ -37,7 +37,7 @@
 /* ---- demand received ---------------------------------------------------- */
 
 static const char *
-to_adapter(const char *wire)
+to_optional(const char *wire)
 {
     return *wire ? wire : NULL;
 }
@@ -49,7 +49,8 @@
     for (size_t i = 0; i < d->n_wants; i++) {
         const Gwp__Want *x = d->wants[i];
         DmModelDemand *w =
-            dm_add_model_demand(demand, x->model, to_adapter(x->adapter));
+            dm_add_model_demand(demand, x->model, to_optional(x->adapter));
+        w->version = g_strdup(to_optional(x->version));
         w->waiting = x->waiting;
         w->running = x->running;
         w->arrived = x->arrived;
@@ -59,7 +60,7 @@
     for (size_t i = 0; i < d->n_uses; i++) {
         const Gwp__Use *x = d->uses[i];
         DmUse *u =
-            dm_add_use(demand, x->upstream, x->model, to_adapter(x->adapter));
+            dm_add_use(demand, x->upstream, x->model, to_optional(x->adapter));
         u->running = x->running;
         u->queued = x->queued;
         u->slow = x->slow;
@@ -212,6 +213,7 @@
         gwp__want__init(w);
         w->model = x->model;
         w->adapter = x->adapter ? x->adapter : (char *)"";
+        w->version = x->version ? x->version : (char *)"";
         w->waiting = x->waiting;
         w->running = x->running;
         w->arrived = x->arrived;
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -282,6 +282,7 @@
     if (g->config && g->config->version > config_version) {
         gn_send_config(g, to);
     }
+    gn_send_versions(g, to); /* before upstreams of a new version */
     if (!send_all_upstreams(g, to)) {
         return; /* the first listing is sent to all linked gateways */
     }
@@ -331,6 +332,7 @@
     s.address = (char *)gn_get_address(g);
     s.sent_ms = now_ms;
     s.idle = !g->is_leader;
+    s.version_plan = vp_get_number(g->versions);
     MpStoreLimits rate = mp_get_store_limits(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
@@ -553,6 +555,7 @@
     g->informed = s->informed;
     ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
     if (!s->idle) {
+        gn_on_plan_number(g, now_ms, s->version_plan, sent_ms);
         ls_on_leader_contact(g->lease, sent_ms);
         gw_on_leader(g->gw, now_ms, s->rest_ms);
     }
@@ -633,6 +636,15 @@
     case GWP__FRAME__BODY_CONFIG:
         take_config(g, f->config);
         break;
+    case GWP__FRAME__BODY_VERSION_PLAN:
+        gn_take_versions(g, f->version_plan);
+        break;
+    case GWP__FRAME__BODY_STREAM_NOTES:
+        gn_take_notes(g, NULL, f);
+        break;
+    case GWP__FRAME__BODY_NOTE_ANSWER:
+        gn_take_note_answer(g, f);
+        break;
     case GWP__FRAME__BODY_LIMITS:
         take_limits(g, f->limits);
         lk_send_down(g->links, NULL, f);
@@ -707,6 +719,12 @@
     case GWP__FRAME__BODY_SLOT_ASK:
         gn_take_slot_ask(g, from, f);
         break;
+    case GWP__FRAME__BODY_STREAM_NOTES:
+        gn_take_notes(g, from, f);
+        break;
+    case GWP__FRAME__BODY_NOTE_ASK:
+        gn_take_note_ask(g, from, f);
+        break;
     case GWP__FRAME__BODY_PLACEMENT_WANTED:
         gn_resend_placement(g, from, f->placement_wanted->upstream);
         break;
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -235,6 +235,7 @@
         wl_on_link(g->limits);
         gn_report_upstream_limits(g);
         gn_report_suspects(g);
+        gn_report_notes(g);
         gn_send_demand(g);
         return;
     }
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -57,6 +57,7 @@
     g->members_ms = 0; /* reports the version to the leader at once */
     gw_on_config(g->gw, c);
     wl_on_config(g->limits, c);
+    vp_set_life(g->versions, dep_get_stream_life_ms(c));
     gn_update_fleet(g, g->config_ms);
     mp_on_config(g->placement, c);
     gn_send_config(g, NULL);
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -134,6 +134,16 @@
     }
 }
 
+/* A stream that is taken up goes to the service that began it. */
+static uint64_t
+draw_service(Req *q)
+{
+    const char *attempt =
+        q->call.takes_up ? q->call.resumes : q->call.attempt_id;
+    return q->route->resumable && attempt ? vp_draw(attempt)
+                                          : bg_next_random(&q->gw->rng);
+}
+
 static Req *
 create_req(Gw *g, HtExchange *x, const DepRoute *route,
            const DepWorkspace *workspace, const DepKey *key)
@@ -151,7 +161,7 @@
     q->digest = digest_request(x, workspace);
     g->wire->read_call(ht_get_head(x), &q->call);
     q->position = po_create(q->call.resume_after);
-    q->service = dep_pick_service(route, bg_next_random(&g->rng));
+    q->service = dep_pick_service(route, draw_service(q));
     set_deadlines(q);
     fill_query(q);
     g_queue_push_tail(&g->reqs, q);
@@ -420,7 +430,7 @@
 static bool
 is_silent(const Req *q, uint64_t now_ms)
 {
-    if (q->paused || q->check || !gw_may_repeat(q) ||
+    if (!q->hc || q->paused || !gw_may_repeat(q) ||
         q->runs + 1 >= q->route->attempts) {
         return false;
     }
@@ -558,6 +568,71 @@
     }
 }
 
+void
+gw_on_note(Gw *g, uint64_t key, const char *version)
+{
+    if (version) {
+        SnNote note = {.key = key,
+                       .version = version,
+                       .left_ms = vp_get_life_ms(g->versions)};
+        sn_add(g->notes, bg_boot_ms(), &note);
+    }
+    GList *next;
+    for (GList *l = g->reqs.head; l; l = next) {
+        next = l->next;
+        Req *q = l->data;
+        if (q->state == REQ_WAITING && q->note_wait_ms && !q->version &&
+            gw_get_stream_key(q) == key) {
+            q->note_missing = !version;
+            gw_try_send(q);
+        }
+    }
+}
+
+void
+gw_note_streams(Gw *g)
+{
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        gw_note_stream(l->data);
+    }
+}
+
+/* Whether Q's answer came from the process of its upstream.  May free Q. */
+static void
+check_process(Req *q, uint64_t born_ms)
+{
+    if (ut_is_proved(q->ut, q->opened_ms)) {
+        gw_release_held(q);
+    }
+    else if (born_ms == 0) {
+        gw_refuse_held(q, "its process isn't known");
+    }
+    else if (born_ms != ut_get_entry(q->ut)->born_ms) {
+        gw_refuse_held(q, "another process answered");
+    }
+    else {
+        gw_ask_process(q); /* its connection was opened later */
+    }
+}
+
+void
+gw_on_process(Gw *g, const char *upstream, uint64_t asked_ms, uint64_t born_ms)
+{
+    Ut *known = ut_find(g->upstreams, upstream);
+    if (known) {
+        ut_on_process(known, asked_ms, born_ms);
+    }
+    GList *next;
+    for (GList *l = g->reqs.head; l; l = next) {
+        next = l->next;
+        Req *q = l->data;
+        if (q->held && strcmp(ut_get_id(q->ut), upstream) == 0) {
+            ut_on_process(q->ut, asked_ms, born_ms);
+            check_process(q, born_ms);
+        }
+    }
+}
+
 /* ---- the gateway -------------------------------------------------------- */
 
 Gw *
@@ -576,6 +651,8 @@
     g->limits = cores->limits;
     g->upstream_limits = cores->upstream_limits;
     g->suspects = cores->suspects;
+    g->versions = cores->versions;
+    g->notes = cores->notes;
     g->leader_ms = bg_boot_ms();
     g->answer_us = hist_create();
     g->first_byte_us = hist_create();
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -5,6 +5,7 @@
    Guarantees.
    - A request that is not idempotent or resumable is sent again only if no
      byte of it left this process, or the upstream said that it ran nothing.
+   - A stream goes on only at the software version that began it.
    - 503 (refused) means that the request has not run and never will.
    - An answer is forwarded unchanged and complete, or is visibly truncated.
    - The upstream call is cancelled as soon as the caller disconnects.
@@ -18,9 +19,11 @@
 #include "http.h"
 #include "demand_aggregate.h"
 #include "retry_budget.h"
+#include "stream_notes.h"
 #include "suspects.h"
 #include "upstream_limits.h"
 #include "upstream_table.h"
+#include "version_plan.h"
 #include "workspace_limits.h"
 
 /* Load of an upstream, as reported in the head of an answer. */
@@ -94,6 +97,17 @@
        ul_on_slot before this returns, or by gw_on_slot later. */
     void (*ask_slot)(void *ctx, UlTicket ticket, const char *upstream,
                      uint32_t max_wait_ms);
+    /* The version plan must be confirmed: gw_on_change follows. */
+    void (*ask_versions)(void *ctx);
+    /* Which process is at UPSTREAM: answered by gw_on_process, with the same
+       ASKED_MS. */
+    void (*ask_process)(void *ctx, const DepUpstream *upstream,
+                        uint64_t asked_ms);
+    /* The note called KEY is of a stream of an unsettled share. */
+    void (*send_note)(void *ctx, uint64_t key);
+    /* Whether another gateway has that note: answered by gw_on_note.  False:
+       none has. */
+    bool (*ask_note)(void *ctx, uint64_t key);
 } GwOutput;
 
 typedef struct Gw Gw;
@@ -105,6 +119,8 @@
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
     Sp *suspects;
+    Vp *versions;
+    Sn *notes; /* of streams */
 } GwCores;
 
 /* POOL is borrowed. */
@@ -141,6 +157,16 @@
 void gw_on_slot(Gw *g, uint64_t now_ms, UlTicket ticket, bool granted,
                 uint32_t wait_ms);
 
+/* The report of the upstream with that id; the others as in ut_on_process. */
+void gw_on_process(Gw *g, const char *upstream, uint64_t asked_ms,
+                   uint64_t born_ms);
+
+/* The answer to ask_note.  VERSION: NULL: no gateway knows. */
+void gw_on_note(Gw *g, uint64_t key, const char *version);
+/* The version plan changed: notes of the streams under way whose shares are
+   unsettled now are sent. */
+void gw_note_streams(Gw *g);
+
 /* TURN was granted or refused. */
 void gw_on_turn(Gw *g, SpTurn turn);
 
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -79,6 +79,9 @@
     }
     q->forwards_events = q->route->kind == DEP_STREAM && head->status == 200 &&
                          !q->not_run && ht_read_events(call, q->streaming);
+    if (q->forwards_events) {
+        gw_hold(q, call);
+    }
 }
 
 static void
@@ -113,25 +116,50 @@
     q->body_bytes += len;
 }
 
+/* Reads no more until the caller has taken what was read, or what is held back
+   is passed on. */
+static void
+pause_reading(Req *q)
+{
+    if (q->hc) {
+        q->paused = true;
+        ht_pause_call(q->hc);
+    }
+}
+
 /* Forwards only complete events, so that after a break the next upstream
    resumes exactly behind what the caller has. */
-void
-gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event)
+static void
+pass_event(Req *q, const EsEvent *event)
 {
-    Req *q = ctx;
     /* A mark is one only at the begin of the caller's stream. */
     size_t from = po_has_begun(q->position) ? event->mark_len : 0;
     if (!po_take(q->position, event)) {
         return;
     }
+    gw_begin_stream(q);
     q->doubt_ms = 0;
     start_stream(q);
     ht_write_answer(q->x, event->text + from, event->len - from);
     q->events++;
     note_event(q);
     if (ht_get_unsent(q->x) > q->gw->params.max_unsent_bytes) {
-        q->paused = true;
-        ht_pause_call(call);
+        pause_reading(q);
+    }
+}
+
+void
+gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event)
+{
+    (void)call;
+    Req *q = ctx;
+    if (!q->held) {
+        pass_event(q, event);
+        return;
+    }
+    gw_hold_event(q, event);
+    if (q->held_bytes > q->gw->params.max_unsent_bytes) {
+        pause_reading(q);
     }
 }
 
@@ -389,6 +417,11 @@
     q->end = end;
     q->rest_bytes = ae_get_rest_bytes(answer);
     count_end(end);
+    if (q->held && ae_is_whole(end)) {
+        gw_hold_end(q, answer);
+        return;
+    }
+    gw_drop_held(q);
     if (end == AE_NOT_SENT) {
         handle_not_sent(q);
     }
@@ -404,3 +437,32 @@
         gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(end));
     }
 }
+
+void
+gw_release_held(Req *q)
+{
+    g_autoptr(GPtrArray) events = g_steal_pointer(&q->held);
+    g_autoptr(GByteArray) rest = g_steal_pointer(&q->held_rest);
+    if (q->paused && q->hc) {
+        q->paused = false;
+        ht_resume_call(q->hc);
+    }
+    for (guint i = 0; i < events->len; i++) {
+        pass_event(q, events->pdata[i]);
+    }
+    if (rest) {
+        handle_whole(q, rest);
+    }
+}
+
+void
+gw_refuse_held(Req *q, const char *why)
+{
+    gw_drop_held(q);
+    bg_count("gateway_other_processes_total", 1);
+    if (q->hc) {
+        ht_cancel_call(q->hc);
+        q->hc = NULL;
+    }
+    gw_handle_failure(q, UT_OUTCOME_NEUTRAL, why);
+}
--- a/src/gateway_request_demand.c
+++ b/src/gateway_request_demand.c
@@ -11,7 +11,8 @@
 typedef struct {
     uint64_t now_ms;
     DmDemand *demand;
-    GHashTable *models; /* model or "model/adapter" -> DmModelDemand */
+    GHashTable *models; /* model or "model/adapter", or one of these with a
+                           blank and a version -> DmModelDemand */
     GHashTable *uses; /* "upstream model" or "upstream model/adapter" -> DmUse
                        */
 } Collection;
@@ -56,6 +57,23 @@
     return r->gap_ms && pause_ms > r->gap_ms * SLOW_PAUSE;
 }
 
+/* Q waits for its model, or adapter, on upstreams of its version. */
+static void
+collect_version_wait(Collection *c, const Req *q)
+{
+    g_autofree char *name =
+        dep_make_key(q->query.model, q->lacks_model ? NULL : q->query.adapter);
+    g_autofree char *key = g_strconcat(name, " ", q->query.version, NULL);
+    DmModelDemand *w = g_hash_table_lookup(c->models, key);
+    if (!w) {
+        w = dm_add_model_demand(c->demand, q->query.model,
+                                q->lacks_model ? NULL : q->query.adapter);
+        w->version = g_strdup(q->query.version);
+        g_hash_table_insert(c->models, g_steal_pointer(&key), w);
+    }
+    w->waiting++;
+}
+
 static void
 collect_request(Collection *c, const Req *q)
 {
@@ -77,6 +95,10 @@
     if (q->turn) {
         return; /* what it waits for is no replica */
     }
+    if (q->lacks_version) {
+        collect_version_wait(c, q);
+        return;
+    }
     (a ? a : w)->waiting++;
     w->waiting += a && q->lacks_model;
 }
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -1,6 +1,8 @@
 /* gateway_request_internal: a caller's request, for the gateway_request*.c
    files only.  Calls go one way, each file to those above it:
      gateway_request_send    heads, the final answer, sending to an upstream
+     gateway_request_version at which software version a stream begins, and
+                             goes on; events held back until it is sure
      gateway_request_wait    waiting, refusing, slots, the next step
      gateway_request_answer  what an upstream answers
      gateway_request         arrival, time, reports from other processes
@@ -69,6 +71,21 @@
     GString *kept_head;
     GByteArray *kept_body;
 
+    /* The software version that began the stream: it goes on only there.
+       NULL: no event came yet. */
+    char *version;
+    bool taken_up;             /* VERSION began it in another attempt */
+    uint64_t versions_wait_ms; /* the plan is being confirmed since; 0: no */
+    uint64_t note_wait_ms;  /* a note of VERSION is asked for since; 0: no */
+    uint64_t note_asked_ms; /* it was last asked for */
+    bool note_missing;      /* no gateway has it */
+    /* Of an upstream whose process isn't proved yet: what it sent. */
+    GPtrArray *held; /* EsEvent; NULL: nothing is held back */
+    size_t held_bytes;
+    uint64_t opened_ms;    /* by then the call's connection was open */
+    GByteArray *held_rest; /* the end of its answer is held back too; or
+                              NULL */
+
     /* the stream that is forwarded */
     Po *position;
     /* It may be whole or not: whether it goes on is being asked since then; 0:
@@ -94,6 +111,7 @@
     uint16_t status;      /* of the answer to the current call */
     uint16_t kept_status; /* of the kept answer */
     bool lacks_model;     /* waiting: for the model, not an adapter */
+    bool lacks_version;   /* waiting: for it at query.version */
     bool not_run;         /* as the upstream's answer says */
     bool forwards_events; /* of the current call, to the caller */
     bool streaming;       /* the head of the stream was sent */
@@ -121,6 +139,8 @@
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
     Sp *suspects;
+    Vp *versions;
+    Sn *notes;
     DepConfig *config;  /* NULL: none yet */
     uint64_t config_ms; /* when the first came */
     uint64_t start_ms;
@@ -179,6 +199,32 @@
 void gw_give_up(Req *q, uint32_t retry_ms, const char *why);
 void gw_send_to(Req *q, Ut *ut, uint64_t now_ms);
 
+/* gateway_request_version */
+typedef enum {
+    GW_VERSION_PICKED, /* q->query.version is set */
+    GW_VERSION_ASKED,  /* it is tried again after an answer or the next tick */
+    GW_VERSION_UNKNOWN /* the stream can't go on, for the reason in *WHY */
+} GwVersion;
+
+/* Sets q->query.version: at which version the stream may run now. */
+GwVersion gw_pick_version(Req *q, uint64_t now_ms, const char **why);
+/* The version is given by the plan, and no event came yet: another may be
+   given later. */
+bool gw_may_move(const Req *q);
+/* The first event is there. */
+void gw_begin_stream(Req *q);
+/* Takes a note of it, if there are several versions. */
+void gw_note_stream(Req *q);
+/* Names the stream that Q goes on with, or begins. */
+uint64_t gw_get_stream_key(const Req *q);
+/* Holds the answer back if another process may have sent it. */
+void gw_hold(Req *q, const HtCall *call);
+void gw_hold_event(Req *q, const EsEvent *event);
+void gw_hold_end(Req *q, const Ae *answer);
+void gw_drop_held(Req *q);
+/* Asks which process is at the upstream of the current call. */
+void gw_ask_process(const Req *q);
+
 /* gateway_request_wait */
 void gw_try_send(Req *q);
 
@@ -189,5 +235,9 @@
 void gw_on_call_bytes(void *ctx, HtCall *call, size_t len);
 void gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event);
 void gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer);
+/* Passes on what was held back. */
+void gw_release_held(Req *q);
+/* Another process answered: its answer is dropped. */
+void gw_refuse_held(Req *q, const char *why);
 
 #endif
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -180,6 +180,8 @@
     if (q->check) {
         ht_cancel_check(q->check);
     }
+    gw_drop_held(q);
+    g_free(q->version);
     g_string_free(q->head, TRUE);
     if (q->kept_head) {
         g_string_free(q->kept_head, TRUE);
@@ -457,6 +459,7 @@
     q->unsent = false;
     q->paused = false;
     q->forwards_events = false;
+    gw_drop_held(q);
     q->status = 0;
     q->events = 0;
     q->body_bytes = 0;
--- /dev/null
+++ b/src/gateway_request_version.c
@@ -0,0 +1,261 @@
+#include "gateway_request_internal.h"
+
+#include <string.h>
+
+/* The plan is confirmed by one call of the store, or known to be out of reach
+   by then. */
+#define CONFIRM_WAIT_MS 500
+/* A new leader gets the notes of the others meanwhile. */
+#define NOTE_WAIT_MS 2500
+#define NOTE_ASK_MS 100 /* between questions for one note */
+
+/* ---- at which version --------------------------------------------------- */
+
+static bool
+is_resumable(const Req *q)
+{
+    return q->route->kind == DEP_STREAM && q->route->resumable;
+}
+
+static void
+log_taken_up(const Req *q, const char *version, const char *why)
+{
+    JlLine *l = jl_begin("stream-taken-up");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "resumes", q->call.resumes);
+    jl_number(l, "after", q->call.resume_after);
+    jl_text(l, "version", version);
+    jl_text(l, "why", why);
+    jl_number(l, "plan", (int64_t)vp_get_number(q->gw->versions));
+    jl_end(l);
+    bg_count(version ? "gateway_streams_taken_up_total"
+                     : "gateway_streams_not_taken_up_total",
+             1);
+}
+
+static GwVersion
+pin(Req *q, const char *version)
+{
+    q->version = g_strdup(version);
+    q->taken_up = true;
+    q->query.version = q->version;
+    log_taken_up(q, version, NULL);
+    return GW_VERSION_PICKED;
+}
+
+static GwVersion
+refuse(const Req *q, const char *reason, const char **why)
+{
+    *why = reason;
+    log_taken_up(q, NULL, reason);
+    return GW_VERSION_UNKNOWN;
+}
+
+static GwVersion
+ask(Req *q, uint64_t now_ms, const char **why)
+{
+    if (q->versions_wait_ms == 0) {
+        q->versions_wait_ms = now_ms;
+    }
+    if (now_ms > q->versions_wait_ms + CONFIRM_WAIT_MS) {
+        *why = "the version plan can't be confirmed";
+        return GW_VERSION_UNKNOWN;
+    }
+    q->gw->out.ask_versions(q->gw->out.ctx);
+    return GW_VERSION_ASKED;
+}
+
+/* The attempt that began the stream. */
+static const char *
+get_attempt(const Req *q)
+{
+    return q->call.takes_up ? q->call.resumes : q->call.attempt_id;
+}
+
+uint64_t
+gw_get_stream_key(const Req *q)
+{
+    return sn_make_key(q->workspace ? q->workspace->name : NULL, q->service,
+                       q->query.model, get_attempt(q));
+}
+
+/* The version by a note, of this gateway or another. */
+static GwVersion
+ask_note(Req *q, uint64_t now_ms, const char **why)
+{
+    const GwOutput *out = &q->gw->out;
+    if (q->note_wait_ms == 0) {
+        q->note_wait_ms = now_ms;
+    }
+    if (q->note_missing || now_ms > q->note_wait_ms + NOTE_WAIT_MS) {
+        return refuse(q, "its version isn't known", why);
+    }
+    if (now_ms >= q->note_asked_ms + NOTE_ASK_MS) {
+        q->note_asked_ms = now_ms;
+        bg_count("gateway_stream_notes_asked_total", 1);
+        q->note_missing = !out->ask_note(out->ctx, gw_get_stream_key(q));
+    }
+    return q->note_missing ? refuse(q, "its version isn't known", why)
+                           : GW_VERSION_ASKED;
+}
+
+/* The caller has events of another attempt. */
+static GwVersion
+pick_for_rest(Req *q, uint64_t now_ms, const char **why)
+{
+    const Vp *versions = q->gw->versions;
+    const char *attempt = q->call.resumes;
+    const char *version =
+        attempt ? sn_find(q->gw->notes, now_ms, gw_get_stream_key(q)) : NULL;
+    if (version) {
+        return pin(q, version);
+    }
+    switch (vp_resume(versions, now_ms, q->arrival_ms, q->service,
+                      q->query.model, attempt ? attempt : "", &version)) {
+    case VP_AT:
+        return attempt || !vp_is_mixed(versions, q->service)
+                   ? pin(q, version)
+                   : refuse(q, "it names no attempt", why);
+    case VP_UNPLANNED:
+        version = ut_find_only_version(q->gw->upstreams, q->service);
+        return version ? pin(q, version)
+                       : refuse(q, "its version isn't known", why);
+    case VP_UNSETTLED:
+        return attempt ? ask_note(q, now_ms, why)
+                       : refuse(q, "it names no attempt", why);
+    case VP_ASK:
+        break;
+    }
+    return ask(q, now_ms, why);
+}
+
+static GwVersion
+pick_for_begin(Req *q, uint64_t now_ms, const char **why)
+{
+    const char *only;
+    switch (vp_begin(q->gw->versions, now_ms, q->service, q->query.model,
+                     q->call.attempt_id, &q->query.version)) {
+    case VP_AT:
+        q->versions_wait_ms = 0;
+        return GW_VERSION_PICKED;
+    case VP_UNPLANNED:
+    case VP_UNSETTLED:
+    case VP_ASK:
+        break;
+    }
+    only = ut_find_only_version(q->gw->upstreams, q->service);
+    if (vp_get_number(q->gw->versions) == 0 && only) {
+        return GW_VERSION_PICKED; /* the first plan will have that one */
+    }
+    return ask(q, now_ms, why);
+}
+
+GwVersion
+gw_pick_version(Req *q, uint64_t now_ms, const char **why)
+{
+    q->query.version = q->version;
+    if (q->version || !is_resumable(q)) {
+        return GW_VERSION_PICKED;
+    }
+    if (q->call.takes_up) {
+        return pick_for_rest(q, now_ms, why);
+    }
+    /* Nobody can take a stream up whose attempt has no name. */
+    return q->call.attempt_id ? pick_for_begin(q, now_ms, why)
+                              : GW_VERSION_PICKED;
+}
+
+bool
+gw_may_move(const Req *q)
+{
+    return q->query.version && !q->version;
+}
+
+void
+gw_note_stream(Req *q)
+{
+    Gw *g = q->gw;
+    const char *attempt = get_attempt(q);
+    if (!q->version || !attempt || !vp_is_mixed(g->versions, q->service)) {
+        return;
+    }
+    SnNote note = {gw_get_stream_key(q),
+                   q->version,
+                   q->service,
+                   q->query.model,
+                   attempt,
+                   vp_get_life_ms(g->versions),
+                   false};
+    bool is_new = sn_add(g->notes, bg_boot_ms(), &note);
+    if (is_new &&
+        vp_is_unsettled(g->versions, q->service, q->query.model, attempt)) {
+        g->out.send_note(g->out.ctx, note.key);
+    }
+}
+
+void
+gw_begin_stream(Req *q)
+{
+    if (!q->version && is_resumable(q)) {
+        q->version = g_strdup(ut_get_version(q->ut));
+        gw_note_stream(q);
+    }
+}
+
+/* ---- what is held back -------------------------------------------------- */
+
+static void
+free_event(void *p)
+{
+    EsEvent *e = p;
+    g_free((char *)e->text);
+    g_free((char *)e->id);
+    g_free(e);
+}
+
+void
+gw_ask_process(const Req *q)
+{
+    const GwOutput *out = &q->gw->out;
+    uint64_t now_ms = bg_boot_ms();
+    if (ut_ask_process(q->ut, now_ms)) {
+        bg_count("gateway_processes_asked_total", 1);
+        out->ask_process(out->ctx, ut_get_entry(q->ut), now_ms);
+    }
+}
+
+void
+gw_hold(Req *q, const HtCall *call)
+{
+    q->opened_ms = ht_get_opened_ms(call);
+    if (!is_resumable(q) || !vp_is_mixed(q->gw->versions, q->service) ||
+        ut_is_proved(q->ut, q->opened_ms)) {
+        return;
+    }
+    q->held = g_ptr_array_new_with_free_func(free_event);
+    q->held_bytes = 0;
+    gw_ask_process(q);
+}
+
+void
+gw_hold_event(Req *q, const EsEvent *event)
+{
+    EsEvent *copy = g_memdup2(event, sizeof(*event));
+    copy->text = g_memdup2(event->text, event->len);
+    copy->id = g_strdup(event->id);
+    g_ptr_array_add(q->held, copy);
+    q->held_bytes += event->len;
+}
+
+void
+gw_hold_end(Req *q, const Ae *answer)
+{
+    q->held_rest = g_byte_array_ref(ae_get_body((Ae *)answer));
+}
+
+void
+gw_drop_held(Req *q)
+{
+    g_clear_pointer(&q->held, g_ptr_array_unref);
+    g_clear_pointer(&q->held_rest, g_byte_array_unref);
+}
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -28,6 +28,8 @@
 /* An answer to a slot request isn't waited for longer than this where
    others could serve the request. */
 #define BRIEF_ANSWER_MS 60
+/* For the next version plan: the leader finds out, and the store takes it. */
+#define PLAN_WAIT_MS 1500
 #define MAX_SENDS 6 /* of one request, including sends that ran nothing */
 
 /* ---- waiting ------------------------------------------------------------ */
@@ -151,6 +153,63 @@
            now_ms < q->arrival_ms + START_MAX_WAIT_MS;
 }
 
+/* No gateway can serve the request while things are as they are. */
+static void
+refuse_for_good(Req *q, const char *why)
+{
+    if (q->runs == 0) {
+        gw_answer(q, 503, 0, why);
+    }
+    else {
+        gw_give_up(q, 0, why);
+    }
+}
+
+/* False: the request waits, or was refused. */
+static bool
+pick_version(Req *q, uint64_t now_ms)
+{
+    const char *why = NULL;
+    switch (gw_pick_version(q, now_ms, &why)) {
+    case GW_VERSION_PICKED:
+        return true;
+    case GW_VERSION_ASKED:
+        q->lacks_model = false;
+        wait_for(q, now_ms, "version");
+        return false;
+    case GW_VERSION_UNKNOWN:
+        break;
+    }
+    if (q->versions_wait_ms && !q->note_wait_ms) {
+        gw_give_up(q, RETRY_SOON_MS, why); /* it may be known soon */
+    }
+    else {
+        refuse_for_good(q, why);
+    }
+    return false;
+}
+
+/* Upstreams of other versions can't serve it.  A stream that has not begun is
+   given to a version that holds its model. */
+static bool
+is_bound(const Req *q)
+{
+    return q->query.version && vp_is_mixed(q->gw->versions, q->service);
+}
+
+/* The leader gives the stream's share to another version once it finds that
+   none of this one serves. */
+static void
+wait_for_plan(Req *q, uint64_t now_ms)
+{
+    if (now_ms > q->arrival_ms + PLAN_WAIT_MS) {
+        gw_give_up(q, RETRY_SOON_MS, "no upstream of its version");
+        return;
+    }
+    q->lacks_model = false;
+    wait_for(q, now_ms, "version");
+}
+
 static void
 wait_for_list(Req *q, uint64_t now_ms)
 {
@@ -375,7 +434,11 @@
     if (q->ticket && !check_slot(q, now_ms)) {
         return;
     }
+    if (!pick_version(q, now_ms)) {
+        return;
+    }
     Ut *ut = NULL;
+    q->lacks_version = false;
     q->query.max_wait_ms = get_max_wait_ms(q, now_ms);
     q->query.max_slot_wait_ms = get_max_slot_wait_ms(q, now_ms);
     UtChoice found = ut_choose(q->gw->upstreams, now_ms, &q->query, &ut);
@@ -415,10 +478,12 @@
         return;
     case UT_COLD:
         q->lacks_model = true;
+        q->lacks_version = q->version && is_bound(q);
         wait_for_model(q, now_ms, "model");
         return;
     case UT_ADAPTER:
         q->lacks_model = false;
+        q->lacks_version = is_bound(q);
         wait_for_model(q, now_ms, "adapter");
         return;
     case UT_FULL:
@@ -431,6 +496,7 @@
         }
         /* The leader may have the model loaded elsewhere. */
         q->lacks_model = true;
+        q->lacks_version = q->version && is_bound(q);
         if (q->query.model) {
             wait_for_model(q, now_ms, "reachable upstream");
         }
@@ -439,10 +505,18 @@
         }
         return;
     case UT_NONE:
+        if (gw_may_move(q)) {
+            wait_for_plan(q, now_ms);
+            return;
+        }
         if (now_ms < MAX(q->arrival_ms, q->gw->config_ms) + EMPTY_WAIT_MS) {
             wait_for(q, now_ms, "upstream");
             return;
         }
+        if (q->version) {
+            refuse_for_good(q, "no upstream of its version");
+            return;
+        }
         gw_give_up(q, RETRY_LATER_MS, "the service has no upstream");
         return;
     case UT_TRIED:
--- a/src/gateway_types.c
+++ b/src/gateway_types.c
@@ -219,6 +219,20 @@
     return NULL;
 }
 
+uint32_t
+dep_get_stream_life_ms(const DepConfig *c)
+{
+    uint32_t longest_ms = 0;
+    for (guint i = 0; i < c->routes->len; i++) {
+        const DepRoute *r = c->routes->pdata[i];
+        if (r->resumable && r->timeout_ms == 0) {
+            return 0;
+        }
+        longest_ms = MAX(longest_ms, r->resumable ? r->timeout_ms : 0);
+    }
+    return longest_ms;
+}
+
 const char *
 dep_pick_service(const DepRoute *r, uint64_t draw)
 {
--- a/src/gateway_types.h
+++ b/src/gateway_types.h
@@ -129,6 +129,9 @@
    in HOST are ignored. */
 const DepRoute *dep_find_route(const DepConfig *c, const char *host,
                                const char *path);
+/* Longest timeout of C's resumable streams; 0: there are none, or one has
+   none. */
+uint32_t dep_get_stream_life_ms(const DepConfig *c);
 /* Picks one of R's services by weight; DRAW: a random number. */
 const char *dep_pick_service(const DepRoute *r, uint64_t draw);
 
--- a/src/http.h
+++ b/src/http.h
@@ -188,6 +188,8 @@
 /* It was sent on an own connection, of a path that failed meanwhile: neither
    end hears the other. */
 bool ht_is_cut_off(const HtCall *call);
+/* By then its connection was open; 0: it has none. */
+uint64_t ht_get_opened_ms(const HtCall *call);
 /* Address of the gateway by whose way it is sent; NULL: none. */
 const char *ht_get_helper(const HtCall *call);
 /* Opens a connection to ADDRESS, for calls to come, and notes in the paths
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -196,6 +196,7 @@
 {
     call->conn = w;
     w->call = call;
+    w->opened_ms = w->opened_ms ? w->opened_ms : bg_boot_ms();
     /* Bytes sent into a connection that the far side has just closed would
        be lost, so the write waits until the loop reports it writable. */
     ev_io_start(w->pool->loop, &w->write_watch);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -599,6 +599,12 @@
            pt_is_failed(ht_get_paths(w), w->address);
 }
 
+uint64_t
+ht_get_opened_ms(const HtCall *call)
+{
+    return call->conn ? call->conn->opened_ms : 0;
+}
+
 const char *
 ht_get_helper(const HtCall *call)
 {
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -38,7 +38,9 @@
     bool closed;      /* meanwhile: freed after that loop */
     uint32_t keep_ms; /* how long it may be idle */
     uint64_t since_ms; /* idle, or opening, since */
-    GList *link;       /* in the pool's conns */
+    uint64_t
+        opened_ms; /* it was open at the latest then; 0: no call used it */
+    GList *link;   /* in the pool's conns */
 };
 
 struct HtCall {
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -55,6 +55,7 @@
 #define SETTINGS_POLL_S 2.
 #define LIFT_PATH "/suspects/lift/" /* followed by a digest */
 #define LOG_STOP_MS 100
+#define MAX_NOTES 100000 /* of streams; about 10 MB */
 /* A leader that is cut off from more than half of the upstreams for
    YIELD_AFTER_MS gives up the lease, so that another VM can send the orders,
    and doesn't claim it again for YIELD_MS. */
@@ -243,7 +244,7 @@
         "{\"vm\":\"%s\",\"ready\":%s,\"config\":%llu,\"config_age_ms\":%llu,"
         "\"upstreams\":%u,\"requests\":%u,\"connections\":%u,"
         "\"places\":%s,\"placer\":\"%s\",\"linked\":%s,\"peers\":%u,"
-        "\"relay\":\"%s\"}\n",
+        "\"relay\":\"%s\",\"versions\":%llu,\"versions_settled\":%s}\n",
         gn_get_text(g, "name"), is_ready(g) ? "true" : "false",
         (unsigned long long)(g->config ? g->config->version : 0),
         (unsigned long long)(now_ms - g->config_ms), ut_count(g->upstreams),
@@ -251,7 +252,9 @@
         g->is_leader ? "true" : "false",
         ls_get_leader_vm(g->lease) ? ls_get_leader_vm(g->lease) : "",
         lk_is_open(g->links) ? "true" : "false", lk_count_peers(g->links),
-        g->uplink.relay ? g->uplink.relay : "");
+        g->uplink.relay ? g->uplink.relay : "",
+        (unsigned long long)vp_get_number(g->versions),
+        vp_is_settled(g->versions) ? "true" : "false");
 }
 
 /* REQUEST: the digest of a suspect, as in the logs. */
@@ -295,6 +298,10 @@
         ul_print(((Gateway *)ctx)->upstream_limits, bg_boot_ms(), out);
         answer_text(x, out);
     }
+    else if (strcmp(target, "/versions") == 0) {
+        vp_print(((Gateway *)ctx)->versions, out);
+        answer_text(x, out);
+    }
     else if (strcmp(target, "/suspects") == 0) {
         sp_print(((Gateway *)ctx)->suspects, bg_boot_ms(), out);
         answer_text(x, out);
@@ -439,6 +446,7 @@
     if (now_ms >= g->state_ms + DEMAND_MS) {
         g->state_ms = now_ms;
         gn_publish_placements(g);
+        gn_tick_versions(g, now_ms);
         publish_state(g, now_ms);
     }
 }
@@ -474,6 +482,7 @@
         ds_on_tick(g->detours.server, now_ms);
     }
     gn_tick_suspects(g, now_ms);
+    gn_tick_notes(g, now_ms);
     gw_on_tick(g->gw, now_ms);
     if (now_ms >= g->slow_tick_ms) {
         g->slow_tick_ms = now_ms + SLOW_TICK_MS;
@@ -601,6 +610,9 @@
                    get_bound(g->settings, "limit_slack"), seed};
     g->limits = wl_create(&wl);
     g->suspects = sp_create(bg_boot_ms(), seed);
+    g->versions = vp_create();
+    g->notes = sn_create(MAX_NOTES);
+    g->notes_due = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GwParams gw = {.connect_ms = CONNECT_MS,
                    .max_body_bytes = get_answer_bytes(g, "max_body_kb"),
                    .max_event_bytes = get_answer_bytes(g, "max_event_kb"),
@@ -614,9 +626,13 @@
                        on_upstream_unreachable,
                        is_isolated,
                        gn_on_upstream_named,
-                       gn_on_ask_slot};
-    GwCores cores = {g->upstreams, g->budget, g->limits, g->upstream_limits,
-                     g->suspects};
+                       gn_on_ask_slot,
+                       gn_on_ask_versions,
+                       gn_on_ask_process,
+                       gn_on_send_note,
+                       gn_on_ask_note};
+    GwCores cores = {g->upstreams, g->budget,   g->limits, g->upstream_limits,
+                     g->suspects,  g->versions, g->notes};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, &cores);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {g,
@@ -696,6 +712,9 @@
     ut_destroy(g->upstreams);
     ul_destroy(g->upstream_limits);
     sp_destroy(g->suspects);
+    vp_destroy(g->versions);
+    sn_destroy(g->notes);
+    g_array_free(g->notes_due, TRUE);
     dep_unref_config(g->config);
     if (g->config_bytes) {
         g_bytes_unref(g->config_bytes);
--- a/src/store.h
+++ b/src/store.h
@@ -16,6 +16,7 @@
     ST_CONFIG,    /* written by operators, under one key */
     ST_UPSTREAMS, /* written by upstreams, each under its own id */
     ST_OWNER,     /* written by gateways: the lease, see ls */
+    ST_VERSIONS,  /* written by the leader: the version plan, see vp */
     ST_MAILBOX    /* written by gateways that can't link to the leader:
                      link frames, each under its VM's name */
 } StTopic;
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -73,6 +73,9 @@
     uint32_t fleet_wait_ms;
     uint32_t fleet_running; /* for all gateways */
     bool stalled;
+    uint64_t asked_ms;  /* the report that is under way; 0: none */
+    uint64_t proved_ms; /* its process was proved by a report asked for then;
+                           0: never */
     uint64_t last_answer_ms; /* end of the last answered call; 0: none */
     uint32_t failures;       /* unreachable or silent in a row */
     uint64_t unreachable_ms; /* last failure to reach it; 0: reachable */
@@ -573,7 +576,8 @@
     g_hash_table_iter_init(&it, s->by_id);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Ut *u = v;
-        if (u->leaving || strcmp(u->entry->service, q->service) != 0) {
+        if (u->leaving || strcmp(u->entry->service, q->service) != 0 ||
+            (q->version && strcmp(ut_get_version(u), q->version) != 0)) {
             continue;
         }
         o->any = true;
@@ -891,6 +895,12 @@
     return u->entry->id;
 }
 
+const DepUpstream *
+ut_get_entry(const Ut *u)
+{
+    return u->entry;
+}
+
 const char *
 ut_get_version(const Ut *u)
 {
@@ -979,6 +989,60 @@
     return v;
 }
 
+const char *
+ut_find_only_version(const UtSet *s, const char *service)
+{
+    const char *found = NULL;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        if (u->leaving || strcmp(u->entry->service, service) != 0) {
+            continue;
+        }
+        if (found && strcmp(found, ut_get_version(u)) != 0) {
+            return NULL;
+        }
+        found = ut_get_version(u);
+    }
+    return found;
+}
+
+Ut *
+ut_find(const UtSet *s, const char *id)
+{
+    return g_hash_table_lookup(s->by_id, id);
+}
+
+bool
+ut_ask_process(Ut *u, uint64_t now_ms)
+{
+    if (u->asked_ms) {
+        return false;
+    }
+    u->asked_ms = now_ms;
+    return true;
+}
+
+void
+ut_on_process(Ut *u, uint64_t asked_ms, uint64_t born_ms)
+{
+    if (u->asked_ms != asked_ms) {
+        return; /* it was asked of a former process of that id */
+    }
+    u->asked_ms = 0;
+    if (born_ms && born_ms == u->entry->born_ms) {
+        u->proved_ms = asked_ms;
+    }
+}
+
+bool
+ut_is_proved(const Ut *u, uint64_t opened_ms)
+{
+    return u->proved_ms && opened_ms && opened_ms <= u->proved_ms;
+}
+
 uint64_t
 ut_get_born_ms(const UtSet *s, const char *id)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -54,6 +54,7 @@
     const char *service;
     const char *model;      /* NULL: any upstream of the service */
     const char *adapter;    /* NULL: the model itself */
+    const char *version;    /* of its software; NULL: any */
     uint64_t affinity;      /* digest of the shared prompt prefix; 0: none */
     uint32_t shared_tokens; /* of that prefix */
     uint32_t prompt_tokens;
@@ -68,7 +69,7 @@
 
 typedef enum {
     UT_FOUND,
-    UT_NONE,        /* the service has no upstream at all */
+    UT_NONE,        /* the service has no upstream (of that version) */
     UT_COLD,        /* no upstream holds the model */
     UT_ADAPTER,     /* the model is loaded, the adapter is not */
     UT_TRIED,       /* all that could serve were tried */
@@ -144,6 +145,7 @@
 uint32_t ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q);
 
 const char *ut_get_id(const Ut *u);
+const DepUpstream *ut_get_entry(const Ut *u);
 const char *ut_get_address(const Ut *u);
 /* Of its software, by its entry; empty: it names none. */
 const char *ut_get_version(const Ut *u);
@@ -169,6 +171,23 @@
 const Ut *ut_pick_any(UtSet *s);
 /* It is known, and the process that was born at BORN_MS has its id. */
 bool ut_is_born(const UtSet *s, const char *id, uint64_t born_ms);
+/* The one software version of SERVICE's upstreams; NULL: several, or none. */
+const char *ut_find_only_version(const UtSet *s, const char *service);
+
+/* Whether the process behind a connection is the one that an upstream's entry
+   describes: an id and an address may be those of its next process before the
+   entry says so.  If its report, asked for at ASKED_MS, names the entry's
+   birth, then every connection that was open by then leads to that process. */
+
+/* A report was asked for; false: one that was asked for before isn't there
+   yet. */
+bool ut_ask_process(Ut *u, uint64_t now_ms);
+/* BORN_MS: as in that report; 0: none came, or it names no birth. */
+void ut_on_process(Ut *u, uint64_t asked_ms, uint64_t born_ms);
+/* NULL: not known. */
+Ut *ut_find(const UtSet *s, const char *id);
+/* A connection to U that was open at OPENED_MS leads to U's process. */
+bool ut_is_proved(const Ut *u, uint64_t opened_ms);
 /* 0: unknown, or not given. */
 uint64_t ut_get_born_ms(const UtSet *s, const char *id);
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -250,3 +250,43 @@
         check_streams(began, share=0)
         assert len(began) > 50
         assert {v for s in began for v in s.versions()} == {"v1", "v2"}
+
+
+@pytest.fixture(name="scarce")
+def fixture_scarce(build):
+    """Of each version one upstream that holds the model and one that doesn't."""
+    with Cluster(build, gateways=2,
+                 models=(("m0",), ("m1",), ("m0",), ("m1",)),
+                 versions=("v1", "v1", "v2", "v2")) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        wait_settled(c)
+        yield c
+
+
+# No other upstream of the version held the model, and streams that could go on
+# did not.
+def test_model_is_loaded_where_its_streams_can_go_on(scarce):
+    ended = scarce.engines[0]
+    streams = begin_streams(STREAMS, lambda i: scarce.gateways[i % 2])
+    ended.ended_s = 8
+    ended.end()
+    take_up_all([s for s in streams if s.versions() == {"v1"}],
+                lambda i: scarce.gateways[i % 2], tries=2)
+    run_all(STREAMS, lambda i: streams[i].read())
+    check_streams(streams)
+    assert "m0" in scarce.engines[1].models
+
+
+def test_adapter_is_loaded_at_the_version_that_began(scarce):
+    streams = [Stream(model="m0/a1") for _ in range(STREAMS)]
+
+    def run(i):
+        if streams[i].open(scarce.gateways[i % 2]):
+            streams[i].read()
+    run_all(STREAMS, run)
+    check_streams(streams)
+    assert {v for s in streams for v in s.versions()} == {"v1", "v2"}
+    held = [e.version for e in scarce.engines if "a1" in e.models.get("m0", ())]
+    assert sorted(held) == ["v1", "v2"]
