Models and adapters are loaded where their streams can go on

Streams whose version had an upstream, but none with their model or adapter, were refused though there was room: callers that wait for one version counted as served by the replicas of the others.

--- a/src/demand_aggregate.c
+++ b/src/demand_aggregate.c
@@ -13,6 +13,7 @@
     DmModelDemand *w = p;
     g_free(w->model);
     g_free(w->adapter);
+    g_free(w->version);
     g_free(w);
 }
 
@@ -99,6 +100,7 @@
     char *upstream;
     char *model;
     char *adapter;
+    char *version; /* of a SUM_MODEL; NULL: any */
     uint32_t levels[LEVELS];
     uint32_t collected[LEVELS]; /* levels as last collected */
     uint32_t counts[COUNTS];    /* counts since then */
@@ -134,6 +136,7 @@
     g_free(r->upstream);
     g_free(r->model);
     g_free(r->adapter);
+    g_free(r->version);
     g_free(r);
 }
 
@@ -176,11 +179,13 @@
 
 static Sum *
 get_sum(Dm *l, SumKind kind, const char *upstream, const char *model,
-        const char *adapter)
+        const char *adapter, const char *version)
 {
     char key[MAX_KEY];
-    snprintf(key, sizeof(key), "%d %s %s%s%s", kind, upstream ? upstream : "",
-             model ? model : "", adapter ? "/" : "", adapter ? adapter : "");
+    snprintf(key, sizeof(key), "%d %s %s%s%s%s%s", kind,
+             upstream ? upstream : "", model ? model : "", adapter ? "/" : "",
+             adapter ? adapter : "", version ? " at " : "",
+             version ? version : "");
     Sum *r = g_hash_table_lookup(l->sums, key);
     if (!r) {
         r = g_new0(Sum, 1);
@@ -189,6 +194,7 @@
         r->upstream = g_strdup(upstream);
         r->model = g_strdup(model);
         r->adapter = g_strdup(adapter);
+        r->version = g_strdup(version);
         g_hash_table_insert(l->sums, r->key, r);
         mark_changed(l, r); /* freed by dm_collect if nothing contributes */
     }
@@ -291,7 +297,7 @@
 static bool
 apply_model_demand(Dm *l, Source *s, const DmModelDemand *w)
 {
-    Sum *r = get_sum(l, SUM_MODEL, NULL, w->model, w->adapter);
+    Sum *r = get_sum(l, SUM_MODEL, NULL, w->model, w->adapter, w->version);
     uint32_t before = r->levels[0];
     uint32_t levels[LEVELS] = {w->waiting, w->running, 0};
     set_contribution(l, s, r, levels);
@@ -304,7 +310,7 @@
 static void
 apply_use(Dm *l, Source *s, const DmUse *u)
 {
-    Sum *r = get_sum(l, SUM_USE, u->upstream, u->model, u->adapter);
+    Sum *r = get_sum(l, SUM_USE, u->upstream, u->model, u->adapter, NULL);
     uint32_t levels[LEVELS] = {u->running, u->queued, u->slow};
     set_contribution(l, s, r, levels);
 }
@@ -325,8 +331,9 @@
     }
     for (guint i = 0; i < d->answer_starts->len; i++) {
         const DmAnswerStarts *b = d->answer_starts->pdata[i];
-        add_count(l, get_sum(l, SUM_ANSWER_STARTS, b->upstream, NULL, NULL), 0,
-                  b->count);
+        add_count(l,
+                  get_sum(l, SUM_ANSWER_STARTS, b->upstream, NULL, NULL, NULL),
+                  0, b->count);
     }
     sweep_contributions(l, s, d->whole);
     return more_waiting;
@@ -376,6 +383,7 @@
 {
     if (r->kind == SUM_MODEL) {
         DmModelDemand *w = dm_add_model_demand(d, r->model, r->adapter);
+        w->version = g_strdup(r->version);
         w->waiting = r->levels[0];
         w->running = r->levels[1];
         w->arrived = r->counts[0];
--- a/src/demand_aggregate.h
+++ b/src/demand_aggregate.h
@@ -22,6 +22,8 @@
 typedef struct {
     char *model;
     char *adapter;    /* NULL: the model itself */
+    char *version;    /* only on upstreams of this software version, and only
+                         the waiting ones; NULL: on any */
     uint32_t waiting; /* requests, for it to be loaded */
     uint32_t running;
     uint32_t arrived;
--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -108,6 +108,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_model);
     m->adapters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         mp_free_adapter_demand);
+    m->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        mp_free_version_demand);
     m->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      mp_free_upstream_load);
     m->store_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -119,6 +121,7 @@
 {
     g_hash_table_destroy(m->ups);
     g_hash_table_destroy(m->adapters);
+    g_hash_table_destroy(m->versions);
     g_hash_table_destroy(m->loads);
     g_hash_table_destroy(m->models);
     g_hash_table_destroy(m->reserves);
@@ -390,6 +393,7 @@
     c->service = g_strdup(e->service);
     c->address = g_strdup(e->address);
     c->data_centre = g_strdup(e->data_centre);
+    c->version = g_strdup(e->version);
     c->draining = e->draining;
     c->slots = e->slots;
     c->born_ms = e->born_ms;
@@ -931,6 +935,7 @@
     if (may_order) {
         mp_place_models(m, now_ms);
         mp_place_adapters(m, now_ms);
+        mp_place_versions(m, now_ms);
         mp_prefetch(m, now_ms);
     }
     publish_changes(m, now_ms, last_ms);
--- a/src/model_placement_adapter.c
+++ b/src/model_placement_adapter.c
@@ -47,15 +47,28 @@
     return best;
 }
 
+/* An adapter that requests wait for. */
+typedef struct {
+    Model *model;
+    const char *name;
+    const char *version; /* on upstreams of it; NULL: on any */
+} Wanted;
+
+static bool
+fits_version(const Up *u, const Wanted *w)
+{
+    return !w->version || g_strcmp0(u->entry->version, w->version) == 0;
+}
+
 static bool
-is_being_loaded(const Up *u, const AdapterDemand *w)
+is_being_loaded(const Up *u, const Wanted *w)
 {
     return u->ordered && !u->order_unload && u->order_model == w->model &&
            g_strcmp0(u->order_adapter, w->name) == 0;
 }
 
 static bool
-holds_adapter(const Up *u, const AdapterDemand *w)
+holds_adapter(const Up *u, const Wanted *w)
 {
     const Replica *r = mp_find_replica(u, w->model);
     for (guint i = 0; r && i < r->adapters->len; i++) {
@@ -69,11 +82,12 @@
 
 /* Loaded or being loaded on a usable upstream. */
 static bool
-is_placed(const AdapterDemand *w)
+is_placed(const Wanted *w)
 {
     for (guint i = 0; i < w->model->holders->len; i++) {
         const Up *u = w->model->holders->pdata[i];
-        if (mp_can_use(u) && (holds_adapter(u, w) || is_being_loaded(u, w))) {
+        if (mp_can_use(u) && fits_version(u, w) &&
+            (holds_adapter(u, w) || is_being_loaded(u, w))) {
             return true;
         }
     }
@@ -81,15 +95,16 @@
 }
 
 static Up *
-find_upstream(const Mp *m, uint64_t now_ms, const Model *model)
+find_upstream(const Mp *m, uint64_t now_ms, const Wanted *w)
 {
+    const Model *model = w->model;
     Up *best = NULL;
     uint32_t min_cost = 0;
     for (guint i = 0; i < model->holders->len; i++) {
         Up *u = model->holders->pdata[i];
         const Replica *r = mp_find_replica(u, model);
-        if (!mp_can_use(u) || r->unloading || r->ready_ms > now_ms ||
-            !mp_can_order(u, now_ms)) {
+        if (!mp_can_use(u) || !fits_version(u, w) || r->unloading ||
+            r->ready_ms > now_ms || !mp_can_order(u, now_ms)) {
             continue;
         }
         uint32_t cost = count_adapters(u);
@@ -109,9 +124,9 @@
 }
 
 static void
-place_adapter(Mp *m, uint64_t now_ms, const AdapterDemand *w)
+place_adapter(Mp *m, uint64_t now_ms, const Wanted *w)
 {
-    Up *u = find_upstream(m, now_ms, w->model);
+    Up *u = find_upstream(m, now_ms, w);
     if (!u) {
         return;
     }
@@ -132,9 +147,19 @@
     gpointer v;
     g_hash_table_iter_init(&it, m->adapters);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const AdapterDemand *w = v;
-        if (w->demand.waiting > 0 && !is_placed(w)) {
-            place_adapter(m, now_ms, w);
+        const AdapterDemand *d = v;
+        Wanted w = {d->model, d->name, NULL};
+        if (d->demand.waiting > 0 && !is_placed(&w)) {
+            place_adapter(m, now_ms, &w);
         }
     }
 }
+
+void
+mp_place_adapter_at(Mp *m, uint64_t now_ms, const VersionDemand *d)
+{
+    Wanted w = {d->model, d->adapter, d->version};
+    if (!is_placed(&w)) {
+        place_adapter(m, now_ms, &w);
+    }
+}
--- a/src/model_placement_choice.c
+++ b/src/model_placement_choice.c
@@ -603,6 +603,75 @@
     }
 }
 
+/* ---- streams that go on at one version ---------------------------------- */
+
+/* MODEL is usable, being loaded, or chosen to be on an upstream of VERSION. */
+static bool
+is_placed_at(Mp *m, const Model *model, const char *version)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Up *u = v;
+        if (mp_can_use(u) && !u->unreachable &&
+            g_strcmp0(u->entry->version, version) == 0 &&
+            (u->goal == model || mp_find_replica(u, model))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static Up *
+find_upstream_at(Mp *m, uint64_t now_ms, const Shortage *w,
+                 const char *version)
+{
+    Candidate best = {NULL, 0};
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->ups);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Up *u = v;
+        if (u->service && g_strcmp0(u->entry->version, version) == 0 &&
+            (mp_has_copy(u, w->model) ||
+             may_start_store_load(m, now_ms, u->service, w->gain))) {
+            consider_upstream(now_ms, w, u, &best);
+        }
+    }
+    return best.up;
+}
+
+static void
+place_version(Mp *m, uint64_t now_ms, const VersionDemand *d)
+{
+    Shortage w = {.model = d->model,
+                  .since_ms = d->since_ms,
+                  .no_replica = true,
+                  .gain = d->waiting + IDLE_MODEL_LOSS};
+    Up *u = find_upstream_at(m, now_ms, &w, d->version);
+    if (u) {
+        begin_goal(m, now_ms, u, d->model, w.gain);
+    }
+}
+
+void
+mp_place_versions(Mp *m, uint64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->versions);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const VersionDemand *d = v;
+        if (!is_placed_at(m, d->model, d->version)) {
+            place_version(m, now_ms, d);
+        }
+        else if (d->adapter) {
+            mp_place_adapter_at(m, now_ms, d);
+        }
+    }
+}
+
 /* ---- prefetching -------------------------------------------------------- */
 
 static bool
--- a/src/model_placement_demand.c
+++ b/src/model_placement_demand.c
@@ -98,9 +98,43 @@
     return &w->demand;
 }
 
+void
+mp_free_version_demand(void *demand)
+{
+    VersionDemand *d = demand;
+    g_free(d->adapter);
+    g_free(d->version);
+    g_free(d);
+}
+
+static void
+apply_version_demand(Mp *m, uint64_t now_ms, const DmModelDemand *w)
+{
+    g_autofree char *name = dep_make_key(w->model, w->adapter);
+    g_autofree char *key = g_strconcat(name, " ", w->version, NULL);
+    if (w->waiting == 0) {
+        g_hash_table_remove(m->versions, key);
+        return;
+    }
+    VersionDemand *d = g_hash_table_lookup(m->versions, key);
+    if (!d) {
+        d = g_new0(VersionDemand, 1);
+        d->model = mp_get_model(m, w->model);
+        d->adapter = g_strdup(w->adapter);
+        d->version = g_strdup(w->version);
+        d->since_ms = now_ms;
+        g_hash_table_insert(m->versions, g_steal_pointer(&key), d);
+    }
+    d->waiting = w->waiting;
+}
+
 static void
 apply_model_demand(Mp *m, uint64_t now_ms, const DmModelDemand *w)
 {
+    if (w->version) {
+        apply_version_demand(m, now_ms, w);
+        return;
+    }
     Model *model = mp_get_model(m, w->model);
     Demand *d = &model->demand;
     if (w->adapter) {
@@ -313,6 +347,7 @@
         set_levels(&((Model *)v)->demand, now_ms, 0, 0);
         ((Model *)v)->slow = 0;
     }
+    g_hash_table_remove_all(m->versions);
     g_hash_table_iter_init(&it, m->adapters);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         set_levels(&((AdapterDemand *)v)->demand, now_ms, 0, 0);
@@ -382,6 +417,20 @@
     return false;
 }
 
+static bool
+has_version_demand(const Mp *m, const Model *model)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, m->versions);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        if (((VersionDemand *)v)->model == model) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 is_ordered(const Mp *m, const Model *model)
 {
@@ -404,7 +453,8 @@
 {
     return !model->declared && model->holders->len == 0 &&
            model->copies->len == 0 && model->goals->len == 0 &&
-           !has_adapter_demand(m, model) && !is_ordered(m, model);
+           !has_adapter_demand(m, model) && !is_ordered(m, model) &&
+           !has_version_demand(m, model);
 }
 
 void
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -144,6 +144,16 @@
     Demand demand;
 } AdapterDemand;
 
+/* Requests that wait for a model or adapter on upstreams of one software
+   version: streams that began there. */
+typedef struct {
+    Model *model;
+    char *adapter; /* NULL: the model itself */
+    char *version;
+    uint32_t waiting;
+    uint64_t since_ms;
+} VersionDemand;
+
 struct Mp {
     MpParams params;
     MpOutput out;
@@ -152,6 +162,8 @@
     GHashTable *reserves; /* DepService -> MB reserved for adapters */
     GHashTable *models;   /* name -> Model */
     GHashTable *adapters; /* "model/adapter" -> AdapterDemand */
+    GHashTable *versions; /* "model version" or "model/adapter version" ->
+                             VersionDemand */
     GHashTable *loads;    /* id of an upstream -> UpstreamLoad */
     uint64_t now_ms;      /* of the last tick */
     double capacity;      /* initial estimate for a new model */
@@ -198,6 +210,7 @@
 UpstreamLoad *mp_get_upstream_load(Mp *m, const char *upstream);
 void mp_free_upstream_load(void *load);
 void mp_free_adapter_demand(void *demand);
+void mp_free_version_demand(void *demand);
 /* Estimate the capacity of replicas from the share of slow requests. */
 void mp_estimate_capacity(Mp *m, uint64_t now_ms);
 /* Free records of models, adapters and upstreams that are no longer used. */
@@ -250,7 +263,12 @@
    load. */
 void mp_pursue_goal(Mp *m, uint64_t now_ms, Up *u);
 
+/* Load what streams of one version wait for on upstreams of that version. */
+void mp_place_versions(Mp *m, uint64_t now_ms);
+
 /* model_placement_adapter.c */
 void mp_place_adapters(Mp *m, uint64_t now_ms);
+/* D names an adapter. */
+void mp_place_adapter_at(Mp *m, uint64_t now_ms, const VersionDemand *d);
 
 #endif
