--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -74,11 +74,9 @@
     /* The software version that began the stream: it goes on only there.
        NULL: no event came yet. */
     char *version;
-    bool taken_up;             /* VERSION began it in another attempt */
     uint64_t versions_wait_ms; /* the plan is being confirmed since; 0: no */
     uint64_t note_wait_ms;  /* a note of VERSION is asked for since; 0: no */
     uint64_t note_asked_ms; /* it was last asked for */
-    bool note_missing;      /* no gateway has it */
     /* Of an upstream whose process isn't proved yet: what it sent. */
     GPtrArray *held; /* EsEvent; NULL: nothing is held back */
     size_t held_bytes;
@@ -111,6 +109,7 @@
     uint16_t status;      /* of the answer to the current call */
     uint16_t kept_status; /* of the kept answer */
     bool lacks_model;     /* waiting: for the model, not an adapter */
+    bool note_missing;    /* no gateway has the note that it asked for */
     bool lacks_version;   /* waiting: for it at query.version */
     bool not_run;         /* as the upstream's answer says */
     bool forwards_events; /* of the current call, to the caller */
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -37,7 +37,6 @@
 pin(Req *q, const char *version)
 {
     q->version = g_strdup(version);
-    q->taken_up = true;
     q->query.version = q->version;
     log_taken_up(q, version, NULL);
     return GW_VERSION_PICKED;
@@ -256,6 +255,12 @@
 void
 gw_drop_held(Req *q)
 {
-    g_clear_pointer(&q->held, g_ptr_array_unref);
-    g_clear_pointer(&q->held_rest, g_byte_array_unref);
+    if (q->held) {
+        g_ptr_array_unref(q->held);
+        q->held = NULL;
+    }
+    if (q->held_rest) {
+        g_byte_array_unref(q->held_rest);
+        q->held_rest = NULL;
+    }
 }
