Version plan: the planned version is owned by its request; no counting with one version

A request that was sent kept a pointer into the plan that the next plan frees; found by reading, no run showed it.

--- a/src/cli_explain.c
+++ b/src/cli_explain.c
@@ -63,6 +63,14 @@
     return g_hash_table_contains(s->nodes, cli_get_text(e->fields, "node"));
 }
 
+/* A line of the request, or of an attempt that takes up its stream. */
+static bool
+is_own(const CliLine *e, const char *id)
+{
+    return strcmp(cli_get_text(e->fields, "id"), id) == 0 ||
+           strcmp(cli_get_text(e->fields, "resumes"), id) == 0;
+}
+
 static GPtrArray *
 select_trace(const GPtrArray *all, const char *id)
 {
@@ -71,15 +79,14 @@
     s.upstreams = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; i < all->len; i++) {
         const CliLine *e = all->pdata[i];
-        if (strcmp(cli_get_text(e->fields, "id"), id) == 0) {
+        if (is_own(e, id)) {
             add_own_line(&s, e);
         }
     }
     GPtrArray *out = g_ptr_array_new();
     for (guint i = 0; i < all->len && s.from_ms; i++) {
         CliLine *e = all->pdata[i];
-        if (strcmp(cli_get_text(e->fields, "id"), id) == 0 ||
-            is_context(&s, e)) {
+        if (is_own(e, id) || is_context(&s, e)) {
             g_ptr_array_add(out, e);
         }
     }
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -204,6 +204,30 @@
     }
 }
 
+typedef struct {
+    const Vp *versions;
+    bool found;
+} OddCtx;
+
+/* An upstream of another version than the only one that the plan lists. */
+static void
+find_odd(void *ctx, const DepUpstream *u, const GPtrArray *models)
+{
+    (void)models;
+    OddCtx *c = ctx;
+    const char *version = u->version ? u->version : "";
+    c->found = c->found || !vp_has_only(c->versions, u->service, version);
+}
+
+/* With one version the fleet isn't counted. */
+static bool
+may_change(const Gateway *g)
+{
+    OddCtx c = {g->versions, false};
+    ut_visit(g->upstreams, find_odd, &c);
+    return c.found;
+}
+
 static void
 append_plan(Gateway *g, GBytes *plan)
 {
@@ -235,6 +259,9 @@
         return;
     }
     vp_on_heartbeat(g->versions, vp_get_number(g->versions), now_ms);
+    if (!may_change(g)) {
+        return;
+    }
     FleetCtx c = {g, vp_create_fleet()};
     ut_visit(g->upstreams, add_upstream, &c);
     GBytes *plan = vp_propose(g->versions, now_ms, c.fleet);
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -182,6 +182,7 @@
     }
     gw_drop_held(q);
     g_free(q->version);
+    g_free(q->planned);
     g_string_free(q->head, TRUE);
     if (q->kept_head) {
         g_string_free(q->kept_head, TRUE);
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -131,11 +131,15 @@
 static GwVersion
 pick_for_begin(Req *q, uint64_t now_ms, const char **why)
 {
+    const char *version;
     const char *only;
     switch (vp_begin(q->gw->versions, now_ms, q->service, q->query.model,
-                     q->call.attempt_id, &q->query.version)) {
+                     q->call.attempt_id, &version)) {
     case VP_AT:
         q->versions_wait_ms = 0;
+        g_free(q->planned);
+        q->planned = g_strdup(version); /* the next plan frees VERSION */
+        q->query.version = q->planned;
         return GW_VERSION_PICKED;
     case VP_UNPLANNED:
     case VP_UNSETTLED:
--- a/src/version_plan.c
+++ b/src/version_plan.c
@@ -503,6 +503,20 @@
     return true;
 }
 
+static bool
+is_plain(const Service *s)
+{
+    return s->versions->len == 1 && g_hash_table_size(s->models) == 0 &&
+           !s->rest.unsettled;
+}
+
+bool
+vp_has_only(const Vp *p, const char *service, const char *version)
+{
+    const Service *s = find_service(p->plan, service);
+    return s && is_plain(s) && strcmp(get_version(s, 0)->name, version) == 0;
+}
+
 bool
 vp_is_mixed(const Vp *p, const char *service)
 {
@@ -1006,18 +1020,17 @@
 }
 
 static bool
-is_plain(const Change *c)
+needs_no_change(const Change *c)
 {
     const Service *s = c->service;
-    return s->versions->len == 1 && g_hash_table_size(s->models) == 0 &&
-           !s->rest.unsettled && g_hash_table_size(c->fleet->versions) == 1 &&
+    return is_plain(s) && g_hash_table_size(c->fleet->versions) == 1 &&
            get_count(c->fleet->versions, get_version(s, 0)->name) > 0;
 }
 
 static void
 change_service(Change *c)
 {
-    if (is_plain(c)) {
+    if (needs_no_change(c)) {
         return;
     }
     list_versions(c);
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -77,6 +77,9 @@
 bool vp_is_unsettled(const Vp *p, const char *service, const char *model,
                      const char *attempt);
 uint32_t vp_get_life_ms(const Vp *p);
+/* The plan lists VERSION alone for SERVICE, and nothing of it is unsettled: a
+   fleet that has no other needs no change. */
+bool vp_has_only(const Vp *p, const char *service, const char *version);
 /* The plan lists several versions of SERVICE. */
 bool vp_is_mixed(const Vp *p, const char *service);
 void vp_print(const Vp *p, GString *out);
