A stream that can't go on at any later time is refused without Retry-After

Callers of streams whose version isn't known got Retry-After: any refusal behind a read of the version plan counted as one that may be over soon.

--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -203,6 +203,7 @@
 typedef enum {
     GW_VERSION_PICKED, /* q->query.version is set */
     GW_VERSION_ASKED,  /* it is tried again after an answer or the next tick */
+    GW_VERSION_UNCONFIRMED, /* the plan can't be confirmed now */
     GW_VERSION_UNKNOWN /* the stream can't go on, for the reason in *WHY */
 } GwVersion;
 
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -58,7 +58,7 @@
     }
     if (now_ms > q->versions_wait_ms + CONFIRM_WAIT_MS) {
         *why = "the version plan can't be confirmed";
-        return GW_VERSION_UNKNOWN;
+        return GW_VERSION_UNCONFIRMED;
     }
     q->gw->out.ask_versions(q->gw->out.ctx);
     return GW_VERSION_ASKED;
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -177,14 +177,12 @@
         q->lacks_model = false;
         wait_for(q, now_ms, "version");
         return false;
+    case GW_VERSION_UNCONFIRMED:
+        gw_give_up(q, RETRY_SOON_MS, why);
+        return false;
     case GW_VERSION_UNKNOWN:
-        break;
-    }
-    if (q->versions_wait_ms && !q->note_wait_ms) {
-        gw_give_up(q, RETRY_SOON_MS, why); /* it may be known soon */
-    }
-    else {
         refuse_for_good(q, why);
+        return false;
     }
     return false;
 }
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -5,6 +5,7 @@
 import itertools
 import re
 import threading
+import time
 
 from platform_cluster import ask
 
@@ -21,6 +22,9 @@
 
     def __init__(self, model="m0", deadline_ms=4000, route="chat"):
         self.model, self.deadline_ms, self.route = model, deadline_ms, route
+        self.resumes = None   # sent in place of first_attempt; "": nothing is
+        self.took_s = 0.0     # until the last answer began
+        self.retry_after = None
         self.first_attempt = None   # that brought the first event
         self.data = b""
         self.statuses = []
@@ -48,13 +52,17 @@
                 "X-Model": self.model, "X-Token-Count": "100,20",
                 "X-Prompt-Prefix": "aa:50,%s:50" % attempt}
         if self.first_attempt:
-            head["Resumes"] = self.first_attempt
+            resumes = (self.first_attempt if self.resumes is None
+                       else self.resumes)
+            if resumes:
+                head["Resumes"] = resumes
             head["Last-Event-Id"] = str(self.events()[-1][0])
         return head
 
     def open(self, gateway):
         """Sends an attempt to GATEWAY; True: a stream began."""
         attempt = new_attempt()
+        began = time.monotonic()
         self.conn = http.client.HTTPConnection("127.0.0.1", gateway.front,
                                                timeout=6)
         try:
@@ -64,6 +72,8 @@
         except OSError:
             self.statuses.append(0)
             return False
+        self.took_s = time.monotonic() - began
+        self.retry_after = self.answer.getheader("Retry-After")
         self.statuses.append(self.answer.status)
         if self.answer.status == 200:
             self.first_attempt = self.first_attempt or attempt
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,15 +1,16 @@
 """A stream goes on only at the software version that began it."""
 
+import http.client
 import threading
 import time
 
 import pytest
 
 from cluster import free_port, wait_until
-from fake_platform import Engine
+from fake_platform import Engine, config, route
 from platform_cluster import Cluster
-from stream_callers import (Stream, begin_streams, check_streams, run_all,
-                            take_up_all)
+from stream_callers import (Stream, begin_streams, check_streams, new_attempt,
+                            run_all, take_up_all)
 
 STREAMS = 24
 # A stream of 14 events takes 0.7 s.
@@ -290,3 +291,88 @@
     assert {v for s in streams for v in s.versions()} == {"v1", "v2"}
     held = [e.version for e in scarce.engines if "a1" in e.models.get("m0", ())]
     assert sorted(held) == ["v1", "v2"]
+
+
+AT_ONCE_S = 0.7   # a call of the store, and the wait for an entry
+
+REFUSED = 503
+
+
+def take_up_as(mixed, resumes):
+    """Statuses of streams whose callers come back and name RESUMES."""
+    streams = begin_streams(8, lambda i: mixed.gateways[i % 3])
+
+    def run(i):
+        streams[i].resumes = resumes
+        streams[i].close()
+        streams[i].open(mixed.gateways[(i + 1) % 3])
+    run_all(8, run)
+    return streams
+
+
+# What isn't known was guessed.
+@pytest.mark.parametrize("resumes", ["", "x" * 129])
+def test_stream_without_the_attempt_that_began_it_is_refused(mixed, resumes):
+    streams = take_up_as(mixed, resumes)
+    assert [s.statuses for s in streams] == [[200, REFUSED]] * 8
+    assert all(s.took_s < AT_ONCE_S and not s.retry_after for s in streams)
+
+
+def test_stream_that_names_two_attempts_is_refused(mixed):
+    s = begin_streams(1, lambda i: mixed.gateways[0])[0]
+    s.close()
+    c = http.client.HTTPConnection("127.0.0.1", mixed.gateways[1].front)
+    c.putrequest("POST", "/chat/x", skip_host=True)
+    for name, value in s.headers(new_attempt()).items():
+        c.putheader(name, value)
+    c.putheader("Resumes", new_attempt())
+    c.putheader("Content-Length", "1")
+    c.endheaders(b"x")
+    assert c.getresponse().status == REFUSED
+
+
+# A stream whose version no upstream has any more waited, or went on at another.
+def test_stream_of_a_version_that_is_gone_is_refused_at_once(build):
+    with Cluster(build, gateways=2, models=(("m0",), ("m0",)),
+                 versions=("v1", "v2")) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        wait_settled(c)
+        streams = begin_streams(STREAMS, lambda i: c.gateways[i % 2])
+        old = [s for s in streams if s.versions() == {"v1"}]
+        c.engines[0].ended_s = 3600
+        c.engines[0].end()
+        c.engines[0].leave()
+        wait_until(lambda: all(g.dump()["upstreams"] == 3
+                               for g in c.gateways), what="its removal")
+        take_up_all(streams, lambda i: c.gateways[(i + 1) % 2])
+        assert old and not any(s.whole for s in old)
+        assert all(s.statuses == [200, REFUSED] and s.took_s < AT_ONCE_S
+                   for s in old), [(s.statuses, s.took_s) for s in old]
+        check_streams([s for s in streams if s not in old], share=1)
+
+
+# Each attempt drew the service of a split route anew, and a stream went on at
+# another service.
+def test_stream_of_a_split_route_goes_on_at_its_service(build):
+    routes = [route("chat", "llm", "streaming", resumable=True,
+                    traffic_split=[{"service": "llm", "weight": 1},
+                                   {"service": "llm2", "weight": 1}])]
+    doc = config(5, routes=routes)
+    doc["services"].append(dict(doc["services"][1], name="llm2"))
+    with Cluster(build, gateways=2, models=(("m0",), ("m0",))) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        other = Engine(free_port(), c.store, "o0", service="llm2",
+                       models=("m0",), version="other")
+        c.engines.append(other)
+        prepare(c)
+        c.put_in_force(doc)
+        wait_until(lambda: all(g.dump()["upstreams"] == 5
+                               for g in c.gateways), what="the upstream")
+        time.sleep(1.0)   # the plan lists its service
+        streams = begin_streams(STREAMS, lambda i: c.gateways[i % 2])
+        take_up_all(streams, lambda i: c.gateways[(i + 1) % 2])
+        check_streams(streams, share=1)
+        assert {v for s in streams for v in s.versions()} == {"v1", "other"}
