--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -28,9 +28,12 @@
      kill WHO|all|leader AT FOR, cut WHO|leader AT FOR, freeze WHO|leader AT
        FOR, outage AT FOR    a cut gateway reaches neither the store nor
                              another gateway; times in ms
-     run MS                  prints streams that were taken up, went on, were
-                             refused, might have gone on, are mixed, and
-                             bytes sent for them a stream begun */
+     run MS                  prints how many streams were taken up, might have
+                             gone on (an upstream of their version serves),
+                             did, and are mixed; new ones begun and refused at
+                             gateways that run; bytes sent for them; and by how
+                             many ms first events were held back, all together
+ */
 #include "script.h"
 #include "version_plan.h"
 
@@ -52,6 +55,7 @@
 #define BACKUPS 2
 #define GATHER_MS 400 /* until a new leader has the notes of others */
 #define START_MS 1000
+#define NOTE_WAIT_MS 2500 /* a gateway waits so long for a leader's answer */
 
 typedef struct {
     char name[8];
@@ -87,6 +91,8 @@
     int model;
     int gateway;
     int tries;
+    int back_at;      /* the gateway to which its caller came back */
+    uint64_t came_ms; /* when; 0: it has not */
 } Stream;
 
 typedef struct {
@@ -139,6 +145,7 @@
     uint64_t went_on;
     uint64_t mixed;
     uint64_t bytes;
+    uint64_t delay_ms;
 } Script;
 
 /* ---- one plan ----------------------------------------------------------- */
@@ -714,6 +721,7 @@
         vp_begin(g->vp, s->now_ms, SERVICE, model, x->attempt, version);
     if (a == VP_ASK && reaches_store(s, g)) {
         take_stored(s, g, s->now_ms);
+        s->delay_ms += STORE_MS;
         a = vp_begin(g->vp, s->now_ms, SERVICE, model, x->attempt, version);
     }
     return a == VP_AT;
@@ -743,8 +751,9 @@
     s->begun++;
     g_strlcpy(x->version, e->name, sizeof(x->version));
     take_note(g, x->attempt, x->version);
-    if (s->policy == BY_KEEPERS) {
+    if (s->policy == BY_KEEPERS) { /* they answer before it goes out */
         tell_keepers(s, x);
+        s->delay_ms += 2 * (1 + pick(s, s->lag_ms * 2));
     }
     if (s->policy == BY_NOTES && has_unsettled_share(g, x)) {
         send_note(s, g, x->attempt, x->version);
@@ -779,11 +788,11 @@
     if (version) {
         return version;
     }
-    VpAnswer a = vp_resume(g->vp, s->now_ms, s->now_ms, SERVICE, model,
+    VpAnswer a = vp_resume(g->vp, s->now_ms, x->came_ms, SERVICE, model,
                            x->attempt, &version);
     if (a == VP_ASK && reaches_store(s, g)) {
         take_stored(s, g, s->now_ms);
-        a = vp_resume(g->vp, s->now_ms, s->now_ms, SERVICE, model, x->attempt,
+        a = vp_resume(g->vp, s->now_ms, x->came_ms, SERVICE, model, x->attempt,
                       &version);
     }
     return a == VP_AT ? version : NULL;
@@ -802,22 +811,46 @@
     return false;
 }
 
+/* The leader tells G whether it has a note. */
+static bool
+is_answered(const Script *s, const Gateway *g)
+{
+    return s->leader >= 0 && s->gather_ms == 0 && is_linked(s, g) &&
+           is_linked(s, &s->all[s->leader]);
+}
+
+/* Its caller comes to a gateway that runs, if it finds one. */
+static bool
+come_back(Script *s, Stream *x)
+{
+    x->back_at = (int)pick(s, (uint32_t)s->gateways);
+    if (!is_up(s, &s->all[x->back_at])) {
+        x->resume_ms = x->tries++ < 3 ? s->now_ms + 300 : UINT64_MAX;
+        return false;
+    }
+    x->came_ms = s->now_ms;
+    s->taken_up++;
+    return true;
+}
+
 static void
 take_up(Script *s, Stream *x)
 {
-    int at = (int)pick(s, (uint32_t)s->gateways);
-    Gateway *g = &s->all[at];
-    if (!is_up(s, g) && x->tries++ < 3) {
-        x->resume_ms = s->now_ms + 300;
+    if (!x->came_ms && !come_back(s, x)) {
         return;
     }
+    Gateway *g = &s->all[x->back_at];
     x->resume_ms = UINT64_MAX;
     if (!is_up(s, g) || s->now_ms > x->begun_ms + LIFE_MS) {
         return;
     }
-    s->taken_up++;
-    bool possible = is_served(s, x) && reaches_store(s, g);
     const char *version = find_version(s, g, x);
+    if (!version && s->policy == BY_NOTES && has_unsettled_share(g, x) &&
+        !is_answered(s, g) && s->now_ms < x->came_ms + NOTE_WAIT_MS) {
+        x->resume_ms = s->now_ms + STEP_MS;
+        return;
+    }
+    bool possible = is_served(s, x) && reaches_store(s, g);
     const Engine *e = version ? choose_engine(s, g, x->model, version) : NULL;
     s->possible += possible;
     s->went_on += possible && e;
@@ -867,11 +900,11 @@
         }
     }
     printf("taken up %llu possible %llu went on %llu mixed %llu begun %llu "
-           "refused %llu bytes %llu\n",
+           "refused %llu bytes %llu delay %llu\n",
            (unsigned long long)s->taken_up, (unsigned long long)s->possible,
            (unsigned long long)s->went_on, (unsigned long long)s->mixed,
            (unsigned long long)s->begun, (unsigned long long)s->refused_begins,
-           (unsigned long long)s->bytes);
+           (unsigned long long)s->bytes, (unsigned long long)s->delay_ms);
 }
 
 /* ---- commands ----------------------------------------------------------- */
--- a/tests/test_fuzz_vp.py
+++ b/tests/test_fuzz_vp.py
@@ -1,5 +1,5 @@
 """The version plan over random fleets with random faults, in virtual time.
-By hand: test_fuzz_vp.py --build DIR FIRST LAST [POLICY]."""
+By hand: test_fuzz_vp.py --build DIR FIRST LAST [POLICY [GATEWAYS]]."""
 
 import os
 import random
@@ -32,9 +32,10 @@
                 kind, "%s %s %d %d" % (kind, who, at, length)))
 
 
-def make_script(seed, policy="notes"):
+def make_script(seed, policy="notes", gateways=None):
     r = random.Random(seed)
-    vms = r.choice([3, 3, 7, 7, 12, 30])
+    drawn = r.choice([3, 3, 7, 7, 12, 30])
+    vms = gateways or drawn
     lines = ["fleet %d %d %d %d" % (vms, r.choice([4, 8, 18, 40]),
                                     r.choice([1, 5, 20, 60]), seed),
              "policy " + policy,
@@ -82,14 +83,17 @@
 def main():
     build, first, last = sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
     policy = sys.argv[5] if len(sys.argv) > 5 else "notes"
+    gateways = int(sys.argv[6]) if len(sys.argv) > 6 else None
     total = {}
     for seed in range(first, last + 1):
-        found = run_script(build, make_script(seed, policy))
+        found = run_script(build, make_script(seed, policy, gateways))
         if found[" mixed"]:
             print("seed %d: %d mixed" % (seed, found[" mixed"]))
         for k, n in found.items():
             total[k] = total.get(k, 0) + n
-    print("%s, %d seeds: %s" % (policy, last - first + 1, total))
+    print("%s, %d seeds, %s gateways: %s" % (
+        policy, last - first + 1, gateways or "3 to 30", {
+            k.strip(): n for k, n in total.items()}))
 
 
 if __name__ == "__main__":
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -224,16 +224,26 @@
         wait_until(c.all_linked, what="links")
         prepare(c)
         done = threading.Event()
-        streams = []
+        streams, possible = [], []
+        tried, begun = [], []   # new streams
+
+        def serves(version):
+            return any(e.version == version and e.state == "ready"
+                       for e in c.engines)
 
         def call(k):
             i = k
             while not done.is_set():
                 s = Stream()
+                tried.append(s)
                 if s.open(c.gateways[i % 3]):
+                    begun.append(s)
                     s.read(3)
                     streams.append(s)
-                    s.take_up(c.gateways[(i + 1) % 3])
+                    version, = s.versions()
+                    whole = s.take_up(c.gateways[(i + 1) % 3])
+                    if whole or serves(version):
+                        possible.append(s)
                 i += 1
         threads = [threading.Thread(target=call, args=(k,)) for k in range(6)]
         for t in threads:
@@ -251,6 +261,11 @@
         check_streams(began, share=0)
         assert len(began) > 50
         assert {v for s in began for v in s.versions()} == {"v1", "v2"}
+        new = len(begun) / len(tried)
+        went_on = sum(s.whole for s in possible) / len(possible)
+        print("new streams %.3f of %d, taken up %.3f of %d" % (
+            new, len(tried), went_on, len(possible)))
+        assert went_on >= 0.95 * new
 
 
 @pytest.fixture(name="scarce")
