Notes of streams outlast all gateways: the leader writes them to the store

Streams whose share had moved less than half a minute ago could not be taken up once all gateways had been killed: their notes were in memory alone. The leader writes the notes to a topic of their own, many at a time, two batches a second at most and only while shares are unsettled; 128 keys that are written again in turn. A new leader reads them.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -122,6 +122,9 @@
     Vp *versions;
     Sn *notes;
     GArray *notes_due;      /* uint64_t: keys of notes that are not sent yet */
+    GArray *notes_unstored; /* as leader: keys of those not in the store yet */
+    uint64_t notes_ms;      /* a batch was last written to the store */
+    uint64_t notes_offset;  /* of the newest batch that was read */
     uint64_t lead_ms;       /* it leads since; 0: it doesn't */
     uint64_t plan_read_ms;  /* a read of the version plan is under way since;
                                0: none is */
@@ -129,9 +132,6 @@
     uint64_t plan_retry_ms; /* no read is begun before */
     uint64_t plan_behind_ms;   /* a newer plan is known since; 0: none */
     uint64_t plan_tail;        /* end of its topic, if plan_listed */
-    bool plan_listed;          /* as leader: the topic was read, and only this
-                                  process has written since */
-    bool plan_pending;         /* an append of a plan is under way */
     uint64_t suspects_ms;      /* rows were last published */
     uint64_t suspects_note_ms; /* the note of the lease record was made */
     uint64_t led_ms; /* a leader, or this one as such, was last there */
@@ -149,10 +149,11 @@
     guint next_seed; /* index into the seeds, modulo their number */
     uint64_t config_ms;
     uint64_t start_ms;
-    uint64_t leader_ms;  /* the leader's newest heartbeat was sent;
-                            0: none received */
-    uint32_t fleet;      /* number of gateways, as the leader reported */
-    uint64_t members_ms; /* our members were last reported up */
+    uint64_t leader_ms;   /* the leader's newest heartbeat was sent;
+                             0: none received */
+    uint32_t fleet;       /* number of gateways, as the leader reported */
+    uint32_t notes_batch; /* number of the next */
+    uint64_t members_ms;  /* our members were last reported up */
     uint64_t config_request_ms; /* a newer configuration was last requested */
     bool is_leader;             /* at the last tick */
     bool was_leader; /* it is or was the leader, and no other is known since */
@@ -167,6 +168,11 @@
                              delta */
     bool store_unresponsive; /* the last append of the lease got no answer */
     bool has_upstreams;      /* received from another gateway */
+    bool plan_listed;        /* as leader: the topic was read, and only this
+                                process has written since */
+    bool plan_pending;       /* an append of a plan is under way */
+    bool notes_listed;       /* as leader: those of the store were read */
+    bool notes_busy;         /* a call of the store is under way */
     ev_timer tick;
     ev_timer demand_timer;
     ev_timer place_timer;
--- a/src/gateway_node_notes.c
+++ b/src/gateway_node_notes.c
@@ -1,13 +1,21 @@
 /* Notes of which version began a stream (sn).  The leader has those of streams
-   of unsettled shares, and two of the gateways that are linked to it have each
-   that it was sent or made; so the end of any one gateway loses none.  A new
-   leader is sent the notes of all. */
+   of unsettled shares, and writes them to the store, many at a time, so that
+   they outlast all gateways.  Two of the gateways that are linked to it have
+   those that it began itself.  A new leader reads those of the store and is
+   sent the notes of all. */
 #include "gateway_node.h"
 
+#include <stdlib.h>
+
 #define BACKUPS 2
-#define MAX_ROWS 2000 /* of one frame */
+#define MAX_ROWS 2000 /* of one frame or batch */
 /* For so long after it began to lead a leader may lack the notes of others. */
 #define GATHER_MS 1500
+/* Between batches written to the store. */
+#define BATCH_MS 500
+/* Batches that the store keeps; a newer one takes the place of the oldest.
+   Together they outlast a stream. */
+#define BATCHES 128
 
 /* ---- sending ------------------------------------------------------------ */
 
@@ -59,13 +67,9 @@
     return versions->len - 1;
 }
 
-/* The leader has two others keep them. */
-static void
-send_rows(Rows *r)
+static Gwp__StreamNotes
+borrow_rows(const Rows *r)
 {
-    if (r->keys->len == 0) {
-        return;
-    }
     Gwp__StreamNotes m = GWP__STREAM_NOTES__INIT;
     m.n_versions = r->versions->len;
     m.versions = (char **)r->versions->pdata;
@@ -73,6 +77,17 @@
     m.keys = (uint64_t *)r->keys->data;
     m.at = (uint32_t *)r->at->data;
     m.left_ms = (uint32_t *)r->left_ms->data;
+    return m;
+}
+
+/* The leader has two others keep them. */
+static void
+send_rows(Rows *r)
+{
+    if (r->keys->len == 0) {
+        return;
+    }
+    Gwp__StreamNotes m = borrow_rows(r);
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_STREAM_NOTES;
     f.stream_notes = &m;
@@ -157,17 +172,17 @@
         note.version = sn_find(g->notes, now_ms, note.key);
         add_row(r, &note);
         sn_set_sent(g->notes, note.key);
+        if (g->is_leader) {
+            g_array_append_val(g->notes_unstored, note.key);
+        }
     }
     g_array_set_size(g->notes_due, 0);
 }
 
-void
-gn_tick_notes(Gateway *g, uint64_t now_ms)
+static void
+send_due(Gateway *g, uint64_t now_ms)
 {
-    sn_on_tick(g->notes, now_ms);
-    bool linked =
-        g->is_leader ? lk_count_peers(g->links) > 0 : lk_is_open(g->links);
-    if (g->notes_due->len == 0 || !linked) {
+    if (g->notes_due->len == 0 || !(g->is_leader || lk_is_open(g->links))) {
         return;
     }
     Rows r = create_rows(g);
@@ -178,6 +193,26 @@
 
 /* ---- receiving ---------------------------------------------------------- */
 
+/* STORE: those that are new are to be written to the store. */
+static void
+take_rows(Gateway *g, const Gwp__StreamNotes *m, bool store)
+{
+    uint64_t now_ms = bg_boot_ms();
+    size_t n = MIN(m->n_keys, MIN(m->n_at, m->n_left_ms));
+    for (size_t i = 0; i < n; i++) {
+        if (m->at[i] >= m->n_versions) {
+            continue;
+        }
+        SnNote note = {.key = m->keys[i],
+                       .version = m->versions[m->at[i]],
+                       .left_ms =
+                           MIN(m->left_ms[i], vp_get_life_ms(g->versions))};
+        if (sn_add(g->notes, now_ms, &note) && store) {
+            g_array_append_val(g->notes_unstored, note.key);
+        }
+    }
+}
+
 void
 gn_take_notes(Gateway *g, const LkPeer *from, const Gwp__Frame *frame)
 {
@@ -185,27 +220,164 @@
         lk_send_up(g->links, frame);
         return;
     }
-    uint64_t now_ms = bg_boot_ms();
-    const Gwp__StreamNotes *m = frame->stream_notes;
-    size_t n = MIN(m->n_keys, MIN(m->n_at, m->n_left_ms));
-    for (size_t i = 0; i < n; i++) {
-        if (m->at[i] < m->n_versions) {
-            uint32_t left_ms = MIN(m->left_ms[i], vp_get_life_ms(g->versions));
-            SnNote note = {.key = m->keys[i],
-                           .version = m->versions[m->at[i]],
-                           .left_ms = left_ms};
-            sn_add(g->notes, now_ms, &note);
+    take_rows(g, frame->stream_notes, g->is_leader);
+}
+
+/* ---- the store ---------------------------------------------------------- */
+
+typedef struct {
+    Gateway *g;
+    GArray *keys; /* of the batch */
+} BatchCtx;
+
+static void
+on_batch_written(void *ctx, const StReply *r)
+{
+    BatchCtx *c = ctx;
+    Gateway *g = c->g;
+    g->notes_busy = false;
+    if (r->result != ST_OK) { /* the next batch has them too */
+        g_array_append_vals(g->notes_unstored, c->keys->data, c->keys->len);
+    }
+    g_array_free(c->keys, TRUE);
+    g_free(c);
+}
+
+/* Takes up to a batch of those that aren't in the store. */
+static GArray *
+take_unstored(Gateway *g)
+{
+    GArray *keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    guint n = MIN(g->notes_unstored->len, MAX_ROWS - 1);
+    g_array_append_vals(keys, g->notes_unstored->data, n);
+    g_array_remove_range(g->notes_unstored, 0, n);
+    return keys;
+}
+
+static void
+append_batch(Gateway *g, const Gwp__StreamNotes *m, GArray *keys)
+{
+    size_t len = gwp__stream_notes__get_packed_size(m);
+    g_autofree uint8_t *data = g_malloc(len + 1);
+    gwp__stream_notes__pack(m, data);
+    g_autofree char *key = g_strdup_printf("%03u", g->notes_batch++ % BATCHES);
+    BatchCtx *c = g_new0(BatchCtx, 1);
+    c->g = g;
+    c->keys = keys;
+    bg_count("gateway_stream_note_batches_total", 1);
+    g->store->ops->append(g->store, ST_NOTES, ST_ANY_TAIL, key, data, len,
+                          on_batch_written, c);
+}
+
+static void
+write_batch(Gateway *g, uint64_t now_ms)
+{
+    Rows r = create_rows(g);
+    GArray *keys = take_unstored(g);
+    for (guint i = 0; i < keys->len; i++) {
+        SnNote note = {.key = g_array_index(keys, uint64_t, i),
+                       .left_ms = vp_get_life_ms(g->versions)};
+        note.version = sn_find(g->notes, now_ms, note.key);
+        add_row(&r, &note);
+    }
+    Gwp__StreamNotes m = borrow_rows(&r);
+    g->notes_busy = true;
+    g->notes_ms = now_ms;
+    append_batch(g, &m, keys);
+    free_rows(&r);
+}
+
+static void
+take_batch(Gateway *g, const StRecord *record)
+{
+    gsize len = 0;
+    const uint8_t *data =
+        record->value ? g_bytes_get_data(record->value, &len) : NULL;
+    Gwp__StreamNotes *m =
+        data ? gwp__stream_notes__unpack(NULL, len, data) : NULL;
+    if (!m) {
+        bg_log(BG_WARN, "notes", "ignored batch %s, which can't be read",
+               record->key);
+        return;
+    }
+    take_rows(g, m, false);
+    gwp__stream_notes__free_unpacked(m, NULL);
+}
+
+static void
+on_batches_read(void *ctx, const StReply *r)
+{
+    Gateway *g = ctx;
+    g->notes_busy = false;
+    if (r->result != ST_OK) {
+        return; /* it is read again */
+    }
+    for (guint i = 0; i < r->records->len; i++) {
+        const StRecord *x = r->records->pdata[i];
+        take_batch(g, x);
+        if (x->offset >= g->notes_offset) {
+            g->notes_offset = x->offset;
+            g->notes_batch = (uint32_t)strtoul(x->key, NULL, 10) + 1;
         }
     }
+    if (r->has_more && r->records->len > 0) {
+        const StRecord *last = r->records->pdata[r->records->len - 1];
+        g->notes_busy = true;
+        g->store->ops->list(g->store, ST_NOTES, last->key, on_batches_read, g);
+        return;
+    }
+    g->notes_listed = true;
+}
+
+static void
+read_batches(Gateway *g, uint64_t now_ms)
+{
+    g->notes_ms = now_ms;
+    if (vp_is_settled(g->versions)) {
+        g->notes_listed = true; /* nobody asks for notes */
+        return;
+    }
+    g->notes_busy = true;
+    g->notes_offset = 0;
+    g->store->ops->list(g->store, ST_NOTES, NULL, on_batches_read, g);
+}
+
+/* As leader. */
+static void
+tick_store(Gateway *g, uint64_t now_ms)
+{
+    if (!g->is_leader) {
+        g->notes_listed = false;
+        g_array_set_size(g->notes_unstored, 0);
+        return;
+    }
+    if (g->notes_busy || !g->plan_listed || now_ms < g->notes_ms + BATCH_MS) {
+        return;
+    }
+    if (!g->notes_listed) {
+        read_batches(g, now_ms);
+    }
+    else if (g->notes_unstored->len > 0) {
+        write_batch(g, now_ms);
+    }
+}
+
+void
+gn_tick_notes(Gateway *g, uint64_t now_ms)
+{
+    sn_on_tick(g->notes, now_ms);
+    send_due(g, now_ms);
+    tick_store(g, now_ms);
 }
 
 /* ---- questions ---------------------------------------------------------- */
 
-/* This leader has the notes of the gateways that linked to it by now. */
+/* This leader has the notes of the store, and of the gateways that linked to
+   it by now. */
 static bool
 has_gathered(const Gateway *g, uint64_t now_ms)
 {
-    return g->lead_ms && now_ms >= g->lead_ms + GATHER_MS;
+    return g->lead_ms && now_ms >= g->lead_ms + GATHER_MS && g->notes_listed;
 }
 
 bool
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -5,8 +5,8 @@
 /* The plan is confirmed by one call of the store, or known to be out of reach
    by then. */
 #define CONFIRM_WAIT_MS 500
-/* A new leader gets the notes of the others meanwhile. */
-#define NOTE_WAIT_MS 2500
+/* Meanwhile the next leader is there, and gets the notes of the others. */
+#define NOTE_WAIT_MS 5000
 #define NOTE_ASK_MS 100 /* between questions for one note */
 
 /* ---- at which version --------------------------------------------------- */
@@ -86,9 +86,13 @@
     if (q->note_wait_ms == 0) {
         q->note_wait_ms = now_ms;
     }
-    if (q->note_missing || now_ms > q->note_wait_ms + NOTE_WAIT_MS) {
+    if (q->note_missing) {
         return refuse(q, "its version isn't known", why);
     }
+    if (now_ms > q->note_wait_ms + NOTE_WAIT_MS) {
+        (void)refuse(q, "no leader tells its version", why);
+        return GW_VERSION_UNCONFIRMED;
+    }
     if (now_ms >= q->note_asked_ms + NOTE_ASK_MS) {
         q->note_asked_ms = now_ms;
         bg_count("gateway_stream_notes_asked_total", 1);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -613,6 +613,7 @@
     g->versions = vp_create();
     g->notes = sn_create(MAX_NOTES);
     g->notes_due = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g->notes_unstored = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     GwParams gw = {.connect_ms = CONNECT_MS,
                    .max_body_bytes = get_answer_bytes(g, "max_body_kb"),
                    .max_event_bytes = get_answer_bytes(g, "max_event_kb"),
@@ -715,6 +716,7 @@
     vp_destroy(g->versions);
     sn_destroy(g->notes);
     g_array_free(g->notes_due, TRUE);
+    g_array_free(g->notes_unstored, TRUE);
     dep_unref_config(g->config);
     if (g->config_bytes) {
         g_bytes_unref(g->config_bytes);
--- a/src/store.h
+++ b/src/store.h
@@ -17,6 +17,7 @@
     ST_UPSTREAMS, /* written by upstreams, each under its own id */
     ST_OWNER,     /* written by gateways: the lease, see ls */
     ST_VERSIONS,  /* written by the leader: the version plan, see vp */
+    ST_NOTES,     /* written by the leader: batches of notes, see sn */
     ST_MAILBOX    /* written by gateways that can't link to the leader:
                      link frames, each under its VM's name */
 } StTopic;
--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -19,20 +19,17 @@
      policy notes|plan|keepers|local   how a gateway knows the version that
                              began a stream.  plan: by the plan alone.  notes:
                              and by notes of unsettled shares, which the leader
-                             and two others have.  keepers: three gateways by
-                             hash of the attempt are told and asked
-     lag MS, late MS         of messages; how much too young a heartbeat is
-                             estimated
-     rollout AT MS           engines change one after another, each MS
-     crash AT SHARE FOR      engines, back at their version under new ids
-     kill WHO|all|leader AT FOR, cut WHO|leader AT FOR, freeze WHO|leader AT
-       FOR, outage AT FOR    a cut gateway reaches neither the store nor
-                             another gateway; times in ms
-     run MS                  prints how many streams were taken up, might have
-                             gone on (an upstream of their version serves),
-                             did, and are mixed; new ones begun and refused at
-                             gateways that run; bytes sent for them; and by how
-                             many ms first events were held back, all together
+                             has, and writes to the store.  keepers: three
+   gateways by hash of the attempt are told and asked lag MS, late MS of
+   messages; how much too young a heartbeat is estimated rollout AT MS engines
+   change one after another, each MS crash AT SHARE FOR      engines, back at
+   their version under new ids kill WHO|all|leader AT FOR, cut WHO|leader AT
+   FOR, freeze WHO|leader AT FOR, outage AT FOR    a cut gateway reaches
+   neither the store nor another gateway; times in ms run MS prints how many
+   streams were taken up, might have gone on (an upstream of their version
+   serves), did, and are mixed; new ones begun and refused at gateways that
+   run; bytes sent for them; and by how many ms first events were held back,
+   all together
  */
 #include "script.h"
 #include "version_plan.h"
@@ -55,7 +52,8 @@
 #define BACKUPS 2
 #define GATHER_MS 400 /* until a new leader has the notes of others */
 #define START_MS 1000
-#define NOTE_WAIT_MS 2500 /* a gateway waits so long for a leader's answer */
+#define NOTE_WAIT_MS 5000 /* a gateway waits so long for a leader's answer */
+#define BATCH_MS 500
 
 typedef struct {
     char name[8];
@@ -122,6 +120,9 @@
     Engine real[MAX_ENGINES];
     uint32_t next_id;
     GBytes *stored;
+    GHashTable *notes;    /* of the store: attempt -> version */
+    GHashTable *unstored; /* of the leader: the same */
+    uint64_t batch_ms;
     uint64_t outage_ms;
     int leader; /* -1: none */
     uint64_t elect_ms;
@@ -317,6 +318,9 @@
     s->lag_ms = 5;
     s->faults = g_array_new(FALSE, FALSE, sizeof(Fault));
     s->streams = g_ptr_array_new_with_free_func(g_free);
+    s->notes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s->unstored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&s->frames);
 }
 
@@ -368,6 +372,7 @@
         return;
     }
     take_note(to, attempt, version);
+    g_hash_table_replace(s->unstored, g_strdup(attempt), g_strdup(version));
     s->bytes += ROW_BYTES;
     for (int i = 0; from == to && i < BACKUPS; i++) {
         Gateway *backup = &s->all[pick(s, (uint32_t)s->gateways)];
@@ -400,14 +405,46 @@
     }
 }
 
+static void
+store_notes(Script *s)
+{
+    if (s->leader < 0 || s->now_ms < s->batch_ms + BATCH_MS ||
+        !reaches_store(s, &s->all[s->leader])) {
+        return;
+    }
+    s->batch_ms = s->now_ms;
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->unstored);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        g_hash_table_replace(s->notes, g_strdup(k), g_strdup(v));
+        s->bytes += ROW_BYTES;
+    }
+    g_hash_table_remove_all(s->unstored);
+}
+
+static void
+read_stored_notes(Script *s)
+{
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->notes);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        take_note(&s->all[s->leader], k, v);
+    }
+}
+
 static void
 gather_notes(Script *s)
 {
     if (s->policy != BY_NOTES || s->leader < 0 || s->gather_ms == 0 ||
-        s->now_ms < s->gather_ms) {
+        s->now_ms < s->gather_ms || !reaches_store(s, &s->all[s->leader])) {
         return;
     }
     s->gather_ms = 0;
+    read_stored_notes(s);
     for (int i = 0; i < s->gateways; i++) {
         Gateway *g = &s->all[i];
         GHashTableIter it;
@@ -490,6 +527,7 @@
             s->leader = i;
             s->leader_read = false;
             s->append_ms = 0;
+            g_hash_table_remove_all(s->unstored); /* with its process */
             s->gather_ms = s->now_ms + GATHER_MS;
             s->elect_ms = s->now_ms + LEASE_MS;
             return;
@@ -893,6 +931,7 @@
         look_at_engines(s);
         elect(s);
         gather_notes(s);
+        store_notes(s);
         deliver_frames(s);
         lead(s);
         if (s->now_ms > START_MS + 3000) {
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -308,6 +308,31 @@
     assert sorted(held) == ["v1", "v2"]
 
 
+# While shares moved all gateways were killed, and nobody knew any more at which
+# version their streams began.
+def test_streams_of_moved_shares_go_on_after_all_gateways_were_killed(build):
+    with Cluster(build, gateways=3, models=(("m0",),) * 3) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        for i in range(3):
+            add_engine(c, "n%d" % i, "v2")
+        wait_until(lambda: not c.gateways[0].dump()["versions_settled"],
+                   what="moved shares")
+        time.sleep(0.3)
+        streams = begin_streams(STREAMS, lambda i: c.gateways[i % 3], 12)
+        time.sleep(0.4)   # a batch of notes is written
+        kill(*c.gateways)
+        for g in c.gateways:
+            g.start()
+        wait_until(lambda: all(g.is_ready() for g in c.gateways),
+                   what="readiness")
+        take_up_all(streams, lambda i: c.gateways[(i + 1) % 3], tries=3)
+        assert not c.gateways[0].dump()["versions_settled"]
+        check_streams(streams)
+        assert {v for s in streams for v in s.versions()} == {"v1", "v2"}
+
+
 AT_ONCE_S = 0.7   # a call of the store, and the wait for an entry
 
 REFUSED = 503
