A restarted upstream gets nothing new until its entry comes; doubts end with a proof

Traced: gateways without a connection to the upstream when it ended, one of them refused while it was away; then a stream was taken up at the new process before its entry came, while one version was known. The platform's engines restart empty, so this needs the placing VM to load a model there first. Read in the code: it could, where it had never ordered anything at the former process (else the sequence doesn't fit).

A proof newer than the loss ends the doubt; before, each later connection was asked about again. The pool keeps when connections were lost, by address, in place of a search of all upstreams for each.

Tried and dropped: each opening that fails puts the upstream in doubt.

--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -234,9 +234,11 @@
 void
 gw_hold(Req *q, const HtCall *call)
 {
+    const char *address = ut_get_entry(q->ut)->address;
+    uint64_t lost_ms = ht_get_lost_ms(q->gw->pool, address);
     q->opened_ms = ht_get_opened_ms(call);
     bool sure = !vp_is_mixed(q->gw->versions, q->service) &&
-                !ut_is_doubted(q->ut, q->opened_ms);
+                !ut_is_doubted(q->ut, q->opened_ms, lost_ms);
     if (!is_resumable(q) || sure || ut_is_proved(q->ut, q->opened_ms)) {
         return;
     }
--- a/src/http.h
+++ b/src/http.h
@@ -151,10 +151,9 @@
 } HtDetours;
 
 void ht_set_detours(HtPool *p, const HtDetours *detours);
-/* A connection to ADDRESS ended that this side would have kept: the process
-   there may have ended.  ON_LOST must start and cancel no calls. */
-typedef void (*HtLostFn)(void *ctx, const char *address);
-void ht_set_on_lost(HtPool *p, HtLostFn on_lost, void *ctx);
+/* When a connection to ADDRESS last ended that this side would have kept: the
+   process there may have ended.  0: not lately. */
+uint64_t ht_get_lost_ms(const HtPool *p, const char *address);
 /* Calls in progress end as AE_RESET, or as AE_NOT_SENT if no byte was sent;
    their handlers must start no others. */
 void ht_destroy_pool(HtPool *p);
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -304,7 +304,8 @@
         ht_fail_opening(w, PT_LOST, false);
     }
     else if (!w->call) {
-        ht_close_conn(w); /* ended by the upstream, or bytes without a call */
+        ht_note_lost(w); /* ended by the upstream, or bytes without a call */
+        ht_close_conn(w);
     }
     else if (f->body_case == GWP__FRAME__BODY_DETOUR_DATA) {
         if (f->detour_data->data.len > 0) {
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -80,32 +80,52 @@
     ht_free_call(call);
 }
 
-/* Connections to one address that were closed or broke within HT_END_MS of
-   each other. */
+/* How connections to one address ended. */
 typedef struct {
+    /* Those with a call that ended within HT_END_MS of each other. */
     uint64_t last_ms;
     uint32_t count;
-} Burst;
+    uint64_t lost_ms; /* as in ht_get_lost_ms */
+} Ends;
+
+static Ends *
+ensure_ends(HtPool *p, const char *address)
+{
+    Ends *e = g_hash_table_lookup(p->ends, address);
+    if (!e) {
+        e = g_new0(Ends, 1);
+        g_hash_table_insert(p->ends, g_strdup(address), e);
+    }
+    return e;
+}
 
 static void
 note_end(HtConn *w)
 {
-    GHashTable *bursts = w->pool->bursts;
     uint64_t now_ms = bg_boot_ms();
-    Burst *b = g_hash_table_lookup(bursts, w->address);
-    if (!b) {
-        b = g_new0(Burst, 1);
-        g_hash_table_insert(bursts, g_strdup(w->address), b);
-    }
-    b->count = now_ms <= b->last_ms + HT_END_MS ? b->count + 1 : 1;
-    b->last_ms = now_ms;
+    Ends *e = ensure_ends(w->pool, w->address);
+    e->count = now_ms <= e->last_ms + HT_END_MS ? e->count + 1 : 1;
+    e->last_ms = now_ms;
 }
 
 uint32_t
 ht_count_ends(const HtPool *p, const char *address)
 {
-    const Burst *b = g_hash_table_lookup(p->bursts, address);
-    return b && bg_boot_ms() <= b->last_ms + HT_BURST_MS ? b->count : 0;
+    const Ends *e = g_hash_table_lookup(p->ends, address);
+    return e && bg_boot_ms() <= e->last_ms + HT_BURST_MS ? e->count : 0;
+}
+
+void
+ht_note_lost(HtConn *w)
+{
+    ensure_ends(w->pool, w->address)->lost_ms = bg_boot_ms();
+}
+
+uint64_t
+ht_get_lost_ms(const HtPool *p, const char *address)
+{
+    const Ends *e = g_hash_table_lookup(p->ends, address);
+    return e ? e->lost_ms : 0;
 }
 
 /* Its connection ended before the next request could be sent on it. */
@@ -132,10 +152,9 @@
 void
 ht_fail_conn(HtConn *w, AeSignal signal)
 {
-    HtPool *p = w->pool;
     AeEnd end = w->call ? ae_end(w->call->answer, signal) : AE_RESET;
-    if (p->on_lost && w->opened_ms && !ae_is_whole(end)) {
-        p->on_lost(p->lost_ctx, w->address);
+    if (!ae_is_whole(end)) {
+        ht_note_lost(w);
     }
     close_call(w, end);
 }
@@ -436,19 +455,12 @@
     p->loop = loop;
     g_queue_init(&p->conns);
     g_queue_init(&p->failed);
-    p->bursts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ev_timer_init(&p->fail_timer, on_fail_timer, 0., 0.);
     p->fail_timer.data = p;
     return p;
 }
 
-void
-ht_set_on_lost(HtPool *p, HtLostFn on_lost, void *ctx)
-{
-    p->on_lost = on_lost;
-    p->lost_ctx = ctx;
-}
-
 void
 ht_set_detours(HtPool *p, const HtDetours *detours)
 {
@@ -472,7 +484,7 @@
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
     ev_timer_stop(p->loop, &p->fail_timer);
-    g_hash_table_destroy(p->bursts);
+    g_hash_table_destroy(p->ends);
     g_free(p);
 }
 
@@ -703,16 +715,19 @@
 }
 
 static gboolean
-is_old(gpointer address, gpointer burst, gpointer now_ms)
+is_old(gpointer address, gpointer ends, gpointer now_ms_p)
 {
     (void)address;
-    return *(uint64_t *)now_ms > ((Burst *)burst)->last_ms + HT_BURST_MS;
+    const Ends *e = ends;
+    uint64_t now_ms = *(uint64_t *)now_ms_p;
+    return now_ms > e->last_ms + HT_BURST_MS &&
+           now_ms > e->lost_ms + HT_LOST_MS;
 }
 
 void
 ht_tick_pool(HtPool *p, uint64_t now_ms)
 {
-    g_hash_table_foreach_remove(p->bursts, is_old, &now_ms);
+    g_hash_table_foreach_remove(p->ends, is_old, &now_ms);
     HtConn *w;
     while ((w = find_overdue(p, now_ms))) {
         end_late_opening(w, now_ms);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -182,12 +182,6 @@
     gn_report_suspicion(ctx, upstream);
 }
 
-static void
-on_connection_lost(void *ctx, const char *address)
-{
-    ut_on_lost(((Gateway *)ctx)->upstreams, bg_boot_ms(), address);
-}
-
 static bool
 is_isolated(void *ctx)
 {
@@ -698,7 +692,6 @@
     if (g->control) {
         ht_destroy_server(g->control);
     }
-    ht_set_on_lost(g->pool, NULL, NULL);
     /* A link that closes may start a call, and a call that ends may send on
        links. */
     lk_close(g->links);
@@ -765,7 +758,6 @@
     }
     create_cores(g);
     gn_watch_store(g);
-    ht_set_on_lost(g->pool, on_connection_lost, g);
     start_watchers(g);
     jl_start(gn_get_text(g, "name"));
     JlLine *l = jl_begin("started");
--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -617,6 +617,13 @@
     return REPORT_INTERVAL_MS << MIN(u->missed_reports, MAX_REPORT_BACKOFFS);
 }
 
+static bool
+is_same_process(const Up *u, const DepUpstream *report)
+{
+    return !report->born_ms || !u->entry->born_ms ||
+           report->born_ms == u->entry->born_ms;
+}
+
 void
 mp_on_report(Mp *m, uint64_t now_ms, const char *id, const DepUpstream *report)
 {
@@ -624,14 +631,17 @@
     if (!u) {
         return;
     }
+    /* What answers in an upstream's place is of an unknown version until its
+       entry comes: nothing is loaded there. */
+    bool found = report && is_same_process(u, report);
     u->report_pending = false;
-    u->next_report_ms = now_ms + get_report_interval_ms(u, report != NULL);
-    if (!report && !u->unreachable) {
+    u->next_report_ms = now_ms + get_report_interval_ms(u, found);
+    if (!found && !u->unreachable) {
         /* Request reports until it answers: if it has restarted its content
            has changed. */
         invalidate_content(u, now_ms);
     }
-    set_reachable(m, u, report != NULL);
+    set_reachable(m, u, found);
     if (now_ms < u->changed_ms + REPORT_LAG_MS) {
         u->next_report_ms = u->changed_ms + REPORT_LAG_MS;
         return;
@@ -641,13 +651,11 @@
     if (u->busy) {
         u->next_report_ms = now_ms + LATE_LOAD_POLL_MS;
     }
-    if (!report || report->busy || u->ordered) {
+    if (!found || report->busy || u->ordered) {
         return;
     }
-    bool same_instance = !report->born_ms || !u->entry->born_ms ||
-                         report->born_ms == u->entry->born_ms;
     /* The report may be from before our last order. */
-    if (same_instance && report->sequence >= u->sequence) {
+    if (report->sequence >= u->sequence) {
         apply_report(m, u, now_ms, report);
     }
 }
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -199,7 +199,11 @@
 ut_on_unreachable(UtSet *s, uint64_t now_ms, const char *id)
 {
     Ut *u = g_hash_table_lookup(s->by_id, id);
-    if (u && now_ms >= u->last_answer_ms + ALIVE_MS) {
+    if (!u) {
+        return;
+    }
+    u->away_ms = now_ms;
+    if (now_ms >= u->last_answer_ms + ALIVE_MS) {
         u->reported_unreachable_ms = now_ms;
     }
 }
@@ -598,24 +602,12 @@
            (u->proved_ms && opened_ms && opened_ms <= u->proved_ms);
 }
 
-void
-ut_on_lost(UtSet *s, uint64_t now_ms, const char *address)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, s->by_id);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        Ut *u = v;
-        if (strcmp(u->entry->address, address) == 0) {
-            u->lost_ms = now_ms;
-        }
-    }
-}
-
 bool
-ut_is_doubted(const Ut *u, uint64_t opened_ms)
+ut_is_doubted(const Ut *u, uint64_t opened_ms, uint64_t lost_ms)
 {
-    return u->lost_ms && opened_ms >= u->lost_ms;
+    bool away = u->away_ms && u->away_ms >= u->proved_ms;
+    bool lost = lost_ms && lost_ms >= u->proved_ms && opened_ms >= lost_ms;
+    return away || lost;
 }
 
 uint64_t
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -189,11 +189,10 @@
 /* A connection to U that was open at OPENED_MS leads to U's process.  Always
    true if U's entry names no birth: then it is known by its id alone. */
 bool ut_is_proved(const Ut *u, uint64_t opened_ms);
-/* A connection to ADDRESS was lost: the upstream there may have ended. */
-void ut_on_lost(UtSet *s, uint64_t now_ms, const char *address);
-/* A connection to U was lost before the one that was open at OPENED_MS: that
-   one may lead to another process. */
-bool ut_is_doubted(const Ut *u, uint64_t opened_ms);
+/* A connection to U that was open at OPENED_MS may lead to another process: no
+   report has proved U's process since the leader couldn't reach U, or since
+   one was lost at LOST_MS, before this one was opened. */
+bool ut_is_doubted(const Ut *u, uint64_t opened_ms, uint64_t lost_ms);
 /* 0: unknown, or not given. */
 uint64_t ut_get_born_ms(const UtSet *s, const char *id);
 
--- a/src/upstream_table_internal.h
+++ b/src/upstream_table_internal.h
@@ -40,7 +40,7 @@
     uint32_t fleet_running; /* for all gateways */
     bool stalled;
     uint64_t asked_ms;  /* the report that is under way; 0: none */
-    uint64_t lost_ms;   /* a connection to it was last lost; 0: never */
+    uint64_t away_ms;   /* last ut_on_unreachable; 0: never */
     uint64_t proved_ms; /* its process was proved by a report asked for then;
                            0: never */
     uint64_t last_answer_ms; /* end of the last answered call; 0: none */
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -228,6 +228,30 @@
     check_rebirth(build, keeps_models)
 
 
+# A gateway that had no connection to it yet, and was refused one while it was
+# away, took it for the former process as well.
+def test_upstream_that_refused_a_gateway_is_back_before_its_entry(build):
+    with Cluster(build, gateways=3, models=(("m0",),) * 3) as c:
+        c.leader()
+        wait_until(c.all_linked, what="links")
+        prepare(c)
+        e = c.engines[0]
+        e.keeps_models, e.ended_s, e.entry_late_s = True, 0.6, 1.5
+        e.next_version = "v2"
+        e.end()
+        time.sleep(0.1)
+        refused = [Stream() for _ in range(2 * STREAMS)]
+
+        def run(i):
+            if refused[i].open(c.gateways[i % 3]):
+                refused[i].read()
+        run_all(len(refused), run)
+        time.sleep(0.5)
+        streams = begin_streams(STREAMS, lambda i: c.gateways[i % 3])
+        take_up_all(streams, lambda i: c.gateways[(i + 1) % 3])
+        check_streams(streams, share=0.9)
+
+
 # While all upstreams had one version, streams were refused or asked about.
 def test_one_version_costs_nothing(build):
     with Cluster(build, gateways=3, models=(("m0",),) * 3) as c:
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1387,6 +1387,39 @@
     stop_site(&s);
 }
 
+static int
+count_reported_unreachable(const Site *s)
+{
+    int n = 0;
+    for (int i = 0; i < ENGINES; i++) {
+        n += s->engines[i].reported_unreachable;
+    }
+    return n;
+}
+
+/* An engine was loaded whose version nobody knew yet: it had restarted, and
+   its entry was that of the former process. */
+static void
+test_placement_leaves_a_restarted_engine_until_its_entry(void)
+{
+    Site s;
+    start_site(&s, 3);
+    s.load_ms = 100000;
+    for (int i = 0; i < ENGINES; i++) {
+        s.engines[i].state->born_ms = 1;
+        mp_on_entry(s.mp, s.now_ms, s.engines[i].state);
+    }
+    run_site(&s, 500, true);
+    for (int i = 0; i < ENGINES; i++) {
+        s.engines[i].state->born_ms = 2;
+    }
+    report_waiting(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1000, true);
+    CU_ASSERT_EQUAL(count_loads(&s), 1);
+    CU_ASSERT_EQUAL(count_reported_unreachable(&s), 1);
+    stop_site(&s);
+}
+
 static void
 test_placement_waits_until_it_may_order(void)
 {
@@ -2303,6 +2336,8 @@
         {"choice replaced upstream", test_choice_replaced_upstream},
         {"one load for a burst", test_placement_one_load_for_a_burst},
         {"waits until it may order", test_placement_waits_until_it_may_order},
+        {"leaves a restarted engine until its entry",
+         test_placement_leaves_a_restarted_engine_until_its_entry},
         {"never overcommits", test_placement_never_overcommits},
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
