--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -1852,6 +1852,96 @@
   assert(message->base.descriptor == &gwp__slot_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__slot_over__init
+                     (Gwp__SlotOver         *message)
+{
+  static const Gwp__SlotOver init_value = GWP__SLOT_OVER__INIT;
+  *message = init_value;
+}
+size_t gwp__slot_over__get_packed_size
+                     (const Gwp__SlotOver *message)
+{
+  assert(message->base.descriptor == &gwp__slot_over__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__slot_over__pack
+                     (const Gwp__SlotOver *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__slot_over__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__slot_over__pack_to_buffer
+                     (const Gwp__SlotOver *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__slot_over__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__SlotOver *
+       gwp__slot_over__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__SlotOver *)
+     protobuf_c_message_unpack (&gwp__slot_over__descriptor,
+                                allocator, len, data);
+}
+void   gwp__slot_over__free_unpacked
+                     (Gwp__SlotOver *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__slot_over__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gwp__slot_held__init
+                     (Gwp__SlotHeld         *message)
+{
+  static const Gwp__SlotHeld init_value = GWP__SLOT_HELD__INIT;
+  *message = init_value;
+}
+size_t gwp__slot_held__get_packed_size
+                     (const Gwp__SlotHeld *message)
+{
+  assert(message->base.descriptor == &gwp__slot_held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__slot_held__pack
+                     (const Gwp__SlotHeld *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__slot_held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__slot_held__pack_to_buffer
+                     (const Gwp__SlotHeld *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__slot_held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__SlotHeld *
+       gwp__slot_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__SlotHeld *)
+     protobuf_c_message_unpack (&gwp__slot_held__descriptor,
+                                allocator, len, data);
+}
+void   gwp__slot_held__free_unpacked
+                     (Gwp__SlotHeld *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__slot_held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__version_shares__init
                      (Gwp__VersionShares         *message)
 {
@@ -4769,7 +4859,7 @@
   (ProtobufCMessageInit) gwp__lease_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__upstream_limit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__upstream_limit__field_descriptors[6] =
 {
   {
     "upstream",
@@ -4831,18 +4921,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rejects_per_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__UpstreamLimit, rejects_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__upstream_limit__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   1,   /* field[1] = born_ms */
   3,   /* field[3] = known */
   2,   /* field[2] = per_s */
+  5,   /* field[5] = rejects_per_s */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange gwp__upstream_limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__upstream_limit__descriptor =
 {
@@ -4852,7 +4955,7 @@
   "Gwp__UpstreamLimit",
   "gwp",
   sizeof(Gwp__UpstreamLimit),
-  5,
+  6,
   gwp__upstream_limit__field_descriptors,
   gwp__upstream_limit__field_indices_by_name,
   1,  gwp__upstream_limit__number_ranges,
@@ -4897,7 +5000,7 @@
   (ProtobufCMessageInit) gwp__upstream_limits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__slot_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__slot_ask__field_descriptors[5] =
 {
   {
     "vm",
@@ -4947,8 +5050,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hold_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotAsk, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__slot_ask__field_indices_by_name[] = {
+  4,   /* field[4] = hold_ms */
   2,   /* field[2] = limit */
   3,   /* field[3] = max_wait_ms */
   1,   /* field[1] = ticket */
@@ -4957,7 +5073,7 @@
 static const ProtobufCIntRange gwp__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__slot_ask__descriptor =
 {
@@ -4967,7 +5083,7 @@
   "Gwp__SlotAsk",
   "gwp",
   sizeof(Gwp__SlotAsk),
-  4,
+  5,
   gwp__slot_ask__field_descriptors,
   gwp__slot_ask__field_indices_by_name,
   1,  gwp__slot_ask__number_ranges,
@@ -5051,6 +5167,147 @@
   (ProtobufCMessageInit) gwp__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gwp__slot_over__field_descriptors[3] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotOver, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotOver, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotOver, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__slot_over__field_indices_by_name[] = {
+  2,   /* field[2] = end */
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__slot_over__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gwp__slot_over__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.SlotOver",
+  "SlotOver",
+  "Gwp__SlotOver",
+  "gwp",
+  sizeof(Gwp__SlotOver),
+  3,
+  gwp__slot_over__field_descriptors,
+  gwp__slot_over__field_indices_by_name,
+  1,  gwp__slot_over__number_ranges,
+  (ProtobufCMessageInit) gwp__slot_over__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__slot_held__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotHeld, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotHeld, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotHeld, limit),
+    &gwp__upstream_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__SlotHeld, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__slot_held__field_indices_by_name[] = {
+  3,   /* field[3] = hold_ms */
+  2,   /* field[2] = limit */
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__slot_held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__slot_held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.SlotHeld",
+  "SlotHeld",
+  "Gwp__SlotHeld",
+  "gwp",
+  sizeof(Gwp__SlotHeld),
+  4,
+  gwp__slot_held__field_descriptors,
+  gwp__slot_held__field_indices_by_name,
+  1,  gwp__slot_held__number_ranges,
+  (ProtobufCMessageInit) gwp__slot_held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gwp__version_shares__field_descriptors[3] =
 {
   {
@@ -5435,7 +5692,7 @@
   (ProtobufCMessageInit) gwp__note_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[33] =
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[35] =
 {
   {
     "hello",
@@ -5833,6 +6090,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_over",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, slot_over),
+    &gwp__slot_over__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_held",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, slot_held),
+    &gwp__slot_held__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -5859,6 +6140,8 @@
   4,   /* field[4] = run */
   20,   /* field[20] = slot_answer */
   19,   /* field[19] = slot_ask */
+  34,   /* field[34] = slot_held */
+  33,   /* field[33] = slot_over */
   3,   /* field[3] = state */
   30,   /* field[30] = stream_notes */
   26,   /* field[26] = suspects */
@@ -5872,7 +6155,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 33 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -5882,7 +6165,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  33,
+  35,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -56,6 +56,8 @@
 typedef struct Gwp__UpstreamLimits Gwp__UpstreamLimits;
 typedef struct Gwp__SlotAsk Gwp__SlotAsk;
 typedef struct Gwp__SlotAnswer Gwp__SlotAnswer;
+typedef struct Gwp__SlotOver Gwp__SlotOver;
+typedef struct Gwp__SlotHeld Gwp__SlotHeld;
 typedef struct Gwp__VersionShares Gwp__VersionShares;
 typedef struct Gwp__ServiceVersions Gwp__ServiceVersions;
 typedef struct Gwp__VersionPlan Gwp__VersionPlan;
@@ -907,10 +909,14 @@
    * KNOWN: since it was last named or published there
    */
   uint32_t age_ms;
+  /*
+   * that it bears to turn away; 0: it isn't brittle
+   */
+  double rejects_per_s;
 };
 #define GWP__UPSTREAM_LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream_limit__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -943,10 +949,14 @@
    */
   Gwp__UpstreamLimit *limit;
   uint32_t max_wait_ms;
+  /*
+   * of a brittle upstream: it is over then in any case
+   */
+  uint32_t hold_ms;
 };
 #define GWP__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__slot_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
 
 
 struct  Gwp__SlotAnswer
@@ -968,6 +978,44 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A slot of a brittle upstream is over.
+ */
+struct  Gwp__SlotOver
+{
+  ProtobufCMessage base;
+  /*
+   * that had it
+   */
+  char *vm;
+  uint64_t ticket;
+  /*
+   * UrEnd
+   */
+  uint32_t end;
+};
+#define GWP__SLOT_OVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__slot_over__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A gateway has a request at a brittle upstream; to a leader that may not
+ * know.
+ */
+struct  Gwp__SlotHeld
+{
+  ProtobufCMessage base;
+  char *vm;
+  uint64_t ticket;
+  Gwp__UpstreamLimit *limit;
+  uint32_t hold_ms;
+};
+#define GWP__SLOT_HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__slot_held__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
+
+
 /*
  * The shares of a model's streams in the version plan, see vp.
  */
@@ -1119,7 +1167,9 @@
   GWP__FRAME__BODY_VERSION_PLAN = 30,
   GWP__FRAME__BODY_STREAM_NOTES = 31,
   GWP__FRAME__BODY_NOTE_ASK = 32,
-  GWP__FRAME__BODY_NOTE_ANSWER = 33
+  GWP__FRAME__BODY_NOTE_ANSWER = 33,
+  GWP__FRAME__BODY_SLOT_OVER = 34,
+  GWP__FRAME__BODY_SLOT_HELD = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -1161,6 +1211,8 @@
     Gwp__StreamNotes *stream_notes;
     Gwp__NoteAsk *note_ask;
     Gwp__NoteAnswer *note_answer;
+    Gwp__SlotOver *slot_over;
+    Gwp__SlotHeld *slot_held;
   };
 };
 #define GWP__FRAME__INIT \
@@ -1947,6 +1999,44 @@
 void   gwp__slot_answer__free_unpacked
                      (Gwp__SlotAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__SlotOver methods */
+void   gwp__slot_over__init
+                     (Gwp__SlotOver         *message);
+size_t gwp__slot_over__get_packed_size
+                     (const Gwp__SlotOver   *message);
+size_t gwp__slot_over__pack
+                     (const Gwp__SlotOver   *message,
+                      uint8_t             *out);
+size_t gwp__slot_over__pack_to_buffer
+                     (const Gwp__SlotOver   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__SlotOver *
+       gwp__slot_over__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__slot_over__free_unpacked
+                     (Gwp__SlotOver *message,
+                      ProtobufCAllocator *allocator);
+/* Gwp__SlotHeld methods */
+void   gwp__slot_held__init
+                     (Gwp__SlotHeld         *message);
+size_t gwp__slot_held__get_packed_size
+                     (const Gwp__SlotHeld   *message);
+size_t gwp__slot_held__pack
+                     (const Gwp__SlotHeld   *message,
+                      uint8_t             *out);
+size_t gwp__slot_held__pack_to_buffer
+                     (const Gwp__SlotHeld   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__SlotHeld *
+       gwp__slot_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__slot_held__free_unpacked
+                     (Gwp__SlotHeld *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__VersionShares methods */
 void   gwp__version_shares__init
                      (Gwp__VersionShares         *message);
@@ -2205,6 +2295,12 @@
 typedef void (*Gwp__SlotAnswer_Closure)
                  (const Gwp__SlotAnswer *message,
                   void *closure_data);
+typedef void (*Gwp__SlotOver_Closure)
+                 (const Gwp__SlotOver *message,
+                  void *closure_data);
+typedef void (*Gwp__SlotHeld_Closure)
+                 (const Gwp__SlotHeld *message,
+                  void *closure_data);
 typedef void (*Gwp__VersionShares_Closure)
                  (const Gwp__VersionShares *message,
                   void *closure_data);
@@ -2275,6 +2371,8 @@
 extern const ProtobufCMessageDescriptor gwp__upstream_limits__descriptor;
 extern const ProtobufCMessageDescriptor gwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor gwp__slot_answer__descriptor;
+extern const ProtobufCMessageDescriptor gwp__slot_over__descriptor;
+extern const ProtobufCMessageDescriptor gwp__slot_held__descriptor;
 extern const ProtobufCMessageDescriptor gwp__version_shares__descriptor;
 extern const ProtobufCMessageDescriptor gwp__service_versions__descriptor;
 extern const ProtobufCMessageDescriptor gwp__version_plan__descriptor;
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -10,6 +10,7 @@
      gateway_node_relay    which gateway this one links to; state of linked
                            gateways
      gateway_node_limits   limits that upstreams name, and slots for them
+     gateway_node_rooms    slots of brittle upstreams
      gateway_node_suspects requests under which upstreams ended, and turns
                            for them
      gateway_node_detours  paths to upstreams, and detours by way of other
@@ -118,6 +119,7 @@
     Rb *budget;
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
+    Ur *rooms; /* of brittle upstreams */
     Sp *suspects;
     Vp *versions;
     Sn *notes;
@@ -168,6 +170,7 @@
                              delta */
     bool store_unresponsive; /* the last append of the lease got no answer */
     bool has_upstreams;      /* received from another gateway */
+    bool asking_room;        /* inside gn_ask_room */
     bool plan_listed;        /* as leader: the topic was read, and only this
                                 process has written since */
     bool plan_pending;       /* an append of a plan is under way */
@@ -344,7 +347,11 @@
 void gn_on_upstream_named(void *ctx, const char *upstream,
                           const UlNamed *named);
 void gn_on_ask_slot(void *ctx, UlTicket ticket, const char *upstream,
-                    uint32_t max_wait_ms);
+                    uint32_t max_wait_ms, uint32_t hold_ms);
+/* What is in force here, for a frame; texts are borrowed. */
+Gwp__UpstreamLimit gn_make_limit(const Gateway *g, const char *upstream);
+/* Whether X is that of a process known here. */
+bool gn_is_valid_limit(const Gateway *g, const Gwp__UpstreamLimit *x);
 /* FROM: the gateway that sent it; NULL: the VM that we are linked to. */
 void gn_take_upstream_limits(Gateway *g, const LkPeer *from,
                              const Gwp__Frame *frame);
@@ -357,6 +364,22 @@
 void gn_report_upstream_limits(Gateway *g);
 void gn_tick_upstream_limits(Gateway *g, uint64_t now_ms);
 
+/* gateway_node_rooms */
+/* False: UPSTREAM isn't brittle, so a slot of its room isn't needed. */
+bool gn_ask_room(Gateway *g, const char *upstream, const UrAsk *ask);
+/* For Ur. */
+void gn_on_room_answer(void *ctx, const char *vm, uint64_t ticket,
+                       bool granted, uint32_t wait_ms);
+/* For GwOutput. */
+void gn_on_slot_over(void *ctx, UlTicket ticket, const char *upstream,
+                     UrEnd end);
+void gn_on_slot_held(void *ctx, UlTicket ticket, const char *upstream,
+                     uint32_t hold_ms);
+/* From a linked gateway, or this one. */
+void gn_take_slot_over(Gateway *g, const Gwp__Frame *frame);
+void gn_take_slot_held(Gateway *g, const Gwp__Frame *frame);
+void gn_tick_rooms(Gateway *g, uint64_t now_ms);
+
 /* gateway_node_suspects */
 /* For GwOutput. */
 void gn_on_run(void *ctx, uint64_t request, const char *upstream, SpTurn turn,
--- a/src/gateway_node_limits.c
+++ b/src/gateway_node_limits.c
@@ -28,27 +28,32 @@
     if (per_s > 0) {
         jl_number(l, "limit_per_1000_s", (int64_t)(per_s * 1000));
     }
+    double rejects = ul_get_rejects(g->upstream_limits, upstream);
+    if (rejects > 0) {
+        jl_number(l, "rejects_per_1000_s", (int64_t)(rejects * 1000));
+    }
     jl_end(l);
     bg_count("gateway_upstream_limits_total", 1);
 }
 
 static Gwp__UpstreamLimit
-make_row(const Gateway *g, const char *upstream, double per_s)
+make_row(const Gateway *g, const char *upstream, UlValues values)
 {
     Gwp__UpstreamLimit x;
     gwp__upstream_limit__init(&x);
     x.upstream = (char *)upstream;
     x.born_ms = ut_get_born_ms(g->upstreams, upstream);
-    x.per_s = per_s;
+    x.per_s = values.per_s;
+    x.rejects_per_s = values.rejects_per_s;
     return x;
 }
 
-/* A row of a limit as it is known here. */
-static Gwp__UpstreamLimit
-make_known_row(const Gateway *g, const char *upstream)
+Gwp__UpstreamLimit
+gn_make_limit(const Gateway *g, const char *upstream)
 {
-    Gwp__UpstreamLimit x =
-        make_row(g, upstream, ul_get_limit(g->upstream_limits, upstream));
+    UlValues values = {ul_get_limit(g->upstream_limits, upstream),
+                       ul_get_rejects(g->upstream_limits, upstream)};
+    Gwp__UpstreamLimit x = make_row(g, upstream, values);
     x.known = true;
     x.age_ms = ul_get_age_ms(g->upstream_limits, bg_boot_ms(), upstream);
     return x;
@@ -61,11 +66,11 @@
 } Rows;
 
 static void
-add_known(void *ctx, const char *upstream, double per_s)
+add_known(void *ctx, const char *upstream, UlValues values)
 {
-    (void)per_s;
+    (void)values;
     const Rows *r = ctx;
-    Gwp__UpstreamLimit x = make_known_row(r->g, upstream);
+    Gwp__UpstreamLimit x = gn_make_limit(r->g, upstream);
     g_array_append_val(r->rows, x);
 }
 
@@ -102,7 +107,18 @@
 publish_change(const Gateway *g, const char *upstream, UlChange change)
 {
     if (g->is_leader && change != UL_SAME && change != UL_NOT_READ) {
-        send_row(g, make_known_row(g, upstream), false);
+        send_row(g, gn_make_limit(g, upstream), false);
+    }
+}
+
+/* Requests that are at an upstream which turns out to be brittle take up its
+   room. */
+static void
+report_slots(Gateway *g, const char *upstream, UlChange change)
+{
+    bool news = change != UL_SAME && change != UL_NOT_READ;
+    if (news && ul_get_rejects(g->upstream_limits, upstream) > 0) {
+        gw_report_slots(g->gw, upstream);
     }
 }
 
@@ -118,8 +134,10 @@
     log_change(g, upstream, change, named);
     publish_change(g, upstream, change);
     if (report && !g->is_leader) {
-        send_row(g, make_row(g, upstream, named->per_s), true);
+        UlValues values = {named->per_s, named->rejects_per_s};
+        send_row(g, make_row(g, upstream, values), true);
     }
+    report_slots(g, upstream, change);
 }
 
 /* To TO, or all linked gateways if it is NULL; UP: to the VM that we are
@@ -158,10 +176,10 @@
 }
 
 /* Whether the limit is that of a process known here. */
-static bool
-is_valid_row(const Gateway *g, const Gwp__UpstreamLimit *x)
+bool
+gn_is_valid_limit(const Gateway *g, const Gwp__UpstreamLimit *x)
 {
-    if (!ul_is_limit(x->per_s)) {
+    if (!ul_is_limit(x->per_s) || !ul_is_limit(x->rejects_per_s)) {
         bg_log(BG_WARN, "limits", "invalid limit of upstream %s", x->upstream);
         return false;
     }
@@ -172,12 +190,14 @@
 take_report(Gateway *g, const Gwp__UpstreamLimit *x)
 {
     uint64_t now_ms = bg_boot_ms();
+    UlValues values = {x->per_s, x->rejects_per_s};
     UlChange change = x->known ? ul_on_known(g->upstream_limits, now_ms,
-                                             x->upstream, x->per_s, x->age_ms)
+                                             x->upstream, values, x->age_ms)
                                : ul_on_report(g->upstream_limits, now_ms,
-                                              x->upstream, x->per_s);
+                                              x->upstream, values);
     log_change(g, x->upstream, change, NULL);
     publish_change(g, x->upstream, change);
+    report_slots(g, x->upstream, change);
 }
 
 static void
@@ -185,7 +205,7 @@
 {
     for (size_t i = 0; i < m->n_rows; i++) {
         const Gwp__UpstreamLimit *x = m->rows[i];
-        if (is_valid_row(g, x)) {
+        if (gn_is_valid_limit(g, x)) {
             take_report(g, x);
         }
     }
@@ -197,11 +217,12 @@
     uint64_t now_ms = bg_boot_ms();
     for (size_t i = 0; i < m->n_rows; i++) {
         const Gwp__UpstreamLimit *x = m->rows[i];
-        if (is_valid_row(g, x)) {
-            log_change(
-                g, x->upstream,
-                ul_on_limit(g->upstream_limits, now_ms, x->upstream, x->per_s),
-                NULL);
+        if (gn_is_valid_limit(g, x)) {
+            UlValues values = {x->per_s, x->rejects_per_s};
+            UlChange change =
+                ul_on_limit(g->upstream_limits, now_ms, x->upstream, values);
+            log_change(g, x->upstream, change, NULL);
+            report_slots(g, x->upstream, change);
         }
     }
     gw_on_change(g->gw);
@@ -227,14 +248,15 @@
 
 static void
 send_ask(const Gateway *g, UlTicket ticket, const char *upstream,
-         uint32_t max_wait_ms)
+         uint32_t max_wait_ms, uint32_t hold_ms)
 {
     Gwp__SlotAsk a = GWP__SLOT_ASK__INIT;
     a.vm = (char *)gn_get_text(g, "name");
     a.ticket = ticket;
-    Gwp__UpstreamLimit limit = make_known_row(g, upstream);
+    Gwp__UpstreamLimit limit = gn_make_limit(g, upstream);
     a.limit = &limit;
     a.max_wait_ms = max_wait_ms;
+    a.hold_ms = hold_ms;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_SLOT_ASK;
     f.slot_ask = &a;
@@ -243,7 +265,7 @@
 
 void
 gn_on_ask_slot(void *ctx, UlTicket ticket, const char *upstream,
-               uint32_t max_wait_ms)
+               uint32_t max_wait_ms, uint32_t hold_ms)
 {
     Gateway *g = ctx;
     uint64_t now_ms = bg_boot_ms();
@@ -252,9 +274,13 @@
     if (gn_leads(g, now_ms)) {
         granted = ul_schedule(g->upstream_limits, now_ms, upstream,
                               max_wait_ms, &wait_ms);
+        UrAsk ask = {gn_get_text(g, "name"), ticket, max_wait_ms, hold_ms};
+        if (granted && gn_ask_room(g, upstream, &ask)) {
+            return;
+        }
     }
     else if (!g->is_leader && gn_has_leader(g, now_ms)) {
-        send_ask(g, ticket, upstream, max_wait_ms);
+        send_ask(g, ticket, upstream, max_wait_ms, hold_ms);
         return;
     }
     else {
@@ -290,10 +316,14 @@
     }
     uint32_t wait_ms = UL_NO_LEADER_WAIT_MS;
     bool granted = false;
-    if (gn_leads(g, now_ms) && a->limit && is_valid_row(g, a->limit)) {
+    if (gn_leads(g, now_ms) && a->limit && gn_is_valid_limit(g, a->limit)) {
         take_report(g, a->limit);
         granted = ul_schedule(g->upstream_limits, now_ms, a->limit->upstream,
                               a->max_wait_ms, &wait_ms);
+        UrAsk ask = {a->vm, a->ticket, a->max_wait_ms, a->hold_ms};
+        if (granted && gn_ask_room(g, a->limit->upstream, &ask)) {
+            return;
+        }
     }
     answer_ask(g, from, a, granted, wait_ms);
 }
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -719,6 +719,12 @@
     case GWP__FRAME__BODY_SLOT_ASK:
         gn_take_slot_ask(g, from, f);
         break;
+    case GWP__FRAME__BODY_SLOT_OVER:
+        gn_take_slot_over(g, f);
+        break;
+    case GWP__FRAME__BODY_SLOT_HELD:
+        gn_take_slot_held(g, f);
+        break;
     case GWP__FRAME__BODY_STREAM_NOTES:
         gn_take_notes(g, from, f);
         break;
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -546,7 +546,9 @@
 gw_on_slot(Gw *g, uint64_t now_ms, UlTicket ticket, bool granted,
            uint32_t wait_ms)
 {
-    ul_on_slot(g->upstream_limits, now_ms, ticket, granted, wait_ms);
+    if (ul_on_slot(g->upstream_limits, now_ms, ticket, granted, wait_ms)) {
+        g->out.slot_over(g->out.ctx, ticket, NULL, UR_UNUSED);
+    }
     for (GList *l = g->reqs.head; l; l = l->next) {
         Req *q = l->data;
         if (q->ticket == ticket) {
@@ -556,6 +558,36 @@
     }
 }
 
+/* 0: Q has no call at a brittle upstream, or not at UPSTREAM. */
+static UlTicket
+get_room_ticket(Req *q, const char *upstream)
+{
+    Ul *limits = q->gw->upstream_limits;
+    const char *at = q->ut ? ut_get_id(q->ut) : NULL;
+    if (!at || (upstream && strcmp(at, upstream) != 0) ||
+        ul_get_rejects(limits, at) == 0) {
+        return 0;
+    }
+    if (!q->room_ticket) {
+        q->room_ticket = ul_make_ticket(limits);
+    }
+    return q->room_ticket;
+}
+
+void
+gw_report_slots(Gw *g, const char *upstream)
+{
+    uint64_t now_ms = bg_boot_ms();
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        Req *q = l->data;
+        UlTicket ticket = get_room_ticket(q, upstream);
+        if (ticket) {
+            g->out.slot_held(g->out.ctx, ticket, ut_get_id(q->ut),
+                             gw_get_hold_ms(q, now_ms));
+        }
+    }
+}
+
 void
 gw_on_turn(Gw *g, SpTurn turn)
 {
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -22,6 +22,7 @@
 #include "stream_notes.h"
 #include "suspects.h"
 #include "upstream_limits.h"
+#include "upstream_room.h"
 #include "upstream_table.h"
 #include "version_plan.h"
 #include "workspace_limits.h"
@@ -94,9 +95,17 @@
     void (*upstream_named)(void *ctx, const char *upstream,
                            const UlNamed *named);
     /* A request wants a slot of UPSTREAM within MAX_WAIT_MS: answered by
-       ul_on_slot before this returns, or by gw_on_slot later. */
+       ul_on_slot before this returns, or by gw_on_slot later.  It is done
+       there in HOLD_MS. */
     void (*ask_slot)(void *ctx, UlTicket ticket, const char *upstream,
-                     uint32_t max_wait_ms);
+                     uint32_t max_wait_ms, uint32_t hold_ms);
+    /* A slot of the brittle UPSTREAM is over; UPSTREAM is NULL if the answer
+       to its ticket came too late. */
+    void (*slot_over)(void *ctx, UlTicket ticket, const char *upstream,
+                      UrEnd end);
+    /* A request under way at the brittle UPSTREAM is done in HOLD_MS. */
+    void (*slot_held)(void *ctx, UlTicket ticket, const char *upstream,
+                      uint32_t hold_ms);
     /* The version plan must be confirmed: gw_on_change follows. */
     void (*ask_versions)(void *ctx);
     /* Which process is at UPSTREAM: answered by gw_on_process, with the same
@@ -156,6 +165,9 @@
 /* The answer to ask_slot, as in ul_on_slot. */
 void gw_on_slot(Gw *g, uint64_t now_ms, UlTicket ticket, bool granted,
                 uint32_t wait_ms);
+/* Calls slot_held for all requests at brittle upstreams; at UPSTREAM only,
+   unless it is NULL. */
+void gw_report_slots(Gw *g, const char *upstream);
 
 /* The report of the upstream with that id; the others as in ut_on_process. */
 void gw_on_process(Gw *g, const char *upstream, uint64_t asked_ms,
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define MIN_RETRY_MS 20 /* with less time left a request is not sent again */
+/* A brittle upstream that bears none is one all the same. */
+#define MIN_REJECTS_PER_S 0.1
 
 /* ---- upstream answers --------------------------------------------------- */
 
@@ -18,6 +20,22 @@
     }
 }
 
+static void
+read_brittle(const Req *q, const HtHead *head, UlNamed *named)
+{
+    double per_s = 0;
+    switch (q->gw->wire->read_brittle(head, &per_s)) {
+    case GW_NOT_BRITTLE:
+        break;
+    case GW_BRITTLE:
+        named->rejects_per_s = MAX(per_s, MIN_REJECTS_PER_S);
+        break;
+    case GW_BRITTLE_UNREADABLE:
+        named->kind = UL_UNREADABLE;
+        break;
+    }
+}
+
 static void
 note_limit(const Req *q, const HtHead *head)
 {
@@ -27,31 +45,10 @@
         return; /* it may be of another process at the same address */
     }
     q->gw->wire->read_limit(head, &named);
+    read_brittle(q, head, &named);
     out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
 }
 
-static void
-note_brittle(const Req *q, const HtHead *head)
-{
-    static const char *const words[] = {"no longer", "named", "unreadable"};
-    double per_s = 0;
-    if (head->status == 421) {
-        return; /* as for a limit */
-    }
-    GwBrittle kind = q->gw->wire->read_brittle(head, &per_s);
-    per_s = kind == GW_BRITTLE ? per_s : 0;
-    if (!ut_note_brittle(q->ut, kind, per_s)) {
-        return;
-    }
-    JlLine *l = jl_begin("upstream-brittle");
-    jl_text(l, "upstream", ut_get_id(q->ut));
-    jl_text(l, "what", words[kind]);
-    if (kind == GW_BRITTLE) {
-        jl_number(l, "rejects_per_1000_s", (int64_t)(per_s * 1000));
-    }
-    jl_end(l);
-}
-
 void
 gw_on_call_head(void *ctx, HtCall *call, const HtHead *head)
 {
@@ -73,7 +70,6 @@
         ut_note_load(q->ut, now_ms, load.running, load.waiting);
     }
     note_limit(q, head);
-    note_brittle(q, head);
     if (!q->streaming) {
         copy_headers(head, q->head);
     }
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -96,7 +96,9 @@
     /* the slot of a limited upstream that it waits for */
     UlTicket ticket; /* 0: none */
     uint64_t slot_asked_ms;
-    bool others_serve; /* could serve the request without one */
+    bool others_serve;    /* could serve the request without one */
+    UlTicket room_ticket; /* of the current call at a brittle upstream; 0:
+                             none */
 
     SpTurn turn; /* of a suspect: asked for, granted or used; 0: none */
 
@@ -177,6 +179,8 @@
                 const char *why);
 /* Withdraws the slot request, or gives up the slot. */
 void gw_drop_ticket(Req *q);
+/* The longest that Q may be at an upstream from now on. */
+uint32_t gw_get_hold_ms(const Req *q, uint64_t now_ms);
 void gw_free_req(Req *q);
 /* The call is over; OUTCOME updates the state of its upstream. */
 void gw_finish_call(Req *q, UtOutcome outcome);
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -12,6 +12,8 @@
 #define LAST_URGENCY 9
 #define STREAM_STATUS 200 /* any other answer is no stream */
 #define DIGEST_LEN 16     /* hexadecimal digits */
+/* A slot of a brittle upstream is held beyond the deadline of its request. */
+#define HOLD_SLACK_MS 1000
 
 void
 gw_add_count(GHashTable *counts, const char *key)
@@ -142,13 +144,46 @@
 void
 gw_drop_ticket(Req *q)
 {
-    if (q->ticket) {
-        ul_release(q->gw->upstream_limits, bg_boot_ms(), q->ticket);
+    Ul *limits = q->gw->upstream_limits;
+    const GwOutput *out = &q->gw->out;
+    const char *at = q->ticket ? ul_get_upstream(limits, q->ticket) : NULL;
+    g_autofree char *upstream = g_strdup(at);
+    if (upstream && ul_release(limits, bg_boot_ms(), q->ticket)) {
+        out->slot_over(out->ctx, q->ticket, upstream, UR_UNUSED);
     }
     q->ticket = 0;
     q->query.slot_at = NULL;
 }
 
+uint32_t
+gw_get_hold_ms(const Req *q, uint64_t now_ms)
+{
+    uint64_t end_ms = q->answer_by_ms + HOLD_SLACK_MS;
+    return (uint32_t)(end_ms > now_ms ? MIN(end_ms - now_ms, UINT32_MAX) : 0);
+}
+
+static UrEnd
+get_slot_end(const Req *q)
+{
+    if (q->not_run && q->status != 421) {
+        return UR_TURNED_AWAY;
+    }
+    return q->unsent || q->end == AE_NOT_SENT ? UR_UNUSED
+           : q->status == 0                   ? UR_BROKEN
+                                              : UR_SERVED;
+}
+
+static void
+end_slot(Req *q)
+{
+    const GwOutput *out = &q->gw->out;
+    UlTicket ticket = q->room_ticket;
+    q->room_ticket = 0;
+    if (ticket) {
+        out->slot_over(out->ctx, ticket, ut_get_id(q->ut), get_slot_end(q));
+    }
+}
+
 void
 gw_drop_turn(Req *q)
 {
@@ -227,6 +262,7 @@
         return;
     }
     note_run(q, outcome);
+    end_slot(q);
     uint32_t first =
         q->first_ms > q->sent_ms && !q->not_run && q->status / 100 == 2
             ? (uint32_t)(q->first_ms - q->sent_ms)
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -257,7 +257,8 @@
     q->waited_for = q->waited_for || others_serve ? q->waited_for : "limit";
     if (send) {
         bg_count("gateway_slots_asked_total", 1);
-        out->ask_slot(out->ctx, q->ticket, ut_get_id(ut), max_wait_ms);
+        out->ask_slot(out->ctx, q->ticket, ut_get_id(ut), max_wait_ms,
+                      gw_get_hold_ms(q, now_ms));
     }
 }
 
@@ -284,8 +285,11 @@
 static void
 settle_ticket(Req *q, const Ut *ut)
 {
+    Ul *limits = q->gw->upstream_limits;
     if (q->ticket && strcmp(q->query.slot_at, ut_get_id(ut)) == 0) {
-        ul_use(q->gw->upstream_limits, q->ticket);
+        ul_use(limits, q->ticket);
+        bool brittle = ul_get_rejects(limits, ut_get_id(ut)) > 0;
+        q->room_ticket = brittle ? q->ticket : 0;
         q->ticket = 0;
     }
     gw_drop_ticket(q);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -296,6 +296,7 @@
     }
     else if (strcmp(target, "/upstream-limits") == 0) {
         ul_print(((Gateway *)ctx)->upstream_limits, bg_boot_ms(), out);
+        ur_print(((Gateway *)ctx)->rooms, bg_boot_ms(), out);
         answer_text(x, out);
     }
     else if (strcmp(target, "/versions") == 0) {
@@ -361,6 +362,8 @@
         if (is_leader) {
             mp_on_lease_gained(g->placement, now_ms);
             ul_on_lead(g->upstream_limits, now_ms);
+            ur_on_lead(g->rooms, now_ms);
+            gw_report_slots(g->gw, NULL);
             sp_on_lead(g->suspects, now_ms);
         }
         else {
@@ -433,6 +436,7 @@
     gn_tick_start(g, now_ms);
     bool near_limit = wl_is_near_limit(g->limits);
     gn_tick_upstream_limits(g, now_ms);
+    gn_tick_rooms(g, now_ms);
     if (now_ms >= g->demand_ms + (near_limit ? NEAR_LIMIT_MS : DEMAND_MS)) {
         gn_send_demand(g);
     }
@@ -599,6 +603,7 @@
 {
     uint64_t seed = bg_now_us() ^ g_str_hash(g->process);
     g->upstream_limits = ul_create(bg_boot_ms(), seed);
+    g->rooms = ur_create(gn_on_room_answer, g);
     UtParams up = {gn_get_text(g, "data_centre"), seed, g->upstream_limits};
     g->upstreams = ut_create(&up);
     RbParams rb = {(uint32_t)(get_bound(g->settings, "retry_window_s") * 1000),
@@ -628,6 +633,8 @@
                        is_isolated,
                        gn_on_upstream_named,
                        gn_on_ask_slot,
+                       gn_on_slot_over,
+                       gn_on_slot_held,
                        gn_on_ask_versions,
                        gn_on_ask_process,
                        gn_on_send_note,
@@ -712,6 +719,7 @@
     wl_destroy(g->limits);
     ut_destroy(g->upstreams);
     ul_destroy(g->upstream_limits);
+    ur_destroy(g->rooms);
     sp_destroy(g->suspects);
     vp_destroy(g->versions);
     sn_destroy(g->notes);
--- a/src/upstream_limits.c
+++ b/src/upstream_limits.c
@@ -41,10 +41,20 @@
 /* State of an upstream without a limit is kept for this long, for one that
    names it again. */
 #define IDLE_MS 30000
+/* A place at a brittle upstream that is free is taken within this time, or by
+   others. */
+#define KEPT_MS 2000
+#define TICKET_BITS 24 /* of those of one process */
 
+/* A rate that answers name: of requests, or of requests turned away. */
 typedef struct {
-    double per_s;         /* the limit in force; 0: none */
-    uint64_t low_ms;      /* it was last named, published or decided on */
+    double per_s;    /* in force; 0: none */
+    uint64_t low_ms; /* it was last named, published or decided on */
+} Rate;
+
+typedef struct {
+    Rate limit;
+    Rate rejects;
     uint64_t reported_ms; /* to the leader */
     uint64_t used_ms;
     bool unreadable; /* the last answer's */
@@ -55,14 +65,18 @@
     /* of a gateway that sends */
     uint64_t next_known_ms; /* no slot before */
     double next_alone_ms;   /* next use of the own allowance */
+    uint32_t kept;          /* free places of its own, if brittle */
+    uint64_t kept_ms;
 } Entry;
 
 typedef struct {
     char *upstream;
     uint64_t asked_ms;
     uint32_t max_wait_ms;
+    uint32_t answer_ms; /* a later answer is not used */
     uint64_t from_ms;
     uint64_t until_ms;
+    bool brittle; /* the upstream was */
     bool answered;
     bool granted;
     bool released; /* nobody waits for it */
@@ -71,7 +85,7 @@
 struct Ul {
     GHashTable *entries; /* id -> Entry */
     GHashTable *tickets; /* UlTicket -> Ticket */
-    uint32_t limited;    /* entries with a limit in force */
+    uint32_t limited;    /* rates in force */
     UlTicket last_ticket;
     uint64_t start_ms;
     uint64_t lead_ms; /* this gateway leads since; 0: it never did */
@@ -97,6 +111,9 @@
     l->tickets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                        free_ticket);
     bg_seed_random(&l->rng, seed);
+    /* Not those of the process before this one: slots of brittle upstreams
+       outlast it. */
+    l->last_ticket = (seed | 1) << TICKET_BITS;
     return l;
 }
 
@@ -122,16 +139,16 @@
 }
 
 static UlChange
-set_limit(Ul *l, Entry *e, double per_s)
+set_rate(Ul *l, Entry *e, Rate *x, double per_s)
 {
-    double before = e->per_s;
-    e->per_s = per_s > 0 ? MAX(per_s, MIN_PER_S) : 0;
-    if (e->per_s > before) {
+    double before = x->per_s;
+    x->per_s = per_s > 0 ? MAX(per_s, MIN_PER_S) : 0;
+    if (x->per_s > before) {
         e->next_known_ms = 0; /* it was computed for a longer interval */
     }
-    l->limited += (e->per_s > 0) - (before > 0);
-    return e->per_s == before ? UL_SAME
-           : e->per_s == 0    ? UL_ENDED
+    l->limited += (x->per_s > 0) - (before > 0);
+    return x->per_s == before ? UL_SAME
+           : x->per_s == 0    ? UL_ENDED
            : before == 0      ? UL_BEGUN
                               : UL_CHANGED;
 }
@@ -145,17 +162,37 @@
 /* PER_S was named: a lower limit is in force at once, a higher one or none
    after HOLD_MS. */
 static UlChange
-decide(Ul *l, Entry *e, uint64_t now_ms, double per_s)
+decide_rate(Ul *l, Entry *e, Rate *x, uint64_t now_ms, double per_s)
 {
-    if (is_at_most(per_s, e->per_s)) {
-        e->low_ms = now_ms;
-        return set_limit(l, e, per_s);
+    if (is_at_most(per_s, x->per_s)) {
+        x->low_ms = now_ms;
+        return set_rate(l, e, x, per_s);
     }
-    if (e->per_s == 0 || now_ms < e->low_ms + HOLD_MS) {
+    if (x->per_s == 0 || now_ms < x->low_ms + HOLD_MS) {
         return UL_SAME;
     }
-    e->low_ms = now_ms;
-    return set_limit(l, e, per_s);
+    x->low_ms = now_ms;
+    return set_rate(l, e, x, per_s);
+}
+
+static UlChange
+join_changes(UlChange limit, UlChange rejects)
+{
+    return limit == UL_SAME ? rejects : limit;
+}
+
+static UlChange
+decide(Ul *l, Entry *e, uint64_t now_ms, UlValues named)
+{
+    UlChange limit = decide_rate(l, e, &e->limit, now_ms, named.per_s);
+    return join_changes(
+        limit, decide_rate(l, e, &e->rejects, now_ms, named.rejects_per_s));
+}
+
+static bool
+is_in_force(const Entry *e)
+{
+    return e->limit.per_s > 0 || e->rejects.per_s > 0;
 }
 
 static gboolean
@@ -163,7 +200,7 @@
 {
     (void)id;
     const Entry *e = entry;
-    return e->per_s == 0 && e->used_ms + IDLE_MS < *(uint64_t *)now_ms;
+    return !is_in_force(e) && e->used_ms + IDLE_MS < *(uint64_t *)now_ms;
 }
 
 static bool
@@ -183,7 +220,8 @@
 {
     *report = false;
     Entry *e = g_hash_table_lookup(l->entries, upstream);
-    if (named->kind == UL_UNLIMITED && (!e || e->per_s == 0)) {
+    bool none = named->kind == UL_UNLIMITED && named->rejects_per_s == 0;
+    if (none && (!e || !is_in_force(e))) {
         return UL_SAME;
     }
     if (!e) {
@@ -196,46 +234,73 @@
     if (e->unreadable) {
         return was_unreadable ? UL_SAME : UL_NOT_READ;
     }
-    bool lower = is_at_most(named->per_s, e->per_s);
+    UlValues values = {named->per_s, named->rejects_per_s};
+    bool lower = is_at_most(values.per_s, e->limit.per_s) ||
+                 is_at_most(values.rejects_per_s, e->rejects.per_s);
     UlChange change =
-        decides || lower ? decide(l, e, now_ms, named->per_s) : UL_SAME;
+        decides || lower ? decide(l, e, now_ms, values) : UL_SAME;
     *report = is_report_due(e, now_ms, change);
     return change;
 }
 
+static bool
+is_none(UlValues v)
+{
+    return v.per_s == 0 && v.rejects_per_s == 0;
+}
+
 UlChange
-ul_on_report(Ul *l, uint64_t now_ms, const char *upstream, double per_s)
+ul_on_report(Ul *l, uint64_t now_ms, const char *upstream, UlValues values)
 {
-    if (per_s == 0 && !g_hash_table_contains(l->entries, upstream)) {
+    if (is_none(values) && !g_hash_table_contains(l->entries, upstream)) {
         return UL_SAME;
     }
     Entry *e = get_entry(l, upstream);
     e->used_ms = now_ms;
-    return decide(l, e, now_ms, per_s);
+    return decide(l, e, now_ms, values);
+}
+
+static UlChange
+force_rate(Ul *l, Entry *e, Rate *x, uint64_t now_ms, double per_s)
+{
+    x->low_ms = now_ms;
+    return set_rate(l, e, x, per_s);
 }
 
 UlChange
-ul_on_limit(Ul *l, uint64_t now_ms, const char *upstream, double per_s)
+ul_on_limit(Ul *l, uint64_t now_ms, const char *upstream, UlValues values)
 {
-    if (per_s == 0 && !g_hash_table_contains(l->entries, upstream)) {
+    if (is_none(values) && !g_hash_table_contains(l->entries, upstream)) {
         return UL_SAME;
     }
     Entry *e = get_entry(l, upstream);
     e->used_ms = now_ms;
-    e->low_ms = now_ms;
-    return set_limit(l, e, per_s);
+    UlChange limit = force_rate(l, e, &e->limit, now_ms, values.per_s);
+    return join_changes(
+        limit, force_rate(l, e, &e->rejects, now_ms, values.rejects_per_s));
+}
+
+static UlChange
+take_over(Ul *l, Entry *e, Rate *x, uint64_t now_ms, double per_s,
+          uint32_t age_ms)
+{
+    bool decided = x->per_s > 0 || x->low_ms + age_ms > now_ms;
+    return per_s == 0 || decided ? UL_SAME
+                                 : force_rate(l, e, x, now_ms, per_s);
 }
 
 UlChange
-ul_on_known(Ul *l, uint64_t now_ms, const char *upstream, double per_s,
+ul_on_known(Ul *l, uint64_t now_ms, const char *upstream, UlValues values,
             uint32_t age_ms)
 {
-    const Entry *e = g_hash_table_lookup(l->entries, upstream);
-    bool decided = e && (e->per_s > 0 || e->low_ms + age_ms > now_ms);
-    if (per_s == 0 || decided) {
+    if (is_none(values)) {
         return UL_SAME;
     }
-    return ul_on_limit(l, now_ms, upstream, per_s);
+    Entry *e = get_entry(l, upstream);
+    e->used_ms = now_ms;
+    UlChange limit = take_over(l, e, &e->limit, now_ms, values.per_s, age_ms);
+    return join_changes(limit, take_over(l, e, &e->rejects, now_ms,
+                                         values.rejects_per_s, age_ms));
 }
 
 void
@@ -243,7 +308,8 @@
 {
     Entry *e = g_hash_table_lookup(l->entries, upstream);
     if (e) {
-        set_limit(l, e, 0);
+        set_rate(l, e, &e->limit, 0);
+        set_rate(l, e, &e->rejects, 0);
         g_hash_table_remove(l->entries, upstream);
     }
 }
@@ -260,33 +326,45 @@
     return l->limited > 0;
 }
 
-/* NULL: UPSTREAM has no limit in force. */
+/* NULL: UPSTREAM has no rate in force. */
 static Entry *
 find_limited(const Ul *l, const char *upstream)
 {
     Entry *e = l->limited ? g_hash_table_lookup(l->entries, upstream) : NULL;
-    return e && e->per_s > 0 ? e : NULL;
+    return e && is_in_force(e) ? e : NULL;
 }
 
 double
 ul_get_limit(const Ul *l, const char *upstream)
 {
     const Entry *e = find_limited(l, upstream);
-    return e ? e->per_s : 0;
+    return e ? e->limit.per_s : 0;
+}
+
+double
+ul_get_rejects(const Ul *l, const char *upstream)
+{
+    const Entry *e = find_limited(l, upstream);
+    return e ? e->rejects.per_s : 0;
+}
+
+bool
+ul_needs_slot(const Ul *l, const char *upstream)
+{
+    return find_limited(l, upstream) != NULL;
 }
 
 uint32_t
 ul_get_age_ms(const Ul *l, uint64_t now_ms, const char *upstream)
 {
     const Entry *e = find_limited(l, upstream);
-    return e && e->low_ms < now_ms
-               ? (uint32_t)MIN(now_ms - e->low_ms, UINT32_MAX)
-               : 0;
+    uint64_t low_ms = e ? MAX(e->limit.low_ms, e->rejects.low_ms) : now_ms;
+    return low_ms < now_ms ? (uint32_t)MIN(now_ms - low_ms, UINT32_MAX) : 0;
 }
 
 void
 ul_visit(const Ul *l, uint64_t now_ms,
-         void (*visit)(void *ctx, const char *upstream, double per_s),
+         void (*visit)(void *ctx, const char *upstream, UlValues values),
          void *ctx)
 {
     GHashTableIter it;
@@ -295,8 +373,9 @@
     g_hash_table_iter_init(&it, l->entries);
     while (g_hash_table_iter_next(&it, &id, &v)) {
         const Entry *e = v;
-        if (e->per_s > 0 || now_ms < e->low_ms + IDLE_MS) {
-            visit(ctx, id, e->per_s);
+        uint64_t low_ms = MAX(e->limit.low_ms, e->rejects.low_ms);
+        if (is_in_force(e) || now_ms < low_ms + IDLE_MS) {
+            visit(ctx, id, (UlValues){e->limit.per_s, e->rejects.per_s});
         }
     }
 }
@@ -310,13 +389,14 @@
     g_hash_table_iter_init(&it, l->entries);
     while (g_hash_table_iter_next(&it, &id, &v)) {
         const Entry *e = v;
-        if (e->per_s > 0) {
+        if (is_in_force(e)) {
             g_string_append_printf(
                 out,
-                "{\"upstream\":\"%s\",\"per_s\":%.3f,\"wait_ms\":%u,"
-                "\"age_ms\":%u,\"asks_per_s\":%.1f}\n",
-                (const char *)id, e->per_s, ul_get_wait_ms(l, now_ms, id),
-                ul_get_age_ms(l, now_ms, id), e->asked);
+                "{\"upstream\":\"%s\",\"per_s\":%.3f,\"rejects_per_s\":%.3f,"
+                "\"wait_ms\":%u,\"age_ms\":%u,\"asks_per_s\":%.1f}\n",
+                (const char *)id, e->limit.per_s, e->rejects.per_s,
+                ul_get_wait_ms(l, now_ms, id), ul_get_age_ms(l, now_ms, id),
+                e->asked);
         }
     }
 }
@@ -357,8 +437,7 @@
 {
     (void)key;
     const Ticket *t = ticket;
-    uint64_t end_ms =
-        t->granted ? t->until_ms : t->asked_ms + ANSWER_LIFETIME_MS;
+    uint64_t end_ms = t->granted ? t->until_ms : t->asked_ms + t->answer_ms;
     return t->released && end_ms < *(uint64_t *)now_ms;
 }
 
@@ -378,41 +457,63 @@
     t->upstream = g_strdup(upstream);
     t->asked_ms = now_ms;
     t->max_wait_ms = max_wait_ms;
+    t->brittle = ul_get_rejects(l, upstream) > 0;
+    /* An ask for a brittle one waits at the leader. */
+    t->answer_ms = ANSWER_LIFETIME_MS + (t->brittle ? max_wait_ms : 0);
     UlTicket *key = g_new(UlTicket, 1);
-    *key = ++l->last_ticket;
+    *key = ul_make_ticket(l);
     g_hash_table_insert(l->tickets, key, t);
     return *key;
 }
 
+UlTicket
+ul_make_ticket(Ul *l)
+{
+    return ++l->last_ticket;
+}
+
 /* When the next slot may begin, after the answer to T. */
 static uint64_t
 estimate_next_ms(const Entry *e, const Ticket *t, uint64_t now_ms,
                  bool granted, uint32_t wait_ms)
 {
+    if (!granted && t->brittle) {
+        return now_ms + MAX(wait_ms, MIN_RETRY_MS);
+    }
     if (!granted) {
         /* Later than it was asked for, or it would be asked for again. */
         return now_ms + MAX(wait_ms, t->max_wait_ms + MIN_RETRY_MS);
     }
     /* After a slot that begins at once, the next may begin at once too. */
-    return wait_ms ? now_ms + wait_ms + (uint64_t)(1000 / e->per_s) : now_ms;
+    double interval_ms = e->limit.per_s > 0 ? 1000 / e->limit.per_s : 0;
+    return wait_ms ? now_ms + wait_ms + (uint64_t)interval_ms : now_ms;
 }
 
-void
+bool
 ul_on_slot(Ul *l, uint64_t now_ms, UlTicket ticket, bool granted,
            uint32_t wait_ms)
 {
     Ticket *t = g_hash_table_lookup(l->tickets, &ticket);
-    if (!t || t->answered) {
-        return;
+    if (!t) {
+        return granted; /* it was removed, as it was released */
+    }
+    if (t->answered) {
+        return false;
     }
     t->answered = true;
-    t->granted = granted && now_ms <= t->asked_ms + ANSWER_LIFETIME_MS;
+    t->granted = granted && now_ms <= t->asked_ms + t->answer_ms;
     t->from_ms = now_ms + wait_ms;
     t->until_ms = t->from_ms + SLOT_LIFETIME_MS;
     Entry *e = find_limited(l, t->upstream);
     if (e) {
         e->next_known_ms = estimate_next_ms(e, t, now_ms, granted, wait_ms);
     }
+    bool late = granted && !t->granted;
+    if (t->brittle && (late || (granted && t->released))) {
+        g_hash_table_remove(l->tickets, &ticket);
+        return true;
+    }
+    return false;
 }
 
 UlSlot
@@ -423,8 +524,8 @@
         return UL_SLOT_NONE;
     }
     if (!t->answered) {
-        return now_ms <= t->asked_ms + ANSWER_LIFETIME_MS ? UL_SLOT_ASKED
-                                                          : UL_SLOT_NONE;
+        return now_ms <= t->asked_ms + t->answer_ms ? UL_SLOT_ASKED
+                                                    : UL_SLOT_NONE;
     }
     if (!t->granted || now_ms > t->until_ms) {
         return UL_SLOT_NONE;
@@ -457,18 +558,20 @@
     }
 }
 
-void
+bool
 ul_release(Ul *l, uint64_t now_ms, UlTicket ticket)
 {
     Ticket *t = g_hash_table_lookup(l->tickets, &ticket);
     if (!t) {
-        return;
+        return false;
     }
     note_unanswered(l, now_ms, t);
     t->released = true;
-    if (t->answered && !t->granted) {
+    bool back = t->brittle && t->granted;
+    if (back || (t->answered && !t->granted)) {
         g_hash_table_remove(l->tickets, &ticket);
     }
+    return back;
 }
 
 /* ---- slots: the leader -------------------------------------------------- */
@@ -481,7 +584,9 @@
     gpointer v;
     g_hash_table_iter_init(&it, l->entries);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        ((Entry *)v)->low_ms = now_ms;
+        Entry *e = v;
+        e->limit.low_ms = now_ms;
+        e->rejects.low_ms = now_ms;
     }
 }
 
@@ -498,7 +603,7 @@
 static uint32_t
 get_retry_ms(Ul *l, const Entry *e, double wait_ms)
 {
-    double crowd = e->asked / (ASKS_PER_SLOT * e->per_s);
+    double crowd = e->asked / (ASKS_PER_SLOT * e->limit.per_s);
     double retry_ms = wait_ms * MAX(crowd, 1);
     double spread = 0.75 + bg_pick_random(&l->rng, 500) / 1000.;
     return (uint32_t)MAX(MIN(retry_ms, MAX_RETRY_MS) * spread, MIN_RETRY_MS);
@@ -510,12 +615,12 @@
 {
     *wait_ms = 0;
     Entry *e = find_limited(l, upstream);
-    if (!e) {
+    if (!e || e->limit.per_s == 0) {
         return true;
     }
     e->used_ms = now_ms;
     count_ask(e, now_ms);
-    double interval_ms = 1000 / e->per_s;
+    double interval_ms = 1000 / e->limit.per_s;
     double saved_ms = MAX(interval_ms, SAVED_MS);
     e->next_ms = MAX(e->next_ms, (double)now_ms - saved_ms);
     /* The predecessor's slots begin before then. */
@@ -548,18 +653,35 @@
 static uint32_t
 get_allowance(const Ul *l, const Entry *e)
 {
-    double all = ALONE_FACTOR * e->per_s + ALONE_SLACK;
+    double all = ALONE_FACTOR * e->limit.per_s + ALONE_SLACK;
     return l->fleet ? (uint32_t)(all / l->fleet) : 0;
 }
 
-bool
-ul_take_alone(Ul *l, uint64_t now_ms, const char *upstream, uint32_t *wait_ms)
+void
+ul_keep_slot(Ul *l, uint64_t now_ms, const char *upstream)
 {
-    *wait_ms = 0;
     Entry *e = find_limited(l, upstream);
-    if (!e) {
-        return true;
+    if (e) {
+        e->kept = now_ms <= e->kept_ms + KEPT_MS ? e->kept + 1 : 1;
+        e->kept_ms = now_ms;
+    }
+}
+
+/* The place of an own request that was served. */
+static bool
+take_kept(Entry *e, uint64_t now_ms)
+{
+    if (e->kept == 0 || now_ms > e->kept_ms + KEPT_MS) {
+        e->kept = 0;
+        return false;
     }
+    e->kept--;
+    return true;
+}
+
+static bool
+take_allowance(Ul *l, Entry *e, uint64_t now_ms, uint32_t *wait_ms)
+{
     uint32_t allowance = get_allowance(l, e);
     if (allowance == 0) {
         *wait_ms = UL_NO_LEADER_WAIT_MS;
@@ -575,3 +697,21 @@
     e->next_alone_ms = (double)now_ms + (double)ALONE_WINDOW_MS / allowance;
     return true;
 }
+
+bool
+ul_take_alone(Ul *l, uint64_t now_ms, const char *upstream, uint32_t *wait_ms)
+{
+    *wait_ms = 0;
+    Entry *e = find_limited(l, upstream);
+    if (!e) {
+        return true;
+    }
+    if (e->limit.per_s > 0 && !take_allowance(l, e, now_ms, wait_ms)) {
+        return false;
+    }
+    if (e->rejects.per_s > 0 && !take_kept(e, now_ms)) {
+        *wait_ms = UL_NO_LEADER_WAIT_MS;
+        return false;
+    }
+    return true;
+}
--- a/src/upstream_limits.h
+++ b/src/upstream_limits.h
@@ -1,6 +1,7 @@
 /* ul: the limits that upstreams name, which hold over all gateways together.
    An upstream in need says in its answers how many requests a second it takes
-   from all of them.
+   from all of them.  A brittle one says how many it bears to turn away; its
+   slots are handed out by ur, and only asked for and used here.
 
    The gateway that leads hands out slots: each is the right to send one
    request to one upstream at a certain time.  A gateway that wants to send to
@@ -52,8 +53,17 @@
     UlKind kind;
     double per_s;     /* requests; UL_LIMITED only, above 0 */
     const char *text; /* as named; UL_UNREADABLE only, borrowed */
+    /* Requests that it bears to turn away; 0: it isn't brittle.  UL_UNREADABLE
+       also if this can't be read. */
+    double rejects_per_s;
 } UlNamed;
 
+/* In force, or reported, of an upstream; 0: none. */
+typedef struct {
+    double per_s;
+    double rejects_per_s;
+} UlValues;
+
 typedef enum {
     UL_SAME,
     UL_BEGUN,
@@ -74,17 +84,17 @@
 UlChange ul_on_answer(Ul *l, uint64_t now_ms, const char *upstream,
                       const UlNamed *named, bool decides, bool *report);
 /* Another gateway reported to this one, which leads, that an answer of
-   UPSTREAM named PER_S; 0: no limit. */
+   UPSTREAM named VALUES. */
 UlChange ul_on_report(Ul *l, uint64_t now_ms, const char *upstream,
-                      double per_s);
-/* PER_S is in force at another gateway, where it was last confirmed AGE_MS
-   ago.  A leader that has no limit for UPSTREAM, nor had one that ended since
-   then, takes it over. */
+                      UlValues values);
+/* VALUES are in force at another gateway, where they were last confirmed
+   AGE_MS ago.  A leader that has none for UPSTREAM, nor had one that ended
+   since then, takes them over. */
 UlChange ul_on_known(Ul *l, uint64_t now_ms, const char *upstream,
-                     double per_s, uint32_t age_ms);
-/* The leader published the limit in force; 0: none. */
+                     UlValues values, uint32_t age_ms);
+/* The leader published the values in force. */
 UlChange ul_on_limit(Ul *l, uint64_t now_ms, const char *upstream,
-                     double per_s);
+                     UlValues values);
 /* UPSTREAM is gone, or another process has its id now. */
 void ul_forget(Ul *l, const char *upstream);
 /* Whether PER_S, received in a frame, is valid. */
@@ -93,11 +103,16 @@
 bool ul_has_limits(const Ul *l);
 /* Requests a second that UPSTREAM takes; 0: no limit is in force. */
 double ul_get_limit(const Ul *l, const char *upstream);
+/* Requests that UPSTREAM bears to turn away in a second; 0: it isn't
+   brittle. */
+double ul_get_rejects(const Ul *l, const char *upstream);
+/* UPSTREAM is limited or brittle. */
+bool ul_needs_slot(const Ul *l, const char *upstream);
 /* Time since the limit in force was last named or published. */
 uint32_t ul_get_age_ms(const Ul *l, uint64_t now_ms, const char *upstream);
-/* Visits all upstreams that named a limit; PER_S is 0 if it ended lately. */
+/* Visits all upstreams with values in force, or that ended lately. */
 void ul_visit(const Ul *l, uint64_t now_ms,
-              void (*visit)(void *ctx, const char *upstream, double per_s),
+              void (*visit)(void *ctx, const char *upstream, UlValues values),
               void *ctx);
 /* Appends a line of JSON for each limit in force. */
 void ul_print(const Ul *l, uint64_t now_ms, GString *out);
@@ -121,16 +136,20 @@
 UlTicket ul_ask(Ul *l, uint64_t now_ms, const char *upstream,
                 uint32_t max_wait_ms, bool *send);
 /* The answer to a ticket: a slot in WAIT_MS, or none, and the next one is
-   expected in WAIT_MS. */
-void ul_on_slot(Ul *l, uint64_t now_ms, UlTicket ticket, bool granted,
+   expected in WAIT_MS.  True: it is one of a brittle upstream that nobody
+   waits for, and has to be given back. */
+bool ul_on_slot(Ul *l, uint64_t now_ms, UlTicket ticket, bool granted,
                 uint32_t wait_ms);
 UlSlot ul_check(const Ul *l, uint64_t now_ms, UlTicket ticket);
 /* The upstream of a ticket that is not yet used or released. */
 const char *ul_get_upstream(const Ul *l, UlTicket ticket);
 /* A request was sent in this slot. */
 void ul_use(Ul *l, UlTicket ticket);
-/* The slot isn't needed any more: another request here may use it. */
-void ul_release(Ul *l, uint64_t now_ms, UlTicket ticket);
+/* The slot isn't needed any more: another request here may use it.  True: it
+   is one of a brittle upstream, and has to be given back. */
+bool ul_release(Ul *l, uint64_t now_ms, UlTicket ticket);
+/* A ticket for a request that is at a brittle upstream without one. */
+UlTicket ul_make_ticket(Ul *l);
 
 /* ---- slots: the leader -------------------------------------------------- */
 
@@ -149,5 +168,8 @@
    there is none before *WAIT_MS. */
 bool ul_take_alone(Ul *l, uint64_t now_ms, const char *upstream,
                    uint32_t *wait_ms);
+/* A request of this gateway at the brittle UPSTREAM was served: without a
+   leader another one may take its place. */
+void ul_keep_slot(Ul *l, uint64_t now_ms, const char *upstream);
 
 #endif
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -350,15 +350,6 @@
     u->reported_ms = now_ms;
 }
 
-bool
-ut_note_brittle(Ut *u, int kind, double per_s)
-{
-    bool changed = kind != u->brittle_kind || per_s != u->brittle_per_s;
-    u->brittle_kind = kind;
-    u->brittle_per_s = per_s;
-    return changed;
-}
-
 static void
 set_total(Ut *u, const UtTotal *t)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -111,9 +111,6 @@
                     const char *adapter);
 /* The load that U reported in an answer. */
 void ut_note_load(Ut *u, uint64_t now_ms, uint32_t running, uint32_t waiting);
-/* What its last answer said of its brittleness, see GwBrittle; any numbers
-   that tell these apart.  True: it had said something else. */
-bool ut_note_brittle(Ut *u, int kind, double per_s);
 /* Load of an upstream, summed over all gateways. */
 typedef struct {
     uint32_t key; /* ut_make_key of its id */
--- a/src/upstream_table_choice.c
+++ b/src/upstream_table_choice.c
@@ -253,7 +253,7 @@
 is_limited(const Ut *u)
 {
     const Ul *limits = u->set->limits;
-    return limits && ul_get_limit(limits, u->entry->id) > 0;
+    return limits && ul_needs_slot(limits, u->entry->id);
 }
 
 static void
--- a/src/upstream_table_internal.h
+++ b/src/upstream_table_internal.h
@@ -55,8 +55,6 @@
     double slowness;     /* time to first byte over the expected; 1: normal */
     uint64_t penalty_ms; /* time up to which these two have decayed */
     GArray *absences;    /* UtAbsence */
-    int brittle_kind;    /* by its last answer, see ut_note_brittle */
-    double brittle_per_s;
 };
 
 struct UtSet {
--- a/tests/script_ul.c
+++ b/tests/script_ul.c
@@ -464,7 +464,8 @@
     if (v->incarnation != f->incarnation) {
         return;
     }
-    UlNamed named = {f->per_s > 0 ? UL_LIMITED : UL_UNLIMITED, f->per_s, NULL};
+    UlNamed named = {.kind = f->per_s > 0 ? UL_LIMITED : UL_UNLIMITED,
+                     .per_s = f->per_s};
     bool report;
     bool decides = leads(s, f->to) || !hears_leader(s, v);
     UlChange change =
@@ -486,8 +487,8 @@
 {
     if (leads(s, f->to)) {
         publish(s, f->to,
-                ul_on_known(s->fleet[f->to].limits, s->now_ms, ID, f->per_s,
-                            f->age_ms));
+                ul_on_known(s->fleet[f->to].limits, s->now_ms, ID,
+                            (UlValues){.per_s = f->per_s}, f->age_ms));
     }
 }
 
@@ -550,11 +551,12 @@
     case FRAME_REPORT:
         if (leads(s, f->to)) {
             publish(s, f->to,
-                    ul_on_report(v->limits, s->now_ms, ID, f->per_s));
+                    ul_on_report(v->limits, s->now_ms, ID,
+                                 (UlValues){.per_s = f->per_s}));
         }
         break;
     case FRAME_LIMIT:
-        ul_on_limit(v->limits, s->now_ms, ID, f->per_s);
+        ul_on_limit(v->limits, s->now_ms, ID, (UlValues){.per_s = f->per_s});
         break;
     case FRAME_BEAT:
         v->heard_ms = s->now_ms;
@@ -604,11 +606,11 @@
 } Publication;
 
 static void
-publish_known(void *ctx, const char *upstream, double per_s)
+publish_known(void *ctx, const char *upstream, UlValues values)
 {
     (void)upstream;
     const Publication *p = ctx;
-    broadcast(p->sim, p->vm, FRAME_LIMIT, per_s);
+    broadcast(p->sim, p->vm, FRAME_LIMIT, values.per_s);
 }
 
 static void
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -532,11 +532,14 @@
 #define LIMIT_START_MS 100000
 
 /* A gateway at which upstream "u" named a limit of PER_S. */
+#define TWO_PER_S ((UlValues){.per_s = 2})
+#define NO_LIMIT ((UlValues){0, 0})
+
 static Ul *
 make_limited(double per_s)
 {
     Ul *l = ul_create(0, 1);
-    UlNamed named = {UL_LIMITED, per_s, NULL};
+    UlNamed named = {.kind = UL_LIMITED, .per_s = per_s};
     bool report;
     CU_ASSERT_EQUAL(
         ul_on_answer(l, LIMIT_START_MS, "u", &named, true, &report), UL_BEGUN);
@@ -563,11 +566,13 @@
 {
     Ul *l = ul_create(0, 1);
     uint64_t now_ms = LIMIT_START_MS;
-    CU_ASSERT_EQUAL(ul_on_known(l, now_ms, "u", 2, 300), UL_BEGUN);
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms, "u", TWO_PER_S, 300), UL_BEGUN);
     CU_ASSERT_DOUBLE_EQUAL(ul_get_limit(l, "u"), 2, 1e-9);
-    CU_ASSERT_EQUAL(ul_on_limit(l, now_ms, "u", 0), UL_ENDED);
-    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 200, "u", 2, 300), UL_SAME);
-    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 400, "u", 2, 300), UL_BEGUN);
+    CU_ASSERT_EQUAL(ul_on_limit(l, now_ms, "u", NO_LIMIT), UL_ENDED);
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 200, "u", TWO_PER_S, 300),
+                    UL_SAME);
+    CU_ASSERT_EQUAL(ul_on_known(l, now_ms + 400, "u", TWO_PER_S, 300),
+                    UL_BEGUN);
     ul_destroy(l);
 }
 
@@ -626,7 +631,7 @@
     CU_ASSERT(!ul_take_alone(l, now_ms + 60000, "u", &wait_ms));
     ul_destroy(l);
     l = ul_create(LIMIT_START_MS, 1);
-    ul_on_limit(l, now_ms, "u", 10);
+    ul_on_limit(l, now_ms, "u", (UlValues){.per_s = 10});
     ul_on_fleet(l, now_ms, 9);
     CU_ASSERT(!ul_take_alone(l, now_ms + 100, "u", &wait_ms));
     CU_ASSERT(wait_ms >= UL_WINDOW_MS - 100);
@@ -647,7 +652,7 @@
     UlTicket t = ul_ask(l, now_ms, "u", 0, &send);
     ul_on_slot(l, now_ms, t, false, wait_ms);
     CU_ASSERT(ul_get_wait_ms(l, now_ms, "u") > 3000);
-    ul_on_limit(l, now_ms, "u", 100);
+    ul_on_limit(l, now_ms, "u", (UlValues){.per_s = 100});
     CU_ASSERT_EQUAL(ul_get_wait_ms(l, now_ms, "u"), 0);
     now_ms += 100;
     CU_ASSERT(!ul_schedule(l, now_ms, "u", 0, &wait_ms));
@@ -656,10 +661,10 @@
 }
 
 static void
-count_limit(void *ctx, const char *upstream, double per_s)
+count_limit(void *ctx, const char *upstream, UlValues values)
 {
     (void)upstream;
-    (void)per_s;
+    (void)values;
     (*(int *)ctx)++;
 }
 
@@ -669,7 +674,7 @@
 {
     Ul *l = make_limited(2);
     int visited = 0;
-    ul_on_limit(l, LIMIT_START_MS, "u", 0);
+    ul_on_limit(l, LIMIT_START_MS, "u", NO_LIMIT);
     ul_visit(l, LIMIT_START_MS + 1000, count_limit, &visited);
     CU_ASSERT_EQUAL(visited, 1);
     ul_visit(l, LIMIT_START_MS + 60000, count_limit, &visited);
@@ -682,8 +687,8 @@
 test_limit_lowest_of_last_second(void)
 {
     Ul *l = make_limited(2);
-    UlNamed more = {UL_LIMITED, 50, NULL};
-    UlNamed none = {UL_UNLIMITED, 0, NULL};
+    UlNamed more = {.kind = UL_LIMITED, .per_s = 50};
+    UlNamed none = {.kind = UL_UNLIMITED};
     bool report;
     uint64_t now_ms = LIMIT_START_MS;
     CU_ASSERT_EQUAL(ul_on_answer(l, now_ms + 500, "u", &more, true, &report),
