No share settles while a gateway is missing; a broken call asks at once which process is there

A gateway that was cut from the store and all others for half a minute knew one version and went on beginning streams at it; the shares of those streams had settled at the next one elsewhere. The leader now counts the gateways that are linked to it; while some of those that were linked within ten minutes are missing no share settles, and a note is asked for. Followers remember the number, so that a new leader has it. With one version nothing changes.

Nothing wrong for callers, but the wait was on their path. A call that breaks off now asks at once; the tests wait for that answer, as their streams break off right after their first bytes.

--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -351,6 +351,7 @@
     rb_on_gateways(g->budget, now_ms, gateways);
     ul_on_fleet(g->upstream_limits, now_ms, gateways);
     if (g->is_leader) {
+        vp_on_gateways(g->versions, now_ms, gn_count_linked(g) + 1);
         gw_on_leader(g->gw, now_ms, ls_get_order_delay_ms(g->lease, now_ms));
         gn_set_mail_interval(g, gn_count_linked(g), gateways);
     }
@@ -561,6 +562,7 @@
     }
     rb_on_gateways(g->budget, now_ms, s->gateways);
     ul_on_fleet(g->upstream_limits, now_ms, s->gateways);
+    vp_on_gateways(g->versions, now_ms, s->gateways);
     gn_on_config_version(g, now_ms, s->config_version);
     if (s->informed && g->behind_ms == 0) {
         g->confirmed_ms = sent_ms;
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -650,6 +650,7 @@
 void
 gw_on_process(Gw *g, const char *upstream, uint64_t asked_ms, uint64_t born_ms)
 {
+    bg_count("gateway_processes_told_total", 1);
     Ut *known = ut_find(g->upstreams, upstream);
     if (known) {
         ut_on_process(known, asked_ms, born_ms);
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -428,6 +428,7 @@
         handle_whole(q, ae_get_body(answer));
     }
     else {
+        gw_ask_process(q); /* so that the next stream there needn't wait */
         q->broke = ae_is_break(end);
         q->gw->out.upstream_broke(q->gw->out.ctx, ut_get_id(q->ut));
         gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(end));
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -596,9 +596,8 @@
 bool
 ut_is_doubted(const Ut *u, uint64_t opened_ms, uint64_t lost_ms)
 {
-    bool away = u->away_ms && u->away_ms >= u->proved_ms;
-    bool lost = lost_ms && lost_ms >= u->proved_ms && opened_ms >= lost_ms;
-    return away || lost;
+    bool lost = lost_ms > u->proved_ms && opened_ms >= lost_ms;
+    return lost || u->away_ms > u->proved_ms;
 }
 
 uint64_t
--- a/src/version_plan.c
+++ b/src/version_plan.c
@@ -110,6 +110,18 @@
     p->life_ms = life_ms ? life_ms : VP_DEFAULT_LIFE_MS;
 }
 
+void
+vp_on_gateways(Vp *p, uint64_t now_ms, uint32_t gateways)
+{
+    if (gateways >= p->gateways || now_ms > p->gateways_ms + VP_LOST_MS) {
+        p->gateways = gateways;
+        p->gateways_ms = now_ms;
+    }
+    else {
+        p->missing_ms = now_ms;
+    }
+}
+
 /* ---- encoding ----------------------------------------------------------- */
 
 const VpVersion *
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -13,7 +13,8 @@
    all streams that began before have ended; of a stream of an unsettled share
    only a note (sn) can tell the version.  That takes the time for which a
    gateway may begin streams by a plan that it couldn't confirm
-   (VP_BEGIN_AGE_MS) and the life of a stream.
+   (VP_BEGIN_AGE_MS) and the life of a stream, counted anew once all gateways
+   are heard of again.
 
    A version is listed before a share gets it (VP_LIST_MS).  While the plan
    lists one version, a confirmation by the leader's heartbeat is enough to
@@ -39,6 +40,10 @@
 /* Between listing a version and giving it a share: longer than
    VP_RESUME_AGE_MS, by what heartbeats may be estimated too young. */
 #define VP_LIST_MS 1000
+/* A gateway that isn't heard of any more counts as gone after this time.
+   Until then it may go on beginning streams at the only version that it knows,
+   cut off from all others. */
+#define VP_LOST_MS 600000
 /* Life of a stream whose route has no timeout. */
 #define VP_DEFAULT_LIFE_MS 60000
 /* Longer ids are not read. */
@@ -50,6 +55,9 @@
 void vp_destroy(Vp *p);
 /* Longest life of a stream that may be taken up; 0: the default. */
 void vp_set_life(Vp *p, uint32_t life_ms);
+/* So many gateways are linked to the leader, itself included.  While some are
+   missing no share settles. */
+void vp_on_gateways(Vp *p, uint64_t now_ms, uint32_t gateways);
 
 /* ---- the plan, as known here -------------------------------------------- */
 
--- a/src/version_plan_change.c
+++ b/src/version_plan_change.c
@@ -276,8 +276,9 @@
 static bool
 has_ended(const Change *c, uint64_t since_ms)
 {
+    uint64_t last_ms = MAX(since_ms, c->vp->missing_ms);
     return c->now_ms >=
-           since_ms + FORMER_LEADER_MS + VP_BEGIN_AGE_MS + c->vp->life_ms;
+           last_ms + FORMER_LEADER_MS + VP_BEGIN_AGE_MS + c->vp->life_ms;
 }
 
 static void
--- a/src/version_plan_internal.h
+++ b/src/version_plan_internal.h
@@ -41,6 +41,9 @@
     uint64_t read_ms;      /* it was the store's newest then; 0: never */
     uint64_t heartbeat_ms; /* ... the leader's; 0: never */
     uint32_t life_ms;
+    uint32_t gateways;    /* that were linked to the leader, or still are */
+    uint64_t gateways_ms; /* all of them were, last */
+    uint64_t missing_ms;  /* some weren't, last; 0: never */
 };
 
 VpPlan *vp_copy_plan(const VpPlan *of);
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -135,6 +135,20 @@
         c.request("GET", "/dump")
         return json.loads(c.getresponse().read())
 
+    def metric(self, name):
+        c = http.client.HTTPConnection("127.0.0.1", self.control, timeout=2)
+        c.request("GET", "/metrics")
+        for line in c.getresponse().read().decode().splitlines():
+            if line.startswith("bglade_%s " % name):
+                return float(line.split()[-1])
+        return 0
+
+    def knows_processes(self):
+        """No answer is missing to a question which process is at an
+        upstream: nothing is held back for it."""
+        return (self.metric("gateway_processes_asked_total") ==
+                self.metric("gateway_processes_told_total"))
+
     def send(self, sig):
         self.proc.send_signal(sig)
 
--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -571,6 +571,21 @@
     }
 }
 
+/* The leader tells all that are linked to it how many they are. */
+static void
+count_gateways(Script *s)
+{
+    uint32_t linked = 0;
+    for (int i = 0; i < s->gateways; i++) {
+        linked += is_linked(s, &s->all[i]);
+    }
+    for (int i = 0; i < s->gateways; i++) {
+        if (is_linked(s, &s->all[i])) {
+            vp_on_gateways(s->all[i].vp, s->now_ms, linked);
+        }
+    }
+}
+
 static void
 lead(Script *s)
 {
@@ -591,6 +606,9 @@
     }
     if (s->now_ms % HEARTBEAT_MS == 0 && s->leader_read) {
         vp_on_heartbeat(g->vp, vp_get_number(g->vp), s->now_ms);
+        if (is_linked(s, g)) {
+            count_gateways(s);
+        }
         for (int i = 0; i < s->gateways; i++) {
             send_frame(s, i, NULL, vp_get_number(g->vp));
         }
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -107,6 +107,8 @@
     for case in all_cuts():
         framing, end, place, eol = case
         set_answer(c, RawAnswer(framing, end, cut_in(place, eol=eol), times=1))
+        # After the break before: else the next stream's begin is held back.
+        wait_until(gateway.knows_processes)
         fault = check(ask_new(gateway, route), eol)
         if fault:
             faults.append((case, fault))
--- a/tests/test_stream_positions.py
+++ b/tests/test_stream_positions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cluster import wait_until
 from platform_cluster import Cluster, ask
 from raw_answers import AS_FRAMED, CHUNKS, CLOSED, RawAnswer
 
@@ -42,6 +43,8 @@
 def ask_stream(c, on_request, route="chat", headers=None):
     for e in c.engines:
         e.on_request = on_request
+    # After the break before: else the stream's begin is held back.
+    wait_until(c.gateways[0].knows_processes)
     answer = ask(c.gateways[0], route, "m0",
                  body=b"request %d" % next(_bodies), headers=headers)
     for e in c.engines:
