A process that starts answers its first requests itself

A caller takes a 404 for a model or workspace that doesn't exist, and does not come again.

Cause: the web server listens from mg_start() on, and the handler was set after it had returned. A request in between got the server's own 404. The log's and the engines' simulators had the same order.

The handler is now one of the callbacks that mg_start() is given, so there is no time without it.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	protobuf-c-compiler libcunit1-dev python3-hypothesis \
 	python3-pytest python3-pytest-xdist clang-format clang-tidy cppcheck
 
-all: $(PROGS) $(UNITS) $(SCRIPTS) $(BUILD)/redirect.so
+all: $(PROGS) $(UNITS) $(SCRIPTS) $(BUILD)/redirect.so $(BUILD)/slow_start.so
 
 $(BUILD)/%.o: src/%.c
 	@mkdir -p $(BUILD)
@@ -54,7 +54,7 @@
 	@echo LD $@
 	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
 
-$(BUILD)/redirect.so: tests/redirect.c
+$(BUILD)/%.so: tests/%.c
 	@mkdir -p $(BUILD)
 	@echo LD $@
 	@$(CC) -std=gnu11 -Wall -Wextra -Werror -D_GNU_SOURCE -O2 -shared -fPIC \
--- a/src/engine_simulator.c
+++ b/src/engine_simulator.c
@@ -489,9 +489,9 @@
 }
 
 static int
-handle_http(struct mg_connection *conn, void *ctx)
+handle_http(struct mg_connection *conn)
 {
-    FakeEngines *f = ctx;
+    FakeEngines *f = mg_get_user_data(mg_get_context(conn));
     const char *path = mg_get_request_info(conn)->local_uri;
     if (strcmp(path, "/v1/completions") == 0) {
         return serve_completion(f, conn, false);
@@ -550,7 +550,7 @@
                              "listen_backlog",
                              "1024",
                              NULL};
-    struct mg_callbacks callbacks = {0};
+    struct mg_callbacks callbacks = {.begin_request = handle_http};
     f->http = mg_start(&callbacks, f, options);
     if (!f->http) {
         g_set_error(err, BG_ERROR, BG_ERR_UNREACHABLE, "cannot listen on %s",
@@ -558,7 +558,6 @@
         fe_stop(f);
         return NULL;
     }
-    mg_set_request_handler(f->http, "/", handle_http, f);
     return f;
 }
 
--- a/src/log_simulator.c
+++ b/src/log_simulator.c
@@ -189,17 +189,18 @@
 }
 
 static int
-handle_http(struct mg_connection *conn, void *ctx)
+handle_http(struct mg_connection *conn)
 {
+    FakeLog *f = mg_get_user_data(mg_get_context(conn));
     const char *path = mg_get_request_info(conn)->local_uri;
     if (strcmp(path, "/v1/append") == 0) {
-        return serve_append(ctx, conn);
+        return serve_append(f, conn);
     }
     if (strcmp(path, "/v1/records") == 0) {
-        return serve_read(ctx, conn);
+        return serve_read(f, conn);
     }
     if (strcmp(path, "/test/state") == 0) {
-        return serve_state(ctx, conn);
+        return serve_state(f, conn);
     }
     return reply(conn, 404, "{\"error\":\"no such path\"}");
 }
@@ -235,7 +236,7 @@
                              "listen_backlog",
                              "1024",
                              NULL};
-    struct mg_callbacks callbacks = {0};
+    struct mg_callbacks callbacks = {.begin_request = handle_http};
     f->http = mg_start(&callbacks, f, options);
     if (!f->http) {
         g_set_error(err, BG_ERROR, BG_ERR_UNREACHABLE, "cannot listen on %s",
@@ -243,7 +244,6 @@
         fl_stop(f);
         return NULL;
     }
-    mg_set_request_handler(f->http, "/", handle_http, f);
     return f;
 }
 
--- a/src/node.c
+++ b/src/node.c
@@ -737,9 +737,9 @@
 }
 
 static int
-handle_http(struct mg_connection *conn, void *ctx)
+handle_http(struct mg_connection *conn)
 {
-    Node *n = ctx;
+    Node *n = get_node(conn);
     const char *path = mg_get_request_info(conn)->local_uri;
     if (strcmp(path, "/healthz") == 0) {
         bool up = !atomic_load(&n->draining);
@@ -815,7 +815,9 @@
                              "listen_backlog",
                              "512",
                              NULL};
-    struct mg_callbacks callbacks = {.log_message = log_http,
+    /* A handler that is set later would miss the first requests. */
+    struct mg_callbacks callbacks = {.begin_request = handle_http,
+                                     .log_message = log_http,
                                      .init_connection = count_opened,
                                      .connection_closed = count_closed};
     n->http = mg_start(&callbacks, n, options);
@@ -824,7 +826,6 @@
                     ini_get_text(n->settings, "node", "http"));
         return false;
     }
-    mg_set_request_handler(n->http, "/", handle_http, n);
     return true;
 }
 
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cluster import Cluster, wait_until
+from cluster import Cluster, call, wait_until
 from configs import log_kinds, publish, revise
 
 SOON = {"log": {"checkpoint_entries": "20", "checkpoint_ms": "600000"}}
@@ -88,6 +88,31 @@
         assert c.wait_in_force(version) < 10
 
 
+def read_first_answer(port, target):
+    """The answer to the first call of TARGET that reaches the process."""
+    def ask():
+        try:
+            return call(port, "GET", target)
+        except OSError:
+            return None  # not listening yet
+    return wait_until(ask, what="an answer")
+
+
+def test_first_answer_of_a_process_is_its_own(build, monkeypatch):
+    """Guards against the web server's own 404 while a process starts: a caller
+    takes it for a model or workspace that doesn't exist."""
+    with make(build, vms=1) as c:
+        wait_gone(c, c.vm_names())
+        library = os.path.abspath(os.path.join(build, "slow_start.so"))
+        monkeypatch.setenv("LD_PRELOAD", library)
+        monkeypatch.setenv("ASAN_OPTIONS", "verify_asan_link_order=0")
+        c.start_vm(c.vm_names()[0])
+        monkeypatch.undo()
+        a = read_first_answer(c.port(c.routers()[0]), "/v1/models")
+        assert a.status == 503
+        assert a.outcome == "refused-not-run"
+
+
 def test_start_with_neither_log_nor_peers_refuses(build):
     """All VMs are replaced while the log is down, so no process has a state.
     Callers get 503 with refused-not-run and Retry-After (a 401 or 404 could
