Upstreams whose version a former release's leader leaves out are of no known version

Callers got events of two versions in one stream, also where no caller took it up: while the gateways themselves are rolled out, and engines of two versions serve, a gateway of this release beside a leader of the release before the version plan went on with streams at any upstream.

Cause: gateways learn upstreams from their leader's frames. The former release doesn't know the field of the version, so every upstream came with an empty one, which also stands for an upstream that names none. All were of one version then, and with one version a stream goes on anywhere.

A row now says that it tells the version. One that doesn't leaves it not known: a service has then no only version, a stream that an upstream of no known version began doesn't go on, and a version that is known isn't lost by a row without. The gateway reads the store for what it lacks; a member of a relay a second later, as the relay publishes what it read. The leader's heartbeat says that it writes the plan. Beside a leader that doesn't, streams begin without a plan, and only a note tells the version of one while there are several: at the gateway that began it. While there is one version all goes on as before; rows are two bytes longer.

tests/test_two_releases.py with a leader whose frames are those of the former release: 10 of 24 taken up were mixed, and 20 of 24 of those that the gateway went on with by itself; now none, and those that can be known go on. One version: all go on, before and now.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -3754,7 +3754,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[13] =
 {
   {
     "waits",
@@ -3900,6 +3900,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "plans",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, plans),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
@@ -3907,6 +3919,7 @@
   1,   /* field[1] = gateways */
   10,   /* field[10] = idle */
   8,   /* field[8] = informed */
+  12,   /* field[12] = plans */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
   9,   /* field[9] = sent_ms */
@@ -3919,7 +3932,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -3929,14 +3942,14 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  12,
+  13,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
   (ProtobufCMessageInit) gwp__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__upstream__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gwp__upstream__field_descriptors[9] =
 {
   {
     "id",
@@ -4034,6 +4047,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "versioned",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Upstream, versioned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__upstream__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4044,11 +4069,12 @@
   6,   /* field[6] = residents */
   1,   /* field[1] = service */
   7,   /* field[7] = version */
+  8,   /* field[8] = versioned */
 };
 static const ProtobufCIntRange gwp__upstream__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gwp__upstream__descriptor =
 {
@@ -4058,7 +4084,7 @@
   "Gwp__Upstream",
   "gwp",
   sizeof(Gwp__Upstream),
-  8,
+  9,
   gwp__upstream__field_descriptors,
   gwp__upstream__field_indices_by_name,
   1,  gwp__upstream__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -628,10 +628,14 @@
    * number of its version plan; 0: it knows none
    */
   uint64_t version_plan;
+  /*
+   * it writes the version plan
+   */
+  protobuf_c_boolean plans;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -652,10 +656,14 @@
    * of its software; empty: it names none
    */
   char *version;
+  /*
+   * VERSION is known
+   */
+  protobuf_c_boolean versioned;
 };
 #define GWP__UPSTREAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__upstream__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -142,6 +142,8 @@
     uint64_t plan_retry_ms; /* no read is begun before */
     uint64_t plan_behind_ms;   /* a newer plan is known since; 0: none */
     uint64_t plan_tail;        /* end of its topic, if plan_listed */
+    uint64_t unversioned_ms;   /* the version of some upstream isn't known
+                                  since; 0: all are */
     uint64_t suspects_ms;      /* rows were last published */
     uint64_t suspects_note_ms; /* the note of the lease record was made */
     uint64_t led_ms; /* a leader, or this one as such, was last there */
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -41,7 +41,8 @@
     x->data_centre = u->data_centre;
     x->draining = u->draining;
     x->born_ms = u->born_ms;
-    x->version = u->version;
+    x->version = u->version ? u->version : (char *)"";
+    x->versioned = u->version != NULL;
     x->n_residents = residents->len;
     x->residents = (Gwp__Resident **)residents->pdata;
     g_ptr_array_add(rows->rows, x);
@@ -333,6 +334,7 @@
     s.sent_ms = now_ms;
     s.idle = !g->is_leader;
     s.version_plan = vp_get_number(g->versions);
+    s.plans = true;
     MpStoreLimits rate = mp_get_store_limits(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
@@ -458,7 +460,7 @@
     u->data_centre = g_strdup(x->data_centre);
     u->draining = x->draining;
     u->born_ms = x->born_ms;
-    u->version = g_strdup(x->version);
+    u->version = x->versioned ? g_strdup(x->version) : NULL;
     return u;
 }
 
@@ -557,6 +559,9 @@
     ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
     if (!s->idle) {
         gn_on_plan_number(g, now_ms, s->version_plan, sent_ms);
+        if (!s->plans) {
+            vp_on_unplanned(g->versions, now_ms);
+        }
         ls_on_leader_contact(g->lease, sent_ms);
         gw_on_leader(g->gw, now_ms, s->rest_ms);
     }
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -40,6 +40,8 @@
 #define MAX_BACKOFF_MS 6000
 #define BACKOFF_PER_GATEWAY_MS 30
 /* Entries read from the store count as current for this long. */
+/* A relay has read the store, and published what it found, by then. */
+#define RELAY_READ_MS 1000
 #define STORE_FRESH_MS 1200
 
 /* ---- configuration ------------------------------------------------------ */
@@ -335,6 +337,21 @@
                         : ST_MAX_BACKOFF_MS;
 }
 
+/* Gateways of a release that knows no versions publish upstreams without.
+   A relay reads them, and publishes them to its members. */
+static bool
+lacks_versions(Gateway *g, uint64_t now_ms, bool direct)
+{
+    if (!ut_lacks_versions(g->upstreams)) {
+        g->unversioned_ms = 0;
+        return false;
+    }
+    if (g->unversioned_ms == 0) {
+        g->unversioned_ms = now_ms;
+    }
+    return direct || now_ms >= g->unversioned_ms + RELAY_READ_MS;
+}
+
 void
 gn_schedule_store_reads(Gateway *g, uint64_t now_ms)
 {
@@ -357,7 +374,8 @@
     st_set_pause(g->upstream_watch, g->is_leader ? LEADER_UPSTREAM_PAUSE_MS
                                     : waits      ? WAITING_UPSTREAM_PAUSE_MS
                                                  : UPSTREAM_PAUSE_MS);
-    bool reads = g->is_leader || isolated || overdue ||
+    bool unversioned = lacks_versions(g, now_ms, direct);
+    bool reads = g->is_leader || isolated || overdue || unversioned ||
                  (direct && !g->leader_reads_store);
     st_set_idle(g->upstream_watch, !reads);
     uint32_t backoff_ms = get_max_backoff_ms(g, hears_leader && !g->is_leader);
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -259,7 +259,7 @@
         return;
     }
     vp_on_heartbeat(g->versions, vp_get_number(g->versions), now_ms);
-    if (!may_change(g)) {
+    if (ut_lacks_versions(g->upstreams) || !may_change(g)) {
         return;
     }
     FleetCtx c = {g, vp_create_fleet()};
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -74,7 +74,8 @@
     /* The software version that began the stream: it goes on only there.
        NULL: no event came yet. */
     char *version;
-    char *planned;             /* by the plan, until then; or NULL */
+    bool unversioned; /* an upstream began it whose version isn't known */
+    char *planned;    /* by the plan, until then; or NULL */
     uint64_t versions_wait_ms; /* the plan is being confirmed since; 0: no */
     uint64_t note_wait_ms;  /* a note of VERSION is asked for since; 0: no */
     uint64_t note_asked_ms; /* it was last asked for */
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -102,6 +102,17 @@
                            : GW_VERSION_ASKED;
 }
 
+/* The plan tells nothing of streams that were begun without it. */
+static bool
+may_be_unplanned(const Req *q, uint64_t now_ms)
+{
+    const Vp *versions = q->gw->versions;
+    return vp_may_be_unplanned(versions, now_ms) &&
+           !ut_find_only_version(q->gw->upstreams, q->service) &&
+           !vp_is_unsettled(versions, q->service, q->query.model,
+                            get_attempt(q));
+}
+
 /* The caller has events of another attempt. */
 static GwVersion
 pick_for_rest(Req *q, uint64_t now_ms, const char **why)
@@ -113,6 +124,9 @@
     if (version) {
         return pin(q, version);
     }
+    if (may_be_unplanned(q, now_ms)) {
+        return refuse(q, "its version isn't known", why);
+    }
     switch (vp_resume(versions, now_ms, q->arrival_ms, q->service,
                       q->query.model, attempt ? attempt : "", &version)) {
     case VP_AT:
@@ -135,9 +149,10 @@
 static GwVersion
 pick_for_begin(Req *q, uint64_t now_ms, const char **why)
 {
+    const Vp *versions = q->gw->versions;
     const char *version;
     const char *only;
-    switch (vp_begin(q->gw->versions, now_ms, q->service, q->query.model,
+    switch (vp_begin(versions, now_ms, q->service, q->query.model,
                      q->call.attempt_id, &version)) {
     case VP_AT:
         q->versions_wait_ms = 0;
@@ -151,8 +166,10 @@
         break;
     }
     only = ut_find_only_version(q->gw->upstreams, q->service);
-    if (vp_get_number(q->gw->versions) == 0 && only) {
-        return GW_VERSION_PICKED; /* the first plan will have that one */
+    /* The first plan will have that one, or settles nothing. */
+    if (vp_get_number(versions) == 0 &&
+        (only || vp_may_be_unplanned(versions, now_ms))) {
+        return GW_VERSION_PICKED;
     }
     return ask(q, now_ms, why);
 }
@@ -164,6 +181,9 @@
     if (q->version || !is_resumable(q)) {
         return GW_VERSION_PICKED;
     }
+    if (q->unversioned) {
+        return refuse(q, "its version isn't known", why);
+    }
     if (q->call.takes_up) {
         return pick_for_rest(q, now_ms, why);
     }
@@ -178,12 +198,22 @@
     return q->query.version && !q->version;
 }
 
+/* A note may be all that tells the version later. */
+static bool
+needs_note(const Req *q)
+{
+    const Gw *g = q->gw;
+    return vp_is_mixed(g->versions, q->service) ||
+           (vp_may_be_unplanned(g->versions, bg_boot_ms()) &&
+            !ut_find_only_version(g->upstreams, q->service));
+}
+
 void
 gw_note_stream(Req *q)
 {
     Gw *g = q->gw;
     const char *attempt = get_attempt(q);
-    if (!q->version || !attempt || !vp_is_mixed(g->versions, q->service)) {
+    if (!q->version || !attempt || !needs_note(q)) {
         return;
     }
     SnNote note = {gw_get_stream_key(q),
@@ -203,8 +233,10 @@
 void
 gw_begin_stream(Req *q)
 {
-    if (!q->version && is_resumable(q)) {
-        q->version = g_strdup(ut_get_version(q->ut));
+    if (!q->version && !q->unversioned && is_resumable(q)) {
+        const char *version = ut_get_entry(q->ut)->version;
+        q->version = g_strdup(version);
+        q->unversioned = !version;
         gw_note_stream(q);
     }
 }
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -244,7 +244,8 @@
         "{\"vm\":\"%s\",\"ready\":%s,\"config\":%llu,\"config_age_ms\":%llu,"
         "\"upstreams\":%u,\"requests\":%u,\"connections\":%u,"
         "\"places\":%s,\"placer\":\"%s\",\"linked\":%s,\"peers\":%u,"
-        "\"relay\":\"%s\",\"versions\":%llu,\"versions_settled\":%s}\n",
+        "\"relay\":\"%s\",\"versions\":%llu,\"versions_settled\":%s,"
+        "\"versions_known\":%s}\n",
         gn_get_text(g, "name"), is_ready(g) ? "true" : "false",
         (unsigned long long)(g->config ? g->config->version : 0),
         (unsigned long long)(now_ms - g->config_ms), ut_count(g->upstreams),
@@ -254,7 +255,8 @@
         lk_is_open(g->links) ? "true" : "false", lk_count_peers(g->links),
         g->uplink.relay ? g->uplink.relay : "",
         (unsigned long long)vp_get_number(g->versions),
-        vp_is_settled(g->versions) ? "true" : "false");
+        vp_is_settled(g->versions) ? "true" : "false",
+        ut_lacks_versions(g->upstreams) ? "false" : "true");
 }
 
 /* REQUEST: the digest of a suspect, as in the logs. */
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -81,6 +81,7 @@
 drop(UtSet *s, Ut *u)
 {
     g_hash_table_remove(s->by_id, u->entry->id);
+    s->unversioned -= !u->entry->version;
     if (s->limits) {
         ul_forget(s->limits, u->entry->id);
     }
@@ -97,14 +98,15 @@
     }
 }
 
-/* A restarted process, or another address or service under the same id: what
-   was learnt of the former one no longer holds. */
+/* Else it is a restarted process, or another address or service under the
+   same id: what was learnt of the former one no longer holds. */
 static bool
 is_same_instance(const DepUpstream *a, const DepUpstream *b)
 {
+    bool differs =
+        a->version && b->version && strcmp(a->version, b->version) != 0;
     return a->born_ms == b->born_ms && strcmp(a->address, b->address) == 0 &&
-           strcmp(a->service, b->service) == 0 &&
-           g_strcmp0(a->version, b->version) == 0;
+           strcmp(a->service, b->service) == 0 && !differs;
 }
 
 bool
@@ -116,7 +118,12 @@
         u = NULL;
     }
     bool is_new = !u;
+    bool learnt = u && !u->entry->version && entry->version;
+    if (u && !entry->version) {
+        entry->version = g_strdup(u->entry->version);
+    }
     if (u) {
+        s->unversioned -= !u->entry->version;
         g_hash_table_steal(s->by_id, u->entry->id);
         dep_destroy_upstream(u->entry);
         if (u->stale && u->placed) {
@@ -136,10 +143,11 @@
         u->penalty_ms = now_ms;
     }
     u->entry = entry;
+    s->unversioned += !entry->version;
     bool leaves = entry->draining && !u->leaving;
     u->leaving = u->leaving || entry->draining;
     g_hash_table_insert(s->by_id, entry->id, u);
-    return is_new || leaves;
+    return is_new || leaves || learnt;
 }
 
 void
@@ -550,14 +558,21 @@
         if (u->leaving || strcmp(u->entry->service, service) != 0) {
             continue;
         }
-        if (found && strcmp(found, ut_get_version(u)) != 0) {
+        if (!u->entry->version ||
+            (found && strcmp(found, u->entry->version) != 0)) {
             return NULL;
         }
-        found = ut_get_version(u);
+        found = u->entry->version;
     }
     return found;
 }
 
+bool
+ut_lacks_versions(const UtSet *s)
+{
+    return s->unversioned > 0;
+}
+
 Ut *
 ut_find(const UtSet *s, const char *id)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -25,7 +25,9 @@
 void ut_destroy(UtSet *s);
 
 /* Takes ownership of ENTRY.  Returns true if the upstream is new, replaces
-   another one with the same id, or has begun to drain. */
+   another one with the same id, or has begun to drain, or if its version was
+   not known before.  A version that is known isn't lost by an entry that has
+   none. */
 bool ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry);
 void ut_on_gone(UtSet *s, uint64_t now_ms, const char *id);
 /* Removes all upstreams but IDS (a set of char *). */
@@ -144,7 +146,7 @@
 const char *ut_get_id(const Ut *u);
 const DepUpstream *ut_get_entry(const Ut *u);
 const char *ut_get_address(const Ut *u);
-/* Of its software, by its entry; empty: it names none. */
+/* Of its software, by its entry; empty: it names none, or it isn't known. */
 const char *ut_get_version(const Ut *u);
 /* It is no longer listed, or it drains. */
 bool ut_is_gone(const Ut *u);
@@ -168,7 +170,11 @@
 const Ut *ut_pick_any(UtSet *s);
 /* It is known, and the process that was born at BORN_MS has its id. */
 bool ut_is_born(const UtSet *s, const char *id, uint64_t born_ms);
-/* The one software version of SERVICE's upstreams; NULL: several, or none. */
+/* The version of some upstream isn't known: its entry came from a gateway
+   whose release knows none. */
+bool ut_lacks_versions(const UtSet *s);
+/* The one software version of SERVICE's upstreams; NULL: several, none, or not
+   known of all. */
 const char *ut_find_only_version(const UtSet *s, const char *service);
 
 /* Whether the process behind a connection is the one that an upstream's entry
--- a/src/upstream_table_choice.c
+++ b/src/upstream_table_choice.c
@@ -306,7 +306,7 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Ut *u = v;
         if (u->leaving || strcmp(u->entry->service, q->service) != 0 ||
-            (q->version && strcmp(ut_get_version(u), q->version) != 0)) {
+            (q->version && g_strcmp0(u->entry->version, q->version) != 0)) {
             continue;
         }
         o->any = true;
--- a/src/upstream_table_internal.h
+++ b/src/upstream_table_internal.h
@@ -60,12 +60,13 @@
 struct UtSet {
     char *data_centre;
     BgRandom rng;
-    GHashTable *by_id;  /* id -> Ut */
-    GHashTable *by_key; /* ut_make_key of its id -> Ut */
-    uint64_t totals_ms; /* when the totals were last refreshed */
-    GPtrArray *removed; /* Ut: gone, with calls running */
-    double plain_ms;    /* mean time to first byte, services without models */
-    Ul *limits;         /* NULL: no upstream is limited */
+    GHashTable *by_id;    /* id -> Ut */
+    GHashTable *by_key;   /* ut_make_key of its id -> Ut */
+    uint32_t unversioned; /* of these, whose version isn't known */
+    uint64_t totals_ms;   /* when the totals were last refreshed */
+    GPtrArray *removed;   /* Ut: gone, with calls running */
+    double plain_ms; /* mean time to first byte, services without models */
+    Ul *limits;      /* NULL: no upstream is limited */
 };
 
 /* The leader's totals are current. */
--- a/src/version_plan.c
+++ b/src/version_plan.c
@@ -122,6 +122,19 @@
     }
 }
 
+void
+vp_on_unplanned(Vp *p, uint64_t now_ms)
+{
+    p->unplanned_ms = now_ms;
+    p->missing_ms = now_ms;
+}
+
+bool
+vp_may_be_unplanned(const Vp *p, uint64_t now_ms)
+{
+    return p->unplanned_ms && now_ms <= p->unplanned_ms + p->life_ms;
+}
+
 /* ---- encoding ----------------------------------------------------------- */
 
 const VpVersion *
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -59,6 +59,13 @@
    missing no share settles. */
 void vp_on_gateways(Vp *p, uint64_t now_ms, uint32_t gateways);
 
+/* A gateway leads that begins streams without the plan, as its release has
+   none. */
+void vp_on_unplanned(Vp *p, uint64_t now_ms);
+/* Streams that such a gateway began may be under way, at any version: the
+   plan tells the version of none, unless there is one version. */
+bool vp_may_be_unplanned(const Vp *p, uint64_t now_ms);
+
 /* ---- the plan, as known here -------------------------------------------- */
 
 /* An encoded plan, of the store or of another gateway.  True: it is newer than
--- a/src/version_plan_internal.h
+++ b/src/version_plan_internal.h
@@ -44,6 +44,8 @@
     uint32_t gateways;    /* that were linked to the leader, or still are */
     uint64_t gateways_ms; /* all of them were, last */
     uint64_t missing_ms;  /* some weren't, last; 0: never */
+    /* A gateway that begins streams without the plan was there; 0: never. */
+    uint64_t unplanned_ms;
 };
 
 VpPlan *vp_copy_plan(const VpPlan *of);
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -69,6 +69,8 @@
         # up; busy: 503; silent: the connection is closed without a response
         # after 3 s.
         self.mode = "up"
+        # Topics whose appends fail.
+        self.refused_topics = set()
         # Number of appends to carry out without a response.
         self.drop_append_replies = 0
 
@@ -144,6 +146,9 @@
         if topic in TOPICS.values():
             h.reply(403, {})
             return
+        if topic in self.refused_topics:
+            h.reply(503, {})
+            return
         with self.lock:
             log = self.topics.setdefault(topic, [])
             if "at" in query and int(query["at"]) != len(log):
--- /dev/null
+++ b/tests/test_two_releases.py
@@ -0,0 +1,96 @@
+"""Gateways of the release before the version plan beside this one's, as while
+the gateways' own software is rolled out or back.  They publish no versions and
+no plan, and begin streams at any version."""
+
+import contextlib
+import os
+
+from cluster import free_port, wait_until
+from fake_platform import Engine
+from platform_cluster import Cluster, Gateway
+from stream_callers import Stream, begin_streams, check_streams, run_all
+from test_stream_versions import Breaks, prepare
+
+STREAMS = 24
+PLAN_TOPIC = "keyed.bglade-versions"
+
+
+def add_gateway(c, build, name, env=None):
+    g = Gateway(build, c.store, name)
+    g.env = env
+    g.start()
+    c.gateways.append(g)
+    wait_until(g.is_ready, what="readiness")
+    return g
+
+
+def make_former_env(build):
+    return dict(os.environ, ASAN_OPTIONS="verify_asan_link_order=0",
+                LD_PRELOAD=os.path.abspath(
+                    os.path.join(build, "former_frames.so")))
+
+
+@contextlib.contextmanager
+def make_fleet(build, versions, former_leads):
+    """A leader and two followers; one of them, or the leader, is of the former
+    release."""
+    with Cluster(build, gateways=0, models=(("m0",),) * len(versions),
+                 versions=versions) as c:
+        former = make_former_env(build)
+        if former_leads:
+            c.store.refused_topics.add(PLAN_TOPIC)
+        add_gateway(c, build, "vm0", former if former_leads else None)
+        c.leader()
+        for name in ("vm1", "vm2"):
+            add_gateway(c, build, name,
+                        None if former_leads or name == "vm1" else former)
+        prepare(c)
+        wait_until(c.all_linked, what="links")
+        yield c
+
+
+def take_up(streams, gateway_of):
+    run_all(len(streams), lambda i: streams[i].take_up(gateway_of(i)))
+
+
+# A gateway beside such a leader took all upstreams for ones of a single
+# version, and went on at any.
+def test_streams_beside_a_leader_without_a_plan_are_not_mixed(build):
+    with make_fleet(build, ("v1", "v1", "v2", "v2"), True) as c:
+        new = c.gateways[1:]
+        wait_until(lambda: all(g.dump()["versions_known"] for g in new),
+                   what="versions")
+        same = begin_streams(STREAMS, lambda i: new[i % 2])
+        other = begin_streams(STREAMS, lambda i: new[i % 2])
+        take_up(same, lambda i: new[i % 2])
+        take_up(other, lambda i: new[(i + 1) % 2])
+        check_streams(same)
+        check_streams(other, share=0)
+        assert {s.statuses[-1] for s in other if not s.whole} <= {503}
+
+
+def test_gateway_beside_a_leader_without_a_plan_goes_on_at_the_version(build):
+    with make_fleet(build, ("v1", "v1", "v2", "v2"), True) as c:
+        new = c.gateways[1:]
+        wait_until(lambda: all(g.dump()["versions_known"] for g in new),
+                   what="versions")
+        breaks = Breaks()
+        for e in c.engines:
+            e.on_request = breaks
+        streams = [Stream() for _ in range(STREAMS)]
+
+        def run(i):
+            if streams[i].open(new[i % 2]):
+                streams[i].read()
+        run_all(STREAMS, run)
+        check_streams(streams)
+
+
+def test_one_version_beside_a_leader_without_a_plan_goes_on(build):
+    with make_fleet(build, ("v1", "v1"), True) as c:
+        new = c.gateways[1:]
+        wait_until(lambda: all(g.dump()["versions_known"] for g in new),
+                   what="versions")
+        streams = begin_streams(STREAMS, lambda i: new[i % 2])
+        take_up(streams, lambda i: new[(i + 1) % 2])
+        check_streams(streams)
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -2276,6 +2276,40 @@
 
 /* ---- routes ------------------------------------------------------------- */
 
+static DepUpstream *
+make_versioned(const char *id, const char *version)
+{
+    DepUpstream *u = make_upstream(id, "s", "m0");
+    u->version = g_strdup(version);
+    return u;
+}
+
+/* Guards against taking upstreams whose version a gateway of a former release
+   left out for ones of a single version. */
+static void
+test_version_that_isnt_told_is_not_known(void)
+{
+    UtSet *s = make_set(0, NULL);
+    ut_on_entry(s, 0, make_versioned("u0", NULL));
+    ut_on_entry(s, 0, make_versioned("u1", NULL));
+    CU_ASSERT_TRUE(ut_lacks_versions(s));
+    CU_ASSERT_PTR_NULL(ut_find_only_version(s, "s"));
+    CU_ASSERT_TRUE(ut_on_entry(s, 1, make_versioned("u0", "v1")));
+    CU_ASSERT_TRUE(ut_lacks_versions(s));
+    CU_ASSERT_TRUE(ut_on_entry(s, 1, make_versioned("u1", "v1")));
+    CU_ASSERT_FALSE(ut_lacks_versions(s));
+    CU_ASSERT_FALSE(ut_on_entry(s, 2, make_versioned("u0", NULL)));
+    CU_ASSERT_FALSE(ut_lacks_versions(s));
+    CU_ASSERT_STRING_EQUAL(ut_find_only_version(s, "s"), "v1");
+    CU_ASSERT_TRUE(ut_on_entry(s, 3, make_versioned("u0", "v2")));
+    CU_ASSERT_PTR_NULL(ut_find_only_version(s, "s"));
+    ut_on_entry(s, 4, make_versioned("u2", NULL));
+    CU_ASSERT_TRUE(ut_lacks_versions(s));
+    ut_on_gone(s, 5, "u2");
+    CU_ASSERT_FALSE(ut_lacks_versions(s));
+    ut_destroy(s);
+}
+
 static void
 test_route_split(void)
 {
@@ -2379,6 +2413,8 @@
          test_placement_is_stable_without_local_copies},
         {"victim finishes requests", test_placement_victim_finishes_requests},
         {"lag of saturated link", test_lag_of_saturated_link},
+        {"version that isn't told is not known",
+         test_version_that_isnt_told_is_not_known},
         {"route split", test_route_split},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
