Beside a gateway that follows no plan the shares of several versions don't settle

Cause: a gateway of the former release begins streams at any version, and the plan tells the version of each settled share all the same.

A gateway now says in its first frame that it follows the plan, and a relay whether one of its members doesn't. While the leader knows of one that doesn't, and for a stream's life after, all shares of services with several versions are unsettled: only a note tells the version, and whoever has none refuses. With one version nothing changes, and the plan isn't written.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2257,7 +2257,7 @@
   assert(message->base.descriptor == &gwp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[9] =
 {
   {
     "vm",
@@ -2355,6 +2355,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "plans",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, plans),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__hello__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2362,6 +2374,7 @@
   2,   /* field[2] = data_centre */
   7,   /* field[7] = detour */
   4,   /* field[4] = fitness */
+  8,   /* field[8] = plans */
   1,   /* field[1] = process */
   5,   /* field[5] = shunned */
   0,   /* field[0] = vm */
@@ -2369,7 +2382,7 @@
 static const ProtobufCIntRange gwp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gwp__hello__descriptor =
 {
@@ -2379,7 +2392,7 @@
   "Gwp__Hello",
   "gwp",
   sizeof(Gwp__Hello),
-  8,
+  9,
   gwp__hello__field_descriptors,
   gwp__hello__field_indices_by_name,
   1,  gwp__hello__number_ranges,
@@ -2424,7 +2437,7 @@
   (ProtobufCMessageInit) gwp__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__members__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gwp__members__field_descriptors[7] =
 {
   {
     "vms",
@@ -2498,19 +2511,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unplanned",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Members, unplanned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__members__field_indices_by_name[] = {
   3,   /* field[3] = config_version */
   4,   /* field[4] = helpers */
   1,   /* field[1] = leaving */
   2,   /* field[2] = reads_store */
+  6,   /* field[6] = unplanned */
   0,   /* field[0] = vms */
   5,   /* field[5] = with_helpers */
 };
 static const ProtobufCIntRange gwp__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gwp__members__descriptor =
 {
@@ -2520,7 +2546,7 @@
   "Gwp__Members",
   "gwp",
   sizeof(Gwp__Members),
-  6,
+  7,
   gwp__members__field_descriptors,
   gwp__members__field_indices_by_name,
   1,  gwp__members__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -141,10 +141,14 @@
    * where it takes detours; empty: it takes none
    */
   char *detour;
+  /*
+   * it begins streams by the version plan
+   */
+  protobuf_c_boolean plans;
 };
 #define GWP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -190,10 +194,14 @@
    * HELPERS is set; else it is as it was last
    */
   protobuf_c_boolean with_helpers;
+  /*
+   * one of them begins streams without the version plan
+   */
+  protobuf_c_boolean unplanned;
 };
 #define GWP__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__members__descriptor) \
-    , 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0,NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -259,6 +259,9 @@
         return;
     }
     vp_on_heartbeat(g->versions, vp_get_number(g->versions), now_ms);
+    if (gn_has_unplanned(g)) {
+        vp_on_unplanned(g->versions, now_ms);
+    }
     if (ut_lacks_versions(g->upstreams) || !may_change(g)) {
         return;
     }
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -59,8 +59,8 @@
    missing no share settles. */
 void vp_on_gateways(Vp *p, uint64_t now_ms, uint32_t gateways);
 
-/* A gateway leads that begins streams without the plan, as its release has
-   none. */
+/* A gateway that begins streams without the plan, as its release has none, is
+   linked, or leads. */
 void vp_on_unplanned(Vp *p, uint64_t now_ms);
 /* Streams that such a gateway began may be under way, at any version: the
    plan tells the version of none, unless there is one version. */
--- a/src/version_plan_change.c
+++ b/src/version_plan_change.c
@@ -273,6 +273,25 @@
     }
 }
 
+static void
+unsettle_shares(Change *c, VpShares *x)
+{
+    c->changed = c->changed || x->unsettled != SHARE_BITS;
+    x->unsettled = SHARE_BITS;
+}
+
+static void
+unsettle(Change *c)
+{
+    unsettle_shares(c, &c->service->rest);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->service->models);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        unsettle_shares(c, v);
+    }
+}
+
 static bool
 has_ended(const Change *c, uint64_t since_ms)
 {
@@ -416,6 +435,9 @@
         drop_rows(c);
         return;
     }
+    if (vp_may_be_unplanned(c->vp, c->now_ms)) {
+        unsettle(c);
+    }
     settle(c);
     move_models(c);
     move_rest(c);
--- a/tests/former_frames.c
+++ b/tests/former_frames.c
@@ -21,6 +21,12 @@
 strip_frame(Gwp__Frame *f)
 {
     switch (f->body_case) {
+    case GWP__FRAME__BODY_HELLO:
+        f->hello->plans = 0;
+        break;
+    case GWP__FRAME__BODY_MEMBERS:
+        f->members->unplanned = 0;
+        break;
     case GWP__FRAME__BODY_STATE:
         f->state->version_plan = 0;
         f->state->plans = 0;
--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -246,6 +246,9 @@
                                words[3], &version);
         print_answer(a, version);
     }
+    else if (strcmp(words[0], "unplanned") == 0) {
+        vp_on_unplanned(s->vp, s->now_ms);
+    }
     else if (strcmp(words[0], "print") == 0) {
         print_plan(s);
     }
--- a/tests/test_two_releases.py
+++ b/tests/test_two_releases.py
@@ -94,3 +94,35 @@
         streams = begin_streams(STREAMS, lambda i: new[i % 2])
         take_up(streams, lambda i: new[(i + 1) % 2])
         check_streams(streams)
+
+
+def newest_plan(gateway):
+    return gateway.events("version-plan")[-1]["plan"]
+
+
+# A plan told the version of streams that a linked gateway had begun without
+# it.
+def test_plan_settles_nothing_beside_a_gateway_without_one(build):
+    with make_fleet(build, ("v1", "v1"), False) as c:
+        leader = c.leader()
+        wait_until(lambda: leader.events("version-plan"), what="a plan")
+        assert "?" not in newest_plan(leader)
+        c.engines.append(Engine(free_port(), c.store, "e9", models=("m0",),
+                                version="v2"))
+        wait_until(lambda: "v2" in newest_plan(leader), what="shares of v2")
+        plan = newest_plan(leader)
+        shares = [w for w in plan[plan.index("llm"):].split() if w[0] == "v"]
+        assert all(w.endswith("?") for w in shares), plan
+
+
+def test_streams_of_a_gateway_without_a_plan_are_not_taken_up(build):
+    """They are of any version: whoever has no note of one refuses it."""
+    with make_fleet(build, ("v1", "v1", "v2", "v2"), False) as c:
+        leader, new, former = c.gateways
+        c.leader()
+        own = begin_streams(STREAMS, lambda i: (leader, new)[i % 2])
+        theirs = begin_streams(STREAMS, lambda i: former)
+        take_up(own, lambda i: (new, leader)[i % 2])
+        take_up(theirs, lambda i: (new, leader)[i % 2])
+        check_streams(own)
+        check_streams(theirs, share=0)
