--- a/src/snap.c
+++ b/src/snap.c
@@ -144,7 +144,9 @@
        were removed. */
     s->n_open = in->open->len;
     s->open = own(e, g_new0(uint64_t, in->open->len + 1));
-    memcpy(s->open, in->open->data, in->open->len * sizeof(uint64_t));
+    if (s->n_open) {
+        memcpy(s->open, in->open->data, s->n_open * sizeof(uint64_t));
+    }
     qsort(s->open, s->n_open, sizeof(uint64_t), compare_numbers);
     return s;
 }
--- a/tests/script_rl.c
+++ b/tests/script_rl.c
@@ -16,6 +16,16 @@
     GPtrArray *moves; /* char *, the last plan, a line each */
 } Script;
 
+static void
+clear_peer(void *peer)
+{
+    RlPeer *p = peer;
+    g_free((char *)p->vm);
+    g_free((char *)p->data_centre);
+    g_free((char *)p->address);
+    g_free((char *)p->unreachable_relay);
+}
+
 static void
 read_peer(Script *s, char **words, int count)
 {
@@ -86,5 +96,9 @@
 {
     Script s = {.peers = g_array_new(FALSE, FALSE, sizeof(RlPeer)),
                 .moves = g_ptr_array_new_with_free_func(g_free)};
-    return script_run(run_line, &s);
+    g_array_set_clear_func(s.peers, clear_peer);
+    int status = script_run(run_line, &s);
+    g_array_free(s.peers, TRUE);
+    g_ptr_array_free(s.moves, TRUE);
+    return status;
 }
--- a/tests/script_ur.c
+++ b/tests/script_ur.c
@@ -69,7 +69,16 @@
     int upstream;
 } Running;
 
+typedef struct Sim Sim;
+
+/* Whose rooms answer. */
+typedef struct {
+    Sim *sim;
+    int vm;
+} VmCtx;
+
 typedef struct {
+    VmCtx ctx;
     Ul *limits;
     Ur *rooms;
     uint32_t incarnation;
@@ -101,7 +110,7 @@
     bool begun;
 } Event;
 
-typedef struct {
+struct Sim {
     int vms;
     int upstreams;
     double bears;
@@ -128,12 +137,7 @@
     uint32_t away;
     double used;
     double room;
-} Sim;
-
-typedef struct {
-    Sim *sim;
-    int vm;
-} VmCtx;
+};
 
 /* ---- faults ------------------------------------------------------------- */
 
@@ -584,14 +588,13 @@
 start_process(Sim *s, int vm)
 {
     Vm *v = &s->fleet[vm];
-    VmCtx *c = g_new0(VmCtx, 1);
-    *c = (VmCtx){s, vm};
+    v->ctx = (VmCtx){s, vm};
     if (v->limits) {
         ul_destroy(v->limits);
         ur_destroy(v->rooms);
     }
     v->limits = ul_create(s->now_ms, bg_next_random(&s->rng));
-    v->rooms = ur_create(on_room_answer, c);
+    v->rooms = ur_create(on_room_answer, &v->ctx);
     v->incarnation++;
     v->heard_ms = 0;
     v->linked = NO_VM;
