One version is known only after a stream's life, beside gateways that follow no plan

Callers got events of two versions in one stream while gateways of the release before the version plan were replaced and engines changed version as well: a gateway that had just started went on at the version that was left, and the first plan settled its shares at once.

Cause: without a plan, and for the first one, one version was an impression of the moment. What had been there a second before wasn't known to a gateway that had just started, and a new leader didn't ask.

Beside gateways that follow no plan a service now counts as of one version only where no upstream of another one was listed for a stream's life, as far as this gateway knows; where there is no plan at all, too. Gateways tell a new leader whether they knew such gateways lately; before the first plan it waits a second for that, and one whose predecessor wrote none takes it that they were there. Without such gateways nothing changes but that second at the very first start.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2257,7 +2257,7 @@
   assert(message->base.descriptor == &gwp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[10] =
 {
   {
     "vm",
@@ -2367,6 +2367,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unplanned",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, unplanned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__hello__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -2377,12 +2389,13 @@
   8,   /* field[8] = plans */
   1,   /* field[1] = process */
   5,   /* field[5] = shunned */
+  9,   /* field[9] = unplanned */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange gwp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gwp__hello__descriptor =
 {
@@ -2392,7 +2405,7 @@
   "Gwp__Hello",
   "gwp",
   sizeof(Gwp__Hello),
-  9,
+  10,
   gwp__hello__field_descriptors,
   gwp__hello__field_indices_by_name,
   1,  gwp__hello__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -145,10 +145,14 @@
    * it begins streams by the version plan
    */
   protobuf_c_boolean plans;
+  /*
+   * streams may live that were begun without it
+   */
+  protobuf_c_boolean unplanned;
 };
 #define GWP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -195,7 +199,7 @@
    */
   protobuf_c_boolean with_helpers;
   /*
-   * one of them begins streams without the version plan
+   * streams may live that were begun without the version
    */
   protobuf_c_boolean unplanned;
 };
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -284,7 +284,8 @@
 void gn_tick_relay(Gateway *g, uint64_t now_ms);
 /* A gateway linked to us reads the store. */
 bool gn_has_reader(Gateway *g);
-/* One begins streams without the version plan: its release has none. */
+/* One begins streams without the version plan, as its release has none, or
+   knew such a one lately. */
 bool gn_has_unplanned(Gateway *g);
 /* A recent heartbeat of the leader arrived, directly or through a relay. */
 bool gn_hears_leader(const Gateway *g, uint64_t now_ms);
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -47,8 +47,9 @@
     uint64_t since_ms; /* linked */
     bool leaving;
     bool reads_store;
-    bool plans;        /* it begins streams by the version plan */
-    bool unplanned;    /* one of its members doesn't */
+    bool former;       /* its release has no version plan */
+    bool unplanned;    /* it, or one behind it, knows of streams that may have
+                          been begun without the plan */
     bool has_snapshot; /* it was sent */
 } Peer;
 
@@ -314,6 +315,7 @@
     hello->config_version = g->config ? g->config->version : 0;
     hello->detour = (char *)gn_get_text(g, "detour");
     hello->plans = true;
+    hello->unplanned = vp_may_be_unplanned(g->versions, bg_boot_ms());
 }
 
 void
@@ -330,7 +332,8 @@
     p->since_ms = bg_boot_ms();
     p->vm = g_strdup(hello->vm);
     p->detour = g_strdup(hello->detour);
-    p->plans = hello->plans;
+    p->former = !hello->plans;
+    p->unplanned = p->former || hello->unplanned;
     gwp__helper__init(&p->helper);
     p->helper.vm = p->vm;
     p->helper.data_centre = p->data_centre;
@@ -393,7 +396,7 @@
     gn_note_member(g, lk_get_vm(from));
     p->leaving = m->leaving;
     p->reads_store = m->reads_store;
-    p->unplanned = m->unplanned;
+    p->unplanned = p->former || m->unplanned;
     p->config_version = MAX(p->config_version, m->config_version);
     keep_report(g, p, m);
     g_ptr_array_set_size(p->members, 0);
@@ -529,7 +532,8 @@
     m.vms = (char **)vms->pdata;
     m.leaving = g->stop_ms != 0 || gn_is_lagging(g, now_ms);
     m.reads_store = gn_reads_store(g, now_ms);
-    m.unplanned = gn_has_unplanned(g);
+    m.unplanned =
+        gn_has_unplanned(g) || vp_may_be_unplanned(g->versions, now_ms);
     m.config_version = g->config ? g->config->version : 0;
     g_autoptr(GPtrArray) helpers = g_ptr_array_new();
     fill_helpers(g, now_ms, helpers, &m);
@@ -560,7 +564,7 @@
 {
     const Peer *p = lk_get_user(peer);
     bool *found = ctx;
-    *found = *found || (p && (!p->plans || p->unplanned));
+    *found = *found || (p && p->unplanned);
 }
 
 bool
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -9,6 +9,8 @@
 #define RETRY_MS 100
 /* The heartbeat names a plan that should have come over the link by then. */
 #define BEHIND_MS 250
+/* All gateways are linked to a new leader by then. */
+#define FIRST_PLAN_MS 1000
 
 /* ---- frames ------------------------------------------------------------- */
 
@@ -187,8 +189,22 @@
 typedef struct {
     Gateway *g;
     VpFleet *fleet;
+    GHashTable *services; /* that were looked at; NULL: none need to be */
+    uint64_t now_ms;
 } FleetCtx;
 
+/* Each service once. */
+static void
+look_for_single(FleetCtx *c, const char *service)
+{
+    const Gateway *g = c->g;
+    if (c->services && g_hash_table_add(c->services, (char *)service) &&
+        ut_is_single(g->upstreams, c->now_ms, service,
+                     vp_get_life_ms(g->versions))) {
+        vp_set_single(c->fleet, service);
+    }
+}
+
 static void
 add_upstream(void *ctx, const DepUpstream *u, const GPtrArray *models)
 {
@@ -198,6 +214,7 @@
         return;
     }
     vp_add_upstream(c->fleet, u->service, version);
+    look_for_single(c, u->service);
     for (guint i = 0; i < models->len; i++) {
         const DepResident *r = models->pdata[i];
         vp_add_replica(c->fleet, u->service, version, r->name);
@@ -221,9 +238,9 @@
 
 /* With one version the fleet isn't counted. */
 static bool
-may_change(const Gateway *g)
+may_change(const Gateway *g, uint64_t now_ms)
 {
-    OddCtx c = {g->versions, false};
+    OddCtx c = {g->versions, vp_may_be_unplanned(g->versions, now_ms)};
     ut_visit(g->upstreams, find_odd, &c);
     return c.found;
 }
@@ -242,6 +259,22 @@
                           len, on_append, c);
 }
 
+/* Before the first plan of all the others must tell whether gateways that
+   follow none were there. */
+static bool
+is_first_early(const Gateway *g, uint64_t now_ms)
+{
+    return vp_get_number(g->versions) == 0 &&
+           now_ms < g->lead_ms + FIRST_PLAN_MS;
+}
+
+/* Another one led before, and wrote no plan. */
+static bool
+was_led_without(const Gateway *g)
+{
+    return vp_get_number(g->versions) == 0 && ls_get_token(g->lease) > 1;
+}
+
 void
 gn_tick_versions(Gateway *g, uint64_t now_ms)
 {
@@ -259,13 +292,17 @@
         return;
     }
     vp_on_heartbeat(g->versions, vp_get_number(g->versions), now_ms);
-    if (gn_has_unplanned(g)) {
+    if (gn_has_unplanned(g) || was_led_without(g)) {
         vp_on_unplanned(g->versions, now_ms);
     }
-    if (ut_lacks_versions(g->upstreams) || !may_change(g)) {
+    if (is_first_early(g, now_ms) || ut_lacks_versions(g->upstreams) ||
+        !may_change(g, now_ms)) {
         return;
     }
-    FleetCtx c = {g, vp_create_fleet()};
+    bool unplanned =
+        vp_may_be_unplanned(g->versions, now_ms) && gn_reads_store(g, now_ms);
+    g_autoptr(GHashTable) services = g_hash_table_new(g_str_hash, g_str_equal);
+    FleetCtx c = {g, vp_create_fleet(), unplanned ? services : NULL, now_ms};
     ut_visit(g->upstreams, add_upstream, &c);
     GBytes *plan = vp_propose(g->versions, now_ms, c.fleet);
     vp_destroy_fleet(c.fleet);
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -102,15 +102,26 @@
                            : GW_VERSION_ASKED;
 }
 
-/* The plan tells nothing of streams that were begun without it. */
+/* Streams may be under way that were begun without the plan, at several
+   versions. */
 static bool
 may_be_unplanned(const Req *q, uint64_t now_ms)
 {
-    const Vp *versions = q->gw->versions;
-    return vp_may_be_unplanned(versions, now_ms) &&
-           !ut_find_only_version(q->gw->upstreams, q->service) &&
-           !vp_is_unsettled(versions, q->service, q->query.model,
-                            get_attempt(q));
+    const Gw *g = q->gw;
+    return vp_may_be_unplanned(g->versions, now_ms) &&
+           !ut_is_single(g->upstreams, now_ms, q->service,
+                         vp_get_life_ms(g->versions));
+}
+
+/* There is no plan at all yet, or the leader writes none: gateways that follow
+   none may be there. */
+static bool
+lacks_plan(const Req *q, uint64_t now_ms)
+{
+    const Gw *g = q->gw;
+    return vp_get_number(g->versions) == 0 &&
+           !ut_is_single(g->upstreams, now_ms, q->service,
+                         vp_get_life_ms(g->versions));
 }
 
 /* The caller has events of another attempt. */
@@ -124,7 +135,9 @@
     if (version) {
         return pin(q, version);
     }
-    if (may_be_unplanned(q, now_ms)) {
+    if (may_be_unplanned(q, now_ms) &&
+        !vp_is_unsettled(versions, q->service, q->query.model,
+                         attempt ? attempt : "")) {
         return refuse(q, "its version isn't known", why);
     }
     switch (vp_resume(versions, now_ms, q->arrival_ms, q->service,
@@ -134,6 +147,9 @@
                    ? pin(q, version)
                    : refuse(q, "it names no attempt", why);
     case VP_UNPLANNED:
+        if (lacks_plan(q, now_ms)) {
+            break;
+        }
         version = ut_find_only_version(q->gw->upstreams, q->service);
         return version ? pin(q, version)
                        : refuse(q, "its version isn't known", why);
@@ -202,10 +218,8 @@
 static bool
 needs_note(const Req *q)
 {
-    const Gw *g = q->gw;
-    return vp_is_mixed(g->versions, q->service) ||
-           (vp_may_be_unplanned(g->versions, bg_boot_ms()) &&
-            !ut_find_only_version(g->upstreams, q->service));
+    return vp_is_mixed(q->gw->versions, q->service) ||
+           may_be_unplanned(q, bg_boot_ms());
 }
 
 void
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -31,6 +31,13 @@
     g_free(((UtAbsence *)p)->what);
 }
 
+static void
+clear_gone(void *gone)
+{
+    g_free(((UtGone *)gone)->service);
+    g_free(((UtGone *)gone)->version);
+}
+
 static void
 free_ut(void *p)
 {
@@ -53,6 +60,8 @@
     s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->by_key = g_hash_table_new(g_direct_hash, g_direct_equal);
     s->removed = g_ptr_array_new();
+    s->versions_gone = g_array_new(FALSE, FALSE, sizeof(UtGone));
+    g_array_set_clear_func(s->versions_gone, clear_gone);
     return s;
 }
 
@@ -71,6 +80,7 @@
         free_ut(s->removed->pdata[i]);
     }
     g_ptr_array_free(s->removed, TRUE);
+    g_array_free(s->versions_gone, TRUE);
     g_free(s->data_centre);
     g_free(s);
 }
@@ -78,8 +88,24 @@
 /* ---- state -------------------------------------------------------------- */
 
 static void
-drop(UtSet *s, Ut *u)
+note_gone(UtSet *s, uint64_t now_ms, const DepUpstream *u)
+{
+    for (guint i = 0; i < s->versions_gone->len; i++) {
+        UtGone *x = &g_array_index(s->versions_gone, UtGone, i);
+        if (strcmp(x->service, u->service) == 0 &&
+            g_strcmp0(x->version, u->version) == 0) {
+            x->ms = now_ms;
+            return;
+        }
+    }
+    UtGone x = {g_strdup(u->service), g_strdup(u->version), now_ms};
+    g_array_append_val(s->versions_gone, x);
+}
+
+static void
+drop(UtSet *s, uint64_t now_ms, Ut *u)
 {
+    note_gone(s, now_ms, u->entry);
     g_hash_table_remove(s->by_id, u->entry->id);
     s->unversioned -= !u->entry->version;
     if (s->limits) {
@@ -114,7 +140,7 @@
 {
     Ut *u = g_hash_table_lookup(s->by_id, entry->id);
     if (u && !is_same_instance(u->entry, entry)) {
-        drop(s, u);
+        drop(s, now_ms, u);
         u = NULL;
     }
     bool is_new = !u;
@@ -143,6 +169,7 @@
         u->penalty_ms = now_ms;
     }
     u->entry = entry;
+    s->first_ms = s->first_ms ? s->first_ms : MAX(now_ms, 1);
     s->unversioned += !entry->version;
     bool leaves = entry->draining && !u->leaving;
     u->leaving = u->leaving || entry->draining;
@@ -153,10 +180,9 @@
 void
 ut_on_gone(UtSet *s, uint64_t now_ms, const char *id)
 {
-    (void)now_ms;
     Ut *u = g_hash_table_lookup(s->by_id, id);
     if (u) {
-        drop(s, u);
+        drop(s, now_ms, u);
     }
 }
 
@@ -567,6 +593,46 @@
     return found;
 }
 
+/* The version of all of SERVICE's upstreams; NULL: several, none, or not known
+   of all. */
+static const char *
+find_any_only(const UtSet *s, const char *service)
+{
+    const char *found = NULL;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const DepUpstream *u = ((const Ut *)v)->entry;
+        if (strcmp(u->service, service) != 0) {
+            continue;
+        }
+        if (!u->version || (found && strcmp(found, u->version) != 0)) {
+            return NULL;
+        }
+        found = u->version;
+    }
+    return found;
+}
+
+bool
+ut_is_single(const UtSet *s, uint64_t now_ms, const char *service,
+             uint64_t for_ms)
+{
+    const char *only = find_any_only(s, service);
+    if (!only || !s->first_ms || now_ms < s->first_ms + for_ms) {
+        return false;
+    }
+    for (guint i = 0; i < s->versions_gone->len; i++) {
+        const UtGone *x = &g_array_index(s->versions_gone, UtGone, i);
+        if (strcmp(x->service, service) == 0 &&
+            g_strcmp0(x->version, only) != 0 && now_ms < x->ms + for_ms) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 ut_lacks_versions(const UtSet *s)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -173,6 +173,10 @@
 /* The version of some upstream isn't known: its entry came from a gateway
    whose release knows none. */
 bool ut_lacks_versions(const UtSet *s);
+/* For FOR_MS none of SERVICE's upstreams, also of those that drain, was of
+   another version than the others, as far as is known here. */
+bool ut_is_single(const UtSet *s, uint64_t now_ms, const char *service,
+                  uint64_t for_ms);
 /* The one software version of SERVICE's upstreams; NULL: several, none, or not
    known of all. */
 const char *ut_find_only_version(const UtSet *s, const char *service);
--- a/src/upstream_table_internal.h
+++ b/src/upstream_table_internal.h
@@ -17,6 +17,13 @@
    this. */
 #define UT_MAX_PROBE_INTERVAL_MS 1600
 
+/* A version of a service, of which an upstream went. */
+typedef struct {
+    char *service;
+    char *version; /* NULL: not known */
+    uint64_t ms;   /* the last one went */
+} UtGone;
+
 typedef struct {
     char *what; /* "model" or "model/adapter" */
     uint64_t until_ms;
@@ -60,11 +67,13 @@
 struct UtSet {
     char *data_centre;
     BgRandom rng;
-    GHashTable *by_id;    /* id -> Ut */
-    GHashTable *by_key;   /* ut_make_key of its id -> Ut */
-    uint32_t unversioned; /* of these, whose version isn't known */
-    uint64_t totals_ms;   /* when the totals were last refreshed */
-    GPtrArray *removed;   /* Ut: gone, with calls running */
+    GHashTable *by_id;     /* id -> Ut */
+    GHashTable *by_key;    /* ut_make_key of its id -> Ut */
+    uint32_t unversioned;  /* of these, whose version isn't known */
+    GArray *versions_gone; /* UtGone */
+    uint64_t first_ms;     /* the first entry came; 0: none did */
+    uint64_t totals_ms;    /* when the totals were last refreshed */
+    GPtrArray *removed;    /* Ut: gone, with calls running */
     double plain_ms; /* mean time to first byte, services without models */
     Ul *limits;      /* NULL: no upstream is limited */
 };
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -63,7 +63,7 @@
    linked, or leads. */
 void vp_on_unplanned(Vp *p, uint64_t now_ms);
 /* Streams that such a gateway began may be under way, at any version: the
-   plan tells the version of none, unless there is one version. */
+   plan tells the version of none, unless the service is single. */
 bool vp_may_be_unplanned(const Vp *p, uint64_t now_ms);
 
 /* ---- the plan, as known here -------------------------------------------- */
@@ -130,6 +130,8 @@
 void vp_destroy_fleet(VpFleet *f);
 /* A ready upstream.  VERSION: empty if it names none. */
 void vp_add_upstream(VpFleet *f, const char *service, const char *version);
+/* For a stream's life SERVICE had upstreams of one version only. */
+void vp_set_single(VpFleet *f, const char *service);
 /* ... that holds MODEL. */
 void vp_add_replica(VpFleet *f, const char *service, const char *version,
                     const char *model);
--- a/src/version_plan_change.c
+++ b/src/version_plan_change.c
@@ -18,6 +18,7 @@
 typedef struct {
     GHashTable *versions; /* name -> number of upstreams */
     GHashTable *models;   /* name -> (version -> number of replicas) */
+    bool single;          /* it had one version for a stream's life */
 } FleetService;
 
 struct VpFleet {
@@ -89,6 +90,12 @@
     add_count(get_fleet_service(f, service)->versions, version);
 }
 
+void
+vp_set_single(VpFleet *f, const char *service)
+{
+    get_fleet_service(f, service)->single = true;
+}
+
 void
 vp_add_replica(VpFleet *f, const char *service, const char *version,
                const char *model)
@@ -273,22 +280,44 @@
     }
 }
 
+static bool
+may_be_unplanned(const Change *c)
+{
+    return vp_may_be_unplanned(c->vp, c->now_ms) && !c->fleet->single;
+}
+
+/* All streams that are under way are of the single version. */
 static void
-unsettle_shares(Change *c, VpShares *x)
+settle_single(Change *c, VpShares *x)
+{
+    c->changed = c->changed || x->unsettled;
+    x->unsettled = 0;
+}
+
+static void
+unsettle(Change *c, VpShares *x)
 {
     c->changed = c->changed || x->unsettled != SHARE_BITS;
     x->unsettled = SHARE_BITS;
 }
 
+/* Streams that were begun without the plan may be of any version. */
 static void
-unsettle(Change *c)
+settle_unplanned(Change *c)
 {
-    unsettle_shares(c, &c->service->rest);
+    bool settles = c->fleet->single && c->service->versions->len == 1;
+    void (*act)(Change *, VpShares *) = may_be_unplanned(c) ? unsettle
+                                        : settles           ? settle_single
+                                                            : NULL;
+    if (!act) {
+        return;
+    }
+    act(c, &c->service->rest);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->service->models);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        unsettle_shares(c, v);
+        act(c, v);
     }
 }
 
@@ -426,18 +455,16 @@
 static void
 change_service(Change *c)
 {
-    if (needs_no_change(c)) {
+    if (needs_no_change(c) && !may_be_unplanned(c)) {
         return;
     }
     list_versions(c);
+    settle_unplanned(c);
     if (c->service->versions->len == 1) {
         settle(c);
         drop_rows(c);
         return;
     }
-    if (vp_may_be_unplanned(c->vp, c->now_ms)) {
-        unsettle(c);
-    }
     settle(c);
     move_models(c);
     move_rest(c);
@@ -453,7 +480,7 @@
     c->service = vp_create_service();
     g_hash_table_insert(plan->services, g_strdup(name), c->service);
     list_version(c, find_largest(c->fleet->versions));
-    if (g_hash_table_size(c->fleet->versions) > 1) {
+    if (g_hash_table_size(c->fleet->versions) > 1 || may_be_unplanned(c)) {
         c->service->rest.unsettled = SHARE_BITS;
         list_versions(c);
     }
