--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -40,9 +40,9 @@
 #define MAX_BACKOFF_MS 6000
 #define BACKOFF_PER_GATEWAY_MS 30
 /* Entries read from the store count as current for this long. */
+#define STORE_FRESH_MS 1200
 /* A relay has read the store, and published what it found, by then. */
 #define RELAY_READ_MS 1000
-#define STORE_FRESH_MS 1200
 
 /* ---- configuration ------------------------------------------------------ */
 
