The first plan doesn't wait: a lease that was never held before says enough

The wait is not needed: where nobody led before, nobody began streams without a plan, and where somebody did and wrote none, the first plan is unsettled anyway.

--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -9,8 +9,6 @@
 #define RETRY_MS 100
 /* The heartbeat names a plan that should have come over the link by then. */
 #define BEHIND_MS 250
-/* All gateways are linked to a new leader by then. */
-#define FIRST_PLAN_MS 1000
 
 /* ---- frames ------------------------------------------------------------- */
 
@@ -259,15 +257,6 @@
                           len, on_append, c);
 }
 
-/* Before the first plan of all the others must tell whether gateways that
-   follow none were there. */
-static bool
-is_first_early(const Gateway *g, uint64_t now_ms)
-{
-    return vp_get_number(g->versions) == 0 &&
-           now_ms < g->lead_ms + FIRST_PLAN_MS;
-}
-
 /* Another one led before, and wrote no plan. */
 static bool
 was_led_without(const Gateway *g)
@@ -295,8 +284,7 @@
     if (gn_has_unplanned(g) || was_led_without(g)) {
         vp_on_unplanned(g->versions, now_ms);
     }
-    if (is_first_early(g, now_ms) || ut_lacks_versions(g->upstreams) ||
-        !may_change(g, now_ms)) {
+    if (ut_lacks_versions(g->upstreams) || !may_change(g, now_ms)) {
         return;
     }
     bool unplanned =
--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -58,7 +58,6 @@
 #define START_MS 1000
 #define NOTE_WAIT_MS 5000 /* a gateway waits so long for a leader's answer */
 #define BATCH_MS 500
-#define FIRST_PLAN_MS 1000
 
 typedef struct {
     char name[8];
@@ -142,7 +141,6 @@
     uint64_t outage_ms;
     int leader; /* -1: none */
     uint64_t elect_ms;
-    uint64_t lead_ms; /* it leads since */
     uint32_t elections;
     bool leader_read;   /* it has read the store */
     uint64_t gather_ms; /* it has the others' notes then; 0: it has them */
@@ -562,7 +560,6 @@
         if (reaches_store(s, &s->all[i])) {
             s->leader = i;
             s->leader_read = false;
-            s->lead_ms = s->now_ms;
             s->elections++;
             s->append_ms = 0;
             g_hash_table_remove_all(s->unstored); /* with its process */
@@ -681,13 +678,13 @@
         return;
     }
     find_unplanned(s, g);
-    if (s->leader_read && vp_get_number(g->vp) == 0 && s->elections > 1) {
-        vp_on_unplanned(g->vp, s->now_ms);
-    }
     if (!s->leader_read && reaches_store(s, g)) {
         take_stored(s, g, s->now_ms);
         s->leader_read = true;
     }
+    if (s->leader_read && vp_get_number(g->vp) == 0 && s->elections > 1) {
+        vp_on_unplanned(g->vp, s->now_ms);
+    }
     if (s->append_ms && s->now_ms >= s->append_ms && is_linked(s, g)) {
         finish_append(s, g);
     }
@@ -700,9 +697,7 @@
             send_frame(s, i, NULL, vp_get_number(g->vp));
         }
     }
-    bool early =
-        vp_get_number(g->vp) == 0 && s->now_ms < s->lead_ms + FIRST_PLAN_MS;
-    if (s->now_ms < s->change_ms || s->append_ms || !s->leader_read || early ||
+    if (s->now_ms < s->change_ms || s->append_ms || !s->leader_read ||
         !reaches_store(s, g)) {
         return;
     }
