--- a/tests/former_frames.c
+++ b/tests/former_frames.c
@@ -23,6 +23,7 @@
     switch (f->body_case) {
     case GWP__FRAME__BODY_HELLO:
         f->hello->plans = 0;
+        f->hello->unplanned = 0;
         break;
     case GWP__FRAME__BODY_MEMBERS:
         f->members->unplanned = 0;
