--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -250,6 +250,8 @@
         # contains DEADLY, and is back, empty if it is a model engine, after
         # ENDED_S; under its id, or under a new one (NEW_ID).
         self.deadly = b"DIE-NOW"
+        # Or one whose prompt has one of these parts, but as its last.
+        self.deadly_parts = ()
         self.rest_s = 0.03
         self.ended_s = 0.3
         self.new_id = False
@@ -427,11 +429,17 @@
         self.end(body)
         h.close_connection = True
 
+    def is_deadly(self, h, body):
+        prompt = h.headers.get("X-Prompt-Prefix", "").split(",")
+        parts = {p.split(":")[0] for p in prompt[:-1]}
+        return (self.deadly in body or self.deadly.decode() in h.path or
+                not parts.isdisjoint(self.deadly_parts))
+
     def run_request(self, h, rid, wanted, body):
         with self.lock:
             self.runs.append(rid)
             self.requests.append((h.command, h.path, dict(h.headers), body))
-        if self.deadly in body or self.deadly.decode() in h.path:
+        if self.is_deadly(h, body):
             self.run_deadly(h, rid, wanted, body)
             return
         if self.on_request and self.on_request(self, h, rid):
--- /dev/null
+++ b/tests/test_deadly_parts.py
@@ -0,0 +1,163 @@
+"""One part of a prompt ends each engine that begins an answer on it."""
+
+import functools
+import signal
+import time
+
+import pytest
+
+from cluster import wait_until
+from prompt_callers import (BAD, MAX_LATE, check, count_late, make_prompt,
+                            play, read_ends)
+from test_deadly import linked_cluster
+
+
+def make_cluster(build, engines=8, gateways=3, models=("m0", "m1"), **more):
+    return linked_cluster(build, models=(models,) * engines,
+                          gateways=gateways, **more)
+
+
+def prompt(**shape):
+    return functools.partial(make_prompt, **shape)
+
+
+def first_of_16(number, deadly):
+    return make_prompt(number, deadly, first="f%d" % (number % 16))
+
+
+def other_tokens(number, deadly):
+    return make_prompt(number, deadly).replace(
+        "%s:20" % BAD, "%s:%d" % (BAD, number % 50))
+
+
+def one_of_two(number, deadly):
+    return make_prompt(number, deadly, bad="bad%d" % (number % 2))
+
+
+# Each request with the part was taken for a new one, as no two are alike.
+@pytest.mark.parametrize("shape", [
+    {}, {"prompt": prompt(place=0)}, {"prompt": prompt(place=3, extra=1)},
+    {"prompt": first_of_16}, {"prompt": other_tokens},
+    {"models": ("m0", "m1")}, {"sound_s": 120, "deadly_s": 10},
+    {"deadly_s": 1}], ids=[
+        "third", "first", "fourth-of-five", "16-first-parts", "tokens-differ",
+        "two-models", "120-beside-10", "one-a-second"])
+def test_part_that_ends_engines(build, shape):
+    with make_cluster(build) as c:
+        callers, began = play(c, **shape)
+        check(callers, c.engines, began)
+
+
+def test_two_parts_that_end_engines(build):
+    with make_cluster(build) as c:
+        callers, began = play(c, prompt=one_of_two,
+                              deadly_parts=("bad0", "bad1"))
+        check(callers, c.engines, began)
+
+
+def test_part_that_ends_both_engines(build):
+    with make_cluster(build, engines=2) as c:
+        callers, began = play(c)
+        check(callers, c.engines, began)
+
+
+def test_part_at_seven_gateways(build):
+    with make_cluster(build, engines=12, gateways=7) as c:
+        callers, began = play(c, sound_s=40, deadly_s=12)
+        check(callers, c.engines, began)
+
+
+# An engine that had written a part of its answer was taken for sound.
+@pytest.mark.parametrize("events", [0, 2])
+def test_part_that_ends_engines_after_they_answered(build, events):
+    with make_cluster(build) as c:
+        for e in c.engines:
+            e.answer_before_end = lambda engine, h, rid: engine.stream(
+                h, rid, stop_after=events)
+        callers, began = play(c)
+        check(callers, c.engines, began)
+
+
+def test_part_that_ends_engines_slowly(build):
+    with make_cluster(build) as c:
+        for e in c.engines:
+            e.rest_s = 0.5
+        callers, began = play(c, sound_s=60)
+        check(callers, c.engines, began)
+
+
+@pytest.mark.parametrize("new_id, back_s", [(True, 1), (False, 4)])
+def test_part_while_engines_come_back(build, new_id, back_s):
+    with make_cluster(build) as c:
+        for e in c.engines:
+            e.new_id, e.ended_s = new_id, back_s
+        callers, began = play(c, deadly_s_long=6)
+        check(callers, c.engines, began)
+
+
+# What the leader knew of a part was lost with it.
+def test_part_through_a_lost_leader(build):
+    with make_cluster(build, gateways=4) as c:
+        leader = c.leader()
+        others = [g for g in c.gateways if g is not leader]
+
+        def kill():
+            leader.send(signal.SIGKILL)
+            leader.proc.wait()
+
+        c.gateways = others
+        callers, began = play(c, during=kill, deadly_s_long=9)
+        c.gateways = others + [leader]
+        check(callers, c.engines, began)
+
+
+def restart(gateways):
+    for g in gateways:
+        g.send(signal.SIGKILL)
+        g.proc.wait()
+    for g in gateways:
+        g.start()
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_part_through_restarts_of_all_gateways(build, together):
+    with make_cluster(build) as c:
+        def restart_all():
+            time.sleep(0.5)   # the lease record tells of it
+            if together:
+                restart(c.gateways)
+                return
+            for g in c.gateways:
+                restart([g])
+                wait_until(g.is_ready)
+
+        callers, began = play(c, during=restart_all, deadly_s_long=8)
+        ended = read_ends(c.engines)[-1]
+        print("last end after %.1f s" % (ended - began))
+        assert count_late(c.engines) <= MAX_LATE
+        assert callers.share(began + 5) >= 0.95
+
+
+# A part that was not seen for a while was counted anew.
+def test_part_that_comes_again(build):
+    with make_cluster(build) as c:
+        callers, began = play(c, deadly_s_long=3)
+        again, _ = play(c, warm_s=5, deadly_s_long=4)
+        callers.sent += again.sent
+        check(callers, c.engines, began)
+
+
+# Engines that end by themselves got parts that all requests share stopped.
+def test_engines_that_end_in_turn_stop_no_part(build):
+    with make_cluster(build, engines=12) as c:
+        def end_all():
+            for e in c.engines:
+                e.end()
+                time.sleep(0.25)
+
+        callers, began = play(c, during=end_all, deadly_parts=(),
+                              prompt=lambda n, _deadly: make_prompt(n, False))
+        assert len(read_ends(c.engines)) == 12
+        assert callers.share(began) >= 0.95
+        assert not any(e["what"] == "stopped" for g in c.gateways
+                       for e in g.events("suspect"))
