--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -61,6 +61,35 @@
     return XXH64(body->data, body->len, d);
 }
 
+static bool
+has_part(const SpKeys *keys, uint64_t part)
+{
+    for (uint32_t i = 0; i < keys->part_count; i++) {
+        if (keys->parts[i] == part) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The workspace is part of each key: one can't get another's prompts stopped.
+   The last part of a prompt is left out, as no other request has it. */
+static void
+list_parts(Req *q)
+{
+    const GArray *parts = q->call.parts;
+    SpKeys *keys = &q->keys;
+    uint64_t owner = digest_text(0, q->workspace ? q->workspace->name : NULL);
+    owner = digest_text(owner, q->service);
+    for (guint i = 0; parts && i + 1 < parts->len; i++) {
+        uint64_t id = g_array_index(parts, DepPart, i).id;
+        uint64_t part = XXH64(&id, sizeof(id), owner);
+        if (keys->part_count < SP_MAX_PARTS && !has_part(keys, part)) {
+            keys->parts[keys->part_count++] = part;
+        }
+    }
+}
+
 /* Answers a request that has no Req yet.  TEXT: the body. */
 static void
 refuse_unadmitted(HtExchange *x, uint16_t status, uint32_t retry_ms,
@@ -158,10 +187,11 @@
     q->tried = g_ptr_array_new();
     q->head = g_string_new(NULL);
     q->arrival_ms = ht_get_arrival_ms(x);
-    q->digest = digest_request(x, workspace);
     g->wire->read_call(ht_get_head(x), &q->call);
     q->position = po_create(q->call.resume_after);
     q->service = dep_pick_service(route, draw_service(q));
+    q->keys.request = digest_request(x, workspace);
+    list_parts(q);
     set_deadlines(q);
     fill_query(q);
     g_queue_push_tail(&g->reqs, q);
@@ -306,8 +336,8 @@
         return;
     }
     uint32_t stopped_ms;
-    if (sp_get_verdict(g->suspects, bg_boot_ms(), q->digest, &stopped_ms) ==
-        SP_STOPPED) {
+    if (sp_get_verdict(g->suspects, bg_boot_ms(), q->keys.request,
+                       &stopped_ms) == SP_STOPPED) {
         gw_stop(q, stopped_ms); /* no model is loaded for it */
         return;
     }
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -233,7 +233,7 @@
 {
     JlLine *l = jl_begin("request-broken");
     jl_text(l, "id", q->call.attempt_id);
-    gw_log_digest(l, q);
+    gw_log_keys(l, q);
     jl_text(l, "upstream", ut_get_id(q->ut));
     jl_text(l, "why", why);
     jl_number(l, "after_ms", (int64_t)(now_ms - q->sent_ms));
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -37,8 +37,9 @@
     UtQuery query;
     GPtrArray *tried; /* Ut: excluded from the choice */
     double cost;      /* charged to the workspace's limit; 0: none */
-    uint64_t digest;  /* of host, workspace, target and body: the same for each
-                         copy and retry */
+    /* Its digest is of host, workspace, target and body: the same for each
+       copy and retry. */
+    SpKeys keys;
     uint64_t arrival_ms;
     uint64_t answer_by_ms;     /* any answer is sent by then */
     uint64_t first_byte_by_ms; /* the caller leaves without a byte by then */
@@ -172,8 +173,9 @@
 void gw_append_line(GString *out, const char *name, const char *value);
 /* RETRY_MS: time until the caller may retry; 0: no header. */
 void gw_append_retry(GString *out, uint32_t retry_ms);
-/* Names the request, alike for each of its copies. */
-void gw_log_digest(JlLine *l, const Req *q);
+/* Names the request, alike for each of its copies, and the parts of its
+   prompt that it shares. */
+void gw_log_keys(JlLine *l, const Req *q);
 /* What was received of the current answer, and how its end is marked. */
 void gw_log_body(JlLine *l, const Req *q);
 void gw_log_end(const Req *q, const char *outcome, uint16_t status,
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -67,13 +67,28 @@
     }
 }
 
+static void
+log_parts(JlLine *l, const SpKeys *keys)
+{
+    if (keys->part_count == 0) {
+        return;
+    }
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (uint32_t i = 0; i < keys->part_count; i++) {
+        g_string_append_printf(text, "%s%016llx", i ? "," : "",
+                               (unsigned long long)keys->parts[i]);
+    }
+    jl_text(l, "parts", text->str);
+}
+
 void
-gw_log_digest(JlLine *l, const Req *q)
+gw_log_keys(JlLine *l, const Req *q)
 {
     char text[DIGEST_LEN + 1];
     (void)g_snprintf(text, sizeof(text), "%016llx",
-                     (unsigned long long)q->digest);
+                     (unsigned long long)q->keys.request);
     jl_text(l, "request", text);
+    log_parts(l, &q->keys);
 }
 
 void
@@ -114,7 +129,7 @@
     jl_number(l, "status", status);
     jl_text(l, "why", why);
     if (strcmp(outcome, "answered") != 0) {
-        gw_log_digest(l, q);
+        gw_log_keys(l, q);
     }
     jl_text(l, "route", q->route ? q->route->name : NULL);
     jl_text(l, "workspace", q->workspace ? q->workspace->name : NULL);
@@ -193,7 +208,8 @@
     SpTurn turn = q->turn;
     q->turn = 0;
     if (upstream && sp_release(g->suspects, turn)) {
-        g->out.run_over(g->out.ctx, q->digest, upstream, turn, SP_RUN_NONE);
+        g->out.run_over(g->out.ctx, q->keys.request, upstream, turn,
+                        SP_RUN_NONE);
     }
 }
 
@@ -251,7 +267,7 @@
     const GwOutput *out = &q->gw->out;
     SpTurn turn = q->turn;
     q->turn = 0;
-    out->run_over(out->ctx, q->digest, ut_get_id(q->ut), turn,
+    out->run_over(out->ctx, q->keys.request, ut_get_id(q->ut), turn,
                   get_run_result(q, outcome));
 }
 
--- a/src/gateway_types.h
+++ b/src/gateway_types.h
@@ -187,6 +187,7 @@
 /* ---- one request -------------------------------------------------------- */
 
 typedef struct {
+    uint64_t id;     /* of this part alone */
     uint64_t digest; /* of this part and all parts before it */
     uint32_t tokens;
 } DepPart;
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -65,6 +65,18 @@
     SP_RUN_BLAMED    /* the upstream ended after the call was cancelled */
 } SpResult;
 
+/* Of one prompt; further parts are not looked at. */
+#define SP_MAX_PARTS 64
+
+/* By what a request can be a suspect: as a whole, and by the parts of its
+   prompt that it shares with others.  A part's key differs by workspace and
+   service. */
+typedef struct {
+    uint64_t request; /* its digest */
+    uint32_t part_count;
+    uint64_t parts[SP_MAX_PARTS]; /* none twice */
+} SpKeys;
+
 /* What is known of a suspect; in frames between gateways. */
 typedef struct {
     uint64_t request;   /* its digest */
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cluster import wait_until
+from platform_cluster import ask
 from prompt_callers import (BAD, MAX_LATE, check, count_late, make_prompt,
                             play, read_ends)
 from test_deadly import linked_cluster
@@ -161,3 +162,18 @@
         assert callers.share(began) >= 0.95
         assert not any(e["what"] == "stopped" for g in c.gateways
                        for e in g.events("suspect"))
+
+
+# The log of broken requests did not tell what they had in common.
+def test_logs_name_the_parts_of_a_prompt(build):
+    with make_cluster(build, engines=3) as c:
+        for e in c.engines:
+            e.deadly_parts = (BAD,)
+        for number in range(2):
+            ask(c.gateways[number], "chat", "m0", b"body %d" % number,
+                headers={"X-Prompt-Prefix": make_prompt(number, True)})
+        broken = [e for g in c.gateways for e in g.events("request-broken")]
+        one, two = (set(next(e["parts"] for e in broken
+                             if e["request"] == request).split(","))
+                    for request in {e["request"] for e in broken})
+        assert len(one) == len(two) == 3 and len(one & two) == 2
