--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -4270,7 +4270,7 @@
   (ProtobufCMessageInit) gwp__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__run__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gwp__run__field_descriptors[5] =
 {
   {
     "request",
@@ -4320,8 +4320,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gwp__Run, n_parts),
+    offsetof(Gwp__Run, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__run__field_indices_by_name[] = {
+  4,   /* field[4] = parts */
   0,   /* field[0] = request */
   3,   /* field[3] = result */
   2,   /* field[2] = turn */
@@ -4330,7 +4343,7 @@
 static const ProtobufCIntRange gwp__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gwp__run__descriptor =
 {
@@ -4340,14 +4353,14 @@
   "Gwp__Run",
   "gwp",
   sizeof(Gwp__Run),
-  4,
+  5,
   gwp__run__field_descriptors,
   gwp__run__field_indices_by_name,
   1,  gwp__run__number_ranges,
   (ProtobufCMessageInit) gwp__run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__suspect__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gwp__suspect__field_descriptors[9] =
 {
   {
     "request",
@@ -4421,19 +4434,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Suspect, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "many",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Suspect, many),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tied",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Suspect, tied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__suspect__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   1,   /* field[1] = ends */
   4,   /* field[4] = hold_ms */
   3,   /* field[3] = late_runs */
+  7,   /* field[7] = many */
+  6,   /* field[6] = part */
   0,   /* field[0] = request */
   2,   /* field[2] = solo_ends */
+  8,   /* field[8] = tied */
 };
 static const ProtobufCIntRange gwp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gwp__suspect__descriptor =
 {
@@ -4443,7 +4495,7 @@
   "Gwp__Suspect",
   "gwp",
   sizeof(Gwp__Suspect),
-  6,
+  9,
   gwp__suspect__field_descriptors,
   gwp__suspect__field_indices_by_name,
   1,  gwp__suspect__number_ranges,
@@ -4501,7 +4553,7 @@
   (ProtobufCMessageInit) gwp__suspects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__turn_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__turn_ask__field_descriptors[6] =
 {
   {
     "vm",
@@ -4563,8 +4615,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gwp__TurnAsk, n_parts),
+    offsetof(Gwp__TurnAsk, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__turn_ask__field_indices_by_name[] = {
+  5,   /* field[5] = parts */
   4,   /* field[4] = request */
   3,   /* field[3] = run_ms */
   1,   /* field[1] = turn */
@@ -4574,7 +4639,7 @@
 static const ProtobufCIntRange gwp__turn_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__turn_ask__descriptor =
 {
@@ -4584,7 +4649,7 @@
   "Gwp__TurnAsk",
   "gwp",
   sizeof(Gwp__TurnAsk),
-  5,
+  6,
   gwp__turn_ask__field_descriptors,
   gwp__turn_ask__field_indices_by_name,
   1,  gwp__turn_ask__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -732,7 +732,7 @@
 {
   ProtobufCMessage base;
   /*
-   * digest
+   * digest; 0: only PARTS matter
    */
   uint64_t request;
   char *upstream;
@@ -741,14 +741,19 @@
    */
   uint64_t turn;
   Gwp__RunResult result;
+  /*
+   * of its prompt; RUN_ENDED: those not proved
+   */
+  size_t n_parts;
+  uint64_t *parts;
 };
 #define GWP__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__run__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, GWP__RUN_RESULT__RUN_ENDED }
+    , 0, (char *)protobuf_c_empty_string, 0, GWP__RUN_RESULT__RUN_ENDED, 0,NULL }
 
 
 /*
- * A request under which upstreams ended.
+ * A request, or a part of prompts, under which upstreams ended.
  */
 struct  Gwp__Suspect
 {
@@ -771,10 +776,22 @@
    * since the last end
    */
   uint32_t age_ms;
+  /*
+   * of prompts, not a whole request
+   */
+  protobuf_c_boolean part;
+  /*
+   * several requests with that part ended upstreams
+   */
+  protobuf_c_boolean many;
+  /*
+   * another part explains the same ends
+   */
+  protobuf_c_boolean tied;
 };
 #define GWP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__suspect__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -810,10 +827,15 @@
    */
   uint32_t run_ms;
   uint64_t request;
+  /*
+   * of its prompt, those not proved
+   */
+  size_t n_parts;
+  uint64_t *parts;
 };
 #define GWP__TURN_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__turn_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Gwp__TurnAnswer
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -395,9 +395,9 @@
 
 /* gateway_node_suspects */
 /* For GwOutput. */
-void gn_on_run(void *ctx, uint64_t request, const char *upstream, SpTurn turn,
-               SpResult result);
-void gn_on_ask_turn(void *ctx, SpTurn turn, uint64_t request,
+void gn_on_run(void *ctx, const SpKeys *keys, const char *upstream,
+               SpTurn turn, SpResult result);
+void gn_on_ask_turn(void *ctx, SpTurn turn, const SpKeys *keys,
                     const char *upstream, uint32_t run_ms);
 /* UPSTREAM is gone, can't be reached, or another process has its id. */
 void gn_on_upstream_end(Gateway *g, const char *upstream);
--- a/src/gateway_node_suspects.c
+++ b/src/gateway_node_suspects.c
@@ -21,14 +21,36 @@
     x.late_runs = row->late_runs;
     x.hold_ms = row->hold_ms;
     x.age_ms = row->age_ms;
+    x.part = row->part;
+    x.many = row->many;
+    x.tied = row->tied;
     return x;
 }
 
 static SpRow
 read_row(const Gwp__Suspect *x)
 {
-    return (SpRow){x->request,   x->ends,    x->solo_ends,
-                   x->late_runs, x->hold_ms, x->age_ms};
+    return (SpRow){.request = x->request,
+                   .ends = x->ends,
+                   .solo_ends = x->solo_ends,
+                   .late_runs = x->late_runs,
+                   .hold_ms = x->hold_ms,
+                   .age_ms = x->age_ms,
+                   .part = x->part,
+                   .many = x->many,
+                   .tied = x->tied};
+}
+
+/* Parts beyond SP_MAX_PARTS, of a newer release, are passed over. */
+static SpKeys
+read_keys(uint64_t request, const uint64_t *parts, size_t count)
+{
+    SpKeys keys = {.request = request,
+                   .part_count = (uint32_t)MIN(count, SP_MAX_PARTS)};
+    for (uint32_t i = 0; i < keys.part_count; i++) {
+        keys.parts[i] = parts[i];
+    }
+    return keys;
 }
 
 static void
@@ -87,6 +109,7 @@
                      (unsigned long long)row->request);
     JlLine *l = jl_begin("suspect");
     jl_text(l, "request", request);
+    jl_text(l, "kind", row->part ? "part" : "request");
     jl_text(l, "what",
             row->ends == 0   ? "cleared"
             : row->hold_ms   ? "stopped"
@@ -96,6 +119,7 @@
     jl_number(l, "solo_ends", row->solo_ends);
     jl_number(l, "late_runs", row->late_runs);
     jl_number(l, "stopped_ms", row->hold_ms);
+    jl_text(l, "tied", row->tied ? "yes" : NULL);
     jl_end(l);
     bg_count(row->ends == 0 ? "gateway_suspects_cleared_total"
              : row->hold_ms ? "gateway_suspects_stopped_total"
@@ -144,18 +168,6 @@
     }
 }
 
-void
-gn_tick_suspects(Gateway *g, uint64_t now_ms)
-{
-    if (gn_leads(g, now_ms) || gn_has_leader(g, now_ms)) {
-        g->led_ms = now_ms;
-    }
-    sp_on_tick(g->suspects, now_ms);
-    publish_changes(g, now_ms);
-    renew_note(g, now_ms);
-    bg_gauge("gateway_suspects", sp_count(g->suspects));
-}
-
 void
 gn_take_lease_note(Gateway *g)
 {
@@ -169,16 +181,16 @@
 /* ---- results of runs ---------------------------------------------------- */
 
 static void
-take_result(Gateway *g, uint64_t request, const char *upstream, SpTurn turn,
+take_result(Gateway *g, const SpKeys *keys, const char *upstream, SpTurn turn,
             SpResult result)
 {
     uint64_t now_ms = bg_boot_ms();
-    sp_on_result(g->suspects, now_ms, request, upstream, turn, result);
+    sp_on_result(g->suspects, now_ms, keys, upstream, turn, result);
     publish_soon(g, now_ms);
 }
 
 static void
-report_run(Gateway *g, uint64_t request, const char *upstream, SpTurn turn,
+report_run(Gateway *g, const SpKeys *keys, const char *upstream, SpTurn turn,
            SpResult result)
 {
     static const Gwp__RunResult words[] = {
@@ -188,11 +200,13 @@
         [SP_RUN_NONE] = GWP__RUN_RESULT__RUN_NONE,
         [SP_RUN_BLAMED] = GWP__RUN_RESULT__RUN_BLAMED};
     if (g->is_leader) {
-        take_result(g, request, upstream, turn, result);
+        take_result(g, keys, upstream, turn, result);
         return;
     }
     Gwp__Run r = GWP__RUN__INIT;
-    r.request = request;
+    r.request = keys->request;
+    r.n_parts = keys->part_count;
+    r.parts = (uint64_t *)keys->parts;
     r.upstream = (char *)upstream;
     r.turn = turn;
     r.result = words[result];
@@ -203,23 +217,33 @@
 }
 
 static void
-note_run(Gateway *g, uint64_t request, const char *upstream, SpTurn turn,
+note_run(Gateway *g, const SpKeys *keys, const char *upstream, SpTurn turn,
          SpResult result)
 {
     uint64_t now_ms = bg_boot_ms();
     SpRole role = g->is_leader               ? SP_LEADS
                   : gn_has_leader(g, now_ms) ? SP_FOLLOWS
                                              : SP_ALONE;
-    if (sp_on_run(g->suspects, now_ms, request, upstream, turn, result,
-                  role)) {
-        report_run(g, request, upstream, turn, result);
+    if (!sp_on_run(g->suspects, now_ms, keys, upstream, turn, result, role)) {
+        return;
+    }
+    SpKeys told = *keys;
+    if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
+        sp_copy_unproved(g->suspects, keys, &told);
     }
+    report_run(g, &told, upstream, turn, result);
 }
 
 static void
-blame(void *ctx, uint64_t request, const char *upstream)
+blame(void *ctx, const SpKeys *keys, const char *upstream)
 {
-    note_run(ctx, request, upstream, 0, SP_RUN_BLAMED);
+    note_run(ctx, keys, upstream, 0, SP_RUN_BLAMED);
+}
+
+static void
+report_proof(void *ctx, const SpKeys *keys)
+{
+    report_run(ctx, keys, "", 0, SP_RUN_ANSWERED);
 }
 
 void
@@ -229,11 +253,11 @@
 }
 
 void
-gn_on_run(void *ctx, uint64_t request, const char *upstream, SpTurn turn,
+gn_on_run(void *ctx, const SpKeys *keys, const char *upstream, SpTurn turn,
           SpResult result)
 {
     Gateway *g = ctx;
-    note_run(g, request, upstream, turn, result);
+    note_run(g, keys, upstream, turn, result);
     if (result == SP_RUN_ENDED) {
         gn_on_upstream_end(g, upstream);
     }
@@ -256,7 +280,23 @@
     if ((size_t)r->result >= G_N_ELEMENTS(results)) {
         return; /* of a newer gateway */
     }
-    take_result(g, r->request, r->upstream, r->turn, results[r->result]);
+    SpKeys keys = read_keys(r->request, r->parts, r->n_parts);
+    take_result(g, &keys, r->upstream, r->turn, results[r->result]);
+}
+
+/* ---- time -------------------------------------------------------------- */
+
+void
+gn_tick_suspects(Gateway *g, uint64_t now_ms)
+{
+    if (gn_leads(g, now_ms) || gn_has_leader(g, now_ms)) {
+        g->led_ms = now_ms;
+    }
+    sp_on_tick(g->suspects, now_ms);
+    sp_take_proofs(g->suspects, now_ms, report_proof, g);
+    publish_changes(g, now_ms);
+    renew_note(g, now_ms);
+    bg_gauge("gateway_suspects", sp_count(g->suspects));
 }
 
 /* ---- rows of other gateways --------------------------------------------- */
@@ -310,7 +350,8 @@
     uint64_t now_ms = bg_boot_ms();
     (void)sp_lift(g->suspects, now_ms, request);
     if (!g->is_leader) {
-        report_run(g, request, "", 0, SP_RUN_ANSWERED);
+        SpKeys keys = {.request = request};
+        report_run(g, &keys, "", 0, SP_RUN_ANSWERED);
     }
     publish_changes(g, now_ms);
 }
@@ -318,15 +359,19 @@
 /* ---- turns -------------------------------------------------------------- */
 
 static void
-send_ask(Gateway *g, SpTurn turn, uint64_t request, const char *upstream,
+send_ask(Gateway *g, SpTurn turn, const SpKeys *keys, const char *upstream,
          uint32_t run_ms)
 {
+    SpKeys unproved;
+    sp_copy_unproved(g->suspects, keys, &unproved);
     Gwp__TurnAsk a = GWP__TURN_ASK__INIT;
     a.vm = (char *)gn_get_text(g, "name");
     a.turn = turn;
     a.upstream = (char *)upstream;
     a.run_ms = run_ms;
-    a.request = request;
+    a.request = keys->request;
+    a.n_parts = unproved.part_count;
+    a.parts = unproved.parts;
     Gwp__Frame f = GWP__FRAME__INIT;
     f.body_case = GWP__FRAME__BODY_TURN_ASK;
     f.turn_ask = &a;
@@ -334,25 +379,25 @@
 }
 
 void
-gn_on_ask_turn(void *ctx, SpTurn turn, uint64_t request, const char *upstream,
-               uint32_t run_ms)
+gn_on_ask_turn(void *ctx, SpTurn turn, const SpKeys *keys,
+               const char *upstream, uint32_t run_ms)
 {
     Gateway *g = ctx;
     uint64_t now_ms = bg_boot_ms();
     uint32_t wait_ms = 0;
     bool granted;
     if (gn_leads(g, now_ms)) {
-        granted = sp_grant(g->suspects, now_ms, request, upstream, turn,
-                           run_ms, &wait_ms);
+        granted = sp_grant(g->suspects, now_ms, keys, upstream, turn, run_ms,
+                           &wait_ms);
     }
     else if (!g->is_leader && gn_has_leader(g, now_ms)) {
-        send_ask(g, turn, request, upstream, run_ms);
+        send_ask(g, turn, keys, upstream, run_ms);
         return;
     }
     else {
         granted =
-            sp_grant_alone(g->suspects, now_ms, request, upstream, turn,
-                           run_ms, MAX(g->led_ms, g->start_ms), &wait_ms);
+            sp_grant_alone(g->suspects, now_ms, keys, upstream, turn, run_ms,
+                           MAX(g->led_ms, g->start_ms), &wait_ms);
     }
     sp_on_turn(g->suspects, now_ms, turn, granted, wait_ms);
 }
@@ -386,8 +431,9 @@
     uint32_t wait_ms = SP_NO_LEADER_WAIT_MS;
     bool granted = false;
     if (gn_leads(g, now_ms)) {
-        granted = sp_grant(g->suspects, now_ms, a->request, a->upstream,
-                           a->turn, a->run_ms, &wait_ms);
+        SpKeys keys = read_keys(a->request, a->parts, a->n_parts);
+        granted = sp_grant(g->suspects, now_ms, &keys, a->upstream, a->turn,
+                           a->run_ms, &wait_ms);
         publish_soon(g, now_ms);
     }
     answer_ask(g, from, a, granted, wait_ms);
@@ -408,6 +454,7 @@
         gw_on_turn(g->gw, a->turn);
     }
     else if (a->granted) {
-        report_run(g, a->request, a->upstream, a->turn, SP_RUN_NONE);
+        SpKeys keys = {.request = a->request};
+        report_run(g, &keys, a->upstream, a->turn, SP_RUN_NONE);
     }
 }
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -336,8 +336,8 @@
         return;
     }
     uint32_t stopped_ms;
-    if (sp_get_verdict(g->suspects, bg_boot_ms(), q->keys.request,
-                       &stopped_ms) == SP_STOPPED) {
+    if (sp_get_verdict(g->suspects, bg_boot_ms(), &q->keys, &stopped_ms) ==
+        SP_STOPPED) {
         gw_stop(q, stopped_ms); /* no model is loaded for it */
         return;
     }
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -76,13 +76,12 @@
     /* A request starts to wait for a model: send the demand to the leader
        soon. */
     void (*demand_changed)(void *ctx);
-    /* A call is over: REQUEST is the digest of its request, TURN that of a
-       suspect, or 0. */
-    void (*run_over)(void *ctx, uint64_t request, const char *upstream,
+    /* A call is over; TURN: that of a suspect, or 0. */
+    void (*run_over)(void *ctx, const SpKeys *keys, const char *upstream,
                      SpTurn turn, SpResult result);
     /* A suspect wants a turn: answered by sp_on_turn before this returns, or
        by gw_on_turn after that. */
-    void (*ask_turn)(void *ctx, SpTurn turn, uint64_t request,
+    void (*ask_turn)(void *ctx, SpTurn turn, const SpKeys *keys,
                      const char *upstream, uint32_t run_ms);
     /* A call to UPSTREAM broke off. */
     void (*upstream_broke)(void *ctx, const char *upstream);
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -208,8 +208,7 @@
     SpTurn turn = q->turn;
     q->turn = 0;
     if (upstream && sp_release(g->suspects, turn)) {
-        g->out.run_over(g->out.ctx, q->keys.request, upstream, turn,
-                        SP_RUN_NONE);
+        g->out.run_over(g->out.ctx, &q->keys, upstream, turn, SP_RUN_NONE);
     }
 }
 
@@ -261,14 +260,25 @@
     return outcome == UT_OUTCOME_GOOD ? SP_RUN_ANSWERED : SP_RUN_LEFT;
 }
 
+/* The upstream wrote an answer on them, which is whole. */
+static bool
+proves_parts(const Req *q)
+{
+    return q->status / 100 == 2 && (!q->forwards_events || q->events > 0);
+}
+
 static void
 note_run(Req *q, UtOutcome outcome)
 {
     const GwOutput *out = &q->gw->out;
     SpTurn turn = q->turn;
     q->turn = 0;
-    out->run_over(out->ctx, q->keys.request, ut_get_id(q->ut), turn,
-                  get_run_result(q, outcome));
+    SpResult result = get_run_result(q, outcome);
+    SpKeys keys = q->keys;
+    if (result == SP_RUN_ANSWERED && !proves_parts(q)) {
+        keys.part_count = 0;
+    }
+    out->run_over(out->ctx, &keys, ut_get_id(q->ut), turn, result);
 }
 
 void
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -322,15 +322,14 @@
     Sp *suspects = q->gw->suspects;
     const GwOutput *out = &q->gw->out;
     uint32_t wait_ms;
-    q->turn =
-        sp_ask(suspects, now_ms, q->keys.request, ut_get_id(ut), &wait_ms);
+    q->turn = sp_ask(suspects, now_ms, &q->keys, ut_get_id(ut), &wait_ms);
     if (!q->turn) {
         wait_for_turn(q, now_ms, wait_ms);
         return false;
     }
     bg_count("gateway_turns_asked_total", 1);
     uint32_t run_ms = (uint32_t)(q->answer_by_ms - now_ms);
-    out->ask_turn(out->ctx, q->turn, q->keys.request, ut_get_id(ut), run_ms);
+    out->ask_turn(out->ctx, q->turn, &q->keys, ut_get_id(ut), run_ms);
     switch (sp_check(suspects, now_ms, q->turn)) {
     case SP_TURN_GRANTED:
         return use_turn(q);
@@ -350,8 +349,7 @@
 {
     Sp *suspects = q->gw->suspects;
     uint32_t wait_ms;
-    if (sp_get_verdict(suspects, now_ms, q->keys.request, &wait_ms) ==
-        SP_CLEAR) {
+    if (sp_get_verdict(suspects, now_ms, &q->keys, &wait_ms) == SP_CLEAR) {
         gw_drop_turn(q);
         return true;
     }
@@ -430,8 +428,8 @@
         return;
     }
     uint32_t stopped_ms;
-    if (sp_get_verdict(q->gw->suspects, now_ms, q->keys.request,
-                       &stopped_ms) == SP_STOPPED) {
+    if (sp_get_verdict(q->gw->suspects, now_ms, &q->keys, &stopped_ms) ==
+        SP_STOPPED) {
         gw_stop(q, stopped_ms);
         return;
     }
--- a/src/suspects_sender.c
+++ b/src/suspects_sender.c
@@ -6,6 +6,9 @@
    within this time or never. */
 #define ANSWER_LIFETIME_MS 400
 #define MAX_LEFT 256
+/* Another key may be why a turn was refused; requests without that one needn't
+   wait for it. */
+#define MAX_PART_WAIT_MS 100
 
 static SpTurn
 draw_turn(Sp *s)
@@ -24,37 +27,69 @@
 }
 
 static void
-forget_ticket(Sp *s, SpTurn turn)
+leave_row(const Sp *s, uint64_t key, SpTurn turn)
 {
-    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
-    Suspect *x = t ? sp_find_row(s, t->request) : NULL;
+    Suspect *x = sp_find_row(s, key);
     if (x && x->here == turn) {
         x->here = 0;
     }
+}
+
+static void
+leave_rows(const Sp *s, const SpKeys *keys, SpTurn turn)
+{
+    leave_row(s, keys->request, turn);
+    for (uint32_t i = 0; i < keys->part_count; i++) {
+        leave_row(s, keys->parts[i], turn);
+    }
+}
+
+static void
+forget_ticket(Sp *s, SpTurn turn)
+{
+    const Ticket *t = g_hash_table_lookup(s->tickets, &turn);
+    if (t) {
+        leave_rows(s, &t->keys, turn);
+    }
     g_hash_table_remove(s->tickets, &turn);
 }
 
-SpTurn
-sp_ask(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
-       uint32_t *wait_ms)
+/* The time until X may be asked for again here; 0: now. */
+static uint32_t
+get_ask_wait_ms(const Sp *s, const Suspect *x, uint64_t now_ms)
 {
-    Suspect *x = sp_add_row(s, request);
     const Ticket *t =
         x->here ? g_hash_table_lookup(s->tickets, &x->here) : NULL;
-    *wait_ms = SP_MIN_WAIT_MS;
     if (t && is_waited_for(t, now_ms)) {
-        return 0;
+        return SP_MIN_WAIT_MS;
+    }
+    return sp_get_time_left(x->retry_ms, now_ms);
+}
+
+SpTurn
+sp_ask(Sp *s, uint64_t now_ms, const SpKeys *keys, const char *upstream,
+       uint32_t *wait_ms)
+{
+    SuspectList l;
+    sp_list_suspects(s, keys, &l);
+    if (l.count == 0) {
+        l.rows[l.count++] = sp_add_row(s, keys->request, false);
     }
-    if (now_ms < x->retry_ms) {
-        *wait_ms = sp_get_time_left(x->retry_ms, now_ms);
+    *wait_ms = 0;
+    for (uint32_t i = 0; i < l.count; i++) {
+        *wait_ms = MAX(*wait_ms, get_ask_wait_ms(s, l.rows[i], now_ms));
+    }
+    if (*wait_ms) {
         return 0;
     }
     SpTurn turn = draw_turn(s);
     Ticket *n = g_new0(Ticket, 1);
-    n->request = request;
+    n->keys = *keys;
     n->upstream = g_strdup(upstream);
     n->asked_ms = now_ms;
-    x->here = turn;
+    for (uint32_t i = 0; i < l.count; i++) {
+        l.rows[i]->here = turn;
+    }
     int64_t *key = g_new(int64_t, 1);
     *key = (int64_t)turn;
     g_hash_table_insert(s->tickets, key, n);
@@ -72,9 +107,12 @@
         t->granted = true;
         return true;
     }
-    Suspect *x = sp_find_row(s, t->request);
-    if (x) {
-        x->retry_ms = now_ms + wait_ms;
+    SuspectList l;
+    sp_list_suspects(s, &t->keys, &l);
+    for (uint32_t i = 0; i < l.count; i++) {
+        bool part = l.rows[i]->part;
+        l.rows[i]->retry_ms =
+            now_ms + (part ? MIN(wait_ms, MAX_PART_WAIT_MS) : wait_ms);
     }
     forget_ticket(s, turn);
     return true;
@@ -116,38 +154,51 @@
 }
 
 static void
-keep_left(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream)
+keep_left(Sp *s, uint64_t now_ms, const SpKeys *keys, const char *upstream)
 {
     if (g_queue_get_length(&s->left) >= MAX_LEFT) {
         sp_free_left(g_queue_pop_head(&s->left));
     }
     Left *l = g_new0(Left, 1);
-    l->request = request;
+    l->keys = *keys;
     l->upstream = g_strdup(upstream);
     l->at_ms = now_ms;
     g_queue_push_tail(&s->left, l);
 }
 
-/* A gateway that follows makes it a suspect at once; the leader counts, as
+static void
+count_own_key(Sp *s, uint64_t now_ms, uint64_t key, bool part,
+              uint64_t request, SpRole role)
+{
+    Suspect *x = sp_add_row(s, key, part);
+    x->own = true;
+    if (role == SP_FOLLOWS && x->ends == 0) {
+        sp_count_end(s, x, now_ms, request, false, false);
+    }
+}
+
+/* A gateway that follows makes them suspects at once; the leader counts, as
    others may have reported the same end. */
 static void
-count_own(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
+count_own(Sp *s, uint64_t now_ms, const SpKeys *keys, const char *upstream,
           SpRole role, bool blamed)
 {
-    Suspect *x = sp_add_row(s, request);
-    x->own = true;
-    if (role == SP_ALONE) {
-        sp_note_end(s, now_ms, request, upstream, 0, blamed);
+    SpKeys unproved;
+    sp_copy_unproved(s, keys, &unproved);
+    count_own_key(s, now_ms, keys->request, false, keys->request, role);
+    for (uint32_t i = 0; i < unproved.part_count; i++) {
+        count_own_key(s, now_ms, unproved.parts[i], true, keys->request, role);
     }
-    else if (role == SP_FOLLOWS && x->ends == 0) {
-        sp_count_end(s, x, now_ms, false, false);
+    if (role == SP_ALONE) {
+        sp_note_ends(s, now_ms, &unproved,
+                     (RunEnd){.upstream = upstream, .blamed = blamed});
     }
 }
 
 static bool
-clear_own(Sp *s, uint64_t now_ms, uint64_t request)
+clear_own_key(Sp *s, uint64_t now_ms, uint64_t key)
 {
-    Suspect *x = sp_find_row(s, request);
+    Suspect *x = sp_find_row(s, key);
     if (!x || x->ends == 0) {
         return false;
     }
@@ -155,35 +206,49 @@
     return true;
 }
 
+static bool
+clear_own(Sp *s, uint64_t now_ms, const SpKeys *keys)
+{
+    if (s->suspects == 0) {
+        return false;
+    }
+    bool cleared = clear_own_key(s, now_ms, keys->request);
+    for (uint32_t i = 0; i < keys->part_count; i++) {
+        cleared = clear_own_key(s, now_ms, keys->parts[i]) || cleared;
+    }
+    return cleared;
+}
+
 bool
-sp_on_run(Sp *s, uint64_t now_ms, uint64_t request, const char *upstream,
+sp_on_run(Sp *s, uint64_t now_ms, const SpKeys *keys, const char *upstream,
           SpTurn turn, SpResult result, SpRole role)
 {
     if (turn) {
         forget_ticket(s, turn);
     }
     if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
-        count_own(s, now_ms, request, upstream, role, result == SP_RUN_BLAMED);
+        count_own(s, now_ms, keys, upstream, role, result == SP_RUN_BLAMED);
         return true;
     }
     if (result == SP_RUN_LEFT) {
-        keep_left(s, now_ms, request, upstream);
+        keep_left(s, now_ms, keys, upstream);
     }
     if (role == SP_LEADS) {
         return true;
     }
     if (result == SP_RUN_ANSWERED) {
-        return clear_own(s, now_ms, request);
+        sp_prove(s, now_ms, keys);
+        return clear_own(s, now_ms, keys) || turn != 0;
     }
     if (turn) {
-        sp_on_result(s, now_ms, request, upstream, turn, result);
+        sp_on_result(s, now_ms, keys, upstream, turn, result);
     }
     return turn != 0;
 }
 
 void
 sp_on_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
-                   void (*blame)(void *ctx, uint64_t request,
+                   void (*blame)(void *ctx, const SpKeys *keys,
                                  const char *upstream),
                    void *ctx)
 {
@@ -199,7 +264,7 @@
         }
         g_queue_delete_link(&s->left, l);
         if (!old) {
-            blame(ctx, x->request, upstream);
+            blame(ctx, &x->keys, upstream);
         }
         sp_free_left(x);
     }
--- a/tests/script_sp.c
+++ b/tests/script_sp.c
@@ -7,6 +7,12 @@
                                after they began, each sent PER_S times a second
      common COUNT PER_S RUN_MS COUNT requests that many callers send
      unique PER_S RUN_MS       requests that each come once
+     prompts FIRSTS SHARED SESSIONS
+                               parts of the prompts of what follows
+     parted COUNT PER_S RUN_MS requests that each come once, with one of COUNT
+                               parts that end their upstreams
+     sound PER_S RUN_MS        requests that each come once, with the others
+     from AT_S                 the load before it begins then
      leave PERCENT             of the callers, halfway through the run
      ends PER_S                upstreams that end by themselves
      all_end AT_S              all upstreams end by themselves
@@ -14,15 +20,28 @@
      kill leader|all|N AT_S DOWN_S
      restart AT_S GAP_S        all gateways, one after the other
      cut N FROM_S TO_S         from the leader; callers and upstreams stay
-     policy turns|together|count|share
-                               together: no suspect runs alone; count: no
-   turns, only the count of ends; share: no turns, and of n requests at an
-   upstream that ends each counts 1/n run SECONDS SEED          prints late
-   sends of one deadly request more than 0.6 s after the third end, by gateways
-   that heard the leader for 3 s: the most total    ends by deadly requests,
-   and how many of these there are refused  common and unique requests refused
-   as stopped, of how many longest  time for which one common request was
-   refused waited   of the requests served, 99 in 100 waited at most, ms */
+     policy turns|together|count|share|whole|ratio
+     run SECONDS SEED
+
+   Policies: together: no suspect runs alone; count: no turns, only the count
+   of ends; share: no turns, and of n requests at an upstream that ends each
+   counts 1/n; whole: prompts are not looked at; ratio: no turns, a part is
+   stopped for 10 s after three ends without an answer in between.
+
+   run prints
+     late     sends of one deadly request more than 0.6 s after the third end,
+              by gateways that heard the leader for 3 s: the most
+     total    ends by deadly requests, and how many of these there are
+     refused  others refused as stopped, of how many
+     longest  time for which one common request was refused
+     waited   of the requests served, 99 in 100 waited at most, ms
+   and, with parted requests,
+     parted   late sends with one such part, after the fifth end: the most
+     ends     ends by them, and how many parts there are
+     sound    thousandths of the sound requests that were served, of those
+              that came 1.2 s after the fifth end (or the last) or later
+     before   of those that came before the first
+     frames   to and from the leader in all */
 #include "script.h"
 #include "suspects.h"
 
@@ -40,14 +59,31 @@
 #define STOP_SHARE 1.5
 #define UPSTREAM_LEN 16
 
-typedef enum { DEADLY, COMMON, UNIQUE } Kind;
+#define PART_ENDS 5
+#define SETTLED_MS 1200
+#define RATIO_STOP_MS 10000
+/* Keys of parts, from these on. */
+#define FIRST_PARTS 1000000
+#define SHARED_PARTS 2000000
+#define SESSION_PARTS 3000000
+#define DEADLY_PARTS 4000000
 
-typedef enum { TURNS, TOGETHER, COUNT, SHARE } Policy;
+typedef enum { DEADLY, COMMON, UNIQUE, PARTED, SOUND } Kind;
+
+typedef enum { TURNS, TOGETHER, COUNT, SHARE, WHOLE, RATIO } Policy;
+
+/* A sound request. */
+typedef struct {
+    uint64_t arrival_ms;
+    bool served;
+} Sound;
 
 /* A copy of a request at a gateway. */
 typedef struct {
     Kind kind;
     uint64_t request;
+    SpKeys keys;
+    uint64_t part; /* that ends its upstream; 0: none */
     int gateway;
     uint32_t incarnation;
     uint64_t arrival_ms;
@@ -59,6 +95,7 @@
     int upstream; /* it runs there; -1: it waits */
     uint32_t upstream_life;
     uint64_t sent_ms;
+    Sound *sound; /* in Sim.sounds; NULL: its caller leaves */
     bool over;
     bool gone; /* the caller left */
 } Copy;
@@ -90,7 +127,7 @@
     int from;
     int to;
     uint32_t life; /* of the receiver */
-    uint64_t request;
+    SpKeys keys;
     char upstream[UPSTREAM_LEN];
     SpTurn turn;
     SpResult result;
@@ -116,6 +153,7 @@
     uint32_t count;
     double per_s;
     uint32_t run_ms;
+    uint64_t from_ms;
 } Load;
 
 /* What happened to one request. */
@@ -123,6 +161,10 @@
     Kind kind;
     uint32_t ends;
     uint64_t third_ms;
+    uint64_t first_ms; /* of a part: its ends up to the fifth */
+    uint64_t last_ms;
+    uint32_t since_answer; /* of a part: ends */
+    uint64_t stopped_until_ms;
     uint32_t late;
     uint64_t refused_ms; /* first refusal since it was last let through */
     uint64_t longest_ms;
@@ -136,6 +178,9 @@
     uint32_t leave_percent;
     double ends_per_s;
     bool same_id;
+    int firsts;
+    int shared;
+    int sessions;
     GArray *loads;  /* Load */
     GArray *events; /* Event */
     /* of a run */
@@ -148,8 +193,10 @@
     GPtrArray *copies; /* Copy: not over */
     GHashTable *fates; /* request -> Fate */
     GArray *waits;     /* uint32_t */
-    char *note;        /* of the lease record */
-    int leader;        /* -1: none */
+    GPtrArray *sounds; /* Sound */
+    uint64_t frame_count;
+    char *note; /* of the lease record */
+    int leader; /* -1: none */
     uint64_t lost_ms;
     uint64_t last_unique;
     uint32_t asked;
@@ -227,6 +274,7 @@
     f.at_ms = MAX(f.at_ms, *last_ms); /* a link keeps their order */
     *last_ms = f.at_ms;
     f.order = s->orders++;
+    s->frame_count++;
     f.life = s->fleet[f.to].incarnation;
     g_sequence_insert_sorted(s->frames, g_memdup2(&f, sizeof(f)),
                              compare_frames, NULL);
@@ -269,11 +317,11 @@
 }
 
 static void
-report(Sim *s, int vm, uint64_t request, const char *upstream, SpTurn turn,
+report(Sim *s, int vm, const SpKeys *keys, const char *upstream, SpTurn turn,
        SpResult result)
 {
     if (vm == s->leader) {
-        sp_on_result(s->fleet[vm].suspects, s->now_ms, request, upstream, turn,
+        sp_on_result(s->fleet[vm].suspects, s->now_ms, keys, upstream, turn,
                      result);
         publish(s);
     }
@@ -281,7 +329,7 @@
         Frame f = {.kind = TO_LEADER_RUN,
                    .from = vm,
                    .to = s->leader,
-                   .request = request,
+                   .keys = *keys,
                    .turn = turn,
                    .result = result};
         g_strlcpy(f.upstream, upstream, sizeof(f.upstream));
@@ -295,23 +343,35 @@
 } Blamed;
 
 static void
-note_run(Sim *s, int vm, uint64_t request, const char *upstream, SpTurn turn,
+note_run(Sim *s, int vm, const SpKeys *keys, const char *upstream, SpTurn turn,
          SpResult result)
 {
+    Sp *sp = s->fleet[vm].suspects;
     SpRole role = vm == s->leader     ? SP_LEADS
                   : has_leader(s, vm) ? SP_FOLLOWS
                                       : SP_ALONE;
-    if (sp_on_run(s->fleet[vm].suspects, s->now_ms, request, upstream, turn,
-                  result, role)) {
-        report(s, vm, request, upstream, turn, result);
+    if (!sp_on_run(sp, s->now_ms, keys, upstream, turn, result, role)) {
+        return;
     }
+    SpKeys told = *keys;
+    if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
+        sp_copy_unproved(sp, keys, &told);
+    }
+    report(s, vm, &told, upstream, turn, result);
+}
+
+static void
+blame(void *ctx, const SpKeys *keys, const char *upstream)
+{
+    const Blamed *b = ctx;
+    note_run(b->s, b->vm, keys, upstream, 0, SP_RUN_BLAMED);
 }
 
 static void
-blame(void *ctx, uint64_t request, const char *upstream)
+report_proof(void *ctx, const SpKeys *keys)
 {
     const Blamed *b = ctx;
-    note_run(b->s, b->vm, request, upstream, 0, SP_RUN_BLAMED);
+    report(b->s, b->vm, keys, "", 0, SP_RUN_ANSWERED);
 }
 
 static void
@@ -326,8 +386,7 @@
     }
     switch (f->kind) {
     case TO_LEADER_RUN:
-        sp_on_result(sp, s->now_ms, f->request, f->upstream, f->turn,
-                     f->result);
+        sp_on_result(sp, s->now_ms, &f->keys, f->upstream, f->turn, f->result);
         publish(s);
         break;
     case TO_LEADER_ASK: {
@@ -335,7 +394,7 @@
         a.kind = TO_VM_TURN;
         a.from = f->to;
         a.to = f->from;
-        a.granted = sp_grant(sp, s->now_ms, f->request, f->upstream, f->turn,
+        a.granted = sp_grant(sp, s->now_ms, &f->keys, f->upstream, f->turn,
                              f->run_ms, &a.wait_ms);
         publish(s);
         send_frame(s, a);
@@ -352,7 +411,7 @@
     case TO_VM_TURN:
         if (!sp_on_turn(sp, s->now_ms, f->turn, f->granted, f->wait_ms) &&
             f->granted) {
-            report(s, f->to, f->request, f->upstream, f->turn, SP_RUN_NONE);
+            report(s, f->to, &f->keys, f->upstream, f->turn, SP_RUN_NONE);
         }
         break;
     }
@@ -378,13 +437,36 @@
     return n;
 }
 
+/* An upstream ended under C. */
+static void
+count_ratio(Sim *s, const Copy *c)
+{
+    for (uint32_t i = 0; s->policy == RATIO && i < c->keys.part_count; i++) {
+        Fate *f = get_fate(s, c->keys.parts[i], PARTED);
+        f->since_answer++;
+        if (f->since_answer >= SP_STOP_ENDS) {
+            f->stopped_until_ms = s->now_ms + RATIO_STOP_MS;
+        }
+    }
+}
+
+static void
+note_part_end(Sim *s, uint64_t part)
+{
+    Fate *f = get_fate(s, part, PARTED);
+    f->ends++;
+    f->first_ms = f->ends == 1 ? s->now_ms : f->first_ms;
+    f->last_ms = f->ends <= PART_ENDS ? s->now_ms : f->last_ms;
+}
+
 static void
 break_copy(Sim *s, Copy *c, const char *upstream, uint32_t beside)
 {
     c->upstream = -1;
     c->runs++;
     get_fate(s, c->request, c->kind)->share += 1. / beside;
-    note_run(s, c->gateway, c->request, upstream, c->turn, SP_RUN_ENDED);
+    count_ratio(s, c);
+    note_run(s, c->gateway, &c->keys, upstream, c->turn, SP_RUN_ENDED);
     c->turn = 0;
 }
 
@@ -449,19 +531,25 @@
     if (s->policy == SHARE) {
         return f->share >= STOP_SHARE;
     }
+    for (uint32_t i = 0; s->policy == RATIO && i < c->keys.part_count; i++) {
+        if (s->now_ms <
+            get_fate(s, c->keys.parts[i], PARTED)->stopped_until_ms) {
+            return true;
+        }
+    }
     Sp *sp = s->fleet[c->gateway].suspects;
     if (s->policy == COUNT) {
         SpRow row = sp_get_row(sp, s->now_ms, c->request);
         return row.ends >= SP_STOP_ENDS && row.age_ms < SP_FIRST_STOP_MS;
     }
-    return sp_get_verdict(sp, s->now_ms, c->request, &wait_ms) == SP_STOPPED;
+    return sp_get_verdict(sp, s->now_ms, &c->keys, &wait_ms) == SP_STOPPED;
 }
 
 static void
 refuse(Sim *s, Copy *c, bool stopped)
 {
     c->over = true;
-    if (!stopped || c->kind == DEADLY) {
+    if (!stopped || c->kind == DEADLY || c->part) {
         return;
     }
     Fate *f = get_fate(s, c->request, c->kind);
@@ -476,8 +564,8 @@
 {
     Vm *v = &s->fleet[c->gateway];
     uint32_t wait_ms;
-    if (s->policy == COUNT || s->policy == SHARE ||
-        sp_get_verdict(v->suspects, s->now_ms, c->request, &wait_ms) ==
+    if (s->policy == COUNT || s->policy == SHARE || s->policy == RATIO ||
+        sp_get_verdict(v->suspects, s->now_ms, &c->keys, &wait_ms) ==
             SP_CLEAR) {
         return true;
     }
@@ -491,7 +579,7 @@
     }
     g_autofree char *former = g_strdup(at);
     if (c->turn && sp_release(v->suspects, c->turn)) {
-        report(s, c->gateway, c->request, former, c->turn, SP_RUN_NONE);
+        report(s, c->gateway, &c->keys, former, c->turn, SP_RUN_NONE);
     }
     char id[UPSTREAM_LEN];
     g_strlcpy(id, s->engines[u].id, sizeof(id));
@@ -500,13 +588,13 @@
         (void)g_snprintf(id, sizeof(id), "x%llu",
                          (unsigned long long)s->orders++);
     }
-    c->turn = sp_ask(v->suspects, s->now_ms, c->request, id, &wait_ms);
+    c->turn = sp_ask(v->suspects, s->now_ms, &c->keys, id, &wait_ms);
     if (!c->turn) {
         return false;
     }
     bool granted = false;
     if (c->gateway == s->leader) {
-        granted = sp_grant(v->suspects, s->now_ms, c->request, id, c->turn,
+        granted = sp_grant(v->suspects, s->now_ms, &c->keys, id, c->turn,
                            DEADLINE_MS, &wait_ms);
         publish(s);
     }
@@ -514,16 +602,16 @@
         Frame f = {.kind = TO_LEADER_ASK,
                    .from = c->gateway,
                    .to = s->leader,
-                   .request = c->request,
                    .turn = c->turn,
                    .run_ms = DEADLINE_MS};
+        sp_copy_unproved(v->suspects, &c->keys, &f.keys);
         g_strlcpy(f.upstream, id, sizeof(f.upstream));
         send_frame(s, f);
         return false;
     }
     else {
-        granted = sp_grant_alone(v->suspects, s->now_ms, c->request, id,
-                                 c->turn, DEADLINE_MS, v->led_ms, &wait_ms);
+        granted = sp_grant_alone(v->suspects, s->now_ms, &c->keys, id, c->turn,
+                                 DEADLINE_MS, v->led_ms, &wait_ms);
     }
     sp_on_turn(v->suspects, s->now_ms, c->turn, granted, wait_ms);
     if (!granted) {
@@ -552,6 +640,11 @@
     f->refused_ms = 0;
     f->late += f->ends >= 3 && s->now_ms > f->third_ms + LATE_MS &&
                is_in_touch(s, c->gateway);
+    if (c->part) {
+        Fate *p = get_fate(s, c->part, PARTED);
+        p->late += p->ends >= PART_ENDS && s->now_ms > p->last_ms + LATE_MS &&
+                   is_in_touch(s, c->gateway);
+    }
 }
 
 static void
@@ -586,26 +679,67 @@
     uint64_t took_ms = s->now_ms - c->sent_ms;
     if (c->leaves && !c->gone && took_ms >= c->run_ms / 2) {
         c->gone = true;
-        note_run(s, c->gateway, c->request, id, c->turn, SP_RUN_LEFT);
+        note_run(s, c->gateway, &c->keys, id, c->turn, SP_RUN_LEFT);
         c->turn = 0;
     }
     if (took_ms < c->run_ms) {
         return;
     }
-    if (c->kind == DEADLY) {
-        end_upstream(s, c->upstream, c->request);
+    if (c->part) {
+        note_part_end(s, c->part);
+    }
+    if (c->kind == DEADLY || c->part) {
+        end_upstream(s, c->upstream, c->part ? 0 : c->request);
         return;
     }
     c->over = true;
     if (!c->gone) {
+        if (c->sound) {
+            c->sound->served = true;
+        }
+        for (uint32_t i = 0; i < c->keys.part_count; i++) {
+            get_fate(s, c->keys.parts[i], PARTED)->since_answer = 0;
+        }
         uint32_t waited_ms = (uint32_t)(c->first_sent_ms - c->arrival_ms);
         g_array_append_val(s->waits, waited_ms);
         get_fate(s, c->request, c->kind)->share = 0;
-        note_run(s, c->gateway, c->request, id, c->turn, SP_RUN_ANSWERED);
+        note_run(s, c->gateway, &c->keys, id, c->turn, SP_RUN_ANSWERED);
         c->turn = 0;
     }
 }
 
+static void
+add_part(Sim *s, Copy *c, uint64_t from, int count)
+{
+    if (count > 0) {
+        c->keys.parts[c->keys.part_count++] =
+            from + bg_pick_random(&s->rng, (uint32_t)count);
+    }
+}
+
+static void
+add_prompt(Sim *s, Copy *c, const Load *l)
+{
+    if (l->kind != PARTED && l->kind != SOUND) {
+        return;
+    }
+    add_part(s, c, FIRST_PARTS, s->firsts);
+    add_part(s, c, SHARED_PARTS, s->shared);
+    add_part(s, c, SESSION_PARTS, s->sessions);
+    if (l->kind == PARTED) {
+        add_part(s, c, DEADLY_PARTS, (int)l->count);
+        c->part = c->keys.parts[c->keys.part_count - 1];
+    }
+    else if (!c->leaves) {
+        c->sound = g_new0(Sound, 1);
+        c->sound->arrival_ms = s->now_ms;
+        g_ptr_array_add(s->sounds, c->sound);
+    }
+    if (s->policy == WHOLE) {
+        c->keys.part_count = 0;
+    }
+}
+
 static void
 add_copy(Sim *s, const Load *l, uint64_t request)
 {
@@ -616,13 +750,15 @@
     Copy *c = g_new0(Copy, 1);
     c->kind = l->kind;
     c->request = request;
+    c->keys.request = request;
     c->gateway = vm;
     c->incarnation = s->fleet[vm].incarnation;
     c->arrival_ms = s->now_ms;
     c->run_ms = MAX(1, l->run_ms);
     c->leaves = bg_pick_random(&s->rng, 100) < s->leave_percent;
     c->upstream = -1;
-    s->asked += l->kind != DEADLY;
+    add_prompt(s, c, l);
+    s->asked += l->kind != DEADLY && l->kind != PARTED;
     g_ptr_array_add(s->copies, c);
     try_copy(s, c);
 }
@@ -632,11 +768,12 @@
 {
     for (guint i = 0; i < s->loads->len; i++) {
         const Load *l = &g_array_index(s->loads, Load, i);
-        for (uint32_t k = 0; k < l->count; k++) {
+        uint32_t count = l->kind == PARTED ? 1 : l->count;
+        for (uint32_t k = 0; s->now_ms >= l->from_ms && k < count; k++) {
             if (draw(s) < l->per_s / 1000) {
                 uint64_t fixed = (uint64_t)(i + 1) * 100000 + k;
                 add_copy(s, l,
-                         l->kind == UNIQUE ? 1e12 + ++s->last_unique : fixed);
+                         l->kind >= UNIQUE ? 1e12 + ++s->last_unique : fixed);
             }
         }
     }
@@ -658,7 +795,7 @@
             continue;
         }
         if (c->turn && sp_release(v->suspects, c->turn)) {
-            report(s, c->gateway, c->request, "", c->turn, SP_RUN_NONE);
+            report(s, c->gateway, &c->keys, "", c->turn, SP_RUN_NONE);
         }
         g_free(c);
         g_ptr_array_remove_index_fast(s->copies, i);
@@ -805,7 +942,9 @@
         bool led = i == s->leader || has_leader(s, i);
         s->fleet[i].led_ms = led ? s->now_ms : s->fleet[i].led_ms;
         if (s->now_ms % TICK_MS == 0) {
+            Blamed b = {s, i};
             sp_on_tick(s->fleet[i].suspects, s->now_ms);
+            sp_take_proofs(s->fleet[i].suspects, s->now_ms, report_proof, &b);
         }
     }
     if (s->leader >= 0 && s->now_ms % TICK_MS == 0) {
@@ -828,6 +967,8 @@
     s->fates =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     s->waits = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    s->sounds = g_ptr_array_new_with_free_func(g_free);
+    s->frame_count = 0;
     s->leader = -1;
     s->lost_ms = 0;
     s->asked = 0;
@@ -847,6 +988,47 @@
     return (gint)(*(const uint32_t *)a) - (gint)(*(const uint32_t *)b);
 }
 
+/* Thousandths of the sound requests of that time that were served. */
+static uint32_t
+get_served(const Sim *s, uint64_t from_ms, uint64_t to_ms)
+{
+    uint32_t asked = 0;
+    uint32_t served = 0;
+    for (guint i = 0; i < s->sounds->len; i++) {
+        const Sound *x = s->sounds->pdata[i];
+        if (x->arrival_ms >= from_ms && x->arrival_ms < to_ms) {
+            asked++;
+            served += x->served;
+        }
+    }
+    return asked ? served * 1000 / asked : 1000;
+}
+
+static void
+print_parts(const Sim *s)
+{
+    uint32_t late = 0;
+    uint32_t ends = 0;
+    uint32_t parts = 0;
+    uint64_t first_ms = s->now_ms;
+    uint64_t settled_ms = 0;
+    GHashTableIter it;
+    const Fate *f;
+    g_hash_table_iter_init(&it, s->fates);
+    while (g_hash_table_iter_next(&it, NULL, (gpointer *)&f)) {
+        if (f->first_ms) {
+            late = MAX(late, f->late);
+            ends += f->ends;
+            parts++;
+            first_ms = MIN(first_ms, f->first_ms);
+            settled_ms = MAX(settled_ms, f->last_ms + SETTLED_MS);
+        }
+    }
+    printf("parted %u ends %u of %u sound %u before %u frames %llu\n", late,
+           ends, parts, get_served(s, settled_ms, s->now_ms - DEADLINE_MS),
+           get_served(s, 0, first_ms), (unsigned long long)s->frame_count);
+}
+
 static void
 print_run(Sim *s)
 {
@@ -875,6 +1057,9 @@
     printf("late %u total %u of %u refused %u of %u longest %llu waited %u\n",
            late, ends, deadly, s->refused, s->asked,
            (unsigned long long)longest_ms, waited_ms);
+    if (s->sounds->len > 0) {
+        print_parts(s);
+    }
 }
 
 static void
@@ -890,6 +1075,7 @@
     g_ptr_array_free(s->copies, TRUE);
     g_hash_table_destroy(s->fates);
     g_array_free(s->waits, TRUE);
+    g_ptr_array_free(s->sounds, TRUE);
     g_clear_pointer(&s->note, g_free);
 }
 
@@ -948,7 +1134,7 @@
          const char *run_ms)
 {
     Load l = {kind, count, strtod(per_s, NULL),
-              (uint32_t)strtoul(run_ms, NULL, 10)};
+              (uint32_t)strtoul(run_ms, NULL, 10), 0};
     g_array_append_val(s->loads, l);
 }
 
@@ -977,7 +1163,8 @@
 static Policy
 read_policy(const char *word)
 {
-    static const char *const words[] = {"turns", "together", "count", "share"};
+    static const char *const words[] = {"turns", "together", "count",
+                                        "share", "whole",    "ratio"};
     for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
         if (strcmp(word, words[i]) == 0) {
             return (Policy)i;
@@ -1003,6 +1190,21 @@
     else if (strcmp(w, "unique") == 0 && count == 3) {
         add_load(s, UNIQUE, 1, words[1], words[2]);
     }
+    else if (strcmp(w, "prompts") == 0 && count == 4) {
+        s->firsts = atoi(words[1]);
+        s->shared = atoi(words[2]);
+        s->sessions = atoi(words[3]);
+    }
+    else if (strcmp(w, "parted") == 0 && count == 4) {
+        add_load(s, PARTED, (uint32_t)atoi(words[1]), words[2], words[3]);
+    }
+    else if (strcmp(w, "sound") == 0 && count == 3) {
+        add_load(s, SOUND, 1, words[1], words[2]);
+    }
+    else if (strcmp(w, "from") == 0 && count == 2 && s->loads->len > 0) {
+        g_array_index(s->loads, Load, s->loads->len - 1).from_ms =
+            read_ms(words[1]);
+    }
     else if (strcmp(w, "leave") == 0 && count == 2) {
         s->leave_percent = (uint32_t)atoi(words[1]);
     }
