Bytes that are no answer are read up to a bound

What precedes a head is read up to 128 KB in all, interim answers and blank lines counted; bodies that are skipped up to 16 MB. A late answer of 1 MB to another request still doesn't harm the next.

Virtual time: a gateway that was killed counts as in touch again only after the span for which all others have to hear the leader, also if it leads.

--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -19,6 +19,11 @@
 /* After so long without a byte from an upstream a new connection shows whether
    it is slow or out of reach. */
 #define SILENT_CALL_MS 500
+/* Interim answers, blank lines and an unfinished head in all; more than the
+   parser takes as one head. */
+#define MAX_BEFORE_HEAD_BYTES (128 * 1024)
+/* Of answers to other calls, which may come late. */
+#define MAX_SKIPPED_BYTES (16 * 1024 * 1024)
 
 void
 ht_free_call(HtCall *call)
@@ -229,10 +234,13 @@
 on_answer_head(http_parser *p)
 {
     HtConn *w = p->data;
+    w->in_body = true;
     ht_finish_head(&w->msg, p);
-    w->skipped = p->status_code / 100 == 1 || is_for_other_call(w);
+    bool interim = p->status_code / 100 == 1;
+    w->before_head_bytes = interim ? w->before_head_bytes : 0;
+    w->skipped = interim || is_for_other_call(w);
     if (w->skipped) {
-        w->reusable = w->reusable && p->status_code / 100 == 1;
+        w->reusable = w->reusable && interim;
         return PARSER_GO_ON;
     }
     bool no_body = is_head_request(w->call);
@@ -274,13 +282,18 @@
 on_answer_body(http_parser *p, const char *at, size_t len)
 {
     HtConn *w = p->data;
-    return w->skipped || take_body(w, at, len) ? 0 : -1;
+    if (w->skipped) {
+        w->skipped_bytes += len;
+        return 0;
+    }
+    return take_body(w, at, len) ? 0 : -1;
 }
 
 static int
 on_answer_end(http_parser *p)
 {
     HtConn *w = p->data;
+    w->in_body = false;
     if (!w->skipped) {
         w->got_message = true;
         w->reusable = w->reusable && http_should_keep_alive(p);
@@ -303,6 +316,9 @@
 {
     w->got_message = false;
     w->too_large = false;
+    w->in_body = false;
+    w->before_head_bytes = 0;
+    w->skipped_bytes = 0;
     w->since_ms = bg_boot_ms();
     http_parser_init(&w->parser, HTTP_RESPONSE);
     w->parser.data = w;
@@ -346,6 +362,17 @@
     }
 }
 
+/* The upstream sends bytes that are no answer, without end. */
+static bool
+sends_no_answer(HtConn *w, size_t len)
+{
+    if (!w->in_body) {
+        w->before_head_bytes += len;
+    }
+    return w->before_head_bytes > MAX_BEFORE_HEAD_BYTES ||
+           w->skipped_bytes > MAX_SKIPPED_BYTES;
+}
+
 void
 ht_parse_input(HtConn *w, const uint8_t *data, size_t len)
 {
@@ -370,7 +397,7 @@
     else if (len == 0) {
         ht_fail_conn(w, AE_CLOSED);
     }
-    else if (e != HPE_OK || w->parser.upgrade) {
+    else if (e != HPE_OK || w->parser.upgrade || sends_no_answer(w, len)) {
         ht_fail_conn(w, AE_INVALID);
     }
 }
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -29,14 +29,17 @@
     bool connecting;
     bool asking; /* the helper has not answered yet */
     bool reusable;
-    bool skipped;     /* the message being read is interim or another call's */
-    bool got_message; /* all that the answer's framing announced came */
-    bool too_large;   /* the answer has more bytes than are kept */
-    bool parsing;     /* inside the parser's callbacks */
-    bool cancelled;   /* by a handler, inside the parser's callbacks */
-    bool unframing;   /* inside the loop over a helper's frames */
-    bool closed;      /* meanwhile: freed after that loop */
-    uint32_t keep_ms; /* how long it may be idle */
+    bool skipped; /* the message being read is interim or another call's */
+    bool in_body; /* the head of the message being read is over */
+    size_t before_head_bytes; /* since the last head that is not interim */
+    size_t skipped_bytes;     /* of bodies */
+    bool got_message;  /* all that the answer's framing announced came */
+    bool too_large;    /* the answer has more bytes than are kept */
+    bool parsing;      /* inside the parser's callbacks */
+    bool cancelled;    /* by a handler, inside the parser's callbacks */
+    bool unframing;    /* inside the loop over a helper's frames */
+    bool closed;       /* meanwhile: freed after that loop */
+    uint32_t keep_ms;  /* how long it may be idle */
     uint64_t since_ms; /* idle, or opening, since */
     uint64_t
         opened_ms; /* it was open at the latest then; 0: no call used it */
--- a/tests/script_sp.c
+++ b/tests/script_sp.c
@@ -831,6 +831,7 @@
     v->down_until_ms = until_ms;
     v->linked = -1;
     v->led_ms = until_ms;
+    v->touch_ms = until_ms; /* also if it leads then */
     if (s->note) {
         sp_read_note(v->suspects, until_ms, s->note);
     }
--- a/tests/test_answer_bounds.py
+++ b/tests/test_answer_bounds.py
@@ -89,6 +89,78 @@
     assert find_end()[0]["why"] == "too large"
 
 
+class Endless:
+    """Sends BYTES again and again until the caller closes."""
+
+    def __init__(self, data, before=b""):
+        self.data, self.before, self.sent = data * 64, before, 0
+
+    def __call__(self, _engine, h, _rid):
+        h.close_connection = True
+        try:
+            h.wfile.write(self.before)
+            while True:
+                h.wfile.write(self.data)
+                self.sent += len(self.data)
+        except OSError:
+            return True
+
+
+# Interim answers without end were read until the deadline.
+@pytest.mark.parametrize("data, before", [
+    (b"HTTP/1.1 100 Continue\r\n\r\n", b""), (b"\r\n", b""),
+    (b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", b""),
+    (b"x" * 1000, b"HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\n\r\n"),
+    (b"3e8\r\n" + b"x" * 1000 + b"\r\n", b"HTTP/1.1 200 OK\r\n"
+     b"X-Attempt-Id: another\r\nTransfer-Encoding: chunked\r\n\r\n")],
+    ids=["100", "blank-lines", "103", "of-another", "chunks-of-another"])
+def test_bytes_without_end_that_are_no_answer(cluster, data, before):
+    endless = Endless(data, before)
+    set_answer(cluster, endless)
+    began = time.monotonic()
+    status, _, data, _ = ask(cluster.gateways[0], "read",
+                             body=b"request %d" % next(_bodies))
+    took_s = time.monotonic() - began
+    set_answer(cluster, None)
+    print("%.2f s, %d KB sent" % (took_s, endless.sent / KB))
+    assert (status, data) == (502, b"")
+    assert took_s < 2 and endless.sent < 64 * MB
+
+
+# A few interim answers come before the answer.
+def test_answer_behind_interim_answers_arrives(cluster):
+    raw = RawAnswer(LENGTH, AS_FRAMED, lambda _first: "whole",
+                    content_type="text/plain")
+
+    def answer(engine, h, rid):
+        h.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 20)
+        return raw(engine, h, rid)
+
+    set_answer(cluster, answer)
+    status, _, data, _ = ask(cluster.gateways[0], "read",
+                             body=b"request %d" % next(_bodies))
+    set_answer(cluster, None)
+    assert (status, data) == (200, b"whole")
+
+
+# ... or a large one that belongs to another request.
+def test_answer_behind_a_large_one_of_another_arrives(cluster):
+    raw = RawAnswer(LENGTH, AS_FRAMED, lambda _first: "whole",
+                    content_type="text/plain")
+
+    def answer(engine, h, rid):
+        h.wfile.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\n"
+                      b"Content-Length: %d\r\n\r\n" % MB + b"x" * MB)
+        time.sleep(0.1)
+        return raw(engine, h, rid)
+
+    set_answer(cluster, answer)
+    status, _, data, _ = ask(cluster.gateways[0], "read",
+                             body=b"request %d" % next(_bodies))
+    set_answer(cluster, None)
+    assert (status, data) == (200, b"whole")
+
+
 # An answer to a plain route was kept whole without a bound.
 @pytest.mark.parametrize("framing, end", [
     (CHUNKS, AS_FRAMED), (BARE, CLOSED)])
