A part is blamed for the end of a process, not for an answer that was broken off

A call that was cancelled before is blamed for its parts only by what is sure. test_answers_that_are_broken_off_stop_no_part.

--- a/src/gateway_node_suspects.c
+++ b/src/gateway_node_suspects.c
@@ -249,7 +249,7 @@
 void
 gn_on_upstream_end(Gateway *g, const char *upstream)
 {
-    sp_on_upstream_end(g->suspects, bg_boot_ms(), upstream, blame, g);
+    sp_on_upstream_end(g->suspects, bg_boot_ms(), upstream, true, blame, g);
 }
 
 void
@@ -259,7 +259,9 @@
     Gateway *g = ctx;
     note_run(g, keys, upstream, turn, result);
     if (result == SP_RUN_ENDED) {
-        gn_on_upstream_end(g, upstream);
+        bool sure = keys->part_count > 0; /* its process was asked for */
+        sp_on_upstream_end(g->suspects, bg_boot_ms(), upstream, sure, blame,
+                           g);
     }
 }
 
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -404,6 +404,30 @@
     bg_count(names[end], 1);
 }
 
+static void
+on_process_checked(void *ctx, HtLife life)
+{
+    Req *q = ctx;
+    q->check = NULL;
+    q->upstream_ended = life != HT_LIVES;
+    gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
+}
+
+/* Many requests share a part: it is blamed only if the process ended, not for
+   an answer that was broken off. */
+static void
+handle_break(Req *q)
+{
+    SpKeys unproved;
+    sp_copy_unproved(q->gw->suspects, &q->keys, &unproved);
+    if (!q->broke || unproved.part_count == 0) {
+        gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
+        return;
+    }
+    q->check = ht_check_process(q->gw->pool, ut_get_address(q->ut),
+                                on_process_checked, q);
+}
+
 void
 gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer)
 {
@@ -431,7 +455,7 @@
         gw_ask_process(q); /* so that the next stream there needn't wait */
         q->broke = ae_is_break(end);
         q->gw->out.upstream_broke(q->gw->out.ctx, ut_get_id(q->ut));
-        gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(end));
+        handle_break(q);
     }
 }
 
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -93,7 +93,7 @@
        no doubt. */
     uint64_t doubt_ms;
     GByteArray *rest; /* with doubt_ms: what followed its last event */
-    HtCheck *check;   /* whether its upstream lives; NULL: none */
+    HtCheck *check;   /* whether its upstream's process lives; NULL: none */
 
     /* the slot of a limited upstream that it waits for */
     UlTicket ticket; /* 0: none */
@@ -120,10 +120,11 @@
     bool forwards_events; /* of the current call, to the caller */
     bool streaming;       /* the head of the stream was sent */
     bool retry_counted;   /* the budget already paid for the next send */
-    bool paused; /* the current call, until the caller has read more */
-    bool broke;  /* the upstream broke off the current call */
-    bool unsent; /* the current call was cancelled before it was sent
-                  */
+    bool paused;         /* the current call, until the caller has read more */
+    bool broke;          /* the upstream broke off the current call */
+    bool upstream_ended; /* ... and its process has ended */
+    bool unsent;         /* the current call was cancelled before it was sent
+                          */
 } Req;
 
 /* The leader's estimate of when a model is loaded. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -260,7 +260,7 @@
     return outcome == UT_OUTCOME_GOOD ? SP_RUN_ANSWERED : SP_RUN_LEFT;
 }
 
-/* The upstream wrote an answer on them, which is whole. */
+/* The upstream wrote an answer on its parts, which is whole. */
 static bool
 proves_parts(const Req *q)
 {
@@ -275,7 +275,10 @@
     q->turn = 0;
     SpResult result = get_run_result(q, outcome);
     SpKeys keys = q->keys;
-    if (result == SP_RUN_ANSWERED && !proves_parts(q)) {
+    bool tells = result == SP_RUN_ANSWERED ? proves_parts(q)
+                 : result == SP_RUN_ENDED  ? q->upstream_ended
+                                           : true;
+    if (!tells) {
         keys.part_count = 0;
     }
     out->run_over(out->ctx, &keys, ut_get_id(q->ut), turn, result);
@@ -519,6 +522,7 @@
     q->last_gap_ms = 0;
     q->not_run = false;
     q->broke = false;
+    q->upstream_ended = false;
     q->unsent = false;
     q->paused = false;
     q->forwards_events = false;
--- a/src/http.h
+++ b/src/http.h
@@ -184,6 +184,10 @@
    other call that could give one. */
 HtCheck *ht_start_check(HtPool *p, const char *address, HtCheckFn done,
                         void *ctx);
+/* Finds out whether a process accepts connections at ADDRESS, a moment after
+   one to it broke.  DONE: as above. */
+HtCheck *ht_check_process(HtPool *p, const char *address, HtCheckFn done,
+                          void *ctx);
 /* DONE isn't called. */
 void ht_cancel_check(HtCheck *check);
 /* Whether any byte of the request was handed to the kernel. */
--- a/src/http_check.c
+++ b/src/http_check.c
@@ -16,7 +16,8 @@
 struct HtCheck {
     HtPool *pool;
     char *address;
-    int fd; /* -1: waits for signs */
+    int fd;           /* -1: waits */
+    bool needs_signs; /* connects only if there are any */
     ev_io watch;
     ev_timer timer;
     HtCheckFn done;
@@ -104,7 +105,8 @@
     if (check->fd >= 0) {
         finish_check(check, HT_UNKNOWN);
     }
-    else if (ht_count_ends(check->pool, check->address) > 1) {
+    else if (!check->needs_signs ||
+             ht_count_ends(check->pool, check->address) > 1) {
         connect_to(check);
     }
     else {
@@ -112,12 +114,9 @@
     }
 }
 
-HtCheck *
-ht_start_check(HtPool *p, const char *address, HtCheckFn done, void *ctx)
+static HtCheck *
+create_check(HtPool *p, const char *address, HtCheckFn done, void *ctx)
 {
-    if (!has_other_calls(p, address) && ht_count_ends(p, address) < 2) {
-        return NULL;
-    }
     HtCheck *check = g_new0(HtCheck, 1);
     check->pool = p;
     check->address = g_strdup(address);
@@ -129,3 +128,20 @@
     ev_timer_start(p->loop, &check->timer);
     return check;
 }
+
+HtCheck *
+ht_check_process(HtPool *p, const char *address, HtCheckFn done, void *ctx)
+{
+    return create_check(p, address, done, ctx);
+}
+
+HtCheck *
+ht_start_check(HtPool *p, const char *address, HtCheckFn done, void *ctx)
+{
+    if (!has_other_calls(p, address) && ht_count_ends(p, address) < 2) {
+        return NULL;
+    }
+    HtCheck *check = create_check(p, address, done, ctx);
+    check->needs_signs = true;
+    return check;
+}
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -173,8 +173,9 @@
                const char *upstream, SpTurn turn, SpResult result,
                SpRole role);
 /* UPSTREAM ended: calls BLAME for each request whose call there was cancelled
-   lately: SP_RUN_BLAMED. */
+   lately: SP_RUN_BLAMED.  Not SURE: a call broke off, which blames no part. */
 void sp_on_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
+                        bool sure,
                         void (*blame)(void *ctx, const SpKeys *keys,
                                       const char *upstream),
                         void *ctx);
--- a/src/suspects_evidence.c
+++ b/src/suspects_evidence.c
@@ -115,6 +115,9 @@
 static void
 note_request(Suspect *x, uint64_t request)
 {
+    if (request == 0) {
+        return; /* of a call that was cancelled, and counted before */
+    }
     if (x->by && x->by != request) {
         x->many = true;
     }
--- a/src/suspects_sender.c
+++ b/src/suspects_sender.c
@@ -185,7 +185,9 @@
 {
     SpKeys unproved;
     sp_copy_unproved(s, keys, &unproved);
-    count_own_key(s, now_ms, keys->request, false, keys->request, role);
+    if (keys->request) {
+        count_own_key(s, now_ms, keys->request, false, keys->request, role);
+    }
     for (uint32_t i = 0; i < unproved.part_count; i++) {
         count_own_key(s, now_ms, unproved.parts[i], true, keys->request, role);
     }
@@ -246,8 +248,25 @@
     return turn != 0;
 }
 
+/* True: nothing is left of L to be blamed. */
+static bool
+blame_left(Left *l, bool sure, const char *upstream,
+           void (*blame)(void *ctx, const SpKeys *keys, const char *upstream),
+           void *ctx)
+{
+    SpKeys keys = l->keys;
+    if (!sure) {
+        keys.part_count = 0;
+    }
+    if (keys.request || keys.part_count > 0) {
+        blame(ctx, &keys, upstream);
+    }
+    l->keys.request = 0;
+    return sure || l->keys.part_count == 0;
+}
+
 void
-sp_on_upstream_end(Sp *s, uint64_t now_ms, const char *upstream,
+sp_on_upstream_end(Sp *s, uint64_t now_ms, const char *upstream, bool sure,
                    void (*blame)(void *ctx, const SpKeys *keys,
                                  const char *upstream),
                    void *ctx)
@@ -262,10 +281,9 @@
         if (!old && !here) {
             continue;
         }
-        g_queue_delete_link(&s->left, l);
-        if (!old) {
-            blame(ctx, &x->keys, upstream);
+        if (old || blame_left(x, sure, upstream, blame, ctx)) {
+            g_queue_delete_link(&s->left, l);
+            sp_free_left(x);
         }
-        sp_free_left(x);
     }
 }
--- a/tests/script_sp.c
+++ b/tests/script_sp.c
@@ -503,7 +503,8 @@
     for (int i = 0; i < s->vms; i++) {
         Blamed b = {s, i};
         if (is_up(s, i) && (broken[i] || has_leader(s, i) || i == s->leader)) {
-            sp_on_upstream_end(s->fleet[i].suspects, s->now_ms, id, blame, &b);
+            sp_on_upstream_end(s->fleet[i].suspects, s->now_ms, id, true,
+                               blame, &b);
         }
     }
 }
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -10,6 +10,7 @@
 from platform_cluster import ask
 from prompt_callers import (BAD, MAX_LATE, check, count_late, make_prompt,
                             play, read_ends)
+from raw_answers import BARE, RESET, RawAnswer, event
 from test_deadly import linked_cluster
 
 
@@ -177,3 +178,18 @@
                              if e["request"] == request).split(","))
                     for request in {e["request"] for e in broken})
         assert len(one) == len(two) == 3 and len(one & two) == 2
+
+
+# Answers that were broken off got a part that all requests share stopped, though
+# no engine had ended.
+def test_answers_that_are_broken_off_stop_no_part(build):
+    with make_cluster(build, engines=4) as c:
+        for e in c.engines:
+            e.on_request = RawAnswer(BARE, RESET, lambda _first: event(0))
+        for number in range(20):
+            status, *_ = ask(c.gateways[number % 3], "sum", "m0",
+                             b"body %d" % number, headers={
+                                 "X-Prompt-Prefix": make_prompt(number, False)})
+            assert status != 503
+        assert not any(e["kind"] == "part" for g in c.gateways
+                       for e in g.events("suspect"))
