--- a/tests/script_sp.c
+++ b/tests/script_sp.c
@@ -1203,7 +1203,8 @@
     else if (strcmp(w, "sound") == 0 && count == 3) {
         add_load(s, SOUND, 1, words[1], words[2]);
     }
-    else if (strcmp(w, "from") == 0 && count == 2 && s->loads->len > 0) {
+    else if (strcmp(w, "from") == 0 && count == 2 && s->loads &&
+             s->loads->len > 0) {
         g_array_index(s->loads, Load, s->loads->len - 1).from_ms =
             read_ms(words[1]);
     }
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,6 +7,8 @@
     soak.py ... --limits       upstreams also name limits on requests
     soak.py ... --cuts         gateways also lose their paths to upstreams
     soak.py ... --deadly       some requests end each upstream that runs them
+    soak.py ... --parts        some parts of prompts end each engine that begins
+                               an answer on them
     soak.py ... --framings     upstreams answer in any framing and break off
     soak.py ... --versions     engines change their software version, and
                                callers take up streams at other gateways;
@@ -56,6 +58,8 @@
 # gateways that had no fault for CONTACT_S.
 ENDS = 3
 MAX_LATE = 3
+# Of a part of prompts it counts from the fifth end on.
+PART_ENDS = 5
 CONTACT_S = 3
 DEADLY_EVERY_S = 0.1   # between two copies of one such request
 
@@ -65,13 +69,15 @@
 
 class Soak:
     def __init__(self, build, seed, limits=False, cuts=False, deadly=False,
-                 framings=False, versions=False, keep_models=False):
+                 framings=False, versions=False, keep_models=False,
+                 parts=False):
         self.limits = limits
         self.keep_models = keep_models   # of engines that are back in place
         self.release = 1 if versions else 0   # the newest software version
         self.streams = []   # over their callers' tries
         self.answer = self.answer_raw if framings else None
         self.deadly = deadly
+        self.parts = parts
         self.deadly_threads = []
         self.deadly_copies = {}   # body -> {request id: gateway}
         self.disturbed = []       # [gateway or None for all, begin, end]
@@ -341,6 +347,34 @@
         self.deadly_threads[-1].start()
         return lambda: None
 
+    def fault_part(self):
+        """Requests with a part that ends each engine come until the end of the
+        run, no two alike."""
+        part = "bad%d" % len(self.deadly_copies)
+        copies = self.deadly_copies[part.encode()] = {}
+        for e in self.engines:
+            e.deadly_parts = (*e.deadly_parts, part)
+        self.deadly_threads.append(threading.Thread(
+            target=self.send_part, args=(part, copies,
+                                         self.rng.getrandbits(32))))
+        self.deadly_threads[-1].start()
+        return lambda: None
+
+    def send_part(self, part, copies, seed):
+        rng = random.Random(seed)
+        while not self.stopping:
+            g = rng.choice(self.gateways)
+            rid = "%016x" % rng.getrandbits(64)
+            copies[rid] = g
+            prompt = "aa:50,%s:20,%s:10" % (part, rid)
+            try:
+                ask(g, rng.choice(["chat", "sum"]), "m%d" % rng.randint(0, 1),
+                    rid=rid, body=b"%s of %s" % (rid.encode(), part.encode()),
+                    deadline_ms=2000, headers={"X-Prompt-Prefix": prompt})
+            except (OSError, http.client.HTTPException):
+                pass   # what it gets does not matter
+            time.sleep(DEADLY_EVERY_S)
+
     def send_deadly(self, body, copies, kind, seed):
         rng = random.Random(seed)
         while not self.stopping:
@@ -499,14 +533,15 @@
                     break
 
     def check_deadly(self):
+        first = PART_ENDS if self.parts else ENDS
         for body, copies in self.deadly_copies.items():
             ends = sorted(at for e in self.apps + self.engines
-                          for at, by in e.ends_by if by == body)
-            if len(ends) < ENDS:
+                          for at, by in e.ends_by if by and by.endswith(body))
+            if len(ends) < first:
                 continue
             late = [at for e in self.apps + self.engines
-                    for at, rid, by in e.deadly_copies if by == body and
-                    at > ends[ENDS - 1] + CONTACT_S and
+                    for at, rid, by in e.deadly_copies if by.endswith(body) and
+                    at > ends[first - 1] + CONTACT_S and
                     self.is_in_touch(copies[rid], at)]
             print("    %s: %d ends, %d late" % (body.decode(), len(ends),
                                                 len(late)))
@@ -567,6 +602,8 @@
             faults += [self.fault_release] * 4
         if self.deadly:
             faults += [self.fault_deadly]
+        if self.parts:
+            faults += [self.fault_part]
         until = time.monotonic() + seconds
         pending = []
         while time.monotonic() < until:
@@ -618,7 +655,7 @@
 
 def run_seed(build, seed, args):
     soak = Soak(build, seed, args.limits, args.cuts, args.deadly,
-                args.framings, args.versions, args.keep_models)
+                args.framings, args.versions, args.keep_models, args.parts)
     try:
         soak.run(args.seconds)
     finally:
@@ -647,6 +684,7 @@
     parser.add_argument("--limits", action="store_true")
     parser.add_argument("--cuts", action="store_true")
     parser.add_argument("--deadly", action="store_true")
+    parser.add_argument("--parts", action="store_true")
     parser.add_argument("--framings", action="store_true")
     parser.add_argument("--versions", action="store_true")
     parser.add_argument("--keep-models", action="store_true")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,9 @@
 VERSION_SEEDS = [1, 2, 3]
 
 
+PART_SEEDS = [1, 3]
+
+
 def run_soak(build, seed, *more):
     r = subprocess.run(
         ["/usr/bin/python3", os.path.join(HERE, "soak.py"), "--build", build,
@@ -58,3 +61,9 @@
 @pytest.mark.parametrize("seed", VERSION_SEEDS)
 def test_soak_seed_with_versions(build, seed):
     run_soak(build, seed, "--seconds", "12", "--versions")
+
+
+# With parts of prompts that end each engine that begins an answer on them.
+@pytest.mark.parametrize("seed", PART_SEEDS)
+def test_soak_seed_with_parts(build, seed):
+    run_soak(build, seed, "--seconds", "14", "--parts")
