A request whose upstream's process is being asked for counts as run

test_answer_while_the_process_is_asked_for: 503 for a stream that had run, when its time was over in the 10 ms in which the gateway asks whether the process has ended; red before.

--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -242,15 +242,20 @@
     jl_end(l);
 }
 
-void
-gw_handle_failure(Req *q, UtOutcome outcome, const char *why)
+static void
+count_run(Req *q)
 {
-    uint64_t now_ms = bg_boot_ms();
-    Ut *ut = q->ut;
     q->sends++;
     q->runs++;
+}
+
+/* Its call failed, and is counted. */
+static void
+fail_over(Req *q, UtOutcome outcome, const char *why)
+{
+    uint64_t now_ms = bg_boot_ms();
     log_broken(q, now_ms, why);
-    g_ptr_array_add(q->tried, ut);
+    g_ptr_array_add(q->tried, q->ut);
     gw_finish_call(q, outcome);
     if (!may_run_again(q, now_ms)) {
         gw_give_up(q, 0, why);
@@ -259,6 +264,13 @@
     gw_try_send(q);
 }
 
+void
+gw_handle_failure(Req *q, UtOutcome outcome, const char *why)
+{
+    count_run(q);
+    fail_over(q, outcome, why);
+}
+
 /* The upstream answered 5xx.  A request that may run again is sent to another
    upstream.  The answer is kept, and forwarded if no other upstream answers.
  */
@@ -410,7 +422,7 @@
     Req *q = ctx;
     q->check = NULL;
     q->upstream_ended = life != HT_LIVES;
-    gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
+    fail_over(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
 }
 
 /* Many requests share a part: it is blamed only if the process ended, not for
@@ -424,6 +436,8 @@
         gw_handle_failure(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
         return;
     }
+    count_run(q); /* it may be answered before the check is over */
+    q->paused = false;
     q->check = ht_check_process(q->gw->pool, ut_get_address(q->ut),
                                 on_process_checked, q);
 }
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import subprocess
+import threading
 import time
 
 import pytest
@@ -261,3 +262,24 @@
         wait_until(lambda: any(e.models for e in c.engines))
         assert send(1001, "beta") == 200
         assert send(1002, "alpha") == 503
+
+
+# A request whose time was over while its upstream's process was asked for was
+# answered 503, though it had run.
+def test_answer_while_the_process_is_asked_for(build):
+    with make_cluster(build, engines=4) as c:
+        breaks_s = iter(0.405 + 0.001 * (i % 16) for i in range(32))
+        lock = threading.Lock()
+
+        def break_off(_engine, h, _rid):
+            with lock:
+                after_s = next(breaks_s)
+            time.sleep(after_s)
+            h.close_connection = True
+            return True
+
+        for e in c.engines:
+            e.on_request = break_off
+        answers = [ask(c.gateways[i % 3], "sum", "m0", b"body %d" % i,
+                       deadline_ms=500)[0] for i in range(32)]
+        assert set(answers) <= {502, 504}
