--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -246,6 +246,10 @@
         self.rejected = []      # times
         self.falls = []         # times
         self.down_s = 1.5       # from a fall until it is back
+        # f(engine, handler, id), called for each request before it is run;
+        # True: it was turned away.
+        self.on_arrival = None
+        self.extra_headers = {}   # of all its answers
         # Its process ends REST_S after it began to run a request whose body
         # contains DEADLY, and is back, empty if it is a model engine, after
         # ENDED_S; under its id, or under a new one (NEW_ID).
@@ -300,7 +304,8 @@
         elif path == "/report":
             self.reports += 1
             h.reply(200, dict(self.entry(), sequence=self.sequence,
-                              busy=self.busy, queued=0, active=0, coming=[]))
+                              busy=self.busy, queued=0, active=0, coming=[]),
+                    dict(self.extra_headers))
         elif path == "/order":
             self.order(h, json.loads(body))
         else:
@@ -312,7 +317,7 @@
                                 o["fence_token"], o["op_type"], o["model"],
                                 o.get("adapter")))
             if self.busy or o.get("expect", self.sequence) != self.sequence:
-                h.reply(409, {})
+                h.reply(409, {}, dict(self.extra_headers))
                 return
             self.sequence += 1
             if o["op_type"] == "load" and not o.get("adapter"):
@@ -336,7 +341,7 @@
             h.close_connection = True
         else:
             done = o["op_type"] == "unload" and o.get("adapter")
-            h.reply(200 if done else 202, {})
+            h.reply(200 if done else 202, {}, dict(self.extra_headers))
 
     def finish_load(self, model):
         with self.lock:
@@ -350,6 +355,7 @@
             not adapter or adapter in self.models[model])
 
     def add_limit(self, headers):
+        headers.update(self.extra_headers)
         if self.rate_limit is not None:
             headers["Server-Limit"] = self.rate_limit
         if self.brittle is not None:
@@ -384,6 +390,8 @@
         if self.models is not None and wanted and not self.is_loaded(wanted):
             h.reply(421, {}, self.add_limit({"X-Attempt-Id": rid}))
             return
+        if self.on_arrival and self.on_arrival(self, h, rid):
+            return
         if self.brittle is not None and self.turn_away(h, rid):
             return
         try:
