--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2212,6 +2212,51 @@
   assert(message->base.descriptor == &gwp__note_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__resting__init
+                     (Gwp__Resting         *message)
+{
+  static const Gwp__Resting init_value = GWP__RESTING__INIT;
+  *message = init_value;
+}
+size_t gwp__resting__get_packed_size
+                     (const Gwp__Resting *message)
+{
+  assert(message->base.descriptor == &gwp__resting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__resting__pack
+                     (const Gwp__Resting *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__resting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__resting__pack_to_buffer
+                     (const Gwp__Resting *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__resting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Resting *
+       gwp__resting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Resting *)
+     protobuf_c_message_unpack (&gwp__resting__descriptor,
+                                allocator, len, data);
+}
+void   gwp__resting__free_unpacked
+                     (Gwp__Resting *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__resting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -5822,7 +5867,84 @@
   (ProtobufCMessageInit) gwp__note_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[35] =
+static const ProtobufCFieldDescriptor gwp__resting__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Resting, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Resting, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Resting, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rest_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Resting, rest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__resting__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  3,   /* field[3] = rest_ms */
+  1,   /* field[1] = upstream */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange gwp__resting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gwp__resting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Resting",
+  "Resting",
+  "Gwp__Resting",
+  "gwp",
+  sizeof(Gwp__Resting),
+  4,
+  gwp__resting__field_descriptors,
+  gwp__resting__field_indices_by_name,
+  1,  gwp__resting__number_ranges,
+  (ProtobufCMessageInit) gwp__resting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[36] =
 {
   {
     "hello",
@@ -6244,6 +6366,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resting",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, resting),
+    &gwp__resting__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -6267,6 +6401,7 @@
   31,   /* field[31] = note_ask */
   2,   /* field[2] = placement */
   16,   /* field[16] = placement_wanted */
+  35,   /* field[35] = resting */
   4,   /* field[4] = run */
   20,   /* field[20] = slot_answer */
   19,   /* field[19] = slot_ask */
@@ -6285,7 +6420,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -6295,7 +6430,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  35,
+  36,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -64,6 +64,7 @@
 typedef struct Gwp__StreamNotes Gwp__StreamNotes;
 typedef struct Gwp__NoteAsk Gwp__NoteAsk;
 typedef struct Gwp__NoteAnswer Gwp__NoteAnswer;
+typedef struct Gwp__Resting Gwp__Resting;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -1175,6 +1176,31 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Towards the leader: an upstream asked a gateway for rest.
+ */
+struct  Gwp__Resting
+{
+  ProtobufCMessage base;
+  /*
+   * that it asked
+   */
+  char *vm;
+  char *upstream;
+  /*
+   * of the process that asked
+   */
+  uint64_t born_ms;
+  /*
+   * from now on
+   */
+  uint64_t rest_ms;
+};
+#define GWP__RESTING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__resting__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -1211,7 +1237,8 @@
   GWP__FRAME__BODY_NOTE_ASK = 32,
   GWP__FRAME__BODY_NOTE_ANSWER = 33,
   GWP__FRAME__BODY_SLOT_OVER = 34,
-  GWP__FRAME__BODY_SLOT_HELD = 35
+  GWP__FRAME__BODY_SLOT_HELD = 35,
+  GWP__FRAME__BODY_RESTING = 36
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -1255,6 +1282,7 @@
     Gwp__NoteAnswer *note_answer;
     Gwp__SlotOver *slot_over;
     Gwp__SlotHeld *slot_held;
+    Gwp__Resting *resting;
   };
 };
 #define GWP__FRAME__INIT \
@@ -2193,6 +2221,25 @@
 void   gwp__note_answer__free_unpacked
                      (Gwp__NoteAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Resting methods */
+void   gwp__resting__init
+                     (Gwp__Resting         *message);
+size_t gwp__resting__get_packed_size
+                     (const Gwp__Resting   *message);
+size_t gwp__resting__pack
+                     (const Gwp__Resting   *message,
+                      uint8_t             *out);
+size_t gwp__resting__pack_to_buffer
+                     (const Gwp__Resting   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Resting *
+       gwp__resting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__resting__free_unpacked
+                     (Gwp__Resting *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -2361,6 +2408,9 @@
 typedef void (*Gwp__NoteAnswer_Closure)
                  (const Gwp__NoteAnswer *message,
                   void *closure_data);
+typedef void (*Gwp__Resting_Closure)
+                 (const Gwp__Resting *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -2421,6 +2471,7 @@
 extern const ProtobufCMessageDescriptor gwp__stream_notes__descriptor;
 extern const ProtobufCMessageDescriptor gwp__note_ask__descriptor;
 extern const ProtobufCMessageDescriptor gwp__note_answer__descriptor;
+extern const ProtobufCMessageDescriptor gwp__resting__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -11,6 +11,7 @@
                            gateways
      gateway_node_limits   limits that upstreams name, and slots for them
      gateway_node_rooms    slots of brittle upstreams
+     gateway_node_notices  upstreams that ask for rest, or say that they leave
      gateway_node_suspects requests under which upstreams ended, and turns
                            for them
      gateway_node_detours  paths to upstreams, and detours by way of other
@@ -126,6 +127,7 @@
     Rb *budget;
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
+    Un *notices;
     Ur *rooms;            /* of brittle upstreams */
     GArray *room_answers; /* GnRoomAnswer: to requests of this gateway */
     Sp *suspects;
@@ -377,6 +379,14 @@
 void gn_report_upstream_limits(Gateway *g);
 void gn_tick_upstream_limits(Gateway *g, uint64_t now_ms);
 
+/* gateway_node_notices */
+/* UPSTREAM's answer to what was sent at SENT_MS says NOTICE. */
+void gn_on_notice(void *ctx, const DepUpstream *upstream, uint64_t sent_ms,
+                  const UnNotice *notice);
+/* From a linked gateway. */
+void gn_take_resting(Gateway *g, const Gwp__Frame *frame);
+void gn_tick_notices(Gateway *g, uint64_t now_ms);
+
 /* gateway_node_rooms */
 /* False: UPSTREAM isn't brittle, so a slot of its room isn't needed. */
 bool gn_ask_room(Gateway *g, const char *upstream, const UrAsk *ask);
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -352,6 +352,7 @@
     send_state(g, NULL, now_ms, gateways);
     rb_on_gateways(g->budget, now_ms, gateways);
     ul_on_fleet(g->upstream_limits, now_ms, gateways);
+    un_on_gateways(g->notices, gateways);
     if (g->is_leader) {
         vp_on_gateways(g->versions, now_ms, gn_count_linked(g) + 1);
         gw_on_leader(g->gw, now_ms, ls_get_order_delay_ms(g->lease, now_ms));
@@ -567,6 +568,7 @@
     }
     rb_on_gateways(g->budget, now_ms, s->gateways);
     ul_on_fleet(g->upstream_limits, now_ms, s->gateways);
+    un_on_gateways(g->notices, s->gateways);
     vp_on_gateways(g->versions, now_ms, s->gateways);
     gn_on_config_version(g, now_ms, s->config_version);
     if (s->informed && g->behind_ms == 0) {
@@ -741,6 +743,9 @@
     case GWP__FRAME__BODY_PLACEMENT_WANTED:
         gn_resend_placement(g, from, f->placement_wanted->upstream);
         break;
+    case GWP__FRAME__BODY_RESTING:
+        gn_take_resting(g, f);
+        break;
     case GWP__FRAME__BODY_UNREACHED:
         gn_report_suspicion(g, f->unreached->upstream);
         break;
--- a/src/gateway_node_orders.c
+++ b/src/gateway_node_orders.c
@@ -45,14 +45,20 @@
     bool unload;
     bool from_store;
     uint64_t sequence;
+    uint64_t sent_ms;
     char *model;
     char *adapter;
 } OrderCtx;
 
 static void
-on_order_result(void *ctx, MpOrderResult result, uint16_t status)
+on_order_result(void *ctx, MpOrderResult result, uint16_t status,
+                const UnNotice *notice)
 {
     OrderCtx *o = ctx;
+    const Ut *ut = ut_find(o->g->upstreams, o->upstream);
+    if (ut) {
+        gn_on_notice(o->g, ut_get_entry(ut), o->sent_ms, notice);
+    }
     JlLine *l = jl_begin("order-end");
     jl_text(l, "upstream", o->upstream);
     jl_text(l, "op", o->unload ? "unload" : "load");
@@ -81,6 +87,7 @@
     o->unload = order->unload;
     o->from_store = order->from_store;
     o->sequence = order->sequence;
+    o->sent_ms = bg_boot_ms();
     o->model = g_strdup(order->model);
     o->adapter = g_strdup(order->adapter);
     pf_send_order(g->pool, order, gn_get_text(g, "name"),
@@ -90,6 +97,8 @@
 typedef struct {
     Gateway *g;
     char *upstream;
+    uint64_t born_ms;
+    uint64_t sent_ms;
 } ReportCtx;
 
 static void
@@ -126,10 +135,24 @@
     jl_end(l);
 }
 
+/* REPORT: that of the process that answered, or NULL. */
+static void
+note_reported(const ReportCtx *a, const DepUpstream *report,
+              const UnNotice *notice)
+{
+    uint64_t born_ms =
+        report && report->born_ms ? report->born_ms : a->born_ms;
+    const Ut *ut = ut_find(a->g->upstreams, a->upstream);
+    if (ut && ut_get_entry(ut)->born_ms == born_ms) {
+        gn_on_notice(a->g, ut_get_entry(ut), a->sent_ms, notice);
+    }
+}
+
 static void
-on_report(void *ctx, DepUpstream *report)
+on_report(void *ctx, DepUpstream *report, const UnNotice *notice)
 {
     ReportCtx *a = ctx;
+    note_reported(a, report, notice);
     log_report(a->upstream, report);
     mp_on_report(a->g->placement, bg_boot_ms(), a->upstream, report);
     dep_destroy_upstream(report);
@@ -143,6 +166,8 @@
     ReportCtx *a = g_new0(ReportCtx, 1);
     a->g = ctx;
     a->upstream = g_strdup(of->id);
+    a->born_ms = of->born_ms;
+    a->sent_ms = bg_boot_ms();
     pf_fetch_report(a->g->pool, of, on_report, a);
 }
 
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -308,8 +308,9 @@
 } ProcessCtx;
 
 static void
-on_process_report(void *ctx, DepUpstream *report)
+on_process_report(void *ctx, DepUpstream *report, const UnNotice *notice)
 {
+    (void)notice; /* it is read from the answers that are in doubt */
     ProcessCtx *c = ctx;
     uint64_t born_ms = report ? report->born_ms : 0;
     dep_destroy_upstream(report);
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -515,6 +515,9 @@
 gw_on_tick(Gw *g, uint64_t now_ms)
 {
     refuse_early(g, now_ms);
+    if (un_has_rests(g->notices)) {
+        gw_try_rested(g);
+    }
     GList *next;
     for (GList *l = g->reqs.head; l; l = next) {
         next = l->next;
@@ -706,13 +709,15 @@
     g->params = *params;
     g->wire = wire;
     g->out = *out;
-    g->handler = (HtCallHandler){NULL, gw_on_call_head, gw_on_call_bytes,
-                                 gw_on_call_event, gw_on_call_end};
+    g->handler = (HtCallHandler){
+        NULL,           gw_on_call_head, gw_on_call_bytes, gw_on_call_event,
+        gw_on_call_end, gw_may_write};
     g->pool = pool;
     g->upstreams = cores->upstreams;
     g->budget = cores->budget;
     g->limits = cores->limits;
     g->upstream_limits = cores->upstream_limits;
+    g->notices = cores->notices;
     g->suspects = cores->suspects;
     g->versions = cores->versions;
     g->notes = cores->notes;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -22,6 +22,7 @@
 #include "stream_notes.h"
 #include "suspects.h"
 #include "upstream_limits.h"
+#include "upstream_notices.h"
 #include "upstream_room.h"
 #include "upstream_table.h"
 #include "version_plan.h"
@@ -59,6 +60,8 @@
     void (*read_limit)(const HtHead *head, UlNamed *out);
     /* GW_BRITTLE: PER_S is what it says. */
     GwBrittle (*read_brittle)(const HtHead *head, double *per_s);
+    /* Its text is borrowed from HEAD. */
+    void (*read_notice)(const HtHead *head, UnNotice *out);
 } GwWire;
 
 typedef struct {
@@ -93,6 +96,9 @@
     /* What an answer says of its upstream's limit. */
     void (*upstream_named)(void *ctx, const char *upstream,
                            const UlNamed *named);
+    /* UPSTREAM's answer to a request sent at SENT_MS says NOTICE. */
+    void (*upstream_noticed)(void *ctx, const DepUpstream *upstream,
+                             uint64_t sent_ms, const UnNotice *notice);
     /* A request wants a slot of UPSTREAM within MAX_WAIT_MS: answered by
        ul_on_slot before this returns, or by gw_on_slot later.  It is done
        there in HOLD_MS. */
@@ -126,6 +132,7 @@
     Rb *budget;
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
+    Un *notices;
     Sp *suspects;
     Vp *versions;
     Sn *notes; /* of streams */
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -49,6 +49,29 @@
     out->upstream_named(out->ctx, ut_get_id(q->ut), &named);
 }
 
+/* The answer 421 may be of another process at the same address. */
+static void
+note_notice(const Req *q, const HtHead *head)
+{
+    const GwOutput *out = &q->gw->out;
+    UnNotice notice;
+    if (head->status == 421) {
+        return;
+    }
+    q->gw->wire->read_notice(head, &notice);
+    out->upstream_noticed(out->ctx, ut_get_entry(q->ut), q->sent_ms, &notice);
+}
+
+bool
+gw_may_write(void *ctx, HtCall *call)
+{
+    (void)call;
+    Req *q = ctx;
+    UnProcess u = ut_get_process(q->ut);
+    q->held_back = !un_may_write(q->gw->notices, bg_boot_ms(), &u);
+    return !q->held_back;
+}
+
 void
 gw_on_call_head(void *ctx, HtCall *call, const HtHead *head)
 {
@@ -70,6 +93,7 @@
         ut_note_load(q->ut, now_ms, load.running, load.waiting);
     }
     note_limit(q, head);
+    note_notice(q, head);
     if (!q->streaming) {
         copy_headers(head, q->head);
     }
@@ -193,6 +217,15 @@
            now_ms + MIN_RETRY_MS < q->answer_by_ms;
 }
 
+/* 0: the upstream doesn't rest. */
+static uint64_t
+get_rest_ms(const Req *q, uint64_t now_ms)
+{
+    UnProcess u = ut_get_process(q->ut);
+    uint64_t end_ms = un_get_rest_end_ms(q->gw->notices, now_ms, &u);
+    return end_ms ? end_ms - now_ms : 0;
+}
+
 static void
 log_not_run(const Req *q, uint64_t now_ms)
 {
@@ -204,6 +237,10 @@
     jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - q->sent_ms));
     jl_text(l, "model", q->query.model);
     jl_text(l, "adapter", q->query.adapter);
+    uint64_t rest_ms = get_rest_ms(q, now_ms);
+    if (rest_ms) {
+        jl_number(l, "rest_ms", (int64_t)rest_ms);
+    }
     jl_end(l);
 }
 
@@ -215,7 +252,12 @@
     Ut *ut = q->ut;
     bool other = q->status == 421;
     log_not_run(q, now_ms);
-    if (q->query.model && (other || q->status == 503)) {
+    if (!other && get_rest_ms(q, now_ms)) {
+        /* Its wish says when it may be chosen again. */
+        q->rested_ms = ut_get_rested_ms(ut, now_ms);
+        gw_finish_call(q, UT_OUTCOME_NEUTRAL);
+    }
+    else if (q->query.model && (other || q->status == 503)) {
         /* It lacks the model, or an order for that model is in progress. */
         ut_note_absent(q->gw->upstreams, ut, now_ms, q->query.model,
                        q->query.adapter);
@@ -308,6 +350,17 @@
     bg_count("gateway_not_connected_total", 1);
 }
 
+/* Its upstream asked for rest, or said that it leaves, while it waited for a
+   connection. */
+static void
+handle_held_back(Req *q)
+{
+    q->unsent = true;
+    gw_finish_call(q, UT_OUTCOME_NEUTRAL);
+    q->retry_counted = q->sends > 0; /* the retry never left this process */
+    gw_try_send(q);
+}
+
 static void
 handle_not_sent(Req *q)
 {
@@ -456,7 +509,10 @@
         return;
     }
     gw_drop_held(q);
-    if (end == AE_NOT_SENT) {
+    if (end == AE_NOT_SENT && q->held_back) {
+        handle_held_back(q);
+    }
+    else if (end == AE_NOT_SENT) {
         handle_not_sent(q);
     }
     else if (end == AE_TOO_LARGE) {
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -63,8 +63,12 @@
     uint64_t last_gap_ms;   /* between the last two */
     char *gap_upstream;     /* that caused max_gap_ms, for the log */
 
-    uint32_t sends; /* that reached an upstream */
-    uint32_t runs;  /* that may have run */
+    uint32_t sends;             /* that reached an upstream */
+    uint32_t sends_before_rest; /* of these, before it waited for the end of a
+                                   rest */
+    uint64_t rested_ms; /* end of the rest that an upstream last asked it for;
+                           0: none did */
+    uint32_t runs;      /* that may have run */
 
     /* the answer, unless its events are forwarded as they come */
     GString *head;
@@ -123,8 +127,9 @@
     bool paused;         /* the current call, until the caller has read more */
     bool broke;          /* the upstream broke off the current call */
     bool upstream_ended; /* ... and its process has ended */
-    bool unsent;         /* the current call was cancelled before it was sent
-                          */
+    bool held_back; /* the current call, as its upstream rests or leaves */
+    bool unsent;    /* the current call was cancelled before it was sent
+                     */
 } Req;
 
 /* The leader's estimate of when a model is loaded. */
@@ -143,6 +148,7 @@
     Rb *budget;
     Wl *limits; /* of workspaces */
     Ul *upstream_limits;
+    Un *notices;
     Sp *suspects;
     Vp *versions;
     Sn *notes;
@@ -202,6 +208,8 @@
 /* Nothing shows that the stream goes on: ends it as a whole one.  Frees Q. */
 void gw_finish_doubtful(Req *q, const char *why);
 bool gw_may_repeat(const Req *q);
+/* 0: the most urgent. */
+uint32_t gw_get_priority(const Req *q);
 /* Ends a request that can't be served.  503 may be sent only if nothing ran.
    Frees Q. */
 void gw_give_up(Req *q, uint32_t retry_ms, const char *why);
@@ -237,6 +245,8 @@
 
 /* gateway_request_wait */
 void gw_try_send(Req *q);
+/* Tries those that wait for the end of a rest, the more urgent first. */
+void gw_try_rested(Gw *g);
 
 /* gateway_request_answer */
 void gw_handle_failure(Req *q, UtOutcome outcome, const char *why);
@@ -245,6 +255,7 @@
 void gw_on_call_bytes(void *ctx, HtCall *call, size_t len);
 void gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event);
 void gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer);
+bool gw_may_write(void *ctx, HtCall *call);
 /* Passes on what was held back. */
 void gw_release_held(Req *q);
 /* Another process answered: its answer is dropped. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -456,8 +456,8 @@
 
 /* ---- sending ------------------------------------------------------------ */
 
-static uint32_t
-get_priority(const Req *q)
+uint32_t
+gw_get_priority(const Req *q)
 {
     return q->workspace && q->workspace->has_priority ? q->workspace->priority
                                                       : q->route->priority;
@@ -469,7 +469,7 @@
 static uint32_t
 get_urgency(const Req *q)
 {
-    uint32_t priority = MIN(get_priority(q), LAST_URGENCY);
+    uint32_t priority = MIN(gw_get_priority(q), LAST_URGENCY);
     return MIN(FIRST_URGENCY + priority * URGENCY_STEP, LAST_URGENCY);
 }
 
@@ -540,6 +540,7 @@
     q->broke = false;
     q->upstream_ended = false;
     q->unsent = false;
+    q->held_back = false;
     q->paused = false;
     q->forwards_events = false;
     gw_drop_held(q);
@@ -550,6 +551,8 @@
     q->end = AE_ENDS;
     po_start_run(q->position);
     ut_start(ut);
+    UnProcess process = ut_get_process(ut);
+    un_on_send(q->gw->notices, now_ms, &process);
     HtRequest req = {
         .address = ut_get_address(ut),
         .way = HT_WAY_ANY,
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -28,9 +28,15 @@
 /* An answer to a slot request isn't waited for longer than this where
    others could serve the request. */
 #define BRIEF_ANSWER_MS 60
+/* The leader tells within this time when a model is loaded elsewhere. */
+#define ESTIMATE_WAIT_MS 200
+/* What returns after a rest is spread over this time. */
+#define RETURN_SPREAD_MS 400
 /* For the next version plan: the leader finds out, and the store takes it. */
 #define PLAN_WAIT_MS 1500
-#define MAX_SENDS 6 /* of one request, including sends that ran nothing */
+/* Of one request, including sends that ran nothing; anew after it waited for
+   the end of a rest. */
+#define MAX_SENDS 6
 
 /* ---- waiting ------------------------------------------------------------ */
 
@@ -217,11 +223,24 @@
 
 /* ---- slots of limited upstreams ----------------------------------------- */
 
+/* Its upstream rests or leaves: the slot goes back. */
+static bool
+is_slot_vain(const Req *q, uint64_t now_ms)
+{
+    const char *at = ul_get_upstream(q->gw->upstream_limits, q->ticket);
+    const Ut *ut = at ? ut_find(q->gw->upstreams, at) : NULL;
+    return ut && (ut_is_gone(ut) || ut_get_rested_ms(ut, now_ms) > now_ms);
+}
+
 /* False: the request goes on waiting for its slot. */
 static bool
 check_slot(Req *q, uint64_t now_ms)
 {
     Ul *limits = q->gw->upstream_limits;
+    if (is_slot_vain(q, now_ms)) {
+        gw_drop_ticket(q);
+        return true;
+    }
     switch (ul_check(limits, now_ms, q->ticket)) {
     case UL_SLOT_ASKED:
         if (!q->others_serve || now_ms < q->slot_asked_ms + BRIEF_ANSWER_MS) {
@@ -295,6 +314,133 @@
     gw_drop_ticket(q);
 }
 
+/* ---- upstreams that rest ------------------------------------------------ */
+
+static uint32_t
+get_max_rest_ms(const Req *q, uint64_t now_ms)
+{
+    uint64_t end_ms = get_disconnect_ms(q);
+    return end_ms > now_ms + MIN_SERVE_MS
+               ? (uint32_t)(end_ms - now_ms - MIN_SERVE_MS)
+               : 0;
+}
+
+static void
+refuse_resting(Req *q, uint32_t wait_ms)
+{
+    uint32_t spread = (uint32_t)bg_pick_random(&q->gw->rng, RETURN_SPREAD_MS);
+    bg_count("gateway_refused_for_rest_total", 1);
+    if (q->query.model) {
+        gw_add_count(q->gw->refused_busy, q->query.model);
+    }
+    gw_give_up(q, wait_ms + spread, "upstreams ask for rest");
+}
+
+/* Time until the first of those that rest may be sent to, or until the model
+   is loaded elsewhere if that is sooner; 0: that isn't known yet. */
+static uint32_t
+get_rest_wait_ms(const Req *q, uint64_t now_ms, const Ut *first)
+{
+    uint32_t rest_ms =
+        (uint32_t)MIN(ut_get_rested_ms(first, now_ms) - now_ms, UINT32_MAX);
+    if (!q->query.model ||
+        !ut_has_awake(q->gw->upstreams, now_ms, &q->query)) {
+        return rest_ms;
+    }
+    uint32_t load_ms = get_wait_ms(q, now_ms);
+    return load_ms                                     ? MIN(rest_ms, load_ms)
+           : now_ms < q->arrival_ms + ESTIMATE_WAIT_MS ? 0
+                                                       : rest_ms;
+}
+
+static void
+log_rest(const Req *q, uint64_t now_ms, const Ut *first)
+{
+    JlLine *l = jl_begin("request-rests");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(first));
+    jl_number(l, "rested_in_ms",
+              (int64_t)(ut_get_rested_ms(first, now_ms) - now_ms));
+    jl_end(l);
+}
+
+/* FIRST: the upstream whose rest ends first. */
+static void
+wait_for_rest(Req *q, uint64_t now_ms, const Ut *first)
+{
+    static const char what[] = "rest";
+    if (g_strcmp0(q->waiting_for, what) != 0) {
+        log_rest(q, now_ms, first);
+    }
+    gw_drop_turn(q);
+    uint32_t wait_ms = get_rest_wait_ms(q, now_ms, first);
+    if (wait_ms > get_max_rest_ms(q, now_ms)) {
+        refuse_resting(q, wait_ms);
+        return;
+    }
+    q->lacks_model = true;
+    q->lacks_version = q->version && is_bound(q);
+    wait_for(q, now_ms, what);
+}
+
+/* As many upstreams turned it away as may be asked at a time: the rest of the
+   last one is waited for.  False: it may be sent. */
+static bool
+rests_after_sends(Req *q, uint64_t now_ms)
+{
+    if (q->rested_ms && now_ms >= q->rested_ms) {
+        q->rested_ms = 0;
+        q->sends_before_rest = q->sends;
+    }
+    if (q->sends < q->sends_before_rest + MAX_SENDS || !q->rested_ms) {
+        return false;
+    }
+    uint32_t wait_ms = (uint32_t)MIN(q->rested_ms - now_ms, UINT32_MAX);
+    if (wait_ms > get_max_rest_ms(q, now_ms)) {
+        refuse_resting(q, wait_ms);
+    }
+    else {
+        wait_for(q, now_ms, "rest");
+    }
+    return true;
+}
+
+typedef struct {
+    Req *req;
+    uint32_t priority; /* 0: the most urgent */
+} Rested;
+
+static gint
+compare_urgency(gconstpointer a, gconstpointer b)
+{
+    const Rested *x = a;
+    const Rested *y = b;
+    if (x->priority != y->priority) {
+        return x->priority < y->priority ? -1 : 1;
+    }
+    return x->req->answer_by_ms < y->req->answer_by_ms
+               ? -1
+               : x->req->answer_by_ms > y->req->answer_by_ms;
+}
+
+void
+gw_try_rested(Gw *g)
+{
+    g_autoptr(GArray) list = g_array_new(FALSE, FALSE, sizeof(Rested));
+    for (GList *l = g->reqs.head; l; l = l->next) {
+        Req *q = l->data;
+        if (q->state == REQ_WAITING &&
+            g_strcmp0(q->waiting_for, "rest") == 0) {
+            Rested r = {q, gw_get_priority(q)};
+            g_array_append_val(list, r);
+        }
+    }
+    g_array_sort(list, compare_urgency);
+    for (guint i = 0; i < list->len; i++) {
+        gw_try_send(g_array_index(list, Rested, i).req);
+    }
+}
+
 /* ---- turns of suspects -------------------------------------------------- */
 
 static void
@@ -419,7 +565,10 @@
         q->waiting_for = "nothing: caller disconnected";
         return;
     }
-    if (q->sends >= MAX_SENDS) {
+    if (rests_after_sends(q, now_ms)) {
+        return;
+    }
+    if (q->sends >= q->sends_before_rest + MAX_SENDS) {
         gw_give_up(q, RETRY_SOON_MS, "too many sends");
         return;
     }
@@ -443,6 +592,7 @@
     q->lacks_version = false;
     q->query.max_wait_ms = get_max_wait_ms(q, now_ms);
     q->query.max_slot_wait_ms = get_max_slot_wait_ms(q, now_ms);
+    q->query.max_rest_ms = get_max_rest_ms(q, now_ms);
     UtChoice found = ut_choose(q->gw->upstreams, now_ms, &q->query, &ut);
     if (found != UT_FOUND) {
         gw_drop_ticket(q);
@@ -478,6 +628,9 @@
     case UT_LIMITED:
         handle_limited(q, now_ms, ut);
         return;
+    case UT_RESTING:
+        wait_for_rest(q, now_ms, ut);
+        return;
     case UT_COLD:
         q->lacks_model = true;
         q->lacks_version = q->version && is_bound(q);
--- a/src/http.h
+++ b/src/http.h
@@ -127,6 +127,10 @@
     /* Called exactly once; the call is freed after it.  ANSWER: what was
        received, as in ae_end and ae_get_body. */
     void (*on_end)(void *ctx, HtCall *call, AeEnd end, Ae *answer);
+    /* Asked just before the first byte of the request is written; false: the
+       call ends as AE_NOT_SENT, and its connection is kept.  NULL: it is
+       always written. */
+    bool (*may_write)(void *ctx, HtCall *call);
 } HtCallHandler;
 
 HtPool *ht_create_pool(struct ev_loop *loop);
@@ -214,6 +218,7 @@
 } HtReply;
 
 typedef void (*HtReplyFn)(void *ctx, const HtReply *reply);
+typedef void (*HtHeadFn)(void *ctx, const HtHead *head);
 
 /* Texts are borrowed during the call of ht_fetch. */
 typedef struct {
@@ -227,6 +232,7 @@
     size_t body_len;
     uint32_t total_ms;
     bool (*may_end)(const GByteArray *body); /* as in AeExpect */
+    HtHeadFn on_head; /* of the answer, before DONE; or NULL */
 } HtFetch;
 
 /* Sends REQ, and calls DONE with the whole answer or after total_ms. */
--- a/src/http_fetch.c
+++ b/src/http_fetch.c
@@ -10,6 +10,7 @@
     ev_timer timer;
     struct ev_loop *loop;
     HtReplyFn done;
+    HtHeadFn on_head; /* or NULL */
     void *ctx;
     char *target; /* for the log */
     uint16_t status;
@@ -39,6 +40,9 @@
     (void)call;
     Fetch *f = ctx;
     f->status = head->status;
+    if (f->on_head) {
+        f->on_head(f->ctx, head);
+    }
 }
 
 static void
@@ -98,6 +102,7 @@
     Fetch *f = g_new0(Fetch, 1);
     f->loop = p->loop;
     f->done = done;
+    f->on_head = req->on_head;
     f->ctx = ctx;
     f->target = g_strdup(req->target);
     HtRequest call = {.address = req->address,
@@ -106,8 +111,10 @@
                       .request = build_fetch(req),
                       .expect = {MAX_BODY_BYTES, MAX_BODY_BYTES, req->may_end},
                       .connect_ms = req->total_ms};
-    HtCallHandler handler = {f, on_fetch_head, on_fetch_bytes, NULL,
-                             on_fetch_end};
+    HtCallHandler handler = {.ctx = f,
+                             .on_head = on_fetch_head,
+                             .on_bytes = on_fetch_bytes,
+                             .on_end = on_fetch_end};
     f->call = ht_start_call(p, &call, &handler);
     ev_timer_init(&f->timer, on_fetch_timeout, req->total_ms / 1000., 0.);
     f->timer.data = f;
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -402,10 +402,37 @@
     }
 }
 
+static bool
+may_write(HtCall *call)
+{
+    const HtCallHandler *h = &call->handler;
+    return call->sent > 0 || !h->may_write || h->may_write(h->ctx, call);
+}
+
+/* The connection is idle again. */
+static void
+hold_back(HtConn *w)
+{
+    HtCall *call = w->call;
+    if (call->fresh) {
+        close_call(w, AE_NOT_SENT);
+        return;
+    }
+    w->call = NULL;
+    ht_resume_call(call);
+    ht_make_idle(w);
+    ev_io_stop(w->pool->loop, &w->write_watch);
+    end_call(call, AE_NOT_SENT);
+}
+
 void
 ht_send_request(HtConn *w)
 {
     HtCall *call = w->call;
+    if (!may_write(call)) {
+        hold_back(w);
+        return;
+    }
     while (call->sent < call->request->len) {
         ssize_t n = send(w->fd, call->request->data + call->sent,
                          call->request->len - call->sent, MSG_NOSIGNAL);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -301,6 +301,10 @@
         ur_print(((Gateway *)ctx)->rooms, bg_boot_ms(), out);
         answer_text(x, out);
     }
+    else if (strcmp(target, "/upstream-notices") == 0) {
+        un_print(((Gateway *)ctx)->notices, bg_boot_ms(), out);
+        answer_text(x, out);
+    }
     else if (strcmp(target, "/versions") == 0) {
         vp_print(((Gateway *)ctx)->versions, out);
         answer_text(x, out);
@@ -439,6 +443,7 @@
     bool near_limit = wl_is_near_limit(g->limits);
     gn_tick_upstream_limits(g, now_ms);
     gn_tick_rooms(g, now_ms);
+    gn_tick_notices(g, now_ms);
     if (now_ms >= g->demand_ms + (near_limit ? NEAR_LIMIT_MS : DEMAND_MS)) {
         gn_send_demand(g);
     }
@@ -607,7 +612,9 @@
     g->upstream_limits = ul_create(bg_boot_ms(), seed);
     g->rooms = ur_create(gn_on_room_answer, g);
     g->room_answers = g_array_new(FALSE, FALSE, sizeof(GnRoomAnswer));
-    UtParams up = {gn_get_text(g, "data_centre"), seed, g->upstream_limits};
+    g->notices = un_create(seed);
+    UtParams up = {gn_get_text(g, "data_centre"), seed, g->upstream_limits,
+                   g->notices};
     g->upstreams = ut_create(&up);
     RbParams rb = {(uint32_t)(get_bound(g->settings, "retry_window_s") * 1000),
                    get_bound(g->settings, "retry_ratio"),
@@ -635,6 +642,7 @@
                        on_upstream_unreachable,
                        is_isolated,
                        gn_on_upstream_named,
+                       gn_on_notice,
                        gn_on_ask_slot,
                        gn_on_slot_over,
                        gn_on_slot_held,
@@ -642,8 +650,9 @@
                        gn_on_ask_process,
                        gn_on_send_note,
                        gn_on_ask_note};
-    GwCores cores = {g->upstreams, g->budget,   g->limits, g->upstream_limits,
-                     g->suspects,  g->versions, g->notes};
+    GwCores cores = {g->upstreams,       g->budget,  g->limits,
+                     g->upstream_limits, g->notices, g->suspects,
+                     g->versions,        g->notes};
     g->gw = gw_create(&gw, &pf_gw_wire, &gw_out, g->pool, &cores);
     MpParams mp = {ini_get_bool(g->settings, "gateway", "prefetch")};
     MpOutput mp_out = {g,
@@ -722,6 +731,7 @@
     wl_destroy(g->limits);
     ut_destroy(g->upstreams);
     ul_destroy(g->upstream_limits);
+    un_destroy(g->notices);
     ur_destroy(g->rooms);
     g_array_free(g->room_answers, TRUE);
     sp_destroy(g->suspects);
--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -503,6 +503,16 @@
     }
 }
 
+void
+mp_on_rest(Mp *m, const char *id, uint64_t own_end_ms, uint64_t fleet_end_ms)
+{
+    Up *u = g_hash_table_lookup(m->ups, id);
+    if (u) {
+        u->quiet_ms = MAX(u->quiet_ms, own_end_ms);
+        u->rested_ms = MAX(u->rested_ms, fleet_end_ms);
+    }
+}
+
 void
 mp_keep_only(Mp *m, GHashTable *ids)
 {
@@ -544,6 +554,7 @@
 {
     Up *u = g_hash_table_lookup(m->ups, id);
     if (!u || !u->service || u->report_pending || u->ordered ||
+        now_ms < u->quiet_ms ||
         now_ms < u->suspected_ms + SUSPECT_INTERVAL_MS) {
         return;
     }
@@ -845,7 +856,7 @@
 verify_waited_models(Mp *m, uint64_t now_ms, Up *u)
 {
     if (!u->content_known || u->report_pending || u->ordered ||
-        u->busy_until_ms > now_ms ||
+        u->busy_until_ms > now_ms || u->quiet_ms > now_ms ||
         now_ms < u->verified_ms + VERIFY_AFTER_MS) {
         return;
     }
@@ -880,7 +891,7 @@
     verify_waited_models(m, now_ms, u);
     mp_check_overdue_loads(m, now_ms, u);
     if ((!u->content_known || is_load_late(u, now_ms)) && !u->report_pending &&
-        !u->ordered && now_ms >= u->next_report_ms &&
+        !u->ordered && now_ms >= MAX(u->next_report_ms, u->quiet_ms) &&
         m->reports_pending < MAX_REPORTS_PENDING) {
         request_report(m, u);
     }
--- a/src/model_placement.h
+++ b/src/model_placement.h
@@ -48,8 +48,6 @@
     uint64_t sequence; /* orders accepted by the upstream before this one */
 } MpOrder;
 
-typedef void (*MpOrderFn)(void *ctx, MpOrderResult result, uint16_t status);
-
 typedef struct {
     void *ctx;
     /* Send ORDER; answered by mp_on_order_result.  There is at most one
@@ -93,6 +91,11 @@
 void mp_on_removed(Mp *m, const char *id);
 /* The upstream is shutting down: nothing more is loaded there. */
 void mp_on_draining(Mp *m, const char *id);
+/* An upstream asked for rest: nothing is sent to it before OWN_END_MS, and its
+   models count as usable again from FLEET_END_MS on, until when at least half
+   of the gateways hold back.  0: not so. */
+void mp_on_rest(Mp *m, const char *id, uint64_t own_end_ms,
+                uint64_t fleet_end_ms);
 /* Remove all upstreams whose id is not in IDS. */
 void mp_keep_only(Mp *m, GHashTable *ids);
 
--- a/src/model_placement_choice.c
+++ b/src/model_placement_choice.c
@@ -65,12 +65,18 @@
     return !u->entry->draining && u->service;
 }
 
-/* Replicas on unreachable upstreams don't count: their callers wait for
-   another one. */
+bool
+mp_rests(const Up *u, uint64_t now_ms)
+{
+    return now_ms < u->rested_ms;
+}
+
+/* Replicas on upstreams that are unreachable or rest don't count: their
+   callers wait for another one. */
 static void
-count_replicas_of(const Up *u)
+count_replicas_of(const Up *u, uint64_t now_ms)
 {
-    if (!mp_can_use(u) || u->unreachable) {
+    if (!mp_can_use(u) || u->unreachable || mp_rests(u, now_ms)) {
         return;
     }
     for (guint i = 0; i < u->replicas->len; i++) {
@@ -93,7 +99,7 @@
     }
     g_hash_table_iter_init(&it, m->ups);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        count_replicas_of(v);
+        count_replicas_of(v, m->now_ms);
     }
 }
 
@@ -352,7 +358,8 @@
 mp_can_order(const Up *u, uint64_t now_ms)
 {
     return u->content_known && !u->ordered && now_ms >= u->retry_ms &&
-           now_ms >= u->busy_until_ms && !u->entry->draining;
+           now_ms >= u->busy_until_ms && now_ms >= u->quiet_ms &&
+           !u->entry->draining;
 }
 
 static Replica *
@@ -491,7 +498,8 @@
 {
     const DepModel *d = mp_find_declared(u, w->model);
     if (!d || !mp_can_use(u) || u->goal || !u->content_known || u->ordered ||
-        u->unreachable || mp_find_replica(u, w->model)) {
+        u->unreachable || mp_find_replica(u, w->model) ||
+        now_ms < MAX(u->quiet_ms, u->rested_ms)) {
         return;
     }
     double cost = compute_load_cost(now_ms, u, w->model, d, w->gain);
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -126,6 +126,8 @@
     bool order_from_store;
     /* Other state. */
     bool published;        /* its present content */
+    uint64_t quiet_ms;     /* nothing is sent to it before */
+    uint64_t rested_ms;    /* most gateways send nothing to it before */
     bool unreachable;      /* last report unanswered or last order not sent */
     uint64_t suspected_ms; /* last report requested for a broken connection */
     uint64_t verified_ms;  /* last report requested by verify_waited_models */
@@ -245,6 +247,7 @@
 
 /* model_placement_choice.c */
 bool mp_can_use(const Up *u);
+bool mp_rests(const Up *u, uint64_t now_ms);
 bool mp_can_order(const Up *u, uint64_t now_ms);
 void mp_send_order(Mp *m, uint64_t now_ms, Up *u, Model *model,
                    const char *adapter, bool unload);
--- a/src/model_placement_publish.c
+++ b/src/model_placement_publish.c
@@ -135,6 +135,17 @@
     return ready_ms > now_ms ? (uint32_t)(ready_ms - now_ms) : 0;
 }
 
+static uint32_t
+get_holder_wait_ms(const Up *u, const Model *model, uint64_t now_ms)
+{
+    uint32_t wait_ms = get_replica_wait_ms(mp_find_replica(u, model), now_ms);
+    uint32_t rest_ms =
+        mp_rests(u, now_ms)
+            ? (uint32_t)MIN(u->rested_ms - now_ms, UINT32_MAX - 1)
+            : 0;
+    return MAX(wait_ms, rest_ms);
+}
+
 #define ORDER_DELAY_MS 100 /* typical time from a goal to its order */
 
 static uint32_t
@@ -144,8 +155,7 @@
     for (guint i = 0; i < model->holders->len; i++) {
         const Up *u = model->holders->pdata[i];
         if (mp_can_use(u) && mp_find_declared(u, model)) {
-            best = MIN(best,
-                       get_replica_wait_ms(mp_find_replica(u, model), now_ms));
+            best = MIN(best, get_holder_wait_ms(u, model, now_ms));
         }
     }
     for (guint i = 0; i < model->goals->len; i++) {
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -57,6 +57,7 @@
     s->data_centre = g_strdup(params->data_centre);
     bg_seed_random(&s->rng, params->seed);
     s->limits = params->limits;
+    s->notices = params->notices;
     s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     s->by_key = g_hash_table_new(g_direct_hash, g_direct_equal);
     s->removed = g_ptr_array_new();
@@ -478,6 +479,12 @@
     return u->entry->id;
 }
 
+UnProcess
+ut_get_process(const Ut *u)
+{
+    return (UnProcess){u->entry->id, u->entry->born_ms};
+}
+
 const DepUpstream *
 ut_get_entry(const Ut *u)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -11,11 +11,13 @@
 #include "base.h"
 #include "gateway_types.h"
 #include "upstream_limits.h"
+#include "upstream_notices.h"
 
 typedef struct {
     const char *data_centre; /* of this gateway */
     uint64_t seed;
-    Ul *limits; /* borrowed; NULL: no upstream is limited */
+    Ul *limits;  /* borrowed; NULL: no upstream is limited */
+    Un *notices; /* borrowed; NULL: no upstream says anything of itself */
 } UtParams;
 
 typedef struct UtSet UtSet;
@@ -65,6 +67,7 @@
     const GPtrArray *tried; /* Ut * that are not to be used again, or NULL */
     uint32_t max_slot_wait_ms; /* longest wait for a slot of a limited
                                   upstream */
+    uint32_t max_rest_ms;      /* longest wait for the end of a rest */
     const char *slot_at; /* id of a limited upstream of which the request has a
                             slot, or NULL */
 } UtQuery;
@@ -80,7 +83,8 @@
     UT_BUSY,        /* the queues of all that could serve are too long */
     UT_ASK,         /* a slot of a limited upstream is needed */
     UT_ASK_BRIEFLY, /* the same, but others could serve it without one */
-    UT_LIMITED      /* all that could serve have no slot in time */
+    UT_LIMITED,     /* all that could serve have no slot in time */
+    UT_RESTING      /* all that could serve rest */
 } UtChoice;
 
 /* A slot isn't waited for longer than this where others could serve the
@@ -88,10 +92,16 @@
 #define UT_BRIEF_SLOT_WAIT_MS 30
 
 /* Sets *OUT to the upstream to send to (UT_FOUND), to ask a slot of (UT_ASK,
-   UT_ASK_BRIEFLY), with the shortest queue wait (UT_BUSY) or with the shortest
-   wait for a slot (UT_LIMITED). */
+   UT_ASK_BRIEFLY), with the shortest queue wait (UT_BUSY), with the shortest
+   wait for a slot (UT_LIMITED) or with the first end of a rest (UT_RESTING).
+ */
 UtChoice ut_choose(UtSet *s, uint64_t now_ms, const UtQuery *q, Ut **out);
-
+/* When a request may be sent to U, if it rests or has just rested; else
+   NOW_MS. */
+uint64_t ut_get_rested_ms(const Ut *u, uint64_t now_ms);
+/* An upstream of Q's service and version neither rests nor leaves: what rests
+   elsewhere could be loaded there. */
+bool ut_has_awake(const UtSet *s, uint64_t now_ms, const UtQuery *q);
 /* A call to U starts.  U stays valid until ut_finish. */
 void ut_start(Ut *u);
 
@@ -144,6 +154,7 @@
 uint32_t ut_get_usual_ms(const UtSet *s, const Ut *u, const UtQuery *q);
 
 const char *ut_get_id(const Ut *u);
+UnProcess ut_get_process(const Ut *u);
 const DepUpstream *ut_get_entry(const Ut *u);
 const char *ut_get_address(const Ut *u);
 /* Of its software, by its entry; empty: it names none, or it isn't known. */
--- a/src/upstream_table_choice.c
+++ b/src/upstream_table_choice.c
@@ -238,6 +238,7 @@
     bool all;
     bool full;
     bool unreachable;
+    Ut *first_rested;
     Ut *least_busy;
     Ut *first_slot; /* of those without a slot in time, the soonest */
     Ut *at_slot;    /* the request has a slot there */
@@ -272,12 +273,57 @@
     }
 }
 
+/* Apart from what it holds. */
+static bool
+serves(const Ut *u, const UtQuery *q)
+{
+    return !u->leaving && strcmp(u->entry->service, q->service) == 0 &&
+           (!q->version || g_strcmp0(u->entry->version, q->version) == 0);
+}
+
+uint64_t
+ut_get_rested_ms(const Ut *u, uint64_t now_ms)
+{
+    const Un *notices = u->set->notices;
+    UnProcess process = ut_get_process(u);
+    uint64_t from_ms = now_ms;
+    if (notices) {
+        (void)un_check(notices, now_ms, &process, &from_ms);
+    }
+    return from_ms;
+}
+
+static Ut *
+get_sooner_rested(Ut *a, Ut *b, uint64_t now_ms)
+{
+    return a && ut_get_rested_ms(a, now_ms) <= ut_get_rested_ms(b, now_ms) ? a
+                                                                           : b;
+}
+
+bool
+ut_has_awake(const UtSet *s, uint64_t now_ms, const UtQuery *q)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        if (serves(u, q) && ut_get_rested_ms(u, now_ms) <= now_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 add_option(UtSet *s, Options *o, Ut *u, uint64_t now_ms, const UtQuery *q)
 {
     Candidate c = {u, compute_cost(s, u, now_ms, q),
                    q->affinity ? compute_rank(q->affinity, u->entry->id) : 0};
-    if (now_ms < u->shed_until_ms && u->running > 0) {
+    if (ut_get_rested_ms(u, now_ms) > now_ms) {
+        o->first_rested = get_sooner_rested(o->first_rested, u, now_ms);
+    }
+    else if (now_ms < u->shed_until_ms && u->running > 0) {
         o->full = true;
     }
     else if (awaits_probe(u, now_ms)) {
@@ -305,8 +351,7 @@
     g_hash_table_iter_init(&it, s->by_id);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Ut *u = v;
-        if (u->leaving || strcmp(u->entry->service, q->service) != 0 ||
-            (q->version && g_strcmp0(u->entry->version, q->version) != 0)) {
+        if (!serves(u, q)) {
             continue;
         }
         o->any = true;
@@ -322,9 +367,21 @@
     }
 }
 
+/* One rests, and could serve Q after that. */
+static bool
+is_rested_in_time(const Options *o, uint64_t now_ms, const UtQuery *q)
+{
+    return o->first_rested && ut_get_rested_ms(o->first_rested, now_ms) <=
+                                  now_ms + q->max_rest_ms;
+}
+
 static UtChoice
-describe_none(const Options *o, Ut **out)
+describe_none(const Options *o, uint64_t now_ms, const UtQuery *q, Ut **out)
 {
+    if (is_rested_in_time(o, now_ms, q)) {
+        *out = o->first_rested;
+        return UT_RESTING;
+    }
     if (o->least_busy) {
         *out = o->least_busy;
         return UT_BUSY;
@@ -333,6 +390,10 @@
         *out = o->first_slot;
         return UT_LIMITED;
     }
+    if (o->first_rested && !o->full) {
+        *out = o->first_rested;
+        return UT_RESTING;
+    }
     return !o->any          ? UT_NONE
            : !o->model      ? UT_COLD
            : !o->all        ? UT_ADAPTER
@@ -374,7 +435,7 @@
         *out = pick(s, o->backed_off, q)->ut;
         return UT_FOUND;
     }
-    return describe_none(o, out);
+    return describe_none(o, now_ms, q, out);
 }
 
 UtChoice
--- a/src/upstream_table_internal.h
+++ b/src/upstream_table_internal.h
@@ -76,6 +76,7 @@
     GPtrArray *removed;    /* Ut: gone, with calls running */
     double plain_ms; /* mean time to first byte, services without models */
     Ul *limits;      /* NULL: no upstream is limited */
+    Un *notices;     /* NULL: no upstream says anything of itself */
 };
 
 /* The leader's totals are current. */
--- a/tests/resting.py
+++ b/tests/resting.py
@@ -155,3 +155,19 @@
 
 def share_served(answers):
     return sum(a.served for a in answers) / len(answers)
+
+
+def get_end(resting, sender, at):
+    """When RESTING serves what SENDER sends at AT, or later."""
+    for r in resting.rests:
+        if r.sender == sender and r.at <= at < r.ends + resting.awake_s:
+            return max(at, r.ends)
+    return at + resting.rest_s   # it would ask for rest
+
+
+def could_wait(answers, upstreams, patience_s):
+    """Those which some of UPSTREAMS, all Resting, would have served within
+    PATIENCE_S."""
+    return [a for a in answers
+            if min(get_end(u.on_arrival, a.gateway.name, a.began)
+                   for u in upstreams) < a.began + patience_s]
--- a/tests/test_upstream_rest.py
+++ b/tests/test_upstream_rest.py
@@ -5,8 +5,10 @@
 import pytest
 
 from cluster import wait_until
+from fake_platform import config, routes_with_public
 from platform_cluster import Cluster
-from resting import run_callers, set_resting, share_served, summarize
+from resting import (could_wait, run_callers, set_resting, share_served,
+                     summarize)
 
 SECONDS = 9.0
 # Served at the first attempt, where another upstream could serve, and where
@@ -63,12 +65,37 @@
         assert sorted(a.took_s for a in answers)[int(len(answers) * .99)] < 1.5
 
 
+# Callers leave a stream without an event after four times its objective.
+PATIENCE_S = 2.0
+# The way of an answer to the caller, and the time that the model needs.
+MARGIN_S = 0.25
+
+
+def set_patience(c, patience_s):
+    routes = routes_with_public()
+    for r in routes:
+        r["target_latency_ms"] = patience_s * 1000 / 4
+    c.put_in_force(config(4, routes))
+
+
 @pytest.mark.parametrize("upstreams", [8, 1])
 def test_requests_sent_though_all_rest(build, upstreams):
     with Cluster(build, gateways=3, models=SAME[:upstreams]) as c:
+        set_patience(c, 4.0)
         check_refusals(check(c, c.engines, least=MIN_SERVED_NO_OTHER))
 
 
+# Callers that leave before the end of the rest are not kept waiting; all
+# others are.
+@pytest.mark.parametrize("upstreams", [8, 1])
+def test_callers_leave_while_all_rest(build, upstreams):
+    with Cluster(build, gateways=3, models=SAME[:upstreams]) as c:
+        answers = check(c, c.engines, least=0)
+        check_refusals(answers)
+        patient = could_wait(answers, c.engines, PATIENCE_S - MARGIN_S)
+        assert share_served(patient) >= MIN_SERVED
+
+
 # Requests went to a resting upstream 60 ms after each refusal.
 def test_plain_requests_sent_to_one_of_two_that_rests(build):
     with Cluster(build, gateways=3) as c:
@@ -100,6 +127,7 @@
     with Cluster(build, gateways=3, models=SAME[:2], paths=True) as c:
         cut = next(g for g in c.gateways if g is not c.leader())
         c.cut([cut], "hang")
+        set_patience(c, 4.0)
         least = MIN_SERVED if resting == 1 else MIN_SERVED_NO_OTHER
         check(c, c.engines[:resting], least=least, gateways=[cut], per_s=13)
 
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -724,7 +724,7 @@
 static UtSet *
 make_set(int n, const char *model)
 {
-    UtParams p = {"z", 3, NULL};
+    UtParams p = {"z", 3, NULL, NULL};
     UtSet *s = ut_create(&p);
     for (int i = 0; i < n; i++) {
         g_autofree char *id = g_strdup_printf("u%d", i);
