An upstream that says in its answers that it leaves gets no more requests

An upstream may say so in each of its answers before, or without, an entry in the store that does. The header was passed on to callers and read by nobody: 9 to 157 requests reached it from a gateway later than 2 s after that had passed on such an answer.

The first such answer counts as draining for this gateway at once, also for what waits for a connection; all gateways hear of it over the links, so that models are loaded elsewhere while it still serves. It holds for that process, by its birth, whatever entries say later. A report of a gateway that lacks a newer entry no longer replaces that by the former process's.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -335,6 +335,11 @@
    does not read the store. */
 void gn_publish_upstreams(Gateway *g, const GPtrArray *changed,
                           const GPtrArray *gone);
+/* Sends all gateways that UPSTREAM, whose entry this is, leaves. */
+void gn_publish_leaving(Gateway *g, const DepUpstream *upstream);
+/* Report to the VM that we have linked to which upstreams leave: a new leader
+   may not know it. */
+void gn_report_leaving(Gateway *g);
 void gn_request_config(Gateway *g, LkPeer *of);
 void gn_publish_all_upstreams(Gateway *g);
 /* TO: a linked gateway; NULL: all of them. */
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -49,13 +49,20 @@
     g_ptr_array_add(rows->residents, residents);
 }
 
-static void
-send_upstreams(Gateway *g, LkPeer *to, const UpstreamRows *rows,
-               const GPtrArray *gone, bool whole)
+static Gwp__Upstreams
+make_upstreams(const UpstreamRows *rows)
 {
     Gwp__Upstreams m = GWP__UPSTREAMS__INIT;
     m.n_upstreams = rows->rows->len;
     m.upstreams = (Gwp__Upstream **)rows->rows->pdata;
+    return m;
+}
+
+static void
+send_upstreams(Gateway *g, LkPeer *to, const UpstreamRows *rows,
+               const GPtrArray *gone, bool whole)
+{
+    Gwp__Upstreams m = make_upstreams(rows);
     m.n_gone = gone ? gone->len : 0;
     m.gone = gone ? (char **)gone->pdata : NULL;
     m.whole = whole;
@@ -85,6 +92,49 @@
     }
 }
 
+static void
+add_leaving(void *ctx, const DepUpstream *u)
+{
+    add_upstream(ctx, u, u->models);
+}
+
+/* DOWN: also to all linked gateways. */
+static void
+send_leaving(Gateway *g, const UpstreamRows *rows, bool down)
+{
+    Gwp__Upstreams m = make_upstreams(rows);
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_UPSTREAMS;
+    f.upstreams = &m;
+    if (down) {
+        lk_send_down(g->links, NULL, &f);
+    }
+    if (!g->is_leader && m.n_upstreams > 0) {
+        lk_send_up(g->links, &f);
+    }
+}
+
+void
+gn_publish_leaving(Gateway *g, const DepUpstream *upstream)
+{
+    g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) residents = g_ptr_array_new_with_free_func(free_list);
+    UpstreamRows rows = {list, residents};
+    const GPtrArray *placed = ut_get_placement(g->upstreams, upstream->id);
+    add_upstream(&rows, upstream, placed ? placed : upstream->models);
+    send_leaving(g, &rows, true);
+}
+
+void
+gn_report_leaving(Gateway *g)
+{
+    g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) residents = g_ptr_array_new_with_free_func(free_list);
+    UpstreamRows rows = {list, residents};
+    ut_visit_leaving(g->upstreams, add_leaving, &rows);
+    send_leaving(g, &rows, false);
+}
+
 void
 gn_request_config(Gateway *g, LkPeer *of)
 {
@@ -490,6 +540,15 @@
     gw_on_change(g->gw);
 }
 
+/* X is of a process before the one that is known here: the sender lacks the
+   store's newer entry. */
+static bool
+is_outdated(const Gateway *g, const Gwp__Upstream *x)
+{
+    uint64_t known_ms = ut_get_born_ms(g->upstreams, x->id);
+    return x->born_ms && x->born_ms < known_ms;
+}
+
 /* Takes upstreams from a gateway that read them in the store.  Residents are
    taken for new upstreams only: those of an entry are older than what is known
    here. */
@@ -501,6 +560,9 @@
     bool changed = false;
     for (size_t i = 0; i < m->n_upstreams; i++) {
         const Gwp__Upstream *x = m->upstreams[i];
+        if (is_outdated(g, x)) {
+            continue;
+        }
         DepUpstream *u = read_upstream(x);
         if (!ut_knows(g->upstreams, x->id)) {
             g_ptr_array_free(u->models, TRUE);
--- a/src/gateway_node_notices.c
+++ b/src/gateway_node_notices.c
@@ -1,5 +1,26 @@
 #include "gateway_node.h"
 
+/* ---- leaving ------------------------------------------------------------ */
+
+static void
+take_leaving(Gateway *g, const UnProcess *process)
+{
+    const DepUpstream *entry = ut_on_leaving(g->upstreams, process);
+    if (!entry) {
+        return;
+    }
+    JlLine *l = jl_begin("upstream-leaves");
+    jl_text(l, "upstream", entry->id);
+    jl_text(l, "service", entry->service);
+    jl_text(l, "address", entry->address);
+    jl_text(l, "version", entry->version);
+    jl_text(l, "by", "answer");
+    jl_end(l);
+    bg_count("gateway_leaving_noticed_total", 1);
+    mp_on_draining(g->placement, entry->id);
+    gn_publish_leaving(g, entry);
+}
+
 /* ---- rest --------------------------------------------------------------- */
 
 /* The leader's requests to it wait as well, and its models are wanted
@@ -108,6 +129,9 @@
         tell_leader(g, now_ms, &process);
         update_placement(g, now_ms, &process);
     }
+    if (change.leaves) {
+        take_leaving(g, &process);
+    }
 }
 
 static void
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -237,6 +237,7 @@
         g->members_ms = 0;
         wl_on_link(g->limits);
         gn_report_upstream_limits(g);
+        gn_report_leaving(g);
         gw_report_slots(g->gw, NULL);
         gn_report_suspects(g);
         gn_report_notes(g);
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -214,6 +214,8 @@
         take_gone(g, now_ms, r, changes);
         return;
     }
+    UnProcess process = {u->id, u->born_ms};
+    u->draining = u->draining || un_is_leaving(g->notices, &process);
     mp_on_entry(g->placement, now_ms, u);
     if (!gn_take_upstream(g, now_ms, u)) {
         return;
--- a/src/upstream_table.c
+++ b/src/upstream_table.c
@@ -136,6 +136,21 @@
            strcmp(a->service, b->service) == 0 && !differs;
 }
 
+/* A process that leaves does so whatever a later entry says, also one that was
+   removed in between. */
+static void
+note_entry_leaving(UtSet *s, uint64_t now_ms, DepUpstream *entry)
+{
+    UnProcess u = {entry->id, entry->born_ms};
+    if (!s->notices) {
+        return;
+    }
+    if (entry->draining) {
+        un_on_leaving(s->notices, now_ms, &u);
+    }
+    entry->draining = un_is_leaving(s->notices, &u);
+}
+
 bool
 ut_on_entry(UtSet *s, uint64_t now_ms, DepUpstream *entry)
 {
@@ -172,12 +187,43 @@
     u->entry = entry;
     s->first_ms = s->first_ms ? s->first_ms : MAX(now_ms, 1);
     s->unversioned += !entry->version;
+    note_entry_leaving(s, now_ms, entry);
     bool leaves = entry->draining && !u->leaving;
     u->leaving = u->leaving || entry->draining;
+    entry->draining = u->leaving;
     g_hash_table_insert(s->by_id, entry->id, u);
     return is_new || leaves || learnt;
 }
 
+const DepUpstream *
+ut_on_leaving(UtSet *s, const UnProcess *process)
+{
+    Ut *u = g_hash_table_lookup(s->by_id, process->id);
+    bool other = u && process->born_ms && u->entry->born_ms &&
+                 process->born_ms != u->entry->born_ms;
+    if (!u || other || u->leaving) {
+        return NULL;
+    }
+    u->leaving = true;
+    u->entry->draining = true;
+    return u->entry;
+}
+
+void
+ut_visit_leaving(const UtSet *s,
+                 void (*visit)(void *ctx, const DepUpstream *entry), void *ctx)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Ut *u = v;
+        if (u->leaving) {
+            visit(ctx, u->entry);
+        }
+    }
+}
+
 void
 ut_on_gone(UtSet *s, uint64_t now_ms, const char *id)
 {
--- a/src/upstream_table.h
+++ b/src/upstream_table.h
@@ -102,6 +102,15 @@
 /* An upstream of Q's service and version neither rests nor leaves: what rests
    elsewhere could be loaded there. */
 bool ut_has_awake(const UtSet *s, uint64_t now_ms, const UtQuery *q);
+/* The upstream with that id, if U is its process, leaves from now on.  Returns
+   its entry, which says so too; NULL: it wasn't news, or another process has
+   the id. */
+const DepUpstream *ut_on_leaving(UtSet *s, const UnProcess *u);
+/* Calls VISIT for each upstream that leaves and is still listed. */
+void ut_visit_leaving(const UtSet *s,
+                      void (*visit)(void *ctx, const DepUpstream *entry),
+                      void *ctx);
+
 /* A call to U starts.  U stays valid until ut_finish. */
 void ut_start(Ut *u);
 
