After a rest fewer requests at a time go to an upstream, in order, and not in vain

An upstream that asks for rest whenever it is full did so again at once, and stood idle in the next rest. Requests that wait for a rest are refused once as many wait as were sent in their time of late.

--- a/src/cli_explain.c
+++ b/src/cli_explain.c
@@ -39,6 +39,19 @@
     }
 }
 
+/* An upstream that held it back had asked its VM for the rest before. */
+static bool
+is_rest(const Trace *s, const CliLine *e)
+{
+    int64_t rest_ms =
+        json_integer_value(json_object_get(e->fields, "rest_ms"));
+    return rest_ms > 0 && e->t_ms <= s->to_ms &&
+           e->t_ms + rest_ms >= s->from_ms &&
+           g_hash_table_contains(s->nodes, cli_get_text(e->fields, "node")) &&
+           g_hash_table_contains(s->upstreams,
+                                 cli_get_text(e->fields, "upstream"));
+}
+
 /* Lines within the time of the request that may explain its result: orders for
    its model, and events of its upstreams and VMs.  Regular reports of
    upstreams are left out. */
@@ -51,6 +64,9 @@
         const char *key = cli_get_text(e->fields, "request");
         return *key && (strcmp(key, s->request) == 0 || strstr(s->parts, key));
     }
+    if (strcmp(event, "upstream-rest") == 0) {
+        return is_rest(s, e);
+    }
     if (e->t_ms < s->from_ms || e->t_ms > s->to_ms ||
         *cli_get_text(e->fields, "id")) {
         return false;
--- a/src/gateway_node_notices.c
+++ b/src/gateway_node_notices.c
@@ -119,8 +119,9 @@
     Gateway *g = ctx;
     uint64_t now_ms = bg_boot_ms();
     UnProcess process = {upstream->id, upstream->born_ms};
-    UnChange change =
-        un_on_answer(g->notices, now_ms, &process, sent_ms, notice);
+    const Ut *ut = ut_find(g->upstreams, upstream->id);
+    UnChange change = un_on_answer(g->notices, now_ms, &process, sent_ms,
+                                   ut ? ut_get_running(ut) : 0, notice);
     if (notice->rest == UN_REST_UNREADABLE) {
         bg_count("gateway_rests_unreadable_total", 1);
     }
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -497,6 +497,9 @@
         }
         gw_give_up(q, RETRY_SOON_MS, "deadline");
     }
+    else if (gw_waits_for_rest(q)) {
+        return; /* gw_try_rested follows */
+    }
     else if (q->state == REQ_WAITING) {
         gw_try_send(q);
     }
@@ -515,14 +518,12 @@
 gw_on_tick(Gw *g, uint64_t now_ms)
 {
     refuse_early(g, now_ms);
-    if (un_has_rests(g->notices)) {
-        gw_try_rested(g);
-    }
     GList *next;
     for (GList *l = g->reqs.head; l; l = next) {
         next = l->next;
         check_request(l->data, now_ms);
     }
+    gw_try_rested(g);
 }
 
 void
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -243,6 +243,10 @@
 /* Asks which process is at the upstream of the current call. */
 void gw_ask_process(const Req *q);
 
+/* Of Req.waiting_for: the end of a rest. */
+#define GW_FOR_REST "rest"
+bool gw_waits_for_rest(const Req *q);
+
 /* gateway_request_wait */
 void gw_try_send(Req *q);
 /* Tries those that wait for the end of a rest, the more urgent first. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -523,9 +523,19 @@
     }
 }
 
+bool
+gw_waits_for_rest(const Req *q)
+{
+    return q->state == REQ_WAITING &&
+           g_strcmp0(q->waiting_for, GW_FOR_REST) == 0;
+}
+
 void
 gw_send_to(Req *q, Ut *ut, uint64_t now_ms)
 {
+    if (gw_waits_for_rest(q)) {
+        un_on_release(q->gw->notices, now_ms);
+    }
     q->state = REQ_SENT;
     q->ut = ut;
     g_free(q->last_upstream);
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -364,23 +364,48 @@
     jl_end(l);
 }
 
+static uint32_t
+count_resting(const Gw *g)
+{
+    uint32_t n = 0;
+    for (const GList *l = g->reqs.head; l; l = l->next) {
+        n += gw_waits_for_rest(l->data);
+    }
+    return n;
+}
+
+/* Those that wait already will take all that can be sent in its time. */
+static bool
+is_rest_crowded(const Req *q, uint64_t now_ms)
+{
+    return q->sends == 0 && !gw_waits_for_rest(q) &&
+           !un_may_wait(q->gw->notices, now_ms, count_resting(q->gw),
+                        get_max_rest_ms(q, now_ms));
+}
+
 /* FIRST: the upstream whose rest ends first. */
 static void
 wait_for_rest(Req *q, uint64_t now_ms, const Ut *first)
 {
-    static const char what[] = "rest";
-    if (g_strcmp0(q->waiting_for, what) != 0) {
+    if (!gw_waits_for_rest(q)) {
         log_rest(q, now_ms, first);
     }
     gw_drop_turn(q);
     uint32_t wait_ms = get_rest_wait_ms(q, now_ms, first);
-    if (wait_ms > get_max_rest_ms(q, now_ms)) {
+    if (wait_ms > get_max_rest_ms(q, now_ms) || is_rest_crowded(q, now_ms)) {
         refuse_resting(q, wait_ms);
         return;
     }
     q->lacks_model = true;
     q->lacks_version = q->version && is_bound(q);
-    wait_for(q, now_ms, what);
+    wait_for(q, now_ms, GW_FOR_REST);
+}
+
+/* It waited so long that its answer would come too late. */
+static bool
+has_rested_away(const Req *q, uint64_t now_ms)
+{
+    return gw_waits_for_rest(q) && get_max_rest_ms(q, now_ms) == 0;
 }
 
 /* As many upstreams turned it away as may be asked at a time: the rest of the
@@ -400,7 +425,7 @@
         refuse_resting(q, wait_ms);
     }
     else {
-        wait_for(q, now_ms, "rest");
+        wait_for(q, now_ms, GW_FOR_REST);
     }
     return true;
 }
@@ -429,8 +454,7 @@
     g_autoptr(GArray) list = g_array_new(FALSE, FALSE, sizeof(Rested));
     for (GList *l = g->reqs.head; l; l = l->next) {
         Req *q = l->data;
-        if (q->state == REQ_WAITING &&
-            g_strcmp0(q->waiting_for, "rest") == 0) {
+        if (gw_waits_for_rest(q)) {
             Rested r = {q, gw_get_priority(q)};
             g_array_append_val(list, r);
         }
@@ -606,6 +630,10 @@
         refuse_busy(q, now_ms, ut);
         return;
     case UT_FOUND:
+        if (has_rested_away(q, now_ms)) {
+            refuse_resting(q, 0);
+            return;
+        }
         if (!take_turn(q, ut, now_ms)) {
             return;
         }
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -113,6 +113,8 @@
     uint64_t retry_ms;         /* no order is sent before */
     uint64_t changed_ms;       /* last order that was accepted, or may be */
     uint64_t unloaded_ms;      /* last unload of a model that was accepted */
+    uint64_t quiet_ms;         /* nothing is sent to it before */
+    uint64_t rested_ms;        /* most gateways send nothing to it before */
     Model *goal;               /* model chosen to be loaded here; NULL: none */
     uint64_t goal_until_ms;    /* then it is given up */
     double goal_gain;          /* callers a second, when the goal was set */
@@ -126,8 +128,6 @@
     bool order_from_store;
     /* Other state. */
     bool published;        /* its present content */
-    uint64_t quiet_ms;     /* nothing is sent to it before */
-    uint64_t rested_ms;    /* most gateways send nothing to it before */
     bool unreachable;      /* last report unanswered or last order not sent */
     uint64_t suspected_ms; /* last report requested for a broken connection */
     uint64_t verified_ms;  /* last report requested by verify_waited_models */
--- a/src/upstream_notices.c
+++ b/src/upstream_notices.c
@@ -1,5 +1,6 @@
 #include "upstream_notices.h"
 
+#include <math.h>
 #include <string.h>
 
 /* After a rest: one request, and then twice as many in each step, up to
@@ -13,15 +14,35 @@
 #define MAX_SPREAD_MS 800
 /* The upstream's clock and ours both round. */
 #define ROUNDING_MS 2
-/* A rest that ended so long ago says nothing of the upstream's room any
-   more. */
+/* Part of the requests that were there when one was turned away.  Fewer than
+   MIN_INSIDE don't show how many this gateway may have there. */
+#define ROOM_AFTER 0.75
+#define MIN_INSIDE 2
+/* A try for one more that fails costs a rest, so there is one in this part of
+   its length. */
+#define GROWS_PER_REST 2
+/* From so many rests after the end on, and REMEMBER_MS at least, the room
+   doubles in each ROOM_DOUBLES_MS, until it is MAX_ROOM_FACTOR times as large:
+   then any number may go. */
+#define REMEMBER_RESTS 3
 #define REMEMBER_MS 5000
+#define MAX_REMEMBER_MS 30000
+#define ROOM_DOUBLES_MS 1000.
+#define MAX_ROOM_FACTOR 64
+/* Before it is tried again whether there is room. */
+#define ROOM_RETRY_MS 20
 /* Longer ones end by then. */
 #define MAX_REST_MS (1000ULL * 1000 * 1000 * 1000)
 /* From the choice of an upstream until the first byte of a request sent in a
    rest, at most. */
 #define PROBE_WRITE_MS 1000
 #define MOST_PROBES 2
+/* Of requests that waited: the time for which their rate is taken, and how
+   many may wait whatever it is. */
+#define RELEASE_MS 4000.
+#define FREE_WAITING 16
+/* The rate of some seconds with rests in them says little. */
+#define WAITING_SLACK 1.5
 #define LOG_INTERVAL_MS 10000 /* of what can't be read, for one upstream */
 /* One that leaves is gone long before. */
 #define LEAVING_MS (3600ULL * 1000)
@@ -36,6 +57,7 @@
     /* The rest; asked_ms is 0: there was none lately. */
     uint64_t asked_ms; /* the first of the wishes that overlap */
     uint64_t until_ms; /* the latest end */
+    uint64_t rest_ms;  /* between the two */
     uint64_t open_ms;  /* the first request goes out */
     bool end_told;     /* to VISIT of un_on_tick */
     uint32_t probes;   /* sent in the rest */
@@ -43,6 +65,8 @@
     /* After the rest. */
     uint64_t first_ms; /* the first request was sent; 0: none was */
     uint32_t sent;
+    double room;       /* requests at a time; 0: any number */
+    uint64_t grown_ms; /* it last grew */
     bool leaving;
     uint64_t leaving_ms; /* last said */
     uint64_t logged_ms;  /* something unreadable; 0: never */
@@ -52,7 +76,9 @@
 struct Un {
     GHashTable *entries; /* id -> Entry */
     uint32_t gateways;
-    uint32_t rests; /* entries with asked_ms */
+    double released;      /* requests that waited, decayed; at released_ms */
+    uint64_t released_ms; /* 0: never */
+    uint64_t first_release_ms; /* of those that follow each other */
     BgRandom rng;
 };
 
@@ -116,13 +142,13 @@
 }
 
 static void
-end_rest(Un *n, Entry *e)
+end_rest(Entry *e)
 {
-    n->rests -= e->asked_ms != 0;
     e->asked_ms = 0;
     e->until_ms = 0;
     e->first_ms = 0;
     e->sent = 0;
+    e->room = 0;
 }
 
 static Entry *
@@ -130,7 +156,7 @@
 {
     Entry *e = g_hash_table_lookup(n->entries, u->id);
     if (e && is_other_process(e, u)) {
-        end_rest(n, e);
+        end_rest(e);
         g_hash_table_remove(n->entries, u->id);
         e = NULL;
     }
@@ -160,20 +186,30 @@
     return bg_pick_random(&n->rng, (uint32_t)most_ms + 1);
 }
 
+/* RUNNING: with the request that was turned away. */
+static double
+shrink_room(const Entry *e, uint32_t running)
+{
+    double inside = running > 1 ? running - 1 : 0;
+    return inside >= MIN_INSIDE ? MAX(inside * ROOM_AFTER, 1) : e->room;
+}
+
 static bool
-begin_rest(Un *n, Entry *e, uint64_t now_ms, uint64_t rest_ms)
+begin_rest(Un *n, Entry *e, uint64_t now_ms, uint64_t rest_ms,
+           uint32_t running)
 {
     uint64_t until_ms = now_ms + MIN(rest_ms, MAX_REST_MS);
     if (rests(e, now_ms) && until_ms <= e->until_ms) {
         return false;
     }
     if (!rests(e, now_ms)) {
-        n->rests += e->asked_ms == 0;
         e->asked_ms = MAX(now_ms, 1);
         e->probes = 0;
         e->probe_ms = 0;
+        e->room = shrink_room(e, running);
     }
     e->until_ms = until_ms;
+    e->rest_ms = until_ms - e->asked_ms;
     e->open_ms = until_ms + ROUNDING_MS + draw_spread_ms(n);
     e->end_told = false;
     e->first_ms = 0;
@@ -204,9 +240,22 @@
     return rests(e, now_ms) && e->probes > 0 && sent_ms >= e->probe_ms;
 }
 
+/* A request that was sent after the rest is answered. */
+static void
+grow_room(Entry *e, uint64_t now_ms, uint64_t sent_ms, uint32_t running)
+{
+    bool is_used = e->room > 0 && running + 1 > e->room;
+    uint64_t from_ms =
+        MAX(e->grown_ms, e->open_ms) + e->rest_ms / GROWS_PER_REST;
+    if (is_used && sent_ms >= e->until_ms && now_ms >= from_ms) {
+        e->room += 1;
+        e->grown_ms = now_ms;
+    }
+}
+
 UnChange
 un_on_answer(Un *n, uint64_t now_ms, const UnProcess *u, uint64_t sent_ms,
-             const UnNotice *notice)
+             uint32_t running, const UnNotice *notice)
 {
     UnChange change = {0};
     if (says_nothing(notice) && !find(n, u)) {
@@ -216,9 +265,10 @@
     switch (notice->rest) {
     case UN_NO_REST:
         change.rest_is_over = ends_rest(e, now_ms, sent_ms);
+        grow_room(e, now_ms, sent_ms, running);
         break;
     case UN_REST:
-        change.rests = begin_rest(n, e, now_ms, notice->rest_ms);
+        change.rests = begin_rest(n, e, now_ms, notice->rest_ms, running);
         break;
     case UN_REST_UNREADABLE:
         change.not_read = is_to_be_logged(e, now_ms);
@@ -263,13 +313,37 @@
     return (2ULL << step) - 1;
 }
 
+/* How many times the room there is by now. */
+static double
+get_room_factor(const Entry *e, uint64_t now_ms)
+{
+    uint64_t length_ms =
+        CLAMP(e->rest_ms * REMEMBER_RESTS, (uint64_t)REMEMBER_MS,
+              (uint64_t)MAX_REMEMBER_MS);
+    uint64_t from_ms = e->open_ms + length_ms;
+    return now_ms > from_ms
+               ? exp2((double)(now_ms - from_ms) / ROOM_DOUBLES_MS)
+               : 1;
+}
+
+static bool
+has_room(const Entry *e, uint64_t now_ms, uint32_t running)
+{
+    return e->room <= 0 || running + 1 <= e->room * get_room_factor(e, now_ms);
+}
+
 static UnVerdict
-check_rested(const Entry *e, uint64_t now_ms, uint64_t *from_ms)
+check_rested(const Entry *e, uint64_t now_ms, uint32_t running,
+             uint64_t *from_ms)
 {
     if (now_ms < e->open_ms) {
         *from_ms = e->open_ms;
         return UN_LATER;
     }
+    if (!has_room(e, now_ms, running)) {
+        *from_ms = now_ms + ROOM_RETRY_MS;
+        return UN_LATER;
+    }
     if (e->first_ms == 0) {
         return UN_MAY_SEND;
     }
@@ -282,7 +356,8 @@
 }
 
 UnVerdict
-un_check(const Un *n, uint64_t now_ms, const UnProcess *u, uint64_t *from_ms)
+un_check(const Un *n, uint64_t now_ms, const UnProcess *u, uint32_t running,
+         uint64_t *from_ms)
 {
     const Entry *e = find(n, u);
     if (!e) {
@@ -295,7 +370,7 @@
         return UN_MAY_SEND;
     }
     if (!rests(e, now_ms)) {
-        return check_rested(e, now_ms, from_ms);
+        return check_rested(e, now_ms, running, from_ms);
     }
     uint64_t probe_ms = get_probe_ms(e);
     if (now_ms >= probe_ms) {
@@ -332,6 +407,36 @@
     return !e->leaving && (!rests(e, now_ms) || is_probe);
 }
 
+static double
+get_released(const Un *n, uint64_t now_ms)
+{
+    return n->released * exp(-(double)(now_ms - n->released_ms) / RELEASE_MS);
+}
+
+void
+un_on_release(Un *n, uint64_t now_ms)
+{
+    if (n->released_ms == 0 ||
+        now_ms > n->released_ms + 2 * (uint64_t)RELEASE_MS) {
+        n->first_release_ms = now_ms;
+    }
+    n->released = get_released(n, now_ms) + 1;
+    n->released_ms = now_ms;
+}
+
+bool
+un_may_wait(const Un *n, uint64_t now_ms, uint32_t waiting, uint64_t left_ms)
+{
+    bool is_known = n->released_ms &&
+                    now_ms <= n->released_ms + 2 * (uint64_t)RELEASE_MS &&
+                    now_ms >= n->first_release_ms + (uint64_t)RELEASE_MS;
+    if (!is_known || waiting < FREE_WAITING) {
+        return true;
+    }
+    return waiting < get_released(n, now_ms) * (double)left_ms / RELEASE_MS *
+                         WAITING_SLACK;
+}
+
 uint64_t
 un_get_rest_end_ms(const Un *n, uint64_t now_ms, const UnProcess *u)
 {
@@ -346,12 +451,6 @@
     return e && e->leaving;
 }
 
-bool
-un_has_rests(const Un *n)
-{
-    return n->rests > 0;
-}
-
 /* ---- the leader --------------------------------------------------------- */
 
 static Told *
@@ -451,8 +550,8 @@
             visit(ctx, id);
         }
         e->end_told = e->end_told || rested;
-        if (rested && now_ms >= e->open_ms + REMEMBER_MS) {
-            end_rest(n, e);
+        if (rested && get_room_factor(e, now_ms) >= MAX_ROOM_FACTOR) {
+            end_rest(e);
         }
         if (is_over(e, now_ms)) {
             g_hash_table_iter_remove(&it);
@@ -473,9 +572,10 @@
         g_string_append_printf(
             out,
             "{\"upstream\":\"%s\",\"born_ms\":%llu,\"rest_left_ms\":%llu,"
-            "\"sent_since\":%u,\"leaving\":%s,\"gateways_held_back\":%u}\n",
+            "\"sent_since\":%u,\"room\":%.1f,\"leaving\":%s,\"gateways_held_"
+            "back\":%u}\n",
             (const char *)id, (unsigned long long)e->born_ms,
-            (unsigned long long)left_ms, e->sent,
+            (unsigned long long)left_ms, e->sent, e->room,
             e->leaving ? "true" : "false", e->told ? e->told->len : 0);
     }
 }
--- a/src/upstream_notices.h
+++ b/src/upstream_notices.h
@@ -6,9 +6,14 @@
    A wish for rest counts from when its answer was read.  The latest end holds:
    neither a shorter wish nor the answer to a request that was sent before ends
    it sooner.  After the end the gateway's requests go out a few at first, and
-   twice as many in each step: what waited for hours or milliseconds must not
-   fill the upstream in one instant.  The first one is delayed by a random part
-   of a time that grows with the number of gateways.
+   twice as many in each step: what waited must not fill the upstream in one
+   instant.  The first one is delayed by a random part of a time that grows
+   with the number of gateways.
+
+   An upstream that asks for rest whenever it is full would do so again at
+   once, and stand idle meanwhile.  So for some seconds after a rest this
+   gateway has fewer requests there at a time than when it was turned away, and
+   one more with each round of them that is answered.
 
    In a rest of more than UN_PROBE_MS two requests are sent all the same, the
    first after UN_PROBE_MS and the second after UN_LAST_PROBE_MS: if one is
@@ -66,9 +71,11 @@
 Un *un_create(uint64_t seed);
 void un_destroy(Un *n);
 
-/* U answered a request that was sent at SENT_MS. */
+/* U answered a request that was sent at SENT_MS, while RUNNING requests of
+   this gateway were there, this one included. */
 UnChange un_on_answer(Un *n, uint64_t now_ms, const UnProcess *u,
-                      uint64_t sent_ms, const UnNotice *notice);
+                      uint64_t sent_ms, uint32_t running,
+                      const UnNotice *notice);
 /* U leaves, as its entry or another gateway says.  True: it wasn't known. */
 bool un_on_leaving(Un *n, uint64_t now_ms, const UnProcess *u);
 /* Number of gateways, this one included. */
@@ -80,21 +87,26 @@
     UN_NEVER  /* it leaves */
 } UnVerdict;
 
-/* Whether a request may be chosen to go to U now.  UN_LATER: not before
- *FROM_MS. */
+/* Whether a request may be chosen to go to U now, where RUNNING requests of
+   this gateway are.  UN_LATER: not before *FROM_MS. */
 UnVerdict un_check(const Un *n, uint64_t now_ms, const UnProcess *u,
-                   uint64_t *from_ms);
+                   uint32_t running, uint64_t *from_ms);
 /* A request is sent to U, as un_check allowed. */
 void un_on_send(Un *n, uint64_t now_ms, const UnProcess *u);
 /* The same question for a request that un_on_send counted, when its first byte
    is about to be written: it may have waited for a connection. */
 bool un_may_write(const Un *n, uint64_t now_ms, const UnProcess *u);
 
+/* A request that waited for the end of a rest is sent. */
+void un_on_release(Un *n, uint64_t now_ms);
+/* Whether a request may wait as well, where WAITING do so and its caller
+   leaves in LEFT_MS: no more than were sent in that time of late. */
+bool un_may_wait(const Un *n, uint64_t now_ms, uint32_t waiting,
+                 uint64_t left_ms);
+
 /* When U's rest ends; 0: it doesn't rest. */
 uint64_t un_get_rest_end_ms(const Un *n, uint64_t now_ms, const UnProcess *u);
 bool un_is_leaving(const Un *n, const UnProcess *u);
-/* Some upstream rests, or has just rested. */
-bool un_has_rests(const Un *n);
 
 /* ---- the leader --------------------------------------------------------- */
 
--- a/src/upstream_table_choice.c
+++ b/src/upstream_table_choice.c
@@ -288,7 +288,7 @@
     UnProcess process = ut_get_process(u);
     uint64_t from_ms = now_ms;
     if (notices) {
-        (void)un_check(notices, now_ms, &process, &from_ms);
+        (void)un_check(notices, now_ms, &process, u->running, &from_ms);
     }
     return from_ms;
 }
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -278,6 +278,46 @@
     CU_ASSERT_EQUAL(read_limit("2", "2").kind, UL_UNREADABLE);
 }
 
+static UnNotice
+read_notice(uint16_t status, const char *one, const char *two)
+{
+    HtHead h = {.status = status,
+                .headers = g_array_new(FALSE, FALSE, sizeof(HtHeader))};
+    UnNotice n;
+    if (one) {
+        add_header(&h, "retry-after", one);
+    }
+    if (two) {
+        add_header(&h, "Retry-After", two);
+    }
+    pf_gw_wire.read_notice(&h, &n);
+    g_array_free(h.headers, TRUE);
+    return n;
+}
+
+/* A date, a sign or two values ask for no rest, nor does another status. */
+static void
+test_rest_header(void)
+{
+    static const char *const bad[] = {
+        "",     "abc",   "-5",  "+5",
+        "1e9",  "nan",   "inf", "3, 4",
+        "0x10", "1.2.3", ".",   "Fri, 04 Dec 2026 12:00:00 GMT"};
+    CU_ASSERT_EQUAL(read_notice(503, "3", NULL).rest_ms, 3000);
+    CU_ASSERT_EQUAL(read_notice(503, "0.25", NULL).rest_ms, 250);
+    CU_ASSERT_EQUAL(read_notice(503, "0", NULL).rest, UN_NO_REST);
+    CU_ASSERT_EQUAL(read_notice(503, "12345678901234567890", NULL).rest,
+                    UN_REST);
+    CU_ASSERT_EQUAL(read_notice(503, NULL, NULL).rest, UN_NO_REST);
+    CU_ASSERT_EQUAL(read_notice(200, "3", NULL).rest, UN_NO_REST);
+    CU_ASSERT_EQUAL(read_notice(429, "3", NULL).rest, UN_NO_REST);
+    CU_ASSERT_EQUAL(read_notice(503, "3", "4").rest, UN_REST_UNREADABLE);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_EQUAL(read_notice(503, bad[i], NULL).rest,
+                        UN_REST_UNREADABLE);
+    }
+}
+
 /* A value that can't be read says nothing, and 0 is a value. */
 static void
 test_brittle_header(void)
@@ -320,6 +360,7 @@
         {"config malformed", test_config_malformed},
         {"call headers", test_call_headers},
         {"limit header", test_limit_header},
+        {"rest header", test_rest_header},
         {"brittle header", test_brittle_header},
         CU_TEST_INFO_NULL};
     static CU_SuiteInfo suites[] = {
