An end that no unproved part explains puts the proofs of all parts in doubt

An end under a request all of whose parts are proved now puts them in doubt, at all gateways through the leader; what no answer proves again within 100 ms is unproved, and the next end counts for it. Without such an end nothing is sent.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2257,6 +2257,51 @@
   assert(message->base.descriptor == &gwp__resting__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gwp__doubt__init
+                     (Gwp__Doubt         *message)
+{
+  static const Gwp__Doubt init_value = GWP__DOUBT__INIT;
+  *message = init_value;
+}
+size_t gwp__doubt__get_packed_size
+                     (const Gwp__Doubt *message)
+{
+  assert(message->base.descriptor == &gwp__doubt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gwp__doubt__pack
+                     (const Gwp__Doubt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gwp__doubt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gwp__doubt__pack_to_buffer
+                     (const Gwp__Doubt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gwp__doubt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gwp__Doubt *
+       gwp__doubt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gwp__Doubt *)
+     protobuf_c_message_unpack (&gwp__doubt__descriptor,
+                                allocator, len, data);
+}
+void   gwp__doubt__free_unpacked
+                     (Gwp__Doubt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gwp__doubt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gwp__frame__init
                      (Gwp__Frame         *message)
 {
@@ -5944,7 +5989,45 @@
   (ProtobufCMessageInit) gwp__resting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[36] =
+static const ProtobufCFieldDescriptor gwp__doubt__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gwp__Doubt, n_parts),
+    offsetof(Gwp__Doubt, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gwp__doubt__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange gwp__doubt__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gwp__doubt__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gwp.Doubt",
+  "Doubt",
+  "Gwp__Doubt",
+  "gwp",
+  sizeof(Gwp__Doubt),
+  1,
+  gwp__doubt__field_descriptors,
+  gwp__doubt__field_indices_by_name,
+  1,  gwp__doubt__number_ranges,
+  (ProtobufCMessageInit) gwp__doubt__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gwp__frame__field_descriptors[37] =
 {
   {
     "hello",
@@ -6378,6 +6461,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "doubt",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gwp__Frame, body_case),
+    offsetof(Gwp__Frame, doubt),
+    &gwp__doubt__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__frame__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -6389,6 +6484,7 @@
   22,   /* field[22] = detour_ask */
   24,   /* field[24] = detour_data */
   25,   /* field[25] = detour_end */
+  36,   /* field[36] = doubt */
   0,   /* field[0] = hello */
   21,   /* field[21] = helpers */
   11,   /* field[11] = holder */
@@ -6420,7 +6516,7 @@
 static const ProtobufCIntRange gwp__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 36 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor gwp__frame__descriptor =
 {
@@ -6430,7 +6526,7 @@
   "Gwp__Frame",
   "gwp",
   sizeof(Gwp__Frame),
-  36,
+  37,
   gwp__frame__field_descriptors,
   gwp__frame__field_indices_by_name,
   1,  gwp__frame__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -65,6 +65,7 @@
 typedef struct Gwp__NoteAsk Gwp__NoteAsk;
 typedef struct Gwp__NoteAnswer Gwp__NoteAnswer;
 typedef struct Gwp__Resting Gwp__Resting;
+typedef struct Gwp__Doubt Gwp__Doubt;
 typedef struct Gwp__Frame Gwp__Frame;
 
 
@@ -1201,6 +1202,21 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An upstream ended under a request all of whose parts were proved: only
+ * answers from now on are proofs of these.
+ */
+struct  Gwp__Doubt
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  uint64_t *parts;
+};
+#define GWP__DOUBT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gwp__doubt__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   GWP__FRAME__BODY__NOT_SET = 0,
   GWP__FRAME__BODY_HELLO = 1,
@@ -1238,7 +1254,8 @@
   GWP__FRAME__BODY_NOTE_ANSWER = 33,
   GWP__FRAME__BODY_SLOT_OVER = 34,
   GWP__FRAME__BODY_SLOT_HELD = 35,
-  GWP__FRAME__BODY_RESTING = 36
+  GWP__FRAME__BODY_RESTING = 36,
+  GWP__FRAME__BODY_DOUBT = 37
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GWP__FRAME__BODY__CASE)
 } Gwp__Frame__BodyCase;
 
@@ -1283,6 +1300,7 @@
     Gwp__SlotOver *slot_over;
     Gwp__SlotHeld *slot_held;
     Gwp__Resting *resting;
+    Gwp__Doubt *doubt;
   };
 };
 #define GWP__FRAME__INIT \
@@ -2240,6 +2258,25 @@
 void   gwp__resting__free_unpacked
                      (Gwp__Resting *message,
                       ProtobufCAllocator *allocator);
+/* Gwp__Doubt methods */
+void   gwp__doubt__init
+                     (Gwp__Doubt         *message);
+size_t gwp__doubt__get_packed_size
+                     (const Gwp__Doubt   *message);
+size_t gwp__doubt__pack
+                     (const Gwp__Doubt   *message,
+                      uint8_t             *out);
+size_t gwp__doubt__pack_to_buffer
+                     (const Gwp__Doubt   *message,
+                      ProtobufCBuffer     *buffer);
+Gwp__Doubt *
+       gwp__doubt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gwp__doubt__free_unpacked
+                     (Gwp__Doubt *message,
+                      ProtobufCAllocator *allocator);
 /* Gwp__Frame methods */
 void   gwp__frame__init
                      (Gwp__Frame         *message);
@@ -2411,6 +2448,9 @@
 typedef void (*Gwp__Resting_Closure)
                  (const Gwp__Resting *message,
                   void *closure_data);
+typedef void (*Gwp__Doubt_Closure)
+                 (const Gwp__Doubt *message,
+                  void *closure_data);
 typedef void (*Gwp__Frame_Closure)
                  (const Gwp__Frame *message,
                   void *closure_data);
@@ -2472,6 +2512,7 @@
 extern const ProtobufCMessageDescriptor gwp__note_ask__descriptor;
 extern const ProtobufCMessageDescriptor gwp__note_answer__descriptor;
 extern const ProtobufCMessageDescriptor gwp__resting__descriptor;
+extern const ProtobufCMessageDescriptor gwp__doubt__descriptor;
 extern const ProtobufCMessageDescriptor gwp__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -423,6 +423,8 @@
 /* FROM: the gateway that sent it; NULL: the VM that we are linked to. */
 void gn_take_suspects(Gateway *g, const LkPeer *from, const Gwp__Frame *frame);
 void gn_take_run(Gateway *g, const Gwp__Frame *frame);
+/* FROM: as in gn_take_suspects. */
+void gn_take_doubt(Gateway *g, const LkPeer *from, const Gwp__Frame *frame);
 void gn_take_turn_ask(Gateway *g, LkPeer *from, const Gwp__Frame *frame);
 void gn_take_turn_answer(Gateway *g, const Gwp__Frame *frame);
 void gn_tick_suspects(Gateway *g, uint64_t now_ms);
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -736,6 +736,9 @@
     case GWP__FRAME__BODY_SUSPECTS:
         gn_take_suspects(g, NULL, f);
         break;
+    case GWP__FRAME__BODY_DOUBT:
+        gn_take_doubt(g, NULL, f);
+        break;
     case GWP__FRAME__BODY_TURN_ANSWER:
         gn_take_turn_answer(g, f);
         break;
@@ -778,6 +781,9 @@
     case GWP__FRAME__BODY_RUN:
         gn_take_run(g, f);
         break;
+    case GWP__FRAME__BODY_DOUBT:
+        gn_take_doubt(g, from, f);
+        break;
     case GWP__FRAME__BODY_SUSPECTS:
         gn_take_suspects(g, from, f);
         break;
--- a/src/gateway_node_suspects.c
+++ b/src/gateway_node_suspects.c
@@ -216,6 +216,47 @@
     lk_send_up(g->links, &f);
 }
 
+/* UP: from here, or a linked gateway; the leader passes it to all. */
+static void
+spread_doubt(Gateway *g, const SpKeys *parts, bool up)
+{
+    Gwp__Doubt m = GWP__DOUBT__INIT;
+    m.n_parts = parts->part_count;
+    m.parts = (uint64_t *)parts->parts;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_DOUBT;
+    f.doubt = &m;
+    if (g->is_leader || !up) {
+        lk_send_down(g->links, NULL, &f);
+    }
+    else {
+        lk_send_up(g->links, &f);
+    }
+}
+
+/* The proofs of all PARTS must be renewed. */
+static void
+doubt(Gateway *g, const uint64_t *parts, size_t count, bool up)
+{
+    SpKeys news;
+    sp_doubt(g->suspects, bg_boot_ms(), parts, count, &news);
+    if (news.part_count > 0) {
+        bg_count("gateway_parts_doubted_total", news.part_count);
+        spread_doubt(g, &news, up);
+    }
+}
+
+void
+gn_take_doubt(Gateway *g, const LkPeer *from, const Gwp__Frame *frame)
+{
+    const Gwp__Doubt *m = frame->doubt;
+    if (from && !g->is_leader) {
+        lk_send_up(g->links, frame);
+        return;
+    }
+    doubt(g, m->parts, MIN(m->n_parts, SP_MAX_PARTS), from != NULL);
+}
+
 static void
 note_run(Gateway *g, const SpKeys *keys, const char *upstream, SpTurn turn,
          SpResult result)
@@ -231,6 +272,9 @@
     if (result == SP_RUN_ENDED || result == SP_RUN_BLAMED) {
         sp_copy_unproved(g->suspects, keys, &told);
     }
+    if (result == SP_RUN_ENDED && told.part_count == 0) {
+        doubt(g, keys->parts, keys->part_count, true);
+    }
     report_run(g, &told, upstream, turn, result);
 }
 
@@ -295,6 +339,7 @@
         g->led_ms = now_ms;
     }
     sp_on_tick(g->suspects, now_ms);
+    sp_drop_doubted(g->suspects, now_ms);
     sp_take_proofs(g->suspects, now_ms, report_proof, g);
     publish_changes(g, now_ms);
     renew_note(g, now_ms);
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -493,8 +493,8 @@
     }
     else if (now_ms >= q->answer_by_ms) {
         if (q->state == REQ_SENT) {
-            bool sent = q->hc && ht_was_sent(q->hc);
-            q->runs += sent;
+            bool sent = q->broke || (q->hc && ht_was_sent(q->hc));
+            q->runs += q->hc && sent;
             gw_cancel_call(q,
                            sent ? UT_OUTCOME_FAILED : UT_OUTCOME_UNREACHABLE);
         }
--- a/src/suspects.c
+++ b/src/suspects.c
@@ -42,6 +42,8 @@
     g_queue_init(&s->left);
     s->proved = g_hash_table_new(NULL, NULL);
     s->proved_before = g_hash_table_new(NULL, NULL);
+    s->doubted =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     s->proved_ms = now_ms;
     s->proofs = g_array_new(FALSE, FALSE, sizeof(Proof));
     bg_seed_random(&s->rng, seed);
@@ -58,6 +60,7 @@
     g_array_free(s->changed, TRUE);
     g_hash_table_destroy(s->proved);
     g_hash_table_destroy(s->proved_before);
+    g_hash_table_destroy(s->doubted);
     g_array_free(s->proofs, TRUE);
     g_free(s);
 }
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -12,6 +12,8 @@
    - An upstream that ends while it runs a request makes each of its keys a
      suspect, at all gateways: a call that breaks off is enough, as being a
      suspect costs little.  Parts that are proved are left out.
+   - An end that no unproved part explains puts the parts in doubt at all
+     gateways: only later answers prove them.
    - A whole answer proves the parts of its prompt, for SP_PROOF_MS at the
      gateway that saw it: a part that ends upstreams ends each one that begins
      an answer on it.  A gateway that has a proof tells the leader once it
@@ -67,9 +69,11 @@
 #define SP_NO_LEADER_WAIT_MS 500
 #define SP_MAX_ROWS 8192
 #define SP_PART_SOLO_ENDS 2
-/* A part that a new version of an upstream's software can't bear was proved
-   before: it costs upstreams for this time. */
 #define SP_PROOF_MS 10000
+/* A part that a new version of an upstream's software can't bear was proved
+   before.  So an end that no other part explains outweighs the proofs of all
+   parts that no answer proves again within this time. */
+#define SP_DOUBT_MS 100
 /* Proofs of this many parts are kept, or those of the last SP_PROOF_MS / 2 if
    they are more. */
 #define SP_MAX_PROOFS 16384
@@ -125,6 +129,12 @@
                          uint32_t *wait_ms);
 /* The key for which KEYS are stopped; 0: they are not. */
 uint64_t sp_find_stopped(const Sp *s, uint64_t now_ms, const SpKeys *keys);
+/* Of COUNT PARTS under which an upstream ended, and no unproved one: only
+   answers from now on are proofs.  OUT gets those that weren't in doubt. */
+void sp_doubt(Sp *s, uint64_t now_ms, const uint64_t *parts, size_t count,
+              SpKeys *out);
+/* Proofs of parts that were in doubt for SP_DOUBT_MS go. */
+void sp_drop_doubted(Sp *s, uint64_t now_ms);
 /* KEYS without the parts that are proved here. */
 void sp_copy_unproved(const Sp *s, const SpKeys *keys, SpKeys *out);
 uint32_t sp_count(const Sp *s);
--- a/src/suspects_evidence.c
+++ b/src/suspects_evidence.c
@@ -41,9 +41,48 @@
     sp_renew_proofs(s, now_ms);
     for (uint32_t i = 0; i < keys->part_count; i++) {
         g_hash_table_add(s->proved, GSIZE_TO_POINTER(keys->parts[i]));
+        g_hash_table_remove(s->doubted, &keys->parts[i]);
     }
 }
 
+void
+sp_doubt(Sp *s, uint64_t now_ms, const uint64_t *parts, size_t count,
+         SpKeys *out)
+{
+    out->request = 0;
+    out->part_count = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (g_hash_table_contains(s->doubted, &parts[i]) ||
+            out->part_count == SP_MAX_PARTS) {
+            continue;
+        }
+        uint64_t *part = g_memdup2(&parts[i], sizeof(parts[i]));
+        g_hash_table_insert(s->doubted, part,
+                            g_memdup2(&now_ms, sizeof(now_ms)));
+        out->parts[out->part_count++] = parts[i];
+    }
+}
+
+static gboolean
+drop_if_doubted(gpointer part, gpointer since_ms, gpointer sp)
+{
+    Sp *s = sp;
+    gpointer key = GSIZE_TO_POINTER(*(uint64_t *)part);
+    if (s->now_ms < *(uint64_t *)since_ms + SP_DOUBT_MS) {
+        return FALSE;
+    }
+    g_hash_table_remove(s->proved, key);
+    g_hash_table_remove(s->proved_before, key);
+    return TRUE;
+}
+
+void
+sp_drop_doubted(Sp *s, uint64_t now_ms)
+{
+    s->now_ms = now_ms;
+    g_hash_table_foreach_remove(s->doubted, drop_if_doubted, s);
+}
+
 /* ---- stops -------------------------------------------------------------- */
 
 bool
--- a/src/suspects_internal.h
+++ b/src/suspects_internal.h
@@ -103,7 +103,9 @@
     GHashTable *proved;
     GHashTable *proved_before;
     uint64_t proved_ms;
-    GArray *proofs; /* Proof */
+    GHashTable *doubted; /* part -> uint64_t: in doubt since */
+    uint64_t now_ms;     /* of the last tick */
+    GArray *proofs;      /* Proof */
     BgRandom rng;
 };
 
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -10,14 +10,18 @@
 import pytest
 
 from cluster import wait_until
-from platform_cluster import ask
-from prompt_callers import (BAD, MAX_LATE, check, count_late, make_prompt,
-                            play, read_ends)
+from platform_cluster import ask, now
+from prompt_callers import (BAD, MAX_LATE, Callers, check, count_late,
+                            make_prompt, play, read_ends)
 from raw_answers import BARE, RESET, RawAnswer, event
 from test_deadly import linked_cluster
 from test_suspects import KEYS, control, with_keys
 
 
+# The aim for a part that answers had proved.
+MAX_ENDS_AFTER_PROOF = 5
+
+
 def make_cluster(build, engines=8, gateways=3, models=("m0", "m1"), **more):
     return linked_cluster(build, models=(models,) * engines,
                           gateways=gateways, **more)
@@ -177,6 +181,22 @@
 
 
 # The log of broken requests did not tell what they had in common.
+# A release made a part deadly that answers had proved a moment before.
+def test_part_that_was_proved_ends_engines(build):
+    with make_cluster(build) as c:
+        callers = Callers(c.gateways)
+        try:
+            time.sleep(2.5)
+            began = now()
+            for e in c.engines:
+                e.deadly_parts, e.rest_s, e.ended_s = (BAD,), 0.06, 1
+            time.sleep(10)
+        finally:
+            callers.stop()
+        check(callers, c.engines, began)
+        assert len(read_ends(c.engines)) <= MAX_ENDS_AFTER_PROOF
+
+
 def test_logs_name_the_parts_of_a_prompt(build):
     with make_cluster(build, engines=3) as c:
         for e in c.engines:
