--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -63,12 +63,12 @@
     uint64_t last_gap_ms;   /* between the last two */
     char *gap_upstream;     /* that caused max_gap_ms, for the log */
 
-    uint32_t sends;             /* that reached an upstream */
-    uint32_t sends_before_rest; /* of these, before it waited for the end of a
-                                   rest */
+    uint32_t sends;     /* that reached an upstream */
     uint64_t rested_ms; /* end of the rest that an upstream last asked it for;
                            0: none did */
     uint32_t runs;      /* that may have run */
+    uint32_t sends_before_rest; /* of SENDS, before it waited for the end of a
+                                   rest */
 
     /* the answer, unless its events are forwarded as they come */
     GString *head;
@@ -96,6 +96,9 @@
     /* It may be whole or not: whether it goes on is being asked since then; 0:
        no doubt. */
     uint64_t doubt_ms;
+    /* Its call broke off, and whether the upstream's process ended is being
+       asked since then; 0: it isn't. */
+    uint64_t asks_since_ms;
     GByteArray *rest; /* with doubt_ms: what followed its last event */
     HtCheck *check;   /* whether its upstream's process lives; NULL: none */
 
@@ -127,8 +130,6 @@
     bool paused;         /* the current call, until the caller has read more */
     bool broke;          /* the upstream broke off the current call */
     bool upstream_ended; /* ... and its process has ended */
-    uint64_t asks_since_ms; /* ... which is being asked since then; 0: it
-                               isn't */
     bool held_back; /* the current call, as its upstream rests or leaves */
     bool unsent;    /* the current call was cancelled before it was sent
                      */
