--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -128,6 +128,9 @@
         return 0;
     }
     uint64_t left_ms = q->first_byte_by_ms - now_ms;
+    if (gw_waits_for_rest(q)) {
+        return (uint32_t)MAX(left_ms, 1); /* its objective is missed anyway */
+    }
     return (uint32_t)MAX(
         MIN(q->route->objective_ms * MAX_QUEUE_OBJECTIVES, (double)left_ms),
         1);
