What waits for a rest takes any queue at its end

A request that had waited 1.2 s was refused as too many wait 120 ms after the rest's end, as what waited with it was the queue (one of 360 in a run of test_callers_leave_while_all_rest[1]).

--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -120,17 +120,15 @@
 }
 
 /* Longest queueing time to accept at an upstream; 0: any, if the request has
-   already run somewhere or its route has no objective. */
+   already run somewhere, waits for a rest or its route has no objective. */
 static uint32_t
 get_max_wait_ms(const Req *q, uint64_t now_ms)
 {
-    if (q->runs > 0 || q->route->objective_ms == 0) {
+    /* What waited for a rest is most of the queue that is seen at its end. */
+    if (q->runs > 0 || q->route->objective_ms == 0 || gw_waits_for_rest(q)) {
         return 0;
     }
     uint64_t left_ms = q->first_byte_by_ms - now_ms;
-    if (gw_waits_for_rest(q)) {
-        return (uint32_t)MAX(left_ms, 1); /* its objective is missed anyway */
-    }
     return (uint32_t)MAX(
         MIN(q->route->objective_ms * MAX_QUEUE_OBJECTIVES, (double)left_ms),
         1);
