--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
 """Header fields without a value.
 
 One gateway stands before a model engine and an application server.  Clients
-send a field with an empty value before X-Token-Count, X-Prompt-Prefix or
-X-Model; the server sends one before its X-Server-Stamp.  With TROUBLE=0 these
-fields have a value, and all else is the same.
+ask for no encoding by a field Accept-Encoding with an empty value, which stands
+before X-Token-Count, X-Prompt-Prefix or X-Model; the server sends an empty
+field Server before its X-Server-Stamp.  With TROUBLE=0 these fields have a
+value ("identity", "ledger"), and all else is the same.
 
 Exit: 1 if an engine ran a request whose X-Model, X-Token-Count or
 X-Prompt-Prefix isn't the client's, or a client got a success without the
@@ -28,7 +29,8 @@
 from fake_platform import Store               # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-VALUE = "" if TROUBLE else " 1"
+ENCODING = "" if TROUBLE else " identity"
+SERVER = "" if TROUBLE else " ledger"
 REQUESTS = 20         # of each kind
 PROMPT = (("X-Model", "m0"), ("X-Token-Count", "1460,80"),
           ("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"))
@@ -111,8 +113,8 @@
             ran[rid] = h
             note("%s runs %s with %s" % (self.name, rid, {
                 k: h.get(k.lower()) for k, _ in PROMPT}))
-            fields += "X-Note:%s\r\nX-Server-Stamp: s-%s\r\n" % (
-                VALUE if not self.model else " 1", self.name)
+            fields += "Server:%s\r\nX-Server-Stamp: s-%s\r\n" % (
+                SERVER if not self.model else " summary-lm", self.name)
             if self.model:
                 fields += "Content-Type: text/event-stream\r\n"
                 body = b"id: 0\ndata: whole\n\n"
@@ -123,13 +125,14 @@
 
 
 async def ask(port, nth, path, prompt, empty_before):
-    """Sends a request with an extra field before the one so called."""
+    """Sends a request with Accept-Encoding before the field so called."""
     global served
     rid = "%016x" % (0xc0de000000000000 + nth)
     sent = [("Host", "app.example"), ("X-Attempt-Id", rid),
             ("X-Deadline-Ms", "5000")] + list(prompt)
     fields = "".join("%s%s: %s\r\n" % (
-        "X-Note:%s\r\n" % VALUE if k == empty_before else "", k, v)
+        "Accept-Encoding:%s\r\n" % ENCODING if k == empty_before else "", k,
+        v)
         for k, v in sent)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(("POST %s HTTP/1.1\r\n%sContent-Length: 4\r\n\r\nbody" %
@@ -139,7 +142,7 @@
     writer.close()
     status = int(line.split()[1])
     note("client sends %s%s, gets %d, stamp %s" % (
-        rid, " with an extra field before " + empty_before
+        rid, " with Accept-Encoding before " + empty_before
         if empty_before else "", status, h.get("x-server-stamp")))
     served += status == 200
     for k, v in prompt:
