review: both parts of the late extra answers are one case

Both go by what is_for_other_call lets through, under the same disruption, so the late report moves into the folder of the late rejection. The answers to /report in case.py no longer have an empty X-Attempt-Id.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -106,9 +106,10 @@
             writer.close()
 
     def make(self, status, rid, body, more=""):
-        return ("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\n"
+        echo = "X-Attempt-Id: %s\r\n" % rid if rid else ""
+        return ("HTTP/1.1 %s\r\n%sX-Instance-Id: %s\r\n"
                 "X-Instance-Load: %d,%d,%d\r\nContent-Length: %d\r\n%s\r\n%s" %
-                (status, rid, self.name, min(self.inside, SLOTS),
+                (status, echo, self.name, min(self.inside, SLOTS),
                  max(0, self.inside - SLOTS), SLOTS, len(body), more,
                  body)).encode()
 
--- a/review/6/case.py
+++ b/review/1/late_report.py
@@ -41,7 +41,7 @@
 DEADLINE_MS, TIMEOUT_MS = 2500, 2500
 
 rnd = random.Random(SEED)
-record = open(os.path.join(HERE, "record.txt"), "w", encoding="utf-8")
+record = open(os.path.join(HERE, "record-report.txt"), "w", encoding="utf-8")
 began = time.monotonic()
 counts = {}           # answers by status, and what the engines spoilt
 broken = []
