--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,12 +5,14 @@
 is sent to it in that time gets no answer, then or later, while connections that
 are opened afterwards work.  Half a second into it the machine of the leading
 gateway is lost for good (SIGKILL, and not started again).  3.2 s after the
-store is back, a configuration with one more route is written, and the new route
-is asked for at the other two gateways.
-
-Exit: 1 if a request for the new route, sent more than config_ms after the
-store's acknowledgement, was answered 404; 0 if none was; 2 if the case could
-not run.
+store is back, a configuration is written that has one more route and moves the
+route of registrations to another service.  Clients use both routes at the other
+two gateways.
+
+Exit: 1 if a request that was sent more than config_ms after the store's
+acknowledgement was answered 404 on the new route, or run by the service that
+the registrations were moved away from; 0 if none was; 2 if the case could not
+run.
 """
 
 import asyncio
@@ -85,8 +87,9 @@
 class Server:
     """An application server."""
 
-    def __init__(self, name, store):
-        self.name, self.store, self.port = name, store, free_port()
+    def __init__(self, name, service, store):
+        self.name, self.service = name, service
+        self.store, self.port = store, free_port()
         self.beats = 0
         self.born = int(time.time() * 1000)
 
@@ -98,7 +101,7 @@
     def beat(self):
         self.beats += 1
         self.store.put("keyed.servers", self.name, json.dumps({
-            "service": "ledger", "address": "127.0.0.1:%d" % self.port,
+            "service": self.service, "address": "127.0.0.1:%d" % self.port,
             "zone": "z1", "version": "v1", "slots": 6, "state": "ready",
             "cold_left_ms": 0, "sequence": self.beats,
             "born": self.born}).encode())
@@ -109,7 +112,7 @@
                 _, h = read_fields(await reader.readuntil(b"\r\n\r\n"))
                 await reader.readexactly(int(h.get("content-length", 0)))
                 other = h.get("x-expect-instance", self.name) != self.name
-                body = b"" if other else b"registered"
+                body = b"" if other else self.service.encode()
                 writer.write(("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n"
                               "X-Server-Stamp: s-%s\r\nContent-Length: %d"
                               "\r\n\r\n" % (
@@ -180,54 +183,72 @@
     return False
 
 
-def make_config(version, names):
+def make_config(version, names, register):
+    """REGISTER: the service of the route of registrations."""
+    def route(name, kind, service):
+        return {"name": name, "host": "app.example",
+                "path_prefix": "/%s/" % name, "route_type": kind,
+                "timeout_ms": 1200, "target_latency_ms": 150,
+                "priority": 2, "service": service,
+                "attempts": 2 if kind == "idempotent" else 1,
+                "sticky": False, "resumable": False}
     return {"version": version,
-            "routes": [{"name": n, "host": "app.example",
-                        "path_prefix": "/%s/" % n, "route_type": "idempotent",
-                        "timeout_ms": 1200, "target_latency_ms": 150,
-                        "priority": 2, "service": "ledger", "attempts": 2,
-                        "sticky": False, "resumable": False} for n in names],
-            "services": [{"name": "ledger", "health_path": "/healthz",
-                          "max_connections": 100}],
+            "routes": [route(n, "idempotent", "ledger") for n in names] +
+                      [route("pay", "non_idempotent", register)],
+            "services": [{"name": n, "health_path": "/healthz",
+                          "max_connections": 100}
+                         for n in ("ledger", "register")],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
 
+async def ask(g, nth, path, acked):
+    sent_s = time.monotonic() - acked
+    status, body = await fetch(
+        g.ports["front"], path,
+        "X-Attempt-Id: %016x\r\nX-Deadline-Ms: 2500\r\n" %
+        (0xf0000000 + nth), "POST")
+    note("%s answers %s with %d %s, asked %.1f s after the acknowledgement" %
+         (g.name, path, status, body.decode(), sent_s))
+    return status, body.decode(), sent_s
+
+
 async def probe(gateways, acked):
-    """Times from ACKED at which the new route was refused with 404."""
-    late, nth = [], 0
+    """Times from ACKED at which the new route was refused with 404, and at
+    which registrations were run by the service that they had before."""
+    refused, old, nth = [], [], 0
     while time.monotonic() < acked + WATCH_S:
         for g in gateways:
-            nth += 1
-            sent_s = time.monotonic() - acked
-            status, _ = await fetch(
-                g.ports["front"], "/new/x",
-                "X-Attempt-Id: %016x\r\nX-Deadline-Ms: 2500\r\n" %
-                (0xf0000000 + nth))
-            note("%s answers %d on the new route, asked %.1f s after the "
-                 "acknowledgement" % (g.name, status, sent_s))
+            nth += 2
+            status, _, sent_s = await ask(g, nth, "/new/x", acked)
             if status == 404 and sent_s > CONFIG_S:
-                late.append(sent_s)
+                refused.append(sent_s)
+            status, by, sent_s = await ask(g, nth + 1, "/pay/x", acked)
+            if status == 200 and by == "ledger" and sent_s > CONFIG_S:
+                old.append(sent_s)
         await asyncio.sleep(0.5)
-    return late
+    return refused, old
 
 
-async def beat(server):
+async def beat(servers):
     while True:
         await asyncio.sleep(1.2)
-        server.beat()
+        for s in servers:
+            s.beat()
 
 
 async def play(store):
-    server = Server("i-0001", store)
-    await server.start()
-    store.put_config(make_config(3, ["old"]))
+    servers = [Server("i-0001", "ledger", store),
+               Server("i-0002", "register", store)]
+    for s in servers:
+        await s.start()
+    store.put_config(make_config(3, ["old"], "ledger"))
     proxies = [StoreProxy(store.port) for _ in range(3)]
     for p in proxies:
         await p.start()
     with tempfile.TemporaryDirectory(prefix="bglade-review-") as folder:
         gateways = [Gateway(folder, i, p) for i, p in enumerate(proxies)]
-        beats = asyncio.create_task(beat(server))
+        beats = asyncio.create_task(beat(servers))
         try:
             async def ready():
                 dumps = [await g.dump() for g in gateways]
@@ -251,8 +272,9 @@
                 p.silent = False
             note("the store is back")
             await asyncio.sleep(CONTACT_S + 0.2)
-            store.put_config(make_config(4, ["old", "new"]))
-            note("configuration 4, with a new route, is acknowledged")
+            store.put_config(make_config(4, ["old", "new"], "register"))
+            note("configuration 4, with a new route and registrations at "
+                 "another service, is acknowledged")
             late = await probe(others, time.monotonic())
             alive = all(g.proc.poll() is None for g in others)
             return late if alive else None
@@ -267,14 +289,15 @@
     store = Store(free_port())
     late = asyncio.run(play(store))
     store.stop()
+    refused, old = late or ([], [])
     text = ("could not run" if late is None else
-            "refused with 404 later than config_ms: %d requests, the last "
-            "%.1f s after the acknowledgement" % (
-                len(late), max(late, default=0)))
+            "later than config_ms: refused with 404 on the new route %d, run "
+            "by the old service %d, the last %.1f s after the acknowledgement" %
+            (len(refused), len(old), max(refused + old, default=0)))
     note(text)
     record.close()
     print(text)
-    return 2 if late is None else 1 if late else 0
+    return 2 if late is None else 1 if refused or old else 0
 
 
 if __name__ == "__main__":
