--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,19 +1,20 @@
-"""An engine's process ends while it answers streams.
+"""A late extra answer to a request that is sent again to the same engine.
 
-Two gateways stand before four model engines, each a process of its own.
-Clients ask for board summaries, which may not be resumed, of a model that all
-engines hold, and put surveyors' questions, which may be resumed, to models that
-one engine each holds.  A few of the engines' answers have no length and end with
-their connection.  With TROUBLE=1 one engine's process is killed every few
-seconds, and is back, holding nothing, 2 s later (srv_crash).
+Seven gateways stand before an application service of two engines.  Clients
+register certificates (a non_idempotent route).  Now and then more of them
+come than the engines have places, so an engine rejects some with 503 and
+X-Not-Executed.
+With TROUBLE=1 one engine hands out a few of its answers twice, the second
+copy late (garble, how = "extra late").
 
-Exit: 1 if a stream that lacks its last pieces looked complete to its client;
-0 if none did; 2 if the case could not run.
+Exit: 1 if a request ran more than once, or ran although it was refused; 0 if
+not; 2 if the case could not run.
 """
 
 import asyncio
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -29,22 +30,25 @@
 from fake_platform import Store               # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ENGINES = 4
-CRASHES = 8
-DOWN_S = 2.0          # kit: srv_crash share = 0.25, for_s = 2.0
-PAUSE_S = 9.0         # between an engine's return and the next crash
-EVENTS = {"sum": 10, "ask": 30}
-# One that all engines hold, and rare ones that one engine each holds.
-MODELS = {"sum": ["m0"], "ask": ["r%d" % i for i in range(2 * ENGINES)]}
-WEIGHTS_MB = {"sum": 34300.0, "ask": 16100.0}
-DEADLINES_MS = {"sum": 13000, "ask": 15000}
-USERS = {"sum": 40, "ask": 4}   # of each model, at each gateway
-
+SEED = int(os.environ.get("SEED", "1"))
+ROUNDS = 15            # of a burst; garble comes with each
+ROUND_S = 6.4
+BURST_S = 6.0
+GARBLE_S = 5.0        # kit: garble "extra late", for_s = 5.0
+GARBLE_X = 0.03       # ... x = 0.03, at one engine of two (share 0.6)
+GATEWAYS = 7
+# At each gateway, and those that come in a burst besides, to one gateway each
+# (kit: burst, x = 1.7 and more; here 16 / 14).
+USERS, BURST_USERS = 2, 2
+SLOTS, QUEUE, WORK_S = 6, 1, 0.030
+DEADLINE_MS, TIMEOUT_MS = 2500, 1200
+
+rnd = random.Random(SEED)
 record = open(os.path.join(HERE, "record.txt"), "w", encoding="utf-8")
 began = time.monotonic()
-counts = {"complete": 0, "visibly cut": 0, "refused": 0, "BROKEN sum": 0,
-          "BROKEN ask": 0}
-unframed = set()      # ids
+runs = {}             # id -> [(engine, time)]
+answers = {}          # id -> status, or "closed"
+extras = []
 
 
 def note(text):
@@ -52,89 +56,191 @@
 
 
 class Engine:
-    def __init__(self, name, store, models):
-        self.name, self.store, self.port = name, store, free_port()
-        self.held, self.disk = models, list(models)
+    """Serves one request at a time on a connection, SLOTS in all."""
+
+    def __init__(self, name, store):
+        self.name, self.store = name, store
+        self.port = free_port()
+        self.places = asyncio.Semaphore(SLOTS)
+        self.inside = 0
         self.beats = 0
-        self.proc = None
+        self.garbles = False
+        self.born = int(time.time() * 1000)
 
     async def start(self):
-        self.born = int(time.time() * 1000)
-        self.proc = await asyncio.create_subprocess_exec(
-            "/usr/bin/python3", os.path.join(HERE, "engine.py"), self.name,
-            str(self.port), str(self.born), ",".join(self.held) or "-",
-            ",".join(self.disk) or "-", stdout=subprocess.PIPE)
-        self.reading = asyncio.create_task(self.read())
-        for _ in range(100):
-            try:
-                _, w = await asyncio.open_connection("127.0.0.1", self.port)
-                w.close()
-                break
-            except OSError:
-                await asyncio.sleep(0.05)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                 self.port)
         self.beat()
 
-    async def read(self):
-        async for line in self.proc.stdout:
-            text = line.decode().strip()
-            note(text)
-            words = text.split()
-            if text.endswith("without a length"):
-                unframed.add(words[2])
-            if words[1] == "holds":
-                self.held = [m for m in words[2].split(",") if m != "-"]
-                self.disk += [m for m in self.held if m not in self.disk]
-                self.beat()
-
     def beat(self):
         self.beats += 1
-        self.store.put("keyed.servers", self.name, json.dumps({
-            "service": "summary-lm", "address": "127.0.0.1:%d" % self.port,
-            "zone": "z1", "version": "v1", "slots": 96, "state": "ready",
-            "cold_left_ms": 0, "sequence": self.beats, "born": self.born,
-            "phase": "both",
-            "models": [{"name": m, "version": 1, "adapters": []}
-                       for m in self.held],
-            "at_hand": {"in_memory": [], "on_disk": self.disk}}).encode())
-
-    def kill(self):
-        if self.proc and self.proc.returncode is None:
-            self.proc.kill()
+        entry = {"service": "ledger", "address": "127.0.0.1:%d" % self.port,
+                 "zone": "z1", "version": "v1", "slots": SLOTS,
+                 "state": "ready", "cold_left_ms": 0, "sequence": self.beats,
+                 "born": self.born}
+        self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+
+    async def serve(self, reader, writer):
+        late = b""       # an extra answer, sent where the next one is due
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode().split("\r\n")
+                h = {k.strip().lower(): v.strip() for k, _, v in
+                     (line.partition(":") for line in lines[1:] if line)}
+                await reader.readexactly(int(h.get("content-length", 0)))
+                if late:
+                    note("%s sends an extra answer late, before it answers "
+                         "%s: %s" % (self.name, h.get("x-attempt-id"), late[:80]))
+                    writer.write(late)
+                    late = b""
+                answer = await self.answer(lines[0], h)
+                writer.write(answer)
+                await writer.drain()
+                if self.garbles and rnd.random() < GARBLE_X:
+                    late = answer
+                    extras.append(h.get("x-attempt-id"))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def make(self, status, rid, body, more=""):
+        echo = "X-Attempt-Id: %s\r\n" % rid if rid else ""
+        return ("HTTP/1.1 %s\r\n%sX-Instance-Id: %s\r\n"
+                "X-Instance-Load: %d,%d,%d\r\nContent-Length: %d\r\n%s\r\n%s" %
+                (status, echo, self.name, min(self.inside, SLOTS),
+                 max(0, self.inside - SLOTS), SLOTS, len(body), more,
+                 body)).encode()
+
+    async def answer(self, line, h):
+        rid = h.get("x-attempt-id", "")
+        path = line.split()[1]
+        if h.get("x-expect-instance", self.name) != self.name:
+            return self.make("421 Misdirected", rid, "")
+        if path == "/report":
+            return self.make("200 OK", rid, json.dumps(
+                {"busy": False, "sequence": 0, "queued": 0, "active": 0,
+                 "born": self.born}))
+        if path == "/healthz":
+            return self.make("200 OK", rid, "")
+        if self.inside >= SLOTS + QUEUE:
+            note("%s rejects %s" % (self.name, rid))
+            return self.make("503 Service Unavailable", rid, "",
+                             "X-Not-Executed: 1\r\n")
+        self.inside += 1
+        try:
+            async with self.places:
+                runs.setdefault(rid, []).append(self.name)
+                note("%s runs %s" % (self.name, rid))
+                await asyncio.sleep(WORK_S)
+        finally:
+            self.inside -= 1
+        return self.make("200 OK", rid, "registered " + rid,
+                         "X-Server-Stamp: s-%s\r\n" % self.name)
+
+
+class Client:
+    def __init__(self, port):
+        self.port = port
+
+    async def ask(self):
+        """One attempt on a connection of its own."""
+        rid = "%016x" % rnd.getrandbits(64)
+        answers[rid] = "closed"
+        body = "certificate " + rid
+        note("client sends %s" % rid)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        try:
+            writer.write((
+                "POST /pay/x HTTP/1.1\r\nHost: app.example\r\n"
+                "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"
+                "Content-Length: %d\r\n\r\n%s" %
+                (rid, DEADLINE_MS, len(body), body)).encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            answers[rid] = int(head.split()[1])
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+        note("client gets %s for %s" % (answers[rid], rid))
+
+    async def work(self, until):
+        while time.monotonic() < until:
+            await self.ask()
+
+
+def make_config():
+    return {"version": 3,
+            "routes": [{"name": "pay", "host": "app.example",
+                        "path_prefix": "/pay/", "route_type": "non_idempotent",
+                        "timeout_ms": TIMEOUT_MS, "target_latency_ms": 150,
+                        "priority": 2, "service": "ledger", "attempts": 1,
+                        "sticky": False, "resumable": False}],
+            "services": [{"name": "ledger", "health_path": "/healthz",
+                          "max_connections": 100}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+
+
+def write_settings(folder, nth, store):
+    ports = {k: free_port() for k in
+             ("front", "ready", "control", "link", "detour")}
+    path = os.path.join(folder, "settings%d.ini" % nth)
+    with open(path, "w", encoding="utf-8") as f:
+        f.write("[gateway]\nname = edge-z1-%d\ndata_centre = z1\n" % nth)
+        for k, port in ports.items():
+            f.write("%s = 127.0.0.1:%d\n" % (k, port))
+        f.write("store = %s\ncpu_share = 0.25\n[bounds]\nretry_ratio = 0.2\n"
+                "retry_window_s = 10\nretry_slack = 54\nlease_ms = 3000\n"
+                "grace_s = 8\n" % store.address)
+    return path, ports
+
+
+async def is_ready(port):
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head.split()[1] == b"200"
+    except (OSError, asyncio.IncompleteReadError):
+        return False
+
+
+async def beat_all(engines):
+    while True:
+        await asyncio.sleep(1.2)
+        for e in engines:
+            e.beat()
+
+
+async def one_round(clients, engines):
+    start = time.monotonic()
+    crowd = [asyncio.create_task(c.work(start + ROUND_S))
+             for c in clients * USERS]
+    crowd += [asyncio.create_task(c.work(start + BURST_S))
+              for c in clients[:BURST_USERS]]
+    engines[0].garbles = TROUBLE     # one of two: share 0.6 at most
+    await asyncio.sleep(GARBLE_S)
+    engines[0].garbles = False
+    await asyncio.gather(*crowd)
 
 
 class Gateway:
     def __init__(self, folder, nth, store):
-        ports = {k: free_port() for k in
-                 ("front", "ready", "control", "link", "detour")}
-        self.front, self.ready = ports["front"], ports["ready"]
-        settings = os.path.join(folder, "settings%d.ini" % nth)
-        with open(settings, "w", encoding="utf-8") as f:
-            f.write("[gateway]\nname = edge-z1-%d\ndata_centre = z1\n" % nth)
-            for k, port in ports.items():
-                f.write("%s = 127.0.0.1:%d\n" % (k, port))
-            f.write("store = %s\ncpu_share = 0.25\n[bounds]\n"
-                    "retry_ratio = 0.2\nretry_window_s = 10\n"
-                    "retry_slack = 54\nlease_ms = 3000\ngrace_s = 8\n" %
-                    store.address)
+        self.settings, self.ports = write_settings(folder, nth, store)
         self.log = open(os.path.join(folder, "log%d" % nth), "wb")
         self.proc = subprocess.Popen(
             [os.path.join(ROOT, "target/bglade-gateway")], cwd=ROOT,
             env={"PATH": os.environ.get("PATH", ""),
-                 "BITTERNGLADE_SETTINGS": settings},
+                 "BITTERNGLADE_SETTINGS": self.settings},
             stdout=self.log, stderr=self.log)
 
     async def wait_ready(self):
         for _ in range(300):
-            try:
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", self.ready)
-                writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-                head = await reader.readuntil(b"\r\n\r\n")
-                writer.close()
-                if head.split()[1] == b"200":
-                    return True
-            except (OSError, asyncio.IncompleteReadError):
-                pass
+            if await is_ready(self.ports["ready"]):
+                return True
             await asyncio.sleep(0.05)
         return False
 
@@ -145,142 +251,26 @@
         self.log.close()
 
 
-nth_id = 0
-
-
-async def read_chunks(reader):
-    """The body, and whether its last chunk came."""
-    body = b""
-    try:
-        while True:
-            size = int(await reader.readuntil(b"\r\n"), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if size == 0:
-                return body, True
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        return body, False
-
-
-async def ask(port, path, model):
-    global nth_id
-    nth_id += 1
-    rid = "%016x" % (0xb0a0000000000000 + nth_id)
-    body = path + " " + rid
-    last = b"part %d of %d" % (EVENTS[path], EVENTS[path])
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
-        writer.write((
-            "POST /%s/x HTTP/1.1\r\nHost: app.example\r\n"
-            "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: %s\r\n"
-            "X-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,%s:50\r\n"
-            "Content-Length: %d\r\n\r\n%s" %
-            (path, rid, DEADLINES_MS[path], model, rid, len(body),
-             body)).encode())
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            counts["visibly cut"] += 1
-            note("client: closed without an answer: %s" % rid)
-            return
-        if head.split()[1] != "200":
-            counts["refused"] += 1
-            note("client: %s for %s" % (head.split()[1], rid))
-            return
-        data, ended = await read_chunks(reader)
-        events = data.count(b"\n\n")
-        if ended and last not in data:
-            counts["BROKEN " + path] += 1
-            note("BROKEN ORDER: %s of /%s looks complete with %d of %d pieces "
-                 "(the engine's answer had %s)" %
-                 (rid, path, events, EVENTS[path],
-                  "no length" if rid in unframed else "chunks"))
-        else:
-            counts["complete" if ended else "visibly cut"] += 1
-            note("client: %s of /%s, %d pieces, %s" %
-                 (rid, path, events, "complete" if ended else "visibly cut"))
-    finally:
-        writer.close()
-
-
-async def use(port, path, model):
-    while True:
-        await ask(port, path, model)
-        await asyncio.sleep(0.05)
-
-
-async def beat_all(engines):
-    while True:
-        await asyncio.sleep(1.2)
-        for e in engines:
-            if e.proc.returncode is None:
-                e.beat()
-
-
-def make_config():
-    def route(path, attempts, resumable, objective_ms):
-        return {"name": path, "host": "app.example",
-                "path_prefix": "/%s/" % path, "route_type": "streaming",
-                "timeout_ms": DEADLINES_MS[path],
-                "target_latency_ms": objective_ms, "gap_target_ms": 400,
-                "priority": 1, "service": "summary-lm", "attempts": attempts,
-                "sticky": True, "resumable": resumable}
-    return {"version": 3,
-            "routes": [route("sum", 1, False, 2000),
-                       route("ask", 2, True, 1500)],
-            "services": [{"name": "summary-lm", "health_path": "/healthz",
-                          "max_connections": 490, "engine": {
-                              "slots": 96, "kv_capacity": 189118,
-                              "weights_mb": 83000.0, "max_adapters": 8,
-                              "loads_per_s": 3.1,
-                              "models": [
-                                  {"name": m, "weights_mb": WEIGHTS_MB[path],
-                                   "load_time_s": 6.0, "adapters": 0,
-                                   "adapter_mb": 0.0}
-                                  for path in MODELS
-                                  for m in MODELS[path]]}}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
-
-
 async def play(store):
-    engines = [Engine("i-000%d" % i, store,
-                      ["m0", "r%d" % (2 * i), "r%d" % (2 * i + 1)])
-               for i in range(ENGINES)]
+    engines = [Engine("i-000%d" % i, store) for i in (1, 2)]
     for e in engines:
         await e.start()
     store.put_config(make_config())
     with tempfile.TemporaryDirectory(prefix="bglade-review-") as folder:
-        gateways = [Gateway(folder, i, store) for i in range(2)]
-        tasks = [asyncio.create_task(beat_all(engines))]
+        gateways = [Gateway(folder, i, store) for i in range(GATEWAYS)]
+        beats = asyncio.create_task(beat_all(engines))
         try:
             if not all([await g.wait_ready() for g in gateways]):
                 return False
             await asyncio.sleep(2)
-            tasks += [asyncio.create_task(use(g.front, path, model))
-                      for g in gateways for path in USERS
-                      for model in MODELS[path] * USERS[path]]
-            for i in range(CRASHES):
-                await asyncio.sleep(PAUSE_S)
-                e = engines[i % ENGINES]
-                if TROUBLE:
-                    note("%s, which holds %s, is killed" % (e.name, e.held))
-                    e.kill()
-                    await e.proc.wait()
-                    e.held = []
-                await asyncio.sleep(DOWN_S)
-                if TROUBLE:
-                    await e.start()
-                    note("%s is back" % e.name)
-            await asyncio.sleep(4)
+            clients = [Client(g.ports["front"]) for g in gateways]
+            for _ in range(ROUNDS):
+                await one_round(clients, engines)
             return all(g.proc.poll() is None for g in gateways)
         finally:
-            for t in tasks:
-                t.cancel()
+            beats.cancel()
             for g in gateways:
                 g.stop()
-            for e in engines:
-                e.kill()
-                await e.proc.wait()
 
 
 def main():
@@ -288,14 +278,24 @@
     store = Store(free_port())
     ran = asyncio.run(play(store))
     store.stop()
-    text = "streams: %s; engines' answers without a length: %d" % (
-        counts, len(unframed))
-    note(text)
+    twice = {r for r, by in runs.items() if len(by) > 1}
+    refused = {r for r in runs if answers.get(r) in (408, 421, 429, 503)}
+    counts = {}
+    for status in answers.values():
+        counts[status] = counts.get(status, 0) + 1
+    for r in sorted(twice):
+        note("BROKEN TWICE: %s ran %d times, by %s; its client got %s" %
+             (r, len(runs[r]), runs[r], answers.get(r)))
+    for r in sorted(refused):
+        note("BROKEN REFUSED: %s ran, its client got %s" % (r, answers[r]))
+    note("answers %s, extra answers %d, ran twice %d, refused and run %d" %
+         (counts, len(extras), len(twice), len(refused)))
     record.close()
-    print(text)
-    if not ran or counts["complete"] < 100:
+    print("answers %s, extra answers %d, ran twice %d, refused and run %d" %
+          (counts, len(extras), len(twice), len(refused)))
+    if not ran or counts.get(200, 0) < 100:
         return 2
-    return 1 if counts["BROKEN sum"] + counts["BROKEN ask"] else 0
+    return 1 if twice or refused else 0
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,14 +1,14 @@
-"""Header fields without a value.
+"""An engine's process ends while it answers streams.
 
-One gateway stands before a model engine and an application server.  Clients
-ask for no encoding by a field Accept-Encoding with an empty value, which stands
-before X-Token-Count, X-Prompt-Prefix or X-Model; the server sends an empty
-field Server before its X-Server-Stamp.  With TROUBLE=0 these fields have a
-value ("identity", "ledger"), and all else is the same.
+Two gateways stand before four model engines, each a process of its own.
+Clients ask for board summaries, which may not be resumed, of a model that all
+engines hold, and put surveyors' questions, which may be resumed, to models that
+one engine each holds.  A few of the engines' answers have no length and end with
+their connection.  With TROUBLE=1 one engine's process is killed every few
+seconds, and is back, holding nothing, 2 s later (srv_crash).
 
-Exit: 1 if an engine ran a request whose X-Model, X-Token-Count or
-X-Prompt-Prefix isn't the client's, or a client got a success without the
-engine's X-Server-Stamp; 0 if not; 2 if the case could not run.
+Exit: 1 if a stream that lacks its last pieces looked complete to its client;
+0 if none did; 2 if the case could not run.
 """
 
 import asyncio
@@ -29,241 +29,273 @@
 from fake_platform import Store               # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ENCODING = "" if TROUBLE else " identity"
-SERVER = "" if TROUBLE else " ledger"
-REQUESTS = 20         # of each kind
-PROMPT = (("X-Model", "m0"), ("X-Token-Count", "1460,80"),
-          ("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"))
+ENGINES = 4
+CRASHES = 8
+DOWN_S = 2.0          # kit: srv_crash share = 0.25, for_s = 2.0
+PAUSE_S = 9.0         # between an engine's return and the next crash
+EVENTS = {"sum": 10, "ask": 30}
+# One that all engines hold, and rare ones that one engine each holds.
+MODELS = {"sum": ["m0"], "ask": ["r%d" % i for i in range(2 * ENGINES)]}
+WEIGHTS_MB = {"sum": 34300.0, "ask": 16100.0}
+DEADLINES_MS = {"sum": 13000, "ask": 15000}
+USERS = {"sum": 40, "ask": 4}   # of each model, at each gateway
 
 record = open(os.path.join(HERE, "record.txt"), "w", encoding="utf-8")
 began = time.monotonic()
-ran = {}              # id -> header fields that the engine received
-served = 0
-broken = []
+counts = {"complete": 0, "visibly cut": 0, "refused": 0, "BROKEN sum": 0,
+          "BROKEN ask": 0}
+unframed = set()      # ids
 
 
 def note(text):
     record.write("%8.3f %s\n" % (time.monotonic() - began, text))
 
 
-def read_fields(head):
-    lines = head.decode().split("\r\n")
-    return lines[0], {k.strip().lower(): v.strip() for k, _, v in
-                      (line.partition(":") for line in lines[1:] if line)}
-
-
-class Server:
-    """A model engine if it has a MODEL, else an application server."""
-
-    def __init__(self, name, service, model, store):
-        self.name, self.service, self.model = name, service, model
-        self.store, self.port = store, free_port()
+class Engine:
+    def __init__(self, name, store, models):
+        self.name, self.store, self.port = name, store, free_port()
+        self.held, self.disk = models, list(models)
         self.beats = 0
-        self.born = int(time.time() * 1000)
+        self.proc = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
-                                                 self.port)
+        self.born = int(time.time() * 1000)
+        self.proc = await asyncio.create_subprocess_exec(
+            "/usr/bin/python3", os.path.join(HERE, "engine.py"), self.name,
+            str(self.port), str(self.born), ",".join(self.held) or "-",
+            ",".join(self.disk) or "-", stdout=subprocess.PIPE)
+        self.reading = asyncio.create_task(self.read())
+        for _ in range(100):
+            try:
+                _, w = await asyncio.open_connection("127.0.0.1", self.port)
+                w.close()
+                break
+            except OSError:
+                await asyncio.sleep(0.05)
         self.beat()
 
+    async def read(self):
+        async for line in self.proc.stdout:
+            text = line.decode().strip()
+            note(text)
+            words = text.split()
+            if text.endswith("without a length"):
+                unframed.add(words[2])
+            if words[1] == "holds":
+                self.held = [m for m in words[2].split(",") if m != "-"]
+                self.disk += [m for m in self.held if m not in self.disk]
+                self.beat()
+
     def beat(self):
         self.beats += 1
-        entry = {"service": self.service,
-                 "address": "127.0.0.1:%d" % self.port, "zone": "z1",
-                 "version": "v1", "slots": 96, "state": "ready",
-                 "cold_left_ms": 0, "sequence": self.beats, "phase": "both",
-                 "born": self.born}
-        if self.model:
-            entry["models"] = [{"name": self.model, "version": 1,
-                                "adapters": []}]
-            entry["at_hand"] = {"in_memory": [self.model],
-                                "on_disk": [self.model]}
-        self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                line, h = read_fields(await reader.readuntil(b"\r\n\r\n"))
-                await reader.readexactly(int(h.get("content-length", 0)))
-                writer.write(self.answer(line.split()[1], h))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-    def answer(self, path, h):
-        rid = h.get("x-attempt-id", "")
-        fields = "X-Attempt-Id: %s\r\nX-Instance-Load: 1,0,96\r\n" % rid
-        body, status = b"", "200 OK"
-        if h.get("x-expect-instance", self.name) != self.name:
-            status = "421 Misdirected Request"
-        elif path == "/report":
-            body = json.dumps({
-                "phase": "both", "busy": False, "sequence": 0, "queued": 0,
-                "models": [{"name": "m0", "version": 1, "adapters": []}],
-                "active": 0, "kv_used": 0, "kv_total": 189118, "handles": 0,
-                "born": self.born}).encode()
-        elif path == "/order":
-            status = "409 Conflict"
-        elif not rid:
-            status = "400 Bad Request"
-            fields += "X-Not-Executed: 1\r\n"
-        elif path != "/healthz":
-            ran[rid] = h
-            note("%s runs %s with %s" % (self.name, rid, {
-                k: h.get(k.lower()) for k, _ in PROMPT}))
-            fields += "Server:%s\r\nX-Server-Stamp: s-%s\r\n" % (
-                SERVER if not self.model else " summary-lm", self.name)
-            if self.model:
-                fields += "Content-Type: text/event-stream\r\n"
-                body = b"id: 0\ndata: whole\n\n"
-            else:
-                body = b"registered"
-        return ("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n" %
-                (status, fields, len(body))).encode() + body
-
-
-async def ask(port, nth, path, prompt, empty_before):
-    """Sends a request with Accept-Encoding before the field so called."""
-    global served
-    rid = "%016x" % (0xc0de000000000000 + nth)
-    sent = [("Host", "app.example"), ("X-Attempt-Id", rid),
-            ("X-Deadline-Ms", "5000")] + list(prompt)
-    fields = "".join("%s%s: %s\r\n" % (
-        "Accept-Encoding:%s\r\n" % ENCODING if k == empty_before else "", k,
-        v)
-        for k, v in sent)
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(("POST %s HTTP/1.1\r\n%sContent-Length: 4\r\n\r\nbody" %
-                  (path, fields)).encode())
-    line, h = read_fields(await asyncio.wait_for(
-        reader.readuntil(b"\r\n\r\n"), 10))
-    writer.close()
-    status = int(line.split()[1])
-    note("client sends %s%s, gets %d, stamp %s" % (
-        rid, " with Accept-Encoding before " + empty_before
-        if empty_before else "", status, h.get("x-server-stamp")))
-    served += status == 200
-    for k, v in prompt:
-        if rid in ran and ran[rid].get(k.lower()) != v:
-            broken.append("BROKEN UNASKED: %s ran with %s: %s, the client "
-                          "sent %s" % (rid, k, ran[rid].get(k.lower()), v))
-    if status // 100 == 2 and not h.get("x-server-stamp"):
-        broken.append("BROKEN MIXED: %s got %d without the engine's "
-                      "X-Server-Stamp" % (rid, status))
-
-
-def make_config():
-    def route(name, service, kind, sticky):
-        doc = {"name": name, "host": "app.example",
-               "path_prefix": "/%s/" % name, "route_type": kind,
-               "timeout_ms": 5000, "target_latency_ms": 800, "priority": 1,
-               "service": service, "attempts": 1, "sticky": sticky,
-               "resumable": False}
-        return dict(doc, gap_target_ms=400) if sticky else doc
-    return {"version": 3,
-            "routes": [route("sum", "summary-lm", "streaming", True),
-                       route("pay", "ledger", "non_idempotent", False)],
-            "services": [
-                {"name": "ledger", "health_path": "/healthz",
-                 "max_connections": 100},
-                {"name": "summary-lm", "health_path": "/healthz",
-                 "max_connections": 490, "engine": {
-                     "slots": 96, "kv_capacity": 189118,
-                     "weights_mb": 83000.0, "max_adapters": 8,
-                     "loads_per_s": 3.1,
-                     "models": [{"name": "m0", "weights_mb": 34300.0,
-                                 "load_time_s": 6.0, "adapters": 0,
-                                 "adapter_mb": 40.0}]}}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
-
-
-def start_gateway(folder, store):
-    ports = {k: free_port() for k in
-             ("front", "ready", "control", "link", "detour")}
-    settings = os.path.join(folder, "settings.ini")
-    with open(settings, "w", encoding="utf-8") as f:
-        f.write("[gateway]\nname = edge-z1-1\ndata_centre = z1\n")
-        for k, port in ports.items():
-            f.write("%s = 127.0.0.1:%d\n" % (k, port))
-        f.write("store = %s\ncpu_share = 0.25\n[bounds]\nretry_ratio = 0.2\n"
-                "retry_window_s = 10\nretry_slack = 54\nlease_ms = 3000\n"
-                "grace_s = 8\n" % store.address)
-    with open(os.path.join(folder, "log"), "wb") as log:
-        return ports, subprocess.Popen(
+        self.store.put("keyed.servers", self.name, json.dumps({
+            "service": "summary-lm", "address": "127.0.0.1:%d" % self.port,
+            "zone": "z1", "version": "v1", "slots": 96, "state": "ready",
+            "cold_left_ms": 0, "sequence": self.beats, "born": self.born,
+            "phase": "both",
+            "models": [{"name": m, "version": 1, "adapters": []}
+                       for m in self.held],
+            "at_hand": {"in_memory": [], "on_disk": self.disk}}).encode())
+
+    def kill(self):
+        if self.proc and self.proc.returncode is None:
+            self.proc.kill()
+
+
+class Gateway:
+    def __init__(self, folder, nth, store):
+        ports = {k: free_port() for k in
+                 ("front", "ready", "control", "link", "detour")}
+        self.front, self.ready = ports["front"], ports["ready"]
+        settings = os.path.join(folder, "settings%d.ini" % nth)
+        with open(settings, "w", encoding="utf-8") as f:
+            f.write("[gateway]\nname = edge-z1-%d\ndata_centre = z1\n" % nth)
+            for k, port in ports.items():
+                f.write("%s = 127.0.0.1:%d\n" % (k, port))
+            f.write("store = %s\ncpu_share = 0.25\n[bounds]\n"
+                    "retry_ratio = 0.2\nretry_window_s = 10\n"
+                    "retry_slack = 54\nlease_ms = 3000\ngrace_s = 8\n" %
+                    store.address)
+        self.log = open(os.path.join(folder, "log%d" % nth), "wb")
+        self.proc = subprocess.Popen(
             [os.path.join(ROOT, "target/bglade-gateway")], cwd=ROOT,
             env={"PATH": os.environ.get("PATH", ""),
-                 "BITTERNGLADE_SETTINGS": settings}, stdout=log, stderr=log)
-
-
-async def wait_ready(port):
-    for _ in range(300):
+                 "BITTERNGLADE_SETTINGS": settings},
+            stdout=self.log, stderr=self.log)
+
+    async def wait_ready(self):
+        for _ in range(300):
+            try:
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.ready)
+                writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+                if head.split()[1] == b"200":
+                    return True
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.05)
+        return False
+
+    def stop(self):
+        if self.proc.poll() is None:
+            self.proc.kill()
+        self.proc.wait()
+        self.log.close()
+
+
+nth_id = 0
+
+
+async def read_chunks(reader):
+    """The body, and whether its last chunk came."""
+    body = b""
+    try:
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                return body, True
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return body, False
+
+
+async def ask(port, path, model):
+    global nth_id
+    nth_id += 1
+    rid = "%016x" % (0xb0a0000000000000 + nth_id)
+    body = path + " " + rid
+    last = b"part %d of %d" % (EVENTS[path], EVENTS[path])
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write((
+            "POST /%s/x HTTP/1.1\r\nHost: app.example\r\n"
+            "X-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Model: %s\r\n"
+            "X-Token-Count: 100,50\r\nX-Prompt-Prefix: aa:50,%s:50\r\n"
+            "Content-Length: %d\r\n\r\n%s" %
+            (path, rid, DEADLINES_MS[path], model, rid, len(body),
+             body)).encode())
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-            line, _ = read_fields(await reader.readuntil(b"\r\n\r\n"))
-            writer.close()
-            if line.split()[1] == "200":
-                return True
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            counts["visibly cut"] += 1
+            note("client: closed without an answer: %s" % rid)
+            return
+        if head.split()[1] != "200":
+            counts["refused"] += 1
+            note("client: %s for %s" % (head.split()[1], rid))
+            return
+        data, ended = await read_chunks(reader)
+        events = data.count(b"\n\n")
+        if ended and last not in data:
+            counts["BROKEN " + path] += 1
+            note("BROKEN ORDER: %s of /%s looks complete with %d of %d pieces "
+                 "(the engine's answer had %s)" %
+                 (rid, path, events, EVENTS[path],
+                  "no length" if rid in unframed else "chunks"))
+        else:
+            counts["complete" if ended else "visibly cut"] += 1
+            note("client: %s of /%s, %d pieces, %s" %
+                 (rid, path, events, "complete" if ended else "visibly cut"))
+    finally:
+        writer.close()
+
+
+async def use(port, path, model):
+    while True:
+        await ask(port, path, model)
         await asyncio.sleep(0.05)
-    return False
 
 
-async def beat_all(servers):
+async def beat_all(engines):
     while True:
         await asyncio.sleep(1.2)
-        for s in servers:
-            s.beat()
+        for e in engines:
+            if e.proc.returncode is None:
+                e.beat()
+
+
+def make_config():
+    def route(path, attempts, resumable, objective_ms):
+        return {"name": path, "host": "app.example",
+                "path_prefix": "/%s/" % path, "route_type": "streaming",
+                "timeout_ms": DEADLINES_MS[path],
+                "target_latency_ms": objective_ms, "gap_target_ms": 400,
+                "priority": 1, "service": "summary-lm", "attempts": attempts,
+                "sticky": True, "resumable": resumable}
+    return {"version": 3,
+            "routes": [route("sum", 1, False, 2000),
+                       route("ask", 2, True, 1500)],
+            "services": [{"name": "summary-lm", "health_path": "/healthz",
+                          "max_connections": 490, "engine": {
+                              "slots": 96, "kv_capacity": 189118,
+                              "weights_mb": 83000.0, "max_adapters": 8,
+                              "loads_per_s": 3.1,
+                              "models": [
+                                  {"name": m, "weights_mb": WEIGHTS_MB[path],
+                                   "load_time_s": 6.0, "adapters": 0,
+                                   "adapter_mb": 0.0}
+                                  for path in MODELS
+                                  for m in MODELS[path]]}}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
 
 async def play(store):
-    servers = [Server("i-0001", "summary-lm", "m0", store),
-               Server("i-0002", "ledger", None, store)]
-    for s in servers:
-        await s.start()
+    engines = [Engine("i-000%d" % i, store,
+                      ["m0", "r%d" % (2 * i), "r%d" % (2 * i + 1)])
+               for i in range(ENGINES)]
+    for e in engines:
+        await e.start()
     store.put_config(make_config())
     with tempfile.TemporaryDirectory(prefix="bglade-review-") as folder:
-        ports, gateway = start_gateway(folder, store)
-        beats = asyncio.create_task(beat_all(servers))
+        gateways = [Gateway(folder, i, store) for i in range(2)]
+        tasks = [asyncio.create_task(beat_all(engines))]
         try:
-            if not await wait_ready(ports["ready"]):
+            if not all([await g.wait_ready() for g in gateways]):
                 return False
             await asyncio.sleep(2)
-            nth = 0
-            for _ in range(REQUESTS):
-                for before in [k for k, _ in PROMPT]:
-                    nth += 1
-                    await ask(ports["front"], nth, "/sum/x", PROMPT, before)
-                nth += 1
-                await ask(ports["front"], nth, "/pay/x", (), None)
-            return gateway.poll() is None
+            tasks += [asyncio.create_task(use(g.front, path, model))
+                      for g in gateways for path in USERS
+                      for model in MODELS[path] * USERS[path]]
+            for i in range(CRASHES):
+                await asyncio.sleep(PAUSE_S)
+                e = engines[i % ENGINES]
+                if TROUBLE:
+                    note("%s, which holds %s, is killed" % (e.name, e.held))
+                    e.kill()
+                    await e.proc.wait()
+                    e.held = []
+                await asyncio.sleep(DOWN_S)
+                if TROUBLE:
+                    await e.start()
+                    note("%s is back" % e.name)
+            await asyncio.sleep(4)
+            return all(g.proc.poll() is None for g in gateways)
         finally:
-            beats.cancel()
-            if gateway.poll() is None:
-                gateway.kill()
-            gateway.wait()
+            for t in tasks:
+                t.cancel()
+            for g in gateways:
+                g.stop()
+            for e in engines:
+                e.kill()
+                await e.proc.wait()
 
 
 def main():
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     store = Store(free_port())
-    done = asyncio.run(play(store))
+    ran = asyncio.run(play(store))
     store.stop()
-    for text in broken:
-        note(text)
-    unasked = sum("UNASKED" in t for t in broken)
-    text = "requests %d, answered 200: %d, UNASKED %d, MIXED %d" % (
-        REQUESTS * 4, served, unasked, len(broken) - unasked)
+    text = "streams: %s; engines' answers without a length: %d" % (
+        counts, len(unframed))
     note(text)
     record.close()
     print(text)
-    if not done or served < REQUESTS:
+    if not ran or counts["complete"] < 100:
         return 2
-    return 1 if broken else 0
+    return 1 if counts["BROKEN sum"] + counts["BROKEN ask"] else 0
 
 
 if __name__ == "__main__":
--- a/review/unread_log.py
+++ b/review/unread_log.py
@@ -18,7 +18,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
-sys.path[:0] = [os.path.join(HERE, "4"), os.path.join(ROOT, "tests")]
+sys.path[:0] = [os.path.join(HERE, "5"), os.path.join(ROOT, "tests")]
 sys.dont_write_bytecode = True
 
 import case                                   # noqa: E402
