--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -19,9 +19,8 @@
 /* An upstream that tells nothing of its process by then has ended, or is out
    of reach for all. */
 #define ASK_END_MS 150
-/* For so long a stream that may be whole or not is kept open, to see whether
-   it goes on elsewhere. */
-#define MAX_DOUBT_MS 500
+/* ... of an answer whose end tells nothing: it has all but that end. */
+#define CONFIRM_END_MS 1000
 /* Pause within a stream after which it is resumed elsewhere, as a multiple of
    the route's gap_ms, or SILENT_GAP_MS if the route has none. */
 #define SILENT_GAPS 2
@@ -486,22 +485,36 @@
 }
 
 static void
-check_request(Req *q, uint64_t now_ms)
+end_at_deadline(Req *q)
 {
-    if (q->doubt_ms && now_ms > q->doubt_ms + MAX_DOUBT_MS) {
-        gw_finish_doubtful(q, "no sign that it goes on");
+    if (q->unconfirmed) {
+        gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
     }
-    else if (now_ms >= q->answer_by_ms) {
-        if (q->state == REQ_SENT) {
-            bool sent = q->broke || (q->hc && ht_was_sent(q->hc));
-            q->runs += q->hc && sent;
-            gw_cancel_call(q,
-                           sent ? UT_OUTCOME_FAILED : UT_OUTCOME_UNREACHABLE);
-        }
-        gw_give_up(q, RETRY_SOON_MS, "deadline");
+    else if (q->state == REQ_SENT) {
+        bool sent = q->broke || (q->hc && ht_was_sent(q->hc));
+        q->runs += q->hc && sent;
+        gw_cancel_call(q, sent ? UT_OUTCOME_FAILED : UT_OUTCOME_UNREACHABLE);
+    }
+    gw_give_up(q, RETRY_SOON_MS, "deadline");
+}
+
+/* Nothing was heard of its upstream's process in time. */
+static bool
+is_process_unheard(const Req *q, uint64_t now_ms)
+{
+    uint32_t wait_ms = q->unconfirmed ? CONFIRM_END_MS : ASK_END_MS;
+    return q->asks_since_ms && now_ms >= q->asks_since_ms + wait_ms;
+}
+
+static void
+check_request(Req *q, uint64_t now_ms)
+{
+    if (now_ms >= q->answer_by_ms) {
+        end_at_deadline(q);
     }
-    else if (q->asks_since_ms && now_ms >= q->asks_since_ms + ASK_END_MS) {
-        gw_finish_break(q, true);
+    else if (is_process_unheard(q, now_ms)) {
+        gw_on_process_known(q, q->unconfirmed ? GW_PROCESS_UNKNOWN
+                                              : GW_PROCESS_ENDED);
     }
     else if (gw_waits_for_rest(q)) {
         return; /* gw_try_rested follows */
@@ -679,11 +692,13 @@
         return;
     }
     bool unheard = born_ms == 0;
+    bool same = born_ms == ut_get_entry(q->ut)->born_ms;
     if (unheard && g->out.is_isolated(g->out.ctx)) {
-        gw_finish_break(q, false); /* it is the paths that are gone */
+        /* It is the paths that are gone. */
+        gw_on_process_known(q, GW_PROCESS_UNKNOWN);
         return;
     }
-    gw_finish_break(q, unheard || born_ms != ut_get_entry(q->ut)->born_ms);
+    gw_on_process_known(q, same ? GW_PROCESS_LIVES : GW_PROCESS_ENDED);
 }
 
 /* Whether Q's answer came from the process of its upstream.  May free Q. */
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -158,7 +158,6 @@
         return;
     }
     gw_begin_stream(q);
-    q->doubt_ms = 0;
     start_stream(q);
     ht_write_answer(q->x, event->text + from, event->len - from);
     q->events++;
@@ -320,7 +319,6 @@
 handle_error_status(Req *q, GByteArray *body)
 {
     uint64_t now_ms = bg_boot_ms();
-    q->runs++;
     if (q->status == 504 || !may_run_again(q, now_ms)) {
         forward_answer(q, body);
         return;
@@ -386,47 +384,85 @@
     gw_give_up(q, 0, why);
 }
 
-/* Its own bytes don't tell whether a stream without a length, which ended
-   between two events, is whole. */
-static bool
-may_go_on(const Req *q, uint64_t now_ms)
+/* It has run, and its answer is complete. */
+static void
+pass_on(Req *q, GByteArray *body)
 {
-    return q->end == AE_WHOLE_CLOSE && po_get_id(q->position) &&
-           !q->doubt_ms && may_run_again(q, now_ms);
+    if (q->forwards_events) {
+        finish_stream(q, body);
+    }
+    else if (q->streaming) {
+        q->sends++;
+        fail_over(q, UT_OUTCOME_FAILED, "resumption refused");
+    }
+    else if (q->status >= 500) {
+        handle_error_status(q, body);
+    }
+    else {
+        forward_answer(q, body);
+    }
 }
 
 static void
-on_checked(void *ctx, HtLife life)
+drop_unconfirmed(Req *q)
 {
-    Req *q = ctx;
-    q->check = NULL;
-    if (life == HT_ENDED) {
-        gw_handle_failure(q, UT_OUTCOME_FAILED, "upstream ended");
+    g_byte_array_unref(q->unconfirmed);
+    q->unconfirmed = NULL;
+    q->end = AE_SHORT;
+    q->broke = true;
+    q->sends++;
+    bg_count("gateway_unframed_broken_total", 1);
+    q->gw->out.upstream_broke(q->gw->out.ctx, ut_get_id(q->ut));
+}
+
+void
+gw_on_process_known(Req *q, GwProcess process)
+{
+    q->asks_since_ms = 0;
+    if (q->unconfirmed && process == GW_PROCESS_LIVES) {
+        g_autoptr(GByteArray) body = g_steal_pointer(&q->unconfirmed);
+        pass_on(q, body);
         return;
     }
-    q->runs++;
-    finish_stream(q, q->rest);
+    if (q->unconfirmed) {
+        drop_unconfirmed(q);
+    }
+    q->upstream_ended = process == GW_PROCESS_ENDED;
+    fail_over(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
 }
 
 static void
-handle_stream_end(Req *q, GByteArray *rest)
+on_process_checked(void *ctx, bool lives)
 {
-    uint64_t now_ms = bg_boot_ms();
-    if (may_go_on(q, now_ms)) {
-        q->check =
-            ht_start_check(q->gw->pool, ut_get_address(q->ut), on_checked, q);
-    }
-    if (!q->check) {
-        q->runs++;
-        finish_stream(q, rest);
+    Req *q = ctx;
+    q->check = NULL;
+    gw_on_process_known(q, lives ? GW_PROCESS_LIVES : GW_PROCESS_ENDED);
+}
+
+/* The process itself is asked, by way of another gateway if need be.  That a
+   connection is opened says less, as one that ends may still accept some. */
+static void
+ask_for_process(Req *q)
+{
+    q->paused = false;
+    if (ut_get_entry(q->ut)->born_ms != 0) {
+        /* A question under way may have been answered before the end. */
+        bool asked = gw_ask_birth(q);
+        q->asks_since_ms = bg_boot_ms() + (asked ? 0 : 1);
         return;
     }
-    bg_count("gateway_doubtful_streams_total", 1);
-    q->doubt_ms = now_ms;
-    if (q->rest) {
-        g_byte_array_unref(q->rest);
-    }
-    q->rest = g_byte_array_ref(rest);
+    q->check = ht_check_process(q->gw->pool, ut_get_address(q->ut),
+                                on_process_checked, q);
+}
+
+/* An answer without a length looks alike whether it is whole or its process
+   was killed: it is whole if that process lives on. */
+static void
+confirm_whole(Req *q, GByteArray *body)
+{
+    bg_count("gateway_unframed_asked_total", 1);
+    q->unconfirmed = g_byte_array_ref(body);
+    ask_for_process(q);
 }
 
 static void
@@ -434,19 +470,14 @@
 {
     if (q->not_run) {
         handle_not_run(q, bg_boot_ms());
+        return;
     }
-    else if (q->forwards_events) {
-        handle_stream_end(q, body);
-    }
-    else if (q->streaming) {
-        gw_handle_failure(q, UT_OUTCOME_FAILED, "resumption refused");
-    }
-    else if (q->status >= 500) {
-        handle_error_status(q, body);
+    q->runs++;
+    if (q->end == AE_WHOLE_CLOSE) {
+        confirm_whole(q, body);
     }
     else {
-        q->runs++;
-        forward_answer(q, body);
+        pass_on(q, body);
     }
 }
 
@@ -469,26 +500,8 @@
     bg_count(names[end], 1);
 }
 
-void
-gw_finish_break(Req *q, bool ended)
-{
-    q->asks_since_ms = 0;
-    q->upstream_ended = ended;
-    fail_over(q, UT_OUTCOME_FAILED, ae_name_end(q->end));
-}
-
-static void
-on_process_checked(void *ctx, HtLife life)
-{
-    Req *q = ctx;
-    q->check = NULL;
-    gw_finish_break(q, life != HT_LIVES);
-}
-
 /* A path that broke looks like an end of the process, and so does an answer
-   that was broken off: the process itself is asked, by way of another gateway
-   if need be.  That a connection is opened says less, as one that ends may
-   still accept some. */
+   that was broken off. */
 static void
 handle_break(Req *q)
 {
@@ -497,14 +510,7 @@
         return;
     }
     count_run(q); /* it may be answered before its process is known */
-    q->paused = false;
-    if (ut_get_entry(q->ut)->born_ms != 0) {
-        q->asks_since_ms = bg_boot_ms();
-        gw_ask_birth(q);
-        return;
-    }
-    q->check = ht_check_process(q->gw->pool, ut_get_address(q->ut),
-                                on_process_checked, q);
+    ask_for_process(q);
 }
 
 void
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -93,14 +93,13 @@
 
     /* the stream that is forwarded */
     Po *position;
-    /* It may be whole or not: whether it goes on is being asked since then; 0:
-       no doubt. */
-    uint64_t doubt_ms;
-    /* Its call broke off, and whether the upstream's process ended is being
-       asked since then; 0: it isn't. */
+    /* Its call broke off, or its answer is unconfirmed: whether the upstream's
+       process ended is being asked since then; 0: it isn't. */
     uint64_t asks_since_ms;
-    GByteArray *rest; /* with doubt_ms: what followed its last event */
-    HtCheck *check;   /* whether its upstream's process lives; NULL: none */
+    /* Body, or what followed the last event, of an answer that ended with its
+       connection: it is whole if the process lives.  NULL: none. */
+    GByteArray *unconfirmed;
+    HtCheck *check; /* whether its upstream's process lives; NULL: none */
 
     /* the slot of a limited upstream that it waits for */
     UlTicket ticket; /* 0: none */
@@ -208,8 +207,6 @@
 void gw_drop_turn(Req *q);
 /* Upstreams ended under Q: it isn't sent for WAIT_MS.  Frees Q. */
 void gw_stop(Req *q, uint32_t wait_ms);
-/* Nothing shows that the stream goes on: ends it as a whole one.  Frees Q. */
-void gw_finish_doubtful(Req *q, const char *why);
 bool gw_may_repeat(const Req *q);
 /* 0: the most urgent. */
 uint32_t gw_get_priority(const Req *q);
@@ -246,8 +243,9 @@
 /* Asks which process is at the upstream of the current call, if that matters
    for streams. */
 void gw_ask_process(const Req *q);
-/* The same for any request whose call broke off. */
-void gw_ask_birth(const Req *q);
+/* The same for any request whose call ended.  False: it is being asked
+   already. */
+bool gw_ask_birth(const Req *q);
 
 /* Of Req.waiting_for: the end of a rest. */
 #define GW_FOR_REST "rest"
@@ -266,9 +264,15 @@
 void gw_on_call_event(void *ctx, HtCall *call, const EsEvent *event);
 void gw_on_call_end(void *ctx, HtCall *call, AeEnd end, Ae *answer);
 bool gw_may_write(void *ctx, HtCall *call);
-/* It is known whether the upstream's process ended under Q's call, which broke
-   off.  May free Q. */
-void gw_finish_break(Req *q, bool ended);
+typedef enum {
+    GW_PROCESS_LIVES,
+    GW_PROCESS_ENDED,
+    GW_PROCESS_UNKNOWN
+} GwProcess;
+
+/* What became of the upstream's process under Q's call, which broke off or
+   ended with its connection.  May free Q. */
+void gw_on_process_known(Req *q, GwProcess process);
 /* Passes on what was held back. */
 void gw_release_held(Req *q);
 /* Another process answered: its answer is dropped. */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -10,8 +10,7 @@
 #define FIRST_URGENCY 3
 #define URGENCY_STEP 2
 #define LAST_URGENCY 9
-#define STREAM_STATUS 200 /* any other answer is no stream */
-#define DIGEST_LEN 16     /* hexadecimal digits */
+#define DIGEST_LEN 16 /* hexadecimal digits */
 /* A slot of a brittle upstream is held beyond the deadline of its request. */
 #define HOLD_SLACK_MS 1000
 
@@ -224,8 +223,8 @@
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
     po_destroy(q->position);
-    if (q->rest) {
-        g_byte_array_unref(q->rest);
+    if (q->unconfirmed) {
+        g_byte_array_unref(q->unconfirmed);
     }
     if (q->check) {
         ht_cancel_check(q->check);
@@ -333,26 +332,11 @@
     }
 }
 
-void
-gw_finish_doubtful(Req *q, const char *why)
-{
-    gw_log_end(q, "answered", STREAM_STATUS, why);
-    gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
-    HtExchange *x = q->x;
-    ht_write_answer(x, (const char *)q->rest->data, q->rest->len);
-    gw_free_req(q);
-    ht_end_answer(x);
-}
-
 /* BODY: plain text, or empty. */
 static void
 answer(Req *q, uint16_t status, uint32_t retry_ms, const char *why,
        const char *body)
 {
-    if (q->doubt_ms) {
-        gw_finish_doubtful(q, why);
-        return;
-    }
     gw_log_end(q, name_outcome(status), status, why);
     if (status == 503) {
         gw_refund_limit(q);
--- a/src/gateway_request_version.c
+++ b/src/gateway_request_version.c
@@ -274,15 +274,17 @@
     }
 }
 
-void
+bool
 gw_ask_birth(const Req *q)
 {
     const GwOutput *out = &q->gw->out;
     uint64_t now_ms = bg_boot_ms();
-    if (ut_ask_process(q->ut, now_ms)) {
-        bg_count("gateway_processes_asked_total", 1);
-        out->ask_process(out->ctx, ut_get_entry(q->ut), now_ms);
+    if (!ut_ask_process(q->ut, now_ms)) {
+        return false;
     }
+    bg_count("gateway_processes_asked_total", 1);
+    out->ask_process(out->ctx, ut_get_entry(q->ut), now_ms);
+    return true;
 }
 
 void
--- a/src/http.h
+++ b/src/http.h
@@ -172,24 +172,12 @@
 /* Reads no more of its answer until ht_resume_call. */
 void ht_pause_call(HtCall *call);
 void ht_resume_call(HtCall *call);
-typedef enum {
-    HT_LIVES, /* or nothing suggests that it ended */
-    HT_ENDED, /* connections are refused */
-    HT_UNKNOWN
-} HtLife;
-
 typedef struct HtCheck HtCheck;
-typedef void (*HtCheckFn)(void *ctx, HtLife life);
-
-/* Finds out whether the process at ADDRESS has ended just now, if other calls
-   there suggest it: they break off, or their connections are closed.  Waits a
-   moment for such signs, and connects only if there are any.  DONE is never
-   called before this returns, and frees the check.  NULL: no sign, and no
-   other call that could give one. */
-HtCheck *ht_start_check(HtPool *p, const char *address, HtCheckFn done,
-                        void *ctx);
-/* Finds out whether a process accepts connections at ADDRESS, a moment after
-   one to it broke.  DONE: as above. */
+typedef void (*HtCheckFn)(void *ctx, bool lives);
+
+/* Finds out whether a process accepts connections at ADDRESS, also by way of
+   another gateway, a moment after a connection to it ended.  DONE is never
+   called before this returns, and frees the check. */
 HtCheck *ht_check_process(HtPool *p, const char *address, HtCheckFn done,
                           void *ctx);
 /* DONE isn't called. */
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -85,68 +85,25 @@
     ht_free_call(call);
 }
 
-/* How connections to one address ended. */
-typedef struct {
-    /* Those with a call that ended within HT_END_MS of each other. */
-    uint64_t last_ms;
-    uint32_t count;
-    uint64_t lost_ms; /* as in ht_get_lost_ms */
-} Ends;
-
-static Ends *
-ensure_ends(HtPool *p, const char *address)
-{
-    Ends *e = g_hash_table_lookup(p->ends, address);
-    if (!e) {
-        e = g_new0(Ends, 1);
-        g_hash_table_insert(p->ends, g_strdup(address), e);
-    }
-    return e;
-}
-
-static void
-note_end(HtConn *w)
-{
-    uint64_t now_ms = bg_boot_ms();
-    Ends *e = ensure_ends(w->pool, w->address);
-    e->count = now_ms <= e->last_ms + HT_END_MS ? e->count + 1 : 1;
-    e->last_ms = now_ms;
-}
-
-uint32_t
-ht_count_ends(const HtPool *p, const char *address)
-{
-    const Ends *e = g_hash_table_lookup(p->ends, address);
-    return e && bg_boot_ms() <= e->last_ms + HT_BURST_MS ? e->count : 0;
-}
-
 void
 ht_note_lost(HtConn *w)
 {
-    ensure_ends(w->pool, w->address)->lost_ms = bg_boot_ms();
+    uint64_t *at_ms = g_new(uint64_t, 1);
+    *at_ms = bg_boot_ms();
+    g_hash_table_replace(w->pool->lost, g_strdup(w->address), at_ms);
 }
 
 uint64_t
 ht_get_lost_ms(const HtPool *p, const char *address)
 {
-    const Ends *e = g_hash_table_lookup(p->ends, address);
-    return e ? e->lost_ms : 0;
-}
-
-/* Its connection ended before the next request could be sent on it. */
-static bool
-has_ended(AeEnd end)
-{
-    return ae_is_break(end) || end == AE_INSIDE || end == AE_WHOLE_CLOSE;
+    const uint64_t *at_ms = g_hash_table_lookup(p->lost, address);
+    return at_ms ? *at_ms : 0;
 }
 
 static void
 close_call(HtConn *w, AeEnd end)
 {
     HtCall *call = w->call;
-    if (call && call->sent > 0 && has_ended(end)) {
-        note_end(w);
-    }
     w->call = NULL;
     ht_close_conn(w);
     if (call) {
@@ -509,7 +466,7 @@
     p->loop = loop;
     g_queue_init(&p->conns);
     g_queue_init(&p->failed);
-    p->ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    p->lost = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ev_timer_init(&p->fail_timer, on_fail_timer, 0., 0.);
     p->fail_timer.data = p;
     return p;
@@ -538,7 +495,7 @@
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
     ev_timer_stop(p->loop, &p->fail_timer);
-    g_hash_table_destroy(p->ends);
+    g_hash_table_destroy(p->lost);
     g_free(p);
 }
 
@@ -769,19 +726,16 @@
 }
 
 static gboolean
-is_old(gpointer address, gpointer ends, gpointer now_ms_p)
+is_old(gpointer address, gpointer at_ms, gpointer now_ms)
 {
     (void)address;
-    const Ends *e = ends;
-    uint64_t now_ms = *(uint64_t *)now_ms_p;
-    return now_ms > e->last_ms + HT_BURST_MS &&
-           now_ms > e->lost_ms + HT_LOST_MS;
+    return *(uint64_t *)now_ms > *(uint64_t *)at_ms + HT_LOST_MS;
 }
 
 void
 ht_tick_pool(HtPool *p, uint64_t now_ms)
 {
-    g_hash_table_foreach_remove(p->ends, is_old, &now_ms);
+    g_hash_table_foreach_remove(p->lost, is_old, &now_ms);
     HtConn *w;
     while ((w = find_overdue(p, now_ms))) {
         end_late_opening(w, now_ms);
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -79,20 +79,14 @@
     GQueue failed; /* HtCall */
     ev_timer fail_timer;
     HtDetours detours; /* paths is NULL: no detours */
-    GHashTable *ends;  /* address -> Ends of http_pool.c */
+    GHashTable *lost;  /* address -> uint64_t: as in ht_get_lost_ms */
 };
 
-/* The most between the ends of two connections of a process that ends. */
-#define HT_END_MS 5
-#define HT_BURST_MS (4 * HT_END_MS) /* for so long it is remembered */
 /* So long a lost connection is remembered: far longer than the entry of an
    upstream that restarted stays out of date. */
 #define HT_LOST_MS 600000
 
 /* http_pool */
-/* Connections to ADDRESS, each with a call, that ended shortly after each
-   other in the last HT_BURST_MS. */
-uint32_t ht_count_ends(const HtPool *p, const char *address);
 /* See ht_get_lost_ms. */
 void ht_note_lost(HtConn *w);
 void ht_free_call(HtCall *call);
