--- a/src/http.c
+++ b/src/http.c
@@ -84,6 +84,21 @@
     m->head.keeps_alive = http_should_keep_alive(p) != 0;
 }
 
+bool
+ht_has_known_coding(const HtHead *head)
+{
+    uint32_t count = 0;
+    bool known = true;
+    for (guint i = 0; i < head->headers->len; i++) {
+        const HtHeader *h = &g_array_index(head->headers, HtHeader, i);
+        if (g_ascii_strcasecmp(h->name, "Transfer-Encoding") == 0) {
+            count++;
+            known = known && g_ascii_strcasecmp(h->value, "chunked") == 0;
+        }
+    }
+    return known && count <= 1;
+}
+
 const char *
 ht_find_header(const HtHead *head, const char *name)
 {
--- a/src/http_internal.h
+++ b/src/http_internal.h
@@ -25,5 +25,8 @@
 void ht_add_header_value(HtMessage *m, const char *at, size_t len);
 /* All headers were parsed. */
 void ht_finish_head(HtMessage *m, const http_parser *p);
+/* Its transfer coding is chunks or none: no other is undone here, nor passed
+   on. */
+bool ht_has_known_coding(const HtHead *head);
 
 #endif
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -21,6 +21,8 @@
     HtMessage msg;
     GByteArray *body;
     uint64_t arrival_ms;
+    uint64_t max_head_bytes; /* limits in force when its first byte came */
+    uint64_t max_body_bytes;
     void *user;
     bool chunked;      /* the answer is sent in chunks */
     bool reads_chunks; /* the client does */
@@ -117,39 +119,54 @@
 
 static void feed_conn(HtConn *c, const uint8_t *data, size_t len);
 
+/* Results of the parser's callbacks.  Of on_headers_complete 1 and 2 are no
+   errors: they mean that no body follows. */
+#define PARSER_GO_ON 0
+#define PARSER_REFUSE (-1)
+
 static int
 on_request_begin(http_parser *p)
 {
     HtConn *c = p->data;
+    const HtLimits *limits = &c->server->limits;
     HtExchange *x = g_new0(HtExchange, 1);
     x->conn = c;
     x->body = g_byte_array_new();
     x->arrival_ms = bg_boot_ms();
+    x->max_head_bytes =
+        limits->header_bytes ? limits->header_bytes : DEFAULT_HEADER_BYTES;
+    x->max_body_bytes =
+        limits->body_bytes ? limits->body_bytes : DEFAULT_BODY_BYTES;
     ht_start_message(&x->msg);
     c->x = x;
     c->since_ms = x->arrival_ms;
     return 0;
 }
 
+/* The connection ends with an answer of STATUS: nothing that follows is read
+   as a request. */
 static int
-on_request_target(http_parser *p, const char *at, size_t len)
+refuse_input(HtConn *c, uint16_t status)
 {
-    HtConn *c = p->data;
-    g_string_append_len(c->x->msg.target, at, (gssize)len);
-    c->x->msg.header_bytes += len;
-    return 0;
+    c->refuse_status = status;
+    bg_count("gateway_unread_refused_total", 1);
+    return PARSER_REFUSE;
 }
 
 static int
-check_header_bytes(HtConn *c)
+check_head_bytes(HtConn *c)
 {
-    uint32_t max_bytes = c->server->limits.header_bytes;
-    if (c->x->msg.header_bytes >
-        (max_bytes ? max_bytes : DEFAULT_HEADER_BYTES)) {
-        c->refuse_status = 431;
-        return 1;
-    }
-    return 0;
+    return c->x->msg.header_bytes > c->x->max_head_bytes ? refuse_input(c, 431)
+                                                         : PARSER_GO_ON;
+}
+
+static int
+on_request_target(http_parser *p, const char *at, size_t len)
+{
+    HtConn *c = p->data;
+    g_string_append_len(c->x->msg.target, at, (gssize)len);
+    c->x->msg.header_bytes += len;
+    return check_head_bytes(c);
 }
 
 static int
@@ -157,7 +174,7 @@
 {
     HtConn *c = p->data;
     ht_add_header_name(&c->x->msg, at, len);
-    return check_header_bytes(c);
+    return check_head_bytes(c);
 }
 
 static int
@@ -165,49 +182,57 @@
 {
     HtConn *c = p->data;
     ht_add_header_value(&c->x->msg, at, len);
-    return check_header_bytes(c);
+    return check_head_bytes(c);
+}
+
+static void
+send_continue(HtConn *c)
+{
+    static const char go[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    g_byte_array_append(c->out, (const guint8 *)go, sizeof(go) - 1);
+    ev_io_start(c->server->loop, &c->write_watch);
 }
 
 static int
 on_request_head(http_parser *p)
 {
     HtConn *c = p->data;
-    ht_finish_head(&c->x->msg, p);
-    c->x->reads_chunks =
+    HtExchange *x = c->x;
+    ht_finish_head(&x->msg, p);
+    x->reads_chunks =
         p->http_major > 1 || (p->http_major == 1 && p->http_minor > 0);
-    uint32_t max_bytes = c->server->limits.body_bytes;
+    /* What follows CONNECT is no HTTP. */
+    if (p->method == HTTP_CONNECT || !ht_has_known_coding(&x->msg.head)) {
+        return refuse_input(c, 501);
+    }
     if (p->content_length != ULLONG_MAX &&
-        p->content_length > (max_bytes ? max_bytes : DEFAULT_BODY_BYTES)) {
-        c->refuse_status = 413;
-        return 1;
+        p->content_length > x->max_body_bytes) {
+        return refuse_input(c, 413);
     }
-    const char *expect = ht_find_header(&c->x->msg.head, "Expect");
-    if (expect && g_ascii_strcasecmp(expect, "100-continue") == 0) {
-        static const char go[] = "HTTP/1.1 100 Continue\r\n\r\n";
-        g_byte_array_append(c->out, (const guint8 *)go, sizeof(go) - 1);
-        ev_io_start(c->server->loop, &c->write_watch);
+    const char *expect = ht_find_header(&x->msg.head, "Expect");
+    if (expect && x->reads_chunks &&
+        g_ascii_strcasecmp(expect, "100-continue") == 0) {
+        send_continue(c);
     }
-    return 0;
+    return PARSER_GO_ON;
 }
 
 static int
 on_request_body(http_parser *p, const char *at, size_t len)
 {
     HtConn *c = p->data;
-    uint32_t max_bytes = c->server->limits.body_bytes;
-    if (c->x->body->len + len > (max_bytes ? max_bytes : DEFAULT_BODY_BYTES)) {
-        c->refuse_status = 413;
-        return 1;
+    if (c->x->body->len + len > c->x->max_body_bytes) {
+        return refuse_input(c, 413);
     }
     g_byte_array_append(c->x->body, (const guint8 *)at, (guint)len);
-    return 0;
+    return PARSER_GO_ON;
 }
 
 static int
 on_request_end(http_parser *p)
 {
-    http_parser_pause(p, 1);
-    return 0;
+    http_parser_pause(p, 1); /* until it is answered; no error */
+    return PARSER_GO_ON;
 }
 
 static const http_parser_settings request_settings = {
