--- a/src/placer_decisions.c
+++ b/src/placer_decisions.c
@@ -171,9 +171,9 @@
 static void
 make_load_id(PlCore *c, Load *l)
 {
-    snprintf(l->load_id, sizeof(l->load_id), "%016llx%016llx",
-             (unsigned long long)bg_next_random(&c->rng),
-             (unsigned long long)bg_next_random(&c->rng));
+    unsigned long long low = bg_next_random(&c->rng);
+    unsigned long long high = bg_next_random(&c->rng);
+    snprintf(l->load_id, sizeof(l->load_id), "%016llx%016llx", high, low);
 }
 
 static void
