--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -222,6 +222,7 @@
     dep_clear_call(&q->call);
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
+    g_ptr_array_free(q->sent_to, TRUE);
     po_destroy(q->position);
     if (q->unconfirmed) {
         g_byte_array_unref(q->unconfirmed);
@@ -511,6 +512,59 @@
            g_strcmp0(q->waiting_for, GW_FOR_REST) == 0;
 }
 
+/* A late copy of an answer from there may be on its way. */
+static bool
+was_sent_to(const Req *q, const char *address)
+{
+    return g_ptr_array_find_with_equal_func(q->sent_to, address, g_str_equal,
+                                            NULL);
+}
+
+static void
+start_call(Req *q, uint64_t now_ms)
+{
+    const char *address = ut_get_address(q->ut);
+    const char *id = q->call.attempt_id;
+    bool comes_back = was_sent_to(q, address);
+    HtRequest req = {
+        .address = address,
+        .way = HT_WAY_ANY,
+        .request = build_request(q, now_ms),
+        .connect_ms = q->gw->params.connect_ms,
+        .expect = {q->gw->params.max_body_bytes, q->gw->params.max_event_bytes,
+                   NULL},
+        .match_name = id ? q->gw->wire->attempt_id : NULL,
+        .match_value = id,
+        .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
+        .unused = comes_back,
+        .fresh = !id, /* nothing else tells whose answer it is */
+    };
+    if (!comes_back) {
+        g_ptr_array_add(q->sent_to, g_strdup(address));
+    }
+    HtCallHandler handler = q->gw->handler;
+    handler.ctx = q;
+    q->hc = ht_start_call(q->gw->pool, &req, &handler);
+}
+
+static void
+log_sent(const Req *q, uint64_t now_ms)
+{
+    const Ut *ut = q->ut;
+    JlLine *l = jl_begin("request-sent");
+    jl_text(l, "id", q->call.attempt_id);
+    jl_text(l, "upstream", ut_get_id(ut));
+    jl_text(l, "version", ut_get_version(ut));
+    jl_number(l, "send", q->sends + 1);
+    jl_number(l, "running", ut_get_running(ut));
+    jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
+    jl_number(l, "tokens", q->call.prompt_tokens);
+    jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - now_ms));
+    jl_text(l, "turn", q->turn ? "yes" : NULL);
+    add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(ut)));
+    jl_end(l);
+}
+
 void
 gw_send_to(Req *q, Ut *ut, uint64_t now_ms)
 {
@@ -544,35 +598,8 @@
     ut_start(ut);
     UnProcess process = ut_get_process(ut);
     un_on_send(q->gw->notices, now_ms, &process);
-    HtRequest req = {
-        .address = ut_get_address(ut),
-        .way = HT_WAY_ANY,
-        .request = build_request(q, now_ms),
-        .connect_ms = q->gw->params.connect_ms,
-        .expect = {q->gw->params.max_body_bytes, q->gw->params.max_event_bytes,
-                   NULL},
-        .match_name = q->gw->wire->attempt_id,
-        .match_value = q->call.attempt_id,
-        .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
-    };
-    if (!q->call.attempt_id) {
-        req.match_name = NULL;
-    }
-    HtCallHandler handler = q->gw->handler;
-    handler.ctx = q;
-    q->hc = ht_start_call(q->gw->pool, &req, &handler);
+    start_call(q, now_ms);
     if (q->sends > 0 || q->query.model) {
-        JlLine *l = jl_begin("request-sent");
-        jl_text(l, "id", q->call.attempt_id);
-        jl_text(l, "upstream", ut_get_id(ut));
-        jl_text(l, "version", ut_get_version(ut));
-        jl_number(l, "send", q->sends + 1);
-        jl_number(l, "running", ut_get_running(ut));
-        jl_number(l, "load", (int64_t)ut_get_load(ut, now_ms));
-        jl_number(l, "tokens", q->call.prompt_tokens);
-        jl_number(l, "left_ms", (int64_t)(q->answer_by_ms - now_ms));
-        jl_text(l, "turn", q->turn ? "yes" : NULL);
-        add_limit(l, ul_get_limit(q->gw->upstream_limits, ut_get_id(ut)));
-        jl_end(l);
+        log_sent(q, now_ms);
     }
 }
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -370,6 +370,10 @@
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
+    if (ht_may_move_call(w)) {
+        ht_move_call(w); /* no answer to a request that was not sent */
+        return;
+    }
     if (w->helper && n > 0) {
         take_framed(w, buf, (size_t)n);
         return;
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -111,9 +111,20 @@
     }
 }
 
+bool
+ht_may_move_call(const HtConn *w)
+{
+    return w->call && w->call->sent == 0 && w->carried;
+}
+
 void
 ht_fail_conn(HtConn *w, AeSignal signal)
 {
+    if (ht_may_move_call(w)) {
+        ht_note_lost(w);
+        ht_move_call(w);
+        return;
+    }
     AeEnd end = w->call ? ae_end(w->call->answer, signal) : AE_RESET;
     if (!ae_is_whole(end)) {
         ht_note_lost(w);
@@ -148,15 +159,44 @@
     return 0;
 }
 
-static bool
-is_for_other_call(const HtConn *w)
+typedef enum {
+    MATCH_PROVED,
+    MATCH_MISSING, /* the answer doesn't say whose it is */
+    MATCH_OTHER
+} Match;
+
+static Match
+match_answer(const HtConn *w)
 {
     const HtCall *call = w->call;
-    if (!call->match_name) {
+    Match match = MATCH_MISSING;
+    for (guint i = 0; i < w->msg.head.headers->len; i++) {
+        const HtHeader *h = &g_array_index(w->msg.head.headers, HtHeader, i);
+        if (g_ascii_strcasecmp(h->name, call->match_name) != 0) {
+            continue;
+        }
+        if (strcmp(h->value, call->match_value) != 0) {
+            return MATCH_OTHER;
+        }
+        match = MATCH_PROVED;
+    }
+    return match;
+}
+
+/* A late copy of another call's answer may come where ours is due. */
+static bool
+is_for_other_call(HtConn *w)
+{
+    if (!w->call->match_name) {
         return false;
     }
-    const char *got = ht_find_header(&w->msg.head, call->match_name);
-    return got && strcmp(got, call->match_value) != 0;
+    Match match = match_answer(w);
+    w->reusable = w->reusable && match == MATCH_PROVED;
+    if (match == MATCH_PROVED || (match == MATCH_MISSING && !w->carried)) {
+        return false;
+    }
+    bg_count("gateway_foreign_answers_total", 1);
+    return true;
 }
 
 static void
@@ -197,10 +237,12 @@
     w->before_head_bytes = interim ? w->before_head_bytes : 0;
     w->skipped = interim || is_for_other_call(w);
     if (w->skipped) {
-        w->reusable = w->reusable && interim;
         return PARSER_GO_ON;
     }
     bool no_body = is_head_request(w->call);
+    if (w->call->sent < MIN(1, w->call->request->len)) {
+        return PARSER_STOP; /* it came before the request */
+    }
     read_keep_alive(w);
     AeHead head = {.status = w->msg.head.status,
                    .framing = no_body ? AE_NO_BODY : w->msg.head.framing,
@@ -295,6 +337,7 @@
         return;
     }
     w->call = NULL;
+    w->carried = true;
     ht_resume_call(call); /* an idle connection is read */
     ht_make_idle(w);
     end_call(call, end);
@@ -418,7 +461,8 @@
 static bool
 may_reuse(const HtConn *w, const HtRequest *req, bool use_helpers)
 {
-    return is_unused(w) && strcmp(w->address, req->address) == 0 &&
+    return is_unused(w) && !(w->carried && req->unused) &&
+           strcmp(w->address, req->address) == 0 &&
            (!w->helper || use_helpers);
 }
 
@@ -441,10 +485,7 @@
             best = w;
         }
     }
-    return best && !so_is_closed_by_peer(best->fd) &&
-                   !(best->helper && so_has_input(best->fd))
-               ? best
-               : NULL;
+    return best && so_is_quiet(best->fd) ? best : NULL;
 }
 
 static void
@@ -485,7 +526,7 @@
     while ((w = g_queue_peek_head(&p->conns))) {
         HtCall *call = w->opener;
         if (!call) {
-            ht_fail_conn(w, AE_FAILED);
+            close_call(w, AE_RESET);
             continue;
         }
         ht_close_conn(w);
@@ -546,24 +587,48 @@
     ev_timer_start(p->loop, &p->fail_timer);
 }
 
+static PtPlan
+plan_opening(const HtCall *call)
+{
+    static const PtPlan direct = {true, PT_NEVER};
+    return call->way == HT_WAY_ANY ? pt_plan(call->pool->detours.paths,
+                                             bg_boot_ms(), call->address)
+                                   : direct;
+}
+
+static void
+open_call(HtCall *call)
+{
+    PtPlan plan = plan_opening(call);
+    if (!open_planned(call, &plan)) {
+        start_failed(call->pool, call);
+    }
+}
+
+void
+ht_move_call(HtConn *w)
+{
+    HtCall *call = w->call;
+    w->call = NULL;
+    call->conn = NULL;
+    ht_close_conn(w);
+    bg_count("gateway_calls_moved_total", 1);
+    open_call(call);
+}
+
 HtCall *
 ht_start_call(HtPool *p, const HtRequest *req, const HtCallHandler *handler)
 {
     HtCall *call = create_call(p, req, handler);
     HtConn *w = req->fresh ? NULL : take_idle(p, req);
-    PtPlan plan = {true, PT_NEVER};
-    if (call->way == HT_WAY_ANY && (!w || w->helper)) {
-        plan = pt_plan(p->detours.paths, call->begun_ms, req->address);
+    if (!w) {
+        open_call(call);
+        return call;
     }
-    if (w && w->helper && plan.direct) {
+    if (w->helper && plan_opening(call).direct) {
         ht_probe(p, req->address);
     }
-    if (w) {
-        ht_attach_call(call, w);
-    }
-    else if (!open_planned(call, &plan)) {
-        start_failed(p, call);
-    }
+    ht_attach_call(call, w);
     return call;
 }
 
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -29,6 +29,7 @@
     bool connecting;
     bool asking; /* the helper has not answered yet */
     bool reusable;
+    bool carried; /* bytes of a former call */
     bool skipped; /* the message being read is interim or another call's */
     bool in_body; /* the head of the message being read is over */
     size_t before_head_bytes; /* since the last head that is not interim */
@@ -94,6 +95,10 @@
 void ht_close_conn(HtConn *w);
 /* Ends its call, if it has one, as broken off or as not sent. */
 void ht_fail_conn(HtConn *w, AeSignal signal);
+/* W is a kept connection on which nothing of its call was sent. */
+bool ht_may_move_call(const HtConn *w);
+/* Closes W, and opens another connection for its call. */
+void ht_move_call(HtConn *w);
 /* W no longer opens for its call. */
 void ht_forget_opening(HtConn *w);
 /* LEN 0: the connection was closed in order.  May free W. */
--- a/src/sockets.c
+++ b/src/sockets.c
@@ -113,10 +113,11 @@
 }
 
 bool
-so_has_input(int fd)
+so_is_quiet(int fd)
 {
     char byte;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void
--- a/src/sockets.h
+++ b/src/sockets.h
@@ -15,8 +15,8 @@
 int so_accept(int fd);
 /* Whether the far end has closed; consumes no input. */
 bool so_is_closed_by_peer(int fd);
-/* Whether bytes wait to be read, or the far end has closed. */
-bool so_has_input(int fd);
+/* Whether nothing waits to be read: no bytes, end or error. */
+bool so_is_quiet(int fd);
 /* Make close() drop unsent bytes and reset the connection.  Otherwise a
    request could still be delivered when the network recovers, after its sender
    gave it up and acted on that. */
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -230,6 +230,7 @@
         self.cancelled = []
         # (method, path, headers, body) of the requests that were run.
         self.requests = []
+        self.last_fields = []   # (name, value) of the last of them
         # f(engine, handler, id), called for each request; True: it answered.
         self.on_request = None
         self.events = 5         # events in a stream
@@ -447,6 +448,7 @@
         with self.lock:
             self.runs.append(rid)
             self.requests.append((h.command, h.path, dict(h.headers), body))
+            self.last_fields = h.headers.items()
         if self.is_deadly(h, body):
             self.run_deadly(h, rid, wanted, body)
             return
