--- a/src/http.c
+++ b/src/http.c
@@ -5,9 +5,10 @@
 /* ---- messages ----------------------------------------------------------- */
 
 void
-ht_start_message(HtMessage *m)
+ht_start_message(HtMessage *m, bool is_answer)
 {
     memset(m, 0, sizeof(*m));
+    m->is_answer = is_answer;
     m->head.headers = g_array_new(FALSE, FALSE, sizeof(HtHeader));
     m->text = g_string_chunk_new(512);
     m->name = g_string_new(NULL);
@@ -28,12 +29,63 @@
     }
 }
 
+static bool
+is_token(const char *name)
+{
+    for (const char *at = name; *at; at++) {
+        if (!g_ascii_isalnum(*at) && !strchr("!#$%&'*+-.^_`|~", *at)) {
+            return false;
+        }
+    }
+    return *name;
+}
+
+static bool
+is_framing_name(const char *name)
+{
+    static const char *const names[] = {"Content-Length", "Transfer-Encoding",
+                                        "Connection"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (g_ascii_strcasecmp(name, names[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
-flush_header(HtMessage *m)
+drop_trailing_blanks(GString *text)
 {
-    if (m->name->len == 0) {
+    while (text->len > 0 && (text->str[text->len - 1] == ' ' ||
+                             text->str[text->len - 1] == '\t')) {
+        g_string_truncate(text, text->len - 1);
+    }
+}
+
+/* Blanks before the colon are dropped of an answer, unless the parser may have
+   missed how the answer ends. */
+static bool
+check_name(const HtMessage *m)
+{
+    size_t sent_len = m->name->len;
+    if (m->is_answer) {
+        drop_trailing_blanks(m->name);
+    }
+    bool cut = m->name->len < sent_len;
+    return is_token(m->name->str) && strlen(m->name->str) == m->name->len &&
+           !(cut && is_framing_name(m->name->str));
+}
+
+static void
+finish_header(HtMessage *m)
+{
+    if (!m->in_value) {
         return;
     }
+    m->in_value = false;
+    drop_trailing_blanks(m->value);
+    bool whole = strlen(m->value->str) == m->value->len; /* no zero byte */
+    m->malformed = !check_name(m) || !whole || m->malformed;
     HtHeader h = {
         g_string_chunk_insert_len(m->text, m->name->str, (gssize)m->name->len),
         g_string_chunk_insert_len(m->text, m->value->str,
@@ -46,18 +98,23 @@
 void
 ht_add_header_name(HtMessage *m, const char *at, size_t len)
 {
-    if (m->value->len > 0) {
-        flush_header(m);
+    m->header_bytes += len;
+    if (m->head_over) {
+        return;
     }
+    finish_header(m);
     g_string_append_len(m->name, at, (gssize)len);
-    m->header_bytes += len;
 }
 
 void
 ht_add_header_value(HtMessage *m, const char *at, size_t len)
 {
-    g_string_append_len(m->value, at, (gssize)len);
     m->header_bytes += len;
+    if (m->head_over) {
+        return;
+    }
+    m->in_value = true;
+    g_string_append_len(m->value, at, (gssize)len);
 }
 
 static AeFraming
@@ -76,7 +133,8 @@
 void
 ht_finish_head(HtMessage *m, const http_parser *p)
 {
-    flush_header(m);
+    finish_header(m);
+    m->head_over = true;
     m->head.framing = read_framing(p);
     m->head.method = http_method_str((enum http_method)p->method);
     m->head.target = m->target->str;
--- a/src/http_internal.h
+++ b/src/http_internal.h
@@ -17,10 +17,17 @@
     GString *value;
     GString *target;
     size_t header_bytes;
+    bool is_answer;
+    bool in_value;  /* of the field being read */
+    bool head_over; /* fields that follow are trailers, and are dropped */
+    bool malformed; /* a field is no field of HTTP: the message can't be passed
+                       on, as others may read it in another way */
 } HtMessage;
 
-void ht_start_message(HtMessage *m);
+void ht_start_message(HtMessage *m, bool is_answer);
 void ht_free_message(HtMessage *m);
+/* Pieces of names and values, as the parser's callbacks get them: a name or
+   value in any number of pieces, an empty value in one without bytes. */
 void ht_add_header_name(HtMessage *m, const char *at, size_t len);
 void ht_add_header_value(HtMessage *m, const char *at, size_t len);
 /* All headers were parsed. */
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -139,7 +139,7 @@
 {
     HtConn *w = p->data;
     ht_free_message(&w->msg);
-    ht_start_message(&w->msg);
+    ht_start_message(&w->msg, true);
     return 0;
 }
 
@@ -233,6 +233,9 @@
     HtConn *w = p->data;
     w->in_body = true;
     ht_finish_head(&w->msg, p);
+    if (w->msg.malformed || !ht_has_known_coding(&w->msg.head)) {
+        return PARSER_STOP;
+    }
     bool interim = p->status_code / 100 == 1;
     w->before_head_bytes = interim ? w->before_head_bytes : 0;
     w->skipped = interim || is_for_other_call(w);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -137,7 +137,7 @@
         limits->header_bytes ? limits->header_bytes : DEFAULT_HEADER_BYTES;
     x->max_body_bytes =
         limits->body_bytes ? limits->body_bytes : DEFAULT_BODY_BYTES;
-    ht_start_message(&x->msg);
+    ht_start_message(&x->msg, false);
     c->x = x;
     c->since_ms = x->arrival_ms;
     return 0;
@@ -201,6 +201,9 @@
     ht_finish_head(&x->msg, p);
     x->reads_chunks =
         p->http_major > 1 || (p->http_major == 1 && p->http_minor > 0);
+    if (x->msg.malformed) {
+        return refuse_input(c, 400);
+    }
     /* What follows CONNECT is no HTTP. */
     if (p->method == HTTP_CONNECT || !ht_has_known_coding(&x->msg.head)) {
         return refuse_input(c, 501);
