--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -492,8 +492,9 @@
         gw_cancel_call(q, UT_OUTCOME_NEUTRAL);
     }
     else if (q->state == REQ_SENT) {
-        bool sent = q->broke || (q->hc && ht_was_sent(q->hc));
-        q->runs += q->hc && sent;
+        bool held = q->held_rest != NULL; /* a whole answer */
+        bool sent = q->broke || held || (q->hc && ht_was_sent(q->hc));
+        q->runs += held || (q->hc && sent);
         gw_cancel_call(q, sent ? UT_OUTCOME_FAILED : UT_OUTCOME_UNREACHABLE);
     }
     gw_give_up(q, RETRY_SOON_MS, "deadline");
@@ -559,7 +560,7 @@
     refuse_early(g, bg_boot_ms());
     Req *q;
     while ((q = g_queue_peek_head(&g->reqs))) {
-        q->runs += q->hc && ht_was_sent(q->hc);
+        q->runs += q->held_rest || (q->hc && ht_was_sent(q->hc));
         gw_give_up(q, RETRY_SOON_MS, "the gateway stops");
     }
 }
--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -384,6 +384,15 @@
     gw_give_up(q, 0, why);
 }
 
+/* The status promises that the request has not run, and the upstream didn't
+   say so: a caller would send what must run once again. */
+static bool
+promises_falsely(const Req *q)
+{
+    bool promise = q->status == 408 || q->status == 429 || q->status == 503;
+    return promise && !q->streaming && !gw_may_repeat(q);
+}
+
 /* It has run, and its answer is complete. */
 static void
 pass_on(Req *q, GByteArray *body)
@@ -391,6 +400,12 @@
     if (q->forwards_events) {
         finish_stream(q, body);
     }
+    else if (promises_falsely(q)) {
+        bg_count("gateway_false_promises_total", 1);
+        q->sends++;
+        gw_finish_call(q, UT_OUTCOME_FAILED);
+        gw_give_up(q, 0, "the upstream doesn't say that it has not run");
+    }
     else if (q->streaming) {
         q->sends++;
         fail_over(q, UT_OUTCOME_FAILED, "resumption refused");
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,6 +2,7 @@
 the demo.  Stops only the processes that it started."""
 
 import http.client
+import collections
 import itertools
 import json
 import os
@@ -24,7 +25,10 @@
         "care": "kuura-care-key"}
 
 
-RESERVED_SOCKETS = []
+# Of one process that runs tests: far more than one test needs, and few enough
+# for several such processes.
+MAX_RESERVED = 1200
+RESERVED_SOCKETS = collections.deque()
 _ports = itertools.cycle(range(12000, 21000))
 for _ in range(os.getpid() * 37 % 9000):
     next(_ports)
@@ -34,8 +38,10 @@
     """A port that nobody listens on now.  It is below the range of ports for
     outgoing connections: one of those, opened between this check and the
     daemon's start, would keep the daemon from listening.  The UDP socket of
-    the same number stays bound until this run exits, so that concurrent runs
-    take other ports."""
+    the same number stays bound until MAX_RESERVED others were taken, so that
+    concurrent runs take other ports."""
+    if len(RESERVED_SOCKETS) >= MAX_RESERVED:
+        RESERVED_SOCKETS.popleft().close()
     while True:
         port = next(_ports)
         twin = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -141,6 +141,14 @@
         h.end_headers()
         h.wfile.write(out)
 
+    def stand_in_put(self, h, _query, body):
+        """put() of an upstream in another process."""
+        doc = json.loads(body)
+        value = doc["value"]
+        self.put(doc["topic"], doc["key"],
+                 None if value is None else value.encode())
+        h.reply(200, {})
+
     def log_append(self, h, query, body):
         topic = query["topic"]
         if topic in TOPICS.values():
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,6 +14,9 @@
                                callers take up streams at other gateways;
                 --keep-models  engines that are back in place may hold at once
                                what they held before
+    soak.py ... --processes    upstreams are processes, too: all are paused,
+                               killed and restarted (process_soak.py);
+                --spoil X      they spoil that share of their answers
 
 A run prints "seed N: ok", or "seed N: BROKEN" and the violations; the exit
 status is 1 if any run is broken.
@@ -34,6 +37,7 @@
 
 from cluster import PYTHON, free_port
 from fake_platform import Engine, Store, config, route
+import process_soak
 from platform_cluster import (LEASE_GUARD_MS, FaultProxy, Gateway, ask,
                               event_ids)
 from path_relay import PathRelays
@@ -654,6 +658,8 @@
 
 
 def run_seed(build, seed, args):
+    if args.processes:
+        return process_soak.run_seed(build, seed, args)
     soak = Soak(build, seed, args.limits, args.cuts, args.deadly,
                 args.framings, args.versions, args.keep_models, args.parts)
     try:
@@ -688,6 +694,8 @@
     parser.add_argument("--framings", action="store_true")
     parser.add_argument("--versions", action="store_true")
     parser.add_argument("--keep-models", action="store_true")
+    parser.add_argument("--processes", action="store_true")
+    parser.add_argument("--spoil", type=float, default=0)
     args = parser.parse_args()
     if args.seed is not None:
         seeds = [args.seed]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,10 @@
 PART_SEEDS = [1, 3]
 
 
+# 402 and 404: registrations ran twice, and callers got an upstream's report.
+PROCESS_SEEDS = [402, 404]
+
+
 def run_soak(build, seed, *more):
     r = subprocess.run(
         ["/usr/bin/python3", os.path.join(HERE, "soak.py"), "--build", build,
@@ -67,3 +71,14 @@
 @pytest.mark.parametrize("seed", PART_SEEDS)
 def test_soak_seed_with_parts(build, seed):
     run_soak(build, seed, "--seconds", "14", "--parts")
+
+
+# With upstreams that are processes, too, and send answers twice.
+@pytest.mark.parametrize("seed", PROCESS_SEEDS)
+def test_soak_seed_with_processes(build, seed):
+    run_soak(build, seed, "--seconds", "10", "--processes", "--spoil", "0.1")
+
+
+@pytest.mark.parametrize("seed", PROCESS_SEEDS)
+def test_soak_seed_with_processes_and_cuts(build, seed):
+    run_soak(build, seed, "--seconds", "10", "--processes", "--cuts")
