--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -222,6 +222,8 @@
 bool gn_knows_upstreams(const Gateway *g);
 /* This process has current upstream entries from the store itself. */
 bool gn_reads_store(const Gateway *g, uint64_t now_ms);
+/* The link was lost: begins all reads of the store anew. */
+void gn_restart_store_reads(Gateway *g, uint64_t now_ms);
 /* After the link was lost: wait a random time for updates over a new link
    before the store is read. */
 void gn_delay_store_reads(Gateway *g, uint64_t now_ms);
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -251,9 +251,7 @@
         ls_hold_off(g->lease, now_ms + RELINK_MS);
     }
     /* What broke the link may have broken connections to the store too. */
-    ht_drop_idle(g->pool, gn_get_text(g, "store"));
-    st_restart(g->config_watch, now_ms, 0);
-    st_restart(g->upstream_watch, now_ms, 0);
+    gn_restart_store_reads(g, now_ms);
     ut_mark_placement_stale(g->upstreams);
     if (g->uplink.relay) {
         leave_relay(g);
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -368,7 +368,7 @@
     bool lacks = !g->config || !gn_knows_upstreams(g);
     bool overdue = lacks && now_ms >= g->start_ms + START_TIMEOUT_MS;
     bool held_open = direct && updated && !g->is_leader && !behind;
-    st_set_wait(g->config_watch,
+    st_set_wait(g->config_watch, now_ms,
                 held_open ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
     st_set_idle(g->config_watch,
                 !(g->is_leader || direct || isolated || behind || overdue));
@@ -385,6 +385,17 @@
     st_set_max_backoff(g->upstream_watch, backoff_ms);
 }
 
+/* The reads under way may be lost, and nobody else publishes what they bring.
+ */
+void
+gn_restart_store_reads(Gateway *g, uint64_t now_ms)
+{
+    ht_drop_idle(g->pool, gn_get_text(g, "store"));
+    st_set_wait(g->config_watch, now_ms, CONFIG_WAIT_MS);
+    st_restart(g->config_watch, now_ms, 0);
+    st_restart(g->upstream_watch, now_ms, 0);
+}
+
 /* If we lack VERSION, the pending read of the configuration should return it.
    A read that is still pending after SLOW_CALL_MS is dropped with its
    connection. */
--- a/src/store.c
+++ b/src/store.c
@@ -11,6 +11,8 @@
    Reading all records appended meanwhile would take longer, and the store may
    no longer keep them. */
 #define RELIST_MS 3000
+/* A held read that has no answer by so long after its wait was lost. */
+#define LATE_ANSWER_MS 500
 
 StRecord *
 st_create_record(const char *key, size_t key_len, uint64_t offset)
@@ -41,6 +43,7 @@
     BgRandom rng;
     uint64_t last_answer_ms; /* 0: never */
     uint64_t call_ms;        /* when the pending call began */
+    uint32_t call_wait_ms;   /* it is held open for so long */
     bool idle;
     bool listed;
     bool listing; /* a listing is in progress */
@@ -203,12 +206,12 @@
     w->call = g_new0(Call, 1);
     w->call->watch = w;
     w->call_ms = bg_boot_ms();
+    /* Without a wait if the last call failed: a long poll would notice only at
+       its end whether the store answers again. */
+    w->call_wait_ms = w->listing || !w->reachable ? 0 : w->params.wait_ms;
     if (!w->listing) {
-        /* Without wait_ms if the last call failed: a long poll would notice
-           only at its end whether the store answers again. */
         w->store->ops->read(w->store, w->params.topic, w->next,
-                            w->reachable ? w->params.wait_ms : 0, on_reply,
-                            w->call);
+                            w->call_wait_ms, on_reply, w->call);
         return;
     }
     w->store->ops->list(w->store, w->params.topic, w->after, on_reply,
@@ -297,9 +300,15 @@
 }
 
 void
-st_set_wait(StWatch *w, uint32_t wait_ms)
+st_set_wait(StWatch *w, uint64_t now_ms, uint32_t wait_ms)
 {
     w->params.wait_ms = wait_ms;
+    bool outlived = w->call && w->call_wait_ms > wait_ms &&
+                    now_ms >= w->call_ms + wait_ms + LATE_ANSWER_MS;
+    if (outlived) {
+        drop_call(w);
+        schedule_call(w, 0);
+    }
 }
 
 void
--- a/src/store.h
+++ b/src/store.h
@@ -114,7 +114,9 @@
 /* Default of the longest pause after failed calls. */
 #define ST_MAX_BACKOFF_MS 700
 void st_set_max_backoff(StWatch *w, uint32_t max_backoff_ms);
-void st_set_wait(StWatch *w, uint32_t wait_ms);
+/* How long reads are held open.  The pending one, if begun with a longer wait,
+   is given up once this one is over, too: the reason to hold it is gone. */
+void st_set_wait(StWatch *w, uint64_t now_ms, uint32_t wait_ms);
 /* Drops the pending call, which may never be answered, and calls again.  A
    call younger than MIN_AGE_MS may just be slow: then nothing is done. */
 void st_restart(StWatch *w, uint64_t now_ms, uint32_t min_age_ms);
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -182,7 +182,8 @@
     def __init__(self, port, store):
         self.store = store
         self.call_counts = {}   # "PATH TOPIC" -> calls
-        self.mode = "up"   # as in Store
+        self.mode = "up"   # as in Store; lost: no answer ever comes
+        self.stopped = threading.Event()
         self.delay_s = 0   # added to each call
         super().__init__(port)
 
@@ -194,10 +195,17 @@
             h.close_connection = True
         elif self.mode == "busy":
             h.reply(503, {})
+        elif self.mode == "lost":
+            h.close_connection = True
+            self.stopped.wait()
         else:
             time.sleep(self.delay_s)
             self.store.handle(h, method, path, query, body)
 
+    def stop(self):
+        self.stopped.set()
+        super().stop()
+
 
 class Engine(App):
     """A model engine, or an application server where MODELS is None.
