--- a/src/base.c
+++ b/src/base.c
@@ -1,12 +1,17 @@
 #include "base.h"
 
+#include <fcntl.h>
 #include <openssl/evp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
 #include <time.h>
+#include <unistd.h>
 
 GQuark
 bg_error_quark(void)
@@ -37,13 +42,69 @@
     return false;
 }
 
+/* A line with its time, level and module; below PIPE_BUF, so that a pipe takes
+   it whole or not at all. */
+#define TEXT_BYTES 1024
+#define LINE_BYTES (TEXT_BYTES + 128)
+
+static pthread_once_t log_once = PTHREAD_ONCE_INIT;
+static int log_fd = STDERR_FILENO;
+static bool log_is_socket;
+static atomic_uint_fast64_t dropped; /* lines that found no room */
+
+/* A pipe is opened once more: its flags are shared with other processes. */
+static void
+open_log(void)
+{
+    struct stat st;
+    if (fstat(STDERR_FILENO, &st) != 0) {
+        return;
+    }
+    log_is_socket = S_ISSOCK(st.st_mode);
+    if (S_ISFIFO(st.st_mode)) {
+        int fd = open("/proc/self/fd/2", O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        log_fd = fd >= 0 ? fd : STDERR_FILENO;
+    }
+}
+
+/* Never blocks; false: there is no room for it, or nobody to read it. */
+static bool
+write_line(const char *line, size_t len)
+{
+    pthread_once(&log_once, open_log);
+    if (log_is_socket) {
+        return send(log_fd, line, len, MSG_DONTWAIT | MSG_NOSIGNAL) ==
+               (ssize_t)len;
+    }
+    struct pollfd room = {log_fd, POLLOUT, 0};
+    return poll(&room, 1, 0) == 1 && !(room.revents & (POLLERR | POLLNVAL)) &&
+           write(log_fd, line, len) == (ssize_t)len;
+}
+
+static bool
+write_dropped(void)
+{
+    uint64_t count = atomic_load(&dropped);
+    if (count == 0) {
+        return true;
+    }
+    char line[LINE_BYTES];
+    int len = snprintf(line, sizeof(line), "log: %llu lines were dropped\n",
+                       (unsigned long long)count);
+    if (!write_line(line, (size_t)len)) {
+        return false;
+    }
+    atomic_fetch_sub(&dropped, count);
+    return true;
+}
+
 void
 bg_log(BgLevel level, const char *module, const char *fmt, ...)
 {
     if ((int)level < atomic_load(&log_level)) {
         return;
     }
-    char text[1024];
+    char text[TEXT_BYTES];
     va_list args;
     va_start(args, fmt);
     vsnprintf(text, sizeof(text), fmt, args);
@@ -54,9 +115,13 @@
     gmtime_r(&ts.tv_sec, &tm);
     char stamp[32];
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-    /* One call, so that lines of several threads do not interleave. */
-    fprintf(stderr, "%s.%03ldZ %-5s %s: %s\n", stamp, ts.tv_nsec / 1000000,
-            level_names[level], module, text);
+    char line[LINE_BYTES];
+    int len = snprintf(line, sizeof(line), "%s.%03ldZ %-5s %s: %s\n", stamp,
+                       ts.tv_nsec / 1000000, level_names[level], module, text);
+    if (!write_dropped() || !write_line(line, (size_t)len)) {
+        atomic_fetch_add(&dropped, 1);
+        bg_count("log_lines_dropped_total", 1);
+    }
 }
 
 /* ---- clock and ids ------------------------------------------------------ */
--- a/src/base.h
+++ b/src/base.h
@@ -30,7 +30,9 @@
 GQuark bg_error_quark(void);
 
 /* ---- logger -------------------------------------------------------------
-   Writes a line to standard error: time, level, module, text.
+   Writes a line to standard error: time, level, module, text.  Never blocks:
+   a line that finds no room is dropped, and how many were is told by
+   log_lines_dropped_total and by a line once there is room again.
    Thread-safe. */
 typedef enum { BG_DEBUG, BG_INFO, BG_WARN, BG_FAULT } BgLevel;
 
--- a/src/json_log.c
+++ b/src/json_log.c
@@ -121,6 +121,7 @@
     }
     if (ring_count(ring) >= RING_LINES) {
         atomic_fetch_add(&dropped, 1);
+        bg_count("log_lines_dropped_total", 1);
         return NULL;
     }
     JlLine *l = g_new(JlLine, 1);
