--- a/src/http_server.c
+++ b/src/http_server.c
@@ -8,7 +8,11 @@
 #include <unistd.h>
 
 #define MAX_PIPELINED_BYTES (256 * 1024) /* read after an open request */
+/* Of answers that the client hasn't taken: no further request is begun. */
+#define MAX_UNSENT_BYTES (256 * 1024)
 #define LINGER_MS 1000 /* for the client to read the last answer */
+/* A client that takes nothing of an ended answer for so long is closed. */
+#define STALLED_MS 30000
 #define DEFAULT_HEADER_BYTES (64 * 1024)
 #define DEFAULT_BODY_BYTES (64u * 1024 * 1024)
 
@@ -37,10 +41,14 @@
     ev_io write_watch;
     http_parser parser;
     ConnState state;
-    HtExchange *x;         /* being read or answered; NULL: idle */
-    GByteArray *pipelined; /* bytes that followed the open request */
+    HtExchange *x;  /* being read or answered; NULL: idle */
+    GByteArray *in; /* read; parsed up to in_at */
+    size_t in_at;
     GByteArray *out;
     size_t out_at;
+    bool running;           /* inside run_input */
+    bool closed;            /* meanwhile: freed after that */
+    uint64_t sent_ms;       /* the kernel last took some of OUT */
     bool close_after;       /* the answer being sent ends the connection */
     bool answer_ended;      /* with close_after: OUT has all of the answer */
     uint16_t refuse_status; /* a limit was exceeded; 0: none was */
@@ -66,6 +74,20 @@
     g_free(x);
 }
 
+static void
+free_conn(HtConn *c)
+{
+    g_byte_array_free(c->in, TRUE);
+    g_byte_array_free(c->out, TRUE);
+    g_free(c);
+}
+
+static size_t
+count_unsent(const HtConn *c)
+{
+    return c->out->len - c->out_at;
+}
+
 static void
 close_conn(HtConn *c)
 {
@@ -75,15 +97,33 @@
     ev_io_stop(c->server->loop, &c->write_watch);
     close(c->fd);
     g_queue_delete_link(&c->server->conns, c->link);
-    g_byte_array_free(c->pipelined, TRUE);
-    g_byte_array_free(c->out, TRUE);
     if (x) {
         if (c->state == CONN_BUSY) {
             c->server->handler.on_gone(c->server->handler.ctx, x);
         }
         free_exchange(x);
     }
-    g_free(c);
+    c->closed = true;
+    if (!c->running) {
+        free_conn(c);
+    }
+}
+
+/* All of OUT was sent. */
+static void
+note_drained(HtConn *c)
+{
+    if (c->x && c->state == CONN_BUSY && c->server->handler.on_drained) {
+        c->server->handler.on_drained(c->server->handler.ctx, c->x);
+    }
+    if (!c->x && c->state == CONN_READING) {
+        c->since_ms = bg_boot_ms(); /* idle from now on */
+    }
+    if (c->answer_ended && c->state != CONN_LINGERING) {
+        shutdown(c->fd, SHUT_WR);
+        c->state = CONN_LINGERING;
+        c->since_ms = bg_boot_ms();
+    }
 }
 
 /* False: the connection is gone. */
@@ -102,23 +142,15 @@
             return false;
         }
         c->out_at += n > 0 ? (size_t)n : 0;
+        c->sent_ms = bg_boot_ms();
     }
     g_byte_array_set_size(c->out, 0);
     c->out_at = 0;
     ev_io_stop(c->server->loop, &c->write_watch);
-    if (c->x && c->state == CONN_BUSY && c->server->handler.on_drained) {
-        c->server->handler.on_drained(c->server->handler.ctx, c->x);
-    }
-    if (c->answer_ended && c->state != CONN_LINGERING) {
-        shutdown(c->fd, SHUT_WR);
-        c->state = CONN_LINGERING;
-        c->since_ms = bg_boot_ms();
-    }
+    note_drained(c);
     return true;
 }
 
-static void feed_conn(HtConn *c, const uint8_t *data, size_t len);
-
 /* Results of the parser's callbacks.  Of on_headers_complete 1 and 2 are no
    errors: they mean that no body follows. */
 #define PARSER_GO_ON 0
@@ -262,14 +294,15 @@
     ht_end_answer(c->x);
 }
 
+/* Up to the end of a request, or of what was read. */
 static void
-feed_conn(HtConn *c, const uint8_t *data, size_t len)
+parse_input(HtConn *c)
 {
-    size_t used = http_parser_execute(&c->parser, &request_settings,
-                                      (const char *)data, len);
+    c->in_at += http_parser_execute(&c->parser, &request_settings,
+                                    (const char *)c->in->data + c->in_at,
+                                    c->in->len - c->in_at);
     enum http_errno e = HTTP_PARSER_ERRNO(&c->parser);
     if (e == HPE_PAUSED) {
-        g_byte_array_append(c->pipelined, data + used, (guint)(len - used));
         c->state = CONN_BUSY;
         c->close_after = !c->x->msg.head.keeps_alive || c->server->closing;
         c->server->handler.on_request(c->server->handler.ctx, c->x);
@@ -279,9 +312,54 @@
     }
 }
 
+static bool
+may_parse(const HtConn *c)
+{
+    return !c->closed && c->state == CONN_READING && c->in_at < c->in->len &&
+           count_unsent(c) < MAX_UNSENT_BYTES;
+}
+
+/* More is read only while there is room for it. */
+static void
+drop_parsed(HtConn *c)
+{
+    if (c->in_at > c->in->len / 2) {
+        g_byte_array_remove_range(c->in, 0, (guint)c->in_at);
+        c->in_at = 0;
+    }
+    if (c->in->len - c->in_at > MAX_PIPELINED_BYTES) {
+        ev_io_stop(c->server->loop, &c->read_watch);
+    }
+    else {
+        ev_io_start(c->server->loop, &c->read_watch);
+    }
+}
+
+/* Begins the requests that were read, as far as one may follow the other.  An
+   answer that is given at once leads here again: the loop goes on. */
+static void
+run_input(HtConn *c)
+{
+    if (c->running) {
+        return;
+    }
+    c->running = true;
+    while (may_parse(c)) {
+        parse_input(c);
+    }
+    c->running = false;
+    if (c->closed) {
+        free_conn(c);
+    }
+    else {
+        drop_parsed(c);
+    }
+}
+
 static void
 on_conn_readable(struct ev_loop *loop, ev_io *w, int events)
 {
+    (void)loop;
     (void)events;
     HtConn *c = w->data;
     uint8_t buf[HT_READ_BYTES];
@@ -296,14 +374,8 @@
     if (c->state == CONN_LINGERING) {
         return;
     }
-    if (c->state == CONN_BUSY) {
-        g_byte_array_append(c->pipelined, buf, (guint)n);
-        if (c->pipelined->len > MAX_PIPELINED_BYTES) {
-            ev_io_stop(loop, &c->read_watch);
-        }
-        return;
-    }
-    feed_conn(c, buf, (size_t)n);
+    g_byte_array_append(c->in, buf, (guint)n);
+    run_input(c);
 }
 
 static void
@@ -311,7 +383,10 @@
 {
     (void)loop;
     (void)events;
-    flush_conn(w->data);
+    HtConn *c = w->data;
+    if (flush_conn(c)) {
+        run_input(c);
+    }
 }
 
 static void
@@ -327,9 +402,10 @@
     HtConn *c = g_new0(HtConn, 1);
     c->server = s;
     c->fd = fd;
-    c->pipelined = g_byte_array_new();
+    c->in = g_byte_array_new();
     c->out = g_byte_array_new();
     c->since_ms = bg_boot_ms();
+    c->sent_ms = c->since_ms;
     start_parser(c);
     ev_io_init(&c->read_watch, on_conn_readable, fd, EV_READ);
     ev_io_init(&c->write_watch, on_conn_writable, fd, EV_WRITE);
@@ -413,6 +489,9 @@
     if (c->state == CONN_BUSY) {
         return false;
     }
+    if (count_unsent(c) > 0) {
+        return now_ms > c->sent_ms + STALLED_MS;
+    }
     if (c->x) {
         return s->limits.header_ms && age_ms > s->limits.header_ms * 2ull;
     }
@@ -546,7 +625,7 @@
 size_t
 ht_get_unsent(const HtExchange *x)
 {
-    return x->conn->out->len - x->conn->out_at;
+    return count_unsent(x->conn);
 }
 
 void
@@ -563,15 +642,11 @@
     if (!c->close_after) {
         c->state = CONN_READING;
         start_parser(c);
-        ev_io_start(c->server->loop, &c->read_watch);
     }
-    if (!flush_conn(c) || c->close_after || c->pipelined->len == 0) {
-        return;
+    c->sent_ms = c->since_ms;
+    if (flush_conn(c)) {
+        run_input(c);
     }
-    GByteArray *pipelined = c->pipelined;
-    c->pipelined = g_byte_array_new();
-    feed_conn(c, pipelined->data, pipelined->len);
-    g_byte_array_free(pipelined, TRUE);
 }
 
 void
