--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -430,7 +430,7 @@
 {
     (void)g;
     Req *q = ht_get_user(x);
-    if (q && q->paused) {
+    if (q && q->paused && q->hc) {
         q->paused = false;
         q->last_data_ms = bg_boot_ms();
         ht_resume_call(q->hc);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -12,6 +12,8 @@
    crosses their close is lost, so idle connections are closed a second
    earlier. */
 #define KEEP_MARGIN_MS 1100
+/* Of the timeouts that upstreams state. */
+#define MAX_KEEP_S 3600
 /* A connection that no call waits for, to see whether a path is back. */
 #define PROBE_CONNECT_MS 250
 /* A helper that has not answered by then is cut off too, or gone. */
@@ -208,7 +210,7 @@
         return;
     }
     long s = strtol(timeout + strlen("timeout="), NULL, 10);
-    long ms = s * 1000 - KEEP_MARGIN_MS;
+    int64_t ms = CLAMP(s, 0, MAX_KEEP_S) * INT64_C(1000) - KEEP_MARGIN_MS;
     w->keep_ms = ms > 0 ? (uint32_t)ms : 0;
 }
 
@@ -227,6 +229,15 @@
            memcmp(call->request->data, method, len) == 0;
 }
 
+/* The parser would wait for a body as long as Content-Length says. */
+static bool
+has_no_body(const HtConn *w)
+{
+    uint16_t status = w->msg.head.status;
+    bool for_head = !w->skipped && is_head_request(w->call);
+    return for_head || status == 204 || status == 304;
+}
+
 static int
 on_answer_head(http_parser *p)
 {
@@ -239,10 +250,10 @@
     bool interim = p->status_code / 100 == 1;
     w->before_head_bytes = interim ? w->before_head_bytes : 0;
     w->skipped = interim || is_for_other_call(w);
+    bool no_body = !interim && has_no_body(w);
     if (w->skipped) {
-        return PARSER_GO_ON;
+        return no_body ? PARSER_NO_BODY : PARSER_GO_ON;
     }
-    bool no_body = is_head_request(w->call);
     if (w->call->sent < MIN(1, w->call->request->len)) {
         return PARSER_STOP; /* it came before the request */
     }
