--- a/src/http_server.c
+++ b/src/http_server.c
@@ -47,7 +47,7 @@
     GByteArray *out;
     size_t out_at;
     bool running;           /* inside run_input */
-    bool closed;            /* meanwhile: freed after that */
+    bool closed;            /* in the server's closed */
     uint64_t sent_ms;       /* the kernel last took some of OUT */
     bool close_after;       /* the answer being sent ends the connection */
     bool answer_ended;      /* with close_after: OUT has all of the answer */
@@ -64,6 +64,8 @@
     HtLimits limits;
     bool closing;
     GQueue conns; /* HtConn */
+    /* HtConn; freed by the next tick, as their callers may look at them. */
+    GQueue closed;
 };
 
 static void
@@ -82,6 +84,15 @@
     g_free(c);
 }
 
+static void
+free_closed(HtServer *s)
+{
+    HtConn *c;
+    while ((c = g_queue_pop_head(&s->closed))) {
+        free_conn(c);
+    }
+}
+
 static size_t
 count_unsent(const HtConn *c)
 {
@@ -104,9 +115,7 @@
         free_exchange(x);
     }
     c->closed = true;
-    if (!c->running) {
-        free_conn(c);
-    }
+    g_queue_push_tail(&c->server->closed, c);
 }
 
 /* All of OUT was sent. */
@@ -348,10 +357,7 @@
         parse_input(c);
     }
     c->running = false;
-    if (c->closed) {
-        free_conn(c);
-    }
-    else {
+    if (!c->closed) {
         drop_parsed(c);
     }
 }
@@ -441,6 +447,7 @@
     s->fd = fd;
     s->handler = *handler;
     g_queue_init(&s->conns);
+    g_queue_init(&s->closed);
     ev_io_init(&s->watch, on_acceptable, fd, EV_READ);
     s->watch.data = s;
     ev_io_start(loop, &s->watch);
@@ -456,6 +463,7 @@
     while ((c = g_queue_peek_head(&s->conns))) {
         close_conn(c);
     }
+    free_closed(s);
     g_free(s);
 }
 
@@ -512,6 +520,7 @@
             close_conn(c);
         }
     }
+    free_closed(s);
 }
 
 uint32_t
