--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -123,7 +123,6 @@
 ht_fail_conn(HtConn *w, AeSignal signal)
 {
     if (ht_may_move_call(w)) {
-        ht_note_lost(w);
         ht_move_call(w);
         return;
     }
@@ -343,8 +342,10 @@
 finish_answer(HtConn *w, size_t left)
 {
     HtCall *call = w->call;
+    /* A late copy of an answer to HEAD can't be skipped: it has no body, and
+       doesn't show that. */
     bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
-                call->sent == call->request->len;
+                call->sent == call->request->len && !is_head_request(call);
     AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
     if (!keep) {
         close_call(w, end);
@@ -625,6 +626,7 @@
     HtCall *call = w->call;
     w->call = NULL;
     call->conn = NULL;
+    ht_note_lost(w);
     ht_close_conn(w);
     bg_count("gateway_calls_moved_total", 1);
     open_call(call);
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -209,6 +209,28 @@
         assert [s for s, _, _ in answers] == [200] * 100
 
 
+# The copy has no body, as the request was HEAD, and says that it has one.
+def test_late_answer_to_head(build):
+    with Cluster(build, models=(), apps=1) as c:
+        copies = LateCopies(c.apps[0], "/read")
+
+        def answer(engine, h, rid):
+            if h.command == "HEAD":
+                h.wfile.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+                               "X-Server-Stamp: s-%s\r\nContent-Length: 500"
+                               "\r\n\r\n" % (rid, engine.name)).encode())
+            return h.command == "HEAD"
+        c.apps[0].on_request = answer
+        began = time.monotonic()
+        for i in range(8):
+            got = ask(c.gateways[0], "read", body=b"%d" % i, method="HEAD")
+            assert (got[0], got[2]) == (200, b"")
+            status, _, body, rid = ask(c.gateways[0], "read", body=b"r%d" % i)
+            assert (status, json.loads(body)["id"]) == (200, rid)
+        assert time.monotonic() - began < 3
+        assert copies.asked
+
+
 # The copies are of other kinds of answers: an interim one, one with two ids.
 @pytest.mark.parametrize("late", [
     b"HTTP/1.1 100 Continue\r\n\r\n",
