--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import errno
 import json
 import struct
 import threading
@@ -25,11 +26,23 @@
 
     def listen(self):
         handler = type("Bound", (Handler,), {"app": self})
-        self.server = Server(("127.0.0.1", self.port), handler)
+        self.server = self.bind(handler)
         self.thread = threading.Thread(target=self.serve, args=(self.server,),
                                        daemon=True)
         self.thread.start()
 
+    def bind(self, handler):
+        """The socket of a former process is closed once its thread has left
+        poll(), which may come a moment later."""
+        until = time.monotonic() + 1
+        while True:
+            try:
+                return Server(("127.0.0.1", self.port), handler)
+            except OSError as e:
+                if e.errno != errno.EADDRINUSE or time.monotonic() > until:
+                    raise
+                time.sleep(0.005)
+
     @staticmethod
     def serve(server):
         try:
@@ -317,7 +330,10 @@
     def handle(self, h, method, path, query, body):
         expected = h.headers.get("X-Expect-Instance")
         if expected and expected != self.name:
-            h.reply(421, {}, self.add_limit({"X-Instance-Id": self.name}))
+            rid = h.headers.get("X-Attempt-Id")
+            h.reply(421, {}, self.add_limit(
+                dict({"X-Attempt-Id": rid} if rid else {},
+                     **{"X-Instance-Id": self.name})))
         elif path == "/report":
             self.reports += 1
             h.reply(200, dict(self.entry(), sequence=self.sequence,
