--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -137,7 +137,9 @@
         except subprocess.TimeoutExpired:   # it is paused meanwhile
             proc.kill()
             proc.wait()
-        g.start()
+        with self.lock:
+            if g.proc is proc:   # another fault may have restarted it
+                g.start()
 
     def fault_hup(self):
         g = self.rng.choice(self.gateways)
