--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -128,7 +128,10 @@
         set_limit(c, 10, max_body_bytes=HIGH_BYTES)
         lines, data = frame(framing, BODY)
         caller = Caller(c.gateways[0])
-        caller.send(head("a" * 16, *lines) + data[:len(data) // 2])
+        caller.send(head("a" * 16, "Expect: 100-continue", *lines))
+        # The gateway has read the head once it asks for the body.
+        assert caller.conn.recv(65536) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        caller.send(data[:len(data) // 2])
         set_limit(c, 11, max_body_bytes=LOW_BYTES)
         caller.send(data[len(data) // 2:])
         text, _ = caller.read_answer()
