A record that can't be read hides none behind it

What happened: another writer left an odd record in a topic of the store. A record without even a key length ended the list of each read, and the watch went on from the last record that it could read: so it read the odd one again and again (the configuration 200 times a second at each reader), and new configurations and entries behind it were never taken. A key with a zero byte passed for a shorter key, so such a record replaced a sound upstream's entry; in a listing it made the parser reject the whole page, so gateways that started anew never became ready.

Of the lease's topic only the record of the lease counts.

--- a/src/gateway_node_lease.c
+++ b/src/gateway_node_lease.c
@@ -13,6 +13,7 @@
    failure is reported to ls. */
 #define RELAY_WAIT_MS 500
 #define RELAYS 2 /* one of them may be cut off from the store as well */
+#define OWNER_KEY "owner" /* records under others are none of ours */
 
 /* ---- reading ------------------------------------------------------------ */
 
@@ -28,7 +29,8 @@
     const StRecord *newest = NULL;
     for (guint i = 0; r->result == ST_OK && i < r->records->len; i++) {
         const StRecord *x = r->records->pdata[i];
-        newest = newest && newest->offset > x->offset ? newest : x;
+        bool newer = !newest || x->offset >= newest->offset;
+        newest = newer && strcmp(x->key, OWNER_KEY) == 0 ? x : newest;
     }
     if (newest) {
         gsize len = 0;
@@ -152,7 +154,7 @@
     AppendCtx *c = g_new0(AppendCtx, 1);
     c->g = g;
     c->id = id;
-    g->store->ops->append(g->store, ST_OWNER, at, "owner", value,
+    g->store->ops->append(g->store, ST_OWNER, at, OWNER_KEY, value,
                           strlen(value), on_own_append, c);
     if (g->store_unresponsive) {
         relay_append(g);
@@ -251,7 +253,7 @@
     RelayCtx *c = g_new0(RelayCtx, 1);
     c->g = g;
     c->id = a->id;
-    g->store->ops->append(g->store, ST_OWNER, a->at, "owner", a->value,
+    g->store->ops->append(g->store, ST_OWNER, a->at, OWNER_KEY, a->value,
                           strlen(a->value), on_relay_append, c);
 }
 
--- a/src/gateway_node_notes.c
+++ b/src/gateway_node_notes.c
@@ -320,10 +320,9 @@
             g->notes_batch = (uint32_t)strtoul(x->key, NULL, 10) + 1;
         }
     }
-    if (r->has_more && r->records->len > 0) {
-        const StRecord *last = r->records->pdata[r->records->len - 1];
+    if (r->after) {
         g->notes_busy = true;
-        g->store->ops->list(g->store, ST_NOTES, last->key, on_batches_read, g);
+        g->store->ops->list(g->store, ST_NOTES, r->after, on_batches_read, g);
         return;
     }
     g->notes_listed = true;
--- a/src/store.c
+++ b/src/store.c
@@ -51,7 +51,7 @@
     struct Call *call;       /* the pending call, or NULL */
     uint64_t next;           /* offset to read from */
     GHashTable *listed_keys; /* of the listing in progress */
-    char *after;             /* last key of these; NULL: none yet */
+    char *after;             /* where the next page begins; NULL: none yet */
     uint32_t backoff_ms;
     uint32_t max_backoff_ms;
 };
@@ -115,11 +115,6 @@
         const StRecord *r = records->pdata[i];
         g_hash_table_add(w->listed_keys, g_strdup(r->key));
     }
-    if (records->len > 0) {
-        const StRecord *last = records->pdata[records->len - 1];
-        g_free(w->after);
-        w->after = g_strdup(last->key);
-    }
 }
 
 static void
@@ -131,7 +126,9 @@
         w->next = r->tail;
     }
     note_keys(w, r->records);
-    bool more = r->has_more && w->after;
+    g_free(w->after);
+    w->after = g_strdup(r->after);
+    bool more = r->after != NULL;
     if (more) {
         w->handler.on_records(w->handler.ctx, r->records, ST_PAGE, NULL);
     }
@@ -154,12 +151,14 @@
 static void
 take_records(StWatch *w, const StReply *r)
 {
+    bool has_read = r->next > w->next;
+    /* Behind records that can't be read, too: these would be read again and
+       again. */
+    w->next = MAX(w->next, r->next);
     if (r->records->len > 0) {
-        const StRecord *last = r->records->pdata[r->records->len - 1];
-        w->next = last->offset + 1;
         w->handler.on_records(w->handler.ctx, r->records, ST_UPDATES, NULL);
     }
-    else if (r->tail < w->next) {
+    else if (!has_read && r->tail < w->next) {
         /* The tail is below what was read: the log was replaced. */
         bg_log(BG_WARN, "store",
                "%s: tail %llu is below the next offset %llu, listing again",
--- a/src/store.h
+++ b/src/store.h
@@ -46,7 +46,8 @@
     uint64_t next;      /* behind the records: of a read, it may be below the
                            tail */
     uint64_t offset;    /* of the appended record */
-    bool has_more;      /* of a list: continue after the last key */
+    char *after;        /* of a list: where the next page begins, as list
+                           takes it; NULL: there is none */
 } StReply;
 
 typedef void (*StReplyFn)(void *ctx, const StReply *reply);
@@ -54,8 +55,8 @@
 typedef struct St St;
 
 typedef struct {
-    /* The newest record of each key, page by page: the page that begins after
-       the key AFTER (NULL: the first page). */
+    /* The newest record of each key, page by page: the page that begins at
+       AFTER of the reply before (NULL: the first page). */
     void (*list)(St *s, StTopic topic, const char *after, StReplyFn done,
                  void *ctx);
     /* Records from offset FROM on.  Answered as soon as there is one, or after
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -56,6 +56,8 @@
         self.server.server_close()
 
 
+RAW = None   # key of a record whose bytes are given whole
+
 # Written by the platform only: /log-append refuses them with 403.
 TOPICS = {"op": "keyed.op", "servers": "keyed.servers"}
 
@@ -94,6 +96,10 @@
             self.changed.notify_all()
             return len(log)
 
+    def put_raw(self, topic, record):
+        """A record as another writer may have left it, its key included."""
+        self.put(topic, RAW, record)
+
     def put_config(self, config):
         self.put("keyed.op", "config", json.dumps(config).encode())
 
@@ -101,7 +107,8 @@
         with self.lock:
             found = {}
             for offset, (key, value) in enumerate(self.topics.get(topic, [])):
-                found[key] = (value, offset)
+                if key is not RAW:
+                    found[key] = (value, offset)
             return {k: v for k, v in found.items() if v[0] is not None}
 
     def compact(self, topic):
@@ -147,7 +154,8 @@
             return
         out = struct.pack(">QQ", len(log), first)
         for key, value in records:
-            rec = bytes([len(key)]) + key.encode() + (value or b"")
+            rec = value if key is RAW else (
+                bytes([len(key.encode())]) + key.encode() + (value or b""))
             out += struct.pack(">I", len(rec)) + rec
         h.send_response(200)
         h.send_header("Content-Length", str(len(out)))
