An entry that can't be used names no upstream

What callers saw: another writer left an entry with a port out of range (0, 65536 and more, negative, "80x"), an IPv6 address or a host name among those of the engines. The engine counted in its service's upstreams, got its share of requests, placements and orders, and each failed at connecting. With only such entries callers waited for an upstream that there was not.

Cause: of an address only a colon was asked for; so_connect found out at each try, by strtol.

Change: dep_check_upstream, once, where an entry is decoded and where a linked gateway (perhaps of a release without the check) tells of one: id, service and data centre are plain names of 255 bytes at most (an id with a line end would put a field of its own into each request), the address is one that can be connected to, no list is longer than 4,096. The line entry-not-taken names field and reason, once for as long as that stays the same, and 1,000 entries at most; before, each heartbeat was a line.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -115,6 +115,7 @@
     uint64_t behind_ms;    /* a newer configuration is known since; 0: none */
     uint64_t confirmed_ms; /* the leader last confirmed that ours is the
                               newest configuration */
+    GHashTable *odd_entries; /* id -> what is odd about its entry, as logged */
     GHashTable *unpublished; /* upstream -> set of models that changed since
                                 the last heartbeat; an empty set: all */
     GPtrArray *unreachable;  /* char *: upstreams found unreachable, not yet
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -501,6 +501,8 @@
                  (const WlLevel *)levels->data, levels->len);
 }
 
+/* NULL: no calls can be sent to it, as the gateway that read its entry, of
+   another release, didn't notice. */
 static DepUpstream *
 read_upstream(const Gwp__Upstream *x)
 {
@@ -512,9 +514,27 @@
     u->draining = x->draining;
     u->born_ms = x->born_ms;
     u->version = x->versioned ? g_strdup(x->version) : NULL;
+    g_autoptr(GError) err = NULL;
+    if (!dep_check_upstream(u, &err)) {
+        bg_log(BG_WARN, "upstreams", "ignored a linked gateway's %s: %s",
+               x->id, err->message);
+        g_clear_pointer(&u, dep_destroy_upstream);
+    }
     return u;
 }
 
+static void
+take_upstream_row(Gateway *g, uint64_t now_ms, const Gwp__Upstream *x,
+                  DepUpstream *u)
+{
+    gn_take_upstream(g, now_ms, u);
+    if (x->draining) {
+        mp_on_draining(g->placement, x->id);
+    }
+    ut_on_placement(g->upstreams, now_ms, x->id,
+                    gn_read_residents(x->n_residents, x->residents));
+}
+
 static void
 take_upstreams(Gateway *g, const Gwp__Upstreams *m)
 {
@@ -522,13 +542,11 @@
     g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < m->n_upstreams; i++) {
         const Gwp__Upstream *x = m->upstreams[i];
-        g_hash_table_add(ids, x->id);
-        gn_take_upstream(g, now_ms, read_upstream(x));
-        if (x->draining) {
-            mp_on_draining(g->placement, x->id);
+        DepUpstream *u = read_upstream(x);
+        if (u) {
+            g_hash_table_add(ids, x->id);
+            take_upstream_row(g, now_ms, x, u);
         }
-        ut_on_placement(g->upstreams, now_ms, x->id,
-                        gn_read_residents(x->n_residents, x->residents));
     }
     for (size_t i = 0; i < m->n_gone; i++) {
         gn_drop_upstream(g, now_ms, m->gone[i]);
@@ -564,6 +582,9 @@
             continue;
         }
         DepUpstream *u = read_upstream(x);
+        if (!u) {
+            continue;
+        }
         if (!ut_knows(g->upstreams, x->id)) {
             g_ptr_array_free(u->models, TRUE);
             u->models = gn_read_residents(x->n_residents, x->residents);
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -41,6 +41,8 @@
 #define BACKOFF_PER_GATEWAY_MS 30
 /* Entries read from the store count as current for this long. */
 #define STORE_FRESH_MS 1200
+/* Entries that can't be used are named in the log up to this number. */
+#define MAX_ODD_ENTRIES 1000
 /* A relay has read the store, and published what it found, by then. */
 #define RELAY_READ_MS 1000
 
@@ -198,6 +200,31 @@
     gn_drop_upstream(g, now_ms, r->key);
 }
 
+/* Entries are written anew every second or so: what is odd about one is
+   logged once for as long as that stays the same. */
+static void
+note_odd_entry(Gateway *g, const char *id, const char *why)
+{
+    bg_count("gateway_entries_not_taken_total", 1);
+    bool noted = g_strcmp0(g_hash_table_lookup(g->odd_entries, id), why) == 0;
+    bool full = g_hash_table_size(g->odd_entries) >= MAX_ODD_ENTRIES &&
+                !g_hash_table_contains(g->odd_entries, id);
+    if (noted || full) {
+        return;
+    }
+    g_hash_table_replace(g->odd_entries, g_strdup(id), g_strdup(why));
+    JlLine *l = jl_begin("entry-not-taken");
+    jl_text(l, "upstream", id);
+    jl_text(l, "why", why);
+    jl_end(l);
+    bool filled = g_hash_table_size(g->odd_entries) == MAX_ODD_ENTRIES;
+    if (filled) {
+        bg_log(BG_WARN, "upstreams",
+               "%d entries can't be used, further ones are not named",
+               MAX_ODD_ENTRIES);
+    }
+}
+
 static void
 take_entry(Gateway *g, uint64_t now_ms, const StRecord *r, Changes *changes)
 {
@@ -206,14 +233,12 @@
     g_autoptr(GError) err = NULL;
     DepUpstream *u = pf_decode_upstream(r->key, data, len, &err);
     if (!u) {
-        JlLine *l = jl_begin("entry-not-taken");
-        jl_text(l, "upstream", r->key);
-        jl_text(l, "why", err->message);
-        jl_end(l);
+        note_odd_entry(g, r->key, err->message);
         /* The invalid entry replaced the former one: its upstream is gone. */
         take_gone(g, now_ms, r, changes);
         return;
     }
+    g_hash_table_remove(g->odd_entries, r->key);
     UnProcess process = {u->id, u->born_ms};
     u->draining = u->draining || un_is_leaving(g->notices, &process);
     mp_on_entry(g->placement, now_ms, u);
@@ -272,6 +297,7 @@
             take_entry(g, now_ms, r, &changes);
         }
         else {
+            g_hash_table_remove(g->odd_entries, r->key);
             take_gone(g, now_ms, r, &changes);
         }
     }
@@ -425,6 +451,8 @@
 void
 gn_watch_store(Gateway *g)
 {
+    g->odd_entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->store = pf_create_store(g->pool, gn_get_text(g, "store"));
     StWatchParams config = {ST_CONFIG, "config", CONFIG_WAIT_MS,
                             CONFIG_PAUSE_MS};
--- a/src/gateway_types.c
+++ b/src/gateway_types.c
@@ -1,8 +1,16 @@
 #include "gateway_types.h"
 
+#include "sockets.h"
+
 #include <openssl/crypto.h>
 #include <string.h>
 
+/* Of an upstream's id, service and data centre: keys of the store have no
+   more. */
+#define MAX_NAME_BYTES 255
+/* Of each of its lists; far more models than a fleet has. */
+#define MAX_LISTED 4096
+
 /* ---- configuration ------------------------------------------------------ */
 
 static void
@@ -290,6 +298,48 @@
     g_free(u);
 }
 
+/* It can stand in a header, in a log line and in a list. */
+static bool
+is_plain_name(const char *text)
+{
+    size_t len = strlen(text);
+    for (size_t i = 0; i < len; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if (c <= ' ' || c == 0x7f) {
+            return false;
+        }
+    }
+    return len > 0 && len <= MAX_NAME_BYTES;
+}
+
+static bool
+is_short(const DepUpstream *u)
+{
+    guint adapters = 0;
+    for (guint i = 0; i < u->models->len; i++) {
+        const DepResident *r = u->models->pdata[i];
+        adapters += r->adapters->len + r->coming->len;
+    }
+    return u->models->len <= MAX_LISTED && adapters <= MAX_LISTED &&
+           u->in_memory->len <= MAX_LISTED && u->on_disk->len <= MAX_LISTED;
+}
+
+bool
+dep_check_upstream(const DepUpstream *u, GError **err)
+{
+    const char *fault =
+        !is_plain_name(u->id)            ? "id: not a plain name"
+        : !is_plain_name(u->service)     ? "service: not a plain name"
+        : !is_plain_name(u->data_centre) ? "zone: not a plain name"
+        : !so_is_address(u->address)     ? "address: not IP:PORT of one host"
+        : !is_short(u)                   ? "models: too many"
+                                         : NULL;
+    if (fault) {
+        g_set_error_literal(err, BG_ERROR, BG_ERR_FORMAT, fault);
+    }
+    return fault == NULL;
+}
+
 DepResident *
 dep_add_resident(DepUpstream *u, const char *name)
 {
--- a/src/gateway_types.h
+++ b/src/gateway_types.h
@@ -168,6 +168,10 @@
 } DepUpstream;
 
 DepUpstream *dep_create_upstream(void);
+/* Whether calls can be sent to U, whoever wrote its entry: its id can stand in
+   a header, its address is one that can be connected to, and no text or list
+   is longer than that of any upstream.  Else ERR names field and reason. */
+bool dep_check_upstream(const DepUpstream *u, GError **err);
 void dep_destroy_upstream(DepUpstream *u);
 DepResident *dep_add_resident(DepUpstream *u, const char *name);
 /* Takes U's models, owned by the caller now, and destroys U. */
--- a/src/json_log.c
+++ b/src/json_log.c
@@ -97,11 +97,14 @@
     pthread_timedjoin_np(writer, NULL, &until);
 }
 
+/* Bytes that are no UTF-8 become replacement characters. */
 static void
 append_quoted(GString *s, const char *text)
 {
+    g_autofree char *valid =
+        g_utf8_validate(text, -1, NULL) ? NULL : g_utf8_make_valid(text, -1);
     g_string_append_c(s, '"');
-    for (const char *c = text; *c; c++) {
+    for (const char *c = valid ? valid : text; *c; c++) {
         unsigned char u = (unsigned char)*c;
         if (u < 0x20 || u == '"' || u == '\\') {
             g_string_append_printf(s, "\\u%04x", u);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -723,6 +723,7 @@
         st_destroy_watch(g->mail_watch);
     }
     pf_destroy_store(g->store);
+    g_hash_table_destroy(g->odd_entries);
     dm_destroy(g->demand);
     mp_destroy(g->placement);
     ls_destroy(g->lease);
--- a/src/sockets.c
+++ b/src/sockets.c
@@ -11,23 +11,47 @@
 #define BACKLOG 512 /* if the queue is full, SYNs are dropped for seconds */
 /* With bytes unacknowledged for this long the kernel closes the connection. */
 #define USER_TIMEOUT_MS 4000
+#define DIGITS "0123456789"
+#define MAX_PORT_DIGITS 5
+
+/* Digits only, as strtol would also take "+80" and "80x"; 0: invalid. */
+static uint16_t
+parse_port(const char *text)
+{
+    size_t len = strlen(text);
+    if (len == 0 || len > MAX_PORT_DIGITS || strspn(text, DIGITS) != len) {
+        return 0;
+    }
+    long port = strtol(text, NULL, 10);
+    return port <= UINT16_MAX ? (uint16_t)port : 0;
+}
 
 static bool
 parse_address(const char *text, struct sockaddr_in *out)
 {
-    char host[64];
+    char host[INET_ADDRSTRLEN];
     const char *colon = strrchr(text, ':');
     if (!colon || (size_t)(colon - text) >= sizeof(host)) {
         return false;
     }
     memcpy(host, text, (size_t)(colon - text));
     host[colon - text] = '\0';
-    long port = strtol(colon + 1, NULL, 10);
+    uint16_t port = parse_port(colon + 1);
     memset(out, 0, sizeof(*out));
     out->sin_family = AF_INET;
-    out->sin_port = htons((uint16_t)port);
-    return port > 0 && port < 65536 &&
-           inet_pton(AF_INET, host, &out->sin_addr) == 1;
+    out->sin_port = htons(port);
+    return port > 0 && inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+bool
+so_is_address(const char *text)
+{
+    struct sockaddr_in addr;
+    if (!parse_address(text, &addr)) {
+        return false;
+    }
+    in_addr_t ip = ntohl(addr.sin_addr.s_addr);
+    return ip != INADDR_ANY && ip != INADDR_BROADCAST && !IN_MULTICAST(ip);
 }
 
 static void
--- a/src/sockets.h
+++ b/src/sockets.h
@@ -5,6 +5,9 @@
 
 #include "base.h"
 
+/* Whether TEXT is the IP:PORT of one host, as so_connect takes it: a numeric
+   IPv4 address and a port from 1 to 65535. */
+bool so_is_address(const char *text);
 /* Listen on ADDRESS (IP:PORT); -1 with ERR set when that fails. */
 int so_listen(const char *address, GError **err);
 /* Start to connect.  The socket becomes writable when that is done or failed,
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -93,6 +93,70 @@
     }
 }
 
+/* Records that can't be read are skipped: those behind them are not. */
+static void
+test_records_behind_odd_ones(void)
+{
+    static const uint8_t odd[] = {0, 0, 0, 0,                       /* empty */
+                                  0, 0, 0, 2, 9, 'a',               /* short */
+                                  0, 0, 0, 5, 2, 'k', 0, 'x', 'y'}; /* zero */
+    GByteArray *b = start_body();
+    g_byte_array_append(b, odd, sizeof(odd));
+    add_record(b, "k", "one");
+    uint64_t tail;
+    uint64_t next;
+    GPtrArray *r = pf_decode_records(b->data, b->len, 5, &tail, &next);
+    CU_ASSERT_EQUAL_FATAL(r->len, 1);
+    const StRecord *last = r->pdata[0];
+    CU_ASSERT_STRING_EQUAL(last->key, "k");
+    CU_ASSERT_EQUAL(last->offset, 8);
+    CU_ASSERT_EQUAL(next, 9);
+    g_ptr_array_free(r, TRUE);
+    g_byte_array_free(b, TRUE);
+}
+
+#define ITEM(key) "{\"key\":\"" key "\",\"value\":\"e30=\",\"offset\":3}"
+
+typedef struct {
+    const char *text;
+    bool good;
+    guint records;
+    const char *after; /* NULL: it is the last page */
+} Page;
+
+/* A key that can't be one hides neither the other items nor the next page. */
+static void
+test_pages(void)
+{
+    static const Page pages[] = {
+        {"{\"items\":[" ITEM("a") "],\"has_more\":false,\"end\":9}", true, 1,
+         NULL},
+        {"{\"items\":[" ITEM("a") "," ITEM(
+             "b/\\u0000") "],"
+                          "\"has_more\":true,\"end\":9}",
+         true, 1, "b%2F%00"},
+        {"{\"items\":[" ITEM("a\xff") "],\"has_more\":true,\"end\":9}", true,
+         1, "a%EF%BF%BD"},
+        {"{\"items\":[{\"key\":\"a\",\"value\":7}],\"has_more\":true}", true,
+         1, "a"},
+        {"{\"items\":[7],\"has_more\":false}", true, 0, NULL},
+        {"{\"items\":[" ITEM("a") ",{}],\"has_more\":true}", false, 0, NULL},
+        {"{\"items\":[],\"has_more\":true}", false, 0, NULL},
+        {"[]", false, 0, NULL},
+        {"", false, 0, NULL}};
+    for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+        const Page *p = &pages[i];
+        StReply reply = {.result = ST_OK};
+        bool good = pf_decode_page(p->text, strlen(p->text), &reply);
+        CU_ASSERT_EQUAL(good, p->good);
+        if (good) {
+            CU_ASSERT_EQUAL(reply.records->len, p->records);
+            CU_ASSERT_EQUAL(g_strcmp0(reply.after, p->after), 0);
+        }
+        pf_clear_page(&reply);
+    }
+}
+
 static DepUpstream *
 decode_upstream(const char *text)
 {
@@ -128,6 +192,10 @@
     dep_destroy_upstream(u);
 }
 
+#define ENTRY(address, slots)                                                 \
+    "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","          \
+    "\"slots\":" slots ",\"state\":\"ready\"}"
+
 static void
 test_upstream_foreign(void)
 {
@@ -147,12 +215,65 @@
         "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
         "\"slots\":1,\"state\":\"ready\"}",
         "{\"service\":\"s\",\"address\":\"a:1\",\"zone\":\"z\","
-        "\"slots\":\"1\",\"state\":\"ready\"}"};
+        "\"slots\":\"1\",\"state\":\"ready\"}",
+        ENTRY("10.0.0.1:0", "4"),
+        ENTRY("10.0.0.1:65536", "4"),
+        ENTRY("10.0.0.1:-1", "4"),
+        ENTRY("10.0.0.1:", "4"),
+        ENTRY("10.0.0.1:80x", "4"),
+        ENTRY("10.0.0.1:+80", "4"),
+        ENTRY("10.0.0.1: 80", "4"),
+        ENTRY("10.0.0.1:000080", "4"),
+        ENTRY("10.0.0.256:80", "4"),
+        ENTRY("10.0.0:80", "4"),
+        ENTRY("0.0.0.0:80", "4"),
+        ENTRY("224.0.0.1:80", "4"),
+        ENTRY("255.255.255.255:80", "4"),
+        ENTRY("localhost:80", "4"),
+        ENTRY("[::1]:80", "4"),
+        ENTRY("::1:80", "4"),
+        ENTRY("10.0.0.1:80", "-1"),
+        ENTRY("10.0.0.1:80", "4294967296"),
+        ENTRY("10.0.0.1:80", "1e400"),
+        ENTRY("10.0.0.1:80", "1.5"),
+        ENTRY("10.0.0.1:80", "99999999999999999999")};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         CU_ASSERT_PTR_NULL(decode_upstream(bad[i]));
     }
 }
 
+/* An id with a line end would put a field of its own into each request. */
+static void
+test_upstream_names(void)
+{
+    static const char text[] = ENTRY("10.0.0.1:80", "4");
+    static const char *const bad[] = {"", "a b", "a\r\nX: 1", "a\x7f"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_autoptr(GError) err = NULL;
+        CU_ASSERT_PTR_NULL(
+            pf_decode_upstream(bad[i], text, strlen(text), &err));
+        CU_ASSERT_PTR_NOT_NULL(err);
+    }
+    DepUpstream *u = decode_upstream(text);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(u);
+    dep_destroy_upstream(u);
+}
+
+/* Numbers out of range become the nearest that there is, or none. */
+static void
+test_upstream_numbers(void)
+{
+    DepUpstream *u = decode_upstream(
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":1000000,\"state\":\"draining\",\"remaining_ms\":1e300,"
+        "\"born\":9000000000000000000}");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(u);
+    CU_ASSERT_EQUAL(u->slots, 1000000);
+    CU_ASSERT_EQUAL(u->gone_in_ms, UINT32_MAX);
+    CU_ASSERT_EQUAL(u->born_ms, 0);
+    dep_destroy_upstream(u);
+}
+
 static void
 test_config(void)
 {
@@ -354,8 +475,12 @@
         {"records", test_records},
         {"records cut off", test_records_cut_off},
         {"records malformed", test_records_malformed},
+        {"records behind odd ones", test_records_behind_odd_ones},
+        {"pages", test_pages},
         {"upstream", test_upstream},
         {"upstream foreign", test_upstream_foreign},
+        {"upstream names", test_upstream_names},
+        {"upstream numbers", test_upstream_numbers},
         {"config", test_config},
         {"config malformed", test_config_malformed},
         {"call headers", test_call_headers},
