A gateway that the store turns away finds the leader through others

What callers saw: a gateway whose lease ran out while the store was silent, and which the store went on turning away, kept its former entries and configuration for as long as that lasted: requests went to upstreams that had left, new routes were refused with 404. The same after the leader's end for any gateway that the store turned away just then.

Cause: who leads is written in the store alone. Links go up only: those who were linked to the former leader link to the new one, and nobody tells the former. Seeds were asked only until a first configuration was there.

Change: gateway_node_search (before: gateway_node_start). Only an answer of one that hears a leader is followed, so a store that is silent for all changes no links.

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -2347,7 +2347,7 @@
   assert(message->base.descriptor == &gwp__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gwp__hello__field_descriptors[11] =
 {
   {
     "vm",
@@ -2469,10 +2469,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "control",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Hello, control),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__hello__field_indices_by_name[] = {
   3,   /* field[3] = address */
   6,   /* field[6] = config_version */
+  10,   /* field[10] = control */
   2,   /* field[2] = data_centre */
   7,   /* field[7] = detour */
   4,   /* field[4] = fitness */
@@ -2485,7 +2498,7 @@
 static const ProtobufCIntRange gwp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gwp__hello__descriptor =
 {
@@ -2495,7 +2508,7 @@
   "Gwp__Hello",
   "gwp",
   sizeof(Gwp__Hello),
-  10,
+  11,
   gwp__hello__field_descriptors,
   gwp__hello__field_indices_by_name,
   1,  gwp__hello__number_ranges,
@@ -2656,7 +2669,7 @@
   (ProtobufCMessageInit) gwp__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__helper__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gwp__helper__field_descriptors[4] =
 {
   {
     "vm",
@@ -2694,16 +2707,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "control",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Helper, control),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__helper__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  3,   /* field[3] = control */
   1,   /* field[1] = data_centre */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange gwp__helper__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gwp__helper__descriptor =
 {
@@ -2713,7 +2739,7 @@
   "Gwp__Helper",
   "gwp",
   sizeof(Gwp__Helper),
-  3,
+  4,
   gwp__helper__field_descriptors,
   gwp__helper__field_indices_by_name,
   1,  gwp__helper__number_ranges,
@@ -4887,7 +4913,7 @@
   (ProtobufCMessageInit) gwp__unreached__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__introduction__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gwp__introduction__field_descriptors[2] =
 {
   {
     "link",
@@ -4901,14 +4927,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "led",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Introduction, led),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__introduction__field_indices_by_name[] = {
+  1,   /* field[1] = led */
   0,   /* field[0] = link */
 };
 static const ProtobufCIntRange gwp__introduction__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gwp__introduction__descriptor =
 {
@@ -4918,7 +4957,7 @@
   "Gwp__Introduction",
   "gwp",
   sizeof(Gwp__Introduction),
-  1,
+  2,
   gwp__introduction__field_descriptors,
   gwp__introduction__field_indices_by_name,
   1,  gwp__introduction__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -151,10 +151,14 @@
    * streams may live that were begun without it
    */
   protobuf_c_boolean unplanned;
+  /*
+   * where it answers /introduction; empty: nowhere
+   */
+  char *control;
 };
 #define GWP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -220,10 +224,14 @@
   char *vm;
   char *data_centre;
   char *address;
+  /*
+   * as in Hello
+   */
+  char *control;
 };
 #define GWP__HELPER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__helper__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -875,17 +883,21 @@
 
 
 /*
- * Answer to a gateway that starts while the store is unreachable: where it may
- * link to.
+ * Answer to a gateway that neither hears a leader nor reads the store: where
+ * it may link to.
  */
 struct  Gwp__Introduction
 {
   ProtobufCMessage base;
   char *link;
+  /*
+   * a leader is heard there
+   */
+  protobuf_c_boolean led;
 };
 #define GWP__INTRODUCTION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__introduction__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -19,7 +19,7 @@
      gateway_node_versions the version plan, and which process is at an
                            upstream
      gateway_node_notes    notes of which version began a stream
-     gateway_node_start    starting while the store is unreachable
+     gateway_node_search   finding the leader where the store is unreachable
      main_gateway          settings, listeners, timers, signals
    The leader is the gateway that holds the lease for placement.  Links form a
    tree with the leader at its root and at most one level of relays.  "Up" is
@@ -80,6 +80,12 @@
     Lag lag;       /* of the leader's heartbeats */
 } Uplink;
 
+/* For whom to link to, see gateway_node_search. */
+typedef struct {
+    GQueue known; /* char *: control addresses, the last asked first */
+    uint64_t next_ms;
+} GnSearch;
+
 /* Detours by way of other gateways, and for them. */
 typedef struct {
     Pt *paths;
@@ -160,8 +166,7 @@
     BgRandom rng;
     DepConfig *config;    /* NULL: none yet */
     GBytes *config_bytes; /* as written in the store */
-    uint64_t next_seed_ms;
-    guint next_seed; /* index into the seeds, modulo their number */
+    GnSearch search;
     uint64_t config_ms;
     uint64_t start_ms;
     uint64_t leader_ms;   /* the leader's newest heartbeat was sent;
@@ -479,10 +484,13 @@
 /* Send the notes that are due. */
 void gn_tick_notes(Gateway *g, uint64_t now_ms);
 
-/* gateway_node_start */
-/* Ask another gateway for a link if the store does not answer a starting
-   process. */
-void gn_tick_start(Gateway *g, uint64_t now_ms);
+/* gateway_node_search */
+void gn_init_search(Gateway *g);
+void gn_end_search(Gateway *g);
+/* Another gateway answers /introduction at ADDRESS; "": nowhere. */
+void gn_note_control(Gateway *g, const char *address);
+/* Ask others where the leader is, if neither it nor the store is heard. */
+void gn_tick_search(Gateway *g, uint64_t now_ms);
 /* Answer such a request. */
 void gn_answer_introduction(Gateway *g, HtExchange *x);
 
--- a/src/gateway_node_detours.c
+++ b/src/gateway_node_detours.c
@@ -82,6 +82,7 @@
     own->vm = (char *)gn_get_text(g, "name");
     own->data_centre = (char *)gn_get_text(g, "data_centre");
     own->address = (char *)gn_get_text(g, "detour");
+    own->control = (char *)gn_get_text(g, "control");
     if (*own->address) {
         g_ptr_array_add(list, own);
     }
@@ -201,6 +202,9 @@
         gwp__helpers__free_unpacked(d->above, NULL);
     }
     d->above = gwp__helpers__unpack(NULL, len, bytes);
+    for (size_t i = 0; i < m->n_helpers; i++) {
+        gn_note_control(g, m->helpers[i]->control);
+    }
     if (m->key && m->key != d->key) {
         d->former_key = d->key;
         d->key = m->key;
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -518,7 +518,8 @@
     if (!dep_check_upstream(u, &err)) {
         bg_log(BG_WARN, "upstreams", "ignored a linked gateway's %s: %s",
                x->id, err->message);
-        g_clear_pointer(&u, dep_destroy_upstream);
+        dep_destroy_upstream(u);
+        u = NULL;
     }
     return u;
 }
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -40,6 +40,7 @@
     Gwp__Members *reported;  /* by it last; NULL: never */
     char *vm;
     char *detour;
+    char *control;
     uint32_t expected;    /* members, and those assigned to it since */
     uint64_t expected_ms; /* the last one was assigned */
     uint32_t fitness;
@@ -65,6 +66,7 @@
     }
     g_free(p->vm);
     g_free(p->detour);
+    g_free(p->control);
     g_free(p);
 }
 
@@ -313,6 +315,7 @@
     hello->shunned = (char *)(unreachable ? unreachable : "");
     hello->config_version = g->config ? g->config->version : 0;
     hello->detour = (char *)gn_get_text(g, "detour");
+    hello->control = (char *)gn_get_text(g, "control");
     hello->plans = true;
     hello->unplanned = vp_may_be_unplanned(g->versions, bg_boot_ms());
 }
@@ -331,12 +334,15 @@
     p->since_ms = bg_boot_ms();
     p->vm = g_strdup(hello->vm);
     p->detour = g_strdup(hello->detour);
+    p->control = g_strdup(hello->control);
+    gn_note_control(g, p->control);
     p->former = !hello->plans;
     p->unplanned = p->former || hello->unplanned;
     gwp__helper__init(&p->helper);
     p->helper.vm = p->vm;
     p->helper.data_centre = p->data_centre;
     p->helper.address = p->detour;
+    p->helper.control = p->control;
     lk_set_user(from, p);
     gn_on_helpers_changed(g);
     gn_note_member(g, hello->vm);
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -439,7 +439,7 @@
     gn_tick_relay(g, now_ms);
     gn_tick_detours(g, now_ms);
     gn_schedule_store_reads(g, now_ms);
-    gn_tick_start(g, now_ms);
+    gn_tick_search(g, now_ms);
     bool near_limit = wl_is_near_limit(g->limits);
     gn_tick_upstream_limits(g, now_ms);
     gn_tick_rooms(g, now_ms);
@@ -717,6 +717,7 @@
     ht_destroy_pool(g->pool);
     lk_destroy(g->links);
     gn_destroy_detours(g);
+    gn_end_search(g);
     st_destroy_watch(g->config_watch);
     st_destroy_watch(g->upstream_watch);
     if (g->mail_watch) {
@@ -781,6 +782,7 @@
     }
     create_cores(g);
     gn_watch_store(g);
+    gn_init_search(g);
     start_watchers(g);
     jl_start(gn_get_text(g, "name"));
     JlLine *l = jl_begin("started");
