Reads of the configuration are held open only beside a leader that reads it

What callers saw: new routes were refused with 404 for up to 25 s where the leader's reads of the configuration failed, while the other gateways reached the store.

A gateway that hears the leader holds its read for 25 s, as the leader publishes changes. Whether it can was told by the leader's reads of the upstreams alone; if the others' held reads were lost (connections that went silent), nobody read the configuration until these were over.

Change: the leader's heartbeat says whether its reads of the configuration are answered (reads_config); beside one whose aren't, reads are held for 1.5 s, and older ones are given up. A leader of an earlier release says nothing, so it costs reads of 1.5 s beside such a one.

Evidence: test_held_reads.py, four cases more; on the commit before test_configuration_beside_a_leader_without_its_topic failed (20.5 s, bound 2 s); now all ten pass. Three of the four pass on the commit before, too. In calm no more reads (test_calm_costs_no_reads).

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -3909,7 +3909,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[14] =
 {
   {
     "waits",
@@ -4067,6 +4067,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_config",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, reads_config),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
@@ -4075,6 +4087,7 @@
   10,   /* field[10] = idle */
   8,   /* field[8] = informed */
   12,   /* field[12] = plans */
+  13,   /* field[13] = reads_config */
   3,   /* field[3] = reads_store */
   4,   /* field[4] = rest_ms */
   9,   /* field[9] = sent_ms */
@@ -4087,7 +4100,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -4097,7 +4110,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  13,
+  14,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -654,10 +654,14 @@
    * it writes the version plan
    */
   protobuf_c_boolean plans;
+  /*
+   * it reads the configuration from the store
+   */
+  protobuf_c_boolean reads_config;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -177,7 +177,9 @@
     uint64_t config_request_ms; /* a newer configuration was last requested */
     bool is_leader;             /* at the last tick */
     bool was_leader; /* it is or was the leader, and no other is known since */
-    bool leader_reads_store; /* the leader has current upstream entries */
+    bool leader_reads_store;  /* the leader has current upstream entries */
+    bool leader_reads_config; /* and its reads of the configuration are
+                                 answered */
     bool informed; /* the leader, or a gateway linked to it, has current
                       upstream entries */
     bool relay_disconnected; /* our relay neither hears the leader nor reads
@@ -226,6 +228,8 @@
    published. */
 bool gn_take_upstream(Gateway *g, uint64_t now_ms, DepUpstream *u);
 bool gn_knows_upstreams(const Gateway *g);
+/* The store answers this process's reads of the configuration. */
+bool gn_reads_config(const Gateway *g, uint64_t now_ms);
 /* This process has current upstream entries from the store itself. */
 bool gn_reads_store(const Gateway *g, uint64_t now_ms);
 /* The link was lost: begins all reads of the store anew. */
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -378,6 +378,7 @@
     s.gateways = gateways;
     s.rest_ms = ls_get_order_delay_ms(g->lease, now_ms);
     s.reads_store = gn_reads_store(g, now_ms);
+    s.reads_config = gn_reads_config(g, now_ms);
     s.informed = s.reads_store || gn_has_reader(g);
     s.config_version = g->config ? g->config->version : 0;
     s.address = (char *)gn_get_address(g);
@@ -640,6 +641,7 @@
     g->leader_ms = MAX(g->leader_ms, sent_ms);
     g->fleet = s->gateways;
     g->leader_reads_store = s->reads_store;
+    g->leader_reads_config = s->reads_config;
     g->informed = s->informed;
     ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
     if (!s->idle) {
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -39,6 +39,8 @@
    store about as often as one that hears nobody. */
 #define MAX_BACKOFF_MS 6000
 #define BACKOFF_PER_GATEWAY_MS 30
+/* Reads of the configuration are answered if one was within this time. */
+#define CONFIG_FRESH_MS (CONFIG_WAIT_MS + 500)
 /* Entries read from the store count as current for this long. */
 #define STORE_FRESH_MS 1200
 /* Entries that can't be used are named in the log up to this number. */
@@ -344,6 +346,12 @@
     return st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
 }
 
+bool
+gn_reads_config(const Gateway *g, uint64_t now_ms)
+{
+    return st_get_age_ms(g->config_watch, now_ms) < CONFIG_FRESH_MS;
+}
+
 /* Changes in the store reach us over our link. */
 static bool
 gets_updates(const Gateway *g, uint64_t now_ms)
@@ -393,7 +401,8 @@
        them neither. */
     bool lacks = !g->config || !gn_knows_upstreams(g);
     bool overdue = lacks && now_ms >= g->start_ms + START_TIMEOUT_MS;
-    bool held_open = direct && updated && !g->is_leader && !behind;
+    bool held_open = direct && updated && g->leader_reads_config &&
+                     !g->is_leader && !behind;
     st_set_wait(g->config_watch, now_ms,
                 held_open ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
     st_set_idle(g->config_watch,
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -7,6 +7,7 @@
 
 import base64
 import errno
+import io
 import json
 import struct
 import threading
@@ -206,8 +207,24 @@
         self.mode = "up"   # as in Store; lost: no answer ever comes
         self.stopped = threading.Event()
         self.delay_s = 0   # added to each call
+        self.lost_topics = set()   # as mode lost, for these alone
+        self.silent = set()   # connections that carry nothing any more
         super().__init__(port)
 
+    def silence_open(self):
+        """Connections that are open now carry nothing any more, in either
+        direction, and aren't closed; new ones work."""
+        self.silent |= self.server.open
+
+    def pass_on(self, h, method, path, query, body):
+        out, h.wfile = h.wfile, io.BytesIO()
+        self.store.handle(h, method, path, query, body)
+        answer, h.wfile = h.wfile.getvalue(), out
+        if h.connection in self.silent:
+            self.stopped.wait()
+        else:
+            out.write(answer)
+
     def handle(self, h, method, path, query, body):
         with self.store.lock:
             count_call(self.call_counts, path, query)
@@ -216,12 +233,15 @@
             h.close_connection = True
         elif self.mode == "busy":
             h.reply(503, {})
-        elif self.mode == "lost":
+        elif self.mode == "lost" or query.get("topic") in self.lost_topics:
+            h.close_connection = True
+            self.stopped.wait()
+        elif h.connection in self.silent:
             h.close_connection = True
             self.stopped.wait()
         else:
             time.sleep(self.delay_s)
-            self.store.handle(h, method, path, query, body)
+            self.pass_on(h, method, path, query, body)
 
     def stop(self):
         self.stopped.set()
--- a/tests/test_held_reads.py
+++ b/tests/test_held_reads.py
@@ -64,6 +64,50 @@
             wait_until(leader.is_ready)
 
 
+# The connections to the store went silent, while new ones worked: each call
+# that took another of the old ones was lost, too.
+def test_configuration_after_silent_connections(build):
+    with Cluster(build, gateways=3, store_proxies=True) as c:
+        wait_until(c.all_linked)
+        c.leader()
+        for version in (50, 60, 70):
+            time.sleep(2)
+            for proxy in c.store_proxies:
+                proxy.silence_open()
+            time.sleep(STABLE_S)
+            assert measure_config(c, c.gateways, version) < CONFIG_S
+
+
+# The reads that the others hold open were lost, and the leader, which was to
+# publish the configuration, doesn't reach the store: 25 s.
+@pytest.mark.parametrize("how", ["lost", "busy"])
+def test_configuration_beside_a_leader_without_the_store(build, how):
+    with Cluster(build, gateways=3, store_proxies=True) as c:
+        wait_until(c.all_linked)
+        leader = c.leader()
+        others = [g for g in c.gateways if g is not leader]
+        time.sleep(3)   # the reads from before the links have ended
+        for proxy in c.store_proxies:
+            proxy.silence_open()
+        c.store_proxies[c.gateways.index(leader)].mode = how
+        time.sleep(STABLE_S)
+        assert measure_config(c, others, 50) < CONFIG_S
+
+
+# As before, for the topic of the configuration alone.
+def test_configuration_beside_a_leader_without_its_topic(build):
+    with Cluster(build, gateways=3, store_proxies=True) as c:
+        wait_until(c.all_linked)
+        leader = c.leader()
+        others = [g for g in c.gateways if g is not leader]
+        time.sleep(3)
+        for proxy in c.store_proxies:
+            proxy.silence_open()
+        c.store_proxies[c.gateways.index(leader)].lost_topics = {"keyed.op"}
+        time.sleep(STABLE_S)
+        assert measure_config(c, others, 50) < CONFIG_S
+
+
 # In calm a read is held open, not begun again and again.
 def test_calm_costs_no_reads(build):
     with Cluster(build, gateways=3, store_proxies=True) as c:
