--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -40,6 +40,7 @@
 #include "relay_plan.h"
 #include "retry_budget.h"
 #include "store.h"
+#include "store_reads.h"
 #include "stream_notes.h"
 #include "suspects.h"
 #include "tcp_links.h"
@@ -47,6 +48,13 @@
 #include "version_plan.h"
 #include "workspace_limits.h"
 
+/* After a read or an append of the version plan that failed. */
+#define GN_PLAN_RETRY_MS 100
+/* Between batches of notes written to the store, and reads that failed. */
+#define GN_NOTES_BATCH_MS 500
+/* Between reads of the mailbox where all gateways are linked. */
+#define GN_MAIL_READ_INTERVAL_MS 1000
+
 /* The leader's answer to an ask for a slot of a brittle upstream. */
 typedef struct {
     UlTicket ticket;
@@ -71,8 +79,6 @@
     char *leader;            /* link address of the leader; NULL: not known */
     char *relay;             /* relay that we were assigned; NULL: none */
     char *unreachable_relay; /* relay that we left last; NULL: none */
-    uint64_t lost_ms;        /* the link was lost, or the process started */
-    uint32_t store_delay_ms; /* after lost_ms, until the store is read */
     uint64_t leader_timeout_ms; /* without contact to the leader through the
                                    relay: link to the leader itself */
     uint64_t next_search_ms;    /* earliest time of that */
@@ -112,15 +118,16 @@
     HtServer *ready;
     HtServer *control; /* NULL: none */
     St *store;
+    StClock *store_clock;
+    Sr *reads;
     StWatch *config_watch;
     StWatch *upstream_watch;
-    StWatch *mail_watch;   /* NULL: this VM is not the leader */
-    Dm *demand;            /* of callers here and at linked gateways */
-    GHashTable *members;   /* gateway -> last contact in ms, uint64_t */
-    uint64_t mail_ms;      /* last mailbox message sent */
-    uint64_t behind_ms;    /* a newer configuration is known since; 0: none */
-    uint64_t confirmed_ms; /* the leader last confirmed that ours is the
-                              newest configuration */
+    StWatch *mail_watch;     /* NULL: this VM is not the leader */
+    Dm *demand;              /* of callers here and at linked gateways */
+    GHashTable *members;     /* gateway -> last contact in ms, uint64_t */
+    uint64_t mail_ms;        /* last mailbox message sent */
+    uint64_t confirmed_ms;   /* the leader last confirmed that ours is the
+                                newest configuration */
     GHashTable *odd_entries; /* id -> what is odd about its entry, as logged */
     GHashTable *unpublished; /* upstream -> set of models that changed since
                                 the last heartbeat; an empty set: all */
@@ -151,8 +158,6 @@
     uint64_t plan_retry_ms; /* no read is begun before */
     uint64_t plan_behind_ms;   /* a newer plan is known since; 0: none */
     uint64_t plan_tail;        /* end of its topic, if plan_listed */
-    uint64_t unversioned_ms;   /* the version of some upstream isn't known
-                                  since; 0: all are */
     uint64_t suspects_ms;      /* rows were last published */
     uint64_t suspects_note_ms; /* the note of the lease record was made */
     uint64_t led_ms; /* a leader, or this one as such, was last there */
@@ -223,6 +228,7 @@
 /* Put C (taken over) in force; WRITTEN is its record in the store. */
 void gn_use_config(Gateway *g, DepConfig *c, GBytes *written);
 void gn_watch_store(Gateway *g);
+void gn_unwatch_store(Gateway *g);
 void gn_drop_upstream(Gateway *g, uint64_t now_ms, const char *id);
 /* U is taken over.  True if it is new, replaced or draining, which must be
    published. */
--- a/src/gateway_node_demand.c
+++ b/src/gateway_node_demand.c
@@ -4,7 +4,6 @@
 /* The leader reads its mailbox in the store, more often while fewer gateways
    are linked than are known: the others may have no link and use the mailbox.
  */
-#define MAIL_READ_INTERVAL_MS 1000
 #define MAIL_SHORT_READ_INTERVAL_MS 250
 #define MEMBER_TIMEOUT_MS 30000 /* without contact: the gateway is gone */
 /* The demand of a gateway is dropped after this long without an update. */
@@ -150,7 +149,7 @@
 {
     st_set_pause(g->mail_watch, linked + 1 < known
                                     ? MAIL_SHORT_READ_INTERVAL_MS
-                                    : MAIL_READ_INTERVAL_MS);
+                                    : GN_MAIL_READ_INTERVAL_MS);
 }
 
 void
@@ -162,9 +161,11 @@
     }
     else if (is_leader && !g->mail_watch) {
         StWatchParams mail = {ST_MAILBOX, "mail", 0,
-                              MAIL_SHORT_READ_INTERVAL_MS};
+                              MAIL_SHORT_READ_INTERVAL_MS,
+                              bg_pick_random(&g->rng, UINT32_MAX)};
         StWatchHandler on_mail = {g, on_mail_records, on_mail_reachable};
-        g->mail_watch = st_create_watch(g->loop, g->store, &mail, &on_mail);
+        g->mail_watch =
+            st_create_watch(g->store_clock, g->store, &mail, &on_mail);
         st_set_idle(g->mail_watch, false);
     }
 }
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -657,7 +657,7 @@
     un_on_gateways(g->notices, s->gateways);
     vp_on_gateways(g->versions, now_ms, s->gateways);
     gn_on_config_version(g, now_ms, s->config_version);
-    if (s->informed && g->behind_ms == 0) {
+    if (s->informed && !sr_is_behind(g->reads)) {
         g->confirmed_ms = sent_ms;
     }
     MpStoreLimits rate = {s->store_at_once, s->store_most};
--- a/src/gateway_node_notes.c
+++ b/src/gateway_node_notes.c
@@ -11,8 +11,6 @@
 #define MAX_ROWS 2000 /* of one frame or batch */
 /* For so long after it began to lead a leader may lack the notes of others. */
 #define GATHER_MS 1500
-/* Between batches written to the store. */
-#define BATCH_MS 500
 /* Batches that the store keeps; a newer one takes the place of the oldest.
    Together they outlast a stream. */
 #define BATCHES 128
@@ -350,7 +348,8 @@
         g_array_set_size(g->notes_unstored, 0);
         return;
     }
-    if (g->notes_busy || !g->plan_listed || now_ms < g->notes_ms + BATCH_MS) {
+    if (g->notes_busy || !g->plan_listed ||
+        now_ms < g->notes_ms + GN_NOTES_BATCH_MS) {
         return;
     }
     if (!g->notes_listed) {
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -5,48 +5,8 @@
 
 #include <string.h>
 
-/* A read of the configuration is held open for this long or until the first
-   change.  A connection that went silent is noticed after this time. */
-#define CONFIG_WAIT_MS 1500
-#define CONFIG_PAUSE_MS 5 /* between such reads */
-/* Between reads of upstream entries; well under the time in which a draining
-   upstream may still get requests. */
-#define UPSTREAM_PAUSE_MS 500
-#define LEADER_UPSTREAM_PAUSE_MS 250
-/* With a link to the leader itself, which publishes changes; our own read
-   finds those that the leader misses. */
-#define LINKED_CONFIG_WAIT_MS 25000
-/* When requests wait for a model and the leader is not heard, entries are the
-   only source that shows the end of a load. */
-#define WAITING_UPSTREAM_PAUSE_MS 200
-/* A process that lost its link waits this long for updates over a new one
-   before it reads the store; the jitter spreads the reads of many. */
-#define STORE_DELAY_MS 400
-#define STORE_DELAY_JITTER_MS 300
-/* The same at the start; shorter, as requests are refused meanwhile. */
-#define START_STORE_DELAY_MS 150
-#define START_STORE_DELAY_JITTER_MS 150
-/* A process that got no configuration or upstreams over a link by then reads
-   the store. */
-#define START_TIMEOUT_MS 2000
-/* A newer configuration that the leader reported must arrive within this time,
-   or we read the store. */
-#define BEHIND_MS 250
-/* A read that is older than this may be on a connection that went silent. */
-#define SLOW_CALL_MS 1000
-/* Longest pause after failed calls of a gateway that hears the leader.  It
-   grows with the number of gateways, so that all of them together call the
-   store about as often as one that hears nobody. */
-#define MAX_BACKOFF_MS 6000
-#define BACKOFF_PER_GATEWAY_MS 30
-/* Reads of the configuration are answered if one was within this time. */
-#define CONFIG_FRESH_MS (CONFIG_WAIT_MS + 500)
-/* Entries read from the store count as current for this long. */
-#define STORE_FRESH_MS 1200
 /* Entries that can't be used are named in the log up to this number. */
 #define MAX_ODD_ENTRIES 1000
-/* A relay has read the store, and published what it found, by then. */
-#define RELAY_READ_MS 1000
 
 /* ---- configuration ------------------------------------------------------ */
 
@@ -343,81 +303,45 @@
 bool
 gn_reads_store(const Gateway *g, uint64_t now_ms)
 {
-    return st_get_age_ms(g->upstream_watch, now_ms) < STORE_FRESH_MS;
+    return st_get_age_ms(g->upstream_watch, now_ms) < SR_UPSTREAMS_FRESH_MS;
 }
 
 bool
 gn_reads_config(const Gateway *g, uint64_t now_ms)
 {
-    return st_get_age_ms(g->config_watch, now_ms) < CONFIG_FRESH_MS;
+    return st_get_age_ms(g->config_watch, now_ms) < SR_CONFIG_FRESH_MS;
 }
 
-/* Changes in the store reach us over our link. */
-static bool
-gets_updates(const Gateway *g, uint64_t now_ms)
+static SrView
+view_reads(const Gateway *g, uint64_t now_ms)
 {
-    if (gn_hears_leader(g, now_ms)) {
-        return g->informed;
-    }
-    return g->uplink.relay && lk_is_open(g->links) && !g->relay_disconnected &&
-           !gn_is_lagging(g, now_ms);
-}
-
-/* The first gateway that reaches the store publishes to all that hear the
-   leader, so they need not all retry often against a failing store. */
-static uint32_t
-get_max_backoff_ms(const Gateway *g, bool hears_leader)
-{
-    uint32_t max_ms = g->fleet * BACKOFF_PER_GATEWAY_MS;
-    return hears_leader ? CLAMP(max_ms, ST_MAX_BACKOFF_MS, MAX_BACKOFF_MS)
-                        : ST_MAX_BACKOFF_MS;
-}
-
-/* Gateways of a release that knows no versions publish upstreams without.
-   A relay reads them, and publishes them to its members. */
-static bool
-lacks_versions(Gateway *g, uint64_t now_ms, bool direct)
-{
-    if (!ut_lacks_versions(g->upstreams)) {
-        g->unversioned_ms = 0;
-        return false;
-    }
-    if (g->unversioned_ms == 0) {
-        g->unversioned_ms = now_ms;
-    }
-    return direct || now_ms >= g->unversioned_ms + RELAY_READ_MS;
+    return (SrView){
+        .is_leader = g->is_leader,
+        .hears_leader = gn_hears_leader(g, now_ms),
+        .has_relay = g->uplink.relay != NULL,
+        .relay_serves = lk_is_open(g->links) && !g->relay_disconnected &&
+                        !gn_is_lagging(g, now_ms),
+        .informed = g->informed,
+        .leader_reads_config = g->leader_reads_config,
+        .leader_reads_upstreams = g->leader_reads_store,
+        .lacks_state = !g->config || !gn_knows_upstreams(g),
+        .lacks_versions = ut_lacks_versions(g->upstreams),
+        .has_waiting = gw_count_waiting(g->gw) > 0,
+        .fleet = g->fleet,
+    };
 }
 
 void
 gn_schedule_store_reads(Gateway *g, uint64_t now_ms)
 {
-    bool hears_leader = gn_hears_leader(g, now_ms);
-    bool updated = gets_updates(g, now_ms);
-    bool direct = hears_leader && !g->uplink.relay;
-    bool isolated =
-        !updated && now_ms >= g->uplink.lost_ms + g->uplink.store_delay_ms;
-    bool behind = g->behind_ms && now_ms > g->behind_ms + BEHIND_MS;
-    /* Still missing after START_TIMEOUT_MS: the gateway that we link to has
-       them neither. */
-    bool lacks = !g->config || !gn_knows_upstreams(g);
-    bool overdue = lacks && now_ms >= g->start_ms + START_TIMEOUT_MS;
-    bool held_open = direct && updated && g->leader_reads_config &&
-                     !g->is_leader && !behind;
-    st_set_wait(g->config_watch, now_ms,
-                held_open ? LINKED_CONFIG_WAIT_MS : CONFIG_WAIT_MS);
-    st_set_idle(g->config_watch,
-                !(g->is_leader || direct || isolated || behind || overdue));
-    bool waits = !hears_leader && gw_count_waiting(g->gw) > 0;
-    st_set_pause(g->upstream_watch, g->is_leader ? LEADER_UPSTREAM_PAUSE_MS
-                                    : waits      ? WAITING_UPSTREAM_PAUSE_MS
-                                                 : UPSTREAM_PAUSE_MS);
-    bool unversioned = lacks_versions(g, now_ms, direct);
-    bool reads = g->is_leader || isolated || overdue || unversioned ||
-                 (direct && !g->leader_reads_store);
-    st_set_idle(g->upstream_watch, !reads);
-    uint32_t backoff_ms = get_max_backoff_ms(g, hears_leader && !g->is_leader);
-    st_set_max_backoff(g->config_watch, backoff_ms);
-    st_set_max_backoff(g->upstream_watch, backoff_ms);
+    SrView view = view_reads(g, now_ms);
+    SrPlan plan = sr_plan(g->reads, now_ms, &view);
+    st_set_wait(g->config_watch, now_ms, plan.config_wait_ms);
+    st_set_idle(g->config_watch, !plan.reads_config);
+    st_set_pause(g->upstream_watch, plan.upstreams_pause_ms);
+    st_set_idle(g->upstream_watch, !plan.reads_upstreams);
+    st_set_max_backoff(g->config_watch, plan.max_backoff_ms);
+    st_set_max_backoff(g->upstream_watch, plan.max_backoff_ms);
 }
 
 /* The reads under way may be lost, and nobody else publishes what they bring.
@@ -426,27 +350,21 @@
 gn_restart_store_reads(Gateway *g, uint64_t now_ms)
 {
     ht_drop_idle(g->pool, gn_get_text(g, "store"));
-    st_set_wait(g->config_watch, now_ms, CONFIG_WAIT_MS);
+    st_set_wait(g->config_watch, now_ms, SR_CONFIG_WAIT_MS);
     st_restart(g->config_watch, now_ms, 0);
     st_restart(g->upstream_watch, now_ms, 0);
 }
 
 /* If we lack VERSION, the pending read of the configuration should return it.
-   A read that is still pending after SLOW_CALL_MS is dropped with its
-   connection. */
+   One that may be on a connection that went silent is dropped with that. */
 void
 gn_on_config_version(Gateway *g, uint64_t now_ms, uint64_t version)
 {
-    if (g->config && version <= g->config->version) {
-        g->behind_ms = 0;
-    }
-    else if (g->behind_ms == 0) {
-        g->behind_ms = now_ms;
-    }
-    else if (now_ms > g->behind_ms + SLOW_CALL_MS) {
-        g->behind_ms = now_ms;
+    bool lacks = !g->config || version > g->config->version;
+    uint32_t min_age_ms;
+    if (sr_on_config_version(g->reads, now_ms, lacks, &min_age_ms)) {
         ht_drop_idle(g->pool, gn_get_text(g, "store"));
-        st_restart(g->config_watch, now_ms, SLOW_CALL_MS);
+        st_restart(g->config_watch, now_ms, min_age_ms);
     }
 }
 
@@ -457,30 +375,49 @@
     return MIN(age_ms, st_get_age_ms(g->config_watch, now_ms));
 }
 
+static uint64_t
+draw_seed(Gateway *g)
+{
+    return bg_pick_random(&g->rng, UINT32_MAX);
+}
+
 void
 gn_watch_store(Gateway *g)
 {
+    g->store = pf_create_store(g->pool, gn_get_text(g, "store"));
     g->odd_entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    g->store = pf_create_store(g->pool, gn_get_text(g, "store"));
-    StWatchParams config = {ST_CONFIG, "config", CONFIG_WAIT_MS,
-                            CONFIG_PAUSE_MS};
+    g->store_clock = st_create_loop_clock(g->loop);
+    StWatchParams config = {ST_CONFIG, "config", SR_CONFIG_WAIT_MS,
+                            SR_CONFIG_PAUSE_MS, draw_seed(g)};
     StWatchHandler on_config = {g, on_config_records, on_config_reachable};
-    g->config_watch = st_create_watch(g->loop, g->store, &config, &on_config);
-    StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, UPSTREAM_PAUSE_MS};
+    g->config_watch =
+        st_create_watch(g->store_clock, g->store, &config, &on_config);
+    StWatchParams ups = {ST_UPSTREAMS, "upstreams", 0, SR_UPSTREAM_PAUSE_MS,
+                         draw_seed(g)};
     StWatchHandler on_ups = {g, on_upstream_records, on_upstream_reachable};
-    g->upstream_watch = st_create_watch(g->loop, g->store, &ups, &on_ups);
+    g->upstream_watch =
+        st_create_watch(g->store_clock, g->store, &ups, &on_ups);
     g->start_ms = bg_boot_ms();
-    g->uplink.lost_ms = g->start_ms;
-    g->uplink.store_delay_ms =
-        START_STORE_DELAY_MS +
-        bg_pick_random(&g->rng, START_STORE_DELAY_JITTER_MS);
+    g->reads = sr_create(g->start_ms, draw_seed(g));
+}
+
+void
+gn_unwatch_store(Gateway *g)
+{
+    st_destroy_watch(g->config_watch);
+    st_destroy_watch(g->upstream_watch);
+    if (g->mail_watch) {
+        st_destroy_watch(g->mail_watch);
+    }
+    pf_destroy_store(g->store);
+    st_destroy_clock(g->store_clock);
+    sr_destroy(g->reads);
+    g_hash_table_destroy(g->odd_entries);
 }
 
 void
 gn_delay_store_reads(Gateway *g, uint64_t now_ms)
 {
-    g->uplink.lost_ms = now_ms;
-    g->uplink.store_delay_ms =
-        STORE_DELAY_MS + bg_pick_random(&g->rng, STORE_DELAY_JITTER_MS);
+    sr_on_link_lost(g->reads, now_ms);
 }
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -5,8 +5,6 @@
 #include "../platform/pf_wire.h"
 
 #define PLAN_KEY "plan"
-/* After a read or an append that failed. */
-#define RETRY_MS 100
 /* The heartbeat names a plan that should have come over the link by then. */
 #define BEHIND_MS 250
 
@@ -95,7 +93,7 @@
     g_free(c);
     g->plan_read_ms = 0;
     if (r->result != ST_OK) {
-        g->plan_retry_ms = bg_boot_ms() + RETRY_MS;
+        g->plan_retry_ms = bg_boot_ms() + GN_PLAN_RETRY_MS;
         return;
     }
     const StRecord *plan = find_plan(r->records);
@@ -178,7 +176,7 @@
     else {
         /* Another gateway wrote one, or ours may be there all the same. */
         g->plan_listed = false;
-        g->plan_retry_ms = bg_boot_ms() + RETRY_MS;
+        g->plan_retry_ms = bg_boot_ms() + GN_PLAN_RETRY_MS;
     }
     g_bytes_unref(c->plan);
     g_free(c);
--- a/src/lease.c
+++ b/src/lease.c
@@ -5,11 +5,6 @@
 
 /* Pause after the store refused an append, so as not to add to its load. */
 #define REFUSED_PAUSE_MS 120
-/* Between reads of the topic while there is no contact with the leader;
-   doubled with each failed read after the first, up to MAX_READ_DOUBLINGS
-   times. */
-#define READ_INTERVAL_MS 300
-#define MAX_READ_DOUBLINGS 2
 /* VMs claim at different times, and the VM of the former leader, which needs
    no guard interval, claims before all others. */
 #define MIN_CLAIM_DELAY_MS 120
@@ -260,8 +255,9 @@
            uint64_t offset, uint64_t tail)
 {
     l->reading = false;
-    l->next_read_ms = now_ms + (READ_INTERVAL_MS
-                                << MIN(l->failed_reads, MAX_READ_DOUBLINGS));
+    l->next_read_ms =
+        now_ms +
+        (LS_READ_INTERVAL_MS << MIN(l->failed_reads, LS_MAX_READ_DOUBLINGS));
     if (result != ST_OK) {
         l->failed_reads++;
         return;
--- a/src/lease.h
+++ b/src/lease.h
@@ -19,6 +19,12 @@
 #include "base.h"
 #include "store.h"
 
+/* Between reads of the topic while there is no contact with the leader;
+   doubled with each failed read after the first, up to LS_MAX_READ_DOUBLINGS
+   times. */
+#define LS_READ_INTERVAL_MS 300
+#define LS_MAX_READ_DOUBLINGS 2
+
 typedef struct {
     const char *vm;      /* this VM */
     const char *process; /* unique id of this process */
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -427,7 +427,7 @@
 static void
 tick_slow(Gateway *g, uint64_t now_ms)
 {
-    gw_set_config_freshness(g->gw, g->behind_ms != 0,
+    gw_set_config_freshness(g->gw, sr_is_behind(g->reads),
                             may_miss_revocations(g, now_ms));
     gw_set_upstreams_complete(g->gw, gn_knows_upstreams(g));
     ht_tick_server(g->front, now_ms);
@@ -718,13 +718,7 @@
     lk_destroy(g->links);
     gn_destroy_detours(g);
     gn_end_search(g);
-    st_destroy_watch(g->config_watch);
-    st_destroy_watch(g->upstream_watch);
-    if (g->mail_watch) {
-        st_destroy_watch(g->mail_watch);
-    }
-    pf_destroy_store(g->store);
-    g_hash_table_destroy(g->odd_entries);
+    gn_unwatch_store(g);
     dm_destroy(g->demand);
     mp_destroy(g->placement);
     ls_destroy(g->lease);
--- a/src/store.c
+++ b/src/store.c
@@ -3,16 +3,10 @@
 #include <ev.h>
 #include <string.h>
 
-/* Pause after a failed call; it doubles each time, so that all VMs together
-   don't overload a store in trouble.  Half of it is random, so that they do
-   not come back at the same moment. */
-#define FIRST_BACKOFF_MS 80
 /* A watch that was idle, and had no answer for this long, lists anew.
    Reading all records appended meanwhile would take longer, and the store may
    no longer keep them. */
 #define RELIST_MS 3000
-/* A held read that has no answer by so long after its wait was lost. */
-#define LATE_ANSWER_MS 500
 
 StRecord *
 st_create_record(const char *key, size_t key_len, uint64_t offset)
@@ -34,12 +28,90 @@
     g_free(r);
 }
 
-struct StWatch {
+/* ---- the clock of an event loop ----------------------------------------- */
+
+typedef struct {
+    StClock base;
     struct ev_loop *loop;
+} LoopClock;
+
+typedef struct {
+    ev_timer timer;
+    void (*fn)(void *ctx);
+    void *ctx;
+} LoopTimer;
+
+static uint64_t
+get_loop_ms(StClock *c)
+{
+    (void)c;
+    return bg_boot_ms();
+}
+
+static void
+on_loop_timer(struct ev_loop *loop, ev_timer *t, int events)
+{
+    (void)loop;
+    (void)events;
+    LoopTimer *timer = t->data;
+    void (*fn)(void *) = timer->fn;
+    void *ctx = timer->ctx;
+    g_free(timer);
+    fn(ctx);
+}
+
+static void *
+start_loop_timer(StClock *c, uint32_t delay_ms, void (*fn)(void *ctx),
+                 void *ctx)
+{
+    LoopTimer *t = g_new0(LoopTimer, 1);
+    t->fn = fn;
+    t->ctx = ctx;
+    ev_timer_init(&t->timer, on_loop_timer, delay_ms / 1000., 0.);
+    t->timer.data = t;
+    ev_timer_start(((LoopClock *)c)->loop, &t->timer);
+    return t;
+}
+
+static void
+stop_loop_timer(StClock *c, void *timer)
+{
+    LoopTimer *t = timer;
+    ev_timer_stop(((LoopClock *)c)->loop, &t->timer);
+    g_free(t);
+}
+
+static void
+destroy_loop_clock(StClock *c)
+{
+    g_free(c);
+}
+
+StClock *
+st_create_loop_clock(struct ev_loop *loop)
+{
+    static const StClockOps ops = {get_loop_ms, start_loop_timer,
+                                   stop_loop_timer, destroy_loop_clock};
+    LoopClock *c = g_new0(LoopClock, 1);
+    c->base.ops = &ops;
+    c->loop = loop;
+    return &c->base;
+}
+
+void
+st_destroy_clock(StClock *c)
+{
+    c->ops->destroy(c);
+}
+
+/* ---- following a topic -------------------------------------------------- */
+
+struct StWatch {
+    StClock *clock;
     St *store;
     StWatchParams params;
     StWatchHandler handler;
-    ev_timer timer; /* the next call */
+    void *timer; /* the next call; NULL: none is scheduled */
     BgRandom rng;
     uint64_t last_answer_ms; /* 0: never */
     uint64_t call_ms;        /* when the pending call began */
@@ -64,23 +136,37 @@
 static void send_call(StWatch *w);
 
 static void
-on_timer(struct ev_loop *loop, ev_timer *t, int events)
+on_timer(void *ctx)
 {
-    (void)loop;
-    (void)events;
-    send_call(t->data);
+    StWatch *w = ctx;
+    w->timer = NULL;
+    send_call(w);
+}
+
+static void
+stop_timer(StWatch *w)
+{
+    if (w->timer) {
+        w->clock->ops->stop(w->clock, w->timer);
+        w->timer = NULL;
+    }
 }
 
 static void
 schedule_call(StWatch *w, uint32_t wait_ms)
 {
-    ev_timer_stop(w->loop, &w->timer);
+    stop_timer(w);
     if (!w->idle) {
-        ev_timer_set(&w->timer, wait_ms / 1000., 0.);
-        ev_timer_start(w->loop, &w->timer);
+        w->timer = w->clock->ops->start(w->clock, wait_ms, on_timer, w);
     }
 }
 
+static uint64_t
+get_now_ms(const StWatch *w)
+{
+    return w->clock->ops->get_ms(w->clock);
+}
+
 static void
 set_reachable(StWatch *w, bool reachable)
 {
@@ -95,7 +181,7 @@
 {
     set_reachable(w, false);
     w->backoff_ms = w->backoff_ms ? MIN(w->backoff_ms * 2, w->max_backoff_ms)
-                                  : FIRST_BACKOFF_MS;
+                                  : ST_FIRST_BACKOFF_MS;
     schedule_call(w, w->backoff_ms / 2 +
                          bg_pick_random(&w->rng, w->backoff_ms / 2 + 1));
 }
@@ -189,7 +275,7 @@
         return;
     }
     w->backoff_ms = 0;
-    w->last_answer_ms = bg_boot_ms();
+    w->last_answer_ms = get_now_ms(w);
     set_reachable(w, true);
     if (w->listing) {
         take_page(w, r);
@@ -204,7 +290,7 @@
 {
     w->call = g_new0(Call, 1);
     w->call->watch = w;
-    w->call_ms = bg_boot_ms();
+    w->call_ms = get_now_ms(w);
     /* Without a wait if the last call failed: a long poll would notice only at
        its end whether the store answers again. */
     w->call_wait_ms = w->listing || !w->reachable ? 0 : w->params.wait_ms;
@@ -218,17 +304,15 @@
 }
 
 StWatch *
-st_create_watch(struct ev_loop *loop, St *s, const StWatchParams *params,
+st_create_watch(StClock *clock, St *s, const StWatchParams *params,
                 const StWatchHandler *handler)
 {
     StWatch *w = g_new0(StWatch, 1);
-    w->loop = loop;
+    w->clock = clock;
     w->store = s;
     w->params = *params;
     w->handler = *handler;
-    bg_seed_random(&w->rng, bg_now_us() ^ (uint64_t)(uintptr_t)w);
-    ev_timer_init(&w->timer, on_timer, 0., 0.);
-    w->timer.data = w;
+    bg_seed_random(&w->rng, params->seed);
     w->idle = true;
     w->max_backoff_ms = ST_MAX_BACKOFF_MS;
     w->listed_keys =
@@ -249,7 +333,7 @@
 void
 st_destroy_watch(StWatch *w)
 {
-    ev_timer_stop(w->loop, &w->timer);
+    stop_timer(w);
     drop_call(w);
     g_hash_table_destroy(w->listed_keys);
     g_free(w->after);
@@ -265,10 +349,10 @@
     w->idle = idle;
     drop_call(w);
     if (idle) {
-        ev_timer_stop(w->loop, &w->timer);
+        stop_timer(w);
         return;
     }
-    uint64_t now_ms = bg_boot_ms();
+    uint64_t now_ms = get_now_ms(w);
     if (!w->listing && now_ms > w->last_answer_ms + RELIST_MS) {
         begin_listing(w);
     }
@@ -303,7 +387,7 @@
 {
     w->params.wait_ms = wait_ms;
     bool outlived = w->call && w->call_wait_ms > wait_ms &&
-                    now_ms >= w->call_ms + wait_ms + LATE_ANSWER_MS;
+                    now_ms >= w->call_ms + wait_ms + ST_LATE_ANSWER_MS;
     if (outlived) {
         drop_call(w);
         schedule_call(w, 0);
--- a/src/store.h
+++ b/src/store.h
@@ -54,6 +54,10 @@
 
 typedef struct St St;
 
+/* A call ends within this time, a read within this time more than its wait:
+   far longer than a slow store takes. */
+#define ST_CALL_TIMEOUT_MS 900
+
 typedef struct {
     /* The newest record of each key, page by page: the page that begins at
        AFTER of the reply before (NULL: the first page). */
@@ -79,13 +83,37 @@
 /* ---- following a topic -------------------------------------------------- */
 
 typedef struct StWatch StWatch;
+
+/* Time and timers of watches, those of an event loop or simulated ones. */
+typedef struct StClock StClock;
+
+typedef struct {
+    uint64_t (*get_ms)(StClock *c);
+    /* Calls FN once after DELAY_MS, unless it is stopped before.  The handle
+       is valid until then. */
+    void *(*start)(StClock *c, uint32_t delay_ms, void (*fn)(void *ctx),
+                   void *ctx);
+    void (*stop)(StClock *c, void *timer);
+    void (*destroy)(StClock *c);
+} StClockOps;
+
+struct StClock {
+    const StClockOps *ops;
+};
+
 struct ev_loop;
 
+/* Its time is that of bg_boot_ms. */
+StClock *st_create_loop_clock(struct ev_loop *loop);
+/* After all watches that use it. */
+void st_destroy_clock(StClock *c);
+
 typedef struct {
     StTopic topic;
     const char *name;  /* for the log */
     uint32_t wait_ms;  /* of a long poll; 0: reads return at once */
     uint32_t pause_ms; /* between reads */
+    uint64_t seed;
 } StWatchParams;
 
 typedef enum {
@@ -104,17 +132,23 @@
     void (*on_reachable)(void *ctx, bool reachable);
 } StWatchHandler;
 
-StWatch *st_create_watch(struct ev_loop *loop, St *s,
-                         const StWatchParams *params,
+/* CLOCK and S are borrowed. */
+StWatch *st_create_watch(StClock *clock, St *s, const StWatchParams *params,
                          const StWatchHandler *handler);
 void st_destroy_watch(StWatch *w);
 /* An idle watch makes no calls, as the updates come from another process.  A
    new watch is idle. */
 void st_set_idle(StWatch *w, bool idle);
 void st_set_pause(StWatch *w, uint32_t pause_ms);
-/* Default of the longest pause after failed calls. */
+/* Pause after a failed call; it doubles each time, so that all VMs together
+   don't overload a store in trouble.  Half of it is random, so that they do
+   not come back at the same moment. */
+#define ST_FIRST_BACKOFF_MS 80
+/* Default of the longest of these pauses. */
 #define ST_MAX_BACKOFF_MS 700
 void st_set_max_backoff(StWatch *w, uint32_t max_backoff_ms);
+/* A held read that has no answer by so long after its wait was lost. */
+#define ST_LATE_ANSWER_MS 500
 /* How long reads are held open.  The pending one, if begun with a longer wait,
    is given up once this one is over, too: the reason to hold it is gone. */
 void st_set_wait(StWatch *w, uint64_t now_ms, uint32_t wait_ms);
