--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,17 @@
 	@echo LD $@
 	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
 
+$(BUILD)/fuzz_%: tests/fuzz_%.c $(BUILD)/libbglade.a
+	@echo LD $@
+	@$(CC) $(CFLAGS_ALL) -MMD -o $@ $< $(BUILD)/libbglade.a $(LDLIBS)
+
+# Programs of tests that need the sanitizers always.
+SANITIZERS = -fsanitize=address,undefined,float-cast-overflow \
+	-fno-sanitize-recover=all -fno-omit-frame-pointer
+sanitized:
+	@$(MAKE) BUILD=$(BUILD)/sanitized SAN="$(SANITIZERS)" \
+		$(BUILD)/sanitized/fuzz_decoders
+
 $(BUILD)/%.so: tests/%.c
 	@mkdir -p $(BUILD)
 	@echo LD $@
@@ -79,7 +90,7 @@
 	$(MAKE) all
 	/usr/bin/python3 tests/demo.py --build $(BUILD)
 
-check: all
+check: all sanitized
 	/usr/bin/python3 tests/run_all.py --build $(BUILD)
 
 HAND = $(filter-out %.pb-c.c,$(wildcard src/*.c)) $(PF_SRC) \
@@ -128,4 +139,4 @@
 
 -include $(wildcard $(BUILD)/*.d)
 # soak is started by hand; CI runs only a few of its seeds.
-.PHONY: all demo check lint format asan tsan soak bench bench-placement clean proto install-packages
+.PHONY: all demo check sanitized lint format asan tsan soak bench bench-placement clean proto install-packages
