Two Host fields in a head are refused with 400

Cause: routes go by the first Host field; whoever stands before or behind may go by the other one. RFC 9112, 3.2: a server must answer 400.

Evidence: test_fields.py, three rows more (the same host, another, an empty one): 3 of 3 got 200 on, now 400; 93 of 93 pass.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -234,6 +234,18 @@
     ev_io_start(c->server->loop, &c->write_watch);
 }
 
+/* Routes go by the host: two of them, and others may read the other one. */
+static bool
+has_two_hosts(const HtHead *head)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < head->headers->len; i++) {
+        const HtHeader *h = &g_array_index(head->headers, HtHeader, i);
+        count += g_ascii_strcasecmp(h->name, "Host") == 0;
+    }
+    return count > 1;
+}
+
 static int
 on_request_head(http_parser *p)
 {
@@ -242,7 +254,7 @@
     ht_finish_head(&x->msg, p);
     x->reads_chunks =
         p->http_major > 1 || (p->http_major == 1 && p->http_minor > 0);
-    if (x->msg.malformed) {
+    if (x->msg.malformed || has_two_hosts(&x->msg.head)) {
         return refuse_input(c, 400);
     }
     /* What follows CONNECT is no HTTP. */
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -143,7 +143,8 @@
 @pytest.mark.parametrize("line", [
     "Transfer-Encoding : chunked", "Content-Length : 5", "X-Model : m1",
     "X Model: m1", "X-Model\x80: m1", ": m1", "X-Model",
-    "X-Note: a\x00b", "X-Note: a\x01b"])
+    "X-Note: a\x00b", "X-Note: a\x01b", "Host: app.example",
+    "host: other.example", "Host:"])
 def test_malformed_field_is_refused(cluster, line):
     before = len(cluster.engines[0].runs)
     head = make_head(next_id(), ["%s: %s" % p for p in PROMPT] +
