--- a/src/gateway_types.c
+++ b/src/gateway_types.c
@@ -298,18 +298,24 @@
     g_free(u);
 }
 
-/* It can stand in a header, in a log line and in a list. */
 static bool
-is_plain_name(const char *text)
+is_name(const char *text)
 {
     size_t len = strlen(text);
     for (size_t i = 0; i < len; i++) {
-        unsigned char c = (unsigned char)text[i];
-        if (c <= ' ' || c == 0x7f) {
+        if (g_ascii_iscntrl(text[i])) {
             return false;
         }
     }
-    return len > 0 && len <= MAX_NAME_BYTES;
+    return len <= MAX_NAME_BYTES;
+}
+
+/* It stands in a header of each request: blanks around it would be lost there,
+   and a line end would begin another header. */
+static bool
+is_id(const char *text)
+{
+    return *text && !strchr(text, ' ') && is_name(text);
 }
 
 static bool
@@ -327,13 +333,13 @@
 bool
 dep_check_upstream(const DepUpstream *u, GError **err)
 {
-    const char *fault =
-        !is_plain_name(u->id)            ? "id: not a plain name"
-        : !is_plain_name(u->service)     ? "service: not a plain name"
-        : !is_plain_name(u->data_centre) ? "zone: not a plain name"
-        : !so_is_address(u->address)     ? "address: not IP:PORT of one host"
-        : !is_short(u)                   ? "models: too many"
-                                         : NULL;
+    const char *fault = !is_id(u->id)              ? "id: not a plain name"
+                        : !is_name(u->service)     ? "service: no name"
+                        : !is_name(u->data_centre) ? "zone: no name"
+                        : !so_is_address(u->address)
+                            ? "address: not IP:PORT of one host"
+                        : !is_short(u) ? "models: too many"
+                                       : NULL;
     if (fault) {
         g_set_error_literal(err, BG_ERROR, BG_ERR_FORMAT, fault);
     }
