Adapters that wait get slots in turn

What callers saw: requests for some adapters waited to their deadline and were refused (503 deadline), while others of the same model took turns.

Cause: a slot for an adapter that became free went to the first waiting adapter in the order of a hash table; those late in it got none as long as others waited.

Change: the adapter that has waited longest gets it.

--- a/src/model_placement_adapter.c
+++ b/src/model_placement_adapter.c
@@ -140,9 +140,22 @@
     mp_send_order(m, now_ms, u, owner, name, true);
 }
 
-void
-mp_place_adapters(Mp *m, uint64_t now_ms)
+static gint
+compare_waiting(gconstpointer a, gconstpointer b)
 {
+    const AdapterDemand *x = *(const AdapterDemand *const *)a;
+    const AdapterDemand *y = *(const AdapterDemand *const *)b;
+    uint64_t x_ms = x->demand.waiting_since_ms;
+    uint64_t y_ms = y->demand.waiting_since_ms;
+    return x_ms != y_ms ? (x_ms < y_ms ? -1 : 1) : strcmp(x->name, y->name);
+}
+
+/* The adapters that requests wait for, the longest first: a slot that becomes
+   free is theirs in turn.  Of AdapterDemand. */
+static GPtrArray *
+list_waiting(const Mp *m)
+{
+    GPtrArray *list = g_ptr_array_new();
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, m->adapters);
@@ -150,9 +163,22 @@
         const AdapterDemand *d = v;
         Wanted w = {d->model, d->name, NULL};
         if (d->demand.waiting > 0 && !is_placed(&w)) {
-            place_adapter(m, now_ms, &w);
+            g_ptr_array_add(list, v);
         }
     }
+    g_ptr_array_sort(list, compare_waiting);
+    return list;
+}
+
+void
+mp_place_adapters(Mp *m, uint64_t now_ms)
+{
+    g_autoptr(GPtrArray) list = list_waiting(m);
+    for (guint i = 0; i < list->len; i++) {
+        const AdapterDemand *d = list->pdata[i];
+        Wanted w = {d->model, d->name, NULL};
+        place_adapter(m, now_ms, &w);
+    }
 }
 
 void
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1516,6 +1516,63 @@
     stop_site(&s);
 }
 
+#define WAITING_ADAPTERS 12
+
+/* Requests wait for adapters FROM to TO - 1 of m0. */
+static void
+report_adapters(Site *s, int from, int to)
+{
+    DmDemand *demand = dm_create_demand(true);
+    dm_add_model_demand(demand, "m0", NULL);
+    for (int i = from; i < to; i++) {
+        g_autofree char *name = g_strdup_printf("a%d", i * 7 % 30);
+        dm_add_model_demand(demand, "m0", name)->waiting = 1;
+    }
+    apply_demand(s, "g", demand);
+}
+
+static bool
+holds_adapter(const Site *s, int nth)
+{
+    g_autofree char *name = g_strdup_printf("a%d", nth * 7 % 30);
+    for (int i = 0; i < ENGINES; i++) {
+        const DepResident *r =
+            dep_find_resident(s->engines[i].state->models, "m0");
+        if (r && dep_has_name(r->adapters, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Slots went by the order of a hash table: requests for an adapter that came
+   late there waited to their deadline while others took turns. */
+static void
+test_adapters_take_turns(void)
+{
+    Site s;
+    start_site(&s, 1);
+    DepService *svc = g_hash_table_lookup(s.config->services, "s");
+    svc->max_adapters = 1;
+    mp_on_config(s.mp, s.config);
+    report_waiting(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    for (int i = 1; i <= WAITING_ADAPTERS; i++) {
+        report_adapters(&s, 0, i);
+        run_site(&s, STEP_MS, false); /* no order yet */
+    }
+    for (int served = 0; served < WAITING_ADAPTERS; served++) {
+        int waited_ms = 0;
+        while (!holds_adapter(&s, served) && waited_ms < 1500) {
+            report_adapters(&s, served, WAITING_ADAPTERS);
+            run_site(&s, STEP_MS, true);
+            waited_ms += STEP_MS;
+        }
+        CU_ASSERT(holds_adapter(&s, served));
+    }
+    stop_site(&s);
+}
+
 /* The upstream of a model in use announces that it drains.  The model is
    loaded elsewhere before a request misses it. */
 static void
@@ -2380,6 +2437,7 @@
         {"never overcommits", test_placement_never_overcommits},
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
+        {"adapters take turns", test_adapters_take_turns},
         {"replaces draining upstream", test_placement_replaces_draining},
         {"replaces unreachable upstream", test_placement_replaces_unreachable},
         {"limits report requests", test_placement_limits_report_requests},
