A request for an adapter without a slot is refused when the queue is as long

What callers saw: while all slots for a model's adapters were in use, requests for others waited to their deadline and got 503 then.

Cause: an estimate of the wait was published for models only, so nothing told whether a slot would come in time.

Change: adapters get slots in turn, so each that waits does so at least as long as the first of the queue; the leader publishes for how long that has waited, as the time that it may still take. Who has less is refused with that as Retry-After, by the check that models had. The names in a heartbeat's waits are copied now.

--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -351,13 +351,20 @@
     uint64_t now_ms;
 } WaitList;
 
+static void
+free_wait(void *p)
+{
+    g_free(((Gwp__Wait *)p)->model);
+    g_free(p);
+}
+
 static void
 add_wait(void *ctx, const char *model, uint32_t wait_ms)
 {
     WaitList *list = ctx;
     Gwp__Wait *w = g_new0(Gwp__Wait, 1);
     gwp__wait__init(w);
-    w->model = (char *)model;
+    w->model = g_strdup(model);
     w->wait_ms = wait_ms;
     g_ptr_array_add(list->waits, w);
     gw_on_wait_estimate(list->g->gw, list->now_ms, model, wait_ms);
@@ -367,7 +374,7 @@
 static void
 send_state(Gateway *g, LkPeer *to, uint64_t now_ms, uint32_t gateways)
 {
-    g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(g_free);
+    g_autoptr(GPtrArray) waits = g_ptr_array_new_with_free_func(free_wait);
     WaitList list = {waits, g, now_ms};
     if (g->is_leader) {
         mp_visit_waits(g->placement, now_ms, add_wait, &list);
--- a/src/gateway_request_wait.c
+++ b/src/gateway_request_wait.c
@@ -58,8 +58,9 @@
 get_wait_ms(const Req *q, uint64_t now_ms)
 {
     uint32_t leader_ms = get_leader_wait_ms(q->gw, now_ms);
-    const WaitEstimate *w =
-        g_hash_table_lookup(q->gw->wait_estimates, q->query.model);
+    g_autofree char *key =
+        dep_make_key(q->query.model, q->lacks_model ? NULL : q->query.adapter);
+    const WaitEstimate *w = g_hash_table_lookup(q->gw->wait_estimates, key);
     if (!w || now_ms - w->reported_ms > ESTIMATE_MAX_AGE_MS) {
         return leader_ms;
     }
--- a/src/model_placement_adapter.c
+++ b/src/model_placement_adapter.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define ADAPTER_MIN_IDLE_MS 300
+/* A slot that is free, or becomes so at once, is taken by then. */
+#define SLOT_ORDER_MS 200
 /* Added to the cost of an upstream without a free adapter slot, so that any
    with one is preferred. */
 #define FULL_COST 100
@@ -181,6 +183,37 @@
     }
 }
 
+/* When the first of LIST that waits for an adapter of MODEL began to. */
+static uint64_t
+find_queue_start(const GPtrArray *list, const Model *model)
+{
+    for (guint i = 0; i < list->len; i++) {
+        const AdapterDemand *d = list->pdata[i];
+        if (d->model == model) {
+            return d->demand.waiting_since_ms;
+        }
+    }
+    return UINT64_MAX;
+}
+
+void
+mp_visit_adapter_waits(const Mp *m, uint64_t now_ms,
+                       void (*visit)(void *ctx, const char *key,
+                                     uint32_t wait_ms),
+                       void *ctx)
+{
+    g_autoptr(GPtrArray) list = list_waiting(m);
+    for (guint i = 0; i < list->len; i++) {
+        const AdapterDemand *d = list->pdata[i];
+        uint64_t queued_ms = now_ms - find_queue_start(list, d->model);
+        if (queued_ms < SLOT_ORDER_MS) {
+            continue;
+        }
+        g_autofree char *key = dep_make_key(d->model->name, d->name);
+        visit(ctx, key, (uint32_t)queued_ms);
+    }
+}
+
 void
 mp_place_adapter_at(Mp *m, uint64_t now_ms, const VersionDemand *d)
 {
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -270,6 +270,13 @@
 void mp_place_versions(Mp *m, uint64_t now_ms);
 
 /* model_placement_adapter.c */
+/* As mp_visit_waits, for adapters without a slot; KEY: as dep_make_key has it.
+   They are given slots in turn, so each waits as long as the first of the
+   queue does, and that is estimated to take as long again as it has taken. */
+void mp_visit_adapter_waits(const Mp *m, uint64_t now_ms,
+                            void (*visit)(void *ctx, const char *key,
+                                          uint32_t wait_ms),
+                            void *ctx);
 void mp_place_adapters(Mp *m, uint64_t now_ms);
 /* D names an adapter. */
 void mp_place_adapter_at(Mp *m, uint64_t now_ms, const VersionDemand *d);
--- a/src/model_placement_publish.c
+++ b/src/model_placement_publish.c
@@ -217,4 +217,5 @@
             visit(ctx, w->model->name, (uint32_t)*first);
         }
     }
+    mp_visit_adapter_waits(m, now_ms, visit, ctx);
 }
