--- a/tests/script_sr.c
+++ b/tests/script_sr.c
@@ -160,6 +160,7 @@
     bool informed;
     bool leader_reads_config;
     bool leader_reads_upstreams;
+    GPtrArray *stores; /* VmStore, of each of its processes */
     uint64_t taken_ms[MAX_VERSIONS + 1];
 } Vm;
 
@@ -288,7 +289,7 @@
     g_ptr_array_remove_fast(s->held, r);
     bool gone = r->vm->incarnation != r->incarnation;
     if (gone) {
-        return; /* its watch went with the process */
+        result = ST_UNREACHABLE; /* its watch went with the process */
     }
     g_autoptr(GPtrArray) records =
         g_ptr_array_new_with_free_func(st_free_record);
@@ -822,6 +823,7 @@
 {
     Sim *s = v->sim;
     VmStore *store = g_new0(VmStore, 1); /* lives as long as its calls */
+    g_ptr_array_add(v->stores, store);
     store->base.ops = &store_ops;
     store->vm = v;
     StWatchParams config = {ST_CONFIG, "config", SR_CONFIG_WAIT_MS,
@@ -1019,12 +1021,62 @@
     for (int i = 0; i < s->vms; i++) {
         s->vm[i].sim = s;
         s->vm[i].nth = i;
+        s->vm[i].stores = g_ptr_array_new_with_free_func(g_free);
         start_vm(&s->vm[i]);
         later(s, draw(s, TICK_MS), on_tick, &s->vm[i]);
     }
     plan_all(s);
 }
 
+/* As in the pool, each call is answered once, also if its watch is gone. */
+static void
+drop_read(Read *r)
+{
+    if (!r->over) {
+        StReply none = {.result = ST_UNREACHABLE};
+        r->over = true;
+        r->done(r->ctx, &none);
+    }
+    unref_read(r);
+}
+
+static void
+drop_event(Event *e)
+{
+    if (e->fn == on_answer || e->fn == on_timeout || e->fn == on_wait_over ||
+        e->fn == on_arrival) {
+        drop_read(e->ctx);
+    }
+    else if (e->fn == on_frame || e->fn == begin_outage ||
+             e->fn == begin_fault) {
+        g_free(e->ctx);
+    }
+}
+
+/* Events that are still to come are dropped. */
+static void
+end_run(Sim *s)
+{
+    for (int i = 0; i < s->vms; i++) {
+        Vm *v = &s->vm[i];
+        if (v->runs) {
+            stop_vm(v);
+        }
+        g_ptr_array_free(v->stores, TRUE);
+    }
+    GSequenceIter *it = g_sequence_get_begin_iter(s->clock.events);
+    for (; !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it)) {
+        drop_event(g_sequence_get(it));
+    }
+    st_destroy_clock(&s->clock.base);
+    g_ptr_array_free(s->held, TRUE);
+    g_array_free(s->outages, TRUE);
+    g_array_free(s->faults, TRUE);
+    g_array_free(s->acked_ms, TRUE);
+    g_free(s->vm);
+    s->outages = NULL;
+}
+
 static void
 run(Sim *s, uint64_t length_ms, uint64_t seed)
 {
@@ -1047,6 +1099,7 @@
            (unsigned long long)out.late, (unsigned long long)out.worst_ms,
            (unsigned long long)out.taken, (unsigned long long)s->reads,
            (unsigned long long)s->peak, (unsigned long long)s->calm);
+    end_run(s);
 }
 
 static Who
