A request that was sent within the tick isn't silent

What callers saw: 502 where upstreams ask for rest, for a request that had just been sent and would have been served.

Cause: is_silent took the time since the request was sent as an unsigned difference. The tick's time is read once; what is sent later within the tick, as another request's failure lets those that wait go, is later than that, so the difference was 2^64: the request was dropped after 0 ms, had run by then as far as one can know, found all others at rest, and ended with 502. A gateway's log of test_callers_leave_while_eight_rest under the address sanitizer shows it: request-sent, request-broken why=silent after_ms=0, request-end 502.

Change: bg_get_age_ms is 0 for what comes later; also for pauses of streams and for requests that count as slow.

--- a/src/base.c
+++ b/src/base.c
@@ -152,6 +152,12 @@
     return read_clock_us(CLOCK_REALTIME) / 1000;
 }
 
+uint64_t
+bg_get_age_ms(uint64_t now_ms, uint64_t then_ms)
+{
+    return now_ms > then_ms ? now_ms - then_ms : 0;
+}
+
 uint64_t
 bg_boot_ms(void)
 {
--- a/src/base.h
+++ b/src/base.h
@@ -48,6 +48,9 @@
 /* Like bg_now_ms, but includes the time that the VM is suspended: for leases
    and deadlines, which expire meanwhile. */
 uint64_t bg_boot_ms(void);
+/* Time since THEN_MS; 0 if that is later than NOW_MS, as what happens within a
+   tick may be later than the time at which the tick began. */
+uint64_t bg_get_age_ms(uint64_t now_ms, uint64_t then_ms);
 void bg_sleep_ms(uint32_t wait_ms);
 
 /* Write the LEN bytes of DATA as 2 * LEN hex digits and a NUL into OUT. */
--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -472,7 +472,7 @@
         uint64_t silent_ms = q->route->gap_ms
                                  ? (uint64_t)q->route->gap_ms * SILENT_GAPS
                                  : SILENT_GAP_MS;
-        return now_ms - q->last_data_ms > silent_ms &&
+        return bg_get_age_ms(now_ms, q->last_data_ms) > silent_ms &&
                has_better_upstream(q, now_ms);
     }
     uint32_t usual = ut_get_usual_ms(q->gw->upstreams, q->ut, &q->query);
@@ -482,7 +482,8 @@
     if (stream) {
         silent_ms = MAX(silent_ms, q->route->objective_ms * SILENT_OBJECTIVE);
     }
-    return now_ms - q->sent_ms > silent_ms && has_better_upstream(q, now_ms);
+    return bg_get_age_ms(now_ms, q->sent_ms) > silent_ms &&
+           has_better_upstream(q, now_ms);
 }
 
 static void
--- a/src/gateway_request_demand.c
+++ b/src/gateway_request_demand.c
@@ -49,11 +49,11 @@
 {
     const DepRoute *r = q->route;
     if (!q->first_ms) {
-        return r->objective_ms &&
-               now_ms - q->sent_ms > r->objective_ms * SLOW_FIRST_BYTE;
+        return r->objective_ms && bg_get_age_ms(now_ms, q->sent_ms) >
+                                      r->objective_ms * SLOW_FIRST_BYTE;
     }
     uint64_t since_ms = MAX(q->last_event_ms, q->first_ms);
-    uint64_t pause_ms = MAX(now_ms - since_ms, q->last_gap_ms);
+    uint64_t pause_ms = MAX(bg_get_age_ms(now_ms, since_ms), q->last_gap_ms);
     return r->gap_ms && pause_ms > r->gap_ms * SLOW_PAUSE;
 }
 
--- a/tests/unit_base.c
+++ b/tests/unit_base.c
@@ -9,6 +9,16 @@
 #include <pthread.h>
 #include <string.h>
 
+/* A request that was sent within the tick counted as silent for ever, was
+   dropped and answered 502. */
+static void
+test_age_of_what_comes_later(void)
+{
+    CU_ASSERT_EQUAL(bg_get_age_ms(1000, 400), 600);
+    CU_ASSERT_EQUAL(bg_get_age_ms(1000, 1000), 0);
+    CU_ASSERT_EQUAL(bg_get_age_ms(1000, 1001), 0);
+}
+
 static void
 test_ring_is_bounded_and_in_order(void)
 {
@@ -149,6 +159,7 @@
 {
     CU_initialize_registry();
     CU_pSuite s = CU_add_suite("base", NULL, NULL);
+    CU_ADD_TEST(s, test_age_of_what_comes_later);
     CU_ADD_TEST(s, test_ring_is_bounded_and_in_order);
     CU_ADD_TEST(s, test_ring_wakes_a_waiter);
     CU_ADD_TEST(s, test_json_nesting_is_bounded);
