--- a/src/model_placement_adapter.c
+++ b/src/model_placement_adapter.c
@@ -205,7 +205,8 @@
     g_autoptr(GPtrArray) list = list_waiting(m);
     for (guint i = 0; i < list->len; i++) {
         const AdapterDemand *d = list->pdata[i];
-        uint64_t queued_ms = now_ms - find_queue_start(list, d->model);
+        uint64_t queued_ms =
+            bg_get_age_ms(now_ms, find_queue_start(list, d->model));
         if (queued_ms < SLOT_ORDER_MS) {
             continue;
         }
