A test in which each tick is slow shows the request that counted as silent

test_request_sent_within_a_slow_tick: with slow_clock.so two readings of the clock of leases never agree.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	protobuf-c-compiler libcunit1-dev python3-hypothesis \
 	python3-pytest python3-pytest-xdist clang-format clang-tidy cppcheck
 
-all: $(PROGS) $(UNITS) $(SCRIPTS) $(BUILD)/redirect.so $(BUILD)/slow_start.so \
+all: $(PROGS) $(UNITS) $(SCRIPTS) $(BUILD)/redirect.so $(BUILD)/slow_start.so $(BUILD)/slow_clock.so \
 	$(BUILD)/former_frames.so
 
 $(BUILD)/%.o: src/%.c
--- a/tests/test_upstream_rest.py
+++ b/tests/test_upstream_rest.py
@@ -1,5 +1,6 @@
 """Upstreams that turn a gateway away and ask it for rest."""
 
+import os
 import signal
 
 import pytest
@@ -103,6 +104,26 @@
     check_impatient(build, 1)
 
 
+# A request that was sent later than the tick began counted as silent for ever:
+# it was dropped, and answered 502 as it may have run.
+def test_request_sent_within_a_slow_tick(build):
+    slow = {"LD_PRELOAD": os.path.abspath(
+        os.path.join(build, "slow_clock.so"))}
+    with Cluster(build, gateways=2, models=SAME) as c:
+        for g in c.gateways:
+            g.stop()
+            g.env = dict(os.environ, **slow)
+            g.start()
+        for g in c.gateways:
+            wait_until(g.is_ready)
+        answers = check(c, c.engines, least=0)
+        assert {a.status for a in answers} <= {200, 503}
+        silent = [e["after_ms"] for g in c.gateways
+                  for e in g.events("request-broken")
+                  if e["why"] == "silent"]
+        assert all(ms > 100 for ms in silent), silent
+
+
 # Requests went to a resting upstream 60 ms after each refusal.
 def test_plain_requests_sent_to_one_of_two_that_rests(build):
     with Cluster(build, gateways=3) as c:
