Seeds of reloaded settings are asked; tests of a queue within the tick, of places

- unit_gateway, adapter queue begins within the tick: fails without (a wait of 2^64 ms), passes with it.
- unit_platform, upstream places: blanks and an empty data centre, see.
- sr_on_config_version gives no constant back; our own word in a log line.

--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -495,9 +495,11 @@
 void gn_tick_notes(Gateway *g, uint64_t now_ms);
 
 /* gateway_node_search */
-void gn_init_search(Gateway *g);
+/* The seeds of the settings may be asked. */
+void gn_note_seeds(Gateway *g);
 void gn_end_search(Gateway *g);
-/* Another gateway answers /introduction at ADDRESS; "": nowhere. */
+/* Another gateway answers /introduction at ADDRESS; what is no address of one
+   host is ignored. */
 void gn_note_control(Gateway *g, const char *address);
 /* Ask others where the leader is, if neither it nor the store is heard. */
 void gn_tick_search(Gateway *g, uint64_t now_ms);
--- a/src/gateway_node_search.c
+++ b/src/gateway_node_search.c
@@ -6,6 +6,8 @@
    new leader. */
 #include "gateway_node.h"
 
+#include "sockets.h"
+
 #include <string.h>
 
 /* At the start the store, and a link, are waited for so long. */
@@ -18,7 +20,7 @@
 #define MAX_KNOWN 16
 
 void
-gn_init_search(Gateway *g)
+gn_note_seeds(Gateway *g)
 {
     g_auto(GStrv) seeds = g_strsplit(gn_get_text(g, "seeds"), ",", -1);
     for (char **seed = seeds; *seed; seed++) {
@@ -36,11 +38,9 @@
 gn_note_control(Gateway *g, const char *address)
 {
     GQueue *known = &g->search.known;
-    if (!*address || strcmp(address, gn_get_text(g, "control")) == 0) {
-        return;
-    }
-    GList *found = g_queue_find_custom(known, address, (GCompareFunc)strcmp);
-    if (found) {
+    bool own = strcmp(address, gn_get_text(g, "control")) == 0;
+    if (own || !so_is_address(address) ||
+        g_queue_find_custom(known, address, (GCompareFunc)strcmp)) {
         return;
     }
     g_queue_push_head(known, g_strdup(address));
--- a/src/gateway_node_store.c
+++ b/src/gateway_node_store.c
@@ -361,10 +361,9 @@
 gn_on_config_version(Gateway *g, uint64_t now_ms, uint64_t version)
 {
     bool lacks = !g->config || version > g->config->version;
-    uint32_t min_age_ms;
-    if (sr_on_config_version(g->reads, now_ms, lacks, &min_age_ms)) {
+    if (sr_on_config_version(g->reads, now_ms, lacks)) {
         ht_drop_idle(g->pool, gn_get_text(g, "store"));
-        st_restart(g->config_watch, now_ms, min_age_ms);
+        st_restart(g->config_watch, now_ms, SR_SLOW_CALL_MS);
     }
 }
 
--- a/src/gateway_types.c
+++ b/src/gateway_types.c
@@ -335,7 +335,7 @@
 {
     const char *fault = !is_id(u->id)              ? "id: not a plain name"
                         : !is_name(u->service)     ? "service: no name"
-                        : !is_name(u->data_centre) ? "zone: no name"
+                        : !is_name(u->data_centre) ? "data centre: no name"
                         : !so_is_address(u->address)
                             ? "address: not IP:PORT of one host"
                         : !is_short(u) ? "models: too many"
--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -538,6 +538,7 @@
     if (f) {
         ini_destroy(g->settings);
         g->settings = f;
+        gn_note_seeds(g);
         rb_set_allowance(g->budget, get_bound(f, "retry_ratio"),
                          get_bound(f, "retry_slack"));
         wl_set_bound(g->limits, get_bound(f, "limit_excess"),
@@ -776,7 +777,7 @@
     }
     create_cores(g);
     gn_watch_store(g);
-    gn_init_search(g);
+    gn_note_seeds(g);
     start_watchers(g);
     jl_start(gn_get_text(g, "name"));
     JlLine *l = jl_begin("started");
--- a/src/store_reads.c
+++ b/src/store_reads.c
@@ -12,8 +12,6 @@
 /* A newer configuration that the leader reported must arrive within this time,
    or we read the store. */
 #define BEHIND_MS 250
-/* A read that is older than this may be on a connection that went silent. */
-#define SLOW_CALL_MS 1000
 /* Longest pause after failed calls of a gateway that hears the leader.  It
    grows with the number of gateways, so that all of them together call the
    store about as often as one that hears nobody. */
@@ -59,9 +57,8 @@
 }
 
 bool
-sr_on_config_version(Sr *s, uint64_t now_ms, bool lacks, uint32_t *min_age_ms)
+sr_on_config_version(Sr *s, uint64_t now_ms, bool lacks)
 {
-    *min_age_ms = SLOW_CALL_MS;
     if (!lacks) {
         s->behind_ms = 0;
         return false;
@@ -70,7 +67,7 @@
         s->behind_ms = now_ms;
         return false;
     }
-    bool slow = now_ms > s->behind_ms + SLOW_CALL_MS;
+    bool slow = now_ms > s->behind_ms + SR_SLOW_CALL_MS;
     s->behind_ms = slow ? now_ms : s->behind_ms;
     return slow;
 }
--- a/src/store_reads.h
+++ b/src/store_reads.h
@@ -29,6 +29,8 @@
 /* A process that got no configuration or upstreams over a link by then reads
    the store. */
 #define SR_START_TIMEOUT_MS 2000
+/* A read that is older than this may be on a connection that went silent. */
+#define SR_SLOW_CALL_MS 1000
 /* Reads of the configuration are answered if one was within this time. */
 #define SR_CONFIG_FRESH_MS 2000
 /* Entries read from the store count as current for this long. */
@@ -68,10 +70,9 @@
    read only after a random time. */
 void sr_on_link_lost(Sr *s, uint64_t now_ms);
 /* The leader named the newest configuration that it knows; LACKS: ours is
-   older.  True: the read that should return it is to be begun anew, if older
-   than *MIN_AGE_MS. */
-bool sr_on_config_version(Sr *s, uint64_t now_ms, bool lacks,
-                          uint32_t *min_age_ms);
+   older.  True: the read that should return it is to be begun anew, if it is
+   older than SR_SLOW_CALL_MS. */
+bool sr_on_config_version(Sr *s, uint64_t now_ms, bool lacks);
 /* A newer configuration is known, and missing here. */
 bool sr_is_behind(const Sr *s);
 /* What is read from now on. */
--- a/tests/script_sr.c
+++ b/tests/script_sr.c
@@ -495,10 +495,9 @@
         v->informed = f->informed;
         v->leader_reads_config = f->reads_config;
         v->leader_reads_upstreams = f->reads_upstreams;
-        uint32_t age_ms;
         if (sr_on_config_version(v->reads, get_now(v->sim),
-                                 f->version > v->version, &age_ms)) {
-            st_restart(v->config_watch, get_now(v->sim), age_ms);
+                                 f->version > v->version)) {
+            st_restart(v->config_watch, get_now(v->sim), SR_SLOW_CALL_MS);
         }
     }
     g_free(f);
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1573,6 +1573,33 @@
     stop_site(&s);
 }
 
+static void
+note_wait(void *ctx, const char *key, uint32_t wait_ms)
+{
+    uint32_t *most_ms = ctx;
+    *most_ms = MAX(*most_ms, strchr(key, '/') ? wait_ms : 0);
+}
+
+/* A queue that began later than the tick had waited for 2^64 ms: its requests
+   were told of a wait of weeks, and refused. */
+static void
+test_adapter_queue_begins_within_the_tick(void)
+{
+    Site s;
+    start_site(&s, 1);
+    report_waiting(&s, "g", "m0", NULL, 1);
+    run_site(&s, 1500, true);
+    report_adapters(&s, 0, 3);
+    uint32_t most_ms = 0;
+    mp_visit_waits(s.mp, s.now_ms - 1, note_wait, &most_ms);
+    CU_ASSERT_EQUAL(most_ms, 0);
+    run_site(&s, 600, false);
+    mp_visit_waits(s.mp, s.now_ms, note_wait, &most_ms);
+    CU_ASSERT(most_ms >= 500);
+    CU_ASSERT(most_ms <= 700);
+    stop_site(&s);
+}
+
 /* The upstream of a model in use announces that it drains.  The model is
    loaded elsewhere before a request misses it. */
 static void
@@ -2438,6 +2465,8 @@
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
         {"adapters take turns", test_adapters_take_turns},
+        {"adapter queue begins within the tick",
+         test_adapter_queue_begins_within_the_tick},
         {"replaces draining upstream", test_placement_replaces_draining},
         {"replaces unreachable upstream", test_placement_replaces_unreachable},
         {"limits report requests", test_placement_limits_report_requests},
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -259,6 +259,23 @@
     dep_destroy_upstream(u);
 }
 
+/* The operator names data centres and services: blanks are no fault. */
+static void
+test_upstream_places(void)
+{
+    static const char *const zones[] = {"", "hall 2", "Z\xc3\xbcrich"};
+    for (size_t i = 0; i < G_N_ELEMENTS(zones); i++) {
+        g_autofree char *text = g_strdup_printf(
+            "{\"service\":\"a b\",\"address\":\"10.0.0.1:80\",\"zone\":\"%s\","
+            "\"slots\":4,\"state\":\"ready\"}",
+            zones[i]);
+        DepUpstream *u = decode_upstream(text);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(u);
+        CU_ASSERT_STRING_EQUAL(u->data_centre, zones[i]);
+        dep_destroy_upstream(u);
+    }
+}
+
 /* Numbers out of range become the nearest that there is, or none. */
 static void
 test_upstream_numbers(void)
@@ -480,6 +497,7 @@
         {"upstream", test_upstream},
         {"upstream foreign", test_upstream_foreign},
         {"upstream names", test_upstream_names},
+        {"upstream places", test_upstream_places},
         {"upstream numbers", test_upstream_numbers},
         {"config", test_config},
         {"config malformed", test_config_malformed},
