--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -140,3 +140,66 @@
             for g in c.gateways:
                 assert ask(g, "chat", "m0")[0] == 200
         assert sum(len(g.events("entry-not-taken")) for g in c.gateways) <= 3000
+
+
+def make_odd_engines(c, count, models):
+    """Entries of COUNT engines that claim MODELS, at addresses that can't be
+    used."""
+    for i in range(count):
+        odd = dict(c.engines[0].entry(), address="127.0.0.1:%d" % (65536 + i),
+                   slots=1000000,
+                   models=[{"name": m, "version": 1, "adapters": []}
+                           for m in models])
+        c.store.put(TOPIC, "odd-%02d" % i, json.dumps(odd).encode())
+
+
+def names_odd_one(event):
+    return event.get("upstream", "").startswith("odd-")
+
+
+# Engines that can't be reached were taken for holders of a model, and asked
+# for reports.
+def test_model_that_odd_engines_claim_is_loaded_elsewhere(build):
+    with Cluster(build, gateways=3) as c:
+        c.leader()
+        wait_until(c.all_linked)
+        make_odd_engines(c, 30, ["m0", "m1", "m2"])
+        time.sleep(1)
+        for g in c.gateways:
+            began = time.monotonic()
+            assert ask(g, "chat", "m2")[0] == 200
+            assert time.monotonic() - began < 1
+        assert any("m2" in e.models for e in c.engines)
+        for g in c.gateways:
+            used = [e for e in g.events() if names_odd_one(e) and
+                    e["event"] != "entry-not-taken"]
+            assert used == []   # no send, order, report or path
+
+
+# The room of a service is that of its good upstreams: callers are served or
+# refused as without the odd ones.
+@pytest.mark.parametrize("odd", [0, 30])
+def test_odd_engines_add_no_room(build, odd):
+    with Cluster(build, gateways=3, models=(("m0",),)) as c:
+        c.leader()
+        wait_until(c.all_linked)
+        make_odd_engines(c, odd, ["m0"])
+        time.sleep(1)
+        engine = c.engines[0]
+        engine.rate_limit = "4"
+        for g in c.gateways:   # the limit is known to all
+            ask(g, "chat", "m0")
+        time.sleep(1)
+        before, began = len(engine.arrivals), time.monotonic()
+        statuses, waits = [], []
+        while time.monotonic() < began + 4:
+            for g in c.gateways:
+                sent = time.monotonic()
+                status, head, _, _ = ask(g, "chat", "m0", deadline_ms=600)
+                statuses.append(status)
+                waits.append(time.monotonic() - sent)
+                assert status == 200 or float(head["Retry-After"]) > 0
+        assert len(engine.arrivals) - before <= 4 * 4 * 1.5 + 5
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 4 * 4 * 0.5
+        assert max(waits) < 1
