--- a/src/fold_internal.h
+++ b/src/fold_internal.h
@@ -1,5 +1,5 @@
-/* fold_internal: internals of the fold, shared by fold.c (applies records) and
-   snap.c (encodes and decodes the state). */
+/* fold_internal: internals of the fold, shared by fold.c (applies records),
+   snap.c (encodes and decodes the state) and fold_dump.c (shows it). */
 #ifndef FOLD_INTERNAL_H
 #define FOLD_INTERNAL_H
 
