Logs and metrics tell on which connection an answer came, and why it was taken

A caller's wrong answer couldn't be traced: no line named its connection, the requests that this had carried, what proved the answer, or what was skipped. request-end and request-broken have connection, nth, match and skipped; answer-skipped has what came in its place.

--- a/src/gateway_request_answer.c
+++ b/src/gateway_request_answer.c
@@ -84,6 +84,7 @@
     q->last_data_ms = now_ms;
     q->status = head->status;
     q->framing = head->framing;
+    q->origin = ht_get_origin(call);
     q->not_run = head->status == 421 || ht_find_header(head, w->not_run);
     if (q->query.model && !q->not_run) {
         gw_add_count(q->gw->begun_answers, ut_get_id(q->ut));
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -115,6 +115,7 @@
     SpTurn turn; /* of a suspect: asked for, granted or used; 0: none */
 
     /* Of the answer to the current call, for the log. */
+    HtOrigin origin;
     AeFraming framing;
     AeEnd end;           /* AE_ENDS: not yet */
     uint32_t events;     /* forwarded */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -98,6 +98,12 @@
     }
     jl_text(l, "end", q->end == AE_ENDS ? NULL : ae_name_end(q->end));
     jl_text(l, "framing", ae_name_framing(q->framing));
+    jl_number(l, "connection", (int64_t)q->origin.connection);
+    jl_number(l, "nth", q->origin.nth);
+    jl_text(l, "match", ht_name_match(q->origin.match));
+    if (q->origin.skipped) {
+        jl_number(l, "skipped", q->origin.skipped);
+    }
     jl_number(l, "body_bytes", (int64_t)q->body_bytes);
     if (q->forwards_events) {
         jl_number(l, "events", q->events);
--- a/src/http.h
+++ b/src/http.h
@@ -96,6 +96,22 @@
 typedef struct HtPool HtPool;
 typedef struct HtCall HtCall;
 
+/* Why an answer was taken for its call's. */
+typedef enum {
+    HT_MATCH_NONE,  /* no answer came, or the call has no id */
+    HT_MATCH_ID,    /* it repeats the call's */
+    HT_MATCH_FIRST, /* it names none, and the connection carried no other */
+    HT_MATCHES
+} HtMatch;
+
+/* Where an answer came from. */
+typedef struct {
+    uint64_t connection; /* number of it in this process, from 1 */
+    uint32_t nth;        /* request on that connection, from 1 */
+    uint32_t skipped;    /* answers before it that were not the call's */
+    HtMatch match;
+} HtOrigin;
+
 typedef enum {
     HT_WAY_DIRECT,
     HT_WAY_ANY /* also by way of another gateway, see ht_set_detours */
@@ -187,6 +203,9 @@
 void ht_cancel_check(HtCheck *check);
 /* Whether any byte of the request was handed to the kernel. */
 bool ht_was_sent(const HtCall *call);
+/* Of the answer whose head has come; without one all is 0. */
+HtOrigin ht_get_origin(const HtCall *call);
+const char *ht_name_match(HtMatch match);
 /* It was sent on an own connection, of a path that failed meanwhile: neither
    end hears the other. */
 bool ht_is_cut_off(const HtCall *call);
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -14,6 +14,8 @@
 /* So many helpers without a path show that the upstream is down, rather than
    that they are cut off as well. */
 #define MIN_NO_PATHS 2
+/* Counter of idle connections on which bytes came. */
+#define IDLE_BYTES "gateway_idle_bytes_total"
 /* Of a helper's frame: what it read from the upstream at once. */
 #define MAX_DETOUR_FRAME_BYTES (64 * 1024)
 
@@ -32,6 +34,7 @@
     }
     HtConn *w = g_new0(HtConn, 1);
     w->pool = p;
+    w->number = ++p->opened;
     w->address = g_strdup(address);
     w->helper = g_strdup(helper);
     w->framed = g_byte_array_new();
@@ -196,6 +199,7 @@
 {
     call->conn = w;
     w->call = call;
+    w->calls++;
     w->opened_ms = w->opened_ms ? w->opened_ms : bg_boot_ms();
     /* Bytes sent into a connection that the far side has just closed would
        be lost, so the write waits until the loop reports it writable. */
@@ -304,6 +308,9 @@
         ht_fail_opening(w, PT_LOST, false);
     }
     else if (!w->call) {
+        if (f->body_case == GWP__FRAME__BODY_DETOUR_DATA) {
+            bg_count(IDLE_BYTES, 1);
+        }
         ht_note_lost(w); /* ended by the upstream, or bytes without a call */
         ht_close_conn(w);
     }
@@ -383,6 +390,9 @@
         return;
     }
     /* An idle connection that sends anything can't be used again. */
+    if (n > 0 && !w->call) {
+        bg_count(IDLE_BYTES, 1);
+    }
     if (n < 0 || !w->call) {
         ht_fail_conn(w, AE_FAILED);
         return;
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -1,5 +1,6 @@
 #include "http_pool_internal.h"
 
+#include "json_log.h"
 #include "sockets.h"
 
 #include <errno.h>
@@ -166,8 +167,9 @@
     MATCH_OTHER
 } Match;
 
+/* OTHER: the id of another call, or NULL. */
 static Match
-match_answer(const HtConn *w)
+match_answer(const HtConn *w, const char **other)
 {
     const HtCall *call = w->call;
     Match match = MATCH_MISSING;
@@ -177,6 +179,7 @@
             continue;
         }
         if (strcmp(h->value, call->match_value) != 0) {
+            *other = h->value;
             return MATCH_OTHER;
         }
         match = MATCH_PROVED;
@@ -184,19 +187,40 @@
     return match;
 }
 
+/* OTHER: whose it is; NULL: it doesn't say. */
+static void
+note_skipped(HtConn *w, const char *other)
+{
+    w->call->skipped++;
+    JlLine *l = jl_begin("answer-skipped");
+    jl_text(l, "id", w->call->match_value);
+    jl_text(l, "of", other);
+    jl_number(l, "status", w->msg.head.status);
+    jl_text(l, "to", w->address);
+    jl_number(l, "connection", (int64_t)w->number);
+    jl_number(l, "nth", w->calls);
+    jl_number(l, "sent", (int64_t)w->call->sent);
+    jl_end(l);
+    bg_count(other ? "gateway_answers_of_others_total"
+                   : "gateway_answers_of_nobody_total",
+             1);
+}
+
 /* A late copy of another call's answer may come where ours is due. */
 static bool
 is_for_other_call(HtConn *w)
 {
+    const char *other = NULL;
     if (!w->call->match_name) {
         return false;
     }
-    Match match = match_answer(w);
+    Match match = match_answer(w, &other);
     w->reusable = w->reusable && match == MATCH_PROVED;
     if (match == MATCH_PROVED || (match == MATCH_MISSING && !w->carried)) {
+        w->call->match = match == MATCH_PROVED ? HT_MATCH_ID : HT_MATCH_FIRST;
         return false;
     }
-    bg_count("gateway_foreign_answers_total", 1);
+    note_skipped(w, other);
     return true;
 }
 
@@ -707,6 +731,23 @@
     return call->sent > 0;
 }
 
+HtOrigin
+ht_get_origin(const HtCall *call)
+{
+    const HtConn *w = call->conn;
+    HtOrigin none = {0};
+    HtOrigin origin = {w ? w->number : 0, w ? w->calls : 0, call->skipped,
+                       call->match};
+    return w ? origin : none;
+}
+
+const char *
+ht_name_match(HtMatch match)
+{
+    static const char *const names[HT_MATCHES] = {"none", "id", "first"};
+    return names[match];
+}
+
 bool
 ht_is_cut_off(const HtCall *call)
 {
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -29,9 +29,11 @@
     bool connecting;
     bool asking; /* the helper has not answered yet */
     bool reusable;
-    bool carried; /* bytes of a former call */
-    bool skipped; /* the message being read is interim or another call's */
-    bool in_body; /* the head of the message being read is over */
+    uint64_t number; /* in the pool, from 1 */
+    uint32_t calls;  /* that it carried, with the current one */
+    bool carried;    /* bytes of a former call */
+    bool skipped;    /* the message being read is interim or another call's */
+    bool in_body;    /* the head of the message being read is over */
     size_t before_head_bytes; /* since the last head that is not interim */
     size_t skipped_bytes;     /* of bodies */
     bool got_message;  /* all that the answer's framing announced came */
@@ -66,6 +68,8 @@
     char *address;
     char *match_name;
     char *match_value;
+    uint32_t skipped; /* answers of others, before its own */
+    HtMatch match;    /* of its own answer */
     HtWay way;
     bool may_detour;
     bool fresh;
@@ -81,6 +85,7 @@
     ev_timer fail_timer;
     HtDetours detours; /* paths is NULL: no detours */
     GHashTable *lost;  /* address -> uint64_t: as in ht_get_lost_ms */
+    uint64_t opened;   /* connections */
 };
 
 /* So long a lost connection is remembered: far longer than the entry of an
