A connection carries an id once: a copy of a former answer proves nothing

Callers saw: the answer to another request that had their id (MIXED), a request that ran twice behind a copy of its former refusal (TWICE). Cause: an answer is a request's if it repeats its id. That no other sending of the id went out on the connection was kept by the request, and forgotten with it; a second request with the id got the same connection. Why it works: an upstream can only repeat an answer on the connection on which the request came, and no connection gets an id that was ever written to it. The ids are digests, 512 a connection at most, which then ends. With it the request's own list of addresses goes, and a second sending may use any connection that hasn't carried it, not just a new one.

--- a/src/gateway_request.c
+++ b/src/gateway_request.c
@@ -187,7 +187,6 @@
     q->workspace = workspace;
     q->key = *key;
     q->tried = g_ptr_array_new();
-    q->sent_to = g_ptr_array_new_with_free_func(g_free);
     q->head = g_string_new(NULL);
     q->arrival_ms = ht_get_arrival_ms(x);
     g->wire->read_call(ht_get_head(x), &q->call);
--- a/src/gateway_request_internal.h
+++ b/src/gateway_request_internal.h
@@ -63,10 +63,6 @@
     uint64_t last_gap_ms;   /* between the last two */
     char *gap_upstream;     /* that caused max_gap_ms, for the log */
 
-    /* Addresses that it was sent to.  A late copy of an answer from there
-       bears its id, too. */
-    GPtrArray *sent_to;
-
     uint32_t sends;     /* that reached an upstream */
     uint64_t rested_ms; /* end of the rest that an upstream last asked it for;
                            0: none did */
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -228,7 +228,6 @@
     dep_clear_call(&q->call);
     dep_unref_config(q->config);
     g_ptr_array_free(q->tried, TRUE);
-    g_ptr_array_free(q->sent_to, TRUE);
     po_destroy(q->position);
     if (q->unconfirmed) {
         g_byte_array_unref(q->unconfirmed);
@@ -518,22 +517,12 @@
            g_strcmp0(q->waiting_for, GW_FOR_REST) == 0;
 }
 
-/* A late copy of an answer from there may be on its way. */
-static bool
-was_sent_to(const Req *q, const char *address)
-{
-    return g_ptr_array_find_with_equal_func(q->sent_to, address, g_str_equal,
-                                            NULL);
-}
-
 static void
 start_call(Req *q, uint64_t now_ms)
 {
-    const char *address = ut_get_address(q->ut);
     const char *id = q->call.attempt_id;
-    bool comes_back = was_sent_to(q, address);
     HtRequest req = {
-        .address = address,
+        .address = ut_get_address(q->ut),
         .way = HT_WAY_ANY,
         .request = build_request(q, now_ms),
         .connect_ms = q->gw->params.connect_ms,
@@ -542,12 +531,8 @@
         .match_name = id ? q->gw->wire->attempt_id : NULL,
         .match_value = id,
         .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
-        .unused = comes_back,
         .fresh = !id, /* nothing else tells whose answer it is */
     };
-    if (!comes_back) {
-        g_ptr_array_add(q->sent_to, g_strdup(address));
-    }
     HtCallHandler handler = q->gw->handler;
     handler.ctx = q;
     q->hc = ht_start_call(q->gw->pool, &req, &handler);
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 /* Engines state their idle timeout in whole seconds, rounded.  A request that
    crosses their close is lost, so idle connections are closed a second
@@ -27,6 +28,8 @@
 #define MAX_BEFORE_HEAD_BYTES (128 * 1024)
 /* Of answers to other calls, which may come late. */
 #define MAX_SKIPPED_BYTES (16 * 1024 * 1024)
+/* On one connection, whose ids are kept. */
+#define MAX_KEPT_IDS 512
 
 void
 ht_free_call(HtCall *call)
@@ -45,6 +48,7 @@
 {
     ht_free_message(&w->msg);
     g_byte_array_free(w->framed, TRUE);
+    g_array_free(w->ids, TRUE);
     g_free(w->address);
     g_free(w->helper);
     g_free(w);
@@ -361,6 +365,35 @@
     ht_free_message(&w->msg);
 }
 
+static uint32_t
+digest_id(const char *id)
+{
+    return XXH32(id, strlen(id), 0);
+}
+
+/* An id may name several requests, and proves no answer on a connection that
+   carried it before.  Equal digests of others only cost a connection. */
+static bool
+has_carried(const HtConn *w, const char *id)
+{
+    uint32_t digest = id ? digest_id(id) : 0;
+    for (guint i = 0; id && i < w->ids->len; i++) {
+        if (g_array_index(w->ids, uint32_t, i) == digest) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+keep_id(HtConn *w)
+{
+    if (w->call->match_value) {
+        uint32_t digest = digest_id(w->call->match_value);
+        g_array_append_val(w->ids, digest);
+    }
+}
+
 /* The message is over; LEFT unexpected bytes followed it. */
 static void
 finish_answer(HtConn *w, size_t left)
@@ -369,7 +402,8 @@
     /* A late copy of an answer to HEAD can't be skipped: it has no body, and
        doesn't show that. */
     bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
-                call->sent == call->request->len && !is_head_request(call);
+                call->sent == call->request->len && !is_head_request(call) &&
+                w->ids->len < MAX_KEPT_IDS;
     AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
     if (!keep) {
         close_call(w, end);
@@ -482,8 +516,9 @@
             ht_fail_conn(w, AE_FAILED);
             return;
         }
-        if (call->sent == 0) {
+        if (call->sent == 0 && n > 0) {
             call->sent_ms = bg_boot_ms();
+            keep_id(w);
         }
         call->sent += n > 0 ? (size_t)n : 0;
     }
@@ -500,9 +535,8 @@
 static bool
 may_reuse(const HtConn *w, const HtRequest *req, bool use_helpers)
 {
-    return is_unused(w) && !(w->carried && req->unused) &&
-           strcmp(w->address, req->address) == 0 &&
-           (!w->helper || use_helpers);
+    return is_unused(w) && strcmp(w->address, req->address) == 0 &&
+           (!w->helper || use_helpers) && !has_carried(w, req->match_value);
 }
 
 /* The idle connection that was used last, as it is the least likely to have
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -31,6 +31,8 @@
     bool reusable;
     uint64_t number; /* in the pool, from 1 */
     uint32_t calls;  /* that it carried, with the current one */
+    GArray *ids;     /* uint32_t: digests of the ids of the calls that were
+                        written to it */
     bool carried;    /* bytes of a former call */
     bool skipped;    /* the message being read is interim or another call's */
     bool in_body;    /* the head of the message being read is over */
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -1,6 +1,7 @@
 """Callers whose ids name more than one request, and an upstream that answers
 twice, the second time late."""
 
+import collections
 import json
 import threading
 
@@ -100,3 +101,15 @@
         for t in callers:
             t.join()
         assert not wrong
+
+
+# A connection that has forgotten an id would take a copy for its answer.
+def test_connection_ends_before_it_forgets_an_id(build):
+    with Cluster(build, models=(), apps=1) as c:
+        asked = LateCopies(c.apps[0], may_copy=lambda *_: False).asked
+        for i in range(1100):
+            ask(c.gateways[0], "read", body=b"%d" % i)
+        carried = collections.Counter(nth for nth, path in asked
+                                      if path.startswith("/read"))
+        assert max(carried.values()) <= 512
+        assert len(carried) <= 6
