The head of an answer that runs on into another one's is refused

Callers saw: the status of an earlier answer's copy with the body of their own: 200 for what the upstream had answered with 500, or the reverse (MIXED). Cause: nothing marks where an answer begins but that the one before is over. A copy that breaks off in its reason or in a field before its id takes the next answer's first line as the rest of that text; the id that follows is then right. Why it works: a break anywhere else is already an error (no name holds a slash, no length or chunk size a letter) or shows the other id. In a reason or a field's value the whole first line of the next answer stands, and no answer is passed on whose head holds one.

--- a/src/http_internal.h
+++ b/src/http_internal.h
@@ -15,13 +15,15 @@
     GStringChunk *text;
     GString *name;
     GString *value;
-    GString *target;
+    GString *target; /* of a request */
+    GString *reason; /* of an answer: the text behind its status */
     size_t header_bytes;
     bool is_answer;
     bool in_value;  /* of the field being read */
     bool head_over; /* fields that follow are trailers, and are dropped */
-    bool malformed; /* a field is no field of HTTP: the message can't be passed
-                       on, as others may read it in another way */
+    bool torn;      /* an answer's: it runs on into another one's */
+    bool malformed; /* torn, or a field is no field of HTTP: the message can't
+                       be passed on, as others may read it in another way */
 } HtMessage;
 
 void ht_start_message(HtMessage *m, bool is_answer);
@@ -30,6 +32,8 @@
    value in any number of pieces, an empty value in one without bytes. */
 void ht_add_header_name(HtMessage *m, const char *at, size_t len);
 void ht_add_header_value(HtMessage *m, const char *at, size_t len);
+/* The same for the reason. */
+void ht_add_reason(HtMessage *m, const char *at, size_t len);
 /* All headers were parsed. */
 void ht_finish_head(HtMessage *m, const http_parser *p);
 /* Its transfer coding is chunks or none: no other is undone here, nor passed
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -149,6 +149,14 @@
     return 0;
 }
 
+static int
+on_answer_reason(http_parser *p, const char *at, size_t len)
+{
+    HtConn *w = p->data;
+    ht_add_reason(&w->msg, at, len);
+    return 0;
+}
+
 static int
 on_answer_name(http_parser *p, const char *at, size_t len)
 {
@@ -271,6 +279,9 @@
     HtConn *w = p->data;
     w->in_body = true;
     ht_finish_head(&w->msg, p);
+    if (w->msg.torn) {
+        bg_count("gateway_torn_heads_total", 1);
+    }
     if (w->msg.malformed || !ht_has_known_coding(&w->msg.head)) {
         return PARSER_STOP;
     }
@@ -344,6 +355,7 @@
 
 static const http_parser_settings answer_settings = {
     .on_message_begin = on_answer_begin,
+    .on_status = on_answer_reason,
     .on_header_field = on_answer_name,
     .on_header_value = on_answer_value,
     .on_headers_complete = on_answer_head,
