A request whose answer came without its id no longer waits for its deadline

Callers saw: 504 after all their time, where the upstream had answered at once but left out the request's id on a kept connection. Cause: such an answer is nobody's and is skipped, as it may be a copy; the call then waited for its own, which was that one. Change: if its own doesn't follow within 250 ms the call counts as broken: a request that may be repeated goes on elsewhere, another one gets 502. test_unnamed_answers: pay and sum 4 s and 504 before, of four kinds of routes; read and chat moved before, too, as from a silent upstream.

--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -28,6 +28,9 @@
 #define MAX_BEFORE_HEAD_BYTES (128 * 1024)
 /* Of answers to other calls, which may come late. */
 #define MAX_SKIPPED_BYTES (16 * 1024 * 1024)
+/* After an answer that doesn't say whose it is the call's own may follow at
+   once; else that was it. */
+#define UNNAMED_MS 250
 /* On one connection, whose ids are kept. */
 #define MAX_KEPT_IDS 512
 
@@ -233,6 +236,9 @@
         return false;
     }
     note_skipped(w, other);
+    if (!other && !w->call->unnamed_ms) {
+        w->call->unnamed_ms = bg_boot_ms();
+    }
     return true;
 }
 
@@ -870,6 +876,34 @@
            !call->heard && now_ms > call->sent_ms + SILENT_CALL_MS;
 }
 
+/* Its answer came, it seems, without its id. */
+static bool
+is_unnamed(const HtConn *w, uint64_t now_ms)
+{
+    const HtCall *call = w->call;
+    return call && call->unnamed_ms && call->match == HT_MATCH_NONE &&
+           now_ms > call->unnamed_ms + UNNAMED_MS;
+}
+
+/* 0 when W is so at NOW_MS. */
+static gint
+compare_unnamed(gconstpointer w, gconstpointer now_ms)
+{
+    return is_unnamed(w, *(const uint64_t *)now_ms) ? 0 : 1;
+}
+
+/* A handler may open and close connections, so each search starts over. */
+static void
+end_unnamed(HtPool *p, uint64_t now_ms)
+{
+    GList *found;
+    while (
+        (found = g_queue_find_custom(&p->conns, &now_ms, compare_unnamed))) {
+        bg_count("gateway_unnamed_answers_total", 1);
+        close_call(found->data, AE_NOT_HTTP);
+    }
+}
+
 static bool
 needs_detour(const HtConn *w, uint64_t now_ms)
 {
@@ -908,6 +942,7 @@
     while ((w = find_overdue(p, now_ms))) {
         end_late_opening(w, now_ms);
     }
+    end_unnamed(p, now_ms);
     if (p->detours.paths) {
         open_due(p, now_ms);
     }
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -70,8 +70,10 @@
     char *address;
     char *match_name;
     char *match_value;
-    uint32_t skipped; /* answers of others, before its own */
-    HtMatch match;    /* of its own answer */
+    uint32_t skipped;    /* answers of others, before its own */
+    HtMatch match;       /* of its own answer */
+    uint64_t unnamed_ms; /* when an answer came that says of no call that it is
+                            its own; 0: none did */
     HtWay way;
     bool may_detour;
     bool fresh;
