SIGHUP while a gateway starts is kept until it can reload

Callers saw: a gateway gone that had just been started, if its settings changed in its first milliseconds. Cause: until the handler was in place SIGHUP had its default action. Change: it is blocked from the first line of main, and let through once the handler is there, so it isn't lost either.

--- a/src/main_gateway.c
+++ b/src/main_gateway.c
@@ -678,6 +678,17 @@
     g->lease = ls_create(&ls, &ls_out);
 }
 
+/* HOW: SIG_BLOCK or SIG_UNBLOCK.  Without a handler SIGHUP ends the process.
+ */
+static void
+hold_reloads(int how)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(how, &set, NULL);
+}
+
 static void
 start_watchers(Gateway *g)
 {
@@ -700,6 +711,7 @@
     ev_signal_start(g->loop, &g->term);
     ev_signal_start(g->loop, &g->interrupt);
     ev_signal_start(g->loop, &g->hup);
+    hold_reloads(SIG_UNBLOCK);
 }
 
 /* What may still run callbacks is destroyed before what they use. */
@@ -831,6 +843,7 @@
 int
 main(int argc, char **argv)
 {
+    hold_reloads(SIG_BLOCK);
     static const struct argp_option options[] = {
         {"settings", 's', "FILE", 0,
          "settings file (else $BITTERNGLADE_SETTINGS)", 0},
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -472,6 +472,29 @@
     assert ask(g, "read")[0] == 200
 
 
+# SIGHUP to a process that was just started ended it.
+def test_reload_while_the_process_starts(build):
+    with Cluster(build, models=(), apps=1) as c:
+        g = c.gateways[0]
+        g.stop()
+        library = os.path.abspath(os.path.join(build, "slow_start.so"))
+        g.env = dict(os.environ, LD_PRELOAD=library,
+                     ASAN_OPTIONS="verify_asan_link_order=0")
+        g.start()
+
+        def is_starting():
+            with open(g.log_path, encoding="utf-8") as f:
+                return "created slowly" in f.read()
+        wait_until(is_starting)
+        for _ in range(10):
+            g.send(signal.SIGHUP)
+            time.sleep(0.02)
+        wait_until(g.is_ready)
+        assert g.proc.poll() is None
+        wait_until(lambda: g.events("reload"))   # it isn't lost
+        assert ask(g, "read")[0] == 200
+
+
 def test_settings_change_without_a_signal(one):
     """The settings file changes, first to a valid one, then to an invalid
     one."""
