A status line with several blanks counts as one in another answer's head

Callers could see: the status of an earlier answer's copy with their own body, where the upstream writes more than one blank before its status. Cause: the parser takes any number of blanks there, the search for a first line inside a head took one. The search moves to answer_end, as the router's client needs it too.

--- a/src/answer_end.c
+++ b/src/answer_end.c
@@ -209,3 +209,29 @@
     }
     return a->body;
 }
+
+/* Blanks as the parser takes them. */
+static bool
+is_status_line(const char *at)
+{
+    static const char pattern[] = "HTTP/#.# ###";
+    for (const char *p = pattern; *p; p++, at++) {
+        if (*p == '#' ? !g_ascii_isdigit(*at) : *at != *p) {
+            return false;
+        }
+        while (*p == ' ' && at[1] == ' ') {
+            at++;
+        }
+    }
+    return true;
+}
+
+bool
+ae_holds_status_line(const char *text)
+{
+    const char *at = strstr(text, "HTTP/");
+    while (at && !is_status_line(at)) {
+        at = strstr(at + 1, "HTTP/");
+    }
+    return at;
+}
--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -109,4 +109,8 @@
    Borrowed. */
 GByteArray *ae_get_body(Ae *a);
 
+/* A head that breaks off runs on into the one behind it: TEXT, a reason or a
+   field that it ends in, holds that one's first line. */
+bool ae_holds_status_line(const char *text);
+
 #endif
--- a/src/http.c
+++ b/src/http.c
@@ -78,26 +78,6 @@
            !(cut && is_framing_name(m->name->str));
 }
 
-/* A head that breaks off runs on into the one behind it: what it ends in holds
-   that one's first line. */
-static bool
-holds_status_line(const char *text)
-{
-    static const char pattern[] = "HTTP/#.# ###";
-    for (const char *at = strstr(text, "HTTP/"); at;
-         at = strstr(at + 1, "HTTP/")) {
-        size_t i = 0;
-        while (pattern[i] && (pattern[i] == '#' ? g_ascii_isdigit(at[i])
-                                                : pattern[i] == at[i])) {
-            i++;
-        }
-        if (!pattern[i]) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 ht_add_reason(HtMessage *m, const char *at, size_t len)
 {
@@ -114,7 +94,7 @@
     m->in_value = false;
     drop_trailing_blanks(m->value);
     bool whole = strlen(m->value->str) == m->value->len; /* no zero byte */
-    m->torn = m->torn || (m->is_answer && holds_status_line(m->value->str));
+    m->torn = m->torn || (m->is_answer && ae_holds_status_line(m->value->str));
     m->malformed = !check_name(m) || !whole || m->malformed;
     HtHeader h = {
         g_string_chunk_insert_len(m->text, m->name->str, (gssize)m->name->len),
@@ -164,7 +144,7 @@
 ht_finish_head(HtMessage *m, const http_parser *p)
 {
     finish_header(m);
-    m->torn = m->torn || holds_status_line(m->reason->str);
+    m->torn = m->torn || ae_holds_status_line(m->reason->str);
     m->malformed = m->malformed || m->torn;
     m->head_over = true;
     m->head.framing = read_framing(p);
--- a/tests/unit_http.c
+++ b/tests/unit_http.c
@@ -129,6 +129,7 @@
     {"A: b\r\n \r\nB: d\r\n", "A=b|B=d|", NULL},
     {"A: b:c: d\r\n", "A=b:c: d|", NULL},
     {"A: bHTTP/1.1 200 OK\r\n", "A=bHTTP/1.1 200 OK|", "refused"},
+    {"A: bHTTP/1.1  200 OK\r\n", "A=bHTTP/1.1  200 OK|", "refused"},
     {"A: HTTP/HTTP/1.0 404 \r\n", "A=HTTP/HTTP/1.0 404|", "refused"},
     {"Via: HTTP/1.1 proxy\r\n", "Via=HTTP/1.1 proxy|", NULL},
     {"A: b\x80\xff\r\n", "A=b\x80\xff|", NULL},
