Routers take an answer on a kept connection only if it bears the call's id

Callers saw: another caller's stream, another request's refusal, or the status of an earlier answer with their own body, where an engine sent bytes of an earlier answer before the one that was due. Cause: an answer was refused only if it bore another X-Attempt-Id. One without any was taken on a pooled connection, and a copy that breaks off in its head lends its status to the next answer, whose id is right. Why it works: ids of attempts are new each time, so the id proves the answer; an answer without one is taken only on a new connection, which is then closed. No head is taken that holds another answer's first line. A request whose answer isn't proved goes on elsewhere, and doesn't count against the engine. An engine that repeats no ids gets a connection for each stream.

--- a/src/blocking_http.c
+++ b/src/blocking_http.c
@@ -1,5 +1,7 @@
 #include "blocking_http.h"
 
+#include "answer_end.h"
+
 #include <curl/curl.h>
 #include <errno.h>
 #include <netinet/in.h>
@@ -30,6 +32,9 @@
     CURL *easy;
     uint64_t start_ms;
     uint64_t last_byte_ms;
+    bool in_head; /* its first line came */
+    bool head_over;
+    bool named; /* the head has the call's id */
     bool head_reported;
     bool stopped;
     bool too_large;
@@ -110,11 +115,65 @@
    or a faulty upstream may mix up answers, and the caller would get another
    caller's text. */
 static bool
-is_crossed(const Call *call, const char *line, size_t len)
+is_crossed(Call *call, const char *line, size_t len)
 {
     g_autofree char *id = copy_header_value(line, len, "X-Attempt-Id");
-    return id && call->req->attempt_id &&
-           strcmp(id, call->req->attempt_id) != 0;
+    bool own = id && g_strcmp0(id, call->req->attempt_id) == 0;
+    call->named = call->named || own;
+    return id && call->req->attempt_id && !own;
+}
+
+/* A head that broke off, and then the next answer's. */
+static bool
+is_torn(Call *call, const char *line, size_t len)
+{
+    size_t own = call->in_head ? 0 : 1; /* the first line is one itself */
+    g_autofree char *text = g_strndup(line + own, len - own);
+    call->in_head = true;
+    return ae_holds_status_line(text);
+}
+
+static bool
+is_reused(const Call *call)
+{
+    long connects = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+    return connects == 0;
+}
+
+/* The head is over.  False: the answer names no call, and on this connection
+   may be a late copy of an earlier one's. */
+static bool
+finish_head(Call *call)
+{
+    long status = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    bool proved = call->named || !call->req->attempt_id;
+    call->in_head = false;
+    call->named = false;
+    if (status / 100 == 1) {
+        return true;
+    }
+    call->head_over = true;
+    if (!proved) {
+        curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    return proved || !is_reused(call);
+}
+
+/* False: the answer isn't the call's, or can't be known to be. */
+static bool
+check_line(Call *call, const char *line, size_t len)
+{
+    bool last = len <= 2 && (line[0] == '\r' || line[0] == '\n');
+    call->out->crossed = is_crossed(call, line, len);
+    if (!call->head_over && last) {
+        call->out->unproved = !finish_head(call);
+    }
+    else if (!call->head_over) {
+        call->out->unproved = is_torn(call, line, len);
+    }
+    return !call->out->crossed && !call->out->unproved;
 }
 
 static size_t
@@ -124,8 +183,7 @@
     size_t len = size * count;
     call->last_byte_ms = bg_now_ms();
     note_framing(call->out, line, len);
-    if (is_crossed(call, line, len)) {
-        call->out->crossed = true;
+    if (!check_line(call, line, len)) {
         return 0;
     }
     keep_header(&call->out->content_type, line, len, "Content-Type");
@@ -302,7 +360,7 @@
     if (call->stopped) {
         return HC_CANCELLED;
     }
-    if (call->out->crossed) {
+    if (call->out->crossed || call->out->unproved) {
         return HC_BROKEN;
     }
     return was_sent(call) ? HC_BROKEN : HC_NOT_SENT;
@@ -361,9 +419,7 @@
     out->end = run_call(c, &call);
     curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &out->status);
     count_bytes(call.easy);
-    long connects = 0;
-    curl_easy_getinfo(call.easy, CURLINFO_NUM_CONNECTS, &connects);
-    out->reused = connects == 0;
+    out->reused = is_reused(&call);
     out->framed = out->framed || out->status == 204 || out->status == 304;
     long os_error = 0;
     curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &os_error);
--- a/src/blocking_http.h
+++ b/src/blocking_http.h
@@ -30,7 +30,8 @@
     bool fresh;           /* new connection, closed after use, never retried */
     bool renew;           /* new connection, pooled after use */
     /* Sent as X-Attempt-Id; NULL: none.  An answer with a different one
-       belongs to another call: the result is HC_BROKEN. */
+       belongs to another call: the result is HC_BROKEN.  One without any is
+       taken only on a new connection, which is then closed. */
     const char *attempt_id;
     /* Two calls over one connection, and so to the same run of the remote
        process: the first opens it, the second uses no other and closes it. */
@@ -57,6 +58,8 @@
     bool framed;  /* its length is defined by header, chunks or status */
     bool reused;  /* made over a pooled connection */
     bool crossed; /* the answer had another call's X-Attempt-Id */
+    bool
+        unproved; /* it may be another call's, or its head is of two answers */
 } HcResult;
 
 typedef struct HcClient HcClient;
--- a/src/req.c
+++ b/src/req.c
@@ -628,10 +628,14 @@
 }
 
 /* A pooled connection without any answer, or a connection that became silent
-   within an answer, may be dead while the upstream is healthy. */
+   within an answer, may be dead while the upstream is healthy; one with an
+   answer that may be an earlier call's says nothing of this call. */
 static bool
 is_connection_at_fault(const HcResult *res)
 {
+    if (res->unproved) {
+        return res->reused;
+    }
     return res->status == 0 ? res->reused : res->end == HC_TIMEOUT;
 }
 
@@ -675,7 +679,8 @@
 set_result(Req *q, const Ticket *t, Attempt *a)
 {
     a->result.outcome = classify(q, &a->res);
-    a->result.leaving = g_strcmp0(a->res.upstream_state, "leaving") == 0;
+    a->result.leaving =
+        !a->res.unproved && g_strcmp0(a->res.upstream_state, "leaving") == 0;
     a->result.late = a->res.end == HC_TIMEOUT && get_remaining_ms(q) <= 1;
     a->result.silent_connection = is_connection_at_fault(&a->res);
     if (a->res.end == HC_TIMEOUT && !a->result.late) {
@@ -686,7 +691,9 @@
         bg_log(BG_WARN, "req", "Request %s failed at %s: %s, status %ld%s.",
                q->caller_id, t->upstream, hc_end_name(a->res.end),
                a->res.status,
-               a->res.crossed ? ", answer to another call" : "");
+               a->res.crossed    ? ", answer to another call"
+               : a->res.unproved ? ", answer to an unknown call"
+                                 : "");
     }
 }
 
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -15,8 +15,9 @@
 GET  /control/cache_events?from=N: delayed, and some events are missing.
 PUT  /test/faults {stall_loads, fail_loads, cut_stream_after, cut_streams,
      short_answers, cross_answers, silent, leaving, token_ms, refuse_new,
-     report_lag_ms, tiers}.
-     cut_streams: number of streams to cut; short_answers: number of answers
+     report_lag_ms, tiers, stray_bytes}.
+     stray_bytes: texts, each written once before the answer to a streamed
+     completion, on a connection that carried another one; cut_streams: number of streams to cut; short_answers: number of answers
      that end before their Content-Length; cross_answers: number of answers
      that repeat the previous call's answer and X-Attempt-Id.
 """
@@ -62,7 +63,8 @@
                        "silent": False,
                        "leaving": False, "token_ms": args.token_ms,
                        "refuse_new": False,
-                       "report_lag_ms": args.report_lag_ms}
+                       "report_lag_ms": args.report_lag_ms,
+                       "stray_bytes": []}
         self.role = "any"
 
     # ---- orders --------------------------------------------------------
@@ -289,7 +291,16 @@
         return {"id": "cmpl-1", "model": name, "choices": [choice],
                 "usage": {"completion_tokens": len(tokens)}}
 
+    def write_stray(self, h):
+        with self.lock:
+            texts = self.faults["stray_bytes"] if hasattr(h, "streamed") \
+                else []
+            text = texts.pop(0) if texts else ""
+            h.streamed = True
+        h.wfile.write(text.encode())
+
     def stream(self, h, name, tokens, start, chat):
+        self.write_stray(h)
         h.start_stream({"X-Attempt-Id": h.headers.get("X-Attempt-Id", "")})
         for i, token in enumerate(tokens):
             if i < start:
