An answer whose status is none of HTTP's is refused

Callers saw: bytes that are no answer, "HTTP/1.1 20 Status", where an upstream sent a status below 100. Cause: the parser takes one to three digits, and the status was passed on. Why it works: such a head is refused as one with a malformed field is.

--- a/src/http.c
+++ b/src/http.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define MIN_STATUS 100 /* of HTTP; the parser takes lower ones */
+
 /* ---- messages ----------------------------------------------------------- */
 
 void
@@ -145,7 +147,8 @@
 {
     finish_header(m);
     m->torn = m->torn || ae_holds_status_line(m->reason->str);
-    m->malformed = m->malformed || m->torn;
+    bool is_status = !m->is_answer || p->status_code >= MIN_STATUS;
+    m->malformed = m->malformed || m->torn || !is_status;
     m->head_over = true;
     m->head.framing = read_framing(p);
     m->head.method = http_method_str((enum http_method)p->method);
--- a/src/http_internal.h
+++ b/src/http_internal.h
@@ -22,8 +22,9 @@
     bool in_value;  /* of the field being read */
     bool head_over; /* fields that follow are trailers, and are dropped */
     bool torn;      /* an answer's: it runs on into another one's */
-    bool malformed; /* torn, or a field is no field of HTTP: the message can't
-                       be passed on, as others may read it in another way */
+    bool malformed; /* torn, or a field or the status is none of HTTP: the
+                       message can't be passed on, as others may read it in
+                       another way */
 } HtMessage;
 
 void ht_start_message(HtMessage *m, bool is_answer);
