An answer without an id behind another call's proves nothing on a new connection

Callers saw: an answer that was not their own, where an upstream mixed up its answers on a new connection, the last without an id. Cause: an answer that names no call was taken if the connection carried no other one, even behind an answer that named another call. Evidence: test_answer_without_id_behind_another_ones failed before (200 for 502), passes now. A copy with "Connection: close" before the answer, the file's other test, was no fault: green before, too. Why it works: only the first answer of a new connection may lack its id.

--- a/src/http.h
+++ b/src/http.h
@@ -126,9 +126,9 @@
     AeExpect expect;
     /* The upstream repeats this header of the request in its answer, which is
        ours if it does: no connection carries one value twice.  An answer
-       without it is ours only on a connection that carried no other call,
-       which is then closed.  All others are skipped.  NULL: any answer is
-       ours. */
+       without it is ours only as the first on a connection that carried no
+       other call, which is then closed.  All others are skipped.  NULL: any
+       answer is ours. */
     const char *match_name;
     const char *match_value;
     uint32_t max_idle_ms; /* reuse no connection that was idle for longer; 0:
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -221,6 +221,14 @@
              1);
 }
 
+/* Our own answer without an id, on a connection that carried no other call,
+   unless the upstream mixes up its answers. */
+static bool
+is_first_answer(const HtConn *w)
+{
+    return !w->carried && w->call->skipped == 0;
+}
+
 /* A late copy of another call's answer may come where ours is due. */
 static bool
 is_for_other_call(HtConn *w)
@@ -231,7 +239,8 @@
     }
     Match match = match_answer(w, &other);
     w->reusable = w->reusable && match == MATCH_PROVED;
-    if (match == MATCH_PROVED || (match == MATCH_MISSING && !w->carried)) {
+    if (match == MATCH_PROVED ||
+        (match == MATCH_MISSING && is_first_answer(w))) {
         w->call->match = match == MATCH_PROVED ? HT_MATCH_ID : HT_MATCH_FIRST;
         return false;
     }
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -42,3 +42,24 @@
             lambda nth, rid: named(rid, status=status))
         for _ in range(4):
             assert ask(c.gateways[0], "pay", deadline_ms=2000)[0] == 502
+
+
+# An upstream mixes up its answers on a new connection: the second one, which
+# says of no call that it is its own, was taken.
+def test_answer_without_id_behind_another_ones(build):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = Writes(
+            lambda nth, rid: named("other") + answer("other"))
+        for _ in range(4):
+            assert ask(c.gateways[0], "pay", deadline_ms=2000)[0] == 502
+
+
+# The connection is closed after the answer, not after the copy before it.
+def test_copy_that_ends_its_connection(build):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = Writes(lambda nth, rid: named(rid) if nth == 1
+                                      else named("other", "Connection: close"
+                                                 "\r\n") + named(rid))
+        for _ in range(6):
+            status, _, data, rid = ask(c.gateways[0], "pay", deadline_ms=2000)
+            assert (status, json.loads(data)) == (200, {"id": rid})
