Junk in the mailbox that parses as a message counts as no gateway

Seen: the leader counted each such record as a gateway for 30 s, so that all gateways took smaller shares of the retries and of the limits. Cause: any frame with a demand was taken, even an empty one of two bytes. Why it works: a gateway without a link leaves a message only while its callers wait, and a whole one. What is not so is dropped. A message that is so, under a made-up name, can't be told from a gateway's: it bears no proof of its sender. New gauge gateway_fleet, at the leader.

--- a/src/gateway_node_demand.c
+++ b/src/gateway_node_demand.c
@@ -114,6 +114,17 @@
    A gateway that has no link leaves its demand in a topic of the store, which
    the leader reads. */
 
+/* What a gateway leaves is whole, and some of its callers wait. */
+static bool
+is_mail(const Gwp__Demand *d)
+{
+    bool waits = false;
+    for (size_t i = 0; i < d->n_wants; i++) {
+        waits = waits || d->wants[i]->waiting > 0;
+    }
+    return d->whole && waits;
+}
+
 static void
 on_mail_records(void *ctx, const GPtrArray *records, StBatchKind kind,
                 GHashTable *listed)
@@ -126,7 +137,8 @@
         const uint8_t *data =
             r->value ? g_bytes_get_data(r->value, &len) : NULL;
         Gwp__Frame *f = data ? gwp__frame__unpack(NULL, len, data) : NULL;
-        if (f && f->body_case == GWP__FRAME__BODY_DEMAND) {
+        if (f && f->body_case == GWP__FRAME__BODY_DEMAND &&
+            is_mail(f->demand)) {
             g_autofree char *source = g_strconcat("mail ", r->key, NULL);
             gn_note_member(g, r->key);
             gn_take_demand(g, source, f->demand);
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -412,6 +412,7 @@
     ul_on_fleet(g->upstream_limits, now_ms, gateways);
     un_on_gateways(g->notices, gateways);
     if (g->is_leader) {
+        bg_gauge("gateway_fleet", gateways);
         vp_on_gateways(g->versions, now_ms, gn_count_linked(g) + 1);
         gw_on_leader(g->gw, now_ms, ls_get_order_delay_ms(g->lease, now_ms));
         gn_set_mail_interval(g, gn_count_linked(g), gateways);
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -70,3 +70,30 @@
             wait_until(g.is_ready)
         wait_until(lambda: count_upstreams(c) == [UPSTREAMS] * 2)
         assert all(ask(g, "read")[0] == 200 for g in c.gateways)
+
+
+# Frames with a demand, that no gateway leaves: none in it, a delta, none that
+# waits, amounts alone.
+NO_MAIL = [
+    b"\x12\x00",
+    b"\x12\x08\x0a\x06\x0a\x02m0\x18\x01",
+    b"\x12\x02\x20\x01",
+    b"\x12\x08\x0a\x04\x0a\x02m0\x20\x01",
+    b"\x12\x0a\x20\x01\x2a\x06\x0a\x04care",
+]
+
+
+# Each one counted as a gateway for 30 s, and took a share of the retries and
+# of the limits.
+@pytest.mark.parametrize("frame", NO_MAIL)
+def test_junk_in_the_mailbox_is_no_gateway(build, frame):
+    with Cluster(build, gateways=2) as c:
+        first = c.leader()
+        wait_until(c.all_linked)
+        wait_until(lambda: first.metric("gateway_fleet") == 2)
+        for i in range(8):
+            c.store.put("keyed.bglade-mail", "x%d" % i, frame)
+        until = time.monotonic() + 2
+        while time.monotonic() < until:   # it reads its mailbox each second
+            assert first.metric("gateway_fleet") == 2
+            time.sleep(0.1)
