--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -524,6 +524,7 @@
     HtRequest req = {
         .address = ut_get_address(q->ut),
         .way = HT_WAY_ANY,
+        .purpose = HT_FOR_REQUEST,
         .request = build_request(q, now_ms),
         .connect_ms = q->gw->params.connect_ms,
         .expect = {q->gw->params.max_body_bytes, q->gw->params.max_event_bytes,
--- a/src/http.h
+++ b/src/http.h
@@ -117,9 +117,21 @@
     HT_WAY_ANY /* also by way of another gateway, see ht_set_detours */
 } HtWay;
 
+/* What a connection is opened for, as counted. */
+typedef enum {
+    HT_FOR_OTHERS, /* no upstream is called */
+    HT_FOR_REQUEST,
+    HT_FOR_REPORT,
+    HT_FOR_ORDER,
+    HT_FOR_CHECK,
+    HT_FOR_PROBE,
+    HT_PURPOSES
+} HtPurpose;
+
 typedef struct {
     const char *address; /* IP:PORT */
     HtWay way;
+    HtPurpose purpose;
     /* Head and body; taken over by the call. */
     GByteArray *request;
     uint32_t connect_ms;
@@ -234,6 +246,7 @@
 typedef struct {
     const char *address; /* IP:PORT */
     HtWay way;
+    HtPurpose purpose;
     bool fresh; /* as in HtRequest */
     const char *method;
     const char *target;
--- a/src/http_check.c
+++ b/src/http_check.c
@@ -76,6 +76,7 @@
     HtCheck *check = timer->data;
     HtRequest req = {.address = check->address,
                      .way = HT_WAY_ANY,
+                     .purpose = HT_FOR_CHECK,
                      .request = g_byte_array_new(),
                      .connect_ms = CONNECT_MS,
                      .fresh = true};
--- a/src/http_fetch.c
+++ b/src/http_fetch.c
@@ -107,6 +107,7 @@
     f->target = g_strdup(req->target);
     HtRequest call = {.address = req->address,
                       .way = req->way,
+                      .purpose = req->purpose,
                       .fresh = req->fresh,
                       .request = build_fetch(req),
                       .expect = {MAX_BODY_BYTES, MAX_BODY_BYTES, req->may_end},
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -24,6 +24,19 @@
 static void on_readable(struct ev_loop *loop, ev_io *watch, int events);
 static void on_writable(struct ev_loop *loop, ev_io *watch, int events);
 
+static void
+count_opened(const HtCall *opener)
+{
+    static const char *const names[HT_PURPOSES] = {
+        "gateway_connections_for_others_total",
+        "gateway_connections_for_requests_total",
+        "gateway_connections_for_reports_total",
+        "gateway_connections_for_orders_total",
+        "gateway_connections_for_checks_total",
+        "gateway_connections_for_probes_total"};
+    bg_count(names[opener ? opener->purpose : HT_FOR_PROBE], 1);
+}
+
 HtConn *
 ht_open_conn(HtPool *p, const char *address, const char *helper, HtWay way,
              HtCall *opener)
@@ -35,6 +48,7 @@
     HtConn *w = g_new0(HtConn, 1);
     w->pool = p;
     w->number = ++p->opened;
+    count_opened(opener);
     w->address = g_strdup(address);
     w->helper = g_strdup(helper);
     w->framed = g_byte_array_new();
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -648,6 +648,7 @@
     call->match_value = g_strdup(req->match_value);
     call->way = p->detours.paths ? req->way : HT_WAY_DIRECT;
     call->fresh = req->fresh;
+    call->purpose = req->purpose;
     return call;
 }
 
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -75,6 +75,7 @@
     uint64_t unnamed_ms; /* when an answer came that says of no call that it is
                             its own; 0: none did */
     HtWay way;
+    HtPurpose purpose;
     bool may_detour;
     bool fresh;
     bool heard;  /* a byte came back */
