The order after an unload waits as long as unloads lately took

The next order went out 2 ms after the answer to an unload, was refused with a conflict, and sent again 25 ms later, once or twice; each opened a connection.

Now the leader waits; each first order after an unload that is refused makes the wait 10 ms longer (100 at the most), each that is accepted 2 ms shorter.

The unit test fails without the change.

--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -23,6 +23,11 @@
 /* An unload waits for running requests.  So conflicts are expected for this
    long after it is accepted, and are no sign of unknown content. */
 #define UNLOAD_DRAIN_MS 1200
+/* Steps of the wait after an unload, whenever the next order was refused or
+   accepted: one in six is refused then. */
+#define UNLOAD_WAIT_MORE_MS 10
+#define UNLOAD_WAIT_LESS_MS 2
+#define MAX_UNLOAD_WAIT_MS 100
 /* Between reports requested for broken connections of one upstream. */
 #define SUSPECT_INTERVAL_MS 500
 /* If requests wait this long for a model with a usable replica, the known
@@ -685,13 +690,15 @@
 }
 
 static void
-apply_model_order(Up *u, uint64_t now_ms, double load_integral_ms)
+apply_model_order(const Mp *m, Up *u, uint64_t now_ms)
 {
     Replica *r = mp_find_replica(u, u->order_model);
     if (u->order_unload) {
         /* Its memory counts as free from now on: until the unload is done the
            upstream refuses the next order with a conflict. */
         u->unloaded_ms = now_ms;
+        u->after_unload = true;
+        u->retry_ms = now_ms + m->unload_ms;
         if (r) {
             remove_replica(u, r);
         }
@@ -703,7 +710,7 @@
     r->ordered_ms = now_ms;
     r->late = false;
     r->expected_ms = now_ms + u->order_load_ms;
-    r->integral_at_start_ms = load_integral_ms;
+    r->integral_at_start_ms = m->load_integral_ms;
     r->ready_ms = u->order_from_store ? WHEN_REPORTED : r->expected_ms;
     r->used_ms = r->expected_ms;
     u->busy_until_ms = r->ready_ms;
@@ -745,7 +752,7 @@
         apply_adapter_order(u, now_ms);
     }
     else {
-        apply_model_order(u, now_ms, m->load_integral_ms);
+        apply_model_order(m, u, now_ms);
     }
     u->published = false;
 }
@@ -793,6 +800,26 @@
     mp_set_goal(u, NULL);
 }
 
+/* The first order after an unload shows whether it came too early. */
+static void
+note_after_unload(Mp *m, Up *u, MpOrderResult result)
+{
+    uint64_t after_ms = u->order_ms - u->unloaded_ms;
+    if (!u->after_unload) {
+        return;
+    }
+    u->after_unload = false;
+    if (result == MP_ORDER_CONFLICT && after_ms <= MAX_UNLOAD_WAIT_MS) {
+        m->unload_ms =
+            MIN(MAX(m->unload_ms, (uint32_t)after_ms) + UNLOAD_WAIT_MORE_MS,
+                MAX_UNLOAD_WAIT_MS);
+    }
+    else if (result == MP_ORDER_ACCEPTED &&
+             m->unload_ms >= UNLOAD_WAIT_LESS_MS) {
+        m->unload_ms -= UNLOAD_WAIT_LESS_MS;
+    }
+}
+
 void
 mp_on_order_result(Mp *m, uint64_t now_ms, const char *id,
                    MpOrderResult result)
@@ -802,6 +829,7 @@
         return;
     }
     u->ordered = false;
+    note_after_unload(m, u, result);
     if (u->order_from_store && result != MP_ORDER_ACCEPTED &&
         result != MP_ORDER_UNKNOWN) {
         mp_cancel_store_start(m, u->order_ms);
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -113,6 +113,7 @@
     uint64_t retry_ms;         /* no order is sent before */
     uint64_t changed_ms;       /* last order that was accepted, or may be */
     uint64_t unloaded_ms;      /* last unload of a model that was accepted */
+    bool after_unload;         /* of a model; no order was answered since */
     uint64_t quiet_ms;         /* nothing is sent to it before */
     uint64_t rested_ms;        /* most gateways send nothing to it before */
     Model *goal;               /* model chosen to be loaded here; NULL: none */
@@ -177,6 +178,8 @@
     const DepService *store_blocked; /* in this tick the store starts no more
                                         loads for it */
     MpStoreLimits store;
+    uint32_t unload_ms; /* after an unload, before most upstreams take the next
+                           order */
     uint64_t store_late_ms;       /* when a load was last found late */
     double load_integral_ms;      /* of concurrent store loads over time */
     uint64_t load_integral_at_ms; /* end of the integral */
--- a/tests/unit_gateway.c
+++ b/tests/unit_gateway.c
@@ -1077,6 +1077,7 @@
     char *order_adapter;
     int loads;
     int unloads;
+    uint64_t unloaded_ms;
     GHashTable *usable; /* set of models published to gateways */
 } Engine;
 
@@ -1099,6 +1100,8 @@
                                    its rate; 0: no limit */
     uint32_t load_ms;           /* at full speed */
     int refused;                /* unloads */
+    uint32_t unload_ms; /* no order is accepted for so long after one */
+    int early;          /* orders refused for that */
     bool overcommitted;
     uint64_t now_ms;
 } Site;
@@ -1165,6 +1168,10 @@
     if (e->loading || o->sequence != e->state->sequence) {
         return MP_ORDER_CONFLICT;
     }
+    if (s->now_ms < e->unloaded_ms + s->unload_ms) {
+        s->early++;
+        return MP_ORDER_CONFLICT;
+    }
     if (o->unload && !e->order_adapter && s->refuse_unloads) {
         s->refused++;
         return MP_ORDER_CONFLICT;
@@ -1192,6 +1199,7 @@
     }
     if (o->unload) {
         e->unloads++;
+        e->unloaded_ms = s->now_ms;
         if (r) {
             e->used_mb -= MODEL_MB;
             g_ptr_array_remove(e->state->models, r);
@@ -1500,6 +1508,26 @@
     stop_site(&s);
 }
 
+/* An upstream that unloads takes no order: most orders are sent after that. */
+static void
+test_placement_waits_for_unloads(void)
+{
+    Site s;
+    start_site(&s, 6);
+    s.unload_ms = 60;
+    for (int i = 1; i < ENGINES; i++) {
+        mp_on_removed(s.mp, s.engines[i].state->id);
+    }
+    for (int i = 0; i < 60; i++) {
+        g_autofree char *model = g_strdup_printf("m%d", i % 6);
+        report_waiting(&s, "g", model, NULL, 1);
+        run_site(&s, 2500, true);
+    }
+    CU_ASSERT(s.engines[0].unloads > 30);
+    CU_ASSERT(s.early * 3 < s.engines[0].unloads);
+    stop_site(&s);
+}
+
 /* The same as test_placement_never_overcommits for adapters, of which an
    engine can hold eight. */
 static void
@@ -2462,6 +2490,7 @@
         {"leaves a restarted engine until its entry",
          test_placement_leaves_a_restarted_engine_until_its_entry},
         {"never overcommits", test_placement_never_overcommits},
+        {"waits for unloads", test_placement_waits_for_unloads},
         {"after refused unload", test_placement_after_refused_unload},
         {"adapters", test_placement_of_adapters},
         {"adapters take turns", test_adapters_take_turns},
