A test that each order has a connection of its own

Unsafe by this trace: an order is answered 200 (it holds already; the sequence stays) and the copy is kept back; the next one, an unload, is refused with 409, but the copy of the 200 is read first and taken for its answer; the sequence that the leader expects is still the upstream's, so the load that follows is accepted beyond the upstream's memory.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -135,6 +135,20 @@
         assert "answer with status" not in log
 
 
+# A copy of "already so", taken for the answer to an unload that was refused,
+# would let a load follow for which there is no memory.
+def test_each_order_has_its_own_connection(build):
+    with Cluster(build, models=(("m0",),), apps=1) as c:
+        copies = LateCopies(c.engines[0], "/order")
+        for i in range(8):
+            assert ask(c.gateways[0], "chat", "m%d" % (i % 3), b"%d" % i,
+                       deadline_ms=4000)[0] == 200
+        orders = [n for n, path in copies.asked if path == "/order"]
+        assert len(orders) >= 6
+        for nth in orders:
+            assert [n for n, _ in copies.asked].count(nth) == 1
+
+
 # An answer without the id of its request, on a connection that carried others,
 # may be of any of them; on a new one it is the request's.
 @pytest.mark.parametrize("kept", [False, True])
