An answer that breaks off in its body is not filled up with a copy behind it

Callers saw: 200 with the begin of their own body and then the head of another answer, as long as the length had announced (MIXED). Cause: what ends a body is its length, or its chunks; when an answer breaks off and a copy comes behind it on the connection, the copy's bytes count as its rest. With chunks, too: libhttp_parser, built without its strict mode, skips any two bytes behind a chunk, and reads a size in what follows (the digits of an id, "00 OK"). Why it works: a copy bears an id that its connection carried; a body, or an event, that holds a status line and such an id holds a copy. If the body ends before that id, the copy's rest is behind it, and is not the begin of an answer. Behind each chunk a line end is asked for. The request then counts as broken, as if its connection had ended. Left: a body that ends between the copy's first line and its id, if the rest of the copy comes in a later read.

--- a/src/http.c
+++ b/src/http.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define STATUS_LINE HT_FIRST_BYTES "#.# ###" /* #: a digit */
+
 /* ---- messages ----------------------------------------------------------- */
 
 void
@@ -78,24 +80,65 @@
            !(cut && is_framing_name(m->name->str));
 }
 
+static bool
+is_status_line(const char *at)
+{
+    static const char pattern[] = STATUS_LINE;
+    size_t i = 0;
+    while (pattern[i] && (pattern[i] == '#' ? g_ascii_isdigit(at[i])
+                                            : pattern[i] == at[i])) {
+        i++;
+    }
+    return !pattern[i];
+}
+
+const char *
+ht_find_status_line(const char *text, size_t len)
+{
+    const char *end = text + len;
+    const char *at = text;
+    while ((at = memmem(at, (size_t)(end - at), HT_FIRST_BYTES,
+                        strlen(HT_FIRST_BYTES))) &&
+           (size_t)(end - at) >= strlen(STATUS_LINE)) {
+        if (is_status_line(at)) {
+            return at;
+        }
+        at++;
+    }
+    return NULL;
+}
+
+bool
+ht_may_begin_answer(const uint8_t *data, size_t len)
+{
+    size_t blank = 0;
+    while (blank < len && (data[blank] == '\r' || data[blank] == '\n')) {
+        blank++;
+    }
+    size_t first = MIN(len - blank, strlen(HT_FIRST_BYTES));
+    return first == 0 || memcmp(data + blank, HT_FIRST_BYTES, first) == 0;
+}
+
+char *
+ht_read_field(const char *line, size_t len, const char *name)
+{
+    size_t name_len = strlen(name);
+    const char *line_end = memchr(line, '\r', len);
+    if (!line_end || (size_t)(line_end - line) <= name_len ||
+        g_ascii_strncasecmp(line, name, name_len) != 0 ||
+        line[name_len] != ':') {
+        return NULL;
+    }
+    const char *value = line + name_len + 1;
+    return g_strstrip(g_strndup(value, (gsize)(line_end - value)));
+}
+
 /* A head that breaks off runs on into the one behind it: what it ends in holds
    that one's first line. */
 static bool
 holds_status_line(const char *text)
 {
-    static const char pattern[] = "HTTP/#.# ###";
-    for (const char *at = strstr(text, "HTTP/"); at;
-         at = strstr(at + 1, "HTTP/")) {
-        size_t i = 0;
-        while (pattern[i] && (pattern[i] == '#' ? g_ascii_isdigit(at[i])
-                                                : pattern[i] == at[i])) {
-            i++;
-        }
-        if (!pattern[i]) {
-            return true;
-        }
-    }
-    return false;
+    return ht_find_status_line(text, strlen(text)) != NULL;
 }
 
 void
--- a/src/http_internal.h
+++ b/src/http_internal.h
@@ -9,6 +9,8 @@
 #include <http_parser.h>
 
 #define HT_READ_BYTES 65536
+/* Of each answer. */
+#define HT_FIRST_BYTES "HTTP/"
 
 typedef struct {
     HtHead head;
@@ -39,5 +41,12 @@
 /* Its transfer coding is chunks or none: no other is undone here, nor passed
    on. */
 bool ht_has_known_coding(const HtHead *head);
+/* An answer's first line inside TEXT, up to its status; NULL: there is none.
+ */
+const char *ht_find_status_line(const char *text, size_t len);
+/* DATA begins as an answer does, perhaps behind blank lines, or is empty. */
+bool ht_may_begin_answer(const uint8_t *data, size_t len);
+/* The value of field NAME, if LINE holds it and its end; else NULL. */
+char *ht_read_field(const char *line, size_t len, const char *name);
 
 #endif
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -33,6 +33,7 @@
 #define UNNAMED_MS 250
 /* On one connection, whose ids are kept. */
 #define MAX_KEPT_IDS 512
+#define LINE_END "\r\n"
 
 void
 ht_free_call(HtCall *call)
@@ -314,36 +315,90 @@
                         : PARSER_GO_ON;
 }
 
-/* False: the call was cancelled, or its answer is too large. */
+static uint32_t
+digest_id(const char *id)
+{
+    return XXH32(id, strlen(id), 0);
+}
+
+/* An id may name several requests, and proves no answer on a connection that
+   carried it before.  Equal digests of others only cost a connection. */
+static bool
+has_carried(const HtConn *w, const char *id)
+{
+    uint32_t digest = id ? digest_id(id) : 0;
+    for (guint i = 0; id && i < w->ids->len; i++) {
+        if (g_array_index(w->ids, uint32_t, i) == digest) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The head of an answer that was sent on W: the one being read broke off
+   before it.  The ids tell it from a text about HTTP. */
 static bool
+holds_answer(const HtConn *w, const char *text, size_t len)
+{
+    const char *name = w->call->match_name;
+    const char *end = text + len;
+    const char *at = name ? ht_find_status_line(text, len) : NULL;
+    while (at && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        at++;
+        g_autofree char *id = ht_read_field(at, (size_t)(end - at), name);
+        if (id && has_carried(w, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
 take_body(HtConn *w, const char *data, size_t len)
 {
     HtCall *call = w->call;
     call->handler.on_bytes(call->handler.ctx, call, len);
     AeResult r = AE_READ_EVENT;
-    while (!w->cancelled && r == AE_READ_EVENT) {
+    while (!w->cancelled && !w->garbled && r == AE_READ_EVENT) {
         EsEvent event;
         size_t used;
         r = ae_read(call->answer, data, len, &used, &event);
         data += used;
         len -= used;
-        if (r == AE_READ_EVENT) {
+        w->garbled =
+            r == AE_READ_EVENT && holds_answer(w, event.text, event.len);
+        if (r == AE_READ_EVENT && !w->garbled) {
             call->handler.on_event(call->handler.ctx, call, &event);
         }
     }
     w->too_large = !w->cancelled && r == AE_READ_TOO_LARGE;
-    return !w->cancelled && !w->too_large;
+}
+
+/* The last DUE bytes of the line end behind a chunk are at AT.  The parser
+   skips any two bytes there. */
+static void
+check_chunk_end(HtConn *w, const char *at, size_t due)
+{
+    size_t here = MIN(due, (size_t)(w->input_end - at));
+    w->garbled =
+        w->garbled || memcmp(at, LINE_END + strlen(LINE_END) - due, here) != 0;
+    w->chunk_end_due = due - here;
 }
 
 static int
 on_answer_body(http_parser *p, const char *at, size_t len)
 {
     HtConn *w = p->data;
+    if (p->flags & F_CHUNKED && p->content_length == 0) {
+        check_chunk_end(w, at + len, strlen(LINE_END));
+    }
     if (w->skipped) {
         w->skipped_bytes += len;
-        return 0;
     }
-    return take_body(w, at, len) ? 0 : -1;
+    else if (!w->garbled) {
+        take_body(w, at, len);
+    }
+    return w->cancelled || w->too_large || w->garbled ? -1 : 0;
 }
 
 static int
@@ -374,6 +429,8 @@
 {
     w->got_message = false;
     w->too_large = false;
+    w->garbled = false;
+    w->chunk_end_due = 0;
     w->in_body = false;
     w->before_head_bytes = 0;
     w->skipped_bytes = 0;
@@ -383,40 +440,43 @@
     ht_free_message(&w->msg);
 }
 
-static uint32_t
-digest_id(const char *id)
+static void
+keep_id(HtConn *w)
 {
-    return XXH32(id, strlen(id), 0);
+    if (w->call->match_value) {
+        uint32_t digest = digest_id(w->call->match_value);
+        g_array_append_val(w->ids, digest);
+    }
 }
 
-/* An id may name several requests, and proves no answer on a connection that
-   carried it before.  Equal digests of others only cost a connection. */
+/* Behind a whole answer a copy of one may follow; anything else shows that its
+   length is wrong.  REST: bytes behind the answer. */
 static bool
-has_carried(const HtConn *w, const char *id)
+is_garbled(const HtConn *w, const uint8_t *rest, size_t left)
 {
-    uint32_t digest = id ? digest_id(id) : 0;
-    for (guint i = 0; id && i < w->ids->len; i++) {
-        if (g_array_index(w->ids, uint32_t, i) == digest) {
-            return true;
-        }
-    }
-    return false;
+    Ae *answer = w->call->answer;
+    const GByteArray *body = ae_get_body(answer);
+    bool has_body = ae_get_framing(answer) != AE_NO_BODY;
+    return w->garbled || (has_body && !ht_may_begin_answer(rest, left)) ||
+           holds_answer(w, (const char *)body->data, body->len);
 }
 
 static void
-keep_id(HtConn *w)
+fail_garbled(HtConn *w)
 {
-    if (w->call->match_value) {
-        uint32_t digest = digest_id(w->call->match_value);
-        g_array_append_val(w->ids, digest);
-    }
+    bg_count("gateway_garbled_bodies_total", 1);
+    ht_fail_conn(w, AE_INVALID);
 }
 
-/* The message is over; LEFT unexpected bytes followed it. */
+/* The message is over; LEFT unexpected bytes followed it, REST. */
 static void
-finish_answer(HtConn *w, size_t left)
+finish_answer(HtConn *w, const uint8_t *rest, size_t left)
 {
     HtCall *call = w->call;
+    if (is_garbled(w, rest, left)) {
+        fail_garbled(w);
+        return;
+    }
     /* A late copy of an answer to HEAD can't be skipped: it has no body, and
        doesn't show that. */
     bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
@@ -470,6 +530,14 @@
     if (len > 0) {
         note_heard(w);
     }
+    w->input_end = len > 0 ? (const char *)data + len : NULL;
+    if (len > 0 && w->chunk_end_due > 0) {
+        check_chunk_end(w, (const char *)data, w->chunk_end_due);
+    }
+    if (w->garbled) {
+        fail_garbled(w);
+        return;
+    }
     w->parsing = true;
     size_t used = http_parser_execute(&w->parser, &answer_settings,
                                       (const char *)data, len);
@@ -480,11 +548,15 @@
     }
     enum http_errno e = HTTP_PARSER_ERRNO(&w->parser);
     if (w->got_message) {
-        finish_answer(w, len - used);
+        size_t left = len - used;
+        finish_answer(w, left > 0 ? data + used : NULL, left);
     }
     else if (w->too_large) {
         close_call(w, AE_TOO_LARGE);
     }
+    else if (w->garbled) {
+        fail_garbled(w);
+    }
     else if (len == 0) {
         ht_fail_conn(w, AE_CLOSED);
     }
