An answer that breaks off before the last byte of its head has no copy as body

Callers saw: a whole answer with their own status and id, and as its body another answer from its second byte on (MIXED). Cause: libhttp_parser, built without its strict mode, takes any byte for the line feed that ends a head or a chunk's size, so the H of a copy behind it. Why it works: the byte before the body, before a chunk's data, and the last one of an answer without a body has to be a line feed. All other bytes of a head are checked by the parser.

--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -285,6 +285,7 @@
 {
     HtConn *w = p->data;
     w->in_body = true;
+    w->line_ended = true;
     ht_finish_head(&w->msg, p);
     if (w->msg.torn) {
         bg_count("gateway_torn_heads_total", 1);
@@ -385,10 +386,29 @@
     w->chunk_end_due = due - here;
 }
 
+/* The parser takes any byte for the last one of a head, or of a chunk's size.
+   AT: behind it. */
+static bool
+follows_line_end(const HtConn *w, const char *at)
+{
+    char before = at > w->input ? at[-1] : w->last_byte;
+    return before == '\n';
+}
+
+static int
+on_answer_chunk(http_parser *p)
+{
+    HtConn *w = p->data;
+    w->line_ended = true;
+    return 0;
+}
+
 static int
 on_answer_body(http_parser *p, const char *at, size_t len)
 {
     HtConn *w = p->data;
+    w->garbled = w->garbled || (w->line_ended && !follows_line_end(w, at));
+    w->line_ended = false;
     if (p->flags & F_CHUNKED && p->content_length == 0) {
         check_chunk_end(w, at + len, strlen(LINE_END));
     }
@@ -420,6 +440,7 @@
     .on_header_field = on_answer_name,
     .on_header_value = on_answer_value,
     .on_headers_complete = on_answer_head,
+    .on_chunk_header = on_answer_chunk,
     .on_body = on_answer_body,
     .on_message_complete = on_answer_end,
 };
@@ -530,7 +551,8 @@
     if (len > 0) {
         note_heard(w);
     }
-    w->input_end = len > 0 ? (const char *)data + len : NULL;
+    w->input = (const char *)data;
+    w->input_end = len > 0 ? w->input + len : NULL;
     if (len > 0 && w->chunk_end_due > 0) {
         check_chunk_end(w, (const char *)data, w->chunk_end_due);
     }
@@ -542,6 +564,7 @@
     size_t used = http_parser_execute(&w->parser, &answer_settings,
                                       (const char *)data, len);
     w->parsing = false;
+    w->last_byte = len > 0 ? (char)data[len - 1] : w->last_byte;
     if (w->cancelled) {
         ht_close_conn(w);
         return;
@@ -549,6 +572,9 @@
     enum http_errno e = HTTP_PARSER_ERRNO(&w->parser);
     if (w->got_message) {
         size_t left = len - used;
+        /* Nothing came behind that line. */
+        w->garbled = w->garbled ||
+                     (w->line_ended && used > 0 && data[used - 1] != '\n');
         finish_answer(w, left > 0 ? data + used : NULL, left);
     }
     else if (w->too_large) {
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -38,18 +38,22 @@
     bool in_body;    /* the head of the message being read is over */
     size_t before_head_bytes; /* since the last head that is not interim */
     size_t skipped_bytes;     /* of bodies */
-    bool got_message; /* all that the answer's framing announced came */
-    bool too_large;   /* the answer has more bytes than are kept */
-    bool garbled;     /* the answer's body holds a part of another answer */
-    const char *input_end; /* of what is being parsed */
-    size_t chunk_end_due;  /* bytes of the line end behind a chunk, which come
-                              with the next input */
-    bool parsing;          /* inside the parser's callbacks */
-    bool cancelled;        /* by a handler, inside the parser's callbacks */
-    bool unframing;        /* inside the loop over a helper's frames */
-    bool closed;           /* meanwhile: freed after that loop */
-    uint32_t keep_ms;      /* how long it may be idle */
-    uint64_t since_ms;     /* idle, or opening, since */
+    bool got_message;  /* all that the answer's framing announced came */
+    bool too_large;    /* the answer has more bytes than are kept */
+    bool garbled;      /* the answer's body holds a part of another answer */
+    const char *input; /* being parsed */
+    const char *input_end;
+    char last_byte;  /* of the input before that */
+    bool line_ended; /* the next byte of the body follows a line: the head, or
+                        the size of a chunk */
+    size_t chunk_end_due; /* bytes of the line end behind a chunk, which come
+                             with the next input */
+    bool parsing;         /* inside the parser's callbacks */
+    bool cancelled;       /* by a handler, inside the parser's callbacks */
+    bool unframing;       /* inside the loop over a helper's frames */
+    bool closed;          /* meanwhile: freed after that loop */
+    uint32_t keep_ms;     /* how long it may be idle */
+    uint64_t since_ms;    /* idle, or opening, since */
     uint64_t
         opened_ms; /* it was open at the latest then; 0: no call used it */
     GList *link;   /* in the pool's conns */
