--- a/src/answer_end.c
+++ b/src/answer_end.c
@@ -3,6 +3,9 @@
 #include <jansson.h>
 #include <string.h>
 
+#define FIRST_BYTES "HTTP/"               /* of each answer */
+#define STATUS_LINE FIRST_BYTES "#.# ###" /* #: a digit */
+
 struct Ae {
     AeExpect expect;
     AeFraming framing;
@@ -210,28 +213,41 @@
     return a->body;
 }
 
-/* Blanks as the parser takes them. */
+/* TEXT begins with a first line, up to its status.  Blanks as the parser takes
+   them. */
 static bool
-is_status_line(const char *at)
+is_status_line(const char *text, const char *end)
 {
-    static const char pattern[] = "HTTP/#.# ###";
+    static const char pattern[] = STATUS_LINE;
+    const char *at = text;
     for (const char *p = pattern; *p; p++, at++) {
-        if (*p == '#' ? !g_ascii_isdigit(*at) : *at != *p) {
+        if (at == end || (*p == '#' ? !g_ascii_isdigit(*at) : *at != *p)) {
             return false;
         }
-        while (*p == ' ' && at[1] == ' ') {
+        while (*p == ' ' && end - at > 1 && at[1] == ' ') {
             at++;
         }
     }
     return true;
 }
 
-bool
-ae_holds_status_line(const char *text)
+const char *
+ae_find_status_line(const char *text, size_t len)
 {
-    const char *at = strstr(text, "HTTP/");
-    while (at && !is_status_line(at)) {
-        at = strstr(at + 1, "HTTP/");
+    if (len == 0) {
+        return NULL;
+    }
+    const char *end = text + len;
+    const char *at = memmem(text, len, FIRST_BYTES, strlen(FIRST_BYTES));
+    while (at && !is_status_line(at, end)) {
+        at++;
+        at = memmem(at, (size_t)(end - at), FIRST_BYTES, strlen(FIRST_BYTES));
     }
     return at;
 }
+
+bool
+ae_holds_status_line(const char *text)
+{
+    return ae_find_status_line(text, strlen(text)) != NULL;
+}
--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -105,12 +105,14 @@
 uint64_t ae_get_bytes(const Ae *a);
 /* Of an event stream: those behind the last event. */
 size_t ae_get_rest_bytes(const Ae *a);
-/* Call it after ae_end.  Of an event stream: the rest, which is no event.
-   Borrowed. */
+/* Call it when the message is over.  Of an event stream: the rest, which is no
+   event. Borrowed. */
 GByteArray *ae_get_body(Ae *a);
 
-/* A head that breaks off runs on into the one behind it: TEXT, a reason or a
-   field that it ends in, holds that one's first line. */
+/* An answer's first line inside TEXT, up to its status; NULL: there is none.
+   A head that breaks off runs on into the one behind it: the reason or the
+   field that it ends in holds that one's. */
+const char *ae_find_status_line(const char *text, size_t len);
 bool ae_holds_status_line(const char *text);
 
 #endif
--- a/src/http.c
+++ b/src/http.c
@@ -80,6 +80,31 @@
            !(cut && is_framing_name(m->name->str));
 }
 
+bool
+ht_may_begin_answer(const uint8_t *data, size_t len)
+{
+    size_t blank = 0;
+    while (blank < len && (data[blank] == '\r' || data[blank] == '\n')) {
+        blank++;
+    }
+    size_t first = MIN(len - blank, strlen(HT_FIRST_BYTES));
+    return first == 0 || memcmp(data + blank, HT_FIRST_BYTES, first) == 0;
+}
+
+char *
+ht_read_field(const char *line, size_t len, const char *name)
+{
+    size_t name_len = strlen(name);
+    const char *line_end = memchr(line, '\r', len);
+    if (!line_end || (size_t)(line_end - line) <= name_len ||
+        g_ascii_strncasecmp(line, name, name_len) != 0 ||
+        line[name_len] != ':') {
+        return NULL;
+    }
+    const char *value = line + name_len + 1;
+    return g_strstrip(g_strndup(value, (gsize)(line_end - value)));
+}
+
 void
 ht_add_reason(HtMessage *m, const char *at, size_t len)
 {
