Stray bytes behind a whole answer don't spoil it

Callers saw: 502 for an answer that was whole, where the upstream sent bytes behind it that begin no answer. Cause: such bytes were taken to show that the length was wrong, and that a copy had filled the body up. Change: they do so only if a first line begins inside the body. test_bytes_behind_a_whole_answer: 3 of 3 red with the former rule, green now; test_copies_inside stays green.

--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -34,6 +34,8 @@
 /* On one connection, whose ids are kept. */
 #define MAX_KEPT_IDS 512
 #define LINE_END "\r\n"
+/* Up to its status: a copy of an upstream's has few blanks. */
+#define MAX_STATUS_LINE_BYTES ((size_t)16)
 
 void
 ht_free_call(HtCall *call)
@@ -479,15 +481,35 @@
     }
 }
 
-/* Behind a whole answer a copy of one may follow; anything else shows that its
-   length is wrong.  REST: bytes behind the answer. */
+/* BODY holds the begin of a first line whose rest follows in REST. */
+static bool
+ends_in_status_line(const GByteArray *body, const uint8_t *rest, size_t left)
+{
+    size_t before = MIN(body->len, MAX_STATUS_LINE_BYTES);
+    size_t behind = MIN(left, MAX_STATUS_LINE_BYTES);
+    char text[2 * MAX_STATUS_LINE_BYTES];
+    memcpy(text, body->data + body->len - before, before);
+    memcpy(text + before, rest, behind);
+    const char *found = ae_find_status_line(text, before + behind);
+    return found && found < text + before;
+}
+
+/* The body is over, and what follows is no answer's begin: the body is whole,
+   and these bytes are nobody's, unless an answer begins inside it.  REST:
+   bytes behind the answer. */
+static bool
+runs_on(const GByteArray *body, const uint8_t *rest, size_t left)
+{
+    return body->len > 0 && left > 0 && !ht_may_begin_answer(rest, left) &&
+           (ae_find_status_line((const char *)body->data, body->len) ||
+            ends_in_status_line(body, rest, left));
+}
+
 static bool
 is_garbled(const HtConn *w, const uint8_t *rest, size_t left)
 {
-    Ae *answer = w->call->answer;
-    const GByteArray *body = ae_get_body(answer);
-    bool has_body = ae_get_framing(answer) != AE_NO_BODY;
-    return w->garbled || (has_body && !ht_may_begin_answer(rest, left)) ||
+    const GByteArray *body = ae_get_body(w->call->answer);
+    return w->garbled || runs_on(body, rest, left) ||
            holds_answer(w, (const char *)body->data, body->len);
 }
 
--- a/tests/test_copies_inside.py
+++ b/tests/test_copies_inside.py
@@ -93,3 +93,18 @@
                                                 own, framing, packets)
             wrong = find_wrong(c, route, model, inside)
             assert not wrong, (own, framing, packets)
+
+
+# Bytes behind a whole answer are nobody's, and don't spoil it.
+@pytest.mark.parametrize("extra", [b"x", b"garbage\r\n\r\n", b"\0" * 300],
+                         ids=["one", "line", "zeros"])
+def test_bytes_behind_a_whole_answer(build, extra):
+    with Cluster(build, models=(), apps=1) as c:
+        def answer(engine, h, rid):
+            h.wfile.write(make_answer(engine, rid, json.dumps({"id": rid}),
+                                      LENGTH) + extra)
+            return True
+        c.apps[0].on_request = answer
+        for i in range(6):
+            status, _, data, rid = ask(c.gateways[0], "pay", body=b"%d" % i)
+            assert (status, json.loads(data)) == (200, {"id": rid})
