--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -17,7 +17,8 @@
      short_answers, cross_answers, silent, leaving, token_ms, refuse_new,
      report_lag_ms, tiers, stray_bytes}.
      stray_bytes: texts, each written once before the answer to a streamed
-     completion, on a connection that carried another one; cut_streams: number of streams to cut; short_answers: number of answers
+     completion, on a connection that carried another one.
+     cut_streams: number of streams to cut; short_answers: number of answers
      that end before their Content-Length; cross_answers: number of answers
      that repeat the previous call's answer and X-Attempt-Id.
 """
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -26,8 +26,8 @@
 
 def answer(body_id, fields="", status="200 OK"):
     body = json.dumps({"id": body_id})
-    return "HTTP/1.1 %s\r\nX-Server-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s" \
-        % (status, fields, len(body), body)
+    return ("HTTP/1.1 %s\r\nX-Server-Stamp: s\r\n%sContent-Length: %d\r\n"
+            "\r\n%s" % (status, fields, len(body), body))
 
 
 def named(rid, fields="", status="200 OK"):
