--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -29,12 +29,21 @@
      gateway
    - former WHO FROM TO: it is of the release before the plan between these
      times; what it takes up itself isn't counted
-   - run MS: prints how many streams were taken up, might have gone on (an
+   - link WHO AT MS: its frames take MS longer, on a new connection from AT on;
+   slow WHO AT MS: on the same connection.  relay WHO BY: they go through BY.
+   With any of these an age is estimated as the program does, and frames wait
+   in the sockets of who stands still
+ - reads MS: a new leader's first read of the plan takes so long
+ - impatient: all callers take their streams up within 1.2 s, and there are
+   more of them
+ - run MS: prints how many streams were taken up, might have gone on (an
      upstream of their version serves), did, and are mixed; new ones begun and
      refused at gateways that run; bytes sent for them; and by how many ms
      first events were held back, all together
  */
+#include "lag.h"
 #include "script.h"
+#include "tcp_links.h"
 #include "version_plan.h"
 
 #include <stdlib.h>
@@ -58,6 +67,8 @@
 #define START_MS 1000
 #define NOTE_WAIT_MS 5000 /* a gateway waits so long for a leader's answer */
 #define BATCH_MS 500
+#define REOPEN_MS 200 /* until a link that was closed is open again */
+#define IMPATIENT_MS 1200
 
 typedef struct {
     char name[8];
@@ -74,8 +85,21 @@
     GBytes *plan;
     bool unplanned; /* of a leader that writes no plan */
     int to;
+    int by; /* the relay that it waits for; -1: none, or it has passed it */
 } Frame;
 
+/* A gateway's link, to the leader or to a relay. */
+typedef struct {
+    uint32_t delay_ms;
+    uint64_t due_ms;    /* its last frame comes then: they keep their order */
+    uint64_t frozen_ms; /* its gateway stands still since; 0: it doesn't */
+    uint64_t open_ms;   /* it is open from then on */
+    bool is_relayed;
+    int relay;
+    bool drops; /* its gateway looked at the time before it read */
+    Lag lag;
+} Link;
+
 typedef struct {
     Vp *vp;
     GHashTable *notes;  /* attempt -> version */
@@ -102,8 +126,8 @@
 } Stream;
 
 typedef struct {
-    char kind;
-    int who; /* -1: the leader; -2: all */
+    char kind; /* k, c, f, o, e; l, s: a link's delay is FOR_MS from then on */
+    int who;   /* -1: the leader; -2: all */
     uint64_t at_ms;
     uint64_t for_ms;
     double share;
@@ -132,6 +156,11 @@
     int models;
     Gateway *all;
     Former *former; /* of each gateway */
+    Link *links;    /* the same */
+    bool measured;  /* ages are estimated */
+    bool impatient;
+    uint32_t reads_ms;
+    uint64_t read_ms; /* the leader's first read is answered then */
     Engine real[MAX_ENGINES];
     uint32_t next_id;
     GBytes *stored;
@@ -321,6 +350,7 @@
     bg_seed_random(&s->rng, strtoull(words[4], NULL, 10));
     s->all = g_new0(Gateway, s->gateways);
     s->former = g_new0(Former, s->gateways);
+    s->links = g_new0(Link, s->gateways);
     for (int i = 0; i < s->gateways; i++) {
         start_gateway(&s->all[i]);
     }
@@ -486,11 +516,45 @@
 
 /* ---- the leader --------------------------------------------------------- */
 
+/* Frames reach its socket: who stands still is missed only after a time. */
+static bool
+is_reached(const Script *s, int who)
+{
+    const Gateway *g = &s->all[who];
+    uint64_t since_ms = s->links[who].frozen_ms;
+    if (!s->measured) {
+        return is_linked(s, g);
+    }
+    return s->now_ms >= g->down_ms && s->now_ms >= g->cut_ms &&
+           s->now_ms >= s->links[who].open_ms &&
+           (!since_ms || s->now_ms < since_ms + 2 * LK_SILENT_MS);
+}
+
+/* The relay of WHO; -1: it is linked to the leader. */
+static int
+get_relay(const Script *s, int who)
+{
+    const Link *l = &s->links[who];
+    return l->is_relayed && l->relay != s->leader && l->relay != who ? l->relay
+                                                                     : -1;
+}
+
+/* F is put on the way of the link of WHO. */
+static void
+pass_link(Script *s, Frame *f, int who)
+{
+    Link *l = &s->links[who];
+    l->due_ms = MAX(l->due_ms, f->due_ms + l->delay_ms);
+    f->due_ms = l->due_ms;
+}
+
 static Frame *
 send_frame(Script *s, int to, GBytes *plan, uint64_t number)
 {
     const Gateway *from = &s->all[s->leader];
-    if (to == s->leader || !is_linked(s, from) || !is_linked(s, &s->all[to])) {
+    int by = get_relay(s, to);
+    if (to == s->leader || !is_linked(s, from) ||
+        !is_reached(s, by >= 0 ? by : to)) {
         return NULL;
     }
     Frame *f = g_new0(Frame, 1);
@@ -499,10 +563,24 @@
     f->number = number;
     f->plan = plan ? g_bytes_ref(plan) : NULL;
     f->to = to;
+    f->by = by;
+    if (s->measured) {
+        pass_link(s, f, by >= 0 ? by : to);
+    }
     g_queue_push_tail(&s->frames, f);
     return f;
 }
 
+/* When F's heartbeat was sent, as its receiver takes it. */
+static uint64_t
+estimate_sent(Script *s, const Frame *f)
+{
+    if (!s->measured) {
+        return f->sent_ms + s->late_ms;
+    }
+    return s->now_ms - lag_update(&s->links[f->to].lag, s->now_ms, f->sent_ms);
+}
+
 static void
 deliver(Script *s, Frame *f)
 {
@@ -523,26 +601,95 @@
         send_unsettled(s, f->to);
     }
     else {
-        vp_on_heartbeat(g->vp, f->number, f->sent_ms + s->late_ms);
+        vp_on_heartbeat(g->vp, f->number, estimate_sent(s, f));
+    }
+}
+
+static void
+free_frame(Frame *f)
+{
+    if (f->plan) {
+        g_bytes_unref(f->plan);
+    }
+    g_free(f);
+}
+
+/* True: F has reached its relay, and goes on. */
+static bool
+relay_frame(Script *s, Frame *f)
+{
+    bool goes_on = f->by >= 0 && !s->links[f->by].drops &&
+                   is_linked(s, &s->all[f->by]) && is_reached(s, f->to);
+    if (goes_on) {
+        f->by = -1;
+        f->due_ms = s->now_ms + 1;
+        pass_link(s, f, f->to);
+    }
+    return goes_on;
+}
+
+static void
+take_frame(Script *s, Frame *f)
+{
+    if (f->by < 0 && !s->links[f->to].drops) {
+        deliver(s, f);
+    }
+}
+
+static bool
+was_silent(const Script *s, int who)
+{
+    const Link *l = &s->links[who];
+    return l->frozen_ms && s->now_ms >= s->all[who].frozen_ms &&
+           s->now_ms > l->frozen_ms + LK_SILENT_MS;
+}
+
+/* Links of who stood still for long are closed by whoever waits for them, and
+   by their gateway, before or after it reads what waited there. */
+static void
+wake_links(Script *s)
+{
+    for (int i = 0; s->measured && i < s->gateways; i++) {
+        s->links[i].drops = was_silent(s, i) && pick(s, 2);
+        for (int k = 0; was_silent(s, i) && k < s->gateways; k++) {
+            if (get_relay(s, k) == i) {
+                lag_reset(&s->links[k].lag);
+            }
+        }
+    }
+}
+
+static void
+reopen_links(Script *s)
+{
+    for (int i = 0; s->measured && i < s->gateways; i++) {
+        Link *l = &s->links[i];
+        bool is_cut = s->now_ms < s->all[i].cut_ms && !l->frozen_ms;
+        if (was_silent(s, i) || is_cut) {
+            lag_reset(&l->lag);
+            l->open_ms = s->now_ms + REOPEN_MS;
+        }
+        l->drops = false;
+        l->frozen_ms = s->now_ms >= s->all[i].frozen_ms ? 0 : l->frozen_ms;
     }
 }
 
 static void
 deliver_frames(Script *s)
 {
+    wake_links(s);
     for (GList *l = s->frames.head; l;) {
         GList *next = l->next;
         Frame *f = l->data;
-        if (s->now_ms >= MAX(f->due_ms, s->all[f->to].frozen_ms)) {
-            deliver(s, f);
-            if (f->plan) {
-                g_bytes_unref(f->plan);
-            }
-            g_free(f);
+        const Gateway *at = &s->all[f->by >= 0 ? f->by : f->to];
+        if (s->now_ms >= MAX(f->due_ms, at->frozen_ms) && !relay_frame(s, f)) {
+            take_frame(s, f);
+            free_frame(f);
             g_queue_delete_link(&s->frames, l);
         }
         l = next;
     }
+    reopen_links(s);
 }
 
 static void
@@ -562,6 +709,10 @@
             s->leader_read = false;
             s->elections++;
             s->append_ms = 0;
+            s->read_ms = s->now_ms + s->reads_ms;
+            for (int k = 0; k < s->gateways; k++) {
+                lag_reset(&s->links[k].lag);
+            }
             g_hash_table_remove_all(s->unstored); /* with its process */
             s->gather_ms = s->now_ms + GATHER_MS;
             s->elect_ms = s->now_ms + LEASE_MS;
@@ -678,7 +829,7 @@
         return;
     }
     find_unplanned(s, g);
-    if (!s->leader_read && reaches_store(s, g)) {
+    if (!s->leader_read && s->now_ms >= s->read_ms && reaches_store(s, g)) {
         take_stored(s, g, s->now_ms);
         s->leader_read = true;
     }
@@ -688,8 +839,10 @@
     if (s->append_ms && s->now_ms >= s->append_ms && is_linked(s, g)) {
         finish_append(s, g);
     }
-    if (s->now_ms % HEARTBEAT_MS == 0 && s->leader_read) {
-        vp_on_heartbeat(g->vp, vp_get_number(g->vp), s->now_ms);
+    if (s->now_ms % HEARTBEAT_MS == 0 && (s->leader_read || s->measured)) {
+        if (s->leader_read) {
+            vp_on_heartbeat(g->vp, vp_get_number(g->vp), s->now_ms);
+        }
         if (is_linked(s, g)) {
             count_gateways(s);
         }
@@ -740,6 +893,18 @@
     }
     else {
         g->frozen_ms = until_ms;
+        s->links[who].frozen_ms = s->now_ms;
+    }
+}
+
+static void
+change_link(Script *s, const Fault *f)
+{
+    Link *l = &s->links[f->who];
+    l->delay_ms = (uint32_t)f->for_ms;
+    if (f->kind == 'l') {
+        l->due_ms = s->now_ms;
+        lag_reset(&l->lag);
     }
 }
 
@@ -772,6 +937,9 @@
         else if (f->kind == 'e') {
             crash_engines(s, f);
         }
+        else if (f->kind == 'l' || f->kind == 's') {
+            change_link(s, f);
+        }
         int leader = s->leader;
         for (int k = 0; strchr("kcf", f->kind) && k < s->gateways; k++) {
             if (f->who == -2 || k == (f->who < 0 ? leader : f->who)) {
@@ -910,6 +1078,9 @@
     x->begun_ms = s->now_ms;
     x->resume_ms =
         pick(s, 4) ? UINT64_MAX : s->now_ms + 200 + pick(s, LIFE_MS - 500);
+    if (s->impatient) {
+        x->resume_ms = s->now_ms + STEP_MS + pick(s, IMPATIENT_MS);
+    }
     x->unplanned = is_former(s, x->gateway);
     const char *version;
     const Engine *e = is_up(s, g) && may_begin(s, g, x, &version)
@@ -1055,7 +1226,7 @@
 static void
 run_streams(Script *s)
 {
-    uint32_t new_streams = 1 + pick(s, 3);
+    uint32_t new_streams = 1 + pick(s, s->impatient ? 10 : 3);
     for (uint32_t i = 0; i < new_streams; i++) {
         begin_stream(s);
     }
@@ -1132,6 +1303,31 @@
     add_fault(s, 'k', who, words[3], "200", 0);
 }
 
+static bool
+run_link_line(Script *s, char **words, int count)
+{
+    if (count == 4 &&
+        (strcmp(words[0], "link") == 0 || strcmp(words[0], "slow") == 0)) {
+        add_fault(s, words[0][0], read_who(s, words[1]), words[2], words[3],
+                  0);
+    }
+    else if (strcmp(words[0], "relay") == 0 && count == 3) {
+        Link *l = &s->links[read_who(s, words[1])];
+        l->is_relayed = true;
+        l->relay = read_who(s, words[2]);
+    }
+    else if (strcmp(words[0], "reads") == 0 && count == 2) {
+        s->reads_ms = (uint32_t)strtoul(words[1], NULL, 10);
+    }
+    else if (strcmp(words[0], "impatient") == 0) {
+        s->impatient = true;
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
 static bool
 run_fleet_line(Script *s, char **words, int count)
 {
@@ -1171,6 +1367,9 @@
     else if (strcmp(words[0], "former") == 0 && count == 4) {
         add_former(s, words);
     }
+    else if (run_link_line(s, words, count)) {
+        s->measured = true;
+    }
     else if (strcmp(words[0], "run") == 0 && count == 2) {
         run_fleet(s, strtoull(words[1], NULL, 10));
     }
--- a/tests/test_fuzz_vp.py
+++ b/tests/test_fuzz_vp.py
@@ -1,6 +1,7 @@
 """The version plan over random fleets with random faults, in virtual time.
 By hand: test_fuzz_vp.py --build DIR FIRST LAST [POLICY [GATEWAYS]]; POLICY
-"former": gateways of the release before the plan are replaced, or come back."""
+"former": gateways of the release before the plan are replaced, or come back;
+"step": links of their own, relays, and pauses while a version joins."""
 
 import os
 import random
@@ -70,6 +71,43 @@
     return "\n".join(lines) + "\n"
 
 
+def add_pauses(r, lines, vms, at):
+    for _ in range(r.choice([1, 2, 4, 6])):
+        who = r.choice(["leader"] + 3 * [str(r.randrange(vms))])
+        lines.append("%s %s %d %d" % (
+            r.choice(["freeze", "freeze", "cut", "kill"]), who,
+            max(1, at + r.uniform(-4000, 2500)),
+            r.uniform(100, r.choice([800, 2500, 6000]))))
+
+
+def make_step_script(seed):
+    """Links of their own, and gateways out of step, while a version joins.  A
+    link opens only if its first frame comes within 900 ms."""
+    r = random.Random(seed)
+    vms = r.choice([3, 3, 4, 7])
+    lines = ["fleet %d %d %d %d" % (vms, r.choice([4, 8]), r.choice([1, 5]),
+                                    seed),
+             "policy notes", "lag %d" % r.choice([1, 5, 50]), "impatient",
+             "reads %d" % r.choice([0, 20, 300, 1500])]
+    at = r.uniform(6000, 14000)
+    lines.append("rollout %d %d" % (at, r.choice([200, 500, 900])))
+    for who in range(vms):
+        lines.append("link %d 0 %d" % (who, r.choice([0, 0, 50, 400, 800])))
+        if r.random() < 0.3:
+            lines.append("relay %d %d" % (who, r.randrange(vms)))
+        for _ in range(r.choice([0, 1, 2])):
+            kind = r.choice(["link", "slow"])
+            lines.append("%s %d %d %d" % (
+                kind, who, at + r.uniform(-5000, 2500),
+                r.uniform(0, 800 if kind == "link" else 3000)))
+    add_pauses(r, lines, vms, at)
+    lines.append("run %d" % (at + 8000))
+    return "\n".join(lines) + "\n"
+
+
+MAKERS = {"former": make_release_script, "step": make_step_script}
+
+
 def run_script(build, text):
     """What a scripted run counted, by name."""
     out = subprocess.run([os.path.join(build, "script_vp")], input=text,
@@ -122,13 +160,42 @@
         assert run_script(build, text)[" mixed"] == 0, seed
 
 
+# A plan that was seconds old counted as confirmed where links were late.
+STEP_SEEDS = [*range(1, 61), 255, 301, 334, 698, 763, 891, 909]
+
+
+@pytest.mark.parametrize("first", range(0, len(STEP_SEEDS), 20))
+def test_no_stream_is_mixed_by_gateways_out_of_step(build, first):
+    faults = [check(build, seed, make_step_script)
+              for seed in STEP_SEEDS[first:first + 20]]
+    assert [f for f in faults if f] == []
+
+
+def run_out_of_step(build, faults):
+    """Mixed streams of 30 fleets while a version joins from 8 s on."""
+    return sum(run_script(build, "fleet 3 8 1 %d\npolicy notes\nlag 5\n"
+                          "impatient\nrollout 8000 600\n%s\nrun 14000\n" %
+                          (seed, faults))[" mixed"] for seed in range(1, 31))
+
+
+# The first heartbeat on a new link counted as just sent; its relay got it late.
+def test_new_link_to_a_late_relay(build):
+    assert run_out_of_step(build, "relay 1 0\nrelay 2 0\nslow 0 5000 2500\n"
+                           "link 1 7500 0\nlink 2 7500 0") == 0
+
+
+# Heartbeats that waited in the socket of a new link counted as just sent.
+def test_gateway_stands_still_after_it_was_linked(build):
+    assert run_out_of_step(build, "link 1 5980 0\nfreeze 1 6000 4000") == 0
+
+
 def main():
     build, first, last = sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
     policy = sys.argv[5] if len(sys.argv) > 5 else "notes"
     gateways = int(sys.argv[6]) if len(sys.argv) > 6 else None
     total = {}
     for seed in range(first, last + 1):
-        text = (make_release_script(seed) if policy == "former"
+        text = (MAKERS[policy](seed) if policy in MAKERS
                 else make_script(seed, policy, gateways))
         found = run_script(build, text)
         if found[" mixed"]:
