A plan is confirmed by the gateway's own time stamp, returned, not by an estimate

Cause: with one version in the plan a heartbeat of the last 600 ms confirms it, and its age was estimated against the fastest on its link. The first one on a new link counted as just sent, and each that followed it out of the same socket too, however long the gateway had stood still or its relay was late. Change: a gateway's demand carries its time stamp; the heartbeat returns the newest that the leader had by the time for which it vouches. A relay returns its members' stamps that it had before its own, now returned, was sent. Why it works: the plan was the newest after the stamp left, by the one clock of who uses it; 600 ms after it no share can have a version that was listed since (1000 ms).

--- a/src/gateway.pb-c.c
+++ b/src/gateway.pb-c.c
@@ -3499,7 +3499,7 @@
   (ProtobufCMessageInit) gwp__limits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gwp__demand__field_descriptors[6] =
 {
   {
     "wants",
@@ -3561,10 +3561,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__Demand, stamp_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__demand__field_indices_by_name[] = {
   2,   /* field[2] = began */
   4,   /* field[4] = spent */
+  5,   /* field[5] = stamp_ms */
   1,   /* field[1] = uses */
   0,   /* field[0] = wants */
   3,   /* field[3] = whole */
@@ -3572,7 +3585,7 @@
 static const ProtobufCIntRange gwp__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gwp__demand__descriptor =
 {
@@ -3582,7 +3595,7 @@
   "Gwp__Demand",
   "gwp",
   sizeof(Gwp__Demand),
-  5,
+  6,
   gwp__demand__field_descriptors,
   gwp__demand__field_indices_by_name,
   1,  gwp__demand__number_ranges,
@@ -3909,7 +3922,7 @@
   (ProtobufCMessageInit) gwp__loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gwp__state__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gwp__state__field_descriptors[15] =
 {
   {
     "waits",
@@ -4079,10 +4092,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirms_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gwp__State, confirms_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gwp__state__field_indices_by_name[] = {
   7,   /* field[7] = address */
   2,   /* field[2] = config_version */
+  14,   /* field[14] = confirms_ms */
   1,   /* field[1] = gateways */
   10,   /* field[10] = idle */
   8,   /* field[8] = informed */
@@ -4100,7 +4126,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gwp__state__descriptor =
 {
@@ -4110,7 +4136,7 @@
   "Gwp__State",
   "gwp",
   sizeof(Gwp__State),
-  14,
+  15,
   gwp__state__field_descriptors,
   gwp__state__field_indices_by_name,
   2,  gwp__state__number_ranges,
--- a/src/gateway.pb-c.h
+++ b/src/gateway.pb-c.h
@@ -496,10 +496,14 @@
   protobuf_c_boolean whole;
   size_t n_spent;
   Gwp__Spent **spent;
+  /*
+   * by the sender's clock; State.confirms_ms returns it
+   */
+  uint64_t stamp_ms;
 };
 #define GWP__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__demand__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -647,9 +651,12 @@
    */
   protobuf_c_boolean idle;
   /*
-   * number of its version plan; 0: it knows none
+   * number of its version plan; 0: it knows none, or
    */
   uint64_t version_plan;
+  /*
+   * hasn't read it since it leads
+   */
   /*
    * it writes the version plan
    */
@@ -658,10 +665,14 @@
    * it reads the configuration from the store
    */
   protobuf_c_boolean reads_config;
+  /*
+   * the receiver's stamp, of Demand: VERSION_PLAN was
+   */
+  uint64_t confirms_ms;
 };
 #define GWP__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gwp__state__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -28,6 +28,7 @@
 #ifndef GATEWAY_NODE_H
 #define GATEWAY_NODE_H
 
+#include "confirm_stamps.h"
 #include "demand_aggregate.h"
 #include "detour_server.h"
 #include "gateway_request.h"
@@ -307,6 +308,9 @@
 /* One begins streams without the version plan, as its release has none, or
    knew such a one lately. */
 bool gn_has_unplanned(Gateway *g);
+/* A time stamp of a gateway that is linked to us; see cs. */
+void gn_take_stamp(LkPeer *from, uint64_t stamp_ms);
+uint64_t gn_find_stamp(const LkPeer *to, uint64_t as_of_ms);
 /* A recent heartbeat of the leader arrived, directly or through a relay. */
 bool gn_hears_leader(const Gateway *g, uint64_t now_ms);
 /* This VM holds the lease at this moment, also if the process was suspended
@@ -469,9 +473,10 @@
 void gn_take_versions(Gateway *g, const Gwp__VersionPlan *m);
 /* Read the version plan in the store. */
 void gn_read_versions(Gateway *g);
-/* The leader's heartbeat, sent at SENT_MS, names plan NUMBER. */
+/* The leader's heartbeat names plan NUMBER as the newest after STAMP_MS, a
+   time stamp of ours; 0: it has none. */
 void gn_on_plan_number(Gateway *g, uint64_t now_ms, uint64_t number,
-                       uint64_t sent_ms);
+                       uint64_t stamp_ms);
 /* As leader: change the plan if that is due. */
 void gn_tick_versions(Gateway *g, uint64_t now_ms);
 /* For GwOutput. */
--- a/src/gateway_node_demand.c
+++ b/src/gateway_node_demand.c
@@ -301,6 +301,7 @@
     list_spent(&lists, g->limits);
     Gwp__Demand d = GWP__DEMAND__INIT;
     d.whole = demand->whole;
+    d.stamp_ms = bg_boot_ms();
     d.n_wants = demand->model_demands->len;
     d.wants = lists.model_demand_refs;
     d.n_uses = demand->uses->len;
--- a/src/gateway_node_links.c
+++ b/src/gateway_node_links.c
@@ -370,6 +370,40 @@
     gw_on_wait_estimate(list->g->gw, list->now_ms, model, wait_ms);
 }
 
+/* What is known here as of a time, on its way to those linked to us. */
+typedef struct {
+    Gateway *g;
+    Gwp__State *state;
+    uint64_t as_of_ms;
+} StateOut;
+
+static void
+pass_state(void *ctx, LkPeer *to)
+{
+    const StateOut *out = ctx;
+    Gwp__Frame f = GWP__FRAME__INIT;
+    f.body_case = GWP__FRAME__BODY_STATE;
+    f.state = out->state;
+    f.state->confirms_ms = gn_find_stamp(to, out->as_of_ms);
+    lk_send_down(out->g->links, to, &f);
+}
+
+/* S names the newest plan as of AS_OF_MS; 0: as of no known time.  Each gets
+   its own stamp back. */
+static void
+pass_state_down(Gateway *g, Gwp__State *s, uint64_t as_of_ms)
+{
+    StateOut out = {g, s, as_of_ms};
+    lk_visit_peers(g->links, pass_state, &out);
+}
+
+/* The plan known here is the newest at NOW_MS. */
+static bool
+confirms_plan(const Gateway *g, uint64_t now_ms)
+{
+    return gn_leads(g, now_ms) && g->plan_listed;
+}
+
 /* TO: a linked gateway; NULL: all of them. */
 static void
 send_state(Gateway *g, LkPeer *to, uint64_t now_ms, uint32_t gateways)
@@ -391,15 +425,19 @@
     s.address = (char *)gn_get_address(g);
     s.sent_ms = now_ms;
     s.idle = !g->is_leader;
-    s.version_plan = vp_get_number(g->versions);
+    bool confirms = confirms_plan(g, now_ms);
+    s.version_plan = confirms ? vp_get_number(g->versions) : 0;
     s.plans = true;
     MpStoreLimits rate = mp_get_store_limits(g->placement);
     s.store_at_once = rate.at_once;
     s.store_most = rate.most;
-    Gwp__Frame f = GWP__FRAME__INIT;
-    f.body_case = GWP__FRAME__BODY_STATE;
-    f.state = &s;
-    lk_send_down(g->links, to, &f);
+    StateOut out = {g, &s, confirms ? now_ms : 0};
+    if (to) {
+        pass_state(&out, to);
+    }
+    else {
+        pass_state_down(g, &s, out.as_of_ms);
+    }
 }
 
 void
@@ -652,7 +690,9 @@
     g->informed = s->informed;
     ut_on_totals(g->upstreams, sent_ms, NULL, 0, false);
     if (!s->idle) {
-        gn_on_plan_number(g, now_ms, s->version_plan, sent_ms);
+        bool possible = s->confirms_ms <= now_ms;
+        gn_on_plan_number(g, now_ms, s->version_plan,
+                          possible ? s->confirms_ms : 0);
         if (!s->plans) {
             vp_on_unplanned(g->versions, now_ms);
         }
@@ -725,7 +765,7 @@
         break;
     case GWP__FRAME__BODY_STATE:
         take_state(g, f->state);
-        lk_send_down(g->links, NULL, f);
+        pass_state_down(g, f->state, f->state->confirms_ms);
         break;
     case GWP__FRAME__BODY_LOADS:
         take_loads(g, f->loads);
@@ -804,6 +844,7 @@
         gn_take_members(g, from, f->members);
         break;
     case GWP__FRAME__BODY_DEMAND:
+        gn_take_stamp(from, f->demand->stamp_ms);
         if (gn_take_demand(g, lk_get_vm(from), f->demand) && !g->is_leader) {
             gn_schedule_demand(g);
         }
--- a/src/gateway_node_relay.c
+++ b/src/gateway_node_relay.c
@@ -52,6 +52,7 @@
     bool unplanned;    /* it, or one behind it, knows of streams that may have
                           been begun without the plan */
     bool has_snapshot; /* it was sent */
+    Cs stamps;
 } Peer;
 
 static void
@@ -411,6 +412,22 @@
     }
 }
 
+void
+gn_take_stamp(LkPeer *from, uint64_t stamp_ms)
+{
+    Peer *p = lk_get_user(from);
+    if (p) {
+        cs_take(&p->stamps, bg_boot_ms(), stamp_ms);
+    }
+}
+
+uint64_t
+gn_find_stamp(const LkPeer *to, uint64_t as_of_ms)
+{
+    const Peer *p = lk_get_user(to);
+    return p ? cs_find(&p->stamps, as_of_ms) : 0;
+}
+
 void
 gn_on_peer(void *ctx, LkPeer *peer, bool linked)
 {
--- a/src/gateway_node_versions.c
+++ b/src/gateway_node_versions.c
@@ -140,9 +140,9 @@
 
 void
 gn_on_plan_number(Gateway *g, uint64_t now_ms, uint64_t number,
-                  uint64_t sent_ms)
+                  uint64_t stamp_ms)
 {
-    vp_on_heartbeat(g->versions, number, sent_ms);
+    vp_on_heartbeat(g->versions, number, stamp_ms);
     if (!vp_is_behind(g->versions)) {
         g->plan_behind_ms = 0;
     }
--- a/src/version_plan.c
+++ b/src/version_plan.c
@@ -424,11 +424,11 @@
 }
 
 void
-vp_on_heartbeat(Vp *p, uint64_t number, uint64_t sent_ms)
+vp_on_heartbeat(Vp *p, uint64_t number, uint64_t since_ms)
 {
     p->newest = MAX(p->newest, number);
     if (p->plan && p->plan->number == number) {
-        p->heartbeat_ms = MAX(p->heartbeat_ms, sent_ms);
+        p->heartbeat_ms = MAX(p->heartbeat_ms, since_ms);
     }
 }
 
--- a/src/version_plan.h
+++ b/src/version_plan.h
@@ -34,11 +34,11 @@
 /* Streams of a gateway that has not confirmed its plan for this long begin
    only after it has, unless the plan lists one version. */
 #define VP_BEGIN_AGE_MS 10000
-/* For this long after a heartbeat of the leader its plan counts as the
-   newest, for streams that are taken up. */
+/* For this long after the leader's plan was the newest it counts as that, for
+   streams that are taken up. */
 #define VP_RESUME_AGE_MS 600
 /* Between listing a version and giving it a share: longer than
-   VP_RESUME_AGE_MS, by what heartbeats may be estimated too young. */
+   VP_RESUME_AGE_MS, by more than what clocks may drift apart meanwhile. */
 #define VP_LIST_MS 1000
 /* A gateway that isn't heard of any more counts as gone after this time.
    Until then it may go on beginning streams at the only version that it knows,
@@ -78,8 +78,9 @@
 /* The plan called NUMBER, or the one known here if it is higher, was the
    store's newest at ASKED_MS: before that a read of the store was begun. */
 void vp_on_read(Vp *p, uint64_t number, uint64_t asked_ms);
-/* The leader's heartbeat, sent at SENT_MS, names plan NUMBER. */
-void vp_on_heartbeat(Vp *p, uint64_t number, uint64_t sent_ms);
+/* The leader's heartbeat names plan NUMBER, which was the newest at some time
+   since SINCE_MS by this gateway's clock; 0: it isn't known when. */
+void vp_on_heartbeat(Vp *p, uint64_t number, uint64_t since_ms);
 /* A newer plan than the one known here exists. */
 bool vp_is_behind(const Vp *p);
 /* 0: none is known. */
--- a/tests/script_vp.c
+++ b/tests/script_vp.c
@@ -31,8 +31,8 @@
      times; what it takes up itself isn't counted
    - link WHO AT MS: its frames take MS longer, on a new connection from AT on;
    slow WHO AT MS: on the same connection.  relay WHO BY: they go through BY.
-   With any of these an age is estimated as the program does, and frames wait
-   in the sockets of who stands still
+   With any of these a plan is confirmed by stamps, as the program does, and
+   frames wait in the sockets of who stands still
  - reads MS: a new leader's first read of the plan takes so long
  - impatient: all callers take their streams up within 1.2 s, and there are
    more of them
@@ -41,7 +41,7 @@
      refused at gateways that run; bytes sent for them; and by how many ms
      first events were held back, all together
  */
-#include "lag.h"
+#include "confirm_stamps.h"
 #include "script.h"
 #include "tcp_links.h"
 #include "version_plan.h"
@@ -86,6 +86,10 @@
     bool unplanned; /* of a leader that writes no plan */
     int to;
     int by; /* the relay that it waits for; -1: none, or it has passed it */
+    uint64_t confirms_ms; /* stamp of who gets it next; 0: none */
+    int from;             /* of a stamp: whose */
+    uint64_t stamp_ms;    /* 0: it isn't one */
+    uint32_t opened;      /* the link that it is for, counted */
 } Frame;
 
 /* A gateway's link, to the leader or to a relay. */
@@ -96,8 +100,10 @@
     uint64_t open_ms;   /* it is open from then on */
     bool is_relayed;
     int relay;
-    bool drops; /* its gateway looked at the time before it read */
-    Lag lag;
+    bool drops;         /* its gateway looked at the time before it read */
+    uint32_t opened;    /* so often */
+    uint64_t up_due_ms; /* its last stamp comes then */
+    Cs stamps;          /* as whom it is linked to has them */
 } Link;
 
 typedef struct {
@@ -157,7 +163,7 @@
     Gateway *all;
     Former *former; /* of each gateway */
     Link *links;    /* the same */
-    bool measured;  /* ages are estimated */
+    bool measured;  /* plans are confirmed by stamps */
     bool impatient;
     uint32_t reads_ms;
     uint64_t read_ms; /* the leader's first read is answered then */
@@ -548,6 +554,21 @@
     f->due_ms = l->due_ms;
 }
 
+/* The stamp of WHO that the leader's plan is sent back with. */
+static uint64_t
+confirm(const Script *s, int who)
+{
+    return s->leader_read ? cs_find(&s->links[who].stamps, s->now_ms) : 0;
+}
+
+static void
+open_link(Script *s, int who)
+{
+    Link *l = &s->links[who];
+    l->stamps = (Cs){0};
+    l->opened++;
+}
+
 static Frame *
 send_frame(Script *s, int to, GBytes *plan, uint64_t number)
 {
@@ -565,20 +586,59 @@
     f->to = to;
     f->by = by;
     if (s->measured) {
-        pass_link(s, f, by >= 0 ? by : to);
+        int first = by >= 0 ? by : to;
+        f->opened = s->links[to].opened;
+        f->confirms_ms = confirm(s, first);
+        pass_link(s, f, first);
     }
     g_queue_push_tail(&s->frames, f);
     return f;
 }
 
-/* When F's heartbeat was sent, as its receiver takes it. */
+/* As of when F's heartbeat confirms the plan, as its receiver takes it. */
 static uint64_t
-estimate_sent(Script *s, const Frame *f)
+find_confirmed(const Script *s, const Frame *f)
 {
-    if (!s->measured) {
-        return f->sent_ms + s->late_ms;
+    return s->measured ? f->confirms_ms : f->sent_ms + s->late_ms;
+}
+
+/* As the program's messages of demand do. */
+static void
+send_stamps(Script *s)
+{
+    for (int i = 0; s->measured && s->now_ms % HEARTBEAT_MS == 0 &&
+                    s->leader >= 0 && i < s->gateways;
+         i++) {
+        Link *l = &s->links[i];
+        int relay = get_relay(s, i);
+        int to = relay >= 0 ? relay : s->leader;
+        if (i == s->leader || !is_linked(s, &s->all[i]) ||
+            s->now_ms < l->open_ms || !is_reached(s, to)) {
+            continue;
+        }
+        Frame *f = g_new0(Frame, 1);
+        l->up_due_ms =
+            MAX(l->up_due_ms,
+                s->now_ms + 1 + pick(s, s->lag_ms * 2) + l->delay_ms);
+        f->due_ms = l->up_due_ms;
+        f->to = to;
+        f->by = -1;
+        f->from = i;
+        f->stamp_ms = s->now_ms;
+        f->opened = l->opened;
+        g_queue_push_tail(&s->frames, f);
+    }
+}
+
+static void
+take_stamp(Script *s, const Frame *f)
+{
+    Link *l = &s->links[f->from];
+    int relay = get_relay(s, f->from);
+    if (f->opened == l->opened && f->to == (relay >= 0 ? relay : s->leader) &&
+        is_linked(s, &s->all[f->to])) {
+        cs_take(&l->stamps, s->now_ms, f->stamp_ms);
     }
-    return s->now_ms - lag_update(&s->links[f->to].lag, s->now_ms, f->sent_ms);
 }
 
 static void
@@ -601,7 +661,7 @@
         send_unsettled(s, f->to);
     }
     else {
-        vp_on_heartbeat(g->vp, f->number, estimate_sent(s, f));
+        vp_on_heartbeat(g->vp, f->number, find_confirmed(s, f));
     }
 }
 
@@ -622,6 +682,8 @@
                    is_linked(s, &s->all[f->by]) && is_reached(s, f->to);
     if (goes_on) {
         f->by = -1;
+        f->confirms_ms = cs_find(&s->links[f->to].stamps, f->confirms_ms);
+        f->opened = s->links[f->to].opened;
         f->due_ms = s->now_ms + 1;
         pass_link(s, f, f->to);
     }
@@ -631,7 +693,13 @@
 static void
 take_frame(Script *s, Frame *f)
 {
-    if (f->by < 0 && !s->links[f->to].drops) {
+    if (f->by >= 0 || s->links[f->to].drops) {
+        return;
+    }
+    if (f->stamp_ms) {
+        take_stamp(s, f);
+    }
+    else {
         deliver(s, f);
     }
 }
@@ -653,7 +721,7 @@
         s->links[i].drops = was_silent(s, i) && pick(s, 2);
         for (int k = 0; was_silent(s, i) && k < s->gateways; k++) {
             if (get_relay(s, k) == i) {
-                lag_reset(&s->links[k].lag);
+                open_link(s, k);
             }
         }
     }
@@ -666,7 +734,7 @@
         Link *l = &s->links[i];
         bool is_cut = s->now_ms < s->all[i].cut_ms && !l->frozen_ms;
         if (was_silent(s, i) || is_cut) {
-            lag_reset(&l->lag);
+            open_link(s, i);
             l->open_ms = s->now_ms + REOPEN_MS;
         }
         l->drops = false;
@@ -711,7 +779,7 @@
             s->append_ms = 0;
             s->read_ms = s->now_ms + s->reads_ms;
             for (int k = 0; k < s->gateways; k++) {
-                lag_reset(&s->links[k].lag);
+                open_link(s, k);
             }
             g_hash_table_remove_all(s->unstored); /* with its process */
             s->gather_ms = s->now_ms + GATHER_MS;
@@ -904,7 +972,7 @@
     l->delay_ms = (uint32_t)f->for_ms;
     if (f->kind == 'l') {
         l->due_ms = s->now_ms;
-        lag_reset(&l->lag);
+        open_link(s, f->who);
     }
 }
 
@@ -1255,6 +1323,7 @@
         gather_notes(s);
         store_notes(s);
         deliver_frames(s);
+        send_stamps(s);
         lead(s);
         if (s->now_ms > START_MS + 3000) {
             run_streams(s);
