--- a/tests/test_fuzz_vp.py
+++ b/tests/test_fuzz_vp.py
@@ -160,8 +160,10 @@
         assert run_script(build, text)[" mixed"] == 0, seed
 
 
-# A plan that was seconds old counted as confirmed where links were late.
-STEP_SEEDS = [*range(1, 61), 255, 301, 334, 698, 763, 891, 909]
+# A plan that was seconds old counted as confirmed where links were late; 232 and
+# 445 have mixed streams if a version is used as soon as it is listed.
+STEP_SEEDS = [*range(1, 61), 232, 255, 301, 334, 445, 698, 763, 891,
+              909]
 
 
 @pytest.mark.parametrize("first", range(0, len(STEP_SEEDS), 20))
