--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -1,21 +1,12 @@
 #include "http_pool_internal.h"
 
-#include "json_log.h"
 #include "sockets.h"
 
 #include <errno.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <xxhash.h>
 
-/* Engines state their idle timeout in whole seconds, rounded.  A request that
-   crosses their close is lost, so idle connections are closed a second
-   earlier. */
-#define KEEP_MARGIN_MS 1100
-/* Of the timeouts that upstreams state. */
-#define MAX_KEEP_S 3600
 /* A connection that no call waits for, to see whether a path is back. */
 #define PROBE_CONNECT_MS 250
 /* A helper that has not answered by then is cut off too, or gone. */
@@ -23,19 +14,9 @@
 /* After so long without a byte from an upstream a new connection shows whether
    it is slow or out of reach. */
 #define SILENT_CALL_MS 500
-/* Interim answers, blank lines and an unfinished head in all; more than the
-   parser takes as one head. */
-#define MAX_BEFORE_HEAD_BYTES (128 * 1024)
-/* Of answers to other calls, which may come late. */
-#define MAX_SKIPPED_BYTES (16 * 1024 * 1024)
 /* After an answer that doesn't say whose it is the call's own may follow at
    once; else that was it. */
 #define UNNAMED_MS 250
-/* On one connection, whose ids are kept. */
-#define MAX_KEPT_IDS 512
-#define LINE_END "\r\n"
-/* Up to its status: a copy of an upstream's has few blanks. */
-#define MAX_STATUS_LINE_BYTES ((size_t)16)
 
 void
 ht_free_call(HtCall *call)
@@ -89,9 +70,8 @@
     }
 }
 
-/* The call is on no connection any more. */
-static void
-end_call(HtCall *call, AeEnd end)
+void
+ht_end_call(HtCall *call, AeEnd end)
 {
     call->conn = NULL;
     call->handler.on_end(call->handler.ctx, call, end, call->answer);
@@ -113,14 +93,14 @@
     return at_ms ? *at_ms : 0;
 }
 
-static void
-close_call(HtConn *w, AeEnd end)
+void
+ht_close_call(HtConn *w, AeEnd end)
 {
     HtCall *call = w->call;
     w->call = NULL;
     ht_close_conn(w);
     if (call) {
-        end_call(call, call->sent == 0 ? AE_NOT_SENT : end);
+        ht_end_call(call, call->sent == 0 ? AE_NOT_SENT : end);
     }
 }
 
@@ -141,485 +121,7 @@
     if (!ae_is_whole(end)) {
         ht_note_lost(w);
     }
-    close_call(w, end);
-}
-
-/* ---- parsing of answers ---- */
-
-static int
-on_answer_begin(http_parser *p)
-{
-    HtConn *w = p->data;
-    ht_free_message(&w->msg);
-    ht_start_message(&w->msg, true);
-    return 0;
-}
-
-static int
-on_answer_reason(http_parser *p, const char *at, size_t len)
-{
-    HtConn *w = p->data;
-    ht_add_reason(&w->msg, at, len);
-    return 0;
-}
-
-static int
-on_answer_name(http_parser *p, const char *at, size_t len)
-{
-    HtConn *w = p->data;
-    ht_add_header_name(&w->msg, at, len);
-    return 0;
-}
-
-static int
-on_answer_value(http_parser *p, const char *at, size_t len)
-{
-    HtConn *w = p->data;
-    ht_add_header_value(&w->msg, at, len);
-    return 0;
-}
-
-typedef enum {
-    MATCH_PROVED,
-    MATCH_MISSING, /* the answer doesn't say whose it is */
-    MATCH_OTHER
-} Match;
-
-/* OTHER: the id of another call, or NULL. */
-static Match
-match_answer(const HtConn *w, const char **other)
-{
-    const HtCall *call = w->call;
-    Match match = MATCH_MISSING;
-    for (guint i = 0; i < w->msg.head.headers->len; i++) {
-        const HtHeader *h = &g_array_index(w->msg.head.headers, HtHeader, i);
-        if (g_ascii_strcasecmp(h->name, call->match_name) != 0) {
-            continue;
-        }
-        if (strcmp(h->value, call->match_value) != 0) {
-            *other = h->value;
-            return MATCH_OTHER;
-        }
-        match = MATCH_PROVED;
-    }
-    return match;
-}
-
-/* OTHER: whose it is; NULL: it doesn't say. */
-static void
-note_skipped(HtConn *w, const char *other)
-{
-    w->call->skipped++;
-    JlLine *l = jl_begin("answer-skipped");
-    jl_text(l, "id", w->call->match_value);
-    jl_text(l, "of", other);
-    jl_number(l, "status", w->msg.head.status);
-    jl_text(l, "to", w->address);
-    jl_number(l, "connection", (int64_t)w->number);
-    jl_number(l, "nth", w->calls);
-    jl_number(l, "sent", (int64_t)w->call->sent);
-    jl_end(l);
-    bg_count(other ? "gateway_answers_of_others_total"
-                   : "gateway_answers_of_nobody_total",
-             1);
-}
-
-/* Our own answer without an id, on a connection that carried no other call,
-   unless the upstream mixes up its answers. */
-static bool
-is_first_answer(const HtConn *w)
-{
-    return !w->carried && w->call->skipped == 0;
-}
-
-/* A late copy of another call's answer may come where ours is due. */
-static bool
-is_for_other_call(HtConn *w)
-{
-    const char *other = NULL;
-    if (!w->call->match_name) {
-        return false;
-    }
-    Match match = match_answer(w, &other);
-    w->reusable = w->reusable && match == MATCH_PROVED;
-    if (match == MATCH_PROVED ||
-        (match == MATCH_MISSING && is_first_answer(w))) {
-        w->call->match = match == MATCH_PROVED ? HT_MATCH_ID : HT_MATCH_FIRST;
-        return false;
-    }
-    note_skipped(w, other);
-    if (!other && !w->call->unnamed_ms) {
-        w->call->unnamed_ms = bg_boot_ms();
-    }
-    return true;
-}
-
-static void
-read_keep_alive(HtConn *w)
-{
-    const char *keep = ht_find_header(&w->msg.head, "Keep-Alive");
-    const char *timeout = keep ? strstr(keep, "timeout=") : NULL;
-    if (!timeout) {
-        return;
-    }
-    long s = strtol(timeout + strlen("timeout="), NULL, 10);
-    int64_t ms = CLAMP(s, 0, MAX_KEEP_S) * INT64_C(1000) - KEEP_MARGIN_MS;
-    w->keep_ms = ms > 0 ? (uint32_t)ms : 0;
-}
-
-/* Values that the parser expects of on_headers_complete. */
-#define PARSER_GO_ON 0
-#define PARSER_NO_BODY 1
-#define PARSER_STOP (-1)
-
-/* Its answer has no body, whatever its head says. */
-static bool
-is_head_request(const HtCall *call)
-{
-    static const char method[] = "HEAD ";
-    size_t len = strlen(method);
-    return call->request->len > len &&
-           memcmp(call->request->data, method, len) == 0;
-}
-
-/* The parser would wait for a body as long as Content-Length says. */
-static bool
-has_no_body(const HtConn *w)
-{
-    uint16_t status = w->msg.head.status;
-    bool for_head = !w->skipped && is_head_request(w->call);
-    return for_head || status == 204 || status == 304;
-}
-
-static int
-on_answer_head(http_parser *p)
-{
-    HtConn *w = p->data;
-    w->in_body = true;
-    w->line_ended = true;
-    ht_finish_head(&w->msg, p);
-    if (w->msg.torn) {
-        bg_count("gateway_torn_heads_total", 1);
-    }
-    if (w->msg.malformed || !ht_has_known_coding(&w->msg.head)) {
-        return PARSER_STOP;
-    }
-    bool interim = p->status_code / 100 == 1;
-    w->before_head_bytes = interim ? w->before_head_bytes : 0;
-    w->skipped = interim || is_for_other_call(w);
-    bool no_body = !interim && has_no_body(w);
-    if (w->skipped) {
-        return no_body ? PARSER_NO_BODY : PARSER_GO_ON;
-    }
-    if (w->call->sent < MIN(1, w->call->request->len)) {
-        return PARSER_STOP; /* it came before the request */
-    }
-    read_keep_alive(w);
-    AeHead head = {.status = w->msg.head.status,
-                   .framing = no_body ? AE_NO_BODY : w->msg.head.framing,
-                   .type = ht_find_header(&w->msg.head, "Content-Type"),
-                   .encoding =
-                       ht_find_header(&w->msg.head, "Content-Encoding")};
-    ae_on_head(w->call->answer, &head);
-    w->call->handler.on_head(w->call->handler.ctx, w->call, &w->msg.head);
-    return w->cancelled ? PARSER_STOP
-           : no_body    ? PARSER_NO_BODY
-                        : PARSER_GO_ON;
-}
-
-static uint32_t
-digest_id(const char *id)
-{
-    return XXH32(id, strlen(id), 0);
-}
-
-/* An id may name several requests, and proves no answer on a connection that
-   carried it before.  Equal digests of others only cost a connection. */
-static bool
-has_carried(const HtConn *w, const char *id)
-{
-    uint32_t digest = id ? digest_id(id) : 0;
-    for (guint i = 0; id && i < w->ids->len; i++) {
-        if (g_array_index(w->ids, uint32_t, i) == digest) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* The head of an answer that was sent on W: the one being read broke off
-   before it.  The ids tell it from a text about HTTP. */
-static bool
-holds_answer(const HtConn *w, const char *text, size_t len)
-{
-    const char *name = w->call->match_name;
-    const char *end = text + len;
-    const char *at = name ? ae_find_status_line(text, len) : NULL;
-    while (at && (at = memchr(at, '\n', (size_t)(end - at)))) {
-        at++;
-        g_autofree char *id = ht_read_field(at, (size_t)(end - at), name);
-        if (id && has_carried(w, id)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-take_body(HtConn *w, const char *data, size_t len)
-{
-    HtCall *call = w->call;
-    call->handler.on_bytes(call->handler.ctx, call, len);
-    AeResult r = AE_READ_EVENT;
-    while (!w->cancelled && !w->garbled && r == AE_READ_EVENT) {
-        EsEvent event;
-        size_t used;
-        r = ae_read(call->answer, data, len, &used, &event);
-        data += used;
-        len -= used;
-        w->garbled =
-            r == AE_READ_EVENT && holds_answer(w, event.text, event.len);
-        if (r == AE_READ_EVENT && !w->garbled) {
-            call->handler.on_event(call->handler.ctx, call, &event);
-        }
-    }
-    w->too_large = !w->cancelled && r == AE_READ_TOO_LARGE;
-}
-
-/* The last DUE bytes of the line end behind a chunk are at AT.  The parser
-   skips any two bytes there. */
-static void
-check_chunk_end(HtConn *w, const char *at, size_t due)
-{
-    size_t here = MIN(due, (size_t)(w->input_end - at));
-    w->garbled =
-        w->garbled || memcmp(at, LINE_END + strlen(LINE_END) - due, here) != 0;
-    w->chunk_end_due = due - here;
-}
-
-/* The parser takes any byte for the last one of a head, or of a chunk's size.
-   AT: behind it. */
-static bool
-follows_line_end(const HtConn *w, const char *at)
-{
-    char before = at > w->input ? at[-1] : w->last_byte;
-    return before == '\n';
-}
-
-static int
-on_answer_chunk(http_parser *p)
-{
-    HtConn *w = p->data;
-    w->line_ended = true;
-    return 0;
-}
-
-static int
-on_answer_body(http_parser *p, const char *at, size_t len)
-{
-    HtConn *w = p->data;
-    w->garbled = w->garbled || (w->line_ended && !follows_line_end(w, at));
-    w->line_ended = false;
-    if (p->flags & F_CHUNKED && p->content_length == 0) {
-        check_chunk_end(w, at + len, strlen(LINE_END));
-    }
-    if (w->skipped) {
-        w->skipped_bytes += len;
-    }
-    else if (!w->garbled) {
-        take_body(w, at, len);
-    }
-    return w->cancelled || w->too_large || w->garbled ? -1 : 0;
-}
-
-static int
-on_answer_end(http_parser *p)
-{
-    HtConn *w = p->data;
-    w->in_body = false;
-    if (!w->skipped) {
-        w->got_message = true;
-        w->reusable = w->reusable && http_should_keep_alive(p);
-        http_parser_pause(p, 1);
-    }
-    return 0;
-}
-
-static const http_parser_settings answer_settings = {
-    .on_message_begin = on_answer_begin,
-    .on_status = on_answer_reason,
-    .on_header_field = on_answer_name,
-    .on_header_value = on_answer_value,
-    .on_headers_complete = on_answer_head,
-    .on_chunk_header = on_answer_chunk,
-    .on_body = on_answer_body,
-    .on_message_complete = on_answer_end,
-};
-
-void
-ht_make_idle(HtConn *w)
-{
-    w->got_message = false;
-    w->too_large = false;
-    w->garbled = false;
-    w->chunk_end_due = 0;
-    w->in_body = false;
-    w->before_head_bytes = 0;
-    w->skipped_bytes = 0;
-    w->since_ms = bg_boot_ms();
-    http_parser_init(&w->parser, HTTP_RESPONSE);
-    w->parser.data = w;
-    ht_free_message(&w->msg);
-}
-
-static void
-keep_id(HtConn *w)
-{
-    if (w->call->match_value) {
-        uint32_t digest = digest_id(w->call->match_value);
-        g_array_append_val(w->ids, digest);
-    }
-}
-
-/* BODY holds the begin of a first line whose rest follows in REST. */
-static bool
-ends_in_status_line(const GByteArray *body, const uint8_t *rest, size_t left)
-{
-    size_t before = MIN(body->len, MAX_STATUS_LINE_BYTES);
-    size_t behind = MIN(left, MAX_STATUS_LINE_BYTES);
-    char text[2 * MAX_STATUS_LINE_BYTES];
-    memcpy(text, body->data + body->len - before, before);
-    memcpy(text + before, rest, behind);
-    const char *found = ae_find_status_line(text, before + behind);
-    return found && found < text + before;
-}
-
-/* The body is over, and what follows is no answer's begin: the body is whole,
-   and these bytes are nobody's, unless an answer begins inside it.  REST:
-   bytes behind the answer. */
-static bool
-runs_on(const GByteArray *body, const uint8_t *rest, size_t left)
-{
-    return body->len > 0 && left > 0 && !ht_may_begin_answer(rest, left) &&
-           (ae_find_status_line((const char *)body->data, body->len) ||
-            ends_in_status_line(body, rest, left));
-}
-
-static bool
-is_garbled(const HtConn *w, const uint8_t *rest, size_t left)
-{
-    const GByteArray *body = ae_get_body(w->call->answer);
-    return w->garbled || runs_on(body, rest, left) ||
-           holds_answer(w, (const char *)body->data, body->len);
-}
-
-static void
-fail_garbled(HtConn *w)
-{
-    bg_count("gateway_garbled_bodies_total", 1);
-    ht_fail_conn(w, AE_INVALID);
-}
-
-/* The message is over; LEFT unexpected bytes followed it, REST. */
-static void
-finish_answer(HtConn *w, const uint8_t *rest, size_t left)
-{
-    HtCall *call = w->call;
-    if (is_garbled(w, rest, left)) {
-        fail_garbled(w);
-        return;
-    }
-    /* A late copy of an answer to HEAD can't be skipped: it has no body, and
-       doesn't show that. */
-    bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
-                call->sent == call->request->len && !is_head_request(call) &&
-                w->ids->len < MAX_KEPT_IDS;
-    AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
-    if (!keep) {
-        close_call(w, end);
-        return;
-    }
-    w->call = NULL;
-    w->carried = true;
-    ht_resume_call(call); /* an idle connection is read */
-    ht_make_idle(w);
-    end_call(call, end);
-}
-
-Pt *
-ht_get_paths(const HtConn *w)
-{
-    return w->way == HT_WAY_ANY ? w->pool->detours.paths : NULL;
-}
-
-static void
-note_heard(HtConn *w)
-{
-    Pt *paths = ht_get_paths(w);
-    w->call->heard = true;
-    if (paths && w->helper) {
-        pt_on_alive_by_detour(paths, bg_boot_ms());
-    }
-    else if (paths) {
-        pt_on_alive(paths, bg_boot_ms(), w->address);
-    }
-}
-
-/* The upstream sends bytes that are no answer, without end. */
-static bool
-sends_no_answer(HtConn *w, size_t len)
-{
-    if (!w->in_body) {
-        w->before_head_bytes += len;
-    }
-    return w->before_head_bytes > MAX_BEFORE_HEAD_BYTES ||
-           w->skipped_bytes > MAX_SKIPPED_BYTES;
-}
-
-void
-ht_parse_input(HtConn *w, const uint8_t *data, size_t len)
-{
-    if (len > 0) {
-        note_heard(w);
-    }
-    w->input = (const char *)data;
-    w->input_end = len > 0 ? w->input + len : NULL;
-    if (len > 0 && w->chunk_end_due > 0) {
-        check_chunk_end(w, (const char *)data, w->chunk_end_due);
-    }
-    if (w->garbled) {
-        fail_garbled(w);
-        return;
-    }
-    w->parsing = true;
-    size_t used = http_parser_execute(&w->parser, &answer_settings,
-                                      (const char *)data, len);
-    w->parsing = false;
-    w->last_byte = len > 0 ? (char)data[len - 1] : w->last_byte;
-    if (w->cancelled) {
-        ht_close_conn(w);
-        return;
-    }
-    enum http_errno e = HTTP_PARSER_ERRNO(&w->parser);
-    if (w->got_message) {
-        size_t left = len - used;
-        /* Nothing came behind that line. */
-        w->garbled = w->garbled ||
-                     (w->line_ended && used > 0 && data[used - 1] != '\n');
-        finish_answer(w, left > 0 ? data + used : NULL, left);
-    }
-    else if (w->too_large) {
-        close_call(w, AE_TOO_LARGE);
-    }
-    else if (w->garbled) {
-        fail_garbled(w);
-    }
-    else if (len == 0) {
-        ht_fail_conn(w, AE_CLOSED);
-    }
-    else if (e != HPE_OK || w->parser.upgrade || sends_no_answer(w, len)) {
-        ht_fail_conn(w, AE_INVALID);
-    }
+    ht_close_call(w, end);
 }
 
 static bool
@@ -635,14 +137,14 @@
 {
     HtCall *call = w->call;
     if (call->fresh) {
-        close_call(w, AE_NOT_SENT);
+        ht_close_call(w, AE_NOT_SENT);
         return;
     }
     w->call = NULL;
     ht_resume_call(call);
     ht_make_idle(w);
     ev_io_stop(w->pool->loop, &w->write_watch);
-    end_call(call, AE_NOT_SENT);
+    ht_end_call(call, AE_NOT_SENT);
 }
 
 void
@@ -665,7 +167,7 @@
         }
         if (call->sent == 0 && n > 0) {
             call->sent_ms = bg_boot_ms();
-            keep_id(w);
+            ht_keep_id(w);
         }
         call->sent += n > 0 ? (size_t)n : 0;
     }
@@ -683,7 +185,7 @@
 may_reuse(const HtConn *w, const HtRequest *req, bool use_helpers)
 {
     return is_unused(w) && strcmp(w->address, req->address) == 0 &&
-           (!w->helper || use_helpers) && !has_carried(w, req->match_value);
+           (!w->helper || use_helpers) && !ht_has_carried(w, req->match_value);
 }
 
 /* The idle connection that was used last, as it is the least likely to have
@@ -716,7 +218,7 @@
     HtPool *p = t->data;
     HtCall *call;
     while ((call = g_queue_pop_head(&p->failed))) {
-        end_call(call, AE_NOT_SENT);
+        ht_end_call(call, AE_NOT_SENT);
     }
 }
 
@@ -746,12 +248,12 @@
     while ((w = g_queue_peek_head(&p->conns))) {
         HtCall *call = w->opener;
         if (!call) {
-            close_call(w, AE_RESET);
+            ht_close_call(w, AE_RESET);
             continue;
         }
         ht_close_conn(w);
         if (!ht_is_opening(call)) {
-            end_call(call, AE_NOT_SENT);
+            ht_end_call(call, AE_NOT_SENT);
         }
     }
     on_fail_timer(p->loop, &p->fail_timer, 0);
@@ -1030,7 +532,7 @@
     while (
         (found = g_queue_find_custom(&p->conns, &now_ms, compare_unnamed))) {
         bg_count("gateway_unnamed_answers_total", 1);
-        close_call(found->data, AE_NOT_HTTP);
+        ht_close_call(found->data, AE_NOT_HTTP);
     }
 }
 
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -119,12 +119,24 @@
 void ht_move_call(HtConn *w);
 /* W no longer opens for its call. */
 void ht_forget_opening(HtConn *w);
+/* The call is on no connection any more. */
+void ht_end_call(HtCall *call, AeEnd end);
+/* Closes W, and ends its call, if it has one. */
+void ht_close_call(HtConn *w, AeEnd end);
+void ht_send_request(HtConn *w);
+
+/* http_answer */
 /* LEN 0: the connection was closed in order.  May free W. */
 void ht_parse_input(HtConn *w, const uint8_t *data, size_t len);
 void ht_make_idle(HtConn *w);
-void ht_send_request(HtConn *w);
 /* The paths that W tells of; NULL: it goes to no upstream. */
 Pt *ht_get_paths(const HtConn *w);
+/* The id of its call is written to W. */
+void ht_keep_id(HtConn *w);
+/* An id may name several requests, and proves no answer on a connection that
+   carried it before.  Equal digests of others only cost a connection.  ID: or
+   NULL. */
+bool ht_has_carried(const HtConn *w, const char *id);
 
 /* http_open */
 /* HELPER: NULL to connect to ADDRESS itself.  OPENER: NULL for a probe. */
