--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -26,11 +26,12 @@
 
 
 # Of one process that runs tests: far more than one test needs, and few enough
-# for several such processes.
-MAX_RESERVED = 1200
+# for a dozen such processes: two whole runs beside each other, and more.
+MAX_RESERVED = 500
 RESERVED_SOCKETS = collections.deque()
-_ports = itertools.cycle(range(12000, 21000))
-for _ in range(os.getpid() * 37 % 9000):
+PORTS = range(12000, 21000)
+_ports = itertools.cycle(PORTS)
+for _ in range(os.getpid() * 37 % len(PORTS)):
     next(_ports)
 
 
@@ -42,8 +43,7 @@
     concurrent runs take other ports."""
     if len(RESERVED_SOCKETS) >= MAX_RESERVED:
         RESERVED_SOCKETS.popleft().close()
-    while True:
-        port = next(_ports)
+    for port in itertools.islice(_ports, len(PORTS)):
         twin = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             twin.bind(("127.0.0.1", port))
@@ -54,6 +54,7 @@
             continue
         RESERVED_SOCKETS.append(twin)
         return port
+    raise AssertionError("no port is free")
 
 
 def wait_until(check, limit_s=15.0, what="condition"):
