--- a/src/blocking_http.h
+++ b/src/blocking_http.h
@@ -58,8 +58,8 @@
     bool framed;  /* its length is defined by header, chunks or status */
     bool reused;  /* made over a pooled connection */
     bool crossed; /* the answer had another call's X-Attempt-Id */
-    bool
-        unproved; /* it may be another call's, or its head is of two answers */
+    /* It may be another call's, or its head is of two answers. */
+    bool unproved;
 } HcResult;
 
 typedef struct HcClient HcClient;
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -14,6 +14,9 @@
 /* One connection of the pool. */
 struct HtConn {
     HtPool *pool;
+    uint64_t number; /* in the pool, from 1 */
+    uint32_t calls;  /* that it carried, with the current one */
+    GArray *ids;     /* uint32_t: digests of the ids that were written to it */
     char *address;
     char *helper; /* the gateway by whose way it goes; NULL: none */
     int fd;
@@ -29,13 +32,9 @@
     bool connecting;
     bool asking; /* the helper has not answered yet */
     bool reusable;
-    uint64_t number; /* in the pool, from 1 */
-    uint32_t calls;  /* that it carried, with the current one */
-    GArray *ids;     /* uint32_t: digests of the ids of the calls that were
-                        written to it */
-    bool carried;    /* bytes of a former call */
-    bool skipped;    /* the message being read is interim or another call's */
-    bool in_body;    /* the head of the message being read is over */
+    bool carried; /* bytes of a former call */
+    bool skipped; /* the message being read is interim or another call's */
+    bool in_body; /* the head of the message being read is over */
     size_t before_head_bytes; /* since the last head that is not interim */
     size_t skipped_bytes;     /* of bodies */
     bool got_message;  /* all that the answer's framing announced came */
--- a/src/model_placement.c
+++ b/src/model_placement.c
@@ -4,30 +4,13 @@
 
 /* Between reports while the upstream reports an order in progress. */
 #define LATE_LOAD_POLL_MS 400
-/* An adapter loads in 5 to 6.7 ms, to which the latency of the order adds. */
-#define ADAPTER_LOAD_MS 9
-/* The lists in a report are about 200 ms older than its numbers.  They are
-   used only if no order was accepted for this long before the report. */
-#define REPORT_LAG_MS 450
 /* The entry of an upstream is written at the end of a load or unload.  It is
    read at most this much later while the store answers. */
 #define ENTRY_LAG_MS 1500
-#define REPORT_INTERVAL_MS 150
 /* A new leader needs a report of every upstream.  On a VM with a fraction of a
    core thousands of answers at once would be handled too late, and their
    upstreams would be taken for unreachable. */
 #define MAX_REPORTS_PENDING 96
-#define MAX_REPORT_BACKOFFS 3
-/* Before the next order after a conflict with our own running order. */
-#define CONFLICT_RETRY_MS 25
-/* An unload waits for running requests.  So conflicts are expected for this
-   long after it is accepted, and are no sign of unknown content. */
-#define UNLOAD_DRAIN_MS 1200
-/* Steps of the wait after an unload, whenever the next order was refused or
-   accepted: one in six is refused then. */
-#define UNLOAD_WAIT_MORE_MS 10
-#define UNLOAD_WAIT_LESS_MS 2
-#define MAX_UNLOAD_WAIT_MS 100
 /* Between reports requested for broken connections of one upstream. */
 #define SUSPECT_INTERVAL_MS 500
 /* If requests wait this long for a model with a usable replica, the known
@@ -278,8 +261,8 @@
     return NULL;
 }
 
-static Adapter *
-find_adapter(const Replica *r, const char *name)
+Adapter *
+mp_find_adapter(const Replica *r, const char *name)
 {
     for (guint i = 0; i < r->adapters->len; i++) {
         Adapter *a = r->adapters->pdata[i];
@@ -290,8 +273,8 @@
     return NULL;
 }
 
-static Replica *
-add_replica(Up *u, Model *model, uint64_t ready_ms)
+Replica *
+mp_add_replica(Up *u, Model *model, uint64_t ready_ms)
 {
     Replica *r = g_new0(Replica, 1);
     r->model = model;
@@ -303,15 +286,15 @@
     return r;
 }
 
-static void
-remove_replica(Up *u, Replica *r)
+void
+mp_remove_replica(Up *u, Replica *r)
 {
     g_ptr_array_remove_fast(r->model->holders, u);
     g_ptr_array_remove(u->replicas, r);
 }
 
-static void
-add_adapter(Replica *r, const char *name, uint64_t ready_ms)
+void
+mp_add_adapter(Replica *r, const char *name, uint64_t ready_ms)
 {
     Adapter *a = g_new0(Adapter, 1);
     a->name = g_strdup(name);
@@ -353,6 +336,17 @@
     g_ptr_array_add(model->copies, u);
 }
 
+void
+mp_add_copies(Up *u, Model *model)
+{
+    if (!lists_model(u->in_memory, model)) {
+        add_copy(u, u->in_memory, model);
+    }
+    if (!lists_model(u->on_disk, model)) {
+        add_copy(u, u->on_disk, model);
+    }
+}
+
 static void
 set_copies(Mp *m, Up *u, const GPtrArray *in_memory, const GPtrArray *on_disk)
 {
@@ -383,8 +377,8 @@
     }
 }
 
-static void
-invalidate_content(Up *u, uint64_t report_ms)
+void
+mp_invalidate_content(Up *u, uint64_t report_ms)
 {
     u->content_known = false;
     u->next_report_ms = MAX(u->next_report_ms, report_ms);
@@ -538,15 +532,15 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         Up *u = v;
         u->next_report_ms = 0;
-        invalidate_content(u, now_ms);
+        mp_invalidate_content(u, now_ms);
         mp_set_goal(u, NULL);
     }
 }
 
 /* ---- reports ------------------------------------------------------------ */
 
-static void
-request_report(Mp *m, Up *u)
+void
+mp_request_report(Mp *m, Up *u)
 {
     u->report_pending = true;
     m->reports_pending++;
@@ -564,7 +558,7 @@
         return;
     }
     u->suspected_ms = now_ms;
-    request_report(m, u);
+    mp_request_report(m, u);
 }
 
 /* Keep what was known of a replica before the report.  A report must not count
@@ -586,14 +580,14 @@
 add_resident(Mp *m, Up *u, uint64_t now_ms, const DepResident *d,
              const GPtrArray *old)
 {
-    Replica *r = add_replica(u, mp_get_model(m, d->name), now_ms);
+    Replica *r = mp_add_replica(u, mp_get_model(m, d->name), now_ms);
     r->used_ms = 0;
     keep_replica_state(r, old);
     for (guint i = 0; i < d->adapters->len; i++) {
-        add_adapter(r, d->adapters->pdata[i], now_ms);
+        mp_add_adapter(r, d->adapters->pdata[i], now_ms);
     }
     for (guint i = 0; i < d->coming->len; i++) {
-        add_adapter(r, d->coming->pdata[i], now_ms + ADAPTER_LOAD_MS);
+        mp_add_adapter(r, d->coming->pdata[i], now_ms + ADAPTER_LOAD_MS);
     }
 }
 
@@ -614,8 +608,8 @@
     set_copies(m, u, report->in_memory, report->on_disk);
 }
 
-static void
-set_reachable(Mp *m, Up *u, bool reachable)
+void
+mp_set_reachable(Mp *m, Up *u, bool reachable)
 {
     if (!reachable && !u->unreachable) {
         m->out.publish_unreachable(m->out.ctx, u->entry->id);
@@ -655,9 +649,9 @@
     if (!found && !u->unreachable) {
         /* Request reports until it answers: if it has restarted its content
            has changed. */
-        invalidate_content(u, now_ms);
+        mp_invalidate_content(u, now_ms);
     }
-    set_reachable(m, u, found);
+    mp_set_reachable(m, u, found);
     if (now_ms < u->changed_ms + REPORT_LAG_MS) {
         u->next_report_ms = u->changed_ms + REPORT_LAG_MS;
         return;
@@ -676,205 +670,6 @@
     }
 }
 
-/* ---- results of orders -------------------------------------------------- */
-
-static void
-add_copies(Up *u, Model *model)
-{
-    if (!lists_model(u->in_memory, model)) {
-        add_copy(u, u->in_memory, model);
-    }
-    if (!lists_model(u->on_disk, model)) {
-        add_copy(u, u->on_disk, model);
-    }
-}
-
-static void
-apply_model_order(const Mp *m, Up *u, uint64_t now_ms)
-{
-    Replica *r = mp_find_replica(u, u->order_model);
-    if (u->order_unload) {
-        /* Its memory counts as free from now on: until the unload is done the
-           upstream refuses the next order with a conflict. */
-        u->unloaded_ms = now_ms;
-        u->after_unload = true;
-        u->retry_ms = now_ms + m->unload_ms;
-        if (r) {
-            remove_replica(u, r);
-        }
-        return;
-    }
-    if (!r) {
-        r = add_replica(u, u->order_model, 0);
-    }
-    r->ordered_ms = now_ms;
-    r->late = false;
-    r->expected_ms = now_ms + u->order_load_ms;
-    r->integral_at_start_ms = m->load_integral_ms;
-    r->ready_ms = u->order_from_store ? WHEN_REPORTED : r->expected_ms;
-    r->used_ms = r->expected_ms;
-    u->busy_until_ms = r->ready_ms;
-    u->next_report_ms = r->expected_ms;
-    add_copies(u, u->order_model);
-}
-
-static void
-apply_adapter_order(Up *u, uint64_t now_ms)
-{
-    Replica *r = mp_find_replica(u, u->order_model);
-    Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
-    if (u->order_unload && a) {
-        /* It occupies its slot until a report no longer lists it. */
-        a->leaving = true;
-    }
-    else if (!u->order_unload && r && !a) {
-        add_adapter(r, u->order_adapter, now_ms + ADAPTER_LOAD_MS);
-    }
-}
-
-/* The adapter was not in use and has been unloaded already. */
-static void
-remove_adapter(Up *u)
-{
-    Replica *r = mp_find_replica(u, u->order_model);
-    Adapter *a = r ? find_adapter(r, u->order_adapter) : NULL;
-    if (a) {
-        g_ptr_array_remove(r->adapters, a);
-    }
-    u->sequence++;
-    u->published = false;
-}
-
-static void
-apply_order(const Mp *m, Up *u, uint64_t now_ms)
-{
-    if (u->order_adapter) {
-        apply_adapter_order(u, now_ms);
-    }
-    else {
-        apply_model_order(m, u, now_ms);
-    }
-    u->published = false;
-}
-
-/* The unload is not known to have been accepted.  The replica is published
-   again; otherwise its callers could not use it, and its model would not be
-   loaded on this upstream again. */
-static void
-cancel_unload(Up *u)
-{
-    Replica *r = mp_find_replica(u, u->order_model);
-    if (r) {
-        r->unloading = false;
-        u->published = false;
-    }
-}
-
-static void
-on_accepted(const Mp *m, Up *u, uint64_t now_ms)
-{
-    u->sequence++;
-    u->changed_ms = now_ms;
-    apply_order(m, u, now_ms);
-    if (!u->order_unload && !u->order_adapter) {
-        mp_set_goal(u, NULL);
-    }
-    else if (u->order_adapter && u->order_unload) {
-        invalidate_content(u, now_ms + REPORT_LAG_MS);
-    }
-}
-
-static void
-on_no_change(const Mp *m, Up *u, uint64_t now_ms)
-{
-    u->changed_ms = now_ms;
-    if (u->order_adapter && u->order_unload) {
-        remove_adapter(u);
-        return;
-    }
-    /* The answer does not say whether the order counts in the sequence, so a
-       report is needed. */
-    u->order_load_ms = 0;
-    apply_order(m, u, now_ms);
-    invalidate_content(u, now_ms);
-    mp_set_goal(u, NULL);
-}
-
-/* The first order after an unload shows whether it came too early. */
-static void
-note_after_unload(Mp *m, Up *u, MpOrderResult result)
-{
-    uint64_t after_ms = u->order_ms - u->unloaded_ms;
-    if (!u->after_unload) {
-        return;
-    }
-    u->after_unload = false;
-    if (result == MP_ORDER_CONFLICT && after_ms <= MAX_UNLOAD_WAIT_MS) {
-        m->unload_ms =
-            MIN(MAX(m->unload_ms, (uint32_t)after_ms) + UNLOAD_WAIT_MORE_MS,
-                MAX_UNLOAD_WAIT_MS);
-    }
-    else if (result == MP_ORDER_ACCEPTED &&
-             m->unload_ms >= UNLOAD_WAIT_LESS_MS) {
-        m->unload_ms -= UNLOAD_WAIT_LESS_MS;
-    }
-}
-
-void
-mp_on_order_result(Mp *m, uint64_t now_ms, const char *id,
-                   MpOrderResult result)
-{
-    Up *u = g_hash_table_lookup(m->ups, id);
-    if (!u || !u->ordered) {
-        return;
-    }
-    u->ordered = false;
-    note_after_unload(m, u, result);
-    if (u->order_from_store && result != MP_ORDER_ACCEPTED &&
-        result != MP_ORDER_UNKNOWN) {
-        mp_cancel_store_start(m, u->order_ms);
-    }
-    if (u->order_unload && !u->order_adapter && result != MP_ORDER_ACCEPTED) {
-        cancel_unload(u);
-    }
-    /* If only the answer is missing the upstream may be healthy: a report is
-       requested first.  An order that wasn't sent says nothing of the upstream
-       either: orders go directly, and reports come by any way. */
-    if (result != MP_ORDER_NOT_SENT) {
-        u->unsent_orders = 0;
-        set_reachable(m, u, true);
-    }
-    switch (result) {
-    case MP_ORDER_ACCEPTED:
-        on_accepted(m, u, now_ms);
-        break;
-    case MP_ORDER_NO_CHANGE:
-        on_no_change(m, u, now_ms);
-        break;
-    case MP_ORDER_CONFLICT:
-        u->retry_ms = now_ms + CONFLICT_RETRY_MS;
-        if (now_ms > u->unloaded_ms + UNLOAD_DRAIN_MS) {
-            invalidate_content(u, now_ms + CONFLICT_RETRY_MS);
-        }
-        break;
-    case MP_ORDER_NOT_SENT:
-        u->retry_ms = now_ms + (REPORT_INTERVAL_MS
-                                << MIN(u->unsent_orders, MAX_REPORT_BACKOFFS));
-        u->unsent_orders++;
-        if (!u->report_pending) {
-            request_report(m, u);
-        }
-        break;
-    case MP_ORDER_REFUSED:
-    case MP_ORDER_UNKNOWN:
-        u->changed_ms = now_ms;
-        u->retry_ms = now_ms + REPORT_INTERVAL_MS;
-        invalidate_content(u, now_ms + REPORT_INTERVAL_MS);
-        mp_set_goal(u, NULL);
-        break;
-    }
-}
-
 /* ---- tick --------------------------------------------------------------- */
 
 /* Request a report if requests keep waiting for a model that U should have
@@ -894,7 +689,7 @@
         if (since_ms && r->ready_ms <= now_ms &&
             now_ms > MAX(since_ms, r->ready_ms) + VERIFY_AFTER_MS) {
             u->verified_ms = now_ms;
-            request_report(m, u);
+            mp_request_report(m, u);
             return;
         }
     }
@@ -921,7 +716,7 @@
     if ((!u->content_known || is_load_late(u, now_ms)) && !u->report_pending &&
         !u->ordered && now_ms >= MAX(u->next_report_ms, u->quiet_ms) &&
         m->reports_pending < MAX_REPORTS_PENDING) {
-        request_report(m, u);
+        mp_request_report(m, u);
     }
     if (may_order && u->goal) {
         mp_pursue_goal(m, now_ms, u);
--- a/src/model_placement_internal.h
+++ b/src/model_placement_internal.h
@@ -1,8 +1,8 @@
 /* model_placement_internal: internals of placement, for the model_placement*.c
    files only.
 
-     model_placement.c          state of upstreams: content, reports and
-                                results of orders
+     model_placement.c          state of upstreams: content and reports
+     model_placement_orders.c   results of orders
      model_placement_demand.c   demand of callers, and the estimated capacity
                                 of a replica
      model_placement_choice.c   which model is loaded on which upstream
@@ -17,6 +17,13 @@
 
 /* As a time: not known in advance, but reported by the upstream. */
 #define WHEN_REPORTED UINT64_MAX
+/* An adapter loads in 5 to 6.7 ms, to which the latency of the order adds. */
+#define ADAPTER_LOAD_MS 9
+/* The lists in a report are about 200 ms older than its numbers.  They are
+   used only if no order was accepted for this long before the report. */
+#define REPORT_LAG_MS 450
+#define REPORT_INTERVAL_MS 150
+#define MAX_REPORT_BACKOFFS 3
 
 typedef struct Model Model;
 typedef struct Up Up;
@@ -201,6 +208,18 @@
 const DepModel *mp_find_declared(const Up *u, const Model *model);
 bool mp_has_copy(const Up *u, const Model *model);
 void mp_set_goal(Up *u, Model *model); /* NULL: none */
+/* NULL: R doesn't have it. */
+Adapter *mp_find_adapter(const Replica *r, const char *name);
+/* READY_MS: usable from then on, or WHEN_REPORTED. */
+Replica *mp_add_replica(Up *u, Model *model, uint64_t ready_ms);
+void mp_remove_replica(Up *u, Replica *r);
+void mp_add_adapter(Replica *r, const char *name, uint64_t ready_ms);
+/* What U holds isn't known until a report, which is asked for at REPORT_MS. */
+void mp_invalidate_content(Up *u, uint64_t report_ms);
+void mp_set_reachable(Mp *m, Up *u, bool reachable);
+void mp_request_report(Mp *m, Up *u);
+/* U has MODEL's weights in memory and on disk. */
+void mp_add_copies(Up *u, Model *model);
 
 /* model_placement_demand.c */
 /* Estimate of the concurrent requests that a replica serves in time, before
