A body that ends inside what may be another answer's head waits for what follows

Callers got 200 with the begin of their own answer, filled up with the first bytes of a copy: a body broke off, the copy behind it brought it to its length, and the rest of the copy came in a later read.

Cause: whether such a body runs on into another answer was decided by the bytes that came in the same read.

Change: where a whole body ends inside what may be an answer's head, or inside a first line, the answer is held until more bytes come, the connection ends or 250 ms have passed. Other bodies are not held.

--- a/src/answer_end.c
+++ b/src/answer_end.c
@@ -213,22 +213,31 @@
     return a->body;
 }
 
-/* TEXT begins with a first line, up to its status.  Blanks as the parser takes
-   them. */
-static bool
-is_status_line(const char *text, const char *end)
+typedef enum {
+    LINE_OTHER,
+    LINE_BEGUN, /* the text ends inside it */
+    LINE_WHOLE
+} LineMatch;
+
+/* Whether TEXT begins with a first line, up to its status.  Blanks as the
+   parser takes them. */
+static LineMatch
+match_status_line(const char *text, const char *end)
 {
     static const char pattern[] = STATUS_LINE;
     const char *at = text;
     for (const char *p = pattern; *p; p++, at++) {
-        if (at == end || (*p == '#' ? !g_ascii_isdigit(*at) : *at != *p)) {
-            return false;
+        if (at == end) {
+            return LINE_BEGUN;
+        }
+        if (*p == '#' ? !g_ascii_isdigit(*at) : *at != *p) {
+            return LINE_OTHER;
         }
         while (*p == ' ' && end - at > 1 && at[1] == ' ') {
             at++;
         }
     }
-    return true;
+    return LINE_WHOLE;
 }
 
 const char *
@@ -239,7 +248,7 @@
     }
     const char *end = text + len;
     const char *at = memmem(text, len, FIRST_BYTES, strlen(FIRST_BYTES));
-    while (at && !is_status_line(at, end)) {
+    while (at && match_status_line(at, end) != LINE_WHOLE) {
         at++;
         at = memmem(at, (size_t)(end - at), FIRST_BYTES, strlen(FIRST_BYTES));
     }
@@ -251,3 +260,31 @@
 {
     return ae_find_status_line(text, strlen(text)) != NULL;
 }
+
+/* Behind the last blank line of TEXT. */
+static const char *
+skip_blank_lines(const char *text, const char *end)
+{
+    const char *behind = text;
+    const char *at = text;
+    while (at < end && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        at++;
+        const char *next = at < end && *at == '\r' ? at + 1 : at;
+        behind = next < end && *next == '\n' ? next + 1 : behind;
+    }
+    return behind;
+}
+
+bool
+ae_ends_in_head(const char *text, size_t len)
+{
+    const char *end = text + len;
+    const char *at = len > 0 ? skip_blank_lines(text, end) : end;
+    while (at < end && (at = memchr(at, *FIRST_BYTES, (size_t)(end - at)))) {
+        if (match_status_line(at, end) != LINE_OTHER) {
+            return true;
+        }
+        at++;
+    }
+    return false;
+}
--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -114,5 +114,7 @@
    field that it ends in holds that one's. */
 const char *ae_find_status_line(const char *text, size_t len);
 bool ae_holds_status_line(const char *text);
+/* TEXT ends inside what may be an answer's head, its first line included. */
+bool ae_ends_in_head(const char *text, size_t len);
 
 #endif
--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -342,6 +342,7 @@
     w->got_message = false;
     w->too_large = false;
     w->garbled = false;
+    w->held_ms = 0;
     w->chunk_end_due = 0;
     w->in_body = false;
     w->before_head_bytes = 0;
@@ -400,11 +401,23 @@
     ht_fail_conn(w, AE_INVALID);
 }
 
+/* The body may hold the begin of another answer, whose rest may still come. */
+static bool
+may_run_on(const HtConn *w)
+{
+    const GByteArray *body = ae_get_body(w->call->answer);
+    return ae_ends_in_head((const char *)body->data, body->len);
+}
+
 /* The message is over; LEFT unexpected bytes followed it, REST. */
 static void
 finish_answer(HtConn *w, const uint8_t *rest, size_t left)
 {
     HtCall *call = w->call;
+    if (left == 0 && !w->held_ms && !w->input_over && may_run_on(w)) {
+        w->held_ms = bg_boot_ms();
+        return;
+    }
     if (is_garbled(w, rest, left)) {
         fail_garbled(w);
         return;
@@ -426,6 +439,12 @@
     ht_end_call(call, end);
 }
 
+void
+ht_end_held(HtConn *w)
+{
+    finish_answer(w, NULL, 0);
+}
+
 Pt *
 ht_get_paths(const HtConn *w)
 {
@@ -464,6 +483,12 @@
     }
     w->input = (const char *)data;
     w->input_end = len > 0 ? w->input + len : NULL;
+    w->input_over = len == 0;
+    w->reusable = w->reusable && !w->input_over;
+    if (w->held_ms) {
+        finish_answer(w, data, len);
+        return;
+    }
     if (len > 0 && w->chunk_end_due > 0) {
         check_chunk_end(w, (const char *)data, w->chunk_end_due);
     }
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -17,6 +17,8 @@
 /* After an answer that doesn't say whose it is the call's own may follow at
    once; else that was it. */
 #define UNNAMED_MS 250
+/* So long the rest of a copy that fills up a broken body may take. */
+#define HELD_MS 250
 
 void
 ht_free_call(HtCall *call)
@@ -469,19 +471,18 @@
            w->since_ms + (w->connecting ? PROBE_CONNECT_MS : w->keep_ms);
 }
 
-/* 0 when W is overdue at NOW_MS. */
-static gint
-compare_overdue(gconstpointer w, gconstpointer now_ms)
-{
-    return is_overdue(w, *(const uint64_t *)now_ms) ? 0 : 1;
-}
+typedef bool (*IsDue)(const HtConn *w, uint64_t now_ms);
 
 /* A handler may open and close connections, so each search starts over. */
 static HtConn *
-find_overdue(HtPool *p, uint64_t now_ms)
+find_due(HtPool *p, IsDue is_due, uint64_t now_ms)
 {
-    GList *found = g_queue_find_custom(&p->conns, &now_ms, compare_overdue);
-    return found ? found->data : NULL;
+    for (GList *l = p->conns.head; l; l = l->next) {
+        if (is_due(l->data, now_ms)) {
+            return l->data;
+        }
+    }
+    return NULL;
 }
 
 /* CALL has no time left: no other helper is asked. */
@@ -517,22 +518,28 @@
            now_ms > call->unnamed_ms + UNNAMED_MS;
 }
 
-/* 0 when W is so at NOW_MS. */
-static gint
-compare_unnamed(gconstpointer w, gconstpointer now_ms)
+static void
+end_unnamed(HtPool *p, uint64_t now_ms)
+{
+    HtConn *w;
+    while ((w = find_due(p, is_unnamed, now_ms))) {
+        bg_count("gateway_unnamed_answers_total", 1);
+        ht_close_call(w, AE_NOT_HTTP);
+    }
+}
+
+static bool
+was_held(const HtConn *w, uint64_t now_ms)
 {
-    return is_unnamed(w, *(const uint64_t *)now_ms) ? 0 : 1;
+    return w->held_ms && now_ms > w->held_ms + HELD_MS;
 }
 
-/* A handler may open and close connections, so each search starts over. */
 static void
-end_unnamed(HtPool *p, uint64_t now_ms)
+end_held(HtPool *p, uint64_t now_ms)
 {
-    GList *found;
-    while (
-        (found = g_queue_find_custom(&p->conns, &now_ms, compare_unnamed))) {
-        bg_count("gateway_unnamed_answers_total", 1);
-        ht_close_call(found->data, AE_NOT_HTTP);
+    HtConn *w;
+    while ((w = find_due(p, was_held, now_ms))) {
+        ht_end_held(w);
     }
 }
 
@@ -571,10 +578,11 @@
 {
     g_hash_table_foreach_remove(p->lost, is_old, &now_ms);
     HtConn *w;
-    while ((w = find_overdue(p, now_ms))) {
+    while ((w = find_due(p, is_overdue, now_ms))) {
         end_late_opening(w, now_ms);
     }
     end_unnamed(p, now_ms);
+    end_held(p, now_ms);
     if (p->detours.paths) {
         open_due(p, now_ms);
     }
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -42,17 +42,20 @@
     bool garbled;      /* the answer's body holds a part of another answer */
     const char *input; /* being parsed */
     const char *input_end;
+    bool input_over; /* no more comes: the connection was closed in order */
     char last_byte;  /* of the input before that */
     bool line_ended; /* the next byte of the body follows a line: the head, or
                         the size of a chunk */
     size_t chunk_end_due; /* bytes of the line end behind a chunk, which come
                              with the next input */
-    bool parsing;         /* inside the parser's callbacks */
-    bool cancelled;       /* by a handler, inside the parser's callbacks */
-    bool unframing;       /* inside the loop over a helper's frames */
-    bool closed;          /* meanwhile: freed after that loop */
-    uint32_t keep_ms;     /* how long it may be idle */
-    uint64_t since_ms;    /* idle, or opening, since */
+    uint64_t held_ms;  /* the answer is over, but the next bytes may show that
+                          it broke off: since; 0: it isn't so */
+    bool parsing;      /* inside the parser's callbacks */
+    bool cancelled;    /* by a handler, inside the parser's callbacks */
+    bool unframing;    /* inside the loop over a helper's frames */
+    bool closed;       /* meanwhile: freed after that loop */
+    uint32_t keep_ms;  /* how long it may be idle */
+    uint64_t since_ms; /* idle, or opening, since */
     uint64_t
         opened_ms; /* it was open at the latest then; 0: no call used it */
     GList *link;   /* in the pool's conns */
@@ -128,6 +131,8 @@
 /* LEN 0: the connection was closed in order.  May free W. */
 void ht_parse_input(HtConn *w, const uint8_t *data, size_t len);
 void ht_make_idle(HtConn *w);
+/* Nothing follows the answer that W holds back.  May free W. */
+void ht_end_held(HtConn *w);
 /* The paths that W tells of; NULL: it goes to no upstream. */
 Pt *ht_get_paths(const HtConn *w);
 /* The id of its call is written to W. */
--- a/tests/test_copies_inside.py
+++ b/tests/test_copies_inside.py
@@ -3,6 +3,7 @@
 
 import itertools
 import json
+import time
 
 import pytest
 
@@ -11,6 +12,8 @@
 
 EVENTS = "".join(event(i) for i in range(16))
 STEP = 11   # bytes, from one case to the next
+# Less than the time after which a broken answer may not be followed by more.
+APART_S = 0.05
 
 
 def make_answer(engine, rid, body, framing):
@@ -95,6 +98,54 @@
             assert not wrong, (own, framing, packets)
 
 
+class LateRest:
+    """An engine's on_request: the body breaks off, the first bytes of a copy
+    fill it up, and the rest of the copy comes later."""
+
+    def __init__(self):
+        self.cut = 0
+
+    def __call__(self, engine, h, rid):
+        answer = make_answer(engine, rid,
+                             json.dumps({"id": rid, "pad": "p" * 400}), LENGTH)
+        left_out = int(h.path.rpartition("-")[2])
+        self.cut += 1
+        h.wfile.write(answer[:-left_out] + answer[:left_out])
+        h.wfile.flush()
+        time.sleep(APART_S)
+        h.wfile.write(answer[left_out:])
+        h.close_connection = True
+        return True
+
+
+# As above; the copy's id came after the body had counted as whole.
+@pytest.mark.parametrize("route", ["pay", "read"])
+def test_copy_whose_rest_comes_later(build, route):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = late = LateRest()
+        wrong = []
+        for left_out in range(1, 100, 3):
+            got = ask(c.gateways[0], route, deadline_ms=1000,
+                      path="/%s/cut-%d" % (route, left_out))
+            if not is_own(got, None):
+                wrong.append((left_out, got))
+        assert late.cut >= 30 and not wrong
+
+
+# A text that ends as an answer begins is whole, however late it is known.
+@pytest.mark.parametrize("text", ["HTTP/1.1 200", "see HTTP/1.1 200 OK\r\nA: ",
+                                  "AH", "HTTP/1.1 200 OK\r\nA: 1\r\n\r\nb"])
+def test_text_about_http_is_served(build, text):
+    with Cluster(build, models=(), apps=1) as c:
+        def answer(engine, h, rid):
+            h.wfile.write(make_answer(engine, rid, text, LENGTH))
+            return True
+        c.apps[0].on_request = answer
+        for i in range(3):
+            status, _, data, _ = ask(c.gateways[0], "pay", body=b"%d" % i)
+            assert (status, data) == (200, text.encode())
+
+
 # Bytes behind a whole answer are nobody's, and don't spoil it.
 @pytest.mark.parametrize("extra", [b"x", b"garbage\r\n\r\n", b"\0" * 300],
                          ids=["one", "line", "zeros"])
