An own answer inside a copy's broken body is found at once

Callers waited to the end of their time and got 504: a copy of a longer answer broke off in its body, and the own answer behind it was read as the rest of it.

Cause: bodies of answers to other calls were passed over unread.

Change: an answer's head with an id of this connection in such a body means that the body broke off; the call counts as broken, so that one that may be repeated goes on elsewhere at once. A head that comes in two reads isn't found: its caller waits as before.

test_copy_that_swallows_the_answer: 2 of 2 red before (2.9 s of a deadline of 3 s), green now.

--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -305,6 +305,7 @@
     }
     if (w->skipped) {
         w->skipped_bytes += len;
+        w->garbled = w->garbled || holds_answer(w, at, len);
     }
     else if (!w->garbled) {
         take_body(w, at, len);
--- a/tests/test_copies_inside.py
+++ b/tests/test_copies_inside.py
@@ -14,6 +14,7 @@
 STEP = 11   # bytes, from one case to the next
 # Less than the time after which a broken answer may not be followed by more.
 APART_S = 0.05
+SWALLOWED_S = 1.0   # of a deadline of 3 s
 
 
 def make_answer(engine, rid, body, framing):
@@ -146,6 +147,41 @@
             assert (status, data) == (200, text.encode())
 
 
+class Swallowing:
+    """An engine's on_request: before every other answer comes a copy of a
+    longer one, which breaks off early in its body."""
+
+    def __init__(self):
+        self.cut = 0
+
+    def __call__(self, engine, h, rid):
+        body = json.dumps({"id": rid, "pad": "p" * 40})
+        answer = make_answer(engine, rid, body, LENGTH)
+        former, h.former = getattr(h, "former", None), rid
+        if former and "cut" in h.path and not self.cut:
+            self.cut += 1
+            copy = make_answer(engine, former, "p" * 4000, LENGTH)
+            h.wfile.write(copy[:-3900])
+        h.wfile.write(answer)
+        return True
+
+
+# The answer was read as the copy's body, and its caller waited to the end.
+@pytest.mark.parametrize("route", ["pay", "read"])
+def test_copy_that_swallows_the_answer(build, route):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = swallowing = Swallowing()
+        ask(c.gateways[0], route)
+        begun = time.monotonic()
+        got = ask(c.gateways[0], route, deadline_ms=3000,
+                  path="/%s/cut" % route)
+        assert swallowing.cut == 1 and time.monotonic() - begun < SWALLOWED_S
+        if route == "read":
+            assert json.loads(got[2])["id"] == got[3]
+        else:
+            assert got[0] == 502 and "X-Server-Stamp" not in got[1]
+
+
 # Bytes behind a whole answer are nobody's, and don't spoil it.
 @pytest.mark.parametrize("extra", [b"x", b"garbage\r\n\r\n", b"\0" * 300],
                          ids=["one", "line", "zeros"])
