--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -4,6 +4,7 @@
 "ok".  "up" is the direction from the client to the target.
 
 delay_ms       delay of each piece of data
+lag_ms         so much later each byte that goes down arrives
 cut            close all connections and refuse new ones
 freeze         keep connections open but forward nothing
 freeze_old     the same for the connections that are open now
@@ -19,11 +20,16 @@
 import standin
 
 
+def write_open(writer, data):
+    if not writer.is_closing():
+        writer.write(data)
+
+
 class Proxy:
     def __init__(self, host, port):
         self.target = (host, port)
-        self.faults = {"delay_ms": 0, "cut": False, "freeze": False,
-                       "one_way": "", "drop_after_up": 0,
+        self.faults = {"delay_ms": 0, "lag_ms": 0, "cut": False,
+                       "freeze": False, "one_way": "", "drop_after_up": 0,
                        "hold_text": "", "hold_ms": 0, "rate": 0}
         self.held = 0
         self.open = {}
@@ -56,6 +62,10 @@
                     await asyncio.sleep(0.02)
                 if self.faults["one_way"] == direction:
                     continue
+                if direction == "down" and self.faults["lag_ms"]:
+                    asyncio.get_running_loop().call_later(
+                        self.faults["lag_ms"] / 1000, write_open, writer, data)
+                    continue
                 writer.write(data)
                 await writer.drain()
                 sent += len(data)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -44,8 +44,8 @@
 
     def set(self, **faults):
         """Sets FAULTS; those of BASE that are not named are cleared."""
-        base = {"delay_ms": 0, "cut": False, "freeze": False, "one_way": "",
-                "rate": 0}
+        base = {"delay_ms": 0, "lag_ms": 0, "cut": False, "freeze": False,
+                "one_way": "", "rate": 0}
         self.control.sendall(json.dumps(dict(base, **faults)).encode() +
                              b"\n")
         self.control.recv(10)
