A relay's port that is held for a moment is asked for again, and its holders named

Seen three times before.

A listener may stay for a moment if something else refers to its file. It is asked for again for 2 s, and each failure prints the sockets at the port and whose they are.

--- a/tests/path_relay.py
+++ b/tests/path_relay.py
@@ -13,21 +13,53 @@
 """
 
 import asyncio
+import glob
 import os
 import socket
 import struct
 import tempfile
 import threading
+import time
 
 from cluster import free_port
 
+HELD_S = 2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def find_holders(port):
+    """The sockets at PORT: (state as a number, open files that are this)."""
+    with open("/proc/net/tcp", encoding="ascii") as f:
+        rows = [line.split() for line in f][1:]
+    links = {}
+    for name in glob.glob("/proc/[0-9]*/fd/*"):
+        try:
+            links.setdefault(os.readlink(name), []).append(name)
+        except OSError:
+            pass   # closed meanwhile
+    return [(row[3], links.get("socket:[%s]" % row[9])) for row in rows
+            if row[1].endswith(":%04X" % port)]
+
+
+def bind(s, port):
+    """Something may hold PORT for a moment after its listener was closed; who
+    it was is told."""
+    until = time.monotonic() + HELD_S
+    while True:
+        try:
+            s.bind(("127.0.0.1", port))
+            return
+        except OSError:
+            print("port %d is held: %s" % (port, find_holders(port)))
+            if time.monotonic() > until:
+                raise
+            time.sleep(0.01)
+
+
 def listen(port, backlog):
     s = socket.socket()
     s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    s.bind(("127.0.0.1", port))
+    bind(s, port)
     s.listen(backlog)
     s.setblocking(False)
     return s
