A field's line ends at its own line feed

One answer stopped a gateway for seconds: a body of 400 KB of line feeds behind a first line took 3.45 s, one of 800 KB over 10 s, in which nobody else was served. And the head of a copy whose lines end in bare line feeds, which the parser takes, was not seen in a body that it filled up: 200, not the own answer.

Cause: where a body holds a first line its lines are searched for an id; each search went to the next carriage return, to the body's end if there is none.

--- a/src/http.c
+++ b/src/http.c
@@ -95,7 +95,7 @@
 ht_read_field(const char *line, size_t len, const char *name)
 {
     size_t name_len = strlen(name);
-    const char *line_end = memchr(line, '\r', len);
+    const char *line_end = memchr(line, '\n', len);
     if (!line_end || (size_t)(line_end - line) <= name_len ||
         g_ascii_strncasecmp(line, name, name_len) != 0 ||
         line[name_len] != ':') {
