All that follows a held answer is judged with it, and a held answer isn't lost

Callers got 200 with their own answer filled up by a copy's begin where the rest of the copy came in pieces, while the gateway stood still, or where no id told the copy's head inside the body.

Cause: the first byte behind a held body ended the wait; the wait was ended by the gateway's clock alone; without an id nothing was looked for.

Change: the bytes behind a held body are kept, and judged with it as one text; what waits in the socket is read before the wait ends; without an id a head is told by the fields of the own one. A held answer is passed on whatever ends its connection, and 50 ms before its caller's deadline. A reason with quotes or braces is none, so that JSON isn't held.

--- a/src/answer_end.c
+++ b/src/answer_end.c
@@ -5,6 +5,7 @@
 
 #define FIRST_BYTES "HTTP/"               /* of each answer */
 #define STATUS_LINE FIRST_BYTES "#.# ###" /* #: a digit */
+#define MAX_REASON_BYTES 64
 
 struct Ae {
     AeExpect expect;
@@ -220,9 +221,9 @@
 } LineMatch;
 
 /* Whether TEXT begins with a first line, up to its status.  Blanks as the
-   parser takes them. */
+   parser takes them.  BEHIND: its status; or NULL. */
 static LineMatch
-match_status_line(const char *text, const char *end)
+match_status_line(const char *text, const char *end, const char **behind)
 {
     static const char pattern[] = STATUS_LINE;
     const char *at = text;
@@ -237,6 +238,9 @@
             at++;
         }
     }
+    if (behind) {
+        *behind = at;
+    }
     return LINE_WHOLE;
 }
 
@@ -248,7 +252,7 @@
     }
     const char *end = text + len;
     const char *at = memmem(text, len, FIRST_BYTES, strlen(FIRST_BYTES));
-    while (at && match_status_line(at, end) != LINE_WHOLE) {
+    while (at && match_status_line(at, end, NULL) != LINE_WHOLE) {
         at++;
         at = memmem(at, (size_t)(end - at), FIRST_BYTES, strlen(FIRST_BYTES));
     }
@@ -275,16 +279,100 @@
     return behind;
 }
 
-bool
-ae_ends_in_head(const char *text, size_t len)
+/* Of a reason; a text in quotes that speaks of HTTP ends them first. */
+static bool
+may_be_reason(char c)
+{
+    return c == '\r' || (g_ascii_isprint(c) && !strchr("\"\\{}", c));
+}
+
+static bool
+is_token(char c)
+{
+    return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static const char *
+skip_reason(const char *at, const char *end)
+{
+    const char *most =
+        end - at > MAX_REASON_BYTES ? at + MAX_REASON_BYTES : end;
+    while (at < most && may_be_reason(*at)) {
+        at++;
+    }
+    return at;
+}
+
+/* The line end, or END if the text ends before it; NULL: no field's line. */
+static const char *
+match_field_line(const char *line, const char *end)
+{
+    const char *at = line;
+    while (at < end && is_token(*at)) {
+        at++;
+    }
+    if (at < end && (at == line || *at != ':')) {
+        return NULL;
+    }
+    const char *line_end = memchr(at, '\n', (size_t)(end - at));
+    return line_end ? line_end : end;
+}
+
+static bool
+is_blank_line(const char *line, const char *end)
+{
+    return *line == '\n' ||
+           (*line == '\r' && (line + 1 == end || line[1] == '\n'));
+}
+
+/* The begin of the last line from TEXT on that is no field's, up to a blank
+   one; TEXT: all are. */
+static const char *
+find_last_other_line(const char *text, const char *end)
+{
+    const char *other = text;
+    const char *line = text;
+    while (line < end && !is_blank_line(line, end)) {
+        const char *line_end = match_field_line(line, end);
+        if (!line_end) {
+            other = line;
+            line_end = memchr(line, '\n', (size_t)(end - line));
+        }
+        line = line_end && line_end < end ? line_end + 1 : end;
+    }
+    return other;
+}
+
+/* The line that a status ends before TEXT goes on as a first line does. */
+static bool
+ends_as_first_line(const char *text, const char *end)
+{
+    const char *at = skip_reason(text, end);
+    return at == end || *at == '\n';
+}
+
+AeInside
+ae_find_head_across(const char *text, size_t len, size_t body_len)
 {
     const char *end = text + len;
-    const char *at = len > 0 ? skip_blank_lines(text, end) : end;
-    while (at < end && (at = memchr(at, *FIRST_BYTES, (size_t)(end - at)))) {
-        if (match_status_line(at, end) != LINE_OTHER) {
-            return true;
+    const char *body_end = text + body_len;
+    AeInside found = AE_INSIDE_NOT;
+    const char *at =
+        body_len > 0 ? skip_blank_lines(text, body_end) : body_end;
+    const char *other = find_last_other_line(at, end);
+    while (at < body_end &&
+           (at = memchr(at, *FIRST_BYTES, (size_t)(body_end - at)))) {
+        const char *behind = NULL;
+        LineMatch match = match_status_line(at, end, &behind);
+        bool runs = match == LINE_WHOLE && at >= other &&
+                    ends_as_first_line(behind, end);
+        if (runs && len > body_len) {
+            return AE_INSIDE_SURE;
+        }
+        if (runs || match == LINE_BEGUN) {
+            found = AE_INSIDE_MAYBE;
         }
         at++;
     }
-    return false;
+    return found;
 }
--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -114,7 +114,15 @@
    field that it ends in holds that one's. */
 const char *ae_find_status_line(const char *text, size_t len);
 bool ae_holds_status_line(const char *text);
-/* TEXT ends inside what may be an answer's head, its first line included. */
-bool ae_ends_in_head(const char *text, size_t len);
+/* Whether another answer's head begins inside a body, and goes on behind it.
+ */
+typedef enum {
+    AE_INSIDE_NOT,
+    AE_INSIDE_MAYBE, /* more bytes will tell */
+    AE_INSIDE_SURE
+} AeInside;
+
+/* TEXT: a body of BODY_LEN bytes, and what came behind it. */
+AeInside ae_find_head_across(const char *text, size_t len, size_t body_len);
 
 #endif
--- a/src/gateway_request_send.c
+++ b/src/gateway_request_send.c
@@ -531,6 +531,7 @@
                    NULL},
         .match_name = id ? q->gw->wire->attempt_id : NULL,
         .match_value = id,
+        .answer_by_ms = q->answer_by_ms,
         .max_idle_ms = gw_may_repeat(q) ? 0 : MAX_IDLE_NO_REPEAT_MS,
         .fresh = !id, /* nothing else tells whose answer it is */
     };
--- a/src/http.h
+++ b/src/http.h
@@ -143,6 +143,8 @@
        answer is ours. */
     const char *match_name;
     const char *match_value;
+    uint64_t
+        answer_by_ms; /* a whole answer isn't held back beyond; 0: no end */
     uint32_t max_idle_ms; /* reuse no connection that was idle for longer; 0:
                              any */
     bool fresh;           /* use a new connection, and close it afterwards */
--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -6,6 +6,7 @@
 #include "http_pool_internal.h"
 
 #include "json_log.h"
+#include "sockets.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -25,8 +26,10 @@
 /* On one connection, whose ids are kept. */
 #define MAX_KEPT_IDS 512
 #define LINE_END "\r\n"
-/* Up to its status: a copy of an upstream's has few blanks. */
-#define MAX_STATUS_LINE_BYTES ((size_t)16)
+/* So long the rest of a copy that fills up a broken body may take. */
+#define HELD_MS 250
+/* Before its caller's deadline a held answer is passed on. */
+#define ANSWER_MARGIN_MS 50
 
 static int
 on_answer_begin(http_parser *p)
@@ -227,15 +230,12 @@
     return false;
 }
 
-/* The head of an answer that was sent on W: the one being read broke off
-   before it.  The ids tell it from a text about HTTP. */
+/* An id that W carried stands in a line behind AT. */
 static bool
-holds_answer(const HtConn *w, const char *text, size_t len)
+holds_id(const HtConn *w, const char *at, const char *end)
 {
     const char *name = w->call->match_name;
-    const char *end = text + len;
-    const char *at = name ? ae_find_status_line(text, len) : NULL;
-    while (at && (at = memchr(at, '\n', (size_t)(end - at)))) {
+    while ((at = memchr(at, '\n', (size_t)(end - at)))) {
         at++;
         g_autofree char *id = ht_read_field(at, (size_t)(end - at), name);
         if (id && ht_has_carried(w, id)) {
@@ -245,6 +245,46 @@
     return false;
 }
 
+static bool
+holds_field(const HtHeader *h, const char *at, const char *end)
+{
+    bool found = false;
+    while (!found && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        at++;
+        g_autofree char *value =
+            ht_read_field(at, (size_t)(end - at), h->name);
+        found = g_strcmp0(value, h->value) == 0;
+    }
+    return found;
+}
+
+/* All fields of the answer being read stand in lines behind AT. */
+static bool
+holds_own_fields(const HtConn *w, const char *at, const char *end)
+{
+    const GArray *fields = w->msg.head.headers;
+    bool found = fields->len > 0;
+    for (guint i = 0; found && i < fields->len; i++) {
+        found = holds_field(&g_array_index(fields, HtHeader, i), at, end);
+    }
+    return found;
+}
+
+/* The head of an answer that was sent on W: the one being read broke off
+   before it.  The ids tell it from a text about HTTP; where there are none, it
+   is a copy of the only answer, fields and all. */
+static bool
+holds_answer(const HtConn *w, const char *text, size_t len)
+{
+    const char *end = text + len;
+    const char *at = ae_find_status_line(text, len);
+    if (!at) {
+        return false;
+    }
+    bool by_id = w->call->match_name && w->call->match != HT_MATCH_FIRST;
+    return by_id ? holds_id(w, at, end) : holds_own_fields(w, at, end);
+}
+
 static void
 take_body(HtConn *w, const char *data, size_t len)
 {
@@ -343,6 +383,8 @@
     w->got_message = false;
     w->too_large = false;
     w->garbled = false;
+    w->input_over = false;
+    g_byte_array_set_size(w->rest, 0);
     w->held_ms = 0;
     w->chunk_end_due = 0;
     w->in_body = false;
@@ -363,51 +405,95 @@
     }
 }
 
-/* BODY holds the begin of a first line whose rest follows in REST. */
+/* The body is over, and what follows is no answer's begin: the body is whole,
+   and these bytes are nobody's, unless an answer begins inside it. */
 static bool
-ends_in_status_line(const GByteArray *body, const uint8_t *rest, size_t left)
+runs_on(const HtConn *w)
 {
-    size_t before = MIN(body->len, MAX_STATUS_LINE_BYTES);
-    size_t behind = MIN(left, MAX_STATUS_LINE_BYTES);
-    char text[2 * MAX_STATUS_LINE_BYTES];
-    memcpy(text, body->data + body->len - before, before);
-    memcpy(text + before, rest, behind);
-    const char *found = ae_find_status_line(text, before + behind);
-    return found && found < text + before;
+    const GByteArray *body = ae_get_body(w->call->answer);
+    return body->len > 0 && w->rest->len > 0 &&
+           !ht_may_begin_answer(w->rest->data, w->rest->len) &&
+           ae_find_status_line((const char *)body->data, body->len);
 }
 
-/* The body is over, and what follows is no answer's begin: the body is whole,
-   and these bytes are nobody's, unless an answer begins inside it.  REST:
-   bytes behind the answer. */
+/* No id shows whose a head inside its body is, and the body speaks of one. */
 static bool
-runs_on(const GByteArray *body, const uint8_t *rest, size_t left)
+is_unproved(const HtConn *w)
 {
-    return body->len > 0 && left > 0 && !ht_may_begin_answer(rest, left) &&
-           (ae_find_status_line((const char *)body->data, body->len) ||
-            ends_in_status_line(body, rest, left));
+    const GByteArray *body = ae_get_body(w->call->answer);
+    return w->call->match != HT_MATCH_ID &&
+           ae_find_status_line((const char *)body->data, body->len);
 }
 
+/* What came behind the body is another answer, or may become one. */
 static bool
-is_garbled(const HtConn *w, const uint8_t *rest, size_t left)
+begins_answer(const GByteArray *rest)
+{
+    size_t len = MIN(rest->len, strlen(HT_FIRST_BYTES));
+    return len > 0 && memcmp(rest->data, HT_FIRST_BYTES, len) == 0;
+}
+
+static AeInside
+find_head_across(const HtConn *w)
+{
+    const GByteArray *body = ae_get_body(w->call->answer);
+    size_t kept = MIN(body->len, MAX_BEFORE_HEAD_BYTES);
+    const char *tail = (const char *)body->data + body->len - kept;
+    if (w->rest->len == 0) {
+        return ae_find_head_across(tail, kept, kept);
+    }
+    g_autoptr(GString) text = g_string_new_len(tail, (gssize)kept);
+    g_string_append_len(text, (const char *)w->rest->data, w->rest->len);
+    return ae_find_head_across(text->str, text->len, kept);
+}
+
+/* Whether the whole body holds a part of another answer. */
+static AeInside
+judge_body(const HtConn *w)
 {
     const GByteArray *body = ae_get_body(w->call->answer);
-    return w->garbled || runs_on(body, rest, left) ||
-           holds_answer(w, (const char *)body->data, body->len);
+    if (w->garbled || runs_on(w) ||
+        holds_answer(w, (const char *)body->data, body->len)) {
+        return AE_INSIDE_SURE;
+    }
+    AeInside found = find_head_across(w);
+    if (begins_answer(w->rest) && found != AE_INSIDE_NOT) {
+        bool known = w->rest->len >= strlen(HT_FIRST_BYTES);
+        return known ? AE_INSIDE_NOT : AE_INSIDE_MAYBE;
+    }
+    return found == AE_INSIDE_NOT && is_unproved(w) ? AE_INSIDE_MAYBE : found;
 }
 
 static void
 fail_garbled(HtConn *w)
 {
     bg_count("gateway_garbled_bodies_total", 1);
+    w->held_ms = 0;
     ht_fail_conn(w, AE_INVALID);
 }
 
-/* The body may hold the begin of another answer, whose rest may still come. */
+/* Only so long is it waited for what follows an answer. */
 static bool
-may_run_on(const HtConn *w)
+may_hold(const HtConn *w)
 {
-    const GByteArray *body = ae_get_body(w->call->answer);
-    return ae_ends_in_head((const char *)body->data, body->len);
+    return !w->input_over && w->rest->len < MAX_BEFORE_HEAD_BYTES;
+}
+
+bool
+ht_has_unread(const HtConn *w)
+{
+    return ev_is_active(&w->read_watch) && !so_is_quiet(w->fd);
+}
+
+bool
+ht_was_held(const HtConn *w, uint64_t now_ms)
+{
+    if (!w->held_ms) {
+        return false;
+    }
+    uint64_t by_ms = w->call->answer_by_ms;
+    return (by_ms && now_ms + ANSWER_MARGIN_MS >= by_ms) ||
+           (now_ms > w->held_ms + HELD_MS && !ht_has_unread(w));
 }
 
 /* The message is over; LEFT unexpected bytes followed it, REST. */
@@ -415,19 +501,21 @@
 finish_answer(HtConn *w, const uint8_t *rest, size_t left)
 {
     HtCall *call = w->call;
-    if (left == 0 && !w->held_ms && !w->input_over && may_run_on(w)) {
-        w->held_ms = bg_boot_ms();
+    g_byte_array_append(w->rest, rest, (guint)left);
+    AeInside inside = judge_body(w);
+    if (inside == AE_INSIDE_MAYBE && may_hold(w)) {
+        w->held_ms = w->held_ms ? w->held_ms : bg_boot_ms();
         return;
     }
-    if (is_garbled(w, rest, left)) {
+    if (inside == AE_INSIDE_SURE) {
         fail_garbled(w);
         return;
     }
     /* A late copy of an answer to HEAD can't be skipped: it has no body, and
        doesn't show that. */
-    bool keep = w->reusable && left == 0 && !call->fresh && w->keep_ms > 0 &&
-                call->sent == call->request->len && !is_head_request(call) &&
-                w->ids->len < MAX_KEPT_IDS;
+    bool keep = w->reusable && w->rest->len == 0 && !call->fresh &&
+                w->keep_ms > 0 && call->sent == call->request->len &&
+                !is_head_request(call) && w->ids->len < MAX_KEPT_IDS;
     AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
     if (!keep) {
         ht_close_call(w, end);
@@ -443,6 +531,7 @@
 void
 ht_end_held(HtConn *w)
 {
+    w->input_over = true;
     finish_answer(w, NULL, 0);
 }
 
--- a/src/http_open.c
+++ b/src/http_open.c
@@ -52,6 +52,7 @@
     w->address = g_strdup(address);
     w->helper = g_strdup(helper);
     w->framed = g_byte_array_new();
+    w->rest = g_byte_array_new();
     w->ids = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     w->way = way;
     w->opener = opener;
--- a/src/http_pool.c
+++ b/src/http_pool.c
@@ -17,8 +17,6 @@
 /* After an answer that doesn't say whose it is the call's own may follow at
    once; else that was it. */
 #define UNNAMED_MS 250
-/* So long the rest of a copy that fills up a broken body may take. */
-#define HELD_MS 250
 
 void
 ht_free_call(HtCall *call)
@@ -37,6 +35,7 @@
 {
     ht_free_message(&w->msg);
     g_byte_array_free(w->framed, TRUE);
+    g_byte_array_free(w->rest, TRUE);
     g_array_free(w->ids, TRUE);
     g_free(w->address);
     g_free(w->helper);
@@ -115,6 +114,11 @@
 void
 ht_fail_conn(HtConn *w, AeSignal signal)
 {
+    if (w->held_ms) {
+        w->reusable = false;
+        ht_end_held(w); /* it is whole, whatever ended its connection */
+        return;
+    }
     if (ht_may_move_call(w)) {
         ht_move_call(w);
         return;
@@ -273,6 +277,7 @@
     call->request = req->request;
     call->answer = ae_create(&req->expect);
     call->connect_ms = req->connect_ms;
+    call->answer_by_ms = req->answer_by_ms;
     call->begun_ms = bg_boot_ms();
     call->detour_at_ms = UINT64_MAX;
     call->helpers = g_ptr_array_new_with_free_func(g_free);
@@ -471,18 +476,27 @@
            w->since_ms + (w->connecting ? PROBE_CONNECT_MS : w->keep_ms);
 }
 
-typedef bool (*IsDue)(const HtConn *w, uint64_t now_ms);
+typedef struct {
+    bool (*is_due)(const HtConn *w, uint64_t now_ms);
+    uint64_t now_ms;
+} DueSearch;
+
+/* 0 when W is due. */
+static gint
+compare_due(gconstpointer w, gconstpointer search)
+{
+    const DueSearch *s = search;
+    return s->is_due(w, s->now_ms) ? 0 : 1;
+}
 
 /* A handler may open and close connections, so each search starts over. */
 static HtConn *
-find_due(HtPool *p, IsDue is_due, uint64_t now_ms)
+find_due(HtPool *p, bool (*is_due)(const HtConn *w, uint64_t now_ms),
+         uint64_t now_ms)
 {
-    for (GList *l = p->conns.head; l; l = l->next) {
-        if (is_due(l->data, now_ms)) {
-            return l->data;
-        }
-    }
-    return NULL;
+    DueSearch search = {is_due, now_ms};
+    GList *found = g_queue_find_custom(&p->conns, &search, compare_due);
+    return found ? found->data : NULL;
 }
 
 /* CALL has no time left: no other helper is asked. */
@@ -515,7 +529,7 @@
 {
     const HtCall *call = w->call;
     return call && call->unnamed_ms && call->match == HT_MATCH_NONE &&
-           now_ms > call->unnamed_ms + UNNAMED_MS;
+           now_ms > call->unnamed_ms + UNNAMED_MS && !ht_has_unread(w);
 }
 
 static void
@@ -528,17 +542,11 @@
     }
 }
 
-static bool
-was_held(const HtConn *w, uint64_t now_ms)
-{
-    return w->held_ms && now_ms > w->held_ms + HELD_MS;
-}
-
 static void
 end_held(HtPool *p, uint64_t now_ms)
 {
     HtConn *w;
-    while ((w = find_due(p, was_held, now_ms))) {
+    while ((w = find_due(p, ht_was_held, now_ms))) {
         ht_end_held(w);
     }
 }
--- a/src/http_pool_internal.h
+++ b/src/http_pool_internal.h
@@ -48,6 +48,7 @@
                         the size of a chunk */
     size_t chunk_end_due; /* bytes of the line end behind a chunk, which come
                              with the next input */
+    GByteArray *rest;     /* bytes behind a held answer */
     uint64_t held_ms;  /* the answer is over, but the next bytes may show that
                           it broke off: since; 0: it isn't so */
     bool parsing;      /* inside the parser's callbacks */
@@ -71,6 +72,7 @@
     GByteArray *request;
     Ae *answer;
     size_t sent;
+    uint64_t answer_by_ms; /* as in HtRequest */
     uint32_t connect_ms;
     uint64_t begun_ms;
     uint64_t detour_at_ms; /* when to ask a helper too, or one more */
@@ -131,8 +133,12 @@
 /* LEN 0: the connection was closed in order.  May free W. */
 void ht_parse_input(HtConn *w, const uint8_t *data, size_t len);
 void ht_make_idle(HtConn *w);
-/* Nothing follows the answer that W holds back.  May free W. */
+/* Nothing more follows the answer that W holds back.  May free W. */
 void ht_end_held(HtConn *w);
+/* W holds its answer back no longer at NOW_MS. */
+bool ht_was_held(const HtConn *w, uint64_t now_ms);
+/* Bytes of the upstream wait to be read. */
+bool ht_has_unread(const HtConn *w);
 /* The paths that W tells of; NULL: it goes to no upstream. */
 Pt *ht_get_paths(const HtConn *w);
 /* The id of its call is written to W. */
