--- a/tests/stutter_hunt.py
+++ b/tests/stutter_hunt.py
@@ -354,7 +354,7 @@
     def __init__(self, args, seed):
         self.rng = random.Random(seed)
         self.odds = draw_odds(self.rng)
-        self.cuts = self.rng.random() < 0.5
+        self.cuts = self.rng.random() < 0.5 or bool(args.former)
         self.max_connections = self.rng.choice([2, 4, 100])
         self.ids = self.rng.choice([0, 0, 5, 100])   # 0: all differ
         self.sent, self.given, self.results, self.wrong = {}, {}, [], []
@@ -370,6 +370,10 @@
         self.paths = PathRelays(args.build) if self.cuts else None
         self.gateways = [self.start_gateway(args, i)
                          for i in range(self.rng.randint(2, 4))]
+        # Those of a former release link, lead and detour; none calls them.
+        step = 2 if args.former else 1
+        self.called = self.gateways[::step]
+        self.former = self.gateways[1::2] if args.former else []
 
     def make_config(self):
         timeout = {"timeout_ms": 2000 + self.version % 3 * 500}
@@ -385,7 +389,7 @@
 
     def start_gateway(self, args, nth):
         g = Gateway(args.build, self.store, "vm%d" % nth, grace_s=2)
-        g.program = args.gateway
+        g.program = args.former if args.former and nth % 2 else args.gateway
         if self.paths:
             g.env = self.paths.make_env(g.name,
                                         [u.address for u in self.upstreams])
@@ -446,7 +450,7 @@
     def run_caller(self, seed):
         rng, conns = random.Random(seed), {}
         while not self.stopping:
-            g = rng.choice(self.gateways)
+            g = rng.choice(self.called)
             try:
                 conn = conns.pop(g, None) or Connection(g.front)
                 if self.send_one(rng, conn) and rng.random() < 0.8:
@@ -550,6 +554,15 @@
         if served < LEAST_SERVED * len(self.results):
             self.wrong.append("only %d were served" % served)
 
+    def describe_former(self):
+        """How many requests' last answers came by a former gateway's way,
+        and how often one of them began to lead."""
+        ways = ["127.0.0.1:%d" % g.detour for g in self.former]
+        return ", %d by detour, %d leases of former ones" % (
+            sum(e.get("by") in ways for g in self.called
+                for e in g.events("request-end")),
+            sum(len(g.events("lease-held")) for g in self.former))
+
     def stop(self):
         for g in self.gateways:
             g.proc.kill()
@@ -569,11 +582,12 @@
         hunt.stop()
     statuses = collections.Counter(s for _, s in hunt.results)
     print("seed %d: %d wrong of %d %s, %d copies, %d reports, odds %s, "
-          "%d gateways, cuts %s, ids %d, connections %d" % (
+          "%d gateways, cuts %s, ids %d, connections %d%s" % (
               seed, len(hunt.wrong), len(hunt.results),
               sorted(statuses.items()), sum(u.copied for u in hunt.upstreams),
               sum(u.reports for u in hunt.upstreams), hunt.odds,
-              len(hunt.gateways), hunt.cuts, hunt.ids, hunt.max_connections))
+              len(hunt.gateways), hunt.cuts, hunt.ids, hunt.max_connections,
+              hunt.describe_former() if hunt.former else ""))
     for what in hunt.wrong[:8]:
         print("    " + what)
     for g in hunt.gateways:
@@ -589,6 +603,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default=os.path.join(ROOT, "build"))
     parser.add_argument("--gateway", help="a program of another build")
+    parser.add_argument("--former",
+                        help="a former release's program, for every second")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
@@ -600,6 +616,7 @@
     # Each in a process of its own, so that none inherits sockets.
     words = [PYTHON, os.path.abspath(__file__), "--build", args.build,
              "--gateway", args.gateway, "--seconds", str(args.seconds)]
+    words += ["--former", args.former] if args.former else []
     failed = [seed for seed in range(args.seed, args.seed + args.seeds)
               if subprocess.call(words + ["--seed", str(seed)])]
     print("%d seeds, red: %s" % (args.seeds, failed or "none"))
