--- a/tests/stutter_hunt.py
+++ b/tests/stutter_hunt.py
@@ -368,8 +368,9 @@
             Upstream(self, "e%d" % i, self.rng.random(), models=models)
             for i, models in enumerate([["m0"], ["m0", "m1"]])]
         self.paths = PathRelays(args.build) if self.cuts else None
-        self.gateways = [self.start_gateway(args, i)
-                         for i in range(self.rng.randint(2, 4))]
+        # At least two that are called: a fault may stop one.
+        size = self.rng.randint(2, 4) + (1 if args.former else 0)
+        self.gateways = [self.start_gateway(args, i) for i in range(size)]
         # Those of a former release link, lead and detour; none calls them.
         step = 2 if args.former else 1
         self.called = self.gateways[::step]
