--- a/tests/stutter_hunt.py
+++ b/tests/stutter_hunt.py
@@ -216,7 +216,9 @@
         return head + name + b"%d\r\n" % new + rest if name else answer
 
     def request(self, h, path, body):
-        if self.models is None and self.rng.random() < self.odds["refused"]:
+        refused = (self.models is None and
+                   self.rng.random() < self.odds["refused"])
+        if refused and not h.__dict__.get("answered_early"):
             rid = h.headers.get("X-Attempt-Id")
             h.reply(self.rng.choice([503, 429]), {}, dict(
                 {"X-Attempt-Id": rid} if rid else {}, **{
