A stream's event that another answer's head fills up ends the attempt, on routers

The caller of a router got an event that held the head of another answer, and one token less: a chunk broke off, and a copy's head brought it to its size.

Cause: each line that begins as an event was passed on, whole or not. Only heads of answers were looked at on routers.

Change: a line that holds an answer's first line is passed on only if it is an event whose data is JSON; else the attempt counts as broken, and the stream is resumed after its last token.

--- a/src/req.c
+++ b/src/req.c
@@ -1,5 +1,6 @@
 #include "req.h"
 
+#include "answer_end.h"
 #include "blocking_http.h"
 #include "json_parser.h"
 #include "watch.h"
@@ -414,11 +415,30 @@
     return true;
 }
 
+/* The answer broke off inside LINE, and the head of another one fills it up.
+   An event is JSON, which may speak of HTTP. */
+static bool
+holds_other_head(const char *line, size_t len)
+{
+    if (!ae_find_status_line(line, len)) {
+        return false;
+    }
+    bool event = strncmp(line, "data:", 5) == 0;
+    json_t *doc = event ? js_parse(line + 5, len - 5, NULL) : NULL;
+    bool whole = doc != NULL;
+    json_decref(doc);
+    return !whole;
+}
+
 /* Forwards one SSE line as a complete event, so that the caller never gets
    part of an event when the upstream breaks off. */
 static bool
 forward_line(Req *q, const char *line, size_t len)
 {
+    if (holds_other_head(line, len)) {
+        bg_count("router_garbled_streams_total", 1);
+        return false;
+    }
     if (len > 5 && strncmp(line, "data:", 5) == 0) {
         /* [DONE] marks the answer as complete: it is sent at the end. */
         if (g_strstr_len(line, (gssize)len, "[DONE]") == line + 6) {
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -15,9 +15,11 @@
 GET  /control/cache_events?from=N: delayed, and some events are missing.
 PUT  /test/faults {stall_loads, fail_loads, cut_stream_after, cut_streams,
      short_answers, cross_answers, silent, leaving, token_ms, refuse_new,
-     report_lag_ms, tiers, stray_bytes}.
+     report_lag_ms, tiers, stray_bytes, filled_chunks}.
      stray_bytes: texts, each written once before the answer to a streamed
      completion, on a connection that carried another one.
+     filled_chunks: number of streams of which a chunk breaks off, and is
+     filled up with the head of another answer.
      cut_streams: number of streams to cut; short_answers: number of answers
      that end before their Content-Length; cross_answers: number of answers
      that repeat the previous call's answer and X-Attempt-Id.
@@ -35,6 +37,11 @@
 import standin
 
 
+# Of a stream with filled_chunks.
+FILLED_TOKEN = 3
+OTHER_HEAD = "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n"
+
+
 class Cancelled(Exception):
     """The caller closed its connection before it had its answer."""
 
@@ -65,7 +72,7 @@
                        "leaving": False, "token_ms": args.token_ms,
                        "refuse_new": False,
                        "report_lag_ms": args.report_lag_ms,
-                       "stray_bytes": []}
+                       "stray_bytes": [], "filled_chunks": 0}
         self.role = "any"
 
     # ---- orders --------------------------------------------------------
@@ -300,6 +307,13 @@
             h.streamed = True
         h.wfile.write(text.encode())
 
+    def fill_chunk(self, h, text):
+        left_out = len(OTHER_HEAD)
+        h.wfile.write(("%x\r\n%s%s\r\n" % (
+            len(text), text[:-left_out], OTHER_HEAD)).encode())
+        h.wfile.flush()
+        h.close_connection = True
+
     def stream(self, h, name, tokens, start, chat):
         self.write_stray(h)
         h.start_stream({"X-Attempt-Id": h.headers.get("X-Attempt-Id", "")})
@@ -315,8 +329,11 @@
             part = {"delta": {"content": token}} if chat else {"text": token}
             part.update({"index": 0, "finish_reason":
                          "stop" if i == len(tokens) - 1 else None})
-            h.send_chunk("data: %s\n\n" % json.dumps(
-                {"id": "cmpl-1", "model": name, "choices": [part]}))
+            text = "data: %s\n\n" % json.dumps(
+                {"id": "cmpl-1", "model": name, "choices": [part]})
+            if i == FILLED_TOKEN and self.take_fault("filled_chunks"):
+                return self.fill_chunk(h, text)
+            h.send_chunk(text)
         h.send_chunk("data: [DONE]\n\n")
         return h.end_stream()
 
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -62,7 +62,7 @@
 def clean(cluster):
     yield
     for e in ENGINES:
-        cluster.set_faults(e, stray_bytes=[])
+        cluster.set_faults(e, stray_bytes=[], filled_chunks=0)
 
 
 # The caller got another caller's text, or the copy's status.
@@ -88,3 +88,14 @@
     assert min(count_stray(cluster)) == 0
     # A cut in the body takes the answer's first bytes for its rest.
     assert not [w for w in wrong if w[1] not in (502, 503)], wrong[:2]
+
+
+# The caller got an event that held the head of another answer.
+def test_head_inside_a_chunk_of_a_stream(cluster):
+    filled = 0
+    for i in range(12):
+        engine = ENGINES[i % 2]
+        cluster.set_faults(engine, filled_chunks=1)
+        assert not ask_streams(cluster, lambda asked, left: asked == 1)
+        filled += cluster.set_faults(engine)["filled_chunks"] == 0
+    assert filled >= 3
