A whole head inside a body is held too, and a held answer's connection ends

Callers got 200 with foreign bytes where their answer, which bore its id, broke off and a head without one filled it up, or a torn copy and a whole one did; and the next request on a connection got 502 if the rest of a copy came after the 250 ms.

Cause: a whole head was looked at for its id alone; a line in which the second copy begins was taken for no head's; the connection was kept though the wait had shown nothing.

Change: a body that holds a whole head is held, id or not, while one that only mentions HTTP isn't; such a line is part of a head; the connection is closed. A line end at the body's begin holds nothing up any more.

--- a/src/answer_end.c
+++ b/src/answer_end.c
@@ -265,11 +265,18 @@
     return ae_find_status_line(text, strlen(text)) != NULL;
 }
 
+static const char *
+skip_line_end(const char *text, const char *end)
+{
+    const char *at = text < end && *text == '\r' ? text + 1 : text;
+    return at < end && *at == '\n' ? at + 1 : text;
+}
+
 /* Behind the last blank line of TEXT. */
 static const char *
 skip_blank_lines(const char *text, const char *end)
 {
-    const char *behind = text;
+    const char *behind = skip_line_end(text, end);
     const char *at = text;
     while (at < end && (at = memchr(at, '\n', (size_t)(end - at)))) {
         at++;
@@ -325,30 +332,77 @@
            (*line == '\r' && (line + 1 == end || line[1] == '\n'));
 }
 
-/* The begin of the last line from TEXT on that is no field's, up to a blank
-   one; TEXT: all are. */
+/* The line that a status ends before TEXT goes on as a first line does. */
+static bool
+ends_as_first_line(const char *text, const char *end)
+{
+    const char *at = skip_reason(text, end);
+    return at == end || *at == '\n';
+}
+
+/* An answer's first line ends the line. */
+static bool
+holds_first_line(const char *line, const char *line_end)
+{
+    const char *at = line;
+    const char *behind = NULL;
+    size_t len = strlen(FIRST_BYTES);
+    while (at < line_end &&
+           (at = memmem(at, (size_t)(line_end - at), FIRST_BYTES, len))) {
+        if (match_status_line(at, line_end, &behind) == LINE_WHOLE &&
+            ends_as_first_line(behind, line_end)) {
+            return true;
+        }
+        at++;
+    }
+    return false;
+}
+
+/* The begin of the last line from TEXT on that is no part of a head, up to a
+   blank one; TEXT: all are. */
 static const char *
 find_last_other_line(const char *text, const char *end)
 {
     const char *other = text;
     const char *line = text;
     while (line < end && !is_blank_line(line, end)) {
-        const char *line_end = match_field_line(line, end);
-        if (!line_end) {
+        const char *line_end = memchr(line, '\n', (size_t)(end - line));
+        line_end = line_end ? line_end : end;
+        if (!match_field_line(line, end) &&
+            !holds_first_line(line, line_end)) {
             other = line;
-            line_end = memchr(line, '\n', (size_t)(end - line));
         }
-        line = line_end && line_end < end ? line_end + 1 : end;
+        line = line_end < end ? line_end + 1 : end;
     }
     return other;
 }
 
-/* The line that a status ends before TEXT goes on as a first line does. */
-static bool
-ends_as_first_line(const char *text, const char *end)
+bool
+ae_holds_head(const char *text, size_t len)
 {
-    const char *at = skip_reason(text, end);
-    return at == end || *at == '\n';
+    const char *end = text + len;
+    bool inside = false;
+    bool has_field = false;
+    for (const char *line = text; line < end;) {
+        const char *line_end = memchr(line, '\n', (size_t)(end - line));
+        line_end = line_end ? line_end : end;
+        if (holds_first_line(line, line_end)) {
+            inside = true;
+            has_field = false;
+        }
+        else if (inside && is_blank_line(line, end)) {
+            if (has_field) {
+                return true;
+            }
+            inside = false;
+        }
+        else if (inside) {
+            inside = match_field_line(line, end) != NULL;
+            has_field = inside;
+        }
+        line = line_end < end ? line_end + 1 : end;
+    }
+    return false;
 }
 
 AeInside
--- a/src/answer_end.h
+++ b/src/answer_end.h
@@ -114,6 +114,9 @@
    field that it ends in holds that one's. */
 const char *ae_find_status_line(const char *text, size_t len);
 bool ae_holds_status_line(const char *text);
+/* TEXT holds a whole head with a field, blank line included. */
+bool ae_holds_head(const char *text, size_t len);
+
 /* Whether another answer's head begins inside a body, and goes on behind it.
  */
 typedef enum {
--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -416,13 +416,12 @@
            ae_find_status_line((const char *)body->data, body->len);
 }
 
-/* No id shows whose a head inside its body is, and the body speaks of one. */
+/* No id shows whose the whole head inside its body is. */
 static bool
-is_unproved(const HtConn *w)
+holds_unknown_head(const HtConn *w)
 {
     const GByteArray *body = ae_get_body(w->call->answer);
-    return w->call->match != HT_MATCH_ID &&
-           ae_find_status_line((const char *)body->data, body->len);
+    return ae_holds_head((const char *)body->data, body->len);
 }
 
 /* What came behind the body is another answer, or may become one. */
@@ -461,7 +460,8 @@
         bool known = w->rest->len >= strlen(HT_FIRST_BYTES);
         return known ? AE_INSIDE_NOT : AE_INSIDE_MAYBE;
     }
-    return found == AE_INSIDE_NOT && is_unproved(w) ? AE_INSIDE_MAYBE : found;
+    return found == AE_INSIDE_NOT && holds_unknown_head(w) ? AE_INSIDE_MAYBE
+                                                           : found;
 }
 
 static void
@@ -513,9 +513,10 @@
     }
     /* A late copy of an answer to HEAD can't be skipped: it has no body, and
        doesn't show that. */
-    bool keep = w->reusable && w->rest->len == 0 && !call->fresh &&
-                w->keep_ms > 0 && call->sent == call->request->len &&
-                !is_head_request(call) && w->ids->len < MAX_KEPT_IDS;
+    bool keep = w->reusable && inside == AE_INSIDE_NOT && w->rest->len == 0 &&
+                !call->fresh && w->keep_ms > 0 &&
+                call->sent == call->request->len && !is_head_request(call) &&
+                w->ids->len < MAX_KEPT_IDS;
     AeEnd end = ae_end(call->answer, AE_MESSAGE_OVER);
     if (!keep) {
         ht_close_call(w, end);
--- a/tests/test_held_answers.py
+++ b/tests/test_held_answers.py
@@ -113,6 +113,51 @@
             assert r.status == 502 and b"HTTP/" not in r.read()
 
 
+def fill(change, pause_s=APART_S):
+    """An engine's on_request: its body breaks off, and what CHANGE makes of the
+    answer fills it up, the rest after PAUSE_S."""
+    def answer(engine, h, rid):
+        own = make_answer(engine, rid, json.dumps(
+            {"id": rid, "pad": "p" * 400}), LENGTH)
+        name, _, left_out = h.path.rpartition("-")
+        if not name.endswith("cut"):
+            h.wfile.write(own)
+            return True
+        left_out = int(left_out)
+        copy = change(own)
+        h.wfile.write(own[:-left_out] + copy[:left_out])
+        h.wfile.flush()
+        time.sleep(pause_s)
+        h.wfile.write(copy[left_out:])
+        return True
+    return answer
+
+
+# The own answer had its id, and what filled it up had none.
+def test_whole_head_without_an_id_in_an_answer_with_one(build):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = fill(lambda own: change_head(own, False, True))
+        assert not find_wrong(c, LEFT_OUT + WHOLE_HEADS)
+
+
+# The line in which the second copy began was taken for no head's.
+@pytest.mark.parametrize("torn", [20, 40])
+def test_torn_copy_and_a_whole_one_behind_a_broken_body(build, torn):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = fill(lambda own: own[:torn] + own)
+        assert not find_wrong(c, (1, 5, 10, 14))
+
+
+# The rest came to the next request.
+def test_connection_of_a_held_answer_is_not_used_again(build):
+    with Cluster(build, models=(), apps=1) as c:
+        c.apps[0].on_request = fill(lambda own: own, 0.4)
+        for _ in range(3):
+            ask(c.gateways[0], "pay", path="/pay/cut-5")
+            got = ask(c.gateways[0], "pay", path="/pay/whole-0")
+            assert got[0] == 200 and is_own(got, None)
+
+
 def serve(c, body, after=None, **more):
     """The time and the answer of an engine that answers BODY."""
     def answer(engine, h, rid):
@@ -140,7 +185,8 @@
     with Cluster(build, models=(), apps=1) as c:
         serve(c, "")
         for text in (JSON, JSON.replace(" 200", " 200 "), "HTTP/1.1 200 OK, "
-                     "as it says {there}", "HTTP/1.1 200 OK\nno field\n"):
+                     "as it says {there}", "HTTP/1.1 200 OK\nno field\n",
+                     "\nHTTP/1.1 200 OK\nno field\n"):
             took_s, got = serve(c, text)
             assert got == (200, text.encode()) and took_s < AT_ONCE_S
 
