A test of two copies in a row, the first one torn at the body's end, known red

Callers get 200 with their own answer filled up by 1 to 14 bytes of a copy: what follows looks like an answer behind a whole body. Not mended: a body that ends so and is whole, with a copy at once behind it, can't be told from it yet.

--- a/tests/test_held_answers.py
+++ b/tests/test_held_answers.py
@@ -148,6 +148,16 @@
         assert not find_wrong(c, (1, 5, 10, 14))
 
 
+# What follows the torn copy looks like the next answer.
+def test_copy_torn_at_the_end_of_a_filled_body(build):
+    with Cluster(build, models=(), apps=1) as c:
+        wrong = []
+        for torn in (1, 5, 10, 14):
+            c.apps[0].on_request = fill(lambda own, n=torn: own[:n] + own)
+            wrong += find_wrong(c, (torn,))
+        assert not wrong
+
+
 # The rest came to the next request.
 def test_connection_of_a_held_answer_is_not_used_again(build):
     with Cluster(build, models=(), apps=1) as c:
