--- a/review/case_platform.py
+++ b/review/case_platform.py
@@ -49,10 +49,21 @@
         time.sleep(0.02)
 
 
+PORTS = range(14000, 30000)   # below those of outgoing connections
+_ports = itertools.cycle(PORTS)
+for _ in range(os.getpid() * 61 % len(PORTS)):
+    next(_ports)
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    for port in itertools.islice(_ports, len(PORTS)):
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise CannotRun("no free port")
 
 
 class Record:
