Review: cases end after 110 s at most, and leave no process or folder

Cause: a case that took too long, or that failed while it started its gateways, could have left some of them; each left its folder of settings.

Change: an alarm, and one place that ends all gateways of a case.

--- a/review/case_platform.py
+++ b/review/case_platform.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -26,19 +27,32 @@
 RESET = struct.pack("ii", 1, 0)
 
 
+LIMIT_S = 110   # of a case
+
+
 class CannotRun(Exception):
     pass
 
 
+def on_alarm(_signal, _frame):
+    raise CannotRun("it took more than %d s" % LIMIT_S)
+
+
 def run(main):
     """The exit status of MAIN; 2 if it fails."""
+    signal.signal(signal.SIGALRM, on_alarm)
+    signal.alarm(LIMIT_S)
+    status = 2
     try:
-        return main()
+        status = main()
     except CannotRun as e:
         print("the case couldn't run: %s" % e)
     except Exception:   # a fault of the case, not of the gateway
         traceback.print_exc()
-    return 2
+    signal.alarm(0)
+    for g in Gateway.started:
+        g.stop()
+    return status
 
 
 def wait_until(test, seconds, what):
@@ -502,6 +516,8 @@
     """A gateway process, with settings as platform/settings.ini makes them for
     a small deployment."""
 
+    started = []
+
     def __init__(self, root, store, name, record, extra="", zone="z1",
                  store_address=None):
         self.root, self.name, self.record = root, name, record
@@ -532,6 +548,7 @@
 %s""" % (name, zone, self.front, self.ready, self.control, self.link,
                 self.detour, store_address or store.address, extra))
         self.proc = None
+        Gateway.started.append(self)
         self.start()
 
     def start(self):
@@ -567,9 +584,11 @@
         self.proc.send_signal(sig)
 
     def stop(self):
-        if self.proc.poll() is None:
+        if self.proc and self.proc.poll() is None:
             self.proc.kill()
-        self.proc.wait()
+        if self.proc:
+            self.proc.wait()
+        shutil.rmtree(self.dir, ignore_errors=True)
 
 
 # ---- callers --------------------------------------------------------------
