--- a/review/case_platform.py
+++ b/review/case_platform.py
@@ -327,6 +327,7 @@
         self.first_s, self.down_s = first_s, down_s
         self.sequence = 0
         self.busy = False
+        self.loading = None       # the model that is being loaded
         self.orders = []          # (time, holder, token, op, model, adapter)
         self.overcommitted = []   # texts
         self.crashes = 0
@@ -358,8 +359,9 @@
             self.run_stream(h, rid)
 
     def count_mb(self):
-        return sum(self.sizes[m] + len(a) * self.adapter_mb
+        held = sum(self.sizes[m] + len(a) * self.adapter_mb
                    for m, a in self.models.items())
+        return held + (self.sizes[self.loading] if self.loading else 0)
 
     def order(self, h, o):
         if not o.get("holder") or "fence_token" not in o:
@@ -413,8 +415,8 @@
             del self.models[model]
             return 202
         self.busy = True
-        self.models[model] = set()   # its memory is taken from now on
-        timer = threading.Timer(self.load_s, self.end_load)
+        self.loading = model   # its memory is taken from now on
+        timer = threading.Timer(self.load_s, self.end_load, [self.born])
         timer.daemon = True
         timer.start()
         return 202
@@ -432,8 +434,12 @@
         held.discard(adapter)
         return 200
 
-    def end_load(self):
+    def end_load(self, born):
         with self.lock:
+            if born != self.born or not self.loading:
+                return   # its process ended
+            self.models[self.loading] = set()
+            self.loading = None
             self.busy = False
         self.publish()
 
@@ -445,6 +451,7 @@
             self.up = False
             self.server.end_process()
             self.models = {}
+            self.loading = None
             self.running.clear()
         timer = threading.Timer(self.down_s, self.come_back)
         timer.daemon = True
